--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGE := pimentoquay
+TYPED := policy messages scheduler configuration membership
+STAMP := $(VENV)/.installed
+
+.PHONY: install test format demo clean
+
+install: $(STAMP)
+
+$(STAMP): pyproject.toml constraints.txt
+	python3 -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt --editable '.[test]'
+	touch $(STAMP)
+
+format: install
+	$(BIN)/black --quiet $(PACKAGE)
+	$(BIN)/ruff check --fix $(PACKAGE)
+
+test: install
+	$(BIN)/black --check --quiet $(PACKAGE)
+	$(BIN)/ruff check $(PACKAGE)
+	$(BIN)/mypy $(addprefix $(PACKAGE)/,$(TYPED))
+	$(BIN)/python -m pytest
+
+demo: install
+	@$(BIN)/python -m pimentoquay.bench.demo_plan > /dev/null
+	@sh tools/demo.sh $(BIN)
+
+clean:
+	rm -rf .demo .pytest_cache .mypy_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/pimentoquay/configuration/__init__.py
@@ -0,0 +1,3 @@
+"""Workspaces: templates, documents and their checks, the fold of the log, publishing."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/pimentoquay/ctl/__init__.py
@@ -0,0 +1,3 @@
+"""The operators' command line."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/pimentoquay/kernel/logs.py
@@ -0,0 +1,43 @@
+"""JSON-lines logs through loguru.
+
+Each line is one JSON object with the time, level, process, VM and message, and the fields that
+the caller bound. Secrets are never bound.
+"""
+
+import json
+import sys
+
+from loguru import logger
+
+__all__ = ["configure_logs", "logger"]
+
+
+def configure_logs(process: str, vm: str, level: str = "INFO") -> None:
+    """Send every log line of this process to standard error as JSON.
+
+    Parameters
+    ----------
+    process
+        The program's name.
+    vm
+        The VM's name.
+    level
+        The lowest level that is written.
+    """
+
+    def write(message) -> None:
+        record = message.record
+        line = {
+            "time": record["time"].isoformat(),
+            "level": record["level"].name,
+            "process": process,
+            "vm": vm,
+            "message": record["message"],
+            **{key: str(value) for key, value in record["extra"].items()},
+        }
+        if record["exception"] is not None:
+            line["error"] = repr(record["exception"].value)
+        sys.stderr.write(json.dumps(line) + "\n")
+
+    logger.remove()
+    logger.add(write, level=level, backtrace=False, diagnose=False)
--- /dev/null
+++ b/pimentoquay/kernel/registry.py
@@ -0,0 +1,50 @@
+"""Plug-ins that register themselves with the kernel.
+
+A subpackage registers a factory under a kind and a name when it is imported; the composition
+root asks for it by both.
+
+Example
+-------
+::
+
+    @plugin("backend", "engine-http")
+    class HttpEngineClient: ...
+
+    factory = find_plugin("backend", "engine-http")
+"""
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+__all__ = ["find_plugin", "plugin", "plugin_names"]
+
+Factory = TypeVar("Factory", bound=Callable[..., Any])
+
+_factory_by_name: dict[str, dict[str, Callable[..., Any]]] = {}
+
+
+def plugin(kind: str, name: str) -> Callable[[Factory], Factory]:
+    """Register the decorated factory under ``kind`` and ``name``."""
+
+    def register(factory: Factory) -> Factory:
+        by_name = _factory_by_name.setdefault(kind, {})
+        if name in by_name and by_name[name] is not factory:
+            raise ValueError(f"plug-in {kind}/{name} is registered twice")
+        by_name[name] = factory
+        return factory
+
+    return register
+
+
+def find_plugin(kind: str, name: str) -> Callable[..., Any]:
+    """Return the factory registered under ``kind`` and ``name``; ``LookupError`` if none."""
+    try:
+        return _factory_by_name[kind][name]
+    except KeyError:
+        known = ", ".join(plugin_names(kind)) or "none"
+        raise LookupError(f"no plug-in {kind}/{name}; registered: {known}") from None
+
+
+def plugin_names(kind: str) -> tuple[str, ...]:
+    """Return the names registered under a kind, sorted."""
+    return tuple(sorted(_factory_by_name.get(kind, {})))
--- /dev/null
+++ b/pimentoquay/messages/cluster.py
@@ -0,0 +1,96 @@
+"""Messages between control processes and from control to entry (numbers 40 to 69)."""
+
+from enum import IntEnum
+
+from pimentoquay.messages.codec import message
+
+__all__ = [
+    "CatchUpRequest",
+    "ConfigurationEntries",
+    "Heartbeat",
+    "Member",
+    "MemberKind",
+    "MemberState",
+    "MembershipUpdate",
+    "ShardSummary",
+]
+
+
+class MemberKind(IntEnum):
+    """What a member of the platform's membership list is."""
+
+    ENTRY_VM = 0
+    ENGINE = 1
+    SERVICE = 2
+
+
+class MemberState(IntEnum):
+    """The state of a member on the membership list."""
+
+    LIVE = 0
+    LEAVING = 1
+
+
+@message(40)
+class Member:
+    """One line of the platform's membership list.
+
+    ``address`` is ``host:port`` with an IP number: the control port of an entry VM, the HTTP
+    port of a backend server. ``pool`` is the model or service name of a backend server, and
+    ``checks_fencing`` tells whether an engine enforces fencing numbers.
+    """
+
+    name: str
+    kind: MemberKind
+    state: MemberState
+    region: str
+    data_centre: str
+    address: str
+    pool: str
+    checks_fencing: bool
+
+
+@message(41)
+class MembershipUpdate:
+    """The membership list as one reader saw it; ``version`` grows with each change."""
+
+    version: int
+    members: tuple[Member, ...]
+
+
+@message(42)
+class Heartbeat:
+    """What a control process tells its peers of itself every second."""
+
+    vm: str
+    data_centre: str
+    incarnation: int
+    leaving: bool
+    configuration_offset: int
+    membership_version: int
+
+
+@message(43)
+class CatchUpRequest:
+    """Ask for everything after an offset of the configuration."""
+
+    after_offset: int
+
+
+@message(44)
+class ConfigurationEntries:
+    """Folded configuration, one encoded workspace record each, up to ``offset``."""
+
+    offset: int
+    records: tuple[bytes, ...]
+
+
+@message(45)
+class ShardSummary:
+    """How full a shard is, for other data centres; times in seconds."""
+
+    shard: str
+    data_centre: str
+    free_slots: int
+    queued: int
+    queue_seconds: float
--- /dev/null
+++ b/pimentoquay/messages/codec.py
@@ -0,0 +1,177 @@
+"""Typed frozen messages and their CBOR codec.
+
+A message is a frozen data class registered with a number. On the wire it is a CBOR array of the
+number followed by the field values in order. Decoding checks every value against the field's
+type and raises ``CodecError`` for anything else, so no unchecked value enters a process.
+
+Example
+-------
+::
+
+    @message(42)
+    class Ping:
+        sequence: int
+
+    assert decode(encode(Ping(7))) == Ping(7)
+"""
+
+import dataclasses
+import types
+from collections.abc import Callable
+from enum import IntEnum
+from typing import (
+    Any,
+    TypeVar,
+    Union,
+    cast,
+    dataclass_transform,
+    get_args,
+    get_origin,
+    get_type_hints,
+)
+
+import cbor2
+
+from pimentoquay.kernel.codes import ResultCode
+from pimentoquay.kernel.errors import PimentoquayError
+
+__all__ = ["MAX_FRAME_BYTES", "CodecError", "decode", "encode", "message"]
+
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+"""The largest frame that is encoded or decoded, in bytes."""
+
+MessageClass = TypeVar("MessageClass", bound=type)
+Decoder = Callable[[Any], Any]
+
+_class_by_number: dict[int, type] = {}
+_number_by_class: dict[type, int] = {}
+_decoder_by_class: dict[type, Decoder] = {}
+
+
+class CodecError(PimentoquayError):
+    """A frame that is not a known, well-formed message."""
+
+
+@dataclass_transform(frozen_default=True)
+def message(number: int) -> Callable[[MessageClass], MessageClass]:
+    """Make a class a frozen data class that travels under ``number``."""
+
+    def register(cls: MessageClass) -> MessageClass:
+        frozen: Any = dataclasses.dataclass(frozen=True)(cls)
+        if number in _class_by_number:
+            other = _class_by_number[number].__name__
+            raise ValueError(f"message number {number} is taken by {other}")
+        _class_by_number[number] = frozen
+        _number_by_class[frozen] = number
+        return frozen
+
+    return register
+
+
+def encode(item: Any) -> bytes:
+    """Return the frame of a message; ``CodecError`` if it is too large."""
+    number = _number_by_class[type(item)]
+    frame = cbor2.dumps([number, *_plain_fields(item)])
+    if len(frame) > MAX_FRAME_BYTES:
+        raise CodecError(ResultCode.FRAME_TOO_LARGE, f"{len(frame)} bytes")
+    return frame
+
+
+def decode(frame: bytes) -> Any:
+    """Return the message of a frame; ``CodecError`` if it is malformed or unknown."""
+    if len(frame) > MAX_FRAME_BYTES:
+        raise CodecError(ResultCode.FRAME_TOO_LARGE, f"{len(frame)} bytes")
+    try:
+        values = cbor2.loads(frame)
+    except Exception as error:
+        raise CodecError(ResultCode.FRAME_MALFORMED, f"not CBOR: {error}") from None
+    if not isinstance(values, list) or not values or type(values[0]) is not int:
+        raise CodecError(ResultCode.FRAME_MALFORMED, "not a message array")
+    cls = _class_by_number.get(values[0])
+    if cls is None:
+        raise CodecError(ResultCode.FRAME_MALFORMED, f"unknown message number {values[0]}")
+    return _decode_object(cls, values[1:])
+
+
+def _plain_fields(item: Any) -> list[Any]:
+    return [_plain(getattr(item, name)) for name in item.__dataclass_fields__]
+
+
+def _plain(value: Any) -> Any:
+    if isinstance(value, IntEnum):
+        return int(value)
+    if isinstance(value, tuple):
+        return [_plain(item) for item in value]
+    if hasattr(value, "__dataclass_fields__"):
+        return _plain_fields(value)
+    return value
+
+
+def _decode_object(cls: type, values: Any) -> Any:
+    decoder = _decoder_by_class.get(cls)
+    if decoder is None:
+        decoder = _decoder_by_class[cls] = _object_decoder(cls)
+    return decoder(values)
+
+
+def _object_decoder(cls: type) -> Decoder:
+    hints = get_type_hints(cls)
+    decoders = [_value_decoder(hints[item.name]) for item in dataclasses.fields(cls)]
+    names = [item.name for item in dataclasses.fields(cls)]
+
+    def decode_object(values: Any) -> Any:
+        if not isinstance(values, list) or len(values) != len(decoders):
+            raise CodecError(
+                ResultCode.FRAME_MALFORMED, f"{cls.__name__} needs {len(decoders)} values"
+            )
+        parts = []
+        for name, decoder, value in zip(names, decoders, values, strict=True):
+            try:
+                parts.append(decoder(value))
+            except (TypeError, ValueError) as error:
+                detail = f"{cls.__name__}.{name}: {error}"
+                raise CodecError(ResultCode.FRAME_MALFORMED, detail) from None
+        try:
+            return cls(*parts)
+        except (TypeError, ValueError) as error:
+            raise CodecError(ResultCode.FRAME_MALFORMED, f"{cls.__name__}: {error}") from None
+
+    return decode_object
+
+
+def _value_decoder(hint: Any) -> Decoder:
+    origin = get_origin(hint)
+    if origin is tuple:
+        return _tuple_decoder(_value_decoder(get_args(hint)[0]))
+    if origin in (Union, types.UnionType):
+        inner = next(part for part in get_args(hint) if part is not type(None))
+        return _optional_decoder(_value_decoder(inner))
+    if dataclasses.is_dataclass(hint):
+        return lambda value: _decode_object(cast(type, hint), value)
+    if issubclass(hint, IntEnum):
+        return hint
+    return _scalar_decoder(hint)
+
+
+def _tuple_decoder(inner: Decoder) -> Decoder:
+    def decode_tuple(value: Any) -> Any:
+        if not isinstance(value, list):
+            raise TypeError(f"expected an array, got {type(value).__name__}")
+        return tuple(inner(item) for item in value)
+
+    return decode_tuple
+
+
+def _optional_decoder(inner: Decoder) -> Decoder:
+    return lambda value: None if value is None else inner(value)
+
+
+def _scalar_decoder(kind: type) -> Decoder:
+    accepted = (int, float) if kind is float else (kind,)
+
+    def decode_scalar(value: Any) -> Any:
+        if type(value) not in accepted:
+            raise TypeError(f"expected {kind.__name__}, got {type(value).__name__}")
+        return float(value) if kind is float else value
+
+    return decode_scalar
