--- a/pimentoquay/kernel/node.py
+++ b/pimentoquay/kernel/node.py
@@ -27,7 +27,17 @@
 from pimentoquay.kernel.timeline import TimeLine
 from pimentoquay.kernel.timers import TimerService
 
-__all__ = ["Bus", "Channel", "Envelope", "Identity", "Node", "Part", "Transport"]
+__all__ = [
+    "Bus",
+    "Channel",
+    "ChannelClosed",
+    "ChannelOpened",
+    "Envelope",
+    "Identity",
+    "Node",
+    "Part",
+    "Transport",
+]
 
 
 @dataclass(frozen=True)
@@ -77,6 +87,20 @@
     channel: Channel | None = None
 
 
+@dataclass(frozen=True)
+class ChannelOpened:
+    """A local event: a channel to a peer process is up, dialled or accepted."""
+
+    channel: Channel
+
+
+@dataclass(frozen=True)
+class ChannelClosed:
+    """A local event: a channel to a peer process has ended."""
+
+    channel: Channel
+
+
 class Bus:
     """Hands messages to the inboxes subscribed to their type."""
 
--- a/pimentoquay/messages/cluster.py
+++ b/pimentoquay/messages/cluster.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "CatchUpRequest",
+    "ClusterView",
     "ConfigurationEntries",
     "Heartbeat",
     "Member",
@@ -94,3 +95,17 @@
     free_slots: int
     queued: int
     queue_seconds: float
+
+
+@message(46)
+class ClusterView:
+    """What a control process tells the entry of its VM: members, and entry VMs seen alive.
+
+    ``live_vms`` holds the VMs of every data centre that own shards; leaving and unreachable ones
+    are not in it. ``reachable_data_centres`` excludes those behind a partition.
+    """
+
+    version: int
+    members: tuple[Member, ...]
+    live_vms: tuple[str, ...]
+    reachable_data_centres: tuple[str, ...]
--- /dev/null
+++ b/pimentoquay/transport/memory.py
@@ -0,0 +1,195 @@
+"""Channels in memory, for tests: a network whose connections can be cut, delayed and paused.
+
+Every message still passes through the codec, so that a message which cannot travel fails here.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from pimentoquay.kernel import Channel, Identity
+from pimentoquay.messages import decode, encode
+
+__all__ = ["MemoryNetwork", "MemoryTransport"]
+
+Accept = Callable[[Channel], Any]
+
+
+class MemoryNetwork:
+    """The addresses and the faults of one in-memory network; delays are in seconds."""
+
+    def __init__(self, delay: float = 0.0005) -> None:
+        self.delay = delay
+        self.bytes_sent = 0
+        self.messages_sent = 0
+        self._transport_by_address: dict[str, MemoryTransport] = {}
+        self._cuts: set[frozenset[str]] = set()
+        self._delay_by_pair: dict[frozenset[str], float] = {}
+        self._paused_vms: set[str] = set()
+        self._channels: list[MemoryChannel] = []
+
+    def transport(self, identity: Identity) -> "MemoryTransport":
+        """Return the transport of one process."""
+        return MemoryTransport(self, identity)
+
+    def cut(self, vm_a: str, vm_b: str) -> None:
+        """Break every channel between two VMs and refuse new ones until ``heal``."""
+        self._cuts.add(frozenset((vm_a, vm_b)))
+        for channel in list(self._channels):
+            if {channel.local.vm, channel.peer.vm} == {vm_a, vm_b}:
+                channel.break_off()
+
+    def heal(self, vm_a: str, vm_b: str) -> None:
+        """Undo ``cut``."""
+        self._cuts.discard(frozenset((vm_a, vm_b)))
+
+    def delay_between(self, vm_a: str, vm_b: str, delay: float) -> None:
+        """Delay each message between two VMs by ``delay`` seconds."""
+        self._delay_by_pair[frozenset((vm_a, vm_b))] = delay
+
+    def pause(self, vm: str) -> None:
+        """Hold back everything sent to or by a VM."""
+        self._paused_vms.add(vm)
+
+    def resume(self, vm: str) -> None:
+        """Deliver what ``pause`` held back."""
+        self._paused_vms.discard(vm)
+        for channel in list(self._channels):
+            channel.flush()
+
+    def is_cut(self, vm_a: str, vm_b: str) -> bool:
+        """Tell whether two VMs cannot reach each other."""
+        return frozenset((vm_a, vm_b)) in self._cuts
+
+    def is_paused(self, *vms: str) -> bool:
+        """Tell whether any of the VMs is paused."""
+        return any(vm in self._paused_vms for vm in vms)
+
+    def delay_of(self, vm_a: str, vm_b: str) -> float:
+        """Return the one-way delay between two VMs in seconds."""
+        return self._delay_by_pair.get(frozenset((vm_a, vm_b)), self.delay)
+
+    def bind(self, address: str, transport: "MemoryTransport") -> None:
+        """Make a transport reachable at an address."""
+        if address in self._transport_by_address:
+            raise OSError(f"address {address} is in use")
+        self._transport_by_address[address] = transport
+
+    def unbind(self, transport: "MemoryTransport") -> None:
+        """Remove a transport and break its channels."""
+        for address, bound in list(self._transport_by_address.items()):
+            if bound is transport:
+                del self._transport_by_address[address]
+        for channel in list(self._channels):
+            if transport.identity in (channel.local, channel.peer):
+                channel.break_off()
+
+    def open_pair(self, caller: Identity, address: str) -> tuple["MemoryChannel", Accept]:
+        """Return the caller's end of a new channel and the acceptor of the other end."""
+        target = self._transport_by_address.get(address)
+        if target is None or target.accept is None:
+            raise ConnectionRefusedError(f"nothing listens at {address}")
+        if self.is_cut(caller.vm, target.identity.vm):
+            raise ConnectionResetError(f"{caller.vm} cannot reach {address}")
+        near = MemoryChannel(self, caller, target.identity)
+        far = MemoryChannel(self, target.identity, caller)
+        near.other, far.other = far, near
+        self._channels += [near, far]
+        target.start(far)
+        return near, target.accept
+
+    def forget(self, channel: "MemoryChannel") -> None:
+        """Drop a closed channel."""
+        if channel in self._channels:
+            self._channels.remove(channel)
+
+
+class MemoryChannel:
+    """One end of a channel in memory."""
+
+    other: "MemoryChannel"
+
+    def __init__(self, network: MemoryNetwork, local: Identity, peer: Identity) -> None:
+        self._network = network
+        self.local = local
+        self.peer = peer
+        self._received: asyncio.Queue[bytes | None] = asyncio.Queue()
+        self._held: list[bytes] = []
+        self._closed = False
+
+    def send(self, message: Any) -> None:
+        """Encode and deliver a message after the network's delay."""
+        frame = encode(message)
+        if self._closed:
+            return
+        self._network.messages_sent += 1
+        self._network.bytes_sent += len(frame)
+        delay = self._network.delay_of(self.local.vm, self.peer.vm)
+        asyncio.get_running_loop().call_later(delay, self.other.deliver, frame)
+
+    async def receive(self) -> Any:
+        """Return the next message; ``ConnectionError`` once the channel has closed."""
+        frame = await self._received.get()
+        if frame is None:
+            raise ConnectionResetError(f"the channel to {self.peer.vm} has closed")
+        return decode(frame)
+
+    async def close(self) -> None:
+        """Close both ends."""
+        self.break_off()
+
+    def deliver(self, frame: bytes) -> None:
+        """Take a frame off the network."""
+        if self._closed:
+            return
+        if self._network.is_paused(self.local.vm, self.peer.vm):
+            self._held.append(frame)
+        else:
+            self._received.put_nowait(frame)
+
+    def flush(self) -> None:
+        """Deliver what was held back, unless the network is still paused here."""
+        if not self._network.is_paused(self.local.vm, self.peer.vm):
+            held, self._held = self._held, []
+            for frame in held:
+                self._received.put_nowait(frame)
+
+    def break_off(self) -> None:
+        """End the channel at both ends at once."""
+        for end in (self, self.other):
+            if not end._closed:
+                end._closed = True
+                end._received.put_nowait(None)
+                self._network.forget(end)
+
+
+class MemoryTransport:
+    """The transport of one process on a ``MemoryNetwork``."""
+
+    def __init__(self, network: MemoryNetwork, identity: Identity) -> None:
+        self._network = network
+        self.identity = identity
+        self.accept: Accept | None = None
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    async def listen(self, address: str, accept: Accept) -> None:
+        """Accept channels at an address."""
+        self.accept = accept
+        self._network.bind(address, self)
+
+    async def connect(self, address: str) -> Channel:
+        """Open a channel after one round trip."""
+        await asyncio.sleep(2 * self._network.delay)
+        channel, _ = self._network.open_pair(self.identity, address)
+        return channel
+
+    def start(self, channel: Channel) -> None:
+        """Serve an accepted channel in a task of its own."""
+        assert self.accept is not None
+        task = asyncio.get_running_loop().create_task(self.accept(channel))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self) -> None:
+        """Stop listening and break every channel of this process."""
+        self._network.unbind(self)
--- /dev/null
+++ b/pimentoquay/transport/peers.py
@@ -0,0 +1,91 @@
+"""The channels of one process: accepted ones, and dialled ones that are kept up.
+
+Received messages go to the node's bus; opening and closing is published as ``ChannelOpened``
+and ``ChannelClosed``.
+"""
+
+import asyncio
+from collections.abc import Mapping
+from typing import Any
+
+from pimentoquay.kernel import Channel, ChannelClosed, ChannelOpened, Node, PimentoquayError
+
+__all__ = ["PeerSet"]
+
+REDIAL_SECONDS = 0.5
+"""The wait before a lost or refused connection is dialled again."""
+
+
+class PeerSet:
+    """Keeps channels to wanted peers and serves accepted ones.
+
+    Parameters
+    ----------
+    node
+        The process that the channels belong to.
+    """
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self._dial_by_vm: dict[str, asyncio.Task[None]] = {}
+        self._address_by_vm: dict[str, str] = {}
+        self._channels: list[Channel] = []
+
+    def channel_to(self, vm: str, process: str = "control") -> Channel | None:
+        """Return the newest open channel to a process of a VM, or ``None``."""
+        for channel in reversed(self._channels):
+            if channel.peer.vm == vm and channel.peer.process == process:
+                return channel
+        return None
+
+    def channels(self, process: str) -> tuple[Channel, ...]:
+        """Return every open channel to processes of one kind."""
+        return tuple(channel for channel in self._channels if channel.peer.process == process)
+
+    def send(self, vm: str, message: Any) -> bool:
+        """Send to a VM's control process; return whether a channel is up."""
+        channel = self.channel_to(vm)
+        if channel is not None:
+            channel.send(message)
+        return channel is not None
+
+    def want(self, address_by_vm: Mapping[str, str]) -> None:
+        """Dial and redial exactly these VMs, by control address; others are no longer dialled."""
+        for vm in list(self._dial_by_vm):
+            if address_by_vm.get(vm) != self._address_by_vm[vm]:
+                self._dial_by_vm.pop(vm).cancel()
+                del self._address_by_vm[vm]
+        for vm, address in address_by_vm.items():
+            if vm not in self._dial_by_vm:
+                self._address_by_vm[vm] = address
+                self._dial_by_vm[vm] = asyncio.create_task(self._keep_dialled(address))
+
+    async def serve(self, channel: Channel) -> None:
+        """Publish what arrives on a channel until it closes."""
+        self._channels.append(channel)
+        self._node.bus.publish(ChannelOpened(channel))
+        try:
+            while True:
+                self._node.bus.publish(await channel.receive(), channel)
+        except (ConnectionError, PimentoquayError):
+            pass
+        finally:
+            self._channels.remove(channel)
+            self._node.bus.publish(ChannelClosed(channel))
+            await channel.close()
+
+    async def close(self) -> None:
+        """Stop dialling and close every channel."""
+        self.want({})
+        for channel in tuple(self._channels):
+            await channel.close()
+
+    async def _keep_dialled(self, address: str) -> None:
+        while True:
+            try:
+                channel = await self._node.transport.connect(address)
+            except (ConnectionError, OSError, PimentoquayError):
+                await self._node.timers.sleep(REDIAL_SECONDS)
+                continue
+            await self.serve(channel)
+            await self._node.timers.sleep(REDIAL_SECONDS)
