Fold the configuration's log into one state for every reader

A reader may start at any retained offset, from a checkpoint on the log or from a peer. Checkpoints state the offset that they were folded to, so a publish that races one is folded after it and never undone.

ConfigurationEntries gains after_offset, parts and outcomes, so that a receiver sees a gap.

--- a/pimentoquay/configuration/__init__.py
+++ b/pimentoquay/configuration/__init__.py
@@ -1,3 +1,23 @@
 """Workspaces: templates, documents and their checks, the fold of the log, publishing."""
 
-__all__: list[str] = []
+from pimentoquay.configuration.events import ConfigurationInForce
+from pimentoquay.configuration.fold import ConfigurationState
+from pimentoquay.configuration.view import (
+    ConfigurationView,
+    ResolvedWorkspace,
+    hash_of_key,
+    kind_of,
+    model_of,
+    service_of,
+)
+
+__all__ = [
+    "ConfigurationInForce",
+    "ConfigurationState",
+    "ConfigurationView",
+    "ResolvedWorkspace",
+    "hash_of_key",
+    "kind_of",
+    "model_of",
+    "service_of",
+]
--- /dev/null
+++ b/pimentoquay/configuration/checkpoint.py
@@ -0,0 +1,108 @@
+"""Checkpoints: copies of the whole configuration that keep it on a log which forgets.
+
+A checkpoint states the configuration before one log offset, ``folded_to``. A reader that starts
+in the middle of the log loads the first whole checkpoint whose ``folded_to`` it can follow on
+from, then folds every change from there by the usual rule. A publish that races the writing of
+a checkpoint is therefore never undone: its offset is not before ``folded_to``, so it is folded.
+"""
+
+from collections.abc import Iterator
+
+from pimentoquay.configuration.fold import ConfigurationState
+from pimentoquay.messages import CodecError, decode, encode
+from pimentoquay.messages.configuration import ChangeOutcome, ConfigurationCheckpoint
+
+__all__ = ["Bootstrap", "checkpoint_parts", "chunks_of"]
+
+OUTCOME_BYTES = 96
+"""The room reckoned for one outcome in a part, in bytes."""
+
+Chunk = tuple[tuple[bytes, ...], tuple[ChangeOutcome, ...]]
+
+
+def chunks_of(
+    records: tuple[bytes, ...], outcomes: tuple[ChangeOutcome, ...], limit: int
+) -> list[Chunk]:
+    """Divide records and outcomes into chunks of about ``limit`` bytes, at least one."""
+    chunks: list[tuple[list[bytes], list[ChangeOutcome]]] = [([], [])]
+    size = 0
+    items: list[bytes | ChangeOutcome] = [*records, *outcomes]
+    for item in items:
+        item_size = len(item) if isinstance(item, bytes) else OUTCOME_BYTES
+        if size and size + item_size > limit:
+            chunks.append(([], []))
+            size = 0
+        if isinstance(item, bytes):
+            chunks[-1][0].append(item)
+        else:
+            chunks[-1][1].append(item)
+        size += item_size
+    return [(tuple(chunk[0]), tuple(chunk[1])) for chunk in chunks]
+
+
+def checkpoint_parts(state: ConfigurationState, generation: str, limit: int) -> Iterator[bytes]:
+    """Yield the encoded parts of a checkpoint of a state, in the order to append them."""
+    chunks = chunks_of(state.records_after(-1), state.outcomes_after(-1), limit)
+    for part, (records, outcomes) in enumerate(chunks):
+        yield encode(
+            ConfigurationCheckpoint(generation, state.offset, part, len(chunks), records, outcomes)
+        )
+
+
+class Bootstrap:
+    """Finds the state in a log that is read from the middle.
+
+    Parameters
+    ----------
+    start
+        The offset of the first record that will be added.
+    """
+
+    def __init__(self, start: int) -> None:
+        self.start = start
+        self._records: list[bytes] = []
+        self._parts_by_generation: dict[str, dict[int, ConfigurationCheckpoint]] = {}
+
+    @property
+    def offset(self) -> int:
+        """The offset of the next record to add."""
+        return self.start + len(self._records)
+
+    def add(self, offset: int, data: bytes) -> ConfigurationState | None:
+        """Add the next record; return the state after it once a checkpoint is whole."""
+        if offset < self.offset:
+            return None
+        if offset > self.offset:
+            self._restart(offset)
+        self._records.append(data)
+        if self.start == 0:
+            return self._replayed(ConfigurationState())
+        try:
+            content = decode(data)
+        except CodecError:
+            return None
+        if not isinstance(content, ConfigurationCheckpoint):
+            return None
+        if not self.start <= content.folded_to <= offset:
+            return None
+        part_by_index = self._parts_by_generation.setdefault(content.generation, {})
+        part_by_index[content.part] = content
+        if len(part_by_index) < content.parts:
+            return None
+        parts = [part_by_index[index] for index in sorted(part_by_index)]
+        restored = ConfigurationState.restore(
+            content.folded_to,
+            [record for part in parts for record in part.records],
+            [outcome for part in parts for outcome in part.outcomes],
+        )
+        return self._replayed(restored)
+
+    def _restart(self, start: int) -> None:
+        self.start = start
+        self._records = []
+        self._parts_by_generation = {}
+
+    def _replayed(self, state: ConfigurationState) -> ConfigurationState:
+        for index in range(state.offset - self.start, len(self._records)):
+            state.fold(self.start + index, self._records[index])
+        return state
--- a/pimentoquay/messages/cluster.py
+++ b/pimentoquay/messages/cluster.py
@@ -3,6 +3,7 @@
 from enum import IntEnum
 
 from pimentoquay.messages.codec import message
+from pimentoquay.messages.configuration import ChangeOutcome
 
 __all__ = [
     "CatchUpRequest",
@@ -80,10 +81,21 @@
 
 @message(44)
 class ConfigurationEntries:
-    """Folded configuration, one encoded workspace record each, up to ``offset``."""
+    """What changed in the configuration from log offset ``after_offset`` up to ``offset``.
 
+    Both are counts of folded log records; ``after_offset`` is -1 for the whole configuration,
+    which may come in several ``parts``. ``records`` holds encoded ``ConfigurationRecord``
+    messages with their versions. ``checkpoint_offset`` is where the newest checkpoint ends on
+    the log, -1 if unknown.
+    """
+
+    after_offset: int
     offset: int
+    part: int
+    parts: int
+    checkpoint_offset: int
     records: tuple[bytes, ...]
+    outcomes: tuple[ChangeOutcome, ...]
 
 
 @message(45)
