Open channels over WebSocket with a replay-safe handshake

Processes of the system must know each other by a shared key. Both sides sign the other's fresh nonce; an unknown peer, a newer version or a malformed frame is refused by number and ends only its own channel. Frames carry an eight-byte hybrid clock stamp, so that events of several processes can be merged with causes before effects.

--- a/pimentoquay/kernel/node.py
+++ b/pimentoquay/kernel/node.py
@@ -24,7 +24,7 @@
 from typing import Any, Protocol
 
 from pimentoquay.kernel.clock import Clock, LoopClock
-from pimentoquay.kernel.timeline import TimeLine
+from pimentoquay.kernel.timeline import HybridClock, TimeLine
 from pimentoquay.kernel.timers import TimerService
 
 __all__ = [
@@ -69,6 +69,9 @@
 class Transport(Protocol):
     """Opens and accepts channels for one process."""
 
+    def stamp_with(self, clock: HybridClock) -> None:
+        """Stamp every message sent, and follow the stamps received."""
+
     async def listen(self, address: str, accept: Callable[[Channel], Any]) -> None:
         """Await ``accept(channel)`` in a task of its own for each peer that connects."""
 
@@ -145,6 +148,7 @@
     def __post_init__(self) -> None:
         self.timers = TimerService(self.clock)
         self.timeline = TimeLine(self.clock, self.identity.vm, self.identity.process)
+        self.transport.stamp_with(self.timeline.hybrid_clock)
 
     async def run(self, parts: tuple[Part, ...]) -> None:
         """Run all parts; the first failure ends the rest and is raised in a group."""
--- a/pimentoquay/transport/memory.py
+++ b/pimentoquay/transport/memory.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from pimentoquay.kernel import Channel, Identity
-from pimentoquay.messages import decode, encode
+from pimentoquay.kernel import Channel, HybridClock, Identity
+from pimentoquay.transport.framing import pack, unpack
 
 __all__ = ["MemoryNetwork", "MemoryTransport"]
 
@@ -84,19 +84,21 @@
             if transport.identity in (channel.local, channel.peer):
                 channel.break_off()
 
-    def open_pair(self, caller: Identity, address: str) -> tuple["MemoryChannel", Accept]:
-        """Return the caller's end of a new channel and the acceptor of the other end."""
+    def open_pair(
+        self, caller: Identity, clock: HybridClock | None, address: str
+    ) -> "MemoryChannel":
+        """Return the caller's end of a new channel; the other end is served by its acceptor."""
         target = self._transport_by_address.get(address)
         if target is None or target.accept is None:
             raise ConnectionRefusedError(f"nothing listens at {address}")
         if self.is_cut(caller.vm, target.identity.vm):
             raise ConnectionResetError(f"{caller.vm} cannot reach {address}")
-        near = MemoryChannel(self, caller, target.identity)
-        far = MemoryChannel(self, target.identity, caller)
+        near = MemoryChannel(self, caller, target.identity, clock)
+        far = MemoryChannel(self, target.identity, caller, target.clock)
         near.other, far.other = far, near
         self._channels += [near, far]
         target.start(far)
-        return near, target.accept
+        return near
 
     def forget(self, channel: "MemoryChannel") -> None:
         """Drop a closed channel."""
@@ -109,8 +111,15 @@
 
     other: "MemoryChannel"
 
-    def __init__(self, network: MemoryNetwork, local: Identity, peer: Identity) -> None:
+    def __init__(
+        self,
+        network: MemoryNetwork,
+        local: Identity,
+        peer: Identity,
+        clock: HybridClock | None,
+    ) -> None:
         self._network = network
+        self._clock = clock
         self.local = local
         self.peer = peer
         self._received: asyncio.Queue[bytes | None] = asyncio.Queue()
@@ -119,7 +128,7 @@
 
     def send(self, message: Any) -> None:
         """Encode and deliver a message after the network's delay."""
-        frame = encode(message)
+        frame = pack(message, self._clock)
         if self._closed:
             return
         self._network.messages_sent += 1
@@ -132,7 +141,7 @@
         frame = await self._received.get()
         if frame is None:
             raise ConnectionResetError(f"the channel to {self.peer.vm} has closed")
-        return decode(frame)
+        return unpack(frame, self._clock)
 
     async def close(self) -> None:
         """Close both ends."""
@@ -170,8 +179,13 @@
         self._network = network
         self.identity = identity
         self.accept: Accept | None = None
+        self.clock: HybridClock | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
 
+    def stamp_with(self, clock: HybridClock) -> None:
+        """Stamp every message sent, and follow the stamps received."""
+        self.clock = clock
+
     async def listen(self, address: str, accept: Accept) -> None:
         """Accept channels at an address."""
         self.accept = accept
@@ -180,8 +194,7 @@
     async def connect(self, address: str) -> Channel:
         """Open a channel after one round trip."""
         await asyncio.sleep(2 * self._network.delay)
-        channel, _ = self._network.open_pair(self.identity, address)
-        return channel
+        return self._network.open_pair(self.identity, self.clock, address)
 
     def start(self, channel: Channel) -> None:
         """Serve an accepted channel in a task of its own."""
--- /dev/null
+++ b/pimentoquay/transport/tests/test_websocket.py
@@ -0,0 +1,97 @@
+import asyncio
+import dataclasses
+
+import pytest
+
+from pimentoquay.kernel import Identity, PimentoquayError, ResultCode
+from pimentoquay.messages.placement import Grant, LeaseRenewal
+from pimentoquay.transport import handshake
+from pimentoquay.transport.websocket import WebSocketTransport, split_address
+
+ENTRY = Identity("vm-1", "entry", "r", "d", 1)
+CONTROL = Identity("vm-2", "control", "r", "d", 2)
+
+
+async def listening(accept, key=b"k"):
+    transport = WebSocketTransport(CONTROL, key)
+    await transport.listen("127.0.0.1:0", accept)
+    return transport, f"127.0.0.1:{transport.port}"
+
+
+async def echo(channel):
+    try:
+        while True:
+            channel.send(await channel.receive())
+    except (ConnectionError, PimentoquayError):
+        return
+
+
+async def test_messages_cross_both_ways_with_identities():
+    server, address = await listening(echo)
+    client = WebSocketTransport(ENTRY, b"k")
+    channel = await client.connect(address)
+    channel.send(Grant("r", 1, "p", "d"))
+    assert await channel.receive() == Grant("r", 1, "p", "d")
+    assert channel.peer == CONTROL
+    await client.close()
+    await server.close()
+
+
+async def test_wrong_key_is_refused_by_number():
+    server, address = await listening(echo)
+    with pytest.raises(PimentoquayError) as caught:
+        await WebSocketTransport(ENTRY, b"other").connect(address)
+    assert caught.value.code is ResultCode.PEER_UNKNOWN
+    await server.close()
+
+
+async def test_malformed_frame_ends_only_its_own_channel():
+    server, address = await listening(echo)
+    client = WebSocketTransport(ENTRY, b"k")
+    broken, healthy = await client.connect(address), await client.connect(address)
+    await broken._connection.send(b"\0" * 9)
+    with pytest.raises(ConnectionError):
+        await broken.receive()
+    healthy.send(LeaseRenewal(1))
+    assert await healthy.receive() == LeaseRenewal(1)
+    await client.close()
+    await server.close()
+
+
+async def test_closed_server_ends_receive():
+    server, address = await listening(echo)
+    channel = await WebSocketTransport(ENTRY, b"k").connect(address)
+    receiving = asyncio.create_task(channel.receive())
+    await server.close()
+    with pytest.raises(ConnectionError):
+        await receiving
+
+
+def test_replayed_hello_is_refused():
+    first, second = handshake.make_challenge(), handshake.make_challenge()
+    hello = handshake.make_hello(ENTRY, b"k", first)
+    assert handshake.check_hello(hello, b"k", first) == ENTRY
+    with pytest.raises(handshake.HandshakeError) as caught:
+        handshake.check_hello(hello, b"k", second)
+    assert caught.value.code is ResultCode.PEER_UNKNOWN
+
+
+def test_hello_with_a_changed_field_is_refused():
+    challenge = handshake.make_challenge()
+    hello = handshake.make_hello(ENTRY, b"k", challenge)
+    with pytest.raises(handshake.HandshakeError):
+        handshake.check_hello(dataclasses.replace(hello, vm="vm-9"), b"k", challenge)
+
+
+def test_newer_version_is_refused_by_number():
+    challenge = handshake.make_challenge()
+    hello = dataclasses.replace(handshake.make_hello(ENTRY, b"k", challenge), version=99)
+    with pytest.raises(handshake.HandshakeError) as caught:
+        handshake.check_hello(hello, b"k", challenge)
+    assert caught.value.code is ResultCode.VERSION_UNSUPPORTED
+
+
+@pytest.mark.parametrize("address", ["", "127.0.0.1", "127.0.0.1:x", ":80", "h:99999"])
+def test_bad_addresses_are_named(address):
+    with pytest.raises(ValueError, match="expected IP:PORT"):
+        split_address(address)
--- /dev/null
+++ b/pimentoquay/transport/websocket.py
@@ -0,0 +1,238 @@
+"""Channels over WebSocket, opened by a handshake that proves a shared key.
+
+Example
+-------
+::
+
+    transport = WebSocketTransport(identity, key=b"shared key")
+    await transport.listen("127.0.0.1:7201", peers.serve)
+    channel = await transport.connect("127.0.0.1:7202")
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from websockets.asyncio.client import connect
+from websockets.asyncio.connection import Connection
+from websockets.asyncio.server import Server, ServerConnection, serve
+from websockets.exceptions import WebSocketException
+
+from pimentoquay.kernel import Channel, HybridClock, Identity, PimentoquayError, ResultCode
+from pimentoquay.kernel.logs import logger
+from pimentoquay.messages import CodecError, decode, encode
+from pimentoquay.messages.connection import Challenge, Hello, Rejected, Welcome
+from pimentoquay.transport import handshake
+from pimentoquay.transport.framing import MAX_PACKET_BYTES, pack, unpack
+
+__all__ = ["WebSocketChannel", "WebSocketTransport", "split_address"]
+
+HANDSHAKE_SECONDS = 2.0
+"""How long each side waits for the other's part of the handshake."""
+
+PING_SECONDS = 2.0
+PING_TIMEOUT_SECONDS = 3.0
+CLOSE_SECONDS = 0.5
+MAX_UNSENT_BYTES = 16 * 1024 * 1024
+"""A channel whose peer does not read is closed once this much waits to be sent."""
+
+Accept = Callable[[Channel], Any]
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port of ``host:port``; ``ValueError`` naming the address if malformed."""
+    host, separator, port = address.rpartition(":")
+    if not separator or not host or not port.isdigit() or not 0 <= int(port) <= 65535:
+        raise ValueError(f"expected IP:PORT, got {address!r}")
+    return host, int(port)
+
+
+class WebSocketChannel:
+    """One open channel; a task of its own writes what ``send`` queues."""
+
+    def __init__(self, connection: Connection, peer: Identity, clock: HybridClock | None) -> None:
+        self._connection = connection
+        self.peer = peer
+        self._clock = clock
+        self._unsent: asyncio.Queue[bytes] = asyncio.Queue()
+        self._unsent_bytes = 0
+        self._writer = asyncio.create_task(self._write())
+        self.bytes_sent = 0
+
+    def send(self, message: Any) -> None:
+        """Queue a message; a channel with too much unsent is closed."""
+        packet = pack(message, self._clock)
+        self._unsent_bytes += len(packet)
+        if self._unsent_bytes > MAX_UNSENT_BYTES:
+            logger.bind(peer=self.peer.vm).warning("peer does not read; closing its channel")
+            self._connection.transport.abort()
+            return
+        self._unsent.put_nowait(packet)
+
+    async def receive(self) -> Any:
+        """Return the next message; ``ConnectionError`` once closed, ``CodecError`` if malformed."""
+        try:
+            packet = await self._connection.recv()
+        except WebSocketException as error:
+            raise ConnectionResetError(f"the channel to {self.peer.vm} has closed") from error
+        if isinstance(packet, str):
+            raise CodecError(ResultCode.FRAME_MALFORMED, "a text frame")
+        return unpack(packet, self._clock)
+
+    async def close(self) -> None:
+        """Send what is queued, then close."""
+        for _ in range(10):
+            if self._unsent.empty() or self._writer.done():
+                break
+            await asyncio.sleep(0)
+        self._writer.cancel()
+        await self._connection.close()
+
+    async def _write(self) -> None:
+        try:
+            while True:
+                packet = await self._unsent.get()
+                self._unsent_bytes -= len(packet)
+                self.bytes_sent += len(packet)
+                await self._connection.send(packet)
+        except (WebSocketException, ConnectionError):
+            return
+
+
+class WebSocketTransport:
+    """Dials and accepts channels for one process.
+
+    Parameters
+    ----------
+    identity
+        Who this process says it is.
+    key
+        The shared key that every process of the system knows.
+    """
+
+    def __init__(self, identity: Identity, key: bytes) -> None:
+        self.identity = identity
+        self._key = key
+        self._clock: HybridClock | None = None
+        self._server: Server | None = None
+        self._channels: set[WebSocketChannel] = set()
+
+    def stamp_with(self, clock: HybridClock) -> None:
+        """Stamp every message sent, and follow the stamps received."""
+        self._clock = clock
+
+    async def listen(self, address: str, accept: Accept) -> None:
+        """Accept channels at ``address``; ``OSError`` if it is in use."""
+        host, port = split_address(address)
+
+        async def handle(connection: ServerConnection) -> None:
+            channel = await self._accepted(connection)
+            if channel is not None:
+                await accept(channel)
+
+        self._server = await serve(
+            handle,
+            host,
+            port,
+            compression=None,
+            max_size=MAX_PACKET_BYTES,
+            ping_interval=PING_SECONDS,
+            ping_timeout=PING_TIMEOUT_SECONDS,
+            close_timeout=CLOSE_SECONDS,
+            open_timeout=HANDSHAKE_SECONDS,
+            server_header=None,
+        )
+
+    @property
+    def port(self) -> int:
+        """The TCP port listened on, which the system chose if 0 was asked for."""
+        if self._server is None:
+            raise RuntimeError("the transport does not listen")
+        return int(next(iter(self._server.sockets)).getsockname()[1])
+
+    async def connect(self, address: str) -> Channel:
+        """Dial and prove the key; ``ConnectionError`` or ``HandshakeError`` if that fails."""
+        try:
+            connection = await connect(
+                f"ws://{address}/",
+                compression=None,
+                max_size=MAX_PACKET_BYTES,
+                ping_interval=PING_SECONDS,
+                ping_timeout=PING_TIMEOUT_SECONDS,
+                close_timeout=CLOSE_SECONDS,
+                open_timeout=HANDSHAKE_SECONDS,
+                user_agent_header=None,
+                proxy=None,
+            )
+        except (WebSocketException, OSError, TimeoutError) as error:
+            raise ConnectionRefusedError(f"no channel to {address}: {error}") from None
+        try:
+            peer = await asyncio.wait_for(self._prove(connection), HANDSHAKE_SECONDS)
+        except (WebSocketException, TimeoutError) as error:
+            await connection.close()
+            raise ConnectionResetError(f"no handshake with {address}: {error!r}") from None
+        except PimentoquayError:
+            await connection.close()
+            raise
+        return self._opened(connection, peer)
+
+    async def close(self) -> None:
+        """Stop listening and close every channel."""
+        if self._server is not None:
+            self._server.close(close_connections=False)
+        for channel in tuple(self._channels):
+            await channel.close()
+        if self._server is not None:
+            self._server.close()
+            await self._server.wait_closed()
+
+    def _opened(self, connection: Connection, peer: Identity) -> WebSocketChannel:
+        channel = WebSocketChannel(connection, peer, self._clock)
+        self._channels.add(channel)
+        closing = asyncio.create_task(connection.wait_closed())
+        closing.add_done_callback(lambda _: self._channels.discard(channel))
+        return channel
+
+    async def _accepted(self, connection: ServerConnection) -> WebSocketChannel | None:
+        challenge = handshake.make_challenge()
+        try:
+            await connection.send(encode(challenge))
+            hello = await asyncio.wait_for(_receive(connection, Hello), HANDSHAKE_SECONDS)
+            peer = handshake.check_hello(hello, self._key, challenge)
+            welcome = handshake.make_welcome(self.identity, self._key, challenge, hello)
+            await connection.send(encode(welcome))
+        except PimentoquayError as error:
+            logger.bind(code=int(error.code)).warning("peer refused: {}", error)
+            await _reject(connection, error)
+            return None
+        except (WebSocketException, TimeoutError):
+            await connection.close()
+            return None
+        return self._opened(connection, peer)
+
+    async def _prove(self, connection: Connection) -> Identity:
+        challenge = await _receive(connection, Challenge)
+        hello = handshake.make_hello(self.identity, self._key, challenge)
+        await connection.send(encode(hello))
+        welcome = await _receive(connection, Welcome)
+        return handshake.check_welcome(welcome, self._key, challenge, hello)
+
+
+async def _receive(connection: Connection, cls: type) -> Any:
+    packet = await connection.recv()
+    if isinstance(packet, str):
+        raise CodecError(ResultCode.FRAME_MALFORMED, "a text frame")
+    item = decode(packet)
+    if isinstance(item, Rejected):
+        raise handshake.HandshakeError(item.code, item.detail)
+    if not isinstance(item, cls):
+        raise CodecError(ResultCode.FRAME_MALFORMED, f"expected {cls.__name__}, got {type(item)}")
+    return item
+
+
+async def _reject(connection: Connection, error: PimentoquayError) -> None:
+    try:
+        await connection.send(encode(Rejected(error.code, error.detail)))
+        await connection.close(code=1008, reason=str(int(error.code)))
+    except WebSocketException:
+        return
