--- /dev/null
+++ b/pimentoquay/conftest.py
@@ -0,0 +1,48 @@
+"""Shared pytest set-up: tests named in KNOWN-RED.txt may fail and are printed.
+
+An entry of that file is a block of ``key: value`` lines (``test``, ``command``, ``seed``,
+``seen``, ``issue``); ``test`` is a pytest node id. A listed test still runs. Its failure does
+not fail the run; every other failure does.
+"""
+
+from pathlib import Path
+
+import pytest
+
+KNOWN_RED_FILE = Path(__file__).parent.parent / "KNOWN-RED.txt"
+_PREFIX = "test:"
+
+
+def read_known_red(text: str) -> frozenset[str]:
+    """Return the node ids named by ``test:`` lines."""
+    lines = (line.strip() for line in text.splitlines())
+    return frozenset(line[len(_PREFIX) :].strip() for line in lines if line.startswith(_PREFIX))
+
+
+def _known_red() -> frozenset[str]:
+    if not KNOWN_RED_FILE.exists():
+        return frozenset()
+    return read_known_red(KNOWN_RED_FILE.read_text(encoding="utf-8"))
+
+
+@pytest.hookimpl(hookwrapper=True)
+def pytest_runtest_makereport(item, call):
+    """Turn the failure of a listed test into an expected failure."""
+    outcome = yield
+    report = outcome.get_result()
+    if report.when == "call" and report.failed and item.nodeid in _known_red():
+        report.outcome = "skipped"
+        report.wasxfail = "listed in KNOWN-RED.txt"
+
+
+def pytest_terminal_summary(terminalreporter):
+    """Print every listed test with what it did in this run."""
+    known = _known_red()
+    if not known:
+        return
+    red = {report.nodeid for report in terminalreporter.stats.get("xfailed", ())}
+    green = {report.nodeid for report in terminalreporter.stats.get("passed", ())}
+    terminalreporter.section("KNOWN-RED.txt")
+    for node_id in sorted(known):
+        state = "failed" if node_id in red else "passed" if node_id in green else "not run"
+        terminalreporter.write_line(f"{state}: {node_id}")
--- /dev/null
+++ b/pimentoquay/kernel/programs.py
@@ -0,0 +1,87 @@
+"""What every program does alike: arguments, settings, logs, signals and exit status.
+
+A first SIGTERM or SIGINT asks the program to drain; a second one ends it at once.
+"""
+
+import argparse
+import asyncio
+import signal
+import sys
+from collections.abc import Awaitable, Callable, Sequence
+from pathlib import Path
+from typing import TypeVar
+
+from pimentoquay import __version__
+from pimentoquay.kernel.logs import logger
+from pimentoquay.kernel.settings import SettingsError, load_settings
+
+__all__ = [
+    "EXIT_KILLED",
+    "EXIT_OK",
+    "EXIT_SETTINGS",
+    "StopRequested",
+    "parse_program_arguments",
+    "run_until_stopped",
+    "settings_or_exit",
+]
+
+EXIT_OK = 0
+EXIT_SETTINGS = 2
+EXIT_KILLED = 130
+
+Settings = TypeVar("Settings")
+
+
+class StopRequested(asyncio.Event):
+    """Set by the first signal."""
+
+
+def parse_program_arguments(
+    program: str, purpose: str, example: str, arguments: Sequence[str] | None = None
+) -> argparse.Namespace:
+    """Parse ``--config``, ``--version`` and ``--help`` of a daemon."""
+    parser = argparse.ArgumentParser(
+        program,
+        description=purpose,
+        epilog=f"example:\n  {example}",
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument("--config", required=True, type=Path, help="settings file (INI)")
+    parser.add_argument("--version", action="version", version=f"{program} {__version__}")
+    return parser.parse_args(arguments)
+
+
+def settings_or_exit(path: Path, settings_class: type[Settings]) -> Settings:
+    """Load settings; print every fault and exit with status 2 if there is one."""
+    try:
+        return load_settings(path, settings_class)
+    except SettingsError as error:
+        for fault in error.faults:
+            print(fault, file=sys.stderr)
+        raise SystemExit(EXIT_SETTINGS) from None
+
+
+def run_until_stopped(main: Callable[[StopRequested], Awaitable[None]]) -> int:
+    """Run ``main`` and return the exit status; ``main`` returns once it has drained."""
+    return asyncio.run(_run(main))
+
+
+async def _run(main: Callable[[StopRequested], Awaitable[None]]) -> int:
+    stop = StopRequested()
+    task = asyncio.ensure_future(main(stop))
+
+    def on_signal() -> None:
+        if stop.is_set():
+            logger.warning("second signal; ending at once")
+            task.cancel()
+            return
+        stop.set()
+
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, on_signal)
+    try:
+        await task
+    except asyncio.CancelledError:
+        return EXIT_KILLED
+    return EXIT_OK
--- /dev/null
+++ b/pimentoquay/kernel/sections.py
@@ -0,0 +1,50 @@
+"""Settings sections that several programs share."""
+
+from dataclasses import dataclass
+
+from pimentoquay.kernel.clock import Clock
+from pimentoquay.kernel.node import Identity
+from pimentoquay.kernel.settings import setting
+
+__all__ = ["ClusterSection", "LogSection", "PlatformSection", "VmSection", "identity_of"]
+
+
+@dataclass(frozen=True)
+class VmSection:
+    """Which VM this process runs on."""
+
+    name: str = setting(help="the VM's name, as on the platform's membership list")
+    region: str = setting(help="the region of the VM")
+    data_centre: str = setting(help="the data centre of the VM")
+
+
+@dataclass(frozen=True)
+class ClusterSection:
+    """What the system's own processes share."""
+
+    key: str = setting(help="the shared key by which processes know each other", secret=True)
+
+
+@dataclass(frozen=True)
+class LogSection:
+    """What this process writes to standard error."""
+
+    level: str = setting(
+        help="the lowest level that is written",
+        default="INFO",
+        choices=("DEBUG", "INFO", "WARNING", "ERROR"),
+    )
+
+
+@dataclass(frozen=True)
+class PlatformSection:
+    """Where the platform's services are."""
+
+    log: str = setting(help="IP:PORT of the log service")
+    membership: str = setting(help="IP:PORT of the membership list")
+    weight_store: str = setting(help="IP:PORT of the weight store")
+
+
+def identity_of(vm: VmSection, process: str, clock: Clock) -> Identity:
+    """Return the identity of a process that starts now."""
+    return Identity(vm.name, process, vm.region, vm.data_centre, int(clock.wall() * 1000))
--- a/pimentoquay/transport/tests/test_websocket.py
+++ b/pimentoquay/transport/tests/test_websocket.py
@@ -67,6 +67,16 @@
         await receiving
 
 
+async def test_a_channel_that_its_acceptor_leaves_open_ends_with_its_connection():
+    server, address = await listening(echo)
+    client = WebSocketTransport(ENTRY, b"k")
+    await (await client.connect(address)).close()
+    await server.close()
+    await asyncio.sleep(0)
+    writers = [task for task in asyncio.all_tasks() if "_write" in repr(task.get_coro())]
+    assert not [task for task in writers if not task.cancelling()]
+
+
 def test_replayed_hello_is_refused():
     first, second = handshake.make_challenge(), handshake.make_challenge()
     hello = handshake.make_hello(ENTRY, b"k", first)
--- a/pimentoquay/transport/websocket.py
+++ b/pimentoquay/transport/websocket.py
@@ -88,6 +88,10 @@
         self._writer.cancel()
         await self._connection.close()
 
+    def stop_writing(self) -> None:
+        """End the writer once the connection has closed."""
+        self._writer.cancel()
+
     async def _write(self) -> None:
         try:
             while True:
@@ -190,9 +194,13 @@
         channel = WebSocketChannel(connection, peer, self._clock)
         self._channels.add(channel)
         closing = asyncio.create_task(connection.wait_closed())
-        closing.add_done_callback(lambda _: self._channels.discard(channel))
+        closing.add_done_callback(lambda _: self._forget(channel))
         return channel
 
+    def _forget(self, channel: WebSocketChannel) -> None:
+        self._channels.discard(channel)
+        channel.stop_writing()
+
     async def _accepted(self, connection: ServerConnection) -> WebSocketChannel | None:
         challenge = handshake.make_challenge()
         try:
