--- a/pimentoquay/configuration/checkpoint.py
+++ b/pimentoquay/configuration/checkpoint.py
@@ -40,13 +40,15 @@
     return [(tuple(chunk[0]), tuple(chunk[1])) for chunk in chunks]
 
 
-def checkpoint_parts(state: ConfigurationState, generation: str, limit: int) -> Iterator[bytes]:
-    """Yield the encoded parts of a checkpoint of a state, in the order to append them."""
+def checkpoint_parts(state: ConfigurationState, generation: str, limit: int) -> list[bytes]:
+    """Return the encoded parts of a checkpoint of a state, in the order to append them."""
     chunks = chunks_of(state.records_after(-1), state.outcomes_after(-1), limit)
-    for part, (records, outcomes) in enumerate(chunks):
-        yield encode(
+    return [
+        encode(
             ConfigurationCheckpoint(generation, state.offset, part, len(chunks), records, outcomes)
         )
+        for part, (records, outcomes) in enumerate(chunks)
+    ]
 
 
 class Bootstrap:
@@ -97,6 +99,11 @@
         )
         return self._replayed(restored)
 
+    def records(self) -> Iterator[tuple[int, bytes]]:
+        """Yield the records added, with their offsets."""
+        for index, data in enumerate(self._records):
+            yield self.start + index, data
+
     def _restart(self, start: int) -> None:
         self.start = start
         self._records = []
--- a/pimentoquay/configuration/fold.py
+++ b/pimentoquay/configuration/fold.py
@@ -94,8 +94,8 @@
         self.offset = offset + 1
         self._forget()
         content = _decoded(data)
-        if isinstance(content, ConfigurationCheckpoint) and content.part == content.parts - 1:
-            self.checkpoint_offset = offset
+        if isinstance(content, ConfigurationCheckpoint):
+            self._note_checkpoint(offset, content)
         if not isinstance(content, ConfigurationRecord) or not _is_change(content):
             return None
         if content.change_id in self.outcome_by_change:
@@ -160,6 +160,10 @@
         """Tell whether every removal and outcome since ``offset`` is still remembered."""
         return offset >= 0 and offset >= self.offset - MEMORY_OFFSETS
 
+    def _note_checkpoint(self, offset: int, part: ConfigurationCheckpoint) -> None:
+        if part.part == part.parts - 1 and part.folded_to <= offset:
+            self.checkpoint_offset = max(self.checkpoint_offset, part.folded_to)
+
     def _judge(self, offset: int, record: ConfigurationRecord) -> ChangeOutcome:
         current = self.version_of(record.name)
         exists = self.live_version_of(record.name) > 0
--- /dev/null
+++ b/pimentoquay/configuration/log_reader.py
@@ -0,0 +1,85 @@
+"""Reading the configuration's log for a VM, as a long poll while it is the reader."""
+
+import asyncio
+from collections.abc import Callable
+
+from pimentoquay.configuration.keeper import Keeper
+from pimentoquay.configuration.places import Place
+from pimentoquay.configuration.publish import STREAM
+from pimentoquay.configuration.settings import ConfigurationSection
+from pimentoquay.kernel import Node, PimentoquayError
+from pimentoquay.kernel.logs import logger
+from pimentoquay.platform.base import LogClient
+
+__all__ = ["LogReader"]
+
+IDLE_SECONDS = 0.1
+MAX_PATIENCE_RANKS = 4
+
+
+class LogReader:
+    """Feeds a keeper with pages of the log.
+
+    The reader of the data centre reads always. Any other VM reads while it publishes, while it
+    is not ready although it has a state, and when no peer gave it a state in time.
+    """
+
+    def __init__(
+        self,
+        node: Node,
+        log: LogClient,
+        section: ConfigurationSection,
+        keeper: Keeper,
+        on_advance: Callable[[], None],
+    ) -> None:
+        self._node = node
+        self._log = log
+        self._section = section
+        self._keeper = keeper
+        self._on_advance = on_advance
+        self._started_at = 0.0
+        self.place: Place | None = None
+        self.readers_wanted = 0
+
+    async def run(self) -> None:
+        """Read for ever."""
+        self._started_at = self._node.clock.now()
+        while True:
+            if not self._is_reading():
+                await self._node.timers.sleep(IDLE_SECONDS)
+                continue
+            await self._read_once()
+
+    async def _read_once(self) -> None:
+        wait = self._section.log_wait if self._keeper.is_ready else 0.0
+        position = self._keeper.log_position
+        was_down, offset = self._keeper.is_log_down, self._keeper.offset
+        try:
+            async with asyncio.timeout(wait + self._section.log_timeout):
+                page = await self._log.read(STREAM, position, wait)
+        except (PimentoquayError, OSError, TimeoutError) as error:
+            self._keeper.take_log_failure()
+            self._on_advance()
+            if not was_down:
+                logger.bind(error=repr(error)).warning("the configuration's log is down")
+                self._node.timeline.record("configuration-log-down", detail=repr(error))
+            await self._node.timers.sleep(self._section.log_retry)
+            return
+        if was_down:
+            logger.info("the configuration's log is up again")
+            self._node.timeline.record("configuration-log-up")
+        self._keeper.take_page(page)
+        self._on_advance()
+        if not page.records and (wait == 0.0 or self._keeper.offset > offset):
+            await self._node.timers.sleep(IDLE_SECONDS)
+
+    def _is_reading(self) -> bool:
+        if self.readers_wanted > 0 or (self.place is not None and self.place.is_reader):
+            return True
+        if self._keeper.is_ready:
+            return False
+        if self._keeper.state is not None:
+            return True
+        rank = self.place.reader_rank if self.place is not None else MAX_PATIENCE_RANKS
+        patience = self._section.peer_patience * min(rank, MAX_PATIENCE_RANKS)
+        return self._node.clock.now() - self._started_at >= patience
--- /dev/null
+++ b/pimentoquay/configuration/part.py
@@ -0,0 +1,249 @@
+"""The control process's configuration part.
+
+One VM of each data centre reads the log and passes what it folds on to the others; whoever sees
+a peer report a higher offset than its own asks that peer. Entries of the same VM are sent the
+configuration once it is ready to be served by, and each change after that.
+"""
+
+import asyncio
+from functools import singledispatchmethod
+from typing import Any
+
+from pimentoquay.configuration.answers import answer_get, answer_history
+from pimentoquay.configuration.checkpoint_writer import CheckpointWriter
+from pimentoquay.configuration.events import ConfigurationInForce
+from pimentoquay.configuration.keeper import Keeper
+from pimentoquay.configuration.log_reader import LogReader
+from pimentoquay.configuration.places import Place, place_of
+from pimentoquay.configuration.publish import Publisher
+from pimentoquay.configuration.relay import entries_after, is_gap
+from pimentoquay.configuration.settings import ConfigurationSection
+from pimentoquay.kernel import Channel, ChannelClosed, ChannelOpened, Envelope, Node, plugin
+from pimentoquay.kernel.logs import logger
+from pimentoquay.messages.cluster import (
+    CatchUpRequest,
+    ClusterView,
+    ConfigurationEntries,
+    Heartbeat,
+)
+from pimentoquay.messages.operator import GetRequest, HistoryRequest, PublishRequest
+from pimentoquay.platform.ports import Ports
+from pimentoquay.transport.peers import PeerSet
+
+__all__ = ["ConfigurationPart"]
+
+PUSH_DELAY_SECONDS = 0.05
+"""Changes within this time of each other are passed on together."""
+
+CHASE_SECONDS = 0.25
+READER_LAG_SECONDS = 0.6
+"""How long the reader of a data centre lags behind a peer before it asks that peer."""
+
+LAG_SECONDS = 1.8
+"""How long any other VM does, so that the reader's push usually comes first."""
+
+ANSWER_SECONDS = 1.5
+"""How long an asked peer has before another one is asked."""
+
+
+@plugin("control-part", "configuration")
+class ConfigurationPart:
+    """Keeps this VM's configuration up to date and passes it on."""
+
+    def __init__(
+        self, node: Node, peers: PeerSet, ports: Ports, section: ConfigurationSection
+    ) -> None:
+        self._node = node
+        self._peers = peers
+        self._log = ports.log
+        self.keeper = Keeper()
+        self._place: Place | None = None
+        self._pushed_offset = -1
+        self._is_push_due = False
+        self._lags_since: float | None = None
+        self._asked_at = -ANSWER_SECONDS
+        self._asked: set[Channel] = set()
+        self._tasks: asyncio.TaskGroup | None = None
+        self._publisher = Publisher(
+            ports.log,
+            node.timers,
+            self.keeper,
+            section.publish_timeout,
+            section.log_retry,
+            section.log_timeout,
+        )
+        self._reader = LogReader(node, ports.log, section, self.keeper, self._advanced)
+        self._writer = CheckpointWriter(node, ports.log, section, self.keeper, lambda: self._place)
+        self.inbox = node.bus.subscribe(
+            ClusterView,
+            Heartbeat,
+            ConfigurationEntries,
+            CatchUpRequest,
+            ChannelOpened,
+            ChannelClosed,
+            PublishRequest,
+            GetRequest,
+            HistoryRequest,
+        )
+
+    async def run(self) -> None:
+        """Read, relay, publish and answer until cancelled."""
+        chase = self._node.timers.every(CHASE_SECONDS, self._chase)
+        try:
+            async with asyncio.TaskGroup() as tasks:
+                self._tasks = tasks
+                tasks.create_task(self._reader.run())
+                tasks.create_task(self._writer.run())
+                while True:
+                    envelope = await self.inbox.get()
+                    self._handle(envelope.message, envelope)
+        finally:
+            chase.cancel()
+
+    @singledispatchmethod
+    def _handle(self, message: Any, envelope: Envelope) -> None:
+        raise TypeError(f"unexpected message {type(message).__name__}")
+
+    @_handle.register
+    def _(self, message: ClusterView, envelope: Envelope) -> None:
+        if envelope.channel is not None:
+            return
+        identity = self._node.identity
+        self._place = place_of(message, identity.vm, identity.data_centre)
+        self._reader.place = self._place
+
+    @_handle.register
+    def _(self, message: Heartbeat, envelope: Envelope) -> None:
+        if envelope.channel is None:
+            return
+        self.keeper.take_report(envelope.channel, message.configuration_offset)
+        self._advanced()
+
+    @_handle.register
+    def _(self, message: ConfigurationEntries, envelope: Envelope) -> None:
+        if envelope.channel is None:
+            return
+        if is_gap(self.keeper.state, message):
+            self._ask(envelope.channel)
+            return
+        self.keeper.take_entries(message, envelope.channel)
+        self._advanced()
+
+    @_handle.register
+    def _(self, message: CatchUpRequest, envelope: Envelope) -> None:
+        if envelope.channel is not None and self.keeper.is_ready:
+            self._send_after(envelope.channel, message.after_offset)
+
+    @_handle.register
+    def _(self, message: ChannelOpened, envelope: Envelope) -> None:
+        if self._is_own_entry(message.channel) and self.keeper.is_ready:
+            self._send_after(message.channel, -1)
+
+    @_handle.register
+    def _(self, message: ChannelClosed, envelope: Envelope) -> None:
+        self._asked.discard(message.channel)
+        self.keeper.forget_channel(message.channel)
+        self._advanced()
+
+    @_handle.register
+    def _(self, message: PublishRequest, envelope: Envelope) -> None:
+        if envelope.channel is not None and self._tasks is not None:
+            self._tasks.create_task(self._publish(message, envelope.channel))
+
+    @_handle.register
+    def _(self, message: GetRequest, envelope: Envelope) -> None:
+        if envelope.channel is not None:
+            answer_get(self.keeper.state, message, envelope.channel)
+
+    @_handle.register
+    def _(self, message: HistoryRequest, envelope: Envelope) -> None:
+        if envelope.channel is not None and self._tasks is not None:
+            self._tasks.create_task(
+                answer_history(self._log, self.keeper.state, message, envelope.channel)
+            )
+
+    async def _publish(self, request: PublishRequest, channel: Channel) -> None:
+        self._reader.readers_wanted += 1
+        try:
+            answer = await self._publisher.publish(request.record)
+        finally:
+            self._reader.readers_wanted -= 1
+        detail = f"{int(answer.code)} {request.record.change_id} {answer.detail}".strip()
+        self._node.timeline.record(
+            "configuration-published", workspace=request.record.name, detail=detail
+        )
+        channel.send(answer)
+
+    def _advanced(self) -> None:
+        """Pass the state on shortly, if it moved."""
+        if self._is_push_due or not self.keeper.is_ready:
+            return
+        if self.keeper.offset > self._pushed_offset:
+            self._is_push_due = True
+            self._node.timers.after(PUSH_DELAY_SECONDS, self._push)
+
+    def _push(self) -> None:
+        self._is_push_due = False
+        state, before = self.keeper.state, self._pushed_offset
+        assert state is not None
+        self._pushed_offset = state.offset
+        if before < 0:
+            logger.bind(offset=state.offset).info("configuration is ready")
+        self._node.timeline.record("configuration-in-force", detail=f"offset {state.offset}")
+        self._node.bus.publish(
+            ConfigurationInForce(state.offset, state.workspace_by_name(), state.version_by_name())
+        )
+        for channel in self._peers.channels("entry"):
+            if self._is_own_entry(channel):
+                self._send_after(channel, before)
+        if before >= 0 and self._place is not None and self._place.is_reader:
+            self._push_to_neighbours(before)
+
+    def _push_to_neighbours(self, before: int) -> None:
+        identity = self._node.identity
+        told: set[str] = set()
+        for channel in reversed(self._peers.channels("control")):
+            peer = channel.peer
+            if peer.data_centre == identity.data_centre and peer.vm not in told:
+                told.add(peer.vm)
+                self._send_after(channel, before)
+
+    def _send_after(self, channel: Channel, after_offset: int) -> None:
+        state = self.keeper.state
+        assert state is not None
+        with_outcomes = channel.peer.process == "control"
+        for entries in entries_after(state, after_offset, with_outcomes=with_outcomes):
+            channel.send(entries)
+
+    def _chase(self) -> None:
+        """Ask a peer that reports a higher offset, once the usual push has had its time."""
+        now = self._node.clock.now()
+        ahead = [
+            channel
+            for channel, offset in self.keeper.reported_offset_by_channel.items()
+            if offset > max(self.keeper.offset, 0)
+        ]
+        if not ahead:
+            self._lags_since = None
+            self._asked.clear()
+            return
+        if self._lags_since is None:
+            self._lags_since = now
+        is_reader = self._place is not None and self._place.is_reader
+        patience = READER_LAG_SECONDS if is_reader else LAG_SECONDS
+        if self.keeper.state is None:
+            patience = 0.0
+        if now - self._lags_since >= patience and now - self._asked_at >= ANSWER_SECONDS:
+            fresh = [channel for channel in ahead if channel not in self._asked]
+            if not fresh:
+                self._asked.clear()
+            self._ask((fresh or ahead)[0])
+
+    def _ask(self, channel: Channel) -> None:
+        self._asked_at = self._node.clock.now()
+        self._asked.add(channel)
+        channel.send(CatchUpRequest(self.keeper.offset))
+
+    def _is_own_entry(self, channel: Channel) -> bool:
+        peer = channel.peer
+        return peer.process == "entry" and peer.vm == self._node.identity.vm
--- a/pimentoquay/messages/cluster.py
+++ b/pimentoquay/messages/cluster.py
@@ -85,8 +85,8 @@
 
     Both are counts of folded log records; ``after_offset`` is -1 for the whole configuration,
     which may come in several ``parts``. ``records`` holds encoded ``ConfigurationRecord``
-    messages with their versions. ``checkpoint_offset`` is where the newest checkpoint ends on
-    the log, -1 if unknown.
+    messages with their versions. ``checkpoint_offset`` is the offset that the newest whole
+    checkpoint on the log was folded to, -1 if there is none.
     """
 
     after_offset: int
