Run a request from its placement to the last token at the entry

The service drives the engines of a grant itself and tells the shard's scheduler what it saw. ImportOrder gains source_attempt, because a retried transfer fetches a KV cache that the source holds under an earlier attempt.

--- a/pimentoquay/backends/base.py
+++ b/pimentoquay/backends/base.py
@@ -91,13 +91,18 @@
 
 @dataclass(frozen=True)
 class ImportOrder:
-    """Fetch the KV cache of a request from the engine at ``source_address``."""
+    """Fetch the KV cache of a request from the engine at ``source_address``.
+
+    ``source_attempt`` is the attempt that the source holds the cache under, where an earlier
+    attempt left it there; -1 stands for ``attempt``.
+    """
 
     request_id: str
     attempt: int
     source_engine: str
     source_address: str
     max_tokens: int
+    source_attempt: int = -1
 
 
 @dataclass(frozen=True)
--- /dev/null
+++ b/pimentoquay/entry/attempt.py
@@ -0,0 +1,226 @@
+"""One attempt of a request: prefill, KV transfer and decode on the engines of one grant."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
+
+from pimentoquay.backends.base import (
+    DecodeOrder,
+    EngineClient,
+    EngineLostError,
+    EngineRefusedError,
+    ImportOrder,
+    PrefillOrder,
+)
+from pimentoquay.entry.request import RequestSpec
+from pimentoquay.entry.scheduler_link import SchedulerLink
+from pimentoquay.kernel import Node, PimentoquayError, ResultCode
+from pimentoquay.messages.cluster import Member
+from pimentoquay.messages.placement import Grant, GrantRecord, Stage, StageReport
+
+__all__ = ["Attempt", "HeldKv", "StageFailedError"]
+
+STAGE_GRACE_SECONDS = 2.0
+"""How long a stage may run past the request's deadline before its engine counts as lost."""
+
+KV_MARGIN_SECONDS = 0.05
+"""A KV cache that expires sooner than this is not worth another transfer."""
+
+FRAME_END = b"\n\n"
+"""Ends each server-sent event; it cannot stand inside one, since JSON escapes line ends."""
+
+
+class StageFailedError(PimentoquayError):
+    """A stage of an attempt failed.
+
+    ``may_have_run`` is false only if the engine proved that it did nothing. ``kv`` names the KV
+    cache that a next attempt may still use.
+    """
+
+    def __init__(self, stage: Stage, engine: str, cause: PimentoquayError) -> None:
+        code = ResultCode.TRANSFER_FAILED if stage is Stage.TRANSFER else ResultCode.ENGINE_FAILED
+        super().__init__(code, f"{stage.name.lower()} on {engine}: {cause.detail}")
+        self.stage = stage
+        self.engine = engine
+        self.may_have_run = not isinstance(cause, EngineRefusedError)
+        self.kv: HeldKv | None = None
+
+
+@dataclass(frozen=True)
+class HeldKv:
+    """A KV cache on a prefill engine, held there under the attempt that computed it.
+
+    ``expires_at`` is in seconds of the node's clock.
+    """
+
+    engine: str
+    attempt: int
+    expires_at: float
+
+
+class Attempt:
+    """Drives the engines of one grant.
+
+    Parameters
+    ----------
+    node, link
+        The entry process and its link to the schedulers.
+    engine_of
+        Returns the client of an engine.
+    spec
+        The request.
+    shard
+        The shard that gave the grant.
+    grant
+        The engines and the attempt's number.
+    deadline
+        When the first token is due, in seconds of the node's clock.
+
+    Attributes
+    ----------
+    engine_attempt
+        The attempt that the decode engine knows the request under. It is an earlier one where
+        the request is decoded on the engine whose KV cache an earlier attempt computed.
+    client_by_engine
+        The engines that were called and may hold something.
+    """
+
+    def __init__(
+        self,
+        node: Node,
+        link: SchedulerLink,
+        engine_of: Callable[[Member], EngineClient],
+        spec: RequestSpec,
+        shard: str,
+        grant: Grant,
+        deadline: float,
+    ) -> None:
+        self._node = node
+        self._link = link
+        self._engine_of = engine_of
+        self._spec = spec
+        self._shard = shard
+        self._deadline = deadline
+        self.grant = grant
+        self.engine_attempt = grant.attempt
+        self.client_by_engine: dict[str, EngineClient] = {}
+        self._hold(Stage.PREFILL)
+
+    async def prefill(self) -> HeldKv:
+        """Compute the prompt's KV cache; ``StageFailedError`` if that failed."""
+        spec = self._spec
+        order = PrefillOrder(
+            spec.request_id,
+            self.grant.attempt,
+            spec.workspace,
+            spec.model,
+            spec.prompt,
+            spec.max_tokens,
+            int(spec.kind.urgency),
+        )
+        engine = self.grant.prefill_engine
+        started = self._node.clock.now()
+        limit = max(0.0, self._deadline - started) + STAGE_GRACE_SECONDS
+        try:
+            async with asyncio.timeout(limit):
+                result = await self._client(engine).prefill(order)
+        except (PimentoquayError, TimeoutError) as error:
+            raise StageFailedError(Stage.PREFILL, engine, _cause(error)) from error
+        now = self._node.clock.now()
+        self._report(Stage.PREFILL, engine, result.cached_tokens, now - started)
+        return HeldKv(engine, self.grant.attempt, now + result.kv_lifetime)
+
+    async def transfer(self, kv: HeldKv) -> None:
+        """Move the KV cache to the decode engine while it lives."""
+        source, target = self.grant.prefill_engine, self.grant.decode_engine
+        self._hold(Stage.TRANSFER)
+        started = self._node.clock.now()
+        try:
+            order = ImportOrder(
+                self._spec.request_id,
+                self.grant.attempt,
+                source,
+                self._member(source).address,
+                self._spec.max_tokens,
+                kv.attempt,
+            )
+            async with asyncio.timeout(max(0.0, kv.expires_at - started)):
+                await self._client(target).import_kv(order)
+        except (PimentoquayError, TimeoutError) as error:
+            failure = StageFailedError(Stage.TRANSFER, target, _cause(error))
+            is_alive = self._node.clock.now() + KV_MARGIN_SECONDS < kv.expires_at
+            failure.kv = kv if is_alive else None
+            raise failure from error
+        self._report(Stage.TRANSFER, target, 0, self._node.clock.now() - started)
+
+    async def first_chunk(self, stream: AsyncIterator[bytes]) -> bytes:
+        """Return the first frames of a decode stream."""
+        limit = max(0.0, self._deadline - self._node.clock.now()) + STAGE_GRACE_SECONDS
+        try:
+            async with asyncio.timeout(limit):
+                return await anext(stream)
+        except StopAsyncIteration:
+            cause: PimentoquayError = EngineLostError("the stream ended without a token")
+            raise StageFailedError(Stage.DECODE, self.grant.decode_engine, cause) from None
+        except (PimentoquayError, TimeoutError) as error:
+            raise StageFailedError(Stage.DECODE, self.grant.decode_engine, _cause(error)) from error
+
+    def decode(self, kv: HeldKv) -> AsyncIterator[bytes]:
+        """Start decoding and return the answer's frames."""
+        self._hold(Stage.DECODE)
+        if kv.engine == self.grant.decode_engine:
+            self.engine_attempt = kv.attempt
+        order = DecodeOrder(self._spec.request_id, self.engine_attempt, self._spec.chat)
+        return self._client(self.grant.decode_engine).decode(order)
+
+    def resume(self, offset: int) -> AsyncIterator[bytes]:
+        """Return the running answer's frames from token ``offset`` on."""
+        self._hold(Stage.DECODE)
+        client = self._client(self.grant.decode_engine)
+        return client.resume(self._spec.request_id, self.engine_attempt, offset)
+
+    def _member(self, engine: str) -> Member:
+        member = self._link.member_by_name.get(engine)
+        if member is None:
+            raise EngineRefusedError(f"engine {engine} is not on the membership list")
+        return member
+
+    def _client(self, engine: str) -> EngineClient:
+        client = self.client_by_engine.get(engine)
+        if client is None:
+            client = self.client_by_engine[engine] = self._engine_of(self._member(engine))
+        return client
+
+    def _hold(self, stage: Stage) -> None:
+        spec, grant = self._spec, self.grant
+        record = GrantRecord(
+            spec.request_id,
+            grant.attempt,
+            spec.workspace,
+            grant.prefill_engine,
+            grant.decode_engine,
+            stage,
+            spec.prompt_tokens,
+            spec.max_tokens,
+        )
+        self._link.hold(self._shard, record)
+
+    def _report(self, stage: Stage, engine: str, cached: int, seconds: float) -> None:
+        spec = self._spec
+        report = StageReport(
+            spec.request_id,
+            self.grant.attempt,
+            stage,
+            engine,
+            ResultCode.OK,
+            spec.prompt_tokens,
+            cached,
+            seconds,
+        )
+        self._link.report(self._shard, report)
+
+
+def _cause(error: Exception) -> PimentoquayError:
+    if isinstance(error, PimentoquayError):
+        return error
+    return EngineLostError("no answer in time")
--- /dev/null
+++ b/pimentoquay/entry/direct.py
@@ -0,0 +1,101 @@
+"""Placement without a scheduler, at reduced admission, from the engines' own reports."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from pimentoquay.backends.base import EngineClient, EngineRole, EngineStatus
+from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode
+from pimentoquay.membership import Shard
+from pimentoquay.messages.cluster import Member
+from pimentoquay.messages.placement import Grant
+
+__all__ = ["DirectPlacer"]
+
+REQUESTS_PER_ENGINE = 2
+"""Requests that one entry places directly at once, for each engine of the shard."""
+
+CANDIDATES = 4
+"""Engines that are asked for their status before a direct placement."""
+
+STATUS_SECONDS = 0.25
+"""How long an engine may take to report its status."""
+
+RETRY_AFTER_SECONDS = 1.0
+"""The advice given with a refusal; a new scheduler is usually up by then."""
+
+
+class DirectPlacer:
+    """Chooses engines for an entry that can reach no scheduler.
+
+    Every entry of the data centre may do the same at once, so each takes only a small share of
+    every engine.
+    """
+
+    def __init__(self, engine_of: Callable[[Member], EngineClient], rng: random.Random) -> None:
+        self._engine_of = engine_of
+        self._rng = rng
+        self._placed_by_shard: dict[str, set[str]] = {}
+
+    async def place(self, shard: Shard, request_id: str, attempt: int) -> Grant:
+        """Return the least loaded engines of a few; ``RefusedError`` when none has room."""
+        placed = self._placed_by_shard.setdefault(shard.name, set())
+        if len(placed) >= REQUESTS_PER_ENGINE * len(shard.engines):
+            raise RefusedError(
+                ResultCode.QUEUE_FULL,
+                f"no scheduler of {shard.name} and direct placement is at its limit",
+                RETRY_AFTER_SECONDS,
+            )
+        placed.add(request_id)
+        try:
+            return await self._choose(shard, request_id, attempt)
+        except RefusedError:
+            self.release(shard.name, request_id)
+            raise
+
+    def release(self, shard: str, request_id: str) -> None:
+        """Give back the share that a request took, if it took any."""
+        placed = self._placed_by_shard.get(shard)
+        if placed is not None:
+            placed.discard(request_id)
+            if not placed:
+                del self._placed_by_shard[shard]
+
+    async def _choose(self, shard: Shard, request_id: str, attempt: int) -> Grant:
+        engines = list(shard.engines)
+        self._rng.shuffle(engines)
+        statuses: list[EngineStatus] = []
+        for start in range(0, len(engines), CANDIDATES):
+            answers = await asyncio.gather(
+                *(self._status(member) for member in engines[start : start + CANDIDATES])
+            )
+            statuses += [status for status in answers if status is not None]
+            grant = _pick(statuses, request_id, attempt)
+            if grant is not None:
+                return grant
+        raise RefusedError(
+            ResultCode.NO_BACKEND, f"no engine of {shard.name} has room", RETRY_AFTER_SECONDS
+        )
+
+    async def _status(self, member: Member) -> EngineStatus | None:
+        try:
+            async with asyncio.timeout(STATUS_SECONDS):
+                return await self._engine_of(member).status()
+        except (PimentoquayError, OSError, TimeoutError):
+            return None
+
+
+def _pick(statuses: list[EngineStatus], request_id: str, attempt: int) -> Grant | None:
+    prefill = [status for status in statuses if status.role is not EngineRole.DECODE]
+    decode = [
+        status
+        for status in statuses
+        if status.role is not EngineRole.PREFILL and status.decode_running < status.decode_slots
+    ]
+    if not prefill or not decode:
+        return None
+    source = min(prefill, key=lambda status: status.prefill_queue_tokens)
+    target = min(decode, key=lambda status: status.decode_running)
+    if target.role is EngineRole.MIXED and target.prefill_queue_tokens == 0:
+        source = target
+    return Grant(request_id, attempt, source.engine, target.engine)
--- /dev/null
+++ b/pimentoquay/entry/life.py
@@ -0,0 +1,324 @@
+"""The life of one request, from its placement to the last token."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Callable, Coroutine
+from contextlib import aclosing
+from typing import TYPE_CHECKING, Any
+
+from pimentoquay.backends.base import EngineClient
+from pimentoquay.entry.attempt import FRAME_END, Attempt, HeldKv, StageFailedError
+from pimentoquay.entry.metrics import RequestOutcome
+from pimentoquay.entry.placer import Placement
+from pimentoquay.entry.request import RequestSpec, final_trigger
+from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode, is_not_run
+from pimentoquay.kernel.logs import logger
+from pimentoquay.messages.placement import Grant, Release, Stage
+
+if TYPE_CHECKING:
+    from pimentoquay.entry.service import RequestService
+
+__all__ = ["RequestRun"]
+
+DONE_FRAME = b"data: [DONE]\n\n"
+"""The frame that ends a whole answer."""
+
+CLOSING_FRAMES = 2
+"""Frames of a whole answer that hold no token: the finish reason and ``[DONE]``."""
+
+MAX_ATTEMPTS = 4
+"""Attempts of one request, the first included."""
+
+RESUME_TRIES = 3
+"""Tries to resume a broken stream before it is given up."""
+
+RESUME_PAUSE_SECONDS = 0.05
+"""The wait before each try after the first."""
+
+
+class RequestRun:
+    """One request in progress.
+
+    The attributes up to ``machine`` state are read by metrics and by tests; ``state`` is kept by
+    the state machine of ``entry.request``.
+    """
+
+    state: str
+    admit: Callable[[], bool]
+    prefill: Callable[[], bool]
+    transfer: Callable[[], bool]
+    decode: Callable[[], bool]
+
+    def __init__(self, service: RequestService, spec: RequestSpec) -> None:
+        self._service = service
+        self._node = service.node
+        self._link = service.link
+        self.spec = spec
+        self.tokens = 0
+        self.is_whole = False
+        self.may_have_run = False
+        self._placement: Placement | None = None
+        self._attempts: list[Attempt] = []
+        self._received_at = self._node.clock.now()
+        self._deadline = self._received_at + spec.kind.first_token_target
+        self._retry_until = self._deadline
+        if not spec.streaming:
+            self._retry_until += spec.max_tokens * spec.kind.token_interval_target
+        self._admitted_at = 0.0
+        self._first_token_at = 0.0
+
+    def frames(self) -> AsyncIterator[bytes]:
+        """Place and run the request."""
+        return self._guarded(self._run())
+
+    def resumed_frames(self, offset: int) -> AsyncIterator[bytes]:
+        """Find the request's running stream and relay it from token ``offset``."""
+        return self._guarded(self._run_resumed(offset))
+
+    async def _guarded(self, answer: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+        """Relay an answer and end the request exactly once, however it ends."""
+        self._begin()
+        code = ResultCode.CANCELLED
+        try:
+            async with aclosing(answer) as chunks:  # type: ignore[type-var]
+                async for chunk in chunks:
+                    yield chunk
+            code = ResultCode.OK
+        except PimentoquayError as error:
+            truth = self._truthful(error)
+            code = truth.code
+            if truth is error:
+                raise
+            raise truth from error
+        except Exception as error:
+            code = ResultCode.INTERNAL
+            logger.bind(request_id=self.spec.request_id).exception("the request failed")
+            raise PimentoquayError(code, repr(error)) from error
+        finally:
+            self._end(code)
+
+    async def _run(self) -> AsyncIterator[bytes]:
+        grant, kv = await self._place(), None
+        while True:
+            try:
+                attempt = self._new_attempt(grant)
+                kv = await self._prepare(attempt, kv)
+                relay = self._stream if self.spec.streaming else self._whole
+                async with aclosing(relay(attempt, kv)) as chunks:  # type: ignore[type-var]
+                    async for chunk in chunks:
+                        yield chunk
+                return
+            except StageFailedError as failure:
+                grant = await self._replace(failure)
+                kv = failure.kv
+
+    async def _place(self) -> Grant:
+        self._placement = await self._service.placer.place(self.spec, self._deadline)
+        self._admitted_at = self._node.clock.now()
+        self.admit()
+        return self._placement.grant
+
+    def _new_attempt(self, grant: Grant) -> Attempt:
+        assert self._placement is not None
+        attempt = Attempt(
+            self._node,
+            self._link,
+            self._service.engine_of,
+            self.spec,
+            self._placement.shard,
+            grant,
+            self._deadline,
+        )
+        self._attempts.append(attempt)
+        return attempt
+
+    async def _prepare(self, attempt: Attempt, kv: HeldKv | None) -> HeldKv:
+        """Bring a KV cache to the decode engine; return the one that was computed or kept."""
+        grant = attempt.grant
+        if kv is None or kv.engine != grant.prefill_engine:
+            self.prefill()
+            kv = await self._counted(attempt.prefill())
+        if grant.prefill_engine != grant.decode_engine:
+            self.transfer()
+            await self._counted(attempt.transfer(kv))
+        return kv
+
+    async def _counted(self, stage: Coroutine[Any, Any, Any]) -> Any:
+        """Await a stage and remember whether an engine may have run any of it."""
+        ran_before, self.may_have_run = self.may_have_run, True
+        try:
+            return await stage
+        except StageFailedError as failure:
+            self.may_have_run = ran_before or failure.may_have_run
+            raise
+
+    async def _stream(self, attempt: Attempt, kv: HeldKv) -> AsyncIterator[bytes]:
+        """Relay an answer as it comes."""
+        self.decode()
+        async with aclosing(attempt.decode(kv)) as stream:  # type: ignore[type-var]
+            chunk = await self._counted(attempt.first_chunk(stream))
+            self._first_token_at = self._node.clock.now()
+            yield self._count(chunk)
+            async for chunk in self._rest(stream):
+                yield chunk
+        if not self.is_whole:
+            async for chunk in self._go_on(attempt):
+                yield chunk
+
+    async def _whole(self, attempt: Attempt, kv: HeldKv) -> AsyncIterator[bytes]:
+        """Relay an answer in one piece, so that until then it may be run again."""
+        try:
+            chunks = [chunk async for chunk in self._stream(attempt, kv)]
+        except StageFailedError:
+            raise
+        except PimentoquayError as error:
+            self.tokens = 0
+            raise StageFailedError(Stage.DECODE, attempt.grant.decode_engine, error) from error
+        yield b"".join(chunks)
+
+    async def _rest(self, stream: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+        """Relay a stream to its end; the end is early if ``is_whole`` is still false."""
+        if self.is_whole:
+            return
+        try:
+            async for chunk in stream:
+                yield self._count(chunk)
+                if self.is_whole:
+                    return
+        except PimentoquayError as error:
+            logger.bind(request_id=self.spec.request_id).warning(f"stream broken: {error}")
+
+    async def _go_on(self, attempt: Attempt) -> AsyncIterator[bytes]:
+        """Resume a broken stream on its own engine at the token reached."""
+        for _ in range(RESUME_TRIES):
+            stream = attempt.resume(self.tokens)
+            async with aclosing(stream) as stream:  # type: ignore[type-var]
+                async for chunk in self._rest(stream):
+                    yield chunk
+            if self.is_whole:
+                return
+            await self._node.timers.sleep(RESUME_PAUSE_SECONDS)
+        raise PimentoquayError(
+            ResultCode.STREAM_BROKEN,
+            f"{attempt.grant.decode_engine} was lost after {self.tokens} tokens",
+        )
+
+    async def _run_resumed(self, offset: int) -> AsyncIterator[bytes]:
+        self._placement = await self._service.placer.find(self.spec, self._deadline)
+        self.tokens = offset
+        self.may_have_run = True
+        self.decode()
+        attempt = self._new_attempt(self._placement.grant)
+        self._first_token_at = self._node.clock.now()
+        async for chunk in self._go_on(attempt):
+            yield chunk
+
+    def _count(self, chunk: bytes) -> bytes:
+        self.tokens += chunk.count(FRAME_END)
+        if chunk.endswith(DONE_FRAME):
+            self.tokens -= CLOSING_FRAMES
+            self.is_whole = True
+        return chunk
+
+    async def _replace(self, failure: StageFailedError) -> Grant:
+        """Return another grant after a failed stage, or raise the request's final error."""
+        last = self._attempts[-1]
+        self._free(last, keep=failure.kv)
+        if not self._may_try_again(failure):
+            raise self._final_error(failure)
+        self._extend_deadline()
+        assert self._placement is not None
+        try:
+            self._placement = await self._service.placer.replace(
+                self.spec, self._placement, failure, last.grant.attempt + 1, self._deadline
+            )
+        except RefusedError as refusal:
+            if not self.may_have_run:
+                raise
+            raise self._final_error(failure) from refusal
+        grant = self._placement.grant
+        if failure.kv is not None and failure.kv.engine != grant.prefill_engine:
+            self._free(last, keep=None)
+        self.admit()
+        return grant
+
+    def _may_try_again(self, failure: StageFailedError) -> bool:
+        if len(self._attempts) >= MAX_ATTEMPTS or self._node.clock.now() >= self._retry_until:
+            return False
+        if self.spec.kind.idempotent or not self.may_have_run:
+            return True
+        return failure.stage is Stage.TRANSFER and failure.kv is not None
+
+    def _extend_deadline(self) -> None:
+        """Give a whole answer that is run again a first token target of its own.
+
+        Its caller sees no first token; what counts for it is the time of the last.
+        """
+        if not self.spec.streaming and self._first_token_at:
+            self._deadline = self._node.clock.now() + self.spec.kind.first_token_target
+
+    def _final_error(self, failure: StageFailedError) -> PimentoquayError:
+        if not self.may_have_run:
+            return RefusedError(ResultCode.NO_BACKEND, failure.detail)
+        if not self.spec.kind.idempotent:
+            return PimentoquayError(ResultCode.OUTCOME_UNKNOWN, failure.detail)
+        return failure
+
+    def _truthful(self, error: PimentoquayError) -> PimentoquayError:
+        """Return the error, unless it says "not run" although an engine may have run."""
+        if not (is_not_run(error.code) and self.may_have_run):
+            return error
+        idempotent = self.spec.kind.idempotent
+        code = ResultCode.ENGINE_FAILED if idempotent else ResultCode.OUTCOME_UNKNOWN
+        return PimentoquayError(code, error.detail)
+
+    def _begin(self) -> None:
+        if self.spec.request_id in self._service.run_by_id:
+            raise RefusedError(
+                ResultCode.KEY_IN_USE, f"request id {self.spec.request_id} is in progress"
+            )
+        self._service.run_by_id[self.spec.request_id] = self
+        self._service.machine.adopt(self)
+
+    def _end(self, code: ResultCode) -> None:
+        """Free everything and count the outcome."""
+        now = self._node.clock.now()
+        getattr(self, final_trigger(code))()
+        self._service.machine.dismiss(self)
+        del self._service.run_by_id[self.spec.request_id]
+        if code is not ResultCode.OK:
+            for attempt in self._attempts:
+                self._free(attempt, keep=None)
+        if self._placement is not None:
+            release = Release(self.spec.request_id, code, self.tokens, now - self._received_at)
+            self._link.release(self._placement.shard, release)
+            self._service.direct.release(self._placement.shard, self.spec.request_id)
+        self._service.metrics.count(self._outcome(code, now))
+
+    def _outcome(self, code: ResultCode, now: float) -> RequestOutcome:
+        started = self._first_token_at
+        return RequestOutcome(
+            self.spec.workspace,
+            self.spec.kind,
+            code,
+            self.tokens,
+            self._admitted_at - self._received_at if self._admitted_at else None,
+            started - self._received_at if started else None,
+            (now - started) / (self.tokens - 1) if started and self.tokens > 1 else None,
+        )
+
+    def _free(self, attempt: Attempt, keep: HeldKv | None) -> None:
+        """Cancel an attempt on its engines, save on the one whose KV cache is kept."""
+        for engine, client in attempt.client_by_engine.items():
+            if keep is None or engine != keep.engine:
+                self._service.in_background(self._cancel(client, attempt.grant.attempt))
+        if attempt.engine_attempt != attempt.grant.attempt:
+            client = attempt.client_by_engine[attempt.grant.decode_engine]
+            self._service.in_background(self._cancel(client, attempt.engine_attempt))
+
+    async def _cancel(self, client: EngineClient, attempt: int) -> None:
+        try:
+            await client.cancel(self.spec.request_id, attempt)
+        except (PimentoquayError, OSError) as error:
+            # The scheduler's sweep frees what a lost cancellation leaves behind.
+            logger.bind(request_id=self.spec.request_id).info(f"cancel failed: {error}")
--- /dev/null
+++ b/pimentoquay/entry/metrics.py
@@ -0,0 +1,114 @@
+"""What the entry measures: HDR histograms of times, and counters by result code.
+
+Nothing is recorded per token; each request is counted once, when it ends.
+"""
+
+from collections import Counter
+from dataclasses import dataclass
+
+from hdrh.histogram import HdrHistogram
+
+from pimentoquay.kernel import ResultCode
+from pimentoquay.messages.workspaces import KindSpec
+
+__all__ = ["EntryMetrics", "RequestOutcome"]
+
+MICROSECONDS = 1_000_000
+"""Histogram units in a second."""
+
+MAX_MICROSECONDS = 600 * MICROSECONDS
+"""The longest time that a histogram tells apart."""
+
+SIGNIFICANT_DIGITS = 2
+
+PERCENTILES = (50.0, 95.0, 99.0)
+
+
+@dataclass(frozen=True)
+class RequestOutcome:
+    """How one request ended; times are in seconds, ``None`` where it did not get that far."""
+
+    workspace: str
+    kind: KindSpec
+    code: ResultCode
+    tokens: int
+    queue_seconds: float | None
+    first_token_seconds: float | None
+    token_seconds: float | None
+
+    def is_in_target(self) -> bool:
+        """Tell whether the request was answered in full within both latency targets."""
+        return (
+            self.code is ResultCode.OK
+            and self.first_token_seconds is not None
+            and self.first_token_seconds <= self.kind.first_token_target
+            and (self.token_seconds or 0.0) <= self.kind.token_interval_target
+        )
+
+
+class EntryMetrics:
+    """The counters and histograms of one entry process."""
+
+    def __init__(self) -> None:
+        self.count_by_code: Counter[ResultCode] = Counter()
+        self.in_target = 0
+        self.tokens = 0
+        self._histogram_by_name = {
+            "queue": _histogram(),
+            "first_token": _histogram(),
+            "token_interval": _histogram(),
+        }
+
+    def count(self, outcome: RequestOutcome) -> None:
+        """Count one ended request."""
+        self.count_code(outcome.code)
+        self.tokens += outcome.tokens
+        self.in_target += outcome.is_in_target()
+        self._record("queue", outcome.queue_seconds)
+        self._record("first_token", outcome.first_token_seconds)
+        self._record("token_interval", outcome.token_seconds)
+
+    def count_code(self, code: ResultCode) -> None:
+        """Count a request that ended before its life began, by its code alone."""
+        self.count_by_code[code] += 1
+
+    def percentile(self, name: str, percent: float) -> float:
+        """Return a percentile in seconds of ``queue``, ``first_token`` or ``token_interval``."""
+        return self._histogram_by_name[name].get_value_at_percentile(percent) / MICROSECONDS
+
+    def text(self, active: int) -> str:
+        """Return everything in the Prometheus text format; ``active`` requests are running."""
+        lines = ["# TYPE pimentoquay_requests_total counter"]
+        for code, count in sorted(self.count_by_code.items()):
+            lines.append(
+                f'pimentoquay_requests_total{{code="{int(code)}",name="{code.name}"}} {count}'
+            )
+        lines += ["# TYPE pimentoquay_requests_in_target_total counter"]
+        lines += [f"pimentoquay_requests_in_target_total {self.in_target}"]
+        lines += [
+            "# TYPE pimentoquay_tokens_total counter",
+            f"pimentoquay_tokens_total {self.tokens}",
+        ]
+        lines += ["# TYPE pimentoquay_requests_active gauge"]
+        lines += [f"pimentoquay_requests_active {active}"]
+        for name, histogram in self._histogram_by_name.items():
+            lines += self._summary(name, histogram)
+        return "\n".join(lines) + "\n"
+
+    def _summary(self, name: str, histogram: HdrHistogram) -> list[str]:
+        metric = f"pimentoquay_{name}_seconds"
+        lines = [f"# TYPE {metric} summary"]
+        for percent in PERCENTILES:
+            value = self.percentile(name, percent)
+            lines.append(f'{metric}{{quantile="{percent / 100:g}"}} {value:.6f}')
+        lines.append(f"{metric}_count {histogram.get_total_count()}")
+        return lines
+
+    def _record(self, name: str, seconds: float | None) -> None:
+        if seconds is not None:
+            value = min(MAX_MICROSECONDS, max(1, int(seconds * MICROSECONDS)))
+            self._histogram_by_name[name].record_value(value)
+
+
+def _histogram() -> HdrHistogram:
+    return HdrHistogram(1, MAX_MICROSECONDS, SIGNIFICANT_DIGITS)
--- /dev/null
+++ b/pimentoquay/entry/service.py
@@ -0,0 +1,97 @@
+"""The requests of one entry process, independent of HTTP.
+
+``RequestService.run`` returns the answer's frames as they come from the engine. It raises
+``RefusedError`` when nothing ran, and ``PimentoquayError`` with the code of the failure when
+work had begun. However a request ends, everything it held is freed.
+
+Example
+-------
+::
+
+    service = RequestService(node, link, ports.engine)
+    async with aclosing(service.run(spec)) as frames:
+        async for chunk in frames:
+            await send(chunk)
+"""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Callable, Coroutine
+from typing import Any
+
+from pimentoquay.backends.base import EngineClient
+from pimentoquay.entry.direct import DirectPlacer
+from pimentoquay.entry.life import RequestRun
+from pimentoquay.entry.metrics import EntryMetrics
+from pimentoquay.entry.placer import Placer
+from pimentoquay.entry.request import LifeMachine, RequestSpec
+from pimentoquay.entry.scheduler_link import SchedulerLink
+from pimentoquay.kernel import Node
+from pimentoquay.messages.cluster import Member
+
+__all__ = ["RequestService"]
+
+DRAIN_POLL_SECONDS = 0.05
+"""How often a drain looks whether the last request has ended."""
+
+
+class RequestService:
+    """Runs the requests of one entry process.
+
+    Parameters
+    ----------
+    node
+        The entry process.
+    link
+        Its link to the schedulers.
+    engine
+        Returns a client of an engine; called once for each engine and address.
+    metrics
+        Where outcomes are counted.
+    """
+
+    def __init__(
+        self,
+        node: Node,
+        link: SchedulerLink,
+        engine: Callable[[Member], EngineClient],
+        metrics: EntryMetrics | None = None,
+    ) -> None:
+        self.node = node
+        self.link = link
+        self.metrics = metrics if metrics is not None else EntryMetrics()
+        self.machine = LifeMachine()
+        rng = random.Random(node.identity.incarnation)
+        self._engine = engine
+        self._client_by_member: dict[tuple[str, str], EngineClient] = {}
+        self.direct = DirectPlacer(self.engine_of, rng)
+        self.placer = Placer(node, link, self.direct, rng)
+        self.run_by_id: dict[str, RequestRun] = {}
+        self._cleanups: set[asyncio.Task[None]] = set()
+
+    def run(self, spec: RequestSpec) -> AsyncIterator[bytes]:
+        """Run a request and yield its answer, each item whole frames, ``[DONE]`` last."""
+        return RequestRun(self, spec).frames()
+
+    def resume(self, spec: RequestSpec, offset: int) -> AsyncIterator[bytes]:
+        """Go on with a stream that another entry began, from token ``offset`` on."""
+        return RequestRun(self, spec).resumed_frames(offset)
+
+    def engine_of(self, member: Member) -> EngineClient:
+        """Return the client of an engine, one for each name and address."""
+        key = (member.name, member.address)
+        client = self._client_by_member.get(key)
+        if client is None:
+            client = self._client_by_member[key] = self._engine(member)
+        return client
+
+    def in_background(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run work that must finish although its request has ended."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._cleanups.add(task)
+        task.add_done_callback(self._cleanups.discard)
+
+    async def drained(self) -> None:
+        """Return when no request is in progress and everything is freed."""
+        while self.run_by_id or self._cleanups:
+            await self.node.timers.sleep(DRAIN_POLL_SECONDS)
