--- a/pimentoquay/membership/__init__.py
+++ b/pimentoquay/membership/__init__.py
@@ -1,4 +1,8 @@
-"""Who is live, who owns what: the VM list, shard ownership, leases and fencing numbers."""
+"""Who is live, who owns what: the membership list, liveness of VMs and shard ownership."""
 
+from pimentoquay.membership.events import *  # noqa: F403
+from pimentoquay.membership.events import __all__ as _events
 from pimentoquay.membership.ownership import *  # noqa: F403
-from pimentoquay.membership.ownership import __all__ as __all__
+from pimentoquay.membership.ownership import __all__ as _ownership
+
+__all__ = [*_events, *_ownership]
--- a/pimentoquay/messages/cluster.py
+++ b/pimentoquay/messages/cluster.py
@@ -61,7 +61,11 @@
 
 @message(42)
 class Heartbeat:
-    """What a control process tells its peers of itself every second."""
+    """What a control process tells its peers of itself every second.
+
+    ``list_age`` is how long ago the platform was last known to have given this membership list,
+    in tenths of a second; ``list_readable`` is false while the sender fails to read it.
+    """
 
     vm: str
     data_centre: str
@@ -69,6 +73,8 @@
     leaving: bool
     configuration_offset: int
     membership_version: int
+    list_age: int
+    list_readable: bool
 
 
 @message(43)
--- a/pimentoquay/transport/memory.py
+++ b/pimentoquay/transport/memory.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from typing import Any
 
@@ -114,6 +115,7 @@
         self.local = local
         self.peer = peer
         self._received: asyncio.Queue[bytes | None] = asyncio.Queue()
+        self.under_way: deque[bytes] = deque()
         self._held: list[bytes] = []
         self._closed = False
 
@@ -125,7 +127,9 @@
         self._network.messages_sent += 1
         self._network.bytes_sent += len(frame)
         delay = self._network.delay_of(self.local.vm, self.peer.vm)
-        asyncio.get_running_loop().call_later(delay, self.other.deliver, frame)
+        # Timers of one instant fire in any order, so each takes the oldest frame under way.
+        self.other.under_way.append(frame)
+        asyncio.get_running_loop().call_later(delay, self.other.deliver)
 
     async def receive(self) -> Any:
         """Return the next message; ``ConnectionError`` once the channel has closed."""
@@ -138,8 +142,9 @@
         """Close both ends."""
         self.break_off()
 
-    def deliver(self, frame: bytes) -> None:
-        """Take a frame off the network."""
+    def deliver(self) -> None:
+        """Take the oldest frame off the network."""
+        frame = self.under_way.popleft()
         if self._closed:
             return
         if self._network.is_paused(self.local.vm, self.peer.vm):
