Add in-process stand-ins of engines, services and the platform

Every other part needs something to run against under virtual time before any of it is served over HTTP. The engine models batching, prefill by priority, a prefix cache, KV memory and lifetime, shared links, orders with fencing numbers and faults, and records what checkers need.

--- a/pimentoquay/backends/base.py
+++ b/pimentoquay/backends/base.py
@@ -5,7 +5,7 @@
 arrives. A stream whose reader went away keeps running until it is resumed or cancelled.
 """
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from dataclasses import dataclass
 from enum import IntEnum
 from typing import Protocol
@@ -111,7 +111,10 @@
 
 @dataclass(frozen=True)
 class RunningRequest:
-    """One request that an engine holds memory for."""
+    """One request that an engine holds memory for.
+
+    ``age`` is the time since its stage began or its last reader left, zero while it is read.
+    """
 
     request_id: str
     attempt: int
@@ -194,10 +197,10 @@
     async def import_kv(self, order: ImportOrder) -> None:
         """Fetch a KV cache and hold it in a decode slot."""
 
-    def decode(self, order: DecodeOrder) -> AsyncIterator[bytes]:
+    def decode(self, order: DecodeOrder) -> AsyncGenerator[bytes, None]:
         """Decode and stream the answer."""
 
-    def resume(self, request_id: str, attempt: int, offset: int) -> AsyncIterator[bytes]:
+    def resume(self, request_id: str, attempt: int, offset: int) -> AsyncGenerator[bytes, None]:
         """Stream a running answer again from token ``offset``."""
 
     async def cancel(self, request_id: str, attempt: int) -> None:
--- /dev/null
+++ b/pimentoquay/standin/tests/test_platform.py
@@ -0,0 +1,99 @@
+import asyncio
+
+import pytest
+
+from pimentoquay.messages.cluster import Member, MemberKind, MemberState
+from pimentoquay.platform.base import LogOutcomeUnknownError, LogUnavailableError
+from pimentoquay.standin import LogModel, StandinLog, StandinMembership, StandinWeights
+
+pytestmark = [pytest.mark.asyncio, pytest.mark.looptime]
+
+
+def member(name, state=MemberState.LIVE):
+    return Member(name, MemberKind.ENTRY_VM, state, "r", "dc", "10.0.0.1:1", "", False)
+
+
+async def test_each_stream_has_its_own_offsets():
+    log = StandinLog()
+    assert [await log.append(name, b"") for name in ("a", "a", "b")] == [0, 1, 0]
+    page = await log.read("a", 1, 0.0)
+    assert [record.offset for record in page.records] == [1]
+    assert (page.first_offset, page.next_offset) == (0, 2)
+
+
+async def test_a_read_waits_for_the_next_record():
+    log = StandinLog()
+    reading = asyncio.create_task(log.read("a", 0, 5.0))
+    await asyncio.sleep(1)
+    await log.append("a", b"x")
+    assert [record.data for record in (await reading).records] == [b"x"]
+    start = asyncio.get_running_loop().time()
+    assert (await log.read("a", 1, 5.0)).records == ()
+    assert asyncio.get_running_loop().time() - start >= 5.0
+
+
+async def test_a_lost_answer_leaves_the_record_on_the_log():
+    log = StandinLog()
+    log.lose_next_answers(1)
+    with pytest.raises(LogOutcomeUnknownError):
+        await log.append("a", b"x")
+    assert [record.data for record in log.records("a")] == [b"x"]
+    assert await log.append("a", b"y") == 1
+
+
+async def test_outage_refuses_calls_and_ends_waiting_reads():
+    log = StandinLog()
+    reading = asyncio.create_task(log.read("a", 0, 60.0))
+    await asyncio.sleep(1)
+    log.outage(5.0)
+    with pytest.raises(LogUnavailableError):
+        await reading
+    with pytest.raises(LogUnavailableError):
+        await log.append("a", b"x")
+    await asyncio.sleep(5.1)
+    assert await log.append("a", b"x") == 0
+
+
+async def test_records_age_out_and_offsets_go_on():
+    log = StandinLog(LogModel(retention=10.0))
+    await log.append("a", b"old")
+    await asyncio.sleep(11)
+    await log.append("a", b"new")
+    page = await log.read("a", 0, 0.0)
+    assert (page.first_offset, [record.offset for record in page.records]) == (1, [1])
+
+
+async def test_appends_are_spaced_by_the_rate_then_refused():
+    log = StandinLog(LogModel(append_rate=10.0, append_wait=0.5))
+    results = await asyncio.gather(
+        *(log.append("a", b"") for _ in range(10)), return_exceptions=True
+    )
+    taken = [result for result in results if isinstance(result, int)]
+    assert taken == [0, 1, 2, 3, 4, 5]
+    assert sum(isinstance(result, LogUnavailableError) for result in results) == 4
+
+
+async def test_membership_changes_show_after_the_lag():
+    listing = StandinMembership([member("a"), member("b")], lag=2.0)
+    listing.leave("a")
+    listing.remove("b")
+    assert (await listing.members()).members == (member("a"), member("b"))
+    await asyncio.sleep(2.1)
+    assert (await listing.members()).members == (member("a", MemberState.LEAVING),)
+
+
+async def test_membership_outage_is_a_connection_error():
+    listing = StandinMembership([member("a")])
+    listing.outage(1.0)
+    with pytest.raises(ConnectionError):
+        await listing.members()
+    await asyncio.sleep(1.1)
+    assert len((await listing.members()).members) == 1
+
+
+async def test_weight_readers_share_the_rate():
+    weights = StandinWeights(1e9, {"v": 1_000_000_000})
+    start = asyncio.get_running_loop().time()
+    await asyncio.gather(weights.fetch("m", "v"), weights.fetch("m", "v"))
+    assert asyncio.get_running_loop().time() - start == pytest.approx(2.0, abs=0.001)
+    assert weights.most_reads_at_once == 2
