--- a/pimentoquay/configuration/answers.py
+++ b/pimentoquay/configuration/answers.py
@@ -18,21 +18,24 @@
 
 __all__ = ["answer_get", "answer_history"]
 
+PAGE_WORKSPACES = 500
 MAX_HISTORY = 50
 """The most changes of one workspace that are answered, newest ones."""
 
 
 def answer_get(state: ConfigurationState | None, request: GetRequest, channel: Channel) -> None:
-    """Answer with one workspace in force, or with all."""
+    """Answer with one workspace in force, or with a page of them all in order of name."""
     if state is None:
-        channel.send(GetAnswer(-1, ()))
+        channel.send(GetAnswer(-1, (), False))
         return
-    entries = [
-        entry
-        for name, entry in sorted(state.entry_by_name.items())
-        if request.name in ("", name) and not entry.is_removal
-    ]
-    channel.send(GetAnswer(state.offset, tuple(entry.record for entry in entries)))
+    names = sorted(
+        name
+        for name, entry in state.entry_by_name.items()
+        if request.name in ("", name) and name > request.after_name and not entry.is_removal
+    )
+    page = names[:PAGE_WORKSPACES]
+    records = tuple(state.entry_by_name[name].record for name in page)
+    channel.send(GetAnswer(state.offset, records, len(page) < len(names)))
 
 
 async def answer_history(
@@ -49,7 +52,12 @@
     ][-MAX_HISTORY:]
     records = []
     for outcome in outcomes:
-        record = await _record_of(log, outcome)
+        assert state is not None
+        entry = state.entry_by_name.get(request.name)
+        if entry is not None and entry.version == outcome.version:
+            record: ConfigurationRecord | None = entry.record
+        else:
+            record = await _record_of(log, outcome)
         if record is not None:
             records.append(record)
     channel.send(HistoryAnswer(tuple(outcomes), tuple(records)))
--- a/pimentoquay/configuration/keeper.py
+++ b/pimentoquay/configuration/keeper.py
@@ -114,5 +114,5 @@
     def _check_ready(self) -> None:
         if self.is_ready or self.state is None or self.offset < self.best_reported_offset:
             return
-        peers_suffice = self.is_log_down and self.best_reported_offset > 0
+        peers_suffice = self.is_log_down and self.best_reported_offset >= 0
         self.is_ready = self.has_reached_tail or peers_suffice
--- a/pimentoquay/configuration/part.py
+++ b/pimentoquay/configuration/part.py
@@ -1,7 +1,8 @@
 """The control process's configuration part.
 
-One VM of each data centre reads the log and passes what it folds on to the others; whoever sees
-a peer report a higher offset than its own asks that peer. Entries of the same VM are sent the
+One VM of each data centre reads the log and passes what it folds on to the others. Whoever sees
+a peer report a higher offset than its own asks that peer, and passes on what it gets from
+another data centre. Entries of the same VM are sent the
 configuration once it is ready to be served by, and each change after that.
 """
 
@@ -36,11 +37,11 @@
 """Changes within this time of each other are passed on together."""
 
 CHASE_SECONDS = 0.25
-READER_LAG_SECONDS = 0.6
-"""How long the reader of a data centre lags behind a peer before it asks that peer."""
+FIRST_LAG_SECONDS = 0.6
+"""How long a VM that reads the log, or sees another data centre ahead, lags before it asks."""
 
 LAG_SECONDS = 1.8
-"""How long any other VM does, so that the reader's push usually comes first."""
+"""How long any other VM does, so that a push within the data centre usually comes first."""
 
 ANSWER_SECONDS = 1.5
 """How long an asked peer has before another one is asked."""
@@ -60,6 +61,7 @@
         self._place: Place | None = None
         self._pushed_offset = -1
         self._is_push_due = False
+        self._relays_next = False
         self._lags_since: float | None = None
         self._asked_at = -ANSWER_SECONDS
         self._asked: set[Channel] = set()
@@ -126,7 +128,11 @@
         if is_gap(self.keeper.state, message):
             self._ask(envelope.channel)
             return
+        before = self.keeper.offset
         self.keeper.take_entries(message, envelope.channel)
+        is_remote = envelope.channel.peer.data_centre != self._node.identity.data_centre
+        if is_remote and self.keeper.offset > before:
+            self._relays_next = True
         self._advanced()
 
     @_handle.register
@@ -196,8 +202,10 @@
         for channel in self._peers.channels("entry"):
             if self._is_own_entry(channel):
                 self._send_after(channel, before)
-        if before >= 0 and self._place is not None and self._place.is_reader:
+        is_reader = self._place is not None and self._place.is_reader
+        if before >= 0 and (is_reader or self._relays_next):
             self._push_to_neighbours(before)
+        self._relays_next = False
 
     def _push_to_neighbours(self, before: int) -> None:
         identity = self._node.identity
@@ -221,7 +229,7 @@
         ahead = [
             channel
             for channel, offset in self.keeper.reported_offset_by_channel.items()
-            if offset > max(self.keeper.offset, 0)
+            if offset > self.keeper.offset
         ]
         if not ahead:
             self._lags_since = None
@@ -229,8 +237,11 @@
             return
         if self._lags_since is None:
             self._lags_since = now
-        is_reader = self._place is not None and self._place.is_reader
-        patience = READER_LAG_SECONDS if is_reader else LAG_SECONDS
+        own = self._node.identity.data_centre
+        is_first = any(channel.peer.data_centre != own for channel in ahead)
+        if self._place is not None and self._place.is_reader:
+            is_first = True
+        patience = FIRST_LAG_SECONDS if is_first else LAG_SECONDS
         if self.keeper.state is None:
             patience = 0.0
         if now - self._lags_since >= patience and now - self._asked_at >= ANSWER_SECONDS:
--- a/pimentoquay/configuration/settings.py
+++ b/pimentoquay/configuration/settings.py
@@ -13,7 +13,7 @@
 
     log_retention: float = setting(
         help="How long the log service keeps a record.",
-        default=86400.0,
+        default=3600.0,
         low=1.0,
         high=1e9,
         unit="s",
--- a/pimentoquay/membership/part.py
+++ b/pimentoquay/membership/part.py
@@ -11,6 +11,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
+from pimentoquay.configuration.events import ConfigurationInForce
 from pimentoquay.kernel import (
     Channel,
     ChannelClosed,
@@ -107,7 +108,7 @@
         self._list_readable = True
         self._draining = False
         self._drain_reported = False
-        self.configuration_offset = 0
+        self.configuration_offset = -1
         self.inbox: asyncio.Queue[Envelope] = node.bus.subscribe(
             ChannelOpened,
             ChannelClosed,
@@ -118,6 +119,7 @@
             MemberAnnouncement,
             DataCentreReport,
             DrainRequested,
+            ConfigurationInForce,
         )
 
     async def run(self) -> None:
@@ -299,6 +301,10 @@
             self._remote.note_direct(channel.peer.vm, message)
         self._refresh()
 
+    @_handle.register
+    def _(self, message: ConfigurationInForce, channel: Channel | None) -> None:
+        self.configuration_offset = message.offset
+
     @_handle.register
     def _(self, message: DrainRequested, channel: Channel | None) -> None:
         if not self._draining:
--- a/pimentoquay/messages/operator.py
+++ b/pimentoquay/messages/operator.py
@@ -46,9 +46,10 @@
 
 @message(92)
 class GetRequest:
-    """Ask for one workspace in force, or for all of them if ``name`` is empty."""
+    """Ask for one workspace in force, or, if ``name`` is empty, for those after ``after_name``."""
 
     name: str
+    after_name: str
 
 
 @message(93)
@@ -57,6 +58,7 @@
 
     offset: int
     records: tuple[ConfigurationRecord, ...]
+    has_more: bool
 
 
 @message(94)
