--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 	$(BIN)/black --check --quiet $(PACKAGE)
 	$(BIN)/ruff check $(PACKAGE)
 	$(BIN)/mypy $(addprefix $(PACKAGE)/,$(TYPED))
+	$(BIN)/lint-imports --no-cache > .imports.log || { cat .imports.log; exit 1; }
 	$(BIN)/python -m pytest
 
 demo: install
