Add the shard scheduler and its pure policies

Cause: placements need one owner per shard that keeps the only ledger of slots, KV memory and links, so that prefill starts only when its KV will find a slot.

--- a/pimentoquay/policy/__init__.py
+++ b/pimentoquay/policy/__init__.py
@@ -3,4 +3,53 @@
 Nothing here awaits, reads a clock or logs; the time is passed in.
 """
 
-__all__: list[str] = []
+from pimentoquay.policy.admission import (
+    AdmissionLimits,
+    Demand,
+    Flow,
+    Verdict,
+    admit,
+    estimated_wait,
+)
+from pimentoquay.policy.circuits import CircuitLimits, Circuits, CircuitState
+from pimentoquay.policy.engines import EngineLoad
+from pimentoquay.policy.placement import (
+    Choice,
+    PlacementLimits,
+    PlacementNeed,
+    choose,
+    link_key,
+)
+from pimentoquay.policy.prefix_index import PrefixIndex
+from pimentoquay.policy.prefixes import BLOCK_TOKENS, prefix_hashes
+from pimentoquay.policy.queue import FairQueue, QueueItem
+from pimentoquay.policy.retries import RetryBudget, RetryLimits
+from pimentoquay.policy.speeds import Estimate, SpeedBook, StartingSpeeds
+
+__all__ = [
+    "AdmissionLimits",
+    "Choice",
+    "CircuitLimits",
+    "CircuitState",
+    "Circuits",
+    "Demand",
+    "EngineLoad",
+    "Estimate",
+    "FairQueue",
+    "Flow",
+    "BLOCK_TOKENS",
+    "PlacementLimits",
+    "PlacementNeed",
+    "PrefixIndex",
+    "QueueItem",
+    "RetryBudget",
+    "RetryLimits",
+    "SpeedBook",
+    "StartingSpeeds",
+    "Verdict",
+    "admit",
+    "choose",
+    "estimated_wait",
+    "link_key",
+    "prefix_hashes",
+]
--- /dev/null
+++ b/pimentoquay/policy/engines.py
@@ -0,0 +1,64 @@
+"""What one engine has taken on, as the ledger of its shard counts it."""
+
+from dataclasses import dataclass
+
+from pimentoquay.backends.base import EngineRole
+
+__all__ = ["EngineLoad"]
+
+
+@dataclass
+class EngineLoad:
+    """The commitments of one engine; times in seconds, memory in tokens of KV cache.
+
+    ``reserved`` counts slots promised to requests in prefill or transfer, ``decoding`` those in
+    use, and ``release_rate`` how many of the latter are expected to end per second. What the
+    engine itself reports and no grant explains is counted as ``foreign``.
+    """
+
+    name: str
+    role: EngineRole
+    slots: int
+    kv_capacity: int
+    reserved: int = 0
+    decoding: int = 0
+    release_rate: float = 0.0
+    kv_reserved: int = 0
+    prefill_count: int = 0
+    prefill_free_at: float = 0.0
+    link_free_at: float = 0.0
+    foreign_slots: int = 0
+    foreign_kv: int = 0
+    is_usable: bool = False
+
+    @property
+    def can_prefill(self) -> bool:
+        """Tell whether the engine's role allows prefill."""
+        return self.role is not EngineRole.DECODE
+
+    @property
+    def can_decode(self) -> bool:
+        """Tell whether the engine's role allows decoding."""
+        return self.role is not EngineRole.PREFILL
+
+    def free_slots(self) -> int:
+        """Return the slots that are neither used nor promised; negative if too many are."""
+        return self.slots - self.reserved - self.decoding - self.foreign_slots
+
+    def free_slots_in(self, seconds: float, share: float) -> int:
+        """Return the slots free after ``seconds``, counting a share of the expected releases."""
+        expected = min(float(self.decoding), self.release_rate * max(0.0, seconds) * share)
+        return self.free_slots() + int(expected)
+
+    def free_kv(self) -> int:
+        """Return the KV memory that is not promised."""
+        return self.kv_capacity - self.kv_reserved - self.foreign_kv
+
+    def is_open_for_prefill(self, lead: float, now: float) -> bool:
+        """Tell whether one more prefill may be sent, at most ``lead`` seconds before idle.
+
+        A prefill that is overdue closes the engine until its report has come.
+        """
+        if self.prefill_count == 0:
+            return True
+        return self.prefill_count == 1 and now < self.prefill_free_at <= now + lead
--- /dev/null
+++ b/pimentoquay/policy/placement.py
@@ -0,0 +1,126 @@
+"""Placement: a prefill engine and a decode engine together, chosen before prefill starts.
+
+A pair is open when the decode engine will have a slot and KV memory, and the link time, by the
+moment the prefill is expected to end. Of the open pairs the one with the earliest first token
+wins, and among nearly equal ones the decode engine with the most free slots.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from pimentoquay.policy.engines import EngineLoad
+from pimentoquay.policy.speeds import SpeedBook
+
+__all__ = ["Choice", "PlacementLimits", "PlacementNeed", "choose", "link_key"]
+
+
+@dataclass(frozen=True)
+class PlacementLimits:
+    """Bounds of placement.
+
+    ``release_share`` is the part of the slots expected to come free that may be promised
+    before they do, ``prefill_lead`` the seconds of work that may wait on a prefill engine, and
+    ``slack`` the seconds after the KV cache arrives during which a slot may still come free.
+    """
+
+    release_share: float = 0.7
+    prefill_lead: float = 0.02
+    slack: float = 0.2
+    reserves_slot: bool = True
+    fullness_cost: float = 0.05
+
+
+@dataclass(frozen=True)
+class PlacementNeed:
+    """What a request needs: tokens of KV, and per prefill engine the tokens not cached."""
+
+    prompt_tokens: int
+    max_tokens: int
+    cached_by_engine: dict[str, int]
+
+
+@dataclass(frozen=True)
+class Choice:
+    """Two engines, which may be one, and when each stage is expected to end."""
+
+    prefill: str
+    decode: str
+    prefill_end: float
+    transfer_end: float
+
+
+@dataclass(frozen=True)
+class _Start:
+    engine: EngineLoad
+    end: float
+
+
+def link_key(source: str, target: str) -> str:
+    """Return the key of the link between two engines."""
+    return f"{source}>{target}"
+
+
+def choose(
+    need: PlacementNeed,
+    prefill_engines: Iterable[EngineLoad],
+    decode_engines: Iterable[EngineLoad],
+    speeds: SpeedBook,
+    closed_links: frozenset[str],
+    limits: PlacementLimits,
+    now: float,
+) -> Choice | None:
+    """Return the best open pair, or ``None`` if the request has to wait.
+
+    The caller leaves out engines that are not usable. ``closed_links`` are those whose circuit
+    does not let the request through.
+    """
+    starts = [
+        _start_on(engine, need, speeds, now)
+        for engine in prefill_engines
+        if engine.is_open_for_prefill(limits.prefill_lead, now)
+        and engine.free_kv() >= need.prompt_tokens
+    ]
+    targets = [
+        engine
+        for engine in decode_engines
+        if engine.free_kv() >= need.prompt_tokens + need.max_tokens
+    ]
+    best: tuple[float, str, str] | None = None
+    best_choice = None
+    for start in starts:
+        for target in targets:
+            link = link_key(start.engine.name, target.name)
+            if link in closed_links:
+                continue
+            arrival = _arrival(start, target, need, speeds, link)
+            if limits.reserves_slot and not _has_slot(target, arrival - now, limits):
+                continue
+            score = (_cost(arrival, target, limits), start.engine.name, target.name)
+            if best is None or score < best:
+                best = score
+                best_choice = Choice(start.engine.name, target.name, start.end, arrival)
+    return best_choice
+
+
+def _start_on(engine: EngineLoad, need: PlacementNeed, speeds: SpeedBook, now: float) -> _Start:
+    tokens = max(1, need.prompt_tokens - need.cached_by_engine.get(engine.name, 0))
+    begin = max(now, engine.prefill_free_at) if engine.prefill_count else now
+    return _Start(engine, begin + tokens * speeds.prefill.of(engine.name))
+
+
+def _arrival(
+    start: _Start, target: EngineLoad, need: PlacementNeed, speeds: SpeedBook, link: str
+) -> float:
+    if start.engine is target:
+        return start.end
+    begin = max(start.end, start.engine.link_free_at, target.link_free_at)
+    return begin + need.prompt_tokens * speeds.transfer.of(link)
+
+
+def _has_slot(target: EngineLoad, seconds: float, limits: PlacementLimits) -> bool:
+    return target.free_slots_in(seconds + limits.slack, limits.release_share) > 0
+
+
+def _cost(arrival: float, target: EngineLoad, limits: PlacementLimits) -> float:
+    fullness = 1.0 - target.free_slots() / max(1, target.slots)
+    return arrival + limits.fullness_cost * fullness
--- /dev/null
+++ b/pimentoquay/scheduler/engines.py
@@ -0,0 +1,108 @@
+"""The engines of one shard: which may be used now, and for what."""
+
+from pimentoquay.backends.base import EngineRole, EngineStatus
+from pimentoquay.membership import Shard
+from pimentoquay.policy import Circuits, CircuitState, EngineLoad, SpeedBook, link_key
+from pimentoquay.scheduler.ledger import Ledger
+
+__all__ = ["SLOW_PROBE_SECONDS", "EngineSet"]
+
+SLOW_PROBE_SECONDS = 2.0
+"""After so long without a sample, an engine believed slow gets one request to be judged by."""
+
+
+class EngineSet:
+    """The engines of a shard as the ledger, the circuits and the learned speeds show them."""
+
+    def __init__(self, ledger: Ledger, circuits: Circuits, speeds: SpeedBook) -> None:
+        self._ledger = ledger
+        self._circuits = circuits
+        self._speeds = speeds
+        self._members: set[str] = set()
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def adopt(self, shard: Shard) -> None:
+        """Take the shard's engines; one that left keeps its grants but gets no new ones."""
+        loads = self._ledger.engine_by_name
+        self._members = {member.name for member in shard.engines}
+        for name in self._members - set(loads):
+            loads[name] = EngineLoad(name, EngineRole.MIXED, 0, 0)
+        for name in set(loads) - self._members:
+            loads[name].is_usable = False
+            if not any(name in (g.prefill_engine, g.decode_engine) for g in self._ledger):
+                del loads[name]
+                self._speeds.forget_engine(name)
+
+    def take_status(self, status: EngineStatus) -> None:
+        """Take an engine's role and limits from its own report."""
+        load = self._ledger.engine_by_name.get(status.engine)
+        if load is None:
+            return
+        load.role = status.role
+        load.slots = 0 if status.role is EngineRole.PREFILL else status.decode_slots
+        load.kv_capacity = status.kv_capacity_tokens
+        load.is_usable = status.engine in self._members
+
+    def lose(self, name: str) -> None:
+        """Note that an engine does not answer."""
+        load = self._ledger.engine_by_name.get(name)
+        if load is not None:
+            load.is_usable = False
+
+    def usable(self, now: float) -> list[EngineLoad]:
+        """Return the engines that may get work now, among them those due a probe."""
+        return [
+            load
+            for load in self._ledger.engine_by_name.values()
+            if load.is_usable and self._is_let_through(load.name, now)
+        ]
+
+    def live(self) -> list[EngineLoad]:
+        """Return the engines that answer, also those whose circuit is open."""
+        return [load for load in self._ledger.engine_by_name.values() if load.is_usable]
+
+    def wait_of(self, name: str, now: float) -> float:
+        """Return the seconds until an engine's circuit lets a request through again."""
+        return self._circuits.retry_in(name, now)
+
+    def closed_links(self, engines: list[EngineLoad], now: float) -> frozenset[str]:
+        """Return the links between usable engines that are left alone now."""
+        keys = self._circuits.open_keys()
+        return frozenset(key for key in keys if ">" in key and not self._is_let_through(key, now))
+
+    def decoders(self, usable: list[EngineLoad], interval: float, now: float) -> list[EngineLoad]:
+        """Return the engines that decode within ``interval`` seconds a token.
+
+        One that is too slow is kept out while another is not, save for one request now and then
+        to learn whether it has recovered. If all are too slow, all are returned.
+        """
+        decoders = [load for load in usable if load.can_decode]
+        fast = [load for load in decoders if not self._is_slow(load.name, interval, now)]
+        if not fast:
+            return decoders
+        if len(fast) == len(decoders):
+            return fast
+        due = [load for load in decoders if load not in fast and self._is_judged_again(load, now)]
+        return fast + due
+
+    def prefillers(self, usable: list[EngineLoad]) -> list[EngineLoad]:
+        """Return the engines that may prefill."""
+        return [load for load in usable if load.can_prefill]
+
+    def _is_let_through(self, key: str, now: float) -> bool:
+        return self._circuits.state(key, now) in (CircuitState.CLOSED, CircuitState.PROBE_DUE)
+
+    def _is_slow(self, name: str, interval: float, now: float) -> bool:
+        return interval > 0 and self._speeds.interval.of(name) > interval
+
+    def _is_judged_again(self, load: EngineLoad, now: float) -> bool:
+        is_stale = now - self._speeds.interval.sampled_at(load.name) > SLOW_PROBE_SECONDS
+        return is_stale and load.reserved + load.decoding == 0
+
+
+def probe_keys(circuits: Circuits, prefill: str, decode: str, now: float) -> tuple[str, ...]:
+    """Return the keys of a pair whose circuits are due a probe."""
+    keys = dict.fromkeys((prefill, decode, link_key(prefill, decode)))
+    return tuple(key for key in keys if circuits.state(key, now) is CircuitState.PROBE_DUE)
--- /dev/null
+++ b/pimentoquay/scheduler/selection.py
@@ -0,0 +1,160 @@
+"""What one shard's scheduler works out before it decides: service times, flow and engines."""
+
+from dataclasses import dataclass, replace
+
+from pimentoquay.messages.placement import PlaceRequest
+from pimentoquay.policy import (
+    Choice,
+    EngineLoad,
+    Estimate,
+    Flow,
+    PlacementLimits,
+    PlacementNeed,
+    PrefixIndex,
+    SpeedBook,
+    choose,
+)
+from pimentoquay.scheduler.engines import EngineSet
+from pimentoquay.scheduler.ledger import Ledger
+from pimentoquay.scheduler.settings import SchedulerSection
+from pimentoquay.scheduler.waiting import WaitingRequest
+
+__all__ = ["Selector", "Service"]
+
+PREFILL_LEAD_SECONDS = 0.02
+"""How early the next prefill is sent to an engine that is about to be idle."""
+
+UNBOUNDED_LEAD_SECONDS = 3600.0
+"""The lead without reservation: every prefill is sent at once."""
+
+FIRST_HOLD_SECONDS = 2.0
+"""The mean time in a slot that is assumed before the first grant."""
+
+FIRST_PREFILL_SECONDS = 0.2
+"""The mean prefill that is assumed before the first grant."""
+
+
+@dataclass(frozen=True)
+class Service:
+    """Expected seconds of one request on the best engines now."""
+
+    prefill: float
+    first_token: float
+    hold: float
+
+
+class Selector:
+    """Works out estimates and placements from a shard's ledger; it changes nothing."""
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        engines: EngineSet,
+        speeds: SpeedBook,
+        prefixes: PrefixIndex,
+        section: SchedulerSection,
+    ) -> None:
+        self._ledger = ledger
+        self._engines = engines
+        self._speeds = speeds
+        self._prefixes = prefixes
+        self._section = section
+        self._placement = PlacementLimits(
+            release_share=section.release_share,
+            slack=section.slot_slack,
+            reserves_slot=section.reservation,
+            prefill_lead=(PREFILL_LEAD_SECONDS if section.reservation else UNBOUNDED_LEAD_SECONDS),
+        )
+        self._hold_mean = Estimate(FIRST_HOLD_SECONDS)
+        self._prefill_mean = Estimate(FIRST_PREFILL_SECONDS)
+
+    def hold_mean(self) -> float:
+        """Return the mean seconds that a request holds a slot."""
+        return self._hold_mean.of("")
+
+    def note_granted(self, service: Service, now: float) -> None:
+        """Take a granted request into the means."""
+        self._hold_mean.add("", service.hold, now)
+        self._prefill_mean.add("", service.prefill, now)
+
+    def choose(self, waiting: WaitingRequest, now: float) -> Choice | None:
+        """Return engines for a waiting request, or ``None`` if none are open in time."""
+        request = waiting.request
+        usable = self._engines.usable(now)
+        sources = self._engines.prefillers(usable)
+        targets = self._engines.decoders(usable, request.token_interval, now)
+        need = PlacementNeed(
+            request.prompt_tokens, request.max_tokens, self._cached(request, sources)
+        )
+        closed = self._engines.closed_links(usable, now)
+        choice = choose(need, sources, targets, self._speeds, closed, self._placement, now)
+        if choice is not None and self._section.admission:
+            first_token = choice.transfer_end + self._speeds.interval.of(choice.decode)
+            if first_token > waiting.deadline:
+                return None
+        return choice
+
+    def choose_rescue(self, waiting: WaitingRequest, now: float) -> Choice | None:
+        """Return a free slot for KV that lives on the request's ``kv_engine``."""
+        source = self._ledger.engine_by_name[waiting.kv_engine]
+        need = PlacementNeed(
+            waiting.request.prompt_tokens,
+            waiting.request.max_tokens,
+            {source.name: waiting.request.prompt_tokens},
+        )
+        usable = self._engines.usable(now)
+        targets = self._engines.decoders(usable, waiting.request.token_interval, now)
+        targets = [load for load in targets if load.free_slots() > 0]
+        closed = self._engines.closed_links(usable, now)
+        open_source = replace(source, prefill_count=0)
+        targets = [open_source if load is source else load for load in targets]
+        return choose(need, [open_source], targets, self._speeds, closed, self._placement, now)
+
+    def service(self, request: PlaceRequest, now: float) -> Service:
+        """Return what a request would take on the best engines if they were idle."""
+        usable = self._engines.live()
+        sources = self._engines.prefillers(usable)
+        cached = self._cached(request, sources)
+        prefill = min(
+            (
+                max(1, request.prompt_tokens - cached.get(load.name, 0))
+                * self._speeds.prefill.of(load.name)
+                for load in sources
+            ),
+            default=0.0,
+        )
+        targets = self._engines.decoders(usable, request.token_interval, now)
+        interval = min((self._speeds.interval.of(load.name) for load in targets), default=0.0)
+        needs_link = not any(load.can_prefill for load in targets)
+        transfer = request.prompt_tokens * self._speeds.transfer.of("") if needs_link else 0.0
+        tokens = request.max_tokens * self._speeds.answer_fraction.of(request.kind)
+        hold = max(0.05, transfer + tokens * interval)
+        return Service(prefill, prefill + transfer + interval, hold)
+
+    def flow(self, now: float) -> Flow:
+        """Return what the shard gets through now."""
+        live = self._engines.live()
+        decoders = [load for load in live if load.can_decode]
+        sources = [load for load in live if load.can_prefill]
+        waits = [
+            max(self._prefill_wait(load, now), self._engines.wait_of(load.name, now))
+            for load in sources
+        ]
+        return Flow(
+            sum(max(0, load.free_slots()) for load in decoders),
+            sum(load.slots for load in decoders),
+            self._hold_mean.of(""),
+            len(sources),
+            self._prefill_mean.of(""),
+            min(waits, default=0.0),
+        )
+
+    def _prefill_wait(self, load: EngineLoad, now: float) -> float:
+        return max(0.0, load.prefill_free_at - now) if load.prefill_count else 0.0
+
+    def _cached(self, request: PlaceRequest, sources: list[EngineLoad]) -> dict[str, int]:
+        if not self._section.prefixes or not request.prefix:
+            return {}
+        return {
+            load.name: self._prefixes.cached_tokens(load.name, request.prefix) for load in sources
+        }
--- /dev/null
+++ b/pimentoquay/scheduler/shard.py
@@ -0,0 +1,390 @@
+"""The scheduler of one shard, as a state machine without I/O: messages and time in, answers out.
+
+``ShardScheduler`` keeps the only ledger of the shard. Callers pass the time in, collect
+``take_outbox`` after each call, and call ``dispatch`` whenever ``wants_tick`` says so.
+
+Example
+-------
+::
+
+    scheduler = ShardScheduler(shard, SchedulerSection(), now)
+    scheduler.take_status(status, now)
+    scheduler.place(entry, request, now)
+    for outgoing in scheduler.take_outbox():
+        send(outgoing.entry, outgoing.message)
+"""
+
+from dataclasses import dataclass, replace
+from typing import Any
+
+from pimentoquay.kernel import ResultCode
+from pimentoquay.membership import Shard
+from pimentoquay.messages.cluster import ShardSummary
+from pimentoquay.messages.placement import (
+    FindRequest,
+    Grant,
+    GrantRecord,
+    Located,
+    PlaceRequest,
+    Refusal,
+    Release,
+    ReplaceRequest,
+    Stage,
+    StageReport,
+)
+from pimentoquay.policy import (
+    AdmissionLimits,
+    Choice,
+    CircuitLimits,
+    Circuits,
+    Demand,
+    FairQueue,
+    PrefixIndex,
+    RetryBudget,
+    RetryLimits,
+    SpeedBook,
+    StartingSpeeds,
+    admit,
+    estimated_wait,
+    link_key,
+)
+from pimentoquay.scheduler.engines import EngineSet, probe_keys
+from pimentoquay.scheduler.ledger import EntryKey, GrantState, Ledger, announced_grant
+from pimentoquay.scheduler.selection import Selector, Service
+from pimentoquay.scheduler.settings import SchedulerSection
+from pimentoquay.scheduler.waiting import WaitingRequest, WaitingRoom
+
+__all__ = ["Outgoing", "ShardScheduler"]
+
+KV_RESCUE_SECONDS = 0.5
+"""How long a request with live KV waits for another slot before it is prefilled again."""
+
+
+@dataclass(frozen=True)
+class Outgoing:
+    """A message to an entry process."""
+
+    entry: EntryKey
+    message: Any
+
+
+class ShardScheduler:
+    """Queue, ledger and decisions of one shard.
+
+    Parameters
+    ----------
+    shard
+        The shard with its engines.
+    section
+        The settings.
+    now
+        The time at which this VM became the owner; nothing is granted before the rebuild grace
+        has passed, so that entries can announce their grants first.
+    """
+
+    def __init__(self, shard: Shard, section: SchedulerSection, now: float) -> None:
+        self.shard = shard
+        self._section = section
+        self.ledger = Ledger()
+        self.speeds = SpeedBook(StartingSpeeds(), section.learning)
+        limits = CircuitLimits(longest_wait=section.longest_circuit_wait)
+        self.circuits = Circuits(limits)
+        self.engines = EngineSet(self.ledger, self.circuits, self.speeds)
+        self.engines.adopt(shard)
+        self.waiting = WaitingRoom(FairQueue(section.fair_quantum, section.fairness))
+        self.budget = RetryBudget(RetryLimits(section.retry_fraction, section.retry_reserve))
+        self.prefixes = PrefixIndex()
+        self._admission = AdmissionLimits(
+            section.max_queued, section.deadline_share, section.admission
+        )
+        self._selector = Selector(self.ledger, self.engines, self.speeds, self.prefixes, section)
+        self._ready_at = now + section.rebuild_grace
+        self._prefill_done_at: dict[str, float] = {}
+        self._outbox: list[Outgoing] = []
+
+    def take_outbox(self) -> list[Outgoing]:
+        """Return the messages to be sent, and forget them."""
+        outbox, self._outbox = self._outbox, []
+        return outbox
+
+    @property
+    def wants_tick(self) -> bool:
+        """Tell whether ``dispatch`` should be called again soon."""
+        return len(self.waiting) > 0
+
+    def place(self, entry: EntryKey, request: PlaceRequest, now: float) -> None:
+        """Queue a request or refuse it at once."""
+        self._drop(request.request_id, now)
+        service = self._selector.service(request, now)
+        deadline = now + request.deadline_in
+        demand = Demand(
+            ahead=self.waiting.ahead_of(request, deadline),
+            service=service.first_token,
+            deadline_in=request.deadline_in,
+            held=self.ledger.held_by(request.workspace) + self.waiting.held_by(request.workspace),
+            limit=request.workspace_limit,
+            queued=len(self.waiting),
+        )
+        verdict = admit(demand, self._selector.flow(now), self._admission)
+        if verdict.code is not ResultCode.OK:
+            self._refuse(
+                entry, request.request_id, request.attempt, verdict.code, verdict.retry_after
+            )
+            return
+        self._wait(entry, request, deadline, service, now)
+        self.dispatch(now)
+
+    def report(self, report: StageReport, now: float) -> None:
+        """Learn from a finished stage and move its grant on."""
+        grant = self.ledger.get(report.request_id)
+        if grant is None or grant.request.attempt != report.attempt:
+            return
+        if report.stage is Stage.PREFILL:
+            self._prefilled(grant, report, now)
+        elif report.stage is Stage.TRANSFER:
+            self._transferred(grant, report, now)
+        else:
+            self.speeds.saw_decode(report.engine, report.tokens, report.seconds, now)
+        self.dispatch(now)
+
+    def replace(self, entry: EntryKey, message: ReplaceRequest, now: float) -> None:
+        """Count a failed stage and find other engines, if the retry budget allows it."""
+        grant = self.ledger.free(message.request_id, now)
+        self._count_failure(grant, message, now)
+        if grant is None:
+            self._refuse(
+                entry, message.request_id, message.attempt, ResultCode.REQUEST_UNKNOWN, 0.0
+            )
+            return
+        self._end_probes(grant)
+        if not message.kv_engine and not self.budget.take():
+            self._refuse(entry, message.request_id, message.attempt, ResultCode.QUEUE_FULL, 1.0)
+            return
+        request = replace(grant.request, attempt=message.attempt, deadline_in=message.deadline_in)
+        service = self._selector.service(request, now)
+        deadline = now + message.deadline_in
+        if self._is_hopeless(service, deadline, message.kv_engine, now):
+            code = ResultCode.DEADLINE_UNREACHABLE
+            self._refuse(entry, message.request_id, message.attempt, code, 1.0)
+            return
+        kv_engine = message.kv_engine if self._section.rescue else ""
+        self._wait(entry, request, deadline, service, now, kv_engine)
+        self.dispatch(now)
+
+    def release(self, message: Release, now: float) -> None:
+        """Free everything a request holds or waits for."""
+        self.waiting.remove(message.request_id)
+        grant = self.ledger.free(message.request_id, now)
+        if grant is not None:
+            self._end_probes(grant)
+            self._learn_answer(grant, message, now)
+        self.dispatch(now)
+
+    def reannounce(self, entry: EntryKey, records: tuple[GrantRecord, ...], now: float) -> None:
+        """Enter grants that an earlier owner gave."""
+        for record in records:
+            if self.ledger.get(record.request_id) is None:
+                self.ledger.add(announced_grant(entry, record, self._selector.hold_mean(), now))
+            else:
+                grant = self.ledger.get(record.request_id)
+                assert grant is not None
+                grant.entry = entry
+
+    def find(self, entry: EntryKey, message: FindRequest, now: float) -> None:
+        """Tell where a stream runs; the grant moves to the entry that asks."""
+        grant = self.ledger.get(message.request_id)
+        if grant is None or grant.stage is not Stage.DECODE:
+            self._refuse(entry, message.request_id, 0, ResultCode.REQUEST_UNKNOWN, 0.0)
+            return
+        grant.entry = entry
+        located = Located(message.request_id, grant.request.attempt, grant.decode_engine)
+        self._outbox.append(Outgoing(entry, located))
+
+    def drop(self, request_id: str, now: float) -> None:
+        """Free a grant that its engine or its entry has lost."""
+        self._drop(request_id, now)
+        self.dispatch(now)
+
+    def drop_waiting_of(self, entry: EntryKey) -> None:
+        """Forget the waiting requests of an entry that is gone."""
+        for waiting in self.waiting.of_entry(entry):
+            self.waiting.remove(waiting.request.request_id)
+
+    def adopt(self, shard: Shard, now: float) -> None:
+        """Take over a changed list of engines."""
+        self.shard = shard
+        self.engines.adopt(shard)
+        self.dispatch(now)
+
+    def dispatch(self, now: float) -> None:
+        """Grant and refuse whatever is due now."""
+        if now < self._ready_at:
+            return
+        for late in self.waiting.expired(now) if self._section.admission else ():
+            self._refuse(
+                late.entry,
+                late.request.request_id,
+                late.request.attempt,
+                ResultCode.DEADLINE_UNREACHABLE,
+                self.queue_seconds(now),
+            )
+        for rescue in self.waiting.rescues():
+            self._try_rescue(rescue, now)
+        while (first := self.waiting.first()) is not None:
+            choice = self._selector.choose(first, now)
+            if choice is None:
+                return
+            self.waiting.take_first()
+            self._grant(first, choice, now)
+
+    def queue_seconds(self, now: float) -> float:
+        """Return the expected wait of a new request."""
+        return estimated_wait(len(self.waiting), self._selector.flow(now))
+
+    def summary(self, now: float) -> ShardSummary:
+        """Return how full the shard is."""
+        free = sum(load.free_slots() for load in self.engines.usable(now) if load.can_decode)
+        return ShardSummary(
+            self.shard.name,
+            self.shard.data_centre,
+            max(0, free),
+            len(self.waiting),
+            self.queue_seconds(now),
+        )
+
+    def _wait(
+        self,
+        entry: EntryKey,
+        request: PlaceRequest,
+        deadline: float,
+        service: Service,
+        now: float,
+        kv_engine: str = "",
+    ) -> None:
+        needed = 0.0 if kv_engine else service.first_token
+        self.waiting.add(
+            WaitingRequest(
+                request,
+                entry,
+                deadline,
+                deadline - needed,
+                now,
+                service.hold,
+                kv_engine,
+                now + KV_RESCUE_SECONDS if kv_engine else 0.0,
+            )
+        )
+
+    def _is_hopeless(self, service: Service, deadline: float, kv_engine: str, now: float) -> bool:
+        if not self._section.admission:
+            return False
+        needed = 0.0 if kv_engine else service.first_token
+        return now + needed > deadline
+
+    def _try_rescue(self, waiting: WaitingRequest, now: float) -> None:
+        """Move live KV to another slot, or queue the request for another prefill."""
+        source = self.ledger.engine_by_name.get(waiting.kv_engine)
+        choice = None
+        if source is not None and now <= waiting.kv_until:
+            choice = self._selector.choose_rescue(waiting, now)
+        if choice is not None:
+            self.waiting.remove(waiting.request.request_id)
+            self._grant(waiting, choice, now)
+        elif source is None or now > waiting.kv_until:
+            self.waiting.remove(waiting.request.request_id)
+            service = self._selector.service(waiting.request, now)
+            self._wait(waiting.entry, waiting.request, waiting.deadline, service, now)
+
+    def _grant(self, waiting: WaitingRequest, choice: Choice, now: float) -> None:
+        request = waiting.request
+        keys = probe_keys(self.circuits, choice.prefill, choice.decode, now)
+        for key in keys:
+            self.circuits.begin_probe(key, request.request_id, now)
+        service = self._selector.service(request, now)
+        grant = GrantState(
+            request,
+            waiting.entry,
+            choice.prefill,
+            choice.decode,
+            now,
+            waiting.deadline,
+            stage_since=now,
+            hold_seconds=service.hold,
+            prefill_seconds=choice.prefill_end - now,
+            probe_keys=keys,
+        )
+        if waiting.kv_engine:
+            grant.stage = Stage.TRANSFER if grant.uses_link else Stage.DECODE
+        self.ledger.add(grant)
+        source = self.ledger.engine_by_name[choice.prefill]
+        target = self.ledger.engine_by_name[choice.decode]
+        if not waiting.kv_engine:
+            source.prefill_free_at = choice.prefill_end
+        if source is not target:
+            source.link_free_at = target.link_free_at = choice.transfer_end
+        self._selector.note_granted(service, now)
+        answer = Grant(request.request_id, request.attempt, choice.prefill, choice.decode)
+        self._outbox.append(Outgoing(waiting.entry, answer))
+
+    def _refuse(
+        self, entry: EntryKey, request_id: str, attempt: int, code: ResultCode, after: float
+    ) -> None:
+        detail = f"shard {self.shard.name}, {len(self.waiting)} queued"
+        refusal = Refusal(request_id, attempt, code, after, detail)
+        self._outbox.append(Outgoing(entry, refusal))
+
+    def _drop(self, request_id: str, now: float) -> None:
+        self.waiting.remove(request_id)
+        grant = self.ledger.free(request_id, now)
+        if grant is not None:
+            self._end_probes(grant)
+
+    def _end_probes(self, grant: GrantState) -> None:
+        for key in grant.probe_keys:
+            self.circuits.end_probe(key, grant.request.request_id)
+
+    def _prefilled(self, grant: GrantState, report: StageReport, now: float) -> None:
+        if grant.stage is not Stage.PREFILL:
+            return
+        engine = report.engine
+        started = max(grant.granted_at, self._prefill_done_at.get(engine, 0.0))
+        seconds = min(report.seconds, now - started)
+        self._prefill_done_at[engine] = now
+        computed = report.tokens - report.cached_tokens
+        self.speeds.saw_prefill(engine, max(1, computed), max(0.0, seconds), now)
+        self.prefixes.correct(engine, grant.request.prefix, report.cached_tokens)
+        self.circuits.succeeded(engine)
+        stage = Stage.TRANSFER if grant.uses_link else Stage.DECODE
+        self.ledger.move(grant, stage, now)
+
+    def _transferred(self, grant: GrantState, report: StageReport, now: float) -> None:
+        if grant.stage is not Stage.TRANSFER:
+            return
+        link = link_key(grant.prefill_engine, grant.decode_engine)
+        self.speeds.saw_transfer(link, report.tokens, report.seconds, now)
+        self.circuits.succeeded(grant.decode_engine)
+        self.circuits.succeeded(link)
+        self.ledger.move(grant, Stage.DECODE, now)
+
+    def _count_failure(self, grant: GrantState | None, message: ReplaceRequest, now: float) -> None:
+        """Charge the engine or the link that failed, unless the ledger itself was at fault."""
+        engine = message.failed_engine
+        is_transfer = message.failed_stage is Stage.TRANSFER
+        if not self._section.circuits or (is_transfer and not message.kv_engine):
+            return  # KV that expired says nothing about the engine that asked for it.
+        if message.code is ResultCode.CIRCUIT_OPEN:
+            load = self.ledger.engine_by_name.get(engine)
+            if not is_transfer or load is None or load.free_slots() > 0:
+                self.circuits.refused(engine, now)
+        elif is_transfer and grant is not None:
+            self.circuits.failed(link_key(grant.prefill_engine, grant.decode_engine), now)
+        else:
+            self.circuits.failed(engine, now)
+
+    def _learn_answer(self, grant: GrantState, message: Release, now: float) -> None:
+        if message.code is not ResultCode.OK or grant.stage is not Stage.DECODE:
+            return
+        self.budget.earn()
+        request = grant.request
+        self.speeds.saw_answer(request.kind, message.tokens, request.max_tokens, now)
+        self.speeds.saw_decode(grant.decode_engine, message.tokens, now - grant.stage_since, now)
