--- /dev/null
+++ b/pimentoquay/bench/answers.py
@@ -0,0 +1,20 @@
+"""Reads answers as callers get them: server-sent event frames of completion chunks."""
+
+import json
+
+__all__ = ["DONE_FRAME", "text_of_frames"]
+
+DONE_FRAME = b"data: [DONE]"
+"""The frame that ends a whole answer."""
+
+
+def text_of_frames(frames: bytes) -> str:
+    """Return the text that a stream's frames carry, of chat or plain completions."""
+    parts = []
+    for frame in frames.split(b"\n\n"):
+        if not frame.startswith(b"data: ") or frame == DONE_FRAME:
+            continue
+        for choice in json.loads(frame[len(b"data: ") :])["choices"]:
+            content = choice["delta"].get("content") if "delta" in choice else choice.get("text")
+            parts.append(content or "")
+    return "".join(parts)
--- a/pimentoquay/control/__init__.py
+++ b/pimentoquay/control/__init__.py
@@ -8,17 +8,8 @@
 __all__ = ["PART_MODULES", "load_parts"]
 
 PART_MODULES = (
-    "pimentoquay.backends.engine_http",
-    "pimentoquay.backends.plain_http",
-    "pimentoquay.platform.log_http",
-    "pimentoquay.platform.membership_http",
-    "pimentoquay.platform.weight_store_http",
     "pimentoquay.membership.part",
-    "pimentoquay.configuration.part",
     "pimentoquay.scheduler.part",
-    "pimentoquay.orders.part",
-    "pimentoquay.orders.once_only",
-    "pimentoquay.control.operator",
 )
 """Modules whose import registers a plug-in of the control process."""
 
--- /dev/null
+++ b/pimentoquay/control/program.py
@@ -0,0 +1,74 @@
+"""``pimentoquay-control``: the control process of a VM.
+
+It reads the platform's log and membership list, schedules the shards that its VM owns, gives
+orders to engines and answers operators. One runs on each entry VM.
+"""
+
+import asyncio
+import contextlib
+import sys
+
+from pimentoquay.control import PART_MODULES, load_parts
+from pimentoquay.control.compose import ControlProcess, compose_control
+from pimentoquay.control.drain import drain_control
+from pimentoquay.control.settings import ControlSettings
+from pimentoquay.kernel import LoopClock, Node, find_plugin
+from pimentoquay.kernel.logs import configure_logs, logger
+from pimentoquay.kernel.programs import (
+    StopRequested,
+    parse_program_arguments,
+    run_until_stopped,
+    settings_or_exit,
+)
+from pimentoquay.kernel.sections import identity_of
+from pimentoquay.platform.ports import Ports
+from pimentoquay.transport.websocket import WebSocketTransport
+
+__all__ = ["main"]
+
+PROGRAM = "pimentoquay-control"
+EXAMPLE = "pimentoquay-control --config vm-1.ini"
+
+
+def main() -> int:
+    """Run the program and return its exit status."""
+    load_parts()
+    arguments = parse_program_arguments(PROGRAM, __doc__ or "", EXAMPLE)
+    settings = settings_or_exit(arguments.config, ControlSettings)
+    configure_logs(PROGRAM, settings.vm.name, settings.log.level)
+    return run_until_stopped(lambda stop: _serve(settings, stop))
+
+
+async def _serve(settings: ControlSettings, stop: StopRequested) -> None:
+    control = _compose(settings)
+    running = control.start()
+    logger.bind(listen=settings.control.listen, parts=len(PART_MODULES)).info("started")
+    stopping = asyncio.create_task(stop.wait())
+    await asyncio.wait({running, stopping}, return_when=asyncio.FIRST_COMPLETED)
+    stopping.cancel()
+    if not running.done():
+        await drain_control(control)
+        running.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await running
+    logger.info("stopped")
+
+
+def _compose(settings: ControlSettings) -> ControlProcess:
+    clock = LoopClock()
+    identity = identity_of(settings.vm, "control", clock)
+    transport = WebSocketTransport(identity, settings.cluster.key.encode())
+    node = Node(identity, transport, clock)
+    platform = settings.platform
+    ports = Ports(
+        engine=find_plugin("backend", "engine-http"),
+        plain=find_plugin("backend", "plain-http"),
+        log=find_plugin("platform", "log-http")(platform.log),
+        membership=find_plugin("platform", "membership-http")(platform.membership),
+        weight_store=find_plugin("platform", "weight-store-http")(platform.weight_store),
+    )
+    return compose_control(node, ports, settings)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
