--- a/pimentoquay/kernel/settings.py
+++ b/pimentoquay/kernel/settings.py
@@ -33,7 +33,9 @@
     "SettingInfo",
     "SettingsError",
     "load_settings",
+    "parse_ini",
     "parse_settings",
+    "read_section",
     "setting",
     "setting_infos",
 ]
@@ -119,12 +121,7 @@
 
 def parse_settings(text: str, settings_class: type[Settings], file: str) -> Settings:
     """Check the text of a settings file; ``file`` names it in faults."""
-    parser = configparser.ConfigParser(interpolation=None, strict=True)
-    try:
-        parser.read_string(text)
-    except configparser.Error as error:
-        allowed = "INI text (" + str(error).replace("\n", " ") + ")"
-        raise SettingsError((SettingFault(file, "", "", "", allowed),)) from None
+    parser = parse_ini(text, file)
     faults: list[SettingFault] = []
     section_by_name = _sections(settings_class)
     for name in parser.sections():
@@ -134,12 +131,23 @@
     value_by_section = {}
     for name, section_class in section_by_name.items():
         raw_by_key = dict(parser[name]) if parser.has_section(name) else {}
-        value_by_section[name] = _read_section(file, name, section_class, raw_by_key, faults)
+        value_by_section[name] = read_section(file, name, section_class, raw_by_key, faults)
     if faults:
         raise SettingsError(tuple(faults))
     return settings_class(**value_by_section)
 
 
+def parse_ini(text: str, file: str) -> configparser.ConfigParser:
+    """Return the sections of an INI text; ``SettingsError`` if it is none."""
+    parser = configparser.ConfigParser(interpolation=None, strict=True)
+    try:
+        parser.read_string(text)
+    except configparser.Error as error:
+        allowed = "INI text (" + str(error).replace("\n", " ") + ")"
+        raise SettingsError((SettingFault(file, "", "", "", allowed),)) from None
+    return parser
+
+
 def setting_infos(settings_class: type) -> tuple[SettingInfo, ...]:
     """Return the definition of every setting, in order of declaration."""
     infos = []
@@ -186,13 +194,14 @@
     return text
 
 
-def _read_section(
+def read_section(
     file: str,
     name: str,
     section_class: type,
     raw_by_key: dict[str, str],
     faults: list[SettingFault],
 ) -> Any:
+    """Return one checked section, or ``None`` after adding its faults."""
     hints = get_type_hints(section_class)
     items = {item.name: item for item in dataclasses.fields(section_class)}  # type: ignore[arg-type]
     count_before = len(faults)
