Serve callers over HTTP: OpenAI-style completions, plain services, health, metrics

Malformed input gets a numbered error and the connection survives where HTTP allows it; headers and bodies are bounded in size and time. A drain turns /readyz to 503, serves whoever still comes within the notice, finishes all requests and then ends.

The stand-in engine fetches KV under ImportOrder.kv_attempt, so that a transfer retried by a later attempt finds it.

--- a/pimentoquay/backends/base.py
+++ b/pimentoquay/backends/base.py
@@ -104,6 +104,11 @@
     max_tokens: int
     source_attempt: int = -1
 
+    @property
+    def kv_attempt(self) -> int:
+        """The attempt that the source holds the KV cache under."""
+        return self.attempt if self.source_attempt < 0 else self.source_attempt
+
 
 @dataclass(frozen=True)
 class DecodeOrder:
--- /dev/null
+++ b/pimentoquay/entry/connections.py
@@ -0,0 +1,115 @@
+"""The callers' connections: limits on headers, and numbered errors for what is not HTTP."""
+
+import asyncio
+import contextlib
+import json
+import socket
+import sys
+from collections.abc import Iterator
+from typing import Any
+
+import h11
+import uvicorn
+from uvicorn.protocols.http.h11_impl import H11Protocol
+
+from pimentoquay.entry.answers import error_body
+from pimentoquay.entry.settings import HttpSection
+from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode, info_of
+from pimentoquay.transport.websocket import split_address
+
+__all__ = ["EntryServer", "bind", "make_server"]
+
+
+class CallerProtocol(H11Protocol):
+    """HTTP/1.1 that bounds the time of the headers and answers malformed input by number."""
+
+    header_seconds = 10.0
+    _header_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: Any) -> None:
+        """Start waiting for the first request."""
+        super().connection_made(transport)
+        self._watch_headers()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stop waiting."""
+        self._stop_watching()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Take data; the headers of one request must end in time."""
+        super().data_received(data)
+        if self.conn.their_state is not h11.IDLE:
+            self._stop_watching()
+        elif self._header_timer is None and self.conn.trailing_data[0]:
+            self._watch_headers()
+
+    def send_400_response(self, msg: str) -> None:
+        """Answer input that is not HTTP with a numbered error, and close."""
+        cause = sys.exc_info()[1]
+        self._refuse(RefusedError(ResultCode.BAD_REQUEST, str(cause) if cause else msg))
+
+    def _watch_headers(self) -> None:
+        self._header_timer = self.loop.call_later(self.header_seconds, self._headers_late)
+
+    def _stop_watching(self) -> None:
+        if self._header_timer is not None:
+            self._header_timer.cancel()
+            self._header_timer = None
+
+    def _headers_late(self) -> None:
+        self._header_timer = None
+        detail = f"the headers took longer than {self.header_seconds} s"
+        self._refuse(RefusedError(ResultCode.BODY_TIMEOUT, detail))
+
+    def _refuse(self, error: PimentoquayError) -> None:
+        with contextlib.suppress(h11.LocalProtocolError):
+            body = json.dumps(error_body(error)).encode()
+            headers = [
+                (b"content-type", b"application/json"),
+                (b"content-length", str(len(body)).encode()),
+                (b"connection", b"close"),
+            ]
+            status = info_of(error.code).http_status
+            for event in (
+                h11.Response(status_code=status, headers=headers),
+                h11.Data(data=body),
+                h11.EndOfMessage(),
+            ):
+                self.transport.write(self.conn.send(event) or b"")
+        self.transport.close()
+
+
+class EntryServer(uvicorn.Server):
+    """A server that leaves signals to the program."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Capture none."""
+        yield
+
+
+def bind(address: str) -> socket.socket:
+    """Return a listening socket; ``OSError`` if the address is in use."""
+    host, port = split_address(address)
+    return socket.create_server((host, port), backlog=1024)
+
+
+def make_server(app: Any, section: HttpSection) -> EntryServer:
+    """Return the server of an ASGI application, not yet started."""
+    limits = {"header_seconds": section.header_seconds}
+    protocol = type("BoundedCallerProtocol", (CallerProtocol,), limits)
+    config = uvicorn.Config(
+        app,
+        loop="asyncio",
+        http=protocol,
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        server_header=False,
+        proxy_headers=False,
+        timeout_keep_alive=int(section.idle_seconds),
+        h11_max_incomplete_event_size=section.max_header_bytes,
+    )
+    return EntryServer(config)
--- /dev/null
+++ b/pimentoquay/entry/feed.py
@@ -0,0 +1,33 @@
+"""The task that follows the configuration in force as the own VM's control process sends it."""
+
+from pimentoquay.configuration.view import ConfigurationView
+from pimentoquay.kernel import Node
+from pimentoquay.kernel.logs import logger
+from pimentoquay.messages.cluster import ConfigurationEntries
+
+__all__ = ["ConfigurationFeed"]
+
+
+class ConfigurationFeed:
+    """Applies each ``ConfigurationEntries`` message to a view.
+
+    Parameters
+    ----------
+    node
+        The entry process.
+    view
+        What the entry serves by.
+    """
+
+    def __init__(self, node: Node, view: ConfigurationView) -> None:
+        self._node = node
+        self._view = view
+        self.inbox = node.bus.subscribe(ConfigurationEntries)
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        while True:
+            envelope = await self.inbox.get()
+            if self._view.apply(envelope.message):
+                self._node.timeline.record("configuration", detail=f"offset {self._view.offset}")
+                logger.bind(offset=self._view.offset).info("configuration in force")
--- /dev/null
+++ b/pimentoquay/entry/http.py
@@ -0,0 +1,234 @@
+"""The callers' HTTP interface: OpenAI-style completions, plain services, health and metrics."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from contextlib import aclosing
+from typing import Any
+
+from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
+from starlette.requests import ClientDisconnect, Request
+from starlette.responses import JSONResponse, PlainTextResponse, Response
+from starlette.routing import Route
+
+from pimentoquay.backends.base import PlainCall
+from pimentoquay.configuration.view import ConfigurationView, service_of
+from pimentoquay.entry.answers import error_response, whole_answer
+from pimentoquay.entry.parse import (
+    CallerHeaders,
+    bad_request,
+    parse_headers,
+    parse_json,
+    parse_request,
+)
+from pimentoquay.entry.plain import PlainService, is_once_only
+from pimentoquay.entry.relay import StreamedAnswer, WatchedAnswer
+from pimentoquay.entry.request import RequestSpec
+from pimentoquay.entry.service import RequestService
+from pimentoquay.entry.settings import HttpSection
+from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode
+from pimentoquay.kernel.logs import logger
+from pimentoquay.messages.cluster import MemberKind
+from pimentoquay.messages.workspaces import Workspace
+
+__all__ = ["EntryHttp"]
+
+Endpoint = Callable[[Request], Awaitable[Response]]
+
+PLAIN_METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
+
+
+class EntryHttp:
+    """The ASGI application of an entry.
+
+    Parameters
+    ----------
+    service, plain
+        What runs requests for models and calls of plain services.
+    configuration
+        The workspaces in force.
+    section
+        The limits for callers.
+    """
+
+    def __init__(
+        self,
+        service: RequestService,
+        plain: PlainService,
+        configuration: ConfigurationView,
+        section: HttpSection,
+    ) -> None:
+        self._service = service
+        self._plain = plain
+        self._configuration = configuration
+        self._section = section
+        self.draining = False
+        self.app = Starlette(
+            routes=[
+                Route("/v1/chat/completions", self._numbered(self._chat), methods=["POST"]),
+                Route("/v1/completions", self._numbered(self._completions), methods=["POST"]),
+                Route("/v1/models", self._numbered(self._models), methods=["GET"]),
+                Route(
+                    "/services/{service}/{path:path}",
+                    self._numbered(self._call_service),
+                    methods=PLAIN_METHODS,
+                ),
+                Route("/healthz", self._healthz),
+                Route("/readyz", self._readyz),
+                Route("/metrics", self._metrics),
+            ],
+            exception_handlers={HTTPException: _on_http_exception},
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether requests can be taken: a configuration and a view of the cluster are known."""
+        return self._configuration.is_ready and bool(self._service.link.view.members)
+
+    def _numbered(self, handler: Callable[..., Awaitable[Response]]) -> Endpoint:
+        """Return an endpoint that answers every error with its number."""
+
+        async def endpoint(request: Request) -> Response:
+            request_id = request.headers.get("x-request-id", "")
+            try:
+                headers = parse_headers(request.headers)
+                request_id = headers.request_id
+                response = await handler(request, headers, self._workspace(headers))
+            except ClientDisconnect:
+                response = Response(status_code=499)
+            except PimentoquayError as error:
+                self._service.metrics.count_code(error.code)
+                response = error_response(error, request_id)
+            if self.draining and not isinstance(response, StreamedAnswer | WatchedAnswer):
+                response.headers["connection"] = "close"
+            return response
+
+        return endpoint
+
+    def _workspace(self, headers: CallerHeaders) -> Workspace:
+        if not self.is_ready:
+            raise RefusedError(ResultCode.NOT_READY, "", 1.0)
+        if len(self._service.run_by_id) >= self._section.max_requests:
+            detail = f"{self._section.max_requests} requests are in progress here"
+            raise RefusedError(ResultCode.QUEUE_FULL, detail, 1.0)
+        if not headers.bearer_key:
+            raise RefusedError(ResultCode.UNAUTHENTICATED, "no Authorization: Bearer header")
+        resolved = self._configuration.workspace_of_key(headers.bearer_key)
+        if resolved is None:
+            raise RefusedError(ResultCode.UNAUTHENTICATED, "no workspace has this key")
+        return resolved.workspace
+
+    async def _chat(
+        self, request: Request, headers: CallerHeaders, workspace: Workspace
+    ) -> Response:
+        return await self._complete(request, headers, workspace, chat=True)
+
+    async def _completions(
+        self, request: Request, headers: CallerHeaders, workspace: Workspace
+    ) -> Response:
+        return await self._complete(request, headers, workspace, chat=False)
+
+    async def _complete(
+        self, request: Request, headers: CallerHeaders, workspace: Workspace, chat: bool
+    ) -> Response:
+        body = parse_json(await self._body(request))
+        spec = parse_request(body, headers, workspace, self._pools(), chat)
+        if headers.resume_offset is not None:
+            frames = self._service.resume(spec, headers.resume_offset)
+        else:
+            frames = self._service.run(spec)
+        if spec.streaming:
+            return StreamedAnswer(frames, headers.request_id)
+        return WatchedAnswer(lambda: self._whole(spec, headers, frames))
+
+    async def _whole(self, spec: RequestSpec, headers: CallerHeaders, frames: Any) -> Response:
+        try:
+            async with aclosing(frames) as chunks:
+                whole = b"".join([chunk async for chunk in chunks])
+        except PimentoquayError as error:
+            return error_response(error, headers.request_id)
+        return JSONResponse(
+            whole_answer(whole, spec),
+            headers={"x-request-id": headers.request_id, "x-result-code": "100"},
+        )
+
+    async def _models(
+        self, request: Request, headers: CallerHeaders, workspace: Workspace
+    ) -> Response:
+        models = [
+            {"id": model.name, "object": "model", "created": 0, "owned_by": workspace.name}
+            for model in workspace.models
+        ]
+        return JSONResponse({"object": "list", "data": models})
+
+    async def _call_service(
+        self, request: Request, headers: CallerHeaders, workspace: Workspace
+    ) -> Response:
+        name, path = request.path_params["service"], request.path_params["path"]
+        spec = service_of(workspace, name)
+        if spec is None:
+            known = any(
+                member.kind is MemberKind.SERVICE and member.pool == name
+                for member in self._service.link.view.members
+            )
+            code = ResultCode.MODEL_FORBIDDEN if known else ResultCode.NOT_FOUND
+            raise RefusedError(code, f"service {name[:60]!r}")
+        if any(segment in (".", "..") for segment in path.split("/")):
+            raise bad_request(f"path {path[:60]!r} leads out of the service")
+        call = PlainCall(
+            f"{workspace.name}/{headers.request_id}",
+            request.method,
+            "/" + path + (f"?{request.url.query}" if request.url.query else ""),
+            await self._body(request),
+            request.headers.get("content-type", ""),
+        )
+        answer = await self._plain.call(spec, call, is_once_only(spec, path))
+        return Response(
+            answer.body,
+            answer.status,
+            {"x-request-id": headers.request_id, "x-result-code": "100"},
+            answer.content_type or None,
+        )
+
+    async def _body(self, request: Request) -> bytes:
+        """Return a whole body within the limits of size and time."""
+        limit = self._section.max_body_bytes
+        declared = request.headers.get("content-length", "0")
+        if declared.isdigit() and int(declared) > limit:
+            raise RefusedError(ResultCode.BODY_TOO_LARGE, f"{declared} bytes, allowed: {limit}")
+        body = bytearray()
+        try:
+            async with asyncio.timeout(self._section.body_seconds):
+                async for chunk in request.stream():
+                    body += chunk
+                    if len(body) > limit:
+                        detail = f"more than {limit} bytes"
+                        raise RefusedError(ResultCode.BODY_TOO_LARGE, detail)
+        except TimeoutError:
+            detail = f"the body took longer than {self._section.body_seconds} s"
+            raise RefusedError(ResultCode.BODY_TIMEOUT, detail) from None
+        return bytes(body)
+
+    def _pools(self) -> frozenset[str]:
+        return frozenset(shard.pool for shard in self._service.link.shard_by_name.values())
+
+    async def _healthz(self, request: Request) -> Response:
+        return JSONResponse({"status": "up"})
+
+    async def _readyz(self, request: Request) -> Response:
+        if self.draining:
+            return error_response(RefusedError(ResultCode.SHUTTING_DOWN))
+        if not self.is_ready:
+            return error_response(RefusedError(ResultCode.NOT_READY, "", 1.0))
+        return JSONResponse({"status": "ready", "configuration": self._configuration.offset})
+
+    async def _metrics(self, request: Request) -> Response:
+        text = self._service.metrics.text(len(self._service.run_by_id))
+        return PlainTextResponse(text, media_type="text/plain; version=0.0.4")
+
+
+async def _on_http_exception(request: Request, error: Exception) -> Response:
+    assert isinstance(error, HTTPException)
+    logger.bind(path=request.url.path, status=error.status_code).debug("no such route")
+    detail = f"{request.method} {request.url.path[:60]!r}"
+    return error_response(RefusedError(ResultCode.NOT_FOUND, detail))
--- a/pimentoquay/entry/placer.py
+++ b/pimentoquay/entry/placer.py
@@ -91,9 +91,13 @@
         try:
             grant = await self._link.replace(placement.shard, request)
             return Placement(placement.shard, grant)
+        except RefusedError as refusal:
+            if refusal.code is not ResultCode.REQUEST_UNKNOWN:
+                raise
         except SchedulerLostError:
             self._withdraw(placement.shard, spec)
-            return await self.place(spec, deadline, attempt + 1)
+        # The scheduler is lost, or its successor never heard of the request.
+        return await self.place(spec, deadline, attempt + 1)
 
     async def find(self, spec: RequestSpec, deadline: float) -> Placement:
         """Return where a request's stream runs, asking every shard of its pool in reach."""
--- /dev/null
+++ b/pimentoquay/entry/program.py
@@ -0,0 +1,85 @@
+"""``pimentoquay-entry``: the entry process of a VM, which callers talk to.
+
+It answers OpenAI-style requests and calls of plain services. SIGTERM drains it: no request in
+progress is cut off. A second SIGTERM ends it at once.
+"""
+
+import asyncio
+import contextlib
+import importlib
+import sys
+
+from pimentoquay.entry.compose import EntryProcess, compose_entry
+from pimentoquay.entry.connections import bind
+from pimentoquay.entry.ports import EntryPorts
+from pimentoquay.entry.settings import EntrySettings
+from pimentoquay.kernel import LoopClock, Node, find_plugin
+from pimentoquay.kernel.logs import configure_logs, logger
+from pimentoquay.kernel.programs import (
+    EXIT_SETTINGS,
+    StopRequested,
+    parse_program_arguments,
+    run_until_stopped,
+    settings_or_exit,
+)
+from pimentoquay.kernel.sections import identity_of
+from pimentoquay.transport.websocket import WebSocketTransport
+
+__all__ = ["main"]
+
+PROGRAM = "pimentoquay-entry"
+EXAMPLE = "pimentoquay-entry --config vm-1-entry.ini"
+
+CLIENT_MODULES = ("pimentoquay.backends.engine_http", "pimentoquay.backends.plain_http")
+"""Modules whose import registers the clients of backend servers."""
+
+
+def main() -> int:
+    """Run the program and return its exit status."""
+    arguments = parse_program_arguments(PROGRAM, __doc__ or "", EXAMPLE)
+    settings = settings_or_exit(arguments.config, EntrySettings)
+    configure_logs(PROGRAM, settings.vm.name, settings.log.level)
+    for name in CLIENT_MODULES:
+        importlib.import_module(name)
+    try:
+        listener = bind(settings.http.listen)
+    except (OSError, ValueError) as error:
+        shown = f"{arguments.config}: [http] listen = {settings.http.listen!r}"
+        print(f"{shown}: allowed: a free IP:PORT ({error})", file=sys.stderr)
+        return EXIT_SETTINGS
+    with listener:
+        return run_until_stopped(lambda stop: _serve(settings, listener, stop))
+
+
+async def _serve(settings: EntrySettings, listener, stop: StopRequested) -> None:
+    entry = _compose(settings)
+    running = asyncio.create_task(entry.run(listener))
+    stopping = asyncio.create_task(stop.wait())
+    logger.bind(listen=settings.http.listen).info("started")
+    try:
+        await asyncio.wait({running, stopping}, return_when=asyncio.FIRST_COMPLETED)
+        if not running.done():
+            await entry.drain()
+        await running
+    finally:
+        stopping.cancel()
+        running.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await running
+    logger.info("stopped")
+
+
+def _compose(settings: EntrySettings) -> EntryProcess:
+    clock = LoopClock()
+    identity = identity_of(settings.vm, "entry", clock)
+    transport = WebSocketTransport(identity, settings.cluster.key.encode())
+    node = Node(identity, transport, clock)
+    ports = EntryPorts(
+        engine=find_plugin("backend", "engine-http"),
+        plain=find_plugin("backend", "plain-http"),
+    )
+    return compose_entry(node, ports, settings.control.address, settings.http)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/pimentoquay/entry/scheduler_link.py
+++ b/pimentoquay/entry/scheduler_link.py
@@ -93,6 +93,7 @@
         self._held_by_shard: dict[str, dict[str, GrantRecord]] = {}
         self._channel_by_shard: dict[str, Channel] = {}
         self._heard_by_channel: dict[int, float] = {}
+        self._unsent_by_shard: dict[str, dict[str, Release]] = {}
         self._spill_shards: set[str] = set()
         self._changed = asyncio.Event()
         self._sequence = 0
@@ -144,7 +145,9 @@
 
     def report(self, shard: str, report: StageReport) -> None:
         """Tell the shard's scheduler of a finished stage."""
-        self._send(shard, report)
+        channel = self._channel_by_shard.get(shard)
+        if channel is not None:
+            channel.send(report)
 
     def hold(self, shard: str, record: GrantRecord) -> None:
         """Remember a grant as it stands, to announce it to a new owner."""
@@ -155,7 +158,11 @@
         held = self._held_by_shard.get(shard)
         if held is not None:
             held.pop(release.request_id, None)
-        self._send(shard, release)
+        channel = self._channel_by_shard.get(shard)
+        if channel is not None and self._is_live(channel):
+            channel.send(release)
+        elif channel is not None:
+            self._unsent_by_shard.setdefault(shard, {})[release.request_id] = release
 
     def owner(self, shard_name: str) -> str:
         """Return the VM that schedules a shard, or an empty string."""
@@ -216,11 +223,6 @@
             except TimeoutError:
                 continue
 
-    def _send(self, shard: str, message: Any) -> None:
-        channel = self._channel_by_shard.get(shard)
-        if channel is not None:
-            channel.send(message)
-
     def _is_live(self, channel: Channel) -> bool:
         heard = self._heard_by_channel.get(id(channel))
         return heard is not None and self._node.clock.now() - heard < LEASE_SILENCE_SECONDS
@@ -258,6 +260,8 @@
                 continue
             self._channel_by_shard[shard] = channel
             channel.send(Reannouncement(shard, self.held(shard)))
+            for release in self._unsent_by_shard.pop(shard, {}).values():
+                channel.send(release)
 
     @singledispatchmethod
     def _take(self, message: Any, channel: Channel | None) -> None:
--- a/pimentoquay/entry/tests/fakes.py
+++ b/pimentoquay/entry/tests/fakes.py
@@ -159,6 +159,7 @@
             message = envelope.message
             if isinstance(message, ChannelOpened):
                 message.channel.send(self.view)
+                self.greet(message)
             elif isinstance(message, LeaseRenewal):
                 envelope.channel.send(message)
             else:
@@ -166,6 +167,9 @@
                 for reply in self._replies(message):
                     envelope.channel.send(reply)
 
+    def greet(self, opened: ChannelOpened) -> None:
+        """Send what else an entry is told when it connects."""
+
     def _replies(self, message: Any) -> tuple[Any, ...]:
         if isinstance(message, FindRequest):
             refusal = Refusal(message.request_id, 0, ResultCode.REQUEST_UNKNOWN, 0.0, "")
--- a/pimentoquay/standin/engine_work.py
+++ b/pimentoquay/standin/engine_work.py
@@ -44,17 +44,17 @@
     """Fetch a KV cache over both engines' links; free everything if that fails."""
     has_begun = False
     try:
-        offer = await source.export_begin(order.request_id, order.attempt)
+        offer = await source.export_begin(order.request_id, order.kv_attempt)
         has_begun = True
         core.ledger.reserve(holding, offer.prompt_tokens + holding.max_tokens)
         core.recorder.run(order.request_id, order.attempt, Stage.TRANSFER, core.now())
         await _move(core, order, offer, source)
-        await source.export_end(order.request_id, order.attempt, True)
+        await source.export_end(order.request_id, order.kv_attempt, True)
     except BaseException:
         core.ledger.drop(holding, "the KV transfer failed")
         if has_begun and core.is_up:
             with contextlib.suppress(EngineLostError, EngineRefusedError):
-                await source.export_end(order.request_id, order.attempt, False)
+                await source.export_end(order.request_id, order.kv_attempt, False)
         raise
     holding.prompt = offer.prompt
     holding.prompt_tokens = offer.prompt_tokens
@@ -101,7 +101,7 @@
 async def _move(core: EngineCore, order: ImportOrder, offer: KvOffer, source: KvSource) -> None:
     ingress = asyncio.ensure_future(core.ingress.move(offer.kv_bytes))
     try:
-        await source.export_move(order.request_id, order.attempt)
+        await source.export_move(order.request_id, order.kv_attempt)
         await ingress
     finally:
         ingress.cancel()
