Serve the stand-ins over HTTP and add the HTTP clients

The daemons need clients of engines, plain services, log, membership list and weight store, and programs to run them against. The HTTP library would hand a kept connection on after a cancelled exchange, so that the next request reads a foreign answer, would repeat requests of some methods by itself, and takes connections that the server has closed. platform/http.py brings its own connection and pool, which close after any exchange that failed, repeat nothing and tell whether a byte was written; plain calls use a connection each.

--- /dev/null
+++ b/pimentoquay/backends/plain_http.py
@@ -0,0 +1,46 @@
+"""The client of a plain service over HTTP.
+
+A request is sent once on a connection of its own: no connection is reused, so a request never
+meets one that the service has just closed, and ``written`` is false only if nothing was sent.
+"""
+
+from pimentoquay.backends.base import PlainAnswer, PlainCall, PlainLostError
+from pimentoquay.kernel.registry import plugin
+from pimentoquay.platform.http import HttpError, HttpPeer
+
+__all__ = ["NOT_RUN_HEADER", "REQUEST_ID_HEADER", "HttpPlainClient"]
+
+NOT_RUN_HEADER = "x-not-run"
+"""The answer's header by which a service proves that it did nothing."""
+
+REQUEST_ID_HEADER = "x-request-id"
+"""The request's header that carries the request id."""
+
+
+@plugin("backend", "plain-http")
+class HttpPlainClient:
+    """One plain service; it implements ``PlainClient``.
+
+    Parameters
+    ----------
+    address
+        The service's ``host:port``.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._peer = HttpPeer(address, reuse=False)
+
+    async def call(self, call: PlainCall, timeout: float) -> PlainAnswer:
+        """Send one call; ``PlainLostError`` when no whole answer came."""
+        headers = {"content-type": call.content_type, REQUEST_ID_HEADER: call.request_id}
+        try:
+            answer = await self._peer.request(call.method, call.path, timeout, call.body, headers)
+        except HttpError as failure:
+            raise PlainLostError(str(failure), failure.written) from None
+        content_type = answer.headers.get("content-type", "application/octet-stream")
+        not_run = answer.headers.get(NOT_RUN_HEADER) == "1"
+        return PlainAnswer(answer.status, answer.body, content_type, not_run)
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._peer.close()
--- /dev/null
+++ b/pimentoquay/platform/weight_store_http.py
@@ -0,0 +1,58 @@
+"""The client of the weight store over HTTP."""
+
+from dataclasses import dataclass
+from urllib.parse import urlencode
+
+from pimentoquay.kernel.json_data import from_json
+from pimentoquay.platform.http import HttpAnswer, HttpError, HttpPeer
+
+__all__ = ["HttpWeightStoreClient", "WeightSize"]
+
+CALL_SECONDS = 5.0
+FETCH_SECONDS = 3600.0
+
+
+@dataclass(frozen=True)
+class WeightSize:
+    """The answer to a question for a size, in bytes."""
+
+    size: int
+
+
+class HttpWeightStoreClient:
+    """The weight store; it implements ``WeightStoreClient``.
+
+    Parameters
+    ----------
+    address
+        The store's ``host:port``.
+    """
+
+    def __init__(self, address: str) -> None:
+        self._peer = HttpPeer(address)
+
+    async def size_of(self, model: str, version: str) -> int:
+        """Return the size in bytes of one version; ``ConnectionError`` if it is not known."""
+        answer = await self._get("/size", model, version, CALL_SECONDS)
+        try:
+            return from_json(WeightSize, answer.body).size
+        except ValueError as error:
+            raise ConnectionError(f"{self._peer.address}: {error}") from None
+
+    async def fetch(self, model: str, version: str) -> None:
+        """Wait until the weights of one version have been read."""
+        await self._get("/fetch", model, version, FETCH_SECONDS)
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._peer.close()
+
+    async def _get(self, path: str, model: str, version: str, timeout: float) -> HttpAnswer:
+        query = urlencode({"model": model, "version": version})
+        try:
+            answer = await self._peer.request("GET", f"{path}?{query}", timeout)
+        except HttpError as failure:
+            raise ConnectionError(str(failure)) from None
+        if answer.status != 200:
+            raise ConnectionError(f"{self._peer.address}: status {answer.status}")
+        return answer
--- /dev/null
+++ b/pimentoquay/standin/serve_common.py
@@ -0,0 +1,51 @@
+"""What the served stand-ins share: JSON bodies, errors, broken-off answers."""
+
+from typing import Any, TypeVar
+
+from starlette.requests import Request
+from starlette.responses import Response
+
+from pimentoquay.backends.base import EngineLostError, EngineRefusedError
+from pimentoquay.backends.engine_http import EngineFault
+from pimentoquay.kernel.codes import ResultCode
+from pimentoquay.kernel.errors import PimentoquayError
+from pimentoquay.kernel.json_data import from_json, to_json
+
+__all__ = ["BrokenOffResponse", "data_response", "fault_response", "read_body"]
+
+_JSON = "application/json"
+_STATUS_BY_CODE = {ResultCode.CIRCUIT_OPEN: 503, ResultCode.FENCED: 409}
+
+Data = TypeVar("Data")
+
+
+class BrokenOffResponse(Response):
+    """An answer that never comes: the connection closes after its head was promised."""
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Promise a body and close the connection instead."""
+        headers = [(b"content-length", b"1")]
+        await send({"type": "http.response.start", "status": 200, "headers": headers})
+        raise ConnectionAbortedError("the answer is broken off on purpose")
+
+
+async def read_body(cls: type[Data], request: Request) -> Data:
+    """Return the data class in a request's body; ``ValueError`` if there is none."""
+    return from_json(cls, await request.body())
+
+
+def data_response(item: Any) -> Response:
+    """Return a data class as a successful answer."""
+    return Response(to_json(item), media_type=_JSON)
+
+
+def fault_response(error: Exception) -> Response:
+    """Return the answer that an engine client turns into the same error again."""
+    if isinstance(error, EngineLostError):
+        return BrokenOffResponse()
+    if isinstance(error, PimentoquayError):
+        retry_after = error.retry_after if isinstance(error, EngineRefusedError) else 0.0
+        fault = EngineFault(int(error.code), error.detail, retry_after)
+        return Response(to_json(fault), _STATUS_BY_CODE.get(error.code, 500), media_type=_JSON)
+    fault = EngineFault(int(ResultCode.BAD_REQUEST), str(error))
+    return Response(to_json(fault), 400, media_type=_JSON)
--- /dev/null
+++ b/pimentoquay/standin/tests/served.py
@@ -0,0 +1,19 @@
+"""Stand-ins served on loopback ports that the system chose."""
+
+import contextlib
+import socket
+
+from pimentoquay.kernel.serving import serve_http
+
+
+def free_address():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+@contextlib.asynccontextmanager
+async def served(make_app):
+    address = free_address()
+    async with serve_http(make_app(address), address):
+        yield address
