--- /dev/null
+++ b/pimentoquay/configuration/answers.py
@@ -0,0 +1,86 @@
+"""What a control process answers to operators about workspaces and their history."""
+
+import dataclasses
+
+from pimentoquay.configuration.fold import ConfigurationState
+from pimentoquay.configuration.publish import STREAM
+from pimentoquay.kernel import Channel, PimentoquayError, ResultCode
+from pimentoquay.messages import CodecError, decode
+from pimentoquay.messages.configuration import ChangeOutcome
+from pimentoquay.messages.operator import (
+    GetAnswer,
+    GetRequest,
+    HistoryAnswer,
+    HistoryRequest,
+)
+from pimentoquay.messages.workspaces import ConfigurationRecord
+from pimentoquay.platform.base import LogClient
+
+__all__ = ["answer_get", "answer_history"]
+
+PAGE_WORKSPACES = 500
+MAX_HISTORY = 50
+"""The most changes of one workspace that are answered, newest ones."""
+
+
+def answer_get(state: ConfigurationState | None, request: GetRequest, channel: Channel) -> None:
+    """Answer with one workspace in force, or with a page of them all in order of name."""
+    if state is None:
+        channel.send(GetAnswer(-1, (), False))
+        return
+    names = sorted(
+        name
+        for name, entry in state.entry_by_name.items()
+        if request.name in ("", name) and name > request.after_name and not entry.is_removal
+    )
+    page = names[:PAGE_WORKSPACES]
+    records = tuple(state.entry_by_name[name].record for name in page)
+    channel.send(GetAnswer(state.offset, records, len(page) < len(names)))
+
+
+async def answer_history(
+    log: LogClient,
+    state: ConfigurationState | None,
+    request: HistoryRequest,
+    channel: Channel,
+) -> None:
+    """Answer with the remembered changes, and those accepted that the log still has."""
+    outcomes = [
+        outcome
+        for outcome in (state.outcome_by_change.values() if state is not None else ())
+        if outcome.name == request.name
+    ][-MAX_HISTORY:]
+    records = []
+    for outcome in outcomes:
+        assert state is not None
+        entry = state.entry_by_name.get(request.name)
+        if entry is not None and entry.version == outcome.version:
+            record: ConfigurationRecord | None = entry.record
+        else:
+            record = await _record_of(log, outcome)
+        if record is not None:
+            records.append(record)
+    channel.send(HistoryAnswer(tuple(outcomes), tuple(records)))
+
+
+async def _record_of(log: LogClient, outcome: ChangeOutcome) -> ConfigurationRecord | None:
+    if outcome.code is not ResultCode.CONFIG_ACCEPTED:
+        return None
+    try:
+        page = await log.read(STREAM, outcome.offset, 0.0)
+    except (PimentoquayError, OSError, TimeoutError):
+        return None
+    for item in page.records:
+        if item.offset == outcome.offset:
+            return _versioned(item.data, outcome.version)
+    return None
+
+
+def _versioned(data: bytes, version: int) -> ConfigurationRecord | None:
+    try:
+        record = decode(data)
+    except CodecError:
+        return None
+    if not isinstance(record, ConfigurationRecord):
+        return None
+    return dataclasses.replace(record, version=version)
