--- a/pimentoquay/control/__init__.py
+++ b/pimentoquay/control/__init__.py
@@ -9,6 +9,7 @@
 
 PART_MODULES = (
     "pimentoquay.membership.part",
+    "pimentoquay.configuration.part",
     "pimentoquay.scheduler.part",
 )
 """Modules whose import registers a plug-in of the control process."""
