--- a/pimentoquay/backends/engine_http.py
+++ b/pimentoquay/backends/engine_http.py
@@ -23,9 +23,9 @@
 )
 from pimentoquay.kernel.codes import ResultCode
 from pimentoquay.kernel.errors import PimentoquayError
+from pimentoquay.kernel.http_peer import HttpAnswer, HttpError, HttpPeer
 from pimentoquay.kernel.json_data import from_json, to_json
 from pimentoquay.kernel.registry import plugin
-from pimentoquay.platform.http import HttpAnswer, HttpError, HttpPeer
 
 __all__ = ["CacheEvents", "CancelOrder", "EngineFault", "HttpEngineClient", "ResumeOrder"]
 
--- a/pimentoquay/backends/plain_http.py
+++ b/pimentoquay/backends/plain_http.py
@@ -5,8 +5,8 @@
 """
 
 from pimentoquay.backends.base import PlainAnswer, PlainCall, PlainLostError
+from pimentoquay.kernel.http_peer import HttpError, HttpPeer
 from pimentoquay.kernel.registry import plugin
-from pimentoquay.platform.http import HttpError, HttpPeer
 
 __all__ = ["NOT_RUN_HEADER", "REQUEST_ID_HEADER", "HttpPlainClient"]
 
--- a/pimentoquay/platform/tests/test_http.py
+++ b/pimentoquay/kernel/tests/test_http_peer.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from pimentoquay.platform.http import HttpError, HttpPeer
+from pimentoquay.kernel.http_peer import HttpError, HttpPeer
 
 ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s"
 
--- a/pimentoquay/platform/log_http.py
+++ b/pimentoquay/platform/log_http.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 from urllib.parse import quote
 
+from pimentoquay.kernel.http_peer import HttpError, HttpPeer
 from pimentoquay.kernel.json_data import from_json
 from pimentoquay.platform.base import LogOutcomeUnknownError, LogPage, LogUnavailableError
-from pimentoquay.platform.http import HttpError, HttpPeer
 
 __all__ = ["Appended", "HttpLogClient"]
 
--- a/pimentoquay/platform/membership_http.py
+++ b/pimentoquay/platform/membership_http.py
@@ -1,8 +1,8 @@
 """The client of the platform's membership list over HTTP."""
 
+from pimentoquay.kernel.http_peer import HttpError, HttpPeer
 from pimentoquay.kernel.json_data import from_json
 from pimentoquay.messages.cluster import MembershipUpdate
-from pimentoquay.platform.http import HttpError, HttpPeer
 
 __all__ = ["HttpMembershipClient"]
 
--- a/pimentoquay/platform/weight_store_http.py
+++ b/pimentoquay/platform/weight_store_http.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass
 from urllib.parse import urlencode
 
+from pimentoquay.kernel.http_peer import HttpAnswer, HttpError, HttpPeer
 from pimentoquay.kernel.json_data import from_json
-from pimentoquay.platform.http import HttpAnswer, HttpError, HttpPeer
 
 __all__ = ["HttpWeightStoreClient", "WeightSize"]
 
--- a/pimentoquay/standin/serve_engine.py
+++ b/pimentoquay/standin/serve_engine.py
@@ -20,8 +20,8 @@
 from pimentoquay.backends.engine_http import CacheEvents, CancelOrder, EngineFault, ResumeOrder
 from pimentoquay.kernel.codes import ResultCode
 from pimentoquay.kernel.errors import PimentoquayError
+from pimentoquay.kernel.http_peer import HttpAnswer, HttpError, HttpPeer
 from pimentoquay.kernel.json_data import from_json, to_json
-from pimentoquay.platform.http import HttpAnswer, HttpError, HttpPeer
 from pimentoquay.standin.engine import StandinEngine
 from pimentoquay.standin.engine_model import KvOffer
 from pimentoquay.standin.serve_common import data_response, fault_response, read_body
