--- /dev/null
+++ b/pimentoquay/bench/demo/command.py
@@ -0,0 +1,28 @@
+"""``pimentoquay-bench demo-plan``: write the demo's settings files."""
+
+import argparse
+from pathlib import Path
+
+from pimentoquay.bench.demo.plan import DEMO_DEPLOYMENT, make_plan, write_plan
+from pimentoquay.kernel import plugin
+
+__all__ = ["DemoPlanCommand"]
+
+DEFAULT_FIRST_PORT = 17100
+
+
+@plugin("bench-command", "demo-plan")
+class DemoPlanCommand:
+    """Write the settings files of the demo's processes."""
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Declare the command's options."""
+        parser.add_argument("--directory", type=Path, required=True, help="where to write")
+        parser.add_argument(
+            "--first-port", type=int, default=DEFAULT_FIRST_PORT, help="first loopback port"
+        )
+
+    def run(self, arguments: argparse.Namespace) -> int:
+        """Write the files and return 0."""
+        write_plan(make_plan(DEMO_DEPLOYMENT, arguments.first_port), arguments.directory)
+        return 0
--- a/pimentoquay/bench/program.py
+++ b/pimentoquay/bench/program.py
@@ -14,7 +14,10 @@
 
 __all__ = ["BenchCommand", "main"]
 
-_COMMAND_MODULES: tuple[str, ...] = ()
+_COMMAND_MODULES: tuple[str, ...] = (
+    "pimentoquay.bench.demo.command",
+    "pimentoquay.bench.slopes.command",
+)
 """The modules whose import registers the commands."""
 
 _EPILOG = """examples:
--- a/pimentoquay/bench/slopes/command.py
+++ b/pimentoquay/bench/slopes/command.py
@@ -3,26 +3,16 @@
 import argparse
 import dataclasses
 import json
-import sys
 
 from pimentoquay.bench.slopes import messages, ownership  # noqa: F401
 from pimentoquay.bench.slopes.slope import Slope
 from pimentoquay.kernel import find_plugin, plugin, plugin_names
 
-__all__ = ["add_arguments", "measure_slopes", "run"]
+__all__ = ["SlopesCommand", "measure_slopes"]
 
 DEFAULT_REPEATS = 5
 
 
-def add_arguments(parser: argparse.ArgumentParser) -> None:
-    """Declare the command's options."""
-    parser.add_argument("--json", action="store_true", help="print JSON instead of a table")
-    parser.add_argument("--only", choices=plugin_names("slope"), help="measure one group")
-    parser.add_argument(
-        "--repeats", type=int, default=DEFAULT_REPEATS, help="samples of each slope"
-    )
-
-
 def measure_slopes(names: tuple[str, ...], repeats: int) -> tuple[Slope, ...]:
     """Measure the named groups of slopes, one after the other."""
     slopes: list[Slope] = []
@@ -31,18 +21,27 @@
     return tuple(slopes)
 
 
-def run(arguments: argparse.Namespace) -> int:
-    """Measure and print; the exit status is 0."""
-    names = (arguments.only,) if arguments.only else plugin_names("slope")
-    slopes = measure_slopes(names, arguments.repeats)
-    if arguments.json:
-        print(json.dumps([dataclasses.asdict(slope) for slope in slopes], indent=2))
+@plugin("bench-command", "slopes")
+class SlopesCommand:
+    """Measure what one more message, channel, token, engine or workspace costs."""
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Declare the command's options."""
+        parser.add_argument("--json", action="store_true", help="print JSON instead of a table")
+        parser.add_argument("--only", choices=plugin_names("slope"), help="measure one group")
+        parser.add_argument(
+            "--repeats", type=int, default=DEFAULT_REPEATS, help="samples of each slope"
+        )
+
+    def run(self, arguments: argparse.Namespace) -> int:
+        """Measure and print; the exit status is 0."""
+        names = (arguments.only,) if arguments.only else plugin_names("slope")
+        slopes = measure_slopes(names, arguments.repeats)
+        if arguments.json:
+            print(json.dumps([dataclasses.asdict(slope) for slope in slopes], indent=2))
+            return 0
+        for slope in slopes:
+            spread = f"{slope.low:.2f} to {slope.high:.2f}, {slope.samples} samples"
+            value = f"{slope.median:10.2f} {slope.unit} a {slope.per}"
+            print(f"{slope.name:45} {value:40} ({spread})")
         return 0
-    for slope in slopes:
-        spread = f"{slope.low:.2f} to {slope.high:.2f}, {slope.samples} samples"
-        value = f"{slope.median:10.2f} {slope.unit} a {slope.per}"
-        sys.stdout.write(f"{slope.name:45} {value:40} ({spread})\n")
-    return 0
-
-
-plugin("bench-command", "slopes")(sys.modules[__name__])  # type: ignore[type-var]
--- a/pimentoquay/control/__init__.py
+++ b/pimentoquay/control/__init__.py
@@ -8,7 +8,10 @@
 __all__ = ["PART_MODULES", "load_parts"]
 
 PART_MODULES = (
+    "pimentoquay.backends.engine_http",
+    "pimentoquay.backends.plain_http",
     "pimentoquay.membership.part",
+    "pimentoquay.configuration.part",
     "pimentoquay.scheduler.part",
 )
 """Modules whose import registers a plug-in of the control process."""
--- a/pimentoquay/control/program.py
+++ b/pimentoquay/control/program.py
@@ -21,7 +21,10 @@
     settings_or_exit,
 )
 from pimentoquay.kernel.sections import identity_of
+from pimentoquay.platform.log_http import HttpLogClient
+from pimentoquay.platform.membership_http import HttpMembershipClient
 from pimentoquay.platform.ports import Ports
+from pimentoquay.platform.weight_store_http import HttpWeightStoreClient
 from pimentoquay.transport.websocket import WebSocketTransport
 
 __all__ = ["main"]
@@ -60,12 +63,14 @@
     transport = WebSocketTransport(identity, settings.cluster.key.encode())
     node = Node(identity, transport, clock)
     platform = settings.platform
+    engine_client = find_plugin("backend", "engine-http")
+    plain_client = find_plugin("backend", "plain-http")
     ports = Ports(
-        engine=find_plugin("backend", "engine-http"),
-        plain=find_plugin("backend", "plain-http"),
-        log=find_plugin("platform", "log-http")(platform.log),
-        membership=find_plugin("platform", "membership-http")(platform.membership),
-        weight_store=find_plugin("platform", "weight-store-http")(platform.weight_store),
+        engine=lambda member: engine_client(member.address),
+        plain=lambda member: plain_client(member.address),
+        log=HttpLogClient(platform.log),
+        membership=HttpMembershipClient(platform.membership),
+        weight_store=HttpWeightStoreClient(platform.weight_store),
     )
     return compose_control(node, ports, settings)
 
--- a/pimentoquay/control/settings.py
+++ b/pimentoquay/control/settings.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from pimentoquay.configuration.settings import ConfigurationSection
 from pimentoquay.kernel.sections import ClusterSection, LogSection, PlatformSection, VmSection
 from pimentoquay.kernel.settings import setting
 from pimentoquay.membership.settings import MembershipSection
@@ -27,4 +28,5 @@
     control: ControlSection
     log: LogSection
     membership: MembershipSection
+    configuration: ConfigurationSection
     scheduler: SchedulerSection
