--- a/pimentoquay/bench/program.py
+++ b/pimentoquay/bench/program.py
@@ -58,3 +58,7 @@
         command_by_name[name] = command
     arguments = parser.parse_args(argv)
     return command_by_name[arguments.command].run(arguments)
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
