--- a/pimentoquay/bench/program.py
+++ b/pimentoquay/bench/program.py
@@ -14,7 +14,10 @@
 
 __all__ = ["BenchCommand", "main"]
 
-_COMMAND_MODULES: tuple[str, ...] = ()
+_COMMAND_MODULES: tuple[str, ...] = (
+    "pimentoquay.bench.demo.command",
+    "pimentoquay.bench.slopes.command",
+)
 """The modules whose import registers the commands."""
 
 _EPILOG = """examples:
@@ -55,3 +58,7 @@
         command_by_name[name] = command
     arguments = parser.parse_args(argv)
     return command_by_name[arguments.command].run(arguments)
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
