Answer operators: status, time line and drain from any one VM

Questions travel along the channels that are there, at most three hops, and answers are merged on the way back. Parts tell their state when StatusWanted is published; the entry answers for its own time line.

--- a/pimentoquay/configuration/part.py
+++ b/pimentoquay/configuration/part.py
@@ -21,6 +21,7 @@
 from pimentoquay.configuration.settings import ConfigurationSection
 from pimentoquay.kernel import Channel, ChannelClosed, ChannelOpened, Envelope, Node, plugin
 from pimentoquay.kernel.logs import logger
+from pimentoquay.kernel.status import PartStatus, StatusItem, StatusWanted
 from pimentoquay.messages.cluster import (
     CatchUpRequest,
     ClusterView,
@@ -86,6 +87,7 @@
             PublishRequest,
             GetRequest,
             HistoryRequest,
+            StatusWanted,
         )
 
     async def run(self) -> None:
@@ -168,6 +170,26 @@
                 answer_history(self._log, self.keeper.state, message, envelope.channel)
             )
 
+    @_handle.register
+    def _(self, message: StatusWanted, envelope: Envelope) -> None:
+        self._node.bus.publish(PartStatus("configuration", tuple(self._status_items())))
+
+    def _status_items(self) -> list[StatusItem]:
+        keeper = self.keeper
+        items = []
+        if not keeper.is_ready:
+            best = keeper.best_reported_offset
+            detail = f"at offset {keeper.offset}, peers report {best}; no entry is served by it"
+            items.append(StatusItem("state", "waiting", detail))
+        if keeper.is_behind_log:
+            detail = "the log has dropped records that are neither here nor at a peer in reach"
+            items.append(StatusItem("log", "stuck", detail))
+        elif keeper.is_log_down:
+            items.append(StatusItem("log", "waiting", "the log is down; it is tried again"))
+        if self._place is not None and self._place.is_reader:
+            items.append(StatusItem("log reader", "ok", "for its data centre"))
+        return items
+
     async def _publish(self, request: PublishRequest, channel: Channel) -> None:
         self._reader.readers_wanted += 1
         try:
--- a/pimentoquay/control/__init__.py
+++ b/pimentoquay/control/__init__.py
@@ -12,6 +12,7 @@
     "pimentoquay.backends.plain_http",
     "pimentoquay.membership.part",
     "pimentoquay.configuration.part",
+    "pimentoquay.control.operator",
     "pimentoquay.scheduler.part",
 )
 """Modules whose import registers a plug-in of the control process."""
--- a/pimentoquay/control/settings.py
+++ b/pimentoquay/control/settings.py
@@ -8,7 +8,7 @@
 from pimentoquay.membership.settings import MembershipSection
 from pimentoquay.scheduler.settings import SchedulerSection
 
-__all__ = ["ControlSection", "ControlSettings"]
+__all__ = ["ControlSection", "ControlSettings", "OperatorSection"]
 
 
 @dataclass(frozen=True)
@@ -18,6 +18,11 @@
     listen: str = setting(help="IP:PORT for peers, entries and operators")
 
 
+@dataclass(frozen=True)
+class OperatorSection:
+    """The operator part, which has no settings."""
+
+
 @dataclass(frozen=True)
 class ControlSettings:
     """Every section of a control process's settings file."""
@@ -30,3 +35,4 @@
     membership: MembershipSection
     configuration: ConfigurationSection
     scheduler: SchedulerSection
+    operator: OperatorSection
--- a/pimentoquay/entry/compose.py
+++ b/pimentoquay/entry/compose.py
@@ -20,6 +20,7 @@
 from pimentoquay.kernel import Node
 from pimentoquay.kernel.logs import logger
 from pimentoquay.transport.peers import PeerSet
+from pimentoquay.transport.timeline_responder import TimelineResponder
 
 __all__ = ["EntryProcess", "compose_entry"]
 
@@ -57,12 +58,14 @@
         self.http = http
         self._peers = peers
         self._feed = feed
+        self._timeline = TimelineResponder(node)
         self._section = section
         self._server = make_server(http.app, section)
 
     async def run(self, listener: socket.socket | None = None) -> None:
         """Run until ``drain`` has finished; callers connect to ``listener`` if one is given."""
-        tasks = [asyncio.create_task(part.run()) for part in (self.link, self._feed)]
+        parts = (self.link, self._feed, self._timeline)
+        tasks = [asyncio.create_task(part.run()) for part in parts]
         try:
             if listener is None:
                 await asyncio.gather(*tasks)
--- a/pimentoquay/messages/operator.py
+++ b/pimentoquay/messages/operator.py
@@ -1,5 +1,7 @@
 """Messages between ``pimentoquay-ctl`` and a control process (numbers 90 to 109)."""
 
+from enum import IntEnum
+
 from pimentoquay.kernel.codes import ResultCode
 from pimentoquay.messages.codec import message
 from pimentoquay.messages.configuration import ChangeOutcome
@@ -14,6 +16,7 @@
     "HistoryRequest",
     "PublishAnswer",
     "PublishRequest",
+    "Scope",
     "StatusAnswer",
     "StatusLine",
     "StatusRequest",
@@ -24,6 +27,20 @@
 ]
 
 
+class Scope(IntEnum):
+    """Whom a question reaches.
+
+    ``ALL`` is asked of one VM, which asks ``GATEWAYS`` of the others in its data centre; each of
+    those asks ``DATA_CENTRE`` of one VM in each other data centre that it has a channel to, and
+    that one asks ``SELF`` of its neighbours.
+    """
+
+    SELF = 0
+    DATA_CENTRE = 1
+    GATEWAYS = 2
+    ALL = 3
+
+
 @message(90)
 class PublishRequest:
     """Ask a control process to publish a change and to learn its outcome."""
@@ -78,9 +95,10 @@
 
 @message(96)
 class StatusRequest:
-    """Ask a VM for its state, and if ``spread`` for what its peers tell of theirs."""
+    """Ask VMs for their state; ``query`` comes back in the answer."""
 
-    spread: bool
+    query: int
+    scope: Scope
 
 
 @message(97)
@@ -107,8 +125,9 @@
 
 @message(99)
 class StatusAnswer:
-    """What is known of the VMs; those in ``silent`` are live by the list but did not answer."""
+    """The VMs that answered; those in ``silent`` are live by the list but did not."""
 
+    query: int
     vms: tuple[VmStatus, ...]
     silent: tuple[str, ...]
 
@@ -118,10 +137,10 @@
     """Ask for time line events; empty filters match all, ``since_us`` is wall time in µs."""
 
     query: int
+    scope: Scope
     request_id: str
     workspace: str
     since_us: int
-    spread: bool
 
 
 @message(101)
@@ -140,24 +159,24 @@
 
 @message(102)
 class TimelineEvents:
-    """Events of one process, or of all; ``silent`` names processes that did not answer."""
+    """Events of the processes that answered, in causal order, newest ones if there are many."""
 
     query: int
     events: tuple[TimelineEvent, ...]
-    silent: tuple[str, ...]
 
 
 @message(103)
 class DrainRequest:
-    """Ask a VM to leave: it finishes what it has and takes nothing new."""
+    """Ask the VM named to leave: it finishes what it has and takes nothing new."""
 
+    query: int
+    scope: Scope
     vm: str
 
 
 @message(104)
 class DrainAnswer:
-    """Whether the VM was told to leave."""
+    """Whether the VM was reached and told to leave."""
 
-    vm: str
-    code: ResultCode
-    detail: str
+    query: int
+    was_told: bool
--- /dev/null
+++ b/pimentoquay/transport/timeline_responder.py
@@ -0,0 +1,45 @@
+"""Answers operators' questions for the time line of this process."""
+
+from pimentoquay.kernel import Node
+from pimentoquay.messages.operator import TimelineEvent, TimelineEvents, TimelineRequest
+
+__all__ = ["MAX_ANSWERED_EVENTS", "TimelineResponder", "own_events"]
+
+MAX_ANSWERED_EVENTS = 5000
+"""The most events in one answer; older ones are left out."""
+
+
+def own_events(node: Node, request: TimelineRequest) -> tuple[TimelineEvent, ...]:
+    """Return the kept events of this process that a request asks for, oldest first."""
+    events = node.timeline.events(request.request_id, request.workspace)
+    found = [
+        TimelineEvent(
+            event.stamp.wall_us,
+            event.stamp.count,
+            event.vm,
+            event.process,
+            event.kind,
+            event.request_id,
+            event.workspace,
+            event.detail,
+        )
+        for event in events
+        if event.stamp.wall_us >= request.since_us
+    ]
+    return tuple(found[-MAX_ANSWERED_EVENTS:])
+
+
+class TimelineResponder:
+    """The part of an entry process that answers ``TimelineRequest``."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+        self.inbox = node.bus.subscribe(TimelineRequest)
+
+    async def run(self) -> None:
+        """Answer until cancelled."""
+        while True:
+            envelope = await self.inbox.get()
+            if envelope.channel is not None:
+                events = own_events(self._node, envelope.message)
+                envelope.channel.send(TimelineEvents(envelope.message.query, events))
