--- a/pimentoquay/entry/program.py
+++ b/pimentoquay/entry/program.py
@@ -6,14 +6,15 @@
 
 import asyncio
 import contextlib
-import importlib
 import sys
 
+from pimentoquay.backends.engine_http import HttpEngineClient
+from pimentoquay.backends.plain_http import HttpPlainClient
 from pimentoquay.entry.compose import EntryProcess, compose_entry
 from pimentoquay.entry.connections import bind
 from pimentoquay.entry.ports import EntryPorts
 from pimentoquay.entry.settings import EntrySettings
-from pimentoquay.kernel import LoopClock, Node, find_plugin
+from pimentoquay.kernel import LoopClock, Node
 from pimentoquay.kernel.logs import configure_logs, logger
 from pimentoquay.kernel.programs import (
     EXIT_SETTINGS,
@@ -30,17 +31,12 @@
 PROGRAM = "pimentoquay-entry"
 EXAMPLE = "pimentoquay-entry --config vm-1-entry.ini"
 
-CLIENT_MODULES = ("pimentoquay.backends.engine_http", "pimentoquay.backends.plain_http")
-"""Modules whose import registers the clients of backend servers."""
-
 
 def main() -> int:
     """Run the program and return its exit status."""
     arguments = parse_program_arguments(PROGRAM, __doc__ or "", EXAMPLE)
     settings = settings_or_exit(arguments.config, EntrySettings)
     configure_logs(PROGRAM, settings.vm.name, settings.log.level)
-    for name in CLIENT_MODULES:
-        importlib.import_module(name)
     try:
         listener = bind(settings.http.listen)
     except (OSError, ValueError) as error:
@@ -75,8 +71,8 @@
     transport = WebSocketTransport(identity, settings.cluster.key.encode())
     node = Node(identity, transport, clock)
     ports = EntryPorts(
-        engine=find_plugin("backend", "engine-http"),
-        plain=find_plugin("backend", "plain-http"),
+        engine=lambda member: HttpEngineClient(member.address),
+        plain=lambda member: HttpPlainClient(member.address),
     )
     return compose_entry(node, ports, settings.control.address, settings.http)
 
--- a/pimentoquay/platform/http.py
+++ b/pimentoquay/platform/http.py
@@ -174,14 +174,18 @@
             _mark.reset(token)
 
     async def open_stream(
-        self, path: str, timeout: float, body: bytes = b""
+        self,
+        path: str,
+        timeout: float,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
     ) -> "HttpStream | HttpAnswer":
         """Post a request; return a stream if its status is 200, else the whole answer."""
         mark = _WriteMark()
         token = _mark.set(mark)
         try:
             async with asyncio.timeout(timeout):
-                response = await self._send("POST", path, body, None, stream=True)
+                response = await self._send("POST", path, body, headers, stream=True)
                 if response.status_code != 200:
                     return await _whole(response)
                 return HttpStream(response, f"{self.address}{path}")
