--- a/pimentoquay/bench/load/caller.py
+++ b/pimentoquay/bench/load/caller.py
@@ -17,7 +17,7 @@
 from pimentoquay.bench.load.tally import Outcome, Result
 from pimentoquay.entry.request import prompt_of_messages, token_count
 from pimentoquay.kernel import Clock, ResultCode
-from pimentoquay.platform.http import HttpAnswer, HttpError, HttpPeer
+from pimentoquay.kernel.http_peer import HttpAnswer, HttpError, HttpPeer
 from pimentoquay.standin import answer_text
 
 __all__ = ["Caller"]
--- a/pimentoquay/bench/load/command.py
+++ b/pimentoquay/bench/load/command.py
@@ -12,9 +12,9 @@
 from pimentoquay.bench.load.plan import LoadPlan, StreamPlan, read_plan
 from pimentoquay.bench.load.tally import LoadReport, Outcome, Tally
 from pimentoquay.kernel import LoopClock, plugin
+from pimentoquay.kernel.http_peer import HttpPeer
 from pimentoquay.kernel.programs import EXIT_SETTINGS
 from pimentoquay.kernel.settings import SettingsError
-from pimentoquay.platform.http import HttpPeer
 
 __all__ = ["LoadCommand", "run_load"]
 
--- a/pimentoquay/bench/load/observer.py
+++ b/pimentoquay/bench/load/observer.py
@@ -6,9 +6,9 @@
 
 from pimentoquay.bench.load.plan import LoadPlan
 from pimentoquay.bench.load.tally import LoadReport, Outcome, Result, Tally
+from pimentoquay.kernel.http_peer import HttpError, HttpPeer
 from pimentoquay.kernel.json_data import from_json
 from pimentoquay.messages.placement import Stage
-from pimentoquay.platform.http import HttpError, HttpPeer
 from pimentoquay.standin import EngineObserved, PlainObserved, RunRecord
 
 __all__ = ["Observer"]
