Connect entry and control to backend servers by address

Cause: the entry gave the HTTP client a membership record where it takes an address, so every prefill failed with a malformed URL; seen with the first request through real processes. Change: one connector for both programs. After: chat and plain completions, whole and streaming, answered through each of three entry processes.

--- a/pimentoquay/control/program.py
+++ b/pimentoquay/control/program.py
@@ -8,11 +8,12 @@
 import contextlib
 import sys
 
+from pimentoquay.backends.connect import engine_connector, plain_connector
 from pimentoquay.control import PART_MODULES, load_parts
 from pimentoquay.control.compose import ControlProcess, compose_control
 from pimentoquay.control.drain import drain_control
 from pimentoquay.control.settings import ControlSettings
-from pimentoquay.kernel import LoopClock, Node, find_plugin
+from pimentoquay.kernel import LoopClock, Node
 from pimentoquay.kernel.logs import configure_logs, logger
 from pimentoquay.kernel.programs import (
     StopRequested,
@@ -63,11 +64,9 @@
     transport = WebSocketTransport(identity, settings.cluster.key.encode())
     node = Node(identity, transport, clock)
     platform = settings.platform
-    engine_client = find_plugin("backend", "engine-http")
-    plain_client = find_plugin("backend", "plain-http")
     ports = Ports(
-        engine=lambda member: engine_client(member.address),
-        plain=lambda member: plain_client(member.address),
+        engine=engine_connector(),
+        plain=plain_connector(),
         log=HttpLogClient(platform.log),
         membership=HttpMembershipClient(platform.membership),
         weight_store=HttpWeightStoreClient(platform.weight_store),
--- a/pimentoquay/entry/program.py
+++ b/pimentoquay/entry/program.py
@@ -9,11 +9,12 @@
 import importlib
 import sys
 
+from pimentoquay.backends.connect import engine_connector, plain_connector
 from pimentoquay.entry.compose import EntryProcess, compose_entry
 from pimentoquay.entry.connections import bind
 from pimentoquay.entry.ports import EntryPorts
 from pimentoquay.entry.settings import EntrySettings
-from pimentoquay.kernel import LoopClock, Node, find_plugin
+from pimentoquay.kernel import LoopClock, Node
 from pimentoquay.kernel.logs import configure_logs, logger
 from pimentoquay.kernel.programs import (
     EXIT_SETTINGS,
@@ -75,8 +76,8 @@
     transport = WebSocketTransport(identity, settings.cluster.key.encode())
     node = Node(identity, transport, clock)
     ports = EntryPorts(
-        engine=find_plugin("backend", "engine-http"),
-        plain=find_plugin("backend", "plain-http"),
+        engine=engine_connector(),
+        plain=plain_connector(),
     )
     return compose_entry(node, ports, settings.control.address, settings.http)
 
