--- a/pimentoquay/entry/program.py
+++ b/pimentoquay/entry/program.py
@@ -8,8 +8,7 @@
 import contextlib
 import sys
 
-from pimentoquay.backends.engine_http import HttpEngineClient
-from pimentoquay.backends.plain_http import HttpPlainClient
+from pimentoquay.backends.connect import engine_connector, plain_connector
 from pimentoquay.entry.compose import EntryProcess, compose_entry
 from pimentoquay.entry.connections import bind
 from pimentoquay.entry.ports import EntryPorts
@@ -71,8 +70,8 @@
     transport = WebSocketTransport(identity, settings.cluster.key.encode())
     node = Node(identity, transport, clock)
     ports = EntryPorts(
-        engine=lambda member: HttpEngineClient(member.address),
-        plain=lambda member: HttpPlainClient(member.address),
+        engine=engine_connector(),
+        plain=plain_connector(),
     )
     return compose_entry(node, ports, settings.control.address, settings.http)
 
