--- a/pimentoquay/configuration/part.py
+++ b/pimentoquay/configuration/part.py
@@ -22,6 +22,7 @@
 from pimentoquay.kernel import Channel, ChannelClosed, ChannelOpened, Envelope, Node, plugin
 from pimentoquay.kernel.logs import logger
 from pimentoquay.kernel.status import PartStatus, StatusItem, StatusWanted
+from pimentoquay.membership.events import ConfigurationReached
 from pimentoquay.messages.cluster import (
     CatchUpRequest,
     ClusterView,
@@ -218,6 +219,7 @@
         if before < 0:
             logger.bind(offset=state.offset).info("configuration is ready")
         self._node.timeline.record("configuration-in-force", detail=f"offset {state.offset}")
+        self._node.bus.publish(ConfigurationReached(state.offset))
         self._node.bus.publish(
             ConfigurationInForce(state.offset, state.workspace_by_name(), state.version_by_name())
         )
--- /dev/null
+++ b/pimentoquay/ctl/commands/drain.py
@@ -0,0 +1,33 @@
+"""``drain VM``: ask a VM to leave."""
+
+import argparse
+
+from pimentoquay.ctl.command import Context
+from pimentoquay.ctl.outcomes import CtlError, ExitStatus
+from pimentoquay.kernel import plugin
+from pimentoquay.messages.operator import DrainAnswer, DrainRequest, Scope
+
+__all__ = ["DrainCommand"]
+
+
+@plugin("ctl-command", "drain")
+class DrainCommand:
+    """Ask a VM to take no new work and hand its shards over."""
+
+    is_local = False
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Declare the command's arguments."""
+        parser.add_argument("vm", help="the VM's name")
+
+    async def run(self, context: Context) -> int:
+        """Tell the VM, through whichever VM is asked."""
+        vm = context.arguments.vm
+        async with context.link() as link:
+            request = DrainRequest(link.next_query(), Scope.ALL, vm)
+            answer = await link.ask(request, DrainAnswer)
+        context.output.json(answer)
+        if not answer.was_told:
+            raise CtlError(ExitStatus.UNREACHABLE, f"no VM {vm!r} is in reach")
+        context.output.text(f"{vm} is leaving; it finishes the requests that it has")
+        return ExitStatus.OK
--- /dev/null
+++ b/pimentoquay/ctl/commands/history.py
@@ -0,0 +1,37 @@
+"""``history NAME``: the changes of a workspace."""
+
+import argparse
+
+from pimentoquay.ctl.command import Context
+from pimentoquay.ctl.outcomes import ExitStatus
+from pimentoquay.kernel import ResultCode, plugin
+from pimentoquay.messages.operator import HistoryAnswer, HistoryRequest
+
+__all__ = ["HistoryCommand"]
+
+
+@plugin("ctl-command", "history")
+class HistoryCommand:
+    """List the remembered changes of a workspace, accepted and rejected."""
+
+    is_local = False
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Declare the command's arguments."""
+        parser.add_argument("name", help="the workspace")
+
+    async def run(self, context: Context) -> int:
+        """Print the changes, oldest first."""
+        async with context.link() as link:
+            answer = await link.ask(HistoryRequest(context.arguments.name), HistoryAnswer)
+        kept = {record.version for record in answer.records}
+        rows = []
+        for outcome in answer.outcomes:
+            accepted = outcome.code is ResultCode.CONFIG_ACCEPTED
+            told = "accepted" if accepted else f"conflict with version {outcome.version}"
+            version = str(outcome.version) if accepted else "-"
+            can_return = "yes" if accepted and outcome.version in kept else "no"
+            rows.append((version, told, outcome.author, outcome.change_id, can_return))
+        context.output.table(("VERSION", "OUTCOME", "AUTHOR", "CHANGE", "KEPT"), rows)
+        context.output.json({"outcomes": answer.outcomes, "kept_versions": sorted(kept)})
+        return ExitStatus.OK
--- /dev/null
+++ b/pimentoquay/ctl/commands/status.py
@@ -0,0 +1,55 @@
+"""``status``: every VM by data centre."""
+
+import argparse
+from collections import Counter
+
+from pimentoquay.ctl.command import Context
+from pimentoquay.ctl.outcomes import ExitStatus
+from pimentoquay.kernel import plugin
+from pimentoquay.messages.operator import VmStatus
+
+__all__ = ["StatusCommand"]
+
+
+@plugin("ctl-command", "status")
+class StatusCommand:
+    """Show the configuration, shards and troubles of each VM by data centre."""
+
+    is_local = False
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Declare the command's arguments."""
+        parser.add_argument("--lines", action="store_true", help="show everything parts report")
+
+    async def run(self, context: Context) -> int:
+        """Print a table of VMs and below it what waits or is stuck."""
+        async with context.link() as link:
+            answer = await link.status()
+        output = context.output
+        output.json(answer)
+        rows = [_row(status, context) for status in answer.vms]
+        rows += [("?", vm, output.state("stuck"), "-", "-", "no answer") for vm in answer.silent]
+        output.table(("DATA CENTRE", "VM", "STATE", "CONFIGURATION", "SHARDS", "NOTE"), rows)
+        for status in answer.vms:
+            for line in status.lines:
+                if line.state != "ok" or context.arguments.lines:
+                    state = output.state(line.state)
+                    where = f"{status.vm} {line.part} {line.subject}"
+                    output.text(f"{state}: {where}: {line.detail}")
+        return ExitStatus.OK
+
+
+def _row(status: VmStatus, context: Context) -> tuple[str, ...]:
+    counts = Counter(line.state for line in status.lines)
+    state = "stuck" if counts["stuck"] else "waiting" if counts["waiting"] else "ok"
+    shards = [line for line in status.lines if line.part == "scheduler" and "owned" in line.detail]
+    offset = str(status.configuration_offset) if status.configuration_offset >= 0 else "not ready"
+    note = "leaving" if status.is_leaving else ""
+    return (
+        status.data_centre,
+        status.vm,
+        context.output.state(state),
+        offset,
+        str(len(shards)),
+        note,
+    )
--- a/pimentoquay/membership/events.py
+++ b/pimentoquay/membership/events.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["DrainFinished", "DrainRequested"]
+__all__ = ["ConfigurationReached", "DrainFinished", "DrainRequested"]
 
 
 @dataclass(frozen=True)
@@ -13,3 +13,10 @@
 @dataclass(frozen=True)
 class DrainFinished:
     """Tell that this VM leaves and its entry process has gone; the control process may end."""
+
+
+@dataclass(frozen=True)
+class ConfigurationReached:
+    """Tell which offset of the configuration's log this VM serves by, for its heartbeats."""
+
+    offset: int
--- a/pimentoquay/membership/part.py
+++ b/pimentoquay/membership/part.py
@@ -11,7 +11,6 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from pimentoquay.configuration.events import ConfigurationInForce
 from pimentoquay.kernel import (
     Channel,
     ChannelClosed,
@@ -23,7 +22,7 @@
 )
 from pimentoquay.kernel.logs import logger
 from pimentoquay.membership.directory import MemberDirectory
-from pimentoquay.membership.events import DrainFinished, DrainRequested
+from pimentoquay.membership.events import ConfigurationReached, DrainFinished, DrainRequested
 from pimentoquay.membership.liveness import PeerLiveness
 from pimentoquay.membership.mesh import parse_seeds, ranked, wanted_addresses
 from pimentoquay.membership.remote import RemoteReports
@@ -119,7 +118,7 @@
             MemberAnnouncement,
             DataCentreReport,
             DrainRequested,
-            ConfigurationInForce,
+            ConfigurationReached,
         )
 
     async def run(self) -> None:
@@ -302,7 +301,7 @@
         self._refresh()
 
     @_handle.register
-    def _(self, message: ConfigurationInForce, channel: Channel | None) -> None:
+    def _(self, message: ConfigurationReached, channel: Channel | None) -> None:
         self.configuration_offset = message.offset
 
     @_handle.register
