--- a/pimentoquay/entry/program.py
+++ b/pimentoquay/entry/program.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import importlib
 import sys
 
 from pimentoquay.backends.connect import engine_connector, plain_connector
@@ -30,12 +31,17 @@
 PROGRAM = "pimentoquay-entry"
 EXAMPLE = "pimentoquay-entry --config vm-1-entry.ini"
 
+CLIENT_MODULES = ("pimentoquay.backends.engine_http", "pimentoquay.backends.plain_http")
+"""Modules whose import registers the clients of backend servers."""
+
 
 def main() -> int:
     """Run the program and return its exit status."""
     arguments = parse_program_arguments(PROGRAM, __doc__ or "", EXAMPLE)
     settings = settings_or_exit(arguments.config, EntrySettings)
     configure_logs(PROGRAM, settings.vm.name, settings.log.level)
+    for name in CLIENT_MODULES:
+        importlib.import_module(name)
     try:
         listener = bind(settings.http.listen)
     except (OSError, ValueError) as error:
