--- a/pimentoquay/bench/memory_cluster.py
+++ b/pimentoquay/bench/memory_cluster.py
@@ -37,6 +37,7 @@
 from pimentoquay.standin.weight_store import StandinWeights
 from pimentoquay.transport.memory import MemoryNetwork
 from pimentoquay.transport.peers import PeerSet
+from pimentoquay.transport.timeline_responder import TimelineResponder
 
 __all__ = ["EntryProcess", "MemoryCluster", "Vm"]
 
@@ -151,7 +152,7 @@
         peers = PeerSet(node)
         link = SchedulerLink(node, peers, vm.address)
         service = RequestService(node, link, self._engine)
-        task = asyncio.create_task(node.run((link,)), name=f"entry {name}")
+        task = asyncio.create_task(node.run((link, TimelineResponder(node))), name=f"entry {name}")
         vm.entry = EntryProcess(node, peers, link, service, task)
         return vm.entry
 
--- a/pimentoquay/control/operator.py
+++ b/pimentoquay/control/operator.py
@@ -32,6 +32,9 @@
 PART_STATUS_SECONDS = 0.05
 """How long the parts of this process have to tell their state."""
 
+DRAIN_DELAY_SECONDS = 0.2
+"""A VM that leaves gives up channels, so its answer goes out this long before."""
+
 ENTRY_WAIT_SECONDS = 0.3
 """How long this VM's entry has to tell its events."""
 
@@ -96,6 +99,12 @@
         others = asyncio.create_task(self._gatherer.ask_others(request))
         own = await self._own(request)
         channel.send(merge_answers(own, await others))
+        if isinstance(own, DrainAnswer) and own.was_told:
+            self._node.timers.after(DRAIN_DELAY_SECONDS, self._drain)
+
+    def _drain(self) -> None:
+        if not self._is_leaving:
+            self._node.bus.publish(DrainRequested())
 
     @singledispatchmethod
     async def _own(self, request: Any) -> Any:
@@ -131,10 +140,7 @@
 
     @_own.register
     async def _(self, request: DrainRequest) -> DrainAnswer:
-        is_meant = request.vm == self._node.identity.vm
-        if is_meant and not self._is_leaving:
-            self._node.bus.publish(DrainRequested())
-        return DrainAnswer(request.query, is_meant)
+        return DrainAnswer(request.query, request.vm == self._node.identity.vm)
 
     def _shard_lines(self) -> list[StatusLine]:
         if self._view is None:
--- a/pimentoquay/ctl/command.py
+++ b/pimentoquay/ctl/command.py
@@ -3,7 +3,7 @@
 import argparse
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from pimentoquay.ctl.connection import ControlLink, open_link, websocket_transport
@@ -21,7 +21,7 @@
     arguments: argparse.Namespace
     output: Output
     make_transport: Callable[[Target], Transport] = websocket_transport
-    clock: Clock = LoopClock()
+    clock: Clock = field(default_factory=LoopClock)
 
     @asynccontextmanager
     async def link(self) -> AsyncIterator[ControlLink]:
--- a/pimentoquay/ctl/output.py
+++ b/pimentoquay/ctl/output.py
@@ -67,8 +67,7 @@
         if self.as_json:
             return
         widths = [
-            max(len(_bare(row[column])) for row in [header, *rows])
-            for column in range(len(header))
+            max(len(_bare(row[column])) for row in [header, *rows]) for column in range(len(header))
         ]
         for row in [header, *rows]:
             cells = [
--- a/pimentoquay/ctl/timeline_text.py
+++ b/pimentoquay/ctl/timeline_text.py
@@ -17,4 +17,6 @@
     """Return one event as one line."""
     where = f"{event.vm}/{event.process}"
     what = " ".join(item for item in (event.request_id, event.workspace, event.detail) if item)
-    return f"{clock_time(event.wall_us)}+{event.count:<3} {where:24} {event.kind:24} {what}".rstrip()
+    return (
+        f"{clock_time(event.wall_us)}+{event.count:<3} {where:24} {event.kind:24} {what}".rstrip()
+    )
--- a/pimentoquay/entry/life.py
+++ b/pimentoquay/entry/life.py
@@ -116,6 +116,7 @@
         self._placement = await self._service.placer.place(self.spec, self._deadline)
         self._admitted_at = self._node.clock.now()
         self.admit()
+        self._record_placed(self._placement.grant)
         return self._placement.grant
 
     def _new_attempt(self, grant: Grant) -> Attempt:
@@ -137,9 +138,11 @@
         grant = attempt.grant
         if kv is None or kv.engine != grant.prefill_engine:
             self.prefill()
+            self._record("prefill", grant.prefill_engine)
             kv = await self._counted(attempt.prefill())
         if grant.prefill_engine != grant.decode_engine:
             self.transfer()
+            self._record("transfer", f"{grant.prefill_engine} to {grant.decode_engine}")
             await self._counted(attempt.transfer(kv))
         return kv
 
@@ -155,9 +158,11 @@
     async def _stream(self, attempt: Attempt, kv: HeldKv) -> AsyncIterator[bytes]:
         """Relay an answer as it comes."""
         self.decode()
+        self._record("decode", attempt.grant.decode_engine)
         async with aclosing(attempt.decode(kv)) as stream:  # type: ignore[type-var]
             chunk = await self._counted(attempt.first_chunk(stream))
             self._first_token_at = self._node.clock.now()
+            self._record("first-token")
             yield self._count(chunk)
             async for chunk in self._rest(stream):
                 yield chunk
@@ -222,6 +227,7 @@
 
     async def _replace(self, failure: StageFailedError) -> Grant:
         """Return another grant after a failed stage, or raise the request's final error."""
+        self._record("stage-failed", failure.detail)
         last = self._attempts[-1]
         self._free(last, keep=failure.kv)
         if not self._may_try_again(failure):
@@ -240,6 +246,7 @@
         if failure.kv is not None and failure.kv.engine != grant.prefill_engine:
             self._free(last, keep=None)
         self.admit()
+        self._record_placed(grant)
         return grant
 
     def _may_try_again(self, failure: StageFailedError) -> bool:
@@ -279,10 +286,12 @@
             )
         self._service.run_by_id[self.spec.request_id] = self
         self._service.machine.adopt(self)
+        self._record("received", f"kind {self.spec.kind.name}")
 
     def _end(self, code: ResultCode) -> None:
         """Free everything and count the outcome."""
         now = self._node.clock.now()
+        self._record("ended", f"{int(code)}, {self.tokens} tokens")
         getattr(self, final_trigger(code))()
         self._service.machine.dismiss(self)
         del self._service.run_by_id[self.spec.request_id]
@@ -307,6 +316,13 @@
             (now - started) / (self.tokens - 1) if started and self.tokens > 1 else None,
         )
 
+    def _record(self, kind: str, detail: str = "") -> None:
+        self._node.timeline.record(kind, self.spec.request_id, self.spec.workspace, detail)
+
+    def _record_placed(self, grant: Grant) -> None:
+        engines = f"{grant.prefill_engine}, {grant.decode_engine}"
+        self._record("placed", f"attempt {grant.attempt}: {engines}")
+
     def _free(self, attempt: Attempt, keep: HeldKv | None) -> None:
         """Cancel an attempt on its engines, save on the one whose KV cache is kept."""
         for engine, client in attempt.client_by_engine.items():
