Add the comparison of policies under virtual time

Change: pimentoquay-bench compare runs the real entry and scheduler with in-process stand-ins. A refused stage is reported to the scheduler as a refusal, not as a failure; one engine that does both stages is promised only slots that are free; a free slot is preferred to a promised one.

--- a/pimentoquay/bench/program.py
+++ b/pimentoquay/bench/program.py
@@ -14,7 +14,7 @@
 
 __all__ = ["BenchCommand", "main"]
 
-_COMMAND_MODULES: tuple[str, ...] = ()
+_COMMAND_MODULES: tuple[str, ...] = ("pimentoquay.bench.compare.command",)
 """The modules whose import registers the commands."""
 
 _EPILOG = """examples:
--- a/pimentoquay/entry/placer.py
+++ b/pimentoquay/entry/placer.py
@@ -85,7 +85,7 @@
             failure.stage,
             failure.engine,
             kv_engine,
-            failure.code,
+            failure.code if failure.may_have_run else ResultCode.CIRCUIT_OPEN,
             deadline - self._node.clock.now(),
         )
         try:
--- a/pimentoquay/policy/placement.py
+++ b/pimentoquay/policy/placement.py
@@ -19,7 +19,8 @@
     """Bounds of placement.
 
     ``release_share`` is the part of the slots expected to come free that may be promised
-    before they do, ``prefill_lead`` the seconds of work that may wait on a prefill engine, and
+    before they do, ``promise_cost`` the seconds that a free slot is worth over such a promise,
+    ``prefill_lead`` the seconds of work that may wait on a prefill engine, and
     ``slack`` the seconds after the KV cache arrives during which a slot may still come free.
     """
 
@@ -28,6 +29,7 @@
     slack: float = 0.2
     reserves_slot: bool = True
     fullness_cost: float = 0.05
+    promise_cost: float = 0.5
 
 
 @dataclass(frozen=True)
@@ -93,7 +95,7 @@
             if link in closed_links:
                 continue
             arrival = _arrival(start, target, need, speeds, link)
-            if limits.reserves_slot and not _has_slot(target, arrival - now, limits):
+            if limits.reserves_slot and not _has_slot(start, target, arrival - now, limits):
                 continue
             score = (_cost(arrival, target, limits), start.engine.name, target.name)
             if best is None or score < best:
@@ -117,10 +119,14 @@
     return begin + need.prompt_tokens * speeds.transfer.of(link)
 
 
-def _has_slot(target: EngineLoad, seconds: float, limits: PlacementLimits) -> bool:
+def _has_slot(start: _Start, target: EngineLoad, seconds: float, limits: PlacementLimits) -> bool:
+    if start.engine is target:
+        # KV on the engine that computed it has no transfer to be retried while it lives.
+        return target.free_slots() > 0
     return target.free_slots_in(seconds + limits.slack, limits.release_share) > 0
 
 
 def _cost(arrival: float, target: EngineLoad, limits: PlacementLimits) -> float:
     fullness = 1.0 - target.free_slots() / max(1, target.slots)
-    return arrival + limits.fullness_cost * fullness
+    promise = limits.promise_cost if target.free_slots() <= 0 else 0.0
+    return arrival + limits.fullness_cost * fullness + promise
