--- a/pimentoquay/bench/compare/measures.py
+++ b/pimentoquay/bench/compare/measures.py
@@ -121,7 +121,7 @@
         sum(count - 1 for count in prefills.values()),
         sum(count for code, count in codes.items() if code and is_not_run(code)),
         sum(count for code, count in codes.items() if code and 400 <= code < 500),
-        {str(int(code)): count for code, count in sorted(codes.items()) if code},
+        {str(int(code)): codes[code] for code in sorted(filter(None, codes))},
         _rounded(world.outcomes.worst_queue),
         *scenario.recovery_figures(world),
         scenario.held_after_cancel(world),
--- a/pimentoquay/policy/engines.py
+++ b/pimentoquay/policy/engines.py
@@ -11,9 +11,9 @@
 class EngineLoad:
     """The commitments of one engine; times in seconds, memory in tokens of KV cache.
 
-    ``reserved`` counts slots promised to requests in prefill or transfer, ``decoding`` those in
-    use, and ``release_rate`` how many of the latter are expected to end per second. What the
-    engine itself reports and no grant explains is counted as ``foreign``.
+    ``reserved`` counts slots promised to requests in prefill or transfer, ``transferring`` those
+    of them in transfer, and ``decoding`` the slots in use, of which ``release_rate`` are expected
+    to end per second. What the engine itself reports and no grant explains is ``foreign``.
     """
 
     name: str
@@ -21,6 +21,7 @@
     slots: int
     kv_capacity: int
     reserved: int = 0
+    transferring: int = 0
     decoding: int = 0
     release_rate: float = 0.0
     kv_reserved: int = 0
@@ -45,6 +46,10 @@
         """Return the slots that are neither used nor promised; negative if too many are."""
         return self.slots - self.reserved - self.decoding - self.foreign_slots
 
+    def idle_slots(self) -> int:
+        """Return the slots in which the engine itself holds nothing, promised or not."""
+        return self.slots - self.transferring - self.decoding - self.foreign_slots
+
     def free_slots_in(self, seconds: float, share: float) -> int:
         """Return the slots free after ``seconds``, counting a share of the expected releases."""
         expected = min(float(self.decoding), self.release_rate * max(0.0, seconds) * share)
--- a/pimentoquay/scheduler/ledger.py
+++ b/pimentoquay/scheduler/ledger.py
@@ -132,6 +132,7 @@
             target.release_rate = max(0.0, target.release_rate + sign / grant.hold_seconds)
         else:
             target.reserved += sign
+            target.transferring += sign * (grant.stage is Stage.TRANSFER)
 
 
 def announced_grant(entry: EntryKey, record: GrantRecord, hold: float, now: float) -> GrantState:
--- a/pimentoquay/scheduler/selection.py
+++ b/pimentoquay/scheduler/selection.py
@@ -65,6 +65,7 @@
             reserves_slot=section.reservation,
             prefill_lead=(PREFILL_LEAD_SECONDS if section.reservation else UNBOUNDED_LEAD_SECONDS),
         )
+        self._rescue = replace(self._placement, reserves_slot=False)
         self._hold_mean = Estimate(FIRST_HOLD_SECONDS)
         self._prefill_mean = Estimate(FIRST_PREFILL_SECONDS)
 
@@ -104,11 +105,11 @@
         )
         usable = self._engines.usable(now)
         targets = self._engines.decoders(usable, waiting.request.token_interval, now)
-        targets = [load for load in targets if load.free_slots() > 0]
+        targets = [load for load in targets if load.idle_slots() > 0]
         closed = self._engines.closed_links(usable, now)
         open_source = replace(source, prefill_count=0)
         targets = [open_source if load is source else load for load in targets]
-        return choose(need, [open_source], targets, self._speeds, closed, self._placement, now)
+        return choose(need, [open_source], targets, self._speeds, closed, self._rescue, now)
 
     def service(self, request: PlaceRequest, now: float) -> Service:
         """Return what a request would take on the best engines if they were idle."""
