--- a/pimentoquay/configuration/part.py
+++ b/pimentoquay/configuration/part.py
@@ -141,12 +141,13 @@
     @_handle.register
     def _(self, message: CatchUpRequest, envelope: Envelope) -> None:
         if envelope.channel is not None and self.keeper.is_ready:
-            self._send_after(envelope.channel, message.after_offset)
+            is_entry = envelope.channel.peer.process == "entry"
+            self._send_after([envelope.channel], message.after_offset, with_outcomes=not is_entry)
 
     @_handle.register
     def _(self, message: ChannelOpened, envelope: Envelope) -> None:
         if self._is_own_entry(message.channel) and self.keeper.is_ready:
-            self._send_after(message.channel, -1)
+            self._send_after([message.channel], -1, with_outcomes=False)
 
     @_handle.register
     def _(self, message: ChannelClosed, envelope: Envelope) -> None:
@@ -223,9 +224,8 @@
         self._node.bus.publish(
             ConfigurationInForce(state.offset, state.workspace_by_name(), state.version_by_name())
         )
-        for channel in self._peers.channels("entry"):
-            if self._is_own_entry(channel):
-                self._send_after(channel, before)
+        entries = [item for item in self._peers.channels("entry") if self._is_own_entry(item)]
+        self._send_after(entries, before, with_outcomes=False)
         is_reader = self._place is not None and self._place.is_reader
         if before >= 0 and (is_reader or self._relays_next):
             self._push_to_neighbours(before)
@@ -233,19 +233,24 @@
 
     def _push_to_neighbours(self, before: int) -> None:
         identity = self._node.identity
-        told: set[str] = set()
-        for channel in reversed(self._peers.channels("control")):
-            peer = channel.peer
-            if peer.data_centre == identity.data_centre and peer.vm not in told:
-                told.add(peer.vm)
-                self._send_after(channel, before)
-
-    def _send_after(self, channel: Channel, after_offset: int) -> None:
+        newest_by_vm = {channel.peer.vm: channel for channel in self._peers.channels("control")}
+        neighbours = [
+            channel
+            for channel in newest_by_vm.values()
+            if channel.peer.data_centre == identity.data_centre
+        ]
+        self._send_after(neighbours, before)
+
+    def _send_after(
+        self, channels: list[Channel], after_offset: int, *, with_outcomes: bool = True
+    ) -> None:
         state = self.keeper.state
         assert state is not None
-        with_outcomes = channel.peer.process == "control"
+        if not channels:
+            return
         for entries in entries_after(state, after_offset, with_outcomes=with_outcomes):
-            channel.send(entries)
+            for channel in channels:
+                channel.send(entries)
 
     def _chase(self) -> None:
         """Ask a peer that reports a higher offset, once the usual push has had its time."""
--- a/pimentoquay/configuration/tests/cluster.py
+++ b/pimentoquay/configuration/tests/cluster.py
@@ -100,8 +100,11 @@
 
     async def stop(self, *vms: str) -> None:
         """End the named VMs at once, all of them if none is named."""
+        self.check_never_back()
         for vm in vms or tuple(self.control_by_vm):
             control = self.control_by_vm.pop(vm)
+            offsets = [event.offset for event in control.events()]
+            self.highest_by_vm[vm] = max([self.highest_by_vm.get(vm, 0), *offsets])
             control.task.cancel()
             await asyncio.gather(control.task, return_exceptions=True)
             await control.peers.close()
@@ -159,11 +162,9 @@
                 for name, version in event.version_by_name.items():
                     assert version >= versions.get(name, 0)
                     versions[name] = version
-            self.highest_by_vm[vm] = max([self.highest_by_vm.get(vm, 0), *offsets])
 
     async def close(self) -> None:
         """End everything."""
-        self.check_never_back()
         await self.stop()
 
     def _pairs(self, inside: str) -> list[tuple[str, str]]:
