Promise slots before they are free only while no KV waits for one

Change: while a rescue waits, only free slots are granted; half of the expected releases may be promised, and none beyond the arrival of the KV. Prefill engines of the comparison are now sized to be busy three quarters of the time at full decode.

--- a/pimentoquay/bench/compare/deployment.py
+++ b/pimentoquay/bench/compare/deployment.py
@@ -33,7 +33,11 @@
 
 @dataclass(frozen=True)
 class Deployment:
-    """One user's region; ``delay`` is one way between data centres, in seconds."""
+    """One user's region; ``delay`` is one way between data centres, in seconds.
+
+    ``prefill_seconds_per_token`` is such that prefill engines are busy about three quarters of
+    the time when every decode slot is taken.
+    """
 
     name: str
     region: str
@@ -41,6 +45,7 @@
     delay: float
     pools: tuple[PoolSpec, ...]
     workspaces: tuple[str, ...]
+    prefill_seconds_per_token: float
 
 
 def _load(
@@ -83,6 +88,7 @@
         ),
     ),
     ("rates-hall", "burial-registry", "markets", "libraries"),
+    0.0002,
 )
 
 BRAILLE = Deployment(
@@ -106,6 +112,7 @@
         ),
     ),
     ("textbooks", "school-an-cuu", "school-phu-bai", "music"),
+    0.0001,
 )
 
 DEPLOYMENTS = {deployment.name: deployment for deployment in (PRINT, BRAILLE)}
--- a/pimentoquay/bench/compare/scenarios.py
+++ b/pimentoquay/bench/compare/scenarios.py
@@ -4,7 +4,7 @@
 import itertools
 import random
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 from pimentoquay.backends.base import EngineRole
@@ -31,8 +31,6 @@
 NOISY_FACTOR = 10.0
 CANCEL_CHECK_SECONDS = 1.0
 
-BASE_MODEL = EngineModel(prefill_seconds_per_token=0.0001)
-
 Fault = Callable[["World", "Scenario"], Coroutine[Any, Any, None]]
 
 
@@ -52,9 +50,10 @@
     surviving: float = 1.0
     settle_seconds: float = 4.0
 
-    def engine_model(self) -> EngineModel:
+    def engine_model(self, deployment: Deployment) -> EngineModel:
         """Return the costs of the engines."""
-        return replace(BASE_MODEL, status_lag=self.status_lag)
+        seconds = deployment.prefill_seconds_per_token
+        return EngineModel(status_lag=self.status_lag, prefill_seconds_per_token=seconds)
 
     def shape(self, deployment: Deployment, seconds: float) -> Shape:
         """Return the arrivals' shape."""
--- a/pimentoquay/bench/compare/world.py
+++ b/pimentoquay/bench/compare/world.py
@@ -335,7 +335,7 @@
     scenario: Scenario, deployment: Deployment, variant: Variant, seed: int, seconds: float
 ) -> Measures:
     loop = asyncio.get_running_loop()
-    model = scenario.engine_model()
+    model = scenario.engine_model(deployment)
     world = World(deployment, variant, model)
     await world.start()
     start = world.start_at = loop.time()
--- a/pimentoquay/policy/placement.py
+++ b/pimentoquay/policy/placement.py
@@ -24,9 +24,9 @@
     ``slack`` the seconds after the KV cache arrives during which a slot may still come free.
     """
 
-    release_share: float = 0.7
+    release_share: float = 0.5
     prefill_lead: float = 0.02
-    slack: float = 0.2
+    slack: float = 0.0
     reserves_slot: bool = True
     fullness_cost: float = 0.05
     promise_cost: float = 0.5
--- a/pimentoquay/scheduler/selection.py
+++ b/pimentoquay/scheduler/selection.py
@@ -66,6 +66,7 @@
             prefill_lead=(PREFILL_LEAD_SECONDS if section.reservation else UNBOUNDED_LEAD_SECONDS),
         )
         self._rescue = replace(self._placement, reserves_slot=False)
+        self._strict = replace(self._placement, release_share=0.0)
         self._hold_mean = Estimate(FIRST_HOLD_SECONDS)
         self._prefill_mean = Estimate(FIRST_PREFILL_SECONDS)
 
@@ -78,8 +79,11 @@
         self._hold_mean.add("", service.hold, now)
         self._prefill_mean.add("", service.prefill, now)
 
-    def choose(self, waiting: WaitingRequest, now: float) -> Choice | None:
-        """Return engines for a waiting request, or ``None`` if none are open in time."""
+    def choose(self, waiting: WaitingRequest, is_rescue_waiting: bool, now: float) -> Choice | None:
+        """Return engines for a waiting request, or ``None`` if none are open in time.
+
+        While KV waits for a slot, no slot is promised before it is free.
+        """
         request = waiting.request
         usable = self._engines.usable(now)
         sources = self._engines.prefillers(usable)
@@ -88,7 +92,8 @@
             request.prompt_tokens, request.max_tokens, self._cached(request, sources)
         )
         closed = self._engines.closed_links(usable, now)
-        choice = choose(need, sources, targets, self._speeds, closed, self._placement, now)
+        limits = self._strict if is_rescue_waiting else self._placement
+        choice = choose(need, sources, targets, self._speeds, closed, limits, now)
         if choice is not None and self._section.admission:
             first_token = choice.transfer_end + self._speeds.interval.of(choice.decode)
             if first_token > waiting.deadline:
--- a/pimentoquay/scheduler/settings.py
+++ b/pimentoquay/scheduler/settings.py
@@ -37,10 +37,10 @@
         default=5.0, low=0.1, high=1000, unit="slot-seconds", help="lead over the fair share"
     )
     release_share: float = setting(
-        default=0.7, low=0, high=1, help="part of the expected slot releases that is promised"
+        default=0.5, low=0, high=1, help="part of the expected slot releases that is promised"
     )
     slot_slack: float = setting(
-        default=0.2, low=0, high=1, unit="s", help="time that KV may wait for a slot"
+        default=0.0, low=0, high=1, unit="s", help="time that KV may wait for a slot"
     )
     retry_fraction: float = setting(
         default=0.1, low=0, high=1, help="retries earned by each success"
--- a/pimentoquay/scheduler/shard.py
+++ b/pimentoquay/scheduler/shard.py
@@ -231,7 +231,7 @@
         for rescue in self.waiting.rescues():
             self._try_rescue(rescue, now)
         while (first := self.waiting.first()) is not None:
-            choice = self._selector.choose(first, now)
+            choice = self._selector.choose(first, bool(self.waiting.rescues()), now)
             if choice is None:
                 return
             self.waiting.take_first()
