--- a/pimentoquay/bench/compare/workload.py
+++ b/pimentoquay/bench/compare/workload.py
@@ -115,7 +115,7 @@
     ends = [start for start, _ in rates[1:]] + [seconds]
     for (start, rate), end in zip(rates, ends, strict=True):
         at = start
-        while rate > 0:
+        while rate * scale > 0:
             at += rng.expovariate(rate * scale)
             if at >= end:
                 break
