--- a/pimentoquay/bench/program.py
+++ b/pimentoquay/bench/program.py
@@ -17,6 +17,7 @@
 _COMMAND_MODULES: tuple[str, ...] = (
     "pimentoquay.bench.demo.command",
     "pimentoquay.bench.slopes.command",
+    "pimentoquay.bench.steady.command",
 )
 """The modules whose import registers the commands."""
 
--- a/pimentoquay/control/__init__.py
+++ b/pimentoquay/control/__init__.py
@@ -13,6 +13,7 @@
     "pimentoquay.membership.part",
     "pimentoquay.configuration.part",
     "pimentoquay.scheduler.part",
+    "pimentoquay.control.usage",
 )
 """Modules whose import registers a plug-in of the control process."""
 
--- a/pimentoquay/control/compose.py
+++ b/pimentoquay/control/compose.py
@@ -13,7 +13,7 @@
 
 __all__ = ["PART_NAMES", "ControlProcess", "compose_control"]
 
-PART_NAMES = ("membership", "configuration", "scheduler")
+PART_NAMES = ("membership", "configuration", "scheduler", "usage")
 """The parts of a control process, in the order in which they are made."""
 
 
--- a/pimentoquay/control/settings.py
+++ b/pimentoquay/control/settings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from pimentoquay.configuration.settings import ConfigurationSection
+from pimentoquay.control.usage import UsageSection
 from pimentoquay.kernel.sections import ClusterSection, LogSection, PlatformSection, VmSection
 from pimentoquay.kernel.settings import setting
 from pimentoquay.membership.settings import MembershipSection
@@ -30,3 +31,4 @@
     membership: MembershipSection
     configuration: ConfigurationSection
     scheduler: SchedulerSection
+    usage: UsageSection
--- a/pimentoquay/kernel/http_peer.py
+++ b/pimentoquay/kernel/http_peer.py
@@ -21,6 +21,8 @@
 from aiosonic.pools import BasePool, PoolConfig
 from aiosonic.timeout import Timeouts
 
+from pimentoquay.kernel.traffic import process_traffic
+
 __all__ = ["HttpAnswer", "HttpError", "HttpPeer"]
 
 CONNECT_SECONDS = 1.0
@@ -76,6 +78,7 @@
         mark = _mark.get()
         if mark is not None:
             mark.written = True
+        process_traffic.http_bytes_sent += len(data)
         super().write(data)
 
     async def __aexit__(self, exc_type: Any, exc: Any, tb: Any) -> None:
@@ -263,4 +266,6 @@
     finally:
         await response.aclose()
     headers = {name.lower(): value for name, value in response.raw_headers}
+    header_bytes = sum(len(name) + len(value) + 4 for name, value in response.raw_headers)
+    process_traffic.http_bytes_received += header_bytes + len(body)
     return HttpAnswer(response.status_code, body, headers)
--- a/pimentoquay/transport/websocket.py
+++ b/pimentoquay/transport/websocket.py
@@ -20,6 +20,7 @@
 
 from pimentoquay.kernel import Channel, HybridClock, Identity, PimentoquayError, ResultCode
 from pimentoquay.kernel.logs import logger
+from pimentoquay.kernel.traffic import process_traffic
 from pimentoquay.messages import CodecError, decode, encode
 from pimentoquay.messages.connection import Challenge, Hello, Rejected, Welcome
 from pimentoquay.transport import handshake
@@ -57,7 +58,6 @@
         self._unsent: asyncio.Queue[bytes] = asyncio.Queue()
         self._unsent_bytes = 0
         self._writer = asyncio.create_task(self._write())
-        self.bytes_sent = 0
 
     def send(self, message: Any) -> None:
         """Queue a message; a channel with too much unsent is closed."""
@@ -77,6 +77,7 @@
             raise ConnectionResetError(f"the channel to {self.peer.vm} has closed") from error
         if isinstance(packet, str):
             raise CodecError(ResultCode.FRAME_MALFORMED, "a text frame")
+        process_traffic.count_received(len(packet))
         return unpack(packet, self._clock)
 
     async def close(self) -> None:
@@ -97,7 +98,7 @@
             while True:
                 packet = await self._unsent.get()
                 self._unsent_bytes -= len(packet)
-                self.bytes_sent += len(packet)
+                process_traffic.count_sent(len(packet))
                 await self._connection.send(packet)
         except (WebSocketException, ConnectionError):
             return
