Run the whole path as separate processes with make demo

32 processes: stand-ins, three control and three entry processes in two data centres. The demo publishes three workspaces with pimentoquay-ctl, sends a mixed load for 15 s, kills one prefill engine after 5 s and one entry process after 9 s.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TYPED := policy messages scheduler configuration membership
 STAMP := $(VENV)/.installed
 
-.PHONY: install test format demo clean
+.PHONY: install test format demo steady clean
 
 install: $(STAMP)
 
@@ -25,8 +25,15 @@
 	$(BIN)/python -m pytest
 
 demo: install
-	@$(BIN)/python -m pimentoquay.bench.demo_plan > /dev/null
 	@sh tools/demo.sh $(BIN)
 
+# Control processes on loopback before idle engines: make steady VMS=29 ENGINES=156 SECONDS=30
+VMS ?= 8
+ENGINES ?= 22
+SECONDS ?= 30
+
+steady: install
+	@sh tools/steady.sh $(BIN) $(VMS) $(ENGINES) $(SECONDS)
+
 clean:
-	rm -rf .demo .pytest_cache .mypy_cache .ruff_cache .hypothesis
+	rm -rf .demo .steady .pytest_cache .mypy_cache .ruff_cache .hypothesis
--- a/pimentoquay/bench/demo/command.py
+++ b/pimentoquay/bench/demo/command.py
@@ -3,6 +3,7 @@
 import argparse
 from pathlib import Path
 
+from pimentoquay.bench.demo.load import write_load, write_operator_files
 from pimentoquay.bench.demo.plan import DEMO_DEPLOYMENT, make_plan, write_plan
 from pimentoquay.kernel import plugin
 
@@ -24,5 +25,8 @@
 
     def run(self, arguments: argparse.Namespace) -> int:
         """Write the files and return 0."""
-        write_plan(make_plan(DEMO_DEPLOYMENT, arguments.first_port), arguments.directory)
+        plan = make_plan(DEMO_DEPLOYMENT, arguments.first_port)
+        write_plan(plan, arguments.directory)
+        write_load(plan, arguments.directory)
+        write_operator_files(plan, arguments.directory)
         return 0
--- a/pimentoquay/bench/demo/plan.py
+++ b/pimentoquay/bench/demo/plan.py
@@ -27,7 +27,7 @@
         Pool("proof-llm", 2, 2, 0),
         Pool("school-portal", 0, 0, 1),
     ),
-    services=("toner-orders", "embosser"),
+    services=("toner-orders", "job-status", "embosser"),
 )
 
 Sections = dict[str, dict[str, str]]
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -9,7 +9,7 @@
 kill_engine_after=5
 kill_entry_after=9
 victim_engine=diag-llm-city-hall-p1
-victim_entry=entry-vm-2
+victim_entry=entry-loopback-vm-2
 pids=""
 
 say() { echo "demo: $*"; }
@@ -44,11 +44,25 @@
 done <"$dir/processes.txt"
 say "started $count processes: stand-ins, 3 VMs in 2 data centres"
 
-if ! "$bin/pimentoquay-bench" demo-publish --directory "$dir"; then
-    say "the configuration did not come in force; see $dir/*.log"
-    stop_all
-    exit 1
-fi
+# The membership list and the VMs find each other while the first try waits.
+publish() { # name, template, key
+    "$bin/pimentoquay-ctl" workspace create --from "$2" --set "name=$1" --set "key=$3" \
+        --output "$dir/$1.workspace.ini" >/dev/null || return 1
+    tries=20
+    until "$bin/pimentoquay-ctl" publish "$dir/$1.workspace.ini" --config "$dir/ctl.ini"; do
+        tries=$((tries - 1))
+        [ "$tries" -gt 0 ] || return 1
+        sleep 1
+    done
+}
+
+while read -r name template key; do
+    if ! publish "$name" "$template" "$key" </dev/null; then
+        say "workspace $name did not come in force; see $dir/*.log"
+        stop_all
+        exit 1
+    fi
+done <"$dir/workspaces.txt"
 
 "$bin/pimentoquay-bench" load --plan "$dir/load.ini" --seconds "$load_seconds" &
 load=$!
