Leave a KV source after its second failed transfer

With real processes a killed prefill engine left a request that tried the same dead source with each of its attempts and then failed (1 incomplete of 525, load at 39 requests/s with one prefill engine and one entry killed). A second failed transfer of the same KV cache now leads to a fresh prefill.

--- a/pimentoquay/entry/life.py
+++ b/pimentoquay/entry/life.py
@@ -26,7 +26,7 @@
 CLOSING_FRAMES = 2
 """Frames of a whole answer that hold no token: the finish reason and ``[DONE]``."""
 
-MAX_ATTEMPTS = 4
+MAX_ATTEMPTS = 6
 """Attempts of one request, the first included."""
 
 RESUME_TRIES = 3
@@ -223,6 +223,9 @@
     async def _replace(self, failure: StageFailedError) -> Grant:
         """Return another grant after a failed stage, or raise the request's final error."""
         last = self._attempts[-1]
+        if failure.kv is not None and failure.kv.attempt != last.grant.attempt:
+            # The second transfer failed too, so the source is the likelier cause.
+            failure.kv = None
         self._free(last, keep=failure.kv)
         if not self._may_try_again(failure):
             raise self._final_error(failure)
--- a/pimentoquay/entry/tests/test_life.py
+++ b/pimentoquay/entry/tests/test_life.py
@@ -104,6 +104,16 @@
         assert rig.engine_by_name["d2"].calls == ["import:1", "source:p1:0", "decode:1"]
 
 
+async def test_a_source_that_died_after_its_prefill_is_left_after_one_more_transfer():
+    async with entry_rig() as rig:
+        rig.next_answers(grant("p1", "d1"), grant("p1", "d2"), grant("d1", "d1"))
+        for name in ("d1", "d2"):
+            rig.engine_by_name[name].fail["import"] = [EngineLostError("no such source")] * 9
+        assert await collect(rig.service.run(spec_of())) == WHOLE
+        kept = [message.kv_engine for message in rig.scheduler.of_type(ReplaceRequest)]
+        assert kept == ["p1", ""]
+
+
 async def test_a_transfer_that_outlasts_the_kv_is_prefilled_again():
     async with entry_rig() as rig:
         rig.next_answers(grant("p1", "d1"), grant("p1", "d2"))
