--- a/pimentoquay/entry/life.py
+++ b/pimentoquay/entry/life.py
@@ -26,7 +26,7 @@
 CLOSING_FRAMES = 2
 """Frames of a whole answer that hold no token: the finish reason and ``[DONE]``."""
 
-MAX_ATTEMPTS = 4
+MAX_ATTEMPTS = 6
 """Attempts of one request, the first included."""
 
 RESUME_TRIES = 3
@@ -229,6 +229,9 @@
         """Return another grant after a failed stage, or raise the request's final error."""
         self._record("stage-failed", failure.detail)
         last = self._attempts[-1]
+        if failure.kv is not None and failure.kv.attempt != last.grant.attempt:
+            # The second transfer failed too, so the source is the likelier cause.
+            failure.kv = None
         self._free(last, keep=failure.kv)
         if not self._may_try_again(failure):
             raise self._final_error(failure)
