--- a/pimentoquay/bench/program.py
+++ b/pimentoquay/bench/program.py
@@ -19,6 +19,7 @@
     "pimentoquay.bench.demo.command",
     "pimentoquay.bench.load.command",
     "pimentoquay.bench.slopes.command",
+    "pimentoquay.bench.steady.command",
 )
 """The modules whose import registers the commands."""
 
--- a/pimentoquay/control/compose.py
+++ b/pimentoquay/control/compose.py
@@ -13,7 +13,13 @@
 
 __all__ = ["PART_NAMES", "ControlProcess", "compose_control"]
 
-PART_NAMES = ("membership", "configuration", "scheduler", "operator")
+PART_NAMES = (
+    "membership",
+    "configuration",
+    "scheduler",
+    "operator",
+    "usage",
+)
 """The parts of a control process, in the order in which they are made."""
 
 
