Give a small pool one scheduler for its whole region

Cause: with two engines of a pool in a data centre, one shard per data centre has a single prefill and a single decode engine: nothing to choose from when one is slow, stalled or full.

A pair in one data centre is preferred.

--- a/pimentoquay/bench/compare/variants.py
+++ b/pimentoquay/bench/compare/variants.py
@@ -11,12 +11,12 @@
 class Variant:
     """One policy; without a section every VM schedules alone and naively.
 
-    ``is_regional`` makes all data centres of the region one, with one owner per pool.
+    ``is_split`` makes each data centre a region of its own, with its own owner of every pool.
     """
 
     name: str
     section: SchedulerSection | None
-    is_regional: bool = False
+    is_split: bool = True
 
 
 _PLAIN = SchedulerSection(
@@ -46,7 +46,7 @@
         Variant("learn", _LEARNED),
         Variant("prefix", _PREFIXED),
         Variant("rescue", _RESCUED),
-        Variant("full", SchedulerSection()),
-        Variant("region", SchedulerSection(), is_regional=True),
+        Variant("split", SchedulerSection()),
+        Variant("full", SchedulerSection(), is_split=False),
     )
 }
--- a/pimentoquay/control/operator.py
+++ b/pimentoquay/control/operator.py
@@ -10,7 +10,7 @@
 from pimentoquay.kernel import Channel, Node, plugin
 from pimentoquay.kernel.status import PartStatus, StatusWanted
 from pimentoquay.membership.events import DrainRequested
-from pimentoquay.membership.ownership import owner_of, shards_of
+from pimentoquay.membership.ownership import shard_owner, shards_of
 from pimentoquay.messages.cluster import ClusterView
 from pimentoquay.messages.operator import (
     DrainAnswer,
@@ -146,15 +146,11 @@
         if self._view is None:
             return [StatusLine("membership", "list", "stuck", "no membership list yet")]
         identity = self._node.identity
-        data_centre_by_vm = {member.name: member.data_centre for member in self._view.members}
-        neighbours = [
-            vm for vm in self._view.live_vms if data_centre_by_vm.get(vm) == identity.data_centre
-        ]
         return [
             StatusLine("scheduler", shard.name, "ok", f"owned, {len(shard.engines)} engines")
             for shard in shards_of(self._view.members).values()
-            if shard.data_centre == identity.data_centre
-            and owner_of(shard.name, neighbours) == identity.vm
+            if shard.is_near(identity)
+            and shard_owner(shard, self._view.members, self._view.live_vms) == identity.vm
         ]
 
     def _part_lines(self) -> list[StatusLine]:
--- a/pimentoquay/entry/choice.py
+++ b/pimentoquay/entry/choice.py
@@ -5,6 +5,7 @@
 
 from pimentoquay.kernel import ResultCode
 from pimentoquay.membership import Shard, owner_of
+from pimentoquay.membership.ownership import Place
 from pimentoquay.messages.cluster import ShardSummary
 
 __all__ = ["SPILL_CODES", "choose_shards"]
@@ -30,7 +31,7 @@
     shard_by_name: Mapping[str, Shard],
     summary_by_shard: Mapping[str, ShardSummary],
     pool: str,
-    data_centre: str,
+    place: Place,
     reachable: tuple[str, ...],
     prefix: tuple[int, ...],
     rng: random.Random,
@@ -44,14 +45,12 @@
     local = sorted(
         shard.name
         for shard in shard_by_name.values()
-        if shard.pool == pool and shard.data_centre == data_centre
+        if shard.pool == pool and shard.is_near(place)
     )
     remote = [
         shard.name
         for shard in shard_by_name.values()
-        if shard.pool == pool
-        and shard.data_centre != data_centre
-        and shard.data_centre in reachable
+        if shard.pool == pool and not shard.is_near(place) and shard.data_centre in reachable
     ]
     first = (_choose_local(local, summary_by_shard, prefix, rng),) if local else ()
     rng.shuffle(remote)
--- a/pimentoquay/entry/placer.py
+++ b/pimentoquay/entry/placer.py
@@ -102,7 +102,7 @@
     async def find(self, spec: RequestSpec, deadline: float) -> Placement:
         """Return where a request's stream runs, asking every shard of its pool in reach."""
         pools = [shard for shard in self._link.shard_by_name.values() if shard.pool == spec.model]
-        pools.sort(key=lambda shard: shard.data_centre != self._node.identity.data_centre)
+        pools.sort(key=lambda shard: not shard.is_near(self._node.identity))
         for shard in pools:
             remaining = deadline - self._node.clock.now()
             try:
@@ -118,7 +118,7 @@
             self._link.shard_by_name,
             self._link.summary_by_shard,
             spec.model,
-            self._node.identity.data_centre,
+            self._node.identity,
             self._link.view.reachable_data_centres,
             spec.prefix,
             self._rng,
@@ -142,8 +142,7 @@
 
     async def _place_directly(self, name: str, spec: RequestSpec, attempt: int) -> Grant:
         shard = self._link.shard_by_name.get(name)
-        local = self._node.identity.data_centre
-        if shard is None or shard.data_centre != local:
+        if shard is None or not shard.is_near(self._node.identity):
             raise RefusedError(ResultCode.NO_BACKEND, f"no scheduler of {name} in reach", 1.0)
         return await self._direct.place(shard, spec.request_id, attempt)
 
--- a/pimentoquay/entry/scheduler_link.py
+++ b/pimentoquay/entry/scheduler_link.py
@@ -23,8 +23,8 @@
     RefusedError,
     ResultCode,
 )
-from pimentoquay.membership import Shard, owner_of, shards_of
-from pimentoquay.messages.cluster import ClusterView, Member, MemberKind, ShardSummary
+from pimentoquay.membership import Shard, shard_owner, shards_of
+from pimentoquay.messages.cluster import ClusterView, Member, ShardSummary
 from pimentoquay.messages.placement import (
     FindRequest,
     Grant,
@@ -169,15 +169,7 @@
         shard = self.shard_by_name.get(shard_name)
         if shard is None:
             return ""
-        live = set(self.view.live_vms)
-        candidates = [
-            member.name
-            for member in self.view.members
-            if member.kind is MemberKind.ENTRY_VM
-            and member.data_centre == shard.data_centre
-            and member.name in live
-        ]
-        return owner_of(shard_name, candidates)
+        return shard_owner(shard, self.view.members, self.view.live_vms)
 
     def held(self, shard: str) -> tuple[GrantRecord, ...]:
         """Return the grants that this entry holds of a shard."""
@@ -204,7 +196,7 @@
     async def _channel_to_owner(self, shard: str, timeout: float) -> Channel:
         """Return a channel to the shard's owner, waiting a little for one to come up."""
         shard_seen = self.shard_by_name.get(shard)
-        if shard_seen is not None and shard_seen.data_centre != self._node.identity.data_centre:
+        if shard_seen is not None and not shard_seen.is_near(self._node.identity):
             self._spill_shards.add(shard)
             self._dial()
         deadline = self._node.clock.now() + min(timeout, OWNER_WAIT_SECONDS)
@@ -246,7 +238,7 @@
         """Dial the own VM's control and the owners of local and spilled-to shards."""
         address_by_vm = {self._node.identity.vm: self._control_address}
         for name, shard in self.shard_by_name.items():
-            local = shard.data_centre == self._node.identity.data_centre
+            local = shard.is_near(self._node.identity)
             owner = self.owner(name)
             if (local or name in self._spill_shards) and owner:
                 address_by_vm.setdefault(owner, self.member_by_name[owner].address)
--- a/pimentoquay/policy/engines.py
+++ b/pimentoquay/policy/engines.py
@@ -20,6 +20,7 @@
     role: EngineRole
     slots: int
     kv_capacity: int
+    data_centre: str = ""
     reserved: int = 0
     transferring: int = 0
     decoding: int = 0
--- a/pimentoquay/policy/placement.py
+++ b/pimentoquay/policy/placement.py
@@ -20,6 +20,7 @@
 
     ``release_share`` is the part of the slots expected to come free that may be promised
     before they do, ``promise_cost`` the seconds that a free slot is worth over such a promise,
+    ``remote_cost`` those that a transfer within one data centre is worth over one between two,
     ``prefill_lead`` the seconds of work that may wait on a prefill engine, and
     ``slack`` the seconds after the KV cache arrives during which a slot may still come free.
     """
@@ -30,6 +31,7 @@
     reserves_slot: bool = True
     fullness_cost: float = 0.05
     promise_cost: float = 0.5
+    remote_cost: float = 0.02
 
 
 @dataclass(frozen=True)
@@ -97,7 +99,7 @@
             arrival = _arrival(start, target, need, speeds, link)
             if limits.reserves_slot and not _has_slot(start, target, arrival - now, limits):
                 continue
-            score = (_cost(arrival, target, limits), start.engine.name, target.name)
+            score = (_cost(start, arrival, target, limits), start.engine.name, target.name)
             if best is None or score < best:
                 best = score
                 best_choice = Choice(start.engine.name, target.name, start.end, arrival)
@@ -126,7 +128,8 @@
     return target.free_slots_in(seconds + limits.slack, limits.release_share) > 0
 
 
-def _cost(arrival: float, target: EngineLoad, limits: PlacementLimits) -> float:
+def _cost(start: _Start, arrival: float, target: EngineLoad, limits: PlacementLimits) -> float:
     fullness = 1.0 - target.free_slots() / max(1, target.slots)
+    remote = limits.remote_cost if start.engine.data_centre != target.data_centre else 0.0
     promise = limits.promise_cost if target.free_slots() <= 0 else 0.0
-    return arrival + limits.fullness_cost * fullness + promise
+    return arrival + limits.fullness_cost * fullness + promise + remote
--- a/pimentoquay/scheduler/engines.py
+++ b/pimentoquay/scheduler/engines.py
@@ -27,9 +27,12 @@
         """Take the shard's engines; one that left keeps its grants but gets no new ones."""
         loads = self._ledger.engine_by_name
         self._members = {member.name for member in shard.engines}
-        for name in self._members - set(loads):
-            loads[name] = EngineLoad(name, EngineRole.MIXED, 0, 0)
-        for name in set(loads) - self._members:
+        for member in shard.engines:
+            if member.name not in loads:
+                loads[member.name] = EngineLoad(
+                    member.name, EngineRole.MIXED, 0, 0, member.data_centre
+                )
+        for name in sorted(set(loads) - self._members):
             loads[name].is_usable = False
             if not any(name in (g.prefill_engine, g.decode_engine) for g in self._ledger):
                 del loads[name]
--- a/pimentoquay/scheduler/part.py
+++ b/pimentoquay/scheduler/part.py
@@ -18,8 +18,8 @@
     plugin,
 )
 from pimentoquay.kernel.logs import logger
-from pimentoquay.membership import Shard, owner_of, shards_of
-from pimentoquay.messages.cluster import ClusterView, Member, MemberKind
+from pimentoquay.membership import Shard, shard_owner, shards_of
+from pimentoquay.messages.cluster import ClusterView, Member
 from pimentoquay.messages.placement import (
     FindRequest,
     LeaseRenewal,
@@ -231,18 +231,10 @@
 
     def _owned_shards(self, view: ClusterView) -> dict[str, Shard]:
         own = self._node.identity
-        live = set(view.live_vms)
-        candidates = [
-            member.name
-            for member in view.members
-            if member.kind is MemberKind.ENTRY_VM
-            and member.data_centre == own.data_centre
-            and member.name in live
-        ]
         return {
             name: shard
             for name, shard in shards_of(view.members).items()
-            if shard.data_centre == own.data_centre and owner_of(name, candidates) == own.vm
+            if shard.is_near(own) and shard_owner(shard, view.members, view.live_vms) == own.vm
         }
 
     def _watch_engines(self) -> None:
