--- /dev/null
+++ b/pimentoquay/bench/slopes/relay.py
@@ -0,0 +1,172 @@
+"""Slopes of relaying an answer: what one more token and one more request cost an entry.
+
+The near side is an entry's real server, application and request life with an engine that yields
+ready frames; a bare socket reads what it sends. The far side is the HTTP client of an engine that
+reads ready frames from a bare socket. An entry pays both for each token.
+"""
+
+import asyncio
+import time
+from collections.abc import AsyncGenerator, AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+from pimentoquay.backends.base import DecodeOrder, PrefillOrder, PrefillResult
+from pimentoquay.backends.engine_http import HttpEngineClient
+from pimentoquay.bench.slopes.slope import Slope, slope_of
+from pimentoquay.entry import RequestService, RequestSpec, SchedulerLink
+from pimentoquay.entry.connections import bind, make_server
+from pimentoquay.entry.placer import Placement
+from pimentoquay.entry.relay import StreamedAnswer
+from pimentoquay.entry.settings import HttpSection
+from pimentoquay.kernel import Envelope, Identity, Node, plugin
+from pimentoquay.messages.cluster import ClusterView, Member, MemberKind, MemberState
+from pimentoquay.messages.placement import Grant, Urgency
+from pimentoquay.messages.workspaces import KindSpec
+from pimentoquay.transport.memory import MemoryNetwork
+from pimentoquay.transport.peers import PeerSet
+
+__all__ = ["relay_slopes"]
+
+TOKENS = 2000
+SHORT_REQUESTS = 200
+READ_BYTES = 65536
+FRAME = (
+    b'data: {"id": "cmpl-0", "choices": [{"index": 0, "text": "a1b ", "finish_reason": null}]}\n\n'
+)
+END = b'data: {"choices": [{"index": 0, "text": "", "finish_reason": "stop"}]}\n\ndata: [DONE]\n\n'
+KIND = KindSpec("k", "m", Urgency.NORMAL, 60.0, 60.0, 10000, 10000, True)
+ENGINE = Member("e", MemberKind.ENGINE, MemberState.LIVE, "r", "d", "e", "m", True)
+
+
+class ReadyEngine:
+    """Yields ready frames, one at a time, so that each is sent on its own."""
+
+    def __init__(self, tokens: int) -> None:
+        self.tokens = tokens
+
+    async def prefill(self, order: PrefillOrder) -> PrefillResult:
+        """Return at once."""
+        return PrefillResult(1, 0, 1, 60.0)
+
+    async def decode(self, order: DecodeOrder) -> AsyncGenerator[bytes, None]:
+        """Yield the frames."""
+        for _ in range(self.tokens):
+            await asyncio.sleep(0)
+            yield FRAME
+        yield END
+
+
+class FixedPlacer:
+    """Places every request on one engine."""
+
+    async def place(self, spec: RequestSpec, deadline: float) -> Placement:
+        """Return the engine."""
+        return Placement("m@d#0", Grant(spec.request_id, 0, "e", "e"))
+
+
+@plugin("slope", "relay")
+def relay_slopes(repeats: int) -> tuple[Slope, ...]:
+    """Measure the cost of a token and of a request at an entry, in processor time."""
+    return asyncio.run(_relay_slopes(repeats))
+
+
+async def _relay_slopes(repeats: int) -> tuple[Slope, ...]:
+    near, requests = [], []
+    for _ in range(repeats):
+        many = await _time_near(1, TOKENS)
+        few = await _time_near(1, 1)
+        near.append((many - few) / (TOKENS - 1) * 1e6)
+        requests.append(await _time_near(SHORT_REQUESTS, 1) / SHORT_REQUESTS * 1e6)
+    far = [await _time_far() / TOKENS * 1e6 for _ in range(repeats)]
+    both = [one + other for one, other in zip(sorted(near), sorted(far), strict=True)]
+    return (
+        slope_of("relay to the caller", "µs", "token", near),
+        slope_of("relay from the engine", "µs", "token", far),
+        slope_of("relay, both sides", "µs", "token", both),
+        slope_of("request at the entry, no scheduler", "µs", "request", requests),
+    )
+
+
+async def _time_near(requests: int, tokens: int) -> float:
+    """Return the processor seconds of some answers; reading them costs next to nothing."""
+    async with _entry(ReadyEngine(tokens)) as address:
+        reader, writer = await asyncio.open_connection(*address)
+        request = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
+        await _exchange(reader, writer, request)
+        started = time.process_time()
+        for _ in range(requests):
+            await _exchange(reader, writer, request)
+        elapsed = time.process_time() - started
+        writer.close()
+        return elapsed
+
+
+async def _exchange(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request: bytes
+) -> None:
+    writer.write(request)
+    tail = b""
+    while not tail.endswith(b"0\r\n\r\n"):
+        tail = tail[-8:] + await reader.read(READ_BYTES)
+
+
+@asynccontextmanager
+async def _entry(engine: ReadyEngine) -> AsyncIterator[tuple[str, int]]:
+    identity = Identity("vm", "entry", "r", "d", 1)
+    node = Node(identity, MemoryNetwork().transport(identity))
+    peers = PeerSet(node)
+    link = SchedulerLink(node, peers, "none")
+    link.inbox.put_nowait(Envelope(ClusterView(1, (ENGINE,), ("vm",), ("d",))))
+    engine_of: Any = lambda member: engine  # noqa: E731
+    service = RequestService(node, link, engine_of)
+    placer: Any = FixedPlacer()
+    service.placer = placer
+    count = 0
+
+    async def app(scope: Any, receive: Any, send: Any) -> None:
+        nonlocal count
+        count += 1
+        spec = RequestSpec(f"r{count}", "w", "m", KIND, "p", 1, (), 10000, False, True, 1)
+        await StreamedAnswer(service.run(spec), spec.request_id)(scope, receive, send)
+
+    section = HttpSection(listen="127.0.0.1:0")
+    server = make_server(app, section)
+    with bind(section.listen) as listener:
+        tasks = [
+            asyncio.create_task(link.run()),
+            asyncio.create_task(server.serve(sockets=[listener])),
+        ]
+        while not (server.started and link.directory.is_known):  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+        yield listener.getsockname()
+        server.should_exit = True
+        await tasks[1]
+        tasks[0].cancel()
+        await peers.close()
+        node.timers.close()
+
+
+async def _time_far() -> float:
+    """Return the processor seconds of reading one answer from an engine."""
+    chunk = b"%x\r\n%s\r\n" % (len(FRAME), FRAME)
+    head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(head)
+        for _ in range(TOKENS):
+            await asyncio.sleep(0)
+            writer.write(chunk)
+        writer.write(b"0\r\n\r\n")
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    client = HttpEngineClient(f"{host}:{port}")
+    started = time.process_time()
+    async for _ in client.decode(DecodeOrder("r", 0, False)):
+        pass
+    elapsed = time.process_time() - started
+    await client.close()
+    server.close()
+    return elapsed
--- a/pimentoquay/entry/attempt.py
+++ b/pimentoquay/entry/attempt.py
@@ -180,7 +180,7 @@
         return client.resume(self._spec.request_id, self.engine_attempt, offset)
 
     def _member(self, engine: str) -> Member:
-        member = self._link.member_by_name.get(engine)
+        member = self._link.directory.member_by_name.get(engine)
         if member is None:
             raise EngineRefusedError(f"engine {engine} is not on the membership list")
         return member
--- a/pimentoquay/entry/choice.py
+++ b/pimentoquay/entry/choice.py
@@ -1,7 +1,7 @@
 """Which shard of a pool a request goes to, and where it spills when that one is full."""
 
 import random
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 from pimentoquay.kernel import ResultCode
 from pimentoquay.membership import Shard, owner_of
@@ -27,31 +27,24 @@
 
 
 def choose_shards(
-    shard_by_name: Mapping[str, Shard],
+    shards: Sequence[Shard],
     summary_by_shard: Mapping[str, ShardSummary],
-    pool: str,
     data_centre: str,
     reachable: tuple[str, ...],
     prefix: tuple[int, ...],
     rng: random.Random,
 ) -> tuple[str, ...]:
-    """Return the shards to ask, best first: one of the own data centre, then spills.
+    """Return the shards of one pool to ask, best first: a local one, then spills.
 
     Among several local shards the prompt's prefix names one and chance another, and the less
     loaded of the two is taken. Spills go to the shards with the shortest queues whose data
     centres are in ``reachable``.
     """
-    local = sorted(
-        shard.name
-        for shard in shard_by_name.values()
-        if shard.pool == pool and shard.data_centre == data_centre
-    )
+    local = sorted(shard.name for shard in shards if shard.data_centre == data_centre)
     remote = [
         shard.name
-        for shard in shard_by_name.values()
-        if shard.pool == pool
-        and shard.data_centre != data_centre
-        and shard.data_centre in reachable
+        for shard in shards
+        if shard.data_centre != data_centre and shard.data_centre in reachable
     ]
     first = (_choose_local(local, summary_by_shard, prefix, rng),) if local else ()
     rng.shuffle(remote)
--- a/pimentoquay/entry/http.py
+++ b/pimentoquay/entry/http.py
@@ -28,7 +28,6 @@
 from pimentoquay.entry.settings import HttpSection
 from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode
 from pimentoquay.kernel.logs import logger
-from pimentoquay.messages.cluster import MemberKind
 from pimentoquay.messages.workspaces import Workspace
 
 __all__ = ["EntryHttp"]
@@ -83,7 +82,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether requests can be taken: a configuration and a view of the cluster are known."""
-        return self._configuration.is_ready and bool(self._service.link.view.members)
+        return self._configuration.is_ready and self._service.link.directory.is_known
 
     def _numbered(self, handler: Callable[..., Awaitable[Response]]) -> Endpoint:
         """Return an endpoint that answers every error with its number."""
@@ -132,7 +131,8 @@
         self, request: Request, headers: CallerHeaders, workspace: Workspace, chat: bool
     ) -> Response:
         body = parse_json(await self._body(request))
-        spec = parse_request(body, headers, workspace, self._pools(), chat)
+        pools = self._service.link.directory.shards_by_pool
+        spec = parse_request(body, headers, workspace, pools, chat)
         if headers.resume_offset is not None:
             frames = self._service.resume(spec, headers.resume_offset)
         else:
@@ -167,11 +167,8 @@
         name, path = request.path_params["service"], request.path_params["path"]
         spec = service_of(workspace, name)
         if spec is None:
-            known = any(
-                member.kind is MemberKind.SERVICE and member.pool == name
-                for member in self._service.link.view.members
-            )
-            code = ResultCode.MODEL_FORBIDDEN if known else ResultCode.NOT_FOUND
+            is_known = name in self._service.link.directory.servers_by_service
+            code = ResultCode.MODEL_FORBIDDEN if is_known else ResultCode.NOT_FOUND
             raise RefusedError(code, f"service {name[:60]!r}")
         if any(segment in (".", "..") for segment in path.split("/")):
             raise bad_request(f"path {path[:60]!r} leads out of the service")
@@ -209,9 +206,6 @@
             raise RefusedError(ResultCode.BODY_TIMEOUT, detail) from None
         return bytes(body)
 
-    def _pools(self) -> frozenset[str]:
-        return frozenset(shard.pool for shard in self._service.link.shard_by_name.values())
-
     async def _healthz(self, request: Request) -> Response:
         return JSONResponse({"status": "up"})
 
--- a/pimentoquay/entry/parse.py
+++ b/pimentoquay/entry/parse.py
@@ -7,7 +7,7 @@
 import json
 import re
 import uuid
-from collections.abc import Mapping
+from collections.abc import Container, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -76,7 +76,7 @@
     body: dict[str, Any],
     headers: CallerHeaders,
     workspace: Workspace,
-    pools: frozenset[str],
+    pools: Container[str],
     chat: bool,
 ) -> RequestSpec:
     """Return the checked request of one workspace; ``pools`` are the models that engines serve."""
--- a/pimentoquay/entry/placer.py
+++ b/pimentoquay/entry/placer.py
@@ -101,7 +101,7 @@
 
     async def find(self, spec: RequestSpec, deadline: float) -> Placement:
         """Return where a request's stream runs, asking every shard of its pool in reach."""
-        pools = [shard for shard in self._link.shard_by_name.values() if shard.pool == spec.model]
+        pools = list(self._link.directory.shards_of_pool(spec.model))
         pools.sort(key=lambda shard: shard.data_centre != self._node.identity.data_centre)
         for shard in pools:
             remaining = deadline - self._node.clock.now()
@@ -115,11 +115,10 @@
 
     def _shards(self, spec: RequestSpec) -> tuple[str, ...]:
         return choose_shards(
-            self._link.shard_by_name,
+            self._link.directory.shards_of_pool(spec.model),
             self._link.summary_by_shard,
-            spec.model,
             self._node.identity.data_centre,
-            self._link.view.reachable_data_centres,
+            self._link.directory.view.reachable_data_centres,
             spec.prefix,
             self._rng,
         )
@@ -141,7 +140,7 @@
         return await self._place_directly(shard, spec, attempt + SCHEDULER_TRIES)
 
     async def _place_directly(self, name: str, spec: RequestSpec, attempt: int) -> Grant:
-        shard = self._link.shard_by_name.get(name)
+        shard = self._link.directory.shard_by_name.get(name)
         local = self._node.identity.data_centre
         if shard is None or shard.data_centre != local:
             raise RefusedError(ResultCode.NO_BACKEND, f"no scheduler of {name} in reach", 1.0)
--- a/pimentoquay/entry/plain.py
+++ b/pimentoquay/entry/plain.py
@@ -14,7 +14,7 @@
 from pimentoquay.entry.metrics import EntryMetrics
 from pimentoquay.entry.scheduler_link import SchedulerLink
 from pimentoquay.kernel import Node, PimentoquayError, RefusedError, ResultCode
-from pimentoquay.messages.cluster import Member, MemberKind, MemberState
+from pimentoquay.messages.cluster import Member
 from pimentoquay.messages.workspaces import ServiceSpec
 
 __all__ = ["PlainService", "is_once_only"]
@@ -110,14 +110,12 @@
     def _servers(self, service: str) -> list[Member]:
         """Return the live servers of a service, own data centre and least busy first."""
         local = self._node.identity.data_centre
-        reachable = {local, *self._link.view.reachable_data_centres}
+        directory = self._link.directory
+        reachable = {local, *directory.view.reachable_data_centres}
         servers = [
             member
-            for member in self._link.view.members
-            if member.kind is MemberKind.SERVICE
-            and member.pool == service
-            and member.state is MemberState.LIVE
-            and member.data_centre in reachable
+            for member in directory.live_servers_of(service)
+            if member.data_centre in reachable
         ]
         self._rng.shuffle(servers)
         servers.sort(
--- a/pimentoquay/entry/scheduler_link.py
+++ b/pimentoquay/entry/scheduler_link.py
@@ -14,6 +14,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
+from pimentoquay.entry.directory import ClusterDirectory
 from pimentoquay.kernel import (
     Channel,
     ChannelClosed,
@@ -23,8 +24,7 @@
     RefusedError,
     ResultCode,
 )
-from pimentoquay.membership import Shard, owner_of, shards_of
-from pimentoquay.messages.cluster import ClusterView, Member, MemberKind, ShardSummary
+from pimentoquay.messages.cluster import ClusterView, ShardSummary
 from pimentoquay.messages.placement import (
     FindRequest,
     Grant,
@@ -85,10 +85,8 @@
         self._node = node
         self._peers = peers
         self._control_address = control_address
-        self.view = ClusterView(0, (), (), ())
-        self.shard_by_name: dict[str, Shard] = {}
+        self.directory = ClusterDirectory(ClusterView(0, (), (), ()))
         self.summary_by_shard: dict[str, ShardSummary] = {}
-        self.member_by_name: dict[str, Member] = {}
         self._waiter_by_key: dict[tuple[str, int], _Waiter] = {}
         self._held_by_shard: dict[str, dict[str, GrantRecord]] = {}
         self._channel_by_shard: dict[str, Channel] = {}
@@ -164,21 +162,6 @@
         elif channel is not None:
             self._unsent_by_shard.setdefault(shard, {})[release.request_id] = release
 
-    def owner(self, shard_name: str) -> str:
-        """Return the VM that schedules a shard, or an empty string."""
-        shard = self.shard_by_name.get(shard_name)
-        if shard is None:
-            return ""
-        live = set(self.view.live_vms)
-        candidates = [
-            member.name
-            for member in self.view.members
-            if member.kind is MemberKind.ENTRY_VM
-            and member.data_centre == shard.data_centre
-            and member.name in live
-        ]
-        return owner_of(shard_name, candidates)
-
     def held(self, shard: str) -> tuple[GrantRecord, ...]:
         """Return the grants that this entry holds of a shard."""
         return tuple(self._held_by_shard.get(shard, {}).values())
@@ -203,13 +186,13 @@
 
     async def _channel_to_owner(self, shard: str, timeout: float) -> Channel:
         """Return a channel to the shard's owner, waiting a little for one to come up."""
-        shard_seen = self.shard_by_name.get(shard)
+        shard_seen = self.directory.shard_by_name.get(shard)
         if shard_seen is not None and shard_seen.data_centre != self._node.identity.data_centre:
             self._spill_shards.add(shard)
             self._dial()
         deadline = self._node.clock.now() + min(timeout, OWNER_WAIT_SECONDS)
         while True:
-            channel = self._peers.channel_to(self.owner(shard))
+            channel = self._peers.channel_to(self.directory.owner(shard))
             if channel is not None and self._is_live(channel):
                 self._channel_by_shard.setdefault(shard, channel)
                 return channel
@@ -245,17 +228,18 @@
     def _dial(self) -> None:
         """Dial the own VM's control and the owners of local and spilled-to shards."""
         address_by_vm = {self._node.identity.vm: self._control_address}
-        for name, shard in self.shard_by_name.items():
+        for name, shard in self.directory.shard_by_name.items():
             local = shard.data_centre == self._node.identity.data_centre
-            owner = self.owner(name)
-            if (local or name in self._spill_shards) and owner:
-                address_by_vm.setdefault(owner, self.member_by_name[owner].address)
+            if local or name in self._spill_shards:
+                owner = self.directory.member_by_name.get(self.directory.owner(name))
+                if owner is not None:
+                    address_by_vm.setdefault(owner.name, owner.address)
         self._peers.want(address_by_vm)
 
     def _announce(self) -> None:
         """Announce held grants wherever a shard's owner has a channel it was not told on."""
         for shard in set(self._channel_by_shard) | set(self._held_by_shard):
-            channel = self._peers.channel_to(self.owner(shard))
+            channel = self._peers.channel_to(self.directory.owner(shard))
             if channel is None or channel is self._channel_by_shard.get(shard):
                 continue
             self._channel_by_shard[shard] = channel
@@ -269,10 +253,8 @@
 
     @_take.register
     def _take_view(self, message: ClusterView, channel: Channel | None) -> None:
-        self.view = message
-        self.shard_by_name = shards_of(message.members)
-        self.member_by_name = {member.name: member for member in message.members}
-        self._spill_shards &= set(self.shard_by_name)
+        self.directory = ClusterDirectory(message)
+        self._spill_shards &= set(self.directory.shard_by_name)
         self._dial()
         self._announce()
         self._changed.set()
--- a/pimentoquay/entry/tests/fakes.py
+++ b/pimentoquay/entry/tests/fakes.py
@@ -205,7 +205,7 @@
 
     @property
     def scheduler(self) -> FakeScheduler:
-        return self.scheduler_by_vm[self.link.owner(SHARD)]
+        return self.scheduler_by_vm[self.link.directory.owner(SHARD)]
 
     def next_answers(self, *answers: Answer) -> None:
         for scheduler in self.scheduler_by_vm.values():
@@ -245,7 +245,7 @@
         try:
             for _ in range(20):
                 await asyncio.sleep(0.01)
-                if peers.channel_to(link.owner(SHARD)) is not None:
+                if peers.channel_to(link.directory.owner(SHARD)) is not None:
                     break
             yield Rig(network, service, link, schedulers, engines)
         finally:
--- a/pimentoquay/entry/tests/test_life.py
+++ b/pimentoquay/entry/tests/test_life.py
@@ -227,8 +227,10 @@
         old = rig.scheduler
         async with aclosing(rig.service.run(spec_of())) as stream:
             chunks = [await anext(stream)]
-            live = tuple(vm for vm in rig.link.view.live_vms if vm != old.node.identity.vm)
-            view = ClusterView(2, rig.link.view.members, live, ("city-hall",))
+            live = tuple(
+                vm for vm in rig.link.directory.view.live_vms if vm != old.node.identity.vm
+            )
+            view = ClusterView(2, rig.link.directory.view.members, live, ("city-hall",))
             await old.node.transport.close()
             rig.link.inbox.put_nowait(Envelope(view))
             chunks += [chunk async for chunk in stream]
@@ -247,9 +249,9 @@
         old.answers = [silence]
         task = asyncio.create_task(collect(rig.service.run(spec_of())))
         await asyncio.sleep(0.1)
-        live = tuple(vm for vm in rig.link.view.live_vms if vm != old.node.identity.vm)
+        live = tuple(vm for vm in rig.link.directory.view.live_vms if vm != old.node.identity.vm)
         await old.node.transport.close()
-        view = ClusterView(2, rig.link.view.members, live, ("city-hall",))
+        view = ClusterView(2, rig.link.directory.view.members, live, ("city-hall",))
         rig.link.inbox.put_nowait(Envelope(view))
         assert await task == WHOLE
         assert rig.scheduler.of_type(PlaceRequest)[0].attempt == 1
