--- a/pimentoquay/bench/slopes/messages.py
+++ b/pimentoquay/bench/slopes/messages.py
@@ -43,7 +43,7 @@
 @plugin("slope", "codec")
 def codec_slopes(repeats: int) -> tuple[Slope, ...]:
     """Measure encoding and decoding of a placement request and a heartbeat."""
-    request, heartbeat = sample_place_request(), Heartbeat("vm-1", "hue-a", 1, False, 9, 9)
+    request, heartbeat = sample_place_request(), Heartbeat("vm-1", "hue-a", 1, False, 9, 9, 9, True)
     slopes = []
     for name, item in (("placement request", request), ("heartbeat", heartbeat)):
         frame = encode(item)
--- a/pimentoquay/membership/part.py
+++ b/pimentoquay/membership/part.py
@@ -11,6 +11,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
+from pimentoquay.configuration.events import ConfigurationInForce
 from pimentoquay.kernel import (
     Channel,
     ChannelClosed,
@@ -107,7 +108,7 @@
         self._list_readable = True
         self._draining = False
         self._drain_reported = False
-        self.configuration_offset = 0
+        self._configuration_offset = 0
         self.inbox: asyncio.Queue[Envelope] = node.bus.subscribe(
             ChannelOpened,
             ChannelClosed,
@@ -118,6 +119,7 @@
             MemberAnnouncement,
             DataCentreReport,
             DrainRequested,
+            ConfigurationInForce,
         )
 
     async def run(self) -> None:
@@ -307,6 +309,10 @@
             self._send_heartbeats()
             self._refresh()
 
+    @_handle.register
+    def _(self, message: ConfigurationInForce, channel: Channel | None) -> None:
+        self._configuration_offset = message.offset
+
     # Heartbeats
 
     def _heartbeat(self) -> Heartbeat:
@@ -316,7 +322,7 @@
             identity.data_centre,
             identity.incarnation,
             self._is_leaving(),
-            self.configuration_offset,
+            self._configuration_offset,
             self._directory.version,
             self._list_age(),
             self._list_readable,
--- /dev/null
+++ b/pimentoquay/messages/orders.py
@@ -0,0 +1,93 @@
+"""Messages and log records of idempotency keys and shard claims (numbers 70 to 89)."""
+
+from pimentoquay.kernel.codes import ResultCode
+from pimentoquay.messages.codec import message
+
+__all__ = [
+    "KeyBatch",
+    "KeyClaim",
+    "KeyClaimAnswer",
+    "KeyClaimRecord",
+    "KeyOutcome",
+    "KeyOutcomeRecord",
+    "ShardClaim",
+]
+
+
+@message(70)
+class KeyClaim:
+    """Ask the owner of an idempotency key for the right to run; ``KeyClaimAnswer`` follows.
+
+    ``claim_id`` is chosen by the entry, fresh for each attempt to claim, so that a request that
+    its caller repeats under the same ``request_id`` is told apart from the first.
+    """
+
+    key: str
+    workspace: str
+    request_id: str
+    claim_id: str
+
+
+@message(71)
+class KeyClaimAnswer:
+    """Whether the claim is granted; anything but ``OK`` means that this request must not run.
+
+    ``KEY_IN_USE``, ``KEY_ALREADY_RUN`` and ``OUTCOME_UNKNOWN`` tell of the request that holds the
+    key; ``KEY_UNAVAILABLE`` says that the claim could not be decided.
+    """
+
+    claim_id: str
+    code: ResultCode
+
+
+@message(72)
+class KeyOutcome:
+    """How a claimed request ended; a "not run" code frees the key for another request.
+
+    An entry also sends it with a "not run" code for a claim whose answer it did not wait for.
+    """
+
+    key: str
+    workspace: str
+    request_id: str
+    claim_id: str
+    code: ResultCode
+
+
+@message(73)
+class KeyClaimRecord:
+    """One claim on the log; ``digest`` stands for workspace and key."""
+
+    digest: bytes
+    claim_id: str
+
+
+@message(74)
+class KeyOutcomeRecord:
+    """One outcome on the log."""
+
+    digest: bytes
+    claim_id: str
+    code: ResultCode
+
+
+@message(75)
+class KeyBatch:
+    """One append: outcomes are folded before claims. The first three fields name the batch."""
+
+    vm: str
+    incarnation: int
+    sequence: int
+    outcomes: tuple[KeyOutcomeRecord, ...]
+    claims: tuple[KeyClaimRecord, ...]
+
+
+@message(76)
+class ShardClaim:
+    """A claim of the orders to a shard's engines; its log offset is the fencing number."""
+
+    shard: str
+    vm: str
+    incarnation: int
+    sequence: int
+    lease: float
