Free keys that the log took although their claims were refused

Cause: the balancer may hand two requests with one key to two VMs of two data centres, and an owner may be deposed, paused or dead. Claims that the log may have taken although they were refused are freed when they are read; a test showed that they were not when the log went down between the append and the look-up.

--- a/pimentoquay/orders/key_bucket.py
+++ b/pimentoquay/orders/key_bucket.py
@@ -28,6 +28,13 @@
 MAX_OUTCOMES = 20000
 """Outcomes kept while the log is down; the oldest are dropped and their keys stay claimed."""
 
+MAX_ABANDONED = 1000
+"""Batches of unknown outcome remembered; keys of older ones stay claimed."""
+
+
+class _NotAppendedError(PimentoquayError):
+    """The log service took nothing of the batch."""
+
 
 @dataclass(eq=False)
 class PendingClaim:
@@ -114,31 +121,31 @@
             self._wake.set()
         return [pending for pending in taken if not pending.is_answered]
 
-    async def _commit(
-        self, claims: list[PendingClaim], outcomes: list[KeyOutcomeRecord]
-    ) -> None:
+    async def _commit(self, claims: list[PendingClaim], outcomes: list[KeyOutcomeRecord]) -> None:
         batch = self._batch(claims, outcomes)
         try:
             async with asyncio.timeout(self._section.claim_timeout):
                 await self._append_and_fold(batch)
-        except LogUnavailableError:
+        except _NotAppendedError:
             self._give_up(claims, outcomes)
             return
         except (OSError, TimeoutError, PimentoquayError):
-            self._abandoned[batch.sequence] = batch.claims
+            self._abandon(batch)
             self._give_up(claims, outcomes)
             return
         self._answer(claims)
 
-    def _batch(
-        self, claims: list[PendingClaim], outcomes: list[KeyOutcomeRecord]
-    ) -> KeyBatch:
+    def _abandon(self, batch: KeyBatch) -> None:
+        """Remember a batch that may be on the log, to free its keys when it is read."""
+        self._abandoned[batch.sequence] = batch.claims
+        if len(self._abandoned) > MAX_ABANDONED:
+            del self._abandoned[min(self._abandoned)]
+
+    def _batch(self, claims: list[PendingClaim], outcomes: list[KeyOutcomeRecord]) -> KeyBatch:
         self._sequence += 1
         identity = self._node.identity
         records = tuple(pending.record for pending in claims)
-        return KeyBatch(
-            identity.vm, identity.incarnation, self._sequence, tuple(outcomes), records
-        )
+        return KeyBatch(identity.vm, identity.incarnation, self._sequence, tuple(outcomes), records)
 
     def _give_up(self, claims: list[PendingClaim], outcomes: list[KeyOutcomeRecord]) -> None:
         """Refuse the claims truthfully and keep the outcomes for the next append."""
@@ -167,6 +174,8 @@
     async def _append_and_fold(self, batch: KeyBatch) -> None:
         try:
             offset = await self._log.append(self._stream, encode(batch))
+        except LogUnavailableError as error:
+            raise _NotAppendedError(error.code, error.detail) from error
         except LogOutcomeUnknownError:
             await self._find(batch)
             return
--- a/pimentoquay/orders/once_only.py
+++ b/pimentoquay/orders/once_only.py
@@ -41,9 +41,7 @@
         The part's settings.
     """
 
-    def __init__(
-        self, node: Node, peers: PeerSet, ports: Ports, section: OnceOnlySection
-    ) -> None:
+    def __init__(self, node: Node, peers: PeerSet, ports: Ports, section: OnceOnlySection) -> None:
         self._node = node
         self._log = ports.log
         self._section = section
--- a/pimentoquay/orders/tests/test_key_fold.py
+++ b/pimentoquay/orders/tests/test_key_fold.py
@@ -2,9 +2,9 @@
 from hypothesis import strategies as st
 
 from pimentoquay.kernel import ResultCode, is_not_run
+from pimentoquay.membership.tests.conftest import vm_member
 from pimentoquay.messages.cluster import ClusterView
 from pimentoquay.messages.orders import KeyBatch, KeyClaimRecord, KeyOutcomeRecord
-from pimentoquay.membership.tests.conftest import vm_member
 from pimentoquay.orders import owner_vm_of_key
 from pimentoquay.orders.key_fold import KeyFold
 
