--- a/pimentoquay/membership/part.py
+++ b/pimentoquay/membership/part.py
@@ -11,7 +11,6 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from pimentoquay.configuration.events import ConfigurationInForce
 from pimentoquay.kernel import (
     Channel,
     ChannelClosed,
@@ -23,7 +22,7 @@
 )
 from pimentoquay.kernel.logs import logger
 from pimentoquay.membership.directory import MemberDirectory
-from pimentoquay.membership.events import DrainFinished, DrainRequested
+from pimentoquay.membership.events import ConfigurationReached, DrainFinished, DrainRequested
 from pimentoquay.membership.liveness import PeerLiveness
 from pimentoquay.membership.mesh import parse_seeds, ranked, wanted_addresses
 from pimentoquay.membership.remote import RemoteReports
@@ -108,7 +107,7 @@
         self._list_readable = True
         self._draining = False
         self._drain_reported = False
-        self._configuration_offset = 0
+        self.configuration_offset = -1
         self.inbox: asyncio.Queue[Envelope] = node.bus.subscribe(
             ChannelOpened,
             ChannelClosed,
@@ -119,7 +118,7 @@
             MemberAnnouncement,
             DataCentreReport,
             DrainRequested,
-            ConfigurationInForce,
+            ConfigurationReached,
         )
 
     async def run(self) -> None:
@@ -301,6 +300,10 @@
             self._remote.note_direct(channel.peer.vm, message)
         self._refresh()
 
+    @_handle.register
+    def _(self, message: ConfigurationReached, channel: Channel | None) -> None:
+        self.configuration_offset = message.offset
+
     @_handle.register
     def _(self, message: DrainRequested, channel: Channel | None) -> None:
         if not self._draining:
@@ -309,10 +312,6 @@
             self._send_heartbeats()
             self._refresh()
 
-    @_handle.register
-    def _(self, message: ConfigurationInForce, channel: Channel | None) -> None:
-        self._configuration_offset = message.offset
-
     # Heartbeats
 
     def _heartbeat(self) -> Heartbeat:
@@ -322,7 +321,7 @@
             identity.data_centre,
             identity.incarnation,
             self._is_leaving(),
-            self._configuration_offset,
+            self.configuration_offset,
             self._directory.version,
             self._list_age(),
             self._list_readable,
--- a/pimentoquay/orders/settings.py
+++ b/pimentoquay/orders/settings.py
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True)
 class OnceOnlySection:
-    """The ``[once-only]`` section: idempotency keys of non-idempotent requests."""
+    """The ``[once_only]`` section: idempotency keys of non-idempotent requests."""
 
     batch_window: float = setting(
         default=0.1,
