--- a/pimentoquay/control/settings.py
+++ b/pimentoquay/control/settings.py
@@ -7,6 +7,7 @@
 from pimentoquay.kernel.sections import ClusterSection, LogSection, PlatformSection, VmSection
 from pimentoquay.kernel.settings import setting
 from pimentoquay.membership.settings import MembershipSection
+from pimentoquay.orders.settings import OnceOnlySection
 from pimentoquay.scheduler.settings import SchedulerSection
 
 __all__ = ["ControlSection", "ControlSettings", "OperatorSection"]
@@ -36,5 +37,6 @@
     membership: MembershipSection
     configuration: ConfigurationSection
     scheduler: SchedulerSection
+    once_only: OnceOnlySection
     usage: UsageSection
     operator: OperatorSection
