Order engines under leases and fencing numbers

Cause: an owner may be deposed, paused or cut off while it orders, and some engines ignore fencing numbers. Change: claims on one log stream per data centre, offset plus one as fencing number, renewals that name the number they renew, the monotonic clock read straight before each send, a hold-off before engines without fencing, places for loading weights on the same stream, wanted against observed state at each period, role changes with hysteresis. The scheduler publishes the status that it reads, so engines are polled once. Tests found a woken holder that took its shard back from its successor; it now waits for the successor's lease.

--- a/pimentoquay/control/__init__.py
+++ b/pimentoquay/control/__init__.py
@@ -14,6 +14,7 @@
     "pimentoquay.configuration.part",
     "pimentoquay.control.operator",
     "pimentoquay.scheduler.part",
+    "pimentoquay.orders.part",
     "pimentoquay.orders.once_only",
     "pimentoquay.control.usage",
 )
--- a/pimentoquay/control/compose.py
+++ b/pimentoquay/control/compose.py
@@ -17,6 +17,7 @@
     "membership",
     "configuration",
     "scheduler",
+    "orders",
     "once-only",
     "operator",
     "usage",
--- a/pimentoquay/control/settings.py
+++ b/pimentoquay/control/settings.py
@@ -7,7 +7,7 @@
 from pimentoquay.kernel.sections import ClusterSection, LogSection, PlatformSection, VmSection
 from pimentoquay.kernel.settings import setting
 from pimentoquay.membership.settings import MembershipSection
-from pimentoquay.orders.settings import OnceOnlySection
+from pimentoquay.orders.settings import OnceOnlySection, OrdersSection
 from pimentoquay.scheduler.settings import SchedulerSection
 
 __all__ = ["ControlSection", "ControlSettings", "OperatorSection"]
@@ -37,6 +37,7 @@
     membership: MembershipSection
     configuration: ConfigurationSection
     scheduler: SchedulerSection
+    orders: OrdersSection
     once_only: OnceOnlySection
     usage: UsageSection
     operator: OperatorSection
--- a/pimentoquay/messages/orders.py
+++ b/pimentoquay/messages/orders.py
@@ -10,6 +10,7 @@
     "KeyClaimRecord",
     "KeyOutcome",
     "KeyOutcomeRecord",
+    "LoadPermit",
     "ShardClaim",
 ]
 
@@ -84,10 +85,29 @@
 
 @message(76)
 class ShardClaim:
-    """A claim of the orders to a shard's engines; its log offset is the fencing number."""
+    """A claim of the right to order a shard's engines about.
+
+    The offset of a holder's first claim plus one is its fencing number. ``renews`` is the number
+    that the record renews, 0 in a first claim; ``lease`` is in seconds, 0 to give the right up.
+    """
 
     shard: str
     vm: str
     incarnation: int
     sequence: int
+    renews: int
     lease: float
+
+
+@message(77)
+class LoadPermit:
+    """A claim of one of a data centre's places for loading weights, or its end.
+
+    ``lifetime`` is in seconds; 0 gives the place of the engine back.
+    """
+
+    engine: str
+    vm: str
+    incarnation: int
+    sequence: int
+    lifetime: float
--- a/pimentoquay/orders/key_bucket.py
+++ b/pimentoquay/orders/key_bucket.py
@@ -2,20 +2,20 @@
 
 A claim is granted only once its own append is on the log and everything before that append has
 been folded without an earlier claim of the key. Two VMs that both think they own the bucket
-therefore cannot both grant. When an append's offset is the very next one after the fold, nothing
-came between and nothing need be read; so an undisturbed owner never reads.
+therefore cannot both grant.
 """
 
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 from pimentoquay.kernel import Node, PimentoquayError, ResultCode, Subscription
-from pimentoquay.messages import CodecError, decode, encode
 from pimentoquay.messages.orders import KeyBatch, KeyClaimRecord, KeyOutcomeRecord
+from pimentoquay.orders.folded_stream import FoldedStream, NotAppendedError
 from pimentoquay.orders.key_fold import KeyFold
 from pimentoquay.orders.settings import OnceOnlySection
-from pimentoquay.platform.base import LogClient, LogOutcomeUnknownError, LogUnavailableError
+from pimentoquay.platform.base import LogClient
 
 __all__ = ["KeyBucket", "PendingClaim"]
 
@@ -32,10 +32,6 @@
 """Batches of unknown outcome remembered; keys of older ones stay claimed."""
 
 
-class _NotAppendedError(PimentoquayError):
-    """The log service took nothing of the batch."""
-
-
 @dataclass(eq=False)
 class PendingClaim:
     """A claim that has not been answered yet; ``answer`` is called exactly once."""
@@ -71,10 +67,9 @@
 
     def __init__(self, node: Node, log: LogClient, stream: str, section: OnceOnlySection) -> None:
         self._node = node
-        self._log = log
-        self._stream = stream
         self._section = section
-        self._fold = KeyFold(section.key_lifetime, section.outcome_timeout)
+        self._fold = self._new_fold()
+        self._stream = FoldedStream(log, stream, self._apply, self._restart)
         self._claims: list[PendingClaim] = []
         self._outcomes: list[KeyOutcomeRecord] = []
         self._wake = asyncio.Event()
@@ -125,8 +120,8 @@
         batch = self._batch(claims, outcomes)
         try:
             async with asyncio.timeout(self._section.claim_timeout):
-                await self._append_and_fold(batch)
-        except _NotAppendedError:
+                await self._stream.append(batch)
+        except NotAppendedError:
             self._give_up(claims, outcomes)
             return
         except (OSError, TimeoutError, PimentoquayError):
@@ -171,53 +166,16 @@
             KeyOutcomeRecord(record.digest, record.claim_id, ResultCode.KEY_UNAVAILABLE)
         )
 
-    async def _append_and_fold(self, batch: KeyBatch) -> None:
-        try:
-            offset = await self._log.append(self._stream, encode(batch))
-        except LogUnavailableError as error:
-            raise _NotAppendedError(error.code, error.detail) from error
-        except LogOutcomeUnknownError:
-            await self._find(batch)
-            return
-        if offset < self._fold.next_offset:
-            # The stream has started anew, so what was folded is of another stream.
-            self._fold = KeyFold(self._section.key_lifetime, self._section.outcome_timeout)
-        if offset == self._fold.next_offset:
-            self._fold.apply(batch, self._node.timers.now())
-            self._fold.next_offset = offset + 1
-            return
-        while self._fold.next_offset <= offset:
-            await self._read_page()
+    def _new_fold(self) -> KeyFold:
+        return KeyFold(self._section.key_lifetime, self._section.outcome_timeout)
 
-    async def _find(self, batch: KeyBatch) -> None:
-        """Look for a batch whose append was not answered; raise if it is not on the log."""
-        while True:
-            found, is_end = await self._read_page(batch)
-            if found:
-                return
-            if is_end:
-                raise LogOutcomeUnknownError(f"batch {batch.sequence} is not on the log yet")
-
-    async def _read_page(self, sought: KeyBatch | None = None) -> tuple[bool, bool]:
-        """Fold one page; return whether it held ``sought`` and whether the stream ended."""
-        page = await self._log.read(self._stream, self._fold.next_offset, 0.0)
-        now = self._node.timers.now()
-        found = False
-        for record in page.records:
-            if record.offset < self._fold.next_offset:
-                continue
-            self._fold.next_offset = record.offset + 1
-            try:
-                batch = decode(record.data)
-            except CodecError:
-                continue
-            if isinstance(batch, KeyBatch):
-                self._fold.apply(batch, now - record.age)
-                found = found or batch == sought
-                self._release_abandoned(batch)
-        if not page.records:
-            self._fold.next_offset = max(self._fold.next_offset, page.next_offset)
-        return found, self._fold.next_offset >= page.next_offset
+    def _restart(self) -> None:
+        self._fold = self._new_fold()
+
+    def _apply(self, offset: int, batch: Any, age: float) -> None:
+        if isinstance(batch, KeyBatch):
+            self._fold.apply(batch, self._node.timers.now() - age)
+            self._release_abandoned(batch)
 
     def _release_abandoned(self, batch: KeyBatch) -> None:
         identity = self._node.identity
--- a/pimentoquay/orders/key_fold.py
+++ b/pimentoquay/orders/key_fold.py
@@ -23,7 +23,7 @@
 
 
 class KeyFold:
-    """Holders of keys up to ``next_offset`` of the stream.
+    """Holders of keys by the records folded so far.
 
     Parameters
     ----------
@@ -34,7 +34,6 @@
     """
 
     def __init__(self, lifetime: float, outcome_timeout: float) -> None:
-        self.next_offset = 0
         self._lifetime = lifetime
         self._outcome_timeout = outcome_timeout
         self._holder_by_digest: dict[bytes, KeyHolder] = {}
--- a/pimentoquay/orders/settings.py
+++ b/pimentoquay/orders/settings.py
@@ -4,7 +4,7 @@
 
 from pimentoquay.kernel.settings import setting
 
-__all__ = ["OnceOnlySection"]
+__all__ = ["OnceOnlySection", "OrdersSection"]
 
 
 @dataclass(frozen=True)
@@ -35,3 +35,59 @@
         unit="s",
         help="time after which a claim without an outcome is answered with outcome unknown",
     )
+
+
+@dataclass(frozen=True)
+class OrdersSection:
+    """The ``[orders]`` section: leases over engines and reconciliation of their state."""
+
+    lease: float = setting(
+        default=30.0, low=1.0, high=3600.0, unit="s", help="how long a claim of a shard holds"
+    )
+    renew_share: float = setting(
+        default=0.4, low=0.05, high=0.9, help="part of the lease after which it is renewed"
+    )
+    longest_pause: float = setting(
+        default=10.0, low=0.0, high=600.0, unit="s", help="the longest pause of a process foreseen"
+    )
+    order_timeout: float = setting(
+        default=5.0, low=0.1, high=600.0, unit="s", help="the longest time an order is under way"
+    )
+    log_timeout: float = setting(
+        default=3.0, low=0.1, high=60.0, unit="s", help="the longest wait for the log service"
+    )
+    reconcile_period: float = setting(
+        default=2.0,
+        low=0.1,
+        high=600.0,
+        unit="s",
+        help="how often wanted and observed state are compared",
+    )
+    loads_at_once: int = setting(
+        default=4, low=1, high=1000, help="engines of a data centre that load weights at once"
+    )
+    load_timeout: float = setting(
+        default=300.0, low=1.0, high=86400.0, unit="s", help="the longest load of weights foreseen"
+    )
+    role_changes: bool = setting(
+        default=True, help="whether engines change between prefill and decode as the mix shifts"
+    )
+    role_high: float = setting(
+        default=0.85, low=0.1, high=1.0, help="use of a stage's engines above which it wants more"
+    )
+    role_low: float = setting(
+        default=0.5, low=0.0, high=1.0, help="use of the other stage's below which it can give one"
+    )
+    role_hold: float = setting(
+        default=30.0, low=0.0, high=86400.0, unit="s", help="how long a shift of the mix must last"
+    )
+    role_dwell: float = setting(
+        default=120.0, low=0.0, high=86400.0, unit="s", help="time between two changes of role"
+    )
+    prefill_backlog: float = setting(
+        default=20000.0,
+        low=1.0,
+        high=1e9,
+        unit="tokens",
+        help="tokens waiting at a prefill engine that count as full use",
+    )
--- /dev/null
+++ b/pimentoquay/orders/tests/test_leases.py
@@ -0,0 +1,184 @@
+"""Leases and fencing under failures, in virtual time."""
+
+import asyncio
+import contextlib
+import random
+
+import pytest
+
+from pimentoquay.kernel import Identity, LoopClock, Node, PimentoquayError
+from pimentoquay.orders.leases import Leases
+from pimentoquay.orders.settings import OrdersSection
+from pimentoquay.platform.base import LogUnavailableError
+from pimentoquay.standin.log import StandinLog
+from pimentoquay.transport.memory import MemoryNetwork
+
+pytestmark = [pytest.mark.asyncio, pytest.mark.looptime]
+
+SECTION = OrdersSection(lease=30.0, longest_pause=10.0, order_timeout=5.0, loads_at_once=2)
+SHARD = "llm@d#0"
+
+
+def leases(log, vm, incarnation=1):
+    identity = Identity(vm, "control", "r", "d", incarnation)
+    node = Node(identity, MemoryNetwork().transport(identity), LoopClock(0.0))
+    return Leases(node, log, SECTION)
+
+
+async def keep(holder, seconds):
+    """Renew as the part does, for a while."""
+    for _ in range(int(seconds / 2)):
+        with contextlib.suppress(PimentoquayError):
+            await holder.keep(SHARD)
+        await asyncio.sleep(2)
+
+
+async def test_numbers_grow_with_each_holder_and_stay_over_renewals():
+    log = StandinLog()
+    first, second = leases(log, "a"), leases(log, "b")
+    await first.keep(SHARD)
+    number = first.number_for(SHARD, True)
+    await keep(first, 100)
+    assert first.number_for(SHARD, True) == number > 0
+    await second.keep(SHARD)
+    assert second.number_for(SHARD, True) > number
+
+
+async def test_renewals_are_sparse_and_an_undisturbed_holder_reads_nothing():
+    log = StandinLog()
+    holder = leases(log, "a")
+    await holder.keep(SHARD)
+    before = log.appends
+    await keep(holder, 120)
+    assert log.appends - before <= 11
+
+
+async def test_deposed_holder_stops_at_its_next_renewal_and_does_not_take_it_back():
+    log = StandinLog()
+    first, second = leases(log, "a"), leases(log, "b")
+    await first.keep(SHARD)
+    await second.keep(SHARD)
+    await asyncio.gather(keep(first, 60), keep(second, 60))
+    assert first.number_for(SHARD, True) == 0
+    assert second.number_for(SHARD, True) > 0
+
+
+async def test_paused_holder_that_wakes_has_no_lease():
+    log = StandinLog()
+    holder = leases(log, "a")
+    await holder.keep(SHARD)
+    assert holder.number_for(SHARD, True) > 0
+    await asyncio.sleep(30)
+    assert holder.number_for(SHARD, True) == 0
+
+
+async def test_new_owner_of_engines_without_fencing_waits_for_the_last_possible_order():
+    log = StandinLog()
+    first, second = leases(log, "a"), leases(log, "b")
+    await first.keep(SHARD)
+    await asyncio.sleep(5)
+    await second.keep(SHARD)
+    assert second.number_for(SHARD, True) > 0
+    await keep(second, 39)
+    assert second.number_for(SHARD, False) == 0
+    await keep(second, 6)
+    assert second.number_for(SHARD, False) > 0
+
+
+async def test_two_holders_before_the_new_one_are_both_waited_for():
+    log = StandinLog()
+    first, second, third = leases(log, "a"), leases(log, "b"), leases(log, "c")
+    await first.keep(SHARD)
+    await second.keep(SHARD)
+    await second.give_up(SHARD)
+    await third.keep(SHARD)
+    await keep(third, 40)
+    assert third.number_for(SHARD, False) == 0
+    await keep(third, 10)
+    assert third.number_for(SHARD, False) > 0
+
+
+async def test_lease_that_was_given_up_needs_only_the_order_time_out():
+    log = StandinLog()
+    first, second = leases(log, "a"), leases(log, "b")
+    await first.keep(SHARD)
+    await first.give_up(SHARD)
+    assert first.number_for(SHARD, True) == 0
+    await second.keep(SHARD)
+    await asyncio.sleep(5)
+    assert second.number_for(SHARD, False) > 0
+
+
+async def test_no_claim_while_the_log_is_down_and_the_old_lease_ends():
+    log = StandinLog()
+    holder = leases(log, "a")
+    await holder.keep(SHARD)
+    log.outage(60)
+    await keep(holder, 28)
+    assert holder.number_for(SHARD, True) > 0
+    await keep(holder, 4)
+    assert holder.number_for(SHARD, True) == 0
+    with pytest.raises(LogUnavailableError):
+        await holder.keep(SHARD)
+    await asyncio.sleep(40)
+    await holder.keep(SHARD)
+    assert holder.number_for(SHARD, False) > 0
+
+
+async def test_claim_whose_answer_was_lost_is_found_again():
+    log = StandinLog()
+    holder = leases(log, "a")
+    log.lose_next_answers(1)
+    await holder.keep(SHARD)
+    assert holder.number_for(SHARD, True) == 1
+
+
+async def test_places_for_loading_are_limited_over_all_vms():
+    log = StandinLog()
+    first, second = leases(log, "a"), leases(log, "b")
+    assert await first.permit_load("e1")
+    assert await second.permit_load("e2")
+    assert not await second.permit_load("e3")
+    await first.end_load("e1")
+    assert await second.permit_load("e3")
+    assert not await first.permit_load("e1")
+
+
+@pytest.mark.parametrize("seed", range(8))
+async def test_orders_of_two_holders_never_overlap_without_fencing(seed):
+    """Whatever the owners believe and the log does, one VM at a time may order."""
+    rng = random.Random(seed)
+    log = StandinLog()
+    holders = {vm: leases(log, vm) for vm in "abc"}
+    sent = []
+
+    async def run(vm):
+        while asyncio.get_running_loop().time() < 600:
+            believes = rng.random() < 0.6
+            try:
+                async with asyncio.timeout(3):
+                    await (holders[vm].keep(SHARD) if believes else holders[vm].give_up(SHARD))
+            except (PimentoquayError, TimeoutError):
+                pass
+            number = holders[vm].number_for(SHARD, False)
+            if number and believes:
+                if rng.random() < 0.2:
+                    await asyncio.sleep(rng.uniform(0, 10))
+                sent.append((asyncio.get_running_loop().time(), number, vm))
+            await asyncio.sleep(rng.choice((1, 2, 2, 20, 45)))
+
+    async def faults():
+        for _ in range(20):
+            await asyncio.sleep(rng.uniform(0, 30))
+            rng.choice(
+                (
+                    lambda: log.outage(rng.uniform(0, 40)),
+                    lambda: log.slow(rng.uniform(0, 4), rng.uniform(0, 20)),
+                    lambda: log.lose_next_answers(2),
+                )
+            )()
+
+    await asyncio.gather(faults(), *(run(vm) for vm in holders))
+    numbers = [number for _, number, _ in sorted(sent)]
+    assert numbers == sorted(numbers)
+    assert len(sent) >= 5
--- /dev/null
+++ b/pimentoquay/orders/tests/test_part.py
@@ -0,0 +1,188 @@
+"""The orders part against stand-in engines, in virtual time."""
+
+import asyncio
+import contextlib
+from typing import Any
+
+import pytest
+
+from pimentoquay.backends.base import EngineRole
+from pimentoquay.configuration.events import ConfigurationInForce
+from pimentoquay.kernel import Identity, LoopClock, Node, PimentoquayError
+from pimentoquay.membership.tests.conftest import vm_member
+from pimentoquay.messages.cluster import ClusterView, Member, MemberKind, MemberState
+from pimentoquay.messages.workspaces import ModelSpec, Workspace
+from pimentoquay.orders.part import OrdersPart
+from pimentoquay.orders.settings import OrdersSection
+from pimentoquay.platform.ports import Ports
+from pimentoquay.standin.directory import EngineDirectory
+from pimentoquay.standin.engine import StandinEngine
+from pimentoquay.standin.engine_model import EngineModel
+from pimentoquay.standin.log import StandinLog
+from pimentoquay.standin.weight_store import StandinWeights
+from pimentoquay.transport.memory import MemoryNetwork
+from pimentoquay.transport.peers import PeerSet
+
+pytestmark = [pytest.mark.asyncio, pytest.mark.looptime]
+
+SECTION = OrdersSection(loads_at_once=2)
+
+
+def workspace(version, adapter="", weight=1):
+    models = (ModelSpec("llm", version, adapter),)
+    return Workspace("w", "t", (), models, (), (), 1, weight)
+
+
+class OrdersCluster:
+    """Engines, a log, and control processes with only the orders part."""
+
+    def __init__(self, engines=6, checks_fencing=True):
+        self.log = StandinLog()
+        self.weights = StandinWeights(rate=1e9)
+        self.engine_by_name = {}
+        self.checks_fencing = checks_fencing
+        for index in range(engines):
+            name = f"e{index}"
+            role = EngineRole.PREFILL if index % 2 else EngineRole.DECODE
+            model = EngineModel(checks_fencing=checks_fencing)
+            self.engine_by_name[name] = StandinEngine(
+                name, "llm", EngineDirectory(), role, "v1", model, self.weights
+            )
+        self.tasks = []
+        self.node_by_vm = {}
+
+    def members(self, vms):
+        engines = [
+            Member(
+                name,
+                MemberKind.ENGINE,
+                MemberState.LIVE,
+                "r",
+                "d",
+                f"{name}:1",
+                "llm",
+                self.checks_fencing,
+            )
+            for name in self.engine_by_name
+        ]
+        return (*engines, *(vm_member(vm, "d") for vm in vms))
+
+    def start(self, vm):
+        identity = Identity(vm, "control", "r", "d", 1)
+        node = Node(identity, MemoryNetwork().transport(identity), LoopClock(0.0))
+        unused: Any = None
+        ports = Ports(
+            lambda member: self.engine_by_name[member.name], unused, self.log, unused, unused
+        )
+        part = OrdersPart(node, PeerSet(node), ports, SECTION)
+        self.tasks += [
+            asyncio.create_task(node.run((part,))),
+            asyncio.create_task(self._report_status(node)),
+        ]
+        self.node_by_vm[vm] = node
+
+    def tell(self, vm, live=("a",), version="v2", adapter=""):
+        node = self.node_by_vm[vm]
+        node.bus.publish(ClusterView(1, self.members(live), tuple(live), ("d",)))
+        node.bus.publish(ConfigurationInForce(1, {"w": workspace(version, adapter)}, {"w": 1}))
+
+    async def _report_status(self, node):
+        while True:
+            await node.timers.sleep(1.0)
+            for engine in self.engine_by_name.values():
+                with contextlib.suppress(PimentoquayError):
+                    node.bus.publish(await engine.status())
+
+    def order_counts(self):
+        return [len(engine.observed().orders) for engine in self.engine_by_name.values()]
+
+    async def versions(self):
+        return [(await engine.status()).version for engine in self.engine_by_name.values()]
+
+    async def close(self):
+        for task in self.tasks:
+            task.cancel()
+        results = await asyncio.gather(*self.tasks, return_exceptions=True)
+        assert all(isinstance(result, asyncio.CancelledError) for result in results), results
+
+
+async def run_orders(body, **options):
+    cluster = OrdersCluster(**options)
+    try:
+        await body(cluster)
+    finally:
+        await cluster.close()
+
+
+@pytest.mark.parametrize("checks_fencing", [True, False])
+async def test_every_engine_reaches_the_version_in_force_few_at_a_time(checks_fencing):
+    async def body(cluster):
+        cluster.start("a")
+        cluster.tell("a", adapter="lora")
+        least_old = 6
+        for _ in range(120):
+            await asyncio.sleep(1)
+            done = (await cluster.versions()).count("v2")
+            loading = cluster.weights.reads_under_way
+            least_old = min(least_old, 6 - loading)
+            if done == 6:
+                break
+        await asyncio.sleep(20)
+        assert await cluster.versions() == ["v2"] * 6
+        for engine in cluster.engine_by_name.values():
+            assert (await engine.status()).adapters == ("lora",)
+        assert cluster.weights.most_reads_at_once <= 2
+        assert least_old >= 4
+
+    await run_orders(body, checks_fencing=checks_fencing)
+
+
+async def test_reached_state_is_not_ordered_again():
+    async def body(cluster):
+        cluster.start("a")
+        cluster.tell("a")
+        await asyncio.sleep(120)
+        loads = cluster.order_counts()
+        await asyncio.sleep(120)
+        after = cluster.order_counts()
+        assert loads == after
+
+    await run_orders(body)
+
+
+async def test_deposed_owner_that_wakes_orders_nothing_that_lasts():
+    """A paused with old configuration, B takes over with the new one, A wakes unaware."""
+
+    async def body(cluster):
+        cluster.start("a")
+        cluster.tell("a", version="v2")
+        await asyncio.sleep(100)
+        assert await cluster.versions() == ["v2"] * 6
+        cluster.node_by_vm["a"].timers.pause()
+        cluster.start("b")
+        cluster.tell("b", live=("b",), version="v3")
+        await asyncio.sleep(200)
+        assert await cluster.versions() == ["v3"] * 6
+        before = cluster.order_counts()
+        cluster.node_by_vm["a"].timers.resume()
+        await asyncio.sleep(120)
+        after = cluster.order_counts()
+        assert before == after
+        assert await cluster.versions() == ["v3"] * 6
+
+    for checks_fencing in (True, False):
+        await run_orders(body, checks_fencing=checks_fencing)
+
+
+async def test_engine_restarted_with_an_old_version_is_brought_back():
+    async def body(cluster):
+        cluster.start("a")
+        cluster.tell("a")
+        await asyncio.sleep(100)
+        cluster.engine_by_name["e1"].crash()
+        await asyncio.sleep(5)
+        cluster.engine_by_name["e1"].restart()
+        await asyncio.sleep(60)
+        assert await cluster.versions() == ["v2"] * 6
+
+    await run_orders(body)
--- /dev/null
+++ b/pimentoquay/policy/tests/test_roles.py
@@ -0,0 +1,53 @@
+import itertools
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pimentoquay.backends.base import EngineRole, EngineStatus
+from pimentoquay.policy.roles import RoleBalance, RoleLimits
+
+LIMITS = RoleLimits(0.85, 0.5, 30.0, 120.0, 1000.0)
+
+
+def status(name, role, running=0, waiting=0):
+    return EngineStatus(name, "m", "v", (), role, 20, running, 1, 0, waiting, 0, 0.0, ())
+
+
+def mixed_load(prefill_waiting, decode_running, prefill=3, decode=3):
+    prefills = [
+        status(f"p{n}", EngineRole.PREFILL, waiting=prefill_waiting) for n in range(prefill)
+    ]
+    decodes = [status(f"d{n}", EngineRole.DECODE, running=decode_running) for n in range(decode)]
+    return tuple(prefills + decodes)
+
+
+def test_lasting_shift_moves_one_engine_after_the_hold_time():
+    balance = RoleBalance(LIMITS)
+    assert balance.decide(mixed_load(0, 20), 0.0) is None
+    assert balance.decide(mixed_load(0, 20), 29.0) is None
+    assert balance.decide(mixed_load(0, 20), 30.0).role is EngineRole.PREFILL
+    assert balance.decide(mixed_load(0, 20), 31.0) is None
+
+
+def test_interrupted_shift_starts_the_hold_time_anew():
+    balance = RoleBalance(LIMITS)
+    balance.decide(mixed_load(0, 20), 0.0)
+    balance.decide(mixed_load(0, 12), 20.0)
+    assert balance.decide(mixed_load(0, 20), 31.0) is None
+
+
+def test_last_engine_of_a_stage_never_changes():
+    balance = RoleBalance(LIMITS)
+    for second in range(200):
+        assert balance.decide(mixed_load(0, 20, prefill=1), float(second)) is None
+
+
+@given(st.lists(st.tuples(st.integers(0, 2000), st.integers(0, 20)), max_size=300))
+def test_changes_are_never_closer_than_the_dwell_time(loads):
+    balance = RoleBalance(LIMITS)
+    changes = [
+        second
+        for second, (waiting, running) in enumerate(loads)
+        if balance.decide(mixed_load(waiting, running), float(second)) is not None
+    ]
+    assert all(later - earlier >= 120 for earlier, later in itertools.pairwise(changes))
--- a/pimentoquay/scheduler/part.py
+++ b/pimentoquay/scheduler/part.py
@@ -278,6 +278,7 @@
             scheduler.engines.lose(name)
 
     def _take_status(self, status: EngineStatus) -> None:
+        self._node.bus.publish(status)
         now = self._node.clock.now()
         for scheduler in self.scheduler_by_shard.values():
             if status.engine not in scheduler.ledger.engine_by_name:
