--- a/pimentoquay/policy/tests/test_roles.py
+++ b/pimentoquay/policy/tests/test_roles.py
@@ -25,7 +25,8 @@
     balance = RoleBalance(LIMITS)
     assert balance.decide(mixed_load(0, 20), 0.0) is None
     assert balance.decide(mixed_load(0, 20), 29.0) is None
-    assert balance.decide(mixed_load(0, 20), 30.0).role is EngineRole.PREFILL
+    changed = balance.decide(mixed_load(0, 20), 30.0)
+    assert changed is not None and changed.role is EngineRole.PREFILL
     assert balance.decide(mixed_load(0, 20), 31.0) is None
 
 
