Notice stalled transfers and slow engines early

Cause: a stalled transfer was given up only when its KV had expired, so nothing was left to rescue; a slow decode engine showed only when its answers had ended.

The first nine tokens of an answer tell the scheduler the engine's speed.

--- a/pimentoquay/entry/attempt.py
+++ b/pimentoquay/entry/attempt.py
@@ -17,6 +17,7 @@
 from pimentoquay.kernel import Node, PimentoquayError, ResultCode
 from pimentoquay.messages.cluster import Member
 from pimentoquay.messages.placement import Grant, GrantRecord, Stage, StageReport
+from pimentoquay.policy import TransferPace
 
 __all__ = ["Attempt", "HeldKv", "StageFailedError"]
 
@@ -56,6 +57,7 @@
     engine: str
     attempt: int
     expires_at: float
+    kv_bytes: int
 
 
 class Attempt:
@@ -83,6 +85,8 @@
         the request is decoded on the engine whose KV cache an earlier attempt computed.
     client_by_engine
         The engines that were called and may hold something.
+    pace
+        How fast KV usually moves.
     """
 
     def __init__(
@@ -94,6 +98,7 @@
         shard: str,
         grant: Grant,
         deadline: float,
+        pace: TransferPace,
     ) -> None:
         self._node = node
         self._link = link
@@ -101,6 +106,7 @@
         self._spec = spec
         self._shard = shard
         self._deadline = deadline
+        self._pace = pace
         self.grant = grant
         self.engine_attempt = grant.attempt
         self.client_by_engine: dict[str, EngineClient] = {}
@@ -128,13 +134,15 @@
             raise StageFailedError(Stage.PREFILL, engine, _cause(error)) from error
         now = self._node.clock.now()
         self._report(Stage.PREFILL, engine, result.cached_tokens, now - started)
-        return HeldKv(engine, self.grant.attempt, now + result.kv_lifetime)
+        expires_at = now + result.kv_lifetime
+        return HeldKv(engine, self.grant.attempt, expires_at, result.kv_bytes)
 
     async def transfer(self, kv: HeldKv) -> None:
         """Move the KV cache to the decode engine while it lives."""
         source, target = self.grant.prefill_engine, self.grant.decode_engine
         self._hold(Stage.TRANSFER)
         started = self._node.clock.now()
+        patience = max(0.0, self._pace.patience(kv.kv_bytes, kv.expires_at - started))
         try:
             order = ImportOrder(
                 self._spec.request_id,
@@ -144,14 +152,16 @@
                 self._spec.max_tokens,
                 kv.attempt,
             )
-            async with asyncio.timeout(max(0.0, kv.expires_at - started)):
+            async with asyncio.timeout(patience):
                 await self._client(target).import_kv(order)
         except (PimentoquayError, TimeoutError) as error:
             failure = StageFailedError(Stage.TRANSFER, target, _cause(error))
             is_alive = self._node.clock.now() + KV_MARGIN_SECONDS < kv.expires_at
             failure.kv = kv if is_alive else None
             raise failure from error
-        self._report(Stage.TRANSFER, target, 0, self._node.clock.now() - started)
+        seconds = self._node.clock.now() - started
+        self._pace.note(kv.kv_bytes, seconds)
+        self._report(Stage.TRANSFER, target, 0, seconds)
 
     async def first_chunk(self, stream: AsyncIterator[bytes]) -> bytes:
         """Return the first frames of a decode stream."""
@@ -179,6 +189,21 @@
         client = self._client(self.grant.decode_engine)
         return client.resume(self._spec.request_id, self.engine_attempt, offset)
 
+    def report_decode(self, tokens: int, seconds: float) -> None:
+        """Tell the scheduler how fast the first tokens came, long before the last one does."""
+        engine = self.grant.decode_engine
+        report = StageReport(
+            self._spec.request_id,
+            self.grant.attempt,
+            Stage.DECODE,
+            engine,
+            ResultCode.OK,
+            tokens,
+            0,
+            seconds,
+        )
+        self._link.report(self._shard, report)
+
     def _member(self, engine: str) -> Member:
         member = self._link.directory.member_by_name.get(engine)
         if member is None:
--- a/pimentoquay/entry/life.py
+++ b/pimentoquay/entry/life.py
@@ -29,6 +29,9 @@
 MAX_ATTEMPTS = 6
 """Attempts of one request, the first included."""
 
+EARLY_TOKENS = 8
+"""Tokens after the first by which the engine's speed is told to the scheduler."""
+
 RESUME_TRIES = 3
 """Tries to resume a broken stream before it is given up."""
 
@@ -66,6 +69,7 @@
             self._retry_until += spec.max_tokens * spec.kind.token_interval_target
         self._admitted_at = 0.0
         self._first_token_at = 0.0
+        self._is_pace_told = False
 
     def frames(self) -> AsyncIterator[bytes]:
         """Place and run the request."""
@@ -129,6 +133,7 @@
             self._placement.shard,
             grant,
             self._deadline,
+            self._service.pace,
         )
         self._attempts.append(attempt)
         return attempt
@@ -166,10 +171,17 @@
             yield self._count(chunk)
             async for chunk in self._rest(stream):
                 yield chunk
+                if not self._is_pace_told and self.tokens > EARLY_TOKENS:
+                    self._tell_pace(attempt)
         if not self.is_whole:
             async for chunk in self._go_on(attempt):
                 yield chunk
 
+    def _tell_pace(self, attempt: Attempt) -> None:
+        self._is_pace_told = True
+        seconds = self._node.clock.now() - self._first_token_at
+        attempt.report_decode(self.tokens - 1, seconds)
+
     async def _whole(self, attempt: Attempt, kv: HeldKv) -> AsyncIterator[bytes]:
         """Relay an answer in one piece, so that until then it may be run again."""
         try:
--- a/pimentoquay/entry/service.py
+++ b/pimentoquay/entry/service.py
@@ -28,6 +28,7 @@
 from pimentoquay.entry.scheduler_link import SchedulerLink
 from pimentoquay.kernel import Node
 from pimentoquay.messages.cluster import Member
+from pimentoquay.policy import TransferPace
 
 __all__ = ["RequestService"]
 
@@ -66,6 +67,7 @@
         self._client_by_member: dict[tuple[str, str], EngineClient] = {}
         self.direct = DirectPlacer(self.engine_of, rng)
         self.placer = Placer(node, link, self.direct, rng)
+        self.pace = TransferPace()
         self.run_by_id: dict[str, RequestRun] = {}
         self._cleanups: set[asyncio.Task[None]] = set()
 
--- a/pimentoquay/policy/__init__.py
+++ b/pimentoquay/policy/__init__.py
@@ -13,12 +13,12 @@
 )
 from pimentoquay.policy.circuits import CircuitLimits, Circuits, CircuitState
 from pimentoquay.policy.engines import EngineLoad
+from pimentoquay.policy.links import TransferPace, is_link_key, link_keys
 from pimentoquay.policy.placement import (
     Choice,
     PlacementLimits,
     PlacementNeed,
     choose,
-    link_key,
 )
 from pimentoquay.policy.prefix_index import PrefixIndex
 from pimentoquay.policy.prefixes import BLOCK_TOKENS, prefix_hashes
@@ -45,11 +45,13 @@
     "RetryBudget",
     "RetryLimits",
     "SpeedBook",
+    "TransferPace",
     "StartingSpeeds",
     "Verdict",
     "admit",
     "choose",
     "estimated_wait",
-    "link_key",
+    "is_link_key",
+    "link_keys",
     "prefix_hashes",
 ]
--- a/pimentoquay/policy/placement.py
+++ b/pimentoquay/policy/placement.py
@@ -9,9 +9,10 @@
 from dataclasses import dataclass
 
 from pimentoquay.policy.engines import EngineLoad
+from pimentoquay.policy.links import link_keys
 from pimentoquay.policy.speeds import SpeedBook
 
-__all__ = ["Choice", "PlacementLimits", "PlacementNeed", "choose", "link_key"]
+__all__ = ["Choice", "PlacementLimits", "PlacementNeed", "choose"]
 
 
 @dataclass(frozen=True)
@@ -59,11 +60,6 @@
     end: float
 
 
-def link_key(source: str, target: str) -> str:
-    """Return the key of the link between two engines."""
-    return f"{source}>{target}"
-
-
 def choose(
     need: PlacementNeed,
     prefill_engines: Iterable[EngineLoad],
@@ -75,8 +71,8 @@
 ) -> Choice | None:
     """Return the best open pair, or ``None`` if the request has to wait.
 
-    The caller leaves out engines that are not usable. ``closed_links`` are those whose circuit
-    does not let the request through.
+    The caller leaves out engines that are not usable. ``closed_links`` are the keys of those
+    sides of links whose circuit does not let the request through.
     """
     starts = [
         _start_on(engine, need, speeds, now)
@@ -93,10 +89,9 @@
     best_choice = None
     for start in starts:
         for target in targets:
-            link = link_key(start.engine.name, target.name)
-            if link in closed_links:
+            if closed_links and _is_closed(start.engine.name, target.name, closed_links):
                 continue
-            arrival = _arrival(start, target, need, speeds, link)
+            arrival = _arrival(start, target, need, speeds)
             if limits.reserves_slot and not _has_slot(start, target, arrival - now, limits):
                 continue
             score = (_cost(start, arrival, target, limits), start.engine.name, target.name)
@@ -112,13 +107,15 @@
     return _Start(engine, begin + tokens * speeds.prefill.of(engine.name))
 
 
-def _arrival(
-    start: _Start, target: EngineLoad, need: PlacementNeed, speeds: SpeedBook, link: str
-) -> float:
+def _arrival(start: _Start, target: EngineLoad, need: PlacementNeed, speeds: SpeedBook) -> float:
     if start.engine is target:
         return start.end
     begin = max(start.end, start.engine.link_free_at, target.link_free_at)
-    return begin + need.prompt_tokens * speeds.transfer.of(link)
+    return begin + need.prompt_tokens * speeds.transfer.of(target.name)
+
+
+def _is_closed(source: str, target: str, closed_links: frozenset[str]) -> bool:
+    return not closed_links.isdisjoint(link_keys(source, target))
 
 
 def _has_slot(start: _Start, target: EngineLoad, seconds: float, limits: PlacementLimits) -> bool:
--- a/pimentoquay/scheduler/engines.py
+++ b/pimentoquay/scheduler/engines.py
@@ -2,7 +2,7 @@
 
 from pimentoquay.backends.base import EngineRole, EngineStatus
 from pimentoquay.membership import Shard
-from pimentoquay.policy import Circuits, CircuitState, EngineLoad, SpeedBook, link_key
+from pimentoquay.policy import Circuits, CircuitState, EngineLoad, SpeedBook, is_link_key, link_keys
 from pimentoquay.scheduler.ledger import Ledger
 
 __all__ = ["SLOW_PROBE_SECONDS", "EngineSet"]
@@ -70,10 +70,12 @@
         """Return the seconds until an engine's circuit lets a request through again."""
         return self._circuits.retry_in(name, now)
 
-    def closed_links(self, engines: list[EngineLoad], now: float) -> frozenset[str]:
-        """Return the links between usable engines that are left alone now."""
+    def closed_links(self, now: float) -> frozenset[str]:
+        """Return the keys of the sides of links that are left alone now."""
         keys = self._circuits.open_keys()
-        return frozenset(key for key in keys if ">" in key and not self._is_let_through(key, now))
+        return frozenset(
+            key for key in keys if is_link_key(key) and not self._is_let_through(key, now)
+        )
 
     def decoders(self, usable: list[EngineLoad], interval: float, now: float) -> list[EngineLoad]:
         """Return the engines that decode within ``interval`` seconds a token.
@@ -107,5 +109,5 @@
 
 def probe_keys(circuits: Circuits, prefill: str, decode: str, now: float) -> tuple[str, ...]:
     """Return the keys of a pair whose circuits are due a probe."""
-    keys = dict.fromkeys((prefill, decode, link_key(prefill, decode)))
+    keys = dict.fromkeys((prefill, decode, *link_keys(prefill, decode)))
     return tuple(key for key in keys if circuits.state(key, now) is CircuitState.PROBE_DUE)
--- a/pimentoquay/scheduler/selection.py
+++ b/pimentoquay/scheduler/selection.py
@@ -91,7 +91,7 @@
         need = PlacementNeed(
             request.prompt_tokens, request.max_tokens, self._cached(request, sources)
         )
-        closed = self._engines.closed_links(usable, now)
+        closed = self._engines.closed_links(now)
         limits = self._strict if is_rescue_waiting else self._placement
         choice = choose(need, sources, targets, self._speeds, closed, limits, now)
         if choice is not None and self._section.admission:
@@ -110,8 +110,8 @@
         )
         usable = self._engines.usable(now)
         targets = self._engines.decoders(usable, waiting.request.token_interval, now)
-        targets = [load for load in targets if load.idle_slots() > 0]
-        closed = self._engines.closed_links(usable, now)
+        targets = [load for load in targets if load.idle_slots() > 0 and load.name != waiting.avoid]
+        closed = self._engines.closed_links(now)
         open_source = replace(source, prefill_count=0)
         targets = [open_source if load is source else load for load in targets]
         return choose(need, [open_source], targets, self._speeds, closed, self._rescue, now)
--- a/pimentoquay/scheduler/shard.py
+++ b/pimentoquay/scheduler/shard.py
@@ -46,7 +46,7 @@
     StartingSpeeds,
     admit,
     estimated_wait,
-    link_key,
+    link_keys,
 )
 from pimentoquay.scheduler.engines import EngineSet, probe_keys
 from pimentoquay.scheduler.ledger import EntryKey, GrantState, Ledger, announced_grant
@@ -168,7 +168,9 @@
             self._refuse(entry, message.request_id, message.attempt, code, 1.0)
             return
         kv_engine = message.kv_engine if self._section.rescue else ""
-        self._wait(entry, request, deadline, service, now, kv_engine)
+        is_full = message.code is ResultCode.CIRCUIT_OPEN
+        avoid = "" if is_full else message.failed_engine
+        self._wait(entry, request, deadline, service, now, kv_engine, avoid)
         self.dispatch(now)
 
     def release(self, message: Release, now: float) -> None:
@@ -260,6 +262,7 @@
         service: Service,
         now: float,
         kv_engine: str = "",
+        avoid: str = "",
     ) -> None:
         needed = 0.0 if kv_engine else service.first_token
         self.waiting.add(
@@ -272,6 +275,7 @@
                 service.hold,
                 kv_engine,
                 now + KV_RESCUE_SECONDS if kv_engine else 0.0,
+                avoid,
             )
         )
 
@@ -360,10 +364,10 @@
     def _transferred(self, grant: GrantState, report: StageReport, now: float) -> None:
         if grant.stage is not Stage.TRANSFER:
             return
-        link = link_key(grant.prefill_engine, grant.decode_engine)
-        self.speeds.saw_transfer(link, report.tokens, report.seconds, now)
+        self.speeds.saw_transfer(grant.decode_engine, report.tokens, report.seconds, now)
         self.circuits.succeeded(grant.decode_engine)
-        self.circuits.succeeded(link)
+        for key in link_keys(grant.prefill_engine, grant.decode_engine):
+            self.circuits.succeeded(key)
         self.ledger.move(grant, Stage.DECODE, now)
 
     def _count_failure(self, grant: GrantState | None, message: ReplaceRequest, now: float) -> None:
@@ -377,7 +381,8 @@
             if not is_transfer or load is None or load.free_slots() > 0:
                 self.circuits.refused(engine, now)
         elif is_transfer and grant is not None:
-            self.circuits.failed(link_key(grant.prefill_engine, grant.decode_engine), now)
+            for key in link_keys(grant.prefill_engine, grant.decode_engine):
+                self.circuits.failed(key, now)
         else:
             self.circuits.failed(engine, now)
 
--- a/pimentoquay/scheduler/waiting.py
+++ b/pimentoquay/scheduler/waiting.py
@@ -14,7 +14,8 @@
 class WaitingRequest:
     """One waiting request; ``deadline`` and the others in seconds of the scheduler's clock.
 
-    ``kv_engine`` names the engine that holds its KV until ``kv_until``, or is empty.
+    ``kv_engine`` names the engine that holds its KV until ``kv_until``, or is empty; ``avoid``
+    names one that the KV could not be moved to.
     """
 
     request: PlaceRequest
@@ -25,6 +26,7 @@
     cost: float
     kv_engine: str = ""
     kv_until: float = 0.0
+    avoid: str = ""
 
 
 class WaitingRoom:
