Look less often at engines whose holdings the ledger explains

Cause: with conditional reads of the membership list, the busiest of 29 control processes still received 10.8 kB/s, nearly all of it engine reports, one a second from each engine of its shards; the budget is 3 kB/s. Load is known from grants, so a report only serves to find what no grant explains. Ruled out: dropping the reports (a lost cancellation would hold memory for ever). Change: after five calm looks the period is 5 s; anything unexplained, corrected or lost makes it 1 s again.

--- a/pimentoquay/scheduler/part.py
+++ b/pimentoquay/scheduler/part.py
@@ -31,10 +31,12 @@
     StageReport,
 )
 from pimentoquay.platform.ports import Ports
+from pimentoquay.policy.engines import EngineLoad
 from pimentoquay.scheduler.ledger import EntryKey
 from pimentoquay.scheduler.settings import SchedulerSection
 from pimentoquay.scheduler.shard import ShardScheduler
 from pimentoquay.scheduler.sweep import Cancellation, sweep
+from pimentoquay.scheduler.watch import WatchPace
 from pimentoquay.transport.peers import PeerSet
 
 __all__ = ["SchedulerPart"]
@@ -262,22 +264,33 @@
 
     async def _watch(self, member: Member) -> None:
         client = self._client_by_engine[member.name]
+        pace = WatchPace(self._section.status_period, self._section.quiet_status_period)
         while True:
             try:
                 async with asyncio.timeout(ENGINE_CALL_SECONDS):
                     status = await client.status()
             except (PimentoquayError, OSError, TimeoutError):
                 self._lose_engine(member.name)
+                wait = pace.after_failure()
             else:
-                self._take_status(status)
+                was_swept = self._take_status(status)
+                wait = pace.after_look(self._load_of(member.name), was_swept)
             self._flush()
-            await self._node.timers.sleep(self._section.status_period)
+            await self._node.timers.sleep(wait)
+
+    def _load_of(self, engine: str) -> EngineLoad | None:
+        for scheduler in self.scheduler_by_shard.values():
+            if engine in scheduler.ledger.engine_by_name:
+                return scheduler.ledger.engine_by_name[engine]
+        return None
 
     def _lose_engine(self, name: str) -> None:
         for scheduler in self.scheduler_by_shard.values():
             scheduler.engines.lose(name)
 
-    def _take_status(self, status: EngineStatus) -> None:
+    def _take_status(self, status: EngineStatus) -> bool:
+        """Take a report into the ledger; return whether it led to a correction."""
+        was_swept = False
         now = self._node.clock.now()
         for scheduler in self.scheduler_by_shard.values():
             if status.engine not in scheduler.ledger.engine_by_name:
@@ -288,7 +301,9 @@
                 scheduler.drop(request_id, now)
             for cancellation in result.cancellations:
                 self._start(self._cancel(cancellation))
+            was_swept = was_swept or bool(result.lost or result.cancellations)
             scheduler.dispatch(now)
+        return was_swept
 
     async def _end_entry(self, entry: EntryKey) -> None:
         """Free what a lost entry held, after others had time to resume its streams."""
--- a/pimentoquay/scheduler/settings.py
+++ b/pimentoquay/scheduler/settings.py
@@ -14,6 +14,13 @@
     status_period: float = setting(
         default=1.0, low=0.1, high=10, unit="s", help="time between looks at an engine's status"
     )
+    quiet_status_period: float = setting(
+        default=5.0,
+        low=0.1,
+        high=60,
+        unit="s",
+        help="time between looks while the ledger explains what the engine holds",
+    )
     tick: float = setting(
         default=0.01, low=0.001, high=1, unit="s", help="time between decisions while any waits"
     )
