Check that the loss of each mechanism is noticed by a test

Cause: a test that passes without its mechanism proves nothing. Change: pimentoquay-bench mutations runs a named test with and without each of 18 mechanisms. Its first run found two tests that did not notice: take-over from a paused reader (the test's phase hid it) and the single probe (the scheduler's test is also met by its limit of one prefill for each engine).

--- /dev/null
+++ b/pimentoquay/bench/mutations/switches.py
@@ -0,0 +1,260 @@
+"""The mechanisms that can be switched off, how, and the test that has to notice."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from importlib import import_module
+from typing import Any
+
+from pimentoquay.kernel.codes import ResultCode
+
+__all__ = ["SWITCHES", "Switch", "switch_of"]
+
+
+@dataclass(frozen=True)
+class Switch:
+    """One mechanism.
+
+    ``target`` is ``module:attribute`` with dots inside a class; ``broken`` makes the replacement
+    from what stands there. ``test`` is the pytest node id of the test that has to fail.
+    """
+
+    name: str
+    target: str
+    broken: Callable[[Any], Any]
+    test: str
+
+    def turn_off(self) -> None:
+        """Replace the mechanism in this process for good."""
+        module, _, path = self.target.partition(":")
+        owner: Any = import_module(module)
+        *outer, attribute = path.split(".")
+        for name in outer:
+            owner = getattr(owner, name)
+        setattr(owner, attribute, self.broken(getattr(owner, attribute)))
+
+
+def switch_of(name: str) -> Switch:
+    """Return a switch by name; ``LookupError`` if there is none."""
+    for switch in SWITCHES:
+        if switch.name == name:
+            return switch
+    raise LookupError(f"no switch {name!r}")
+
+
+def _always(value: Any) -> Callable[[Any], Any]:
+    return lambda original: lambda *args, **kwargs: value
+
+
+def _number_without_clock(original: Any) -> Any:
+    def number_for(self: Any, shard: str, checks_fencing: bool) -> int:
+        lease = self._lease_by_shard.get(shard)
+        return lease.number if lease is not None else 0
+
+    return number_for
+
+
+def _one_number_for_all(original: Any) -> Any:
+    return lambda self, offset, claim, appended_at: original(self, 0, claim, appended_at)
+
+
+def _append_without_gap(original: Any) -> Any:
+    from pimentoquay.messages import encode
+
+    async def append(self: Any, message: Any) -> int:
+        offset = await self._log.append(self._name, encode(message))
+        self._fold(offset, message, 0.0)
+        return offset
+
+    return append
+
+
+def _find_nothing(original: Any) -> Any:
+    from pimentoquay.platform.base import LogOutcomeUnknownError
+
+    async def find(self: Any, sought: Any) -> int:
+        raise LogOutcomeUnknownError("not looked for")
+
+    return find
+
+
+def _any_outcome_counts(original: Any) -> Any:
+    def apply(self: Any, batch: Any, appended_at: float) -> None:
+        outcomes = []
+        for outcome in batch.outcomes:
+            holder = self.holder_of(outcome.digest)
+            claim_id = outcome.claim_id if holder is None else holder.claim_id
+            outcomes.append(replace(outcome, claim_id=claim_id))
+        original(self, replace(batch, outcomes=tuple(outcomes)), appended_at)
+
+    return apply
+
+
+def _heard_once_is_alive(original: Any) -> Any:
+    return lambda self, vm, now: vm in self._heard_by_vm
+
+
+def _first_in_order_only(original: Any) -> Any:
+    from pimentoquay.membership.mesh import ranked
+
+    def is_turn(self: Any) -> bool:
+        identity = self._node.identity
+        names = {identity.vm, *self._readable_peers()}
+        order = ranked(f"membership-reader:{identity.data_centre}", names)
+        return not self._directory.is_known or order[0] == identity.vm
+
+    return is_turn
+
+
+def _accept_every_change(original: Any) -> Any:
+    def judge(self: Any, offset: int, record: Any) -> Any:
+        outcome = original(self, offset, record)
+        return replace(outcome, code=ResultCode.CONFIG_ACCEPTED, version=offset + 1)
+
+    return judge
+
+
+def _every_waiter_probes(original: Any) -> Any:
+    from pimentoquay.policy.circuits import CircuitState
+
+    def state(self: Any, key: str, now: float) -> Any:
+        found = original(self, key, now)
+        return CircuitState.PROBE_DUE if found is CircuitState.PROBING else found
+
+    return state
+
+
+def _any_attempt_answers(original: Any) -> Any:
+    def answer(self: Any, key: tuple[str, int], message: Any, channel: Any) -> None:
+        for known in tuple(self._waiter_by_key):
+            if known[0] == key[0]:
+                original(self, known, message, channel)
+
+    return answer
+
+
+def _no_hysteresis(original: Any) -> Any:
+    def decide(self: Any, statuses: Any, now: float) -> Any:
+        self._limits = replace(self._limits, hold=0.0, dwell=0.0)
+        return original(self, statuses, now)
+
+    return decide
+
+
+_LEASES = "pimentoquay/orders/tests/test_leases.py::"
+_KEYS = "pimentoquay/orders/tests/test_once_only.py::"
+_MEMBERSHIP = "pimentoquay/membership/tests/test_part.py::"
+
+SWITCHES = (
+    Switch(
+        "lease check before each send",
+        "pimentoquay.orders.leases:Leases.number_for",
+        _number_without_clock,
+        _LEASES + "test_paused_holder_that_wakes_has_no_lease",
+    ),
+    Switch(
+        "growing fencing numbers",
+        "pimentoquay.orders.claim_fold:ClaimFold.apply_claim",
+        _one_number_for_all,
+        _LEASES + "test_numbers_grow_with_each_holder_and_stay_over_renewals",
+    ),
+    Switch(
+        "hold-off without fencing",
+        "pimentoquay.orders.claim_fold:ClaimFold.orders_end",
+        _always(0.0),
+        _LEASES + "test_new_owner_of_engines_without_fencing_waits_for_the_last_possible_order",
+    ),
+    Switch(
+        "deposed holder stops",
+        "pimentoquay.orders.leases:Leases._drop_if_superseded",
+        _always(None),
+        _LEASES + "test_deposed_holder_stops_at_its_next_renewal_and_does_not_take_it_back",
+    ),
+    Switch(
+        "places for loading weights",
+        "pimentoquay.orders.claim_fold:ClaimFold._taken",
+        _always(0),
+        _LEASES + "test_places_for_loading_are_limited_over_all_vms",
+    ),
+    Switch(
+        "key claim folded in log order",
+        "pimentoquay.orders.folded_stream:FoldedStream._append",
+        _append_without_gap,
+        _KEYS + "test_two_owners_at_once_grant_a_key_once",
+    ),
+    Switch(
+        "lost answer looked for",
+        "pimentoquay.orders.folded_stream:FoldedStream._find",
+        _find_nothing,
+        _KEYS + "test_lost_answer_of_an_append_still_grants_the_claim",
+    ),
+    Switch(
+        "outcome names its claim",
+        "pimentoquay.orders.key_fold:KeyFold.apply",
+        _any_outcome_counts,
+        _KEYS + "test_outcome_of_a_refused_claim_does_not_free_the_key",
+    ),
+    Switch(
+        "refused claim freed",
+        "pimentoquay.orders.key_bucket:KeyBucket._release_abandoned",
+        _always(None),
+        _KEYS + "test_claim_refused_though_the_log_took_it_is_freed_later",
+    ),
+    Switch(
+        "silent peer is dead",
+        "pimentoquay.membership.liveness:PeerLiveness.is_alive",
+        _heard_once_is_alive,
+        _MEMBERSHIP + "test_paused_vm_leaves_the_view_and_comes_back",
+    ),
+    Switch(
+        "next in order reads the list",
+        "pimentoquay.membership.reader:ListReader._is_turn",
+        _first_in_order_only,
+        _MEMBERSHIP + "test_leaving_is_known_within_3_s_whenever_the_reader_is_paused",
+    ),
+    Switch(
+        "list asked of a peer",
+        "pimentoquay.membership.part:MembershipPart._request_list",
+        _always(None),
+        _MEMBERSHIP + "test_data_centre_cut_off_from_the_platform_gets_the_list_from_peers",
+    ),
+    Switch(
+        "leaving is announced",
+        "pimentoquay.membership.liveness:PeerLiveness.is_leaving",
+        _always(False),
+        _MEMBERSHIP + "test_drain_moves_ownership_within_a_second_and_waits_for_the_entry",
+    ),
+    Switch(
+        "base version",
+        "pimentoquay.configuration.fold:ConfigurationState._judge",
+        _accept_every_change,
+        "pimentoquay/configuration/tests/test_fold.py::"
+        "test_first_change_on_a_base_wins_and_repeats_fold_once",
+    ),
+    Switch(
+        "sweep",
+        "pimentoquay.scheduler.sweep:_is_unexplained",
+        _always(False),
+        "pimentoquay/scheduler/tests/test_shard.py::"
+        "test_sweep_cancels_only_old_holdings_that_nobody_reads",
+    ),
+    Switch(
+        "single probe",
+        "pimentoquay.policy.circuits:Circuits.state",
+        _every_waiter_probes,
+        "pimentoquay/policy/tests/test_circuits.py::test_one_probe_goes_when_the_wait_is_over",
+    ),
+    Switch(
+        "attempt number",
+        "pimentoquay.entry.scheduler_link:SchedulerLink._answer",
+        _any_attempt_answers,
+        "pimentoquay/entry/tests/test_life.py::test_late_and_crossed_answers_are_dropped",
+    ),
+    Switch(
+        "hysteresis of roles",
+        "pimentoquay.policy.roles:RoleBalance.decide",
+        _no_hysteresis,
+        "pimentoquay/policy/tests/test_roles.py::"
+        "test_lasting_shift_moves_one_engine_after_the_hold_time",
+    ),
+)
+"""Every mechanism that is checked."""
--- a/pimentoquay/bench/program.py
+++ b/pimentoquay/bench/program.py
@@ -18,6 +18,7 @@
     "pimentoquay.bench.compare.command",
     "pimentoquay.bench.demo.command",
     "pimentoquay.bench.load.command",
+    "pimentoquay.bench.mutations.command",
     "pimentoquay.bench.slopes.command",
     "pimentoquay.bench.steady.command",
 )
--- a/pimentoquay/membership/tests/test_part.py
+++ b/pimentoquay/membership/tests/test_part.py
@@ -77,6 +77,29 @@
         assert state["e1"] is MemberState.LEAVING, vm
 
 
+async def test_leaving_is_known_within_3_s_whenever_the_reader_is_paused(cluster):
+    names = ("a1", "a2", "a3", "a4")
+    members = [vm_member(vm, "hue-a") for vm in names]
+    await cluster.start_all({"hue-a": names})
+    for phase in (0.05, 0.3, 0.55, 0.8):
+        cluster.list.set(*members, engine_member("e1", "hue-a"))
+        now = asyncio.get_running_loop().time()
+        await asyncio.sleep(int(now) + 8 + phase - now)
+        cluster.list.reads.clear()
+        await asyncio.sleep(2)
+        (reader,) = cluster.list.reads
+        paused = cluster.control_by_vm[reader]
+        paused.node.timers.pause()
+        cluster.network.pause(reader)
+        cluster.list.set(*members, engine_member("e1", "hue-a", MemberState.LEAVING))
+        await asyncio.sleep(3)
+        for vm in set(names) - {reader}:
+            state = {member.name: member.state for member in cluster.control_by_vm[vm].view.members}
+            assert state["e1"] is MemberState.LEAVING, (vm, phase)
+        cluster.network.resume(reader)
+        paused.node.timers.resume()
+
+
 async def test_dead_vm_leaves_the_view_before_the_list_says_so(cluster):
     await cluster.start_all(TWO)
     await asyncio.sleep(5)
