--- a/pimentoquay/entry/scheduler_link.py
+++ b/pimentoquay/entry/scheduler_link.py
@@ -187,7 +187,7 @@
     async def _channel_to_owner(self, shard: str, timeout: float) -> Channel:
         """Return a channel to the shard's owner, waiting a little for one to come up."""
         shard_seen = self.directory.shard_by_name.get(shard)
-        if shard_seen is not None and shard_seen.data_centre != self._node.identity.data_centre:
+        if shard_seen is not None and not shard_seen.is_near(self._node.identity):
             self._spill_shards.add(shard)
             self._dial()
         deadline = self._node.clock.now() + min(timeout, OWNER_WAIT_SECONDS)
@@ -229,7 +229,7 @@
         """Dial the own VM's control and the owners of local and spilled-to shards."""
         address_by_vm = {self._node.identity.vm: self._control_address}
         for name, shard in self.directory.shard_by_name.items():
-            local = shard.data_centre == self._node.identity.data_centre
+            local = shard.is_near(self._node.identity)
             if local or name in self._spill_shards:
                 owner = self.directory.member_by_name.get(self.directory.owner(name))
                 if owner is not None:
