--- a/pimentoquay/control/settings.py
+++ b/pimentoquay/control/settings.py
@@ -3,9 +3,11 @@
 from dataclasses import dataclass
 
 from pimentoquay.configuration.settings import ConfigurationSection
+from pimentoquay.control.usage import UsageSection
 from pimentoquay.kernel.sections import ClusterSection, LogSection, PlatformSection, VmSection
 from pimentoquay.kernel.settings import setting
 from pimentoquay.membership.settings import MembershipSection
+from pimentoquay.orders.settings import OnceOnlySection, OrdersSection
 from pimentoquay.scheduler.settings import SchedulerSection
 
 __all__ = ["ControlSection", "ControlSettings", "OperatorSection"]
@@ -35,4 +37,7 @@
     membership: MembershipSection
     configuration: ConfigurationSection
     scheduler: SchedulerSection
+    orders: OrdersSection
+    once_only: OnceOnlySection
+    usage: UsageSection
     operator: OperatorSection
--- a/pimentoquay/entry/tests/test_life.py
+++ b/pimentoquay/entry/tests/test_life.py
@@ -104,6 +104,16 @@
         assert rig.engine_by_name["d2"].calls == ["import:1", "source:p1:0", "decode:1"]
 
 
+async def test_a_source_that_died_after_its_prefill_is_left_after_one_more_transfer():
+    async with entry_rig() as rig:
+        rig.next_answers(grant("p1", "d1"), grant("p1", "d2"), grant("d1", "d1"))
+        for name in ("d1", "d2"):
+            rig.engine_by_name[name].fail["import"] = [EngineLostError("no such source")] * 9
+        assert await collect(rig.service.run(spec_of())) == WHOLE
+        kept = [message.kv_engine for message in rig.scheduler.of_type(ReplaceRequest)]
+        assert kept == ["p1", ""]
+
+
 async def test_a_transfer_that_outlasts_the_kv_is_prefilled_again():
     async with entry_rig() as rig:
         rig.next_answers(grant("p1", "d1"), grant("p1", "d2"))
@@ -217,8 +227,10 @@
         old = rig.scheduler
         async with aclosing(rig.service.run(spec_of())) as stream:
             chunks = [await anext(stream)]
-            live = tuple(vm for vm in rig.link.view.live_vms if vm != old.node.identity.vm)
-            view = ClusterView(2, rig.link.view.members, live, ("city-hall",))
+            live = tuple(
+                vm for vm in rig.link.directory.view.live_vms if vm != old.node.identity.vm
+            )
+            view = ClusterView(2, rig.link.directory.view.members, live, ("city-hall",))
             await old.node.transport.close()
             rig.link.inbox.put_nowait(Envelope(view))
             chunks += [chunk async for chunk in stream]
@@ -237,9 +249,9 @@
         old.answers = [silence]
         task = asyncio.create_task(collect(rig.service.run(spec_of())))
         await asyncio.sleep(0.1)
-        live = tuple(vm for vm in rig.link.view.live_vms if vm != old.node.identity.vm)
+        live = tuple(vm for vm in rig.link.directory.view.live_vms if vm != old.node.identity.vm)
         await old.node.transport.close()
-        view = ClusterView(2, rig.link.view.members, live, ("city-hall",))
+        view = ClusterView(2, rig.link.directory.view.members, live, ("city-hall",))
         rig.link.inbox.put_nowait(Envelope(view))
         assert await task == WHOLE
         assert rig.scheduler.of_type(PlaceRequest)[0].attempt == 1
--- a/pimentoquay/kernel/timers.py
+++ b/pimentoquay/kernel/timers.py
@@ -23,8 +23,9 @@
 class Subscription:
     """One subscription to the timer service."""
 
-    def __init__(self) -> None:
+    def __init__(self, forget: Callable[["Subscription"], None]) -> None:
         self._handle: asyncio.TimerHandle | None = None
+        self._forget = forget
         self.cancelled = False
 
     def cancel(self) -> None:
@@ -32,6 +33,7 @@
         self.cancelled = True
         if self._handle is not None:
             self._handle.cancel()
+        self._forget(self)
 
     def arm(self, handle: asyncio.TimerHandle) -> None:
         """Remember the loop's handle of the next call."""
@@ -59,7 +61,7 @@
 
     def after(self, delay: float, call: Callable[[], None]) -> Subscription:
         """Call once after ``delay`` seconds."""
-        subscription = Subscription()
+        subscription = Subscription(self._subscriptions.discard)
         self._subscriptions.add(subscription)
         loop = asyncio.get_running_loop()
         subscription.arm(loop.call_later(max(0.0, delay), self._fire, subscription, call, None))
@@ -69,7 +71,7 @@
         """Call every ``period`` seconds until cancelled; the first call is one period away."""
         if period <= 0:
             raise ValueError(f"period must be positive, got {period} s")
-        subscription = Subscription()
+        subscription = Subscription(self._subscriptions.discard)
         self._subscriptions.add(subscription)
         loop = asyncio.get_running_loop()
         subscription.arm(loop.call_later(period, self._fire, subscription, call, period))
@@ -82,7 +84,7 @@
         try:
             await done
         finally:
-            self._forget(subscription)
+            subscription.cancel()
 
     def pause(self) -> None:
         """Hold back every call until ``resume``, as if the whole process were stopped."""
@@ -98,11 +100,7 @@
     def close(self) -> None:
         """Cancel every subscription."""
         for subscription in list(self._subscriptions):
-            self._forget(subscription)
-
-    def _forget(self, subscription: Subscription) -> None:
-        subscription.cancel()
-        self._subscriptions.discard(subscription)
+            subscription.cancel()
 
     def _fire(
         self, subscription: Subscription, call: Callable[[], None], period: float | None
--- a/pimentoquay/policy/placement.py
+++ b/pimentoquay/policy/placement.py
@@ -9,9 +9,10 @@
 from dataclasses import dataclass
 
 from pimentoquay.policy.engines import EngineLoad
+from pimentoquay.policy.links import link_keys
 from pimentoquay.policy.speeds import SpeedBook
 
-__all__ = ["Choice", "PlacementLimits", "PlacementNeed", "choose", "link_key"]
+__all__ = ["Choice", "PlacementLimits", "PlacementNeed", "choose"]
 
 
 @dataclass(frozen=True)
@@ -20,16 +21,18 @@
 
     ``release_share`` is the part of the slots expected to come free that may be promised
     before they do, ``promise_cost`` the seconds that a free slot is worth over such a promise,
+    ``remote_cost`` those that a transfer within one data centre is worth over one between two,
     ``prefill_lead`` the seconds of work that may wait on a prefill engine, and
     ``slack`` the seconds after the KV cache arrives during which a slot may still come free.
     """
 
-    release_share: float = 0.7
+    release_share: float = 0.5
     prefill_lead: float = 0.02
-    slack: float = 0.2
+    slack: float = 0.0
     reserves_slot: bool = True
     fullness_cost: float = 0.05
     promise_cost: float = 0.5
+    remote_cost: float = 0.02
 
 
 @dataclass(frozen=True)
@@ -57,11 +60,6 @@
     end: float
 
 
-def link_key(source: str, target: str) -> str:
-    """Return the key of the link between two engines."""
-    return f"{source}>{target}"
-
-
 def choose(
     need: PlacementNeed,
     prefill_engines: Iterable[EngineLoad],
@@ -73,8 +71,8 @@
 ) -> Choice | None:
     """Return the best open pair, or ``None`` if the request has to wait.
 
-    The caller leaves out engines that are not usable. ``closed_links`` are those whose circuit
-    does not let the request through.
+    The caller leaves out engines that are not usable. ``closed_links`` are the keys of those
+    sides of links whose circuit does not let the request through.
     """
     starts = [
         _start_on(engine, need, speeds, now)
@@ -91,13 +89,12 @@
     best_choice = None
     for start in starts:
         for target in targets:
-            link = link_key(start.engine.name, target.name)
-            if link in closed_links:
+            if closed_links and _is_closed(start.engine.name, target.name, closed_links):
                 continue
-            arrival = _arrival(start, target, need, speeds, link)
+            arrival = _arrival(start, target, need, speeds)
             if limits.reserves_slot and not _has_slot(start, target, arrival - now, limits):
                 continue
-            score = (_cost(arrival, target, limits), start.engine.name, target.name)
+            score = (_cost(start, arrival, target, limits), start.engine.name, target.name)
             if best is None or score < best:
                 best = score
                 best_choice = Choice(start.engine.name, target.name, start.end, arrival)
@@ -110,13 +107,15 @@
     return _Start(engine, begin + tokens * speeds.prefill.of(engine.name))
 
 
-def _arrival(
-    start: _Start, target: EngineLoad, need: PlacementNeed, speeds: SpeedBook, link: str
-) -> float:
+def _arrival(start: _Start, target: EngineLoad, need: PlacementNeed, speeds: SpeedBook) -> float:
     if start.engine is target:
         return start.end
     begin = max(start.end, start.engine.link_free_at, target.link_free_at)
-    return begin + need.prompt_tokens * speeds.transfer.of(link)
+    return begin + need.prompt_tokens * speeds.transfer.of(target.name)
+
+
+def _is_closed(source: str, target: str, closed_links: frozenset[str]) -> bool:
+    return not closed_links.isdisjoint(link_keys(source, target))
 
 
 def _has_slot(start: _Start, target: EngineLoad, seconds: float, limits: PlacementLimits) -> bool:
@@ -126,7 +125,8 @@
     return target.free_slots_in(seconds + limits.slack, limits.release_share) > 0
 
 
-def _cost(arrival: float, target: EngineLoad, limits: PlacementLimits) -> float:
+def _cost(start: _Start, arrival: float, target: EngineLoad, limits: PlacementLimits) -> float:
     fullness = 1.0 - target.free_slots() / max(1, target.slots)
+    remote = limits.remote_cost if start.engine.data_centre != target.data_centre else 0.0
     promise = limits.promise_cost if target.free_slots() <= 0 else 0.0
-    return arrival + limits.fullness_cost * fullness + promise
+    return arrival + limits.fullness_cost * fullness + promise + remote
