Claim idempotency keys before calls that may run at most once

The entry asks the key's owner, falls back on the own VM's control, runs only under a granted claim and settles it with the final code. A once-only call of a plain service goes on when its caller leaves, so that its outcome is known to the key.

--- a/pimentoquay/entry/compose.py
+++ b/pimentoquay/entry/compose.py
@@ -11,13 +11,14 @@
 from pimentoquay.entry.connections import make_server
 from pimentoquay.entry.feed import ConfigurationFeed
 from pimentoquay.entry.http import EntryHttp
+from pimentoquay.entry.key_claims import KeyClaims
 from pimentoquay.entry.metrics import EntryMetrics
 from pimentoquay.entry.plain import PlainService
 from pimentoquay.entry.ports import EntryPorts
 from pimentoquay.entry.scheduler_link import SchedulerLink
 from pimentoquay.entry.service import RequestService
 from pimentoquay.entry.settings import HttpSection
-from pimentoquay.kernel import Node
+from pimentoquay.kernel import Node, Part
 from pimentoquay.kernel.logs import logger
 from pimentoquay.transport.peers import PeerSet
 from pimentoquay.transport.timeline_responder import TimelineResponder
@@ -32,11 +33,9 @@
     ----------
     node, peers
         The kernel of the process and its channels.
-    link
-        The link to the schedulers.
-    feed
-        The task that follows the configuration.
-    service, http
+    parts
+        The tasks that it runs.
+    service, plain, http
         What runs the requests, and the callers' interface to it.
     section
         The limits for callers.
@@ -46,25 +45,25 @@
         self,
         node: Node,
         peers: PeerSet,
-        link: SchedulerLink,
-        feed: ConfigurationFeed,
+        parts: tuple[Part, ...],
         service: RequestService,
+        plain: PlainService,
         http: EntryHttp,
         section: HttpSection,
     ) -> None:
         self.node = node
-        self.link = link
         self.service = service
         self.http = http
         self._peers = peers
-        self._feed = feed
+        self._parts = parts
+        self._plain = plain
         self._timeline = TimelineResponder(node)
         self._section = section
         self._server = make_server(http.app, section)
 
     async def run(self, listener: socket.socket | None = None) -> None:
         """Run until ``drain`` has finished; callers connect to ``listener`` if one is given."""
-        parts = (self.link, self._feed, self._timeline)
+        parts = (*self._parts, self._timeline)
         tasks = [asyncio.create_task(part.run()) for part in parts]
         try:
             if listener is None:
@@ -72,6 +71,7 @@
             else:
                 await self._server.serve(sockets=[listener])
                 await self.service.drained()
+                await self._plain.drained()
         finally:
             for task in tasks:
                 task.cancel()
@@ -101,7 +101,9 @@
     configuration = ConfigurationView()
     feed = ConfigurationFeed(node, configuration)
     link = SchedulerLink(node, peers, control_address)
-    service = RequestService(node, link, ports.engine, metrics)
-    plain = PlainService(node, link, ports.plain, metrics)
+    claims = KeyClaims(node, link)
+    service = RequestService(node, link, ports.engine, metrics, claims)
+    plain = PlainService(node, link, ports.plain, metrics, claims)
     http = EntryHttp(service, plain, configuration, section)
-    return EntryProcess(node, peers, link, feed, service, http, section)
+    parts = (link, feed, claims)
+    return EntryProcess(node, peers, parts, service, plain, http, section)
--- a/pimentoquay/entry/http.py
+++ b/pimentoquay/entry/http.py
@@ -21,7 +21,7 @@
     parse_json,
     parse_request,
 )
-from pimentoquay.entry.plain import PlainService, is_once_only
+from pimentoquay.entry.plain import PlainService, PlainTarget, is_once_only
 from pimentoquay.entry.relay import StreamedAnswer, WatchedAnswer
 from pimentoquay.entry.request import RequestSpec
 from pimentoquay.entry.service import RequestService
@@ -179,7 +179,9 @@
             await self._body(request),
             request.headers.get("content-type", ""),
         )
-        answer = await self._plain.call(spec, call, is_once_only(spec, path))
+        once_only = is_once_only(spec, path)
+        target = PlainTarget(workspace.name, spec, once_only, headers.idempotency_key)
+        answer = await self._plain.call(target, call)
         return Response(
             answer.body,
             answer.status,
--- a/pimentoquay/entry/life.py
+++ b/pimentoquay/entry/life.py
@@ -8,6 +8,7 @@
 
 from pimentoquay.backends.base import EngineClient
 from pimentoquay.entry.attempt import FRAME_END, Attempt, HeldKv, StageFailedError
+from pimentoquay.entry.key_claims import Claim
 from pimentoquay.entry.metrics import RequestOutcome
 from pimentoquay.entry.placer import Placement
 from pimentoquay.entry.request import RequestSpec, final_trigger
@@ -57,6 +58,7 @@
         self.tokens = 0
         self.is_whole = False
         self.may_have_run = False
+        self._claim: Claim | None = None
         self._placement: Placement | None = None
         self._attempts: list[Attempt] = []
         self._received_at = self._node.clock.now()
@@ -98,6 +100,10 @@
             self._end(code)
 
     async def _run(self) -> AsyncIterator[bytes]:
+        if self.spec.idempotency_key:
+            self._claim = await self._service.claims.claim(
+                self.spec.workspace, self.spec.idempotency_key, self.spec.request_id
+            )
         grant, kv = await self._place(), None
         while True:
             try:
@@ -305,8 +311,16 @@
             release = Release(self.spec.request_id, code, self.tokens, now - self._received_at)
             self._link.release(self._placement.shard, release)
             self._service.direct.release(self._placement.shard, self.spec.request_id)
+        if self._claim is not None:
+            self._service.claims.settle(self._claim, self._settled_code(code))
         self._service.metrics.count(self._outcome(code, now))
 
+    def _settled_code(self, code: ResultCode) -> ResultCode:
+        """Return what the key's owner is told of a request that its caller may have left."""
+        if code is not ResultCode.CANCELLED:
+            return code
+        return ResultCode.OUTCOME_UNKNOWN if self.may_have_run else ResultCode.NO_BACKEND
+
     def _outcome(self, code: ResultCode, now: float) -> RequestOutcome:
         started = self._first_token_at
         return RequestOutcome(
--- a/pimentoquay/entry/parse.py
+++ b/pimentoquay/entry/parse.py
@@ -109,6 +109,7 @@
         chat,
         _field(body, "stream", bool, False),
         workspace.max_concurrent,
+        "" if kind.idempotent else headers.idempotency_key,
     )
 
 
--- a/pimentoquay/entry/request.py
+++ b/pimentoquay/entry/request.py
@@ -45,7 +45,8 @@
 
     ``request_id`` is unique among all workspaces. ``prefix`` holds the hashes of the prompt's
     blocks. ``streaming`` tells that the caller gets each token as it comes, which rules out
-    running the request again once the first token has gone out.
+    running the request again once the first token has gone out. ``idempotency_key`` is claimed
+    before a request that is not idempotent; empty means that there is none.
     """
 
     request_id: str
@@ -59,6 +60,7 @@
     chat: bool
     streaming: bool
     workspace_limit: int
+    idempotency_key: str = ""
 
 
 class LifeMachine:
--- a/pimentoquay/entry/scheduler_link.py
+++ b/pimentoquay/entry/scheduler_link.py
@@ -10,6 +10,8 @@
 """
 
 import asyncio
+import contextlib
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Any
@@ -93,6 +95,7 @@
         self._heard_by_channel: dict[int, float] = {}
         self._unsent_by_shard: dict[str, dict[str, Release]] = {}
         self._spill_shards: set[str] = set()
+        self._other_vms: set[str] = set()
         self._changed = asyncio.Event()
         self._sequence = 0
         self.inbox = node.bus.subscribe(
@@ -162,6 +165,19 @@
         elif channel is not None:
             self._unsent_by_shard.setdefault(shard, {})[release.request_id] = release
 
+    def channel_to(self, vm: str) -> Channel | None:
+        """Return a channel to a VM's control process that is up and heard, or ``None``."""
+        channel = self._peers.channel_to(vm)
+        return channel if channel is not None and self._is_live(channel) else None
+
+    async def reach(self, vm: str, timeout: float) -> Channel | None:
+        """Dial a VM for a purpose of its own; fall back on the own VM after ``timeout``."""
+        if vm not in self._other_vms:
+            self._other_vms.add(vm)
+            self._dial()
+        channel = await self._wait_for(lambda: self.channel_to(vm), timeout)
+        return channel or self.channel_to(self._node.identity.vm)
+
     def held(self, shard: str) -> tuple[GrantRecord, ...]:
         """Return the grants that this entry holds of a shard."""
         return tuple(self._held_by_shard.get(shard, {}).values())
@@ -190,21 +206,26 @@
         if shard_seen is not None and shard_seen.data_centre != self._node.identity.data_centre:
             self._spill_shards.add(shard)
             self._dial()
-        deadline = self._node.clock.now() + min(timeout, OWNER_WAIT_SECONDS)
-        while True:
-            channel = self._peers.channel_to(self.directory.owner(shard))
-            if channel is not None and self._is_live(channel):
-                self._channel_by_shard.setdefault(shard, channel)
-                return channel
+        channel = await self._wait_for(
+            lambda: self.channel_to(self.directory.owner(shard)), min(timeout, OWNER_WAIT_SECONDS)
+        )
+        if channel is None:
+            raise SchedulerLostError(f"no scheduler of {shard} can be reached")
+        self._channel_by_shard.setdefault(shard, channel)
+        return channel
+
+    async def _wait_for(self, look: Callable[[], Channel | None], timeout: float) -> Channel | None:
+        """Look again after each change of channels or view until ``timeout`` has passed."""
+        deadline = self._node.clock.now() + timeout
+        while (channel := look()) is None:
             remaining = deadline - self._node.clock.now()
             if remaining <= 0:
-                raise SchedulerLostError(f"no scheduler of {shard} can be reached")
+                return None
             self._changed.clear()
-            try:
+            with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(remaining):
                     await self._changed.wait()
-            except TimeoutError:
-                continue
+        return channel
 
     def _is_live(self, channel: Channel) -> bool:
         heard = self._heard_by_channel.get(id(channel))
@@ -234,6 +255,8 @@
                 owner = self.directory.member_by_name.get(self.directory.owner(name))
                 if owner is not None:
                     address_by_vm.setdefault(owner.name, owner.address)
+        for name in self._other_vms & self.directory.member_by_name.keys():
+            address_by_vm.setdefault(name, self.directory.member_by_name[name].address)
         self._peers.want(address_by_vm)
 
     def _announce(self) -> None:
--- a/pimentoquay/entry/service.py
+++ b/pimentoquay/entry/service.py
@@ -21,6 +21,7 @@
 
 from pimentoquay.backends.base import EngineClient
 from pimentoquay.entry.direct import DirectPlacer
+from pimentoquay.entry.key_claims import KeyClaims
 from pimentoquay.entry.life import RequestRun
 from pimentoquay.entry.metrics import EntryMetrics
 from pimentoquay.entry.placer import Placer
@@ -48,6 +49,8 @@
         Returns a client of an engine; called once for each engine and address.
     metrics
         Where outcomes are counted.
+    claims
+        Claims idempotency keys.
     """
 
     def __init__(
@@ -56,10 +59,12 @@
         link: SchedulerLink,
         engine: Callable[[Member], EngineClient],
         metrics: EntryMetrics | None = None,
+        claims: KeyClaims | None = None,
     ) -> None:
         self.node = node
         self.link = link
         self.metrics = metrics if metrics is not None else EntryMetrics()
+        self.claims = claims if claims is not None else KeyClaims(node, link)
         self.machine = LifeMachine()
         rng = random.Random(node.identity.incarnation)
         self._engine = engine
--- a/pimentoquay/entry/tests/http_rig.py
+++ b/pimentoquay/entry/tests/http_rig.py
@@ -111,7 +111,7 @@
     try:
         for _ in range(500):
             await asyncio.sleep(0.01)
-            if entry.http.is_ready and entry.link._heard_by_channel:
+            if entry.http.is_ready and entry.service.link.channel_to("vm-a"):
                 break
         port = listener.getsockname()[1]
         yield HttpRig(entry, scheduler, engines, plain, f"http://127.0.0.1:{port}", running)
