--- a/pimentoquay/entry/choice.py
+++ b/pimentoquay/entry/choice.py
@@ -5,6 +5,7 @@
 
 from pimentoquay.kernel import ResultCode
 from pimentoquay.membership import Shard, owner_of
+from pimentoquay.membership.ownership import Place
 from pimentoquay.messages.cluster import ShardSummary
 
 __all__ = ["SPILL_CODES", "choose_shards"]
@@ -29,7 +30,7 @@
 def choose_shards(
     shards: Sequence[Shard],
     summary_by_shard: Mapping[str, ShardSummary],
-    data_centre: str,
+    place: Place,
     reachable: tuple[str, ...],
     prefix: tuple[int, ...],
     rng: random.Random,
@@ -40,11 +41,11 @@
     loaded of the two is taken. Spills go to the shards with the shortest queues whose data
     centres are in ``reachable``.
     """
-    local = sorted(shard.name for shard in shards if shard.data_centre == data_centre)
+    local = sorted(shard.name for shard in shards if shard.is_near(place))
     remote = [
         shard.name
         for shard in shards
-        if shard.data_centre != data_centre and shard.data_centre in reachable
+        if not shard.is_near(place) and shard.data_centre in reachable
     ]
     first = (_choose_local(local, summary_by_shard, prefix, rng),) if local else ()
     rng.shuffle(remote)
--- a/pimentoquay/entry/directory.py
+++ b/pimentoquay/entry/directory.py
@@ -25,14 +25,15 @@
         for shard in self.shard_by_name.values():
             self.shards_by_pool[shard.pool].append(shard)
         self.servers_by_service: dict[str, list[Member]] = defaultdict(list)
-        self._vms_by_data_centre: dict[str, list[str]] = defaultdict(list)
+        self._vms_by_place: dict[str, list[str]] = defaultdict(list)
         self._owner_by_shard: dict[str, str] = {}
         live = set(view.live_vms)
         for member in view.members:
             if member.kind is MemberKind.SERVICE:
                 self.servers_by_service[member.pool].append(member)
             elif member.kind is MemberKind.ENTRY_VM and member.name in live:
-                self._vms_by_data_centre[member.data_centre].append(member.name)
+                for place in dict.fromkeys((member.data_centre, member.region)):
+                    self._vms_by_place[place].append(member.name)
 
     @property
     def is_known(self) -> bool:
@@ -53,6 +54,6 @@
         owner = self._owner_by_shard.get(shard_name)
         if owner is None:
             shard = self.shard_by_name.get(shard_name)
-            vms = self._vms_by_data_centre.get(shard.data_centre, []) if shard else []
+            vms = self._vms_by_place.get(shard.data_centre, []) if shard else []
             owner = self._owner_by_shard[shard_name] = owner_of(shard_name, vms)
         return owner
