--- /dev/null
+++ b/pimentoquay/bench/faults/world.py
@@ -0,0 +1,238 @@
+"""A small deployment whose processes, wires and stand-ins can be made to fail."""
+
+import asyncio
+
+from pimentoquay.backends.base import EngineClient, PlainClient
+from pimentoquay.bench.deployment import Deployment, Pool
+from pimentoquay.bench.faults.records import WORKSPACE, CallRecord, InForce, Published
+from pimentoquay.bench.faults.wires import (
+    PLATFORM,
+    Wire,
+    WiredEngine,
+    WiredLog,
+    WiredMembership,
+    WiredPlain,
+    Wires,
+)
+from pimentoquay.bench.memory_cluster import MemoryCluster
+from pimentoquay.configuration.events import ConfigurationInForce
+from pimentoquay.configuration.publish import STREAM
+from pimentoquay.configuration.view import hash_of_key
+from pimentoquay.control.compose import ControlProcess
+from pimentoquay.control.drain import drain_control
+from pimentoquay.entry.compose import EntryProcess
+from pimentoquay.kernel import Envelope, Identity, Node
+from pimentoquay.messages import encode
+from pimentoquay.messages.cluster import Member, MemberKind, MemberState
+from pimentoquay.messages.placement import Urgency
+from pimentoquay.messages.workspaces import (
+    ConfigurationRecord,
+    KindSpec,
+    ModelSpec,
+    ServiceSpec,
+    Workspace,
+)
+from pimentoquay.platform.ports import Ports
+from pimentoquay.standin.engine_model import EngineModel
+from pimentoquay.standin.membership_list import StandinMembership
+from pimentoquay.standin.plain_service import StandinPlain
+
+__all__ = [
+    "KEY",
+    "MODEL",
+    "SERVICE",
+    "WORKSPACE",
+    "FaultWorld",
+    "workspace",
+]
+
+KEY = "key-of-office"
+MODEL = "diag-llm"
+SERVICE = "orders"
+
+_DEPLOYMENT = Deployment("region", ("dc-a", "dc-b"), 0.0005, 4, (Pool(MODEL, 1, 1, 1),), (SERVICE,))
+_DRAIN_NOTICE_SECONDS = 1.0
+
+
+def workspace(weight: int) -> Workspace:
+    """Return the workspace of all callers; ``weight`` tells its versions apart."""
+    kinds = (
+        KindSpec("diagnosis", MODEL, Urgency.NORMAL, 1.5, 0.1, 8000, 250, True),
+        KindSpec("once", MODEL, Urgency.URGENT, 1.5, 0.1, 8000, 250, False),
+    )
+    service = ServiceSpec(SERVICE, ("/orders",), 2.0)
+    models = (ModelSpec(MODEL, "v1", ""),)
+    hashes = (hash_of_key(KEY),)
+    return Workspace(WORKSPACE, "office", hashes, models, kinds, (service,), 60, weight)
+
+
+class FaultWorld(MemoryCluster):
+    """A deployment of two data centres with two VMs each, and everything that can fail in it."""
+
+    def __init__(self, seed: int) -> None:
+        self.wires = Wires()
+        self.in_force: list[InForce] = []
+        self.draining: set[str] = set()
+        self.published: list[Published] = []
+        self.last_weight = 1
+        self.records: list[CallRecord] = []
+        self._wire_by_incarnation: dict[int, Wire] = {}
+        self._inbox_by_vm: dict[str, asyncio.Queue[Envelope]] = {}
+        super().__init__(_DEPLOYMENT, seed, EngineModel(step_seconds=0.05))
+        self._add_second_server()
+        self.vms = tuple(self.vm_by_name)
+        self.engines = tuple(self.engine_by_name)
+
+    async def begin(self) -> None:
+        """Publish the workspace and start every process."""
+        record = ConfigurationRecord("first", WORKSPACE, 0, 0, workspace(1), "operator")
+        await self.log.append(STREAM, encode(record))
+        await self.start()
+
+    def ports_of(self, process: Identity) -> Ports:
+        """Return the stand-ins as one process reaches them."""
+        wire = Wire(self.wires, process.vm, process.data_centre)
+        self._wire_by_incarnation[process.incarnation] = wire
+
+        def engine(member: Member) -> EngineClient:
+            return WiredEngine(self.engine_by_name[member.name], wire, member.data_centre)
+
+        def plain(member: Member) -> PlainClient:
+            return WiredPlain(self.plain_by_name[member.name], wire, member.data_centre)
+
+        log, listing = WiredLog(self.log, wire), WiredMembership(self.membership, wire)
+        return Ports(engine, plain, log, listing, self.weights)
+
+    def start_control(self, name: str) -> ControlProcess:
+        """Start a VM's control process and watch its configuration."""
+        control = super().start_control(name)
+        self._inbox_by_vm[name] = control.node.bus.subscribe(ConfigurationInForce)
+        return control
+
+    def start_vm(self, name: str) -> None:
+        """Start what does not run on a VM."""
+        self.draining.discard(name)
+        if self.vm_by_name[name].control is None:
+            self.start_control(name)
+        if self.vm_by_name[name].entry is None:
+            self.start_entry(name)
+
+    def entry_of(self, name: str) -> EntryProcess | None:
+        """Return the entry process of a VM if the balancer would send callers there."""
+        entry = self.vm_by_name[name].entry
+        if entry is None or name in self.draining or not entry.http.is_ready:
+            return None
+        return entry
+
+    def wire_of(self, entry: EntryProcess) -> Wire:
+        """Return the wire of an entry process."""
+        return self._wire_by_incarnation[entry.node.identity.incarnation]
+
+    async def kill_control(self, name: str) -> None:
+        """End a VM's control process at once."""
+        control = self.vm_by_name[name].control
+        if control is not None:
+            self._wire_by_incarnation[control.node.identity.incarnation].kill()
+        await super().kill_control(name)
+
+    async def kill_entry(self, name: str) -> None:
+        """End a VM's entry process at once; its callers lose their connections."""
+        entry = self.vm_by_name[name].entry
+        if entry is not None:
+            self.wire_of(entry).kill()
+        await super().kill_entry(name)
+
+    def pause(self, name: str) -> None:
+        """Stop a VM without its noticing."""
+        self.network.pause(name)
+        self.wires.pause(name)
+        for node in self._nodes(name):
+            node.timers.pause()
+
+    def resume(self, name: str) -> None:
+        """Let a paused VM go on."""
+        self.network.resume(name)
+        self.wires.resume(name)
+        for node in self._nodes(name):
+            node.timers.resume()
+
+    def set_cut(self, first: str, second: str, is_cut: bool) -> None:
+        """Cut two data centres off from each other, or a data centre from the platform."""
+        pair = frozenset((first, second))
+        if is_cut:
+            self.wires.cuts.add(pair)
+        else:
+            self.wires.cuts.discard(pair)
+        if PLATFORM in pair:
+            return
+        change = self.network.cut if is_cut else self.network.heal
+        for one in self._vms_in(first):
+            for other in self._vms_in(second):
+                change(one, other)
+
+    async def drain(self, name: str) -> None:
+        """Shut a VM down gracefully, as its programs do on a signal."""
+        vm = self.vm_by_name[name]
+        control, entry = vm.control, vm.entry
+        self.draining.add(name)
+        if control is None or entry is None:
+            return
+        entry.http.draining = True
+        leaving = asyncio.create_task(drain_control(control))
+        await asyncio.sleep(_DRAIN_NOTICE_SECONDS)
+        await self.wire_of(entry).idle.wait()
+        await entry.service.drained()
+        if vm.entry is entry:
+            await super().kill_entry(name)
+        await asyncio.wait([leaving], timeout=10.0)
+        leaving.cancel()
+        if vm.control is control:
+            await super().kill_control(name)
+
+    def set_engine_state(self, name: str, state: MemberState) -> None:
+        """List an engine as leaving, or as live again."""
+        member = self.member_by_name[name]
+        self.membership.put(
+            Member(
+                member.name,
+                member.kind,
+                state,
+                member.region,
+                member.data_centre,
+                member.address,
+                member.pool,
+                member.checks_fencing,
+            )
+        )
+
+    def note_in_force(self, now: float) -> None:
+        """Take down what the VMs put in force since the last call."""
+        for vm, inbox in self._inbox_by_vm.items():
+            while not inbox.empty():
+                event = inbox.get_nowait().message
+                version = event.version_by_name.get(WORKSPACE, 0)
+                weight = event.workspace_by_name[WORKSPACE].weight if version else 0
+                self.in_force.append(InForce(now, vm, version, weight))
+
+    def _add_second_server(self) -> None:
+        name = f"{SERVICE}-2"
+        self.plain_by_name[name] = StandinPlain(name)
+        member = Member(
+            name,
+            MemberKind.SERVICE,
+            MemberState.LIVE,
+            _DEPLOYMENT.region,
+            _DEPLOYMENT.data_centres[1],
+            "10.2.1.0:80",
+            SERVICE,
+            False,
+        )
+        self.member_by_name[name] = member
+        self.membership = StandinMembership(self.member_by_name.values())
+
+    def _nodes(self, name: str) -> list[Node]:
+        vm = self.vm_by_name[name]
+        return [process.node for process in (vm.control, vm.entry) if process is not None]
+
+    def _vms_in(self, data_centre: str) -> list[str]:
+        return [name for name, vm in self.vm_by_name.items() if vm.plan.data_centre == data_centre]
--- a/pimentoquay/bench/memory_cluster.py
+++ b/pimentoquay/bench/memory_cluster.py
@@ -22,8 +22,9 @@
 from pimentoquay.control import load_parts
 from pimentoquay.control.compose import PART_NAMES, ControlProcess, compose_control
 from pimentoquay.control.settings import ControlSection, ControlSettings
-from pimentoquay.entry.scheduler_link import SchedulerLink
-from pimentoquay.entry.service import RequestService
+from pimentoquay.entry.compose import EntryProcess, compose_entry
+from pimentoquay.entry.ports import EntryPorts
+from pimentoquay.entry.settings import HttpSection
 from pimentoquay.kernel import Identity, LoopClock, Node
 from pimentoquay.kernel.sections import ClusterSection, LogSection, PlatformSection, VmSection
 from pimentoquay.messages.cluster import Member, MemberKind, MemberState
@@ -36,9 +37,8 @@
 from pimentoquay.standin.plain_service import StandinPlain
 from pimentoquay.standin.weight_store import StandinWeights
 from pimentoquay.transport.memory import MemoryNetwork
-from pimentoquay.transport.peers import PeerSet
 
-__all__ = ["EntryProcess", "MemoryCluster", "Vm"]
+__all__ = ["MemoryCluster", "Vm"]
 
 WALL_BASE = 1_800_000_000.0
 """Seconds since the Unix epoch at loop time zero, so that stamps are the same in every run."""
@@ -47,17 +47,6 @@
 _ENGINE_PORT = 7100
 
 
-@dataclasses.dataclass(frozen=True)
-class EntryProcess:
-    """The entry process of a VM, without HTTP."""
-
-    node: Node
-    peers: PeerSet
-    link: SchedulerLink
-    service: RequestService
-    task: "asyncio.Task[None]"
-
-
 @dataclasses.dataclass
 class Vm:
     """One entry VM; a process that is down is ``None``."""
@@ -67,6 +56,7 @@
     control: ControlProcess | None = None
     control_task: "asyncio.Task[None] | None" = None
     entry: EntryProcess | None = None
+    entry_task: "asyncio.Task[None] | None" = None
 
 
 class MemoryCluster:
@@ -138,9 +128,8 @@
         """Start the control process of a VM."""
         vm = self.vm_by_name[name]
         node = self._node(vm.plan, "control")
-        vm.control = compose_control(
-            node, self.ports(), self._control_settings(vm), self._part_names
-        )
+        ports = self.ports_of(node.identity)
+        vm.control = compose_control(node, ports, self._control_settings(vm), self._part_names)
         vm.control_task = vm.control.start()
         return vm.control
 
@@ -148,11 +137,10 @@
         """Start the entry process of a VM."""
         vm = self.vm_by_name[name]
         node = self._node(vm.plan, "entry")
-        peers = PeerSet(node)
-        link = SchedulerLink(node, peers, vm.address)
-        service = RequestService(node, link, self._engine)
-        task = asyncio.create_task(node.run((link,)), name=f"entry {name}")
-        vm.entry = EntryProcess(node, peers, link, service, task)
+        ports = self.ports_of(node.identity)
+        section = HttpSection("-")
+        vm.entry = compose_entry(node, EntryPorts(ports.engine, ports.plain), vm.address, section)
+        vm.entry_task = asyncio.create_task(vm.entry.run(), name=f"entry {name}")
         return vm.entry
 
     async def kill_control(self, name: str) -> None:
@@ -167,14 +155,14 @@
     async def kill_entry(self, name: str) -> None:
         """End an entry process at once; its requests end without a word to anybody."""
         vm = self.vm_by_name[name]
-        if vm.entry is not None:
+        if vm.entry is not None and vm.entry_task is not None:
             entry, vm.entry = vm.entry, None
+            task, vm.entry_task = vm.entry_task, None
             await entry.node.transport.close()
-            await entry.peers.close()
-            await _cancelled(entry.task)
+            await _cancelled(task)
 
-    def ports(self) -> Ports:
-        """Return the stand-ins as the ports of a process."""
+    def ports_of(self, process: Identity) -> Ports:
+        """Return the stand-ins as the ports of one process."""
         return Ports(self._engine, self._plain, self.log, self.membership, self.weights)
 
     def _engine(self, member: Member) -> EngineClient:
--- a/pimentoquay/bench/program.py
+++ b/pimentoquay/bench/program.py
@@ -16,6 +16,7 @@
 
 _COMMAND_MODULES: tuple[str, ...] = (
     "pimentoquay.bench.demo.command",
+    "pimentoquay.bench.faults.command",
     "pimentoquay.bench.slopes.command",
 )
 """The modules whose import registers the commands."""
