Run seeded schedules of failures against real control and entry code

The invariants have to hold under failures that come together and twice, which focused tests do not reach. After each schedule answers, refusals, once-only calls, held memory, configuration, leaving engines, drains and unexpected errors are checked from what callers, engines, services and the log saw.

--- a/pimentoquay/bench/faults/callers.py
+++ b/pimentoquay/bench/faults/callers.py
@@ -89,6 +89,7 @@
     def __init__(
         self, world: FaultWorld, entry: EntryProcess, call: Call, offset: int | None
     ) -> None:
+        self._world = world
         self._entry = entry
         self._wire = world.wire_of(entry)
         self._call = call
@@ -112,8 +113,8 @@
             ended.cancel()
             work.cancel()
             await asyncio.wait({work})
-            if not work.cancelled():
-                work.exception()
+            if not work.cancelled() and work.exception() is not None:
+                self._world.errors.append(f"{self._call.request_id}: {work.exception()!r}")
 
     def tell(self, record: CallRecord) -> None:
         """Write down what the caller saw of this exchange."""
--- a/pimentoquay/bench/faults/checks.py
+++ b/pimentoquay/bench/faults/checks.py
@@ -42,6 +42,15 @@
 )
 
 
+_INVALID_CODES = (
+    ResultCode.UNAUTHENTICATED,
+    ResultCode.MODEL_FORBIDDEN,
+    ResultCode.MODEL_UNKNOWN,
+    ResultCode.BAD_REQUEST,
+    ResultCode.NOT_FOUND,
+)
+
+
 @dataclass(frozen=True)
 class Violation:
     """One broken invariant."""
@@ -83,7 +92,9 @@
 ) -> tuple[Violation, ...]:
     """Return every broken invariant of a schedule that has ended."""
     return (
+        *(Violation("unexpected error", error) for error in world.errors),
         *_check_answers(world),
+        *_check_valid(world),
         *_check_not_run(world),
         *_check_once_only(world),
         *watch.violations(),
@@ -95,7 +106,7 @@
 
 def _check_answers(world: FaultWorld) -> Iterator[Violation]:
     for record in world.records:
-        if record.ending is None:
+        if not record.ended_at:
             yield Violation("unfinished request", _told(record))
             continue
         if record.call.kind is CallKind.PLAIN:
@@ -107,6 +118,13 @@
             yield Violation("incomplete answer", _told(record))
 
 
+def _check_valid(world: FaultWorld) -> Iterator[Violation]:
+    """Yield calls that were refused as invalid, although all are valid by every version."""
+    for record in world.records:
+        if record.code in _INVALID_CODES:
+            yield Violation("valid call refused as invalid", _told(record))
+
+
 def _runs(world: FaultWorld) -> dict[str, list[tuple[str, Stage, int]]]:
     runs = defaultdict(list)
     for name, engine in world.engine_by_name.items():
@@ -191,7 +209,7 @@
 def _check_unprovoked(world: FaultWorld, faults: tuple[Fault, ...]) -> Iterator[Violation]:
     """Yield the requests that failed or were cut off although nothing failed around them."""
     for record in world.records:
-        failed = record.ending is Ending.LOST or record.code in _FAILURE_CODES
+        failed = (record.ended_at and record.ending is Ending.LOST) or record.code in _FAILURE_CODES
         if not failed:
             continue
         around = {
--- a/pimentoquay/bench/faults/runner.py
+++ b/pimentoquay/bench/faults/runner.py
@@ -69,6 +69,11 @@
     await world.begin()
     watch = HeldWatch(world)
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(
+        lambda _, context: world.errors.append(
+            f"{context['message']}: {context.get('exception')!r}"
+        )
+    )
     began = loop.time()
     faults: list[Fault] = []
     under_way: list[Step] = []
@@ -78,6 +83,7 @@
 
     def look() -> None:
         world.note_in_force(loop.time())
+        world.note_dead_processes()
         watch.look(loop.time(), last_fault_at())
 
     async def fail(step: Step) -> None:
--- a/pimentoquay/bench/faults/world.py
+++ b/pimentoquay/bench/faults/world.py
@@ -1,6 +1,7 @@
 """A small deployment whose processes, wires and stand-ins can be made to fail."""
 
 import asyncio
+from collections import Counter
 
 from pimentoquay.backends.base import EngineClient, PlainClient
 from pimentoquay.bench.deployment import Deployment, Pool
@@ -75,8 +76,10 @@
         self.draining: set[str] = set()
         self.published: list[Published] = []
         self.last_weight = 1
+        self.errors: list[str] = []
         self.records: list[CallRecord] = []
         self._wire_by_incarnation: dict[int, Wire] = {}
+        self._pauses_by_vm: Counter[str] = Counter()
         self._inbox_by_vm: dict[str, asyncio.Queue[Envelope]] = {}
         super().__init__(_DEPLOYMENT, seed, EngineModel(step_seconds=0.05))
         self._add_second_server()
@@ -143,14 +146,20 @@
         await super().kill_entry(name)
 
     def pause(self, name: str) -> None:
-        """Stop a VM without its noticing."""
+        """Stop a VM without its noticing; each pause needs a ``resume`` of its own."""
+        self._pauses_by_vm[name] += 1
+        if self._pauses_by_vm[name] > 1:
+            return
         self.network.pause(name)
         self.wires.pause(name)
         for node in self._nodes(name):
             node.timers.pause()
 
     def resume(self, name: str) -> None:
-        """Let a paused VM go on."""
+        """Let a VM go on once every pause of it has ended."""
+        self._pauses_by_vm[name] -= 1
+        if self._pauses_by_vm[name]:
+            return
         self.network.resume(name)
         self.wires.resume(name)
         for node in self._nodes(name):
@@ -205,6 +214,15 @@
             )
         )
 
+    def note_dead_processes(self) -> None:
+        """Take down the processes that ended although nobody ended them."""
+        for name, vm in self.vm_by_name.items():
+            for task in (vm.control_task, vm.entry_task):
+                if task is not None and task.done():
+                    self.errors.append(f"{name}: {task.get_name()} ended: {_reason(task)}")
+                    vm.control_task = None if task is vm.control_task else vm.control_task
+                    vm.entry_task = None if task is vm.entry_task else vm.entry_task
+
     def note_in_force(self, now: float) -> None:
         """Take down what the VMs put in force since the last call."""
         for vm, inbox in self._inbox_by_vm.items():
@@ -236,3 +254,7 @@
 
     def _vms_in(self, data_centre: str) -> list[str]:
         return [name for name, vm in self.vm_by_name.items() if vm.plan.data_centre == data_centre]
+
+
+def _reason(task: "asyncio.Task[None]") -> str:
+    return "cancelled" if task.cancelled() else repr(task.exception())
--- a/pimentoquay/bench/program.py
+++ b/pimentoquay/bench/program.py
@@ -15,9 +15,12 @@
 __all__ = ["BenchCommand", "main"]
 
 _COMMAND_MODULES: tuple[str, ...] = (
+    "pimentoquay.bench.compare.command",
     "pimentoquay.bench.demo.command",
     "pimentoquay.bench.faults.command",
+    "pimentoquay.bench.load.command",
     "pimentoquay.bench.slopes.command",
+    "pimentoquay.bench.steady.command",
 )
 """The modules whose import registers the commands."""
 
--- a/pimentoquay/control/__init__.py
+++ b/pimentoquay/control/__init__.py
@@ -12,7 +12,9 @@
     "pimentoquay.backends.plain_http",
     "pimentoquay.membership.part",
     "pimentoquay.configuration.part",
+    "pimentoquay.control.operator",
     "pimentoquay.scheduler.part",
+    "pimentoquay.control.usage",
 )
 """Modules whose import registers a plug-in of the control process."""
 
--- a/pimentoquay/control/settings.py
+++ b/pimentoquay/control/settings.py
@@ -3,12 +3,13 @@
 from dataclasses import dataclass
 
 from pimentoquay.configuration.settings import ConfigurationSection
+from pimentoquay.control.usage import UsageSection
 from pimentoquay.kernel.sections import ClusterSection, LogSection, PlatformSection, VmSection
 from pimentoquay.kernel.settings import setting
 from pimentoquay.membership.settings import MembershipSection
 from pimentoquay.scheduler.settings import SchedulerSection
 
-__all__ = ["ControlSection", "ControlSettings"]
+__all__ = ["ControlSection", "ControlSettings", "OperatorSection"]
 
 
 @dataclass(frozen=True)
@@ -18,6 +19,11 @@
     listen: str = setting(help="IP:PORT for peers, entries and operators")
 
 
+@dataclass(frozen=True)
+class OperatorSection:
+    """The operator part, which has no settings."""
+
+
 @dataclass(frozen=True)
 class ControlSettings:
     """Every section of a control process's settings file."""
@@ -30,3 +36,5 @@
     membership: MembershipSection
     configuration: ConfigurationSection
     scheduler: SchedulerSection
+    usage: UsageSection
+    operator: OperatorSection
--- a/pimentoquay/kernel/http_peer.py
+++ b/pimentoquay/kernel/http_peer.py
@@ -21,6 +21,8 @@
 from aiosonic.pools import BasePool, PoolConfig
 from aiosonic.timeout import Timeouts
 
+from pimentoquay.kernel.traffic import process_traffic
+
 __all__ = ["HttpAnswer", "HttpError", "HttpPeer"]
 
 CONNECT_SECONDS = 1.0
@@ -76,6 +78,7 @@
         mark = _mark.get()
         if mark is not None:
             mark.written = True
+        process_traffic.http_bytes_sent += len(data)
         super().write(data)
 
     async def __aexit__(self, exc_type: Any, exc: Any, tb: Any) -> None:
@@ -174,14 +177,18 @@
             _mark.reset(token)
 
     async def open_stream(
-        self, path: str, timeout: float, body: bytes = b""
+        self,
+        path: str,
+        timeout: float,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
     ) -> "HttpStream | HttpAnswer":
         """Post a request; return a stream if its status is 200, else the whole answer."""
         mark = _WriteMark()
         token = _mark.set(mark)
         try:
             async with asyncio.timeout(timeout):
-                response = await self._send("POST", path, body, None, stream=True)
+                response = await self._send("POST", path, body, headers, stream=True)
                 if response.status_code != 200:
                     return await _whole(response)
                 return HttpStream(response, f"{self.address}{path}")
@@ -263,4 +270,6 @@
     finally:
         await response.aclose()
     headers = {name.lower(): value for name, value in response.raw_headers}
+    header_bytes = sum(len(name) + len(value) + 4 for name, value in response.raw_headers)
+    process_traffic.http_bytes_received += header_bytes + len(body)
     return HttpAnswer(response.status_code, body, headers)
--- a/pimentoquay/transport/websocket.py
+++ b/pimentoquay/transport/websocket.py
@@ -14,12 +14,13 @@
 from typing import Any
 
 from websockets.asyncio.client import connect
-from websockets.asyncio.connection import Connection
+from websockets.asyncio.connection import Connection, broadcast
 from websockets.asyncio.server import Server, ServerConnection, serve
 from websockets.exceptions import WebSocketException
 
 from pimentoquay.kernel import Channel, HybridClock, Identity, PimentoquayError, ResultCode
 from pimentoquay.kernel.logs import logger
+from pimentoquay.kernel.traffic import process_traffic
 from pimentoquay.messages import CodecError, decode, encode
 from pimentoquay.messages.connection import Challenge, Hello, Rejected, Welcome
 from pimentoquay.transport import handshake
@@ -30,8 +31,10 @@
 HANDSHAKE_SECONDS = 2.0
 """How long each side waits for the other's part of the handshake."""
 
-PING_SECONDS = 2.0
-PING_TIMEOUT_SECONDS = 3.0
+PING_SECONDS = 20.0
+PING_TIMEOUT_SECONDS = 5.0
+"""Pings only end connections that nobody uses; heartbeats and lease renewals notice sooner."""
+
 CLOSE_SECONDS = 0.5
 MAX_UNSENT_BYTES = 16 * 1024 * 1024
 """A channel whose peer does not read is closed once this much waits to be sent."""
@@ -48,26 +51,27 @@
 
 
 class WebSocketChannel:
-    """One open channel; a task of its own writes what ``send`` queues."""
+    """One open channel.
+
+    Messages are written to the socket's buffer at once, without a task of their own: a task
+    switch for each message costs more than the message.
+    """
 
     def __init__(self, connection: Connection, peer: Identity, clock: HybridClock | None) -> None:
         self._connection = connection
         self.peer = peer
         self._clock = clock
-        self._unsent: asyncio.Queue[bytes] = asyncio.Queue()
-        self._unsent_bytes = 0
-        self._writer = asyncio.create_task(self._write())
-        self.bytes_sent = 0
 
     def send(self, message: Any) -> None:
-        """Queue a message; a channel with too much unsent is closed."""
+        """Write a message; a channel with too much unsent is closed."""
         packet = pack(message, self._clock)
-        self._unsent_bytes += len(packet)
-        if self._unsent_bytes > MAX_UNSENT_BYTES:
+        transport = self._connection.transport
+        if transport.get_write_buffer_size() + len(packet) > MAX_UNSENT_BYTES:
             logger.bind(peer=self.peer.vm).warning("peer does not read; closing its channel")
-            self._connection.transport.abort()
+            transport.abort()
             return
-        self._unsent.put_nowait(packet)
+        process_traffic.count_sent(len(packet))
+        broadcast((self._connection,), packet)
 
     async def receive(self) -> Any:
         """Return the next message; ``ConnectionError`` once closed, ``CodecError`` if malformed."""
@@ -77,31 +81,13 @@
             raise ConnectionResetError(f"the channel to {self.peer.vm} has closed") from error
         if isinstance(packet, str):
             raise CodecError(ResultCode.FRAME_MALFORMED, "a text frame")
+        process_traffic.count_received(len(packet))
         return unpack(packet, self._clock)
 
     async def close(self) -> None:
-        """Send what is queued, then close."""
-        for _ in range(10):
-            if self._unsent.empty() or self._writer.done():
-                break
-            await asyncio.sleep(0)
-        self._writer.cancel()
+        """Send what is written, then close."""
         await self._connection.close()
 
-    def stop_writing(self) -> None:
-        """End the writer once the connection has closed."""
-        self._writer.cancel()
-
-    async def _write(self) -> None:
-        try:
-            while True:
-                packet = await self._unsent.get()
-                self._unsent_bytes -= len(packet)
-                self.bytes_sent += len(packet)
-                await self._connection.send(packet)
-        except (WebSocketException, ConnectionError):
-            return
-
 
 class WebSocketTransport:
     """Dials and accepts channels for one process.
@@ -194,13 +180,9 @@
         channel = WebSocketChannel(connection, peer, self._clock)
         self._channels.add(channel)
         closing = asyncio.create_task(connection.wait_closed())
-        closing.add_done_callback(lambda _: self._forget(channel))
+        closing.add_done_callback(lambda _: self._channels.discard(channel))
         return channel
 
-    def _forget(self, channel: WebSocketChannel) -> None:
-        self._channels.discard(channel)
-        channel.stop_writing()
-
     async def _accepted(self, connection: ServerConnection) -> WebSocketChannel | None:
         challenge = handshake.make_challenge()
         try:
