--- a/pimentoquay/control/compose.py
+++ b/pimentoquay/control/compose.py
@@ -17,6 +17,8 @@
     "membership",
     "configuration",
     "scheduler",
+    "orders",
+    "once-only",
     "operator",
     "usage",
 )
