--- a/pimentoquay/bench/program.py
+++ b/pimentoquay/bench/program.py
@@ -19,6 +19,7 @@
     "pimentoquay.bench.demo.command",
     "pimentoquay.bench.faults.command",
     "pimentoquay.bench.load.command",
+    "pimentoquay.bench.mutations.command",
     "pimentoquay.bench.slopes.command",
     "pimentoquay.bench.steady.command",
 )
