--- a/pimentoquay/entry/life.py
+++ b/pimentoquay/entry/life.py
@@ -8,6 +8,7 @@
 
 from pimentoquay.backends.base import EngineClient
 from pimentoquay.entry.attempt import FRAME_END, Attempt, HeldKv, StageFailedError
+from pimentoquay.entry.key_claims import Claim
 from pimentoquay.entry.metrics import RequestOutcome
 from pimentoquay.entry.placer import Placement
 from pimentoquay.entry.request import RequestSpec, final_trigger
@@ -29,6 +30,9 @@
 MAX_ATTEMPTS = 6
 """Attempts of one request, the first included."""
 
+EARLY_TOKENS = 8
+"""Tokens after the first by which the engine's speed is told to the scheduler."""
+
 RESUME_TRIES = 3
 """Tries to resume a broken stream before it is given up."""
 
@@ -57,6 +61,7 @@
         self.tokens = 0
         self.is_whole = False
         self.may_have_run = False
+        self._claim: Claim | None = None
         self._placement: Placement | None = None
         self._attempts: list[Attempt] = []
         self._received_at = self._node.clock.now()
@@ -66,6 +71,7 @@
             self._retry_until += spec.max_tokens * spec.kind.token_interval_target
         self._admitted_at = 0.0
         self._first_token_at = 0.0
+        self._is_pace_told = False
 
     def frames(self) -> AsyncIterator[bytes]:
         """Place and run the request."""
@@ -98,6 +104,10 @@
             self._end(code)
 
     async def _run(self) -> AsyncIterator[bytes]:
+        if self.spec.idempotency_key:
+            self._claim = await self._service.claims.claim(
+                self.spec.workspace, self.spec.idempotency_key, self.spec.request_id
+            )
         grant, kv = await self._place(), None
         while True:
             try:
@@ -129,6 +139,7 @@
             self._placement.shard,
             grant,
             self._deadline,
+            self._service.pace,
         )
         self._attempts.append(attempt)
         return attempt
@@ -166,10 +177,17 @@
             yield self._count(chunk)
             async for chunk in self._rest(stream):
                 yield chunk
+                if not self._is_pace_told and self.tokens > EARLY_TOKENS:
+                    self._tell_pace(attempt)
         if not self.is_whole:
             async for chunk in self._go_on(attempt):
                 yield chunk
 
+    def _tell_pace(self, attempt: Attempt) -> None:
+        self._is_pace_told = True
+        seconds = self._node.clock.now() - self._first_token_at
+        attempt.report_decode(self.tokens - 1, seconds)
+
     async def _whole(self, attempt: Attempt, kv: HeldKv) -> AsyncIterator[bytes]:
         """Relay an answer in one piece, so that until then it may be run again."""
         try:
@@ -305,8 +323,16 @@
             release = Release(self.spec.request_id, code, self.tokens, now - self._received_at)
             self._link.release(self._placement.shard, release)
             self._service.direct.release(self._placement.shard, self.spec.request_id)
+        if self._claim is not None:
+            self._service.claims.settle(self._claim, self._settled_code(code))
         self._service.metrics.count(self._outcome(code, now))
 
+    def _settled_code(self, code: ResultCode) -> ResultCode:
+        """Return what the key's owner is told of a request that its caller may have left."""
+        if code is not ResultCode.CANCELLED:
+            return code
+        return ResultCode.OUTCOME_UNKNOWN if self.may_have_run else ResultCode.NO_BACKEND
+
     def _outcome(self, code: ResultCode, now: float) -> RequestOutcome:
         started = self._first_token_at
         return RequestOutcome(
