--- a/pimentoquay/ctl/reference.py
+++ b/pimentoquay/ctl/reference.py
@@ -72,8 +72,7 @@
     stale = [
         name
         for name, text in pages().items()
-        if not (directory / name).exists()
-        or (directory / name).read_text(encoding="utf-8") != text
+        if not (directory / name).exists() or (directory / name).read_text(encoding="utf-8") != text
     ]
     for name in stale:
         print(f"{directory / name} is not current", file=sys.stderr)
--- a/pimentoquay/ctl/tests/test_tutorial.py
+++ b/pimentoquay/ctl/tests/test_tutorial.py
@@ -33,6 +33,11 @@
     return found
 
 
+def run_shell(line, directory):
+    """Run one of the page's lines that change a file."""
+    subprocess.run(["sh", "-c", line], check=True, cwd=directory)
+
+
 async def send_request(operator, line):
     """Run what the page's curl command asks for, at the entry of one VM."""
     words = shlex.split(line)
@@ -83,7 +88,7 @@
         elif line.startswith("curl "):
             await send_request(operator, line)
         elif not line.endswith("make demo"):
-            subprocess.run(["sh", "-c", line], check=True, cwd=operator.directory)
+            run_shell(line, operator.directory)
     assert commands >= 15
 
 
--- a/pimentoquay/transport/timeline_responder.py
+++ b/pimentoquay/transport/timeline_responder.py
@@ -27,8 +27,7 @@
             event.detail,
         )
         for event in events
-        if event.stamp.wall_us >= request.since_us
-        and _is_of(event.request_id, request.request_id)
+        if event.stamp.wall_us >= request.since_us and _is_of(event.request_id, request.request_id)
     ]
     return tuple(found[-MAX_ANSWERED_EVENTS:])
 
