Divide the request life: verdicts are pure functions, freeing belongs to the service

The faults tests switch the same mechanisms off under their new names; they check what they checked. Clients of engines that are gone are forgotten.

--- a/pimentoquay/bench/faults/tests/test_faults.py
+++ b/pimentoquay/bench/faults/tests/test_faults.py
@@ -7,12 +7,14 @@
 import pytest
 
 import pimentoquay.entry.http
+import pimentoquay.entry.life
 import pimentoquay.scheduler.part
 from pimentoquay.bench.faults.runner import run_schedule, shorten
 from pimentoquay.bench.faults.schedule import Step, make_steps
 from pimentoquay.bench.program import main
 from pimentoquay.configuration.part import ConfigurationPart
 from pimentoquay.entry.life import RequestRun
+from pimentoquay.entry.service import RequestService
 from pimentoquay.kernel import RefusedError, ResultCode
 from pimentoquay.kernel.logs import logger
 from pimentoquay.membership import shards_of
@@ -61,14 +63,14 @@
 
 
 def nobody_cancels(patch):
-    patch.setattr(RequestRun, "_free", lambda *_, **__: None)
+    patch.setattr(RequestService, "free", lambda *_, **__: None)
     patch.setattr(pimentoquay.scheduler.part, "sweep", lambda *_: SweepResult((), ()))
 
 
 def every_failure_is_called_not_run(patch):
-    patch.setattr(RequestRun, "_truthful", lambda _, error: error)
+    patch.setattr(pimentoquay.entry.life, "truthful", lambda spec, error, ran: error)
     refusal = RefusedError(ResultCode.NO_BACKEND, "")
-    patch.setattr(RequestRun, "_final_error", lambda *_: refusal)
+    patch.setattr(pimentoquay.entry.life, "error_after", lambda *_: refusal)
 
 
 def no_call_is_once_only(patch):
--- a/pimentoquay/entry/attempt.py
+++ b/pimentoquay/entry/attempt.py
@@ -108,6 +108,7 @@
         self._deadline = deadline
         self._pace = pace
         self.grant = grant
+        self.request_id = spec.request_id
         self.engine_attempt = grant.attempt
         self.client_by_engine: dict[str, EngineClient] = {}
         self._hold(Stage.PREFILL)
@@ -204,6 +205,22 @@
         )
         self._link.report(self._shard, report)
 
+    def holders(self, keep: HeldKv | None) -> list[tuple[EngineClient, int]]:
+        """Return the engines that may hold something, with the attempt they know it under.
+
+        The engine of the KV cache ``keep`` is left out.
+        """
+        attempt = self.grant.attempt
+        holders = [
+            (client, attempt)
+            for engine, client in self.client_by_engine.items()
+            if keep is None or engine != keep.engine
+        ]
+        if self.engine_attempt != attempt:
+            decoder = self.client_by_engine[self.grant.decode_engine]
+            holders.append((decoder, self.engine_attempt))
+        return holders
+
     def _member(self, engine: str) -> Member:
         member = self._link.directory.member_by_name.get(engine)
         if member is None:
--- a/pimentoquay/entry/life.py
+++ b/pimentoquay/entry/life.py
@@ -6,13 +6,13 @@
 from contextlib import aclosing
 from typing import TYPE_CHECKING, Any
 
-from pimentoquay.backends.base import EngineClient
 from pimentoquay.entry.attempt import FRAME_END, Attempt, HeldKv, StageFailedError
 from pimentoquay.entry.key_claims import Claim
 from pimentoquay.entry.metrics import RequestOutcome
 from pimentoquay.entry.placer import Placement
 from pimentoquay.entry.request import RequestSpec, final_trigger
-from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode, is_not_run
+from pimentoquay.entry.verdict import error_after, may_run_again, settled_code, truthful
+from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages.placement import Grant, Release, Stage
 
@@ -91,7 +91,7 @@
                     yield chunk
             code = ResultCode.OK
         except PimentoquayError as error:
-            truth = self._truthful(error)
+            truth = truthful(self.spec, error, self.may_have_run)
             code = truth.code
             if truth is error:
                 raise
@@ -250,9 +250,9 @@
         if failure.kv is not None and failure.kv.attempt != last.grant.attempt:
             # The second transfer failed too, so the source is the likelier cause.
             failure.kv = None
-        self._free(last, keep=failure.kv)
+        self._service.free(last, keep=failure.kv)
         if not self._may_try_again(failure):
-            raise self._final_error(failure)
+            raise error_after(self.spec, failure, self.may_have_run)
         self._extend_deadline()
         assert self._placement is not None
         try:
@@ -262,10 +262,10 @@
         except RefusedError as refusal:
             if not self.may_have_run:
                 raise
-            raise self._final_error(failure) from refusal
+            raise error_after(self.spec, failure, self.may_have_run) from refusal
         grant = self._placement.grant
         if failure.kv is not None and failure.kv.engine != grant.prefill_engine:
-            self._free(last, keep=None)
+            self._service.free(last, keep=None)
         self.admit()
         self._record_placed(grant)
         return grant
@@ -273,9 +273,7 @@
     def _may_try_again(self, failure: StageFailedError) -> bool:
         if len(self._attempts) >= MAX_ATTEMPTS or self._node.clock.now() >= self._retry_until:
             return False
-        if self.spec.kind.idempotent or not self.may_have_run:
-            return True
-        return failure.stage is Stage.TRANSFER and failure.kv is not None
+        return may_run_again(self.spec, failure, self.may_have_run)
 
     def _extend_deadline(self) -> None:
         """Give a whole answer that is run again a first token target of its own.
@@ -285,21 +283,6 @@
         if not self.spec.streaming and self._first_token_at:
             self._deadline = self._node.clock.now() + self.spec.kind.first_token_target
 
-    def _final_error(self, failure: StageFailedError) -> PimentoquayError:
-        if not self.may_have_run:
-            return RefusedError(ResultCode.NO_BACKEND, failure.detail)
-        if not self.spec.kind.idempotent:
-            return PimentoquayError(ResultCode.OUTCOME_UNKNOWN, failure.detail)
-        return failure
-
-    def _truthful(self, error: PimentoquayError) -> PimentoquayError:
-        """Return the error, unless it says "not run" although an engine may have run."""
-        if not (is_not_run(error.code) and self.may_have_run):
-            return error
-        idempotent = self.spec.kind.idempotent
-        code = ResultCode.ENGINE_FAILED if idempotent else ResultCode.OUTCOME_UNKNOWN
-        return PimentoquayError(code, error.detail)
-
     def _begin(self) -> None:
         if self.spec.request_id in self._service.run_by_id:
             raise RefusedError(
@@ -318,21 +301,15 @@
         del self._service.run_by_id[self.spec.request_id]
         if code is not ResultCode.OK:
             for attempt in self._attempts:
-                self._free(attempt, keep=None)
+                self._service.free(attempt, keep=None)
         if self._placement is not None:
             release = Release(self.spec.request_id, code, self.tokens, now - self._received_at)
             self._link.release(self._placement.shard, release)
             self._service.direct.release(self._placement.shard, self.spec.request_id)
         if self._claim is not None:
-            self._service.claims.settle(self._claim, self._settled_code(code))
+            self._service.claims.settle(self._claim, settled_code(code, self.may_have_run))
         self._service.metrics.count(self._outcome(code, now))
 
-    def _settled_code(self, code: ResultCode) -> ResultCode:
-        """Return what the key's owner is told of a request that its caller may have left."""
-        if code is not ResultCode.CANCELLED:
-            return code
-        return ResultCode.OUTCOME_UNKNOWN if self.may_have_run else ResultCode.NO_BACKEND
-
     def _outcome(self, code: ResultCode, now: float) -> RequestOutcome:
         started = self._first_token_at
         return RequestOutcome(
@@ -351,19 +328,3 @@
     def _record_placed(self, grant: Grant) -> None:
         engines = f"{grant.prefill_engine}, {grant.decode_engine}"
         self._record("placed", f"attempt {grant.attempt}: {engines}")
-
-    def _free(self, attempt: Attempt, keep: HeldKv | None) -> None:
-        """Cancel an attempt on its engines, save on the one whose KV cache is kept."""
-        for engine, client in attempt.client_by_engine.items():
-            if keep is None or engine != keep.engine:
-                self._service.in_background(self._cancel(client, attempt.grant.attempt))
-        if attempt.engine_attempt != attempt.grant.attempt:
-            client = attempt.client_by_engine[attempt.grant.decode_engine]
-            self._service.in_background(self._cancel(client, attempt.engine_attempt))
-
-    async def _cancel(self, client: EngineClient, attempt: int) -> None:
-        try:
-            await client.cancel(self.spec.request_id, attempt)
-        except (PimentoquayError, OSError) as error:
-            # The scheduler's sweep frees what a lost cancellation leaves behind.
-            logger.bind(request_id=self.spec.request_id).info(f"cancel failed: {error}")
--- a/pimentoquay/entry/service.py
+++ b/pimentoquay/entry/service.py
@@ -20,6 +20,7 @@
 from typing import Any
 
 from pimentoquay.backends.base import EngineClient
+from pimentoquay.entry.attempt import Attempt, HeldKv
 from pimentoquay.entry.direct import DirectPlacer
 from pimentoquay.entry.key_claims import KeyClaims
 from pimentoquay.entry.life import RequestRun
@@ -27,7 +28,8 @@
 from pimentoquay.entry.placer import Placer
 from pimentoquay.entry.request import LifeMachine, RequestSpec
 from pimentoquay.entry.scheduler_link import SchedulerLink
-from pimentoquay.kernel import Node
+from pimentoquay.kernel import Node, PimentoquayError
+from pimentoquay.kernel.logs import logger
 from pimentoquay.messages.cluster import Member
 from pimentoquay.policy import TransferPace
 
@@ -89,9 +91,28 @@
         key = (member.name, member.address)
         client = self._client_by_member.get(key)
         if client is None:
+            self._forget_gone()
             client = self._client_by_member[key] = self._engine(member)
         return client
 
+    def _forget_gone(self) -> None:
+        """Drop the clients of engines that are no longer listed; attempts keep their own."""
+        listed = {(m.name, m.address) for m in self.link.directory.member_by_name.values()}
+        for key in self._client_by_member.keys() - listed:
+            del self._client_by_member[key]
+
+    def free(self, attempt: Attempt, keep: HeldKv | None) -> None:
+        """Cancel an attempt on its engines, save on the one whose KV cache is kept."""
+        for client, number in attempt.holders(keep):
+            self.in_background(self._cancel(client, attempt.request_id, number))
+
+    async def _cancel(self, client: EngineClient, request_id: str, attempt: int) -> None:
+        try:
+            await client.cancel(request_id, attempt)
+        except (PimentoquayError, OSError) as error:
+            # The scheduler's sweep frees what a lost cancellation leaves behind.
+            logger.bind(request_id=request_id).info(f"cancel failed: {error}")
+
     def in_background(self, work: Coroutine[Any, Any, None]) -> None:
         """Run work that must finish although its request has ended."""
         task = asyncio.get_running_loop().create_task(work)
--- a/pimentoquay/entry/tests/test_life.py
+++ b/pimentoquay/entry/tests/test_life.py
@@ -9,6 +9,7 @@
     KIND,
     SHARD,
     collect,
+    engine_member,
     entry_rig,
     frame,
     grant,
@@ -294,3 +295,15 @@
             await collect(rig.service.run(spec_of()))
         assert caught.value.code is ResultCode.KEY_IN_USE
         assert await first == WHOLE
+
+
+async def test_clients_of_engines_that_are_gone_are_forgotten():
+    async with entry_rig() as rig:
+        view = rig.link.directory.view
+        first = engine_member("p1")
+        client = rig.service.engine_of(first)
+        assert rig.service.engine_of(first) is client
+        rig.link.inbox.put_nowait(Envelope(ClusterView(2, view.members[:1], view.live_vms, ())))
+        await asyncio.sleep(0.01)
+        rig.service.engine_of(engine_member("d1"))
+        assert list(rig.service._client_by_member) == [("d1", "d1")]
