--- a/pimentoquay/bench/slopes/command.py
+++ b/pimentoquay/bench/slopes/command.py
@@ -5,6 +5,7 @@
 import json
 
 from pimentoquay.bench import configuration_cost  # noqa: F401
+from pimentoquay.bench import membership_cost  # noqa: F401
 from pimentoquay.bench.slopes import messages, ownership, relay, scheduler  # noqa: F401
 from pimentoquay.bench.slopes.slope import Slope
 from pimentoquay.kernel import find_plugin, plugin, plugin_names
