--- a/pimentoquay/configuration/checkpoint.py
+++ b/pimentoquay/configuration/checkpoint.py
@@ -92,11 +92,16 @@
         if len(part_by_index) < content.parts:
             return None
         parts = [part_by_index[index] for index in sorted(part_by_index)]
-        restored = ConfigurationState.restore(
-            content.folded_to,
-            [record for part in parts for record in part.records],
-            [outcome for part in parts for outcome in part.outcomes],
-        )
+        try:
+            restored = ConfigurationState.restore(
+                content.folded_to,
+                [record for part in parts for record in part.records],
+                [outcome for part in parts for outcome in part.outcomes],
+            )
+        except ValueError:
+            # A malformed checkpoint is passed over; the next one is waited for.
+            del self._parts_by_generation[content.generation]
+            return None
         return self._replayed(restored)
 
     def records(self) -> Iterator[tuple[int, bytes]]:
--- a/pimentoquay/configuration/part.py
+++ b/pimentoquay/configuration/part.py
@@ -119,14 +119,14 @@
 
     @_handle.register
     def _(self, message: Heartbeat, envelope: Envelope) -> None:
-        if envelope.channel is None:
+        if envelope.channel is None or envelope.channel.peer.process != "control":
             return
         self.keeper.take_report(envelope.channel, message.configuration_offset)
         self._advanced()
 
     @_handle.register
     def _(self, message: ConfigurationEntries, envelope: Envelope) -> None:
-        if envelope.channel is None:
+        if envelope.channel is None or envelope.channel.peer.process != "control":
             return
         if is_gap(self.keeper.state, message):
             self._ask(envelope.channel)
--- a/pimentoquay/configuration/relay.py
+++ b/pimentoquay/configuration/relay.py
@@ -43,11 +43,23 @@
         """Return the state after a message; the state given if it brought nothing new.
 
         A message that starts after the state's offset cannot be applied and changes nothing;
-        ``is_gap`` tells so.
+        ``is_gap`` tells so. Malformed records change nothing either.
         """
         whole = self._collect(entries)
         if whole is None:
             return state
+        try:
+            return self._applied(state, entries, whole)
+        except ValueError:
+            # Everything is decoded before anything is changed.
+            return state
+
+    def _applied(
+        self,
+        state: ConfigurationState | None,
+        entries: ConfigurationEntries,
+        whole: list[ConfigurationEntries],
+    ) -> ConfigurationState | None:
         records = [record for part in whole for record in part.records]
         outcomes: list[ChangeOutcome] = [item for part in whole for item in part.outcomes]
         if entries.after_offset < 0:
--- a/pimentoquay/configuration/tests/test_fold.py
+++ b/pimentoquay/configuration/tests/test_fold.py
@@ -12,6 +12,8 @@
 from pimentoquay.configuration.view import ConfigurationView
 from pimentoquay.kernel import ResultCode
 from pimentoquay.messages import CodecError, decode, encode
+from pimentoquay.messages.cluster import ConfigurationEntries
+from pimentoquay.messages.configuration import ConfigurationCheckpoint
 from pimentoquay.messages.workspaces import ConfigurationRecord
 
 NAMES = ("hall", "school", "press")
@@ -170,6 +172,20 @@
     assert state.workspace_by_name()["hall"].weight == 2
 
 
+def test_malformed_records_of_a_peer_and_of_a_checkpoint_change_nothing():
+    state = state_of([change_data("a", "hall", 0, 1)])
+    before = seen(state)
+    for data in (b"noise", change_data("b", "hall", 1, 2)):
+        bad = ConfigurationEntries(1, 2, 0, 1, -1, (data,), ())
+        assert EntriesReceiver().add(state, bad) is state
+        assert seen(state) == before
+        bootstrap = Bootstrap(5)
+        part = encode(ConfigurationCheckpoint("g", 5, 0, 1, (data,), ()))
+        assert bootstrap.add(5, part) is None
+        (whole,) = checkpoint_parts(state_of([b""] * 5), "h", 200)
+        assert bootstrap.add(6, whole) is not None
+
+
 def test_gap_is_refused():
     with pytest.raises(OffsetGapError, match="record 3 does not follow"):
         ConfigurationState().fold(3, b"")
--- a/pimentoquay/configuration/tests/test_random_faults.py
+++ b/pimentoquay/configuration/tests/test_random_faults.py
@@ -104,8 +104,9 @@
             await self.replace(list(PLACES))
 
     async def replace(self, vms):
-        await self.cluster.stop(*[vm for vm in vms if vm in self.cluster.control_by_vm])
-        await self.cluster.start(*vms) if vms else None
+        if vms:
+            await self.cluster.stop(*vms)
+            await self.cluster.start(*vms)
 
     async def pause(self):
         vm = self.random.choice(list(PLACES))
