--- a/pimentoquay/bench/slopes/command.py
+++ b/pimentoquay/bench/slopes/command.py
@@ -4,8 +4,7 @@
 import dataclasses
 import json
 
-from pimentoquay.bench import configuration_cost  # noqa: F401
-from pimentoquay.bench import membership_cost  # noqa: F401
+from pimentoquay.bench import configuration_cost, membership_cost  # noqa: F401
 from pimentoquay.bench.slopes import messages, ownership, relay, scheduler  # noqa: F401
 from pimentoquay.bench.slopes.slope import Slope
 from pimentoquay.kernel import find_plugin, plugin, plugin_names
