--- a/pimentoquay/messages/orders.py
+++ b/pimentoquay/messages/orders.py
@@ -107,6 +107,7 @@
     """
 
     engine: str
+    data_centre: str
     vm: str
     incarnation: int
     sequence: int
--- a/pimentoquay/orders/claim_fold.py
+++ b/pimentoquay/orders/claim_fold.py
@@ -1,4 +1,4 @@
-"""The fold of a data centre's claims: who may order a shard's engines, who may load weights.
+"""The fold of a region's claims: who may order a shard's engines, who may load weights.
 
 The last claim of a shard in the order of the log holds it. A renewal counts only for the holder
 that it names, so that a deposed holder's renewal, late or unaware, takes nothing back. Places for
@@ -30,6 +30,7 @@
 
 @dataclass(frozen=True)
 class _Permit:
+    data_centre: str
     vm: str
     incarnation: int
     until: float
@@ -41,7 +42,7 @@
     Parameters
     ----------
     places
-        Engines of the data centre that may load weights at once.
+        Engines of a data centre that may load weights at once.
     """
 
     def __init__(self, places: int) -> None:
@@ -81,9 +82,9 @@
             and permit.until > now
         )
 
-    def has_free_place(self, now: float) -> bool:
-        """Tell whether a place for loading weights is free."""
-        return self._taken(now) < self._places
+    def has_free_place(self, data_centre: str, now: float) -> bool:
+        """Tell whether a place for loading weights is free in a data centre."""
+        return self._taken(data_centre, now) < self._places
 
     def apply_claim(self, offset: int, claim: ShardClaim, appended_at: float) -> None:
         """Fold a claim or a renewal."""
@@ -112,13 +113,19 @@
                 del self._permit_by_engine[permit.engine]
             return
         is_taken = held is not None and held.until > appended_at and not is_own
-        if not is_taken and (is_own or self._taken(appended_at) < self._places):
+        if not is_taken and (is_own or self._taken(permit.data_centre, appended_at) < self._places):
             self._permit_by_engine[permit.engine] = _Permit(
-                permit.vm, permit.incarnation, appended_at + permit.lifetime
+                permit.data_centre,
+                permit.vm,
+                permit.incarnation,
+                appended_at + permit.lifetime,
             )
 
-    def _taken(self, now: float) -> int:
-        return sum(permit.until > now for permit in self._permit_by_engine.values())
+    def _taken(self, data_centre: str, now: float) -> int:
+        return sum(
+            permit.until > now and permit.data_centre == data_centre
+            for permit in self._permit_by_engine.values()
+        )
 
 
 def _renews(claim: ShardClaim, holder: ShardHolder) -> bool:
--- a/pimentoquay/orders/leases.py
+++ b/pimentoquay/orders/leases.py
@@ -18,13 +18,13 @@
 __all__ = ["Lease", "Leases", "claims_stream"]
 
 
-def claims_stream(data_centre: str) -> str:
-    """Return the name of the log stream of a data centre's claims.
+def claims_stream(region: str) -> str:
+    """Return the name of the log stream of a region's claims.
 
-    One stream serves all shards of a data centre, so that an engine which moves from one shard to
-    another sees growing fencing numbers.
+    One stream serves all shards of a region, so that an engine which moves from one shard to
+    another, when its pool grows, sees growing fencing numbers.
     """
-    return f"claims-{data_centre}"
+    return f"claims-{region}"
 
 
 @dataclass(frozen=True)
@@ -59,7 +59,7 @@
         self._section = section
         self._fold = ClaimFold(section.loads_at_once)
         self._stream = FoldedStream(
-            log, claims_stream(node.identity.data_centre), self._apply, self._restart
+            log, claims_stream(node.identity.region), self._apply, self._restart
         )
         self._lease_by_shard: dict[str, Lease] = {}
         self._superseded_by: dict[str, int] = {}
@@ -101,19 +101,20 @@
         if lease is not None and self._node.clock.now() < lease.until:
             await self._append(shard, lease.number, 0.0)
 
-    async def permit_load(self, engine: str) -> bool:
+    async def permit_load(self, engine: str, data_centre: str) -> bool:
         """Ask for a place to load weights into an engine; return whether one was had."""
         identity = self._node.identity
         if self._has_permit(engine):
             return True
-        if not self._fold.has_free_place(self._node.clock.now()):
+        if not self._fold.has_free_place(data_centre, self._node.clock.now()):
             await self._stream.catch_up()
-            if not self._fold.has_free_place(self._node.clock.now()):
+            if not self._fold.has_free_place(data_centre, self._node.clock.now()):
                 return False
         self._sequence += 1
         await self._stream.append(
             LoadPermit(
                 engine,
+                data_centre,
                 identity.vm,
                 identity.incarnation,
                 self._sequence,
@@ -122,13 +123,15 @@
         )
         return self._has_permit(engine)
 
-    async def end_load(self, engine: str) -> None:
+    async def end_load(self, engine: str, data_centre: str) -> None:
         """Give back the place of an engine, if one is held."""
         identity = self._node.identity
         if self._has_permit(engine):
             self._sequence += 1
             await self._stream.append(
-                LoadPermit(engine, identity.vm, identity.incarnation, self._sequence, 0.0)
+                LoadPermit(
+                    engine, data_centre, identity.vm, identity.incarnation, self._sequence, 0.0
+                )
             )
 
     def _has_permit(self, engine: str) -> bool:
--- a/pimentoquay/orders/part.py
+++ b/pimentoquay/orders/part.py
@@ -8,8 +8,8 @@
 from pimentoquay.configuration.events import ConfigurationInForce
 from pimentoquay.kernel import Envelope, Node, PimentoquayError, ResultCode, plugin
 from pimentoquay.kernel.logs import logger
-from pimentoquay.membership import Shard, owner_of, shards_of
-from pimentoquay.messages.cluster import ClusterView, Member, MemberKind
+from pimentoquay.membership import Shard, shard_owner, shards_of
+from pimentoquay.messages.cluster import ClusterView, Member
 from pimentoquay.orders.leases import Leases
 from pimentoquay.orders.reconcile import (
     EngineTarget,
@@ -95,20 +95,11 @@
                 self._reported_at[message.engine] = self._node.timers.now()
 
     def _take_view(self, view: ClusterView) -> None:
-        identity = self._node.identity
-        live = frozenset(view.live_vms)
-        vms = [
-            member.name
-            for member in view.members
-            if member.kind is MemberKind.ENTRY_VM
-            and member.data_centre == identity.data_centre
-            and member.name in live
-        ]
-        members = [member for member in view.members if member.data_centre == identity.data_centre]
+        own = self._node.identity
         self._shard_by_name = {
             name: shard
-            for name, shard in shards_of(members).items()
-            if owner_of(name, vms) == identity.vm
+            for name, shard in shards_of(view.members).items()
+            if shard.is_near(own) and shard_owner(shard, view.members, view.live_vms) == own.vm
         }
         owned = {engine.name for shard in self._shard_by_name.values() for engine in shard.engines}
         for name in [name for name in self._status_by_engine if name not in owned]:
@@ -127,8 +118,8 @@
             name: target_of(status, pool, self._role_by_engine.get(name))
             for name, status in statuses.items()
         }
-        await self._end_loads(statuses, target_by_engine)
-        may_load = await self._permitted_loads(statuses, target_by_engine)
+        await self._end_loads(shard, statuses, target_by_engine)
+        may_load = await self._permitted_loads(shard, statuses, target_by_engine)
         orders = []
         for member in shard.engines:
             status = statuses.get(member.name)
@@ -160,26 +151,34 @@
         self._node.timeline.record("role-change", detail=f"{changed.engine} to {role.name}")
 
     async def _end_loads(
-        self, statuses: dict[str, EngineStatus], target_by_engine: dict[str, EngineTarget]
+        self,
+        shard: Shard,
+        statuses: dict[str, EngineStatus],
+        target_by_engine: dict[str, EngineTarget],
     ) -> None:
-        for name in tuple(self._loading):
+        place_by_engine = {member.name: member.data_centre for member in shard.engines}
+        for name in self._loading & set(place_by_engine):
             status = statuses.get(name)
             if status is not None and not needs_load(status, target_by_engine[name]):
                 self._loading.discard(name)
-                await self._guard(self._leases.end_load(name))
+                await self._guard(self._leases.end_load(name, place_by_engine[name]))
 
     async def _permitted_loads(
-        self, statuses: dict[str, EngineStatus], target_by_engine: dict[str, EngineTarget]
+        self,
+        shard: Shard,
+        statuses: dict[str, EngineStatus],
+        target_by_engine: dict[str, EngineTarget],
     ) -> frozenset[str]:
-        """Return the engines that load now or may start to."""
+        """Return the engines of a shard that load now or may start to."""
+        place_by_engine = {member.name: member.data_centre for member in shard.engines}
         self._loading &= set(self._status_by_engine)
         started = load_candidates(statuses, target_by_engine, frozenset(self._loading))
         for name in started:
-            if await self._guard(self._leases.permit_load(name)):
+            if await self._guard(self._leases.permit_load(name, place_by_engine[name])):
                 self._loading.add(name)
         permitted = set()
         for name in self._loading & set(statuses):
-            if await self._guard(self._leases.permit_load(name)):
+            if await self._guard(self._leases.permit_load(name, place_by_engine[name])):
                 permitted.add(name)
         return frozenset(permitted)
 
--- a/pimentoquay/orders/tests/test_leases.py
+++ b/pimentoquay/orders/tests/test_leases.py
@@ -136,12 +136,13 @@
 async def test_places_for_loading_are_limited_over_all_vms():
     log = StandinLog()
     first, second = leases(log, "a"), leases(log, "b")
-    assert await first.permit_load("e1")
-    assert await second.permit_load("e2")
-    assert not await second.permit_load("e3")
-    await first.end_load("e1")
-    assert await second.permit_load("e3")
-    assert not await first.permit_load("e1")
+    assert await first.permit_load("e1", "d")
+    assert await second.permit_load("e2", "d")
+    assert not await second.permit_load("e3", "d")
+    assert await second.permit_load("e4", "other")
+    await first.end_load("e1", "d")
+    assert await second.permit_load("e3", "d")
+    assert not await first.permit_load("e1", "d")
 
 
 @pytest.mark.parametrize("seed", range(8))
