Give no second grant to a request announced while it waits

An announcement now ends the wait for the same attempt, and is passed over when a later attempt waits.

The fault schedules repeat plain calls through other VMs with the same idempotency key, and check that a key runs once.

--- a/pimentoquay/bench/faults/callers.py
+++ b/pimentoquay/bench/faults/callers.py
@@ -1,6 +1,7 @@
 """Callers of the entry processes' HTTP applications, and what each of them saw."""
 
 import asyncio
+import dataclasses
 import json
 import random
 from typing import Any
@@ -17,6 +18,9 @@
 RESUME_PAUSE_SECONDS = 0.3
 CALLS_PER_SECOND = 4.0
 LEAVING_SHARE = 0.12
+REPEATED_SHARE = 0.5
+"""The share of plain calls that their caller repeats through another VM with the same key."""
+
 LONG_SHARE = 0.25
 LONG_TOKENS = 80
 """The length of answers that would hold memory for long if nobody cancelled them."""
@@ -25,10 +29,15 @@
 def make_calls(seed: int, seconds: float) -> tuple[Call, ...]:
     """Return the calls of one schedule; the same seed gives the same calls."""
     rng = random.Random(f"calls {seed}")
-    return tuple(
-        _make_call(rng, number, number / CALLS_PER_SECOND)
-        for number in range(int(seconds * CALLS_PER_SECOND))
-    )
+    calls: list[Call] = []
+    for number in range(int(seconds * CALLS_PER_SECOND)):
+        at = number / CALLS_PER_SECOND
+        before = calls[-1] if calls else None
+        if before is not None and before.kind is CallKind.PLAIN and rng.random() < REPEATED_SHARE:
+            calls.append(dataclasses.replace(before, number=number, at=at, vm=before.vm + 1))
+        else:
+            calls.append(_make_call(rng, number, at))
+    return tuple(calls)
 
 
 def _make_call(rng: random.Random, number: int, at: float) -> Call:
@@ -38,7 +47,9 @@
     leaves_after = rng.uniform(0.05, 1.5) if rng.random() < LEAVING_SHARE else 0.0
     is_long = kind is CallKind.STREAM and (leaves_after > 0 or rng.random() < LONG_SHARE)
     max_tokens = LONG_TOKENS if is_long else rng.randrange(4, 24)
-    return Call(number, at, kind, rng.randrange(1000), prompt, max_tokens, leaves_after)
+    return Call(
+        number, at, kind, rng.randrange(1000), prompt, max_tokens, leaves_after, f"key-{number}"
+    )
 
 
 async def run_call(world: FaultWorld, call: Call) -> CallRecord | None:
@@ -67,14 +78,16 @@
     """Call, and go on through another VM when a stream is cut off by the end of its entry."""
     for _ in range(1 + MAX_RESUMES):
         record.vms = (*record.vms, vm)
-        offset = None if len(record.vms) == 1 else len(record.text.split())
+        is_resumed = len(record.vms) > 1 and record.call.kind is CallKind.STREAM
+        offset = len(record.text.split()) if is_resumed else None
         exchange = _Exchange(world, entry, record.call, offset)
         try:
             await exchange.run()
         finally:
             record.was_draining |= entry.http.draining
             exchange.tell(record)
-        if record.ending is not Ending.LOST or record.call.kind is not CallKind.STREAM:
+        can_go_on = record.call.kind in (CallKind.STREAM, CallKind.PLAIN)
+        if record.ending is not Ending.LOST or not can_go_on:
             return
         await asyncio.sleep(RESUME_PAUSE_SECONDS)
         found = _choose(world, record.call.vm)
@@ -158,7 +171,7 @@
             (b"authorization", b"Bearer " + KEY.encode()),
             (b"x-request-id", f"call-{self._call.number}".encode()),
             (b"content-type", b"application/json"),
-            (b"idempotency-key", f"key-{self._call.number}".encode()),
+            (b"idempotency-key", self._call.key.encode()),
         ]
         if self._offset is not None:
             headers.append((b"x-resume-offset", str(self._offset).encode()))
@@ -190,7 +203,7 @@
     def _content(self) -> bytes:
         call = self._call
         if self._is_plain:
-            return json.dumps({"idempotency_key": f"key-{call.number}"}).encode()
+            return json.dumps({"idempotency_key": call.key}).encode()
         kind = "once" if call.kind is CallKind.ONCE else "diagnosis"
         body = {
             "model": MODEL,
--- a/pimentoquay/bench/faults/checks.py
+++ b/pimentoquay/bench/faults/checks.py
@@ -154,6 +154,12 @@
         count = sum(stage is Stage.DECODE for _, stage, _ in runs)
         if request_id in once and count > 1:
             yield Violation("run twice", f"{request_id}: {runs}")
+    runs_by_key = Counter(
+        run.key for service in world.plain_by_name.values() for run in service.observed().runs
+    )
+    for key, count in runs_by_key.items():
+        if count > 1:
+            yield Violation("run twice", f"idempotency key {key} ran {count} times")
 
 
 def _check_configuration(world: FaultWorld) -> Iterator[Violation]:
--- a/pimentoquay/bench/faults/records.py
+++ b/pimentoquay/bench/faults/records.py
@@ -30,7 +30,10 @@
 
 @dataclass(frozen=True)
 class Call:
-    """One call to be made; ``leaves_after`` is in seconds, 0 for a caller who stays."""
+    """One call to be made; ``leaves_after`` is in seconds, 0 for a caller who stays.
+
+    ``key`` is the idempotency key, which a call and its repetition through another VM share.
+    """
 
     number: int
     at: float
@@ -39,6 +42,7 @@
     prompt: str
     max_tokens: int
     leaves_after: float
+    key: str
 
     @property
     def request_id(self) -> str:
--- a/pimentoquay/scheduler/shard.py
+++ b/pimentoquay/scheduler/shard.py
@@ -183,13 +183,20 @@
         self.dispatch(now)
 
     def reannounce(self, entry: EntryKey, records: tuple[GrantRecord, ...], now: float) -> None:
-        """Enter grants that an earlier owner gave."""
+        """Enter grants that an earlier owner gave.
+
+        A request that waits here for a later attempt has no use for its old grant; one that
+        waits for the announced attempt has got it elsewhere and waits no longer.
+        """
         for record in records:
-            if self.ledger.get(record.request_id) is None:
+            waiting = self.waiting.get(record.request_id)
+            if waiting is not None and waiting.request.attempt > record.attempt:
+                continue
+            self.waiting.remove(record.request_id)
+            grant = self.ledger.get(record.request_id)
+            if grant is None:
                 self.ledger.add(announced_grant(entry, record, self._selector.hold_mean(), now))
             else:
-                grant = self.ledger.get(record.request_id)
-                assert grant is not None
                 grant.entry = entry
 
     def find(self, entry: EntryKey, message: FindRequest, now: float) -> None:
--- a/pimentoquay/scheduler/tests/test_shard.py
+++ b/pimentoquay/scheduler/tests/test_shard.py
@@ -168,6 +168,18 @@
     assert scheduler.ledger.get("old").entry.vm == "arima-2"
 
 
+@pytest.mark.parametrize(("waiting_for", "granted"), [(0, []), (1, ["a"])])
+def test_a_grant_announced_while_its_request_waits_is_not_given_twice(waiting_for, granted):
+    roles = {"p": EngineRole.PREFILL, "d": EngineRole.DECODE}
+    scheduler = shard_of(roles, replace(SECTION, rebuild_grace=0.4))
+    scheduler.place(ENTRY, replace(request("a"), attempt=waiting_for), 0.1)
+    record = GrantRecord("a", 0, "w", "p", "d", Stage.DECODE, 200, 50)
+    scheduler.reannounce(ENTRY, (record,), 0.2)
+    scheduler.dispatch(0.41)
+    assert [message.request_id for message in messages(scheduler)] == granted
+    assert scheduler.ledger.get("a") is not None
+
+
 def test_nothing_is_granted_before_the_rebuild_grace():
     roles = {"p": EngineRole.PREFILL, "d": EngineRole.DECODE}
     scheduler = shard_of(roles, replace(SECTION, rebuild_grace=0.4))
