Find a stream on its engine when its entry and scheduler died together

Cause: a scheduler that died with the stream's entry left nobody who knew of the grant, so a resume ended with 218 although the engine still ran the stream. Change: the engines' reports are searched last, and the grant is announced to the shard's new owner.

--- a/pimentoquay/entry/attempt.py
+++ b/pimentoquay/entry/attempt.py
@@ -111,7 +111,7 @@
         self.request_id = spec.request_id
         self.engine_attempt = grant.attempt
         self.client_by_engine: dict[str, EngineClient] = {}
-        self._hold(Stage.PREFILL)
+        self.hold(Stage.PREFILL)
 
     async def prefill(self) -> HeldKv:
         """Compute the prompt's KV cache; ``StageFailedError`` if that failed."""
@@ -141,7 +141,7 @@
     async def transfer(self, kv: HeldKv) -> None:
         """Move the KV cache to the decode engine while it lives."""
         source, target = self.grant.prefill_engine, self.grant.decode_engine
-        self._hold(Stage.TRANSFER)
+        self.hold(Stage.TRANSFER)
         started = self._node.clock.now()
         patience = max(0.0, self._pace.patience(kv.kv_bytes, kv.expires_at - started))
         try:
@@ -178,7 +178,7 @@
 
     def decode(self, kv: HeldKv) -> AsyncIterator[bytes]:
         """Start decoding and return the answer's frames."""
-        self._hold(Stage.DECODE)
+        self.hold(Stage.DECODE)
         if kv.engine == self.grant.decode_engine:
             self.engine_attempt = kv.attempt
         order = DecodeOrder(self._spec.request_id, self.engine_attempt, self._spec.chat)
@@ -186,7 +186,7 @@
 
     def resume(self, offset: int) -> AsyncIterator[bytes]:
         """Return the running answer's frames from token ``offset`` on."""
-        self._hold(Stage.DECODE)
+        self.hold(Stage.DECODE)
         client = self._client(self.grant.decode_engine)
         return client.resume(self._spec.request_id, self.engine_attempt, offset)
 
@@ -233,7 +233,8 @@
             client = self.client_by_engine[engine] = self._engine_of(self._member(engine))
         return client
 
-    def _hold(self, stage: Stage) -> None:
+    def hold(self, stage: Stage) -> None:
+        """Let the link remember the grant at a stage."""
         spec, grant = self._spec, self.grant
         record = GrantRecord(
             spec.request_id,
--- a/pimentoquay/entry/direct.py
+++ b/pimentoquay/entry/direct.py
@@ -1,4 +1,7 @@
-"""Placement without a scheduler, at reduced admission, from the engines' own reports."""
+"""Placement and search without a scheduler, from the engines' own reports.
+
+Placement is at reduced admission. A search is for streams whose entry and scheduler died together.
+"""
 
 import asyncio
 import random
@@ -8,7 +11,7 @@
 from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode
 from pimentoquay.membership import Shard
 from pimentoquay.messages.cluster import Member
-from pimentoquay.messages.placement import Grant
+from pimentoquay.messages.placement import Grant, Stage
 
 __all__ = ["DirectPlacer"]
 
@@ -61,6 +64,15 @@
             if not placed:
                 del self._placed_by_shard[shard]
 
+    async def find(self, shard: Shard, request_id: str) -> Grant | None:
+        """Look for a running stream on a shard's engines, or return ``None``."""
+        answers = await asyncio.gather(*(self._status(member) for member in shard.engines))
+        for status in filter(None, answers):
+            for item in status.running:
+                if item.request_id == request_id and item.stage is Stage.DECODE:
+                    return Grant(request_id, item.attempt, status.engine, status.engine)
+        return None
+
     async def _choose(self, shard: Shard, request_id: str, attempt: int) -> Grant:
         engines = list(shard.engines)
         self._rng.shuffle(engines)
--- a/pimentoquay/entry/life.py
+++ b/pimentoquay/entry/life.py
@@ -232,6 +232,8 @@
         self.may_have_run = True
         self.decode()
         attempt = self._new_attempt(self._placement.grant)
+        attempt.hold(Stage.DECODE)
+        self._link.announce(self._placement.shard)
         self._first_token_at = self._node.clock.now()
         async for chunk in self._go_on(attempt):
             yield chunk
--- a/pimentoquay/entry/placer.py
+++ b/pimentoquay/entry/placer.py
@@ -100,7 +100,11 @@
         return await self.place(spec, deadline, attempt + 1)
 
     async def find(self, spec: RequestSpec, deadline: float) -> Placement:
-        """Return where a request's stream runs, asking every shard of its pool in reach."""
+        """Return where a request's stream runs, asking every shard of its pool in reach.
+
+        A scheduler that died with the stream's entry has left nobody who knows of the stream but
+        its engine, so the engines are asked last.
+        """
         pools = list(self._link.directory.shards_of_pool(spec.model))
         pools.sort(key=lambda shard: not shard.is_near(self._node.identity))
         for shard in pools:
@@ -111,6 +115,10 @@
                 continue
             grant = Grant(spec.request_id, located.attempt, located.engine, located.engine)
             return Placement(shard.name, grant)
+        for shard in pools:
+            found = await self._direct.find(shard, spec.request_id)
+            if found is not None:
+                return Placement(shard.name, found)
         raise RefusedError(ResultCode.REQUEST_UNKNOWN, f"no stream of request {spec.request_id}")
 
     def _shards(self, spec: RequestSpec) -> tuple[str, ...]:
--- a/pimentoquay/entry/scheduler_link.py
+++ b/pimentoquay/entry/scheduler_link.py
@@ -154,6 +154,12 @@
         """Remember a grant as it stands, to announce it to a new owner."""
         self._held_by_shard.setdefault(shard, {})[record.request_id] = record
 
+    def announce(self, shard: str) -> None:
+        """Tell the shard's owner of every grant held, of which it may not know some."""
+        channel = self._channel_by_shard.get(shard)
+        if channel is not None:
+            channel.send(Reannouncement(shard, self.held(shard)))
+
     def release(self, shard: str, release: Release) -> None:
         """Give back whatever a request holds or waits for."""
         held = self._held_by_shard.get(shard)
--- a/pimentoquay/entry/tests/fakes.py
+++ b/pimentoquay/entry/tests/fakes.py
@@ -16,6 +16,7 @@
     ImportOrder,
     PrefillOrder,
     PrefillResult,
+    RunningRequest,
 )
 from pimentoquay.entry import RequestService, RequestSpec, SchedulerLink
 from pimentoquay.kernel import ChannelOpened, Identity, Node, ResultCode
@@ -76,6 +77,7 @@
         self.break_at: int | None = None
         self.calls: list[str] = []
         self.held: set[tuple[str, int]] = set()
+        self.running: tuple[RunningRequest, ...] = ()
 
     async def _call(self, name: str, request_id: str, attempt: int) -> None:
         self.calls.append(f"{name}:{attempt}")
@@ -123,7 +125,7 @@
 
     async def status(self) -> EngineStatus:
         return EngineStatus(
-            self.name, "diag-llm", "v1", (), self.role, 20, 0, 9999, 0, 0, 0, 0.0, ()
+            self.name, "diag-llm", "v1", (), self.role, 20, 0, 9999, 0, 0, 0, 0.0, self.running
         )
 
 
--- a/pimentoquay/entry/tests/test_life.py
+++ b/pimentoquay/entry/tests/test_life.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from pimentoquay.backends.base import EngineLostError, EngineRefusedError
+from pimentoquay.backends.base import EngineLostError, EngineRefusedError, RunningRequest
 from pimentoquay.entry.tests.fakes import (
     END,
     KIND,
@@ -26,6 +26,7 @@
     Reannouncement,
     Release,
     ReplaceRequest,
+    Stage,
     StageReport,
 )
 
@@ -278,6 +279,17 @@
         assert rig.engine_by_name["d2"].calls == ["resume@2:4"]
 
 
+async def test_a_stream_is_found_on_its_engine_when_its_scheduler_died_with_its_entry():
+    async with entry_rig() as rig:
+        running = RunningRequest("r1", 4, Stage.DECODE, False, 3, 0.5)
+        rig.engine_by_name["d2"].running = (running,)
+        rest = await collect(rig.service.resume(spec_of(), 2))
+        assert rest == b"".join(map(frame, (2, 3, 4))) + END
+        await asyncio.sleep(0.1)
+        told = rig.scheduler.of_type(Reannouncement)[0]
+        assert [(record.attempt, record.stage) for record in told.grants] == [(4, Stage.DECODE)]
+
+
 async def test_a_stream_that_nobody_knows_is_not_run():
     async with entry_rig() as rig:
         with pytest.raises(RefusedError) as caught:
