--- a/pimentoquay/bench/compare/command.py
+++ b/pimentoquay/bench/compare/command.py
@@ -87,6 +87,7 @@
         f" goodput {row['goodput']:.3f} of {row['capacity_share']:.3f}"
         f" late window {row['window_goodput']:.3f} wasted {row['wasted_prefill']:.4f}"
         f" refused {row['refused_early']:4} failed {row['failed']:3}"
+        f" ({row['failed_unstarted']} before a token)"
         f" repeated {row['prefill_repeated']:3} queue {row['worst_queue']:.2f} s"
         f" recovering {row['sent_while_recovering']}/{row['most_sent_at_once']}"
         f"/{row['full_rate_after']:.2f} s held {row['held_after_cancel']}"
--- a/pimentoquay/bench/compare/measures.py
+++ b/pimentoquay/bench/compare/measures.py
@@ -76,7 +76,11 @@
 
 @dataclass(frozen=True)
 class Measures:
-    """One run; shares are from 0 to 1, times in seconds."""
+    """One run; shares are from 0 to 1, times in seconds.
+
+    ``window_goodput`` is that of requests from three seconds after the fault on, and
+    ``failed_unstarted`` counts failures of requests whose caller had received no token.
+    """
 
     offered: int
     goodput: float
@@ -88,6 +92,7 @@
     prefill_repeated: int
     refused_early: int
     failed: int
+    failed_unstarted: int
     count_by_code: dict[str, int]
     worst_queue: float
     sent_while_recovering: int
@@ -121,6 +126,7 @@
         sum(count - 1 for count in prefills.values()),
         sum(count for code, count in codes.items() if code and is_not_run(code)),
         sum(count for code, count in codes.items() if code and 400 <= code < 500),
+        sum(bool(r.code and 400 <= r.code < 500 and not r.first_at) for r in records),
         {str(int(code)): codes[code] for code in sorted(filter(None, codes))},
         _rounded(world.outcomes.worst_queue),
         *scenario.recovery_figures(world),
--- a/pimentoquay/bench/compare/tests/test_compare.py
+++ b/pimentoquay/bench/compare/tests/test_compare.py
@@ -1,5 +1,6 @@
-"""The comparison is deterministic, keeps its invariants, and the policies reach their targets."""
+"""The comparison is deterministic, its invariants hold, and the policy reaches its targets."""
 
+import functools
 import subprocess
 import sys
 
@@ -8,13 +9,24 @@
 from pimentoquay.bench.compare import BRAILLE, PRINT, SCENARIOS, VARIANTS, run_scenario
 
 SECONDS = 8.0
+SHORT_SECONDS = 6.0
+SEED = 1
 SCRIPT = """
 import dataclasses, json
 from pimentoquay.bench.compare import PRINT, SCENARIOS, VARIANTS, run_scenario
-measures = run_scenario(SCENARIOS["steady-0.9"], PRINT, VARIANTS["full"], 3, 3.0)
+measures = run_scenario(SCENARIOS["steady-0.9"], PRINT, VARIANTS["full"], 3, 2.0)
 print(json.dumps(dataclasses.asdict(measures), sort_keys=True))
 """
 
+both_deployments = pytest.mark.parametrize("deployment", [PRINT, BRAILLE], ids=["print", "braille"])
+
+
+@functools.cache
+def measured(name, deployment=PRINT, policy="full", seconds=SHORT_SECONDS):
+    measures = run_scenario(SCENARIOS[name], deployment, VARIANTS[policy], SEED, seconds)
+    assert measures.invariants.total() == 0, measures.invariants
+    return measures
+
 
 def run_with_hash_seed(hash_seed):
     command = [sys.executable, "-c", SCRIPT]
@@ -29,24 +41,52 @@
     assert b"goodput" in first
 
 
-@pytest.mark.parametrize("deployment", [PRINT, BRAILLE], ids=["print", "braille"])
-def test_steady_load(deployment):
-    measures = run_scenario(SCENARIOS["steady-0.9"], deployment, VARIANTS["full"], 1, SECONDS)
-    assert measures.invariants.total() == 0, measures.invariants
+@both_deployments
+def test_steady_load_meets_its_targets(deployment):
+    measures = measured("steady-0.9", deployment)
     assert measures.goodput >= 0.95
+    assert measures.wasted_prefill <= 0.005
 
 
 @pytest.mark.parametrize("name", ["peak", "surge"])
-def test_overload_beats_naive(name):
-    scenario = SCENARIOS[name]
-    naive = run_scenario(scenario, PRINT, VARIANTS["naive"], 1, SECONDS)
-    full = run_scenario(scenario, PRINT, VARIANTS["full"], 1, SECONDS)
-    assert full.invariants.total() == 0, full.invariants
+def test_overload_wastes_nothing_and_uses_the_capacity(name):
+    naive = measured(name, policy="naive")
+    full = measured(name)
+    assert full.goodput >= 0.9 * full.capacity_share
     assert full.goodput > naive.goodput
-    assert full.wasted_prefill < naive.wasted_prefill
+    assert full.wasted_prefill <= 0.01
+    assert full.wasted_prefill <= 0.1 * naive.wasted_prefill
+
+
+@pytest.mark.parametrize("name", ["peak", "surge"])
+def test_overload_goodput_is_half_as_much_again_as_naive(name):
+    assert measured(name).goodput >= 1.5 * measured(name, policy="naive").goodput
+
+
+@both_deployments
+def test_noisy_workspace_costs_the_others_little(deployment):
+    noisy = measured("noisy-workspace", deployment, seconds=SECONDS).goodput_by_workspace
+    alone = measured("without-noisy", deployment, seconds=SECONDS).goodput_by_workspace
+    assert len(alone) == 3
+    lost = {workspace: alone[workspace] - noisy[workspace] for workspace in alone}
+    assert sum(lost.values()) / len(lost) <= 0.02, lost
+    # One request of a workspace is up to 2.6 points in a run of this length.
+    assert max(lost.values()) <= 0.03, lost
 
 
 def test_callers_that_leave_hold_nothing_a_second_later():
-    measures = run_scenario(SCENARIOS["cancel-storm"], PRINT, VARIANTS["full"], 1, SECONDS)
-    assert measures.held_after_cancel == 0
-    assert measures.invariants.total() == 0, measures.invariants
+    assert measured("cancel-storm").held_after_cancel == 0
+
+
+def test_recovering_engine_gets_one_request_at_a_time():
+    measures = measured("recovery", seconds=SECONDS)
+    assert measures.sent_while_recovering > 0
+    assert measures.most_sent_at_once == 1
+    assert 0 <= measures.full_rate_after <= 2.0
+
+
+@pytest.mark.parametrize("name", ["engine-crash", "engine-slow", "link-stall", "scheduler-loss"])
+def test_goodput_is_back_three_seconds_after_a_fault(name):
+    measures = measured(name, seconds=SECONDS)
+    assert measures.window_goodput >= 0.95
+    assert measures.failed_unstarted == 0
--- a/pimentoquay/bench/slopes/command.py
+++ b/pimentoquay/bench/slopes/command.py
@@ -4,6 +4,7 @@
 import dataclasses
 import json
 
+from pimentoquay.bench import decision_cost  # noqa: F401
 from pimentoquay.bench.slopes import messages, ownership, relay  # noqa: F401
 from pimentoquay.bench.slopes.slope import Slope
 from pimentoquay.kernel import find_plugin, plugin, plugin_names
--- a/pimentoquay/entry/life.py
+++ b/pimentoquay/entry/life.py
@@ -241,7 +241,8 @@
         """Return another grant after a failed stage, or raise the request's final error."""
         self._record("stage-failed", failure.detail)
         last = self._attempts[-1]
-        if failure.kv is not None and failure.kv.attempt != last.grant.attempt:
+        is_second = failure.kv is not None and failure.kv.attempt != last.grant.attempt
+        if is_second and failure.may_have_run:
             # The second transfer failed too, so the source is the likelier cause.
             failure.kv = None
         self._free(last, keep=failure.kv)
--- a/pimentoquay/policy/engines.py
+++ b/pimentoquay/policy/engines.py
@@ -1,11 +1,15 @@
 """What one engine has taken on, as the ledger of its shard counts it."""
 
+import math
 from dataclasses import dataclass
 
 from pimentoquay.backends.base import EngineRole
 
 __all__ = ["EngineLoad"]
 
+MAX_PROMISES = 1
+"""Slots of one engine that may be promised before they are free."""
+
 
 @dataclass
 class EngineLoad:
@@ -51,10 +55,24 @@
         """Return the slots in which the engine itself holds nothing, promised or not."""
         return self.slots - self.transferring - self.decoding - self.foreign_slots
 
-    def free_slots_in(self, seconds: float, share: float) -> int:
-        """Return the slots free after ``seconds``, counting a share of the expected releases."""
-        expected = min(float(self.decoding), self.release_rate * max(0.0, seconds) * share)
-        return self.free_slots() + int(expected)
+    def rescue_slots(self) -> int:
+        """Return the slots that KV in danger of expiry may take."""
+        return self.free_slots() if self.can_prefill else self.idle_slots()
+
+    def slot_wait(self, share: float) -> float:
+        """Return the seconds until a slot may be promised, counting a share of the releases.
+
+        It is infinite when as many are promised already as may be.
+        """
+        missing = 1 - self.free_slots()
+        if missing <= 0:
+            return 0.0
+        rate = self.release_rate * share
+        if self.can_prefill:
+            # What it prefills for itself cannot be moved if another takes the slot first.
+            return math.inf
+        may_promise = rate > 0 and missing <= min(self.decoding, MAX_PROMISES)
+        return missing / rate if may_promise else math.inf
 
     def free_kv(self) -> int:
         """Return the KV memory that is not promised."""
--- a/pimentoquay/policy/placement.py
+++ b/pimentoquay/policy/placement.py
@@ -5,6 +5,7 @@
 wins, and among nearly equal ones the decode engine with the most free slots.
 """
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -60,6 +61,14 @@
     end: float
 
 
+@dataclass(frozen=True)
+class _Target:
+    """A decode engine and the seconds until a slot of it may be promised."""
+
+    engine: EngineLoad
+    wait: float
+
+
 def choose(
     need: PlacementNeed,
     prefill_engines: Iterable[EngineLoad],
@@ -81,23 +90,25 @@
         and engine.free_kv() >= need.prompt_tokens
     ]
     targets = [
-        engine
+        _Target(engine, wait)
         for engine in decode_engines
         if engine.free_kv() >= need.prompt_tokens + need.max_tokens
+        and (wait := _slot_wait(engine, limits)) < math.inf
     ]
     best: tuple[float, str, str] | None = None
     best_choice = None
     for start in starts:
         for target in targets:
-            if closed_links and _is_closed(start.engine.name, target.name, closed_links):
+            engine = target.engine
+            if closed_links and _is_closed(start.engine.name, engine.name, closed_links):
                 continue
-            arrival = _arrival(start, target, need, speeds)
-            if limits.reserves_slot and not _has_slot(start, target, arrival - now, limits):
+            arrival = _arrival(start, engine, need, speeds)
+            if target.wait > 0 and not _is_in_time(start, target, arrival - now, limits):
                 continue
-            score = (_cost(start, arrival, target, limits), start.engine.name, target.name)
+            score = (_cost(start, arrival, engine, limits), start.engine.name, engine.name)
             if best is None or score < best:
                 best = score
-                best_choice = Choice(start.engine.name, target.name, start.end, arrival)
+                best_choice = Choice(start.engine.name, engine.name, start.end, arrival)
     return best_choice
 
 
@@ -118,11 +129,14 @@
     return not closed_links.isdisjoint(link_keys(source, target))
 
 
-def _has_slot(start: _Start, target: EngineLoad, seconds: float, limits: PlacementLimits) -> bool:
-    if start.engine is target:
-        # KV on the engine that computed it has no transfer to be retried while it lives.
-        return target.free_slots() > 0
-    return target.free_slots_in(seconds + limits.slack, limits.release_share) > 0
+def _slot_wait(engine: EngineLoad, limits: PlacementLimits) -> float:
+    return engine.slot_wait(limits.release_share) if limits.reserves_slot else 0.0
+
+
+def _is_in_time(start: _Start, target: _Target, seconds: float, limits: PlacementLimits) -> bool:
+    # KV on the engine that computed it has no transfer to be retried while it lives, so that it
+    # is not started on a promise.
+    return start.engine is not target.engine and seconds + limits.slack >= target.wait
 
 
 def _cost(start: _Start, arrival: float, target: EngineLoad, limits: PlacementLimits) -> float:
--- a/pimentoquay/policy/queue.py
+++ b/pimentoquay/policy/queue.py
@@ -63,6 +63,7 @@
         self._line_by_workspace: dict[str, _Line] = {}
         self._keys: list[Key] = []
         self._waiting = 0
+        self._cost = 0.0
         self._virtual_time = 0.0
         self._in_share: list[tuple[Key, str, int]] = []
         self._over_share: list[tuple[float, str, int]] = []
@@ -84,6 +85,7 @@
             raise ValueError(f"request {item.request_id!r} waits already")
         self._item_by_id[item.request_id] = item
         insort(self._keys, item.key)
+        self._cost += item.cost
         line = self._line_by_workspace.setdefault(item.workspace, _Line())
         if not line.keys:
             self._waiting += 1
@@ -98,6 +100,7 @@
         if item is None:
             return None
         del self._keys[bisect_left(self._keys, item.key)]
+        self._cost -= item.cost
         line = self._line_by_workspace[item.workspace]
         place = bisect_left(line.keys, item.key)
         del line.keys[place]
@@ -137,10 +140,15 @@
         own = bisect_left(line.keys, key) if line else 0
         others = self._waiting - (1 if line and line.keys else 0)
         by_share = own + (own + 1) * others
-        virtual_time = max(line.virtual_time if line else 0.0, self._virtual_time)
-        if virtual_time <= self._virtual_time + self._quantum:
+        lead = (line.virtual_time if line else 0.0) - self._virtual_time - self._quantum
+        if lead <= 0:
             return min(position, by_share)
-        return max(position, by_share)
+        # The workspace waits until the others have used as much, which many requests may do.
+        catching_up = lead * (others + 1) / max(self._mean_cost(), 1e-9)
+        return min(len(self._keys), by_share + catching_up)
+
+    def _mean_cost(self) -> float:
+        return self._cost / len(self._item_by_id) if self._item_by_id else 1.0
 
     def _file(self, workspace: str, line: _Line) -> None:
         line.version += 1
--- a/pimentoquay/scheduler/selection.py
+++ b/pimentoquay/scheduler/selection.py
@@ -110,7 +110,9 @@
         )
         usable = self._engines.usable(now)
         targets = self._engines.decoders(usable, waiting.request.token_interval, now)
-        targets = [load for load in targets if load.idle_slots() > 0 and load.name != waiting.avoid]
+        targets = [
+            load for load in targets if load.rescue_slots() > 0 and load.name != waiting.avoid
+        ]
         closed = self._engines.closed_links(now)
         open_source = replace(source, prefill_count=0)
         targets = [open_source if load is source else load for load in targets]
