--- /dev/null
+++ b/pimentoquay/bench/faults/tests/test_faults.py
@@ -0,0 +1,149 @@
+import dataclasses
+import json
+import os
+import subprocess
+import sys
+
+import pytest
+
+import pimentoquay.entry.http
+import pimentoquay.entry.life
+import pimentoquay.scheduler.part
+from pimentoquay.bench.faults.runner import run_schedule, shorten
+from pimentoquay.bench.faults.schedule import Step, make_steps
+from pimentoquay.bench.program import main
+from pimentoquay.configuration.part import ConfigurationPart
+from pimentoquay.entry.life import RequestRun
+from pimentoquay.entry.service import RequestService
+from pimentoquay.kernel import RefusedError, ResultCode
+from pimentoquay.kernel.logs import logger
+from pimentoquay.membership import shards_of
+from pimentoquay.messages.cluster import MemberState
+from pimentoquay.scheduler.sweep import SweepResult
+
+SCHEDULES = 20
+SCHEDULES_PER_TEST = 5
+
+
+@pytest.fixture(autouse=True)
+def no_logs():
+    logger.remove()
+
+
+@pytest.mark.parametrize("first", range(1, 1 + SCHEDULES, SCHEDULES_PER_TEST))
+def test_schedules_of_failures_break_no_invariant(first):
+    broken = []
+    for seed in range(first, first + SCHEDULES_PER_TEST):
+        outcome = run_schedule(seed, make_steps(seed, 6))
+        assert outcome.count_by_ending["answered 100"] > 20
+        broken += [(seed, item) for item in outcome.violations]
+    assert broken == []
+
+
+def test_nothing_fails_where_nothing_is_made_to_fail():
+    outcome = run_schedule(1, ())
+    assert set(outcome.count_by_ending) <= {"answered 100", "left"}
+    assert outcome.violations == ()
+
+
+def test_the_same_seed_gives_the_same_run_in_any_process():
+    code = (
+        "from pimentoquay.bench.faults.runner import run_schedule;"
+        "from pimentoquay.bench.faults.schedule import make_steps;"
+        "from pimentoquay.kernel.logs import logger; logger.remove();"
+        "print(run_schedule(5, make_steps(5, 8)))"
+    )
+    outputs = set()
+    for hash_seed in ("1", "2"):
+        environment = {**os.environ, "PYTHONHASHSEED": hash_seed}
+        command = [sys.executable, "-c", code]
+        outputs.add(subprocess.run(command, env=environment, capture_output=True).stdout)
+    assert len(outputs) == 1
+    assert b"answered" in outputs.pop()
+
+
+def nobody_cancels(patch):
+    patch.setattr(RequestService, "free", lambda *_, **__: None)
+    patch.setattr(pimentoquay.scheduler.part, "sweep", lambda *_: SweepResult((), ()))
+
+
+def every_failure_is_called_not_run(patch):
+    patch.setattr(pimentoquay.entry.life, "truthful", lambda spec, error, ran: error)
+    refusal = RefusedError(ResultCode.NO_BACKEND, "")
+    patch.setattr(pimentoquay.entry.life, "error_after", lambda *_: refusal)
+
+
+def no_call_is_once_only(patch):
+    patch.setattr(pimentoquay.entry.http, "is_once_only", lambda *_: False)
+
+
+def leaving_engines_count_as_live(patch):
+    def blind(members, whole=shards_of):
+        return whole([dataclasses.replace(item, state=MemberState.LIVE) for item in members])
+
+    for name, module in list(sys.modules.items()):
+        if name.startswith("pimentoquay.") and getattr(module, "shards_of", None) is shards_of:
+            patch.setattr(module, "shards_of", blind)
+
+
+def tokens_are_miscounted(patch):
+    def resumed(self, offset, whole=RequestRun._run_resumed):
+        return whole(self, max(0, offset - 1))
+
+    patch.setattr(RequestRun, "_run_resumed", resumed)
+
+
+def nobody_passes_the_configuration_on(patch):
+    patch.setattr(ConfigurationPart, "_push_to_neighbours", lambda *_: None)
+    patch.setattr(ConfigurationPart, "_chase", lambda *_: None)
+
+
+def a_task_dies(patch):
+    def fail(*_):
+        raise KeyError("made to fail")
+
+    patch.setattr(pimentoquay.scheduler.part.SchedulerPart, "_serve", fail)
+
+
+PAIRS = [
+    (nobody_cancels, "memory held", "kill entry", 3),
+    (every_failure_is_called_not_run, "untrue not run", "crash engine", 10),
+    (no_call_is_once_only, "run twice", "plain service fails", 6),
+    (leaving_engines_count_as_live, "work for a leaving engine", "engine leaves", 6),
+    (tokens_are_miscounted, "wrong answer", "kill entry", 3),
+    (nobody_passes_the_configuration_on, "configuration not in force", "publish race", 3),
+    (a_task_dies, "unexpected error", "kill entry", 3),
+]
+MUTATED_SEEDS = 4
+
+
+@pytest.mark.parametrize(("switch_off", "invariant", "kind", "count"), PAIRS)
+def test_a_mechanism_switched_off_breaks_its_invariant(
+    switch_off, invariant, kind, count, monkeypatch
+):
+    steps = tuple(Step(kind, 0.5 + index, 3.0, index, index) for index in range(count))
+    switch_off(monkeypatch)
+    caught = (
+        seed
+        for seed in range(1, 1 + MUTATED_SEEDS)
+        if invariant in {item.invariant for item in run_schedule(seed, steps).violations}
+    )
+    seed = next(caught, None)
+    assert seed is not None
+    monkeypatch.undo()
+    assert run_schedule(seed, steps).violations == ()
+
+
+def test_a_failing_schedule_is_shortened_to_the_step_that_matters(monkeypatch):
+    leaving_engines_count_as_live(monkeypatch)
+    leaving = [Step("engine leaves", 2.0 + index, 3.0, index, 0) for index in range(3)]
+    found = shorten(1, (Step("log slow", 1.0, 0.6, 0, 0), *leaving), 8)
+    assert found.violations
+    assert [step.kind for step in found.steps] == ["engine leaves"]
+
+
+def test_the_command_prints_one_json_object(capsys):
+    status = main(["faults", "--seed", "3", "--steps", "2", "--schedules", "2", "--json"])
+    report = json.loads(capsys.readouterr().out)
+    assert status == 0
+    assert (report["schedules"], report["violations"]) == (2, [])
--- a/pimentoquay/bench/program.py
+++ b/pimentoquay/bench/program.py
@@ -17,6 +17,7 @@
 _COMMAND_MODULES: tuple[str, ...] = (
     "pimentoquay.bench.compare.command",
     "pimentoquay.bench.demo.command",
+    "pimentoquay.bench.faults.command",
     "pimentoquay.bench.load.command",
     "pimentoquay.bench.mutations.command",
     "pimentoquay.bench.slopes.command",
