--- /dev/null
+++ b/pimentoquay/bench/capacity/__init__.py
@@ -0,0 +1,6 @@
+"""The capacity page: each role at the size designed for, reckoned from measured slopes."""
+
+from pimentoquay.bench.capacity.reckon import Row, reckon
+from pimentoquay.bench.capacity.size import DESIGN_SIZE, Size
+
+__all__ = ["DESIGN_SIZE", "Row", "Size", "reckon"]
--- /dev/null
+++ b/pimentoquay/bench/capacity/reckon.py
@@ -0,0 +1,151 @@
+"""Reckons each role's load from slopes.
+
+A figure is ``slope x size``; nothing here is measured. ``Slopes`` looks slopes up by name, so that
+a slope which is no longer measured fails the reckoning instead of leaving an old figure.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from pimentoquay.bench.capacity.size import SECONDS_PER_DAY, Size
+from pimentoquay.bench.slopes.slope import Slope
+
+__all__ = ["Row", "Slopes", "reckon"]
+
+MESSAGES_PER_REQUEST = 6
+"""Placement request, grant, three stage reports, release."""
+
+ENDS_PER_ROUND_TRIP = 4
+"""A round trip is two messages, each sent at one end and received at the other."""
+
+_US_PER_SECOND = 1e6
+_MB = 1e6
+
+
+class Slopes:
+    """Measured slopes by name and by what they are counted per."""
+
+    def __init__(self, slopes: Iterable[Slope]) -> None:
+        self._median_by_name = {(slope.name, slope.per): slope.median for slope in slopes}
+
+    def __call__(self, name: str, per: str) -> float:
+        """Return a slope's median; ``LookupError`` naming it if it was not measured."""
+        try:
+            return self._median_by_name[name, per]
+        except KeyError:
+            raise LookupError(f"no slope {name!r} per {per!r} was measured") from None
+
+
+@dataclass(frozen=True)
+class Row:
+    """One figure of the page."""
+
+    role: str
+    quantity: str
+    value: float
+    unit: str
+    mechanism: str
+
+
+def reckon(size: Size, slopes: Slopes) -> tuple[Row, ...]:
+    """Return every figure at a size."""
+    return (
+        *_entry(size, slopes),
+        *_scheduler(size, slopes),
+        *_membership(size, slopes),
+        *_configuration(size, slopes),
+        *_log(size, slopes),
+        *_restart(size, slopes),
+    )
+
+
+def _percent(microseconds_per_second: float) -> float:
+    return microseconds_per_second / _US_PER_SECOND * 100
+
+
+def _entry(size: Size, slopes: Slopes) -> list[Row]:
+    tokens = size.tokens_per_vm * slopes("relay, both sides", "token")
+    requests = size.requests_per_vm * slopes("request at the entry, no scheduler", "request")
+    index = size.workspaces * slopes("memory of a workspace in force", "workspace") / _MB
+    role = "entry, a VM"
+    return [
+        Row(role, "relay of tokens", _percent(tokens), "% of a core", "frames are copied unread"),
+        Row(role, "requests", _percent(requests), "% of a core", "one state machine a request"),
+        Row(role, "configuration index", index, "MB", "deltas from the VM's control"),
+    ]
+
+
+def _scheduler(size: Size, slopes: Slopes) -> list[Row]:
+    role = "scheduler, busiest shard"
+    message = slopes("round trip, both ends", "placement request") / ENDS_PER_ROUND_TRIP
+    each = slopes("scheduling a request", "request") + MESSAGES_PER_REQUEST * message
+    grants = size.shard_engines * size.slots_per_engine
+    memory = grants * slopes("memory of a held grant", "grant") / _MB
+    rest = _percent(slopes("scheduler at rest, 16 engines", "second"))
+    received = size.hot_shard_requests * slopes("size of placement request", "message")
+    mechanism = f"shards of at most {size.shard_engines} engines, rendezvous owners"
+    return [
+        Row(role, "requests", size.hot_shard_requests, "requests/s", mechanism),
+        Row(role, "placing them", _percent(size.hot_shard_requests * each), "% of a core", "EDF"),
+        Row(role, "placement requests received", received / 1000, "kB/s", "with the load"),
+        Row(role, "at rest", rest, "% of a core", "one watcher an engine"),
+        Row(role, "ledger, every slot granted", memory, "MB", "soft state, rebuilt"),
+    ]
+
+
+def _membership(size: Size, slopes: Slopes) -> list[Row]:
+    role = "membership, a VM"
+    peers = size.vms_per_data_centre - 1
+    beats = peers * slopes("membership sent in steady state", "peer of the data centre")
+    changes = size.vm_changes_per_day / SECONDS_PER_DAY
+    relays = changes * slopes("membership sent, 1000 engines", "change")
+    shards = size.engines * slopes("division into shards, 2800 engines", "engine")
+    return [
+        Row(role, "heartbeats sent", beats, "B/s", "full mesh within a data centre only"),
+        Row(role, "changes of the list sent", relays, "B/s", "only what changed, once"),
+        Row(role, "division into shards", _percent(changes * shards), "% of a core", "on change"),
+    ]
+
+
+def _configuration(size: Size, slopes: Slopes) -> list[Row]:
+    relay = slopes("relay of one change to a VM", "change")
+    batched = slopes("relay of ten changes at once to a VM", "change")
+    rate = size.changes_per_day / SECONDS_PER_DAY
+    burst = size.burst_changes_per_minute / 60
+    peers = size.vms_per_data_centre - 1
+    fold = burst * slopes("fold a change", "workspace")
+    memory = size.workspaces * slopes("memory of a workspace in force", "workspace") / _MB
+    reader, follower = "configuration, reader of a data centre", "configuration, other VMs"
+    return [
+        Row(reader, "changes relayed", rate * relay * peers, "B/s", "one reader a data centre"),
+        Row(reader, "burst of 500 a minute", burst * batched * peers / 1000, "kB/s", "batches"),
+        Row(follower, "changes received", rate * relay, "B/s", "pushed, only what changed"),
+        Row(follower, "burst of 500 a minute", burst * batched, "B/s", "batches"),
+        Row(follower, "folding the burst", _percent(fold), "% of a core", "one pure fold"),
+        Row(follower, "state in force", memory, "MB", "every VM holds all workspaces"),
+    ]
+
+
+def _log(size: Size, slopes: Slopes) -> list[Row]:
+    changes = size.burst_changes_per_minute / 60
+    checkpoint = size.workspaces * slopes("appends of a checkpoint", "workspace")
+    size_mb = size.workspaces * slopes("checkpoint on the log", "workspace") / _MB
+    shards = size.models * size.data_centres
+    return [
+        Row("log service", "changes in the burst", changes, "appends/s", "one append a change"),
+        Row("log service", "a checkpoint", checkpoint, "appends", "parts of many workspaces"),
+        Row("log service", "a checkpoint", size_mb, "MB", "before records age out"),
+        Row("log service", "claims after a full restart", shards, "appends", "one a shard"),
+    ]
+
+
+def _restart(size: Size, slopes: Slopes) -> list[Row]:
+    role = "full restart, a VM"
+    whole = size.workspaces * slopes("whole configuration to a new VM", "workspace") / _MB
+    take = size.workspaces * slopes("take a workspace from a peer", "workspace") / _US_PER_SECOND
+    index = size.workspaces * slopes("index a workspace at the entry", "workspace")
+    return [
+        Row(role, "configuration received", whole, "MB", "from a peer or the checkpoint"),
+        Row(role, "taking it", take, "s of a core", "one pass"),
+        Row(role, "indexing it at the entry", index / _US_PER_SECOND, "s of a core", "one pass"),
+    ]
--- a/pimentoquay/bench/program.py
+++ b/pimentoquay/bench/program.py
@@ -16,6 +16,7 @@
 
 _COMMAND_MODULES: tuple[str, ...] = (
     "pimentoquay.bench.configuration_cost",
+    "pimentoquay.bench.capacity.command",
     "pimentoquay.bench.compare.command",
     "pimentoquay.bench.demo.command",
     "pimentoquay.bench.faults.command",
