Begin anew after the configuration was lost; tell of queues and circuits

Nothing can bring it back, but no VM became ready again either. status now says so, and ctl recover writes an empty checkpoint, which is refused while any configuration is in reach.

The scheduler answers StatusWanted with its queue and its open circuits, and records grants and refusals on the time line.

--- a/pimentoquay/configuration/checkpoint_writer.py
+++ b/pimentoquay/configuration/checkpoint_writer.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 from pimentoquay.configuration.checkpoint import checkpoint_parts
+from pimentoquay.configuration.fold import ConfigurationState
 from pimentoquay.configuration.keeper import Keeper
 from pimentoquay.configuration.places import Place
 from pimentoquay.configuration.publish import STREAM
@@ -109,6 +110,10 @@
     async def _write(self) -> None:
         state = self._keeper.state
         assert state is not None
+        await self.write(state)
+
+    async def write(self, state: ConfigurationState) -> None:
+        """Append a checkpoint of a state; raises what the log's ``append`` raises."""
         identity = self._node.identity
         self._generations += 1
         generation = f"{identity.vm}/{identity.incarnation}/{self._generations}"
--- a/pimentoquay/configuration/keeper.py
+++ b/pimentoquay/configuration/keeper.py
@@ -43,6 +43,13 @@
         """Whether the log has dropped records that this state has not seen."""
         return self._bootstrap is not None and self.state is not None
 
+    @property
+    def lost_at(self) -> int | None:
+        """Where the log ends, if it holds no configuration and no peer in reach has one."""
+        if self._bootstrap is None or self.state is not None or self.best_reported_offset >= 0:
+            return None
+        return self._bootstrap.offset
+
     @property
     def best_reported_offset(self) -> int:
         """The highest offset that any peer in reach reports; -1 if none does."""
--- a/pimentoquay/configuration/part.py
+++ b/pimentoquay/configuration/part.py
@@ -13,13 +13,23 @@
 from pimentoquay.configuration.answers import answer_get, answer_history
 from pimentoquay.configuration.checkpoint_writer import CheckpointWriter
 from pimentoquay.configuration.events import ConfigurationInForce
+from pimentoquay.configuration.fold import ConfigurationState
 from pimentoquay.configuration.keeper import Keeper
 from pimentoquay.configuration.log_reader import LogReader
 from pimentoquay.configuration.places import Place, place_of
 from pimentoquay.configuration.publish import Publisher
 from pimentoquay.configuration.relay import entries_after, is_gap
 from pimentoquay.configuration.settings import ConfigurationSection
-from pimentoquay.kernel import Channel, ChannelClosed, ChannelOpened, Envelope, Node, plugin
+from pimentoquay.kernel import (
+    Channel,
+    ChannelClosed,
+    ChannelOpened,
+    Envelope,
+    Node,
+    PimentoquayError,
+    ResultCode,
+    plugin,
+)
 from pimentoquay.kernel.logs import logger
 from pimentoquay.kernel.status import PartStatus, StatusItem, StatusWanted
 from pimentoquay.membership.events import ConfigurationReached
@@ -29,7 +39,13 @@
     ConfigurationEntries,
     Heartbeat,
 )
-from pimentoquay.messages.operator import GetRequest, HistoryRequest, PublishRequest
+from pimentoquay.messages.operator import (
+    BeginAnewAnswer,
+    BeginAnewRequest,
+    GetRequest,
+    HistoryRequest,
+    PublishRequest,
+)
 from pimentoquay.platform.ports import Ports
 from pimentoquay.transport.peers import PeerSet
 
@@ -88,6 +104,7 @@
             PublishRequest,
             GetRequest,
             HistoryRequest,
+            BeginAnewRequest,
             StatusWanted,
         )
 
@@ -172,6 +189,11 @@
                 answer_history(self._log, self.keeper.state, message, envelope.channel)
             )
 
+    @_handle.register
+    def _(self, message: BeginAnewRequest, envelope: Envelope) -> None:
+        if envelope.channel is not None and self._tasks is not None:
+            self._tasks.create_task(self._begin_anew(message, envelope.channel))
+
     @_handle.register
     def _(self, message: StatusWanted, envelope: Envelope) -> None:
         self._node.bus.publish(PartStatus("configuration", tuple(self._status_items())))
@@ -183,7 +205,10 @@
             best = keeper.best_reported_offset
             detail = f"at offset {keeper.offset}, peers report {best}; no entry is served by it"
             items.append(StatusItem("state", "waiting", detail))
-        if keeper.is_behind_log:
+        if keeper.lost_at is not None:
+            detail = "neither the log nor a peer in reach holds a configuration; see ctl recover"
+            items.append(StatusItem("log", "stuck", detail))
+        elif keeper.is_behind_log:
             detail = "the log has dropped records that are neither here nor at a peer in reach"
             items.append(StatusItem("log", "stuck", detail))
         elif keeper.is_log_down:
@@ -192,6 +217,25 @@
             items.append(StatusItem("log reader", "ok", "for its data centre"))
         return items
 
+    async def _begin_anew(self, request: BeginAnewRequest, channel: Channel) -> None:
+        lost_at = self.keeper.lost_at
+        if lost_at is None:
+            detail = "there is a configuration, or the log has not been read to its end"
+            answer = BeginAnewAnswer(request.query, ResultCode.CONFIG_CONFLICT, detail)
+        else:
+            answer = await self._write_empty(request.query, lost_at)
+        channel.send(answer)
+
+    async def _write_empty(self, query: int, offset: int) -> BeginAnewAnswer:
+        try:
+            await self._writer.write(ConfigurationState(offset))
+        except PimentoquayError as error:
+            return BeginAnewAnswer(query, error.code, error.detail)
+        except (OSError, TimeoutError) as error:
+            return BeginAnewAnswer(query, ResultCode.CONFIG_UNKNOWN, repr(error))
+        self._node.timeline.record("configuration-begun-anew", detail=f"offset {offset}")
+        return BeginAnewAnswer(query, ResultCode.CONFIG_ACCEPTED, "")
+
     async def _publish(self, request: PublishRequest, channel: Channel) -> None:
         self._reader.readers_wanted += 1
         try:
--- /dev/null
+++ b/pimentoquay/ctl/commands/recover.py
@@ -0,0 +1,33 @@
+"""``recover``: begin with an empty configuration after the last one was lost."""
+
+import argparse
+
+from pimentoquay.ctl.command import Context
+from pimentoquay.ctl.outcomes import CtlError, ExitStatus, exit_status_of
+from pimentoquay.kernel import ResultCode, plugin
+from pimentoquay.messages.operator import BeginAnewAnswer, BeginAnewRequest
+
+__all__ = ["RecoverCommand"]
+
+
+@plugin("ctl-command", "recover")
+class RecoverCommand:
+    """Begin with an empty configuration after log and VMs have lost the last one."""
+
+    is_local = False
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Declare the command's arguments."""
+        parser.add_argument(
+            "--confirm", action="store_true", required=True, help="the configuration is lost"
+        )
+
+    async def run(self, context: Context) -> int:
+        """Ask one VM; it refuses while any configuration is in reach."""
+        async with context.link() as link:
+            answer = await link.ask(BeginAnewRequest(link.next_query()), BeginAnewAnswer)
+        context.output.json(answer)
+        if answer.code is not ResultCode.CONFIG_ACCEPTED:
+            raise CtlError(exit_status_of(answer.code), f"{int(answer.code)} {answer.detail}")
+        context.output.text("begun anew; publish every workspace")
+        return ExitStatus.OK
--- a/pimentoquay/ctl/program.py
+++ b/pimentoquay/ctl/program.py
@@ -28,6 +28,7 @@
     "get",
     "history",
     "publish",
+    "recover",
     "rollback",
     "status",
     "template",
--- a/pimentoquay/ctl/tests/test_commands.py
+++ b/pimentoquay/ctl/tests/test_commands.py
@@ -104,6 +104,43 @@
     assert "\x1b" not in table.out
 
 
+async def test_status_tells_open_circuits_and_who_waits_on_purpose(operator):
+    await operator.run("status")
+    schedulers = [
+        scheduler
+        for vm in operator.cluster.vm_by_name.values()
+        for part in vm.control.parts
+        for scheduler in getattr(part, "scheduler_by_shard", {}).values()
+    ]
+    scheduler = next(item for item in schedulers if item.shard.pool == "diag-llm")
+    engine = scheduler.shard.engines[0].name
+    scheduler.circuits.refused(engine, asyncio.get_running_loop().time(), 30.0)
+    told = await operator.run("status")
+    assert f"{scheduler.shard.name} {engine}: circuit open" in told.out
+    assert "waiting" in told.out and "stuck" not in told.out
+
+
+async def test_lost_configuration_is_told_and_begun_anew(operator):
+    file = await create(operator)
+    await operator.run(f"publish {file}")
+    in_force = await operator.run("recover --confirm")
+    assert in_force.status == ExitStatus.CONFLICT
+    cluster = operator.cluster
+    for vm in cluster.vm_by_name:
+        await cluster.kill_control(vm)
+    await asyncio.sleep(cluster.log.model.retention + 1)
+    for vm in cluster.vm_by_name:
+        cluster.start_control(vm)
+    await asyncio.sleep(20)
+    lost = await operator.run("status")
+    assert "not ready" in lost.out and "see ctl recover" in lost.out
+    begun = await operator.run("recover --confirm")
+    assert begun.status == ExitStatus.OK, begun.err
+    await asyncio.sleep(10)
+    published = await operator.run(f"publish {file}")
+    assert published.status == ExitStatus.OK, published.err
+
+
 async def test_drain_reaches_a_vm_of_another_data_centre(operator):
     drained = await operator.run("drain tt-north-vm-6")
     assert drained.status == ExitStatus.OK, drained.err
--- a/pimentoquay/ctl/tests/test_tutorial.py
+++ b/pimentoquay/ctl/tests/test_tutorial.py
@@ -20,7 +20,7 @@
 
 def steps():
     """Return each command of the page with what the page says of it."""
-    found = []
+    found: list[tuple[str, list[tuple[int, str]]]] = []
     for line in (DOCS / "tutorial.md").read_text(encoding="utf-8").splitlines():
         text = line.removeprefix("    ")
         if text == line or not text.strip():
@@ -94,7 +94,9 @@
 
 def test_reference_pages_are_current(tmp_path):
     for name, text in pages().items():
-        assert (DOCS / "reference" / name).read_text(encoding="utf-8") == text, name
+        assert (DOCS / "reference" / name).read_text(
+            encoding="utf-8"
+        ) == text, f"{name} is stale; run: python -m pimentoquay.ctl.reference"
     assert write_reference([str(tmp_path), "--check"]) == 1
     assert write_reference([str(tmp_path)]) == 0
     assert write_reference([str(tmp_path), "--check"]) == 0
--- a/pimentoquay/messages/operator.py
+++ b/pimentoquay/messages/operator.py
@@ -8,6 +8,8 @@
 from pimentoquay.messages.workspaces import ConfigurationRecord
 
 __all__ = [
+    "BeginAnewAnswer",
+    "BeginAnewRequest",
     "DrainAnswer",
     "DrainRequest",
     "GetAnswer",
@@ -180,3 +182,19 @@
 
     query: int
     was_told: bool
+
+
+@message(105)
+class BeginAnewRequest:
+    """Ask to start with an empty configuration, after the log has lost the last one."""
+
+    query: int
+
+
+@message(106)
+class BeginAnewAnswer:
+    """``CONFIG_ACCEPTED`` if an empty configuration was written to the log."""
+
+    query: int
+    code: ResultCode
+    detail: str
--- a/pimentoquay/scheduler/part.py
+++ b/pimentoquay/scheduler/part.py
@@ -18,6 +18,7 @@
     plugin,
 )
 from pimentoquay.kernel.logs import logger
+from pimentoquay.kernel.status import StatusWanted
 from pimentoquay.membership import Shard, shard_owner, shards_of
 from pimentoquay.messages.cluster import ClusterView, Member
 from pimentoquay.messages.placement import (
@@ -35,6 +36,7 @@
 from pimentoquay.scheduler.ledger import EntryKey
 from pimentoquay.scheduler.settings import SchedulerSection
 from pimentoquay.scheduler.shard import ShardScheduler
+from pimentoquay.scheduler.status import record_answer, scheduler_status
 from pimentoquay.scheduler.sweep import Cancellation, sweep
 from pimentoquay.scheduler.watch import WatchPace
 from pimentoquay.transport.peers import PeerSet
@@ -86,6 +88,7 @@
             FindRequest,
             ChannelOpened,
             ChannelClosed,
+            StatusWanted,
         )
 
     async def run(self) -> None:
@@ -116,6 +119,7 @@
         """Send what the schedulers have to say, and come back while any request waits."""
         for scheduler in self.scheduler_by_shard.values():
             for outgoing in scheduler.take_outbox():
+                record_answer(self._node.timeline, outgoing.message, scheduler.shard.name)
                 channel = self._channel_by_entry.get(outgoing.entry)
                 if channel is not None:
                     channel.send(outgoing.message)
@@ -136,6 +140,11 @@
     def _take(self, message: Any, channel: Channel | None) -> None:
         raise TypeError(f"unexpected message {type(message).__name__}")
 
+    @_take.register
+    def _take_status_wanted(self, message: StatusWanted, channel: Channel | None) -> None:
+        now = self._node.clock.now()
+        self._node.bus.publish(scheduler_status(self.scheduler_by_shard, now))
+
     @_take.register
     def _take_opened(self, message: ChannelOpened, channel: Channel | None) -> None:
         if message.channel.peer.process == "entry":
