--- a/pimentoquay/messages/cluster.py
+++ b/pimentoquay/messages/cluster.py
@@ -64,6 +64,7 @@
 class Heartbeat:
     """What a control process tells its peers of itself every second.
 
+    ``configuration_offset`` is -1 until the VM has a configuration that it may serve by.
     ``list_age`` is how long ago the platform was last known to have given this membership list,
     in tenths of a second; ``list_readable`` is false while the sender fails to read it.
     """
