Add a slow network and the account of prefill work to the fault schedules

Delays between VMs were the one fault of a connection that no step brought about, and nothing checked that the engines' account of prefill work adds up, which the waste figures rest on.

--- a/pimentoquay/bench/faults/checks.py
+++ b/pimentoquay/bench/faults/checks.py
@@ -101,6 +101,7 @@
         *_check_configuration(world),
         *_check_leaving(world, faults),
         *_check_unprovoked(world, faults),
+        *_check_prefill(world),
     )
 
 
@@ -229,6 +230,19 @@
             yield Violation("cut by graceful shutdown", _told(record))
 
 
+def _check_prefill(world: FaultWorld) -> Iterator[Violation]:
+    """Yield if prefill work is neither used by a decode, nor discarded, nor held."""
+    seen = [engine.observed() for engine in world.engine_by_name.values()]
+    if any(item.held for item in seen):
+        return
+    done = sum(item.prefilled_tokens for item in seen)
+    used = sum(item.used_tokens for item in seen)
+    discarded = sum(item.discarded_tokens for item in seen)
+    if done != used + discarded:
+        detail = f"{done} tokens done, {used} used, {discarded} discarded"
+        yield Violation("prefill unaccounted", detail)
+
+
 def _told(record: CallRecord) -> str:
     call = record.call
     ending = record.ending.name if record.ending is not None else "NONE"
--- a/pimentoquay/bench/faults/schedule.py
+++ b/pimentoquay/bench/faults/schedule.py
@@ -14,6 +14,9 @@
 WINDOW_SECONDS = 10.0
 """The time in which steps begin."""
 
+_SLOW_SECONDS = 0.4
+"""The one-way delay of a slow network."""
+
 _DURATIONS = (0.2, 0.6, 1.5, 3.0, 5.0)
 
 
@@ -130,6 +133,14 @@
     return f"{first} and {second}"
 
 
+async def _slow_network(world: FaultWorld, step: Step) -> str:
+    first, second = _vm(world, step), world.vms[step.other % len(world.vms)]
+    world.network.delay_between(first, second, _SLOW_SECONDS)
+    await asyncio.sleep(step.seconds)
+    world.network.delay_between(first, second, world.network.delay)
+    return f"{first} and {second}"
+
+
 async def _cut_data_centres(world: FaultWorld, step: Step) -> str:
     first, second = world.deployment.data_centres
     world.set_cut(first, second, True)
@@ -242,6 +253,7 @@
     "pause VM": _pause_vm,
     "drain VM": _drain_vm,
     "cut VMs": _cut_vms,
+    "slow network": _slow_network,
     "cut data centres": _cut_data_centres,
     "cut platform": _cut_platform,
     "log outage": _log_outage,
