--- a/pimentoquay/bench/mutations/switches.py
+++ b/pimentoquay/bench/mutations/switches.py
@@ -140,8 +140,32 @@
     return decide
 
 
+def _granted_unasked(original: Any) -> Any:
+    from pimentoquay.entry.key_claims import Claim
+
+    async def claim(self: Any, workspace: str, key: str, request_id: str) -> Claim:
+        return Claim(key, workspace, request_id, request_id, self._node.identity.vm)
+
+    return claim
+
+
+def _repeat_every_call(original: Any) -> Any:
+    async def try_servers(self: Any, target: Any, call: Any) -> Any:
+        return await original(self, replace(target, once_only=False), call)
+
+    return try_servers
+
+
+def _do_nothing_async(original: Any) -> Any:
+    async def nothing(*args: Any) -> None:
+        return None
+
+    return nothing
+
+
 _LEASES = "pimentoquay/orders/tests/test_leases.py::"
 _KEYS = "pimentoquay/orders/tests/test_once_only.py::"
+_ONCE_ONLY = "pimentoquay/entry/tests/test_once_only.py::"
 _MEMBERSHIP = "pimentoquay/membership/tests/test_part.py::"
 
 SWITCHES = (
@@ -249,6 +273,31 @@
         _any_attempt_answers,
         "pimentoquay/entry/tests/test_life.py::test_late_and_crossed_answers_are_dropped",
     ),
+    Switch(
+        "key claimed before the call",
+        "pimentoquay.entry.key_claims:KeyClaims.claim",
+        _granted_unasked,
+        _ONCE_ONLY + "test_a_key_runs_once_and_a_repetition_learns_so",
+    ),
+    Switch(
+        "call without a key sent once",
+        "pimentoquay.entry.plain:PlainService._try_servers",
+        _repeat_every_call,
+        _ONCE_ONLY + "test_a_lost_answer_is_outcome_unknown_and_nothing_is_sent_again",
+    ),
+    Switch(
+        "configuration appended anew before it ages out",
+        "pimentoquay.configuration.checkpoint_writer:CheckpointWriter._look",
+        _do_nothing_async,
+        "pimentoquay/configuration/tests/test_part.py::"
+        "test_retention_passes_and_every_vm_is_replaced_at_once",
+    ),
+    Switch(
+        "signed hello",
+        "pimentoquay.transport.handshake:_mac",
+        _always(b"0" * 32),
+        "pimentoquay/transport/tests/test_websocket.py::test_wrong_key_is_refused_by_number",
+    ),
     Switch(
         "hysteresis of roles",
         "pimentoquay.policy.roles:RoleBalance.decide",
