--- a/pimentoquay/bench/program.py
+++ b/pimentoquay/bench/program.py
@@ -15,6 +15,7 @@
 __all__ = ["BenchCommand", "main"]
 
 _COMMAND_MODULES: tuple[str, ...] = (
+    "pimentoquay.bench.configuration_cost",
     "pimentoquay.bench.compare.command",
     "pimentoquay.bench.demo.command",
     "pimentoquay.bench.faults.command",
