Go on with a stream whose engine is lost from a checked run of the same request

Ruled out: retries at the scheduler (no request failed there) and the resume (its engine is gone). Change: an idempotent stream is run again; each frame that the caller has is compared with the new run's and only what follows goes out. A differing run ends the stream as before.

--- a/pimentoquay/entry/life.py
+++ b/pimentoquay/entry/life.py
@@ -6,10 +6,12 @@
 from contextlib import aclosing
 from typing import TYPE_CHECKING, Any
 
+from pimentoquay.backends.base import EngineLostError
 from pimentoquay.entry.attempt import FRAME_END, Attempt, HeldKv, StageFailedError
 from pimentoquay.entry.key_claims import Claim
 from pimentoquay.entry.metrics import RequestOutcome
 from pimentoquay.entry.placer import Placement
+from pimentoquay.entry.replay import Replay, ReplayMismatchError, SentFrames
 from pimentoquay.entry.request import RequestSpec, final_trigger
 from pimentoquay.entry.verdict import error_after, may_run_again, settled_code, truthful
 from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode
@@ -72,6 +74,8 @@
         self._admitted_at = 0.0
         self._first_token_at = 0.0
         self._is_pace_told = False
+        self._sent = SentFrames() if spec.streaming and spec.kind.idempotent else None
+        self._replay: Replay | None = None
 
     def frames(self) -> AsyncIterator[bytes]:
         """Place and run the request."""
@@ -172,9 +176,11 @@
         self._record("decode", attempt.grant.decode_engine)
         async with aclosing(attempt.decode(kv)) as stream:  # type: ignore[type-var]
             chunk = await self._counted(attempt.first_chunk(stream))
-            self._first_token_at = self._node.clock.now()
-            self._record("first-token")
-            yield self._count(chunk)
+            if not self._first_token_at:
+                self._first_token_at = self._node.clock.now()
+                self._record("first-token")
+            if fresh := self._take(chunk):
+                yield fresh
             async for chunk in self._rest(stream):
                 yield chunk
                 if not self._is_pace_told and self.tokens > EARLY_TOKENS:
@@ -205,30 +211,36 @@
             return
         try:
             async for chunk in stream:
-                yield self._count(chunk)
+                if fresh := self._take(chunk):
+                    yield fresh
                 if self.is_whole:
                     return
+        except ReplayMismatchError:
+            raise
         except PimentoquayError as error:
             logger.bind(request_id=self.spec.request_id).warning(f"stream broken: {error}")
 
     async def _go_on(self, attempt: Attempt) -> AsyncIterator[bytes]:
         """Resume a broken stream on its own engine at the token reached."""
         for _ in range(RESUME_TRIES):
-            stream = attempt.resume(self.tokens)
+            stream = attempt.resume(self._replay.position if self._replay else self.tokens)
             async with aclosing(stream) as stream:  # type: ignore[type-var]
                 async for chunk in self._rest(stream):
                     yield chunk
             if self.is_whole:
                 return
             await self._node.timers.sleep(RESUME_PAUSE_SECONDS)
-        raise PimentoquayError(
-            ResultCode.STREAM_BROKEN,
-            f"{attempt.grant.decode_engine} was lost after {self.tokens} tokens",
-        )
+        engine = attempt.grant.decode_engine
+        lost = EngineLostError(f"{engine} was lost after {self.tokens} tokens")
+        if self._sent is None:
+            raise PimentoquayError(ResultCode.STREAM_BROKEN, lost.detail)
+        self._replay = Replay(self._sent)
+        raise StageFailedError(Stage.DECODE, engine, lost)
 
     async def _run_resumed(self, offset: int) -> AsyncIterator[bytes]:
         self._placement = await self._service.placer.find(self.spec, self._deadline)
         self.tokens = offset
+        self._sent = None  # the caller has frames that this entry never saw
         self.may_have_run = True
         self.decode()
         attempt = self._new_attempt(self._placement.grant)
@@ -238,7 +250,17 @@
         async for chunk in self._go_on(attempt):
             yield chunk
 
+    def _take(self, chunk: bytes) -> bytes:
+        """Return what of a chunk the caller does not have yet, and count it."""
+        if self._replay is not None:
+            chunk = self._replay.take(chunk)
+            if self._replay.is_done:
+                self._replay = None
+        return self._count(chunk)
+
     def _count(self, chunk: bytes) -> bytes:
+        if self._sent is not None and chunk:
+            self._sent.add(chunk)
         self.tokens += chunk.count(FRAME_END)
         if chunk.endswith(DONE_FRAME):
             self.tokens -= CLOSING_FRAMES
@@ -255,7 +277,7 @@
             failure.kv = None
         self._service.free(last, keep=failure.kv)
         if not self._may_try_again(failure):
-            raise error_after(self.spec, failure, self.may_have_run)
+            raise self._final_error(failure)
         self._extend_deadline()
         assert self._placement is not None
         try:
@@ -265,7 +287,7 @@
         except RefusedError as refusal:
             if not self.may_have_run:
                 raise
-            raise error_after(self.spec, failure, self.may_have_run) from refusal
+            raise self._final_error(failure) from refusal
         grant = self._placement.grant
         if failure.kv is not None and failure.kv.engine != grant.prefill_engine:
             self._service.free(last, keep=None)
@@ -273,17 +295,28 @@
         self._record_placed(grant)
         return grant
 
+    def _final_error(self, failure: StageFailedError) -> PimentoquayError:
+        if self.spec.streaming and self._first_token_at:
+            return PimentoquayError(ResultCode.STREAM_BROKEN, failure.detail)
+        return error_after(self.spec, failure, self.may_have_run)
+
     def _may_try_again(self, failure: StageFailedError) -> bool:
-        if len(self._attempts) >= MAX_ATTEMPTS or self._node.clock.now() >= self._retry_until:
+        if len(self._attempts) >= MAX_ATTEMPTS or self._node.clock.now() >= self._retry_limit():
             return False
         return may_run_again(self.spec, failure, self.may_have_run)
 
+    def _retry_limit(self) -> float:
+        """Return until when another attempt may begin, in seconds of the node's clock."""
+        if not (self.spec.streaming and self._first_token_at):
+            return self._retry_until
+        return self._first_token_at + self.spec.max_tokens * self.spec.kind.token_interval_target
+
     def _extend_deadline(self) -> None:
-        """Give a whole answer that is run again a first token target of its own.
+        """Give a request that is run again after its first token a target of its own.
 
-        Its caller sees no first token; what counts for it is the time of the last.
+        What counts for its caller by then is the time of the last token.
         """
-        if not self.spec.streaming and self._first_token_at:
+        if self._first_token_at:
             self._deadline = self._node.clock.now() + self.spec.kind.first_token_target
 
     def _begin(self) -> None:
