Leave VMs of unreachable data centres out of the live ones

Cause: ClusterView promises that unreachable VMs are not in live_vms, but those of a data centre behind a partition stayed in. With shards that span a region, a cut data centre could look for its scheduler beyond the cut for as long as the cut lasted. Change: live_vms holds reachable data centres only; the first view also waits, at most the settling time, for a report of each other data centre, so that ownership does not move at start. The partition test now checks live_vms.

--- a/pimentoquay/membership/part.py
+++ b/pimentoquay/membership/part.py
@@ -292,7 +292,7 @@
                 self._section.gateways,
             )
         )
-        if self._state.has_settled(own_live, now):
+        if self._state.has_settled(own_live, remote, now):
             self._publish(own_live, remote, live_by_data_centre)
         self._finish_drain()
 
@@ -335,12 +335,13 @@
         for report in remote.values():
             unlisted += report.unlisted
         own = self._node.identity.data_centre
+        reachable = {own, *remote}
         before = self._view.current
         view = self._view.build(
             self._directory,
             tuple(unlisted),
-            tuple(sorted(vm for names in live_by_data_centre.values() for vm in names)),
-            tuple(sorted({own, *remote})),
+            tuple(sorted(vm for name in reachable for vm in live_by_data_centre.get(name, ()))),
+            tuple(sorted(reachable)),
         )
         if view is None:
             return
--- a/pimentoquay/membership/state.py
+++ b/pimentoquay/membership/state.py
@@ -81,13 +81,20 @@
         own = () if self.is_leaving or self.own_member is None else (vm,)
         return tuple(sorted((*own, *self.live_peers(now))))
 
-    def has_settled(self, live: LiveVms, now: float) -> bool:
-        """Tell whether the listed VMs have been heard, or have had the time to be."""
+    def has_settled(self, live: LiveVms, remote: dict[str, DataCentreReport], now: float) -> bool:
+        """Tell whether all that is listed has been heard, or has had the time to be.
+
+        That is the VMs of this data centre, and a report of every other one with live VMs.
+        """
         if not self._has_settled:
             if self._settle_until is None:
                 self._settle_until = now + self._section.settle
-            expected = set(self._listed_live(self._identity.data_centre))
-            self._has_settled = expected <= set(live) or now >= self._settle_until
+            own = self._identity.data_centre
+            places = [name for name in self.directory.vms_by_data_centre if name != own]
+            are_heard = set(self._listed_live(own)) <= set(live) and all(
+                name in remote for name in places if self._listed_live(name)
+            )
+            self._has_settled = are_heard or now >= self._settle_until
         return self._has_settled
 
     def report(self, live: LiveVms) -> DataCentreReport:
--- a/pimentoquay/membership/tests/test_part.py
+++ b/pimentoquay/membership/tests/test_part.py
@@ -141,6 +141,7 @@
     cluster.cut_data_centres(cluster.network.cut, TWO["hue-a"], TWO["hue-b"])
     await asyncio.sleep(3)
     assert cluster.control_by_vm["a1"].view.reachable_data_centres == ("hue-a",)
+    assert cluster.control_by_vm["a1"].view.live_vms == TWO["hue-a"]
     assert cluster.control_by_vm["b3"].view.reachable_data_centres == ("hue-b",)
     cluster.cut_data_centres(cluster.network.heal, TWO["hue-a"], TWO["hue-b"])
     await asyncio.sleep(4)
