Do not start a prefill whose KV would queue too long on a link

Change: a pair is closed while KV would take more than 0.5 s on a link that others use; a promise is made only when no slot is free. Pairs that cannot win are passed over early. The measure of a decision's cost lets time pass, so that placements really happen in it.

--- a/pimentoquay/bench/compare/variants.py
+++ b/pimentoquay/bench/compare/variants.py
@@ -47,6 +47,7 @@
         Variant("prefix", _PREFIXED),
         Variant("rescue", _RESCUED),
         Variant("split", SchedulerSection()),
+        Variant("every-waiter", SchedulerSection(circuits=False), is_split=False),
         Variant("full", SchedulerSection(), is_split=False),
     )
 }
--- a/pimentoquay/bench/decision_cost.py
+++ b/pimentoquay/bench/decision_cost.py
@@ -33,6 +33,8 @@
 DECISIONS = 200
 WORKSPACES = 8
 FAR_SECONDS = 1e6
+FULL_AT_SECONDS = 100.0
+DECISION_GAP_SECONDS = 0.1
 
 _ENTRY = EntryKey("vm", "entry", 1)
 _SECTION = SchedulerSection(rebuild_grace=0.0, max_queued=100_000)
@@ -71,9 +73,9 @@
     """Measure one queue length."""
     scheduler, running = _full_shard(queued)
     arrivals, placements = [], []
-    now = 10.0
+    now = FULL_AT_SECONDS
     for number in range(DECISIONS):
-        now += 0.001
+        now += DECISION_GAP_SECONDS
         request = _request(f"late-{number}", number)
         started = time.perf_counter()
         scheduler.place(_ENTRY, request, now)
@@ -134,14 +136,16 @@
         scheduler.engines.take_status(_status(member.name, role))
     running: list[str] = []
     number = 0
+    now = 1.0
     while len(running) < DECODE_ENGINES * SLOTS:
-        scheduler.place(_ENTRY, _request(f"run-{number}", number), 1.0)
+        scheduler.place(_ENTRY, _request(f"run-{number}", number), now)
         number += 1
+        now += DECISION_GAP_SECONDS
         for outgoing in scheduler.take_outbox():
-            _finish_prefill(scheduler, outgoing.message.request_id, 1.0)
+            _finish_prefill(scheduler, outgoing.message.request_id, now)
             running.append(outgoing.message.request_id)
     for index in range(queued):
-        scheduler.place(_ENTRY, _request(f"wait-{index}", index), 1.0)
+        scheduler.place(_ENTRY, _request(f"wait-{index}", index), now)
     scheduler.take_outbox()
     return scheduler, running
 
--- a/pimentoquay/policy/placement.py
+++ b/pimentoquay/policy/placement.py
@@ -23,6 +23,8 @@
     ``release_share`` is the part of the slots expected to come free that may be promised
     before they do, ``promise_cost`` the seconds that a free slot is worth over such a promise,
     ``remote_cost`` those that a transfer within one data centre is worth over one between two,
+    ``link_seconds`` bounds the time from the end of a prefill to the arrival of its KV on a link
+    that others use, as KV does not live long,
     ``prefill_lead`` the seconds of work that may wait on a prefill engine, and
     ``slack`` the seconds after the KV cache arrives during which a slot may still come free.
     """
@@ -34,6 +36,7 @@
     fullness_cost: float = 0.05
     promise_cost: float = 0.5
     remote_cost: float = 0.02
+    link_seconds: float = 0.5
 
 
 @dataclass(frozen=True)
@@ -61,12 +64,19 @@
     end: float
 
 
-@dataclass(frozen=True)
 class _Target:
-    """A decode engine and the seconds until a slot of it may be promised."""
+    """A decode engine: seconds until a slot may be promised, transfer time, and cost."""
 
-    engine: EngineLoad
-    wait: float
+    def __init__(
+        self, engine: EngineLoad, wait: float, transfer: float, limits: PlacementLimits
+    ) -> None:
+        free = engine.free_slots()
+        self.engine = engine
+        self.wait = wait
+        self.transfer = transfer
+        self.cost = limits.fullness_cost * (1.0 - free / max(1, engine.slots))
+        if free <= 0:
+            self.cost += limits.promise_cost
 
 
 def choose(
@@ -90,25 +100,30 @@
         and engine.free_kv() >= need.prompt_tokens
     ]
     targets = [
-        _Target(engine, wait)
+        _Target(engine, wait, need.prompt_tokens * speeds.transfer.of(engine.name), limits)
         for engine in decode_engines
         if engine.free_kv() >= need.prompt_tokens + need.max_tokens
         and (wait := _slot_wait(engine, limits)) < math.inf
     ]
+    if any(target.wait == 0 for target in targets):
+        # A promise is for when no slot is free, not for when the way to a free one is busy.
+        targets = [target for target in targets if target.wait == 0]
     best: tuple[float, str, str] | None = None
     best_choice = None
     for start in starts:
         for target in targets:
-            engine = target.engine
-            if closed_links and _is_closed(start.engine.name, engine.name, closed_links):
+            if best is not None and start.end + target.cost > best[0]:
+                continue  # The KV cannot arrive before the prefill ends.
+            arrival = _arrival(start, target, limits)
+            if arrival - now + limits.slack < target.wait:
                 continue
-            arrival = _arrival(start, engine, need, speeds)
-            if target.wait > 0 and not _is_in_time(start, target, arrival - now, limits):
+            names = start.engine.name, target.engine.name
+            if closed_links and not closed_links.isdisjoint(link_keys(*names)):
                 continue
-            score = (_cost(start, arrival, engine, limits), start.engine.name, engine.name)
+            score = (arrival + target.cost + _remote_cost(start, target, limits), *names)
             if best is None or score < best:
                 best = score
-                best_choice = Choice(start.engine.name, engine.name, start.end, arrival)
+                best_choice = Choice(*names, start.end, arrival)
     return best_choice
 
 
@@ -118,29 +133,22 @@
     return _Start(engine, begin + tokens * speeds.prefill.of(engine.name))
 
 
-def _arrival(start: _Start, target: EngineLoad, need: PlacementNeed, speeds: SpeedBook) -> float:
-    if start.engine is target:
-        return start.end
-    begin = max(start.end, start.engine.link_free_at, target.link_free_at)
-    return begin + need.prompt_tokens * speeds.transfer.of(target.name)
-
-
-def _is_closed(source: str, target: str, closed_links: frozenset[str]) -> bool:
-    return not closed_links.isdisjoint(link_keys(source, target))
+def _arrival(start: _Start, target: _Target, limits: PlacementLimits) -> float:
+    """Return when the KV is on the decode engine; minus infinity if the pair is not open."""
+    if start.engine is target.engine:
+        # KV on the engine that computed it has no transfer to be retried while it lives, so that
+        # it is not started on a promise.
+        return start.end if target.wait == 0 else -math.inf
+    begin = max(start.end, start.engine.link_free_at, target.engine.link_free_at)
+    arrival = begin + target.transfer
+    is_busy = begin > start.end and arrival - start.end > limits.link_seconds
+    return -math.inf if is_busy else arrival
 
 
 def _slot_wait(engine: EngineLoad, limits: PlacementLimits) -> float:
     return engine.slot_wait(limits.release_share) if limits.reserves_slot else 0.0
 
 
-def _is_in_time(start: _Start, target: _Target, seconds: float, limits: PlacementLimits) -> bool:
-    # KV on the engine that computed it has no transfer to be retried while it lives, so that it
-    # is not started on a promise.
-    return start.engine is not target.engine and seconds + limits.slack >= target.wait
-
-
-def _cost(start: _Start, arrival: float, target: EngineLoad, limits: PlacementLimits) -> float:
-    fullness = 1.0 - target.free_slots() / max(1, target.slots)
-    remote = limits.remote_cost if start.engine.data_centre != target.data_centre else 0.0
-    promise = limits.promise_cost if target.free_slots() <= 0 else 0.0
-    return arrival + limits.fullness_cost * fullness + promise + remote
+def _remote_cost(start: _Start, target: _Target, limits: PlacementLimits) -> float:
+    is_near = start.engine.data_centre == target.engine.data_centre
+    return 0.0 if is_near else limits.remote_cost
--- a/pimentoquay/policy/tests/test_placement.py
+++ b/pimentoquay/policy/tests/test_placement.py
@@ -40,16 +40,20 @@
                 kv_reserved=draw(st.integers(0, 400)),
                 prefill_count=draw(st.integers(0, 2)),
                 prefill_free_at=draw(st.sampled_from([0.0, 9.99, 10.01, 11.0])),
-                link_free_at=draw(st.sampled_from([0.0, 10.3])),
+                link_free_at=draw(st.sampled_from([0.0, 10.3, 11.5])),
             )
         )
     return engines
 
 
-def naive_arrival(source, target, need, speeds, now):
+def naive_end(source, need, speeds, now):
     tokens = max(1, need.prompt_tokens - need.cached_by_engine.get(source.name, 0))
     begin = max(now, source.prefill_free_at) if source.prefill_count else now
-    end = begin + tokens * speeds.prefill.of(source.name)
+    return begin + tokens * speeds.prefill.of(source.name)
+
+
+def naive_arrival(source, target, need, speeds, now):
+    end = naive_end(source, need, speeds, now)
     if source is target:
         return end
     begin = max(end, source.link_free_at, target.link_free_at)
@@ -81,6 +85,10 @@
 def naive_costs(need, engines, speeds, closed, now):
     """Return the cost of every open pair, working everything out anew."""
     cost_by_pair = {}
+    total = need.prompt_tokens + need.max_tokens
+    is_any_free = any(
+        load.can_decode and load.free_slots() > 0 and load.free_kv() >= total for load in engines
+    )
     for source in engines:
         for target in engines:
             arrival = naive_arrival(source, target, need, speeds, now)
@@ -88,6 +96,12 @@
                 continue
             if not naive_has_slot(source, target, arrival - now):
                 continue
+            if is_any_free and target.free_slots() <= 0:
+                continue
+            end = naive_end(source, need, speeds, now)
+            is_shared = max(source.link_free_at, target.link_free_at) > end
+            if source is not target and is_shared and arrival - end > LIMITS.link_seconds:
+                continue
             cost = arrival + LIMITS.fullness_cost * (1 - target.free_slots() / target.slots)
             cost += LIMITS.promise_cost if target.free_slots() <= 0 else 0.0
             cost += LIMITS.remote_cost if source.data_centre != target.data_centre else 0.0
--- a/pimentoquay/scheduler/selection.py
+++ b/pimentoquay/scheduler/selection.py
@@ -1,5 +1,6 @@
 """What one shard's scheduler works out before it decides: service times, flow and engines."""
 
+import math
 from dataclasses import dataclass, replace
 
 from pimentoquay.messages.placement import PlaceRequest
@@ -74,10 +75,10 @@
         """Return the mean seconds that a request holds a slot."""
         return self._hold_mean.of("")
 
-    def note_granted(self, service: Service, now: float) -> None:
-        """Take a granted request into the means."""
-        self._hold_mean.add("", service.hold, now)
-        self._prefill_mean.add("", service.prefill, now)
+    def note_granted(self, prefill: float, hold: float, now: float) -> None:
+        """Take the expected seconds of a granted request into the means."""
+        self._hold_mean.add("", hold, now)
+        self._prefill_mean.add("", prefill, now)
 
     def choose(self, waiting: WaitingRequest, is_rescue_waiting: bool, now: float) -> Choice | None:
         """Return engines for a waiting request, or ``None`` if none are open in time.
@@ -86,13 +87,24 @@
         """
         request = waiting.request
         usable = self._engines.usable(now)
-        sources = self._engines.prefillers(usable)
+        limits = self._strict if is_rescue_waiting else self._placement
+        sources = [
+            load
+            for load in self._engines.prefillers(usable)
+            if load.is_open_for_prefill(limits.prefill_lead, now)
+        ]
+        if not sources:
+            return None
         targets = self._engines.decoders(usable, request.token_interval, now)
+        if limits.reserves_slot:
+            share = limits.release_share
+            targets = [load for load in targets if load.slot_wait(share) < math.inf]
+        if not targets:
+            return None
         need = PlacementNeed(
             request.prompt_tokens, request.max_tokens, self._cached(request, sources)
         )
         closed = self._engines.closed_links(now)
-        limits = self._strict if is_rescue_waiting else self._placement
         choice = choose(need, sources, targets, self._speeds, closed, limits, now)
         if choice is not None and self._section.admission:
             first_token = choice.transfer_end + self._speeds.interval.of(choice.decode)
--- a/pimentoquay/scheduler/shard.py
+++ b/pimentoquay/scheduler/shard.py
@@ -273,6 +273,7 @@
                 deadline - needed,
                 now,
                 service.hold,
+                service.prefill,
                 kv_engine,
                 now + KV_RESCUE_SECONDS if kv_engine else 0.0,
                 avoid,
@@ -304,7 +305,6 @@
         keys = probe_keys(self.circuits, choice.prefill, choice.decode, now)
         for key in keys:
             self.circuits.begin_probe(key, request.request_id, now)
-        service = self._selector.service(request, now)
         grant = GrantState(
             request,
             waiting.entry,
@@ -313,7 +313,7 @@
             now,
             waiting.deadline,
             stage_since=now,
-            hold_seconds=service.hold,
+            hold_seconds=waiting.cost,
             prefill_seconds=choice.prefill_end - now,
             probe_keys=keys,
         )
@@ -326,7 +326,7 @@
             source.prefill_free_at = choice.prefill_end
         if source is not target:
             source.link_free_at = target.link_free_at = choice.transfer_end
-        self._selector.note_granted(service, now)
+        self._selector.note_granted(waiting.prefill_seconds, waiting.cost, now)
         answer = Grant(request.request_id, request.attempt, choice.prefill, choice.decode)
         self._outbox.append(Outgoing(waiting.entry, answer))
 
--- a/pimentoquay/scheduler/waiting.py
+++ b/pimentoquay/scheduler/waiting.py
@@ -24,6 +24,7 @@
     latest_start: float
     since: float
     cost: float
+    prefill_seconds: float
     kv_engine: str = ""
     kv_until: float = 0.0
     avoid: str = ""
