--- a/pimentoquay/transport/timeline_responder.py
+++ b/pimentoquay/transport/timeline_responder.py
@@ -10,8 +10,11 @@
 
 
 def own_events(node: Node, request: TimelineRequest) -> tuple[TimelineEvent, ...]:
-    """Return the kept events of this process that a request asks for, oldest first."""
-    events = node.timeline.events(request.request_id, request.workspace)
+    """Return the kept events of this process that a request asks for, oldest first.
+
+    A request id matches as its caller knows it, and with its workspace before it.
+    """
+    events = node.timeline.events("", request.workspace)
     found = [
         TimelineEvent(
             event.stamp.wall_us,
@@ -24,11 +27,15 @@
             event.detail,
         )
         for event in events
-        if event.stamp.wall_us >= request.since_us
+        if event.stamp.wall_us >= request.since_us and _is_of(event.request_id, request.request_id)
     ]
     return tuple(found[-MAX_ANSWERED_EVENTS:])
 
 
+def _is_of(request_id: str, wanted: str) -> bool:
+    return not wanted or request_id == wanted or request_id.endswith(f"/{wanted}")
+
+
 class TimelineResponder:
     """The part of an entry process that answers ``TimelineRequest``."""
 
