--- a/pimentoquay/policy/placement.py
+++ b/pimentoquay/policy/placement.py
@@ -29,7 +29,7 @@
     ``slack`` the seconds after the KV cache arrives during which a slot may still come free.
     """
 
-    release_share: float = 0.5
+    release_share: float = 0.3
     prefill_lead: float = 0.02
     slack: float = 0.0
     reserves_slot: bool = True
--- a/pimentoquay/scheduler/settings.py
+++ b/pimentoquay/scheduler/settings.py
@@ -44,7 +44,7 @@
         default=10.0, low=0.1, high=1000, unit="slot-seconds", help="lead over the fair share"
     )
     release_share: float = setting(
-        default=0.5, low=0, high=1, help="part of the expected slot releases that is promised"
+        default=0.0, low=0, high=1, help="part of the expected slot releases that is promised"
     )
     slot_slack: float = setting(
         default=0.0, low=0, high=1, unit="s", help="time that KV may wait for a slot"
--- a/pimentoquay/scheduler/shard.py
+++ b/pimentoquay/scheduler/shard.py
@@ -56,7 +56,7 @@
 
 __all__ = ["Outgoing", "ShardScheduler"]
 
-KV_RESCUE_SECONDS = 0.5
+KV_RESCUE_SECONDS = 0.6
 """How long a request with live KV waits for another slot before it is prefilled again."""
 
 
