Let an entry whose control process is lost follow another VM

Cause: the view of the cluster and the configuration came only from the own VM's control process. Ruled out: the schedulers, which had all left the engine out after 1.2 s. Change: FollowView asks another VM of the data centre; the own one counts again once it is back.

--- a/pimentoquay/configuration/part.py
+++ b/pimentoquay/configuration/part.py
@@ -39,6 +39,7 @@
     ConfigurationEntries,
     Heartbeat,
 )
+from pimentoquay.messages.membership import FollowView
 from pimentoquay.messages.operator import (
     BeginAnewAnswer,
     BeginAnewRequest,
@@ -83,6 +84,7 @@
         self._lags_since: float | None = None
         self._asked_at = -ANSWER_SECONDS
         self._asked: set[Channel] = set()
+        self._followers: set[Channel] = set()
         self._tasks: asyncio.TaskGroup | None = None
         self._publisher = Publisher(
             ports.log,
@@ -101,6 +103,7 @@
             CatchUpRequest,
             ChannelOpened,
             ChannelClosed,
+            FollowView,
             PublishRequest,
             GetRequest,
             HistoryRequest,
@@ -166,8 +169,16 @@
         if self._is_own_entry(message.channel) and self.keeper.is_ready:
             self._send_after([message.channel], -1, with_outcomes=False)
 
+    @_handle.register
+    def _(self, message: FollowView, envelope: Envelope) -> None:
+        channel = envelope.channel
+        if channel is not None and channel.peer.process == "entry" and self.keeper.is_ready:
+            self._followers.add(channel)
+            self._send_after([channel], -1, with_outcomes=False)
+
     @_handle.register
     def _(self, message: ChannelClosed, envelope: Envelope) -> None:
+        self._followers.discard(message.channel)
         self._asked.discard(message.channel)
         self.keeper.forget_channel(message.channel)
         self._advanced()
@@ -268,7 +279,11 @@
         self._node.bus.publish(
             ConfigurationInForce(state.offset, state.workspace_by_name(), state.version_by_name())
         )
-        entries = [item for item in self._peers.channels("entry") if self._is_own_entry(item)]
+        entries = [
+            item
+            for item in self._peers.channels("entry")
+            if self._is_own_entry(item) or item in self._followers
+        ]
         self._send_after(entries, before, with_outcomes=False)
         is_reader = self._place is not None and self._place.is_reader
         if before >= 0 and (is_reader or self._relays_next):
--- a/pimentoquay/entry/http.py
+++ b/pimentoquay/entry/http.py
@@ -79,6 +79,11 @@
             exception_handlers={HTTPException: _on_http_exception},
         )
 
+    @property
+    def configuration_offset(self) -> int:
+        """The log offset up to which the configuration is in force here."""
+        return self._configuration.offset
+
     @property
     def is_ready(self) -> bool:
         """Whether requests can be taken: a configuration and a view of the cluster are known."""
--- a/pimentoquay/entry/scheduler_link.py
+++ b/pimentoquay/entry/scheduler_link.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 from pimentoquay.entry.directory import ClusterDirectory
+from pimentoquay.entry.view_source import ViewSource
 from pimentoquay.kernel import (
     Channel,
     ChannelClosed,
@@ -98,6 +99,7 @@
         self._unsent_by_shard: dict[str, dict[str, Release]] = {}
         self._spill_shards: set[str] = set()
         self._other_vms: set[str] = set()
+        self._view_source = ViewSource(node.identity, self.channel_to)
         self._changed = asyncio.Event()
         self._sequence = 0
         self.inbox = node.bus.subscribe(
@@ -248,6 +250,13 @@
         for channel in self._peers.channels("control"):
             channel.send(LeaseRenewal(self._sequence))
         self._fail_silent()
+        self._seek_view()
+
+    def _seek_view(self) -> None:
+        wanted = set(self._view_source.seek(self.directory)) - self._other_vms
+        if wanted:
+            self._other_vms |= wanted
+            self._dial()
 
     def _fail_silent(self) -> None:
         for waiter in tuple(self._waiter_by_key.values()):
@@ -288,6 +297,8 @@
 
     @_take.register
     def _take_view(self, message: ClusterView, channel: Channel | None) -> None:
+        if not self._view_source.accepts(channel):
+            return
         self.directory = ClusterDirectory(message)
         self._spill_shards &= set(self.directory.shard_by_name)
         self._dial()
@@ -297,7 +308,7 @@
     @_take.register
     def _take_view_change(self, message: ClusterViewChange, channel: Channel | None) -> None:
         # A change of another view follows a lost channel; the whole view comes on the new one.
-        if message.base == self.directory.view.version:
+        if self._view_source.accepts(channel) and message.base == self.directory.view.version:
             self._take_view(changed_view(self.directory.view, message), channel)
 
     @_take.register
@@ -331,6 +342,7 @@
     @_take.register
     def _take_opened(self, message: ChannelOpened, channel: Channel | None) -> None:
         self._heard_by_channel[id(message.channel)] = self._node.clock.now()
+        self._seek_view()
         self._announce()
         self._changed.set()
 
@@ -340,6 +352,7 @@
         for waiter in tuple(self._waiter_by_key.values()):
             if waiter.channel is message.channel:
                 self._fail(waiter, f"the channel to {message.channel.peer.vm} has closed")
+        self._seek_view()
         self._changed.set()
 
     def _answer(self, key: tuple[str, int], message: Any, channel: Channel | None) -> None:
--- a/pimentoquay/membership/part.py
+++ b/pimentoquay/membership/part.py
@@ -21,6 +21,7 @@
 from pimentoquay.messages.cluster import Heartbeat, MembershipUpdate
 from pimentoquay.messages.membership import (
     DataCentreReport,
+    FollowView,
     MemberAnnouncement,
     MembershipDelta,
     MembershipRequest,
@@ -94,6 +95,7 @@
             MemberAnnouncement,
             DataCentreReport,
             DrainRequested,
+            FollowView,
             ConfigurationReached,
         )
 
@@ -153,6 +155,14 @@
         elif opened.peer.process == "control":
             self._greet(opened)
 
+    @_handle.register
+    def _(self, message: FollowView, channel: Channel | None) -> None:
+        if channel is None or channel in self._entry_channels:
+            return
+        if channel.peer.process == "entry" and self._view.current is not None:
+            self._entry_channels.append(channel)
+            channel.send(self._view.current)
+
     def _greet(self, channel: Channel) -> None:
         channel.send(self._heartbeat())
         own = self._state.own_member
--- a/pimentoquay/messages/membership.py
+++ b/pimentoquay/messages/membership.py
@@ -4,6 +4,7 @@
 from pimentoquay.messages.codec import message
 
 __all__ = [
+    "FollowView",
     "ClusterViewChange",
     "DataCentreReport",
     "MemberAnnouncement",
@@ -50,6 +51,11 @@
     unlisted: tuple[Member, ...]
 
 
+@message(65)
+class FollowView:
+    """An entry whose own control process is lost asks for the view and the configuration."""
+
+
 @message(64)
 class ClusterViewChange:
     """What changed between two versions of the ``ClusterView`` that an entry process has."""
