End a process although a library swallows a cancellation

Ruled out: the drain (it had finished; usage lines had ended). Change: HttpPeer raises a cancellation that came during a call and was not passed on; a program ends without a task that does not end within 5 s. A control process whose address is in use says so with exit status 2 instead of a traceback. Before: the new test in kernel/tests/test_http_peer.py fails without the check. After: it passes.

--- a/pimentoquay/control/program.py
+++ b/pimentoquay/control/program.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 import sys
 
 from pimentoquay.backends.connect import engine_connector, plain_connector
@@ -16,7 +15,9 @@
 from pimentoquay.kernel import LoopClock, Node
 from pimentoquay.kernel.logs import configure_logs, logger
 from pimentoquay.kernel.programs import (
+    EXIT_SETTINGS,
     StopRequested,
+    end_task,
     parse_program_arguments,
     run_until_stopped,
     settings_or_exit,
@@ -40,7 +41,12 @@
     arguments = parse_program_arguments(PROGRAM, __doc__ or "", EXAMPLE)
     settings = settings_or_exit(arguments.config, ControlSettings)
     configure_logs(PROGRAM, settings.vm.name, settings.log.level)
-    return run_until_stopped(lambda stop: _serve(settings, stop))
+    try:
+        return run_until_stopped(lambda stop: _serve(settings, stop))
+    except OSError as error:
+        shown = f"{arguments.config}: [control] listen = {settings.control.listen!r}"
+        print(f"{shown}: allowed: a free IP:PORT ({error})", file=sys.stderr)
+        return EXIT_SETTINGS
 
 
 async def _serve(settings: ControlSettings, stop: StopRequested) -> None:
@@ -52,9 +58,7 @@
     stopping.cancel()
     if not running.done():
         await drain_control(control)
-        running.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await running
+    await end_task(running)
     logger.info("stopped")
 
 
--- a/pimentoquay/entry/program.py
+++ b/pimentoquay/entry/program.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import contextlib
 import importlib
 import sys
 
@@ -19,6 +18,7 @@
 from pimentoquay.kernel.programs import (
     EXIT_SETTINGS,
     StopRequested,
+    end_task,
     parse_program_arguments,
     run_until_stopped,
     settings_or_exit,
@@ -64,9 +64,7 @@
         await running
     finally:
         stopping.cancel()
-        running.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await running
+        await end_task(running)
     logger.info("stopped")
 
 
--- a/pimentoquay/kernel/http_peer.py
+++ b/pimentoquay/kernel/http_peer.py
@@ -166,6 +166,7 @@
         """Send one request once and return the answer; ``HttpError`` if none came."""
         mark = _WriteMark()
         token = _mark.set(mark)
+        cancellations = _cancellations()
         try:
             async with asyncio.timeout(timeout):
                 response = await self._send(method, path, body, headers, stream=False)
@@ -175,6 +176,7 @@
             raise HttpError(detail, mark.written) from None
         finally:
             _mark.reset(token)
+            _raise_swallowed(cancellations)
 
     async def open_stream(
         self,
@@ -186,6 +188,7 @@
         """Post a request; return a stream if its status is 200, else the whole answer."""
         mark = _WriteMark()
         token = _mark.set(mark)
+        cancellations = _cancellations()
         try:
             async with asyncio.timeout(timeout):
                 response = await self._send("POST", path, body, headers, stream=True)
@@ -196,6 +199,7 @@
             raise HttpError(f"POST {self.address}{path}: {error!r}", mark.written) from None
         finally:
             _mark.reset(token)
+            _raise_swallowed(cancellations)
 
     async def close(self) -> None:
         """Close every connection."""
@@ -264,6 +268,21 @@
             self._response._connection.close()
 
 
+def _cancellations() -> int:
+    task = asyncio.current_task()
+    return task.cancelling() if task is not None else 0
+
+
+def _raise_swallowed(before: int) -> None:
+    """Raise a cancellation that came during a call and that the library did not pass on.
+
+    ``asyncio.wait_for`` of Python 3.11, which the library uses, returns instead of raising when
+    what it waits for ends in the same turn of the loop. The task would then run on for ever.
+    """
+    if _cancellations() > before:
+        raise asyncio.CancelledError
+
+
 async def _whole(response: HttpResponse) -> HttpAnswer:
     try:
         body = await response.content()
--- a/pimentoquay/kernel/programs.py
+++ b/pimentoquay/kernel/programs.py
@@ -20,6 +20,7 @@
     "EXIT_OK",
     "EXIT_SETTINGS",
     "StopRequested",
+    "end_task",
     "parse_program_arguments",
     "run_until_stopped",
     "settings_or_exit",
@@ -32,6 +33,10 @@
 Settings = TypeVar("Settings")
 
 
+STOP_SECONDS = 5.0
+"""How long a cancelled task may take to end before the program ends without it."""
+
+
 class StopRequested(asyncio.Event):
     """Set by the first signal."""
 
@@ -66,6 +71,20 @@
     return asyncio.run(_run(main))
 
 
+async def end_task(task: "asyncio.Task[None]") -> None:
+    """Cancel a task and wait for it, though no longer than ``STOP_SECONDS``.
+
+    What is left by then is cancelled once more when the event loop closes. An error that ended
+    the task is raised.
+    """
+    task.cancel()
+    await asyncio.wait({task}, timeout=STOP_SECONDS)
+    if not task.done():
+        logger.warning("a task does not end; ending without it")
+    elif not task.cancelled() and task.exception() is not None:
+        raise task.exception()  # type: ignore[misc]
+
+
 async def _run(main: Callable[[StopRequested], Awaitable[None]]) -> int:
     stop = StopRequested()
     task = asyncio.ensure_future(main(stop))
--- a/pimentoquay/kernel/tests/test_http_peer.py
+++ b/pimentoquay/kernel/tests/test_http_peer.py
@@ -87,3 +87,20 @@
         results = await asyncio.gather(*tasks, return_exceptions=True)
         failed = [item for item in results if isinstance(item, HttpError)]
         assert [item.written for item in failed] == [False]
+
+
+async def test_a_cancellation_that_the_library_swallows_still_ends_the_task(monkeypatch):
+    peer = HttpPeer("127.0.0.1:1")
+
+    async def swallow(*args, **kwargs):
+        try:
+            await asyncio.sleep(60)
+        except asyncio.CancelledError:
+            raise OSError("the server went away in the same turn of the loop") from None
+
+    monkeypatch.setattr(peer, "_send", swallow)
+    task = asyncio.create_task(peer.request("GET", "/", 30.0))
+    await asyncio.sleep(0)
+    task.cancel()
+    await asyncio.wait({task})
+    assert task.cancelled()
