--- a/pimentoquay/policy/placement.py
+++ b/pimentoquay/policy/placement.py
@@ -108,12 +108,16 @@
     if any(target.wait == 0 for target in targets):
         # A promise is for when no slot is free, not for when the way to a free one is busy.
         targets = [target for target in targets if target.wait == 0]
+    # The KV cannot arrive before the prefill ends, so that with both sides in order of what they
+    # cost at least, the rest of a side can be left out once it cannot beat the best pair.
+    starts.sort(key=lambda start: start.end)
+    targets.sort(key=lambda target: target.cost)
     best: tuple[float, str, str] | None = None
     best_choice = None
     for start in starts:
         for target in targets:
             if best is not None and start.end + target.cost > best[0]:
-                continue  # The KV cannot arrive before the prefill ends.
+                break
             arrival = _arrival(start, target, limits)
             if arrival - now + limits.slack < target.wait:
                 continue
