--- a/pimentoquay/scheduler/shard.py
+++ b/pimentoquay/scheduler/shard.py
@@ -46,9 +46,9 @@
     StartingSpeeds,
     admit,
     estimated_wait,
-    link_keys,
 )
 from pimentoquay.scheduler.engines import EngineSet, probe_keys
+from pimentoquay.scheduler.learning import Learner
 from pimentoquay.scheduler.ledger import EntryKey, GrantState, Ledger, announced_grant
 from pimentoquay.scheduler.selection import Selector, Service
 from pimentoquay.scheduler.settings import SchedulerSection
@@ -99,7 +99,9 @@
         )
         self._selector = Selector(self.ledger, self.engines, self.speeds, self.prefixes, section)
         self._ready_at = now + section.rebuild_grace
-        self._prefill_done_at: dict[str, float] = {}
+        self._learner = Learner(
+            self.ledger, self.speeds, self.prefixes, self.circuits, self.budget, section.circuits
+        )
         self._outbox: list[Outgoing] = []
 
     def take_outbox(self) -> list[Outgoing]:
@@ -140,9 +142,9 @@
         if grant is None or grant.request.attempt != report.attempt:
             return
         if report.stage is Stage.PREFILL:
-            self._prefilled(grant, report, now)
+            self._learner.prefilled(grant, report, now)
         elif report.stage is Stage.TRANSFER:
-            self._transferred(grant, report, now)
+            self._learner.transferred(grant, report, now)
         else:
             self.speeds.saw_decode(report.engine, report.tokens, report.seconds, now)
         self.dispatch(now)
@@ -150,7 +152,7 @@
     def replace(self, entry: EntryKey, message: ReplaceRequest, now: float) -> None:
         """Count a failed stage and find other engines, if the retry budget allows it."""
         grant = self.ledger.free(message.request_id, now)
-        self._count_failure(grant, message, now)
+        self._learner.count_failure(grant, message, now)
         if grant is None:
             self._refuse(
                 entry, message.request_id, message.attempt, ResultCode.REQUEST_UNKNOWN, 0.0
@@ -179,7 +181,7 @@
         grant = self.ledger.free(message.request_id, now)
         if grant is not None:
             self._end_probes(grant)
-            self._learn_answer(grant, message, now)
+            self._learner.answered(grant, message, now)
         self.dispatch(now)
 
     def reannounce(self, entry: EntryKey, records: tuple[GrantRecord, ...], now: float) -> None:
@@ -353,50 +355,3 @@
     def _end_probes(self, grant: GrantState) -> None:
         for key in grant.probe_keys:
             self.circuits.end_probe(key, grant.request.request_id)
-
-    def _prefilled(self, grant: GrantState, report: StageReport, now: float) -> None:
-        if grant.stage is not Stage.PREFILL:
-            return
-        engine = report.engine
-        started = max(grant.granted_at, self._prefill_done_at.get(engine, 0.0))
-        seconds = min(report.seconds, now - started)
-        self._prefill_done_at[engine] = now
-        computed = report.tokens - report.cached_tokens
-        self.speeds.saw_prefill(engine, max(1, computed), max(0.0, seconds), now)
-        self.prefixes.correct(engine, grant.request.prefix, report.cached_tokens)
-        self.circuits.succeeded(engine)
-        stage = Stage.TRANSFER if grant.uses_link else Stage.DECODE
-        self.ledger.move(grant, stage, now)
-
-    def _transferred(self, grant: GrantState, report: StageReport, now: float) -> None:
-        if grant.stage is not Stage.TRANSFER:
-            return
-        self.speeds.saw_transfer(grant.decode_engine, report.tokens, report.seconds, now)
-        self.circuits.succeeded(grant.decode_engine)
-        for key in link_keys(grant.prefill_engine, grant.decode_engine):
-            self.circuits.succeeded(key)
-        self.ledger.move(grant, Stage.DECODE, now)
-
-    def _count_failure(self, grant: GrantState | None, message: ReplaceRequest, now: float) -> None:
-        """Charge the engine or the link that failed, unless the ledger itself was at fault."""
-        engine = message.failed_engine
-        is_transfer = message.failed_stage is Stage.TRANSFER
-        if not self._section.circuits or (is_transfer and not message.kv_engine):
-            return  # KV that expired says nothing about the engine that asked for it.
-        if message.code is ResultCode.CIRCUIT_OPEN:
-            load = self.ledger.engine_by_name.get(engine)
-            if not is_transfer or load is None or load.free_slots() > 0:
-                self.circuits.refused(engine, now)
-        elif is_transfer and grant is not None:
-            for key in link_keys(grant.prefill_engine, grant.decode_engine):
-                self.circuits.failed(key, now)
-        else:
-            self.circuits.failed(engine, now)
-
-    def _learn_answer(self, grant: GrantState, message: Release, now: float) -> None:
-        if message.code is not ResultCode.OK or grant.stage is not Stage.DECODE:
-            return
-        self.budget.earn()
-        request = grant.request
-        self.speeds.saw_answer(request.kind, message.tokens, request.max_tokens, now)
-        self.speeds.saw_decode(grant.decode_engine, message.tokens, now - grant.stage_since, now)
