State the options of a channel's connection once

The listening and the dialling side of transport/websocket.py each listed the same six options; a change to one would have been missed in the other. The same values, moved.

--- a/pimentoquay/transport/websocket.py
+++ b/pimentoquay/transport/websocket.py
@@ -39,6 +39,16 @@
 MAX_UNSENT_BYTES = 16 * 1024 * 1024
 """A channel whose peer does not read is closed once this much waits to be sent."""
 
+_CONNECTION_OPTIONS: dict[str, Any] = {
+    "compression": None,
+    "max_size": MAX_PACKET_BYTES,
+    "ping_interval": PING_SECONDS,
+    "ping_timeout": PING_TIMEOUT_SECONDS,
+    "close_timeout": CLOSE_SECONDS,
+    "open_timeout": HANDSHAKE_SECONDS,
+}
+"""What the library is told alike of dialled and of accepted connections."""
+
 Accept = Callable[[Channel], Any]
 
 
@@ -124,12 +134,7 @@
             handle,
             host,
             port,
-            compression=None,
-            max_size=MAX_PACKET_BYTES,
-            ping_interval=PING_SECONDS,
-            ping_timeout=PING_TIMEOUT_SECONDS,
-            close_timeout=CLOSE_SECONDS,
-            open_timeout=HANDSHAKE_SECONDS,
+            **_CONNECTION_OPTIONS,
             server_header=None,
         )
 
@@ -145,12 +150,7 @@
         try:
             connection = await connect(
                 f"ws://{address}/",
-                compression=None,
-                max_size=MAX_PACKET_BYTES,
-                ping_interval=PING_SECONDS,
-                ping_timeout=PING_TIMEOUT_SECONDS,
-                close_timeout=CLOSE_SECONDS,
-                open_timeout=HANDSHAKE_SECONDS,
+                **_CONNECTION_OPTIONS,
                 user_agent_header=None,
                 proxy=None,
             )
