Run the tutorial's commands with a shell against real programs in its test

The test sent its request to a service object in process and called ctl with a memory transport, so a wrong address, header or exit status of the page could pass.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TYPED := policy messages scheduler configuration membership
 STAMP := $(VENV)/.installed
 
-.PHONY: install test format demo steady clean
+.PHONY: install test format demo serve steady clean
 
 install: $(STAMP)
 
@@ -28,6 +28,10 @@
 demo: install
 	@sh tools/demo.sh $(BIN)
 
+# The demo's VMs without load or failures, until Ctrl-C; for docs/tutorial.md
+serve: install
+	@sh tools/demo.sh $(BIN) serve
+
 # Control processes on loopback before idle engines: make steady VMS=29 ENGINES=156 SECONDS=30
 VMS ?= 8
 ENGINES ?= 22
--- a/pimentoquay/ctl/tests/test_tutorial.py
+++ b/pimentoquay/ctl/tests/test_tutorial.py
@@ -1,95 +1,156 @@
-"""The tutorial's own commands, run in order against a whole cluster."""
+"""The tutorial's own commands, run by a shell against the programs that it starts."""
 
-import json
+import os
 import re
-import shlex
+import signal
+import socket
 import subprocess
-from contextlib import aclosing
+import sys
+import time
+from contextlib import closing
+from dataclasses import dataclass
 from pathlib import Path
 
 import pytest
 
-from pimentoquay.configuration.view import kind_of
 from pimentoquay.ctl.reference import main as write_reference
 from pimentoquay.ctl.reference import pages
-from pimentoquay.entry.request import RequestSpec
 
-DOCS = Path(__file__).parents[3] / "docs"
+ROOT = Path(__file__).parents[3]
+DOCS = ROOT / "docs"
 EXPECTED = re.compile(r"# (?:exit status (\d+): |prints )(.*)")
+PROGRAMS = ("bench", "control", "ctl", "entry", "standin")
+
+CURL = """\
+import sys, urllib.error, urllib.request
+words = sys.argv[1:]
+headers = [words[at + 1].split(": ", 1) for at, word in enumerate(words) if word == "-H"]
+body = words[words.index("-d") + 1].encode()
+request = urllib.request.Request(words[words.index("-s") + 1], body, dict(headers))
+try:
+    answer = urllib.request.urlopen(request)
+except urllib.error.HTTPError as error:
+    answer = error
+print(answer.read().decode())
+"""
+"""Stands in for curl, which a machine that runs the tests need not have."""
+
+MOST_PORTS = 60
+READY_SECONDS = 240
+STEPS_SECONDS = 240
+
+
+@dataclass
+class Step:
+    """One command of the page and what the page says that it does."""
+
+    line: str
+    status: int
+    texts: list[str]
 
 
 def steps():
-    """Return each command of the page with what the page says of it."""
-    found: list[tuple[str, list[tuple[int, str]]]] = []
+    """Return the commands of the page in order."""
+    found: list[Step] = []
     for line in (DOCS / "tutorial.md").read_text(encoding="utf-8").splitlines():
         text = line.removeprefix("    ")
         if text == line or not text.strip():
             continue
         expected = EXPECTED.fullmatch(text)
         if expected is None:
-            found.append((text, []))
+            found.append(Step(text, 0, []))
         else:
-            found[-1][1].append((int(expected[1] or 0), expected[2]))
+            found[-1].status = int(expected[1] or 0)
+            found[-1].texts.append(expected[2])
     return found
 
 
-def run_shell(line, directory):
-    """Run one of the page's lines that change a file."""
-    subprocess.run(["sh", "-c", line], check=True, cwd=directory)
-
-
-async def send_request(operator, line):
-    """Run what the page's curl command asks for, at the entry of one VM."""
-    words = shlex.split(line)
-    body = json.loads(words[words.index("-d") + 1])
-    header = dict(word.split(": ", 1) for word in words if re.match(r"[A-Za-z-]+: ", word))
-    workspace = published_workspace(operator)
-    kind = kind_of(workspace, body["model"], header["X-Request-Kind"])
-    assert kind is not None
-    prompt = body["messages"][0]["content"]
-    spec = RequestSpec(
-        f"{workspace.name}/{header['X-Request-Id']}",
-        workspace.name,
-        body["model"],
-        kind,
-        prompt,
-        len(prompt) // 4,
-        (),
-        body["max_tokens"],
-        True,
-        True,
-        workspace.max_concurrent,
+def install(directory):
+    """Put the programs of this checkout, and curl, where the tutorial expects them."""
+    directory.mkdir(parents=True)
+    runs = {f"pimentoquay-{name}": f"-m pimentoquay.{name}.program" for name in PROGRAMS}
+    (directory / "curl.py").write_text(CURL, encoding="utf-8")
+    for name, words in (runs | {"curl": f"'{directory}/curl.py'"}).items():
+        script = f"#!/bin/sh\nPYTHONPATH='{ROOT}' exec '{sys.executable}' {words} \"$@\"\n"
+        (directory / name).write_text(script, encoding="utf-8")
+        (directory / name).chmod(0o755)
+
+
+def free_ports():
+    """Return the first of a row of ports that nothing listens on."""
+    for first in range(21000, 32000, MOST_PORTS):
+        if all(is_free(port) for port in range(first, first + MOST_PORTS)):
+            return first
+    raise OSError("no row of free ports")
+
+
+def is_free(port):
+    """Tell whether a loopback port can be listened on."""
+    with closing(socket.socket()) as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+def wait_for(path, text, process):
+    """Return once a text stands in the output of a running process."""
+    deadline = time.monotonic() + READY_SECONDS
+    while text not in path.read_text(encoding="utf-8"):
+        assert process.poll() is None, path.read_text(encoding="utf-8")
+        assert time.monotonic() < deadline, path.read_text(encoding="utf-8")
+        time.sleep(0.2)
+
+
+@pytest.fixture
+def served(tmp_path):
+    """The VMs of ``make serve``, in a directory of their own; yields that directory."""
+    bin_directory = tmp_path / ".venv" / "bin"
+    install(bin_directory)
+    command = ["sh", str(ROOT / "tools" / "demo.sh"), str(bin_directory), "serve"]
+    environment = {**os.environ, "DEMO_FIRST_PORT": str(free_ports())}
+    path = tmp_path / "serve.out"
+    with path.open("w", encoding="utf-8") as output:
+        process = subprocess.Popen(
+            command, cwd=tmp_path, env=environment, stdout=output, stderr=subprocess.STDOUT
+        )
+    try:
+        wait_for(path, "demo: ready", process)
+        yield tmp_path
+    finally:
+        process.send_signal(signal.SIGTERM)
+        process.wait(timeout=60)
+
+
+def run_in_one_shell(lines, directory):
+    """Run lines in one shell, as a reader would; return the status and output of each."""
+    script = "".join(
+        f"{{ {line}\n}} >{number}.out 2>&1\necho $? >{number}.status\n"
+        for number, line in enumerate(lines)
     )
-    service = operator.cluster.vm_by_name["tt-north-vm-1"].entry.service
-    async with aclosing(service.run(spec)) as frames:
-        answer = b"".join([frame async for frame in frames])
-    assert answer.endswith(b"data: [DONE]\n\n")
-
-
-def published_workspace(operator):
-    """Return the workspace in force at another VM than the one that was asked."""
-    parts = operator.cluster.vm_by_name["tt-north-vm-5"].control.parts
-    part = next(part for part in parts if type(part).__name__ == "ConfigurationPart")
-    return part.keeper.state.workspace_by_name()["new-market"]
-
-
-@pytest.mark.looptime(start=0)
-async def test_commands_of_the_tutorial_do_what_it_says(operator):
-    (operator.directory / ".demo").mkdir()
-    commands = 0
-    for line, expected in steps():
-        if line.startswith("pimentoquay-ctl "):
-            commands += 1
-            local = line.replace(".demo/ctl.ini", operator.config)
-            result = await operator.run(local, connects=False)
-            for status, text in expected or [(0, "")]:
-                assert result.status == status, (line, result)
-                assert text in result.out + result.err, (line, result)
-        elif line.startswith("curl "):
-            await send_request(operator, line)
-        elif not line.endswith("make demo"):
-            run_shell(line, operator.directory)
-    assert commands >= 15
+    subprocess.run(["sh"], input=script, text=True, cwd=directory, timeout=STEPS_SECONDS)
+    return [
+        (
+            int((directory / f"{number}.status").read_text()),
+            (directory / f"{number}.out").read_text(encoding="utf-8"),
+        )
+        for number in range(len(lines))
+    ]
+
+
+def test_commands_of_the_tutorial_do_what_it_says(served):
+    serve, *others = steps()
+    assert serve.line == "make serve" and serve.texts == ["demo: ready"]
+    assert "sh tools/demo.sh $(BIN) serve" in (ROOT / "Makefile").read_text(encoding="utf-8")
+    results = run_in_one_shell([step.line for step in others], served)
+    for step, (status, output) in zip(others, results, strict=True):
+        assert status == step.status, (step.line, output)
+        for text in step.texts:
+            assert text in output, (step.line, output)
+    assert sum(step.line.startswith("pimentoquay-ctl ") for step in others) >= 17
+    picture = (served / "my-first-request.html").read_text(encoding="utf-8")
+    assert all(f"{stage}: " in picture for stage in ("queue", "prefill", "transfer", "decode"))
 
 
 def test_reference_pages_are_current(tmp_path):
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -1,10 +1,13 @@
 #!/bin/sh
 # Starts stand-ins and three VMs on loopback, publishes both users' workspaces, sends a mixed load,
 # kills one prefill engine and one entry process in the middle of it, and stops everything.
-# Usage: tools/demo.sh BIN_DIRECTORY
+# With "serve" it sends no load and kills nothing: the VMs run until it is interrupted.
+# Usage: tools/demo.sh BIN_DIRECTORY [serve]
 set -u
 bin=$1
+mode=${2:-load}
 dir=.demo
+first_port=${DEMO_FIRST_PORT:-17100}
 load_seconds=${DEMO_SECONDS:-15}
 kill_engine_after=5
 kill_entry_after=9
@@ -34,7 +37,7 @@
 }
 
 rm -rf "$dir"
-"$bin/pimentoquay-bench" demo-plan --directory "$dir" || exit 1
+"$bin/pimentoquay-bench" demo-plan --directory "$dir" --first-port "$first_port" || exit 1
 trap 'stop_all; exit 130' INT TERM
 
 count=0
@@ -64,6 +67,12 @@
     fi
 done <"$dir/workspaces.txt"
 
+if [ "$mode" = serve ]; then
+    say "ready; Ctrl-C stops it"
+    wait
+    exit 0
+fi
+
 "$bin/pimentoquay-bench" load --plan "$dir/load.ini" --seconds "$load_seconds" &
 load=$!
 sleep "$kill_engine_after"
