Tell leases, loads, silent VMs and lost owners in status; let drain end the entry too

Status had lines of the scheduler and the configuration only, and ctl drain made the control process leave for ever while its entry went on answering 200 on /readyz: nothing told the entry, and nothing ended the control process but a signal. Now the orders part publishes what it waits for each round, the membership part tells the list's age, the operator part tells silent VMs, data centres cut off and shards without an owner from the view, and lines that several VMs tell alike are printed once. The operator part passes a drain on to its own entry, which drains as on SIGTERM; the control process then ends.

The tutorial's test drains a VM of real programs and waits for both to say stopped. Four new tests of status in virtual time.

--- a/pimentoquay/control/operator.py
+++ b/pimentoquay/control/operator.py
@@ -7,10 +7,10 @@
 from pimentoquay.configuration.events import ConfigurationInForce
 from pimentoquay.control.gather import Gatherer, merge_answers
 from pimentoquay.control.settings import OperatorSection
-from pimentoquay.kernel import Channel, Node, plugin
+from pimentoquay.control.view_status import view_lines
+from pimentoquay.kernel import Channel, ChannelOpened, Node, plugin
 from pimentoquay.kernel.status import PartStatus, StatusWanted
 from pimentoquay.membership.events import DrainRequested
-from pimentoquay.membership.ownership import shard_owner, shards_of
 from pimentoquay.messages.cluster import ClusterView
 from pimentoquay.messages.operator import (
     DrainAnswer,
@@ -52,6 +52,7 @@
         self._is_leaving = False
         self._status_by_part: dict[str, PartStatus] = {}
         self.inbox = node.bus.subscribe(
+            ChannelOpened,
             ClusterView,
             ConfigurationInForce,
             DrainRequested,
@@ -90,6 +91,20 @@
     @_note.register
     def _(self, message: DrainRequested) -> None:
         self._is_leaving = True
+        for channel in self._own_entries():
+            self._tell_to_leave(channel)
+
+    @_note.register
+    def _(self, message: ChannelOpened) -> None:
+        if self._is_leaving and message.channel in self._own_entries():
+            self._tell_to_leave(message.channel)
+
+    def _own_entries(self) -> list[Channel]:
+        vm = self._node.identity.vm
+        return [channel for channel in self._peers.channels("entry") if channel.peer.vm == vm]
+
+    def _tell_to_leave(self, entry: Channel) -> None:
+        entry.send(DrainRequest(0, Scope.SELF, self._node.identity.vm))
 
     @_note.register
     def _(self, message: PartStatus) -> None:
@@ -121,18 +136,14 @@
             identity.data_centre,
             self._configuration_offset,
             self._is_leaving,
-            (*self._shard_lines(), *self._part_lines()),
+            (*view_lines(self._view, identity), *self._part_lines()),
         )
         expected = self._view.live_vms if self._view and request.scope is Scope.ALL else ()
         return StatusAnswer(request.query, (status,), expected)
 
     @_own.register
     async def _(self, request: TimelineRequest) -> TimelineEvents:
-        entries = [
-            (channel, Scope.SELF)
-            for channel in self._peers.channels("entry")
-            if channel.peer.vm == self._node.identity.vm
-        ]
+        entries = [(channel, Scope.SELF) for channel in self._own_entries()]
         answers = await self._gatherer.ask(entries, request, ENTRY_WAIT_SECONDS)
         own = TimelineEvents(request.query, own_events(self._node, request))
         merged: TimelineEvents = merge_answers(own, answers)
@@ -142,17 +153,6 @@
     async def _(self, request: DrainRequest) -> DrainAnswer:
         return DrainAnswer(request.query, request.vm == self._node.identity.vm)
 
-    def _shard_lines(self) -> list[StatusLine]:
-        if self._view is None:
-            return [StatusLine("membership", "list", "stuck", "no membership list yet")]
-        identity = self._node.identity
-        return [
-            StatusLine("scheduler", shard.name, "ok", f"owned, {len(shard.engines)} engines")
-            for shard in shards_of(self._view.members).values()
-            if shard.is_near(identity)
-            and shard_owner(shard, self._view.members, self._view.live_vms) == identity.vm
-        ]
-
     def _part_lines(self) -> list[StatusLine]:
         return [
             StatusLine(name, item.subject, item.state, item.detail)
--- a/pimentoquay/control/program.py
+++ b/pimentoquay/control/program.py
@@ -23,6 +23,7 @@
     settings_or_exit,
 )
 from pimentoquay.kernel.sections import identity_of
+from pimentoquay.membership.events import DrainRequested
 from pimentoquay.platform.log_http import HttpLogClient
 from pimentoquay.platform.membership_http import HttpMembershipClient
 from pimentoquay.platform.ports import Ports
@@ -51,11 +52,14 @@
 
 async def _serve(settings: ControlSettings, stop: StopRequested) -> None:
     control = _compose(settings)
+    drain_requests = control.node.bus.subscribe(DrainRequested)
     running = control.start()
     logger.bind(listen=settings.control.listen, parts=len(PART_MODULES)).info("started")
     stopping = asyncio.create_task(stop.wait())
-    await asyncio.wait({running, stopping}, return_when=asyncio.FIRST_COMPLETED)
+    leaving = asyncio.create_task(drain_requests.get())
+    await asyncio.wait({running, stopping, leaving}, return_when=asyncio.FIRST_COMPLETED)
     stopping.cancel()
+    leaving.cancel()
     if not running.done():
         await drain_control(control)
     await end_task(running)
--- a/pimentoquay/ctl/commands/drain.py
+++ b/pimentoquay/ctl/commands/drain.py
@@ -12,7 +12,7 @@
 
 @plugin("ctl-command", "drain")
 class DrainCommand:
-    """Ask a VM to take no new work and hand its shards over."""
+    """Ask a VM to take no new work, to hand its shards over and to end its programs."""
 
     is_local = False
 
@@ -29,5 +29,5 @@
         context.output.json(answer)
         if not answer.was_told:
             raise CtlError(ExitStatus.UNREACHABLE, f"no VM {vm!r} is in reach")
-        context.output.text(f"{vm} is leaving; it finishes the requests that it has")
+        context.output.text(f"{vm} is leaving; its programs end when its requests have ended")
         return ExitStatus.OK
--- a/pimentoquay/ctl/commands/status.py
+++ b/pimentoquay/ctl/commands/status.py
@@ -6,10 +6,13 @@
 from pimentoquay.ctl.command import Context
 from pimentoquay.ctl.outcomes import ExitStatus
 from pimentoquay.kernel import plugin
-from pimentoquay.messages.operator import VmStatus
+from pimentoquay.messages.operator import StatusAnswer, StatusLine, VmStatus
 
 __all__ = ["StatusCommand"]
 
+MOST_NAMED_VMS = 3
+"""The most VMs named where many tell the same."""
+
 
 @plugin("ctl-command", "status")
 class StatusCommand:
@@ -30,15 +33,29 @@
         rows = [_row(status, context) for status in answer.vms]
         rows += [("?", vm, output.state("stuck"), "-", "-", "no answer") for vm in answer.silent]
         output.table(("DATA CENTRE", "VM", "STATE", "CONFIGURATION", "SHARDS", "NOTE"), rows)
-        for status in answer.vms:
-            for line in status.lines:
-                if line.state != "ok" or context.arguments.lines:
-                    state = output.state(line.state)
-                    where = f"{status.vm} {line.part} {line.subject}"
-                    output.text(f"{state}: {where}: {line.detail}")
+        for line, vms in _vms_by_line(answer).items():
+            if line.state != "ok" or context.arguments.lines:
+                state = output.state(line.state)
+                where = f"{_named(vms)} {line.part} {line.subject}"
+                output.text(f"{state}: {where}: {line.detail}")
         return ExitStatus.OK
 
 
+def _vms_by_line(answer: StatusAnswer) -> dict[StatusLine, list[str]]:
+    """Group what several VMs tell alike."""
+    vms_by_line: dict[StatusLine, list[str]] = {}
+    for status in answer.vms:
+        for line in status.lines:
+            vms_by_line.setdefault(line, []).append(status.vm)
+    return vms_by_line
+
+
+def _named(vms: list[str]) -> str:
+    if len(vms) <= MOST_NAMED_VMS:
+        return ", ".join(vms)
+    return f"{', '.join(vms[:MOST_NAMED_VMS])} and {len(vms) - MOST_NAMED_VMS} more"
+
+
 def _row(status: VmStatus, context: Context) -> tuple[str, ...]:
     counts = Counter(line.state for line in status.lines)
     state = "stuck" if counts["stuck"] else "waiting" if counts["waiting"] else "ok"
--- a/pimentoquay/ctl/tests/test_commands.py
+++ b/pimentoquay/ctl/tests/test_commands.py
@@ -120,6 +120,67 @@
     assert "waiting" in told.out and "stuck" not in told.out
 
 
+async def test_status_tells_leases_and_why_engines_are_not_as_wanted(operator):
+    file = await create(operator)
+    await operator.run(f"publish {file}")
+    await asyncio.sleep(5)
+    lines = await status_lines(operator)
+    subject = "diag-llm@tt-north#0 lease"
+    (lease,) = (line for line in lines if line["subject"] == subject)
+    assert lease["state"] == "ok" and "held here" in lease["detail"]
+    owner = lease["vm"]
+    operator.cluster.log.outage(120)
+    await asyncio.sleep(60)
+    lines = await status_lines(operator)
+    (lease,) = (line for line in lines if line["subject"] == subject)
+    assert lease["vm"] == owner and lease["state"] == "waiting"
+    assert "not claimed" in lease["detail"]
+
+
+async def test_status_tells_loads_that_wait(operator, monkeypatch):
+    file = await create(operator)
+    await operator.run(f"publish {file}")
+    await asyncio.sleep(5)
+
+    async def huge(model, version):
+        return 10**12
+
+    monkeypatch.setattr(operator.cluster.weights, "size_of", huge)
+    operator.write(file, operator.read(file).replace("version = v1", "version = v9"))
+    assert (await operator.run(f"publish {file}")).status == ExitStatus.OK
+    await asyncio.sleep(5)
+    waiting = [line for line in await status_lines(operator) if line["part"] == "orders"]
+    details = [line["detail"] for line in waiting if line["state"] == "waiting"]
+    assert any("wants version v9" in detail and "loading" in detail for detail in details), waiting
+    assert any("waits for a place to load" in detail for detail in details), waiting
+
+
+async def test_status_tells_silent_vms_and_a_list_that_cannot_be_read(operator):
+    await operator.run("status")
+    await operator.cluster.kill_control("tt-north-vm-3")
+    operator.cluster.membership.outage(60)
+    await asyncio.sleep(10)
+    told = await operator.run("status")
+    assert "membership tt-north-vm-3: suspected: listed as live, but silent" in told.out
+    assert "the list cannot be read; served by version 1" in told.out
+    assert "stuck" not in told.out
+
+
+async def test_status_names_many_vms_that_tell_the_same_once(operator):
+    await operator.run("status")
+    await operator.cluster.kill_control("tt-north-vm-7")
+    await asyncio.sleep(10)
+    told = await operator.run("status")
+    (line,) = (line for line in told.out.splitlines() if "suspected" in line)
+    assert "tt-north-vm-1, tt-north-vm-4 membership tt-north-vm-7" in line
+
+
+async def status_lines(operator):
+    """Return every line of every VM, with the VM's name."""
+    status = json.loads((await operator.run("status --json")).out)
+    return [{**line, "vm": item["vm"]} for item in status["vms"] for line in item["lines"]]
+
+
 async def test_lost_configuration_is_told_and_begun_anew(operator):
     file = await create(operator)
     await operator.run(f"publish {file}")
@@ -149,6 +210,8 @@
     status = json.loads((await operator.run("status --json")).out)
     leaving = {item["vm"] for item in status["vms"] if item["is_leaving"]}
     assert leaving == {"tt-north-vm-6"}
+    leaver = operator.cluster.vm_by_name["tt-north-vm-6"]
+    await asyncio.wait_for(leaver.entry.drain_requested(), 1)
     assert (await operator.run("drain nobody")).status == ExitStatus.UNREACHABLE
 
 
--- a/pimentoquay/ctl/tests/test_tutorial.py
+++ b/pimentoquay/ctl/tests/test_tutorial.py
@@ -94,11 +94,11 @@
     return True
 
 
-def wait_for(path, text, process):
-    """Return once a text stands in the output of a running process."""
+def wait_for(path, text, process=None):
+    """Return once a text stands in a file that a running process writes."""
     deadline = time.monotonic() + READY_SECONDS
     while text not in path.read_text(encoding="utf-8"):
-        assert process.poll() is None, path.read_text(encoding="utf-8")
+        assert process is None or process.poll() is None, path.read_text(encoding="utf-8")
         assert time.monotonic() < deadline, path.read_text(encoding="utf-8")
         time.sleep(0.2)
 
@@ -151,6 +151,8 @@
     assert sum(step.line.startswith("pimentoquay-ctl ") for step in others) >= 17
     picture = (served / "my-first-request.html").read_text(encoding="utf-8")
     assert all(f"{stage}: " in picture for stage in ("queue", "prefill", "transfer", "decode"))
+    for program in ("entry", "control"):
+        wait_for(served / ".demo" / f"{program}-loopback-vm-3.log", '"stopped"')
 
 
 def test_reference_pages_are_current(tmp_path):
--- a/pimentoquay/entry/compose.py
+++ b/pimentoquay/entry/compose.py
@@ -20,6 +20,7 @@
 from pimentoquay.entry.settings import HttpSection
 from pimentoquay.kernel import Node, Part
 from pimentoquay.kernel.logs import logger
+from pimentoquay.messages.operator import DrainRequest
 from pimentoquay.transport.peers import PeerSet
 from pimentoquay.transport.timeline_responder import TimelineResponder
 
@@ -58,6 +59,7 @@
         self._parts = parts
         self._plain = plain
         self._timeline = TimelineResponder(node)
+        self._drain_requests = node.bus.subscribe(DrainRequest)
         self._section = section
         self._server = make_server(http.app, section)
 
@@ -79,6 +81,14 @@
             self.node.timers.close()
             await self.node.transport.close()
 
+    async def drain_requested(self) -> None:
+        """Return once the VM's own control process says that the VM leaves."""
+        vm = self.node.identity.vm
+        while True:
+            envelope = await self._drain_requests.get()
+            if envelope.channel is not None and envelope.channel.peer.vm == vm:
+                return
+
     async def drain(self) -> None:
         """Stop taking requests and let ``run`` return once all are finished.
 
--- a/pimentoquay/entry/program.py
+++ b/pimentoquay/entry/program.py
@@ -1,7 +1,7 @@
 """``pimentoquay-entry``: the entry process of a VM, which callers talk to.
 
-It answers OpenAI-style requests and calls of plain services. SIGTERM drains it: no request in
-progress is cut off. A second SIGTERM ends it at once.
+It answers OpenAI-style requests and calls of plain services. SIGTERM drains it, and so does
+the leaving of its VM: no request in progress is cut off. A second SIGTERM ends it at once.
 """
 
 import asyncio
@@ -56,14 +56,16 @@
     entry = _compose(settings)
     running = asyncio.create_task(entry.run(listener))
     stopping = asyncio.create_task(stop.wait())
+    leaving = asyncio.create_task(entry.drain_requested())
     logger.bind(listen=settings.http.listen).info("started")
     try:
-        await asyncio.wait({running, stopping}, return_when=asyncio.FIRST_COMPLETED)
+        await asyncio.wait({running, stopping, leaving}, return_when=asyncio.FIRST_COMPLETED)
         if not running.done():
             await entry.drain()
         await running
     finally:
         stopping.cancel()
+        leaving.cancel()
         await end_task(running)
     logger.info("stopped")
 
--- a/pimentoquay/membership/part.py
+++ b/pimentoquay/membership/part.py
@@ -11,12 +11,14 @@
 from typing import Any
 
 from pimentoquay.kernel import Channel, ChannelClosed, ChannelOpened, Envelope, Node, plugin
+from pimentoquay.kernel.status import StatusWanted
 from pimentoquay.membership.events import ConfigurationReached, DrainFinished, DrainRequested
 from pimentoquay.membership.mesh import parse_seeds, wanted_addresses
 from pimentoquay.membership.reader import ListReader
 from pimentoquay.membership.remote import RemoteReports
 from pimentoquay.membership.settings import MembershipSection
 from pimentoquay.membership.state import ClusterState
+from pimentoquay.membership.status import list_status
 from pimentoquay.membership.view import ViewBuilder, view_change
 from pimentoquay.messages.cluster import Heartbeat, MembershipUpdate
 from pimentoquay.messages.membership import (
@@ -97,6 +99,7 @@
             DrainRequested,
             FollowView,
             ConfigurationReached,
+            StatusWanted,
         )
 
     async def run(self) -> None:
@@ -251,6 +254,10 @@
     def _(self, message: ConfigurationReached, channel: Channel | None) -> None:
         self.configuration_offset = message.offset
 
+    @_handle.register
+    def _(self, message: StatusWanted, channel: Channel | None) -> None:
+        self._node.bus.publish(list_status(self._directory.version, self._reader))
+
     @_handle.register
     def _(self, message: DrainRequested, channel: Channel | None) -> None:
         if not self._state.is_draining:
--- a/pimentoquay/orders/leases.py
+++ b/pimentoquay/orders/leases.py
@@ -70,6 +70,14 @@
         """The shards for which a lease was taken and not given up or lost."""
         return tuple(self._lease_by_shard)
 
+    def lease_of(self, shard: str) -> Lease | None:
+        """Return the last lease of a shard taken here, also when it has ended."""
+        return self._lease_by_shard.get(shard)
+
+    def holder_of(self, shard: str) -> ShardHolder | None:
+        """Return who last claimed a shard by the log as far as it was read."""
+        return self._fold.holder_of(shard)
+
     def number_for(self, shard: str, checks_fencing: bool) -> int:
         """Return the fencing number to order with right now, or 0 if no order may be sent."""
         lease = self._lease_by_shard.get(shard)
--- a/pimentoquay/orders/part.py
+++ b/pimentoquay/orders/part.py
@@ -19,6 +19,7 @@
     target_of,
 )
 from pimentoquay.orders.settings import OrdersSection
+from pimentoquay.orders.status import orders_status, unmet_engines
 from pimentoquay.orders.wanted import WantedPool, wanted_pools
 from pimentoquay.platform.ports import Ports
 from pimentoquay.policy.roles import RoleBalance, RoleLimits
@@ -68,6 +69,7 @@
         self._balance_by_shard: dict[str, RoleBalance] = {}
         self._client_by_engine: dict[str, tuple[str, EngineClient]] = {}
         self._loading: set[str] = set()
+        self._target_by_engine: dict[str, EngineTarget] = {}
         self.inbox: asyncio.Queue[Envelope] = node.bus.subscribe(
             ClusterView, ConfigurationInForce, EngineStatus
         )
@@ -82,6 +84,17 @@
                     await self._guard(self._leases.give_up(shard))
             shards = tuple(self._shard_by_name.values())
             await asyncio.gather(*(self._reconcile(shard) for shard in shards))
+            self._publish_status(shards)
+
+    def _publish_status(self, shards: tuple[Shard, ...]) -> None:
+        wanted = [shard for shard in shards if shard.pool in self._pool_by_model]
+        statuses = {
+            name: status for shard in wanted for name, status in self._fresh_statuses(shard).items()
+        }
+        unmet_by_engine = unmet_engines(wanted, statuses, self._target_by_engine)
+        loading, now = frozenset(self._loading), self._node.clock.now()
+        status = orders_status(self._leases, wanted, unmet_by_engine, loading, now)
+        self._node.bus.publish(status)
 
     def _take_messages(self) -> None:
         while not self.inbox.empty():
@@ -106,6 +119,7 @@
             del self._status_by_engine[name]
             del self._reported_at[name]
             self._role_by_engine.pop(name, None)
+            self._target_by_engine.pop(name, None)
 
     async def _reconcile(self, shard: Shard) -> None:
         pool = self._pool_by_model.get(shard.pool)
@@ -118,6 +132,7 @@
             name: target_of(status, pool, self._role_by_engine.get(name))
             for name, status in statuses.items()
         }
+        self._target_by_engine.update(target_by_engine)
         await self._end_loads(shard, statuses, target_by_engine)
         may_load = await self._permitted_loads(shard, statuses, target_by_engine)
         orders = []
