Split the answer's progress and the time limits off a request's life

TransferPace and "patience" were names that need explaining, and RequestSpec still said that a streamed request is never run again.

Change: AnswerProgress and TimeLimits are modules of their own, TransferPace is TransferDurations with a timeout. No behaviour changes; the entry's tests are as they were.

--- a/pimentoquay/entry/attempt.py
+++ b/pimentoquay/entry/attempt.py
@@ -18,7 +18,7 @@
 from pimentoquay.kernel import Node, PimentoquayError, ResultCode
 from pimentoquay.messages.cluster import Member
 from pimentoquay.messages.placement import Grant, GrantRecord, Stage, StageReport
-from pimentoquay.policy import TransferPace
+from pimentoquay.policy import TransferDurations
 
 __all__ = ["Attempt", "HeldKv", "StageFailedError"]
 
@@ -78,6 +78,8 @@
         The engines and the attempt's number.
     deadline
         When the first token is due, in seconds of the node's clock.
+    durations
+        How long KV transfers usually take.
 
     Attributes
     ----------
@@ -86,8 +88,6 @@
         the request is decoded on the engine whose KV cache an earlier attempt computed.
     client_by_engine
         The engines that were called and may hold something.
-    pace
-        How fast KV usually moves.
     """
 
     def __init__(
@@ -99,7 +99,7 @@
         shard: str,
         grant: Grant,
         deadline: float,
-        pace: TransferPace,
+        durations: TransferDurations,
     ) -> None:
         self._node = node
         self._link = link
@@ -107,7 +107,7 @@
         self._spec = spec
         self._shard = shard
         self._deadline = deadline
-        self._pace = pace
+        self._durations = durations
         self.grant = grant
         self.request_id = spec.request_id
         self.engine_attempt = grant.attempt
@@ -144,7 +144,7 @@
         source, target = self.grant.prefill_engine, self.grant.decode_engine
         self.hold(Stage.TRANSFER)
         started = self._node.clock.now()
-        patience = max(0.0, self._pace.patience(kv.kv_bytes, kv.expires_at - started))
+        timeout = max(0.0, self._durations.timeout(kv.kv_bytes, kv.expires_at - started))
         try:
             order = ImportOrder(
                 self._spec.request_id,
@@ -154,14 +154,14 @@
                 self._spec.max_tokens,
                 kv.attempt,
             )
-            async with asyncio.timeout(patience):
+            async with asyncio.timeout(timeout):
                 await self._client(target).import_kv(order)
         except (PimentoquayError, TimeoutError) as error:
             failure = StageFailedError(Stage.TRANSFER, target, _cause(error))
             failure.kv = kv if self._still_lives(kv, error) else None
             raise failure from error
         seconds = self._node.clock.now() - started
-        self._pace.note(kv.kv_bytes, seconds)
+        self._durations.add(kv.kv_bytes, seconds)
         self._report(Stage.TRANSFER, target, 0, seconds)
 
     def _still_lives(self, kv: HeldKv, error: Exception) -> bool:
--- a/pimentoquay/entry/life.py
+++ b/pimentoquay/entry/life.py
@@ -7,12 +7,14 @@
 from typing import TYPE_CHECKING, Any
 
 from pimentoquay.backends.base import EngineLostError
-from pimentoquay.entry.attempt import FRAME_END, Attempt, HeldKv, StageFailedError
+from pimentoquay.entry.answer_progress import AnswerProgress
+from pimentoquay.entry.attempt import Attempt, HeldKv, StageFailedError
 from pimentoquay.entry.key_claims import Claim
 from pimentoquay.entry.metrics import RequestOutcome
 from pimentoquay.entry.placer import Placement
-from pimentoquay.entry.replay import Replay, ReplayMismatchError, SentFrames
+from pimentoquay.entry.replay import ReplayMismatchError
 from pimentoquay.entry.request import RequestSpec, final_trigger
+from pimentoquay.entry.time_limits import TimeLimits
 from pimentoquay.entry.verdict import error_after, may_run_again, settled_code, truthful
 from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode
 from pimentoquay.kernel.logs import logger
@@ -23,12 +25,6 @@
 
 __all__ = ["RequestRun"]
 
-DONE_FRAME = b"data: [DONE]\n\n"
-"""The frame that ends a whole answer."""
-
-CLOSING_FRAMES = 2
-"""Frames of a whole answer that hold no token: the finish reason and ``[DONE]``."""
-
 MAX_ATTEMPTS = 6
 """Attempts of one request, the first included."""
 
@@ -60,22 +56,16 @@
         self._node = service.node
         self._link = service.link
         self.spec = spec
-        self.tokens = 0
-        self.is_whole = False
+        self.progress = AnswerProgress(spec)
         self.may_have_run = False
         self._claim: Claim | None = None
         self._placement: Placement | None = None
         self._attempts: list[Attempt] = []
         self._received_at = self._node.clock.now()
-        self._deadline = self._received_at + spec.kind.first_token_target
-        self._retry_until = self._deadline
-        if not spec.streaming:
-            self._retry_until += spec.max_tokens * spec.kind.token_interval_target
+        self._limits = TimeLimits(spec, self._received_at)
         self._admitted_at = 0.0
         self._first_token_at = 0.0
-        self._is_pace_told = False
-        self._sent = SentFrames() if spec.streaming and spec.kind.idempotent else None
-        self._replay: Replay | None = None
+        self._is_speed_reported = False
 
     def frames(self) -> AsyncIterator[bytes]:
         """Place and run the request."""
@@ -127,7 +117,7 @@
                 kv = failure.kv
 
     async def _place(self) -> Grant:
-        self._placement = await self._service.placer.place(self.spec, self._deadline)
+        self._placement = await self._service.placer.place(self.spec, self._limits.first_token_due)
         self._admitted_at = self._node.clock.now()
         self.admit()
         self._record_placed(self._placement.grant)
@@ -142,8 +132,8 @@
             self.spec,
             self._placement.shard,
             grant,
-            self._deadline,
-            self._service.pace,
+            self._limits.first_token_due,
+            self._service.transfer_durations,
         )
         self._attempts.append(attempt)
         return attempt
@@ -179,20 +169,20 @@
             if not self._first_token_at:
                 self._first_token_at = self._node.clock.now()
                 self._record("first-token")
-            if fresh := self._take(chunk):
+            if fresh := self.progress.take(chunk):
                 yield fresh
             async for chunk in self._rest(stream):
                 yield chunk
-                if not self._is_pace_told and self.tokens > EARLY_TOKENS:
-                    self._tell_pace(attempt)
-        if not self.is_whole:
+                if not self._is_speed_reported and self.progress.tokens > EARLY_TOKENS:
+                    self._report_speed(attempt)
+        if not self.progress.is_whole:
             async for chunk in self._go_on(attempt):
                 yield chunk
 
-    def _tell_pace(self, attempt: Attempt) -> None:
-        self._is_pace_told = True
+    def _report_speed(self, attempt: Attempt) -> None:
+        self._is_speed_reported = True
         seconds = self._node.clock.now() - self._first_token_at
-        attempt.report_decode(self.tokens - 1, seconds)
+        attempt.report_decode(self.progress.tokens - 1, seconds)
 
     async def _whole(self, attempt: Attempt, kv: HeldKv) -> AsyncIterator[bytes]:
         """Relay an answer in one piece, so that until then it may be run again."""
@@ -201,19 +191,19 @@
         except StageFailedError:
             raise
         except PimentoquayError as error:
-            self.tokens = 0
+            self.progress.start_again()
             raise StageFailedError(Stage.DECODE, attempt.grant.decode_engine, error) from error
         yield b"".join(chunks)
 
     async def _rest(self, stream: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
-        """Relay a stream to its end; the end is early if ``is_whole`` is still false."""
-        if self.is_whole:
+        """Relay a stream to its end; the end is early if the answer is not whole."""
+        if self.progress.is_whole:
             return
         try:
             async for chunk in stream:
-                if fresh := self._take(chunk):
+                if fresh := self.progress.take(chunk):
                     yield fresh
-                if self.is_whole:
+                if self.progress.is_whole:
                     return
         except ReplayMismatchError:
             raise
@@ -223,24 +213,23 @@
     async def _go_on(self, attempt: Attempt) -> AsyncIterator[bytes]:
         """Resume a broken stream on its own engine at the token reached."""
         for _ in range(RESUME_TRIES):
-            stream = attempt.resume(self._replay.position if self._replay else self.tokens)
+            stream = attempt.resume(self.progress.position)
             async with aclosing(stream) as stream:  # type: ignore[type-var]
                 async for chunk in self._rest(stream):
                     yield chunk
-            if self.is_whole:
+            if self.progress.is_whole:
                 return
             await self._node.timers.sleep(RESUME_PAUSE_SECONDS)
         engine = attempt.grant.decode_engine
-        lost = EngineLostError(f"{engine} was lost after {self.tokens} tokens")
-        if self._sent is None:
+        lost = EngineLostError(f"{engine} was lost after {self.progress.tokens} tokens")
+        if not self.progress.can_be_replayed:
             raise PimentoquayError(ResultCode.STREAM_BROKEN, lost.detail)
-        self._replay = Replay(self._sent)
+        self.progress.start_replay()
         raise StageFailedError(Stage.DECODE, engine, lost)
 
     async def _run_resumed(self, offset: int) -> AsyncIterator[bytes]:
-        self._placement = await self._service.placer.find(self.spec, self._deadline)
-        self.tokens = offset
-        self._sent = None  # the caller has frames that this entry never saw
+        self._placement = await self._service.placer.find(self.spec, self._limits.first_token_due)
+        self.progress.start_at(offset)
         self.may_have_run = True
         self.decode()
         attempt = self._new_attempt(self._placement.grant)
@@ -250,23 +239,6 @@
         async for chunk in self._go_on(attempt):
             yield chunk
 
-    def _take(self, chunk: bytes) -> bytes:
-        """Return what of a chunk the caller does not have yet, and count it."""
-        if self._replay is not None:
-            chunk = self._replay.take(chunk)
-            if self._replay.is_done:
-                self._replay = None
-        return self._count(chunk)
-
-    def _count(self, chunk: bytes) -> bytes:
-        if self._sent is not None and chunk:
-            self._sent.add(chunk)
-        self.tokens += chunk.count(FRAME_END)
-        if chunk.endswith(DONE_FRAME):
-            self.tokens -= CLOSING_FRAMES
-            self.is_whole = True
-        return chunk
-
     async def _replace(self, failure: StageFailedError) -> Grant:
         """Return another grant after a failed stage, or raise the request's final error."""
         self._record("stage-failed", failure.detail)
@@ -278,11 +250,16 @@
         self._service.free(last, keep=failure.kv)
         if not self._may_try_again(failure):
             raise self._final_error(failure)
-        self._extend_deadline()
+        if self._first_token_at:
+            self._limits.extend(self._node.clock.now())
         assert self._placement is not None
         try:
             self._placement = await self._service.placer.replace(
-                self.spec, self._placement, failure, last.grant.attempt + 1, self._deadline
+                self.spec,
+                self._placement,
+                failure,
+                last.grant.attempt + 1,
+                self._limits.first_token_due,
             )
         except RefusedError as refusal:
             if not self.may_have_run:
@@ -301,23 +278,13 @@
         return error_after(self.spec, failure, self.may_have_run)
 
     def _may_try_again(self, failure: StageFailedError) -> bool:
-        if len(self._attempts) >= MAX_ATTEMPTS or self._node.clock.now() >= self._retry_limit():
+        if len(self._attempts) >= MAX_ATTEMPTS or self._is_too_late():
             return False
         return may_run_again(self.spec, failure, self.may_have_run)
 
-    def _retry_limit(self) -> float:
-        """Return until when another attempt may begin, in seconds of the node's clock."""
-        if not (self.spec.streaming and self._first_token_at):
-            return self._retry_until
-        return self._first_token_at + self.spec.max_tokens * self.spec.kind.token_interval_target
-
-    def _extend_deadline(self) -> None:
-        """Give a request that is run again after its first token a target of its own.
-
-        What counts for its caller by then is the time of the last token.
-        """
-        if self._first_token_at:
-            self._deadline = self._node.clock.now() + self.spec.kind.first_token_target
+    def _is_too_late(self) -> bool:
+        streamed_since = self._first_token_at if self.spec.streaming else 0.0
+        return self._node.clock.now() >= self._limits.retry_until(streamed_since)
 
     def _begin(self) -> None:
         if self.spec.request_id in self._service.run_by_id:
@@ -331,7 +298,7 @@
     def _end(self, code: ResultCode) -> None:
         """Free everything and count the outcome."""
         now = self._node.clock.now()
-        self._record("ended", f"{int(code)}, {self.tokens} tokens")
+        self._record("ended", f"{int(code)}, {self.progress.tokens} tokens")
         getattr(self, final_trigger(code))()
         self._service.machine.dismiss(self)
         del self._service.run_by_id[self.spec.request_id]
@@ -339,7 +306,9 @@
             for attempt in self._attempts:
                 self._service.free(attempt, keep=None)
         if self._placement is not None:
-            release = Release(self.spec.request_id, code, self.tokens, now - self._received_at)
+            release = Release(
+                self.spec.request_id, code, self.progress.tokens, now - self._received_at
+            )
             self._link.release(self._placement.shard, release)
             self._service.direct.release(self._placement.shard, self.spec.request_id)
         if self._claim is not None:
@@ -352,10 +321,14 @@
             self.spec.workspace,
             self.spec.kind,
             code,
-            self.tokens,
+            self.progress.tokens,
             self._admitted_at - self._received_at if self._admitted_at else None,
             started - self._received_at if started else None,
-            (now - started) / (self.tokens - 1) if started and self.tokens > 1 else None,
+            (
+                (now - started) / (self.progress.tokens - 1)
+                if started and self.progress.tokens > 1
+                else None
+            ),
         )
 
     def _record(self, kind: str, detail: str = "") -> None:
--- a/pimentoquay/entry/request.py
+++ b/pimentoquay/entry/request.py
@@ -44,8 +44,8 @@
     """A checked request for a model.
 
     ``request_id`` is unique among all workspaces. ``prefix`` holds the hashes of the prompt's
-    blocks. ``streaming`` tells that the caller gets each token as it comes, which rules out
-    running the request again once the first token has gone out. ``idempotency_key`` is claimed
+    blocks. ``streaming`` tells that the caller gets each token as it comes; once the first
+    has gone out, another run must give the same tokens. ``idempotency_key`` is claimed
     before a request that is not idempotent; empty means that there is none.
     """
 
--- a/pimentoquay/entry/service.py
+++ b/pimentoquay/entry/service.py
@@ -31,7 +31,7 @@
 from pimentoquay.kernel import Node, PimentoquayError
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages.cluster import Member
-from pimentoquay.policy import TransferPace
+from pimentoquay.policy import TransferDurations
 
 __all__ = ["RequestService"]
 
@@ -74,7 +74,7 @@
         self._client_by_member: dict[tuple[str, str], EngineClient] = {}
         self.direct = DirectPlacer(self.engine_of, rng)
         self.placer = Placer(node, link, self.direct, rng)
-        self.pace = TransferPace()
+        self.transfer_durations = TransferDurations()
         self.run_by_id: dict[str, RequestRun] = {}
         self._cleanups: set[asyncio.Task[None]] = set()
 
--- a/pimentoquay/policy/__init__.py
+++ b/pimentoquay/policy/__init__.py
@@ -13,7 +13,7 @@
 )
 from pimentoquay.policy.circuits import CircuitLimits, Circuits, CircuitState
 from pimentoquay.policy.engines import EngineLoad
-from pimentoquay.policy.links import TransferPace, is_link_key, link_keys
+from pimentoquay.policy.links import TransferDurations, is_link_key, link_keys
 from pimentoquay.policy.placement import (
     Choice,
     PlacementLimits,
@@ -45,7 +45,7 @@
     "RetryBudget",
     "RetryLimits",
     "SpeedBook",
-    "TransferPace",
+    "TransferDurations",
     "StartingSpeeds",
     "Verdict",
     "admit",
--- a/pimentoquay/policy/links.py
+++ b/pimentoquay/policy/links.py
@@ -4,12 +4,12 @@
 Both sides are charged, and a success over either clears it, so that the bad side stands out.
 """
 
-__all__ = ["TransferPace", "egress_key", "ingress_key", "is_link_key", "link_keys"]
+__all__ = ["TransferDurations", "egress_key", "ingress_key", "is_link_key", "link_keys"]
 
-PATIENCE_FACTOR = 4.0
+TIMEOUT_FACTOR = 4.0
 """Times the usual duration after which a transfer counts as stalled."""
 
-PATIENCE_SECONDS = 0.1
+TIMEOUT_MARGIN_SECONDS = 0.1
 """Added to that, for short transfers."""
 
 NEW_SAMPLE_WEIGHT = 0.1
@@ -36,21 +36,21 @@
     return ">" in key
 
 
-class TransferPace:
+class TransferDurations:
     """The usual seconds per byte of KV transfers, to tell a stalled one by.
 
     Example
     -------
     ::
 
-        pace.note(kv_bytes=160_000_000, seconds=0.07)
-        limit = pace.patience(kv_bytes=80_000_000, most=0.8)
+        durations.add(kv_bytes=160_000_000, seconds=0.07)
+        limit = durations.timeout(kv_bytes=80_000_000, most=0.8)
     """
 
     def __init__(self) -> None:
         self._seconds_per_byte = 0.0
 
-    def note(self, kv_bytes: int, seconds: float) -> None:
+    def add(self, kv_bytes: int, seconds: float) -> None:
         """Take in a finished transfer."""
         if kv_bytes <= 0:
             return
@@ -58,8 +58,10 @@
         weight = NEW_SAMPLE_WEIGHT if self._seconds_per_byte else 1.0
         self._seconds_per_byte += weight * (sample - self._seconds_per_byte)
 
-    def patience(self, kv_bytes: int, most: float) -> float:
+    def timeout(self, kv_bytes: int, most: float) -> float:
         """Return the seconds after which a transfer counts as stalled, at most ``most``."""
         if not self._seconds_per_byte:
             return most
-        return min(most, PATIENCE_SECONDS + PATIENCE_FACTOR * kv_bytes * self._seconds_per_byte)
+        return min(
+            most, TIMEOUT_MARGIN_SECONDS + TIMEOUT_FACTOR * kv_bytes * self._seconds_per_byte
+        )
