--- a/pimentoquay/membership/tests/test_heartbeats.py
+++ b/pimentoquay/membership/tests/test_heartbeats.py
@@ -25,7 +25,7 @@
     inboxes = {vm: heard_at(cluster, vm) for vm in ONE["hue-a"]}
     await asyncio.sleep(20)
     (reader,) = cluster.list.reads
-    sent = Counter()
+    sent: Counter[str] = Counter()
     for inbox in inboxes.values():
         while not inbox.empty():
             sent[inbox.get_nowait().message.vm] += 1
