Estimate the requests ahead from virtual time, and share by weight

Cause: the estimate of a request's wait took each of its workspace's own waiting requests to wait for one of every other workspace, and a lead over the share to last for as many requests as its slot-seconds held mean ones.

PlaceRequest carries the workspace's weight from its document, and the queue shares by it.

fair_quantum is 5 slot-seconds by default.

--- a/pimentoquay/entry/parse.py
+++ b/pimentoquay/entry/parse.py
@@ -110,6 +110,7 @@
         _field(body, "stream", bool, False),
         workspace.max_concurrent,
         "" if kind.idempotent else headers.idempotency_key,
+        workspace.weight,
     )
 
 
--- a/pimentoquay/entry/placer.py
+++ b/pimentoquay/entry/placer.py
@@ -193,6 +193,7 @@
             deadline - self._node.clock.now(),
             spec.kind.token_interval_target,
             spec.workspace_limit,
+            spec.workspace_weight,
         )
 
 
--- a/pimentoquay/entry/request.py
+++ b/pimentoquay/entry/request.py
@@ -61,6 +61,7 @@
     streaming: bool
     workspace_limit: int
     idempotency_key: str = ""
+    workspace_weight: int = 1
 
 
 class LifeMachine:
--- a/pimentoquay/entry/tests/test_life.py
+++ b/pimentoquay/entry/tests/test_life.py
@@ -294,6 +294,13 @@
         assert rig.scheduler.of_type(PlaceRequest)[0].attempt == 1
 
 
+async def test_the_scheduler_is_told_the_weight_of_the_workspace():
+    async with entry_rig() as rig:
+        rig.next_answers(grant("p1", "d1"))
+        assert await collect(rig.service.run(spec_of(workspace_weight=4))) == WHOLE
+        assert rig.scheduler.of_type(PlaceRequest)[0].workspace_weight == 4
+
+
 async def test_without_any_scheduler_a_few_requests_are_placed_directly():
     async with entry_rig() as rig:
         await rig.scheduler.node.transport.close()
--- a/pimentoquay/entry/tests/test_parse.py
+++ b/pimentoquay/entry/tests/test_parse.py
@@ -1,5 +1,6 @@
 import json
 import random
+from dataclasses import replace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -44,6 +45,13 @@
         return error
 
 
+def test_a_request_takes_its_limit_and_weight_from_the_workspace():
+    body = {"model": "diag-llm", "prompt": "fault log", "kind": "diagnosis"}
+    workspace = replace(WORKSPACE, max_concurrent=7, weight=3)
+    spec = parse_request(body, HEADERS, workspace, {"diag-llm"}, False)
+    assert (spec.workspace_limit, spec.workspace_weight) == (7, 3)
+
+
 @settings(deadline=None, max_examples=300, derandomize=True)
 @given(bodies, st.booleans())
 def test_any_json_body_is_a_request_or_a_numbered_refusal(body, chat):
--- a/pimentoquay/messages/placement.py
+++ b/pimentoquay/messages/placement.py
@@ -44,6 +44,8 @@
 
     Times are in seconds. ``deadline_in`` is what remains until the first token is due when the
     message is sent. ``prefix`` holds the hashes of the prompt's blocks, first block first.
+    ``workspace_limit`` and ``workspace_weight`` are what the configuration in force says: the
+    most that the workspace may have in the shard, and its share against others.
     """
 
     request_id: str
@@ -58,6 +60,7 @@
     deadline_in: float
     token_interval: float
     workspace_limit: int
+    workspace_weight: int = 1
 
 
 @message(21)
--- a/pimentoquay/policy/queue.py
+++ b/pimentoquay/policy/queue.py
@@ -1,10 +1,10 @@
 """The queue before prefill: earliest deadline first within urgency, fair between workspaces.
 
-Each workspace has a virtual time that grows by the cost of what it was served; the shard's own
-virtual time grows by that cost over the number of waiting workspaces. A workspace at most one
-quantum ahead is in its share. Of the workspaces in their share, the most urgent request with
-the earliest deadline goes first; the others are served only when none in its share waits, so
-no capacity idles and no workspace starves.
+Each workspace has a virtual time that grows by the cost of what it was served over its weight; the
+shard's own virtual time grows by that cost over the weights of the waiting workspaces. A workspace
+at most one quantum ahead is in its share. Of the workspaces in their share, the most urgent
+request with the earliest deadline goes first; the others are served only when none in its share
+waits, so no capacity idles and no workspace starves.
 
 Every operation costs the logarithm of the queue's length in comparisons.
 """
@@ -17,16 +17,26 @@
 
 Key = tuple[int, float, str]
 
+LEAST_COST = 1e-6
+"""Slot-seconds that every request is taken to cost."""
+
+ESTIMATE_ROUNDS = 4
+"""Times that an estimate of the requests ahead is worked out anew from the one before it."""
+
 
 @dataclass(frozen=True)
 class QueueItem:
-    """One waiting request; ``deadline`` in seconds, ``cost`` in slot-seconds."""
+    """One waiting request; ``deadline`` in seconds, ``cost`` in slot-seconds.
+
+    ``weight`` is its workspace's; that of the newest request counts.
+    """
 
     request_id: str
     workspace: str
     urgency: int
     deadline: float
     cost: float
+    weight: int = 1
 
     @property
     def key(self) -> Key:
@@ -39,9 +49,22 @@
     """The waiting requests of one workspace."""
 
     virtual_time: float = 0.0
+    weight: int = 1
     keys: list[Key] = field(default_factory=list)
+    cost: float = 0.0
     version: int = 0
 
+    def mean_cost(self) -> float:
+        """Return the mean cost of its waiting requests."""
+        return self.cost / len(self.keys)
+
+    def served_until(self, virtual_time: float, most: int) -> int:
+        """Return how many of its first ``most`` requests are begun at or before a virtual time."""
+        if virtual_time < self.virtual_time or most == 0:
+            return 0
+        begun = (virtual_time - self.virtual_time) * self.weight / max(self.mean_cost(), LEAST_COST)
+        return min(most, 1 + int(begun))
+
 
 class FairQueue:
     """The waiting requests of one shard.
@@ -61,9 +84,9 @@
         self._is_fair = is_fair
         self._item_by_id: dict[str, QueueItem] = {}
         self._line_by_workspace: dict[str, _Line] = {}
+        self._waiting_by_workspace: dict[str, _Line] = {}
         self._keys: list[Key] = []
-        self._waiting = 0
-        self._cost = 0.0
+        self._waiting_weight = 0
         self._virtual_time = 0.0
         self._in_share: list[tuple[Key, str, int]] = []
         self._over_share: list[tuple[float, str, int]] = []
@@ -85,11 +108,15 @@
             raise ValueError(f"request {item.request_id!r} waits already")
         self._item_by_id[item.request_id] = item
         insort(self._keys, item.key)
-        self._cost += item.cost
         line = self._line_by_workspace.setdefault(item.workspace, _Line())
         if not line.keys:
-            self._waiting += 1
             line.virtual_time = max(line.virtual_time, self._virtual_time)
+            line.cost = 0.0
+            self._waiting_by_workspace[item.workspace] = line
+            self._waiting_weight += line.weight
+        self._waiting_weight += item.weight - line.weight
+        line.weight = item.weight
+        line.cost += item.cost
         insort(line.keys, item.key)
         if line.keys[0] == item.key:
             self._file(item.workspace, line)
@@ -100,12 +127,13 @@
         if item is None:
             return None
         del self._keys[bisect_left(self._keys, item.key)]
-        self._cost -= item.cost
         line = self._line_by_workspace[item.workspace]
         place = bisect_left(line.keys, item.key)
         del line.keys[place]
+        line.cost -= item.cost
         if not line.keys:
-            self._waiting -= 1
+            del self._waiting_by_workspace[item.workspace]
+            self._waiting_weight -= line.weight
         if place == 0:
             self._file(item.workspace, line)
         return item
@@ -124,31 +152,51 @@
         item = self.peek()
         if item is None:
             raise IndexError("the queue is empty")
-        waiting = self._waiting
         line = self._line_by_workspace[item.workspace]
-        line.virtual_time += item.cost
-        self._virtual_time += item.cost / waiting
+        line.virtual_time += item.cost / line.weight
+        self._virtual_time += item.cost / self._waiting_weight
         self.remove(item.request_id)
         return item
 
-    def ahead_of(self, workspace: str, key: Key) -> float:
-        """Return about how many requests will be served before a new one with this key."""
-        position = bisect_left(self._keys, key)
+    def ahead_of(self, item: QueueItem) -> float:
+        """Return about how many requests will be served before a new one, if none follow it."""
+        position = bisect_left(self._keys, item.key)
         if not self._is_fair:
             return position
-        line = self._line_by_workspace.get(workspace)
-        own = bisect_left(line.keys, key) if line else 0
-        others = self._waiting - (1 if line and line.keys else 0)
-        by_share = own + (own + 1) * others
-        lead = (line.virtual_time if line else 0.0) - self._virtual_time - self._quantum
-        if lead <= 0:
-            return min(position, by_share)
-        # The workspace waits until the others have used as much, which many requests may do.
-        catching_up = lead * (others + 1) / max(self._mean_cost(), 1e-9)
-        return min(len(self._keys), by_share + catching_up)
-
-    def _mean_cost(self) -> float:
-        return self._cost / len(self._item_by_id) if self._item_by_id else 1.0
+        line = self._line_by_workspace.get(item.workspace)
+        if line is None:
+            line = _Line(self._virtual_time, item.weight)
+        own = bisect_left(line.keys, item.key)
+        own_cost = own * line.mean_cost() if own else 0.0
+        turn = max(line.virtual_time, self._virtual_time) if not line.keys else line.virtual_time
+        turn += own_cost / item.weight
+        others = [other for other in self._waiting_by_workspace.values() if other is not line]
+        weights = item.weight + sum(other.weight for other in others)
+        ahead = self._ahead_in_share(item.key, others, own_cost, weights)
+        late = turn - self._virtual_time - self._quantum
+        if late <= 0:
+            return own + ahead
+        return own + max(ahead, _ahead_until(turn, others, late * weights - own_cost))
+
+    def _ahead_in_share(
+        self, key: Key, others: list[_Line], own_cost: float, weights: int
+    ) -> float:
+        """Return how many requests of others go first, if its workspace stays in its share.
+
+        The others' earlier requests do, as far as they stay in theirs, and their share grows by
+        what is served meanwhile.
+        """
+        earlier = [(other, bisect_left(other.keys, key)) for other in others]
+        ahead, cost = 0, own_cost
+        for _ in range(ESTIMATE_ROUNDS):
+            share_end = self._virtual_time + cost / weights + self._quantum
+            counts = [other.served_until(share_end, most) for other, most in earlier]
+            if sum(counts) == ahead:
+                break
+            ahead = sum(counts)
+            costs = (n * other.mean_cost() for (other, _), n in zip(earlier, counts, strict=True))
+            cost = own_cost + sum(costs)
+        return ahead
 
     def _file(self, workspace: str, line: _Line) -> None:
         line.version += 1
@@ -181,3 +229,14 @@
             heapq.heappop(self._in_share)
         while self._over_share and not self._is_current(*self._over_share[0][1:]):
             heapq.heappop(self._over_share)
+
+
+def _ahead_until(turn: float, others: list[_Line], cost: float) -> float:
+    """Return how many requests of others go first, if its workspace is out of its share.
+
+    They are served until the shard's virtual time has caught up, which takes ``cost``, but none
+    of them beyond the virtual time at which it is the workspace's turn.
+    """
+    counts = [other.served_until(turn, len(other.keys)) for other in others]
+    total = sum(n * other.mean_cost() for other, n in zip(others, counts, strict=True))
+    return sum(counts) * min(1.0, max(0.0, cost) / max(total, LEAST_COST))
--- a/pimentoquay/scheduler/settings.py
+++ b/pimentoquay/scheduler/settings.py
@@ -41,7 +41,7 @@
         default=0.95, low=0.1, high=1, help="part of the deadline that estimates may fill"
     )
     fair_quantum: float = setting(
-        default=10.0, low=0.1, high=1000, unit="slot-seconds", help="lead over the fair share"
+        default=5.0, low=0.1, high=1000, unit="slot-seconds", help="lead over the fair share"
     )
     release_share: float = setting(
         default=0.0, low=0, high=1, help="part of the expected slot releases that is promised"
--- a/pimentoquay/scheduler/shard.py
+++ b/pimentoquay/scheduler/shard.py
@@ -120,7 +120,7 @@
         service = self._selector.service(request, now)
         deadline = now + request.deadline_in
         demand = Demand(
-            ahead=self.waiting.ahead_of(request, deadline),
+            ahead=self.waiting.ahead_of(request, deadline, service.hold),
             service=service.first_token,
             deadline_in=request.deadline_in,
             held=self.ledger.held_by(request.workspace) + self.waiting.held_by(request.workspace),
--- a/pimentoquay/scheduler/waiting.py
+++ b/pimentoquay/scheduler/waiting.py
@@ -54,10 +54,9 @@
         """Return how many requests of a workspace wait."""
         return self._held_by_workspace.get(workspace, 0)
 
-    def ahead_of(self, request: PlaceRequest, deadline: float) -> float:
+    def ahead_of(self, request: PlaceRequest, deadline: float, cost: float) -> float:
         """Return about how many waiting requests go before a new one."""
-        key = (int(request.urgency), deadline, request.request_id)
-        return self._queue.ahead_of(request.workspace, key)
+        return self._queue.ahead_of(_item(request, deadline, cost))
 
     def add(self, waiting: WaitingRequest) -> None:
         """Let a request wait; one with live KV as a rescue, ahead of the queue."""
@@ -68,15 +67,7 @@
         if waiting.kv_engine:
             self._rescue_by_id[request.request_id] = waiting
             return
-        self._queue.push(
-            QueueItem(
-                request.request_id,
-                request.workspace,
-                request.urgency,
-                waiting.deadline,
-                waiting.cost,
-            )
-        )
+        self._queue.push(_item(request, waiting.deadline, waiting.cost))
 
     def remove(self, request_id: str) -> WaitingRequest | None:
         """Take a request out; ``None`` if it does not wait."""
@@ -124,3 +115,14 @@
         left = self._held_by_workspace.pop(request.workspace) - 1
         if left:
             self._held_by_workspace[request.workspace] = left
+
+
+def _item(request: PlaceRequest, deadline: float, cost: float) -> QueueItem:
+    return QueueItem(
+        request.request_id,
+        request.workspace,
+        request.urgency,
+        deadline,
+        cost,
+        request.workspace_weight,
+    )
