Drain an engine before its role changes, and keep the change on the log

Changes between prefill and decode existed only as a pure decision. Against loaded stand-in engines: a shift to long prompts moved nothing, as the decision read the engines' own queues, which stay empty because requests queue at the scheduler; a change of role went out while streams ran on the engine; a late order of an earlier holder was taken over by the next one as the state reported; a new holder with nothing to order left its number unheard, so engines that check numbers took the late order; and under steady load one prefill engine at 0.9 and two decode engines at 0.45 changed to and fro.

The scheduler now publishes the use of each stage from its ledger, the orders part records a change on the claims stream, the scheduler gives the engine no new work and says when it is idle, and only then the order goes out. A stage gives an engine only if it stays well below the high mark. Each engine that checks numbers is ordered once by a new holder.

--- a/pimentoquay/bench/mutations/switches.py
+++ b/pimentoquay/bench/mutations/switches.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from pimentoquay.kernel.codes import ResultCode
+from pimentoquay.orders.reconcile import is_reached
 
 __all__ = ["SWITCHES", "Switch", "switch_of"]
 
@@ -57,6 +58,10 @@
     return lambda self, offset, claim, appended_at: original(self, 0, claim, appended_at)
 
 
+def _reached_whoever_holds(original: Any) -> Any:
+    return lambda self, shard, member, status, target: is_reached(status, target)
+
+
 def _append_without_gap(original: Any) -> Any:
     from pimentoquay.messages import encode
 
@@ -305,5 +310,26 @@
         "pimentoquay/policy/tests/test_roles.py::"
         "test_lasting_shift_moves_one_engine_after_the_hold_time",
     ),
+    Switch(
+        "drain before a change of role",
+        "pimentoquay.orders.roles:RoleKeeper.may_order",
+        _always(True),
+        "pimentoquay/bench/tests/test_role_changes.py::"
+        "test_a_lasting_shift_of_the_mix_moves_engines_and_cuts_no_stream",
+    ),
+    Switch(
+        "every engine hears the holder's number",
+        "pimentoquay.orders.part:OrdersPart._is_reached",
+        _reached_whoever_holds,
+        "pimentoquay/bench/tests/test_role_changes.py::"
+        "test_a_holder_paused_as_it_sends_a_change_leaves_the_roles_right",
+    ),
+    Switch(
+        "roles on the log",
+        "pimentoquay.orders.leases:Leases.role_of",
+        _always(None),
+        "pimentoquay/bench/tests/test_role_changes.py::"
+        "test_a_holder_paused_as_it_sends_a_change_leaves_the_roles_right",
+    ),
 )
 """Every mechanism that is checked."""
--- a/pimentoquay/messages/orders.py
+++ b/pimentoquay/messages/orders.py
@@ -11,6 +11,7 @@
     "KeyOutcome",
     "KeyOutcomeRecord",
     "LoadPermit",
+    "RoleRecord",
     "ShardClaim",
 ]
 
@@ -112,3 +113,20 @@
     incarnation: int
     sequence: int
     lifetime: float
+
+
+@message(78)
+class RoleRecord:
+    """The role that an engine shall have from now on, whoever holds its shard.
+
+    ``role`` is the value of an ``EngineRole``. The record counts only while ``number`` is the
+    fencing number of the shard's holder.
+    """
+
+    shard: str
+    engine: str
+    role: int
+    number: int
+    vm: str
+    incarnation: int
+    sequence: int
--- a/pimentoquay/orders/claim_fold.py
+++ b/pimentoquay/orders/claim_fold.py
@@ -1,4 +1,4 @@
-"""The fold of a region's claims: who may order a shard's engines, who may load weights.
+"""The fold of a region's claims: who may order a shard, who may load weights, wanted roles.
 
 The last claim of a shard in the order of the log holds it. A renewal counts only for the holder
 that it names, so that a deposed holder's renewal, late or unaware, takes nothing back. Places for
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass, replace
 
-from pimentoquay.messages.orders import LoadPermit, ShardClaim
+from pimentoquay.messages.orders import LoadPermit, RoleRecord, ShardClaim
 
 __all__ = ["ClaimFold", "ShardHolder"]
 
@@ -50,6 +50,7 @@
         self._holder_by_shard: dict[str, ShardHolder] = {}
         self._terms_by_shard: dict[str, dict[tuple[str, int], _Term]] = {}
         self._permit_by_engine: dict[str, _Permit] = {}
+        self.role_by_engine: dict[str, int] = {}
 
     def holder_of(self, shard: str) -> ShardHolder | None:
         """Return the last holder of a shard, also when its lease has ended."""
@@ -121,6 +122,12 @@
                 appended_at + permit.lifetime,
             )
 
+    def apply_role(self, record: RoleRecord) -> None:
+        """Fold the wanted role of an engine; a deposed holder's is without effect."""
+        holder = self._holder_by_shard.get(record.shard)
+        if holder is not None and holder.number == record.number:
+            self.role_by_engine[record.engine] = record.role
+
     def _taken(self, data_centre: str, now: float) -> int:
         return sum(
             permit.until > now and permit.data_centre == data_centre
--- a/pimentoquay/orders/leases.py
+++ b/pimentoquay/orders/leases.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from pimentoquay.kernel import Node
-from pimentoquay.messages.orders import LoadPermit, ShardClaim
+from pimentoquay.messages.orders import LoadPermit, RoleRecord, ShardClaim
 from pimentoquay.orders.claim_fold import ClaimFold, ShardHolder
 from pimentoquay.orders.folded_stream import FoldedStream
 from pimentoquay.orders.settings import OrdersSection
@@ -142,6 +142,23 @@
                 )
             )
 
+    def role_of(self, engine: str) -> int | None:
+        """Return the role that an engine shall have by the log; ``None`` if it names none."""
+        return self._fold.role_by_engine.get(engine)
+
+    async def record_role(self, shard: str, engine: str, role: int) -> None:
+        """Put on the log which role an engine shall have, if the shard's lease holds."""
+        number = self.number_for(shard, checks_fencing=True)
+        if number == 0:
+            return
+        identity = self._node.identity
+        self._sequence += 1
+        await self._stream.append(
+            RoleRecord(
+                shard, engine, role, number, identity.vm, identity.incarnation, self._sequence
+            )
+        )
+
     def _has_permit(self, engine: str) -> bool:
         identity = self._node.identity
         now = self._node.clock.now()
@@ -209,6 +226,8 @@
             self._drop_if_superseded(message.shard)
         elif isinstance(message, LoadPermit):
             self._fold.apply_permit(message, appended_at)
+        elif isinstance(message, RoleRecord):
+            self._fold.apply_role(message)
 
     def _drop_if_superseded(self, shard: str) -> None:
         lease = self._lease_by_shard.get(shard)
--- a/pimentoquay/orders/part.py
+++ b/pimentoquay/orders/part.py
@@ -4,7 +4,8 @@
 from collections.abc import Awaitable
 from typing import TypeVar
 
-from pimentoquay.backends.base import EngineClient, EngineOrder, EngineRole, EngineStatus
+from pimentoquay.backends.base import EngineClient, EngineOrder, EngineStatus
+from pimentoquay.backends.events import EngineIdle, StageUse
 from pimentoquay.configuration.events import ConfigurationInForce
 from pimentoquay.kernel import Envelope, Node, PimentoquayError, ResultCode, plugin
 from pimentoquay.kernel.logs import logger
@@ -18,11 +19,11 @@
     needs_load,
     target_of,
 )
+from pimentoquay.orders.roles import RoleKeeper
 from pimentoquay.orders.settings import OrdersSection
 from pimentoquay.orders.status import orders_status, unmet_engines
 from pimentoquay.orders.wanted import WantedPool, wanted_pools
 from pimentoquay.platform.ports import Ports
-from pimentoquay.policy.roles import RoleBalance, RoleLimits
 from pimentoquay.transport.peers import PeerSet
 
 __all__ = ["OrdersPart"]
@@ -54,24 +55,16 @@
         self._ports = ports
         self._section = section
         self._leases = Leases(node, ports.log, section)
-        self._limits = RoleLimits(
-            section.role_high,
-            section.role_low,
-            section.role_hold,
-            section.role_dwell,
-            section.prefill_backlog,
-        )
+        self._roles = RoleKeeper(node, section, self._leases.role_of)
         self._shard_by_name: dict[str, Shard] = {}
         self._pool_by_model: dict[str, WantedPool] = {}
         self._status_by_engine: dict[str, EngineStatus] = {}
         self._reported_at: dict[str, float] = {}
-        self._role_by_engine: dict[str, EngineRole] = {}
-        self._balance_by_shard: dict[str, RoleBalance] = {}
         self._client_by_engine: dict[str, tuple[str, EngineClient]] = {}
         self._loading: set[str] = set()
         self._target_by_engine: dict[str, EngineTarget] = {}
         self.inbox: asyncio.Queue[Envelope] = node.bus.subscribe(
-            ClusterView, ConfigurationInForce, EngineStatus
+            ClusterView, ConfigurationInForce, EngineStatus, EngineIdle, StageUse
         )
 
     async def run(self) -> None:
@@ -103,12 +96,17 @@
                 self._take_view(message)
             elif isinstance(message, ConfigurationInForce):
                 self._pool_by_model = wanted_pools(message.workspace_by_name.values())
+            elif isinstance(message, StageUse):
+                self._roles.take_use(message)
+            elif isinstance(message, EngineIdle):
+                self._roles.take_idle(message.engine)
             else:
                 self._status_by_engine[message.engine] = message
                 self._reported_at[message.engine] = self._node.timers.now()
 
     def _take_view(self, view: ClusterView) -> None:
         own = self._node.identity
+        earlier = set(self._shard_by_name)
         self._shard_by_name = {
             name: shard
             for name, shard in shards_of(view.members).items()
@@ -118,8 +116,10 @@
         for name in [name for name in self._status_by_engine if name not in owned]:
             del self._status_by_engine[name]
             del self._reported_at[name]
-            self._role_by_engine.pop(name, None)
             self._target_by_engine.pop(name, None)
+            self._roles.forget_engine(name)
+        for name in earlier - set(self._shard_by_name):
+            self._roles.forget_shard(name)
 
     async def _reconcile(self, shard: Shard) -> None:
         pool = self._pool_by_model.get(shard.pool)
@@ -127,20 +127,22 @@
             return
         await self._guard(self._leases.keep(shard.name))
         statuses = self._fresh_statuses(shard)
-        self._balance_roles(shard, statuses)
-        target_by_engine = {
-            name: target_of(status, pool, self._role_by_engine.get(name))
+        await self._decide_roles(shard, statuses)
+        target_by_engine = {name: self._target(status, pool) for name, status in statuses.items()}
+        self._target_by_engine.update(
+            (name, target_of(status, pool, self._roles.role_of(status)))
             for name, status in statuses.items()
-        }
-        self._target_by_engine.update(target_by_engine)
+        )
         await self._end_loads(shard, statuses, target_by_engine)
         may_load = await self._permitted_loads(shard, statuses, target_by_engine)
         orders = []
         for member in shard.engines:
             status = statuses.get(member.name)
-            if status is None or is_reached(status, target_by_engine[member.name]):
+            if status is None:
                 continue
             target = target_by_engine[member.name]
+            if self._is_reached(shard, member, status, target):
+                continue
             if not needs_load(status, target) or member.name in may_load:
                 orders.append(self._order(shard, member, target))
         await asyncio.gather(*orders)
@@ -153,17 +155,32 @@
             if self._reported_at.get(member.name, -STATUS_LIFETIME) > oldest
         }
 
-    def _balance_roles(self, shard: Shard, statuses: dict[str, EngineStatus]) -> None:
-        if not self._section.role_changes or len(statuses) < len(shard.engines):
-            return
-        balance = self._balance_by_shard.setdefault(shard.name, RoleBalance(self._limits))
-        changed = balance.decide(tuple(statuses.values()), self._node.timers.now())
-        if changed is None:
+    async def _decide_roles(self, shard: Shard, statuses: dict[str, EngineStatus]) -> None:
+        if self._leases.number_for(shard.name, checks_fencing=True) == 0:
+            self._roles.suspend(shard.name, statuses)
             return
-        is_prefill = changed.role is EngineRole.PREFILL
-        role = EngineRole.DECODE if is_prefill else EngineRole.PREFILL
-        self._role_by_engine[changed.engine] = role
-        self._node.timeline.record("role-change", detail=f"{changed.engine} to {role.name}")
+        is_complete = len(statuses) == len(shard.engines)
+        change = self._roles.decide(shard.name, statuses, is_complete)
+        if change is not None:
+            await self._guard(self._leases.record_role(shard.name, change.engine, int(change.role)))
+
+    def _target(self, status: EngineStatus, pool: WantedPool) -> EngineTarget:
+        """Return what an engine shall be next; its role changes only once it is idle."""
+        role = self._roles.role_of(status) if self._roles.may_order(status) else status.role
+        return target_of(status, pool, role)
+
+    def _is_reached(
+        self, shard: Shard, member: Member, status: EngineStatus, target: EngineTarget
+    ) -> bool:
+        """Tell whether an engine needs no order.
+
+        One that checks fencing numbers needs to hear the present holder's, or it would still
+        take an earlier holder's order.
+        """
+        number = self._leases.number_for(shard.name, member.checks_fencing)
+        if member.checks_fencing and status.fencing_number < number:
+            return False
+        return is_reached(status, target)
 
     async def _end_loads(
         self,
--- a/pimentoquay/orders/settings.py
+++ b/pimentoquay/orders/settings.py
@@ -84,6 +84,13 @@
     role_dwell: float = setting(
         default=120.0, low=0.0, high=86400.0, unit="s", help="time between two changes of role"
     )
+    drain_timeout: float = setting(
+        default=300.0,
+        low=1.0,
+        high=86400.0,
+        unit="s",
+        help="how long an engine may take to end its work before its change of role is given up",
+    )
     prefill_backlog: float = setting(
         default=20000.0,
         low=1.0,
--- a/pimentoquay/orders/status.py
+++ b/pimentoquay/orders/status.py
@@ -84,4 +84,8 @@
 def _reason(is_loading: bool, number: int) -> str:
     if number == 0:
         return "no order may be sent yet, an earlier holder's may be under way"
-    return "loading" if is_loading else "waits for a place to load, or for the order's effect"
+    return (
+        "loading"
+        if is_loading
+        else "waits for a place to load, the end of its work or the order's effect"
+    )
--- a/pimentoquay/policy/roles.py
+++ b/pimentoquay/policy/roles.py
@@ -9,7 +9,11 @@
 
 from pimentoquay.backends.base import EngineRole, EngineStatus
 
-__all__ = ["RoleBalance", "RoleLimits", "RoleUse", "use_of"]
+__all__ = ["NO_USE", "RoleBalance", "RoleLimits", "RoleUse", "use_of"]
+
+
+GIVER_SHARE = 0.8
+"""The part of the high mark that a stage may fill after it has given an engine."""
 
 
 @dataclass(frozen=True)
@@ -31,6 +35,9 @@
     decode: float
 
 
+NO_USE = RoleUse(0.0, 0.0)
+
+
 def use_of(statuses: tuple[EngineStatus, ...], limits: RoleLimits) -> RoleUse:
     """Return the use of each stage by the engines' own reports; mixed engines do not count."""
     prefill = [item for item in statuses if item.role is EngineRole.PREFILL]
@@ -44,6 +51,10 @@
     )
 
 
+def _greater(first: RoleUse, second: RoleUse) -> RoleUse:
+    return RoleUse(max(first.prefill, second.prefill), max(first.decode, second.decode))
+
+
 class RoleBalance:
     """Decides changes of role for the engines of one shard.
 
@@ -59,12 +70,20 @@
         self._wanting_since = 0.0
         self._changed_at = float("-inf")
 
-    def decide(self, statuses: tuple[EngineStatus, ...], now: float) -> EngineStatus | None:
+    def decide(
+        self, statuses: tuple[EngineStatus, ...], now: float, ledger_use: RoleUse = NO_USE
+    ) -> EngineStatus | None:
         """Return the engine that should take the other role now, or ``None``.
 
         The last engine of a stage never changes; of the others the least busy does.
+        ``ledger_use`` is the use that the shard's scheduler sees; the greater one counts.
         """
-        wanting = self._stage_in_want(use_of(statuses, self._limits))
+        use = _greater(use_of(statuses, self._limits), ledger_use)
+        wanting = self._stage_in_want(use)
+        giving = EngineRole.DECODE if wanting is EngineRole.PREFILL else EngineRole.PREFILL
+        givers = [item for item in statuses if item.role is giving]
+        if wanting is not None and not self._can_give(use, giving, len(givers)):
+            wanting = None
         if wanting is not self._wanting:
             self._wanting = wanting
             self._wanting_since = now
@@ -72,14 +91,19 @@
             return None
         if now - self._changed_at < self._limits.dwell:
             return None
-        giving = EngineRole.DECODE if wanting is EngineRole.PREFILL else EngineRole.PREFILL
-        givers = [item for item in statuses if item.role is giving]
-        if len(givers) < 2:
-            return None
         self._changed_at = now
         self._wanting = None
         return min(givers, key=lambda item: (len(item.running), item.engine))
 
+    def _can_give(self, use: RoleUse, giving: EngineRole, engines: int) -> bool:
+        """Tell whether a stage stays well below the high mark with one engine less.
+
+        Otherwise the change itself would make the stage want its engine back.
+        """
+        given = use.decode if giving is EngineRole.DECODE else use.prefill
+        most = GIVER_SHARE * self._limits.high
+        return engines > 1 and given * engines / (engines - 1) <= most
+
     def _stage_in_want(self, use: RoleUse) -> EngineRole | None:
         if use.prefill >= self._limits.high and use.decode <= self._limits.low:
             return EngineRole.PREFILL
--- a/pimentoquay/policy/tests/test_roles.py
+++ b/pimentoquay/policy/tests/test_roles.py
@@ -1,10 +1,10 @@
 import itertools
 
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from pimentoquay.backends.base import EngineRole, EngineStatus
-from pimentoquay.policy.roles import RoleBalance, RoleLimits
+from pimentoquay.policy.roles import RoleBalance, RoleLimits, RoleUse
 
 LIMITS = RoleLimits(0.85, 0.5, 30.0, 120.0, 1000.0)
 
@@ -52,3 +52,27 @@
         if balance.decide(mixed_load(waiting, running), float(second)) is not None
     ]
     assert all(later - earlier >= 120 for earlier, later in itertools.pairwise(changes))
+
+
+@example(0.9, 0.9, 1, 2)
+@given(st.floats(0, 8), st.floats(0, 8), st.integers(1, 5), st.integers(1, 5))
+def test_steady_load_never_moves_an_engine_back(prefill_work, decode_work, prefill, decode):
+    """Work is in engines kept busy; the use of a stage is its work over its engines."""
+    balance = RoleBalance(LIMITS)
+    taking = set()
+    for second in range(0, 4000, 10):
+        use = RoleUse(min(1.0, prefill_work / prefill), min(1.0, decode_work / decode))
+        changed = balance.decide(mixed_load(0, 0, prefill, decode), float(second), use)
+        if changed is not None:
+            step = 1 if changed.role is EngineRole.DECODE else -1
+            prefill, decode = prefill + step, decode - step
+            taking.add(step)
+    assert len(taking) <= 1
+    assert prefill >= 1 and decode >= 1
+
+
+def test_stage_at_half_use_does_not_give_one_of_two_engines():
+    balance = RoleBalance(LIMITS)
+    for second in range(1000):
+        loads = mixed_load(0, 0, prefill=1, decode=2)
+        assert balance.decide(loads, float(second), RoleUse(0.9, 0.45)) is None
--- a/pimentoquay/scheduler/engines.py
+++ b/pimentoquay/scheduler/engines.py
@@ -1,5 +1,7 @@
 """The engines of one shard: which may be used now, and for what."""
 
+import math
+
 from pimentoquay.backends.base import EngineRole, EngineStatus
 from pimentoquay.membership import Shard
 from pimentoquay.policy import Circuits, CircuitState, EngineLoad, SpeedBook, is_link_key, link_keys
@@ -19,6 +21,7 @@
         self._circuits = circuits
         self._speeds = speeds
         self._members: set[str] = set()
+        self._draining_since: dict[str, float] = {}
 
     def __len__(self) -> int:
         return len(self._members)
@@ -48,6 +51,18 @@
         load.kv_capacity = status.kv_capacity_tokens
         load.is_usable = status.engine in self._members
 
+    def drain(self, names: frozenset[str], now: float) -> None:
+        """Give these engines no new work, and all others work again."""
+        since = self._draining_since
+        self._draining_since = {name: since.get(name, now) for name in names}
+
+    def is_drained(self, status: EngineStatus, now: float) -> bool:
+        """Tell whether a report taken since a drain began shows that it is over."""
+        since = self._draining_since.get(status.engine, math.inf)
+        if now - status.age <= since or status.running:
+            return False
+        return not any(status.engine in (g.prefill_engine, g.decode_engine) for g in self._ledger)
+
     def lose(self, name: str) -> None:
         """Note that an engine does not answer."""
         load = self._ledger.engine_by_name.get(name)
@@ -59,12 +74,12 @@
         return [
             load
             for load in self._ledger.engine_by_name.values()
-            if load.is_usable and self._is_let_through(load.name, now)
+            if self._may_work(load) and self._is_let_through(load.name, now)
         ]
 
     def live(self) -> list[EngineLoad]:
         """Return the engines that answer, also those whose circuit is open."""
-        return [load for load in self._ledger.engine_by_name.values() if load.is_usable]
+        return [load for load in self._ledger.engine_by_name.values() if self._may_work(load)]
 
     def wait_of(self, name: str, now: float) -> float:
         """Return the seconds until an engine's circuit lets a request through again."""
@@ -96,6 +111,9 @@
         """Return the engines that may prefill."""
         return [load for load in usable if load.can_prefill]
 
+    def _may_work(self, load: EngineLoad) -> bool:
+        return load.is_usable and load.name not in self._draining_since
+
     def _is_let_through(self, key: str, now: float) -> bool:
         return self._circuits.state(key, now) in (CircuitState.CLOSED, CircuitState.PROBE_DUE)
 
--- a/pimentoquay/scheduler/part.py
+++ b/pimentoquay/scheduler/part.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from pimentoquay.backends.base import EngineClient, EngineStatus
+from pimentoquay.backends.events import DrainEngines, EngineIdle
 from pimentoquay.kernel import (
     Channel,
     ChannelClosed,
@@ -89,6 +90,7 @@
             ChannelOpened,
             ChannelClosed,
             StatusWanted,
+            DrainEngines,
         )
 
     async def run(self) -> None:
@@ -145,6 +147,12 @@
         now = self._node.clock.now()
         self._node.bus.publish(scheduler_status(self.scheduler_by_shard, now))
 
+    @_take.register
+    def _take_drain(self, message: DrainEngines, channel: Channel | None) -> None:
+        scheduler = self.scheduler_by_shard.get(message.shard)
+        if scheduler is not None:
+            scheduler.engines.drain(message.engines, self._node.clock.now())
+
     @_take.register
     def _take_opened(self, message: ChannelOpened, channel: Channel | None) -> None:
         if message.channel.peer.process == "entry":
@@ -303,6 +311,8 @@
                 scheduler.drop(request_id, now)
             for cancellation in result.cancellations:
                 self._start(self._cancel(cancellation))
+            if scheduler.engines.is_drained(status, now):
+                self._node.bus.publish(EngineIdle(status.engine))
             was_swept = was_swept or bool(result.lost or result.cancellations)
             scheduler.dispatch(now)
         return was_swept
@@ -366,6 +376,7 @@
     def _send_summaries(self) -> None:
         now = self._node.clock.now()
         for scheduler in self.scheduler_by_shard.values():
+            self._node.bus.publish(scheduler.sample_use(now))
             summary = scheduler.summary(now)
             for entry, channel in self._channel_by_entry.items():
                 if self._heard_at_by_entry.get(entry, 0.0) > now - ENTRY_RECENT_SECONDS:
--- a/pimentoquay/scheduler/shard.py
+++ b/pimentoquay/scheduler/shard.py
@@ -17,6 +17,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from pimentoquay.backends.events import StageUse
 from pimentoquay.kernel import ResultCode
 from pimentoquay.membership import Shard
 from pimentoquay.messages.cluster import ShardSummary
@@ -52,6 +53,7 @@
 from pimentoquay.scheduler.ledger import EntryKey, GrantState, Ledger, announced_grant
 from pimentoquay.scheduler.selection import Selector, Service
 from pimentoquay.scheduler.settings import SchedulerSection
+from pimentoquay.scheduler.stage_use import UseMeter
 from pimentoquay.scheduler.waiting import WaitingRequest, WaitingRoom
 
 __all__ = ["Outgoing", "ShardScheduler"]
@@ -102,6 +104,7 @@
         self._learner = Learner(
             self.ledger, self.speeds, self.prefixes, self.circuits, self.budget, section.circuits
         )
+        self._use = UseMeter()
         self._outbox: list[Outgoing] = []
 
     def take_outbox(self) -> list[Outgoing]:
@@ -252,6 +255,11 @@
         """Return the expected wait of a new request."""
         return estimated_wait(len(self.waiting), self._selector.flow(now))
 
+    def sample_use(self, now: float) -> StageUse:
+        """Take the use of the engines into its average and return that."""
+        self._use.sample(self.engines.usable(now))
+        return self._use.use(self.shard.name)
+
     def summary(self, now: float) -> ShardSummary:
         """Return how full the shard is."""
         free = sum(load.free_slots() for load in self.engines.usable(now) if load.can_decode)
--- a/pimentoquay/standin/engine_core.py
+++ b/pimentoquay/standin/engine_core.py
@@ -66,7 +66,14 @@
         self.egress = Link(model.link_rate)
         self.ingress = Link(model.link_rate)
         self.orders = OrderKeeper(
-            model_name, version, role, model, weights, self.recorder, self.cache.clear
+            model_name,
+            version,
+            role,
+            model,
+            weights,
+            self.recorder,
+            self.cache.clear,
+            self._role_changed,
         )
         self.report = LaggingView(model.status_lag, self._take_status)
         self.finished_by_request: dict[str, Holding] = {}
@@ -132,13 +139,20 @@
     def lose_everything(self) -> None:
         """Drop all memory, as a crash does."""
         self.is_up = False
-        for holding in list(self.ledger.holding_by_request.values()):
-            self.ledger.drop(holding, "the engine crashed")
+        self._drop_all("the engine crashed")
         self.finished_by_request.clear()
         self.cache.clear()
         self.orders.reset()
         self.report.forget()
 
+    def _role_changed(self) -> None:
+        if self.model.role_change_cuts:
+            self._drop_all("the role has changed")
+
+    def _drop_all(self, reason: str) -> None:
+        for holding in list(self.ledger.holding_by_request.values()):
+            self.ledger.drop(holding, reason)
+
     def _forget_finished(self, holding: Holding) -> None:
         if self.finished_by_request.get(holding.request_id) is holding:
             del self.finished_by_request[holding.request_id]
--- a/pimentoquay/standin/engine_model.py
+++ b/pimentoquay/standin/engine_model.py
@@ -74,6 +74,9 @@
         high=600.0,
         unit="s",
     )
+    role_change_cuts: bool = setting(
+        help="lose everything held when the role changes", default=False
+    )
     checks_fencing: bool = setting(help="refuse orders with an old fencing number", default=True)
     seed: int = setting(help="seed of lost cache events", default=1, low=0, high=2**31)
 
--- a/pimentoquay/standin/engine_orders.py
+++ b/pimentoquay/standin/engine_orders.py
@@ -33,6 +33,8 @@
         Keeps the orders that were applied.
     on_version
         Called when another version has been loaded.
+    on_role
+        Called when the role has changed.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         weights: WeightSource | None,
         recorder: EngineRecorder,
         on_version: Callable[[], None],
+        on_role: Callable[[], None] = lambda: None,
     ) -> None:
         self.version = version
         self.adapters: tuple[str, ...] = ()
@@ -56,6 +59,7 @@
         self._weights = weights
         self._recorder = recorder
         self._on_version = on_version
+        self._on_role = on_role
         self._wanted: EngineOrder | None = None
         self._load: asyncio.Task[None] | None = None
 
@@ -66,7 +70,9 @@
             raise PimentoquayError(ResultCode.FENCED, detail)
         self.fencing_number = max(self.fencing_number, order.fencing_number)
         self._recorder.order(asyncio.get_running_loop().time(), order)
-        self.role = order.role
+        if self.role is not order.role:
+            self.role = order.role
+            self._on_role()
         if self._wanted is not None and _same_weights(self._wanted, order):
             return
         self.stop()
