Go on over a log that starts anew; wait for listed peers while the log is down

Cause: a log service that lost everything counts from 0 again; records below what was read were skipped, so publishing ended for good with 603, and new fencing numbers were below what engines had seen. A VM without disks that started while the log was down was ready by the first peer it heard, also by one that lags; a restarted control process could fall below what its own entry serves by. A push to a child under way with a whole configuration cut that transfer off.

Ruled out: folding the new log from version 1 (what was applied would go back); waiting for listed peers without an end (a cut-off data centre would not serve); taking the highest number that an engine reports as proof of a lost log (it may be a successor's: the log is read first).

Change: checkpoint with log_base says where a new log goes on, written by the readers in their order after 5 s; claims state the number that theirs count from; lost claims count as held until lease, pause and order time-out have passed; readiness without the log waits for the VMs listed in the data centre, at most peer_patience, and for the offset that the entry tells.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,8 @@
 	@sh tools/demo.sh $(BIN) serve
 
 # Control processes on loopback before idle engines: make steady VMS=29 ENGINES=156 SECONDS=30
-# PROFILED=control-loopback-vm-7 prints the dearest functions of one of them.
+# PROFILED=control-loopback-vm-7 prints the dearest functions of one of them, BURST=500 in the
+# environment publishes that many changes over the second half.
 VMS ?= 8
 ENGINES ?= 22
 SECONDS ?= 30
--- a/pimentoquay/bench/program.py
+++ b/pimentoquay/bench/program.py
@@ -23,6 +23,7 @@
     "pimentoquay.bench.load.command",
     "pimentoquay.bench.mutations.command",
     "pimentoquay.bench.slopes.command",
+    "pimentoquay.bench.steady.burst",
     "pimentoquay.bench.steady.command",
 )
 """The modules whose import registers the commands."""
--- /dev/null
+++ b/pimentoquay/bench/steady/burst.py
@@ -0,0 +1,37 @@
+"""``steady-burst``: changes of the configuration in the second half of a steady-state run."""
+
+import argparse
+import asyncio
+
+from pimentoquay.bench.configuration_cost import changes_of
+from pimentoquay.configuration.publish import STREAM
+from pimentoquay.kernel import plugin
+from pimentoquay.platform.log_http import HttpLogClient
+
+__all__ = ["SteadyBurstCommand"]
+
+
+@plugin("bench-command", "steady-burst")
+class SteadyBurstCommand:
+    """Append changes to the log's stand-in, evenly over the second half of a run."""
+
+    def add_arguments(self, parser: argparse.ArgumentParser) -> None:
+        """Declare the command's options."""
+        parser.add_argument("--log", required=True, help="IP:PORT of the log's stand-in")
+        parser.add_argument("--changes", type=int, required=True)
+        parser.add_argument("--seconds", type=float, required=True, help="length of the whole run")
+
+    def run(self, arguments: argparse.Namespace) -> int:
+        """Append and return 0."""
+        asyncio.run(_append(arguments.log, arguments.changes, arguments.seconds / 2))
+        return 0
+
+
+async def _append(address: str, changes: int, seconds: float) -> None:
+    log = HttpLogClient(address)
+    records = changes_of(changes)
+    loop = asyncio.get_running_loop()
+    started = loop.time() + seconds
+    for number, data in enumerate(records):
+        await asyncio.sleep(started + seconds * number / changes - loop.time())
+        await log.append(STREAM, data)
--- a/pimentoquay/configuration/answers.py
+++ b/pimentoquay/configuration/answers.py
@@ -57,21 +57,23 @@
         if entry is not None and entry.version == outcome.version:
             record: ConfigurationRecord | None = entry.record
         else:
-            record = await _record_of(log, outcome)
+            record = await _record_of(log, outcome, state.log_base)
         if record is not None:
             records.append(record)
     channel.send(HistoryAnswer(tuple(outcomes), tuple(records)))
 
 
-async def _record_of(log: LogClient, outcome: ChangeOutcome) -> ConfigurationRecord | None:
-    if outcome.code is not ResultCode.CONFIG_ACCEPTED:
+async def _record_of(
+    log: LogClient, outcome: ChangeOutcome, log_base: int
+) -> ConfigurationRecord | None:
+    if outcome.code is not ResultCode.CONFIG_ACCEPTED or outcome.offset < log_base:
         return None
     try:
-        page = await log.read(STREAM, outcome.offset, 0.0)
+        page = await log.read(STREAM, outcome.offset - log_base, 0.0)
     except (PimentoquayError, OSError, TimeoutError):
         return None
     for item in page.records:
-        if item.offset == outcome.offset:
+        if log_base + item.offset == outcome.offset:
             return _versioned(item.data, outcome.version)
     return None
 
--- a/pimentoquay/configuration/checkpoint.py
+++ b/pimentoquay/configuration/checkpoint.py
@@ -45,7 +45,9 @@
     chunks = chunks_of(state.records_after(-1), state.outcomes_after(-1), limit)
     return [
         encode(
-            ConfigurationCheckpoint(generation, state.offset, part, len(chunks), records, outcomes)
+            ConfigurationCheckpoint(
+                generation, state.log_base, state.offset, part, len(chunks), records, outcomes
+            )
         )
         for part, (records, outcomes) in enumerate(chunks)
     ]
@@ -57,11 +59,15 @@
     Parameters
     ----------
     start
-        The offset of the first record that will be added.
+        The offset on the log of the first record that will be added.
+    above
+        Only checkpoints with a higher ``log_base`` count; -1 for any, and for none where the log
+        is read from its first record.
     """
 
-    def __init__(self, start: int) -> None:
+    def __init__(self, start: int, above: int = -1) -> None:
         self.start = start
+        self._above = above
         self._records: list[bytes] = []
         self._parts_by_generation: dict[str, dict[int, ConfigurationCheckpoint]] = {}
 
@@ -77,7 +83,7 @@
         if offset > self.offset:
             self._restart(offset)
         self._records.append(data)
-        if self.start == 0:
+        if self.start == 0 and self._above < 0:
             return self._replayed(ConfigurationState())
         try:
             content = decode(data)
@@ -85,7 +91,9 @@
             return None
         if not isinstance(content, ConfigurationCheckpoint):
             return None
-        if not self.start <= content.folded_to <= offset:
+        if content.log_base <= self._above:
+            return None
+        if not self.start <= content.folded_to - content.log_base <= offset:
             return None
         part_by_index = self._parts_by_generation.setdefault(content.generation, {})
         part_by_index[content.part] = content
@@ -102,6 +110,7 @@
             # A malformed checkpoint is passed over; the next one is waited for.
             del self._parts_by_generation[content.generation]
             return None
+        restored.log_base = content.log_base
         return self._replayed(restored)
 
     def records(self) -> Iterator[tuple[int, bytes]]:
@@ -115,6 +124,7 @@
         self._parts_by_generation = {}
 
     def _replayed(self, state: ConfigurationState) -> ConfigurationState:
-        for index in range(state.offset - self.start, len(self._records)):
-            state.fold(self.start + index, self._records[index])
+        base = state.log_base
+        for index in range(state.offset - base - self.start, len(self._records)):
+            state.fold(base + self.start + index, self._records[index])
         return state
--- a/pimentoquay/configuration/checkpoint_writer.py
+++ b/pimentoquay/configuration/checkpoint_writer.py
@@ -26,6 +26,14 @@
 
 LOOKS_PER_LIMIT = 20
 MAX_LOOK_SECONDS = 60.0
+ANEW_STEP = 1 << 20
+"""Offsets go on at the next multiple of this on a log that has started anew, so that all readers
+that could write this down choose the same."""
+
+HURRY_SECONDS = 1.0
+ANEW_PATIENCE_SECONDS = 5.0
+"""How long a reader waits for what its peers hold before it writes down where the log goes on."""
+
 GAP_PATIENCE_SECONDS = 20.0
 """How long a reader that lost records to the log's retention waits for a peer that has them."""
 
@@ -50,13 +58,14 @@
         self._taken_at = -math.inf
         self._taken_offset = -2
         self._behind_since: float | None = None
+        self._due = asyncio.Event()
         self._generations = 0
 
     async def run(self) -> None:
         """Look at the newest checkpoint's age for ever, and write where it is due."""
         period = min(MAX_LOOK_SECONDS, self._limit / LOOKS_PER_LIMIT)
         while True:
-            await self._node.timers.sleep(period)
+            await self._wait(HURRY_SECONDS if self._keeper.is_log_anew else period)
             place = self._place()
             if place is None or not place.is_reader or not self._keeper.is_ready:
                 continue
@@ -66,7 +75,22 @@
             except (PimentoquayError, OSError, TimeoutError) as error:
                 logger.bind(error=repr(error)).warning("no checkpoint written")
 
+    def hurry(self) -> None:
+        """Look soon, because the log has started anew."""
+        if self._behind_since is None:
+            self._behind_since = self._node.clock.now()
+            self._node.timers.after(HURRY_SECONDS, self._due.set)
+
+    async def _wait(self, seconds: float) -> None:
+        self._due.clear()
+        subscription = self._node.timers.after(seconds, self._due.set)
+        await self._due.wait()
+        subscription.cancel()
+
     async def _look(self, place: Place) -> None:
+        if self._keeper.is_log_anew:
+            await self._look_anew(place)
+            return
         if self._skips_gap(place):
             await self._write()
             return
@@ -75,11 +99,28 @@
             return
         await self._write()
 
+    async def _look_anew(self, place: Place) -> None:
+        """Tell all readers where a log that has started anew goes on, once peers had their time."""
+        now = self._node.clock.now()
+        if self._behind_since is None:
+            self._behind_since = now
+        patience = ANEW_PATIENCE_SECONDS * (1 + place.checkpoint_rank)
+        keeper = self._keeper
+        if now - self._behind_since < patience or keeper.best_reported_offset > keeper.offset:
+            return
+        self._behind_since = None
+        state = keeper.state
+        assert state is not None
+        base = (state.offset // ANEW_STEP + 1) * ANEW_STEP
+        logger.bind(log_base=base).warning("the log has started anew")
+        self._node.timeline.record("configuration-log-anew", detail=f"goes on at offset {base}")
+        await self.write(state.moved_to(base))
+
     async def _age(self, allowed: float) -> float:
         """Return the age of the newest checkpoint in seconds, infinite if it is not kept."""
         state = self._keeper.state
         assert state is not None
-        offset = max(state.checkpoint_offset, 0)
+        offset = max(state.checkpoint_offset - state.log_base, 0)
         age = self._node.clock.now() - self._taken_at
         if self._taken_offset == offset and age < allowed:
             return age
--- a/pimentoquay/configuration/fold.py
+++ b/pimentoquay/configuration/fold.py
@@ -64,11 +64,16 @@
     ----------
     offset
         How many log records are folded, which is the offset of the next one.
+
+    ``log_base`` is the offset that stands for the first record of a log that has started anew;
+    ``is_superseded`` tells that the log holds a checkpoint with a higher one.
     """
 
     def __init__(self, offset: int = 0) -> None:
         self.offset = offset
         self.checkpoint_offset = -1
+        self.log_base = 0
+        self.is_superseded = False
         self.entry_by_name: dict[str, Entry] = {}
         self.outcome_by_change: dict[str, ChangeOutcome] = {}
         self._removed_names: dict[str, int] = {}
@@ -120,6 +125,12 @@
         self.offset = max(self.offset, offset)
         self._forget()
 
+    def moved_to(self, log_base: int) -> "ConfigurationState":
+        """Return this state as it stands before the first record of a log that started anew."""
+        state = ConfigurationState.restore(log_base, self.records_after(-1), ())
+        state.log_base = log_base
+        return state
+
     def version_of(self, name: str) -> int:
         """Return the version in force, of a removal too; 0 if there is none."""
         entry = self.entry_by_name.get(name)
@@ -161,7 +172,9 @@
         return offset >= 0 and offset >= self.offset - MEMORY_OFFSETS
 
     def _note_checkpoint(self, offset: int, part: ConfigurationCheckpoint) -> None:
-        if part.part == part.parts - 1 and part.folded_to <= offset:
+        if part.log_base > self.log_base:
+            self.is_superseded = True
+        elif part.part == part.parts - 1 and part.folded_to <= offset:
             self.checkpoint_offset = max(self.checkpoint_offset, part.folded_to)
 
     def _judge(self, offset: int, record: ConfigurationRecord) -> ChangeOutcome:
--- a/pimentoquay/configuration/part.py
+++ b/pimentoquay/configuration/part.py
@@ -11,17 +11,23 @@
 from typing import Any
 
 from pimentoquay.configuration.answers import answer_get, answer_history
+from pimentoquay.configuration.begin_anew import answer_begin_anew
 from pimentoquay.configuration.chase import Chaser
 from pimentoquay.configuration.checkpoint_writer import CheckpointWriter
 from pimentoquay.configuration.events import ConfigurationInForce
-from pimentoquay.configuration.fold import ConfigurationState
 from pimentoquay.configuration.keeper import Keeper
 from pimentoquay.configuration.log_reader import LogReader
 from pimentoquay.configuration.packing import unpacked
-from pimentoquay.configuration.places import Place, place_of, relay_children
+from pimentoquay.configuration.places import (
+    Place,
+    listed_neighbours,
+    place_of,
+    relay_children,
+)
 from pimentoquay.configuration.publish import Publisher
 from pimentoquay.configuration.relay import TRANSFER_BYTES, entries_after, is_gap
 from pimentoquay.configuration.settings import ConfigurationSection
+from pimentoquay.configuration.status import status_items
 from pimentoquay.configuration.transfers import Transfers
 from pimentoquay.kernel import (
     Channel,
@@ -29,12 +35,10 @@
     ChannelOpened,
     Envelope,
     Node,
-    PimentoquayError,
-    ResultCode,
     plugin,
 )
 from pimentoquay.kernel.logs import logger
-from pimentoquay.kernel.status import PartStatus, StatusItem, StatusWanted
+from pimentoquay.kernel.status import PartStatus, StatusWanted
 from pimentoquay.membership.events import ConfigurationReached
 from pimentoquay.messages import CodecError
 from pimentoquay.messages.cluster import (
@@ -46,7 +50,6 @@
 from pimentoquay.messages.configuration import CatchUpBusy, PackedEntries, PartTaken
 from pimentoquay.messages.membership import FollowView
 from pimentoquay.messages.operator import (
-    BeginAnewAnswer,
     BeginAnewRequest,
     GetRequest,
     HistoryRequest,
@@ -79,6 +82,8 @@
         self._log = ports.log
         self.keeper = Keeper()
         self._place: Place | None = None
+        self._listed: frozenset[str] | None = None
+        self._peer_patience = section.peer_patience
         self._pushed_offset = -1
         self._is_push_due = False
         self._pushed_at = -GATHER_SECONDS
@@ -125,6 +130,7 @@
             self._tasks = tasks
             tasks.create_task(self._reader.run())
             tasks.create_task(self._writer.run())
+            self._node.timers.after(self._peer_patience, self._stop_waiting)
             try:
                 while True:
                     envelope = await self.inbox.get()
@@ -143,12 +149,15 @@
         identity = self._node.identity
         self._place = place_of(message, identity.vm, identity.data_centre)
         self._reader.place = self._place
+        self._listed = listed_neighbours(message, identity.vm, identity.data_centre)
+        self._look_for_peers()
 
     @_handle.register
     def _(self, message: Heartbeat, envelope: Envelope) -> None:
         if envelope.channel is None or envelope.channel.peer.process != "control":
             return
         self.keeper.take_report(envelope.channel, message.configuration_offset)
+        self._look_for_peers()
         self._advanced()
 
     @_handle.register
@@ -189,6 +198,8 @@
     @_handle.register
     def _(self, message: CatchUpRequest, envelope: Envelope) -> None:
         channel, state = envelope.channel, self.keeper.state
+        if channel is not None and self._is_own_entry(channel):
+            self.keeper.take_served(message.after_offset)
         if channel is None or state is None or not self.keeper.is_ready:
             return
         if channel.peer.process == "entry":
@@ -237,49 +248,15 @@
     @_handle.register
     def _(self, message: BeginAnewRequest, envelope: Envelope) -> None:
         if envelope.channel is not None and self._tasks is not None:
-            self._tasks.create_task(self._begin_anew(message, envelope.channel))
+            self._tasks.create_task(
+                answer_begin_anew(self._node, self.keeper, self._writer, message, envelope.channel)
+            )
 
     @_handle.register
     def _(self, message: StatusWanted, envelope: Envelope) -> None:
-        self._node.bus.publish(PartStatus("configuration", tuple(self._status_items())))
-
-    def _status_items(self) -> list[StatusItem]:
-        keeper = self.keeper
-        items = []
-        if not keeper.is_ready:
-            best = keeper.best_reported_offset
-            detail = f"at offset {keeper.offset}, peers report {best}; no entry is served by it"
-            items.append(StatusItem("state", "waiting", detail))
-        if keeper.lost_at is not None:
-            detail = "neither the log nor a peer in reach holds a configuration; see ctl recover"
-            items.append(StatusItem("log", "stuck", detail))
-        elif keeper.is_behind_log:
-            detail = "the log has dropped records that are neither here nor at a peer in reach"
-            items.append(StatusItem("log", "stuck", detail))
-        elif keeper.is_log_down:
-            items.append(StatusItem("log", "waiting", "the log is down; it is tried again"))
-        if self.reader_rank == 0:
-            items.append(StatusItem("log reader", "ok", "for its data centre"))
-        return items
-
-    async def _begin_anew(self, request: BeginAnewRequest, channel: Channel) -> None:
-        lost_at = self.keeper.lost_at
-        if lost_at is None:
-            detail = "there is a configuration, or the log has not been read to its end"
-            answer = BeginAnewAnswer(request.query, ResultCode.CONFIG_CONFLICT, detail)
-        else:
-            answer = await self._write_empty(request.query, lost_at)
-        channel.send(answer)
-
-    async def _write_empty(self, query: int, offset: int) -> BeginAnewAnswer:
-        try:
-            await self._writer.write(ConfigurationState(offset))
-        except PimentoquayError as error:
-            return BeginAnewAnswer(query, error.code, error.detail)
-        except (OSError, TimeoutError) as error:
-            return BeginAnewAnswer(query, ResultCode.CONFIG_UNKNOWN, repr(error))
-        self._node.timeline.record("configuration-begun-anew", detail=f"offset {offset}")
-        return BeginAnewAnswer(query, ResultCode.CONFIG_ACCEPTED, "")
+        self._node.bus.publish(
+            PartStatus("configuration", status_items(self.keeper, is_reader=self.reader_rank == 0))
+        )
 
     async def _publish(self, request: PublishRequest, channel: Channel) -> None:
         self._reader.readers_wanted += 1
@@ -293,8 +270,19 @@
         )
         channel.send(answer)
 
+    def _look_for_peers(self) -> None:
+        heard = {channel.peer.vm for channel in self.keeper.reported_offset_by_channel}
+        if not self.keeper.is_ready and self._listed is not None and self._listed <= heard:
+            self._stop_waiting()
+
+    def _stop_waiting(self) -> None:
+        self.keeper.take_peers_heard()
+        self._advanced()
+
     def _read_on(self) -> None:
         """Pass on what was read from the log, at intervals."""
+        if self.keeper.is_log_anew:
+            self._writer.hurry()
         since = self._node.clock.now() - self._pushed_at
         self._advanced(max(PUSH_DELAY_SECONDS, GATHER_SECONDS - since))
 
@@ -345,7 +333,7 @@
         messages = entries_after(self.keeper.state, before)
         for channel in channels:
             if self.keeper.reported_offset_by_channel.get(channel, -1) < self._pushed_offset:
-                self._transfers.send(channel, messages)
+                self._transfers.push(channel, messages)
 
     def _send_to_entries(self, channels: list[Channel], after_offset: int) -> None:
         state = self.keeper.state
--- a/pimentoquay/configuration/places.py
+++ b/pimentoquay/configuration/places.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 
 from pimentoquay.membership.mesh import ranked
-from pimentoquay.messages.cluster import ClusterView, MemberKind
+from pimentoquay.messages.cluster import ClusterView, MemberKind, MemberState
 
-__all__ = ["FAN_OUT", "Place", "place_of", "relay_children"]
+__all__ = ["FAN_OUT", "Place", "listed_neighbours", "place_of", "relay_children"]
 
 FAN_OUT = 2
 """VMs that each VM passes changes on to; four steps reach 30 VMs."""
@@ -47,6 +47,18 @@
     return Place(order, _rank(vm, order), _rank(data_centre, ranked(CHECKPOINT_KEY, data_centres)))
 
 
+def listed_neighbours(view: ClusterView, vm: str, data_centre: str) -> frozenset[str]:
+    """Return the other VMs of a data centre that are listed as live, heard or not."""
+    return frozenset(
+        member.name
+        for member in view.members
+        if member.kind is MemberKind.ENTRY_VM
+        and member.state is MemberState.LIVE
+        and member.data_centre == data_centre
+        and member.name != vm
+    )
+
+
 def relay_children(vm: str, order: Sequence[str], neighbours: Iterable[str]) -> tuple[str, ...]:
     """Return the VMs that ``vm`` passes changes on to.
 
--- a/pimentoquay/configuration/relay.py
+++ b/pimentoquay/configuration/relay.py
@@ -32,7 +32,13 @@
     chunks = chunks_of(state.records_after(after_offset), outcomes, part_bytes)
     return [
         ConfigurationEntries(
-            after_offset, state.offset, part, len(chunks), state.checkpoint_offset, *chunk
+            after_offset,
+            state.offset,
+            part,
+            len(chunks),
+            state.checkpoint_offset,
+            state.log_base,
+            *chunk,
         )
         for part, chunk in enumerate(chunks)
     ]
@@ -73,10 +79,12 @@
             if state is not None and state.offset >= entries.offset:
                 return state
             state = ConfigurationState.restore(entries.offset, records, outcomes)
+            state.log_base = entries.log_base
         elif state is None or is_gap(state, entries):
             return state
         elif state.offset < entries.offset:
             state.advance(entries.offset, records, outcomes)
+            state.log_base = entries.log_base
         state.checkpoint_offset = max(state.checkpoint_offset, entries.checkpoint_offset)
         return state
 
--- /dev/null
+++ b/pimentoquay/configuration/status.py
@@ -0,0 +1,29 @@
+"""What operators are told of a VM's configuration."""
+
+from pimentoquay.configuration.keeper import Keeper
+from pimentoquay.kernel.status import StatusItem
+
+__all__ = ["status_items"]
+
+
+def status_items(keeper: Keeper, *, is_reader: bool) -> tuple[StatusItem, ...]:
+    """Return what the status of a VM tells of its configuration."""
+    items = []
+    if not keeper.is_ready:
+        best = keeper.best_reported_offset
+        detail = f"at offset {keeper.offset}, peers report {best}; no entry is served by it"
+        items.append(StatusItem("state", "waiting", detail))
+    if keeper.lost_at is not None:
+        detail = "neither the log nor a peer in reach holds a configuration; see ctl recover"
+        items.append(StatusItem("log", "stuck", detail))
+    elif keeper.is_log_anew:
+        detail = "the log has started anew; where it goes on is about to be written to it"
+        items.append(StatusItem("log", "waiting", detail))
+    elif keeper.is_behind_log:
+        detail = "the log has dropped records that are neither here nor at a peer in reach"
+        items.append(StatusItem("log", "stuck", detail))
+    elif keeper.is_log_down:
+        items.append(StatusItem("log", "waiting", "the log is down; it is tried again"))
+    if is_reader:
+        items.append(StatusItem("log reader", "ok", "for its data centre"))
+    return tuple(items)
--- a/pimentoquay/configuration/tests/test_fold.py
+++ b/pimentoquay/configuration/tests/test_fold.py
@@ -176,11 +176,11 @@
     state = state_of([change_data("a", "hall", 0, 1)])
     before = seen(state)
     for data in (b"noise", change_data("b", "hall", 1, 2)):
-        bad = ConfigurationEntries(1, 2, 0, 1, -1, (data,), ())
+        bad = ConfigurationEntries(1, 2, 0, 1, -1, 0, (data,), ())
         assert EntriesReceiver().add(state, bad) is state
         assert seen(state) == before
         bootstrap = Bootstrap(5)
-        part = encode(ConfigurationCheckpoint("g", 5, 0, 1, (data,), ()))
+        part = encode(ConfigurationCheckpoint("g", 0, 5, 0, 1, (data,), ()))
         assert bootstrap.add(5, part) is None
         (whole,) = checkpoint_parts(state_of([b""] * 5), "h", 200)
         assert bootstrap.add(6, whole) is not None
--- /dev/null
+++ b/pimentoquay/configuration/tests/test_transfers.py
@@ -0,0 +1,101 @@
+"""Transfers of several parts: how many, how much under way, and what ends them."""
+
+import asyncio
+import zlib
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+
+from pimentoquay.configuration.packing import packed, unpacked
+from pimentoquay.configuration.transfers import (
+    MAX_TRANSFERS,
+    TAKEN_SECONDS,
+    WINDOW_PARTS,
+    Transfers,
+)
+from pimentoquay.messages import MAX_FRAME_BYTES, CodecError
+from pimentoquay.messages.cluster import ConfigurationEntries
+from pimentoquay.messages.configuration import CatchUpBusy, PackedEntries
+
+pytestmark = pytest.mark.looptime(start=0)
+
+
+@dataclass(eq=False)
+class ChannelFake:
+    peer: Any = None
+    sent: list[Any] = field(default_factory=list)
+
+    def send(self, message: Any) -> None:
+        self.sent.append(message)
+
+    async def receive(self) -> Any:
+        raise ConnectionResetError("nothing is received here")
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+
+def parts(count):
+    return [ConfigurationEntries(-1, 9, part, count, -1, 0, (), ()) for part in range(count)]
+
+
+def part_numbers(channel):
+    return [unpacked(item).part for item in channel.sent]
+
+
+async def test_next_part_goes_when_one_has_arrived():
+    transfers, channel = Transfers(), ChannelFake()
+    transfers.send(channel, parts(5))
+    await asyncio.sleep(0.1)
+    assert part_numbers(channel) == list(range(WINDOW_PARTS))
+    transfers.note_taken(channel)
+    await asyncio.sleep(0.1)
+    assert part_numbers(channel) == list(range(WINDOW_PARTS + 1))
+    for _ in range(4):
+        transfers.note_taken(channel)
+    await asyncio.sleep(0.1)
+    assert part_numbers(channel) == list(range(5))
+    assert len(transfers) == 0
+
+
+async def test_receiver_beyond_the_limit_is_told_so_and_served_later():
+    transfers = Transfers()
+    channels = [ChannelFake() for _ in range(MAX_TRANSFERS + 1)]
+    for channel in channels:
+        transfers.send(channel, parts(3))
+    await asyncio.sleep(0.1)
+    assert channels[-1].sent == [CatchUpBusy(9)]
+    transfers.forget_channel(channels[0])
+    transfers.send(channels[-1], parts(3))
+    await asyncio.sleep(0.1)
+    assert len(channels[-1].sent) == 1 + WINDOW_PARTS
+
+
+async def test_receiver_that_takes_nothing_makes_room():
+    transfers, channel = Transfers(), ChannelFake()
+    transfers.send(channel, parts(5))
+    await asyncio.sleep(TAKEN_SECONDS + 0.1)
+    assert len(transfers) == 0
+    assert len(channel.sent) == WINDOW_PARTS
+
+
+async def test_push_does_not_cut_a_transfer_off_but_a_new_request_replaces_it():
+    transfers, channel = Transfers(), ChannelFake()
+    transfers.send(channel, parts(5))
+    await asyncio.sleep(0.1)
+    transfers.push(channel, parts(1))
+    assert len(channel.sent) == WINDOW_PARTS
+    transfers.send(channel, parts(1))
+    await asyncio.sleep(0.1)
+    assert len(channel.sent) == WINDOW_PARTS + 1
+    assert len(transfers) == 0
+
+
+def test_packed_entries_that_are_none_are_refused():
+    whole = packed(parts(1)[0])
+    assert unpacked(whole) == parts(1)[0]
+    too_large = zlib.compress(bytes(MAX_FRAME_BYTES + 1))
+    for body in (b"", b"no zlib", whole.body[:-5], too_large):
+        with pytest.raises(CodecError):
+            unpacked(PackedEntries(body))
--- a/pimentoquay/configuration/transfers.py
+++ b/pimentoquay/configuration/transfers.py
@@ -36,10 +36,10 @@
 
     def send(self, channel: Channel, messages: Sequence[ConfigurationEntries]) -> None:
         """Send messages to a control process, or say that this VM is busy."""
+        self.forget_channel(channel)
         if len(messages) == 1:
             channel.send(packed(messages[0]))
             return
-        self.forget_channel(channel)
         if len(self._task_by_channel) >= MAX_TRANSFERS:
             channel.send(CatchUpBusy(messages[0].offset))
             return
@@ -48,6 +48,14 @@
         self._task_by_channel[channel] = task
         task.add_done_callback(lambda done: self._ended(channel, done))
 
+    def push(self, channel: Channel, messages: Sequence[ConfigurationEntries]) -> None:
+        """Send messages that were not asked for, unless they would cut a transfer off.
+
+        The receiver of one sees by heartbeats what it lacks after it, and asks.
+        """
+        if channel not in self._task_by_channel:
+            self.send(channel, messages)
+
     def note_taken(self, channel: Channel) -> None:
         """Note that a part has arrived."""
         room = self._room_by_channel.get(channel)
--- a/pimentoquay/messages/cluster.py
+++ b/pimentoquay/messages/cluster.py
@@ -93,7 +93,8 @@
     Both are counts of folded log records; ``after_offset`` is -1 for the whole configuration,
     which may come in several ``parts``. ``records`` holds encoded ``ConfigurationRecord``
     messages with their versions. ``checkpoint_offset`` is the offset that the newest whole
-    checkpoint on the log was folded to, -1 if there is none.
+    checkpoint on the log was folded to, -1 if there is none. ``log_base`` is the offset that
+    stands for the first record of the log, which is not 0 once the log has started anew.
     """
 
     after_offset: int
@@ -101,6 +102,7 @@
     part: int
     parts: int
     checkpoint_offset: int
+    log_base: int
     records: tuple[bytes, ...]
     outcomes: tuple[ChangeOutcome, ...]
 
--- a/pimentoquay/messages/configuration.py
+++ b/pimentoquay/messages/configuration.py
@@ -34,10 +34,12 @@
 
     The parts of one ``generation`` are appended in order, so that the last one being on the log
     means that all are. ``records`` holds encoded ``ConfigurationRecord`` messages with their
-    versions, removals among them.
+    versions, removals among them. ``log_base`` is the offset that stands for the first record
+    of the log; a higher one than before tells that the log has started anew.
     """
 
     generation: str
+    log_base: int
     folded_to: int
     part: int
     parts: int
--- a/pimentoquay/messages/orders.py
+++ b/pimentoquay/messages/orders.py
@@ -87,7 +87,8 @@
 class ShardClaim:
     """A claim of the right to order a shard's engines about.
 
-    The offset of a holder's first claim plus one is its fencing number. ``renews`` is the number
+    The offset of a holder's first claim plus one is its fencing number, counted from ``above``: the
+    highest number given out on a log that has since started anew, else 0. ``renews`` is the number
     that the record renews, 0 in a first claim; ``lease`` is in seconds, 0 to give the right up.
     """
 
@@ -97,6 +98,7 @@
     sequence: int
     renews: int
     lease: float
+    above: int
 
 
 @message(77)
--- a/pimentoquay/orders/claim_fold.py
+++ b/pimentoquay/orders/claim_fold.py
@@ -39,6 +39,8 @@
 class ClaimFold:
     """Holders and permits by the records folded so far.
 
+    ``above`` is the number that fencing numbers on this log are counted from.
+
     Parameters
     ----------
     places
@@ -46,6 +48,7 @@
     """
 
     def __init__(self, places: int) -> None:
+        self.above = 0
         self._places = places
         self._holder_by_shard: dict[str, ShardHolder] = {}
         self._terms_by_shard: dict[str, dict[tuple[str, int], _Term]] = {}
@@ -88,11 +91,12 @@
 
     def apply_claim(self, offset: int, claim: ShardClaim, appended_at: float) -> None:
         """Fold a claim or a renewal."""
+        self.above = max(self.above, claim.above)
         holder = self._holder_by_shard.get(claim.shard)
         until = appended_at + claim.lease
         if claim.renews == 0:
             self._holder_by_shard[claim.shard] = ShardHolder(
-                claim.vm, claim.incarnation, offset + 1, until
+                claim.vm, claim.incarnation, self.above + offset + 1, until
             )
         elif holder is not None and _renews(claim, holder):
             self._holder_by_shard[claim.shard] = replace(holder, until=until)
--- a/pimentoquay/orders/folded_stream.py
+++ b/pimentoquay/orders/folded_stream.py
@@ -90,6 +90,10 @@
     async def _read_page(self, sought: Any = None) -> tuple[int | None, bool]:
         """Fold one page; return the offset of ``sought`` and whether the stream ended."""
         page = await self._log.read(self._name, self.next_offset, 0.0)
+        if page.next_offset < self.next_offset:
+            self._restart()
+            self.next_offset = 0
+            return None, False
         found = None
         for record in page.records:
             if record.offset < self.next_offset:
--- a/pimentoquay/orders/leases.py
+++ b/pimentoquay/orders/leases.py
@@ -64,6 +64,8 @@
         self._lease_by_shard: dict[str, Lease] = {}
         self._superseded_by: dict[str, int] = {}
         self._sequence = 0
+        self._highest_number = 0
+        self._others_unknown_until = 0.0
 
     @property
     def shards(self) -> tuple[str, ...]:
@@ -88,6 +90,10 @@
             return 0
         return lease.number
 
+    def note_number(self, number: int) -> None:
+        """Note a fencing number that an engine has seen."""
+        self._highest_number = max(self._highest_number, number)
+
     async def keep(self, shard: str) -> None:
         """Take the lease of a shard, or renew it when that is due.
 
@@ -95,9 +101,10 @@
         """
         lease = self._lease_by_shard.get(shard)
         now = self._node.clock.now()
-        if lease is not None and now < lease.renew_at and now < lease.until:
+        is_explained = self._explains_numbers()
+        if lease is not None and now < lease.renew_at and now < lease.until and is_explained:
             return
-        if lease is not None and now < lease.until:
+        if lease is not None and now < lease.until and is_explained:
             await self._renew(shard, lease)
             return
         # A lease that ended unnoticed stays known, so that reading the log shows who took it.
@@ -152,11 +159,15 @@
         earlier = self._fold.holder_of(shard)
         if earlier is not None and not self._may_replace(shard, earlier):
             return
+        if not self._explains_numbers():
+            self._note_lost_claims()
         before = self._node.clock.now()
-        offset = await self._append(shard, 0, self._section.lease)
-        if not self._holds(shard, offset + 1):
-            return
+        await self._append(shard, 0, self._section.lease)
         identity = self._node.identity
+        holder = self._fold.holder_of(shard)
+        own = (identity.vm, identity.incarnation)
+        if holder is None or (holder.vm, holder.incarnation) != own:
+            return
         others_end = self._fold.orders_end(
             shard,
             identity.vm,
@@ -164,7 +175,8 @@
             self._section.longest_pause,
             self._section.order_timeout,
         )
-        self._lease_by_shard[shard] = self._lease_from(before, offset + 1, others_end)
+        unfenced_from = max(others_end, self._others_unknown_until)
+        self._lease_by_shard[shard] = self._lease_from(before, holder.number, unfenced_from)
 
     def _may_replace(self, shard: str, earlier: ShardHolder) -> bool:
         """Tell whether to claim a shard from its last holder.
@@ -187,18 +199,38 @@
         renew_at = before + lease * self._section.renew_share
         return Lease(number, before + lease, unfenced_from, renew_at)
 
-    async def _append(self, shard: str, renews: int, lease: float) -> int:
+    async def _append(self, shard: str, renews: int, lease: float) -> None:
         identity = self._node.identity
         self._sequence += 1
-        return await self._stream.append(
-            ShardClaim(shard, identity.vm, identity.incarnation, self._sequence, renews, lease)
+        above = self._fold.above if self._explains_numbers() else self._highest_number
+        await self._stream.append(
+            ShardClaim(
+                shard, identity.vm, identity.incarnation, self._sequence, renews, lease, above
+            )
         )
 
+    def _explains_numbers(self) -> bool:
+        """Tell whether the log read so far can have given out every number that was seen.
+
+        It cannot after it has started anew. Numbers then go on above those seen.
+        """
+        return self._highest_number <= self._fold.above + self._stream.next_offset
+
+    def _note_lost_claims(self) -> None:
+        """Reckon with holders whose claims are no longer on the log."""
+        section = self._section
+        longest = section.lease + section.longest_pause + section.order_timeout
+        if self._others_unknown_until <= self._node.clock.now():
+            self._others_unknown_until = self._node.clock.now() + longest
+
     def _holds(self, shard: str, number: int) -> bool:
         holder = self._fold.holder_of(shard)
         return holder is not None and holder.number == number
 
     def _restart(self) -> None:
+        """Forget the claims of a log that has started anew, but not the numbers given out."""
+        self.note_number(self._fold.above + self._stream.next_offset)
+        self._note_lost_claims()
         self._fold = ClaimFold(self._section.loads_at_once)
         self._lease_by_shard.clear()
 
--- a/pimentoquay/orders/part.py
+++ b/pimentoquay/orders/part.py
@@ -104,6 +104,7 @@
             elif isinstance(message, ConfigurationInForce):
                 self._pool_by_model = wanted_pools(message.workspace_by_name.values())
             else:
+                self._leases.note_number(message.fencing_number)
                 self._status_by_engine[message.engine] = message
                 self._reported_at[message.engine] = self._node.timers.now()
 
--- a/pimentoquay/orders/tests/test_leases.py
+++ b/pimentoquay/orders/tests/test_leases.py
@@ -183,3 +183,54 @@
     numbers = [number for _, number, _ in sorted(sent)]
     assert numbers == sorted(numbers)
     assert len(sent) >= 5
+
+
+@pytest.mark.parametrize("claims_before", [1, 5])
+async def test_numbers_go_on_growing_on_a_log_that_started_anew(claims_before):
+    log = StandinLog()
+    others = [leases(log, f"b{number}") for number in range(claims_before)]
+    for other in others:
+        await other.keep(SHARD)
+    old = others[-1].number_for(SHARD, True)
+    log.start_anew()
+    await keep(others[-1], 20)
+    assert others[-1].number_for(SHARD, True) > old
+
+
+async def test_process_that_never_saw_the_old_log_counts_above_what_engines_saw():
+    log = StandinLog()
+    holder = leases(log, "a")
+    await holder.keep(SHARD)
+    assert holder.number_for(SHARD, True) == 1
+    holder.note_number(40)
+    await holder.keep(SHARD)
+    assert holder.number_for(SHARD, True) > 40
+    follower = leases(log, "b")
+    await follower.keep(SHARD)
+    assert follower.number_for(SHARD, True) > holder.number_for(SHARD, True)
+
+
+async def test_deposed_holder_does_not_take_a_shard_back_because_engines_saw_a_higher_number():
+    log = StandinLog()
+    first, second = leases(log, "a"), leases(log, "b")
+    await first.keep(SHARD)
+    await second.keep(SHARD)
+    first.note_number(second.number_for(SHARD, True))
+    await keep(first, 5)
+    assert first.number_for(SHARD, True) == 0
+    assert second.number_for(SHARD, True) > 0
+
+
+async def test_orders_without_fencing_wait_after_the_log_started_anew():
+    log = StandinLog()
+    first, second = leases(log, "a"), leases(log, "b")
+    await first.keep(SHARD)
+    await second.permit_load("e", "d")
+    log.start_anew()
+    await second.keep(SHARD)
+    assert second.number_for(SHARD, True) > first.number_for(SHARD, True)
+    assert second.number_for(SHARD, False) == 0
+    await keep(second, 44)
+    assert second.number_for(SHARD, False) == 0
+    await keep(second, 2)
+    assert second.number_for(SHARD, False) > 0
--- a/pimentoquay/standin/log.py
+++ b/pimentoquay/standin/log.py
@@ -108,6 +108,13 @@
         self._slowness = delay
         self._slow_until = self._now() + seconds
 
+    def start_anew(self) -> None:
+        """Lose every record; offsets start at 0 again."""
+        for stream in self._stream_by_name.values():
+            stream.next_offset = 0
+            stream.kept.clear()
+            self._wake(stream)
+
     def lose_next_answers(self, count: int) -> None:
         """Let the next appends take effect with their answers lost."""
         self._lost_answers = count
--- a/tools/steady.sh
+++ b/tools/steady.sh
@@ -1,8 +1,10 @@
 #!/bin/sh
 # Runs many control processes on loopback before idle engines and prints what each uses a second.
 # Usage: tools/steady.sh BIN_DIRECTORY VMS ENGINES SECONDS [PROFILED_PROCESS]
-# A profiled control process, such as control-loopback-vm-7, runs under cProfile after a third of
-# the time, and its dearest functions are printed.
+# BURST=500 in the environment publishes that many changes over the second half of the time;
+# FIRST_PORT=20000 says where the ports begin. A profiled control process, such as
+# control-loopback-vm-7, runs under cProfile after a third of the time, and its dearest functions
+# are printed.
 set -u
 bin=$1
 vms=$2
@@ -27,6 +29,11 @@
     fi
     pids="$pids $!"
 done <"$dir/processes.txt"
+if [ "${BURST:-0}" -gt 0 ]; then
+    log=$(sed -n 's/^listen = //p' "$dir/log.ini")
+    "$bin/pimentoquay-bench" steady-burst --log "$log" --changes "$BURST" --seconds "$seconds" &
+    pids="$pids $!"
+fi
 sleep "$seconds"
 "$bin/pimentoquay-bench" steady-report "$dir"/control-*.log
 status=$?
