--- a/pimentoquay/orders/part.py
+++ b/pimentoquay/orders/part.py
@@ -101,6 +101,7 @@
             elif isinstance(message, EngineIdle):
                 self._roles.take_idle(message.engine)
             else:
+                self._leases.note_number(message.fencing_number)
                 self._status_by_engine[message.engine] = message
                 self._reported_at[message.engine] = self._node.timers.now()
 
