Roll versions without mixing them: drain before a load, roles in step, pairs of one version

Engines swapped under their work, a decode could run on another version than its prefill, all prefill engines could be on the new version while all decode engines were on the old one, a roll-back left loads that nobody ended, and after the holder's death the next scheduler gave work to engines about to swap. Found with real parts under load: seven requests of a roll-back and one of a holder's death ran on two versions.

The scheduler pairs engines of one version, second attempts included; an engine is drained before it loads another version; a role starts its next loads once the other has reached the same share; orders sent are remembered until a later report shows their end; a new owner reads the places for loading before its scheduler's grace ends, drains those engines and takes their places over.

Mutations caught: pairs of one version, drain before another version, load under way remembered, the holder's number heard. A mutation that hides an earlier holder's loads was not caught, since the new holder's first order ends them within 0.1 s; it is not listed.

orders/tests/test_part.py: its rig now reports idle engines in place of the scheduler, without which no engine would be drained; no assertion changed.

--- a/pimentoquay/bench/mutations/switches.py
+++ b/pimentoquay/bench/mutations/switches.py
@@ -7,6 +7,7 @@
 
 from pimentoquay.kernel.codes import ResultCode
 from pimentoquay.orders.reconcile import is_reached
+from pimentoquay.policy import choose
 
 __all__ = ["SWITCHES", "Switch", "switch_of"]
 
@@ -62,6 +63,15 @@
     return lambda self, shard, member, status, target: is_reached(status, target)
 
 
+def _choose_any(original: Any) -> Any:
+    def choose_any(
+        self: Any, need: Any, sources: Any, targets: Any, closed: Any, limits: Any, now: float
+    ) -> Any:
+        return choose(need, sources, targets, self._speeds, closed, limits, now)
+
+    return choose_any
+
+
 def _append_without_gap(original: Any) -> Any:
     from pimentoquay.messages import encode
 
@@ -321,8 +331,8 @@
         "every engine hears the holder's number",
         "pimentoquay.orders.part:OrdersPart._is_reached",
         _reached_whoever_holds,
-        "pimentoquay/bench/tests/test_role_changes.py::"
-        "test_a_holder_paused_as_it_sends_a_change_leaves_the_roles_right",
+        "pimentoquay/orders/tests/test_part.py::"
+        "test_new_holder_with_nothing_to_change_shuts_out_the_one_before",
     ),
     Switch(
         "roles on the log",
@@ -331,5 +341,26 @@
         "pimentoquay/bench/tests/test_role_changes.py::"
         "test_a_holder_paused_as_it_sends_a_change_leaves_the_roles_right",
     ),
+    Switch(
+        "engines of a pair run one version",
+        "pimentoquay.scheduler.selection:Selector._choose_alike",
+        _choose_any,
+        "pimentoquay/bench/tests/test_rolling_versions.py::"
+        "test_roll_mixes_no_versions_and_costs_no_goodput",
+    ),
+    Switch(
+        "drain before another version",
+        "pimentoquay.orders.roles:RoleKeeper.is_idle",
+        _always(True),
+        "pimentoquay/bench/tests/test_rolling_versions.py::"
+        "test_roll_mixes_no_versions_and_costs_no_goodput",
+    ),
+    Switch(
+        "load under way is remembered",
+        "pimentoquay.orders.sent:SentOrders.is_swapping",
+        _always(False),
+        "pimentoquay/bench/tests/test_rolling_versions.py::"
+        "test_roll_back_half_way_mixes_no_versions",
+    ),
 )
 """Every mechanism that is checked."""
--- a/pimentoquay/bench/tests/test_role_changes.py
+++ b/pimentoquay/bench/tests/test_role_changes.py
@@ -198,7 +198,7 @@
     return next(
         name
         for name, vm in cluster.vm_by_name.items()
-        for part in vm.control.parts
+        for part in (vm.control.parts if vm.control else ())
         if isinstance(part, SchedulerPart) and part.scheduler_by_shard
     )
 
--- a/pimentoquay/orders/claim_fold.py
+++ b/pimentoquay/orders/claim_fold.py
@@ -86,6 +86,11 @@
             and permit.until > now
         )
 
+    def is_permitted(self, engine: str, now: float) -> bool:
+        """Tell whether any process holds a place for loading weights into an engine."""
+        permit = self._permit_by_engine.get(engine)
+        return permit is not None and permit.until > now
+
     def has_free_place(self, data_centre: str, now: float) -> bool:
         """Tell whether a place for loading weights is free in a data centre."""
         return self._taken(data_centre, now) < self._places
@@ -107,7 +112,10 @@
         terms[claim.vm, claim.incarnation] = _Term(until, claim.lease <= 0)
 
     def apply_permit(self, permit: LoadPermit, appended_at: float) -> None:
-        """Fold a request for a place, or its return; beyond the places it is without effect."""
+        """Fold a request for a place, or its return; beyond the places it is without effect.
+
+        The next holder of a shard takes over the place of an engine that loads for the last one.
+        """
         held = self._permit_by_engine.get(permit.engine)
         is_own = held is not None and (held.vm, held.incarnation) == (
             permit.vm,
@@ -117,8 +125,8 @@
             if is_own:
                 del self._permit_by_engine[permit.engine]
             return
-        is_taken = held is not None and held.until > appended_at and not is_own
-        if not is_taken and (is_own or self._taken(permit.data_centre, appended_at) < self._places):
+        is_held = self.is_permitted(permit.engine, appended_at)
+        if is_held or is_own or self._taken(permit.data_centre, appended_at) < self._places:
             self._permit_by_engine[permit.engine] = _Permit(
                 permit.data_centre,
                 permit.vm,
--- a/pimentoquay/orders/leases.py
+++ b/pimentoquay/orders/leases.py
@@ -121,9 +121,9 @@
         identity = self._node.identity
         if self._has_permit(engine):
             return True
-        if not self._fold.has_free_place(data_centre, self._node.clock.now()):
+        if not self._has_room(engine, data_centre):
             await self._stream.catch_up()
-            if not self._fold.has_free_place(data_centre, self._node.clock.now()):
+            if not self._has_room(engine, data_centre):
                 return False
         self._sequence += 1
         await self._stream.append(
@@ -149,6 +149,11 @@
                 )
             )
 
+    def is_loading_for_another(self, engine: str) -> bool:
+        """Tell whether another process holds the place of an engine that loads weights."""
+        is_held = self._fold.is_permitted(engine, self._node.clock.now())
+        return is_held and not self._has_permit(engine)
+
     def role_of(self, engine: str) -> int | None:
         """Return the role that an engine shall have by the log; ``None`` if it names none."""
         return self._fold.role_by_engine.get(engine)
@@ -166,6 +171,10 @@
             )
         )
 
+    def _has_room(self, engine: str, data_centre: str) -> bool:
+        now = self._node.clock.now()
+        return self._fold.is_permitted(engine, now) or self._fold.has_free_place(data_centre, now)
+
     def _has_permit(self, engine: str) -> bool:
         identity = self._node.identity
         now = self._node.clock.now()
--- a/pimentoquay/orders/part.py
+++ b/pimentoquay/orders/part.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable
+from dataclasses import replace
 from typing import TypeVar
 
 from pimentoquay.backends.base import EngineClient, EngineOrder, EngineStatus
@@ -12,10 +13,10 @@
 from pimentoquay.membership import Shard, shard_owner, shards_of
 from pimentoquay.messages.cluster import ClusterView, Member
 from pimentoquay.orders.leases import Leases
+from pimentoquay.orders.loads import LoadKeeper
 from pimentoquay.orders.reconcile import (
     EngineTarget,
     is_reached,
-    load_candidates,
     needs_load,
     target_of,
 )
@@ -30,6 +31,9 @@
 
 Result = TypeVar("Result")
 
+LOOK_SECONDS = 0.1
+"""Time between two looks at the inbox; below the grace of a new scheduler."""
+
 STATUS_LIFETIME = 10.0
 """Seconds after which an engine's report is too old to order by."""
 
@@ -61,7 +65,8 @@
         self._status_by_engine: dict[str, EngineStatus] = {}
         self._reported_at: dict[str, float] = {}
         self._client_by_engine: dict[str, tuple[str, EngineClient]] = {}
-        self._loading: set[str] = set()
+        self._loads = LoadKeeper(self._leases, self._guard)
+        self._loads.take_report_times(self._reported_at)
         self._target_by_engine: dict[str, EngineTarget] = {}
         self.inbox: asyncio.Queue[Envelope] = node.bus.subscribe(
             ClusterView, ConfigurationInForce, EngineStatus, EngineIdle, StageUse
@@ -70,8 +75,7 @@
     async def run(self) -> None:
         """Compare and order at each period until cancelled."""
         while True:
-            await self._node.timers.sleep(self._section.reconcile_period)
-            self._take_messages()
+            await self._until_due()
             for shard in tuple(self._leases.shards):
                 if shard not in self._shard_by_name:
                     await self._guard(self._leases.give_up(shard))
@@ -79,13 +83,24 @@
             await asyncio.gather(*(self._reconcile(shard) for shard in shards))
             self._publish_status(shards)
 
+    async def _until_due(self) -> None:
+        """Wait for the next period, or until this VM has become the owner of a shard.
+
+        A new owner has to know which engines load before its scheduler gives them work.
+        """
+        due = self._node.timers.now() + self._section.reconcile_period
+        owned = set(self._shard_by_name)
+        while self._node.timers.now() < due and set(self._shard_by_name) <= owned:
+            await self._node.timers.sleep(LOOK_SECONDS)
+            self._take_messages()
+
     def _publish_status(self, shards: tuple[Shard, ...]) -> None:
         wanted = [shard for shard in shards if shard.pool in self._pool_by_model]
         statuses = {
             name: status for shard in wanted for name, status in self._fresh_statuses(shard).items()
         }
         unmet_by_engine = unmet_engines(wanted, statuses, self._target_by_engine)
-        loading, now = frozenset(self._loading), self._node.clock.now()
+        loading, now = self._loads.loading, self._node.clock.now()
         status = orders_status(self._leases, wanted, unmet_by_engine, loading, now)
         self._node.bus.publish(status)
 
@@ -119,6 +134,7 @@
             del self._reported_at[name]
             self._target_by_engine.pop(name, None)
             self._roles.forget_engine(name)
+            self._loads.forget_engine(name)
         for name in earlier - set(self._shard_by_name):
             self._roles.forget_shard(name)
 
@@ -128,24 +144,27 @@
             return
         await self._guard(self._leases.keep(shard.name))
         statuses = self._fresh_statuses(shard)
-        await self._decide_roles(shard, statuses)
-        target_by_engine = {name: self._target(status, pool) for name, status in statuses.items()}
+        await self._decide_roles(shard, statuses, pool)
+        target_by_engine = self._targets(statuses, pool)
         self._target_by_engine.update(
             (name, target_of(status, pool, self._roles.role_of(status)))
             for name, status in statuses.items()
         )
-        await self._end_loads(shard, statuses, target_by_engine)
-        may_load = await self._permitted_loads(shard, statuses, target_by_engine)
+        await self._loads.end(shard, statuses, target_by_engine)
+        may_load = await self._loads.permitted(
+            shard, statuses, target_by_engine, self._roles.is_idle
+        )
         orders = []
         for member in shard.engines:
             status = statuses.get(member.name)
             if status is None:
                 continue
             target = target_by_engine[member.name]
-            if self._is_reached(shard, member, status, target):
-                continue
-            if not needs_load(status, target) or member.name in may_load:
-                orders.append(self._order(shard, member, target))
+            is_load_stale = self._loads.needs_another_order(status, target)
+            if needs_load(status, target) and member.name not in may_load:
+                target = replace(target, version=status.version, adapters=status.adapters)
+            if is_load_stale or not self._is_reached(shard, member, status, target):
+                orders.append(self._order(shard, member, status, target))
         await asyncio.gather(*orders)
 
     def _fresh_statuses(self, shard: Shard) -> dict[str, EngineStatus]:
@@ -156,75 +175,62 @@
             if self._reported_at.get(member.name, -STATUS_LIFETIME) > oldest
         }
 
-    async def _decide_roles(self, shard: Shard, statuses: dict[str, EngineStatus]) -> None:
+    async def _decide_roles(
+        self, shard: Shard, statuses: dict[str, EngineStatus], pool: WantedPool
+    ) -> None:
         if self._leases.number_for(shard.name, checks_fencing=True) == 0:
             self._roles.suspend(shard.name, statuses)
             return
         is_complete = len(statuses) == len(shard.engines)
-        change = self._roles.decide(shard.name, statuses, is_complete)
+        change = self._roles.decide(
+            shard.name,
+            statuses,
+            is_complete,
+            self._loads.swapping(shard, statuses, self._targets(statuses, pool)),
+        )
         if change is not None:
             await self._guard(self._leases.record_role(shard.name, change.engine, int(change.role)))
 
-    def _target(self, status: EngineStatus, pool: WantedPool) -> EngineTarget:
-        """Return what an engine shall be next; its role changes only once it is idle."""
-        role = self._roles.role_of(status) if self._roles.may_order(status) else status.role
-        return target_of(status, pool, role)
+    def _targets(
+        self, statuses: dict[str, EngineStatus], pool: WantedPool
+    ) -> dict[str, EngineTarget]:
+        """Return what engines shall be next; the role of each changes only once it is idle."""
+        return {
+            name: target_of(
+                status,
+                pool,
+                self._roles.role_of(status) if self._roles.may_order(status) else status.role,
+            )
+            for name, status in statuses.items()
+        }
 
     def _is_reached(
         self, shard: Shard, member: Member, status: EngineStatus, target: EngineTarget
     ) -> bool:
         """Tell whether an engine needs no order.
 
-        One that checks fencing numbers needs to hear the present holder's, or it would still
-        take an earlier holder's order.
+        Each takes one order from each holder: one that checks fencing numbers would otherwise
+        still take an earlier holder's order, and any may be loading what that one ordered.
         """
         number = self._leases.number_for(shard.name, member.checks_fencing)
-        if member.checks_fencing and status.fencing_number < number:
+        if number and not self._loads.has_taken(member.name, number):
             return False
         return is_reached(status, target)
 
-    async def _end_loads(
-        self,
-        shard: Shard,
-        statuses: dict[str, EngineStatus],
-        target_by_engine: dict[str, EngineTarget],
+    async def _order(
+        self, shard: Shard, member: Member, status: EngineStatus, target: EngineTarget
     ) -> None:
-        place_by_engine = {member.name: member.data_centre for member in shard.engines}
-        for name in self._loading & set(place_by_engine):
-            status = statuses.get(name)
-            if status is not None and not needs_load(status, target_by_engine[name]):
-                self._loading.discard(name)
-                await self._guard(self._leases.end_load(name, place_by_engine[name]))
-
-    async def _permitted_loads(
-        self,
-        shard: Shard,
-        statuses: dict[str, EngineStatus],
-        target_by_engine: dict[str, EngineTarget],
-    ) -> frozenset[str]:
-        """Return the engines of a shard that load now or may start to."""
-        place_by_engine = {member.name: member.data_centre for member in shard.engines}
-        self._loading &= set(self._status_by_engine)
-        started = load_candidates(statuses, target_by_engine, frozenset(self._loading))
-        for name in started:
-            if await self._guard(self._leases.permit_load(name, place_by_engine[name])):
-                self._loading.add(name)
-        permitted = set()
-        for name in self._loading & set(statuses):
-            if await self._guard(self._leases.permit_load(name, place_by_engine[name])):
-                permitted.add(name)
-        return frozenset(permitted)
-
-    async def _order(self, shard: Shard, member: Member, target: EngineTarget) -> None:
         """Send one order, if the lease holds at this very moment."""
         client = self._client(member)
         number = self._leases.number_for(shard.name, member.checks_fencing)
         if number == 0:
             return
+        self._loads.note_order(status, target, number)
         order = EngineOrder(number, target.version, target.adapters, target.role)
         try:
             async with asyncio.timeout(self._section.order_timeout):
                 await client.order(order)
+            self._loads.note_taken(member.name, self._node.timers.now())
         except PimentoquayError as error:
             if error.code is ResultCode.FENCED:
                 self._node.timeline.record("order-fenced", detail=f"{member.name} {error.detail}")
--- a/pimentoquay/orders/reconcile.py
+++ b/pimentoquay/orders/reconcile.py
@@ -4,13 +4,21 @@
 one holder changes nothing.
 """
 
+from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass
 
 from pimentoquay.backends.base import EngineRole, EngineStatus
 from pimentoquay.orders.wanted import WantedPool
 
-__all__ = ["EngineTarget", "is_reached", "load_candidates", "needs_load", "target_of"]
+__all__ = [
+    "EngineTarget",
+    "is_reached",
+    "load_candidates",
+    "needs_load",
+    "sole_engines",
+    "target_of",
+]
 
 SERVING_SHARE = 0.5
 """The part of a shard's engines of each role that go on serving while others load."""
@@ -52,17 +60,39 @@
 ) -> list[str]:
     """Return the engines that may start to load now, the least busy first.
 
-    Of each role at most half of the engines load at once, but always one may.
+    Of each role at most half of the engines load at once, but always one may. A role does not get
+    ahead of the other by more than it loads at once, because the KV cache goes only between engines
+    of one version.
     """
     chosen: list[str] = []
+    reached_share = min(_reached_shares(statuses, target_by_engine), default=0.0)
     for role in EngineRole:
         names = [name for name, status in statuses.items() if status.role is role]
         room = max(1, int(len(names) * SERVING_SHARE)) - sum(name in loading for name in names)
-        waiting = [
-            name
-            for name in names
-            if name not in loading and needs_load(statuses[name], target_by_engine[name])
-        ]
+        pending = [name for name in names if needs_load(statuses[name], target_by_engine[name])]
+        started = len(names) - sum(name not in loading for name in pending)
+        if not names or started / len(names) > reached_share:
+            continue
+        waiting = [name for name in pending if name not in loading]
         waiting.sort(key=lambda name: (len(statuses[name].running), name))
         chosen += waiting[: max(0, room)]
     return chosen
+
+
+def sole_engines(statuses: Mapping[str, EngineStatus]) -> frozenset[str]:
+    """Return the engines that are the only ones of their role."""
+    count_by_role = Counter(status.role for status in statuses.values())
+    return frozenset(name for name, status in statuses.items() if count_by_role[status.role] == 1)
+
+
+def _reached_shares(
+    statuses: Mapping[str, EngineStatus], target_by_engine: Mapping[str, EngineTarget]
+) -> list[float]:
+    """Return the part of each role's engines that need no load."""
+    shares = []
+    for role in EngineRole:
+        names = [name for name, status in statuses.items() if status.role is role]
+        reached = sum(not needs_load(statuses[name], target_by_engine[name]) for name in names)
+        if names:
+            shares.append(reached / len(names))
+    return shares
--- a/pimentoquay/orders/roles.py
+++ b/pimentoquay/orders/roles.py
@@ -83,31 +83,41 @@
             return status.role
         return EngineRole(recorded)
 
+    def is_idle(self, engine: str) -> bool:
+        """Tell whether an engine that drains holds nothing."""
+        return engine in self._idle
+
     def may_order(self, status: EngineStatus) -> bool:
         """Tell whether an order would cut nothing: the role stays, or the engine is idle."""
         return self.role_of(status) is status.role or status.engine in self._idle
 
     def decide(
-        self, shard: str, statuses: Mapping[str, EngineStatus], is_complete: bool
+        self,
+        shard: str,
+        statuses: Mapping[str, EngineStatus],
+        is_complete: bool,
+        swapping: frozenset[str] = frozenset(),
     ) -> RoleChange | None:
         """Drain what shall change, for a shard whose lease is held; return a further change.
 
-        ``is_complete`` tells that every engine of the shard has reported.
+        ``is_complete`` tells that every engine of the shard has reported, ``swapping`` names the
+        engines that are about to load another version.
         """
         changing = {
             name for name, status in statuses.items() if self.role_of(status) is not status.role
         }
+        draining = changing | swapping
         now = self._node.timers.now()
         for name in statuses:
-            if name in changing:
+            if name in draining:
                 self._drained_since.setdefault(name, now)
             else:
                 self._drained_since.pop(name, None)
                 self._idle.discard(name)
-        self._node.bus.publish(DrainEngines(shard, frozenset(changing)))
+        self._node.bus.publish(DrainEngines(shard, frozenset(draining)))
         if changing:
             return self._given_up(statuses, changing)
-        if is_complete and self._section.role_changes:
+        if is_complete and not swapping and self._section.role_changes:
             return self._balance(shard, tuple(statuses.values()))
         return None
 
--- a/pimentoquay/orders/tests/test_part.py
+++ b/pimentoquay/orders/tests/test_part.py
@@ -7,6 +7,7 @@
 import pytest
 
 from pimentoquay.backends.base import EngineRole
+from pimentoquay.backends.events import EngineIdle
 from pimentoquay.configuration.events import ConfigurationInForce
 from pimentoquay.kernel import Identity, LoopClock, Node, PimentoquayError
 from pimentoquay.membership.tests.conftest import vm_member
@@ -91,7 +92,11 @@
             await node.timers.sleep(1.0)
             for engine in self.engine_by_name.values():
                 with contextlib.suppress(PimentoquayError):
-                    node.bus.publish(await engine.status())
+                    status = await engine.status()
+                    node.bus.publish(status)
+                    if not status.running:
+                        # In place of the scheduler, which gives these engines no work.
+                        node.bus.publish(EngineIdle(status.engine))
 
     def order_counts(self):
         return [len(engine.observed().orders) for engine in self.engine_by_name.values()]
@@ -174,6 +179,29 @@
         await run_orders(body, checks_fencing=checks_fencing)
 
 
+async def test_new_holder_with_nothing_to_change_shuts_out_the_one_before():
+    """An order of A that was under way when B took over must not take effect."""
+
+    async def body(cluster):
+        cluster.start("a")
+        cluster.tell("a")
+        await asyncio.sleep(100)
+        engine = cluster.engine_by_name["e1"]
+        late = engine.observed().orders[-1].order
+        cluster.node_by_vm["a"].timers.pause()
+        cluster.start("b")
+        cluster.tell("b", live=("b",))
+        await asyncio.sleep(60)
+        with pytest.raises(PimentoquayError, match="is older than"):
+            await engine.order(late)
+        counts = cluster.order_counts()
+        await asyncio.sleep(60)
+        assert cluster.order_counts() == counts, "one order for each engine and holder"
+        cluster.node_by_vm["a"].timers.resume()
+
+    await run_orders(body)
+
+
 async def test_engine_restarted_with_an_old_version_is_brought_back():
     async def body(cluster):
         cluster.start("a")
--- a/pimentoquay/policy/engines.py
+++ b/pimentoquay/policy/engines.py
@@ -36,6 +36,7 @@
     foreign_slots: int = 0
     foreign_kv: int = 0
     is_usable: bool = False
+    version: str = ""
 
     @property
     def can_prefill(self) -> bool:
--- a/pimentoquay/scheduler/engines.py
+++ b/pimentoquay/scheduler/engines.py
@@ -47,6 +47,7 @@
         if load is None:
             return
         load.role = status.role
+        load.version = status.version
         load.slots = 0 if status.role is EngineRole.PREFILL else status.decode_slots
         load.kv_capacity = status.kv_capacity_tokens
         load.is_usable = status.engine in self._members
@@ -56,6 +57,10 @@
         since = self._draining_since
         self._draining_since = {name: since.get(name, now) for name in names}
 
+    def is_draining(self, name: str) -> bool:
+        """Tell whether an engine gets no new work for now."""
+        return name in self._draining_since
+
     def is_drained(self, status: EngineStatus, now: float) -> bool:
         """Tell whether a report taken since a drain began shows that it is over."""
         since = self._draining_since.get(status.engine, math.inf)
--- a/pimentoquay/scheduler/ledger.py
+++ b/pimentoquay/scheduler/ledger.py
@@ -43,6 +43,7 @@
     first_token_at: float = 0.0
     missing_reports: int = 0
     probe_keys: tuple[str, ...] = field(default=())
+    version: str = ""
 
     @property
     def uses_link(self) -> bool:
--- a/pimentoquay/scheduler/part.py
+++ b/pimentoquay/scheduler/part.py
@@ -284,9 +284,14 @@
             else:
                 was_swept = self._take_status(status)
                 wait = pace.after_look(self._load_of(member.name), was_swept)
+                if self._is_draining(member.name):
+                    wait = min(wait, self._section.status_period)
             self._flush()
             await self._node.timers.sleep(wait)
 
+    def _is_draining(self, engine: str) -> bool:
+        return any(item.engines.is_draining(engine) for item in self.scheduler_by_shard.values())
+
     def _load_of(self, engine: str) -> EngineLoad | None:
         for scheduler in self.scheduler_by_shard.values():
             if engine in scheduler.ledger.engine_by_name:
--- a/pimentoquay/scheduler/selection.py
+++ b/pimentoquay/scheduler/selection.py
@@ -86,7 +86,7 @@
         While KV waits for a slot, no slot is promised before it is free.
         """
         request = waiting.request
-        usable = self._engines.usable(now)
+        usable = _of_version(self._engines.usable(now), waiting.version)
         limits = self._strict if is_rescue_waiting else self._placement
         sources = [
             load
@@ -105,7 +105,7 @@
             request.prompt_tokens, request.max_tokens, self._cached(request, sources)
         )
         closed = self._engines.closed_links(now)
-        choice = choose(need, sources, targets, self._speeds, closed, limits, now)
+        choice = self._choose_alike(need, sources, targets, closed, limits, now)
         if choice is not None and self._section.admission:
             first_token = choice.transfer_end + self._speeds.interval.of(choice.decode)
             if first_token > waiting.deadline:
@@ -128,7 +128,24 @@
         closed = self._engines.closed_links(now)
         open_source = replace(source, prefill_count=0)
         targets = [open_source if load is source else load for load in targets]
-        return choose(need, [open_source], targets, self._speeds, closed, self._rescue, now)
+        return self._choose_alike(need, [open_source], targets, closed, self._rescue, now)
+
+    def _choose_alike(
+        self,
+        need: PlacementNeed,
+        sources: list[EngineLoad],
+        targets: list[EngineLoad],
+        closed_links: frozenset[str],
+        limits: PlacementLimits,
+        now: float,
+    ) -> Choice | None:
+        """Return the best pair of engines that run the same version."""
+        choices = []
+        for version in sorted({load.version for load in sources}):
+            alike = [load for load in sources if load.version == version]
+            matching = [load for load in targets if load.version == version]
+            choices.append(choose(need, alike, matching, self._speeds, closed_links, limits, now))
+        return min(filter(None, choices), key=lambda choice: choice.transfer_end, default=None)
 
     def service(self, request: PlaceRequest, now: float) -> Service:
         """Return what a request would take on the best engines if they were idle."""
@@ -178,3 +195,9 @@
         return {
             load.name: self._prefixes.cached_tokens(load.name, request.prefix) for load in sources
         }
+
+
+def _of_version(loads: list[EngineLoad], version: str) -> list[EngineLoad]:
+    """Return the engines of a version, or all where none of them can decode any more."""
+    alike = [load for load in loads if load.version == version]
+    return alike if version and any(load.can_decode for load in alike) else loads
--- a/pimentoquay/scheduler/shard.py
+++ b/pimentoquay/scheduler/shard.py
@@ -175,7 +175,7 @@
         kv_engine = message.kv_engine if self._section.rescue else ""
         is_full = message.code is ResultCode.CIRCUIT_OPEN
         avoid = "" if is_full else message.failed_engine
-        self._wait(entry, request, deadline, service, now, kv_engine, avoid)
+        self._wait(entry, request, deadline, service, now, kv_engine, avoid, grant.version)
         self.dispatch(now)
 
     def release(self, message: Release, now: float) -> None:
@@ -280,6 +280,7 @@
         now: float,
         kv_engine: str = "",
         avoid: str = "",
+        version: str = "",
     ) -> None:
         needed = 0.0 if kv_engine else service.first_token
         self.waiting.add(
@@ -294,6 +295,7 @@
                 kv_engine,
                 now + KV_RESCUE_SECONDS if kv_engine else 0.0,
                 avoid,
+                version,
             )
         )
 
@@ -315,7 +317,14 @@
         elif source is None or now > waiting.kv_until:
             self.waiting.remove(waiting.request.request_id)
             service = self._selector.service(waiting.request, now)
-            self._wait(waiting.entry, waiting.request, waiting.deadline, service, now)
+            self._wait(
+                waiting.entry,
+                waiting.request,
+                waiting.deadline,
+                service,
+                now,
+                version=waiting.version,
+            )
 
     def _grant(self, waiting: WaitingRequest, choice: Choice, now: float) -> None:
         request = waiting.request
@@ -333,6 +342,7 @@
             hold_seconds=waiting.cost,
             prefill_seconds=choice.prefill_end - now,
             probe_keys=keys,
+            version=self.ledger.engine_by_name[choice.decode].version,
         )
         if waiting.kv_engine:
             grant.stage = Stage.TRANSFER if grant.uses_link else Stage.DECODE
--- a/pimentoquay/standin/engine_core.py
+++ b/pimentoquay/standin/engine_core.py
@@ -72,7 +72,7 @@
             model,
             weights,
             self.recorder,
-            self.cache.clear,
+            self._version_changed,
             self._role_changed,
         )
         self.report = LaggingView(model.status_lag, self._take_status)
@@ -145,6 +145,10 @@
         self.orders.reset()
         self.report.forget()
 
+    def _version_changed(self) -> None:
+        self.recorder.swapped_under += len(self.ledger.holding_by_request)
+        self.cache.clear()
+
     def _role_changed(self) -> None:
         if self.model.role_change_cuts:
             self._drop_all("the role has changed")
--- a/pimentoquay/standin/engine_record.py
+++ b/pimentoquay/standin/engine_record.py
@@ -14,12 +14,16 @@
 
 @dataclass(frozen=True)
 class RunRecord:
-    """One stage of one attempt that was started; ``at`` is engine time in seconds."""
+    """One stage of one attempt that was started; ``at`` is engine time in seconds.
+
+    ``version`` is the version of the weights that the engine had then.
+    """
 
     request_id: str
     attempt: int
     stage: Stage
     at: float
+    version: str = ""
 
 
 @dataclass(frozen=True)
@@ -35,7 +39,8 @@
     """Counters and records of one engine.
 
     ``prefilled_tokens`` equals ``used_tokens`` plus ``discarded_tokens`` plus what is held, over
-    all engines that exchanged KV. Held memory is in tokens.
+    all engines that exchanged KV. Held memory is in tokens. ``swapped_under`` counts the requests
+    that were held while the version of the weights changed.
     """
 
     engine: str
@@ -51,6 +56,7 @@
     held: tuple[RunningRequest, ...]
     runs: tuple[RunRecord, ...]
     orders: tuple[OrderRecord, ...]
+    swapped_under: int = 0
 
 
 class EngineRecorder:
@@ -62,13 +68,16 @@
         self.discarded_tokens = 0
         self.decodes_finished = 0
         self.refused = 0
+        self.swapped_under = 0
         self._runs: deque[RunRecord] = deque(maxlen=_RUNS_KEPT)
         self._orders: deque[OrderRecord] = deque(maxlen=_ORDERS_KEPT)
         self._decodes_by_request: Counter[str] = Counter()
 
-    def run(self, request_id: str, attempt: int, stage: Stage, at: float) -> None:
+    def run(
+        self, request_id: str, attempt: int, stage: Stage, at: float, version: str = ""
+    ) -> None:
         """Record the start of a stage."""
-        self._runs.append(RunRecord(request_id, attempt, stage, at))
+        self._runs.append(RunRecord(request_id, attempt, stage, at, version))
         if stage is Stage.DECODE:
             self._decodes_by_request[request_id] += 1
 
@@ -95,4 +104,5 @@
             held,
             tuple(self._runs),
             tuple(self._orders),
+            self.swapped_under,
         )
--- a/pimentoquay/standin/engine_work.py
+++ b/pimentoquay/standin/engine_work.py
@@ -47,7 +47,9 @@
         offer = await source.export_begin(order.request_id, order.kv_attempt)
         has_begun = True
         core.ledger.reserve(holding, offer.prompt_tokens + holding.max_tokens)
-        core.recorder.run(order.request_id, order.attempt, Stage.TRANSFER, core.now())
+        core.recorder.run(
+            order.request_id, order.attempt, Stage.TRANSFER, core.now(), core.orders.version
+        )
         await _move(core, order, offer, source)
         await source.export_end(order.request_id, order.kv_attempt, True)
     except BaseException:
@@ -66,7 +68,7 @@
 def start_decode(core: EngineCore, holding: Holding, chat: bool) -> DecodeStream:
     """Let a holding take part in the batch and return its stream."""
     now = core.now()
-    core.recorder.run(holding.request_id, holding.attempt, Stage.DECODE, now)
+    core.recorder.run(holding.request_id, holding.attempt, Stage.DECODE, now, core.orders.version)
     core.recorder.used_tokens += holding.computed_tokens
     holding.computed_tokens = 0
     holding.stage = Stage.DECODE
@@ -84,7 +86,9 @@
 
 async def _compute(core: EngineCore, holding: Holding, tokens: int) -> None:
     started = core.now()
-    core.recorder.run(holding.request_id, holding.attempt, Stage.PREFILL, started)
+    core.recorder.run(
+        holding.request_id, holding.attempt, Stage.PREFILL, started, core.orders.version
+    )
     cost = core.model.prefill_seconds + tokens * core.model.prefill_seconds_per_token
     cost /= core.speed
     try:
