Send each token to the caller at once

Cause: asyncio turns Nagle's algorithm off only on sockets whose protocol is named, and the entry's listening socket is made by socket.create_server, which names none; connections accepted from it inherited that. The end of an answer then waited some 40 ms for the caller's delayed acknowledgement. Ruled out: the time line (the same with events dropped) and the engine (it yields at once). The listener now sets TCP_NODELAY, which accepted connections inherit; the same for the stand-ins' listener.

The test looks at an accepted connection's option.

--- a/pimentoquay/entry/connections.py
+++ b/pimentoquay/entry/connections.py
@@ -92,7 +92,11 @@
 def bind(address: str) -> socket.socket:
     """Return a listening socket; ``OSError`` if the address is in use."""
     host, port = split_address(address)
-    return socket.create_server((host, port), backlog=1024)
+    listener = socket.create_server((host, port), backlog=1024)
+    # Accepted connections inherit it. asyncio sets it only on sockets that name their protocol,
+    # which this one does not; without it a token waits for the caller's delayed acknowledgement.
+    listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return listener
 
 
 def make_server(app: Any, section: HttpSection) -> EntryServer:
--- a/pimentoquay/entry/tests/test_program.py
+++ b/pimentoquay/entry/tests/test_program.py
@@ -1,5 +1,6 @@
 import json
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -57,6 +58,13 @@
     assert "[http] listen = 'here': allowed: a free IP:PORT" in ended.stderr
 
 
+def test_callers_connections_send_each_token_at_once():
+    with bind("127.0.0.1:0") as listener, socket.create_connection(listener.getsockname()):
+        accepted, _ = listener.accept()
+        with accepted:
+            assert accepted.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+
 @pytest.mark.parametrize("option", ["--help", "--version"])
 def test_help_and_version(option):
     ended = run(option)
--- a/pimentoquay/kernel/serving.py
+++ b/pimentoquay/kernel/serving.py
@@ -67,6 +67,8 @@
     listener = socket.socket(family, socket.SOCK_STREAM)
     try:
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Accepted connections inherit it; asyncio sets it only on sockets that name their protocol.
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         listener.bind((host.strip("[]"), port))
     except OSError:
         listener.close()
