Generate the metrics page; measure the unused time line, held requests, reports and the mesh

The metrics page was written by hand. Metrics are now defined once, /metrics gives their HELP and TYPE from there, and the reference page is generated and tested like those of settings and codes.

The relay's slope counted the caller's reads, as both ran in one thread; that hid while tokens came in one packet. Now the entry's thread alone is counted.

--- a/pimentoquay/bench/capacity/reckon.py
+++ b/pimentoquay/bench/capacity/reckon.py
@@ -9,6 +9,7 @@
 
 from pimentoquay.bench.capacity.size import SECONDS_PER_DAY, Size
 from pimentoquay.bench.slopes.slope import Slope
+from pimentoquay.scheduler.settings import SchedulerSection
 
 __all__ = ["Row", "Slopes", "reckon"]
 
@@ -18,6 +19,9 @@
 ENDS_PER_ROUND_TRIP = 4
 """A round trip is two messages, each sent at one end and received at the other."""
 
+QUIET_STATUS_PERIOD = SchedulerSection().quiet_status_period
+"""Seconds between looks at an engine while the ledger explains what it holds."""
+
 _US_PER_SECOND = 1e6
 _MB = 1e6
 
@@ -67,10 +71,17 @@
     tokens = size.tokens_per_vm * slopes("relay, both sides", "token")
     requests = size.requests_per_vm * slopes("request at the entry, no scheduler", "request")
     index = size.workspaces * slopes("memory of a workspace in force", "workspace") / _MB
+    held = size.requests_in_progress_per_vm
+    memory = held * slopes("memory of a held request, both sides", "request") / _MB
+    events = size.requests_per_vm * slopes("events on the time line of the entry", "request")
+    timeline = events * slopes("recording an event", "event")
     role = "entry, a VM"
     return [
         Row(role, "relay of tokens", _percent(tokens), "% of a core", "frames are copied unread"),
         Row(role, "requests", _percent(requests), "% of a core", "one state machine a request"),
+        Row(role, "requests in progress", held, "requests", "at the targets' own pace"),
+        Row(role, "memory of those", memory, "MB", "one lease at each scheduler, not one each"),
+        Row(role, "time line", _percent(timeline), "% of a core", "no event for a token"),
         Row(role, "configuration index", index, "MB", "deltas from the VM's control"),
     ]
 
@@ -83,12 +94,21 @@
     memory = grants * slopes("memory of a held grant", "grant") / _MB
     rest = _percent(slopes("scheduler at rest, 16 engines", "second"))
     received = size.hot_shard_requests * slopes("size of placement request", "message")
+    reports = size.shard_engines / QUIET_STATUS_PERIOD
+    idle, running = "an idle engine's report", size.slots_per_engine
+    report = slopes(f"size of {idle}", "report")
+    busy = report + running * slopes("size of a report", "running request")
+    reading = slopes(f"reading {idle}", "report")
+    reading += running * slopes("reading a report", "running request")
     mechanism = f"shards of at most {size.shard_engines} engines, rendezvous owners"
     return [
         Row(role, "requests", size.hot_shard_requests, "requests/s", mechanism),
         Row(role, "placing them", _percent(size.hot_shard_requests * each), "% of a core", "EDF"),
         Row(role, "placement requests received", received / 1000, "kB/s", "with the load"),
         Row(role, "at rest", rest, "% of a core", "one watcher an engine"),
+        Row(role, "reports of idle engines", reports * report, "B/s", "looked at seldom when calm"),
+        Row(role, "reports of full engines", reports * busy, "B/s", "looked at seldom when calm"),
+        Row(role, "reading those", _percent(reports * reading), "% of a core", "one look each"),
         Row(role, "ledger, every slot granted", memory, "MB", "soft state, rebuilt"),
     ]
 
@@ -100,7 +120,15 @@
     changes = size.vm_changes_per_day / SECONDS_PER_DAY
     relays = changes * slopes("membership sent, 1000 engines", "change")
     shards = size.engines * slopes("division into shards, 2800 engines", "engine")
+    others = size.data_centres - 1
+    name = "membership sent by a whole data centre"
+    mesh = others * slopes(name, "other data centre")
+    mean = mesh / size.vms_per_data_centre
     return [
+        Row(
+            role, "mesh to other data centres, mean", mean, "B/s", "two gateways to each other one"
+        ),
+        Row("membership, a data centre", "mesh to the others", mesh, "B/s", "gateways"),
         Row(role, "heartbeats sent", beats, "B/s", "full mesh within a data centre only"),
         Row(role, "changes of the list sent", relays, "B/s", "only what changed, once"),
         Row(role, "division into shards", _percent(changes * shards), "% of a core", "on change"),
--- a/pimentoquay/bench/capacity/size.py
+++ b/pimentoquay/bench/capacity/size.py
@@ -9,7 +9,10 @@
 
 @dataclass(frozen=True)
 class Size:
-    """A deployment's size; rates are a second at the peak unless a day is named."""
+    """A deployment's size; rates are a second at the peak unless a day is named.
+
+    Targets are in seconds.
+    """
 
     vms: int
     engines: int
@@ -23,6 +26,8 @@
     burst_changes_per_minute: int
     vm_changes_per_day: int
     hot_model_share: float
+    first_token_target: float
+    token_interval_target: float
     slots_per_engine: int
     shard_engines: int
     cpu_budget_percent: float
@@ -49,6 +54,14 @@
         """Tokens a second through one VM."""
         return self.tokens / self.vms
 
+    @property
+    def requests_in_progress_per_vm(self) -> float:
+        """Requests in progress through one VM when each just meets its targets."""
+        tokens = self.tokens / self.requests
+        return self.requests_per_vm * (
+            self.first_token_target + tokens * self.token_interval_target
+        )
+
     @property
     def hot_shards_per_data_centre(self) -> float:
         """Shards of the model that has the largest share of the load, in one data centre."""
@@ -75,6 +88,8 @@
     burst_changes_per_minute=500,
     vm_changes_per_day=2 * (1000 + 35),
     hot_model_share=0.4,
+    first_token_target=1.1,
+    token_interval_target=0.055,
     slots_per_engine=20,
     shard_engines=16,
     cpu_budget_percent=2.3,
--- a/pimentoquay/bench/membership_cost.py
+++ b/pimentoquay/bench/membership_cost.py
@@ -39,10 +39,14 @@
 
 
 class _Cluster:
-    def __init__(self, vms: int, engines: int) -> None:
+    def __init__(self, vms: int, engines: int, data_centres: int) -> None:
         self.network = MemoryNetwork()
-        self._vms = [_member(f"vm-{n:04}", MemberKind.ENTRY_VM, n) for n in range(vms)]
-        self.engines = [_member(f"engine-{n:05}", MemberKind.ENGINE, n) for n in range(engines)]
+        self._vms = [
+            _member(f"vm-{n:04}", MemberKind.ENTRY_VM, n, data_centres) for n in range(vms)
+        ]
+        self.engines = [
+            _member(f"engine-{n:05}", MemberKind.ENGINE, n, data_centres) for n in range(engines)
+        ]
         self.list = StandinMembership((*self._vms, *self.engines))
         self._tasks: list[asyncio.Task[None]] = []
         self._peers: list[PeerSet] = []
@@ -67,26 +71,26 @@
             await peers.close()
 
 
-def _member(name: str, kind: MemberKind, number: int) -> Member:
-    data_centre = f"data-centre-{number % DATA_CENTRES}"
+def _member(name: str, kind: MemberKind, number: int, data_centres: int) -> Member:
+    data_centre = f"data-centre-{number % data_centres}"
     pool = "" if kind is MemberKind.ENTRY_VM else f"model-{number % 11}"
     address = f"10.{number // 60000}.{number // 250 % 250}.{number % 250}:7200"
     return Member(name, kind, MemberState.LIVE, "region", data_centre, address, pool, True)
 
 
-def measure_membership(vms: int, engines: int) -> MembershipCost:
-    """Run a cluster of ``vms`` VMs in three data centres and count."""
+def measure_membership(vms: int, engines: int, data_centres: int = DATA_CENTRES) -> MembershipCost:
+    """Run a cluster of ``vms`` VMs, spread over some data centres, and count."""
     import looptime  # A library of tests; the programs themselves do without it.
 
     loop = looptime.new_event_loop(start=0)
     try:
-        return loop.run_until_complete(_measure(vms, engines))
+        return loop.run_until_complete(_measure(vms, engines, data_centres))
     finally:
         loop.close()
 
 
-async def _measure(vms: int, engines: int) -> MembershipCost:
-    cluster = _Cluster(vms, engines)
+async def _measure(vms: int, engines: int, data_centres: int) -> MembershipCost:
+    cluster = _Cluster(vms, engines, data_centres)
     network = cluster.network
     await cluster.start()
     await asyncio.sleep(SETTLE_SECONDS)
--- a/pimentoquay/bench/slopes/command.py
+++ b/pimentoquay/bench/slopes/command.py
@@ -5,7 +5,16 @@
 import json
 
 from pimentoquay.bench import decision_cost, membership_cost  # noqa: F401
-from pimentoquay.bench.slopes import messages, ownership, relay, scheduler  # noqa: F401
+from pimentoquay.bench.slopes import (  # noqa: F401
+    held,
+    mesh,
+    messages,
+    ownership,
+    relay,
+    reports,
+    scheduler,
+    timeline,
+)
 from pimentoquay.bench.slopes.slope import Slope
 from pimentoquay.kernel import find_plugin, plugin, plugin_names
 
--- a/pimentoquay/bench/slopes/relay.py
+++ b/pimentoquay/bench/slopes/relay.py
@@ -1,11 +1,12 @@
 """Slopes of relaying an answer: what one more token and one more request cost an entry.
 
 The near side is an entry's real server, application and request life with an engine that yields
-ready frames; a bare socket reads what it sends. The far side is the HTTP client of an engine that
-reads ready frames from a bare socket. An entry pays both for each token.
+ready frames; a bare socket in another thread reads what it sends. The far side is the HTTP client
+of an engine that reads ready frames from a bare socket. An entry pays both for each token.
 """
 
 import asyncio
+import socket
 import time
 from collections.abc import AsyncGenerator, AsyncIterator
 from contextlib import asynccontextmanager
@@ -19,14 +20,14 @@
 from pimentoquay.entry.placer import Placement
 from pimentoquay.entry.relay import StreamedAnswer
 from pimentoquay.entry.settings import HttpSection
-from pimentoquay.kernel import Envelope, Identity, Node, plugin
+from pimentoquay.kernel import Envelope, Identity, Node, TimeLine, plugin
 from pimentoquay.messages.cluster import ClusterView, Member, MemberKind, MemberState
 from pimentoquay.messages.placement import Grant, Urgency
 from pimentoquay.messages.workspaces import KindSpec
 from pimentoquay.transport.memory import MemoryNetwork
 from pimentoquay.transport.peers import PeerSet
 
-__all__ = ["relay_slopes"]
+__all__ = ["ReadyEngine", "entry_on_loopback", "relay_slopes", "time_requests"]
 
 TOKENS = 2000
 SHORT_REQUESTS = 200
@@ -89,32 +90,42 @@
 
 
 async def _time_near(requests: int, tokens: int) -> float:
-    """Return the processor seconds of some answers; reading them costs next to nothing."""
-    async with _entry(ReadyEngine(tokens)) as address:
-        reader, writer = await asyncio.open_connection(*address)
-        request = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n"
-        await _exchange(reader, writer, request)
-        started = time.process_time()
-        for _ in range(requests):
-            await _exchange(reader, writer, request)
-        elapsed = time.process_time() - started
-        writer.close()
-        return elapsed
-
-
-async def _exchange(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request: bytes
-) -> None:
-    writer.write(request)
-    tail = b""
-    while not tail.endswith(b"0\r\n\r\n"):
-        tail = tail[-8:] + await reader.read(READ_BYTES)
+    return await time_requests(ReadyEngine(tokens), requests)
+
+
+async def time_requests(
+    engine: ReadyEngine, requests: int, timeline: TimeLine | None = None
+) -> float:
+    """Return the processor seconds of some answers, those of the entry's own thread.
+
+    The caller is a blocking socket in a thread of its own. In the entry's thread it would read
+    each token as it is sent, which costs about as much as sending it.
+    """
+    async with entry_on_loopback(engine, timeline) as address:
+        with socket.create_connection(address) as caller:
+            await asyncio.to_thread(_exchange, caller, 1)
+            started = time.thread_time()
+            await asyncio.to_thread(_exchange, caller, requests)
+            return time.thread_time() - started
+
+
+def _exchange(caller: socket.socket, requests: int) -> None:
+    for _ in range(requests):
+        caller.sendall(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+        tail = b""
+        while not tail.endswith(b"0\r\n\r\n"):
+            tail = tail[-8:] + caller.recv(READ_BYTES)
 
 
 @asynccontextmanager
-async def _entry(engine: ReadyEngine) -> AsyncIterator[tuple[str, int]]:
+async def entry_on_loopback(
+    engine: ReadyEngine, timeline: TimeLine | None = None
+) -> AsyncIterator[tuple[str, int]]:
+    """Serve an entry whose only engine is given; yield its address."""
     identity = Identity("vm", "entry", "r", "d", 1)
     node = Node(identity, MemoryNetwork().transport(identity))
+    if timeline is not None:
+        node.timeline = timeline
     peers = PeerSet(node)
     link = SchedulerLink(node, peers, "none")
     link.inbox.put_nowait(Envelope(ClusterView(1, (ENGINE,), ("vm",), ("d",))))
--- a/pimentoquay/ctl/reference.py
+++ b/pimentoquay/ctl/reference.py
@@ -1,6 +1,6 @@
 """The generated pages of the reference: ``python -m pimentoquay.ctl.reference``.
 
-The pages are written from the settings' own definitions and the table of result codes. They are
+The pages are written from the definitions of settings, result codes and metrics. They are
 committed, and a test compares them with what this module would write.
 """
 
@@ -14,6 +14,7 @@
 from pimentoquay.control.settings import ControlSettings
 from pimentoquay.ctl.outcomes import ExitStatus
 from pimentoquay.ctl.settings import CtlSettings
+from pimentoquay.entry.metrics import METRICS, PERCENTILES, SIGNIFICANT_DIGITS
 from pimentoquay.entry.settings import EntrySettings
 from pimentoquay.kernel import ResultCode, info_of
 from pimentoquay.kernel.settings import setting_infos
@@ -44,7 +45,11 @@
 
 def pages() -> dict[str, str]:
     """Return the text of each generated page by file name."""
-    return {"settings.md": _settings_page(), "result-codes.md": _codes_page()}
+    return {
+        "settings.md": _settings_page(),
+        "result-codes.md": _codes_page(),
+        "metrics.md": _metrics_page(),
+    }
 
 
 def main(argv: Sequence[str] | None = None) -> int:
@@ -125,5 +130,27 @@
     return "\n".join(parts)
 
 
+def _metrics_page() -> str:
+    quantiles = ", ".join(f"{percent / 100:g}" for percent in PERCENTILES)
+    parts = [
+        _NOTICE,
+        "# Metrics of the entry\n",
+        "`GET /metrics` answers in the Prometheus text format. Each request is counted once, when\n"
+        f"it ends. Times are in seconds, from HDR histograms with {SIGNIFICANT_DIGITS} significant "
+        "digits over the\n"
+        f"process's whole run; quantiles are {quantiles}, and each summary has a `_count`.\n",
+    ]
+    lines = ["| Metric | Labels | Type | Meaning |", "| --- | --- | --- | --- |"]
+    for metric in METRICS:
+        labels = ", ".join(f"`{label}`" for label in metric.labels)
+        lines.append(f"| `{metric.name}` | {labels} | {metric.type} | {metric.help} |")
+    parts.append("\n".join(lines) + "\n")
+    parts.append(
+        "The control process writes what it uses to its log, and `pimentoquay-ctl status` tells\n"
+        "its state.\n"
+    )
+    return "\n".join(parts)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/pimentoquay/entry/metrics.py
+++ b/pimentoquay/entry/metrics.py
@@ -11,7 +11,7 @@
 from pimentoquay.kernel import ResultCode
 from pimentoquay.messages.workspaces import KindSpec
 
-__all__ = ["EntryMetrics", "RequestOutcome"]
+__all__ = ["METRICS", "EntryMetrics", "Metric", "RequestOutcome"]
 
 MICROSECONDS = 1_000_000
 """Histogram units in a second."""
@@ -24,6 +24,55 @@
 PERCENTILES = (50.0, 95.0, 99.0)
 
 
+@dataclass(frozen=True)
+class Metric:
+    """The definition of one metric; the reference page is made from it."""
+
+    name: str
+    type: str
+    help: str
+    labels: tuple[str, ...] = ()
+
+    def head(self) -> list[str]:
+        """Return the lines that go before its values."""
+        return [f"# HELP {self.name} {self.help}", f"# TYPE {self.name} {self.type}"]
+
+
+REQUESTS = Metric(
+    "pimentoquay_requests_total",
+    "counter",
+    "ended requests and calls, by result code",
+    ("code", "name"),
+)
+IN_TARGET = Metric(
+    "pimentoquay_requests_in_target_total",
+    "counter",
+    "requests answered within both latency targets of their kind",
+)
+TOKENS = Metric("pimentoquay_tokens_total", "counter", "tokens relayed")
+ACTIVE = Metric("pimentoquay_requests_active", "gauge", "requests in progress")
+QUEUE = Metric(
+    "pimentoquay_queue_seconds", "summary", "time from arrival to the grant", ("quantile",)
+)
+FIRST_TOKEN = Metric(
+    "pimentoquay_first_token_seconds",
+    "summary",
+    "time from arrival to the first token",
+    ("quantile",),
+)
+TOKEN_INTERVAL = Metric(
+    "pimentoquay_token_interval_seconds",
+    "summary",
+    "mean time per token after the first, of each request",
+    ("quantile",),
+)
+
+METRICS = (REQUESTS, IN_TARGET, TOKENS, ACTIVE, QUEUE, FIRST_TOKEN, TOKEN_INTERVAL)
+"""Every metric in the order of the answer of ``/metrics``."""
+
+_SUMMARY_BY_NAME = {"queue": QUEUE, "first_token": FIRST_TOKEN, "token_interval": TOKEN_INTERVAL}
+
+
 @dataclass(frozen=True)
 class RequestOutcome:
     """How one request ended; times are in seconds, ``None`` where it did not get that far."""
@@ -53,11 +102,7 @@
         self.count_by_code: Counter[ResultCode] = Counter()
         self.in_target = 0
         self.tokens = 0
-        self._histogram_by_name = {
-            "queue": _histogram(),
-            "first_token": _histogram(),
-            "token_interval": _histogram(),
-        }
+        self._histogram_by_name = {name: _histogram() for name in _SUMMARY_BY_NAME}
 
     def count(self, outcome: RequestOutcome) -> None:
         """Count one ended request."""
@@ -78,30 +123,22 @@
 
     def text(self, active: int) -> str:
         """Return everything in the Prometheus text format; ``active`` requests are running."""
-        lines = ["# TYPE pimentoquay_requests_total counter"]
+        lines = REQUESTS.head()
         for code, count in sorted(self.count_by_code.items()):
-            lines.append(
-                f'pimentoquay_requests_total{{code="{int(code)}",name="{code.name}"}} {count}'
-            )
-        lines += ["# TYPE pimentoquay_requests_in_target_total counter"]
-        lines += [f"pimentoquay_requests_in_target_total {self.in_target}"]
-        lines += [
-            "# TYPE pimentoquay_tokens_total counter",
-            f"pimentoquay_tokens_total {self.tokens}",
-        ]
-        lines += ["# TYPE pimentoquay_requests_active gauge"]
-        lines += [f"pimentoquay_requests_active {active}"]
-        for name, histogram in self._histogram_by_name.items():
-            lines += self._summary(name, histogram)
+            lines.append(f'{REQUESTS.name}{{code="{int(code)}",name="{code.name}"}} {count}')
+        values = ((IN_TARGET, self.in_target), (TOKENS, self.tokens), (ACTIVE, active))
+        for metric, value in values:
+            lines += [*metric.head(), f"{metric.name} {value}"]
+        for name, metric in _SUMMARY_BY_NAME.items():
+            lines += self._summary(name, metric)
         return "\n".join(lines) + "\n"
 
-    def _summary(self, name: str, histogram: HdrHistogram) -> list[str]:
-        metric = f"pimentoquay_{name}_seconds"
-        lines = [f"# TYPE {metric} summary"]
+    def _summary(self, name: str, metric: Metric) -> list[str]:
+        lines = metric.head()
         for percent in PERCENTILES:
             value = self.percentile(name, percent)
-            lines.append(f'{metric}{{quantile="{percent / 100:g}"}} {value:.6f}')
-        lines.append(f"{metric}_count {histogram.get_total_count()}")
+            lines.append(f'{metric.name}{{quantile="{percent / 100:g}"}} {value:.6f}')
+        lines.append(f"{metric.name}_count {self._histogram_by_name[name].get_total_count()}")
         return lines
 
     def _record(self, name: str, seconds: float | None) -> None:
--- a/pimentoquay/entry/tests/test_http.py
+++ b/pimentoquay/entry/tests/test_http.py
@@ -4,6 +4,7 @@
 import openai
 import pytest
 
+from pimentoquay.entry.metrics import METRICS
 from pimentoquay.entry.tests.fakes import refuse
 from pimentoquay.entry.tests.http_rig import KEY, http_rig
 from pimentoquay.kernel import ResultCode
@@ -201,6 +202,8 @@
         text = (await raw(rig, f"GET /metrics {close}".encode())).decode()
         assert 'pimentoquay_requests_total{code="100",name="OK"} 1' in text
         assert "pimentoquay_first_token_seconds_count 1" in text
+        heads = [line for line in text.splitlines() if line.startswith("# TYPE ")]
+        assert heads == [f"# TYPE {metric.name} {metric.type}" for metric in METRICS]
         assert 'pimentoquay_token_interval_seconds{quantile="0.95"}' in text
         missing = await raw(rig, f"GET /v2/x {close}".encode())
         assert body_of(missing)["error"]["result_code"] == 217
--- a/pimentoquay/kernel/timeline.py
+++ b/pimentoquay/kernel/timeline.py
@@ -28,20 +28,26 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._last = Stamp(0, 0)
+        self._wall_us = 0
+        self._count = 0
 
-    def tick(self) -> Stamp:
-        """Return a stamp later than all stamps issued or observed."""
+    def advance(self) -> tuple[int, int]:
+        """Return the wall time and counter of a new stamp, without making the object."""
         wall_us = int(self._clock.wall() * 1e6)
-        if wall_us > self._last.wall_us:
-            self._last = Stamp(wall_us, 0)
+        if wall_us > self._wall_us:
+            self._wall_us, self._count = wall_us, 0
         else:
-            self._last = Stamp(self._last.wall_us, self._last.count + 1)
-        return self._last
+            self._count += 1
+        return self._wall_us, self._count
+
+    def tick(self) -> Stamp:
+        """Return a stamp later than all stamps issued or observed."""
+        return Stamp(*self.advance())
 
     def observe(self, stamp: Stamp) -> None:
         """Move past a stamp received from another process."""
-        self._last = max(self._last, stamp)
+        if (stamp.wall_us, stamp.count) > (self._wall_us, self._count):
+            self._wall_us, self._count = stamp.wall_us, stamp.count
 
 
 @dataclass(frozen=True)
@@ -57,8 +63,15 @@
     detail: str = ""
 
 
+_Record = tuple[tuple[int, int], str, str, str, str]
+"""Wall time and counter, kind, request id, workspace and detail: an event that nobody has asked for yet."""
+
+
 class TimeLine:
-    """The newest events of this process, oldest dropped first."""
+    """The newest events of this process, oldest dropped first.
+
+    Events are kept as tuples and become objects when somebody asks for them.
+    """
 
     def __init__(
         self, clock: Clock, vm: str, process: str, capacity: int = DEFAULT_CAPACITY
@@ -66,22 +79,19 @@
         self.hybrid_clock = HybridClock(clock)
         self._vm = vm
         self._process = process
-        self._events: deque[Event] = deque(maxlen=capacity)
+        self._records: deque[_Record] = deque(maxlen=capacity)
 
     def record(
         self, kind: str, request_id: str = "", workspace: str = "", detail: str = ""
     ) -> None:
         """Append one event stamped now."""
-        stamp = self.hybrid_clock.tick()
-        self._events.append(
-            Event(stamp, self._vm, self._process, kind, request_id, workspace, detail)
-        )
+        self._records.append((self.hybrid_clock.advance(), kind, request_id, workspace, detail))
 
     def events(self, request_id: str = "", workspace: str = "") -> tuple[Event, ...]:
         """Return the kept events, filtered by request and workspace when given."""
         return tuple(
-            event
-            for event in self._events
-            if (not request_id or event.request_id == request_id)
-            and (not workspace or event.workspace == workspace)
+            Event(Stamp(*record[0]), self._vm, self._process, *record[1:])
+            for record in self._records
+            if (not request_id or record[2] == request_id)
+            and (not workspace or record[3] == workspace)
         )
