--- a/pimentoquay/configuration/relay.py
+++ b/pimentoquay/configuration/relay.py
@@ -5,14 +5,21 @@
 from pimentoquay.messages.cluster import ConfigurationEntries
 from pimentoquay.messages.configuration import ChangeOutcome
 
-__all__ = ["EntriesReceiver", "entries_after", "is_gap"]
+__all__ = ["TRANSFER_BYTES", "EntriesReceiver", "entries_after", "is_gap"]
 
 PART_BYTES = 512 * 1024
 """The room for records in one message, in bytes."""
 
+TRANSFER_BYTES = 64 * 1024
+"""The room in one message to another VM, of which only a few are under way at once."""
+
 
 def entries_after(
-    state: ConfigurationState, after_offset: int, *, with_outcomes: bool = True
+    state: ConfigurationState,
+    after_offset: int,
+    *,
+    with_outcomes: bool = True,
+    part_bytes: int = PART_BYTES,
 ) -> list[ConfigurationEntries]:
     """Return the messages that bring a state from ``after_offset`` to this one's offset.
 
@@ -22,10 +29,16 @@
     if not state.remembers_since(after_offset):
         after_offset = -1
     outcomes = state.outcomes_after(after_offset) if with_outcomes else ()
-    chunks = chunks_of(state.records_after(after_offset), outcomes, PART_BYTES)
+    chunks = chunks_of(state.records_after(after_offset), outcomes, part_bytes)
     return [
         ConfigurationEntries(
-            after_offset, state.offset, part, len(chunks), state.checkpoint_offset, *chunk
+            after_offset,
+            state.offset,
+            part,
+            len(chunks),
+            state.checkpoint_offset,
+            state.log_base,
+            *chunk,
         )
         for part, chunk in enumerate(chunks)
     ]
@@ -66,10 +79,12 @@
             if state is not None and state.offset >= entries.offset:
                 return state
             state = ConfigurationState.restore(entries.offset, records, outcomes)
+            state.log_base = entries.log_base
         elif state is None or is_gap(state, entries):
             return state
         elif state.offset < entries.offset:
             state.advance(entries.offset, records, outcomes)
+            state.log_base = entries.log_base
         state.checkpoint_offset = max(state.checkpoint_offset, entries.checkpoint_offset)
         return state
 
