--- a/pimentoquay/kernel/timeline.py
+++ b/pimentoquay/kernel/timeline.py
@@ -64,7 +64,7 @@
 
 
 _Record = tuple[tuple[int, int], str, str, str, str]
-"""Wall time and counter, kind, request id, workspace and detail: an event that nobody has asked for yet."""
+"""Wall time and counter, kind, request id, workspace and detail of an event not yet asked for."""
 
 
 class TimeLine:
