Let orders, retention, repeats and single processes fail in the schedules of failures

Missing from the schedules were the log's retention, orders of versions and roles under fencing, messages delivered twice and the pause of one process of a VM. Orders: the workspace now names a version that publishing changes, roles follow small loads, a lease holds 4 s; one data centre's engines check fencing numbers, the other's ignore them. The log keeps records for 15 s, so checkpoints and claims age in each schedule; what it has forgotten is kept for the checks, which fold all of it where they folded what was left. New checks: no order after one of a later holder, no number held twice, every engine at the version in force in the end. Each has a mechanism that is switched off and caught. Ruled out as a fault: the owner goes on ordering engines that have loaded, until its next look at a quiet engine; orders state the whole wanted state.

--- a/pimentoquay/bench/faults/checks.py
+++ b/pimentoquay/bench/faults/checks.py
@@ -4,11 +4,10 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from pimentoquay.bench.faults.records import WORKSPACE, CallKind, CallRecord, Ending
+from pimentoquay.bench.faults.records import WORKSPACE, CallKind, CallRecord, Ending, OrderTaken
 from pimentoquay.bench.faults.schedule import Fault
 from pimentoquay.bench.faults.world import FaultWorld
 from pimentoquay.configuration.fold import ConfigurationState
-from pimentoquay.configuration.publish import STREAM
 from pimentoquay.kernel import ResultCode, is_not_run
 from pimentoquay.messages.placement import Stage
 from pimentoquay.standin.tokens import answer_text
@@ -29,6 +28,7 @@
     "membership outage",
     "membership lag",
     "pause VM",
+    "pause control",
     "replace all VMs",
 )
 """Failures in which VMs cannot see the membership list as it is."""
@@ -88,7 +88,7 @@
 
 
 def violations_of(
-    world: FaultWorld, faults: tuple[Fault, ...], watch: HeldWatch
+    world: FaultWorld, faults: tuple[Fault, ...], watch: HeldWatch, not_loaded: tuple[str, ...]
 ) -> tuple[Violation, ...]:
     """Return every broken invariant of a schedule that has ended."""
     return (
@@ -102,6 +102,8 @@
         *_check_leaving(world, faults),
         *_check_unprovoked(world, faults),
         *_check_prefill(world),
+        *_check_orders(world.wires.orders),
+        *(Violation("engine not at the version in force", name) for name in not_loaded),
     )
 
 
@@ -171,8 +173,8 @@
             yield Violation("configuration reverted", detail)
         highest[item.vm] = max(highest[item.vm], item.version)
     state = ConfigurationState()
-    for kept in world.log.records(STREAM):
-        state.fold(kept.offset, kept.data)
+    for offset, data in sorted(world.configuration_log.items()):
+        state.fold(offset, data)
     true_version = state.version_of(WORKSPACE)
     last = {item.vm: item.version for item in world.in_force}
     for vm in world.vms:
@@ -243,6 +245,22 @@
         yield Violation("prefill unaccounted", detail)
 
 
+def _check_orders(orders: list[OrderTaken]) -> Iterator[Violation]:
+    """Yield orders that took effect after those of a later holder, and numbers held twice."""
+    holder_by_number: dict[int, str] = {}
+    newest_by_engine: dict[str, OrderTaken] = {}
+    for order in orders:
+        holder = holder_by_number.setdefault(order.number, order.holder)
+        if holder != order.holder:
+            detail = f"number {order.number} of {holder} and of {order.holder}"
+            yield Violation("fencing number held twice", detail)
+        newest = newest_by_engine.setdefault(order.engine, order)
+        if order.number < newest.number:
+            yield Violation("order of a lapsed holder", f"{order} after {newest}")
+        else:
+            newest_by_engine[order.engine] = order
+
+
 def _told(record: CallRecord) -> str:
     call = record.call
     ending = record.ending.name if record.ending is not None else "NONE"
--- a/pimentoquay/bench/faults/operators.py
+++ b/pimentoquay/bench/faults/operators.py
@@ -22,8 +22,7 @@
 
 
 async def _publish(world: FaultWorld, vm: str, change_id: str) -> Published:
-    world.last_weight += 1
-    weight = world.last_weight
+    weight = world.next_weight()
     answer: PublishAnswer | None = None
     try:
         async with asyncio.timeout(_ANSWER_SECONDS):
@@ -43,8 +42,12 @@
         channel.send(GetRequest(WORKSPACE, ""))
         shown = await channel.receive()
         base = shown.records[0].version if shown.records else 0
-        record = ConfigurationRecord(change_id, WORKSPACE, base, 0, workspace(weight), "operator")
+        wanted = workspace(weight, world.version_by_weight[weight])
+        record = ConfigurationRecord(change_id, WORKSPACE, base, 0, wanted, "operator")
         channel.send(PublishRequest(record))
-        return await channel.receive()
+        # Each answer comes twice while messages of the VM are repeated.
+        while not isinstance(answer := await channel.receive(), PublishAnswer):
+            pass
+        return answer
     finally:
         await channel.close()
--- a/pimentoquay/bench/faults/records.py
+++ b/pimentoquay/bench/faults/records.py
@@ -5,7 +5,16 @@
 
 from pimentoquay.kernel import ResultCode
 
-__all__ = ["WORKSPACE", "Call", "CallKind", "CallRecord", "Ending", "InForce", "Published"]
+__all__ = [
+    "WORKSPACE",
+    "Call",
+    "CallKind",
+    "CallRecord",
+    "Ending",
+    "InForce",
+    "OrderTaken",
+    "Published",
+]
 
 WORKSPACE = "office"
 
@@ -74,6 +83,16 @@
     weight: int
 
 
+@dataclass(frozen=True)
+class OrderTaken:
+    """An order that took effect on an engine; ``holder`` is the process that sent it."""
+
+    engine: str
+    holder: str
+    number: int
+    at: float
+
+
 @dataclass(frozen=True)
 class Published:
     """One change and the answer its operator got; ``code`` is ``None`` if none came."""
--- a/pimentoquay/bench/faults/runner.py
+++ b/pimentoquay/bench/faults/runner.py
@@ -26,6 +26,9 @@
 SETTLE_SECONDS = 9.0
 """The time after the last caller until the engines' memory is looked at for the last time."""
 
+ORDERS_SECONDS = 30.0
+"""The time after that in which engines reach the version in force: hold-off and loads."""
+
 
 @dataclass(frozen=True)
 class Outcome:
@@ -84,6 +87,7 @@
     def look() -> None:
         world.note_in_force(loop.time())
         world.note_dead_processes()
+        world.note_configuration_log()
         watch.look(loop.time(), last_fault_at())
 
     async def fail(step: Step) -> None:
@@ -104,9 +108,10 @@
     await asyncio.gather(*tasks)
     await callers
     await asyncio.sleep(SETTLE_SECONDS)
+    not_loaded = await _wait_for_loads(world)
     looking.cancel()
     look()
-    violations = violations_of(world, tuple(faults), watch)
+    violations = violations_of(world, tuple(faults), watch, not_loaded)
     await world.close()
     counts = Counter(_ending_of(record) for record in world.records)
     return Outcome(
@@ -127,6 +132,15 @@
     await asyncio.gather(*tasks, return_exceptions=True)
 
 
+async def _wait_for_loads(world: FaultWorld) -> tuple[str, ...]:
+    """Return the engines that do not reach the version in force in time."""
+    for _ in range(int(ORDERS_SECONDS / LOOK_SECONDS)):
+        if not await world.engines_to_load():
+            break
+        await asyncio.sleep(LOOK_SECONDS)
+    return await world.engines_to_load()
+
+
 async def _every(period: float, call: Callable[[], None]) -> None:
     while True:
         await asyncio.sleep(period)
--- a/pimentoquay/bench/faults/schedule.py
+++ b/pimentoquay/bench/faults/schedule.py
@@ -106,10 +106,32 @@
 
 
 async def _pause_vm(world: FaultWorld, step: Step) -> str:
+    return await _pause(world, step, ("control", "entry"))
+
+
+async def _pause_control(world: FaultWorld, step: Step) -> str:
+    return await _pause(world, step, ("control",))
+
+
+async def _pause_entry(world: FaultWorld, step: Step) -> str:
+    return await _pause(world, step, ("entry",))
+
+
+async def _pause(world: FaultWorld, step: Step, processes: tuple[str, ...]) -> str:
+    name = _vm(world, step)
+    for process in processes:
+        world.pause(name, process)
+    await asyncio.sleep(step.seconds)
+    for process in processes:
+        world.resume(name, process)
+    return name
+
+
+async def _repeat_messages(world: FaultWorld, step: Step) -> str:
     name = _vm(world, step)
-    world.pause(name)
+    world.network.repeat(name, True)
     await asyncio.sleep(step.seconds)
-    world.resume(name)
+    world.network.repeat(name, False)
     return name
 
 
@@ -241,6 +263,7 @@
 
 async def _publish(world: FaultWorld, step: Step) -> str:
     first, second = _vm(world, step), world.vms[step.other % len(world.vms)]
+    world.model_version = f"v{1 + (step.target + step.other) % 3}"
     await publish_race(world, (first, second), f"{step.target}-{step.other}-{step.at}")
     return f"{first} and {second}"
 
@@ -251,6 +274,9 @@
     "kill control": _kill_control,
     "replace all VMs": _replace_all,
     "pause VM": _pause_vm,
+    "pause control": _pause_control,
+    "pause entry": _pause_entry,
+    "messages twice": _repeat_messages,
     "drain VM": _drain_vm,
     "cut VMs": _cut_vms,
     "slow network": _slow_network,
--- a/pimentoquay/bench/faults/tests/test_faults.py
+++ b/pimentoquay/bench/faults/tests/test_faults.py
@@ -19,6 +19,9 @@
 from pimentoquay.kernel.logs import logger
 from pimentoquay.membership import shards_of
 from pimentoquay.messages.cluster import MemberState
+from pimentoquay.orders.claim_fold import ClaimFold
+from pimentoquay.orders.leases import Leases
+from pimentoquay.orders.part import OrdersPart
 from pimentoquay.scheduler.sweep import SweepResult
 
 SCHEDULES = 20
@@ -106,23 +109,61 @@
     patch.setattr(pimentoquay.scheduler.part.SchedulerPart, "_serve", fail)
 
 
+def new_holders_do_not_wait(patch):
+    patch.setattr(ClaimFold, "orders_end", lambda *_: 0.0)
+
+
+def every_holder_has_one_number(patch):
+    def number_for(self, shard, checks_fencing, whole=Leases.number_for):
+        return min(1, whole(self, shard, checks_fencing))
+
+    patch.setattr(Leases, "number_for", number_for)
+
+
+def nothing_is_ordered(patch):
+    async def order(*_):
+        return None
+
+    patch.setattr(OrdersPart, "_order", order)
+
+
+def repeated(kind, count):
+    return tuple(Step(kind, 0.5 + index, 3.0, index, index) for index in range(count))
+
+
+def each_vm_pauses_as_it_orders():
+    published = [Step("publish race", 1.0 + 4 * vm, 0.2, vm, vm + 1) for vm in range(4)]
+    paused = [Step("pause control", 1.3 + 4 * vm, 5.0, vm, 0) for vm in range(4)]
+    return tuple(sorted(published + paused, key=lambda step: step.at))
+
+
+def each_vm_dies_before_orders():
+    killed = [Step("kill control", 1.0 + 4 * vm, 5.0, vm, 0) for vm in range(4)]
+    published = [Step("publish race", 4.0 + 4 * vm, 0.2, vm + 1, vm + 2) for vm in range(4)]
+    return tuple(sorted(published + killed, key=lambda step: step.at))
+
+
 PAIRS = [
-    (nobody_cancels, "memory held", "kill entry", 3),
-    (every_failure_is_called_not_run, "untrue not run", "crash engine", 10),
-    (no_call_is_once_only, "run twice", "plain service fails", 6),
-    (leaving_engines_count_as_live, "work for a leaving engine", "engine leaves", 6),
-    (tokens_are_miscounted, "wrong answer", "kill entry", 3),
-    (nobody_passes_the_configuration_on, "configuration not in force", "publish race", 3),
-    (a_task_dies, "unexpected error", "kill entry", 3),
+    (nobody_cancels, "memory held", repeated("kill entry", 3)),
+    (every_failure_is_called_not_run, "untrue not run", repeated("crash engine", 10)),
+    (no_call_is_once_only, "run twice", repeated("plain service fails", 6)),
+    (leaving_engines_count_as_live, "work for a leaving engine", repeated("engine leaves", 6)),
+    (tokens_are_miscounted, "wrong answer", repeated("kill entry", 3)),
+    (
+        nobody_passes_the_configuration_on,
+        "configuration not in force",
+        repeated("publish race", 3),
+    ),
+    (a_task_dies, "unexpected error", repeated("kill entry", 3)),
+    (new_holders_do_not_wait, "order of a lapsed holder", each_vm_pauses_as_it_orders()),
+    (every_holder_has_one_number, "fencing number held twice", each_vm_dies_before_orders()),
+    (nothing_is_ordered, "engine not at the version in force", repeated("publish race", 3)),
 ]
 MUTATED_SEEDS = 4
 
 
-@pytest.mark.parametrize(("switch_off", "invariant", "kind", "count"), PAIRS)
-def test_a_mechanism_switched_off_breaks_its_invariant(
-    switch_off, invariant, kind, count, monkeypatch
-):
-    steps = tuple(Step(kind, 0.5 + index, 3.0, index, index) for index in range(count))
+@pytest.mark.parametrize(("switch_off", "invariant", "steps"), PAIRS)
+def test_a_mechanism_switched_off_breaks_its_invariant(switch_off, invariant, steps, monkeypatch):
     switch_off(monkeypatch)
     caught = (
         seed
--- a/pimentoquay/bench/faults/wires.py
+++ b/pimentoquay/bench/faults/wires.py
@@ -18,6 +18,8 @@
     PrefillOrder,
     PrefillResult,
 )
+from pimentoquay.bench.faults.records import OrderTaken
+from pimentoquay.kernel import Identity
 from pimentoquay.messages.cluster import MembershipUpdate
 from pimentoquay.platform.base import (
     LogOutcomeUnknownError,
@@ -42,6 +44,9 @@
 PLATFORM = "platform"
 """Stands for the platform among the data centres that can be cut off from each other."""
 
+_ORDER_SECONDS = 0.3
+"""The time between the look at a lease and the arrival of the order."""
+
 Result = TypeVar("Result")
 
 
@@ -50,25 +55,22 @@
 
     def __init__(self) -> None:
         self.cuts: set[frozenset[str]] = set()
-        self._resumed_by_vm: dict[str, asyncio.Event] = {}
-
-    def pause(self, vm: str) -> None:
-        """Hold back everything that a VM sends and receives."""
-        self._resumed_by_vm[vm] = asyncio.Event()
+        self.orders: list[OrderTaken] = []
+        self._resumed_by_name: dict[str, asyncio.Event] = {}
 
-    def resume(self, vm: str) -> None:
-        """Let a VM go on."""
-        if vm in self._resumed_by_vm:
-            self._resumed_by_vm.pop(vm).set()
+    def pause(self, name: str) -> None:
+        """Hold back everything that a process, given as ``vm/process``, sends and receives."""
+        self._resumed_by_name[name] = asyncio.Event()
 
-    async def wait_for(self, vm: str) -> None:
-        """Return when a VM is not paused."""
-        while vm in self._resumed_by_vm:
-            await self._resumed_by_vm[vm].wait()
+    def resume(self, name: str) -> None:
+        """Let a process go on."""
+        if name in self._resumed_by_name:
+            self._resumed_by_name.pop(name).set()
 
-    def is_paused(self, vm: str) -> bool:
-        """Tell whether a VM is paused."""
-        return vm in self._resumed_by_vm
+    async def wait_for(self, name: str) -> None:
+        """Return when a process is not paused."""
+        while name in self._resumed_by_name:
+            await self._resumed_by_name[name].wait()
 
 
 class Wire:
@@ -77,10 +79,11 @@
     ``ended`` is set when the process was killed, ``idle`` while it has no caller.
     """
 
-    def __init__(self, wires: Wires, vm: str, data_centre: str) -> None:
+    def __init__(self, wires: Wires, process: Identity) -> None:
         self._wires = wires
-        self.vm = vm
-        self.data_centre = data_centre
+        self._process = process
+        self._name = f"{process.vm}/{process.process}"
+        self.data_centre = process.data_centre
         self.is_dead = False
         self.ended = asyncio.Event()
         self.idle = asyncio.Event()
@@ -105,12 +108,19 @@
 
     async def cross(self, data_centre: str) -> None:
         """Wait while the VM is paused; ``ConnectionResetError`` if nothing can pass."""
-        await self._wires.wait_for(self.vm)
+        await self._wires.wait_for(self._name)
         if self.is_dead:
-            raise ConnectionResetError(f"{self.vm} was killed")
+            raise ConnectionResetError(f"{self._name} was killed")
         if frozenset((self.data_centre, data_centre)) in self._wires.cuts:
             raise ConnectionResetError(f"{self.data_centre} is cut off from {data_centre}")
 
+    def note_order(self, engine: str, order: EngineOrder) -> None:
+        """Note that an order of this process took effect."""
+        process = self._process
+        holder = f"{process.vm} {process.incarnation}"
+        at = asyncio.get_running_loop().time()
+        self._wires.orders.append(OrderTaken(engine, holder, order.fencing_number, at))
+
     async def call(self, data_centre: str, work: Coroutine[Any, Any, Result]) -> Result:
         """Send a call and bring back its answer."""
         try:
@@ -157,12 +167,21 @@
 
     async def order(self, order: EngineOrder) -> None:
         """Move towards a wanted state."""
-        await self._call(self._engine.order(order))
+        # An order that has been written arrives, though its sender no longer waits for it.
+        sent = asyncio.ensure_future(self._call(self._apply(order)))
+        sent.add_done_callback(lambda task: task.cancelled() or task.exception())
+        await asyncio.shield(sent)
 
     async def cache_events(self, after: int) -> tuple[CacheEvent, ...]:
         """Return the cache events after a sequence number."""
         return await self._call(self._engine.cache_events(after))
 
+    async def _apply(self, order: EngineOrder) -> None:
+        await asyncio.sleep(_ORDER_SECONDS)
+        await self._wire.cross(self._data_centre)
+        await self._engine.order(order)
+        self._wire.note_order(self._engine.name, order)
+
     async def _call(self, work: Coroutine[Any, Any, Result]) -> Result:
         try:
             return await self._wire.call(self._data_centre, work)
--- a/pimentoquay/bench/faults/world.py
+++ b/pimentoquay/bench/faults/world.py
@@ -2,9 +2,10 @@
 
 import asyncio
 from collections import Counter
+from dataclasses import replace
 
 from pimentoquay.backends.base import EngineClient, PlainClient
-from pimentoquay.bench.deployment import Deployment, Pool
+from pimentoquay.bench.deployment import Deployment, EnginePlan, Pool
 from pimentoquay.bench.faults.records import WORKSPACE, CallRecord, InForce, Published
 from pimentoquay.bench.faults.wires import (
     PLATFORM,
@@ -18,6 +19,7 @@
 from pimentoquay.bench.memory_cluster import MemoryCluster
 from pimentoquay.configuration.events import ConfigurationInForce
 from pimentoquay.configuration.publish import STREAM
+from pimentoquay.configuration.settings import ConfigurationSection
 from pimentoquay.configuration.view import hash_of_key
 from pimentoquay.control.compose import ControlProcess
 from pimentoquay.control.drain import drain_control
@@ -33,10 +35,13 @@
     ServiceSpec,
     Workspace,
 )
+from pimentoquay.orders.settings import OnceOnlySection, OrdersSection
 from pimentoquay.platform.ports import Ports
 from pimentoquay.standin.engine_model import EngineModel
+from pimentoquay.standin.log import LogModel
 from pimentoquay.standin.membership_list import StandinMembership
 from pimentoquay.standin.plain_service import StandinPlain
+from pimentoquay.standin.weight_store import StandinWeights
 
 __all__ = [
     "KEY",
@@ -52,17 +57,41 @@
 SERVICE = "orders"
 
 _DEPLOYMENT = Deployment("region", ("dc-a", "dc-b"), 0.0005, 4, (Pool(MODEL, 1, 1, 1),), (SERVICE,))
+_WEIGHTS_RATE = 1e10
+"""Bytes a second, so that a load takes less than a second."""
+
+_LOG = LogModel(retention=15.0)
+_SETTINGS: dict[str, object] = {
+    "configuration": ConfigurationSection(log_retention=_LOG.retention, checkpoint_fraction=0.2),
+    "once_only": OnceOnlySection(key_lifetime=_LOG.retention),
+    "orders": OrdersSection(
+        lease=4.0,
+        longest_pause=6.0,
+        order_timeout=1.0,
+        log_timeout=1.0,
+        reconcile_period=0.5,
+        loads_at_once=4,
+        load_timeout=2.0,
+        role_high=0.1,
+        role_low=1.0,
+        role_hold=0.0,
+        role_dwell=2.0,
+        prefill_backlog=100.0,
+    ),
+}
+"""Leases, changes of role and the log's retention, short enough to pass in each schedule."""
+
 _DRAIN_NOTICE_SECONDS = 1.0
 
 
-def workspace(weight: int) -> Workspace:
+def workspace(weight: int, model_version: str) -> Workspace:
     """Return the workspace of all callers; ``weight`` tells its versions apart."""
     kinds = (
         KindSpec("diagnosis", MODEL, Urgency.NORMAL, 1.5, 0.1, 8000, 250, True),
         KindSpec("once", MODEL, Urgency.URGENT, 1.5, 0.1, 8000, 250, False),
     )
     service = ServiceSpec(SERVICE, ("/orders",), 2.0)
-    models = (ModelSpec(MODEL, "v1", ""),)
+    models = (ModelSpec(MODEL, model_version, ""),)
     hashes = (hash_of_key(KEY),)
     return Workspace(WORKSPACE, "office", hashes, models, kinds, (service,), 60, weight)
 
@@ -75,27 +104,35 @@
         self.in_force: list[InForce] = []
         self.draining: set[str] = set()
         self.published: list[Published] = []
-        self.last_weight = 1
+        self.model_version = "v2"
+        self.version_by_weight = {1: self.model_version}
+        self.configuration_log: dict[int, bytes] = {}
         self.errors: list[str] = []
         self.records: list[CallRecord] = []
         self._wire_by_incarnation: dict[int, Wire] = {}
-        self._pauses_by_vm: Counter[str] = Counter()
+        self._pauses_by_process: Counter[str] = Counter()
         self._leaves_by_engine: Counter[str] = Counter()
         self._inbox_by_vm: dict[str, asyncio.Queue[Envelope]] = {}
-        super().__init__(_DEPLOYMENT, seed, EngineModel(step_seconds=0.05))
+        model = EngineModel(step_seconds=0.05, load_seconds=0.2, decode_slots=8)
+        weights = StandinWeights(_WEIGHTS_RATE)
+        super().__init__(
+            _DEPLOYMENT, seed, model, settings=_SETTINGS, log_model=_LOG, weights=weights
+        )
         self._add_second_server()
         self.vms = tuple(self.vm_by_name)
         self.engines = tuple(self.engine_by_name)
 
     async def begin(self) -> None:
         """Publish the workspace and start every process."""
-        record = ConfigurationRecord("first", WORKSPACE, 0, 0, workspace(1), "operator")
+        record = ConfigurationRecord(
+            "first", WORKSPACE, 0, 0, workspace(1, self.model_version), "operator"
+        )
         await self.log.append(STREAM, encode(record))
         await self.start()
 
     def ports_of(self, process: Identity) -> Ports:
         """Return the stand-ins as one process reaches them."""
-        wire = Wire(self.wires, process.vm, process.data_centre)
+        wire = Wire(self.wires, process)
         self._wire_by_incarnation[process.incarnation] = wire
 
         def engine(member: Member) -> EngineClient:
@@ -146,24 +183,26 @@
             self.wire_of(entry).kill()
         await super().kill_entry(name)
 
-    def pause(self, name: str) -> None:
-        """Stop a VM without its noticing; each pause needs a ``resume`` of its own."""
-        self._pauses_by_vm[name] += 1
-        if self._pauses_by_vm[name] > 1:
+    def pause(self, vm: str, process: str) -> None:
+        """Stop a process without its noticing; each pause needs a ``resume`` of its own."""
+        name = f"{vm}/{process}"
+        self._pauses_by_process[name] += 1
+        if self._pauses_by_process[name] > 1:
             return
         self.network.pause(name)
         self.wires.pause(name)
-        for node in self._nodes(name):
+        for node in self._nodes(vm, process):
             node.timers.pause()
 
-    def resume(self, name: str) -> None:
-        """Let a VM go on once every pause of it has ended."""
-        self._pauses_by_vm[name] -= 1
-        if self._pauses_by_vm[name]:
+    def resume(self, vm: str, process: str) -> None:
+        """Let a process go on once every pause of it has ended."""
+        name = f"{vm}/{process}"
+        self._pauses_by_process[name] -= 1
+        if self._pauses_by_process[name]:
             return
         self.network.resume(name)
         self.wires.resume(name)
-        for node in self._nodes(name):
+        for node in self._nodes(vm, process):
             node.timers.resume()
 
     def set_cut(self, first: str, second: str, is_cut: bool) -> None:
@@ -210,6 +249,30 @@
         if not self._leaves_by_engine[engine]:
             self.membership.put(self.member_by_name[engine])
 
+    def next_weight(self) -> int:
+        """Return a weight for a new version of the workspace."""
+        weight = len(self.version_by_weight) + 1
+        self.version_by_weight[weight] = self.model_version
+        return weight
+
+    def note_configuration_log(self) -> None:
+        """Keep the records of the configuration, which the log forgets."""
+        for record in self.log.records(STREAM):
+            self.configuration_log[record.offset] = record.data
+
+    async def engines_to_load(self) -> tuple[str, ...]:
+        """Return the engines whose version is not the one that is configured."""
+        if not self.in_force:
+            return self.engines
+        weight = max(self.in_force, key=lambda item: item.version).weight
+        wanted = self.version_by_weight[weight]
+        late = [
+            name
+            for name, engine in self.engine_by_name.items()
+            if (await engine.status()).version != wanted
+        ]
+        return tuple(late)
+
     def note_dead_processes(self) -> None:
         """Take down the processes that ended although nobody ended them."""
         for name, vm in self.vm_by_name.items():
@@ -228,6 +291,11 @@
                 weight = event.workspace_by_name[WORKSPACE].weight if version else 0
                 self.in_force.append(InForce(now, vm, version, weight))
 
+    def _add_engine(self, plan: EnginePlan, model: EngineModel, index: int) -> None:
+        """Add an engine; those of the second data centre ignore fencing numbers."""
+        checks_fencing = plan.data_centre == _DEPLOYMENT.data_centres[0]
+        super()._add_engine(plan, replace(model, checks_fencing=checks_fencing), index)
+
     def _add_second_server(self) -> None:
         name = f"{SERVICE}-2"
         self.plain_by_name[name] = StandinPlain(name)
@@ -244,9 +312,10 @@
         self.member_by_name[name] = member
         self.membership = StandinMembership(self.member_by_name.values())
 
-    def _nodes(self, name: str) -> list[Node]:
+    def _nodes(self, name: str, process: str) -> list[Node]:
         vm = self.vm_by_name[name]
-        return [process.node for process in (vm.control, vm.entry) if process is not None]
+        running = vm.control if process == "control" else vm.entry
+        return [] if running is None else [running.node]
 
     def _vms_in(self, data_centre: str) -> list[str]:
         return [name for name, vm in self.vm_by_name.items() if vm.plan.data_centre == data_centre]
--- a/pimentoquay/bench/memory_cluster.py
+++ b/pimentoquay/bench/memory_cluster.py
@@ -32,7 +32,7 @@
 from pimentoquay.standin.directory import EngineDirectory
 from pimentoquay.standin.engine import StandinEngine
 from pimentoquay.standin.engine_model import EngineModel
-from pimentoquay.standin.log import StandinLog
+from pimentoquay.standin.log import LogModel, StandinLog
 from pimentoquay.standin.membership_list import StandinMembership
 from pimentoquay.standin.plain_service import StandinPlain
 from pimentoquay.standin.weight_store import StandinWeights
@@ -74,6 +74,10 @@
         The parts of each control process.
     settings
         Sections that differ from the defaults, keyed by name.
+    log_model
+        Costs and limits of the log.
+    weights
+        The store of weights.
     """
 
     def __init__(
@@ -83,6 +87,8 @@
         engine_model: EngineModel | None = None,
         part_names: tuple[str, ...] = PART_NAMES,
         settings: dict[str, object] | None = None,
+        log_model: LogModel | None = None,
+        weights: StandinWeights | None = None,
     ) -> None:
         load_parts()
         self.deployment = deployment
@@ -90,8 +96,8 @@
         self._settings = settings or {}
         self._incarnation = 0
         self.network = MemoryNetwork(deployment.one_way_delay)
-        self.log = StandinLog()
-        self.weights = StandinWeights()
+        self.log = StandinLog(log_model)
+        self.weights = weights or StandinWeights()
         model = engine_model or EngineModel()
         self._directory = EngineDirectory()
         self.member_by_name: dict[str, Member] = {}
--- a/pimentoquay/transport/memory.py
+++ b/pimentoquay/transport/memory.py
@@ -26,7 +26,8 @@
         self._transport_by_address: dict[str, MemoryTransport] = {}
         self._cuts: set[frozenset[str]] = set()
         self._delay_by_pair: dict[frozenset[str], float] = {}
-        self._paused_vms: set[str] = set()
+        self._paused: set[str] = set()
+        self._repeating_vms: set[str] = set()
         self._channels: list[MemoryChannel] = []
 
     def transport(self, identity: Identity) -> "MemoryTransport":
@@ -48,13 +49,24 @@
         """Delay each message between two VMs by ``delay`` seconds."""
         self._delay_by_pair[frozenset((vm_a, vm_b))] = delay
 
-    def pause(self, vm: str) -> None:
-        """Hold back everything sent to or by a VM."""
-        self._paused_vms.add(vm)
+    def repeat(self, vm: str, is_on: bool) -> None:
+        """Deliver each message to or from a VM twice, or end that."""
+        if is_on:
+            self._repeating_vms.add(vm)
+        else:
+            self._repeating_vms.discard(vm)
+
+    def copies_of(self, vm_a: str, vm_b: str) -> int:
+        """Return how often a message between two VMs is delivered."""
+        return 2 if {vm_a, vm_b} & self._repeating_vms else 1
+
+    def pause(self, name: str) -> None:
+        """Hold back everything sent to or by a VM, or by one process given as ``vm/process``."""
+        self._paused.add(name)
 
-    def resume(self, vm: str) -> None:
+    def resume(self, name: str) -> None:
         """Deliver what ``pause`` held back."""
-        self._paused_vms.discard(vm)
+        self._paused.discard(name)
         for channel in list(self._channels):
             channel.flush()
 
@@ -62,9 +74,12 @@
         """Tell whether two VMs cannot reach each other."""
         return frozenset((vm_a, vm_b)) in self._cuts
 
-    def is_paused(self, *vms: str) -> bool:
-        """Tell whether any of the VMs is paused."""
-        return any(vm in self._paused_vms for vm in vms)
+    def is_paused(self, *processes: Identity) -> bool:
+        """Tell whether any of the processes or its VM is paused."""
+        return bool(self._paused) and any(
+            item.vm in self._paused or f"{item.vm}/{item.process}" in self._paused
+            for item in processes
+        )
 
     def delay_of(self, vm_a: str, vm_b: str) -> float:
         """Return the one-way delay between two VMs in seconds."""
@@ -137,8 +152,9 @@
         self._network.bytes_sent += len(frame)
         delay = self._network.delay_of(self.local.vm, self.peer.vm)
         # Timers of one instant fire in any order, so each takes the oldest frame under way.
-        self.other.under_way.append(frame)
-        asyncio.get_running_loop().call_later(delay, self.other.deliver)
+        for _ in range(self._network.copies_of(self.local.vm, self.peer.vm)):
+            self.other.under_way.append(frame)
+            asyncio.get_running_loop().call_later(delay, self.other.deliver)
 
     async def receive(self) -> Any:
         """Return the next message; ``ConnectionError`` once the channel has closed."""
@@ -156,14 +172,14 @@
         frame = self.under_way.popleft()
         if self._closed:
             return
-        if self._network.is_paused(self.local.vm, self.peer.vm):
+        if self._network.is_paused(self.local, self.peer):
             self._held.append(frame)
         else:
             self._received.put_nowait(frame)
 
     def flush(self) -> None:
         """Deliver what was held back, unless the network is still paused here."""
-        if not self._network.is_paused(self.local.vm, self.peer.vm):
+        if not self._network.is_paused(self.local, self.peer):
             held, self._held = self._held, []
             for frame in held:
                 self._received.put_nowait(frame)
