--- a/pimentoquay/bench/mutations/switches.py
+++ b/pimentoquay/bench/mutations/switches.py
@@ -317,7 +317,7 @@
     ),
     Switch(
         "configuration asked of a peer",
-        "pimentoquay.configuration.part:ConfigurationPart._chase",
+        "pimentoquay.configuration.chase:Chaser._look",
         _always(None),
         _CONFIGURATION + "test_data_centre_cut_off_from_the_log_is_told_by_its_peers",
     ),
