--- a/pimentoquay/messages/orders.py
+++ b/pimentoquay/messages/orders.py
@@ -11,6 +11,7 @@
     "KeyOutcome",
     "KeyOutcomeRecord",
     "LoadPermit",
+    "RoleRecord",
     "ShardClaim",
 ]
 
@@ -87,7 +88,8 @@
 class ShardClaim:
     """A claim of the right to order a shard's engines about.
 
-    The offset of a holder's first claim plus one is its fencing number. ``renews`` is the number
+    The offset of a holder's first claim plus one is its fencing number, counted from ``above``: the
+    highest number given out on a log that has since started anew, else 0. ``renews`` is the number
     that the record renews, 0 in a first claim; ``lease`` is in seconds, 0 to give the right up.
     """
 
@@ -97,6 +99,7 @@
     sequence: int
     renews: int
     lease: float
+    above: int
 
 
 @message(77)
@@ -112,3 +115,20 @@
     incarnation: int
     sequence: int
     lifetime: float
+
+
+@message(78)
+class RoleRecord:
+    """The role that an engine shall have from now on, whoever holds its shard.
+
+    ``role`` is the value of an ``EngineRole``. The record counts only while ``number`` is the
+    fencing number of the shard's holder.
+    """
+
+    shard: str
+    engine: str
+    role: int
+    number: int
+    vm: str
+    incarnation: int
+    sequence: int
--- a/pimentoquay/orders/claim_fold.py
+++ b/pimentoquay/orders/claim_fold.py
@@ -1,4 +1,4 @@
-"""The fold of a region's claims: who may order a shard's engines, who may load weights.
+"""The fold of a region's claims: who may order a shard, who may load weights, wanted roles.
 
 The last claim of a shard in the order of the log holds it. A renewal counts only for the holder
 that it names, so that a deposed holder's renewal, late or unaware, takes nothing back. Places for
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass, replace
 
-from pimentoquay.messages.orders import LoadPermit, ShardClaim
+from pimentoquay.messages.orders import LoadPermit, RoleRecord, ShardClaim
 
 __all__ = ["ClaimFold", "ShardHolder"]
 
@@ -39,6 +39,8 @@
 class ClaimFold:
     """Holders and permits by the records folded so far.
 
+    ``above`` is the number that fencing numbers on this log are counted from.
+
     Parameters
     ----------
     places
@@ -46,10 +48,12 @@
     """
 
     def __init__(self, places: int) -> None:
+        self.above = 0
         self._places = places
         self._holder_by_shard: dict[str, ShardHolder] = {}
         self._terms_by_shard: dict[str, dict[tuple[str, int], _Term]] = {}
         self._permit_by_engine: dict[str, _Permit] = {}
+        self.role_by_engine: dict[str, int] = {}
 
     def holder_of(self, shard: str) -> ShardHolder | None:
         """Return the last holder of a shard, also when its lease has ended."""
@@ -88,11 +92,12 @@
 
     def apply_claim(self, offset: int, claim: ShardClaim, appended_at: float) -> None:
         """Fold a claim or a renewal."""
+        self.above = max(self.above, claim.above)
         holder = self._holder_by_shard.get(claim.shard)
         until = appended_at + claim.lease
         if claim.renews == 0:
             self._holder_by_shard[claim.shard] = ShardHolder(
-                claim.vm, claim.incarnation, offset + 1, until
+                claim.vm, claim.incarnation, self.above + offset + 1, until
             )
         elif holder is not None and _renews(claim, holder):
             self._holder_by_shard[claim.shard] = replace(holder, until=until)
@@ -121,6 +126,12 @@
                 appended_at + permit.lifetime,
             )
 
+    def apply_role(self, record: RoleRecord) -> None:
+        """Fold the wanted role of an engine; a deposed holder's is without effect."""
+        holder = self._holder_by_shard.get(record.shard)
+        if holder is not None and holder.number == record.number:
+            self.role_by_engine[record.engine] = record.role
+
     def _taken(self, data_centre: str, now: float) -> int:
         return sum(
             permit.until > now and permit.data_centre == data_centre
