Show each subpackage by an example that a test runs; test the pages' links

Newcomers had package doc comments of a line and no example that was known to run. docs/subpackages.md has a section for every subpackage, run as a doctest; the test fails when a subpackage has no section. Another test follows the relative links of all pages.

--- /dev/null
+++ b/pimentoquay/tests/test_documents.py
@@ -0,0 +1,31 @@
+"""The examples of the pages, and links between pages."""
+
+import doctest
+import re
+from pathlib import Path
+
+import pimentoquay
+
+DOCS = Path(__file__).parents[2] / "docs"
+LINK = re.compile(r"\]\(([^)#:]+)(?:#[^)]*)?\)")
+
+
+def test_examples_of_the_subpackages_run():
+    page = DOCS / "subpackages.md"
+    failed, run = doctest.testfile(str(page), module_relative=False, encoding="utf-8")
+    assert failed == 0 and run > 30
+    package = Path(pimentoquay.__file__).parent
+    names = {path.parent.name for path in package.glob("*/__init__.py")} - {"tests"}
+    headings = re.findall(r"^## (\w+)$", page.read_text(encoding="utf-8"), re.MULTILINE)
+    assert sorted(headings) == sorted(names)
+
+
+def test_links_between_pages_lead_somewhere():
+    pages = [DOCS.parent / "README.md", *DOCS.rglob("*.md")]
+    broken = [
+        f"{page.relative_to(DOCS.parent)}: {target}"
+        for page in pages
+        for target in LINK.findall(page.read_text(encoding="utf-8"))
+        if not (page.parent / target).exists()
+    ]
+    assert not broken
