Tell the tokens used at the end of a stream; write time line events as JSON lines

OpenAI-style clients ask for usage by stream_options.include_usage; it was ignored. A stream that is asked for it is kept until its end and closes with one event more; all others are copied as before.

[log] timeline writes each event of the time line to standard error as well, so that what a process knew outlives it where logs are collected.

--- a/pimentoquay/control/program.py
+++ b/pimentoquay/control/program.py
@@ -13,7 +13,7 @@
 from pimentoquay.control.drain import drain_control
 from pimentoquay.control.settings import ControlSettings
 from pimentoquay.kernel import LoopClock, Node
-from pimentoquay.kernel.logs import configure_logs, logger
+from pimentoquay.kernel.logs import configure_logs, log_event, logger
 from pimentoquay.kernel.programs import (
     EXIT_SETTINGS,
     StopRequested,
@@ -71,6 +71,8 @@
     identity = identity_of(settings.vm, "control", clock)
     transport = WebSocketTransport(identity, settings.cluster.key.encode())
     node = Node(identity, transport, clock)
+    if settings.log.timeline:
+        node.timeline.write_to(log_event)
     platform = settings.platform
     ports = Ports(
         engine=engine_connector(),
--- a/pimentoquay/entry/http.py
+++ b/pimentoquay/entry/http.py
@@ -20,12 +20,14 @@
     parse_headers,
     parse_json,
     parse_request,
+    wants_usage,
 )
 from pimentoquay.entry.plain import PlainService, PlainTarget, is_once_only
 from pimentoquay.entry.relay import StreamedAnswer, WatchedAnswer
 from pimentoquay.entry.request import RequestSpec
 from pimentoquay.entry.service import RequestService
 from pimentoquay.entry.settings import HttpSection
+from pimentoquay.entry.usage import with_usage
 from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages.workspaces import Workspace
@@ -138,11 +140,14 @@
         body = parse_json(await self._body(request))
         pools = self._service.link.directory.shards_by_pool
         spec = parse_request(body, headers, workspace, pools, chat)
+        is_usage_wanted = wants_usage(body)
         if headers.resume_offset is not None:
             frames = self._service.resume(spec, headers.resume_offset)
         else:
             frames = self._service.run(spec)
         if spec.streaming:
+            if is_usage_wanted:
+                frames = with_usage(frames, spec, headers.resume_offset or 0)
             return StreamedAnswer(frames, headers.request_id)
         return WatchedAnswer(lambda: self._whole(spec, headers, frames))
 
--- a/pimentoquay/entry/parse.py
+++ b/pimentoquay/entry/parse.py
@@ -23,7 +23,13 @@
 SHOWN_CHARACTERS = 60
 """How much of a wrong value an error repeats."""
 
-_TYPE_WORDS = {str: "text", int: "a whole number", bool: "true or false", list: "an array"}
+_TYPE_WORDS = {
+    str: "text",
+    int: "a whole number",
+    bool: "true or false",
+    list: "an array",
+    dict: "an object",
+}
 
 
 @dataclass(frozen=True)
@@ -114,6 +120,15 @@
     )
 
 
+def wants_usage(body: dict[str, Any]) -> bool:
+    """Tell whether a stream is to end with the tokens it used."""
+    options = _field(body, "stream_options", dict, {})
+    is_wanted = bool(_field(options, "include_usage", bool, False, "stream_options."))
+    if is_wanted and not _field(body, "stream", bool, False):
+        raise bad_request("stream_options.include_usage is for streams, and stream is not true")
+    return is_wanted
+
+
 def bad_request(detail: str) -> RefusedError:
     """Return the refusal of a malformed request."""
     return RefusedError(ResultCode.BAD_REQUEST, detail)
--- a/pimentoquay/entry/program.py
+++ b/pimentoquay/entry/program.py
@@ -14,7 +14,7 @@
 from pimentoquay.entry.ports import EntryPorts
 from pimentoquay.entry.settings import EntrySettings
 from pimentoquay.kernel import LoopClock, Node
-from pimentoquay.kernel.logs import configure_logs, logger
+from pimentoquay.kernel.logs import configure_logs, log_event, logger
 from pimentoquay.kernel.programs import (
     EXIT_SETTINGS,
     StopRequested,
@@ -75,6 +75,8 @@
     identity = identity_of(settings.vm, "entry", clock)
     transport = WebSocketTransport(identity, settings.cluster.key.encode())
     node = Node(identity, transport, clock)
+    if settings.log.timeline:
+        node.timeline.write_to(log_event)
     ports = EntryPorts(
         engine=engine_connector(),
         plain=plain_connector(),
--- a/pimentoquay/entry/tests/test_http.py
+++ b/pimentoquay/entry/tests/test_http.py
@@ -62,6 +62,28 @@
         assert [model.id async for model in client.models.list()] == ["diag-llm"]
 
 
+async def test_a_stream_tells_the_tokens_used_when_asked():
+    async with http_rig() as rig, client_of(rig) as client:
+        asked = {"model": "diag-llm", "max_tokens": 12, "stream": True}
+        options = {"include_usage": True}
+        stream = await client.completions.create(prompt="log", stream_options=options, **asked)
+        chunks = [chunk async for chunk in stream]
+        assert "".join(chunk.choices[0].text for chunk in chunks[:-1]) == answer_text("log", 12)
+        assert chunks[-1].choices == [] and chunks[-1].usage.completion_tokens == 12
+        messages = [{"role": "user", "content": "tray 2 jams"}]
+        whole = await client.chat.completions.create(
+            model="diag-llm", messages=messages, max_tokens=12
+        )
+        chat = await client.chat.completions.create(
+            messages=messages, stream_options=options, **asked
+        )
+        assert [chunk async for chunk in chat][-1].usage == whole.usage
+        with pytest.raises(openai.BadRequestError, match="include_usage is for streams"):
+            await client.completions.create(
+                model="diag-llm", prompt="log", extra_body={"stream_options": options}
+            )
+
+
 async def test_each_wrong_request_gets_its_numbered_error_and_runs_nothing():
     async with http_rig(max_body_bytes=4096) as rig, client_of(rig) as client:
 
--- a/pimentoquay/entry/tests/test_parse.py
+++ b/pimentoquay/entry/tests/test_parse.py
@@ -2,11 +2,12 @@
 import random
 from dataclasses import replace
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from pimentoquay.entry.choice import choose_shards
-from pimentoquay.entry.parse import parse_headers, parse_json, parse_request
+from pimentoquay.entry.parse import parse_headers, parse_json, parse_request, wants_usage
 from pimentoquay.entry.request import RequestSpec
 from pimentoquay.entry.tests.fakes import entry_vm
 from pimentoquay.entry.tests.http_rig import workspace_of
@@ -114,3 +115,9 @@
     reachable = ("b", "c", "d")
     chosen = choose_shards(shards, by_name, here, reachable, (), random.Random(1))
     assert chosen == ("m@c#0", "m@b#0")
+
+
+@pytest.mark.parametrize("options", [5, {"include_usage": 1}, {"include_usage": True}])
+def test_wrong_stream_options_are_refused_by_name(options):
+    with pytest.raises(RefusedError, match="stream_options"):
+        wants_usage({"stream_options": options})
--- a/pimentoquay/kernel/logs.py
+++ b/pimentoquay/kernel/logs.py
@@ -9,7 +9,9 @@
 
 from loguru import logger
 
-__all__ = ["configure_logs", "logger"]
+from pimentoquay.kernel.timeline import Event
+
+__all__ = ["configure_logs", "log_event", "logger"]
 
 
 def configure_logs(process: str, vm: str, level: str = "INFO") -> None:
@@ -41,3 +43,15 @@
 
     logger.remove()
     logger.add(write, level=level, backtrace=False, diagnose=False)
+
+
+def log_event(event: Event) -> None:
+    """Write an event of the time line as a log line."""
+    logger.bind(
+        kind=event.kind,
+        request=event.request_id,
+        workspace=event.workspace,
+        detail=event.detail,
+        wall_us=event.stamp.wall_us,
+        count=event.stamp.count,
+    ).info("event")
--- a/pimentoquay/kernel/sections.py
+++ b/pimentoquay/kernel/sections.py
@@ -34,6 +34,9 @@
         default="INFO",
         choices=("DEBUG", "INFO", "WARNING", "ERROR"),
     )
+    timeline: bool = setting(
+        help="write each event of the time line as a line of its own as well", default=False
+    )
 
 
 @dataclass(frozen=True)
--- a/pimentoquay/kernel/timeline.py
+++ b/pimentoquay/kernel/timeline.py
@@ -5,6 +5,7 @@
 """
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from pimentoquay.kernel.clock import Clock
@@ -80,18 +81,29 @@
         self._vm = vm
         self._process = process
         self._records: deque[_Record] = deque(maxlen=capacity)
+        self._write: Callable[[Event], None] | None = None
 
     def record(
         self, kind: str, request_id: str = "", workspace: str = "", detail: str = ""
     ) -> None:
         """Append one event stamped now."""
-        self._records.append((self.hybrid_clock.advance(), kind, request_id, workspace, detail))
+        record = (self.hybrid_clock.advance(), kind, request_id, workspace, detail)
+        self._records.append(record)
+        if self._write is not None:
+            self._write(self._event(record))
+
+    def write_to(self, write: Callable[[Event], None]) -> None:
+        """Hand every later event to ``write`` as well."""
+        self._write = write
 
     def events(self, request_id: str = "", workspace: str = "") -> tuple[Event, ...]:
         """Return the kept events, filtered by request and workspace when given."""
         return tuple(
-            Event(Stamp(*record[0]), self._vm, self._process, *record[1:])
+            self._event(record)
             for record in self._records
             if (not request_id or record[2] == request_id)
             and (not workspace or record[3] == workspace)
         )
+
+    def _event(self, record: _Record) -> Event:
+        return Event(Stamp(*record[0]), self._vm, self._process, *record[1:])
