--- a/pimentoquay/bench/capacity/reckon.py
+++ b/pimentoquay/bench/capacity/reckon.py
@@ -59,6 +59,7 @@
         *_membership(size, slopes),
         *_configuration(size, slopes),
         *_log(size, slopes),
+        *_loss(size, slopes),
         *_restart(size, slopes),
     )
 
@@ -167,6 +168,19 @@
     ]
 
 
+def _loss(size: Size, slopes: Slopes) -> list[Row]:
+    role = "loss of a data centre, a VM of its region"
+    requests = size.requests_per_vm * size.surge_after_a_loss
+    tokens = size.tokens_per_vm * size.surge_after_a_loss * slopes("relay, both sides", "token")
+    entry = requests * slopes("request at the entry, no scheduler", "request")
+    mechanism = "the balancer; every VM holds every workspace"
+    return [
+        Row(role, "requests", requests, "requests/s", mechanism),
+        Row(role, "relay of tokens", _percent(tokens), "% of a core", "frames are copied unread"),
+        Row(role, "starting them", _percent(entry), "% of a core", "one state machine a request"),
+    ]
+
+
 def _restart(size: Size, slopes: Slopes) -> list[Row]:
     role = "full restart, a VM"
     whole = size.workspaces * slopes("whole configuration to a new VM", "workspace") / _MB
--- a/pimentoquay/bench/capacity/size.py
+++ b/pimentoquay/bench/capacity/size.py
@@ -54,6 +54,12 @@
         """Tokens a second through one VM."""
         return self.tokens / self.vms
 
+    @property
+    def surge_after_a_loss(self) -> float:
+        """Load of a data centre over its usual one, once another of its region is lost."""
+        places = self.data_centres / self.regions
+        return places / (places - 1)
+
     @property
     def requests_in_progress_per_vm(self) -> float:
         """Requests in progress through one VM when each just meets its targets."""
