Measure the burst of changes and membership anew on the capacity page

The relay of changes is a tree now and heartbeats are left out at rest, so the rows that multiplied a relay by 28 neighbours no longer hold.

--- a/pimentoquay/bench/capacity/reckon.py
+++ b/pimentoquay/bench/capacity/reckon.py
@@ -9,6 +9,7 @@
 
 from pimentoquay.bench.capacity.size import SECONDS_PER_DAY, Size
 from pimentoquay.bench.slopes.slope import Slope
+from pimentoquay.configuration.places import FAN_OUT
 from pimentoquay.scheduler.settings import SchedulerSection
 
 __all__ = ["Row", "Slopes", "reckon"]
@@ -138,20 +139,23 @@
 
 def _configuration(size: Size, slopes: Slopes) -> list[Row]:
     relay = slopes("relay of one change to a VM", "change")
-    batched = slopes("relay of ten changes at once to a VM", "change")
     rate = size.changes_per_day / SECONDS_PER_DAY
-    burst = size.burst_changes_per_minute / 60
-    peers = size.vms_per_data_centre - 1
-    fold = burst * slopes("fold a change", "workspace")
+    per_burst = f"burst of {size.burst_changes_per_minute} changes in a minute"
+    sent = slopes("sent by the VM that sends most", per_burst)
+    received = slopes("received by the VM that receives most", per_burst)
+    in_force = slopes("longest time until in force", per_burst)
+    fold = size.burst_changes_per_minute / 60 * slopes("fold a change", "workspace")
     memory = size.workspaces * slopes("memory of a workspace in force", "workspace") / _MB
-    reader, follower = "configuration, reader of a data centre", "configuration, other VMs"
+    role, burst = "configuration, a VM", "burst of 500 a minute"
+    day = rate * relay
     return [
-        Row(reader, "changes relayed", rate * relay * peers, "B/s", "one reader a data centre"),
-        Row(reader, "burst of 500 a minute", burst * batched * peers / 1000, "kB/s", "batches"),
-        Row(follower, "changes received", rate * relay, "B/s", "pushed, only what changed"),
-        Row(follower, "burst of 500 a minute", burst * batched, "B/s", "batches"),
-        Row(follower, "folding the burst", _percent(fold), "% of a core", "one pure fold"),
-        Row(follower, "state in force", memory, "MB", "every VM holds all workspaces"),
+        Row(role, "changes sent over a day", day * FAN_OUT, "B/s", "a tree two wide"),
+        Row(role, "changes received over a day", day, "B/s", "pushed, only what changed"),
+        Row(role, f"{burst}, most sent", sent, "B/s", "gathered, compressed, a tree"),
+        Row(role, f"{burst}, most received", received, "B/s", "gathered, compressed, a tree"),
+        Row(role, f"{burst}, in force everywhere", in_force, "s", "gathered for a second"),
+        Row(role, "folding the burst", _percent(fold), "% of a core", "one pure fold"),
+        Row(role, "state in force", memory, "MB", "every VM holds all workspaces"),
     ]
 
 
--- a/pimentoquay/bench/slopes/command.py
+++ b/pimentoquay/bench/slopes/command.py
@@ -6,6 +6,7 @@
 
 from pimentoquay.bench import decision_cost, membership_cost  # noqa: F401
 from pimentoquay.bench.slopes import (  # noqa: F401
+    burst,
     held,
     mesh,
     messages,
