--- a/pimentoquay/bench/faults/runner.py
+++ b/pimentoquay/bench/faults/runner.py
@@ -32,7 +32,10 @@
 
 @dataclass(frozen=True)
 class Outcome:
-    """What one schedule brought; ``count_by_ending`` counts calls by ending and code."""
+    """What one schedule brought; ``count_by_ending`` counts calls by ending and code.
+
+    ``digest`` is taken over all that callers, operators and engines saw and over the time lines.
+    """
 
     seed: int
     steps: tuple[Step, ...]
@@ -40,6 +43,7 @@
     violations: tuple[Violation, ...]
     count_by_ending: dict[str, int]
     virtual_seconds: float
+    digest: str
 
 
 def run_schedule(seed: int, steps: tuple[Step, ...]) -> Outcome:
@@ -112,10 +116,11 @@
     looking.cancel()
     look()
     violations = violations_of(world, tuple(faults), watch, not_loaded)
+    digest = world.digest()
     await world.close()
     counts = Counter(_ending_of(record) for record in world.records)
     return Outcome(
-        seed, steps, tuple(faults), violations, dict(sorted(counts.items())), loop.time()
+        seed, steps, tuple(faults), violations, dict(sorted(counts.items())), loop.time(), digest
     )
 
 
--- a/pimentoquay/bench/faults/world.py
+++ b/pimentoquay/bench/faults/world.py
@@ -1,6 +1,7 @@
 """A small deployment whose processes, wires and stand-ins can be made to fail."""
 
 import asyncio
+import hashlib
 from collections import Counter
 from dataclasses import replace
 
@@ -273,6 +274,24 @@
         ]
         return tuple(late)
 
+    def digest(self) -> str:
+        """Return a digest of what was seen outside and of the time lines of what still runs."""
+        nodes = [
+            node
+            for vm in self.vms
+            for name in ("control", "entry")
+            for node in self._nodes(vm, name)
+        ]
+        seen = (
+            self.records,
+            self.published,
+            self.in_force,
+            self.wires.orders,
+            [engine.observed() for engine in self.engine_by_name.values()],
+            [node.timeline.events() for node in nodes],
+        )
+        return hashlib.blake2b(repr(seen).encode(), digest_size=16).hexdigest()
+
     def note_dead_processes(self) -> None:
         """Take down the processes that ended although nobody ended them."""
         for name, vm in self.vm_by_name.items():
