Make a run the same in every process: no order taken from sets of names

Cause: OrdersPart asked for places to load weights in the order of a set of names; the scheduler's and the entry's walks over sets of shards could do the same.

--- a/pimentoquay/bench/faults/tests/test_faults.py
+++ b/pimentoquay/bench/faults/tests/test_faults.py
@@ -56,10 +56,10 @@
         "from pimentoquay.bench.faults.runner import run_schedule;"
         "from pimentoquay.bench.faults.schedule import make_steps;"
         "from pimentoquay.kernel.logs import logger; logger.remove();"
-        "print(run_schedule(5, make_steps(5, 8)))"
+        "print(run_schedule(5, make_steps(5, 8)), run_schedule(60010, make_steps(60010, 12)))"
     )
     outputs = set()
-    for hash_seed in ("1", "2"):
+    for hash_seed in ("1", "3"):
         environment = {**os.environ, "PYTHONHASHSEED": hash_seed}
         command = [sys.executable, "-c", code]
         outputs.add(subprocess.run(command, env=environment, capture_output=True).stdout)
--- a/pimentoquay/entry/scheduler_link.py
+++ b/pimentoquay/entry/scheduler_link.py
@@ -282,7 +282,7 @@
 
     def _announce(self) -> None:
         """Announce held grants wherever a shard's owner has a channel it was not told on."""
-        for shard in set(self._channel_by_shard) | set(self._held_by_shard):
+        for shard in sorted(set(self._channel_by_shard) | set(self._held_by_shard)):
             channel = self._peers.channel_to(self.directory.owner(shard))
             if channel is None or channel is self._channel_by_shard.get(shard):
                 continue
--- a/pimentoquay/orders/part.py
+++ b/pimentoquay/orders/part.py
@@ -119,7 +119,7 @@
             del self._reported_at[name]
             self._target_by_engine.pop(name, None)
             self._roles.forget_engine(name)
-        for name in earlier - set(self._shard_by_name):
+        for name in sorted(earlier - set(self._shard_by_name)):
             self._roles.forget_shard(name)
 
     async def _reconcile(self, shard: Shard) -> None:
@@ -190,7 +190,7 @@
         target_by_engine: dict[str, EngineTarget],
     ) -> None:
         place_by_engine = {member.name: member.data_centre for member in shard.engines}
-        for name in self._loading & set(place_by_engine):
+        for name in sorted(self._loading & set(place_by_engine)):
             status = statuses.get(name)
             if status is not None and not needs_load(status, target_by_engine[name]):
                 self._loading.discard(name)
@@ -210,7 +210,7 @@
             if await self._guard(self._leases.permit_load(name, place_by_engine[name])):
                 self._loading.add(name)
         permitted = set()
-        for name in self._loading & set(statuses):
+        for name in sorted(self._loading & set(statuses)):
             if await self._guard(self._leases.permit_load(name, place_by_engine[name])):
                 permitted.add(name)
         return frozenset(permitted)
--- a/pimentoquay/scheduler/part.py
+++ b/pimentoquay/scheduler/part.py
@@ -171,7 +171,7 @@
     def _take_view(self, message: ClusterView, channel: Channel | None) -> None:
         owned = self._owned_shards(message)
         now = self._node.clock.now()
-        for name in set(self.scheduler_by_shard) - set(owned):
+        for name in sorted(set(self.scheduler_by_shard) - set(owned)):
             del self.scheduler_by_shard[name]
             logger.bind(shard=name).info("gave up a shard")
         for name, shard in owned.items():
@@ -262,7 +262,7 @@
             for scheduler in self.scheduler_by_shard.values()
             for member in scheduler.shard.engines
         }
-        for name in set(self._watch_by_engine) - set(member_by_name):
+        for name in sorted(set(self._watch_by_engine) - set(member_by_name)):
             self._watch_by_engine.pop(name).cancel()
             self._client_by_engine.pop(name, None)
         for name, member in member_by_name.items():
