--- a/pimentoquay/bench/mutations/switches.py
+++ b/pimentoquay/bench/mutations/switches.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from pimentoquay.kernel.codes import ResultCode
+from pimentoquay.orders.reconcile import is_reached
 
 __all__ = ["SWITCHES", "Switch", "switch_of"]
 
@@ -57,6 +58,10 @@
     return lambda self, offset, claim, appended_at: original(self, 0, claim, appended_at)
 
 
+def _reached_whoever_holds(original: Any) -> Any:
+    return lambda self, shard, member, status, target: is_reached(status, target)
+
+
 def _append_without_gap(original: Any) -> Any:
     from pimentoquay.messages import encode
 
@@ -156,6 +161,22 @@
     return try_servers
 
 
+def _probe_lets_all_through(original: Any) -> Any:
+    from pimentoquay.policy.circuits import CircuitState
+
+    def is_let_through(self: Any, key: str, now: float) -> bool:
+        return self._circuits.state(key, now) is not CircuitState.WAITING
+
+    return is_let_through
+
+
+def _no_rebuild_grace(original: Any) -> Any:
+    def init(self: Any, shard: Any, section: Any, now: float) -> None:
+        original(self, shard, replace(section, rebuild_grace=0.0), now)
+
+    return init
+
+
 def _do_nothing_async(original: Any) -> Any:
     async def nothing(*args: Any) -> None:
         return None
@@ -167,6 +188,9 @@
 _KEYS = "pimentoquay/orders/tests/test_once_only.py::"
 _ONCE_ONLY = "pimentoquay/entry/tests/test_once_only.py::"
 _MEMBERSHIP = "pimentoquay/membership/tests/test_part.py::"
+_SCHEDULER = "pimentoquay/scheduler/tests/test_part.py::"
+_SHARD = "pimentoquay/scheduler/tests/test_shard.py::"
+_CONFIGURATION = "pimentoquay/configuration/tests/test_part.py::"
 
 SWITCHES = (
     Switch(
@@ -258,8 +282,7 @@
         "sweep",
         "pimentoquay.scheduler.sweep:_is_unexplained",
         _always(False),
-        "pimentoquay/scheduler/tests/test_shard.py::"
-        "test_sweep_cancels_only_old_holdings_that_nobody_reads",
+        _SHARD + "test_sweep_cancels_only_old_holdings_that_nobody_reads",
     ),
     Switch(
         "single probe",
@@ -267,6 +290,48 @@
         _every_waiter_probes,
         "pimentoquay/policy/tests/test_circuits.py::test_one_probe_goes_when_the_wait_is_over",
     ),
+    Switch(
+        "others wait for a scheduler's probe",
+        "pimentoquay.scheduler.engines:EngineSet._is_let_through",
+        _probe_lets_all_through,
+        _SHARD + "test_one_probe_to_an_engine_that_refused",
+    ),
+    Switch(
+        "lease of an entry",
+        "pimentoquay.scheduler.part:SchedulerPart._end_leases",
+        _always(None),
+        _SCHEDULER + "test_silence_ends_a_lease",
+    ),
+    Switch(
+        "end of a lost entry",
+        "pimentoquay.scheduler.part:SchedulerPart._end_entry",
+        _do_nothing_async,
+        _SCHEDULER + "test_streams_of_a_lost_entry_are_freed_within_two_seconds",
+    ),
+    Switch(
+        "grace of a new scheduler",
+        "pimentoquay.scheduler.shard:ShardScheduler.__init__",
+        _no_rebuild_grace,
+        _SHARD + "test_nothing_is_granted_before_the_rebuild_grace",
+    ),
+    Switch(
+        "configuration passed on in a data centre",
+        "pimentoquay.configuration.part:ConfigurationPart._push_to_neighbours",
+        _always(None),
+        _CONFIGURATION + "test_change_is_in_force_everywhere_with_one_reader_for_each_data_centre",
+    ),
+    Switch(
+        "configuration asked of a peer",
+        "pimentoquay.configuration.chase:Chaser._look",
+        _always(None),
+        _CONFIGURATION + "test_data_centre_cut_off_from_the_log_is_told_by_its_peers",
+    ),
+    Switch(
+        "gateways between data centres",
+        "pimentoquay.membership.mesh:gateways_between",
+        _always(()),
+        _MEMBERSHIP + "test_partition_and_healing_between_data_centres",
+    ),
     Switch(
         "attempt number",
         "pimentoquay.entry.scheduler_link:SchedulerLink._answer",
@@ -289,8 +354,7 @@
         "configuration appended anew before it ages out",
         "pimentoquay.configuration.checkpoint_writer:CheckpointWriter._look",
         _do_nothing_async,
-        "pimentoquay/configuration/tests/test_part.py::"
-        "test_retention_passes_and_every_vm_is_replaced_at_once",
+        _CONFIGURATION + "test_retention_passes_and_every_vm_is_replaced_at_once",
     ),
     Switch(
         "signed hello",
@@ -305,5 +369,26 @@
         "pimentoquay/policy/tests/test_roles.py::"
         "test_lasting_shift_moves_one_engine_after_the_hold_time",
     ),
+    Switch(
+        "drain before a change of role",
+        "pimentoquay.orders.roles:RoleKeeper.may_order",
+        _always(True),
+        "pimentoquay/bench/tests/test_role_changes.py::"
+        "test_a_lasting_shift_of_the_mix_moves_engines_and_cuts_no_stream",
+    ),
+    Switch(
+        "every engine hears the holder's number",
+        "pimentoquay.orders.part:OrdersPart._is_reached",
+        _reached_whoever_holds,
+        "pimentoquay/bench/tests/test_role_changes.py::"
+        "test_a_holder_paused_as_it_sends_a_change_leaves_the_roles_right",
+    ),
+    Switch(
+        "roles on the log",
+        "pimentoquay.orders.leases:Leases.role_of",
+        _always(None),
+        "pimentoquay/bench/tests/test_role_changes.py::"
+        "test_a_holder_paused_as_it_sends_a_change_leaves_the_roles_right",
+    ),
 )
 """Every mechanism that is checked."""
