Do not let a transfer delay another beyond the life of its KV

The ledger takes the transfers on a link to go one after another, while the link shares its rate: eight short prompts granted later crossed beside it, and 0.47 s of an idle link became more than the 0.8 s that KV lives. Ruled out: the entry's patience (0.1 s and four times the usual), and a busy link at the time of the grant (it was idle).

Change: LinkLoad keeps, for both sides of each link, when each transfer begins and ends at the latest, each delaying another by no more than the shorter takes alone. Placement adds none that could keep any KV under way for more than 0.75 s.

--- a/pimentoquay/policy/__init__.py
+++ b/pimentoquay/policy/__init__.py
@@ -13,7 +13,7 @@
 )
 from pimentoquay.policy.circuits import CircuitLimits, Circuits, CircuitState
 from pimentoquay.policy.engines import EngineLoad
-from pimentoquay.policy.links import TransferPace, is_link_key, link_keys
+from pimentoquay.policy.links import KV_SECONDS, LinkLoad, TransferPace, is_link_key, link_keys
 from pimentoquay.policy.placement import (
     Choice,
     PlacementLimits,
@@ -34,6 +34,8 @@
     "Circuits",
     "Demand",
     "EngineLoad",
+    "KV_SECONDS",
+    "LinkLoad",
     "Estimate",
     "FairQueue",
     "Flow",
--- a/pimentoquay/policy/engines.py
+++ b/pimentoquay/policy/engines.py
@@ -1,9 +1,10 @@
 """What one engine has taken on, as the ledger of its shard counts it."""
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from pimentoquay.backends.base import EngineRole
+from pimentoquay.policy.links import LinkLoad
 
 __all__ = ["EngineLoad"]
 
@@ -17,7 +18,8 @@
 
     ``reserved`` counts slots promised to requests in prefill or transfer, ``transferring`` those
     of them in transfer, and ``decoding`` the slots in use, of which ``release_rate`` are expected
-    to end per second. What the engine itself reports and no grant explains is ``foreign``.
+    to end per second. ``link`` holds the transfers to and from the engine. What the engine itself
+    reports and no grant explains is ``foreign``.
     """
 
     name: str
@@ -36,6 +38,7 @@
     foreign_slots: int = 0
     foreign_kv: int = 0
     is_usable: bool = False
+    link: LinkLoad = field(default_factory=LinkLoad)
 
     @property
     def can_prefill(self) -> bool:
--- a/pimentoquay/policy/links.py
+++ b/pimentoquay/policy/links.py
@@ -4,7 +4,18 @@
 Both sides are charged, and a success over either clears it, so that the bad side stands out.
 """
 
-__all__ = ["TransferPace", "egress_key", "ingress_key", "is_link_key", "link_keys"]
+__all__ = [
+    "KV_SECONDS",
+    "LinkLoad",
+    "TransferPace",
+    "egress_key",
+    "ingress_key",
+    "is_link_key",
+    "link_keys",
+]
+
+KV_SECONDS = 0.75
+"""How long KV is counted on to live after its prefill, unless it is fetched."""
 
 PATIENCE_FACTOR = 4.0
 """Times the usual duration after which a transfer counts as stalled."""
@@ -36,6 +47,66 @@
     return ">" in key
 
 
+class _Crossing:
+    """One transfer: when it begins, when it ends at the latest, and when its KV expires."""
+
+    __slots__ = ("end", "seconds", "start", "until")
+
+    def __init__(self, start: float, seconds: float, end: float, until: float) -> None:
+        self.start = start
+        self.seconds = seconds
+        self.end = end
+        self.until = until
+
+
+class LinkLoad:
+    """The transfers that cross one side of a link, or will when their prefill has ended.
+
+    The link is shared equally, so that of two transfers each delays the other by no more than the
+    shorter takes alone. A transfer fits as long as no KV, its own included, can be delayed beyond
+    its life. Times are in seconds.
+
+    Example
+    -------
+    ::
+
+        if link.fits(start=now, seconds=0.2):
+            link.add("r1", start=now, seconds=0.2, life=KV_SECONDS)
+    """
+
+    def __init__(self) -> None:
+        self._crossing_by_request: dict[str, _Crossing] = {}
+
+    def __len__(self) -> int:
+        return len(self._crossing_by_request)
+
+    def fits(self, start: float, seconds: float) -> bool:
+        """Tell whether a transfer that takes ``seconds`` on an idle link may be added."""
+        end = start + seconds
+        for other in self._crossing_by_request.values():
+            if start < other.end and other.start < end:
+                delay = min(seconds, other.seconds)
+                end += delay
+                if other.end + delay > other.until:
+                    return False
+        return end <= start + KV_SECONDS
+
+    def add(self, request_id: str, start: float, seconds: float, life: float) -> None:
+        """Enter a transfer whose KV lives for ``life`` seconds from its start."""
+        end = start + seconds
+        for other in self._crossing_by_request.values():
+            if start < other.end and other.start < end:
+                delay = min(seconds, other.seconds)
+                end += delay
+                other.end += delay
+        crossing = _Crossing(start, seconds, end, start + life)
+        self._crossing_by_request[request_id] = crossing
+
+    def remove(self, request_id: str) -> None:
+        """Forget a transfer that has ended, if it is known."""
+        self._crossing_by_request.pop(request_id, None)
+
+
 class TransferPace:
     """The usual seconds per byte of KV transfers, to tell a stalled one by.
 
--- a/pimentoquay/policy/placement.py
+++ b/pimentoquay/policy/placement.py
@@ -50,12 +50,16 @@
 
 @dataclass(frozen=True)
 class Choice:
-    """Two engines, which may be one, and when each stage is expected to end."""
+    """Two engines, which may be one, and when each stage is expected to end.
+
+    ``transfer`` is the seconds that the transfer takes on idle links.
+    """
 
     prefill: str
     decode: str
     prefill_end: float
     transfer_end: float
+    transfer: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -127,7 +131,7 @@
             score = (arrival + target.cost + _remote_cost(start, target, limits), *names)
             if best is None or score < best:
                 best = score
-                best_choice = Choice(*names, start.end, arrival)
+                best_choice = Choice(*names, start.end, arrival, target.transfer)
     return best_choice
 
 
@@ -145,8 +149,12 @@
         return start.end if target.wait == 0 else -math.inf
     begin = max(start.end, start.engine.link_free_at, target.engine.link_free_at)
     arrival = begin + target.transfer
-    is_busy = begin > start.end and arrival - start.end > limits.link_seconds
-    return -math.inf if is_busy else arrival
+    if begin == start.end:
+        return arrival
+    is_open = arrival - start.end <= limits.link_seconds
+    is_open = is_open and start.engine.link.fits(start.end, target.transfer)
+    is_open = is_open and target.engine.link.fits(start.end, target.transfer)
+    return arrival if is_open else -math.inf
 
 
 def _slot_wait(engine: EngineLoad, limits: PlacementLimits) -> float:
--- /dev/null
+++ b/pimentoquay/policy/tests/test_links.py
@@ -0,0 +1,67 @@
+"""The load of a link against a naive twin that moves bytes over it."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from pimentoquay.policy import KV_SECONDS, LinkLoad
+
+STEP_SECONDS = 0.001
+
+offers = st.lists(st.tuples(st.floats(0, 0.3), st.floats(0.02, 0.6)), max_size=12)
+
+
+class NaiveLink:
+    """Shares the link equally, a millisecond at a time."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.left_by_name = {}
+        self.started_at_by_name = {}
+        self.seconds_by_name = {}
+
+    def add(self, name, seconds):
+        self.left_by_name[name] = seconds
+        self.started_at_by_name[name] = self.now
+
+    def pass_time(self, seconds):
+        """Move what fits into some seconds; return the names that have ended."""
+        ended = []
+        until = self.now + seconds
+        while self.now < until:
+            self.now += STEP_SECONDS
+            share = STEP_SECONDS / max(1, len(self.left_by_name))
+            for name in list(self.left_by_name):
+                self.left_by_name[name] -= share
+                if self.left_by_name[name] <= 0:
+                    del self.left_by_name[name]
+                    self.seconds_by_name[name] = self.now - self.started_at_by_name[name]
+                    ended.append(name)
+        return ended
+
+
+@settings(max_examples=100, deadline=None)
+@given(offers)
+def test_what_fits_never_outlasts_its_kv(steps):
+    link, naive = LinkLoad(), NaiveLink()
+    for number, (pause, seconds) in enumerate(steps):
+        for name in naive.pass_time(pause):
+            link.remove(name)
+        if link.fits(naive.now, seconds):
+            link.add(f"r{number}", naive.now, seconds, KV_SECONDS)
+            naive.add(f"r{number}", seconds)
+    naive.pass_time(10.0)
+    assert all(took <= KV_SECONDS + 0.05 for took in naive.seconds_by_name.values())
+
+
+def test_short_transfers_may_cross_beside_a_long_one_until_its_slack_is_used():
+    link = LinkLoad()
+    link.add("long", 1.0, 0.5, KV_SECONDS)
+    taken = 0
+    while link.fits(1.1, 0.05):
+        link.add(f"short-{taken}", 1.1, 0.05, KV_SECONDS)
+        link.remove(f"short-{taken}")
+        taken += 1
+    assert taken in (3, 4)
+    link.remove("long")
+    assert link.fits(1.1, 0.5)
+    assert len(link) == 0
--- a/pimentoquay/policy/tests/test_placement.py
+++ b/pimentoquay/policy/tests/test_placement.py
@@ -10,6 +10,7 @@
     Circuits,
     CircuitState,
     EngineLoad,
+    LinkLoad,
     PlacementLimits,
     PlacementNeed,
     PrefixIndex,
@@ -27,6 +28,9 @@
     engines = []
     for index in range(draw(st.integers(1, 5))):
         decoding = draw(st.integers(0, 4))
+        link = LinkLoad()
+        for number, seconds in enumerate(draw(st.lists(st.floats(0.01, 0.5), max_size=3))):
+            link.add(f"r{number}", 10.0 + number / 4, seconds, 0.7)
         engines.append(
             EngineLoad(
                 f"e{index}",
@@ -41,6 +45,7 @@
                 prefill_count=draw(st.integers(0, 2)),
                 prefill_free_at=draw(st.sampled_from([0.0, 9.99, 10.01, 11.0])),
                 link_free_at=draw(st.sampled_from([0.0, 10.3, 11.5])),
+                link=link,
             )
         )
     return engines
@@ -102,6 +107,10 @@
             is_shared = max(source.link_free_at, target.link_free_at) > end
             if source is not target and is_shared and arrival - end > LIMITS.link_seconds:
                 continue
+            transfer = need.prompt_tokens * speeds.transfer.of(target.name)
+            fits = source.link.fits(end, transfer) and target.link.fits(end, transfer)
+            if source is not target and is_shared and not fits:
+                continue
             cost = arrival + LIMITS.fullness_cost * (1 - target.free_slots() / target.slots)
             cost += LIMITS.promise_cost if target.free_slots() <= 0 else 0.0
             cost += LIMITS.remote_cost if source.data_centre != target.data_centre else 0.0
--- a/pimentoquay/scheduler/ledger.py
+++ b/pimentoquay/scheduler/ledger.py
@@ -87,6 +87,8 @@
     def move(self, grant: GrantState, stage: Stage, now: float) -> None:
         """Change a grant's stage and with it what the grant holds."""
         self._count(grant, -1)
+        if stage is Stage.DECODE:
+            self._end_transfer(grant)
         grant.stage = stage
         grant.stage_since = now
         self._count(grant, 1)
@@ -97,6 +99,7 @@
         if grant is None:
             return None
         self._count(grant, -1)
+        self._end_transfer(grant)
         workspace = grant.request.workspace
         left = self._held_by_workspace.pop(workspace) - 1
         if left:
@@ -105,6 +108,11 @@
         self._forget_released(now)
         return grant
 
+    def cross(self, grant: GrantState, start: float, seconds: float, life: float) -> None:
+        """Enter a grant's transfer on the links of both its engines."""
+        for load in self._ends_of(grant):
+            load.link.add(grant.request.request_id, start, seconds, life)
+
     def was_released(self, request_id: str) -> bool:
         """Tell whether a request's grant ended so lately that engines may still report it."""
         return request_id in self._released_at_by_id
@@ -116,6 +124,16 @@
                 return
             del self._released_at_by_id[request_id]
 
+    def _end_transfer(self, grant: GrantState) -> None:
+        for load in self._ends_of(grant):
+            load.link.remove(grant.request.request_id)
+
+    def _ends_of(self, grant: GrantState) -> Iterator[EngineLoad]:
+        for name in (grant.prefill_engine, grant.decode_engine):
+            load = self.engine_by_name.get(name)
+            if load is not None:
+                yield load
+
     def _count(self, grant: GrantState, sign: int) -> None:
         source = self.engine_by_name.get(grant.prefill_engine)
         target = self.engine_by_name.get(grant.decode_engine)
--- a/pimentoquay/scheduler/shard.py
+++ b/pimentoquay/scheduler/shard.py
@@ -33,6 +33,7 @@
     StageReport,
 )
 from pimentoquay.policy import (
+    KV_SECONDS,
     AdmissionLimits,
     Choice,
     CircuitLimits,
@@ -335,6 +336,8 @@
             source.prefill_free_at = choice.prefill_end
         if source is not target:
             source.link_free_at = target.link_free_at = choice.transfer_end
+            life = waiting.kv_until - now if waiting.kv_engine else KV_SECONDS
+            self.ledger.cross(grant, choice.prefill_end, choice.transfer, life)
         self._selector.note_granted(waiting.prefill_seconds, waiting.cost, now)
         answer = Grant(request.request_id, request.attempt, choice.prefill, choice.decode)
         self._outbox.append(Outgoing(waiting.entry, answer))
--- a/pimentoquay/scheduler/tests/test_shard.py
+++ b/pimentoquay/scheduler/tests/test_shard.py
@@ -207,3 +207,18 @@
     empty = status("d", EngineRole.DECODE)
     assert sweep(scheduler.ledger, empty, 3.0, 2.0).lost == ()
     assert sweep(scheduler.ledger, empty, 3.0, 3.0).lost == ("a",)
+
+
+def test_a_transfer_does_not_delay_another_beyond_the_life_of_its_kv():
+    scheduler = shard_of({"p": EngineRole.PREFILL, "d": EngineRole.DECODE}, slots=8)
+    # 0.7 s of an idle link by the speed assumed at first; KV is counted on for 0.75 s.
+    scheduler.place(ENTRY, request("long", prompt=7000), 1.0)
+    prefilled = StageReport("long", 0, Stage.PREFILL, "p", ResultCode.OK, 7000, 0, 3.5)
+    scheduler.report(prefilled, 4.5)
+    scheduler.place(ENTRY, request("late", prompt=1000), 4.5)
+    assert [item.request_id for item in messages(scheduler)] == ["long"]
+    moved = StageReport("long", 0, Stage.TRANSFER, "d", ResultCode.OK, 7000, 0, 0.7)
+    scheduler.report(moved, 5.2)
+    assert [item.request_id for item in messages(scheduler)] == ["late"]
+    scheduler.release(Release("late", ResultCode.CANCELLED, 0, 0.0), 5.3)
+    assert not any(len(load.link) for load in scheduler.ledger.engine_by_name.values())
