Make the estimate of requests ahead and the choice of a pair cheaper

The estimate worked out each workspace's mean cost anew in each round, and the bound that cuts placement short left the transfer time out, so that nearly equal pairs were all worked out.

--- a/pimentoquay/policy/placement.py
+++ b/pimentoquay/policy/placement.py
@@ -69,7 +69,10 @@
 
 
 class _Target:
-    """A decode engine: seconds until a slot may be promised, transfer time, and cost."""
+    """A decode engine: seconds until a slot may be promised, transfer time, and cost.
+
+    ``least_cost`` is the least that it adds to the end of any prefill.
+    """
 
     def __init__(
         self, engine: EngineLoad, wait: float, transfer: float, limits: PlacementLimits
@@ -81,6 +84,8 @@
         self.cost = limits.fullness_cost * (1.0 - free / max(1, engine.slots))
         if free <= 0:
             self.cost += limits.promise_cost
+        # On an engine that also prefills, the KV may be there already.
+        self.least_cost = self.cost + (0.0 if engine.can_prefill else transfer)
 
 
 def choose(
@@ -115,12 +120,12 @@
     # The KV cannot arrive before the prefill ends, so that with both sides in order of what they
     # cost at least, the rest of a side can be left out once it cannot beat the best pair.
     starts.sort(key=lambda start: start.end)
-    targets.sort(key=lambda target: target.cost)
+    targets.sort(key=lambda target: target.least_cost)
     best: tuple[float, str, str] | None = None
     best_choice = None
     for start in starts:
         for target in targets:
-            if best is not None and start.end + target.cost > best[0]:
+            if best is not None and start.end + target.least_cost > best[0]:
                 break
             arrival = _arrival(start, target, limits)
             if arrival - now + limits.slack < target.wait:
--- a/pimentoquay/policy/queue.py
+++ b/pimentoquay/policy/queue.py
@@ -17,6 +17,9 @@
 
 Key = tuple[int, float, str]
 
+_Backlog = tuple[float, float, int, float]
+"""Of one workspace: virtual time, requests a unit of it, how many wait, and their mean cost."""
+
 LEAST_COST = 1e-6
 """Slot-seconds that every request is taken to cost."""
 
@@ -58,12 +61,14 @@
         """Return the mean cost of its waiting requests."""
         return self.cost / len(self.keys)
 
-    def served_until(self, virtual_time: float, most: int) -> int:
-        """Return how many of its first ``most`` requests are begun at or before a virtual time."""
-        if virtual_time < self.virtual_time or most == 0:
-            return 0
-        begun = (virtual_time - self.virtual_time) * self.weight / max(self.mean_cost(), LEAST_COST)
-        return min(most, 1 + int(begun))
+    def count_before(self, key: Key) -> int:
+        """Return how many of its requests go before a key."""
+        return bisect_left(self.keys, key)
+
+    def backlog(self, count: int) -> _Backlog:
+        """Return its first ``count`` waiting requests for an estimate."""
+        mean_cost = max(self.mean_cost(), LEAST_COST)
+        return (self.virtual_time, self.weight / mean_cost, count, mean_cost)
 
 
 class FairQueue:
@@ -160,19 +165,21 @@
 
     def ahead_of(self, item: QueueItem) -> float:
         """Return about how many requests will be served before a new one, if none follow it."""
-        position = bisect_left(self._keys, item.key)
+        key = item.key
         if not self._is_fair:
-            return position
-        line = self._line_by_workspace.get(item.workspace)
-        if line is None:
-            line = _Line(self._virtual_time, item.weight)
-        own = bisect_left(line.keys, item.key)
-        own_cost = own * line.mean_cost() if own else 0.0
-        turn = max(line.virtual_time, self._virtual_time) if not line.keys else line.virtual_time
+            return bisect_left(self._keys, key)
+        line = self._line_by_workspace.get(item.workspace) or _Line(0.0, item.weight)
+        weights = self._waiting_weight
+        own, own_cost, turn = 0, 0.0, line.virtual_time
+        if line.keys:
+            own = bisect_left(line.keys, key)
+            own_cost = own * line.mean_cost()
+        else:
+            turn = max(turn, self._virtual_time)
+            weights += item.weight
         turn += own_cost / item.weight
         others = [other for other in self._waiting_by_workspace.values() if other is not line]
-        weights = item.weight + sum(other.weight for other in others)
-        ahead = self._ahead_in_share(item.key, others, own_cost, weights)
+        ahead = self._ahead_in_share(key, others, own_cost, weights)
         late = turn - self._virtual_time - self._quantum
         if late <= 0:
             return own + ahead
@@ -186,16 +193,14 @@
         The others' earlier requests do, as far as they stay in theirs, and their share grows by
         what is served meanwhile.
         """
-        earlier = [(other, bisect_left(other.keys, key)) for other in others]
-        ahead, cost = 0, own_cost
+        backlogs = [other.backlog(most) for other in others if (most := other.count_before(key))]
+        cost = own_cost
         for _ in range(ESTIMATE_ROUNDS):
             share_end = self._virtual_time + cost / weights + self._quantum
-            counts = [other.served_until(share_end, most) for other, most in earlier]
-            if sum(counts) == ahead:
+            ahead, ahead_cost = _served_until(share_end, backlogs)
+            if own_cost + ahead_cost == cost:
                 break
-            ahead = sum(counts)
-            costs = (n * other.mean_cost() for (other, _), n in zip(earlier, counts, strict=True))
-            cost = own_cost + sum(costs)
+            cost = own_cost + ahead_cost
         return ahead
 
     def _file(self, workspace: str, line: _Line) -> None:
@@ -237,6 +242,17 @@
     They are served until the shard's virtual time has caught up, which takes ``cost``, but none
     of them beyond the virtual time at which it is the workspace's turn.
     """
-    counts = [other.served_until(turn, len(other.keys)) for other in others]
-    total = sum(n * other.mean_cost() for other, n in zip(others, counts, strict=True))
-    return sum(counts) * min(1.0, max(0.0, cost) / max(total, LEAST_COST))
+    backlogs = [other.backlog(len(other.keys)) for other in others]
+    count, total = _served_until(turn, backlogs)
+    return count * min(1.0, max(0.0, cost) / max(total, LEAST_COST))
+
+
+def _served_until(virtual_time: float, backlogs: list[_Backlog]) -> tuple[int, float]:
+    """Return how many requests are begun at or before a virtual time, and what they cost."""
+    served, served_cost = 0, 0.0
+    for start, rate, most, mean_cost in backlogs:
+        if start <= virtual_time:
+            count = min(most, 1 + int((virtual_time - start) * rate))
+            served += count
+            served_cost += count * mean_cost
+    return served, served_cost
