Decide again only on a change, and read cache events on taking over

Decisions: the part called dispatch every 10 ms while any request waited.

Cache events: only answers taught the prefix index, so that a new owner began with an empty one. It reads each engine's events once, and again after the engine was lost; cache_event_period reads them at a period. Late and lost ones leave hints that answers correct; a prompt whose first block has left counts as not cached, since engines drop that first.

--- a/pimentoquay/policy/prefix_index.py
+++ b/pimentoquay/policy/prefix_index.py
@@ -2,12 +2,14 @@
 
 The index is a hint: cache events come late and with gaps, so every prefill's answer corrects
 it. Hashes of a prompt's blocks are nested, the first block first, so the longest cached prefix
-is found by bisection.
+is found by bisection. An engine that runs out of memory drops the first block of a prompt first,
+so that a prompt without it counts as not cached.
 """
 
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
+from pimentoquay.backends.base import CacheEvent
 from pimentoquay.policy.prefixes import BLOCK_TOKENS
 
 __all__ = ["PrefixIndex"]
@@ -43,6 +45,14 @@
         self.drop(engine, prefix[cached_tokens // self._block_tokens :])
         self.add(engine, prefix)
 
+    def take_events(self, engine: str, events: Iterable[CacheEvent]) -> None:
+        """Take an engine's cache events; those that were lost are made up for by answers."""
+        for event in events:
+            if event.cached:
+                self.add(engine, (event.prefix,))
+            else:
+                self.drop(engine, (event.prefix,))
+
     def forget_engine(self, engine: str) -> None:
         """Drop everything about an engine."""
         self._blocks_by_engine.pop(engine, None)
@@ -50,9 +60,9 @@
     def cached_tokens(self, engine: str, prefix: Sequence[int]) -> int:
         """Return how many leading tokens of a prompt the engine probably has."""
         blocks = self._blocks_by_engine.get(engine)
-        if not blocks:
+        if not blocks or not prefix or prefix[0] not in blocks:
             return 0
-        low, high = 0, len(prefix)
+        low, high = 1, len(prefix)
         while low < high:
             middle = (low + high + 1) // 2
             if prefix[middle - 1] in blocks:
--- a/pimentoquay/scheduler/engines.py
+++ b/pimentoquay/scheduler/engines.py
@@ -1,5 +1,7 @@
 """The engines of one shard: which may be used now, and for what."""
 
+import math
+
 from pimentoquay.backends.base import EngineRole, EngineStatus
 from pimentoquay.membership import Shard
 from pimentoquay.policy import Circuits, CircuitState, EngineLoad, SpeedBook, is_link_key, link_keys
@@ -56,11 +58,10 @@
 
     def usable(self, now: float) -> list[EngineLoad]:
         """Return the engines that may get work now, among them those due a probe."""
-        return [
-            load
-            for load in self._ledger.engine_by_name.values()
-            if load.is_usable and self._is_let_through(load.name, now)
-        ]
+        live = self.live()
+        if not self._circuits.open_keys():
+            return live
+        return [load for load in live if self._is_let_through(load.name, now)]
 
     def live(self) -> list[EngineLoad]:
         """Return the engines that answer, also those whose circuit is open."""
@@ -70,9 +71,16 @@
         """Return the seconds until an engine's circuit lets a request through again."""
         return self._circuits.retry_in(name, now)
 
+    def next_probe_in(self, now: float) -> float:
+        """Return the seconds until the next circuit that now waits lets a probe through."""
+        waits = (self._circuits.retry_in(key, now) for key in self._circuits.open_keys())
+        return min((wait for wait in waits if wait > 0), default=math.inf)
+
     def closed_links(self, now: float) -> frozenset[str]:
         """Return the keys of the sides of links that are left alone now."""
         keys = self._circuits.open_keys()
+        if not keys:
+            return frozenset()
         return frozenset(
             key for key in keys if is_link_key(key) and not self._is_let_through(key, now)
         )
--- a/pimentoquay/scheduler/part.py
+++ b/pimentoquay/scheduler/part.py
@@ -1,6 +1,7 @@
 """The control process's part that runs the schedulers of the shards this VM owns."""
 
 import asyncio
+import math
 from collections.abc import Coroutine
 from functools import singledispatchmethod
 from typing import Any
@@ -15,6 +16,7 @@
     Node,
     PimentoquayError,
     ResultCode,
+    Subscription,
     plugin,
 )
 from pimentoquay.kernel.logs import logger
@@ -33,6 +35,7 @@
 )
 from pimentoquay.platform.ports import Ports
 from pimentoquay.policy.engines import EngineLoad
+from pimentoquay.scheduler.cache_reader import CacheReader
 from pimentoquay.scheduler.ledger import EntryKey
 from pimentoquay.scheduler.settings import SchedulerSection
 from pimentoquay.scheduler.shard import ShardScheduler
@@ -76,7 +79,8 @@
         self._channel_by_entry: dict[EntryKey, Channel] = {}
         self._heard_at_by_entry: dict[EntryKey, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
-        self._tick_pending = False
+        self._wake_at = math.inf
+        self._wake_timer: Subscription | None = None
         self.inbox = node.bus.subscribe(
             ClusterView,
             PlaceRequest,
@@ -116,23 +120,28 @@
         self._flush()
 
     def _flush(self) -> None:
-        """Send what the schedulers have to say, and come back while any request waits."""
+        """Send what the schedulers have to say, and come back when time alone changes something."""
         for scheduler in self.scheduler_by_shard.values():
             for outgoing in scheduler.take_outbox():
                 record_answer(self._node.timeline, outgoing.message, scheduler.shard.name)
                 channel = self._channel_by_entry.get(outgoing.entry)
                 if channel is not None:
                     channel.send(outgoing.message)
-        waits = any(scheduler.wants_tick for scheduler in self.scheduler_by_shard.values())
-        if waits and not self._tick_pending:
-            self._tick_pending = True
-            self._node.timers.after(self._section.tick, self._tick)
-
-    def _tick(self) -> None:
-        self._tick_pending = False
+        wake_at = min((s.wake_at for s in self.scheduler_by_shard.values()), default=math.inf)
+        if wake_at < self._wake_at:
+            if self._wake_timer is not None:
+                self._wake_timer.cancel()
+            self._wake_at = wake_at
+            delay = max(0.0, wake_at - self._node.clock.now())
+            self._wake_timer = self._node.timers.after(delay, self._wake)
+
+    def _wake(self) -> None:
+        """Let the schedulers decide whose time has come."""
         now = self._node.clock.now()
+        self._wake_at = math.inf
+        self._wake_timer = None
         for scheduler in self.scheduler_by_shard.values():
-            if scheduler.wants_tick:
+            if scheduler.wake_at <= now:
                 scheduler.dispatch(now)
         self._flush()
 
@@ -266,19 +275,37 @@
     async def _watch(self, member: Member) -> None:
         client = self._client_by_engine[member.name]
         pace = WatchPace(self._section.status_period, self._section.quiet_status_period)
+        cache = CacheReader(self._section.cache_event_period)
         while True:
             try:
                 async with asyncio.timeout(ENGINE_CALL_SECONDS):
                     status = await client.status()
             except (PimentoquayError, OSError, TimeoutError):
                 self._lose_engine(member.name)
+                cache.reset()
                 wait = pace.after_failure()
             else:
                 was_swept = self._take_status(status)
                 wait = pace.after_look(self._load_of(member.name), was_swept)
+                await self._read_cache(member.name, client, cache)
             self._flush()
             await self._node.timers.sleep(wait)
 
+    async def _read_cache(self, engine: str, client: EngineClient, cache: CacheReader) -> None:
+        """Take an engine's cache events into the index; without them answers still teach it."""
+        now = self._node.clock.now()
+        if not self._section.prefixes or not cache.is_due(now):
+            return
+        try:
+            async with asyncio.timeout(ENGINE_CALL_SECONDS):
+                events = await cache.read(client, now)
+        except (PimentoquayError, OSError, TimeoutError) as error:
+            logger.bind(engine=engine).info(f"no cache events: {error}")
+            return
+        for scheduler in self.scheduler_by_shard.values():
+            if engine in scheduler.ledger.engine_by_name:
+                scheduler.prefixes.take_events(engine, events)
+
     def _load_of(self, engine: str) -> EngineLoad | None:
         for scheduler in self.scheduler_by_shard.values():
             if engine in scheduler.ledger.engine_by_name:
@@ -288,6 +315,7 @@
     def _lose_engine(self, name: str) -> None:
         for scheduler in self.scheduler_by_shard.values():
             scheduler.engines.lose(name)
+            scheduler.prefixes.forget_engine(name)
 
     def _take_status(self, status: EngineStatus) -> bool:
         """Take a report into the ledger; return whether it led to a correction."""
@@ -312,6 +340,8 @@
         now = self._node.clock.now()
         for scheduler in self.scheduler_by_shard.values():
             scheduler.drop_waiting_of(entry)
+            scheduler.dispatch(now)
+        self._flush()
         await self._node.timers.sleep(self._section.resume_grace)
         if entry in self._channel_by_entry:
             return
--- a/pimentoquay/scheduler/selection.py
+++ b/pimentoquay/scheduler/selection.py
@@ -28,6 +28,9 @@
 UNBOUNDED_LEAD_SECONDS = 3600.0
 """The lead without reservation: every prefill is sent at once."""
 
+LONGEST_RECHECK_SECONDS = 0.25
+"""The longest time between two decisions while any request waits."""
+
 FIRST_HOLD_SECONDS = 2.0
 """The mean time in a slot that is assumed before the first grant."""
 
@@ -88,6 +91,8 @@
         request = waiting.request
         usable = self._engines.usable(now)
         limits = self._strict if is_rescue_waiting else self._placement
+        if limits.reserves_slot and not self._is_any_slot_open(usable, limits):
+            return None
         sources = [
             load
             for load in self._engines.prefillers(usable)
@@ -112,6 +117,30 @@
                 return None
         return choice
 
+    def opening_in(self, now: float) -> float:
+        """Return the seconds after which time alone may open a pair that is not open now.
+
+        What else opens one is told to the scheduler: a stage that ended, a report, a new engine.
+        """
+        limits = self._placement
+        usable = self._engines.usable(now)
+        waits = [self._engines.next_probe_in(now), LONGEST_RECHECK_SECONDS]
+        is_source_open = False
+        for load in usable:
+            if not load.can_prefill:
+                continue
+            if load.is_open_for_prefill(limits.prefill_lead, now):
+                is_source_open = True
+            elif load.prefill_count == 1 and load.prefill_free_at > now:
+                waits.append(load.prefill_free_at - limits.prefill_lead - now)
+        if is_source_open and self._is_any_slot_open(usable, limits):
+            waits.append(self._section.tick)  # A link is in the way, and its work goes on.
+        return min(waits)
+
+    def _is_any_slot_open(self, usable: list[EngineLoad], limits: PlacementLimits) -> bool:
+        share = limits.release_share
+        return any(load.can_decode and load.slot_wait(share) < math.inf for load in usable)
+
     def choose_rescue(self, waiting: WaitingRequest, now: float) -> Choice | None:
         """Return a free slot for KV that lives on the request's ``kv_engine``."""
         source = self._ledger.engine_by_name[waiting.kv_engine]
--- a/pimentoquay/scheduler/settings.py
+++ b/pimentoquay/scheduler/settings.py
@@ -21,8 +21,19 @@
         unit="s",
         help="time between looks while the ledger explains what the engine holds",
     )
+    cache_event_period: float = setting(
+        default=0.0,
+        low=0,
+        high=3600,
+        unit="s",
+        help="time between reads of an engine's cache events; 0 reads them only at first",
+    )
     tick: float = setting(
-        default=0.01, low=0.001, high=1, unit="s", help="time between decisions while any waits"
+        default=0.01,
+        low=0.001,
+        high=1,
+        unit="s",
+        help="time between decisions while only a busy link is in the way",
     )
     rebuild_grace: float = setting(
         default=0.4, low=0, high=10, unit="s", help="time a new owner waits for entries' grants"
--- a/pimentoquay/scheduler/shard.py
+++ b/pimentoquay/scheduler/shard.py
@@ -1,7 +1,9 @@
 """The scheduler of one shard, as a state machine without I/O: messages and time in, answers out.
 
 ``ShardScheduler`` keeps the only ledger of the shard. Callers pass the time in, collect
-``take_outbox`` after each call, and call ``dispatch`` whenever ``wants_tick`` says so.
+``take_outbox`` after each call, and call ``dispatch`` at ``wake_at``. A decision is made again only
+when something that it depends on has changed: a message has come, or a time has passed at which an
+engine, a circuit or a deadline changes.
 
 Example
 -------
@@ -14,6 +16,7 @@
         send(outgoing.entry, outgoing.message)
 """
 
+import math
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -57,6 +60,9 @@
 
 __all__ = ["Outgoing", "ShardScheduler"]
 
+SHORTEST_WAKE_SECONDS = 0.001
+"""How long after a time that changes a decision it is made again."""
+
 KV_RESCUE_SECONDS = 0.6
 """How long a request with live KV waits for another slot before it is prefilled again."""
 
@@ -104,17 +110,14 @@
             self.ledger, self.speeds, self.prefixes, self.circuits, self.budget, section.circuits
         )
         self._outbox: list[Outgoing] = []
+        self._blocked_id = ""
+        self.wake_at = math.inf
 
     def take_outbox(self) -> list[Outgoing]:
         """Return the messages to be sent, and forget them."""
         outbox, self._outbox = self._outbox, []
         return outbox
 
-    @property
-    def wants_tick(self) -> bool:
-        """Tell whether ``dispatch`` should be called again soon."""
-        return len(self.waiting) > 0
-
     def place(self, entry: EntryKey, request: PlaceRequest, now: float) -> None:
         """Queue a request or refuse it at once."""
         self._drop(request.request_id, now)
@@ -135,7 +138,10 @@
             )
             return
         self._wait(entry, request, deadline, service, now)
-        self.dispatch(now)
+        if self._is_blocked(now):
+            self.wake_at = min(self.wake_at, self._next_end() + SHORTEST_WAKE_SECONDS)
+        else:
+            self.dispatch(now)
 
     def report(self, report: StageReport, now: float) -> None:
         """Learn from a finished stage and move its grant on."""
@@ -231,6 +237,7 @@
     def dispatch(self, now: float) -> None:
         """Grant and refuse whatever is due now."""
         if now < self._ready_at:
+            self.wake_at = self._ready_at
             return
         for late in self.waiting.expired(now) if self._section.admission else ():
             self._refuse(
@@ -245,9 +252,11 @@
         while (first := self.waiting.first()) is not None:
             choice = self._selector.choose(first, bool(self.waiting.rescues()), now)
             if choice is None:
-                return
+                break
             self.waiting.take_first()
             self._grant(first, choice, now)
+        self._blocked_id = first.request.request_id if first is not None else ""
+        self.wake_at = self._next_wake(now)
 
     def queue_seconds(self, now: float) -> float:
         """Return the expected wait of a new request."""
@@ -290,6 +299,23 @@
             )
         )
 
+    def _is_blocked(self, now: float) -> bool:
+        """Tell whether the first waiting request is one that could not be placed just now."""
+        first = self.waiting.first()
+        is_same = first is not None and first.request.request_id == self._blocked_id
+        return is_same and now < self.wake_at
+
+    def _next_wake(self, now: float) -> float:
+        if not len(self.waiting):
+            return math.inf
+        change_in = min(self._selector.opening_in(now), self._next_end() - now)
+        return now + max(0.0, change_in) + SHORTEST_WAKE_SECONDS
+
+    def _next_end(self) -> float:
+        """Return when the next waiting request is refused or loses its KV."""
+        start = self.waiting.next_latest_start() if self._section.admission else math.inf
+        return min(start, self.waiting.next_kv_end())
+
     def _is_hopeless(self, service: Service, deadline: float, kv_engine: str, now: float) -> bool:
         if not self._section.admission:
             return False
--- a/pimentoquay/scheduler/waiting.py
+++ b/pimentoquay/scheduler/waiting.py
@@ -1,6 +1,7 @@
 """Requests that wait at a shard: the queue, its deadlines, and rescues of live KV."""
 
 import heapq
+import math
 from dataclasses import dataclass
 
 from pimentoquay.messages.placement import PlaceRequest
@@ -105,6 +106,15 @@
                 late.append(waiting)
         return late
 
+    def next_latest_start(self) -> float:
+        """Return when the next latest start passes; it may be that of one that waits no longer."""
+        return self._latest_starts[0][0] if self._latest_starts else math.inf
+
+    def next_kv_end(self) -> float:
+        """Return when the next live KV expires."""
+        ends = (waiting.kv_until for waiting in self._rescue_by_id.values())
+        return min(ends, default=math.inf)
+
     def of_entry(self, entry: EntryKey) -> list[WaitingRequest]:
         """Return the waiting requests of one entry process."""
         return [waiting for waiting in self._waiting_by_id.values() if waiting.entry == entry]
