Count the whole surge in what decode capacity allows

A run of 6 s ends within the surge of its scenario, whose arrivals go on to 7.1 s. The step after it then had a length of -1.1 s, which was subtracted from what is offered and served: the share came out as 0.509 and is 0.541 (0.7 for 2.1 s and 1 for 5 s, of 0.7 and 2.1). That makes the bound of 0.9 of the share stricter; runs of more than 7.7 s had the right one.

--- a/pimentoquay/bench/compare/scenarios.py
+++ b/pimentoquay/bench/compare/scenarios.py
@@ -87,8 +87,10 @@
         ends = [start for start, _ in rates[1:]] + [seconds]
         offered = served = 0.0
         for (begin, rate), end in zip(rates, ends, strict=True):
-            offered += rate * factor * (end - begin)
-            served += min(self.surviving, rate * factor) * (end - begin)
+            # A step that would begin after the run has no arrivals; the one before it keeps all.
+            length = max(0.0, end - begin)
+            offered += rate * factor * length
+            served += min(self.surviving, rate * factor) * length
         return round(served / offered, 6)
 
     async def fault(self, world: "World", start: float, seconds: float, rng: random.Random) -> None:
--- a/pimentoquay/bench/compare/tests/test_compare.py
+++ b/pimentoquay/bench/compare/tests/test_compare.py
@@ -41,6 +41,12 @@
     assert b"goodput" in first
 
 
+def test_capacity_of_a_run_that_ends_within_its_surge_counts_the_whole_surge():
+    # Load 0.7 for 2.1 s, then 2.1 for 5 s, of which 0.7 and 1 can be served.
+    share = SCENARIOS["surge"].capacity_share(PRINT, SHORT_SECONDS)
+    assert share == pytest.approx((0.7 * 2.1 + 5) / (0.7 * 2.1 + 2.1 * 5), abs=1e-6)
+
+
 @both_deployments
 def test_steady_load_meets_its_targets(deployment):
     measures = measured("steady-0.9", deployment)
