End waits that are shorter than a timer can tell

The rest now counts as over. A scheduler's wake is likewise served up to a millisecond early, so that a timer of coarse steps cannot ask for the same wake again.

--- a/pimentoquay/entry/scheduler_link.py
+++ b/pimentoquay/entry/scheduler_link.py
@@ -53,6 +53,9 @@
 LEASE_SILENCE_SECONDS = 3.0
 """A scheduler that has returned no renewal for so long counts as lost."""
 
+SHORTEST_WAIT_SECONDS = 1e-6
+"""A wait that a timer may be too coarse for; it would end at once and be asked for again."""
+
 OWNER_WAIT_SECONDS = 1.0
 """How long a request waits for a channel to its shard's owner."""
 
@@ -233,7 +236,7 @@
         deadline = self._node.clock.now() + timeout
         while (channel := look()) is None:
             remaining = deadline - self._node.clock.now()
-            if remaining <= 0:
+            if remaining < SHORTEST_WAIT_SECONDS:
                 return None
             self._changed.clear()
             with contextlib.suppress(TimeoutError):
--- a/pimentoquay/entry/tests/test_life.py
+++ b/pimentoquay/entry/tests/test_life.py
@@ -317,6 +317,14 @@
         assert rig.scheduler.of_type(PlaceRequest)[0].attempt == 1
 
 
+async def test_a_wait_shorter_than_a_timer_can_tell_ends():
+    looks = []
+    async with entry_rig() as rig:
+        found = await rig.link._wait_for(lambda: looks.append(1) if len(looks) < 9 else 1, 1e-9)
+        assert found is None
+    assert len(looks) <= 2
+
+
 async def test_the_scheduler_is_told_the_weight_of_the_workspace():
     async with entry_rig() as rig:
         rig.next_answers(grant("p1", "d1"))
--- a/pimentoquay/scheduler/part.py
+++ b/pimentoquay/scheduler/part.py
@@ -50,6 +50,9 @@
 ENGINE_CALL_SECONDS = 0.5
 """How long an engine may take to answer a status call or a cancellation."""
 
+TIMER_TOLERANCE_SECONDS = 0.001
+"""How early a timer may call, which a clock of coarse steps makes it do."""
+
 SUMMARY_SECONDS = 1.0
 """Time between two summaries of a shard."""
 
@@ -143,7 +146,7 @@
         self._wake_at = math.inf
         self._wake_timer = None
         for scheduler in self.scheduler_by_shard.values():
-            if scheduler.wake_at <= now:
+            if scheduler.wake_at <= now + TIMER_TOLERANCE_SECONDS:
                 scheduler.dispatch(now)
         self._flush()
 
