Find a stream whose entry and scheduler died by asking the engines for it

A repeat of the request id answered 218 right after the death, as the engines' reports lag, and from 0.6 s on, as reports leave out streams that have ended. Each engine of the pool is now asked to resume the id whichever attempt it holds, after schedulers and reports. Ruled out: ended streams in every report (about 3 KB more a look), rebuilding from entries (the one that knew is dead).

The fake engine of entry/tests refuses to resume what it never held when any attempt is asked for; it used to answer every such call with a stream. No assertion changed.

--- a/pimentoquay/backends/base.py
+++ b/pimentoquay/backends/base.py
@@ -224,7 +224,10 @@
         """Decode and stream the answer."""
 
     def resume(self, request_id: str, attempt: int, offset: int) -> AsyncGenerator[bytes, None]:
-        """Stream a running answer again from token ``offset``."""
+        """Stream a running or newly ended answer again from token ``offset``.
+
+        ``attempt`` -1 stands for whichever attempt the engine holds.
+        """
 
     async def cancel(self, request_id: str, attempt: int) -> None:
         """Free all that is held for an attempt; ``attempt`` -1 frees every attempt."""
--- a/pimentoquay/entry/direct.py
+++ b/pimentoquay/entry/direct.py
@@ -6,6 +6,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from contextlib import aclosing
 
 from pimentoquay.backends.base import EngineClient, EngineRole, EngineStatus
 from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode
@@ -24,6 +25,9 @@
 STATUS_SECONDS = 0.25
 """How long an engine may take to report its status."""
 
+ANY_ATTEMPT = -1
+"""Stands for whichever attempt an engine holds."""
+
 RETRY_AFTER_SECONDS = 1.0
 """The advice given with a refusal; a new scheduler is usually up by then."""
 
@@ -71,6 +75,25 @@
             for item in status.running:
                 if item.request_id == request_id and item.stage is Stage.DECODE:
                     return Grant(request_id, item.attempt, status.engine, status.engine)
+        return await self._probe(shard, request_id)
+
+    async def _probe(self, shard: Shard, request_id: str) -> Grant | None:
+        """Ask every engine for the stream itself, which shows what reports do not.
+
+        Reports lag behind a stream that has just begun and leave out one that has ended.
+        """
+        names = await asyncio.gather(*(self._holds(item, request_id) for item in shard.engines))
+        found = next(filter(None, names), None)
+        return None if found is None else Grant(request_id, ANY_ATTEMPT, found, found)
+
+    async def _holds(self, member: Member, request_id: str) -> str | None:
+        stream = self._engine_of(member).resume(request_id, ANY_ATTEMPT, 0)
+        try:
+            async with asyncio.timeout(STATUS_SECONDS), aclosing(stream) as frames:
+                async for _ in frames:
+                    return member.name
+        except (PimentoquayError, OSError, TimeoutError):
+            pass
         return None
 
     async def _choose(self, shard: Shard, request_id: str, attempt: int) -> Grant:
@@ -99,15 +122,19 @@
 
 def _pick(statuses: list[EngineStatus], request_id: str, attempt: int) -> Grant | None:
     prefill = [status for status in statuses if status.role is not EngineRole.DECODE]
+    prefill_versions = {status.version for status in prefill}
     decode = [
         status
         for status in statuses
-        if status.role is not EngineRole.PREFILL and status.decode_running < status.decode_slots
+        if status.role is not EngineRole.PREFILL
+        and status.decode_running < status.decode_slots
+        and status.version in prefill_versions
     ]
-    if not prefill or not decode:
+    if not decode:
         return None
-    source = min(prefill, key=lambda status: status.prefill_queue_tokens)
     target = min(decode, key=lambda status: status.decode_running)
+    alike = [status for status in prefill if status.version == target.version]
+    source = min(alike, key=lambda status: status.prefill_queue_tokens)
     if target.role is EngineRole.MIXED and target.prefill_queue_tokens == 0:
         source = target
     return Grant(request_id, attempt, source.engine, target.engine)
--- a/pimentoquay/entry/tests/fakes.py
+++ b/pimentoquay/entry/tests/fakes.py
@@ -105,6 +105,9 @@
                 yield chunk
 
     async def resume(self, request_id: str, attempt: int, offset: int) -> AsyncIterator[bytes]:
+        known = {held for held, _ in self.held} | {item.request_id for item in self.running}
+        if attempt == -1 and request_id not in known:
+            raise EngineRefusedError(f"{self.name} holds nothing of {request_id}")
         await self._call(f"resume@{offset}", request_id, attempt)
         async with aclosing(self._stream(request_id, attempt, offset)) as stream:
             async for chunk in stream:
--- a/pimentoquay/standin/engine.py
+++ b/pimentoquay/standin/engine.py
@@ -113,7 +113,7 @@
         """Stream a running or newly finished answer from a token on."""
         self._core.check_up()
         holding = self._core.finished_by_request.get(request_id)
-        if holding is None or holding.attempt != attempt:
+        if holding is None or attempt not in (-1, holding.attempt):
             holding = self._core.ledger.find(request_id, attempt)
         if holding.stream is None or not 0 <= offset <= holding.stream.emitted:
             raise self._core.refused(f"{request_id} has no token {offset} to resume from")
--- a/pimentoquay/standin/holdings.py
+++ b/pimentoquay/standin/holdings.py
@@ -106,9 +106,9 @@
         holding.uses_slot = True
 
     def find(self, request_id: str, attempt: int) -> Holding:
-        """Return the holding of an attempt, or refuse when there is none."""
+        """Return the holding of an attempt, -1 for any, or refuse when there is none."""
         holding = self.holding_by_request.get(request_id)
-        if holding is None or holding.attempt != attempt:
+        if holding is None or attempt not in (-1, holding.attempt):
             raise KvGoneError(f"attempt {attempt} of {request_id} is not held")
         return holding
 
