Choose the VM of a test's request before its task starts

When the last VM left service in the very tick in which a request was made, its task chose among none and the test failed. What is asserted stays as it was.

--- a/pimentoquay/bench/tests/test_rolling_drain.py
+++ b/pimentoquay/bench/tests/test_rolling_drain.py
@@ -41,11 +41,11 @@
             for number in itertools.count():
                 if not self.in_service:
                     return
-                group.create_task(self._request(number))
+                vm = self._rng.choice(sorted(self.in_service))
+                group.create_task(self._request(number, vm))
                 await asyncio.sleep(SECONDS_BETWEEN_REQUESTS)
 
-    async def _request(self, number: int) -> None:
-        vm = self._rng.choice(sorted(self.in_service))
+    async def _request(self, number: int, vm: str) -> None:
         prompt = f"printer {number} jams " * 40
         service = self._cluster.vm_by_name[vm].entry.service
         received = b""
