Notice a stream that stops from the pace of its tokens, and run it on other engines

A stopped engine was noticed only by the connection's idle limit of 10 s, once for the stream and once for each resume. The second run went to the stopped engine again, as its circuit opens only after several failures; placement now leaves out the engine that failed the request while another pair is left. Ruled out: a time-out for each chunk (a timer for every token), engines' reports (no tokens in them).

A limit on connections with a numbered refusal is not in this change.

--- a/pimentoquay/entry/life.py
+++ b/pimentoquay/entry/life.py
@@ -14,6 +14,7 @@
 from pimentoquay.entry.placer import Placement
 from pimentoquay.entry.replay import ReplayMismatchError
 from pimentoquay.entry.request import RequestSpec, final_trigger
+from pimentoquay.entry.stall import unstalled
 from pimentoquay.entry.time_limits import TimeLimits
 from pimentoquay.entry.verdict import error_after, may_run_again, settled_code, truthful
 from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode
@@ -200,11 +201,13 @@
         if self.progress.is_whole:
             return
         try:
-            async for chunk in stream:
-                if fresh := self.progress.take(chunk):
-                    yield fresh
-                if self.progress.is_whole:
-                    return
+            pace = self.spec.kind.token_interval_target
+            async with aclosing(unstalled(stream, pace)) as chunks:  # type: ignore[type-var]
+                async for chunk in chunks:
+                    if fresh := self.progress.take(chunk):
+                        yield fresh
+                    if self.progress.is_whole:
+                        return
         except ReplayMismatchError:
             raise
         except PimentoquayError as error:
--- a/pimentoquay/scheduler/selection.py
+++ b/pimentoquay/scheduler/selection.py
@@ -86,7 +86,7 @@
         While KV waits for a slot, no slot is promised before it is free.
         """
         request = waiting.request
-        usable = self._engines.usable(now)
+        usable = _without(self._engines.usable(now), waiting.avoid)
         limits = self._strict if is_rescue_waiting else self._placement
         sources = [
             load
@@ -178,3 +178,10 @@
         return {
             load.name: self._prefixes.cached_tokens(load.name, request.prefix) for load in sources
         }
+
+
+def _without(loads: list[EngineLoad], name: str) -> list[EngineLoad]:
+    """Leave out an engine that failed the request, unless no pair would be left."""
+    others = [load for load in loads if load.name != name]
+    has_pair = any(load.can_prefill for load in others) and any(load.can_decode for load in others)
+    return others if has_pair else loads
--- a/pimentoquay/scheduler/waiting.py
+++ b/pimentoquay/scheduler/waiting.py
@@ -15,7 +15,7 @@
     """One waiting request; ``deadline`` and the others in seconds of the scheduler's clock.
 
     ``kv_engine`` names the engine that holds its KV until ``kv_until``, or is empty; ``avoid``
-    names one that the KV could not be moved to.
+    names one that failed the request.
     """
 
     request: PlaceRequest
