Draw the same examples in each run of the hypothesis tests

Cause: eleven test modules left the choice of examples to chance, and some left hypothesis' limit of 200 ms for an example in place, which is wall-clock time.

--- a/pimentoquay/conftest.py
+++ b/pimentoquay/conftest.py
@@ -3,12 +3,20 @@
 An entry of that file is a block of ``key: value`` lines (``test``, ``command``, ``seed``,
 ``seen``, ``issue``); ``test`` is a pytest node id. A listed test still runs. Its failure does
 not fail the run; every other failure does.
+
+Hypothesis draws the same examples in each run, without a limit of wall-clock time, so that two runs
+give one verdict. ``--hypothesis-profile=search`` draws new ones.
 """
 
 from pathlib import Path
 
+import hypothesis
 import pytest
 
+hypothesis.settings.register_profile("search", deadline=None)
+hypothesis.settings.register_profile("repeatable", deadline=None, derandomize=True, database=None)
+hypothesis.settings.load_profile("repeatable")
+
 KNOWN_RED_FILE = Path(__file__).parent.parent / "KNOWN-RED.txt"
 _PREFIX = "test:"
 
