--- a/pimentoquay/bench/compare/tests/test_compare.py
+++ b/pimentoquay/bench/compare/tests/test_compare.py
@@ -41,6 +41,12 @@
     assert b"goodput" in first
 
 
+def test_capacity_of_a_run_that_ends_within_its_surge_counts_the_whole_surge():
+    # Load 0.7 for 2.1 s, then 2.1 for 5 s, of which 0.7 and 1 can be served.
+    share = SCENARIOS["surge"].capacity_share(PRINT, SHORT_SECONDS)
+    assert share == pytest.approx((0.7 * 2.1 + 5) / (0.7 * 2.1 + 2.1 * 5), abs=1e-6)
+
+
 @both_deployments
 def test_steady_load_meets_its_targets(deployment):
     measures = measured("steady-0.9", deployment)
@@ -69,9 +75,7 @@
     alone = measured("without-noisy", deployment, seconds=SECONDS).goodput_by_workspace
     assert len(alone) == 3
     lost = {workspace: alone[workspace] - noisy[workspace] for workspace in alone}
-    assert sum(lost.values()) / len(lost) <= 0.02, lost
-    # One request of a workspace is up to 2.6 points in a run of this length.
-    assert max(lost.values()) <= 0.03, lost
+    assert max(lost.values()) <= 0.02, lost
 
 
 def test_callers_that_leave_hold_nothing_a_second_later():
--- a/pimentoquay/orders/loads.py
+++ b/pimentoquay/orders/loads.py
@@ -91,7 +91,7 @@
     async def end(self, shard: Shard, statuses: Statuses, target_by_engine: Targets) -> None:
         """Give back the places of engines that have loaded what is wanted."""
         place_by_engine = _places(shard)
-        for name in self._loading & set(statuses) & set(place_by_engine):
+        for name in sorted(self._loading & set(statuses) & set(place_by_engine)):
             if self._is_swapping(statuses[name]):
                 continue
             if not needs_load(statuses[name], target_by_engine[name]):
@@ -115,7 +115,7 @@
             if await self._guard(self._leases.permit_load(name, place_by_engine[name])):
                 self._loading.add(name)
         permitted = set()
-        for name in self._loading & set(statuses):
+        for name in sorted(self._loading & set(statuses)):
             if await self._guard(self._leases.permit_load(name, place_by_engine[name])):
                 permitted.add(name)
         must_drain = {
--- a/pimentoquay/policy/placement.py
+++ b/pimentoquay/policy/placement.py
@@ -50,12 +50,16 @@
 
 @dataclass(frozen=True)
 class Choice:
-    """Two engines, which may be one, and when each stage is expected to end."""
+    """Two engines, which may be one, and when each stage is expected to end.
+
+    ``transfer`` is the seconds that the transfer takes on idle links.
+    """
 
     prefill: str
     decode: str
     prefill_end: float
     transfer_end: float
+    transfer: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -65,7 +69,10 @@
 
 
 class _Target:
-    """A decode engine: seconds until a slot may be promised, transfer time, and cost."""
+    """A decode engine: seconds until a slot may be promised, transfer time, and cost.
+
+    ``least_cost`` is the least that it adds to the end of any prefill.
+    """
 
     def __init__(
         self, engine: EngineLoad, wait: float, transfer: float, limits: PlacementLimits
@@ -77,6 +84,8 @@
         self.cost = limits.fullness_cost * (1.0 - free / max(1, engine.slots))
         if free <= 0:
             self.cost += limits.promise_cost
+        # On an engine that also prefills, the KV may be there already.
+        self.least_cost = self.cost + (0.0 if engine.can_prefill else transfer)
 
 
 def choose(
@@ -111,12 +120,12 @@
     # The KV cannot arrive before the prefill ends, so that with both sides in order of what they
     # cost at least, the rest of a side can be left out once it cannot beat the best pair.
     starts.sort(key=lambda start: start.end)
-    targets.sort(key=lambda target: target.cost)
+    targets.sort(key=lambda target: target.least_cost)
     best: tuple[float, str, str] | None = None
     best_choice = None
     for start in starts:
         for target in targets:
-            if best is not None and start.end + target.cost > best[0]:
+            if best is not None and start.end + target.least_cost > best[0]:
                 break
             arrival = _arrival(start, target, limits)
             if arrival - now + limits.slack < target.wait:
@@ -127,7 +136,7 @@
             score = (arrival + target.cost + _remote_cost(start, target, limits), *names)
             if best is None or score < best:
                 best = score
-                best_choice = Choice(*names, start.end, arrival)
+                best_choice = Choice(*names, start.end, arrival, target.transfer)
     return best_choice
 
 
@@ -145,8 +154,12 @@
         return start.end if target.wait == 0 else -math.inf
     begin = max(start.end, start.engine.link_free_at, target.engine.link_free_at)
     arrival = begin + target.transfer
-    is_busy = begin > start.end and arrival - start.end > limits.link_seconds
-    return -math.inf if is_busy else arrival
+    if begin == start.end:
+        return arrival
+    is_open = arrival - start.end <= limits.link_seconds
+    is_open = is_open and start.engine.link.fits(start.end, target.transfer)
+    is_open = is_open and target.engine.link.fits(start.end, target.transfer)
+    return arrival if is_open else -math.inf
 
 
 def _slot_wait(engine: EngineLoad, limits: PlacementLimits) -> float:
