--- a/pimentoquay/bench/faults/tests/test_found.py
+++ b/pimentoquay/bench/faults/tests/test_found.py
@@ -12,3 +12,11 @@
         Step("kill control", 1.95, 5.0, 735, 594),
     )
     assert run_schedule(5672, steps).violations == ()
+
+
+def test_a_grant_that_its_entry_never_used_is_given_back_and_lets_its_engine_drain():
+    logger.remove()
+    published = [Step("publish race", 1.0 + 4 * vm, 0.2, vm, vm + 1) for vm in range(4)]
+    paused = [Step("pause control", 1.3 + 4 * vm, 5.0, vm, 0) for vm in range(4)]
+    steps = tuple(sorted(published + paused, key=lambda step: step.at))
+    assert run_schedule(1, steps).violations == ()
--- a/pimentoquay/scheduler/sweep.py
+++ b/pimentoquay/scheduler/sweep.py
@@ -16,6 +16,9 @@
 REPORTS_BEFORE_LOST = 2
 """Reports in a row that lack a grant before it counts as lost."""
 
+OVERDUE_SECONDS = 3.0
+"""After so long past its deadline, no entry waits for a prefill or a transfer any more."""
+
 STAGE_SETTLING_SECONDS = 0.5
 """A grant younger than this may be missing from a report that is up to date."""
 
@@ -82,6 +85,10 @@
 
 
 def _should_be_seen(grant: GrantState, status: EngineStatus, now: float) -> bool:
-    if grant.stage is not Stage.DECODE or grant.decode_engine != status.engine:
+    if grant.stage is not Stage.DECODE:
+        engine = grant.prefill_engine if grant.stage is Stage.PREFILL else grant.decode_engine
+        is_overdue = now - status.age > grant.deadline + OVERDUE_SECONDS
+        return engine == status.engine and is_overdue
+    if grant.decode_engine != status.engine:
         return False
     return grant.stage_since + STAGE_SETTLING_SECONDS < now - status.age
