--- a/pimentoquay/scheduler/sweep.py
+++ b/pimentoquay/scheduler/sweep.py
@@ -85,10 +85,8 @@
 
 
 def _should_be_seen(grant: GrantState, status: EngineStatus, now: float) -> bool:
-    if grant.stage is not Stage.DECODE:
-        engine = grant.prefill_engine if grant.stage is Stage.PREFILL else grant.decode_engine
-        is_overdue = now - status.age > grant.deadline + OVERDUE_SECONDS
-        return engine == status.engine and is_overdue
-    if grant.decode_engine != status.engine:
+    reported_at = now - status.age
+    engine = grant.prefill_engine if grant.stage is Stage.PREFILL else grant.decode_engine
+    if engine != status.engine or grant.stage_since + STAGE_SETTLING_SECONDS >= reported_at:
         return False
-    return grant.stage_since + STAGE_SETTLING_SECONDS < now - status.age
+    return grant.stage is Stage.DECODE or reported_at > grant.deadline + OVERDUE_SECONDS
--- a/pimentoquay/scheduler/tests/test_shard.py
+++ b/pimentoquay/scheduler/tests/test_shard.py
@@ -211,6 +211,26 @@
     assert sweep(scheduler.ledger, empty, 3.0, 3.0).lost == ("a",)
 
 
+def test_grant_that_its_entry_never_used_is_given_back():
+    scheduler = pair()
+    scheduler.place(ENTRY, request("a", deadline_in=1.0), 1.0)
+    empty = status("p", EngineRole.PREFILL)
+    for second in (2.0, 3.0, 4.0, 5.0):
+        assert sweep(scheduler.ledger, empty, 3.0, second).lost == ()
+    assert sweep(scheduler.ledger, empty, 3.0, 6.0).lost == ()
+    assert sweep(scheduler.ledger, empty, 3.0, 7.0).lost == ("a",)
+
+
+def test_late_transfer_is_not_given_back_by_reports_from_before_it():
+    scheduler = pair()
+    scheduler.place(ENTRY, request("a", deadline_in=1.0), 1.0)
+    prefilled = StageReport("a", 0, Stage.PREFILL, "p", ResultCode.OK, 200, 0, 6.0)
+    scheduler.report(prefilled, 7.0)
+    before = status("d", EngineRole.DECODE)
+    for tenth in range(6):
+        assert sweep(scheduler.ledger, before, 3.0, 7.0 + tenth / 10).lost == ()
+
+
 def test_a_transfer_does_not_delay_another_beyond_the_life_of_its_kv():
     scheduler = shard_of({"p": EngineRole.PREFILL, "d": EngineRole.DECODE}, slots=8)
     # 0.7 s of an idle link by the speed assumed at first; KV is counted on for 0.75 s.
