Pause holders after their engines have drained in the schedule that needs it

Cause: the schedule that shows the loss of a new holder's wait paused each VM 0.3 s after a publish, when orders went out at once. Orders to load now wait until the engine is idle, and the next VM's publish fell into the pause of the one before, so that no pause lay between a look at the lease and its order.

Change: the pause comes 1.3 s after the publish, and the VMs follow each other after 7 s.

--- a/pimentoquay/bench/faults/tests/test_faults.py
+++ b/pimentoquay/bench/faults/tests/test_faults.py
@@ -133,8 +133,10 @@
 
 
 def each_vm_pauses_as_it_orders():
-    published = [Step("publish race", 1.0 + 4 * vm, 0.2, vm, vm + 1) for vm in range(4)]
-    paused = [Step("pause control", 1.3 + 4 * vm, 5.0, vm, 0) for vm in range(4)]
+    # An engine is drained before it is ordered to load, which takes about a second; 7 s lets one
+    # VM's roll and pause end before the next begins.
+    published = [Step("publish race", 1.0 + 7 * vm, 0.2, vm, vm + 1) for vm in range(4)]
+    paused = [Step("pause control", 2.3 + 7 * vm, 5.0, vm, 0) for vm in range(4)]
     return tuple(sorted(published + paused, key=lambda step: step.at))
 
 
