Let the system choose the ports of the stand-ins that tests serve

Cause: tests looked for a free port, closed it and listened on it again; in one run of many at once another process had taken it in between, and test_a_load_sees_wrong_answers_and_untrue_refusals failed with "address already in use".

Change: serve_http listens at port 0 and yields the address that it got. Only the test that wants a port nobody listens on still looks for one.

--- a/pimentoquay/bench/tests/test_load.py
+++ b/pimentoquay/bench/tests/test_load.py
@@ -6,7 +6,6 @@
 from pimentoquay.bench.load import caller as caller_module
 from pimentoquay.bench.load.command import run_load
 from pimentoquay.bench.load.plan import LoadPlan, read_plan
-from pimentoquay.entry.connections import bind
 from pimentoquay.entry.tests.http_rig import KEY, http_rig
 from pimentoquay.kernel.serving import serve_http
 from pimentoquay.kernel.settings import SettingsError
@@ -49,11 +48,6 @@
 """
 
 
-def free_address() -> str:
-    with bind("127.0.0.1:0") as listener:
-        return f"127.0.0.1:{listener.getsockname()[1]}"
-
-
 def plan_at(path: Path, addresses: dict[str, str]) -> LoadPlan:
     path.write_text(PLAN.format(**addresses))
     return read_plan(path)
@@ -65,9 +59,10 @@
         rig = await stack.enter_async_context(http_rig())
         apps = {name: engine_app(engine) for name, engine in rig.engine_by_name.items()}
         apps["plain"] = plain_app(rig.plain)
-        addresses = {name: free_address() for name in apps}
-        for name, app in apps.items():
-            await stack.enter_async_context(serve_http(app, addresses[name]))
+        addresses = {
+            name: await stack.enter_async_context(serve_http(app, "127.0.0.1:0"))
+            for name, app in apps.items()
+        }
         addresses["entry"] = rig.url.removeprefix("http://")
         yield rig, plan_at(path, addresses)
 
--- a/pimentoquay/kernel/serving.py
+++ b/pimentoquay/kernel/serving.py
@@ -33,9 +33,10 @@
 
 
 @contextlib.asynccontextmanager
-async def serve_http(app: Any, address: str) -> AsyncIterator[None]:
+async def serve_http(app: Any, address: str) -> AsyncIterator[str]:
     """Serve an ASGI application at ``host:port`` while the block runs.
 
+    The address is yielded with the port that was taken, which matters where ``port`` is 0.
     ``OSError`` is raised when the address cannot be listened at.
     """
     host, _, port = address.rpartition(":")
@@ -55,7 +56,7 @@
     task = asyncio.create_task(server.serve(sockets=[listener]))
     try:
         await server.ready.wait()
-        yield
+        yield f"{host}:{listener.getsockname()[1]}"
     finally:
         server.should_exit = True
         await task
--- a/pimentoquay/platform/tests/test_membership_http.py
+++ b/pimentoquay/platform/tests/test_membership_http.py
@@ -27,7 +27,7 @@
 
 async def test_an_unchanged_list_is_not_sent_again():
     listing = StandinMembership([engine(index) for index in range(500)])
-    async with served(lambda _: membership_app(listing)) as address:
+    async with served(membership_app(listing)) as address:
         client = HttpMembershipClient(address)
         first, first_bytes = await received_by(client.members)
         again, again_bytes = await received_by(client.members)
--- a/pimentoquay/standin/tests/served.py
+++ b/pimentoquay/standin/tests/served.py
@@ -13,7 +13,6 @@
 
 
 @contextlib.asynccontextmanager
-async def served(make_app):
-    address = free_address()
-    async with serve_http(make_app(address), address):
+async def served(app):
+    async with serve_http(app, "127.0.0.1:0") as address:
         yield address
--- a/pimentoquay/standin/tests/test_differential.py
+++ b/pimentoquay/standin/tests/test_differential.py
@@ -49,8 +49,8 @@
         engine_of("d", EngineRole.DECODE, HttpKvSource),
     ]
     async with (
-        served(lambda _: engine_app(engines[0])) as address_p,
-        served(lambda _: engine_app(engines[1])) as address_d,
+        served(engine_app(engines[0])) as address_p,
+        served(engine_app(engines[1])) as address_d,
     ):
         clients = [HttpEngineClient(address_p), HttpEngineClient(address_d)]
         yield engines, clients, address_p
--- a/pimentoquay/standin/tests/test_served_platform.py
+++ b/pimentoquay/standin/tests/test_served_platform.py
@@ -32,7 +32,7 @@
 
 async def test_log_over_http_tells_lost_answers_from_outages():
     log = StandinLog(LogModel(latency=0.0))
-    async with served(lambda _: log_app(log)) as address:
+    async with served(log_app(log)) as address:
         client = HttpLogClient(address)
         assert await client.append("a/b", b"\x00\xff") == 0
         page = await client.read("a/b", 0, 0.0)
@@ -56,8 +56,8 @@
 async def test_membership_and_weights_over_http():
     listing, weights = StandinMembership([MEMBER]), StandinWeights(1e12, {"v": 5})
     async with (
-        served(lambda _: membership_app(listing)) as members_at,
-        served(lambda _: weights_app(weights)) as weights_at,
+        served(membership_app(listing)) as members_at,
+        served(weights_app(weights)) as weights_at,
     ):
         client = HttpMembershipClient(members_at)
         assert (await client.members()).members == (MEMBER,)
@@ -69,7 +69,7 @@
 
 async def test_plain_calls_over_http_prove_what_did_not_run():
     service = StandinPlain("s", PlainModel(service_seconds=0.0))
-    async with served(lambda _: plain_app(service)) as address:
+    async with served(plain_app(service)) as address:
         client = HttpPlainClient(address)
         assert (await client.call(call("a"), 5.0)).status == 200
         service.refuse_next(1)
@@ -86,7 +86,7 @@
 
 async def test_no_method_is_repeated_when_its_connection_breaks():
     service = StandinPlain("s", PlainModel(service_seconds=0.0))
-    async with served(lambda _: plain_app(service)) as address:
+    async with served(plain_app(service)) as address:
         client = HttpPlainClient(address)
         for method in ("GET", "PUT", "DELETE", "POST"):
             await client.call(call(method, method), 5.0)
@@ -99,7 +99,7 @@
 
 async def test_the_answer_of_a_cancelled_call_never_reaches_the_next():
     service = StandinPlain("s", PlainModel(service_seconds=0.1))
-    async with served(lambda _: plain_app(service)) as address:
+    async with served(plain_app(service)) as address:
         client = HttpPlainClient(address)
         await client.call(call("first"), 5.0)
         late = asyncio.create_task(client.call(call("cancelled"), 5.0))
