--- a/pimentoquay/bench/slopes/command.py
+++ b/pimentoquay/bench/slopes/command.py
@@ -18,6 +18,7 @@
 )
 from pimentoquay.bench.slopes.slope import Slope
 from pimentoquay.kernel import find_plugin, plugin, plugin_names
+from pimentoquay.kernel.logs import logger
 
 __all__ = ["SlopesCommand", "measure_slopes"]
 
@@ -25,7 +26,8 @@
 
 
 def measure_slopes(names: tuple[str, ...], repeats: int) -> tuple[Slope, ...]:
-    """Measure the named groups of slopes, one after the other."""
+    """Measure the named groups of slopes, one after the other, without the parts' own logs."""
+    logger.remove()
     slopes: list[Slope] = []
     for name in names:
         slopes.extend(find_plugin("slope", name)(repeats))
