Count missing reports of a grant anew in each stage

Change: a change of stage sets the count to 0. The new test loses the grant a report too early without it.

--- a/pimentoquay/scheduler/ledger.py
+++ b/pimentoquay/scheduler/ledger.py
@@ -92,6 +92,7 @@
             self._end_transfer(grant)
         grant.stage = stage
         grant.stage_since = now
+        grant.missing_reports = 0
         self._count(grant, 1)
 
     def free(self, request_id: str, now: float) -> GrantState | None:
--- a/pimentoquay/scheduler/tests/test_shard.py
+++ b/pimentoquay/scheduler/tests/test_shard.py
@@ -221,6 +221,16 @@
     assert sweep(scheduler.ledger, empty, 3.0, 7.0).lost == ("a",)
 
 
+def test_missing_reports_of_one_stage_do_not_count_in_the_next():
+    scheduler = pair()
+    scheduler.place(ENTRY, request("a", deadline_in=1.0), 1.0)
+    assert sweep(scheduler.ledger, status("p", EngineRole.PREFILL), 3.0, 6.0).lost == ()
+    run_to_decode(scheduler, "a", 6.1)
+    empty = status("d", EngineRole.DECODE)
+    assert sweep(scheduler.ledger, empty, 3.0, 7.0).lost == ()
+    assert sweep(scheduler.ledger, empty, 3.0, 8.0).lost == ("a",)
+
+
 def test_late_transfer_is_not_given_back_by_reports_from_before_it():
     scheduler = pair()
     scheduler.place(ENTRY, request("a", deadline_in=1.0), 1.0)
