Check that every test named on the page of invariants exists

Cause: the page named test_a_stream_that_cannot_be_resumed_is_never_run_again, which has had another name since streams may go on from another run.

--- a/pimentoquay/tests/test_documents.py
+++ b/pimentoquay/tests/test_documents.py
@@ -29,3 +29,19 @@
         if not (page.parent / target).exists()
     ]
     assert not broken
+
+
+def test_each_test_that_the_invariants_name_exists():
+    """``path::test`` names a test below the package; ``::test`` one of the path before it."""
+    source, named = "", 0
+    for span in re.findall(r"`([^`]+)`", (DOCS / "invariants.md").read_text(encoding="utf-8")):
+        found = re.fullmatch(r"([\w/]+/test_\w+\.py)?(?:::(test_\w+))?", span)
+        if found is None:
+            continue
+        path, test = found.groups()
+        if path:
+            source = (DOCS.parent / "pimentoquay" / path).read_text(encoding="utf-8")
+        if test:
+            named += 1
+            assert f"def {test}(" in source, span
+    assert named > 20
