Define the frame that ends an answer once for callers

Cause: the load tool and the callers of the fault schedules each had a DONE_FRAME beside the one of bench/answers.py, which lacked the end of the frame.

--- a/pimentoquay/bench/answers.py
+++ b/pimentoquay/bench/answers.py
@@ -4,7 +4,7 @@
 
 __all__ = ["DONE_FRAME", "text_of_frames"]
 
-DONE_FRAME = b"data: [DONE]"
+DONE_FRAME = b"data: [DONE]\n\n"
 """The frame that ends a whole answer."""
 
 
@@ -12,7 +12,7 @@
     """Return the text that a stream's frames carry, of chat or plain completions."""
     parts = []
     for frame in frames.split(b"\n\n"):
-        if not frame.startswith(b"data: ") or frame == DONE_FRAME:
+        if not frame.startswith(b"data: ") or frame == DONE_FRAME.rstrip():
             continue
         for choice in json.loads(frame[len(b"data: ") :])["choices"]:
             content = choice["delta"].get("content") if "delta" in choice else choice.get("text")
--- a/pimentoquay/bench/faults/callers.py
+++ b/pimentoquay/bench/faults/callers.py
@@ -6,6 +6,7 @@
 import random
 from typing import Any
 
+from pimentoquay.bench.answers import DONE_FRAME
 from pimentoquay.bench.faults.records import Call, CallKind, CallRecord, Ending
 from pimentoquay.bench.faults.world import KEY, MODEL, SERVICE, FaultWorld
 from pimentoquay.entry.compose import EntryProcess
@@ -13,7 +14,6 @@
 
 __all__ = ["make_calls", "run_call"]
 
-DONE_FRAME = b"data: [DONE]\n\n"
 MAX_RESUMES = 3
 RESUME_PAUSE_SECONDS = 0.3
 CALLS_PER_SECOND = 4.0
@@ -146,7 +146,7 @@
     def _tell_stream(self, record: CallRecord) -> None:
         record.ending = Ending.LOST
         for frame in self._body.split(b"\n\n"):
-            if frame == b"data: [DONE]":
+            if frame == DONE_FRAME.rstrip():
                 record.ending, record.code = Ending.ANSWERED, ResultCode.OK
                 continue
             if not frame.startswith(b"data: {"):
--- a/pimentoquay/bench/load/caller.py
+++ b/pimentoquay/bench/load/caller.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from pimentoquay.bench.answers import text_of_frames
+from pimentoquay.bench.answers import DONE_FRAME, text_of_frames
 from pimentoquay.bench.load.plan import StreamPlan
 from pimentoquay.bench.load.tally import Outcome, Result
 from pimentoquay.entry.request import prompt_of_messages, token_count
@@ -25,7 +25,6 @@
 TRY_SECONDS = 60.0
 """How long an answer's head may take."""
 
-DONE_FRAME = b"data: [DONE]\n\n"
 FRAME_END = b"\n\n"
 WORDS = ("tray", "jam", "toner", "fuser", "feeder", "roller", "sensor", "braille", "page")
 
