--- a/pimentoquay/bench/faults/tests/test_faults.py
+++ b/pimentoquay/bench/faults/tests/test_faults.py
@@ -8,6 +8,7 @@
 
 import pimentoquay.entry.http
 import pimentoquay.entry.life
+import pimentoquay.scheduler.engine_watch
 import pimentoquay.scheduler.part
 from pimentoquay.bench.faults.runner import run_schedule, shorten
 from pimentoquay.bench.faults.schedule import Step, make_steps
@@ -69,7 +70,8 @@
 
 def nobody_cancels(patch):
     patch.setattr(RequestService, "free", lambda *_, **__: None)
-    patch.setattr(pimentoquay.scheduler.part, "sweep", lambda *_: SweepResult((), ()))
+    nothing = SweepResult((), ())
+    patch.setattr(pimentoquay.scheduler.engine_watch, "sweep", lambda *_: nothing)
 
 
 def every_failure_is_called_not_run(patch):
--- a/pimentoquay/entry/tests/fakes.py
+++ b/pimentoquay/entry/tests/fakes.py
@@ -66,6 +66,10 @@
     return RequestSpec(**{**values, **changes})
 
 
+WHOLE = b"".join(map(frame, range(5))) + END
+"""The answer of an engine that was told nothing else."""
+
+
 class FakeEngine:
     """Answers ``tokens`` tokens; ``fail`` maps a call's name to the errors of its next calls."""
 
--- a/pimentoquay/membership/part.py
+++ b/pimentoquay/membership/part.py
@@ -7,13 +7,13 @@
 """
 
 import asyncio
-from dataclasses import replace
 from functools import singledispatchmethod
 from typing import Any
 
 from pimentoquay.kernel import Channel, ChannelClosed, ChannelOpened, Envelope, Node, plugin
 from pimentoquay.kernel.status import StatusWanted
 from pimentoquay.membership.events import ConfigurationReached, DrainFinished, DrainRequested
+from pimentoquay.membership.heartbeats import HeartbeatSender
 from pimentoquay.membership.mesh import parse_seeds, wanted_addresses
 from pimentoquay.membership.reader import ListReader
 from pimentoquay.membership.remote import RemoteReports
@@ -37,9 +37,6 @@
 TICK_SECONDS = 0.25
 """How often silence is looked for, and whether it is this VM's turn to read the list."""
 
-MOST_QUIET_PERIODS = 2
-"""The most heartbeat periods between two heartbeats that tell the same."""
-
 REQUEST_SECONDS = 0.5
 """The shortest time between two requests for the list."""
 
@@ -75,6 +72,7 @@
         self._liveness = self._state.liveness
         self._remote = RemoteReports()
         self._view = ViewBuilder()
+        self._heartbeats = HeartbeatSender(peers, section, self._heartbeat)
         self._reader = ListReader(
             node,
             ports.membership,
@@ -82,10 +80,8 @@
             self._directory,
             self._readable_peers,
             self._list_changed,
-            self._send_heartbeats,
+            self._heartbeats.send,
         )
-        self._told: Heartbeat | None = None
-        self._quiet_periods = 0
         self._claims: dict[str, DataCentreReport] = {}
         self._own_report: DataCentreReport | None = None
         self._wanted: dict[str, str] | None = None
@@ -265,7 +261,7 @@
         self.configuration_offset = message.offset
         if is_first:
             # After a restart of many VMs the others wait for somebody to ask.
-            self._send_heartbeats()
+            self._heartbeats.send()
 
     @_handle.register
     def _(self, message: StatusWanted, channel: Channel | None) -> None:
@@ -276,10 +272,12 @@
         if not self._state.is_draining:
             self._state.is_draining = True
             self._node.timeline.record("drain-requested")
-            self._send_heartbeats()
+            self._heartbeats.send()
             self._refresh()
 
-    # Heartbeats
+    def _beat(self) -> None:
+        # The reader of the list always sends: its silence is what makes another VM read.
+        self._heartbeats.beat(always=self._reader.has_turn)
 
     def _heartbeat(self) -> Heartbeat:
         identity = self._node.identity
@@ -294,31 +292,6 @@
             self._reader.is_readable,
         )
 
-    def _beat(self) -> None:
-        """Send a heartbeat at each period; only at some of them while it tells nothing new.
-
-        What a heartbeat costs is the system call for each peer and the wake-up there. The reader
-        of the list always sends, because its silence is what makes another VM read.
-        """
-        is_news = self._told is None or replace(self._heartbeat(), list_age=0) != self._told
-        self._quiet_periods += 1
-        if is_news or self._reader.has_turn or self._quiet_periods >= self._most_quiet_periods:
-            self._send_heartbeats()
-
-    @property
-    def _most_quiet_periods(self) -> int:
-        """Periods between heartbeats without news, so that a late one is not taken for silence."""
-        section = self._section
-        room = int((section.silent_after - section.heartbeat_period) / section.heartbeat_period)
-        return max(1, min(MOST_QUIET_PERIODS, room))
-
-    def _send_heartbeats(self) -> None:
-        heartbeat = self._heartbeat()
-        self._told = replace(heartbeat, list_age=0)
-        self._quiet_periods = 0
-        for channel in self._peers.channels("control"):
-            channel.send(heartbeat)
-
     # Liveness
 
     def _tick(self) -> None:
--- a/pimentoquay/scheduler/part.py
+++ b/pimentoquay/scheduler/part.py
@@ -6,8 +6,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from pimentoquay.backends.base import EngineClient, EngineStatus
-from pimentoquay.backends.events import DrainEngines, EngineIdle
+from pimentoquay.backends.events import DrainEngines
 from pimentoquay.kernel import (
     Channel,
     ChannelClosed,
@@ -15,7 +14,6 @@
     Envelope,
     Identity,
     Node,
-    PimentoquayError,
     ResultCode,
     Subscription,
     plugin,
@@ -23,7 +21,7 @@
 from pimentoquay.kernel.logs import logger
 from pimentoquay.kernel.status import StatusWanted
 from pimentoquay.membership import Shard, shard_owner, shards_of
-from pimentoquay.messages.cluster import ClusterView, Member
+from pimentoquay.messages.cluster import ClusterView
 from pimentoquay.messages.placement import (
     FindRequest,
     LeaseRenewal,
@@ -35,21 +33,16 @@
     StageReport,
 )
 from pimentoquay.platform.ports import Ports
-from pimentoquay.policy.engines import EngineLoad
-from pimentoquay.scheduler.cache_reader import CacheReader
+from pimentoquay.scheduler.engine_watch import EngineWatch
 from pimentoquay.scheduler.ledger import EntryKey
 from pimentoquay.scheduler.settings import SchedulerSection
 from pimentoquay.scheduler.shard import ShardScheduler
 from pimentoquay.scheduler.status import record_answer, scheduler_status
-from pimentoquay.scheduler.sweep import Cancellation, sweep
-from pimentoquay.scheduler.watch import WatchPace
+from pimentoquay.scheduler.sweep import Cancellation
 from pimentoquay.transport.peers import PeerSet
 
 __all__ = ["SchedulerPart"]
 
-ENGINE_CALL_SECONDS = 0.5
-"""How long an engine may take to answer a status call or a cancellation."""
-
 TIMER_TOLERANCE_SECONDS = 0.001
 """How early a timer may call, which a clock of coarse steps makes it do."""
 
@@ -74,11 +67,11 @@
 
     def __init__(self, node: Node, peers: PeerSet, ports: Ports, section: SchedulerSection) -> None:
         self._node = node
-        self._ports = ports
         self._section = section
         self.scheduler_by_shard: dict[str, ShardScheduler] = {}
-        self._watch_by_engine: dict[str, asyncio.Task[None]] = {}
-        self._client_by_engine: dict[str, EngineClient] = {}
+        self._watch = EngineWatch(
+            node, ports.engine, section, self.scheduler_by_shard, self._flush, self._start
+        )
         self._shard_by_request: dict[str, str] = {}
         self._channel_by_entry: dict[EntryKey, Channel] = {}
         self._heard_at_by_entry: dict[EntryKey, float] = {}
@@ -113,7 +106,8 @@
         finally:
             for subscription in subscriptions:
                 subscription.cancel()
-            for task in (*self._watch_by_engine.values(), *self._tasks):
+            self._watch.stop()
+            for task in self._tasks:
                 task.cancel()
 
     def _serve(self, envelope: Envelope) -> None:
@@ -193,7 +187,7 @@
                 self._node.timeline.record("shard-owned", detail=name)
             elif scheduler.shard != shard:
                 scheduler.adopt(shard, now)
-        self._watch_engines()
+        self._watch.follow()
 
     @_take.register
     def _take_place(self, message: PlaceRequest, channel: Channel | None) -> None:
@@ -268,91 +262,6 @@
             if shard.is_near(own) and shard_owner(shard, view.members, view.live_vms) == own.vm
         }
 
-    def _watch_engines(self) -> None:
-        member_by_name = {
-            member.name: member
-            for scheduler in self.scheduler_by_shard.values()
-            for member in scheduler.shard.engines
-        }
-        for name in sorted(set(self._watch_by_engine) - set(member_by_name)):
-            self._watch_by_engine.pop(name).cancel()
-            self._client_by_engine.pop(name, None)
-        for name, member in member_by_name.items():
-            if name not in self._watch_by_engine:
-                self._client_by_engine[name] = self._ports.engine(member)
-                watch = asyncio.get_running_loop().create_task(self._watch(member))
-                self._watch_by_engine[name] = watch
-
-    async def _watch(self, member: Member) -> None:
-        client = self._client_by_engine[member.name]
-        pace = WatchPace(self._section.status_period, self._section.quiet_status_period)
-        cache = CacheReader(self._section.cache_event_period)
-        while True:
-            try:
-                async with asyncio.timeout(ENGINE_CALL_SECONDS):
-                    status = await client.status()
-            except (PimentoquayError, OSError, TimeoutError):
-                self._lose_engine(member.name)
-                cache.reset()
-                wait = pace.after_failure()
-            else:
-                was_swept = self._take_status(status)
-                wait = pace.after_look(self._load_of(member.name), was_swept)
-                if self._is_draining(member.name):
-                    wait = min(wait, self._section.status_period)
-                await self._read_cache(member.name, client, cache)
-            self._flush()
-            await self._node.timers.sleep(wait)
-
-    async def _read_cache(self, engine: str, client: EngineClient, cache: CacheReader) -> None:
-        """Take an engine's cache events into the index; without them answers still teach it."""
-        now = self._node.clock.now()
-        if not self._section.prefixes or not cache.is_due(now):
-            return
-        try:
-            async with asyncio.timeout(ENGINE_CALL_SECONDS):
-                events = await cache.read(client, now)
-        except (PimentoquayError, OSError, TimeoutError) as error:
-            logger.bind(engine=engine).info(f"no cache events: {error}")
-            return
-        for scheduler in self.scheduler_by_shard.values():
-            if engine in scheduler.ledger.engine_by_name:
-                scheduler.prefixes.take_events(engine, events)
-
-    def _is_draining(self, engine: str) -> bool:
-        return any(item.engines.is_draining(engine) for item in self.scheduler_by_shard.values())
-
-    def _load_of(self, engine: str) -> EngineLoad | None:
-        for scheduler in self.scheduler_by_shard.values():
-            if engine in scheduler.ledger.engine_by_name:
-                return scheduler.ledger.engine_by_name[engine]
-        return None
-
-    def _lose_engine(self, name: str) -> None:
-        for scheduler in self.scheduler_by_shard.values():
-            scheduler.engines.lose(name)
-            scheduler.prefixes.forget_engine(name)
-
-    def _take_status(self, status: EngineStatus) -> bool:
-        """Take a report into the ledger; return whether it led to a correction."""
-        was_swept = False
-        self._node.bus.publish(status)
-        now = self._node.clock.now()
-        for scheduler in self.scheduler_by_shard.values():
-            if status.engine not in scheduler.ledger.engine_by_name:
-                continue
-            scheduler.engines.take_status(status)
-            result = sweep(scheduler.ledger, status, self._section.sweep_grace, now)
-            for request_id in result.lost:
-                scheduler.drop(request_id, now)
-            for cancellation in result.cancellations:
-                self._start(self._cancel(cancellation))
-            if scheduler.engines.is_drained(status, now):
-                self._node.bus.publish(EngineIdle(status.engine))
-            was_swept = was_swept or bool(result.lost or result.cancellations)
-            scheduler.dispatch(now)
-        return was_swept
-
     async def _end_entry(self, entry: EntryKey) -> None:
         """Free what a lost entry held, after others had time to resume its streams."""
         now = self._node.clock.now()
@@ -373,36 +282,15 @@
     async def _end_stream(self, scheduler: ShardScheduler, request_id: str) -> None:
         """Cancel one stream of a lost entry, unless the engine says that somebody reads it."""
         grant = scheduler.ledger.get(request_id)
-        if grant is None or await self._has_reader(grant.decode_engine, request_id):
+        if grant is None or await self._watch.has_reader(grant.decode_engine, request_id):
             return
         attempt = grant.request.attempt
         for engine in dict.fromkeys((grant.prefill_engine, grant.decode_engine)):
-            await self._cancel(Cancellation(engine, request_id, attempt))
+            await self._watch.cancel(Cancellation(engine, request_id, attempt))
         scheduler.drop(request_id, self._node.clock.now())
         self._shard_by_request.pop(request_id, None)
         self._flush()
 
-    async def _has_reader(self, engine: str, request_id: str) -> bool:
-        client = self._client_by_engine.get(engine)
-        if client is None:
-            return False
-        try:
-            async with asyncio.timeout(ENGINE_CALL_SECONDS):
-                status = await client.status()
-        except (PimentoquayError, OSError, TimeoutError):
-            return False
-        return any(item.request_id == request_id and item.has_reader for item in status.running)
-
-    async def _cancel(self, cancellation: Cancellation) -> None:
-        client = self._client_by_engine.get(cancellation.engine)
-        if client is None:
-            return
-        try:
-            async with asyncio.timeout(ENGINE_CALL_SECONDS):
-                await client.cancel(cancellation.request_id, cancellation.attempt)
-        except (PimentoquayError, OSError, TimeoutError) as error:
-            logger.bind(engine=cancellation.engine).info(f"cancel failed: {error}")
-
     def _end_leases(self) -> None:
         """End the leases that were not renewed in time."""
         oldest = self._node.clock.now() - self._section.lease_seconds
--- a/pimentoquay/scheduler/selection.py
+++ b/pimentoquay/scheduler/selection.py
@@ -1,7 +1,7 @@
 """What one shard's scheduler works out before it decides: service times, flow and engines."""
 
 import math
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from pimentoquay.messages.placement import PlaceRequest
 from pimentoquay.policy import (
@@ -18,9 +18,9 @@
 from pimentoquay.scheduler.engines import EngineSet
 from pimentoquay.scheduler.ledger import Ledger
 from pimentoquay.scheduler.settings import SchedulerSection
-from pimentoquay.scheduler.waiting import WaitingRequest
+from pimentoquay.scheduler.waiting import Service, WaitingRequest
 
-__all__ = ["Selector", "Service"]
+__all__ = ["Selector"]
 
 PREFILL_LEAD_SECONDS = 0.02
 """How early the next prefill is sent to an engine that is about to be idle."""
@@ -38,15 +38,6 @@
 """The mean prefill that is assumed before the first grant."""
 
 
-@dataclass(frozen=True)
-class Service:
-    """Expected seconds of one request on the best engines now."""
-
-    prefill: float
-    first_token: float
-    hold: float
-
-
 class Selector:
     """Works out estimates and placements from a shard's ledger; it changes nothing."""
 
--- a/pimentoquay/scheduler/shard.py
+++ b/pimentoquay/scheduler/shard.py
@@ -55,18 +55,18 @@
 from pimentoquay.scheduler.engines import EngineSet, probe_keys
 from pimentoquay.scheduler.learning import Learner
 from pimentoquay.scheduler.ledger import EntryKey, GrantState, Ledger, announced_grant
-from pimentoquay.scheduler.selection import Selector, Service
+from pimentoquay.scheduler.selection import Selector
 from pimentoquay.scheduler.settings import SchedulerSection
 from pimentoquay.scheduler.stage_use import UseMeter
-from pimentoquay.scheduler.waiting import WaitingRequest, WaitingRoom
+from pimentoquay.scheduler.waiting import Service, WaitingRequest, WaitingRoom, waiting_request
 
 __all__ = ["Outgoing", "ShardScheduler"]
 
 SHORTEST_WAKE_SECONDS = 0.001
 """How long after a time that changes a decision it is made again."""
 
-KV_RESCUE_SECONDS = 0.6
-"""How long a request with live KV waits for another slot before it is prefilled again."""
+RETRY_AFTER_SECONDS = 1.0
+"""When a caller may come back whose request may not be run again."""
 
 
 @dataclass(frozen=True)
@@ -136,11 +136,9 @@
         )
         verdict = admit(demand, self._selector.flow(now), self._admission)
         if verdict.code is not ResultCode.OK:
-            self._refuse(
-                entry, request.request_id, request.attempt, verdict.code, verdict.retry_after
-            )
+            self._refuse(entry, request, verdict.code, verdict.retry_after)
             return
-        self._wait(entry, request, deadline, service, now)
+        self.waiting.add(waiting_request(entry, request, deadline, service, now))
         if self._is_blocked(now):
             self.wake_at = min(self.wake_at, self._next_end() + SHORTEST_WAKE_SECONDS)
         else:
@@ -164,25 +162,24 @@
         grant = self.ledger.free(message.request_id, now)
         self._learner.count_failure(grant, message, now)
         if grant is None:
-            self._refuse(
-                entry, message.request_id, message.attempt, ResultCode.REQUEST_UNKNOWN, 0.0
-            )
+            self._refuse(entry, message, ResultCode.REQUEST_UNKNOWN)
             return
         self._end_probes(grant)
         if not message.kv_engine and not self.budget.take():
-            self._refuse(entry, message.request_id, message.attempt, ResultCode.QUEUE_FULL, 1.0)
+            self._refuse(entry, message, ResultCode.QUEUE_FULL, RETRY_AFTER_SECONDS)
             return
         request = replace(grant.request, attempt=message.attempt, deadline_in=message.deadline_in)
         service = self._selector.service(request, now)
         deadline = now + message.deadline_in
         if self._is_hopeless(service, deadline, message.kv_engine, now):
-            code = ResultCode.DEADLINE_UNREACHABLE
-            self._refuse(entry, message.request_id, message.attempt, code, 1.0)
+            self._refuse(entry, message, ResultCode.DEADLINE_UNREACHABLE, RETRY_AFTER_SECONDS)
             return
         kv_engine = message.kv_engine if self._section.rescue else ""
         is_full = message.code is ResultCode.CIRCUIT_OPEN
         avoid = "" if is_full else message.failed_engine
-        self._wait(entry, request, deadline, service, now, kv_engine, avoid, grant.version)
+        self.waiting.add(
+            waiting_request(entry, request, deadline, service, now, kv_engine, avoid, grant.version)
+        )
         self.dispatch(now)
 
     def release(self, message: Release, now: float) -> None:
@@ -215,7 +212,7 @@
         """Tell where a stream runs; the grant moves to the entry that asks."""
         grant = self.ledger.get(message.request_id)
         if grant is None or grant.stage is not Stage.DECODE:
-            self._refuse(entry, message.request_id, 0, ResultCode.REQUEST_UNKNOWN, 0.0)
+            self._refuse(entry, message, ResultCode.REQUEST_UNKNOWN)
             return
         grant.entry = entry
         located = Located(message.request_id, grant.request.attempt, grant.decode_engine)
@@ -243,13 +240,8 @@
             self.wake_at = self._ready_at
             return
         for late in self.waiting.expired(now) if self._section.admission else ():
-            self._refuse(
-                late.entry,
-                late.request.request_id,
-                late.request.attempt,
-                ResultCode.DEADLINE_UNREACHABLE,
-                self.queue_seconds(now),
-            )
+            code = ResultCode.DEADLINE_UNREACHABLE
+            self._refuse(late.entry, late.request, code, self.queue_seconds(now))
         for rescue in self.waiting.rescues():
             self._try_rescue(rescue, now)
         while (first := self.waiting.first()) is not None:
@@ -281,34 +273,6 @@
             self.queue_seconds(now),
         )
 
-    def _wait(
-        self,
-        entry: EntryKey,
-        request: PlaceRequest,
-        deadline: float,
-        service: Service,
-        now: float,
-        kv_engine: str = "",
-        avoid: str = "",
-        version: str = "",
-    ) -> None:
-        needed = 0.0 if kv_engine else service.first_token
-        self.waiting.add(
-            WaitingRequest(
-                request,
-                entry,
-                deadline,
-                deadline - needed,
-                now,
-                service.hold,
-                service.prefill,
-                kv_engine,
-                now + KV_RESCUE_SECONDS if kv_engine else 0.0,
-                avoid,
-                version,
-            )
-        )
-
     def _is_blocked(self, now: float) -> bool:
         """Tell whether the first waiting request is one that could not be placed just now."""
         first = self.waiting.first()
@@ -344,14 +308,8 @@
         elif source is None or now > waiting.kv_until:
             self.waiting.remove(waiting.request.request_id)
             service = self._selector.service(waiting.request, now)
-            self._wait(
-                waiting.entry,
-                waiting.request,
-                waiting.deadline,
-                service,
-                now,
-                version=waiting.version,
-            )
+            again = waiting_request(waiting.entry, waiting.request, waiting.deadline, service, now)
+            self.waiting.add(replace(again, version=waiting.version))
 
     def _grant(self, waiting: WaitingRequest, choice: Choice, now: float) -> None:
         request = waiting.request
@@ -387,10 +345,15 @@
         self._outbox.append(Outgoing(waiting.entry, answer))
 
     def _refuse(
-        self, entry: EntryKey, request_id: str, attempt: int, code: ResultCode, after: float
+        self,
+        entry: EntryKey,
+        refused: PlaceRequest | ReplaceRequest | FindRequest,
+        code: ResultCode,
+        retry_after: float = 0.0,
     ) -> None:
         detail = f"shard {self.shard.name}, {len(self.waiting)} queued"
-        refusal = Refusal(request_id, attempt, code, after, detail)
+        attempt = 0 if isinstance(refused, FindRequest) else refused.attempt
+        refusal = Refusal(refused.request_id, attempt, code, retry_after, detail)
         self._outbox.append(Outgoing(entry, refusal))
 
     def _drop(self, request_id: str, now: float) -> None:
--- a/pimentoquay/scheduler/waiting.py
+++ b/pimentoquay/scheduler/waiting.py
@@ -8,7 +8,19 @@
 from pimentoquay.policy import FairQueue, QueueItem
 from pimentoquay.scheduler.ledger import EntryKey
 
-__all__ = ["WaitingRequest", "WaitingRoom"]
+__all__ = ["Service", "WaitingRequest", "WaitingRoom", "waiting_request"]
+
+KV_RESCUE_SECONDS = 0.6
+"""How long a request with live KV waits for another slot before it is prefilled again."""
+
+
+@dataclass(frozen=True)
+class Service:
+    """Expected seconds of one request on the best engines now."""
+
+    prefill: float
+    first_token: float
+    hold: float
 
 
 @dataclass(frozen=True)
@@ -33,6 +45,33 @@
     version: str = ""
 
 
+def waiting_request(
+    entry: EntryKey,
+    request: PlaceRequest,
+    deadline: float,
+    service: Service,
+    now: float,
+    kv_engine: str = "",
+    avoid: str = "",
+    version: str = "",
+) -> WaitingRequest:
+    """Return a request that waits from now on; one whose KV lives needs no time for a prefill."""
+    needed = 0.0 if kv_engine else service.first_token
+    return WaitingRequest(
+        request,
+        entry,
+        deadline,
+        deadline - needed,
+        now,
+        service.hold,
+        service.prefill,
+        kv_engine,
+        now + KV_RESCUE_SECONDS if kv_engine else 0.0,
+        avoid,
+        version,
+    )
+
+
 class WaitingRoom:
     """The waiting requests of one shard, by request."""
 
