Move the clients of our own log service, list and store to services

Cause: the users' platform is met through an adapter in platform/, whose name the clients of our own log service, membership list and weight store had.

--- a/pimentoquay/bench/compare/world.py
+++ b/pimentoquay/bench/compare/world.py
@@ -26,9 +26,9 @@
 )
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages.cluster import ClusterView, Member, MemberKind, MemberState
-from pimentoquay.platform.ports import Ports
 from pimentoquay.policy import prefix_hashes
 from pimentoquay.scheduler import SchedulerPart
+from pimentoquay.services.ports import Ports
 from pimentoquay.standin import EngineDirectory, EngineModel, StandinEngine, count_tokens
 from pimentoquay.transport.memory import MemoryNetwork
 from pimentoquay.transport.peers import PeerSet
--- a/pimentoquay/bench/faults/wires.py
+++ b/pimentoquay/bench/faults/wires.py
@@ -21,7 +21,7 @@
 from pimentoquay.bench.faults.records import OrderTaken
 from pimentoquay.kernel import Identity
 from pimentoquay.messages.cluster import MembershipUpdate
-from pimentoquay.platform.base import (
+from pimentoquay.services.base import (
     LogOutcomeUnknownError,
     LogPage,
     LogUnavailableError,
--- a/pimentoquay/bench/faults/world.py
+++ b/pimentoquay/bench/faults/world.py
@@ -37,7 +37,7 @@
     Workspace,
 )
 from pimentoquay.orders.settings import OnceOnlySection, OrdersSection
-from pimentoquay.platform.ports import Ports
+from pimentoquay.services.ports import Ports
 from pimentoquay.standin.engine_model import EngineModel
 from pimentoquay.standin.log import LogModel
 from pimentoquay.standin.membership_list import StandinMembership
--- a/pimentoquay/bench/membership_cost.py
+++ b/pimentoquay/bench/membership_cost.py
@@ -14,7 +14,7 @@
 from pimentoquay.membership.part import MembershipPart
 from pimentoquay.membership.settings import MembershipSection
 from pimentoquay.messages.cluster import Member, MemberKind, MemberState
-from pimentoquay.platform.ports import Ports
+from pimentoquay.services.ports import Ports
 from pimentoquay.standin.membership_list import StandinMembership
 from pimentoquay.transport.memory import MemoryNetwork
 from pimentoquay.transport.peers import PeerSet
--- a/pimentoquay/bench/memory_cluster.py
+++ b/pimentoquay/bench/memory_cluster.py
@@ -28,7 +28,7 @@
 from pimentoquay.kernel import Identity, LoopClock, Node
 from pimentoquay.kernel.sections import ClusterSection, LogSection, PlatformSection, VmSection
 from pimentoquay.messages.cluster import Member, MemberKind, MemberState
-from pimentoquay.platform.ports import Ports
+from pimentoquay.services.ports import Ports
 from pimentoquay.standin.directory import EngineDirectory
 from pimentoquay.standin.engine import StandinEngine
 from pimentoquay.standin.engine_model import EngineModel
--- a/pimentoquay/bench/mutations/replacements.py
+++ b/pimentoquay/bench/mutations/replacements.py
@@ -84,7 +84,7 @@
 
 def find_nothing(original: Any) -> Any:
     """Never find what an append whose answer was lost has written."""
-    from pimentoquay.platform.base import LogOutcomeUnknownError
+    from pimentoquay.services.base import LogOutcomeUnknownError
 
     async def find(self: Any, sought: Any) -> int:
         raise LogOutcomeUnknownError("not looked for")
--- a/pimentoquay/bench/slopes/scheduler.py
+++ b/pimentoquay/bench/slopes/scheduler.py
@@ -16,9 +16,9 @@
 from pimentoquay.membership import shards_of
 from pimentoquay.messages.cluster import ClusterView, Member, MemberKind, MemberState
 from pimentoquay.messages.placement import Grant, PlaceRequest, Release, Stage, StageReport
-from pimentoquay.platform.ports import Ports
 from pimentoquay.scheduler.part import SchedulerPart
 from pimentoquay.scheduler.settings import SchedulerSection
+from pimentoquay.services.ports import Ports
 from pimentoquay.transport.memory import MemoryNetwork
 from pimentoquay.transport.peers import PeerSet
 
--- a/pimentoquay/bench/steady/burst.py
+++ b/pimentoquay/bench/steady/burst.py
@@ -6,7 +6,7 @@
 from pimentoquay.bench.configuration_cost import changes_of
 from pimentoquay.configuration.publish import STREAM
 from pimentoquay.kernel import plugin
-from pimentoquay.platform.log_http import HttpLogClient
+from pimentoquay.services.log_http import HttpLogClient
 
 __all__ = ["SteadyBurstCommand"]
 
--- a/pimentoquay/configuration/answers.py
+++ b/pimentoquay/configuration/answers.py
@@ -14,7 +14,7 @@
     HistoryRequest,
 )
 from pimentoquay.messages.workspaces import ConfigurationRecord
-from pimentoquay.platform.base import LogClient
+from pimentoquay.services.base import LogClient
 
 __all__ = ["answer_get", "answer_history"]
 
--- a/pimentoquay/configuration/checkpoint_writer.py
+++ b/pimentoquay/configuration/checkpoint_writer.py
@@ -17,7 +17,7 @@
 from pimentoquay.configuration.settings import ConfigurationSection
 from pimentoquay.kernel import Node, PimentoquayError
 from pimentoquay.kernel.logs import logger
-from pimentoquay.platform.base import LogClient
+from pimentoquay.services.base import LogClient
 
 __all__ = ["CheckpointWriter"]
 
--- a/pimentoquay/configuration/keeper.py
+++ b/pimentoquay/configuration/keeper.py
@@ -5,7 +5,7 @@
 from pimentoquay.configuration.relay import EntriesReceiver
 from pimentoquay.kernel import Channel
 from pimentoquay.messages.cluster import ConfigurationEntries
-from pimentoquay.platform.base import LogPage
+from pimentoquay.services.base import LogPage
 
 __all__ = ["Keeper"]
 
--- a/pimentoquay/configuration/part.py
+++ b/pimentoquay/configuration/part.py
@@ -55,7 +55,7 @@
     HistoryRequest,
     PublishRequest,
 )
-from pimentoquay.platform.ports import Ports
+from pimentoquay.services.ports import Ports
 from pimentoquay.transport.peers import PeerSet
 
 __all__ = ["ConfigurationPart"]
--- a/pimentoquay/configuration/publish.py
+++ b/pimentoquay/configuration/publish.py
@@ -15,7 +15,7 @@
 from pimentoquay.messages.configuration import ChangeOutcome
 from pimentoquay.messages.operator import PublishAnswer
 from pimentoquay.messages.workspaces import ConfigurationRecord
-from pimentoquay.platform.base import LogClient, LogUnavailableError
+from pimentoquay.services.base import LogClient, LogUnavailableError
 
 __all__ = ["STREAM", "ConfigurationSource", "Publisher"]
 
--- a/pimentoquay/configuration/tests/cluster.py
+++ b/pimentoquay/configuration/tests/cluster.py
@@ -13,8 +13,8 @@
 from pimentoquay.messages.cluster import Member, MemberKind, MemberState
 from pimentoquay.messages.operator import PublishAnswer
 from pimentoquay.messages.workspaces import ConfigurationRecord
-from pimentoquay.platform.base import LogPage, LogUnavailableError
-from pimentoquay.platform.ports import Ports
+from pimentoquay.services.base import LogPage, LogUnavailableError
+from pimentoquay.services.ports import Ports
 from pimentoquay.standin.log import LogModel, StandinLog
 from pimentoquay.standin.membership_list import StandinMembership
 from pimentoquay.transport.memory import MemoryNetwork
--- a/pimentoquay/control/compose.py
+++ b/pimentoquay/control/compose.py
@@ -8,7 +8,7 @@
 
 from pimentoquay.control.settings import ControlSettings
 from pimentoquay.kernel import Node, Part, find_plugin
-from pimentoquay.platform.ports import Ports
+from pimentoquay.services.ports import Ports
 from pimentoquay.transport.peers import PeerSet
 
 __all__ = ["PART_NAMES", "ControlProcess", "compose_control"]
--- a/pimentoquay/control/operator.py
+++ b/pimentoquay/control/operator.py
@@ -23,7 +23,7 @@
     TimelineRequest,
     VmStatus,
 )
-from pimentoquay.platform.ports import Ports
+from pimentoquay.services.ports import Ports
 from pimentoquay.transport.peers import PeerSet
 from pimentoquay.transport.timeline_responder import own_events
 
--- a/pimentoquay/control/program.py
+++ b/pimentoquay/control/program.py
@@ -24,10 +24,10 @@
 )
 from pimentoquay.kernel.sections import identity_of
 from pimentoquay.membership.events import DrainRequested
-from pimentoquay.platform.log_http import HttpLogClient
-from pimentoquay.platform.membership_http import HttpMembershipClient
-from pimentoquay.platform.ports import Ports
-from pimentoquay.platform.weight_store_http import HttpWeightStoreClient
+from pimentoquay.services.log_http import HttpLogClient
+from pimentoquay.services.membership_http import HttpMembershipClient
+from pimentoquay.services.ports import Ports
+from pimentoquay.services.weight_store_http import HttpWeightStoreClient
 from pimentoquay.transport.websocket import WebSocketTransport
 
 __all__ = ["main"]
--- a/pimentoquay/control/usage.py
+++ b/pimentoquay/control/usage.py
@@ -13,7 +13,7 @@
 from pimentoquay.kernel.logs import logger
 from pimentoquay.kernel.settings import setting
 from pimentoquay.kernel.traffic import process_traffic
-from pimentoquay.platform.ports import Ports
+from pimentoquay.services.ports import Ports
 from pimentoquay.transport.peers import PeerSet
 
 __all__ = ["ProcessUsage", "UsagePart", "UsageSection", "process_usage"]
--- a/pimentoquay/ctl/tests/test_commands.py
+++ b/pimentoquay/ctl/tests/test_commands.py
@@ -6,7 +6,7 @@
 import pytest
 
 from pimentoquay.ctl.outcomes import ExitStatus
-from pimentoquay.platform.base import LogOutcomeUnknownError
+from pimentoquay.services.base import LogOutcomeUnknownError
 
 pytestmark = pytest.mark.looptime(start=0)
 
--- a/pimentoquay/entry/tests/test_once_only.py
+++ b/pimentoquay/entry/tests/test_once_only.py
@@ -20,7 +20,7 @@
 from pimentoquay.messages.workspaces import ServiceSpec
 from pimentoquay.orders.once_only import OnceOnlyPart
 from pimentoquay.orders.settings import OnceOnlySection
-from pimentoquay.platform.ports import Ports
+from pimentoquay.services.ports import Ports
 from pimentoquay.standin import StandinLog, StandinPlain
 
 pytestmark = pytest.mark.looptime
--- a/pimentoquay/membership/part.py
+++ b/pimentoquay/membership/part.py
@@ -29,7 +29,7 @@
     MembershipDelta,
     MembershipRequest,
 )
-from pimentoquay.platform.ports import Ports
+from pimentoquay.services.ports import Ports
 from pimentoquay.transport.peers import PeerSet
 
 __all__ = ["MembershipPart"]
--- a/pimentoquay/membership/reader.py
+++ b/pimentoquay/membership/reader.py
@@ -15,7 +15,7 @@
 from pimentoquay.membership.mesh import ranked
 from pimentoquay.membership.settings import MembershipSection
 from pimentoquay.messages.membership import MembershipDelta
-from pimentoquay.platform.base import MembershipClient
+from pimentoquay.services.base import MembershipClient
 
 __all__ = ["AGE_UNITS", "ListReader"]
 
--- a/pimentoquay/membership/tests/conftest.py
+++ b/pimentoquay/membership/tests/conftest.py
@@ -16,7 +16,7 @@
     MembershipUpdate,
     MemberState,
 )
-from pimentoquay.platform.ports import Ports
+from pimentoquay.services.ports import Ports
 from pimentoquay.transport.memory import MemoryNetwork
 from pimentoquay.transport.peers import PeerSet
 
--- a/pimentoquay/orders/folded_stream.py
+++ b/pimentoquay/orders/folded_stream.py
@@ -11,7 +11,7 @@
 
 from pimentoquay.kernel import PimentoquayError
 from pimentoquay.messages import CodecError, decode, encode
-from pimentoquay.platform.base import LogClient, LogOutcomeUnknownError, LogUnavailableError
+from pimentoquay.services.base import LogClient, LogOutcomeUnknownError, LogUnavailableError
 
 __all__ = ["FoldedStream", "NotAppendedError"]
 
--- a/pimentoquay/orders/key_bucket.py
+++ b/pimentoquay/orders/key_bucket.py
@@ -15,7 +15,7 @@
 from pimentoquay.orders.folded_stream import FoldedStream, NotAppendedError
 from pimentoquay.orders.key_fold import KeyFold
 from pimentoquay.orders.settings import OnceOnlySection
-from pimentoquay.platform.base import LogClient
+from pimentoquay.services.base import LogClient
 
 __all__ = ["KeyBucket", "PendingClaim"]
 
--- a/pimentoquay/orders/leases.py
+++ b/pimentoquay/orders/leases.py
@@ -13,7 +13,7 @@
 from pimentoquay.orders.claim_fold import ClaimFold, ShardHolder
 from pimentoquay.orders.folded_stream import FoldedStream
 from pimentoquay.orders.settings import OrdersSection
-from pimentoquay.platform.base import LogClient
+from pimentoquay.services.base import LogClient
 
 __all__ = ["Lease", "Leases", "claims_stream"]
 
--- a/pimentoquay/orders/once_only.py
+++ b/pimentoquay/orders/once_only.py
@@ -19,7 +19,7 @@
 from pimentoquay.orders.key_bucket import KeyBucket
 from pimentoquay.orders.keys import bucket_of_key, key_digest, key_stream
 from pimentoquay.orders.settings import OnceOnlySection
-from pimentoquay.platform.ports import Ports
+from pimentoquay.services.ports import Ports
 from pimentoquay.transport.peers import PeerSet
 
 __all__ = ["OnceOnlyPart"]
--- a/pimentoquay/orders/part.py
+++ b/pimentoquay/orders/part.py
@@ -24,7 +24,7 @@
 from pimentoquay.orders.settings import OrdersSection
 from pimentoquay.orders.status import orders_status, unmet_engines
 from pimentoquay.orders.wanted import WantedPool, wanted_pools
-from pimentoquay.platform.ports import Ports
+from pimentoquay.services.ports import Ports
 from pimentoquay.transport.peers import PeerSet
 
 __all__ = ["OrdersPart"]
--- a/pimentoquay/orders/tests/conftest.py
+++ b/pimentoquay/orders/tests/conftest.py
@@ -10,7 +10,7 @@
 from pimentoquay.messages.orders import KeyClaim, KeyClaimAnswer, KeyOutcome
 from pimentoquay.orders.once_only import OnceOnlyPart
 from pimentoquay.orders.settings import OnceOnlySection
-from pimentoquay.platform.ports import Ports
+from pimentoquay.services.ports import Ports
 from pimentoquay.standin.log import StandinLog
 from pimentoquay.transport.memory import MemoryNetwork
 from pimentoquay.transport.peers import PeerSet
--- a/pimentoquay/orders/tests/test_leases.py
+++ b/pimentoquay/orders/tests/test_leases.py
@@ -9,7 +9,7 @@
 from pimentoquay.kernel import Identity, LoopClock, Node, PimentoquayError
 from pimentoquay.orders.leases import Leases
 from pimentoquay.orders.settings import OrdersSection
-from pimentoquay.platform.base import LogUnavailableError
+from pimentoquay.services.base import LogUnavailableError
 from pimentoquay.standin.log import StandinLog
 from pimentoquay.transport.memory import MemoryNetwork
 
--- a/pimentoquay/orders/tests/test_once_only.py
+++ b/pimentoquay/orders/tests/test_once_only.py
@@ -6,7 +6,7 @@
 import pytest
 
 from pimentoquay.kernel import ResultCode
-from pimentoquay.platform.base import LogUnavailableError
+from pimentoquay.services.base import LogUnavailableError
 
 pytestmark = [pytest.mark.asyncio, pytest.mark.looptime]
 
--- a/pimentoquay/orders/tests/test_part.py
+++ b/pimentoquay/orders/tests/test_part.py
@@ -15,7 +15,7 @@
 from pimentoquay.messages.workspaces import ModelSpec, Workspace
 from pimentoquay.orders.part import OrdersPart
 from pimentoquay.orders.settings import OrdersSection
-from pimentoquay.platform.ports import Ports
+from pimentoquay.services.ports import Ports
 from pimentoquay.standin.directory import EngineDirectory
 from pimentoquay.standin.engine import StandinEngine
 from pimentoquay.standin.engine_model import EngineModel
--- a/pimentoquay/platform/__init__.py
+++ /dev/null
@@ -1,4 +0,0 @@
-"""Clients of the platform's log service, membership list and weight store."""
-
-from pimentoquay.platform.base import *  # noqa: F403
-from pimentoquay.platform.base import __all__ as __all__
--- a/pimentoquay/scheduler/part.py
+++ b/pimentoquay/scheduler/part.py
@@ -32,13 +32,13 @@
     ReplaceRequest,
     StageReport,
 )
-from pimentoquay.platform.ports import Ports
 from pimentoquay.scheduler.engine_watch import EngineWatch
 from pimentoquay.scheduler.ledger import EntryKey
 from pimentoquay.scheduler.settings import SchedulerSection
 from pimentoquay.scheduler.shard import ShardScheduler
 from pimentoquay.scheduler.status import record_answer, scheduler_status
 from pimentoquay.scheduler.sweep import Cancellation
+from pimentoquay.services.ports import Ports
 from pimentoquay.transport.peers import PeerSet
 
 __all__ = ["SchedulerPart"]
--- a/pimentoquay/scheduler/tests/test_part.py
+++ b/pimentoquay/scheduler/tests/test_part.py
@@ -18,8 +18,8 @@
     StageReport,
     Urgency,
 )
-from pimentoquay.platform.ports import Ports
 from pimentoquay.scheduler import SchedulerPart, SchedulerSection
+from pimentoquay.services.ports import Ports
 from pimentoquay.standin import EngineDirectory, EngineModel, StandinEngine
 from pimentoquay.transport.memory import MemoryNetwork
 from pimentoquay.transport.peers import PeerSet
--- /dev/null
+++ b/pimentoquay/services/__init__.py
@@ -0,0 +1,4 @@
+"""Clients of the platform's log service, membership list and weight store."""
+
+from pimentoquay.services.base import *  # noqa: F403
+from pimentoquay.services.base import __all__ as __all__
--- a/pimentoquay/platform/log_http.py
+++ b/pimentoquay/services/log_http.py
@@ -5,7 +5,7 @@
 
 from pimentoquay.kernel.http_peer import HttpError, HttpPeer
 from pimentoquay.kernel.json_data import from_json
-from pimentoquay.platform.base import LogOutcomeUnknownError, LogPage, LogUnavailableError
+from pimentoquay.services.base import LogOutcomeUnknownError, LogPage, LogUnavailableError
 
 __all__ = ["Appended", "HttpLogClient"]
 
--- a/pimentoquay/platform/ports.py
+++ b/pimentoquay/services/ports.py
@@ -5,7 +5,7 @@
 
 from pimentoquay.backends.base import EngineClient, PlainClient
 from pimentoquay.messages.cluster import Member
-from pimentoquay.platform.base import LogClient, MembershipClient, WeightStoreClient
+from pimentoquay.services.base import LogClient, MembershipClient, WeightStoreClient
 
 __all__ = ["Ports"]
 
--- a/pimentoquay/platform/tests/test_membership_http.py
+++ b/pimentoquay/services/tests/test_membership_http.py
@@ -1,6 +1,6 @@
 from pimentoquay.kernel.traffic import process_traffic
 from pimentoquay.messages.cluster import Member, MemberKind, MemberState
-from pimentoquay.platform.membership_http import HttpMembershipClient
+from pimentoquay.services.membership_http import HttpMembershipClient
 from pimentoquay.standin.membership_list import StandinMembership
 from pimentoquay.standin.serve_platform import membership_app
 from pimentoquay.standin.tests.served import served
--- a/pimentoquay/standin/log.py
+++ b/pimentoquay/standin/log.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from pimentoquay.kernel.settings import setting
-from pimentoquay.platform.base import (
+from pimentoquay.services.base import (
     LogOutcomeUnknownError,
     LogPage,
     LogRecord,
--- a/pimentoquay/standin/program.py
+++ b/pimentoquay/standin/program.py
@@ -16,7 +16,7 @@
     settings_or_exit,
 )
 from pimentoquay.kernel.serving import serve_http
-from pimentoquay.platform.weight_store_http import HttpWeightStoreClient
+from pimentoquay.services.weight_store_http import HttpWeightStoreClient
 from pimentoquay.standin.engine import StandinEngine
 from pimentoquay.standin.engine_model import KvSource
 from pimentoquay.standin.log import StandinLog
--- a/pimentoquay/standin/serve_platform.py
+++ b/pimentoquay/standin/serve_platform.py
@@ -11,9 +11,9 @@
 
 from pimentoquay.kernel.json_data import to_json
 from pimentoquay.messages.cluster import Member
-from pimentoquay.platform.base import LogOutcomeUnknownError, LogUnavailableError
-from pimentoquay.platform.log_http import Appended
-from pimentoquay.platform.weight_store_http import WeightSize
+from pimentoquay.services.base import LogOutcomeUnknownError, LogUnavailableError
+from pimentoquay.services.log_http import Appended
+from pimentoquay.services.weight_store_http import WeightSize
 from pimentoquay.standin.log import StandinLog
 from pimentoquay.standin.membership_list import StandinMembership
 from pimentoquay.standin.serve_common import BrokenOffResponse, data_response, read_body
--- a/pimentoquay/standin/tests/test_platform.py
+++ b/pimentoquay/standin/tests/test_platform.py
@@ -3,7 +3,7 @@
 import pytest
 
 from pimentoquay.messages.cluster import Member, MemberKind, MemberState
-from pimentoquay.platform.base import LogOutcomeUnknownError, LogUnavailableError
+from pimentoquay.services.base import LogOutcomeUnknownError, LogUnavailableError
 from pimentoquay.standin import LogModel, StandinLog, StandinMembership, StandinWeights
 
 pytestmark = [pytest.mark.asyncio, pytest.mark.looptime]
--- a/pimentoquay/standin/tests/test_served_platform.py
+++ b/pimentoquay/standin/tests/test_served_platform.py
@@ -5,10 +5,10 @@
 from pimentoquay.backends.base import PlainCall, PlainLostError
 from pimentoquay.backends.plain_http import HttpPlainClient
 from pimentoquay.messages.cluster import Member, MemberKind, MemberState
-from pimentoquay.platform.base import LogOutcomeUnknownError, LogUnavailableError
-from pimentoquay.platform.log_http import HttpLogClient
-from pimentoquay.platform.membership_http import HttpMembershipClient
-from pimentoquay.platform.weight_store_http import HttpWeightStoreClient
+from pimentoquay.services.base import LogOutcomeUnknownError, LogUnavailableError
+from pimentoquay.services.log_http import HttpLogClient
+from pimentoquay.services.membership_http import HttpMembershipClient
+from pimentoquay.services.weight_store_http import HttpWeightStoreClient
 from pimentoquay.standin import (
     LogModel,
     PlainModel,
