--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 PACKAGE := pimentoquay
-TYPED := policy messages scheduler configuration membership
+TYPED := policy messages scheduler configuration membership http1 platform gateway
 STAMP := $(VENV)/.installed
 
 .PHONY: install test format demo serve steady faults clean
--- /dev/null
+++ b/pimentoquay/gateway/compose.py
@@ -0,0 +1,165 @@
+"""The composition root of a gateway."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from pimentoquay.gateway.context import Repeats, Sharing
+from pimentoquay.gateway.feed import StoreFeed
+from pimentoquay.gateway.fleet import Fleet
+from pimentoquay.gateway.front import Front
+from pimentoquay.gateway.links import EngineLinks
+from pimentoquay.gateway.mesh import Mesh
+from pimentoquay.gateway.plain import PlainForwarder
+from pimentoquay.gateway.prefills import Prefills
+from pimentoquay.gateway.reservations import Reservations
+from pimentoquay.gateway.streams import StreamForwarder
+from pimentoquay.http1 import HttpRequest, HttpServer, Reply, ServerLimits
+from pimentoquay.kernel import Node
+from pimentoquay.kernel.logs import logger
+from pimentoquay.platform.settings import DeploymentSettings
+from pimentoquay.platform.store import StoreClient, StoreError
+from pimentoquay.policy.repeat_allowance import RepeatLimits
+from pimentoquay.policy.token_ledger import TokenLedger
+from pimentoquay.transport.peers import PeerSet
+from pimentoquay.transport.websocket import split_address
+
+__all__ = ["Gateway", "compose_gateway"]
+
+OUT_OF_ROTATION_SECONDS = 3.0
+"""How long callers still come after readiness ends: the platform asks once a second, and two
+misses take a VM out."""
+
+GRACE_MARGIN_SECONDS = 0.5
+"""Kept from the time between the signal to stop and the kill."""
+
+SEED_SECONDS = 1.5
+"""When the addresses of the settings are dialled if no peer has been heard by then."""
+
+FIND_SECONDS = 1.0
+"""The wait between tries to learn the peers' addresses from the store."""
+
+
+@dataclass
+class Gateway:
+    """One gateway and its servers."""
+
+    settings: DeploymentSettings
+    node: Node
+    store: StoreClient
+    fleet: Fleet
+    feed: StoreFeed
+    mesh: Mesh
+    peers: PeerSet
+    links: EngineLinks
+    front: Front
+    callers: HttpServer
+    readiness: HttpServer
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serve until asked to stop, then finish what was begun."""
+        await self._listen()
+        tasks = [
+            asyncio.create_task(part)
+            for part in (self.feed.run(), self.mesh.run(), self._find_peers())
+        ]
+        stopping = asyncio.create_task(stop.wait())
+        await asyncio.wait([stopping, *tasks], return_when=asyncio.FIRST_COMPLETED)
+        for task in tasks:
+            if task.done() and not task.cancelled() and task.exception() is not None:
+                raise task.exception()  # type: ignore[misc]
+        await self._drain()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.links.close()
+        self.store.close()
+        self.node.timers.close()
+
+    async def _listen(self) -> None:
+        settings = self.settings
+        for server, address in (
+            (self.readiness, settings.readiness_address),
+            (self.callers, settings.callers_address),
+        ):
+            await server.listen(*split_address(address))
+        if settings.control_address:
+            await self.node.transport.listen(settings.control_address, self.peers.serve)
+
+    async def _find_peers(self) -> None:
+        settings, timers = self.settings, self.node.timers
+        timers.every(SEED_SECONDS, lambda: self.mesh.dial_seeds(settings.control_addresses))
+        await self.feed.announce(settings.vm, settings.control_address)
+        while True:
+            try:
+                self.mesh.know(await self.feed.vms())
+            except StoreError as error:
+                logger.bind(error=str(error)).info("the peers' addresses cannot be read yet")
+                await timers.sleep(FIND_SECONDS)
+            else:
+                await asyncio.Event().wait()
+
+    async def _drain(self) -> None:
+        loop = asyncio.get_running_loop()
+        begun_at = loop.time()
+        logger.bind(in_progress=self.callers.requests_in_progress).info("draining")
+        self.front.is_draining = True
+        self.mesh.is_draining = True
+        self.callers.drain()
+        await self.node.timers.sleep(OUT_OF_ROTATION_SECONDS)
+        await self.callers.close()
+        ends_at = begun_at + self.settings.bounds.grace_seconds - GRACE_MARGIN_SECONDS
+        while self.callers.requests_in_progress and loop.time() < ends_at:
+            await self.node.timers.sleep(0.05)
+            self.callers.close_idle()
+        logger.bind(in_progress=self.callers.requests_in_progress).info("drained")
+
+
+def compose_gateway(settings: DeploymentSettings, node: Node) -> Gateway:
+    """Wire the parts of one gateway."""
+    fleet = Fleet(node.timers.now)
+    links = EngineLinks(fleet)
+    ledger = TokenLedger()
+    bounds = settings.bounds
+    limits = RepeatLimits(bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window_seconds)
+    sharing = Sharing(settings.data_centre, fleet, links, Repeats(limits))
+    peers = PeerSet(node)
+    reservations = Reservations(
+        sharing, ledger, lambda: mesh.peer_waiting_tokens, lambda: mesh.note_held_changed()
+    )
+    mesh = Mesh(
+        node,
+        peers,
+        fleet,
+        ledger,
+        settings.control_address,
+        lambda: reservations.waiting_tokens,
+    )
+    mesh.on_load_changed.append(reservations.note_change)
+    mesh.on_load_changed.append(lambda: setattr(sharing.repeats, "vms", mesh.vms))
+    store = StoreClient(settings.store_address)
+    feed = StoreFeed(store, fleet, node.timers, mesh.is_reader, mesh.publish)
+    streams = StreamForwarder(sharing, reservations, Prefills(sharing))
+    front = Front(sharing, PlainForwarder(sharing), streams)
+    callers = HttpServer(front.handle, lambda: _limits(fleet))
+    readiness = HttpServer(_readiness(front), ServerLimits)
+    return Gateway(
+        settings, node, store, fleet, feed, mesh, peers, links, front, callers, readiness
+    )
+
+
+def _limits(fleet: Fleet) -> ServerLimits:
+    configuration = fleet.configuration
+    limits = configuration.limits if configuration is not None else None
+    if limits is None:
+        return ServerLimits()
+    return ServerLimits(
+        limits.header_bytes, limits.body_bytes, limits.header_seconds, limits.idle_seconds
+    )
+
+
+def _readiness(front: Front) -> Callable[[HttpRequest, Reply], Awaitable[None]]:
+    async def answer(request: HttpRequest, reply: Reply) -> None:
+        reply.send(200 if front.is_ready else 503, (), b"")
+
+    return answer
--- /dev/null
+++ b/pimentoquay/gateway/context.py
@@ -0,0 +1,58 @@
+"""What the parts of one gateway share."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from pimentoquay.gateway.fleet import Fleet
+from pimentoquay.gateway.links import EngineLinks
+from pimentoquay.policy.engine_choice import EngineExperience
+from pimentoquay.policy.repeat_allowance import RepeatAllowance, RepeatLimits
+
+__all__ = ["Repeats", "Sharing"]
+
+
+class Repeats:
+    """The repeats that this gateway may still send, by service.
+
+    Parameters
+    ----------
+    limits
+        The deployment's limits.
+    """
+
+    def __init__(self, limits: RepeatLimits) -> None:
+        self.vms = 1
+        self._limits = limits
+        self._started_at = asyncio.get_running_loop().time()
+        self._allowance_by_service: dict[str, RepeatAllowance] = {}
+
+    def count_request(self, service: str) -> None:
+        """Count a caller's request for a service."""
+        self._of(service).count_request(asyncio.get_running_loop().time())
+
+    def take(self, service: str) -> bool:
+        """Count a repeat; return whether it may be sent."""
+        return self._of(service).take(asyncio.get_running_loop().time(), self.vms)
+
+    def left(self, service: str) -> float:
+        """Return how many repeats may be sent now."""
+        return self._of(service).left(asyncio.get_running_loop().time(), self.vms)
+
+    def _of(self, service: str) -> RepeatAllowance:
+        allowance = self._allowance_by_service.get(service)
+        if allowance is None:
+            allowance = RepeatAllowance(self._limits, self._started_at)
+            self._allowance_by_service[service] = allowance
+        return allowance
+
+
+@dataclass
+class Sharing:
+    """What forwarding works with, and what it has learned of the engines."""
+
+    data_centre: str
+    fleet: Fleet
+    links: EngineLinks
+    repeats: Repeats
+    experience_by_engine: dict[str, EngineExperience] = field(default_factory=dict)
+    misdirected_until_by_engine: dict[str, float] = field(default_factory=dict)
--- /dev/null
+++ b/pimentoquay/gateway/prefills.py
@@ -0,0 +1,106 @@
+"""Prompts that prefill engines read before their streams run at decode engines."""
+
+import asyncio
+from dataclasses import dataclass
+
+from pimentoquay.gateway.context import Sharing
+from pimentoquay.gateway.job import Job
+from pimentoquay.gateway.links import EngineLink
+from pimentoquay.http1 import ExchangeError
+from pimentoquay.kernel.logs import logger
+from pimentoquay.platform.answers import PrefillResult, read_prefill
+from pimentoquay.platform.fields import DecodeError
+from pimentoquay.platform.requests import SendOptions
+from pimentoquay.policy.fleet import EngineEntry, EngineStage, ModelRequest, TokenMemory
+
+__all__ = ["Prefill", "Prefills"]
+
+PREFILL_SECONDS = 1.0
+"""How long a prefill may take; ten times an ordinary one, and half of a hold's life."""
+
+
+@dataclass
+class Prefill:
+    """A KV cache at a prefill engine; ``is_taken`` once a decode engine has fetched it."""
+
+    link: EngineLink
+    result: PrefillResult
+    is_taken: bool = False
+
+    @property
+    def source(self) -> str:
+        """Where a decode engine fetches it."""
+        return f"{self.link.entry.address}/{self.result.handle}"
+
+
+class Prefills:
+    """Runs prefills, at the engine that has the least to read.
+
+    Parameters
+    ----------
+    sharing
+        Engines, links and allowances.
+    """
+
+    def __init__(self, sharing: Sharing) -> None:
+        self._sharing = sharing
+        self._tokens_by_engine: dict[str, int] = {}
+
+    async def run(
+        self, job: Job, model: ModelRequest, near: EngineEntry, memory: TokenMemory
+    ) -> Prefill | None:
+        """Prefill a prompt; ``None`` if no prefill engine could, and the decode engine has to."""
+        failed: set[str] = set()
+        while True:
+            engine = self._choose(job.service, near, failed)
+            if engine is None or (failed and not self._sharing.repeats.take(job.service)):
+                return None
+            try:
+                return await self._send(job, model, engine)
+            except (ExchangeError, DecodeError, TimeoutError) as error:
+                logger.bind(request=job.caller.id, engine=engine.id).info(
+                    "prefill failed: {!r}", error
+                )
+                failed.add(engine.id)
+
+    def end(self, prefill: Prefill | None) -> None:
+        """Free a KV cache that no decode engine has fetched."""
+        if prefill is not None and not prefill.is_taken:
+            call = prefill.link.calls.drop_handle(prefill.result.handle)
+            self._sharing.links.call_later(prefill.link, call, "free KV cache")
+
+    def _choose(self, service: str, near: EngineEntry, failed: set[str]) -> EngineEntry | None:
+        engines = [
+            engine
+            for engine in self._sharing.fleet.engines_of(service)
+            if engine.stage is EngineStage.PREFILL and engine.id not in failed
+        ]
+        return min(
+            engines,
+            key=lambda engine: (
+                self._tokens_by_engine.get(engine.id, 0),
+                engine.data_centre != near.data_centre,
+                engine.id,
+            ),
+            default=None,
+        )
+
+    async def _send(self, job: Job, model: ModelRequest, engine: EngineEntry) -> Prefill:
+        link = self._sharing.links.to(engine)
+        options = SendOptions(engine=engine.id, wait_seconds=job.seconds_left(), is_prefill=True)
+        request = job.request
+        tokens = model.prompt_tokens
+        self._tokens_by_engine[engine.id] = self._tokens_by_engine.get(engine.id, 0) + tokens
+        try:
+            async with (
+                asyncio.timeout(min(PREFILL_SECONDS, job.seconds_left())),
+                link.send(
+                    request.method, request.target, job.caller, request.body, options
+                ) as exchange,
+            ):
+                body = await exchange.read_body()
+                if exchange.status != 200:
+                    raise ExchangeError(f"{engine.id}: status {exchange.status}", True)
+                return Prefill(link, read_prefill(body))
+        finally:
+            self._tokens_by_engine[engine.id] -= tokens
--- /dev/null
+++ b/pimentoquay/gateway/program.py
@@ -0,0 +1,64 @@
+"""``pimentoquay-gateway``: callers' requests to engines, on the users' platform.
+
+The platform's settings file tells where to listen and where the store is; the environment names
+the file. One runs on each entry VM.
+"""
+
+import argparse
+import asyncio
+import hashlib
+import signal
+import sys
+import time
+
+from pimentoquay import __version__
+from pimentoquay.gateway.compose import compose_gateway
+from pimentoquay.kernel import Identity, LoopClock, Node
+from pimentoquay.kernel.logs import configure_logs, logger
+from pimentoquay.kernel.programs import EXIT_SETTINGS, StopRequested, run_until_stopped
+from pimentoquay.platform.fields import DecodeError
+from pimentoquay.platform.settings import DeploymentSettings, load_deployment
+from pimentoquay.transport.websocket import WebSocketTransport
+
+__all__ = ["main"]
+
+PROGRAM = "pimentoquay-gateway"
+
+
+def main() -> int:
+    """Run the program and return its exit status."""
+    parser = argparse.ArgumentParser(PROGRAM, description=__doc__)
+    parser.add_argument("--version", action="version", version=f"{PROGRAM} {__version__}")
+    parser.add_argument("--level", default="INFO", help="the lowest level of log lines")
+    arguments = parser.parse_args()
+    try:
+        settings = load_deployment()
+    except DecodeError as error:
+        print(error, file=sys.stderr)
+        return EXIT_SETTINGS
+    configure_logs(PROGRAM, settings.vm, arguments.level)
+    return run_until_stopped(lambda stop: _serve(settings, stop))
+
+
+async def _serve(settings: DeploymentSettings, stop: StopRequested) -> None:
+    incarnation = int(time.time() * 1000)
+    identity = Identity(settings.vm, "gateway", settings.region, settings.data_centre, incarnation)
+    # Peers of one deployment know each other by its store, the one thing that all are told.
+    key = hashlib.sha256(settings.store_address.encode()).digest()
+    node = Node(identity, WebSocketTransport(identity, key), LoopClock())
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, _note_reload)
+    gateway = compose_gateway(settings, node)
+    logger.bind(callers=settings.callers_address, incarnation=incarnation).info("started")
+    await gateway.run(stop)
+    logger.info("stopped")
+
+
+def _note_reload() -> None:
+    """Check a settings file that has changed; what it holds is used at the next start."""
+    try:
+        settings = load_deployment()
+    except DecodeError as error:
+        logger.warning("the changed settings are invalid: {}", error)
+    else:
+        logger.bind(store=settings.store_address).info("settings read again")
--- /dev/null
+++ b/pimentoquay/gateway/streams.py
@@ -0,0 +1,255 @@
+"""Forwarding of streams: memory first, then the prompt at one engine, then tokens at another.
+
+A stream that breaks goes on at another engine after the last event that its caller has, where its
+route allows that, within the same answer. Only whole events are passed on, so a caller never sees
+half of one.
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from pimentoquay.gateway.context import Sharing
+from pimentoquay.gateway.events import EventSplitter, StreamEvent
+from pimentoquay.gateway.job import Job, answer_whole
+from pimentoquay.gateway.prefills import Prefill, Prefills
+from pimentoquay.gateway.reservations import Reservation, Reservations
+from pimentoquay.http1 import Exchange, ExchangeError, HeaderList, end_to_end_headers
+from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode
+from pimentoquay.kernel.logs import logger
+from pimentoquay.platform.answers import read_answer
+from pimentoquay.platform.requests import SendOptions
+from pimentoquay.policy.fleet import TokenMemory
+from pimentoquay.policy.token_ledger import expected_tokens
+
+__all__ = ["StreamForwarder"]
+
+MAX_SENDS = 4
+"""Sends of one request to decode engines, those that were turned away included."""
+
+SILENCE_SECONDS = 1.5
+"""The silence after which a stream that may go on elsewhere is taken from its engine; five times
+the longest pause that is on time, and well below the wait after which callers leave."""
+
+LEAST_SECONDS = 0.3
+"""With less time left than this a request is not sent again."""
+
+RETURN_SECONDS = 0.3
+"""When a caller is told to return if engines turned its request away."""
+
+
+class _RunEndedError(Exception):
+    """A run ended before its answer was whole; ``has_run`` is false on proof only."""
+
+    def __init__(self, detail: str, has_run: bool, has_arrived: bool = True) -> None:
+        super().__init__(detail)
+        self.has_run = has_run
+        self.has_arrived = has_arrived
+
+
+@dataclass(frozen=True)
+class _Failure:
+    """An engine's own whole answer that is no success."""
+
+    status: int
+    headers: HeaderList
+    body: bytes
+
+
+@dataclass
+class _Progress:
+    """What has been done for one request, and what its caller has."""
+
+    last_event: int | None
+    sends: int = 0
+    arrivals: int = 0
+    runs: int = 0
+    failure: _Failure | None = None
+
+
+class StreamForwarder:
+    """Forwards streams of one gateway.
+
+    Parameters
+    ----------
+    sharing
+        Engines, links and allowances.
+    reservations
+        Memory of the decode engines.
+    prefills
+        Prompts at the prefill engines.
+    """
+
+    def __init__(self, sharing: Sharing, reservations: Reservations, prefills: Prefills) -> None:
+        self._sharing = sharing
+        self._reservations = reservations
+        self._prefills = prefills
+
+    async def forward(self, job: Job) -> None:
+        """Answer a job; ``PimentoquayError`` where there is no answer to give."""
+        progress = _Progress(last_event=job.caller.last_event)
+        try:
+            async with asyncio.timeout(job.seconds_left()):
+                await self._forward(job, progress)
+        except TimeoutError:
+            if progress.runs == 0 and not job.reply.started:
+                code = ResultCode.DEADLINE_UNREACHABLE
+                raise RefusedError(code, "not run in time", RETURN_SECONDS) from None
+            raise PimentoquayError(ResultCode.DEADLINE_MISSED, "the time was over") from None
+
+    async def _forward(self, job: Job, progress: _Progress) -> None:
+        while True:
+            try:
+                await self._run(job, progress)
+                return
+            except _RunEndedError as error:
+                self._note(job, progress, error)
+                if not self._may_go_on(job, progress):
+                    self._give_up(job, progress, str(error))
+                    return
+
+    def _note(self, job: Job, progress: _Progress, error: _RunEndedError) -> None:
+        progress.arrivals += error.has_arrived
+        if not error.has_run:
+            progress.runs -= 1
+        logger.bind(
+            request=job.caller.id,
+            has_run=error.has_run,
+            last_event=progress.last_event,
+            sends=progress.sends,
+            detail=str(error),
+        ).info("run ended early")
+
+    def _may_go_on(self, job: Job, progress: _Progress) -> bool:
+        if progress.sends >= MAX_SENDS or job.seconds_left() < LEAST_SECONDS:
+            return False
+        may_run_again = job.route.is_resumable and progress.runs < job.route.max_engines
+        if progress.runs and not may_run_again:
+            return False
+        return progress.arrivals == 0 or self._sharing.repeats.take(job.service)
+
+    def _give_up(self, job: Job, progress: _Progress, detail: str) -> None:
+        failure = progress.failure
+        if job.reply.started:
+            raise PimentoquayError(ResultCode.STREAM_BROKEN, detail)
+        if failure is not None:
+            answer_whole(job, failure.status, failure.headers, failure.body)
+        elif progress.runs == 0:
+            raise RefusedError(ResultCode.NO_BACKEND, detail, RETURN_SECONDS)
+        else:
+            raise PimentoquayError(ResultCode.ENGINE_FAILED, detail)
+
+    async def _run(self, job: Job, progress: _Progress) -> None:
+        service = self._service(job)
+        model = job.caller.model
+        assert model is not None and service is not None
+        reservation = await self._reservations.take(job, service, expected_tokens(model))
+        try:
+            prefill = await self._prefills.run(job, model, reservation.engine, service)
+            progress.sends += 1
+            progress.runs += 1
+            try:
+                await self._decode(job, progress, reservation, prefill)
+            finally:
+                self._prefills.end(prefill)
+        finally:
+            self._reservations.release(reservation)
+
+    def _service(self, job: Job) -> TokenMemory | None:
+        configuration = self._sharing.fleet.configuration
+        service = configuration.service_by_name.get(job.service) if configuration else None
+        return service.memory if service is not None else None
+
+    async def _decode(
+        self, job: Job, progress: _Progress, reservation: Reservation, prefill: Prefill | None
+    ) -> None:
+        options = SendOptions(
+            engine=reservation.engine.id,
+            wait_seconds=job.seconds_left(),
+            kv_source=prefill.source if prefill is not None else "",
+            hold=reservation.hold,
+            after_event=progress.last_event,
+        )
+        request = job.request
+        silence = SILENCE_SECONDS if job.route.is_resumable else None
+        reservation.is_hold_spent = True
+        try:
+            async with reservation.link.send(
+                request.method,
+                request.target,
+                job.caller,
+                request.body,
+                options,
+                head_seconds=silence,
+            ) as exchange:
+                if exchange.status != 200:
+                    await self._take_failure(progress, exchange, prefill)
+                await self._relay(job, progress, exchange, prefill, silence)
+        except ExchangeError as error:
+            raise _RunEndedError(str(error), error.written, error.written) from None
+        except ValueError as error:
+            raise _RunEndedError(f"not a stream of events: {error}", True) from None
+
+    async def _take_failure(
+        self, progress: _Progress, exchange: Exchange, prefill: Prefill | None
+    ) -> None:
+        body = await exchange.read_body(SILENCE_SECONDS)
+        facts = read_answer(exchange.status, exchange.headers)
+        if facts.has_not_run:
+            raise _RunEndedError(f"turned away: status {exchange.status}", False)
+        if prefill is not None:
+            prefill.is_taken = True
+        if facts.is_signed and not facts.is_encoded and exchange.status >= 300:
+            progress.failure = _Failure(exchange.status, exchange.headers, body)
+        raise _RunEndedError(f"failed: status {exchange.status}", True)
+
+    async def _relay(
+        self,
+        job: Job,
+        progress: _Progress,
+        exchange: Exchange,
+        prefill: Prefill | None,
+        silence: float | None,
+    ) -> None:
+        facts = read_answer(exchange.status, exchange.headers)
+        if not facts.is_success:
+            raise _RunEndedError("the answer is not the engine's own", True)
+        if prefill is not None:
+            prefill.is_taken = True
+        splitter = EventSplitter()
+        reply = job.reply
+        while (chunk := await exchange.read_chunk(silence)) is not None:
+            events = splitter.feed(chunk)
+            if not events:
+                continue
+            _check_order(events, progress)
+            if not reply.started:
+                reply.start(exchange.status, end_to_end_headers(exchange.headers))
+            reply.write(b"".join(event.data for event in events))
+            await reply.drain()
+        if splitter.rest:
+            raise _RunEndedError("the stream ended within an event", True)
+        if not reply.started:
+            reply.start(exchange.status, end_to_end_headers(exchange.headers))
+        reply.end()
+        _log_whole(job, progress)
+
+
+def _check_order(events: list[StreamEvent], progress: _Progress) -> None:
+    for event in events:
+        if event.id is None:
+            continue
+        last = progress.last_event
+        if last is not None and event.id != last + 1:
+            raise _RunEndedError(f"event {event.id} came after {last}", True)
+        progress.last_event = event.id
+
+
+def _log_whole(job: Job, progress: _Progress) -> None:
+    logger.bind(
+        request=job.caller.id,
+        route=job.route.name,
+        code=int(ResultCode.OK),
+        last_event=progress.last_event,
+        runs=progress.runs,
+        seconds=f"{job.age():.3f}",
+    ).info("request ended")
--- /dev/null
+++ b/pimentoquay/gateway/tests/rig.py
@@ -0,0 +1,205 @@
+"""A gateway before stand-ins of the platform, all in one event loop on loopback."""
+
+import asyncio
+import contextlib
+import json
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+from pimentoquay.gateway import Gateway, compose_gateway
+from pimentoquay.http1 import ConnectionPool, Exchange, ExchangeError, ReusePolicy
+from pimentoquay.http1.tests.scripted import WAIT_SECONDS, until
+from pimentoquay.kernel import Identity, LoopClock, Node
+from pimentoquay.platform.settings import Bounds, DeploymentSettings
+from pimentoquay.standin.platform_engine import PlatformEngine
+from pimentoquay.standin.platform_store import PlatformStore
+from pimentoquay.transport.websocket import WebSocketTransport
+
+MEMORY = {
+    "slotCount": 64,
+    "kvTokens": 91_912,
+    "kvTokenBytes": 18_432,
+    "handleTtlS": 0.5,
+    "holdMs": 2000.0,
+}
+
+
+def route(name, kind, service, **more):
+    item = {
+        "name": name,
+        "host": "shop.example",
+        "pathPrefix": f"/{name}/",
+        "kind": kind,
+        "timeoutMs": 14_000,
+        "targetLatencyMs": 4000,
+        "priority": 1,
+        "service": service,
+        "maxAttempts": 2,
+    }
+    return item | more
+
+
+ROUTES = (
+    route("look", "idempotent", "desk"),
+    route("order", "non_idempotent", "desk", maxAttempts=1),
+    route("digest", "stream", "llm", resumable=True, gapTargetMs=300, stickySessions=True),
+    route("sheet", "stream", "llm", maxAttempts=1, gapTargetMs=300, stickySessions=True),
+)
+
+
+def configuration(version=1, routes=ROUTES):
+    services = [
+        {"name": "desk", "healthPath": "/health", "maxConns": 100, "protocol": "h1", "tls": False},
+        {"name": "llm", "healthPath": "/health", "maxConns": 360, "engineId": MEMORY},
+    ]
+    limits = {
+        "maxHeaderBytes": 16_384,
+        "maxBodyBytes": 4_194_304,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15_000,
+    }
+    item = {"version": version, "routes": list(routes), "services": services, "limits": limits}
+    return json.dumps(item).encode()
+
+
+@dataclass
+class Answer:
+    status: int
+    headers: dict
+    body: bytes
+    is_whole: bool
+
+
+@dataclass
+class Rig:
+    store: PlatformStore = field(default_factory=PlatformStore)
+    store_address: str = ""
+    engine_by_id: dict = field(default_factory=dict)
+    gateway_by_vm: dict = field(default_factory=dict)
+    _stop_by_vm: dict = field(default_factory=dict)
+    _task_by_vm: dict = field(default_factory=dict)
+    _requests: int = 0
+
+    async def add_engine(self, engine: PlatformEngine) -> PlatformEngine:
+        await engine.serve()
+        self.engine_by_id[engine.id] = engine
+        await self.store.put("keyed.servers", engine.id, engine.entry())
+        return engine
+
+    async def add_gateway(self, vm="vm-1", store_address=None, seeds=(), wait=True) -> Gateway:
+        settings = DeploymentSettings(
+            vm=vm,
+            data_centre="hall",
+            region="here",
+            host="127.0.0.1",
+            data_centres=("hall",),
+            callers_address="127.0.0.1:0",
+            readiness_address="127.0.0.1:0",
+            control_address="127.0.0.1:0",
+            free_ports=(),
+            control_addresses=tuple(seeds),
+            store_address=store_address or self.store_address,
+            heartbeat_seconds=1.2,
+            longest_read_seconds=30.0,
+            bounds=Bounds(2.0, 8.0, 2.0, 0.2, 10.0, 5000.0),
+        )
+        identity = Identity(vm, "gateway", "here", "hall", 1)
+        node = Node(identity, WebSocketTransport(identity, b"key"), LoopClock())
+        gateway = compose_gateway(settings, node)
+        stop = asyncio.Event()
+        self.gateway_by_vm[vm] = gateway
+        self._stop_by_vm[vm] = stop
+        self._task_by_vm[vm] = asyncio.create_task(gateway.run(stop))
+        if wait:
+            await until(lambda: gateway.front.is_ready, "ready")
+        return gateway
+
+    def stop(self, vm="vm-1") -> asyncio.Task:
+        self._stop_by_vm[vm].set()
+        return self._task_by_vm[vm]
+
+    @contextlib.asynccontextmanager
+    async def open(self, path, vm="vm-1", method="POST", body=b"x", headers=(), request_id=""):
+        """Send a request on a connection of its own and yield the exchange."""
+        self._requests += 1
+        request_id = request_id or f"r{self._requests}"
+        gateway = self.gateway_by_vm[vm]
+        pool = ConnectionPool(f"127.0.0.1:{gateway.callers.port}", 5.0, ReusePolicy())
+        sent = (
+            (b"Host", b"shop.example"),
+            (b"Pimentoquay-Request-Id", request_id.encode()),
+            (b"Pimentoquay-Deadline-Ms", b"14000"),
+            *headers,
+        )
+        try:
+            async with pool.exchange(method.encode(), path.encode(), sent, body) as exchange:
+                yield exchange
+        finally:
+            pool.close()
+
+    async def ask(self, path, **options) -> Answer:
+        """Send a request and return what came, whole or not."""
+        async with self.open(path, **options) as exchange:
+            return await read_answer(exchange)
+
+    async def stream(self, path="/digest/a", **options) -> Answer:
+        headers = (*options.pop("headers", ()), *model_headers())
+        return await self.ask(path, headers=headers, **options)
+
+    async def close(self) -> None:
+        for task in self._task_by_vm.values():
+            task.cancel()
+        await asyncio.gather(*self._task_by_vm.values(), return_exceptions=True)
+        for gateway in self.gateway_by_vm.values():
+            gateway.node.timers.close()
+            gateway.links.close()
+            gateway.store.close()
+            await gateway.callers.close()
+            await gateway.readiness.close()
+            await gateway.peers.close()
+            await gateway.node.transport.close()
+        for engine in self.engine_by_id.values():
+            await engine.close()
+        await self.store.close()
+
+
+async def read_answer(exchange: Exchange) -> Answer:
+    parts = []
+    is_whole = False
+    with contextlib.suppress(ExchangeError):
+        while (part := await exchange.read_chunk(WAIT_SECONDS)) is not None:
+            parts.append(part)
+        is_whole = True
+    headers = {name.decode().lower(): value.decode() for name, value in exchange.headers}
+    return Answer(exchange.status, headers, b"".join(parts), is_whole)
+
+
+def model_headers(prompt=5000, most=8320, hint=4000):
+    return (
+        (b"Pimentoquay-Model", b"m"),
+        (b"Pimentoquay-Token-Counts", f"{prompt},{most}".encode()),
+        (b"Pimentoquay-Length-Hint", str(hint).encode()),
+        (b"Pimentoquay-Prompt-Prefix", b"5c1e07a2:200,91bd3f06:4800"),
+    )
+
+
+@contextlib.asynccontextmanager
+async def rig(start_gateway=True) -> AsyncIterator[Rig]:
+    """A store, two plain services, a prefill and two decode engines, and one gateway."""
+    made = Rig()
+    try:
+        made.store_address = await made.store.serve()
+        await made.store.put("keyed.op", "config", configuration())
+        await made.add_engine(PlatformEngine("desk-1", "desk"))
+        await made.add_engine(PlatformEngine("desk-2", "desk"))
+        await made.add_engine(PlatformEngine("pre-1", "llm", stage="prefill"))
+        await made.add_engine(PlatformEngine("dec-1", "llm", stage="decode"))
+        await made.add_engine(PlatformEngine("dec-2", "llm", stage="decode"))
+        if start_gateway:
+            await made.add_gateway()
+        yield made
+    finally:
+        await made.close()
+
+
+__all__ = ["Answer", "Rig", "rig", "until"]
--- /dev/null
+++ b/pimentoquay/http1/client.py
@@ -0,0 +1,361 @@
+"""The backend servers' side: exchanges over connections that are kept and reused with care.
+
+A kept connection carries nothing between two exchanges. Bytes that arrive on it meanwhile belong to
+nobody and end it. An answer that names another request is read and dropped, and the exchange goes
+on waiting for its own.
+"""
+
+import asyncio
+import contextlib
+import socket
+from collections import deque
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import h11
+
+from pimentoquay.http1.headers import HeaderList, find_header
+
+__all__ = ["ConnectionPool", "Exchange", "ExchangeError", "ReusePolicy"]
+
+MAX_ANSWER_HEADER_BYTES = 64 * 1024
+"""The largest head of an answer."""
+
+USER_TIMEOUT_MILLISECONDS = 2000
+"""How long written bytes may stay unacknowledged before the system resets the connection."""
+
+READ_AHEAD_BYTES = 256 * 1024
+"""Bytes of an answer that may wait for its reader before the connection is no longer read."""
+
+Belongs = Callable[[HeaderList], bool]
+
+
+class ExchangeError(Exception):
+    """No whole answer came; ``written`` tells whether a byte of the request was written."""
+
+    def __init__(self, detail: str, written: bool) -> None:
+        super().__init__(detail)
+        self.written = written
+
+
+@dataclass(frozen=True)
+class ReusePolicy:
+    """When a kept connection may carry another request, in seconds since its last answer.
+
+    ``longest_idle`` bounds the wait where the backend server states none; ``margin`` is kept from
+    the wait that it states, because both sides may act at the same moment.
+    """
+
+    longest_idle: float = 4.0
+    margin: float = 1.0
+
+
+class ConnectionPool:
+    """Connections to one backend server.
+
+    Parameters
+    ----------
+    address
+        Its ``host:port``.
+    connect_seconds
+        How long opening a connection may take.
+    reuse
+        When a kept connection may be used again.
+    on_open
+        Called for each connection opened, for metrics.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        connect_seconds: float,
+        reuse: ReusePolicy,
+        on_open: Callable[[], None] = lambda: None,
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        self.address = address
+        self.open_connections = 0
+        self._host, self._port = host, int(port)
+        self._connect_seconds = connect_seconds
+        self._reuse = reuse
+        self._on_open = on_open
+        self._idle: deque[_ClientConnection] = deque()
+        self._closed = False
+
+    @contextlib.asynccontextmanager
+    async def exchange(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: HeaderList,
+        body: bytes = b"",
+        *,
+        belongs: Belongs = lambda headers: True,
+        longest_idle: float | None = None,
+        head_seconds: float | None = None,
+    ) -> AsyncIterator["Exchange"]:
+        """Send one request once and yield its answer from the head on.
+
+        Leaving the block before the answer's end closes the connection, which makes the backend
+        server stop its work. ``longest_idle`` narrows the choice of kept connections to those
+        used within so many seconds. ``head_seconds`` bounds the wait for the head of the answer.
+        Raises ``ExchangeError``.
+        """
+        connection = await self._acquire(longest_idle)
+        try:
+            connection.send(method, target, headers, body, belongs)
+            exchange = Exchange(connection)
+            await exchange.read_head(head_seconds)
+            yield exchange
+        finally:
+            self._release(connection)
+
+    def close(self) -> None:
+        """Close the kept connections; running exchanges close theirs when they end."""
+        self._closed = True
+        while self._idle:
+            self._idle.pop().abort()
+
+    async def _acquire(self, longest_idle: float | None) -> "_ClientConnection":
+        now = asyncio.get_running_loop().time()
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_reusable(now, longest_idle):
+                return connection
+            if connection.is_reusable(now, None):
+                self._idle.append(connection)
+                break
+            connection.abort()
+        return await self._open()
+
+    async def _open(self) -> "_ClientConnection":
+        loop = asyncio.get_running_loop()
+        self._on_open()
+        try:
+            async with asyncio.timeout(self._connect_seconds):
+                _, connection = await loop.create_connection(
+                    lambda: _ClientConnection(self._reuse), self._host, self._port
+                )
+        except (OSError, TimeoutError) as error:
+            raise ExchangeError(f"no connection to {self.address}: {error!r}", False) from None
+        self.open_connections += 1
+        connection.on_lost = self._forget
+        return connection
+
+    def _forget(self, connection: "_ClientConnection") -> None:
+        self.open_connections -= 1
+        with contextlib.suppress(ValueError):
+            self._idle.remove(connection)
+
+    def _release(self, connection: "_ClientConnection") -> None:
+        if connection.finish() and not self._closed:
+            self._idle.append(connection)
+        else:
+            connection.abort()
+
+
+class Exchange:
+    """One request that has been sent, and its answer as it arrives."""
+
+    def __init__(self, connection: "_ClientConnection") -> None:
+        self._connection = connection
+        self.status = 0
+        self.headers: HeaderList = ()
+
+    async def read_head(self, seconds: float | None = None) -> None:
+        """Wait for status and headers; ``ExchangeError`` if they do not come."""
+        event = await self._next(seconds)
+        if not isinstance(event, h11.Response):
+            raise self._connection.error(f"expected a head, got {type(event).__name__}")
+        self.status = event.status_code
+        self.headers = tuple(event.headers.raw_items())
+
+    async def read_chunk(self, seconds: float | None = None) -> bytes | None:
+        """Return the next part of the body, or ``None`` at its proper end."""
+        event = await self._next(seconds)
+        return bytes(event.data) if isinstance(event, h11.Data) else None
+
+    async def read_body(self, seconds: float | None = None) -> bytes:
+        """Return the rest of the body once it is whole."""
+        parts = []
+        async with asyncio.timeout(seconds):
+            while (part := await self.read_chunk()) is not None:
+                parts.append(part)
+        return b"".join(parts)
+
+    async def _next(self, seconds: float | None) -> Any:
+        try:
+            async with asyncio.timeout(seconds):
+                return await self._connection.next_event()
+        except TimeoutError:
+            raise self._connection.error(f"nothing came for {seconds} s") from None
+
+
+class _ClientConnection(asyncio.Protocol):
+    def __init__(self, reuse: ReusePolicy) -> None:
+        self.on_lost: Callable[[_ClientConnection], None] = lambda connection: None
+        self._reuse = reuse
+        self._transport: Any = None
+        self._http = h11.Connection(h11.CLIENT, MAX_ANSWER_HEADER_BYTES)
+        self._request: h11.Request | None = None
+        self._body = b""
+        self._belongs: Belongs = lambda headers: True
+        self._is_skipping = False
+        self._events: deque[Any] = deque()
+        self._buffered_bytes = 0
+        self._waiter: asyncio.Future[None] | None = None
+        self._failure: str | None = None
+        self._is_whole = False
+        self._is_lost = False
+        self._reusable_until = 0.0
+        self._idle_since = 0.0
+
+    def connection_made(self, transport: Any) -> None:
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._is_lost = True
+        if self._request is not None and not self._is_whole:
+            self._fail(f"the connection was lost: {exc!r}")
+        self.on_lost(self)
+
+    def eof_received(self) -> bool:
+        if self._request is not None and not self._is_whole:
+            self._parse(b"")
+            if not self._is_whole:
+                self._fail("the connection ended before the answer was whole")
+        return False
+
+    def data_received(self, data: bytes) -> None:
+        if self._request is None or self._is_whole:
+            self.abort()
+            return
+        self._parse(data)
+        if self._buffered_bytes > READ_AHEAD_BYTES:
+            self._transport.pause_reading()
+
+    def send(
+        self, method: bytes, target: bytes, headers: HeaderList, body: bytes, belongs: Belongs
+    ) -> None:
+        """Write a whole request."""
+        framing = ((b"Content-Length", str(len(body)).encode()),) if body else ()
+        try:
+            self._request = h11.Request(method=method, target=target, headers=[*headers, *framing])
+            self._body, self._belongs = body, belongs
+            self._is_whole = self._is_skipping = False
+            self._transport.write(self._serialise())
+        except h11.LocalProtocolError as error:
+            raise ExchangeError(f"the request cannot be sent: {error}", False) from None
+
+    async def next_event(self) -> Any:
+        """Return the next event of the answer; ``ExchangeError`` if none will come."""
+        while not self._events:
+            if self._failure is not None:
+                raise self.error(self._failure)
+            self._waiter = asyncio.get_running_loop().create_future()
+            await self._waiter
+        event = self._events.popleft()
+        if isinstance(event, h11.Data):
+            self._buffered_bytes -= len(event.data)
+            if self._buffered_bytes <= READ_AHEAD_BYTES and not self._is_lost:
+                self._transport.resume_reading()
+        return event
+
+    def error(self, detail: str) -> ExchangeError:
+        """Return an error; a request that was handed to the socket counts as written."""
+        return ExchangeError(detail, self._request is not None)
+
+    def is_reusable(self, now: float, longest_idle: float | None) -> bool:
+        """Return whether another request may go on this connection."""
+        if self._transport.is_closing() or now > self._reusable_until:
+            return False
+        return longest_idle is None or now - self._idle_since <= longest_idle
+
+    def finish(self) -> bool:
+        """Make ready for another request; return whether there may be one."""
+        unsent = self._transport.get_write_buffer_size()
+        if not self._is_whole or self._events or unsent or self._transport.is_closing():
+            return False
+        if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
+            return False
+        if self._http.trailing_data[0]:
+            return False
+        self._http.start_next_cycle()
+        self._request = None
+        self._idle_since = asyncio.get_running_loop().time()
+        return self._reusable_until > self._idle_since
+
+    def abort(self) -> None:
+        """Close at once."""
+        if not self._transport.is_closing():
+            self._transport.abort()
+
+    def _serialise(self) -> bytes:
+        assert self._request is not None
+        data = self._http.send(self._request) or b""
+        if self._body:
+            data += self._http.send(h11.Data(data=self._body)) or b""
+        return data + (self._http.send(h11.EndOfMessage()) or b"")
+
+    def _parse(self, data: bytes) -> None:
+        try:
+            self._http.receive_data(data)
+            while not self._is_whole and self._take(self._http.next_event()):
+                pass
+        except h11.RemoteProtocolError as error:
+            self._fail(f"not an answer: {error}")
+            self.abort()
+
+    def _take(self, event: Any) -> bool:
+        """Handle one event; return whether there may be more."""
+        if event in (h11.NEED_DATA, h11.PAUSED) or isinstance(event, h11.ConnectionClosed):
+            return False
+        if isinstance(event, h11.InformationalResponse):
+            return True
+        if isinstance(event, h11.Response):
+            self._is_skipping = not self._belongs(tuple(event.headers.raw_items()))
+        if self._is_skipping:
+            return self._skip(event)
+        if isinstance(event, h11.Response):
+            self._note_idle_time(tuple(event.headers.raw_items()))
+        elif isinstance(event, h11.Data):
+            self._buffered_bytes += len(event.data)
+        else:
+            self._is_whole = True
+        self._events.append(event)
+        self._wake()
+        return not self._is_whole
+
+    def _skip(self, event: Any) -> bool:
+        """Drop an answer to another request and wait for the next one."""
+        if isinstance(event, h11.EndOfMessage):
+            rest, closed = self._http.trailing_data
+            if self._http.their_state is not h11.DONE or closed:
+                raise h11.RemoteProtocolError("only an answer to another request came")
+            self._http = h11.Connection(h11.CLIENT, MAX_ANSWER_HEADER_BYTES)
+            self._serialise()
+            if rest:
+                self._http.receive_data(rest)
+        return True
+
+    def _note_idle_time(self, headers: HeaderList) -> None:
+        stated = find_header(headers, b"keep-alive") or b""
+        seconds = self._reuse.longest_idle
+        for part in stated.split(b","):
+            name, _, value = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and value.isdigit():
+                seconds = max(0.0, int(value) - self._reuse.margin)
+        self._reusable_until = asyncio.get_running_loop().time() + seconds
+
+    def _fail(self, detail: str) -> None:
+        if self._failure is None:
+            self._failure = detail
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
--- /dev/null
+++ b/pimentoquay/messages/fleet.py
@@ -0,0 +1,59 @@
+"""Messages between the gateways of a deployment (numbers 120 to 139).
+
+Each gateway passes on the operators' configuration and the engines' entries as they lie in the
+platform's store, and tells its peers what it holds of the engines' memory. Offsets are those of the
+store; ages and times are in seconds, memory in tokens.
+"""
+
+from pimentoquay.messages.codec import message
+
+__all__ = ["EngineRecord", "EngineTokens", "FleetCopy", "VmAddress", "VmLoad"]
+
+
+@message(120)
+class EngineRecord:
+    """The newest record of one engine; an empty value stands for a removed one."""
+
+    engine: str
+    offset: int
+    value: bytes
+
+
+@message(121)
+class VmAddress:
+    """Where a VM's gateway listens for its peers."""
+
+    vm: str
+    address: str
+
+
+@message(122)
+class FleetCopy:
+    """Records of the store; ``configuration`` is empty if the sender knows none newer."""
+
+    configuration_offset: int
+    configuration: bytes
+    engines: tuple[EngineRecord, ...]
+    engines_offset: int
+    vms: tuple[VmAddress, ...]
+
+
+@message(123)
+class EngineTokens:
+    """The memory of one engine that the sender has reserved."""
+
+    engine: str
+    tokens: int
+
+
+@message(124)
+class VmLoad:
+    """What a gateway holds and what waits there; also its heartbeat.
+
+    ``list_age`` is how long ago the store was last read by anybody that the sender hears of.
+    """
+
+    list_age: float
+    held: tuple[EngineTokens, ...]
+    waiting_tokens: int
+    is_draining: bool
--- /dev/null
+++ b/pimentoquay/platform/configuration.py
@@ -0,0 +1,96 @@
+"""The operators' configuration as it lies in the platform's store."""
+
+from typing import Any
+
+from pimentoquay.platform.fields import DecodeError, object_of, optional, required, seconds_of
+from pimentoquay.policy.fleet import (
+    FleetConfiguration,
+    RepeatRule,
+    Route,
+    Service,
+    ServiceShare,
+    TokenMemory,
+    TrafficLimits,
+)
+
+__all__ = ["decode_configuration"]
+
+_REPEAT_BY_KIND = {
+    "idempotent": RepeatRule.IDEMPOTENT,
+    "non_idempotent": RepeatRule.ONCE,
+    "stream": RepeatRule.STREAM,
+}
+
+
+def decode_configuration(data: bytes) -> FleetConfiguration:
+    """Return the configuration that the bytes hold; ``DecodeError`` if they hold none."""
+    item = object_of(data, "configuration")
+    routes = tuple(_route(route) for route in required(item, "routes", list))
+    services = tuple(_service(service) for service in required(item, "services", list))
+    return FleetConfiguration(
+        version=required(item, "version", int),
+        routes=routes,
+        service_by_name={service.name: service for service in services},
+        limits=_limits(optional(item, "limits", dict, {})),
+    )
+
+
+def _route(item: dict[str, Any]) -> Route:
+    kind = required(item, "kind", str)
+    if kind not in _REPEAT_BY_KIND:
+        raise DecodeError(f"kind = {kind!r}: expected one of {sorted(_REPEAT_BY_KIND)}")
+    return Route(
+        name=optional(item, "name", str, ""),
+        host=required(item, "host", str).lower(),
+        path_prefix=required(item, "pathPrefix", str),
+        repeat=_REPEAT_BY_KIND[kind],
+        timeout_seconds=seconds_of(item, "timeoutMs"),
+        target_seconds=seconds_of(item, "targetLatencyMs"),
+        shares=_shares(item),
+        max_engines=optional(item, "maxAttempts", int, 1),
+        rank=optional(item, "priority", int, 0),
+        is_resumable=optional(item, "resumable", bool, False),
+        # Set on routes whose requests carry a model, token counts and prompt parts.
+        has_model_requests=optional(item, "stickySessions", bool, False),
+        gap_seconds=seconds_of(item, "gapTargetMs", 1000.0),
+    )
+
+
+def _shares(item: dict[str, Any]) -> tuple[ServiceShare, ...]:
+    split = optional(item, "trafficSplit", list, [])
+    if not split:
+        return (ServiceShare(required(item, "service", str), 1.0),)
+    return tuple(
+        ServiceShare(required(part, "service", str), required(part, "weight", float))
+        for part in split
+    )
+
+
+def _service(item: dict[str, Any]) -> Service:
+    # The field is named for an engine's id, but it holds what all engines of the service share.
+    engine = optional(item, "engineId", dict, {})
+    return Service(
+        name=required(item, "name", str),
+        health_path=optional(item, "healthPath", str, "/health"),
+        max_connections=optional(item, "maxConns", int, 100),
+        memory=_memory(engine) if engine else None,
+    )
+
+
+def _memory(item: dict[str, Any]) -> TokenMemory:
+    return TokenMemory(
+        slots=required(item, "slotCount", int),
+        capacity_tokens=required(item, "kvTokens", int),
+        bytes_per_token=optional(item, "kvTokenBytes", int, 0),
+        handle_seconds=optional(item, "handleTtlS", float, 0.5),
+        longest_hold_seconds=seconds_of(item, "holdMs", 0.0),
+    )
+
+
+def _limits(item: dict[str, Any]) -> TrafficLimits:
+    return TrafficLimits(
+        header_bytes=optional(item, "maxHeaderBytes", int, 16384),
+        body_bytes=optional(item, "maxBodyBytes", int, 4194304),
+        header_seconds=seconds_of(item, "headerTimeoutMs", 3000.0),
+        idle_seconds=seconds_of(item, "idleTimeoutMs", 15000.0),
+    )
--- /dev/null
+++ b/pimentoquay/platform/engine_calls.py
@@ -0,0 +1,89 @@
+"""Calls of an engine beside requests: reserving memory, freeing it, asking for its state."""
+
+import json
+from dataclasses import dataclass
+from urllib.parse import quote
+
+from pimentoquay.http1.headers import HeaderList
+from pimentoquay.platform.fields import object_of, optional, required
+
+__all__ = ["EngineCall", "EngineCalls", "EngineReport"]
+
+_JSON = (b"Content-Type", b"application/json")
+
+
+@dataclass(frozen=True)
+class EngineCall:
+    """One call: method, target, headers and body, ready to be sent."""
+
+    method: bytes
+    target: bytes
+    headers: HeaderList
+    body: bytes = b""
+
+
+@dataclass(frozen=True)
+class EngineReport:
+    """An engine's state some hundred milliseconds ago; memory in tokens."""
+
+    queued: int
+    running: int
+    used_tokens: int
+    total_tokens: int
+    is_busy: bool
+
+
+class EngineCalls:
+    """Builds the calls of one engine, each of which only that engine will answer.
+
+    Parameters
+    ----------
+    engine
+        The engine's id.
+    address
+        Its ``host:port``.
+    """
+
+    def __init__(self, engine: str, address: str) -> None:
+        self._headers: HeaderList = (
+            (b"Host", address.encode()),
+            (b"Pimentoquay-Expect-Instance", engine.encode()),
+        )
+
+    def take_hold(self, tokens: int, seconds: float) -> EngineCall:
+        """Reserve a slot and memory for a while."""
+        body = json.dumps({"tokens": tokens, "ttlMs": int(seconds * 1000)}).encode()
+        return EngineCall(b"POST", b"/api/hold-take", (*self._headers, _JSON), body)
+
+    def drop_hold(self, hold: str) -> EngineCall:
+        """Release reserved memory."""
+        return self._delete("hold-drop", hold)
+
+    def drop_handle(self, handle: str) -> EngineCall:
+        """Free a KV cache that no decode engine will fetch."""
+        return self._delete("kv-handle", handle)
+
+    def report(self) -> EngineCall:
+        """Ask for the engine's state."""
+        return EngineCall(b"GET", b"/api/report", self._headers)
+
+    @staticmethod
+    def read_hold(body: bytes) -> str:
+        """Return the name of a reservation; ``DecodeError`` if the answer has none."""
+        return required(object_of(body, "hold"), "hold", str)
+
+    @staticmethod
+    def read_report(body: bytes) -> EngineReport:
+        """Decode an engine's state; ``DecodeError`` if it is malformed."""
+        item = object_of(body, "report")
+        return EngineReport(
+            queued=optional(item, "queued", int, 0),
+            running=optional(item, "active", int, 0),
+            used_tokens=required(item, "kvUsed", int),
+            total_tokens=required(item, "kvTotal", int),
+            is_busy=optional(item, "busy", bool, False),
+        )
+
+    def _delete(self, call: str, name: str) -> EngineCall:
+        target = f"/api/{call}/{quote(name, safe='')}".encode()
+        return EngineCall(b"DELETE", target, self._headers)
--- /dev/null
+++ b/pimentoquay/platform/requests.py
@@ -0,0 +1,128 @@
+"""Headers of callers' requests, and those that go with a request to an engine."""
+
+from dataclasses import dataclass
+
+from pimentoquay.http1.headers import HeaderList, end_to_end_headers, find_header
+from pimentoquay.policy.fleet import ModelRequest
+
+__all__ = ["CallerRequest", "SendOptions", "read_request", "retry_after_header", "send_headers"]
+
+_REQUEST_ID = b"pimentoquay-request-id"
+_DEADLINE = b"pimentoquay-deadline-ms"
+_MODEL = b"pimentoquay-model"
+# Prompt tokens, then the most output tokens.
+_TOKEN_COUNTS = b"pimentoquay-token-counts"
+_LENGTH_HINT = b"pimentoquay-length-hint"
+_LAST_EVENT = b"last-event-id"
+_SET_BY_SYSTEM = frozenset(
+    (
+        _DEADLINE,
+        b"pimentoquay-expect-instance",
+        b"pimentoquay-expect-version",
+        b"pimentoquay-stage",
+        b"pimentoquay-kv-source",
+        b"pimentoquay-kv-hold",
+        b"pimentoquay-kv-backup",
+        b"pimentoquay-pin-ms",
+        b"pimentoquay-request-priority",
+        b"kv-fetch",
+    )
+)
+"""Headers of a caller that are not passed on, because only the system may set them."""
+
+
+@dataclass(frozen=True)
+class CallerRequest:
+    """What the headers of a request say; ``wait_seconds`` is how long its caller waits."""
+
+    id: str
+    host: str
+    wait_seconds: float | None
+    model: ModelRequest | None
+    last_event: int | None
+    headers: HeaderList
+
+
+@dataclass(frozen=True)
+class SendOptions:
+    """What the system adds to a request that it sends to an engine.
+
+    ``kv_source`` is the address and the handle of a KV cache that another engine has prefilled,
+    ``hold`` names memory that was reserved before, and ``after_event`` the last event that the
+    caller has.
+    """
+
+    engine: str
+    wait_seconds: float
+    is_prefill: bool = False
+    kv_source: str = ""
+    hold: str = ""
+    after_event: int | None = None
+    urgency: int | None = None
+
+
+def read_request(headers: HeaderList) -> CallerRequest:
+    """Decode a request's headers; values that cannot be read count as missing."""
+    return CallerRequest(
+        id=_text(find_header(headers, _REQUEST_ID)),
+        host=_text(find_header(headers, b"host")).partition(":")[0].lower(),
+        wait_seconds=_milliseconds(find_header(headers, _DEADLINE)),
+        model=_model_request(headers),
+        last_event=_whole(find_header(headers, _LAST_EVENT)),
+        headers=headers,
+    )
+
+
+def send_headers(request: CallerRequest, options: SendOptions) -> HeaderList:
+    """Return the headers to send to an engine with a caller's request."""
+    dropped = _SET_BY_SYSTEM
+    added = [
+        (b"Pimentoquay-Deadline-Ms", str(max(1, int(options.wait_seconds * 1000))).encode()),
+        (b"Pimentoquay-Expect-Instance", options.engine.encode()),
+    ]
+    if options.is_prefill:
+        added.append((b"Pimentoquay-Stage", b"prefill"))
+    if options.kv_source:
+        added.append((b"Pimentoquay-Kv-Source", options.kv_source.encode()))
+    if options.hold:
+        added.append((b"Pimentoquay-Kv-Hold", options.hold.encode()))
+    if options.urgency is not None:
+        added.append((b"Pimentoquay-Request-Priority", str(options.urgency).encode()))
+    if options.after_event is not None:
+        dropped = dropped | {_LAST_EVENT}
+        added.append((b"Last-Event-Id", str(options.after_event).encode()))
+    kept = (pair for pair in end_to_end_headers(request.headers) if pair[0].lower() not in dropped)
+    return (*kept, *added)
+
+
+def retry_after_header(seconds: float) -> tuple[bytes, bytes]:
+    """Return the header that tells a caller when to come back."""
+    return (b"Retry-After", f"{seconds:.3f}".encode())
+
+
+def _model_request(headers: HeaderList) -> ModelRequest | None:
+    model = find_header(headers, _MODEL)
+    counts = (find_header(headers, _TOKEN_COUNTS) or b"").split(b",")
+    if model is None or len(counts) != 2:
+        return None
+    prompt, output = _whole(counts[0]), _whole(counts[1])
+    if prompt is None or output is None:
+        return None
+    hint = _whole(find_header(headers, _LENGTH_HINT)) or 0
+    return ModelRequest(_text(model), prompt, output, hint)
+
+
+def _text(value: bytes | None) -> str:
+    return (value or b"").decode("latin-1").strip()
+
+
+def _whole(value: bytes | None) -> int | None:
+    text = _text(value)
+    return int(text) if text.isdecimal() and text.isascii() else None
+
+
+def _milliseconds(value: bytes | None) -> float | None:
+    try:
+        return float(_text(value)) / 1000.0
+    except ValueError:
+        return None
--- /dev/null
+++ b/pimentoquay/platform/tests/test_decoding.py
@@ -0,0 +1,146 @@
+import json
+
+import pytest
+
+from pimentoquay.http1 import find_header
+from pimentoquay.platform import (
+    SendOptions,
+    decode_configuration,
+    decode_engine_entry,
+    load_deployment,
+    read_answer,
+    read_request,
+    send_headers,
+)
+from pimentoquay.platform.fields import DecodeError
+from pimentoquay.policy.fleet import EngineStage, RepeatRule
+
+ENTRY = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "city-hall",
+    "slotCount": 64,
+    "state": "ready",
+    "stage": "decode",
+    "seq": 4,
+    "born": 17,
+}
+
+ROUTE = {
+    "name": "r",
+    "host": "Ficu95.example",
+    "pathPrefix": "/lohu930/",
+    "kind": "stream",
+    "timeoutMs": 14000,
+    "targetLatencyMs": 900,
+    "trafficSplit": [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}],
+    "maxAttempts": 2,
+    "resumable": True,
+    "gapTargetMs": 300,
+}
+
+SETTINGS = {
+    "nodeName": "front-1",
+    "ipAddr": "10.1.0.35",
+    "zone": "city-hall",
+    "zones": {"city-hall": "tt-north"},
+    "listen": {"frontAddr": "10.1.0.35:8144", "readyAddr": "10.1.0.35:8140"},
+    "innerPortRange": [7660, 7675],
+    "platform": {"address": "10.200.1.7:8142"},
+    "bounds": {"drainMs": 2000, "retryBudgetSlack": 54, "graceS": 8},
+    "a field of tomorrow": None,
+}
+
+
+def test_an_entry_is_decoded_in_the_projects_words():
+    entry = decode_engine_entry("i-1", json.dumps(ENTRY).encode())
+    assert (entry.stage, entry.data_centre) == (EngineStage.DECODE, "city-hall")
+    assert (entry.incarnation, entry.sequence, entry.is_draining) == (17, 4, False)
+
+
+@pytest.mark.parametrize(
+    "field, value",
+    [
+        ("service", None),
+        ("address", "10.0.0.1"),
+        ("address", 7),
+        ("zone", ["a"]),
+        ("state", "asleep"),
+        ("state", True),
+        ("stage", "both"),
+        ("slotCount", "64"),
+        ("slotCount", True),
+        ("born", 1.5),
+        ("seq", "4"),
+    ],
+)
+def test_an_entry_with_a_wrong_field_is_refused(field, value):
+    with pytest.raises(DecodeError):
+        decode_engine_entry("i-1", json.dumps(ENTRY | {field: value}).encode())
+
+
+def test_a_configuration_is_decoded_with_units():
+    item = {"version": 7, "routes": [ROUTE], "services": [], "limits": {"idleTimeoutMs": 500}}
+    configuration = decode_configuration(json.dumps(item).encode())
+    (route,) = configuration.routes
+    assert route.repeat is RepeatRule.STREAM and route.may_run_again
+    assert (route.host, route.timeout_seconds, route.gap_seconds) == ("ficu95.example", 14.0, 0.3)
+    assert [share.weight for share in route.shares] == [90.0, 10.0]
+    assert configuration.limits is not None
+    assert configuration.limits.idle_seconds == 0.5
+
+
+def test_an_error_names_the_field_and_its_value():
+    with pytest.raises(DecodeError, match="kind = 'sometimes'"):
+        item = {"version": 7, "routes": [ROUTE | {"kind": "sometimes"}], "services": []}
+        decode_configuration(json.dumps(item).encode())
+
+
+def test_settings_are_read_and_unknown_fields_ignored(tmp_path):
+    path = tmp_path / "local.json"
+    path.write_text(json.dumps(SETTINGS))
+    settings = load_deployment(path)
+    assert settings.bounds.drain_seconds == 2.0 and settings.bounds.grace_seconds == 8.0
+    assert settings.free_ports[0] == 7660 and settings.control_address == ""
+
+
+def test_a_missing_setting_is_named_with_its_file(tmp_path):
+    path = tmp_path / "local.json"
+    path.write_text(json.dumps({"nodeName": "front-1"}))
+    with pytest.raises(DecodeError, match=r"local\.json.*innerPortRange|local\.json.*listen"):
+        load_deployment(path)
+
+
+def test_a_request_is_read_and_its_system_headers_are_replaced():
+    headers = (
+        (b"Host", b"Ficu95.example:80"),
+        (b"Pimentoquay-Request-Id", b"9c41"),
+        (b"Pimentoquay-Deadline-Ms", b"14000"),
+        (b"Pimentoquay-Model", b"m"),
+        (b"Pimentoquay-Token-Counts", b"6565,8320"),
+        (b"Pimentoquay-Length-Hint", b"7465"),
+        (b"Pimentoquay-Pin-Ms", b"9"),
+        (b"Last-Event-Id", b"3"),
+    )
+    request = read_request(headers)
+    assert (request.host, request.wait_seconds, request.last_event) == ("ficu95.example", 14.0, 3)
+    assert request.model is not None
+    assert (request.model.prompt_tokens, request.model.max_output_tokens) == (6565, 8320)
+    sent = send_headers(request, SendOptions("i-1", 1.5, hold="h", after_event=12))
+    assert find_header(sent, b"pimentoquay-deadline-ms") == b"1500"
+    assert find_header(sent, b"pimentoquay-kv-hold") == b"h"
+    assert [value for name, value in sent if name.lower() == b"last-event-id"] == [b"12"]
+    assert find_header(sent, b"pimentoquay-pin-ms") is None
+
+
+@pytest.mark.parametrize(
+    "status, headers, not_run",
+    [
+        (421, (), True),
+        (503, ((b"Pimentoquay-Not-Executed", b"1"),), True),
+        (503, (), False),
+        (500, ((b"Pimentoquay-Server-Stamp", b"s"),), False),
+    ],
+)
+def test_only_proof_counts_as_not_run(status, headers, not_run):
+    assert read_answer(status, headers).has_not_run is not_run
--- /dev/null
+++ b/pimentoquay/standin/platform_engine.py
@@ -0,0 +1,188 @@
+"""A stand-in for an engine or a plain service behind the users' platform.
+
+It answers plain calls, reserves memory, prefills and streams. ``behaviour`` is asked what to do
+with each request that arrives, so a test brings about one fault at a time.
+"""
+
+import asyncio
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from pimentoquay.http1 import HttpRequest, HttpServer, Reply, ServerLimits, find_header
+
+__all__ = ["Arrival", "Behaviour", "PlatformEngine"]
+
+CAPACITY_TOKENS = 91_912
+
+
+class Behaviour(Enum):
+    """What the engine does with one request."""
+
+    SERVE = "serve"
+    SHED = "refuse with the proof that nothing ran"
+    FAIL = "run and answer 500"
+    RESET = "run and reset the connection"
+    MUTE = "run and never answer"
+    BREAK = "stream three events, then reset the connection"
+    HALF_EVENT = "stream two events and a half, then end the connection"
+    UNSIGNED = "run and answer without a signature"
+    ENCODED = "run and answer with an encoded body"
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """One request as it arrived; header names in lower case."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+    @property
+    def is_prefill(self) -> bool:
+        """Whether only the prompt is to be read."""
+        return self.headers.get("pimentoquay-stage") == "prefill"
+
+
+@dataclass
+class PlatformEngine:
+    """One start of an engine.
+
+    ``events`` is the length of each stream, ``pause`` the seconds between two events.
+    """
+
+    id: str
+    service: str
+    data_centre: str = "hall"
+    stage: str = ""
+    born: int = 1
+    events: int = 5
+    pause: float = 0.0
+    capacity: int = CAPACITY_TOKENS
+    behaviour: Callable[[Arrival], Behaviour] = lambda arrival: Behaviour.SERVE
+    arrivals: list[Arrival] = field(default_factory=list)
+    holds: dict[str, int] = field(default_factory=dict)
+    running: int = 0
+    broken_off: int = 0
+    address: str = ""
+    sequence: int = 0
+
+    async def serve(self, host: str = "127.0.0.1", port: int = 0) -> str:
+        """Serve and return the address."""
+        self._server = HttpServer(self._handle, ServerLimits)
+        await self._server.listen(host, port)
+        self.address = f"{host}:{self._server.port}"
+        return self.address
+
+    async def close(self) -> None:
+        """Stop serving."""
+        await self._server.close()
+
+    def entry(self, state: str = "ready") -> bytes:
+        """Return the next entry that the engine writes about itself."""
+        self.sequence += 1
+        item = {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.data_centre,
+            "version": "v1",
+            "slotCount": 6,
+            "state": state,
+            "coldRemainingMs": 0,
+            "seq": self.sequence,
+            "born": self.born,
+        }
+        if self.stage:
+            item["stage"] = self.stage
+        return json.dumps(item).encode()
+
+    async def _handle(self, request: HttpRequest, reply: Reply) -> None:
+        headers = {name.decode().lower(): value.decode() for name, value in request.headers}
+        target = request.target.decode()
+        if headers.get("pimentoquay-expect-instance", self.id) != self.id:
+            reply.send(421, ((b"Pimentoquay-Instance-Id", self.id.encode()),), b"")
+        elif target == "/api/hold-take":
+            self._take_hold(json.loads(request.body)["tokens"], reply)
+        elif target.startswith("/api/hold-drop/"):
+            self.holds.pop(target.rpartition("/")[2], None)
+            reply.send(200, (), b"{}")
+        elif target.startswith("/api/kv-handle/"):
+            reply.send(200, (), b"{}")
+        else:
+            arrival = Arrival(request.method.decode(), target, headers, request.body)
+            self.arrivals.append(arrival)
+            await self._run(arrival, request, reply)
+
+    def _take_hold(self, tokens: int, reply: Reply) -> None:
+        if sum(self.holds.values()) + tokens > self.capacity:
+            reply.send(503, ((b"Pimentoquay-Not-Executed", b"1"),), b"")
+            return
+        hold = f"h{len(self.arrivals)}-{len(self.holds)}"
+        self.holds[hold] = tokens
+        reply.send(200, (), json.dumps({"hold": hold}).encode())
+
+    async def _run(self, arrival: Arrival, request: HttpRequest, reply: Reply) -> None:
+        behaviour = self.behaviour(arrival)
+        request_id = find_header(request.headers, b"pimentoquay-request-id") or b""
+        headers = (
+            (b"Pimentoquay-Request-Id", request_id),
+            (b"Pimentoquay-Server-Stamp", f"stamp-{self.id}".encode()),
+        )
+        if behaviour is Behaviour.SHED:
+            reply.send(503, ((b"Pimentoquay-Not-Executed", b"1"),), b"")
+        elif behaviour is Behaviour.FAIL:
+            reply.send(500, headers, b"failed")
+        elif behaviour is Behaviour.RESET:
+            reply.abort()
+        elif behaviour is Behaviour.MUTE:
+            await self._wait_for_caller()
+        elif behaviour is Behaviour.UNSIGNED:
+            reply.send(200, headers[:1], b"not an engine's")
+        elif behaviour is Behaviour.ENCODED:
+            reply.send(200, (*headers, (b"Content-Encoding", b"gzip")), b"packed")
+        elif arrival.is_prefill:
+            answer = {"kvHandle": f"kv{len(self.arrivals)}", "tokens": 10, "version": 1}
+            reply.send(200, headers[:1], json.dumps(answer).encode())
+        elif self.stage:
+            await self._stream(arrival, behaviour, headers, reply)
+        else:
+            reply.send(200, headers, b"answer of " + self.id.encode())
+
+    async def _wait_for_caller(self) -> None:
+        self.running += 1
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self.running -= 1
+            self.broken_off += 1
+
+    async def _stream(
+        self,
+        arrival: Arrival,
+        behaviour: Behaviour,
+        headers: tuple[tuple[bytes, bytes], ...],
+        reply: Reply,
+    ) -> None:
+        self.holds.pop(arrival.headers.get("pimentoquay-kv-hold", ""), None)
+        self.running += 1
+        is_whole = False
+        try:
+            reply.start(200, (*headers, (b"Content-Type", b"text/event-stream")))
+            first = int(arrival.headers.get("last-event-id", "0")) + 1
+            for number in range(first, self.events + 1):
+                if behaviour is Behaviour.BREAK and number == 4:
+                    reply.abort()
+                    return
+                if behaviour is Behaviour.HALF_EVENT and number == 3:
+                    reply.write(b"id: 3\nda")
+                    reply.abort()
+                    return
+                reply.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+                await asyncio.sleep(self.pause)
+            reply.end()
+            is_whole = True
+        finally:
+            self.running -= 1
+            self.broken_off += not is_whole
--- /dev/null
+++ b/pimentoquay/standin/platform_store.py
@@ -0,0 +1,147 @@
+"""A stand-in for the users' platform's store: keyed topics, read by offset or newest by key.
+
+It keeps one partition a topic. ``fault`` makes it answer as the platform's store does in trouble.
+"""
+
+import asyncio
+import base64
+import json
+import struct
+from dataclasses import dataclass, field
+from enum import Enum
+from urllib.parse import parse_qs
+
+from pimentoquay.http1 import HttpRequest, HttpServer, Reply, ServerLimits
+
+__all__ = ["PlatformStore", "StoreFault"]
+
+
+class StoreFault(Enum):
+    """How the store treats calls."""
+
+    NONE = "none"
+    BUSY = "answers 503"
+    RESET = "resets the connection"
+    SILENT = "does not answer"
+    LOST = "carries appends out and does not answer them"
+
+
+@dataclass
+class _Topic:
+    first_offset: int = 0
+    records: list[tuple[str, bytes]] = field(default_factory=list)
+
+    @property
+    def end(self) -> int:
+        return self.first_offset + len(self.records)
+
+
+class PlatformStore:
+    """The store, in the process or served at an address of its own."""
+
+    def __init__(self) -> None:
+        self.fault = StoreFault.NONE
+        self.calls = 0
+        self._topic_by_name: dict[str, _Topic] = {}
+        self._newest_by_topic: dict[str, dict[str, tuple[int, bytes]]] = {}
+        self._changed = asyncio.Condition()
+        self._server = HttpServer(self._handle, ServerLimits)
+
+    async def serve(self, host: str = "127.0.0.1", port: int = 0) -> str:
+        """Serve and return the address."""
+        await self._server.listen(host, port)
+        return f"{host}:{self._server.port}"
+
+    async def close(self) -> None:
+        """Stop serving."""
+        await self._server.close()
+
+    async def put(self, topic: str, key: str, value: bytes) -> int:
+        """Append a record and return its offset; an empty value removes the key."""
+        log = self._topic_by_name.setdefault(topic, _Topic())
+        newest = self._newest_by_topic.setdefault(topic, {})
+        offset = log.end
+        log.records.append((key, value))
+        if value:
+            newest[key] = (offset, value)
+        else:
+            newest.pop(key, None)
+        async with self._changed:
+            self._changed.notify_all()
+        return offset
+
+    def forget_history(self, topic: str) -> None:
+        """Drop every record but the newest of each key."""
+        log = self._topic_by_name.setdefault(topic, _Topic())
+        log.first_offset, log.records = log.end, []
+
+    def drop_key(self, topic: str, key: str) -> None:
+        """Remove a key without a record that tells of it."""
+        self._newest_by_topic.get(topic, {}).pop(key, None)
+
+    async def _handle(self, request: HttpRequest, reply: Reply) -> None:
+        self.calls += 1
+        path, _, query = request.target.decode().partition("?")
+        arguments = {name: values[0] for name, values in parse_qs(query).items()}
+        if self.fault is StoreFault.BUSY:
+            reply.send(503, (), b"")
+        elif self.fault is StoreFault.RESET:
+            reply.abort()
+        elif self.fault is StoreFault.SILENT:
+            await asyncio.Event().wait()
+        elif path == "/api/log-append":
+            await self._append(arguments, request.body, reply)
+        elif path == "/api/log-read":
+            await self._read(arguments, reply)
+        elif path == "/api/log-newest":
+            self._newest(arguments, reply)
+        else:
+            reply.send(404, (), b"")
+
+    async def _append(self, arguments: dict[str, str], body: bytes, reply: Reply) -> None:
+        (length,) = struct.unpack_from(">I", body)
+        content = body[4 : 4 + length]
+        key_end = 1 + content[0]
+        key = content[1:key_end].decode()
+        offset = await self.put(arguments["topic"], key, content[key_end:])
+        if self.fault is StoreFault.LOST:
+            await asyncio.Event().wait()
+        answer = {"offset": offset, "endOffset": offset + 1}
+        reply.send(200, (), json.dumps(answer).encode())
+
+    async def _read(self, arguments: dict[str, str], reply: Reply) -> None:
+        log = self._topic_by_name.setdefault(arguments["topic"], _Topic())
+        start = int(arguments["from"])
+        if start < log.first_offset:
+            reply.send(410, (), json.dumps({"firstOffset": log.first_offset}).encode())
+            return
+        wait = int(arguments.get("waitMs", 0)) / 1000
+        if start >= log.end and wait:
+            await self._wait(log, start, wait)
+        frames = b"".join(_frame(*each) for each in log.records[start - log.first_offset :])
+        reply.send(200, (), struct.pack(">QQ", log.end, log.first_offset) + frames)
+
+    async def _wait(self, log: _Topic, start: int, seconds: float) -> None:
+        try:
+            async with asyncio.timeout(seconds), self._changed:
+                await self._changed.wait_for(lambda: log.end > start)
+        except TimeoutError:
+            return  # The wait is over; the answer holds no records.
+
+    def _newest(self, arguments: dict[str, str], reply: Reply) -> None:
+        topic = arguments["topic"]
+        log = self._topic_by_name.setdefault(topic, _Topic())
+        newest = sorted(self._newest_by_topic.get(topic, {}).items())
+        page = [item for item in newest if item[0] > arguments.get("after", "")]
+        items = [
+            {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+            for key, (offset, value) in page
+        ]
+        answer = {"items": items, "hasMore": False, "endOffset": log.end}
+        reply.send(200, (), json.dumps(answer).encode())
+
+
+def _frame(key: str, value: bytes) -> bytes:
+    name = key.encode()
+    content = bytes((len(name),)) + name + value
+    return struct.pack(">I", len(content)) + content
