Reserve by a fitted length, and let streams wait as long as their callers do

(2) Streams that could not begin in time were refused; nearly all came back later, when none could be in time any more either, and many were refused again. Change: (1) a line between the logarithms, learned by each gateway, gives the length to reserve; 5% of an engine's memory is left for growth, and growth is counted. (2) Streams that can be in time go first, others wait as long as their callers do; a refusal comes only if that is too short.

--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -125,7 +125,7 @@
     sharing = Sharing(settings.data_centre, fleet, links, Repeats(limits))
     peers = PeerSet(node)
     reservations = Reservations(
-        sharing, ledger, lambda: mesh.peer_waiting_tokens, lambda: mesh.note_held_changed()
+        sharing, ledger, lambda: mesh.peers_waiting, lambda: mesh.note_held_changed()
     )
     mesh = Mesh(
         node,
@@ -133,7 +133,7 @@
         fleet,
         ledger,
         settings.control_address,
-        lambda: reservations.waiting_tokens,
+        lambda: reservations.waiting,
     )
     mesh.on_load_changed.append(reservations.note_change)
     mesh.on_load_changed.append(lambda: setattr(sharing.repeats, "vms", mesh.vms))
--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from pimentoquay.gateway.fleet import Fleet
+from pimentoquay.gateway.reservations import Waiting
 from pimentoquay.kernel import Channel, ChannelClosed, ChannelOpened, Envelope, Node
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages.fleet import EngineTokens, FleetCopy, VmAddress, VmLoad
@@ -37,7 +38,7 @@
         What is shared with the peers.
     address
         Where this gateway listens for them.
-    waiting_tokens
+    waiting
         Returns the memory that streams wait for here.
     """
 
@@ -48,13 +49,13 @@
         fleet: Fleet,
         ledger: TokenLedger,
         address: str,
-        waiting_tokens: Callable[[], int],
+        waiting: Callable[[], Waiting],
     ) -> None:
         self._node = node
         self._peers = peers
         self._fleet = fleet
         self._ledger = ledger
-        self._waiting_tokens = waiting_tokens
+        self._waiting = waiting
         self._vm = node.identity.vm
         self._address_by_vm: dict[str, str] = {self._vm: address}
         self._heard_at_by_vm: dict[str, float] = {}
@@ -70,9 +71,12 @@
         return max(len(self._address_by_vm), 1 + len(self._heard_at_by_vm))
 
     @property
-    def peer_waiting_tokens(self) -> int:
+    def peers_waiting(self) -> Waiting:
         """The memory that streams wait for at the peers."""
-        return sum(load.waiting_tokens for load in self._load_by_vm.values())
+        loads = self._load_by_vm.values()
+        return Waiting(
+            sum(load.waiting_tokens for load in loads), sum(load.urgent_tokens for load in loads)
+        )
 
     def is_reader(self) -> bool:
         """Return whether this gateway reads the store for those that it hears."""
@@ -195,7 +199,8 @@
     def _load(self) -> VmLoad:
         held = tuple(EngineTokens(engine, tokens) for engine, tokens in self._ledger.own().items())
         age = min(self._fleet.list_age, 1e6)
-        return VmLoad(age, held, self._waiting_tokens(), self.is_draining)
+        waiting = self._waiting()
+        return VmLoad(age, held, waiting.tokens, waiting.urgent_tokens, self.is_draining)
 
     def _send_load(self) -> None:
         self._is_send_due = False
--- a/pimentoquay/gateway/program.py
+++ b/pimentoquay/gateway/program.py
@@ -36,7 +36,7 @@
     except DecodeError as error:
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
-    configure_logs(PROGRAM, settings.vm, arguments.level)
+    configure_logs(PROGRAM, settings.vm, arguments.level, sys.stdout)
     return run_until_stopped(lambda stop: _serve(settings, stop))
 
 
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -17,14 +17,27 @@
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.fields import DecodeError
 from pimentoquay.policy.fleet import EngineEntry, EngineStage, TokenMemory
-from pimentoquay.policy.stream_admission import AdmissionLimits, ReleaseRate, decide_wait
-from pimentoquay.policy.token_ledger import TokenLedger
+from pimentoquay.policy.stream_admission import (
+    AdmissionLimits,
+    ReleaseRate,
+    StreamTimes,
+    StreamUrgency,
+    decide_wait,
+)
+from pimentoquay.policy.token_ledger import TokenLedger, in_blocks
 
-__all__ = ["Reservation", "Reservations"]
+__all__ = ["Reservation", "Reservations", "Waiting"]
 
 RECHECK_SECONDS = 0.05
 """How often a waiting stream looks for room when it hears of no change."""
 
+RETURN_SECONDS = 0.5
+"""When a caller is told to return if the estimate of the wait was wrong, or there is none."""
+
+USABLE_SHARE = 0.95
+"""The share of an engine's memory that is reserved; the rest is for answers that grow longer than
+expected, so that nobody has to be preempted for them."""
+
 REFUSED_SECONDS = 0.25
 """How long an engine's refusal is believed when nobody releases anything there."""
 
@@ -41,9 +54,18 @@
     is_hold_spent: bool = False
 
 
+@dataclass(frozen=True)
+class Waiting:
+    """Memory that streams wait for; a part of it for those that can still begin in time."""
+
+    tokens: int
+    urgent_tokens: int
+
+
 @dataclass(eq=False)
 class _Waiter:
     tokens: int
+    times: StreamTimes
 
 
 class Reservations:
@@ -55,7 +77,7 @@
         Engines and links.
     ledger
         What all gateways hold.
-    peer_waiting_tokens
+    peers_waiting
         Returns the memory that streams wait for at other gateways.
     on_change
         Called when this gateway holds more or less, or more or less waits here.
@@ -65,12 +87,12 @@
         self,
         sharing: Sharing,
         ledger: TokenLedger,
-        peer_waiting_tokens: Callable[[], int],
+        peers_waiting: Callable[[], Waiting],
         on_change: Callable[[], None],
     ) -> None:
         self._sharing = sharing
         self._ledger = ledger
-        self._peer_waiting_tokens = peer_waiting_tokens
+        self._peers_waiting = peers_waiting
         self._on_change = on_change
         self._waiting: list[_Waiter] = []
         self._release_rate = ReleaseRate()
@@ -78,40 +100,56 @@
         self._limits = AdmissionLimits()
 
     @property
-    def waiting_tokens(self) -> int:
+    def waiting(self) -> Waiting:
         """The memory that streams wait for here."""
-        return sum(waiter.tokens for waiter in self._waiting)
+        return Waiting(
+            sum(waiter.tokens for waiter in self._waiting),
+            sum(waiter.tokens for waiter in self._waiting if self._is_urgent(waiter)),
+        )
 
     def note_change(self) -> None:
         """Let waiting streams look for room again."""
         self._changed.set()
 
-    async def take(self, job: Job, memory: TokenMemory, tokens: int) -> Reservation:
-        """Reserve memory, waiting for it if that promises to be in time; ``RefusedError``."""
-        loop = asyncio.get_running_loop()
-        if not self._waiting:
+    async def take(
+        self, job: Job, memory: TokenMemory, tokens: int, times: StreamTimes
+    ) -> Reservation:
+        """Reserve memory, waiting for it while that is of use; ``RefusedError``."""
+        waiter = _Waiter(tokens, times)
+        if self._goes_first(waiter):
             reservation = await self._try(job, memory, tokens)
             if reservation is not None:
                 return reservation
-        self._check_wait(job, memory, tokens)
-        waiter = _Waiter(tokens)
+        self._check_wait(job, waiter)
         self._waiting.append(waiter)
         self._on_change()
+        loop = asyncio.get_running_loop()
+        ends_at = times.leaves_at - self._limits.work_seconds
         try:
-            while job.seconds_left() > self._limits.work_seconds:
-                if self._waiting[0] is waiter:
+            while loop.time() < ends_at:
+                if self._goes_first(waiter):
                     reservation = await self._try(job, memory, tokens)
                     if reservation is not None:
                         return reservation
                 self._changed.clear()
                 with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout_at(loop.time() + RECHECK_SECONDS):
+                    async with asyncio.timeout(RECHECK_SECONDS):
                         await self._changed.wait()
         finally:
             self._waiting.remove(waiter)
             self._changed.set()
             self._on_change()
-        raise RefusedError(ResultCode.DEADLINE_UNREACHABLE, "no memory came free in time", 0.5)
+        raise RefusedError(
+            ResultCode.DEADLINE_UNREACHABLE, "no memory came free in time", RETURN_SECONDS
+        )
+
+    def grow(self, reservation: Reservation, tokens: int) -> None:
+        """Count the memory of a request that has grown to so many tokens."""
+        more = in_blocks(tokens) - reservation.tokens
+        if more > 0:
+            reservation.tokens += more
+            self._ledger.grow(reservation.engine.id, more)
+            self._on_change()
 
     def release(self, reservation: Reservation) -> None:
         """Give memory back."""
@@ -125,17 +163,35 @@
         self._changed.set()
         self._on_change()
 
-    def _check_wait(self, job: Job, memory: TokenMemory, tokens: int) -> None:
+    def _is_urgent(self, waiter: _Waiter) -> bool:
+        now = asyncio.get_running_loop().time()
+        return waiter.times.urgency(now, self._limits) is StreamUrgency.IN_TIME
+
+    def _goes_first(self, waiter: _Waiter) -> bool:
+        """Tell whether nobody is to be served before a stream, here or at another gateway."""
+        now = asyncio.get_running_loop().time()
+
+        def turn(each: _Waiter) -> tuple[StreamUrgency, float]:
+            return each.times.urgency(now, self._limits), each.times.arrived_at
+
+        if any(turn(each) < turn(waiter) for each in self._waiting if each is not waiter):
+            return False
+        return self._is_urgent(waiter) or self._peers_waiting().urgent_tokens == 0
+
+    def _check_wait(self, job: Job, waiter: _Waiter) -> None:
         engines = self._engines(job)
         if not engines:
-            raise RefusedError(ResultCode.NO_BACKEND, "no decode engine is listed", 0.5)
+            raise RefusedError(ResultCode.NO_BACKEND, "no decode engine is listed", RETURN_SECONDS)
         held = sum(self._ledger.held(engine.id) for engine in engines)
-        ahead = self.waiting_tokens + self._peer_waiting_tokens()
+        own, peers = self.waiting, self._peers_waiting()
+        ahead = own.tokens + peers.tokens
         decision = decide_wait(
-            tokens,
+            waiter.tokens,
+            own.urgent_tokens + peers.urgent_tokens,
             ahead,
             self._release_rate.tokens_per_second(held),
-            job.route.target_seconds - job.age(),
+            waiter.times,
+            asyncio.get_running_loop().time(),
             self._limits,
         )
         if not decision.waits:
@@ -149,13 +205,12 @@
 
     async def _try(self, job: Job, memory: TokenMemory, tokens: int) -> Reservation | None:
         loop = asyncio.get_running_loop()
-        tokens = min(tokens, memory.capacity_tokens)
+        usable = int(memory.capacity_tokens * USABLE_SHARE)
+        tokens = min(tokens, usable)
         engines = self._engines(job)
         asked: set[str] = set()
         while True:
-            candidates = self._ledger.candidates(
-                engines, memory.capacity_tokens, tokens, loop.time()
-            )
+            candidates = self._ledger.candidates(engines, usable, tokens, loop.time())
             engine = next((each for each in candidates if each.id not in asked), None)
             if engine is None:
                 return None
@@ -186,4 +241,7 @@
                 self._on_change()
         if not hold:
             return None
+        logger.bind(engine=engine.id, tokens=tokens, held=self._ledger.held(engine.id)).info(
+            "memory reserved"
+        )
         return Reservation(engine, link, tokens, hold, loop.time())
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -18,8 +18,10 @@
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.answers import read_answer
 from pimentoquay.platform.requests import SendOptions
-from pimentoquay.policy.fleet import TokenMemory
-from pimentoquay.policy.token_ledger import expected_tokens
+from pimentoquay.policy.fleet import ModelRequest, TokenMemory
+from pimentoquay.policy.output_estimate import OutputEstimate
+from pimentoquay.policy.stream_admission import StreamTimes, first_asked_at, patience_seconds
+from pimentoquay.policy.token_ledger import in_blocks
 
 __all__ = ["StreamForwarder"]
 
@@ -33,6 +35,10 @@
 LEAST_SECONDS = 0.3
 """With less time left than this a request is not sent again."""
 
+RESERVED_SPREADS = 0.3
+"""How far above the middle of the expected length memory is reserved, in spreads; four answers in
+ten grow longer."""
+
 RETURN_SECONDS = 0.3
 """When a caller is told to return if engines turned its request away."""
 
@@ -83,6 +89,8 @@
         self._sharing = sharing
         self._reservations = reservations
         self._prefills = prefills
+        self._estimate_by_service: dict[str, OutputEstimate] = {}
+        self._longest_wait_by_route: dict[str, float] = {}
 
     async def forward(self, job: Job) -> None:
         """Answer a job; ``PimentoquayError`` where there is no answer to give."""
@@ -139,12 +147,14 @@
             raise PimentoquayError(ResultCode.ENGINE_FAILED, detail)
 
     async def _run(self, job: Job, progress: _Progress) -> None:
-        service = self._service(job)
+        memory = self._memory(job)
         model = job.caller.model
-        assert model is not None and service is not None
-        reservation = await self._reservations.take(job, service, expected_tokens(model))
+        assert model is not None and memory is not None
+        tokens = self._expected_tokens(job.service, model, memory, progress)
+        times = self._times(job)
+        reservation = await self._reservations.take(job, memory, tokens, times)
         try:
-            prefill = await self._prefills.run(job, model, reservation.engine, service)
+            prefill = await self._prefills.run(job, model, reservation.engine, memory)
             progress.sends += 1
             progress.runs += 1
             try:
@@ -153,8 +163,38 @@
                 self._prefills.end(prefill)
         finally:
             self._reservations.release(reservation)
+        if progress.last_event is not None:
+            length = (progress.last_event + 1) * memory.event_tokens
+            estimate = self._estimate(job.service)
+            estimate.note(model.expected_output, model.max_output_tokens, length)
+
+    def _times(self, job: Job) -> StreamTimes:
+        """Return when a stream is of use; once it has begun, as soon as may be."""
+        route, waits = job.route, job.caller.wait_seconds
+        longest = max(self._longest_wait_by_route.get(route.name, 0.0), waits or 0.0)
+        self._longest_wait_by_route[route.name] = longest
+        asked_at = first_asked_at(job.arrived_at, waits, longest)
+        patience = patience_seconds(route.target_seconds, route.gap_seconds)
+        late_at = asked_at + route.target_seconds
+        if job.reply.started:
+            late_at = asyncio.get_running_loop().time() + route.target_seconds
+        leaves_at = min(job.arrived_at + patience, job.ends_at)
+        return StreamTimes(job.arrived_at, late_at, max(leaves_at, late_at))
+
+    def _estimate(self, service: str) -> OutputEstimate:
+        return self._estimate_by_service.setdefault(service, OutputEstimate())
+
+    def _expected_tokens(
+        self, service: str, model: ModelRequest, memory: TokenMemory, progress: _Progress
+    ) -> int:
+        output = self._estimate(service).tokens(
+            model.expected_output, model.max_output_tokens, RESERVED_SPREADS
+        )
+        if progress.last_event is not None:
+            output = max(output, (progress.last_event + 1) * memory.event_tokens)
+        return in_blocks(model.prompt_tokens + output)
 
-    def _service(self, job: Job) -> TokenMemory | None:
+    def _memory(self, job: Job) -> TokenMemory | None:
         configuration = self._sharing.fleet.configuration
         service = configuration.service_by_name.get(job.service) if configuration else None
         return service.memory if service is not None else None
@@ -183,7 +223,7 @@
             ) as exchange:
                 if exchange.status != 200:
                     await self._take_failure(progress, exchange, prefill)
-                await self._relay(job, progress, exchange, prefill, silence)
+                await self._relay(job, progress, exchange, reservation, prefill, silence)
         except ExchangeError as error:
             raise _RunEndedError(str(error), error.written, error.written) from None
         except ValueError as error:
@@ -207,6 +247,7 @@
         job: Job,
         progress: _Progress,
         exchange: Exchange,
+        reservation: Reservation,
         prefill: Prefill | None,
         silence: float | None,
     ) -> None:
@@ -222,6 +263,7 @@
             if not events:
                 continue
             _check_order(events, progress)
+            self._grow(job, progress, reservation)
             if not reply.started:
                 reply.start(exchange.status, end_to_end_headers(exchange.headers))
             reply.write(b"".join(event.data for event in events))
@@ -233,6 +275,12 @@
         reply.end()
         _log_whole(job, progress)
 
+    def _grow(self, job: Job, progress: _Progress, reservation: Reservation) -> None:
+        memory, model = self._memory(job), job.caller.model
+        if memory is not None and model is not None and progress.last_event is not None:
+            output = (progress.last_event + 1) * memory.event_tokens
+            self._reservations.grow(reservation, model.prompt_tokens + output)
+
 
 def _check_order(events: list[StreamEvent], progress: _Progress) -> None:
     for event in events:
@@ -245,7 +293,10 @@
 
 
 def _log_whole(job: Job, progress: _Progress) -> None:
+    model = job.caller.model
     logger.bind(
+        prompt_tokens=model.prompt_tokens if model else None,
+        expected_output=model.expected_output if model else None,
         request=job.caller.id,
         route=job.route.name,
         code=int(ResultCode.OK),
--- a/pimentoquay/kernel/logs.py
+++ b/pimentoquay/kernel/logs.py
@@ -6,6 +6,7 @@
 
 import json
 import sys
+from typing import TextIO
 
 from loguru import logger
 
@@ -14,8 +15,8 @@
 __all__ = ["configure_logs", "log_event", "logger"]
 
 
-def configure_logs(process: str, vm: str, level: str = "INFO") -> None:
-    """Send every log line of this process to standard error as JSON.
+def configure_logs(process: str, vm: str, level: str = "INFO", stream: TextIO = sys.stderr) -> None:
+    """Send every log line of this process to a stream as JSON.
 
     Parameters
     ----------
@@ -25,6 +26,8 @@
         The VM's name.
     level
         The lowest level that is written.
+    stream
+        Standard error unless given.
     """
 
     def write(message) -> None:
@@ -39,7 +42,7 @@
         }
         if record["exception"] is not None:
             line["error"] = repr(record["exception"].value)
-        sys.stderr.write(json.dumps(line) + "\n")
+        stream.write(json.dumps(line) + "\n")
 
     logger.remove()
     logger.add(write, level=level, backtrace=False, diagnose=False)
--- a/pimentoquay/messages/fleet.py
+++ b/pimentoquay/messages/fleet.py
@@ -50,10 +50,13 @@
 class VmLoad:
     """What a gateway holds and what waits there; also its heartbeat.
 
-    ``list_age`` is how long ago the store was last read by anybody that the sender hears of.
+    ``waiting_tokens`` is the memory that streams wait for, ``urgent_tokens`` the part of it that is
+    for streams which can still begin in time. ``list_age`` is how long ago the store was last read
+    by anybody that the sender hears of.
     """
 
     list_age: float
     held: tuple[EngineTokens, ...]
     waiting_tokens: int
+    urgent_tokens: int
     is_draining: bool
--- a/pimentoquay/platform/configuration.py
+++ b/pimentoquay/platform/configuration.py
@@ -84,6 +84,7 @@
         bytes_per_token=optional(item, "kvTokenBytes", int, 0),
         handle_seconds=optional(item, "handleTtlS", float, 0.5),
         longest_hold_seconds=seconds_of(item, "holdMs", 0.0),
+        event_tokens=optional(item, "stride", int, 1),
     )
 
 
--- a/pimentoquay/policy/fleet.py
+++ b/pimentoquay/policy/fleet.py
@@ -76,13 +76,17 @@
 
 @dataclass(frozen=True)
 class TokenMemory:
-    """The memory of each engine of a service: capacity in tokens, times in seconds."""
+    """The memory of each engine of a service: capacity in tokens, times in seconds.
+
+    ``event_tokens`` is how many tokens one event of a stream carries.
+    """
 
     slots: int
     capacity_tokens: int
     bytes_per_token: int
     handle_seconds: float
     longest_hold_seconds: float
+    event_tokens: int = 1
 
 
 @dataclass(frozen=True)
--- a/pimentoquay/policy/stream_admission.py
+++ b/pimentoquay/policy/stream_admission.py
@@ -1,19 +1,38 @@
-"""Whether a stream that finds no memory waits for it or is sent away, and until when.
-
-Load pattern: bursts of twice the rate that the decode engines' memory allows, a few seconds long.
-A stream that waits longer than its target earns a fraction, and so do those behind it; one that is
-sent away at once, with the time when there will be room, costs nobody anything. The estimate of
-the wait is the memory that is wanted ahead of a stream over the rate at which memory comes free.
+"""Whether a stream that finds no memory waits for it or is sent away, and who is served first.
+
+Load pattern: bursts of twice the rate that the decode engines' memory allows, a few seconds long,
+between calmer times with room to spare. Streams that can still begin in time go first, in the order
+of their arrival; those that cannot any more are served from what is left, as long as their callers
+wait. So a queue that has grown too long does not make every stream a little late, and nobody is
+sent away who can still be served. A stream is refused at once only if the memory wanted before it
+takes longer to come free than its caller waits; then it is told when there will be room.
 """
 
 from dataclasses import dataclass
-
-__all__ = ["AdmissionLimits", "ReleaseRate", "WaitDecision", "decide_wait"]
+from enum import IntEnum
+
+__all__ = [
+    "AdmissionLimits",
+    "ReleaseRate",
+    "StreamTimes",
+    "StreamUrgency",
+    "WaitDecision",
+    "decide_wait",
+    "first_asked_at",
+    "patience_seconds",
+]
 
 SMOOTHING = 0.1
 """The weight of the newest stream in the averages."""
 
 
+class StreamUrgency(IntEnum):
+    """Who goes first; lower values do."""
+
+    IN_TIME = 0
+    LATE = 1
+
+
 @dataclass(frozen=True)
 class AdmissionLimits:
     """Times in seconds.
@@ -22,9 +41,27 @@
     ``least_return`` and ``longest_return`` bound the time after which a caller is told to return.
     """
 
-    work_seconds: float = 0.2
+    work_seconds: float = 0.3
     least_return: float = 0.1
-    longest_return: float = 3.0
+    longest_return: float = 4.0
+
+
+@dataclass(frozen=True)
+class StreamTimes:
+    """When a stream is of use to its caller, on the clock of the decisions.
+
+    ``late_at`` is when its first event stops being in time, ``leaves_at`` when its caller stops
+    waiting for it.
+    """
+
+    arrived_at: float
+    late_at: float
+    leaves_at: float
+
+    def urgency(self, now: float, limits: AdmissionLimits) -> StreamUrgency:
+        """Return whether a stream that is given memory now begins in time."""
+        in_time = now + limits.work_seconds <= self.late_at
+        return StreamUrgency.IN_TIME if in_time else StreamUrgency.LATE
 
 
 @dataclass(frozen=True)
@@ -56,28 +93,56 @@
         return held_tokens / max(0.1, self.seconds)
 
 
+def patience_seconds(target_seconds: float, gap_seconds: float) -> float:
+    """Return how long a caller waits for the first event; the platform's word."""
+    return max(2.0, 4.0 * target_seconds, 8.0 * gap_seconds)
+
+
+def first_asked_at(
+    arrived_at: float, wait_seconds: float | None, longest_wait: float | None
+) -> float:
+    """Return when a caller first asked.
+
+    A caller that returns after a refusal waits for less than one that asks for the first time, by
+    the time that has passed since; ``longest_wait`` is the most that callers of the route wait.
+    """
+    if wait_seconds is None or longest_wait is None:
+        return arrived_at
+    return arrived_at - max(0.0, longest_wait - wait_seconds)
+
+
 def decide_wait(
     tokens: int,
-    tokens_ahead: int,
+    urgent_ahead: int,
+    all_ahead: int,
     release_rate: float,
-    seconds_left: float,
+    times: StreamTimes,
+    now: float,
     limits: AdmissionLimits,
 ) -> WaitDecision:
-    """Decide about a stream of ``tokens`` behind others that wait for ``tokens_ahead``.
+    """Decide about a stream that wants ``tokens`` of memory.
 
     Parameters
     ----------
-    tokens, tokens_ahead
-        Memory wanted by the stream and by those before it, in tokens.
+    tokens
+        Memory wanted by the stream.
+    urgent_ahead, all_ahead
+        Memory wanted by the streams before it that can be in time, and by all before it.
     release_rate
         Tokens that come free in a second.
-    seconds_left
-        The time until its first event is late.
+    times
+        When the stream is of use.
+    now
+        The time of the decision.
     limits
         What a stream needs after its wait, and the bounds of the answer.
     """
-    wait = (tokens_ahead + tokens) / max(1.0, release_rate)
-    if wait <= seconds_left - limits.work_seconds:
+    rate = max(1.0, release_rate)
+    urgent_wait = (urgent_ahead + tokens) / rate
+    if now + urgent_wait + limits.work_seconds <= times.late_at:
+        return WaitDecision(True, urgent_wait)
+    wait = (all_ahead + tokens) / rate
+    if now + wait + limits.work_seconds <= times.leaves_at:
         return WaitDecision(True, wait)
     back = min(limits.longest_return, max(limits.least_return, wait))
     return WaitDecision(False, back)
--- /dev/null
+++ b/pimentoquay/policy/tests/test_engine_list.py
@@ -0,0 +1,86 @@
+from pimentoquay.policy.engine_list import FORGET_SECONDS, RETURN_SECONDS, EngineList, EngineUpdate
+from pimentoquay.policy.fleet import EngineEntry
+
+
+def entry(name="e", sequence=1, incarnation=1, is_draining=False):
+    return EngineEntry(
+        name,
+        "desk",
+        "10.0.0.1:1",
+        "hall",
+        is_draining,
+        6,
+        incarnation=incarnation,
+        sequence=sequence,
+    )
+
+
+def listed(engines):
+    return {each.id: each for each in engines.engines()}
+
+
+def update(offset, item=None, name="e", is_removed=False):
+    return (EngineUpdate(name, offset, item, is_removed),)
+
+
+def test_an_older_heartbeat_does_not_undo_draining():
+    engines = EngineList()
+    engines.apply(update(0, entry(sequence=1)), 0.0)
+    engines.apply(update(1, entry(sequence=3, is_draining=True)), 0.0)
+    assert not engines.apply(update(2, entry(sequence=2)), 0.0)
+    assert listed(engines)["e"].is_draining
+
+
+def test_a_record_that_was_read_before_changes_nothing():
+    engines = EngineList()
+    engines.apply(update(5, entry(sequence=9)), 0.0)
+    engines.apply(update(6, is_removed=True), 0.0)
+    assert not engines.apply(update(5, entry(sequence=9)), 0.0)
+    assert listed(engines) == {}
+
+
+def test_a_new_start_under_an_id_counts_anew():
+    engines = EngineList()
+    engines.apply(update(0, entry(sequence=100)), 0.0)
+    assert engines.apply(update(1, entry(sequence=0, incarnation=2)), 0.0)
+    assert not engines.apply(update(2, entry(sequence=101)), 0.0)
+    assert listed(engines)["e"].incarnation == 2
+
+
+def test_an_unreadable_record_names_no_engine_until_the_next_heartbeat():
+    engines = EngineList()
+    engines.apply(update(0, entry(sequence=1)), 0.0)
+    assert engines.apply(update(1), 0.0)
+    assert listed(engines) == {}
+    assert engines.apply(update(2, entry(sequence=2)), 0.0)
+    assert "e" in listed(engines)
+
+
+def test_entries_that_lapsed_while_the_list_was_away_have_time_to_come_back():
+    engines = EngineList()
+    for name in ("alive", "dead"):
+        engines.apply(update(0, entry(name), name), 0.0)
+    engines.note_return(10.0)
+    for offset, name in ((1, "alive"), (2, "dead")):
+        engines.apply(update(offset, name=name, is_removed=True), 10.0)
+    assert set(listed(engines)) == {"alive", "dead"}
+    engines.apply(update(3, entry("alive", sequence=2), "alive"), 11.0)
+    assert not engines.expire(10.0 + RETURN_SECONDS - 0.1)
+    assert engines.expire(10.0 + RETURN_SECONDS)
+    assert set(listed(engines)) == {"alive"}
+
+
+def test_a_whole_list_removes_what_it_does_not_name_and_nothing_newer():
+    engines = EngineList()
+    engines.apply(update(3, entry("old"), "old"), 0.0)
+    engines.apply(update(9, entry("new"), "new"), 0.0)
+    assert engines.keep_only([], before_offset=5, now=0.0)
+    assert set(listed(engines)) == {"new"}
+
+
+def test_removed_engines_are_forgotten_in_the_end():
+    engines = EngineList()
+    engines.apply(update(0, entry()), 0.0)
+    engines.apply(update(1, is_removed=True), 0.0)
+    engines.expire(FORGET_SECONDS + 1)
+    assert engines._known_by_id == {}
--- a/pimentoquay/policy/token_ledger.py
+++ b/pimentoquay/policy/token_ledger.py
@@ -8,23 +8,16 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
-from pimentoquay.policy.fleet import EngineEntry, ModelRequest
+from pimentoquay.policy.fleet import EngineEntry
 
-__all__ = ["TokenLedger", "expected_tokens"]
+__all__ = ["TokenLedger", "in_blocks"]
 
 BLOCK_TOKENS = 16
 """Engines give out memory in blocks of so many tokens."""
 
 
-def expected_tokens(request: ModelRequest, output_share: float = 1.0) -> int:
-    """Return the memory to reserve for a request, in tokens.
-
-    ``output_share`` scales the caller's estimate of the answer's length. A caller that gives none
-    is taken to need half of its maximum.
-    """
-    estimate = request.expected_output or request.max_output_tokens // 2
-    output = min(request.max_output_tokens, int(estimate * output_share))
-    tokens = request.prompt_tokens + output
+def in_blocks(tokens: int) -> int:
+    """Return the tokens of the blocks that so many tokens take."""
     return -(-tokens // BLOCK_TOKENS) * BLOCK_TOKENS
 
 
@@ -48,6 +41,10 @@
         holding.tokens += tokens
         holding.requests += 1
 
+    def grow(self, engine: str, tokens: int) -> None:
+        """Count that a running request has outgrown its reservation by so many more tokens."""
+        self._own_by_engine[engine].tokens += tokens
+
     def release(self, engine: str, tokens: int) -> None:
         """Count the end of a reservation of this VM."""
         holding = self._own_by_engine[engine]
