Change engines between prefill and decode in proportion to the load

Change: policy/stage_plan compares the stages with the work seen; one gateway gives orders, with the offset of a conditional record as fencing number, renewed before each order; a new holder waits for the lease of the one before.

--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -13,6 +13,7 @@
 from pimentoquay.gateway.plain import PlainForwarder
 from pimentoquay.gateway.prefills import Prefills
 from pimentoquay.gateway.reservations import Reservations
+from pimentoquay.gateway.stage_orders import StageOrders
 from pimentoquay.gateway.streams import StreamForwarder
 from pimentoquay.http1 import HttpRequest, HttpServer, Reply, ServerLimits
 from pimentoquay.kernel import Node
@@ -52,6 +53,7 @@
     mesh: Mesh
     peers: PeerSet
     links: EngineLinks
+    orders: StageOrders
     front: Front
     callers: HttpServer
     readiness: HttpServer
@@ -61,7 +63,12 @@
         await self._listen()
         tasks = [
             asyncio.create_task(part)
-            for part in (self.feed.run(), self.mesh.run(), self._find_peers())
+            for part in (
+                self.feed.run(),
+                self.mesh.run(),
+                self.orders.run(),
+                self._find_peers(),
+            )
         ]
         stopping = asyncio.create_task(stop.wait())
         await asyncio.wait([stopping, *tasks], return_when=asyncio.FIRST_COMPLETED)
@@ -125,7 +132,11 @@
     sharing = Sharing(settings.data_centre, fleet, links, Repeats(limits))
     peers = PeerSet(node)
     reservations = Reservations(
-        sharing, ledger, lambda: mesh.peers_waiting, lambda: mesh.note_held_changed()
+        sharing,
+        ledger,
+        lambda: mesh.peers_waiting,
+        lambda: mesh.note_held_changed(),
+        lambda *use: orders.demand.note_decode(*use),
     )
     mesh = Mesh(
         node,
@@ -139,12 +150,22 @@
     mesh.on_load_changed.append(lambda: setattr(sharing.repeats, "vms", mesh.vms))
     store = StoreClient(settings.store_address)
     feed = StoreFeed(store, fleet, node.timers, mesh.is_reader, mesh.publish)
-    streams = StreamForwarder(sharing, reservations, Prefills(sharing))
+    orders = StageOrders(
+        settings.vm,
+        sharing,
+        store,
+        node.timers,
+        bounds.lease_seconds,
+        mesh.is_reader,
+        mesh.publish,
+    )
+    mesh.on_stage_ordered.append(orders.note_ordered)
+    streams = StreamForwarder(sharing, reservations, Prefills(sharing, orders.demand.note_prefill))
     front = Front(sharing, PlainForwarder(sharing), streams)
     callers = HttpServer(front.handle, lambda: _limits(fleet))
     readiness = HttpServer(_readiness(front), ServerLimits)
     return Gateway(
-        settings, node, store, fleet, feed, mesh, peers, links, front, callers, readiness
+        settings, node, store, fleet, feed, mesh, peers, links, orders, front, callers, readiness
     )
 
 
--- a/pimentoquay/gateway/context.py
+++ b/pimentoquay/gateway/context.py
@@ -1,11 +1,13 @@
 """What the parts of one gateway share."""
 
 import asyncio
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from pimentoquay.gateway.fleet import Fleet
 from pimentoquay.gateway.links import EngineLinks
 from pimentoquay.policy.engine_choice import EngineExperience
+from pimentoquay.policy.fleet import EngineEntry, EngineStage
 from pimentoquay.policy.repeat_allowance import RepeatAllowance, RepeatLimits
 
 __all__ = ["Repeats", "Sharing"]
@@ -56,3 +58,13 @@
     repeats: Repeats
     experience_by_engine: dict[str, EngineExperience] = field(default_factory=dict)
     misdirected_until_by_engine: dict[str, float] = field(default_factory=dict)
+    changing_until_by_engine: dict[str, float] = field(default_factory=dict)
+
+    def engines_at(self, service: str, stages: Collection[EngineStage]) -> tuple[EngineEntry, ...]:
+        """Return the engines of a service that take work of a stage now."""
+        now = asyncio.get_running_loop().time()
+        return tuple(
+            engine
+            for engine in self.fleet.engines_of(service)
+            if engine.stage in stages and self.changing_until_by_engine.get(engine.id, 0.0) <= now
+        )
--- a/pimentoquay/gateway/fleet.py
+++ b/pimentoquay/gateway/fleet.py
@@ -149,7 +149,9 @@
             old, new = before.get(engine_id), after.get(engine_id)
             if old is None or new is None or old.is_draining != new.is_draining:
                 state = "gone" if new is None else "draining" if new.is_draining else "ready"
-                logger.bind(engine=engine_id, state=state).info("engine list changed")
+                entry = new or old
+                stage = entry.stage.value if entry is not None else ""
+                logger.bind(engine=engine_id, state=state, stage=stage).info("engine list changed")
             if new is None:
                 self._removed.append(engine_id)
         for call in self.on_engines_changed:
--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -9,7 +9,7 @@
 from pimentoquay.gateway.reservations import Waiting
 from pimentoquay.kernel import Channel, ChannelClosed, ChannelOpened, Envelope, Node
 from pimentoquay.kernel.logs import logger
-from pimentoquay.messages.fleet import EngineTokens, FleetCopy, VmAddress, VmLoad
+from pimentoquay.messages.fleet import EngineTokens, FleetCopy, StageOrdered, VmAddress, VmLoad
 from pimentoquay.policy.token_ledger import TokenLedger
 from pimentoquay.transport.peers import PeerSet
 
@@ -63,7 +63,10 @@
         self._is_send_due = False
         self.is_draining = False
         self.on_load_changed: list[Callable[[], None]] = []
-        self.inbox = node.bus.subscribe(FleetCopy, VmLoad, ChannelOpened, ChannelClosed)
+        self.on_stage_ordered: list[Callable[[StageOrdered], None]] = []
+        self.inbox = node.bus.subscribe(
+            FleetCopy, VmLoad, StageOrdered, ChannelOpened, ChannelClosed
+        )
 
     @property
     def vms(self) -> int:
@@ -111,7 +114,7 @@
         if not self._heard_at_by_vm and wanted:
             self._peers.want({**self._dialled(), **wanted})
 
-    def publish(self, copy: FleetCopy) -> None:
+    def publish(self, copy: FleetCopy | StageOrdered) -> None:
         """Send a change to every peer."""
         for channel in self._channels():
             channel.send(copy)
@@ -180,6 +183,11 @@
             )
         self.know(message.vms)
 
+    @_take.register
+    def _take_ordered(self, message: StageOrdered, envelope: Envelope) -> None:
+        for call in self.on_stage_ordered:
+            call(message)
+
     @_take.register
     def _take_load(self, message: VmLoad, envelope: Envelope) -> None:
         if envelope.channel is None:
--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -1,6 +1,7 @@
 """Prompts that prefill engines read before their streams run at decode engines."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from pimentoquay.gateway.context import Sharing
@@ -40,10 +41,13 @@
     ----------
     sharing
         Engines, links and allowances.
+    note_seconds
+        Called with how long a prefill took.
     """
 
-    def __init__(self, sharing: Sharing) -> None:
+    def __init__(self, sharing: Sharing, note_seconds: Callable[[float], None]) -> None:
         self._sharing = sharing
+        self._note_seconds = note_seconds
         self._tokens_by_engine: dict[str, int] = {}
 
     async def run(
@@ -72,8 +76,8 @@
     def _choose(self, service: str, near: EngineEntry, failed: set[str]) -> EngineEntry | None:
         engines = [
             engine
-            for engine in self._sharing.fleet.engines_of(service)
-            if engine.stage is EngineStage.PREFILL and engine.id not in failed
+            for engine in self._sharing.engines_at(service, (EngineStage.PREFILL,))
+            if engine.id not in failed
         ]
         return min(
             engines,
@@ -90,6 +94,8 @@
         options = SendOptions(engine=engine.id, wait_seconds=job.seconds_left(), is_prefill=True)
         request = job.request
         tokens = model.prompt_tokens
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
         self._tokens_by_engine[engine.id] = self._tokens_by_engine.get(engine.id, 0) + tokens
         try:
             async with (
@@ -101,6 +107,7 @@
                 body = await exchange.read_body()
                 if exchange.status != 200:
                     raise ExchangeError(f"{engine.id}: status {exchange.status}", True)
+                self._note_seconds(loop.time() - started_at)
                 return Prefill(link, read_prefill(body))
         finally:
             self._tokens_by_engine[engine.id] -= tokens
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -49,6 +49,7 @@
     engine: EngineEntry
     link: EngineLink
     tokens: int
+    capacity: int
     hold: str
     taken_at: float
     is_hold_spent: bool = False
@@ -81,6 +82,8 @@
         Returns the memory that streams wait for at other gateways.
     on_change
         Called when this gateway holds more or less, or more or less waits here.
+    note_use
+        Called with the tokens that a stream held, for how many seconds, and of what capacity.
     """
 
     def __init__(
@@ -89,11 +92,13 @@
         ledger: TokenLedger,
         peers_waiting: Callable[[], Waiting],
         on_change: Callable[[], None],
+        note_use: Callable[[int, float, int], None],
     ) -> None:
         self._sharing = sharing
         self._ledger = ledger
         self._peers_waiting = peers_waiting
         self._on_change = on_change
+        self._note_use = note_use
         self._waiting: list[_Waiter] = []
         self._release_rate = ReleaseRate()
         self._changed = asyncio.Event()
@@ -156,7 +161,9 @@
         now = asyncio.get_running_loop().time()
         self._ledger.release(reservation.engine.id, reservation.tokens)
         if reservation.is_hold_spent:
-            self._release_rate.note(now - reservation.taken_at)
+            seconds = now - reservation.taken_at
+            self._release_rate.note(seconds)
+            self._note_use(reservation.tokens, seconds, reservation.capacity)
         else:
             link = reservation.link
             self._sharing.links.call_later(link, link.calls.drop_hold(reservation.hold), "drop")
@@ -200,8 +207,7 @@
 
     def _engines(self, job: Job) -> tuple[EngineEntry, ...]:
         stages = (EngineStage.DECODE, EngineStage.BOTH)
-        engines = self._sharing.fleet.engines_of(job.service)
-        return tuple(engine for engine in engines if engine.stage in stages)
+        return self._sharing.engines_at(job.service, stages)
 
     async def _try(self, job: Job, memory: TokenMemory, tokens: int) -> Reservation | None:
         loop = asyncio.get_running_loop()
@@ -244,4 +250,4 @@
         logger.bind(engine=engine.id, tokens=tokens, held=self._ledger.held(engine.id)).info(
             "memory reserved"
         )
-        return Reservation(engine, link, tokens, hold, loop.time())
+        return Reservation(engine, link, tokens, memory.capacity_tokens, hold, loop.time())
--- /dev/null
+++ b/pimentoquay/gateway/tests/test_stage_orders.py
@@ -0,0 +1,57 @@
+from pimentoquay.gateway.tests.rig import rig, until
+from pimentoquay.standin.platform_engine import PlatformEngine
+from pimentoquay.standin.platform_store import StoreFault
+
+
+async def add_spare_prefill_engines(made):
+    for number in (2, 3):
+        await made.add_engine(PlatformEngine(f"pre-{number}", "llm", stage="prefill"))
+
+
+def ordered(made):
+    return [(name, order) for name, engine in made.engine_by_id.items() for order in engine.orders]
+
+
+async def test_a_prefill_engine_too_many_is_told_to_decode_once():
+    async with rig() as made:
+        await add_spare_prefill_engines(made)
+        await until(lambda: ordered(made), "an order")
+        ((name, order),) = ordered(made)
+        assert name.startswith("pre-")
+        assert order == {"op": "stage", "stage": "decode", "holder": "vm-1", "fence": 0}
+        sharing = made.gateway_by_vm["vm-1"].orders._sharing
+        await until(lambda: name in sharing.changing_until_by_engine, "left alone")
+        calls = made.store.calls
+        await until(lambda: made.store.calls > calls + 6, "checked again")
+        assert len(ordered(made)) == 1
+
+
+async def test_no_order_is_given_while_the_store_does_not_take_the_claim():
+    async with rig() as made:
+        made.store.fault = StoreFault.LOST
+        await add_spare_prefill_engines(made)
+        calls = made.store.calls
+        await until(lambda: made.store.calls > calls + 8, "tried")
+        assert ordered(made) == []
+
+
+async def test_another_holder_is_waited_for():
+    async with rig(start_gateway=False) as made:
+        await made.store.put("keyed.pimentoquay-orders", "holder", b"vm-0")
+        await add_spare_prefill_engines(made)
+        gateway = await made.add_gateway()
+        await until(lambda: gateway.orders._claim is not None, "claimed")
+        claim = gateway.orders._claim
+        assert claim is not None and claim.fence == 1
+        assert claim.may_order_at >= gateway.node.timers.now() + 3.0
+        assert ordered(made) == []
+
+
+async def test_a_replaced_holder_gives_no_further_order():
+    async with rig() as made:
+        await add_spare_prefill_engines(made)
+        await until(lambda: ordered(made), "an order")
+        orders = made.gateway_by_vm["vm-1"].orders
+        await made.store.put("keyed.pimentoquay-orders", "holder", b"vm-2")
+        assert not await orders._renew_claim()
+        assert orders._claim is None
--- a/pimentoquay/messages/fleet.py
+++ b/pimentoquay/messages/fleet.py
@@ -7,7 +7,7 @@
 
 from pimentoquay.messages.codec import message
 
-__all__ = ["EngineRecord", "EngineTokens", "FleetCopy", "VmAddress", "VmLoad"]
+__all__ = ["EngineRecord", "EngineTokens", "FleetCopy", "StageOrdered", "VmAddress", "VmLoad"]
 
 
 @message(120)
@@ -60,3 +60,11 @@
     waiting_tokens: int
     urgent_tokens: int
     is_draining: bool
+
+
+@message(125)
+class StageOrdered:
+    """An engine that was told to change its stage and serves nobody for so many seconds."""
+
+    engine: str
+    seconds: float
--- a/pimentoquay/platform/configuration.py
+++ b/pimentoquay/platform/configuration.py
@@ -85,6 +85,7 @@
         handle_seconds=optional(item, "handleTtlS", float, 0.5),
         longest_hold_seconds=seconds_of(item, "holdMs", 0.0),
         event_tokens=optional(item, "stride", int, 1),
+        change_seconds=optional(item, "switchS", float, 6.0),
     )
 
 
--- a/pimentoquay/platform/engine_calls.py
+++ b/pimentoquay/platform/engine_calls.py
@@ -2,12 +2,13 @@
 
 import json
 from dataclasses import dataclass
+from enum import Enum
 from urllib.parse import quote
 
 from pimentoquay.http1.headers import HeaderList
 from pimentoquay.platform.fields import object_of, optional, required
 
-__all__ = ["EngineCall", "EngineCalls", "EngineReport"]
+__all__ = ["EngineCall", "EngineCalls", "EngineReport", "OrderOutcome"]
 
 _JSON = (b"Content-Type", b"application/json")
 
@@ -33,6 +34,25 @@
     is_busy: bool
 
 
+class OrderOutcome(Enum):
+    """What became of an order."""
+
+    ACCEPTED = "accepted"
+    HOLDS = "already so"
+    BUSY = "another order is in progress"
+    FENCED = "refused for its fencing number"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+_OUTCOME_BY_STATUS = {
+    200: OrderOutcome.HOLDS,
+    202: OrderOutcome.ACCEPTED,
+    409: OrderOutcome.BUSY,
+    412: OrderOutcome.FENCED,
+}
+
+
 class EngineCalls:
     """Builds the calls of one engine, each of which only that engine will answer.
 
@@ -67,6 +87,18 @@
         """Ask for the engine's state."""
         return EngineCall(b"GET", b"/api/report", self._headers)
 
+    def change_stage(self, prefills: bool, holder: str, fence: int) -> EngineCall:
+        """Order the engine to prefill, or else to decode."""
+        stage = "prefill" if prefills else "decode"
+        item = {"op": "stage", "stage": stage, "holder": holder, "fence": fence}
+        headers = (*self._headers, _JSON)
+        return EngineCall(b"POST", b"/api/order", headers, json.dumps(item).encode())
+
+    @staticmethod
+    def read_order(status: int) -> OrderOutcome:
+        """Return what the answer to an order says."""
+        return _OUTCOME_BY_STATUS.get(status, OrderOutcome.REFUSED)
+
     @staticmethod
     def read_hold(body: bytes) -> str:
         """Return the name of a reservation; ``DecodeError`` if the answer has none."""
--- a/pimentoquay/platform/settings.py
+++ b/pimentoquay/platform/settings.py
@@ -21,6 +21,7 @@
     """The figures of the rules that the system's decisions use, in seconds unless named so."""
 
     drain_seconds: float
+    lease_seconds: float
     grace_seconds: float
     config_seconds: float
     repeat_ratio: float
@@ -88,6 +89,7 @@
 def _decode_bounds(item: dict[str, Any]) -> Bounds:
     return Bounds(
         drain_seconds=seconds_of(item, "drainMs", 2000.0),
+        lease_seconds=seconds_of(item, "leaseMs", 3000.0),
         grace_seconds=optional(item, "graceS", float, 8.0),
         config_seconds=seconds_of(item, "configApplyMs", 2000.0),
         repeat_ratio=optional(item, "retryBudgetRatio", float, 0.2),
--- a/pimentoquay/platform/store.py
+++ b/pimentoquay/platform/store.py
@@ -19,6 +19,7 @@
     "CONFIGURATION_KEY",
     "CONFIGURATION_TOPIC",
     "ENGINE_TOPIC",
+    "ORDER_TOPIC",
     "VM_TOPIC",
     "KeyedRecord",
     "NewestPage",
@@ -34,6 +35,9 @@
 VM_TOPIC = "keyed.pimentoquay-vms"
 """The system's own topic: where each VM listens for its peers."""
 
+ORDER_TOPIC = "keyed.pimentoquay-orders"
+"""The system's own topic: who gives orders; a record's offset is a fencing number."""
+
 CONNECT_SECONDS = 0.5
 """How long a connection to the store may take; its answers take a few milliseconds."""
 
@@ -41,6 +45,7 @@
 """How long an answer may take beside the wait that a read asks for."""
 
 _GONE = 410
+_CONFLICT = 412
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
 
@@ -53,6 +58,10 @@
         self.written = written
 
 
+class OffsetTakenError(StoreError):
+    """Another record has the offset that an append asked for."""
+
+
 class RecordsGoneError(StoreError):
     """The records asked for have been deleted."""
 
@@ -127,10 +136,22 @@
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Append a record under a key; ``StoreError.written`` if it may have been appended."""
-        name = key.encode()
-        content = bytes((len(name),)) + name + value
         query = {"topic": topic, "part": 0}
-        await self._call("POST", "log-append", query, _LENGTH.pack(len(content)) + content)
+        await self._call("POST", "log-append", query, _framed(key, value))
+
+    async def end_of(self, topic: str) -> int:
+        """Return the offset that the next record of a topic gets."""
+        body = await self._call("GET", "log-newest", {"topic": topic, "part": 0})
+        return required(_decoded(body), "endOffset", int)
+
+    async def put_at(self, topic: str, offset: int, key: str, value: bytes) -> int | None:
+        """Append a record if it gets this offset; return the offset, or ``None`` if it does not."""
+        query = {"topic": topic, "part": 0, "at": offset}
+        try:
+            await self._call("POST", "log-append", query, _framed(key, value))
+        except OffsetTakenError:
+            return None
+        return offset
 
     def close(self) -> None:
         """Close the kept connections."""
@@ -163,11 +184,19 @@
     body = await exchange.read_body()
     if exchange.status == _GONE:
         raise RecordsGoneError(f"{call}: the records are gone")
+    if exchange.status == _CONFLICT:
+        raise OffsetTakenError(f"{call}: the offset is taken")
     if exchange.status != 200:
         raise StoreError(f"{call}: status {exchange.status}")
     return body
 
 
+def _framed(key: str, value: bytes) -> bytes:
+    name = key.encode()
+    content = bytes((len(name),)) + name + value
+    return _LENGTH.pack(len(content)) + content
+
+
 def _decoded(body: bytes) -> dict[str, Any]:
     try:
         return object_of(body, "newest records")
--- a/pimentoquay/policy/fleet.py
+++ b/pimentoquay/policy/fleet.py
@@ -78,7 +78,8 @@
 class TokenMemory:
     """The memory of each engine of a service: capacity in tokens, times in seconds.
 
-    ``event_tokens`` is how many tokens one event of a stream carries.
+    ``event_tokens`` is how many tokens one event of a stream carries, ``change_seconds`` how long
+    an engine takes to change its stage.
     """
 
     slots: int
@@ -87,6 +88,7 @@
     handle_seconds: float
     longest_hold_seconds: float
     event_tokens: int = 1
+    change_seconds: float = 6.0
 
 
 @dataclass(frozen=True)
--- a/pimentoquay/standin/platform_engine.py
+++ b/pimentoquay/standin/platform_engine.py
@@ -68,6 +68,7 @@
     broken_off: int = 0
     address: str = ""
     sequence: int = 0
+    orders: list[dict] = field(default_factory=list)
 
     async def serve(self, host: str = "127.0.0.1", port: int = 0) -> str:
         """Serve and return the address."""
@@ -108,6 +109,8 @@
         elif target.startswith("/api/hold-drop/"):
             self.holds.pop(target.rpartition("/")[2], None)
             reply.send(200, (), b"{}")
+        elif target == "/api/order":
+            self._take_order(json.loads(request.body), reply)
         elif target.startswith("/api/kv-handle/"):
             reply.send(200, (), b"{}")
         else:
@@ -123,6 +126,15 @@
         self.holds[hold] = tokens
         reply.send(200, (), json.dumps({"hold": hold}).encode())
 
+    def _take_order(self, order: dict, reply: Reply) -> None:
+        newest = max((each["fence"] for each in self.orders), default=-1)
+        if order["fence"] < newest:
+            reply.send(412, (), b"")
+            return
+        self.orders.append(order)
+        self.stage = order["stage"]
+        reply.send(202, (), b"{}")
+
     async def _run(self, arrival: Arrival, request: HttpRequest, reply: Reply) -> None:
         behaviour = self.behaviour(arrival)
         request_id = find_header(request.headers, b"pimentoquay-request-id") or b""
--- a/pimentoquay/standin/platform_store.py
+++ b/pimentoquay/standin/platform_store.py
@@ -103,7 +103,12 @@
         content = body[4 : 4 + length]
         key_end = 1 + content[0]
         key = content[1:key_end].decode()
-        offset = await self.put(arguments["topic"], key, content[key_end:])
+        topic = arguments["topic"]
+        end = self._topic_by_name.setdefault(topic, _Topic()).end
+        if int(arguments.get("at", end)) != end:
+            reply.send(412, (), json.dumps({"endOffset": end}).encode())
+            return
+        offset = await self.put(topic, key, content[key_end:])
         if self.fault is StoreFault.LOST:
             await asyncio.Event().wait()
         answer = {"offset": offset, "endOffset": offset + 1}
