Share the queues of prefill engines, and let long ones overflow

Change: gateways tell each other of their prompts at prefill engines; a prompt that would queue for over 0.4 s is read by its decode engine; a change of stage is ordered only after 3 s (back to prefill: 10 s) of being wanted. Tests: test_prefill_choice replays a burst before one engine.

--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -129,11 +129,11 @@
     ledger = TokenLedger()
     bounds = settings.bounds
     limits = RepeatLimits(bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window_seconds)
-    sharing = Sharing(settings.data_centre, fleet, links, Repeats(limits))
+    prefilling = TokenLedger()
+    sharing = Sharing(settings.data_centre, ledger, prefilling, fleet, links, Repeats(limits))
     peers = PeerSet(node)
     reservations = Reservations(
         sharing,
-        ledger,
         lambda: mesh.peers_waiting,
         lambda: mesh.note_held_changed(),
         lambda *use: orders.demand.note_decode(*use),
@@ -143,6 +143,7 @@
         peers,
         fleet,
         ledger,
+        prefilling,
         settings.control_address,
         lambda: reservations.waiting,
     )
@@ -160,7 +161,9 @@
         mesh.publish,
     )
     mesh.on_stage_ordered.append(orders.note_ordered)
-    streams = StreamForwarder(sharing, reservations, Prefills(sharing, orders.demand.note_prefill))
+    streams = StreamForwarder(
+        sharing, reservations, Prefills(sharing, orders.demand.note_prefill, mesh.note_held_changed)
+    )
     front = Front(sharing, PlainForwarder(sharing), streams)
     callers = HttpServer(front.handle, lambda: _limits(fleet))
     readiness = HttpServer(_readiness(front), ServerLimits)
--- a/pimentoquay/gateway/context.py
+++ b/pimentoquay/gateway/context.py
@@ -9,6 +9,7 @@
 from pimentoquay.policy.engine_choice import EngineExperience
 from pimentoquay.policy.fleet import EngineEntry, EngineStage
 from pimentoquay.policy.repeat_allowance import RepeatAllowance, RepeatLimits
+from pimentoquay.policy.token_ledger import TokenLedger
 
 __all__ = ["Repeats", "Sharing"]
 
@@ -50,9 +51,15 @@
 
 @dataclass
 class Sharing:
-    """What forwarding works with, and what it has learned of the engines."""
+    """What forwarding works with, and what it has learned of the engines.
+
+    ``ledger`` is the memory of decode engines that all gateways hold, ``prefilling`` the prompts
+    that they have sent to prefill engines.
+    """
 
     data_centre: str
+    ledger: TokenLedger
+    prefilling: TokenLedger
     fleet: Fleet
     links: EngineLinks
     repeats: Repeats
--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -34,8 +34,9 @@
     ----------
     node, peers
         The process and its channels.
-    fleet, ledger
-        What is shared with the peers.
+    fleet, ledger, prefilling
+        What is shared with the peers: records of the store, memory held at decode engines, prompts
+        at prefill engines.
     address
         Where this gateway listens for them.
     waiting
@@ -48,6 +49,7 @@
         peers: PeerSet,
         fleet: Fleet,
         ledger: TokenLedger,
+        prefilling: TokenLedger,
         address: str,
         waiting: Callable[[], Waiting],
     ) -> None:
@@ -55,6 +57,7 @@
         self._peers = peers
         self._fleet = fleet
         self._ledger = ledger
+        self._prefilling = prefilling
         self._waiting = waiting
         self._vm = node.identity.vm
         self._address_by_vm: dict[str, str] = {self._vm: address}
@@ -195,7 +198,11 @@
         vm = envelope.channel.peer.vm
         self._load_by_vm[vm] = message
         self._fleet.confirm(message.list_age)
-        self._ledger.set_peer(vm, {each.engine: each.tokens for each in message.held})
+        for ledger, tokens in (
+            (self._ledger, message.held),
+            (self._prefilling, message.prefilling),
+        ):
+            ledger.set_peer(vm, {each.engine: each.tokens for each in tokens})
         for call in self.on_load_changed:
             call()
 
@@ -205,10 +212,16 @@
                 channel.send(copy)
 
     def _load(self) -> VmLoad:
-        held = tuple(EngineTokens(engine, tokens) for engine, tokens in self._ledger.own().items())
         age = min(self._fleet.list_age, 1e6)
         waiting = self._waiting()
-        return VmLoad(age, held, waiting.tokens, waiting.urgent_tokens, self.is_draining)
+        return VmLoad(
+            age,
+            _tokens(self._ledger),
+            _tokens(self._prefilling),
+            waiting.tokens,
+            waiting.urgent_tokens,
+            self.is_draining,
+        )
 
     def _send_load(self) -> None:
         self._is_send_due = False
@@ -232,5 +245,10 @@
             logger.bind(peer=vm).info("peer lost")
         self._load_by_vm.pop(vm, None)
         self._ledger.drop_peer(vm)
+        self._prefilling.drop_peer(vm)
         for call in self.on_load_changed:
             call()
+
+
+def _tokens(ledger: TokenLedger) -> tuple[EngineTokens, ...]:
+    return tuple(EngineTokens(engine, tokens) for engine, tokens in ledger.own().items())
--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -13,6 +13,7 @@
 from pimentoquay.platform.fields import DecodeError
 from pimentoquay.platform.requests import SendOptions
 from pimentoquay.policy.fleet import EngineEntry, EngineStage, ModelRequest, TokenMemory
+from pimentoquay.policy.prefill_choice import PrefillSpeed, choose_prefill_engine
 
 __all__ = ["Prefill", "Prefills"]
 
@@ -42,13 +43,21 @@
     sharing
         Engines, links and allowances.
     note_seconds
-        Called with how long a prefill took.
+        Called with how long an engine worked for a prefill.
+    on_change
+        Called when this gateway has more or fewer prompts at prefill engines.
     """
 
-    def __init__(self, sharing: Sharing, note_seconds: Callable[[float], None]) -> None:
+    def __init__(
+        self,
+        sharing: Sharing,
+        note_seconds: Callable[[float], None],
+        on_change: Callable[[], None],
+    ) -> None:
         self._sharing = sharing
         self._note_seconds = note_seconds
-        self._tokens_by_engine: dict[str, int] = {}
+        self._on_change = on_change
+        self._speed = PrefillSpeed()
 
     async def run(
         self, job: Job, model: ModelRequest, near: EngineEntry, memory: TokenMemory
@@ -79,14 +88,8 @@
             for engine in self._sharing.engines_at(service, (EngineStage.PREFILL,))
             if engine.id not in failed
         ]
-        return min(
-            engines,
-            key=lambda engine: (
-                self._tokens_by_engine.get(engine.id, 0),
-                engine.data_centre != near.data_centre,
-                engine.id,
-            ),
-            default=None,
+        return choose_prefill_engine(
+            engines, self._sharing.prefilling, self._speed, near.data_centre
         )
 
     async def _send(self, job: Job, model: ModelRequest, engine: EngineEntry) -> Prefill:
@@ -96,7 +99,8 @@
         tokens = model.prompt_tokens
         loop = asyncio.get_running_loop()
         started_at = loop.time()
-        self._tokens_by_engine[engine.id] = self._tokens_by_engine.get(engine.id, 0) + tokens
+        self._sharing.prefilling.take(engine.id, tokens)
+        self._on_change()
         try:
             async with (
                 asyncio.timeout(min(PREFILL_SECONDS, job.seconds_left())),
@@ -107,7 +111,9 @@
                 body = await exchange.read_body()
                 if exchange.status != 200:
                     raise ExchangeError(f"{engine.id}: status {exchange.status}", True)
-                self._note_seconds(loop.time() - started_at)
+                self._speed.note(tokens, loop.time() - started_at)
+                self._note_seconds(self._speed.seconds(tokens))
                 return Prefill(link, read_prefill(body))
         finally:
-            self._tokens_by_engine[engine.id] -= tokens
+            self._sharing.prefilling.release(engine.id, tokens)
+            self._on_change()
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -24,7 +24,7 @@
     StreamUrgency,
     decide_wait,
 )
-from pimentoquay.policy.token_ledger import TokenLedger, in_blocks
+from pimentoquay.policy.token_ledger import in_blocks
 
 __all__ = ["Reservation", "Reservations", "Waiting"]
 
@@ -75,9 +75,7 @@
     Parameters
     ----------
     sharing
-        Engines and links.
-    ledger
-        What all gateways hold.
+        Engines, links, and what all gateways hold.
     peers_waiting
         Returns the memory that streams wait for at other gateways.
     on_change
@@ -89,13 +87,12 @@
     def __init__(
         self,
         sharing: Sharing,
-        ledger: TokenLedger,
         peers_waiting: Callable[[], Waiting],
         on_change: Callable[[], None],
         note_use: Callable[[int, float, int], None],
     ) -> None:
         self._sharing = sharing
-        self._ledger = ledger
+        self._ledger = sharing.ledger
         self._peers_waiting = peers_waiting
         self._on_change = on_change
         self._note_use = note_use
--- a/pimentoquay/gateway/stage_orders.py
+++ b/pimentoquay/gateway/stage_orders.py
@@ -26,6 +26,14 @@
 CHECK_SECONDS = 1.0
 """How often the stages are compared with what the load wants."""
 
+WANTED_SECONDS = 3.0
+"""How long a change has to be wanted before it is ordered; longer than an engine's entry takes to
+follow a restart or a short cut."""
+
+REVERSE_SECONDS = 10.0
+"""The same for a change from decode to prefill, which costs more: it empties an engine that streams
+run on."""
+
 HOLDER_KEY = "holder"
 """The key of the records that say who gives orders."""
 
@@ -89,6 +97,7 @@
         self._announce = announce
         self._claim: _Claim | None = None
         self._chosen_since: float | None = None
+        self._wanted_by_service: dict[str, tuple[EngineStage | None, float]] = {}
         self.demand = StageDemand()
 
     async def run(self) -> None:
@@ -121,10 +130,20 @@
         for service in services:
             if service.memory is None:
                 continue
-            change = self._wanted_change(service)
+            change = self._lasting(service.name, self._wanted_change(service))
             if change is not None and await self._renew_claim():
                 await self._order(change, service)
 
+    def _lasting(self, service: str, change: StageChange | None) -> StageChange | None:
+        """Return a change once the same stage has been wanted for long enough."""
+        now = self._timers.now()
+        stage = change.stage if change is not None else None
+        if service not in self._wanted_by_service or self._wanted_by_service[service][0] != stage:
+            self._wanted_by_service[service] = (stage, now)
+        since = self._wanted_by_service[service][1]
+        least = REVERSE_SECONDS if stage is EngineStage.PREFILL else WANTED_SECONDS
+        return change if now - since >= least else None
+
     def _wanted_change(self, service: Service) -> StageChange | None:
         now = self._timers.now()
         until_by_engine = self._sharing.changing_until_by_engine
--- a/pimentoquay/messages/fleet.py
+++ b/pimentoquay/messages/fleet.py
@@ -40,7 +40,7 @@
 
 @message(123)
 class EngineTokens:
-    """The memory of one engine that the sender has reserved."""
+    """Tokens at one engine: memory that the sender has reserved, or prompts that it has sent."""
 
     engine: str
     tokens: int
@@ -57,6 +57,7 @@
 
     list_age: float
     held: tuple[EngineTokens, ...]
+    prefilling: tuple[EngineTokens, ...]
     waiting_tokens: int
     urgent_tokens: int
     is_draining: bool
