--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -258,7 +258,7 @@
         splitter = EventSplitter()
         reply, memory = job.reply, self._memory(job)
         loop = asyncio.get_running_loop()
-        first_at = 0.0
+        first_at = last_at = 0.0
         while (chunk := await exchange.read_chunk(silence)) is not None:
             events = splitter.feed(chunk)
             if not events:
@@ -266,8 +266,11 @@
             _check_order(events, progress)
             if memory is not None:
                 self._reservations.progress(reservation, _tokens_made(progress, memory))
-            first_at = first_at or loop.time()
-            progress.streamed_seconds = loop.time() - first_at
+            now = loop.time()
+            first_at, pause, last_at = first_at or now, now - (last_at or now), now
+            progress.streamed_seconds = now - first_at
+            if pause > job.route.gap_seconds:
+                self._log_pause(job, reservation, pause)
             if not reply.started:
                 reply.start(exchange.status, end_to_end_headers(exchange.headers))
             reply.write(b"".join(event.data for event in events))
@@ -279,6 +282,17 @@
         reply.end()
         _log_whole(job, progress)
 
+    def _log_pause(self, job: Job, reservation: Reservation, pause: float) -> None:
+        engine = reservation.engine.id
+        now = asyncio.get_running_loop().time()
+        logger.bind(
+            request=job.caller.id,
+            engine=engine,
+            pause=f"{pause:.3f}",
+            used=self._sharing.running.held(engine, now),
+            runs=len(self._sharing.running.runs_at(engine, now)),
+        ).info("stream paused")
+
 
 def _tokens_made(progress: _Progress, memory: TokenMemory) -> int:
     """Return the tokens of the events that a caller has; ids count from 0."""
