Keep long prompts off the decode engines

Change: a prompt overflows to its decode engine only if reading it takes half of the longest pause at most; longer ones queue at the prefill engines. A stream that goes on elsewhere has what it made before read by the prefill engine too. Tests: test_prefill_choice.

--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -12,8 +12,12 @@
 from pimentoquay.platform.answers import PrefillResult, read_prefill
 from pimentoquay.platform.fields import DecodeError
 from pimentoquay.platform.requests import SendOptions
-from pimentoquay.policy.fleet import EngineEntry, EngineStage, ModelRequest, TokenMemory
-from pimentoquay.policy.prefill_choice import PrefillSpeed, choose_prefill_engine
+from pimentoquay.policy.fleet import EngineEntry, EngineStage, ModelRequest
+from pimentoquay.policy.prefill_choice import (
+    PrefillSpeed,
+    choose_prefill_engine,
+    may_read_at_decode_engine,
+)
 
 __all__ = ["Prefill", "Prefills"]
 
@@ -60,16 +64,22 @@
         self._speed = PrefillSpeed()
 
     async def run(
-        self, job: Job, model: ModelRequest, near: EngineEntry, memory: TokenMemory
+        self, job: Job, model: ModelRequest, near: EngineEntry, after_event: int | None
     ) -> Prefill | None:
-        """Prefill a prompt; ``None`` if no prefill engine could, and the decode engine has to."""
+        """Prefill a prompt; ``None`` if no prefill engine could, and the decode engine has to.
+
+        ``after_event`` is the last event that the caller has, where its stream goes on.
+        """
         failed: set[str] = set()
         while True:
-            engine = self._choose(job.service, near, failed)
+            engine = self._choose(job, model, near, failed)
             if engine is None or (failed and not self._sharing.repeats.take(job.service)):
+                logger.bind(request=job.caller.id, engine=near.id, tokens=model.prompt_tokens).info(
+                    "prompt left to the decode engine"
+                )
                 return None
             try:
-                return await self._send(job, model, engine)
+                return await self._send(job, model, engine, after_event)
             except (ExchangeError, DecodeError, TimeoutError) as error:
                 logger.bind(request=job.caller.id, engine=engine.id).info(
                     "prefill failed: {!r}", error
@@ -82,19 +92,31 @@
             call = prefill.link.calls.drop_handle(prefill.result.handle)
             self._sharing.links.call_later(prefill.link, call, "free KV cache")
 
-    def _choose(self, service: str, near: EngineEntry, failed: set[str]) -> EngineEntry | None:
+    def _choose(
+        self, job: Job, model: ModelRequest, near: EngineEntry, failed: set[str]
+    ) -> EngineEntry | None:
         engines = [
             engine
-            for engine in self._sharing.engines_at(service, (EngineStage.PREFILL,))
+            for engine in self._sharing.engines_at(job.service, (EngineStage.PREFILL,))
             if engine.id not in failed
         ]
+        may_overflow = may_read_at_decode_engine(
+            model.prompt_tokens, self._speed, job.route.gap_seconds
+        )
         return choose_prefill_engine(
-            engines, self._sharing.prefilling, self._speed, near.data_centre
+            engines, self._sharing.prefilling, self._speed, near.data_centre, may_overflow
         )
 
-    async def _send(self, job: Job, model: ModelRequest, engine: EngineEntry) -> Prefill:
+    async def _send(
+        self, job: Job, model: ModelRequest, engine: EngineEntry, after_event: int | None
+    ) -> Prefill:
         link = self._sharing.links.to(engine)
-        options = SendOptions(engine=engine.id, wait_seconds=job.seconds_left(), is_prefill=True)
+        options = SendOptions(
+            engine=engine.id,
+            wait_seconds=job.seconds_left(),
+            is_prefill=True,
+            after_event=after_event,
+        )
         request = job.request
         tokens = model.prompt_tokens
         loop = asyncio.get_running_loop()
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -154,7 +154,7 @@
         times = self._times(job)
         reservation = await self._reservations.take(job, memory, need, times)
         try:
-            prefill = await self._prefills.run(job, model, reservation.engine, memory)
+            prefill = await self._prefills.run(job, model, reservation.engine, progress.last_event)
             progress.sends += 1
             progress.runs += 1
             try:
--- a/pimentoquay/policy/prefill_choice.py
+++ b/pimentoquay/policy/prefill_choice.py
@@ -1,8 +1,9 @@
 """Which engine reads a prompt: a prefill engine, or the decode engine that runs the stream.
 
 Load pattern: bursts of twice the mean before few prefill engines, of which some have been lost.
-Prompts queue there while memory is already reserved for their streams. A prompt that would queue
-for longer than its decode engine takes to read it is read there, at half the speed.
+Prompts queue there while memory is already reserved for their streams. A short prompt that would
+queue for long is read by its decode engine, at half the speed. A long one is not: all the streams
+that run there would pause for as long as that takes, and be late together.
 """
 
 from collections.abc import Sequence
@@ -10,7 +11,7 @@
 from pimentoquay.policy.fleet import EngineEntry
 from pimentoquay.policy.token_ledger import TokenLedger
 
-__all__ = ["PrefillSpeed", "choose_prefill_engine"]
+__all__ = ["PrefillSpeed", "choose_prefill_engine", "may_read_at_decode_engine"]
 
 ASSUMED_TOKENS_PER_SECOND = 50_000.0
 """The speed of a prefill before any was seen; the users' sheets say 55 a millisecond."""
@@ -19,8 +20,15 @@
 """The weights of a prefill that was faster, and of one that was slower and may have queued."""
 
 LONGEST_QUEUE_SECONDS = 0.4
-"""The queue at which a prompt is read by its decode engine: twice what that takes for 5,000 tokens,
-because it also holds up the streams that run there."""
+"""The queue at which a short prompt is read by its decode engine: twice what that takes for 5,000
+tokens."""
+
+DECODE_READ_SLOWDOWN = 2.0
+"""How much longer a decode engine takes to read a prompt; the platform's word."""
+
+PAUSE_SHARE = 0.5
+"""The part of the longest pause in time that reading a prompt may take at a decode engine; streams
+there need the rest for their own tokens, and for a second prompt that comes soon."""
 
 
 class PrefillSpeed:
@@ -42,8 +50,17 @@
         return tokens / self.tokens_per_second
 
 
+def may_read_at_decode_engine(tokens: int, speed: PrefillSpeed, gap_seconds: float) -> bool:
+    """Return whether a decode engine can read a prompt without making its streams late."""
+    return speed.seconds(tokens) * DECODE_READ_SLOWDOWN <= PAUSE_SHARE * gap_seconds
+
+
 def choose_prefill_engine(
-    engines: Sequence[EngineEntry], queued: TokenLedger, speed: PrefillSpeed, data_centre: str
+    engines: Sequence[EngineEntry],
+    queued: TokenLedger,
+    speed: PrefillSpeed,
+    data_centre: str,
+    may_overflow: bool,
 ) -> EngineEntry | None:
     """Return the prefill engine with the shortest queue, or ``None`` if all are too long.
 
@@ -58,12 +75,15 @@
     data_centre
         That of the decode engine, which is preferred among equals: a KV cache costs more to move
         between data centres.
+    may_overflow
+        Whether the prompt may be read by its decode engine instead.
     """
     chosen = min(
         engines,
         key=lambda each: (queued.held(each.id), each.data_centre != data_centre, each.id),
         default=None,
     )
-    if chosen is None or speed.seconds(queued.held(chosen.id)) > LONGEST_QUEUE_SECONDS:
-        return None
-    return chosen
+    if chosen is None or not may_overflow:
+        return chosen
+    is_long = speed.seconds(queued.held(chosen.id)) > LONGEST_QUEUE_SECONDS
+    return None if is_long else chosen
--- a/pimentoquay/policy/tests/test_prefill_choice.py
+++ b/pimentoquay/policy/tests/test_prefill_choice.py
@@ -3,6 +3,7 @@
     LONGEST_QUEUE_SECONDS,
     PrefillSpeed,
     choose_prefill_engine,
+    may_read_at_decode_engine,
 )
 from pimentoquay.policy.token_ledger import TokenLedger
 
@@ -15,7 +16,7 @@
 
 
 def chosen(queued):
-    engine = choose_prefill_engine(ENGINES, queued, PrefillSpeed(), "hall")
+    engine = choose_prefill_engine(ENGINES, queued, PrefillSpeed(), "hall", may_overflow=True)
     return engine.id if engine else None
 
 
@@ -39,7 +40,7 @@
             reading.pop(0)
             queued.release("near", 5200)
         if step % 7 == 0:
-            engine = choose_prefill_engine(ENGINES[1:], queued, speed, "hall")
+            engine = choose_prefill_engine(ENGINES[1:], queued, speed, "hall", may_overflow=True)
             if engine is None:
                 overflowed += 1
                 continue
@@ -59,3 +60,16 @@
     speed.note(5000, 1.0)
     assert speed.tokens_per_second > 0.95 * fast
     speed.note(0, 1.0)
+
+
+def test_a_long_prompt_queues_rather_than_pause_all_streams_of_a_decode_engine():
+    """Prompts of 8,000 tokens, read by decode engines, made nine streams late at a time."""
+    speed = PrefillSpeed()
+    assert may_read_at_decode_engine(3000, speed, gap_seconds=0.3)
+    assert not may_read_at_decode_engine(5000, speed, gap_seconds=0.3)
+    queued = TokenLedger()
+    for engine in ENGINES:
+        queued.take(engine.id, 100_000)
+    assert chosen(queued) is None
+    kept = choose_prefill_engine(ENGINES, queued, speed, "hall", may_overflow=False)
+    assert kept is not None and kept.id == "near"
