Count the runs of peers that are cut off until they should have ended

Gateways that lost each other forgot at once what the others' streams held, while engines that saw no close went on with them. Change: a lost peer's runs are taken to grow on, and count until their expected ends. Tests: test_run_ledger.

--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -273,7 +273,7 @@
                 self._lost_at_by_vm[vm] = self._node.timers.now()
             logger.bind(peer=vm).info("peer lost")
         self._load_by_vm.pop(vm, None)
-        self._running.drop_peer(vm)
+        self._running.lose_peer(vm)
         self._prefilling.drop_peer(vm)
         for call in self.on_load_changed:
             call()
--- a/pimentoquay/policy/run_ledger.py
+++ b/pimentoquay/policy/run_ledger.py
@@ -45,6 +45,7 @@
         self._own_by_key: dict[int, _Seen] = {}
         self._next_key = 0
         self._runs_by_vm: dict[str, tuple[_Seen, ...]] = {}
+        self._lost_runs_by_vm: dict[str, tuple[_Seen, ...]] = {}
         self._refused_by_engine: dict[str, tuple[float, int]] = {}
 
     def take(self, engine: str, run: GrowingRun, now: float) -> int:
@@ -81,6 +82,7 @@
         """Take a peer's own account of its runs."""
         before = {seen.engine for seen in self._runs_by_vm.get(vm, ())}
         count = {engine: self._count(vm, engine) for engine in before}
+        self._lost_runs_by_vm.pop(vm, None)
         self._runs_by_vm[vm] = tuple(
             _Seen(engine, run, now) for engine, runs in runs_by_engine.items() for run in runs
         )
@@ -88,9 +90,13 @@
             if self._count(vm, engine) < count[engine]:
                 self._refused_by_engine.pop(engine, None)
 
-    def drop_peer(self, vm: str) -> None:
-        """Forget a peer that has gone; its requests have ended with it."""
-        self._runs_by_vm.pop(vm, None)
+    def lose_peer(self, vm: str) -> None:
+        """Take it that a peer is not heard any more.
+
+        It may have ended, and its requests with it, or be cut off from here while engines go on
+        with them. They are counted until they should have ended.
+        """
+        self._lost_runs_by_vm[vm] = self._runs_by_vm.pop(vm, ())
 
     def note_refused(self, engine: str, tokens: int, until: float) -> None:
         """Note that an engine had no room for so many tokens; believed until a run ends there."""
@@ -99,9 +105,16 @@
     def runs_at(self, engine: str, now: float) -> list[GrowingRun]:
         """Return the runs of all VMs at an engine."""
         everybody = (self._own_by_key.values(), *self._runs_by_vm.values())
-        return [
+        heard = [
             self._run_at(seen, now) for part in everybody for seen in part if seen.engine == engine
         ]
+        lost = [
+            self._run_at(seen, now)
+            for part in self._lost_runs_by_vm.values()
+            for seen in part
+            if seen.engine == engine
+        ]
+        return heard + [run for run in lost if run.remaining > 0]
 
     def held(self, engine: str, now: float) -> int:
         """Return the tokens that the runs of all VMs hold at an engine."""
--- a/pimentoquay/policy/tests/test_run_ledger.py
+++ b/pimentoquay/policy/tests/test_run_ledger.py
@@ -25,7 +25,7 @@
     assert names(ledger, still(30)) == ["d1", "d2"]
     assert names(ledger, still(31)) == ["d1"]
     assert names(ledger, still(61)) == []
-    ledger.drop_peer("vm-2")
+    ledger.lose_peer("vm-2")
     assert names(ledger, still(61)) == ["d2"]
 
 
@@ -81,3 +81,14 @@
 
 def test_memory_is_counted_in_blocks():
     assert [in_blocks(tokens) for tokens in (1, 16, 17)] == [16, 16, 32]
+
+
+def test_runs_of_a_peer_that_is_cut_off_count_until_they_should_have_ended():
+    """In a zone cut the engines go on with requests of gateways that are not heard any more."""
+    ledger = RunLedger()
+    ledger.set_peer("vm-2", {"d1": (GrowingRun(50, 2600),)}, 0.0)
+    ledger.lose_peer("vm-2")
+    assert ledger.held("d1", 1.0) == 1350
+    assert ledger.held("d1", 2.5) == 0
+    ledger.set_peer("vm-2", {"d1": (GrowingRun(7, 0),)}, 1.0)
+    assert ledger.held("d1", 1.0) == 7
