--- a/pimentoquay/ctl/reference.py
+++ b/pimentoquay/ctl/reference.py
@@ -14,9 +14,10 @@
 from pimentoquay.control.settings import ControlSettings
 from pimentoquay.ctl.outcomes import ExitStatus
 from pimentoquay.ctl.settings import CtlSettings
-from pimentoquay.entry.metrics import METRICS, PERCENTILES, SIGNIFICANT_DIGITS
+from pimentoquay.entry.metrics import METRICS
 from pimentoquay.entry.settings import EntrySettings
 from pimentoquay.kernel import ResultCode, info_of
+from pimentoquay.kernel.metrics import PERCENTILES, SIGNIFICANT_DIGITS
 from pimentoquay.kernel.settings import setting_infos
 
 __all__ = ["main", "pages"]
--- a/pimentoquay/entry/metrics.py
+++ b/pimentoquay/entry/metrics.py
@@ -6,37 +6,11 @@
 from collections import Counter
 from dataclasses import dataclass
 
-from hdrh.histogram import HdrHistogram
-
 from pimentoquay.kernel import ResultCode
+from pimentoquay.kernel.metrics import Metric, TimeSummary
 from pimentoquay.messages.workspaces import KindSpec
 
-__all__ = ["METRICS", "EntryMetrics", "Metric", "RequestOutcome"]
-
-MICROSECONDS = 1_000_000
-"""Histogram units in a second."""
-
-MAX_MICROSECONDS = 600 * MICROSECONDS
-"""The longest time that a histogram tells apart."""
-
-SIGNIFICANT_DIGITS = 2
-
-PERCENTILES = (50.0, 95.0, 99.0)
-
-
-@dataclass(frozen=True)
-class Metric:
-    """The definition of one metric; the reference page is made from it."""
-
-    name: str
-    type: str
-    help: str
-    labels: tuple[str, ...] = ()
-
-    def head(self) -> list[str]:
-        """Return the lines that go before its values."""
-        return [f"# HELP {self.name} {self.help}", f"# TYPE {self.name} {self.type}"]
-
+__all__ = ["METRICS", "EntryMetrics", "RequestOutcome"]
 
 REQUESTS = Metric(
     "pimentoquay_requests_total",
@@ -102,7 +76,7 @@
         self.count_by_code: Counter[ResultCode] = Counter()
         self.in_target = 0
         self.tokens = 0
-        self._histogram_by_name = {name: _histogram() for name in _SUMMARY_BY_NAME}
+        self._summary_by_name = {name: TimeSummary() for name in _SUMMARY_BY_NAME}
 
     def count(self, outcome: RequestOutcome) -> None:
         """Count one ended request."""
@@ -119,7 +93,7 @@
 
     def percentile(self, name: str, percent: float) -> float:
         """Return a percentile in seconds of ``queue``, ``first_token`` or ``token_interval``."""
-        return self._histogram_by_name[name].get_value_at_percentile(percent) / MICROSECONDS
+        return self._summary_by_name[name].percentile(percent)
 
     def text(self, active: int) -> str:
         """Return everything in the Prometheus text format; ``active`` requests are running."""
@@ -130,22 +104,9 @@
         for metric, value in values:
             lines += [*metric.head(), f"{metric.name} {value}"]
         for name, metric in _SUMMARY_BY_NAME.items():
-            lines += self._summary(name, metric)
+            lines += self._summary_by_name[name].lines(metric)
         return "\n".join(lines) + "\n"
 
-    def _summary(self, name: str, metric: Metric) -> list[str]:
-        lines = metric.head()
-        for percent in PERCENTILES:
-            value = self.percentile(name, percent)
-            lines.append(f'{metric.name}{{quantile="{percent / 100:g}"}} {value:.6f}')
-        lines.append(f"{metric.name}_count {self._histogram_by_name[name].get_total_count()}")
-        return lines
-
     def _record(self, name: str, seconds: float | None) -> None:
         if seconds is not None:
-            value = min(MAX_MICROSECONDS, max(1, int(seconds * MICROSECONDS)))
-            self._histogram_by_name[name].record_value(value)
-
-
-def _histogram() -> HdrHistogram:
-    return HdrHistogram(1, MAX_MICROSECONDS, SIGNIFICANT_DIGITS)
+            self._summary_by_name[name].record(seconds)
--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -10,6 +10,15 @@
 from pimentoquay.gateway.front import Front
 from pimentoquay.gateway.links import EngineLinks
 from pimentoquay.gateway.mesh import Mesh
+from pimentoquay.gateway.metrics import (
+    IN_PROGRESS,
+    LIST_AGE,
+    PEERS,
+    STORE_CALLS,
+    VERSION,
+    WAITING,
+    GatewayMetrics,
+)
 from pimentoquay.gateway.plain import PlainForwarder
 from pimentoquay.gateway.prefills import Prefills
 from pimentoquay.gateway.reservations import Reservations
@@ -58,6 +67,8 @@
     front: Front
     callers: HttpServer
     readiness: HttpServer
+    measures: HttpServer
+    metrics_port: int | None = None
 
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until asked to stop, then finish what was begun."""
@@ -91,6 +102,8 @@
             (self.callers, settings.callers_address),
         ):
             await server.listen(*split_address(address))
+        if self.metrics_port is not None:
+            await self.measures.listen(settings.host, self.metrics_port)
         if settings.control_address:
             await self.node.transport.listen(settings.control_address, self.peers.serve)
 
@@ -123,15 +136,20 @@
         logger.bind(in_progress=self.callers.requests_in_progress).info("drained")
 
 
-def compose_gateway(settings: DeploymentSettings, node: Node) -> Gateway:
-    """Wire the parts of one gateway."""
+def compose_gateway(
+    settings: DeploymentSettings, node: Node, metrics_port: int | None = None
+) -> Gateway:
+    """Wire the parts of one gateway; metrics are served where a port is given."""
     fleet = Fleet(node.timers.now)
     links = EngineLinks(fleet)
     running = RunLedger()
     bounds = settings.bounds
     limits = RepeatLimits(bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window_seconds)
     prefilling = TokenLedger()
-    sharing = Sharing(settings.data_centre, running, prefilling, fleet, links, Repeats(limits))
+    metrics = GatewayMetrics()
+    sharing = Sharing(
+        settings.data_centre, running, prefilling, fleet, links, metrics, Repeats(limits)
+    )
     peers = PeerSet(node)
     reservations = Reservations(
         sharing,
@@ -169,8 +187,29 @@
     front = Front(sharing, PlainForwarder(sharing), streams)
     callers = HttpServer(front.handle, lambda: _limits(fleet))
     readiness = HttpServer(_readiness(front), ServerLimits)
+    metrics.value_by_gauge = {
+        IN_PROGRESS: lambda: callers.requests_in_progress,
+        LIST_AGE: lambda: min(fleet.list_age, 1e6),
+        VERSION: lambda: fleet.configuration.version if fleet.configuration else 0,
+        WAITING: lambda: reservations.waiting.tokens,
+        STORE_CALLS: lambda: store.calls,
+        PEERS: lambda: mesh.vms,
+    }
+    measures = HttpServer(metrics.answer, ServerLimits)
     return Gateway(
-        settings, node, store, fleet, feed, mesh, peers, links, orders, front, callers, readiness
+        settings,
+        node,
+        store,
+        fleet,
+        feed,
+        mesh,
+        peers,
+        links,
+        orders,
+        front,
+        callers,
+        readiness,
+        measures,
     )
 
 
--- a/pimentoquay/gateway/context.py
+++ b/pimentoquay/gateway/context.py
@@ -6,6 +6,7 @@
 
 from pimentoquay.gateway.fleet import Fleet
 from pimentoquay.gateway.links import EngineLinks
+from pimentoquay.gateway.metrics import GatewayMetrics
 from pimentoquay.policy.engine_choice import EngineExperience
 from pimentoquay.policy.fleet import EngineEntry, EngineStage
 from pimentoquay.policy.repeat_allowance import RepeatAllowance, RepeatLimits
@@ -63,6 +64,7 @@
     prefilling: TokenLedger
     fleet: Fleet
     links: EngineLinks
+    metrics: GatewayMetrics
     repeats: Repeats
     experience_by_engine: dict[str, EngineExperience] = field(default_factory=dict)
     misdirected_until_by_engine: dict[str, float] = field(default_factory=dict)
--- a/pimentoquay/gateway/front.py
+++ b/pimentoquay/gateway/front.py
@@ -50,7 +50,8 @@
         if route is None:
             self._refuse(caller, reply, ResultCode.NOT_FOUND)
             return
-        job = Job(request, caller, route, choose_service(route.shares, caller.id), reply)
+        service = choose_service(route.shares, caller.id)
+        job = Job(request, caller, route, service, reply, self._sharing.metrics)
         self._sharing.repeats.count_request(job.service)
         try:
             await self._forward(job)
@@ -74,4 +75,5 @@
         if code is ResultCode.NOT_READY:
             headers = (retry_after_header(NOT_READY_SECONDS),)
         reply.send(info_of(code).http_status, headers, b"")
+        self._sharing.metrics.count(code, 0.0)
         logger.bind(request=caller.id, host=caller.host, code=int(code)).info("request ended")
--- a/pimentoquay/gateway/job.py
+++ b/pimentoquay/gateway/job.py
@@ -3,13 +3,14 @@
 import asyncio
 from dataclasses import dataclass
 
+from pimentoquay.gateway.metrics import GatewayMetrics
 from pimentoquay.http1 import HeaderList, HttpRequest, Reply, end_to_end_headers
 from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode, info_of
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.requests import CallerRequest, retry_after_header
 from pimentoquay.policy.fleet import Route
 
-__all__ = ["Job", "answer_error", "answer_whole"]
+__all__ = ["Job", "answer_error", "answer_whole", "note_ended"]
 
 ANSWER_SECONDS = 0.02
 """Kept from a request's time for the way back to its caller."""
@@ -24,6 +25,7 @@
     route: Route
     service: str
     reply: Reply
+    metrics: GatewayMetrics
 
     @property
     def arrived_at(self) -> float:
@@ -50,7 +52,7 @@
 def answer_whole(job: Job, status: int, headers: HeaderList, body: bytes) -> None:
     """Pass on an engine's whole answer unchanged."""
     job.reply.send(status, end_to_end_headers(headers), body)
-    _log(job, ResultCode.OK if status < 400 else ResultCode.ENGINE_FAILED, f"status {status}")
+    note_ended(job, ResultCode.OK if status < 400 else ResultCode.ENGINE_FAILED, f"status {status}")
 
 
 def answer_error(job: Job, error: PimentoquayError) -> None:
@@ -62,14 +64,17 @@
         job.reply.abort()
     else:
         job.reply.send(info_of(error.code).http_status, headers, b"")
-    _log(job, error.code, error.detail)
+    note_ended(job, error.code, error.detail)
 
 
-def _log(job: Job, code: ResultCode, detail: str) -> None:
+def note_ended(job: Job, code: ResultCode, detail: str, **facts: object) -> None:
+    """Count a request's end and write the line that tells of it."""
+    job.metrics.count(code, job.age())
     logger.bind(
         request=job.caller.id,
         route=job.route.name,
         code=int(code),
         detail=detail,
         seconds=f"{job.age():.3f}",
+        **facts,
     ).info("request ended")
--- /dev/null
+++ b/pimentoquay/gateway/metrics.py
@@ -0,0 +1,89 @@
+"""What a gateway measures: ended requests by result code, times, and what it knows and holds."""
+
+from collections import Counter
+from collections.abc import Callable
+
+from pimentoquay.http1 import HttpRequest, Reply
+from pimentoquay.kernel import ResultCode
+from pimentoquay.kernel.metrics import Metric, TimeSummary
+
+__all__ = ["GATEWAY_METRICS", "GatewayMetrics"]
+
+REQUESTS = Metric(
+    "pimentoquay_gateway_requests_total",
+    "counter",
+    "ended requests, by result code",
+    ("code", "name"),
+)
+REQUEST_SECONDS = Metric(
+    "pimentoquay_gateway_request_seconds", "summary", "arrival to end", ("quantile",)
+)
+FIRST_EVENT_SECONDS = Metric(
+    "pimentoquay_gateway_first_event_seconds",
+    "summary",
+    "arrival to the first event of a stream",
+    ("quantile",),
+)
+MEMORY_WAIT_SECONDS = Metric(
+    "pimentoquay_gateway_memory_wait_seconds",
+    "summary",
+    "arrival to memory at a decode engine",
+    ("quantile",),
+)
+IN_PROGRESS = Metric("pimentoquay_gateway_requests_active", "gauge", "requests in progress")
+LIST_AGE = Metric(
+    "pimentoquay_gateway_list_age_seconds", "gauge", "age of the list of engines, in seconds"
+)
+VERSION = Metric(
+    "pimentoquay_gateway_configuration_version", "gauge", "version of the configuration in force"
+)
+WAITING = Metric(
+    "pimentoquay_gateway_waiting_tokens", "gauge", "memory that streams wait for here, in tokens"
+)
+STORE_CALLS = Metric("pimentoquay_gateway_store_calls_total", "counter", "calls of the store")
+PEERS = Metric("pimentoquay_gateway_peers", "gauge", "gateways that are known, this one included")
+
+_GAUGES = (IN_PROGRESS, LIST_AGE, VERSION, WAITING, STORE_CALLS, PEERS)
+_SUMMARIES = (REQUEST_SECONDS, FIRST_EVENT_SECONDS, MEMORY_WAIT_SECONDS)
+
+GATEWAY_METRICS = (REQUESTS, *_GAUGES, *_SUMMARIES)
+"""Every metric in the order of the answer."""
+
+
+class GatewayMetrics:
+    """The counters and histograms of one gateway."""
+
+    def __init__(self) -> None:
+        self.count_by_code: Counter[ResultCode] = Counter()
+        self.value_by_gauge: dict[Metric, Callable[[], float]] = {}
+        self._summary_by_metric = {metric: TimeSummary() for metric in _SUMMARIES}
+
+    def count(self, code: ResultCode, seconds: float) -> None:
+        """Count an ended request and how long it took."""
+        self.count_by_code[code] += 1
+        self._summary_by_metric[REQUEST_SECONDS].record(seconds)
+
+    def note_first_event(self, seconds: float) -> None:
+        """Count a stream's first event."""
+        self._summary_by_metric[FIRST_EVENT_SECONDS].record(seconds)
+
+    def note_memory_wait(self, seconds: float) -> None:
+        """Count a reservation and how long its stream waited for it."""
+        self._summary_by_metric[MEMORY_WAIT_SECONDS].record(seconds)
+
+    def text(self) -> str:
+        """Return everything in the Prometheus text format."""
+        lines = REQUESTS.head()
+        for code, count in sorted(self.count_by_code.items()):
+            lines.append(f'{REQUESTS.name}{{code="{int(code)}",name="{code.name}"}} {count}')
+        for gauge in _GAUGES:
+            value = self.value_by_gauge.get(gauge, lambda: 0.0)()
+            lines += [*gauge.head(), f"{gauge.name} {value:g}"]
+        for metric, summary in self._summary_by_metric.items():
+            lines += summary.lines(metric)
+        return "\n".join(lines) + "\n"
+
+    async def answer(self, request: HttpRequest, reply: Reply) -> None:
+        """Answer a request for the metrics."""
+        headers = ((b"Content-Type", b"text/plain; version=0.0.4"),)
+        reply.send(200, headers, self.text().encode())
--- a/pimentoquay/gateway/program.py
+++ b/pimentoquay/gateway/program.py
@@ -30,6 +30,7 @@
     parser = argparse.ArgumentParser(PROGRAM, description=__doc__)
     parser.add_argument("--version", action="version", version=f"{PROGRAM} {__version__}")
     parser.add_argument("--level", default="INFO", help="the lowest level of log lines")
+    parser.add_argument("--metrics-port", type=int, help="where metrics are served")
     arguments = parser.parse_args()
     try:
         settings = load_deployment()
@@ -37,10 +38,12 @@
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
     configure_logs(PROGRAM, settings.vm, arguments.level, sys.stdout)
-    return run_until_stopped(lambda stop: _serve(settings, stop))
+    return run_until_stopped(lambda stop: _serve(settings, stop, arguments.metrics_port))
 
 
-async def _serve(settings: DeploymentSettings, stop: StopRequested) -> None:
+async def _serve(
+    settings: DeploymentSettings, stop: StopRequested, metrics_port: int | None
+) -> None:
     incarnation = int(time.time() * 1000)
     identity = Identity(settings.vm, "gateway", settings.region, settings.data_centre, incarnation)
     # Peers of one deployment know each other by its store, the one thing that all are told.
@@ -48,7 +51,7 @@
     node = Node(identity, WebSocketTransport(identity, key), LoopClock())
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, _note_reload)
-    gateway = compose_gateway(settings, node)
+    gateway = compose_gateway(settings, node, metrics_port)
     logger.bind(callers=settings.callers_address, incarnation=incarnation).info("started")
     await gateway.run(stop)
     logger.info("stopped")
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -262,12 +262,17 @@
             if engine is None:
                 return None
             asked.add(engine.id)
-            reservation = await self._ask(engine, memory, need, run)
+            reservation = await self._ask(job, engine, memory, need, run)
             if reservation is not None:
                 return reservation
 
     async def _ask(
-        self, engine: EngineEntry, memory: TokenMemory, need: MemoryNeed, run: GrowingRun
+        self,
+        job: Job,
+        engine: EngineEntry,
+        memory: TokenMemory,
+        need: MemoryNeed,
+        run: GrowingRun,
     ) -> Reservation | None:
         loop = asyncio.get_running_loop()
         link = self._sharing.links.to(engine)
@@ -291,6 +296,8 @@
         if not hold:
             return None
         logger.bind(
+            request=job.caller.id,
+            waited=f"{job.age():.3f}",
             engine=engine.id,
             tokens=tokens,
             expected=need.tokens,
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -10,7 +10,7 @@
 
 from pimentoquay.gateway.context import Sharing
 from pimentoquay.gateway.events import EventSplitter, StreamEvent
-from pimentoquay.gateway.job import Job, answer_whole
+from pimentoquay.gateway.job import Job, answer_whole, note_ended
 from pimentoquay.gateway.prefills import Prefill, Prefills
 from pimentoquay.gateway.reservations import MemoryNeed, Reservation, Reservations
 from pimentoquay.http1 import Exchange, ExchangeError, HeaderList, end_to_end_headers
@@ -69,6 +69,7 @@
     arrivals: int = 0
     runs: int = 0
     streamed_seconds: float = 0.0
+    engine: str = ""
     failure: _Failure | None = None
 
 
@@ -121,6 +122,7 @@
             progress.runs -= 1
         logger.bind(
             request=job.caller.id,
+            engine=progress.engine,
             has_run=error.has_run,
             last_event=progress.last_event,
             sends=progress.sends,
@@ -153,10 +155,12 @@
         need = self._need(job.service, model, memory, progress)
         times = self._times(job)
         reservation = await self._reservations.take(job, memory, need, times)
+        job.metrics.note_memory_wait(job.age())
         try:
             prefill = await self._prefills.run(job, model, reservation.engine, progress.last_event)
             progress.sends += 1
             progress.runs += 1
+            progress.engine = reservation.engine.id
             try:
                 await self._decode(job, progress, reservation, prefill)
             finally:
@@ -273,6 +277,7 @@
                 self._log_pause(job, reservation, pause)
             if not reply.started:
                 reply.start(exchange.status, end_to_end_headers(exchange.headers))
+                job.metrics.note_first_event(job.age())
             reply.write(b"".join(event.data for event in events))
             await reply.drain()
         if splitter.rest:
@@ -280,7 +285,7 @@
         if not reply.started:
             reply.start(exchange.status, end_to_end_headers(exchange.headers))
         reply.end()
-        _log_whole(job, progress)
+        _note_whole(job, progress, reservation.engine.id)
 
     def _log_pause(self, job: Job, reservation: Reservation, pause: float) -> None:
         engine = reservation.engine.id
@@ -311,15 +316,15 @@
         progress.last_event = event.id
 
 
-def _log_whole(job: Job, progress: _Progress) -> None:
+def _note_whole(job: Job, progress: _Progress, engine: str) -> None:
     model = job.caller.model
-    logger.bind(
+    note_ended(
+        job,
+        ResultCode.OK,
+        "whole stream",
+        engine=engine,
         prompt_tokens=model.prompt_tokens if model else None,
         expected_output=model.expected_output if model else None,
-        request=job.caller.id,
-        route=job.route.name,
-        code=int(ResultCode.OK),
         last_event=progress.last_event,
         runs=progress.runs,
-        seconds=f"{job.age():.3f}",
-    ).info("request ended")
+    )
--- /dev/null
+++ b/pimentoquay/gateway/tests/test_metrics.py
@@ -0,0 +1,22 @@
+from pimentoquay.gateway.metrics import GATEWAY_METRICS
+from pimentoquay.gateway.tests.rig import rig
+from pimentoquay.http1 import ConnectionPool, ReusePolicy
+
+
+async def test_ended_requests_are_counted_and_served_as_text():
+    async with rig() as made:
+        gateway = made.gateway_by_vm["vm-1"]
+        await gateway.measures.listen("127.0.0.1", 0)
+        await made.ask("/look/a")
+        await made.ask("/nowhere/a")
+        await made.stream()
+        pool = ConnectionPool(f"127.0.0.1:{gateway.measures.port}", 5.0, ReusePolicy())
+        async with pool.exchange(b"GET", b"/metrics", ((b"Host", b"a"),)) as exchange:
+            text = (await exchange.read_body()).decode()
+        pool.close()
+        await gateway.measures.close()
+    assert 'requests_total{code="100",name="OK"} 2' in text
+    assert 'requests_total{code="217",name="NOT_FOUND"} 1' in text
+    assert "pimentoquay_gateway_configuration_version 1\n" in text
+    assert "pimentoquay_gateway_first_event_seconds_count 1" in text
+    assert all(f"# TYPE {metric.name} " in text for metric in GATEWAY_METRICS)
--- a/pimentoquay/kernel/logs.py
+++ b/pimentoquay/kernel/logs.py
@@ -6,6 +6,7 @@
 
 import json
 import sys
+from collections import Counter
 from typing import TextIO
 
 from loguru import logger
@@ -15,7 +16,14 @@
 __all__ = ["configure_logs", "log_event", "logger"]
 
 
-def configure_logs(process: str, vm: str, level: str = "INFO", stream: TextIO = sys.stderr) -> None:
+LINES_PER_SECOND = 200
+"""The most lines of one kind in a second; a VM at the size designed for ends 27 requests a second,
+so only a storm of failures exceeds it."""
+
+
+def configure_logs(
+    process: str, vm: str, level: str = "INFO", stream: TextIO | None = None
+) -> None:
     """Send every log line of this process to a stream as JSON.
 
     Parameters
@@ -29,9 +37,15 @@
     stream
         Standard error unless given.
     """
+    bound = _LineBound()
 
     def write(message) -> None:
         record = message.record
+        left_out = bound.admit(record["message"], record["time"].timestamp())
+        if left_out is None:
+            return
+        if left_out:
+            record["extra"]["left_out_before"] = left_out
         line = {
             "time": record["time"].isoformat(),
             "level": record["level"].name,
@@ -42,12 +56,32 @@
         }
         if record["exception"] is not None:
             line["error"] = repr(record["exception"].value)
-        stream.write(json.dumps(line) + "\n")
+        (stream or sys.stderr).write(json.dumps(line) + "\n")
 
     logger.remove()
     logger.add(write, level=level, backtrace=False, diagnose=False)
 
 
+class _LineBound:
+    """Bounds the lines of each kind in a second, and counts those that are left out."""
+
+    def __init__(self) -> None:
+        self._second = 0
+        self._count_by_message: Counter[str] = Counter()
+        self._left_out_by_message: Counter[str] = Counter()
+
+    def admit(self, message: str, now: float) -> int | None:
+        """Return how many lines of a kind were left out before this one, ``None`` to leave it."""
+        if int(now) != self._second:
+            self._second = int(now)
+            self._count_by_message.clear()
+        self._count_by_message[message] += 1
+        if self._count_by_message[message] > LINES_PER_SECOND:
+            self._left_out_by_message[message] += 1
+            return None
+        return self._left_out_by_message.pop(message, 0)
+
+
 def log_event(event: Event) -> None:
     """Write an event of the time line as a log line."""
     logger.bind(
