Move what a request needs of memory to the policy, and drop what nothing uses

Cause: reading the diff: reservations.py decided how much to hold, a page of newest records was the type of a page of records again, and the adapter had a call and settings that nothing uses. Change: MemoryNeed is in policy/memory_forecast with a test; one page type; reports of engines and an unused setting are gone.

--- a/pimentoquay/gateway/plain.py
+++ b/pimentoquay/gateway/plain.py
@@ -156,7 +156,7 @@
     ) -> _Answer | None:
         """Return the answer if it is the engine's own to this request."""
         if answer.facts.has_not_run:
-            if answer.status == 421:
+            if answer.facts.is_misdirected:
                 now = asyncio.get_running_loop().time()
                 until_by_engine = self._sharing.misdirected_until_by_engine
                 until_by_engine[engine.id] = now + MISDIRECTED_SECONDS
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -17,8 +17,7 @@
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.fields import DecodeError
 from pimentoquay.policy.fleet import EngineEntry, EngineStage, TokenMemory
-from pimentoquay.policy.memory_forecast import GrowingRun, remaining_tokens
-from pimentoquay.policy.run_ledger import in_blocks
+from pimentoquay.policy.memory_forecast import GrowingRun, MemoryNeed
 from pimentoquay.policy.stream_admission import (
     AdmissionLimits,
     ReleaseRate,
@@ -27,7 +26,7 @@
     decide_wait,
 )
 
-__all__ = ["MemoryNeed", "Reservation", "Reservations", "Waiting"]
+__all__ = ["Reservation", "Reservations", "Waiting"]
 
 RECHECK_SECONDS = 0.05
 """How often a waiting stream looks for room when it hears of no change."""
@@ -39,43 +38,10 @@
 """The share of an engine's memory that the forecast may fill. On the six days of pos-printfleet it
 is worth 0.617, against 0.601 with 0.92 (docs/design/platform.md)."""
 
-HELD_OUTPUT_SHARE = 0.5
-"""The part of an expected answer for which memory is held from the start. The engine preempts a
-request only beyond its hold, and what is held and not used serves nobody else."""
-
 REFUSED_SECONDS = 0.25
 """How long an engine's refusal is believed when nobody releases anything there."""
 
 
-@dataclass(frozen=True)
-class MemoryNeed:
-    """What a request needs of an engine's memory, in tokens.
-
-    ``begun`` is what its answer has already, where it goes on elsewhere.
-    """
-
-    prompt: int
-    expected_output: int
-    most_output: int
-    begun: int = 0
-
-    @property
-    def tokens(self) -> int:
-        """The memory expected at its end."""
-        return in_blocks(self.prompt + max(self.begun, self.expected_output))
-
-    @property
-    def held(self) -> int:
-        """The memory to hold from the start."""
-        rest = max(0, self.expected_output - self.begun)
-        return in_blocks(self.prompt + self.begun + int(rest * HELD_OUTPUT_SHARE))
-
-    def run_at(self, made: int) -> GrowingRun:
-        """Return the request once its answer has so many tokens."""
-        remaining = remaining_tokens(self.expected_output, made, self.most_output)
-        return GrowingRun(self.prompt + made, remaining)
-
-
 @dataclass(eq=False)
 class Reservation:
     """Memory of one engine; ``hold`` is spent by the request that names it."""
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -12,13 +12,14 @@
 from pimentoquay.gateway.events import EventSplitter, StreamEvent
 from pimentoquay.gateway.job import Job, answer_whole, note_ended
 from pimentoquay.gateway.prefills import Prefill, Prefills
-from pimentoquay.gateway.reservations import MemoryNeed, Reservation, Reservations
+from pimentoquay.gateway.reservations import Reservation, Reservations
 from pimentoquay.http1 import Exchange, ExchangeError, HeaderList, end_to_end_headers
 from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.answers import read_answer
 from pimentoquay.platform.requests import SendOptions
 from pimentoquay.policy.fleet import ModelRequest, TokenMemory
+from pimentoquay.policy.memory_forecast import MemoryNeed
 from pimentoquay.policy.output_estimate import OutputEstimate
 from pimentoquay.policy.stream_admission import StreamTimes, first_asked_at, patience_seconds
 
--- a/pimentoquay/gateway/tests/rig.py
+++ b/pimentoquay/gateway/tests/rig.py
@@ -100,7 +100,6 @@
             control_addresses=tuple(seeds),
             store_address=store_address or self.store_address,
             heartbeat_seconds=1.2,
-            longest_read_seconds=30.0,
             bounds=Bounds(2.0, 3.0, 8.0, 2.0, 0.2, 10.0, 5000.0),
         )
         identity = Identity(vm, "gateway", "here", "hall", 1)
--- a/pimentoquay/platform/__init__.py
+++ b/pimentoquay/platform/__init__.py
@@ -7,7 +7,7 @@
 
 from pimentoquay.platform.answers import AnswerFacts, PrefillResult, read_answer, read_prefill
 from pimentoquay.platform.configuration import decode_configuration
-from pimentoquay.platform.engine_calls import EngineCall, EngineCalls, EngineReport
+from pimentoquay.platform.engine_calls import EngineCall, EngineCalls, OrderOutcome
 from pimentoquay.platform.engine_entry import decode_engine_entry
 from pimentoquay.platform.requests import CallerRequest, SendOptions, read_request, send_headers
 from pimentoquay.platform.settings import DeploymentSettings, load_deployment
@@ -25,8 +25,8 @@
     "DeploymentSettings",
     "EngineCall",
     "EngineCalls",
-    "EngineReport",
     "KeyedRecord",
+    "OrderOutcome",
     "PrefillResult",
     "RecordPage",
     "RecordsGoneError",
--- a/pimentoquay/platform/answers.py
+++ b/pimentoquay/platform/answers.py
@@ -27,6 +27,11 @@
     is_signed: bool
     is_encoded: bool
 
+    @property
+    def is_misdirected(self) -> bool:
+        """Whether another engine than the one that was meant has answered."""
+        return self.status == _MISDIRECTED
+
     @property
     def is_success(self) -> bool:
         """Whether the answer is an engine's own success."""
--- a/pimentoquay/platform/engine_calls.py
+++ b/pimentoquay/platform/engine_calls.py
@@ -1,4 +1,4 @@
-"""Calls of an engine beside requests: reserving memory, freeing it, asking for its state."""
+"""Calls of an engine beside requests: reserving memory, freeing it, changing its stage."""
 
 import json
 from dataclasses import dataclass
@@ -6,9 +6,9 @@
 from urllib.parse import quote
 
 from pimentoquay.http1.headers import HeaderList
-from pimentoquay.platform.fields import object_of, optional, required
+from pimentoquay.platform.fields import object_of, required
 
-__all__ = ["EngineCall", "EngineCalls", "EngineReport", "OrderOutcome"]
+__all__ = ["EngineCall", "EngineCalls", "OrderOutcome"]
 
 _JSON = (b"Content-Type", b"application/json")
 
@@ -23,17 +23,6 @@
     body: bytes = b""
 
 
-@dataclass(frozen=True)
-class EngineReport:
-    """An engine's state some hundred milliseconds ago; memory in tokens."""
-
-    queued: int
-    running: int
-    used_tokens: int
-    total_tokens: int
-    is_busy: bool
-
-
 class OrderOutcome(Enum):
     """What became of an order."""
 
@@ -83,10 +72,6 @@
         """Free a KV cache that no decode engine will fetch."""
         return self._delete("kv-handle", handle)
 
-    def report(self) -> EngineCall:
-        """Ask for the engine's state."""
-        return EngineCall(b"GET", b"/api/report", self._headers)
-
     def change_stage(self, prefills: bool, holder: str, fence: int) -> EngineCall:
         """Order the engine to prefill, or else to decode."""
         stage = "prefill" if prefills else "decode"
@@ -104,18 +89,6 @@
         """Return the name of a reservation; ``DecodeError`` if the answer has none."""
         return required(object_of(body, "hold"), "hold", str)
 
-    @staticmethod
-    def read_report(body: bytes) -> EngineReport:
-        """Decode an engine's state; ``DecodeError`` if it is malformed."""
-        item = object_of(body, "report")
-        return EngineReport(
-            queued=optional(item, "queued", int, 0),
-            running=optional(item, "active", int, 0),
-            used_tokens=required(item, "kvUsed", int),
-            total_tokens=required(item, "kvTotal", int),
-            is_busy=optional(item, "busy", bool, False),
-        )
-
     def _delete(self, call: str, name: str) -> EngineCall:
         target = f"/api/{call}/{quote(name, safe='')}".encode()
         return EngineCall(b"DELETE", target, self._headers)
--- a/pimentoquay/platform/settings.py
+++ b/pimentoquay/platform/settings.py
@@ -48,7 +48,6 @@
     control_addresses: tuple[str, ...]
     store_address: str
     heartbeat_seconds: float
-    longest_read_seconds: float
     bounds: Bounds
 
 
@@ -81,7 +80,6 @@
         control_addresses=tuple(str(seed) for seed in optional(item, "seedAddrs", list, [])),
         store_address=required(platform, "address", str),
         heartbeat_seconds=seconds_of(item, "beatIntervalMs", 1000.0),
-        longest_read_seconds=30.0,
         bounds=_decode_bounds(optional(item, "bounds", dict, {})),
     )
 
--- a/pimentoquay/platform/store.py
+++ b/pimentoquay/platform/store.py
@@ -22,7 +22,6 @@
     "ORDER_TOPIC",
     "VM_TOPIC",
     "KeyedRecord",
-    "NewestPage",
     "RecordPage",
     "RecordsGoneError",
     "StoreClient",
@@ -83,14 +82,6 @@
     next_offset: int
 
 
-@dataclass(frozen=True)
-class NewestPage:
-    """The newest record of each key, and the offset to read on from."""
-
-    records: tuple[KeyedRecord, ...]
-    next_offset: int
-
-
 class StoreClient:
     """Calls of the store.
 
@@ -106,7 +97,7 @@
         self.calls = 0
         self._pool = ConnectionPool(address, CONNECT_SECONDS, reuse)
 
-    async def newest(self, topic: str) -> NewestPage:
+    async def newest(self, topic: str) -> RecordPage:
         """Return the newest record of each key; ``StoreError`` if they cannot be had."""
         records: list[KeyedRecord] = []
         query: dict[str, Any] = {"topic": topic, "part": 0}
@@ -120,7 +111,7 @@
             if next_offset is None:
                 next_offset = required(item, "endOffset", int)
             if not optional(item, "hasMore", bool, False) or not page or page[-1] is None:
-                return NewestPage(tuple(records), next_offset)
+                return RecordPage(tuple(records), next_offset)
             query["after"] = page[-1].key
 
     async def read(self, topic: str, from_offset: int, wait_seconds: float) -> RecordPage:
--- a/pimentoquay/policy/memory_forecast.py
+++ b/pimentoquay/policy/memory_forecast.py
@@ -8,13 +8,21 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-__all__ = ["GrowingRun", "LEAST_REMAINING_SHARE", "peak_tokens", "remaining_tokens"]
+__all__ = ["GrowingRun", "MemoryNeed", "in_blocks", "peak_tokens", "remaining_tokens"]
+
+BLOCK_TOKENS = 16
+"""Engines give out memory in blocks of so many tokens."""
 
 LEAST_REMAINING_SHARE = 0.15
 """What an answer that has outgrown its estimate is taken to grow yet, as a share of what it has;
 answers end at an even rate from there on."""
 
 
+HELD_OUTPUT_SHARE = 0.5
+"""The part of an expected answer for which memory is held from the start. The engine preempts a
+request only beyond its hold, and what is held and not used serves nobody else."""
+
+
 @dataclass(frozen=True)
 class GrowingRun:
     """A request in an engine's memory: tokens now, and those still to come."""
@@ -28,6 +36,40 @@
         return GrowingRun(self.tokens + grown, self.remaining - grown)
 
 
+@dataclass(frozen=True)
+class MemoryNeed:
+    """What a request needs of an engine's memory, in tokens.
+
+    ``begun`` is what its answer has already, where it goes on elsewhere.
+    """
+
+    prompt: int
+    expected_output: int
+    most_output: int
+    begun: int = 0
+
+    @property
+    def tokens(self) -> int:
+        """The memory expected at its end."""
+        return in_blocks(self.prompt + max(self.begun, self.expected_output))
+
+    @property
+    def held(self) -> int:
+        """The memory to hold from the start."""
+        rest = max(0, self.expected_output - self.begun)
+        return in_blocks(self.prompt + self.begun + int(rest * HELD_OUTPUT_SHARE))
+
+    def run_at(self, made: int) -> GrowingRun:
+        """Return the request once its answer has so many tokens."""
+        remaining = remaining_tokens(self.expected_output, made, self.most_output)
+        return GrowingRun(self.prompt + made, remaining)
+
+
+def in_blocks(tokens: int) -> int:
+    """Return the tokens of the blocks that so many tokens take."""
+    return -(-tokens // BLOCK_TOKENS) * BLOCK_TOKENS
+
+
 def remaining_tokens(expected_output: int, made: int, most: int) -> int:
     """Return the tokens that an answer is expected to grow yet.
 
--- a/pimentoquay/policy/run_ledger.py
+++ b/pimentoquay/policy/run_ledger.py
@@ -11,10 +11,7 @@
 from pimentoquay.policy.fleet import EngineEntry
 from pimentoquay.policy.memory_forecast import GrowingRun, peak_tokens
 
-__all__ = ["RunLedger", "in_blocks"]
-
-BLOCK_TOKENS = 16
-"""Engines give out memory in blocks of so many tokens."""
+__all__ = ["RunLedger"]
 
 ASSUMED_TOKENS_PER_SECOND = 1300.0
 """The pace of an answer before any was seen: a token in 0.77 ms, as on the users' sheets."""
@@ -23,11 +20,6 @@
 """The weight of the newest answer in the pace."""
 
 
-def in_blocks(tokens: int) -> int:
-    """Return the tokens of the blocks that so many tokens take."""
-    return -(-tokens // BLOCK_TOKENS) * BLOCK_TOKENS
-
-
 @dataclass(frozen=True)
 class _Seen:
     """A run as it was at a moment, on this VM's clock."""
--- a/pimentoquay/policy/stage_plan.py
+++ b/pimentoquay/policy/stage_plan.py
@@ -12,7 +12,7 @@
 
 from pimentoquay.policy.fleet import EngineEntry, EngineStage
 
-__all__ = ["StageChange", "StageDemand", "StagePlan", "next_change", "wanted_prefill_engines"]
+__all__ = ["StageChange", "StageDemand", "next_change", "wanted_prefill_engines"]
 
 PREFILL_SECONDS = 0.1
 """The assumed time of a prefill: 5,000 tokens at 55 a millisecond, as the users' sheets say."""
@@ -36,14 +36,6 @@
     stage: EngineStage
 
 
-@dataclass(frozen=True)
-class StagePlan:
-    """How many engines of each stage are wanted."""
-
-    prefill: int
-    decode: int
-
-
 class StageDemand:
     """What requests have needed of the two stages, in seconds of a whole engine."""
 
--- a/pimentoquay/policy/tests/test_memory_forecast.py
+++ b/pimentoquay/policy/tests/test_memory_forecast.py
@@ -3,7 +3,13 @@
 import math
 import random
 
-from pimentoquay.policy.memory_forecast import GrowingRun, peak_tokens, remaining_tokens
+from pimentoquay.policy.memory_forecast import (
+    GrowingRun,
+    MemoryNeed,
+    in_blocks,
+    peak_tokens,
+    remaining_tokens,
+)
 
 CAPACITY, MOST, STEP = 91_912, 8320, 64
 USABLE = int(CAPACITY * 0.85)
@@ -75,3 +81,15 @@
 def test_a_run_seen_a_while_ago_has_grown_since():
     assert GrowingRun(100, 50).after(20) == GrowingRun(120, 30)
     assert GrowingRun(100, 50).after(80) == GrowingRun(150, 0)
+
+
+def test_memory_is_counted_in_blocks():
+    assert [in_blocks(tokens) for tokens in (1, 16, 17)] == [16, 16, 32]
+
+
+def test_half_of_what_an_answer_still_needs_is_held_from_the_start():
+    need = MemoryNeed(prompt=1600, expected_output=3200, most_output=MOST)
+    assert (need.held, need.tokens) == (3200, 4800)
+    goes_on = MemoryNeed(prompt=1600, expected_output=3200, most_output=MOST, begun=1600)
+    assert (goes_on.held, goes_on.tokens) == (4000, 4800)
+    assert goes_on.run_at(1600) == GrowingRun(3200, 1600)
--- a/pimentoquay/policy/tests/test_run_ledger.py
+++ b/pimentoquay/policy/tests/test_run_ledger.py
@@ -1,6 +1,6 @@
 from pimentoquay.policy.fleet import EngineEntry, EngineStage
 from pimentoquay.policy.memory_forecast import GrowingRun
-from pimentoquay.policy.run_ledger import RunLedger, in_blocks
+from pimentoquay.policy.run_ledger import RunLedger
 
 
 def engine(name):
@@ -79,10 +79,6 @@
     assert names(ledger, still(100)) == ["d1", "d2"]
 
 
-def test_memory_is_counted_in_blocks():
-    assert [in_blocks(tokens) for tokens in (1, 16, 17)] == [16, 16, 32]
-
-
 def test_runs_of_a_peer_that_is_cut_off_count_until_they_should_have_ended():
     """In a zone cut the engines go on with requests of gateways that are not heard any more."""
     ledger = RunLedger()
