Serve the gateway's metrics at the port that it is given

Cause: compose_gateway took the port and did not hand it to the gateway, so /metrics was never served; the test of the metrics opened the server itself, which hid it. Change: the port is handed on; a test starts a gateway with a port and failed before. Ruled out: the server and the text, which the earlier test shows.

--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -210,6 +210,7 @@
         callers,
         readiness,
         measures,
+        metrics_port,
     )
 
 
--- a/pimentoquay/gateway/tests/rig.py
+++ b/pimentoquay/gateway/tests/rig.py
@@ -86,7 +86,9 @@
         await self.store.put("keyed.servers", engine.id, engine.entry())
         return engine
 
-    async def add_gateway(self, vm="vm-1", store_address=None, seeds=(), wait=True) -> Gateway:
+    async def add_gateway(
+        self, vm="vm-1", store_address=None, seeds=(), wait=True, metrics_port=None
+    ) -> Gateway:
         settings = DeploymentSettings(
             vm=vm,
             data_centre="hall",
@@ -104,7 +106,7 @@
         )
         identity = Identity(vm, "gateway", "here", "hall", 1)
         node = Node(identity, WebSocketTransport(identity, b"key"), LoopClock())
-        gateway = compose_gateway(settings, node)
+        gateway = compose_gateway(settings, node, metrics_port)
         stop = asyncio.Event()
         self.gateway_by_vm[vm] = gateway
         self._stop_by_vm[vm] = stop
--- a/pimentoquay/gateway/tests/test_metrics.py
+++ b/pimentoquay/gateway/tests/test_metrics.py
@@ -20,3 +20,13 @@
     assert "pimentoquay_gateway_configuration_version 1\n" in text
     assert "pimentoquay_gateway_first_event_seconds_count 1" in text
     assert all(f"# TYPE {metric.name} " in text for metric in GATEWAY_METRICS)
+
+
+async def test_a_gateway_serves_its_metrics_at_the_port_it_was_given():
+    async with rig(start_gateway=False) as made:
+        gateway = await made.add_gateway(metrics_port=0)
+        pool = ConnectionPool(f"127.0.0.1:{gateway.measures.port}", 5.0, ReusePolicy())
+        async with pool.exchange(b"GET", b"/metrics", ((b"Host", b"a"),)) as exchange:
+            assert b"pimentoquay_gateway_requests_total" in await exchange.read_body()
+        pool.close()
+        await gateway.measures.close()
