Take a malformed answer of the store, and a body that stops, as what they are

Cause: only the JSON of a list of records was checked, so an answer without its fields raised an error that nobody expects and ended the gateway; a body that stopped coming raised a time-out that the stream's forwarder took for the end of the request's own time. Of two reads of the store, one that failed left the other running into the next round. Change: the adapter checks every field and raises its own error; the connection reports a body that is not whole as a lost answer; both reads are waited for.

--- a/pimentoquay/gateway/feed.py
+++ b/pimentoquay/gateway/feed.py
@@ -107,9 +107,13 @@
         )
 
     async def _read_all(self) -> bool:
-        try:
-            await asyncio.gather(*(self._read(topic) for topic in self._read_by_topic))
-        except StoreError as error:
+        reads = [self._read(topic) for topic in self._read_by_topic]
+        # Both are waited for, so that no read of this round goes on beside the next.
+        for error in await asyncio.gather(*reads, return_exceptions=True):
+            if error is None:
+                continue
+            if not isinstance(error, StoreError):
+                raise error
             if not self._is_down:
                 logger.bind(error=str(error)).warning("the store does not answer")
             self._is_down = self._was_down = True
--- a/pimentoquay/http1/client.py
+++ b/pimentoquay/http1/client.py
@@ -179,9 +179,12 @@
     async def read_body(self, seconds: float | None = None) -> bytes:
         """Return the rest of the body once it is whole."""
         parts = []
-        async with asyncio.timeout(seconds):
-            while (part := await self.read_chunk()) is not None:
-                parts.append(part)
+        try:
+            async with asyncio.timeout(seconds):
+                while (part := await self.read_chunk()) is not None:
+                    parts.append(part)
+        except TimeoutError:
+            raise self._connection.error(f"the body was not whole in {seconds} s") from None
         return b"".join(parts)
 
     async def _next(self, seconds: float | None) -> Any:
--- a/pimentoquay/http1/tests/test_client.py
+++ b/pimentoquay/http1/tests/test_client.py
@@ -140,3 +140,12 @@
         await get(pool)
         await get(pool)
         assert server.connections == 2
+
+
+async def test_a_body_that_stops_coming_is_a_lost_answer():
+    half = b"HTTP/1.1 503 Busy\r\nContent-Length: 100\r\n\r\nhalf"
+    async with scripted(half) as (_, pool):
+        with pytest.raises(ExchangeError) as failure:
+            async with pool.exchange(b"POST", b"/a", HEADERS) as exchange:
+                await exchange.read_body(0.05)
+        assert failure.value.written
--- a/pimentoquay/platform/store.py
+++ b/pimentoquay/platform/store.py
@@ -82,6 +82,15 @@
     next_offset: int
 
 
+@dataclass(frozen=True)
+class _NewestPage:
+    """A part of a topic's newest records; ``last_key`` is None where there are no more."""
+
+    records: tuple[KeyedRecord, ...]
+    end_offset: int
+    last_key: str | None
+
+
 class StoreClient:
     """Calls of the store.
 
@@ -100,19 +109,17 @@
     async def newest(self, topic: str) -> RecordPage:
         """Return the newest record of each key; ``StoreError`` if they cannot be had."""
         records: list[KeyedRecord] = []
-        query: dict[str, Any] = {"topic": topic, "part": 0}
         next_offset: int | None = None
+        after: str | None = None
         while True:
-            body = await self._call("GET", "log-newest", query)
-            item = _decoded(body)
-            page = [_newest_record(entry) for entry in optional(item, "items", list, [])]
-            records.extend(record for record in page if record is not None)
+            page = await self._newest_page(topic, after)
+            records.extend(page.records)
             # Pages are no snapshot, so reading goes on from the end that the first one gives.
             if next_offset is None:
-                next_offset = required(item, "endOffset", int)
-            if not optional(item, "hasMore", bool, False) or not page or page[-1] is None:
+                next_offset = page.end_offset
+            if page.last_key is None:
                 return RecordPage(tuple(records), next_offset)
-            query["after"] = page[-1].key
+            after = page.last_key
 
     async def read(self, topic: str, from_offset: int, wait_seconds: float) -> RecordPage:
         """Return the records from an offset on, waiting for the first if there is none yet.
@@ -132,8 +139,7 @@
 
     async def end_of(self, topic: str) -> int:
         """Return the offset that the next record of a topic gets."""
-        body = await self._call("GET", "log-newest", {"topic": topic, "part": 0})
-        return required(_decoded(body), "endOffset", int)
+        return (await self._newest_page(topic, None)).end_offset
 
     async def put_at(self, topic: str, offset: int, key: str, value: bytes) -> int | None:
         """Append a record if it gets this offset; return the offset, or ``None`` if it does not."""
@@ -148,6 +154,16 @@
         """Close the kept connections."""
         self._pool.close()
 
+    async def _newest_page(self, topic: str, after: str | None) -> _NewestPage:
+        query: dict[str, Any] = {"topic": topic, "part": 0}
+        if after is not None:
+            query["after"] = after
+        body = await self._call("GET", "log-newest", query)
+        try:
+            return _decode_newest(body)
+        except DecodeError as error:
+            raise StoreError(f"log-newest: {error}", True) from None
+
     async def _call(
         self,
         method: str,
@@ -188,11 +204,15 @@
     return _LENGTH.pack(len(content)) + content
 
 
-def _decoded(body: bytes) -> dict[str, Any]:
-    try:
-        return object_of(body, "newest records")
-    except DecodeError as error:
-        raise StoreError(str(error), True) from None
+def _decode_newest(body: bytes) -> _NewestPage:
+    item = object_of(body, "newest records")
+    page = [_newest_record(entry) for entry in optional(item, "items", list, [])]
+    more = optional(item, "hasMore", bool, False) and bool(page) and page[-1] is not None
+    return _NewestPage(
+        tuple(record for record in page if record is not None),
+        required(item, "endOffset", int),
+        page[-1].key if more and page[-1] is not None else None,
+    )
 
 
 def _newest_record(item: Any) -> KeyedRecord | None:
