Keep one copy of limits and addresses, and drop what nothing asks for

Cause: reading the diff: the limits of callers stood twice with the same four fields, addresses were split in three ways, copies of the fleet were built field by field, and a method had no caller. Change: the server's limits are the configuration's, split_address is used everywhere, replace() makes the copies.

--- a/pimentoquay/gateway/context.py
+++ b/pimentoquay/gateway/context.py
@@ -39,10 +39,6 @@
         """Count a repeat; return whether it may be sent."""
         return self._of(service).take(asyncio.get_running_loop().time(), self.vms)
 
-    def left(self, service: str) -> float:
-        """Return how many repeats may be sent now."""
-        return self._of(service).left(asyncio.get_running_loop().time(), self.vms)
-
     def _of(self, service: str) -> RepeatAllowance:
         allowance = self._allowance_by_service.get(service)
         if allowance is None:
--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from functools import singledispatchmethod
 from typing import Any
 
@@ -175,16 +176,7 @@
     def _take_opened(self, message: ChannelOpened, envelope: Envelope) -> None:
         channel = message.channel
         self._heard_at_by_vm[channel.peer.vm] = self._node.timers.now()
-        copy = self._fleet.copy()
-        channel.send(
-            FleetCopy(
-                copy.configuration_offset,
-                copy.configuration,
-                copy.engines,
-                copy.engines_offset,
-                self._vms(),
-            )
-        )
+        channel.send(replace(self._fleet.copy(), vms=self._vms()))
         channel.send(self._load())
         logger.bind(peer=channel.peer.vm).info("peer connected")
 
@@ -196,18 +188,17 @@
 
     @_take.register
     def _take_copy(self, message: FleetCopy, envelope: Envelope) -> None:
-        news = FleetCopy(-1, b"", (), -1, ())
-        if message.configuration and self._fleet.take_configuration(
+        is_newer = bool(message.configuration) and self._fleet.take_configuration(
             message.configuration_offset, message.configuration
-        ):
-            news = FleetCopy(message.configuration_offset, message.configuration, (), -1, ())
+        )
         changed = self._fleet.take_engines(message.engines)
         if message.engines_offset >= 0:
             self._fleet.has_engines = True
-        if changed or news.configuration:
-            self._pass_on(
-                FleetCopy(news.configuration_offset, news.configuration, changed, -1, ()), envelope
-            )
+        if is_newer:
+            news = replace(message, engines=changed, engines_offset=-1, vms=())
+            self._pass_on(news, envelope)
+        elif changed:
+            self._pass_on(FleetCopy(-1, b"", changed, -1, ()), envelope)
         self.know(message.vms)
 
     @_take.register
--- a/pimentoquay/http1/client.py
+++ b/pimentoquay/http1/client.py
@@ -16,6 +16,7 @@
 import h11
 
 from pimentoquay.http1.headers import HeaderList, find_header
+from pimentoquay.transport.websocket import split_address
 
 __all__ = ["ConnectionPool", "Exchange", "ExchangeError", "ReusePolicy"]
 
@@ -73,10 +74,9 @@
         reuse: ReusePolicy,
         on_open: Callable[[], None] = lambda: None,
     ) -> None:
-        host, _, port = address.rpartition(":")
         self.address = address
         self.open_connections = 0
-        self._host, self._port = host, int(port)
+        self._host, self._port = split_address(address)
         self._connect_seconds = connect_seconds
         self._reuse = reuse
         self._on_open = on_open
--- a/pimentoquay/platform/configuration.py
+++ b/pimentoquay/platform/configuration.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from pimentoquay.http1 import ServerLimits
 from pimentoquay.platform.fields import DecodeError, object_of, optional, required, seconds_of
 from pimentoquay.policy.fleet import (
     FleetConfiguration,
@@ -10,7 +11,6 @@
     Service,
     ServiceShare,
     TokenMemory,
-    TrafficLimits,
 )
 
 __all__ = ["decode_configuration"]
@@ -89,10 +89,11 @@
     )
 
 
-def _limits(item: dict[str, Any]) -> TrafficLimits:
-    return TrafficLimits(
-        header_bytes=optional(item, "maxHeaderBytes", int, 16384),
-        body_bytes=optional(item, "maxBodyBytes", int, 4194304),
-        header_seconds=seconds_of(item, "headerTimeoutMs", 3000.0),
-        idle_seconds=seconds_of(item, "idleTimeoutMs", 15000.0),
+def _limits(item: dict[str, Any]) -> ServerLimits:
+    usual = ServerLimits()
+    return ServerLimits(
+        header_bytes=optional(item, "maxHeaderBytes", int, usual.header_bytes),
+        body_bytes=optional(item, "maxBodyBytes", int, usual.body_bytes),
+        header_seconds=seconds_of(item, "headerTimeoutMs", usual.header_seconds * 1000),
+        idle_seconds=seconds_of(item, "idleTimeoutMs", usual.idle_seconds * 1000),
     )
--- a/pimentoquay/platform/engine_entry.py
+++ b/pimentoquay/platform/engine_entry.py
@@ -2,6 +2,7 @@
 
 from pimentoquay.platform.fields import DecodeError, object_of, optional, required
 from pimentoquay.policy.fleet import EngineEntry, EngineStage
+from pimentoquay.transport.websocket import split_address
 
 __all__ = ["decode_engine_entry"]
 
@@ -26,9 +27,10 @@
     if stage is not None and stage not in _STAGE_BY_WORD:
         raise DecodeError(f"{engine_id}: stage = {stage!r}")
     address = required(item, "address", str)
-    host, _, port = address.rpartition(":")
-    if not host or not port.isdigit():
-        raise DecodeError(f"{engine_id}: address = {address!r}")
+    try:
+        split_address(address)
+    except ValueError as error:
+        raise DecodeError(f"{engine_id}: address: {error}") from None
     return EngineEntry(
         id=engine_id,
         service=required(item, "service", str),
--- a/pimentoquay/policy/fleet.py
+++ b/pimentoquay/policy/fleet.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from pimentoquay.http1 import ServerLimits
+
 __all__ = [
     "EngineEntry",
     "EngineStage",
@@ -17,7 +19,6 @@
     "Service",
     "ServiceShare",
     "TokenMemory",
-    "TrafficLimits",
 ]
 
 
@@ -101,16 +102,6 @@
     memory: TokenMemory | None = None
 
 
-@dataclass(frozen=True)
-class TrafficLimits:
-    """What a caller may send."""
-
-    header_bytes: int
-    body_bytes: int
-    header_seconds: float
-    idle_seconds: float
-
-
 @dataclass(frozen=True)
 class FleetConfiguration:
     """One version of the operators' configuration."""
@@ -118,7 +109,7 @@
     version: int
     routes: tuple[Route, ...]
     service_by_name: dict[str, Service] = field(hash=False)
-    limits: TrafficLimits | None = None
+    limits: ServerLimits = field(default_factory=ServerLimits)
 
 
 @dataclass(frozen=True)
