Read the store as often as the deployment's bounds ask

Cause: the reader's period and the age at which others read were fixed for bounds of 2 s, whatever the settings said; a deployment with a shorter bound would have been served too late. Change: policy/reading_pace derives both from the shorter bound (0.8 and 1.25 s for 2 s, as before); settings that nothing uses are gone.

--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -29,6 +29,7 @@
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.settings import DeploymentSettings
 from pimentoquay.platform.store import StoreClient, StoreError
+from pimentoquay.policy.reading_pace import reading_pace
 from pimentoquay.policy.repeat_allowance import RepeatLimits
 from pimentoquay.policy.run_ledger import RunLedger
 from pimentoquay.policy.token_ledger import TokenLedger
@@ -170,7 +171,8 @@
     mesh.on_load_changed.append(reservations.note_change)
     mesh.on_load_changed.append(lambda: setattr(sharing.repeats, "vms", mesh.vms))
     store = StoreClient(settings.store_address)
-    feed = StoreFeed(store, fleet, node.timers, mesh.is_reader, mesh.publish)
+    pace = reading_pace(bounds.drain_seconds, bounds.config_seconds)
+    feed = StoreFeed(store, fleet, node.timers, pace, mesh.is_reader, mesh.publish)
     orders = StageOrders(
         settings.vm,
         sharing,
@@ -216,12 +218,7 @@
 
 def _limits(fleet: Fleet) -> ServerLimits:
     configuration = fleet.configuration
-    limits = configuration.limits if configuration is not None else None
-    if limits is None:
-        return ServerLimits()
-    return ServerLimits(
-        limits.header_bytes, limits.body_bytes, limits.header_seconds, limits.idle_seconds
-    )
+    return configuration.limits if configuration is not None else ServerLimits()
 
 
 def _readiness(front: Front) -> Callable[[HttpRequest, Reply], Awaitable[None]]:
--- a/pimentoquay/gateway/feed.py
+++ b/pimentoquay/gateway/feed.py
@@ -22,15 +22,10 @@
     StoreClient,
     StoreError,
 )
+from pimentoquay.policy.reading_pace import ReadingPace
 
 __all__ = ["StoreFeed"]
 
-READ_SECONDS = 0.8
-"""The reader's period. A leaving engine may be used for 2 s after the store knows of it."""
-
-STALE_SECONDS = 1.25
-"""The age of the list at which a gateway reads by itself; with one read it stays below 2 s."""
-
 RETRY_SECONDS = 0.4
 """The wait after a failed call; calls that fail are priced like others."""
 
@@ -45,6 +40,8 @@
     ----------
     store, fleet, timers
         Where it reads, what it fills, and the process's timers.
+    pace
+        How often it reads.
     is_reader
         Returns whether this gateway is the one that reads for its peers.
     publish
@@ -56,12 +53,14 @@
         store: StoreClient,
         fleet: Fleet,
         timers: TimerService,
+        pace: ReadingPace,
         is_reader: Callable[[], bool],
         publish: Callable[[FleetCopy], None],
     ) -> None:
         self._store = store
         self._fleet = fleet
         self._timers = timers
+        self._pace = pace
         self._is_reader = is_reader
         self._publish = publish
         self._next_by_topic: dict[str, int] = {}
@@ -75,10 +74,10 @@
     async def run(self) -> None:
         """Read until cancelled."""
         while True:
-            wanted = self._is_reader() or self._fleet.list_age > STALE_SECONDS
+            wanted = self._is_reader() or self._fleet.list_age > self._pace.stale_age
             if wanted or not self._fleet.is_known:
                 ok = await self._read_all()
-                await self._timers.sleep(READ_SECONDS if ok else RETRY_SECONDS)
+                await self._timers.sleep(self._pace.period if ok else RETRY_SECONDS)
             else:
                 await self._timers.sleep(CHECK_SECONDS)
             self._fleet.expire()
--- a/pimentoquay/gateway/tests/rig.py
+++ b/pimentoquay/gateway/tests/rig.py
@@ -94,14 +94,11 @@
             data_centre="hall",
             region="here",
             host="127.0.0.1",
-            data_centres=("hall",),
             callers_address="127.0.0.1:0",
             readiness_address="127.0.0.1:0",
             control_address="127.0.0.1:0",
-            free_ports=(),
             control_addresses=tuple(seeds),
             store_address=store_address or self.store_address,
-            heartbeat_seconds=1.2,
             bounds=Bounds(2.0, 3.0, 8.0, 2.0, 0.2, 10.0, 5000.0),
         )
         identity = Identity(vm, "gateway", "here", "hall", 1)
--- a/pimentoquay/platform/settings.py
+++ b/pimentoquay/platform/settings.py
@@ -40,14 +40,11 @@
     data_centre: str
     region: str
     host: str
-    data_centres: tuple[str, ...]
     callers_address: str
     readiness_address: str
     control_address: str
-    free_ports: tuple[int, ...]
     control_addresses: tuple[str, ...]
     store_address: str
-    heartbeat_seconds: float
     bounds: Bounds
 
 
@@ -65,21 +62,17 @@
 
 def _decode(item: dict[str, Any]) -> DeploymentSettings:
     listen = required(item, "listen", dict)
-    first, last = required(item, "innerPortRange", list)
     platform = required(item, "platform", dict)
     return DeploymentSettings(
         vm=required(item, "nodeName", str),
         data_centre=required(item, "zone", str),
         region=optional(item, "region", str, ""),
         host=required(item, "ipAddr", str),
-        data_centres=tuple(sorted(required(item, "zones", dict))),
         callers_address=required(listen, "frontAddr", str),
         readiness_address=required(listen, "readyAddr", str),
         control_address=optional(listen, "controlAddr", str, ""),
-        free_ports=tuple(range(int(first), int(last) + 1)),
         control_addresses=tuple(str(seed) for seed in optional(item, "seedAddrs", list, [])),
         store_address=required(platform, "address", str),
-        heartbeat_seconds=seconds_of(item, "beatIntervalMs", 1000.0),
         bounds=_decode_bounds(optional(item, "bounds", dict, {})),
     )
 
--- a/pimentoquay/platform/tests/test_decoding.py
+++ b/pimentoquay/platform/tests/test_decoding.py
@@ -86,7 +86,6 @@
     assert route.repeat is RepeatRule.STREAM and route.may_run_again
     assert (route.host, route.timeout_seconds, route.gap_seconds) == ("ficu95.example", 14.0, 0.3)
     assert [share.weight for share in route.shares] == [90.0, 10.0]
-    assert configuration.limits is not None
     assert configuration.limits.idle_seconds == 0.5
 
 
@@ -101,13 +100,13 @@
     path.write_text(json.dumps(SETTINGS))
     settings = load_deployment(path)
     assert settings.bounds.drain_seconds == 2.0 and settings.bounds.grace_seconds == 8.0
-    assert settings.free_ports[0] == 7660 and settings.control_address == ""
+    assert settings.callers_address == "10.1.0.35:8144" and settings.control_address == ""
 
 
 def test_a_missing_setting_is_named_with_its_file(tmp_path):
     path = tmp_path / "local.json"
     path.write_text(json.dumps({"nodeName": "front-1"}))
-    with pytest.raises(DecodeError, match=r"local\.json.*innerPortRange|local\.json.*listen"):
+    with pytest.raises(DecodeError, match=r"local\.json.*listen"):
         load_deployment(path)
 
 
