--- a/pimentoquay/gateway/plain.py
+++ b/pimentoquay/gateway/plain.py
@@ -33,9 +33,6 @@
 FRESH_SECONDS = 1.0
 """How recently a kept connection must have been used to carry a call that may not be repeated."""
 
-MISDIRECTED_SECONDS = 2.0
-"""How long an address is avoided at which another engine answered; its entry follows within it."""
-
 
 @dataclass(frozen=True)
 class _Answer:
@@ -86,14 +83,16 @@
     def _choose(self, job: Job, tries: _Tries) -> EngineEntry | None:
         now = asyncio.get_running_loop().time()
         sharing = self._sharing
-        until_by_engine = sharing.misdirected_until_by_engine
-        avoid = tries.engines | {each for each, until in until_by_engine.items() if until > now}
-        engines = sharing.fleet.engines_of(job.service)
+        engines = [
+            engine
+            for engine in sharing.fleet.engines_of(job.service)
+            if not sharing.is_misdirected(engine, now)
+        ]
         reachable = [each for each in engines if not sharing.links.is_open(each.id, now)]
         chosen = None
         for candidates in (reachable, engines):
             chosen = chosen or choose_engine(
-                candidates, sharing.experience_by_engine, sharing.data_centre, now, avoid
+                candidates, sharing.experience_by_engine, sharing.data_centre, now, tries.engines
             )
         return chosen
 
@@ -158,9 +157,7 @@
         """Return the answer if it is the engine's own to this request."""
         if answer.facts.has_not_run:
             if answer.facts.is_misdirected:
-                now = asyncio.get_running_loop().time()
-                until_by_engine = self._sharing.misdirected_until_by_engine
-                until_by_engine[engine.id] = now + MISDIRECTED_SECONDS
+                self._sharing.note_misdirected(engine)
             self._log(job, engine, f"not run: status {answer.status}")
             return None
         tries.runs += 1
--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -9,7 +9,7 @@
 from pimentoquay.gateway.links import EngineLink
 from pimentoquay.kernel.errors import HttpError
 from pimentoquay.kernel.logs import logger
-from pimentoquay.platform.answers import PrefillResult, read_prefill
+from pimentoquay.platform.answers import PrefillResult, read_answer, read_prefill
 from pimentoquay.platform.fields import DecodeError
 from pimentoquay.platform.requests import SendOptions
 from pimentoquay.policy.fleet import EngineEntry, EngineStage, ModelRequest
@@ -135,6 +135,8 @@
                 ) as exchange,
             ):
                 body = await exchange.read_body()
+                if read_answer(exchange.status, exchange.headers).is_misdirected:
+                    self._sharing.note_misdirected(engine)
                 if exchange.status != 200:
                     raise _PrefillRefusedError(f"status {exchange.status}")
                 self._speed.note(tokens, loop.time() - started_at)
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -29,6 +29,10 @@
 MAX_SENDS = 4
 """Sends of one request to decode engines, those that were turned away included."""
 
+RUN_SENDS = 2
+"""What another run is charged to the allowance for repeats: its prompt arrives at a prefill engine,
+and its stream at a decode engine."""
+
 SILENCE_SECONDS = 1.5
 """The silence after which a stream that may go on elsewhere is taken from its engine; five times
 the longest pause that is on time, and well below the wait after which callers leave."""
@@ -137,7 +141,7 @@
         may_run_again = job.route.is_resumable and progress.runs < job.route.max_engines
         if progress.runs and not may_run_again:
             return False
-        return progress.arrivals == 0 or self._sharing.repeats.take(job.service)
+        return progress.arrivals == 0 or self._sharing.repeats.take(job.service, RUN_SENDS)
 
     def _give_up(self, job: Job, progress: _Progress, detail: str) -> None:
         failure = progress.failure
@@ -227,7 +231,7 @@
                 head_seconds=silence,
             ) as exchange:
                 if exchange.status != 200:
-                    await self._take_failure(progress, exchange, prefill)
+                    await self._take_failure(progress, exchange, reservation, prefill)
                 await self._relay(job, progress, exchange, reservation, prefill, silence)
         except HttpError as error:
             raise _RunEndedError(str(error), error.written, error.written) from None
@@ -235,10 +239,16 @@
             raise _RunEndedError(f"not a stream of events: {error}", True) from None
 
     async def _take_failure(
-        self, progress: _Progress, exchange: Exchange, prefill: Prefill | None
+        self,
+        progress: _Progress,
+        exchange: Exchange,
+        reservation: Reservation,
+        prefill: Prefill | None,
     ) -> None:
         body = await exchange.read_body(SILENCE_SECONDS)
         facts = read_answer(exchange.status, exchange.headers)
+        if facts.is_misdirected:
+            self._sharing.note_misdirected(reservation.engine)
         if facts.has_not_run:
             raise _RunEndedError(f"turned away: status {exchange.status}", False)
         if prefill is not None:
--- a/pimentoquay/gateway/tests/test_streams.py
+++ b/pimentoquay/gateway/tests/test_streams.py
@@ -117,3 +117,24 @@
         task.cancel()
         await until(lambda: not any(engine.holds for engine in decoders(made)), "no holds")
         assert decodes(made) == []
+
+
+async def test_an_engine_that_turned_a_stream_away_as_misdirected_is_not_asked_again():
+    """An engine that starts again takes reservations before its entry shows its new stage. On
+    huong-giang (scale-1, seed 452864596677) each stream went to it up to four times."""
+    async with rig() as made:
+        dec_1 = made.engine_by_id["dec-1"]
+        dec_1.behaviour = lambda arrival: Behaviour.MISDIRECTED
+        for number in range(4):
+            assert (await made.stream(f"/sheet/{number}")).status == 200
+        assert len(dec_1.arrivals) == 1
+
+
+async def test_a_second_run_is_charged_for_its_prompt_and_for_its_tokens():
+    """Both arrive at engines; charging one let a deployment send twice what its bounds allow."""
+    async with rig() as made:
+        sharing = made.gateway_by_vm["vm-1"].orders._sharing
+        first_meets(made, Behaviour.SHED)
+        assert (await made.stream("/sheet/a")).status == 200
+        assert len(sharing.repeats._of("llm")._repeat_times) == 2
+        assert len(decodes(made)) == 2 and len(made.engine_by_id["pre-1"].arrivals) == 2
--- a/pimentoquay/policy/repeat_allowance.py
+++ b/pimentoquay/policy/repeat_allowance.py
@@ -52,11 +52,11 @@
         earned = limits.ratio * len(self._request_times)
         return earned + slack - len(self._repeat_times)
 
-    def take(self, now: float, vms: int) -> bool:
-        """Count a repeat if there is allowance for it; return whether there was."""
-        if self.left(now, vms) < 1.0:
+    def take(self, now: float, vms: int, sends: int = 1) -> bool:
+        """Count a repeat of so many sends if all are allowed; return whether they are."""
+        if self.left(now, vms) < sends:
             return False
-        self._repeat_times.append(now)
+        self._repeat_times.extend([now] * sends)
         return True
 
     def _forget(self, now: float) -> None:
--- a/pimentoquay/policy/tests/test_choices.py
+++ b/pimentoquay/policy/tests/test_choices.py
@@ -76,3 +76,11 @@
     allowance = RepeatAllowance(limits, started_at=0.0)
     assert not allowance.take(0.5, 7)
     assert allowance.left(5.0, 7) == 5.0
+
+
+def test_a_repeat_of_two_sends_is_allowed_whole_or_not_at_all():
+    limits = RepeatLimits(ratio=0.0, slack=3, window_seconds=10.0)
+    allowance = RepeatAllowance(limits, started_at=-100.0)
+    assert allowance.take(0.0, 1, sends=2)
+    assert not allowance.take(0.0, 1, sends=2)
+    assert allowance.take(0.0, 1)
--- a/pimentoquay/standin/platform_engine.py
+++ b/pimentoquay/standin/platform_engine.py
@@ -22,6 +22,7 @@
 
     SERVE = "serve"
     SHED = "refuse with the proof that nothing ran"
+    MISDIRECTED = "refuse as an engine of another stage or another start"
     FAIL = "run and answer 500"
     RESET = "run and reset the connection"
     MUTE = "run and never answer"
@@ -144,6 +145,8 @@
         )
         if behaviour is Behaviour.SHED:
             reply.send(503, ((b"Pimentoquay-Not-Executed", b"1"),), b"")
+        elif behaviour is Behaviour.MISDIRECTED:
+            reply.send(421, ((b"Pimentoquay-Instance-Id", self.id.encode()),), b"")
         elif behaviour is Behaviour.FAIL:
             reply.send(500, headers, b"failed")
         elif behaviour is Behaviour.RESET:
