Relay loads and news in large deployments, and list runs by engine

Cause: with 82 gateways, each kept channels to all others in both directions, and each change of what one holds was sent 81 times. Addresses carry the offset of their record, so that two of one VM are not exchanged for ever. Orders of stages are told by their fence. The ledger of runs groups them by engine once a decision. Ruled out: fewer heartbeats alone (the messages of changes remain); one owner a shard (its loss has to be borne as well; not measured).

--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -112,7 +112,7 @@
     async def _find_peers(self) -> None:
         settings, timers = self.settings, self.node.timers
         timers.every(SEED_SECONDS, lambda: self.mesh.dial_seeds(settings.control_addresses))
-        await self.feed.announce(settings.vm, settings.control_address)
+        await self.feed.announce(settings.vm, settings.control_address, settings.data_centre)
         while True:
             try:
                 self.mesh.know(await self.feed.vms())
--- a/pimentoquay/gateway/feed.py
+++ b/pimentoquay/gateway/feed.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import json
 from collections.abc import Callable
 
 from pimentoquay.gateway.fleet import Fleet
@@ -85,11 +86,12 @@
             if wanted and removals:
                 self._publish(FleetCopy(-1, b"", removals, -1, ()))
 
-    async def announce(self, vm: str, address: str) -> None:
+    async def announce(self, vm: str, address: str, data_centre: str) -> None:
         """Write where this VM listens for peers, until the store has taken it."""
+        value = json.dumps({"address": address, "data_centre": data_centre}).encode()
         while True:
             try:
-                await self._store.put(VM_TOPIC, vm, address.encode())
+                await self._store.put(VM_TOPIC, vm, value)
             except StoreError as error:
                 logger.bind(error=str(error)).info("the VM's address is not written yet")
                 await self._timers.sleep(1.0)
@@ -99,11 +101,8 @@
     async def vms(self) -> tuple[VmAddress, ...]:
         """Return the addresses that VMs have written; ``StoreError`` if they cannot be read."""
         page = await self._store.newest(VM_TOPIC)
-        return tuple(
-            VmAddress(record.key, record.value.decode("utf-8", "replace"))
-            for record in page.records
-            if record.value
-        )
+        found = (_read_address(record) for record in page.records if record.value)
+        return tuple(each for each in found if each is not None)
 
     async def _read_all(self) -> bool:
         reads = [self._read(topic) for topic in self._read_by_topic]
@@ -164,3 +163,13 @@
             self._fleet.note_engines_read(next_offset)
         if changed:
             self._publish(FleetCopy(-1, b"", changed, next_offset, ()))
+
+
+def _read_address(record: KeyedRecord) -> VmAddress | None:
+    try:
+        item = json.loads(record.value or b"")
+        place = str(item["address"]), str(item["data_centre"])
+        return VmAddress(record.key, *place, record.offset)
+    except (ValueError, TypeError, KeyError) as error:
+        logger.bind(peer=record.key).warning("unreadable address of a VM ignored: {!r}", error)
+        return None
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -190,11 +190,7 @@
         if not engines:
             raise RefusedError(ResultCode.NO_BACKEND, "no decode engine is listed", RETURN_SECONDS)
         now = asyncio.get_running_loop().time()
-        held = sum(
-            run.tokens + run.remaining
-            for engine in engines
-            for run in self._running.runs_at(engine.id, now)
-        )
+        held = self._running.expected(engines, now)
         own, peers = self.waiting, self._peers_waiting()
         ahead = own.tokens + peers.tokens
         decision = decide_wait(
--- a/pimentoquay/gateway/stage_orders.py
+++ b/pimentoquay/gateway/stage_orders.py
@@ -183,9 +183,9 @@
 
     async def _order(self, change: StageChange, service: Service) -> None:
         assert self._claim is not None and service.memory is not None
-        engine, stage = change.engine, change.stage
+        engine, stage, fence = change.engine, change.stage, self._claim.fence
         link = self._sharing.links.to(engine)
-        call = link.calls.change_stage(stage is EngineStage.PREFILL, self._vm, self._claim.fence)
+        call = link.calls.change_stage(stage is EngineStage.PREFILL, self._vm, fence)
         seconds = service.memory.change_seconds + CHANGE_MARGIN_SECONDS
         try:
             status, _ = await link.call(call, ORDER_SECONDS)
@@ -196,13 +196,13 @@
         logger.bind(
             engine=engine.id,
             stage=stage.value,
-            fence=self._claim.fence,
+            fence=fence,
             share=f"{self.demand.prefill_share:.3f}",
             outcome=outcome.value,
         ).info("stage ordered")
         if outcome is OrderOutcome.FENCED:
             self._claim = None
-        order = StageOrdered(engine.id, seconds)
+        order = StageOrdered(engine.id, seconds, fence)
         self.note_ordered(order)
         if outcome in (OrderOutcome.ACCEPTED, OrderOutcome.UNKNOWN):
             self._announce(order)
--- a/pimentoquay/gateway/tests/rig.py
+++ b/pimentoquay/gateway/tests/rig.py
@@ -14,7 +14,7 @@
 from pimentoquay.platform.settings import Bounds, DeploymentSettings
 from pimentoquay.standin.platform_engine import PlatformEngine
 from pimentoquay.standin.platform_store import PlatformStore
-from pimentoquay.transport.websocket import WebSocketTransport
+from pimentoquay.transport.memory import MemoryNetwork
 
 MEMORY = {
     "slotCount": 64,
@@ -75,6 +75,7 @@
 class Rig:
     store: PlatformStore = field(default_factory=PlatformStore)
     store_address: str = ""
+    network: MemoryNetwork = field(default_factory=MemoryNetwork)
     engine_by_id: dict = field(default_factory=dict)
     gateway_by_vm: dict = field(default_factory=dict)
     _stop_by_vm: dict = field(default_factory=dict)
@@ -97,13 +98,13 @@
             host="127.0.0.1",
             callers_address="127.0.0.1:0",
             readiness_address="127.0.0.1:0",
-            control_address="127.0.0.1:0",
+            control_address=f"{vm}:1",
             control_addresses=tuple(seeds),
             store_address=store_address or self.store_address,
             bounds=Bounds(2.0, 3.0, 8.0, 2.0, 0.2, 10.0, 5000.0),
         )
         identity = Identity(vm, "gateway", "here", "hall", 1)
-        node = Node(identity, WebSocketTransport(identity, b"key"), LoopClock())
+        node = Node(identity, self.network.transport(identity), LoopClock())
         gateway = compose_gateway(settings, node, metrics_port)
         stop = asyncio.Event()
         self.gateway_by_vm[vm] = gateway
--- a/pimentoquay/gateway/tests/test_feed.py
+++ b/pimentoquay/gateway/tests/test_feed.py
@@ -105,9 +105,7 @@
 
 async def test_a_gateway_that_the_store_turns_away_serves_from_its_peers_knowledge():
     async with rig() as made:
-        first = made.gateway_by_vm["vm-1"]
-        seed = f"127.0.0.1:{first.node.transport.port}"
-        away = await made.add_gateway("vm-2", store_address="127.0.0.1:1", seeds=(seed,))
+        away = await made.add_gateway("vm-2", store_address="127.0.0.1:1", seeds=("vm-1:1",))
         assert (await made.ask("/look/a", vm="vm-2")).status == 200
         await made.store.put("keyed.op", "config", configuration(8))
         await until(lambda: version_at(away) == 8, "version 8")
--- a/pimentoquay/messages/fleet.py
+++ b/pimentoquay/messages/fleet.py
@@ -13,6 +13,8 @@
     "EngineTokens",
     "RunSize",
     "FleetCopy",
+    "PeerLoad",
+    "PeerLoads",
     "StageOrdered",
     "VmAddress",
     "VmLoad",
@@ -30,10 +32,15 @@
 
 @message(121)
 class VmAddress:
-    """Where a VM's gateway listens for its peers."""
+    """Where a VM's gateway listens for its peers, and the VM's data centre.
+
+    Of two addresses of one VM the one with the higher ``offset`` in the store is the newer.
+    """
 
     vm: str
     address: str
+    data_centre: str
+    offset: int
 
 
 @message(122)
@@ -73,7 +80,7 @@
 
 @message(124)
 class VmLoad:
-    """What a gateway holds and what waits there; also its heartbeat.
+    """What a gateway holds and what waits there; it also shows that the gateway lives.
 
     ``waiting_tokens`` is the memory that streams wait for, ``urgent_tokens`` the part of it that is
     for streams which can still begin in time. ``list_age`` is how long ago the store was last read
@@ -88,9 +95,34 @@
     is_draining: bool
 
 
+@message(128)
+class PeerLoad:
+    """A gateway's load on its way over relays.
+
+    ``number`` grows with each load of an incarnation. ``load`` is an encoded ``VmLoad``: relays
+    pass it on as it is, and who has a newer one does not decode it.
+    """
+
+    vm: str
+    incarnation: int
+    number: int
+    load: bytes
+
+
+@message(129)
+class PeerLoads:
+    """The newest loads since the last message on the channel, and its heartbeat."""
+
+    loads: tuple[PeerLoad, ...]
+
+
 @message(125)
 class StageOrdered:
-    """An engine that was told to change its stage and serves nobody for so many seconds."""
+    """An engine that was told to change its stage and serves nobody for so many seconds.
+
+    ``fence`` is the order's fencing number, which no other order has.
+    """
 
     engine: str
     seconds: float
+    fence: int
--- a/pimentoquay/policy/run_ledger.py
+++ b/pimentoquay/policy/run_ledger.py
@@ -96,34 +96,46 @@
 
     def runs_at(self, engine: str, now: float) -> list[GrowingRun]:
         """Return the runs of all VMs at an engine."""
-        everybody = (self._own_by_key.values(), *self._runs_by_vm.values())
-        heard = [
-            self._run_at(seen, now) for part in everybody for seen in part if seen.engine == engine
-        ]
-        lost = [
-            self._run_at(seen, now)
-            for part in self._lost_runs_by_vm.values()
-            for seen in part
-            if seen.engine == engine
-        ]
-        return heard + [run for run in lost if run.remaining > 0]
+        return self._runs_by_engine(now).get(engine, [])
 
     def held(self, engine: str, now: float) -> int:
         """Return the tokens that the runs of all VMs hold at an engine."""
         return sum(run.tokens for run in self.runs_at(engine, now))
 
+    def expected(self, engines: Sequence[EngineEntry], now: float) -> int:
+        """Return the tokens that the runs of all VMs at these engines will have at their ends."""
+        runs_by_engine = self._runs_by_engine(now)
+        return sum(
+            run.tokens + run.remaining
+            for engine in engines
+            for run in runs_by_engine.get(engine.id, ())
+        )
+
     def candidates(
         self, engines: Sequence[EngineEntry], usable: int, run: GrowingRun, now: float
     ) -> list[EngineEntry]:
         """Return the engines whose memory suffices for one more run, the emptiest first."""
+        runs_by_engine = self._runs_by_engine(now)
         peak_by_id = {
-            engine.id: peak_tokens([*self.runs_at(engine.id, now), run])
+            engine.id: peak_tokens([*runs_by_engine.get(engine.id, ()), run])
             for engine in engines
             if not self._is_refused(engine.id, run, now)
         }
         fitting = [engine for engine in engines if peak_by_id.get(engine.id, usable + 1) <= usable]
         return sorted(fitting, key=lambda engine: (peak_by_id[engine.id], engine.id))
 
+    def _runs_by_engine(self, now: float) -> dict[str, list[GrowingRun]]:
+        runs_by_engine: dict[str, list[GrowingRun]] = {}
+        for part in (self._own_by_key.values(), *self._runs_by_vm.values()):
+            for seen in part:
+                runs_by_engine.setdefault(seen.engine, []).append(self._run_at(seen, now))
+        for part in self._lost_runs_by_vm.values():
+            for seen in part:
+                run = self._run_at(seen, now)
+                if run.remaining > 0:
+                    runs_by_engine.setdefault(seen.engine, []).append(run)
+        return runs_by_engine
+
     def _is_refused(self, engine: str, run: GrowingRun, now: float) -> bool:
         until, tokens = self._refused_by_engine.get(engine, (now, 0))
         return now < until and run.tokens >= tokens
