Explain a request from gateways' logs, and never wait for the logs' reader

Cause: the bound of 200 lines a second counts lines by their message, and nine messages held the text of an error, so each error was a kind of its own and unbounded; a reader of standard output that stops stopped the gateway; and to find a cause one had to search several logs by hand. Change: messages hold no values, those are in fields; LogStream keeps 1 MiB for a slow reader and counts what is lost after that; pimentoquay-ctl explain puts a request's lines, what was learned of its engines and the cause in order; the gateway's metrics are in the generated reference. Tests: ctl/tests/test_explain.py makes the three failures of docs/OPERATIONS.md on the stand-ins and finds their causes from the lines alone; kernel/tests/test_log_stream.py.

--- a/pimentoquay/ctl/program.py
+++ b/pimentoquay/ctl/program.py
@@ -25,6 +25,7 @@
     "completion",
     "diff",
     "drain",
+    "explain",
     "get",
     "history",
     "publish",
--- a/pimentoquay/ctl/reference.py
+++ b/pimentoquay/ctl/reference.py
@@ -16,8 +16,9 @@
 from pimentoquay.ctl.settings import CtlSettings
 from pimentoquay.entry.metrics import METRICS
 from pimentoquay.entry.settings import EntrySettings
+from pimentoquay.gateway.metrics import GATEWAY_METRICS
 from pimentoquay.kernel import ResultCode, info_of
-from pimentoquay.kernel.metrics import PERCENTILES, SIGNIFICANT_DIGITS
+from pimentoquay.kernel.metrics import PERCENTILES, SIGNIFICANT_DIGITS, Metric
 from pimentoquay.kernel.settings import setting_infos
 
 __all__ = ["main", "pages"]
@@ -135,17 +136,14 @@
     quantiles = ", ".join(f"{percent / 100:g}" for percent in PERCENTILES)
     parts = [
         _NOTICE,
-        "# Metrics of the entry\n",
+        "# Metrics\n",
         "`GET /metrics` answers in the Prometheus text format. Each request is counted once, when\n"
         f"it ends. Times are in seconds, from HDR histograms with {SIGNIFICANT_DIGITS} significant "
         "digits over the\n"
         f"process's whole run; quantiles are {quantiles}, and each summary has a `_count`.\n",
     ]
-    lines = ["| Metric | Labels | Type | Meaning |", "| --- | --- | --- | --- |"]
-    for metric in METRICS:
-        labels = ", ".join(f"`{label}`" for label in metric.labels)
-        lines.append(f"| `{metric.name}` | {labels} | {metric.type} | {metric.help} |")
-    parts.append("\n".join(lines) + "\n")
+    parts += ["## The entry\n", _metrics_table(METRICS)]
+    parts += ["## The gateway\n", _metrics_table(GATEWAY_METRICS)]
     parts.append(
         "The control process writes what it uses to its log, and `pimentoquay-ctl status` tells\n"
         "its state.\n"
@@ -153,5 +151,13 @@
     return "\n".join(parts)
 
 
+def _metrics_table(metrics: Sequence[Metric]) -> str:
+    lines = ["| Metric | Labels | Type | Meaning |", "| --- | --- | --- | --- |"]
+    for metric in metrics:
+        labels = ", ".join(f"`{label}`" for label in metric.labels)
+        lines.append(f"| `{metric.name}` | {labels} | {metric.type} | {metric.help} |")
+    return "\n".join(lines) + "\n"
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/pimentoquay/ctl/tests/test_explain.py
@@ -0,0 +1,90 @@
+"""Failures made on the stand-ins, explained from the log lines alone."""
+
+import io
+import itertools
+import json
+import sys
+
+import pytest
+
+from pimentoquay.ctl.explanation import explain
+from pimentoquay.ctl.program import run_command
+from pimentoquay.gateway.tests.rig import model_headers, rig
+from pimentoquay.kernel.logs import configure_logs, logger
+from pimentoquay.standin.platform_engine import Behaviour
+
+
+@pytest.fixture
+def lines():
+    stream = io.StringIO()
+    configure_logs("pimentoquay-gateway", "vm-1", "INFO", stream)
+    yield lambda: stream.getvalue().splitlines()
+    logger.remove()
+    logger.add(sys.stderr)
+
+
+async def test_a_stream_that_was_refused_under_load(lines):
+    async with rig() as made:
+        for engine in made.engine_by_id.values():
+            engine.capacity = 0
+        assert (await made.stream("/sheet/b", request_id="late")).status == 429
+    (cause,) = explain(lines(), "late").causes
+    assert cause.text.startswith("200 not run: the queue is full (")
+    assert "tokens wait" in cause.text
+
+
+async def test_a_stream_that_its_engine_broke_off(lines):
+    async with rig() as made:
+        for engine in made.engine_by_id.values():
+            engine.behaviour = lambda arrival: Behaviour.RESET
+        headers = model_headers()
+        answer = await made.ask("/sheet/a", headers=headers, request_id="cut")
+        assert answer.status == 502
+    (cause,) = explain(lines(), "cut").causes
+    assert cause.code == 400
+    assert "before: run ended early at dec-" in cause.text
+
+
+async def test_a_call_with_an_unknown_outcome(lines):
+    async with rig() as made:
+        for engine in made.engine_by_id.values():
+            engine.behaviour = lambda arrival: Behaviour.RESET
+        assert (await made.ask("/order/a", request_id="once")).status == 502
+    (cause,) = explain(lines(), "once").causes
+    assert cause.code == 403
+    assert "before: send failed at desk-" in cause.text
+
+
+async def test_the_command_reads_several_files_and_tells_what_was_known_of_the_engine(
+    tmp_path, capsys
+):
+    def line(number, message, vm="vm-1", **fields):
+        return json.dumps({"time": f"T{number}", "vm": vm, "message": message, **fields})
+
+    (tmp_path / "a.log").write_text(
+        "\n".join(
+            [
+                "7.1 vm-1 " + line(3, "request ended", request="r1", code="404", detail="cut"),
+                line(1, "run ended early", request="r1", engine="e1", detail="reset"),
+                "not a line of JSON {",
+            ]
+        )
+    )
+    (tmp_path / "b.log").write_text(
+        "\n".join(
+            [
+                line(2, "engine list changed", engine="e1", state="gone"),
+                line(2, "engine list changed", engine="e2", state="gone"),
+                line(2, "engine list changed", vm="vm-2", engine="e1", state="gone"),
+            ]
+        )
+    )
+    files = [str(tmp_path / name) for name in ("a.log", "b.log")]
+    assert await run_command(["explain", "r1", *files]) == 0
+    shown = capsys.readouterr().out.splitlines()
+    assert [each.split()[0] for each in itertools.islice(shown, 3)] == ["T1", "T2", "T3"]
+    assert (
+        shown[3] == "vm-1: 404 the stream ended early (cut); before: run ended early at e1: reset"
+    )
+    assert await run_command(["explain", "r2", *files]) == 1
+    assert await run_command(["explain", "r1", str(tmp_path / "none.log")]) == 2
--- a/pimentoquay/gateway/feed.py
+++ b/pimentoquay/gateway/feed.py
@@ -171,5 +171,5 @@
         place = str(item["address"]), str(item["data_centre"])
         return VmAddress(record.key, *place, record.offset)
     except (ValueError, TypeError, KeyError) as error:
-        logger.bind(peer=record.key).warning("unreadable address of a VM ignored: {!r}", error)
+        logger.bind(peer=record.key, error=repr(error)).warning("unreadable address ignored")
         return None
--- a/pimentoquay/gateway/fleet.py
+++ b/pimentoquay/gateway/fleet.py
@@ -78,7 +78,7 @@
         try:
             configuration = decode_configuration(document)
         except DecodeError as error:
-            logger.bind(offset=offset).warning("unreadable configuration ignored: {}", error)
+            logger.bind(offset=offset, error=str(error)).warning("unreadable configuration ignored")
             return False
         current = self.configuration
         if current is not None and configuration.version <= current.version:
@@ -164,6 +164,6 @@
     try:
         entry = decode_engine_entry(record.engine, record.value)
     except DecodeError as error:
-        logger.bind(engine=record.engine).info("unreadable engine entry: {}", error)
+        logger.bind(engine=record.engine, error=str(error)).info("unreadable engine entry")
         return EngineUpdate(record.engine, record.offset, None)
     return EngineUpdate(record.engine, record.offset, entry)
--- a/pimentoquay/gateway/links.py
+++ b/pimentoquay/gateway/links.py
@@ -180,7 +180,7 @@
         try:
             await link.call(call)
         except HttpError as error:
-            logger.bind(engine=link.entry.id, purpose=purpose).info("call failed: {}", error)
+            logger.bind(engine=link.entry.id, purpose=purpose, error=str(error)).info("call failed")
 
 
 def _is_same_start(one: EngineEntry, other: EngineEntry) -> bool:
--- a/pimentoquay/gateway/load_relay.py
+++ b/pimentoquay/gateway/load_relay.py
@@ -98,7 +98,7 @@
             try:
                 load = decode(each.load)
             except CodecError as error:
-                logger.bind(peer=each.vm, relay=source).warning("unreadable load: {}", error)
+                logger.bind(peer=each.vm, relay=source, error=str(error)).warning("unreadable load")
                 continue
             if not isinstance(load, VmLoad):
                 logger.bind(peer=each.vm, relay=source).warning("a load of another type ignored")
--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -85,8 +85,8 @@
             try:
                 return await self._send(job, model, engine, after_event)
             except (HttpError, _PrefillRefusedError, DecodeError, TimeoutError) as error:
-                logger.bind(request=job.caller.id, engine=engine.id).info(
-                    "prefill failed: {!r}", error
+                logger.bind(request=job.caller.id, engine=engine.id, error=repr(error)).info(
+                    "prefill failed"
                 )
                 failed.add(engine.id)
 
--- a/pimentoquay/gateway/program.py
+++ b/pimentoquay/gateway/program.py
@@ -14,6 +14,7 @@
 from pimentoquay import __version__
 from pimentoquay.gateway.compose import compose_gateway
 from pimentoquay.kernel import Identity, LoopClock, Node
+from pimentoquay.kernel.log_stream import LogStream
 from pimentoquay.kernel.logs import configure_logs, logger
 from pimentoquay.kernel.programs import EXIT_SETTINGS, StopRequested, run_until_stopped
 from pimentoquay.platform.fields import DecodeError
@@ -37,7 +38,7 @@
     except DecodeError as error:
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
-    configure_logs(PROGRAM, settings.vm, arguments.level, sys.stdout)
+    configure_logs(PROGRAM, settings.vm, arguments.level, LogStream(sys.stdout.fileno()))
     return run_until_stopped(lambda stop: _serve(settings, stop, arguments.metrics_port))
 
 
@@ -62,6 +63,6 @@
     try:
         settings = load_deployment()
     except DecodeError as error:
-        logger.warning("the changed settings are invalid: {}", error)
+        logger.bind(error=str(error)).warning("the changed settings are invalid")
     else:
         logger.bind(store=settings.store_address).info("settings read again")
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -249,7 +249,9 @@
             if status == 200:
                 hold = link.calls.read_hold(body)
         except (HttpError, DecodeError) as error:
-            logger.bind(engine=engine.id).info("no reservation: {}", error)
+            logger.bind(request=job.caller.id, engine=engine.id, error=str(error)).info(
+                "no reservation"
+            )
         finally:
             if not hold:
                 self._running.release(key)
--- a/pimentoquay/http1/server.py
+++ b/pimentoquay/http1/server.py
@@ -303,7 +303,7 @@
         except asyncio.CancelledError:
             reply.ended = False
         except Exception as error:
-            logger.opt(exception=error).error("a request's handler failed: {!r}", error)
+            logger.opt(exception=error).error("a request's handler failed")
             if not reply.started:
                 reply.send(500, (), b"")
         finally:
--- a/pimentoquay/kernel/logs.py
+++ b/pimentoquay/kernel/logs.py
@@ -11,6 +11,7 @@
 
 from loguru import logger
 
+from pimentoquay.kernel.log_stream import LogStream
 from pimentoquay.kernel.timeline import Event
 
 __all__ = ["configure_logs", "log_event", "logger"]
@@ -22,7 +23,7 @@
 
 
 def configure_logs(
-    process: str, vm: str, level: str = "INFO", stream: TextIO | None = None
+    process: str, vm: str, level: str = "INFO", stream: TextIO | LogStream | None = None
 ) -> None:
     """Send every log line of this process to a stream as JSON.
 
--- a/pimentoquay/transport/websocket.py
+++ b/pimentoquay/transport/websocket.py
@@ -192,7 +192,7 @@
             welcome = handshake.make_welcome(self.identity, self._key, challenge, hello)
             await connection.send(encode(welcome))
         except PimentoquayError as error:
-            logger.bind(code=int(error.code)).warning("peer refused: {}", error)
+            logger.bind(code=int(error.code), error=str(error)).warning("peer refused")
             await _reject(connection, error)
             return None
         except (WebSocketException, TimeoutError):
