Share out stages by all gateways' work, and take engines alike in an order of each VM's own

Cause: the gateway that orders stages counted its own requests against 30 assumed ones, with 82 gateways three in ten seconds, and assumed that a stream takes a third of an engine for a second. On the grown pool 8 engines of 23 prefilled, busy for a quarter of the time, while decode memory ran out at two thirds of the load. With 4, prompts and memory met single engines (3.8 times the mean): over relays a gateway hears of others' requests 0.1 s late, and eight streams come in that time. Change: each gateway tells the sums of its work (StageDemand.set_peer); assumptions are in tokens and seconds; one engine in eight may change at a time, all before any request; two prefill engines at least where there are five; headroom 2 for bursts of twice the mean. Loads that are heard of late count in steps, and within a step each VM has an order of its own (policy/engine_preference.py). Check changed: a pool with prefill engines too many gets its orders together where nothing runs, so the test of one order is now one of two, and a new one holds that one changes while requests run.

--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from pimentoquay.gateway.context import Repeats, Sharing
 from pimentoquay.gateway.feed import StoreFeed
@@ -30,9 +30,11 @@
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.settings import DeploymentSettings
 from pimentoquay.platform.store import StoreClient, StoreError
+from pimentoquay.policy.engine_preference import Placer
 from pimentoquay.policy.reading_pace import reading_pace
 from pimentoquay.policy.repeat_allowance import RepeatLimits
 from pimentoquay.policy.run_ledger import RunLedger
+from pimentoquay.policy.stage_plan import StageDemand
 from pimentoquay.policy.token_ledger import TokenLedger
 from pimentoquay.transport.peers import PeerSet
 from pimentoquay.transport.websocket import split_address
@@ -150,7 +152,14 @@
     prefilling = TokenLedger()
     metrics = GatewayMetrics()
     sharing = Sharing(
-        settings.data_centre, running, prefilling, fleet, links, metrics, Repeats(limits)
+        Placer(settings.vm, settings.data_centre),
+        running,
+        prefilling,
+        StageDemand(),
+        fleet,
+        links,
+        metrics,
+        Repeats(limits),
     )
     peers = PeerSet(node)
     reservations = Reservations(
@@ -158,7 +167,7 @@
         lambda: mesh.peers_waiting,
         lambda: mesh.misses_peers,
         lambda: mesh.note_held_changed(),
-        lambda *use: orders.demand.note_decode(*use),
+        sharing.demand.note_decode,
     )
     mesh = Mesh(
         node,
@@ -166,11 +175,12 @@
         fleet,
         running,
         prefilling,
+        sharing.demand,
         settings.control_address,
         lambda: reservations.waiting,
     )
     mesh.on_load_changed.append(reservations.note_change)
-    mesh.on_load_changed.append(lambda: setattr(sharing.repeats, "vms", mesh.vms))
+    mesh.on_load_changed.append(lambda: _follow_mesh(sharing, mesh))
     store = StoreClient(settings.store_address)
     pace = reading_pace(bounds.drain_seconds, bounds.config_seconds)
     feed = StoreFeed(store, fleet, node.timers, pace, mesh.is_reader, mesh.publish)
@@ -184,9 +194,7 @@
         mesh.publish,
     )
     mesh.on_stage_ordered.append(orders.note_ordered)
-    streams = StreamForwarder(
-        sharing, reservations, Prefills(sharing, orders.demand.note_prefill, mesh.note_held_changed)
-    )
+    streams = StreamForwarder(sharing, reservations, Prefills(sharing, mesh.note_held_changed))
     front = Front(sharing, PlainForwarder(sharing), streams)
     callers = HttpServer(front.handle, lambda: _limits(fleet))
     readiness = HttpServer(_readiness(front), ServerLimits)
@@ -218,6 +226,11 @@
     )
 
 
+def _follow_mesh(sharing: Sharing, mesh: Mesh) -> None:
+    sharing.repeats.vms = mesh.vms
+    sharing.placer = replace(sharing.placer, hears_late=not mesh.loads.plan.is_full)
+
+
 def _limits(fleet: Fleet) -> ServerLimits:
     configuration = fleet.configuration
     return configuration.limits if configuration is not None else ServerLimits()
--- a/pimentoquay/gateway/context.py
+++ b/pimentoquay/gateway/context.py
@@ -9,9 +9,11 @@
 from pimentoquay.gateway.metrics import GatewayMetrics
 from pimentoquay.kernel.logs import logger
 from pimentoquay.policy.engine_choice import EngineExperience
+from pimentoquay.policy.engine_preference import Placer
 from pimentoquay.policy.fleet import EngineEntry, EngineStage
 from pimentoquay.policy.repeat_allowance import RepeatAllowance, RepeatLimits
 from pimentoquay.policy.run_ledger import RunLedger
+from pimentoquay.policy.stage_plan import StageDemand
 from pimentoquay.policy.token_ledger import TokenLedger
 
 __all__ = ["Repeats", "Sharing"]
@@ -59,13 +61,15 @@
 class Sharing:
     """What forwarding works with, and what it has learned of the engines.
 
+    ``placer`` tells engines apart that look alike to this gateway.
     ``running`` are the requests of all gateways in the memory of decode engines, ``prefilling``
-    their prompts at prefill engines.
+    their prompts at prefill engines, ``demand`` is what their requests need of both stages.
     """
 
-    data_centre: str
+    placer: Placer
     running: RunLedger
     prefilling: TokenLedger
+    demand: StageDemand
     fleet: Fleet
     links: EngineLinks
     metrics: GatewayMetrics
--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -20,10 +20,12 @@
     StageOrdered,
     VmAddress,
     VmLoad,
+    VmWork,
 )
 from pimentoquay.policy.memory_forecast import GrowingRun
 from pimentoquay.policy.mesh_plan import plan_mesh
 from pimentoquay.policy.run_ledger import RunLedger
+from pimentoquay.policy.stage_plan import StageDemand, StageWork
 from pimentoquay.policy.token_ledger import TokenLedger
 from pimentoquay.transport.peers import PeerSet
 
@@ -50,9 +52,9 @@
     ----------
     node, peers
         The process and its channels.
-    fleet, running, prefilling
+    fleet, running, prefilling, demand
         What is shared with the peers: records of the store, requests in the memory of decode
-        engines, prompts at prefill engines.
+        engines, prompts at prefill engines, and what requests have needed of both.
     address
         Where this gateway listens for them.
     waiting
@@ -66,6 +68,7 @@
         fleet: Fleet,
         running: RunLedger,
         prefilling: TokenLedger,
+        demand: StageDemand,
         address: str,
         waiting: Callable[[], Waiting],
     ) -> None:
@@ -74,6 +77,7 @@
         self._fleet = fleet
         self._running = running
         self._prefilling = prefilling
+        self._demand = demand
         self._waiting = waiting
         self._vm = node.identity.vm
         own = VmAddress(self._vm, address, node.identity.data_centre, -1)
@@ -249,10 +253,15 @@
             for each in load.running
         }
         self._running.set_peer(vm, runs_by_engine, self._node.timers.now())
+        work = load.work
+        self._demand.set_peer(
+            vm,
+            StageWork(work.prefills, work.prefill_seconds, work.decodes, work.decode_seconds),
+        )
 
     def _load(self) -> VmLoad:
         age = min(self._fleet.list_age, 1e6)
-        waiting = self._waiting()
+        waiting, own = self._waiting(), self._demand.own
         return VmLoad(
             age,
             _runs(self._running, self._node.timers.now()),
@@ -260,6 +269,7 @@
             waiting.tokens,
             waiting.urgent_tokens,
             self.is_draining,
+            VmWork(own.prefills, own.prefill_seconds, own.decodes, own.decode_seconds),
         )
 
     def _heartbeat(self) -> None:
--- a/pimentoquay/gateway/plain.py
+++ b/pimentoquay/gateway/plain.py
@@ -92,7 +92,11 @@
         chosen = None
         for candidates in (reachable, engines):
             chosen = chosen or choose_engine(
-                candidates, sharing.experience_by_engine, sharing.data_centre, now, tries.engines
+                candidates,
+                sharing.experience_by_engine,
+                sharing.placer.data_centre,
+                now,
+                tries.engines,
             )
         return chosen
 
--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from pimentoquay.gateway.context import Sharing
 from pimentoquay.gateway.job import Job
@@ -50,8 +50,6 @@
     ----------
     sharing
         Engines, links and allowances.
-    note_seconds
-        Called with how long an engine worked for a prefill.
     on_change
         Called when this gateway has more or fewer prompts at prefill engines.
     """
@@ -59,11 +57,9 @@
     def __init__(
         self,
         sharing: Sharing,
-        note_seconds: Callable[[float], None],
         on_change: Callable[[], None],
     ) -> None:
         self._sharing = sharing
-        self._note_seconds = note_seconds
         self._on_change = on_change
         self._speed = PrefillSpeed()
 
@@ -108,7 +104,11 @@
             model.prompt_tokens, self._speed, job.route.gap_seconds
         )
         return choose_prefill_engine(
-            engines, self._sharing.prefilling, self._speed, near.data_centre, may_overflow
+            engines,
+            self._sharing.prefilling,
+            self._speed,
+            replace(self._sharing.placer, data_centre=near.data_centre),
+            may_overflow,
         )
 
     async def _send(
@@ -140,7 +140,7 @@
                 if exchange.status != 200:
                     raise _PrefillRefusedError(f"status {exchange.status}")
                 self._speed.note(tokens, loop.time() - started_at)
-                self._note_seconds(self._speed.seconds(tokens))
+                self._sharing.demand.note_prefill(self._speed.seconds(tokens))
                 return Prefill(link, read_prefill(body))
         finally:
             self._sharing.prefilling.release(engine.id, tokens)
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -49,7 +49,7 @@
     engine: EngineEntry
     link: EngineLink
     need: MemoryNeed
-    capacity: int
+    usable: int
     key: int
     hold: str
     taken_at: float
@@ -85,7 +85,8 @@
     on_change
         Called when this gateway holds more or less, or more or less waits here.
     note_use
-        Called with the tokens that a stream held, for how many seconds, and of what capacity.
+        Called with the tokens that a stream held in the mean, for how many seconds, and of how
+        many that may be used at its engine.
     """
 
     def __init__(
@@ -163,7 +164,7 @@
         if reservation.is_hold_spent:
             seconds = now - reservation.taken_at
             self._release_rate.note(seconds)
-            self._note_use(reservation.need.tokens, seconds, reservation.capacity)
+            self._note_use(reservation.need.mean_tokens, seconds, reservation.usable)
         else:
             link = reservation.link
             self._sharing.links.call_later(link, link.calls.drop_hold(reservation.hold), "drop")
@@ -212,14 +213,16 @@
 
     async def _try(self, job: Job, memory: TokenMemory, need: MemoryNeed) -> Reservation | None:
         loop = asyncio.get_running_loop()
-        usable = int(memory.capacity_tokens * USABLE_SHARE)
+        usable = _usable(memory)
         run = need.run_at(need.begun)
         if run.tokens + run.remaining > usable:
             run = GrowingRun(min(run.tokens, usable), 0)
         engines = self._engines(job)
         asked: set[str] = set()
         while True:
-            candidates = self._running.candidates(engines, usable, run, loop.time())
+            candidates = self._running.candidates(
+                engines, usable, run, loop.time(), self._sharing.placer
+            )
             engine = next((each for each in candidates if each.id not in asked), None)
             if engine is None:
                 return None
@@ -267,4 +270,8 @@
             expected=need.tokens,
             used=self._running.held(engine.id, loop.time()),
         ).info("memory reserved")
-        return Reservation(engine, link, need, memory.capacity_tokens, key, hold, loop.time())
+        return Reservation(engine, link, need, _usable(memory), key, hold, loop.time())
+
+
+def _usable(memory: TokenMemory) -> int:
+    return int(memory.capacity_tokens * USABLE_SHARE)
--- a/pimentoquay/gateway/stage_orders.py
+++ b/pimentoquay/gateway/stage_orders.py
@@ -19,7 +19,7 @@
 from pimentoquay.platform.engine_calls import OrderOutcome
 from pimentoquay.platform.store import ORDER_TOPIC, StoreClient, StoreError
 from pimentoquay.policy.fleet import EngineStage, Service
-from pimentoquay.policy.stage_plan import StageChange, StageDemand, next_change
+from pimentoquay.policy.stage_plan import StageChange, most_changing, next_change
 
 __all__ = ["StageOrders"]
 
@@ -30,10 +30,6 @@
 """How long a change has to be wanted before it is ordered; longer than an engine's entry takes to
 follow a restart or a short cut."""
 
-REVERSE_SECONDS = 10.0
-"""The same for a change from decode to prefill, which costs more: it empties an engine that streams
-run on."""
-
 HOLDER_KEY = "holder"
 """The key of the records that say who gives orders."""
 
@@ -98,7 +94,6 @@
         self._claim: _Claim | None = None
         self._chosen_since: float | None = None
         self._wanted_by_service: dict[str, tuple[EngineStage | None, float]] = {}
-        self.demand = StageDemand()
 
     async def run(self) -> None:
         """Compare and order until cancelled."""
@@ -141,16 +136,20 @@
         if service not in self._wanted_by_service or self._wanted_by_service[service][0] != stage:
             self._wanted_by_service[service] = (stage, now)
         since = self._wanted_by_service[service][1]
-        least = REVERSE_SECONDS if stage is EngineStage.PREFILL else WANTED_SECONDS
-        return change if now - since >= least else None
+        return change if now - since >= WANTED_SECONDS else None
 
     def _wanted_change(self, service: Service) -> StageChange | None:
         now = self._timers.now()
+        assert service.memory is not None
         until_by_engine = self._sharing.changing_until_by_engine
         engines = self._fleet.engines_of(service.name)
-        if any(until_by_engine.get(engine.id, 0.0) > now for engine in engines):
+        settled = [each for each in engines if until_by_engine.get(each.id, 0.0) <= now]
+        changing = len(engines) - len(settled)
+        is_idle = self._sharing.running.expected(engines, now) == 0
+        if changing >= most_changing(len(engines), is_idle):
             return None
-        return next_change(engines, self.demand.prefill_share)
+        share = self._sharing.demand.prefill_share(service.memory.capacity_tokens)
+        return next_change(settled, share, changing)
 
     async def _renew_claim(self) -> bool:
         """Show that no other gateway has claimed since; return whether an order may be given."""
@@ -197,7 +196,7 @@
             engine=engine.id,
             stage=stage.value,
             fence=fence,
-            share=f"{self.demand.prefill_share:.3f}",
+            share=f"{self._sharing.demand.prefill_share(service.memory.capacity_tokens):.3f}",
             outcome=outcome.value,
         ).info("stage ordered")
         if outcome is OrderOutcome.FENCED:
--- a/pimentoquay/gateway/tests/test_stage_orders.py
+++ b/pimentoquay/gateway/tests/test_stage_orders.py
@@ -1,10 +1,12 @@
 from pimentoquay.gateway.tests.rig import rig, until
+from pimentoquay.policy.memory_forecast import GrowingRun
 from pimentoquay.standin.platform_engine import PlatformEngine
 from pimentoquay.standin.platform_store import StoreFault
 
 
 async def add_spare_prefill_engines(made):
-    for number in (2, 3):
+    """Make it four that prefill and two that decode; two of the four are too many."""
+    for number in (2, 3, 4):
         await made.add_engine(PlatformEngine(f"pre-{number}", "llm", stage="prefill"))
 
 
@@ -12,15 +14,34 @@
     return [(name, order) for name, engine in made.engine_by_id.items() for order in engine.orders]
 
 
-async def test_a_prefill_engine_too_many_is_told_to_decode_once():
+async def test_prefill_engines_too_many_are_told_to_decode_once_each():
+    """Before any request the two that are too many change together."""
     async with rig() as made:
         await add_spare_prefill_engines(made)
-        await until(lambda: ordered(made), "an order")
-        ((name, order),) = ordered(made)
-        assert name.startswith("pre-")
-        assert order == {"op": "stage", "stage": "decode", "holder": "vm-1", "fence": 0}
+        await until(lambda: len(ordered(made)) == 2, "two orders")
+        orders = dict(ordered(made))
+        assert len(orders) == 2 and all(name.startswith("pre-") for name in orders)
+        assert sorted(order["fence"] for order in orders.values()) == [0, 1]
+        for order in orders.values():
+            assert order | {"fence": 0} == {
+                "op": "stage",
+                "stage": "decode",
+                "holder": "vm-1",
+                "fence": 0,
+            }
         sharing = made.gateway_by_vm["vm-1"].orders._sharing
-        await until(lambda: name in sharing.changing_until_by_engine, "left alone")
+        await until(lambda: set(orders) <= set(sharing.changing_until_by_engine), "left alone")
+        calls = made.store.calls
+        await until(lambda: made.store.calls > calls + 6, "checked again")
+        assert len(ordered(made)) == 2
+
+
+async def test_one_engine_changes_at_a_time_while_requests_run():
+    async with rig() as made:
+        sharing = made.gateway_by_vm["vm-1"].orders._sharing
+        sharing.running.take("dec-1", GrowingRun(1000, 0), 0.0)
+        await add_spare_prefill_engines(made)
+        await until(lambda: ordered(made), "an order")
         calls = made.store.calls
         await until(lambda: made.store.calls > calls + 6, "checked again")
         assert len(ordered(made)) == 1
--- a/pimentoquay/messages/fleet.py
+++ b/pimentoquay/messages/fleet.py
@@ -18,6 +18,7 @@
     "StageOrdered",
     "VmAddress",
     "VmLoad",
+    "VmWork",
 ]
 
 
@@ -78,6 +79,16 @@
     runs: tuple[RunSize, ...]
 
 
+@message(130)
+class VmWork:
+    """What the sender's requests have needed of the two stages since it started, in seconds."""
+
+    prefills: int
+    prefill_seconds: float
+    decodes: int
+    decode_seconds: float
+
+
 @message(124)
 class VmLoad:
     """What a gateway holds and what waits there; it also shows that the gateway lives.
@@ -93,6 +104,7 @@
     waiting_tokens: int
     urgent_tokens: int
     is_draining: bool
+    work: VmWork
 
 
 @message(128)
--- a/pimentoquay/policy/memory_forecast.py
+++ b/pimentoquay/policy/memory_forecast.py
@@ -53,6 +53,11 @@
         """The memory expected at its end."""
         return in_blocks(self.prompt + max(self.begun, self.expected_output))
 
+    @property
+    def mean_tokens(self) -> int:
+        """The memory expected in the mean over its run."""
+        return (self.prompt + self.begun + self.tokens) // 2
+
     @property
     def held(self) -> int:
         """The memory to hold from the start."""
--- a/pimentoquay/policy/prefill_choice.py
+++ b/pimentoquay/policy/prefill_choice.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Sequence
 
+from pimentoquay.policy.engine_preference import Placer, by_preference
 from pimentoquay.policy.fleet import EngineEntry
 from pimentoquay.policy.token_ledger import TokenLedger
 
@@ -23,6 +24,10 @@
 """The queue at which a short prompt is read by its decode engine: twice what that takes for 5,000
 tokens."""
 
+ALIKE_TOKENS = 10_000
+"""The difference of two queues that counts as none where others' prompts are heard of late; two
+prompts of the users' sheets."""
+
 DECODE_READ_SLOWDOWN = 2.0
 """How much longer a decode engine takes to read a prompt; the platform's word."""
 
@@ -59,7 +64,7 @@
     engines: Sequence[EngineEntry],
     queued: TokenLedger,
     speed: PrefillSpeed,
-    data_centre: str,
+    placer: Placer,
     may_overflow: bool,
 ) -> EngineEntry | None:
     """Return the prefill engine with the shortest queue, or ``None`` if all are too long.
@@ -72,18 +77,17 @@
         The prompts that all gateways have sent to each of them, in tokens.
     speed
         How fast they read.
-    data_centre
-        That of the decode engine, which is preferred among equals: a KV cache costs more to move
-        between data centres.
+    placer
+        Who chooses, in the data centre of the decode engine, which is preferred among equals: a KV
+        cache costs more to move between data centres.
     may_overflow
         Whether the prompt may be read by its decode engine instead.
     """
-    chosen = min(
-        engines,
-        key=lambda each: (queued.held(each.id), each.data_centre != data_centre, each.id),
-        default=None,
-    )
-    if chosen is None or not may_overflow:
+    if not engines:
+        return None
+    queue_by_id = {each.id: queued.held(each.id) for each in engines}
+    chosen = by_preference(engines, queue_by_id, ALIKE_TOKENS, placer)[0]
+    if not may_overflow:
         return chosen
     is_long = speed.seconds(queued.held(chosen.id)) > LONGEST_QUEUE_SECONDS
     return None if is_long else chosen
--- a/pimentoquay/policy/run_ledger.py
+++ b/pimentoquay/policy/run_ledger.py
@@ -8,6 +8,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, replace
 
+from pimentoquay.policy.engine_preference import Placer, by_preference
 from pimentoquay.policy.fleet import EngineEntry
 from pimentoquay.policy.memory_forecast import GrowingRun, peak_tokens
 
@@ -16,6 +17,10 @@
 ASSUMED_TOKENS_PER_SECOND = 1300.0
 """The pace of an answer before any was seen: a token in 0.77 ms, as on the users' sheets."""
 
+ALIKE_SHARE = 0.2
+"""The share of the memory that may be used by which engines may differ and still count as alike
+where others' requests are heard of late; about one stream."""
+
 PACE_SMOOTHING = 0.05
 """The weight of the newest answer in the pace."""
 
@@ -112,7 +117,12 @@
         )
 
     def candidates(
-        self, engines: Sequence[EngineEntry], usable: int, run: GrowingRun, now: float
+        self,
+        engines: Sequence[EngineEntry],
+        usable: int,
+        run: GrowingRun,
+        now: float,
+        placer: Placer,
     ) -> list[EngineEntry]:
         """Return the engines whose memory suffices for one more run, the emptiest first."""
         runs_by_engine = self._runs_by_engine(now)
@@ -122,7 +132,7 @@
             if not self._is_refused(engine.id, run, now)
         }
         fitting = [engine for engine in engines if peak_by_id.get(engine.id, usable + 1) <= usable]
-        return sorted(fitting, key=lambda engine: (peak_by_id[engine.id], engine.id))
+        return by_preference(fitting, peak_by_id, int(ALIKE_SHARE * usable), placer)
 
     def _runs_by_engine(self, now: float) -> dict[str, list[GrowingRun]]:
         runs_by_engine: dict[str, list[GrowingRun]] = {}
--- a/pimentoquay/policy/tests/test_prefill_choice.py
+++ b/pimentoquay/policy/tests/test_prefill_choice.py
@@ -1,3 +1,4 @@
+from pimentoquay.policy.engine_preference import Placer
 from pimentoquay.policy.fleet import EngineEntry, EngineStage
 from pimentoquay.policy.prefill_choice import (
     LONGEST_QUEUE_SECONDS,
@@ -13,10 +14,11 @@
 
 
 ENGINES = (engine("far", "other"), engine("near", "hall"))
+PLACER = Placer("vm-1", "hall")
 
 
 def chosen(queued):
-    engine = choose_prefill_engine(ENGINES, queued, PrefillSpeed(), "hall", may_overflow=True)
+    engine = choose_prefill_engine(ENGINES, queued, PrefillSpeed(), PLACER, may_overflow=True)
     return engine.id if engine else None
 
 
@@ -40,7 +42,7 @@
             reading.pop(0)
             queued.release("near", 5200)
         if step % 7 == 0:
-            engine = choose_prefill_engine(ENGINES[1:], queued, speed, "hall", may_overflow=True)
+            engine = choose_prefill_engine(ENGINES[1:], queued, speed, PLACER, may_overflow=True)
             if engine is None:
                 overflowed += 1
                 continue
@@ -71,5 +73,5 @@
     for engine in ENGINES:
         queued.take(engine.id, 100_000)
     assert chosen(queued) is None
-    kept = choose_prefill_engine(ENGINES, queued, speed, "hall", may_overflow=False)
+    kept = choose_prefill_engine(ENGINES, queued, speed, PLACER, may_overflow=False)
     assert kept is not None and kept.id == "near"
--- a/pimentoquay/policy/tests/test_run_ledger.py
+++ b/pimentoquay/policy/tests/test_run_ledger.py
@@ -1,3 +1,4 @@
+from pimentoquay.policy.engine_preference import Placer
 from pimentoquay.policy.fleet import EngineEntry, EngineStage
 from pimentoquay.policy.memory_forecast import GrowingRun
 from pimentoquay.policy.run_ledger import RunLedger
@@ -8,6 +9,7 @@
 
 
 ENGINES = (engine("d1"), engine("d2"))
+PLACER = Placer("vm-1", "hall")
 
 
 def still(tokens):
@@ -15,7 +17,7 @@
 
 
 def names(ledger, run, now=0.0):
-    return [each.id for each in ledger.candidates(ENGINES, 100, run, now)]
+    return [each.id for each in ledger.candidates(ENGINES, 100, run, now, PLACER)]
 
 
 def test_the_emptiest_engine_comes_first_counting_the_runs_of_peers():
