Run streams in the data centre of their gateway unless one elsewhere is much emptier

Change: an engine of another data centre has to be emptier by 0.15 of the usable memory. Ruled out: the same for prefill engines (one or two, and a KV cache lives half a second). Test: test_a_near_engine_is_preferred_unless_one_elsewhere_is_much_emptier.

--- a/pimentoquay/policy/engine_preference.py
+++ b/pimentoquay/policy/engine_preference.py
@@ -5,6 +5,8 @@
 memory overflows, or its queue grows, while others are idle. So VMs that hear of each other late
 count loads in steps, and within a step each has an order of its own. They also meet the same few
 engines again, on connections that are open.
+
+Failure pattern: a data centre that is cut off. Streams that run in their gateway's own go on.
 """
 
 import zlib
@@ -26,7 +28,11 @@
 
 
 def by_preference(
-    engines: Sequence[EngineEntry], load_by_id: Mapping[str, int], step: int, placer: Placer
+    engines: Sequence[EngineEntry],
+    load_by_id: Mapping[str, int],
+    step: int,
+    placer: Placer,
+    far: int = 0,
 ) -> list[EngineEntry]:
     """Return engines with the best first.
 
@@ -41,11 +47,13 @@
         requests are heard of late.
     placer
         Who chooses.
+    far
+        How much less load an engine of another data centre has to have to be taken, in tokens.
     """
 
     def key(engine: EngineEntry) -> tuple[int, bool, int, str]:
-        load = load_by_id[engine.id]
         is_far = engine.data_centre != placer.data_centre
+        load = load_by_id[engine.id] + (far if is_far else 0)
         if not placer.hears_late:
             return load, is_far, 0, engine.id
         own_order = zlib.crc32(f"{placer.vm} {engine.id}".encode())
--- a/pimentoquay/policy/run_ledger.py
+++ b/pimentoquay/policy/run_ledger.py
@@ -21,6 +21,10 @@
 """The share of the memory that may be used by which engines may differ and still count as alike
 where others' requests are heard of late; about one stream."""
 
+FAR_SHARE = 0.15
+"""How much emptier an engine of another data centre has to be, as a share of the memory that may be
+used; about one stream."""
+
 PACE_SMOOTHING = 0.05
 """The weight of the newest answer in the pace."""
 
@@ -132,7 +136,8 @@
             if not self._is_refused(engine.id, run, now)
         }
         fitting = [engine for engine in engines if peak_by_id.get(engine.id, usable + 1) <= usable]
-        return by_preference(fitting, peak_by_id, int(ALIKE_SHARE * usable), placer)
+        step, far = int(ALIKE_SHARE * usable), int(FAR_SHARE * usable)
+        return by_preference(fitting, peak_by_id, step, placer, far)
 
     def _runs_by_engine(self, now: float) -> dict[str, list[GrowingRun]]:
         runs_by_engine: dict[str, list[GrowingRun]] = {}
--- a/pimentoquay/policy/tests/test_run_ledger.py
+++ b/pimentoquay/policy/tests/test_run_ledger.py
@@ -4,8 +4,8 @@
 from pimentoquay.policy.run_ledger import RunLedger
 
 
-def engine(name):
-    return EngineEntry(name, "llm", "10.0.0.1:1", "hall", False, 64, EngineStage.DECODE)
+def engine(name, data_centre="hall"):
+    return EngineEntry(name, "llm", "10.0.0.1:1", data_centre, False, 64, EngineStage.DECODE)
 
 
 ENGINES = (engine("d1"), engine("d2"))
@@ -90,3 +90,18 @@
     assert ledger.held("d1", 2.5) == 0
     ledger.set_peer("vm-2", {"d1": (GrowingRun(7, 0),)}, 1.0)
     assert ledger.held("d1", 1.0) == 7
+
+
+def test_a_near_engine_is_preferred_unless_one_elsewhere_is_much_emptier():
+    """pos-printfleet, scale-1: two thirds of the streams ran in other data centres than their
+    gateways, and the cut of one data centre broke 14 of them."""
+    ledger = RunLedger()
+    engines = (engine("a-far", "port"), engine("b-near", "hall"))
+
+    def first():
+        return ledger.candidates(engines, 100, still(10), 0.0, PLACER)[0].id
+
+    ledger.take("b-near", still(14), 0.0)
+    assert first() == "b-near"
+    ledger.take("b-near", still(2), 0.0)
+    assert first() == "a-far"
