Let long prompts share engines where none prefills, and claim orders while a change has to last

After all gateways had been killed in second 41, the order that ends this came in second 52: the change had to last 3 s, and then the lease before was waited for. Change: without prefill engines, prompts too long to be read beside streams in time go to a third of the decode engines (policy/prefill_choice.py); the claim is made once a change is wanted. Ruled out: the threshold of prompts that overflow from a queue (it counts with a second prompt soon; seven prompts in ten would share a third of the engines).

--- a/pimentoquay/gateway/context.py
+++ b/pimentoquay/gateway/context.py
@@ -11,6 +11,7 @@
 from pimentoquay.policy.engine_choice import EngineExperience
 from pimentoquay.policy.engine_preference import Placer
 from pimentoquay.policy.fleet import EngineEntry, EngineStage
+from pimentoquay.policy.prefill_choice import PrefillSpeed
 from pimentoquay.policy.repeat_allowance import RepeatAllowance, RepeatLimits
 from pimentoquay.policy.run_ledger import RunLedger
 from pimentoquay.policy.stage_plan import StageDemand
@@ -63,7 +64,8 @@
 
     ``placer`` tells engines apart that look alike to this gateway.
     ``running`` are the requests of all gateways in the memory of decode engines, ``prefilling``
-    their prompts at prefill engines, ``demand`` is what their requests need of both stages.
+    their prompts at prefill engines, ``demand`` is what their requests need of both stages, and
+    ``speed`` how fast prompts are read.
     """
 
     placer: Placer
@@ -74,6 +76,7 @@
     links: EngineLinks
     metrics: GatewayMetrics
     repeats: Repeats
+    speed: PrefillSpeed = field(default_factory=PrefillSpeed)
     experience_by_engine: dict[str, EngineExperience] = field(default_factory=dict)
     misdirected_until_by_entry: dict[EngineKey, float] = field(default_factory=dict)
     changing_until_by_engine: dict[str, float] = field(default_factory=dict)
--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -14,7 +14,6 @@
 from pimentoquay.platform.requests import SendOptions
 from pimentoquay.policy.fleet import EngineEntry, EngineStage, ModelRequest
 from pimentoquay.policy.prefill_choice import (
-    PrefillSpeed,
     choose_prefill_engine,
     may_read_at_decode_engine,
 )
@@ -61,7 +60,6 @@
     ) -> None:
         self._sharing = sharing
         self._on_change = on_change
-        self._speed = PrefillSpeed()
 
     async def run(
         self, job: Job, model: ModelRequest, near: EngineEntry, after_event: int | None
@@ -101,12 +99,12 @@
             if engine.id not in failed
         ]
         may_overflow = may_read_at_decode_engine(
-            model.prompt_tokens, self._speed, job.route.gap_seconds
+            model.prompt_tokens, self._sharing.speed, job.route.gap_seconds
         )
         return choose_prefill_engine(
             engines,
             self._sharing.prefilling,
-            self._speed,
+            self._sharing.speed,
             replace(self._sharing.placer, data_centre=near.data_centre),
             may_overflow,
         )
@@ -139,8 +137,8 @@
                     self._sharing.note_misdirected(engine)
                 if exchange.status != 200:
                     raise _PrefillRefusedError(f"status {exchange.status}")
-                self._speed.note(tokens, loop.time() - started_at)
-                self._sharing.demand.note_prefill(self._speed.seconds(tokens))
+                self._sharing.speed.note(tokens, loop.time() - started_at)
+                self._sharing.demand.note_prefill(self._sharing.speed.seconds(tokens))
                 return Prefill(link, read_prefill(body))
         finally:
             self._sharing.prefilling.release(engine.id, tokens)
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from pimentoquay.gateway.context import Sharing
@@ -18,6 +18,11 @@
 from pimentoquay.platform.fields import DecodeError
 from pimentoquay.policy.fleet import EngineEntry, EngineStage, TokenMemory
 from pimentoquay.policy.memory_forecast import GrowingRun, MemoryNeed
+from pimentoquay.policy.prefill_choice import (
+    ALONE_PAUSE_SHARE,
+    engines_without_prefill,
+    may_read_at_decode_engine,
+)
 from pimentoquay.policy.stream_admission import (
     AdmissionLimits,
     ReleaseRate,
@@ -211,18 +216,31 @@
         stages = (EngineStage.DECODE, EngineStage.BOTH)
         return self._sharing.engines_at(job.service, stages)
 
+    def _parts(self, job: Job, need: MemoryNeed) -> tuple[Sequence[EngineEntry], ...]:
+        """Return the decode engines that a prompt may go to, in parts to be tried in order."""
+        engines = self._engines(job)
+        if self._sharing.engines_at(job.service, (EngineStage.PREFILL,)):
+            return (engines,)
+        is_short = may_read_at_decode_engine(
+            need.prompt, self._sharing.speed, job.route.gap_seconds, ALONE_PAUSE_SHARE
+        )
+        return engines_without_prefill(engines, is_short)
+
     async def _try(self, job: Job, memory: TokenMemory, need: MemoryNeed) -> Reservation | None:
         loop = asyncio.get_running_loop()
         usable = _usable(memory)
         run = need.run_at(need.begun)
         if run.tokens + run.remaining > usable:
             run = GrowingRun(min(run.tokens, usable), 0)
-        engines = self._engines(job)
         asked: set[str] = set()
         while True:
-            candidates = self._running.candidates(
-                engines, usable, run, loop.time(), self._sharing.placer
-            )
+            candidates = [
+                engine
+                for part in self._parts(job, need)
+                for engine in self._running.candidates(
+                    part, usable, run, loop.time(), self._sharing.placer
+                )
+            ]
             engine = next((each for each in candidates if each.id not in asked), None)
             if engine is None:
                 return None
--- a/pimentoquay/gateway/stage_orders.py
+++ b/pimentoquay/gateway/stage_orders.py
@@ -125,18 +125,22 @@
         for service in services:
             if service.memory is None:
                 continue
-            change = self._lasting(service.name, self._wanted_change(service))
-            if change is not None and await self._renew_claim():
+            change = self._wanted_change(service)
+            is_lasting = self._is_lasting(service.name, change)
+            if change is None or not (is_lasting or self._claim is None):
+                continue
+            # The wait of a new claim passes while the change has to last.
+            if await self._renew_claim() and is_lasting:
                 await self._order(change, service)
 
-    def _lasting(self, service: str, change: StageChange | None) -> StageChange | None:
-        """Return a change once the same stage has been wanted for long enough."""
+    def _is_lasting(self, service: str, change: StageChange | None) -> bool:
+        """Return whether the same stage has been wanted for long enough."""
         now = self._timers.now()
         stage = change.stage if change is not None else None
         if service not in self._wanted_by_service or self._wanted_by_service[service][0] != stage:
             self._wanted_by_service[service] = (stage, now)
         since = self._wanted_by_service[service][1]
-        return change if now - since >= WANTED_SECONDS else None
+        return now - since >= WANTED_SECONDS
 
     def _wanted_change(self, service: Service) -> StageChange | None:
         now = self._timers.now()
--- a/pimentoquay/policy/prefill_choice.py
+++ b/pimentoquay/policy/prefill_choice.py
@@ -4,6 +4,9 @@
 Prompts queue there while memory is already reserved for their streams. A short prompt that would
 queue for long is read by its decode engine, at half the speed. A long one is not: all the streams
 that run there would pause for as long as that takes, and be late together.
+
+Failure pattern: no prefill engine is left, or none is in reach of a data centre that is cut off,
+until another has changed its stage. Then long prompts meet as few streams as can be.
 """
 
 from collections.abc import Sequence
@@ -12,7 +15,13 @@
 from pimentoquay.policy.fleet import EngineEntry
 from pimentoquay.policy.token_ledger import TokenLedger
 
-__all__ = ["PrefillSpeed", "choose_prefill_engine", "may_read_at_decode_engine"]
+__all__ = [
+    "ALONE_PAUSE_SHARE",
+    "PrefillSpeed",
+    "choose_prefill_engine",
+    "engines_without_prefill",
+    "may_read_at_decode_engine",
+]
 
 ASSUMED_TOKENS_PER_SECOND = 50_000.0
 """The speed of a prefill before any was seen; the users' sheets say 55 a millisecond."""
@@ -28,6 +37,14 @@
 """The difference of two queues that counts as none where others' prompts are heard of late; two
 prompts of the users' sheets."""
 
+ALONE_PAUSE_SHARE = 0.75
+"""The same where every prompt is read at a decode engine: its streams need a quarter of the longest
+pause for an event of their own, 0.08 s on the users' sheets."""
+
+READERS_OF = 3
+"""One decode engine in so many reads the long prompts where no prefill engine can be used; two in
+five prompts of the users' sheets are too long to be read beside streams in time."""
+
 DECODE_READ_SLOWDOWN = 2.0
 """How much longer a decode engine takes to read a prompt; the platform's word."""
 
@@ -55,9 +72,28 @@
         return tokens / self.tokens_per_second
 
 
-def may_read_at_decode_engine(tokens: int, speed: PrefillSpeed, gap_seconds: float) -> bool:
+def may_read_at_decode_engine(
+    tokens: int, speed: PrefillSpeed, gap_seconds: float, pause_share: float = PAUSE_SHARE
+) -> bool:
     """Return whether a decode engine can read a prompt without making its streams late."""
-    return speed.seconds(tokens) * DECODE_READ_SLOWDOWN <= PAUSE_SHARE * gap_seconds
+    return speed.seconds(tokens) * DECODE_READ_SLOWDOWN <= pause_share * gap_seconds
+
+
+def engines_without_prefill(
+    engines: Sequence[EngineEntry], is_short: bool
+) -> tuple[Sequence[EngineEntry], Sequence[EngineEntry]]:
+    """Return the decode engines that a prompt may go to where no prefill engine can be used.
+
+    Long prompts share a part of the engines, so that the streams of the others do not pause for
+    them. Short ones go to the others, and to that part only if these are full: the engines to try
+    first, and then.
+    """
+    ordered = sorted(engines, key=lambda engine: engine.id)
+    readers = ordered[: max(1, len(ordered) // READERS_OF)]
+    others = ordered[len(readers) :]
+    if not others:
+        return readers, ()
+    return (others, readers) if is_short else (readers, ())
 
 
 def choose_prefill_engine(
--- a/pimentoquay/policy/tests/test_prefill_choice.py
+++ b/pimentoquay/policy/tests/test_prefill_choice.py
@@ -1,9 +1,11 @@
 from pimentoquay.policy.engine_preference import Placer
 from pimentoquay.policy.fleet import EngineEntry, EngineStage
 from pimentoquay.policy.prefill_choice import (
+    ALONE_PAUSE_SHARE,
     LONGEST_QUEUE_SECONDS,
     PrefillSpeed,
     choose_prefill_engine,
+    engines_without_prefill,
     may_read_at_decode_engine,
 )
 from pimentoquay.policy.token_ledger import TokenLedger
@@ -75,3 +77,28 @@
     assert chosen(queued) is None
     kept = choose_prefill_engine(ENGINES, queued, speed, PLACER, may_overflow=False)
     assert kept is not None and kept.id == "near"
+
+
+def test_without_prefill_engines_long_prompts_meet_few_streams():
+    """pos-printfleet, trouble-3: three of six engines left, none of them prefilled for half of the
+    day, and each long prompt made all streams of its engine late."""
+    speed = PrefillSpeed()
+    engines = tuple(engine(f"e{number}", "hall") for number in range(3))
+    disturbed = {each.id: 0 for each in engines}
+    streams = dict.fromkeys(disturbed, 0)
+    for tokens in (3000, 9000, 4000, 5000, 8000, 2500, 7500, 5500, 4500, 9500):
+        is_short = may_read_at_decode_engine(tokens, speed, 0.3, ALONE_PAUSE_SHARE)
+        first, _ = engines_without_prefill(engines, is_short)
+        chosen = min(first, key=lambda each: streams[each.id]).id
+        disturbed[chosen] += 0 if is_short else streams[chosen]
+        streams[chosen] += 1
+    assert [name for name, count in disturbed.items() if count] == ["e0"]
+    assert streams["e1"] + streams["e2"] >= 4
+
+
+def test_without_prefill_engines_short_prompts_may_go_anywhere_and_one_engine_takes_all():
+    engines = tuple(engine(f"e{number}", "hall") for number in range(3))
+    first, then = engines_without_prefill(engines, is_short=True)
+    assert [each.id for each in (*first, *then)] == ["e1", "e2", "e0"]
+    assert engines_without_prefill(engines[:1], is_short=False) == ([engines[0]], ())
+    assert engines_without_prefill(engines[:1], is_short=True) == ([engines[0]], ())
