Hear a gateway that starts again after its clock went back

Cause: found on reading. Loads are ordered by incarnation, a time of day, and clocks may jump back by seconds; the loads of the new start were then taken for old ones until the clock caught up. Change: a new channel tells the incarnation that is there, and a VM that is lost is heard anew. Test: test_a_vm_that_starts_again_after_its_clock_went_back_is_heard.

--- a/pimentoquay/gateway/load_relay.py
+++ b/pimentoquay/gateway/load_relay.py
@@ -87,6 +87,18 @@
         """Tell this gateway's load on a new channel."""
         channel.send(PeerLoads((self._make_own(),)))
 
+    def forget(self, vm: str) -> None:
+        """Take any load of a VM as new that comes next.
+
+        A gateway that starts again after the time of day has gone back has a lower incarnation.
+        """
+        self._newest_by_vm.pop(vm, None)
+
+    def meet(self, vm: str, incarnation: int) -> None:
+        """Note which incarnation of a VM is there now."""
+        if self._newest_by_vm.get(vm, (incarnation, 0))[0] != incarnation:
+            self.forget(vm)
+
     def take(self, loads: PeerLoads, source: str) -> list[tuple[str, VmLoad]]:
         """Return the loads that are newer than those known, by VM, and pass them on."""
         news = []
--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -198,6 +198,7 @@
         channel = message.channel
         self._heard_directly_at_by_vm[channel.peer.vm] = self._node.timers.now()
         self._note_heard((channel.peer.vm,))
+        self.loads.meet(channel.peer.vm, channel.peer.incarnation)
         channel.send(replace(self._fleet.copy(), vms=tuple(self._address_by_vm.values())))
         self.loads.tell(channel)
         logger.bind(peer=channel.peer.vm).info("peer connected")
@@ -294,6 +295,7 @@
                 self._lost_at_by_vm[vm] = self._node.timers.now()
             logger.bind(peer=vm).info("peer lost")
         self._load_by_vm.pop(vm, None)
+        self.loads.forget(vm)
         self._running.lose_peer(vm)
         self._prefilling.drop_peer(vm)
         for call in self.on_load_changed:
--- a/pimentoquay/gateway/tests/test_mesh.py
+++ b/pimentoquay/gateway/tests/test_mesh.py
@@ -3,7 +3,8 @@
 import pytest
 
 from pimentoquay.gateway.tests.rig import ROUTES, configuration, rig, route, until
-from pimentoquay.messages.fleet import PeerLoad, PeerLoads, VmAddress
+from pimentoquay.messages import encode
+from pimentoquay.messages.fleet import PeerLoad, PeerLoads, VmAddress, VmLoad, VmWork
 from pimentoquay.policy import mesh_plan
 from pimentoquay.policy.memory_forecast import GrowingRun
 
@@ -104,3 +105,23 @@
         await until(lambda: "vm-2" in mesh._load_by_vm, "heard")
         broken = PeerLoads((PeerLoad("vm-9", 1, 1, b"\xff"), PeerLoad("vm-2", 0, 1, b"")))
         assert mesh.loads.take(broken, "vm-2") == []
+
+
+def load_of(vm, incarnation, number):
+    load = VmLoad(0.0, (), (), 0, 0, False, VmWork(0, 0.0, 0, 0.0))
+    return PeerLoads((PeerLoad(vm, incarnation, number, encode(load)),))
+
+
+async def test_a_vm_that_starts_again_after_its_clock_went_back_is_heard():
+    """Incarnations are times of day, and the loads of a lower one are old until the VM is known to
+    have ended or to have started again."""
+    async with rig() as made:
+        loads = made.gateway_by_vm["vm-1"].mesh.loads
+        assert loads.take(load_of("vm-9", 2000, 7), "vm-8")
+        assert not loads.take(load_of("vm-9", 1000, 1), "vm-8")
+        loads.meet("vm-9", 2000)
+        assert not loads.take(load_of("vm-9", 1000, 1), "vm-8")
+        loads.meet("vm-9", 1000)
+        assert loads.take(load_of("vm-9", 1000, 1), "vm-8")
+        loads.forget("vm-9")
+        assert loads.take(load_of("vm-9", 500, 1), "vm-8")
