Write the end of requests whose callers left

Change: code 300 with a line, and counted. Test: test_a_call_whose_caller_left, which found no cause before.

--- a/pimentoquay/ctl/tests/test_explain.py
+++ b/pimentoquay/ctl/tests/test_explain.py
@@ -1,5 +1,6 @@
 """Failures made on the stand-ins, explained from the log lines alone."""
 
+import asyncio
 import io
 import itertools
 import json
@@ -9,7 +10,7 @@
 
 from pimentoquay.ctl.explanation import explain
 from pimentoquay.ctl.program import run_command
-from pimentoquay.gateway.tests.rig import model_headers, rig
+from pimentoquay.gateway.tests.rig import model_headers, rig, until
 from pimentoquay.kernel.logs import configure_logs, logger
 from pimentoquay.standin.platform_engine import Behaviour
 
@@ -55,6 +56,20 @@
     assert "before: send failed at desk-" in cause.text
 
 
+async def test_a_call_whose_caller_left(lines):
+    """Two of 21 unserved requests of bench days had no line of their end."""
+    async with rig() as made:
+        desks = [made.engine_by_id["desk-1"], made.engine_by_id["desk-2"]]
+        for desk in desks:
+            desk.behaviour = lambda arrival: Behaviour.MUTE
+        task = asyncio.create_task(made.ask("/order/a", request_id="left"))
+        await until(lambda: any(desk.running for desk in desks), "running")
+        task.cancel()
+        await until(lambda: explain(lines(), "left").causes, "ended")
+    (cause,) = explain(lines(), "left").causes
+    assert cause.text == "300 cancelled by the caller (the caller left)"
+
+
 async def test_the_command_reads_several_files_and_tells_what_was_known_of_the_engine(
     tmp_path, capsys
 ):
--- a/pimentoquay/gateway/front.py
+++ b/pimentoquay/gateway/front.py
@@ -1,7 +1,9 @@
 """Callers' requests: from their head to the forwarder of their route."""
 
+import asyncio
+
 from pimentoquay.gateway.context import Sharing
-from pimentoquay.gateway.job import Job, answer_error
+from pimentoquay.gateway.job import Job, answer_error, note_ended
 from pimentoquay.gateway.plain import PlainForwarder
 from pimentoquay.gateway.streams import StreamForwarder
 from pimentoquay.http1 import HeaderList, HttpRequest, Reply
@@ -57,6 +59,9 @@
             await self._forward(job)
         except PimentoquayError as error:
             answer_error(job, error)
+        except asyncio.CancelledError:
+            note_ended(job, ResultCode.CANCELLED, "the caller left")
+            raise
 
     async def _forward(self, job: Job) -> None:
         if self._is_for_model(job.route, job):
