--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -46,7 +46,10 @@
 
 
 class Mesh:
-    """Channels to all peers.
+    """The gateways that are there, and what they tell each other.
+
+    Up to sixteen keep channels to all others; more keep channels to relays, by the plan of
+    ``policy/mesh_plan.py``.
 
     Parameters
     ----------
