--- a/pimentoquay/policy/prefill_choice.py
+++ b/pimentoquay/policy/prefill_choice.py
@@ -38,8 +38,8 @@
 prompts of the users' sheets."""
 
 ALONE_PAUSE_SHARE = 0.75
-"""The part of the longest pause in time that reading a prompt may take where all prompts are read at
-decode engines: streams need a quarter of it for an event of their own, 0.08 s on the users' sheets."""
+"""The part of the longest pause that reading a prompt may take where decode engines read them all:
+streams need a quarter of it for an event of their own, 0.08 s on the users' sheets."""
 
 READERS_OF = 3
 """One decode engine in so many reads the long prompts where no prefill engine can be used; two in
