--- a/pimentoquay/gateway/load_relay.py
+++ b/pimentoquay/gateway/load_relay.py
@@ -88,9 +88,9 @@
         channel.send(PeerLoads((self._make_own(),)))
 
     def forget(self, vm: str) -> None:
-        """Take any load of a VM as new that comes next.
+        """Take the next load of a VM as new, whatever its incarnation.
 
-        A gateway that starts again after the time of day has gone back has a lower incarnation.
+        A gateway that starts again after its time of day has gone back has a lower one.
         """
         self._newest_by_vm.pop(vm, None)
 
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -49,7 +49,10 @@
 
 @dataclass(eq=False)
 class Reservation:
-    """Memory of one engine; ``hold`` is spent by the request that names it."""
+    """Memory of one engine; ``hold`` is spent by the request that names it.
+
+    ``usable`` is how many tokens of the engine's memory the forecast may fill.
+    """
 
     engine: EngineEntry
     link: EngineLink
