--- a/pimentoquay/bench/mutations/replacements.py
+++ b/pimentoquay/bench/mutations/replacements.py
@@ -28,6 +28,7 @@
     "never_mark_silent_peers_dead",
     "no_hysteresis",
     "no_rebuild_grace",
+    "read_body_without_limit",
     "retry_every_call",
     "return_constant",
     "same_number_for_all_holders",
@@ -212,3 +213,12 @@
         return None
 
     return do_nothing
+
+
+def read_body_without_limit(original: Any) -> Any:
+    """Return a replacement that reads bodies of any size."""
+
+    async def read_body(self: Any, max_bytes: int, seconds: float | None = None) -> bytes:
+        return await original(self, 2**40, seconds)
+
+    return read_body
--- a/pimentoquay/bench/mutations/switches.py
+++ b/pimentoquay/bench/mutations/switches.py
@@ -21,6 +21,7 @@
     never_mark_silent_peers_dead,
     no_hysteresis,
     no_rebuild_grace,
+    read_body_without_limit,
     retry_every_call,
     return_constant,
     same_number_for_all_holders,
@@ -76,6 +77,8 @@
 _SCHEDULER = "pimentoquay/scheduler/tests/test_part.py::"
 _SHARD = "pimentoquay/scheduler/tests/test_shard.py::"
 _CONFIGURATION = "pimentoquay/configuration/tests/test_part.py::"
+_NOTICES = "pimentoquay/gateway/tests/test_notices.py::"
+_RESTORED = "pimentoquay/gateway/tests/test_store_restored.py::"
 
 SWITCHES = (
     Switch(
@@ -296,5 +299,56 @@
         "pimentoquay/bench/tests/test_rolling_versions.py::"
         "test_roll_back_half_way_mixes_no_versions",
     ),
+    Switch(
+        "leaving by header",
+        "pimentoquay.policy.engine_notices:EngineNotices.is_leaving",
+        return_constant(False),
+        _NOTICES + "test_an_engine_that_says_it_leaves_gets_no_new_requests_"
+        "though_it_is_listed_as_ready",
+    ),
+    Switch(
+        "leaving told to peers",
+        "pimentoquay.gateway.mesh:Mesh.publish_leaving",
+        return_constant(None),
+        _NOTICES + "test_peers_learn_that_an_engine_is_leaving_also_those_that_connect_later",
+    ),
+    Switch(
+        "pause of an engine",
+        "pimentoquay.policy.engine_notices:EngineNotices.pause_seconds",
+        return_constant(0.0),
+        _NOTICES + "test_nothing_is_sent_to_an_engine_during_its_pause",
+    ),
+    Switch(
+        "refusal until the first engine ends its pause",
+        "pimentoquay.gateway.shared_state:SharedState.pause_seconds",
+        return_constant(None),
+        _NOTICES + "test_callers_are_refused_until_the_first_engine_ends_its_pause",
+    ),
+    Switch(
+        "era of the store",
+        "pimentoquay.policy.store_position:StoreEra.raise_to",
+        return_constant(False),
+        _RESTORED + "test_a_record_at_an_offset_that_was_given_out_again_is_read",
+    ),
+    Switch(
+        "claim of an earlier era",
+        "pimentoquay.platform.store:era_of",
+        return_constant(2),
+        _RESTORED + "test_a_claim_does_not_survive_a_restoration_though_its_next_offset_is_free",
+    ),
+    Switch(
+        "newer heartbeat of an earlier era",
+        "pimentoquay.policy.engine_list:era_of",
+        return_constant(1),
+        _RESTORED + "test_a_gateway_that_started_after_the_restoration_takes_newer_records_"
+        "from_its_peers",
+    ),
+    Switch(
+        "size of a body",
+        "pimentoquay.http1.client:Exchange.read_body",
+        read_body_without_limit,
+        "pimentoquay/gateway/tests/test_endless.py::"
+        "test_a_body_without_end_is_counted_and_opens_the_circuit_at_once",
+    ),
 )
 """All mechanisms that can be switched off."""
--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -11,10 +11,15 @@
 from pimentoquay.gateway.mesh import Mesh
 from pimentoquay.gateway.metrics import (
     CONNECTIONS,
+    ENGINES_LEAVING,
     IN_PROGRESS,
     LIST_AGE,
+    OVERSIZED,
+    PAUSES,
     PEERS,
+    SENDS_WITHHELD,
     STORE_CALLS,
+    STORE_ERA,
     VERSION,
     WAITING,
     GatewayMetrics,
@@ -35,6 +40,7 @@
 from pimentoquay.policy.repeat_allowance import RepeatLimits
 from pimentoquay.policy.run_ledger import RunLedger
 from pimentoquay.policy.stage_plan import StageDemand
+from pimentoquay.policy.store_position import StoreEra
 from pimentoquay.policy.token_ledger import TokenLedger
 from pimentoquay.transport.peers import PeerSet
 from pimentoquay.transport.websocket import split_address
@@ -116,7 +122,16 @@
         timers.every(
             SEED_INTERVAL_SECONDS, lambda: self.mesh.dial_seeds(settings.control_addresses)
         )
-        await self.feed.announce(settings.vm, settings.control_address, settings.data_centre)
+        restored = asyncio.Event()
+        self.store.era.on_raised.append(restored.set)
+        while True:
+            restored.clear()
+            await self.feed.announce(settings.vm, settings.control_address, settings.data_centre)
+            await self._read_peers()
+            # A restored store may have lost this VM's address and have those of new VMs.
+            await restored.wait()
+
+    async def _read_peers(self) -> None:
         while True:
             try:
                 self.mesh.update_addresses(await self.feed.read_vm_addresses())
@@ -124,9 +139,9 @@
                 logger.bind(error=str(error)).info(
                     "failed to read the peers' addresses; will retry"
                 )
-                await timers.sleep(DISCOVERY_RETRY_SECONDS)
+                await self.node.timers.sleep(DISCOVERY_RETRY_SECONDS)
             else:
-                await asyncio.Event().wait()
+                return
 
     async def _drain(self) -> None:
         loop = asyncio.get_running_loop()
@@ -166,6 +181,7 @@
         RetryBudgets(limits),
     )
     peers = PeerSet(node)
+    era = StoreEra()
     reservations = Reservations(
         shared,
         lambda: mesh.peers_queued,
@@ -182,10 +198,12 @@
         shared.demand,
         settings.control_address,
         lambda: reservations.queued,
+        era,
     )
+    links.on_leaving.append(mesh.publish_leaving)
     mesh.on_load_changed.append(reservations.recheck_waiters)
     mesh.on_load_changed.append(lambda: _apply_mesh_state(shared, mesh))
-    store = StoreClient(settings.store_address)
+    store = StoreClient(settings.store_address, era)
     polling_schedule = poll_timing(bounds.drain_seconds, bounds.config_seconds, settings.vm)
     feed = StoreFeed(
         store,
@@ -218,8 +236,13 @@
         VERSION: lambda: fleet.configuration.version if fleet.configuration else 0,
         WAITING: lambda: reservations.queued.tokens,
         STORE_CALLS: lambda: store.calls,
+        STORE_ERA: lambda: era.value,
         CONNECTIONS: lambda: links.opened_connections,
         PEERS: lambda: mesh.gateway_count,
+        ENGINES_LEAVING: lambda: len(fleet.notices.leaving),
+        PAUSES: lambda: fleet.notices.pauses_requested,
+        OVERSIZED: lambda: links.oversized_responses,
+        SENDS_WITHHELD: lambda: fleet.notices.sends_withheld,
     }
     metrics_server = HttpServer(metrics.handle, ServerLimits)
     return Gateway(
--- a/pimentoquay/gateway/events.py
+++ b/pimentoquay/gateway/events.py
@@ -3,12 +3,14 @@
 import re
 from dataclasses import dataclass
 
+from pimentoquay.kernel.errors import ResponseTooLargeError
+
 __all__ = ["EventSplitter", "StreamEvent"]
 
 _END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _ID = re.compile(rb"(?:^|[\r\n])id: ?([0-9]+)(?=[\r\n])")
 
-MAX_EVENT_BYTES = 1024 * 1024
+MAX_EVENT_BYTES = 64 * 1024
 """Maximum size of an event; a response with more bytes before an event's end is invalid."""
 
 
@@ -36,7 +38,10 @@
         self.remainder = b""
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Add bytes and return the completed events; raise ``ValueError`` if one is too long."""
+        """Add bytes and return the events that are complete now.
+
+        ``ResponseTooLargeError`` if one is longer than ``MAX_EVENT_BYTES``.
+        """
         buffer = self.remainder + data
         events = []
         start = 0
@@ -47,5 +52,5 @@
             start = end.end()
         self.remainder = buffer[start:]
         if len(self.remainder) > MAX_EVENT_BYTES:
-            raise ValueError(f"event is longer than {MAX_EVENT_BYTES} bytes")
+            raise ResponseTooLargeError(f"event is longer than {MAX_EVENT_BYTES} bytes", True)
         return events
--- a/pimentoquay/gateway/feed.py
+++ b/pimentoquay/gateway/feed.py
@@ -77,6 +77,8 @@
         }
         self._is_down = False
         self._was_down = False
+        self._was_restored = False
+        store.era.on_raised.append(self._handle_restored)
 
     async def run(self) -> None:
         """Poll until cancelled."""
@@ -98,6 +100,14 @@
             if should_read and removals:
                 self._publish(FleetCopy(-1, b"", removals, -1, ()))
 
+    def _handle_restored(self) -> None:
+        """Read everything again after the store was restored from an older copy."""
+        era = self._store.era.value
+        logger.bind(era=era).warning("the store was restored from an older copy")
+        self._next_by_topic.clear()
+        self._fleet.engine_list.start_relisting_grace(self._timers.now())
+        self._was_restored = True
+
     async def announce(self, vm: str, address: str, data_centre: str) -> None:
         """Write this VM's address for peers to the store; retry until that succeeds."""
         value = json.dumps({"address": address, "data_centre": data_centre}).encode()
@@ -135,55 +145,56 @@
 
     async def _read(self, topic: str) -> None:
         handle = self._handler_by_topic[topic]
-        next_offset = self._next_by_topic.get(topic)
-        if next_offset is not None:
+        next_position = self._next_by_topic.get(topic)
+        if next_position is not None:
             try:
-                page = await self._store.read(topic, next_offset, 0.0)
+                page = await self._store.read(topic, next_position, 0.0)
             except RecordsGoneError:
-                del self._next_by_topic[topic]
-                logger.bind(topic=topic, offset=next_offset).info(
+                self._next_by_topic.pop(topic, None)
+                logger.bind(topic=topic, position=next_position).info(
                     "records were deleted; reading the latest of each key"
                 )
             else:
-                handle(page.records, page.next_offset, False)
-                self._next_by_topic[topic] = page.next_offset
+                handle(page.records, page.next_position, False)
+                self._next_by_topic[topic] = page.next_position
                 return
         latest = await self._store.read_latest(topic)
-        handle(latest.records, latest.next_offset, True)
-        self._next_by_topic[topic] = latest.next_offset
+        handle(latest.records, latest.next_position, True)
+        self._next_by_topic[topic] = latest.next_position
 
     def _apply_configuration(
-        self, records: tuple[KeyedRecord, ...], next_offset: int, is_snapshot: bool
+        self, records: tuple[KeyedRecord, ...], next_position: int, is_snapshot: bool
     ) -> None:
         for record in records:
             if record.key != CONFIGURATION_KEY or record.value is None:
                 continue
-            if self._fleet.apply_configuration(record.offset, record.value):
-                self._publish(FleetCopy(record.offset, record.value, (), -1, ()))
+            if self._fleet.apply_configuration(record.position, record.value):
+                self._publish(FleetCopy(record.position, record.value, (), -1, ()))
 
     def _apply_engines(
-        self, records: tuple[KeyedRecord, ...], next_offset: int, is_snapshot: bool
+        self, records: tuple[KeyedRecord, ...], next_position: int, is_snapshot: bool
     ) -> None:
         if self._was_down:
             self._was_down = False
             self._fleet.engine_list.start_relisting_grace(self._timers.now())
         engines = tuple(
-            EngineRecord(record.key, record.offset, record.value or b"") for record in records
+            EngineRecord(record.key, record.position, record.value or b"") for record in records
         )
         changed = self._fleet.apply_engine_records(engines)
+        was_restored, self._was_restored = self._was_restored, False
         if is_snapshot:
-            self._fleet.apply_engine_snapshot(engines, next_offset)
+            self._fleet.apply_engine_snapshot(engines, next_position)
         else:
-            self._fleet.record_list_read(next_offset)
-        if changed:
-            self._publish(FleetCopy(-1, b"", changed, next_offset, ()))
+            self._fleet.record_list_read(next_position)
+        if changed or was_restored:
+            self._publish(FleetCopy(-1, b"", changed, next_position, ()))
 
 
 def _parse_vm_address(record: KeyedRecord) -> VmAddress | None:
     try:
         item = json.loads(record.value or b"")
         location = str(item["address"]), str(item["data_centre"])
-        return VmAddress(record.key, *location, record.offset)
+        return VmAddress(record.key, *location, record.position)
     except (ValueError, TypeError, KeyError) as error:
         logger.bind(peer=record.key, error=repr(error)).warning("invalid peer address ignored")
         return None
--- a/pimentoquay/gateway/fleet.py
+++ b/pimentoquay/gateway/fleet.py
@@ -8,8 +8,10 @@
 from pimentoquay.platform.engine_entry import decode_engine_entry
 from pimentoquay.platform.fields import DecodeError
 from pimentoquay.policy.engine_list import EngineList, EngineUpdate
+from pimentoquay.policy.engine_notices import EngineNotices
 from pimentoquay.policy.fleet import EngineEntry, FleetConfiguration
 from pimentoquay.policy.route_choice import RouteTable
+from pimentoquay.policy.store_position import era_of
 
 __all__ = ["Fleet"]
 
@@ -30,12 +32,13 @@
         self._now = now
         self.route_table: RouteTable | None = None
         self.engine_list = EngineList()
+        self.notices = EngineNotices()
         self.has_engine_list = False
         self.on_engines_changed: list[Callable[[], None]] = []
-        self._configuration_offset = -1
+        self._configuration_position = -1
         self._document = b""
         self._record_by_engine: dict[str, EngineRecord] = {}
-        self._engines_offset = 0
+        self._engines_position = 0
         self._read_at = float("-inf")
         self._peers_read_at = float("-inf")
         self._engines: tuple[EngineEntry, ...] = ()
@@ -78,25 +81,30 @@
         return tuple(
             engine
             for engine in self._engines
-            if engine.service == service and not engine.is_draining
+            if engine.service == service
+            and not engine.is_draining
+            and not self.notices.is_leaving(engine.start)
         )
 
-    def apply_configuration(self, offset: int, document: bytes) -> bool:
+    def apply_configuration(self, position: int, document: bytes) -> bool:
         """Apply a configuration; return whether it was valid and newer than the current one."""
-        if offset <= self._configuration_offset:
+        known_position = self._configuration_position
+        if position <= known_position and era_of(position) == era_of(known_position):
             return False
         try:
             configuration = decode_configuration(document)
         except DecodeError as error:
-            logger.bind(offset=offset, error=str(error)).warning("invalid configuration ignored")
+            logger.bind(position=position, error=str(error)).warning(
+                "invalid configuration ignored"
+            )
             return False
         current = self.configuration
         if current is not None and configuration.version <= current.version:
             return False
-        self._configuration_offset, self._document = offset, document
+        self._configuration_position, self._document = position, document
         self.route_table = RouteTable(configuration)
         logger.bind(
-            version=configuration.version, offset=offset, routes=len(configuration.routes)
+            version=configuration.version, position=position, routes=len(configuration.routes)
         ).info("configuration in force")
         return True
 
@@ -107,24 +115,23 @@
             update = _to_update(record)
             if self.engine_list.apply((update,), self._now()):
                 changed.append(record)
-            known = self._record_by_engine.get(record.engine)
-            if known is None or known.offset < record.offset:
+                # Outdated records are not kept for peers, whatever their position.
                 self._record_by_engine[record.engine] = record
         if changed:
             self._refresh_engines()
         return tuple(changed)
 
-    def apply_engine_snapshot(self, records: tuple[EngineRecord, ...], next_offset: int) -> None:
-        """Apply a complete list of engines that holds all records before ``next_offset``."""
+    def apply_engine_snapshot(self, records: tuple[EngineRecord, ...], next_position: int) -> None:
+        """Apply a complete list of engines that holds all records before ``next_position``."""
         self.apply_engine_records(records)
         names = [record.engine for record in records]
-        if self.engine_list.remove_unlisted(names, next_offset, self._now()):
+        if self.engine_list.remove_unlisted(names, next_position, self._now()):
             self._refresh_engines()
-        self.record_list_read(next_offset)
+        self.record_list_read(next_position)
 
-    def record_list_read(self, next_offset: int) -> None:
-        """Record that the list was read from the store up to ``next_offset``."""
-        self._engines_offset = max(self._engines_offset, next_offset)
+    def record_list_read(self, next_position: int) -> None:
+        """Record that the list was read from the store up to ``next_position``."""
+        self._engines_position = max(self._engines_position, next_position)
         self.has_engine_list = True
         self._read_at = self._now()
 
@@ -140,15 +147,24 @@
         is made here.
         """
         removed, self._removed = self._removed, []
-        return tuple(EngineRecord(each, self._engines_offset - 1, b"") for each in removed)
+        records = [EngineRecord(each, self._engines_position - 1, b"") for each in removed]
+        listed = {engine.id for engine in self._engines}
+        self._record_by_engine.update(
+            {each.engine: each for each in records if each.engine not in listed}
+        )
+        return tuple(records)
+
+    def pause_seconds(self, engine: EngineEntry) -> float:
+        """Return the seconds until an engine that requested a pause accepts requests again."""
+        return self.notices.pause_seconds(engine.start, self._now())
 
     def snapshot(self) -> FleetCopy:
         """Return a message with everything that a peer needs to serve requests."""
         return FleetCopy(
-            self._configuration_offset,
+            self._configuration_position,
             self._document,
             tuple(self._record_by_engine.values()),
-            self._engines_offset if self.has_engine_list else -1,
+            self._engines_position if self.has_engine_list else -1,
             (),
         )
 
@@ -171,10 +187,10 @@
 
 def _to_update(record: EngineRecord) -> EngineUpdate:
     if not record.value:
-        return EngineUpdate(record.engine, record.offset, None, is_removed=True)
+        return EngineUpdate(record.engine, record.position, None, is_removed=True)
     try:
         entry = decode_engine_entry(record.engine, record.value)
     except DecodeError as error:
         logger.bind(engine=record.engine, error=str(error)).info("invalid engine entry")
-        return EngineUpdate(record.engine, record.offset, None)
-    return EngineUpdate(record.engine, record.offset, entry)
+        return EngineUpdate(record.engine, record.position, None)
+    return EngineUpdate(record.engine, record.position, entry)
--- a/pimentoquay/gateway/links.py
+++ b/pimentoquay/gateway/links.py
@@ -5,13 +5,14 @@
 from collections.abc import AsyncIterator, Callable
 
 from pimentoquay.gateway.fleet import Fleet
-from pimentoquay.http1 import ConnectionPool, Exchange, ReusePolicy
-from pimentoquay.kernel.errors import HttpError
+from pimentoquay.http1 import ConnectionPool, Exchange, HeaderList, ReusePolicy
+from pimentoquay.kernel.errors import HttpError, ResponseTooLargeError
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.engine_calls import EngineCall, EngineCalls
 from pimentoquay.platform.requests import CallerRequest, SendOptions, engine_headers
-from pimentoquay.platform.responses import is_response_to
+from pimentoquay.platform.responses import is_response_to, parse_notice
 from pimentoquay.policy.circuits import CircuitLimits, Circuits, CircuitState
+from pimentoquay.policy.engine_notices import EngineNotices, EngineStart
 from pimentoquay.policy.fleet import EngineEntry
 
 __all__ = ["EngineLink", "EngineLinks"]
@@ -22,6 +23,9 @@
 CALL_TIMEOUT_SECONDS = 0.5
 """Timeout of a management call, such as reserving memory, which runs no request."""
 
+MAX_CALL_BODY_BYTES = 64 * 1024
+"""Maximum size of a response to a management call, in bytes; they have a few hundred."""
+
 REUSE_POLICY = ReusePolicy(max_idle_seconds=4.0, margin_seconds=1.0)
 """Engines state their idle timeout in whole seconds, so the margin is one second."""
 
@@ -39,13 +43,27 @@
         The engine.
     circuits
         Circuit breakers, which are updated with every response and every failure.
+    notices
+        What engines say about themselves, which is updated with every response.
     on_open
         Called for each connection opened to the engine.
+    on_oversized
+        Called for each response that was cut off for its size.
     """
 
-    def __init__(self, entry: EngineEntry, circuits: Circuits, on_open: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        entry: EngineEntry,
+        circuits: Circuits,
+        notices: EngineNotices,
+        on_open: Callable[[], None],
+        on_oversized: Callable[[], None],
+    ) -> None:
         self.entry = entry
+        self._on_oversized = on_oversized
+        self.on_leaving: Callable[[EngineStart], None] = lambda start: None
         self._circuits = circuits
+        self._notices = notices
         self.calls = EngineCalls(entry.id, entry.address)
         self._pool = ConnectionPool(entry.address, CONNECT_TIMEOUT_SECONDS, REUSE_POLICY, on_open)
 
@@ -78,8 +96,9 @@
         Raises
         ------
         HttpError
-            If there is no complete response.
+            If there is no complete response, or the engine has requested a pause.
         """
+        self._check_pause()
         probe = self._start_probe_if_due()
         try:
             async with self._pool.exchange(
@@ -92,9 +111,10 @@
                 head_seconds=head_seconds,
             ) as exchange:
                 self._circuits.succeeded(self.entry.id)
+                self._record_notice(exchange.status, exchange.headers)
                 yield exchange
         except HttpError as error:
-            self._record_failure(error.written)
+            self._record_failure(error)
             raise
         finally:
             self._circuits.end_probe(self.entry.id, probe)
@@ -103,20 +123,22 @@
         self, call: EngineCall, seconds: float = CALL_TIMEOUT_SECONDS
     ) -> tuple[int, bytes]:
         """Make a management call; return status and body, or raise ``HttpError``."""
+        self._check_pause()
         probe = self._start_probe_if_due()
         try:
             async with (
                 asyncio.timeout(seconds),
                 self._pool.exchange(call.method, call.target, call.headers, call.body) as exchange,
             ):
-                body = await exchange.read_body()
+                self._record_notice(exchange.status, exchange.headers)
+                body = await exchange.read_body(MAX_CALL_BODY_BYTES)
                 self._circuits.succeeded(self.entry.id)
                 return exchange.status, body
         except HttpError as error:
-            self._record_failure(error.written)
+            self._record_failure(error)
             raise
         except TimeoutError:
-            self._record_failure(False)
+            self._record_failure(HttpError("", False))
             raise HttpError(f"{self.entry.id}: no response in {seconds} s", True) from None
         finally:
             self._circuits.end_probe(self.entry.id, probe)
@@ -125,6 +147,22 @@
         """Close the idle connections."""
         self._pool.close()
 
+    def _check_pause(self) -> None:
+        now = asyncio.get_running_loop().time()
+        if not self._notices.may_send(self.entry.start, now):
+            raise HttpError(f"{self.entry.id} requested a pause", False)
+
+    def _record_notice(self, status: int, headers: HeaderList) -> None:
+        """Record whether the engine is leaving and for how long it wants no requests."""
+        start, now = self.entry.start, asyncio.get_running_loop().time()
+        notice = parse_notice(start.id, status, headers)
+        if notice.is_leaving and self._notices.record_leaving((start,), now):
+            logger.bind(engine=start.id, incarnation=start.incarnation).info("engine is leaving")
+            self.on_leaving(start)
+        if notice.pause_seconds is not None:
+            self._notices.record_pause(start, notice.pause_seconds, now)
+            logger.bind(engine=start.id, seconds=notice.pause_seconds).info("engine paused")
+
     def _start_probe_if_due(self) -> str:
         """Return an id for an exchange, which is made the circuit's probe if one is due."""
         now = asyncio.get_running_loop().time()
@@ -133,13 +171,17 @@
             self._circuits.begin_probe(self.entry.id, probe, now)
         return probe
 
-    def _record_failure(self, written: bool) -> None:
+    def _record_failure(self, error: HttpError) -> None:
         """Record a failure, which opens the circuit at once if nothing was written.
 
-        A management call that timed out is recorded as if nothing was written.
+        It is opened at once also if the engine sends without end. A management call that timed out
+        is recorded as if nothing was written.
         """
         now = asyncio.get_running_loop().time()
-        if written:
+        if isinstance(error, ResponseTooLargeError):
+            self._on_oversized()
+            logger.bind(engine=self.entry.id, error=str(error)).warning("response cut for its size")
+        if error.written and not isinstance(error, ResponseTooLargeError):
             self._circuits.failed(self.entry.id, now)
         else:
             self._circuits.refused(self.entry.id, now)
@@ -148,7 +190,8 @@
 class EngineLinks:
     """Links to all listed engines.
 
-    ``opened_connections`` counts all connections opened to engines.
+    ``opened_connections`` counts all connections opened to engines, ``oversized_responses`` their
+    responses that were cut off for their size.
 
     Parameters
     ----------
@@ -159,7 +202,9 @@
     def __init__(self, fleet: Fleet) -> None:
         self._fleet = fleet
         self.circuits = Circuits(CIRCUIT_LIMITS)
+        self.on_leaving: list[Callable[[EngineStart], None]] = []
         self.opened_connections = 0
+        self.oversized_responses = 0
         self._link_by_id: dict[str, EngineLink] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         fleet.on_engines_changed.append(self._drop_stale_links)
@@ -170,7 +215,15 @@
         if link is None or not _is_same_start(link.entry, entry):
             if link is not None:
                 link.close()
-            link = self._link_by_id[entry.id] = EngineLink(entry, self.circuits, self._count_opened)
+            link = EngineLink(
+                entry,
+                self.circuits,
+                self._fleet.notices,
+                self._count_opened,
+                self._count_oversized,
+            )
+            link.on_leaving = self._report_leaving
+            self._link_by_id[entry.id] = link
         return link
 
     def is_circuit_open(self, engine: str, now: float) -> bool:
@@ -189,9 +242,16 @@
         for link in self._link_by_id.values():
             link.close()
 
+    def _report_leaving(self, start: EngineStart) -> None:
+        for callback in self.on_leaving:
+            callback(start)
+
     def _count_opened(self) -> None:
         self.opened_connections += 1
 
+    def _count_oversized(self) -> None:
+        self.oversized_responses += 1
+
     def _drop_stale_links(self) -> None:
         entry_by_id = {entry.id: entry for entry in self._fleet.engines()}
         for engine_id, link in tuple(self._link_by_id.items()):
--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -17,8 +17,10 @@
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages.fleet import (
     EngineRuns,
+    EnginesLeaving,
     EngineTokens,
     FleetCopy,
+    LeavingEngine,
     PeerLoads,
     RunSize,
     StageOrdered,
@@ -26,10 +28,12 @@
     VmLoad,
     VmWork,
 )
+from pimentoquay.policy.engine_notices import EngineStart
 from pimentoquay.policy.memory_forecast import GrowingRun
 from pimentoquay.policy.mesh_plan import plan_mesh
 from pimentoquay.policy.run_ledger import RunLedger
 from pimentoquay.policy.stage_plan import StageDemand, StageWork
+from pimentoquay.policy.store_position import StoreEra, era_of
 from pimentoquay.policy.token_ledger import TokenLedger
 from pimentoquay.transport.peers import PeerSet
 
@@ -68,6 +72,8 @@
         Address at which this gateway listens for peers.
     queued
         Returns the memory that streams wait for at this gateway.
+    era
+        Era of the store, which is raised by what peers send.
     """
 
     def __init__(
@@ -80,6 +86,7 @@
         demand: StageDemand,
         address: str,
         queued: Callable[[], QueuedTokens],
+        era: StoreEra,
     ) -> None:
         self._node = node
         self._peers = peers
@@ -88,6 +95,7 @@
         self._prefill_ledger = prefill_ledger
         self._demand = demand
         self._queued = queued
+        self._era = era
         self._vm = node.identity.vm
         own = VmAddress(self._vm, address, node.identity.data_centre, -1)
         self._address_by_vm: dict[str, VmAddress] = {self._vm: own}
@@ -102,7 +110,7 @@
         self.on_load_changed: list[Callable[[], None]] = []
         self.on_stage_ordered: list[Callable[[StageOrdered], None]] = []
         self.inbox = node.bus.subscribe(
-            FleetCopy, PeerLoads, StageOrdered, ChannelOpened, ChannelClosed
+            FleetCopy, PeerLoads, StageOrdered, EnginesLeaving, ChannelOpened, ChannelClosed
         )
 
     @property
@@ -156,7 +164,7 @@
 
     def _is_newer(self, address: VmAddress) -> bool:
         known = self._address_by_vm.get(address.vm)
-        return known is None or known.offset < address.offset
+        return known is None or known.position < address.position
 
     def dial_seeds(self, addresses: tuple[str, ...]) -> None:
         """Dial seed addresses that belong to no known VM, unless a peer is known to be alive."""
@@ -165,7 +173,11 @@
         if not self._last_seen_at_by_vm and wanted:
             self._peers.set_targets({**self._dial_addresses(), **wanted})
 
-    def publish(self, message: FleetCopy | StageOrdered) -> None:
+    def publish_leaving(self, start: EngineStart) -> None:
+        """Tell the peers that an engine is leaving."""
+        self.publish(_leaving_message((start,)))
+
+    def publish(self, message: FleetCopy | StageOrdered | EnginesLeaving) -> None:
         """Send a message to every peer that this gateway has a channel to."""
         for channel in self._channels():
             channel.send(message)
@@ -186,7 +198,7 @@
         """Return one channel for each peer; there are two if both sides have dialled."""
         return tuple({each.peer.vm: each for each in self._peers.channels(PROCESS)}.values())
 
-    def _forward(self, message: FleetCopy | StageOrdered, source: str) -> None:
+    def _forward(self, message: FleetCopy | StageOrdered | EnginesLeaving, source: str) -> None:
         """Forward a peer's message to the peers that do not receive it from the source."""
         for channel in self._channels():
             if self.load_relay.plan.should_forward(source, channel.peer.vm):
@@ -215,6 +227,8 @@
         self._record_seen((channel.peer.vm,))
         self.load_relay.update_incarnation(channel.peer.vm, channel.peer.incarnation)
         channel.send(replace(self._fleet.snapshot(), vms=tuple(self._address_by_vm.values())))
+        if self._fleet.notices.leaving:
+            channel.send(_leaving_message(self._fleet.notices.leaving))
         self.load_relay.send_own_load(channel)
         logger.bind(peer=channel.peer.vm).info("peer connected")
 
@@ -228,16 +242,18 @@
     @_dispatch.register
     def _handle_copy(self, message: FleetCopy, envelope: Envelope) -> None:
         source = _source(envelope)
+        position = message.engines_position
+        was_restored = position >= 0 and self._era.raise_to(era_of(position))
         is_newer = bool(message.configuration) and self._fleet.apply_configuration(
-            message.configuration_offset, message.configuration
+            message.configuration_position, message.configuration
         )
         changed = self._fleet.apply_engine_records(message.engines)
-        if message.engines_offset >= 0:
+        if message.engines_position >= 0:
             self._fleet.has_engine_list = True
         if is_newer:
-            self._forward(replace(message, engines=changed, engines_offset=-1, vms=()), source)
-        elif changed:
-            self._forward(FleetCopy(-1, b"", changed, -1, ()), source)
+            self._forward(replace(message, engines=changed, engines_position=-1, vms=()), source)
+        elif changed or was_restored:
+            self._forward(FleetCopy(-1, b"", changed, position if was_restored else -1, ()), source)
         self.update_addresses(message.vms)
 
     @_dispatch.register
@@ -249,6 +265,14 @@
         for callback in self.on_stage_ordered:
             callback(message)
 
+    @_dispatch.register
+    def _handle_leaving(self, message: EnginesLeaving, envelope: Envelope) -> None:
+        starts = [EngineStart(each.engine, each.incarnation) for each in message.engines]
+        new = self._fleet.notices.record_leaving(starts, self._node.timers.now())
+        if new:
+            logger.bind(engines=",".join(each.id for each in new)).info("engines are leaving")
+            self._forward(_leaving_message(new), _source(envelope))
+
     @_dispatch.register
     def _handle_loads(self, message: PeerLoads, envelope: Envelope) -> None:
         newer_loads = self.load_relay.receive(message, _source(envelope))
@@ -323,6 +347,10 @@
     return envelope.channel.peer.vm
 
 
+def _leaving_message(starts: Iterable[EngineStart]) -> EnginesLeaving:
+    return EnginesLeaving(tuple(LeavingEngine(each.id, each.incarnation) for each in starts))
+
+
 def _engine_runs(run_ledger: RunLedger, now: float) -> tuple[EngineRuns, ...]:
     return tuple(
         EngineRuns(engine, tuple(RunSize(run.tokens, run.remaining) for run in runs))
--- a/pimentoquay/gateway/metrics.py
+++ b/pimentoquay/gateway/metrics.py
@@ -45,8 +45,44 @@
     "pimentoquay_gateway_engine_connections_total", "counter", "connections opened to engines"
 )
 PEERS = Metric("pimentoquay_gateway_peers", "gauge", "gateways that are known, this one included")
+ENGINES_LEAVING = Metric(
+    "pimentoquay_gateway_engines_leaving",
+    "gauge",
+    "engines that said in a response that they leave",
+)
+PAUSES = Metric(
+    "pimentoquay_gateway_engine_pauses_total", "counter", "pauses that engines have requested"
+)
+SENDS_WITHHELD = Metric(
+    "pimentoquay_gateway_sends_withheld_total",
+    "counter",
+    "requests and calls that were not sent because their engine had requested a pause",
+)
+STORE_ERA = Metric(
+    "pimentoquay_gateway_store_era",
+    "gauge",
+    "era of the store, which rises when it is restored from a copy",
+)
+OVERSIZED = Metric(
+    "pimentoquay_gateway_oversized_responses_total",
+    "counter",
+    "responses of engines that were cut off for their size",
+)
 
-_GAUGES = (IN_PROGRESS, LIST_AGE, VERSION, WAITING, STORE_CALLS, CONNECTIONS, PEERS)
+_GAUGES = (
+    IN_PROGRESS,
+    LIST_AGE,
+    VERSION,
+    WAITING,
+    STORE_CALLS,
+    STORE_ERA,
+    CONNECTIONS,
+    PEERS,
+    ENGINES_LEAVING,
+    PAUSES,
+    SENDS_WITHHELD,
+    OVERSIZED,
+)
 _SUMMARIES = (REQUEST_SECONDS, FIRST_EVENT_SECONDS, MEMORY_WAIT_SECONDS)
 
 GATEWAY_METRICS = (REQUESTS, *_GAUGES, *_SUMMARIES)
--- a/pimentoquay/gateway/plain.py
+++ b/pimentoquay/gateway/plain.py
@@ -8,11 +8,11 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from pimentoquay.gateway.job import Job, send_response
+from pimentoquay.gateway.job import Job, record_end, send_response
 from pimentoquay.gateway.shared_state import SharedState
-from pimentoquay.http1 import HeaderList
+from pimentoquay.http1 import Exchange, HeaderList, end_to_end_headers
 from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode
-from pimentoquay.kernel.errors import HttpError
+from pimentoquay.kernel.errors import HttpError, ResponseTooLargeError
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.requests import SendOptions
 from pimentoquay.platform.responses import ResponseInfo, parse_response
@@ -31,16 +31,23 @@
 """Timeout of an idempotent call's send, in multiples of its route's target latency, if another
 server can be tried."""
 
+MAX_BUFFERED_BYTES = 32 * 1024
+"""Size of a response body in bytes up to which it is read completely before it is forwarded, so
+that the call can be repeated. A longer one is forwarded as it arrives."""
+
 UNREPEATABLE_MAX_IDLE_SECONDS = 1.0
 """Maximum idle time of a reused connection for a call that may not be repeated."""
 
 
 @dataclass(frozen=True)
 class _Response:
+    """Response of a server; ``is_forwarded`` if the caller has it already."""
+
     status: int
     headers: HeaderList
     body: bytes
     info: ResponseInfo
+    is_forwarded: bool = False
 
 
 @dataclass
@@ -80,6 +87,11 @@
             attempts.sends += 1
             attempts.engines.add(engine.id)
             response = await self._send(job, engine, attempts)
+            if response is not None and response.is_forwarded:
+                record_end(job, ResultCode.OK, f"status {response.status}")
+                return
+            if job.reply.started:
+                raise PimentoquayError(ResultCode.STREAM_BROKEN, f"{engine.id} broke off")
             if response is not None and not self._should_try_another(job, attempts, response):
                 send_response(job, response.status, response.headers, response.body)
                 return
@@ -91,7 +103,7 @@
         engines = [
             engine
             for engine in shared.fleet.accepting_engines(job.service)
-            if not shared.is_misdirected(engine, now)
+            if not shared.is_misdirected(engine, now) and shared.fleet.pause_seconds(engine) == 0.0
         ]
         reachable = [each for each in engines if not shared.links.is_circuit_open(each.id, now)]
         chosen = None
@@ -124,8 +136,8 @@
         experience.outstanding += 1
         has_failed = True
         try:
-            async with asyncio.timeout(self._send_timeout(job, attempts)):
-                response = await self._exchange(job, engine)
+            async with asyncio.timeout(self._send_timeout(job, attempts)) as timeout:
+                response = await self._exchange(job, engine, timeout)
             attempts.arrivals += 1
             has_failed = response.status >= 500
             return self._accept_response(job, engine, attempts, response)
@@ -152,7 +164,7 @@
             return min(left, FIRST_SEND_TARGET_MULTIPLE * job.route.target_seconds)
         return left
 
-    async def _exchange(self, job: Job, engine: EngineEntry) -> _Response:
+    async def _exchange(self, job: Job, engine: EngineEntry, timeout: asyncio.Timeout) -> _Response:
         link = self._shared.links.link_to(engine)
         options = SendOptions(engine=engine.id, timeout_seconds=job.seconds_left())
         max_idle_seconds = None if job.route.may_run_again else UNREPEATABLE_MAX_IDLE_SECONDS
@@ -160,10 +172,34 @@
         async with link.send(
             request.method, request.target, job.caller, request.body, options, max_idle_seconds
         ) as exchange:
-            body = await exchange.read_body()
             response_info = parse_response(exchange.status, exchange.headers)
+            parts: list[bytes] = []
+            size = 0
+            while (part := await exchange.read_chunk()) is not None:
+                parts.append(part)
+                size += len(part)
+                if size > MAX_BUFFERED_BYTES:
+                    if not response_info.is_success:
+                        raise ResponseTooLargeError(f"body of status {exchange.status}", True)
+                    timeout.reschedule(job.deadline)
+                    return await self._forward_long(job, exchange, response_info, parts)
+            body = b"".join(parts)
             return _Response(exchange.status, exchange.headers, body, response_info)
 
+    async def _forward_long(
+        self, job: Job, exchange: Exchange, response_info: ResponseInfo, parts: list[bytes]
+    ) -> _Response:
+        """Forward a long response as it arrives; the call can no longer be repeated."""
+        reply = job.reply
+        reply.start(exchange.status, end_to_end_headers(exchange.headers))
+        part: bytes | None = b"".join(parts)
+        while part is not None:
+            reply.write(part)
+            await reply.drain()
+            part = await exchange.read_chunk()
+        reply.end()
+        return _Response(exchange.status, exchange.headers, b"", response_info, is_forwarded=True)
+
     def _accept_response(
         self, job: Job, engine: EngineEntry, attempts: _Attempts, response: _Response
     ) -> _Response | None:
@@ -194,7 +230,8 @@
             send_response(job, response.status, response.headers, response.body)
         elif attempts.runs == 0:
             detail = f"{attempts.sends} engines tried"
-            raise RefusedError(ResultCode.NO_BACKEND, detail, RETRY_AFTER_SECONDS)
+            pause = self._shared.pause_seconds(job.service)
+            raise RefusedError(ResultCode.NO_BACKEND, detail, pause or RETRY_AFTER_SECONDS)
         elif job.seconds_left() <= 0:
             raise PimentoquayError(ResultCode.DEADLINE_MISSED, f"{attempts.runs} engines tried")
         else:
--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -24,6 +24,10 @@
 """Timeout of a prefill: ten times its usual duration, and half the lifetime of a memory hold."""
 
 
+MAX_BODY_BYTES = 64 * 1024
+"""Maximum size of a response to a prefill, in bytes; it names a KV cache."""
+
+
 class _PrefillRefusedError(Exception):
     """An engine responded to a prefill with something other than a KV cache."""
 
@@ -139,7 +143,7 @@
                     request.method, request.target, job.caller, request.body, options
                 ) as exchange,
             ):
-                body = await exchange.read_body()
+                body = await exchange.read_body(MAX_BODY_BYTES)
                 if parse_response(exchange.status, exchange.headers).is_misdirected:
                     self._shared.mark_misdirected(engine)
                 if exchange.status != 200:
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -50,6 +50,9 @@
 there."""
 
 
+_DECODE_STAGES = (EngineStage.DECODE, EngineStage.BOTH)
+
+
 @dataclass(eq=False)
 class Reservation:
     """Memory of one engine that is reserved for one stream.
@@ -158,6 +161,7 @@
         ends_at = times.leaves_at - self._limits.work_seconds
         try:
             while loop.time() < ends_at:
+                self._refuse_if_paused(job)
                 if self._is_next(waiter):
                     reservation = await self._try_reserve(job, memory, need)
                     if reservation is not None:
@@ -212,6 +216,7 @@
 
     def _refuse_long_wait(self, job: Job, waiter: _Waiter) -> None:
         engines = self._decode_engines(job)
+        self._refuse_if_paused(job)
         if not engines:
             raise RefusedError(
                 ResultCode.NO_BACKEND, "no decode engine is listed", RETRY_AFTER_SECONDS
@@ -233,9 +238,14 @@
             detail = f"{ahead} tokens wait, {held} are held"
             raise RefusedError(ResultCode.QUEUE_FULL, detail, decision.seconds)
 
+    def _refuse_if_paused(self, job: Job) -> None:
+        """Refuse a stream at once if all decode engines have requested a pause."""
+        pause = self._shared.pause_seconds(job.service, _DECODE_STAGES)
+        if pause is not None:
+            raise RefusedError(ResultCode.NO_BACKEND, "all decode engines have paused", pause)
+
     def _decode_engines(self, job: Job) -> tuple[EngineEntry, ...]:
-        stages = (EngineStage.DECODE, EngineStage.BOTH)
-        return self._shared.available_engines(job.service, stages)
+        return self._shared.available_engines(job.service, _DECODE_STAGES)
 
     def _engine_groups(self, job: Job, need: MemoryNeed) -> tuple[Sequence[EngineEntry], ...]:
         """Return groups of decode engines that may run a prompt, to be tried in order."""
--- a/pimentoquay/gateway/shared_state.py
+++ b/pimentoquay/gateway/shared_state.py
@@ -23,6 +23,8 @@
 """Time for which an engine is avoided after it rejected a request as misdirected. A restarted
 engine updates its entry within one heartbeat interval of 1.2 s."""
 
+ALL_STAGES = frozenset(EngineStage)
+
 EngineKey = tuple[str, int, EngineStage]
 """Engine id, incarnation and stage, which identify one state of one engine process."""
 
@@ -108,8 +110,23 @@
             and self.changing_until_by_engine.get(engine.id, 0.0) <= now
             and not self.links.is_circuit_open(engine.id, now)
             and not self.is_misdirected(engine, now)
+            and self.fleet.pause_seconds(engine) == 0.0
         )
 
+    def pause_seconds(
+        self, service: str, stages: Collection[EngineStage] = ALL_STAGES
+    ) -> float | None:
+        """Return the seconds until the first of the engines ends its pause, if all have paused.
+
+        ``None`` if an engine of the service has not requested a pause, or none is listed.
+        """
+        pauses = [
+            self.fleet.pause_seconds(engine)
+            for engine in self.fleet.accepting_engines(service)
+            if engine.stage in stages
+        ]
+        return min(pauses) if pauses and all(pauses) else None
+
 
 def _key_of(engine: EngineEntry) -> EngineKey:
     return engine.id, engine.incarnation, engine.stage
--- a/pimentoquay/gateway/stage_controller.py
+++ b/pimentoquay/gateway/stage_controller.py
@@ -1,7 +1,7 @@
 """Change engines between the prefill and the decode stage in proportion to the load.
 
 One gateway at a time sends stage orders. It claims that role with a record in a topic of the store,
-which is appended only if no other record has been added since the last known one. The offset of
+which is appended only if no other record has been added since the last known one. The position of
 the record is the fencing token. Before each order another record is appended in the same way, so a
 gateway that has been replaced, or that cannot reach the store, sends no order. A new holder waits
 until every order of the previous one has been received or rejected.
@@ -20,6 +20,7 @@
 from pimentoquay.platform.store import ORDER_TOPIC, StoreClient, StoreError
 from pimentoquay.policy.fleet import EngineStage, Service
 from pimentoquay.policy.stage_plan import StageChange, max_changing_engines, next_change
+from pimentoquay.policy.store_position import FIRST_ERA, era_of, offset_of
 
 __all__ = ["StageController"]
 
@@ -54,7 +55,7 @@
 class _Claim:
     """Claim of this gateway to the role of sending orders.
 
-    ``fence``, the fencing token, is the offset of its newest record. ``may_order_at`` is the time
+    ``fence``, the fencing token, is the position of its newest record. ``may_order_at`` is the time
     from which it may send orders.
     """
 
@@ -166,8 +167,10 @@
             if self._claim is None:
                 self._claim = await self._make_claim()
             elif self._timers.now() >= self._claim.may_order_at:
-                offset = self._claim.fence + 1
-                fence = await self._store.put_at(ORDER_TOPIC, offset, CLAIM_KEY, self._vm.encode())
+                position = self._claim.fence + 1
+                fence = await self._store.put_at(
+                    ORDER_TOPIC, position, CLAIM_KEY, self._vm.encode()
+                )
                 if fence is None:
                     logger.bind(fence=self._claim.fence).info("another gateway gives orders")
                     self._claim = None
@@ -181,12 +184,14 @@
         return self._claim is not None and self._timers.now() >= self._claim.may_order_at
 
     async def _make_claim(self) -> _Claim | None:
-        end = await self._store.read_end_offset(ORDER_TOPIC)
+        end = await self._store.read_end_position(ORDER_TOPIC)
         fence = await self._store.put_at(ORDER_TOPIC, end, CLAIM_KEY, self._vm.encode())
         if fence is None:
             return None
-        # An empty topic means that there is no previous holder to wait for.
-        wait = self._lease_seconds + LEASE_MARGIN_SECONDS if end else 0.0
+        # An empty topic means that there is no previous holder to wait for, unless its records were
+        # lost because the store was restored.
+        is_first = offset_of(end) == 0 and era_of(end) == FIRST_ERA
+        wait = 0.0 if is_first else self._lease_seconds + LEASE_MARGIN_SECONDS
         logger.bind(fence=fence, wait=wait).info("orders claimed")
         return _Claim(fence, self._timers.now() + wait)
 
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -37,6 +37,9 @@
 """Time without data after which a resumable stream is moved to another engine; five times the
 longest acceptable pause between events, and well below the time after which callers leave."""
 
+MAX_ERROR_BYTES = 64 * 1024
+"""Maximum size of the body of an engine's error response to a stream, in bytes."""
+
 MIN_RETRY_SECONDS = 0.3
 """Minimum remaining time for sending a request again."""
 
@@ -271,7 +274,7 @@
         reservation: Reservation,
         prefill: Prefill | None,
     ) -> None:
-        body = await exchange.read_body(SILENCE_TIMEOUT_SECONDS)
+        body = await exchange.read_body(MAX_ERROR_BYTES, SILENCE_TIMEOUT_SECONDS)
         response_info = parse_response(exchange.status, exchange.headers)
         if response_info.is_misdirected:
             self._shared.mark_misdirected(reservation.engine)
@@ -301,10 +304,7 @@
         reply, memory = job.reply, self._token_memory(job)
         loop = asyncio.get_running_loop()
         first_at = last_at = 0.0
-        while (chunk := await exchange.read_chunk(silence_timeout)) is not None:
-            events = splitter.feed(chunk)
-            if not events:
-                continue
+        while events := await _next_events(exchange, splitter, silence_timeout):
             _check_event_order(events, progress)
             if memory is not None:
                 self._reservations.update_progress(reservation, _output_tokens(progress, memory))
@@ -337,6 +337,24 @@
         ).info("stream paused")
 
 
+async def _next_events(
+    exchange: Exchange, splitter: EventSplitter, silence_timeout: float | None
+) -> list[StreamEvent]:
+    """Return the next complete events, or none at the end of the stream.
+
+    Only complete events end a silence: a stalled engine may send a few bytes of one now and then.
+    """
+    loop = asyncio.get_running_loop()
+    since, left = loop.time(), silence_timeout
+    while (chunk := await exchange.read_chunk(left)) is not None:
+        events = splitter.feed(chunk)
+        if events:
+            return events
+        if silence_timeout is not None:
+            left = max(0.0, since + silence_timeout - loop.time())
+    return []
+
+
 def _output_tokens(progress: _Progress, memory: TokenMemory) -> int:
     """Return the number of tokens in the events sent to the caller; event ids start at 0."""
     if progress.last_event is None:
--- a/pimentoquay/http1/client.py
+++ b/pimentoquay/http1/client.py
@@ -16,7 +16,7 @@
 import h11
 
 from pimentoquay.http1.headers import HeaderList, find_header
-from pimentoquay.kernel.errors import HttpError
+from pimentoquay.kernel.errors import HttpError, ResponseTooLargeError
 from pimentoquay.transport.websocket import split_address
 
 __all__ = ["ConnectionPool", "Exchange", "ReusePolicy"]
@@ -27,9 +27,19 @@
 USER_TIMEOUT_MILLISECONDS = 2000
 """Time in ms after which the system resets a connection with unacknowledged written bytes."""
 
-READ_AHEAD_BYTES = 256 * 1024
+READ_AHEAD_BYTES = 32 * 1024
 """Number of buffered body bytes above which reading from the connection is paused."""
 
+_receive_buffer = bytearray(32 * 1024)
+"""Buffer for received bytes, used by all connections in turn. It bounds what one read may return,
+which is kept until the response's reader takes it."""
+
+MAX_DISCARDED_BYTES = 64 * 1024
+"""Maximum size of responses to other requests that are discarded before the own one, in bytes."""
+
+MAX_INFORMATIONAL_RESPONSES = 16
+"""Maximum number of responses with a status of 1xx before the final one."""
+
 ResponseFilter = Callable[[HeaderList], bool]
 
 
@@ -186,13 +196,24 @@
         event = await self._next_event(seconds)
         return bytes(event.data) if isinstance(event, h11.Data) else None
 
-    async def read_body(self, seconds: float | None = None) -> bytes:
-        """Return the rest of the body once it is complete."""
-        parts = []
+    async def read_body(self, max_bytes: int, seconds: float | None = None) -> bytes:
+        """Return the rest of the body once it is complete.
+
+        Raises
+        ------
+        ResponseTooLargeError
+            If the body is longer than ``max_bytes``.
+        HttpError
+            If it is not complete after ``seconds``, or the connection fails.
+        """
+        parts, size = [], 0
         try:
             async with asyncio.timeout(seconds):
                 while (part := await self.read_chunk()) is not None:
                     parts.append(part)
+                    size += len(part)
+                    if size > max_bytes:
+                        raise ResponseTooLargeError(f"body is longer than {max_bytes} bytes", True)
         except TimeoutError:
             raise self._connection.error(f"the body was not whole in {seconds} s") from None
         return b"".join(parts)
@@ -205,7 +226,7 @@
             raise self._connection.error(f"nothing came for {seconds} s") from None
 
 
-class _ClientConnection(asyncio.Protocol):
+class _ClientConnection(asyncio.BufferedProtocol):
     """One connection of the pool, which carries at most one exchange at a time."""
 
     def __init__(self, reuse: ReusePolicy) -> None:
@@ -217,6 +238,8 @@
         self._body = b""
         self._is_own_response: ResponseFilter = lambda headers: True
         self._is_discarding = False
+        self._discarded_bytes = 0
+        self._informational_responses = 0
         self._events: deque[Any] = deque()
         self._buffered_bytes = 0
         self._waiter: asyncio.Future[None] | None = None
@@ -245,6 +268,12 @@
                 self._record_failure("the connection ended before the answer was whole")
         return False
 
+    def get_buffer(self, sizehint: int) -> bytearray:
+        return _receive_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(bytes(_receive_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         if self._request is None or self._is_complete:
             self.abort()
@@ -267,6 +296,7 @@
             self._request = h11.Request(method=method, target=target, headers=[*headers, *framing])
             self._body, self._is_own_response = body, is_own_response
             self._is_complete = self._is_discarding = False
+            self._discarded_bytes = self._informational_responses = 0
             self._transport.write(self._serialise())
         except h11.LocalProtocolError as error:
             raise HttpError(f"the request cannot be sent: {error}", False) from None
@@ -328,6 +358,7 @@
                 pass
         except h11.RemoteProtocolError as error:
             self._record_failure(f"not an answer: {error}")
+            self._http = h11.Connection(h11.CLIENT)
             self.abort()
 
     def _process_event(self, event: Any) -> bool:
@@ -335,6 +366,9 @@
         if event in (h11.NEED_DATA, h11.PAUSED) or isinstance(event, h11.ConnectionClosed):
             return False
         if isinstance(event, h11.InformationalResponse):
+            self._informational_responses += 1
+            if self._informational_responses > MAX_INFORMATIONAL_RESPONSES:
+                raise h11.RemoteProtocolError("too many informational responses")
             return True
         if isinstance(event, h11.Response):
             self._is_discarding = not self._is_own_response(tuple(event.headers.raw_items()))
@@ -356,6 +390,10 @@
         At its end, start a new parser. It accepts a response only after a request, so the request
         is serialised for it again without being written to the socket.
         """
+        if isinstance(event, h11.Data):
+            self._discarded_bytes += len(event.data)
+            if self._discarded_bytes > MAX_DISCARDED_BYTES:
+                raise h11.RemoteProtocolError("the answers to other requests are too long")
         if isinstance(event, h11.EndOfMessage):
             rest, closed = self._http.trailing_data
             if self._http.their_state is not h11.DONE or closed:
--- a/pimentoquay/http1/server.py
+++ b/pimentoquay/http1/server.py
@@ -108,10 +108,14 @@
 
 
 class Reply:
-    """Response to one request; sent at most once, and not after the caller has disconnected."""
+    """Response to one request; sent at most once, and not after the caller has disconnected.
+
+    ``default_headers`` are added to the headers of the response.
+    """
 
     def __init__(self, connection: "_ServerConnection") -> None:
         self._connection = connection
+        self.default_headers: HeaderList = ()
         self.started = False
         self.ended = False
 
@@ -124,6 +128,7 @@
     def start(self, status: int, headers: HeaderList) -> None:
         """Send the status and headers; without ``Content-Length`` the body is sent chunked."""
         self.started = True
+        headers = (*headers, *self.default_headers)
         if self._connection.server.draining:
             headers = (*headers, (b"Connection", b"close"))
         reason = http.HTTPStatus(status).phrase if status in _STATUSES else ""
--- a/pimentoquay/kernel/errors.py
+++ b/pimentoquay/kernel/errors.py
@@ -2,7 +2,7 @@
 
 from pimentoquay.kernel.codes import ResultCode, info_of
 
-__all__ = ["HttpError", "PimentoquayError", "RefusedError"]
+__all__ = ["HttpError", "PimentoquayError", "RefusedError", "ResponseTooLargeError"]
 
 
 class PimentoquayError(Exception):
@@ -54,3 +54,7 @@
     def __init__(self, detail: str, written: bool) -> None:
         super().__init__(detail)
         self.written = written
+
+
+class ResponseTooLargeError(HttpError):
+    """A response, or a part of it, exceeds its maximum size; the rest of it was not read."""
--- a/pimentoquay/messages/fleet.py
+++ b/pimentoquay/messages/fleet.py
@@ -1,8 +1,8 @@
 """Messages between the gateways of a deployment (numbers 120 to 139).
 
 Each gateway relays the operators' configuration and the engine records from the platform's store
-unchanged, and sends its peers the engine memory that its own requests use. Offsets are those of
-the store; ages and times are in seconds, memory is in tokens.
+unchanged, and sends its peers the engine memory that its own requests use. Positions are those of
+``policy.store_position``; ages and times are in seconds, memory is in tokens.
 """
 
 from pimentoquay.messages.codec import message
@@ -11,7 +11,9 @@
     "EngineRecord",
     "EngineRuns",
     "EngineTokens",
+    "EnginesLeaving",
     "FleetCopy",
+    "LeavingEngine",
     "PeerLoad",
     "PeerLoads",
     "RunSize",
@@ -27,7 +29,7 @@
     """Newest record of one engine in the store; an empty ``value`` marks a removed engine."""
 
     engine: str
-    offset: int
+    position: int
     value: bytes
 
 
@@ -35,23 +37,23 @@
 class VmAddress:
     """Address at which a VM's gateway listens for its peers, and the VM's data centre.
 
-    Of two addresses of one VM, the one with the higher ``offset`` in the store is newer.
+    Of two addresses of one VM, the one with the higher ``position`` in the store is newer.
     """
 
     vm: str
     address: str
     data_centre: str
-    offset: int
+    position: int
 
 
 @message(122)
 class FleetCopy:
     """Copy of records of the store; ``configuration`` is empty if the copy does not contain it."""
 
-    configuration_offset: int
+    configuration_position: int
     configuration: bytes
     engines: tuple[EngineRecord, ...]
-    engines_offset: int
+    engines_position: int
     vms: tuple[VmAddress, ...]
 
 
@@ -138,3 +140,18 @@
     engine: str
     seconds: float
     fence: int
+
+
+@message(131)
+class LeavingEngine:
+    """One start of an engine that has announced that it leaves."""
+
+    engine: str
+    incarnation: int
+
+
+@message(132)
+class EnginesLeaving:
+    """Engines that have announced in a response that they leave."""
+
+    engines: tuple[LeavingEngine, ...]
--- a/pimentoquay/platform/responses.py
+++ b/pimentoquay/platform/responses.py
@@ -5,12 +5,23 @@
 from pimentoquay.http1.headers import HeaderList, find_header
 from pimentoquay.platform.fields import parse_json, required
 
-__all__ = ["PrefillResult", "ResponseInfo", "is_response_to", "parse_prefill", "parse_response"]
+__all__ = [
+    "EngineNotice",
+    "PrefillResult",
+    "ResponseInfo",
+    "is_response_to",
+    "parse_notice",
+    "parse_prefill",
+    "parse_response",
+]
 
 _REQUEST_ID = b"pimentoquay-request-id"
 _SIGNATURE = b"pimentoquay-server-stamp"
 _NOT_RUN = b"pimentoquay-not-executed"
+_LEAVING = b"server-leaving"
+_INSTANCE = b"pimentoquay-instance-id"
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
 
 
 @dataclass(frozen=True)
@@ -38,6 +49,17 @@
         return 200 <= self.status < 300 and self.is_signed and not self.is_encoded
 
 
+@dataclass(frozen=True)
+class EngineNotice:
+    """What an engine says about itself in any response.
+
+    ``pause_seconds`` is the time for which it wants no requests, or None if it states none.
+    """
+
+    is_leaving: bool
+    pause_seconds: float | None
+
+
 @dataclass(frozen=True)
 class PrefillResult:
     """A KV cache that a prefill engine keeps for a short time; its size is in tokens."""
@@ -56,6 +78,29 @@
     )
 
 
+def parse_notice(engine_id: str, status: int, headers: HeaderList) -> EngineNotice:
+    """Decode what a response says about the engine with the given id.
+
+    A response of another engine at its address says nothing about it. A pause that is not a number
+    of seconds, or is negative, counts as not stated.
+    """
+    instance = find_header(headers, _INSTANCE)
+    is_other = instance is not None and instance.decode("latin-1") != engine_id
+    if status == _MISDIRECTED or is_other:
+        return EngineNotice(False, None)
+    is_leaving = (find_header(headers, _LEAVING) or b"").strip() == b"1"
+    pause = find_header(headers, b"retry-after") if status == _UNAVAILABLE else None
+    return EngineNotice(is_leaving, _parse_pause(pause))
+
+
+def _parse_pause(value: bytes | None) -> float | None:
+    try:
+        seconds = float(value or b"")
+    except ValueError:
+        return None
+    return seconds if seconds >= 0 else None
+
+
 def is_response_to(headers: HeaderList, request_id: str) -> bool:
     """Return whether a response has the request's id or no request id at all."""
     value = find_header(headers, _REQUEST_ID)
--- a/pimentoquay/platform/store.py
+++ b/pimentoquay/platform/store.py
@@ -13,8 +13,10 @@
 from urllib.parse import urlencode
 
 from pimentoquay.http1.client import ConnectionPool, Exchange, ReusePolicy
+from pimentoquay.http1.headers import find_header
 from pimentoquay.kernel.errors import HttpError
 from pimentoquay.platform.fields import DecodeError, optional, parse_json, required
+from pimentoquay.policy.store_position import StoreEra, era_of, offset_of, position_of
 
 __all__ = [
     "CONFIGURATION_KEY",
@@ -38,7 +40,7 @@
 ORDER_TOPIC = "keyed.pimentoquay-orders"
 """Topic in which a gateway claims the role of sending stage orders.
 
-The offset of its record is its fencing token.
+The position of its record is its fencing token.
 """
 
 CONNECT_SECONDS = 0.5
@@ -47,6 +49,10 @@
 CALL_SECONDS = 1.5
 """Timeout of a call, in addition to the wait time that a read requests."""
 
+MAX_BODY_BYTES = 4 * 1024 * 1024
+"""Maximum size of a response, in bytes. The store sends up to 1 MB of records, in base64."""
+
+_ERA = b"store-era"
 _GONE = 410
 _CONFLICT = 412
 _LENGTH = struct.Struct(">I")
@@ -66,24 +72,27 @@
 
 
 class RecordsGoneError(StoreError):
-    """The requested records have been deleted."""
+    """The requested records have been deleted, or belong to an earlier era of the store."""
 
 
 @dataclass(frozen=True)
 class KeyedRecord:
-    """A record of a keyed topic; ``value`` is None if the key was removed."""
+    """A record of a keyed topic; ``value`` is None if the key was removed.
+
+    ``position`` orders the records of all eras of the store; see ``policy.store_position``.
+    """
 
     key: str
     value: bytes | None
-    offset: int
+    position: int
 
 
 @dataclass(frozen=True)
 class RecordPage:
-    """Records in order of their offsets, and the offset at which the next read starts."""
+    """Records in order of their positions, and the position at which the next read starts."""
 
     records: tuple[KeyedRecord, ...]
-    next_offset: int
+    next_position: int
 
 
 @dataclass(frozen=True)
@@ -91,68 +100,90 @@
     """One page of a topic's latest records; ``last_key`` is None if it is the last page."""
 
     records: tuple[KeyedRecord, ...]
-    end_offset: int
+    end_position: int
     last_key: str | None
 
 
 class StoreClient:
     """Client of the store; ``calls`` counts the calls made.
 
+    The store may be restored from an older copy, which it shows by a higher era in its responses.
+    A response of an earlier era than the highest known one is rejected.
+
     Parameters
     ----------
     address
         Address of the store as ``host:port``.
+    era
+        Highest era known to this VM, which is raised by the store's responses.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, era: StoreEra | None = None) -> None:
         reuse = ReusePolicy(max_idle_seconds=10.0)
         self.address = address
+        self.era = era or StoreEra()
         self.calls = 0
         self._pool = ConnectionPool(address, CONNECT_SECONDS, reuse)
 
     async def read_latest(self, topic: str) -> RecordPage:
         """Return the latest record of each key; raise ``StoreError`` on failure."""
         records: list[KeyedRecord] = []
-        next_offset: int | None = None
+        next_position: int | None = None
         after: str | None = None
         while True:
             page = await self._read_latest_page(topic, after)
             records.extend(page.records)
             # Records may change between pages, so the next read starts at the first page's end.
-            if next_offset is None:
-                next_offset = page.end_offset
+            if next_position is None:
+                next_position = page.end_position
+            if era_of(page.end_position) != era_of(next_position):
+                raise StoreError("log-newest: the store was restored between two pages", True)
             if page.last_key is None:
-                return RecordPage(tuple(records), next_offset)
+                return RecordPage(tuple(records), next_position)
             after = page.last_key
 
-    async def read(self, topic: str, from_offset: int, wait_seconds: float) -> RecordPage:
-        """Return the records from an offset on, waiting up to ``wait_seconds`` if there is none.
+    async def read(self, topic: str, from_position: int, wait_seconds: float) -> RecordPage:
+        """Return the records from a position on, waiting up to ``wait_seconds`` if there is none.
 
-        Raise ``RecordsGoneError`` if they have been deleted, ``StoreError`` on other failures.
+        Raise ``RecordsGoneError`` if they have been deleted or the position is not of the store's
+        present era, ``StoreError`` on other failures.
         """
-        query = {"topic": topic, "part": 0, "from": from_offset}
+        era = era_of(from_position)
+        if era != self.era.value:
+            raise RecordsGoneError(f"log-read: era {era} is over")
+        query = {"topic": topic, "part": 0, "from": offset_of(from_position)}
         if wait_seconds > 0:
             query["waitMs"] = int(wait_seconds * 1000)
         body = await self._call("GET", "log-read", query, wait_seconds=wait_seconds)
-        return _parse_record_page(body, from_offset)
+        if era != self.era.value:
+            # The same offsets may name other records now.
+            raise RecordsGoneError(f"log-read: the store was restored, era {self.era.value}")
+        return _parse_record_page(body, from_position)
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Append a record; after a ``StoreError`` with ``written`` it may have been appended."""
         query = {"topic": topic, "part": 0}
         await self._call("POST", "log-append", query, _encode_record(key, value))
 
-    async def read_end_offset(self, topic: str) -> int:
-        """Return the offset that the next record of a topic will get."""
-        return (await self._read_latest_page(topic, None)).end_offset
+    async def read_end_position(self, topic: str) -> int:
+        """Return the position that the next record of a topic will get."""
+        return (await self._read_latest_page(topic, None)).end_position
 
-    async def put_at(self, topic: str, offset: int, key: str, value: bytes) -> int | None:
-        """Append a record if it gets this offset; return the offset, or ``None`` if it is taken."""
-        query = {"topic": topic, "part": 0, "at": offset}
+    async def put_at(self, topic: str, position: int, key: str, value: bytes) -> int | None:
+        """Append a record if it gets this position; return the position, or ``None`` if not.
+
+        Also ``None`` if the store was restored meanwhile: the record then has the offset that was
+        asked for, but nothing tells which records stood before it.
+        """
+        era = era_of(position)
+        if era != self.era.value:
+            return None
+        query = {"topic": topic, "part": 0, "at": offset_of(position)}
         try:
             await self._call("POST", "log-append", query, _encode_record(key, value))
         except OffsetTakenError:
             return None
-        return offset
+        return position if era == self.era.value else None
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -164,7 +195,7 @@
             query["after"] = after
         body = await self._call("GET", "log-newest", query)
         try:
-            return _parse_latest_page(body)
+            return _parse_latest_page(body, self.era.value)
         except DecodeError as error:
             raise StoreError(f"log-newest: {error}", True) from None
 
@@ -184,15 +215,24 @@
                 asyncio.timeout(wait_seconds + CALL_SECONDS),
                 self._pool.exchange(method.encode(), target, headers, body) as exchange,
             ):
+                self._check_era(exchange, call)
                 return await _read_response(exchange, call)
         except HttpError as error:
             raise StoreError(f"{call}: {error}", error.written) from None
         except TimeoutError:
             raise StoreError(f"{call}: no response", True) from None
 
+    def _check_era(self, exchange: Exchange, call: str) -> None:
+        """Raise the known era to that of a response; reject a response of an earlier era."""
+        value = (find_header(exchange.headers, _ERA) or b"").strip()
+        era = int(value) if value.isdigit() else self.era.value
+        if era < self.era.value:
+            raise StoreError(f"{call}: response of era {era}, now {self.era.value}", True)
+        self.era.raise_to(era)
+
 
 async def _read_response(exchange: Exchange, call: str) -> bytes:
-    body = await exchange.read_body()
+    body = await exchange.read_body(MAX_BODY_BYTES)
     if exchange.status == _GONE:
         raise RecordsGoneError(f"{call}: records have been deleted")
     if exchange.status == _CONFLICT:
@@ -208,45 +248,45 @@
     return _LENGTH.pack(len(content)) + content
 
 
-def _parse_latest_page(body: bytes) -> _LatestPage:
+def _parse_latest_page(body: bytes, era: int) -> _LatestPage:
     item = parse_json(body, "newest records")
-    page = [_parse_latest_record(entry) for entry in optional(item, "items", list, [])]
+    page = [_parse_latest_record(entry, era) for entry in optional(item, "items", list, [])]
     more = optional(item, "hasMore", bool, False) and bool(page) and page[-1] is not None
     return _LatestPage(
         tuple(record for record in page if record is not None),
-        required(item, "endOffset", int),
+        position_of(era, required(item, "endOffset", int)),
         page[-1].key if more and page[-1] is not None else None,
     )
 
 
-def _parse_latest_record(item: Any) -> KeyedRecord | None:
+def _parse_latest_record(item: Any, era: int) -> KeyedRecord | None:
     try:
         key = required(item, "key", str)
         value = base64.b64decode(required(item, "value", str), validate=True)
-        return KeyedRecord(key, value, required(item, "offset", int))
+        return KeyedRecord(key, value, position_of(era, required(item, "offset", int)))
     except (DecodeError, AttributeError, binascii.Error):
         return None
 
 
-def _parse_record_page(body: bytes, from_offset: int) -> RecordPage:
+def _parse_record_page(body: bytes, from_position: int) -> RecordPage:
     if len(body) < _OFFSETS.size:
         raise StoreError(f"log-read: {len(body)} bytes, expected at least {_OFFSETS.size}", True)
     records = []
-    position, offset = _OFFSETS.size, from_offset
-    while position + _LENGTH.size <= len(body):
-        (length,) = _LENGTH.unpack_from(body, position)
-        position += _LENGTH.size
-        record = _parse_record(body[position : position + length], offset)
+    start, position = _OFFSETS.size, from_position
+    while start + _LENGTH.size <= len(body):
+        (length,) = _LENGTH.unpack_from(body, start)
+        start += _LENGTH.size
+        record = _parse_record(body[start : start + length], position)
         if record is not None:
             records.append(record)
-        position += length
-        offset += 1
-    return RecordPage(tuple(records), offset)
+        start += length
+        position += 1
+    return RecordPage(tuple(records), position)
 
 
-def _parse_record(content: bytes, offset: int) -> KeyedRecord | None:
+def _parse_record(content: bytes, position: int) -> KeyedRecord | None:
     if not content or len(content) < 1 + content[0]:
         return None
     end = 1 + content[0]
     key = content[1:end].decode("utf-8", "replace")
-    return KeyedRecord(key, content[end:] or None, offset)
+    return KeyedRecord(key, content[end:] or None, position)
--- a/pimentoquay/policy/engine_list.py
+++ b/pimentoquay/policy/engine_list.py
@@ -1,14 +1,15 @@
 """The list of engines, built from the records of a store that may be wrong for a while.
 
 Failure pattern: heartbeats that arrive after newer ones, entries written by others than the engine,
-an id that is reused after a restart, and entries that expire during an outage of the store although
-their engines are healthy.
+an id that is reused after a restart, entries that expire during an outage of the store although
+their engines are healthy, and a store that is restored from an older copy.
 """
 
 from collections.abc import Iterable
 from dataclasses import dataclass
 
 from pimentoquay.policy.fleet import EngineEntry
+from pimentoquay.policy.store_position import era_of
 
 __all__ = ["EngineList", "EngineUpdate"]
 
@@ -26,12 +27,12 @@
 class EngineUpdate:
     """A record of the store about one engine.
 
-    ``entry`` is None if the engine was removed or its entry cannot be read. ``offset`` is the
+    ``entry`` is None if the engine was removed or its entry cannot be read. ``position`` is the
     position of the record in the store.
     """
 
     id: str
-    offset: int
+    position: int
     entry: EngineEntry | None
     is_removed: bool = False
 
@@ -39,7 +40,7 @@
 @dataclass
 class _KnownEngine:
     entry: EngineEntry
-    offset: int
+    position: int
     removed_at: float | None = None
     removal_due: float | None = None
 
@@ -49,7 +50,7 @@
 
     def __init__(self) -> None:
         self._known_by_id: dict[str, _KnownEngine] = {}
-        self._offset_by_id: dict[str, int] = {}
+        self._position_by_id: dict[str, int] = {}
         self._grace_until = 0.0
 
     def start_relisting_grace(self, now: float) -> None:
@@ -64,27 +65,31 @@
         """Apply records that arrive in any order; return whether the list has changed."""
         changed = False
         for update in updates:
-            if update.offset > self._offset_by_id.get(update.id, -1):
-                self._offset_by_id[update.id] = update.offset
+            known_position = self._position_by_id.get(update.id, -1)
+            if update.position > known_position:
+                self._position_by_id[update.id] = update.position
+                changed |= self._apply_one(update, now)
+            elif update.entry is not None and era_of(update.position) < era_of(known_position):
+                # The store was restored from a copy in which this newer heartbeat is missing.
                 changed |= self._apply_one(update, now)
         return changed
 
-    def remove_unlisted(self, ids: Iterable[str], before_offset: int, now: float) -> bool:
+    def remove_unlisted(self, ids: Iterable[str], before_position: int, now: float) -> bool:
         """Remove engines that are missing from a complete list; return whether any was removed.
 
         Parameters
         ----------
         ids
             Engines in the complete list.
-        before_offset
-            Offset of the complete list; engines with a record at or after it are kept.
+        before_position
+            Position of the complete list; engines with a record at or after it are kept.
         now
             Current time in seconds.
         """
         listed_ids = set(ids)
         changed = False
         for known in self._known_by_id.values():
-            missing = known.entry.id not in listed_ids and known.offset < before_offset
+            missing = known.entry.id not in listed_ids and known.position < before_position
             if missing and known.removed_at is None and known.removal_due is None:
                 changed |= self._remove(known, now)
         return changed
@@ -117,7 +122,7 @@
             return self._remove(known, now) if update.is_removed else self._mark_removed(known, now)
         if known is not None and _is_stale(update.entry, known):
             return False
-        self._known_by_id[update.id] = _KnownEngine(update.entry, update.offset)
+        self._known_by_id[update.id] = _KnownEngine(update.entry, update.position)
         return known is None or known.entry != update.entry or known.removed_at is not None
 
     def _remove(self, known: _KnownEngine, now: float) -> bool:
--- a/pimentoquay/policy/fleet.py
+++ b/pimentoquay/policy/fleet.py
@@ -8,6 +8,7 @@
 from enum import Enum
 
 from pimentoquay.http1 import ServerLimits
+from pimentoquay.policy.engine_notices import EngineStart
 
 __all__ = [
     "EngineEntry",
@@ -138,6 +139,11 @@
     incarnation: int = 0
     sequence: int = 0
 
+    @property
+    def start(self) -> EngineStart:
+        """Id and incarnation, which identify one start of the engine."""
+        return EngineStart(self.id, self.incarnation)
+
 
 @dataclass(frozen=True)
 class ModelRequest:
