--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
+from typing import Any
 
 from pimentoquay.gateway.dispatcher import Dispatcher
 from pimentoquay.gateway.feed import StoreFeed
@@ -25,8 +26,10 @@
     GatewayMetrics,
 )
 from pimentoquay.gateway.plain import PlainForwarder
+from pimentoquay.gateway.pool_client import PoolClient
+from pimentoquay.gateway.pool_coordinator import PoolCoordinator
 from pimentoquay.gateway.prefills import PrefillRunner
-from pimentoquay.gateway.reservations import Reservations
+from pimentoquay.gateway.reservations import Reservations, usable_tokens
 from pimentoquay.gateway.shared_state import RetryBudgets, SharedState
 from pimentoquay.gateway.stage_controller import StageController
 from pimentoquay.gateway.streams import StreamForwarder
@@ -37,6 +40,7 @@
 from pimentoquay.platform.store import StoreClient, StoreError
 from pimentoquay.policy.engine_preference import Placer
 from pimentoquay.policy.poll_timing import poll_timing
+from pimentoquay.policy.pools import PoolKey
 from pimentoquay.policy.repeat_allowance import RepeatLimits
 from pimentoquay.policy.run_ledger import RunLedger
 from pimentoquay.policy.stage_plan import StageDemand
@@ -74,6 +78,8 @@
     peers: PeerSet
     links: EngineLinks
     stage_controller: StageController
+    pool_client: PoolClient
+    pool_coordinator: PoolCoordinator
     dispatcher: Dispatcher
     caller_server: HttpServer
     readiness_server: HttpServer
@@ -83,6 +89,8 @@
     async def run(self, stop: asyncio.Event) -> None:
         """Serve until ``stop`` is set, then drain the requests in progress."""
         await self._listen()
+        self.pool_client.start()
+        self.pool_coordinator.start()
         tasks = [
             asyncio.create_task(service)
             for service in (
@@ -182,12 +190,28 @@
     )
     peers = PeerSet(node)
     era = StoreEra()
+
+    def send_to(vm: str, message: Any) -> None:
+        mesh.relays.send_to(vm, message)
+
+    def schedule_update() -> None:
+        mesh.schedule_load_update()
+        pool_client.schedule_report()
+
+    def usable(service: str) -> int:
+        return _usable_tokens(fleet, service)
+
+    def pool_coordinator_of(key: PoolKey) -> str | None:
+        return mesh.coordinator_of(key)
+
+    pool_client = PoolClient(node, shared, usable, pool_coordinator_of, send_to)
     reservations = Reservations(
         shared,
         lambda: mesh.peers_queued,
         lambda: mesh.has_incomplete_view,
-        lambda: mesh.schedule_load_update(),
+        schedule_update,
         shared.demand.record_decode,
+        pool_client,
     )
     mesh = Mesh(
         node,
@@ -200,6 +224,12 @@
         lambda: reservations.queued,
         era,
     )
+    coordinator = PoolCoordinator(
+        node, shared, usable, pool_coordinator_of, send_to, mesh.broadcast_summary
+    )
+    mesh.on_pool_summary.append(pool_client.receive_summary)
+    mesh.relays.receive_routed = _routed_handler(pool_client, coordinator)
+    mesh.on_plan_changed.append(lambda: _apply_plan(mesh, pool_client, coordinator))
     links.on_leaving.append(mesh.publish_leaving)
     mesh.on_load_changed.append(reservations.recheck_waiters)
     mesh.on_load_changed.append(lambda: _apply_mesh_state(shared, mesh))
@@ -212,7 +242,7 @@
         polling_schedule,
         mesh.is_reader,
         mesh.publish,
-        mesh.schedule_load_update,
+        mesh.send_list_age,
     )
     stage_controller = StageController(
         settings.vm,
@@ -222,11 +252,14 @@
         bounds.lease_seconds,
         mesh.is_reader,
         mesh.publish,
+        lambda engines, now: (
+            pool_client.expected_tokens
+            if pool_client.is_active
+            else run_ledger.expected(engines, now)
+        ),
     )
     mesh.on_stage_ordered.append(stage_controller.record_order)
-    streams = StreamForwarder(
-        shared, reservations, PrefillRunner(shared, mesh.schedule_load_update)
-    )
+    streams = StreamForwarder(shared, reservations, PrefillRunner(shared, schedule_update))
     dispatcher = Dispatcher(shared, PlainForwarder(shared), streams)
     caller_server = HttpServer(dispatcher.handle, lambda: _server_limits(fleet))
     readiness_server = HttpServer(_readiness_handler(dispatcher), ServerLimits)
@@ -255,6 +288,8 @@
         peers,
         links,
         stage_controller,
+        pool_client,
+        coordinator,
         dispatcher,
         caller_server,
         readiness_server,
@@ -263,10 +298,29 @@
     )
 
 
+def _usable_tokens(fleet: Fleet, service: str) -> int:
+    configuration = fleet.configuration
+    known = configuration.service_by_name.get(service) if configuration is not None else None
+    return usable_tokens(known.memory) if known is not None and known.memory is not None else 0
+
+
+def _routed_handler(client: PoolClient, coordinator: PoolCoordinator) -> Callable[[str, Any], None]:
+    def receive(source: str, message: Any) -> None:
+        client.receive(message, source)
+        coordinator.receive(message, source)
+
+    return receive
+
+
+def _apply_plan(mesh: Mesh, client: PoolClient, coordinator: PoolCoordinator) -> None:
+    """Use coordinators in a deployment with relays."""
+    client.is_active = coordinator.is_active = not mesh.plan.is_full
+
+
 def _apply_mesh_state(shared: SharedState, mesh: Mesh) -> None:
     """Update the state that depends on the number of gateways and on the mesh plan."""
     shared.retry_budgets.gateway_count = mesh.gateway_count
-    shared.placer = replace(shared.placer, has_delayed_loads=not mesh.load_relay.plan.is_full)
+    shared.placer = replace(shared.placer, has_delayed_loads=not mesh.plan.is_full)
 
 
 def _server_limits(fleet: Fleet) -> ServerLimits:
--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -5,32 +5,37 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import replace
 from functools import singledispatchmethod
 from typing import Any
 
 from pimentoquay.gateway.fleet import Fleet
-from pimentoquay.gateway.load_relay import HEARTBEAT_SECONDS, LoadRelay
+from pimentoquay.gateway.load_exchange import (
+    HEARTBEAT_SECONDS,
+    LoadExchange,
+    engine_runs,
+    engine_tokens,
+    runs_by_engine,
+)
+from pimentoquay.gateway.relays import TIMEOUT_SECONDS, RelayNetwork
 from pimentoquay.gateway.reservations import QueuedTokens
 from pimentoquay.kernel import Channel, ChannelClosed, ChannelOpened, Envelope, Node
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages.fleet import (
-    EngineRuns,
     EnginesLeaving,
-    EngineTokens,
     FleetCopy,
     LeavingEngine,
     PeerLoads,
-    RunSize,
     StageOrdered,
     VmAddress,
     VmLoad,
     VmWork,
 )
+from pimentoquay.messages.pools import ChannelAlive, PoolSummary, RelayAlive, Routed
 from pimentoquay.policy.engine_notices import EngineStart
-from pimentoquay.policy.memory_forecast import GrowingRun
-from pimentoquay.policy.mesh_plan import plan_mesh
+from pimentoquay.policy.mesh_plan import MeshPlan, needs_relays, plan_mesh
+from pimentoquay.policy.pools import PoolKey, coordinator_of
 from pimentoquay.policy.run_ledger import RunLedger
 from pimentoquay.policy.stage_plan import StageDemand, StageWork
 from pimentoquay.policy.store_position import StoreEra, era_of
@@ -59,7 +64,8 @@
 
     Up to sixteen gateways all have channels to each other. In a larger deployment each has
     channels to relays, as planned by ``policy/mesh_plan.py``. The callbacks in ``on_load_changed``
-    are called when the load of a peer has changed, those in ``on_stage_ordered`` with each order.
+    are called when the load of a peer has changed, those in ``on_stage_ordered`` with each order,
+    and those in ``on_pool_summary`` with each summary, which is forwarded if one returns true.
 
     Parameters
     ----------
@@ -105,14 +111,31 @@
         self._last_direct_at_by_vm: dict[str, float] = {}
         self._load_by_vm: dict[str, VmLoad] = {}
         self._seen_fences: set[int] = set()
-        self.load_relay = LoadRelay(node, self._current_load, self._channels)
+        self.load_exchange = LoadExchange(node, self._current_load, self._channels)
+        self.relays = RelayNetwork(node, fleet, self._channels)
         self.is_draining = False
         self.on_load_changed: list[Callable[[], None]] = []
         self.on_stage_ordered: list[Callable[[StageOrdered], None]] = []
+        self.on_plan_changed: list[Callable[[], None]] = []
+        self.on_pool_summary: list[Callable[[PoolSummary], bool]] = []
         self.inbox = node.bus.subscribe(
-            FleetCopy, PeerLoads, StageOrdered, EnginesLeaving, ChannelOpened, ChannelClosed
+            FleetCopy,
+            PeerLoads,
+            StageOrdered,
+            EnginesLeaving,
+            RelayAlive,
+            ChannelAlive,
+            PoolSummary,
+            Routed,
+            ChannelOpened,
+            ChannelClosed,
         )
 
+    @property
+    def plan(self) -> MeshPlan:
+        """Channels between the VMs of the deployment."""
+        return self.relays.plan
+
     @property
     def gateway_count(self) -> int:
         """Number of known gateways, including this one, which share the deployment's limits."""
@@ -139,8 +162,11 @@
     def is_reader(self) -> bool:
         """Return whether this gateway polls the store for its peers.
 
-        It does if its VM name sorts before those of all known peers that are not draining.
+        It does if its VM name sorts before those of all known peers that are not draining; in a
+        large deployment, only relays are considered.
         """
+        if not self.plan.is_full:
+            return self.relays.is_first_relay()
         active_vms = (
             vm
             for vm in self._last_seen_at_by_vm
@@ -184,15 +210,43 @@
 
     def schedule_load_update(self) -> None:
         """Send this gateway's changed load to the peers after a short collection time."""
-        self.load_relay.schedule_own_load()
+        self.load_exchange.schedule_own_load()
+
+    def coordinator_of(self, key: PoolKey) -> str | None:
+        """Return the VM that coordinates a pool of engines, which is one of the relays."""
+        addresses = self._address_by_vm
+        return coordinator_of(
+            key, {vm: addresses[vm].data_centre for vm in self.relays.live_relays()}
+        )
+
+    def broadcast_summary(self, message: PoolSummary) -> None:
+        """Send the summary of a pool to all gateways, including this one."""
+        for callback in self.on_pool_summary:
+            callback(message)
+        self.relays.broadcast(message)
+
+    def send_list_age(self) -> None:
+        """Tell the peers that this gateway has read the list of engines from the store."""
+        if self.plan.is_full:
+            self.load_exchange.schedule_own_load()
+        else:
+            self.relays.send_now()
 
     def _update_plan(self) -> None:
         data_centre_by_vm = {vm: each.data_centre for vm, each in self._address_by_vm.items()}
-        self.load_relay.plan = plan_mesh(self._vm, data_centre_by_vm, self._last_seen_at_by_vm)
+        if needs_relays(len(data_centre_by_vm)):
+            suspected = self.relays.liveness.suspected(self._node.timers.now())
+            reachable: Collection[str] = data_centre_by_vm.keys() - suspected
+        else:
+            reachable = self._last_seen_at_by_vm
+        self.relays.update_plan(plan_mesh(self._vm, data_centre_by_vm, reachable))
+        self.load_exchange.is_active = self.plan.is_full
+        for callback in self.on_plan_changed:
+            callback()
         self._peers.set_targets(self._dial_addresses())
 
     def _dial_addresses(self) -> dict[str, str]:
-        return {vm: self._address_by_vm[vm].address for vm in self.load_relay.plan.dialled}
+        return {vm: self._address_by_vm[vm].address for vm in self.plan.dialled}
 
     def _channels(self) -> tuple[Channel, ...]:
         """Return one channel for each peer; there are two if both sides have dialled."""
@@ -201,7 +255,7 @@
     def _forward(self, message: FleetCopy | StageOrdered | EnginesLeaving, source: str) -> None:
         """Forward a peer's message to the peers that do not receive it from the source."""
         for channel in self._channels():
-            if self.load_relay.plan.should_forward(source, channel.peer.vm):
+            if self.plan.should_forward(source, channel.peer.vm):
                 channel.send(message)
 
     def _receive(self, envelope: Envelope) -> None:
@@ -225,18 +279,19 @@
         channel = message.channel
         self._last_direct_at_by_vm[channel.peer.vm] = self._node.timers.now()
         self._record_seen((channel.peer.vm,))
-        self.load_relay.update_incarnation(channel.peer.vm, channel.peer.incarnation)
+        self.load_exchange.update_incarnation(channel.peer.vm, channel.peer.incarnation)
+        self.relays.forget_vm(channel.peer.vm)
         channel.send(replace(self._fleet.snapshot(), vms=tuple(self._address_by_vm.values())))
         if self._fleet.notices.leaving:
             channel.send(_leaving_message(self._fleet.notices.leaving))
-        self.load_relay.send_own_load(channel)
+        self.load_exchange.send_own_load(channel)
         logger.bind(peer=channel.peer.vm).info("peer connected")
 
     @_dispatch.register
     def _handle_closed(self, message: ChannelClosed, envelope: Envelope) -> None:
         vm = message.channel.peer.vm
         # With relays, loads of the VM may still arrive; it is dropped only after missed heartbeats.
-        if self.load_relay.plan.is_full and self._peers.channel_to(vm, PROCESS) is None:
+        if self.plan.is_full and self._peers.channel_to(vm, PROCESS) is None:
             self._drop_peer(vm)
 
     @_dispatch.register
@@ -273,9 +328,28 @@
             logger.bind(engines=",".join(each.id for each in new)).info("engines are leaving")
             self._forward(_leaving_message(new), _source(envelope))
 
+    @_dispatch.register
+    def _handle_relay_alive(self, message: RelayAlive, envelope: Envelope) -> None:
+        if self.relays.receive_heartbeat(message, _source(envelope)):
+            logger.bind(peer=message.vm).info("relay is heard")
+
+    @_dispatch.register
+    def _handle_channel_alive(self, message: ChannelAlive, envelope: Envelope) -> None:
+        # Its arrival has been recorded for the channel.
+        return
+
+    @_dispatch.register
+    def _handle_summary(self, message: PoolSummary, envelope: Envelope) -> None:
+        if any([callback(message) for callback in self.on_pool_summary]):
+            self.relays.broadcast(message, _source(envelope))
+
+    @_dispatch.register
+    def _handle_routed(self, message: Routed, envelope: Envelope) -> None:
+        self.relays.receive(message, _source(envelope))
+
     @_dispatch.register
     def _handle_loads(self, message: PeerLoads, envelope: Envelope) -> None:
-        newer_loads = self.load_relay.receive(message, _source(envelope))
+        newer_loads = self.load_exchange.receive(message, _source(envelope))
         for vm, load in newer_loads:
             self._apply_load(vm, load)
         self._record_seen(vm for vm, _ in newer_loads)
@@ -288,11 +362,7 @@
         self._lost_at_by_vm.pop(vm, None)
         self._fleet.record_peer_read(load.list_age)
         self._prefill_ledger.set_peer(vm, {each.engine: each.tokens for each in load.prefilling})
-        runs_by_engine = {
-            each.engine: tuple(GrowingRun(run.tokens, run.remaining) for run in each.runs)
-            for each in load.running
-        }
-        self._run_ledger.set_peer(vm, runs_by_engine, self._node.timers.now())
+        self._run_ledger.set_peer(vm, runs_by_engine(load.running), self._node.timers.now())
         work = load.work
         self._demand.set_peer(
             vm,
@@ -304,8 +374,8 @@
         queued, own = self._queued(), self._demand.own
         return VmLoad(
             age,
-            _engine_runs(self._run_ledger, self._node.timers.now()),
-            _engine_tokens(self._prefill_ledger),
+            engine_runs(self._run_ledger, self._node.timers.now()),
+            engine_tokens(self._prefill_ledger),
             queued.tokens,
             queued.urgent_tokens,
             self.is_draining,
@@ -313,9 +383,13 @@
         )
 
     def _heartbeat(self) -> None:
-        self.load_relay.send_heartbeat()
+        self.load_exchange.send_to_all()
+        self.relays.is_draining = self.is_draining
+        self.relays.send_heartbeats()
         now = self._node.timers.now()
-        timeout = MAX_MISSED_HEARTBEATS * self.load_relay.heartbeat_seconds
+        timeout = (
+            MAX_MISSED_HEARTBEATS * HEARTBEAT_SECONDS if self.plan.is_full else TIMEOUT_SECONDS
+        )
         for channel in self._peers.channels(PROCESS):
             # If both sides have dialled, a peer sends on only one of the two channels.
             if now - self._last_direct_at_by_vm.get(channel.peer.vm, now) > timeout:
@@ -334,7 +408,7 @@
                 self._lost_at_by_vm[vm] = self._node.timers.now()
             logger.bind(peer=vm).info("peer lost")
         self._load_by_vm.pop(vm, None)
-        self.load_relay.forget_vm(vm)
+        self.load_exchange.forget_vm(vm)
         self._run_ledger.mark_peer_lost(vm)
         self._prefill_ledger.remove_peer(vm)
         for callback in self.on_load_changed:
@@ -349,14 +423,3 @@
 
 def _leaving_message(starts: Iterable[EngineStart]) -> EnginesLeaving:
     return EnginesLeaving(tuple(LeavingEngine(each.id, each.incarnation) for each in starts))
-
-
-def _engine_runs(run_ledger: RunLedger, now: float) -> tuple[EngineRuns, ...]:
-    return tuple(
-        EngineRuns(engine, tuple(RunSize(run.tokens, run.remaining) for run in runs))
-        for engine, runs in run_ledger.own(now).items()
-    )
-
-
-def _engine_tokens(ledger: TokenLedger) -> tuple[EngineTokens, ...]:
-    return tuple(EngineTokens(engine, tokens) for engine, tokens in ledger.own().items())
--- /dev/null
+++ b/pimentoquay/gateway/pool_client.py
@@ -0,0 +1,349 @@
+"""Client of the coordinators of pools: asks them to place streams, and reports what runs here."""
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import singledispatchmethod
+from typing import Any
+
+from pimentoquay.gateway.job import Job
+from pimentoquay.gateway.load_exchange import engine_runs, engine_tokens
+from pimentoquay.gateway.shared_state import SharedState
+from pimentoquay.kernel import Node, RefusedError, ResultCode
+from pimentoquay.kernel.logs import logger
+from pimentoquay.messages.fleet import VmWork
+from pimentoquay.messages.pools import (
+    PlaceCancelled,
+    PlaceOutcome,
+    PlaceReply,
+    PlaceRequest,
+    PoolId,
+    PoolReport,
+    PoolSummary,
+)
+from pimentoquay.policy.memory_forecast import GrowingRun, MemoryNeed
+from pimentoquay.policy.pools import PoolKey, PoolState, choose_pool, pools_of
+from pimentoquay.policy.prefill_choice import can_prefill_on_decode_engine
+from pimentoquay.policy.stage_plan import StageWork
+from pimentoquay.policy.stream_admission import StreamTimes
+
+__all__ = ["PoolClient", "PoolGrant"]
+
+FIRST_REPLY_SECONDS = 0.15
+"""Timeout of the first reply to a request, which usually arrives within some milliseconds."""
+
+REPEAT_SECONDS = 0.5
+"""Interval at which the request of a waiting stream is repeated, so that it keeps its place."""
+
+MAX_MISSES = 2
+"""Requests without a reply after which another pool is asked."""
+
+AVOID_SECONDS = 1.0
+"""Time for which a pool whose coordinator has not replied is avoided."""
+
+SUMMARY_VALID_SECONDS = 1.5
+"""Time for which a summary is used; coordinators send one every 0.25 s."""
+
+COALESCE_SECONDS = 0.02
+"""Time for which changes are collected before they are reported."""
+
+REPORT_SECONDS = 0.8
+"""Interval of reports to the pools in which streams of this gateway run."""
+
+
+@dataclass(frozen=True)
+class PoolGrant:
+    """Engines that a coordinator has granted; see ``messages.pools.PlaceReply``."""
+
+    key: PoolKey
+    engine: str
+    prefill_engine: str
+    number: int
+    is_exact: bool
+
+
+@dataclass
+class _KnownPool:
+    """Newest summary of a pool, and what this gateway has reported to its coordinator."""
+
+    summary: PoolSummary
+    received_at: float
+    avoided_until: float = 0.0
+
+
+@dataclass
+class _Asking:
+    """A request in progress, and the replies that have arrived for it."""
+
+    replies: asyncio.Queue[PlaceReply] = field(default_factory=asyncio.Queue)
+
+
+class PoolClient:
+    """Asks coordinators for engines and reports this gateway's streams to them.
+
+    ``is_active`` is true in deployments with relays.
+
+    Parameters
+    ----------
+    node, shared
+        The process, and the engines, ledgers and demand of this gateway.
+    usable_tokens
+        Returns the usable memory of each engine of a service, in tokens; 0 if it has none.
+    coordinator_of
+        Returns the VM that coordinates a pool.
+    send_to
+        Sends a message to a VM.
+    """
+
+    def __init__(
+        self,
+        node: Node,
+        shared: SharedState,
+        usable_tokens: Callable[[str], int],
+        coordinator_of: Callable[[PoolKey], str | None],
+        send_to: Callable[[str, Any], None],
+    ) -> None:
+        self._node = node
+        self._shared = shared
+        self._usable_tokens = usable_tokens
+        self._coordinator_of = coordinator_of
+        self._send_to = send_to
+        self._known_by_key: dict[PoolKey, _KnownPool] = {}
+        self._asking_by_key: dict[str, _Asking] = {}
+        self._last_grant_by_pool: dict[PoolKey, tuple[str, int]] = {}
+        self._reported_pools: set[PoolKey] = set()
+        self._numbers = itertools.count(1)
+        self._report_numbers = itertools.count(1)
+        self._is_report_due = False
+        self._finished = 0
+        self._finished_seconds = 0.0
+        self.is_active = False
+
+    def start(self) -> None:
+        """Begin to report at intervals."""
+        self._node.timers.every(REPORT_SECONDS, self._report)
+
+    @property
+    def expected_tokens(self) -> int:
+        """Expected final size of all streams in all pools, in tokens."""
+        return sum(each.summary.expected for each in self._known_by_key.values())
+
+    @singledispatchmethod
+    def receive(self, message: Any, source: str) -> None:
+        """Handle a message of a coordinator; those of other types are not for a client."""
+
+    @receive.register
+    def _handle_reply(self, message: PlaceReply, source: str) -> None:
+        asking = self._asking_by_key.get(message.key)
+        if asking is not None:
+            asking.replies.put_nowait(message)
+        elif message.outcome is PlaceOutcome.GRANTED:
+            self._send_to(source, PlaceCancelled(message.key, message.pool))
+
+    def receive_summary(self, message: PoolSummary) -> bool:
+        """Apply a summary; return whether it is newer than the known one."""
+        key = PoolKey(message.pool.service, message.pool.data_centre, message.pool.index)
+        known = self._known_by_key.get(key)
+        now = self._node.timers.now()
+        if known is not None and known.summary.vm == message.vm:
+            old = known.summary
+            if (message.incarnation, message.number) <= (old.incarnation, old.number):
+                return False
+        avoided_until = known.avoided_until if known is not None else 0.0
+        self._known_by_key[key] = _KnownPool(message, now, avoided_until)
+        work = message.work
+        self._shared.demand.set_peer(
+            str(key),
+            StageWork(work.prefills, work.prefill_seconds, work.decodes, work.decode_seconds),
+        )
+        return True
+
+    async def place(
+        self, job: Job, need: MemoryNeed, run: GrowingRun, times: StreamTimes, full_engine: str = ""
+    ) -> PoolGrant | None:
+        """Ask for engines for a stream, waiting for them; ``None`` if no coordinator replies.
+
+        Raises
+        ------
+        RefusedError
+            If the coordinator refuses the stream.
+        """
+        request_key = f"{job.caller.id} {next(self._numbers)}"
+        avoided: set[PoolKey] = set()
+        while True:
+            key = self._choose(job, need, avoided)
+            if key is None:
+                return None
+            try:
+                async with asyncio.timeout_at(times.leaves_at):
+                    reply = await self._ask(job, key, request_key, need, run, times, full_engine)
+            except TimeoutError:
+                raise RefusedError(
+                    ResultCode.DEADLINE_UNREACHABLE, "no memory became free in time", REPEAT_SECONDS
+                ) from None
+            if reply is None:
+                avoided.add(key)
+                self._avoid(key)
+            elif reply.outcome is PlaceOutcome.REFUSED:
+                detail = f"pool {key.data_centre} {key.index} is full"
+                raise RefusedError(ResultCode.QUEUE_FULL, detail, reply.seconds)
+            else:
+                return PoolGrant(
+                    key, reply.engine, reply.prefill_engine, reply.grant, reply.is_exact
+                )
+
+    def confirm(self, grant: PoolGrant) -> None:
+        """Let reports contain a grant; called once its stream is in the run ledger."""
+        known = self._known_by_key.get(grant.key)
+        if known is not None:
+            vm = known.summary.vm
+            newest = self._last_grant_by_pool.get(grant.key, (vm, 0))
+            number = max(newest[1], grant.number) if newest[0] == vm else grant.number
+            self._last_grant_by_pool[grant.key] = (vm, number)
+        self.schedule_report()
+
+    def record_finished(self, seconds: float) -> None:
+        """Record that a stream has ended after ``seconds``."""
+        self._finished += 1
+        self._finished_seconds += seconds
+
+    def schedule_report(self) -> None:
+        """Report the changed streams after a short collection time."""
+        if self.is_active and not self._is_report_due:
+            self._is_report_due = True
+            self._node.timers.after(COALESCE_SECONDS, self._report)
+
+    def _choose(self, job: Job, need: MemoryNeed, avoided: set[PoolKey]) -> PoolKey | None:
+        now = self._node.timers.now()
+        listed = pools_of(self._shared.fleet.accepting_engines(job.service))
+        state_by_key = {}
+        for key in listed:
+            known = self._known_by_key.get(key)
+            if known is None or now < known.avoided_until:
+                continue
+            if now - known.received_at <= SUMMARY_VALID_SECONDS:
+                each = known.summary
+                state_by_key[key] = PoolState(
+                    each.capacity, each.free, each.largest_free, each.waiting
+                )
+        data_centre = self._shared.placer.data_centre
+        return choose_pool(state_by_key, data_centre, need.tokens, job.caller.id, avoided)
+
+    def _avoid(self, key: PoolKey) -> None:
+        logger.bind(pool=str(key)).warning("coordinator does not reply")
+        if key in self._known_by_key:
+            self._known_by_key[key].avoided_until = self._node.timers.now() + AVOID_SECONDS
+
+    async def _ask(
+        self,
+        job: Job,
+        key: PoolKey,
+        request_key: str,
+        need: MemoryNeed,
+        run: GrowingRun,
+        times: StreamTimes,
+        full_engine: str,
+    ) -> PlaceReply | None:
+        """Return a final reply, or ``None`` if the coordinator does not reply."""
+        asking = self._asking_by_key[request_key] = _Asking()
+        pool_id = PoolId(key.service, key.data_centre, key.index)
+        misses, timeout, is_final = 0, FIRST_REPLY_SECONDS, False
+        coordinator = ""
+        try:
+            while misses < MAX_MISSES:
+                coordinator = self._coordinator_of(key) or ""
+                request = self._request(job, pool_id, request_key, need, run, times, full_engine)
+                self._send_to(coordinator, request)
+                reply: PlaceReply | None = None
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(timeout):
+                        while reply is None or reply.outcome is PlaceOutcome.QUEUED:
+                            reply = await asking.replies.get()
+                            timeout = REPEAT_SECONDS
+                if reply is None or reply.outcome is PlaceOutcome.NOT_COORDINATOR:
+                    misses += 1
+                    timeout = FIRST_REPLY_SECONDS
+                elif reply.outcome is not PlaceOutcome.QUEUED:
+                    is_final = True
+                    return reply
+                full_engine = ""
+            return None
+        finally:
+            del self._asking_by_key[request_key]
+            if not is_final and coordinator:
+                self._send_to(coordinator, PlaceCancelled(request_key, pool_id))
+
+    def _request(
+        self,
+        job: Job,
+        pool_id: PoolId,
+        request_key: str,
+        need: MemoryNeed,
+        run: GrowingRun,
+        times: StreamTimes,
+        full_engine: str,
+    ) -> PlaceRequest:
+        now = asyncio.get_running_loop().time()
+        is_short = can_prefill_on_decode_engine(
+            need.prompt, self._shared.speed, job.route.gap_seconds
+        )
+        return PlaceRequest(
+            request_key,
+            pool_id,
+            run.tokens,
+            run.remaining,
+            need.tokens,
+            need.prompt,
+            is_short,
+            now - times.arrived_at,
+            times.late_at - now,
+            times.leaves_at - now,
+            full_engine,
+        )
+
+    def _report(self) -> None:
+        """Report to the pools in which this gateway has streams, or had some at the last report."""
+        self._is_report_due = False
+        if not self.is_active:
+            return
+        ledger, prefills = self._shared.run_ledger, self._shared.prefill_ledger
+        now = self._node.timers.now()
+        busy = ledger.own(now).keys() | prefills.own().keys()
+        engines = [
+            each for each in self._shared.fleet.engines() if each.id in busy or self._reported_pools
+        ]
+        if not engines:
+            return
+        services = {each.service for each in engines if self._usable_tokens(each.service) > 0}
+        pools = pools_of(each for each in self._shared.fleet.engines() if each.service in services)
+        reported = set()
+        for key, members in pools.items():
+            ids = {each.id for each in members}
+            if ids & busy:
+                reported.add(key)
+            elif key not in self._reported_pools:
+                continue
+            coordinator = self._coordinator_of(key)
+            if coordinator is not None:
+                self._send_to(coordinator, self._report_for(key, ids, coordinator, now))
+        self._reported_pools = reported
+
+    def _report_for(
+        self, key: PoolKey, engines: set[str], coordinator: str, now: float
+    ) -> PoolReport:
+        ledger, own = self._shared.run_ledger, self._shared.demand.own
+        vm, last_grant = self._last_grant_by_pool.get(key, (coordinator, 0))
+        return PoolReport(
+            PoolId(key.service, key.data_centre, key.index),
+            self._node.identity.incarnation,
+            next(self._report_numbers),
+            last_grant if vm == coordinator else 0,
+            engine_runs(ledger, now, engines),
+            engine_tokens(self._shared.prefill_ledger, engines),
+            self._finished,
+            self._finished_seconds,
+            ledger.tokens_per_second,
+            VmWork(own.prefills, own.prefill_seconds, own.decodes, own.decode_seconds),
+        )
--- /dev/null
+++ b/pimentoquay/gateway/pool_coordinator.py
@@ -0,0 +1,300 @@
+"""Coordinator of pools of engines: places the streams of all gateways in them.
+
+Every gateway can coordinate pools; ``policy/pools.py`` determines which does. All that it
+knows is rebuilt from the reports of the gateways, so nothing is handed over when it changes.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import singledispatchmethod
+from typing import Any
+
+from pimentoquay.gateway.load_exchange import runs_by_engine
+from pimentoquay.gateway.shared_state import SharedState
+from pimentoquay.kernel import Node
+from pimentoquay.kernel.logs import logger
+from pimentoquay.messages.fleet import VmWork
+from pimentoquay.messages.pools import (
+    PlaceCancelled,
+    PlaceOutcome,
+    PlaceReply,
+    PlaceRequest,
+    PoolId,
+    PoolReport,
+    PoolSummary,
+)
+from pimentoquay.policy.engine_preference import Placer
+from pimentoquay.policy.fleet import EngineEntry, EngineStage
+from pimentoquay.policy.memory_forecast import GrowingRun
+from pimentoquay.policy.pool_placement import Grant, PoolPlacement, StreamKey, StreamNeed
+from pimentoquay.policy.pools import PoolKey, pools_of
+from pimentoquay.policy.prefill_choice import choose_prefill_engine
+from pimentoquay.policy.stream_admission import StreamTimes
+
+__all__ = ["SUMMARY_SECONDS", "PoolCoordinator"]
+
+TICK_SECONDS = 0.05
+"""Interval at which waiting streams are tried again if nothing is reported."""
+
+SUMMARY_SECONDS = 0.25
+"""Interval of the summaries of a pool."""
+
+RETRY_AFTER_SECONDS = 0.5
+"""Retry-After value if a stream has waited in vain."""
+
+THAW_SECONDS = 1.0
+"""Delay of a tick after which the process must have been suspended; what it knew is out of date."""
+
+_DECODE_STAGES = (EngineStage.DECODE, EngineStage.BOTH)
+
+
+@dataclass
+class _Pool:
+    """A pool that this gateway coordinates, and the last report of each gateway."""
+
+    placement: PoolPlacement
+    summarised_at: float = float("-inf")
+    report_by_vm: dict[str, PoolReport] = field(default_factory=dict)
+
+
+class PoolCoordinator:
+    """Answers requests to place streams in the pools that this gateway coordinates.
+
+    Parameters
+    ----------
+    node, shared
+        The process, and the engines and links.
+    usable_tokens
+        Returns the usable memory of each engine of a service, in tokens; 0 if it has none.
+    coordinator_of
+        Returns the VM that coordinates a pool.
+    send_to
+        Sends a message to a VM.
+    broadcast
+        Sends a summary to all gateways, including this one.
+    """
+
+    def __init__(
+        self,
+        node: Node,
+        shared: SharedState,
+        usable_tokens: Callable[[str], int],
+        coordinator_of: Callable[[PoolKey], str | None],
+        send_to: Callable[[str, Any], None],
+        broadcast: Callable[[PoolSummary], None],
+    ) -> None:
+        self._node = node
+        self._shared = shared
+        self._usable_tokens = usable_tokens
+        self._coordinator_of = coordinator_of
+        self._send_to = send_to
+        self._broadcast = broadcast
+        self._pool_by_key: dict[PoolKey, _Pool] = {}
+        self._sequence = 0
+        self._ticked_at = 0.0
+        self.is_active = False
+
+    def start(self) -> None:
+        """Begin to place waiting streams and to send summaries."""
+        self._ticked_at = self._node.timers.now()
+        self._node.timers.every(TICK_SECONDS, self._tick)
+
+    @singledispatchmethod
+    def receive(self, message: Any, source: str) -> None:
+        """Handle a message of a gateway; those of other types are not for a coordinator."""
+
+    @receive.register
+    def _handle_request(self, message: PlaceRequest, source: str) -> None:
+        key = _key_of(message.pool)
+        pool = self._pool(key)
+        if pool is None:
+            self._reply(source, message.key, message.pool, PlaceOutcome.NOT_COORDINATOR)
+            return
+        now, stream_key = self._node.timers.now(), (source, message.key)
+        if message.full_engine:
+            pool.placement.record_full(stream_key, message.full_engine, now)
+        grant = pool.placement.grant_of(stream_key)
+        if grant is not None:
+            self._reply_granted(pool, stream_key, message.pool, grant)
+            return
+        is_new = pool.placement.request(stream_key, _need_of(message, now), now)
+        self._place_waiting(key, pool)
+        if not pool.placement.is_waiting(stream_key):
+            return
+        outcome, seconds = PlaceOutcome.QUEUED, 0.0
+        if is_new:
+            decision = pool.placement.refuse_long_wait(stream_key, self._decode_engines(key), now)
+            if not decision.should_wait:
+                outcome, seconds = PlaceOutcome.REFUSED, decision.seconds
+        self._reply(source, message.key, message.pool, outcome, seconds)
+
+    @receive.register
+    def _handle_cancelled(self, message: PlaceCancelled, source: str) -> None:
+        pool = self._pool_by_key.get(_key_of(message.pool))
+        if pool is not None:
+            pool.placement.cancel((source, message.key))
+
+    @receive.register
+    def _handle_report(self, message: PoolReport, source: str) -> None:
+        key = _key_of(message.pool)
+        pool = self._pool(key)
+        if pool is None:
+            return
+        known = pool.report_by_vm.get(source)
+        is_same_start = known is not None and known.incarnation == message.incarnation
+        if known is not None and is_same_start and message.number <= known.number:
+            return
+        pool.report_by_vm[source] = message
+        pool.placement.apply_report(
+            source,
+            runs_by_engine(message.running),
+            {each.engine: each.tokens for each in message.prefilling},
+            message.last_grant,
+            self._node.timers.now(),
+        )
+        pool.placement.ledger.tokens_per_second = message.tokens_per_second
+        if known is not None and is_same_start and message.finished > known.finished:
+            seconds = message.finished_seconds - known.finished_seconds
+            pool.placement.record_finished(message.finished - known.finished, seconds)
+        self._place_waiting(key, pool)
+
+    def _pool(self, key: PoolKey) -> _Pool | None:
+        """Return a pool if this gateway coordinates it."""
+        if not self.is_active or self._coordinator_of(key) != self._node.identity.vm:
+            return None
+        pool = self._pool_by_key.get(key)
+        if pool is None:
+            now = self._node.timers.now()
+            pool = self._pool_by_key[key] = _Pool(PoolPlacement(key.data_centre, now))
+            logger.bind(pool=str(key)).info("pool coordinated here")
+        return pool
+
+    def _tick(self) -> None:
+        now = self._node.timers.now()
+        if now - self._ticked_at > THAW_SECONDS:
+            self._pool_by_key.clear()
+        self._ticked_at = now
+        if not self.is_active:
+            self._pool_by_key.clear()
+            return
+        for key in self._listed_pools():
+            self._pool(key)
+        for key, pool in tuple(self._pool_by_key.items()):
+            if self._pool(key) is None:
+                del self._pool_by_key[key]
+                logger.bind(pool=str(key)).info("pool coordinated elsewhere")
+                continue
+            for vm, stream in pool.placement.expire(now):
+                pool_id = PoolId(key.service, key.data_centre, key.index)
+                outcome = PlaceOutcome.REFUSED
+                self._reply(vm, stream, pool_id, outcome, seconds=RETRY_AFTER_SECONDS)
+            self._place_waiting(key, pool)
+            if now - pool.summarised_at >= SUMMARY_SECONDS:
+                pool.summarised_at = now
+                self._broadcast(self._summary(key, pool, now))
+
+    def _listed_pools(self) -> list[PoolKey]:
+        engines = [
+            engine
+            for engine in self._shared.fleet.engines()
+            if self._usable_tokens(engine.service) > 0
+        ]
+        return list(pools_of(engines))
+
+    def _engines(self, key: PoolKey) -> tuple[EngineEntry, ...]:
+        listed = [each for each in self._shared.fleet.engines() if each.service == key.service]
+        return pools_of(listed).get(key, ())
+
+    def _decode_engines(self, key: PoolKey) -> list[EngineEntry]:
+        available = self._shared.available_engines(key.service, _DECODE_STAGES)
+        ids = {engine.id for engine in self._engines(key)}
+        return [engine for engine in available if engine.id in ids]
+
+    def _place_waiting(self, key: PoolKey, pool: _Pool) -> None:
+        now = self._node.timers.now()
+        engines: list[EngineEntry] | None = None
+        usable = self._usable_tokens(key.service)
+        while pool.placement.has_waiting:
+            if engines is None:
+                engines = self._decode_engines(key)
+            placed = pool.placement.place_next(engines, usable, now)
+            if placed is None:
+                return
+            stream_key, engine = placed
+            prefill_engine = self._prefill_engine(key, pool, stream_key)
+            grant = pool.placement.grant(stream_key, engine, prefill_engine, now)
+            pool_id = PoolId(key.service, key.data_centre, key.index)
+            self._reply_granted(pool, stream_key, pool_id, grant)
+
+    def _prefill_engine(
+        self, key: PoolKey, pool: _Pool, stream_key: StreamKey
+    ) -> EngineEntry | None:
+        available = self._shared.available_engines(key.service, (EngineStage.PREFILL,))
+        ids = {engine.id for engine in self._engines(key)}
+        return choose_prefill_engine(
+            [engine for engine in available if engine.id in ids],
+            pool.placement.prefill_ledger,
+            self._shared.speed,
+            Placer(self._node.identity.vm, key.data_centre),
+            pool.placement.stream_of(stream_key).may_prefill_on_decode_engine,
+        )
+
+    def _reply_granted(
+        self, pool: _Pool, stream_key: StreamKey, pool_id: PoolId, grant: Grant
+    ) -> None:
+        vm, key = stream_key
+        is_exact = pool.placement.is_settled(self._node.timers.now())
+        reply = PlaceReply(
+            key,
+            pool_id,
+            PlaceOutcome.GRANTED,
+            grant.engine,
+            grant.prefill_engine,
+            grant.number,
+            0.0,
+            is_exact,
+        )
+        self._send_to(vm, reply)
+
+    def _reply(
+        self, vm: str, key: str, pool: PoolId, outcome: PlaceOutcome, seconds: float = 0.0
+    ) -> None:
+        self._send_to(vm, PlaceReply(key, pool, outcome, "", "", 0, seconds, True))
+
+    def _summary(self, key: PoolKey, pool: _Pool, now: float) -> PoolSummary:
+        engines = self._decode_engines(key)
+        state = pool.placement.state(engines, self._usable_tokens(key.service), now)
+        work = [report.work for report in pool.report_by_vm.values()]
+        self._sequence += 1
+        identity = self._node.identity
+        return PoolSummary(
+            PoolId(key.service, key.data_centre, key.index),
+            identity.vm,
+            identity.incarnation,
+            self._sequence,
+            state.capacity,
+            state.free,
+            state.largest_free,
+            state.waiting,
+            pool.placement.ledger.expected(engines, now),
+            VmWork(
+                sum(each.prefills for each in work),
+                sum(each.prefill_seconds for each in work),
+                sum(each.decodes for each in work),
+                sum(each.decode_seconds for each in work),
+            ),
+        )
+
+
+def _key_of(pool: PoolId) -> PoolKey:
+    return PoolKey(pool.service, pool.data_centre, pool.index)
+
+
+def _need_of(message: PlaceRequest, now: float) -> StreamNeed:
+    return StreamNeed(
+        GrowingRun(message.tokens, message.remaining),
+        message.need,
+        message.prompt,
+        StreamTimes(now - message.waited, now + message.late_in, now + message.leaves_in),
+        message.may_prefill_on_decode_engine,
+    )
--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -66,7 +66,12 @@
         self._on_change = on_change
 
     async def run(
-        self, job: Job, model: ModelRequest, decode_engine: EngineEntry, after_event: int | None
+        self,
+        job: Job,
+        model: ModelRequest,
+        decode_engine: EngineEntry,
+        after_event: int | None,
+        granted: str = "",
     ) -> Prefill | None:
         """Prefill a prompt; return ``None`` if the decode engine has to do it.
 
@@ -78,10 +83,12 @@
             The engine that will run the stream; prefill engines in its data centre are preferred.
         after_event
             Id of the last event that the caller has received, if its stream is resumed.
+        granted
+            Id of the prefill engine to try first, or empty.
         """
         failed: set[str] = set()
         while True:
-            engine = self._choose_engine(job, model, decode_engine, failed)
+            engine = self._choose_engine(job, model, decode_engine, failed, granted)
             if engine is None or (failed and not self._shared.retry_budgets.try_spend(job.service)):
                 logger.bind(
                     request=job.caller.id, engine=decode_engine.id, tokens=model.prompt_tokens
@@ -102,13 +109,21 @@
             self._shared.links.call_in_background(prefill.link, call, "free KV cache")
 
     def _choose_engine(
-        self, job: Job, model: ModelRequest, decode_engine: EngineEntry, failed: set[str]
+        self,
+        job: Job,
+        model: ModelRequest,
+        decode_engine: EngineEntry,
+        failed: set[str],
+        granted: str,
     ) -> EngineEntry | None:
         engines = [
             engine
             for engine in self._shared.available_engines(job.service, (EngineStage.PREFILL,))
             if engine.id not in failed
         ]
+        for engine in engines:
+            if engine.id == granted:
+                return engine
         is_decode_engine_allowed = can_prefill_on_decode_engine(
             model.prompt_tokens, self._shared.speed, job.route.gap_seconds
         )
--- /dev/null
+++ b/pimentoquay/gateway/relays.py
@@ -0,0 +1,170 @@
+"""Heartbeats of relays, and messages to single VMs that are routed through relays."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from pimentoquay.gateway.fleet import Fleet
+from pimentoquay.kernel import Channel, Node
+from pimentoquay.kernel.logs import logger
+from pimentoquay.messages import CodecError, decode, encode
+from pimentoquay.messages.pools import ChannelAlive, RelayAlive, Routed
+from pimentoquay.policy.mesh_plan import MeshPlan
+from pimentoquay.policy.relay_liveness import RelayLiveness
+
+__all__ = ["HEARTBEAT_SECONDS", "RelayNetwork"]
+
+HEARTBEAT_SECONDS = 0.8
+"""Interval of the heartbeats of relays and of the channels to them."""
+
+TIMEOUT_SECONDS = 4 * HEARTBEAT_SECONDS
+"""Time without a heartbeat after which a relay or a channel counts as lost."""
+
+
+@dataclass(frozen=True)
+class _Heard:
+    number: tuple[int, int]
+    is_draining: bool
+
+
+class RelayNetwork:
+    """Heartbeats and routing over the relays of a large deployment.
+
+    ``receive_routed`` is called with the source and the message for each message that is routed to
+    this VM.
+
+    Parameters
+    ----------
+    node
+        The process, with its identity and timers.
+    fleet
+        Told how recently relays have read the store.
+    channels
+        Returns the channels to send on, one for each peer.
+    """
+
+    def __init__(
+        self, node: Node, fleet: Fleet, channels: Callable[[], tuple[Channel, ...]]
+    ) -> None:
+        self._node = node
+        self._fleet = fleet
+        self._channels = channels
+        self._vm = node.identity.vm
+        self._sequence = 0
+        self._sent_at = float("-inf")
+        self._heard_by_vm: dict[str, _Heard] = {}
+        self._hop_by_source: dict[str, str] = {}
+        self._hops_used = 0
+        self.liveness = RelayLiveness(TIMEOUT_SECONDS)
+        self.plan = MeshPlan(frozenset())
+        self.is_draining = False
+        self.receive_routed: Callable[[str, Any], None] = lambda source, message: None
+
+    def update_plan(self, plan: MeshPlan) -> None:
+        """Use a new plan of the channels between the VMs."""
+        self.plan = plan
+        self.liveness.expect(plan.relays - {self._vm}, self._node.timers.now())
+
+    def live_relays(self) -> frozenset[str]:
+        """Return the relays that can be reached, including this VM if it is one."""
+        now = self._node.timers.now()
+        return frozenset(
+            vm for vm in self.plan.relays if vm == self._vm or self.liveness.is_heard(vm, now)
+        )
+
+    def is_first_relay(self) -> bool:
+        """Return whether this VM sorts before all other relays that are alive and not draining."""
+        if self._vm not in self.plan.relays:
+            return False
+        others = self.live_relays() - {self._vm}
+        return all(
+            self._vm < vm
+            for vm in others
+            if vm not in self._heard_by_vm or not self._heard_by_vm[vm].is_draining
+        )
+
+    def send_heartbeats(self) -> None:
+        """Send heartbeats if they are due."""
+        now = self._node.timers.now()
+        if self.plan.is_full or now - self._sent_at < HEARTBEAT_SECONDS * 0.75:
+            return
+        self._sent_at = now
+        self._send_to_all(
+            self._own_heartbeat() if self._vm in self.plan.relays else ChannelAlive(), None
+        )
+
+    def send_now(self) -> None:
+        """Send this relay's heartbeat at once, because it has read the store."""
+        if self._vm in self.plan.relays:
+            self._send_to_all(self._own_heartbeat(), None)
+
+    def receive_heartbeat(self, message: RelayAlive, source: str) -> bool:
+        """Apply and forward a relay's heartbeat; return whether the relay had not been heard."""
+        known = self._heard_by_vm.get(message.vm)
+        number = message.incarnation, message.number
+        if message.vm == self._vm or (known is not None and number <= known.number):
+            return False
+        now = self._node.timers.now()
+        was_heard = self.liveness.is_heard(message.vm, now)
+        self._heard_by_vm[message.vm] = _Heard(number, message.is_draining)
+        self.liveness.record(message.vm, now)
+        self._fleet.record_peer_read(message.list_age)
+        if self._vm in self.plan.relays:
+            self._send_to_all(message, source)
+        return not was_heard
+
+    def forget_vm(self, vm: str) -> None:
+        """Accept the next heartbeat of a VM that has started again, whatever its incarnation."""
+        self._heard_by_vm.pop(vm, None)
+
+    def broadcast(self, message: Any, source: str | None = None) -> None:
+        """Send a message to all VMs, or forward one that was received from ``source``."""
+        if source is None or self._vm in self.plan.relays:
+            self._send_to_all(message, source)
+
+    def send_to(self, target: str, message: Any) -> None:
+        """Send a message to a VM, directly or through relays; it may be lost on the way."""
+        if target == self._vm:
+            self._node.timers.after(0.0, lambda: self.receive_routed(self._vm, message))
+            return
+        self._send_routed(Routed(self._vm, target, encode(message)))
+
+    def receive(self, message: Routed, source: str) -> None:
+        """Deliver a routed message, or forward it."""
+        if message.source != source:
+            self._hop_by_source[message.source] = source
+        if message.target != self._vm:
+            self._send_routed(message)
+            return
+        try:
+            item = decode(message.payload)
+        except CodecError as error:
+            logger.bind(peer=message.source, error=str(error)).warning("invalid message ignored")
+            return
+        self.receive_routed(message.source, item)
+
+    def _send_routed(self, message: Routed) -> None:
+        channel_by_vm = {each.peer.vm: each for each in self._channels()}
+        target = message.target
+        channel = channel_by_vm.get(target) or channel_by_vm.get(
+            self._hop_by_source.get(target, "")
+        )
+        if channel is None and message.source == self._vm:
+            # Any relay will do; another one is used each time, in case one does not forward.
+            hops = sorted(channel_by_vm.keys() & self.plan.relays)
+            if hops:
+                self._hops_used += 1
+                channel = channel_by_vm[hops[self._hops_used % len(hops)]]
+        if channel is not None:
+            channel.send(message)
+
+    def _send_to_all(self, message: Any, source: str | None) -> None:
+        for channel in self._channels():
+            if self.plan.should_forward(source, channel.peer.vm):
+                channel.send(message)
+
+    def _own_heartbeat(self) -> RelayAlive:
+        self._sequence += 1
+        identity = self._node.identity
+        age = min(self._fleet.own_list_age, 1e6)
+        return RelayAlive(identity.vm, identity.incarnation, self._sequence, age, self.is_draining)
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -12,6 +12,7 @@
 
 from pimentoquay.gateway.job import Job
 from pimentoquay.gateway.links import EngineLink
+from pimentoquay.gateway.pool_client import PoolClient, PoolGrant
 from pimentoquay.gateway.shared_state import SharedState
 from pimentoquay.kernel import RefusedError, ResultCode
 from pimentoquay.kernel.errors import HttpError
@@ -32,7 +33,7 @@
     decide_wait,
 )
 
-__all__ = ["QueuedTokens", "Reservation", "Reservations"]
+__all__ = ["QueuedTokens", "Reservation", "Reservations", "usable_tokens"]
 
 RECHECK_INTERVAL_SECONDS = 0.05
 """Interval at which a waiting stream tries to reserve memory if no change is reported."""
@@ -40,6 +41,9 @@
 RETRY_AFTER_SECONDS = 0.5
 """Retry-After value if a stream waited in vain, or if no wait can be estimated."""
 
+MAX_GRANTS = 6
+"""Maximum number of engines that are tried for one stream if they refuse the granted memory."""
+
 USABLE_SHARE = 0.85
 """Share of an engine's memory that the forecast peak of its streams may fill. The rest is left free
 for answers that outgrow their forecast: if memory runs out, the engine preempts streams that have
@@ -59,7 +63,8 @@
 
     ``hold`` is the engine's id of the reservation, which is used up by the request that names it.
     ``usable_tokens`` is the part of the engine's memory that the forecast may fill.
-    ``ledger_key`` identifies the stream in the run ledger.
+    ``ledger_key`` identifies the stream in the run ledger. ``prefill_engine`` is the engine that is
+    to prefill the prompt, or empty if it has not been chosen.
     """
 
     engine: EngineEntry
@@ -69,6 +74,7 @@
     ledger_key: int
     hold: str
     reserved_at: float
+    prefill_engine: str = ""
     is_hold_used: bool = False
 
 
@@ -106,6 +112,8 @@
     record_use
         Called at the end of each stream with its mean memory in tokens, its duration in seconds,
         and the usable memory of its engine in tokens.
+    pools
+        Client of the coordinators that place streams in deployments with relays.
     """
 
     def __init__(
@@ -115,6 +123,7 @@
         has_incomplete_view: Callable[[], bool],
         on_change: Callable[[], None],
         record_use: Callable[[int, float, int], None],
+        pools: PoolClient,
     ) -> None:
         self._shared = shared
         self._run_ledger = shared.run_ledger
@@ -122,6 +131,7 @@
         self._has_incomplete_view = has_incomplete_view
         self._on_change = on_change
         self._record_use = record_use
+        self._pools = pools
         self._waiting: list[_Waiter] = []
         self._release_rate = ReleaseRate()
         self._changed = asyncio.Event()
@@ -149,6 +159,8 @@
         RefusedError
             If the expected wait is too long, or no memory became free in time.
         """
+        if self._pools.is_active:
+            return await self._reserve_in_pool(job, memory, need, times)
         waiter = _Waiter(need, times)
         if self._is_next(waiter):
             reservation = await self._try_reserve(job, memory, need)
@@ -190,6 +202,7 @@
         if reservation.is_hold_used:
             seconds = now - reservation.reserved_at
             self._release_rate.record(seconds)
+            self._pools.record_finished(seconds)
             self._record_use(reservation.need.mean_tokens, seconds, reservation.usable_tokens)
         else:
             link = reservation.link
@@ -257,21 +270,49 @@
         )
         return select_decode_engines(engines, is_short)
 
+    async def _reserve_in_pool(
+        self, job: Job, memory: TokenMemory, need: MemoryNeed, times: StreamTimes
+    ) -> Reservation:
+        """Reserve memory at the engine that a coordinator grants.
+
+        If no coordinator replies, the engines themselves decide, by the whole expected memory.
+        """
+        full_engine = ""
+        for _ in range(MAX_GRANTS):
+            self._refuse_if_paused(job)
+            run = _run_of(need, usable_tokens(memory))
+            grant = await self._pools.place(job, need, run, times, full_engine)
+            if grant is None:
+                reservation = await self._try_reserve(job, memory, need)
+                if reservation is not None:
+                    return reservation
+                break
+            full_engine = grant.engine
+            engines = {engine.id: engine for engine in self._decode_engines(job)}
+            if grant.engine in engines:
+                reservation = await self._request_hold(
+                    job, engines[grant.engine], memory, need, run, grant
+                )
+                if reservation is not None:
+                    reservation.prefill_engine = grant.prefill_engine
+                    return reservation
+        raise RefusedError(
+            ResultCode.NO_BACKEND, "the granted engines had no memory", RETRY_AFTER_SECONDS
+        )
+
     async def _try_reserve(
         self, job: Job, memory: TokenMemory, need: MemoryNeed
     ) -> Reservation | None:
         loop = asyncio.get_running_loop()
-        usable_tokens = _usable_tokens(memory)
-        run = need.run_at(need.begun)
-        if run.tokens + run.remaining > usable_tokens:
-            run = GrowingRun(min(run.tokens, usable_tokens), 0)
+        usable = usable_tokens(memory)
+        run = _run_of(need, usable)
         tried: set[str] = set()
         while True:
             candidates = [
                 engine
                 for group in self._engine_groups(job, need)
                 for engine in self._run_ledger.candidates(
-                    group, usable_tokens, run, loop.time(), self._shared.placer
+                    group, usable, run, loop.time(), self._shared.placer
                 )
             ]
             engine = next((each for each in candidates if each.id not in tried), None)
@@ -289,12 +330,16 @@
         memory: TokenMemory,
         need: MemoryNeed,
         run: GrowingRun,
+        grant: PoolGrant | None = None,
     ) -> Reservation | None:
         loop = asyncio.get_running_loop()
         link = self._shared.links.link_to(engine)
         ledger_key = self._run_ledger.take(engine.id, run, loop.time())
+        if grant is not None:
+            self._pools.confirm(grant)
         self._on_change()
-        tokens = need.tokens if self._has_incomplete_view() else need.held
+        is_exact = grant.is_exact if grant is not None else not self._has_incomplete_view()
+        tokens = need.held if is_exact else need.tokens
         tokens = min(tokens, memory.capacity_tokens)
         hold = ""
         try:
@@ -323,10 +368,17 @@
             expected=need.tokens,
             used=self._run_ledger.held(engine.id, loop.time()),
         ).info("memory reserved")
-        return Reservation(
-            engine, link, need, _usable_tokens(memory), ledger_key, hold, loop.time()
-        )
+        return Reservation(engine, link, need, usable_tokens(memory), ledger_key, hold, loop.time())
 
 
-def _usable_tokens(memory: TokenMemory) -> int:
+def usable_tokens(memory: TokenMemory) -> int:
+    """Return the tokens that the forecast peak of an engine's streams may fill."""
     return int(memory.capacity_tokens * USABLE_SHARE)
+
+
+def _run_of(need: MemoryNeed, usable: int) -> GrowingRun:
+    """Return the run by which a stream is placed; one that is too large grows no further."""
+    run = need.run_at(need.begun)
+    if run.tokens + run.remaining > usable:
+        return GrowingRun(min(run.tokens, usable), 0)
+    return run
--- a/pimentoquay/gateway/stage_controller.py
+++ b/pimentoquay/gateway/stage_controller.py
@@ -7,7 +7,7 @@
 until every order of the previous one has been received or rejected.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from pimentoquay.gateway.fleet import Fleet
@@ -18,7 +18,7 @@
 from pimentoquay.messages.fleet import StageOrdered
 from pimentoquay.platform.engine_calls import OrderOutcome
 from pimentoquay.platform.store import ORDER_TOPIC, StoreClient, StoreError
-from pimentoquay.policy.fleet import EngineStage, Service
+from pimentoquay.policy.fleet import EngineEntry, EngineStage, Service
 from pimentoquay.policy.stage_plan import StageChange, max_changing_engines, next_change
 from pimentoquay.policy.store_position import FIRST_ERA, era_of, offset_of
 
@@ -78,6 +78,8 @@
         Returns whether this gateway should send orders.
     announce
         Called with every order, to send it to the peers.
+    expected_tokens
+        Returns the expected final size of all streams on engines at a time, in tokens.
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         lease_seconds: float,
         is_leader: Callable[[], bool],
         announce: Callable[[StageOrdered], None],
+        expected_tokens: Callable[[Sequence[EngineEntry], float], int],
     ) -> None:
         self._vm = vm
         self._shared = shared
@@ -97,6 +100,7 @@
         self._lease_seconds = lease_seconds
         self._is_leader = is_leader
         self._announce = announce
+        self._expected_tokens = expected_tokens
         self._claim: _Claim | None = None
         self._leader_since: float | None = None
         self._wanted_by_service: dict[str, tuple[EngineStage | None, float]] = {}
@@ -155,7 +159,7 @@
         engines = self._fleet.accepting_engines(service.name)
         settled = [each for each in engines if until_by_engine.get(each.id, 0.0) <= now]
         changing = len(engines) - len(settled)
-        is_idle = self._shared.run_ledger.expected(engines, now) == 0
+        is_idle = self._expected_tokens(engines, now) == 0
         if changing >= max_changing_engines(len(engines), is_idle):
             return None
         share = self._shared.demand.prefill_share(service.memory.capacity_tokens)
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -180,7 +180,7 @@
         job.metrics.record_memory_wait(job.age())
         try:
             prefill = await self._prefill_runner.run(
-                job, model, reservation.engine, progress.last_event
+                job, model, reservation.engine, progress.last_event, reservation.prefill_engine
             )
             progress.sends += 1
             progress.runs += 1
--- a/pimentoquay/policy/mesh_plan.py
+++ b/pimentoquay/policy/mesh_plan.py
@@ -17,7 +17,7 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
-__all__ = ["MeshPlan", "plan_mesh"]
+__all__ = ["FULL_MESH_VMS", "MeshPlan", "needs_relays", "plan_mesh"]
 
 FULL_MESH_VMS = 16
 """Maximum number of VMs in a full mesh.
@@ -57,6 +57,11 @@
         return source not in self.relays or target not in self.relays
 
 
+def needs_relays(vm_count: int) -> bool:
+    """Return whether a deployment of so many VMs has relays instead of a full mesh."""
+    return vm_count > FULL_MESH_VMS
+
+
 def plan_mesh(
     own: str, data_centre_by_vm: Mapping[str, str], reachable: Collection[str]
 ) -> MeshPlan:
@@ -71,14 +76,14 @@
     data_centre_by_vm
         Data centre of every known VM, including ``own``.
     reachable
-        VMs whose heartbeats are received, directly or over relays.
+        VMs that are not known to have failed.
 
     Example
     -------
     >>> sorted(plan_mesh("a", {"a": "hall", "b": "hall", "c": "port"}, ()).dialled)
     ['b', 'c']
     """
-    if len(data_centre_by_vm) <= FULL_MESH_VMS:
+    if not needs_relays(len(data_centre_by_vm)):
         return MeshPlan(frozenset(data_centre_by_vm) - {own})
     relays: set[str] = set()
     for data_centre in set(data_centre_by_vm.values()):
--- /dev/null
+++ b/pimentoquay/policy/pool_placement.py
@@ -0,0 +1,279 @@
+"""Placement of streams in one pool of engines, as its coordinator decides it.
+
+Load pattern: bursts of up to twice the rate that the engines' memory allows, from many gateways.
+The coordinator sees all streams of its pool at once, so each is placed by the present state, and
+waiting streams are served in one order: those that can still begin in time, then by arrival.
+
+Failure pattern: gateways that fail or are cut off while they hold grants or wait, and a coordinator
+that starts without knowledge. A grant counts until its gateway reports the stream, or for a short
+time; a waiting stream is dropped unless its gateway repeats the request.
+"""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+
+from pimentoquay.policy.engine_preference import Placer
+from pimentoquay.policy.fleet import EngineEntry
+from pimentoquay.policy.memory_forecast import GrowingRun, peak_tokens
+from pimentoquay.policy.pools import PoolState
+from pimentoquay.policy.run_ledger import RunLedger
+from pimentoquay.policy.stream_admission import (
+    AdmissionLimits,
+    ReleaseRate,
+    StreamTimes,
+    StreamUrgency,
+    WaitDecision,
+    decide_wait,
+)
+from pimentoquay.policy.token_ledger import TokenLedger
+
+__all__ = ["Grant", "PoolPlacement", "StreamNeed"]
+
+GRANT_SECONDS = 1.0
+"""Time for which a grant counts if its gateway does not report the stream, in seconds."""
+
+REPEAT_SECONDS = 1.6
+"""Time after which a waiting stream is dropped if its request is not repeated, in seconds."""
+
+REFUSAL_SECONDS = 0.25
+"""Time for which an engine counts as full after it refused a reservation, in seconds."""
+
+SETTLE_SECONDS = 0.8
+"""Time in seconds after which all gateways have reported to a new coordinator."""
+
+REPORT_TIMEOUT_SECONDS = 3.2
+"""Time without a report after which a gateway counts as lost, in seconds."""
+
+StreamKey = tuple[str, str]
+"""VM of a stream's gateway and the key of its request."""
+
+
+@dataclass(frozen=True)
+class StreamNeed:
+    """A stream to be placed; ``need`` is the memory in tokens by which it counts while it waits."""
+
+    run: GrowingRun
+    need: int
+    prompt: int
+    times: StreamTimes
+    may_prefill_on_decode_engine: bool = True
+
+
+@dataclass(frozen=True)
+class Grant:
+    """Engines that were granted to a stream.
+
+    ``prefill_engine`` is empty if the gateway is to decide on the prefill.
+    """
+
+    number: int
+    engine: str
+    prefill_engine: str
+    prompt: int
+    ledger_key: int
+    granted_at: float
+
+
+@dataclass(frozen=True)
+class _Waiting:
+    stream: StreamNeed
+    repeated_at: float
+
+
+class PoolPlacement:
+    """Streams of one pool: running, granted and waiting.
+
+    Parameters
+    ----------
+    data_centre
+        Data centre of the pool.
+    now
+        Time at which this VM became the coordinator, in seconds.
+    """
+
+    def __init__(self, data_centre: str, now: float) -> None:
+        self.ledger = RunLedger()
+        self.prefill_ledger = TokenLedger()
+        self._placer = Placer("", data_centre)
+        self._limits = AdmissionLimits()
+        self._release_rate = ReleaseRate()
+        self._started_at = now
+        self._waiting_by_key: dict[StreamKey, _Waiting] = {}
+        self._grant_by_key: dict[StreamKey, Grant] = {}
+        self._reported_at_by_vm: dict[str, float] = {}
+        self._next_number = 0
+
+    def is_settled(self, now: float) -> bool:
+        """Return whether all gateways had time to report their streams."""
+        return now - self._started_at >= SETTLE_SECONDS
+
+    def grant_of(self, key: StreamKey) -> Grant | None:
+        """Return the grant of a stream that its gateway has not reported yet."""
+        return self._grant_by_key.get(key)
+
+    @property
+    def has_waiting(self) -> bool:
+        """Whether any stream waits."""
+        return bool(self._waiting_by_key)
+
+    def is_waiting(self, key: StreamKey) -> bool:
+        """Return whether a stream waits."""
+        return key in self._waiting_by_key
+
+    def request(self, key: StreamKey, stream: StreamNeed, now: float) -> bool:
+        """Let a stream wait; return whether it is new. One that waits already keeps its place."""
+        is_new = key not in self._waiting_by_key
+        self._waiting_by_key[key] = _Waiting(stream, now)
+        return is_new
+
+    def refuse_long_wait(
+        self, key: StreamKey, engines: Sequence[EngineEntry], now: float
+    ) -> WaitDecision:
+        """Decide whether a waiting stream may go on waiting; it is dropped if not.
+
+        Parameters
+        ----------
+        key
+            The stream, for which no engine has room now.
+        engines
+            Decode engines of the pool that accept work.
+        now
+            Current time in seconds.
+        """
+        stream = self._waiting_by_key[key].stream
+        urgent = all_waiting = 0
+        for other, each in self._waiting_by_key.items():
+            if other == key:
+                continue
+            all_waiting += each.stream.need
+            if each.stream.times.urgency(now, self._limits) is StreamUrgency.IN_TIME:
+                urgent += each.stream.need
+        rate = self._release_rate.tokens_per_second(self.ledger.expected(engines, now))
+        decision = decide_wait(
+            stream.need, urgent, all_waiting, rate, stream.times, now, self._limits
+        )
+        if not decision.should_wait:
+            del self._waiting_by_key[key]
+        return decision
+
+    def cancel(self, key: StreamKey) -> None:
+        """Forget a stream whose caller has left."""
+        self._waiting_by_key.pop(key, None)
+        self._drop_grant(key)
+
+    def record_full(self, key: StreamKey, engine: str, now: float) -> None:
+        """Record that an engine refused memory for a stream that it was granted to."""
+        grant = self._grant_by_key.get(key)
+        if grant is not None and grant.engine == engine:
+            self._drop_grant(key)
+        self.ledger.record_refusal(engine, 0, now + REFUSAL_SECONDS)
+
+    def place_next(
+        self, engines: Sequence[EngineEntry], usable: int, now: float
+    ) -> tuple[StreamKey, EngineEntry] | None:
+        """Place the first waiting stream; ``None`` if none waits or no engine has room for it.
+
+        Load pattern: bursts of up to twice the rate that the engines' memory allows. The first
+        stream is not passed by smaller ones, which would starve it.
+
+        Parameters
+        ----------
+        engines
+            Decode engines of the pool that accept work.
+        usable
+            Usable memory of each engine, in tokens.
+        now
+            Current time in seconds.
+        """
+        if not self._waiting_by_key:
+            return None
+        key = min(self._waiting_by_key, key=lambda each: self._rank(each, now))
+        run = self._waiting_by_key[key].stream.run
+        if run.tokens + run.remaining > usable:
+            run = GrowingRun(min(run.tokens, usable), 0)
+        candidates = self.ledger.candidates(engines, usable, run, now, self._placer)
+        return (key, candidates[0]) if candidates else None
+
+    def grant(
+        self, key: StreamKey, engine: EngineEntry, prefill_engine: EngineEntry | None, now: float
+    ) -> Grant:
+        """Grant engines to a waiting stream."""
+        stream = self._waiting_by_key.pop(key).stream
+        self._next_number += 1
+        ledger_key = self.ledger.take(engine.id, stream.run, now)
+        if prefill_engine is not None:
+            self.prefill_ledger.take(prefill_engine.id, stream.prompt)
+        grant = Grant(
+            self._next_number,
+            engine.id,
+            prefill_engine.id if prefill_engine is not None else "",
+            stream.prompt,
+            ledger_key,
+            now,
+        )
+        self._grant_by_key[key] = grant
+        return grant
+
+    def stream_of(self, key: StreamKey) -> StreamNeed:
+        """Return a waiting stream; ``KeyError`` if it does not wait."""
+        return self._waiting_by_key[key].stream
+
+    def apply_report(
+        self,
+        vm: str,
+        runs_by_engine: Mapping[str, tuple[GrowingRun, ...]],
+        prefill_tokens_by_engine: Mapping[str, int],
+        last_grant: int,
+        now: float,
+    ) -> None:
+        """Replace what a gateway has in the pool; its grants up to ``last_grant`` are contained."""
+        self._reported_at_by_vm[vm] = now
+        self.ledger.set_peer(vm, runs_by_engine, now)
+        self.prefill_ledger.set_peer(vm, prefill_tokens_by_engine)
+        for key, grant in tuple(self._grant_by_key.items()):
+            if key[0] == vm and grant.number <= last_grant:
+                self._drop_grant(key)
+
+    def record_finished(self, streams: int, seconds: float) -> None:
+        """Record that a number of streams have ended, after ``seconds`` in total."""
+        for _ in range(min(streams, 20)):
+            self._release_rate.record(seconds / streams)
+
+    def expire(self, now: float) -> list[StreamKey]:
+        """Drop what is out of date; return the waiting streams that can no longer be served."""
+        for key, grant in tuple(self._grant_by_key.items()):
+            if now - grant.granted_at > GRANT_SECONDS:
+                self._drop_grant(key)
+        for vm, reported_at in tuple(self._reported_at_by_vm.items()):
+            if now - reported_at > REPORT_TIMEOUT_SECONDS:
+                del self._reported_at_by_vm[vm]
+                self.ledger.mark_peer_lost(vm)
+                self.prefill_ledger.remove_peer(vm)
+        missed = []
+        for key, waiting in tuple(self._waiting_by_key.items()):
+            ends_at = waiting.stream.times.leaves_at - self._limits.work_seconds
+            is_lost = now - waiting.repeated_at > REPEAT_SECONDS
+            if is_lost or now >= ends_at:
+                del self._waiting_by_key[key]
+                if not is_lost:
+                    missed.append(key)
+        return missed
+
+    def state(self, engines: Sequence[EngineEntry], usable: int, now: float) -> PoolState:
+        """Return the summary that the gateways choose a pool by."""
+        free = [
+            max(0, usable - peak_tokens(self.ledger.runs_at(engine.id, now))) for engine in engines
+        ]
+        waiting = sum(each.stream.need for each in self._waiting_by_key.values())
+        return PoolState(usable * len(engines), sum(free), max(free, default=0), waiting)
+
+    def _rank(self, key: StreamKey, now: float) -> tuple[StreamUrgency, float, StreamKey]:
+        times = self._waiting_by_key[key].stream.times
+        return times.urgency(now, self._limits), times.arrived_at, key
+
+    def _drop_grant(self, key: StreamKey) -> None:
+        grant = self._grant_by_key.pop(key, None)
+        if grant is not None:
+            self.ledger.remove(grant.ledger_key)
+            if grant.prefill_engine:
+                self.prefill_ledger.release(grant.prefill_engine, grant.prompt)
--- a/pimentoquay/policy/run_ledger.py
+++ b/pimentoquay/policy/run_ledger.py
@@ -74,6 +74,10 @@
         snapshot = self._own_by_key.pop(key)
         self._refused_by_engine.pop(snapshot.engine, None)
 
+    def remove(self, key: int) -> None:
+        """Remove a run of this VM that is reported by a peer from now on."""
+        self._own_by_key.pop(key, None)
+
     def record_generation_rate(self, tokens: int, seconds: float) -> None:
         """Add an answer of ``tokens`` that took ``seconds`` to the average growth rate."""
         if tokens > 0 and seconds > 0:
--- /dev/null
+++ b/pimentoquay/policy/tests/test_pools.py
@@ -0,0 +1,213 @@
+import pytest
+
+from pimentoquay.policy.fleet import EngineEntry, EngineStage
+from pimentoquay.policy.memory_forecast import GrowingRun
+from pimentoquay.policy.pool_placement import (
+    GRANT_SECONDS,
+    REPEAT_SECONDS,
+    REPORT_TIMEOUT_SECONDS,
+    PoolPlacement,
+    StreamNeed,
+)
+from pimentoquay.policy.pools import (
+    ENGINES_PER_POOL,
+    PoolKey,
+    PoolState,
+    choose_pool,
+    coordinator_of,
+    pools_of,
+)
+from pimentoquay.policy.relay_liveness import SUSPICION_SECONDS, RelayLiveness
+from pimentoquay.policy.stream_admission import StreamTimes
+
+USABLE = 1000
+KEY = PoolKey("llm", "hall", 0)
+OTHER = PoolKey("llm", "port", 0)
+
+
+def engine(name, data_centre="hall", stage=EngineStage.DECODE):
+    return EngineEntry(name, "llm", "10.0.0.1:1", data_centre, False, 8, stage)
+
+
+ENGINES = [engine("e1"), engine("e2")]
+
+
+def need(tokens=300, arrived_at=0.0, late_at=1.0):
+    times = StreamTimes(arrived_at, late_at, arrived_at + 4.0)
+    return StreamNeed(GrowingRun(tokens, 0), tokens, tokens, times)
+
+
+def grant_next(pool, now=0.0):
+    placed = pool.place_next(ENGINES, USABLE, now)
+    return None if placed is None else (placed[0], pool.grant(placed[0], placed[1], None, now))
+
+
+def test_engines_form_pools_by_data_centre_of_bounded_size():
+    engines = [engine(f"e{n}", "hall" if n % 3 else "port") for n in range(300)]
+    pools = pools_of(engines)
+    assert sorted(each.id for part in pools.values() for each in part) == sorted(
+        each.id for each in engines
+    )
+    assert {key.data_centre for key in pools} == {"hall", "port"}
+    assert max(len(part) for part in pools.values()) < 2 * ENGINES_PER_POOL
+
+
+def test_a_lost_vm_moves_only_its_own_pools():
+    vms = {f"vm-{n}": "hall" for n in range(40)}
+    keys = [PoolKey("llm", "hall", index) for index in range(100)]
+    before = {key: coordinator_of(key, vms) for key in keys}
+    lost = before[keys[0]]
+    after = {key: coordinator_of(key, {vm: "hall" for vm in vms if vm != lost}) for key in keys}
+    assert all(after[key] == before[key] for key in keys if before[key] != lost)
+    assert lost not in after.values()
+    assert len(set(before.values())) > 20
+
+
+def test_the_coordinator_is_in_the_data_centre_of_the_pool_if_there_is_a_vm():
+    vms = {"a": "hall", "b": "port", "c": "port"}
+    assert coordinator_of(KEY, vms) == "a"
+    assert coordinator_of(KEY, {"b": "port"}) == "b"
+    assert coordinator_of(KEY, {}) is None
+
+
+def state(free=500, largest=None, waiting=0):
+    return PoolState(2000, free, free if largest is None else largest, waiting)
+
+
+def test_a_stream_stays_in_its_data_centre_while_there_is_room():
+    states = {KEY: state(free=300), OTHER: state(free=900)}
+    assert choose_pool(states, "hall", 300, "r") == KEY
+    assert choose_pool(states, "hall", 400, "r") == OTHER
+    assert choose_pool({**states, KEY: state(waiting=1)}, "hall", 300, "r") == OTHER
+    assert choose_pool(states, "hall", 300, "r", avoid={KEY}) == OTHER
+    assert choose_pool({}, "hall", 300, "r") is None
+
+
+def test_a_burst_spreads_over_the_pools_with_room_in_proportion_to_it():
+    third = PoolKey("llm", "yard", 0)
+    states = {KEY: state(free=0), OTHER: state(free=900), third: state(free=300)}
+    chosen = [choose_pool(states, "hall", 100, f"r{n}") for n in range(1000)]
+    assert chosen.count(KEY) == 0
+    assert chosen.count(OTHER) / chosen.count(third) == pytest.approx(3.0, abs=0.6)
+
+
+def test_without_room_the_shortest_queue_is_chosen():
+    states = {KEY: state(free=0, waiting=900), OTHER: state(free=0, waiting=300)}
+    assert choose_pool(states, "hall", 100, "r") == OTHER
+    assert choose_pool({**states, OTHER: state(0, 0, 900)}, "hall", 100, "r") == KEY
+
+
+def test_a_burst_of_many_gateways_overbooks_no_engine():
+    """Each gateway placed by loads that were 0.1 s old, and all picked the same free engine."""
+    pool = PoolPlacement("hall", 0.0)
+    for number in range(10):
+        pool.request((f"vm-{number}", "r"), need(), 0.0)
+    grants = []
+    while (granted := grant_next(pool)) is not None:
+        grants.append(granted[1].engine)
+    assert sorted(grants) == ["e1"] * 3 + ["e2"] * 3
+    assert pool.state(ENGINES, USABLE, 0.0) == PoolState(2000, 200, 100, 1200)
+
+
+def test_streams_in_time_go_first_and_then_by_arrival():
+    pool = PoolPlacement("hall", 0.0)
+    pool.request(("a", "late"), need(arrived_at=-5.0, late_at=0.0), 0.0)
+    pool.request(("b", "second"), need(arrived_at=0.2), 0.0)
+    pool.request(("c", "first"), need(arrived_at=0.1), 0.0)
+    order = []
+    while (granted := grant_next(pool)) is not None:
+        order.append(granted[0][1])
+    assert order == ["first", "second", "late"]
+
+
+def test_a_large_stream_is_not_passed_by_smaller_ones():
+    pool = PoolPlacement("hall", 0.0)
+    for number in range(4):
+        pool.request(("a", str(number)), need(400), 0.0)
+        assert grant_next(pool)
+    pool.request(("b", "large"), need(900, arrived_at=0.1), 0.0)
+    pool.request(("c", "small"), need(100, arrived_at=0.2), 0.0)
+    assert grant_next(pool) is None
+
+
+def test_a_stream_that_would_wait_too_long_is_refused_and_not_kept():
+    pool = PoolPlacement("hall", 0.0)
+    pool.request(("a", "r"), need(), 0.0)
+    assert not pool.refuse_long_wait(("a", "r"), ENGINES, 0.0).should_wait
+    assert not pool.is_waiting(("a", "r"))
+    assert not pool.has_waiting
+
+
+def test_a_grant_counts_until_the_report_that_contains_it():
+    pool = PoolPlacement("hall", 0.0)
+    pool.request(("a", "r"), need(), 0.0)
+    key, grant = grant_next(pool)
+    pool.apply_report("a", {}, {}, grant.number - 1, 0.1)
+    assert pool.ledger.held("e1", 0.1) + pool.ledger.held("e2", 0.1) == 300
+    pool.apply_report("a", {grant.engine: (GrowingRun(300, 0),)}, {}, grant.number, 0.2)
+    assert pool.ledger.held("e1", 0.2) + pool.ledger.held("e2", 0.2) == 300
+    assert pool.grant_of(key) is None
+
+
+def test_a_grant_of_a_gateway_that_fails_is_dropped():
+    pool = PoolPlacement("hall", 0.0)
+    pool.request(("a", "r"), need(), 0.0)
+    grant_next(pool)
+    pool.expire(GRANT_SECONDS + 0.1)
+    assert pool.ledger.held("e1", 2.0) + pool.ledger.held("e2", 2.0) == 0
+
+
+def test_a_waiting_stream_is_dropped_unless_its_request_is_repeated():
+    pool = PoolPlacement("hall", 0.0)
+    for key in ("kept", "lost"):
+        pool.request(("a", key), need(2000), 0.0)
+    assert not pool.request(("a", "kept"), need(2000), 1.0)
+    assert pool.expire(REPEAT_SECONDS + 0.1) == []
+    assert pool.is_waiting(("a", "kept")) and not pool.is_waiting(("a", "lost"))
+    assert pool.request(("a", "kept"), need(2000), 2.0) is False
+    pool.request(("a", "kept"), need(2000), 3.5)
+    assert pool.expire(3.9) == [("a", "kept")]
+
+
+def test_a_gateway_without_reports_counts_as_lost_and_its_growing_runs_are_kept():
+    pool = PoolPlacement("hall", 0.0)
+    runs = {"e1": (GrowingRun(300, 0),), "e2": (GrowingRun(300, 100_000),)}
+    pool.apply_report("a", runs, {"p": 50}, 0, 0.0)
+    pool.expire(REPORT_TIMEOUT_SECONDS + 0.1)
+    assert pool.ledger.held("e1", 3.3) == 0
+    assert pool.ledger.held("e2", 3.3) > 300
+    assert pool.prefill_ledger.held("p") == 0
+
+
+def test_an_engine_that_refused_granted_memory_is_not_granted_again_at_once():
+    pool = PoolPlacement("hall", 0.0)
+    pool.request(("a", "r"), need(), 0.0)
+    key, grant = grant_next(pool)
+    pool.record_full(key, grant.engine, 0.0)
+    assert pool.grant_of(key) is None
+    pool.request(key, need(), 0.0)
+    assert grant_next(pool)[1].engine != grant.engine
+
+
+def test_a_new_coordinator_is_settled_once_all_have_reported():
+    pool = PoolPlacement("hall", 10.0)
+    assert not pool.is_settled(10.1)
+    assert pool.is_settled(11.0)
+
+
+def test_a_silent_relay_is_suspected_and_one_that_is_not_needed_is_expected_again_later():
+    liveness = RelayLiveness(3.0)
+    liveness.expect({"a", "b"}, 0.0)
+    liveness.record("a", 2.0)
+    assert liveness.suspected(4.0) == {"b"}
+    liveness.expect({"a", "c"}, 4.0)
+    liveness.record("a", 6.0)
+    assert liveness.suspected(6.5) == {"b"}
+    assert liveness.suspected(7.5) == {"b", "c"}
+    liveness.record("c", 8.0)
+    liveness.record("a", 8.0)
+    assert liveness.suspected(9.0) == {"b"}
+    liveness.record("a", 20.0)
+    liveness.record("c", 20.0)
+    assert liveness.suspected(4.0 + SUSPICION_SECONDS + 0.5) == frozenset()
+    assert liveness.is_heard("a", 22.0) and not liveness.is_heard("b", 22.0)
