Share retry budgets by the number of gateways also with relays, split peer loads from the mesh

Cause: the number of gateways was taken over with each load of a peer; with relays no loads are sent any more, so each gateway kept the budget of the whole deployment. Change: it is taken over with each plan of the mesh, and a test shows it.

--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -25,6 +25,7 @@
     WAITING,
     GatewayMetrics,
 )
+from pimentoquay.gateway.peer_loads import PeerLoadTable
 from pimentoquay.gateway.plain import PlainForwarder
 from pimentoquay.gateway.pool_client import PoolClient
 from pimentoquay.gateway.pool_coordinator import PoolCoordinator
@@ -207,29 +208,27 @@
     pool_client = PoolClient(node, shared, usable, pool_coordinator_of, send_to)
     reservations = Reservations(
         shared,
-        lambda: mesh.peers_queued,
+        lambda: loads.queued,
         lambda: mesh.has_incomplete_view,
         schedule_update,
         shared.demand.record_decode,
         pool_client,
     )
-    mesh = Mesh(
-        node,
-        peers,
+    loads = PeerLoadTable(
+        node.timers,
         fleet,
         run_ledger,
         prefill_ledger,
         shared.demand,
-        settings.control_address,
         lambda: reservations.queued,
-        era,
     )
+    mesh = Mesh(node, peers, fleet, loads, settings.control_address, era)
     coordinator = PoolCoordinator(
         node, shared, usable, pool_coordinator_of, send_to, mesh.broadcast_summary
     )
     mesh.on_pool_summary.append(pool_client.receive_summary)
     mesh.relays.receive_routed = _routed_handler(pool_client, coordinator)
-    mesh.on_plan_changed.append(lambda: _apply_plan(mesh, pool_client, coordinator))
+    mesh.on_plan_changed.append(lambda: _apply_plan(shared, mesh, pool_client, coordinator))
     links.on_leaving.append(mesh.publish_leaving)
     mesh.on_load_changed.append(reservations.recheck_waiters)
     mesh.on_load_changed.append(lambda: _apply_mesh_state(shared, mesh))
@@ -312,9 +311,12 @@
     return receive
 
 
-def _apply_plan(mesh: Mesh, client: PoolClient, coordinator: PoolCoordinator) -> None:
-    """Use coordinators in a deployment with relays."""
+def _apply_plan(
+    shared: SharedState, mesh: Mesh, client: PoolClient, coordinator: PoolCoordinator
+) -> None:
+    """Use coordinators in a deployment with relays, and share its limits by its size."""
     client.is_active = coordinator.is_active = not mesh.plan.is_full
+    _apply_mesh_state(shared, mesh)
 
 
 def _apply_mesh_state(shared: SharedState, mesh: Mesh) -> None:
--- a/pimentoquay/gateway/load_exchange.py
+++ b/pimentoquay/gateway/load_exchange.py
@@ -4,30 +4,14 @@
 exchanged; coordinators place the streams there (``gateway/pool_coordinator.py``).
 """
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 
 from pimentoquay.kernel import Channel, Node
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages import CodecError, decode, encode
-from pimentoquay.messages.fleet import (
-    EngineRuns,
-    EngineTokens,
-    PeerLoad,
-    PeerLoads,
-    RunSize,
-    VmLoad,
-)
-from pimentoquay.policy.memory_forecast import GrowingRun
-from pimentoquay.policy.run_ledger import RunLedger
-from pimentoquay.policy.token_ledger import TokenLedger
-
-__all__ = [
-    "HEARTBEAT_SECONDS",
-    "LoadExchange",
-    "engine_runs",
-    "engine_tokens",
-    "runs_by_engine",
-]
+from pimentoquay.messages.fleet import PeerLoad, PeerLoads, VmLoad
+
+__all__ = ["HEARTBEAT_SECONDS", "LoadExchange"]
 
 HEARTBEAT_SECONDS = 0.4
 """Interval at which a gateway sends its load if the load does not change."""
@@ -138,33 +122,3 @@
         identity = self._node.identity
         load = encode(self._own_load())
         return PeerLoads((PeerLoad(identity.vm, identity.incarnation, self._sequence, load),))
-
-
-def engine_runs(
-    ledger: RunLedger, now: float, engines: Collection[str] | None = None
-) -> tuple[EngineRuns, ...]:
-    """Return this gateway's runs at engines, or at all of them, as message items."""
-    return tuple(
-        EngineRuns(engine, tuple(RunSize(run.tokens, run.remaining) for run in runs))
-        for engine, runs in ledger.own(now).items()
-        if engines is None or engine in engines
-    )
-
-
-def runs_by_engine(items: Collection[EngineRuns]) -> dict[str, tuple[GrowingRun, ...]]:
-    """Return the runs of message items, by engine."""
-    return {
-        each.engine: tuple(GrowingRun(run.tokens, run.remaining) for run in each.runs)
-        for each in items
-    }
-
-
-def engine_tokens(
-    ledger: TokenLedger, engines: Collection[str] | None = None
-) -> tuple[EngineTokens, ...]:
-    """Return this gateway's prompts at engines, or at all of them, as message items."""
-    return tuple(
-        EngineTokens(engine, tokens)
-        for engine, tokens in ledger.own().items()
-        if engines is None or engine in engines
-    )
--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -14,12 +14,9 @@
 from pimentoquay.gateway.load_exchange import (
     HEARTBEAT_SECONDS,
     LoadExchange,
-    engine_runs,
-    engine_tokens,
-    runs_by_engine,
 )
+from pimentoquay.gateway.peer_loads import PeerLoadTable
 from pimentoquay.gateway.relays import TIMEOUT_SECONDS, RelayNetwork
-from pimentoquay.gateway.reservations import QueuedTokens
 from pimentoquay.kernel import Channel, ChannelClosed, ChannelOpened, Envelope, Node
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages.fleet import (
@@ -29,17 +26,12 @@
     PeerLoads,
     StageOrdered,
     VmAddress,
-    VmLoad,
-    VmWork,
 )
 from pimentoquay.messages.pools import ChannelAlive, PoolSummary, RelayAlive, Routed
 from pimentoquay.policy.engine_notices import EngineStart
 from pimentoquay.policy.mesh_plan import MeshPlan, needs_relays, plan_mesh
 from pimentoquay.policy.pools import PoolKey, coordinator_of
-from pimentoquay.policy.run_ledger import RunLedger
-from pimentoquay.policy.stage_plan import StageDemand, StageWork
 from pimentoquay.policy.store_position import StoreEra, era_of
-from pimentoquay.policy.token_ledger import TokenLedger
 from pimentoquay.transport.peers import PeerSet
 
 __all__ = ["Mesh"]
@@ -71,13 +63,10 @@
     ----------
     node, peers
         The process and its channels.
-    fleet, run_ledger, prefill_ledger, demand
-        State that is exchanged with the peers: records of the store, requests in the memory of
-        decode engines, prompts at prefill engines, and engine time needed in both stages.
+    fleet, loads
+        State that is exchanged with the peers: records of the store, and the loads of gateways.
     address
         Address at which this gateway listens for peers.
-    queued
-        Returns the memory that streams wait for at this gateway.
     era
         Era of the store, which is raised by what peers send.
     """
@@ -87,20 +76,14 @@
         node: Node,
         peers: PeerSet,
         fleet: Fleet,
-        run_ledger: RunLedger,
-        prefill_ledger: TokenLedger,
-        demand: StageDemand,
+        loads: PeerLoadTable,
         address: str,
-        queued: Callable[[], QueuedTokens],
         era: StoreEra,
     ) -> None:
         self._node = node
         self._peers = peers
         self._fleet = fleet
-        self._run_ledger = run_ledger
-        self._prefill_ledger = prefill_ledger
-        self._demand = demand
-        self._queued = queued
+        self.loads = loads
         self._era = era
         self._vm = node.identity.vm
         own = VmAddress(self._vm, address, node.identity.data_centre, -1)
@@ -109,9 +92,10 @@
         self._lost_at_by_vm: dict[str, float] = {}
         self._last_seen_at_by_vm: dict[str, float] = {}
         self._last_direct_at_by_vm: dict[str, float] = {}
-        self._load_by_vm: dict[str, VmLoad] = {}
         self._seen_fences: set[int] = set()
-        self.load_exchange = LoadExchange(node, self._current_load, self._channels)
+        self.load_exchange = LoadExchange(
+            node, lambda: loads.current(self.is_draining), self._channels
+        )
         self.relays = RelayNetwork(node, fleet, self._channels)
         self.is_draining = False
         self.on_load_changed: list[Callable[[], None]] = []
@@ -151,14 +135,6 @@
             or lost > LOST_PEER_SHARE * self.gateway_count
         )
 
-    @property
-    def peers_queued(self) -> QueuedTokens:
-        """Memory that streams wait for at the peers, in tokens."""
-        loads = self._load_by_vm.values()
-        return QueuedTokens(
-            sum(load.waiting_tokens for load in loads), sum(load.urgent_tokens for load in loads)
-        )
-
     def is_reader(self) -> bool:
         """Return whether this gateway polls the store for its peers.
 
@@ -167,11 +143,7 @@
         """
         if not self.plan.is_full:
             return self.relays.is_first_relay()
-        active_vms = (
-            vm
-            for vm in self._last_seen_at_by_vm
-            if vm not in self._load_by_vm or not self._load_by_vm[vm].is_draining
-        )
+        active_vms = (vm for vm in self._last_seen_at_by_vm if not self.loads.is_draining(vm))
         return all(self._vm < vm for vm in active_vms)
 
     async def run(self) -> None:
@@ -351,37 +323,13 @@
     def _handle_loads(self, message: PeerLoads, envelope: Envelope) -> None:
         newer_loads = self.load_exchange.receive(message, _source(envelope))
         for vm, load in newer_loads:
-            self._apply_load(vm, load)
+            self._lost_at_by_vm.pop(vm, None)
+            self.loads.apply(vm, load)
         self._record_seen(vm for vm, _ in newer_loads)
         if newer_loads:
             for callback in self.on_load_changed:
                 callback()
 
-    def _apply_load(self, vm: str, load: VmLoad) -> None:
-        self._load_by_vm[vm] = load
-        self._lost_at_by_vm.pop(vm, None)
-        self._fleet.record_peer_read(load.list_age)
-        self._prefill_ledger.set_peer(vm, {each.engine: each.tokens for each in load.prefilling})
-        self._run_ledger.set_peer(vm, runs_by_engine(load.running), self._node.timers.now())
-        work = load.work
-        self._demand.set_peer(
-            vm,
-            StageWork(work.prefills, work.prefill_seconds, work.decodes, work.decode_seconds),
-        )
-
-    def _current_load(self) -> VmLoad:
-        age = min(self._fleet.own_list_age, 1e6)
-        queued, own = self._queued(), self._demand.own
-        return VmLoad(
-            age,
-            engine_runs(self._run_ledger, self._node.timers.now()),
-            engine_tokens(self._prefill_ledger),
-            queued.tokens,
-            queued.urgent_tokens,
-            self.is_draining,
-            VmWork(own.prefills, own.prefill_seconds, own.decodes, own.decode_seconds),
-        )
-
     def _heartbeat(self) -> None:
         self.load_exchange.send_to_all()
         self.relays.is_draining = self.is_draining
@@ -403,14 +351,11 @@
 
     def _drop_peer(self, vm: str) -> None:
         if self._last_seen_at_by_vm.pop(vm, None) is not None:
-            load = self._load_by_vm.get(vm)
-            if load is None or not load.is_draining:
+            if not self.loads.is_draining(vm):
                 self._lost_at_by_vm[vm] = self._node.timers.now()
             logger.bind(peer=vm).info("peer lost")
-        self._load_by_vm.pop(vm, None)
         self.load_exchange.forget_vm(vm)
-        self._run_ledger.mark_peer_lost(vm)
-        self._prefill_ledger.remove_peer(vm)
+        self.loads.remove(vm)
         for callback in self.on_load_changed:
             callback()
 
--- a/pimentoquay/gateway/pool_client.py
+++ b/pimentoquay/gateway/pool_client.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from pimentoquay.gateway.job import Job
-from pimentoquay.gateway.load_exchange import engine_runs, engine_tokens
+from pimentoquay.gateway.peer_loads import engine_runs, engine_tokens
 from pimentoquay.gateway.shared_state import SharedState
 from pimentoquay.kernel import Node, RefusedError, ResultCode
 from pimentoquay.kernel.logs import logger
--- a/pimentoquay/gateway/pool_coordinator.py
+++ b/pimentoquay/gateway/pool_coordinator.py
@@ -9,7 +9,7 @@
 from functools import singledispatchmethod
 from typing import Any
 
-from pimentoquay.gateway.load_exchange import runs_by_engine
+from pimentoquay.gateway.peer_loads import runs_by_engine
 from pimentoquay.gateway.shared_state import SharedState
 from pimentoquay.kernel import Node
 from pimentoquay.kernel.logs import logger
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -27,13 +27,14 @@
 )
 from pimentoquay.policy.stream_admission import (
     AdmissionLimits,
+    QueuedTokens,
     ReleaseRate,
     StreamTimes,
     StreamUrgency,
     decide_wait,
 )
 
-__all__ = ["QueuedTokens", "Reservation", "Reservations", "usable_tokens"]
+__all__ = ["Reservation", "Reservations", "usable_tokens"]
 
 RECHECK_INTERVAL_SECONDS = 0.05
 """Interval at which a waiting stream tries to reserve memory if no change is reported."""
@@ -78,17 +79,6 @@
     is_hold_used: bool = False
 
 
-@dataclass(frozen=True)
-class QueuedTokens:
-    """Memory that streams wait for, in tokens.
-
-    ``urgent_tokens`` is the part for streams that can still start in time.
-    """
-
-    tokens: int
-    urgent_tokens: int
-
-
 @dataclass(eq=False)
 class _Waiter:
     need: MemoryNeed
--- a/pimentoquay/gateway/tests/test_mesh.py
+++ b/pimentoquay/gateway/tests/test_mesh.py
@@ -56,6 +56,16 @@
                 await until(lambda: len(received) == 2, "replied")
 
 
+async def test_the_retry_budget_is_shared_by_all_gateways(relays):
+    """The number of gateways was updated with each load of a peer, and none is sent with relays."""
+    async with rig() as env:
+        await start_gateways(env)
+        budgets = [
+            gateway.stage_controller._shared.retry_budgets for gateway in env.gateway_by_vm.values()
+        ]
+        await until(lambda: all(each.gateway_count == len(VMS) for each in budgets), "shared")
+
+
 async def test_relays_forward_a_configuration_and_one_gateway_polls(relays):
     async with rig() as env:
         meshes = await start_gateways(env)
@@ -123,7 +133,7 @@
     async with rig() as env:
         await env.add_gateway("vm-2")
         mesh = env.gateway_by_vm["vm-1"].mesh
-        await until(lambda: "vm-2" in mesh._load_by_vm, "heard")
+        await until(lambda: "vm-2" in mesh.loads.load_by_vm, "heard")
         broken = PeerLoads((PeerLoad("vm-9", 1, 1, b"\xff"), PeerLoad("vm-2", 0, 1, b"")))
         assert mesh.load_exchange.receive(broken, "vm-2") == []
 
--- a/pimentoquay/gateway/tests/test_streams.py
+++ b/pimentoquay/gateway/tests/test_streams.py
@@ -38,7 +38,7 @@
         assert decode.headers["pimentoquay-kv-hold"]
         source = decode.headers["pimentoquay-kv-source"]
         assert source == f"{env.engine_by_id['pre-1'].address}/kv1"
-        run_ledger = env.gateway_by_vm["vm-1"].mesh._run_ledger
+        run_ledger = env.gateway_by_vm["vm-1"].mesh.loads._run_ledger
         await until(lambda: run_ledger.own(0.0) == {}, "memory given back")
 
 
@@ -109,7 +109,7 @@
         await until(
             lambda: sum(engine.incomplete_responses for engine in decode_engines(env)), "broken off"
         )
-        run_ledger = env.gateway_by_vm["vm-1"].mesh._run_ledger
+        run_ledger = env.gateway_by_vm["vm-1"].mesh.loads._run_ledger
         await until(lambda: run_ledger.own(0.0) == {}, "memory given back")
 
 
--- a/pimentoquay/policy/stream_admission.py
+++ b/pimentoquay/policy/stream_admission.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "AdmissionLimits",
+    "QueuedTokens",
     "ReleaseRate",
     "StreamTimes",
     "StreamUrgency",
@@ -75,6 +76,17 @@
     seconds: float
 
 
+@dataclass(frozen=True)
+class QueuedTokens:
+    """Memory that streams wait for, in tokens.
+
+    ``urgent_tokens`` is the part for streams that can still start in time.
+    """
+
+    tokens: int
+    urgent_tokens: int
+
+
 class ReleaseRate:
     """Estimated rate at which ending streams release memory.
 
