--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -205,7 +205,7 @@
     def pool_coordinator_of(key: PoolKey) -> str | None:
         return mesh.coordinator_of(key)
 
-    pool_client = PoolClient(node, shared, usable, pool_coordinator_of, send_to)
+    pool_client = PoolClient(node, shared, pool_coordinator_of, send_to)
     reservations = Reservations(
         shared,
         lambda: loads.queued,
@@ -315,7 +315,8 @@
     shared: SharedState, mesh: Mesh, client: PoolClient, coordinator: PoolCoordinator
 ) -> None:
     """Use coordinators in a deployment with relays, and share its limits by its size."""
-    client.is_active = coordinator.is_active = not mesh.plan.is_full
+    client.is_active = not mesh.plan.is_full
+    coordinator.is_active = client.is_active and shared.placer.vm in mesh.plan.relays
     _apply_mesh_state(shared, mesh)
 
 
--- a/pimentoquay/gateway/pool_client.py
+++ b/pimentoquay/gateway/pool_client.py
@@ -89,8 +89,6 @@
     ----------
     node, shared
         The process, and the engines, ledgers and demand of this gateway.
-    usable_tokens
-        Returns the usable memory of each engine of a service, in tokens; 0 if it has none.
     coordinator_of
         Returns the VM that coordinates a pool.
     send_to
@@ -101,13 +99,11 @@
         self,
         node: Node,
         shared: SharedState,
-        usable_tokens: Callable[[str], int],
         coordinator_of: Callable[[PoolKey], str | None],
         send_to: Callable[[str, Any], None],
     ) -> None:
         self._node = node
         self._shared = shared
-        self._usable_tokens = usable_tokens
         self._coordinator_of = coordinator_of
         self._send_to = send_to
         self._known_by_key: dict[PoolKey, _KnownPool] = {}
@@ -311,13 +307,12 @@
         ledger, prefills = self._shared.run_ledger, self._shared.prefill_ledger
         now = self._node.timers.now()
         busy = ledger.own(now).keys() | prefills.own().keys()
-        engines = [
-            each for each in self._shared.fleet.engines() if each.id in busy or self._reported_pools
-        ]
-        if not engines:
+        if not busy and not self._reported_pools:
             return
-        services = {each.service for each in engines if self._usable_tokens(each.service) > 0}
-        pools = pools_of(each for each in self._shared.fleet.engines() if each.service in services)
+        engines = self._shared.fleet.engines()
+        services = {each.service for each in engines if each.id in busy}
+        services.update(key.service for key in self._reported_pools)
+        pools = pools_of(each for each in engines if each.service in services)
         reported = set()
         for key, members in pools.items():
             ids = {each.id for each in members}
--- a/pimentoquay/gateway/pool_coordinator.py
+++ b/pimentoquay/gateway/pool_coordinator.py
@@ -92,6 +92,7 @@
         self._pool_by_key: dict[PoolKey, _Pool] = {}
         self._sequence = 0
         self._ticked_at = 0.0
+        self._listed_at = float("-inf")
         self.is_active = False
 
     def start(self) -> None:
@@ -177,8 +178,10 @@
         if not self.is_active:
             self._pool_by_key.clear()
             return
-        for key in self._listed_pools():
-            self._pool(key)
+        if now - self._listed_at >= SUMMARY_SECONDS:
+            self._listed_at = now
+            for key in self._listed_pools():
+                self._pool(key)
         for key, pool in tuple(self._pool_by_key.items()):
             if self._pool(key) is None:
                 del self._pool_by_key[key]
