Bundle the broadcasts of relays, pass on no mere heartbeats of engines

A coordinator that was suspended forgets its pools, judged by boot time as the steady clock stands still.

--- a/pimentoquay/gateway/fleet.py
+++ b/pimentoquay/gateway/fleet.py
@@ -109,7 +109,7 @@
         return True
 
     def apply_engine_records(self, records: tuple[EngineRecord, ...]) -> tuple[EngineRecord, ...]:
-        """Apply records of engines; return those that changed the list, new heartbeats included."""
+        """Apply records of engines; return those that changed more than a heartbeat's number."""
         changed = []
         for record in records:
             update = _to_update(record)
--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -19,6 +19,7 @@
 from pimentoquay.gateway.relays import TIMEOUT_SECONDS, RelayNetwork
 from pimentoquay.kernel import Channel, ChannelClosed, ChannelOpened, Envelope, Node
 from pimentoquay.kernel.logs import logger
+from pimentoquay.messages import CodecError, decode
 from pimentoquay.messages.fleet import (
     EnginesLeaving,
     FleetCopy,
@@ -27,7 +28,7 @@
     StageOrdered,
     VmAddress,
 )
-from pimentoquay.messages.pools import ChannelAlive, PoolSummary, RelayAlive, Routed
+from pimentoquay.messages.pools import Bundle, ChannelAlive, PoolSummary, RelayAlive, Routed
 from pimentoquay.policy.engine_notices import EngineStart
 from pimentoquay.policy.mesh_plan import MeshPlan, needs_relays, plan_mesh
 from pimentoquay.policy.pools import PoolKey, coordinator_of
@@ -107,9 +108,8 @@
             PeerLoads,
             StageOrdered,
             EnginesLeaving,
-            RelayAlive,
+            Bundle,
             ChannelAlive,
-            PoolSummary,
             Routed,
             ChannelOpened,
             ChannelClosed,
@@ -300,6 +300,16 @@
             logger.bind(engines=",".join(each.id for each in new)).info("engines are leaving")
             self._forward(_leaving_message(new), _source(envelope))
 
+    @_dispatch.register
+    def _handle_bundle(self, message: Bundle, envelope: Envelope) -> None:
+        for item in message.items:
+            try:
+                self._dispatch(decode(item), envelope)
+            except CodecError as error:
+                logger.bind(peer=_source(envelope), error=str(error)).warning(
+                    "invalid message ignored"
+                )
+
     @_dispatch.register
     def _handle_relay_alive(self, message: RelayAlive, envelope: Envelope) -> None:
         if self.relays.receive_heartbeat(message, _source(envelope)):
--- a/pimentoquay/gateway/pool_coordinator.py
+++ b/pimentoquay/gateway/pool_coordinator.py
@@ -4,6 +4,7 @@
 knows is rebuilt from the reports of the gateways, so nothing is handed over when it changes.
 """
 
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
@@ -42,8 +43,9 @@
 RETRY_AFTER_SECONDS = 0.5
 """Retry-After value if a stream has waited in vain."""
 
-THAW_SECONDS = 1.0
-"""Delay of a tick after which the process must have been suspended; what it knew is out of date."""
+THAW_SECONDS = 0.5
+"""Interval of ticks without pools. If one is late by as much, the process was suspended, and what
+it knew is out of date."""
 
 _DECODE_STAGES = (EngineStage.DECODE, EngineStage.BOTH)
 
@@ -91,14 +93,15 @@
         self._broadcast = broadcast
         self._pool_by_key: dict[PoolKey, _Pool] = {}
         self._sequence = 0
-        self._ticked_at = 0.0
+        self._ticked_at = self._ticked_at_boot = 0.0
         self._listed_at = float("-inf")
         self.is_active = False
 
     def start(self) -> None:
         """Begin to place waiting streams and to send summaries."""
         self._ticked_at = self._node.timers.now()
-        self._node.timers.every(TICK_SECONDS, self._tick)
+        self._ticked_at_boot = time.clock_gettime(time.CLOCK_BOOTTIME)
+        self._tick()
 
     @singledispatchmethod
     def receive(self, message: Any, source: str) -> None:
@@ -171,9 +174,14 @@
         return pool
 
     def _tick(self) -> None:
+        """Do what is due, and schedule the next tick; without pools, ticks are rare."""
+        self._node.timers.after(TICK_SECONDS if self.is_active else THAW_SECONDS, self._tick)
         now = self._node.timers.now()
-        if now - self._ticked_at > THAW_SECONDS:
+        # The event loop's clock stands still while the VM is suspended; boot time does not.
+        boot_now = time.clock_gettime(time.CLOCK_BOOTTIME)
+        if max(now - self._ticked_at, boot_now - self._ticked_at_boot) > 2 * THAW_SECONDS:
             self._pool_by_key.clear()
+        self._ticked_at_boot = boot_now
         self._ticked_at = now
         if not self.is_active:
             self._pool_by_key.clear()
--- a/pimentoquay/gateway/relays.py
+++ b/pimentoquay/gateway/relays.py
@@ -8,7 +8,7 @@
 from pimentoquay.kernel import Channel, Node
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages import CodecError, decode, encode
-from pimentoquay.messages.pools import ChannelAlive, RelayAlive, Routed
+from pimentoquay.messages.pools import Bundle, ChannelAlive, PoolSummary, RelayAlive, Routed
 from pimentoquay.policy.mesh_plan import MeshPlan
 from pimentoquay.policy.relay_liveness import RelayLiveness
 
@@ -21,6 +21,21 @@
 """Time without a heartbeat after which a relay or a channel counts as lost."""
 
 
+BUNDLE_SECONDS = 0.25
+"""Time for which a relay collects broadcast messages before it sends them, in seconds.
+
+Over the three channels of the longest way, a summary is delayed by half a second on average.
+"""
+
+
+@dataclass(frozen=True)
+class _Pending:
+    """A broadcast message to be sent; ``source`` is the VM it came from, None for an own one."""
+
+    message: RelayAlive | PoolSummary
+    source: str | None
+
+
 @dataclass(frozen=True)
 class _Heard:
     number: tuple[int, int]
@@ -55,6 +70,8 @@
         self._heard_by_vm: dict[str, _Heard] = {}
         self._hop_by_source: dict[str, str] = {}
         self._hops_used = 0
+        self._pending_by_key: dict[tuple[Any, ...], _Pending] = {}
+        self._is_flush_due = False
         self.liveness = RelayLiveness(TIMEOUT_SECONDS)
         self.plan = MeshPlan(frozenset())
         self.is_draining = False
@@ -89,14 +106,17 @@
         if self.plan.is_full or now - self._sent_at < HEARTBEAT_SECONDS * 0.75:
             return
         self._sent_at = now
-        self._send_to_all(
-            self._own_heartbeat() if self._vm in self.plan.relays else ChannelAlive(), None
-        )
+        if self._vm in self.plan.relays:
+            self.broadcast(self._own_heartbeat())
+        else:
+            for channel in self._channels():
+                channel.send(ChannelAlive())
 
     def send_now(self) -> None:
         """Send this relay's heartbeat at once, because it has read the store."""
         if self._vm in self.plan.relays:
-            self._send_to_all(self._own_heartbeat(), None)
+            self.broadcast(self._own_heartbeat())
+            self._flush()
 
     def receive_heartbeat(self, message: RelayAlive, source: str) -> bool:
         """Apply and forward a relay's heartbeat; return whether the relay had not been heard."""
@@ -109,18 +129,25 @@
         self._heard_by_vm[message.vm] = _Heard(number, message.is_draining)
         self.liveness.record(message.vm, now)
         self._fleet.record_peer_read(message.list_age)
-        if self._vm in self.plan.relays:
-            self._send_to_all(message, source)
+        self.broadcast(message, source)
         return not was_heard
 
     def forget_vm(self, vm: str) -> None:
         """Accept the next heartbeat of a VM that has started again, whatever its incarnation."""
         self._heard_by_vm.pop(vm, None)
 
-    def broadcast(self, message: Any, source: str | None = None) -> None:
-        """Send a message to all VMs, or forward one that was received from ``source``."""
-        if source is None or self._vm in self.plan.relays:
-            self._send_to_all(message, source)
+    def broadcast(self, message: RelayAlive | PoolSummary, source: str | None = None) -> None:
+        """Send a message to all VMs, or forward one that was received from ``source``.
+
+        Only relays do either. Of several messages of one relay or pool, the newest is sent.
+        """
+        if self._vm not in self.plan.relays:
+            return
+        subject = message.vm if isinstance(message, RelayAlive) else message.pool
+        self._pending_by_key[type(message), subject] = _Pending(message, source)
+        if not self._is_flush_due:
+            self._is_flush_due = True
+            self._node.timers.after(BUNDLE_SECONDS, self._flush)
 
     def send_to(self, target: str, message: Any) -> None:
         """Send a message to a VM, directly or through relays; it may be lost on the way."""
@@ -158,10 +185,26 @@
         if channel is not None:
             channel.send(message)
 
-    def _send_to_all(self, message: Any, source: str | None) -> None:
-        for channel in self._channels():
-            if self.plan.should_forward(source, channel.peer.vm):
-                channel.send(message)
+    def _flush(self) -> None:
+        """Send the collected messages: to relays those of this VM, to the others all."""
+        self._is_flush_due = False
+        pending, self._pending_by_key = tuple(self._pending_by_key.values()), {}
+        if not pending:
+            return
+        encoded = [(each.source, encode(each.message)) for each in pending]
+        bundle_by_sources: dict[tuple[bool, ...], Bundle] = {}
+        channels = sorted(self._channels(), key=lambda each: each.peer.vm in self.plan.relays)
+        for channel in channels:
+            target = channel.peer.vm
+            chosen = tuple(self.plan.should_forward(source, target) for source, _ in encoded)
+            if not any(chosen):
+                continue
+            if chosen not in bundle_by_sources:
+                items = (
+                    item for (_, item), is_sent in zip(encoded, chosen, strict=True) if is_sent
+                )
+                bundle_by_sources[chosen] = Bundle(tuple(items))
+            channel.send(bundle_by_sources[chosen])
 
     def _own_heartbeat(self) -> RelayAlive:
         self._sequence += 1
--- a/pimentoquay/gateway/tests/test_notices.py
+++ b/pimentoquay/gateway/tests/test_notices.py
@@ -116,7 +116,7 @@
 
 
 def heartbeat_of(fleet, engine_id):
-    return next(each.sequence for each in fleet.engines() if each.id == engine_id)
+    return fleet.engine_list._known_by_id[engine_id].entry.sequence
 
 
 async def until_used(env, engine, path="/look/a"):
--- a/pimentoquay/gateway/tests/test_pools.py
+++ b/pimentoquay/gateway/tests/test_pools.py
@@ -124,6 +124,19 @@
         assert env.engine_by_id["dec-1"].arrivals == []
 
 
+async def test_a_coordinator_forgets_what_it_knew_before_it_was_suspended(relays):
+    async with rig() as env:
+        await start_gateways(env)
+        (vm,) = coordinators(env)
+        coordinator = env.gateway_by_vm[vm].pool_coordinator
+        before = placement(env, vm)
+        coordinator._ticked_at_boot -= 4.0
+        await until(
+            lambda: POOL in coordinator._pool_by_key and placement(env, vm) is not before, "anew"
+        )
+        assert not placement(env, vm).is_settled(coordinator._node.timers.now())
+
+
 async def test_waiting_streams_are_placed_when_memory_is_released_or_their_callers_leave(relays):
     async with rig() as env:
         await start_gateways(env)
--- a/pimentoquay/messages/pools.py
+++ b/pimentoquay/messages/pools.py
@@ -10,6 +10,7 @@
 from pimentoquay.messages.fleet import EngineRuns, EngineTokens, VmWork
 
 __all__ = [
+    "Bundle",
     "ChannelAlive",
     "PlaceCancelled",
     "PlaceOutcome",
@@ -161,3 +162,13 @@
 @message(148)
 class ChannelAlive:
     """Heartbeat of one channel, from a VM that is no relay."""
+
+
+@message(149)
+class Bundle:
+    """Encoded ``RelayAlive`` and ``PoolSummary`` messages that a relay sends or forwards together.
+
+    It also serves as the heartbeat of its channel.
+    """
+
+    items: tuple[bytes, ...]
--- a/pimentoquay/policy/engine_list.py
+++ b/pimentoquay/policy/engine_list.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from pimentoquay.policy.fleet import EngineEntry
 from pimentoquay.policy.store_position import era_of
@@ -123,7 +123,10 @@
         if known is not None and _is_stale(update.entry, known):
             return False
         self._known_by_id[update.id] = _KnownEngine(update.entry, update.position)
-        return known is None or known.entry != update.entry or known.removed_at is not None
+        if known is None or known.removed_at is not None:
+            return True
+        # A mere heartbeat is no change, so it is not sent to all VMs.
+        return replace(known.entry, sequence=update.entry.sequence) != update.entry
 
     def _remove(self, known: _KnownEngine, now: float) -> bool:
         if now < self._grace_until:
--- a/pimentoquay/policy/mesh_plan.py
+++ b/pimentoquay/policy/mesh_plan.py
@@ -12,6 +12,7 @@
 unreachable, so that both sides of a cut find each other when it is over.
 """
 
+import functools
 import hashlib
 import math
 from collections.abc import Collection, Mapping
@@ -100,5 +101,6 @@
     return MeshPlan(frozenset(local_relays[:RELAYS_PER_VM]), frozenset(relays))
 
 
+@functools.lru_cache(maxsize=8192)
 def _hash_rank(name: str) -> bytes:
     return hashlib.blake2b(name.encode(), digest_size=8).digest()
