Reject stages that are no text, and late answers on management calls

A late copy of a request's answer on a kept connection was taken for the answer of the management call that waits there. Change: the stage has to be text; an answer with a request id is none of a management call.

--- a/pimentoquay/gateway/links.py
+++ b/pimentoquay/gateway/links.py
@@ -10,7 +10,7 @@
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.engine_calls import EngineCall, EngineCalls
 from pimentoquay.platform.requests import CallerRequest, SendOptions, engine_headers
-from pimentoquay.platform.responses import is_response_to, parse_notice
+from pimentoquay.platform.responses import is_response_to, is_response_to_call, parse_notice
 from pimentoquay.policy.circuits import CircuitLimits, Circuits, CircuitState
 from pimentoquay.policy.engine_notices import EngineNotices, EngineStart
 from pimentoquay.policy.fleet import EngineEntry
@@ -128,7 +128,13 @@
         try:
             async with (
                 asyncio.timeout(seconds),
-                self._pool.exchange(call.method, call.target, call.headers, call.body) as exchange,
+                self._pool.exchange(
+                    call.method,
+                    call.target,
+                    call.headers,
+                    call.body,
+                    is_own_response=is_response_to_call,
+                ) as exchange,
             ):
                 self._record_notice(exchange.status, exchange.headers)
                 body = await exchange.read_body(MAX_CALL_BODY_BYTES)
--- a/pimentoquay/platform/engine_entry.py
+++ b/pimentoquay/platform/engine_entry.py
@@ -23,8 +23,8 @@
     state = required(item, "state", str)
     if state not in _IS_DRAINING_BY_STATE:
         raise DecodeError(f"{engine_id}: state = {state!r}")
-    stage = item.get("stage")
-    if stage is not None and stage not in _STAGE_BY_NAME:
+    stage = optional(item, "stage", str, "")
+    if stage and stage not in _STAGE_BY_NAME:
         raise DecodeError(f"{engine_id}: stage = {stage!r}")
     address = required(item, "address", str)
     try:
@@ -38,7 +38,7 @@
         data_centre=required(item, "zone", str),
         is_draining=_IS_DRAINING_BY_STATE[state],
         slots=required(item, "slotCount", int),
-        stage=_STAGE_BY_NAME[stage] if stage is not None else EngineStage.NONE,
+        stage=_STAGE_BY_NAME[stage] if stage else EngineStage.NONE,
         # Start time of the engine in Unix milliseconds, which distinguishes starts under one id.
         incarnation=optional(item, "born", int, 0),
         sequence=optional(item, "seq", int, 0),
--- a/pimentoquay/platform/responses.py
+++ b/pimentoquay/platform/responses.py
@@ -10,6 +10,7 @@
     "PrefillResult",
     "ResponseInfo",
     "is_response_to",
+    "is_response_to_call",
     "parse_notice",
     "parse_prefill",
     "parse_response",
@@ -107,6 +108,11 @@
     return value is None or value.decode("latin-1") == request_id
 
 
+def is_response_to_call(headers: HeaderList) -> bool:
+    """Return whether a response may be that to a management call, which has no request id."""
+    return not find_header(headers, _REQUEST_ID)
+
+
 def parse_prefill(body: bytes) -> PrefillResult:
     """Decode the response to a prefill; raise ``DecodeError`` if it is invalid."""
     item = parse_json(body, "prefill")
