Let a stream that fits nowhere hold one engine instead of the whole pool

A coordinator serves its queue strictly in order, so one large stream that fitted nowhere held up all others until they were late as well. Change: it keeps the engine with the most room, and those behind it use the others.

--- a/pimentoquay/policy/pool_placement.py
+++ b/pimentoquay/policy/pool_placement.py
@@ -9,6 +9,7 @@
 time; a waiting stream is dropped unless its gateway repeats the request.
 """
 
+import heapq
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
@@ -44,6 +45,9 @@
 REPORT_TIMEOUT_SECONDS = 3.2
 """Time without a report after which a gateway counts as lost, in seconds."""
 
+MAX_TRIED = 8
+"""Maximum number of waiting streams that are tried at once, which bounds the work per change."""
+
 StreamKey = tuple[str, str]
 """VM of a stream's gateway and the key of its request."""
 
@@ -171,10 +175,11 @@
     def place_next(
         self, engines: Sequence[EngineEntry], usable: int, now: float
     ) -> tuple[StreamKey, EngineEntry] | None:
-        """Place the first waiting stream; ``None`` if none waits or no engine has room for it.
+        """Place the next waiting stream; ``None`` if none waits or no engine has room for one.
 
-        Load pattern: bursts of up to twice the rate that the engines' memory allows. The first
-        stream is not passed by smaller ones, which would starve it.
+        Load pattern: bursts of up to twice the rate that the engines' memory allows. A stream that
+        fits nowhere keeps the engine with the most room for itself, so that smaller ones do not
+        pass it for ever, and the streams behind it use the other engines meanwhile.
 
         Parameters
         ----------
@@ -187,12 +192,27 @@
         """
         if not self._waiting_by_key:
             return None
-        key = min(self._waiting_by_key, key=lambda each: self._rank(each, now))
-        run = self._waiting_by_key[key].stream.run
-        if run.tokens + run.remaining > usable:
-            run = GrowingRun(min(run.tokens, usable), 0)
-        candidates = self.ledger.candidates(engines, usable, run, now, self._placer)
-        return (key, candidates[0]) if candidates else None
+        runs_by_engine = self.ledger.runs_of_all(now)
+        free = list(engines)
+        order = heapq.nsmallest(
+            MAX_TRIED, self._waiting_by_key, key=lambda each: self._rank(each, now)
+        )
+        for key in order:
+            run = self._waiting_by_key[key].stream.run
+            if run.tokens + run.remaining > usable:
+                run = GrowingRun(min(run.tokens, usable), 0)
+            candidates = self.ledger.candidates(
+                free, usable, run, now, self._placer, runs_by_engine
+            )
+            if candidates:
+                return key, candidates[0]
+            if not free:
+                return None
+            emptiest = min(
+                free, key=lambda each: (peak_tokens(runs_by_engine.get(each.id, ())), each.id)
+            )
+            free.remove(emptiest)
+        return None
 
     def grant(
         self, key: StreamKey, engine: EngineEntry, prefill_engine: EngineEntry | None, now: float
@@ -261,8 +281,9 @@
 
     def state(self, engines: Sequence[EngineEntry], usable: int, now: float) -> PoolState:
         """Return the summary that the gateways choose a pool by."""
+        runs_by_engine = self.ledger.runs_of_all(now)
         free = [
-            max(0, usable - peak_tokens(self.ledger.runs_at(engine.id, now))) for engine in engines
+            max(0, usable - peak_tokens(runs_by_engine.get(engine.id, ()))) for engine in engines
         ]
         waiting = sum(each.stream.need for each in self._waiting_by_key.values())
         return PoolState(usable * len(engines), sum(free), max(free, default=0), waiting)
--- a/pimentoquay/policy/run_ledger.py
+++ b/pimentoquay/policy/run_ledger.py
@@ -131,7 +131,7 @@
 
     def runs_at(self, engine: str, now: float) -> list[GrowingRun]:
         """Return the runs of all VMs on an engine."""
-        return self._runs_by_engine(now).get(engine, [])
+        return self.runs_of_all(now).get(engine, [])
 
     def held(self, engine: str, now: float) -> int:
         """Return the number of tokens that the runs of all VMs hold on an engine."""
@@ -139,7 +139,7 @@
 
     def expected(self, engines: Sequence[EngineEntry], now: float) -> int:
         """Return the sum of the expected final sizes of all runs on these engines, in tokens."""
-        runs_by_engine = self._runs_by_engine(now)
+        runs_by_engine = self.runs_of_all(now)
         return sum(
             run.tokens + run.remaining
             for engine in engines
@@ -153,6 +153,7 @@
         run: GrowingRun,
         now: float,
         placer: Placer,
+        runs_by_engine: Mapping[str, Sequence[GrowingRun]] | None = None,
     ) -> list[EngineEntry]:
         """Return the engines with enough memory for one more run, in order of preference.
 
@@ -172,8 +173,11 @@
             Current time in seconds.
         placer
             VM that places the run.
+        runs_by_engine
+            Present runs of all VMs, if the caller has them from ``runs_of_all`` already.
         """
-        runs_by_engine = self._runs_by_engine(now)
+        if runs_by_engine is None:
+            runs_by_engine = self.runs_of_all(now)
         peak_by_id = {
             engine.id: peak_tokens([*runs_by_engine.get(engine.id, ()), run])
             for engine in engines
@@ -183,7 +187,8 @@
         step, remote_penalty = int(SIMILAR_LOAD_SHARE * usable), int(REMOTE_PENALTY_SHARE * usable)
         return sort_by_preference(fitting, peak_by_id, step, placer, remote_penalty)
 
-    def _runs_by_engine(self, now: float) -> dict[str, list[GrowingRun]]:
+    def runs_of_all(self, now: float) -> dict[str, list[GrowingRun]]:
+        """Return the present runs of all VMs, by engine."""
         runs_by_engine: dict[str, list[GrowingRun]] = {}
         for part in (self._own_by_key.values(), *self._runs_by_vm.values()):
             for snapshot in part:
