--- a/pimentoquay/bench/mutations/switches.py
+++ b/pimentoquay/bench/mutations/switches.py
@@ -78,6 +78,7 @@
 _SHARD = "pimentoquay/scheduler/tests/test_shard.py::"
 _CONFIGURATION = "pimentoquay/configuration/tests/test_part.py::"
 _NOTICES = "pimentoquay/gateway/tests/test_notices.py::"
+_POOLS = "pimentoquay/gateway/tests/test_pools.py::"
 _RESTORED = "pimentoquay/gateway/tests/test_store_restored.py::"
 
 SWITCHES = (
@@ -350,5 +351,32 @@
         "pimentoquay/gateway/tests/test_endless.py::"
         "test_a_body_without_end_is_counted_and_opens_the_circuit_at_once",
     ),
+    Switch(
+        "coordinator rebuilt from reports",
+        "pimentoquay.policy.pool_placement:PoolPlacement.apply_report",
+        return_constant(None),
+        _POOLS + "test_another_coordinator_takes_over_with_the_reports_of_the_gateways",
+    ),
+    Switch(
+        "silent relays are suspected",
+        "pimentoquay.policy.relay_liveness:RelayLiveness.is_heard",
+        return_constant(True),
+        "pimentoquay/gateway/tests/test_mesh.py::"
+        "test_the_loss_of_a_relay_disconnects_no_other_gateway",
+    ),
+    Switch(
+        "engine that refused a grant is avoided",
+        "pimentoquay.policy.pool_placement:PoolPlacement.record_full",
+        return_constant(None),
+        "pimentoquay/policy/tests/test_pools.py::"
+        "test_an_engine_that_refused_granted_memory_is_not_granted_again_at_once",
+    ),
+    Switch(
+        "answer with an id is none of a call",
+        "pimentoquay.gateway.links:is_response_to_call",
+        return_constant(True),
+        "pimentoquay/gateway/tests/test_similar_failures.py::"
+        "test_a_late_copy_of_an_answer_is_not_taken_for_that_of_a_management_call",
+    ),
 )
 """All mechanisms that can be switched off."""
