Replace coordinators that drain, hold all memory where none answers

A relay that stops was still asked until it had not been heard for 3.2 s; a gateway without any coordinator held half of the expected answer, though it knows only its own streams; and a pool whose service had gone was summarised for ever. Change: relays that drain coordinate nothing, all is held at the engine without a coordinator, vanished pools are dropped.

--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -188,7 +188,7 @@
         """Return the VM that coordinates a pool of engines, which is one of the relays."""
         addresses = self._address_by_vm
         return coordinator_of(
-            key, {vm: addresses[vm].data_centre for vm in self.relays.live_relays()}
+            key, {vm: addresses[vm].data_centre for vm in self.relays.coordinating_relays()}
         )
 
     def broadcast_summary(self, message: PoolSummary) -> None:
--- a/pimentoquay/gateway/pool_coordinator.py
+++ b/pimentoquay/gateway/pool_coordinator.py
@@ -188,7 +188,10 @@
             return
         if now - self._listed_at >= SUMMARY_SECONDS:
             self._listed_at = now
-            for key in self._listed_pools():
+            listed = self._listed_pools()
+            for key in self._pool_by_key.keys() - listed:
+                del self._pool_by_key[key]
+            for key in listed:
                 self._pool(key)
         for key, pool in tuple(self._pool_by_key.items()):
             if self._pool(key) is None:
--- a/pimentoquay/gateway/relays.py
+++ b/pimentoquay/gateway/relays.py
@@ -89,16 +89,17 @@
             vm for vm in self.plan.relays if vm == self._vm or self.liveness.is_heard(vm, now)
         )
 
+    def coordinating_relays(self) -> frozenset[str]:
+        """Return the relays that may coordinate pools: those that are not draining, if any."""
+        live = self.live_relays()
+        return frozenset(vm for vm in live if not self._is_draining(vm)) or live
+
     def is_first_relay(self) -> bool:
         """Return whether this VM sorts before all other relays that are alive and not draining."""
         if self._vm not in self.plan.relays:
             return False
         others = self.live_relays() - {self._vm}
-        return all(
-            self._vm < vm
-            for vm in others
-            if vm not in self._heard_by_vm or not self._heard_by_vm[vm].is_draining
-        )
+        return all(self._vm < vm for vm in others if not self._is_draining(vm))
 
     def send_heartbeats(self) -> None:
         """Send heartbeats if they are due."""
@@ -185,6 +186,11 @@
         if channel is not None:
             channel.send(message)
 
+    def _is_draining(self, vm: str) -> bool:
+        if vm == self._vm:
+            return self.is_draining
+        return vm in self._heard_by_vm and self._heard_by_vm[vm].is_draining
+
     def _flush(self) -> None:
         """Send the collected messages: to relays those of this VM, to the others all."""
         self._is_flush_due = False
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -328,7 +328,11 @@
         if grant is not None:
             self._pools.confirm(grant)
         self._on_change()
-        is_exact = grant.is_exact if grant is not None else not self._has_incomplete_view()
+        if grant is not None:
+            is_exact = grant.is_exact
+        else:
+            # With relays but no coordinator, only the streams of this gateway are known here.
+            is_exact = not (self._pools.is_active or self._has_incomplete_view())
         tokens = need.held if is_exact else need.tokens
         tokens = min(tokens, memory.capacity_tokens)
         hold = ""
--- a/pimentoquay/gateway/tests/test_pools.py
+++ b/pimentoquay/gateway/tests/test_pools.py
@@ -115,6 +115,40 @@
         assert {each.status for each in responses} == {200}
 
 
+async def test_a_coordinator_that_drains_is_replaced_while_it_still_answers(relays):
+    async with rig() as env:
+        await start_gateways(env)
+        (old,) = coordinators(env)
+        env.gateway_by_vm[old].mesh.is_draining = True
+        others = [env.gateway_by_vm[vm].mesh for vm in VMS if vm != old]
+        await until(lambda: all(each.coordinator_of(POOL) != old for each in others), "replaced")
+        responses = await asyncio.gather(*(stream(env, vm, 0) for vm in VMS))
+        assert {each.status for each in responses} == {200}
+
+
+async def test_all_memory_is_held_where_no_coordinator_answers(relays):
+    """Gateways know only their own streams then, so the engine has to know all that is needed."""
+    async with rig() as env:
+        await start_gateways(env)
+        for vm in VMS:
+            env.gateway_by_vm[vm].mesh.relays.send_to = lambda target, message: None
+        held: list[int] = []
+        for name in ("dec-1", "dec-2"):
+            engine = env.engine_by_id[name]
+            engine._create_hold = record_hold(engine._create_hold, held)
+        assert (await stream(env, "vm-2", 0)).status == 200
+        need = 5000 + 4000
+        assert held[0] >= need
+
+
+def record_hold(create_hold, held):
+    def create(tokens, reply):
+        held.append(tokens)
+        create_hold(tokens, reply)
+
+    return create
+
+
 async def test_an_engine_that_refuses_granted_memory_is_replaced(relays):
     async with rig() as env:
         await start_gateways(env)
