Confirm grants to the coordinator that gave them

A grant was confirmed to the coordinator of the newest summary, so right after a change of coordinator the new one took its own unreported grants for reported.

--- a/pimentoquay/gateway/pool_client.py
+++ b/pimentoquay/gateway/pool_client.py
@@ -4,7 +4,7 @@
 import contextlib
 import itertools
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Any
 
@@ -58,6 +58,7 @@
     """Engines that a coordinator has granted; see ``messages.pools.PlaceReply``."""
 
     key: PoolKey
+    coordinator: str
     engine: str
     prefill_engine: str
     number: int
@@ -73,13 +74,6 @@
     avoided_until: float = 0.0
 
 
-@dataclass
-class _Asking:
-    """A request in progress, and the replies that have arrived for it."""
-
-    replies: asyncio.Queue[PlaceReply] = field(default_factory=asyncio.Queue)
-
-
 class PoolClient:
     """Asks coordinators for engines and reports this gateway's streams to them.
 
@@ -107,7 +101,7 @@
         self._coordinator_of = coordinator_of
         self._send_to = send_to
         self._known_by_key: dict[PoolKey, _KnownPool] = {}
-        self._asking_by_key: dict[str, _Asking] = {}
+        self._replies_by_key: dict[str, asyncio.Queue[tuple[str, PlaceReply]]] = {}
         self._last_grant_by_pool: dict[PoolKey, tuple[str, int]] = {}
         self._reported_pools: set[PoolKey] = set()
         self._numbers = itertools.count(1)
@@ -132,9 +126,9 @@
 
     @receive.register
     def _handle_reply(self, message: PlaceReply, source: str) -> None:
-        asking = self._asking_by_key.get(message.key)
-        if asking is not None:
-            asking.replies.put_nowait(message)
+        replies = self._replies_by_key.get(message.key)
+        if replies is not None:
+            replies.put_nowait((source, message))
         elif message.outcome is PlaceOutcome.GRANTED:
             self._send_to(source, PlaceCancelled(message.key, message.pool))
 
@@ -174,7 +168,9 @@
                 return None
             try:
                 async with asyncio.timeout_at(times.leaves_at):
-                    reply = await self._ask(job, key, request_key, need, run, times, full_engine)
+                    source, reply = await self._ask(
+                        job, key, request_key, need, run, times, full_engine
+                    )
             except TimeoutError:
                 raise RefusedError(
                     ResultCode.DEADLINE_UNREACHABLE, "no memory became free in time", REPEAT_SECONDS
@@ -187,17 +183,19 @@
                 raise RefusedError(ResultCode.QUEUE_FULL, detail, reply.seconds)
             else:
                 return PoolGrant(
-                    key, reply.engine, reply.prefill_engine, reply.grant, reply.is_exact
+                    key,
+                    source,
+                    reply.engine,
+                    reply.prefill_engine,
+                    reply.grant,
+                    reply.is_exact,
                 )
 
     def confirm(self, grant: PoolGrant) -> None:
         """Let reports contain a grant; called once its stream is in the run ledger."""
-        known = self._known_by_key.get(grant.key)
-        if known is not None:
-            vm = known.summary.vm
-            newest = self._last_grant_by_pool.get(grant.key, (vm, 0))
-            number = max(newest[1], grant.number) if newest[0] == vm else grant.number
-            self._last_grant_by_pool[grant.key] = (vm, number)
+        vm, number = self._last_grant_by_pool.get(grant.key, ("", 0))
+        number = max(number, grant.number) if vm == grant.coordinator else grant.number
+        self._last_grant_by_pool[grant.key] = (grant.coordinator, number)
         self.schedule_report()
 
     def record_finished(self, seconds: float) -> None:
@@ -241,12 +239,12 @@
         run: GrowingRun,
         times: StreamTimes,
         full_engine: str,
-    ) -> PlaceReply | None:
-        """Return a final reply, or ``None`` if the coordinator does not reply."""
-        asking = self._asking_by_key[request_key] = _Asking()
+    ) -> tuple[str, PlaceReply | None]:
+        """Return the coordinator and its final reply, or ``None`` if it does not reply."""
+        replies = self._replies_by_key[request_key] = asyncio.Queue()
         pool_id = PoolId(key.service, key.data_centre, key.index)
         misses, timeout, is_final = 0, FIRST_REPLY_SECONDS, False
-        coordinator = ""
+        coordinator = source = ""
         try:
             while misses < MAX_MISSES:
                 coordinator = self._coordinator_of(key) or ""
@@ -256,18 +254,18 @@
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(timeout):
                         while reply is None or reply.outcome is PlaceOutcome.QUEUED:
-                            reply = await asking.replies.get()
+                            source, reply = await replies.get()
                             timeout = REPEAT_SECONDS
                 if reply is None or reply.outcome is PlaceOutcome.NOT_COORDINATOR:
                     misses += 1
                     timeout = FIRST_REPLY_SECONDS
                 elif reply.outcome is not PlaceOutcome.QUEUED:
                     is_final = True
-                    return reply
+                    return source, reply
                 full_engine = ""
-            return None
+            return coordinator, None
         finally:
-            del self._asking_by_key[request_key]
+            del self._replies_by_key[request_key]
             if not is_final and coordinator:
                 self._send_to(coordinator, PlaceCancelled(request_key, pool_id))
 
