Limit how often a routed message is forwarded

Cause: read in the diff. Relays that remember each other as the way to a VM that is gone would forward a message to it for ever. Change: at most three times, and never back; a test shows it.

--- a/pimentoquay/gateway/relays.py
+++ b/pimentoquay/gateway/relays.py
@@ -1,7 +1,7 @@
 """Heartbeats of relays, and messages to single VMs that are routed through relays."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from pimentoquay.gateway.fleet import Fleet
@@ -28,6 +28,13 @@
 """
 
 
+MAX_HOPS = 3
+"""Maximum number of times that a message is forwarded; the longest way takes two.
+
+Relays that remember each other as the way to a VM that is gone would forward it for ever.
+"""
+
+
 @dataclass(frozen=True)
 class _Pending:
     """A broadcast message to be sent; ``source`` is the VM it came from, None for an own one."""
@@ -155,14 +162,15 @@
         if target == self._vm:
             self._node.timers.after(0.0, lambda: self.receive_routed(self._vm, message))
             return
-        self._send_routed(Routed(self._vm, target, encode(message)))
+        self._send_routed(Routed(self._vm, target, 0, encode(message)))
 
     def receive(self, message: Routed, source: str) -> None:
         """Deliver a routed message, or forward it."""
         if message.source != source:
             self._hop_by_source[message.source] = source
         if message.target != self._vm:
-            self._send_routed(message)
+            if message.hops < MAX_HOPS:
+                self._send_routed(replace(message, hops=message.hops + 1), source)
             return
         try:
             item = decode(message.payload)
@@ -171,8 +179,9 @@
             return
         self.receive_routed(message.source, item)
 
-    def _send_routed(self, message: Routed) -> None:
+    def _send_routed(self, message: Routed, came_from: str = "") -> None:
         channel_by_vm = {each.peer.vm: each for each in self._channels()}
+        channel_by_vm.pop(came_from, None)
         target = message.target
         channel = channel_by_vm.get(target) or channel_by_vm.get(
             self._hop_by_source.get(target, "")
--- a/pimentoquay/gateway/tests/test_mesh.py
+++ b/pimentoquay/gateway/tests/test_mesh.py
@@ -1,5 +1,7 @@
 """Messages between gateways; relays are used from three VMs on, to keep the tests small."""
 
+import asyncio
+
 import pytest
 
 from pimentoquay.gateway.tests.rig import ROUTES, configuration, rig, route, until
@@ -56,6 +58,28 @@
                 await until(lambda: len(received) == 2, "replied")
 
 
+async def test_a_message_to_a_vm_that_is_gone_is_not_forwarded_for_ever(relays):
+    """Two relays that each remembered the other as the way to it sent it to and fro without end."""
+    async with rig() as env:
+        meshes = await start_gateways(env)
+        forwarded = []
+        for mesh in meshes:
+            mesh.relays._hop_by_source["vm-9"] = min(mesh.plan.relays - {mesh._vm})
+            send = mesh.relays._send_routed
+
+            def record(message, came_from="", send=send):
+                forwarded.append(message)
+                send(message, came_from)
+
+            mesh.relays._send_routed = record
+        for mesh in meshes:
+            forwarded.clear()
+            mesh.relays.send_to("vm-9", ChannelAlive())
+            await until(lambda: forwarded, "sent")
+            await asyncio.sleep(0.1)
+            assert len(forwarded) <= 4
+
+
 async def test_the_retry_budget_is_shared_by_all_gateways(relays):
     """The number of gateways was updated with each load of a peer, and none is sent with relays."""
     async with rig() as env:
--- a/pimentoquay/messages/pools.py
+++ b/pimentoquay/messages/pools.py
@@ -35,10 +35,14 @@
 
 @message(140)
 class Routed:
-    """An encoded message to a VM, which a relay forwards unless it is itself the target."""
+    """An encoded message to a VM, which a relay forwards unless it is itself the target.
+
+    ``hops`` is the number of times that it has been forwarded.
+    """
 
     source: str
     target: str
+    hops: int
     payload: bytes
 
 
