--- a/pimentoquay/policy/stage_plan.py
+++ b/pimentoquay/policy/stage_plan.py
@@ -9,6 +9,7 @@
 change at a time unless no requests are running.
 """
 
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
 
@@ -46,6 +47,13 @@
 during each prefill, until another engine has changed its stage.
 """
 
+MIN_UNOBSERVED_SHARE = 1.0 / 12.0
+"""Minimum share of engine time assumed for prefills while few requests have been observed.
+
+A sixth of the engines then stay prefill engines. Engines and prompts of a deployment may differ
+from the assumed ones by more than a factor of two.
+"""
+
 ENGINES_PER_CHANGE = 8
 """Number of engines of a service per engine that may be changing its stage.
 
@@ -131,7 +139,9 @@
         decode = (decode + sum(work.decode_seconds for work in all_work)) / (
             prior_requests + sum(work.decodes for work in all_work)
         )
-        return prefill / (prefill + decode)
+        share = prefill / (prefill + decode)
+        observed = sum(work.prefills for work in all_work)
+        return share if observed >= prior_requests else max(share, MIN_UNOBSERVED_SHARE)
 
 
 def max_changing_engines(engines: int, is_idle: bool) -> int:
@@ -162,6 +172,7 @@
     """Return the next change of an engine's stage, or ``None`` if none is needed.
 
     Load pattern: a pool of engines whose stages do not suit the load, or which has lost engines.
+    With too few prefill engines their queues grow without end, so that streams with memory wait.
 
     Parameters
     ----------
@@ -178,11 +189,19 @@
     if len(prefill) > target:
         released = _engine_to_release(prefill)
         return StageChange(released, EngineStage.DECODE)
-    if not prefill and target and len(decode) > 2:
-        return StageChange(min(decode, key=lambda engine: engine.id), EngineStage.PREFILL)
+    # One engine less than wanted is left alone, so that stages do not change to and fro.
+    is_short = len(prefill) + changing + 1 < target
+    if (is_short or (not prefill and target)) and len(decode) > 2:
+        return StageChange(_engine_to_add(decode, prefill), EngineStage.PREFILL)
     return None
 
 
+def _engine_to_add(decode: Sequence[EngineEntry], prefill: Sequence[EngineEntry]) -> EngineEntry:
+    """Return a decode engine, from the data centre that has the fewest prefill engines."""
+    count_by_data_centre = Counter(engine.data_centre for engine in prefill)
+    return min(decode, key=lambda each: (count_by_data_centre[each.data_centre], each.id))
+
+
 def _engine_to_release(engines: Sequence[EngineEntry]) -> EngineEntry:
     """Return one of the given engines, from the data centre that has the most of them."""
     count_by_data_centre: dict[str, int] = {}
--- a/pimentoquay/policy/tests/test_stage_plan.py
+++ b/pimentoquay/policy/tests/test_stage_plan.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 from pimentoquay.policy.fleet import EngineEntry, EngineStage
 from pimentoquay.policy.stage_plan import (
     StageDemand,
@@ -112,3 +114,39 @@
     assert [target_prefill_engines(number, 0.0) for number in (0, 1, 2, 4)] == [0, 0, 1, 1]
     assert target_prefill_engines(4, 1.0) == 3
     assert next_change([], 0.2) is None
+
+
+def many_engines(prefill, decode):
+    return engines(*(PREFILL_STAGE,) * prefill, *(DECODE_STAGE,) * decode)
+
+
+def test_few_prefill_engines_are_released_before_any_request_is_observed():
+    """With the assumed share, 13 of 16 prefill engines changed to decode before traffic began,
+    where the load then needed nine (taddart-clock-grown, trouble-1)."""
+    share = StageDemand().prefill_share(24_691)
+    pool = many_engines(16, 29)
+    while (change := next_change(pool, share)) is not None:
+        pool = [replace(e, stage=change.stage) if e.id == change.engine.id else e for e in pool]
+    assert sum(each.stage is PREFILL_STAGE for each in pool) == 8
+
+
+def test_engines_change_to_prefill_if_its_share_grows_and_not_more_than_wanted():
+    pool, changing = many_engines(3, 42), 0
+    while (change := next_change(pool, 0.1, changing)) is not None:
+        assert change.stage is PREFILL_STAGE
+        pool = [each for each in pool if each.id != change.engine.id]
+        changing += 1
+    assert 3 + changing == 8
+    assert target_prefill_engines(45, 0.1) == 9
+
+
+def test_engines_that_change_to_prefill_are_spread_over_the_data_centres():
+    pool = many_engines(3, 42)
+    pool = [replace(e, data_centre="hall-0") if e.stage is PREFILL_STAGE else e for e in pool]
+    change = next_change(pool, 0.1)
+    assert change is not None and change.engine.data_centre != "hall-0"
+
+
+def test_small_pools_do_not_change_to_and_fro():
+    for share in (0.1, 0.15, 0.2, 0.25, 0.29):
+        assert next_change(many_engines(2, 4), share) is None
