--- a/pimentoquay/http1/client.py
+++ b/pimentoquay/http1/client.py
@@ -7,60 +7,19 @@
 
 import asyncio
 import contextlib
-import socket
 from collections import deque
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass
 from typing import Any
 
 import h11
 
-from pimentoquay.http1.headers import HeaderList, find_header
+from pimentoquay.http1.client_connection import ClientConnection, ResponseFilter, ReusePolicy
+from pimentoquay.http1.headers import HeaderList
 from pimentoquay.kernel.errors import HttpError, ResponseTooLargeError
 from pimentoquay.transport.websocket import split_address
 
 __all__ = ["ConnectionPool", "Exchange", "ReusePolicy"]
 
-MAX_RESPONSE_HEADER_BYTES = 64 * 1024
-"""Maximum size of the status line and headers of a response, in bytes."""
-
-USER_TIMEOUT_MILLISECONDS = 2000
-"""Time in ms after which the system resets a connection with unacknowledged written bytes."""
-
-READ_AHEAD_BYTES = 32 * 1024
-"""Number of buffered body bytes above which reading from the connection is paused."""
-
-_receive_buffer = bytearray(32 * 1024)
-"""Buffer for received bytes, used by all connections in turn. It bounds what one read may return,
-which is kept until the response's reader takes it."""
-
-MAX_DISCARDED_BYTES = 64 * 1024
-"""Maximum size of responses to other requests that are discarded before the own one, in bytes."""
-
-MAX_INFORMATIONAL_RESPONSES = 16
-"""Maximum number of responses with a status of 1xx before the final one."""
-
-ResponseFilter = Callable[[HeaderList], bool]
-
-
-@dataclass(frozen=True)
-class ReusePolicy:
-    """Limits of the idle time within which a connection may be reused.
-
-    Idle time is counted from the headers of the last response.
-
-    Parameters
-    ----------
-    max_idle_seconds
-        Maximum idle time in seconds if the backend server states none.
-    margin_seconds
-        Time in seconds subtracted from an idle timeout that the backend server states, so that a
-        request is not sent at the moment at which the server closes the connection.
-    """
-
-    max_idle_seconds: float = 4.0
-    margin_seconds: float = 1.0
-
 
 class ConnectionPool:
     """Pool of connections to one backend server.
@@ -90,7 +49,7 @@
         self._connect_seconds = connect_seconds
         self._reuse = reuse
         self._on_open = on_open
-        self._idle: deque[_ClientConnection] = deque()
+        self._idle: deque[ClientConnection] = deque()
         self._closed = False
 
     @contextlib.asynccontextmanager
@@ -137,7 +96,7 @@
         while self._idle:
             self._idle.pop().abort()
 
-    async def _acquire_connection(self, max_idle_seconds: float | None) -> "_ClientConnection":
+    async def _acquire_connection(self, max_idle_seconds: float | None) -> "ClientConnection":
         now = asyncio.get_running_loop().time()
         while self._idle:
             connection = self._idle.pop()
@@ -149,13 +108,13 @@
             connection.abort()
         return await self._open_connection()
 
-    async def _open_connection(self) -> "_ClientConnection":
+    async def _open_connection(self) -> "ClientConnection":
         loop = asyncio.get_running_loop()
         self._on_open()
         try:
             async with asyncio.timeout(self._connect_seconds):
                 _, connection = await loop.create_connection(
-                    lambda: _ClientConnection(self._reuse), self._host, self._port
+                    lambda: ClientConnection(self._reuse), self._host, self._port
                 )
         except (OSError, TimeoutError) as error:
             raise HttpError(f"no connection to {self.address}: {error!r}", False) from None
@@ -163,12 +122,12 @@
         connection.on_lost = self._remove_connection
         return connection
 
-    def _remove_connection(self, connection: "_ClientConnection") -> None:
+    def _remove_connection(self, connection: "ClientConnection") -> None:
         self.open_connections -= 1
         with contextlib.suppress(ValueError):
             self._idle.remove(connection)
 
-    def _release_connection(self, connection: "_ClientConnection") -> None:
+    def _release_connection(self, connection: "ClientConnection") -> None:
         if connection.finish() and not self._closed:
             self._idle.append(connection)
         else:
@@ -178,7 +137,7 @@
 class Exchange:
     """A request that has been sent, and its response while it arrives."""
 
-    def __init__(self, connection: "_ClientConnection") -> None:
+    def __init__(self, connection: "ClientConnection") -> None:
         self._connection = connection
         self.status = 0
         self.headers: HeaderList = ()
@@ -224,201 +183,3 @@
                 return await self._connection.next_event()
         except TimeoutError:
             raise self._connection.error(f"nothing came for {seconds} s") from None
-
-
-class _ClientConnection(asyncio.BufferedProtocol):
-    """One connection of the pool, which carries at most one exchange at a time."""
-
-    def __init__(self, reuse: ReusePolicy) -> None:
-        self.on_lost: Callable[[_ClientConnection], None] = lambda connection: None
-        self._reuse = reuse
-        self._transport: Any = None
-        self._http = h11.Connection(h11.CLIENT, MAX_RESPONSE_HEADER_BYTES)
-        self._request: h11.Request | None = None
-        self._body = b""
-        self._is_own_response: ResponseFilter = lambda headers: True
-        self._is_discarding = False
-        self._discarded_bytes = 0
-        self._informational_responses = 0
-        self._events: deque[Any] = deque()
-        self._buffered_bytes = 0
-        self._waiter: asyncio.Future[None] | None = None
-        self._failure: str | None = None
-        self._is_complete = False
-        self._is_lost = False
-        self._reusable_until = 0.0
-        self._idle_since = 0.0
-
-    def connection_made(self, transport: Any) -> None:
-        self._transport = transport
-        sock = transport.get_extra_info("socket")
-        if sock is not None:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._is_lost = True
-        if self._request is not None and not self._is_complete:
-            self._record_failure(f"the connection was lost: {exc!r}")
-        self.on_lost(self)
-
-    def eof_received(self) -> bool:
-        if self._request is not None and not self._is_complete:
-            self._parse_data(b"")
-            if not self._is_complete:
-                self._record_failure("the connection ended before the answer was whole")
-        return False
-
-    def get_buffer(self, sizehint: int) -> bytearray:
-        return _receive_buffer
-
-    def buffer_updated(self, nbytes: int) -> None:
-        self.data_received(bytes(_receive_buffer[:nbytes]))
-
-    def data_received(self, data: bytes) -> None:
-        if self._request is None or self._is_complete:
-            self.abort()
-            return
-        self._parse_data(data)
-        if self._buffered_bytes > READ_AHEAD_BYTES:
-            self._transport.pause_reading()
-
-    def send(
-        self,
-        method: bytes,
-        target: bytes,
-        headers: HeaderList,
-        body: bytes,
-        is_own_response: ResponseFilter,
-    ) -> None:
-        """Write a complete request to the socket."""
-        framing = ((b"Content-Length", str(len(body)).encode()),) if body else ()
-        try:
-            self._request = h11.Request(method=method, target=target, headers=[*headers, *framing])
-            self._body, self._is_own_response = body, is_own_response
-            self._is_complete = self._is_discarding = False
-            self._discarded_bytes = self._informational_responses = 0
-            self._transport.write(self._serialise())
-        except h11.LocalProtocolError as error:
-            raise HttpError(f"the request cannot be sent: {error}", False) from None
-
-    async def next_event(self) -> Any:
-        """Return the next event of the response; ``HttpError`` if the connection has failed."""
-        while not self._events:
-            if self._failure is not None:
-                raise self.error(self._failure)
-            self._waiter = asyncio.get_running_loop().create_future()
-            await self._waiter
-        event = self._events.popleft()
-        if isinstance(event, h11.Data):
-            self._buffered_bytes -= len(event.data)
-            if self._buffered_bytes <= READ_AHEAD_BYTES and not self._is_lost:
-                self._transport.resume_reading()
-        return event
-
-    def error(self, detail: str) -> HttpError:
-        """Return an error; a request that was passed to the socket counts as written."""
-        return HttpError(detail, self._request is not None)
-
-    def is_reusable(self, now: float, max_idle_seconds: float | None) -> bool:
-        """Return whether another request may be sent on this connection."""
-        if self._transport.is_closing() or now > self._reusable_until:
-            return False
-        return max_idle_seconds is None or now - self._idle_since <= max_idle_seconds
-
-    def finish(self) -> bool:
-        """Prepare the connection for another request; return whether it can be reused."""
-        unsent = self._transport.get_write_buffer_size()
-        if not self._is_complete or self._events or unsent or self._transport.is_closing():
-            return False
-        if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
-            return False
-        if self._http.trailing_data[0]:
-            return False
-        self._http.start_next_cycle()
-        self._request = None
-        self._idle_since = asyncio.get_running_loop().time()
-        return self._reusable_until > self._idle_since
-
-    def abort(self) -> None:
-        """Close the connection immediately."""
-        if not self._transport.is_closing():
-            self._transport.abort()
-
-    def _serialise(self) -> bytes:
-        assert self._request is not None
-        data = self._http.send(self._request) or b""
-        if self._body:
-            data += self._http.send(h11.Data(data=self._body)) or b""
-        return data + (self._http.send(h11.EndOfMessage()) or b"")
-
-    def _parse_data(self, data: bytes) -> None:
-        try:
-            self._http.receive_data(data)
-            while not self._is_complete and self._process_event(self._http.next_event()):
-                pass
-        except h11.RemoteProtocolError as error:
-            self._record_failure(f"not an answer: {error}")
-            self._http = h11.Connection(h11.CLIENT)
-            self.abort()
-
-    def _process_event(self, event: Any) -> bool:
-        """Process one event of the response; return whether more may follow."""
-        if event in (h11.NEED_DATA, h11.PAUSED) or isinstance(event, h11.ConnectionClosed):
-            return False
-        if isinstance(event, h11.InformationalResponse):
-            self._informational_responses += 1
-            if self._informational_responses > MAX_INFORMATIONAL_RESPONSES:
-                raise h11.RemoteProtocolError("too many informational responses")
-            return True
-        if isinstance(event, h11.Response):
-            self._is_discarding = not self._is_own_response(tuple(event.headers.raw_items()))
-        if self._is_discarding:
-            return self._discard_event(event)
-        if isinstance(event, h11.Response):
-            self._set_reuse_deadline(tuple(event.headers.raw_items()))
-        elif isinstance(event, h11.Data):
-            self._buffered_bytes += len(event.data)
-        else:
-            self._is_complete = True
-        self._events.append(event)
-        self._wake_reader()
-        return not self._is_complete
-
-    def _discard_event(self, event: Any) -> bool:
-        """Discard an event of a response to another request.
-
-        At its end, start a new parser. It accepts a response only after a request, so the request
-        is serialised for it again without being written to the socket.
-        """
-        if isinstance(event, h11.Data):
-            self._discarded_bytes += len(event.data)
-            if self._discarded_bytes > MAX_DISCARDED_BYTES:
-                raise h11.RemoteProtocolError("the answers to other requests are too long")
-        if isinstance(event, h11.EndOfMessage):
-            rest, closed = self._http.trailing_data
-            if self._http.their_state is not h11.DONE or closed:
-                raise h11.RemoteProtocolError("only an answer to another request came")
-            self._http = h11.Connection(h11.CLIENT, MAX_RESPONSE_HEADER_BYTES)
-            self._serialise()
-            if rest:
-                self._http.receive_data(rest)
-        return True
-
-    def _set_reuse_deadline(self, headers: HeaderList) -> None:
-        """Set the time until which the connection may be reused, from the response headers."""
-        keep_alive = find_header(headers, b"keep-alive") or b""
-        seconds = self._reuse.max_idle_seconds
-        for part in keep_alive.split(b","):
-            name, _, value = part.strip().partition(b"=")
-            if name.lower() == b"timeout" and value.isdigit():
-                seconds = max(0.0, int(value) - self._reuse.margin_seconds)
-        self._reusable_until = asyncio.get_running_loop().time() + seconds
-
-    def _record_failure(self, detail: str) -> None:
-        if self._failure is None:
-            self._failure = detail
-        self._wake_reader()
-
-    def _wake_reader(self) -> None:
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
--- a/pimentoquay/platform/tests/test_other_writers.py
+++ b/pimentoquay/platform/tests/test_other_writers.py
@@ -7,7 +7,7 @@
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
-from pimentoquay.http1.client import ReusePolicy, _ClientConnection
+from pimentoquay.http1.client_connection import ClientConnection, ReusePolicy
 from pimentoquay.platform.engine_entry import decode_engine_entry
 from pimentoquay.platform.fields import DecodeError
 from pimentoquay.policy.engine_list import EngineList, EngineUpdate
@@ -138,7 +138,7 @@
     resume_reading = pause_reading
 
 
-class Connection(_ClientConnection):
+class Connection(ClientConnection):
     """A connection outside of an event loop, which is never reused."""
 
     def _set_reuse_deadline(self, headers):
