Let two runs of the tutorial's test use different ports

Both take the first free range of ports before anything has bound it, and then share one demo: run together, one of the two copies failed in both tries; run alone, it passed. Change: the search begins at a place of each process's own.

--- a/pimentoquay/ctl/tests/test_tutorial.py
+++ b/pimentoquay/ctl/tests/test_tutorial.py
@@ -77,8 +77,14 @@
 
 
 def free_ports():
-    """Return the first port of a range of ``PORT_COUNT`` free ports."""
-    for first in range(21000, 32000, PORT_COUNT):
+    """Return the first port of a range of ``PORT_COUNT`` free ports.
+
+    The search begins elsewhere in each process. Two runs of the tests at the same time took the same
+    range, as nothing had bound its ports yet, and then changed each other's configuration.
+    """
+    ranges = range(21000, 32000, PORT_COUNT)
+    start = os.getpid() % len(ranges)
+    for first in (*ranges[start:], *ranges[:start]):
         if all(is_free(port) for port in range(first, first + PORT_COUNT)):
             return first
     raise OSError("no range of free ports")
