--- a/pimentoquay/ctl/tests/test_tutorial.py
+++ b/pimentoquay/ctl/tests/test_tutorial.py
@@ -79,7 +79,7 @@
 def free_ports():
     """Return the first port of a range of ``PORT_COUNT`` free ports.
 
-    The search begins elsewhere in each process. Two runs of the tests at the same time took the same
+    The search begins elsewhere in each process. Two runs of the tests at once took the same
     range, as nothing had bound its ports yet, and then changed each other's configuration.
     """
     ranges = range(21000, 32000, PORT_COUNT)
