Form pools in one place, keep one key per stream, guard bundles

Causes, read in the whole change: gateways formed pools from the engines that accept work and coordinators from all, so with more than 32 engines in a data centre they could name different pools while one drains; each try of a stream had a key of its own, so the coordinator never found the grant whose engine had refused; an unexpected message inside a bundle would have ended the process; the era of a restored store was not passed on beside a new configuration; summaries of two coordinators that alternate were taken for newer each time; and whether a gateway drains was kept twice. Change: Fleet.pools, a key per stream, a check of the types in a bundle, one message for all that a copy passes on, the newest number of each sender. The first four have a test.

--- a/pimentoquay/gateway/fleet.py
+++ b/pimentoquay/gateway/fleet.py
@@ -10,6 +10,7 @@
 from pimentoquay.policy.engine_list import EngineList, EngineUpdate
 from pimentoquay.policy.engine_notices import EngineNotices
 from pimentoquay.policy.fleet import EngineEntry, FleetConfiguration
+from pimentoquay.policy.pools import PoolKey, pools_of
 from pimentoquay.policy.route_choice import RouteTable
 from pimentoquay.policy.store_position import era_of
 
@@ -86,6 +87,13 @@
             and not self.notices.is_leaving(engine.start)
         )
 
+    def pools(self, service: str) -> dict[PoolKey, tuple[EngineEntry, ...]]:
+        """Return the pools of a service with their engines, including those that are draining.
+
+        All gateways have to form pools from the same engines, as the pools depend on their number.
+        """
+        return pools_of(engine for engine in self._engines if engine.service == service)
+
     def apply_configuration(self, position: int, document: bytes) -> bool:
         """Apply a configuration; return whether it was valid and newer than the current one."""
         known_position = self._configuration_position
--- a/pimentoquay/gateway/links.py
+++ b/pimentoquay/gateway/links.py
@@ -144,7 +144,8 @@
             self._record_failure(error)
             raise
         except TimeoutError:
-            self._record_failure(HttpError("", False))
+            # Counts as if nothing was written, which opens the circuit at once.
+            self._circuits.refused(self.entry.id, asyncio.get_running_loop().time())
             raise HttpError(f"{self.entry.id}: no response in {seconds} s", True) from None
         finally:
             self._circuits.end_probe(self.entry.id, probe)
@@ -180,8 +181,7 @@
     def _record_failure(self, error: HttpError) -> None:
         """Record a failure, which opens the circuit at once if nothing was written.
 
-        It is opened at once also if the engine sends without end. A management call that timed out
-        is recorded as if nothing was written.
+        It is opened at once also if the engine sends without end.
         """
         now = asyncio.get_running_loop().time()
         if isinstance(error, ResponseTooLargeError):
--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -98,7 +98,6 @@
             node, lambda: loads.current(self.is_draining), self._channels
         )
         self.relays = RelayNetwork(node, fleet, self._channels)
-        self.is_draining = False
         self.on_load_changed: list[Callable[[], None]] = []
         self.on_stage_ordered: list[Callable[[StageOrdered], None]] = []
         self.on_plan_changed: list[Callable[[], None]] = []
@@ -115,6 +114,15 @@
             ChannelClosed,
         )
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether this gateway is about to stop, which its peers are told."""
+        return self.relays.is_draining
+
+    @is_draining.setter
+    def is_draining(self, value: bool) -> None:
+        self.relays.is_draining = value
+
     @property
     def plan(self) -> MeshPlan:
         """Channels between the VMs of the deployment."""
@@ -277,10 +285,11 @@
         changed = self._fleet.apply_engine_records(message.engines)
         if message.engines_position >= 0:
             self._fleet.has_engine_list = True
-        if is_newer:
-            self._forward(replace(message, engines=changed, engines_position=-1, vms=()), source)
-        elif changed or was_restored:
-            self._forward(FleetCopy(-1, b"", changed, position if was_restored else -1, ()), source)
+        if is_newer or changed or was_restored:
+            place, document = message.configuration_position, message.configuration
+            copied = (place, document) if is_newer else (-1, b"")
+            era_position = position if was_restored else -1
+            self._forward(FleetCopy(*copied, changed, era_position, ()), source)
         self.update_addresses(message.vms)
 
     @_dispatch.register
@@ -302,13 +311,20 @@
 
     @_dispatch.register
     def _handle_bundle(self, message: Bundle, envelope: Envelope) -> None:
-        for item in message.items:
+        for data in message.items:
             try:
-                self._dispatch(decode(item), envelope)
+                item = decode(data)
             except CodecError as error:
                 logger.bind(peer=_source(envelope), error=str(error)).warning(
                     "invalid message ignored"
                 )
+                continue
+            if isinstance(item, RelayAlive | PoolSummary):
+                self._dispatch(item, envelope)
+            else:
+                logger.bind(peer=_source(envelope), type=type(item).__name__).warning(
+                    "message of an unexpected type in a bundle ignored"
+                )
 
     @_dispatch.register
     def _handle_relay_alive(self, message: RelayAlive, envelope: Envelope) -> None:
@@ -342,7 +358,6 @@
 
     def _heartbeat(self) -> None:
         self.load_exchange.send_to_all()
-        self.relays.is_draining = self.is_draining
         self.relays.send_heartbeats()
         now = self._node.timers.now()
         timeout = (
--- a/pimentoquay/gateway/pool_client.py
+++ b/pimentoquay/gateway/pool_client.py
@@ -24,7 +24,7 @@
     PoolSummary,
 )
 from pimentoquay.policy.memory_forecast import GrowingRun, MemoryNeed
-from pimentoquay.policy.pools import PoolKey, PoolState, choose_pool, pools_of
+from pimentoquay.policy.pools import PoolKey, PoolState, choose_pool
 from pimentoquay.policy.prefill_choice import can_prefill_on_decode_engine
 from pimentoquay.policy.stage_plan import StageWork
 from pimentoquay.policy.stream_admission import StreamTimes
@@ -101,6 +101,7 @@
         self._coordinator_of = coordinator_of
         self._send_to = send_to
         self._known_by_key: dict[PoolKey, _KnownPool] = {}
+        self._number_by_sender: dict[tuple[PoolKey, str], tuple[int, int]] = {}
         self._replies_by_key: dict[str, asyncio.Queue[tuple[str, PlaceReply]]] = {}
         self._last_grant_by_pool: dict[PoolKey, tuple[str, int]] = {}
         self._reported_pools: set[PoolKey] = set()
@@ -137,10 +138,10 @@
         key = PoolKey(message.pool.service, message.pool.data_centre, message.pool.index)
         known = self._known_by_key.get(key)
         now = self._node.timers.now()
-        if known is not None and known.summary.vm == message.vm:
-            old = known.summary
-            if (message.incarnation, message.number) <= (old.incarnation, old.number):
-                return False
+        number = message.incarnation, message.number
+        if number <= self._number_by_sender.get((key, message.vm), (-1, -1)):
+            return False
+        self._number_by_sender[key, message.vm] = number
         avoided_until = known.avoided_until if known is not None else 0.0
         self._known_by_key[key] = _KnownPool(message, now, avoided_until)
         work = message.work
@@ -150,17 +151,28 @@
         )
         return True
 
+    def new_key(self, job: Job) -> str:
+        """Return a key for the requests to place one run of a job's stream."""
+        return f"{job.caller.id} {next(self._numbers)}"
+
     async def place(
-        self, job: Job, need: MemoryNeed, run: GrowingRun, times: StreamTimes, full_engine: str = ""
+        self,
+        request_key: str,
+        job: Job,
+        need: MemoryNeed,
+        run: GrowingRun,
+        times: StreamTimes,
+        full_engine: str = "",
     ) -> PoolGrant | None:
         """Ask for engines for a stream, waiting for them; ``None`` if no coordinator replies.
 
+        Called again with the same key and the granted engine if that engine had no memory.
+
         Raises
         ------
         RefusedError
             If the coordinator refuses the stream.
         """
-        request_key = f"{job.caller.id} {next(self._numbers)}"
         avoided: set[PoolKey] = set()
         while True:
             key = self._choose(job, need, avoided)
@@ -211,9 +223,8 @@
 
     def _choose(self, job: Job, need: MemoryNeed, avoided: set[PoolKey]) -> PoolKey | None:
         now = self._node.timers.now()
-        listed = pools_of(self._shared.fleet.accepting_engines(job.service))
         state_by_key = {}
-        for key in listed:
+        for key in self._shared.fleet.pools(job.service):
             known = self._known_by_key.get(key)
             if known is None or now < known.avoided_until:
                 continue
@@ -310,9 +321,11 @@
         engines = self._shared.fleet.engines()
         services = {each.service for each in engines if each.id in busy}
         services.update(key.service for key in self._reported_pools)
-        pools = pools_of(each for each in engines if each.service in services)
+        pools = [
+            pool for each in sorted(services) for pool in self._shared.fleet.pools(each).items()
+        ]
         reported = set()
-        for key, members in pools.items():
+        for key, members in pools:
             ids = {each.id for each in members}
             if ids & busy:
                 reported.add(key)
--- a/pimentoquay/gateway/pool_coordinator.py
+++ b/pimentoquay/gateway/pool_coordinator.py
@@ -5,7 +5,7 @@
 """
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 from typing import Any
@@ -25,10 +25,10 @@
     PoolSummary,
 )
 from pimentoquay.policy.engine_preference import Placer
-from pimentoquay.policy.fleet import EngineEntry, EngineStage
+from pimentoquay.policy.fleet import DECODE_STAGES, EngineEntry, EngineStage
 from pimentoquay.policy.memory_forecast import GrowingRun
 from pimentoquay.policy.pool_placement import Grant, PoolPlacement, StreamKey, StreamNeed
-from pimentoquay.policy.pools import PoolKey, pools_of
+from pimentoquay.policy.pools import PoolKey
 from pimentoquay.policy.prefill_choice import choose_prefill_engine
 from pimentoquay.policy.stream_admission import StreamTimes
 
@@ -43,11 +43,12 @@
 RETRY_AFTER_SECONDS = 0.5
 """Retry-After value if a stream has waited in vain."""
 
-THAW_SECONDS = 0.5
-"""Interval of ticks without pools. If one is late by as much, the process was suspended, and what
-it knew is out of date."""
+IDLE_TICK_SECONDS = 0.5
+"""Interval of ticks of a gateway that is no relay and so coordinates nothing."""
 
-_DECODE_STAGES = (EngineStage.DECODE, EngineStage.BOTH)
+SUSPENDED_SECONDS = 1.0
+"""Time between two ticks after which the process must have been suspended; what it knew before is
+out of date."""
 
 
 @dataclass
@@ -175,11 +176,11 @@
 
     def _tick(self) -> None:
         """Do what is due, and schedule the next tick; without pools, ticks are rare."""
-        self._node.timers.after(TICK_SECONDS if self.is_active else THAW_SECONDS, self._tick)
+        self._node.timers.after(TICK_SECONDS if self.is_active else IDLE_TICK_SECONDS, self._tick)
         now = self._node.timers.now()
         # The event loop's clock stands still while the VM is suspended; boot time does not.
         boot_now = time.clock_gettime(time.CLOCK_BOOTTIME)
-        if max(now - self._ticked_at, boot_now - self._ticked_at_boot) > 2 * THAW_SECONDS:
+        if max(now - self._ticked_at, boot_now - self._ticked_at_boot) > SUSPENDED_SECONDS:
             self._pool_by_key.clear()
         self._ticked_at_boot = boot_now
         self._ticked_at = now
@@ -208,21 +209,21 @@
                 self._broadcast(self._summary(key, pool, now))
 
     def _listed_pools(self) -> list[PoolKey]:
-        engines = [
-            engine
-            for engine in self._shared.fleet.engines()
-            if self._usable_tokens(engine.service) > 0
-        ]
-        return list(pools_of(engines))
-
-    def _engines(self, key: PoolKey) -> tuple[EngineEntry, ...]:
-        listed = [each for each in self._shared.fleet.engines() if each.service == key.service]
-        return pools_of(listed).get(key, ())
+        fleet = self._shared.fleet
+        services = {engine.service for engine in fleet.engines()}
+        with_memory = sorted(each for each in services if self._usable_tokens(each) > 0)
+        return [key for service in with_memory for key in fleet.pools(service)]
+
+    def _available_engines(
+        self, key: PoolKey, stages: Collection[EngineStage]
+    ) -> list[EngineEntry]:
+        """Return the engines of a pool that accept work of one of the stages now."""
+        ids = {engine.id for engine in self._shared.fleet.pools(key.service).get(key, ())}
+        available = self._shared.available_engines(key.service, stages)
+        return [engine for engine in available if engine.id in ids]
 
     def _decode_engines(self, key: PoolKey) -> list[EngineEntry]:
-        available = self._shared.available_engines(key.service, _DECODE_STAGES)
-        ids = {engine.id for engine in self._engines(key)}
-        return [engine for engine in available if engine.id in ids]
+        return self._available_engines(key, DECODE_STAGES)
 
     def _place_waiting(self, key: PoolKey, pool: _Pool) -> None:
         now = self._node.timers.now()
@@ -243,10 +244,8 @@
     def _prefill_engine(
         self, key: PoolKey, pool: _Pool, stream_key: StreamKey
     ) -> EngineEntry | None:
-        available = self._shared.available_engines(key.service, (EngineStage.PREFILL,))
-        ids = {engine.id for engine in self._engines(key)}
         return choose_prefill_engine(
-            [engine for engine in available if engine.id in ids],
+            self._available_engines(key, (EngineStage.PREFILL,)),
             pool.placement.prefill_ledger,
             self._shared.speed,
             Placer(self._node.identity.vm, key.data_centre),
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -18,7 +18,7 @@
 from pimentoquay.kernel.errors import HttpError
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.fields import DecodeError
-from pimentoquay.policy.fleet import EngineEntry, EngineStage, TokenMemory
+from pimentoquay.policy.fleet import DECODE_STAGES, EngineEntry, EngineStage, TokenMemory
 from pimentoquay.policy.memory_forecast import GrowingRun, MemoryNeed
 from pimentoquay.policy.prefill_choice import (
     DECODE_ONLY_PAUSE_SHARE,
@@ -55,9 +55,6 @@
 there."""
 
 
-_DECODE_STAGES = (EngineStage.DECODE, EngineStage.BOTH)
-
-
 @dataclass(eq=False)
 class Reservation:
     """Memory of one engine that is reserved for one stream.
@@ -243,12 +240,12 @@
 
     def _refuse_if_paused(self, job: Job) -> None:
         """Refuse a stream at once if all decode engines have requested a pause."""
-        pause = self._shared.pause_seconds(job.service, _DECODE_STAGES)
+        pause = self._shared.pause_seconds(job.service, DECODE_STAGES)
         if pause is not None:
             raise RefusedError(ResultCode.NO_BACKEND, "all decode engines have paused", pause)
 
     def _decode_engines(self, job: Job) -> tuple[EngineEntry, ...]:
-        return self._shared.available_engines(job.service, _DECODE_STAGES)
+        return self._shared.available_engines(job.service, DECODE_STAGES)
 
     def _engine_groups(self, job: Job, need: MemoryNeed) -> tuple[Sequence[EngineEntry], ...]:
         """Return groups of decode engines that may run a prompt, to be tried in order."""
@@ -268,10 +265,11 @@
         If no coordinator replies, the engines themselves decide, by the whole expected memory.
         """
         full_engine = ""
+        request_key = self._pools.new_key(job)
         for _ in range(MAX_GRANTS):
             self._refuse_if_paused(job)
             run = _run_of(need, usable_tokens(memory))
-            grant = await self._pools.place(job, need, run, times, full_engine)
+            grant = await self._pools.place(request_key, job, need, run, times, full_engine)
             if grant is None:
                 reservation = await self._try_reserve(job, memory, need)
                 if reservation is not None:
--- a/pimentoquay/gateway/tests/test_mesh.py
+++ b/pimentoquay/gateway/tests/test_mesh.py
@@ -6,9 +6,10 @@
 
 from pimentoquay.gateway.tests.rig import ROUTES, configuration, rig, route, until
 from pimentoquay.messages import encode
-from pimentoquay.messages.fleet import PeerLoad, PeerLoads, VmAddress, VmLoad, VmWork
-from pimentoquay.messages.pools import ChannelAlive
+from pimentoquay.messages.fleet import FleetCopy, PeerLoad, PeerLoads, VmAddress, VmLoad, VmWork
+from pimentoquay.messages.pools import Bundle, ChannelAlive
 from pimentoquay.policy import mesh_plan
+from pimentoquay.policy.store_position import position_of
 
 VMS = tuple(f"vm-{number}" for number in range(1, 8))
 
@@ -80,6 +81,32 @@
             assert len(forwarded) <= 4
 
 
+async def test_an_unexpected_message_in_a_bundle_is_ignored(relays):
+    """It ended the process, as only types that are subscribed to reach the mesh otherwise."""
+    async with rig() as env:
+        meshes = await start_gateways(env)
+        first, second = leaves(meshes)[0], max(meshes[0].plan.relays)
+        sender = env.gateway_by_vm[second].mesh
+        bundle = Bundle((encode(load_of("vm-9", 1, 1)), encode(Bundle(())), b"\xff"))
+        for channel in sender._channels():
+            channel.send(bundle)
+        heard = first.relays._heard_by_vm[second].number
+        await until(lambda: first.relays._heard_by_vm[second].number > heard, "still running")
+
+
+async def test_the_era_is_passed_on_beside_a_new_configuration(relays):
+    async with rig() as env:
+        meshes = await start_gateways(env)
+        sender = env.gateway_by_vm[min(meshes[0].plan.relays)].mesh
+        document = configuration(7)
+        copy = FleetCopy(position_of(5, 1), document, (), position_of(5, 9), ())
+        for gateway in env.gateway_by_vm.values():
+            gateway.feed._publish = lambda message: None
+        sender._era.raise_to(5)
+        sender.publish(copy)
+        await until(lambda: all(mesh._era.value == 5 for mesh in meshes), "all know the era")
+
+
 async def test_the_retry_budget_is_shared_by_all_gateways(relays):
     """The number of gateways was updated with each load of a peer, and none is sent with relays."""
     async with rig() as env:
--- a/pimentoquay/gateway/tests/test_pools.py
+++ b/pimentoquay/gateway/tests/test_pools.py
@@ -5,7 +5,7 @@
 import pytest
 
 from pimentoquay.gateway.tests.rig import rig, until
-from pimentoquay.policy import mesh_plan
+from pimentoquay.policy import mesh_plan, pools
 from pimentoquay.policy.pools import PoolKey
 from pimentoquay.standin.platform_engine import PlatformEngine
 
@@ -171,6 +171,48 @@
         assert not placement(env, vm).is_settled(coordinator._node.timers.now())
 
 
+async def test_pools_do_not_change_when_an_engine_drains(relays, monkeypatch):
+    """Gateways formed pools from the engines that accept work and coordinators from all, so that
+    they named different pools while an engine was draining."""
+    async with rig() as env:
+        await start_gateways(env)
+        monkeypatch.setattr(pools, "ENGINES_PER_POOL", 1)
+        fleet = env.gateway_by_vm["vm-2"].fleet
+        before = fleet.pools("llm").keys()
+        drained = env.engine_by_id["dec-1"]
+        await env.store.put("keyed.servers", "dec-1", drained.entry("draining"))
+        await until(lambda: len(fleet.accepting_engines("llm")) == 2, "draining")
+        assert fleet.pools("llm").keys() == before
+        # The pools of the accepting engines would be others, which is what this guards against.
+        assert pools.pools_of(fleet.accepting_engines("llm")).keys() != before
+
+
+async def test_a_grant_is_dropped_when_its_engine_refuses_the_memory(relays, monkeypatch):
+    """Each try had a key of its own, so the coordinator did not find the grant that had failed."""
+    async with rig() as env:
+        await start_gateways(env)
+        (vm,) = coordinators(env)
+        pool = placement(env, vm)
+        keys: list[tuple[str, str]] = []
+        granted: list[tuple[str, str]] = []
+        record_full, grant = pool.record_full, pool.grant
+
+        def record_refused(key, engine_id, now):
+            keys.append(key)
+            record_full(key, engine_id, now)
+
+        def record_granted(key, *rest):
+            granted.append(key)
+            return grant(key, *rest)
+
+        monkeypatch.setattr(pool, "record_full", record_refused)
+        monkeypatch.setattr(pool, "grant", record_granted)
+        env.engine_by_id["dec-1"].capacity = 0
+        for number in range(4):
+            assert (await stream(env, "vm-3", number)).status == 200
+        assert keys and all(key in granted for key in keys)
+
+
 async def test_waiting_streams_are_placed_when_memory_is_released_or_their_callers_leave(relays):
     async with rig() as env:
         await start_gateways(env)
--- a/pimentoquay/policy/fleet.py
+++ b/pimentoquay/policy/fleet.py
@@ -11,6 +11,7 @@
 from pimentoquay.policy.engine_notices import EngineStart
 
 __all__ = [
+    "DECODE_STAGES",
     "EngineEntry",
     "EngineStage",
     "FleetConfiguration",
@@ -44,6 +45,10 @@
     BOTH = "both"
 
 
+DECODE_STAGES = (EngineStage.DECODE, EngineStage.BOTH)
+"""Stages of the engines that run streams."""
+
+
 @dataclass(frozen=True)
 class ServiceShare:
     """Service that gets a part of a route's requests, in proportion to ``weight``."""
