--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -37,11 +37,11 @@
 from pimentoquay.http1 import HttpRequest, HttpServer, Reply, ServerLimits
 from pimentoquay.kernel import Node
 from pimentoquay.kernel.logs import logger
+from pimentoquay.messages.pools import PoolKey
 from pimentoquay.platform.settings import DeploymentSettings
 from pimentoquay.platform.store import StoreClient, StoreError
 from pimentoquay.policy.engine_preference import Placer
 from pimentoquay.policy.poll_timing import poll_timing
-from pimentoquay.policy.pools import PoolKey
 from pimentoquay.policy.repeat_allowance import RepeatLimits
 from pimentoquay.policy.run_ledger import RunLedger
 from pimentoquay.policy.stage_plan import StageDemand
--- a/pimentoquay/gateway/fleet.py
+++ b/pimentoquay/gateway/fleet.py
@@ -4,13 +4,14 @@
 
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages.fleet import EngineRecord, FleetCopy
+from pimentoquay.messages.pools import PoolKey
 from pimentoquay.platform.configuration import decode_configuration
 from pimentoquay.platform.engine_entry import decode_engine_entry
 from pimentoquay.platform.fields import DecodeError
 from pimentoquay.policy.engine_list import EngineList, EngineUpdate
 from pimentoquay.policy.engine_notices import EngineNotices
 from pimentoquay.policy.fleet import EngineEntry, FleetConfiguration
-from pimentoquay.policy.pools import PoolKey, pools_of
+from pimentoquay.policy.pools import pools_of
 from pimentoquay.policy.route_choice import RouteTable
 from pimentoquay.policy.store_position import era_of
 
--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -28,10 +28,17 @@
     StageOrdered,
     VmAddress,
 )
-from pimentoquay.messages.pools import Bundle, ChannelAlive, PoolSummary, RelayAlive, Routed
+from pimentoquay.messages.pools import (
+    Bundle,
+    ChannelAlive,
+    PoolKey,
+    PoolSummary,
+    RelayAlive,
+    Routed,
+)
 from pimentoquay.policy.engine_notices import EngineStart
 from pimentoquay.policy.mesh_plan import MeshPlan, needs_relays, plan_mesh
-from pimentoquay.policy.pools import PoolKey, coordinator_of
+from pimentoquay.policy.pools import coordinator_of
 from pimentoquay.policy.store_position import StoreEra, era_of
 from pimentoquay.transport.peers import PeerSet
 
--- a/pimentoquay/gateway/peer_loads.py
+++ b/pimentoquay/gateway/peer_loads.py
@@ -11,7 +11,14 @@
 from pimentoquay.policy.stream_admission import QueuedTokens
 from pimentoquay.policy.token_ledger import TokenLedger
 
-__all__ = ["PeerLoadTable", "engine_runs", "engine_tokens", "runs_by_engine"]
+__all__ = [
+    "PeerLoadTable",
+    "engine_runs",
+    "engine_tokens",
+    "runs_by_engine",
+    "stage_work",
+    "vm_work",
+]
 
 
 class PeerLoadTable:
@@ -64,11 +71,7 @@
         self._fleet.record_peer_read(load.list_age)
         self._prefill_ledger.set_peer(vm, {each.engine: each.tokens for each in load.prefilling})
         self._run_ledger.set_peer(vm, runs_by_engine(load.running), self._timers.now())
-        work = load.work
-        self._demand.set_peer(
-            vm,
-            StageWork(work.prefills, work.prefill_seconds, work.decodes, work.decode_seconds),
-        )
+        self._demand.set_peer(vm, stage_work(load.work))
 
     def remove(self, vm: str) -> None:
         """Remove the load of a peer that is lost; its runs count until they should have ended."""
@@ -79,7 +82,7 @@
     def current(self, is_draining: bool) -> VmLoad:
         """Return the present load of this gateway."""
         age = min(self._fleet.own_list_age, 1e6)
-        queued, own = self._queued(), self._demand.own
+        queued = self._queued()
         return VmLoad(
             age,
             engine_runs(self._run_ledger, self._timers.now()),
@@ -87,7 +90,7 @@
             queued.tokens,
             queued.urgent_tokens,
             is_draining,
-            VmWork(own.prefills, own.prefill_seconds, own.decodes, own.decode_seconds),
+            vm_work(self._demand.own),
         )
 
 
@@ -119,3 +122,13 @@
         for engine, tokens in ledger.own().items()
         if engines is None or engine in engines
     )
+
+
+def stage_work(item: VmWork) -> StageWork:
+    """Return the work of a message item."""
+    return StageWork(item.prefills, item.prefill_seconds, item.decodes, item.decode_seconds)
+
+
+def vm_work(work: StageWork) -> VmWork:
+    """Return work as a message item."""
+    return VmWork(work.prefills, work.prefill_seconds, work.decodes, work.decode_seconds)
--- a/pimentoquay/gateway/pool_client.py
+++ b/pimentoquay/gateway/pool_client.py
@@ -9,24 +9,22 @@
 from typing import Any
 
 from pimentoquay.gateway.job import Job
-from pimentoquay.gateway.peer_loads import engine_runs, engine_tokens
+from pimentoquay.gateway.peer_loads import engine_runs, engine_tokens, stage_work, vm_work
 from pimentoquay.gateway.shared_state import SharedState
 from pimentoquay.kernel import Node, RefusedError, ResultCode
 from pimentoquay.kernel.logs import logger
-from pimentoquay.messages.fleet import VmWork
 from pimentoquay.messages.pools import (
     PlaceCancelled,
     PlaceOutcome,
     PlaceReply,
     PlaceRequest,
-    PoolId,
+    PoolKey,
     PoolReport,
     PoolSummary,
 )
 from pimentoquay.policy.memory_forecast import GrowingRun, MemoryNeed
-from pimentoquay.policy.pools import PoolKey, PoolState, choose_pool
+from pimentoquay.policy.pools import PoolState, choose_pool
 from pimentoquay.policy.prefill_choice import can_prefill_on_decode_engine
-from pimentoquay.policy.stage_plan import StageWork
 from pimentoquay.policy.stream_admission import StreamTimes
 
 __all__ = ["PoolClient", "PoolGrant"]
@@ -135,7 +133,7 @@
 
     def receive_summary(self, message: PoolSummary) -> bool:
         """Apply a summary; return whether it is newer than the known one."""
-        key = PoolKey(message.pool.service, message.pool.data_centre, message.pool.index)
+        key = message.pool
         known = self._known_by_key.get(key)
         now = self._node.timers.now()
         number = message.incarnation, message.number
@@ -144,11 +142,7 @@
         self._number_by_sender[key, message.vm] = number
         avoided_until = known.avoided_until if known is not None else 0.0
         self._known_by_key[key] = _KnownPool(message, now, avoided_until)
-        work = message.work
-        self._shared.demand.set_peer(
-            str(key),
-            StageWork(work.prefills, work.prefill_seconds, work.decodes, work.decode_seconds),
-        )
+        self._shared.demand.set_peer(str(key), stage_work(message.work))
         return True
 
     def new_key(self, job: Job) -> str:
@@ -253,13 +247,12 @@
     ) -> tuple[str, PlaceReply | None]:
         """Return the coordinator and its final reply, or ``None`` if it does not reply."""
         replies = self._replies_by_key[request_key] = asyncio.Queue()
-        pool_id = PoolId(key.service, key.data_centre, key.index)
         misses, timeout, is_final = 0, FIRST_REPLY_SECONDS, False
         coordinator = source = ""
         try:
             while misses < MAX_MISSES:
                 coordinator = self._coordinator_of(key) or ""
-                request = self._request(job, pool_id, request_key, need, run, times, full_engine)
+                request = self._request(job, key, request_key, need, run, times, full_engine)
                 self._send_to(coordinator, request)
                 reply: PlaceReply | None = None
                 with contextlib.suppress(TimeoutError):
@@ -278,12 +271,12 @@
         finally:
             del self._replies_by_key[request_key]
             if not is_final and coordinator:
-                self._send_to(coordinator, PlaceCancelled(request_key, pool_id))
+                self._send_to(coordinator, PlaceCancelled(request_key, key))
 
     def _request(
         self,
         job: Job,
-        pool_id: PoolId,
+        key: PoolKey,
         request_key: str,
         need: MemoryNeed,
         run: GrowingRun,
@@ -296,7 +289,7 @@
         )
         return PlaceRequest(
             request_key,
-            pool_id,
+            key,
             run.tokens,
             run.remaining,
             need.tokens,
@@ -339,10 +332,10 @@
     def _report_for(
         self, key: PoolKey, engines: set[str], coordinator: str, now: float
     ) -> PoolReport:
-        ledger, own = self._shared.run_ledger, self._shared.demand.own
+        ledger = self._shared.run_ledger
         vm, last_grant = self._last_grant_by_pool.get(key, (coordinator, 0))
         return PoolReport(
-            PoolId(key.service, key.data_centre, key.index),
+            key,
             self._node.identity.incarnation,
             next(self._report_numbers),
             last_grant if vm == coordinator else 0,
@@ -351,5 +344,5 @@
             self._finished,
             self._finished_seconds,
             ledger.tokens_per_second,
-            VmWork(own.prefills, own.prefill_seconds, own.decodes, own.decode_seconds),
+            vm_work(self._shared.demand.own),
         )
--- a/pimentoquay/gateway/pool_coordinator.py
+++ b/pimentoquay/gateway/pool_coordinator.py
@@ -20,7 +20,7 @@
     PlaceOutcome,
     PlaceReply,
     PlaceRequest,
-    PoolId,
+    PoolKey,
     PoolReport,
     PoolSummary,
 )
@@ -28,7 +28,6 @@
 from pimentoquay.policy.fleet import DECODE_STAGES, EngineEntry, EngineStage
 from pimentoquay.policy.memory_forecast import GrowingRun
 from pimentoquay.policy.pool_placement import Grant, PoolPlacement, StreamKey, StreamNeed
-from pimentoquay.policy.pools import PoolKey
 from pimentoquay.policy.prefill_choice import choose_prefill_engine
 from pimentoquay.policy.stream_admission import StreamTimes
 
@@ -110,7 +109,7 @@
 
     @receive.register
     def _handle_request(self, message: PlaceRequest, source: str) -> None:
-        key = _key_of(message.pool)
+        key = message.pool
         pool = self._pool(key)
         if pool is None:
             self._reply(source, message.key, message.pool, PlaceOutcome.NOT_COORDINATOR)
@@ -135,13 +134,13 @@
 
     @receive.register
     def _handle_cancelled(self, message: PlaceCancelled, source: str) -> None:
-        pool = self._pool_by_key.get(_key_of(message.pool))
+        pool = self._pool_by_key.get(message.pool)
         if pool is not None:
             pool.placement.cancel((source, message.key))
 
     @receive.register
     def _handle_report(self, message: PoolReport, source: str) -> None:
-        key = _key_of(message.pool)
+        key = message.pool
         pool = self._pool(key)
         if pool is None:
             return
@@ -200,9 +199,8 @@
                 logger.bind(pool=str(key)).info("pool coordinated elsewhere")
                 continue
             for vm, stream in pool.placement.expire(now):
-                pool_id = PoolId(key.service, key.data_centre, key.index)
                 outcome = PlaceOutcome.REFUSED
-                self._reply(vm, stream, pool_id, outcome, seconds=RETRY_AFTER_SECONDS)
+                self._reply(vm, stream, key, outcome, seconds=RETRY_AFTER_SECONDS)
             self._place_waiting(key, pool)
             if now - pool.summarised_at >= SUMMARY_SECONDS:
                 pool.summarised_at = now
@@ -238,8 +236,7 @@
             stream_key, engine = placed
             prefill_engine = self._prefill_engine(key, pool, stream_key)
             grant = pool.placement.grant(stream_key, engine, prefill_engine, now)
-            pool_id = PoolId(key.service, key.data_centre, key.index)
-            self._reply_granted(pool, stream_key, pool_id, grant)
+            self._reply_granted(pool, stream_key, key, grant)
 
     def _prefill_engine(
         self, key: PoolKey, pool: _Pool, stream_key: StreamKey
@@ -253,13 +250,13 @@
         )
 
     def _reply_granted(
-        self, pool: _Pool, stream_key: StreamKey, pool_id: PoolId, grant: Grant
+        self, pool: _Pool, stream_key: StreamKey, pool_key: PoolKey, grant: Grant
     ) -> None:
         vm, key = stream_key
         is_exact = pool.placement.is_settled(self._node.timers.now())
         reply = PlaceReply(
             key,
-            pool_id,
+            pool_key,
             PlaceOutcome.GRANTED,
             grant.engine,
             grant.prefill_engine,
@@ -270,7 +267,7 @@
         self._send_to(vm, reply)
 
     def _reply(
-        self, vm: str, key: str, pool: PoolId, outcome: PlaceOutcome, seconds: float = 0.0
+        self, vm: str, key: str, pool: PoolKey, outcome: PlaceOutcome, seconds: float = 0.0
     ) -> None:
         self._send_to(vm, PlaceReply(key, pool, outcome, "", "", 0, seconds, True))
 
@@ -281,7 +278,7 @@
         self._sequence += 1
         identity = self._node.identity
         return PoolSummary(
-            PoolId(key.service, key.data_centre, key.index),
+            key,
             identity.vm,
             identity.incarnation,
             self._sequence,
@@ -299,10 +296,6 @@
         )
 
 
-def _key_of(pool: PoolId) -> PoolKey:
-    return PoolKey(pool.service, pool.data_centre, pool.index)
-
-
 def _need_of(message: PlaceRequest, now: float) -> StreamNeed:
     return StreamNeed(
         GrowingRun(message.tokens, message.remaining),
--- a/pimentoquay/gateway/tests/test_mesh.py
+++ b/pimentoquay/gateway/tests/test_mesh.py
@@ -2,24 +2,15 @@
 
 import asyncio
 
-import pytest
-
 from pimentoquay.gateway.tests.rig import ROUTES, configuration, rig, route, until
 from pimentoquay.messages import encode
 from pimentoquay.messages.fleet import FleetCopy, PeerLoad, PeerLoads, VmAddress, VmLoad, VmWork
 from pimentoquay.messages.pools import Bundle, ChannelAlive
-from pimentoquay.policy import mesh_plan
 from pimentoquay.policy.store_position import position_of
 
 VMS = tuple(f"vm-{number}" for number in range(1, 8))
 
 
-@pytest.fixture
-def relays(monkeypatch):
-    """Use relays in deployments of more than two VMs."""
-    monkeypatch.setattr(mesh_plan, "FULL_MESH_VMS", 2)
-
-
 async def start_gateways(env):
     for vm in VMS[1:]:
         await env.add_gateway(vm)
--- a/pimentoquay/gateway/tests/test_pools.py
+++ b/pimentoquay/gateway/tests/test_pools.py
@@ -2,11 +2,9 @@
 
 import asyncio
 
-import pytest
-
 from pimentoquay.gateway.tests.rig import rig, until
-from pimentoquay.policy import mesh_plan, pools
-from pimentoquay.policy.pools import PoolKey
+from pimentoquay.messages.pools import PoolKey
+from pimentoquay.policy import pools
 from pimentoquay.standin.platform_engine import PlatformEngine
 
 VMS = tuple(f"vm-{number}" for number in range(1, 7))
@@ -15,12 +13,6 @@
 """Prompt of the streams; with 4000 expected tokens, four of them fill an engine."""
 
 
-@pytest.fixture
-def relays(monkeypatch):
-    """Use relays in deployments of more than two VMs."""
-    monkeypatch.setattr(mesh_plan, "FULL_MESH_VMS", 2)
-
-
 async def start_gateways(env):
     for vm in VMS[1:]:
         await env.add_gateway(vm)
--- a/pimentoquay/messages/pools.py
+++ b/pimentoquay/messages/pools.py
@@ -16,7 +16,7 @@
     "PlaceOutcome",
     "PlaceReply",
     "PlaceRequest",
-    "PoolId",
+    "PoolKey",
     "PoolReport",
     "PoolSummary",
     "RelayAlive",
@@ -47,7 +47,7 @@
 
 
 @message(141)
-class PoolId:
+class PoolKey:
     """Service and data centre of a pool's engines, and its number among their pools."""
 
     service: str
@@ -67,7 +67,7 @@
     """
 
     key: str
-    pool: PoolId
+    pool: PoolKey
     tokens: int
     remaining: int
     need: int
@@ -90,7 +90,7 @@
     """
 
     key: str
-    pool: PoolId
+    pool: PoolKey
     outcome: PlaceOutcome
     engine: str
     prefill_engine: str
@@ -104,7 +104,7 @@
     """A stream that no longer waits to be placed, as its caller has left."""
 
     key: str
-    pool: PoolId
+    pool: PoolKey
 
 
 @message(145)
@@ -117,7 +117,7 @@
     grow, and ``work`` the engine time that requests of the sender have needed in both stages.
     """
 
-    pool: PoolId
+    pool: PoolKey
     incarnation: int
     number: int
     last_grant: int
@@ -137,7 +137,7 @@
     ``expected`` is the expected final size of all streams, and ``work`` the sum over the reports.
     """
 
-    pool: PoolId
+    pool: PoolKey
     vm: str
     incarnation: int
     number: int
--- a/pimentoquay/policy/pools.py
+++ b/pimentoquay/policy/pools.py
@@ -18,6 +18,7 @@
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
+from pimentoquay.messages.pools import PoolKey
 from pimentoquay.policy.fleet import EngineEntry
 
 __all__ = ["PoolKey", "PoolState", "choose_pool", "coordinator_of", "pools_of"]
@@ -26,15 +27,6 @@
 """Maximum number of engines per pool, so that one process can place all streams of a pool."""
 
 
-@dataclass(frozen=True, order=True)
-class PoolKey:
-    """Service and data centre of a pool's engines, and its number among their pools."""
-
-    service: str
-    data_centre: str
-    index: int
-
-
 @dataclass(frozen=True)
 class PoolState:
     """Summary of a pool, in tokens of usable memory.
@@ -59,7 +51,7 @@
         for engine in placed:
             index = zlib.crc32(engine.id.encode()) % count
             pools.setdefault(PoolKey(service, data_centre, index), []).append(engine)
-    return {key: tuple(pools[key]) for key in sorted(pools)}
+    return {key: tuple(pools[key]) for key in sorted(pools, key=_order)}
 
 
 def coordinator_of(key: PoolKey, data_centre_by_vm: Mapping[str, str]) -> str | None:
@@ -118,21 +110,21 @@
     }
     local = [key for key in room if key.data_centre == data_centre]
     if local:
-        return max(local, key=lambda key: (room[key], key))
+        return max(local, key=lambda key: (room[key], _order(key)))
     if room:
         return _choose_weighted(room, request_id)
 
-    def queue(key: PoolKey) -> tuple[float, bool, PoolKey]:
+    def queue(key: PoolKey) -> tuple[float, bool, tuple[str, str, int]]:
         state = known[key]
         is_remote = key.data_centre != data_centre
-        return state.waiting / max(1, state.capacity), is_remote, key
+        return state.waiting / max(1, state.capacity), is_remote, _order(key)
 
     return min(known, key=queue, default=None)
 
 
 def _choose_weighted(weight_by_key: Mapping[PoolKey, int], request_id: str) -> PoolKey:
     """Choose a key in proportion to its weight; the same request always gets the same key."""
-    keys = sorted(weight_by_key)
+    keys = sorted(weight_by_key, key=_order)
     total = sum(weight_by_key.values())
     point = zlib.crc32(request_id.encode()) / 2**32 * total
     for key in keys:
@@ -140,3 +132,7 @@
         if point < 0:
             return key
     return keys[-1]
+
+
+def _order(key: PoolKey) -> tuple[str, str, int]:
+    return key.service, key.data_centre, key.index
--- a/pimentoquay/policy/tests/test_pools.py
+++ b/pimentoquay/policy/tests/test_pools.py
@@ -1,5 +1,6 @@
 import pytest
 
+from pimentoquay.messages.pools import PoolKey
 from pimentoquay.policy.fleet import EngineEntry, EngineStage
 from pimentoquay.policy.memory_forecast import GrowingRun
 from pimentoquay.policy.pool_placement import (
@@ -11,7 +12,6 @@
 )
 from pimentoquay.policy.pools import (
     ENGINES_PER_POOL,
-    PoolKey,
     PoolState,
     choose_pool,
     coordinator_of,
