Say in docs and names what coordinators have replaced

Read as a newcomer: the design page and the order of preference still told of loads that relays pass on late. Placer.has_delayed_loads is lacks_peer_loads, as such a VM gets no loads at all.

--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -323,7 +323,7 @@
 def _apply_mesh_state(shared: SharedState, mesh: Mesh) -> None:
     """Update the state that depends on the number of gateways and on the mesh plan."""
     shared.retry_budgets.gateway_count = mesh.gateway_count
-    shared.placer = replace(shared.placer, has_delayed_loads=not mesh.plan.is_full)
+    shared.placer = replace(shared.placer, lacks_peer_loads=not mesh.plan.is_full)
 
 
 def _server_limits(fleet: Fleet) -> ServerLimits:
--- a/pimentoquay/policy/engine_preference.py
+++ b/pimentoquay/policy/engine_preference.py
@@ -1,11 +1,10 @@
 """Order in which a VM prefers engines with nearly equal loads.
 
-Load pattern: a burst over many VMs that learn of each other's requests with a delay of 0.1 s. If
-each VM picked the engine with the lowest known load, all would pick the same one until they learn
-of each other's requests: its memory would overflow or its queue grow while other engines are idle.
-VMs with delayed load reports therefore compare loads in coarse steps, and each VM orders the
-engines within a step differently. A VM then also tends to use the same few engines, to which it has
-open connections.
+Load pattern: a burst over many VMs that do not know of each other's requests, because no
+coordinator answers. If each VM picked the engine with the lowest known load, all would pick the
+same one: its memory would overflow or its queue grow while other engines are idle. Such VMs
+therefore compare loads in coarse steps, and each VM orders the engines within a step differently. A
+VM then also tends to use the same few engines, to which it has open connections.
 
 Failure pattern: a data centre that is cut off from the others. Preferring engines of the gateway's
 own data centre keeps its streams running.
@@ -22,11 +21,11 @@
 
 @dataclass(frozen=True)
 class Placer:
-    """A VM that places requests, and whether it gets the loads of other VMs with a delay."""
+    """A VM that places requests, and whether it lacks the loads of the other VMs."""
 
     vm: str
     data_centre: str
-    has_delayed_loads: bool = False
+    lacks_peer_loads: bool = False
 
 
 def sort_by_preference(
@@ -47,8 +46,8 @@
     load_by_id
         Load of each engine, in tokens.
     step
-        Size of a load step in tokens; for a VM with delayed load reports, engines in the same step
-        are equally loaded.
+        Size of a load step in tokens; for a VM that lacks the loads of others, engines in the same
+        step are equally loaded.
     placer
         VM that places the request.
     remote_penalty
@@ -58,7 +57,7 @@
     def key(engine: EngineEntry) -> tuple[int, bool, int, str]:
         is_remote = engine.data_centre != placer.data_centre
         load = load_by_id[engine.id] + (remote_penalty if is_remote else 0)
-        if not placer.has_delayed_loads:
+        if not placer.lacks_peer_loads:
             return load, is_remote, 0, engine.id
         vm_order = zlib.crc32(f"{placer.vm} {engine.id}".encode())
         return load // max(1, step), is_remote, vm_order, engine.id
--- a/pimentoquay/policy/prefill_choice.py
+++ b/pimentoquay/policy/prefill_choice.py
@@ -41,7 +41,7 @@
 """
 
 SIMILAR_QUEUE_TOKENS = 10_000
-"""Size of a step of queue lengths, in tokens, if load reports are delayed.
+"""Size of a step of queue lengths of a VM that lacks the loads of others, in tokens.
 
 Queues in the same step count as equally long. A step is the size of two prompts of 5,000 tokens.
 """
--- a/pimentoquay/policy/run_ledger.py
+++ b/pimentoquay/policy/run_ledger.py
@@ -19,7 +19,7 @@
 """Assumed rate at which an answer grows before the first sample: one token per 0.77 ms."""
 
 SIMILAR_LOAD_SHARE = 0.2
-"""Size of a load step if load reports are delayed, as a share of the usable memory.
+"""Size of a load step of a VM that lacks the loads of others, as a share of the usable memory.
 
 Engines in the same step count as equally loaded. A step is about the memory of one stream.
 """
--- a/pimentoquay/policy/tests/test_engine_preference.py
+++ b/pimentoquay/policy/tests/test_engine_preference.py
@@ -26,7 +26,7 @@
     for start in range(0, 80, 8):
         vms = [f"vm-{number}" for number in range(start, start + 8)]
         with_delay = Counter(
-            first(ENGINES, loads, Placer(vm, "hall", has_delayed_loads=True)) for vm in vms
+            first(ENGINES, loads, Placer(vm, "hall", lacks_peer_loads=True)) for vm in vms
         )
         without_delay = Counter(first(ENGINES, loads, Placer(vm, "hall")) for vm in vms)
         assert max(with_delay.values()) <= 4 and len(with_delay) >= 4
@@ -36,11 +36,11 @@
 def test_engine_with_much_lower_load_is_preferred_by_all_vms():
     loads = {each.id: 100 for each in ENGINES} | {"e7": 50}
     for number in range(20):
-        assert first(ENGINES, loads, Placer(f"vm-{number}", "hall", has_delayed_loads=True)) == "e7"
+        assert first(ENGINES, loads, Placer(f"vm-{number}", "hall", lacks_peer_loads=True)) == "e7"
 
 
 def test_local_engine_is_preferred_among_equal_loads():
     engines = [engine(1, "port"), engine(2, "hall")]
     loads = {"e1": 5, "e2": 5}
-    for has_delayed_loads in (False, True):
-        assert first(engines, loads, Placer("vm-1", "hall", has_delayed_loads)) == "e2"
+    for lacks_peer_loads in (False, True):
+        assert first(engines, loads, Placer("vm-1", "hall", lacks_peer_loads)) == "e2"
