--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -6,14 +6,21 @@
 """
 
 import asyncio
-from dataclasses import dataclass
 
-from pimentoquay.gateway.events import EventSplitter, StreamEvent
+from pimentoquay.gateway.events import EventSplitter
 from pimentoquay.gateway.job import Job, record_end, send_response
 from pimentoquay.gateway.prefills import Prefill, PrefillRunner
 from pimentoquay.gateway.reservations import Reservation, Reservations
 from pimentoquay.gateway.shared_state import SharedState
-from pimentoquay.http1 import Exchange, HeaderList, end_to_end_headers
+from pimentoquay.gateway.stream_progress import (
+    ErrorResponse,
+    RunEndedError,
+    StreamProgress,
+    check_event_order,
+    next_events,
+    output_tokens,
+)
+from pimentoquay.http1 import Exchange, end_to_end_headers
 from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode
 from pimentoquay.kernel.errors import HttpError
 from pimentoquay.kernel.logs import logger
@@ -51,46 +58,6 @@
 """Retry-After value if engines rejected a request or it did not run in time."""
 
 
-class _RunEndedError(Exception):
-    """A run ended before its response was complete.
-
-    ``has_run`` is false only if the engine provably ran nothing, ``has_arrived`` only if no byte
-    of the request was sent.
-    """
-
-    def __init__(self, detail: str, has_run: bool, has_arrived: bool = True) -> None:
-        super().__init__(detail)
-        self.has_run = has_run
-        self.has_arrived = has_arrived
-
-
-@dataclass(frozen=True)
-class _ErrorResponse:
-    """A complete error response that an engine itself sent."""
-
-    status: int
-    headers: HeaderList
-    body: bytes
-
-
-@dataclass
-class _Progress:
-    """Progress of one request over all its runs.
-
-    ``last_event`` is the id of the last event sent to the caller, ``arrivals`` counts the sends
-    that may have reached an engine, ``runs`` those that it may have run. ``streamed_seconds`` is
-    the time from the first to the last event of the current run, ``engine`` its engine.
-    """
-
-    last_event: int | None
-    sends: int = 0
-    arrivals: int = 0
-    runs: int = 0
-    streamed_seconds: float = 0.0
-    engine: str = ""
-    error_response: _ErrorResponse | None = None
-
-
 class StreamForwarder:
     """Forwards model streams to prefill and decode engines.
 
@@ -115,7 +82,7 @@
 
     async def forward(self, job: Job) -> None:
         """Send a job's response; raise ``PimentoquayError`` if there is none."""
-        progress = _Progress(last_event=job.caller.last_event)
+        progress = StreamProgress(last_event=job.caller.last_event)
         try:
             async with asyncio.timeout(job.seconds_left()):
                 await self._forward(job, progress)
@@ -125,18 +92,18 @@
                 raise RefusedError(code, "not run in time", RETRY_AFTER_SECONDS) from None
             raise PimentoquayError(ResultCode.DEADLINE_MISSED, "deadline passed") from None
 
-    async def _forward(self, job: Job, progress: _Progress) -> None:
+    async def _forward(self, job: Job, progress: StreamProgress) -> None:
         while True:
             try:
                 await self._run(job, progress)
                 return
-            except _RunEndedError as error:
+            except RunEndedError as error:
                 self._record_ended_run(job, progress, error)
                 if not self._may_run_again(job, progress):
                     self._give_up(job, progress, str(error))
                     return
 
-    def _record_ended_run(self, job: Job, progress: _Progress, error: _RunEndedError) -> None:
+    def _record_ended_run(self, job: Job, progress: StreamProgress, error: RunEndedError) -> None:
         progress.arrivals += error.has_arrived
         if not error.has_run:
             progress.runs -= 1
@@ -149,7 +116,7 @@
             detail=str(error),
         ).info("run ended early")
 
-    def _may_run_again(self, job: Job, progress: _Progress) -> bool:
+    def _may_run_again(self, job: Job, progress: StreamProgress) -> bool:
         if progress.sends >= MAX_SENDS or job.seconds_left() < MIN_RETRY_SECONDS:
             return False
         may_run_again = job.route.is_resumable and progress.runs < job.route.max_engines
@@ -159,7 +126,7 @@
             job.service, RERUN_SENDS
         )
 
-    def _give_up(self, job: Job, progress: _Progress, detail: str) -> None:
+    def _give_up(self, job: Job, progress: StreamProgress, detail: str) -> None:
         error_response = progress.error_response
         if job.reply.started:
             raise PimentoquayError(ResultCode.STREAM_BROKEN, detail)
@@ -170,7 +137,7 @@
         else:
             raise PimentoquayError(ResultCode.ENGINE_FAILED, detail)
 
-    async def _run(self, job: Job, progress: _Progress) -> None:
+    async def _run(self, job: Job, progress: StreamProgress) -> None:
         memory = self._token_memory(job)
         model = job.caller.model
         assert model is not None and memory is not None
@@ -192,11 +159,11 @@
         finally:
             self._reservations.release(reservation)
         if progress.last_event is not None:
-            output_tokens = _output_tokens(progress, memory)
+            generated = output_tokens(progress, memory)
             estimate = self._estimate(job.service)
-            estimate.record(model.expected_output, model.max_output_tokens, output_tokens)
+            estimate.record(model.expected_output, model.max_output_tokens, generated)
             self._shared.run_ledger.record_generation_rate(
-                output_tokens - need.begun, progress.streamed_seconds
+                generated - need.begun, progress.streamed_seconds
             )
 
     def _stream_times(self, job: Job) -> StreamTimes:
@@ -221,13 +188,13 @@
         return self._estimate_by_service.setdefault(service, OutputLengthEstimator())
 
     def _memory_need(
-        self, service: str, model: ModelRequest, memory: TokenMemory, progress: _Progress
+        self, service: str, model: ModelRequest, memory: TokenMemory, progress: StreamProgress
     ) -> MemoryNeed:
         max_output = model.max_output_tokens
         expected = self._estimate(service).tokens(
             model.expected_output, max_output, RESERVED_STANDARD_DEVIATIONS
         )
-        generated = _output_tokens(progress, memory)
+        generated = output_tokens(progress, memory)
         return MemoryNeed(model.prompt_tokens, expected, max_output, generated)
 
     def _token_memory(self, job: Job) -> TokenMemory | None:
@@ -236,7 +203,7 @@
         return service.memory if service is not None else None
 
     async def _decode(
-        self, job: Job, progress: _Progress, reservation: Reservation, prefill: Prefill | None
+        self, job: Job, progress: StreamProgress, reservation: Reservation, prefill: Prefill | None
     ) -> None:
         options = SendOptions(
             engine=reservation.engine.id,
@@ -263,13 +230,13 @@
                     job, progress, exchange, reservation, prefill, silence_timeout
                 )
         except HttpError as error:
-            raise _RunEndedError(str(error), error.written, error.written) from None
+            raise RunEndedError(str(error), error.written, error.written) from None
         except ValueError as error:
-            raise _RunEndedError(f"invalid event stream: {error}", True) from None
+            raise RunEndedError(f"invalid event stream: {error}", True) from None
 
     async def _handle_failure(
         self,
-        progress: _Progress,
+        progress: StreamProgress,
         exchange: Exchange,
         reservation: Reservation,
         prefill: Prefill | None,
@@ -279,17 +246,17 @@
         if response_info.is_misdirected:
             self._shared.mark_misdirected(reservation.engine)
         if response_info.has_not_run:
-            raise _RunEndedError(f"rejected without being run: status {exchange.status}", False)
+            raise RunEndedError(f"rejected without being run: status {exchange.status}", False)
         if prefill is not None:
             prefill.is_fetched = True
         if response_info.is_signed and not response_info.is_encoded and exchange.status >= 300:
-            progress.error_response = _ErrorResponse(exchange.status, exchange.headers, body)
-        raise _RunEndedError(f"failed: status {exchange.status}", True)
+            progress.error_response = ErrorResponse(exchange.status, exchange.headers, body)
+        raise RunEndedError(f"failed: status {exchange.status}", True)
 
     async def _relay_events(
         self,
         job: Job,
-        progress: _Progress,
+        progress: StreamProgress,
         exchange: Exchange,
         reservation: Reservation,
         prefill: Prefill | None,
@@ -297,17 +264,17 @@
     ) -> None:
         response_info = parse_response(exchange.status, exchange.headers)
         if not response_info.is_success:
-            raise _RunEndedError("response was not sent by the engine itself", True)
+            raise RunEndedError("response was not sent by the engine itself", True)
         if prefill is not None:
             prefill.is_fetched = True
         splitter = EventSplitter()
         reply, memory = job.reply, self._token_memory(job)
         loop = asyncio.get_running_loop()
         first_at = last_at = 0.0
-        while events := await _next_events(exchange, splitter, silence_timeout):
-            _check_event_order(events, progress)
+        while events := await next_events(exchange, splitter, silence_timeout):
+            check_event_order(events, progress)
             if memory is not None:
-                self._reservations.update_progress(reservation, _output_tokens(progress, memory))
+                self._reservations.update_progress(reservation, output_tokens(progress, memory))
             now = loop.time()
             first_at, pause, last_at = first_at or now, now - (last_at or now), now
             progress.streamed_seconds = now - first_at
@@ -319,7 +286,7 @@
             reply.write(b"".join(event.data for event in events))
             await reply.drain()
         if splitter.remainder:
-            raise _RunEndedError("stream ended within an event", True)
+            raise RunEndedError("stream ended within an event", True)
         if not reply.started:
             reply.start(exchange.status, end_to_end_headers(exchange.headers))
         reply.end()
@@ -337,42 +304,7 @@
         ).info("stream paused")
 
 
-async def _next_events(
-    exchange: Exchange, splitter: EventSplitter, silence_timeout: float | None
-) -> list[StreamEvent]:
-    """Return the next complete events, or none at the end of the stream.
-
-    Only complete events end a silence: a stalled engine may send a few bytes of one now and then.
-    """
-    loop = asyncio.get_running_loop()
-    since, left = loop.time(), silence_timeout
-    while (chunk := await exchange.read_chunk(left)) is not None:
-        events = splitter.feed(chunk)
-        if events:
-            return events
-        if silence_timeout is not None:
-            left = max(0.0, since + silence_timeout - loop.time())
-    return []
-
-
-def _output_tokens(progress: _Progress, memory: TokenMemory) -> int:
-    """Return the number of tokens in the events sent to the caller; event ids start at 0."""
-    if progress.last_event is None:
-        return 0
-    return (progress.last_event + 1) * memory.event_tokens
-
-
-def _check_event_order(events: list[StreamEvent], progress: _Progress) -> None:
-    for event in events:
-        if event.id is None:
-            continue
-        last = progress.last_event
-        if last is not None and event.id != last + 1:
-            raise _RunEndedError(f"event {event.id} came after {last}", True)
-        progress.last_event = event.id
-
-
-def _record_success(job: Job, progress: _Progress, engine: str) -> None:
+def _record_success(job: Job, progress: StreamProgress, engine: str) -> None:
     model = job.caller.model
     record_end(
         job,
