--- a/pimentoquay/gateway/tests/rig.py
+++ b/pimentoquay/gateway/tests/rig.py
@@ -149,7 +149,7 @@
             return await read_response(exchange)
 
     async def stream(self, path="/digest/a", **options) -> Response:
-        headers = (*options.pop("headers", ()), *model_headers())
+        headers = (*options.pop("headers", ()), *model_headers(**options.pop("model", {})))
         return await self.send_request(path, headers=headers, **options)
 
     async def close(self) -> None:
@@ -180,12 +180,14 @@
     return Response(exchange.status, headers, b"".join(parts), is_whole)
 
 
-def model_headers(prompt=5000, max_output=8320, hint=4000):
+def model_headers(
+    prompt=5000, max_output=8320, hint=4000, parts=(b"5c1e07a2:200", b"91bd3f06:4800")
+):
     return (
         (b"Pimentoquay-Model", b"m"),
         (b"Pimentoquay-Token-Counts", f"{prompt},{max_output}".encode()),
         (b"Pimentoquay-Length-Hint", str(hint).encode()),
-        (b"Pimentoquay-Prompt-Prefix", b"5c1e07a2:200,91bd3f06:4800"),
+        (b"Pimentoquay-Prompt-Prefix", b",".join(parts)),
     )
 
 
--- a/pimentoquay/http1/server.py
+++ b/pimentoquay/http1/server.py
@@ -106,6 +106,13 @@
             self._server.close()
         self.close_idle()
 
+    def abort(self) -> None:
+        """Stop accepting connections and reset all of them, whatever they carry."""
+        if self._server is not None:
+            self._server.close()
+        for connection in tuple(self.connections):
+            connection.abort()
+
 
 class Reply:
     """Response to one request; sent at most once, and not after the caller has disconnected.
--- a/pimentoquay/standin/platform_engine.py
+++ b/pimentoquay/standin/platform_engine.py
@@ -48,6 +48,12 @@
         """Whether the request is for the prefill stage."""
         return self.headers.get("pimentoquay-stage") == "prefill"
 
+    @property
+    def parts(self) -> tuple[str, ...]:
+        """Ids of the parts of the prompt."""
+        entries = self.headers.get("pimentoquay-prompt-prefix", "").split(",")
+        return tuple(entry.partition(":")[0] for entry in entries)
+
 
 @dataclass
 class PlatformEngine:
@@ -89,6 +95,13 @@
         Value of the header that asks for a pause; if set, requests are answered with status 503.
     calls
         Number of received requests of all kinds.
+    deadly_parts
+        Ids of the parts of prompts under which the engine crashes when it begins to write an
+        answer.
+    on_crash
+        Called when the engine has crashed.
+    is_crashed
+        Whether the engine has crashed; it then refuses connections.
     """
 
     id: str
@@ -110,6 +123,9 @@
     is_leaving: bool = False
     retry_after: str = ""
     calls: int = 0
+    deadly_parts: frozenset[str] = frozenset()
+    on_crash: Callable[["PlatformEngine"], None] = lambda engine: None
+    is_crashed: bool = False
 
     async def serve(self, host: str = "127.0.0.1", port: int = 0) -> str:
         """Start to serve and return the address as IP:PORT."""
@@ -122,6 +138,12 @@
         """Stop the server."""
         await self._server.close()
 
+    def crash(self) -> None:
+        """End as a process that crashes: refuse connections and lose those that are open."""
+        self.is_crashed = True
+        self._server.abort()
+        self.on_crash(self)
+
     def entry(self, state: str = "ready") -> bytes:
         """Return the next entry that the engine writes about itself to the engine list."""
         self.sequence += 1
@@ -231,6 +253,11 @@
         is_complete = False
         try:
             reply.start(200, (*headers, (b"Content-Type", b"text/event-stream")))
+            if self.deadly_parts.intersection(arrival.parts):
+                # The head leaves the process before it ends.
+                await asyncio.sleep(0.002)
+                self.crash()
+                return
             first = int(arrival.headers.get("last-event-id", "0")) + 1
             for number in range(first, self.events + 1):
                 if behaviour is Behaviour.BREAK and number == 4:
