Do not say of a stream that it has not run when only its second run is refused

What callers saw: 429 or 503, the promise that nothing has run, for a stream that had lost its first engine. Cause: a refusal by the queue or the coordinator ended the request whatever had come before. It ends with 502 now, or with the first engine's own error, as other failures after a run do.

--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -91,6 +91,11 @@
                 code = ResultCode.DEADLINE_UNREACHABLE
                 raise RefusedError(code, "not run in time", RETRY_AFTER_SECONDS) from None
             raise PimentoquayError(ResultCode.DEADLINE_MISSED, "deadline passed") from None
+        except RefusedError as error:
+            # Another run was refused, but the one before may have reached an engine.
+            if progress.runs == 0 and not job.reply.started:
+                raise
+            self._give_up(job, progress, error.detail)
 
     async def _forward(self, job: Job, progress: StreamProgress) -> None:
         while True:
--- a/pimentoquay/gateway/tests/test_streams.py
+++ b/pimentoquay/gateway/tests/test_streams.py
@@ -134,6 +134,30 @@
         assert len(dec_1.arrivals) == 1
 
 
+async def test_a_stream_that_has_run_is_not_refused_as_not_run_if_its_second_run_is():
+    """Its caller was told 503, which promises that nothing has run."""
+    async with rig() as env:
+        for engine in decode_engines(env):
+            engine.behaviour = lambda arrival: Behaviour.RESET
+            engine._create_hold = refuse_after(engine, decode_engines(env))
+        response = await env.stream()
+        assert len(decodes(env)) == 1
+        assert response.status == 502
+
+
+def refuse_after(engine, engines):
+    """Return a replacement that reserves no memory once a stream has run."""
+    create_hold = engine._create_hold
+
+    def create(tokens, reply):
+        if any(each.arrivals for each in engines):
+            reply.send(503, ((b"Pimentoquay-Not-Executed", b"1"),), b"")
+        else:
+            create_hold(tokens, reply)
+
+    return create
+
+
 async def test_a_second_run_takes_two_sends_from_the_retry_budget():
     """A run sends its prompt and its stream to engines. Counting only one of them let a deployment
     make twice as many retries as its limits allow."""
