Test quarantines behind relays, cuts, restarts and a restored store; name their switches

Also: a crash counts as conclusive only if no request there had another suspected part, and one such crash among five is enough. Six mechanisms can be switched off, and each is caught. The switches of the gateway have a module of their own. The test of leaving engines waits for both channels now: the second one told all that was known when it opened after the notice, so the switch was not caught.

--- /dev/null
+++ b/pimentoquay/bench/mutations/gateway_switches.py
@@ -0,0 +1,134 @@
+"""Mechanisms of the gateway that can be switched off, and the tests that have to fail then."""
+
+from pimentoquay.bench.mutations.replacements import (
+    find_server_refusing,
+    read_body_without_limit,
+    return_constant,
+)
+from pimentoquay.bench.mutations.switch import Switch
+
+__all__ = ["GATEWAY_SWITCHES"]
+
+_NOTICES = "pimentoquay/gateway/tests/test_notices.py::"
+_POOLS = "pimentoquay/gateway/tests/test_pools.py::"
+_RESTORED = "pimentoquay/gateway/tests/test_store_restored.py::"
+_DEADLY = "pimentoquay/gateway/tests/test_deadly_parts.py::"
+_PROMPTS = "pimentoquay/policy/tests/test_prompt_quarantine.py::"
+
+GATEWAY_SWITCHES = (
+    Switch(
+        "leaving by header",
+        "pimentoquay.policy.engine_notices:EngineNotices.is_leaving",
+        return_constant(False),
+        _NOTICES + "test_an_engine_that_says_it_leaves_gets_no_new_requests_"
+        "though_it_is_listed_as_ready",
+    ),
+    Switch(
+        "leaving told to peers",
+        "pimentoquay.gateway.notices:LeavingNotices.report",
+        return_constant(None),
+        _NOTICES + "test_peers_learn_that_an_engine_is_leaving_also_those_that_connect_later",
+    ),
+    Switch(
+        "pause of an engine",
+        "pimentoquay.policy.engine_notices:EngineNotices.pause_seconds",
+        return_constant(0.0),
+        _NOTICES + "test_nothing_is_sent_to_an_engine_during_its_pause",
+    ),
+    Switch(
+        "refusal until the first engine ends its pause",
+        "pimentoquay.gateway.shared_state:SharedState.pause_seconds",
+        return_constant(None),
+        _NOTICES + "test_callers_are_refused_until_the_first_engine_ends_its_pause",
+    ),
+    Switch(
+        "era of the store",
+        "pimentoquay.policy.store_position:StoreEra.raise_to",
+        return_constant(False),
+        _RESTORED + "test_a_record_at_an_offset_that_was_given_out_again_is_read",
+    ),
+    Switch(
+        "claim of an earlier era",
+        "pimentoquay.platform.store:era_of",
+        return_constant(2),
+        _RESTORED + "test_a_claim_does_not_survive_a_restoration_though_its_next_offset_is_free",
+    ),
+    Switch(
+        "newer heartbeat of an earlier era",
+        "pimentoquay.policy.engine_list:era_of",
+        return_constant(1),
+        _RESTORED + "test_a_gateway_that_started_after_the_restoration_takes_newer_records_"
+        "from_its_peers",
+    ),
+    Switch(
+        "size of a body",
+        "pimentoquay.http1.client:Exchange.read_body",
+        read_body_without_limit,
+        "pimentoquay/gateway/tests/test_endless.py::"
+        "test_a_body_without_end_is_counted_and_opens_the_circuit_at_once",
+    ),
+    Switch(
+        "coordinator rebuilt from reports",
+        "pimentoquay.policy.pool_placement:PoolPlacement.apply_report",
+        return_constant(None),
+        _POOLS + "test_another_coordinator_takes_over_with_the_reports_of_the_gateways",
+    ),
+    Switch(
+        "silent relays are suspected",
+        "pimentoquay.policy.relay_liveness:RelayLiveness.is_heard",
+        return_constant(True),
+        "pimentoquay/gateway/tests/test_mesh.py::"
+        "test_the_loss_of_a_relay_disconnects_no_other_gateway",
+    ),
+    Switch(
+        "engine that refused a grant is avoided",
+        "pimentoquay.policy.pool_placement:PoolPlacement.record_full",
+        return_constant(None),
+        "pimentoquay/policy/tests/test_pools.py::"
+        "test_an_engine_that_refused_granted_memory_is_not_granted_again_at_once",
+    ),
+    Switch(
+        "answer with an id is none of a call",
+        "pimentoquay.gateway.links:is_response_to_call",
+        return_constant(True),
+        "pimentoquay/gateway/tests/test_similar_failures.py::"
+        "test_a_late_copy_of_an_answer_is_not_taken_for_that_of_a_management_call",
+    ),
+    Switch(
+        "quarantine of prompts",
+        "pimentoquay.policy.prompt_quarantine:PromptQuarantine.quarantine_of",
+        return_constant(None),
+        _DEADLY + "test_a_part_of_prompts_that_crashes_engines_crashes_few_of_them",
+    ),
+    Switch(
+        "evidence of prompts told to peers",
+        "pimentoquay.gateway.notices:NoticeExchange.publish",
+        return_constant(None),
+        _DEADLY + "test_gateways_behind_relays_learn_of_a_deadly_part_within_the_contact_time",
+    ),
+    Switch(
+        "quarantines kept in the store",
+        "pimentoquay.gateway.prompt_guard:PromptGuard.pending_records",
+        return_constant(()),
+        _DEADLY + "test_a_deadly_part_stays_in_quarantine_when_all_gateways_start_again",
+    ),
+    Switch(
+        "engine checked after a lost run",
+        "pimentoquay.http1.client:ConnectionPool.check_server",
+        find_server_refusing,
+        _DEADLY + "test_broken_connections_of_engines_that_still_run_are_no_evidence",
+    ),
+    Switch(
+        "answers clear parts of prompts",
+        "pimentoquay.policy.prompt_quarantine:PromptQuarantine.record_success",
+        return_constant(()),
+        _PROMPTS + "test_sound_requests_are_served_soon_though_nothing_was_known_to_be_sound",
+    ),
+    Switch(
+        "trial of a doubtful quarantine",
+        "pimentoquay.policy.prompt_quarantine:PromptQuarantine.begin_trial",
+        return_constant(False),
+        _DEADLY + "test_a_quarantine_ends_when_an_engine_begins_to_answer_such_a_prompt",
+    ),
+)
+"""Mechanisms of the gateway on the users' platform."""
--- a/pimentoquay/bench/mutations/replacements.py
+++ b/pimentoquay/bench/mutations/replacements.py
@@ -21,6 +21,7 @@
     "choose_any_versions",
     "disable_reader_takeover",
     "do_nothing_async",
+    "find_server_refusing",
     "grant_without_owner",
     "keep_expired_lease_number",
     "match_any_attempt",
@@ -222,3 +223,14 @@
         return await original(self, 2**40, seconds)
 
     return read_body
+
+
+def find_server_refusing(original: Any) -> Any:
+    """Return a replacement that finds every server refusing connections."""
+
+    async def check_server(self: Any) -> Any:
+        from pimentoquay.http1 import ServerState
+
+        return ServerState.REFUSING
+
+    return check_server
--- a/pimentoquay/gateway/tests/test_deadly_parts.py
+++ b/pimentoquay/gateway/tests/test_deadly_parts.py
@@ -6,7 +6,9 @@
 import pytest
 
 from pimentoquay.gateway.tests.rig import rig, until
-from pimentoquay.standin.platform_engine import PlatformEngine
+from pimentoquay.messages.fleet import CrashedPrompt, PromptEvidence
+from pimentoquay.platform.store import PROMPT_TOPIC
+from pimentoquay.standin.platform_engine import Behaviour, PlatformEngine
 
 SHARED = b"5c1e07a2:200"
 """First part of all prompts."""
@@ -107,3 +109,163 @@
         await fleet.start(4)
         response = await env.stream(f"/{kind}/a", model=prompt(DEADLY))
         assert response.status == 502 and fleet.crashed
+
+
+def quarantined(gateway):
+    return {part for each in gateway.prompts.quarantines for part in each.parts}
+
+
+async def quarantine(env, fleet, *parts, vm=0):
+    """Send requests by one gateway until it has quarantined each of the parts."""
+    gateway = env.gateway_by_vm[f"vm-{vm + 1}"]
+    for part in parts:
+        async with asyncio.timeout(20.0):
+            while part not in quarantined(gateway):
+                await env.stream(f"/digest/{part}", vm=f"vm-{vm + 1}", model=prompt(part))
+                await env.stream(f"/digest/{part}", vm=f"vm-{vm + 1}", model=prompt())
+
+
+async def test_several_deadly_parts_at_once_are_told_apart_from_sound_ones():
+    bad = ("dead0001", "dead0002", "dead0003")
+    async with rig() as env:
+        for vm in ("vm-2", "vm-3"):
+            await env.add_gateway(vm)
+        fleet = Fleet(env, bad)
+        await fleet.start(16)
+        sound = []
+        for number in range(12):
+            await asyncio.gather(*(send(env, number + k, bad[k], f"50{k}") for k in range(3)))
+            sound += [await send(env, number, f"50{number % 3}"), await send(env, number)]
+        last = [await send(env, 0, part) for part in bad]
+        assert [response.status for response in last] == [503] * 3
+        assert len(fleet.crashed) <= (ALLOWED_CRASHES + ALLOWED_SENDS) * len(bad)
+        assert [each.status for each in sound[-12:]] == [200] * 12
+
+
+async def test_gateways_behind_relays_learn_of_a_deadly_part_within_the_contact_time(relays):
+    async with rig() as env:
+        vms = [f"vm-{number}" for number in range(1, 8)]
+        for vm in vms[1:]:
+            await env.add_gateway(vm)
+        meshes = [env.gateway_by_vm[vm].mesh for vm in vms]
+        await until(lambda: all(len(each.relays.live_relays()) >= 2 for each in meshes), "relays")
+        leaf = next(vm for vm in vms if vm not in meshes[0].plan.relays)
+        fleet = Fleet(env)
+        await fleet.start(6)
+        await quarantine(env, fleet, DEADLY, vm=vms.index(leaf))
+        loop = asyncio.get_running_loop()
+        told_at = loop.time()
+        others = [env.gateway_by_vm[vm] for vm in vms]
+        await until(lambda: all(DEADLY in quarantined(each) for each in others), "all told")
+        assert loop.time() - told_at < 3.0
+
+
+async def test_a_gateway_that_peers_cannot_reach_learns_of_a_deadly_part_from_the_store():
+    async with rig() as env:
+        for vm in ("vm-2", "vm-3"):
+            await env.add_gateway(vm)
+        fleet = Fleet(env)
+        await fleet.start(6)
+        for vm in ("vm-1", "vm-2"):
+            env.network.cut(vm, "vm-3")
+        loop = asyncio.get_running_loop()
+        await quarantine(env, fleet, DEADLY)
+        told_at = loop.time()
+        cut_off = env.gateway_by_vm["vm-3"]
+        await until(lambda: DEADLY in quarantined(cut_off), "told by the store")
+        assert loop.time() - told_at < 3.0
+
+
+async def test_a_deadly_part_stays_in_quarantine_when_all_gateways_start_again():
+    async with rig() as env:
+        fleet = Fleet(env)
+        await fleet.start(6)
+        await quarantine(env, fleet, DEADLY)
+        await until(lambda: env.store._newest_by_topic.get(PROMPT_TOPIC), "stored")
+        await env.stop("vm-1")
+        await env.add_gateway("vm-2")
+        crashes = len(fleet.crashed)
+        response = await env.stream("/digest/a", vm="vm-2", model=prompt(DEADLY))
+        assert response.status == 503 and len(fleet.crashed) == crashes
+        assert (await env.stream("/digest/a", vm="vm-2", model=prompt())).status == 200
+
+
+async def test_a_store_restored_from_an_older_copy_gets_the_quarantines_again():
+    async with rig() as env:
+        fleet = Fleet(env)
+        await fleet.start(6)
+        env.store.make_copy()
+        await quarantine(env, fleet, DEADLY)
+        await until(lambda: env.store._newest_by_topic.get(PROMPT_TOPIC), "stored")
+        env.store.restore()
+        assert not env.store._newest_by_topic.get(PROMPT_TOPIC)
+        await until(lambda: env.store._newest_by_topic.get(PROMPT_TOPIC), "stored again")
+
+
+async def test_a_gateway_that_starts_later_is_told_by_its_peers():
+    async with rig() as env:
+        fleet = Fleet(env)
+        await fleet.start(6)
+        await quarantine(env, fleet, DEADLY)
+        env.store.drop_key(PROMPT_TOPIC, DEADLY)
+        second = await env.add_gateway("vm-2")
+        await until(lambda: DEADLY in quarantined(second), "told on connecting")
+
+
+async def test_broken_connections_of_engines_that_still_run_are_no_evidence():
+    """Engines that lose answers, or garble them, do so under any prompt."""
+    async with rig() as env:
+        for engine_id in ("dec-1", "dec-2"):
+            env.engine_by_id[engine_id].behaviour = lambda arrival: Behaviour.RESET
+        for number in range(6):
+            await env.stream(f"/digest/{number}", model=prompt("5001"))
+        gateway = env.gateway_by_vm["vm-1"]
+        assert gateway.prompts.suspected_parts == frozenset()
+        assert gateway.prompts.reported_crashes == 0
+
+
+async def test_a_waiting_request_is_refused_when_its_part_is_quarantined():
+    async with rig() as env:
+        gateway = env.gateway_by_vm["vm-1"]
+        for engine_id in ("dec-1", "dec-2"):
+            env.engine_by_id[engine_id].pause = 2.0
+        streams = [asyncio.create_task(env.stream(f"/digest/{n}")) for n in range(24)]
+        reservations = gateway.dispatcher._streams._reservations
+        await until(lambda: len(reservations._waiting) >= 4, "some wait")
+        waiting = asyncio.create_task(env.stream("/digest/w", model=prompt(DEADLY)))
+        await asyncio.sleep(0.1)
+        crashed = tuple(CrashedPrompt(f"gone-{n}", 1, (DEADLY,)) for n in range(3))
+        gateway.mesh.notices.receive(PromptEvidence(crashed, ()), "vm-9")
+        async with asyncio.timeout(1.0):
+            response = await waiting
+        assert response.status == 503 and reservations._waiting
+        for task in streams:
+            task.cancel()
+        await asyncio.gather(*streams, return_exceptions=True)
+
+
+async def test_a_quarantine_ends_when_an_engine_begins_to_answer_such_a_prompt():
+    """Three engines ended while sound requests waited there; the next one shows that by a trial."""
+    async with rig() as env:
+        second = await env.add_gateway("vm-2")
+        gateway = env.gateway_by_vm["vm-1"]
+        crashed = tuple(CrashedPrompt(f"gone-{n}", 1, ("5001", f"own-{n}")) for n in range(3))
+        gateway.mesh.notices.receive(PromptEvidence(crashed, ()), "vm-9")
+        await until(lambda: "5001" in quarantined(second), "quarantined")
+        responses = []
+        async with asyncio.timeout(15.0):
+            while "5001" in quarantined(gateway) or "5001" in quarantined(second):
+                responses.append(await env.stream("/digest/a", model=prompt("5001")))
+                await asyncio.sleep(0.05)
+        assert responses[0].status == 503 and responses[-1].status == 200
+        assert gateway.prompts.trials + second.prompts.trials == 1
+        await until(lambda: not env.store._newest_by_topic.get(PROMPT_TOPIC), "not stored")
+
+
+async def test_invalid_records_of_quarantines_are_ignored():
+    async with rig() as env:
+        for number, value in enumerate((b"x", b"[]", b'{"parts": 3}', b'{"engines": [[1]]}')):
+            await env.store.put(PROMPT_TOPIC, f"bad-{number}", value)
+        response = await env.stream("/digest/a", model=prompt("5001"))
+        assert response.status == 200
+        assert not env.gateway_by_vm["vm-1"].prompts.quarantines
--- a/pimentoquay/gateway/tests/test_notices.py
+++ b/pimentoquay/gateway/tests/test_notices.py
@@ -41,6 +41,8 @@
 async def test_peers_learn_that_an_engine_is_leaving_also_those_that_connect_later():
     async with rig() as env:
         second = await env.add_gateway("vm-2")
+        # Both have dialled; a channel that opens later would tell all that is known.
+        await until(lambda: len(second.peers.channels("gateway")) == 2, "both channels")
         env.engine_by_id["dec-1"].is_leaving = True
         await env.stream()
         await env.stream()
--- a/pimentoquay/policy/prompt_quarantine.py
+++ b/pimentoquay/policy/prompt_quarantine.py
@@ -48,7 +48,10 @@
 """The same time for a quarantine that is certain; it is doubled with each further crash."""
 
 MAX_TRIED_CRASHES = 5
-"""Crashes from which on a quarantine that is certain is not tried again."""
+"""Crashes from which on a quarantine that is certain is not tried again.
+
+One of them without another possible cause makes it certain then.
+"""
 
 TRIAL_TURN_SECONDS = 0.5
 """Time in which one VM may begin a trial, in seconds; an answer usually begins within it."""
@@ -129,7 +132,9 @@
             if any(common <= parts for parts in reports)
         }
         conclusive = [each for each in explained if _is_conclusive(unexplained[each], common)]
-        is_certain = len(conclusive) >= MIN_CONCLUSIVE_CRASHES
+        is_certain = len(conclusive) >= MIN_CONCLUSIVE_CRASHES or (
+            len(conclusive) > 0 and len(explained) >= MAX_TRIED_CRASHES
+        )
         found.append(Quarantine(common, frozenset(explained), is_certain))
         unexplained = {
             engine: reports for engine, reports in unexplained.items() if engine not in explained
@@ -158,7 +163,7 @@
 
 def _is_conclusive(reports: Collection[Parts], common: Parts) -> bool:
     """Return whether nothing but a combination can have caused a crash."""
-    return common in reports and all(common <= parts for parts in reports)
+    return all(parts == common for parts in reports)
 
 
 class PromptQuarantine:
--- a/pimentoquay/policy/tests/test_prompt_quarantine.py
+++ b/pimentoquay/policy/tests/test_prompt_quarantine.py
@@ -169,6 +169,13 @@
     )
 
 
+def test_requests_with_other_suspected_parts_leave_a_quarantine_in_doubt():
+    """Either request may have crashed the engine if neither part has been cleared."""
+    reports = [crash(n, "all", f"bad-{n}") for n in range(3)]
+    known = quarantine_of(*reports, *(crash(n, "all") for n in range(3)))
+    assert known.quarantines[0].parts == {"all"} and not known.quarantines[0].is_certain
+
+
 def test_a_bystander_at_every_crash_leaves_a_quarantine_in_doubt():
     reports = [crash(n, "bad") for n in range(4)]
     known = quarantine_of(*reports, *(crash(n, f"own-{n}") for n in range(3)))
