Keep deadly parts in quarantine that crash engines together

Cause: requests with two deadly parts were at the same engines when these crashed, and the part with more crashes explained those of the other, which was released until its next crash, in turn.

--- a/pimentoquay/policy/prompt_quarantine.py
+++ b/pimentoquay/policy/prompt_quarantine.py
@@ -102,7 +102,7 @@
     """Return what crashes have in common, the combination with the most crashes first.
 
     Failure pattern: one or more parts that crash engines, among sound requests that waited at the
-    same engines. A crash that one combination explains is no evidence for another one.
+    same engines. Parts all of whose crashes are explained by other ones are not blamed.
 
     Parameters
     ----------
@@ -119,46 +119,49 @@
     >>> [sorted(each.parts) for each in find_quarantines(reports)]
     [['bad']]
     """
-    unexplained = dict(parts_by_crash)
+    unexplained = set(parts_by_crash)
     found = []
-    while (suspect := _likeliest_part(unexplained)) is not None:
+    while (suspect := _likeliest_part(parts_by_crash, unexplained)) is not None:
         containing = [
-            parts for reports in unexplained.values() for parts in reports if suspect in parts
+            parts for reports in parts_by_crash.values() for parts in reports if suspect in parts
         ]
         common = frozenset.intersection(*containing)
-        explained = {
+        crashes = frozenset(
             engine
-            for engine, reports in unexplained.items()
+            for engine, reports in parts_by_crash.items()
             if any(common <= parts for parts in reports)
-        }
-        conclusive = [each for each in explained if _is_conclusive(unexplained[each], common)]
-        is_certain = len(conclusive) >= MIN_CONCLUSIVE_CRASHES or (
-            len(conclusive) > 0 and len(explained) >= MAX_TRIED_CRASHES
         )
-        found.append(Quarantine(common, frozenset(explained), is_certain))
-        unexplained = {
-            engine: reports for engine, reports in unexplained.items() if engine not in explained
-        }
+        conclusive = sum(_is_conclusive(parts_by_crash[each], common) for each in crashes)
+        is_certain = conclusive >= MIN_CONCLUSIVE_CRASHES or (
+            conclusive > 0 and len(crashes) >= MAX_TRIED_CRASHES
+        )
+        found.append(Quarantine(common, crashes, is_certain))
+        unexplained -= crashes
     return tuple(found)
 
 
-def _likeliest_part(parts_by_crash: Mapping[EngineStart, Collection[Parts]]) -> str | None:
-    """Return the part with the most crashes, or ``None`` if none has enough."""
-    reports_by_part: dict[str, list[EngineStart]] = {}
+def _likeliest_part(
+    parts_by_crash: Mapping[EngineStart, Collection[Parts]], unexplained: Collection[EngineStart]
+) -> str | None:
+    """Return the part with enough crashes that explains most of the unexplained ones, if any."""
+    crashes_by_part: dict[str, list[EngineStart]] = {}
     for engine, reports in parts_by_crash.items():
         for parts in reports:
             for part in parts:
-                reports_by_part.setdefault(part, []).append(engine)
+                crashes_by_part.setdefault(part, []).append(engine)
 
-    def rank(part: str) -> tuple[int, int, str]:
-        engines = reports_by_part[part]
+    def rank(part: str) -> tuple[int, int, int, str]:
+        reported = crashes_by_part[part]
+        crashes = set(reported)
         # Of parts with the same crashes, fewer requests have the more specific one.
-        return len(set(engines)), -len(engines), part
-
-    likeliest = max(reports_by_part, key=rank, default=None)
-    if likeliest is None or rank(likeliest)[0] < MIN_CRASHES:
-        return None
-    return likeliest
+        return len(crashes.intersection(unexplained)), len(crashes), -len(reported), part
+
+    candidates = [
+        part
+        for part, reported in crashes_by_part.items()
+        if len(set(reported)) >= MIN_CRASHES and not set(reported).isdisjoint(unexplained)
+    ]
+    return max(candidates, key=rank, default=None)
 
 
 def _is_conclusive(reports: Collection[Parts], common: Parts) -> bool:
--- a/pimentoquay/policy/tests/test_prompt_quarantine.py
+++ b/pimentoquay/policy/tests/test_prompt_quarantine.py
@@ -82,6 +82,15 @@
     }
 
 
+def test_deadly_parts_that_crash_engines_together_stay_in_quarantine():
+    """Each new crash of one released the other, whose crashes it seemed to explain."""
+    shared = [crash(n, f"bad-{k}") for n in range(2) for k in range(2)]
+    known = quarantine_of(*shared, *(crash(10 + k, f"bad-{k}") for k in range(2)))
+    for number in range(20, 24):
+        assert known.quarantine_of(("bad-0",)) and known.quarantine_of(("bad-1",))
+        known.add((crash(number, f"bad-{number % 2}"),), (), 1.0)
+
+
 def test_an_answer_that_begins_clears_the_crashes_before_it():
     known = quarantine_of(*(crash(number, "all") for number in range(3)))
     assert known.quarantine_of(("all",)) is not None
