Take a stream without length or chunks that ends before its first event as broken off

What callers saw: 200 with an empty, complete body. An engine that crashes ends its connection, and so does the end of an answer without length or chunks, so a crash right after the head looked like a whole answer. The two cases of the new tests with only a head failed before. Answers without length or chunks that end in good order, within an event or by a reset were handled right and are tested now.

--- a/pimentoquay/gateway/stream_progress.py
+++ b/pimentoquay/gateway/stream_progress.py
@@ -5,6 +5,7 @@
 
 from pimentoquay.gateway.events import EventSplitter, StreamEvent
 from pimentoquay.http1 import Exchange, HeaderList, ServerState
+from pimentoquay.kernel.errors import HttpError
 from pimentoquay.policy.fleet import TokenMemory
 
 __all__ = [
@@ -12,6 +13,7 @@
     "RunEndedError",
     "StreamProgress",
     "check_event_order",
+    "check_stream_end",
     "next_events",
     "output_tokens",
 ]
@@ -99,3 +101,12 @@
         if last is not None and event.id != last + 1:
             raise RunEndedError(f"event {event.id} came after {last}", True)
         progress.last_event = event.id
+
+
+def check_stream_end(exchange: Exchange, splitter: EventSplitter, progress: StreamProgress) -> None:
+    """Raise ``RunEndedError`` or ``HttpError`` if a stream that has ended was broken off."""
+    if splitter.remainder:
+        raise RunEndedError("stream ended within an event", True)
+    if exchange.is_unframed and progress.last_event is None:
+        # The end of the connection marks the end of the stream, also when the engine has crashed.
+        raise HttpError("stream ended before its first event", True, connection_lost=True)
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -17,6 +17,7 @@
     RunEndedError,
     StreamProgress,
     check_event_order,
+    check_stream_end,
     next_events,
     output_tokens,
 )
@@ -301,8 +302,7 @@
                 job.metrics.record_first_event(job.age())
             reply.write(b"".join(event.data for event in events))
             await reply.drain()
-        if splitter.remainder:
-            raise RunEndedError("stream ended within an event", True)
+        check_stream_end(exchange, splitter, progress)
         if not reply.started:
             reply.start(exchange.status, end_to_end_headers(exchange.headers))
         reply.end()
--- a/pimentoquay/gateway/tests/test_deadly_parts.py
+++ b/pimentoquay/gateway/tests/test_deadly_parts.py
@@ -269,3 +269,14 @@
         response = await env.stream("/digest/a", model=prompt("5001"))
         assert response.status == 200
         assert not env.gateway_by_vm["vm-1"].prompts.quarantines
+
+
+async def test_an_engine_that_crashes_under_an_answer_without_length_or_chunks_is_evidence():
+    async with rig() as env:
+        gateway = env.gateway_by_vm["vm-1"]
+        engines = [env.engine_by_id["dec-1"], env.engine_by_id["dec-2"]]
+        for engine in engines:
+            engine.behaviour = lambda arrival: Behaviour.UNFRAMED_CRASH
+        assert (await env.stream("/digest/a", model=prompt(DEADLY))).status == 502
+        assert all(engine.is_crashed for engine in engines)
+        assert DEADLY in gateway.prompts.suspected_parts
--- a/pimentoquay/gateway/tests/test_plain.py
+++ b/pimentoquay/gateway/tests/test_plain.py
@@ -129,3 +129,21 @@
         await until(lambda: fleet.configuration.version == 2, "version 2")
         set_behaviour(env, Behaviour.MUTE)
         assert (await env.send_request("/order/a")).status == 504
+
+
+async def test_an_answer_without_length_or_chunks_is_whole_at_the_end_of_its_connection():
+    async with rig() as env:
+        set_behaviour(env, Behaviour.UNFRAMED)
+        for path in ("/look/a", "/order/a"):
+            response = await env.send_request(path)
+            assert (response.status, response.is_whole) == (200, True)
+            assert response.body.startswith(b"answer of desk-")
+
+
+async def test_an_answer_without_length_or_chunks_whose_connection_is_reset_is_not_whole():
+    async with rig() as env:
+        set_behaviour(env, Behaviour.UNFRAMED_RESET)
+        assert (await env.send_request("/order/a")).status == 502
+        assert len(plain_arrivals(env)) == 1
+        set_behaviour(env, Behaviour.UNFRAMED_RESET, Behaviour.SERVE)
+        assert (await env.send_request("/look/a")).status == 200
--- a/pimentoquay/gateway/tests/test_streams.py
+++ b/pimentoquay/gateway/tests/test_streams.py
@@ -66,6 +66,43 @@
         assert len(decodes(env)) == 1
 
 
+@pytest.mark.parametrize("path", ["/digest/a", "/sheet/a"])
+async def test_a_stream_without_length_or_chunks_is_whole_at_the_end_of_its_connection(path):
+    async with rig() as env:
+        set_first_behaviour(env, Behaviour.UNFRAMED)
+        response = await env.stream(path)
+        assert (response.status, response.body, response.is_whole) == (200, WHOLE, True)
+        assert len(decodes(env)) == 1
+        assert (await env.stream(path)).is_whole
+
+
+UNFRAMED_FAILURES = (
+    Behaviour.UNFRAMED_HALF_EVENT,
+    Behaviour.UNFRAMED_EMPTY,
+    Behaviour.UNFRAMED_RESET,
+)
+
+
+@pytest.mark.parametrize("behaviour", UNFRAMED_FAILURES)
+async def test_a_stream_without_length_or_chunks_that_was_broken_off_is_resumed(behaviour):
+    async with rig() as env:
+        set_first_behaviour(env, behaviour)
+        response = await env.stream()
+        assert (response.status, response.body, response.is_whole) == (200, WHOLE, True)
+        assert len(decodes(env)) == 2
+
+
+@pytest.mark.parametrize("behaviour", UNFRAMED_FAILURES)
+async def test_a_stream_without_length_or_chunks_that_may_not_be_resumed_never_looks_whole(
+    behaviour,
+):
+    async with rig() as env:
+        set_first_behaviour(env, behaviour)
+        response = await env.stream("/sheet/a")
+        assert len(decodes(env)) == 1
+        assert response.status == 502 or (not response.is_whole and WHOLE.startswith(response.body))
+
+
 async def test_a_stream_that_provably_did_not_run_is_sent_again():
     async with rig() as env:
         set_first_behaviour(env, Behaviour.SHED)
--- a/pimentoquay/http1/client.py
+++ b/pimentoquay/http1/client.py
@@ -15,7 +15,7 @@
 import h11
 
 from pimentoquay.http1.client_connection import ClientConnection, ResponseFilter, ReusePolicy
-from pimentoquay.http1.headers import HeaderList
+from pimentoquay.http1.headers import HeaderList, find_header
 from pimentoquay.kernel.errors import HttpError, ResponseTooLargeError
 from pimentoquay.transport.websocket import split_address
 
@@ -165,6 +165,12 @@
         self.status = 0
         self.headers: HeaderList = ()
 
+    @property
+    def is_unframed(self) -> bool:
+        """Whether the response has neither a length nor chunks, so that its connection ends it."""
+        framing = (b"content-length", b"transfer-encoding")
+        return all(find_header(self.headers, name) is None for name in framing)
+
     async def read_head(self, seconds: float | None = None) -> None:
         """Wait for the status and headers; ``HttpError`` if they do not arrive."""
         event = await self._next_event(seconds)
--- a/pimentoquay/standin/platform_engine.py
+++ b/pimentoquay/standin/platform_engine.py
@@ -7,6 +7,8 @@
 
 import asyncio
 import json
+import socket
+import struct
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
@@ -30,10 +32,24 @@
     MUTE = "run and never answer"
     BREAK = "stream three events, then reset the connection"
     HALF_EVENT = "stream two events and a half, then end the connection"
+    UNFRAMED = "answer without a length or chunks, and end the connection"
+    UNFRAMED_HALF_EVENT = "the same, but end the connection within the third event"
+    UNFRAMED_EMPTY = "the same, but end the connection after the head"
+    UNFRAMED_RESET = "the same, but reset the connection after the third event"
+    UNFRAMED_CRASH = "the same, but crash after the head"
     UNSIGNED = "run and answer without a signature"
     ENCODED = "run and answer with an encoded body"
 
 
+_UNFRAMED = (
+    Behaviour.UNFRAMED,
+    Behaviour.UNFRAMED_HALF_EVENT,
+    Behaviour.UNFRAMED_EMPTY,
+    Behaviour.UNFRAMED_RESET,
+    Behaviour.UNFRAMED_CRASH,
+)
+
+
 @dataclass(frozen=True)
 class Arrival:
     """Request as it was received; header names are in lower case."""
@@ -211,6 +227,10 @@
             (b"Pimentoquay-Request-Id", request_id),
             (b"Pimentoquay-Server-Stamp", f"stamp-{self.id}".encode()),
         )
+        altered = {
+            Behaviour.UNSIGNED: (headers[:1], b"not an engine's"),
+            Behaviour.ENCODED: ((*headers, (b"Content-Encoding", b"gzip")), b"packed"),
+        }
         if behaviour is Behaviour.SHED:
             reply.send(503, ((b"Pimentoquay-Not-Executed", b"1"),), b"")
         elif behaviour is Behaviour.MISDIRECTED:
@@ -221,10 +241,10 @@
             reply.abort()
         elif behaviour is Behaviour.MUTE:
             await self._wait_for_caller()
-        elif behaviour is Behaviour.UNSIGNED:
-            reply.send(200, headers[:1], b"not an engine's")
-        elif behaviour is Behaviour.ENCODED:
-            reply.send(200, (*headers, (b"Content-Encoding", b"gzip")), b"packed")
+        elif behaviour in altered:
+            reply.send(200, *altered[behaviour])
+        elif behaviour in _UNFRAMED and not arrival.is_prefill:
+            await self._send_unframed(behaviour, headers, reply)
         elif arrival.is_prefill:
             answer = {"kvHandle": f"kv{len(self.arrivals)}", "tokens": 10, "version": 1}
             reply.send(200, headers[:1], json.dumps(answer).encode())
@@ -233,6 +253,33 @@
         else:
             reply.send(200, headers, b"answer of " + self.id.encode())
 
+    async def _send_unframed(
+        self, behaviour: Behaviour, headers: tuple[tuple[bytes, bytes], ...], reply: Reply
+    ) -> None:
+        """Send an answer whose end is that of its connection, past the server's framing."""
+        transport = reply._connection._transport
+        lines = [b"HTTP/1.1 200 OK", *(b": ".join(pair) for pair in headers), b"", b""]
+        transport.write(b"\r\n".join(lines))
+        count = self.events if behaviour is Behaviour.UNFRAMED else 3
+        events = [
+            f"id: {number}\ndata: piece {number}\n\n".encode() for number in range(1, count + 1)
+        ]
+        body = b"".join(events) if self.stage else b"answer of " + self.id.encode()
+        if behaviour is Behaviour.UNFRAMED_HALF_EVENT:
+            body = body[:-4]
+        elif behaviour in (Behaviour.UNFRAMED_EMPTY, Behaviour.UNFRAMED_CRASH):
+            body = b""
+        transport.write(body)
+        await asyncio.sleep(0.02)
+        if behaviour is Behaviour.UNFRAMED_RESET:
+            sock = transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            transport.abort()
+        else:
+            transport.close()
+        if behaviour is Behaviour.UNFRAMED_CRASH:
+            self.crash()
+
     async def _wait_for_caller(self) -> None:
         self.running += 1
         try:
