--- a/pimentoquay/gateway/links.py
+++ b/pimentoquay/gateway/links.py
@@ -62,6 +62,7 @@
         self.entry = entry
         self._on_oversized = on_oversized
         self.on_leaving: Callable[[EngineStart], None] = lambda start: None
+        self._logged_limit: float | None = None
         self._circuits = circuits
         self._notices = notices
         self.calls = EngineCalls(entry.id, entry.address)
@@ -173,6 +174,9 @@
         if notice.pause_seconds is not None:
             self._notices.record_pause(start, notice.pause_seconds, now)
             logger.bind(engine=start.id, seconds=notice.pause_seconds).info("engine paused")
+        if notice.names_limit and notice.limit != self._logged_limit:
+            self._logged_limit = notice.limit
+            logger.bind(engine=start.id, limit=notice.limit).info("engine names a limit")
 
     def _start_probe_if_due(self) -> str:
         """Return an id for an exchange, which is made the circuit's probe if one is due."""
--- a/pimentoquay/platform/responses.py
+++ b/pimentoquay/platform/responses.py
@@ -1,5 +1,6 @@
 """Decode the status and headers of engines' responses, and the body of a prefill response."""
 
+import re
 from dataclasses import dataclass
 
 from pimentoquay.http1.headers import HeaderList, find_header
@@ -20,6 +21,8 @@
 _SIGNATURE = b"pimentoquay-server-stamp"
 _NOT_RUN = b"pimentoquay-not-executed"
 _LEAVING = b"server-leaving"
+_LIMIT = b"server-limit"
+_DECIMAL = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 _INSTANCE = b"pimentoquay-instance-id"
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
@@ -55,10 +58,14 @@
     """What an engine says about itself in any response.
 
     ``pause_seconds`` is the time for which it wants no requests, or None if it states none.
+    ``names_limit`` is whether it names a limit, and ``limit`` the requests a second that it takes
+    from all VMs together, or None if it names none or the value is no decimal number.
     """
 
     is_leaving: bool
     pause_seconds: float | None
+    names_limit: bool = False
+    limit: float | None = None
 
 
 @dataclass(frozen=True)
@@ -91,7 +98,14 @@
         return EngineNotice(False, None)
     is_leaving = (find_header(headers, _LEAVING) or b"").strip() == b"1"
     pause = find_header(headers, b"retry-after") if status == _UNAVAILABLE else None
-    return EngineNotice(is_leaving, _parse_pause(pause))
+    limit = find_header(headers, _LIMIT)
+    return EngineNotice(
+        is_leaving, _parse_pause(pause), limit is not None, _parse_limit(limit or b"")
+    )
+
+
+def _parse_limit(value: bytes) -> float | None:
+    return float(value) if _DECIMAL.fullmatch(value.strip()) else None
 
 
 def _parse_pause(value: bytes | None) -> float | None:
--- a/pimentoquay/platform/tests/test_decoding.py
+++ b/pimentoquay/platform/tests/test_decoding.py
@@ -13,6 +13,7 @@
     parse_response,
 )
 from pimentoquay.platform.fields import DecodeError
+from pimentoquay.platform.responses import parse_notice
 from pimentoquay.policy.fleet import EngineStage, RepeatRule
 
 ENTRY = {
@@ -168,3 +169,26 @@
     )
     model = parse_request(headers).model
     assert model is not None and model.shared_parts == parts
+
+
+@pytest.mark.parametrize(
+    ("value", "limit"),
+    [
+        (b"1.8", 1.8),
+        (b" 3 ", 3.0),
+        (b"0", 0.0),
+        (b"-2", None),
+        (b"1,8", None),
+        (b"nan", None),
+        (b"inf", None),
+        (b"1e9", None),
+        (b"9" * 400, None),
+        (b"", None),
+    ],
+)
+def test_the_limit_that_an_engine_names_is_decoded(value, limit):
+    notice = parse_notice("i-1", 200, ((b"Server-Limit", value),))
+    assert (notice.names_limit, notice.limit) == (True, limit)
+    assert not parse_notice("i-1", 200, ()).names_limit
+    other = ((b"Server-Limit", b"2"), (b"Pimentoquay-Instance-Id", b"i-2"))
+    assert not parse_notice("i-1", 200, other).names_limit
