--- a/pimentoquay/standin/platform_engine.py
+++ b/pimentoquay/standin/platform_engine.py
@@ -109,6 +109,8 @@
         Whether all responses say that the engine is leaving.
     retry_after
         Value of the header that asks for a pause; if set, requests are answered with status 503.
+    limit
+        Value of the header that names the requests a second which it takes from all VMs together.
     calls
         Number of received requests of all kinds.
     deadly_parts
@@ -138,6 +140,7 @@
     orders: list[dict] = field(default_factory=list)
     is_leaving: bool = False
     retry_after: str = ""
+    limit: str = ""
     calls: int = 0
     deadly_parts: frozenset[str] = frozenset()
     on_crash: Callable[["PlatformEngine"], None] = lambda engine: None
@@ -184,6 +187,8 @@
         self.calls += 1
         if self.is_leaving:
             reply.default_headers = ((b"Server-Leaving", b"1"),)
+        if self.limit:
+            reply.default_headers += ((b"Server-Limit", self.limit.encode()),)
         if self.retry_after:
             pause = (b"Retry-After", self.retry_after.encode())
             reply.send(503, ((b"Pimentoquay-Not-Executed", b"1"), pause), b"")
