Move what a gateway knows of its peers' presence to a class of its own

New is running_vms, the VMs that run or may still run, which the shares of engines' limits will be computed by. No other behaviour changes.

--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection
 from dataclasses import replace
 from functools import singledispatchmethod
 from typing import Any
@@ -17,6 +17,7 @@
 )
 from pimentoquay.gateway.notices import NoticeExchange
 from pimentoquay.gateway.peer_loads import PeerLoadTable
+from pimentoquay.gateway.peer_presence import PeerPresence
 from pimentoquay.gateway.relays import TIMEOUT_SECONDS, RelayNetwork
 from pimentoquay.kernel import Channel, ChannelClosed, ChannelOpened, Envelope, Node
 from pimentoquay.kernel.logs import logger
@@ -50,14 +51,6 @@
 MAX_MISSED_HEARTBEATS = 4
 """Missed heartbeats after which a channel, or a VM known only through relays, counts as lost."""
 
-LOST_PEER_SECONDS = 15.0
-"""Time for which a lost peer may still run requests; the longest timeout of callers. A peer that
-has ended runs none, but cannot be distinguished from one that is cut off."""
-
-LOST_PEER_SHARE = 0.1
-"""Share of lost VMs above which the known loads count as incomplete; one lost VM of seven exceeds
-it, one of eighty does not."""
-
 
 class Mesh:
     """Channels to the other gateways and the state that is exchanged over them.
@@ -96,10 +89,7 @@
         self._vm = node.identity.vm
         own = VmAddress(self._vm, address, node.identity.data_centre, -1)
         self._address_by_vm: dict[str, VmAddress] = {self._vm: own}
-        self._started_at = node.timers.now()
-        self._lost_at_by_vm: dict[str, float] = {}
-        self._last_seen_at_by_vm: dict[str, float] = {}
-        self._last_direct_at_by_vm: dict[str, float] = {}
+        self._presence = PeerPresence(node.timers.now, HEARTBEAT_SECONDS)
         self._seen_fences: set[int] = set()
         self.load_exchange = LoadExchange(
             node, lambda: loads.current(self.is_draining), self._channels
@@ -140,7 +130,7 @@
     @property
     def gateway_count(self) -> int:
         """Number of known gateways, including this one, which share the deployment's limits."""
-        return max(len(self._address_by_vm), 1 + len(self._last_seen_at_by_vm))
+        return max(len(self._address_by_vm), 1 + len(self._presence.last_seen_at_by_vm))
 
     @property
     def turn_order(self) -> tuple[int, int]:
@@ -150,12 +140,14 @@
     @property
     def has_incomplete_view(self) -> bool:
         """Whether too many peers may still be running whose loads are unknown here."""
-        now = self._node.timers.now()
-        lost = sum(now - lost_at < LOST_PEER_SECONDS for lost_at in self._lost_at_by_vm.values())
-        return (
-            now - self._started_at < HEARTBEAT_SECONDS
-            or lost > LOST_PEER_SHARE * self.gateway_count
-        )
+        return self._presence.has_incomplete_view(self.gateway_count)
+
+    def running_vms(self) -> frozenset[str]:
+        """Return the VMs that run or may still be running, including this one."""
+        known = self._address_by_vm.keys()
+        if self.plan.is_full:
+            return self._presence.may_be_running(known) | {self._vm}
+        return frozenset(known)
 
     def is_reader(self) -> bool:
         """Return whether this gateway polls the store for its peers.
@@ -165,8 +157,8 @@
         """
         if not self.plan.is_full:
             return self.relays.is_first_relay()
-        active_vms = (vm for vm in self._last_seen_at_by_vm if not self.loads.is_draining(vm))
-        return all(self._vm < vm for vm in active_vms)
+        heard = self._presence.last_seen_at_by_vm
+        return all(self._vm < vm for vm in heard if not self.loads.is_draining(vm))
 
     async def run(self) -> None:
         """Handle messages from peers until cancelled."""
@@ -190,7 +182,7 @@
         """Dial seed addresses that belong to no known VM, unless a peer is known to be alive."""
         known = {each.address for each in self._address_by_vm.values()}
         wanted = {f"seed {each}": each for each in addresses if each not in known}
-        if not self._last_seen_at_by_vm and wanted:
+        if not self._presence.last_seen_at_by_vm and wanted:
             self._peers.set_targets({**self._dial_addresses(), **wanted})
 
     def publish(self, message: FleetCopy | StageOrdered) -> None:
@@ -228,7 +220,7 @@
             suspected = self.relays.liveness.suspected(self._node.timers.now())
             reachable: Collection[str] = data_centre_by_vm.keys() - suspected
         else:
-            reachable = self._last_seen_at_by_vm
+            reachable = self._presence.last_seen_at_by_vm
         self.relays.update_plan(plan_mesh(self._vm, data_centre_by_vm, reachable))
         self.load_exchange.is_active = self.plan.is_full
         for callback in self.on_plan_changed:
@@ -251,15 +243,9 @@
     def _receive(self, envelope: Envelope) -> None:
         channel = envelope.channel
         if channel is not None:
-            self._last_direct_at_by_vm[channel.peer.vm] = self._node.timers.now()
-            self._record_seen((channel.peer.vm,))
+            self._presence.record_direct(channel.peer.vm)
         self._dispatch(envelope.message, envelope)
 
-    def _record_seen(self, vms: Iterable[str]) -> None:
-        now = self._node.timers.now()
-        for vm in vms:
-            self._last_seen_at_by_vm[vm] = now
-
     @singledispatchmethod
     def _dispatch(self, message: Any, envelope: Envelope) -> None:
         raise TypeError(f"unexpected message type {type(message).__name__}")
@@ -267,8 +253,7 @@
     @_dispatch.register
     def _handle_opened(self, message: ChannelOpened, envelope: Envelope) -> None:
         channel = message.channel
-        self._last_direct_at_by_vm[channel.peer.vm] = self._node.timers.now()
-        self._record_seen((channel.peer.vm,))
+        self._presence.record_direct(channel.peer.vm)
         self.load_exchange.update_incarnation(channel.peer.vm, channel.peer.incarnation)
         self.relays.forget_vm(channel.peer.vm)
         channel.send(replace(self._fleet.snapshot(), vms=tuple(self._address_by_vm.values())))
@@ -354,9 +339,9 @@
     def _handle_loads(self, message: PeerLoads, envelope: Envelope) -> None:
         newer_loads = self.load_exchange.receive(message, _source(envelope))
         for vm, load in newer_loads:
-            self._lost_at_by_vm.pop(vm, None)
+            self._presence.record_alive(vm)
             self.loads.apply(vm, load)
-        self._record_seen(vm for vm, _ in newer_loads)
+        self._presence.record_seen(vm for vm, _ in newer_loads)
         if newer_loads:
             for callback in self.on_load_changed:
                 callback()
@@ -364,25 +349,21 @@
     def _heartbeat(self) -> None:
         self.load_exchange.send_to_all()
         self.relays.send_heartbeats()
-        now = self._node.timers.now()
         timeout = (
             MAX_MISSED_HEARTBEATS * HEARTBEAT_SECONDS if self.plan.is_full else TIMEOUT_SECONDS
         )
         for channel in self._peers.channels(PROCESS):
             # If both sides have dialled, a peer sends on only one of the two channels.
-            if now - self._last_direct_at_by_vm.get(channel.peer.vm, now) > timeout:
+            if self._presence.is_channel_silent(channel.peer.vm, timeout):
                 logger.bind(peer=channel.peer.vm).warning("peer is silent; closing its channel")
                 task = asyncio.ensure_future(channel.close())
                 task.add_done_callback(lambda done: done.cancelled() or done.exception())
-        for vm, last_seen_at in tuple(self._last_seen_at_by_vm.items()):
-            if now - last_seen_at > timeout:
-                self._drop_peer(vm)
+        for vm in self._presence.silent(timeout):
+            self._drop_peer(vm)
         self._update_plan()
 
     def _drop_peer(self, vm: str) -> None:
-        if self._last_seen_at_by_vm.pop(vm, None) is not None:
-            if not self.loads.is_draining(vm):
-                self._lost_at_by_vm[vm] = self._node.timers.now()
+        if self._presence.drop(vm, self.loads.is_draining(vm)):
             logger.bind(peer=vm).info("peer lost")
         self.load_exchange.forget_vm(vm)
         self.loads.remove(vm)
