Keep to the limit of requests that an engine names, over all VMs

What callers saw: nothing; an engine in need got as many requests as before.

Cause: the header Server-Limit was not read. Read by each gateway alone, it would still be exceeded as many times as there are gateways, and be learned late by those that use the engine least.

Change: the newest limit of each start of an engine is told to all gateways, as leaving engines are. Each takes an equal share; where shares would be too small to send anything within the bound, some gateways, alike by all views, use the engine and the others do not. Unused shares are not saved up. Coordinators count what they grant against the whole limit. A request goes to another engine when a share is used up, and is refused at once with the time of the next place if all are. A garbled value leaves the limit before in force; a response without it to a later request ends it.

--- a/pimentoquay/bench/mutations/gateway_switches.py
+++ b/pimentoquay/bench/mutations/gateway_switches.py
@@ -2,8 +2,10 @@
 
 from pimentoquay.bench.mutations.replacements import (
     find_server_refusing,
+    learn_as_seen_now,
     read_body_without_limit,
     return_constant,
+    use_whole_limit,
 )
 from pimentoquay.bench.mutations.switch import Switch
 
@@ -13,6 +15,8 @@
 _POOLS = "pimentoquay/gateway/tests/test_pools.py::"
 _RESTORED = "pimentoquay/gateway/tests/test_store_restored.py::"
 _DEADLY = "pimentoquay/gateway/tests/test_deadly_parts.py::"
+_LIMITS = "pimentoquay/gateway/tests/test_engine_limits.py::"
+_LIMITS_POLICY = "pimentoquay/policy/tests/test_engine_limits.py::"
 _PROMPTS = "pimentoquay/policy/tests/test_prompt_quarantine.py::"
 
 GATEWAY_SWITCHES = (
@@ -130,5 +134,41 @@
         return_constant(False),
         _DEADLY + "test_a_quarantine_ends_when_an_engine_begins_to_answer_such_a_prompt",
     ),
+    Switch(
+        "limit of an engine",
+        "pimentoquay.policy.engine_limits:EngineLimits.record_response",
+        return_constant(None),
+        _LIMITS + "test_an_engine_that_names_a_limit_gets_no_more_from_all_gateways_together",
+    ),
+    Switch(
+        "limits shared among all VMs",
+        "pimentoquay.policy.engine_limits:share_of",
+        use_whole_limit,
+        _LIMITS + "test_an_engine_that_names_a_limit_gets_no_more_from_all_gateways_together",
+    ),
+    Switch(
+        "limits told to peers",
+        "pimentoquay.gateway.notices:LimitNotices.report",
+        return_constant(None),
+        _LIMITS + "test_gateways_behind_relays_and_those_that_start_later_learn_of_a_limit",
+    ),
+    Switch(
+        "requests over the limits refused",
+        "pimentoquay.gateway.shared_state:SharedState.refuse_over_limit",
+        return_constant(None),
+        _LIMITS + "test_requests_over_the_limits_of_all_engines_are_refused_at_once",
+    ),
+    Switch(
+        "later response decides on a limit",
+        "pimentoquay.policy.engine_limits:EngineLimits.learn",
+        learn_as_seen_now,
+        _LIMITS_POLICY + "test_the_latest_response_decides_wherever_it_was_seen",
+    ),
+    Switch(
+        "limits kept by coordinators",
+        "pimentoquay.policy.engine_limits:EngineLimits.may_grant",
+        return_constant(True),
+        _LIMITS + "test_a_coordinator_keeps_the_limits_of_the_engines_that_it_grants",
+    ),
 )
 """Mechanisms of the gateway on the users' platform."""
--- a/pimentoquay/bench/mutations/replacements.py
+++ b/pimentoquay/bench/mutations/replacements.py
@@ -24,6 +24,7 @@
     "find_server_refusing",
     "grant_without_owner",
     "keep_expired_lease_number",
+    "learn_as_seen_now",
     "match_any_attempt",
     "never_find_lost_append",
     "never_mark_silent_peers_dead",
@@ -34,6 +35,7 @@
     "return_constant",
     "same_number_for_all_holders",
     "skip_order_of_new_holder",
+    "use_whole_limit",
 ]
 
 
@@ -234,3 +236,17 @@
         return ServerState.REFUSING
 
     return check_server
+
+
+def use_whole_limit(original: Any) -> Any:
+    """Return a replacement that gives each VM the whole limit of an engine."""
+    return lambda limit, engine, own, vms: original(limit, engine, own, (own,))
+
+
+def learn_as_seen_now(original: Any) -> Any:
+    """Return a replacement that takes every notice of a limit for one of just now."""
+
+    def learn(self: Any, notices: Any, now: float) -> Any:
+        return original(self, [replace(notice, age=0.0) for notice in notices], now)
+
+    return learn
--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -14,6 +14,7 @@
     CONNECTIONS,
     ENGINE_CRASHES,
     ENGINES_LEAVING,
+    ENGINES_LIMITED,
     IN_PROGRESS,
     LIST_AGE,
     OVERSIZED,
@@ -22,6 +23,7 @@
     PROMPT_TRIALS,
     PROMPTS_QUARANTINED,
     PROMPTS_SUSPECTED,
+    REFUSED_OVER_LIMIT,
     SENDS_WITHHELD,
     STORE_CALLS,
     STORE_ERA,
@@ -29,7 +31,7 @@
     WAITING,
     GatewayMetrics,
 )
-from pimentoquay.gateway.notices import LeavingNotices
+from pimentoquay.gateway.notices import LeavingNotices, LimitNotices
 from pimentoquay.gateway.peer_loads import PeerLoadTable
 from pimentoquay.gateway.plain import PlainForwarder
 from pimentoquay.gateway.pool_client import PoolClient
@@ -43,10 +45,11 @@
 from pimentoquay.http1 import HttpRequest, HttpServer, Reply, ServerLimits
 from pimentoquay.kernel import Node
 from pimentoquay.kernel.logs import logger
-from pimentoquay.messages.fleet import EnginesLeaving, PromptEvidence
+from pimentoquay.messages.fleet import EnginesLeaving, LimitsNamed, PromptEvidence
 from pimentoquay.messages.pools import PoolKey
 from pimentoquay.platform.settings import DeploymentSettings
 from pimentoquay.platform.store import StoreClient, StoreError
+from pimentoquay.policy.engine_limits import EngineLimits
 from pimentoquay.policy.engine_preference import Placer
 from pimentoquay.policy.poll_timing import poll_timing
 from pimentoquay.policy.repeat_allowance import RepeatLimits
@@ -185,10 +188,13 @@
 ) -> Gateway:
     """Create a gateway; metrics are served if ``metrics_port`` is given."""
     fleet = Fleet(node.timers.now)
-    links = EngineLinks(fleet)
+    limits = EngineLimits(settings.vm)
+    links = EngineLinks(fleet, limits)
     run_ledger = RunLedger()
     bounds = settings.bounds
-    limits = RepeatLimits(bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window_seconds)
+    repeat_limits = RepeatLimits(
+        bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window_seconds
+    )
     prefill_ledger = TokenLedger()
     metrics = GatewayMetrics()
     prompts = PromptGuard(
@@ -202,7 +208,7 @@
         fleet,
         links,
         metrics,
-        RetryBudgets(limits),
+        RetryBudgets(repeat_limits),
         prompts,
     )
     peers = PeerSet(node)
@@ -249,6 +255,9 @@
     mesh.notices.register(EnginesLeaving, leaving.handler)
     mesh.notices.register(PromptEvidence, prompts.handler)
     links.on_leaving.append(leaving.report)
+    limit_notices = LimitNotices(limits, node.timers.now, mesh.notices.publish)
+    mesh.notices.register(LimitsNamed, limit_notices.handler)
+    links.on_limit.append(limit_notices.report)
     mesh.on_load_changed.append(reservations.recheck_waiters)
     mesh.on_load_changed.append(lambda: _apply_mesh_state(shared, mesh))
     store = StoreClient(settings.store_address, era)
@@ -299,6 +308,8 @@
         PROMPTS_SUSPECTED: lambda: len(prompts.suspected_parts),
         PROMPTS_QUARANTINED: lambda: len(prompts.quarantines),
         PROMPT_TRIALS: lambda: prompts.trials,
+        ENGINES_LIMITED: lambda: len(limits.limited),
+        REFUSED_OVER_LIMIT: lambda: shared.refused_over_limit,
     }
     metrics_server = HttpServer(metrics.handle, ServerLimits)
     return Gateway(
@@ -348,6 +359,7 @@
 def _apply_mesh_state(shared: SharedState, mesh: Mesh) -> None:
     """Update the state that depends on the number of gateways and on the mesh plan."""
     shared.retry_budgets.gateway_count = mesh.gateway_count
+    shared.links.limits.update_vms(mesh.running_vms(), not mesh.plan.is_full)
     shared.placer = replace(shared.placer, lacks_peer_loads=not mesh.plan.is_full)
 
 
--- a/pimentoquay/gateway/links.py
+++ b/pimentoquay/gateway/links.py
@@ -10,8 +10,14 @@
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.engine_calls import EngineCall, EngineCalls
 from pimentoquay.platform.requests import CallerRequest, SendOptions, engine_headers
-from pimentoquay.platform.responses import is_response_to, is_response_to_call, parse_notice
+from pimentoquay.platform.responses import (
+    EngineNotice,
+    is_response_to,
+    is_response_to_call,
+    parse_notice,
+)
 from pimentoquay.policy.circuits import CircuitLimits, Circuits, CircuitState
+from pimentoquay.policy.engine_limits import EngineLimits, LimitNotice
 from pimentoquay.policy.engine_notices import EngineNotices, EngineStart
 from pimentoquay.policy.fleet import EngineEntry
 
@@ -43,8 +49,8 @@
         The engine.
     circuits
         Circuit breakers, which are updated with every response and every failure.
-    notices
-        What engines say about themselves, which is updated with every response.
+    notices, limits
+        What engines say about themselves, and their limits, updated with every response.
     on_open
         Called for each connection opened to the engine.
     on_oversized
@@ -56,15 +62,17 @@
         entry: EngineEntry,
         circuits: Circuits,
         notices: EngineNotices,
+        limits: EngineLimits,
         on_open: Callable[[], None],
         on_oversized: Callable[[], None],
     ) -> None:
         self.entry = entry
         self._on_oversized = on_oversized
         self.on_leaving: Callable[[EngineStart], None] = lambda start: None
-        self._logged_limit: float | None = None
+        self.on_limit: Callable[[LimitNotice], None] = lambda notice: None
         self._circuits = circuits
         self._notices = notices
+        self._limits = limits
         self.calls = EngineCalls(entry.id, entry.address)
         self._pool = ConnectionPool(entry.address, CONNECT_TIMEOUT_SECONDS, REUSE_POLICY, on_open)
 
@@ -78,6 +86,7 @@
         options: SendOptions,
         max_idle_seconds: float | None = None,
         head_seconds: float | None = None,
+        has_permit: bool = False,
     ) -> AsyncIterator[Exchange]:
         """Send a caller's request to the engine and yield the exchange with its response.
 
@@ -93,13 +102,19 @@
             Maximum seconds for which a reused connection may have been idle.
         head_seconds
             Timeout for the status and headers of the response, in seconds.
+        has_permit
+            Whether the request has been counted against the engine's limit.
 
         Raises
         ------
         HttpError
-            If there is no complete response, or the engine has requested a pause.
+            If there is no complete response, the engine has requested a pause, or this VM's share
+            of its limit is used up.
         """
         self._check_pause()
+        sent_at = asyncio.get_running_loop().time()
+        if not has_permit and not self._limits.take(self.entry, sent_at):
+            raise HttpError(f"{self.entry.id} is at its limit", False)
         probe = self._start_probe_if_due()
         try:
             async with self._pool.exchange(
@@ -112,9 +127,11 @@
                 head_seconds=head_seconds,
             ) as exchange:
                 self._circuits.succeeded(self.entry.id)
-                self._record_notice(exchange.status, exchange.headers)
+                self._record_notice(exchange.status, exchange.headers, sent_at)
                 yield exchange
         except HttpError as error:
+            if not error.written and not has_permit:
+                self._limits.give_back(self.entry, asyncio.get_running_loop().time())
             self._record_failure(error)
             raise
         finally:
@@ -164,8 +181,13 @@
         if not self._notices.may_send(self.entry.start, now):
             raise HttpError(f"{self.entry.id} requested a pause", False)
 
-    def _record_notice(self, status: int, headers: HeaderList) -> None:
-        """Record whether the engine is leaving and for how long it wants no requests."""
+    def _record_notice(
+        self, status: int, headers: HeaderList, sent_at: float | None = None
+    ) -> None:
+        """Record what the engine says about itself.
+
+        Only a response to a request, sent at ``sent_at``, shows that the engine names no limit.
+        """
         start, now = self.entry.start, asyncio.get_running_loop().time()
         notice = parse_notice(start.id, status, headers)
         if notice.is_leaving and self._notices.record_leaving((start,), now):
@@ -174,9 +196,23 @@
         if notice.pause_seconds is not None:
             self._notices.record_pause(start, notice.pause_seconds, now)
             logger.bind(engine=start.id, seconds=notice.pause_seconds).info("engine paused")
-        if notice.names_limit and notice.limit != self._logged_limit:
-            self._logged_limit = notice.limit
-            logger.bind(engine=start.id, limit=notice.limit).info("engine names a limit")
+        self._record_limit(notice, sent_at, now)
+
+    def _record_limit(self, notice: EngineNotice, sent_at: float | None, now: float) -> None:
+        """Record the limit that a response names, or that it names none; a garbled one is ignored.
+
+        The engine still needs a limit then, so the one before stays in force.
+        """
+        if notice.names_limit and notice.limit is None:
+            logger.bind(engine=self.entry.id).warning("invalid limit ignored")
+            return
+        if notice.limit is None and (sent_at is None or notice.is_of_other):
+            return
+        changed = self._limits.record_response(
+            self.entry.start, notice.limit, sent_at if sent_at is not None else now, now
+        )
+        if changed is not None:
+            self.on_limit(changed)
 
     def _start_probe_if_due(self) -> str:
         """Return an id for an exchange, which is made the circuit's probe if one is due."""
@@ -211,10 +247,14 @@
     ----------
     fleet
         The list of engines.
+    limits
+        Limits of requests that engines name.
     """
 
-    def __init__(self, fleet: Fleet) -> None:
+    def __init__(self, fleet: Fleet, limits: EngineLimits) -> None:
         self._fleet = fleet
+        self.limits = limits
+        self.on_limit: list[Callable[[LimitNotice], None]] = []
         self.circuits = Circuits(CIRCUIT_LIMITS)
         self.on_leaving: list[Callable[[EngineStart], None]] = []
         self.opened_connections = 0
@@ -233,10 +273,12 @@
                 entry,
                 self.circuits,
                 self._fleet.notices,
+                self.limits,
                 self._count_opened,
                 self._count_oversized,
             )
             link.on_leaving = self._report_leaving
+            link.on_limit = self._report_limit
             self._link_by_id[entry.id] = link
         return link
 
@@ -260,6 +302,10 @@
         for callback in self.on_leaving:
             callback(start)
 
+    def _report_limit(self, notice: LimitNotice) -> None:
+        for callback in self.on_limit:
+            callback(notice)
+
     def _count_opened(self) -> None:
         self.opened_connections += 1
 
@@ -268,6 +314,7 @@
 
     def _drop_stale_links(self) -> None:
         entry_by_id = {entry.id: entry for entry in self._fleet.engines()}
+        self.limits.forget_others([entry.start for entry in entry_by_id.values()])
         for engine_id, link in tuple(self._link_by_id.items()):
             entry = entry_by_id.get(engine_id)
             if entry is None or not _is_same_start(link.entry, entry):
--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -25,6 +25,7 @@
 from pimentoquay.messages.fleet import (
     EnginesLeaving,
     FleetCopy,
+    LimitsNamed,
     PeerLoads,
     PromptEvidence,
     StageOrdered,
@@ -106,6 +107,7 @@
             StageOrdered,
             EnginesLeaving,
             PromptEvidence,
+            LimitsNamed,
             Bundle,
             ChannelAlive,
             Routed,
@@ -296,7 +298,9 @@
             callback(message)
 
     @_dispatch.register
-    def _handle_notice(self, message: EnginesLeaving | PromptEvidence, envelope: Envelope) -> None:
+    def _handle_notice(
+        self, message: EnginesLeaving | PromptEvidence | LimitsNamed, envelope: Envelope
+    ) -> None:
         self.notices.receive(message, _source(envelope))
 
     @_dispatch.register
--- a/pimentoquay/gateway/metrics.py
+++ b/pimentoquay/gateway/metrics.py
@@ -90,6 +90,17 @@
     "requests that were sent in spite of a quarantine, to learn whether it is right",
 )
 
+ENGINES_LIMITED = Metric(
+    "pimentoquay_gateway_engines_limited",
+    "gauge",
+    "engines that name a limit of the requests a second which they take from all VMs",
+)
+REFUSED_OVER_LIMIT = Metric(
+    "pimentoquay_gateway_refused_over_limit_total",
+    "counter",
+    "requests refused because the limits of all engines were used up",
+)
+
 _GAUGES = (
     IN_PROGRESS,
     LIST_AGE,
@@ -107,6 +118,8 @@
     PROMPTS_SUSPECTED,
     PROMPTS_QUARANTINED,
     PROMPT_TRIALS,
+    ENGINES_LIMITED,
+    REFUSED_OVER_LIMIT,
 )
 _SUMMARIES = (REQUEST_SECONDS, FIRST_EVENT_SECONDS, MEMORY_WAIT_SECONDS)
 
--- a/pimentoquay/gateway/notices.py
+++ b/pimentoquay/gateway/notices.py
@@ -11,11 +11,17 @@
 
 from pimentoquay.kernel import Channel
 from pimentoquay.kernel.logs import logger
-from pimentoquay.messages.fleet import EnginesLeaving, LeavingEngine
+from pimentoquay.messages.fleet import (
+    EngineLimit,
+    EnginesLeaving,
+    LeavingEngine,
+    LimitsNamed,
+)
+from pimentoquay.policy.engine_limits import EngineLimits, LimitNotice
 from pimentoquay.policy.engine_notices import EngineNotices, EngineStart
 from pimentoquay.policy.mesh_plan import MeshPlan
 
-__all__ = ["LeavingNotices", "NoticeExchange", "NoticeHandler"]
+__all__ = ["LeavingNotices", "LimitNotices", "NoticeExchange", "NoticeHandler"]
 
 
 @dataclass(frozen=True)
@@ -117,5 +123,72 @@
         return _leaving_message(self._known.leaving) if self._known.leaving else None
 
 
+class LimitNotices:
+    """Notices of the limits that engines name.
+
+    Parameters
+    ----------
+    known
+        The limits that this gateway knows.
+    now
+        Returns the monotonic time in seconds.
+    publish
+        Sends a notice to all peers.
+    """
+
+    def __init__(
+        self,
+        known: EngineLimits,
+        now: Callable[[], float],
+        publish: Callable[[LimitsNamed], None],
+    ) -> None:
+        self._known = known
+        self._now = now
+        self._publish = publish
+        self.handler = NoticeHandler(self._apply, self._snapshot)
+
+    def report(self, notice: LimitNotice) -> None:
+        """Tell the peers that an engine has named another limit, or none, to this gateway."""
+        _log_limits((notice,))
+        self._publish(_limits_message((notice,)))
+
+    def _apply(self, message: LimitsNamed) -> LimitsNamed | None:
+        notices = [
+            LimitNotice(
+                EngineStart(each.engine, each.incarnation),
+                each.limit if each.limit >= 0 else None,
+                each.age,
+            )
+            for each in message.limits
+        ]
+        new = self._known.learn(notices, self._now())
+        _log_limits(new)
+        return _limits_message(new) if new else None
+
+    def _snapshot(self) -> LimitsNamed | None:
+        notices = self._known.notices(self._now())
+        return _limits_message(notices) if notices else None
+
+
+def _log_limits(notices: Iterable[LimitNotice]) -> None:
+    for each in notices:
+        text = "engine limits its requests" if each.limit is not None else "engine ended its limit"
+        logger.bind(engine=each.engine.id, limit=each.limit).info(text)
+
+
+def _limits_message(notices: Iterable[LimitNotice]) -> LimitsNamed:
+    return LimitsNamed(
+        tuple(
+            EngineLimit(
+                each.engine.id,
+                each.engine.incarnation,
+                each.limit if each.limit is not None else -1.0,
+                each.age,
+            )
+            for each in notices
+        )
+    )
+
+
 def _leaving_message(starts: Iterable[EngineStart]) -> EnginesLeaving:
     return EnginesLeaving(tuple(LeavingEngine(each.id, each.incarnation) for each in starts))
--- a/pimentoquay/gateway/plain.py
+++ b/pimentoquay/gateway/plain.py
@@ -103,7 +103,9 @@
         engines = [
             engine
             for engine in shared.fleet.accepting_engines(job.service)
-            if not shared.is_misdirected(engine, now) and shared.fleet.pause_seconds(engine) == 0.0
+            if not shared.is_misdirected(engine, now)
+            and shared.fleet.pause_seconds(engine) == 0.0
+            and shared.links.limits.seconds_until(engine, now) == 0.0
         ]
         reachable = [each for each in engines if not shared.links.is_circuit_open(each.id, now)]
         chosen = None
@@ -236,6 +238,7 @@
             send_response(job, response.status, response.headers, response.body)
         elif attempts.runs == 0:
             detail = f"{attempts.sends} engines tried"
+            self._shared.refuse_over_limit(job.service)
             pause = self._shared.pause_seconds(job.service)
             raise RefusedError(ResultCode.NO_BACKEND, detail, pause or RETRY_AFTER_SECONDS)
         elif job.seconds_left() <= 0:
--- a/pimentoquay/gateway/pool_coordinator.py
+++ b/pimentoquay/gateway/pool_coordinator.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from pimentoquay.gateway.peer_loads import runs_by_engine
-from pimentoquay.gateway.shared_state import SharedState
+from pimentoquay.gateway.shared_state import MAX_LIMIT_WAIT_SECONDS, SharedState
 from pimentoquay.kernel import Node
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages.fleet import VmWork
@@ -130,6 +130,9 @@
             decision = pool.placement.refuse_long_wait(stream_key, self._decode_engines(key), now)
             if not decision.should_wait:
                 outcome, seconds = PlaceOutcome.REFUSED, decision.seconds
+            elif (wait := self._limit_wait(key, pool)) > message.leaves_in:
+                pool.placement.cancel(stream_key)
+                outcome, seconds = PlaceOutcome.REFUSED, min(wait, MAX_LIMIT_WAIT_SECONDS)
         self._reply(source, message.key, message.pool, outcome, seconds)
 
     @receive.register
@@ -229,11 +232,17 @@
         usable = self._usable_tokens(key.service)
         while pool.placement.has_waiting:
             if engines is None:
-                engines = self._decode_engines(key)
+                limits = self._shared.links.limits
+                engines = [
+                    engine for engine in self._decode_engines(key) if limits.may_grant(engine, now)
+                ]
             placed = pool.placement.place_next(engines, usable, now)
             if placed is None:
                 return
             stream_key, engine = placed
+            if limits.limited:
+                limits.take_grant(engine, now)
+                engines = None
             prefill_engine = self._prefill_engine(key, pool, stream_key)
             grant = pool.placement.grant(stream_key, engine, prefill_engine, now)
             self._reply_granted(pool, stream_key, key, grant)
@@ -241,13 +250,28 @@
     def _prefill_engine(
         self, key: PoolKey, pool: _Pool, stream_key: StreamKey
     ) -> EngineEntry | None:
-        return choose_prefill_engine(
-            self._available_engines(key, (EngineStage.PREFILL,)),
+        limits, now = self._shared.links.limits, self._node.timers.now()
+        available = self._available_engines(key, (EngineStage.PREFILL,))
+        chosen = choose_prefill_engine(
+            [engine for engine in available if limits.may_grant(engine, now)],
             pool.placement.prefill_ledger,
             self._shared.speed,
             Placer(self._node.identity.vm, key.data_centre),
             pool.placement.stream_of(stream_key).may_prefill_on_decode_engine,
         )
+        if chosen is not None:
+            limits.take_grant(chosen, now)
+        return chosen
+
+    def _limit_wait(self, key: PoolKey, pool: _Pool) -> float:
+        """Return the seconds until all waiting streams may be placed by the engines' limits."""
+        limits = [
+            self._shared.links.limits.limit_of(engine.start) for engine in self._decode_engines(key)
+        ]
+        known = [limit for limit in limits if limit is not None]
+        if not known or len(known) < len(limits):
+            return 0.0
+        return pool.placement.waiting_count / sum(known)
 
     def _reply_granted(
         self, pool: _Pool, stream_key: StreamKey, pool_key: PoolKey, grant: Grant
--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -95,7 +95,7 @@
                 ).info("prompt left to the decode engine")
                 return None
             try:
-                return await self._send(job, model, engine, after_event)
+                return await self._send(job, model, engine, after_event, engine.id == granted)
             except (HttpError, _PrefillRefusedError, DecodeError, TimeoutError) as error:
                 logger.bind(request=job.caller.id, engine=engine.id, error=repr(error)).info(
                     "prefill failed"
@@ -116,14 +116,16 @@
         failed: set[str],
         granted: str,
     ) -> EngineEntry | None:
+        stages = (EngineStage.PREFILL,)
+        if granted not in failed:
+            for engine in self._shared.available_engines(job.service, stages):
+                if engine.id == granted:
+                    return engine
         engines = [
             engine
-            for engine in self._shared.available_engines(job.service, (EngineStage.PREFILL,))
+            for engine in self._shared.sendable_engines(job.service, stages)
             if engine.id not in failed
         ]
-        for engine in engines:
-            if engine.id == granted:
-                return engine
         is_decode_engine_allowed = can_prefill_on_decode_engine(
             model.prompt_tokens, self._shared.speed, job.route.gap_seconds
         )
@@ -136,7 +138,12 @@
         )
 
     async def _send(
-        self, job: Job, model: ModelRequest, engine: EngineEntry, after_event: int | None
+        self,
+        job: Job,
+        model: ModelRequest,
+        engine: EngineEntry,
+        after_event: int | None,
+        is_granted: bool,
     ) -> Prefill:
         link = self._shared.links.link_to(engine)
         options = SendOptions(
@@ -155,7 +162,12 @@
             async with (
                 asyncio.timeout(min(PREFILL_TIMEOUT_SECONDS, job.seconds_left())),
                 link.send(
-                    request.method, request.target, job.caller, request.body, options
+                    request.method,
+                    request.target,
+                    job.caller,
+                    request.body,
+                    options,
+                    has_permit=is_granted,
                 ) as exchange,
             ):
                 body = await exchange.read_body(MAX_BODY_BYTES)
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -62,7 +62,8 @@
     ``hold`` is the engine's id of the reservation, which is used up by the request that names it.
     ``usable_tokens`` is the part of the engine's memory that the forecast may fill.
     ``ledger_key`` identifies the stream in the run ledger. ``prefill_engine`` is the engine that is
-    to prefill the prompt, or empty if it has not been chosen.
+    to prefill the prompt, or empty if it has not been chosen. ``is_granted`` is whether a
+    coordinator has granted the engine and counts the request against its limit.
     """
 
     engine: EngineEntry
@@ -74,6 +75,7 @@
     reserved_at: float
     prefill_engine: str = ""
     is_hold_used: bool = False
+    is_granted: bool = False
 
 
 @dataclass(eq=False)
@@ -194,6 +196,8 @@
             self._record_use(reservation.need.mean_tokens, seconds, reservation.usable_tokens)
         else:
             link = reservation.link
+            if not reservation.is_granted:
+                self._shared.links.limits.give_back(reservation.engine, now)
             self._shared.links.call_in_background(
                 link, link.calls.release_memory(reservation.hold), "drop"
             )
@@ -218,11 +222,13 @@
     def _refuse_long_wait(self, job: Job, waiter: _Waiter) -> None:
         engines = self._decode_engines(job)
         self._refuse_if_paused(job)
+        now = asyncio.get_running_loop().time()
+        patience = waiter.times.leaves_at - self._limits.work_seconds - now
+        self._shared.refuse_over_limit(job.service, DECODE_STAGES, len(self._waiting), patience)
         if not engines:
             raise RefusedError(
                 ResultCode.NO_BACKEND, "no decode engine is listed", RETRY_AFTER_SECONDS
             )
-        now = asyncio.get_running_loop().time()
         held = self._run_ledger.expected(engines, now)
         own, peers = self.queued, self._peers_queued()
         ahead = own.tokens + peers.tokens
@@ -250,7 +256,7 @@
 
     def _engine_groups(self, job: Job, need: MemoryNeed) -> tuple[Sequence[EngineEntry], ...]:
         """Return groups of decode engines that may run a prompt, to be tried in order."""
-        engines = self._decode_engines(job)
+        engines = self._shared.sendable_engines(job.service, DECODE_STAGES)
         if self._shared.available_engines(job.service, (EngineStage.PREFILL,)):
             return (engines,)
         is_short = can_prefill_on_decode_engine(
@@ -322,6 +328,9 @@
         grant: PoolGrant | None = None,
     ) -> Reservation | None:
         loop = asyncio.get_running_loop()
+        limits = self._shared.links.limits
+        if grant is None and not limits.take(engine, loop.time()):
+            return None
         link = self._shared.links.link_to(engine)
         ledger_key = self._run_ledger.take(engine.id, run, loop.time())
         if grant is not None:
@@ -346,6 +355,8 @@
             )
         finally:
             if not hold:
+                if grant is None:
+                    limits.give_back(engine, loop.time())
                 self._run_ledger.release(ledger_key)
                 self._run_ledger.record_refusal(
                     engine.id, run.tokens, loop.time() + REFUSAL_VALID_SECONDS
@@ -361,7 +372,16 @@
             expected=need.tokens,
             used=self._run_ledger.held(engine.id, loop.time()),
         ).info("memory reserved")
-        return Reservation(engine, link, need, usable_tokens(memory), ledger_key, hold, loop.time())
+        return Reservation(
+            engine,
+            link,
+            need,
+            usable_tokens(memory),
+            ledger_key,
+            hold,
+            loop.time(),
+            is_granted=grant is not None,
+        )
 
 
 def usable_tokens(memory: TokenMemory) -> int:
--- a/pimentoquay/gateway/shared_state.py
+++ b/pimentoquay/gateway/shared_state.py
@@ -1,6 +1,7 @@
 """State that the components of one gateway share."""
 
 import asyncio
+import math
 from collections.abc import Collection
 from dataclasses import dataclass, field
 
@@ -8,8 +9,10 @@
 from pimentoquay.gateway.links import EngineLinks
 from pimentoquay.gateway.metrics import GatewayMetrics
 from pimentoquay.gateway.prompt_guard import PromptGuard
+from pimentoquay.kernel import RefusedError, ResultCode
 from pimentoquay.kernel.logs import logger
 from pimentoquay.policy.engine_choice import EngineCallStats
+from pimentoquay.policy.engine_limits import UNUSED_SHARE_SECONDS
 from pimentoquay.policy.engine_preference import Placer
 from pimentoquay.policy.fleet import EngineEntry, EngineStage
 from pimentoquay.policy.prefill_choice import PrefillSpeed
@@ -18,12 +21,15 @@
 from pimentoquay.policy.stage_plan import StageDemand
 from pimentoquay.policy.token_ledger import TokenLedger
 
-__all__ = ["RetryBudgets", "SharedState"]
+__all__ = ["MAX_LIMIT_WAIT_SECONDS", "RetryBudgets", "SharedState"]
 
 MISDIRECTED_AVOIDANCE_SECONDS = 2.0
 """Time for which an engine is avoided after it rejected a request as misdirected. A restarted
 engine updates its entry within one heartbeat interval of 1.2 s."""
 
+MAX_LIMIT_WAIT_SECONDS = 5.0
+"""Longest Retry-After value if the limits of all engines are used up; limits may change sooner."""
+
 ALL_STAGES = frozenset(EngineStage)
 
 EngineKey = tuple[str, int, EngineStage]
@@ -75,6 +81,7 @@
     engines, and ``speed`` the prefill speed.
     ``experience_by_engine`` holds latencies and failure rates of plain backend servers.
     ``changing_until_by_engine`` holds the time until which an engine may be changing its stage.
+    ``refused_over_limit`` counts the requests that the limits of engines did not allow.
     """
 
     placer: Placer
@@ -90,6 +97,7 @@
     experience_by_engine: dict[str, EngineCallStats] = field(default_factory=dict)
     misdirected_until_by_entry: dict[EngineKey, float] = field(default_factory=dict)
     changing_until_by_engine: dict[str, float] = field(default_factory=dict)
+    refused_over_limit: int = 0
 
     def mark_misdirected(self, engine: EngineEntry) -> None:
         """Avoid an engine for ``MISDIRECTED_AVOIDANCE_SECONDS``; its entry is out of date."""
@@ -116,6 +124,60 @@
             and self.fleet.pause_seconds(engine) == 0.0
         )
 
+    def sendable_engines(
+        self, service: str, stages: Collection[EngineStage]
+    ) -> tuple[EngineEntry, ...]:
+        """Return the available engines whose limits allow this VM to send a request now."""
+        now = asyncio.get_running_loop().time()
+        return tuple(
+            engine
+            for engine in self.available_engines(service, stages)
+            if self.links.limits.seconds_until(engine, now) == 0.0
+        )
+
+    def limit_wait(
+        self, service: str, stages: Collection[EngineStage] = ALL_STAGES, ahead: int = 0
+    ) -> float | None:
+        """Return the seconds until a request may be sent after ``ahead`` others, by the limits.
+
+        ``None`` if an available engine has no limit or no engine is available, infinite if this VM
+        has no share of any limit.
+        """
+        engines = self.available_engines(service, stages)
+        now, limits = asyncio.get_running_loop().time(), self.links.limits
+        if not engines or any(limits.limit_of(each.start) is None for each in engines):
+            return None
+        first = min(limits.seconds_until(each, now) for each in engines)
+        rate = sum(limits.requests_per_second(each, now) for each in engines)
+        return first + (ahead / rate if ahead and rate > 0 else 0.0)
+
+    def refuse_over_limit(
+        self,
+        service: str,
+        stages: Collection[EngineStage] = ALL_STAGES,
+        ahead: int = 0,
+        patience: float = 0.0,
+    ) -> None:
+        """Raise ``RefusedError`` if the limits of all engines allow no request within patience.
+
+        Parameters
+        ----------
+        service, stages
+            The engines.
+        ahead
+            Number of requests that go first.
+        patience
+            Seconds for which the request can wait.
+        """
+        wait = self.limit_wait(service, stages, ahead)
+        if wait is None or wait <= patience:
+            return
+        self.refused_over_limit += 1
+        seconds = min(wait, MAX_LIMIT_WAIT_SECONDS) if wait < math.inf else UNUSED_SHARE_SECONDS
+        raise RefusedError(
+            ResultCode.ENGINES_LIMITED, "the limits of all engines are used up", seconds
+        )
+
     def pause_seconds(
         self, service: str, stages: Collection[EngineStage] = ALL_STAGES
     ) -> float | None:
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -235,6 +235,7 @@
                 request.body,
                 options,
                 head_seconds=silence_timeout,
+                has_permit=True,
             ) as exchange:
                 if exchange.status != 200:
                     await self._handle_failure(progress, exchange, reservation, prefill)
--- a/pimentoquay/kernel/codes.py
+++ b/pimentoquay/kernel/codes.py
@@ -40,6 +40,7 @@
     NOT_FOUND = 217
     REQUEST_UNKNOWN = 218
     PROMPT_QUARANTINED = 219
+    ENGINES_LIMITED = 220
     CANCELLED = 300
     ENGINE_FAILED = 400
     TRANSFER_FAILED = 401
@@ -139,6 +140,12 @@
         "not run: engines have crashed under parts of the prompt",
         "change the prompt, or retry after the given time",
     ),
+    _info(
+        ResultCode.ENGINES_LIMITED,
+        429,
+        "not run: the backend servers take no more requests a second",
+        "retry after the given time",
+    ),
     _info(ResultCode.CANCELLED, 499, "cancelled by the caller", "nothing to do"),
     _info(ResultCode.ENGINE_FAILED, 502, "the engine failed", "retry if idempotent"),
     _info(ResultCode.TRANSFER_FAILED, 502, "the KV transfer failed", "retry if idempotent"),
--- a/pimentoquay/messages/fleet.py
+++ b/pimentoquay/messages/fleet.py
@@ -10,12 +10,14 @@
 __all__ = [
     "ClearedPart",
     "CrashedPrompt",
+    "EngineLimit",
     "EngineRecord",
     "EngineRuns",
     "EngineTokens",
     "EnginesLeaving",
     "FleetCopy",
     "LeavingEngine",
+    "LimitsNamed",
     "PeerLoad",
     "PeerLoads",
     "PromptEvidence",
@@ -184,3 +186,23 @@
 
     crashed: tuple[CrashedPrompt, ...]
     cleared: tuple[ClearedPart, ...]
+
+
+@message(136)
+class EngineLimit:
+    """Requests a second that a start of an engine takes from all VMs, as of ``age`` seconds ago.
+
+    ``limit`` is negative if the engine names no limit any more.
+    """
+
+    engine: str
+    incarnation: int
+    limit: float
+    age: float
+
+
+@message(137)
+class LimitsNamed:
+    """Limits that engines have named in their responses, sent to all gateways."""
+
+    limits: tuple[EngineLimit, ...]
--- a/pimentoquay/platform/responses.py
+++ b/pimentoquay/platform/responses.py
@@ -60,12 +60,14 @@
     ``pause_seconds`` is the time for which it wants no requests, or None if it states none.
     ``names_limit`` is whether it names a limit, and ``limit`` the requests a second that it takes
     from all VMs together, or None if it names none or the value is no decimal number.
+    ``is_of_other`` is whether another engine sent the response.
     """
 
     is_leaving: bool
     pause_seconds: float | None
     names_limit: bool = False
     limit: float | None = None
+    is_of_other: bool = False
 
 
 @dataclass(frozen=True)
@@ -95,7 +97,7 @@
     instance = find_header(headers, _INSTANCE)
     is_other = instance is not None and instance.decode("latin-1") != engine_id
     if status == _MISDIRECTED or is_other:
-        return EngineNotice(False, None)
+        return EngineNotice(False, None, is_of_other=True)
     is_leaving = (find_header(headers, _LEAVING) or b"").strip() == b"1"
     pause = find_header(headers, b"retry-after") if status == _UNAVAILABLE else None
     limit = find_header(headers, _LIMIT)
--- a/pimentoquay/policy/pool_placement.py
+++ b/pimentoquay/policy/pool_placement.py
@@ -120,6 +120,11 @@
         """Whether any stream waits."""
         return bool(self._waiting_by_key)
 
+    @property
+    def waiting_count(self) -> int:
+        """Number of streams that wait."""
+        return len(self._waiting_by_key)
+
     def is_waiting(self, key: StreamKey) -> bool:
         """Return whether a stream waits."""
         return key in self._waiting_by_key
