--- a/pimentoquay/gateway/prompt_guard.py
+++ b/pimentoquay/gateway/prompt_guard.py
@@ -5,6 +5,7 @@
 store, for gateways that are cut off from their peers, and for all of them after a restart.
 """
 
+import hashlib
 import json
 from collections.abc import Callable, Iterable
 
@@ -18,8 +19,6 @@
 from pimentoquay.platform.store import KeyedRecord
 from pimentoquay.policy.engine_notices import EngineStart
 from pimentoquay.policy.prompt_quarantine import (
-    CERTAIN_TRIAL_SECONDS,
-    TRIAL_SECONDS,
     Clearance,
     CrashReport,
     PromptQuarantine,
@@ -59,7 +58,7 @@
         self._publish = publish
         self._known = PromptQuarantine()
         self._trial_request = ""
-        self._stored_parts_by_key: dict[str, frozenset[str]] = {}
+        self._stored_keys: set[str] = set()
         self.reported_crashes = 0
         self.trials = 0
         self.handler = NoticeHandler(self._apply, self._snapshot)
@@ -79,7 +78,7 @@
         quarantine = self.quarantine_of(job)
         if quarantine is not None:
             detail = f"{_text(quarantine)} crashed {len(quarantine.engines)} engines"
-            seconds = CERTAIN_TRIAL_SECONDS if quarantine.is_certain else TRIAL_SECONDS
+            seconds = self._known.retry_seconds(quarantine, self._now())
             raise RefusedError(ResultCode.PROMPT_QUARANTINED, detail, seconds)
 
     def quarantine_of(self, job: Job) -> Quarantine | None:
@@ -134,27 +133,27 @@
     def apply_records(self, records: Iterable[KeyedRecord], is_snapshot: bool) -> None:
         """Apply records of quarantines that gateways have stored."""
         if is_snapshot:
-            self._stored_parts_by_key.clear()
+            self._stored_keys.clear()
         reports: list[CrashReport] = []
         for record in records:
-            self._stored_parts_by_key.pop(record.key, None)
+            self._stored_keys.discard(record.key)
             if record.value is not None:
-                found = _parse_record(record)
-                self._stored_parts_by_key[record.key] = frozenset(
-                    part for each in found for part in each.parts
-                )
-                reports += found
+                self._stored_keys.add(record.key)
+                reports += _parse_record(record)
         self._add(reports, ())
 
     def pending_records(self) -> tuple[tuple[str, bytes], ...]:
-        """Return keys and values of records that are to be written to the store."""
-        by_key = {min(each.parts): each for each in self._known.quarantines}
-        changed = [
+        """Return keys and values of records that are to be written to the store.
+
+        Only certain quarantines are kept there: a record does not hold what else was suspected.
+        """
+        by_key = {_record_key(each.parts): each for each in self._known.quarantines}
+        missing = [
             (key, _record_value(each))
             for key, each in by_key.items()
-            if self._stored_parts_by_key.get(key) != each.parts
+            if each.is_certain and key not in self._stored_keys
         ]
-        return (*changed, *((key, b"") for key in self._stored_parts_by_key.keys() - by_key))
+        return (*missing, *((key, b"") for key in self._stored_keys - by_key.keys()))
 
     def _add(self, reports: Iterable[CrashReport], clearances: Iterable[Clearance]) -> None:
         """Add evidence, and send the peers what is new."""
@@ -222,6 +221,10 @@
     )
 
 
+def _record_key(parts: frozenset[str]) -> str:
+    return hashlib.blake2b(",".join(sorted(parts)).encode(), digest_size=16).hexdigest()
+
+
 def _record_value(quarantine: Quarantine) -> bytes:
     engines = sorted((each.id, each.incarnation) for each in quarantine.engines)
     item = {"parts": sorted(quarantine.parts), "engines": engines[:STORED_CRASHES]}
--- a/pimentoquay/gateway/tests/test_deadly_parts.py
+++ b/pimentoquay/gateway/tests/test_deadly_parts.py
@@ -8,6 +8,7 @@
 from pimentoquay.gateway.tests.rig import rig, until
 from pimentoquay.messages.fleet import CrashedPrompt, PromptEvidence
 from pimentoquay.platform.store import PROMPT_TOPIC
+from pimentoquay.policy.prompt_quarantine import CERTAIN_TRIAL_SECONDS, RETENTION_SECONDS
 from pimentoquay.standin.platform_engine import Behaviour, PlatformEngine
 
 SHARED = b"5c1e07a2:200"
@@ -207,7 +208,7 @@
         fleet = Fleet(env)
         await fleet.start(6)
         await quarantine(env, fleet, DEADLY)
-        env.store.drop_key(PROMPT_TOPIC, DEADLY)
+        env.store._newest_by_topic.pop(PROMPT_TOPIC, None)
         second = await env.add_gateway("vm-2")
         await until(lambda: DEADLY in quarantined(second), "told on connecting")
 
@@ -280,3 +281,30 @@
         assert (await env.stream("/digest/a", model=prompt(DEADLY))).status == 502
         assert all(engine.is_crashed for engine in engines)
         assert DEADLY in gateway.prompts.suspected_parts
+
+
+async def test_only_certain_quarantines_are_stored():
+    """A record holds nothing of the other parts that were suspected, so it would look certain."""
+    async with rig() as env:
+        gateway = env.gateway_by_vm["vm-1"]
+        doubtful = tuple(CrashedPrompt(f"gone-{n}", 1, ("5001", f"own-{n}")) for n in range(3))
+        gateway.mesh.notices.receive(PromptEvidence(doubtful, ()), "vm-9")
+        certain = tuple(CrashedPrompt(f"lost-{n}", 1, (DEADLY,)) for n in range(3))
+        gateway.mesh.notices.receive(PromptEvidence(certain, ()), "vm-9")
+        assert quarantined(gateway) == {"5001", DEADLY}
+        await until(lambda: env.store._newest_by_topic.get(PROMPT_TOPIC), "stored")
+        stored = [value for _, value in env.store._newest_by_topic[PROMPT_TOPIC].values()]
+        assert len(stored) == 1 and DEADLY.encode() in stored[0]
+
+
+async def test_callers_are_told_when_a_quarantined_prompt_is_tried_again():
+    async with rig() as env:
+        gateway = env.gateway_by_vm["vm-1"]
+        waits = []
+        for crashes in (3, 5):
+            crashed = tuple(CrashedPrompt(f"gone-{n}", 1, (DEADLY,)) for n in range(crashes))
+            gateway.mesh.notices.receive(PromptEvidence(crashed, ()), "vm-9")
+            response = await env.stream("/digest/a", model=prompt(DEADLY))
+            waits.append(float(response.headers["retry-after"]))
+        assert 29.0 < waits[0] <= CERTAIN_TRIAL_SECONDS
+        assert RETENTION_SECONDS - 1.0 < waits[1] <= RETENTION_SECONDS
--- a/pimentoquay/policy/prompt_quarantine.py
+++ b/pimentoquay/policy/prompt_quarantine.py
@@ -62,6 +62,9 @@
 MAX_CRASHES = 1024
 """Maximum number of crashes that are remembered; those without a quarantine are dropped first."""
 
+MAX_REPORTS_PER_CRASH = 32
+"""Maximum number of requests that are remembered of one crash."""
+
 MAX_SOUND_PARTS = 4096
 """Maximum number of parts whose last success is remembered."""
 
@@ -274,22 +277,34 @@
         now
             Current time in seconds.
         """
-        crashes = len(quarantine.engines)
-        if quarantine.is_certain and crashes >= MAX_TRIED_CRASHES:
+        if quarantine.is_certain and len(quarantine.engines) >= MAX_TRIED_CRASHES:
             return False
         if self.suspected_parts.intersection(parts) - quarantine.parts:
             return False
-        last_crash_at = max(self._known_since_by_crash[each] for each in quarantine.engines)
-        pause = TRIAL_SECONDS
-        if quarantine.is_certain:
-            pause = CERTAIN_TRIAL_SECONDS * 2 ** (crashes - MIN_CRASHES)
-        turn = (now - last_crash_at - pause) // TRIAL_TURN_SECONDS
+        turn = (now - self._first_trial_at(quarantine)) // TRIAL_TURN_SECONDS
         tried = quarantine.parts, turn
         if turn < 0 or turn % vms != rank or tried == self._last_trial:
             return False
         self._last_trial = tried
         return True
 
+    def retry_seconds(self, quarantine: Quarantine, now: float) -> float:
+        """Return the seconds until a request under a quarantine may be sent at the earliest."""
+        if quarantine.is_certain and len(quarantine.engines) >= MAX_TRIED_CRASHES:
+            ends_at = self._last_crash_at(quarantine) + RETENTION_SECONDS
+        else:
+            ends_at = self._first_trial_at(quarantine)
+        return max(ends_at - now, TRIAL_SECONDS)
+
+    def _first_trial_at(self, quarantine: Quarantine) -> float:
+        pause = TRIAL_SECONDS
+        if quarantine.is_certain:
+            pause = CERTAIN_TRIAL_SECONDS * 2 ** (len(quarantine.engines) - MIN_CRASHES)
+        return self._last_crash_at(quarantine) + pause
+
+    def _last_crash_at(self, quarantine: Quarantine) -> float:
+        return max(self._known_since_by_crash[each] for each in quarantine.engines)
+
     def expire(self, now: float) -> None:
         """Drop crashes that are too old."""
         old = [
@@ -308,7 +323,7 @@
 
     def _add_report(self, report: CrashReport, now: float) -> bool:
         known = self._reports_by_crash.setdefault(report.engine, set())
-        if report.parts in known:
+        if report.parts in known or len(known) >= MAX_REPORTS_PER_CRASH:
             return False
         known.add(report.parts)
         self._known_since_by_crash.setdefault(report.engine, now)
--- a/pimentoquay/policy/tests/test_prompt_quarantine.py
+++ b/pimentoquay/policy/tests/test_prompt_quarantine.py
@@ -11,6 +11,7 @@
 from pimentoquay.policy.prompt_quarantine import (
     CERTAIN_TRIAL_SECONDS,
     MAX_CRASHES,
+    MAX_REPORTS_PER_CRASH,
     MAX_TRIED_CRASHES,
     MIN_CRASHES,
     RECENT_SUCCESS_SECONDS,
@@ -202,6 +203,11 @@
     assert known.quarantine_of(("bad",)) is None and known.reports
 
 
+def test_many_requests_of_one_crash_are_limited():
+    reports = [crash(1, f"own-{n}") for n in range(10 * MAX_REPORTS_PER_CRASH)]
+    assert len(quarantine_of(*reports).reports) == MAX_REPORTS_PER_CRASH
+
+
 @dataclass
 class Load:
     """Seeded load of many VMs: sound and deadly streams, crashes, and evidence that travels.
