Let streams wait for the next place that the limits of all engines allow

What callers saw: 429 at 2.5 streams a second where two decode engines named limits of 2 each. Cause: a stream that finds all shares used up was judged by the memory that will come free, which nothing holds then, so no wait could be estimated. The memory decides only if the limits would allow a request now.

--- a/pimentoquay/gateway/pool_coordinator.py
+++ b/pimentoquay/gateway/pool_coordinator.py
@@ -127,12 +127,15 @@
             return
         outcome, seconds = PlaceOutcome.QUEUED, 0.0
         if is_new:
-            decision = pool.placement.refuse_long_wait(stream_key, self._decode_engines(key), now)
-            if not decision.should_wait:
-                outcome, seconds = PlaceOutcome.REFUSED, decision.seconds
-            elif (wait := self._limit_wait(key, pool)) > message.leaves_in:
+            engines = self._decode_engines(key)
+            limits = self._shared.links.limits
+            if (wait := self._limit_wait(key, pool)) > message.leaves_in:
                 pool.placement.cancel(stream_key)
                 outcome, seconds = PlaceOutcome.REFUSED, min(wait, MAX_LIMIT_WAIT_SECONDS)
+            elif not engines or any(limits.may_grant(engine, now) for engine in engines):
+                decision = pool.placement.refuse_long_wait(stream_key, engines, now)
+                if not decision.should_wait:
+                    outcome, seconds = PlaceOutcome.REFUSED, decision.seconds
         self._reply(source, message.key, message.pool, outcome, seconds)
 
     @receive.register
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -225,6 +225,8 @@
         now = asyncio.get_running_loop().time()
         patience = waiter.times.leaves_at - self._limits.work_seconds - now
         self._shared.refuse_over_limit(job.service, DECODE_STAGES, len(self._waiting), patience)
+        if self._shared.limit_wait(job.service, DECODE_STAGES):
+            return  # The limits of all engines are used up for now, whatever memory is free.
         if not engines:
             raise RefusedError(
                 ResultCode.NO_BACKEND, "no decode engine is listed", RETRY_AFTER_SECONDS
--- a/pimentoquay/gateway/tests/test_engine_limits.py
+++ b/pimentoquay/gateway/tests/test_engine_limits.py
@@ -234,3 +234,15 @@
         assert limits_of(env, "desk-1", VMS[:1]) == [50.0]
         gateway.mesh.notices.receive(LimitsNamed((EngineLimit("desk-1", 1, 9.0, 0.0),)), "vm-9")
         assert limits_of(env, "desk-1", VMS[:1]) == [9.0]
+
+
+async def test_streams_wait_for_the_next_place_that_the_limits_allow():
+    """They were refused by the estimate of free memory, of which there was enough."""
+    async with rig() as env:
+        for engine_id in ("dec-1", "dec-2"):
+            env.engine_by_id[engine_id].limit = "2"
+        async with asyncio.timeout(20.0):
+            while None in [limits_of(env, each, VMS[:1])[0] for each in ("dec-1", "dec-2")]:
+                await env.stream("/digest/a")
+        responses = await load(env, 4.0, 0.4, "/digest", VMS[:1], model_headers())
+        assert {response.status for response in responses} == {200}
