--- a/pimentoquay/gateway/shared_state.py
+++ b/pimentoquay/gateway/shared_state.py
@@ -27,6 +27,10 @@
 """Time for which an engine is avoided after it rejected a request as misdirected. A restarted
 engine updates its entry within one heartbeat interval of 1.2 s."""
 
+MIN_LIMIT_WAIT_SECONDS = 0.05
+"""Shortest Retry-After value if the limits of all engines are used up; a retry takes about as long
+to arrive, and shorter ones may be written as zero."""
+
 MAX_LIMIT_WAIT_SECONDS = 5.0
 """Longest Retry-After value if the limits of all engines are used up; limits may change sooner."""
 
@@ -173,7 +177,9 @@
         if wait is None or wait <= patience:
             return
         self.refused_over_limit += 1
-        seconds = min(wait, MAX_LIMIT_WAIT_SECONDS) if wait < math.inf else UNUSED_SHARE_SECONDS
+        seconds = UNUSED_SHARE_SECONDS
+        if wait < math.inf:
+            seconds = min(max(wait, MIN_LIMIT_WAIT_SECONDS), MAX_LIMIT_WAIT_SECONDS)
         raise RefusedError(
             ResultCode.ENGINES_LIMITED, "the limits of all engines are used up", seconds
         )
--- a/pimentoquay/gateway/tests/test_engine_limits.py
+++ b/pimentoquay/gateway/tests/test_engine_limits.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from pimentoquay.gateway.shared_state import MIN_LIMIT_WAIT_SECONDS
 from pimentoquay.gateway.tests.rig import model_headers, rig, until
 from pimentoquay.messages.fleet import EngineLimit, LimitsNamed
 from pimentoquay.standin.platform_engine import PlatformEngine
@@ -246,3 +247,15 @@
                 await env.stream("/digest/a")
         responses = await load(env, 4.0, 0.4, "/digest", VMS[:1], model_headers())
         assert {response.status for response in responses} == {200}
+
+
+async def test_a_refusal_never_tells_callers_to_return_after_no_time(monkeypatch):
+    """A wait of less than half a millisecond was written as 0.000 s (CI beside other load)."""
+    async with rig() as env:
+        for engine_id in ("desk-1", "desk-2"):
+            env.engine_by_id[engine_id].limit = "0.3"
+        shared = env.gateway_by_vm["vm-1"].stage_controller._shared
+        monkeypatch.setattr(shared, "limit_wait", lambda *arguments: 0.0001)
+        responses = await load(env, 0.3, 0.02, vms=VMS[:1])
+        waits = [float(each.headers["retry-after"]) for each in responses if each.status == 429]
+        assert waits and min(waits) >= MIN_LIMIT_WAIT_SECONDS
