--- a/pimentoquay/bench/mutations/gateway_switches.py
+++ b/pimentoquay/bench/mutations/gateway_switches.py
@@ -17,7 +17,7 @@
 _DEADLY = "pimentoquay/gateway/tests/test_deadly_parts.py::"
 _LIMITS = "pimentoquay/gateway/tests/test_engine_limits.py::"
 _LIMITS_POLICY = "pimentoquay/policy/tests/test_engine_limits.py::"
-_PROMPTS = "pimentoquay/policy/tests/test_prompt_quarantine.py::"
+_PROMPTS = "pimentoquay/policy/tests/test_prompt_loads.py::"
 
 GATEWAY_SWITCHES = (
     Switch(
