Keep shares and notices of engines in one place each

_own_bucket and _granted_bucket differed in the bucket they returned, the two classes of notices had the same constructor.

--- a/pimentoquay/gateway/notices.py
+++ b/pimentoquay/gateway/notices.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Generic, TypeVar
 
 from pimentoquay.kernel import Channel
 from pimentoquay.kernel.logs import logger
@@ -23,6 +23,8 @@
 
 __all__ = ["LeavingNotices", "LimitNotices", "NoticeExchange", "NoticeHandler"]
 
+Known = TypeVar("Known")
+
 
 @dataclass(frozen=True)
 class NoticeHandler:
@@ -83,13 +85,13 @@
                 channel.send(message)
 
 
-class LeavingNotices:
-    """Notices of engines that leave.
+class _Notices(Generic[Known]):
+    """Notices of one type.
 
     Parameters
     ----------
     known
-        What is known of the engines.
+        What this gateway knows of the engines.
     now
         Returns the monotonic time in seconds.
     publish
@@ -97,16 +99,23 @@
     """
 
     def __init__(
-        self,
-        known: EngineNotices,
-        now: Callable[[], float],
-        publish: Callable[[EnginesLeaving], None],
+        self, known: Known, now: Callable[[], float], publish: Callable[[Any], None]
     ) -> None:
         self._known = known
         self._now = now
         self._publish = publish
         self.handler = NoticeHandler(self._apply, self._snapshot)
 
+    def _apply(self, message: Any) -> Any:
+        raise NotImplementedError
+
+    def _snapshot(self) -> Any:
+        raise NotImplementedError
+
+
+class LeavingNotices(_Notices[EngineNotices]):
+    """Notices of engines that leave."""
+
     def report(self, start: EngineStart) -> None:
         """Tell the peers that an engine has said to this gateway that it leaves."""
         self._publish(_leaving_message((start,)))
@@ -123,29 +132,8 @@
         return _leaving_message(self._known.leaving) if self._known.leaving else None
 
 
-class LimitNotices:
-    """Notices of the limits that engines name.
-
-    Parameters
-    ----------
-    known
-        The limits that this gateway knows.
-    now
-        Returns the monotonic time in seconds.
-    publish
-        Sends a notice to all peers.
-    """
-
-    def __init__(
-        self,
-        known: EngineLimits,
-        now: Callable[[], float],
-        publish: Callable[[LimitsNamed], None],
-    ) -> None:
-        self._known = known
-        self._now = now
-        self._publish = publish
-        self.handler = NoticeHandler(self._apply, self._snapshot)
+class LimitNotices(_Notices[EngineLimits]):
+    """Notices of the limits that engines name."""
 
     def report(self, notice: LimitNotice) -> None:
         """Tell the peers that an engine has named another limit, or none, to this gateway."""
--- a/pimentoquay/policy/engine_limits.py
+++ b/pimentoquay/policy/engine_limits.py
@@ -272,24 +272,25 @@
         if has_changed:
             known.is_share_current = False
         if limit is None:
-            known.own = known.granted = None
+            known.own = known.granted = None  # A later limit starts with nothing earned.
         return has_changed
 
     def _own_bucket(self, engine: EngineEntry, now: float) -> _Bucket | None:
-        known = self._known_by_start.get(engine.start)
-        if known is None or known.limit is None:
-            return None
-        if known.own is None or not known.is_share_current:
-            self._update_shares(known, known.limit, engine, now)
-        return known.own
+        known = self._limited(engine, now)
+        return known.own if known is not None else None
 
     def _granted_bucket(self, engine: EngineEntry, now: float) -> _Bucket | None:
+        known = self._limited(engine, now)
+        return known.granted if known is not None else None
+
+    def _limited(self, engine: EngineEntry, now: float) -> _Known | None:
+        """Return what is known of an engine with a limit, with its present shares."""
         known = self._known_by_start.get(engine.start)
         if known is None or known.limit is None:
             return None
-        if known.granted is None or not known.is_share_current:
+        if not known.is_share_current:
             self._update_shares(known, known.limit, engine, now)
-        return known.granted
+        return known
 
     def _update_shares(self, known: _Known, limit: float, engine: EngineEntry, now: float) -> None:
         is_coordinated = self.has_coordinators and engine.stage is not EngineStage.NONE
