--- a/pimentoquay/gateway/pool_client.py
+++ b/pimentoquay/gateway/pool_client.py
@@ -27,7 +27,7 @@
 from pimentoquay.policy.prefill_choice import can_prefill_on_decode_engine
 from pimentoquay.policy.stream_admission import StreamTimes
 
-__all__ = ["PoolClient", "PoolGrant"]
+__all__ = ["PoolClient", "PoolGrant", "StreamToPlace"]
 
 FIRST_REPLY_SECONDS = 0.15
 """Timeout of the first reply to a request, which usually arrives within some milliseconds."""
@@ -63,6 +63,17 @@
     is_exact: bool
 
 
+@dataclass(frozen=True)
+class StreamToPlace:
+    """One run of a job's stream; ``key`` identifies it in all requests to place it."""
+
+    key: str
+    job: Job
+    need: MemoryNeed
+    run: GrowingRun
+    times: StreamTimes
+
+
 @dataclass
 class _KnownPool:
     """Newest summary of a pool, and what this gateway has reported to its coordinator."""
@@ -145,22 +156,16 @@
         self._shared.demand.set_peer(str(key), stage_work(message.work))
         return True
 
-    def new_key(self, job: Job) -> str:
-        """Return a key for the requests to place one run of a job's stream."""
-        return f"{job.caller.id} {next(self._numbers)}"
+    def stream_to_place(
+        self, job: Job, need: MemoryNeed, run: GrowingRun, times: StreamTimes
+    ) -> StreamToPlace:
+        """Return one run of a job's stream, with a key of its own."""
+        return StreamToPlace(f"{job.caller.id} {next(self._numbers)}", job, need, run, times)
 
-    async def place(
-        self,
-        request_key: str,
-        job: Job,
-        need: MemoryNeed,
-        run: GrowingRun,
-        times: StreamTimes,
-        full_engine: str = "",
-    ) -> PoolGrant | None:
+    async def place(self, stream: StreamToPlace, full_engine: str = "") -> PoolGrant | None:
         """Ask for engines for a stream, waiting for them; ``None`` if no coordinator replies.
 
-        Called again with the same key and the granted engine if that engine had no memory.
+        Called again with the same stream and the granted engine if that engine had no memory.
 
         Raises
         ------
@@ -169,14 +174,12 @@
         """
         avoided: set[PoolKey] = set()
         while True:
-            key = self._choose(job, need, avoided)
+            key = self._choose(stream.job, stream.need, avoided)
             if key is None:
                 return None
             try:
-                async with asyncio.timeout_at(times.leaves_at):
-                    source, reply = await self._ask(
-                        job, key, request_key, need, run, times, full_engine
-                    )
+                async with asyncio.timeout_at(stream.times.leaves_at):
+                    source, reply = await self._ask(stream, key, full_engine)
             except TimeoutError:
                 raise RefusedError(
                     ResultCode.DEADLINE_UNREACHABLE, "no memory became free in time", REPEAT_SECONDS
@@ -236,25 +239,17 @@
             self._known_by_key[key].avoided_until = self._node.timers.now() + AVOID_SECONDS
 
     async def _ask(
-        self,
-        job: Job,
-        key: PoolKey,
-        request_key: str,
-        need: MemoryNeed,
-        run: GrowingRun,
-        times: StreamTimes,
-        full_engine: str,
+        self, stream: StreamToPlace, key: PoolKey, full_engine: str
     ) -> tuple[str, PlaceReply | None]:
         """Return the coordinator and its final reply, or ``None`` if it does not reply."""
-        replies = self._replies_by_key[request_key] = asyncio.Queue()
+        replies = self._replies_by_key[stream.key] = asyncio.Queue()
         misses, timeout, is_final = 0, FIRST_REPLY_SECONDS, False
         coordinator = source = ""
         try:
             while misses < MAX_MISSES:
-                self._shared.prompts.check(job)
+                self._shared.prompts.check(stream.job)
                 coordinator = self._coordinator_of(key) or ""
-                request = self._request(job, key, request_key, need, run, times, full_engine)
-                self._send_to(coordinator, request)
+                self._send_to(coordinator, self._request(stream, key, full_engine))
                 reply: PlaceReply | None = None
                 with contextlib.suppress(TimeoutError):
                     async with asyncio.timeout(timeout):
@@ -270,31 +265,22 @@
                 full_engine = ""
             return coordinator, None
         finally:
-            del self._replies_by_key[request_key]
+            del self._replies_by_key[stream.key]
             if not is_final and coordinator:
-                self._send_to(coordinator, PlaceCancelled(request_key, key))
+                self._send_to(coordinator, PlaceCancelled(stream.key, key))
 
-    def _request(
-        self,
-        job: Job,
-        key: PoolKey,
-        request_key: str,
-        need: MemoryNeed,
-        run: GrowingRun,
-        times: StreamTimes,
-        full_engine: str,
-    ) -> PlaceRequest:
-        now = asyncio.get_running_loop().time()
+    def _request(self, stream: StreamToPlace, key: PoolKey, full_engine: str) -> PlaceRequest:
+        now, times = asyncio.get_running_loop().time(), stream.times
         is_short = can_prefill_on_decode_engine(
-            need.prompt, self._shared.speed, job.route.gap_seconds
+            stream.need.prompt, self._shared.speed, stream.job.route.gap_seconds
         )
         return PlaceRequest(
-            request_key,
+            stream.key,
             key,
-            run.tokens,
-            run.remaining,
-            need.tokens,
-            need.prompt,
+            stream.run.tokens,
+            stream.run.remaining,
+            stream.need.tokens,
+            stream.need.prompt,
             is_short,
             now - times.arrived_at,
             times.late_at - now,
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -274,11 +274,11 @@
         If no coordinator replies, the engines themselves decide, by the whole expected memory.
         """
         full_engine = ""
-        request_key = self._pools.new_key(job)
+        run = _run_of(need, usable_tokens(memory))
+        stream = self._pools.stream_to_place(job, need, run, times)
         for _ in range(MAX_GRANTS):
             self._refuse_if_paused(job)
-            run = _run_of(need, usable_tokens(memory))
-            grant = await self._pools.place(request_key, job, need, run, times, full_engine)
+            grant = await self._pools.place(stream, full_engine)
             if grant is None:
                 reservation = await self._try_reserve(job, memory, need)
                 if reservation is not None:
