Ignore a stored quarantine with an infinite incarnation or one nested without end

Found by reading: int(Infinity) raises OverflowError and deep JSON RecursionError, neither of which was caught, so one such record ended the gateway's reading of the store. The test with these records timed out before.

--- a/pimentoquay/gateway/prompt_guard.py
+++ b/pimentoquay/gateway/prompt_guard.py
@@ -240,6 +240,6 @@
             CrashReport(EngineStart(str(engine), int(incarnation)), parts)
             for engine, incarnation in item["engines"]
         ]
-    except (ValueError, TypeError, KeyError) as error:
+    except (ValueError, TypeError, KeyError, OverflowError, RecursionError) as error:
         logger.bind(key=record.key, error=repr(error)).warning("invalid quarantine ignored")
         return []
--- a/pimentoquay/gateway/tests/test_deadly_parts.py
+++ b/pimentoquay/gateway/tests/test_deadly_parts.py
@@ -265,8 +265,20 @@
 
 async def test_invalid_records_of_quarantines_are_ignored():
     async with rig() as env:
-        for number, value in enumerate((b"x", b"[]", b'{"parts": 3}', b'{"engines": [[1]]}')):
+        values = (
+            b"x",
+            b"[]",
+            b'{"parts": 3}',
+            b'{"engines": [[1]]}',
+            b'{"parts": ["5001"], "engines": [["e", Infinity]]}',
+            b"[" * 100_000,
+        )
+        gateway = env.gateway_by_vm["vm-1"]
+        for number, value in enumerate(values):
             await env.store.put(PROMPT_TOPIC, f"bad-{number}", value)
+        calls = env.store.calls
+        await until(lambda: env.store.calls > calls + 6, "read")
+        assert not env._task_by_vm["vm-1"].done() and gateway.dispatcher.is_ready
         response = await env.stream("/digest/a", model=prompt("5001"))
         assert response.status == 200
         assert not env.gateway_by_vm["vm-1"].prompts.quarantines
