--- a/pimentoquay/gateway/prompt_guard.py
+++ b/pimentoquay/gateway/prompt_guard.py
@@ -76,7 +76,7 @@
     def check(self, job: Job) -> None:
         """Raise ``RefusedError`` if a request may not be sent to engines because of its prompt."""
         quarantine = self.quarantine_of(job)
-        if quarantine is not None:
+        if quarantine is not None and not self._begin_trial(job, quarantine):
             detail = f"{_text(quarantine)} crashed {len(quarantine.engines)} engines"
             seconds = self._known.retry_seconds(quarantine, self._now())
             raise RefusedError(ResultCode.PROMPT_QUARANTINED, detail, seconds)
@@ -86,20 +86,21 @@
 
         A request to which an answer has begun is none of those that crash engines.
         """
-        if not self._known.quarantines or job.reply.started or job.caller.last_event is not None:
+        has_begun = job.reply.started or job.caller.last_event is not None
+        if not self._known.quarantines or has_begun or job.caller.id == self._trial_request:
             return None
-        parts = _parts(job)
-        quarantine = self._known.quarantine_of(parts)
-        if quarantine is None or job.caller.id == self._trial_request:
-            return None
-        if self._known.begin_trial(quarantine, parts, *self._turn_order(), self._now()):
-            self._trial_request = job.caller.id
-            self.trials += 1
-            logger.bind(request=job.caller.id, parts=_text(quarantine)).info(
-                "request tried in spite of a quarantine"
-            )
-            return None
-        return quarantine
+        return self._known.quarantine_of(_parts(job))
+
+    def _begin_trial(self, job: Job, quarantine: Quarantine) -> bool:
+        rank, vms = self._turn_order()
+        if not self._known.begin_trial(quarantine, _parts(job), rank, vms, self._now()):
+            return False
+        self._trial_request = job.caller.id
+        self.trials += 1
+        logger.bind(request=job.caller.id, parts=_text(quarantine)).info(
+            "request tried in spite of a quarantine"
+        )
+        return True
 
     async def handle_lost_run(self, job: Job, link: EngineLink) -> ServerState:
         """Learn from a request that lost its connection before its answer; return what was seen."""
