--- a/pimentoquay/policy/engine_limits.py
+++ b/pimentoquay/policy/engine_limits.py
@@ -10,13 +10,13 @@
 until it names one. VMs that are gone, or that cannot be heard, keep their shares for a while.
 """
 
-import hashlib
 import math
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 from pimentoquay.policy.engine_notices import EngineStart
 from pimentoquay.policy.fleet import EngineEntry, EngineStage
+from pimentoquay.policy.mesh_plan import hash_rank
 
 __all__ = ["UNUSED_SHARE_SECONDS", "EngineLimits", "LimitNotice", "Share", "share_of"]
 
@@ -75,17 +75,13 @@
     """
     users = min(len(vms), math.floor(1.5 * limit) + 4)
     if users < len(vms):
-        ordered = sorted(vms, key=lambda vm: _rank(engine, vm))
+        ordered = sorted(vms, key=lambda vm: hash_rank(f"{engine} {vm}"))
         if own not in ordered[:users]:
             return Share(0.0, 0.0)
     per_second = limit / max(1, users)
     return Share(per_second, max(1.0, per_second * BURST_SECONDS))
 
 
-def _rank(engine: str, vm: str) -> bytes:
-    return hashlib.blake2b(f"{engine} {vm}".encode(), digest_size=8).digest()
-
-
 @dataclass
 class _Bucket:
     """Requests that may be sent now, which grow with time up to the burst of the share."""
--- a/pimentoquay/policy/mesh_plan.py
+++ b/pimentoquay/policy/mesh_plan.py
@@ -18,7 +18,7 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
-__all__ = ["FULL_MESH_VMS", "MeshPlan", "needs_relays", "plan_mesh"]
+__all__ = ["FULL_MESH_VMS", "MeshPlan", "hash_rank", "needs_relays", "plan_mesh"]
 
 FULL_MESH_VMS = 16
 """Maximum number of VMs in a full mesh.
@@ -89,7 +89,7 @@
     relays: set[str] = set()
     for data_centre in set(data_centre_by_vm.values()):
         ordered = sorted(
-            (vm for vm, each in data_centre_by_vm.items() if each == data_centre), key=_hash_rank
+            (vm for vm, each in data_centre_by_vm.items() if each == data_centre), key=hash_rank
         )
         count = max(RELAYS_PER_VM, math.ceil(len(ordered) / VMS_PER_RELAY))
         active = [vm for vm in ordered if vm in reachable or vm == own]
@@ -97,10 +97,11 @@
     if own in relays:
         return MeshPlan(frozenset(relays - {own}), frozenset(relays))
     local_relays = [vm for vm in relays if data_centre_by_vm[vm] == data_centre_by_vm[own]]
-    local_relays.sort(key=lambda vm: (vm not in reachable, _hash_rank(f"{own} {vm}")))
+    local_relays.sort(key=lambda vm: (vm not in reachable, hash_rank(f"{own} {vm}")))
     return MeshPlan(frozenset(local_relays[:RELAYS_PER_VM]), frozenset(relays))
 
 
 @functools.lru_cache(maxsize=8192)
-def _hash_rank(name: str) -> bytes:
+def hash_rank(name: str) -> bytes:
+    """Return a value by which all VMs order names alike, without any pattern."""
     return hashlib.blake2b(name.encode(), digest_size=8).digest()
--- a/pimentoquay/policy/pools.py
+++ b/pimentoquay/policy/pools.py
@@ -12,7 +12,6 @@
 both believe to be the coordinator may overbook an engine for a moment, and the engine then refuses.
 """
 
-import hashlib
 import math
 import zlib
 from collections.abc import Collection, Iterable, Mapping
@@ -20,6 +19,7 @@
 
 from pimentoquay.messages.pools import PoolKey
 from pimentoquay.policy.fleet import EngineEntry
+from pimentoquay.policy.mesh_plan import hash_rank
 
 __all__ = ["PoolKey", "PoolState", "choose_pool", "coordinator_of", "pools_of"]
 
@@ -70,8 +70,7 @@
     local = [vm for vm, each in data_centre_by_vm.items() if each == key.data_centre]
 
     def rank(vm: str) -> bytes:
-        name = f"{key.service} {key.data_centre} {key.index} {vm}"
-        return hashlib.blake2b(name.encode(), digest_size=8).digest()
+        return hash_rank(f"{key.service} {key.data_centre} {key.index} {vm}")
 
     return min(local or data_centre_by_vm, key=rank, default=None)
 
