--- a/pimentoquay/gateway/prompt_guard.py
+++ b/pimentoquay/gateway/prompt_guard.py
@@ -158,13 +158,14 @@
 
     def _add(self, reports: Iterable[CrashReport], clearances: Iterable[Clearance]) -> None:
         """Add evidence, and send the peers what is new."""
-        new = self._add_quietly(reports, clearances)
+        new = self._learn(reports, clearances)
         if new is not None:
             self._publish(new)
 
-    def _add_quietly(
+    def _learn(
         self, reports: Iterable[CrashReport], clearances: Iterable[Clearance]
     ) -> PromptEvidence | None:
+        """Add evidence; return a message with what is new."""
         before = self._known.quarantines
         new_reports, new_clearances = self._known.add(reports, clearances, self._now())
         self._log_changes(before)
@@ -179,7 +180,7 @@
             Clearance(EngineStart(each.engine, each.incarnation), each.part)
             for each in message.cleared
         ]
-        new = self._add_quietly(reports, clearances)
+        new = self._learn(reports, clearances)
         if new is not None and set(new.cleared) - set(message.cleared):
             # What was cleared here is not known to the source.
             self._publish(PromptEvidence((), new.cleared))
