Log the digest of a lost call and what became of its server

A lost call now logs a digest of its host, path and body, and the state that a new connection shows; streams that ended early log the digest as well. The stand-in engine crashes under given bodies, and starts again under its id.

--- a/pimentoquay/gateway/job.py
+++ b/pimentoquay/gateway/job.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from functools import cached_property
 
 from pimentoquay.gateway.metrics import GatewayMetrics
 from pimentoquay.http1 import HeaderList, HttpRequest, Reply, end_to_end_headers
@@ -9,6 +10,7 @@
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.requests import CallerRequest, retry_after_header
 from pimentoquay.policy.fleet import Route
+from pimentoquay.policy.request_digest import request_digest
 
 __all__ = ["Job", "record_end", "send_error", "send_response"]
 
@@ -35,6 +37,11 @@
         """Time at which the first byte of the request arrived."""
         return self.request.received_at
 
+    @cached_property
+    def digest(self) -> str:
+        """Digest of the request, which is the same each time that its caller sends it."""
+        return request_digest(self.caller.host, self.request.target, self.request.body)
+
     @property
     def deadline(self) -> float:
         """Time at which the caller's or the route's timeout ends, whichever is first."""
--- a/pimentoquay/gateway/plain.py
+++ b/pimentoquay/gateway/plain.py
@@ -148,8 +148,8 @@
             return self._accept_response(job, engine, attempts, response)
         except HttpError as error:
             self._record_lost(job, engine, attempts, error.written, str(error))
-            if error.connection_lost and job.caller.model is not None and not job.reply.started:
-                await shared.prompts.handle_lost_run(job, shared.links.link_to(engine))
+            if error.connection_lost and not job.reply.started:
+                await self._handle_lost_run(job, engine)
         except TimeoutError:
             self._record_lost(job, engine, attempts, True, "no answer in time")
         except asyncio.CancelledError:
@@ -160,6 +160,16 @@
             self._record_experience(experience, loop.time() - started_at, has_failed)
         return None
 
+    async def _handle_lost_run(self, job: Job, engine: EngineEntry) -> None:
+        link = self._shared.links.link_to(engine)
+        if job.caller.model is not None:
+            state = await self._shared.prompts.handle_lost_run(job, link)
+        else:
+            state = await link.check()
+        logger.bind(
+            request=job.caller.id, engine=engine.id, digest=job.digest, engine_state=state.value
+        ).info("run lost")
+
     def _record_experience(
         self, experience: EngineCallStats, seconds: float, has_failed: bool
     ) -> None:
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -120,6 +120,7 @@
             last_event=progress.last_event,
             sends=progress.sends,
             parts=",".join(job.caller.model.shared_parts) if job.caller.model else "",
+            digest=job.digest,
             engine_state=error.engine_state.value if error.engine_state is not None else "",
             detail=str(error),
         ).info("run ended early")
--- a/pimentoquay/standin/platform_engine.py
+++ b/pimentoquay/standin/platform_engine.py
@@ -116,6 +116,14 @@
     deadly_parts
         Ids of the parts of prompts under which the engine crashes when it begins to write an
         answer.
+    deadly_bodies
+        Bodies of the requests under which the engine crashes when it runs them.
+    crash_seconds
+        Time from the beginning of such a run to the crash, in seconds.
+    crash_after_events
+        Number of events that it writes before it crashes under such a stream.
+    crashes_in_prefill
+        Whether it also crashes when it prefills such a request.
     on_crash
         Called when the engine has crashed.
     is_crashed
@@ -143,6 +151,10 @@
     limit: str = ""
     calls: int = 0
     deadly_parts: frozenset[str] = frozenset()
+    deadly_bodies: frozenset[bytes] = frozenset()
+    crash_seconds: float = 0.002
+    crash_after_events: int = 0
+    crashes_in_prefill: bool = False
     on_crash: Callable[["PlatformEngine"], None] = lambda engine: None
     is_crashed: bool = False
 
@@ -163,6 +175,15 @@
         self._server.abort()
         self.on_crash(self)
 
+    async def restart(self) -> None:
+        """Start again after a crash, under the same id and at the same address."""
+        host, _, port = self.address.rpartition(":")
+        self.is_crashed = False
+        self.born += 1
+        self.sequence = 0
+        self.holds.clear()
+        await self.serve(host, int(port))
+
     def entry(self, state: str = "ready") -> bytes:
         """Return the next entry that the engine writes about itself to the engine list."""
         self.sequence += 1
@@ -250,14 +271,29 @@
             reply.send(200, *altered[behaviour])
         elif behaviour in _UNFRAMED and not arrival.is_prefill:
             await self._send_unframed(behaviour, headers, reply)
+        elif self.stage and not arrival.is_prefill:
+            await self._stream(arrival, behaviour, headers, reply)
+        else:
+            await self._answer(arrival, headers, reply)
+
+    async def _answer(
+        self, arrival: Arrival, headers: tuple[tuple[bytes, bytes], ...], reply: Reply
+    ) -> None:
+        """Answer a plain call or a prefill."""
+        if self._is_deadly(arrival):
+            await asyncio.sleep(self.crash_seconds)
+            self.crash()
         elif arrival.is_prefill:
             answer = {"kvHandle": f"kv{len(self.arrivals)}", "tokens": 10, "version": 1}
             reply.send(200, headers[:1], json.dumps(answer).encode())
-        elif self.stage:
-            await self._stream(arrival, behaviour, headers, reply)
         else:
             reply.send(200, headers, b"answer of " + self.id.encode())
 
+    def _is_deadly(self, arrival: Arrival) -> bool:
+        """Return whether the engine crashes under a request."""
+        is_run = self.crashes_in_prefill or not arrival.is_prefill
+        return is_run and arrival.body in self.deadly_bodies
+
     async def _send_unframed(
         self, behaviour: Behaviour, headers: tuple[tuple[bytes, bytes], ...], reply: Reply
     ) -> None:
@@ -312,6 +348,11 @@
                 return
             first = int(arrival.headers.get("last-event-id", "0")) + 1
             for number in range(first, self.events + 1):
+                if self._is_deadly(arrival) and number == first + self.crash_after_events:
+                    # What was written leaves the process before it ends.
+                    await asyncio.sleep(self.crash_seconds)
+                    self.crash()
+                    return
                 if behaviour is Behaviour.BREAK and number == 4:
                     reply.abort()
                     return
