--- a/pimentoquay/gateway/tests/test_deadly_requests.py
+++ b/pimentoquay/gateway/tests/test_deadly_requests.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 
+import pytest
+
 from pimentoquay.gateway.tests.rig import rig, until
 from pimentoquay.kernel.logs import logger
 
@@ -65,6 +67,23 @@
     return responses
 
 
+@pytest.mark.parametrize("path", ["/look/a", "/order/a"])
+async def test_a_repeated_call_that_crashes_servers_crashes_few_of_them(path):
+    """On the day inc1 of huong-giang, one call ended 12 servers, another one 11."""
+    async with rig() as env:
+        await three_gateways(env)
+        servers = Servers(env, ("desk-1", "desk-2"))
+        responses = []
+        for _ in range(4):
+            responses += await send_in_turn(env, 3, path)
+            await servers.all_back()
+        assert servers.crashes <= MOST_ENDED
+        assert {each.status for each in responses[-3:]} == {503}
+        assert all(float(each.headers["retry-after"]) > 0 for each in responses[-3:])
+        sound = await env.send_request(path, body=b"sound")
+        assert sound.status == 200
+
+
 async def test_a_lost_call_is_logged_with_its_digest_and_what_became_of_the_server():
     lines = []
     sink = logger.add(lambda line: lines.append(json.loads(line)["record"]), serialize=True)
