--- a/pimentoquay/bench/mutations/gateway_switches.py
+++ b/pimentoquay/bench/mutations/gateway_switches.py
@@ -17,6 +17,8 @@
 _DEADLY = "pimentoquay/gateway/tests/test_deadly_parts.py::"
 _LIMITS = "pimentoquay/gateway/tests/test_engine_limits.py::"
 _LIMITS_POLICY = "pimentoquay/policy/tests/test_engine_limits.py::"
+_REQUESTS = "pimentoquay/gateway/tests/test_deadly_requests.py::"
+_REQUEST_LOADS = "pimentoquay/policy/tests/test_request_loads.py::"
 _PROMPTS = "pimentoquay/policy/tests/test_prompt_loads.py::"
 
 GATEWAY_SWITCHES = (
@@ -134,6 +136,40 @@
         return_constant(False),
         _DEADLY + "test_a_quarantine_ends_when_an_engine_begins_to_answer_such_a_prompt",
     ),
+    Switch(
+        "engine that is back under its id crashes anew",
+        "pimentoquay.policy.prompt_quarantine:PromptQuarantine.start_of_crash",
+        lambda original: lambda self, listed, now: listed,
+        "pimentoquay/policy/tests/test_prompt_quarantine.py::"
+        "test_an_engine_that_is_back_under_its_id_crashes_anew",
+    ),
+    Switch(
+        "trial told to peers",
+        "pimentoquay.policy.prompt_quarantine:PromptQuarantine.record_trial",
+        return_constant(True),
+        "pimentoquay/policy/tests/test_prompt_quarantine.py::"
+        "test_a_request_in_quarantine_is_tried_by_one_vm_and_more_and_more_seldom",
+    ),
+    Switch(
+        "crashes under a request counted",
+        "pimentoquay.policy.crash_evidence:is_request",
+        return_constant(False),
+        "pimentoquay/policy/tests/test_prompt_quarantine.py::"
+        "test_a_request_that_alone_was_at_two_crashes_is_quarantined",
+    ),
+    Switch(
+        "answers clear requests",
+        "pimentoquay.gateway.prompt_guard:PromptGuard.record_answered",
+        return_constant(None),
+        _REQUESTS + "test_a_sound_call_that_repeats_is_served_though_servers_crash_for_other_"
+        "reasons",
+    ),
+    Switch(
+        "quarantine of calls",
+        "pimentoquay.policy.prompt_quarantine:PromptQuarantine.quarantine_of",
+        return_constant(None),
+        _REQUEST_LOADS + "test_a_request_that_crashes_servers_is_not_sent_much_more",
+    ),
     Switch(
         "limit of an engine",
         "pimentoquay.policy.engine_limits:EngineLimits.record_response",
--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -23,6 +23,7 @@
     PROMPT_TRIALS,
     PROMPTS_QUARANTINED,
     PROMPTS_SUSPECTED,
+    REFUSED_IN_QUARANTINE,
     REFUSED_OVER_LIMIT,
     SENDS_WITHHELD,
     STORE_CALLS,
@@ -45,7 +46,12 @@
 from pimentoquay.http1 import HttpRequest, HttpServer, Reply, ServerLimits
 from pimentoquay.kernel import Node
 from pimentoquay.kernel.logs import logger
-from pimentoquay.messages.fleet import EnginesLeaving, LimitsNamed, PromptEvidence
+from pimentoquay.messages.fleet import (
+    EnginesLeaving,
+    LimitsNamed,
+    PromptEvidence,
+    TrialBegun,
+)
 from pimentoquay.messages.pools import PoolKey
 from pimentoquay.platform.settings import DeploymentSettings
 from pimentoquay.platform.store import StoreClient, StoreError
@@ -254,6 +260,7 @@
     leaving = LeavingNotices(fleet.notices, node.timers.now, mesh.notices.publish)
     mesh.notices.register(EnginesLeaving, leaving.handler)
     mesh.notices.register(PromptEvidence, prompts.handler)
+    mesh.notices.register(TrialBegun, prompts.trial_handler)
     links.on_leaving.append(leaving.report)
     limit_notices = LimitNotices(limits, node.timers.now, mesh.notices.publish)
     mesh.notices.register(LimitsNamed, limit_notices.handler)
@@ -308,6 +315,7 @@
         PROMPTS_SUSPECTED: lambda: len(prompts.suspected_parts),
         PROMPTS_QUARANTINED: lambda: len(prompts.quarantines),
         PROMPT_TRIALS: lambda: prompts.trials,
+        REFUSED_IN_QUARANTINE: lambda: prompts.refused,
         ENGINES_LIMITED: lambda: len(limits.limited),
         REFUSED_OVER_LIMIT: lambda: shared.refused_over_limit,
     }
--- a/pimentoquay/gateway/job.py
+++ b/pimentoquay/gateway/job.py
@@ -12,7 +12,10 @@
 from pimentoquay.policy.fleet import Route
 from pimentoquay.policy.request_digest import request_digest
 
-__all__ = ["Job", "record_end", "send_error", "send_response"]
+__all__ = ["MAX_CRASHES_PER_REQUEST", "Job", "record_end", "send_error", "send_response"]
+
+MAX_CRASHES_PER_REQUEST = 2
+"""Engines that may crash under one request of a caller before it is not sent to another."""
 
 RESPONSE_MARGIN_SECONDS = 0.02
 """Part of a request's timeout that is reserved for returning the response to the caller."""
--- a/pimentoquay/gateway/links.py
+++ b/pimentoquay/gateway/links.py
@@ -29,6 +29,9 @@
 CALL_TIMEOUT_SECONDS = 0.5
 """Timeout of a management call, such as reserving memory, which runs no request."""
 
+CHECK_TIMEOUT_SECONDS = 0.1
+"""Timeout of the check whether an engine still runs; a refusal takes one round trip."""
+
 MAX_CALL_BODY_BYTES = 64 * 1024
 """Maximum size of a response to a management call, in bytes; they have a few hundred."""
 
@@ -170,7 +173,11 @@
 
     async def check(self) -> ServerState:
         """Return whether the engine still runs, as shown by a new connection."""
-        return await self._pool.check_server()
+        try:
+            async with asyncio.timeout(CHECK_TIMEOUT_SECONDS):
+                return await self._pool.check_server()
+        except TimeoutError:
+            return ServerState.UNREACHABLE
 
     def close(self) -> None:
         """Close the idle connections."""
--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -29,6 +29,7 @@
     PeerLoads,
     PromptEvidence,
     StageOrdered,
+    TrialBegun,
     VmAddress,
 )
 from pimentoquay.messages.pools import (
@@ -108,6 +109,7 @@
             EnginesLeaving,
             PromptEvidence,
             LimitsNamed,
+            TrialBegun,
             Bundle,
             ChannelAlive,
             Routed,
@@ -299,7 +301,9 @@
 
     @_dispatch.register
     def _handle_notice(
-        self, message: EnginesLeaving | PromptEvidence | LimitsNamed, envelope: Envelope
+        self,
+        message: EnginesLeaving | PromptEvidence | LimitsNamed | TrialBegun,
+        envelope: Envelope,
     ) -> None:
         self.notices.receive(message, _source(envelope))
 
--- a/pimentoquay/gateway/metrics.py
+++ b/pimentoquay/gateway/metrics.py
@@ -72,17 +72,17 @@
 ENGINE_CRASHES = Metric(
     "pimentoquay_gateway_engine_crashes_total",
     "counter",
-    "crashes of engines seen here under requests to which no answer had begun",
+    "requests seen here at an engine when it crashed",
 )
 PROMPTS_SUSPECTED = Metric(
     "pimentoquay_gateway_prompt_parts_suspected",
     "gauge",
-    "parts of prompts that may have crashed engines",
+    "parts of prompts, and requests, that may have crashed engines",
 )
 PROMPTS_QUARANTINED = Metric(
     "pimentoquay_gateway_prompts_quarantined",
     "gauge",
-    "combinations of parts of prompts that are refused because engines crashed under them",
+    "requests and combinations of parts of prompts that are refused after crashes under them",
 )
 PROMPT_TRIALS = Metric(
     "pimentoquay_gateway_prompt_trials_total",
@@ -90,6 +90,12 @@
     "requests that were sent in spite of a quarantine, to learn whether it is right",
 )
 
+REFUSED_IN_QUARANTINE = Metric(
+    "pimentoquay_gateway_refused_in_quarantine_total",
+    "counter",
+    "requests refused because engines have crashed under them or under their prompt",
+)
+
 ENGINES_LIMITED = Metric(
     "pimentoquay_gateway_engines_limited",
     "gauge",
@@ -119,6 +125,7 @@
     PROMPTS_QUARANTINED,
     PROMPT_TRIALS,
     ENGINES_LIMITED,
+    REFUSED_IN_QUARANTINE,
     REFUSED_OVER_LIMIT,
 )
 _SUMMARIES = (REQUEST_SECONDS, FIRST_EVENT_SECONDS, MEMORY_WAIT_SECONDS)
--- a/pimentoquay/gateway/plain.py
+++ b/pimentoquay/gateway/plain.py
@@ -8,9 +8,14 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from pimentoquay.gateway.job import Job, record_end, send_response
+from pimentoquay.gateway.job import (
+    MAX_CRASHES_PER_REQUEST,
+    Job,
+    record_end,
+    send_response,
+)
 from pimentoquay.gateway.shared_state import SharedState
-from pimentoquay.http1 import Exchange, HeaderList, end_to_end_headers
+from pimentoquay.http1 import Exchange, HeaderList, ServerState, end_to_end_headers
 from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode
 from pimentoquay.kernel.errors import HttpError, ResponseTooLargeError
 from pimentoquay.kernel.logs import logger
@@ -55,12 +60,14 @@
     """Counts and results of the sends of one request.
 
     ``arrivals`` counts the sends that may have reached a server, ``runs`` those that it may have
-    run. ``response`` is the last valid response, which may be an error of the server.
+    run, ``crashes`` those under which it crashed. ``response`` is the last valid response, which
+    may be an error of the server.
     """
 
     sends: int = 0
     arrivals: int = 0
     runs: int = 0
+    crashes: int = 0
     engines: set[str] = field(default_factory=set)
     response: _Response | None = None
 
@@ -120,6 +127,8 @@
         return chosen
 
     def _may_send(self, job: Job, attempts: _Attempts) -> bool:
+        if attempts.crashes >= MAX_CRASHES_PER_REQUEST:
+            return False
         if attempts.sends and self._shared.prompts.quarantine_of(job) is not None:
             return False
         if attempts.runs and (
@@ -149,7 +158,7 @@
         except HttpError as error:
             self._record_lost(job, engine, attempts, error.written, str(error))
             if error.connection_lost and not job.reply.started:
-                await self._handle_lost_run(job, engine)
+                await self._handle_lost_run(job, engine, attempts)
         except TimeoutError:
             self._record_lost(job, engine, attempts, True, "no answer in time")
         except asyncio.CancelledError:
@@ -160,12 +169,10 @@
             self._record_experience(experience, loop.time() - started_at, has_failed)
         return None
 
-    async def _handle_lost_run(self, job: Job, engine: EngineEntry) -> None:
+    async def _handle_lost_run(self, job: Job, engine: EngineEntry, attempts: _Attempts) -> None:
         link = self._shared.links.link_to(engine)
-        if job.caller.model is not None:
-            state = await self._shared.prompts.handle_lost_run(job, link)
-        else:
-            state = await link.check()
+        state = await self._shared.prompts.handle_lost_run(job, link)
+        attempts.crashes += state is ServerState.REFUSING
         logger.bind(
             request=job.caller.id, engine=engine.id, digest=job.digest, engine_state=state.value
         ).info("run lost")
@@ -228,6 +235,8 @@
             return None
         attempts.runs += 1
         self._shared.prompts.record_begun(job)
+        if response.status < 500:
+            self._shared.prompts.record_answered(job)
         is_invalid = response.info.is_encoded or not response.info.is_signed
         if is_invalid:
             self._log(job, engine, "the answer is not the engine's own")
--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -85,9 +85,16 @@
             Id of the last event that the caller has received, if its stream is resumed.
         granted
             Id of the prefill engine to try first, or empty.
+
+        Raises
+        ------
+        RefusedError
+            If a prefill engine has crashed under the request, and it may not be sent any more.
         """
         failed: set[str] = set()
         while True:
+            if failed:
+                self._shared.prompts.check(job)
             engine = self._choose_engine(job, model, decode_engine, failed, granted)
             if engine is None or (failed and not self._shared.retry_budgets.try_spend(job.service)):
                 logger.bind(
@@ -101,6 +108,9 @@
                     "prefill failed"
                 )
                 failed.add(engine.id)
+                if isinstance(error, HttpError) and error.connection_lost:
+                    link = self._shared.links.link_to(engine)
+                    await self._shared.prompts.handle_lost_run(job, link)
 
     def release_unused(self, prefill: Prefill | None) -> None:
         """Free the KV cache unless a decode engine has fetched it."""
--- a/pimentoquay/gateway/prompt_guard.py
+++ b/pimentoquay/gateway/prompt_guard.py
@@ -1,12 +1,13 @@
-"""Refusal of prompts that crash engines, and the exchange of evidence of them.
+"""Refusal of requests that crash engines, and the exchange of evidence of them.
 
-A crash is an engine that lost the connection of a request before any event of its answer, and that
+A crash is an engine that lost the connection of a request before the end of its answer, and that
 refuses new connections. What is known is sent to all gateways. The quarantines are also kept in the
 store, for gateways that are cut off from their peers, and for all of them after a restart.
 """
 
 import hashlib
 import json
+from collections import deque
 from collections.abc import Callable, Iterable
 
 from pimentoquay.gateway.job import Job
@@ -15,15 +16,16 @@
 from pimentoquay.http1 import ServerState
 from pimentoquay.kernel import RefusedError, ResultCode
 from pimentoquay.kernel.logs import logger
-from pimentoquay.messages.fleet import ClearedPart, CrashedPrompt, PromptEvidence
+from pimentoquay.messages.fleet import ClearedPart, CrashedPrompt, PromptEvidence, TrialBegun
 from pimentoquay.platform.store import KeyedRecord
-from pimentoquay.policy.engine_notices import EngineStart
-from pimentoquay.policy.prompt_quarantine import (
+from pimentoquay.policy.crash_evidence import (
     Clearance,
     CrashReport,
-    PromptQuarantine,
     Quarantine,
+    request_feature,
 )
+from pimentoquay.policy.engine_notices import EngineStart
+from pimentoquay.policy.prompt_quarantine import PromptQuarantine
 
 __all__ = ["PromptGuard"]
 
@@ -31,11 +33,21 @@
 """Maximum number of crashes in a stored quarantine; a few are enough for it to be adopted."""
 
 
+MAX_DIGESTED_BYTES = 64 * 1024
+"""Size of a body in bytes up to which an answered request is remembered as sound.
+
+A longer one is recognized only once it is suspected.
+"""
+
+MAX_TRIAL_REQUESTS = 16
+"""Maximum number of requests that are remembered as sent in spite of a quarantine."""
+
+
 class PromptGuard:
-    """Refuses requests whose prompts have crashed engines.
+    """Refuses requests that have crashed engines, because of their prompt or as a whole.
 
     ``reported_crashes`` counts the crashes that this gateway has seen, ``trials`` the requests that
-    it has sent in spite of a quarantine.
+    it has sent in spite of a quarantine, ``refused`` those that it has refused because of one.
 
     Parameters
     ----------
@@ -44,24 +56,26 @@
     turn_order
         Returns the place of this VM in the order of all VMs, from 0, and their number.
     publish
-        Sends evidence to all peers.
+        Sends evidence and the beginning of trials to all peers.
     """
 
     def __init__(
         self,
         now: Callable[[], float],
         turn_order: Callable[[], tuple[int, int]],
-        publish: Callable[[PromptEvidence], None],
+        publish: Callable[[PromptEvidence | TrialBegun], None],
     ) -> None:
         self._now = now
         self._turn_order = turn_order
         self._publish = publish
         self._known = PromptQuarantine()
-        self._trial_request = ""
+        self._trial_requests: deque[str] = deque(maxlen=MAX_TRIAL_REQUESTS)
         self._stored_keys: set[str] = set()
         self.reported_crashes = 0
         self.trials = 0
+        self.refused = 0
         self.handler = NoticeHandler(self._apply, self._snapshot)
+        self.trial_handler = NoticeHandler(self._apply_trial, lambda: None)
 
     @property
     def quarantines(self) -> tuple[Quarantine, ...]:
@@ -74,56 +88,90 @@
         return self._known.suspected_parts
 
     def check(self, job: Job) -> None:
-        """Raise ``RefusedError`` if a request may not be sent to engines because of its prompt."""
+        """Raise ``RefusedError`` if a request may not be sent to engines."""
         quarantine = self.quarantine_of(job)
-        if quarantine is not None and not self._begin_trial(job, quarantine):
-            detail = f"{_text(quarantine)} crashed {len(quarantine.engines)} engines"
-            seconds = self._known.retry_seconds(quarantine, self._now())
-            raise RefusedError(ResultCode.PROMPT_QUARANTINED, detail, seconds)
+        if quarantine is None or self._begin_trial(job, quarantine):
+            return
+        self.refused += 1
+        seconds = self._known.retry_seconds(quarantine, self._now())
+        if quarantine.request is not None:
+            code, what = ResultCode.REQUEST_QUARANTINED, quarantine.request
+        else:
+            code, what = ResultCode.PROMPT_QUARANTINED, _text(quarantine)
+        detail = f"{what} crashed {len(quarantine.engines)} engines"
+        raise RefusedError(code, detail, seconds)
 
     def quarantine_of(self, job: Job) -> Quarantine | None:
         """Return the quarantine because of which a request may not be sent, if there is one.
 
-        A request to which an answer has begun is none of those that crash engines.
+        A request to which an answer has begun has none of the parts that crash engines, but it may
+        crash them later in its answer.
         """
-        has_begun = job.reply.started or job.caller.last_event is not None
-        if not self._known.quarantines or has_begun or job.caller.id == self._trial_request:
+        if not self._known.quarantines or job.caller.id in self._trial_requests:
             return None
-        return self._known.quarantine_of(_parts(job))
+        found = self._known.quarantine_of(_features(job))
+        has_begun = job.reply.started or job.caller.last_event is not None
+        return None if found is not None and found.request is None and has_begun else found
 
     def _begin_trial(self, job: Job, quarantine: Quarantine) -> bool:
         rank, vms = self._turn_order()
-        if not self._known.begin_trial(quarantine, _parts(job), rank, vms, self._now()):
+        if not self._known.begin_trial(quarantine, _features(job), rank, vms, self._now()):
             return False
-        self._trial_request = job.caller.id
+        if quarantine.request is not None:
+            self._publish(TrialBegun(quarantine.request))
+        self._trial_requests.append(job.caller.id)
         self.trials += 1
         logger.bind(request=job.caller.id, parts=_text(quarantine)).info(
             "request tried in spite of a quarantine"
         )
         return True
 
-    async def handle_lost_run(self, job: Job, link: EngineLink) -> ServerState:
-        """Learn from a request that lost its connection before its answer; return what was seen."""
-        start = link.entry.start
+    async def handle_lost_run(
+        self, job: Job, link: EngineLink, has_begun: bool = False
+    ) -> ServerState:
+        """Learn from a request that lost its connection; return what the engine showed then.
+
+        Parameters
+        ----------
+        job
+            The request.
+        link
+            The engine.
+        has_begun
+            Whether a part of the answer had come.
+        """
         state = await link.check()
-        if state is ServerState.REFUSING and _parts(job):
-            if job.caller.id == self._trial_request:
-                self._trial_request = ""
+        if state is ServerState.REFUSING:
+            start = self._known.start_of_crash(link.entry.start, self._now())
+            features = frozenset((request_feature(job.digest),)) if has_begun else _features(job)
+            if job.caller.id in self._trial_requests:
+                self._trial_requests.remove(job.caller.id)
             self.reported_crashes += 1
             logger.bind(
-                request=job.caller.id, engine=start.id, parts=",".join(sorted(_parts(job)))
-            ).warning("engine crashed under a prompt")
-            self._add((CrashReport(start, _parts(job)),), ())
+                request=job.caller.id,
+                engine=start.id,
+                restarts=start.restarts,
+                parts=",".join(sorted(features)),
+            ).warning("engine crashed under a request")
+            self._add((CrashReport(start, features),), ())
         return state
 
     def record_begun(self, job: Job) -> None:
-        """Record that an engine began to answer a request."""
+        """Record that an engine began to answer a prompt."""
         if parts := _parts(job):
-            before = self._known.quarantines
-            cleared = self._known.record_success(parts, self._now())
-            if cleared:
-                self._publish(_message((), cleared))
-                self._log_changes(before)
+            self._record_success(parts)
+
+    def record_answered(self, job: Job) -> None:
+        """Record that an engine answered a request to the end."""
+        if self._known.suspected_parts or len(job.request.body) <= MAX_DIGESTED_BYTES:
+            self._record_success((request_feature(job.digest),))
+
+    def _record_success(self, features: Iterable[str]) -> None:
+        before = self._known.quarantines
+        cleared = self._known.record_success(features, self._now())
+        if cleared:
+            self._publish(_message((), cleared))
+            self._log_changes(before)
 
     def expire(self) -> None:
         """Drop evidence that is too old."""
@@ -171,15 +219,12 @@
         self._log_changes(before)
         return _message(new_reports, new_clearances) if new_reports or new_clearances else None
 
+    def _apply_trial(self, message: TrialBegun) -> TrialBegun | None:
+        return message if self._known.record_trial(message.request, self._now()) else None
+
     def _apply(self, message: PromptEvidence) -> PromptEvidence | None:
-        reports = [
-            CrashReport(EngineStart(each.engine, each.incarnation), frozenset(each.parts))
-            for each in message.crashed
-        ]
-        clearances = [
-            Clearance(EngineStart(each.engine, each.incarnation), each.part)
-            for each in message.cleared
-        ]
+        reports = [CrashReport(_start_of(each), frozenset(each.parts)) for each in message.crashed]
+        clearances = [Clearance(_start_of(each), each.part) for each in message.cleared]
         new = self._learn(reports, clearances)
         if new is not None and set(new.cleared) - set(message.cleared):
             # What was cleared here is not known to the source.
@@ -198,15 +243,24 @@
                     parts=_text(each),
                     engines=",".join(sorted(engine.id for engine in each.engines)),
                     certain=each.is_certain,
-                ).warning("prompts quarantined")
+                ).warning("requests quarantined")
         for parts in old - new:
-            logger.bind(parts=",".join(sorted(parts))).warning("prompts released from quarantine")
+            logger.bind(parts=",".join(sorted(parts))).warning("requests released from quarantine")
 
 
 def _parts(job: Job) -> frozenset[str]:
     return frozenset(job.caller.model.shared_parts) if job.caller.model else frozenset()
 
 
+def _features(job: Job) -> frozenset[str]:
+    """Return the parts of a request's prompt and the digest of the whole request."""
+    return _parts(job) | {request_feature(job.digest)}
+
+
+def _start_of(item: CrashedPrompt | ClearedPart) -> EngineStart:
+    return EngineStart(item.engine, item.incarnation, item.restarts)
+
+
 def _text(quarantine: Quarantine) -> str:
     return ",".join(sorted(quarantine.parts))
 
@@ -214,11 +268,17 @@
 def _message(reports: Iterable[CrashReport], clearances: Iterable[Clearance]) -> PromptEvidence:
     return PromptEvidence(
         tuple(
-            CrashedPrompt(each.engine.id, each.engine.incarnation, tuple(sorted(each.parts)))
+            CrashedPrompt(
+                each.engine.id,
+                each.engine.incarnation,
+                tuple(sorted(each.parts)),
+                each.engine.restarts,
+            )
             for each in reports
         ),
         tuple(
-            ClearedPart(each.engine.id, each.engine.incarnation, each.part) for each in clearances
+            ClearedPart(each.engine.id, each.engine.incarnation, each.part, each.engine.restarts)
+            for each in clearances
         ),
     )
 
@@ -228,7 +288,7 @@
 
 
 def _record_value(quarantine: Quarantine) -> bytes:
-    engines = sorted((each.id, each.incarnation) for each in quarantine.engines)
+    engines = sorted((each.id, each.incarnation, each.restarts) for each in quarantine.engines)
     item = {"parts": sorted(quarantine.parts), "engines": engines[:STORED_CRASHES]}
     return json.dumps(item).encode()
 
@@ -239,8 +299,8 @@
         item = json.loads(record.value or b"")
         parts = frozenset(str(part) for part in item["parts"])
         return [
-            CrashReport(EngineStart(str(engine), int(incarnation)), parts)
-            for engine, incarnation in item["engines"]
+            CrashReport(EngineStart(str(engine), *map(int, starts)), parts)
+            for engine, *starts in item["engines"]
         ]
     except (ValueError, TypeError, KeyError, OverflowError, RecursionError) as error:
         logger.bind(key=record.key, error=repr(error)).warning("invalid quarantine ignored")
--- a/pimentoquay/gateway/stream_progress.py
+++ b/pimentoquay/gateway/stream_progress.py
@@ -54,14 +54,16 @@
     """Progress of one request over all its runs.
 
     ``last_event`` is the id of the last event sent to the caller, ``arrivals`` counts the sends
-    that may have reached an engine, ``runs`` those that it may have run. ``streamed_seconds`` is
-    the time from the first to the last event of the current run, ``engine`` its engine.
+    that may have reached an engine, ``runs`` those that it may have run, ``crashes`` those under
+    which it crashed. ``streamed_seconds`` is the time from the first to the last event of the
+    current run, ``engine`` its engine.
     """
 
     last_event: int | None
     sends: int = 0
     arrivals: int = 0
     runs: int = 0
+    crashes: int = 0
     streamed_seconds: float = 0.0
     engine: str = ""
     error_response: ErrorResponse | None = None
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -8,7 +8,12 @@
 import asyncio
 
 from pimentoquay.gateway.events import EventSplitter
-from pimentoquay.gateway.job import Job, record_end, send_response
+from pimentoquay.gateway.job import (
+    MAX_CRASHES_PER_REQUEST,
+    Job,
+    record_end,
+    send_response,
+)
 from pimentoquay.gateway.prefills import Prefill, PrefillRunner
 from pimentoquay.gateway.reservations import Reservation, Reservations
 from pimentoquay.gateway.shared_state import SharedState
@@ -21,7 +26,7 @@
     next_events,
     output_tokens,
 )
-from pimentoquay.http1 import Exchange, end_to_end_headers
+from pimentoquay.http1 import Exchange, ServerState, end_to_end_headers
 from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode
 from pimentoquay.kernel.errors import HttpError
 from pimentoquay.kernel.logs import logger
@@ -111,6 +116,7 @@
 
     def _record_ended_run(self, job: Job, progress: StreamProgress, error: RunEndedError) -> None:
         progress.arrivals += error.has_arrived
+        progress.crashes += error.engine_state is ServerState.REFUSING
         if not error.has_run:
             progress.runs -= 1
         logger.bind(
@@ -128,6 +134,8 @@
     def _may_run_again(self, job: Job, progress: StreamProgress) -> bool:
         if progress.sends >= MAX_SENDS or job.seconds_left() < MIN_RETRY_SECONDS:
             return False
+        if progress.crashes >= MAX_CRASHES_PER_REQUEST:
+            return False
         if self._shared.prompts.quarantine_of(job) is not None:
             return False
         may_run_again = job.route.is_resumable and progress.runs < job.route.max_engines
@@ -245,8 +253,9 @@
                 )
         except HttpError as error:
             state = None
-            if error.connection_lost and progress.last_event is None:
-                state = await self._shared.prompts.handle_lost_run(job, reservation.link)
+            if error.connection_lost:
+                has_begun = progress.last_event is not None
+                state = await self._shared.prompts.handle_lost_run(job, reservation.link, has_begun)
             raise RunEndedError(str(error), error.written, error.written, state) from None
         except ValueError as error:
             raise RunEndedError(f"invalid event stream: {error}", True) from None
@@ -308,6 +317,7 @@
         if not reply.started:
             reply.start(exchange.status, end_to_end_headers(exchange.headers))
         reply.end()
+        self._shared.prompts.record_answered(job)
         _record_success(job, progress, reservation.engine.id)
 
     def _log_pause(self, job: Job, reservation: Reservation, pause: float) -> None:
--- a/pimentoquay/gateway/tests/test_deadly_requests.py
+++ b/pimentoquay/gateway/tests/test_deadly_requests.py
@@ -5,8 +5,16 @@
 
 import pytest
 
-from pimentoquay.gateway.tests.rig import rig, until
+from pimentoquay.gateway.tests.rig import model_headers, rig, until
+from pimentoquay.kernel import ResultCode
 from pimentoquay.kernel.logs import logger
+from pimentoquay.messages.fleet import CrashedPrompt, PromptEvidence
+from pimentoquay.platform.store import PROMPT_TOPIC
+from pimentoquay.policy import prompt_quarantine
+from pimentoquay.policy.crash_evidence import request_feature
+from pimentoquay.policy.prompt_quarantine import REQUEST_TRIAL_SECONDS
+from pimentoquay.policy.request_digest import request_digest
+from pimentoquay.standin.platform_engine import Behaviour
 
 DEADLY = b"deadly"
 MOST_ENDED = 3
@@ -96,3 +104,149 @@
     lost = [each["extra"] for each in lines if each["message"] == "run lost"]
     assert lost and {each["engine_state"] for each in lost} == {"refusing"}
     assert len({each["digest"] for each in lost}) == 1
+
+
+@pytest.mark.parametrize("kind", ["digest", "sheet"])
+@pytest.mark.parametrize("events", [0, 2])
+async def test_a_repeated_stream_that_crashes_engines_crashes_few_of_them(kind, events):
+    async with rig() as env:
+        await three_gateways(env)
+        servers = Servers(env, ("dec-1", "dec-2"))
+        for engine in servers.engines:
+            engine.crash_after_events = events
+        responses = []
+        for _ in range(3):
+            responses += await send_in_turn(env, 3, f"/{kind}/a", headers=model_headers())
+            await servers.all_back()
+        assert servers.crashes <= MOST_ENDED
+        assert {each.status for each in responses[-3:]} == {503}
+        sound = await env.stream(f"/{kind}/a", body=b"sound")
+        assert (sound.status, sound.is_whole) == (200, True)
+
+
+async def test_a_resumed_stream_that_crashes_engines_crashes_few_of_them():
+    async with rig() as env:
+        await three_gateways(env)
+        servers = Servers(env, ("dec-1", "dec-2"))
+        for engine in servers.engines:
+            engine.crash_after_events = 1
+        for number in range(3):
+            headers = (*model_headers(), (b"Last-Event-Id", str(1 + number).encode()))
+            await send_in_turn(env, 2, "/digest/a", headers=headers)
+            await servers.all_back()
+        assert servers.crashes <= MOST_ENDED
+
+
+async def test_a_repeated_prefill_that_crashes_engines_crashes_few_of_them():
+    async with rig() as env:
+        await three_gateways(env)
+        servers = Servers(env, ("pre-1", "dec-1", "dec-2"))
+        for engine in servers.engines:
+            engine.crashes_in_prefill = True
+        responses = []
+        for _ in range(3):
+            responses += await send_in_turn(env, 3, "/digest/a", headers=model_headers())
+            await servers.all_back()
+        assert servers.crashes <= MOST_ENDED
+        assert {each.status for each in responses[-3:]} == {503}
+
+
+async def quarantine(env, servers):
+    """Send a deadly call until three servers have crashed under it, then wait until it is kept."""
+    gateway = env.gateway_by_vm["vm-1"]
+    while not any(each.is_certain for each in gateway.prompts.quarantines):
+        await env.send_request("/look/a", body=DEADLY)
+        await servers.all_back()
+
+
+async def test_a_deadly_call_stays_in_quarantine_when_all_gateways_start_again():
+    async with rig() as env:
+        servers = Servers(env, ("desk-1", "desk-2"))
+        await quarantine(env, servers)
+        await until(lambda: env.store._newest_by_topic.get(PROMPT_TOPIC), "stored")
+        await env.stop("vm-1")
+        await env.add_gateway("vm-2")
+        crashes = servers.crashes
+        response = await env.send_request("/look/a", vm="vm-2", body=DEADLY)
+        assert response.status == 503 and servers.crashes == crashes
+
+
+async def test_gateways_behind_relays_learn_of_a_deadly_call_within_the_contact_time(relays):
+    async with rig() as env:
+        vms = [f"vm-{number}" for number in range(1, 8)]
+        for vm in vms[1:]:
+            await env.add_gateway(vm)
+        meshes = [env.gateway_by_vm[vm].mesh for vm in vms]
+        await until(lambda: all(len(each.relays.live_relays()) >= 2 for each in meshes), "relays")
+        servers = Servers(env, ("desk-1", "desk-2"))
+        await quarantine(env, servers)
+        told_at = asyncio.get_running_loop().time()
+        guards = [env.gateway_by_vm[vm].prompts for vm in vms]
+        await until(lambda: all(each.quarantines for each in guards), "all told")
+        assert asyncio.get_running_loop().time() - told_at < 3.0
+
+
+async def served_again(env, body):
+    """Wait until each gateway gets an answer, whose circuits are closed again then."""
+    for vm in env.gateway_by_vm:
+        async with asyncio.timeout(10.0):
+            response = await env.send_request("/order/a", vm=vm, body=body)
+            while response.status != 200:
+                await asyncio.sleep(0.1)
+                response = await env.send_request("/order/a", vm=vm, body=body)
+
+
+async def test_a_sound_call_that_repeats_is_served_though_servers_crash_for_other_reasons():
+    async with rig() as env:
+        await three_gateways(env)
+        servers = Servers(env, ("desk-1", "desk-2"), deadly=())
+        for _ in range(4):
+            await served_again(env, b"page 7")
+            for engine in servers.engines:
+                engine.behaviour = lambda arrival: Behaviour.MUTE
+            waiting = [
+                asyncio.create_task(env.send_request("/order/a", vm=vm, body=b"page 7"))
+                for vm in env.gateway_by_vm
+            ]
+            await until(lambda: sum(each.running for each in servers.engines) == 3, "running")
+            for engine in servers.engines:
+                engine.behaviour = lambda arrival: Behaviour.SERVE
+                engine.crash()
+            assert {each.status for each in await asyncio.gather(*waiting)} == {502}
+            await servers.all_back()
+        await served_again(env, b"page 7")
+        guards = [gateway.prompts for gateway in env.gateway_by_vm.values()]
+        assert sum(each.reported_crashes for each in guards) >= 8
+        assert not any(each.quarantines or each.refused for each in guards)
+
+
+async def test_callers_of_a_deadly_call_are_told_that_it_has_not_run_and_when_it_is_tried():
+    async with rig() as env:
+        gateway = env.gateway_by_vm["vm-1"]
+        digest = request_digest("shop.example", b"/look/a", DEADLY)
+        crashed = tuple(CrashedPrompt(f"gone-{n}", 1, (request_feature(digest),)) for n in range(2))
+        gateway.mesh.notices.receive(PromptEvidence(crashed, ()), "vm-9")
+        response = await env.send_request("/look/a", body=DEADLY)
+        assert response.status == 503
+        assert 29.0 < float(response.headers["retry-after"]) <= REQUEST_TRIAL_SECONDS
+        assert gateway.prompts.refused == 1
+        assert gateway.dispatcher._shared.metrics.count_by_code[ResultCode.REQUEST_QUARANTINED] == 1
+
+
+async def test_a_trial_is_told_to_peers_and_releases_a_sound_call(monkeypatch):
+    monkeypatch.setattr(prompt_quarantine, "REQUEST_TRIAL_SECONDS", 0.5)
+    async with rig() as env:
+        second = await env.add_gateway("vm-2")
+        gateway = env.gateway_by_vm["vm-1"]
+        digest = request_digest("shop.example", b"/look/a", b"page 7")
+        crashed = tuple(CrashedPrompt(f"gone-{n}", 1, (request_feature(digest),)) for n in range(2))
+        gateway.mesh.notices.receive(PromptEvidence(crashed, ()), "vm-9")
+        await until(lambda: second.prompts.quarantines, "told")
+        statuses = []
+        async with asyncio.timeout(10.0):
+            while gateway.prompts.quarantines or second.prompts.quarantines:
+                response = await env.send_request("/look/a", vm="vm-2", body=b"page 7")
+                statuses.append(response.status)
+                await asyncio.sleep(0.05)
+        assert statuses[0] == 503 and 200 in statuses
+        assert gateway.prompts.trials + second.prompts.trials == 1
--- a/pimentoquay/kernel/codes.py
+++ b/pimentoquay/kernel/codes.py
@@ -41,6 +41,7 @@
     REQUEST_UNKNOWN = 218
     PROMPT_QUARANTINED = 219
     ENGINES_LIMITED = 220
+    REQUEST_QUARANTINED = 221
     CANCELLED = 300
     ENGINE_FAILED = 400
     TRANSFER_FAILED = 401
@@ -146,6 +147,12 @@
         "not run: the backend servers take no more requests a second",
         "retry after the given time",
     ),
+    _info(
+        ResultCode.REQUEST_QUARANTINED,
+        503,
+        "not run: engines have crashed under this request",
+        "change the request, or retry after the given time",
+    ),
     _info(ResultCode.CANCELLED, 499, "cancelled by the caller", "nothing to do"),
     _info(ResultCode.ENGINE_FAILED, 502, "the engine failed", "retry if idempotent"),
     _info(ResultCode.TRANSFER_FAILED, 502, "the KV transfer failed", "retry if idempotent"),
--- a/pimentoquay/messages/fleet.py
+++ b/pimentoquay/messages/fleet.py
@@ -23,6 +23,7 @@
     "PromptEvidence",
     "RunSize",
     "StageOrdered",
+    "TrialBegun",
     "VmAddress",
     "VmLoad",
     "VmWork",
@@ -164,25 +165,30 @@
 
 @message(133)
 class CrashedPrompt:
-    """Shared parts of a prompt at whose engine no answer had begun when the engine crashed."""
+    """Features of a request at an engine when it crashed: parts of its prompt, and its digest.
+
+    ``restarts`` counts the starts of the engine that its entry did not show yet.
+    """
 
     engine: str
     incarnation: int
     parts: tuple[str, ...]
+    restarts: int = 0
 
 
 @message(134)
 class ClearedPart:
-    """Part of prompts that did not cause the crash of an engine."""
+    """Feature of requests that did not cause the crash of an engine."""
 
     engine: str
     incarnation: int
     part: str
+    restarts: int = 0
 
 
 @message(135)
 class PromptEvidence:
-    """Evidence of prompts that crash engines, sent to all gateways."""
+    """Evidence of requests that crash engines, sent to all gateways."""
 
     crashed: tuple[CrashedPrompt, ...]
     cleared: tuple[ClearedPart, ...]
@@ -206,3 +212,10 @@
     """Limits that engines have named in their responses, sent to all gateways."""
 
     limits: tuple[EngineLimit, ...]
+
+
+@message(138)
+class TrialBegun:
+    """A request in quarantine that the sender tries; ``request`` is the feature of its digest."""
+
+    request: str
--- a/pimentoquay/policy/engine_limits.py
+++ b/pimentoquay/policy/engine_limits.py
@@ -138,7 +138,7 @@
     >>> limits = EngineLimits("vm-1")
     >>> start = EngineStart("desk-1", 1)
     >>> limits.record_response(start, 2.0, 0.0, 0.1)
-    LimitNotice(engine=EngineStart(id='desk-1', incarnation=1), limit=2.0, age=0.0)
+    LimitNotice(engine=EngineStart(id='desk-1', incarnation=1, restarts=0), limit=2.0, age=0.0)
     >>> limits.limit_of(start)
     2.0
     """
--- a/pimentoquay/policy/engine_notices.py
+++ b/pimentoquay/policy/engine_notices.py
@@ -29,10 +29,14 @@
 
 @dataclass(frozen=True)
 class EngineStart:
-    """One start of an engine; an engine that starts again has a higher ``incarnation``."""
+    """One start of an engine; an engine that starts again has a higher ``incarnation``.
+
+    ``restarts`` counts the starts since then that its entry does not show yet.
+    """
 
     id: str
     incarnation: int
+    restarts: int = 0
 
 
 @dataclass(frozen=True)
--- a/pimentoquay/policy/prompt_quarantine.py
+++ b/pimentoquay/policy/prompt_quarantine.py
@@ -1,32 +1,36 @@
-"""Quarantine of prompts whose parts crash the engines that begin to answer them.
+"""Quarantine of requests that crash the engines which run them.
 
 Failure pattern: a part of prompts crashes every engine that begins to write an answer to it,
 whatever else the request holds. Such requests arrive at all VMs, no two alike, mixed with sound
-ones that have their other parts, and each crash also breaks the streams of other requests.
-Repeating a broken request elsewhere crashes the next engine.
-
-Evidence is the crash of an engine together with the parts of a request that was there and had not
-begun to be answered. All VMs exchange their evidence. What a number of crashes have in common is
-quarantined: requests with all of these parts are refused. A part to which an engine begins to write
-an answer cannot be the cause, which clears it of the crashes so far. Evidence and clearances are
-only ever added, and a clearance outweighs the evidence, so VMs that know the same of both decide
-alike, in whatever order they learned it.
+ones that have their other parts. Or one request crashes every engine that runs it and comes again,
+at any VM. Each crash also breaks the other requests of the engine, and repeating a broken request
+elsewhere crashes the next one.
+
+Evidence is the crash of an engine together with the features of a request that was there: the parts
+of its prompt, and its digest. All VMs exchange their evidence. What a number of crashes have in
+common is quarantined: requests with all of these features are refused. A part to which an engine
+begins to write an answer, or a request that an engine answers, cannot be the cause, which clears it
+of the crashes so far. Evidence and clearances are only ever added, and a clearance outweighs the
+evidence, so VMs that know the same of both decide alike, in whatever order they learned it.
 """
 
 from collections import OrderedDict
-from collections.abc import Collection, Iterable, Mapping
-from dataclasses import dataclass
-
+from collections.abc import Collection, Iterable
+from dataclasses import replace
+
+from pimentoquay.policy.crash_evidence import (
+    MAX_TRIED_CRASHES,
+    MIN_CRASHES,
+    MIN_REQUEST_CRASHES,
+    Clearance,
+    CrashReport,
+    Features,
+    Quarantine,
+    find_quarantines,
+)
 from pimentoquay.policy.engine_notices import EngineStart
 
-__all__ = ["Clearance", "CrashReport", "PromptQuarantine", "Quarantine", "find_quarantines"]
-
-MIN_CRASHES = 3
-"""Crashes that a combination of parts must have in common to be quarantined.
-
-A sound request that waits at a crashing engine is repeated at the same engine as the request that
-crashed it more often than by chance, so two crashes in common do not single out the cause.
-"""
+__all__ = ["PromptQuarantine"]
 
 RECENT_SUCCESS_SECONDS = 10.0
 """Time for which a part counts as sound after an engine began to answer it.
@@ -35,147 +39,47 @@
 answers for some seconds.
 """
 
-MIN_CONCLUSIVE_CRASHES = 2
-"""Crashes with no other possible cause that make a quarantine certain.
-
-An engine may crash for another reason while such a request waits there, but hardly twice.
-"""
-
 TRIAL_SECONDS = 1.0
 """Time from the last crash to the first trial of a quarantine that is not certain, in seconds."""
 
 CERTAIN_TRIAL_SECONDS = 30.0
 """The same time for a quarantine that is certain; it is doubled with each further crash."""
 
-MAX_TRIED_CRASHES = 5
-"""Crashes from which on a quarantine that is certain is not tried again.
+REQUEST_TRIAL_SECONDS = 30.0
+"""The same time for a request that comes again; it is doubled with each further crash.
 
-One of them without another possible cause makes it certain then.
+Crashed engines are usually back by then, so that a trial does not end the last one.
 """
 
 TRIAL_TURN_SECONDS = 0.5
 """Time in which one VM may begin a trial, in seconds; an answer usually begins within it."""
 
+TRIAL_PAUSE_SECONDS = 2.0
+"""Time between two trials of a request that comes again, in seconds."""
+
 RETENTION_SECONDS = 86_400.0
 """Time for which a crash is remembered, in seconds; a quarantine ends with its crashes."""
 
-MAX_CRASHES = 1024
+MAX_CRASHES = 256
 """Maximum number of crashes that are remembered; those without a quarantine are dropped first."""
 
-MAX_REPORTS_PER_CRASH = 32
-"""Maximum number of requests that are remembered of one crash."""
-
-MAX_SOUND_PARTS = 4096
-"""Maximum number of parts whose last success is remembered."""
-
-Parts = frozenset[str]
-
-
-@dataclass(frozen=True)
-class CrashReport:
-    """Parts of a request at whose engine no answer had begun when the engine crashed."""
-
-    engine: EngineStart
-    parts: Parts
-
-
-@dataclass(frozen=True)
-class Clearance:
-    """A part that did not cause the crash of an engine."""
-
-    engine: EngineStart
-    part: str
-
-
-@dataclass(frozen=True)
-class Quarantine:
-    """Combination of parts that is not sent to engines, and the engines that crashed under it.
-
-    ``is_certain`` is whether enough of the crashes have no other possible cause.
-    """
-
-    parts: Parts
-    engines: frozenset[EngineStart]
-    is_certain: bool
-
-
-def find_quarantines(
-    parts_by_crash: Mapping[EngineStart, Collection[Parts]],
-) -> tuple[Quarantine, ...]:
-    """Return what crashes have in common, the combination with the most crashes first.
+SAME_CRASH_SECONDS = 1.0
+"""Time within which the reports of one start of an engine are of the same crash, in seconds.
 
-    Failure pattern: one or more parts that crash engines, among sound requests that waited at the
-    same engines. Parts all of whose crashes are explained by other ones are not blamed.
-
-    Parameters
-    ----------
-    parts_by_crash
-        For each crash, the parts of each request that had not begun to be answered there.
-
-    Example
-    -------
-    >>> reports = {
-    ...     EngineStart("dec-1", 1): [frozenset({"all", "bad"}), frozenset({"all", "good"})],
-    ...     EngineStart("dec-2", 1): [frozenset({"all", "bad"}), frozenset({"all", "good"})],
-    ...     EngineStart("dec-3", 1): [frozenset({"any", "bad"})],
-    ... }
-    >>> [sorted(each.parts) for each in find_quarantines(reports)]
-    [['bad']]
-    """
-    unexplained = set(parts_by_crash)
-    found = []
-    while (suspect := _likeliest_part(parts_by_crash, unexplained)) is not None:
-        containing = [
-            parts for reports in parts_by_crash.values() for parts in reports if suspect in parts
-        ]
-        common = frozenset.intersection(*containing)
-        crashes = frozenset(
-            engine
-            for engine, reports in parts_by_crash.items()
-            if any(common <= parts for parts in reports)
-        )
-        conclusive = sum(_is_conclusive(parts_by_crash[each], common) for each in crashes)
-        is_certain = conclusive >= MIN_CONCLUSIVE_CRASHES or (
-            conclusive > 0 and len(crashes) >= MAX_TRIED_CRASHES
-        )
-        found.append(Quarantine(common, crashes, is_certain))
-        unexplained -= crashes
-    return tuple(found)
-
-
-def _likeliest_part(
-    parts_by_crash: Mapping[EngineStart, Collection[Parts]], unexplained: Collection[EngineStart]
-) -> str | None:
-    """Return the part with enough crashes that explains most of the unexplained ones, if any."""
-    crashes_by_part: dict[str, list[EngineStart]] = {}
-    for engine, reports in parts_by_crash.items():
-        for parts in reports:
-            for part in parts:
-                crashes_by_part.setdefault(part, []).append(engine)
-
-    def rank(part: str) -> tuple[int, int, int, str]:
-        reported = crashes_by_part[part]
-        crashes = set(reported)
-        # Of parts with the same crashes, fewer requests have the more specific one.
-        return len(crashes.intersection(unexplained)), len(crashes), -len(reported), part
-
-    candidates = [
-        part
-        for part, reported in crashes_by_part.items()
-        if len(set(reported)) >= MIN_CRASHES and not set(reported).isdisjoint(unexplained)
-    ]
-    return max(candidates, key=rank, default=None)
+VMs notice a crash within milliseconds, and an engine needs longer to start again.
+"""
 
+MAX_REPORTS_PER_CRASH = 128
+"""Maximum number of requests that are remembered of one crash."""
 
-def _is_conclusive(reports: Collection[Parts], common: Parts) -> bool:
-    """Return whether nothing but a combination can have caused a crash."""
-    return all(parts == common for parts in reports)
+MAX_SOUND_FEATURES = 4096
+"""Maximum number of features whose last success is remembered."""
 
 
 class PromptQuarantine:
     """Crash reports and clearances that one VM knows, and the quarantines that follow from them.
 
-    ``suspected_parts`` are the parts of requests that were at a crashed engine and that have not
+    ``suspected_parts`` are the features of requests that were at a crashed engine and that have not
     been cleared of it.
 
     Example
@@ -192,12 +96,14 @@
 
     def __init__(self) -> None:
         self.quarantines: tuple[Quarantine, ...] = ()
-        self.suspected_parts: Parts = frozenset()
-        self._reports_by_crash: dict[EngineStart, set[Parts]] = {}
+        self.suspected_parts: Features = frozenset()
+        self._reports_by_crash: dict[EngineStart, set[Features]] = {}
         self._cleared_by_crash: dict[EngineStart, set[str]] = {}
         self._known_since_by_crash: dict[EngineStart, float] = {}
         self._succeeded_at_by_part: OrderedDict[str, float] = OrderedDict()
-        self._last_trial: tuple[Parts, float] | None = None
+        self._crashes_by_feature: dict[str, set[EngineStart]] = {}
+        self._last_trial: tuple[Features, float] | None = None
+        self._tried_at_by_request: dict[str, float] = {}
 
     @property
     def reports(self) -> tuple[CrashReport, ...]:
@@ -217,6 +123,16 @@
             for part in sorted(parts)
         )
 
+    def start_of_crash(self, listed: EngineStart, now: float) -> EngineStart:
+        """Return the start of an engine that has crashed now.
+
+        An engine that crashes a second time under one entry has started again in between.
+        """
+        start = listed
+        while now - self._known_since_by_crash.get(start, now) > SAME_CRASH_SECONDS:
+            start = replace(start, restarts=start.restarts + 1)
+        return start
+
     def add(
         self, reports: Iterable[CrashReport], clearances: Iterable[Clearance], now: float
     ) -> tuple[tuple[CrashReport, ...], tuple[Clearance, ...]]:
@@ -228,23 +144,30 @@
                 clearance = Clearance(report.engine, part)
                 if self._has_succeeded_lately(part, now) and self._add_clearance(clearance, now):
                     new_clearances.append(clearance)
-        if new_reports or new_clearances:
+        if new_clearances or any(map(self._may_change_quarantines, new_reports)):
             self._refresh()
+        else:
+            self.suspected_parts = self.suspected_parts.union(
+                *(
+                    report.parts - self._cleared_by_crash.get(report.engine, set())
+                    for report in new_reports
+                )
+            )
         return tuple(new_reports), tuple(new_clearances)
 
     def record_success(self, parts: Iterable[str], now: float) -> tuple[Clearance, ...]:
-        """Record that an engine began to answer a prompt; return the clearances that follow."""
+        """Record that engines are sound under features; return the clearances that follow."""
         cleared = []
         for part in parts:
             self._succeeded_at_by_part[part] = now
             self._succeeded_at_by_part.move_to_end(part)
             if part not in self.suspected_parts:
                 continue
-            for engine, reports in self._reports_by_crash.items():
+            for engine in self._crashes_by_feature.get(part, ()):
                 clearance = Clearance(engine, part)
-                if any(part in each for each in reports) and self._add_clearance(clearance, now):
+                if self._add_clearance(clearance, now):
                     cleared.append(clearance)
-        while len(self._succeeded_at_by_part) > MAX_SOUND_PARTS:
+        while len(self._succeeded_at_by_part) > MAX_SOUND_FEATURES:
             self._succeeded_at_by_part.popitem(last=False)
         if cleared:
             self._refresh()
@@ -262,16 +185,18 @@
     ) -> bool:
         """Return whether this VM may send a request in spite of a quarantine, and record that.
 
-        Failure pattern: sound requests have parts in common with several crashes by chance. As they
-        are refused, only a trial can clear them. One VM at a time has a turn, and only requests
-        without other suspected parts are tried, so that each trial decides.
+        Failure pattern: sound requests have features in common with several crashes by chance. As
+        they are refused, only a trial can clear them. Only requests without other suspected
+        features are tried, so that each trial decides. Parts of prompts are tried by one VM at a
+        time. A request that comes again reaches any VM, so the first one tries it and tells the
+        others.
 
         Parameters
         ----------
         quarantine
             The quarantine that the request falls under.
         parts
-            All shared parts of the request.
+            All features of the request.
         rank, vms
             Place of this VM in the order of all VMs, from 0, and their number.
         now
@@ -281,13 +206,31 @@
             return False
         if self.suspected_parts.intersection(parts) - quarantine.parts:
             return False
-        turn = (now - self._first_trial_at(quarantine)) // TRIAL_TURN_SECONDS
+        since = now - self._first_trial_at(quarantine)
+        if since < 0:
+            return False
+        if quarantine.request is not None:
+            return self.record_trial(quarantine.request, now)
+        turn = since // TRIAL_TURN_SECONDS
         tried = quarantine.parts, turn
-        if turn < 0 or turn % vms != rank or tried == self._last_trial:
+        if turn % vms != rank or tried == self._last_trial:
             return False
         self._last_trial = tried
         return True
 
+    def record_trial(self, request: str, now: float) -> bool:
+        """Record the trial of a request; return whether it was not tried lately."""
+        tried_at = self._tried_at_by_request.get(request)
+        if tried_at is not None and now - tried_at < TRIAL_PAUSE_SECONDS:
+            return False
+        self._tried_at_by_request = {
+            each: at
+            for each, at in self._tried_at_by_request.items()
+            if now - at < TRIAL_PAUSE_SECONDS
+        }
+        self._tried_at_by_request[request] = now
+        return True
+
     def retry_seconds(self, quarantine: Quarantine, now: float) -> float:
         """Return the seconds until a request under a quarantine may be sent at the earliest."""
         if quarantine.is_certain and len(quarantine.engines) >= MAX_TRIED_CRASHES:
@@ -297,9 +240,12 @@
         return max(ends_at - now, TRIAL_SECONDS)
 
     def _first_trial_at(self, quarantine: Quarantine) -> float:
+        crashes = len(quarantine.engines)
         pause = TRIAL_SECONDS
-        if quarantine.is_certain:
-            pause = CERTAIN_TRIAL_SECONDS * 2 ** (len(quarantine.engines) - MIN_CRASHES)
+        if quarantine.request is not None:
+            pause = REQUEST_TRIAL_SECONDS * 2 ** (crashes - MIN_REQUEST_CRASHES)
+        elif quarantine.is_certain:
+            pause = CERTAIN_TRIAL_SECONDS * 2 ** (crashes - MIN_CRASHES)
         return self._last_crash_at(quarantine) + pause
 
     def _last_crash_at(self, quarantine: Quarantine) -> float:
@@ -326,6 +272,8 @@
         if report.parts in known or len(known) >= MAX_REPORTS_PER_CRASH:
             return False
         known.add(report.parts)
+        for part in report.parts:
+            self._crashes_by_feature.setdefault(part, set()).add(report.engine)
         self._known_since_by_crash.setdefault(report.engine, now)
         return True
 
@@ -337,7 +285,14 @@
         self._known_since_by_crash.setdefault(clearance.engine, now)
         return True
 
-    def _open(self, crash: EngineStart) -> list[Parts]:
+    def _may_change_quarantines(self, report: CrashReport) -> bool:
+        """Return whether a new report may be one of several crashes with a feature in common."""
+        if any(report.engine in each.engines for each in self.quarantines):
+            return True
+        is_repeated = any(len(self._crashes_by_feature[part]) > 1 for part in report.parts)
+        return is_repeated or len(self._known_since_by_crash) > MAX_CRASHES
+
+    def _open(self, crash: EngineStart) -> list[Features]:
         """Return the reports of a crash without the parts that were cleared of it."""
         cleared = self._cleared_by_crash.get(crash, set())
         left = (parts - cleared for parts in self._reports_by_crash.get(crash, ()))
@@ -365,5 +320,10 @@
             self._forget(engine)
 
     def _forget(self, engine: EngineStart) -> None:
+        for part in {part for parts in self._reports_by_crash.get(engine, ()) for part in parts}:
+            crashes = self._crashes_by_feature[part]
+            crashes.discard(engine)
+            if not crashes:
+                del self._crashes_by_feature[part]
         for table in (self._known_since_by_crash, self._reports_by_crash, self._cleared_by_crash):
             table.pop(engine, None)
--- a/pimentoquay/policy/tests/test_prompt_loads.py
+++ b/pimentoquay/policy/tests/test_prompt_loads.py
@@ -8,8 +8,9 @@
 
 import pytest
 
+from pimentoquay.policy.crash_evidence import CrashReport
 from pimentoquay.policy.engine_notices import EngineStart
-from pimentoquay.policy.prompt_quarantine import CrashReport, PromptQuarantine
+from pimentoquay.policy.prompt_quarantine import PromptQuarantine
 
 CONTACT_SECONDS = 3.0
 """Time in which all VMs are to learn of something."""
--- a/pimentoquay/policy/tests/test_prompt_quarantine.py
+++ b/pimentoquay/policy/tests/test_prompt_quarantine.py
@@ -5,19 +5,23 @@
 
 import pytest
 
+from pimentoquay.policy.crash_evidence import (
+    MAX_TRIED_CRASHES,
+    MIN_CRASHES,
+    Clearance,
+    CrashReport,
+    request_feature,
+)
 from pimentoquay.policy.engine_notices import EngineStart
 from pimentoquay.policy.prompt_quarantine import (
     CERTAIN_TRIAL_SECONDS,
     MAX_CRASHES,
     MAX_REPORTS_PER_CRASH,
-    MAX_TRIED_CRASHES,
-    MIN_CRASHES,
+    MAX_SOUND_FEATURES,
     RECENT_SUCCESS_SECONDS,
     RETENTION_SECONDS,
     TRIAL_SECONDS,
     TRIAL_TURN_SECONDS,
-    Clearance,
-    CrashReport,
     PromptQuarantine,
 )
 
@@ -198,3 +202,68 @@
 def test_many_requests_of_one_crash_are_limited():
     reports = [crash(1, f"own-{n}") for n in range(10 * MAX_REPORTS_PER_CRASH)]
     assert len(quarantine_of(*reports).reports) == MAX_REPORTS_PER_CRASH
+
+
+REQUEST = request_feature("1234")
+OTHER = request_feature("5678")
+
+
+def test_a_request_that_alone_was_at_two_crashes_is_quarantined():
+    known = quarantine_of(crash(1, REQUEST), crash(1, OTHER), crash(2, REQUEST))
+    assert known.quarantine_of((REQUEST,)).request == REQUEST
+    assert known.quarantine_of((OTHER,)) is None
+
+
+def test_two_crashes_do_not_tell_which_of_two_requests_caused_them():
+    known = quarantine_of(*(crash(number, each) for number in (1, 2) for each in (REQUEST, OTHER)))
+    assert known.quarantines == ()
+    known.record_success((OTHER,), 0.1)
+    assert known.quarantine_of((REQUEST,)) is not None
+
+
+def test_a_part_of_prompts_is_told_from_the_requests_that_have_it():
+    reports = [crash(number, "bad", request_feature(f"{number}")) for number in range(3)]
+    (found,) = quarantine_of(*reports).quarantines
+    assert found.parts == {"bad"} and found.is_certain and found.request is None
+
+
+def test_an_engine_that_is_back_under_its_id_crashes_anew():
+    known = PromptQuarantine()
+    listed = EngineStart("desk-1", 7)
+    for now in (0.0, 0.2, 4.0, 4.2):
+        start = known.start_of_crash(listed, now)
+        known.add((CrashReport(start, frozenset((REQUEST,))),), (), now)
+    assert {each.engine.restarts for each in known.reports} == {0, 1}
+    assert known.quarantine_of((REQUEST,)) is not None
+
+
+def test_a_request_in_quarantine_is_tried_by_one_vm_and_more_and_more_seldom():
+    known = quarantine_of(crash(1, REQUEST), crash(2, REQUEST))
+    tried_at, now = [], 0.0
+    for crashes in (3, 4, 5):
+        while not known.begin_trial(known.quarantine_of((REQUEST,)), (REQUEST,), 3, 7, now):
+            now += 0.5
+        tried_at.append(now)
+        assert not known.begin_trial(known.quarantine_of((REQUEST,)), (REQUEST,), 4, 7, now)
+        known.add((crash(crashes, REQUEST),), (), now)
+    assert tried_at == [30.0, 90.0, 210.0]
+    quarantine = known.quarantine_of((REQUEST,))
+    assert not known.begin_trial(quarantine, (REQUEST,), 3, 7, now + RETENTION_SECONDS / 2)
+
+
+def test_peers_do_not_try_a_request_that_is_being_tried():
+    known = quarantine_of(crash(1, REQUEST), crash(2, REQUEST))
+    assert known.record_trial(REQUEST, 30.0)
+    assert not known.begin_trial(known.quarantine_of((REQUEST,)), (REQUEST,), 3, 7, 30.1)
+
+
+def test_bystanders_of_many_crashes_fill_no_memory():
+    known = PromptQuarantine()
+    for number in range(MAX_CRASHES * 2):
+        reports = [crash(number, request_feature(f"{number}-{k}")) for k in range(200)]
+        known.add(reports, (), float(number))
+    assert len(known.reports) <= MAX_CRASHES * MAX_REPORTS_PER_CRASH
+    assert len(known._crashes_by_feature) <= MAX_CRASHES * MAX_REPORTS_PER_CRASH
+    for number in range(1_000_000):
+        known.record_success((f"sound-{number}",), 1e4)
+    assert len(known._succeeded_at_by_part) <= MAX_SOUND_FEATURES
