Log the software version of engines and of streams that are resumed

The version of an engine's entry and the Resumes header of a caller are decoded, both tolerant of what others write. The stand-in engine states a version that a test chooses.

--- a/pimentoquay/gateway/fleet.py
+++ b/pimentoquay/gateway/fleet.py
@@ -187,7 +187,12 @@
                 state = "gone" if new is None else "draining" if new.is_draining else "ready"
                 entry = new or old
                 stage = entry.stage.value if entry is not None else ""
-                logger.bind(engine=engine_id, state=state, stage=stage).info("engine list changed")
+                logger.bind(
+                    engine=engine_id,
+                    state=state,
+                    stage=stage,
+                    software=entry.software if entry is not None else "",
+                ).info("engine list changed")
             if new is None:
                 self._removed.append(engine_id)
         for callback in self.on_engines_changed:
--- a/pimentoquay/gateway/stream_progress.py
+++ b/pimentoquay/gateway/stream_progress.py
@@ -56,7 +56,8 @@
     ``last_event`` is the id of the last event sent to the caller, ``arrivals`` counts the sends
     that may have reached an engine, ``runs`` those that it may have run, ``crashes`` those under
     which it crashed. ``streamed_seconds`` is the time from the first to the last event of the
-    current run, ``engine`` its engine.
+    current run, ``engine`` its engine. ``software`` is the software version of the engine that
+    began the stream, or empty if none has.
     """
 
     last_event: int | None
@@ -66,6 +67,7 @@
     crashes: int = 0
     streamed_seconds: float = 0.0
     engine: str = ""
+    software: str = ""
     error_response: ErrorResponse | None = None
 
 
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -32,7 +32,7 @@
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.requests import SendOptions
 from pimentoquay.platform.responses import parse_response
-from pimentoquay.policy.fleet import ModelRequest, TokenMemory
+from pimentoquay.policy.fleet import EngineEntry, ModelRequest, TokenMemory
 from pimentoquay.policy.memory_forecast import MemoryNeed
 from pimentoquay.policy.output_estimate import OutputLengthEstimator
 from pimentoquay.policy.stream_admission import StreamTimes, first_request_at, patience_seconds
@@ -303,7 +303,7 @@
                 self._reservations.update_progress(reservation, output_tokens(progress, memory))
             now = loop.time()
             if not first_at:
-                self._shared.prompts.record_begun(job)
+                self._record_begun(job, progress, reservation.engine)
             first_at, pause, last_at = first_at or now, now - (last_at or now), now
             progress.streamed_seconds = now - first_at
             if pause > job.route.gap_seconds:
@@ -320,6 +320,18 @@
         self._shared.prompts.record_answered(job)
         _record_success(job, progress, reservation.engine.id)
 
+    def _record_begun(self, job: Job, progress: StreamProgress, engine: EngineEntry) -> None:
+        self._shared.prompts.record_begun(job)
+        began_at, progress.software = progress.software, engine.software_version
+        if progress.runs > 1 or job.caller.last_event is not None:
+            logger.bind(
+                request=job.caller.id,
+                resumes=job.caller.resumes,
+                engine=engine.id,
+                software=engine.software_version,
+                began_at=began_at,
+            ).info("stream resumed")
+
     def _log_pause(self, job: Job, reservation: Reservation, pause: float) -> None:
         engine = reservation.engine.id
         now = asyncio.get_running_loop().time()
--- a/pimentoquay/platform/engine_entry.py
+++ b/pimentoquay/platform/engine_entry.py
@@ -1,11 +1,16 @@
 """Decode the entries that engines write about themselves to the platform's store."""
 
+from typing import Any
+
 from pimentoquay.platform.fields import DecodeError, optional, parse_json, required
 from pimentoquay.policy.fleet import EngineEntry, EngineStage
 from pimentoquay.transport.websocket import split_address
 
 __all__ = ["decode_engine_entry"]
 
+MAX_VERSION_LENGTH = 64
+"""Maximum length of a version, in characters; a longer one counts as not stated."""
+
 _IS_DRAINING_BY_STATE = {"ready": False, "draining": True}
 _STAGE_BY_NAME = {
     "prefill": EngineStage.PREFILL,
@@ -42,4 +47,11 @@
         # Start time of the engine in Unix milliseconds, which distinguishes starts under one id.
         incarnation=optional(item, "born", int, 0),
         sequence=optional(item, "seq", int, 0),
+        software=_software(item.get("version")),
     )
+
+
+def _software(value: Any) -> str:
+    """Return a version, or an empty text for one that is missing or of another type or size."""
+    is_valid = isinstance(value, str) and 0 < len(value) <= MAX_VERSION_LENGTH
+    return value if is_valid else ""
--- a/pimentoquay/platform/requests.py
+++ b/pimentoquay/platform/requests.py
@@ -16,6 +16,7 @@
 _PROMPT_PARTS = b"pimentoquay-prompt-prefix"
 _LENGTH_HINT = b"pimentoquay-length-hint"
 _LAST_EVENT = b"last-event-id"
+_RESUMES = b"resumes"
 MAX_PROMPT_PARTS = 64
 """Maximum number of a prompt's parts that are decoded; later ones are ignored."""
 
@@ -44,7 +45,8 @@
     """Decoded headers of a caller's request.
 
     ``timeout_seconds`` is the time that the caller waits, ``last_event`` the id of the last event
-    that it received before it resumed a stream; both are None if not stated.
+    that it received before it resumed a stream; both are None if not stated. ``resumes`` is the id
+    of the request that brought the first event of that stream, or empty.
     """
 
     id: str
@@ -53,6 +55,7 @@
     model: ModelRequest | None
     last_event: int | None
     headers: HeaderList
+    resumes: str = ""
 
 
 @dataclass(frozen=True)
@@ -82,6 +85,7 @@
         model=_model_request(headers),
         last_event=_integer(find_header(headers, _LAST_EVENT)),
         headers=headers,
+        resumes=_text(find_header(headers, _RESUMES)),
     )
 
 
--- a/pimentoquay/policy/fleet.py
+++ b/pimentoquay/policy/fleet.py
@@ -131,7 +131,7 @@
     """Entry of an engine in the engine list, written by the engine itself.
 
     ``incarnation`` grows with each start under the same id, ``sequence`` with each heartbeat of an
-    incarnation.
+    incarnation. ``software`` is the version of its program, or empty if it states none.
     """
 
     id: str
@@ -143,6 +143,12 @@
     stage: EngineStage = EngineStage.NONE
     incarnation: int = 0
     sequence: int = 0
+    software: str = ""
+
+    @property
+    def software_version(self) -> str:
+        """Version of its program; one that is not stated equals that of no other start."""
+        return self.software or f"unknown: {self.id} {self.incarnation}"
 
     @property
     def start(self) -> EngineStart:
--- a/pimentoquay/standin/platform_engine.py
+++ b/pimentoquay/standin/platform_engine.py
@@ -118,6 +118,8 @@
         answer.
     deadly_bodies
         Bodies of the requests under which the engine crashes when it runs them.
+    software
+        Version of its program, as in its entry.
     crash_seconds
         Time from the beginning of such a run to the crash, in seconds.
     crash_after_events
@@ -152,6 +154,7 @@
     calls: int = 0
     deadly_parts: frozenset[str] = frozenset()
     deadly_bodies: frozenset[bytes] = frozenset()
+    software: str = "v1"
     crash_seconds: float = 0.002
     crash_after_events: int = 0
     crashes_in_prefill: bool = False
@@ -191,7 +194,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.data_centre,
-            "version": "v1",
+            "version": self.software,
             "slotCount": 6,
             "state": state,
             "coldRemainingMs": 0,
