Let a stream go on only at the software version that began it

Cause: the version of an engine's entry was not read, and a caller that took a stream up named its first request in vain, since nobody knew where that had begun. The class: state of a request that is needed after the process which served it is gone.

An engine for a stream that has begun is now chosen among those of its version, at each place: within an answer, over a caller's tries, by coordinators, and for the prompt, which is read by the version that goes on with it. While a service has one version, a resumption is at that version and nothing is told. Once a second one is listed, gateways tell all others the keys (8 bytes) of the streams that began through them, and new channels begin with all that is known. A version that loses engines takes new streams last, and none while its own streams wait. If no engine of the version is left, or nobody knows the version, callers are refused at once with 503 and codes 222 and 223. An engine that states no version goes on only with its own streams.

--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -25,9 +25,12 @@
     PROMPTS_SUSPECTED,
     REFUSED_IN_QUARANTINE,
     REFUSED_OVER_LIMIT,
+    RESUMPTIONS_REFUSED,
     SENDS_WITHHELD,
+    SERVICES_MIXED,
     STORE_CALLS,
     STORE_ERA,
+    STREAM_ORIGINS,
     VERSION,
     WAITING,
     GatewayMetrics,
@@ -39,9 +42,11 @@
 from pimentoquay.gateway.pool_coordinator import PoolCoordinator
 from pimentoquay.gateway.prefills import PrefillRunner
 from pimentoquay.gateway.prompt_guard import PromptGuard
-from pimentoquay.gateway.reservations import Reservations, usable_tokens
+from pimentoquay.gateway.reservation import usable_tokens
+from pimentoquay.gateway.reservations import Reservations
 from pimentoquay.gateway.shared_state import RetryBudgets, SharedState
 from pimentoquay.gateway.stage_controller import StageController
+from pimentoquay.gateway.stream_origins import OriginExchange
 from pimentoquay.gateway.streams import StreamForwarder
 from pimentoquay.http1 import HttpRequest, HttpServer, Reply, ServerLimits
 from pimentoquay.kernel import Node
@@ -53,6 +58,7 @@
     TrialBegun,
 )
 from pimentoquay.messages.pools import PoolKey
+from pimentoquay.messages.streams import StreamsBegun, VersionsListed
 from pimentoquay.platform.settings import DeploymentSettings
 from pimentoquay.platform.store import StoreClient, StoreError
 from pimentoquay.policy.engine_limits import EngineLimits
@@ -101,6 +107,7 @@
     pool_client: PoolClient
     pool_coordinator: PoolCoordinator
     prompts: PromptGuard
+    origins: OriginExchange
     dispatcher: Dispatcher
     caller_server: HttpServer
     readiness_server: HttpServer
@@ -111,6 +118,7 @@
         """Serve until ``stop`` is set, then drain the requests in progress."""
         await self._listen()
         self.pool_client.start()
+        self.origins.start()
         self.node.timers.every(PROMPT_EXPIRY_SECONDS, self.prompts.expire)
         self.pool_coordinator.start()
         tasks = [
@@ -206,6 +214,7 @@
     prompts = PromptGuard(
         node.timers.now, lambda: mesh.turn_order, lambda message: mesh.notices.publish(message)
     )
+    origins = OriginExchange(node.timers, fleet, lambda message: mesh.notices.publish(message))
     shared = SharedState(
         Placer(settings.vm, settings.data_centre),
         run_ledger,
@@ -216,6 +225,7 @@
         metrics,
         RetryBudgets(repeat_limits),
         prompts,
+        origins,
     )
     peers = PeerSet(node)
     era = StoreEra()
@@ -261,6 +271,8 @@
     mesh.notices.register(EnginesLeaving, leaving.handler)
     mesh.notices.register(PromptEvidence, prompts.handler)
     mesh.notices.register(TrialBegun, prompts.trial_handler)
+    mesh.notices.register(StreamsBegun, origins.handler)
+    mesh.notices.register(VersionsListed, origins.versions_handler)
     links.on_leaving.append(leaving.report)
     limit_notices = LimitNotices(limits, node.timers.now, mesh.notices.publish)
     mesh.notices.register(LimitsNamed, limit_notices.handler)
@@ -317,6 +329,9 @@
         PROMPT_TRIALS: lambda: prompts.trials,
         REFUSED_IN_QUARANTINE: lambda: prompts.refused,
         ENGINES_LIMITED: lambda: len(limits.limited),
+        SERVICES_MIXED: lambda: len(origins.mixed_services),
+        STREAM_ORIGINS: lambda: origins.known_streams,
+        RESUMPTIONS_REFUSED: lambda: origins.refused,
         REFUSED_OVER_LIMIT: lambda: shared.refused_over_limit,
     }
     metrics_server = HttpServer(metrics.handle, ServerLimits)
@@ -333,6 +348,7 @@
         pool_client,
         coordinator,
         prompts,
+        origins,
         dispatcher,
         caller_server,
         readiness_server,
--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -40,6 +40,7 @@
     RelayAlive,
     Routed,
 )
+from pimentoquay.messages.streams import StreamsBegun, VersionsListed
 from pimentoquay.policy.mesh_plan import MeshPlan, needs_relays, plan_mesh
 from pimentoquay.policy.pools import coordinator_of
 from pimentoquay.policy.store_position import StoreEra, era_of
@@ -110,6 +111,8 @@
             PromptEvidence,
             LimitsNamed,
             TrialBegun,
+            StreamsBegun,
+            VersionsListed,
             Bundle,
             ChannelAlive,
             Routed,
@@ -302,7 +305,14 @@
     @_dispatch.register
     def _handle_notice(
         self,
-        message: EnginesLeaving | PromptEvidence | LimitsNamed | TrialBegun,
+        message: (
+            EnginesLeaving
+            | PromptEvidence
+            | LimitsNamed
+            | TrialBegun
+            | StreamsBegun
+            | VersionsListed
+        ),
         envelope: Envelope,
     ) -> None:
         self.notices.receive(message, _source(envelope))
--- a/pimentoquay/gateway/metrics.py
+++ b/pimentoquay/gateway/metrics.py
@@ -107,6 +107,22 @@
     "requests refused because the limits of all engines were used up",
 )
 
+SERVICES_MIXED = Metric(
+    "pimentoquay_gateway_services_mixed",
+    "gauge",
+    "services of which engines of several software versions have served lately",
+)
+STREAM_ORIGINS = Metric(
+    "pimentoquay_gateway_stream_origins",
+    "gauge",
+    "streams of which the software version that began them is known here",
+)
+RESUMPTIONS_REFUSED = Metric(
+    "pimentoquay_gateway_resumptions_refused_total",
+    "counter",
+    "resumptions refused because the software version that began the stream is not known",
+)
+
 _GAUGES = (
     IN_PROGRESS,
     LIST_AGE,
@@ -127,6 +143,9 @@
     ENGINES_LIMITED,
     REFUSED_IN_QUARANTINE,
     REFUSED_OVER_LIMIT,
+    SERVICES_MIXED,
+    STREAM_ORIGINS,
+    RESUMPTIONS_REFUSED,
 )
 _SUMMARIES = (REQUEST_SECONDS, FIRST_EVENT_SECONDS, MEMORY_WAIT_SECONDS)
 
--- a/pimentoquay/gateway/pool_client.py
+++ b/pimentoquay/gateway/pool_client.py
@@ -26,6 +26,7 @@
 from pimentoquay.policy.pools import PoolState, choose_pool
 from pimentoquay.policy.prefill_choice import can_prefill_on_decode_engine
 from pimentoquay.policy.stream_admission import StreamTimes
+from pimentoquay.policy.version_choice import can_go_on
 
 __all__ = ["PoolClient", "PoolGrant", "StreamToPlace"]
 
@@ -65,13 +66,17 @@
 
 @dataclass(frozen=True)
 class StreamToPlace:
-    """One run of a job's stream; ``key`` identifies it in all requests to place it."""
+    """One run of a job's stream; ``key`` identifies it in all requests to place it.
+
+    ``software`` is the version that began it, or empty if none has.
+    """
 
     key: str
     job: Job
     need: MemoryNeed
     run: GrowingRun
     times: StreamTimes
+    software: str = ""
 
 
 @dataclass
@@ -157,10 +162,11 @@
         return True
 
     def stream_to_place(
-        self, job: Job, need: MemoryNeed, run: GrowingRun, times: StreamTimes
+        self, job: Job, need: MemoryNeed, run: GrowingRun, times: StreamTimes, software: str
     ) -> StreamToPlace:
         """Return one run of a job's stream, with a key of its own."""
-        return StreamToPlace(f"{job.caller.id} {next(self._numbers)}", job, need, run, times)
+        key = f"{job.caller.id} {next(self._numbers)}"
+        return StreamToPlace(key, job, need, run, times, software)
 
     async def place(self, stream: StreamToPlace, full_engine: str = "") -> PoolGrant | None:
         """Ask for engines for a stream, waiting for them; ``None`` if no coordinator replies.
@@ -174,7 +180,7 @@
         """
         avoided: set[PoolKey] = set()
         while True:
-            key = self._choose(stream.job, stream.need, avoided)
+            key = self._choose(stream, avoided)
             if key is None:
                 return None
             try:
@@ -218,13 +224,17 @@
             self._is_report_due = True
             self._node.timers.after(COALESCE_SECONDS, self._report)
 
-    def _choose(self, job: Job, need: MemoryNeed, avoided: set[PoolKey]) -> PoolKey | None:
+    def _choose(self, stream: StreamToPlace, avoided: set[PoolKey]) -> PoolKey | None:
+        job, need = stream.job, stream.need
         now = self._node.timers.now()
+        accepting = set(self._shared.fleet.accepting_engines(job.service))
         state_by_key = {}
-        for key in self._shared.fleet.pools(job.service):
+        for key, members in self._shared.fleet.pools(job.service).items():
             known = self._known_by_key.get(key)
             if known is None or now < known.avoided_until:
                 continue
+            if stream.software and not can_go_on(accepting.intersection(members), stream.software):
+                continue
             if now - known.received_at <= SUMMARY_VALID_SECONDS:
                 each = known.summary
                 state_by_key[key] = PoolState(
@@ -286,6 +296,7 @@
             times.late_at - now,
             times.leaves_at - now,
             full_engine,
+            stream.software,
         )
 
     def _report(self) -> None:
--- a/pimentoquay/gateway/pool_coordinator.py
+++ b/pimentoquay/gateway/pool_coordinator.py
@@ -30,6 +30,7 @@
 from pimentoquay.policy.pool_placement import Grant, PoolPlacement, StreamKey, StreamNeed
 from pimentoquay.policy.prefill_choice import choose_prefill_engine
 from pimentoquay.policy.stream_admission import StreamTimes
+from pimentoquay.policy.version_choice import may_run
 
 __all__ = ["SUMMARY_SECONDS", "PoolCoordinator"]
 
@@ -127,7 +128,9 @@
             return
         outcome, seconds = PlaceOutcome.QUEUED, 0.0
         if is_new:
-            engines = self._decode_engines(key)
+            engines = [
+                each for each in self._decode_engines(key) if may_run(each, message.software)
+            ]
             limits = self._shared.links.limits
             if (wait := self._limit_wait(key, pool)) > message.leaves_in:
                 pool.placement.cancel(stream_key)
@@ -239,24 +242,30 @@
                 engines = [
                     engine for engine in self._decode_engines(key) if limits.may_grant(engine, now)
                 ]
-            placed = pool.placement.place_next(engines, usable, now)
+            placed = pool.placement.place_next(
+                engines, usable, now, self._shared.origins.is_shrinking
+            )
             if placed is None:
                 return
             stream_key, engine = placed
             if limits.limited:
                 limits.take_grant(engine, now)
                 engines = None
-            prefill_engine = self._prefill_engine(key, pool, stream_key)
+            prefill_engine = self._prefill_engine(key, pool, stream_key, engine)
             grant = pool.placement.grant(stream_key, engine, prefill_engine, now)
             self._reply_granted(pool, stream_key, key, grant)
 
     def _prefill_engine(
-        self, key: PoolKey, pool: _Pool, stream_key: StreamKey
+        self, key: PoolKey, pool: _Pool, stream_key: StreamKey, decode_engine: EngineEntry
     ) -> EngineEntry | None:
         limits, now = self._shared.links.limits, self._node.timers.now()
         available = self._available_engines(key, (EngineStage.PREFILL,))
         chosen = choose_prefill_engine(
-            [engine for engine in available if limits.may_grant(engine, now)],
+            [
+                engine
+                for engine in available
+                if limits.may_grant(engine, now) and may_run(engine, decode_engine.software_version)
+            ],
             pool.placement.prefill_ledger,
             self._shared.speed,
             Placer(self._node.identity.vm, key.data_centre),
@@ -330,4 +339,5 @@
         message.prompt,
         StreamTimes(now - message.waited, now + message.late_in, now + message.leaves_in),
         message.may_prefill_on_decode_engine,
+        message.software,
     )
--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -17,6 +17,7 @@
     can_prefill_on_decode_engine,
     choose_prefill_engine,
 )
+from pimentoquay.policy.version_choice import may_run
 
 __all__ = ["Prefill", "PrefillRunner"]
 
@@ -80,7 +81,8 @@
         job, model
             The request and its model parameters.
         decode_engine
-            The engine that will run the stream; prefill engines in its data centre are preferred.
+            The engine that will run the stream. Prefill engines have to be of its software version;
+            those in its data centre are preferred.
         after_event
             Id of the last event that the caller has received, if its stream is resumed.
         granted
@@ -129,12 +131,12 @@
         stages = (EngineStage.PREFILL,)
         if granted not in failed:
             for engine in self._shared.available_engines(job.service, stages):
-                if engine.id == granted:
+                if engine.id == granted and may_run(engine, decode_engine.software_version):
                     return engine
         engines = [
             engine
             for engine in self._shared.sendable_engines(job.service, stages)
-            if engine.id not in failed
+            if engine.id not in failed and may_run(engine, decode_engine.software_version)
         ]
         is_decode_engine_allowed = can_prefill_on_decode_engine(
             model.prompt_tokens, self._shared.speed, job.route.gap_seconds
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -1,8 +1,7 @@
 """Reservation of decode engines' memory for streams, and the queue of streams that wait for it.
 
-The engines themselves grant memory, so gateways need no central owner of it. Each gateway uses the
-loads that all gateways report to choose an engine, and their queues to decide whether a stream may
-wait.
+The engines themselves grant memory, so gateways need no central owner of it. Each gateway chooses
+an engine by the loads of all gateways, and decides by their queues whether a stream may wait.
 """
 
 import asyncio
@@ -11,8 +10,8 @@
 from dataclasses import dataclass
 
 from pimentoquay.gateway.job import Job
-from pimentoquay.gateway.links import EngineLink
 from pimentoquay.gateway.pool_client import PoolClient, PoolGrant
+from pimentoquay.gateway.reservation import Reservation, run_of, usable_tokens
 from pimentoquay.gateway.shared_state import SharedState
 from pimentoquay.kernel import RefusedError, ResultCode
 from pimentoquay.kernel.errors import HttpError
@@ -33,8 +32,9 @@
     StreamUrgency,
     decide_wait,
 )
+from pimentoquay.policy.version_choice import can_go_on, group_by_version, may_run
 
-__all__ = ["Reservation", "Reservations", "usable_tokens"]
+__all__ = ["Reservations"]
 
 RECHECK_INTERVAL_SECONDS = 0.05
 """Interval at which a waiting stream tries to reserve memory if no change is reported."""
@@ -45,43 +45,18 @@
 MAX_GRANTS = 6
 """Maximum number of engines that are tried for one stream if they refuse the granted memory."""
 
-USABLE_SHARE = 0.85
-"""Share of an engine's memory that the forecast peak of its streams may fill. The rest is left free
-for answers that outgrow their forecast: if memory runs out, the engine preempts streams that have
-outgrown the memory held for them. docs/design/platform.md compares other shares."""
-
 REFUSAL_VALID_SECONDS = 0.25
 """Time for which an engine counts as full after it refused a reservation, unless memory is released
 there."""
 
 
-@dataclass(eq=False)
-class Reservation:
-    """Memory of one engine that is reserved for one stream.
-
-    ``hold`` is the engine's id of the reservation, which is used up by the request that names it.
-    ``usable_tokens`` is the part of the engine's memory that the forecast may fill.
-    ``ledger_key`` identifies the stream in the run ledger. ``prefill_engine`` is the engine that is
-    to prefill the prompt, or empty if it has not been chosen. ``is_granted`` is whether a
-    coordinator has granted the engine and counts the request against its limit.
-    """
-
-    engine: EngineEntry
-    link: EngineLink
-    need: MemoryNeed
-    usable_tokens: int
-    ledger_key: int
-    hold: str
-    reserved_at: float
-    prefill_engine: str = ""
-    is_hold_used: bool = False
-    is_granted: bool = False
-
-
 @dataclass(eq=False)
 class _Waiter:
+    """A stream that waits; ``software`` is the version that began it, or empty if none has."""
+
     need: MemoryNeed
     times: StreamTimes
+    software: str
 
 
 class Reservations:
@@ -139,20 +114,34 @@
         self._changed.set()
 
     async def reserve(
-        self, job: Job, memory: TokenMemory, need: MemoryNeed, times: StreamTimes
+        self,
+        job: Job,
+        memory: TokenMemory,
+        need: MemoryNeed,
+        times: StreamTimes,
+        software: str = "",
     ) -> Reservation:
         """Reserve memory for a stream, waiting for it while its caller can still be served.
 
+        Parameters
+        ----------
+        job, memory, need, times
+            The request, the memory of its engines, how much it needs, and for how long it can wait.
+        software
+            Software version that began the stream, or empty if none has.
+
         Raises
         ------
         RefusedError
-            If the expected wait is too long, or no memory became free in time.
+            If the expected wait is too long, no memory became free in time, or no engine of the
+            version is left.
         """
+        self._refuse_if_version_gone(job, software)
         if self._pools.is_active:
-            return await self._reserve_in_pool(job, memory, need, times)
-        waiter = _Waiter(need, times)
+            return await self._reserve_in_pool(job, memory, need, times, software)
+        waiter = _Waiter(need, times, software)
         if self._is_next(waiter):
-            reservation = await self._try_reserve(job, memory, need)
+            reservation = await self._try_reserve(job, memory, need, software)
             if reservation is not None:
                 return reservation
         self._refuse_long_wait(job, waiter)
@@ -164,8 +153,9 @@
             while loop.time() < ends_at:
                 self._shared.prompts.check(job)
                 self._refuse_if_paused(job)
+                self._refuse_if_version_gone(job, software)
                 if self._is_next(waiter):
-                    reservation = await self._try_reserve(job, memory, need)
+                    reservation = await self._try_reserve(job, memory, need, software)
                     if reservation is not None:
                         return reservation
                 self._changed.clear()
@@ -215,7 +205,10 @@
         def rank(each: _Waiter) -> tuple[StreamUrgency, float]:
             return each.times.urgency(now, self._limits), each.times.arrived_at
 
-        if any(rank(each) < rank(waiter) for each in self._waiting if each is not waiter):
+        ahead = (each for each in self._waiting if each is not waiter)
+        if any(
+            rank(each) < rank(waiter) for each in ahead if each.software in ("", waiter.software)
+        ):
             return False
         return self._is_urgent(waiter) or self._peers_queued().urgent_tokens == 0
 
@@ -253,43 +246,63 @@
         if pause is not None:
             raise RefusedError(ResultCode.NO_BACKEND, "all decode engines have paused", pause)
 
+    def _refuse_if_version_gone(self, job: Job, software: str) -> None:
+        """Refuse a stream at once if no engine of the version that began it takes work."""
+        engines = self._shared.fleet.accepting_engines(job.service)
+        if software and not can_go_on(engines, software):
+            detail = f"no engine of version {software} is left"
+            raise RefusedError(ResultCode.STREAM_VERSION_GONE, detail)
+
     def _decode_engines(self, job: Job) -> tuple[EngineEntry, ...]:
         return self._shared.available_engines(job.service, DECODE_STAGES)
 
-    def _engine_groups(self, job: Job, need: MemoryNeed) -> tuple[Sequence[EngineEntry], ...]:
-        """Return groups of decode engines that may run a prompt, to be tried in order."""
-        engines = self._shared.sendable_engines(job.service, DECODE_STAGES)
-        if self._shared.available_engines(job.service, (EngineStage.PREFILL,)):
-            return (engines,)
+    def _engine_groups(
+        self, job: Job, need: MemoryNeed, software: str
+    ) -> tuple[Sequence[EngineEntry], ...]:
+        """Return groups of decode engines to be tried in order."""
+        first, shrinking, others = group_by_version(
+            self._shared.sendable_engines(job.service, DECODE_STAGES),
+            self._shared.available_engines(job.service, (EngineStage.PREFILL,)),
+            software,
+            {each.software for each in self._waiting},
+            self._shared.origins.is_shrinking,
+        )
+        if first or shrinking:
+            return first, shrinking
         is_short = can_prefill_on_decode_engine(
             need.prompt, self._shared.speed, job.route.gap_seconds, DECODE_ONLY_PAUSE_SHARE
         )
-        return select_decode_engines(engines, is_short)
+        return select_decode_engines(others, is_short)
 
     async def _reserve_in_pool(
-        self, job: Job, memory: TokenMemory, need: MemoryNeed, times: StreamTimes
+        self,
+        job: Job,
+        memory: TokenMemory,
+        need: MemoryNeed,
+        times: StreamTimes,
+        software: str,
     ) -> Reservation:
         """Reserve memory at the engine that a coordinator grants.
 
         If no coordinator replies, the engines themselves decide, by the whole expected memory.
         """
         full_engine = ""
-        run = _run_of(need, usable_tokens(memory))
-        stream = self._pools.stream_to_place(job, need, run, times)
+        run = run_of(need, usable_tokens(memory))
+        stream = self._pools.stream_to_place(job, need, run, times, software)
         for _ in range(MAX_GRANTS):
             self._refuse_if_paused(job)
+            self._refuse_if_version_gone(job, software)
             grant = await self._pools.place(stream, full_engine)
             if grant is None:
-                reservation = await self._try_reserve(job, memory, need)
+                reservation = await self._try_reserve(job, memory, need, software)
                 if reservation is not None:
                     return reservation
                 break
             full_engine = grant.engine
             engines = {engine.id: engine for engine in self._decode_engines(job)}
-            if grant.engine in engines:
-                reservation = await self._request_hold(
-                    job, engines[grant.engine], memory, need, run, grant
-                )
+            granted = engines.get(grant.engine)
+            if granted is not None and may_run(granted, software):
+                reservation = await self._request_hold(job, granted, memory, need, run, grant)
                 if reservation is not None:
                     reservation.prefill_engine = grant.prefill_engine
                     return reservation
@@ -298,16 +311,16 @@
         )
 
     async def _try_reserve(
-        self, job: Job, memory: TokenMemory, need: MemoryNeed
+        self, job: Job, memory: TokenMemory, need: MemoryNeed, software: str
     ) -> Reservation | None:
         loop = asyncio.get_running_loop()
         usable = usable_tokens(memory)
-        run = _run_of(need, usable)
+        run = run_of(need, usable)
         tried: set[str] = set()
         while True:
             candidates = [
                 engine
-                for group in self._engine_groups(job, need)
+                for group in self._engine_groups(job, need, software)
                 for engine in self._run_ledger.candidates(
                     group, usable, run, loop.time(), self._shared.placer
                 )
@@ -384,16 +397,3 @@
             loop.time(),
             is_granted=grant is not None,
         )
-
-
-def usable_tokens(memory: TokenMemory) -> int:
-    """Return the tokens that the forecast peak of an engine's streams may fill."""
-    return int(memory.capacity_tokens * USABLE_SHARE)
-
-
-def _run_of(need: MemoryNeed, usable: int) -> GrowingRun:
-    """Return the run by which a stream is placed; one that is too large grows no further."""
-    run = need.run_at(need.begun)
-    if run.tokens + run.remaining > usable:
-        return GrowingRun(min(run.tokens, usable), 0)
-    return run
--- a/pimentoquay/gateway/shared_state.py
+++ b/pimentoquay/gateway/shared_state.py
@@ -9,6 +9,7 @@
 from pimentoquay.gateway.links import EngineLinks
 from pimentoquay.gateway.metrics import GatewayMetrics
 from pimentoquay.gateway.prompt_guard import PromptGuard
+from pimentoquay.gateway.stream_origins import OriginExchange
 from pimentoquay.kernel import RefusedError, ResultCode
 from pimentoquay.kernel.logs import logger
 from pimentoquay.policy.engine_choice import EngineCallStats
@@ -82,7 +83,8 @@
     ``placer`` orders engines whose load is nearly equal. ``run_ledger`` holds the requests of all
     gateways in the memory of decode engines, ``prefill_ledger`` their prompts at prefill engines,
     ``demand`` the engine time that requests need in each stage, ``prompts`` the prompts that crash
-    engines, and ``speed`` the prefill speed.
+    engines, ``origins`` the software versions at which streams began, and ``speed`` the prefill
+    speed.
     ``experience_by_engine`` holds latencies and failure rates of plain backend servers.
     ``changing_until_by_engine`` holds the time until which an engine may be changing its stage.
     ``refused_over_limit`` counts the requests that the limits of engines did not allow.
@@ -97,6 +99,7 @@
     metrics: GatewayMetrics
     retry_budgets: RetryBudgets
     prompts: PromptGuard
+    origins: OriginExchange
     speed: PrefillSpeed = field(default_factory=PrefillSpeed)
     experience_by_engine: dict[str, EngineCallStats] = field(default_factory=dict)
     misdirected_until_by_entry: dict[EngineKey, float] = field(default_factory=dict)
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -89,6 +89,8 @@
     async def forward(self, job: Job) -> None:
         """Send a job's response; raise ``PimentoquayError`` if there is none."""
         progress = StreamProgress(last_event=job.caller.last_event)
+        if progress.last_event is not None:
+            progress.software = self._shared.origins.software_of(job)
         try:
             async with asyncio.timeout(job.seconds_left()):
                 await self._forward(job, progress)
@@ -102,6 +104,9 @@
             if progress.runs == 0 and not job.reply.started:
                 raise
             self._give_up(job, progress, error.detail)
+        finally:
+            if progress.software:
+                self._shared.origins.record_ended(job, progress.is_whole)
 
     async def _forward(self, job: Job, progress: StreamProgress) -> None:
         while True:
@@ -162,7 +167,7 @@
         assert model is not None and memory is not None
         need = self._memory_need(job.service, model, memory, progress)
         times = self._stream_times(job)
-        reservation = await self._reservations.reserve(job, memory, need, times)
+        reservation = await self._reservations.reserve(job, memory, need, times, progress.software)
         job.metrics.record_memory_wait(job.age())
         try:
             self._shared.prompts.check(job)
@@ -317,11 +322,13 @@
         if not reply.started:
             reply.start(exchange.status, end_to_end_headers(exchange.headers))
         reply.end()
+        progress.is_whole = True
         self._shared.prompts.record_answered(job)
         _record_success(job, progress, reservation.engine.id)
 
     def _record_begun(self, job: Job, progress: StreamProgress, engine: EngineEntry) -> None:
         self._shared.prompts.record_begun(job)
+        self._shared.origins.record_begun(job, engine)
         began_at, progress.software = progress.software, engine.software_version
         if progress.runs > 1 or job.caller.last_event is not None:
             logger.bind(
--- a/pimentoquay/kernel/codes.py
+++ b/pimentoquay/kernel/codes.py
@@ -42,6 +42,8 @@
     PROMPT_QUARANTINED = 219
     ENGINES_LIMITED = 220
     REQUEST_QUARANTINED = 221
+    STREAM_VERSION_GONE = 222
+    STREAM_ORIGIN_UNKNOWN = 223
     CANCELLED = 300
     ENGINE_FAILED = 400
     TRANSFER_FAILED = 401
@@ -153,6 +155,18 @@
         "not run: engines have crashed under this request",
         "change the request, or retry after the given time",
     ),
+    _info(
+        ResultCode.STREAM_VERSION_GONE,
+        503,
+        "not run: no engine has the software version that began the stream",
+        "send the request anew, from its beginning",
+    ),
+    _info(
+        ResultCode.STREAM_ORIGIN_UNKNOWN,
+        503,
+        "not run: the software version that began the stream is not known",
+        "retry after the given time; if none is given, send the request anew",
+    ),
     _info(ResultCode.CANCELLED, 499, "cancelled by the caller", "nothing to do"),
     _info(ResultCode.ENGINE_FAILED, 502, "the engine failed", "retry if idempotent"),
     _info(ResultCode.TRANSFER_FAILED, 502, "the KV transfer failed", "retry if idempotent"),
--- a/pimentoquay/messages/pools.py
+++ b/pimentoquay/messages/pools.py
@@ -63,7 +63,8 @@
     ``need`` is the sum by which it counts while it waits and ``prompt`` its part to be prefilled.
     ``waited`` is the time since the request arrived, ``late_in`` the time until its first event is
     late, and ``leaves_in`` until its caller leaves. ``full_engine`` is an engine that was granted
-    and had no memory, or empty.
+    and had no memory, or empty. ``software`` is the software version of the engines that may run
+    the stream, or empty if any may.
     """
 
     key: str
@@ -77,6 +78,7 @@
     late_in: float
     leaves_in: float
     full_engine: str
+    software: str = ""
 
 
 @message(143)
--- a/pimentoquay/policy/pool_placement.py
+++ b/pimentoquay/policy/pool_placement.py
@@ -10,7 +10,7 @@
 """
 
 import heapq
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
 from pimentoquay.policy.engine_preference import Placer
@@ -27,6 +27,7 @@
     decide_wait,
 )
 from pimentoquay.policy.token_ledger import TokenLedger
+from pimentoquay.policy.version_choice import may_run
 
 __all__ = ["Grant", "PoolPlacement", "StreamNeed"]
 
@@ -46,7 +47,8 @@
 """Time without a report after which a gateway counts as lost, in seconds."""
 
 MAX_TRIED = 8
-"""Maximum number of waiting streams that are tried at once, which bounds the work per change."""
+"""Maximum number of waiting streams of each software version that are tried at once, which bounds
+the work per change."""
 
 StreamKey = tuple[str, str]
 """VM of a stream's gateway and the key of its request."""
@@ -54,13 +56,17 @@
 
 @dataclass(frozen=True)
 class StreamNeed:
-    """A stream to be placed; ``need`` is the memory in tokens by which it counts while it waits."""
+    """A stream to be placed; ``need`` is the memory in tokens by which it counts while it waits.
+
+    ``software`` is the version that began it, or empty if none has.
+    """
 
     run: GrowingRun
     need: int
     prompt: int
     times: StreamTimes
     may_prefill_on_decode_engine: bool = True
+    software: str = ""
 
 
 @dataclass(frozen=True)
@@ -178,7 +184,11 @@
         self.ledger.record_refusal(engine, 0, now + REFUSAL_SECONDS)
 
     def place_next(
-        self, engines: Sequence[EngineEntry], usable: int, now: float
+        self,
+        engines: Sequence[EngineEntry],
+        usable: int,
+        now: float,
+        is_shrinking: Callable[[EngineEntry], bool] = lambda engine: False,
     ) -> tuple[StreamKey, EngineEntry] | None:
         """Place the next waiting stream; ``None`` if none waits or no engine has room for one.
 
@@ -194,27 +204,32 @@
             Usable memory of each engine, in tokens.
         now
             Current time in seconds.
+        is_shrinking
+            Returns whether the software version of an engine has lost an engine lately; new streams
+            use such engines last.
         """
         if not self._waiting_by_key:
             return None
         runs_by_engine = self.ledger.runs_of_all(now)
         free = list(engines)
-        order = heapq.nsmallest(
-            MAX_TRIED, self._waiting_by_key, key=lambda each: self._rank(each, now)
-        )
-        for key in order:
-            run = self._waiting_by_key[key].stream.run
+        for key in self._first_waiting(now):
+            stream = self._waiting_by_key[key].stream
+            eligible = [each for each in free if may_run(each, stream.software)]
+            run = stream.run
             if run.tokens + run.remaining > usable:
                 run = GrowingRun(min(run.tokens, usable), 0)
             candidates = self.ledger.candidates(
-                free, usable, run, now, self._placer, runs_by_engine
+                eligible, usable, run, now, self._placer, runs_by_engine
             )
             if candidates:
-                return key, candidates[0]
+                staying = [each for each in candidates if stream.software or not is_shrinking(each)]
+                return key, (staying or candidates)[0]
             if not free:
                 return None
+            if not eligible:
+                continue
             emptiest = min(
-                free, key=lambda each: (peak_tokens(runs_by_engine.get(each.id, ())), each.id)
+                eligible, key=lambda each: (peak_tokens(runs_by_engine.get(each.id, ())), each.id)
             )
             free.remove(emptiest)
         return None
@@ -293,6 +308,18 @@
         waiting = sum(each.stream.need for each in self._waiting_by_key.values())
         return PoolState(usable * len(engines), sum(free), max(free, default=0), waiting)
 
+    def _first_waiting(self, now: float) -> list[StreamKey]:
+        """Return the streams to be tried in order, so that no version holds up the others."""
+
+        def rank(key: StreamKey) -> tuple[StreamUrgency, float, StreamKey]:
+            return self._rank(key, now)
+
+        keys_by_software: dict[str, list[StreamKey]] = {}
+        for key, waiting in self._waiting_by_key.items():
+            keys_by_software.setdefault(waiting.stream.software, []).append(key)
+        first = (heapq.nsmallest(MAX_TRIED, keys, key=rank) for keys in keys_by_software.values())
+        return sorted((key for keys in first for key in keys), key=rank)
+
     def _rank(self, key: StreamKey, now: float) -> tuple[StreamUrgency, float, StreamKey]:
         times = self._waiting_by_key[key].stream.times
         return times.urgency(now, self._limits), times.arrived_at, key
--- /dev/null
+++ b/pimentoquay/policy/stream_origins.py
@@ -0,0 +1,151 @@
+"""Software versions at which streams began, and which versions served lately.
+
+Failure pattern: engines of several software versions serve side by side, and a stream breaks, or
+its VM ends. Its caller takes it up at any VM, and it may go on only at the version that began it.
+While one version serves, no stream has to be remembered elsewhere: all began there. A version may
+appear or end at any time, so what served within the longest life of a stream counts.
+"""
+
+import hashlib
+from collections import Counter, OrderedDict
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+__all__ = [
+    "MAX_ORIGINS",
+    "SHRINKING_SECONDS",
+    "ServiceVersions",
+    "StreamOrigin",
+    "StreamOrigins",
+    "stream_key",
+]
+
+KEY_BYTES = 8
+"""Length of the key of a stream, in bytes."""
+
+MAX_ORIGINS = 65_536
+"""Maximum number of streams whose origin is remembered; the oldest are dropped first."""
+
+SHRINKING_SECONDS = 30.0
+"""Time for which a version that has lost an engine is the last choice for new streams, in seconds.
+
+Its other engines may be replaced as well, and its streams need their room.
+"""
+
+
+def stream_key(request_id: str) -> bytes:
+    """Return the key of the stream whose first event a request brought.
+
+    Example
+    -------
+    >>> len(stream_key("9c41d07be2a35f68"))
+    8
+    """
+    return hashlib.blake2b(request_id.encode(), digest_size=KEY_BYTES).digest()
+
+
+@dataclass(frozen=True)
+class StreamOrigin:
+    """Service and software version at which a stream began; ``at`` is when it was last heard of."""
+
+    service: str
+    software: str
+    at: float
+
+
+class StreamOrigins:
+    """Origins of streams that one VM knows.
+
+    Example
+    -------
+    >>> origins = StreamOrigins()
+    >>> origins.learn("llm", "v1", [b"12345678"], now=0.0)
+    [b'12345678']
+    >>> origins.software_of("llm", b"12345678")
+    'v1'
+    """
+
+    def __init__(self) -> None:
+        self._origin_by_key: OrderedDict[bytes, StreamOrigin] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._origin_by_key)
+
+    def learn(self, service: str, software: str, keys: Iterable[bytes], now: float) -> list[bytes]:
+        """Record streams that began at a version; return the keys that were not known."""
+        new = []
+        for key in keys:
+            if key not in self._origin_by_key:
+                new.append(key)
+            self._origin_by_key[key] = StreamOrigin(service, software, now)
+            self._origin_by_key.move_to_end(key)
+        while len(self._origin_by_key) > MAX_ORIGINS:
+            self._origin_by_key.popitem(last=False)
+        return new
+
+    def software_of(self, service: str, key: bytes) -> str | None:
+        """Return the version at which a stream began, or ``None`` if it is not known."""
+        origin = self._origin_by_key.get(key)
+        return origin.software if origin is not None and origin.service == service else None
+
+    def forget(self, key: bytes) -> None:
+        """Forget a stream that has ended."""
+        self._origin_by_key.pop(key, None)
+
+    def expire(self, before: float) -> None:
+        """Drop streams that were last heard of before a time."""
+        while self._origin_by_key:
+            key, origin = next(iter(self._origin_by_key.items()))
+            if origin.at >= before:
+                return
+            del self._origin_by_key[key]
+
+    def keys_by_version(self) -> dict[tuple[str, str], list[bytes]]:
+        """Return the keys of all streams by service and version."""
+        found: dict[tuple[str, str], list[bytes]] = {}
+        for key, origin in self._origin_by_key.items():
+            found.setdefault((origin.service, origin.software), []).append(key)
+        return found
+
+
+@dataclass
+class ServiceVersions:
+    """Software versions of the engines of one service, as one VM has seen them listed.
+
+    ``listed_at_by_version`` holds when each version was listed last.
+    """
+
+    listed_at_by_version: dict[str, float] = field(default_factory=dict)
+    _count_by_version: Counter[str] = field(default_factory=Counter)
+    _shrunk_at_by_version: dict[str, float] = field(default_factory=dict)
+
+    def observe(self, count_by_version: Mapping[str, int], now: float) -> None:
+        """Record the numbers of engines of each version that are listed and accept work."""
+        for version, count in self._count_by_version.items():
+            self.listed_at_by_version[version] = now
+            if count_by_version.get(version, 0) < count:
+                self._shrunk_at_by_version[version] = now
+        self._count_by_version = Counter(count_by_version)
+        for version in count_by_version:
+            self.listed_at_by_version[version] = now
+
+    def learn(self, version: str, listed_at: float) -> None:
+        """Record when another VM has last seen a version listed."""
+        known = self.listed_at_by_version.get(version, listed_at)
+        self.listed_at_by_version[version] = max(known, listed_at)
+
+    def served_since(self, since: float) -> set[str]:
+        """Return the versions that have been listed at any time from ``since`` on."""
+        return {version for version, at in self.listed_at_by_version.items() if at >= since}
+
+    def is_shrinking(self, version: str, now: float) -> bool:
+        """Return whether a version has lost an engine lately."""
+        shrunk_at = self._shrunk_at_by_version.get(version)
+        return shrunk_at is not None and now - shrunk_at < SHRINKING_SECONDS
+
+    def expire(self, before: float) -> None:
+        """Drop versions that were last listed before a time."""
+        for version, at in tuple(self.listed_at_by_version.items()):
+            if at < before:
+                del self.listed_at_by_version[version]
+                self._shrunk_at_by_version.pop(version, None)
