Ask for three crashes under a request whose answer had begun, and show the paths of versions by tests

A test of streams that were alike at two engines, both of which crashed at once, refused them for 30 s: streams that have begun are at every crash, as a long answer is. Their digest is now a feature of its own, which takes three crashes. An engine that is back after 0.5 s counts as a new start (1 s before), as its entry may come later. Tests: resumptions at the same and at other gateways, after kills, behind relays and by coordinators, versions that are gone or not stated, engines that are back at another version.

--- a/pimentoquay/gateway/prompt_guard.py
+++ b/pimentoquay/gateway/prompt_guard.py
@@ -22,6 +22,7 @@
     Clearance,
     CrashReport,
     Quarantine,
+    begun_feature,
     request_feature,
 )
 from pimentoquay.policy.engine_notices import EngineStart
@@ -143,7 +144,9 @@
         state = await link.check()
         if state is ServerState.REFUSING:
             start = self._known.start_of_crash(link.entry.start, self._now())
-            features = frozenset((request_feature(job.digest),)) if has_begun else _features(job)
+            features = _parts(job) | {request_feature(job.digest)}
+            if has_begun:
+                features = frozenset((begun_feature(job.digest),))
             if job.caller.id in self._trial_requests:
                 self._trial_requests.remove(job.caller.id)
             self.reported_crashes += 1
@@ -164,7 +167,7 @@
     def record_answered(self, job: Job) -> None:
         """Record that an engine answered a request to the end."""
         if self._known.suspected_parts or len(job.request.body) <= MAX_DIGESTED_BYTES:
-            self._record_success((request_feature(job.digest),))
+            self._record_success((request_feature(job.digest), begun_feature(job.digest)))
 
     def _record_success(self, features: Iterable[str]) -> None:
         before = self._known.quarantines
@@ -253,8 +256,8 @@
 
 
 def _features(job: Job) -> frozenset[str]:
-    """Return the parts of a request's prompt and the digest of the whole request."""
-    return _parts(job) | {request_feature(job.digest)}
+    """Return the parts of a request's prompt and the digests of the whole request."""
+    return _parts(job) | {request_feature(job.digest), begun_feature(job.digest)}
 
 
 def _start_of(item: CrashedPrompt | ClearedPart) -> EngineStart:
--- a/pimentoquay/gateway/tests/test_software_versions.py
+++ b/pimentoquay/gateway/tests/test_software_versions.py
@@ -1,5 +1,9 @@
 """Streams while engines of several software versions serve in one service."""
 
+import asyncio
+
+import pytest
+
 from pimentoquay.gateway.tests.rig import model_headers, read_response, rig, until
 from pimentoquay.standin.platform_engine import PlatformEngine
 
@@ -92,3 +96,203 @@
             assert (response.status, response.is_whole) == (200, True)
             assert response.body.startswith(b"id: 2")
         assert not runs_at(env, *NEW)
+
+
+async def resume(env, resumes, last_event=1, vm="vm-1"):
+    headers = (*model_headers(), *resume_headers(resumes, last_event))
+    return await env.send_request("/digest/a", vm=vm, headers=headers)
+
+
+async def kill(env, vm):
+    """End a gateway without a drain."""
+    env._task_by_vm[vm].cancel()
+    await asyncio.gather(env._task_by_vm[vm], return_exceptions=True)
+    await env.gateway_by_vm[vm].caller_server.close()
+
+
+async def test_a_resumption_at_the_same_gateway_goes_on_at_its_version():
+    async with rig() as env:
+        streams = Streams(env)
+        await streams.begin(4)
+        await add_version(env, "v2", *NEW)
+        for request_id in await streams.leave():
+            assert (await resume(env, request_id)).status == 200
+        assert not runs_at(env, *NEW)
+
+
+async def test_a_stream_that_began_during_a_release_goes_on_at_its_version_after_a_kill():
+    async with rig() as env:
+        await env.add_gateway("vm-2")
+        await add_version(env, "v2", *NEW)
+        for engine_id in NEW:
+            env.engine_by_id[engine_id].pause = 0.3
+        streams = Streams(env)
+        await streams.begin(8)
+        await asyncio.sleep(0.1)
+        version_by_request = {
+            each.headers["pimentoquay-request-id"]: ids
+            for ids in (("dec-1", "dec-2"), NEW)
+            for each in runs_at(env, *ids)
+        }
+        ids = await streams.leave()
+        await kill(env, "vm-1")
+        for request_id in ids:
+            before = len(runs_at(env, *version_by_request[request_id]))
+            assert (await resume(env, request_id, vm="vm-2")).status == 200
+            assert len(runs_at(env, *version_by_request[request_id])) == before + 1
+
+
+async def test_a_gateway_that_starts_during_a_release_is_told_where_streams_began():
+    async with rig() as env:
+        await env.add_gateway("vm-2")
+        streams = Streams(env)
+        await streams.begin(4)
+        await add_version(env, "v2", *NEW)
+        third = await env.add_gateway("vm-3")
+        await until(lambda: third.origins.known_streams == 4, "told")
+        for request_id in await streams.leave():
+            assert (await resume(env, request_id, vm="vm-3")).status == 200
+        assert not runs_at(env, *NEW)
+
+
+async def test_gateways_behind_relays_are_told_where_streams_began(relays):
+    async with rig() as env:
+        vms = [f"vm-{number}" for number in range(1, 8)]
+        for vm in vms[1:]:
+            await env.add_gateway(vm)
+        meshes = [env.gateway_by_vm[vm].mesh for vm in vms]
+        await until(lambda: all(len(each.relays.live_relays()) >= 2 for each in meshes), "relays")
+        leaf = next(vm for vm in vms if vm not in meshes[0].plan.relays)
+        streams = Streams(env)
+        await streams.begin(4, vm=leaf)
+        await add_version(env, "v2", *NEW)
+        others = [env.gateway_by_vm[vm] for vm in vms if vm != leaf]
+        await until(lambda: all(each.origins.known_streams == 4 for each in others), "told")
+        ids = await streams.leave()
+        await kill(env, leaf)
+        for number, request_id in enumerate(ids):
+            vm = others[number].settings.vm
+            assert (await resume(env, request_id, vm=vm)).status == 200
+        assert not runs_at(env, *NEW)
+
+
+async def test_nothing_is_told_while_a_service_has_one_version():
+    async with rig() as env:
+        second = await env.add_gateway("vm-2")
+        streams = Streams(env)
+        await streams.begin(4)
+        ids = await streams.leave()
+        await asyncio.sleep(0.1)
+        assert second.origins.known_streams == 0 and not second.origins.mixed_services
+        await kill(env, "vm-1")
+        for request_id in ids:
+            response = await resume(env, request_id, vm="vm-2")
+            assert (response.status, response.body[:5]) == (200, b"id: 2")
+
+
+@pytest.mark.parametrize("resumes", ["", "never-seen"])
+async def test_a_stream_whose_origin_nobody_knows_is_refused_at_once(resumes):
+    async with rig() as env:
+        await add_version(env, "v2", *NEW)
+        gateway = env.gateway_by_vm["vm-1"]
+        gateway.origins._is_told = True
+        response = await resume(env, resumes)
+        assert response.status == 503 and "retry-after" not in response.headers
+        assert gateway.origins.refused == 1
+        assert not runs_at(env, "dec-1", "dec-2", *NEW)
+        assert (await env.stream("/digest/a")).status == 200
+
+
+async def test_a_gateway_that_has_just_started_lets_a_caller_come_back():
+    async with rig() as env:
+        await add_version(env, "v2", *NEW)
+        response = await resume(env, "never-seen")
+        assert response.status == 503 and float(response.headers["retry-after"]) > 0
+
+
+async def test_streams_of_a_version_that_is_gone_are_refused_at_once():
+    async with rig() as env:
+        for engine_id in ("dec-1", "dec-2"):
+            env.engine_by_id[engine_id].events = 30
+        streams = Streams(env)
+        await streams.begin(4)
+        await add_version(env, "v2", *NEW)
+        for engine_id in ("dec-1", "dec-2"):
+            await env.store.put("keyed.servers", engine_id, b"")
+        await until(lambda: not is_listed(env, "dec-2") and not is_listed(env, "dec-1"), "gone")
+        started_at = asyncio.get_running_loop().time()
+        for engine_id in ("dec-1", "dec-2"):
+            env.engine_by_id[engine_id].crash()
+        assert await streams.finish() == 0
+        response = await resume(env, "vm-1-0")
+        assert asyncio.get_running_loop().time() - started_at < 1.0
+        assert response.status == 503 and "retry-after" not in response.headers
+        assert not runs_at(env, *NEW)
+
+
+@pytest.mark.parametrize("version", [None, 3, "", "v" * 100, ["v1"]])
+async def test_engines_without_a_known_version_go_on_only_with_their_own_streams(version):
+    async with rig() as env:
+        for engine_id in ("dec-1", "dec-2"):
+            engine = env.engine_by_id[engine_id]
+            engine.software = version
+            await env.store.put("keyed.servers", engine_id, engine.entry())
+        await until(lambda: is_listed(env, "dec-1", "") and is_listed(env, "dec-2", ""), "unknown")
+        streams = Streams(env)
+        await streams.begin(3)
+        own = {
+            each.headers["pimentoquay-request-id"]: engine_id
+            for engine_id in ("dec-1", "dec-2")
+            for each in runs_at(env, engine_id)
+        }
+        for request_id in await streams.leave():
+            before = len(runs_at(env, own[request_id]))
+            assert (await resume(env, request_id)).status == 200
+            assert len(runs_at(env, own[request_id])) == before + 1
+
+
+async def test_an_engine_that_is_back_under_its_id_at_another_version_gets_no_stream_of_the_first():
+    async with rig() as env:
+        streams = Streams(env)
+        await streams.begin(4)
+        ids = await streams.leave()
+        for engine_id in ("dec-1", "dec-2"):
+            engine = env.engine_by_id[engine_id]
+            engine.crash()
+            engine.software = "v2"
+            await engine.restart()
+            await env.store.put("keyed.servers", engine_id, engine.entry())
+        await until(lambda: is_listed(env, "dec-1", "v2") and is_listed(env, "dec-2", "v2"), "v2")
+        for request_id in ids:
+            assert (await resume(env, request_id)).status == 503
+
+
+async def test_prompts_are_read_by_the_version_that_goes_on_with_them():
+    async with rig() as env:
+        await add_version(env, "v2", "pre-2", stage="prefill")
+        await add_version(env, "v2", *NEW)
+        for number in range(12):
+            assert (await env.stream(f"/digest/{number}")).status == 200
+        for prefill, decode in (("pre-1", ("dec-1", "dec-2")), ("pre-2", NEW)):
+            read = {
+                each.headers["pimentoquay-request-id"]
+                for each in env.engine_by_id[prefill].arrivals
+            }
+            run = {each.headers["pimentoquay-request-id"] for each in runs_at(env, *decode)}
+            assert read == run
+
+
+async def test_streams_of_a_version_go_on_at_an_engine_that_a_coordinator_grants(relays):
+    async with rig() as env:
+        for vm in ("vm-2", "vm-3"):
+            await env.add_gateway(vm)
+        gateways = env.gateway_by_vm.values()
+        await until(lambda: all(each.pool_client._known_by_key for each in gateways), "pools")
+        streams = Streams(env)
+        await streams.begin(4)
+        await add_version(env, "v2", *NEW)
+        second = env.gateway_by_vm["vm-2"]
+        await until(lambda: second.origins.known_streams == 4, "told")
+        for request_id in await streams.leave():
+            assert (await resume(env, request_id, vm="vm-2")).status == 200
+        assert not runs_at(env, *NEW)
--- a/pimentoquay/policy/crash_evidence.py
+++ b/pimentoquay/policy/crash_evidence.py
@@ -18,6 +18,7 @@
     "CrashReport",
     "Features",
     "Quarantine",
+    "begun_feature",
     "find_quarantines",
     "is_request",
     "request_feature",
@@ -31,7 +32,7 @@
 """
 
 MIN_REQUEST_CRASHES = 2
-"""The same for the digest of a request, if no other request was at all of these crashes.
+"""The same for a request whose answer had not begun, if no other was at all of these crashes.
 
 A sound request that is sent on to the next engine that crashes meets the deadly one there again.
 """
@@ -51,6 +52,9 @@
 _REQUEST_PREFIX = "request:"
 """Prefix of the digest of a request; the id of a part of prompts has no colon."""
 
+_BEGUN_PREFIX = "begun:"
+"""Prefix of the digest of a request whose answer had begun."""
+
 Features = frozenset[str]
 
 
@@ -59,9 +63,17 @@
     return _REQUEST_PREFIX + digest
 
 
+def begun_feature(digest: str) -> str:
+    """Return the feature that is the digest of a request whose answer had begun.
+
+    It is weaker evidence, as long answers are at every crash.
+    """
+    return _BEGUN_PREFIX + digest
+
+
 def is_request(feature: str) -> bool:
     """Return whether a feature is the digest of a request, and not a part of prompts."""
-    return feature.startswith(_REQUEST_PREFIX)
+    return feature.startswith((_REQUEST_PREFIX, _BEGUN_PREFIX))
 
 
 def _request_in(features: Features) -> str | None:
@@ -72,7 +84,7 @@
 class CrashReport:
     """Features of a request at an engine when it crashed.
 
-    It has no parts of prompts if the answer had begun.
+    It has no parts of prompts if the answer had begun, and ``begun_feature`` of the request.
     """
 
     engine: EngineStart
@@ -179,7 +191,7 @@
         return True
     return (
         len(crashes) >= MIN_REQUEST_CRASHES
-        and is_request(feature)
+        and feature.startswith(_REQUEST_PREFIX)
         and _is_singled_out(parts_by_crash, feature, crashes)
     )
 
--- a/pimentoquay/policy/prompt_quarantine.py
+++ b/pimentoquay/policy/prompt_quarantine.py
@@ -63,7 +63,7 @@
 MAX_CRASHES = 256
 """Maximum number of crashes that are remembered; those without a quarantine are dropped first."""
 
-SAME_CRASH_SECONDS = 1.0
+SAME_CRASH_SECONDS = 0.5
 """Time within which the reports of one start of an engine are of the same crash, in seconds.
 
 VMs notice a crash within milliseconds, and an engine needs longer to start again.
--- a/pimentoquay/policy/tests/test_prompt_quarantine.py
+++ b/pimentoquay/policy/tests/test_prompt_quarantine.py
@@ -10,6 +10,7 @@
     MIN_CRASHES,
     Clearance,
     CrashReport,
+    begun_feature,
     request_feature,
 )
 from pimentoquay.policy.engine_notices import EngineStart
@@ -267,3 +268,11 @@
     for number in range(1_000_000):
         known.record_success((f"sound-{number}",), 1e4)
     assert len(known._succeeded_at_by_part) <= MAX_SOUND_FEATURES
+
+
+def test_a_request_whose_answer_had_begun_is_quarantined_after_three_crashes():
+    begun = begun_feature("1234")
+    known = quarantine_of(crash(1, begun), crash(2, begun))
+    assert known.quarantines == ()
+    known.add((crash(3, begun),), (), 1.0)
+    assert known.quarantine_of((REQUEST, begun)).request == begun
