Place new streams at any version, unless streams wait for it

New streams avoided the engines of a version that had lost one, and crowded the few of the other. What waits for a version still has it to itself.

--- a/pimentoquay/gateway/pool_coordinator.py
+++ b/pimentoquay/gateway/pool_coordinator.py
@@ -242,9 +242,7 @@
                 engines = [
                     engine for engine in self._decode_engines(key) if limits.may_grant(engine, now)
                 ]
-            placed = pool.placement.place_next(
-                engines, usable, now, self._shared.origins.is_shrinking
-            )
+            placed = pool.placement.place_next(engines, usable, now)
             if placed is None:
                 return
             stream_key, engine = placed
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -260,15 +260,14 @@
         self, job: Job, need: MemoryNeed, software: str
     ) -> tuple[Sequence[EngineEntry], ...]:
         """Return groups of decode engines to be tried in order."""
-        first, shrinking, others = group_by_version(
+        with_prefill, others = group_by_version(
             self._shared.sendable_engines(job.service, DECODE_STAGES),
             self._shared.available_engines(job.service, (EngineStage.PREFILL,)),
             software,
             {each.software for each in self._waiting},
-            self._shared.origins.is_shrinking,
         )
-        if first or shrinking:
-            return first, shrinking
+        if with_prefill:
+            return (with_prefill,)
         is_short = can_prefill_on_decode_engine(
             need.prompt, self._shared.speed, job.route.gap_seconds, DECODE_ONLY_PAUSE_SHARE
         )
--- a/pimentoquay/gateway/stream_origins.py
+++ b/pimentoquay/gateway/stream_origins.py
@@ -5,7 +5,6 @@
 on to do so for as long as a stream of another version may come back.
 """
 
-from collections import Counter
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -131,22 +130,14 @@
         if is_whole:
             self._own.forget(key)
 
-    def is_shrinking(self, engine: EngineEntry) -> bool:
-        """Return whether a version has lost an engine lately, while another one serves."""
-        if engine.service not in self._mixed:
-            return False
-        versions = self._versions_of(engine.service)
-        return versions.is_shrinking(engine.software_version, self._timers.now())
-
     def observe(self) -> None:
         """Record which versions are listed; tell the own streams of services that are mixed now."""
         now = self._timers.now()
-        counts: dict[str, Counter[str]] = {}
+        listed: dict[str, set[str]] = {}
         for engine in self._fleet.engines():
-            count = counts.setdefault(engine.service, Counter())
-            count[engine.software_version] += not engine.is_draining
-        for service in counts.keys() | self._versions_by_service.keys():
-            self._versions_of(service).observe(counts.get(service, {}), now)
+            listed.setdefault(engine.service, set()).add(engine.software_version)
+        for service in listed.keys() | self._versions_by_service.keys():
+            self._versions_of(service).observe(listed.get(service, set()), now)
         self._update_mixed()
 
     def _versions_of(self, service: str) -> ServiceVersions:
--- a/pimentoquay/policy/pool_placement.py
+++ b/pimentoquay/policy/pool_placement.py
@@ -10,7 +10,7 @@
 """
 
 import heapq
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 from pimentoquay.policy.engine_preference import Placer
@@ -184,11 +184,7 @@
         self.ledger.record_refusal(engine, 0, now + REFUSAL_SECONDS)
 
     def place_next(
-        self,
-        engines: Sequence[EngineEntry],
-        usable: int,
-        now: float,
-        is_shrinking: Callable[[EngineEntry], bool] = lambda engine: False,
+        self, engines: Sequence[EngineEntry], usable: int, now: float
     ) -> tuple[StreamKey, EngineEntry] | None:
         """Place the next waiting stream; ``None`` if none waits or no engine has room for one.
 
@@ -204,9 +200,6 @@
             Usable memory of each engine, in tokens.
         now
             Current time in seconds.
-        is_shrinking
-            Returns whether the software version of an engine has lost an engine lately; new streams
-            use such engines last.
         """
         if not self._waiting_by_key:
             return None
@@ -222,8 +215,7 @@
                 eligible, usable, run, now, self._placer, runs_by_engine
             )
             if candidates:
-                staying = [each for each in candidates if stream.software or not is_shrinking(each)]
-                return key, (staying or candidates)[0]
+                return key, candidates[0]
             if not free:
                 return None
             if not eligible:
--- a/pimentoquay/policy/stream_origins.py
+++ b/pimentoquay/policy/stream_origins.py
@@ -7,13 +7,12 @@
 """
 
 import hashlib
-from collections import Counter, OrderedDict
-from collections.abc import Iterable, Mapping
+from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 __all__ = [
     "MAX_ORIGINS",
-    "SHRINKING_SECONDS",
     "ServiceVersions",
     "StreamOrigin",
     "StreamOrigins",
@@ -26,12 +25,6 @@
 MAX_ORIGINS = 65_536
 """Maximum number of streams whose origin is remembered; the oldest are dropped first."""
 
-SHRINKING_SECONDS = 30.0
-"""Time for which a version that has lost an engine is the last choice for new streams, in seconds.
-
-Its other engines may be replaced as well, and its streams need their room.
-"""
-
 
 def stream_key(request_id: str) -> bytes:
     """Return the key of the stream whose first event a request brought.
@@ -116,17 +109,12 @@
     """
 
     listed_at_by_version: dict[str, float] = field(default_factory=dict)
-    _count_by_version: Counter[str] = field(default_factory=Counter)
-    _shrunk_at_by_version: dict[str, float] = field(default_factory=dict)
+    _listed: frozenset[str] = frozenset()
 
-    def observe(self, count_by_version: Mapping[str, int], now: float) -> None:
-        """Record the numbers of engines of each version that are listed and accept work."""
-        for version, count in self._count_by_version.items():
-            self.listed_at_by_version[version] = now
-            if count_by_version.get(version, 0) < count:
-                self._shrunk_at_by_version[version] = now
-        self._count_by_version = Counter(count_by_version)
-        for version in count_by_version:
+    def observe(self, listed: Iterable[str], now: float) -> None:
+        """Record the versions that are listed now; those listed until now were, until now."""
+        before, self._listed = self._listed, frozenset(listed)
+        for version in before | self._listed:
             self.listed_at_by_version[version] = now
 
     def learn(self, version: str, listed_at: float) -> None:
@@ -138,14 +126,8 @@
         """Return the versions that have been listed at any time from ``since`` on."""
         return {version for version, at in self.listed_at_by_version.items() if at >= since}
 
-    def is_shrinking(self, version: str, now: float) -> bool:
-        """Return whether a version has lost an engine lately."""
-        shrunk_at = self._shrunk_at_by_version.get(version)
-        return shrunk_at is not None and now - shrunk_at < SHRINKING_SECONDS
-
     def expire(self, before: float) -> None:
         """Drop versions that were last listed before a time."""
         for version, at in tuple(self.listed_at_by_version.items()):
             if at < before:
                 del self.listed_at_by_version[version]
-                self._shrunk_at_by_version.pop(version, None)
--- a/pimentoquay/policy/version_choice.py
+++ b/pimentoquay/policy/version_choice.py
@@ -1,6 +1,6 @@
 """Choice of engines while several software versions serve in one service."""
 
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 from pimentoquay.policy.fleet import DECODE_STAGES, EngineEntry
 
@@ -22,13 +22,12 @@
     prefill_engines: Iterable[EngineEntry],
     software: str,
     awaited: Collection[str],
-    is_shrinking: Callable[[EngineEntry], bool],
-) -> tuple[Sequence[EngineEntry], Sequence[EngineEntry], Sequence[EngineEntry]]:
-    """Return the decode engines for a stream in groups, to be tried in order.
+) -> tuple[Sequence[EngineEntry], Sequence[EngineEntry]]:
+    """Return the decode engines that may run a stream.
 
     Failure pattern: a release replaces the engines of a version one after the other, and streams of
-    that version come back to those that are left. New streams leave room there: they use none of a
-    version for which streams wait, and those of a version that loses engines last.
+    that version come back to those that are left. New streams use none of a version for which
+    others wait.
 
     Parameters
     ----------
@@ -38,27 +37,19 @@
         Version that began the stream, or empty if none has.
     awaited
         Versions for which streams wait.
-    is_shrinking
-        Returns whether the version of an engine has lost an engine lately.
 
     Returns
     -------
     tuple
-        Engines whose version has a prefill engine, those of them whose version is shrinking, and
-        the others, which have to read the prompt themselves.
+        Engines whose version has a prefill engine, and the others, which have to read the prompt
+        themselves.
     """
-    usable = [
-        each
-        for each in engines
-        if may_run(each, software) and (software or each.software_version not in awaited)
-    ]
     readable = {each.software_version for each in prefill_engines}
-    first, shrinking, others = [], [], []
-    for engine in usable:
-        if engine.software_version not in readable:
-            others.append(engine)
-        elif not software and is_shrinking(engine):
-            shrinking.append(engine)
-        else:
-            first.append(engine)
-    return first, shrinking, others
+    with_prefill: list[EngineEntry] = []
+    others: list[EngineEntry] = []
+    for engine in engines:
+        version = engine.software_version
+        if not may_run(engine, software) or (not software and version in awaited):
+            continue
+        (with_prefill if version in readable else others).append(engine)
+    return with_prefill, others
