--- a/pimentoquay/bench/mutations/gateway_switches.py
+++ b/pimentoquay/bench/mutations/gateway_switches.py
@@ -19,6 +19,7 @@
 _LIMITS_POLICY = "pimentoquay/policy/tests/test_engine_limits.py::"
 _REQUESTS = "pimentoquay/gateway/tests/test_deadly_requests.py::"
 _REQUEST_LOADS = "pimentoquay/policy/tests/test_request_loads.py::"
+_VERSIONS = "pimentoquay/gateway/tests/test_software_versions.py::"
 _PROMPTS = "pimentoquay/policy/tests/test_prompt_loads.py::"
 
 GATEWAY_SWITCHES = (
@@ -170,6 +171,37 @@
         return_constant(None),
         _REQUEST_LOADS + "test_a_request_that_crashes_servers_is_not_sent_much_more",
     ),
+    Switch(
+        "streams go on at their version",
+        "pimentoquay.policy.version_choice:may_run",
+        return_constant(True),
+        _VERSIONS + "test_streams_of_a_crashed_engine_go_on_at_their_version_only",
+    ),
+    Switch(
+        "origins of streams told to peers",
+        "pimentoquay.gateway.stream_origins:OriginExchange._tell",
+        return_constant(None),
+        _VERSIONS + "test_a_stream_that_began_during_a_release_goes_on_at_its_version_after_a_kill",
+    ),
+    Switch(
+        "origins told when a second version is listed",
+        "pimentoquay.gateway.stream_origins:OriginExchange._update_mixed",
+        return_constant(None),
+        _VERSIONS + "test_gateways_behind_relays_are_told_where_streams_began",
+    ),
+    Switch(
+        "streams of a version that is gone are refused at once",
+        "pimentoquay.gateway.reservations:can_go_on",
+        return_constant(True),
+        _VERSIONS + "test_streams_of_a_version_that_is_gone_are_refused_at_once",
+    ),
+    Switch(
+        "origin of a stream remembered",
+        "pimentoquay.policy.stream_origins:StreamOrigins.software_of",
+        return_constant(None),
+        "pimentoquay/policy/tests/test_version_loads.py::"
+        "test_streams_find_their_version_after_half_of_the_vms_were_killed",
+    ),
     Switch(
         "limit of an engine",
         "pimentoquay.policy.engine_limits:EngineLimits.record_response",
--- a/pimentoquay/gateway/stream_origins.py
+++ b/pimentoquay/gateway/stream_origins.py
@@ -123,12 +123,9 @@
         if job.service in self._mixed:
             self._tell_soon(version, key)
 
-    def record_ended(self, job: Job, is_whole: bool) -> None:
-        """Record that the answer of a stream has ended; one that is not whole may come back."""
-        key = stream_key(job.caller.resumes or job.caller.id)
-        self._running.pop(key, None)
-        if is_whole:
-            self._own.forget(key)
+    def record_ended(self, job: Job) -> None:
+        """Record that the answer of a stream has ended; it may still be taken up for a while."""
+        self._running.pop(stream_key(job.caller.resumes or job.caller.id), None)
 
     def observe(self) -> None:
         """Record which versions are listed; tell the own streams of services that are mixed now."""
--- a/pimentoquay/gateway/stream_progress.py
+++ b/pimentoquay/gateway/stream_progress.py
@@ -57,7 +57,7 @@
     that may have reached an engine, ``runs`` those that it may have run, ``crashes`` those under
     which it crashed. ``streamed_seconds`` is the time from the first to the last event of the
     current run, ``engine`` its engine. ``software`` is the software version of the engine that
-    began the stream, or empty if none has. ``is_whole`` is whether the caller has all events.
+    began the stream, or empty if none has.
     """
 
     last_event: int | None
@@ -68,7 +68,6 @@
     streamed_seconds: float = 0.0
     engine: str = ""
     software: str = ""
-    is_whole: bool = False
     error_response: ErrorResponse | None = None
 
 
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -106,7 +106,7 @@
             self._give_up(job, progress, error.detail)
         finally:
             if progress.software:
-                self._shared.origins.record_ended(job, progress.is_whole)
+                self._shared.origins.record_ended(job)
 
     async def _forward(self, job: Job, progress: StreamProgress) -> None:
         while True:
@@ -322,7 +322,6 @@
         if not reply.started:
             reply.start(exchange.status, end_to_end_headers(exchange.headers))
         reply.end()
-        progress.is_whole = True
         self._shared.prompts.record_answered(job)
         _record_success(job, progress, reservation.engine.id)
 
--- a/pimentoquay/gateway/tests/test_software_versions.py
+++ b/pimentoquay/gateway/tests/test_software_versions.py
@@ -40,8 +40,11 @@
     def __init__(self, env):
         self.env = env
         self._opened = {}
-        for engine_id in ("dec-1", "dec-2"):
-            env.engine_by_id[engine_id].pause = 0.3
+        self._set_pace(0.3)
+
+    def _set_pace(self, pause):
+        for engine in self.env.engine_by_id.values():
+            engine.events, engine.pause = 20, pause
 
     async def begin(self, count, vm="vm-1", path="/digest/a"):
         """Begin streams and wait for the first event of each."""
@@ -54,6 +57,7 @@
 
     async def finish(self):
         """Read the rest of all streams; return the number of those that were whole."""
+        self._set_pace(0.02)
         whole = 0
         for opened, exchange in self._opened.values():
             whole += (await read_response(exchange)).is_whole
@@ -61,7 +65,8 @@
         return whole
 
     async def leave(self):
-        """Close all connections of the callers."""
+        """Close all connections of the callers, and let the engines go on faster."""
+        self._set_pace(0.0)
         for opened, _ in self._opened.values():
             await opened.__aexit__(None, None, None)
         return tuple(self._opened)
@@ -70,12 +75,18 @@
 NEW = ("new-1", "new-2", "new-3")
 
 
+async def begin_release(env):
+    """Add engines of both stages at a second version."""
+    await add_version(env, "v2", "pre-2", stage="prefill")
+    await add_version(env, "v2", *NEW)
+
+
 async def test_streams_of_a_crashed_engine_go_on_at_their_version_only():
     """On the day second1 of huong-giang, 18 streams went on at another version."""
     async with rig() as env:
         streams = Streams(env)
         await streams.begin(6)
-        await add_version(env, "v2", *NEW)
+        await begin_release(env)
         busy = max(("dec-1", "dec-2"), key=lambda each: env.engine_by_id[each].running)
         env.engine_by_id[busy].crash()
         assert await streams.finish() == 6
@@ -87,7 +98,7 @@
         await env.add_gateway("vm-2")
         streams = Streams(env)
         await streams.begin(6)
-        await add_version(env, "v2", *NEW)
+        await begin_release(env)
         ids = await streams.leave()
         env._task_by_vm["vm-1"].cancel()
         for request_id in ids:
@@ -114,7 +125,7 @@
     async with rig() as env:
         streams = Streams(env)
         await streams.begin(4)
-        await add_version(env, "v2", *NEW)
+        await begin_release(env)
         for request_id in await streams.leave():
             assert (await resume(env, request_id)).status == 200
         assert not runs_at(env, *NEW)
@@ -123,9 +134,7 @@
 async def test_a_stream_that_began_during_a_release_goes_on_at_its_version_after_a_kill():
     async with rig() as env:
         await env.add_gateway("vm-2")
-        await add_version(env, "v2", *NEW)
-        for engine_id in NEW:
-            env.engine_by_id[engine_id].pause = 0.3
+        await begin_release(env)
         streams = Streams(env)
         await streams.begin(8)
         await asyncio.sleep(0.1)
@@ -147,7 +156,7 @@
         await env.add_gateway("vm-2")
         streams = Streams(env)
         await streams.begin(4)
-        await add_version(env, "v2", *NEW)
+        await begin_release(env)
         third = await env.add_gateway("vm-3")
         await until(lambda: third.origins.known_streams == 4, "told")
         for request_id in await streams.leave():
@@ -165,7 +174,7 @@
         leaf = next(vm for vm in vms if vm not in meshes[0].plan.relays)
         streams = Streams(env)
         await streams.begin(4, vm=leaf)
-        await add_version(env, "v2", *NEW)
+        await begin_release(env)
         others = [env.gateway_by_vm[vm] for vm in vms if vm != leaf]
         await until(lambda: all(each.origins.known_streams == 4 for each in others), "told")
         ids = await streams.leave()
@@ -193,7 +202,7 @@
 @pytest.mark.parametrize("resumes", ["", "never-seen"])
 async def test_a_stream_whose_origin_nobody_knows_is_refused_at_once(resumes):
     async with rig() as env:
-        await add_version(env, "v2", *NEW)
+        await begin_release(env)
         gateway = env.gateway_by_vm["vm-1"]
         gateway.origins._is_told = True
         response = await resume(env, resumes)
@@ -205,18 +214,18 @@
 
 async def test_a_gateway_that_has_just_started_lets_a_caller_come_back():
     async with rig() as env:
-        await add_version(env, "v2", *NEW)
+        await begin_release(env)
+        gateway = env.gateway_by_vm["vm-1"]
+        gateway.origins._started_at = asyncio.get_running_loop().time()
         response = await resume(env, "never-seen")
         assert response.status == 503 and float(response.headers["retry-after"]) > 0
 
 
 async def test_streams_of_a_version_that_is_gone_are_refused_at_once():
     async with rig() as env:
-        for engine_id in ("dec-1", "dec-2"):
-            env.engine_by_id[engine_id].events = 30
         streams = Streams(env)
         await streams.begin(4)
-        await add_version(env, "v2", *NEW)
+        await begin_release(env)
         for engine_id in ("dec-1", "dec-2"):
             await env.store.put("keyed.servers", engine_id, b"")
         await until(lambda: not is_listed(env, "dec-2") and not is_listed(env, "dec-1"), "gone")
@@ -269,8 +278,7 @@
 
 async def test_prompts_are_read_by_the_version_that_goes_on_with_them():
     async with rig() as env:
-        await add_version(env, "v2", "pre-2", stage="prefill")
-        await add_version(env, "v2", *NEW)
+        await begin_release(env)
         for number in range(12):
             assert (await env.stream(f"/digest/{number}")).status == 200
         for prefill, decode in (("pre-1", ("dec-1", "dec-2")), ("pre-2", NEW)):
@@ -290,7 +298,7 @@
         await until(lambda: all(each.pool_client._known_by_key for each in gateways), "pools")
         streams = Streams(env)
         await streams.begin(4)
-        await add_version(env, "v2", *NEW)
+        await begin_release(env)
         second = env.gateway_by_vm["vm-2"]
         await until(lambda: second.origins.known_streams == 4, "told")
         for request_id in await streams.leave():
--- a/pimentoquay/policy/stream_origins.py
+++ b/pimentoquay/policy/stream_origins.py
@@ -81,10 +81,6 @@
         origin = self._origin_by_key.get(key)
         return origin.software if origin is not None and origin.service == service else None
 
-    def forget(self, key: bytes) -> None:
-        """Forget a stream that has ended."""
-        self._origin_by_key.pop(key, None)
-
     def expire(self, before: float) -> None:
         """Drop streams that were last heard of before a time."""
         while self._origin_by_key:
