--- a/pimentoquay/gateway/plain.py
+++ b/pimentoquay/gateway/plain.py
@@ -235,12 +235,12 @@
             return None
         attempts.runs += 1
         self._shared.prompts.record_begun(job)
-        if response.status < 500:
-            self._shared.prompts.record_answered(job)
         is_invalid = response.info.is_encoded or not response.info.is_signed
         if is_invalid:
             self._log(job, engine, "the answer is not the engine's own")
             return None
+        if response.status < 500:
+            self._shared.prompts.record_answered(job)
         return response
 
     def _record_lost(
--- a/pimentoquay/policy/prompt_quarantine.py
+++ b/pimentoquay/policy/prompt_quarantine.py
@@ -27,6 +27,7 @@
     Features,
     Quarantine,
     find_quarantines,
+    is_request,
 )
 from pimentoquay.policy.engine_notices import EngineStart
 
@@ -187,7 +188,7 @@
 
         Failure pattern: sound requests have features in common with several crashes by chance. As
         they are refused, only a trial can clear them. Only requests without other suspected
-        features are tried, so that each trial decides. Parts of prompts are tried by one VM at a
+        parts are tried, so that each trial decides. Parts of prompts are tried by one VM at a
         time. A request that comes again reaches any VM, so the first one tries it and tells the
         others.
 
@@ -204,7 +205,8 @@
         """
         if quarantine.is_certain and len(quarantine.engines) >= MAX_TRIED_CRASHES:
             return False
-        if self.suspected_parts.intersection(parts) - quarantine.parts:
+        others = self.suspected_parts.intersection(parts) - quarantine.parts
+        if not all(map(is_request, others)):
             return False
         since = now - self._first_trial_at(quarantine)
         if since < 0:
--- a/pimentoquay/policy/tests/test_prompt_quarantine.py
+++ b/pimentoquay/policy/tests/test_prompt_quarantine.py
@@ -276,3 +276,9 @@
     assert known.quarantines == ()
     known.add((crash(3, begun),), (), 1.0)
     assert known.quarantine_of((REQUEST, begun)).request == begun
+
+
+def test_a_request_that_is_suspected_before_and_after_its_first_event_is_tried():
+    begun = begun_feature("1234")
+    known = quarantine_of(crash(1, REQUEST), crash(2, REQUEST), crash(3, begun))
+    assert known.begin_trial(known.quarantine_of((REQUEST,)), (REQUEST, begun), 0, 7, 30.0)
