Read the prompt of a new stream at any version again

Suspected, not shown: with all prefill engines at the new version, new streams were left with the decode engines of that version.

--- a/pimentoquay/gateway/pool_coordinator.py
+++ b/pimentoquay/gateway/pool_coordinator.py
@@ -249,25 +249,26 @@
             if limits.limited:
                 limits.take_grant(engine, now)
                 engines = None
-            prefill_engine = self._prefill_engine(key, pool, stream_key, engine)
+            prefill_engine = self._prefill_engine(key, pool, stream_key)
             grant = pool.placement.grant(stream_key, engine, prefill_engine, now)
             self._reply_granted(pool, stream_key, key, grant)
 
     def _prefill_engine(
-        self, key: PoolKey, pool: _Pool, stream_key: StreamKey, decode_engine: EngineEntry
+        self, key: PoolKey, pool: _Pool, stream_key: StreamKey
     ) -> EngineEntry | None:
+        stream = pool.placement.stream_of(stream_key)
         limits, now = self._shared.links.limits, self._node.timers.now()
         available = self._available_engines(key, (EngineStage.PREFILL,))
         chosen = choose_prefill_engine(
             [
                 engine
                 for engine in available
-                if limits.may_grant(engine, now) and may_run(engine, decode_engine.software_version)
+                if limits.may_grant(engine, now) and may_run(engine, stream.software)
             ],
             pool.placement.prefill_ledger,
             self._shared.speed,
             Placer(self._node.identity.vm, key.data_centre),
-            pool.placement.stream_of(stream_key).may_prefill_on_decode_engine,
+            stream.may_prefill_on_decode_engine,
         )
         if chosen is not None:
             limits.take_grant(chosen, now)
--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -73,6 +73,7 @@
         decode_engine: EngineEntry,
         after_event: int | None,
         granted: str = "",
+        software: str = "",
     ) -> Prefill | None:
         """Prefill a prompt; return ``None`` if the decode engine has to do it.
 
@@ -81,12 +82,13 @@
         job, model
             The request and its model parameters.
         decode_engine
-            The engine that will run the stream. Prefill engines have to be of its software version;
-            those in its data centre are preferred.
+            The engine that will run the stream; prefill engines in its data centre are preferred.
         after_event
             Id of the last event that the caller has received, if its stream is resumed.
         granted
             Id of the prefill engine to try first, or empty.
+        software
+            Software version that began the stream, whose prompt no other may read, or empty.
 
         Raises
         ------
@@ -97,7 +99,7 @@
         while True:
             if failed:
                 self._shared.prompts.check(job)
-            engine = self._choose_engine(job, model, decode_engine, failed, granted)
+            engine = self._choose_engine(job, model, decode_engine, failed, granted, software)
             if engine is None or (failed and not self._shared.retry_budgets.try_spend(job.service)):
                 logger.bind(
                     request=job.caller.id, engine=decode_engine.id, tokens=model.prompt_tokens
@@ -127,16 +129,17 @@
         decode_engine: EngineEntry,
         failed: set[str],
         granted: str,
+        software: str,
     ) -> EngineEntry | None:
         stages = (EngineStage.PREFILL,)
         if granted not in failed:
             for engine in self._shared.available_engines(job.service, stages):
-                if engine.id == granted and may_run(engine, decode_engine.software_version):
+                if engine.id == granted and may_run(engine, software):
                     return engine
         engines = [
             engine
             for engine in self._shared.sendable_engines(job.service, stages)
-            if engine.id not in failed and may_run(engine, decode_engine.software_version)
+            if engine.id not in failed and may_run(engine, software)
         ]
         is_decode_engine_allowed = can_prefill_on_decode_engine(
             model.prompt_tokens, self._shared.speed, job.route.gap_seconds
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -32,7 +32,7 @@
     StreamUrgency,
     decide_wait,
 )
-from pimentoquay.policy.version_choice import can_go_on, group_by_version, may_run
+from pimentoquay.policy.version_choice import can_go_on, engines_for, may_run
 
 __all__ = ["Reservations"]
 
@@ -260,18 +260,15 @@
         self, job: Job, need: MemoryNeed, software: str
     ) -> tuple[Sequence[EngineEntry], ...]:
         """Return groups of decode engines to be tried in order."""
-        with_prefill, others = group_by_version(
-            self._shared.sendable_engines(job.service, DECODE_STAGES),
-            self._shared.available_engines(job.service, (EngineStage.PREFILL,)),
-            software,
-            {each.software for each in self._waiting},
-        )
-        if with_prefill:
-            return (with_prefill,)
+        sendable = self._shared.sendable_engines(job.service, DECODE_STAGES)
+        engines = engines_for(sendable, software, {each.software for each in self._waiting})
+        prefill_engines = self._shared.available_engines(job.service, (EngineStage.PREFILL,))
+        if any(may_run(each, software) for each in prefill_engines):
+            return (engines,)
         is_short = can_prefill_on_decode_engine(
             need.prompt, self._shared.speed, job.route.gap_seconds, DECODE_ONLY_PAUSE_SHARE
         )
-        return select_decode_engines(others, is_short)
+        return select_decode_engines(engines, is_short)
 
     async def _reserve_in_pool(
         self,
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -172,7 +172,12 @@
         try:
             self._shared.prompts.check(job)
             prefill = await self._prefill_runner.run(
-                job, model, reservation.engine, progress.last_event, reservation.prefill_engine
+                job,
+                model,
+                reservation.engine,
+                progress.last_event,
+                reservation.prefill_engine,
+                progress.software,
             )
             progress.engine = reservation.engine.id
             try:
--- a/pimentoquay/policy/version_choice.py
+++ b/pimentoquay/policy/version_choice.py
@@ -1,10 +1,10 @@
 """Choice of engines while several software versions serve in one service."""
 
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Iterable
 
 from pimentoquay.policy.fleet import DECODE_STAGES, EngineEntry
 
-__all__ = ["can_go_on", "group_by_version", "may_run"]
+__all__ = ["can_go_on", "engines_for", "may_run"]
 
 
 def may_run(engine: EngineEntry, software: str) -> bool:
@@ -17,13 +17,10 @@
     return any(may_run(each, software) and each.stage in DECODE_STAGES for each in engines)
 
 
-def group_by_version(
-    engines: Iterable[EngineEntry],
-    prefill_engines: Iterable[EngineEntry],
-    software: str,
-    awaited: Collection[str],
-) -> tuple[Sequence[EngineEntry], Sequence[EngineEntry]]:
-    """Return the decode engines that may run a stream.
+def engines_for(
+    engines: Iterable[EngineEntry], software: str, awaited: Collection[str]
+) -> tuple[EngineEntry, ...]:
+    """Return the engines that may run a stream.
 
     Failure pattern: a release replaces the engines of a version one after the other, and streams of
     that version come back to those that are left. New streams use none of a version for which
@@ -31,25 +28,15 @@
 
     Parameters
     ----------
-    engines, prefill_engines
-        Engines that can be used for each stage.
+    engines
+        Engines that can be used.
     software
         Version that began the stream, or empty if none has.
     awaited
         Versions for which streams wait.
-
-    Returns
-    -------
-    tuple
-        Engines whose version has a prefill engine, and the others, which have to read the prompt
-        themselves.
     """
-    readable = {each.software_version for each in prefill_engines}
-    with_prefill: list[EngineEntry] = []
-    others: list[EngineEntry] = []
-    for engine in engines:
-        version = engine.software_version
-        if not may_run(engine, software) or (not software and version in awaited):
-            continue
-        (with_prefill if version in readable else others).append(engine)
-    return with_prefill, others
+    return tuple(
+        each
+        for each in engines
+        if may_run(each, software) and (software or each.software_version not in awaited)
+    )
