Name a stream that begins anew by the request that does so

A request with Resumes and no Last-Event-Id brings a first event of its own; its stream was recorded under the earlier request. The test failed before (503 to its resumption).

--- a/pimentoquay/gateway/stream_origins.py
+++ b/pimentoquay/gateway/stream_origins.py
@@ -116,7 +116,7 @@
 
     def record_begun(self, job: Job, engine: EngineEntry) -> None:
         """Record that an engine has written the first event of a stream, or has gone on with it."""
-        key = stream_key(job.caller.resumes or job.caller.id)
+        key = _key_of(job)
         version = job.service, engine.software_version
         self._own.learn(*version, (key,), self._timers.now())
         self._running[key] = version
@@ -125,7 +125,7 @@
 
     def record_ended(self, job: Job) -> None:
         """Record that the answer of a stream has ended; it may still be taken up for a while."""
-        self._running.pop(stream_key(job.caller.resumes or job.caller.id), None)
+        self._running.pop(_key_of(job), None)
 
     def observe(self) -> None:
         """Record which versions are listed; tell the own streams of services that are mixed now."""
@@ -222,6 +222,12 @@
         return VersionsListed(found) if found else None
 
 
+def _key_of(job: Job) -> bytes:
+    """Return the key of the stream that a request begins or takes up."""
+    is_resumed = job.caller.last_event is not None and job.caller.resumes
+    return stream_key(job.caller.resumes if is_resumed else job.caller.id)
+
+
 def _message(keys_by_version: Mapping[tuple[str, str], list[bytes]]) -> StreamsBegun:
     return StreamsBegun(
         tuple(
--- a/pimentoquay/gateway/tests/test_software_versions.py
+++ b/pimentoquay/gateway/tests/test_software_versions.py
@@ -304,3 +304,14 @@
         for request_id in await streams.leave():
             assert (await resume(env, request_id, vm="vm-2")).status == 200
         assert not runs_at(env, *NEW)
+
+
+async def test_a_request_that_begins_anew_is_the_one_that_brings_the_first_event():
+    async with rig() as env:
+        await begin_release(env)
+        headers = (*model_headers(), (b"Resumes", b"first"))
+        await env.send_request("/digest/a", headers=headers, request_id="second")
+        gateway = env.gateway_by_vm["vm-1"]
+        gateway.origins._is_told = True
+        assert (await resume(env, "second")).status == 200
+        assert (await resume(env, "first")).status == 503
