Send a call if a place within the limits becomes free while its engine is chosen

A call was refused with 503 and 0.3 s, as if no engine were listed, where 429 or an answer was due: its engine was at its limit when it was chosen, and no more when the refusal was. Seen once in test_requests_over_the_ limits_of_all_engines_are_refused_at_once[/order], in one of two runs of the whole script at once. The new test fixes the two moments and failed before with that 503.

--- a/pimentoquay/gateway/plain.py
+++ b/pimentoquay/gateway/plain.py
@@ -89,6 +89,10 @@
         attempts = _Attempts()
         while attempts.sends < MAX_SENDS and job.seconds_left() > 0:
             engine = self._choose_engine(job, attempts)
+            if engine is None and not attempts.sends:
+                self._shared.refuse_over_limit(job.service)
+                # A place within the limits may have become free since the first choice.
+                engine = self._choose_engine(job, attempts)
             if engine is None or not self._may_send(job, attempts):
                 break
             attempts.sends += 1
--- a/pimentoquay/gateway/tests/test_engine_limits.py
+++ b/pimentoquay/gateway/tests/test_engine_limits.py
@@ -120,6 +120,16 @@
         assert 0.5 * LIMIT * 4 <= most_in_four_seconds(times, told_at) <= allowed()
 
 
+async def test_a_call_is_sent_if_a_place_becomes_free_while_its_engine_is_chosen(monkeypatch):
+    """Such a call was refused with 503, as if no engine were listed."""
+    async with rig() as env:
+        limits = env.gateway_by_vm["vm-1"].links.limits
+        waits = iter((0.001, 0.001))
+        monkeypatch.setattr(limits, "seconds_until", lambda engine, at: next(waits, 0.0))
+        monkeypatch.setattr(limits, "limit_of", lambda start: LIMIT)
+        assert (await env.send_request("/order/a")).status == 200
+
+
 @pytest.mark.parametrize("stage", ["prefill", "decode"])
 async def test_the_limit_of_a_model_engine_counts_prefills_and_streams(stage):
     async with rig() as env:
