--- a/pimentoquay/gateway/plain.py
+++ b/pimentoquay/gateway/plain.py
@@ -161,7 +161,7 @@
             return self._accept_response(job, engine, attempts, response)
         except HttpError as error:
             self._record_lost(job, engine, attempts, error.written, str(error))
-            if error.connection_lost and not job.reply.started:
+            if error.connection_lost:
                 await self._handle_lost_run(job, engine, attempts)
         except TimeoutError:
             self._record_lost(job, engine, attempts, True, "no answer in time")
@@ -175,7 +175,7 @@
 
     async def _handle_lost_run(self, job: Job, engine: EngineEntry, attempts: _Attempts) -> None:
         link = self._shared.links.link_to(engine)
-        state = await self._shared.prompts.handle_lost_run(job, link)
+        state = await self._shared.prompts.handle_lost_run(job, link, job.reply.started)
         attempts.crashes += state is ServerState.REFUSING
         logger.bind(
             request=job.caller.id, engine=engine.id, digest=job.digest, engine_state=state.value
--- a/pimentoquay/gateway/tests/test_deadly_requests.py
+++ b/pimentoquay/gateway/tests/test_deadly_requests.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from pimentoquay.gateway.plain import MAX_BUFFERED_BYTES
 from pimentoquay.gateway.tests.rig import model_headers, rig, until
 from pimentoquay.kernel import ResultCode
 from pimentoquay.kernel.logs import logger
@@ -92,6 +93,19 @@
         assert sound.status == 200
 
 
+async def test_a_call_that_crashes_servers_while_its_long_answer_is_forwarded_crashes_few():
+    async with rig() as env:
+        await three_gateways(env)
+        servers = Servers(env, ("desk-1", "desk-2"))
+        for engine in servers.engines:
+            engine.crash_after_bytes = 2 * MAX_BUFFERED_BYTES
+        for _ in range(3):
+            responses = await send_in_turn(env, 3)
+            assert not any(each.is_whole and each.status == 200 for each in responses)
+            await servers.all_back()
+        assert servers.crashes <= MOST_ENDED
+
+
 async def test_a_lost_call_is_logged_with_its_digest_and_what_became_of_the_server():
     lines = []
     sink = logger.add(lambda line: lines.append(json.loads(line)["record"]), serialize=True)
--- a/pimentoquay/standin/platform_engine.py
+++ b/pimentoquay/standin/platform_engine.py
@@ -124,6 +124,8 @@
         Time from the beginning of such a run to the crash, in seconds.
     crash_after_events
         Number of events that it writes before it crashes under such a stream.
+    crash_after_bytes
+        Number of bytes that it writes of the answer to such a call before it crashes.
     crashes_in_prefill
         Whether it also crashes when it prefills such a request.
     on_crash
@@ -157,6 +159,7 @@
     software: str = "v1"
     crash_seconds: float = 0.002
     crash_after_events: int = 0
+    crash_after_bytes: int = 0
     crashes_in_prefill: bool = False
     on_crash: Callable[["PlatformEngine"], None] = lambda engine: None
     is_crashed: bool = False
@@ -284,6 +287,9 @@
     ) -> None:
         """Answer a plain call or a prefill."""
         if self._is_deadly(arrival):
+            if self.crash_after_bytes:
+                reply.start(200, headers)
+                reply.write(b"x" * self.crash_after_bytes)
             await asyncio.sleep(self.crash_seconds)
             self.crash()
         elif arrival.is_prefill:
