--- a/pimentoquay/gateway/links.py
+++ b/pimentoquay/gateway/links.py
@@ -76,6 +76,7 @@
         self._circuits = circuits
         self._notices = notices
         self._limits = limits
+        self._checking: asyncio.Task[ServerState] | None = None
         self.calls = EngineCalls(entry.id, entry.address)
         self._pool = ConnectionPool(entry.address, CONNECT_TIMEOUT_SECONDS, REUSE_POLICY, on_open)
 
@@ -172,17 +173,25 @@
             self._circuits.end_probe(self.entry.id, probe)
 
     async def check(self) -> ServerState:
-        """Return whether the engine still runs, as shown by a new connection."""
+        """Return whether the engine still runs, as shown by a new connection.
+
+        All requests that a crash breaks ask at once, and share one attempt to connect.
+        """
+        if self._checking is None or self._checking.done():
+            self._checking = asyncio.get_running_loop().create_task(self._check())
+        return await asyncio.shield(self._checking)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._pool.close()
+
+    async def _check(self) -> ServerState:
         try:
             async with asyncio.timeout(CHECK_TIMEOUT_SECONDS):
                 return await self._pool.check_server()
         except TimeoutError:
             return ServerState.UNREACHABLE
 
-    def close(self) -> None:
-        """Close the idle connections."""
-        self._pool.close()
-
     def _check_pause(self) -> None:
         now = asyncio.get_running_loop().time()
         if not self._notices.may_send(self.entry.start, now):
--- a/pimentoquay/gateway/pool_client.py
+++ b/pimentoquay/gateway/pool_client.py
@@ -227,13 +227,12 @@
     def _choose(self, stream: StreamToPlace, avoided: set[PoolKey]) -> PoolKey | None:
         job, need = stream.job, stream.need
         now = self._node.timers.now()
-        accepting = set(self._shared.fleet.accepting_engines(job.service))
         state_by_key = {}
         for key, members in self._shared.fleet.pools(job.service).items():
             known = self._known_by_key.get(key)
             if known is None or now < known.avoided_until:
                 continue
-            if stream.software and not can_go_on(accepting.intersection(members), stream.software):
+            if stream.software and not can_go_on(members, stream.software):
                 continue
             if now - known.received_at <= SUMMARY_VALID_SECONDS:
                 each = known.summary
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -248,8 +248,7 @@
 
     def _refuse_if_version_gone(self, job: Job, software: str) -> None:
         """Refuse a stream at once if no engine of the version that began it takes work."""
-        engines = self._shared.fleet.accepting_engines(job.service)
-        if software and not can_go_on(engines, software):
+        if software and not can_go_on(self._shared.fleet.accepting_engines(job.service), software):
             detail = f"no engine of version {software} is left"
             raise RefusedError(ResultCode.STREAM_VERSION_GONE, detail)
 
--- a/pimentoquay/gateway/tests/test_deadly_requests.py
+++ b/pimentoquay/gateway/tests/test_deadly_requests.py
@@ -7,6 +7,7 @@
 
 from pimentoquay.gateway.plain import MAX_BUFFERED_BYTES
 from pimentoquay.gateway.tests.rig import model_headers, rig, until
+from pimentoquay.http1 import ConnectionPool
 from pimentoquay.kernel import ResultCode
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages.fleet import CrashedPrompt, PromptEvidence
@@ -264,3 +265,23 @@
                 await asyncio.sleep(0.05)
         assert statuses[0] == 503 and 200 in statuses
         assert gateway.prompts.trials + second.prompts.trials == 1
+
+
+async def test_all_streams_that_a_crash_breaks_share_one_check_of_the_engine(monkeypatch):
+    checks = []
+    check_server = ConnectionPool.check_server
+
+    async def count(pool):
+        checks.append(pool.address)
+        return await check_server(pool)
+
+    monkeypatch.setattr(ConnectionPool, "check_server", count)
+    async with rig() as env:
+        for engine_id in ("dec-1", "dec-2"):
+            env.engine_by_id[engine_id].pause = 0.2
+        streams = [asyncio.create_task(env.stream(f"/digest/{number}")) for number in range(12)]
+        engine = env.engine_by_id["dec-1"]
+        await until(lambda: engine.running >= 3, "running")
+        engine.crash()
+        assert all(each.is_whole for each in await asyncio.gather(*streams))
+        assert checks == [engine.address]
--- a/pimentoquay/policy/version_choice.py
+++ b/pimentoquay/policy/version_choice.py
@@ -14,7 +14,10 @@
 
 def can_go_on(engines: Iterable[EngineEntry], software: str) -> bool:
     """Return whether any of the engines may go on with a stream that began at a version."""
-    return any(may_run(each, software) and each.stage in DECODE_STAGES for each in engines)
+    return any(
+        may_run(each, software) and each.stage in DECODE_STAGES and not each.is_draining
+        for each in engines
+    )
 
 
 def engines_for(
