Let streams wait for those only that are to be served before them

While a stream that had been taken up late waited for its version, new streams that were to be served before it left it all engines of that version, and it let them pass: neither was placed until its caller left. With one version that was every engine. The test failed before (nothing placed in 4 s) and takes 0.4 s now.

The class: two rules that each yield to the other.

--- a/pimentoquay/bench/mutations/gateway_switches.py
+++ b/pimentoquay/bench/mutations/gateway_switches.py
@@ -6,6 +6,7 @@
     read_body_without_limit,
     return_constant,
     use_whole_limit,
+    wait_behind_all,
 )
 from pimentoquay.bench.mutations.switch import Switch
 
@@ -177,6 +178,12 @@
         return_constant(True),
         _VERSIONS + "test_streams_of_a_crashed_engine_go_on_at_their_version_only",
     ),
+    Switch(
+        "order of the streams that wait",
+        "pimentoquay.gateway.reservations:Reservations._ahead_of",
+        wait_behind_all,
+        _VERSIONS + "test_a_late_stream_that_waits_to_go_on_does_not_hold_up_new_ones",
+    ),
     Switch(
         "origins of streams told to peers",
         "pimentoquay.gateway.stream_origins:OriginExchange._tell",
--- a/pimentoquay/bench/mutations/replacements.py
+++ b/pimentoquay/bench/mutations/replacements.py
@@ -36,6 +36,7 @@
     "same_number_for_all_holders",
     "skip_order_of_new_holder",
     "use_whole_limit",
+    "wait_behind_all",
 ]
 
 
@@ -250,3 +251,8 @@
         return original(self, [replace(notice, age=0.0) for notice in notices], now)
 
     return learn
+
+
+def wait_behind_all(original: Any) -> Any:
+    """Let each stream wait for all others that wait."""
+    return lambda self, waiter: [each for each in self._waiting if each is not waiter]
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -141,7 +141,7 @@
             return await self._reserve_in_pool(job, memory, need, times, software)
         waiter = _Waiter(need, times, software)
         if self._is_next(waiter):
-            reservation = await self._try_reserve(job, memory, need, software)
+            reservation = await self._try_reserve(job, memory, waiter)
             if reservation is not None:
                 return reservation
         self._refuse_long_wait(job, waiter)
@@ -155,7 +155,7 @@
                 self._refuse_if_paused(job)
                 self._refuse_if_version_gone(job, software)
                 if self._is_next(waiter):
-                    reservation = await self._try_reserve(job, memory, need, software)
+                    reservation = await self._try_reserve(job, memory, waiter)
                     if reservation is not None:
                         return reservation
                 self._changed.clear()
@@ -200,17 +200,19 @@
 
     def _is_next(self, waiter: _Waiter) -> bool:
         """Return whether no stream here or at another gateway has to be served first."""
+        if any(each.software in ("", waiter.software) for each in self._ahead_of(waiter)):
+            return False
+        return self._is_urgent(waiter) or self._peers_queued().urgent_tokens == 0
+
+    def _ahead_of(self, waiter: _Waiter) -> list[_Waiter]:
+        """Return the streams that wait here and are to be served before another one."""
         now = asyncio.get_running_loop().time()
 
         def rank(each: _Waiter) -> tuple[StreamUrgency, float]:
             return each.times.urgency(now, self._limits), each.times.arrived_at
 
-        ahead = (each for each in self._waiting if each is not waiter)
-        if any(
-            rank(each) < rank(waiter) for each in ahead if each.software in ("", waiter.software)
-        ):
-            return False
-        return self._is_urgent(waiter) or self._peers_queued().urgent_tokens == 0
+        own = rank(waiter)
+        return [each for each in self._waiting if each is not waiter and rank(each) < own]
 
     def _refuse_long_wait(self, job: Job, waiter: _Waiter) -> None:
         engines = self._decode_engines(job)
@@ -255,17 +257,16 @@
     def _decode_engines(self, job: Job) -> tuple[EngineEntry, ...]:
         return self._shared.available_engines(job.service, DECODE_STAGES)
 
-    def _engine_groups(
-        self, job: Job, need: MemoryNeed, software: str
-    ) -> tuple[Sequence[EngineEntry], ...]:
+    def _engine_groups(self, job: Job, waiter: _Waiter) -> tuple[Sequence[EngineEntry], ...]:
         """Return groups of decode engines to be tried in order."""
         sendable = self._shared.sendable_engines(job.service, DECODE_STAGES)
-        engines = engines_for(sendable, software, {each.software for each in self._waiting})
+        awaited = {each.software for each in self._ahead_of(waiter)}
+        engines = engines_for(sendable, waiter.software, awaited)
         prefill_engines = self._shared.available_engines(job.service, (EngineStage.PREFILL,))
-        if any(may_run(each, software) for each in prefill_engines):
+        if any(may_run(each, waiter.software) for each in prefill_engines):
             return (engines,)
         is_short = can_prefill_on_decode_engine(
-            need.prompt, self._shared.speed, job.route.gap_seconds, DECODE_ONLY_PAUSE_SHARE
+            waiter.need.prompt, self._shared.speed, job.route.gap_seconds, DECODE_ONLY_PAUSE_SHARE
         )
         return select_decode_engines(engines, is_short)
 
@@ -289,7 +290,8 @@
             self._refuse_if_version_gone(job, software)
             grant = await self._pools.place(stream, full_engine)
             if grant is None:
-                reservation = await self._try_reserve(job, memory, need, software)
+                waiter = _Waiter(need, times, software)
+                reservation = await self._try_reserve(job, memory, waiter)
                 if reservation is not None:
                     return reservation
                 break
@@ -306,8 +308,9 @@
         )
 
     async def _try_reserve(
-        self, job: Job, memory: TokenMemory, need: MemoryNeed, software: str
+        self, job: Job, memory: TokenMemory, waiter: _Waiter
     ) -> Reservation | None:
+        need = waiter.need
         loop = asyncio.get_running_loop()
         usable = usable_tokens(memory)
         run = run_of(need, usable)
@@ -315,7 +318,7 @@
         while True:
             candidates = [
                 engine
-                for group in self._engine_groups(job, need, software)
+                for group in self._engine_groups(job, waiter)
                 for engine in self._run_ledger.candidates(
                     group, usable, run, loop.time(), self._shared.placer
                 )
--- a/pimentoquay/gateway/tests/rig.py
+++ b/pimentoquay/gateway/tests/rig.py
@@ -123,7 +123,16 @@
         return self._task_by_vm[vm]
 
     @contextlib.asynccontextmanager
-    async def open(self, path, vm="vm-1", method="POST", body=b"x", headers=(), request_id=""):
+    async def open(
+        self,
+        path,
+        vm="vm-1",
+        method="POST",
+        body=b"x",
+        headers=(),
+        request_id="",
+        deadline_ms=14_000,
+    ):
         """Send a request on a new connection and yield the exchange."""
         self._request_count += 1
         request_id = request_id or f"r{self._request_count}"
@@ -132,7 +141,7 @@
         sent_headers = (
             (b"Host", b"shop.example"),
             (b"Pimentoquay-Request-Id", request_id.encode()),
-            (b"Pimentoquay-Deadline-Ms", b"14000"),
+            (b"Pimentoquay-Deadline-Ms", str(deadline_ms).encode()),
             *headers,
         )
         try:
--- a/pimentoquay/gateway/tests/test_software_versions.py
+++ b/pimentoquay/gateway/tests/test_software_versions.py
@@ -315,3 +315,26 @@
         gateway.origins._is_told = True
         assert (await resume(env, "second")).status == 200
         assert (await resume(env, "first")).status == 503
+
+
+async def test_a_late_stream_that_waits_to_go_on_does_not_hold_up_new_ones():
+    """Neither was placed: the late one let the new ones pass, which left its version to it."""
+    async with rig() as env:
+        gateway = env.gateway_by_vm["vm-1"]
+        gateway.origins._is_told = True
+        engines = [env.engine_by_id["dec-1"], env.engine_by_id["dec-2"]]
+        for engine in engines:
+            engine.pause = 2.0
+        streams = [asyncio.create_task(env.stream(f"/digest/{number}")) for number in range(24)]
+        reservations = gateway.dispatcher._streams._reservations
+        await until(lambda: len(reservations._waiting) >= 4, "new ones wait")
+        new = len(reservations._waiting)
+        headers = (*model_headers(), *resume_headers("first", 1))
+        late = env.send_request("/digest/a", headers=headers, deadline_ms=9000)
+        streams.append(asyncio.create_task(late))
+        await until(lambda: len(reservations._waiting) > new, "the late one waits")
+        for engine in engines:
+            engine.pause = 0.0
+        async with asyncio.timeout(4.0):
+            responses = await asyncio.gather(*streams)
+        assert {each.status for each in responses} == {200}
--- a/pimentoquay/policy/version_choice.py
+++ b/pimentoquay/policy/version_choice.py
@@ -27,7 +27,7 @@
 
     Failure pattern: a release replaces the engines of a version one after the other, and streams of
     that version come back to those that are left. New streams use none of a version for which
-    others wait.
+    others wait that are to be served before them.
 
     Parameters
     ----------
@@ -36,7 +36,7 @@
     software
         Version that began the stream, or empty if none has.
     awaited
-        Versions for which streams wait.
+        Versions for which streams wait that are to be served before.
     """
     return tuple(
         each
