Do not tell the streams in progress again

Their entries outlive any stream, which ends with its route's time-out, and gateways behind relays were not told anyway, as nothing was new.

--- a/pimentoquay/gateway/stream_origins.py
+++ b/pimentoquay/gateway/stream_origins.py
@@ -32,8 +32,8 @@
 TELL_SECONDS = 0.02
 """Time for which streams are collected before they are told to all gateways."""
 
-REFRESH_SECONDS = 10.0
-"""Interval at which old entries are dropped and the streams in progress are told again."""
+EXPIRY_SECONDS = 10.0
+"""Interval at which streams and versions are dropped that are older than any stream can be."""
 
 SETTLE_SECONDS = 1.5
 """Time after the start within which peers tell what they know, if there are any."""
@@ -65,7 +65,6 @@
         self._started_at = timers.now()
         self._known = StreamOrigins()
         self._own = StreamOrigins()
-        self._running: dict[bytes, tuple[str, str]] = {}
         self._untold: dict[tuple[str, str], list[bytes]] = {}
         self._versions_by_service: dict[str, ServiceVersions] = {}
         self._mixed: frozenset[str] = frozenset()
@@ -76,8 +75,8 @@
         fleet.on_engines_changed.append(self.observe)
 
     def start(self) -> None:
-        """Begin to drop old entries, and to tell long streams again."""
-        self._timers.every(REFRESH_SECONDS, self._refresh)
+        """Begin to drop old entries."""
+        self._timers.every(EXPIRY_SECONDS, self._expire)
 
     @property
     def mixed_services(self) -> frozenset[str]:
@@ -119,14 +118,9 @@
         key = _key_of(job)
         version = job.service, engine.software_version
         self._own.learn(*version, (key,), self._timers.now())
-        self._running[key] = version
         if job.service in self._mixed:
             self._tell_soon(version, key)
 
-    def record_ended(self, job: Job) -> None:
-        """Record that the answer of a stream has ended; it may still be taken up for a while."""
-        self._running.pop(_key_of(job), None)
-
     def observe(self) -> None:
         """Record which versions are listed; tell the own streams of services that are mixed now."""
         now = self._timers.now()
@@ -174,13 +168,9 @@
         untold, self._untold = self._untold, {}
         self._publish(_message(untold))
 
-    def _refresh(self) -> None:
+    def _expire(self) -> None:
         self.observe()
         now, life = self._timers.now(), self._life_seconds()
-        for key, version in self._running.items():
-            self._own.learn(*version, (key,), now)
-            if version[0] in self._mixed:
-                self._tell_soon(version, key)
         for origins in (self._own, self._known):
             origins.expire(now - life)
         for versions in self._versions_by_service.values():
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -104,9 +104,6 @@
             if progress.runs == 0 and not job.reply.started:
                 raise
             self._give_up(job, progress, error.detail)
-        finally:
-            if progress.software:
-                self._shared.origins.record_ended(job)
 
     async def _forward(self, job: Job, progress: StreamProgress) -> None:
         while True:
