--- a/pimentoquay/gateway/notices.py
+++ b/pimentoquay/gateway/notices.py
@@ -5,6 +5,7 @@
 begins with all that is known, which informs gateways that were cut off, suspended or restarted.
 """
 
+from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any, Generic, TypeVar
@@ -85,7 +86,7 @@
                 channel.send(message)
 
 
-class _Notices(Generic[Known]):
+class _Notices(ABC, Generic[Known]):
     """Notices of one type.
 
     Parameters
@@ -106,11 +107,13 @@
         self._publish = publish
         self.handler = NoticeHandler(self._apply, self._snapshot)
 
+    @abstractmethod
     def _apply(self, message: Any) -> Any:
-        raise NotImplementedError
+        """Apply a message of a peer; see ``NoticeHandler``."""
 
+    @abstractmethod
     def _snapshot(self) -> Any:
-        raise NotImplementedError
+        """Return a message with all that is known; see ``NoticeHandler``."""
 
 
 class LeavingNotices(_Notices[EngineNotices]):
