--- a/pimentoquay/bench/mutations/gateway_switches.py
+++ b/pimentoquay/bench/mutations/gateway_switches.py
@@ -104,7 +104,7 @@
     ),
     Switch(
         "quarantine of prompts",
-        "pimentoquay.policy.prompt_quarantine:PromptQuarantine.quarantine_of",
+        "pimentoquay.policy.request_quarantine:RequestQuarantine.quarantine_of",
         return_constant(None),
         _DEADLY + "test_a_part_of_prompts_that_crashes_engines_crashes_few_of_them",
     ),
@@ -116,7 +116,7 @@
     ),
     Switch(
         "quarantines kept in the store",
-        "pimentoquay.gateway.prompt_guard:PromptGuard.pending_records",
+        "pimentoquay.gateway.request_guard:RequestGuard.pending_records",
         return_constant(()),
         _DEADLY + "test_a_deadly_part_stays_in_quarantine_when_all_gateways_start_again",
     ),
@@ -128,47 +128,47 @@
     ),
     Switch(
         "answers clear parts of prompts",
-        "pimentoquay.policy.prompt_quarantine:PromptQuarantine.record_success",
+        "pimentoquay.policy.request_quarantine:RequestQuarantine.record_success",
         return_constant(()),
         _PROMPTS + "test_sound_requests_are_served_soon_though_nothing_was_known_to_be_sound",
     ),
     Switch(
         "trial of a doubtful quarantine",
-        "pimentoquay.policy.prompt_quarantine:PromptQuarantine.begin_trial",
+        "pimentoquay.policy.request_quarantine:RequestQuarantine.begin_trial",
         return_constant(False),
         _DEADLY + "test_a_quarantine_ends_when_an_engine_begins_to_answer_such_a_prompt",
     ),
     Switch(
         "engine that is back under its id crashes anew",
-        "pimentoquay.policy.prompt_quarantine:PromptQuarantine.start_of_crash",
+        "pimentoquay.policy.request_quarantine:RequestQuarantine.start_of_crash",
         lambda original: lambda self, listed, now: listed,
-        "pimentoquay/policy/tests/test_prompt_quarantine.py::"
+        "pimentoquay/policy/tests/test_request_quarantine.py::"
         "test_an_engine_that_is_back_under_its_id_crashes_anew",
     ),
     Switch(
         "trial told to peers",
-        "pimentoquay.policy.prompt_quarantine:PromptQuarantine.record_trial",
+        "pimentoquay.policy.request_quarantine:RequestQuarantine.record_trial",
         return_constant(True),
-        "pimentoquay/policy/tests/test_prompt_quarantine.py::"
+        "pimentoquay/policy/tests/test_request_quarantine.py::"
         "test_a_request_in_quarantine_is_tried_by_one_vm_and_more_and_more_seldom",
     ),
     Switch(
         "crashes under a request counted",
         "pimentoquay.policy.crash_evidence:is_request",
         return_constant(False),
-        "pimentoquay/policy/tests/test_prompt_quarantine.py::"
+        "pimentoquay/policy/tests/test_request_quarantine.py::"
         "test_a_request_that_alone_was_at_two_crashes_is_quarantined",
     ),
     Switch(
         "answers clear requests",
-        "pimentoquay.gateway.prompt_guard:PromptGuard.record_answered",
+        "pimentoquay.gateway.request_guard:RequestGuard.record_answered",
         return_constant(None),
         _REQUESTS + "test_a_sound_call_that_repeats_is_served_though_servers_crash_for_other_"
         "reasons",
     ),
     Switch(
         "quarantine of calls",
-        "pimentoquay.policy.prompt_quarantine:PromptQuarantine.quarantine_of",
+        "pimentoquay.policy.request_quarantine:RequestQuarantine.quarantine_of",
         return_constant(None),
         _REQUEST_LOADS + "test_a_request_that_crashes_servers_is_not_sent_much_more",
     ),
--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -41,7 +41,7 @@
 from pimentoquay.gateway.pool_client import PoolClient
 from pimentoquay.gateway.pool_coordinator import PoolCoordinator
 from pimentoquay.gateway.prefills import PrefillRunner
-from pimentoquay.gateway.prompt_guard import PromptGuard
+from pimentoquay.gateway.request_guard import RequestGuard
 from pimentoquay.gateway.reservation import usable_tokens
 from pimentoquay.gateway.reservations import Reservations
 from pimentoquay.gateway.shared_state import RetryBudgets, SharedState
@@ -52,9 +52,9 @@
 from pimentoquay.kernel import Node
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages.fleet import (
+    CrashEvidence,
     EnginesLeaving,
     LimitsNamed,
-    PromptEvidence,
     TrialBegun,
 )
 from pimentoquay.messages.pools import PoolKey
@@ -84,8 +84,8 @@
 SEED_INTERVAL_SECONDS = 1.5
 """Interval at which the seed addresses are dialled while no other gateway is known to be alive."""
 
-PROMPT_EXPIRY_SECONDS = 60.0
-"""Interval at which old evidence of prompts that crash engines is dropped; it is kept for a day."""
+EVIDENCE_EXPIRY_SECONDS = 60.0
+"""Interval at which old evidence of crashes is dropped; it is kept for a day."""
 
 DISCOVERY_RETRY_SECONDS = 1.0
 """Delay before the peers' addresses are read again after a failed read from the store."""
@@ -106,7 +106,7 @@
     stage_controller: StageController
     pool_client: PoolClient
     pool_coordinator: PoolCoordinator
-    prompts: PromptGuard
+    guard: RequestGuard
     origins: OriginExchange
     dispatcher: Dispatcher
     caller_server: HttpServer
@@ -119,7 +119,7 @@
         await self._listen()
         self.pool_client.start()
         self.origins.start()
-        self.node.timers.every(PROMPT_EXPIRY_SECONDS, self.prompts.expire)
+        self.node.timers.every(EVIDENCE_EXPIRY_SECONDS, self.guard.expire)
         self.pool_coordinator.start()
         tasks = [
             asyncio.create_task(service)
@@ -211,7 +211,7 @@
     )
     prefill_ledger = TokenLedger()
     metrics = GatewayMetrics()
-    prompts = PromptGuard(
+    guard = RequestGuard(
         node.timers.now, lambda: mesh.turn_order, lambda message: mesh.notices.publish(message)
     )
     origins = OriginExchange(node.timers, fleet, lambda message: mesh.notices.publish(message))
@@ -224,7 +224,7 @@
         links,
         metrics,
         RetryBudgets(repeat_limits),
-        prompts,
+        guard,
         origins,
     )
     peers = PeerSet(node)
@@ -269,8 +269,8 @@
     mesh.on_plan_changed.append(lambda: _apply_plan(shared, mesh, pool_client, coordinator))
     leaving = LeavingNotices(fleet.notices, node.timers.now, mesh.notices.publish)
     mesh.notices.register(EnginesLeaving, leaving.handler)
-    mesh.notices.register(PromptEvidence, prompts.handler)
-    mesh.notices.register(TrialBegun, prompts.trial_handler)
+    mesh.notices.register(CrashEvidence, guard.handler)
+    mesh.notices.register(TrialBegun, guard.trial_handler)
     mesh.notices.register(StreamsBegun, origins.handler)
     mesh.notices.register(VersionsListed, origins.versions_handler)
     links.on_leaving.append(leaving.report)
@@ -284,7 +284,7 @@
     feed = StoreFeed(
         store,
         fleet,
-        prompts,
+        guard,
         node.timers,
         polling_schedule,
         mesh.is_reader,
@@ -323,11 +323,11 @@
         PAUSES: lambda: fleet.notices.pauses_requested,
         OVERSIZED: lambda: links.oversized_responses,
         SENDS_WITHHELD: lambda: fleet.notices.sends_withheld,
-        ENGINE_CRASHES: lambda: prompts.reported_crashes,
-        PROMPTS_SUSPECTED: lambda: len(prompts.suspected_parts),
-        PROMPTS_QUARANTINED: lambda: len(prompts.quarantines),
-        PROMPT_TRIALS: lambda: prompts.trials,
-        REFUSED_IN_QUARANTINE: lambda: prompts.refused,
+        ENGINE_CRASHES: lambda: guard.reported_crashes,
+        PROMPTS_SUSPECTED: lambda: len(guard.suspected_features),
+        PROMPTS_QUARANTINED: lambda: len(guard.quarantines),
+        PROMPT_TRIALS: lambda: guard.trials,
+        REFUSED_IN_QUARANTINE: lambda: guard.refused,
         ENGINES_LIMITED: lambda: len(limits.limited),
         SERVICES_MIXED: lambda: len(origins.mixed_services),
         STREAM_ORIGINS: lambda: origins.known_streams,
@@ -347,7 +347,7 @@
         stage_controller,
         pool_client,
         coordinator,
-        prompts,
+        guard,
         origins,
         dispatcher,
         caller_server,
--- a/pimentoquay/gateway/dispatcher.py
+++ b/pimentoquay/gateway/dispatcher.py
@@ -66,7 +66,7 @@
             raise
 
     async def _forward(self, job: Job) -> None:
-        self._shared.prompts.check(job)
+        self._shared.guard.check(job)
         if self._is_model_stream(job.route, job):
             await self._streams.forward(job)
         else:
--- a/pimentoquay/gateway/feed.py
+++ b/pimentoquay/gateway/feed.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 
 from pimentoquay.gateway.fleet import Fleet
-from pimentoquay.gateway.prompt_guard import PromptGuard
+from pimentoquay.gateway.request_guard import RequestGuard
 from pimentoquay.kernel import TimerService
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages.fleet import EngineRecord, FleetCopy, VmAddress
@@ -42,7 +42,7 @@
 
     Parameters
     ----------
-    store, fleet, prompts, timers
+    store, fleet, guard, timers
         The store to read, the fleet and the quarantines to update, and the process's timers.
     polling_schedule
         The polling period, and the age of the list above which this gateway polls by itself.
@@ -59,7 +59,7 @@
         self,
         store: StoreClient,
         fleet: Fleet,
-        prompts: PromptGuard,
+        guard: RequestGuard,
         timers: TimerService,
         polling_schedule: PollTiming,
         is_reader: Callable[[], bool],
@@ -68,7 +68,7 @@
     ) -> None:
         self._store = store
         self._fleet = fleet
-        self._prompts = prompts
+        self._guard = guard
         self._timers = timers
         self._polling_schedule = polling_schedule
         self._is_reader = is_reader
@@ -78,7 +78,7 @@
         self._handler_by_topic = {
             CONFIGURATION_TOPIC: self._apply_configuration,
             ENGINE_TOPIC: self._apply_engines,
-            PROMPT_TOPIC: self._apply_prompts,
+            PROMPT_TOPIC: self._apply_quarantines,
         }
         self._is_down = False
         self._was_down = False
@@ -95,7 +95,7 @@
                 succeeded = await self._read_all()
                 if succeeded:
                     self._on_read()
-                    await self._write_prompts()
+                    await self._write_quarantines()
                 await self._timers.sleep(
                     self._polling_schedule.period if succeeded else RETRY_DELAY_SECONDS
                 )
@@ -168,8 +168,8 @@
         handle(latest.records, latest.next_position, True)
         self._next_by_topic[topic] = latest.next_position
 
-    async def _write_prompts(self) -> None:
-        for key, value in self._prompts.pending_records():
+    async def _write_quarantines(self) -> None:
+        for key, value in self._guard.pending_records():
             try:
                 await self._store.put(PROMPT_TOPIC, key, value)
             except StoreError as error:
@@ -178,10 +178,10 @@
                 )
                 return
 
-    def _apply_prompts(
+    def _apply_quarantines(
         self, records: tuple[KeyedRecord, ...], next_position: int, is_snapshot: bool
     ) -> None:
-        self._prompts.apply_records(records, is_snapshot)
+        self._guard.apply_records(records, is_snapshot)
 
     def _apply_configuration(
         self, records: tuple[KeyedRecord, ...], next_position: int, is_snapshot: bool
--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -23,11 +23,11 @@
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages import CodecError, decode
 from pimentoquay.messages.fleet import (
+    CrashEvidence,
     EnginesLeaving,
     FleetCopy,
     LimitsNamed,
     PeerLoads,
-    PromptEvidence,
     StageOrdered,
     TrialBegun,
     VmAddress,
@@ -108,7 +108,7 @@
             PeerLoads,
             StageOrdered,
             EnginesLeaving,
-            PromptEvidence,
+            CrashEvidence,
             LimitsNamed,
             TrialBegun,
             StreamsBegun,
@@ -307,7 +307,7 @@
         self,
         message: (
             EnginesLeaving
-            | PromptEvidence
+            | CrashEvidence
             | LimitsNamed
             | TrialBegun
             | StreamsBegun
--- a/pimentoquay/gateway/plain.py
+++ b/pimentoquay/gateway/plain.py
@@ -133,7 +133,7 @@
     def _may_send(self, job: Job, attempts: _Attempts) -> bool:
         if attempts.crashes >= MAX_CRASHES_PER_REQUEST:
             return False
-        if attempts.sends and self._shared.prompts.quarantine_of(job) is not None:
+        if attempts.sends and self._shared.guard.quarantine_of(job) is not None:
             return False
         if attempts.runs and (
             not job.route.may_run_again or attempts.runs >= job.route.max_engines
@@ -175,7 +175,7 @@
 
     async def _handle_lost_run(self, job: Job, engine: EngineEntry, attempts: _Attempts) -> None:
         link = self._shared.links.link_to(engine)
-        state = await self._shared.prompts.handle_lost_run(job, link, job.reply.started)
+        state = await self._shared.guard.handle_lost_run(job, link, job.reply.started)
         attempts.crashes += state is ServerState.REFUSING
         logger.bind(
             request=job.caller.id, engine=engine.id, digest=job.digest, engine_state=state.value
@@ -238,13 +238,13 @@
             self._log(job, engine, f"not run: status {response.status}")
             return None
         attempts.runs += 1
-        self._shared.prompts.record_begun(job)
+        self._shared.guard.record_begun(job)
         is_invalid = response.info.is_encoded or not response.info.is_signed
         if is_invalid:
             self._log(job, engine, "the answer is not the engine's own")
             return None
         if response.status < 500:
-            self._shared.prompts.record_answered(job)
+            self._shared.guard.record_answered(job)
         return response
 
     def _record_lost(
--- a/pimentoquay/gateway/pool_client.py
+++ b/pimentoquay/gateway/pool_client.py
@@ -256,7 +256,7 @@
         coordinator = source = ""
         try:
             while misses < MAX_MISSES:
-                self._shared.prompts.check(stream.job)
+                self._shared.guard.check(stream.job)
                 coordinator = self._coordinator_of(key) or ""
                 self._send_to(coordinator, self._request(stream, key, full_engine))
                 reply: PlaceReply | None = None
--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -98,7 +98,7 @@
         failed: set[str] = set()
         while True:
             if failed:
-                self._shared.prompts.check(job)
+                self._shared.guard.check(job)
             engine = self._choose_engine(job, model, decode_engine, failed, granted, software)
             if engine is None or (failed and not self._shared.retry_budgets.try_spend(job.service)):
                 logger.bind(
@@ -114,7 +114,7 @@
                 failed.add(engine.id)
                 if isinstance(error, HttpError) and error.connection_lost:
                     link = self._shared.links.link_to(engine)
-                    await self._shared.prompts.handle_lost_run(job, link)
+                    await self._shared.guard.handle_lost_run(job, link)
 
     def release_unused(self, prefill: Prefill | None) -> None:
         """Free the KV cache unless a decode engine has fetched it."""
--- a/pimentoquay/gateway/prompt_guard.py
+++ b/pimentoquay/gateway/request_guard.py
@@ -16,7 +16,7 @@
 from pimentoquay.http1 import ServerState
 from pimentoquay.kernel import RefusedError, ResultCode
 from pimentoquay.kernel.logs import logger
-from pimentoquay.messages.fleet import ClearedPart, CrashedPrompt, PromptEvidence, TrialBegun
+from pimentoquay.messages.fleet import ClearedFeature, CrashedRequest, CrashEvidence, TrialBegun
 from pimentoquay.platform.store import KeyedRecord
 from pimentoquay.policy.crash_evidence import (
     Clearance,
@@ -26,14 +26,13 @@
     request_feature,
 )
 from pimentoquay.policy.engine_notices import EngineStart
-from pimentoquay.policy.prompt_quarantine import PromptQuarantine
+from pimentoquay.policy.request_quarantine import RequestQuarantine
 
-__all__ = ["PromptGuard"]
+__all__ = ["RequestGuard"]
 
 STORED_CRASHES = 8
 """Maximum number of crashes in a stored quarantine; a few are enough for it to be adopted."""
 
-
 MAX_DIGESTED_BYTES = 64 * 1024
 """Size of a body in bytes up to which an answered request is remembered as sound.
 
@@ -44,7 +43,7 @@
 """Maximum number of requests that are remembered as sent in spite of a quarantine."""
 
 
-class PromptGuard:
+class RequestGuard:
     """Refuses requests that have crashed engines, because of their prompt or as a whole.
 
     ``reported_crashes`` counts the crashes that this gateway has seen, ``trials`` the requests that
@@ -64,12 +63,12 @@
         self,
         now: Callable[[], float],
         turn_order: Callable[[], tuple[int, int]],
-        publish: Callable[[PromptEvidence | TrialBegun], None],
+        publish: Callable[[CrashEvidence | TrialBegun], None],
     ) -> None:
         self._now = now
         self._turn_order = turn_order
         self._publish = publish
-        self._known = PromptQuarantine()
+        self._known = RequestQuarantine()
         self._trial_requests: deque[str] = deque(maxlen=MAX_TRIAL_REQUESTS)
         self._stored_keys: set[str] = set()
         self.reported_crashes = 0
@@ -80,13 +79,13 @@
 
     @property
     def quarantines(self) -> tuple[Quarantine, ...]:
-        """Combinations of parts that are in quarantine."""
+        """Combinations of features that are in quarantine."""
         return self._known.quarantines
 
     @property
-    def suspected_parts(self) -> frozenset[str]:
-        """Parts that may have caused a crash, including those in quarantine."""
-        return self._known.suspected_parts
+    def suspected_features(self) -> frozenset[str]:
+        """Features that may have caused a crash, including those in quarantine."""
+        return self._known.suspected_features
 
     def check(self, job: Job) -> None:
         """Raise ``RefusedError`` if a request may not be sent to engines."""
@@ -166,7 +165,7 @@
 
     def record_answered(self, job: Job) -> None:
         """Record that an engine answered a request to the end."""
-        if self._known.suspected_parts or len(job.request.body) <= MAX_DIGESTED_BYTES:
+        if self._known.suspected_features or len(job.request.body) <= MAX_DIGESTED_BYTES:
             self._record_success((request_feature(job.digest), begun_feature(job.digest)))
 
     def _record_success(self, features: Iterable[str]) -> None:
@@ -199,7 +198,7 @@
 
         Only certain quarantines are kept there: a record does not hold what else was suspected.
         """
-        by_key = {_record_key(each.parts): each for each in self._known.quarantines}
+        by_key = {_record_key(each.features): each for each in self._known.quarantines}
         missing = [
             (key, _record_value(each))
             for key, each in by_key.items()
@@ -215,7 +214,7 @@
 
     def _learn(
         self, reports: Iterable[CrashReport], clearances: Iterable[Clearance]
-    ) -> PromptEvidence | None:
+    ) -> CrashEvidence | None:
         """Add evidence; return a message with what is new."""
         before = self._known.quarantines
         new_reports, new_clearances = self._known.add(reports, clearances, self._now())
@@ -225,30 +224,36 @@
     def _apply_trial(self, message: TrialBegun) -> TrialBegun | None:
         return message if self._known.record_trial(message.request, self._now()) else None
 
-    def _apply(self, message: PromptEvidence) -> PromptEvidence | None:
-        reports = [CrashReport(_start_of(each), frozenset(each.parts)) for each in message.crashed]
-        clearances = [Clearance(_start_of(each), each.part) for each in message.cleared]
+    def _apply(self, message: CrashEvidence) -> CrashEvidence | None:
+        reports = [
+            CrashReport(_start_of(each), frozenset(each.features)) for each in message.crashed
+        ]
+        clearances = [Clearance(_start_of(each), each.feature) for each in message.cleared]
         new = self._learn(reports, clearances)
         if new is not None and set(new.cleared) - set(message.cleared):
             # What was cleared here is not known to the source.
-            self._publish(PromptEvidence((), new.cleared))
+            self._publish(CrashEvidence((), new.cleared))
         return new
 
-    def _snapshot(self) -> PromptEvidence | None:
+    def _snapshot(self) -> CrashEvidence | None:
         reports, clearances = self._known.reports, self._known.clearances
         return _message(reports, clearances) if reports or clearances else None
 
     def _log_changes(self, before: tuple[Quarantine, ...]) -> None:
-        old, new = ({each.parts for each in known} for known in (before, self._known.quarantines))
+        old, new = (
+            {each.features for each in known} for known in (before, self._known.quarantines)
+        )
         for each in self._known.quarantines:
-            if each.parts not in old:
+            if each.features not in old:
                 logger.bind(
                     parts=_text(each),
                     engines=",".join(sorted(engine.id for engine in each.engines)),
                     certain=each.is_certain,
                 ).warning("requests quarantined")
-        for parts in old - new:
-            logger.bind(parts=",".join(sorted(parts))).warning("requests released from quarantine")
+        for features in old - new:
+            logger.bind(parts=",".join(sorted(features))).warning(
+                "requests released from quarantine"
+            )
 
 
 def _parts(job: Job) -> frozenset[str]:
@@ -260,39 +265,41 @@
     return _parts(job) | {request_feature(job.digest), begun_feature(job.digest)}
 
 
-def _start_of(item: CrashedPrompt | ClearedPart) -> EngineStart:
+def _start_of(item: CrashedRequest | ClearedFeature) -> EngineStart:
     return EngineStart(item.engine, item.incarnation, item.restarts)
 
 
 def _text(quarantine: Quarantine) -> str:
-    return ",".join(sorted(quarantine.parts))
+    return ",".join(sorted(quarantine.features))
 
 
-def _message(reports: Iterable[CrashReport], clearances: Iterable[Clearance]) -> PromptEvidence:
-    return PromptEvidence(
+def _message(reports: Iterable[CrashReport], clearances: Iterable[Clearance]) -> CrashEvidence:
+    return CrashEvidence(
         tuple(
-            CrashedPrompt(
+            CrashedRequest(
                 each.engine.id,
                 each.engine.incarnation,
-                tuple(sorted(each.parts)),
+                tuple(sorted(each.features)),
                 each.engine.restarts,
             )
             for each in reports
         ),
         tuple(
-            ClearedPart(each.engine.id, each.engine.incarnation, each.part, each.engine.restarts)
+            ClearedFeature(
+                each.engine.id, each.engine.incarnation, each.feature, each.engine.restarts
+            )
             for each in clearances
         ),
     )
 
 
-def _record_key(parts: frozenset[str]) -> str:
-    return hashlib.blake2b(",".join(sorted(parts)).encode(), digest_size=16).hexdigest()
+def _record_key(features: frozenset[str]) -> str:
+    return hashlib.blake2b(",".join(sorted(features)).encode(), digest_size=16).hexdigest()
 
 
 def _record_value(quarantine: Quarantine) -> bytes:
     engines = sorted((each.id, each.incarnation, each.restarts) for each in quarantine.engines)
-    item = {"parts": sorted(quarantine.parts), "engines": engines[:STORED_CRASHES]}
+    item = {"parts": sorted(quarantine.features), "engines": engines[:STORED_CRASHES]}
     return json.dumps(item).encode()
 
 
@@ -300,9 +307,9 @@
     """Return the crashes of a stored quarantine, or none if the record is invalid."""
     try:
         item = json.loads(record.value or b"")
-        parts = frozenset(str(part) for part in item["parts"])
+        features = frozenset(str(feature) for feature in item["parts"])
         return [
-            CrashReport(EngineStart(str(engine), *map(int, starts)), parts)
+            CrashReport(EngineStart(str(engine), *map(int, starts)), features)
             for engine, *starts in item["engines"]
         ]
     except (ValueError, TypeError, KeyError, OverflowError, RecursionError) as error:
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -151,7 +151,7 @@
         ends_at = times.leaves_at - self._limits.work_seconds
         try:
             while loop.time() < ends_at:
-                self._shared.prompts.check(job)
+                self._shared.guard.check(job)
                 self._refuse_if_paused(job)
                 self._refuse_if_version_gone(job, software)
                 if self._is_next(waiter):
--- a/pimentoquay/gateway/shared_state.py
+++ b/pimentoquay/gateway/shared_state.py
@@ -8,7 +8,7 @@
 from pimentoquay.gateway.fleet import Fleet
 from pimentoquay.gateway.links import EngineLinks
 from pimentoquay.gateway.metrics import GatewayMetrics
-from pimentoquay.gateway.prompt_guard import PromptGuard
+from pimentoquay.gateway.request_guard import RequestGuard
 from pimentoquay.gateway.stream_origins import OriginExchange
 from pimentoquay.kernel import RefusedError, ResultCode
 from pimentoquay.kernel.logs import logger
@@ -82,7 +82,7 @@
 
     ``placer`` orders engines whose load is nearly equal. ``run_ledger`` holds the requests of all
     gateways in the memory of decode engines, ``prefill_ledger`` their prompts at prefill engines,
-    ``demand`` the engine time that requests need in each stage, ``prompts`` the prompts that crash
+    ``demand`` the engine time that requests need in each stage, ``guard`` the requests that crash
     engines, ``origins`` the software versions at which streams began, and ``speed`` the prefill
     speed.
     ``experience_by_engine`` holds latencies and failure rates of plain backend servers.
@@ -98,7 +98,7 @@
     links: EngineLinks
     metrics: GatewayMetrics
     retry_budgets: RetryBudgets
-    prompts: PromptGuard
+    guard: RequestGuard
     origins: OriginExchange
     speed: PrefillSpeed = field(default_factory=PrefillSpeed)
     experience_by_engine: dict[str, EngineCallStats] = field(default_factory=dict)
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -138,7 +138,7 @@
             return False
         if progress.crashes >= MAX_CRASHES_PER_REQUEST:
             return False
-        if self._shared.prompts.quarantine_of(job) is not None:
+        if self._shared.guard.quarantine_of(job) is not None:
             return False
         may_run_again = job.route.is_resumable and progress.runs < job.route.max_engines
         if progress.runs and not may_run_again:
@@ -167,7 +167,7 @@
         reservation = await self._reservations.reserve(job, memory, need, times, progress.software)
         job.metrics.record_memory_wait(job.age())
         try:
-            self._shared.prompts.check(job)
+            self._shared.guard.check(job)
             prefill = await self._prefill_runner.run(
                 job,
                 model,
@@ -178,7 +178,7 @@
             )
             progress.engine = reservation.engine.id
             try:
-                self._shared.prompts.check(job)
+                self._shared.guard.check(job)
                 progress.sends += 1
                 progress.runs += 1
                 await self._decode(job, progress, reservation, prefill)
@@ -262,7 +262,7 @@
             state = None
             if error.connection_lost:
                 has_begun = progress.last_event is not None
-                state = await self._shared.prompts.handle_lost_run(job, reservation.link, has_begun)
+                state = await self._shared.guard.handle_lost_run(job, reservation.link, has_begun)
             raise RunEndedError(str(error), error.written, error.written, state) from None
         except ValueError as error:
             raise RunEndedError(f"invalid event stream: {error}", True) from None
@@ -324,11 +324,11 @@
         if not reply.started:
             reply.start(exchange.status, end_to_end_headers(exchange.headers))
         reply.end()
-        self._shared.prompts.record_answered(job)
+        self._shared.guard.record_answered(job)
         _record_success(job, progress, reservation.engine.id)
 
     def _record_begun(self, job: Job, progress: StreamProgress, engine: EngineEntry) -> None:
-        self._shared.prompts.record_begun(job)
+        self._shared.guard.record_begun(job)
         self._shared.origins.record_begun(job, engine)
         began_at, progress.software = progress.software, engine.software_version
         if progress.runs > 1 or job.caller.last_event is not None:
--- a/pimentoquay/gateway/tests/test_deadly_parts.py
+++ b/pimentoquay/gateway/tests/test_deadly_parts.py
@@ -6,9 +6,9 @@
 import pytest
 
 from pimentoquay.gateway.tests.rig import rig, until
-from pimentoquay.messages.fleet import CrashedPrompt, PromptEvidence
+from pimentoquay.messages.fleet import CrashedRequest, CrashEvidence
 from pimentoquay.platform.store import PROMPT_TOPIC
-from pimentoquay.policy.prompt_quarantine import CERTAIN_TRIAL_SECONDS, RETENTION_SECONDS
+from pimentoquay.policy.request_quarantine import CERTAIN_TRIAL_SECONDS, RETENTION_SECONDS
 from pimentoquay.standin.platform_engine import Behaviour, PlatformEngine
 
 SHARED = b"5c1e07a2:200"
@@ -113,7 +113,7 @@
 
 
 def quarantined(gateway):
-    return {part for each in gateway.prompts.quarantines for part in each.parts}
+    return {part for each in gateway.guard.quarantines for part in each.features}
 
 
 async def quarantine(env, fleet, *parts, vm=0):
@@ -221,8 +221,8 @@
         for number in range(6):
             await env.stream(f"/digest/{number}", model=prompt("5001"))
         gateway = env.gateway_by_vm["vm-1"]
-        assert gateway.prompts.suspected_parts == frozenset()
-        assert gateway.prompts.reported_crashes == 0
+        assert gateway.guard.suspected_features == frozenset()
+        assert gateway.guard.reported_crashes == 0
 
 
 async def test_a_waiting_request_is_refused_when_its_part_is_quarantined():
@@ -235,8 +235,8 @@
         await until(lambda: len(reservations._waiting) >= 4, "some wait")
         waiting = asyncio.create_task(env.stream("/digest/w", model=prompt(DEADLY)))
         await asyncio.sleep(0.1)
-        crashed = tuple(CrashedPrompt(f"gone-{n}", 1, (DEADLY,)) for n in range(3))
-        gateway.mesh.notices.receive(PromptEvidence(crashed, ()), "vm-9")
+        crashed = tuple(CrashedRequest(f"gone-{n}", 1, (DEADLY,)) for n in range(3))
+        gateway.mesh.notices.receive(CrashEvidence(crashed, ()), "vm-9")
         async with asyncio.timeout(1.0):
             response = await waiting
         assert response.status == 503 and reservations._waiting
@@ -250,8 +250,8 @@
     async with rig() as env:
         second = await env.add_gateway("vm-2")
         gateway = env.gateway_by_vm["vm-1"]
-        crashed = tuple(CrashedPrompt(f"gone-{n}", 1, ("5001", f"own-{n}")) for n in range(3))
-        gateway.mesh.notices.receive(PromptEvidence(crashed, ()), "vm-9")
+        crashed = tuple(CrashedRequest(f"gone-{n}", 1, ("5001", f"own-{n}")) for n in range(3))
+        gateway.mesh.notices.receive(CrashEvidence(crashed, ()), "vm-9")
         await until(lambda: "5001" in quarantined(second), "quarantined")
         responses = []
         async with asyncio.timeout(15.0):
@@ -259,7 +259,7 @@
                 responses.append(await env.stream("/digest/a", model=prompt("5001")))
                 await asyncio.sleep(0.05)
         assert responses[0].status == 503 and responses[-1].status == 200
-        assert gateway.prompts.trials + second.prompts.trials == 1
+        assert gateway.guard.trials + second.guard.trials == 1
         await until(lambda: not env.store._newest_by_topic.get(PROMPT_TOPIC), "not stored")
 
 
@@ -281,7 +281,7 @@
         assert not env._task_by_vm["vm-1"].done() and gateway.dispatcher.is_ready
         response = await env.stream("/digest/a", model=prompt("5001"))
         assert response.status == 200
-        assert not env.gateway_by_vm["vm-1"].prompts.quarantines
+        assert not env.gateway_by_vm["vm-1"].guard.quarantines
 
 
 async def test_an_engine_that_crashes_under_an_answer_without_length_or_chunks_is_evidence():
@@ -292,17 +292,17 @@
             engine.behaviour = lambda arrival: Behaviour.UNFRAMED_CRASH
         assert (await env.stream("/digest/a", model=prompt(DEADLY))).status == 502
         assert all(engine.is_crashed for engine in engines)
-        assert DEADLY in gateway.prompts.suspected_parts
+        assert DEADLY in gateway.guard.suspected_features
 
 
 async def test_only_certain_quarantines_are_stored():
     """A record holds nothing of the other parts that were suspected, so it would look certain."""
     async with rig() as env:
         gateway = env.gateway_by_vm["vm-1"]
-        doubtful = tuple(CrashedPrompt(f"gone-{n}", 1, ("5001", f"own-{n}")) for n in range(3))
-        gateway.mesh.notices.receive(PromptEvidence(doubtful, ()), "vm-9")
-        certain = tuple(CrashedPrompt(f"lost-{n}", 1, (DEADLY,)) for n in range(3))
-        gateway.mesh.notices.receive(PromptEvidence(certain, ()), "vm-9")
+        doubtful = tuple(CrashedRequest(f"gone-{n}", 1, ("5001", f"own-{n}")) for n in range(3))
+        gateway.mesh.notices.receive(CrashEvidence(doubtful, ()), "vm-9")
+        certain = tuple(CrashedRequest(f"lost-{n}", 1, (DEADLY,)) for n in range(3))
+        gateway.mesh.notices.receive(CrashEvidence(certain, ()), "vm-9")
         assert quarantined(gateway) == {"5001", DEADLY}
         await until(lambda: env.store._newest_by_topic.get(PROMPT_TOPIC), "stored")
         stored = [value for _, value in env.store._newest_by_topic[PROMPT_TOPIC].values()]
@@ -314,8 +314,8 @@
         gateway = env.gateway_by_vm["vm-1"]
         waits = []
         for crashes in (3, 5):
-            crashed = tuple(CrashedPrompt(f"gone-{n}", 1, (DEADLY,)) for n in range(crashes))
-            gateway.mesh.notices.receive(PromptEvidence(crashed, ()), "vm-9")
+            crashed = tuple(CrashedRequest(f"gone-{n}", 1, (DEADLY,)) for n in range(crashes))
+            gateway.mesh.notices.receive(CrashEvidence(crashed, ()), "vm-9")
             response = await env.stream("/digest/a", model=prompt(DEADLY))
             waits.append(float(response.headers["retry-after"]))
         assert 29.0 < waits[0] <= CERTAIN_TRIAL_SECONDS
--- a/pimentoquay/gateway/tests/test_deadly_requests.py
+++ b/pimentoquay/gateway/tests/test_deadly_requests.py
@@ -10,12 +10,12 @@
 from pimentoquay.http1 import ConnectionPool
 from pimentoquay.kernel import ResultCode
 from pimentoquay.kernel.logs import logger
-from pimentoquay.messages.fleet import CrashedPrompt, PromptEvidence
+from pimentoquay.messages.fleet import CrashedRequest, CrashEvidence
 from pimentoquay.platform.store import PROMPT_TOPIC
-from pimentoquay.policy import prompt_quarantine
+from pimentoquay.policy import request_quarantine
 from pimentoquay.policy.crash_evidence import request_feature
-from pimentoquay.policy.prompt_quarantine import REQUEST_TRIAL_SECONDS
 from pimentoquay.policy.request_digest import request_digest
+from pimentoquay.policy.request_quarantine import REQUEST_TRIAL_SECONDS
 from pimentoquay.standin.platform_engine import Behaviour
 
 DEADLY = b"deadly"
@@ -169,7 +169,7 @@
 async def quarantine(env, servers):
     """Send a deadly call until three servers have crashed under it, then wait until it is kept."""
     gateway = env.gateway_by_vm["vm-1"]
-    while not any(each.is_certain for each in gateway.prompts.quarantines):
+    while not any(each.is_certain for each in gateway.guard.quarantines):
         await env.send_request("/look/a", body=DEADLY)
         await servers.all_back()
 
@@ -196,7 +196,7 @@
         servers = Servers(env, ("desk-1", "desk-2"))
         await quarantine(env, servers)
         told_at = asyncio.get_running_loop().time()
-        guards = [env.gateway_by_vm[vm].prompts for vm in vms]
+        guards = [env.gateway_by_vm[vm].guard for vm in vms]
         await until(lambda: all(each.quarantines for each in guards), "all told")
         assert asyncio.get_running_loop().time() - told_at < 3.0
 
@@ -230,7 +230,7 @@
             assert {each.status for each in await asyncio.gather(*waiting)} == {502}
             await servers.all_back()
         await served_again(env, b"page 7")
-        guards = [gateway.prompts for gateway in env.gateway_by_vm.values()]
+        guards = [gateway.guard for gateway in env.gateway_by_vm.values()]
         assert sum(each.reported_crashes for each in guards) >= 8
         assert not any(each.quarantines or each.refused for each in guards)
 
@@ -239,32 +239,36 @@
     async with rig() as env:
         gateway = env.gateway_by_vm["vm-1"]
         digest = request_digest("shop.example", b"/look/a", DEADLY)
-        crashed = tuple(CrashedPrompt(f"gone-{n}", 1, (request_feature(digest),)) for n in range(2))
-        gateway.mesh.notices.receive(PromptEvidence(crashed, ()), "vm-9")
+        crashed = tuple(
+            CrashedRequest(f"gone-{n}", 1, (request_feature(digest),)) for n in range(2)
+        )
+        gateway.mesh.notices.receive(CrashEvidence(crashed, ()), "vm-9")
         response = await env.send_request("/look/a", body=DEADLY)
         assert response.status == 503
         assert 29.0 < float(response.headers["retry-after"]) <= REQUEST_TRIAL_SECONDS
-        assert gateway.prompts.refused == 1
+        assert gateway.guard.refused == 1
         assert gateway.dispatcher._shared.metrics.count_by_code[ResultCode.REQUEST_QUARANTINED] == 1
 
 
 async def test_a_trial_is_told_to_peers_and_releases_a_sound_call(monkeypatch):
-    monkeypatch.setattr(prompt_quarantine, "REQUEST_TRIAL_SECONDS", 0.5)
+    monkeypatch.setattr(request_quarantine, "REQUEST_TRIAL_SECONDS", 0.5)
     async with rig() as env:
         second = await env.add_gateway("vm-2")
         gateway = env.gateway_by_vm["vm-1"]
         digest = request_digest("shop.example", b"/look/a", b"page 7")
-        crashed = tuple(CrashedPrompt(f"gone-{n}", 1, (request_feature(digest),)) for n in range(2))
-        gateway.mesh.notices.receive(PromptEvidence(crashed, ()), "vm-9")
-        await until(lambda: second.prompts.quarantines, "told")
+        crashed = tuple(
+            CrashedRequest(f"gone-{n}", 1, (request_feature(digest),)) for n in range(2)
+        )
+        gateway.mesh.notices.receive(CrashEvidence(crashed, ()), "vm-9")
+        await until(lambda: second.guard.quarantines, "told")
         statuses = []
         async with asyncio.timeout(10.0):
-            while gateway.prompts.quarantines or second.prompts.quarantines:
+            while gateway.guard.quarantines or second.guard.quarantines:
                 response = await env.send_request("/look/a", vm="vm-2", body=b"page 7")
                 statuses.append(response.status)
                 await asyncio.sleep(0.05)
         assert statuses[0] == 503 and 200 in statuses
-        assert gateway.prompts.trials + second.prompts.trials == 1
+        assert gateway.guard.trials + second.guard.trials == 1
 
 
 async def test_all_streams_that_a_crash_breaks_share_one_check_of_the_engine(monkeypatch):
--- a/pimentoquay/messages/fleet.py
+++ b/pimentoquay/messages/fleet.py
@@ -8,8 +8,8 @@
 from pimentoquay.messages.codec import message
 
 __all__ = [
-    "ClearedPart",
-    "CrashedPrompt",
+    "ClearedFeature",
+    "CrashedRequest",
     "EngineLimit",
     "EngineRecord",
     "EngineRuns",
@@ -20,7 +20,7 @@
     "LimitsNamed",
     "PeerLoad",
     "PeerLoads",
-    "PromptEvidence",
+    "CrashEvidence",
     "RunSize",
     "StageOrdered",
     "TrialBegun",
@@ -164,7 +164,7 @@
 
 
 @message(133)
-class CrashedPrompt:
+class CrashedRequest:
     """Features of a request at an engine when it crashed: parts of its prompt, and its digest.
 
     ``restarts`` counts the starts of the engine that its entry did not show yet.
@@ -172,26 +172,26 @@
 
     engine: str
     incarnation: int
-    parts: tuple[str, ...]
+    features: tuple[str, ...]
     restarts: int = 0
 
 
 @message(134)
-class ClearedPart:
+class ClearedFeature:
     """Feature of requests that did not cause the crash of an engine."""
 
     engine: str
     incarnation: int
-    part: str
+    feature: str
     restarts: int = 0
 
 
 @message(135)
-class PromptEvidence:
+class CrashEvidence:
     """Evidence of requests that crash engines, sent to all gateways."""
 
-    crashed: tuple[CrashedPrompt, ...]
-    cleared: tuple[ClearedPart, ...]
+    crashed: tuple[CrashedRequest, ...]
+    cleared: tuple[ClearedFeature, ...]
 
 
 @message(136)
--- a/pimentoquay/policy/crash_evidence.py
+++ b/pimentoquay/policy/crash_evidence.py
@@ -88,7 +88,7 @@
     """
 
     engine: EngineStart
-    parts: Features
+    features: Features
 
 
 @dataclass(frozen=True)
@@ -96,7 +96,7 @@
     """A feature that did not cause the crash of an engine."""
 
     engine: EngineStart
-    part: str
+    feature: str
 
 
 @dataclass(frozen=True)
@@ -106,18 +106,18 @@
     ``is_certain`` is whether enough of the crashes have no other possible cause.
     """
 
-    parts: Features
+    features: Features
     engines: frozenset[EngineStart]
     is_certain: bool
 
     @property
     def request(self) -> str | None:
         """Feature of the one request for which it holds, or ``None`` if it is for parts."""
-        return _request_in(self.parts)
+        return _request_in(self.features)
 
 
 def find_quarantines(
-    parts_by_crash: Mapping[EngineStart, Collection[Features]],
+    reports_by_crash: Mapping[EngineStart, Collection[Features]],
 ) -> tuple[Quarantine, ...]:
     """Return what crashes have in common, the combination with the most crashes first.
 
@@ -127,7 +127,7 @@
 
     Parameters
     ----------
-    parts_by_crash
+    reports_by_crash
         For each crash, the features of each request that may have caused it.
 
     Example
@@ -137,35 +137,38 @@
     ...     EngineStart("dec-2", 1): [frozenset({"all", "bad"}), frozenset({"all", "good"})],
     ...     EngineStart("dec-3", 1): [frozenset({"any", "bad"})],
     ... }
-    >>> [sorted(each.parts) for each in find_quarantines(reports)]
+    >>> [sorted(each.features) for each in find_quarantines(reports)]
     [['bad']]
     """
-    unexplained = set(parts_by_crash)
+    unexplained = set(reports_by_crash)
     found = []
-    while (suspect := _likeliest_feature(parts_by_crash, unexplained)) is not None:
+    while (suspect := _likeliest_feature(reports_by_crash, unexplained)) is not None:
         containing = [
-            parts for reports in parts_by_crash.values() for parts in reports if suspect in parts
+            features
+            for reports in reports_by_crash.values()
+            for features in reports
+            if suspect in features
         ]
         common = frozenset.intersection(*containing)
         crashes = frozenset(
             engine
-            for engine, reports in parts_by_crash.items()
-            if any(common <= parts for parts in reports)
+            for engine, reports in reports_by_crash.items()
+            if any(common <= features for features in reports)
         )
-        found.append(Quarantine(common, crashes, _is_certain(parts_by_crash, common, crashes)))
+        found.append(Quarantine(common, crashes, _is_certain(reports_by_crash, common, crashes)))
         unexplained -= crashes
     return tuple(found)
 
 
 def _likeliest_feature(
-    parts_by_crash: Mapping[EngineStart, Collection[Features]], unexplained: set[EngineStart]
+    reports_by_crash: Mapping[EngineStart, Collection[Features]], unexplained: set[EngineStart]
 ) -> str | None:
     """Return the feature with enough crashes that explains most of the unexplained ones, if any."""
     crashes_by_feature: dict[str, list[EngineStart]] = {}
-    for engine, reports in parts_by_crash.items():
-        for parts in reports:
-            for part in parts:
-                crashes_by_feature.setdefault(part, []).append(engine)
+    for engine, reports in reports_by_crash.items():
+        for features in reports:
+            for feature in features:
+                crashes_by_feature.setdefault(feature, []).append(engine)
 
     def rank(feature: str) -> tuple[int, int, int, str]:
         reported = crashes_by_feature[feature]
@@ -177,13 +180,13 @@
         feature
         for feature, reported in crashes_by_feature.items()
         if not unexplained.isdisjoint(reported)
-        and _has_enough_crashes(parts_by_crash, feature, set(reported))
+        and _has_enough_crashes(reports_by_crash, feature, set(reported))
     ]
     return max(candidates, key=rank, default=None)
 
 
 def _has_enough_crashes(
-    parts_by_crash: Mapping[EngineStart, Collection[Features]],
+    reports_by_crash: Mapping[EngineStart, Collection[Features]],
     feature: str,
     crashes: Collection[EngineStart],
 ) -> bool:
@@ -192,34 +195,39 @@
     return (
         len(crashes) >= MIN_REQUEST_CRASHES
         and feature.startswith(_REQUEST_PREFIX)
-        and _is_singled_out(parts_by_crash, feature, crashes)
+        and _is_singled_out(reports_by_crash, feature, crashes)
     )
 
 
 def _is_singled_out(
-    parts_by_crash: Mapping[EngineStart, Collection[Features]],
+    reports_by_crash: Mapping[EngineStart, Collection[Features]],
     feature: str,
     crashes: Iterable[EngineStart],
 ) -> bool:
     """Return whether no request but that with a feature was at all of these crashes."""
     others = (
-        {each for parts in parts_by_crash[crash] if feature not in parts for each in parts}
+        {
+            each
+            for features in reports_by_crash[crash]
+            if feature not in features
+            for each in features
+        }
         for crash in crashes
     )
     return not any(map(is_request, set.intersection(*others)))
 
 
 def _is_certain(
-    parts_by_crash: Mapping[EngineStart, Collection[Features]],
+    reports_by_crash: Mapping[EngineStart, Collection[Features]],
     common: Features,
     crashes: Collection[EngineStart],
 ) -> bool:
-    conclusive = sum(_is_conclusive(parts_by_crash[each], common) for each in crashes)
+    conclusive = sum(_is_conclusive(reports_by_crash[each], common) for each in crashes)
     if conclusive >= MIN_CONCLUSIVE_CRASHES:
         return True
     request = _request_in(common)
     if request is not None and len(crashes) >= MIN_CRASHES:
-        return _is_singled_out(parts_by_crash, request, crashes)
+        return _is_singled_out(reports_by_crash, request, crashes)
     return conclusive > 0 and len(crashes) >= MAX_TRIED_CRASHES
 
 
@@ -227,5 +235,7 @@
     """Return whether nothing but a combination can have caused a crash."""
     request = _request_in(common)
     if request is not None:
-        return all(request in parts for parts in reports)
-    return all({each for each in parts if not is_request(each)} == common for parts in reports)
+        return all(request in features for features in reports)
+    return all(
+        {each for each in features if not is_request(each)} == common for features in reports
+    )
--- a/pimentoquay/policy/prompt_quarantine.py
+++ b/pimentoquay/policy/request_quarantine.py
@@ -31,10 +31,10 @@
 )
 from pimentoquay.policy.engine_notices import EngineStart
 
-__all__ = ["PromptQuarantine"]
+__all__ = ["RequestQuarantine"]
 
 RECENT_SUCCESS_SECONDS = 10.0
-"""Time for which a part counts as sound after an engine began to answer it.
+"""Time for which a feature counts as sound after an engine has shown that it is.
 
 A part that most requests have is in most crashes as well, and engines that have crashed begin no
 answers for some seconds.
@@ -77,19 +77,19 @@
 """Maximum number of features whose last success is remembered."""
 
 
-class PromptQuarantine:
+class RequestQuarantine:
     """Crash reports and clearances that one VM knows, and the quarantines that follow from them.
 
-    ``suspected_parts`` are the features of requests that were at a crashed engine and that have not
+    ``suspected_features`` are those of requests that were at a crashed engine and that have not
     been cleared of it.
 
     Example
     -------
-    >>> known = PromptQuarantine()
+    >>> known = RequestQuarantine()
     >>> for number in range(3):
     ...     report = CrashReport(EngineStart(f"dec-{number}", 1), frozenset({"bad"}))
     ...     _ = known.add((report,), (), now=float(number))
-    >>> known.quarantine_of(("all", "bad")).parts
+    >>> known.quarantine_of(("all", "bad")).features
     frozenset({'bad'})
     >>> known.quarantine_of(("all",)) is None
     True
@@ -97,11 +97,11 @@
 
     def __init__(self) -> None:
         self.quarantines: tuple[Quarantine, ...] = ()
-        self.suspected_parts: Features = frozenset()
+        self.suspected_features: Features = frozenset()
         self._reports_by_crash: dict[EngineStart, set[Features]] = {}
         self._cleared_by_crash: dict[EngineStart, set[str]] = {}
         self._known_since_by_crash: dict[EngineStart, float] = {}
-        self._succeeded_at_by_part: OrderedDict[str, float] = OrderedDict()
+        self._succeeded_at_by_feature: OrderedDict[str, float] = OrderedDict()
         self._crashes_by_feature: dict[str, set[EngineStart]] = {}
         self._last_trial: tuple[Features, float] | None = None
         self._tried_at_by_request: dict[str, float] = {}
@@ -110,18 +110,18 @@
     def reports(self) -> tuple[CrashReport, ...]:
         """All reports that are known, as first reported."""
         return tuple(
-            CrashReport(engine, parts)
+            CrashReport(engine, features)
             for engine, reports in self._reports_by_crash.items()
-            for parts in reports
+            for features in reports
         )
 
     @property
     def clearances(self) -> tuple[Clearance, ...]:
         """All clearances that are known."""
         return tuple(
-            Clearance(engine, part)
-            for engine, parts in self._cleared_by_crash.items()
-            for part in sorted(parts)
+            Clearance(engine, feature)
+            for engine, features in self._cleared_by_crash.items()
+            for feature in sorted(features)
         )
 
     def start_of_crash(self, listed: EngineStart, now: float) -> EngineStart:
@@ -139,50 +139,50 @@
     ) -> tuple[tuple[CrashReport, ...], tuple[Clearance, ...]]:
         """Add evidence; return what of it was new, and clearances by what succeeded here lately."""
         new_clearances = [each for each in clearances if self._add_clearance(each, now)]
-        new_reports = [each for each in reports if each.parts and self._add_report(each, now)]
+        new_reports = [each for each in reports if each.features and self._add_report(each, now)]
         for report in new_reports:
-            for part in sorted(report.parts):
-                clearance = Clearance(report.engine, part)
-                if self._has_succeeded_lately(part, now) and self._add_clearance(clearance, now):
+            for feature in sorted(report.features):
+                clearance = Clearance(report.engine, feature)
+                if self._has_succeeded_lately(feature, now) and self._add_clearance(clearance, now):
                     new_clearances.append(clearance)
         if new_clearances or any(map(self._may_change_quarantines, new_reports)):
             self._refresh()
         else:
-            self.suspected_parts = self.suspected_parts.union(
+            self.suspected_features = self.suspected_features.union(
                 *(
-                    report.parts - self._cleared_by_crash.get(report.engine, set())
+                    report.features - self._cleared_by_crash.get(report.engine, set())
                     for report in new_reports
                 )
             )
         return tuple(new_reports), tuple(new_clearances)
 
-    def record_success(self, parts: Iterable[str], now: float) -> tuple[Clearance, ...]:
+    def record_success(self, features: Iterable[str], now: float) -> tuple[Clearance, ...]:
         """Record that engines are sound under features; return the clearances that follow."""
         cleared = []
-        for part in parts:
-            self._succeeded_at_by_part[part] = now
-            self._succeeded_at_by_part.move_to_end(part)
-            if part not in self.suspected_parts:
+        for feature in features:
+            self._succeeded_at_by_feature[feature] = now
+            self._succeeded_at_by_feature.move_to_end(feature)
+            if feature not in self.suspected_features:
                 continue
-            for engine in self._crashes_by_feature.get(part, ()):
-                clearance = Clearance(engine, part)
+            for engine in self._crashes_by_feature.get(feature, ()):
+                clearance = Clearance(engine, feature)
                 if self._add_clearance(clearance, now):
                     cleared.append(clearance)
-        while len(self._succeeded_at_by_part) > MAX_SOUND_FEATURES:
-            self._succeeded_at_by_part.popitem(last=False)
+        while len(self._succeeded_at_by_feature) > MAX_SOUND_FEATURES:
+            self._succeeded_at_by_feature.popitem(last=False)
         if cleared:
             self._refresh()
         return tuple(cleared)
 
-    def quarantine_of(self, parts: Collection[str]) -> Quarantine | None:
-        """Return the quarantine that a request with these parts falls under, if there is one."""
+    def quarantine_of(self, features: Collection[str]) -> Quarantine | None:
+        """Return the quarantine that a request with these features falls under, if there is one."""
         if not self.quarantines:
             return None
-        own = frozenset(parts)
-        return next((each for each in self.quarantines if each.parts <= own), None)
+        own = frozenset(features)
+        return next((each for each in self.quarantines if each.features <= own), None)
 
     def begin_trial(
-        self, quarantine: Quarantine, parts: Collection[str], rank: int, vms: int, now: float
+        self, quarantine: Quarantine, features: Collection[str], rank: int, vms: int, now: float
     ) -> bool:
         """Return whether this VM may send a request in spite of a quarantine, and record that.
 
@@ -196,7 +196,7 @@
         ----------
         quarantine
             The quarantine that the request falls under.
-        parts
+        features
             All features of the request.
         rank, vms
             Place of this VM in the order of all VMs, from 0, and their number.
@@ -205,7 +205,7 @@
         """
         if quarantine.is_certain and len(quarantine.engines) >= MAX_TRIED_CRASHES:
             return False
-        others = self.suspected_parts.intersection(parts) - quarantine.parts
+        others = self.suspected_features.intersection(features) - quarantine.features
         if not all(map(is_request, others)):
             return False
         since = now - self._first_trial_at(quarantine)
@@ -214,7 +214,7 @@
         if quarantine.request is not None:
             return self.record_trial(quarantine.request, now)
         turn = since // TRIAL_TURN_SECONDS
-        tried = quarantine.parts, turn
+        tried = quarantine.features, turn
         if turn % vms != rank or tried == self._last_trial:
             return False
         self._last_trial = tried
@@ -265,25 +265,25 @@
         if old:
             self._refresh()
 
-    def _has_succeeded_lately(self, part: str, now: float) -> bool:
-        succeeded_at = self._succeeded_at_by_part.get(part)
+    def _has_succeeded_lately(self, feature: str, now: float) -> bool:
+        succeeded_at = self._succeeded_at_by_feature.get(feature)
         return succeeded_at is not None and now - succeeded_at <= RECENT_SUCCESS_SECONDS
 
     def _add_report(self, report: CrashReport, now: float) -> bool:
         known = self._reports_by_crash.setdefault(report.engine, set())
-        if report.parts in known or len(known) >= MAX_REPORTS_PER_CRASH:
+        if report.features in known or len(known) >= MAX_REPORTS_PER_CRASH:
             return False
-        known.add(report.parts)
-        for part in report.parts:
-            self._crashes_by_feature.setdefault(part, set()).add(report.engine)
+        known.add(report.features)
+        for feature in report.features:
+            self._crashes_by_feature.setdefault(feature, set()).add(report.engine)
         self._known_since_by_crash.setdefault(report.engine, now)
         return True
 
     def _add_clearance(self, clearance: Clearance, now: float) -> bool:
         known = self._cleared_by_crash.setdefault(clearance.engine, set())
-        if clearance.part in known:
+        if clearance.feature in known:
             return False
-        known.add(clearance.part)
+        known.add(clearance.feature)
         self._known_since_by_crash.setdefault(clearance.engine, now)
         return True
 
@@ -291,20 +291,23 @@
         """Return whether a new report may be one of several crashes with a feature in common."""
         if any(report.engine in each.engines for each in self.quarantines):
             return True
-        is_repeated = any(len(self._crashes_by_feature[part]) > 1 for part in report.parts)
+        is_repeated = any(len(self._crashes_by_feature[feature]) > 1 for feature in report.features)
         return is_repeated or len(self._known_since_by_crash) > MAX_CRASHES
 
     def _open(self, crash: EngineStart) -> list[Features]:
-        """Return the reports of a crash without the parts that were cleared of it."""
+        """Return the reports of a crash without the features that were cleared of it."""
         cleared = self._cleared_by_crash.get(crash, set())
-        left = (parts - cleared for parts in self._reports_by_crash.get(crash, ()))
-        return [parts for parts in left if parts]
+        left = (features - cleared for features in self._reports_by_crash.get(crash, ()))
+        return [features for features in left if features]
 
     def _refresh(self) -> None:
         self._limit_crashes()
         open_by_crash = {crash: self._open(crash) for crash in self._reports_by_crash}
-        self.suspected_parts = frozenset(
-            part for reports in open_by_crash.values() for parts in reports for part in parts
+        self.suspected_features = frozenset(
+            feature
+            for reports in open_by_crash.values()
+            for features in reports
+            for feature in features
         )
         self.quarantines = find_quarantines(
             {crash: reports for crash, reports in open_by_crash.items() if reports}
@@ -322,10 +325,12 @@
             self._forget(engine)
 
     def _forget(self, engine: EngineStart) -> None:
-        for part in {part for parts in self._reports_by_crash.get(engine, ()) for part in parts}:
-            crashes = self._crashes_by_feature[part]
+        for feature in {
+            feature for features in self._reports_by_crash.get(engine, ()) for feature in features
+        }:
+            crashes = self._crashes_by_feature[feature]
             crashes.discard(engine)
             if not crashes:
-                del self._crashes_by_feature[part]
+                del self._crashes_by_feature[feature]
         for table in (self._known_since_by_crash, self._reports_by_crash, self._cleared_by_crash):
             table.pop(engine, None)
--- a/pimentoquay/policy/tests/test_prompt_loads.py
+++ b/pimentoquay/policy/tests/test_prompt_loads.py
@@ -10,7 +10,7 @@
 
 from pimentoquay.policy.crash_evidence import CrashReport
 from pimentoquay.policy.engine_notices import EngineStart
-from pimentoquay.policy.prompt_quarantine import PromptQuarantine
+from pimentoquay.policy.request_quarantine import RequestQuarantine
 
 CONTACT_SECONDS = 3.0
 """Time in which all VMs are to learn of something."""
@@ -46,7 +46,7 @@
 
     def run(self):
         self.random = random.Random(self.seed)
-        self.known = [PromptQuarantine() for _ in range(self.vms)]
+        self.known = [RequestQuarantine() for _ in range(self.vms)]
         self.up_at = [0.0] * self.engines
         self.start = [0] * self.engines
         self.waiting: list[dict] = [{} for _ in range(self.engines)]
@@ -75,7 +75,7 @@
         return self
 
     def restart(self, vm):
-        self.known[vm] = PromptQuarantine()
+        self.known[vm] = RequestQuarantine()
         self.back_at[vm] = self.now
         self.exchange(vm)
 
--- a/pimentoquay/policy/tests/test_request_loads.py
+++ b/pimentoquay/policy/tests/test_request_loads.py
@@ -11,7 +11,7 @@
 from pimentoquay.policy.crash_evidence import CrashReport, request_feature
 from pimentoquay.policy.engine_notices import EngineStart
 from pimentoquay.policy.fleet import EngineEntry
-from pimentoquay.policy.prompt_quarantine import PromptQuarantine
+from pimentoquay.policy.request_quarantine import RequestQuarantine
 
 CONTACT_SECONDS = 3.0
 """Time in which all VMs are to learn of something."""
@@ -66,7 +66,7 @@
 
     def run(self):
         self.random = random.Random(self.seed)
-        self.known = [PromptQuarantine() for _ in range(self.vms)]
+        self.known = [RequestQuarantine() for _ in range(self.vms)]
         self.entries = [
             EngineEntry(f"desk-{n}", "desk", "", "hall", False, 6) for n in range(self.servers)
         ]
@@ -110,7 +110,7 @@
         heapq.heappush(self.events, (when, next(self.order), call, *arguments))
 
     def restart(self, vm):
-        self.known[vm] = PromptQuarantine()
+        self.known[vm] = RequestQuarantine()
         self.back_at[vm] = self.now
         self.exchange(vm)
 
--- a/pimentoquay/policy/tests/test_prompt_quarantine.py
+++ b/pimentoquay/policy/tests/test_request_quarantine.py
@@ -14,7 +14,7 @@
     request_feature,
 )
 from pimentoquay.policy.engine_notices import EngineStart
-from pimentoquay.policy.prompt_quarantine import (
+from pimentoquay.policy.request_quarantine import (
     CERTAIN_TRIAL_SECONDS,
     MAX_CRASHES,
     MAX_REPORTS_PER_CRASH,
@@ -23,7 +23,7 @@
     RETENTION_SECONDS,
     TRIAL_SECONDS,
     TRIAL_TURN_SECONDS,
-    PromptQuarantine,
+    RequestQuarantine,
 )
 
 
@@ -32,7 +32,7 @@
 
 
 def quarantine_of(*reports, clearances=(), now=0.0):
-    known = PromptQuarantine()
+    known = RequestQuarantine()
     known.add(reports, clearances, now)
     return known
 
@@ -41,7 +41,7 @@
     known = quarantine_of(*(crash(number, "all", "bad") for number in range(MIN_CRASHES - 1)))
     assert known.quarantine_of(("all", "bad")) is None
     known.add((crash(7, "any", "bad"),), (), 1.0)
-    assert known.quarantine_of(("other", "bad")).parts == {"bad"}
+    assert known.quarantine_of(("other", "bad")).features == {"bad"}
     assert known.quarantine_of(("all", "any")) is None
 
 
@@ -72,10 +72,10 @@
 
 def test_several_deadly_parts_are_quarantined_each():
     reports = [crash(number, "all", f"bad-{number % 3}") for number in range(9)]
-    known = PromptQuarantine()
+    known = RequestQuarantine()
     known.record_success(("all",), 0.0)
     known.add(reports, (), 1.0)
-    assert {each.parts for each in known.quarantines} == {
+    assert {each.features for each in known.quarantines} == {
         frozenset({f"bad-{number}"}) for number in range(3)
     }
 
@@ -101,7 +101,7 @@
 
 
 def test_a_part_that_succeeded_lately_is_cleared_of_the_crashes_that_others_report():
-    known = PromptQuarantine()
+    known = RequestQuarantine()
     known.record_success(("all",), 5.0)
     _, clearances = known.add((crash(1, "all", "bad"),), (), 5.0 + RECENT_SUCCESS_SECONDS)
     assert clearances == (Clearance(EngineStart("dec-1", 1), "all"),)
@@ -117,7 +117,7 @@
     for _ in range(30):
         events = [*reports, *clearances]
         random_source.shuffle(events)
-        known = PromptQuarantine()
+        known = RequestQuarantine()
         for event in events:
             if isinstance(event, CrashReport):
                 known.add((event,), (), 0.0)
@@ -128,11 +128,11 @@
 
 
 def test_known_evidence_is_not_new_again():
-    known = PromptQuarantine()
+    known = RequestQuarantine()
     report, clearance = crash(1, "all", "bad"), Clearance(EngineStart("dec-1", 1), "all")
     assert known.add((report,), (clearance,), 0.0) == ((report,), (clearance,))
     assert known.add((report,), (clearance,), 1.0) == ((), ())
-    other = PromptQuarantine()
+    other = RequestQuarantine()
     other.add(known.reports, known.clearances, 2.0)
     assert (other.reports, other.clearances) == (known.reports, known.clearances)
 
@@ -142,7 +142,7 @@
     reports = [crash(n, "all", f"bad-{n}") for n in range(3)]
     known = [quarantine_of(*reports, now=10.0) for _ in range(5)]
     (quarantine,) = known[0].quarantines
-    assert quarantine.parts == {"all"} and not quarantine.is_certain
+    assert quarantine.features == {"all"} and not quarantine.is_certain
     times = [10.0 + 0.1 * step for step in range(100)]
     tried = [
         (now, rank)
@@ -176,11 +176,11 @@
     )
 
 
-def test_requests_with_other_suspected_parts_leave_a_quarantine_in_doubt():
+def test_requests_with_other_suspected_features_leave_a_quarantine_in_doubt():
     """Either request may have crashed the engine if neither part has been cleared."""
     reports = [crash(n, "all", f"bad-{n}") for n in range(3)]
     known = quarantine_of(*reports, *(crash(n, "all") for n in range(3)))
-    assert known.quarantines[0].parts == {"all"} and not known.quarantines[0].is_certain
+    assert known.quarantines[0].features == {"all"} and not known.quarantines[0].is_certain
 
 
 def test_a_bystander_at_every_crash_leaves_a_quarantine_in_doubt():
@@ -225,11 +225,11 @@
 def test_a_part_of_prompts_is_told_from_the_requests_that_have_it():
     reports = [crash(number, "bad", request_feature(f"{number}")) for number in range(3)]
     (found,) = quarantine_of(*reports).quarantines
-    assert found.parts == {"bad"} and found.is_certain and found.request is None
+    assert found.features == {"bad"} and found.is_certain and found.request is None
 
 
 def test_an_engine_that_is_back_under_its_id_crashes_anew():
-    known = PromptQuarantine()
+    known = RequestQuarantine()
     listed = EngineStart("desk-1", 7)
     for now in (0.0, 0.2, 4.0, 4.2):
         start = known.start_of_crash(listed, now)
@@ -259,7 +259,7 @@
 
 
 def test_bystanders_of_many_crashes_fill_no_memory():
-    known = PromptQuarantine()
+    known = RequestQuarantine()
     for number in range(MAX_CRASHES * 2):
         reports = [crash(number, request_feature(f"{number}-{k}")) for k in range(200)]
         known.add(reports, (), float(number))
@@ -267,7 +267,7 @@
     assert len(known._crashes_by_feature) <= MAX_CRASHES * MAX_REPORTS_PER_CRASH
     for number in range(1_000_000):
         known.record_success((f"sound-{number}",), 1e4)
-    assert len(known._succeeded_at_by_part) <= MAX_SOUND_FEATURES
+    assert len(known._succeeded_at_by_feature) <= MAX_SOUND_FEATURES
 
 
 def test_a_request_whose_answer_had_begun_is_quarantined_after_three_crashes():
