Keep virtual time, gossip and the set-up of relays of tests in one place each

Three loads had their own queue of events, two their own cuts, restarts and gossip of VMs; three tests their own seven gateways behind relays. Loads, seeds, checks and bounds are as they were; a trial told during a cut now arrives after it, as evidence does.

--- a/pimentoquay/gateway/tests/rig.py
+++ b/pimentoquay/gateway/tests/rig.py
@@ -118,6 +118,15 @@
             await until(lambda: gateway.dispatcher.is_ready, "ready")
         return gateway
 
+    async def add_gateways_behind_relays(self) -> tuple[list[str], str]:
+        """Add gateways up to seven, with the fixture ``relays``; return all VMs, and a leaf."""
+        vms = [f"vm-{number}" for number in range(1, 8)]
+        for vm in vms[1:]:
+            await self.add_gateway(vm)
+        meshes = [self.gateway_by_vm[vm].mesh for vm in vms]
+        await until(lambda: all(len(each.relays.live_relays()) >= 2 for each in meshes), "relays")
+        return vms, next(vm for vm in vms if vm not in meshes[0].plan.relays)
+
     def stop(self, vm="vm-1") -> asyncio.Task:
         self._stop_by_vm[vm].set()
         return self._task_by_vm[vm]
--- a/pimentoquay/gateway/tests/test_deadly_parts.py
+++ b/pimentoquay/gateway/tests/test_deadly_parts.py
@@ -145,12 +145,7 @@
 
 async def test_gateways_behind_relays_learn_of_a_deadly_part_within_the_contact_time(relays):
     async with rig() as env:
-        vms = [f"vm-{number}" for number in range(1, 8)]
-        for vm in vms[1:]:
-            await env.add_gateway(vm)
-        meshes = [env.gateway_by_vm[vm].mesh for vm in vms]
-        await until(lambda: all(len(each.relays.live_relays()) >= 2 for each in meshes), "relays")
-        leaf = next(vm for vm in vms if vm not in meshes[0].plan.relays)
+        vms, leaf = await env.add_gateways_behind_relays()
         fleet = Fleet(env)
         await fleet.start(6)
         await quarantine(env, fleet, DEADLY, vm=vms.index(leaf))
--- a/pimentoquay/gateway/tests/test_deadly_requests.py
+++ b/pimentoquay/gateway/tests/test_deadly_requests.py
@@ -188,11 +188,7 @@
 
 async def test_gateways_behind_relays_learn_of_a_deadly_call_within_the_contact_time(relays):
     async with rig() as env:
-        vms = [f"vm-{number}" for number in range(1, 8)]
-        for vm in vms[1:]:
-            await env.add_gateway(vm)
-        meshes = [env.gateway_by_vm[vm].mesh for vm in vms]
-        await until(lambda: all(len(each.relays.live_relays()) >= 2 for each in meshes), "relays")
+        vms, _ = await env.add_gateways_behind_relays()
         servers = Servers(env, ("desk-1", "desk-2"))
         await quarantine(env, servers)
         told_at = asyncio.get_running_loop().time()
--- a/pimentoquay/gateway/tests/test_software_versions.py
+++ b/pimentoquay/gateway/tests/test_software_versions.py
@@ -81,12 +81,18 @@
     await add_version(env, "v2", *NEW)
 
 
+async def streams_before_release(env, count, vm="vm-1"):
+    """Begin streams at the first version, then a release; return the streams."""
+    streams = Streams(env)
+    await streams.begin(count, vm)
+    await begin_release(env)
+    return streams
+
+
 async def test_streams_of_a_crashed_engine_go_on_at_their_version_only():
     """On the day second1 of huong-giang, 18 streams went on at another version."""
     async with rig() as env:
-        streams = Streams(env)
-        await streams.begin(6)
-        await begin_release(env)
+        streams = await streams_before_release(env, 6)
         busy = max(("dec-1", "dec-2"), key=lambda each: env.engine_by_id[each].running)
         env.engine_by_id[busy].crash()
         assert await streams.finish() == 6
@@ -96,9 +102,7 @@
 async def test_streams_taken_up_at_another_gateway_go_on_at_their_version_only():
     async with rig() as env:
         await env.add_gateway("vm-2")
-        streams = Streams(env)
-        await streams.begin(6)
-        await begin_release(env)
+        streams = await streams_before_release(env, 6)
         ids = await streams.leave()
         env._task_by_vm["vm-1"].cancel()
         for request_id in ids:
@@ -123,9 +127,7 @@
 
 async def test_a_resumption_at_the_same_gateway_goes_on_at_its_version():
     async with rig() as env:
-        streams = Streams(env)
-        await streams.begin(4)
-        await begin_release(env)
+        streams = await streams_before_release(env, 4)
         for request_id in await streams.leave():
             assert (await resume(env, request_id)).status == 200
         assert not runs_at(env, *NEW)
@@ -154,9 +156,7 @@
 async def test_a_gateway_that_starts_during_a_release_is_told_where_streams_began():
     async with rig() as env:
         await env.add_gateway("vm-2")
-        streams = Streams(env)
-        await streams.begin(4)
-        await begin_release(env)
+        streams = await streams_before_release(env, 4)
         third = await env.add_gateway("vm-3")
         await until(lambda: third.origins.known_streams == 4, "told")
         for request_id in await streams.leave():
@@ -166,15 +166,8 @@
 
 async def test_gateways_behind_relays_are_told_where_streams_began(relays):
     async with rig() as env:
-        vms = [f"vm-{number}" for number in range(1, 8)]
-        for vm in vms[1:]:
-            await env.add_gateway(vm)
-        meshes = [env.gateway_by_vm[vm].mesh for vm in vms]
-        await until(lambda: all(len(each.relays.live_relays()) >= 2 for each in meshes), "relays")
-        leaf = next(vm for vm in vms if vm not in meshes[0].plan.relays)
-        streams = Streams(env)
-        await streams.begin(4, vm=leaf)
-        await begin_release(env)
+        vms, leaf = await env.add_gateways_behind_relays()
+        streams = await streams_before_release(env, 4, leaf)
         others = [env.gateway_by_vm[vm] for vm in vms if vm != leaf]
         await until(lambda: all(each.origins.known_streams == 4 for each in others), "told")
         ids = await streams.leave()
@@ -223,9 +216,7 @@
 
 async def test_streams_of_a_version_that_is_gone_are_refused_at_once():
     async with rig() as env:
-        streams = Streams(env)
-        await streams.begin(4)
-        await begin_release(env)
+        streams = await streams_before_release(env, 4)
         for engine_id in ("dec-1", "dec-2"):
             await env.store.put("keyed.servers", engine_id, b"")
         await until(lambda: not is_listed(env, "dec-2") and not is_listed(env, "dec-1"), "gone")
@@ -278,9 +269,7 @@
 
 async def test_the_prompt_of_a_stream_that_goes_on_is_read_by_its_version_only():
     async with rig() as env:
-        streams = Streams(env)
-        await streams.begin(4)
-        await begin_release(env)
+        streams = await streams_before_release(env, 4)
         for request_id in await streams.leave():
             assert (await resume(env, request_id)).status == 200
         assert not env.engine_by_id["pre-2"].arrivals
@@ -296,9 +285,7 @@
             await env.add_gateway(vm)
         gateways = env.gateway_by_vm.values()
         await until(lambda: all(each.pool_client._known_by_key for each in gateways), "pools")
-        streams = Streams(env)
-        await streams.begin(4)
-        await begin_release(env)
+        streams = await streams_before_release(env, 4)
         second = env.gateway_by_vm["vm-2"]
         await until(lambda: second.origins.known_streams == 4, "told")
         for request_id in await streams.leave():
--- a/pimentoquay/policy/tests/test_prompt_loads.py
+++ b/pimentoquay/policy/tests/test_prompt_loads.py
@@ -1,9 +1,6 @@
 """Quarantines of prompts under seeded loads of many VMs, in virtual time."""
 
-import heapq
-import itertools
 import os
-import random
 from dataclasses import dataclass, field
 
 import pytest
@@ -11,6 +8,7 @@
 from pimentoquay.policy.crash_evidence import CrashReport
 from pimentoquay.policy.engine_notices import EngineStart
 from pimentoquay.policy.request_quarantine import RequestQuarantine
+from pimentoquay.policy.tests.virtual_vms import GossipingVms
 
 CONTACT_SECONDS = 3.0
 """Time in which all VMs are to learn of something."""
@@ -20,13 +18,12 @@
 
 
 @dataclass
-class Load:
+class Load(GossipingVms):
     """Seeded load of many VMs: sound and deadly streams, crashes, and evidence that travels.
 
     An engine needs some time to begin an answer and breaks all others that wait there if it
-    crashes. Broken streams are sent once more. Evidence reaches each other VM after a delay of its
-    own, or when a cut of either VM is over. A VM that starts again is told by another one. What a
-    VM sends within the contact time after a cut or a start is not counted.
+    crashes. Broken streams are sent once more. What a VM sends within the contact time after a cut
+    or a start is not counted.
     """
 
     seed: int
@@ -44,16 +41,13 @@
     refused_sound: list[float] = field(default_factory=list)
     begun_sound: list[float] = field(default_factory=list)
 
+    def __post_init__(self):
+        super().__init__(self.seed, self.vms, self.delay, RequestQuarantine)
+
     def run(self):
-        self.random = random.Random(self.seed)
-        self.known = [RequestQuarantine() for _ in range(self.vms)]
         self.up_at = [0.0] * self.engines
         self.start = [0] * self.engines
         self.waiting: list[dict] = [{} for _ in range(self.engines)]
-        self.order = itertools.count()
-        self.events: list[tuple] = []
-        self.cut_until = [float("-inf")] * self.vms
-        self.back_at = [float("-inf")] * self.vms
         now = 0.0
         while now < self.seconds:
             now += self.random.expovariate(self.per_second)
@@ -63,42 +57,11 @@
             parts += [bad] if bad else []
             parts += [f"session-{self.random.randrange(40)}"] if self.random.random() < 0.5 else []
             self.at(now, self.arrive, self.random.randrange(self.vms), tuple(parts), bad, 2)
-        for _ in range(self.vms if self.has_trouble else 0):
-            vm, when = self.random.randrange(self.vms), self.random.uniform(2.0, self.seconds)
-            if self.random.random() < 0.5:
-                self.at(when, self.restart, vm)
-            else:
-                self.at(when, self.cut, vm, self.random.uniform(1.0, 5.0))
-        while self.events:
-            self.now, _, call, *arguments = heapq.heappop(self.events)
-            call(*arguments)
+        if self.has_trouble:
+            self.trouble(self.seconds)
+        self.run_all()
         return self
 
-    def restart(self, vm):
-        self.known[vm] = RequestQuarantine()
-        self.back_at[vm] = self.now
-        self.exchange(vm)
-
-    def cut(self, vm, seconds):
-        self.cut_until[vm] = max(self.cut_until[vm], self.now + seconds)
-        self.at(self.cut_until[vm], self.heal, vm)
-
-    def heal(self, vm):
-        if self.cut_until[vm] <= self.now:
-            self.back_at[vm] = self.now
-            self.exchange(vm)
-
-    def exchange(self, vm):
-        """Exchange all that is known with another VM, as new channels do."""
-        others = [n for n in range(self.vms) if n != vm and self.cut_until[n] <= self.now]
-        if others and self.cut_until[vm] <= self.now:
-            own, peer = self.known[vm], self.known[self.random.choice(others)]
-            self.tell(vm, own.reports, own.clearances)
-            self.learn(vm, peer.reports, peer.clearances)
-
-    def at(self, when, call, *arguments):
-        heapq.heappush(self.events, (when, next(self.order), call, *arguments))
-
     def arrive(self, vm, parts, bad, sends):
         quarantine = self.known[vm].quarantine_of(parts)
         if quarantine is not None and not self.known[vm].begin_trial(
@@ -110,10 +73,9 @@
         if not up:
             return
         engine = self.random.choice(up)
-        is_in_touch = self.now > max(self.cut_until[vm], self.back_at[vm]) + CONTACT_SECONDS
-        if bad and is_in_touch:
+        if bad and self.is_in_touch(vm, CONTACT_SECONDS):
             self.sent.append((self.now, bad))
-        key = next(self.order)
+        key = self.next_number()
         self.waiting[engine][key] = (vm, parts, bad, sends - 1)
         self.at(self.now + self.random.uniform(0.02, 0.4), self.begin, engine, key)
 
@@ -139,25 +101,6 @@
             if sends:
                 self.at(self.now + 0.005, self.arrive, vm, parts, was_bad, sends)
 
-    def learn(self, vm, reports, clearances):
-        self.tell(vm, *self.known[vm].add(reports, clearances, self.now))
-
-    def tell(self, vm, reports, clearances):
-        if (reports or clearances) and self.cut_until[vm] <= self.now:
-            for other in range(self.vms):
-                if other != vm:
-                    delay = self.random.uniform(0.001, self.delay)
-                    self.at(self.now + delay, self.receive, other, reports, clearances)
-
-    def receive(self, vm, reports, clearances):
-        if self.cut_until[vm] > self.now:
-            self.at(self.cut_until[vm] + 0.01, self.receive, vm, reports, clearances)
-            return
-        _, cleared_here = self.known[vm].add(reports, clearances, self.now)
-        own = tuple(each for each in cleared_here if each not in clearances)
-        if own:
-            self.tell(vm, (), own)
-
     def sends_after_bound(self, part):
         """Return the sends with a part later than the contact time after its fifth crash."""
         times = [at for at, bad in self.crashes if bad == part]
--- a/pimentoquay/policy/tests/test_request_loads.py
+++ b/pimentoquay/policy/tests/test_request_loads.py
@@ -1,9 +1,6 @@
 """Quarantines of requests that come again, under seeded loads of plain calls, in virtual time."""
 
-import heapq
-import itertools
 import os
-import random
 from dataclasses import dataclass, field
 
 import pytest
@@ -12,6 +9,7 @@
 from pimentoquay.policy.engine_notices import EngineStart
 from pimentoquay.policy.fleet import EngineEntry
 from pimentoquay.policy.request_quarantine import RequestQuarantine
+from pimentoquay.policy.tests.virtual_vms import GossipingVms
 
 CONTACT_SECONDS = 3.0
 """Time in which all VMs are to learn of something."""
@@ -39,13 +37,12 @@
 
 
 @dataclass
-class Load:
+class Load(GossipingVms):
     """Seeded load of plain calls before a few servers, some of them deadly ones that come again.
 
     A server breaks all calls that it runs when it crashes, and is back under its id later. A call
     that may be repeated is sent on once, and sent again by its caller at any VM. Servers also crash
     for other reasons, ``random_crashes`` times. A part of the sound calls are alike by nature.
-    Evidence reaches each other VM after a delay of its own, or when a cut of either VM is over.
     """
 
     seed: int
@@ -64,23 +61,20 @@
     refused_sound: list[tuple[float, str]] = field(default_factory=list)
     answered_sound: int = 0
 
+    def __post_init__(self):
+        super().__init__(self.seed, self.vms, self.delay, RequestQuarantine)
+
     def run(self):
-        self.random = random.Random(self.seed)
-        self.known = [RequestQuarantine() for _ in range(self.vms)]
         self.entries = [
             EngineEntry(f"desk-{n}", "desk", "", "hall", False, 6) for n in range(self.servers)
         ]
         self.up_at = [0.0] * self.servers
         self.running: list[dict] = [{} for _ in range(self.servers)]
-        self.order = itertools.count()
-        self.events: list[tuple] = []
-        self.cut_until = [float("-inf")] * self.vms
-        self.back_at = [float("-inf")] * self.vms
         now = 0.0
         while now < self.seconds:
             now += self.random.expovariate(self.per_second)
             is_popular = self.random.random() < 0.3
-            number = self.random.randrange(20) if is_popular else next(self.order)
+            number = self.random.randrange(20) if is_popular else self.next_number()
             name = f"popular-{number}" if is_popular else f"own-{number}"
             self.at(now, self.arrive_anew, name, is_popular or self.random.random() < 0.3)
         for each in range(self.deadly):
@@ -95,41 +89,11 @@
             when = self.random.uniform(1.0, self.seconds)
             for server in range(self.servers):
                 self.at(when + self.random.uniform(0.0, 0.5), self.crash, server, "")
-        for _ in range(self.vms if self.has_trouble else 0):
-            vm, when = self.random.randrange(self.vms), self.random.uniform(2.0, self.seconds)
-            if self.random.random() < 0.5:
-                self.at(when, self.restart, vm)
-            else:
-                self.at(when, self.cut, vm, self.random.uniform(1.0, 5.0))
-        while self.events:
-            self.now, _, call, *arguments = heapq.heappop(self.events)
-            call(*arguments)
+        if self.has_trouble:
+            self.trouble(self.seconds)
+        self.run_all()
         return self
 
-    def at(self, when, call, *arguments):
-        heapq.heappush(self.events, (when, next(self.order), call, *arguments))
-
-    def restart(self, vm):
-        self.known[vm] = RequestQuarantine()
-        self.back_at[vm] = self.now
-        self.exchange(vm)
-
-    def cut(self, vm, seconds):
-        self.cut_until[vm] = max(self.cut_until[vm], self.now + seconds)
-        self.at(self.cut_until[vm], self.heal, vm)
-
-    def heal(self, vm):
-        if self.cut_until[vm] <= self.now:
-            self.back_at[vm] = self.now
-            self.exchange(vm)
-
-    def exchange(self, vm):
-        others = [n for n in range(self.vms) if n != vm and self.cut_until[n] <= self.now]
-        if others and self.cut_until[vm] <= self.now:
-            own, peer = self.known[vm], self.known[self.random.choice(others)]
-            self.tell(vm, own.reports, own.clearances)
-            self.learn(vm, peer.reports, peer.clearances)
-
     def arrive_anew(self, digest, is_repeatable, attempts=2):
         vm = self.random.randrange(self.vms)
         self.dispatch(Call(vm, digest, is_repeatable, attempts - 1))
@@ -142,7 +106,7 @@
                 if not call.digest.startswith("deadly"):
                     self.refused_sound.append((self.now, call.digest))
                 return
-            self.tell_trial(call.vm, quarantine.request)
+            self.tell_others(call.vm, self.receive_trial, quarantine.request)
         self.send(call)
 
     def send(self, call):
@@ -155,11 +119,11 @@
         server = min(left, key=lambda each: len(self.running[self.entries.index(each)]))
         index = self.entries.index(server)
         call.tried.add(server.id)
-        key = next(self.order)
+        key = self.next_number()
         self.running[index][key] = call
         if call.digest.startswith("deadly"):
-            since = max(self.cut_until[call.vm], self.back_at[call.vm])
-            self.sends.append((self.now, call.digest, self.now > since + CONTACT_SECONDS))
+            is_in_touch = self.is_in_touch(call.vm, CONTACT_SECONDS)
+            self.sends.append((self.now, call.digest, is_in_touch))
             self.at(self.now + self.random.uniform(0.01, 0.1), self.crash_under, index, key)
         else:
             self.at(self.now + self.random.expovariate(1 / 0.02), self.answer, index, key)
@@ -200,32 +164,9 @@
             pause = self.random.uniform(0.01, 0.1)
             self.at(self.now + pause, self.arrive_anew, call.digest, True, call.attempts_left)
 
-    def learn(self, vm, reports, clearances=()):
-        self.tell(vm, *self.known[vm].add(reports, clearances, self.now))
-
-    def tell(self, vm, reports, clearances):
-        if (reports or clearances) and self.cut_until[vm] <= self.now:
-            for other in range(self.vms):
-                if other != vm:
-                    delay = self.random.uniform(0.001, self.delay)
-                    self.at(self.now + delay, self.receive, other, reports, clearances)
-
-    def tell_trial(self, vm, request):
-        for other in range(self.vms):
-            if other != vm and max(self.cut_until[vm], self.cut_until[other]) <= self.now:
-                delay = self.random.uniform(0.001, self.delay)
-                self.at(self.now + delay, self.receive_trial, other, request)
-
     def receive_trial(self, vm, request):
         self.known[vm].record_trial(request, self.now)
 
-    def receive(self, vm, reports, clearances):
-        if self.cut_until[vm] > self.now:
-            self.at(self.cut_until[vm] + 0.01, self.receive, vm, reports, clearances)
-            return
-        _, cleared_here = self.known[vm].add(reports, clearances, self.now)
-        self.tell(vm, (), tuple(each for each in cleared_here if each not in clearances))
-
     def crashes_under(self, digest):
         return [at for at, each in self.crashes if each == digest]
 
--- a/pimentoquay/policy/tests/test_version_loads.py
+++ b/pimentoquay/policy/tests/test_version_loads.py
@@ -1,14 +1,12 @@
 """Ways to know where streams began, under seeded loads with kills of VMs, in virtual time."""
 
-import heapq
-import itertools
-import random
 from dataclasses import dataclass, field
 
 import pytest
 
 from pimentoquay.policy.mesh_plan import hash_rank
 from pimentoquay.policy.stream_origins import StreamOrigins, stream_key
+from pimentoquay.policy.tests.virtual_vms import EventQueue
 
 TELL_SECONDS = 0.02
 OWNERS = 3
@@ -16,7 +14,7 @@
 
 
 @dataclass
-class Load:
+class Load(EventQueue):
     """Seeded load of streams at two versions, some of which are taken up at another VM.
 
     ``way`` is how another VM learns where a stream began: ``told`` to all at its first event, kept
@@ -38,26 +36,21 @@
     most_kept: int = 0
     _batches: set = field(default_factory=set)
 
+    def __post_init__(self):
+        super().__init__(self.seed)
+
     def run(self):
-        self.random = random.Random(self.seed)
-        self.events: list[tuple] = []
-        self.order = itertools.count()
         self.known = [StreamOrigins() for _ in range(self.vms)]
         self.killed_at = [float("-inf")] * self.vms
         now = 0.0
         while now < self.seconds:
             now += self.random.expovariate(self.per_second)
-            self.at(now, self.begin, f"stream-{next(self.order)}")
+            self.at(now, self.begin, f"stream-{self.next_number()}")
         if self.kill_at is not None:
             self.at(self.kill_at, self.kill_half)
-        while self.events:
-            self.now, _, call, *arguments = heapq.heappop(self.events)
-            call(*arguments)
+        self.run_all()
         return self
 
-    def at(self, when, call, *arguments):
-        heapq.heappush(self.events, (when, next(self.order), call, *arguments))
-
     def is_up(self, vm):
         return self.now - self.killed_at[vm] > 1.0
 
