--- a/pimentoquay/gateway/request_guard.py
+++ b/pimentoquay/gateway/request_guard.py
@@ -8,7 +8,7 @@
 import hashlib
 import json
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Set
 
 from pimentoquay.gateway.job import Job
 from pimentoquay.gateway.links import EngineLink
@@ -83,7 +83,7 @@
         return self._known.quarantines
 
     @property
-    def suspected_features(self) -> frozenset[str]:
+    def suspected_features(self) -> Set[str]:
         """Features that may have caused a crash, including those in quarantine."""
         return self._known.suspected_features
 
--- a/pimentoquay/policy/request_quarantine.py
+++ b/pimentoquay/policy/request_quarantine.py
@@ -97,7 +97,7 @@
 
     def __init__(self) -> None:
         self.quarantines: tuple[Quarantine, ...] = ()
-        self.suspected_features: Features = frozenset()
+        self.suspected_features: set[str] = set()
         self._reports_by_crash: dict[EngineStart, set[Features]] = {}
         self._cleared_by_crash: dict[EngineStart, set[str]] = {}
         self._known_since_by_crash: dict[EngineStart, float] = {}
@@ -148,12 +148,9 @@
         if new_clearances or any(map(self._may_change_quarantines, new_reports)):
             self._refresh()
         else:
-            self.suspected_features = self.suspected_features.union(
-                *(
-                    report.features - self._cleared_by_crash.get(report.engine, set())
-                    for report in new_reports
-                )
-            )
+            for report in new_reports:
+                cleared = self._cleared_by_crash.get(report.engine, set())
+                self.suspected_features |= report.features - cleared
         return tuple(new_reports), tuple(new_clearances)
 
     def record_success(self, features: Iterable[str], now: float) -> tuple[Clearance, ...]:
@@ -303,7 +300,7 @@
     def _refresh(self) -> None:
         self._limit_crashes()
         open_by_crash = {crash: self._open(crash) for crash in self._reports_by_crash}
-        self.suspected_features = frozenset(
+        self.suspected_features = set(
             feature
             for reports in open_by_crash.values()
             for features in reports
