Say which engines a gateway does not reach, and how connecting to them failed

Nothing in the logs told a cut gateway from failed engines. Each gateway now logs the first failed attempt to connect to an engine (no response, refused or broken; when it was last reached) and when it is reached again, and counts both, so that the times of two gateways can be compared.

--- a/pimentoquay/gateway/__init__.py
+++ b/pimentoquay/gateway/__init__.py
@@ -6,6 +6,7 @@
 its connections.
 """
 
-from pimentoquay.gateway.compose import Gateway, compose_gateway
+from pimentoquay.gateway.compose import compose_gateway
+from pimentoquay.gateway.lifecycle import Gateway
 
 __all__ = ["Gateway", "compose_gateway"]
--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -1,20 +1,23 @@
-"""Create the objects of a gateway, connect them, and run and drain the gateway."""
+"""Composition root of the gateway: create its parts and connect them."""
 
-import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from typing import Any
 
 from pimentoquay.gateway.dispatcher import Dispatcher
+from pimentoquay.gateway.engine_contact import EngineContact
 from pimentoquay.gateway.feed import StoreFeed
 from pimentoquay.gateway.fleet import Fleet
+from pimentoquay.gateway.lifecycle import Gateway
 from pimentoquay.gateway.links import EngineLinks
 from pimentoquay.gateway.mesh import Mesh
 from pimentoquay.gateway.metrics import (
+    CONNECT_FAILURES,
     CONNECTIONS,
     ENGINE_CRASHES,
     ENGINES_LEAVING,
     ENGINES_LIMITED,
+    ENGINES_UNREACHABLE,
     IN_PROGRESS,
     LIST_AGE,
     OVERSIZED,
@@ -50,7 +53,6 @@
 from pimentoquay.gateway.streams import StreamForwarder
 from pimentoquay.http1 import HttpRequest, HttpServer, Reply, ServerLimits
 from pimentoquay.kernel import Node
-from pimentoquay.kernel.logs import logger
 from pimentoquay.messages.fleet import (
     CrashEvidence,
     EnginesLeaving,
@@ -60,7 +62,7 @@
 from pimentoquay.messages.pools import PoolKey
 from pimentoquay.messages.streams import StreamsBegun, VersionsListed
 from pimentoquay.platform.settings import DeploymentSettings
-from pimentoquay.platform.store import StoreClient, StoreError
+from pimentoquay.platform.store import StoreClient
 from pimentoquay.policy.engine_limits import EngineLimits
 from pimentoquay.policy.engine_preference import Placer
 from pimentoquay.policy.poll_timing import poll_timing
@@ -70,131 +72,8 @@
 from pimentoquay.policy.store_position import StoreEra
 from pimentoquay.policy.token_ledger import TokenLedger
 from pimentoquay.transport.peers import PeerSet
-from pimentoquay.transport.websocket import split_address
 
-__all__ = ["Gateway", "compose_gateway"]
-
-OUT_OF_ROTATION_SECONDS = 3.0
-"""Time for which new requests still arrive after the gateway reports that it is not ready. The
-platform checks readiness once a second and removes a VM after two failed checks."""
-
-GRACE_MARGIN_SECONDS = 0.5
-"""Time between the end of the drain and the kill by the platform that ends the grace period."""
-
-SEED_INTERVAL_SECONDS = 1.5
-"""Interval at which the seed addresses are dialled while no other gateway is known to be alive."""
-
-EVIDENCE_EXPIRY_SECONDS = 60.0
-"""Interval at which old evidence of crashes is dropped; it is kept for a day."""
-
-DISCOVERY_RETRY_SECONDS = 1.0
-"""Delay before the peers' addresses are read again after a failed read from the store."""
-
-
-@dataclass
-class Gateway:
-    """A gateway with its HTTP servers and background tasks."""
-
-    settings: DeploymentSettings
-    node: Node
-    store: StoreClient
-    fleet: Fleet
-    feed: StoreFeed
-    mesh: Mesh
-    peers: PeerSet
-    links: EngineLinks
-    stage_controller: StageController
-    pool_client: PoolClient
-    pool_coordinator: PoolCoordinator
-    guard: RequestGuard
-    origins: OriginExchange
-    dispatcher: Dispatcher
-    caller_server: HttpServer
-    readiness_server: HttpServer
-    metrics_server: HttpServer
-    metrics_port: int | None = None
-
-    async def run(self, stop: asyncio.Event) -> None:
-        """Serve until ``stop`` is set, then drain the requests in progress."""
-        await self._listen()
-        self.pool_client.start()
-        self.origins.start()
-        self.node.timers.every(EVIDENCE_EXPIRY_SECONDS, self.guard.expire)
-        self.pool_coordinator.start()
-        tasks = [
-            asyncio.create_task(service)
-            for service in (
-                self.feed.run(),
-                self.mesh.run(),
-                self.stage_controller.run(),
-                self._discover_peers(),
-            )
-        ]
-        stopping = asyncio.create_task(stop.wait())
-        await asyncio.wait([stopping, *tasks], return_when=asyncio.FIRST_COMPLETED)
-        for task in tasks:
-            if task.done() and not task.cancelled() and task.exception() is not None:
-                raise task.exception()  # type: ignore[misc]
-        await self._drain()
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        self.links.close()
-        self.store.close()
-        self.node.timers.close()
-
-    async def _listen(self) -> None:
-        settings = self.settings
-        for server, address in (
-            (self.readiness_server, settings.readiness_address),
-            (self.caller_server, settings.callers_address),
-        ):
-            await server.listen(*split_address(address))
-        if self.metrics_port is not None:
-            await self.metrics_server.listen(settings.host, self.metrics_port)
-        if settings.control_address:
-            await self.node.transport.listen(settings.control_address, self.peers.serve)
-
-    async def _discover_peers(self) -> None:
-        settings, timers = self.settings, self.node.timers
-        timers.every(
-            SEED_INTERVAL_SECONDS, lambda: self.mesh.dial_seeds(settings.control_addresses)
-        )
-        restored = asyncio.Event()
-        self.store.era.on_raised.append(restored.set)
-        while True:
-            restored.clear()
-            await self.feed.announce(settings.vm, settings.control_address, settings.data_centre)
-            await self._read_peers()
-            # A restored store may have lost this VM's address and have those of new VMs.
-            await restored.wait()
-
-    async def _read_peers(self) -> None:
-        while True:
-            try:
-                self.mesh.update_addresses(await self.feed.read_vm_addresses())
-            except StoreError as error:
-                logger.bind(error=str(error)).info(
-                    "failed to read the peers' addresses; will retry"
-                )
-                await self.node.timers.sleep(DISCOVERY_RETRY_SECONDS)
-            else:
-                return
-
-    async def _drain(self) -> None:
-        loop = asyncio.get_running_loop()
-        started_at = loop.time()
-        logger.bind(in_progress=self.caller_server.requests_in_progress).info("draining")
-        self.dispatcher.is_draining = True
-        self.mesh.is_draining = True
-        self.caller_server.drain()
-        await self.node.timers.sleep(OUT_OF_ROTATION_SECONDS)
-        await self.caller_server.close()
-        ends_at = started_at + self.settings.bounds.grace_seconds - GRACE_MARGIN_SECONDS
-        while self.caller_server.requests_in_progress and loop.time() < ends_at:
-            await self.node.timers.sleep(0.05)
-            self.caller_server.close_idle()
-        logger.bind(in_progress=self.caller_server.requests_in_progress).info("drained")
+__all__ = ["compose_gateway"]
 
 
 def compose_gateway(
@@ -203,7 +82,8 @@
     """Create a gateway; metrics are served if ``metrics_port`` is given."""
     fleet = Fleet(node.timers.now)
     limits = EngineLimits(settings.vm)
-    links = EngineLinks(fleet, limits)
+    contact = EngineContact(node.timers)
+    links = EngineLinks(fleet, limits, contact)
     run_ledger = RunLedger()
     bounds = settings.bounds
     repeat_limits = RepeatLimits(
@@ -318,6 +198,7 @@
         STORE_CALLS: lambda: store.calls,
         STORE_ERA: lambda: era.value,
         CONNECTIONS: lambda: links.opened_connections,
+        ENGINES_UNREACHABLE: lambda: len(contact.unreachable_since_by_id),
         PEERS: lambda: mesh.gateway_count,
         ENGINES_LEAVING: lambda: len(fleet.notices.leaving),
         PAUSES: lambda: fleet.notices.pauses_requested,
@@ -334,6 +215,11 @@
         RESUMPTIONS_REFUSED: lambda: origins.refused,
         REFUSED_OVER_LIMIT: lambda: shared.refused_over_limit,
     }
+    metrics.values_by_counter = {
+        CONNECT_FAILURES: lambda: {
+            failure.value: count for failure, count in contact.count_by_failure.items()
+        },
+    }
     metrics_server = HttpServer(metrics.handle, ServerLimits)
     return Gateway(
         settings,
--- /dev/null
+++ b/pimentoquay/gateway/lifecycle.py
@@ -0,0 +1,146 @@
+"""A gateway with its parts: start, service until it is stopped, and drain."""
+
+import asyncio
+from dataclasses import dataclass
+
+from pimentoquay.gateway.dispatcher import Dispatcher
+from pimentoquay.gateway.feed import StoreFeed
+from pimentoquay.gateway.fleet import Fleet
+from pimentoquay.gateway.links import EngineLinks
+from pimentoquay.gateway.mesh import Mesh
+from pimentoquay.gateway.pool_client import PoolClient
+from pimentoquay.gateway.pool_coordinator import PoolCoordinator
+from pimentoquay.gateway.request_guard import RequestGuard
+from pimentoquay.gateway.stage_controller import StageController
+from pimentoquay.gateway.stream_origins import OriginExchange
+from pimentoquay.http1 import HttpServer
+from pimentoquay.kernel import Node
+from pimentoquay.kernel.logs import logger
+from pimentoquay.platform.settings import DeploymentSettings
+from pimentoquay.platform.store import StoreClient, StoreError
+from pimentoquay.transport.peers import PeerSet
+from pimentoquay.transport.websocket import split_address
+
+__all__ = ["Gateway"]
+
+OUT_OF_ROTATION_SECONDS = 3.0
+"""Time for which new requests still arrive after the gateway reports that it is not ready. The
+platform checks readiness once a second and removes a VM after two failed checks."""
+
+GRACE_MARGIN_SECONDS = 0.5
+"""Time between the end of the drain and the kill by the platform that ends the grace period."""
+
+SEED_INTERVAL_SECONDS = 1.5
+"""Interval at which the seed addresses are dialled while no other gateway is known to be alive."""
+
+EVIDENCE_EXPIRY_SECONDS = 60.0
+"""Interval at which old evidence of crashes is dropped; it is kept for a day."""
+
+DISCOVERY_RETRY_SECONDS = 1.0
+"""Delay before the peers' addresses are read again after a failed read from the store."""
+
+
+@dataclass
+class Gateway:
+    """A gateway with its HTTP servers and background tasks."""
+
+    settings: DeploymentSettings
+    node: Node
+    store: StoreClient
+    fleet: Fleet
+    feed: StoreFeed
+    mesh: Mesh
+    peers: PeerSet
+    links: EngineLinks
+    stage_controller: StageController
+    pool_client: PoolClient
+    pool_coordinator: PoolCoordinator
+    guard: RequestGuard
+    origins: OriginExchange
+    dispatcher: Dispatcher
+    caller_server: HttpServer
+    readiness_server: HttpServer
+    metrics_server: HttpServer
+    metrics_port: int | None = None
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Serve until ``stop`` is set, then drain the requests in progress."""
+        await self._listen()
+        self.pool_client.start()
+        self.origins.start()
+        self.node.timers.every(EVIDENCE_EXPIRY_SECONDS, self.guard.expire)
+        self.pool_coordinator.start()
+        tasks = [
+            asyncio.create_task(service)
+            for service in (
+                self.feed.run(),
+                self.mesh.run(),
+                self.stage_controller.run(),
+                self._discover_peers(),
+            )
+        ]
+        stopping = asyncio.create_task(stop.wait())
+        await asyncio.wait([stopping, *tasks], return_when=asyncio.FIRST_COMPLETED)
+        for task in tasks:
+            if task.done() and not task.cancelled() and task.exception() is not None:
+                raise task.exception()  # type: ignore[misc]
+        await self._drain()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.links.close()
+        self.store.close()
+        self.node.timers.close()
+
+    async def _listen(self) -> None:
+        settings = self.settings
+        for server, address in (
+            (self.readiness_server, settings.readiness_address),
+            (self.caller_server, settings.callers_address),
+        ):
+            await server.listen(*split_address(address))
+        if self.metrics_port is not None:
+            await self.metrics_server.listen(settings.host, self.metrics_port)
+        if settings.control_address:
+            await self.node.transport.listen(settings.control_address, self.peers.serve)
+
+    async def _discover_peers(self) -> None:
+        settings, timers = self.settings, self.node.timers
+        timers.every(
+            SEED_INTERVAL_SECONDS, lambda: self.mesh.dial_seeds(settings.control_addresses)
+        )
+        restored = asyncio.Event()
+        self.store.era.on_raised.append(restored.set)
+        while True:
+            restored.clear()
+            await self.feed.announce(settings.vm, settings.control_address, settings.data_centre)
+            await self._read_peers()
+            # A restored store may have lost this VM's address and have those of new VMs.
+            await restored.wait()
+
+    async def _read_peers(self) -> None:
+        while True:
+            try:
+                self.mesh.update_addresses(await self.feed.read_vm_addresses())
+            except StoreError as error:
+                logger.bind(error=str(error)).info(
+                    "failed to read the peers' addresses; will retry"
+                )
+                await self.node.timers.sleep(DISCOVERY_RETRY_SECONDS)
+            else:
+                return
+
+    async def _drain(self) -> None:
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        logger.bind(in_progress=self.caller_server.requests_in_progress).info("draining")
+        self.dispatcher.is_draining = True
+        self.mesh.is_draining = True
+        self.caller_server.drain()
+        await self.node.timers.sleep(OUT_OF_ROTATION_SECONDS)
+        await self.caller_server.close()
+        ends_at = started_at + self.settings.bounds.grace_seconds - GRACE_MARGIN_SECONDS
+        while self.caller_server.requests_in_progress and loop.time() < ends_at:
+            await self.node.timers.sleep(0.05)
+            self.caller_server.close_idle()
+        logger.bind(in_progress=self.caller_server.requests_in_progress).info("drained")
--- a/pimentoquay/gateway/links.py
+++ b/pimentoquay/gateway/links.py
@@ -4,9 +4,10 @@
 import contextlib
 from collections.abc import AsyncIterator, Callable
 
+from pimentoquay.gateway.engine_contact import EngineContact
 from pimentoquay.gateway.fleet import Fleet
 from pimentoquay.http1 import ConnectionPool, Exchange, HeaderList, ReusePolicy, ServerState
-from pimentoquay.kernel.errors import HttpError, ResponseTooLargeError
+from pimentoquay.kernel.errors import ConnectError, HttpError, ResponseTooLargeError
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.engine_calls import EngineCall, EngineCalls
 from pimentoquay.platform.requests import CallerRequest, SendOptions, engine_headers
@@ -52,8 +53,9 @@
         The engine.
     circuits
         Circuit breakers, which are updated with every response and every failure.
-    notices, limits
-        What engines say about themselves, and their limits, updated with every response.
+    notices, limits, contact
+        What engines say about themselves, their limits, and whether they are reached, updated with
+        every response.
     on_open
         Called for each connection opened to the engine.
     on_oversized
@@ -66,6 +68,7 @@
         circuits: Circuits,
         notices: EngineNotices,
         limits: EngineLimits,
+        contact: EngineContact,
         on_open: Callable[[], None],
         on_oversized: Callable[[], None],
     ) -> None:
@@ -76,6 +79,7 @@
         self._circuits = circuits
         self._notices = notices
         self._limits = limits
+        self._contact = contact
         self._checking: asyncio.Task[ServerState] | None = None
         self.calls = EngineCalls(entry.id, entry.address)
         self._pool = ConnectionPool(entry.address, CONNECT_TIMEOUT_SECONDS, REUSE_POLICY, on_open)
@@ -131,6 +135,7 @@
                 head_seconds=head_seconds,
             ) as exchange:
                 self._circuits.succeeded(self.entry.id)
+                self._contact.record_reached(self.entry.id)
                 self._record_notice(exchange.status, exchange.headers, sent_at)
                 yield exchange
         except HttpError as error:
@@ -158,6 +163,7 @@
                     is_own_response=is_response_to_call,
                 ) as exchange,
             ):
+                self._contact.record_reached(self.entry.id)
                 self._record_notice(exchange.status, exchange.headers)
                 body = await exchange.read_body(MAX_CALL_BODY_BYTES)
                 self._circuits.succeeded(self.entry.id)
@@ -244,6 +250,8 @@
         It is opened at once also if the engine sends without end.
         """
         now = asyncio.get_running_loop().time()
+        if isinstance(error, ConnectError):
+            self._contact.record_failure(self.entry.id, error.failure)
         if isinstance(error, ResponseTooLargeError):
             self._on_oversized()
             logger.bind(engine=self.entry.id, error=str(error)).warning("response cut for its size")
@@ -265,11 +273,14 @@
         The list of engines.
     limits
         Limits of requests that engines name.
+    contact
+        Whether engines are reached.
     """
 
-    def __init__(self, fleet: Fleet, limits: EngineLimits) -> None:
+    def __init__(self, fleet: Fleet, limits: EngineLimits, contact: EngineContact) -> None:
         self._fleet = fleet
         self.limits = limits
+        self.contact = contact
         self.on_limit: list[Callable[[LimitNotice], None]] = []
         self.circuits = Circuits(CIRCUIT_LIMITS)
         self.on_leaving: list[Callable[[EngineStart], None]] = []
@@ -290,6 +301,7 @@
                 self.circuits,
                 self._fleet.notices,
                 self.limits,
+                self.contact,
                 self._count_opened,
                 self._count_oversized,
             )
@@ -336,6 +348,7 @@
             if entry is None or not _is_same_start(link.entry, entry):
                 del self._link_by_id[engine_id]
                 self.circuits.succeeded(engine_id)
+                self.contact.forget(engine_id)
                 link.close()
 
     async def _call_and_log(self, link: EngineLink, call: EngineCall, purpose: str) -> None:
--- a/pimentoquay/gateway/metrics.py
+++ b/pimentoquay/gateway/metrics.py
@@ -1,7 +1,7 @@
 """Metrics of a gateway: request counts by result code, latencies and gauges."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from pimentoquay.http1 import HttpRequest, Reply
 from pimentoquay.kernel import ResultCode
@@ -44,6 +44,17 @@
 CONNECTIONS = Metric(
     "pimentoquay_gateway_engine_connections_total", "counter", "connections opened to engines"
 )
+CONNECT_FAILURES = Metric(
+    "pimentoquay_gateway_engine_connect_failures_total",
+    "counter",
+    "attempts to connect to engines that failed, by how",
+    ("failure",),
+)
+ENGINES_UNREACHABLE = Metric(
+    "pimentoquay_gateway_engines_unreachable",
+    "gauge",
+    "engines to which no connection could be opened since they last answered",
+)
 PEERS = Metric("pimentoquay_gateway_peers", "gauge", "gateways that are known, this one included")
 ENGINES_LEAVING = Metric(
     "pimentoquay_gateway_engines_leaving",
@@ -131,6 +142,7 @@
     STORE_CALLS,
     STORE_ERA,
     CONNECTIONS,
+    ENGINES_UNREACHABLE,
     PEERS,
     ENGINES_LEAVING,
     PAUSES,
@@ -147,21 +159,24 @@
     STREAM_ORIGINS,
     RESUMPTIONS_REFUSED,
 )
+_COUNTERS = (CONNECT_FAILURES,)
 _SUMMARIES = (REQUEST_SECONDS, FIRST_EVENT_SECONDS, MEMORY_WAIT_SECONDS)
 
-GATEWAY_METRICS = (REQUESTS, *_GAUGES, *_SUMMARIES)
+GATEWAY_METRICS = (REQUESTS, *_GAUGES, *_COUNTERS, *_SUMMARIES)
 """All metrics in the order of the exported text."""
 
 
 class GatewayMetrics:
     """Counters and latency summaries of one gateway.
 
-    ``value_by_gauge`` holds a function for each gauge that returns its current value.
+    ``value_by_gauge`` holds a function for each gauge that returns its current value, and
+    ``values_by_counter`` one for each labelled counter that returns its values by label.
     """
 
     def __init__(self) -> None:
         self.count_by_code: Counter[ResultCode] = Counter()
         self.value_by_gauge: dict[Metric, Callable[[], float]] = {}
+        self.values_by_counter: dict[Metric, Callable[[], Mapping[str, float]]] = {}
         self._summary_by_metric = {metric: TimeSummary() for metric in _SUMMARIES}
 
     def record_request_end(self, code: ResultCode, seconds: float) -> None:
@@ -185,6 +200,13 @@
         for gauge in _GAUGES:
             value = self.value_by_gauge.get(gauge, lambda: 0.0)()
             lines += [*gauge.head(), f"{gauge.name} {value:g}"]
+        for counter in _COUNTERS:
+            values = self.values_by_counter.get(counter, dict)()
+            label = counter.labels[0]
+            lines += counter.head()
+            lines += [
+                f'{counter.name}{{{label}="{key}"}} {value:g}' for key, value in values.items()
+            ]
         for metric, summary in self._summary_by_metric.items():
             lines += summary.lines(metric)
         return "\n".join(lines) + "\n"
--- a/pimentoquay/gateway/tests/test_metrics.py
+++ b/pimentoquay/gateway/tests/test_metrics.py
@@ -30,3 +30,25 @@
             assert b"pimentoquay_gateway_requests_total" in await exchange.read_body(2**20)
         pool.close()
         await gateway.metrics_server.close()
+
+
+async def test_engines_that_cannot_be_reached_are_counted_by_how_connecting_failed():
+    async with rig() as env:
+        gateway = env.gateway_by_vm["vm-1"]
+        for name in ("desk-1", "desk-2"):
+            await env.engine_by_id[name].close()
+        assert (await env.send_request("/look/a")).status == 503
+        text = gateway.dispatcher._shared.metrics.text()
+        assert "pimentoquay_gateway_engines_unreachable 2\n" in text
+        assert 'engine_connect_failures_total{failure="refused"} 2\n' in text
+        await env.engine_by_id["desk-1"].serve(*_host_and_port(env.engine_by_id["desk-1"]))
+        link = gateway.links.link_to(
+            next(each for each in gateway.fleet.engines() if each.id == "desk-1")
+        )
+        await link.call(link.calls.release_memory("none"))
+        assert gateway.links.contact.unreachable_since_by_id.keys() == {"desk-2"}
+
+
+def _host_and_port(engine):
+    host, _, port = engine.address.rpartition(":")
+    return host, int(port)
--- a/pimentoquay/http1/client.py
+++ b/pimentoquay/http1/client.py
@@ -16,7 +16,11 @@
 
 from pimentoquay.http1.client_connection import ClientConnection, ResponseFilter, ReusePolicy
 from pimentoquay.http1.headers import HeaderList, find_header
-from pimentoquay.kernel.errors import HttpError, ResponseTooLargeError
+from pimentoquay.kernel.errors import (
+    ConnectError,
+    ConnectFailure,
+    ResponseTooLargeError,
+)
 from pimentoquay.transport.websocket import split_address
 
 __all__ = ["ConnectionPool", "Exchange", "ReusePolicy", "ServerState"]
@@ -107,8 +111,8 @@
         """Open a connection and close it again, to learn whether the server still runs."""
         try:
             connection = await self._open_connection()
-        except HttpError as error:
-            is_refusal = isinstance(error.__cause__, ConnectionRefusedError)
+        except ConnectError as error:
+            is_refusal = error.failure is ConnectFailure.REFUSED
             return ServerState.REFUSING if is_refusal else ServerState.UNREACHABLE
         connection.abort()
         return ServerState.ACCEPTING
@@ -140,7 +144,8 @@
                     lambda: ClientConnection(self._reuse), self._host, self._port
                 )
         except (OSError, TimeoutError) as error:
-            raise HttpError(f"no connection to {self.address}: {error!r}", False) from error
+            detail = f"no connection to {self.address}: {error!r}"
+            raise ConnectError(detail, _failure_of(error)) from error
         self.open_connections += 1
         connection.on_lost = self._remove_connection
         return connection
@@ -157,6 +162,14 @@
             connection.abort()
 
 
+def _failure_of(error: Exception) -> ConnectFailure:
+    if isinstance(error, TimeoutError):
+        return ConnectFailure.TIMED_OUT
+    if isinstance(error, ConnectionRefusedError):
+        return ConnectFailure.REFUSED
+    return ConnectFailure.BROKEN
+
+
 class Exchange:
     """A request that has been sent, and its response while it arrives."""
 
--- a/pimentoquay/kernel/errors.py
+++ b/pimentoquay/kernel/errors.py
@@ -1,8 +1,17 @@
-"""Exceptions with a result code, and the exception for a failed HTTP exchange."""
+"""Exceptions with a result code, and the exceptions for a failed HTTP exchange."""
+
+from enum import Enum
 
 from pimentoquay.kernel.codes import ResultCode, info_of
 
-__all__ = ["HttpError", "PimentoquayError", "RefusedError", "ResponseTooLargeError"]
+__all__ = [
+    "ConnectError",
+    "ConnectFailure",
+    "HttpError",
+    "PimentoquayError",
+    "RefusedError",
+    "ResponseTooLargeError",
+]
 
 
 class PimentoquayError(Exception):
@@ -59,5 +68,29 @@
         self.connection_lost = connection_lost
 
 
+class ConnectFailure(Enum):
+    """How an attempt to connect failed; ``BROKEN`` stands for other errors, such as a reset."""
+
+    TIMED_OUT = "timed out"
+    REFUSED = "refused"
+    BROKEN = "broken"
+
+
+class ConnectError(HttpError):
+    """No connection could be opened, so nothing was written.
+
+    Parameters
+    ----------
+    detail
+        Description of the failure.
+    failure
+        How the attempt to connect failed.
+    """
+
+    def __init__(self, detail: str, failure: ConnectFailure) -> None:
+        super().__init__(detail, False)
+        self.failure = failure
+
+
 class ResponseTooLargeError(HttpError):
     """A response, or a part of it, exceeds its maximum size; the rest of it was not read."""
