--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -51,7 +51,14 @@
 from pimentoquay.gateway.stage_controller import StageController
 from pimentoquay.gateway.stream_origins import OriginExchange
 from pimentoquay.gateway.streams import StreamForwarder
-from pimentoquay.http1 import HttpRequest, HttpServer, Reply, ServerLimits
+from pimentoquay.http1 import (
+    Connect,
+    HttpRequest,
+    HttpServer,
+    Reply,
+    ServerLimits,
+    connect_tcp,
+)
 from pimentoquay.kernel import Node
 from pimentoquay.messages.fleet import (
     CrashEvidence,
@@ -77,13 +84,26 @@
 
 
 def compose_gateway(
-    settings: DeploymentSettings, node: Node, metrics_port: int | None = None
+    settings: DeploymentSettings,
+    node: Node,
+    metrics_port: int | None = None,
+    connect: Connect = connect_tcp,
 ) -> Gateway:
-    """Create a gateway; metrics are served if ``metrics_port`` is given."""
+    """Create a gateway.
+
+    Parameters
+    ----------
+    settings, node
+        Settings of the deployment, and the process.
+    metrics_port
+        Port at which metrics are served, or None for no metrics.
+    connect
+        Opens connections to engines.
+    """
     fleet = Fleet(node.timers.now)
     limits = EngineLimits(settings.vm)
     contact = EngineContact(node.timers)
-    links = EngineLinks(fleet, limits, contact)
+    links = EngineLinks(fleet, limits, contact, connect)
     run_ledger = RunLedger()
     bounds = settings.bounds
     repeat_limits = RepeatLimits(
--- a/pimentoquay/gateway/links.py
+++ b/pimentoquay/gateway/links.py
@@ -6,7 +6,14 @@
 
 from pimentoquay.gateway.engine_contact import EngineContact
 from pimentoquay.gateway.fleet import Fleet
-from pimentoquay.http1 import ConnectionPool, Exchange, HeaderList, ReusePolicy, ServerState
+from pimentoquay.http1 import (
+    Connect,
+    ConnectionPool,
+    Exchange,
+    HeaderList,
+    ReusePolicy,
+    ServerState,
+)
 from pimentoquay.kernel.errors import ConnectError, HttpError, ResponseTooLargeError
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.engine_calls import EngineCall, EngineCalls
@@ -60,6 +67,8 @@
         Called for each connection opened to the engine.
     on_oversized
         Called for each response that was cut off for its size.
+    connect
+        Opens connections to engines.
     """
 
     def __init__(
@@ -71,6 +80,7 @@
         contact: EngineContact,
         on_open: Callable[[], None],
         on_oversized: Callable[[], None],
+        connect: Connect,
     ) -> None:
         self.entry = entry
         self._on_oversized = on_oversized
@@ -82,7 +92,9 @@
         self._contact = contact
         self._checking: asyncio.Task[ServerState] | None = None
         self.calls = EngineCalls(entry.id, entry.address)
-        self._pool = ConnectionPool(entry.address, CONNECT_TIMEOUT_SECONDS, REUSE_POLICY, on_open)
+        self._pool = ConnectionPool(
+            entry.address, CONNECT_TIMEOUT_SECONDS, REUSE_POLICY, on_open, connect
+        )
 
     @contextlib.asynccontextmanager
     async def send(
@@ -275,12 +287,17 @@
         Limits of requests that engines name.
     contact
         Whether engines are reached.
+    connect
+        Opens connections to engines.
     """
 
-    def __init__(self, fleet: Fleet, limits: EngineLimits, contact: EngineContact) -> None:
+    def __init__(
+        self, fleet: Fleet, limits: EngineLimits, contact: EngineContact, connect: Connect
+    ) -> None:
         self._fleet = fleet
         self.limits = limits
         self.contact = contact
+        self._connect = connect
         self.on_limit: list[Callable[[LimitNotice], None]] = []
         self.circuits = Circuits(CIRCUIT_LIMITS)
         self.on_leaving: list[Callable[[EngineStart], None]] = []
@@ -304,6 +321,7 @@
                 self.contact,
                 self._count_opened,
                 self._count_oversized,
+                self._connect,
             )
             link.on_leaving = self._report_leaving
             link.on_limit = self._report_limit
--- a/pimentoquay/gateway/tests/rig.py
+++ b/pimentoquay/gateway/tests/rig.py
@@ -14,6 +14,7 @@
 from pimentoquay.platform.settings import Bounds, DeploymentSettings
 from pimentoquay.standin.platform_engine import PlatformEngine
 from pimentoquay.standin.platform_store import PlatformStore
+from pimentoquay.standin.virtual_links import VirtualLinks
 from pimentoquay.transport.memory import MemoryNetwork
 
 MEMORY = {
@@ -80,6 +81,7 @@
     store: PlatformStore = field(default_factory=PlatformStore)
     store_address: str = ""
     network: MemoryNetwork = field(default_factory=MemoryNetwork)
+    links: VirtualLinks = field(default_factory=VirtualLinks)
     engine_by_id: dict = field(default_factory=dict)
     gateway_by_vm: dict = field(default_factory=dict)
     _stop_by_vm: dict = field(default_factory=dict)
@@ -109,7 +111,7 @@
         )
         identity = Identity(vm, "gateway", "here", "hall", 1)
         node = Node(identity, self.network.transport(identity), LoopClock())
-        gateway = compose_gateway(settings, node, metrics_port)
+        gateway = compose_gateway(settings, node, metrics_port, self.links.connector(vm))
         stop = asyncio.Event()
         self.gateway_by_vm[vm] = gateway
         self._stop_by_vm[vm] = stop
--- a/pimentoquay/http1/__init__.py
+++ b/pimentoquay/http1/__init__.py
@@ -6,11 +6,19 @@
 request it belongs to, and whether the caller has disconnected.
 """
 
-from pimentoquay.http1.client import ConnectionPool, Exchange, ReusePolicy, ServerState
+from pimentoquay.http1.client import (
+    Connect,
+    ConnectionPool,
+    Exchange,
+    ReusePolicy,
+    ServerState,
+    connect_tcp,
+)
 from pimentoquay.http1.headers import HeaderList, end_to_end_headers, find_header
 from pimentoquay.http1.server import HttpRequest, HttpServer, Reply, ServerLimits
 
 __all__ = [
+    "Connect",
     "ConnectionPool",
     "Exchange",
     "HeaderList",
@@ -20,6 +28,7 @@
     "ReusePolicy",
     "ServerLimits",
     "ServerState",
+    "connect_tcp",
     "end_to_end_headers",
     "find_header",
 ]
--- a/pimentoquay/http1/client.py
+++ b/pimentoquay/http1/client.py
@@ -8,7 +8,7 @@
 import asyncio
 import contextlib
 from collections import deque
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from enum import Enum
 from typing import Any
 
@@ -23,7 +23,18 @@
 )
 from pimentoquay.transport.websocket import split_address
 
-__all__ = ["ConnectionPool", "Exchange", "ReusePolicy", "ServerState"]
+__all__ = ["Connect", "ConnectionPool", "Exchange", "ReusePolicy", "ServerState", "connect_tcp"]
+
+Connect = Callable[[Callable[[], ClientConnection], str, int], Awaitable[tuple[Any, Any]]]
+"""Opens a connection with a protocol from a factory to a host and port, as ``create_connection``
+of an event loop does."""
+
+
+async def connect_tcp(
+    factory: Callable[[], ClientConnection], host: str, port: int
+) -> tuple[Any, Any]:
+    """Open a TCP connection."""
+    return await asyncio.get_running_loop().create_connection(factory, host, port)
 
 
 class ServerState(Enum):
@@ -51,6 +62,8 @@
         Limits of the idle time of reused connections.
     on_open
         Called before each attempt to open a connection, for metrics.
+    connect
+        Opens a connection.
     """
 
     def __init__(
@@ -59,6 +72,7 @@
         connect_seconds: float,
         reuse: ReusePolicy,
         on_open: Callable[[], None] = lambda: None,
+        connect: Connect = connect_tcp,
     ) -> None:
         self.address = address
         self.open_connections = 0
@@ -66,6 +80,7 @@
         self._connect_seconds = connect_seconds
         self._reuse = reuse
         self._on_open = on_open
+        self._connect = connect
         self._idle: deque[ClientConnection] = deque()
         self._closed = False
 
@@ -136,11 +151,10 @@
         return await self._open_connection()
 
     async def _open_connection(self) -> "ClientConnection":
-        loop = asyncio.get_running_loop()
         self._on_open()
         try:
             async with asyncio.timeout(self._connect_seconds):
-                _, connection = await loop.create_connection(
+                _, connection = await self._connect(
                     lambda: ClientConnection(self._reuse), self._host, self._port
                 )
         except (OSError, TimeoutError) as error:
