--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -15,6 +15,8 @@
     CONNECT_FAILURES,
     CONNECTIONS,
     ENGINE_CRASHES,
+    ENGINE_REQUESTS,
+    ENGINES_CUT,
     ENGINES_LEAVING,
     ENGINES_LIMITED,
     ENGINES_UNREACHABLE,
@@ -34,11 +36,16 @@
     STORE_CALLS,
     STORE_ERA,
     STREAM_ORIGINS,
+    TUNNELS_CARRIED,
+    TUNNELS_GRANTED,
+    TUNNELS_OPENED,
+    TUNNELS_REFUSED,
     VERSION,
     WAITING,
     GatewayMetrics,
 )
 from pimentoquay.gateway.notices import LeavingNotices, LimitNotices
+from pimentoquay.gateway.path_watch import PathWatch
 from pimentoquay.gateway.peer_loads import PeerLoadTable
 from pimentoquay.gateway.plain import PlainForwarder
 from pimentoquay.gateway.pool_client import PoolClient
@@ -78,7 +85,15 @@
 from pimentoquay.policy.stage_plan import StageDemand
 from pimentoquay.policy.store_position import StoreEra
 from pimentoquay.policy.token_ledger import TokenLedger
+from pimentoquay.policy.tunnel_peers import TunnelPeers
 from pimentoquay.transport.peers import PeerSet
+from pimentoquay.tunnels import (
+    EnginePaths,
+    PeerTunnels,
+    TunnelOpener,
+    TunnelPolicy,
+    TunnelServer,
+)
 
 __all__ = ["compose_gateway"]
 
@@ -103,7 +118,18 @@
     fleet = Fleet(node.timers.now)
     limits = EngineLimits(settings.vm)
     contact = EngineContact(node.timers)
-    links = EngineLinks(fleet, limits, contact, connect)
+    tunnels = PeerTunnels(
+        node.timers,
+        TunnelOpener(node.identity, settings.shared_key),
+        TunnelPeers(settings.vm, settings.data_centre),
+        lambda: mesh.tunnel_places(),
+    )
+    paths = EnginePaths(node.timers, connect, tunnels, lambda: fleet.target_by_id)
+    tunnel_policy = TunnelPolicy(
+        paths.find_outcome, paths.refusal_outcome, paths.referrals, paths.record_silent
+    )
+    tunnel_server = TunnelServer(node.identity, settings.shared_key, connect, tunnel_policy)
+    links = EngineLinks(fleet, limits, contact, paths)
     run_ledger = RunLedger()
     bounds = settings.bounds
     repeat_limits = RepeatLimits(
@@ -218,6 +244,11 @@
         STORE_CALLS: lambda: store.calls,
         STORE_ERA: lambda: era.value,
         CONNECTIONS: lambda: links.opened_connections,
+        ENGINES_CUT: lambda: paths.cut_engines,
+        TUNNELS_OPENED: lambda: tunnels.opened,
+        TUNNELS_CARRIED: lambda: tunnel_server.active,
+        TUNNELS_GRANTED: lambda: tunnel_server.opened,
+        TUNNELS_REFUSED: lambda: tunnel_server.refused,
         ENGINES_UNREACHABLE: lambda: len(contact.unreachable_since_by_id),
         PEERS: lambda: mesh.gateway_count,
         ENGINES_LEAVING: lambda: len(fleet.notices.leaving),
@@ -236,6 +267,7 @@
         REFUSED_OVER_LIMIT: lambda: shared.refused_over_limit,
     }
     metrics.values_by_counter = {
+        ENGINE_REQUESTS: lambda: contact.requests_by_way,
         CONNECT_FAILURES: lambda: {
             failure.value: count for failure, count in contact.count_by_failure.items()
         },
@@ -250,6 +282,9 @@
         mesh,
         peers,
         links,
+        paths,
+        PathWatch(node.timers, links, paths),
+        tunnel_server,
         stage_controller,
         pool_client,
         coordinator,
--- a/pimentoquay/gateway/engine_contact.py
+++ b/pimentoquay/gateway/engine_contact.py
@@ -13,7 +13,8 @@
     """Attempts to connect to engines that failed, and engines that cannot be reached since.
 
     ``count_by_failure`` counts the failed attempts, ``unreachable_since_by_id`` holds the time of
-    the first one since an engine was last reached.
+    the first one since an engine was last reached. ``requests_by_way`` counts the requests sent
+    over connections of this gateway's own and through peers.
 
     Parameters
     ----------
@@ -24,6 +25,7 @@
     def __init__(self, timers: TimerService) -> None:
         self._timers = timers
         self.count_by_failure: Counter[ConnectFailure] = Counter()
+        self.requests_by_way: Counter[str] = Counter()
         self.unreachable_since_by_id: dict[str, float] = {}
         self._reached_at_by_id: dict[str, float] = {}
 
@@ -42,6 +44,10 @@
             engines_unreachable=len(self.unreachable_since_by_id),
         ).warning("engine unreachable")
 
+    def count_request(self, via: str) -> None:
+        """Count a request that an engine has begun to answer, by the way that it took."""
+        self.requests_by_way["peer" if via else "direct"] += 1
+
     def record_reached(self, engine: str) -> None:
         """Record that a connection to an engine was opened, or that it has answered."""
         now = self._timers.now()
--- a/pimentoquay/gateway/feed.py
+++ b/pimentoquay/gateway/feed.py
@@ -114,12 +114,17 @@
         self._fleet.engine_list.start_relisting_grace(self._timers.now())
         self._was_restored = True
 
-    async def announce(self, vm: str, address: str, data_centre: str) -> None:
-        """Write this VM's address for peers to the store; retry until that succeeds."""
-        value = json.dumps({"address": address, "data_centre": data_centre}).encode()
+    async def announce(self, own: VmAddress) -> None:
+        """Write this VM's addresses for peers to the store; retry until that succeeds."""
+        item = {
+            "address": own.address,
+            "data_centre": own.data_centre,
+            "tunnel_address": own.tunnel_address,
+        }
+        value = json.dumps(item).encode()
         while True:
             try:
-                await self._store.put(VM_TOPIC, vm, value)
+                await self._store.put(VM_TOPIC, own.vm, value)
             except StoreError as error:
                 logger.bind(error=str(error)).info("failed to write the VM's address; will retry")
                 await self._timers.sleep(1.0)
@@ -215,7 +220,8 @@
     try:
         item = json.loads(record.value or b"")
         location = str(item["address"]), str(item["data_centre"])
-        return VmAddress(record.key, *location, record.position)
+        tunnel_address = str(item.get("tunnel_address", ""))
+        return VmAddress(record.key, *location, record.position, tunnel_address)
     except (ValueError, TypeError, KeyError) as error:
         logger.bind(peer=record.key, error=repr(error)).warning("invalid peer address ignored")
         return None
--- a/pimentoquay/gateway/fleet.py
+++ b/pimentoquay/gateway/fleet.py
@@ -1,6 +1,6 @@
 """Configuration and list of engines of a gateway, received from the store or from peers."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages.fleet import EngineRecord, FleetCopy
@@ -14,13 +14,16 @@
 from pimentoquay.policy.pools import pools_of
 from pimentoquay.policy.route_choice import RouteTable
 from pimentoquay.policy.store_position import era_of
+from pimentoquay.tunnels import TunnelTarget
 
-__all__ = ["Fleet"]
+__all__ = ["Fleet", "target_of"]
 
 
 class Fleet:
     """Configuration and engines that this gateway currently uses.
 
+    ``target_by_id`` holds all listed engines as targets of connections.
+
     The configuration is never replaced by an older version. Records are also kept as the bytes
     read from the store, because peers receive them unchanged.
 
@@ -44,6 +47,7 @@
         self._read_at = float("-inf")
         self._peers_read_at = float("-inf")
         self._engines: tuple[EngineEntry, ...] = ()
+        self.target_by_id: Mapping[str, TunnelTarget] = {}
         self._removed: list[str] = []
 
     @property
@@ -181,6 +185,7 @@
         before = {engine.id: engine for engine in self._engines}
         self._engines = self.engine_list.engines()
         after = {engine.id: engine for engine in self._engines}
+        self.target_by_id = {engine.id: target_of(engine) for engine in self._engines}
         for engine_id in before.keys() | after.keys():
             old, new = before.get(engine_id), after.get(engine_id)
             if old is None or new is None or old.is_draining != new.is_draining:
@@ -199,6 +204,13 @@
             callback()
 
 
+def target_of(entry: EngineEntry) -> TunnelTarget:
+    """Return an engine as the target of connections."""
+    return TunnelTarget(
+        entry.id, entry.incarnation, entry.address, entry.data_centre, entry.service
+    )
+
+
 def _to_update(record: EngineRecord) -> EngineUpdate:
     if not record.value:
         return EngineUpdate(record.engine, record.position, None, is_removed=True)
--- a/pimentoquay/gateway/lifecycle.py
+++ b/pimentoquay/gateway/lifecycle.py
@@ -8,6 +8,7 @@
 from pimentoquay.gateway.fleet import Fleet
 from pimentoquay.gateway.links import EngineLinks
 from pimentoquay.gateway.mesh import Mesh
+from pimentoquay.gateway.path_watch import PathWatch
 from pimentoquay.gateway.pool_client import PoolClient
 from pimentoquay.gateway.pool_coordinator import PoolCoordinator
 from pimentoquay.gateway.request_guard import RequestGuard
@@ -20,6 +21,7 @@
 from pimentoquay.platform.store import StoreClient, StoreError
 from pimentoquay.transport.peers import PeerSet
 from pimentoquay.transport.websocket import split_address
+from pimentoquay.tunnels import EnginePaths, TunnelServer
 
 __all__ = ["Gateway"]
 
@@ -52,6 +54,9 @@
     mesh: Mesh
     peers: PeerSet
     links: EngineLinks
+    paths: EnginePaths
+    path_watch: PathWatch
+    tunnel_server: TunnelServer
     stage_controller: StageController
     pool_client: PoolClient
     pool_coordinator: PoolCoordinator
@@ -68,6 +73,8 @@
         await self._listen()
         self.pool_client.start()
         self.origins.start()
+        self.paths.start()
+        self.path_watch.start()
         self.node.timers.every(EVIDENCE_EXPIRY_SECONDS, self.guard.expire)
         self.pool_coordinator.start()
         tasks = [
@@ -89,6 +96,8 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         self.links.close()
+        self.paths.close()
+        await self.tunnel_server.close()
         self.store.close()
         self.node.timers.close()
 
@@ -101,6 +110,9 @@
             await server.listen(*split_address(address))
         if self.metrics_port is not None:
             await self.metrics_server.listen(settings.host, self.metrics_port)
+        if settings.tunnel_address:
+            address = await self.tunnel_server.listen(*split_address(settings.tunnel_address))
+            self.mesh.addresses.set_tunnel_address(address)
         if settings.control_address:
             await self.node.transport.listen(settings.control_address, self.peers.serve)
 
@@ -113,7 +125,7 @@
         self.store.era.on_raised.append(restored.set)
         while True:
             restored.clear()
-            await self.feed.announce(settings.vm, settings.control_address, settings.data_centre)
+            await self.feed.announce(self.mesh.addresses.own)
             await self._read_peers()
             # A restored store may have lost this VM's address and have those of new VMs.
             await restored.wait()
@@ -130,6 +142,10 @@
             else:
                 return
 
+    @property
+    def _has_work(self) -> bool:
+        return bool(self.caller_server.requests_in_progress or self.tunnel_server.active)
+
     async def _drain(self) -> None:
         loop = asyncio.get_running_loop()
         started_at = loop.time()
@@ -137,10 +153,11 @@
         self.dispatcher.is_draining = True
         self.mesh.is_draining = True
         self.caller_server.drain()
+        self.tunnel_server.drain()
         await self.node.timers.sleep(OUT_OF_ROTATION_SECONDS)
         await self.caller_server.close()
         ends_at = started_at + self.settings.bounds.grace_seconds - GRACE_MARGIN_SECONDS
-        while self.caller_server.requests_in_progress and loop.time() < ends_at:
+        while self._has_work and loop.time() < ends_at:
             await self.node.timers.sleep(0.05)
             self.caller_server.close_idle()
         logger.bind(in_progress=self.caller_server.requests_in_progress).info("drained")
--- a/pimentoquay/gateway/links.py
+++ b/pimentoquay/gateway/links.py
@@ -2,19 +2,25 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Collection
 
 from pimentoquay.gateway.engine_contact import EngineContact
-from pimentoquay.gateway.fleet import Fleet
+from pimentoquay.gateway.fleet import Fleet, target_of
 from pimentoquay.http1 import (
-    Connect,
+    ClientConnection,
     ConnectionPool,
     Exchange,
+    ExchangeWatch,
     HeaderList,
     ReusePolicy,
     ServerState,
 )
-from pimentoquay.kernel.errors import ConnectError, HttpError, ResponseTooLargeError
+from pimentoquay.kernel.errors import (
+    ConnectError,
+    HttpError,
+    PathLostError,
+    ResponseTooLargeError,
+)
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.engine_calls import EngineCall, EngineCalls
 from pimentoquay.platform.requests import CallerRequest, SendOptions, engine_headers
@@ -28,15 +34,19 @@
 from pimentoquay.policy.engine_limits import EngineLimits, LimitNotice
 from pimentoquay.policy.engine_notices import EngineNotices, EngineStart
 from pimentoquay.policy.fleet import EngineEntry
+from pimentoquay.tunnels import EnginePaths
 
 __all__ = ["EngineLink", "EngineLinks"]
 
-CONNECT_TIMEOUT_SECONDS = 0.25
-"""Timeout for connecting to an engine; the farthest is a few milliseconds away."""
+CONNECT_TIMEOUT_SECONDS = 0.5
+"""Timeout for connecting to an engine by any way."""
 
 CALL_TIMEOUT_SECONDS = 0.5
 """Timeout of a management call, such as reserving memory, which runs no request."""
 
+CALL_WATCH = ExchangeWatch(quiet_seconds=0.1, abandon_seconds=0.0)
+"""Management calls are answered within milliseconds, and may be made again."""
+
 CHECK_TIMEOUT_SECONDS = 0.1
 """Timeout of the check whether an engine still runs; a refusal takes one round trip."""
 
@@ -67,8 +77,8 @@
         Called for each connection opened to the engine.
     on_oversized
         Called for each response that was cut off for its size.
-    connect
-        Opens connections to engines.
+    paths
+        Opens connections to engines, directly or through peers.
     """
 
     def __init__(
@@ -80,9 +90,10 @@
         contact: EngineContact,
         on_open: Callable[[], None],
         on_oversized: Callable[[], None],
-        connect: Connect,
+        paths: EnginePaths,
     ) -> None:
         self.entry = entry
+        self.target = target_of(entry)
         self._on_oversized = on_oversized
         self.on_leaving: Callable[[EngineStart], None] = lambda start: None
         self.on_limit: Callable[[LimitNotice], None] = lambda notice: None
@@ -92,9 +103,26 @@
         self._contact = contact
         self._checking: asyncio.Task[ServerState] | None = None
         self.calls = EngineCalls(entry.id, entry.address)
+        self._paths = paths
         self._pool = ConnectionPool(
-            entry.address, CONNECT_TIMEOUT_SECONDS, REUSE_POLICY, on_open, connect
+            entry.address,
+            CONNECT_TIMEOUT_SECONDS,
+            REUSE_POLICY,
+            on_open,
+            paths.connector(self.target),
         )
+        self._direct_pool = ConnectionPool(
+            entry.address,
+            CONNECT_TIMEOUT_SECONDS,
+            REUSE_POLICY,
+            on_open,
+            paths.direct_connector(self.target),
+        )
+
+    @property
+    def active(self) -> set[ClientConnection]:
+        """Connections with an exchange in progress."""
+        return self._pool.active
 
     @contextlib.asynccontextmanager
     async def send(
@@ -107,6 +135,7 @@
         max_idle_seconds: float | None = None,
         head_seconds: float | None = None,
         has_permit: bool = False,
+        watch: ExchangeWatch | None = None,
     ) -> AsyncIterator[Exchange]:
         """Send a caller's request to the engine and yield the exchange with its response.
 
@@ -124,6 +153,8 @@
             Timeout for the status and headers of the response, in seconds.
         has_permit
             Whether the request has been counted against the engine's limit.
+        watch
+            How long the engine may be silent.
 
         Raises
         ------
@@ -145,7 +176,9 @@
                 is_own_response=lambda headers: is_response_to(headers, request.id),
                 max_idle_seconds=max_idle_seconds,
                 head_seconds=head_seconds,
+                watch=watch,
             ) as exchange:
+                self._contact.count_request(exchange.via)
                 self._circuits.succeeded(self.entry.id)
                 self._contact.record_reached(self.entry.id)
                 self._record_notice(exchange.status, exchange.headers, sent_at)
@@ -161,18 +194,34 @@
     async def call(
         self, call: EngineCall, seconds: float = CALL_TIMEOUT_SECONDS
     ) -> tuple[int, bytes]:
-        """Make a management call; return status and body, or raise ``HttpError``."""
+        """Make a management call; return status and body, or raise ``HttpError``.
+
+        It is made once more if the path to the engine is cut meanwhile.
+        """
+        try:
+            return await self._call(self._pool, call, seconds)
+        except PathLostError:
+            return await self._call(self._pool, call, seconds)
+
+    async def order(self, call: EngineCall, seconds: float) -> tuple[int, bytes]:
+        """Make a call that must come from this VM, and not through a peer."""
+        return await self._call(self._direct_pool, call, seconds)
+
+    async def _call(
+        self, pool: ConnectionPool, call: EngineCall, seconds: float
+    ) -> tuple[int, bytes]:
         self._check_pause()
         probe = self._start_probe_if_due()
         try:
             async with (
                 asyncio.timeout(seconds),
-                self._pool.exchange(
+                pool.exchange(
                     call.method,
                     call.target,
                     call.headers,
                     call.body,
                     is_own_response=is_response_to_call,
+                    watch=CALL_WATCH,
                 ) as exchange,
             ):
                 self._contact.record_reached(self.entry.id)
@@ -202,11 +251,16 @@
     def close(self) -> None:
         """Close the idle connections."""
         self._pool.close()
+        self._direct_pool.close()
+
+    def drop_direct_connections(self) -> None:
+        """Close idle connections of this VM's own, as the path to the engine is cut."""
+        self._pool.drop_idle("")
 
     async def _check(self) -> ServerState:
         try:
             async with asyncio.timeout(CHECK_TIMEOUT_SECONDS):
-                return await self._pool.check_server()
+                return await self._direct_pool.check_server()
         except TimeoutError:
             return ServerState.UNREACHABLE
 
@@ -261,6 +315,8 @@
 
         It is opened at once also if the engine sends without end.
         """
+        if isinstance(error, PathLostError):
+            return
         now = asyncio.get_running_loop().time()
         if isinstance(error, ConnectError):
             self._contact.record_failure(self.entry.id, error.failure)
@@ -287,17 +343,17 @@
         Limits of requests that engines name.
     contact
         Whether engines are reached.
-    connect
-        Opens connections to engines.
+    paths
+        Opens connections to engines, directly or through peers.
     """
 
     def __init__(
-        self, fleet: Fleet, limits: EngineLimits, contact: EngineContact, connect: Connect
+        self, fleet: Fleet, limits: EngineLimits, contact: EngineContact, paths: EnginePaths
     ) -> None:
         self._fleet = fleet
         self.limits = limits
         self.contact = contact
-        self._connect = connect
+        self._paths = paths
         self.on_limit: list[Callable[[LimitNotice], None]] = []
         self.circuits = Circuits(CIRCUIT_LIMITS)
         self.on_leaving: list[Callable[[EngineStart], None]] = []
@@ -306,6 +362,11 @@
         self._link_by_id: dict[str, EngineLink] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         fleet.on_engines_changed.append(self._drop_stale_links)
+        paths.on_cut.append(self._handle_cut)
+
+    def links(self) -> Collection[EngineLink]:
+        """Return the links that are in use."""
+        return self._link_by_id.values()
 
     def link_to(self, entry: EngineEntry) -> EngineLink:
         """Return the link to an engine; a link to an earlier start of the engine is replaced."""
@@ -321,7 +382,7 @@
                 self.contact,
                 self._count_opened,
                 self._count_oversized,
-                self._connect,
+                self._paths,
             )
             link.on_leaving = self._report_leaving
             link.on_limit = self._report_limit
@@ -344,6 +405,13 @@
         for link in self._link_by_id.values():
             link.close()
 
+    def _handle_cut(self, engine: str) -> None:
+        """Use an engine through peers: what its own connections showed counts no more."""
+        self.circuits.succeeded(engine)
+        link = self._link_by_id.get(engine)
+        if link is not None:
+            link.drop_direct_connections()
+
     def _report_leaving(self, start: EngineStart) -> None:
         for callback in self.on_leaving:
             callback(start)
--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import replace
 from functools import singledispatchmethod
 from typing import Any
@@ -19,6 +19,7 @@
 from pimentoquay.gateway.peer_loads import PeerLoadTable
 from pimentoquay.gateway.peer_presence import PeerPresence
 from pimentoquay.gateway.relays import TIMEOUT_SECONDS, RelayNetwork
+from pimentoquay.gateway.vm_addresses import VmAddresses
 from pimentoquay.kernel import Channel, ChannelClosed, ChannelOpened, Envelope, Node
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages import CodecError, decode
@@ -44,6 +45,7 @@
 from pimentoquay.policy.mesh_plan import MeshPlan, needs_relays, plan_mesh
 from pimentoquay.policy.pools import coordinator_of
 from pimentoquay.policy.store_position import StoreEra, era_of
+from pimentoquay.policy.tunnel_peers import PeerPlace
 from pimentoquay.transport.peers import PeerSet
 
 __all__ = ["Mesh"]
@@ -90,8 +92,7 @@
         self.loads = loads
         self._era = era
         self._vm = node.identity.vm
-        own = VmAddress(self._vm, address, node.identity.data_centre, -1)
-        self._address_by_vm: dict[str, VmAddress] = {self._vm: own}
+        self.addresses = VmAddresses(VmAddress(self._vm, address, node.identity.data_centre, -1))
         self._presence = PeerPresence(node.timers.now, HEARTBEAT_SECONDS)
         self._seen_fences: set[int] = set()
         self.load_exchange = LoadExchange(
@@ -137,12 +138,12 @@
     @property
     def gateway_count(self) -> int:
         """Number of known gateways, including this one, which share the deployment's limits."""
-        return max(len(self._address_by_vm), 1 + len(self._presence.last_seen_at_by_vm))
+        return max(len(self.addresses.by_vm), 1 + len(self._presence.last_seen_at_by_vm))
 
     @property
     def turn_order(self) -> tuple[int, int]:
         """Place of this VM in the order of all known VMs, from 0, and their number."""
-        return sorted(self._address_by_vm).index(self._vm), len(self._address_by_vm)
+        return sorted(self.addresses.by_vm).index(self._vm), len(self.addresses.by_vm)
 
     @property
     def has_incomplete_view(self) -> bool:
@@ -151,7 +152,7 @@
 
     def running_vms(self) -> frozenset[str]:
         """Return the VMs that run or may still be running, including this one."""
-        known = self._address_by_vm.keys()
+        known = self.addresses.by_vm.keys()
         if self.plan.is_full:
             return self._presence.may_be_running(known) | {self._vm}
         return frozenset(known)
@@ -175,19 +176,20 @@
 
     def update_addresses(self, addresses: tuple[VmAddress, ...]) -> None:
         """Store newer addresses of VMs, dial as planned, and send changes to the peers."""
-        changed = tuple(each for each in addresses if each.vm != self._vm and self._is_newer(each))
+        changed = self.addresses.update(addresses)
         if changed:
-            self._address_by_vm.update({each.vm: each for each in changed})
             self._update_plan()
             self.publish(FleetCopy(-1, b"", (), -1, changed))
 
-    def _is_newer(self, address: VmAddress) -> bool:
-        known = self._address_by_vm.get(address.vm)
-        return known is None or known.position < address.position
+    def tunnel_places(self) -> Mapping[str, PeerPlace]:
+        """Return the peers through which tunnels to engines may be opened."""
+        by_vm = self.addresses.by_vm
+        heard = self._presence.last_seen_at_by_vm if self.plan.is_full else by_vm
+        return self.addresses.places(frozenset(heard))
 
     def dial_seeds(self, addresses: tuple[str, ...]) -> None:
         """Dial seed addresses that belong to no known VM, unless a peer is known to be alive."""
-        known = {each.address for each in self._address_by_vm.values()}
+        known = {each.address for each in self.addresses.by_vm.values()}
         wanted = {f"seed {each}": each for each in addresses if each not in known}
         if not self._presence.last_seen_at_by_vm and wanted:
             self._peers.set_targets({**self._dial_addresses(), **wanted})
@@ -203,7 +205,7 @@
 
     def coordinator_of(self, key: PoolKey) -> str | None:
         """Return the VM that coordinates a pool of engines, which is one of the relays."""
-        addresses = self._address_by_vm
+        addresses = self.addresses.by_vm
         return coordinator_of(
             key, {vm: addresses[vm].data_centre for vm in self.relays.coordinating_relays()}
         )
@@ -222,7 +224,7 @@
             self.relays.send_now()
 
     def _update_plan(self) -> None:
-        data_centre_by_vm = {vm: each.data_centre for vm, each in self._address_by_vm.items()}
+        data_centre_by_vm = {vm: each.data_centre for vm, each in self.addresses.by_vm.items()}
         if needs_relays(len(data_centre_by_vm)):
             suspected = self.relays.liveness.suspected(self._node.timers.now())
             reachable: Collection[str] = data_centre_by_vm.keys() - suspected
@@ -235,7 +237,7 @@
         self._peers.set_targets(self._dial_addresses())
 
     def _dial_addresses(self) -> dict[str, str]:
-        return {vm: self._address_by_vm[vm].address for vm in self.plan.dialled}
+        return {vm: self.addresses.by_vm[vm].address for vm in self.plan.dialled}
 
     def _channels(self) -> tuple[Channel, ...]:
         """Return one channel for each peer; there are two if both sides have dialled."""
@@ -263,7 +265,7 @@
         self._presence.record_direct(channel.peer.vm)
         self.load_exchange.update_incarnation(channel.peer.vm, channel.peer.incarnation)
         self.relays.forget_vm(channel.peer.vm)
-        channel.send(replace(self._fleet.snapshot(), vms=tuple(self._address_by_vm.values())))
+        channel.send(replace(self._fleet.snapshot(), vms=tuple(self.addresses.by_vm.values())))
         self.notices.send_all(channel)
         self.load_exchange.send_own_load(channel)
         logger.bind(peer=channel.peer.vm).info("peer connected")
--- a/pimentoquay/gateway/metrics.py
+++ b/pimentoquay/gateway/metrics.py
@@ -55,6 +55,37 @@
     "gauge",
     "engines to which no connection could be opened since they last answered",
 )
+ENGINE_REQUESTS = Metric(
+    "pimentoquay_gateway_engine_requests_total",
+    "counter",
+    "requests that engines have begun to answer, by way: direct or through a peer",
+    ("way",),
+)
+ENGINES_CUT = Metric(
+    "pimentoquay_gateway_engines_cut",
+    "gauge",
+    "engines that this gateway reaches only through peers",
+)
+TUNNELS_OPENED = Metric(
+    "pimentoquay_gateway_tunnels_opened_total",
+    "counter",
+    "connections to engines opened through peers",
+)
+TUNNELS_CARRIED = Metric(
+    "pimentoquay_gateway_tunnels_carried",
+    "gauge",
+    "connections of peers to engines that this gateway forwards",
+)
+TUNNELS_GRANTED = Metric(
+    "pimentoquay_gateway_tunnels_granted_total",
+    "counter",
+    "connections to engines opened here for peers",
+)
+TUNNELS_REFUSED = Metric(
+    "pimentoquay_gateway_tunnels_refused_total",
+    "counter",
+    "connections to engines that peers asked for and that were not opened",
+)
 PEERS = Metric("pimentoquay_gateway_peers", "gauge", "gateways that are known, this one included")
 ENGINES_LEAVING = Metric(
     "pimentoquay_gateway_engines_leaving",
@@ -143,6 +174,11 @@
     STORE_ERA,
     CONNECTIONS,
     ENGINES_UNREACHABLE,
+    ENGINES_CUT,
+    TUNNELS_OPENED,
+    TUNNELS_CARRIED,
+    TUNNELS_GRANTED,
+    TUNNELS_REFUSED,
     PEERS,
     ENGINES_LEAVING,
     PAUSES,
@@ -159,7 +195,7 @@
     STREAM_ORIGINS,
     RESUMPTIONS_REFUSED,
 )
-_COUNTERS = (CONNECT_FAILURES,)
+_COUNTERS = (CONNECT_FAILURES, ENGINE_REQUESTS)
 _SUMMARIES = (REQUEST_SECONDS, FIRST_EVENT_SECONDS, MEMORY_WAIT_SECONDS)
 
 GATEWAY_METRICS = (REQUESTS, *_GAUGES, *_COUNTERS, *_SUMMARIES)
--- a/pimentoquay/gateway/plain.py
+++ b/pimentoquay/gateway/plain.py
@@ -15,7 +15,13 @@
     send_response,
 )
 from pimentoquay.gateway.shared_state import SharedState
-from pimentoquay.http1 import Exchange, HeaderList, ServerState, end_to_end_headers
+from pimentoquay.http1 import (
+    Exchange,
+    ExchangeWatch,
+    HeaderList,
+    ServerState,
+    end_to_end_headers,
+)
 from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode
 from pimentoquay.kernel.errors import HttpError, ResponseTooLargeError
 from pimentoquay.kernel.logs import logger
@@ -40,6 +46,12 @@
 """Size of a response body in bytes up to which it is read completely before it is forwarded, so
 that the call can be repeated. A longer one is forwarded as it arrives."""
 
+QUIET_SECONDS = 0.15
+"""Silence after which it is found out whether a server is still reached; most calls take less."""
+
+REPEATABLE_WATCH = ExchangeWatch(QUIET_SECONDS, abandon_seconds=0.0)
+UNREPEATABLE_WATCH = ExchangeWatch(QUIET_SECONDS)
+
 UNREPEATABLE_MAX_IDLE_SECONDS = 1.0
 """Maximum idle time of a reused connection for a call that may not be repeated."""
 
@@ -198,7 +210,13 @@
         max_idle_seconds = None if job.route.may_run_again else UNREPEATABLE_MAX_IDLE_SECONDS
         request = job.request
         async with link.send(
-            request.method, request.target, job.caller, request.body, options, max_idle_seconds
+            request.method,
+            request.target,
+            job.caller,
+            request.body,
+            options,
+            max_idle_seconds,
+            watch=REPEATABLE_WATCH if job.route.may_run_again else UNREPEATABLE_WATCH,
         ) as exchange:
             response_info = parse_response(exchange.status, exchange.headers)
             parts: list[bytes] = []
--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -7,6 +7,7 @@
 from pimentoquay.gateway.job import Job
 from pimentoquay.gateway.links import EngineLink
 from pimentoquay.gateway.shared_state import SharedState
+from pimentoquay.http1 import ExchangeWatch
 from pimentoquay.kernel.errors import HttpError
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.fields import DecodeError
@@ -25,6 +26,9 @@
 """Timeout of a prefill: ten times its usual duration, and half the lifetime of a memory hold."""
 
 
+WATCH = ExchangeWatch(quiet_seconds=0.4, abandon_seconds=0.0)
+"""Prefills take some tenths of a second, and may be sent again."""
+
 MAX_BODY_BYTES = 64 * 1024
 """Maximum size of a response to a prefill, in bytes; it names a KV cache."""
 
@@ -183,6 +187,7 @@
                     request.body,
                     options,
                     has_permit=is_granted,
+                    watch=WATCH,
                 ) as exchange,
             ):
                 body = await exchange.read_body(MAX_BODY_BYTES)
--- a/pimentoquay/gateway/program.py
+++ b/pimentoquay/gateway/program.py
@@ -6,7 +6,6 @@
 
 import argparse
 import asyncio
-import hashlib
 import signal
 import sys
 import time
@@ -49,9 +48,7 @@
 ) -> None:
     incarnation = int(time.time() * 1000)
     identity = Identity(settings.vm, "gateway", settings.region, settings.data_centre, incarnation)
-    # All gateways of a deployment have the same store address, so it serves as their shared key.
-    key = hashlib.sha256(settings.store_address.encode()).digest()
-    node = Node(identity, WebSocketTransport(identity, key), LoopClock())
+    node = Node(identity, WebSocketTransport(identity, settings.shared_key), LoopClock())
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, _check_settings)
     gateway = compose_gateway(settings, node, metrics_port)
--- a/pimentoquay/gateway/stage_controller.py
+++ b/pimentoquay/gateway/stage_controller.py
@@ -206,7 +206,7 @@
         call = link.calls.change_stage(stage is EngineStage.PREFILL, self._vm, fence)
         seconds = service.memory.change_seconds + CHANGE_MARGIN_SECONDS
         try:
-            status, _ = await link.call(call, ORDER_TIMEOUT_SECONDS)
+            status, _ = await link.order(call, ORDER_TIMEOUT_SECONDS)
             outcome = link.calls.parse_order_status(status)
         except HttpError as error:
             logger.bind(engine=engine.id, error=str(error)).info("no response to a stage order")
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -26,7 +26,7 @@
     next_events,
     output_tokens,
 )
-from pimentoquay.http1 import Exchange, ServerState, end_to_end_headers
+from pimentoquay.http1 import Exchange, ExchangeWatch, ServerState, end_to_end_headers
 from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode
 from pimentoquay.kernel.errors import HttpError
 from pimentoquay.kernel.logs import logger
@@ -50,6 +50,9 @@
 """Time without data after which a resumable stream is moved to another engine; five times the
 longest acceptable pause between events, and well below the time after which callers leave."""
 
+CUT_SILENCE_SECONDS = 0.7
+"""Time without data after which a resumable stream is moved if the path to its engine is cut."""
+
 MAX_ERROR_BYTES = 64 * 1024
 """Maximum size of the body of an engine's error response to a stream, in bytes."""
 
@@ -252,6 +255,10 @@
                 options,
                 head_seconds=silence_timeout,
                 has_permit=True,
+                watch=ExchangeWatch(
+                    job.route.gap_seconds,
+                    CUT_SILENCE_SECONDS if job.route.is_resumable else None,
+                ),
             ) as exchange:
                 if exchange.status != 200:
                     await self._handle_failure(progress, exchange, reservation, prefill)
--- a/pimentoquay/gateway/tests/cut_load.py
+++ b/pimentoquay/gateway/tests/cut_load.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from pimentoquay.gateway.tests.rig import model_headers
+from pimentoquay.gateway.tests.rig import Rig, model_headers
 from pimentoquay.kernel.errors import HttpError
 
 CALL_DEADLINE_MS = 1000
@@ -28,12 +28,14 @@
 
 @dataclass
 class Load:
-    """Sends a call or a stream to each gateway in turn, one each ``interval`` seconds."""
+    """Sends calls and streams to each gateway in turn, ``burst`` each ``interval`` seconds."""
 
-    env: object
+    env: Rig
     vms: tuple = ("vm-1",)
     interval: float = 0.05
+    burst: int = 1
     paths: tuple = ("/look/a", "/order/a", "/digest/a", "/order/b")
+    name: str = "load"
     sent: list = field(default_factory=list)
 
     async def run(self, seconds):
@@ -42,15 +44,19 @@
         ends_at = loop.time() + seconds
         tasks = []
         while loop.time() < ends_at:
-            number = len(self.sent)
-            vm = self.vms[number % len(self.vms)]
-            path = self.paths[number // len(self.vms) % len(self.paths)]
-            item = Sent(f"load-{number}", path, vm, loop.time())
-            self.sent.append(item)
-            tasks.append(asyncio.create_task(self._send(item)))
+            for _ in range(self.burst):
+                tasks.append(asyncio.create_task(self._send(self._next())))
             await asyncio.sleep(self.interval)
         await asyncio.gather(*tasks)
 
+    def _next(self):
+        number = len(self.sent)
+        vm = self.vms[number % len(self.vms)]
+        path = self.paths[number // len(self.vms) % len(self.paths)]
+        item = Sent(f"{self.name}-{number}", path, vm, asyncio.get_running_loop().time())
+        self.sent.append(item)
+        return item
+
     async def _send(self, item):
         is_stream = item.path.startswith(("/digest", "/sheet"))
         headers = model_headers() if is_stream else ()
--- a/pimentoquay/gateway/tests/rig.py
+++ b/pimentoquay/gateway/tests/rig.py
@@ -108,6 +108,7 @@
             control_addresses=tuple(seeds),
             store_address=store_address or self.store_address,
             bounds=Bounds(2.0, 3.0, 8.0, 2.0, 0.2, 10.0, 5000.0),
+            tunnel_address="127.0.0.1:0",
         )
         identity = Identity(vm, "gateway", "here", "hall", 1)
         node = Node(identity, self.network.transport(identity), LoopClock())
@@ -179,6 +180,8 @@
         for gateway in self.gateway_by_vm.values():
             gateway.node.timers.close()
             gateway.links.close()
+            gateway.paths.close()
+            await gateway.tunnel_server.close()
             gateway.store.close()
             await gateway.caller_server.close()
             await gateway.readiness_server.close()
--- a/pimentoquay/gateway/tests/test_unreachable_engines.py
+++ b/pimentoquay/gateway/tests/test_unreachable_engines.py
@@ -18,8 +18,8 @@
     async with rig() as env:
         for vm in ("vm-2", "vm-3"):
             await env.add_gateway(vm)
-        await Load(env).run(0.5)
-        load = Load(env)
+        await Load(env, name="before").run(0.5)
+        load = Load(env, interval=0.2, burst=8)
         env.links.cut("vm-1", how)
         cut_at = asyncio.get_running_loop().time()
         await load.run(3.0)
--- /dev/null
+++ b/pimentoquay/gateway/vm_addresses.py
@@ -0,0 +1,57 @@
+"""Addresses of the gateways of a deployment, as one of them knows them."""
+
+from collections.abc import Collection, Mapping
+from dataclasses import replace
+
+from pimentoquay.messages.fleet import VmAddress
+from pimentoquay.policy.tunnel_peers import PeerPlace
+
+__all__ = ["VmAddresses"]
+
+
+class VmAddresses:
+    """Newest known address of each VM, including this one.
+
+    Parameters
+    ----------
+    own
+        Address of this VM.
+    """
+
+    def __init__(self, own: VmAddress) -> None:
+        self.by_vm: dict[str, VmAddress] = {own.vm: own}
+        self._vm = own.vm
+        self._place_by_vm: Mapping[str, PeerPlace] = {}
+        self._heard: Collection[str] | None = None
+
+    @property
+    def own(self) -> VmAddress:
+        """Address of this VM."""
+        return self.by_vm[self._vm]
+
+    def set_tunnel_address(self, address: str) -> None:
+        """Set the address at which this VM accepts tunnels."""
+        self.by_vm[self._vm] = replace(self.own, tunnel_address=address)
+
+    def update(self, addresses: Collection[VmAddress]) -> tuple[VmAddress, ...]:
+        """Store newer addresses of other VMs, and return those that were newer."""
+        changed = tuple(each for each in addresses if each.vm != self._vm and self._is_newer(each))
+        if changed:
+            self.by_vm.update({each.vm: each for each in changed})
+            self._heard = None
+        return changed
+
+    def places(self, heard: Collection[str]) -> Mapping[str, PeerPlace]:
+        """Return the peers that accept tunnels, with whether they are among those heard lately."""
+        if self._heard != heard:
+            self._heard = frozenset(heard)
+            self._place_by_vm = {
+                vm: PeerPlace(each.data_centre, each.tunnel_address, vm in self._heard)
+                for vm, each in self.by_vm.items()
+                if vm != self._vm and each.tunnel_address
+            }
+        return self._place_by_vm
+
+    def _is_newer(self, address: VmAddress) -> bool:
+        known = self.by_vm.get(address.vm)
+        return known is None or known.position < address.position
--- a/pimentoquay/http1/__init__.py
+++ b/pimentoquay/http1/__init__.py
@@ -6,21 +6,24 @@
 request it belongs to, and whether the caller has disconnected.
 """
 
+from pimentoquay.http1.buffered import SharedBufferProtocol
 from pimentoquay.http1.client import (
     Connect,
     ConnectionPool,
     Exchange,
-    ReusePolicy,
     ServerState,
     connect_tcp,
 )
+from pimentoquay.http1.client_connection import ClientConnection, ExchangeWatch, ReusePolicy
 from pimentoquay.http1.headers import HeaderList, end_to_end_headers, find_header
 from pimentoquay.http1.server import HttpRequest, HttpServer, Reply, ServerLimits
 
 __all__ = [
+    "ClientConnection",
     "Connect",
     "ConnectionPool",
     "Exchange",
+    "ExchangeWatch",
     "HeaderList",
     "HttpRequest",
     "HttpServer",
@@ -28,6 +31,7 @@
     "ReusePolicy",
     "ServerLimits",
     "ServerState",
+    "SharedBufferProtocol",
     "connect_tcp",
     "end_to_end_headers",
     "find_header",
--- a/pimentoquay/http1/client.py
+++ b/pimentoquay/http1/client.py
@@ -14,7 +14,12 @@
 
 import h11
 
-from pimentoquay.http1.client_connection import ClientConnection, ResponseFilter, ReusePolicy
+from pimentoquay.http1.client_connection import (
+    ClientConnection,
+    ExchangeWatch,
+    ResponseFilter,
+    ReusePolicy,
+)
 from pimentoquay.http1.headers import HeaderList, find_header
 from pimentoquay.kernel.errors import (
     ConnectError,
@@ -25,14 +30,12 @@
 
 __all__ = ["Connect", "ConnectionPool", "Exchange", "ReusePolicy", "ServerState", "connect_tcp"]
 
-Connect = Callable[[Callable[[], ClientConnection], str, int], Awaitable[tuple[Any, Any]]]
+Connect = Callable[[Callable[[], Any], str, int], Awaitable[tuple[Any, Any]]]
 """Opens a connection with a protocol from a factory to a host and port, as ``create_connection``
 of an event loop does."""
 
 
-async def connect_tcp(
-    factory: Callable[[], ClientConnection], host: str, port: int
-) -> tuple[Any, Any]:
+async def connect_tcp(factory: Callable[[], Any], host: str, port: int) -> tuple[Any, Any]:
     """Open a TCP connection."""
     return await asyncio.get_running_loop().create_connection(factory, host, port)
 
@@ -52,6 +55,9 @@
 class ConnectionPool:
     """Pool of connections to one backend server.
 
+    ``active`` holds the connections with an exchange in progress, and ``heard_at`` is the time at
+    which something was last received on one that is no longer active.
+
     Parameters
     ----------
     address
@@ -76,6 +82,8 @@
     ) -> None:
         self.address = address
         self.open_connections = 0
+        self.active: set[ClientConnection] = set()
+        self.heard_at = 0.0
         self._host, self._port = split_address(address)
         self._connect_seconds = connect_seconds
         self._reuse = reuse
@@ -95,6 +103,7 @@
         is_own_response: ResponseFilter = lambda headers: True,
         max_idle_seconds: float | None = None,
         head_seconds: float | None = None,
+        watch: ExchangeWatch | None = None,
     ) -> AsyncIterator["Exchange"]:
         """Send a request once and yield the exchange when its response headers have arrived.
 
@@ -112,8 +121,12 @@
             Maximum idle time in seconds of a reused connection, in addition to the reuse policy.
         head_seconds
             Timeout of waiting for the response headers, in seconds.
+        watch
+            How long the server may be silent.
         """
         connection = await self._acquire_connection(max_idle_seconds)
+        connection.watch = watch
+        self.active.add(connection)
         try:
             connection.send(method, target, headers, body, is_own_response)
             exchange = Exchange(connection)
@@ -135,8 +148,14 @@
     def close(self) -> None:
         """Close idle connections; running exchanges close theirs when they end."""
         self._closed = True
-        while self._idle:
-            self._idle.pop().abort()
+        self.drop_idle()
+
+    def drop_idle(self, via: str | None = None) -> None:
+        """Close idle connections, or those through one peer; direct ones have an empty name."""
+        for connection in tuple(self._idle):
+            if via is None or connection.via == via:
+                self._idle.remove(connection)
+                connection.abort()
 
     async def _acquire_connection(self, max_idle_seconds: float | None) -> "ClientConnection":
         now = asyncio.get_running_loop().time()
@@ -170,6 +189,8 @@
             self._idle.remove(connection)
 
     def _release_connection(self, connection: "ClientConnection") -> None:
+        self.active.discard(connection)
+        self.heard_at = max(self.heard_at, connection.heard_at)
         if connection.finish() and not self._closed:
             self._idle.append(connection)
         else:
@@ -192,6 +213,11 @@
         self.status = 0
         self.headers: HeaderList = ()
 
+    @property
+    def via(self) -> str:
+        """Peer through which the connection was opened, or empty."""
+        return self._connection.via
+
     @property
     def is_unframed(self) -> bool:
         """Whether the response has neither a length nor chunks, so that its connection ends it."""
--- a/pimentoquay/http1/client_connection.py
+++ b/pimentoquay/http1/client_connection.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import socket
+import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -13,10 +14,11 @@
 
 import h11
 
+from pimentoquay.http1.buffered import SharedBufferProtocol
 from pimentoquay.http1.headers import HeaderList, find_header
-from pimentoquay.kernel.errors import HttpError
+from pimentoquay.kernel.errors import HttpError, PathLostError
 
-__all__ = ["ClientConnection", "ResponseFilter", "ReusePolicy"]
+__all__ = ["ClientConnection", "ExchangeWatch", "ResponseFilter", "ReusePolicy"]
 
 MAX_RESPONSE_HEADER_BYTES = 64 * 1024
 """Maximum size of the status line and headers of a response, in bytes."""
@@ -27,10 +29,6 @@
 READ_AHEAD_BYTES = 32 * 1024
 """Number of buffered body bytes above which reading from the connection is paused."""
 
-_receive_buffer = bytearray(32 * 1024)
-"""Buffer for received bytes, used by all connections in turn. It bounds what one read may return,
-which is kept until the response's reader takes it."""
-
 MAX_DISCARDED_BYTES = 64 * 1024
 """Maximum size of responses to other requests that are discarded before the own one, in bytes."""
 
@@ -59,9 +57,29 @@
     margin_seconds: float = 1.0
 
 
-class ClientConnection(asyncio.BufferedProtocol):
+@dataclass(frozen=True)
+class ExchangeWatch:
+    """How long a server may be silent during an exchange, in seconds.
+
+    Parameters
+    ----------
+    quiet_seconds
+        Silence after which it is to be found out whether the server is still reached.
+    abandon_seconds
+        Silence after which the exchange is given up if it is not, or None if it may not be sent
+        again.
+    """
+
+    quiet_seconds: float
+    abandon_seconds: float | None = None
+
+
+class ClientConnection(SharedBufferProtocol):
     """One connection of a pool, which carries at most one exchange at a time.
 
+    ``via`` names the peer through which it was opened, or is empty. ``heard_at`` is the time at
+    which something was last received or a request sent, and ``watch`` that of the exchange.
+
     Parameters
     ----------
     reuse
@@ -70,6 +88,9 @@
 
     def __init__(self, reuse: ReusePolicy) -> None:
         self.on_lost: Callable[[ClientConnection], None] = lambda connection: None
+        self.via = ""
+        self.heard_at = 0.0
+        self.watch: ExchangeWatch | None = None
         self._reuse = reuse
         self._transport: Any = None
         self._http = h11.Connection(h11.CLIENT, MAX_RESPONSE_HEADER_BYTES)
@@ -83,6 +104,8 @@
         self._buffered_bytes = 0
         self._waiter: asyncio.Future[None] | None = None
         self._failure: str | None = None
+        self._is_path_lost = False
+        self._is_retired = False
         self._is_complete = False
         self._is_lost = False
         self._reusable_until = 0.0
@@ -110,19 +133,12 @@
                 self._record_failure("the connection ended before the answer was whole")
         return False
 
-    def get_buffer(self, sizehint: int) -> bytearray:
-        """Return the buffer into which the next bytes are read."""
-        return _receive_buffer
-
-    def buffer_updated(self, nbytes: int) -> None:
-        """Handle the bytes that were read into the buffer."""
-        self.data_received(bytes(_receive_buffer[:nbytes]))
-
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; bytes that belong to no request close the connection."""
         if self._request is None or self._is_complete:
             self.abort()
             return
+        self.heard_at = time.monotonic()
         self._parse_data(data)
         if self._buffered_bytes > READ_AHEAD_BYTES:
             self._transport.pause_reading()
@@ -142,6 +158,7 @@
             self._body, self._is_own_response = body, is_own_response
             self._is_complete = self._is_discarding = False
             self._discarded_bytes = self._informational_responses = 0
+            self.heard_at = time.monotonic()
             self._transport.write(self._serialise())
         except h11.LocalProtocolError as error:
             raise HttpError(f"the request cannot be sent: {error}", False) from None
@@ -162,11 +179,13 @@
 
     def error(self, detail: str, connection_lost: bool = False) -> HttpError:
         """Return an error; a request that was passed to the socket counts as written."""
+        if self._is_path_lost:
+            return PathLostError(detail, True)
         return HttpError(detail, self._request is not None, connection_lost)
 
     def is_reusable(self, now: float, max_idle_seconds: float | None) -> bool:
         """Return whether another request may be sent on this connection."""
-        if self._transport.is_closing() or now > self._reusable_until:
+        if self._transport.is_closing() or self._is_retired or now > self._reusable_until:
             return False
         return max_idle_seconds is None or now - self._idle_since <= max_idle_seconds
 
@@ -175,6 +194,8 @@
         unsent = self._transport.get_write_buffer_size()
         if not self._is_complete or self._events or unsent or self._transport.is_closing():
             return False
+        if self._is_retired:
+            return False
         if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
             return False
         if self._http.trailing_data[0]:
@@ -184,6 +205,17 @@
         self._idle_since = asyncio.get_running_loop().time()
         return self._reusable_until > self._idle_since
 
+    def retire(self) -> None:
+        """Send no other request on this connection; close it if it is idle."""
+        self._is_retired = True
+        if self._request is None:
+            self.abort()
+
+    def lose_path(self, detail: str) -> None:
+        """Fail the exchange, as the path to the server is cut."""
+        self._is_path_lost = True
+        self._record_failure(detail)
+
     def abort(self) -> None:
         """Close the connection immediately."""
         if not self._transport.is_closing():
--- a/pimentoquay/kernel/errors.py
+++ b/pimentoquay/kernel/errors.py
@@ -8,6 +8,7 @@
     "ConnectError",
     "ConnectFailure",
     "HttpError",
+    "PathLostError",
     "PimentoquayError",
     "RefusedError",
     "ResponseTooLargeError",
@@ -92,5 +93,9 @@
         self.failure = failure
 
 
+class PathLostError(HttpError):
+    """The path to the server was cut while its response was awaited; it says nothing about it."""
+
+
 class ResponseTooLargeError(HttpError):
     """A response, or a part of it, exceeds its maximum size; the rest of it was not read."""
--- a/pimentoquay/messages/fleet.py
+++ b/pimentoquay/messages/fleet.py
@@ -41,15 +41,17 @@
 
 @message(121)
 class VmAddress:
-    """Address at which a VM's gateway listens for its peers, and the VM's data centre.
+    """Addresses at which a VM's gateway listens for its peers, and the VM's data centre.
 
-    Of two addresses of one VM, the one with the higher ``position`` in the store is newer.
+    ``tunnel_address`` is the one for tunnels to engines, or empty. Of two addresses of one VM, the
+    one with the higher ``position`` in the store is newer.
     """
 
     vm: str
     address: str
     data_centre: str
     position: int
+    tunnel_address: str = ""
 
 
 @message(122)
--- a/pimentoquay/platform/settings.py
+++ b/pimentoquay/platform/settings.py
@@ -4,6 +4,7 @@
 variable ``PIMENTOQUAY_CONFIG`` holds its path.
 """
 
+import hashlib
 import os
 from dataclasses import dataclass
 from pathlib import Path
@@ -40,6 +41,7 @@
     """Settings of one process and its deployment; addresses are ``host:port``.
 
     ``control_addresses`` are the peer addresses of up to three VMs and may be out of date.
+    ``tunnel_address`` is that at which peers open tunnels to engines, or empty for none.
     """
 
     vm: str
@@ -52,6 +54,15 @@
     control_addresses: tuple[str, ...]
     store_address: str
     bounds: Bounds
+    tunnel_address: str = ""
+
+    @property
+    def shared_key(self) -> bytes:
+        """Key by which the gateways of a deployment recognise each other.
+
+        All of them have the same store address, and the platform gives them no secret.
+        """
+        return hashlib.sha256(self.store_address.encode()).digest()
 
 
 def load_deployment_settings(path: Path | None = None) -> DeploymentSettings:
@@ -80,9 +91,17 @@
         control_addresses=tuple(str(seed) for seed in optional(item, "seedAddrs", list, [])),
         store_address=required(platform, "address", str),
         bounds=_decode_bounds(optional(item, "bounds", dict, {})),
+        tunnel_address=_tunnel_address(item),
     )
 
 
+def _tunnel_address(item: dict[str, Any]) -> str:
+    """Return an address at the first of the ports that are free for use between VMs."""
+    ports = optional(item, "innerPortRange", list, [])
+    is_valid = bool(ports) and type(ports[0]) is int and 0 < ports[0] < 65536
+    return f"{required(item, 'ipAddr', str)}:{ports[0]}" if is_valid else ""
+
+
 def _decode_bounds(item: dict[str, Any]) -> Bounds:
     return Bounds(
         drain_seconds=read_seconds(item, "drainMs", 2000.0),
--- /dev/null
+++ b/pimentoquay/policy/tunnel_peers.py
@@ -0,0 +1,156 @@
+"""Choice of the peers through which a VM opens tunnels to engines that it does not reach.
+
+Load pattern: one VM, a data centre, half of the VMs or all but one of them are cut off from
+engines. Peers are asked in an order that spreads the VMs over them and prefers the nearest, the
+second one in another data centre, since VMs of one data centre are often cut off together. A peer
+that does not reach the engine either names those through which it does.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from pimentoquay.policy.mesh_plan import hash_rank
+
+__all__ = ["PeerPlace", "TunnelPeers"]
+
+AVOID_SECONDS = 1.0
+"""Time for which a peer is asked last after it failed, or did not reach the engine."""
+
+MAX_REFERRALS = 3
+"""Maximum number of peers that are named to others as reaching an engine."""
+
+
+@dataclass(frozen=True)
+class PeerPlace:
+    """Data centre and tunnel address of a peer; ``is_heard`` if it was heard lately."""
+
+    data_centre: str
+    address: str
+    is_heard: bool = True
+
+
+class TunnelPeers:
+    """Results of one VM's attempts to open tunnels, and the order in which it asks its peers.
+
+    Example
+    -------
+    >>> places = {"vm-2": PeerPlace("port", "a:1"), "vm-3": PeerPlace("hall", "b:1")}
+    >>> peers = TunnelPeers("vm-1", "hall")
+    >>> peers.order("e", "hall", places, now=0.0)
+    ('vm-3', 'vm-2')
+    >>> peers.record_failure("vm-3", "e", now=0.0)
+    >>> peers.order("e", "hall", places, now=0.5)
+    ('vm-2', 'vm-3')
+    """
+
+    def __init__(self, own: str, data_centre: str) -> None:
+        self._own = own
+        self._data_centre = data_centre
+        self._failed_at_by_peer: dict[str, float] = {}
+        self._failed_at_by_way: dict[tuple[str, str], float] = {}
+        self._used_at_by_way: dict[tuple[str, str], float] = {}
+        self._named_at_by_way: dict[tuple[str, str], float] = {}
+
+    def order(
+        self,
+        engine: str,
+        engine_data_centre: str,
+        places: Mapping[str, PeerPlace],
+        now: float,
+    ) -> tuple[str, ...]:
+        """Return the peers in the order in which they are to be asked for a tunnel to an engine.
+
+        Parameters
+        ----------
+        engine, engine_data_centre
+            The engine.
+        places
+            The peers that may be asked.
+        now
+            Current time in seconds.
+        """
+
+        def rank(vm: str) -> tuple[bool, bool, bool, int, bytes]:
+            place = places[vm]
+            crossings = (place.data_centre != self._data_centre) + (
+                place.data_centre != engine_data_centre
+            )
+            return (
+                self._has_failed(vm, engine, now),
+                not self._is_promising(vm, engine, now),
+                not place.is_heard,
+                crossings,
+                hash_rank(f"{self._own} {engine} {vm}"),
+            )
+
+        ordered = sorted((vm for vm in places if vm != self._own), key=rank)
+        return self._spread(ordered, places, engine, now)
+
+    def record_failure(self, peer: str, engine: str | None, now: float) -> None:
+        """Record that a peer did not open a tunnel to an engine, or to any if None is given."""
+        if engine is None:
+            self._failed_at_by_peer[peer] = now
+        else:
+            self._failed_at_by_way[peer, engine] = now
+            self._used_at_by_way.pop((peer, engine), None)
+
+    def record_opened(self, peer: str, engine: str, now: float) -> None:
+        """Record that a peer has opened a tunnel to an engine."""
+        self._used_at_by_way[peer, engine] = now
+        self._failed_at_by_way.pop((peer, engine), None)
+        self._failed_at_by_peer.pop(peer, None)
+
+    def learn(self, engine: str, peers: Iterable[str], now: float) -> None:
+        """Record peers through which another VM reaches an engine."""
+        for peer in peers:
+            self._named_at_by_way[peer, engine] = now
+
+    def referrals(self, engine: str, now: float) -> tuple[str, ...]:
+        """Return the peers through which this VM has reached an engine lately, newest first."""
+        used = sorted(
+            (
+                (at, peer)
+                for (peer, each), at in self._used_at_by_way.items()
+                if each == engine and now - at < AVOID_SECONDS
+            ),
+            reverse=True,
+        )
+        return tuple(peer for _, peer in used[:MAX_REFERRALS])
+
+    def expire(self, now: float) -> None:
+        """Drop results that no longer count."""
+        self._failed_at_by_peer = _recent(self._failed_at_by_peer, now)
+        self._failed_at_by_way = _recent(self._failed_at_by_way, now)
+        self._used_at_by_way = _recent(self._used_at_by_way, now)
+        self._named_at_by_way = _recent(self._named_at_by_way, now)
+
+    def _has_failed(self, vm: str, engine: str, now: float) -> bool:
+        """Return whether a peer has failed lately, for this engine or for any."""
+        failed_at = max(
+            self._failed_at_by_peer.get(vm, float("-inf")),
+            self._failed_at_by_way.get((vm, engine), float("-inf")),
+        )
+        return now - failed_at < AVOID_SECONDS
+
+    def _is_promising(self, vm: str, engine: str, now: float) -> bool:
+        way = vm, engine
+        last = max(
+            self._used_at_by_way.get(way, float("-inf")),
+            self._named_at_by_way.get(way, float("-inf")),
+        )
+        return now - last < AVOID_SECONDS
+
+    def _spread(
+        self, ordered: list[str], places: Mapping[str, PeerPlace], engine: str, now: float
+    ) -> tuple[str, ...]:
+        """Move the first peer of another data centre to the second place."""
+        for index, vm in enumerate(ordered):
+            if self._has_failed(vm, engine, now):
+                break
+            if index and places[vm].data_centre != places[ordered[0]].data_centre:
+                return (ordered[0], vm, *ordered[1:index], *ordered[index + 1 :])
+        return tuple(ordered)
+
+
+def _recent(at_by_key: dict, now: float) -> dict:  # type: ignore[type-arg]
+    return {key: at for key, at in at_by_key.items() if now - at < AVOID_SECONDS}
--- a/pimentoquay/standin/virtual_links.py
+++ b/pimentoquay/standin/virtual_links.py
@@ -18,6 +18,8 @@
 from enum import Enum
 from typing import Any
 
+from pimentoquay.http1 import SharedBufferProtocol
+
 __all__ = ["Connect", "Cut", "VirtualLinks"]
 
 Connect = Callable[..., Any]
@@ -95,7 +97,7 @@
         return self._cut_by_link.get((vm, address)) or self._cut_by_link.get((vm, ""))
 
 
-class _Connection(asyncio.Protocol):
+class _Connection(SharedBufferProtocol):
     """A real connection, between its socket and the protocol that uses it."""
 
     def __init__(self, vm: str, address: str, on_end: Callable[["_Connection"], None]) -> None:
--- /dev/null
+++ b/pimentoquay/tunnels/server.py
@@ -0,0 +1,351 @@
+"""Accept tunnels from other gateways and forward their bytes to engines."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+from pimentoquay.http1 import Connect, SharedBufferProtocol
+from pimentoquay.kernel import Identity, PimentoquayError, ResultCode
+from pimentoquay.kernel.background import BackgroundTasks
+from pimentoquay.kernel.logs import logger
+from pimentoquay.messages import CodecError, decode, encode
+from pimentoquay.messages.connection import Hello, Rejected
+from pimentoquay.messages.tunnels import TunnelOutcome, TunnelReply, TunnelRequest
+from pimentoquay.transport import handshake
+from pimentoquay.transport.websocket import split_address
+from pimentoquay.tunnels.framing import END, GOING_AWAY, FrameReader, frame
+
+__all__ = ["TunnelServer"]
+
+MAX_TUNNELS = 400
+"""Maximum number of tunnels at a time; each needs two of some four thousand descriptors."""
+
+HANDSHAKE_SECONDS = 1.0
+"""Timeout of the messages that open a tunnel."""
+
+CONNECT_SECONDS = 0.15
+"""Timeout of connecting to the engine."""
+
+MAX_EARLY_BYTES = 64 * 1024
+"""Maximum size of bytes for an engine that is not connected yet; peers wait for the reply."""
+
+USER_TIMEOUT_MILLISECONDS = 2000
+"""Time in ms after which the system resets a connection to a VM that does not respond."""
+
+
+@dataclass(frozen=True)
+class TunnelPolicy:
+    """What the server asks about a request.
+
+    ``find_outcome`` returns an outcome other than ``OPEN`` if no attempt to connect is to be made,
+    ``refusal_outcome`` what a refusal by the engine means, ``referrals`` other peers to name, and
+    ``on_silent`` is called if the engine did not respond.
+    """
+
+    find_outcome: Callable[[TunnelRequest], TunnelOutcome]
+    refusal_outcome: Callable[[TunnelRequest], Awaitable[TunnelOutcome]]
+    referrals: Callable[[TunnelRequest], tuple[str, ...]]
+    on_silent: Callable[[TunnelRequest], None]
+
+
+class TunnelServer:
+    """Accepts tunnels and connects them to engines.
+
+    ``opened`` counts the tunnels since the start, ``refused`` the requests that were not granted.
+
+    Parameters
+    ----------
+    identity, key
+        Identity of this gateway, and the key that all gateways of the deployment share.
+    connect
+        Opens connections to engines.
+    policy
+        Decides about requests.
+    """
+
+    def __init__(
+        self, identity: Identity, key: bytes, connect: Connect, policy: TunnelPolicy
+    ) -> None:
+        self.identity = identity
+        self.key = key
+        self._connect = connect
+        self._policy = policy
+        self._server: asyncio.Server | None = None
+        self._sides: set[_PeerSide] = set()
+        self._background = BackgroundTasks()
+        self._is_draining = False
+        self.opened = 0
+        self.refused = 0
+
+    @property
+    def active(self) -> int:
+        """Number of tunnels to engines that are open."""
+        return sum(side.is_open for side in self._sides)
+
+    async def listen(self, host: str, port: int) -> str:
+        """Accept tunnels; return the address, whose port the system chooses if it is zero."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: _PeerSide(self), host, port)
+        return f"{host}:{self._server.sockets[0].getsockname()[1]}"
+
+    def drain(self) -> None:
+        """Open no more tunnels, and let the peers send no other request on those that are open."""
+        self._is_draining = True
+        for side in self._sides:
+            side.announce_end()
+
+    async def close(self) -> None:
+        """Stop listening and end all tunnels."""
+        if self._server is not None:
+            self._server.close()
+        self._background.cancel()
+        for side in tuple(self._sides):
+            side.abort()
+
+    def add(self, side: "_PeerSide") -> None:
+        """Add an accepted connection."""
+        self._sides.add(side)
+
+    def remove(self, side: "_PeerSide") -> None:
+        """Remove a connection that has ended."""
+        self._sides.discard(side)
+
+    def start_connecting(self, side: "_PeerSide", request: TunnelRequest) -> asyncio.Task[None]:
+        """Connect to the engine of a request in the background, and reply to it."""
+        return self._background.start(self._serve(side, request))
+
+    async def _serve(self, side: "_PeerSide", request: TunnelRequest) -> None:
+        outcome, engine = await self._connect_engine(side, request)
+        if outcome is TunnelOutcome.OPEN:
+            self.opened += not request.is_check
+        else:
+            self.refused += 1
+        peers = self._policy.referrals(request) if outcome is TunnelOutcome.CUT_OFF else ()
+        if not request.is_check:
+            logger.bind(engine=request.engine, peer=side.peer, outcome=outcome.name.lower()).info(
+                "tunnel asked for"
+            )
+        side.reply(TunnelReply(outcome, peers), None if request.is_check else engine)
+        if engine is not None and request.is_check:
+            engine.abort()
+
+    async def _connect_engine(
+        self, side: "_PeerSide", request: TunnelRequest
+    ) -> tuple[TunnelOutcome, "_EngineSide | None"]:
+        if self._is_draining:
+            return TunnelOutcome.DRAINING, None
+        if len(self._sides) > MAX_TUNNELS:
+            return TunnelOutcome.BUSY, None
+        outcome = self._policy.find_outcome(request)
+        if outcome is not TunnelOutcome.OPEN:
+            return outcome, None
+        host, port = split_address(request.address)
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                _, engine = await self._connect(lambda: _EngineSide(side), host, port)
+        except ConnectionRefusedError:
+            if not request.is_check:
+                return TunnelOutcome.REFUSED, None
+            return await self._policy.refusal_outcome(request), None
+        except (OSError, TimeoutError):
+            self._policy.on_silent(request)
+            return TunnelOutcome.SILENT, None
+        return TunnelOutcome.OPEN, engine
+
+
+class _PeerSide(SharedBufferProtocol):
+    """The connection of the peer that uses a tunnel."""
+
+    def __init__(self, server: TunnelServer) -> None:
+        self._server = server
+        self._reader = FrameReader()
+        self._challenge = handshake.make_challenge()
+        self._hello: Hello | None = None
+        self._connecting: asyncio.Task[None] | None = None
+        self._engine: _EngineSide | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._early = b""
+        self._transport: Any = None
+        self.peer = ""
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the tunnel is connected to an engine."""
+        return self._engine is not None
+
+    def connection_made(self, transport: Any) -> None:
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS)
+        self._server.add(self)
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(HANDSHAKE_SECONDS, self.abort)
+        transport.write(frame(encode(self._challenge)))
+
+    def data_received(self, data: bytes) -> None:
+        if self._engine is not None:
+            self._engine.write(data)
+        elif self._connecting is not None:
+            self._early += data
+            if len(self._early) > MAX_EARLY_BYTES:
+                self.abort()
+        else:
+            try:
+                self._open(data)
+            except PimentoquayError as error:
+                logger.bind(error=str(error)).warning("invalid request for a tunnel")
+                self._transport.write(frame(encode(Rejected(error.code, error.detail))))
+                self._transport.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._server.remove(self)
+        self._cancel_timer()
+        if self._connecting is not None:
+            self._connecting.cancel()
+        if self._engine is not None:
+            self._engine.abort()
+
+    def pause_writing(self) -> None:
+        if self._engine is not None:
+            self._engine.set_reading(False)
+
+    def resume_writing(self) -> None:
+        if self._engine is not None:
+            self._engine.set_reading(True)
+
+    def set_reading(self, is_on: bool) -> None:
+        """Read from the peer, or not while the engine does not read."""
+        with contextlib.suppress(RuntimeError):
+            (self._transport.resume_reading if is_on else self._transport.pause_reading)()
+
+    def abort(self) -> None:
+        """End the tunnel at once."""
+        self._transport.abort()
+
+    def announce_end(self) -> None:
+        """Tell the peer to send no other request on this tunnel."""
+        if self._engine is not None:
+            self._transport.write(GOING_AWAY)
+
+    def reply(self, reply: TunnelReply, engine: "_EngineSide | None") -> None:
+        """Reply to the request; from then on, bytes are forwarded if an engine is connected."""
+        self._cancel_timer()
+        if self._transport.is_closing():
+            if engine is not None:
+                engine.abort()
+            return
+        self._connecting = None
+        assert self._hello is not None
+        welcome = handshake.make_welcome(
+            self._server.identity, self._server.key, self._challenge, self._hello
+        )
+        self._transport.write(frame(encode(welcome)) + frame(encode(reply)))
+        if engine is None:
+            self._transport.close()
+            return
+        self._engine = engine
+        engine.begin()
+        early, self._early = self._early, b""
+        if early:
+            engine.write(early)
+
+    def forward(self, data: bytes) -> None:
+        """Send bytes of the engine to the peer."""
+        self._transport.write(frame(data))
+
+    def end(self, is_orderly: bool) -> None:
+        """End the tunnel, as the engine has ended its connection."""
+        if is_orderly:
+            self._transport.write(END)
+            self._transport.close()
+        else:
+            self._transport.abort()
+
+    def _open(self, data: bytes) -> None:
+        message = self._reader.read_message(data)
+        while message is not None:
+            self._receive(decode(message))
+            if self._connecting is not None:
+                self._early = self._reader.take_rest()
+                return
+            message = self._reader.read_message(b"")
+
+    def _receive(self, message: Any) -> None:
+        if isinstance(message, Hello) and self._hello is None:
+            self.peer = handshake.check_hello(message, self._server.key, self._challenge).vm
+            self._hello = message
+        elif isinstance(message, TunnelRequest) and self._hello is not None:
+            self._connecting = self._server.start_connecting(self, message)
+        else:
+            raise CodecError(ResultCode.FRAME_MALFORMED, f"unexpected {type(message).__name__}")
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+
+
+class _EngineSide(SharedBufferProtocol):
+    """The connection to the engine of a tunnel."""
+
+    def __init__(self, peer: _PeerSide) -> None:
+        self._peer = peer
+        self._transport: Any = None
+        self._has_begun = False
+        self._before: list[bytes] = []
+        self._ended: bool | None = None
+
+    def connection_made(self, transport: Any) -> None:
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS)
+
+    def begin(self) -> None:
+        """Forward to the peer from now on, and what came before."""
+        self._has_begun = True
+        before, self._before = self._before, []
+        for data in before:
+            self._peer.forward(data)
+        if self._ended is not None:
+            self._peer.end(self._ended)
+
+    def data_received(self, data: bytes) -> None:
+        if self._has_begun:
+            self._peer.forward(data)
+        else:
+            self._before.append(data)
+
+    def eof_received(self) -> bool:
+        self._end(True)
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._end(False)
+
+    def pause_writing(self) -> None:
+        self._peer.set_reading(False)
+
+    def resume_writing(self) -> None:
+        self._peer.set_reading(True)
+
+    def write(self, data: bytes) -> None:
+        """Send bytes of the peer to the engine."""
+        self._transport.write(data)
+
+    def set_reading(self, is_on: bool) -> None:
+        """Read from the engine, or not while the peer does not read."""
+        with contextlib.suppress(RuntimeError):
+            (self._transport.resume_reading if is_on else self._transport.pause_reading)()
+
+    def abort(self) -> None:
+        """Close the connection at once, so that the engine ends the request."""
+        self._transport.abort()
+
+    def _end(self, is_orderly: bool) -> None:
+        if self._ended is None:
+            self._ended = is_orderly
+            if self._has_begun:
+                self._peer.end(is_orderly)
--- /dev/null
+++ b/pimentoquay/tunnels/tests/test_tunnels.py
@@ -0,0 +1,250 @@
+"""Tunnels between two gateways' sides, to an engine that echoes bytes."""
+
+import asyncio
+import contextlib
+import socket
+import struct
+from dataclasses import dataclass, field
+
+import pytest
+
+from pimentoquay.http1 import connect_tcp
+from pimentoquay.http1.tests.scripted import until
+from pimentoquay.kernel import Identity
+from pimentoquay.messages.tunnels import TunnelOutcome
+from pimentoquay.transport.handshake import HandshakeError
+from pimentoquay.transport.websocket import split_address
+from pimentoquay.tunnels import TunnelOpener, TunnelPolicy, TunnelServer, TunnelTarget, server
+from pimentoquay.tunnels.client import TunnelRefusedError
+
+KEY = b"key"
+
+
+def reset(writer):
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+def identity(vm):
+    return Identity(vm, "gateway", "here", "hall", 1)
+
+
+class Receiver(asyncio.Protocol):
+    """Records what a protocol over a tunnel is told."""
+
+    def __init__(self):
+        self._parts = []
+        self.size = 0
+        self.events = []
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def data_received(self, data):
+        self._parts.append(data)
+        self.size += len(data)
+
+    @property
+    def data(self):
+        return b"".join(self._parts)
+
+    def eof_received(self):
+        self.events.append("end")
+        return False
+
+    def connection_lost(self, exc):
+        self.events.append("lost" if exc is None else "reset")
+
+    def retire(self):
+        self.events.append("retired")
+
+
+@dataclass
+class Engine:
+    """Echoes bytes, and ends a connection in order when it receives ``end``."""
+
+    connections: list = field(default_factory=list)
+    address: str = ""
+
+    async def serve(self):
+        self._server = await asyncio.start_server(self._handle, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def _handle(self, reader, writer):
+        self.connections.append(writer)
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65536):
+                if data == b"end":
+                    break
+                writer.write(data)
+                await writer.drain()
+        self.connections.remove(writer)
+        writer.close()
+
+    def close(self):
+        self._server.close()
+
+
+@dataclass
+class Pair:
+    """A server of tunnels, an engine behind it, and an opener."""
+
+    engine: Engine
+    server: TunnelServer
+    address: str
+    target: TunnelTarget
+
+    async def open(self, target=None, key=KEY, is_check=False):
+        opener = TunnelOpener(identity("vm-1"), key)
+        return await opener.open(Receiver, self.address, target or self.target, is_check)
+
+    async def outcome(self, **options):
+        with pytest.raises(TunnelRefusedError) as caught:
+            await self.open(**options)
+        return caught.value.reply.outcome
+
+
+@contextlib.asynccontextmanager
+async def pair(outcome=TunnelOutcome.OPEN, connect=connect_tcp):
+    engine = Engine()
+    await engine.serve()
+    target = TunnelTarget("e", 1, engine.address)
+
+    def find_outcome(request):
+        asked = TunnelTarget(request.engine, request.incarnation, request.address)
+        return outcome if asked == target else TunnelOutcome.NOT_LISTED
+
+    async def refusal_outcome(request):
+        return TunnelOutcome.REFUSED
+
+    policy = TunnelPolicy(find_outcome, refusal_outcome, lambda request: ("vm-3",), lambda _: None)
+    tunnels = TunnelServer(identity("vm-2"), KEY, connect, policy)
+    address = await tunnels.listen("127.0.0.1", 0)
+    try:
+        yield Pair(engine, tunnels, address, target)
+    finally:
+        await tunnels.close()
+        engine.close()
+
+
+async def test_bytes_go_both_ways_and_an_orderly_end_arrives_as_one():
+    async with pair() as env:
+        transport, receiver = await env.open()
+        assert env.server.active == 1
+        transport.write(b"x" * 200_000)
+        await until(lambda: receiver.size == 200_000, "echoed")
+        transport.write(b"end")
+        await until(lambda: receiver.events == ["end", "lost"], "ended")
+        await until(lambda: env.server.active == 0, "closed")
+
+
+async def test_the_reset_of_an_engine_or_the_end_of_the_peer_is_no_orderly_end():
+    async with pair() as env:
+        first, second = (await env.open())[1], (await env.open())[1]
+        await until(lambda: len(env.engine.connections) == 2, "connected")
+        reset(env.engine.connections[0])
+        await until(lambda: "reset" in first.events + second.events, "reset")
+        await env.server.close()
+        await until(lambda: first.events == second.events == ["reset"], "both")
+
+
+async def test_closing_a_tunnel_closes_the_connection_to_the_engine():
+    async with pair() as env:
+        transport, _ = await env.open()
+        await until(lambda: env.engine.connections, "connected")
+        transport.abort()
+        await until(lambda: not env.engine.connections, "closed at the engine")
+
+
+async def test_a_peer_that_does_not_know_the_key_reaches_no_engine():
+    async with pair() as env:
+        with pytest.raises(HandshakeError):
+            await env.open(key=b"another")
+        assert env.server.opened == 0
+        assert not env.engine.connections
+
+
+@pytest.mark.parametrize(
+    "change", [{"engine": "other"}, {"incarnation": 2}, {"address": "127.0.0.1:1"}]
+)
+async def test_only_listed_starts_of_engines_are_connected(change):
+    async with pair() as env:
+        target = TunnelTarget(**{**vars(env.target), **change})
+        assert await env.outcome(target=target) is TunnelOutcome.NOT_LISTED
+        assert not env.engine.connections
+
+
+async def test_a_peer_that_is_cut_off_itself_names_others_and_does_not_forward():
+    async with pair(TunnelOutcome.CUT_OFF) as env:
+        with pytest.raises(TunnelRefusedError) as caught:
+            await env.open()
+        assert caught.value.reply.outcome is TunnelOutcome.CUT_OFF
+        assert caught.value.reply.peers == ("vm-3",)
+
+
+@pytest.mark.parametrize(
+    ("error", "outcome"),
+    [(ConnectionRefusedError, TunnelOutcome.REFUSED), (ConnectionResetError, TunnelOutcome.SILENT)],
+)
+async def test_a_peer_tells_how_the_engine_answered_it(error, outcome):
+    async def connect(factory, host, port):
+        raise error("no")
+
+    async with pair(connect=connect) as env:
+        assert await env.outcome() is outcome
+        assert await env.outcome(is_check=True) is outcome
+
+
+async def test_a_check_opens_no_tunnel():
+    async with pair() as env:
+        assert await env.outcome(is_check=True) is TunnelOutcome.OPEN
+        assert (env.server.opened, env.server.active) == (0, 0)
+        await until(lambda: not env.engine.connections, "closed")
+
+
+async def test_a_peer_that_stops_opens_no_more_tunnels_and_ends_those_in_use_last():
+    async with pair() as env:
+        transport, receiver = await env.open()
+        env.server.drain()
+        assert await env.outcome() is TunnelOutcome.DRAINING
+        await until(lambda: receiver.events == ["retired"], "told")
+        transport.write(b"still")
+        await until(lambda: receiver.data == b"still", "forwarded")
+
+
+async def test_the_number_of_tunnels_is_bounded(monkeypatch):
+    monkeypatch.setattr(server, "MAX_TUNNELS", 2)
+    async with pair() as env:
+        opened = [await env.open(), await env.open()]
+        assert await env.outcome() is TunnelOutcome.BUSY
+        opened[0][0].abort()
+        await until(lambda: env.server.active == 1, "closed")
+        await env.open()
+
+
+@pytest.mark.parametrize("data", [b"GET / HTTP/1.1\r\n\r\n", b"\0\0\0\5hello", b"\xff" * 100, b""])
+async def test_garbled_messages_reach_no_engine_and_end_the_connection(data, monkeypatch):
+    monkeypatch.setattr(server, "HANDSHAKE_SECONDS", 0.2)
+    async with pair() as env:
+        reader, writer = await asyncio.open_connection(*split_address(env.address))
+        writer.write(data)
+        with contextlib.suppress(ConnectionResetError):
+            await asyncio.wait_for(reader.read(), 5.0)
+        writer.close()
+        assert not env.engine.connections
+        assert env.server.active == 0
+        await env.open()
+
+
+async def test_an_engine_is_not_read_faster_than_the_caller_reads():
+    async with pair() as env:
+        transport, receiver = await env.open()
+        transport.pause_reading()
+        await until(lambda: env.engine.connections, "connected")
+        engine = env.engine.connections[0]
+        engine.write(b"z" * 50_000_000)
+        await asyncio.sleep(0.3)
+        assert engine.transport.get_write_buffer_size() > 20_000_000
+        transport.resume_reading()
+        await until(lambda: receiver.size == 50_000_000, "read")
