Take a refused connection for an engine's end only if a peer is refused too

Cause: a refusal was read as the end of the engine's process, though a cut refuses as well. The client of one engine has a module of its own.

--- a/pimentoquay/bench/mutations/gateway_switches.py
+++ b/pimentoquay/bench/mutations/gateway_switches.py
@@ -97,7 +97,7 @@
     ),
     Switch(
         "answer with an id is none of a call",
-        "pimentoquay.gateway.links:is_response_to_call",
+        "pimentoquay.gateway.engine_link:is_response_to_call",
         return_constant(True),
         "pimentoquay/gateway/tests/test_similar_failures.py::"
         "test_a_late_copy_of_an_answer_is_not_taken_for_that_of_a_management_call",
--- /dev/null
+++ b/pimentoquay/gateway/engine_link.py
@@ -0,0 +1,348 @@
+"""Client of one engine process, over a pool of connections."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable
+
+from pimentoquay.gateway.engine_contact import EngineContact
+from pimentoquay.gateway.fleet import target_of
+from pimentoquay.http1 import (
+    ClientConnection,
+    ConnectionPool,
+    Exchange,
+    ExchangeWatch,
+    HeaderList,
+    ReusePolicy,
+    ServerState,
+)
+from pimentoquay.kernel.errors import (
+    ConnectError,
+    HttpError,
+    PathLostError,
+    ResponseTooLargeError,
+)
+from pimentoquay.kernel.logs import logger
+from pimentoquay.platform.engine_calls import EngineCall, EngineCalls
+from pimentoquay.platform.requests import CallerRequest, SendOptions, engine_headers
+from pimentoquay.platform.responses import (
+    EngineNotice,
+    is_response_to,
+    is_response_to_call,
+    parse_notice,
+)
+from pimentoquay.policy.circuits import Circuits, CircuitState
+from pimentoquay.policy.engine_limits import EngineLimits, LimitNotice
+from pimentoquay.policy.engine_notices import EngineNotices, EngineStart
+from pimentoquay.policy.engine_paths import Reach, Verdict
+from pimentoquay.policy.fleet import EngineEntry
+from pimentoquay.tunnels import EnginePaths
+
+__all__ = ["EngineLink"]
+
+CONNECT_TIMEOUT_SECONDS = 0.5
+"""Timeout for connecting to an engine by any way."""
+
+CALL_TIMEOUT_SECONDS = 0.5
+"""Timeout of a management call, such as reserving memory, which runs no request."""
+
+CALL_WATCH = ExchangeWatch(quiet_seconds=0.1, abandon_seconds=0.0)
+"""Management calls are answered within milliseconds, and may be made again."""
+
+CHECK_TIMEOUT_SECONDS = 0.1
+"""Timeout of the check whether an engine still runs; a refusal takes one round trip."""
+
+MAX_CALL_BODY_BYTES = 64 * 1024
+"""Maximum size of a response to a management call, in bytes; they have a few hundred."""
+
+REUSE_POLICY = ReusePolicy(max_idle_seconds=4.0, margin_seconds=1.0)
+"""Engines state their idle timeout in whole seconds, so the margin is one second."""
+
+
+_REACH_BY_STATE = {
+    ServerState.ACCEPTING: Reach.OPEN,
+    ServerState.REFUSING: Reach.REFUSED,
+    ServerState.UNREACHABLE: Reach.SILENT,
+}
+
+_STATE_BY_VERDICT = {
+    Verdict.REACHED: ServerState.ACCEPTING,
+    Verdict.CUT: ServerState.ACCEPTING,
+    Verdict.ENDED: ServerState.REFUSING,
+}
+
+
+class EngineLink:
+    """Client of one engine process; a restarted engine gets a new link.
+
+    Parameters
+    ----------
+    entry
+        The engine.
+    circuits
+        Circuit breakers, which are updated with every response and every failure.
+    notices, limits, contact
+        What engines say about themselves, their limits, and whether they are reached, updated with
+        every response.
+    on_open
+        Called for each connection opened to the engine.
+    on_oversized
+        Called for each response that was cut off for its size.
+    paths
+        Opens connections to engines, directly or through peers.
+    """
+
+    def __init__(
+        self,
+        entry: EngineEntry,
+        circuits: Circuits,
+        notices: EngineNotices,
+        limits: EngineLimits,
+        contact: EngineContact,
+        on_open: Callable[[], None],
+        on_oversized: Callable[[], None],
+        paths: EnginePaths,
+    ) -> None:
+        self.entry = entry
+        self.target = target_of(entry)
+        self._on_oversized = on_oversized
+        self.on_leaving: Callable[[EngineStart], None] = lambda start: None
+        self.on_limit: Callable[[LimitNotice], None] = lambda notice: None
+        self._circuits = circuits
+        self._notices = notices
+        self._limits = limits
+        self._contact = contact
+        self._checking: asyncio.Task[ServerState] | None = None
+        self.calls = EngineCalls(entry.id, entry.address)
+        self._paths = paths
+        self._pool = ConnectionPool(
+            entry.address,
+            CONNECT_TIMEOUT_SECONDS,
+            REUSE_POLICY,
+            on_open,
+            paths.connector(self.target),
+        )
+        self._direct_pool = ConnectionPool(
+            entry.address,
+            CONNECT_TIMEOUT_SECONDS,
+            REUSE_POLICY,
+            on_open,
+            paths.direct_connector(self.target),
+        )
+
+    @property
+    def active(self) -> set[ClientConnection]:
+        """Connections with an exchange in progress."""
+        return self._pool.active
+
+    @contextlib.asynccontextmanager
+    async def send(
+        self,
+        method: bytes,
+        target: bytes,
+        request: CallerRequest,
+        body: bytes,
+        options: SendOptions,
+        max_idle_seconds: float | None = None,
+        head_seconds: float | None = None,
+        has_permit: bool = False,
+        watch: ExchangeWatch | None = None,
+    ) -> AsyncIterator[Exchange]:
+        """Send a caller's request to the engine and yield the exchange with its response.
+
+        Parameters
+        ----------
+        method, target, body
+            Parts of the HTTP request as the caller sent them.
+        request
+            The caller's decoded headers.
+        options
+            Values for the headers that the gateway adds.
+        max_idle_seconds
+            Maximum seconds for which a reused connection may have been idle.
+        head_seconds
+            Timeout for the status and headers of the response, in seconds.
+        has_permit
+            Whether the request has been counted against the engine's limit.
+        watch
+            How long the engine may be silent.
+
+        Raises
+        ------
+        HttpError
+            If there is no complete response, the engine has requested a pause, or this VM's share
+            of its limit is used up.
+        """
+        self._check_pause()
+        sent_at = asyncio.get_running_loop().time()
+        if not has_permit and not self._limits.take(self.entry, sent_at):
+            raise HttpError(f"{self.entry.id} is at its limit", False)
+        probe = self._start_probe_if_due()
+        try:
+            async with self._pool.exchange(
+                method,
+                target,
+                engine_headers(request, options),
+                body,
+                is_own_response=lambda headers: is_response_to(headers, request.id),
+                max_idle_seconds=max_idle_seconds,
+                head_seconds=head_seconds,
+                watch=watch,
+            ) as exchange:
+                self._contact.count_request(exchange.via)
+                self._circuits.succeeded(self.entry.id)
+                self._contact.record_reached(self.entry.id)
+                self._record_notice(exchange.status, exchange.headers, sent_at)
+                yield exchange
+        except HttpError as error:
+            if not error.written and not has_permit:
+                self._limits.give_back(self.entry, asyncio.get_running_loop().time())
+            self._record_failure(error)
+            raise
+        finally:
+            self._circuits.end_probe(self.entry.id, probe)
+
+    async def call(
+        self, call: EngineCall, seconds: float = CALL_TIMEOUT_SECONDS
+    ) -> tuple[int, bytes]:
+        """Make a management call; return status and body, or raise ``HttpError``.
+
+        It is made once more if the path to the engine is cut meanwhile.
+        """
+        try:
+            return await self._call(self._pool, call, seconds)
+        except PathLostError:
+            return await self._call(self._pool, call, seconds)
+
+    async def order(self, call: EngineCall, seconds: float) -> tuple[int, bytes]:
+        """Make a call that must come from this VM, and not through a peer."""
+        return await self._call(self._direct_pool, call, seconds)
+
+    async def _call(
+        self, pool: ConnectionPool, call: EngineCall, seconds: float
+    ) -> tuple[int, bytes]:
+        self._check_pause()
+        probe = self._start_probe_if_due()
+        try:
+            async with (
+                asyncio.timeout(seconds),
+                pool.exchange(
+                    call.method,
+                    call.target,
+                    call.headers,
+                    call.body,
+                    is_own_response=is_response_to_call,
+                    watch=CALL_WATCH,
+                ) as exchange,
+            ):
+                self._contact.record_reached(self.entry.id)
+                self._record_notice(exchange.status, exchange.headers)
+                body = await exchange.read_body(MAX_CALL_BODY_BYTES)
+                self._circuits.succeeded(self.entry.id)
+                return exchange.status, body
+        except HttpError as error:
+            self._record_failure(error)
+            raise
+        except TimeoutError:
+            # Counts as if nothing was written, which opens the circuit at once.
+            self._circuits.refused(self.entry.id, asyncio.get_running_loop().time())
+            raise HttpError(f"{self.entry.id}: no response in {seconds} s", True) from None
+        finally:
+            self._circuits.end_probe(self.entry.id, probe)
+
+    async def check(self) -> ServerState:
+        """Return whether the engine still runs, as shown by new connections.
+
+        A refusal shows its end only if a peer is refused too, since a cut may refuse as well.
+
+        All requests that a crash breaks ask at once, and share one attempt to connect.
+        """
+        if self._checking is None or self._checking.done():
+            self._checking = asyncio.get_running_loop().create_task(self._check())
+        return await asyncio.shield(self._checking)
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        self._pool.close()
+        self._direct_pool.close()
+
+    def drop_direct_connections(self) -> None:
+        """Close idle connections of this VM's own, as the path to the engine is cut."""
+        self._pool.drop_idle("")
+
+    async def _check(self) -> ServerState:
+        direct = Reach.UNKNOWN
+        if not self._paths.is_cut(self.entry.id):
+            direct = await self._check_directly()
+        verdict = await self._paths.check(self.target, direct)
+        return _STATE_BY_VERDICT.get(verdict, ServerState.UNREACHABLE)
+
+    async def _check_directly(self) -> Reach:
+        try:
+            async with asyncio.timeout(CHECK_TIMEOUT_SECONDS):
+                return _REACH_BY_STATE[await self._direct_pool.check_server()]
+        except TimeoutError:
+            return Reach.SILENT
+
+    def _check_pause(self) -> None:
+        now = asyncio.get_running_loop().time()
+        if not self._notices.may_send(self.entry.start, now):
+            raise HttpError(f"{self.entry.id} requested a pause", False)
+
+    def _record_notice(
+        self, status: int, headers: HeaderList, sent_at: float | None = None
+    ) -> None:
+        """Record what the engine says about itself.
+
+        Only a response to a request, sent at ``sent_at``, shows that the engine names no limit.
+        """
+        start, now = self.entry.start, asyncio.get_running_loop().time()
+        notice = parse_notice(start.id, status, headers)
+        if notice.is_leaving and self._notices.record_leaving((start,), now):
+            logger.bind(engine=start.id, incarnation=start.incarnation).info("engine is leaving")
+            self.on_leaving(start)
+        if notice.pause_seconds is not None:
+            self._notices.record_pause(start, notice.pause_seconds, now)
+            logger.bind(engine=start.id, seconds=notice.pause_seconds).info("engine paused")
+        self._record_limit(notice, sent_at, now)
+
+    def _record_limit(self, notice: EngineNotice, sent_at: float | None, now: float) -> None:
+        """Record the limit that a response names, or that it names none; a garbled one is ignored.
+
+        The engine still needs a limit then, so the one before stays in force.
+        """
+        if notice.names_limit and notice.limit is None:
+            logger.bind(engine=self.entry.id).warning("invalid limit ignored")
+            return
+        if notice.limit is None and (sent_at is None or notice.is_of_other):
+            return
+        changed = self._limits.record_response(
+            self.entry.start, notice.limit, sent_at if sent_at is not None else now, now
+        )
+        if changed is not None:
+            self.on_limit(changed)
+
+    def _start_probe_if_due(self) -> str:
+        """Return an id for an exchange, which is made the circuit's probe if one is due."""
+        now = asyncio.get_running_loop().time()
+        probe = f"{self.entry.id} at {now}"
+        if self._circuits.state(self.entry.id, now) is CircuitState.PROBE_DUE:
+            self._circuits.begin_probe(self.entry.id, probe, now)
+        return probe
+
+    def _record_failure(self, error: HttpError) -> None:
+        """Record a failure, which opens the circuit at once if nothing was written.
+
+        It is opened at once also if the engine sends without end.
+        """
+        if isinstance(error, PathLostError):
+            return
+        now = asyncio.get_running_loop().time()
+        if isinstance(error, ConnectError):
+            self._contact.record_failure(self.entry.id, error.failure)
+        if isinstance(error, ResponseTooLargeError):
+            self._on_oversized()
+            logger.bind(engine=self.entry.id, error=str(error)).warning("response cut for its size")
+        if error.written and not isinstance(error, ResponseTooLargeError):
+            self._circuits.failed(self.entry.id, now)
+        else:
+            self._circuits.refused(self.entry.id, now)
--- a/pimentoquay/gateway/path_watch.py
+++ b/pimentoquay/gateway/path_watch.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from pimentoquay.gateway.links import EngineLink, EngineLinks
+from pimentoquay.gateway.engine_link import EngineLink
+from pimentoquay.gateway.links import EngineLinks
 from pimentoquay.http1 import ClientConnection
 from pimentoquay.kernel import TimerService
 from pimentoquay.tunnels import EnginePaths
--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -4,8 +4,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+from pimentoquay.gateway.engine_link import EngineLink
 from pimentoquay.gateway.job import Job
-from pimentoquay.gateway.links import EngineLink
 from pimentoquay.gateway.shared_state import SharedState
 from pimentoquay.http1 import ExchangeWatch
 from pimentoquay.kernel.errors import HttpError
--- a/pimentoquay/gateway/request_guard.py
+++ b/pimentoquay/gateway/request_guard.py
@@ -10,8 +10,8 @@
 from collections import deque
 from collections.abc import Callable, Iterable, Set
 
+from pimentoquay.gateway.engine_link import EngineLink
 from pimentoquay.gateway.job import Job
-from pimentoquay.gateway.links import EngineLink
 from pimentoquay.gateway.notices import NoticeHandler
 from pimentoquay.http1 import ServerState
 from pimentoquay.kernel import RefusedError, ResultCode
--- a/pimentoquay/gateway/reservation.py
+++ b/pimentoquay/gateway/reservation.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from pimentoquay.gateway.links import EngineLink
+from pimentoquay.gateway.engine_link import EngineLink
 from pimentoquay.policy.fleet import EngineEntry, TokenMemory
 from pimentoquay.policy.memory_forecast import GrowingRun, MemoryNeed
 
--- a/pimentoquay/tunnels/paths.py
+++ b/pimentoquay/tunnels/paths.py
@@ -164,11 +164,16 @@
         )
         self._background.start(self._probe_peer(target, via) if via else self._probe(target))
 
-    async def check(self, target: TunnelTarget) -> Verdict:
-        """Return whether an engine has ended, by the eyes of several gateways."""
-        direct = Reach.UNKNOWN
-        if not self._table.is_cut(target.engine):
-            direct = await self._reach(target)
+    async def check(self, target: TunnelTarget, direct: Reach) -> Verdict:
+        """Return whether an engine that lost a connection has ended, by what peers see as well.
+
+        Parameters
+        ----------
+        target
+            The engine.
+        direct
+            Result of this gateway's own attempt; unknown if its path is cut.
+        """
         if direct in (Reach.OPEN, Reach.SILENT):
             return judge(direct, ())
         peers, other = await asyncio.gather(
