--- a/pimentoquay/gateway/engine_link.py
+++ b/pimentoquay/gateway/engine_link.py
@@ -265,9 +265,9 @@
         self._pool.close()
         self._direct_pool.close()
 
-    def drop_direct_connections(self) -> None:
-        """Close idle connections of this VM's own, as the path to the engine is cut."""
-        self._pool.drop_idle("")
+    def change_way(self, through_peers: bool) -> None:
+        """Send no other request on the open connections of the way used until now."""
+        self._pool.retire(not through_peers)
 
     async def _check(self) -> ServerState:
         direct = Reach.UNKNOWN
--- a/pimentoquay/gateway/links.py
+++ b/pimentoquay/gateway/links.py
@@ -58,6 +58,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         fleet.on_engines_changed.append(self._drop_stale_links)
         paths.on_cut.append(self._handle_cut)
+        paths.on_returned.append(self._handle_returned)
 
     def links(self) -> Collection[EngineLink]:
         """Return the links that are in use."""
@@ -105,7 +106,12 @@
         self.circuits.succeeded(engine)
         link = self._link_by_id.get(engine)
         if link is not None:
-            link.drop_direct_connections()
+            link.change_way(through_peers=True)
+
+    def _handle_returned(self, engine: str) -> None:
+        link = self._link_by_id.get(engine)
+        if link is not None:
+            link.change_way(through_peers=False)
 
     def _report_leaving(self, start: EngineStart) -> None:
         for callback in self.on_leaving:
--- a/pimentoquay/http1/client.py
+++ b/pimentoquay/http1/client.py
@@ -148,14 +148,14 @@
     def close(self) -> None:
         """Close idle connections; running exchanges close theirs when they end."""
         self._closed = True
-        self.drop_idle()
-
-    def drop_idle(self, via: str | None = None) -> None:
-        """Close idle connections, or those through one peer; direct ones have an empty name."""
-        for connection in tuple(self._idle):
-            if via is None or connection.via == via:
-                self._idle.remove(connection)
-                connection.abort()
+        while self._idle:
+            self._idle.pop().abort()
+
+    def retire(self, through_peers: bool) -> None:
+        """Send no other request on the open connections through peers, or on all direct ones."""
+        for connection in (*self._idle, *self.active):
+            if bool(connection.via) is through_peers:
+                connection.retire()
 
     async def _acquire_connection(self, max_idle_seconds: float | None) -> "ClientConnection":
         now = asyncio.get_running_loop().time()
--- a/pimentoquay/tunnels/paths.py
+++ b/pimentoquay/tunnels/paths.py
@@ -69,7 +69,8 @@
     """Opens connections to engines, directly or through peers, and knows which paths are cut.
 
     The callbacks in ``on_cut`` are called with the id of an engine when its path is found to be
-    cut. ``opened`` counts the connections of its own.
+    cut, those in ``on_returned`` when it is used again. ``opened`` counts the
+    connections of its own.
 
     Parameters
     ----------
@@ -100,6 +101,7 @@
         self._suspicion_by_way: dict[tuple[str, str], tuple[float, int]] = {}
         self._lost_at_by_way: dict[tuple[str, str], float] = {}
         self.on_cut: list[Callable[[str], None]] = []
+        self.on_returned: list[Callable[[str], None]] = []
         self.opened = 0
 
     @property
@@ -333,6 +335,8 @@
             logger.bind(engine=target.engine, engines_cut=self.cut_engines).info(
                 "path to engine works again"
             )
+            for callback in self.on_returned:
+                callback(target.engine)
 
     def _expire(self) -> None:
         now = self._timers.now()
