Let a gateway that reaches the engines send the stage orders

An order has to come from its holder, so that a holder whose links to engines are cut could send none, and kept the role. Gateways now say in their loads, and relays in their heartbeats, whether they reach some engines only through others, and the first that reaches them holds the role; if none does, the first that does not stop. Two tests, which fail when the role does not move.

--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -138,7 +138,7 @@
     prefill_ledger = TokenLedger()
     metrics = GatewayMetrics()
     guard = RequestGuard(
-        node.timers.now, lambda: mesh.turn_order, lambda message: mesh.notices.publish(message)
+        node.timers.now, lambda: mesh.addresses.turn_order, lambda message: mesh.notices.publish(message)
     )
     origins = OriginExchange(node.timers, fleet, lambda message: mesh.notices.publish(message))
     shared = SharedState(
@@ -223,7 +223,7 @@
         store,
         node.timers,
         bounds.lease_seconds,
-        mesh.is_reader,
+        mesh.may_order,
         mesh.publish,
         lambda engines, now: (
             pool_client.expected_tokens
@@ -231,6 +231,8 @@
             else run_ledger.expected(engines, now)
         ),
     )
+    for changed in (paths.on_cut, paths.on_returned):
+        changed.append(lambda engine: mesh.update_own_state(is_cut_off=paths.cut_engines > 0))
     mesh.on_stage_ordered.append(stage_controller.record_order)
     streams = StreamForwarder(shared, reservations, PrefillRunner(shared, schedule_update))
     dispatcher = Dispatcher(shared, PlainForwarder(shared), streams)
--- a/pimentoquay/gateway/lifecycle.py
+++ b/pimentoquay/gateway/lifecycle.py
@@ -151,7 +151,7 @@
         started_at = loop.time()
         logger.bind(in_progress=self.caller_server.requests_in_progress).info("draining")
         self.dispatcher.is_draining = True
-        self.mesh.is_draining = True
+        self.mesh.update_own_state(is_draining=True)
         self.caller_server.drain()
         self.tunnel_server.drain()
         await self.node.timers.sleep(OUT_OF_ROTATION_SECONDS)
--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -43,6 +43,7 @@
 )
 from pimentoquay.messages.streams import StreamsBegun, VersionsListed
 from pimentoquay.policy.mesh_plan import MeshPlan, needs_relays, plan_mesh
+from pimentoquay.policy.order_holder import order_holder
 from pimentoquay.policy.pools import coordinator_of
 from pimentoquay.policy.store_position import StoreEra, era_of
 from pimentoquay.policy.tunnel_peers import PeerPlace
@@ -96,7 +97,7 @@
         self._presence = PeerPresence(node.timers.now, HEARTBEAT_SECONDS)
         self._seen_fences: set[int] = set()
         self.load_exchange = LoadExchange(
-            node, lambda: loads.current(self.is_draining), self._channels
+            node, lambda: loads.current(self.relays.own_state), self._channels
         )
         self.relays = RelayNetwork(node, fleet, self._channels)
         self.notices = NoticeExchange(self._channels, lambda: self.plan)
@@ -121,15 +122,6 @@
             ChannelClosed,
         )
 
-    @property
-    def is_draining(self) -> bool:
-        """Whether this gateway is about to stop, which its peers are told."""
-        return self.relays.is_draining
-
-    @is_draining.setter
-    def is_draining(self, value: bool) -> None:
-        self.relays.is_draining = value
-
     @property
     def plan(self) -> MeshPlan:
         """Channels between the VMs of the deployment."""
@@ -140,11 +132,6 @@
         """Number of known gateways, including this one, which share the deployment's limits."""
         return max(len(self.addresses.by_vm), 1 + len(self._presence.last_seen_at_by_vm))
 
-    @property
-    def turn_order(self) -> tuple[int, int]:
-        """Place of this VM in the order of all known VMs, from 0, and their number."""
-        return sorted(self.addresses.by_vm).index(self._vm), len(self.addresses.by_vm)
-
     @property
     def has_incomplete_view(self) -> bool:
         """Whether too many peers may still be running whose loads are unknown here."""
@@ -168,6 +155,20 @@
         heard = self._presence.last_seen_at_by_vm
         return all(self._vm < vm for vm in heard if not self.loads.is_draining(vm))
 
+    def may_order(self) -> bool:
+        """Return whether this gateway is the one that sends orders to engines."""
+        if not self.plan.is_full:
+            return order_holder(self.relays.live_states()) == self._vm
+        states = {vm: self.loads.state_of(vm) for vm in self._presence.last_seen_at_by_vm}
+        return order_holder({**states, self._vm: self.relays.own_state}) == self._vm
+
+    def update_own_state(self, **changes: bool) -> None:
+        """Change fields of what this gateway says about itself, and tell the peers."""
+        state = replace(self.relays.own_state, **changes)
+        if state != self.relays.own_state:
+            self.relays.own_state = state
+            self.send_list_age()
+
     async def run(self) -> None:
         """Handle messages from peers until cancelled."""
         self._node.timers.every(HEARTBEAT_SECONDS, self._heartbeat)
--- a/pimentoquay/gateway/peer_loads.py
+++ b/pimentoquay/gateway/peer_loads.py
@@ -6,6 +6,7 @@
 from pimentoquay.kernel import TimerService
 from pimentoquay.messages.fleet import EngineRuns, EngineTokens, RunSize, VmLoad, VmWork
 from pimentoquay.policy.memory_forecast import GrowingRun
+from pimentoquay.policy.order_holder import VmState
 from pimentoquay.policy.run_ledger import RunLedger
 from pimentoquay.policy.stage_plan import StageDemand, StageWork
 from pimentoquay.policy.stream_admission import QueuedTokens
@@ -65,6 +66,11 @@
         load = self.load_by_vm.get(vm)
         return load is not None and load.is_draining
 
+    def state_of(self, vm: str) -> VmState:
+        """Return what a peer has last said about itself."""
+        load = self.load_by_vm.get(vm)
+        return VmState(load.is_draining, load.is_cut_off) if load is not None else VmState()
+
     def apply(self, vm: str, load: VmLoad) -> None:
         """Replace the load of a peer."""
         self.load_by_vm[vm] = load
@@ -79,7 +85,7 @@
         self._run_ledger.mark_peer_lost(vm)
         self._prefill_ledger.remove_peer(vm)
 
-    def current(self, is_draining: bool) -> VmLoad:
+    def current(self, own: VmState) -> VmLoad:
         """Return the present load of this gateway."""
         age = min(self._fleet.own_list_age, 1e6)
         queued = self._queued()
@@ -89,8 +95,9 @@
             engine_tokens(self._prefill_ledger),
             queued.tokens,
             queued.urgent_tokens,
-            is_draining,
+            own.is_draining,
             vm_work(self._demand.own),
+            own.is_cut_off,
         )
 
 
--- a/pimentoquay/gateway/relays.py
+++ b/pimentoquay/gateway/relays.py
@@ -10,6 +10,7 @@
 from pimentoquay.messages import CodecError, decode, encode
 from pimentoquay.messages.pools import Bundle, ChannelAlive, PoolSummary, RelayAlive, Routed
 from pimentoquay.policy.mesh_plan import MeshPlan
+from pimentoquay.policy.order_holder import VmState
 from pimentoquay.policy.relay_liveness import RelayLiveness
 
 __all__ = ["HEARTBEAT_SECONDS", "RelayNetwork"]
@@ -46,14 +47,14 @@
 @dataclass(frozen=True)
 class _Heard:
     number: tuple[int, int]
-    is_draining: bool
+    state: VmState
 
 
 class RelayNetwork:
     """Heartbeats and routing over the relays of a large deployment.
 
     ``receive_routed`` is called with the source and the message for each message that is routed to
-    this VM.
+    this VM. ``own_state`` is what this VM says about itself.
 
     Parameters
     ----------
@@ -81,7 +82,7 @@
         self._is_flush_due = False
         self.liveness = RelayLiveness(TIMEOUT_SECONDS)
         self.plan = MeshPlan(frozenset())
-        self.is_draining = False
+        self.own_state = VmState()
         self.receive_routed: Callable[[str, Any], None] = lambda source, message: None
 
     def update_plan(self, plan: MeshPlan) -> None:
@@ -108,6 +109,10 @@
         others = self.live_relays() - {self._vm}
         return all(self._vm < vm for vm in others if not self._is_draining(vm))
 
+    def live_states(self) -> dict[str, VmState]:
+        """Return what the relays that can be reached have last said about themselves."""
+        return {vm: self._state_of(vm) for vm in self.live_relays()}
+
     def send_heartbeats(self) -> None:
         """Send heartbeats if they are due."""
         now = self._node.timers.now()
@@ -134,7 +139,9 @@
             return False
         now = self._node.timers.now()
         was_heard = self.liveness.is_heard(message.vm, now)
-        self._heard_by_vm[message.vm] = _Heard(number, message.is_draining)
+        self._heard_by_vm[message.vm] = _Heard(
+            number, VmState(message.is_draining, message.is_cut_off)
+        )
         self.liveness.record(message.vm, now)
         self._fleet.record_peer_read(message.list_age)
         self.broadcast(message, source)
@@ -196,9 +203,13 @@
             channel.send(message)
 
     def _is_draining(self, vm: str) -> bool:
+        return self._state_of(vm).is_draining
+
+    def _state_of(self, vm: str) -> VmState:
         if vm == self._vm:
-            return self.is_draining
-        return vm in self._heard_by_vm and self._heard_by_vm[vm].is_draining
+            return self.own_state
+        heard = self._heard_by_vm.get(vm)
+        return heard.state if heard is not None else VmState()
 
     def _flush(self) -> None:
         """Send the collected messages: to relays those of this VM, to the others all."""
@@ -225,4 +236,12 @@
         self._sequence += 1
         identity = self._node.identity
         age = min(self._fleet.own_list_age, 1e6)
-        return RelayAlive(identity.vm, identity.incarnation, self._sequence, age, self.is_draining)
+        own = self.own_state
+        return RelayAlive(
+            identity.vm,
+            identity.incarnation,
+            self._sequence,
+            age,
+            own.is_draining,
+            own.is_cut_off,
+        )
--- a/pimentoquay/gateway/tests/test_pools.py
+++ b/pimentoquay/gateway/tests/test_pools.py
@@ -111,7 +111,7 @@
     async with rig() as env:
         await start_gateways(env)
         (old,) = coordinators(env)
-        env.gateway_by_vm[old].mesh.is_draining = True
+        env.gateway_by_vm[old].mesh.update_own_state(is_draining=True)
         others = [env.gateway_by_vm[vm].mesh for vm in VMS if vm != old]
         await until(lambda: all(each.coordinator_of(POOL) != old for each in others), "replaced")
         responses = await asyncio.gather(*(stream(env, vm, 0) for vm in VMS))
--- a/pimentoquay/gateway/tests/test_stage_controller.py
+++ b/pimentoquay/gateway/tests/test_stage_controller.py
@@ -1,8 +1,14 @@
+import asyncio
+
+import pytest
+
 from pimentoquay.gateway.stage_controller import MIN_WANTED_SECONDS
 from pimentoquay.gateway.tests.rig import rig, until
 from pimentoquay.policy.memory_forecast import GrowingRun
+from pimentoquay.policy.order_holder import VmState, order_holder
 from pimentoquay.standin.platform_engine import PlatformEngine
 from pimentoquay.standin.platform_store import StoreFault
+from pimentoquay.standin.virtual_links import Cut
 
 
 async def add_spare_prefill_engines(env):
@@ -92,3 +98,30 @@
         await env.store.put("keyed.pimentoquay-orders", "holder", b"vm-2")
         assert not await controller._renew_claim()
         assert controller._claim is None
+
+
+@pytest.mark.parametrize("how", [Cut.SILENT, Cut.REFUSED])
+async def test_a_holder_that_is_cut_off_hands_its_role_to_one_that_reaches_the_engines(how):
+    """An order must come from its holder, so it can take no other way."""
+    async with rig() as env:
+        await env.add_gateway("vm-2")
+        first, second = (env.gateway_by_vm[vm] for vm in ("vm-1", "vm-2"))
+        await until(lambda: first.mesh.may_order() and not second.mesh.may_order(), "first")
+        env.links.cut("vm-1", how)
+        cut_at = asyncio.get_running_loop().time()
+        sending = asyncio.create_task(env.stream())
+        await until(lambda: second.mesh.may_order() and not first.mesh.may_order(), "second")
+        assert asyncio.get_running_loop().time() - cut_at < 1.0
+        await add_spare_prefill_engines(env)
+        await until(lambda: ordered(env), "an order")
+        assert {order["holder"] for _, order in ordered(env)} == {"vm-2"}
+        await sending
+        env.links.heal("vm-1")
+        await until(first.mesh.may_order, "the first again")
+
+
+def test_a_vm_that_neither_stops_nor_is_cut_off_holds_the_role():
+    draining, cut_off, able = VmState(is_draining=True), VmState(is_cut_off=True), VmState()
+    assert order_holder({"a": draining, "b": cut_off, "c": able, "d": able}) == "c"
+    assert order_holder({"a": draining, "b": cut_off}) == "b"
+    assert order_holder({"a": draining}) is None
--- a/pimentoquay/gateway/vm_addresses.py
+++ b/pimentoquay/gateway/vm_addresses.py
@@ -29,6 +29,11 @@
         """Address of this VM."""
         return self.by_vm[self._vm]
 
+    @property
+    def turn_order(self) -> tuple[int, int]:
+        """Place of this VM in the order of all known VMs, from 0, and their number."""
+        return sorted(self.by_vm).index(self._vm), len(self.by_vm)
+
     def set_tunnel_address(self, address: str) -> None:
         """Set the address at which this VM accepts tunnels."""
         self.by_vm[self._vm] = replace(self.own, tunnel_address=address)
--- a/pimentoquay/messages/fleet.py
+++ b/pimentoquay/messages/fleet.py
@@ -105,7 +105,8 @@
 
     ``waiting_tokens`` is the memory that streams wait for, ``urgent_tokens`` the part of it for
     streams that can still start in time. ``list_age`` is the time since the sender itself last
-    read the list of engines from the store.
+    read the list of engines from the store. ``is_cut_off`` says that it reaches some engines only
+    through others.
     """
 
     list_age: float
@@ -115,6 +116,7 @@
     urgent_tokens: int
     is_draining: bool
     work: VmWork
+    is_cut_off: bool = False
 
 
 @message(128)
--- a/pimentoquay/messages/pools.py
+++ b/pimentoquay/messages/pools.py
@@ -156,6 +156,7 @@
     """Heartbeat of a relay, which the other relays forward to their VMs.
 
     ``list_age`` is the time since the relay itself last read the list of engines from the store.
+    ``is_cut_off`` says that it reaches some engines only through others.
     """
 
     vm: str
@@ -163,6 +164,7 @@
     number: int
     list_age: float
     is_draining: bool
+    is_cut_off: bool = False
 
 
 @message(148)
