--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -138,7 +138,9 @@
     prefill_ledger = TokenLedger()
     metrics = GatewayMetrics()
     guard = RequestGuard(
-        node.timers.now, lambda: mesh.addresses.turn_order, lambda message: mesh.notices.publish(message)
+        node.timers.now,
+        lambda: mesh.addresses.turn_order,
+        lambda message: mesh.notices.publish(message),
     )
     origins = OriginExchange(node.timers, fleet, lambda message: mesh.notices.publish(message))
     shared = SharedState(
