Say how the version that began a stream was known when a caller takes it up

stream taken up names the version, whether it was known here, told or the only one listed, and the age of the list; a counter adds these up.

--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -30,6 +30,7 @@
     PROMPTS_SUSPECTED,
     REFUSED_IN_QUARANTINE,
     REFUSED_OVER_LIMIT,
+    RESUMPTIONS,
     RESUMPTIONS_REFUSED,
     SENDS_WITHHELD,
     SERVICES_MIXED,
@@ -272,6 +273,7 @@
     }
     metrics.values_by_counter = {
         ENGINE_REQUESTS: lambda: contact.requests_by_way,
+        RESUMPTIONS: lambda: origins.resumed_by_origin,
         CONNECT_FAILURES: lambda: {
             failure.value: count for failure, count in contact.count_by_failure.items()
         },
--- a/pimentoquay/gateway/metrics.py
+++ b/pimentoquay/gateway/metrics.py
@@ -165,6 +165,13 @@
     "resumptions refused because the software version that began the stream is not known",
 )
 
+RESUMPTIONS = Metric(
+    "pimentoquay_gateway_resumptions_total",
+    "counter",
+    "streams that callers took up, by how the version that began them was known",
+    ("origin",),
+)
+
 _GAUGES = (
     IN_PROGRESS,
     LIST_AGE,
@@ -195,7 +202,7 @@
     STREAM_ORIGINS,
     RESUMPTIONS_REFUSED,
 )
-_COUNTERS = (CONNECT_FAILURES, ENGINE_REQUESTS)
+_COUNTERS = (CONNECT_FAILURES, ENGINE_REQUESTS, RESUMPTIONS)
 _SUMMARIES = (REQUEST_SECONDS, FIRST_EVENT_SECONDS, MEMORY_WAIT_SECONDS)
 
 GATEWAY_METRICS = (REQUESTS, *_GAUGES, *_COUNTERS, *_SUMMARIES)
--- a/pimentoquay/gateway/stream_origins.py
+++ b/pimentoquay/gateway/stream_origins.py
@@ -5,6 +5,7 @@
 on to do so for as long as a stream of another version may come back.
 """
 
+from collections import Counter
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -48,7 +49,8 @@
 class OriginExchange:
     """Knows at which software version the streams of all gateways began.
 
-    ``refused`` counts the resumptions that were refused as nobody knows where their stream began.
+    ``refused`` counts the resumptions that were refused as nobody knows where their stream began,
+    ``resumed_by_origin`` the others by how that was known.
 
     Parameters
     ----------
@@ -70,6 +72,7 @@
         self._mixed: frozenset[str] = frozenset()
         self._is_told = False
         self.refused = 0
+        self.resumed_by_origin: Counter[str] = Counter()
         self.handler = NoticeHandler(self._apply, self._snapshot)
         self.versions_handler = NoticeHandler(self._apply_versions, self._versions_snapshot)
         fleet.on_engines_changed.append(self.observe)
@@ -96,16 +99,29 @@
         RefusedError
             If it is not known and more than one version may have begun it.
         """
+        software, how = self._find(job)
+        self.resumed_by_origin[how] += 1
+        logger.bind(
+            request=job.caller.id,
+            resumes=job.caller.resumes,
+            software=software,
+            origin=how,
+            list_age=f"{self._fleet.list_age:.3f}",
+        ).info("stream taken up")
+        return software
+
+    def _find(self, job: Job) -> tuple[str, str]:
+        """Return the version at which a stream began, and how it is known."""
         key = stream_key(job.caller.resumes)
-        for origins in (self._own, self._known):
+        for how, origins in (("own", self._own), ("told", self._known)):
             if job.caller.resumes and (found := origins.software_of(job.service, key)) is not None:
-                return found
+                return found, how
         self.observe()
         now = self._timers.now()
         has_settled = self._is_told or now - self._started_at >= SETTLE_SECONDS
         served = self._versions_of(job.service).served_since(now - self._life_seconds())
         if has_settled and len(served) <= 1:
-            return next(iter(served), "")
+            return next(iter(served), ""), "only version"
         self.refused += 1
         detail = f"nobody knows where {job.caller.resumes or 'its stream'} began"
         # A gateway that has just started is still told what the others know.
