--- a/pimentoquay/gateway/tests/rig.py
+++ b/pimentoquay/gateway/tests/rig.py
@@ -130,6 +130,24 @@
         await until(lambda: all(len(each.relays.live_relays()) >= 2 for each in meshes), "relays")
         return vms, next(vm for vm in vms if vm not in meshes[0].plan.relays)
 
+    async def kill(self, vm) -> None:
+        """End a gateway as a kill does: its connections end without a drain."""
+        task = self._task_by_vm.pop(vm)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await self._close_gateway(self.gateway_by_vm.pop(vm))
+
+    async def _close_gateway(self, gateway) -> None:
+        gateway.node.timers.close()
+        gateway.links.close()
+        gateway.paths.close()
+        await gateway.tunnel_server.close()
+        gateway.store.close()
+        await gateway.caller_server.close()
+        await gateway.readiness_server.close()
+        await gateway.peers.close()
+        await gateway.node.transport.close()
+
     def stop(self, vm="vm-1") -> asyncio.Task:
         self._stop_by_vm[vm].set()
         return self._task_by_vm[vm]
@@ -178,15 +196,7 @@
             task.cancel()
         await asyncio.gather(*self._task_by_vm.values(), return_exceptions=True)
         for gateway in self.gateway_by_vm.values():
-            gateway.node.timers.close()
-            gateway.links.close()
-            gateway.paths.close()
-            await gateway.tunnel_server.close()
-            gateway.store.close()
-            await gateway.caller_server.close()
-            await gateway.readiness_server.close()
-            await gateway.peers.close()
-            await gateway.node.transport.close()
+            await self._close_gateway(gateway)
         for engine in self.engine_by_id.values():
             await engine.close()
         await self.store.close()
--- a/pimentoquay/gateway/tests/test_peers_of_cut_gateways.py
+++ b/pimentoquay/gateway/tests/test_peers_of_cut_gateways.py
@@ -11,19 +11,6 @@
 from pimentoquay.standin.virtual_links import Cut
 
 
-async def kill(env, vm):
-    """End a gateway as a kill does: its connections end without a drain."""
-    env._task_by_vm[vm].cancel()
-    await asyncio.gather(env._task_by_vm[vm], return_exceptions=True)
-    gateway = env.gateway_by_vm[vm]
-    await gateway.tunnel_server.close()
-    gateway.links.close()
-    gateway.node.timers.close()
-    await gateway.caller_server.close()
-    await gateway.peers.close()
-    await gateway.node.transport.close()
-
-
 async def cut_off(env, count=3, how=Cut.REFUSED):
     """Cut vm-1 off from all engines, and wait until it knows."""
     await gateways(env, count)
@@ -50,7 +37,7 @@
         load = Load(env, name="streams", interval=0.02, paths=("/digest/a",))
         sending = asyncio.create_task(load.run(0.3))
         await asyncio.sleep(0.4)
-        await kill(env, carriers(env)[0])
+        await env.kill(carriers(env)[0])
         await sending
         assert load.unserved() == []
         assert env.gateway_by_vm["vm-1"].guard.reported_crashes == 0
@@ -68,7 +55,7 @@
         desks = [env.engine_by_id[name] for name in ("desk-1", "desk-2")]
         await until(lambda: sum(desk.running for desk in desks) == 6, "all run")
         for vm in carriers(env):
-            await kill(env, vm)
+            await env.kill(vm)
         responses = await asyncio.gather(*tasks)
         assert {each.status for each in responses} == {502}
         arrivals = [each for desk in desks for each in desk.arrivals]
@@ -82,7 +69,7 @@
         set_pace(env, 100, 0.05)
         async with env.open("/sheet/a", headers=model_headers()) as exchange:
             await exchange.read_chunk()
-            await kill(env, "vm-2")
+            await env.kill("vm-2")
             assert not (await read_response(exchange)).is_whole
 
 
--- /dev/null
+++ b/pimentoquay/gateway/tests/test_rejoined_streams.py
@@ -0,0 +1,84 @@
+"""Streams that callers take up after all gateways were killed at once."""
+
+import asyncio
+
+from pimentoquay.gateway.tests.rig import rig, until
+from pimentoquay.gateway.tests.test_software_versions import (
+    NEW,
+    Streams,
+    begin_release,
+    resume,
+    runs_at,
+    streams_before_release,
+)
+
+OLD = ("dec-1", "dec-2")
+
+
+async def kill_all(env, vms):
+    """Kill all gateways, and start them again."""
+    for vm in vms:
+        await env.kill(vm)
+    for vm in vms:
+        await env.add_gateway(vm, wait=False)
+    gateways = [env.gateway_by_vm[vm] for vm in vms]
+    await until(lambda: all(each.dispatcher.is_ready for each in gateways), "ready again")
+
+
+async def remove(env, *ids):
+    """Let engines leave the list, while they go on serving."""
+    for engine_id in ids:
+        await env.store.put("keyed.servers", engine_id, b"")
+
+
+async def let_store(env):
+    """Give the gateways time to store what they know."""
+    await asyncio.sleep(0.6)
+
+
+async def test_streams_of_a_version_that_left_do_not_go_on_at_another_after_all_were_killed():
+    """On the day rejoined, 5 streams went on at the only version that new gateways knew."""
+    async with rig() as env:
+        vms = ("vm-1", "vm-2")
+        await env.add_gateway("vm-2")
+        streams = await streams_before_release(env, 4)
+        await let_store(env)
+        await remove(env, "dec-1", "dec-2", "pre-1")
+        ids = await streams.leave()
+        await kill_all(env, vms)
+        before = len(runs_at(env, *NEW))
+        for request_id in ids:
+            assert (await resume(env, request_id)).status == 503
+        assert len(runs_at(env, *NEW)) == before
+
+
+async def test_streams_of_both_versions_go_on_at_theirs_after_all_were_killed():
+    async with rig() as env:
+        vms = ("vm-1", "vm-2", "vm-3")
+        for vm in vms[1:]:
+            await env.add_gateway(vm)
+        streams = await streams_before_release(env, 4)
+        later = Streams(env)
+        await later.begin(8, "vm-2")
+        await let_store(env)
+        engines_by_request = {
+            each.headers["pimentoquay-request-id"]: engines
+            for engines in (OLD, NEW)
+            for each in runs_at(env, *engines)
+        }
+        assert {*engines_by_request.values()} == {OLD, NEW}
+        ids = (*await streams.leave(), *await later.leave())
+        await kill_all(env, vms)
+        for request_id in ids:
+            engines = engines_by_request[request_id]
+            before = len(runs_at(env, *engines))
+            response = await resume(env, request_id, vm="vm-3")
+            assert (response.status, response.is_whole) == (200, True)
+            assert len(runs_at(env, *engines)) == before + 1
+
+
+async def test_new_streams_begin_as_soon_as_all_gateways_are_back():
+    async with rig() as env:
+        await begin_release(env)
+        await kill_all(env, ("vm-1",))
+        assert (await env.stream()).status == 200
