Keep the versions that serve, and where streams began, in the store

When all gateways were killed during a release, or just after the old version had left, streams were joined from two versions, or all refused: what had served and where streams had begun was known to processes only. The store now holds both. A version is recorded before new streams begin at it, as long as an engine of a recorded version takes work, so that gateways that start know all versions streams may be of; it is removed once no stream of it can live. A gateway reads both when it starts, and lets callers come back until then.

--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -46,6 +46,7 @@
     GatewayMetrics,
 )
 from pimentoquay.gateway.notices import LeavingNotices, LimitNotices
+from pimentoquay.gateway.origin_store import OriginStore
 from pimentoquay.gateway.path_watch import PathWatch
 from pimentoquay.gateway.peer_loads import PeerLoadTable
 from pimentoquay.gateway.plain import PlainForwarder
@@ -296,6 +297,7 @@
         coordinator,
         guard,
         origins,
+        OriginStore(settings.vm, store, node.timers, origins, mesh.is_reader),
         dispatcher,
         caller_server,
         readiness_server,
--- a/pimentoquay/gateway/lifecycle.py
+++ b/pimentoquay/gateway/lifecycle.py
@@ -8,6 +8,7 @@
 from pimentoquay.gateway.fleet import Fleet
 from pimentoquay.gateway.links import EngineLinks
 from pimentoquay.gateway.mesh import Mesh
+from pimentoquay.gateway.origin_store import OriginStore
 from pimentoquay.gateway.path_watch import PathWatch
 from pimentoquay.gateway.pool_client import PoolClient
 from pimentoquay.gateway.pool_coordinator import PoolCoordinator
@@ -62,6 +63,7 @@
     pool_coordinator: PoolCoordinator
     guard: RequestGuard
     origins: OriginExchange
+    origin_store: OriginStore
     dispatcher: Dispatcher
     caller_server: HttpServer
     readiness_server: HttpServer
@@ -81,6 +83,7 @@
             asyncio.create_task(service)
             for service in (
                 self.feed.run(),
+                self.origin_store.run(),
                 self.mesh.run(),
                 self.stage_controller.run(),
                 self._discover_peers(),
--- a/pimentoquay/gateway/shared_state.py
+++ b/pimentoquay/gateway/shared_state.py
@@ -121,14 +121,18 @@
     ) -> tuple[EngineEntry, ...]:
         """Return the engines of a service that accept work of one of the stages now."""
         now = asyncio.get_running_loop().time()
+        accepting = [
+            engine for engine in self.fleet.accepting_engines(service) if engine.stage in stages
+        ]
+        versions = self.origins.usable_versions(service, accepting)
         return tuple(
             engine
-            for engine in self.fleet.accepting_engines(service)
-            if engine.stage in stages
-            and self.changing_until_by_engine.get(engine.id, 0.0) <= now
+            for engine in accepting
+            if self.changing_until_by_engine.get(engine.id, 0.0) <= now
             and not self.links.is_circuit_open(engine.id, now)
             and not self.is_misdirected(engine, now)
             and self.fleet.pause_seconds(engine) == 0.0
+            and engine.software_version in versions
         )
 
     def sendable_engines(
--- a/pimentoquay/gateway/stream_origins.py
+++ b/pimentoquay/gateway/stream_origins.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import Any
 
 from pimentoquay.gateway.fleet import Fleet
@@ -21,6 +21,12 @@
     VersionStreams,
 )
 from pimentoquay.policy.fleet import EngineEntry
+from pimentoquay.policy.stored_origins import (
+    OriginBatch,
+    OriginBatches,
+    RecordedVersions,
+    StoredOrigin,
+)
 from pimentoquay.policy.stream_origins import (
     KEY_BYTES,
     ServiceVersions,
@@ -36,8 +42,14 @@
 EXPIRY_SECONDS = 10.0
 """Interval at which streams and versions are dropped that are older than any stream can be."""
 
-SETTLE_SECONDS = 1.5
-"""Time after the start within which peers tell what they know, if there are any."""
+LOAD_SECONDS = 0.5
+"""Time after which a caller is told to come back while the store has not been read yet."""
+
+OBSERVE_SECONDS = 1.0
+"""Age of what is known of the listed versions above which they are looked at again."""
+
+HANDOVER_SECONDS = 5.0
+"""Time within which another gateway writes in place of one that has ended."""
 
 LIFE_MARGIN_SECONDS = 2.0
 """Time by which the lists of two gateways may differ, and by which a request may be late."""
@@ -49,8 +61,9 @@
 class OriginExchange:
     """Knows at which software version the streams of all gateways began.
 
-    ``refused`` counts the resumptions that were refused as nobody knows where their stream began,
-    ``resumed_by_origin`` the others by how that was known.
+    ``recorded`` holds the versions that the store holds, ``batches`` the streams that it may not
+    hold yet. ``refused`` counts the resumptions that were refused as nobody knows where their
+    stream began, ``resumed_by_origin`` the others by how that was known.
 
     Parameters
     ----------
@@ -64,13 +77,15 @@
         self._timers = timers
         self._fleet = fleet
         self._publish = publish
-        self._started_at = timers.now()
         self._known = StreamOrigins()
         self._own = StreamOrigins()
         self._untold: dict[tuple[str, str], list[bytes]] = {}
         self._versions_by_service: dict[str, ServiceVersions] = {}
         self._mixed: frozenset[str] = frozenset()
-        self._is_told = False
+        self._is_loaded = False
+        self._observed_at = float("-inf")
+        self.recorded = RecordedVersions()
+        self.batches = OriginBatches(HANDOVER_SECONDS)
         self.refused = 0
         self.resumed_by_origin: Counter[str] = Counter()
         self.handler = NoticeHandler(self._apply, self._snapshot)
@@ -118,15 +133,14 @@
                 return found, how
         self.observe()
         now = self._timers.now()
-        has_settled = self._is_told or now - self._started_at >= SETTLE_SECONDS
-        served = self._versions_of(job.service).served_since(now - self._life_seconds())
-        if has_settled and len(served) <= 1:
+        served = self._versions_of(job.service).served_since(now - self.life_seconds)
+        if self._is_loaded and len(served) <= 1:
             return next(iter(served), ""), "only version"
         self.refused += 1
         detail = f"nobody knows where {job.caller.resumes or 'its stream'} began"
-        # A gateway that has just started is still told what the others know.
+        # A gateway that has just started has still to read what others have stored.
         raise RefusedError(
-            ResultCode.STREAM_ORIGIN_UNKNOWN, detail, 0.0 if has_settled else SETTLE_SECONDS
+            ResultCode.STREAM_ORIGIN_UNKNOWN, detail, 0.0 if self._is_loaded else LOAD_SECONDS
         )
 
     def record_begun(self, job: Job, engine: EngineEntry) -> None:
@@ -136,10 +150,61 @@
         self._own.learn(*version, (key,), self._timers.now())
         if job.service in self._mixed:
             self._tell_soon(version, key)
+            self._store_later({version: [key]})
+
+    def load(self, versions: Iterable[tuple[str, str]], batches: Iterable[StreamsBegun]) -> None:
+        """Learn what earlier gateways have stored.
+
+        A version that the store holds counts as listed until now, since nothing tells when it was.
+        """
+        now = self._timers.now()
+        for service, software in versions:
+            self._versions_of(service).learn(software, now)
+            self.recorded.add(((service, software),))
+        for batch in batches:
+            for version, keys in _keys_by_version(batch).items():
+                self._known.learn(*version, keys, now)
+        self._is_loaded = True
+        self.observe()
+        logger.bind(versions=len(self.served_versions()), streams=len(self._known)).info(
+            "versions and origins of streams loaded"
+        )
+
+    def served_versions(self) -> list[tuple[str, str]]:
+        """Return the versions that have served within the longest life of a stream."""
+        if self._timers.now() - self._observed_at >= OBSERVE_SECONDS:
+            self.observe()
+        since = self._timers.now() - self.life_seconds
+        return [
+            (service, software)
+            for service, versions in self._versions_by_service.items()
+            for software in versions.served_since(since)
+        ]
+
+    def record_stored(self, version: tuple[str, str]) -> None:
+        """Record that the store holds a version, and tell the peers."""
+        self.recorded.add((version,))
+        self._publish(VersionsListed((self._listed(*version),)))
+
+    def usable_versions(self, service: str, engines: Iterable[EngineEntry]) -> set[str]:
+        """Return the versions of engines at which streams may begin.
+
+        They may once gateways that start would know of the version.
+        """
+        listed = {each.software_version for each in engines}
+        return {each for each in listed if self.recorded.may_begin(service, each, listed)}
+
+    @staticmethod
+    def message_of(batch: OriginBatch) -> StreamsBegun:
+        """Return a batch of streams as a message, which is also its form in the store."""
+        keys_by_version: dict[tuple[str, str], list[bytes]] = {}
+        for each in batch.origins:
+            keys_by_version.setdefault((each.service, each.software), []).append(each.key)
+        return _message(keys_by_version)
 
     def observe(self) -> None:
         """Record which versions are listed; tell the own streams of services that are mixed now."""
-        now = self._timers.now()
+        now = self._observed_at = self._timers.now()
         listed: dict[str, set[str]] = {}
         for engine in self._fleet.engines():
             listed.setdefault(engine.service, set()).add(engine.software_version)
@@ -150,14 +215,16 @@
     def _versions_of(self, service: str) -> ServiceVersions:
         return self._versions_by_service.setdefault(service, ServiceVersions())
 
-    def _life_seconds(self) -> float:
+    @property
+    def life_seconds(self) -> float:
+        """Longest time for which a stream may be taken up after its beginning."""
         configuration = self._fleet.configuration
         routes = configuration.routes if configuration is not None else ()
         longest = max((each.timeout_seconds for each in routes), default=DEFAULT_LIFE_SECONDS)
         return longest + LIFE_MARGIN_SECONDS
 
     def _update_mixed(self) -> None:
-        since = self._timers.now() - self._life_seconds()
+        since = self._timers.now() - self.life_seconds
         mixed = frozenset(
             service
             for service, versions in self._versions_by_service.items()
@@ -174,6 +241,13 @@
         }
         if own:
             self._publish(_message(own))
+            self._store_later(own)
+
+    def _store_later(self, keys_by_version: Mapping[tuple[str, str], Iterable[bytes]]) -> None:
+        now = self._timers.now()
+        for (service, software), keys in keys_by_version.items():
+            for key in keys:
+                self.batches.add(StoredOrigin(service, software, key, now))
 
     def _tell_soon(self, version: tuple[str, str], key: bytes) -> None:
         if not self._untold:
@@ -186,7 +260,8 @@
 
     def _expire(self) -> None:
         self.observe()
-        now, life = self._timers.now(), self._life_seconds()
+        self.batches.expire(self._timers.now())
+        now, life = self._timers.now(), self.life_seconds
         for origins in (self._own, self._known):
             origins.expire(now - life)
         for versions in self._versions_by_service.values():
@@ -195,11 +270,10 @@
     def _apply(self, message: StreamsBegun) -> StreamsBegun | None:
         now = self._timers.now()
         new_by_version = {}
-        for each in message.versions:
-            starts = range(0, len(each.keys) - KEY_BYTES + 1, KEY_BYTES)
-            keys = [each.keys[start : start + KEY_BYTES] for start in starts]
-            if new := self._known.learn(each.service, each.software, keys, now):
-                new_by_version[each.service, each.software] = new
+        for version, keys in _keys_by_version(message).items():
+            if new := self._known.learn(*version, keys, now):
+                new_by_version[version] = new
+        self._store_later(new_by_version)
         return _message(new_by_version) if new_by_version else None
 
     def _snapshot(self) -> StreamsBegun | None:
@@ -210,22 +284,27 @@
                     found.setdefault(version, []).extend(keys)
         return _message(found) if found else None
 
-    def _apply_versions(self, message: VersionsListed) -> None:
-        self._is_told = True
+    def _apply_versions(self, message: VersionsListed) -> VersionsListed | None:
+        self._is_loaded = self._is_loaded or message.is_complete
         now = self._timers.now()
         for each in message.versions:
             self._versions_of(each.service).learn(each.software, now - each.age)
+        recorded = {
+            (each.service, each.software): each for each in message.versions if each.is_recorded
+        }
+        new = self.recorded.add(recorded)
         self._update_mixed()
+        return VersionsListed(tuple(recorded[version] for version in new)) if new else None
 
     def _versions_snapshot(self) -> VersionsListed | None:
         self.observe()
-        now = self._timers.now()
-        found = tuple(
-            ListedVersion(service, software, now - at)
-            for service, versions in self._versions_by_service.items()
-            for software, at in versions.listed_at_by_version.items()
-        )
-        return VersionsListed(found) if found else None
+        found = tuple(self._listed(*version) for version in self.served_versions())
+        return VersionsListed(found, is_complete=self._is_loaded) if found else None
+
+    def _listed(self, service: str, software: str) -> ListedVersion:
+        at = self._versions_of(service).listed_at_by_version[software]
+        is_recorded = (service, software) in self.recorded
+        return ListedVersion(service, software, self._timers.now() - at, is_recorded)
 
 
 def _key_of(job: Job) -> bytes:
@@ -234,6 +313,15 @@
     return stream_key(job.caller.resumes if is_resumed else job.caller.id)
 
 
+def _keys_by_version(message: StreamsBegun) -> dict[tuple[str, str], list[bytes]]:
+    found: dict[tuple[str, str], list[bytes]] = {}
+    for each in message.versions:
+        starts = range(0, len(each.keys) - KEY_BYTES + 1, KEY_BYTES)
+        keys = [each.keys[start : start + KEY_BYTES] for start in starts]
+        found.setdefault((each.service, each.software), []).extend(keys)
+    return found
+
+
 def _message(keys_by_version: Mapping[tuple[str, str], list[bytes]]) -> StreamsBegun:
     return StreamsBegun(
         tuple(
--- a/pimentoquay/gateway/tests/test_software_versions.py
+++ b/pimentoquay/gateway/tests/test_software_versions.py
@@ -197,7 +197,7 @@
     async with rig() as env:
         await begin_release(env)
         gateway = env.gateway_by_vm["vm-1"]
-        gateway.origins._is_told = True
+        await until(lambda: gateway.origins._is_loaded, "loaded")
         response = await resume(env, resumes)
         assert response.status == 503 and "retry-after" not in response.headers
         assert gateway.origins.refused == 1
@@ -209,7 +209,8 @@
     async with rig() as env:
         await begin_release(env)
         gateway = env.gateway_by_vm["vm-1"]
-        gateway.origins._started_at = asyncio.get_running_loop().time()
+        await until(lambda: gateway.origins._is_loaded, "loaded")
+        gateway.origins._is_loaded = False
         response = await resume(env, "never-seen")
         assert response.status == 503 and float(response.headers["retry-after"]) > 0
 
@@ -299,7 +300,7 @@
         headers = (*model_headers(), (b"Resumes", b"first"))
         await env.send_request("/digest/a", headers=headers, request_id="second")
         gateway = env.gateway_by_vm["vm-1"]
-        gateway.origins._is_told = True
+        await until(lambda: gateway.origins._is_loaded, "loaded")
         assert (await resume(env, "second")).status == 200
         assert (await resume(env, "first")).status == 503
 
@@ -308,7 +309,7 @@
     """Neither was placed: the late one let the new ones pass, which left its version to it."""
     async with rig() as env:
         gateway = env.gateway_by_vm["vm-1"]
-        gateway.origins._is_told = True
+        await until(lambda: gateway.origins._is_loaded, "loaded")
         engines = [env.engine_by_id["dec-1"], env.engine_by_id["dec-2"]]
         for engine in engines:
             engine.pause = 2.0
--- a/pimentoquay/messages/streams.py
+++ b/pimentoquay/messages/streams.py
@@ -23,15 +23,23 @@
 
 @message(151)
 class ListedVersion:
-    """A software version of a service, which was last listed ``age`` seconds ago."""
+    """A software version of a service, which was last listed ``age`` seconds ago.
+
+    ``is_recorded`` says that the store holds it, so that gateways that start will know of it.
+    """
 
     service: str
     software: str
     age: float
+    is_recorded: bool = False
 
 
 @message(152)
 class VersionsListed:
-    """Software versions that the sender has seen listed lately."""
+    """Software versions that the sender has seen listed lately.
+
+    ``is_complete`` says that these are all, and that the sender knows what the store holds.
+    """
 
     versions: tuple[ListedVersion, ...]
+    is_complete: bool = False
--- a/pimentoquay/platform/store.py
+++ b/pimentoquay/platform/store.py
@@ -24,6 +24,8 @@
     "ENGINE_TOPIC",
     "ORDER_TOPIC",
     "PROMPT_TOPIC",
+    "STREAM_TOPIC",
+    "VERSION_TOPIC",
     "VM_TOPIC",
     "KeyedRecord",
     "RecordPage",
@@ -47,6 +49,12 @@
 PROMPT_TOPIC = "keyed.pimentoquay-prompts"
 """Topic in which gateways keep the quarantines of prompts that crash engines."""
 
+VERSION_TOPIC = "keyed.pimentoquay-versions"
+"""Topic in which a gateway keeps the software versions that have served lately."""
+
+STREAM_TOPIC = "keyed.pimentoquay-streams"
+"""Topic in which a gateway keeps the versions at which streams began."""
+
 CONNECT_SECONDS = 0.5
 """Timeout for connecting to the store, which responds within a few milliseconds."""
 
