Let a stream that is taken up be due like a new one

Cause: they counted as late from the time of their first attempt, so that all new ones went before them. Their first event was due then, and what engines did for them is lost if they never go on. They are now due from the time at which they are taken up, as a second run within an answer was already.

--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -35,7 +35,7 @@
 from pimentoquay.policy.fleet import EngineEntry, ModelRequest, TokenMemory
 from pimentoquay.policy.memory_forecast import MemoryNeed
 from pimentoquay.policy.output_estimate import OutputLengthEstimator
-from pimentoquay.policy.stream_admission import StreamTimes, first_request_at, patience_seconds
+from pimentoquay.policy.stream_admission import StreamTimes, first_request_at, stream_times
 
 __all__ = ["StreamForwarder"]
 
@@ -201,19 +201,25 @@
         """Return when a stream becomes late and when its caller stops waiting for it.
 
         A caller that retries after a refusal states a shorter timeout than the longest one seen on
-        its route; the difference is the time since it first sent the request. If the response has
-        been started, the next event is due within the target time from now.
+        its route; the difference is the time since it first sent the request.
         """
         route, timeout = job.route, job.caller.timeout_seconds
         longest = max(self._longest_wait_by_route.get(route.name, 0.0), timeout or 0.0)
         self._longest_wait_by_route[route.name] = longest
         first_sent_at = first_request_at(job.arrived_at, timeout, longest)
-        patience = patience_seconds(route.target_seconds, route.gap_seconds)
-        late_at = first_sent_at + route.target_seconds
+        continued_at = None
         if job.reply.started:
-            late_at = asyncio.get_running_loop().time() + route.target_seconds
-        leaves_at = min(job.arrived_at + patience, job.deadline)
-        return StreamTimes(job.arrived_at, late_at, max(leaves_at, late_at))
+            continued_at = asyncio.get_running_loop().time()
+        elif job.caller.last_event is not None:
+            continued_at = job.arrived_at
+        return stream_times(
+            job.arrived_at,
+            first_sent_at,
+            continued_at,
+            route.target_seconds,
+            route.gap_seconds,
+            job.deadline,
+        )
 
     def _estimate(self, service: str) -> OutputLengthEstimator:
         return self._estimate_by_service.setdefault(service, OutputLengthEstimator())
--- a/pimentoquay/policy/stream_admission.py
+++ b/pimentoquay/policy/stream_admission.py
@@ -21,6 +21,7 @@
     "decide_wait",
     "first_request_at",
     "patience_seconds",
+    "stream_times",
 ]
 
 NEW_SAMPLE_WEIGHT = 0.1
@@ -148,6 +149,44 @@
     return arrived_at - max(0.0, longest_wait - wait_seconds)
 
 
+def stream_times(
+    arrived_at: float,
+    first_sent_at: float,
+    continued_at: float | None,
+    target_seconds: float,
+    gap_seconds: float,
+    deadline: float,
+) -> StreamTimes:
+    """Return when a stream becomes late and when its caller stops waiting for it.
+
+    Load pattern: callers that take streams up again in large numbers, beside more new ones than the
+    engines' memory allows. A stream that has begun is due like a new one: its first event was due
+    earlier, and what engines have already done for it is lost if it never goes on.
+
+    Parameters
+    ----------
+    arrived_at, first_sent_at
+        Times of the present and of the first attempt of the caller.
+    continued_at
+        Time at which the stream is to go on, or None if it has not begun.
+    target_seconds, gap_seconds
+        Maximum time to the first event, and between two events, of a stream that is on time.
+    deadline
+        Time at which the caller's or the route's timeout ends.
+
+    Example
+    -------
+    >>> stream_times(10.0, 7.0, None, 1.0, 0.3, 20.0).late_at
+    8.0
+    >>> stream_times(10.0, 7.0, 10.0, 1.0, 0.3, 20.0).late_at
+    11.0
+    """
+    due_from = first_sent_at if continued_at is None else continued_at
+    late_at = due_from + target_seconds
+    leaves_at = min(arrived_at + patience_seconds(target_seconds, gap_seconds), deadline)
+    return StreamTimes(arrived_at, late_at, max(leaves_at, late_at))
+
+
 def decide_wait(
     tokens: int,
     urgent_ahead: int,
