Ask peers of other data centres after one has failed, try other engines sooner, confirm a cut

Found by another one that failed once: after a silence that all gateways shared, a peer may be answered first; a cut is confirmed by one more attempt.

--- a/pimentoquay/policy/tunnel_peers.py
+++ b/pimentoquay/policy/tunnel_peers.py
@@ -1,12 +1,14 @@
 """Choice of the peers through which a VM opens tunnels to engines that it does not reach.
 
 Load pattern: one VM, a data centre, half of the VMs or all but one of them are cut off from
-engines. Peers are asked in an order that spreads the VMs over them and prefers the nearest, the
-second one in another data centre, since VMs of one data centre are often cut off together. A peer
-that does not reach the engine either names those through which it does.
+engines. Peers are asked in an order that spreads the VMs over them and prefers the nearest. VMs of
+one data centre are often cut off together, so each one that has failed or not replied yet puts the
+others of its data centre behind. A peer that does not reach the engine either names those through
+which it does.
 """
 
-from collections.abc import Iterable, Mapping
+from collections import Counter
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
 from pimentoquay.policy.mesh_plan import hash_rank
@@ -30,17 +32,17 @@
 
 
 class TunnelPeers:
-    """Results of one VM's attempts to open tunnels, and the order in which it asks its peers.
+    """Results of one VM's attempts to open tunnels, and the choice of the peer that it asks next.
 
     Example
     -------
     >>> places = {"vm-2": PeerPlace("port", "a:1"), "vm-3": PeerPlace("hall", "b:1")}
     >>> peers = TunnelPeers("vm-1", "hall")
-    >>> peers.order("e", "hall", places, now=0.0)
-    ('vm-3', 'vm-2')
+    >>> peers.choose("e", "hall", places, now=0.0)
+    'vm-3'
     >>> peers.record_failure("vm-3", "e", now=0.0)
-    >>> peers.order("e", "hall", places, now=0.5)
-    ('vm-2', 'vm-3')
+    >>> peers.choose("e", "hall", places, now=0.5)
+    'vm-2'
     """
 
     def __init__(self, own: str, data_centre: str) -> None:
@@ -51,14 +53,15 @@
         self._used_at_by_way: dict[tuple[str, str], float] = {}
         self._named_at_by_way: dict[tuple[str, str], float] = {}
 
-    def order(
+    def choose(
         self,
         engine: str,
         engine_data_centre: str,
         places: Mapping[str, PeerPlace],
         now: float,
-    ) -> tuple[str, ...]:
-        """Return the peers in the order in which they are to be asked for a tunnel to an engine.
+        asked: Collection[str] = (),
+    ) -> str | None:
+        """Return the peer to be asked next for a tunnel to an engine, or ``None`` if none is left.
 
         Parameters
         ----------
@@ -68,9 +71,15 @@
             The peers that may be asked.
         now
             Current time in seconds.
+        asked
+            Peers that have been asked already.
         """
+        doubts: Counter[str] = Counter()
+        for vm, place in places.items():
+            if vm in asked or self._has_failed(vm, engine, now):
+                doubts[place.data_centre] += 1
 
-        def rank(vm: str) -> tuple[bool, bool, bool, int, bytes]:
+        def rank(vm: str) -> tuple[bool, bool, bool, int, int, bytes]:
             place = places[vm]
             crossings = (place.data_centre != self._data_centre) + (
                 place.data_centre != engine_data_centre
@@ -79,12 +88,13 @@
                 self._has_failed(vm, engine, now),
                 not self._is_promising(vm, engine, now),
                 not place.is_heard,
+                doubts[place.data_centre],
                 crossings,
                 hash_rank(f"{self._own} {engine} {vm}"),
             )
 
-        ordered = sorted((vm for vm in places if vm != self._own), key=rank)
-        return self._spread(ordered, places, engine, now)
+        left = (vm for vm in places if vm != self._own and vm not in asked)
+        return min(left, key=rank, default=None)
 
     def record_failure(self, peer: str, engine: str | None, now: float) -> None:
         """Record that a peer did not open a tunnel to an engine, or to any if None is given."""
@@ -140,17 +150,6 @@
         )
         return now - last < AVOID_SECONDS
 
-    def _spread(
-        self, ordered: list[str], places: Mapping[str, PeerPlace], engine: str, now: float
-    ) -> tuple[str, ...]:
-        """Move the first peer of another data centre to the second place."""
-        for index, vm in enumerate(ordered):
-            if self._has_failed(vm, engine, now):
-                break
-            if index and places[vm].data_centre != places[ordered[0]].data_centre:
-                return (ordered[0], vm, *ordered[1:index], *ordered[index + 1 :])
-        return tuple(ordered)
-
 
 def _recent(at_by_key: dict, now: float) -> dict:  # type: ignore[type-arg]
     return {key: at for key, at in at_by_key.items() if now - at < AVOID_SECONDS}
--- a/pimentoquay/tunnels/paths.py
+++ b/pimentoquay/tunnels/paths.py
@@ -43,12 +43,13 @@
 PROBES_PER_TICK = 8
 """Maximum number of cut paths that are probed at a time."""
 
+OTHERS_TRIED = 4
+"""Number of other engines that are tried when one does not respond. Each of them that does not
+either leads to as many, so that a broad cut is known soon and a single failure costs little."""
+
 SURVEYED_ENGINES = 32
 """Maximum number of other engines that are tried at once when one path is found to be cut."""
 
-SURVEY_SPREAD_SECONDS = 0.05
-"""Time over which these attempts are spread at random."""
-
 SUSPICION_SECONDS = 0.25
 """Shortest time between two attempts to find out whether a silent engine is reached. It doubles
 while the engine is reached, up to eight times."""
@@ -183,7 +184,7 @@
         )
         verdict = judge(direct, peers, other)
         if verdict is Verdict.CUT:
-            self._record_cut(target)
+            await self._confirm_cut(target)
         return verdict
 
     async def refusal_outcome(self, request: TunnelRequest) -> TunnelOutcome:
@@ -245,7 +246,7 @@
         if has_connected(direct):
             discard(direct)
         elif not direct.cancelled():
-            self._record_cut(target, direct.exception())
+            await self._confirm_cut(target)
 
     async def _connect_direct(
         self, target: TunnelTarget, factory: Callable[[], Any]
@@ -277,17 +278,17 @@
             return Reach.UNKNOWN
         return await self._reach(random.choice(others))
 
-    async def _probe(self, target: TunnelTarget, delay: float = 0.0) -> None:
+    async def _probe(self, target: TunnelTarget) -> None:
         """Find out whether the path to an engine is cut."""
         if target.engine in self._probing or self._table.is_cut(target.engine):
             return
         self._probing.add(target.engine)
         try:
-            await asyncio.sleep(delay)
             if await self._reach(target) is Reach.OPEN:
                 return
+            self._try_others(OTHERS_TRIED)
             if await self._tunnels.is_reached(target):
-                self._record_cut(target)
+                await self._confirm_cut(target)
         finally:
             self._probing.discard(target.engine)
 
@@ -299,29 +300,36 @@
             self._lost_at_by_way[target.engine, peer] = self._timers.now()
             logger.bind(engine=target.engine, peer=peer).warning("peer has lost an engine")
 
-    def _record_cut(self, target: TunnelTarget, error: BaseException | None = None) -> None:
+    async def _confirm_cut(self, target: TunnelTarget) -> None:
+        """Record a cut, unless the own path works by now.
+
+        After a silence that all gateways shared, a peer may be answered first.
+        """
+        if not self._table.is_cut(target.engine) and await self._reach(target) is not Reach.OPEN:
+            self._record_cut(target)
+
+    def _record_cut(self, target: TunnelTarget) -> None:
         if not self._table.record_cut(target.engine, self._timers.now()):
             return
         self._suspicion_by_way.pop((target.engine, ""), None)
         logger.bind(
             engine=target.engine,
-            error=repr(error) if error is not None else "",
             engines_cut=self.cut_engines,
         ).warning("path to engine is cut; using peers")
         for callback in self.on_cut:
             callback(target.engine)
         if self.cut_engines == 1:
-            self._survey()
+            self._try_others(SURVEYED_ENGINES)
 
-    def _survey(self) -> None:
-        """Try the other engines too, since most cuts concern several."""
+    def _try_others(self, most: int) -> None:
+        """Try other engines too, since most cuts concern several."""
         targets = [
-            each for engine, each in self._targets().items() if not self._table.is_cut(engine)
+            each
+            for engine, each in self._targets().items()
+            if not self._table.is_cut(engine) and engine not in self._probing
         ]
-        if len(targets) > SURVEYED_ENGINES:
-            targets = random.sample(targets, SURVEYED_ENGINES)
-        for target in targets:
-            self._background.start(self._probe(target, random.uniform(0.0, SURVEY_SPREAD_SECONDS)))
+        for target in random.sample(targets, min(most, len(targets))):
+            self.suspect(target)
 
     def _probe_cut_paths(self) -> None:
         targets = self._targets()
--- a/pimentoquay/tunnels/peer_tunnels.py
+++ b/pimentoquay/tunnels/peer_tunnels.py
@@ -1,7 +1,7 @@
 """Connections to engines through peers: whom to ask, and what the replies show."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Collection, Coroutine, Mapping
 from typing import Any
 
 from pimentoquay.kernel import PimentoquayError, TimerService
@@ -125,13 +125,12 @@
             for task in pending:
                 discard(task)
 
-    def _next_peer(self, target: TunnelTarget, asked: set[str]) -> str | None:
+    def _next_peer(self, target: TunnelTarget, asked: Collection[str]) -> str | None:
         if len(asked) >= MAX_PEERS:
             return None
-        order = self._peers.order(
-            target.engine, target.data_centre, self._places(), self._timers.now()
+        return self._peers.choose(
+            target.engine, target.data_centre, self._places(), self._timers.now(), asked
         )
-        return next((peer for peer in order if peer not in asked), None)
 
     async def _ask(
         self,
@@ -165,9 +164,10 @@
 
     async def reach_from_all(self, target: TunnelTarget) -> list[Reach]:
         """Ask several peers at once whether they reach an engine."""
-        now = self._timers.now()
-        order = self._peers.order(target.engine, target.data_centre, self._places(), now)
-        asked = (self.reach_through(peer, target) for peer in order[:MAX_PEERS])
+        chosen: list[str] = []
+        while (peer := self._next_peer(target, chosen)) is not None:
+            chosen.append(peer)
+        asked = (self.reach_through(peer, target) for peer in chosen)
         return list(await asyncio.gather(*asked))
 
     async def reach_through(self, peer: str, target: TunnelTarget) -> Reach:
