--- /dev/null
+++ b/pimentoquay/bench/mutations/path_switches.py
@@ -0,0 +1,81 @@
+"""Mechanisms for cut paths and for what outlives all VMs, and the tests that have to fail then."""
+
+from pimentoquay.bench.mutations.replacements import (
+    ignore_continuation,
+    keep_role_while_cut_off,
+    refuse_all_tunnels,
+    return_constant,
+    return_to_path_at_once,
+)
+from pimentoquay.bench.mutations.switch import Switch
+from pimentoquay.policy.engine_paths import Verdict
+
+__all__ = ["PATH_SWITCHES"]
+
+_CUT = "pimentoquay/gateway/tests/test_unreachable_engines.py::"
+_PATHS = "pimentoquay/policy/tests/test_engine_paths.py::"
+_STORED = "pimentoquay/policy/tests/test_stored_origins.py::"
+_REJOINED = "pimentoquay/gateway/tests/test_rejoined_streams.py::"
+
+PATH_SWITCHES = (
+    Switch(
+        "connections through peers",
+        "pimentoquay.tunnels.peer_tunnels:PeerTunnels.open",
+        refuse_all_tunnels,
+        _CUT + "test_callers_of_a_gateway_that_reaches_no_engine_are_served_within_a_second"
+        "[Cut.REFUSED]",
+    ),
+    Switch(
+        "refusal seen by a peer",
+        "pimentoquay.tunnels.paths:judge",
+        return_constant(Verdict.ENDED),
+        _CUT + "test_requests_that_a_cut_breaks_are_no_evidence_of_crashes[Cut.REFUSED]",
+    ),
+    Switch(
+        "time until a path is used again",
+        "pimentoquay.policy.engine_paths:PathTable.record_probe",
+        return_to_path_at_once,
+        _PATHS + "test_a_cut_that_comes_and_goes_is_left_less_and_less_often",
+    ),
+    Switch(
+        "peers that failed are asked last",
+        "pimentoquay.policy.tunnel_peers:TunnelPeers._has_failed",
+        return_constant(False),
+        _PATHS + "test_peers_of_a_data_centre_that_has_failed_are_asked_after_those_of_others",
+    ),
+    Switch(
+        "role of sending orders moves",
+        "pimentoquay.gateway.mesh:order_holder",
+        keep_role_while_cut_off,
+        "pimentoquay/gateway/tests/test_stage_controller.py::"
+        "test_a_holder_that_is_cut_off_hands_its_role_to_one_that_reaches_the_engines"
+        "[Cut.REFUSED]",
+    ),
+    Switch(
+        "version recorded before streams begin",
+        "pimentoquay.policy.stored_origins:RecordedVersions.may_begin",
+        return_constant(True),
+        _STORED + "test_new_streams_begin_at_a_version_once_it_is_recorded",
+    ),
+    Switch(
+        "versions kept in the store",
+        "pimentoquay.policy.stored_origins:RecordedVersions.missing",
+        return_constant([]),
+        _REJOINED
+        + "test_streams_of_a_version_that_left_do_not_go_on_at_another_after_all_were_killed",
+    ),
+    Switch(
+        "origins kept in the store",
+        "pimentoquay.policy.stored_origins:OriginBatches.next_batch",
+        return_constant(None),
+        _REJOINED + "test_streams_of_both_versions_go_on_at_theirs_after_all_were_killed",
+    ),
+    Switch(
+        "streams taken up are due like new ones",
+        "pimentoquay.policy.tests.test_continued_streams:stream_times",
+        ignore_continuation,
+        "pimentoquay/policy/tests/test_continued_streams.py::"
+        "test_streams_that_are_taken_up_go_on_as_often_as_new_ones_begin",
+    ),
+)
+"""Mechanisms of cut paths, and of what outlives all gateways."""
--- a/pimentoquay/bench/mutations/replacements.py
+++ b/pimentoquay/bench/mutations/replacements.py
@@ -23,7 +23,9 @@
     "do_nothing_async",
     "find_server_refusing",
     "grant_without_owner",
+    "ignore_continuation",
     "keep_expired_lease_number",
+    "keep_role_while_cut_off",
     "learn_as_seen_now",
     "match_any_attempt",
     "never_find_lost_append",
@@ -31,8 +33,10 @@
     "no_hysteresis",
     "no_rebuild_grace",
     "read_body_without_limit",
+    "refuse_all_tunnels",
     "retry_every_call",
     "return_constant",
+    "return_to_path_at_once",
     "same_number_for_all_holders",
     "skip_order_of_new_holder",
     "use_whole_limit",
@@ -45,6 +49,36 @@
     return lambda original: lambda *args, **kwargs: value
 
 
+def refuse_all_tunnels(original: Any) -> Any:
+    """Open no connection through a peer."""
+
+    async def open_none(self: Any, target: Any, factory: Any) -> Any:
+        raise ConnectionResetError(f"no peer reaches {target.engine}")
+
+    return open_none
+
+
+def return_to_path_at_once(original: Any) -> Any:
+    """Use a path again as soon as one probe has succeeded."""
+
+    def record_probe(self: Any, engine: str, has_worked: bool, now: float) -> bool:
+        return has_worked and self._path_by_engine.pop(engine, None) is not None
+
+    return record_probe
+
+
+def keep_role_while_cut_off(original: Any) -> Any:
+    """Let the first VM send orders, whether it reaches the engines or not."""
+    return lambda state_by_vm: min(state_by_vm)
+
+
+def ignore_continuation(original: Any) -> Any:
+    """Let a stream that is taken up be due since its first attempt."""
+    return lambda arrived_at, first_sent_at, continued_at, *rest: original(
+        arrived_at, first_sent_at, None, *rest
+    )
+
+
 def keep_expired_lease_number(original: Any) -> Any:
     """Return the fencing number of a lease even after the lease has expired."""
 
--- a/pimentoquay/bench/mutations/switches.py
+++ b/pimentoquay/bench/mutations/switches.py
@@ -1,6 +1,7 @@
 """Mechanisms that can be switched off, their replacements and the tests that have to fail then."""
 
 from pimentoquay.bench.mutations.gateway_switches import GATEWAY_SWITCHES
+from pimentoquay.bench.mutations.path_switches import PATH_SWITCHES
 from pimentoquay.bench.mutations.replacements import (
     accept_any_outcome,
     accept_every_change,
@@ -263,5 +264,6 @@
         "test_roll_back_half_way_mixes_no_versions",
     ),
     *GATEWAY_SWITCHES,
+    *PATH_SWITCHES,
 )
 """All mechanisms that can be switched off."""
--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -237,6 +237,7 @@
     )
     for changed in (paths.on_cut, paths.on_returned):
         changed.append(lambda engine: mesh.update_own_state(is_cut_off=paths.cut_engines > 0))
+        changed.append(shared.forget_experience)
     mesh.on_stage_ordered.append(stage_controller.record_order)
     streams = StreamForwarder(shared, reservations, PrefillRunner(shared, schedule_update))
     dispatcher = Dispatcher(shared, PlainForwarder(shared), streams)
--- a/pimentoquay/gateway/shared_state.py
+++ b/pimentoquay/gateway/shared_state.py
@@ -106,6 +106,10 @@
     changing_until_by_engine: dict[str, float] = field(default_factory=dict)
     refused_over_limit: int = 0
 
+    def forget_experience(self, engine: str) -> None:
+        """Forget the latencies and failures of calls to a server, which took another way."""
+        self.experience_by_engine.pop(engine, None)
+
     def mark_misdirected(self, engine: EngineEntry) -> None:
         """Avoid an engine for ``MISDIRECTED_AVOIDANCE_SECONDS``; its entry is out of date."""
         now = asyncio.get_running_loop().time()
--- a/pimentoquay/gateway/tests/test_unreachable_engines.py
+++ b/pimentoquay/gateway/tests/test_unreachable_engines.py
@@ -132,6 +132,20 @@
         assert not any(env.gateway_by_vm[vm].paths.cut_engines for vm in vms)
 
 
+async def test_what_a_cut_broke_does_not_count_against_a_server():
+    async with rig() as env:
+        await gateways(env, 2)
+        shared = env.gateway_by_vm["vm-1"].dispatcher._shared
+        paths = ("/look/a", "/order/a")
+        await Load(env, name="before", paths=paths, burst=2).run(0.3)
+        env.links.cut("vm-1", Cut.SILENT)
+        load = Load(env, paths=paths, interval=0.02, burst=4)
+        await load.run(0.3)
+        await until(lambda: shared.links.contact.requests_by_way["peer"] > 0, "through a peer")
+        for stats in shared.experience_by_engine.values():
+            assert stats.failure_share < 0.01
+
+
 async def test_a_cut_that_comes_and_goes_does_not_change_the_way_each_time():
     async with rig() as env:
         await gateways(env, 2)
