Store versions and origins again when the store comes back older; test the store's failures

Origins stored before a restoration were lost to gateways that start later; they are written again. New tests: a version that cannot be recorded, a writer that is killed, garbled records, a store restored from an older copy.

--- a/pimentoquay/gateway/engine_link.py
+++ b/pimentoquay/gateway/engine_link.py
@@ -8,6 +8,7 @@
 from pimentoquay.gateway.fleet import target_of
 from pimentoquay.http1 import (
     ClientConnection,
+    Connect,
     ConnectionPool,
     Exchange,
     ExchangeWatch,
@@ -114,20 +115,14 @@
         self._checking: asyncio.Task[ServerState] | None = None
         self.calls = EngineCalls(entry.id, entry.address)
         self._paths = paths
-        self._pool = ConnectionPool(
-            entry.address,
-            CONNECT_TIMEOUT_SECONDS,
-            REUSE_POLICY,
-            on_open,
-            paths.connector(self.target),
-        )
-        self._direct_pool = ConnectionPool(
-            entry.address,
-            CONNECT_TIMEOUT_SECONDS,
-            REUSE_POLICY,
-            on_open,
-            paths.direct_connector(self.target),
-        )
+
+        def new_pool(connect: Connect) -> ConnectionPool:
+            return ConnectionPool(
+                entry.address, CONNECT_TIMEOUT_SECONDS, REUSE_POLICY, on_open, connect
+            )
+
+        self._pool = new_pool(paths.connector(self.target))
+        self._direct_pool = new_pool(paths.direct_connector(self.target))
 
     @property
     def active(self) -> set[ClientConnection]:
--- a/pimentoquay/gateway/origin_store.py
+++ b/pimentoquay/gateway/origin_store.py
@@ -55,7 +55,7 @@
         self._is_writer = is_writer
         self._stored_at_by_key: dict[str, float] = {}
         self._cleaned_at = timers.now()
-        store.era.on_raised.append(origins.recorded.clear)
+        store.era.on_raised.append(origins.store_again)
 
     async def run(self) -> None:
         """Load, then write until cancelled."""
--- a/pimentoquay/gateway/request_guard.py
+++ b/pimentoquay/gateway/request_guard.py
@@ -1,8 +1,9 @@
 """Refusal of requests that crash engines, and the exchange of evidence of them.
 
 A crash is an engine that lost the connection of a request before the end of its answer, and that
-refuses new connections. What is known is sent to all gateways. The quarantines are also kept in the
-store, for gateways that are cut off from their peers, and for all of them after a restart.
+refuses new connections, from here and from a peer. What is known is sent to all gateways. The
+quarantines are also kept in the store, for gateways that are cut off from their peers, and for all
+of them after a restart.
 """
 
 import hashlib
--- a/pimentoquay/gateway/stream_origins.py
+++ b/pimentoquay/gateway/stream_origins.py
@@ -181,6 +181,15 @@
             for software in versions.served_since(since)
         ]
 
+    def store_again(self) -> None:
+        """Store everything anew, as the store was restored from an older copy."""
+        self.recorded.clear()
+        for origins in (self._own, self._known):
+            keys_by_version = origins.keys_by_version()
+            self._store_later(
+                {each: keys for each, keys in keys_by_version.items() if each[0] in self._mixed}
+            )
+
     def record_stored(self, version: tuple[str, str]) -> None:
         """Record that the store holds a version, and tell the peers."""
         self.recorded.add((version,))
--- a/pimentoquay/gateway/tests/test_rejoined_streams.py
+++ b/pimentoquay/gateway/tests/test_rejoined_streams.py
@@ -11,6 +11,7 @@
     runs_at,
     streams_before_release,
 )
+from pimentoquay.platform.store import STREAM_TOPIC, VERSION_TOPIC, StoreClient, StoreError
 
 OLD = ("dec-1", "dec-2")
 
@@ -93,3 +94,75 @@
         await kill_all(env, ("vm-1",))
         assert (await resume(env, "never-seen")).status == 503
         assert (await env.stream()).status == 200
+
+
+async def test_a_version_that_cannot_be_recorded_is_used_only_if_no_other_takes_work(monkeypatch):
+    put = StoreClient.put
+
+    async def refuse_versions(client, topic, key, value):
+        if topic == VERSION_TOPIC and b"v2" in value:
+            raise StoreError("busy")
+        await put(client, topic, key, value)
+
+    monkeypatch.setattr(StoreClient, "put", refuse_versions)
+    async with rig() as env:
+        await let_store(env)
+        await begin_release(env)
+        for number in range(8):
+            assert (await env.stream(f"/digest/{number}")).status == 200
+        assert not runs_at(env, *NEW)
+        await remove(env, *OLD)
+        fleet = env.gateway_by_vm["vm-1"].fleet
+        await until(lambda: not {*OLD} & {each.id for each in fleet.engines()}, "gone")
+        assert (await env.stream("/digest/a")).status == 200
+        assert runs_at(env, *NEW)
+
+
+async def resumed_after_all_were_killed(env, streams, vms):
+    """Kill all gateways, and return the states of the streams that are taken up."""
+    ids = await streams.leave()
+    await kill_all(env, vms)
+    return [(await resume(env, request_id)).status for request_id in ids]
+
+
+async def test_another_gateway_stores_origins_when_the_writer_is_killed():
+    async with rig() as env:
+        for vm in ("vm-2", "vm-3"):
+            await env.add_gateway(vm)
+        await begin_release(env)
+        await let_store(env)
+        await env.kill("vm-1")
+        streams = Streams(env)
+        await streams.begin(6, "vm-2")
+        second = env.gateway_by_vm["vm-2"]
+        await until(lambda: second.mesh.is_reader() and not second.origins.batches, "written")
+        await env.add_gateway("vm-1")
+        assert (
+            await resumed_after_all_were_killed(env, streams, ("vm-1", "vm-2", "vm-3")) == [200] * 6
+        )
+
+
+async def test_versions_and_origins_are_stored_again_when_the_store_comes_back_older():
+    async with rig() as env:
+        env.store.make_copy()
+        streams = await streams_before_release(env, 4)
+        await let_store(env)
+        env.store.restore()
+        for engine in env.engine_by_id.values():
+            await env.store.put("keyed.servers", engine.id, engine.entry())
+        gateway = env.gateway_by_vm["vm-1"]
+        await until(lambda: gateway.store.era.value > 1, "restored")
+        await until(lambda: ("llm", "v2") in gateway.origins.recorded, "recorded again")
+        await let_store(env)
+        assert await resumed_after_all_were_killed(env, streams, ("vm-1",)) == [200] * 4
+        assert not runs_at(env, *NEW)
+        assert (await resume(env, "never-seen")).status == 503
+
+
+async def test_garbled_records_of_versions_and_origins_are_ignored():
+    async with rig(start_gateway=False) as env:
+        for topic in (VERSION_TOPIC, STREAM_TOPIC):
+            for number, value in enumerate((b"\xff", b"[]", b'{"service": 1}', b"\x81\x00", b"{}")):
+                await env.store.put(topic, f"key-{number}", value)
+        await env.add_gateway()
+        assert (await env.stream()).status == 200
--- a/pimentoquay/http1/buffered.py
+++ b/pimentoquay/http1/buffered.py
@@ -1,6 +1,7 @@
 """Base of protocols that read into one buffer, which all connections of a process use in turn."""
 
 import asyncio
+from abc import ABC, abstractmethod
 
 __all__ = ["SharedBufferProtocol"]
 
@@ -8,7 +9,7 @@
 """It bounds what one read may return, which is kept until the reader of the bytes takes it."""
 
 
-class SharedBufferProtocol(asyncio.BufferedProtocol):
+class SharedBufferProtocol(asyncio.BufferedProtocol, ABC):
     """Protocol whose ``data_received`` is called with at most 32 KB at a time."""
 
     def get_buffer(self, sizehint: int) -> bytearray:
@@ -19,6 +20,6 @@
         """Handle the bytes that were read into the buffer."""
         self.data_received(bytes(_buffer[:nbytes]))
 
+    @abstractmethod
     def data_received(self, data: bytes) -> None:
         """Handle received bytes."""
-        raise NotImplementedError
