--- a/pimentoquay/tunnels/client.py
+++ b/pimentoquay/tunnels/client.py
@@ -129,19 +129,24 @@
             try:
                 self._open(data)
             except PimentoquayError as error:
-                self.reply.set_exception(error)
+                self._fail(error)
 
     def eof_received(self) -> bool:
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         if not self.reply.done():
-            self.reply.set_exception(exc or ConnectionResetError("the peer closed the tunnel"))
+            self._fail(exc or ConnectionResetError("the peer closed the tunnel"))
         if self._inner is not None:
             if not self._has_ended:
                 exc = exc or ConnectionResetError("the tunnel ended before the engine's connection")
             self._inner.connection_lost(exc)
 
+    def _fail(self, error: Exception) -> None:
+        """Fail the opening of the tunnel, which nobody may be waiting for any more."""
+        self.reply.set_exception(error)
+        self.reply.exception()
+
     def _open(self, data: bytes) -> None:
         message = self._reader.read_message(data)
         while message is not None and not self.reply.done():
