Say that a call was not run if its time ended before it was written

The time of a call whose request was not written yet now ends it as not run. The test failed before (504 for 503).

--- a/pimentoquay/gateway/engine_link.py
+++ b/pimentoquay/gateway/engine_link.py
@@ -41,7 +41,7 @@
 __all__ = ["EngineLink"]
 
 CONNECT_TIMEOUT_SECONDS = 0.5
-"""Timeout for connecting to an engine by any way."""
+"""Timeout for connecting to an engine by any way; a peer replies within half of it."""
 
 CALL_TIMEOUT_SECONDS = 0.5
 """Timeout of a management call, such as reserving memory, which runs no request."""
@@ -141,6 +141,7 @@
         head_seconds: float | None = None,
         has_permit: bool = False,
         watch: ExchangeWatch | None = None,
+        on_sent: Callable[[], None] = lambda: None,
     ) -> AsyncIterator[Exchange]:
         """Send a caller's request to the engine and yield the exchange with its response.
 
@@ -160,6 +161,8 @@
             Whether the request has been counted against the engine's limit.
         watch
             How long the engine may be silent.
+        on_sent
+            Called when the request has been written.
 
         Raises
         ------
@@ -182,6 +185,7 @@
                 max_idle_seconds=max_idle_seconds,
                 head_seconds=head_seconds,
                 watch=watch,
+                on_sent=on_sent,
             ) as exchange:
                 self._contact.count_request(exchange.via)
                 self._circuits.succeeded(self.entry.id)
--- a/pimentoquay/gateway/plain.py
+++ b/pimentoquay/gateway/plain.py
@@ -165,9 +165,10 @@
         started_at = loop.time()
         experience.outstanding += 1
         has_failed = True
+        written = asyncio.Event()
         try:
             async with asyncio.timeout(self._send_timeout(job, attempts)) as timeout:
-                response = await self._exchange(job, engine, timeout)
+                response = await self._exchange(job, engine, timeout, written)
             attempts.arrivals += 1
             has_failed = response.status >= 500
             return self._accept_response(job, engine, attempts, response)
@@ -176,7 +177,7 @@
             if error.connection_lost:
                 await self._handle_lost_run(job, engine, attempts)
         except TimeoutError:
-            self._record_lost(job, engine, attempts, True, "no answer in time")
+            self._record_lost(job, engine, attempts, written.is_set(), "no answer in time")
         except asyncio.CancelledError:
             has_failed = False
             raise
@@ -204,7 +205,9 @@
             return min(left, FIRST_SEND_TARGET_MULTIPLE * job.route.target_seconds)
         return left
 
-    async def _exchange(self, job: Job, engine: EngineEntry, timeout: asyncio.Timeout) -> _Response:
+    async def _exchange(
+        self, job: Job, engine: EngineEntry, timeout: asyncio.Timeout, written: asyncio.Event
+    ) -> _Response:
         link = self._shared.links.link_to(engine)
         options = SendOptions(engine=engine.id, timeout_seconds=job.seconds_left())
         max_idle_seconds = None if job.route.may_run_again else UNREPEATABLE_MAX_IDLE_SECONDS
@@ -217,6 +220,7 @@
             options,
             max_idle_seconds,
             watch=REPEATABLE_WATCH if job.route.may_run_again else UNREPEATABLE_WATCH,
+            on_sent=written.set,
         ) as exchange:
             response_info = parse_response(exchange.status, exchange.headers)
             parts: list[bytes] = []
--- a/pimentoquay/gateway/tests/test_unreachable_engines.py
+++ b/pimentoquay/gateway/tests/test_unreachable_engines.py
@@ -132,6 +132,16 @@
         assert not any(env.gateway_by_vm[vm].paths.cut_engines for vm in vms)
 
 
+@pytest.mark.parametrize("deadline_ms", [150, 400, 1000])
+async def test_a_call_that_was_never_written_is_refused_as_not_run(deadline_ms):
+    """On a day with a data centre cut off, calls ended as if they might have run."""
+    async with rig() as env:
+        env.links.cut("vm-1", Cut.SILENT)
+        for path in ("/order/a", "/look/a"):
+            response = await env.send_request(path, deadline_ms=deadline_ms)
+            assert response.status == 503
+
+
 async def test_what_a_cut_broke_does_not_count_against_a_server():
     async with rig() as env:
         await gateways(env, 2)
--- a/pimentoquay/http1/client.py
+++ b/pimentoquay/http1/client.py
@@ -104,6 +104,7 @@
         max_idle_seconds: float | None = None,
         head_seconds: float | None = None,
         watch: ExchangeWatch | None = None,
+        on_sent: Callable[[], None] = lambda: None,
     ) -> AsyncIterator["Exchange"]:
         """Send a request once and yield the exchange when its response headers have arrived.
 
@@ -123,12 +124,15 @@
             Timeout of waiting for the response headers, in seconds.
         watch
             How long the server may be silent.
+        on_sent
+            Called when the request has been written.
         """
         connection = await self._acquire_connection(max_idle_seconds)
         connection.watch = watch
         self.active.add(connection)
         try:
             connection.send(method, target, headers, body, is_own_response)
+            on_sent()
             exchange = Exchange(connection)
             await exchange.read_head(head_seconds)
             yield exchange
