Take a refusal for an engine's end only if most peers that are heard are refused too

One peer was enough, and without an answer a gateway's own view was. Most of those asked have to agree now, and the own view counts only if no peer is heard.

--- a/pimentoquay/policy/engine_paths.py
+++ b/pimentoquay/policy/engine_paths.py
@@ -40,9 +40,9 @@
 def judge(direct: Reach, peers: Collection[Reach], other_engine: Reach = Reach.UNKNOWN) -> Verdict:
     """Return what a VM's own attempt and those of its peers show about an engine.
 
-    Failure pattern: engines that end, and VMs whose connections are refused by a cut. A refusal is
-    evidence of an engine's end only if a peer sees it too. If no peer can tell, it is as long as
-    this VM reaches another engine.
+    Failure pattern: engines that end, and VMs whose connections are refused by a cut, also several
+    at a time and beside VMs that end. A refusal is evidence of an engine's end only if most peers
+    see it too. If there is no peer to ask, it is as long as this VM reaches another engine.
 
     Parameters
     ----------
@@ -57,7 +57,7 @@
     -------
     >>> judge(Reach.REFUSED, [Reach.OPEN, Reach.REFUSED])
     <Verdict.CUT: 'the path of this VM is cut'>
-    >>> judge(Reach.REFUSED, [Reach.REFUSED, Reach.UNKNOWN])
+    >>> judge(Reach.REFUSED, [Reach.REFUSED, Reach.REFUSED, Reach.UNKNOWN])
     <Verdict.ENDED: 'the engine has ended'>
     """
     if direct is Reach.OPEN:
@@ -66,10 +66,11 @@
         return Verdict.CUT
     if direct is Reach.SILENT:
         return Verdict.UNKNOWN
-    if Reach.REFUSED in peers:
-        return Verdict.ENDED
-    can_tell = direct is Reach.UNKNOWN or any(reach is not Reach.UNKNOWN for reach in peers)
-    return Verdict.ENDED if not can_tell and other_engine is Reach.OPEN else Verdict.UNKNOWN
+    if peers:
+        refused = sum(reach is Reach.REFUSED for reach in peers)
+        return Verdict.ENDED if 2 * refused > len(peers) else Verdict.UNKNOWN
+    has_refused = direct is Reach.REFUSED
+    return Verdict.ENDED if has_refused and other_engine is Reach.OPEN else Verdict.UNKNOWN
 
 
 @dataclass(frozen=True)
--- a/pimentoquay/tunnels/peer_tunnels.py
+++ b/pimentoquay/tunnels/peer_tunnels.py
@@ -106,7 +106,7 @@
         pending: set[asyncio.Task[Any]] = set()
         try:
             while True:
-                peer = self._next_peer(target, asked)
+                peer = self._next_peer(target, asked, self._places())
                 if peer is not None:
                     asked.add(peer)
                     pending.add(self._background.start(ask(peer)))
@@ -125,12 +125,13 @@
             for task in pending:
                 discard(task)
 
-    def _next_peer(self, target: TunnelTarget, asked: Collection[str]) -> str | None:
+    def _next_peer(
+        self, target: TunnelTarget, asked: Collection[str], places: Mapping[str, PeerPlace]
+    ) -> str | None:
         if len(asked) >= MAX_PEERS:
             return None
-        return self._peers.choose(
-            target.engine, target.data_centre, self._places(), self._timers.now(), asked
-        )
+        now = self._timers.now()
+        return self._peers.choose(target.engine, target.data_centre, places, now, asked)
 
     async def _ask(
         self,
@@ -163,9 +164,10 @@
         self._peers.learn(target.engine, reply.peers, now)
 
     async def reach_from_all(self, target: TunnelTarget) -> list[Reach]:
-        """Ask several peers at once whether they reach an engine."""
+        """Ask several peers that were heard lately at once whether they reach an engine."""
+        heard = {vm: place for vm, place in self._places().items() if place.is_heard}
         chosen: list[str] = []
-        while (peer := self._next_peer(target, chosen)) is not None:
+        while (peer := self._next_peer(target, chosen, heard)) is not None:
             chosen.append(peer)
         asked = (self.reach_through(peer, target) for peer in chosen)
         return list(await asyncio.gather(*asked))
