--- a/pimentoquay/gateway/engine_link.py
+++ b/pimentoquay/gateway/engine_link.py
@@ -58,7 +58,6 @@
 REUSE_POLICY = ReusePolicy(max_idle_seconds=4.0, margin_seconds=1.0)
 """Engines state their idle timeout in whole seconds, so the margin is one second."""
 
-
 _REACH_BY_STATE = {
     ServerState.ACCEPTING: Reach.OPEN,
     ServerState.REFUSING: Reach.REFUSED,
@@ -251,8 +250,7 @@
     async def check(self) -> ServerState:
         """Return whether the engine still runs, as shown by new connections.
 
-        A refusal shows its end only if a peer is refused too, since a cut may refuse as well.
-
+        A refusal shows its end only if most peers are refused too, since a cut may refuse as well.
         All requests that a crash breaks ask at once, and share one attempt to connect.
         """
         if self._checking is None or self._checking.done():
--- a/pimentoquay/gateway/tests/test_unreachable_engines.py
+++ b/pimentoquay/gateway/tests/test_unreachable_engines.py
@@ -62,6 +62,42 @@
     return [env.engine_by_id[engine].address for engine in engines]
 
 
+async def served_after_a_second(env, vms, seconds=2.5, **load_options):
+    """Send a load to gateways that have just been cut off; return it once the answers are in."""
+    cut_at = asyncio.get_running_loop().time()
+    load = Load(env, tuple(vms), interval=0.1, burst=len(vms), **load_options)
+    await load.run(seconds)
+    assert load.unserved(after=cut_at + KNOWN_WITHIN_SECONDS) == []
+    assert load.run_twice() == load.refused_and_run() == []
+    return load
+
+
+@pytest.mark.parametrize("how", SILENT_OR_REFUSED)
+async def test_one_service_or_some_engines_out_of_reach_are_reached_through_peers(how):
+    async with rig() as env:
+        await gateways(env, 3)
+        await Load(env, name="before").run(0.3)
+        env.links.cut("vm-1", how, addresses_of(env, "desk-1", "desk-2", "dec-1"))
+        await served_after_a_second(env, ["vm-1"])
+        paths = env.gateway_by_vm["vm-1"].paths
+        assert paths.is_cut("desk-1") or paths.is_cut("desk-2")
+        assert not paths.is_cut("dec-2")
+        assert not paths.is_cut("pre-1")
+
+
+@pytest.mark.parametrize("how", SILENT_OR_REFUSED)
+@pytest.mark.parametrize("cut_off", [3, 5])
+async def test_callers_are_served_while_most_gateways_are_cut_off(how, cut_off):
+    async with rig() as env:
+        vms = await gateways(env, 6)
+        await Load(env, tuple(vms), name="before", burst=6).run(0.3)
+        for vm in vms[:cut_off]:
+            env.links.cut(vm, how)
+        await served_after_a_second(env, vms)
+        for vm in vms[:cut_off]:
+            assert env.gateway_by_vm[vm].tunnel_server.active == 0, "one hop at most"
+
+
 async def served_once_known(env, vms, cut_engines):
     """Send a load while VMs find out that paths are cut, then one of which all has to be served."""
     paths = [env.gateway_by_vm[vm].paths for vm, count in cut_engines.items() if count]
@@ -80,7 +116,7 @@
 
 
 @pytest.mark.parametrize("how", SILENT_OR_REFUSED)
-async def test_one_service_or_some_engines_out_of_reach_are_reached_through_peers(how):
+async def test_all_is_served_once_it_is_known_which_engines_are_out_of_reach(how):
     async with rig() as env:
         await gateways(env, 3)
         await Load(env, name="before").run(0.3)
@@ -94,7 +130,7 @@
 
 @pytest.mark.parametrize("how", SILENT_OR_REFUSED)
 @pytest.mark.parametrize("cut_off", [3, 5])
-async def test_callers_are_served_while_most_gateways_are_cut_off(how, cut_off):
+async def test_all_is_served_once_most_gateways_know_that_they_are_cut_off(how, cut_off):
     async with rig() as env:
         vms = await gateways(env, 6)
         await Load(env, tuple(vms), name="before", burst=6).run(0.3)
--- a/pimentoquay/tunnels/paths.py
+++ b/pimentoquay/tunnels/paths.py
@@ -70,8 +70,8 @@
     """Opens connections to engines, directly or through peers, and knows which paths are cut.
 
     The callbacks in ``on_cut`` are called with the id of an engine when its path is found to be
-    cut, those in ``on_returned`` when it is used again. ``opened`` counts the
-    connections of its own.
+    cut, those in ``on_returned`` when it is used again. ``opened`` counts the connections of its
+    own.
 
     Parameters
     ----------
