Give an attempt its time again if the process stood still while it ran out

Cause: when the event loop stands still for longer than the timeout of a check (0.1 s), the timeout and the refusal become due in the same turn, and the timeout is handled. The engine then counts as silent, so its crash leaves no evidence, and one more engine crashes.

The class is what a process concludes from time in which it did not run itself. So all attempts whose failure is taken for a sign of an engine's or a peer's state (own connections, probes, checks, tunnels and management calls) get their time once more if their timeout ends late by a quarter of it.

--- a/pimentoquay/bench/mutations/path_switches.py
+++ b/pimentoquay/bench/mutations/path_switches.py
@@ -31,6 +31,13 @@
         return_constant(Verdict.ENDED),
         _CUT + "test_requests_that_a_cut_breaks_are_no_evidence_of_crashes[Cut.REFUSED]",
     ),
+    Switch(
+        "time in which a process stood still",
+        "pimentoquay.kernel.timeouts:has_stood_still",
+        return_constant(False),
+        "pimentoquay/gateway/tests/test_stalled_gateway.py::"
+        "test_a_crash_is_noticed_by_a_process_that_stands_still_while_it_looks[4]",
+    ),
     Switch(
         "time until a path is used again",
         "pimentoquay.policy.engine_paths:PathTable.record_probe",
--- a/pimentoquay/gateway/engine_link.py
+++ b/pimentoquay/gateway/engine_link.py
@@ -23,6 +23,7 @@
     ResponseTooLargeError,
 )
 from pimentoquay.kernel.logs import logger
+from pimentoquay.kernel.timeouts import attempt_timeout
 from pimentoquay.platform.engine_calls import EngineCall, EngineCalls
 from pimentoquay.platform.requests import CallerRequest, SendOptions, engine_headers
 from pimentoquay.platform.responses import (
@@ -222,7 +223,7 @@
         probe = self._start_probe_if_due()
         try:
             async with (
-                asyncio.timeout(seconds),
+                attempt_timeout(seconds),
                 pool.exchange(
                     call.method,
                     call.target,
@@ -275,7 +276,7 @@
 
     async def _check_directly(self) -> Reach:
         try:
-            async with asyncio.timeout(CHECK_TIMEOUT_SECONDS):
+            async with attempt_timeout(CHECK_TIMEOUT_SECONDS):
                 return _REACH_BY_STATE[await self._direct_pool.check_server()]
         except TimeoutError:
             return Reach.SILENT
--- a/pimentoquay/http1/client.py
+++ b/pimentoquay/http1/client.py
@@ -26,6 +26,7 @@
     ConnectFailure,
     ResponseTooLargeError,
 )
+from pimentoquay.kernel.timeouts import attempt_timeout
 from pimentoquay.transport.websocket import split_address
 
 __all__ = ["Connect", "ConnectionPool", "Exchange", "ReusePolicy", "ServerState", "connect_tcp"]
@@ -176,7 +177,7 @@
     async def _open_connection(self) -> "ClientConnection":
         self._on_open()
         try:
-            async with asyncio.timeout(self._connect_seconds):
+            async with attempt_timeout(self._connect_seconds):
                 _, connection = await self._connect(
                     lambda: ClientConnection(self._reuse), self._host, self._port
                 )
--- a/pimentoquay/standin/virtual_links.py
+++ b/pimentoquay/standin/virtual_links.py
@@ -41,13 +41,17 @@
 
 
 class VirtualLinks:
-    """Links of several VMs to the addresses of engines."""
+    """Links of several VMs to the addresses of engines.
+
+    ``on_attempt`` is called with the VM and the address for each connection that is opened.
+    """
 
     def __init__(self) -> None:
         self._cut_by_link: dict[tuple[str, str], Cut] = {}
         self._connections: set[_Connection] = set()
         self._healed = asyncio.Event()
         self.attempts_by_vm: dict[str, int] = {}
+        self.on_attempt: Callable[[str, str], None] = lambda vm, address: None
 
     def connector(self, vm: str) -> Connect:
         """Return a function that opens connections of a VM, as ``create_connection`` does."""
@@ -57,6 +61,7 @@
         ) -> tuple[Any, asyncio.BaseProtocol]:
             self.attempts_by_vm[vm] = self.attempts_by_vm.get(vm, 0) + 1
             address = f"{host}:{port}"
+            self.on_attempt(vm, address)
             while (cut := self._cut_of(vm, address)) in (Cut.SILENT, Cut.NEW_SILENT):
                 await self._healed.wait()
             if cut in (Cut.REFUSED, Cut.NEW_REFUSED):
--- a/pimentoquay/tunnels/client.py
+++ b/pimentoquay/tunnels/client.py
@@ -7,6 +7,7 @@
 
 from pimentoquay.http1 import SharedBufferProtocol
 from pimentoquay.kernel import Identity, PimentoquayError, ResultCode
+from pimentoquay.kernel.timeouts import attempt_timeout
 from pimentoquay.messages import CodecError, decode, encode
 from pimentoquay.messages.connection import Challenge, Rejected, Welcome
 from pimentoquay.messages.tunnels import TunnelOutcome, TunnelReply, TunnelRequest
@@ -80,7 +81,7 @@
         loop = asyncio.get_running_loop()
         protocol: _TunnelProtocol | None = None
         try:
-            async with asyncio.timeout(OPEN_SECONDS):
+            async with attempt_timeout(OPEN_SECONDS):
                 _, protocol = await loop.create_connection(
                     lambda: _TunnelProtocol(self._identity, self._key, request), host, port
                 )
--- a/pimentoquay/tunnels/paths.py
+++ b/pimentoquay/tunnels/paths.py
@@ -14,6 +14,7 @@
 from pimentoquay.kernel import TimerService
 from pimentoquay.kernel.background import BackgroundTasks
 from pimentoquay.kernel.logs import logger
+from pimentoquay.kernel.timeouts import attempt_timeout
 from pimentoquay.messages.tunnels import TunnelOutcome, TunnelRequest
 from pimentoquay.policy.engine_paths import PathLimits, PathTable, Reach, Verdict, judge
 from pimentoquay.transport.websocket import split_address
@@ -251,7 +252,7 @@
     async def _connect_direct(
         self, target: TunnelTarget, factory: Callable[[], Any]
     ) -> tuple[Any, Any]:
-        async with asyncio.timeout(CONNECT_SECONDS):
+        async with attempt_timeout(CONNECT_SECONDS):
             opened = await self._connect(factory, *split_address(target.address))
         self.opened += 1
         return opened
@@ -259,7 +260,7 @@
     async def _reach(self, target: TunnelTarget) -> Reach:
         """Return whether this gateway itself can connect to an engine."""
         try:
-            async with asyncio.timeout(PROBE_SECONDS):
+            async with attempt_timeout(PROBE_SECONDS):
                 transport, _ = await self._connect(asyncio.Protocol, *split_address(target.address))
         except ConnectionRefusedError:
             return Reach.REFUSED
--- a/pimentoquay/tunnels/server.py
+++ b/pimentoquay/tunnels/server.py
@@ -11,6 +11,7 @@
 from pimentoquay.kernel import Identity, PimentoquayError, ResultCode
 from pimentoquay.kernel.background import BackgroundTasks
 from pimentoquay.kernel.logs import logger
+from pimentoquay.kernel.timeouts import attempt_timeout
 from pimentoquay.messages import CodecError, decode, encode
 from pimentoquay.messages.connection import Hello, Rejected
 from pimentoquay.messages.tunnels import TunnelOutcome, TunnelReply, TunnelRequest
@@ -144,7 +145,7 @@
             return outcome, None
         host, port = split_address(request.address)
         try:
-            async with asyncio.timeout(CONNECT_SECONDS):
+            async with attempt_timeout(CONNECT_SECONDS):
                 _, engine = await self._connect(lambda: _EngineSide(side), host, port)
         except ConnectionRefusedError:
             if not request.is_check:
