Test cut gateways in virtual time, and let refused callers of the soak wait

Cause, by runs: the tests counted the processor time of six gateways, five engines and the load in one process as time in which callers wait, and that of whatever else ran. The soak counted requests of callers that came back at once after a refusal, so a faster processor gave a lower share of served ones; they come back after 50 ms now, as after a broken connection.

The bounds are as they were (a second; more than half), and so are the loads, cuts and checks. A connection takes the time of its loop for when it was heard, as the clock of the kernel asks for.

--- a/pimentoquay/gateway/tests/cut_soak.py
+++ b/pimentoquay/gateway/tests/cut_soak.py
@@ -1,6 +1,6 @@
 """Soak of gateways whose links are cut while gateways are killed, stopped and started in series.
 
-A long run by hand, each seed some seconds long::
+It runs in virtual time. A long run by hand, each seed some seconds long::
 
     python -m pimentoquay.gateway.tests.cut_soak --seeds 50 --seconds 8
 """
@@ -12,6 +12,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+import looptime
 from loguru import logger
 
 from pimentoquay.gateway.tests.rig import Rig, model_headers, read_response, rig
@@ -25,6 +26,9 @@
 EVENTS, PAUSE = 12, 0.03
 FAILED = 0
 
+RETURN_SECONDS = 0.05
+"""Time after which a caller comes back that was not served."""
+
 
 @dataclass
 class Soak:
@@ -108,7 +112,8 @@
             if status == FAILED:
                 pool.close()
                 pool = None
-                await asyncio.sleep(0.05)
+            if status != 200:
+                await asyncio.sleep(RETURN_SECONDS)
         if pool is not None:
             pool.close()
 
@@ -163,6 +168,7 @@
 
 async def soak(seed, seconds):
     """Run one seed, and return its faults and the share of requests that were served."""
+    random.seed(seed)
     async with rig() as env:
         done = await Soak(env, seed, seconds).run()
     statuses = [status for _, status in done.status_by_request.values()]
@@ -178,7 +184,8 @@
     options = parser.parse_args()
     logger.remove()
     for seed in range(options.first, options.first + options.seeds):
-        faults, share, count = asyncio.run(soak(seed, options.seconds))
+        with asyncio.Runner(loop_factory=lambda: looptime.new_event_loop(start=1000)) as runner:
+            faults, share, count = runner.run(soak(seed, options.seconds))
         print(f"seed {seed}: {count} requests, {share:.2f} served, faults {faults}", flush=True)
 
 
--- a/pimentoquay/gateway/tests/test_peers_of_cut_gateways.py
+++ b/pimentoquay/gateway/tests/test_peers_of_cut_gateways.py
@@ -10,6 +10,8 @@
 from pimentoquay.standin.platform_engine import Behaviour
 from pimentoquay.standin.virtual_links import Cut
 
+pytestmark = pytest.mark.looptime(start=1000)
+
 
 async def cut_off(env, count=3, how=Cut.REFUSED):
     """Cut vm-1 off from all engines, and wait until it knows."""
--- a/pimentoquay/gateway/tests/test_unreachable_engines.py
+++ b/pimentoquay/gateway/tests/test_unreachable_engines.py
@@ -12,6 +12,9 @@
 CUTS = (Cut.SILENT, Cut.REFUSED, Cut.RESET, Cut.NEW_REFUSED, Cut.NEW_SILENT)
 KNOWN_WITHIN_SECONDS = 1.0
 
+# In virtual time, as the processor time of six gateways in one process is not that of one.
+pytestmark = pytest.mark.looptime(start=1000)
+
 
 @pytest.mark.parametrize("how", CUTS)
 async def test_callers_of_a_gateway_that_reaches_no_engine_are_served_within_a_second(how):
--- a/pimentoquay/http1/client_connection.py
+++ b/pimentoquay/http1/client_connection.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import socket
-import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -138,7 +137,7 @@
         if self._request is None or self._is_complete:
             self.abort()
             return
-        self.heard_at = time.monotonic()
+        self.heard_at = asyncio.get_running_loop().time()
         self._parse_data(data)
         if self._buffered_bytes > READ_AHEAD_BYTES:
             self._transport.pause_reading()
@@ -158,7 +157,7 @@
             self._body, self._is_own_response = body, is_own_response
             self._is_complete = self._is_discarding = False
             self._discarded_bytes = self._informational_responses = 0
-            self.heard_at = time.monotonic()
+            self.heard_at = asyncio.get_running_loop().time()
             self._transport.write(self._serialise())
         except h11.LocalProtocolError as error:
             raise HttpError(f"the request cannot be sent: {error}", False) from None
