--- a/pimentoquay/bench/mutations/path_switches.py
+++ b/pimentoquay/bench/mutations/path_switches.py
@@ -50,6 +50,13 @@
         return_constant(False),
         _PATHS + "test_peers_of_a_data_centre_that_has_failed_are_asked_after_those_of_others",
     ),
+    Switch(
+        "peers name those that reach engines",
+        "pimentoquay.policy.tunnel_peers:TunnelPeers._reaches_any",
+        return_constant(False),
+        "pimentoquay/policy/tests/test_path_loads.py::"
+        "test_the_one_vm_that_reaches_the_engines_is_found[195]",
+    ),
     Switch(
         "role of sending orders moves",
         "pimentoquay.gateway.mesh:order_holder",
--- a/pimentoquay/policy/tunnel_peers.py
+++ b/pimentoquay/policy/tunnel_peers.py
@@ -4,7 +4,8 @@
 engines. Peers are asked in an order that spreads the VMs over them and prefers the nearest. VMs of
 one data centre are often cut off together, so each one that has failed or not replied yet puts the
 others of its data centre behind. A peer that does not reach the engine either names those through
-which it does.
+which it reaches engines; they are asked once the first in order have failed, so that the only VM
+that reaches any is found after few calls.
 """
 
 from collections import Counter
@@ -18,6 +19,10 @@
 AVOID_SECONDS = 1.0
 """Time for which a peer is asked last after it failed, or did not reach the engine."""
 
+REFERRED_AFTER = 2
+"""Number of peers that are asked before those that reach some engine are preferred. Asked first,
+these few would carry most of the work."""
+
 MAX_REFERRALS = 3
 """Maximum number of peers that are named to others as reaching an engine."""
 
@@ -51,7 +56,8 @@
         self._failed_at_by_peer: dict[str, float] = {}
         self._failed_at_by_way: dict[tuple[str, str], float] = {}
         self._used_at_by_way: dict[tuple[str, str], float] = {}
-        self._named_at_by_way: dict[tuple[str, str], float] = {}
+        self._used_at_by_peer: dict[str, float] = {}
+        self._named_at_by_peer: dict[str, float] = {}
 
     def choose(
         self,
@@ -79,7 +85,7 @@
             if vm in asked or self._has_failed(vm, engine, now):
                 doubts[place.data_centre] += 1
 
-        def rank(vm: str) -> tuple[bool, bool, bool, int, int, bytes]:
+        def rank(vm: str) -> tuple[bool, bool, bool, bool, int, int, bytes]:
             place = places[vm]
             crossings = (place.data_centre != self._data_centre) + (
                 place.data_centre != engine_data_centre
@@ -87,6 +93,7 @@
             return (
                 self._has_failed(vm, engine, now),
                 not self._is_promising(vm, engine, now),
+                len(asked) >= REFERRED_AFTER and not self._reaches_any(vm, now),
                 not place.is_heard,
                 doubts[place.data_centre],
                 crossings,
@@ -106,33 +113,38 @@
 
     def record_opened(self, peer: str, engine: str, now: float) -> None:
         """Record that a peer has opened a tunnel to an engine."""
-        self._used_at_by_way[peer, engine] = now
+        self._used_at_by_way[peer, engine] = self._used_at_by_peer[peer] = now
         self._failed_at_by_way.pop((peer, engine), None)
         self._failed_at_by_peer.pop(peer, None)
 
-    def learn(self, engine: str, peers: Iterable[str], now: float) -> None:
-        """Record peers through which another VM reaches an engine."""
+    def learn(self, peers: Iterable[str], now: float) -> None:
+        """Record peers through which another VM reaches engines."""
         for peer in peers:
-            self._named_at_by_way[peer, engine] = now
+            self._named_at_by_peer[peer] = now
 
     def referrals(self, engine: str, now: float) -> tuple[str, ...]:
-        """Return the peers through which this VM has reached an engine lately, newest first."""
+        """Return peers that have opened a tunnel for this VM lately.
+
+        Those that did so for the engine come first, and then the newest, as most cuts concern
+        several engines and a peer that reaches one of them probably reaches others.
+        """
         used = sorted(
             (
-                (at, peer)
-                for (peer, each), at in self._used_at_by_way.items()
-                if each == engine and now - at < AVOID_SECONDS
+                (self._used_at_by_way.get((peer, engine), float("-inf")), at, peer)
+                for peer, at in self._used_at_by_peer.items()
+                if now - at < AVOID_SECONDS and not self._has_failed(peer, engine, now)
             ),
             reverse=True,
         )
-        return tuple(peer for _, peer in used[:MAX_REFERRALS])
+        return tuple(peer for _, _, peer in used[:MAX_REFERRALS])
 
     def expire(self, now: float) -> None:
         """Drop results that no longer count."""
         self._failed_at_by_peer = _recent(self._failed_at_by_peer, now)
         self._failed_at_by_way = _recent(self._failed_at_by_way, now)
         self._used_at_by_way = _recent(self._used_at_by_way, now)
-        self._named_at_by_way = _recent(self._named_at_by_way, now)
+        self._used_at_by_peer = _recent(self._used_at_by_peer, now)
+        self._named_at_by_peer = _recent(self._named_at_by_peer, now)
 
     def _has_failed(self, vm: str, engine: str, now: float) -> bool:
         """Return whether a peer has failed lately, for this engine or for any."""
@@ -143,10 +155,15 @@
         return now - failed_at < AVOID_SECONDS
 
     def _is_promising(self, vm: str, engine: str, now: float) -> bool:
-        way = vm, engine
+        """Return whether a peer has opened a tunnel to an engine lately."""
+        last = self._used_at_by_way.get((vm, engine), float("-inf"))
+        return now - last < AVOID_SECONDS
+
+    def _reaches_any(self, vm: str, now: float) -> bool:
+        """Return whether a peer has opened a tunnel lately, for this VM or for another."""
         last = max(
-            self._used_at_by_way.get(way, float("-inf")),
-            self._named_at_by_way.get(way, float("-inf")),
+            self._used_at_by_peer.get(vm, float("-inf")),
+            self._named_at_by_peer.get(vm, float("-inf")),
         )
         return now - last < AVOID_SECONDS
 
--- a/pimentoquay/tunnels/peer_tunnels.py
+++ b/pimentoquay/tunnels/peer_tunnels.py
@@ -161,7 +161,7 @@
             return
         is_general = reply.outcome in (TunnelOutcome.BUSY, TunnelOutcome.DRAINING)
         self._peers.record_failure(peer, None if is_general else target.engine, now)
-        self._peers.learn(target.engine, reply.peers, now)
+        self._peers.learn(reply.peers, now)
 
     async def reach_from_all(self, target: TunnelTarget) -> list[Reach]:
         """Ask several peers that were heard lately at once whether they reach an engine."""
