Use a path that works again before its time if no peer reaches the engine

Callers would see: a cut that moves from some gateways to those through which they reached the engines leaves all of them without a way, for 1.5 s and after relapses for up to 12 s, though the first ones reach the engines again. Refused with 503 and a fresh Retry-After all the while.

Cause: a cut path is used again only after it has worked for a time, which is to prevent changes of the way each time when a cut comes and goes. Until then a gateway used peers only, and refused peers, also if nobody had another way.

Now a path that worked when last probed (every half a second) is used if no peer opens a tunnel, and tunnels over it are opened for peers. The number of changes of the way is as before (its test is unchanged). The decision is PathTable.has_no_way, in policy/.

--- a/pimentoquay/bench/mutations/path_switches.py
+++ b/pimentoquay/bench/mutations/path_switches.py
@@ -6,6 +6,7 @@
     refuse_all_tunnels,
     return_constant,
     return_to_path_at_once,
+    use_no_path_before_its_time,
 )
 from pimentoquay.bench.mutations.switch import Switch
 from pimentoquay.policy.engine_paths import Verdict
@@ -50,6 +51,14 @@
         return_constant(False),
         _PATHS + "test_peers_of_a_data_centre_that_has_failed_are_asked_after_those_of_others",
     ),
+    Switch(
+        "working path used if there is no other",
+        "pimentoquay.policy.engine_paths:PathTable.has_no_way",
+        use_no_path_before_its_time,
+        "pimentoquay/gateway/tests/test_peers_of_cut_gateways.py::"
+        "test_callers_are_served_when_a_cut_moves_to_the_gateways_that_reached_the_engines"
+        "[Cut.REFUSED]",
+    ),
     Switch(
         "peers name those that reach engines",
         "pimentoquay.policy.tunnel_peers:TunnelPeers._reaches_any",
--- a/pimentoquay/bench/mutations/replacements.py
+++ b/pimentoquay/bench/mutations/replacements.py
@@ -37,6 +37,7 @@
     "retry_every_call",
     "return_constant",
     "return_to_path_at_once",
+    "use_no_path_before_its_time",
     "same_number_for_all_holders",
     "skip_order_of_new_holder",
     "use_whole_limit",
@@ -67,6 +68,11 @@
     return record_probe
 
 
+def use_no_path_before_its_time(original: Any) -> Any:
+    """Take a cut path for lost until it is used again for all requests."""
+    return lambda self, engine: self.is_cut(engine)
+
+
 def keep_role_while_cut_off(original: Any) -> Any:
     """Let the first VM send orders, whether it reaches the engines or not."""
     return lambda state_by_vm: min(state_by_vm)
--- a/pimentoquay/gateway/tests/test_peers_of_cut_gateways.py
+++ b/pimentoquay/gateway/tests/test_peers_of_cut_gateways.py
@@ -139,3 +139,21 @@
         with pytest.raises(Exception, match="no connection"):
             await link.order(link.calls.change_stage(True, "vm-1", 1), 1.0)
         assert env.engine_by_id["dec-1"].calls == calls
+
+
+@pytest.mark.parametrize("how", [Cut.REFUSED, Cut.SILENT])
+async def test_callers_are_served_when_a_cut_moves_to_the_gateways_that_reached_the_engines(how):
+    async with rig() as env:
+        await gateways(env, 2)
+        load = Load(env, ("vm-1", "vm-2"), interval=0.05, burst=2)
+        sending = asyncio.create_task(load.run(14.0))
+        moved_at = []
+        for number in range(8):
+            cut, healed = ("vm-1", "vm-2") if number % 2 else ("vm-2", "vm-1")
+            env.links.heal(healed)
+            env.links.cut(cut, how)
+            moved_at.append(asyncio.get_running_loop().time())
+            await asyncio.sleep(1.7)
+        await sending
+        for at in moved_at:
+            assert load.unserved(after=at + 1.0, before=at + 1.65) == []
--- a/pimentoquay/policy/engine_paths.py
+++ b/pimentoquay/policy/engine_paths.py
@@ -7,6 +7,9 @@
 
 Failure pattern: a cut that comes and goes every second or two. A path is used again only after it
 has worked for a time, which grows with each relapse.
+
+Failure pattern: a cut that ends for some VMs and begins for those that they used meanwhile. A path
+that works by its last probe is used before that time is over if there is no other way.
 """
 
 from collections.abc import Collection, Iterable
@@ -122,6 +125,11 @@
         """Return whether the path to an engine is cut."""
         return engine in self._path_by_engine
 
+    def has_no_way(self, engine: str) -> bool:
+        """Return whether the path to an engine is cut and did not work when last probed."""
+        path = self._path_by_engine.get(engine)
+        return path is not None and path.works_since is None
+
     def record_cut(self, engine: str, now: float) -> bool:
         """Record that only peers reach an engine; return whether its path was not cut before."""
         path = self._path_by_engine.get(engine)
--- a/pimentoquay/policy/tests/test_engine_paths.py
+++ b/pimentoquay/policy/tests/test_engine_paths.py
@@ -84,6 +84,17 @@
     assert table.record_probe("e", True, now + 1.0)
 
 
+def test_a_cut_path_that_works_again_may_be_used_if_there_is_no_other_way():
+    table = PathTable(LIMITS)
+    assert not table.has_no_way("e")
+    table.record_cut("e", 0.0)
+    assert table.has_no_way("e")
+    assert not table.record_probe("e", True, 0.5)
+    assert table.is_cut("e") and not table.has_no_way("e")
+    table.record_probe("e", False, 0.9)
+    assert table.has_no_way("e")
+
+
 def test_probes_are_due_at_intervals_and_bounded():
     table = PathTable(LIMITS)
     for engine in "abc":
--- a/pimentoquay/tunnels/paths.py
+++ b/pimentoquay/tunnels/paths.py
@@ -143,7 +143,7 @@
     def is_lost(self, target: TunnelTarget, via: str) -> bool:
         """Return whether an engine is out of reach by the way of an open connection."""
         if not via:
-            return self._table.is_cut(target.engine)
+            return self._table.has_no_way(target.engine)
         lost_at = self._lost_at_by_way.get((target.engine, via), float("-inf"))
         return self._timers.now() - lost_at < LOST_WAY_SECONDS
 
@@ -199,7 +199,8 @@
         target = self._listed(request)
         if target is None:
             return TunnelOutcome.NOT_LISTED
-        return TunnelOutcome.CUT_OFF if self.is_cut(target.engine) else TunnelOutcome.OPEN
+        is_cut_off = self._table.has_no_way(target.engine)
+        return TunnelOutcome.CUT_OFF if is_cut_off else TunnelOutcome.OPEN
 
     def referrals(self, request: TunnelRequest) -> tuple[str, ...]:
         """Return peers through which this gateway reaches an engine."""
@@ -221,7 +222,7 @@
         self, target: TunnelTarget, factory: Callable[[], Any]
     ) -> tuple[Any, Any]:
         if self._table.is_cut(target.engine):
-            return await self._tunnels.open(target, factory)
+            return await self._connect_cut(target, factory)
         direct = self._background.start(self._connect_direct(target, factory))
         tunnel: asyncio.Task[Any] | None = None
         try:
@@ -241,6 +242,17 @@
         self._background.start(self._settle(target, direct))
         return tunnel.result()
 
+    async def _connect_cut(
+        self, target: TunnelTarget, factory: Callable[[], Any]
+    ) -> tuple[Any, Any]:
+        """Open a connection through a peer, or else of its own if its path works by now."""
+        try:
+            return await self._tunnels.open(target, factory)
+        except ConnectionError:
+            if self._table.has_no_way(target.engine):
+                raise
+        return await self._connect_direct(target, factory)
+
     async def _settle(self, target: TunnelTarget, direct: asyncio.Task[Any]) -> None:
         """Record a cut if the own connection fails while one through a peer was opened."""
         await asyncio.wait({direct})
