Tell peers the address of a gateway that comes back at another one

Callers would see: a gateway that starts again at another address is asked for tunnels at its old one until all others have started again too.

Cause: an address counts by the position of its record in the store. A gateway never took the position of its own record, so what it told its peers was never newer than what they had, and those that run do not read the addresses again.

A gateway takes the position of its own record once it reads it back, if the record holds its current addresses, and tells its peers. test_a_gateway_that_comes_back_at_another_address_is_used_as_a_peer failed before (20 calls unserved a second after the cut) and passes; the switch in bench/mutations is caught.

The test rig gives each start of a gateway an incarnation of its own, as the program does.

--- a/pimentoquay/bench/mutations/path_switches.py
+++ b/pimentoquay/bench/mutations/path_switches.py
@@ -59,6 +59,13 @@
         "test_callers_are_served_when_a_cut_moves_to_the_gateways_that_reached_the_engines"
         "[Cut.REFUSED]",
     ),
+    Switch(
+        "new address of a gateway that comes back",
+        "pimentoquay.gateway.vm_addresses:VmAddresses._is_current",
+        return_constant(False),
+        "pimentoquay/gateway/tests/test_peers_of_cut_gateways.py::"
+        "test_a_gateway_that_comes_back_at_another_address_is_used_as_a_peer",
+    ),
     Switch(
         "peers name those that reach engines",
         "pimentoquay.policy.tunnel_peers:TunnelPeers._reaches_any",
--- a/pimentoquay/gateway/tests/rig.py
+++ b/pimentoquay/gateway/tests/rig.py
@@ -87,6 +87,7 @@
     _stop_by_vm: dict = field(default_factory=dict)
     _task_by_vm: dict = field(default_factory=dict)
     _request_count: int = 0
+    _start_count: int = 0
 
     async def add_engine(self, engine: PlatformEngine) -> PlatformEngine:
         await engine.serve()
@@ -110,7 +111,8 @@
             bounds=Bounds(2.0, 3.0, 8.0, 2.0, 0.2, 10.0, 5000.0),
             tunnel_address="127.0.0.1:0",
         )
-        identity = Identity(vm, "gateway", "here", "hall", 1)
+        self._start_count += 1
+        identity = Identity(vm, "gateway", "here", "hall", self._start_count)
         node = Node(identity, self.network.transport(identity), LoopClock())
         gateway = compose_gateway(settings, node, metrics_port, self.links.connector(vm))
         stop = asyncio.Event()
--- a/pimentoquay/gateway/tests/test_peers_of_cut_gateways.py
+++ b/pimentoquay/gateway/tests/test_peers_of_cut_gateways.py
@@ -157,3 +157,16 @@
         await sending
         for at in moved_at:
             assert load.unserved(after=at + 1.0, before=at + 1.65) == []
+
+
+async def test_a_gateway_that_comes_back_at_another_address_is_used_as_a_peer():
+    async with rig() as env:
+        await gateways(env, 2)
+        await env.kill("vm-2")
+        await gateways(env, 2)
+        await asyncio.sleep(0.5)
+        env.links.cut("vm-1", Cut.REFUSED)
+        cut_at = asyncio.get_running_loop().time()
+        load = Load(env)
+        await load.run(2.0)
+        assert load.unserved(after=cut_at + 1.0) == []
--- a/pimentoquay/gateway/vm_addresses.py
+++ b/pimentoquay/gateway/vm_addresses.py
@@ -39,8 +39,16 @@
         self.by_vm[self._vm] = replace(self.own, tunnel_address=address)
 
     def update(self, addresses: Collection[VmAddress]) -> tuple[VmAddress, ...]:
-        """Store newer addresses of other VMs, and return those that were newer."""
-        changed = tuple(each for each in addresses if each.vm != self._vm and self._is_newer(each))
+        """Store newer addresses, and return those that were newer.
+
+        Those of this VM are newer once its own record is read from the store; the position of that
+        record lets peers that have an earlier one take the addresses over.
+        """
+        changed = tuple(
+            each
+            for each in addresses
+            if self._is_newer(each) and (each.vm != self._vm or self._is_current(each))
+        )
         if changed:
             self.by_vm.update({each.vm: each for each in changed})
             self._heard = None
@@ -57,6 +65,9 @@
             }
         return self._place_by_vm
 
+    def _is_current(self, address: VmAddress) -> bool:
+        return replace(address, position=self.own.position) == self.own
+
     def _is_newer(self, address: VmAddress) -> bool:
         known = self.by_vm.get(address.vm)
         return known is None or known.position < address.position
