Let a client connection take its time from its pool, so that it can be used without an event loop

The pool passes the clock of its loop now, and the default is the monotonic clock, which is the same outside virtual time.

--- a/pimentoquay/http1/client.py
+++ b/pimentoquay/http1/client.py
@@ -176,10 +176,11 @@
 
     async def _open_connection(self) -> "ClientConnection":
         self._on_open()
+        now = asyncio.get_running_loop().time
         try:
             async with attempt_timeout(self._connect_seconds):
                 _, connection = await self._connect(
-                    lambda: ClientConnection(self._reuse), self._host, self._port
+                    lambda: ClientConnection(self._reuse, now), self._host, self._port
                 )
         except (OSError, TimeoutError) as error:
             detail = f"no connection to {self.address}: {error!r}"
--- a/pimentoquay/http1/client_connection.py
+++ b/pimentoquay/http1/client_connection.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import socket
+import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -83,14 +84,17 @@
     ----------
     reuse
         Limits of the idle time within which it may be reused.
+    now
+        Returns the monotonic time in seconds.
     """
 
-    def __init__(self, reuse: ReusePolicy) -> None:
+    def __init__(self, reuse: ReusePolicy, now: Callable[[], float] = time.monotonic) -> None:
         self.on_lost: Callable[[ClientConnection], None] = lambda connection: None
         self.via = ""
         self.heard_at = 0.0
         self.watch: ExchangeWatch | None = None
         self._reuse = reuse
+        self._now = now
         self._transport: Any = None
         self._http = h11.Connection(h11.CLIENT, MAX_RESPONSE_HEADER_BYTES)
         self._request: h11.Request | None = None
@@ -137,7 +141,7 @@
         if self._request is None or self._is_complete:
             self.abort()
             return
-        self.heard_at = asyncio.get_running_loop().time()
+        self.heard_at = self._now()
         self._parse_data(data)
         if self._buffered_bytes > READ_AHEAD_BYTES:
             self._transport.pause_reading()
@@ -157,7 +161,7 @@
             self._body, self._is_own_response = body, is_own_response
             self._is_complete = self._is_discarding = False
             self._discarded_bytes = self._informational_responses = 0
-            self.heard_at = asyncio.get_running_loop().time()
+            self.heard_at = self._now()
             self._transport.write(self._serialise())
         except h11.LocalProtocolError as error:
             raise HttpError(f"the request cannot be sent: {error}", False) from None
