--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,127 +1,103 @@
-"""The late second answer to a call is taken for the answer to a stream, which then runs twice.
+"""One entry of another writer, whose version cannot be encoded, ends every process again and again.
 
-Clients send streams that may run once only, more than the decode engines have room for, so that
-some reservations are refused with 503. Once in the run, one engine sends such a refusal a second
-time, at the point where the next answer on that channel is expected, which is that of a stream. The
-copy bears no request id, as the call had none; all answers to requests bear theirs. The engine then
-runs the stream. With TROUBLE=0 no answer comes a second time.
+The platform starts a process that has ended again after a second. Clients send plain calls and
+streams all the time. With TROUBLE=0 the other writer's entry is the same but for the two
+characters of its version that cannot be read.
 """
 
 import asyncio
+import itertools
+import json
 import sys
-from collections import Counter
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
 import harness  # noqa: E402
-from pimentoquay.http1 import find_header  # noqa: E402
-from pimentoquay.standin.platform_engine import PlatformEngine  # noqa: E402
 
-CLIENTS = 14
-PLACES = 5
-"""Streams that an engine runs or has reserved memory for before it refuses reservations."""
-
-ANSWERS_BEFORE_COPY = 60
-"""Answers of the engine before the copy, so that it is under 3 in 100 of its answers."""
-
-PLAY_SECONDS = 25.0
-
-REFUSAL = ((b"Pimentoquay-Not-Executed", b"1"),)
-
-
-class FullEngine(PlatformEngine):
-    """Decode or prefill engine with few places, which counts runs and may send one copy."""
-
-    def prepare(self, deployment, may_copy):
-        self.deployment = deployment
-        self.may_copy = may_copy
-        self.refused_on = set()
-        self.answers = 0
-        self.copies = 0
-        self.runs = Counter()
-
-    async def _handle(self, request, reply):
-        channel = reply._connection
-        was_refused = channel in self.refused_on
-        self.refused_on.discard(channel)
-        self.answers += 1
-        request_id = find_header(request.headers, b"pimentoquay-request-id")
-        is_stream = request_id is not None and self.stage == "decode"
-        if was_refused and is_stream and self.may_copy and self.answers > ANSWERS_BEFORE_COPY:
-            self.may_copy = False
-            self.copies += 1
-            self.deployment.note("second answer", engine=self.id, before=request_id.decode())
-            lines = [b"HTTP/1.1 503 Service Unavailable", b"Pimentoquay-Not-Executed: 1"]
-            lines += [b"Content-Length: 0", b"", b""]
-            channel._transport.write(b"\r\n".join(lines))
-            # The copy leaves the engine some milliseconds before the answer that it precedes.
-            await asyncio.sleep(0.01)
-        await super()._handle(request, reply)
-
-    def _create_hold(self, tokens, reply):
-        if len(self.holds) + self.running >= PLACES:
-            self.refused_on.add(reply._connection)
-            reply.send(503, REFUSAL, b"")
-            return
-        super()._create_hold(tokens, reply)
-        asyncio.get_running_loop().call_later(2.0, self.holds.pop, next(reversed(self.holds)), None)
-
-    async def _answer(self, arrival, headers, reply):
-        await asyncio.sleep(0.15)
-        await super()._answer(arrival, headers, reply)
-
-    async def _stream(self, arrival, behaviour, headers, reply):
-        request_id = arrival.headers["pimentoquay-request-id"]
-        self.runs[request_id] += 1
-        self.deployment.note("run", engine=self.id, id=request_id)
-        await super()._stream(arrival, behaviour, headers, reply)
+GATEWAYS = 3
+PLAY_SECONDS = 35.0
+RESTART_SECONDS = 1.0
+MAX_OWN_ENDS = 2
+"""A process may end by itself twice in the day; the third time counts."""
+
+ENTRY = {
+    "service": "label-press",
+    "address": "127.9.9.9:8080",
+    "zone": "hall",
+    "version": "v1 \ud83d",
+    "slotCount": 6,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "seq": 1,
+}
+"""A sound entry, but for its service, which no configuration names, and its version.
+
+The version is a text that was cut within a character; the bytes are the JSON of that text.
+"""
 
 
-async def send_streams(deployment, gateway, client, ends_at):
-    loop = asyncio.get_running_loop()
-    number = 0
-    while loop.time() < ends_at:
-        request_id = f"c{client}-{number}"
-        number += 1
-        deployment.note("sent", id=request_id)
-        data = harness.request_bytes("/sheet/a", request_id, model=True)
-        answer = await harness.send(gateway, data)
-        deployment.note("answered", id=request_id, status=answer.status, whole=answer.is_whole)
-        await asyncio.sleep(0.05 if answer.status == 200 else 0.4)
+async def supervise(deployment, gateway, ends):
+    """Restart a process that ends by itself, and count that."""
+    while True:
+        code = await gateway.process.wait()
+        ends[gateway.name] += 1
+        deployment.note("process ended by itself", name=gateway.name, exit=code)
+        await asyncio.sleep(RESTART_SECONDS)
+        await gateway.start()
+
+
+async def send_requests(deployment, gateway, counts):
+    """Send plain calls, each fifth request a stream, one after the other."""
+    for number in itertools.count():
+        is_stream = number % 5 == 4
+        name = f"{gateway.name}-{number}"
+        path = "/sheet/a" if is_stream else "/order/a"
+        data = harness.request_bytes(path, name, deadline_ms=5000, model=is_stream)
+        answer = await harness.send(gateway, data, seconds=6.0)
+        counts["sent"] += 1
+        counts["answered"] += answer.is_whole and answer.status == 200
+        is_cut = bool(answer.status) and not answer.is_whole
+        counts["cut_within_the_answer"] += is_cut
+        if not answer.is_whole or answer.status != 200:
+            deployment.note("not served", id=name, status=answer.status, whole=answer.is_whole)
+        await asyncio.sleep(0.1)
 
 
 async def main(deployment, is_disrupted):
     await deployment.start_store()
-    for number in (1, 2):
-        await deployment.add_engine(PlatformEngine(f"desk-{number}", "desk"))
-    engines = [
-        FullEngine("pre-1", "llm", stage="prefill"),
-        FullEngine("dec-1", "llm", stage="decode", events=10, pause=0.08),
-        FullEngine("dec-2", "llm", stage="decode", events=10, pause=0.08),
-    ]
-    for engine in engines:
-        engine.prepare(deployment, is_disrupted and engine.id == "dec-1")
-        await deployment.add_engine(engine)
-    await deployment.add_gateways(2)
-    await asyncio.sleep(6.0)
-    ends_at = asyncio.get_running_loop().time() + PLAY_SECONDS
-    await asyncio.gather(
-        *(
-            send_streams(deployment, deployment.gateways[client % 2], client, ends_at)
-            for client in range(CLIENTS)
+    await deployment.add_small_fleet()
+    for engine in deployment.engines:
+        engine.pause = 0.3 if engine.stage else 0.0
+    await deployment.add_gateways(GATEWAYS)
+    ends = {each.name: 0 for each in deployment.gateways}
+    counts = {"sent": 0, "answered": 0, "cut_within_the_answer": 0}
+    tasks = [
+        asyncio.create_task(work)
+        for each in deployment.gateways
+        for work in (
+            supervise(deployment, each, ends),
+            send_requests(deployment, each, counts),
         )
-    )
-    runs = sum((engine.runs for engine in engines), Counter())
-    twice = {request: count for request, count in runs.items() if count > 1}
-    copies = sum(engine.copies for engine in engines)
-    answers = {engine.id: engine.answers for engine in engines}
-    deployment.note("at the end", requests_run=len(runs), run_more_than_once=twice)
-    deployment.note("second answers", copies=copies, answers_by_engine=answers)
-    if is_disrupted and not copies:
-        raise harness.CouldNotRunError("no refusal came before a stream on one channel")
-    return harness.BROKEN if twice else harness.HELD
+    ]
+    await asyncio.sleep(4.0)
+    if sum(ends.values()) or not counts["answered"]:
+        raise harness.CouldNotRunError(f"no quiet start: {ends} {counts}")
+    deployment.note("before the entry", **counts)
+    entry = ENTRY if is_disrupted else ENTRY | {"version": "v1 x"}
+    deployment.note("entry of another writer", key="i-other", value=json.dumps(entry))
+    await deployment.store.put("keyed.servers", "i-other", json.dumps(entry).encode())
+    await asyncio.sleep(PLAY_SECONDS)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    deployment.note("at the end", **counts)
+    runs = sum(len(each.arrivals) for each in deployment.engines)
+    deployment.note("requests that reached engines", count=runs)
+    deployment.note("ends by themselves", **{name.replace("-", "_"): n for name, n in ends.items()})
+    often = sum(count > MAX_OWN_ENDS for count in ends.values())
+    return harness.BROKEN if often >= 2 else harness.HELD
 
 
 harness.run(main, FOLDER)
--- a/review/harness.py
+++ b/review/harness.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import base64
 import contextlib
 import json
 import os
@@ -109,11 +110,13 @@
     return json.dumps(item).encode()
 
 
-def free_port(host):
-    """Return a TCP port that nothing uses at an address."""
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
+def free_ports(host, count):
+    """Return different TCP ports that nothing uses at an address."""
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in socks:
+            sock.bind((host, 0))
+        return [sock.getsockname()[1] for sock in socks]
 
 
 class Gateway:
@@ -124,7 +127,7 @@
         self.host = host
         self.deployment = deployment
         # The deploy file names the port of the metrics, so each machine has an address of its own.
-        self.front, self.ready, self.control, self.inner = (free_port(host) for _ in range(4))
+        self.front, self.ready, self.control, self.inner = free_ports(host, 4)
         self.process = None
         self.log = deployment.folder / f"{name}.log"
 
@@ -206,6 +209,31 @@
     """The case could not run, so it shows nothing."""
 
 
+class PagingStore(PlatformStore):
+    """The project's store, whose pages of newest records are as long as the page says."""
+
+    MAX_ITEMS = 500
+    MAX_BYTES = 1_000_000
+
+    def _newest(self, arguments, reply):
+        newest = sorted(self._newest_by_topic.get(arguments["topic"], {}).items())
+        left = [item for item in newest if item[0] > arguments.get("after", "")]
+        items, size = [], 0
+        for key, (offset, value) in left[: self.MAX_ITEMS]:
+            size += len(value) * 4 // 3
+            if items and size > self.MAX_BYTES:
+                break
+            text = base64.b64encode(value).decode()
+            items.append({"key": key, "value": text, "offset": offset})
+        log = self._topic_by_name.get(arguments["topic"])
+        answer = {
+            "items": items,
+            "hasMore": len(items) < len(left),
+            "endOffset": log.end if log is not None else 0,
+        }
+        reply.send(200, (), json.dumps(answer).encode())
+
+
 class Deployment:
     """Store, engines and gateways of one run, and its record."""
 
@@ -214,7 +242,7 @@
         self._started_at = time.monotonic()
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = Path(self._folder.name)
-        self.store = PlatformStore()
+        self.store = PagingStore()
         self.store_address = ""
         self.gateways = []
         self.processes = []
