--- a/review/harness.py
+++ b/review/harness.py
@@ -129,6 +129,7 @@
         # The deploy file names the port of the metrics, so each machine has an address of its own.
         self.front, self.ready, self.control, self.inner = free_ports(host, 4)
         self.process = None
+        self.store_address = deployment.store_address
         self.log = deployment.folder / f"{name}.log"
 
     def settings(self):
@@ -156,7 +157,7 @@
             "entry": "vip",
             "beatIntervalMs": 1200,
             "bounds": BOUNDS,
-            "platform": {"address": self.deployment.store_address, "form": "log"},
+            "platform": {"address": self.store_address, "form": "log"},
         }
 
     async def start(self):
@@ -247,7 +248,7 @@
         self.gateways = []
         self.processes = []
         self.engines = []
-        self._beats = []
+        self._beat_by_engine = {}
         self._net = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
 
     def note(self, event, /, **fields):
@@ -271,9 +272,13 @@
             await engine.serve(self.host(2))
         self.engines.append(engine)
         await self.store.put("keyed.servers", engine.id, engine.entry())
-        self._beats.append(asyncio.create_task(self._beat(engine)))
+        self._beat_by_engine[engine.id] = asyncio.create_task(self._beat(engine))
         return engine
 
+    def stop_beats(self, engine):
+        """Let an engine write its entry no more."""
+        self._beat_by_engine.pop(engine.id).cancel()
+
     async def _beat(self, engine):
         while True:
             await asyncio.sleep(BEAT_SECONDS)
@@ -298,7 +303,7 @@
 
     async def close(self):
         """End all processes that were started, and the stand-ins."""
-        for task in self._beats:
+        for task in self._beat_by_engine.values():
             task.cancel()
         for process in self.processes:
             if process.returncode is None:
@@ -325,7 +330,9 @@
         return [int(line[3:]) for line in lines if line.startswith(b"id:")]
 
 
-def request_bytes(path, request_id, method="POST", body=b"x" * 600, deadline_ms=14_000, model=False):
+def request_bytes(
+    path, request_id, method="POST", body=b"x" * 600, deadline_ms=14_000, model=False
+):
     """Return a client's request; ``model`` adds the headers of a request to a model."""
     lines = [
         f"{method} {path} HTTP/1.1",
