Log and count how the wait of a stream that goes on ends

The queue of a gateway moves to policy/stream_queue.py, without a change of its logic, to make room.

--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -14,6 +14,7 @@
 from pimentoquay.gateway.metrics import (
     CONNECT_FAILURES,
     CONNECTIONS,
+    CONTINUED,
     ENGINE_CRASHES,
     ENGINE_REQUESTS,
     ENGINES_CUT,
@@ -276,6 +277,7 @@
     metrics.values_by_counter = {
         ENGINE_REQUESTS: lambda: contact.requests_by_way,
         RESUMPTIONS: lambda: origins.resumed_by_origin,
+        CONTINUED: lambda: reservations.continued_by_outcome,
         CONNECT_FAILURES: lambda: {
             failure.value: count for failure, count in contact.count_by_failure.items()
         },
--- a/pimentoquay/gateway/metrics.py
+++ b/pimentoquay/gateway/metrics.py
@@ -172,6 +172,13 @@
     ("origin",),
 )
 
+CONTINUED = Metric(
+    "pimentoquay_gateway_continued_streams_total",
+    "counter",
+    "streams that had begun before, by how their wait for memory ended",
+    ("outcome",),
+)
+
 _GAUGES = (
     IN_PROGRESS,
     LIST_AGE,
@@ -202,7 +209,7 @@
     STREAM_ORIGINS,
     RESUMPTIONS_REFUSED,
 )
-_COUNTERS = (CONNECT_FAILURES, ENGINE_REQUESTS, RESUMPTIONS)
+_COUNTERS = (CONNECT_FAILURES, ENGINE_REQUESTS, RESUMPTIONS, CONTINUED)
 _SUMMARIES = (REQUEST_SECONDS, FIRST_EVENT_SECONDS, MEMORY_WAIT_SECONDS)
 
 GATEWAY_METRICS = (REQUESTS, *_GAUGES, *_COUNTERS, *_SUMMARIES)
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -6,8 +6,8 @@
 
 import asyncio
 import contextlib
+from collections import Counter
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
 
 from pimentoquay.gateway.job import Job
 from pimentoquay.gateway.pool_client import PoolClient, PoolGrant
@@ -29,9 +29,9 @@
     QueuedTokens,
     ReleaseRate,
     StreamTimes,
-    StreamUrgency,
     decide_wait,
 )
+from pimentoquay.policy.stream_queue import StreamQueue, WaitingStream
 from pimentoquay.policy.version_choice import can_go_on, engines_for, may_run
 
 __all__ = ["Reservations"]
@@ -50,18 +50,11 @@
 there."""
 
 
-@dataclass(eq=False)
-class _Waiter:
-    """A stream that waits; ``software`` is the version that began it, or empty if none has."""
-
-    need: MemoryNeed
-    times: StreamTimes
-    software: str
-
-
 class Reservations:
     """Reservations of this gateway and its queue of streams that wait for one.
 
+    ``continued_by_outcome`` counts the streams that had begun before by how their wait ended.
+
     Parameters
     ----------
     shared
@@ -96,18 +89,16 @@
         self._on_change = on_change
         self._record_use = record_use
         self._pools = pools
-        self._waiting: list[_Waiter] = []
         self._release_rate = ReleaseRate()
         self._changed = asyncio.Event()
         self._limits = AdmissionLimits()
+        self.continued_by_outcome: Counter[str] = Counter()
+        self._waiting = StreamQueue(self._limits)
 
     @property
     def queued(self) -> QueuedTokens:
         """Memory that streams wait for at this gateway, in tokens."""
-        return QueuedTokens(
-            sum(waiter.need.tokens for waiter in self._waiting),
-            sum(waiter.need.tokens for waiter in self._waiting if self._is_urgent(waiter)),
-        )
+        return self._waiting.queued(asyncio.get_running_loop().time())
 
     def recheck_waiters(self) -> None:
         """Let waiting streams try to reserve memory again."""
@@ -136,24 +127,34 @@
             If the expected wait is too long, no memory became free in time, or no engine of the
             version is left.
         """
-        self._refuse_if_version_gone(job, software)
+        waiter = WaitingStream(need, times, software)
+        asked_at = asyncio.get_running_loop().time()
+        try:
+            reservation = await self._reserve(job, memory, waiter)
+        except RefusedError as error:
+            self._record_continued(job, waiter, asked_at, error.code.name.lower())
+            raise
+        self._record_continued(job, waiter, asked_at, "placed")
+        return reservation
+
+    async def _reserve(self, job: Job, memory: TokenMemory, waiter: WaitingStream) -> Reservation:
+        self._refuse_if_version_gone(job, waiter.software)
         if self._pools.is_active:
-            return await self._reserve_in_pool(job, memory, need, times, software)
-        waiter = _Waiter(need, times, software)
+            return await self._reserve_in_pool(job, memory, waiter)
         if self._is_next(waiter):
             reservation = await self._try_reserve(job, memory, waiter)
             if reservation is not None:
                 return reservation
         self._refuse_long_wait(job, waiter)
-        self._waiting.append(waiter)
+        self._waiting.add(waiter)
         self._on_change()
         loop = asyncio.get_running_loop()
-        ends_at = times.leaves_at - self._limits.work_seconds
+        ends_at = waiter.times.leaves_at - self._limits.work_seconds
         try:
             while loop.time() < ends_at:
                 self._shared.guard.check(job)
                 self._refuse_if_paused(job)
-                self._refuse_if_version_gone(job, software)
+                self._refuse_if_version_gone(job, waiter.software)
                 if self._is_next(waiter):
                     reservation = await self._try_reserve(job, memory, waiter)
                     if reservation is not None:
@@ -194,27 +195,34 @@
         self._changed.set()
         self._on_change()
 
-    def _is_urgent(self, waiter: _Waiter) -> bool:
+    def _is_next(self, stream: WaitingStream) -> bool:
         now = asyncio.get_running_loop().time()
-        return waiter.times.urgency(now, self._limits) is StreamUrgency.IN_TIME
+        return self._waiting.is_next(stream, self._peers_queued(), now)
 
-    def _is_next(self, waiter: _Waiter) -> bool:
-        """Return whether no stream here or at another gateway has to be served first."""
-        if any(each.software in ("", waiter.software) for each in self._ahead_of(waiter)):
-            return False
-        return self._is_urgent(waiter) or self._peers_queued().urgent_tokens == 0
-
-    def _ahead_of(self, waiter: _Waiter) -> list[_Waiter]:
-        """Return the streams that wait here and are to be served before another one."""
+    def _record_continued(
+        self, job: Job, waiter: WaitingStream, asked_at: float, outcome: str
+    ) -> None:
+        """Record how the wait of a stream that had begun ended, and what it depended on."""
+        if not waiter.software:
+            return
+        self.continued_by_outcome[outcome] += 1
         now = asyncio.get_running_loop().time()
-
-        def rank(each: _Waiter) -> tuple[StreamUrgency, float]:
-            return each.times.urgency(now, self._limits), each.times.arrived_at
-
-        own = rank(waiter)
-        return [each for each in self._waiting if each is not waiter and rank(each) < own]
-
-    def _refuse_long_wait(self, job: Job, waiter: _Waiter) -> None:
+        engines = [each for each in self._decode_engines(job) if may_run(each, waiter.software)]
+        own, peers = self.queued, self._peers_queued()
+        logger.bind(
+            request=job.caller.id,
+            software=waiter.software,
+            outcome=outcome,
+            waited=f"{now - asked_at:.3f}",
+            in_time=f"{waiter.times.late_at - asked_at:.3f}",
+            engines=len(engines),
+            held=self._run_ledger.expected(engines, now),
+            ahead_here=sum(each.need.tokens for each in self._waiting.ahead_of(waiter, now)),
+            waiting=own.tokens + peers.tokens,
+            in_time_waiting=own.urgent_tokens + peers.urgent_tokens,
+        ).info("wait of a stream that goes on ended")
+
+    def _refuse_long_wait(self, job: Job, waiter: WaitingStream) -> None:
         engines = self._decode_engines(job)
         self._refuse_if_paused(job)
         now = asyncio.get_running_loop().time()
@@ -257,10 +265,11 @@
     def _decode_engines(self, job: Job) -> tuple[EngineEntry, ...]:
         return self._shared.available_engines(job.service, DECODE_STAGES)
 
-    def _engine_groups(self, job: Job, waiter: _Waiter) -> tuple[Sequence[EngineEntry], ...]:
+    def _engine_groups(self, job: Job, waiter: WaitingStream) -> tuple[Sequence[EngineEntry], ...]:
         """Return groups of decode engines to be tried in order."""
         sendable = self._shared.sendable_engines(job.service, DECODE_STAGES)
-        awaited = {each.software for each in self._ahead_of(waiter)}
+        now = asyncio.get_running_loop().time()
+        awaited = {each.software for each in self._waiting.ahead_of(waiter, now)}
         engines = engines_for(sendable, waiter.software, awaited)
         prefill_engines = self._shared.available_engines(job.service, (EngineStage.PREFILL,))
         if any(may_run(each, waiter.software) for each in prefill_engines):
@@ -271,26 +280,17 @@
         return select_decode_engines(engines, is_short)
 
     async def _reserve_in_pool(
-        self,
-        job: Job,
-        memory: TokenMemory,
-        need: MemoryNeed,
-        times: StreamTimes,
-        software: str,
+        self, job: Job, memory: TokenMemory, waiter: WaitingStream
     ) -> Reservation:
-        """Reserve memory at the engine that a coordinator grants.
-
-        If no coordinator replies, the engines themselves decide, by the whole expected memory.
-        """
-        full_engine = ""
+        """Reserve memory where a coordinator grants it; if none replies, the engines decide."""
+        full_engine, need, software = "", waiter.need, waiter.software
         run = run_of(need, usable_tokens(memory))
-        stream = self._pools.stream_to_place(job, need, run, times, software)
+        stream = self._pools.stream_to_place(job, need, run, waiter.times, software)
         for _ in range(MAX_GRANTS):
             self._refuse_if_paused(job)
             self._refuse_if_version_gone(job, software)
             grant = await self._pools.place(stream, full_engine)
             if grant is None:
-                waiter = _Waiter(need, times, software)
                 reservation = await self._try_reserve(job, memory, waiter)
                 if reservation is not None:
                     return reservation
@@ -308,7 +308,7 @@
         )
 
     async def _try_reserve(
-        self, job: Job, memory: TokenMemory, waiter: _Waiter
+        self, job: Job, memory: TokenMemory, waiter: WaitingStream
     ) -> Reservation | None:
         need = waiter.need
         loop = asyncio.get_running_loop()
