Let streams go on at a version that the store does not hold

What callers saw: a stream whose version the store did not hold yet, since the store took no write or the writer was cut off from it, got 429 with a Retry-After of 4 s when it was taken up, while engines of another version took work.

Cause: a version that is not recorded was closed to all streams. Only new ones may not begin there, as gateways that start would not know of it; one that has begun there is known to be of it already. The wait was computed by the engines of the other version, of which nothing was held, hence the longest Retry-After.

Change: engines are chosen for a stream by its version and by the versions closed to new ones, in one function for gateways and coordinators. The summary of a pool counts only engines at which new streams may begin, as before.

--- a/pimentoquay/bench/mutations/path_switches.py
+++ b/pimentoquay/bench/mutations/path_switches.py
@@ -1,6 +1,7 @@
 """Mechanisms for cut paths and for what outlives all VMs, and the tests that have to fail then."""
 
 from pimentoquay.bench.mutations.replacements import (
+    close_versions_to_all_streams,
     ignore_continuation,
     keep_role_while_cut_off,
     refuse_all_tunnels,
@@ -88,6 +89,12 @@
         return_constant(True),
         _STORED + "test_new_streams_begin_at_a_version_once_it_is_recorded",
     ),
+    Switch(
+        "streams go on at versions that are not recorded",
+        "pimentoquay.gateway.shared_state:may_run",
+        close_versions_to_all_streams,
+        _REJOINED + "test_a_stream_goes_on_at_its_version_though_the_store_does_not_hold_it",
+    ),
     Switch(
         "versions kept in the store",
         "pimentoquay.policy.stored_origins:RecordedVersions.missing",
--- a/pimentoquay/bench/mutations/replacements.py
+++ b/pimentoquay/bench/mutations/replacements.py
@@ -19,6 +19,7 @@
     "allow_many_probes",
     "apply_append_at_once",
     "choose_any_versions",
+    "close_versions_to_all_streams",
     "disable_reader_takeover",
     "do_nothing_async",
     "find_server_refusing",
@@ -74,6 +75,15 @@
     return lambda self, engine: self.is_cut(engine)
 
 
+def close_versions_to_all_streams(original: Any) -> Any:
+    """Let no stream go on at a version at which none may begin."""
+
+    def may_run(engine: Any, software: str, closed: Any = ()) -> bool:
+        return bool(original(engine, software)) and engine.software_version not in closed
+
+    return may_run
+
+
 def keep_role_while_cut_off(original: Any) -> Any:
     """Let the first VM send orders, whether it reaches the engines or not."""
     return lambda state_by_vm: min(state_by_vm)
--- a/pimentoquay/gateway/pool_coordinator.py
+++ b/pimentoquay/gateway/pool_coordinator.py
@@ -128,8 +128,11 @@
             return
         outcome, seconds = PlaceOutcome.QUEUED, 0.0
         if is_new:
+            closed = self._shared.closed_versions(key.service, DECODE_STAGES)
             engines = [
-                each for each in self._decode_engines(key) if may_run(each, message.software)
+                each
+                for each in self._decode_engines(key)
+                if may_run(each, message.software, closed)
             ]
             limits = self._shared.links.limits
             if (wait := self._limit_wait(key, pool)) > message.leaves_in:
@@ -236,13 +239,14 @@
         now = self._node.timers.now()
         engines: list[EngineEntry] | None = None
         usable = self._usable_tokens(key.service)
+        closed = self._shared.closed_versions(key.service, DECODE_STAGES)
         while pool.placement.has_waiting:
             if engines is None:
                 limits = self._shared.links.limits
                 engines = [
                     engine for engine in self._decode_engines(key) if limits.may_grant(engine, now)
                 ]
-            placed = pool.placement.place_next(engines, usable, now)
+            placed = pool.placement.place_next(engines, usable, now, closed)
             if placed is None:
                 return
             stream_key, engine = placed
@@ -258,12 +262,14 @@
     ) -> EngineEntry | None:
         stream = pool.placement.stream_of(stream_key)
         limits, now = self._shared.links.limits, self._node.timers.now()
-        available = self._available_engines(key, (EngineStage.PREFILL,))
+        stages = (EngineStage.PREFILL,)
+        available = self._available_engines(key, stages)
+        closed = self._shared.closed_versions(key.service, stages)
         chosen = choose_prefill_engine(
             [
                 engine
                 for engine in available
-                if limits.may_grant(engine, now) and may_run(engine, stream.software)
+                if limits.may_grant(engine, now) and may_run(engine, stream.software, closed)
             ],
             pool.placement.prefill_ledger,
             self._shared.speed,
@@ -307,7 +313,8 @@
         self._send_to(vm, PlaceReply(key, pool, outcome, "", "", 0, seconds, True))
 
     def _summary(self, key: PoolKey, pool: _Pool, now: float) -> PoolSummary:
-        engines = self._decode_engines(key)
+        closed = self._shared.closed_versions(key.service, DECODE_STAGES)
+        engines = [each for each in self._decode_engines(key) if may_run(each, "", closed)]
         state = pool.placement.state(engines, self._usable_tokens(key.service), now)
         work = [report.work for report in pool.report_by_vm.values()]
         self._sequence += 1
--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -18,7 +18,6 @@
     can_prefill_on_decode_engine,
     choose_prefill_engine,
 )
-from pimentoquay.policy.version_choice import may_run
 
 __all__ = ["Prefill", "PrefillRunner"]
 
@@ -137,13 +136,13 @@
     ) -> EngineEntry | None:
         stages = (EngineStage.PREFILL,)
         if granted not in failed:
-            for engine in self._shared.available_engines(job.service, stages):
-                if engine.id == granted and may_run(engine, software):
+            for engine in self._shared.engines_for_stream(job.service, stages, software):
+                if engine.id == granted:
                     return engine
         engines = [
             engine
-            for engine in self._shared.sendable_engines(job.service, stages)
-            if engine.id not in failed and may_run(engine, software)
+            for engine in self._shared.sendable_engines(job.service, stages, software)
+            if engine.id not in failed
         ]
         is_decode_engine_allowed = can_prefill_on_decode_engine(
             model.prompt_tokens, self._shared.speed, job.route.gap_seconds
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -32,7 +32,7 @@
     decide_wait,
 )
 from pimentoquay.policy.stream_queue import StreamQueue, WaitingStream
-from pimentoquay.policy.version_choice import can_go_on, engines_for, may_run
+from pimentoquay.policy.version_choice import can_go_on, engines_for
 
 __all__ = ["Reservations"]
 
@@ -207,7 +207,7 @@
             return
         self.continued_by_outcome[outcome] += 1
         now = asyncio.get_running_loop().time()
-        engines = [each for each in self._decode_engines(job) if may_run(each, waiter.software)]
+        engines = self._decode_engines(job, waiter.software)
         own, peers = self.queued, self._peers_queued()
         logger.bind(
             request=job.caller.id,
@@ -223,7 +223,7 @@
         ).info("wait of a stream that goes on ended")
 
     def _refuse_long_wait(self, job: Job, waiter: WaitingStream) -> None:
-        engines = self._decode_engines(job)
+        engines = {*self._decode_engines(job), *self._decode_engines(job, waiter.software)}
         self._refuse_if_paused(job)
         now = asyncio.get_running_loop().time()
         patience = waiter.times.leaves_at - self._limits.work_seconds - now
@@ -262,17 +262,17 @@
             detail = f"no engine of version {software} is left"
             raise RefusedError(ResultCode.STREAM_VERSION_GONE, detail)
 
-    def _decode_engines(self, job: Job) -> tuple[EngineEntry, ...]:
-        return self._shared.available_engines(job.service, DECODE_STAGES)
+    def _decode_engines(self, job: Job, software: str = "") -> tuple[EngineEntry, ...]:
+        return self._shared.engines_for_stream(job.service, DECODE_STAGES, software)
 
     def _engine_groups(self, job: Job, waiter: WaitingStream) -> tuple[Sequence[EngineEntry], ...]:
         """Return groups of decode engines to be tried in order."""
-        sendable = self._shared.sendable_engines(job.service, DECODE_STAGES)
+        sendable = self._shared.sendable_engines(job.service, DECODE_STAGES, waiter.software)
         now = asyncio.get_running_loop().time()
         awaited = {each.software for each in self._waiting.ahead_of(waiter, now)}
         engines = engines_for(sendable, waiter.software, awaited)
-        prefill_engines = self._shared.available_engines(job.service, (EngineStage.PREFILL,))
-        if any(may_run(each, waiter.software) for each in prefill_engines):
+        prefill_stages = (EngineStage.PREFILL,)
+        if self._shared.engines_for_stream(job.service, prefill_stages, waiter.software):
             return (engines,)
         is_short = can_prefill_on_decode_engine(
             waiter.need.prompt, self._shared.speed, job.route.gap_seconds, DECODE_ONLY_PAUSE_SHARE
@@ -296,9 +296,9 @@
                     return reservation
                 break
             full_engine = grant.engine
-            engines = {engine.id: engine for engine in self._decode_engines(job)}
+            engines = {engine.id: engine for engine in self._decode_engines(job, software)}
             granted = engines.get(grant.engine)
-            if granted is not None and may_run(granted, software):
+            if granted is not None:
                 reservation = await self._request_hold(job, granted, memory, need, run, grant)
                 if reservation is not None:
                     reservation.prefill_engine = grant.prefill_engine
--- a/pimentoquay/gateway/shared_state.py
+++ b/pimentoquay/gateway/shared_state.py
@@ -21,6 +21,7 @@
 from pimentoquay.policy.run_ledger import RunLedger
 from pimentoquay.policy.stage_plan import StageDemand
 from pimentoquay.policy.token_ledger import TokenLedger
+from pimentoquay.policy.version_choice import may_run
 
 __all__ = ["MAX_LIMIT_WAIT_SECONDS", "RetryBudgets", "SharedState"]
 
@@ -120,33 +121,55 @@
         """Return whether an entry is avoided; a newer entry of the same engine id is not."""
         return self.misdirected_until_by_entry.get(_key_of(engine), 0.0) > now
 
+    def closed_versions(self, service: str, stages: Collection[EngineStage]) -> frozenset[str]:
+        """Return the versions at which no new work of the stages may begin."""
+        return self.origins.closed_versions(service, self._accepting_engines(service, stages))
+
     def available_engines(
         self, service: str, stages: Collection[EngineStage]
     ) -> tuple[EngineEntry, ...]:
         """Return the engines of a service that accept work of one of the stages now."""
         now = asyncio.get_running_loop().time()
-        accepting = [
-            engine for engine in self.fleet.accepting_engines(service) if engine.stage in stages
-        ]
-        versions = self.origins.usable_versions(service, accepting)
         return tuple(
             engine
-            for engine in accepting
+            for engine in self._accepting_engines(service, stages)
             if self.changing_until_by_engine.get(engine.id, 0.0) <= now
             and not self.links.is_circuit_open(engine.id, now)
             and not self.is_misdirected(engine, now)
             and self.fleet.pause_seconds(engine) == 0.0
-            and engine.software_version in versions
         )
 
-    def sendable_engines(
+    def _accepting_engines(
         self, service: str, stages: Collection[EngineStage]
+    ) -> list[EngineEntry]:
+        return [
+            engine for engine in self.fleet.accepting_engines(service) if engine.stage in stages
+        ]
+
+    def engines_for_stream(
+        self, service: str, stages: Collection[EngineStage], software: str = ""
+    ) -> tuple[EngineEntry, ...]:
+        """Return the available engines that may run a stream.
+
+        Parameters
+        ----------
+        service, stages
+            Service and stages of the engines.
+        software
+            Version that began the stream, or empty if none has.
+        """
+        closed = self.closed_versions(service, stages)
+        available = self.available_engines(service, stages)
+        return tuple(engine for engine in available if may_run(engine, software, closed))
+
+    def sendable_engines(
+        self, service: str, stages: Collection[EngineStage], software: str = ""
     ) -> tuple[EngineEntry, ...]:
-        """Return the available engines whose limits allow this VM to send a request now."""
+        """Return the engines for a stream whose limits allow this VM to send a request now."""
         now = asyncio.get_running_loop().time()
         return tuple(
             engine
-            for engine in self.available_engines(service, stages)
+            for engine in self.engines_for_stream(service, stages, software)
             if self.links.limits.seconds_until(engine, now) == 0.0
         )
 
@@ -158,7 +181,7 @@
         ``None`` if an available engine has no limit or no engine is available, infinite if this VM
         has no share of any limit.
         """
-        engines = self.available_engines(service, stages)
+        engines = self.engines_for_stream(service, stages)
         now, limits = asyncio.get_running_loop().time(), self.links.limits
         if not engines or any(limits.limit_of(each.start) is None for each in engines):
             return None
--- a/pimentoquay/gateway/stream_origins.py
+++ b/pimentoquay/gateway/stream_origins.py
@@ -195,13 +195,15 @@
         self.recorded.add((version,))
         self._publish(VersionsListed((self._listed(*version),)))
 
-    def usable_versions(self, service: str, engines: Iterable[EngineEntry]) -> set[str]:
-        """Return the versions of engines at which streams may begin.
+    def closed_versions(self, service: str, engines: Iterable[EngineEntry]) -> frozenset[str]:
+        """Return the versions of engines at which no new stream may begin.
 
-        They may once gateways that start would know of the version.
+        One may once gateways that start would know of the version.
         """
         listed = {each.software_version for each in engines}
-        return {each for each in listed if self.recorded.may_begin(service, each, listed)}
+        return frozenset(
+            each for each in listed if not self.recorded.may_begin(service, each, listed)
+        )
 
     @staticmethod
     def message_of(batch: OriginBatch) -> StreamsBegun:
--- a/pimentoquay/policy/pool_placement.py
+++ b/pimentoquay/policy/pool_placement.py
@@ -10,7 +10,7 @@
 """
 
 import heapq
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 
 from pimentoquay.policy.engine_preference import Placer
@@ -184,7 +184,11 @@
         self.ledger.record_refusal(engine, 0, now + REFUSAL_SECONDS)
 
     def place_next(
-        self, engines: Sequence[EngineEntry], usable: int, now: float
+        self,
+        engines: Sequence[EngineEntry],
+        usable: int,
+        now: float,
+        closed: Collection[str] = (),
     ) -> tuple[StreamKey, EngineEntry] | None:
         """Place the next waiting stream; ``None`` if none waits or no engine has room for one.
 
@@ -200,6 +204,8 @@
             Usable memory of each engine, in tokens.
         now
             Current time in seconds.
+        closed
+            Versions at which no new stream may begin.
         """
         if not self._waiting_by_key:
             return None
@@ -207,7 +213,7 @@
         free = list(engines)
         for key in self._first_waiting(now):
             stream = self._waiting_by_key[key].stream
-            eligible = [each for each in free if may_run(each, stream.software)]
+            eligible = [each for each in free if may_run(each, stream.software, closed)]
             run = stream.run
             if run.tokens + run.remaining > usable:
                 run = GrowingRun(min(run.tokens, usable), 0)
--- a/pimentoquay/policy/run_ledger.py
+++ b/pimentoquay/policy/run_ledger.py
@@ -6,7 +6,7 @@
 of the requests has ended.
 """
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
 
 from pimentoquay.policy.engine_preference import Placer, sort_by_preference
@@ -137,7 +137,7 @@
         """Return the number of tokens that the runs of all VMs hold on an engine."""
         return sum(run.tokens for run in self.runs_at(engine, now))
 
-    def expected(self, engines: Sequence[EngineEntry], now: float) -> int:
+    def expected(self, engines: Iterable[EngineEntry], now: float) -> int:
         """Return the sum of the expected final sizes of all runs on these engines, in tokens."""
         runs_by_engine = self.runs_of_all(now)
         return sum(
--- a/pimentoquay/policy/tests/test_pools.py
+++ b/pimentoquay/policy/tests/test_pools.py
@@ -1,3 +1,5 @@
+from dataclasses import replace
+
 import pytest
 
 from pimentoquay.messages.pools import PoolKey
@@ -172,6 +174,16 @@
     assert in_time["large"] / asked["large"] >= 0.5
 
 
+def test_only_a_stream_that_goes_on_is_placed_at_a_closed_version():
+    engines = [replace(each, software="v2") for each in ENGINES]
+    pool = PoolPlacement("hall", 0.0)
+    pool.request(("a", "new"), need(), 0.0)
+    assert pool.place_next(engines, USABLE, 0.0, {"v2"}) is None
+    pool.request(("a", "goes on"), replace(need(), software="v2"), 0.0)
+    placed = pool.place_next(engines, USABLE, 0.0, {"v2"})
+    assert placed is not None and placed[0] == ("a", "goes on")
+
+
 def test_a_stream_that_would_wait_too_long_is_refused_and_not_kept():
     pool = PoolPlacement("hall", 0.0)
     pool.request(("a", "r"), need(), 0.0)
--- a/pimentoquay/policy/tests/test_resumed_herds.py
+++ b/pimentoquay/policy/tests/test_resumed_herds.py
@@ -53,7 +53,8 @@
         self.queues = [StreamQueue(LIMITS) for _ in range(self.vms)]
         self.waiting = {}
         self.running = {}
-        self.asked, self.served = Counter(), Counter()
+        self.asked: Counter[bool] = Counter()
+        self.served: Counter[bool] = Counter()
 
     def run(self):
         rate = self.overload * sum(self.places.values()) / HOLD_SECONDS
--- a/pimentoquay/policy/tests/test_stream_origins.py
+++ b/pimentoquay/policy/tests/test_stream_origins.py
@@ -61,6 +61,14 @@
     assert not can_go_on(engines[1:], engines[0].software_version)
 
 
+def test_a_closed_version_takes_only_streams_that_began_at_it():
+    engine = entry("a", "v2")
+    assert not may_run(engine, "", {"v2"})
+    assert may_run(engine, "", {"v1"})
+    assert may_run(engine, "v2", {"v2"})
+    assert not may_run(engine, "v1", set())
+
+
 def test_only_decode_engines_can_go_on_with_a_stream():
     prefill = entry("p", "v1", EngineStage.PREFILL)
     assert not can_go_on([prefill, entry("d", "v2")], "v1")
--- a/pimentoquay/policy/version_choice.py
+++ b/pimentoquay/policy/version_choice.py
@@ -7,9 +7,21 @@
 __all__ = ["can_go_on", "engines_for", "may_run"]
 
 
-def may_run(engine: EngineEntry, software: str) -> bool:
-    """Return whether an engine may run a stream that began at a version; empty if none has."""
-    return software in ("", engine.software_version)
+def may_run(engine: EngineEntry, software: str, closed: Collection[str] = ()) -> bool:
+    """Return whether an engine may run a stream.
+
+    Parameters
+    ----------
+    engine
+        The engine.
+    software
+        Version that began the stream, or empty if none has.
+    closed
+        Versions at which no new stream may begin.
+    """
+    if software:
+        return engine.software_version == software
+    return engine.software_version not in closed
 
 
 def can_go_on(engines: Iterable[EngineEntry], software: str) -> bool:
