Let a stream that has begun wait as long as its caller

What callers saw: with half of the engines released, streams of the version that was left waited 3.3 s, got 429, came back and waited again, each time behind all that had come meanwhile, until their time was over.

Its caller has a part of it and waits until the timeout.

Change: it waits until the timeout of its caller or route. New ones lose nothing by it, as the same places are used.

Switched off, the new test fails.

--- a/pimentoquay/bench/mutations/path_switches.py
+++ b/pimentoquay/bench/mutations/path_switches.py
@@ -4,6 +4,7 @@
     close_versions_to_all_streams,
     ignore_continuation,
     keep_role_while_cut_off,
+    leave_like_new_streams,
     refuse_all_tunnels,
     return_constant,
     return_to_path_at_once,
@@ -122,5 +123,12 @@
         "pimentoquay/policy/tests/test_resumed_herds.py::"
         "test_streams_that_come_back_together_are_not_crowded_out_by_new_ones",
     ),
+    Switch(
+        "streams that have begun wait as long as their callers",
+        "pimentoquay.policy.tests.test_resumed_herds:stream_times",
+        leave_like_new_streams,
+        "pimentoquay/policy/tests/test_resumed_herds.py::"
+        "test_streams_of_a_version_with_half_of_its_engines_left_wait_until_they_go_on",
+    ),
 )
 """Mechanisms of cut paths, and of what outlives all gateways."""
--- a/pimentoquay/bench/mutations/replacements.py
+++ b/pimentoquay/bench/mutations/replacements.py
@@ -28,6 +28,7 @@
     "keep_expired_lease_number",
     "keep_role_while_cut_off",
     "learn_as_seen_now",
+    "leave_like_new_streams",
     "match_any_attempt",
     "never_find_lost_append",
     "never_mark_silent_peers_dead",
@@ -91,21 +92,28 @@
 
 def ignore_continuation(original: Any) -> Any:
     """Let a stream that is taken up be due since its first attempt."""
-    return lambda arrived_at, first_sent_at, continued_at, *rest: original(
-        arrived_at, first_sent_at, None, *rest
+    return lambda arrived_at, first_sent_at, has_begun, *rest: original(
+        arrived_at, first_sent_at, False, *rest
     )
 
 
 def turn_late_like_new_streams(original: Any) -> Any:
     """Let a stream that is taken up turn late when its first event is."""
 
-    def stream_times(
-        arrived_at: float, first_sent_at: float, continued_at: float | None, *rest: float
-    ) -> Any:
-        times = original(arrived_at, first_sent_at, continued_at, *rest)
-        if continued_at is None:
-            return times
-        return replace(times, late_at=min(times.leaves_at, continued_at + rest[0]))
+    def stream_times(arrived_at: float, first_sent_at: float, has_begun: bool, *rest: float) -> Any:
+        times = original(arrived_at, first_sent_at, has_begun, *rest)
+        return replace(times, late_at=arrived_at + rest[0]) if has_begun else times
+
+    return stream_times
+
+
+def leave_like_new_streams(original: Any) -> Any:
+    """Let a stream that is taken up wait no longer than a new one."""
+
+    def stream_times(arrived_at: float, first_sent_at: float, *rest: Any) -> Any:
+        new = original(arrived_at, arrived_at, False, *rest[1:])
+        times = original(arrived_at, first_sent_at, *rest)
+        return replace(times, leaves_at=new.leaves_at) if rest[0] else times
 
     return stream_times
 
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -207,15 +207,10 @@
         longest = max(self._longest_wait_by_route.get(route.name, 0.0), timeout or 0.0)
         self._longest_wait_by_route[route.name] = longest
         first_sent_at = first_request_at(job.arrived_at, timeout, longest)
-        continued_at = None
-        if job.reply.started:
-            continued_at = asyncio.get_running_loop().time()
-        elif job.caller.last_event is not None:
-            continued_at = job.arrived_at
         return stream_times(
             job.arrived_at,
             first_sent_at,
-            continued_at,
+            job.reply.started or job.caller.last_event is not None,
             route.target_seconds,
             route.gap_seconds,
             job.deadline,
--- a/pimentoquay/policy/stream_admission.py
+++ b/pimentoquay/policy/stream_admission.py
@@ -82,7 +82,7 @@
 class QueuedTokens:
     """Memory that streams wait for, in tokens.
 
-    ``urgent_tokens`` is the part for streams that can still start in time.
+    ``urgent_tokens`` is the part for streams that can still be in time.
     """
 
     tokens: int
@@ -153,7 +153,7 @@
 def stream_times(
     arrived_at: float,
     first_sent_at: float,
-    continued_at: float | None,
+    has_begun: bool,
     target_seconds: float,
     gap_seconds: float,
     deadline: float,
@@ -162,15 +162,15 @@
 
     Load pattern: callers that take streams up again in large numbers, beside more new ones than the
     engines' memory allows. They come together, so they would turn late together and yield to all
-    new ones from then on, of which some are always in time. A stream that has begun is never late:
-    what engines have already done for it is lost if it does not go on.
+    new ones from then on, of which some are always in time. A stream that has begun is never late,
+    and waits until the timeout: what engines have already done for it is lost if it does not go on.
 
     Parameters
     ----------
     arrived_at, first_sent_at
         Times of the present and of the first attempt of the caller.
-    continued_at
-        Time at which the stream is to go on, or None if it has not begun.
+    has_begun
+        Whether the caller has got a part of the stream, which is to go on.
     target_seconds, gap_seconds
         Maximum time to the first event, and between two events, of a stream that is on time.
     deadline
@@ -178,17 +178,15 @@
 
     Example
     -------
-    >>> stream_times(10.0, 7.0, None, 1.0, 0.3, 20.0).late_at
+    >>> stream_times(10.0, 7.0, False, 1.0, 0.3, 20.0).late_at
     8.0
-    >>> stream_times(10.0, 7.0, 10.0, 1.0, 0.3, 20.0).late_at
-    14.0
+    >>> stream_times(10.0, 7.0, True, 1.0, 0.3, 20.0).late_at
+    20.0
     """
-    patience = patience_seconds(target_seconds, gap_seconds)
-    if continued_at is not None:
-        leaves_at = min(continued_at + patience, deadline)
-        return StreamTimes(arrived_at, leaves_at, leaves_at)
+    if has_begun:
+        return StreamTimes(arrived_at, deadline, deadline)
     late_at = first_sent_at + target_seconds
-    leaves_at = min(arrived_at + patience, deadline)
+    leaves_at = min(arrived_at + patience_seconds(target_seconds, gap_seconds), deadline)
     return StreamTimes(arrived_at, late_at, max(leaves_at, late_at))
 
 
--- a/pimentoquay/policy/tests/test_continued_streams.py
+++ b/pimentoquay/policy/tests/test_continued_streams.py
@@ -48,7 +48,7 @@
         times = stream_times(
             self.now,
             self.now - earlier,
-            self.now if is_continued else None,
+            is_continued,
             TARGET,
             GAP,
             self.now + TIMEOUT - earlier,
--- a/pimentoquay/policy/tests/test_resumed_herds.py
+++ b/pimentoquay/policy/tests/test_resumed_herds.py
@@ -39,11 +39,15 @@
 
 @dataclass
 class Herd(EventQueue):
-    """Callers of streams at some VMs, before engines of two versions with a number of places."""
+    """Callers of streams at some VMs, before engines of two versions with a number of places.
+
+    ``places_after`` are those after the kill, if engines have left or joined meanwhile.
+    """
 
     seed: int
     vms: int = 7
     places: dict = field(default_factory=lambda: {"v1": 24, "v2": 24})
+    places_after: dict = field(default_factory=dict)
     overload: float = 1.3
     seconds: float = 30.0
 
@@ -77,7 +81,7 @@
             caller.software, caller.runs = software, caller.runs + 1
             back_at = self.now + CALLERS_BACK_AFTER + self.random.uniform(0.0, 0.1)
             self.at(back_at, self.arrive, caller)
-        self.running, self.free = {}, dict(self.places)
+        self.running, self.free = {}, dict(self.places_after or self.places)
 
     def arrive(self, caller):
         if self.is_down:
@@ -89,7 +93,7 @@
         times = stream_times(
             self.now,
             first_request_at(self.now, left, TIMEOUT),
-            self.now if caller.software else None,
+            bool(caller.software),
             TARGET,
             GAP,
             self.now + left,
@@ -158,3 +162,11 @@
     """On half-released, 22 of 64 streams that were taken up went on, and 375 of 514 new ones."""
     share = Herd(seed, vms).run()
     assert share[True] >= 0.5 * share[False]
+
+
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_streams_of_a_version_with_half_of_its_engines_left_wait_until_they_go_on(seed):
+    """They were refused after 3.3 s, and came back in vain for as long as their callers waited."""
+    places, after = {"v1": 48, "v2": 0}, {"v1": 24, "v2": 24}
+    share = Herd(seed, places=places, places_after=after, overload=1.0).run()
+    assert share[True] >= share[False]
