Compute the wait of a stream that goes on by its own engines

What callers saw: 429 some milliseconds after their stream was taken up, while engines of its version served and new streams began at others.

Cause: all that waits, for whichever version, counted as being before it, while only the memory of its own engines counts as coming free there; so its wait was too long by the share of these engines, most of all at coordinators of pools. A gateway took the limits of all engines for its own, too. Where nothing is known of what its engines hold, the wait came out as endless.

Change: policy/stream_queue.py counts what waits for the same version, and of new streams the part that these engines take. Streams whose engines' load is not known wait.

Evidence: the new test of the pool's placement failed before (refused, with 10.5 s expected where 3 s are needed) and passes; switched off, it fails again.

--- a/pimentoquay/bench/mutations/path_switches.py
+++ b/pimentoquay/bench/mutations/path_switches.py
@@ -2,6 +2,7 @@
 
 from pimentoquay.bench.mutations.replacements import (
     close_versions_to_all_streams,
+    count_all_as_ahead,
     ignore_continuation,
     keep_role_while_cut_off,
     leave_like_new_streams,
@@ -20,6 +21,7 @@
 _PATHS = "pimentoquay/policy/tests/test_engine_paths.py::"
 _STORED = "pimentoquay/policy/tests/test_stored_origins.py::"
 _REJOINED = "pimentoquay/gateway/tests/test_rejoined_streams.py::"
+_POOLS = "pimentoquay/policy/tests/test_pools.py::"
 
 PATH_SWITCHES = (
     Switch(
@@ -123,6 +125,12 @@
         "pimentoquay/policy/tests/test_resumed_herds.py::"
         "test_streams_that_come_back_together_are_not_crowded_out_by_new_ones",
     ),
+    Switch(
+        "streams that go on wait for their own engines only",
+        "pimentoquay.policy.pool_placement:tokens_ahead",
+        count_all_as_ahead,
+        _POOLS + "test_a_stream_that_goes_on_does_not_wait_behind_those_for_other_engines",
+    ),
     Switch(
         "streams that have begun wait as long as their callers",
         "pimentoquay.policy.tests.test_resumed_herds:stream_times",
--- a/pimentoquay/bench/mutations/replacements.py
+++ b/pimentoquay/bench/mutations/replacements.py
@@ -20,6 +20,7 @@
     "apply_append_at_once",
     "choose_any_versions",
     "close_versions_to_all_streams",
+    "count_all_as_ahead",
     "disable_reader_takeover",
     "do_nothing_async",
     "find_server_refusing",
@@ -107,6 +108,11 @@
     return stream_times
 
 
+def count_all_as_ahead(original: Any) -> Any:
+    """Let what waits for other engines delay a stream too."""
+    return lambda waiting, software, *rest: original(waiting, "", *rest)
+
+
 def leave_like_new_streams(original: Any) -> Any:
     """Let a stream that is taken up wait no longer than a new one."""
 
--- a/pimentoquay/gateway/pool_coordinator.py
+++ b/pimentoquay/gateway/pool_coordinator.py
@@ -129,17 +129,14 @@
         outcome, seconds = PlaceOutcome.QUEUED, 0.0
         if is_new:
             closed = self._shared.closed_versions(key.service, DECODE_STAGES)
-            engines = [
-                each
-                for each in self._decode_engines(key)
-                if may_run(each, message.software, closed)
-            ]
+            listed = self._decode_engines(key)
+            engines = [each for each in listed if may_run(each, message.software, closed)]
             limits = self._shared.links.limits
             if (wait := self._limit_wait(key, pool)) > message.leaves_in:
                 pool.placement.cancel(stream_key)
                 outcome, seconds = PlaceOutcome.REFUSED, min(wait, MAX_LIMIT_WAIT_SECONDS)
             elif not engines or any(limits.may_grant(engine, now) for engine in engines):
-                decision = pool.placement.refuse_long_wait(stream_key, engines, now)
+                decision = pool.placement.refuse_long_wait(stream_key, listed, now, closed)
                 if not decision.should_wait:
                     outcome, seconds = PlaceOutcome.REFUSED, decision.seconds
         self._reply(source, message.key, message.pool, outcome, seconds)
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -223,31 +223,31 @@
         ).info("wait of a stream that goes on ended")
 
     def _refuse_long_wait(self, job: Job, waiter: WaitingStream) -> None:
-        engines = {*self._decode_engines(job), *self._decode_engines(job, waiter.software)}
+        software = waiter.software
+        engines = self._decode_engines(job, software)
         self._refuse_if_paused(job)
         now = asyncio.get_running_loop().time()
         patience = waiter.times.leaves_at - self._limits.work_seconds - now
-        self._shared.refuse_over_limit(job.service, DECODE_STAGES, len(self._waiting), patience)
-        if self._shared.limit_wait(job.service, DECODE_STAGES):
+        self._shared.refuse_over_limit(
+            job.service, DECODE_STAGES, len(self._waiting), patience, software
+        )
+        if self._shared.limit_wait(job.service, DECODE_STAGES, software=software):
             return  # The limits of all engines are used up for now, whatever memory is free.
-        if not engines:
+        if not engines and not software:
             raise RefusedError(
                 ResultCode.NO_BACKEND, "no decode engine is listed", RETRY_AFTER_SECONDS
             )
         held = self._run_ledger.expected(engines, now)
-        own, peers = self.queued, self._peers_queued()
-        ahead = own.tokens + peers.tokens
+        if software and not held:
+            return  # Nothing is known of what its engines hold, so nothing of the wait.
+        share = len(engines) / len({*engines, *self._decode_engines(job)})
+        ahead = self._waiting.tokens_ahead(software, share, self._peers_queued(), now)
+        rate = self._release_rate.tokens_per_second(held)
         decision = decide_wait(
-            waiter.need.tokens,
-            own.urgent_tokens + peers.urgent_tokens,
-            ahead,
-            self._release_rate.tokens_per_second(held),
-            waiter.times,
-            now,
-            self._limits,
+            waiter.tokens, ahead.urgent_tokens, ahead.tokens, rate, waiter.times, now, self._limits
         )
         if not decision.should_wait:
-            detail = f"{ahead} tokens wait, {held} are held"
+            detail = f"{ahead.tokens} tokens wait, {held} are held"
             raise RefusedError(ResultCode.QUEUE_FULL, detail, decision.seconds)
 
     def _refuse_if_paused(self, job: Job) -> None:
--- a/pimentoquay/gateway/shared_state.py
+++ b/pimentoquay/gateway/shared_state.py
@@ -174,14 +174,18 @@
         )
 
     def limit_wait(
-        self, service: str, stages: Collection[EngineStage] = ALL_STAGES, ahead: int = 0
+        self,
+        service: str,
+        stages: Collection[EngineStage] = ALL_STAGES,
+        ahead: int = 0,
+        software: str = "",
     ) -> float | None:
         """Return the seconds until a request may be sent after ``ahead`` others, by the limits.
 
         ``None`` if an available engine has no limit or no engine is available, infinite if this VM
         has no share of any limit.
         """
-        engines = self.engines_for_stream(service, stages)
+        engines = self.engines_for_stream(service, stages, software)
         now, limits = asyncio.get_running_loop().time(), self.links.limits
         if not engines or any(limits.limit_of(each.start) is None for each in engines):
             return None
@@ -195,6 +199,7 @@
         stages: Collection[EngineStage] = ALL_STAGES,
         ahead: int = 0,
         patience: float = 0.0,
+        software: str = "",
     ) -> None:
         """Raise ``RefusedError`` if the limits of all engines allow no request within patience.
 
@@ -206,8 +211,10 @@
             Number of requests that go first.
         patience
             Seconds for which the request can wait.
+        software
+            Version that began the stream, or empty if none has.
         """
-        wait = self.limit_wait(service, stages, ahead)
+        wait = self.limit_wait(service, stages, ahead, software)
         if wait is None or wait <= patience:
             return
         self.refused_over_limit += 1
--- a/pimentoquay/policy/pool_placement.py
+++ b/pimentoquay/policy/pool_placement.py
@@ -26,6 +26,7 @@
     WaitDecision,
     decide_wait,
 )
+from pimentoquay.policy.stream_queue import tokens_ahead
 from pimentoquay.policy.token_ledger import TokenLedger
 from pimentoquay.policy.version_choice import may_run
 
@@ -68,6 +69,11 @@
     may_prefill_on_decode_engine: bool = True
     software: str = ""
 
+    @property
+    def tokens(self) -> int:
+        """Memory by which it counts while it waits, in tokens."""
+        return self.need
+
 
 @dataclass(frozen=True)
 class Grant:
@@ -142,7 +148,11 @@
         return is_new
 
     def refuse_long_wait(
-        self, key: StreamKey, engines: Sequence[EngineEntry], now: float
+        self,
+        key: StreamKey,
+        engines: Sequence[EngineEntry],
+        now: float,
+        closed: Collection[str] = (),
     ) -> WaitDecision:
         """Decide whether a waiting stream may go on waiting; it is dropped if not.
 
@@ -154,18 +164,20 @@
             Decode engines of the pool that accept work.
         now
             Current time in seconds.
+        closed
+            Versions at which no new stream may begin.
         """
         stream = self._waiting_by_key[key].stream
-        urgent = all_waiting = 0
-        for other, each in self._waiting_by_key.items():
-            if other == key:
-                continue
-            all_waiting += each.stream.need
-            if each.stream.times.urgency(now, self._limits) is StreamUrgency.IN_TIME:
-                urgent += each.stream.need
-        rate = self._release_rate.tokens_per_second(self.ledger.expected(engines, now))
+        usable = [each for each in engines if may_run(each, stream.software, closed)]
+        share = len(usable) / max(1, len(engines))
+        others = (each.stream for other, each in self._waiting_by_key.items() if other != key)
+        ahead = tokens_ahead(others, stream.software, share, now, self._limits)
+        held = self.ledger.expected(usable, now)
+        if stream.software and not held:
+            return WaitDecision(True, 0.0)
+        rate = self._release_rate.tokens_per_second(held)
         decision = decide_wait(
-            stream.need, urgent, all_waiting, rate, stream.times, now, self._limits
+            stream.need, ahead.urgent_tokens, ahead.tokens, rate, stream.times, now, self._limits
         )
         if not decision.should_wait:
             del self._waiting_by_key[key]
--- a/pimentoquay/policy/stream_queue.py
+++ b/pimentoquay/policy/stream_queue.py
@@ -1,7 +1,8 @@
 """The streams that wait for memory at one VM, and the order in which they get it."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
+from typing import Protocol
 
 from pimentoquay.policy.memory_forecast import MemoryNeed
 from pimentoquay.policy.stream_admission import (
@@ -11,7 +12,56 @@
     StreamUrgency,
 )
 
-__all__ = ["StreamQueue", "WaitingStream"]
+__all__ = ["StreamQueue", "Waiting", "WaitingStream", "tokens_ahead"]
+
+
+class Waiting(Protocol):
+    """A stream that waits, here or at a coordinator."""
+
+    @property
+    def tokens(self) -> int:
+        """Memory that it waits for, in tokens."""
+
+    @property
+    def times(self) -> StreamTimes:
+        """Its arrival and deadlines."""
+
+    @property
+    def software(self) -> str:
+        """Version that began it, or empty if none has."""
+
+
+def tokens_ahead(
+    waiting: Iterable[Waiting], software: str, share: float, now: float, limits: AdmissionLimits
+) -> QueuedTokens:
+    """Return the memory that streams wait for before another one, where it may run.
+
+    Load pattern: engines of several software versions, and streams of each of them that callers
+    take up, beside new ones that may begin anywhere. What waits for other engines does not delay a
+    stream.
+
+    Parameters
+    ----------
+    waiting
+        The streams that wait.
+    software
+        Version that began the stream, or empty if none has.
+    share
+        Share of the engines that may run the stream. New streams wait for that part of them.
+    now
+        Current time in seconds.
+    limits
+        Limits of admission.
+    """
+    tokens = urgent = 0.0
+    for each in waiting:
+        part = 1.0
+        if software:
+            part = float(each.software == software) if each.software else share
+        tokens += part * each.tokens
+        if each.times.urgency(now, limits) is StreamUrgency.IN_TIME:
+            urgent += part * each.tokens
+    return QueuedTokens(int(tokens), int(urgent))
 
 
 @dataclass(frozen=True, eq=False)
@@ -22,6 +72,11 @@
     times: StreamTimes
     software: str = ""
 
+    @property
+    def tokens(self) -> int:
+        """Expected memory at its end, in tokens."""
+        return self.need.tokens
+
 
 class StreamQueue:
     """Streams that wait at one VM, by urgency and then by arrival.
@@ -55,11 +110,35 @@
 
     def queued(self, now: float) -> QueuedTokens:
         """Return the memory that the streams wait for, in tokens."""
+        urgent = [each for each in self._streams if self._is_urgent(each, now)]
         return QueuedTokens(
-            sum(each.need.tokens for each in self._streams),
-            sum(each.need.tokens for each in self._streams if self._is_urgent(each, now)),
+            sum(each.tokens for each in self._streams), sum(each.tokens for each in urgent)
         )
 
+    def tokens_ahead(
+        self, software: str, share: float, peers: QueuedTokens, now: float
+    ) -> QueuedTokens:
+        """Return the memory that streams here and at other VMs wait for before another one.
+
+        Peers do not tell for which versions their streams wait, so of theirs only the urgent ones,
+        which have not begun, count for a stream that has.
+
+        Parameters
+        ----------
+        software, share
+            Version that began the stream, if any, and the share of the engines that may run it.
+        peers
+            Memory that streams wait for at the other VMs.
+        now
+            Current time in seconds.
+        """
+        own = tokens_ahead(self._streams, software, share, now, self._limits)
+        if software:
+            urgent = tokens = int(share * peers.urgent_tokens)
+        else:
+            urgent, tokens = peers.urgent_tokens, peers.tokens
+        return QueuedTokens(own.tokens + tokens, own.urgent_tokens + urgent)
+
     def ahead_of(self, stream: WaitingStream, now: float) -> list[WaitingStream]:
         """Return the streams that are to be served before another one."""
 
--- a/pimentoquay/policy/tests/test_pools.py
+++ b/pimentoquay/policy/tests/test_pools.py
@@ -184,6 +184,23 @@
     assert placed is not None and placed[0] == ("a", "goes on")
 
 
+def test_a_stream_that_goes_on_does_not_wait_behind_those_for_other_engines():
+    """It was refused at once: all that waited counted, but only its own engines' memory."""
+    engines = [replace(each, software=f"v{number}") for number, each in enumerate(ENGINES)]
+    pool = PoolPlacement("hall", 0.0)
+    runs = {each.id: (GrowingRun(600, 0),) for each in engines}
+    pool.apply_report("b", runs, {}, 0, 0.0)
+    others = [replace(need(300), software="v1") for _ in range(4)] + [need(300)] * 2
+    for number, stream in enumerate(others):
+        pool.request(("b", str(number)), stream, 0.0)
+    times = StreamTimes(0.0, 4.4, 4.4)
+    pool.request(("a", "goes on"), replace(need(300), software="v0", times=times), 0.0)
+    assert pool.refuse_long_wait(("a", "goes on"), engines, 0.0).should_wait
+    new = replace(need(300), times=times)
+    pool.request(("a", "new"), new, 0.0)
+    assert not pool.refuse_long_wait(("a", "new"), engines, 0.0).should_wait
+
+
 def test_a_stream_that_would_wait_too_long_is_refused_and_not_kept():
     pool = PoolPlacement("hall", 0.0)
     pool.request(("a", "r"), need(), 0.0)
