Let late new streams use engines for which no stream waits elsewhere

What callers saw: while streams of one version waited to go on at some gateways, late new streams at all others waited too, though engines of other versions had memory.

Cause: late streams yield to all that other gateways say can still be in time. A stream that has begun is in time as long as it waits, and may wait for engines that new ones do not need. Gateways do not tell each other the versions, and cannot before the builds that read no further field are gone.

Change: the urgent memory that a gateway tells is that of new streams.

Evidence: the new test failed before and passes; switched off, it fails again.

--- a/pimentoquay/bench/mutations/path_switches.py
+++ b/pimentoquay/bench/mutations/path_switches.py
@@ -11,6 +11,7 @@
     return_to_path_at_once,
     turn_late_like_new_streams,
     use_no_path_before_its_time,
+    yield_to_all_streams,
 )
 from pimentoquay.bench.mutations.switch import Switch
 from pimentoquay.policy.engine_paths import Verdict
@@ -131,6 +132,13 @@
         count_all_as_ahead,
         _POOLS + "test_a_stream_that_goes_on_does_not_wait_behind_those_for_other_engines",
     ),
+    Switch(
+        "late streams yield to new ones only",
+        "pimentoquay.policy.stream_queue:StreamQueue.queued",
+        yield_to_all_streams,
+        "pimentoquay/policy/tests/test_resumed_herds.py::"
+        "test_late_new_streams_use_engines_for_which_no_stream_waits_elsewhere",
+    ),
     Switch(
         "streams that have begun wait as long as their callers",
         "pimentoquay.policy.tests.test_resumed_herds:stream_times",
--- a/pimentoquay/bench/mutations/replacements.py
+++ b/pimentoquay/bench/mutations/replacements.py
@@ -11,6 +11,7 @@
 from pimentoquay.kernel.codes import ResultCode
 from pimentoquay.orders.reconcile import is_reached
 from pimentoquay.policy import choose
+from pimentoquay.policy.stream_admission import QueuedTokens
 
 __all__ = [
     "accept_any_outcome",
@@ -46,6 +47,7 @@
     "turn_late_like_new_streams",
     "use_whole_limit",
     "wait_behind_all",
+    "yield_to_all_streams",
 ]
 
 
@@ -113,6 +115,16 @@
     return lambda waiting, software, *rest: original(waiting, "", *rest)
 
 
+def yield_to_all_streams(original: Any) -> Any:
+    """Tell other VMs that all streams which can be in time are to be served first."""
+
+    def queued(self: Any, now: float) -> QueuedTokens:
+        urgent = sum(each.tokens for each in self if self._is_urgent(each, now))
+        return replace(original(self, now), urgent_tokens=urgent)
+
+    return queued
+
+
 def leave_like_new_streams(original: Any) -> Any:
     """Let a stream that is taken up wait no longer than a new one."""
 
--- a/pimentoquay/policy/stream_queue.py
+++ b/pimentoquay/policy/stream_queue.py
@@ -109,10 +109,14 @@
         self._streams.remove(stream)
 
     def queued(self, now: float) -> QueuedTokens:
-        """Return the memory that the streams wait for, in tokens."""
-        urgent = [each for each in self._streams if self._is_urgent(each, now)]
+        """Return the memory that the streams wait for, in tokens, as other VMs are told.
+
+        The urgent part is that of new streams. Late ones of other VMs yield to it, and would leave
+        engines unused if they yielded to streams that wait for other engines.
+        """
+        new = [each for each in self._streams if not each.software and self._is_urgent(each, now)]
         return QueuedTokens(
-            sum(each.tokens for each in self._streams), sum(each.tokens for each in urgent)
+            sum(each.tokens for each in self._streams), sum(each.tokens for each in new)
         )
 
     def tokens_ahead(
--- a/pimentoquay/policy/tests/test_resumed_herds.py
+++ b/pimentoquay/policy/tests/test_resumed_herds.py
@@ -174,3 +174,15 @@
     share = load.run()
     assert load.asked[True] == load.broken
     assert share[True] >= 0.5 * share[False]
+
+
+def test_late_new_streams_use_engines_for_which_no_stream_waits_elsewhere():
+    """All late ones yielded to streams that waited to go on at the two engines of another VM."""
+    limits, now = AdmissionLimits(), 5.0
+    here, there = StreamQueue(limits), StreamQueue(limits)
+    there.add(WaitingStream(NEED, stream_times(4.0, 0.0, True, TARGET, GAP, 14.0), "v1"))
+    late = WaitingStream(NEED, stream_times(3.0, 3.0, False, TARGET, GAP, 14.0))
+    here.add(late)
+    assert here.is_next(late, there.queued(now), now)
+    there.add(WaitingStream(NEED, stream_times(4.9, 4.9, False, TARGET, GAP, 14.0)))
+    assert not here.is_next(late, there.queued(now), now)
