Choose the pool of a stream that goes on by its version's engines

What callers saw: with pools, a stream was taken up in the pool of its data centre or in the one with the shortest queue, also if one of its eight engines was left at the version of the stream, and waited there.

Cause: the room and the capacity of a pool counted whole, whatever part of its engines may run the stream.

Change: both count by that part.

Evidence: the new test chooses by the whole states first, as the code did, and gets the wrong pool; by the parts it gets the other one.

--- a/pimentoquay/gateway/pool_client.py
+++ b/pimentoquay/gateway/pool_client.py
@@ -26,7 +26,7 @@
 from pimentoquay.policy.pools import PoolState, choose_pool
 from pimentoquay.policy.prefill_choice import can_prefill_on_decode_engine
 from pimentoquay.policy.stream_admission import StreamTimes
-from pimentoquay.policy.version_choice import can_go_on
+from pimentoquay.policy.version_choice import decode_share
 
 __all__ = ["PoolClient", "PoolGrant", "StreamToPlace"]
 
@@ -232,13 +232,12 @@
             known = self._known_by_key.get(key)
             if known is None or now < known.avoided_until:
                 continue
-            if stream.software and not can_go_on(members, stream.software):
-                continue
-            if now - known.received_at <= SUMMARY_VALID_SECONDS:
+            share = decode_share(members, stream.software)
+            if share and now - known.received_at <= SUMMARY_VALID_SECONDS:
                 each = known.summary
                 state_by_key[key] = PoolState(
                     each.capacity, each.free, each.largest_free, each.waiting
-                )
+                ).part(share)
         data_centre = self._shared.placer.data_centre
         return choose_pool(state_by_key, data_centre, need.tokens, job.caller.id, avoided)
 
--- a/pimentoquay/policy/pools.py
+++ b/pimentoquay/policy/pools.py
@@ -15,7 +15,7 @@
 import math
 import zlib
 from collections.abc import Collection, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from pimentoquay.messages.pools import PoolKey
 from pimentoquay.policy.fleet import EngineEntry
@@ -39,6 +39,10 @@
     largest_free: int
     waiting: int
 
+    def part(self, share: float) -> "PoolState":
+        """Return the state as a stream sees it that a share of the engines may run."""
+        return replace(self, capacity=int(share * self.capacity), free=int(share * self.free))
+
 
 def pools_of(engines: Iterable[EngineEntry]) -> dict[PoolKey, tuple[EngineEntry, ...]]:
     """Return the engines of each pool; a data centre with many engines has several pools."""
--- a/pimentoquay/policy/tests/test_pools.py
+++ b/pimentoquay/policy/tests/test_pools.py
@@ -21,6 +21,7 @@
 )
 from pimentoquay.policy.relay_liveness import SUSPICION_SECONDS, RelayLiveness
 from pimentoquay.policy.stream_admission import StreamTimes
+from pimentoquay.policy.version_choice import decode_share
 
 USABLE = 1000
 KEY = PoolKey("llm", "hall", 0)
@@ -99,6 +100,17 @@
     assert choose_pool({**states, OTHER: state(0, 0, 900)}, "hall", 100, "r") == KEY
 
 
+def test_a_stream_goes_on_in_a_pool_with_many_engines_of_its_version():
+    """It waited in a pool of its data centre with one of them, behind those of other pools."""
+    engines = [replace(engine(f"e{n}"), software="v1" if n else "v0") for n in range(8)]
+    shares = {KEY: decode_share(engines, "v0"), OTHER: decode_share(engines[:1], "v0")}
+    assert shares == {KEY: 1 / 8, OTHER: 1.0}
+    states = {KEY: state(free=0, waiting=900), OTHER: state(free=0, waiting=1200)}
+    assert choose_pool(states, "hall", 100, "r") == KEY
+    parts = {key: states[key].part(share) for key, share in shares.items()}
+    assert choose_pool(parts, "hall", 100, "r") == OTHER
+
+
 def test_a_burst_of_many_gateways_overbooks_no_engine():
     """Each gateway placed by loads that were 0.1 s old, and all picked the same free engine."""
     pool = PoolPlacement("hall", 0.0)
--- a/pimentoquay/policy/version_choice.py
+++ b/pimentoquay/policy/version_choice.py
@@ -4,7 +4,7 @@
 
 from pimentoquay.policy.fleet import DECODE_STAGES, EngineEntry
 
-__all__ = ["can_go_on", "engines_for", "may_run"]
+__all__ = ["can_go_on", "decode_share", "engines_for", "may_run"]
 
 
 def may_run(engine: EngineEntry, software: str, closed: Collection[str] = ()) -> bool:
@@ -32,6 +32,24 @@
     )
 
 
+def decode_share(engines: Iterable[EngineEntry], software: str) -> float:
+    """Return the share of the decode engines that may run a stream.
+
+    It is 1 for a stream that has not begun, also if no engine is listed.
+
+    Parameters
+    ----------
+    engines
+        Engines of a pool.
+    software
+        Version that began the stream, or empty if none has.
+    """
+    if not software:
+        return 1.0
+    usable = [each for each in engines if each.stage in DECODE_STAGES and not each.is_draining]
+    return sum(may_run(each, software) for each in usable) / max(1, len(usable))
+
+
 def engines_for(
     engines: Iterable[EngineEntry], software: str, awaited: Collection[str]
 ) -> tuple[EngineEntry, ...]:
