--- a/pimentoquay/gateway/lifecycle.py
+++ b/pimentoquay/gateway/lifecycle.py
@@ -90,7 +90,12 @@
             )
         ]
         stopping = asyncio.create_task(stop.wait())
-        await asyncio.wait([stopping, *tasks], return_when=asyncio.FIRST_COMPLETED)
+        try:
+            await asyncio.wait([stopping, *tasks], return_when=asyncio.FIRST_COMPLETED)
+        except asyncio.CancelledError:
+            for task in (stopping, *tasks):
+                task.cancel()
+            raise
         for task in tasks:
             if task.done() and not task.cancelled() and task.exception() is not None:
                 raise task.exception()  # type: ignore[misc]
--- a/pimentoquay/standin/platform_engine.py
+++ b/pimentoquay/standin/platform_engine.py
@@ -208,6 +208,10 @@
             item["stage"] = self.stage
         return json.dumps(item).encode()
 
+    def event(self, number: int) -> bytes:
+        """Return an event of a stream."""
+        return f"id: {number}\ndata: piece {number}\n\n".encode()
+
     async def _handle(self, request: HttpRequest, reply: Reply) -> None:
         headers = {name.decode().lower(): value.decode() for name, value in request.headers}
         target = request.target.decode()
@@ -311,9 +315,7 @@
         lines = [b"HTTP/1.1 200 OK", *(b": ".join(pair) for pair in headers), b"", b""]
         transport.write(b"\r\n".join(lines))
         count = self.events if behaviour is Behaviour.UNFRAMED else 3
-        events = [
-            f"id: {number}\ndata: piece {number}\n\n".encode() for number in range(1, count + 1)
-        ]
+        events = [self.event(number) for number in range(1, count + 1)]
         body = b"".join(events) if self.stage else b"answer of " + self.id.encode()
         if behaviour is Behaviour.UNFRAMED_HALF_EVENT:
             body = body[:-4]
@@ -369,7 +371,7 @@
                     reply.write(b"id: 3\nda")
                     reply.abort()
                     return
-                reply.write(f"id: {number}\ndata: piece {number}\n\n".encode())
+                reply.write(self.event(number))
                 await asyncio.sleep(self.pause)
             reply.end()
             is_complete = True
