Read the store before a gateway out of step trusts the version it knows

Cause: a gateway that had seen one version within the life of a stream took it for the origin of any stream that it did not know, also while it could not have heard of a second one. The age of its list does not show that: it is below its limit for the first second of a cut.

Change: policy/version_doubt.py says whether a gateway is in step. It is while it hears a heartbeat of each peer since the last channel to it was opened or closed, and has not stood still by boot time; behind relays its list must also be as young as usual. If not, it reads the engines, the versions and, during a release, the origins from the store after the stream came, then decides. Streams that come together share one read. If the store does not answer within 0.5 s, the caller is told to come back. In step no call is made. Messages and records are unchanged. The log line and resumptions_total say why a gateway doubted what it knew.

--- a/pimentoquay/bench/mutations/path_switches.py
+++ b/pimentoquay/bench/mutations/path_switches.py
@@ -3,6 +3,7 @@
 from pimentoquay.bench.mutations.replacements import (
     close_versions_to_all_streams,
     count_all_as_ahead,
+    do_nothing_async,
     ignore_continuation,
     keep_role_while_cut_off,
     leave_like_new_streams,
@@ -23,6 +24,8 @@
 _STORED = "pimentoquay/policy/tests/test_stored_origins.py::"
 _REJOINED = "pimentoquay/gateway/tests/test_rejoined_streams.py::"
 _POOLS = "pimentoquay/policy/tests/test_pools.py::"
+_STEP = "pimentoquay/gateway/tests/test_out_of_step.py::"
+_DOUBT = "pimentoquay/policy/tests/test_version_doubt.py::"
 
 PATH_SWITCHES = (
     Switch(
@@ -112,6 +115,32 @@
         return_constant(None),
         _REJOINED + "test_streams_of_both_versions_go_on_at_theirs_after_all_were_killed",
     ),
+    Switch(
+        "gateway out of step doubts what it knows",
+        "pimentoquay.gateway.step_watch:find_doubt",
+        return_constant(None),
+        _STEP + "test_streams_do_not_change_their_version_at_a_gateway_that_is_cut_off_from_the_"
+        "others",
+    ),
+    Switch(
+        "gateway out of step reads the store",
+        "pimentoquay.gateway.origin_store:OriginStore.read_now",
+        do_nothing_async,
+        _STEP + "test_streams_go_on_at_a_gateway_that_knows_both_versions_and_was_not_told_their_"
+        "origin",
+    ),
+    Switch(
+        "peers that fall silent noticed",
+        "pimentoquay.policy.version_doubt:HeardPeers.unheard",
+        return_constant(frozenset()),
+        _DOUBT + "test_a_peer_that_was_never_heard_is_expected_for_a_time",
+    ),
+    Switch(
+        "time in which a gateway stood still",
+        "pimentoquay.policy.version_doubt:Standstill.is_recent",
+        return_constant(False),
+        _STEP + "test_streams_do_not_change_their_version_at_a_gateway_that_has_stood_still",
+    ),
     Switch(
         "streams taken up are due like new ones",
         "pimentoquay.policy.tests.test_continued_streams:stream_times",
--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -59,6 +59,7 @@
 from pimentoquay.gateway.reservations import Reservations
 from pimentoquay.gateway.shared_state import RetryBudgets, SharedState
 from pimentoquay.gateway.stage_controller import StageController
+from pimentoquay.gateway.step_watch import StepWatch
 from pimentoquay.gateway.stream_origins import OriginExchange
 from pimentoquay.gateway.streams import StreamForwarder
 from pimentoquay.http1 import (
@@ -191,7 +192,10 @@
         shared.demand,
         lambda: reservations.queued,
     )
-    mesh = Mesh(node, peers, fleet, loads, settings.control_address, era)
+    polling_schedule = poll_timing(bounds.drain_seconds, bounds.config_seconds, settings.vm)
+    step = StepWatch(node.timers, fleet, polling_schedule.stale_age)
+    mesh = Mesh(node, peers, fleet, loads, settings.control_address, era, step)
+    mesh.on_plan_changed.append(lambda: step.update_plan(mesh.plan))
     coordinator = PoolCoordinator(
         node, shared, usable, pool_coordinator_of, send_to, mesh.broadcast_summary
     )
@@ -211,7 +215,6 @@
     mesh.on_load_changed.append(reservations.recheck_waiters)
     mesh.on_load_changed.append(lambda: _apply_mesh_state(shared, mesh))
     store = StoreClient(settings.store_address, era)
-    polling_schedule = poll_timing(bounds.drain_seconds, bounds.config_seconds, settings.vm)
     feed = StoreFeed(
         store,
         fleet,
@@ -222,6 +225,10 @@
         mesh.publish,
         mesh.send_list_age,
     )
+    origin_store = OriginStore(
+        settings.vm, store, node.timers, origins, mesh.is_reader, feed.read_engines
+    )
+    origins.find_doubt, origins.read_store = step.find_doubt, origin_store.read_now
     stage_controller = StageController(
         settings.vm,
         shared,
@@ -300,7 +307,7 @@
         coordinator,
         guard,
         origins,
-        OriginStore(settings.vm, store, node.timers, origins, mesh.is_reader),
+        origin_store,
         dispatcher,
         caller_server,
         readiness_server,
--- a/pimentoquay/gateway/feed.py
+++ b/pimentoquay/gateway/feed.py
@@ -106,6 +106,14 @@
             if should_read and removals:
                 self._publish(FleetCopy(-1, b"", removals, -1, ()))
 
+    async def read_engines(self) -> None:
+        """Read the whole list of engines now; raise ``StoreError`` on failure.
+
+        What was written since the last read may be more than one page.
+        """
+        await self._read_latest(ENGINE_TOPIC)
+        self._on_read()
+
     def _handle_restored(self) -> None:
         """Read everything again after the store was restored from an older copy."""
         era = self._store.era.value
@@ -169,8 +177,11 @@
                 handle(page.records, page.next_position, False)
                 self._next_by_topic[topic] = page.next_position
                 return
+        await self._read_latest(topic)
+
+    async def _read_latest(self, topic: str) -> None:
         latest = await self._store.read_latest(topic)
-        handle(latest.records, latest.next_position, True)
+        self._handler_by_topic[topic](latest.records, latest.next_position, True)
         self._next_by_topic[topic] = latest.next_position
 
     async def _write_quarantines(self) -> None:
--- a/pimentoquay/gateway/lifecycle.py
+++ b/pimentoquay/gateway/lifecycle.py
@@ -75,6 +75,7 @@
         await self._listen()
         self.pool_client.start()
         self.origins.start()
+        self.mesh.step.start()
         self.paths.start()
         self.path_watch.start()
         self.node.timers.every(EVIDENCE_EXPIRY_SECONDS, self.guard.expire)
@@ -142,6 +143,7 @@
         while True:
             try:
                 self.mesh.update_addresses(await self.feed.read_vm_addresses())
+                self.mesh.step.knows_peers = True
             except StoreError as error:
                 logger.bind(error=str(error)).info(
                     "failed to read the peers' addresses; will retry"
--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -11,14 +11,12 @@
 from typing import Any
 
 from pimentoquay.gateway.fleet import Fleet
-from pimentoquay.gateway.load_exchange import (
-    HEARTBEAT_SECONDS,
-    LoadExchange,
-)
+from pimentoquay.gateway.load_exchange import HEARTBEAT_SECONDS, LoadExchange
 from pimentoquay.gateway.notices import NoticeExchange
 from pimentoquay.gateway.peer_loads import PeerLoadTable
 from pimentoquay.gateway.peer_presence import PeerPresence
 from pimentoquay.gateway.relays import TIMEOUT_SECONDS, RelayNetwork
+from pimentoquay.gateway.step_watch import StepWatch
 from pimentoquay.gateway.vm_addresses import VmAddresses
 from pimentoquay.kernel import Channel, ChannelClosed, ChannelOpened, Envelope, Node
 from pimentoquay.kernel.logs import logger
@@ -86,12 +84,14 @@
         loads: PeerLoadTable,
         address: str,
         era: StoreEra,
+        step: StepWatch,
     ) -> None:
         self._node = node
         self._peers = peers
         self._fleet = fleet
         self.loads = loads
         self._era = era
+        self.step = step
         self._vm = node.identity.vm
         self.addresses = VmAddresses(VmAddress(self._vm, address, node.identity.data_centre, -1))
         self._presence = PeerPresence(node.timers.now, HEARTBEAT_SECONDS)
@@ -251,6 +251,7 @@
                 channel.send(message)
 
     def _receive(self, envelope: Envelope) -> None:
+        self.step.receive(envelope)
         channel = envelope.channel
         if channel is not None:
             self._presence.record_direct(channel.peer.vm)
--- a/pimentoquay/gateway/origin_store.py
+++ b/pimentoquay/gateway/origin_store.py
@@ -1,12 +1,14 @@
 """Versions and origins of streams in the platform's store, for gateways that start after a kill.
 
-Each gateway reads them once when it starts. The gateway that polls the store writes for all.
+Each gateway reads them once when it starts, and again when it has to know where a stream began and
+may be out of step with the others. The gateway that polls the store writes for all.
 """
 
+import asyncio
 import hashlib
 import json
 import math
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from pimentoquay.gateway.stream_origins import OriginExchange
 from pimentoquay.kernel import TimerService
@@ -26,6 +28,12 @@
 CLEAN_SECONDS = 1.0
 """Interval at which one record that is no longer needed is removed."""
 
+COLLECT_SECONDS = 0.02
+"""Time for which resumptions are collected that need the same read."""
+
+READ_SECONDS = 0.5
+"""Time after which a resumption waits no longer for a read, which takes a few milliseconds."""
+
 
 class OriginStore:
     """Loads what earlier gateways have stored, and stores what is learned.
@@ -38,6 +46,8 @@
         The store, the process's timers, and what is known of streams.
     is_writer
         Returns whether this gateway writes.
+    read_engines
+        Reads the list of engines from the store.
     """
 
     def __init__(
@@ -47,12 +57,16 @@
         timers: TimerService,
         origins: OriginExchange,
         is_writer: Callable[[], bool],
+        read_engines: Callable[[], Awaitable[None]],
     ) -> None:
         self._vm = vm
         self._store = store
         self._timers = timers
         self._origins = origins
         self._is_writer = is_writer
+        self._read_engines = read_engines
+        self._read_lock = asyncio.Lock()
+        self._next_read: asyncio.Future[bool] | None = None
         self._stored_at_by_key: dict[str, float] = {}
         self._cleaned_at = timers.now()
         store.era.on_raised.append(origins.store_again)
@@ -65,6 +79,26 @@
             succeeded = await self._try(self._write) if self._is_writer() else True
             await self._timers.sleep(WRITE_SECONDS if succeeded else RETRY_SECONDS)
 
+    async def read_now(self) -> bool:
+        """Read the engines, the versions and, during a release, where streams began.
+
+        Return whether that succeeded in time. The read begins after the call; calls that come
+        together share one.
+        """
+        if self._next_read is None:
+            self._next_read = asyncio.ensure_future(self._read_in_turn())
+        try:
+            async with asyncio.timeout(READ_SECONDS):
+                return await asyncio.shield(self._next_read)
+        except TimeoutError:
+            return False
+
+    async def _read_in_turn(self) -> bool:
+        async with self._read_lock:
+            await self._timers.sleep(COLLECT_SECONDS)
+            self._next_read = None
+            return await self._try(self._catch_up)
+
     async def _try(self, work: Callable) -> bool:  # type: ignore[type-arg]
         try:
             await work()
@@ -74,19 +108,30 @@
         return True
 
     async def _load(self) -> None:
-        versions = await self._store.read_latest(VERSION_TOPIC)
-        streams = await self._store.read_latest(STREAM_TOPIC)
+        versions = await self._read_versions()
+        self._origins.load(versions, await self._read_batches())
+
+    async def _catch_up(self) -> None:
+        await self._read_engines()
+        versions = await self._read_versions()
+        self._origins.load(versions, ())
+        if self._origins.mixed_services:
+            self._origins.load((), await self._read_batches())
+
+    async def _read_versions(self) -> list[tuple[str, str]]:
+        page = await self._store.read_latest(VERSION_TOPIC)
+        found = [_parse_version(each.value) for each in page.records if each.value]
+        return [each for each in found if each is not None]
+
+    async def _read_batches(self) -> list[StreamsBegun]:
+        page = await self._store.read_latest(STREAM_TOPIC)
         now = self._timers.now()
-        found = [_parse_version(each.value) for each in versions.records if each.value]
         batches = []
-        for record in streams.records:
+        for record in page.records:
             if record.value is not None:
-                self._stored_at_by_key[record.key] = now
+                self._stored_at_by_key.setdefault(record.key, now)
                 batches.append(_parse_batch(record.key, record.value))
-        self._origins.load(
-            [each for each in found if each is not None],
-            [each for each in batches if each is not None],
-        )
+        return [each for each in batches if each is not None]
 
     async def _write(self) -> None:
         origins = self._origins
--- a/pimentoquay/gateway/stream_origins.py
+++ b/pimentoquay/gateway/stream_origins.py
@@ -6,8 +6,8 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
-from typing import Any
+from collections.abc import Awaitable, Callable, Iterable, Mapping
+from typing import Any, NoReturn
 
 from pimentoquay.gateway.fleet import Fleet
 from pimentoquay.gateway.job import Job
@@ -33,6 +33,7 @@
     StreamOrigins,
     stream_key,
 )
+from pimentoquay.policy.version_doubt import Doubt, Verdict, judge
 
 __all__ = ["OriginExchange"]
 
@@ -43,7 +44,7 @@
 """Interval at which streams and versions are dropped that are older than any stream can be."""
 
 LOAD_SECONDS = 0.5
-"""Time after which a caller is told to come back while the store has not been read yet."""
+"""Time after which a caller is told to come back to a gateway that may have missed something."""
 
 OBSERVE_SECONDS = 1.0
 """Age of what is known of the listed versions above which they are looked at again."""
@@ -63,7 +64,9 @@
 
     ``recorded`` holds the versions that the store holds, ``batches`` the streams that it may not
     hold yet. ``refused`` counts the resumptions that were refused as nobody knows where their
-    stream began, ``resumed_by_origin`` the others by how that was known.
+    stream began, ``resumed_by_origin`` all by how that was known. ``find_doubt`` returns why this
+    gateway may be out of step, given whether it has loaded, and ``read_store`` reads what it may
+    have missed and returns whether that succeeded.
 
     Parameters
     ----------
@@ -88,6 +91,8 @@
         self.batches = OriginBatches(HANDOVER_SECONDS)
         self.refused = 0
         self.resumed_by_origin: Counter[str] = Counter()
+        self.find_doubt: Callable[[bool], Doubt | None] = lambda is_loaded: None
+        self.read_store: Callable[[], Awaitable[bool]]
         self.handler = NoticeHandler(self._apply, self._snapshot)
         self.versions_handler = NoticeHandler(self._apply_versions, self._versions_snapshot)
         fleet.on_engines_changed.append(self.observe)
@@ -106,42 +111,62 @@
         """Number of streams of which the origin is known here."""
         return len(self._known) + len(self._own)
 
-    def software_of(self, job: Job) -> str:
+    async def software_of(self, job: Job) -> str:
         """Return the version at which the stream began that a caller takes up.
 
+        While this gateway may be out of step with the others, the store is read first.
+
         Raises
         ------
         RefusedError
             If it is not known and more than one version may have begun it.
         """
-        software, how = self._find(job)
-        self.resumed_by_origin[how] += 1
+        arrived_at, list_age = self._timers.now(), self._fleet.list_age
+        doubt: Doubt | None = None
+        has_read: bool | None = None
+        if (found := self._told_origin(job)) is None:
+            self.observe()
+            doubt = self.find_doubt(self._is_loaded)
+            if judge(self._served(job), doubt, has_read) is Verdict.READ:
+                has_read = await self.read_store()
+                found = self._told_origin(job)
+        verdict = judge(self._served(job), doubt, has_read)
+        if found is None and verdict is Verdict.ONLY_VERSION:
+            found = next(iter(self._served(job)), ""), "only version"
+        software, how = found or ("", "unknown")
+        origin = how if doubt is None else f"{how}, {doubt.value}"
+        self.resumed_by_origin[origin] += 1
         logger.bind(
             request=job.caller.id,
             resumes=job.caller.resumes,
             software=software,
-            origin=how,
-            list_age=f"{self._fleet.list_age:.3f}",
-        ).info("stream taken up")
+            origin=origin,
+            list_age=f"{list_age:.3f}",
+            store_read="" if has_read is None else "read" if has_read else "failed",
+            waited=f"{self._timers.now() - arrived_at:.3f}",
+        ).info("stream taken up" if found else "stream not taken up")
+        if found is None:
+            self._refuse(job, verdict)
         return software
 
-    def _find(self, job: Job) -> tuple[str, str]:
-        """Return the version at which a stream began, and how it is known."""
+    def _told_origin(self, job: Job) -> tuple[str, str] | None:
+        """Return the version at which a stream began, and how it is known, if it is."""
         key = stream_key(job.caller.resumes)
         for how, origins in (("own", self._own), ("told", self._known)):
             if job.caller.resumes and (found := origins.software_of(job.service, key)) is not None:
                 return found, how
-        self.observe()
-        now = self._timers.now()
-        served = self._versions_of(job.service).served_since(now - self.life_seconds)
-        if self._is_loaded and len(served) <= 1:
-            return next(iter(served), ""), "only version"
+        return None
+
+    def _served(self, job: Job) -> set[str]:
+        since = self._timers.now() - self.life_seconds
+        return self._versions_of(job.service).served_since(since)
+
+    def _refuse(self, job: Job, verdict: Verdict) -> NoReturn:
         self.refused += 1
         detail = f"nobody knows where {job.caller.resumes or 'its stream'} began"
-        # A gateway that has just started has still to read what others have stored.
-        raise RefusedError(
-            ResultCode.STREAM_ORIGIN_UNKNOWN, detail, 0.0 if self._is_loaded else LOAD_SECONDS
-        )
+        # Others may know it, as this gateway will when it is in step again.
+        seconds = LOAD_SECONDS if verdict is Verdict.COME_BACK else 0.0
+        raise RefusedError(ResultCode.STREAM_ORIGIN_UNKNOWN, detail, seconds)
 
     def record_begun(self, job: Job, engine: EngineEntry) -> None:
         """Record that an engine has written the first event of a stream, or has gone on with it."""
@@ -155,11 +180,14 @@
     def load(self, versions: Iterable[tuple[str, str]], batches: Iterable[StreamsBegun]) -> None:
         """Learn what earlier gateways have stored.
 
-        A version that the store holds counts as listed until now, since nothing tells when it was.
+        A version that the store holds counts as listed until now, since nothing tells when it was,
+        unless this gateway knows it.
         """
         now = self._timers.now()
         for service, software in versions:
-            self._versions_of(service).learn(software, now)
+            known = self._versions_of(service)
+            if software not in known.served_since(now - self.life_seconds):
+                known.learn(software, now)
             self.recorded.add(((service, software),))
         for batch in batches:
             for version, keys in _keys_by_version(batch).items():
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -93,7 +93,7 @@
         """Send a job's response; raise ``PimentoquayError`` if there is none."""
         progress = StreamProgress(last_event=job.caller.last_event)
         if progress.last_event is not None:
-            progress.software = self._shared.origins.software_of(job)
+            progress.software = await self._shared.origins.software_of(job)
         try:
             async with asyncio.timeout(job.seconds_left()):
                 await self._forward(job, progress)
