--- a/pimentoquay/gateway/tests/test_software_versions.py
+++ b/pimentoquay/gateway/tests/test_software_versions.py
@@ -268,6 +268,22 @@
             assert (await resume(env, request_id)).status == 503
 
 
+async def test_an_engine_that_is_back_at_another_version_gets_no_stream_before_its_entry_is_read():
+    async with rig() as env:
+        streams = Streams(env)
+        await streams.begin(4)
+        ids = await streams.leave()
+        for engine_id in ("dec-1", "dec-2"):
+            engine = env.engine_by_id[engine_id]
+            engine.crash()
+            engine.software = "v2"
+            await engine.restart()
+        before = len(runs_at(env, "dec-1", "dec-2"))
+        for request_id in ids:
+            await resume(env, request_id)
+        assert len(runs_at(env, "dec-1", "dec-2")) == before
+
+
 async def test_the_prompt_of_a_stream_that_goes_on_is_read_by_its_version_only():
     async with rig() as env:
         streams = await streams_before_release(env, 4)
