Ignore records with a text that has no encoding

Callers saw: one entry of another writer whose version or service was cut within a character ("v1 \ud83d" as JSON writes it) ended every gateway with UnicodeEncodeError, again half a second after each start, for as long as it was listed. A quarantine, version or origin with such a text, or a record whose key is not UTF-8, did the same.

Cause: JSON can state lone surrogates. They were taken as texts wherever a field was read, and failed where the text was first encoded: the key of a version in the store, a message to a peer, a header, the key of a quarantine that is removed. The record of a key that cannot be read also ended the reading of the pages behind it.

Texts are now checked where they enter, in kernel/input_checks.py, for all fields that are read from JSON: entries, configuration, answers of engines, and the gateways' own records, which use the same reader instead of json.loads. An id has to be one that can be sent in a header. What fails is ignored, logged with its key and counted by kind (pimentoquay_gateway_inputs_refused_total). An unreadable key no longer ends the list of records.

Evidence: test_invalid_records.py failed before in 14 cases: vm-0, which starts beside the record and writes to the store first, had ended, or the entry was listed.

--- a/pimentoquay/bench/mutations/gateway_switches.py
+++ b/pimentoquay/bench/mutations/gateway_switches.py
@@ -21,6 +21,7 @@
 _REQUESTS = "pimentoquay/gateway/tests/test_deadly_requests.py::"
 _REQUEST_LOADS = "pimentoquay/policy/tests/test_request_loads.py::"
 _VERSIONS = "pimentoquay/gateway/tests/test_software_versions.py::"
+_INVALID = "pimentoquay/gateway/tests/test_invalid_records.py::"
 _PROMPTS = "pimentoquay/policy/tests/test_prompt_loads.py::"
 
 GATEWAY_SWITCHES = (
@@ -68,6 +69,13 @@
         _RESTORED + "test_a_gateway_that_started_after_the_restoration_takes_newer_records_"
         "from_its_peers",
     ),
+    Switch(
+        "texts that have no encoding are refused",
+        "pimentoquay.kernel.input_checks:check_text",
+        lambda original: lambda value: value,
+        _INVALID + "test_gateways_go_on_beside_an_entry_whose_text_has_no_encoding"
+        "[version cut within a character]",
+    ),
     Switch(
         "size of a body",
         "pimentoquay.http1.client:Exchange.read_body",
--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -22,6 +22,7 @@
     ENGINES_LIMITED,
     ENGINES_UNREACHABLE,
     IN_PROGRESS,
+    INPUTS_REFUSED,
     LIST_AGE,
     OVERSIZED,
     PAUSES,
@@ -71,6 +72,7 @@
     connect_tcp,
 )
 from pimentoquay.kernel import Node
+from pimentoquay.kernel.input_checks import refused_by_kind
 from pimentoquay.messages.fleet import (
     CrashEvidence,
     EnginesLeaving,
@@ -285,6 +287,7 @@
         ENGINE_REQUESTS: lambda: contact.requests_by_way,
         RESUMPTIONS: lambda: origins.resumed_by_origin,
         CONTINUED: lambda: reservations.continued_by_outcome,
+        INPUTS_REFUSED: lambda: refused_by_kind,
         CONNECT_FAILURES: lambda: {
             failure.value: count for failure, count in contact.count_by_failure.items()
         },
--- a/pimentoquay/gateway/feed.py
+++ b/pimentoquay/gateway/feed.py
@@ -13,8 +13,10 @@
 from pimentoquay.gateway.fleet import Fleet
 from pimentoquay.gateway.request_guard import RequestGuard
 from pimentoquay.kernel import TimerService
+from pimentoquay.kernel.input_checks import refuse
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages.fleet import EngineRecord, FleetCopy, VmAddress
+from pimentoquay.platform.fields import DecodeError, optional, parse_json, required
 from pimentoquay.platform.store import (
     CONFIGURATION_KEY,
     CONFIGURATION_TOPIC,
@@ -229,10 +231,10 @@
 
 def _parse_vm_address(record: KeyedRecord) -> VmAddress | None:
     try:
-        item = json.loads(record.value or b"")
-        location = str(item["address"]), str(item["data_centre"])
-        tunnel_address = str(item.get("tunnel_address", ""))
+        item = parse_json(record.value or b"", "address")
+        location = required(item, "address", str), required(item, "data_centre", str)
+        tunnel_address = optional(item, "tunnel_address", str, "")
         return VmAddress(record.key, *location, record.position, tunnel_address)
-    except (ValueError, TypeError, KeyError) as error:
-        logger.bind(peer=record.key, error=repr(error)).warning("invalid peer address ignored")
+    except DecodeError as error:
+        refuse("address of a VM", record.key, error)
         return None
--- a/pimentoquay/gateway/fleet.py
+++ b/pimentoquay/gateway/fleet.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping
 
+from pimentoquay.kernel.input_checks import refuse
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages.fleet import EngineRecord, FleetCopy
 from pimentoquay.messages.pools import PoolKey
@@ -107,9 +108,7 @@
         try:
             configuration = decode_configuration(document)
         except DecodeError as error:
-            logger.bind(position=position, error=str(error)).warning(
-                "invalid configuration ignored"
-            )
+            refuse("configuration", position, error)
             return False
         current = self.configuration
         if current is not None and configuration.version <= current.version:
@@ -217,6 +216,6 @@
     try:
         entry = decode_engine_entry(record.engine, record.value)
     except DecodeError as error:
-        logger.bind(engine=record.engine, error=str(error)).info("invalid engine entry")
+        refuse("engine entry", record.engine, error)
         return EngineUpdate(record.engine, record.position, None)
     return EngineUpdate(record.engine, record.position, entry)
--- a/pimentoquay/gateway/metrics.py
+++ b/pimentoquay/gateway/metrics.py
@@ -168,7 +168,8 @@
 RESUMPTIONS = Metric(
     "pimentoquay_gateway_resumptions_total",
     "counter",
-    "streams that callers took up, by how the version that began them was known",
+    "streams that callers took up, by how the version that began them was known: `own`, `told`, "
+    "`only version` or `unknown`, and why this gateway may have been out of step",
     ("origin",),
 )
 
@@ -178,6 +179,12 @@
     "streams that had begun before, by how their wait for memory ended",
     ("outcome",),
 )
+INPUTS_REFUSED = Metric(
+    "pimentoquay_gateway_inputs_refused_total",
+    "counter",
+    "invalid records and entries that were passed over, by what they were",
+    ("kind",),
+)
 
 _GAUGES = (
     IN_PROGRESS,
@@ -209,7 +216,7 @@
     STREAM_ORIGINS,
     RESUMPTIONS_REFUSED,
 )
-_COUNTERS = (CONNECT_FAILURES, ENGINE_REQUESTS, RESUMPTIONS, CONTINUED)
+_COUNTERS = (CONNECT_FAILURES, ENGINE_REQUESTS, RESUMPTIONS, CONTINUED, INPUTS_REFUSED)
 _SUMMARIES = (REQUEST_SECONDS, FIRST_EVENT_SECONDS, MEMORY_WAIT_SECONDS)
 
 GATEWAY_METRICS = (REQUESTS, *_GAUGES, *_COUNTERS, *_SUMMARIES)
--- a/pimentoquay/gateway/origin_store.py
+++ b/pimentoquay/gateway/origin_store.py
@@ -12,9 +12,11 @@
 
 from pimentoquay.gateway.stream_origins import OriginExchange
 from pimentoquay.kernel import TimerService
+from pimentoquay.kernel.input_checks import refuse
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages import CodecError, decode, encode
 from pimentoquay.messages.streams import StreamsBegun
+from pimentoquay.platform.fields import DecodeError, parse_json, required
 from pimentoquay.platform.store import STREAM_TOPIC, VERSION_TOPIC, StoreClient, StoreError
 
 __all__ = ["OriginStore"]
@@ -120,7 +122,7 @@
 
     async def _read_versions(self) -> list[tuple[str, str]]:
         page = await self._store.read_latest(VERSION_TOPIC)
-        found = [_parse_version(each.value) for each in page.records if each.value]
+        found = [_parse_version(each.key, each.value) for each in page.records if each.value]
         return [each for each in found if each is not None]
 
     async def _read_batches(self) -> list[StreamsBegun]:
@@ -171,12 +173,12 @@
     return json.dumps({"service": version[0], "version": version[1]}).encode()
 
 
-def _parse_version(value: bytes) -> tuple[str, str] | None:
+def _parse_version(key: str, value: bytes) -> tuple[str, str] | None:
     try:
-        item = json.loads(value)
-        return str(item["service"]), str(item["version"])
-    except (ValueError, TypeError, KeyError, RecursionError) as error:
-        logger.bind(error=repr(error)).warning("invalid version ignored")
+        item = parse_json(value, "version")
+        return required(item, "service", str), required(item, "version", str)
+    except DecodeError as error:
+        refuse("version", key, error)
         return None
 
 
@@ -184,6 +186,9 @@
     try:
         message = decode(value)
     except CodecError as error:
-        logger.bind(key=key, error=str(error)).warning("invalid origins of streams ignored")
+        refuse("origins of streams", key, error)
         return None
-    return message if isinstance(message, StreamsBegun) else None
+    if isinstance(message, StreamsBegun):
+        return message
+    refuse("origins of streams", key, f"a {type(message).__name__}")
+    return None
--- a/pimentoquay/gateway/request_guard.py
+++ b/pimentoquay/gateway/request_guard.py
@@ -10,14 +10,17 @@
 import json
 from collections import deque
 from collections.abc import Callable, Iterable, Set
+from typing import Any
 
 from pimentoquay.gateway.engine_link import EngineLink
 from pimentoquay.gateway.job import Job
 from pimentoquay.gateway.notices import NoticeHandler
 from pimentoquay.http1 import ServerState
 from pimentoquay.kernel import RefusedError, ResultCode
+from pimentoquay.kernel.input_checks import refuse
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages.fleet import ClearedFeature, CrashedRequest, CrashEvidence, TrialBegun
+from pimentoquay.platform.fields import DecodeError, checked, parse_json, required
 from pimentoquay.platform.store import KeyedRecord
 from pimentoquay.policy.crash_evidence import (
     Clearance,
@@ -307,12 +310,20 @@
 def _parse_record(record: KeyedRecord) -> list[CrashReport]:
     """Return the crashes of a stored quarantine, or none if the record is invalid."""
     try:
-        item = json.loads(record.value or b"")
-        features = frozenset(str(feature) for feature in item["parts"])
-        return [
-            CrashReport(EngineStart(str(engine), *map(int, starts)), features)
-            for engine, *starts in item["engines"]
-        ]
-    except (ValueError, TypeError, KeyError, OverflowError, RecursionError) as error:
-        logger.bind(key=record.key, error=repr(error)).warning("invalid quarantine ignored")
+        item = parse_json(record.value or b"", "quarantine")
+        parts = required(item, "parts", list)
+        features = frozenset(checked(each, "part", str) for each in parts)
+        starts = [_parse_start(row) for row in required(item, "engines", list)]
+    except DecodeError as error:
+        refuse("quarantine", record.key, error)
         return []
+    return [CrashReport(start, features) for start in starts]
+
+
+def _parse_start(row: Any) -> EngineStart:
+    engine, *numbers = checked(row, "engine", list) or [None]
+    if not 1 <= len(numbers) <= 2:
+        raise DecodeError(f"{len(numbers)} numbers of an engine's start")
+    return EngineStart(
+        checked(engine, "engine", str), *(checked(each, "start", int) for each in numbers)
+    )
--- /dev/null
+++ b/pimentoquay/gateway/tests/test_invalid_records.py
@@ -0,0 +1,156 @@
+"""Invalid records of other writers in the store, beside sound ones and under load."""
+
+import asyncio
+import json
+
+import pytest
+
+from pimentoquay.gateway.tests.rig import rig, until
+from pimentoquay.kernel.input_checks import refused_by_kind
+from pimentoquay.kernel.logs import logger
+from pimentoquay.messages import encode
+from pimentoquay.messages.streams import StreamsBegun, VersionStreams
+from pimentoquay.platform.store import (
+    PROMPT_TOPIC,
+    STREAM_TOPIC,
+    VERSION_TOPIC,
+    VM_TOPIC,
+)
+from pimentoquay.platform.tests.invalid_entries import HALF, TEXTS, sound_entry
+from pimentoquay.standin.platform_engine import PlatformEngine
+
+ENGINES = "keyed.servers"
+
+HALF_KEY = "i-\udced\udca0\udcbd"
+"""A key with bytes that are not UTF-8."""
+
+# In virtual time, as nothing here depends on the time that it takes.
+pytestmark = pytest.mark.looptime(start=1000)
+
+
+async def check_served(env, served):
+    """Check that all gateways run and serve, and follow the list of engines."""
+    vms = list(env.gateway_by_vm)
+    fleets = [env.gateway_by_vm[vm].fleet for vm in vms]
+    for vm in vms:
+        for path in ("/look/a", "/order/a"):
+            assert (await env.send_request(path, vm=vm)).status == 200
+        assert (await env.stream(vm=vm)).status == 200
+    new, left = f"desk-{len(vms)}-new", "desk-2"
+    await env.add_engine(PlatformEngine(new, "desk"))
+    await env.store.put(ENGINES, left, b"")
+
+    def follows(fleet):
+        ids = {engine.id for engine in fleet.accepting_engines("desk")}
+        return new in ids and left not in ids
+
+    await until(lambda: all(follows(each) for each in fleets), "list followed")
+    await env.store.put(ENGINES, left, env.engine_by_id[left].entry())
+    await until(lambda: not any(follows(each) for each in fleets), "back again")
+    listed = {engine.id for fleet in fleets for engine in fleet.engines()}
+    assert listed - served == set(env.engine_by_id)
+    assert [vm for vm in vms if env._task_by_vm[vm].done()] == []
+
+
+async def play(records, served=frozenset()):
+    """Put invalid records into a running deployment, then start gateways and check all of them.
+
+    One gateway has no access to the store, so that it gets all records from its peer.
+    """
+    async with rig() as env:
+        await env.add_gateway("vm-2", store_address="127.0.0.1:1", seeds=("vm-1:1",))
+        for topic, key, value in records:
+            await env.store.put(topic, key, value)
+        await asyncio.sleep(0.5)
+        await check_served(env, served)
+        await env.add_gateway("vm-0")
+        await env.add_gateway("vm-3", store_address="127.0.0.1:1", seeds=("vm-1:1",))
+        await asyncio.sleep(0.5)
+        await check_served(env, served)
+        return sum(
+            gateway.fleet.engine_list._position_by_id.get("i-other", -1) >= 0
+            for gateway in env.gateway_by_vm.values()
+        )
+
+
+def one_of_each(*groups):
+    return [pytest.param(data, id=name) for group in groups for name, data in group.items()]
+
+
+@pytest.mark.parametrize("data", one_of_each(TEXTS))
+async def test_gateways_go_on_beside_an_entry_whose_text_has_no_encoding(data):
+    """Each gateway ended with UnicodeEncodeError, and again after each start."""
+    assert await play([(ENGINES, "i-other", data)])
+
+
+@pytest.mark.parametrize(
+    "topic, value",
+    [
+        (ENGINES, sound_entry()),
+        (VM_TOPIC, b'{"address": "vm-9:1", "data_centre": "hall"}'),
+        (PROMPT_TOPIC, b'{"parts": ["a"], "engines": [["e", 1]]}'),
+        (VERSION_TOPIC, b'{"service": "desk", "version": "v0"}'),
+        (STREAM_TOPIC, encode(StreamsBegun((VersionStreams("llm", "v0", b"12345678"),)))),
+    ],
+)
+async def test_gateways_go_on_beside_a_key_that_has_no_encoding(topic, value):
+    await play([(topic, HALF_KEY, value)])
+
+
+async def test_records_after_a_key_that_cannot_be_read_are_listed():
+    async with rig(start_gateway=False) as env:
+        await env.store.put(ENGINES, HALF_KEY, sound_entry())
+        await env.add_engine(PlatformEngine("z-1", "desk"))
+        env.store.page_size = 2
+        gateway = await env.add_gateway()
+        assert {engine.id for engine in gateway.fleet.engines()} == set(env.engine_by_id)
+
+
+def vm_record(**changes):
+    return json.dumps({"address": "vm-9:1", "data_centre": "hall"} | changes).encode()
+
+
+RECORDS_WITH_INVALID_TEXT = {
+    "address of a VM": (VM_TOPIC, "vm-9", vm_record(address=HALF)),
+    "data centre of a VM": (VM_TOPIC, "vm-9", vm_record(data_centre=HALF)),
+    "tunnel address of a VM": (VM_TOPIC, "vm-9", vm_record(tunnel_address=HALF)),
+    "part of a prompt": (
+        PROMPT_TOPIC,
+        "p",
+        json.dumps({"parts": [HALF], "engines": [["a", 1], ["b", 1], ["c", 1]]}).encode(),
+    ),
+    "engine in a quarantine": (
+        PROMPT_TOPIC,
+        "p",
+        json.dumps({"parts": ["x"], "engines": [[HALF, 1], ["b", 1], ["c", 1]]}).encode(),
+    ),
+    "version": (
+        VERSION_TOPIC,
+        "v",
+        json.dumps({"service": "llm", "version": HALF}).encode(),
+    ),
+    "service of a version": (
+        VERSION_TOPIC,
+        "v",
+        json.dumps({"service": HALF, "version": "v9"}).encode(),
+    ),
+}
+
+
+@pytest.mark.parametrize("name", RECORDS_WITH_INVALID_TEXT)
+async def test_gateways_go_on_beside_a_record_whose_text_has_no_encoding(name):
+    await play([RECORDS_WITH_INVALID_TEXT[name]])
+
+
+async def test_what_was_ignored_is_counted_and_named_in_the_log():
+    lines = []
+    sink = logger.add(lines.append)
+    async with rig() as env:
+        before = refused_by_kind["engine entry"]
+        await env.store.put(ENGINES, "i-other", TEXTS["version cut within a character"])
+        await until(lambda: refused_by_kind["engine entry"] > before, "counted")
+        text = env.gateway_by_vm["vm-1"].dispatcher._shared.metrics.text()
+    logger.remove(sink)
+    assert 'inputs_refused_total{kind="engine entry"}' in text
+    named = [each.record for each in lines if "invalid engine entry" in each]
+    assert "i-other" in named[0]["extra"]["source"] and "version" in named[0]["extra"]["error"]
--- /dev/null
+++ b/pimentoquay/kernel/input_checks.py
@@ -0,0 +1,93 @@
+"""Checks of values from outside, which are made once, where the values enter.
+
+What passes holds for all later uses: a text can be encoded, and a name can be sent in a header.
+What fails is refused with ``refuse``, which logs and counts it.
+"""
+
+import reprlib
+from collections import Counter
+from typing import Any, TypeVar
+
+from pimentoquay.kernel.logs import logger
+
+__all__ = [
+    "can_be_header",
+    "check_text",
+    "check_value",
+    "describe",
+    "refuse",
+    "refused_by_kind",
+]
+
+Value = TypeVar("Value")
+
+MAX_HEADER_CHARACTERS = 1024
+"""Maximum length of a text that is sent in a header, in characters."""
+
+refused_by_kind: Counter[str] = Counter()
+"""Number of inputs that this process has refused, by what they were."""
+
+
+def check_text(value: str) -> str:
+    """Return a text; raise ``ValueError`` if it cannot be encoded in UTF-8.
+
+    JSON can state lone surrogates, which have no encoding.
+    """
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        raise ValueError(f"{describe(value)} cannot be encoded") from None
+    return value
+
+
+def check_value(value: Any, kind: type[Value]) -> Value:
+    """Return a value of a type, where an integer serves as a float; raise ``ValueError`` if not."""
+    if isinstance(value, bool) and kind is not bool:
+        raise ValueError(f"{describe(value)}: expected {kind.__name__}")
+    if kind is float and isinstance(value, int | float):
+        return float(value)  # type: ignore[return-value]
+    if not isinstance(value, kind):
+        raise ValueError(f"{describe(value)}: expected {kind.__name__}")
+    if isinstance(value, str):
+        check_text(value)
+    return value
+
+
+def can_be_header(text: str) -> bool:
+    r"""Return whether a text can be sent as the value of an HTTP header.
+
+    Example
+    -------
+    >>> can_be_header("i-1"), can_be_header("i\r\n-1"), can_be_header(" i")
+    (True, False, False)
+    """
+    return 0 < len(text) <= MAX_HEADER_CHARACTERS and text.isprintable() and text == text.strip()
+
+
+def describe(value: object) -> str:
+    r"""Return a short text that shows a value of any kind and can be encoded.
+
+    Example
+    -------
+    >>> describe("\ud83d"), describe([1, [2]])
+    ("'\\ud83d'", 'list of 2')
+    """
+    if isinstance(value, list | dict):
+        return f"{type(value).__name__} of {len(value)}"
+    return reprlib.repr(value).encode("ascii", "backslashreplace").decode()
+
+
+def refuse(kind: str, source: object, error: object) -> None:
+    """Log and count an input that is ignored because it is invalid.
+
+    Parameters
+    ----------
+    kind
+        What it was, as the label of the counter.
+    source
+        Key of the record, or the process that has sent it.
+    error
+        What is wrong with it.
+    """
+    refused_by_kind[kind] += 1
+    logger.bind(source=describe(source), error=str(error)).warning(f"invalid {kind} ignored")
--- a/pimentoquay/platform/engine_entry.py
+++ b/pimentoquay/platform/engine_entry.py
@@ -2,7 +2,8 @@
 
 from typing import Any
 
-from pimentoquay.platform.fields import DecodeError, optional, parse_json, required
+from pimentoquay.kernel.input_checks import can_be_header, describe
+from pimentoquay.platform.fields import DecodeError, checked, optional, parse_json, required
 from pimentoquay.policy.fleet import EngineEntry, EngineStage
 from pimentoquay.transport.websocket import split_address
 
@@ -24,13 +25,15 @@
 
     Any process may write to the store, so every field is checked.
     """
+    if not can_be_header(engine_id):
+        raise DecodeError(f"id = {describe(engine_id)}: cannot be sent in a header")
     item = parse_json(data, engine_id)
     state = required(item, "state", str)
     if state not in _IS_DRAINING_BY_STATE:
-        raise DecodeError(f"{engine_id}: state = {state!r}")
+        raise DecodeError(f"{engine_id}: state = {describe(state)}")
     stage = optional(item, "stage", str, "")
     if stage and stage not in _STAGE_BY_NAME:
-        raise DecodeError(f"{engine_id}: stage = {stage!r}")
+        raise DecodeError(f"{engine_id}: stage = {describe(stage)}")
     address = required(item, "address", str)
     try:
         split_address(address)
@@ -54,4 +57,4 @@
 def _software(value: Any) -> str:
     """Return a version, or an empty text for one that is missing or of another type or size."""
     is_valid = isinstance(value, str) and 0 < len(value) <= MAX_VERSION_LENGTH
-    return value if is_valid else ""
+    return checked(value, "version", str) if is_valid else ""
--- a/pimentoquay/platform/fields.py
+++ b/pimentoquay/platform/fields.py
@@ -3,7 +3,16 @@
 import json
 from typing import Any, TypeVar
 
-__all__ = ["DecodeError", "is_number", "optional", "parse_json", "read_seconds", "required"]
+from pimentoquay.kernel.input_checks import check_value
+
+__all__ = [
+    "DecodeError",
+    "checked",
+    "optional",
+    "parse_json",
+    "read_seconds",
+    "required",
+]
 
 Value = TypeVar("Value")
 
@@ -23,19 +32,17 @@
     return value
 
 
-def is_number(value: Any) -> bool:
-    """Return whether a value is a number; booleans are not."""
-    return isinstance(value, int | float) and not isinstance(value, bool)
-
-
 def required(item: dict[str, Any], name: str, kind: type[Value]) -> Value:
     """Return a field of the given type; integers are accepted for floats."""
-    value = item.get(name)
-    if kind is float and is_number(value):
-        return float(value)  # type: ignore[return-value,arg-type]
-    if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
-        raise DecodeError(f"{name} = {value!r}: expected {kind.__name__}")
-    return value
+    return checked(item.get(name), name, kind)
+
+
+def checked(value: Any, name: str, kind: type[Value]) -> Value:
+    """Return a value of the given type that holds for all uses; else raise ``DecodeError``."""
+    try:
+        return check_value(value, kind)
+    except ValueError as error:
+        raise DecodeError(f"{name} = {error}") from None
 
 
 def optional(item: dict[str, Any], name: str, kind: type[Value], default: Value) -> Value:
--- a/pimentoquay/platform/store.py
+++ b/pimentoquay/platform/store.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import base64
-import binascii
 import struct
 from dataclasses import dataclass
 from typing import Any
@@ -15,7 +14,8 @@
 from pimentoquay.http1.client import ConnectionPool, Exchange, ReusePolicy
 from pimentoquay.http1.headers import find_header
 from pimentoquay.kernel.errors import HttpError
-from pimentoquay.platform.fields import DecodeError, optional, parse_json, required
+from pimentoquay.kernel.input_checks import check_text, refuse
+from pimentoquay.platform.fields import DecodeError, checked, optional, parse_json, required
 from pimentoquay.policy.store_position import StoreEra, era_of, offset_of, position_of
 
 __all__ = [
@@ -65,6 +65,9 @@
 """Maximum size of a response, in bytes. The store sends up to 1 MB of records, in base64."""
 
 _ERA = b"store-era"
+MAX_KEY_BYTES = 255
+"""Maximum size of the key of a record, in bytes."""
+
 _GONE = 410
 _CONFLICT = 412
 _LENGTH = struct.Struct(">I")
@@ -152,6 +155,8 @@
                 raise StoreError("log-newest: the store was restored between two pages", True)
             if page.last_key is None:
                 return RecordPage(tuple(records), next_position)
+            if page.last_key == after:
+                raise StoreError("log-newest: no page follows the last one", True)
             after = page.last_key
 
     async def read(self, topic: str, from_position: int, wait_seconds: float) -> RecordPage:
@@ -262,24 +267,34 @@
 
 def _parse_latest_page(body: bytes, era: int) -> _LatestPage:
     item = parse_json(body, "newest records")
-    page = [_parse_latest_record(entry, era) for entry in optional(item, "items", list, [])]
-    more = optional(item, "hasMore", bool, False) and bool(page) and page[-1] is not None
-    return _LatestPage(
-        tuple(record for record in page if record is not None),
-        position_of(era, required(item, "endOffset", int)),
-        page[-1].key if more and page[-1] is not None else None,
-    )
+    entries = optional(item, "items", list, [])
+    page = [_parse_latest_record(entry, era) for entry in entries]
+    records = tuple(record for record in page if record is not None)
+    more = optional(item, "hasMore", bool, False) and bool(entries)
+    if more and not records:
+        raise DecodeError("no record of a page can be read")
+    # The next page repeats those at the end of this one that cannot be read.
+    last_key = records[-1].key if more else None
+    return _LatestPage(records, position_of(era, required(item, "endOffset", int)), last_key)
 
 
 def _parse_latest_record(item: Any, era: int) -> KeyedRecord | None:
     try:
-        key = required(item, "key", str)
-        value = base64.b64decode(required(item, "value", str), validate=True)
-        return KeyedRecord(key, value, position_of(era, required(item, "offset", int)))
-    except (DecodeError, AttributeError, binascii.Error):
+        entry = checked(item, "record", dict)
+        key = _check_key(required(entry, "key", str))
+        value = base64.b64decode(required(entry, "value", str), validate=True)
+        return KeyedRecord(key, value, position_of(era, required(entry, "offset", int)))
+    except ValueError as error:
+        refuse("record", item.get("key") if isinstance(item, dict) else item, error)
         return None
 
 
+def _check_key(key: str) -> str:
+    if len(check_text(key).encode()) > MAX_KEY_BYTES:
+        raise DecodeError(f"a key of {len(key)} characters")
+    return key
+
+
 def _parse_record_page(body: bytes, from_position: int) -> RecordPage:
     if len(body) < _OFFSETS.size:
         raise StoreError(f"log-read: {len(body)} bytes, expected at least {_OFFSETS.size}", True)
@@ -300,5 +315,9 @@
     if not content or len(content) < 1 + content[0]:
         return None
     end = 1 + content[0]
-    key = content[1:end].decode("utf-8", "replace")
+    try:
+        key = content[1:end].decode()
+    except UnicodeDecodeError as error:
+        refuse("record", content[1:end], error)
+        return None
     return KeyedRecord(key, content[end:] or None, position)
--- a/pimentoquay/standin/platform_store.py
+++ b/pimentoquay/standin/platform_store.py
@@ -48,12 +48,17 @@
         Number of calls received over HTTP.
     era
         Number of the store's era, which rises with each restoration from a copy.
+    page_size
+        Maximum number of the newest records in one response.
+
+    A key with bytes that are not UTF-8 has a lone surrogate for each of them.
     """
 
     def __init__(self) -> None:
         self.fault = StoreFault.NONE
         self.calls = 0
         self.era = 1
+        self.page_size = 500
         self._copy: bytes | None = None
         self._topic_by_name: dict[str, _Topic] = {}
         self._newest_by_topic: dict[str, dict[str, tuple[int, bytes]]] = {}
@@ -107,7 +112,8 @@
         self.calls += 1
         path, _, query = request.target.decode().partition("?")
         reply.default_headers = ((b"Store-Era", str(self.era).encode()),)
-        arguments = {name: values[0] for name, values in parse_qs(query).items()}
+        parsed = parse_qs(query, errors="surrogateescape")
+        arguments = {name: values[0] for name, values in parsed.items()}
         if self.fault is StoreFault.BUSY:
             reply.send(503, (), b"")
         elif self.fault is StoreFault.RESET:
@@ -127,7 +133,7 @@
         (length,) = struct.unpack_from(">I", body)
         content = body[4 : 4 + length]
         key_end = 1 + content[0]
-        key = content[1:key_end].decode()
+        key = content[1:key_end].decode("utf-8", "surrogateescape")
         topic = arguments["topic"]
         end = self._topic_by_name.setdefault(topic, _Topic()).end
         if int(arguments.get("at", end)) != end:
@@ -165,13 +171,14 @@
         page = [item for item in newest if item[0] > arguments.get("after", "")]
         items = [
             {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
-            for key, (offset, value) in page
+            for key, (offset, value) in page[: self.page_size]
         ]
-        answer = {"items": items, "hasMore": False, "endOffset": log.end}
+        has_more = len(page) > len(items)
+        answer = {"items": items, "hasMore": has_more, "endOffset": log.end}
         reply.send(200, (), json.dumps(answer).encode())
 
 
 def _frame(key: str, value: bytes) -> bytes:
-    name = key.encode()
+    name = key.encode("utf-8", "surrogateescape")
     content = bytes((len(name),)) + name + value
     return struct.pack(">I", len(content)) + content
