Refuse numbers out of range where they are read

Callers would see: a number of 400 digits where a configuration has a time (OverflowError), or of 5,000 digits as the store's era or in a peer's message (ValueError, as Python writes and reads at most 4,300 digits), ended a task, and with it the gateway, or the channel to the peer for good. A configuration with a stride of 0 was put in force. A request with a deadline of "nan" had no deadline that ends, one with 5,000 digits of tokens got 500. An answer with such a Keep-Alive was lost. Entries with a negative or larger number of slots, start or heartbeat named an engine.

Cause: only the type of a number was checked. JSON, CBOR and Python have integers of any size, and floats that are infinite or no number.

check_value, through which all fields in JSON are read, now also checks the range: 64 bits with a sign, finite, and not below the field's least value. Integers of messages have the 64 bits that CBOR has for plain ones, and floats are numbers (an infinite age stays allowed: gateways send it before they have read the store). Positions are made of an era and an offset in range only. Numbers in headers have a maximum of digits; those that are longer count as missing.

--- a/pimentoquay/bench/mutations/gateway_switches.py
+++ b/pimentoquay/bench/mutations/gateway_switches.py
@@ -76,6 +76,13 @@
         _INVALID + "test_gateways_go_on_beside_an_entry_whose_text_has_no_encoding"
         "[version cut within a character]",
     ),
+    Switch(
+        "numbers out of range are refused",
+        "pimentoquay.kernel.input_checks:check_range",
+        lambda original: lambda value, minimum=0: value,
+        "pimentoquay/platform/tests/test_invalid_entries.py::"
+        "test_an_entry_with_a_number_out_of_range_is_rejected[seq = 922337203685]",
+    ),
     Switch(
         "size of a body",
         "pimentoquay.http1.client:Exchange.read_body",
--- a/pimentoquay/gateway/tests/test_invalid_records.py
+++ b/pimentoquay/gateway/tests/test_invalid_records.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from typing import Any
 
 import pytest
 
@@ -16,7 +17,13 @@
     VERSION_TOPIC,
     VM_TOPIC,
 )
-from pimentoquay.platform.tests.invalid_entries import HALF, TEXTS, sound_entry
+from pimentoquay.platform.tests.invalid_entries import (
+    HALF,
+    NESTED,
+    NUMBERS,
+    TEXTS,
+    sound_entry,
+)
 from pimentoquay.standin.platform_engine import PlatformEngine
 
 ENGINES = "keyed.servers"
@@ -24,6 +31,8 @@
 HALF_KEY = "i-\udced\udca0\udcbd"
 """A key with bytes that are not UTF-8."""
 
+HUGE = 10**3000
+
 # In virtual time, as nothing here depends on the time that it takes.
 pytestmark = pytest.mark.looptime(start=1000)
 
@@ -142,8 +151,61 @@
     await play([RECORDS_WITH_INVALID_TEXT[name]])
 
 
+@pytest.mark.parametrize(
+    "data",
+    [
+        pytest.param(data, id=name)
+        for name, data in (NUMBERS | NESTED).items()
+        if name.startswith(("slotCount = 1", "slotCount = N", "deeply", "seq = 9", "born = 9"))
+    ],
+)
+async def test_gateways_go_on_beside_an_entry_with_a_number_too_large_or_nested(data):
+    assert await play([(ENGINES, "i-other", data)])
+
+
+RECORDS_OUT_OF_RANGE = {
+    "nested address of a VM": (VM_TOPIC, "vm-9", NESTED["deeply nested zone"]),
+    "nested quarantine": (PROMPT_TOPIC, "p", NESTED["deeply nested and cut"]),
+    "nested version": (VERSION_TOPIC, "v", NESTED["deeply nested objects"]),
+    "nested origins": (STREAM_TOPIC, "s", b"\x81" * 100_000),
+    "huge start in a quarantine": (
+        PROMPT_TOPIC,
+        "p",
+        json.dumps({"parts": ["x"], "engines": [["a", HUGE], ["b", 1], ["c", HUGE]]}).encode(),
+    ),
+    "nested configuration": ("keyed.op", "config", NESTED["deeply nested and cut"]),
+    "configuration with a huge number": (
+        "keyed.op",
+        "config",
+        json.dumps({"version": HUGE, "routes": [], "services": []}).encode(),
+    ),
+    "configuration with a huge time": (
+        "keyed.op",
+        "config",
+        json.dumps(
+            {
+                "version": 2,
+                "routes": [],
+                "services": [],
+                "limits": {"idleTimeoutMs": HUGE},
+            }
+        ).encode(),
+    ),
+}
+
+
+@pytest.mark.parametrize("name", RECORDS_OUT_OF_RANGE)
+async def test_gateways_go_on_beside_a_record_with_a_number_too_large_or_nested(name):
+    topic, key, value = RECORDS_OUT_OF_RANGE[name]
+    async with rig() as env:
+        await env.add_gateway("vm-2", store_address="127.0.0.1:1", seeds=("vm-1:1",))
+        await env.store.put(topic, key, value)
+        await asyncio.sleep(0.5)
+        await check_served(env, frozenset())
+
+
 async def test_what_was_ignored_is_counted_and_named_in_the_log():
-    lines = []
+    lines: list[Any] = []
     sink = logger.add(lines.append)
     async with rig() as env:
         before = refused_by_kind["engine entry"]
--- a/pimentoquay/http1/client_connection.py
+++ b/pimentoquay/http1/client_connection.py
@@ -35,6 +35,9 @@
 MAX_INFORMATIONAL_RESPONSES = 16
 """Maximum number of responses with a status of 1xx before the final one."""
 
+MAX_DIGITS = 9
+"""Maximum length of a stated idle timeout, in digits; a longer one counts as not stated."""
+
 ResponseFilter = Callable[[HeaderList], bool]
 
 
@@ -290,7 +293,7 @@
         seconds = self._reuse.max_idle_seconds
         for part in keep_alive.split(b","):
             name, _, value = part.strip().partition(b"=")
-            if name.lower() == b"timeout" and value.isdigit():
+            if name.lower() == b"timeout" and value.isdigit() and len(value) <= MAX_DIGITS:
                 seconds = max(0.0, int(value) - self._reuse.margin_seconds)
         self._reusable_until = asyncio.get_running_loop().time() + seconds
 
--- a/pimentoquay/http1/tests/test_client.py
+++ b/pimentoquay/http1/tests/test_client.py
@@ -143,6 +143,15 @@
         assert server.connections == 2
 
 
+async def test_an_idle_timeout_out_of_range_counts_as_not_stated():
+    """A number of more than 4,300 digits ended the connection before its answer was read."""
+    response = OK.replace(b"X-Id", b"Keep-Alive: timeout=1" + b"0" * 5000 + b"\r\nX-Id")
+    async with scripted(response, OK) as (server, pool):
+        await get(pool)
+        await get(pool)
+        assert server.connections == 1
+
+
 async def test_stalled_response_body_raises_an_error_marked_as_written():
     half = b"HTTP/1.1 503 Busy\r\nContent-Length: 100\r\n\r\nhalf"
     async with scripted(half) as (_, pool):
--- a/pimentoquay/kernel/input_checks.py
+++ b/pimentoquay/kernel/input_checks.py
@@ -1,6 +1,7 @@
 """Checks of values from outside, which are made once, where the values enter.
 
-What passes holds for all later uses: a text can be encoded, and a name can be sent in a header.
+What passes holds for all later uses: a text can be encoded, a name can be sent in a header, and a
+number can be converted, compared and sent.
 What fails is refused with ``refuse``, which logs and counts it.
 """
 
@@ -11,7 +12,10 @@
 from pimentoquay.kernel.logs import logger
 
 __all__ = [
+    "LEAST",
+    "MAX_INTEGER",
     "can_be_header",
+    "check_range",
     "check_text",
     "check_value",
     "describe",
@@ -19,8 +23,15 @@
     "refused_by_kind",
 ]
 
+Number = TypeVar("Number", int, float)
 Value = TypeVar("Value")
 
+MAX_INTEGER = 2**63 - 1
+"""Largest number that is accepted."""
+
+LEAST = -MAX_INTEGER
+"""Smallest number that is accepted."""
+
 MAX_HEADER_CHARACTERS = 1024
 """Maximum length of a text that is sent in a header, in characters."""
 
@@ -40,16 +51,34 @@
     return value
 
 
-def check_value(value: Any, kind: type[Value]) -> Value:
-    """Return a value of a type, where an integer serves as a float; raise ``ValueError`` if not."""
+def check_range(value: Number, minimum: int = LEAST) -> Number:
+    """Return a number; raise ``ValueError`` if it is out of range or not a number.
+
+    Example
+    -------
+    >>> check_range(6, minimum=0)
+    6
+    """
+    if not minimum <= value <= MAX_INTEGER:
+        raise ValueError(f"{describe(value)}: out of range")
+    return value
+
+
+def check_value(value: Any, kind: type[Value], minimum: int = LEAST) -> Value:
+    """Return a value of a type, where an integer serves as a float; raise ``ValueError`` if not.
+
+    A number must not be less than ``minimum``.
+    """
     if isinstance(value, bool) and kind is not bool:
         raise ValueError(f"{describe(value)}: expected {kind.__name__}")
     if kind is float and isinstance(value, int | float):
-        return float(value)  # type: ignore[return-value]
+        return float(check_range(value, minimum))  # type: ignore[return-value]
     if not isinstance(value, kind):
         raise ValueError(f"{describe(value)}: expected {kind.__name__}")
     if isinstance(value, str):
         check_text(value)
+    elif isinstance(value, int | float):
+        check_range(value, minimum)
     return value
 
 
@@ -74,6 +103,8 @@
     """
     if isinstance(value, list | dict):
         return f"{type(value).__name__} of {len(value)}"
+    if isinstance(value, int) and abs(value) > MAX_INTEGER:
+        return f"an integer of {value.bit_length()} bits"
     return reprlib.repr(value).encode("ascii", "backslashreplace").decode()
 
 
--- a/pimentoquay/messages/codec.py
+++ b/pimentoquay/messages/codec.py
@@ -16,6 +16,7 @@
 """
 
 import dataclasses
+import math
 import types
 from collections.abc import Callable
 from enum import IntEnum
@@ -34,12 +35,16 @@
 
 from pimentoquay.kernel.codes import ResultCode
 from pimentoquay.kernel.errors import PimentoquayError
+from pimentoquay.kernel.input_checks import describe
 
 __all__ = ["MAX_FRAME_BYTES", "CodecError", "decode", "encode", "message"]
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 """Maximum size of a frame that is encoded or decoded, in bytes."""
 
+INTEGER_LIMIT = 2**64
+"""Integers of this size and above need more than the 64 bits that CBOR has for a plain one."""
+
 MessageClass = TypeVar("MessageClass", bound=type)
 Decoder = Callable[[Any], Any]
 
@@ -89,7 +94,9 @@
         raise CodecError(ResultCode.FRAME_MALFORMED, "not a message array")
     cls = _class_by_number.get(values[0])
     if cls is None:
-        raise CodecError(ResultCode.FRAME_MALFORMED, f"unknown message number {values[0]}")
+        raise CodecError(
+            ResultCode.FRAME_MALFORMED, f"unknown message number {describe(values[0])}"
+        )
     return _decode_fields(cls, values[1:])
 
 
@@ -172,6 +179,10 @@
     def decode_scalar(value: Any) -> Any:
         if type(value) not in accepted:
             raise TypeError(f"expected {kind.__name__}, got {type(value).__name__}")
+        if isinstance(value, int) and not -INTEGER_LIMIT <= value < INTEGER_LIMIT:
+            raise ValueError(f"{describe(value)}: out of range")
+        if isinstance(value, float) and math.isnan(value):
+            raise ValueError("not a number")
         return float(value) if kind is float else value
 
     return decode_scalar
--- a/pimentoquay/messages/tests/test_codec.py
+++ b/pimentoquay/messages/tests/test_codec.py
@@ -1,11 +1,14 @@
 import contextlib
+import math
 
+import cbor2
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from pimentoquay.kernel import ResultCode
 from pimentoquay.messages import CodecError, decode, encode
+from pimentoquay.messages.fleet import EngineLimit, EngineRecord, StageOrdered
 from pimentoquay.messages.placement import Grant, GrantRecord, Reannouncement, Refusal, Stage
 
 
@@ -38,3 +41,34 @@
 def test_grants_survive_a_round_trip(request_id, attempt, prefill, decoder):
     grant = Grant(request_id, attempt, prefill, decoder)
     assert decode(encode(grant)) == grant
+
+
+@pytest.mark.parametrize(
+    "values",
+    [
+        [120, "e", 10**5000, b""],
+        [120, "e", 2**64, b""],
+        [125, "e", 10**400, 1],
+        [125, "e", math.nan, 1],
+        [136, "e", -(10**5000), 1.0, 0.0],
+        [10**5000],
+        [-(10**5000), 1],
+    ],
+)
+def test_a_number_out_of_range_raises_a_codec_error(values):
+    """An integer of any size was taken, and failed where it was written as text or as a float."""
+    with pytest.raises(CodecError):
+        decode(cbor2.dumps(values))
+
+
+@pytest.mark.parametrize(
+    "item",
+    [
+        EngineRecord("e", 2**63 - 1, b""),
+        EngineRecord("e", -1, b""),
+        StageOrdered("e", math.inf, 2**64 - 1),
+        EngineLimit("e", 1, -1.0, 0.0),
+    ],
+)
+def test_numbers_in_range_survive_a_round_trip(item):
+    assert decode(encode(item)) == item
--- a/pimentoquay/platform/configuration.py
+++ b/pimentoquay/platform/configuration.py
@@ -79,12 +79,12 @@
 
 def _memory(item: dict[str, Any]) -> TokenMemory:
     return TokenMemory(
-        slots=required(item, "slotCount", int),
-        capacity_tokens=required(item, "kvTokens", int),
+        slots=required(item, "slotCount", int, 1),
+        capacity_tokens=required(item, "kvTokens", int, 1),
         bytes_per_token=optional(item, "kvTokenBytes", int, 0),
         handle_seconds=optional(item, "handleTtlS", float, 0.5),
         longest_hold_seconds=read_seconds(item, "holdMs", 0.0),
-        event_tokens=optional(item, "stride", int, 1),
+        event_tokens=optional(item, "stride", int, 1, 1),
         change_seconds=optional(item, "switchS", float, 6.0),
     )
 
--- a/pimentoquay/platform/engine_entry.py
+++ b/pimentoquay/platform/engine_entry.py
@@ -45,11 +45,11 @@
         address=address,
         data_centre=required(item, "zone", str),
         is_draining=_IS_DRAINING_BY_STATE[state],
-        slots=required(item, "slotCount", int),
+        slots=required(item, "slotCount", int, 0),
         stage=_STAGE_BY_NAME[stage] if stage else EngineStage.NONE,
         # Start time of the engine in Unix milliseconds, which distinguishes starts under one id.
-        incarnation=optional(item, "born", int, 0),
-        sequence=optional(item, "seq", int, 0),
+        incarnation=optional(item, "born", int, 0, 0),
+        sequence=optional(item, "seq", int, 0, 0),
         software=_software(item.get("version")),
     )
 
--- a/pimentoquay/platform/fields.py
+++ b/pimentoquay/platform/fields.py
@@ -3,7 +3,7 @@
 import json
 from typing import Any, TypeVar
 
-from pimentoquay.kernel.input_checks import check_value
+from pimentoquay.kernel.input_checks import LEAST, check_value
 
 __all__ = [
     "DecodeError",
@@ -32,24 +32,26 @@
     return value
 
 
-def required(item: dict[str, Any], name: str, kind: type[Value]) -> Value:
+def required(item: dict[str, Any], name: str, kind: type[Value], minimum: int = LEAST) -> Value:
     """Return a field of the given type; integers are accepted for floats."""
-    return checked(item.get(name), name, kind)
+    return checked(item.get(name), name, kind, minimum)
 
 
-def checked(value: Any, name: str, kind: type[Value]) -> Value:
+def optional(
+    item: dict[str, Any], name: str, kind: type[Value], default: Value, minimum: int = LEAST
+) -> Value:
+    """Return a field, or the default if it is missing or null; check its type."""
+    return default if item.get(name) is None else required(item, name, kind, minimum)
+
+
+def checked(value: Any, name: str, kind: type[Value], minimum: int = LEAST) -> Value:
     """Return a value of the given type that holds for all uses; else raise ``DecodeError``."""
     try:
-        return check_value(value, kind)
+        return check_value(value, kind, minimum)
     except ValueError as error:
         raise DecodeError(f"{name} = {error}") from None
 
 
-def optional(item: dict[str, Any], name: str, kind: type[Value], default: Value) -> Value:
-    """Return a field, or the default if it is missing or null; check its type."""
-    return default if item.get(name) is None else required(item, name, kind)
-
-
 def read_seconds(item: dict[str, Any], name: str, default_ms: float | None = None) -> float:
     """Return a field given in milliseconds, or its default, converted to seconds."""
     if default_ms is not None:
--- a/pimentoquay/platform/requests.py
+++ b/pimentoquay/platform/requests.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from pimentoquay.http1.headers import HeaderList, end_to_end_headers, find_header
+from pimentoquay.kernel.input_checks import check_range
 from pimentoquay.policy.fleet import ModelRequest
 
 __all__ = ["CallerRequest", "SendOptions", "engine_headers", "parse_request", "retry_after_header"]
@@ -17,6 +18,9 @@
 _LENGTH_HINT = b"pimentoquay-length-hint"
 _LAST_EVENT = b"last-event-id"
 _RESUMES = b"resumes"
+MAX_DIGITS = 15
+"""Maximum length of a number, in digits; a longer one counts as missing."""
+
 MAX_PROMPT_PARTS = 64
 """Maximum number of a prompt's parts that are decoded; later ones are ignored."""
 
@@ -141,11 +145,12 @@
 
 def _integer(value: bytes | None) -> int | None:
     text = _text(value)
-    return int(text) if text.isdecimal() and text.isascii() else None
+    is_valid = text.isdecimal() and text.isascii() and len(text) <= MAX_DIGITS
+    return int(text) if is_valid else None
 
 
 def _seconds_from_ms(value: bytes | None) -> float | None:
     try:
-        return float(_text(value)) / 1000.0
+        return check_range(float(_text(value))) / 1000.0
     except ValueError:
         return None
--- a/pimentoquay/platform/store.py
+++ b/pimentoquay/platform/store.py
@@ -16,7 +16,7 @@
 from pimentoquay.kernel.errors import HttpError
 from pimentoquay.kernel.input_checks import check_text, refuse
 from pimentoquay.platform.fields import DecodeError, checked, optional, parse_json, required
-from pimentoquay.policy.store_position import StoreEra, era_of, offset_of, position_of
+from pimentoquay.policy.store_position import MAX_ERA, StoreEra, era_of, offset_of, position_of
 
 __all__ = [
     "CONFIGURATION_KEY",
@@ -65,6 +65,7 @@
 """Maximum size of a response, in bytes. The store sends up to 1 MB of records, in base64."""
 
 _ERA = b"store-era"
+MAX_ERA_DIGITS = len(str(MAX_ERA)) + 1
 MAX_KEY_BYTES = 255
 """Maximum size of the key of a record, in bytes."""
 
@@ -213,7 +214,7 @@
         body = await self._call("GET", "log-newest", query)
         try:
             return _parse_latest_page(body, self.era.value)
-        except DecodeError as error:
+        except ValueError as error:
             raise StoreError(f"log-newest: {error}", True) from None
 
     async def _call(
@@ -242,8 +243,8 @@
     def _check_era(self, exchange: Exchange, call: str) -> None:
         """Raise the known era to that of a response; reject a response of an earlier era."""
         value = (find_header(exchange.headers, _ERA) or b"").strip()
-        era = int(value) if value.isdigit() else self.era.value
-        if era < self.era.value:
+        era = int(value[:MAX_ERA_DIGITS]) if value.isdigit() else self.era.value
+        if not self.era.value <= era <= MAX_ERA:
             raise StoreError(f"{call}: response of era {era}, now {self.era.value}", True)
         self.era.raise_to(era)
 
--- a/pimentoquay/platform/tests/invalid_entries.py
+++ b/pimentoquay/platform/tests/invalid_entries.py
@@ -2,11 +2,13 @@
 
 import json
 
-__all__ = ["ENTRY", "HALF", "TEXTS", "sound_entry"]
+__all__ = ["ENTRY", "HALF", "NESTED", "NUMBERS", "TEXTS", "sound_entry"]
 
 HALF = "v1 \ud83d"
 """A text that was cut within a character, as JSON writes one."""
 
+DEEP = "[" * 100_000 + "]" * 100_000
+
 ENTRY = {
     "service": "desk",
     "address": "127.9.9.9:80",
@@ -24,7 +26,36 @@
     return json.dumps(ENTRY | changes).encode()
 
 
+def _literal(name: str, literal: str) -> bytes:
+    """Return an entry with a field whose JSON text is given."""
+    return sound_entry(**{name: "@"}).replace(b'"@"', literal.encode())
+
+
 TEXTS = {
     f"{name} cut within a character": sound_entry(**{name: HALF})
     for name in ("service", "zone", "version", "stage", "state")
 }
+
+NUMBERS = {
+    f"{name} = {literal[:12]}": _literal(name, literal)
+    for name in ("slotCount", "born", "seq")
+    for literal in (
+        "1" + "0" * 4000,
+        "1" + "0" * 5000,
+        str(2**63),
+        "-1",
+        "1e400",
+        "NaN",
+        "-Infinity",
+        "true",
+        "6.5",
+    )
+}
+
+NESTED = {
+    f"deeply nested {name}": _literal(name, DEEP)
+    for name in ("service", "zone", "slotCount", "another")
+} | {
+    "deeply nested and cut": b"[" * 100_000,
+    "deeply nested objects": b'{"a":' * 100_000 + b"1" + b"}" * 100_000,
+}
--- a/pimentoquay/platform/tests/test_invalid_entries.py
+++ b/pimentoquay/platform/tests/test_invalid_entries.py
@@ -4,9 +4,22 @@
 
 import pytest
 
-from pimentoquay.platform import EngineCalls, decode_engine_entry, parse_prefill
+from pimentoquay.gateway.tests.rig import configuration
+from pimentoquay.platform import (
+    EngineCalls,
+    decode_configuration,
+    decode_engine_entry,
+    parse_prefill,
+    parse_request,
+)
 from pimentoquay.platform.fields import DecodeError
-from pimentoquay.platform.tests.invalid_entries import HALF, TEXTS, sound_entry
+from pimentoquay.platform.tests.invalid_entries import (
+    HALF,
+    NESTED,
+    NUMBERS,
+    TEXTS,
+    sound_entry,
+)
 
 MAX_ERROR_CHARACTERS = 500
 
@@ -33,3 +46,58 @@
         parse_prefill(json.dumps({"kvHandle": HALF, "tokens": 1}).encode())
     with pytest.raises(DecodeError):
         EngineCalls.parse_hold(json.dumps({"hold": HALF}).encode())
+
+
+@pytest.mark.parametrize("name", NUMBERS)
+def test_an_entry_with_a_number_out_of_range_is_rejected(name):
+    check_rejected("i-1", NUMBERS[name])
+
+
+@pytest.mark.parametrize("name", NESTED)
+def test_a_deeply_nested_entry_is_rejected(name):
+    check_rejected("i-1", NESTED[name])
+
+
+@pytest.mark.parametrize(
+    "place, name, literal",
+    [
+        (None, "version", "1" + "0" * 4000),
+        ("routes", "timeoutMs", "9e999"),
+        ("routes", "targetLatencyMs", "NaN"),
+        ("routes", "priority", str(2**63)),
+        ("services", "maxConns", "1" + "0" * 5000),
+        ("limits", "idleTimeoutMs", "1" + "0" * 400),
+        ("engineId", "stride", "0"),
+        ("engineId", "kvTokens", "0"),
+        ("engineId", "slotCount", "-1"),
+    ],
+)
+def test_a_configuration_with_a_number_out_of_range_is_rejected(place, name, literal):
+    item = json.loads(configuration())
+    parts = {
+        None: item,
+        "routes": item["routes"][0],
+        "services": item["services"][0],
+        "limits": item["limits"],
+        "engineId": item["services"][1]["engineId"],
+    }
+    parts[place][name] = "@"
+    with pytest.raises(DecodeError):
+        decode_configuration(json.dumps(item).replace('"@"', literal).encode())
+
+
+@pytest.mark.parametrize("digits", ["1" + "0" * 5000, "9" * 16, "-1", "٣", "nan"])
+def test_a_number_of_a_request_that_is_out_of_range_counts_as_missing(digits):
+    text = digits.encode()
+    headers = (
+        (b"Last-Event-Id", text),
+        (b"Pimentoquay-Model", b"m"),
+        (b"Pimentoquay-Token-Counts", text + b",8"),
+    )
+    request = parse_request(headers)
+    assert request.last_event is None and request.model is None
+
+
+@pytest.mark.parametrize("text", [b"nan", b"inf", b"-inf", b"1e400", b"1e30"])
+def test_a_time_that_is_out_of_range_counts_as_missing(text):
+    assert parse_request(((b"Pimentoquay-Deadline-Ms", text),)).timeout_seconds is None
--- a/pimentoquay/policy/store_position.py
+++ b/pimentoquay/policy/store_position.py
@@ -10,24 +10,31 @@
 
 from collections.abc import Callable
 
-__all__ = ["FIRST_ERA", "StoreEra", "era_of", "offset_of", "position_of"]
+__all__ = ["FIRST_ERA", "MAX_ERA", "StoreEra", "era_of", "offset_of", "position_of"]
 
 FIRST_ERA = 1
 """Era of a store that has never been restored."""
 
 OFFSETS_PER_ERA = 2**32
-"""Number of positions per era; a topic holds far fewer records. A position stays below 2**53, the
-largest integer that every JSON parser keeps exact, for two million eras."""
+"""Number of positions per era; a topic holds far fewer records."""
+
+MAX_ERA = 2**21
+"""Highest era. A position stays below 2**53, the largest integer that every JSON parser keeps
+exact."""
 
 
 def position_of(era: int, offset: int) -> int:
     """Return the position of the record with an offset in an era of the store.
 
+    ``ValueError`` if there is no such era or offset.
+
     Example
     -------
     >>> position_of(2, 7) > position_of(1, 900)
     True
     """
+    if not FIRST_ERA <= era <= MAX_ERA or not 0 <= offset < OFFSETS_PER_ERA:
+        raise ValueError(f"offset {offset} of era {era}: out of range")
     return (era - FIRST_ERA) * OFFSETS_PER_ERA + offset
 
 
@@ -38,7 +45,7 @@
 
 def offset_of(position: int) -> int:
     """Return the offset of a position within its era."""
-    return position - position_of(era_of(position), 0)
+    return position - (era_of(position) - FIRST_ERA) * OFFSETS_PER_ERA
 
 
 class StoreEra:
