Ignore entries and VM addresses to which no connection can be tried

Callers saw: an entry of another writer with the address "127.9..9:80" named an engine, and each attempt to connect to it raised UnicodeError: all streams got 500, as such engines look empty, and each gateway that ordered one of them to change its stage ended. An address of a VM of this kind, or with a port out of range, ended the task that keeps the channel to that VM, and a check through peers.

Cause: only the form HOST:PORT was checked, with isdigit, which accepts digits of other scripts and the port 0. Addresses of VMs were not checked at all, neither those in the store nor those that peers tell.

check_address (transport/addresses.py) accepts an IP address or a host name that IDNA can encode and whose labels have letters, digits, hyphens and underscores, and a port from 1 to 65535 in ASCII digits. Entries of engines are checked as they are decoded, addresses of VMs as they are learned, from the store or a peer. Other entries hold; the earlier entry of the same engine does not.

The switch in bench/mutations is caught.

--- a/pimentoquay/bench/mutations/gateway_switches.py
+++ b/pimentoquay/bench/mutations/gateway_switches.py
@@ -83,6 +83,12 @@
         "pimentoquay/platform/tests/test_invalid_entries.py::"
         "test_an_entry_with_a_number_out_of_range_is_rejected[seq = 922337203685]",
     ),
+    Switch(
+        "addresses that cannot be connected are refused",
+        "pimentoquay.platform.engine_entry:check_address",
+        lambda original: lambda address: address,
+        _INVALID + "test_an_invalid_entry_of_a_listed_engine_names_it_no_longer",
+    ),
     Switch(
         "size of a body",
         "pimentoquay.http1.client:Exchange.read_body",
--- a/pimentoquay/gateway/tests/test_invalid_records.py
+++ b/pimentoquay/gateway/tests/test_invalid_records.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -10,6 +11,7 @@
 from pimentoquay.kernel.input_checks import refused_by_kind
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages import encode
+from pimentoquay.messages.fleet import FleetCopy, VmAddress
 from pimentoquay.messages.streams import StreamsBegun, VersionStreams
 from pimentoquay.platform.store import (
     PROMPT_TOPIC,
@@ -18,7 +20,9 @@
     VM_TOPIC,
 )
 from pimentoquay.platform.tests.invalid_entries import (
+    ADDRESSES,
     HALF,
+    INVALID_ENTRIES,
     NESTED,
     NUMBERS,
     TEXTS,
@@ -204,6 +208,41 @@
         await check_served(env, frozenset())
 
 
+@pytest.mark.parametrize("data", one_of_each(ADDRESSES))
+async def test_gateways_go_on_beside_an_entry_whose_address_cannot_be_connected(data):
+    assert await play([(ENGINES, "i-other", data)])
+
+
+async def test_an_invalid_entry_of_a_listed_engine_names_it_no_longer():
+    async with rig() as env:
+        fleet = env.gateway_by_vm["vm-1"].fleet
+        for data in INVALID_ENTRIES.values():
+            await env.store.put(ENGINES, "desk-1", env.engine_by_id["desk-1"].entry())
+            await until(lambda: len(fleet.accepting_engines("desk")) == 2, "listed")
+            await env.store.put(ENGINES, "desk-1", data)
+            await until(lambda: len(fleet.accepting_engines("desk")) == 1, "not listed")
+        assert (await env.send_request("/look/a")).status == 200
+        assert env.gateway_by_vm["vm-1"].dispatcher.is_ready
+
+
+UNUSABLE_ADDRESSES = ("127.9..9:80", "vm-9:65536", "vm-9:0", "[::1:1", "a b:1", "vm-9:８０")
+
+
+@pytest.mark.parametrize("field", ["address", "tunnel_address"])
+@pytest.mark.parametrize("address", UNUSABLE_ADDRESSES)
+async def test_an_address_of_a_vm_that_cannot_be_connected_names_no_peer(field, address):
+    async with rig() as env:
+        second = await env.add_gateway("vm-2", store_address="127.0.0.1:1", seeds=("vm-1:1",))
+        await env.store.put(VM_TOPIC, "vm-9", vm_record(**{field: address}))
+        third = await env.add_gateway("vm-3")
+        told = VmAddress("vm-8", "vm-8:1", "hall", 99, "")
+        third.mesh.publish(FleetCopy(-1, b"", (), -1, (replace(told, **{field: address}),)))
+        await asyncio.sleep(0.5)
+        known = {vm for each in (second, third) for vm in each.mesh.addresses.by_vm}
+        assert known == {"vm-1", "vm-2", "vm-3"}
+        await check_served(env, frozenset())
+
+
 async def test_what_was_ignored_is_counted_and_named_in_the_log():
     lines: list[Any] = []
     sink = logger.add(lines.append)
--- a/pimentoquay/gateway/vm_addresses.py
+++ b/pimentoquay/gateway/vm_addresses.py
@@ -3,8 +3,10 @@
 from collections.abc import Collection, Mapping
 from dataclasses import replace
 
+from pimentoquay.kernel.input_checks import refuse
 from pimentoquay.messages.fleet import VmAddress
 from pimentoquay.policy.tunnel_peers import PeerPlace
+from pimentoquay.transport.addresses import check_address
 
 __all__ = ["VmAddresses"]
 
@@ -41,13 +43,15 @@
     def update(self, addresses: Collection[VmAddress]) -> tuple[VmAddress, ...]:
         """Store newer addresses, and return those that were newer.
 
+        Those of other VMs to which no connection can be tried are ignored.
         Those of this VM are newer once its own record is read from the store; the position of that
         record lets peers that have an earlier one take the addresses over.
         """
         changed = tuple(
             each
             for each in addresses
-            if self._is_newer(each) and (each.vm != self._vm or self._is_current(each))
+            if self._is_newer(each)
+            and (self._is_current(each) if each.vm == self._vm else _is_usable(each))
         )
         if changed:
             self.by_vm.update({each.vm: each for each in changed})
@@ -71,3 +75,15 @@
     def _is_newer(self, address: VmAddress) -> bool:
         known = self.by_vm.get(address.vm)
         return known is None or known.position < address.position
+
+
+def _is_usable(item: VmAddress) -> bool:
+    """Return whether both addresses of a VM are empty or can be connected; log if not."""
+    try:
+        for address in (item.address, item.tunnel_address):
+            if address:
+                check_address(address)
+    except ValueError as error:
+        refuse("address of a VM", item.vm, error)
+        return False
+    return True
--- a/pimentoquay/kernel/input_checks.py
+++ b/pimentoquay/kernel/input_checks.py
@@ -69,16 +69,14 @@
 
     A number must not be less than ``minimum``.
     """
-    if isinstance(value, bool) and kind is not bool:
-        raise ValueError(f"{describe(value)}: expected {kind.__name__}")
-    if kind is float and isinstance(value, int | float):
+    if type(value) is int and kind is float:
         return float(check_range(value, minimum))  # type: ignore[return-value]
-    if not isinstance(value, kind):
+    if type(value) is not kind:
         raise ValueError(f"{describe(value)}: expected {kind.__name__}")
     if isinstance(value, str):
-        check_text(value)
-    elif isinstance(value, int | float):
-        check_range(value, minimum)
+        return value if value.isascii() else check_text(value)
+    if isinstance(value, int | float):
+        return check_range(value, minimum)
     return value
 
 
--- a/pimentoquay/platform/engine_entry.py
+++ b/pimentoquay/platform/engine_entry.py
@@ -5,7 +5,7 @@
 from pimentoquay.kernel.input_checks import can_be_header, describe
 from pimentoquay.platform.fields import DecodeError, checked, optional, parse_json, required
 from pimentoquay.policy.fleet import EngineEntry, EngineStage
-from pimentoquay.transport.websocket import split_address
+from pimentoquay.transport.addresses import check_address
 
 __all__ = ["decode_engine_entry"]
 
@@ -34,9 +34,8 @@
     stage = optional(item, "stage", str, "")
     if stage and stage not in _STAGE_BY_NAME:
         raise DecodeError(f"{engine_id}: stage = {describe(stage)}")
-    address = required(item, "address", str)
     try:
-        split_address(address)
+        address = check_address(required(item, "address", str))
     except ValueError as error:
         raise DecodeError(f"{engine_id}: address: {error}") from None
     return EngineEntry(
--- a/pimentoquay/platform/tests/invalid_entries.py
+++ b/pimentoquay/platform/tests/invalid_entries.py
@@ -2,7 +2,16 @@
 
 import json
 
-__all__ = ["ENTRY", "HALF", "NESTED", "NUMBERS", "TEXTS", "sound_entry"]
+__all__ = [
+    "ADDRESSES",
+    "ENTRY",
+    "HALF",
+    "INVALID_ENTRIES",
+    "NESTED",
+    "NUMBERS",
+    "TEXTS",
+    "sound_entry",
+]
 
 HALF = "v1 \ud83d"
 """A text that was cut within a character, as JSON writes one."""
@@ -59,3 +68,37 @@
     "deeply nested and cut": b"[" * 100_000,
     "deeply nested objects": b'{"a":' * 100_000 + b"1" + b"}" * 100_000,
 }
+
+ADDRESSES = {
+    f"address {address[:20]!r}": sound_entry(address=address)
+    for address in (
+        "127.9..9:80",
+        "127.0.0.1:0",
+        "127.0.0.1:65536",
+        "127.0.0.1:99999999999",
+        "127.0.0.1:-1",
+        "127.0.0.1:+80",
+        "127.0.0.1: 80",
+        "127.0.0.1:８０",
+        "127.0.0.1:²",
+        "127.0.0.1:1_0",
+        "127.0.0.1:" + "1" * 5000,
+        "127.0.0.1:",
+        ":80",
+        "80",
+        " :80",
+        "a b:80",
+        "a\x00b:80",
+        "a\r\nX: y:80",
+        "\ud83d:80",
+        "ﬂ" * 40 + ":80",
+        "a" * 64 + ".example:80",
+        "a." * 130 + "a:80",
+        ".example:80",
+        "http://127.0.0.1:80",
+        "user@127.0.0.1:80",
+        "fe80::1%a\r\nb:80",
+    )
+}
+
+INVALID_ENTRIES = {**TEXTS, **NUMBERS, **NESTED, **ADDRESSES}
--- a/pimentoquay/transport/websocket.py
+++ b/pimentoquay/transport/websocket.py
@@ -24,6 +24,7 @@
 from pimentoquay.messages import CodecError, decode, encode
 from pimentoquay.messages.connection import Challenge, Hello, Rejected, Welcome
 from pimentoquay.transport import handshake
+from pimentoquay.transport.addresses import split_address
 from pimentoquay.transport.framing import MAX_PACKET_BYTES, pack, unpack
 
 __all__ = ["WebSocketChannel", "WebSocketTransport", "split_address"]
@@ -63,14 +64,6 @@
 AcceptCallback = Callable[[Channel], Any]
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split ``host:port``; raise a ``ValueError`` that contains the address if it is malformed."""
-    host, separator, port = address.rpartition(":")
-    if not separator or not host or not port.isdigit() or not 0 <= int(port) <= 65535:
-        raise ValueError(f"expected IP:PORT, got {address!r}")
-    return host, int(port)
-
-
 class WebSocketChannel:
     """An open channel over a WebSocket connection.
 
