Take every failed attempt to connect as a failed connection

Through a peer, no reply came to the request for a tunnel. A channel to a VM with such an address, or with a port out of range, was never opened again.

Cause: an event loop raises UnicodeError, ValueError ("embedded null character") or OverflowError for an address that it cannot use, and the places that connect expected OSError only.

connect_tcp, by which connections to engines, through peers and to the store are opened, raises OSError then, and the transport between gateways ConnectionError, as it does for other failures.

--- a/pimentoquay/bench/mutations/gateway_switches.py
+++ b/pimentoquay/bench/mutations/gateway_switches.py
@@ -1,6 +1,7 @@
 """Mechanisms of the gateway that can be switched off, and the tests that have to fail then."""
 
 from pimentoquay.bench.mutations.replacements import (
+    connect_unchecked,
     find_server_refusing,
     learn_as_seen_now,
     read_body_without_limit,
@@ -89,6 +90,12 @@
         lambda original: lambda address: address,
         _INVALID + "test_an_invalid_entry_of_a_listed_engine_names_it_no_longer",
     ),
+    Switch(
+        "attempts to connect fail with OSError",
+        "pimentoquay.standin.virtual_links:connect_tcp",
+        connect_unchecked,
+        _INVALID + "test_gateways_go_on_if_attempts_to_connect_to_engines_raise[127.9..9:80]",
+    ),
     Switch(
         "size of a body",
         "pimentoquay.http1.client:Exchange.read_body",
--- a/pimentoquay/bench/mutations/replacements.py
+++ b/pimentoquay/bench/mutations/replacements.py
@@ -4,6 +4,7 @@
 lacks the mechanism.
 """
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
@@ -22,6 +23,7 @@
     "choose_any_versions",
     "close_versions_to_all_streams",
     "count_all_as_ahead",
+    "connect_unchecked",
     "disable_reader_takeover",
     "do_nothing_async",
     "find_server_refusing",
@@ -56,6 +58,15 @@
     return lambda original: lambda *args, **kwargs: value
 
 
+def connect_unchecked(original: Any) -> Any:
+    """Raise whatever an event loop raises for an address."""
+
+    async def connect(factory: Any, host: str, port: int) -> Any:
+        return await asyncio.get_running_loop().create_connection(factory, host, port)
+
+    return connect
+
+
 def refuse_all_tunnels(original: Any) -> Any:
     """Open no connection through a peer."""
 
--- a/pimentoquay/gateway/tests/test_invalid_records.py
+++ b/pimentoquay/gateway/tests/test_invalid_records.py
@@ -8,6 +8,7 @@
 import pytest
 
 from pimentoquay.gateway.tests.rig import rig, until
+from pimentoquay.kernel.errors import HttpError
 from pimentoquay.kernel.input_checks import refused_by_kind
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages import encode
@@ -119,6 +120,33 @@
         assert {engine.id for engine in gateway.fleet.engines()} == set(env.engine_by_id)
 
 
+@pytest.mark.parametrize("address", ["127.9..9:80", "a\x00b:80", "127.0.0.1:99999"])
+async def test_gateways_go_on_if_attempts_to_connect_to_engines_raise(address, monkeypatch):
+    """Streams got 500 with UnicodeError, and the gateway that ordered a change of stage ended."""
+    for name in ("platform.engine_entry:check_address", "transport.addresses:MAX_PORT"):
+        module, _, attribute = name.partition(":")
+        value = 10**6 if attribute == "MAX_PORT" else str
+        monkeypatch.setattr(f"pimentoquay.{module}.{attribute}", value)
+    async with rig() as env:
+        await env.add_gateway("vm-2")
+        for number, stage in enumerate(("prefill", "decode", "decode")):
+            engine = PlatformEngine(f"other-{number}", "llm", stage=stage)
+            await engine.serve()
+            env.engine_by_id[engine.id] = engine
+            entry = json.loads(engine.entry()) | {"address": address}
+            await env.store.put(ENGINES, engine.id, json.dumps(entry).encode())
+        fleet = env.gateway_by_vm["vm-1"].fleet
+        await until(lambda: len(fleet.accepting_engines("llm")) == 6, "listed")
+        for _ in range(6):
+            for vm in env.gateway_by_vm:
+                assert (await env.stream(vm=vm)).status == 200
+        engine = next(each for each in fleet.engines() if each.id == "other-1")
+        link = env.gateway_by_vm["vm-1"].links.link_to(engine)
+        with pytest.raises(HttpError):
+            await link.order(link.calls.change_stage(True, "vm-1", 1), 1.0)
+        await check_served(env, frozenset())
+
+
 def vm_record(**changes):
     return json.dumps({"address": "vm-9:1", "data_centre": "hall"} | changes).encode()
 
--- a/pimentoquay/http1/client.py
+++ b/pimentoquay/http1/client.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import errno
 from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable
 from enum import Enum
@@ -26,19 +27,28 @@
     ConnectFailure,
     ResponseTooLargeError,
 )
+from pimentoquay.kernel.input_checks import describe
 from pimentoquay.kernel.timeouts import attempt_timeout
 from pimentoquay.transport.websocket import split_address
 
 __all__ = ["Connect", "ConnectionPool", "Exchange", "ReusePolicy", "ServerState", "connect_tcp"]
 
 Connect = Callable[[Callable[[], Any], str, int], Awaitable[tuple[Any, Any]]]
-"""Opens a connection with a protocol from a factory to a host and port, as ``create_connection``
-of an event loop does."""
+"""Opens a connection with a protocol from a factory to a host and port.
+
+It fails with ``OSError`` or ``TimeoutError``, also if there can be no such host or port.
+"""
 
 
 async def connect_tcp(factory: Callable[[], Any], host: str, port: int) -> tuple[Any, Any]:
-    """Open a TCP connection."""
-    return await asyncio.get_running_loop().create_connection(factory, host, port)
+    """Open a TCP connection; raise ``OSError`` if that fails for any reason."""
+    loop = asyncio.get_running_loop()
+    try:
+        return await loop.create_connection(factory, host, port)
+    except (ValueError, OverflowError) as error:
+        # A host that has no encoding, or a port out of range.
+        detail = f"{describe(host)}, port {describe(port)}: {error}"
+        raise OSError(errno.EADDRNOTAVAIL, detail) from error
 
 
 class ServerState(Enum):
--- a/pimentoquay/http1/tests/test_client.py
+++ b/pimentoquay/http1/tests/test_client.py
@@ -2,9 +2,15 @@
 
 import pytest
 
-from pimentoquay.http1 import ConnectionPool, ReusePolicy, ServerState, find_header
+from pimentoquay.http1 import (
+    ConnectionPool,
+    ReusePolicy,
+    ServerState,
+    connect_tcp,
+    find_header,
+)
 from pimentoquay.http1.tests.scripted import scripted, until
-from pimentoquay.kernel.errors import HttpError
+from pimentoquay.kernel.errors import ConnectError, HttpError
 
 OK = b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok"
 OTHER_RESPONSE = b"HTTP/1.1 200 OK\r\nX-Id: 9\r\nContent-Length: 6\r\n\r\nothers"
@@ -181,3 +187,29 @@
         with pytest.raises(HttpError) as error:
             await silent.read_chunk(0.01)
         assert not error.value.connection_lost
+
+
+UNUSABLE_ADDRESSES = (
+    ("127.9..9", 80),
+    ("a" * 300, 80),
+    ("\ud83d", 80),
+    ("a\x00b", 80),
+    ("127.0.0.1", 65536),
+    ("127.0.0.1", 10**30),
+    ("127.0.0.1", 0),
+)
+
+
+@pytest.mark.parametrize("host, port", UNUSABLE_ADDRESSES)
+async def test_an_attempt_to_connect_fails_with_oserror_whatever_the_address(host, port):
+    """UnicodeError and OverflowError were taken for faults of the request, or ended a task."""
+    with pytest.raises(OSError, match=r"\S"):
+        await connect_tcp(asyncio.Protocol, host, port)
+
+
+async def test_a_host_that_cannot_be_resolved_is_a_failed_connection():
+    pool = ConnectionPool("127.9..9:80", 1.0, ReusePolicy())
+    with pytest.raises(ConnectError) as caught:
+        await get(pool)
+    assert not caught.value.written
+    assert await pool.check_server() is ServerState.UNREACHABLE
--- a/pimentoquay/standin/virtual_links.py
+++ b/pimentoquay/standin/virtual_links.py
@@ -18,7 +18,7 @@
 from enum import Enum
 from typing import Any
 
-from pimentoquay.http1 import SharedBufferProtocol
+from pimentoquay.http1 import SharedBufferProtocol, connect_tcp
 
 __all__ = ["Connect", "Cut", "VirtualLinks"]
 
@@ -54,7 +54,7 @@
         self.on_attempt: Callable[[str, str], None] = lambda vm, address: None
 
     def connector(self, vm: str) -> Connect:
-        """Return a function that opens connections of a VM, as ``create_connection`` does."""
+        """Return a function that opens connections of a VM, as ``connect_tcp`` does."""
 
         async def connect(
             factory: Callable[[], Any], host: str, port: int
@@ -68,9 +68,8 @@
                 raise ConnectionRefusedError(f"{vm} cannot reach {address}")
             if cut is Cut.RESET:
                 raise ConnectionResetError(f"{vm} cannot reach {address}")
-            loop = asyncio.get_running_loop()
             connection = _Connection(vm, address, self._connections.discard)
-            await loop.create_connection(lambda: connection, host, port)
+            await connect_tcp(lambda: connection, host, port)
             self._connections.add(connection)
             inner = factory()
             connection.attach(inner)
--- a/pimentoquay/transport/tests/test_websocket.py
+++ b/pimentoquay/transport/tests/test_websocket.py
@@ -37,6 +37,15 @@
     await server.close()
 
 
+@pytest.mark.parametrize(
+    "address", ["127.9..9:80", "127.0.0.1:65536", "[::1:80", "\ud83d:80", "a\x00b:80", "a:８０", ""]
+)
+async def test_an_address_that_cannot_be_connected_fails_as_a_connection(address):
+    """ValueError ended the task that keeps a channel to a VM."""
+    with pytest.raises(ConnectionError):
+        await WebSocketTransport(ENTRY, b"k").connect(address)
+
+
 async def test_wrong_key_is_rejected_with_its_code():
     server, address = await listening(echo)
     with pytest.raises(PimentoquayError) as caught:
--- a/pimentoquay/transport/websocket.py
+++ b/pimentoquay/transport/websocket.py
@@ -19,6 +19,7 @@
 from websockets.exceptions import WebSocketException
 
 from pimentoquay.kernel import Channel, HybridClock, Identity, PimentoquayError, ResultCode
+from pimentoquay.kernel.input_checks import describe
 from pimentoquay.kernel.logs import logger
 from pimentoquay.kernel.traffic import process_traffic
 from pimentoquay.messages import CodecError, decode, encode
@@ -160,8 +161,10 @@
                 user_agent_header=None,
                 proxy=None,
             )
-        except (WebSocketException, OSError, TimeoutError) as error:
-            raise ConnectionRefusedError(f"cannot connect to {address}: {error}") from None
+        except (WebSocketException, OSError, TimeoutError, ValueError, OverflowError) as error:
+            raise ConnectionRefusedError(
+                f"cannot connect to {describe(address)}: {error}"
+            ) from None
         try:
             peer = await asyncio.wait_for(self._authenticate(connection), HANDSHAKE_SECONDS)
         except (WebSocketException, TimeoutError) as error:
--- a/pimentoquay/tunnels/client.py
+++ b/pimentoquay/tunnels/client.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from pimentoquay.http1 import SharedBufferProtocol
+from pimentoquay.http1 import SharedBufferProtocol, connect_tcp
 from pimentoquay.kernel import Identity, PimentoquayError, ResultCode
 from pimentoquay.kernel.timeouts import attempt_timeout
 from pimentoquay.messages import CodecError, decode, encode
@@ -78,11 +78,10 @@
         """
         host, port = split_address(address)
         request = TunnelRequest(target.engine, target.incarnation, target.address, is_check)
-        loop = asyncio.get_running_loop()
         protocol: _TunnelProtocol | None = None
         try:
             async with attempt_timeout(OPEN_SECONDS):
-                _, protocol = await loop.create_connection(
+                _, protocol = await connect_tcp(
                     lambda: _TunnelProtocol(self._identity, self._key, request), host, port
                 )
                 reply = await protocol.reply
--- a/pimentoquay/tunnels/tests/test_tunnels.py
+++ b/pimentoquay/tunnels/tests/test_tunnels.py
@@ -106,10 +106,10 @@
 
 
 @contextlib.asynccontextmanager
-async def pair(outcome=TunnelOutcome.OPEN, connect=connect_tcp):
+async def pair(outcome=TunnelOutcome.OPEN, connect=connect_tcp, address=""):
     engine = Engine()
     await engine.serve()
-    target = TunnelTarget("e", 1, engine.address)
+    target = TunnelTarget("e", 1, address or engine.address)
 
     def find_outcome(request):
         asked = TunnelTarget(request.engine, request.incarnation, request.address)
@@ -128,6 +128,18 @@
         engine.close()
 
 
+async def test_a_peer_replies_that_an_engine_is_silent_whose_host_cannot_be_resolved():
+    async with pair(address="127.9..9:80") as env:
+        assert await env.outcome() is TunnelOutcome.SILENT
+
+
+async def test_a_peer_whose_host_cannot_be_resolved_fails_as_a_connection():
+    async with pair() as env:
+        env.address = "127.9..9:80"
+        with pytest.raises(OSError, match=r"127\.9\.\.9"):
+            await env.open()
+
+
 async def test_bytes_go_both_ways_and_an_orderly_end_arrives_as_one():
     async with pair() as env:
         transport, receiver = await env.open()
