--- a/pimentoquay/gateway/tests/release_soak.py
+++ b/pimentoquay/gateway/tests/release_soak.py
@@ -103,7 +103,8 @@
             name = f"v{self.version}-{number}"
             engine = VersionedEngine(name, "llm", stage=stage, software=f"v{self.version}")
             engine.events, engine.pause = EVENTS, PAUSE
-            self._engines.append(await self.env.add_engine(engine))
+            await self.env.add_engine(engine)
+            self._engines.append(engine)
         old = [each for each in self._engines if each.software != f"v{self.version}"]
         decode = [each for each in old if each.stage == "decode"]
         prefill = [each for each in old if each.stage == "prefill"]
