Send the events that were read together with a wrong one before a stream goes on

A stream that may not be resumed ended without events that the engine had sent.

Cause: check_event_order recorded the ids one by one as those of events that were sent, and raised at the wrong one before anything was written. What was only read counted as sent in three more places: the tokens that are reported to peers and learnt from, the origin of the stream, which was not recorded as the begin of the run came after the check (so that the caller had got events of a version that nobody knew), and the progress that the next run goes on from.

A run is now read by EventReader, which returns the sound events of a read and fails at the next call. Progress and tokens are recorded once the events are written; the origin is still recorded before, as a caller may take the stream up as soon as it has the first event.

--- a/pimentoquay/bench/mutations/gateway_switches.py
+++ b/pimentoquay/bench/mutations/gateway_switches.py
@@ -2,6 +2,7 @@
 
 from pimentoquay.bench.mutations.replacements import (
     connect_unchecked,
+    drop_events_before_a_wrong_one,
     find_server_refusing,
     learn_as_seen_now,
     read_body_without_limit,
@@ -24,6 +25,7 @@
 _VERSIONS = "pimentoquay/gateway/tests/test_software_versions.py::"
 _INVALID = "pimentoquay/gateway/tests/test_invalid_records.py::"
 _PROMPTS = "pimentoquay/policy/tests/test_prompt_loads.py::"
+_EVENTS = "pimentoquay/gateway/tests/test_event_order.py::"
 
 GATEWAY_SWITCHES = (
     Switch(
@@ -273,5 +275,11 @@
         return_constant(True),
         _LIMITS + "test_a_coordinator_keeps_the_limits_of_the_engines_that_it_grants",
     ),
+    Switch(
+        "events read together with a wrong one are sent",
+        "pimentoquay.gateway.event_reader:EventReader._take_sound",
+        drop_events_before_a_wrong_one,
+        _EVENTS + "test_events_that_are_read_together_with_a_wrong_one_reach_the_caller[wrong id]",
+    ),
 )
 """Mechanisms of the gateway on the users' platform."""
--- a/pimentoquay/bench/mutations/replacements.py
+++ b/pimentoquay/bench/mutations/replacements.py
@@ -26,6 +26,7 @@
     "connect_unchecked",
     "disable_reader_takeover",
     "do_nothing_async",
+    "drop_events_before_a_wrong_one",
     "find_server_refusing",
     "grant_without_owner",
     "ignore_continuation",
@@ -358,3 +359,13 @@
 def wait_behind_all(original: Any) -> Any:
     """Let each stream wait for all others that wait."""
     return lambda self, waiter: [each for each in self._waiting if each is not waiter]
+
+
+def drop_events_before_a_wrong_one(original: Any) -> Any:
+    """Drop the events that were read together with a wrong one."""
+
+    def take_sound(self: Any, events: Any) -> Any:
+        sound = original(self, events)
+        return sound if self._fault is None else []
+
+    return take_sound
--- /dev/null
+++ b/pimentoquay/gateway/event_reader.py
@@ -0,0 +1,83 @@
+"""Reading of the events of one run: whole ones, in order."""
+
+import asyncio
+
+from pimentoquay.gateway.events import EventSplitter, StreamEvent
+from pimentoquay.gateway.stream_progress import RunEndedError
+from pimentoquay.http1 import Exchange
+from pimentoquay.kernel.errors import HttpError
+
+__all__ = ["EventReader"]
+
+
+class EventReader:
+    """Reads the events of a run up to the first that is missing or comes twice.
+
+    Events that arrived together with a wrong one are returned first, and the next call fails.
+
+    Parameters
+    ----------
+    exchange
+        The exchange whose response is the stream.
+    last_event
+        Id of the event after which the run goes on, or None if it begins the stream.
+    silence_timeout
+        Time without a complete event, in seconds, after which the run counts as failed, or None.
+    """
+
+    def __init__(
+        self, exchange: Exchange, last_event: int | None, silence_timeout: float | None
+    ) -> None:
+        self._exchange = exchange
+        self._last_event = last_event
+        self._silence_timeout = silence_timeout
+        self._splitter = EventSplitter()
+        self._fault: RunEndedError | None = None
+
+    async def next_events(self) -> list[StreamEvent]:
+        """Return the next complete events, or none at the end of the stream.
+
+        Only complete events end a silence: a stalled engine may send a few bytes of one now and
+        then.
+
+        Raises
+        ------
+        RunEndedError
+            If the next event is not the one that follows, or the stream ended within an event.
+        HttpError
+            If the exchange fails, or is silent for too long.
+        """
+        if self._fault is not None:
+            raise self._fault
+        loop = asyncio.get_running_loop()
+        since, left = loop.time(), self._silence_timeout
+        while (chunk := await self._exchange.read_chunk(left)) is not None:
+            events = self._take_sound(self._splitter.feed(chunk))
+            if events:
+                return events
+            if self._fault is not None:
+                raise self._fault
+            if self._silence_timeout is not None:
+                left = max(0.0, since + self._silence_timeout - loop.time())
+        self._check_end()
+        return []
+
+    def _take_sound(self, events: list[StreamEvent]) -> list[StreamEvent]:
+        """Return the events before the first wrong one, which ends the run."""
+        for index, event in enumerate(events):
+            if event.id is None:
+                continue
+            last = self._last_event
+            if last is not None and event.id != last + 1:
+                self._fault = RunEndedError(f"event {event.id} came after {last}", True)
+                return events[:index]
+            self._last_event = event.id
+        return events
+
+    def _check_end(self) -> None:
+        if self._splitter.remainder:
+            raise RunEndedError("stream ended within an event", True)
+        if self._exchange.is_unframed and self._last_event is None:
+            # The end of the connection marks the end of the stream, also when the engine has
+            # crashed.
+            raise HttpError("stream ended before its first event", True, connection_lost=True)
--- a/pimentoquay/gateway/stream_progress.py
+++ b/pimentoquay/gateway/stream_progress.py
@@ -1,20 +1,16 @@
-"""Progress of one stream over its runs at decode engines, and the reading of its events."""
+"""Progress of one stream over its runs at decode engines."""
 
-import asyncio
+from collections.abc import Iterable
 from dataclasses import dataclass
 
-from pimentoquay.gateway.events import EventSplitter, StreamEvent
-from pimentoquay.http1 import Exchange, HeaderList, ServerState
-from pimentoquay.kernel.errors import HttpError
+from pimentoquay.gateway.events import StreamEvent
+from pimentoquay.http1 import HeaderList, ServerState
 from pimentoquay.policy.fleet import TokenMemory
 
 __all__ = [
     "ErrorResponse",
     "RunEndedError",
     "StreamProgress",
-    "check_event_order",
-    "check_stream_end",
-    "next_events",
     "output_tokens",
 ]
 
@@ -70,23 +66,11 @@
     software: str = ""
     error_response: ErrorResponse | None = None
 
-
-async def next_events(
-    exchange: Exchange, splitter: EventSplitter, silence_timeout: float | None
-) -> list[StreamEvent]:
-    """Return the next complete events, or none at the end of the stream.
-
-    Only complete events end a silence: a stalled engine may send a few bytes of one now and then.
-    """
-    loop = asyncio.get_running_loop()
-    since, left = loop.time(), silence_timeout
-    while (chunk := await exchange.read_chunk(left)) is not None:
-        events = splitter.feed(chunk)
-        if events:
-            return events
-        if silence_timeout is not None:
-            left = max(0.0, since + silence_timeout - loop.time())
-    return []
+    def record_sent(self, events: Iterable[StreamEvent]) -> None:
+        """Record events that were passed to the caller."""
+        for event in events:
+            if event.id is not None:
+                self.last_event = event.id
 
 
 def output_tokens(progress: StreamProgress, memory: TokenMemory) -> int:
@@ -94,23 +78,3 @@
     if progress.last_event is None:
         return 0
     return (progress.last_event + 1) * memory.event_tokens
-
-
-def check_event_order(events: list[StreamEvent], progress: StreamProgress) -> None:
-    """Record the ids of events; raise ``RunEndedError`` if one is missing or comes twice."""
-    for event in events:
-        if event.id is None:
-            continue
-        last = progress.last_event
-        if last is not None and event.id != last + 1:
-            raise RunEndedError(f"event {event.id} came after {last}", True)
-        progress.last_event = event.id
-
-
-def check_stream_end(exchange: Exchange, splitter: EventSplitter, progress: StreamProgress) -> None:
-    """Raise ``RunEndedError`` or ``HttpError`` if a stream that has ended was broken off."""
-    if splitter.remainder:
-        raise RunEndedError("stream ended within an event", True)
-    if exchange.is_unframed and progress.last_event is None:
-        # The end of the connection marks the end of the stream, also when the engine has crashed.
-        raise HttpError("stream ended before its first event", True, connection_lost=True)
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -7,7 +7,7 @@
 
 import asyncio
 
-from pimentoquay.gateway.events import EventSplitter
+from pimentoquay.gateway.event_reader import EventReader
 from pimentoquay.gateway.job import (
     MAX_CRASHES_PER_REQUEST,
     Job,
@@ -21,9 +21,6 @@
     ErrorResponse,
     RunEndedError,
     StreamProgress,
-    check_event_order,
-    check_stream_end,
-    next_events,
     output_tokens,
 )
 from pimentoquay.http1 import Exchange, ExchangeWatch, ServerState, end_to_end_headers
@@ -308,14 +305,11 @@
             raise RunEndedError("response was not sent by the engine itself", True)
         if prefill is not None:
             prefill.is_fetched = True
-        splitter = EventSplitter()
+        reader = EventReader(exchange, progress.last_event, silence_timeout)
         reply, memory = job.reply, self._token_memory(job)
         loop = asyncio.get_running_loop()
         first_at = last_at = 0.0
-        while events := await next_events(exchange, splitter, silence_timeout):
-            check_event_order(events, progress)
-            if memory is not None:
-                self._reservations.update_progress(reservation, output_tokens(progress, memory))
+        while events := await reader.next_events():
             now = loop.time()
             if not first_at:
                 self._record_begun(job, progress, reservation.engine)
@@ -327,8 +321,10 @@
                 reply.start(exchange.status, end_to_end_headers(exchange.headers))
                 job.metrics.record_first_event(job.age())
             reply.write(b"".join(event.data for event in events))
+            progress.record_sent(events)
+            if memory is not None:
+                self._reservations.update_progress(reservation, output_tokens(progress, memory))
             await reply.drain()
-        check_stream_end(exchange, splitter, progress)
         if not reply.started:
             reply.start(exchange.status, end_to_end_headers(exchange.headers))
         reply.end()
