Wait in a planned stop until the rest of finished answers has been sent

Cause: a connection counted as busy until its handler had passed the last bytes to the transport, not until the transport had written them, and Gateway._drain waits only for busy connections.

A connection is busy now also while its transport holds bytes of a response and the caller still waits for it. The dispatcher notes until when that is from the timeout that the caller states; a caller that states none is waited for as long as the stop may take.

--- a/pimentoquay/bench/mutations/gateway_switches.py
+++ b/pimentoquay/bench/mutations/gateway_switches.py
@@ -4,6 +4,7 @@
     connect_unchecked,
     drop_events_before_a_wrong_one,
     find_server_refusing,
+    ignore_unsent_answers,
     learn_as_seen_now,
     read_body_without_limit,
     return_constant,
@@ -281,5 +282,12 @@
         drop_events_before_a_wrong_one,
         _EVENTS + "test_events_that_are_read_together_with_a_wrong_one_reach_the_caller[wrong id]",
     ),
+    Switch(
+        "rest of finished answers sent in a planned stop",
+        "pimentoquay.http1.server:_ServerConnection.is_busy",
+        ignore_unsent_answers,
+        "pimentoquay/gateway/tests/test_slow_callers.py::"
+        "test_a_planned_stop_sends_the_rest_of_finished_answers_to_slow_callers[/sheet/a]",
+    ),
 )
 """Mechanisms of the gateway on the users' platform."""
--- a/pimentoquay/bench/mutations/replacements.py
+++ b/pimentoquay/bench/mutations/replacements.py
@@ -30,6 +30,7 @@
     "find_server_refusing",
     "grant_without_owner",
     "ignore_continuation",
+    "ignore_unsent_answers",
     "keep_expired_lease_number",
     "keep_role_while_cut_off",
     "learn_as_seen_now",
@@ -369,3 +370,8 @@
         return sound if self._fault is None else []
 
     return take_sound
+
+
+def ignore_unsent_answers(original: Any) -> Any:
+    """Take an answer for sent once its handler has ended."""
+    return property(lambda self: self._task is not None)
--- a/pimentoquay/gateway/dispatcher.py
+++ b/pimentoquay/gateway/dispatcher.py
@@ -46,6 +46,8 @@
     async def handle(self, request: HttpRequest, reply: Reply) -> None:
         """Handle one request and send its response."""
         caller = parse_request(request.headers)
+        if caller.timeout_seconds is not None:
+            reply.expires_at = request.received_at + caller.timeout_seconds
         fleet = self._shared.fleet
         if not fleet.is_loaded or fleet.route_table is None:
             self._refuse(caller, reply, ResultCode.NOT_READY)
--- a/pimentoquay/http1/server.py
+++ b/pimentoquay/http1/server.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import http
+import math
 import re
 import socket
 import struct
@@ -81,7 +82,10 @@
 
     @property
     def requests_in_progress(self) -> int:
-        """Number of received requests whose response has not been sent completely."""
+        """Number of received requests whose response has not been sent completely.
+
+        A response that its caller no longer waits for does not count once its handler has ended.
+        """
         return sum(1 for connection in self.connections if connection.is_busy)
 
     async def listen(self, host: str, port: int) -> None:
@@ -117,12 +121,14 @@
 class Reply:
     """Response to one request; sent at most once, and not after the caller has disconnected.
 
-    ``default_headers`` are added to the headers of the response.
+    ``default_headers`` are added to the headers of the response. ``expires_at`` is the event loop
+    time until which the caller waits for it, in seconds.
     """
 
     def __init__(self, connection: "_ServerConnection") -> None:
         self._connection = connection
         self.default_headers: HeaderList = ()
+        self.expires_at = math.inf
         self.started = False
         self.ended = False
 
@@ -196,11 +202,13 @@
         self._first_byte_at: float | None = None
         self._last_activity_at = self._loop.time()
         self._timer: asyncio.TimerHandle | None = None
+        self._expires_at = math.inf
         self._closing = False
 
     @property
     def is_busy(self) -> bool:
-        return self._task is not None
+        has_unsent = self._transport.get_write_buffer_size() > 0
+        return self._task is not None or (has_unsent and self._loop.time() < self._expires_at)
 
     def connection_made(self, transport: Any) -> None:
         self._transport = transport
@@ -328,6 +336,7 @@
                 reply.send(500, (), b"")
         finally:
             self._task = None
+            self._expires_at = reply.expires_at
             self._first_byte_at = None
             self._last_activity_at = self._loop.time()
         if not reply.ended:
--- a/pimentoquay/http1/tests/scripted.py
+++ b/pimentoquay/http1/tests/scripted.py
@@ -20,6 +20,32 @@
             await asyncio.sleep(0.005)
 
 
+BUFFER_BYTES = 4096
+"""Size of the buffers that the system is asked for; it takes some more."""
+
+
+@contextlib.asynccontextmanager
+async def small_buffers(server):
+    """Yield a socket connected to a server, with small buffers of the system at both ends."""
+    with socket.socket() as sock:
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+        address = ("127.0.0.1", server.port)
+        await asyncio.get_running_loop().sock_connect(sock, address)
+        await until(lambda: connection_of(server, sock) is not None, "accepted")
+        accepted = connection_of(server, sock).get_extra_info("socket")
+        accepted.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER_BYTES)
+        yield sock
+
+
+def connection_of(server, sock):
+    """Return the transport of a server to a client's socket, or None."""
+    for connection in server.connections:
+        if connection._transport.get_extra_info("peername") == sock.getsockname():
+            return connection._transport
+    return None
+
+
 class ScriptedServer:
     """Sends the next script as the response to each request.
 
