Keep a tunnel whose caller stops reading for some seconds

Callers would see: an answer through a peer's tunnel breaks off (LOST if it is a stream or call that may run once) if the caller reads slowly or not at all for more than 2 s, though the caller, both gateways and the engine are sound.

Cause: TCP_USER_TIMEOUT also counts the time for which the other end acknowledges, but has no room (a window of zero). A gateway reads a tunnel no faster than its caller reads, and the peer had 2 s for it, as for an engine.

The peer's side of a tunnel now waits for 15 s, the time for which an idle caller is kept. What it costs: a peer whose VM is gone without a reset holds its engines for as long, or until the timeout that they were told. The side towards the engine keeps its 2 s.

test_a_caller_that_stops_reading_for_a_while_gets_the_rest_through_a_tunnel (1 MB, a pause of 4 s) failed before (the rest was missing) and passes. Planned stops of either gateway while a tunnel carries an answer to a slow caller are tested as well; these passed before.

--- a/pimentoquay/bench/mutations/path_switches.py
+++ b/pimentoquay/bench/mutations/path_switches.py
@@ -16,6 +16,7 @@
 )
 from pimentoquay.bench.mutations.switch import Switch
 from pimentoquay.policy.engine_paths import Verdict
+from pimentoquay.tunnels.server import USER_TIMEOUT_MILLISECONDS
 
 __all__ = ["PATH_SWITCHES"]
 
@@ -35,6 +36,13 @@
         _CUT + "test_callers_of_a_gateway_that_reaches_no_engine_are_served_within_a_second"
         "[Cut.REFUSED]",
     ),
+    Switch(
+        "callers of a peer may stop reading",
+        "pimentoquay.tunnels.server:PEER_USER_TIMEOUT_MILLISECONDS",
+        lambda original: USER_TIMEOUT_MILLISECONDS,
+        "pimentoquay/gateway/tests/test_slow_callers.py::"
+        "test_a_caller_that_stops_reading_for_a_while_gets_the_rest_through_a_tunnel",
+    ),
     Switch(
         "refusal seen by a peer",
         "pimentoquay.tunnels.paths:judge",
--- a/pimentoquay/gateway/tests/test_slow_callers.py
+++ b/pimentoquay/gateway/tests/test_slow_callers.py
@@ -9,6 +9,7 @@
 from pimentoquay.gateway.tests.rig import model_headers, rig, until
 from pimentoquay.http1.tests.scripted import small_buffers
 from pimentoquay.standin.platform_engine import PlatformEngine
+from pimentoquay.standin.virtual_links import Cut
 
 PAUSE_SECONDS = 1.0
 """Time for which a caller stops reading."""
@@ -66,7 +67,7 @@
 
     async def read_rest(self):
         with contextlib.suppress(ConnectionError):
-            while await self.read(65536):
+            while not self.is_whole and await self.read(65536):
                 pass
 
 
@@ -138,3 +139,48 @@
                 await env.stop()
             grace_seconds = gateway.settings.bounds.grace_seconds
             assert grace_seconds - 1.0 < loop.time() - stopped_at < grace_seconds
+
+
+@contextlib.asynccontextmanager
+async def cut_off_rig(monkeypatch):
+    """Yield a large rig whose vm-1 reaches the engines through vm-2 only."""
+    async with large_rig(monkeypatch) as env:
+        await env.add_gateway("vm-2")
+        env.links.cut("vm-1", Cut.REFUSED)
+        async with asyncio.timeout(10):
+            for path in ("/order/a", "/sheet/a"):
+                while (await env.stream(path)).status != 200:
+                    await env.gateway_by_vm["vm-1"].node.timers.sleep(0.1)
+        yield env
+
+
+TUNNELLED = (b"/order/a", b"/sheet/a")
+
+
+@pytest.mark.parametrize("stopped", ["vm-1", "vm-2"])
+@pytest.mark.parametrize("path", TUNNELLED)
+async def test_a_planned_stop_of_either_gateway_sends_the_rest_of_answers_through_a_tunnel(
+    stopped, path, monkeypatch
+):
+    async with cut_off_rig(monkeypatch) as env:
+        async with slow_caller(env.gateway_by_vm["vm-1"], path) as caller:
+            assert (await caller.read()).startswith(b"HTTP/1.1 200")
+            assert env.gateway_by_vm["vm-2"].tunnel_server.active
+            stopping = env.stop(stopped)
+            await asyncio.sleep(PAUSE_SECONDS)
+            await caller.read_rest()
+            assert caller.is_whole
+        async with asyncio.timeout(10):
+            await stopping
+
+
+async def test_a_caller_that_stops_reading_for_a_while_gets_the_rest_through_a_tunnel(monkeypatch):
+    """The system reset a tunnel whose end had not read for 2 s, though its VM was alive."""
+    async with (
+        cut_off_rig(monkeypatch) as env,
+        slow_caller(env.gateway_by_vm["vm-1"], b"/order/a") as caller,
+    ):
+        await caller.read()
+        await asyncio.sleep(4.0)
+        await caller.read_rest()
+        assert caller.is_whole
--- a/pimentoquay/tunnels/server.py
+++ b/pimentoquay/tunnels/server.py
@@ -34,7 +34,11 @@
 """Maximum size of bytes for an engine that is not connected yet; peers wait for the reply."""
 
 USER_TIMEOUT_MILLISECONDS = 2000
-"""Time in ms after which the system resets a connection to a VM that does not respond."""
+"""Time in ms after which the system resets a connection to an engine that does not respond."""
+
+PEER_USER_TIMEOUT_MILLISECONDS = 15_000
+"""The same for a peer; as long as a caller may be idle, since the system also resets a connection
+whose other end responds but does not read, and a peer reads no faster than its caller."""
 
 
 @dataclass(frozen=True)
@@ -180,7 +184,7 @@
     def connection_made(self, transport: Any) -> None:
         self._transport = transport
         sock = transport.get_extra_info("socket")
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, PEER_USER_TIMEOUT_MILLISECONDS)
         self._server.add(self)
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(HANDSHAKE_SECONDS, self.abort)
