Go on with a planned stop after a second SIGTERM

Callers would see: their answers cut off (LOST) if the platform asks for the same stop twice within the grace time, as when two series of restarts overlap. The gateway ended at once with status 130, whatever was in progress.

Cause: the handler that all programs share takes any second signal for an operator's wish to end at once. Entry and control processes wait without limit for their requests, and their pages name a second SIGTERM for this; the drain of a gateway is bounded by the grace time, and the platform sends SIGKILL after it.

run_until_stopped now takes the signals that end a draining program. For a gateway that is SIGINT only; the other programs are unchanged.

--- a/pimentoquay/bench/mutations/gateway_switches.py
+++ b/pimentoquay/bench/mutations/gateway_switches.py
@@ -12,6 +12,7 @@
     wait_behind_all,
 )
 from pimentoquay.bench.mutations.switch import Switch
+from pimentoquay.kernel.programs import STOP_SIGNALS
 
 __all__ = ["GATEWAY_SWITCHES"]
 
@@ -289,5 +290,12 @@
         "pimentoquay/gateway/tests/test_slow_callers.py::"
         "test_a_planned_stop_sends_the_rest_of_finished_answers_to_slow_callers[/sheet/a]",
     ),
+    Switch(
+        "planned stop goes on after a second SIGTERM",
+        "pimentoquay.kernel.programs:_run",
+        lambda original: lambda main, ending_signals: original(main, STOP_SIGNALS),
+        "pimentoquay/kernel/tests/test_programs.py::"
+        "test_a_drain_goes_on_after_a_signal_that_does_not_end_the_program",
+    ),
 )
 """Mechanisms of the gateway on the users' platform."""
--- a/pimentoquay/gateway/program.py
+++ b/pimentoquay/gateway/program.py
@@ -40,7 +40,10 @@
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
     configure_logs(PROGRAM, settings.vm, arguments.level, LogStream(sys.stdout.fileno()))
-    return run_until_stopped(lambda stop: _serve(settings, stop, arguments.metrics_port))
+    # The grace time bounds the drain, and the platform may ask for the same stop more than once.
+    return run_until_stopped(
+        lambda stop: _serve(settings, stop, arguments.metrics_port), (signal.SIGINT,)
+    )
 
 
 async def _serve(
--- a/pimentoquay/kernel/programs.py
+++ b/pimentoquay/kernel/programs.py
@@ -1,13 +1,14 @@
 """Common code of the programs: arguments, settings, signals and exit status.
 
-The first SIGTERM or SIGINT makes the program drain; the second one ends it immediately.
+The first SIGTERM or SIGINT makes the program drain; the second one ends it immediately, unless the
+program says that it goes on with its drain.
 """
 
 import argparse
 import asyncio
 import signal
 import sys
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable, Collection, Sequence
 from pathlib import Path
 from typing import TypeVar
 
@@ -19,6 +20,7 @@
     "EXIT_KILLED",
     "EXIT_OK",
     "EXIT_SETTINGS",
+    "STOP_SIGNALS",
     "StopRequested",
     "cancel_task",
     "load_settings_or_exit",
@@ -31,6 +33,9 @@
 EXIT_KILLED = 130
 """Exit status after a second signal."""
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+"""Signals that stop a program."""
+
 Settings = TypeVar("Settings")
 
 
@@ -79,9 +84,20 @@
         raise SystemExit(EXIT_SETTINGS) from None
 
 
-def run_until_stopped(main: Callable[[StopRequested], Awaitable[None]]) -> int:
-    """Run ``main`` and return the exit status; ``main`` must return once it has drained."""
-    return asyncio.run(_run(main))
+def run_until_stopped(
+    main: Callable[[StopRequested], Awaitable[None]],
+    ending_signals: Collection[signal.Signals] = STOP_SIGNALS,
+) -> int:
+    """Run ``main`` and return the exit status; ``main`` must return once it has drained.
+
+    Parameters
+    ----------
+    main
+        Runs the program until its argument is set, and drains then.
+    ending_signals
+        Signals that end the program immediately if it is draining; others change nothing then.
+    """
+    return asyncio.run(_run(main, ending_signals))
 
 
 async def cancel_task(task: "asyncio.Task[None]") -> None:
@@ -98,20 +114,24 @@
         raise task.exception()  # type: ignore[misc]
 
 
-async def _run(main: Callable[[StopRequested], Awaitable[None]]) -> int:
+async def _run(
+    main: Callable[[StopRequested], Awaitable[None]], ending_signals: Collection[signal.Signals]
+) -> int:
     stop = StopRequested()
     task = asyncio.ensure_future(main(stop))
 
-    def on_signal() -> None:
-        if stop.is_set():
+    def on_signal(number: signal.Signals) -> None:
+        if not stop.is_set():
+            stop.set()
+        elif number in ending_signals:
             logger.warning("received a second signal; exiting immediately")
             task.cancel()
-            return
-        stop.set()
+        else:
+            logger.bind(signal=number.name).info("received another signal while draining")
 
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, on_signal)
+    for number in STOP_SIGNALS:
+        loop.add_signal_handler(number, on_signal, number)
     try:
         await task
     except asyncio.CancelledError:
--- a/pimentoquay/kernel/tests/test_programs.py
+++ b/pimentoquay/kernel/tests/test_programs.py
@@ -1,5 +1,7 @@
 import asyncio
 import contextlib
+import os
+import signal
 
 import pytest
 
@@ -34,3 +36,19 @@
     await asyncio.wait({task})
     with pytest.raises(OSError, match="in use"):
         await programs.cancel_task(task)
+
+
+def test_a_drain_goes_on_after_a_signal_that_does_not_end_the_program():
+    has_drained = []
+
+    async def main(stop):
+        os.kill(os.getpid(), signal.SIGTERM)
+        await stop.wait()
+        os.kill(os.getpid(), signal.SIGTERM)
+        await asyncio.sleep(0.05)
+        has_drained.append(True)
+
+    assert programs.run_until_stopped(main, (signal.SIGINT,)) == programs.EXIT_OK
+    assert has_drained
+    assert programs.run_until_stopped(main) == programs.EXIT_KILLED
+    assert len(has_drained) == 1
