Refuse a tunnel that is being opened when its peer begins to stop

Callers would see: a request that breaks off (LOST if it may run once) as the gateway through which it goes ends at the end of its grace time.

Cause: a gateway that begins to stop tells the users of its open tunnels to send nothing more on them, and refuses new ones. A tunnel whose connection to the engine was being opened at that moment is neither: it was granted afterwards and its user never told, so that it keeps the tunnel for further requests.

Such a tunnel is now refused like a new one, and its connection to the engine closed; the user asks another peer.

test_a_tunnel_that_is_being_opened_when_its_peer_begins_to_stop_is_refused failed before (the tunnel was opened) and passes.

--- a/pimentoquay/tunnels/server.py
+++ b/pimentoquay/tunnels/server.py
@@ -158,6 +158,10 @@
         except (OSError, TimeoutError):
             self._policy.on_silent(request)
             return TunnelOutcome.SILENT, None
+        if self._is_draining:
+            # The tunnels that were open have been told; this one would be used until it is cut.
+            engine.abort()
+            return TunnelOutcome.DRAINING, None
         return TunnelOutcome.OPEN, engine
 
 
--- a/pimentoquay/tunnels/tests/test_tunnels.py
+++ b/pimentoquay/tunnels/tests/test_tunnels.py
@@ -260,3 +260,22 @@
         assert engine.transport.get_write_buffer_size() > 20_000_000
         transport.resume_reading()
         await until(lambda: receiver.size == 50_000_000, "read")
+
+
+async def test_a_tunnel_that_is_being_opened_when_its_peer_begins_to_stop_is_refused():
+    """It was opened after all others had been told, kept, and cut off at the end of the stop."""
+    is_asked, may_connect = asyncio.Event(), asyncio.Event()
+
+    async def connect(factory, host, port):
+        is_asked.set()
+        await may_connect.wait()
+        return await connect_tcp(factory, host, port)
+
+    async with pair(connect=connect) as env:
+        opening = asyncio.create_task(env.outcome())
+        await is_asked.wait()
+        env.server.drain()
+        may_connect.set()
+        assert await opening is TunnelOutcome.DRAINING
+        assert env.server.active == 0
+        await until(lambda: not env.engine.connections, "closed")
