Send what gateways tell each other in parts of bounded size

Cause: a gateway told a new peer all that it knows in one message of each type, and its peers all that it read first, so messages grew with the fleet until the codec refused them. Notices of engines that leave, limits, evidence of crashes, versions and origins of streams were sent so too.

Change: parts_of (gateway/message_parts.py) divides each type of message that holds a list, by one pure function (policy/message_parts.py), into messages of the same type of at most 256 KiB before compression. What says that a list is complete (engines_position, is_complete) is in the last part only, so a gateway is ready when it has all. PartSender sends one part a turn of the event loop, waits for a peer whose buffer is full, keeps the order of the messages of a type on a channel, so that what is new follows the parts, and goes on over the other channel to a peer if one closes. What one crash left stays together, after what was cleared. The feed no longer puts the position of a mere change into its message, which a peer with a part of the list would take for the end; it tells the whole list when it gets its first complete one. Messages that hold no list, and a Routed one, are bounded by the requests of one gateway. A test holds that each type with a list that a gateway receives is divided.

--- a/pimentoquay/bench/mutations/gateway_switches.py
+++ b/pimentoquay/bench/mutations/gateway_switches.py
@@ -24,6 +24,7 @@
 _LIMITS_POLICY = "pimentoquay/policy/tests/test_engine_limits.py::"
 _REQUESTS = "pimentoquay/gateway/tests/test_deadly_requests.py::"
 _REQUEST_LOADS = "pimentoquay/policy/tests/test_request_loads.py::"
+_FULL_SIZE = "pimentoquay/gateway/tests/test_full_size.py::"
 _VERSIONS = "pimentoquay/gateway/tests/test_software_versions.py::"
 _INVALID = "pimentoquay/gateway/tests/test_invalid_records.py::"
 _PROMPTS = "pimentoquay/policy/tests/test_prompt_loads.py::"
@@ -303,5 +304,11 @@
         lambda original: property(lambda self: False),
         _EVENTS + "test_an_event_whose_id_is_garbled_does_not_come_twice[none]",
     ),
+    Switch(
+        "messages in parts",
+        "pimentoquay.gateway.part_sender:parts_of",
+        lambda original: lambda message: (message,),
+        _FULL_SIZE + "test_a_gateway_that_connects_gets_the_whole_list_before_it_is_ready",
+    ),
 )
 """Mechanisms of the gateway on the users' platform."""
--- a/pimentoquay/bench/slopes/command.py
+++ b/pimentoquay/bench/slopes/command.py
@@ -4,7 +4,7 @@
 import dataclasses
 import json
 
-from pimentoquay.bench import decision_cost, membership_cost  # noqa: F401
+from pimentoquay.bench import decision_cost, fleet_copy_cost, membership_cost  # noqa: F401
 from pimentoquay.bench.slopes import (  # noqa: F401
     burst,
     held,
--- a/pimentoquay/gateway/feed.py
+++ b/pimentoquay/gateway/feed.py
@@ -219,14 +219,20 @@
         engines = tuple(
             EngineRecord(record.key, record.position, record.value or b"") for record in records
         )
+        had_list = self._fleet.has_engine_list
         changed = self._fleet.apply_engine_records(engines)
         was_restored, self._was_restored = self._was_restored, False
         if is_snapshot:
             self._fleet.apply_engine_snapshot(engines, next_position)
         else:
             self._fleet.record_list_read(next_position)
-        if changed or was_restored:
-            self._publish(FleetCopy(-1, b"", changed, next_position, ()))
+        if not had_list:
+            # Peers may lack what this gateway has got from others that have not sent all yet.
+            self._publish(self._fleet.snapshot())
+        elif changed or was_restored:
+            # A position would tell a peer that is still being sent the list that it is complete.
+            era_position = next_position if was_restored else -1
+            self._publish(FleetCopy(-1, b"", changed, era_position, ()))
 
 
 def _parse_vm_address(record: KeyedRecord) -> VmAddress | None:
--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -13,6 +13,7 @@
 from pimentoquay.gateway.fleet import Fleet
 from pimentoquay.gateway.load_exchange import HEARTBEAT_SECONDS, LoadExchange
 from pimentoquay.gateway.notices import NoticeExchange
+from pimentoquay.gateway.part_sender import PartSender
 from pimentoquay.gateway.peer_loads import PeerLoadTable
 from pimentoquay.gateway.peer_presence import PeerPresence
 from pimentoquay.gateway.relays import TIMEOUT_SECONDS, RelayNetwork
@@ -100,7 +101,8 @@
             node, lambda: loads.current(self.relays.own_state), self._channels
         )
         self.relays = RelayNetwork(node, fleet, self._channels)
-        self.notices = NoticeExchange(self._channels, lambda: self.plan)
+        self._sender = PartSender(node.timers)
+        self.notices = NoticeExchange(self._channels, self._sender, lambda: self.plan)
         self.on_load_changed: list[Callable[[], None]] = []
         self.on_stage_ordered: list[Callable[[StageOrdered], None]] = []
         self.on_plan_changed: list[Callable[[], None]] = []
@@ -197,8 +199,7 @@
 
     def publish(self, message: FleetCopy | StageOrdered) -> None:
         """Send a message to every peer that this gateway has a channel to."""
-        for channel in self._channels():
-            channel.send(message)
+        self._sender.send(self._channels(), message)
 
     def schedule_load_update(self) -> None:
         """Send this gateway's changed load to the peers after a short collection time."""
@@ -246,9 +247,9 @@
 
     def _forward(self, message: FleetCopy | StageOrdered, source: str) -> None:
         """Forward a peer's message to the peers that do not receive it from the source."""
-        for channel in self._channels():
-            if self.plan.should_forward(source, channel.peer.vm):
-                channel.send(message)
+        channels = self._channels()
+        targets = [each for each in channels if self.plan.should_forward(source, each.peer.vm)]
+        self._sender.send(targets, message)
 
     def _receive(self, envelope: Envelope) -> None:
         self.step.receive(envelope)
@@ -267,7 +268,8 @@
         self._presence.record_direct(channel.peer.vm)
         self.load_exchange.update_incarnation(channel.peer.vm, channel.peer.incarnation)
         self.relays.forget_vm(channel.peer.vm)
-        channel.send(replace(self._fleet.snapshot(), vms=tuple(self.addresses.by_vm.values())))
+        vms = tuple(self.addresses.by_vm.values())
+        self._sender.send((channel,), replace(self._fleet.snapshot(), vms=vms))
         self.notices.send_all(channel)
         self.load_exchange.send_own_load(channel)
         logger.bind(peer=channel.peer.vm).info("peer connected")
@@ -275,8 +277,10 @@
     @_dispatch.register
     def _handle_closed(self, message: ChannelClosed, envelope: Envelope) -> None:
         vm = message.channel.peer.vm
+        other = self._peers.channel_to(vm, PROCESS)
+        self._sender.close(message.channel, other)
         # With relays, loads of the VM may still arrive; it is dropped only after missed heartbeats.
-        if self.plan.is_full and self._peers.channel_to(vm, PROCESS) is None:
+        if self.plan.is_full and other is None:
             self._drop_peer(vm)
 
     @_dispatch.register
--- a/pimentoquay/gateway/notices.py
+++ b/pimentoquay/gateway/notices.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from typing import Any, Generic, TypeVar
 
+from pimentoquay.gateway.part_sender import PartSender
 from pimentoquay.kernel import Channel
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages.fleet import (
@@ -46,14 +47,20 @@
     ----------
     channels
         Returns the channels to send on, one for each peer.
+    sender
+        Sends messages in parts of bounded size.
     plan
         Returns the current plan of the channels between the VMs.
     """
 
     def __init__(
-        self, channels: Callable[[], tuple[Channel, ...]], plan: Callable[[], MeshPlan]
+        self,
+        channels: Callable[[], tuple[Channel, ...]],
+        sender: PartSender,
+        plan: Callable[[], MeshPlan],
     ) -> None:
         self._channels = channels
+        self._sender = sender
         self._plan = plan
         self._handler_by_type: dict[type, NoticeHandler] = {}
 
@@ -63,8 +70,7 @@
 
     def publish(self, message: Any) -> None:
         """Send a notice to all peers."""
-        for channel in self._channels():
-            channel.send(message)
+        self._sender.send(self._channels(), message)
 
     def receive(self, message: Any, source: str) -> None:
         """Apply a peer's notice, and forward what was new."""
@@ -73,17 +79,20 @@
         if new is None:
             return
         plan = self._plan()
-        for channel in self._channels():
-            target = channel.peer.vm
-            if target != source and (plan.is_full or plan.should_forward(source, target)):
-                channel.send(new)
+        targets = [
+            each
+            for each in self._channels()
+            if each.peer.vm != source
+            and (plan.is_full or plan.should_forward(source, each.peer.vm))
+        ]
+        self._sender.send(targets, new)
 
     def send_all(self, channel: Channel) -> None:
         """Send all that is known on a new channel."""
         for handler in self._handler_by_type.values():
             message = handler.snapshot()
             if message is not None:
-                channel.send(message)
+                self._sender.send((channel,), message)
 
 
 class _Notices(ABC, Generic[Known]):
--- a/pimentoquay/gateway/relays.py
+++ b/pimentoquay/gateway/relays.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from pimentoquay.gateway.fleet import Fleet
+from pimentoquay.gateway.message_parts import parts_of
 from pimentoquay.kernel import Channel, Node
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages import CodecError, decode, encode
@@ -218,19 +219,20 @@
         if not pending:
             return
         encoded = [(each.source, encode(each.message)) for each in pending]
-        bundle_by_sources: dict[tuple[bool, ...], Bundle] = {}
+        bundles_by_sources: dict[tuple[bool, ...], tuple[Bundle, ...]] = {}
         channels = sorted(self._channels(), key=lambda each: each.peer.vm in self.plan.relays)
         for channel in channels:
             target = channel.peer.vm
             chosen = tuple(self.plan.should_forward(source, target) for source, _ in encoded)
             if not any(chosen):
                 continue
-            if chosen not in bundle_by_sources:
+            if chosen not in bundles_by_sources:
                 items = (
                     item for (_, item), is_sent in zip(encoded, chosen, strict=True) if is_sent
                 )
-                bundle_by_sources[chosen] = Bundle(tuple(items))
-            channel.send(bundle_by_sources[chosen])
+                bundles_by_sources[chosen] = parts_of(Bundle(tuple(items)))
+            for bundle in bundles_by_sources[chosen]:
+                channel.send(bundle)
 
     def _own_heartbeat(self) -> RelayAlive:
         self._sequence += 1
--- a/pimentoquay/gateway/tests/rig.py
+++ b/pimentoquay/gateway/tests/rig.py
@@ -132,6 +132,10 @@
         await until(lambda: all(len(each.relays.live_relays()) >= 2 for each in meshes), "relays")
         return vms, next(vm for vm in vms if vm not in meshes[0].plan.relays)
 
+    def has_ended(self, vm) -> bool:
+        """Return whether a gateway has ended by itself."""
+        return self._task_by_vm[vm].done()
+
     async def kill(self, vm) -> None:
         """End a gateway as a kill does: its connections end without a drain."""
         task = self._task_by_vm.pop(vm)
--- a/pimentoquay/kernel/node.py
+++ b/pimentoquay/kernel/node.py
@@ -56,6 +56,10 @@
 
     peer: Identity
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that wait to be sent because the peer, or the way to it, is slower."""
+
     def send(self, message: Any) -> None:
         """Queue a message for sending; it is dropped if the channel is closed."""
 
--- a/pimentoquay/messages/__init__.py
+++ b/pimentoquay/messages/__init__.py
@@ -5,6 +5,13 @@
 operators, 120 to 139 gateways.
 """
 
-from pimentoquay.messages.codec import MAX_FRAME_BYTES, CodecError, decode, encode, message
+from pimentoquay.messages.codec import (
+    MAX_FRAME_BYTES,
+    CodecError,
+    decode,
+    encode,
+    encoded_size,
+    message,
+)
 
-__all__ = ["MAX_FRAME_BYTES", "CodecError", "decode", "encode", "message"]
+__all__ = ["MAX_FRAME_BYTES", "CodecError", "decode", "encode", "encoded_size", "message"]
--- a/pimentoquay/messages/codec.py
+++ b/pimentoquay/messages/codec.py
@@ -37,7 +37,7 @@
 from pimentoquay.kernel.errors import PimentoquayError
 from pimentoquay.kernel.input_checks import describe
 
-__all__ = ["MAX_FRAME_BYTES", "CodecError", "decode", "encode", "message"]
+__all__ = ["MAX_FRAME_BYTES", "CodecError", "decode", "encode", "encoded_size", "message"]
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 """Maximum size of a frame that is encoded or decoded, in bytes."""
@@ -82,6 +82,11 @@
     return frame
 
 
+def encoded_size(item: Any) -> int:
+    """Return the size in bytes that a message has as a part of another one."""
+    return len(cbor2.dumps(_field_values(item)))
+
+
 def decode(frame: bytes) -> Any:
     """Decode a frame into a message; raise ``CodecError`` if it is malformed or unknown."""
     if len(frame) > MAX_FRAME_BYTES:
--- a/pimentoquay/transport/memory.py
+++ b/pimentoquay/transport/memory.py
@@ -170,6 +170,11 @@
         self._held_frames: list[bytes] = []
         self._closed = False
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Always 0, as a sent frame is in flight at once."""
+        return 0
+
     def send(self, message: Any) -> None:
         """Encode a message now and deliver it after the network's delay."""
         frame = pack(message, self._clock)
--- a/pimentoquay/transport/websocket.py
+++ b/pimentoquay/transport/websocket.py
@@ -77,15 +77,19 @@
         self.peer = peer
         self._clock = clock
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Size of the send buffer, in bytes."""
+        return int(self._connection.transport.get_write_buffer_size())
+
     def send(self, message: Any) -> None:
         """Write a message, or close the channel if its send buffer would become too large."""
         packet = pack(message, self._clock)
-        transport = self._connection.transport
-        if transport.get_write_buffer_size() + len(packet) > MAX_UNSENT_BYTES:
+        if self.unsent_bytes + len(packet) > MAX_UNSENT_BYTES:
             logger.bind(peer=self.peer.vm).warning(
                 "send buffer to peer is full; closing the channel"
             )
-            transport.abort()
+            self._connection.transport.abort()
             return
         process_traffic.count_sent(len(packet))
         broadcast((self._connection,), packet)
