Keep the targets of engines that have not changed

What callers would see: a gateway that applies a change of one engine, or a part of a list, stands still for as long as it takes to make the targets of connections of all engines, 23 ms at 10,000.

Cause: _refresh_engines made all targets anew and compared all entries by value.

Change: the target of an entry that is the same object is kept, and such an entry is not compared.

Evidence: test_the_targets_of_engines_that_have_not_changed_are_kept failed before with 100 targets made for one change (assert 100 == 1).

--- a/pimentoquay/gateway/fleet.py
+++ b/pimentoquay/gateway/fleet.py
@@ -184,9 +184,15 @@
         before = {engine.id: engine for engine in self._engines}
         self._engines = self.engine_list.engines()
         after = {engine.id: engine for engine in self._engines}
-        self.target_by_id = {engine.id: target_of(engine) for engine in self._engines}
+        targets = self.target_by_id
+        self.target_by_id = {
+            id: targets[id] if before.get(id) is each else target_of(each)
+            for id, each in after.items()
+        }
         for engine_id in before.keys() | after.keys():
             old, new = before.get(engine_id), after.get(engine_id)
+            if old is new:
+                continue
             if old is None or new is None or old.is_draining != new.is_draining:
                 state = "gone" if new is None else "draining" if new.is_draining else "ready"
                 entry = new or old
--- /dev/null
+++ b/pimentoquay/gateway/tests/test_fleet_cost.py
@@ -0,0 +1,34 @@
+"""What a gateway does for each record of an engine, counted."""
+
+from pimentoquay.bench.fleet_copy_cost import FIRST_POSITION, engine_record, engine_records
+from pimentoquay.gateway import fleet as module
+from pimentoquay.gateway.fleet import Fleet
+
+
+def counted(monkeypatch, name):
+    """Count the calls of a function that the fleet uses."""
+    calls = []
+    original = getattr(module, name)
+
+    def count(*arguments):
+        calls.append(arguments)
+        return original(*arguments)
+
+    monkeypatch.setattr(module, name, count)
+    return calls
+
+
+def test_the_targets_of_engines_that_have_not_changed_are_kept(monkeypatch):
+    """Each part of a list made the targets of all engines anew: 2.1 s for 10,000 engines."""
+    fleet = Fleet(lambda: 0.0)
+    fleet.apply_engine_records(engine_records(100))
+    calls = counted(monkeypatch, "target_of")
+    moved = engine_record(FIRST_POSITION, 2, address="127.0.0.1:99", born=1764840000001)
+    fleet.apply_engine_records((type(moved)("i-adapter-7", 2 * FIRST_POSITION, moved.value),))
+    assert len(calls) == 1
+    assert len(fleet.target_by_id) == 100
+    assert fleet.target_by_id["i-adapter-7"].address == "127.0.0.1:99"
+    assert fleet.target_by_id["i-adapter-7"].incarnation == 1764840000001
+    gone = type(moved)("i-adapter-8", 2 * FIRST_POSITION, b"")
+    fleet.apply_engine_records((gone,))
+    assert "i-adapter-8" not in fleet.target_by_id and len(fleet.target_by_id) == 99
