Read the store up to its end without a pause

What callers would see: at 2,800 engines that write entries of 1.6 kB, a gateway that was behind by minutes, after an outage of the store or a pause of the process, caught up by at most 1 MB a poll, and used engines that had left for so long.

Cause: the feed read one page a poll, and didn't look at the end that each response names.

Change: RecordPage has that end, and the feed reads page after page up to where the topic ended at the first of them, so a store that is written to meanwhile can't hold it. The stand-in of the store answers in pages of 1 MB and 500 newest records, as the platform does.

Evidence: test_a_gateway_far_behind_the_store_reads_on_without_a_pause failed before (one read a turn, assert 1 >= 7), and passes. test_a_fleet_longer_than_a_page_of_the_store_is_read_whole is new with the pages of the stand-in; it passed on the code before too.

--- a/pimentoquay/bench/mutations/gateway_switches.py
+++ b/pimentoquay/bench/mutations/gateway_switches.py
@@ -7,6 +7,7 @@
     ignore_unsent_answers,
     learn_as_seen_now,
     read_body_without_limit,
+    read_one_page,
     return_constant,
     use_whole_limit,
     wait_behind_all,
@@ -310,5 +311,12 @@
         lambda original: lambda message: (message,),
         _FULL_SIZE + "test_a_gateway_that_connects_gets_the_whole_list_before_it_is_ready",
     ),
+    Switch(
+        "store read up to its end",
+        "pimentoquay.gateway.feed:StoreFeed._read_on",
+        read_one_page,
+        "pimentoquay/gateway/tests/test_feed.py::"
+        "test_a_gateway_far_behind_the_store_reads_on_without_a_pause",
+    ),
 )
 """Mechanisms of the gateway on the users' platform."""
--- a/pimentoquay/bench/mutations/replacements.py
+++ b/pimentoquay/bench/mutations/replacements.py
@@ -41,6 +41,7 @@
     "no_hysteresis",
     "no_rebuild_grace",
     "read_body_without_limit",
+    "read_one_page",
     "refuse_all_tunnels",
     "retry_every_call",
     "return_constant",
@@ -69,6 +70,17 @@
     return connect
 
 
+def read_one_page(original: Any) -> Any:
+    """Read one page of a topic, wherever its end is."""
+
+    async def read_on(self: Any, topic: str, position: int) -> None:
+        page = await self._store.read(topic, position, 0.0)
+        self._handler_by_topic[topic](page.records, page.next_position, False)
+        self._next_by_topic[topic] = page.next_position
+
+    return read_on
+
+
 def refuse_all_tunnels(original: Any) -> Any:
     """Open no connection through a peer."""
 
--- a/pimentoquay/gateway/feed.py
+++ b/pimentoquay/gateway/feed.py
@@ -165,20 +165,16 @@
         return True
 
     async def _read(self, topic: str) -> None:
-        handle = self._handler_by_topic[topic]
         next_position = self._next_by_topic.get(topic)
         if next_position is not None:
             try:
-                page = await self._store.read(topic, next_position, 0.0)
+                await self._read_on(topic, next_position)
+                return
             except RecordsGoneError:
                 self._next_by_topic.pop(topic, None)
                 logger.bind(topic=topic, position=next_position).info(
                     "records were deleted; reading the latest of each key"
                 )
-            else:
-                handle(page.records, page.next_position, False)
-                self._next_by_topic[topic] = page.next_position
-                return
         await self._read_latest(topic)
 
     async def _read_latest(self, topic: str) -> None:
@@ -186,6 +182,18 @@
         self._handler_by_topic[topic](latest.records, latest.next_position, True)
         self._next_by_topic[topic] = latest.next_position
 
+    async def _read_on(self, topic: str, position: int) -> None:
+        """Read page after page up to where the topic ended when the first one was read."""
+        end_position: int | None = None
+        while end_position is None or position < end_position:
+            page = await self._store.read(topic, position, 0.0)
+            self._handler_by_topic[topic](page.records, page.next_position, False)
+            if page.next_position == position:
+                return
+            if end_position is None:
+                end_position = page.end_position
+            position = self._next_by_topic[topic] = page.next_position
+
     async def _write_quarantines(self) -> None:
         for key, value in self._guard.pending_records():
             try:
--- a/pimentoquay/gateway/tests/test_feed.py
+++ b/pimentoquay/gateway/tests/test_feed.py
@@ -2,6 +2,7 @@
 
 from pimentoquay.gateway.fleet import Fleet
 from pimentoquay.gateway.tests.rig import ROUTES, configuration, rig, route, until
+from pimentoquay.standin.listed_engines import listed_entry
 from pimentoquay.standin.platform_engine import PlatformEngine
 from pimentoquay.standin.platform_store import StoreFault
 
@@ -150,3 +151,39 @@
         calls = env.store.calls
         await until(lambda: env.store.calls > calls + 4, "failed reads")
         assert calls_at_reads[-1] <= calls
+
+
+async def test_a_gateway_far_behind_the_store_reads_on_without_a_pause():
+    """It read one page of 1 MB a poll, however far the end of the topic was."""
+    async with rig() as env:
+        feed = env.gateway_by_vm["vm-1"].feed
+        reads_by_turn = [0]
+        read, read_all = feed._store.read, feed._read_all
+
+        async def count_read(topic, *arguments):
+            reads_by_turn[-1] += topic == "keyed.servers"
+            return await read(topic, *arguments)
+
+        async def count_turn():
+            reads_by_turn.append(0)
+            return await read_all()
+
+        feed._store.read, feed._read_all = count_read, count_turn
+        for number in range(5000):
+            value = listed_entry(number % 50, number)
+            await env.store.put("keyed.servers", f"i-{number % 50}", value)
+
+        def newest():
+            engines = feed._fleet.engine_list.engines()
+            return max((each.sequence for each in engines if each.id == "i-49"), default=-1)
+
+        await until(lambda: newest() == 4999, "all was read")
+        assert max(reads_by_turn) >= 5000 * len(value) // 2**20
+
+
+async def test_a_fleet_longer_than_a_page_of_the_store_is_read_whole():
+    async with rig(start_gateway=False) as env:
+        for number in range(1200):
+            await env.store.put("keyed.servers", f"i-{number:04}", listed_entry(number))
+        await env.add_gateway()
+        assert len(listed_engines(env)) == 1200 + len(env.engine_by_id)
--- a/pimentoquay/platform/store.py
+++ b/pimentoquay/platform/store.py
@@ -105,10 +105,14 @@
 
 @dataclass(frozen=True)
 class RecordPage:
-    """Records in order of their positions, and the position at which the next read starts."""
+    """Records in order of their positions, and the position at which the next read starts.
+
+    ``end_position`` is where the topic ended; a page holds a part of the records before it.
+    """
 
     records: tuple[KeyedRecord, ...]
     next_position: int
+    end_position: int
 
 
 @dataclass(frozen=True)
@@ -155,7 +159,7 @@
             if era_of(page.end_position) != era_of(next_position):
                 raise StoreError("log-newest: the store was restored between two pages", True)
             if page.last_key is None:
-                return RecordPage(tuple(records), next_position)
+                return RecordPage(tuple(records), next_position, next_position)
             if page.last_key == after:
                 raise StoreError("log-newest: no page follows the last one", True)
             after = page.last_key
@@ -309,7 +313,8 @@
             records.append(record)
         start += length
         position += 1
-    return RecordPage(tuple(records), position)
+    end = position_of(era_of(from_position), _OFFSETS.unpack_from(body)[0])
+    return RecordPage(tuple(records), position, end)
 
 
 def _parse_record(content: bytes, position: int) -> KeyedRecord | None:
--- a/pimentoquay/standin/platform_store.py
+++ b/pimentoquay/standin/platform_store.py
@@ -5,9 +5,11 @@
 
 import asyncio
 import base64
+import itertools
 import json
 import pickle
 import struct
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 from urllib.parse import parse_qs
@@ -17,6 +19,13 @@
 __all__ = ["PlatformStore", "StoreFault"]
 
 
+MAX_PAGE_BYTES = 1024 * 1024
+"""Size of the records that one response holds, in bytes, unless a single one is larger."""
+
+MAX_PAGE_RECORDS = 500
+"""Number of newest records that one response holds."""
+
+
 class StoreFault(Enum):
     """Fault that the store simulates; the value of each member describes its effect on calls."""
 
@@ -154,8 +163,9 @@
         wait = int(arguments.get("waitMs", 0)) / 1000
         if start >= log.end and wait:
             await self._wait(log, start, wait)
-        frames = b"".join(_frame(*each) for each in log.records[start - log.first_offset :])
-        reply.send(200, (), struct.pack(">QQ", log.end, log.first_offset) + frames)
+        frames = [_frame(*each) for each in log.records[start - log.first_offset :]]
+        page = frames[: _page_length(map(len, frames))]
+        reply.send(200, (), struct.pack(">QQ", log.end, log.first_offset) + b"".join(page))
 
     async def _wait(self, log: _Topic, start: int, seconds: float) -> None:
         try:
@@ -168,16 +178,24 @@
         topic = arguments["topic"]
         log = self._topic_by_name.setdefault(topic, _Topic())
         newest = sorted(self._newest_by_topic.get(topic, {}).items())
-        page = [item for item in newest if item[0] > arguments.get("after", "")]
+        left = [item for item in newest if item[0] > arguments.get("after", "")]
+        page = left[: min(MAX_PAGE_RECORDS, _page_length(len(item[1][1]) for item in left))]
         items = [
             {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
             for key, (offset, value) in page[: self.page_size]
         ]
-        has_more = len(page) > len(items)
-        answer = {"items": items, "hasMore": has_more, "endOffset": log.end}
+        answer = {"items": items, "hasMore": len(items) < len(left), "endOffset": log.end}
         reply.send(200, (), json.dumps(answer).encode())
 
 
+def _page_length(sizes: Iterable[int]) -> int:
+    """Return the number of records that a page holds, which is one at least if there is any."""
+    totals = itertools.accumulate(sizes)
+    return max(
+        1, sum(1 for _ in itertools.takewhile(lambda total: total <= MAX_PAGE_BYTES, totals))
+    )
+
+
 def _frame(key: str, value: bytes) -> bytes:
     name = key.encode("utf-8", "surrogateescape")
     content = bytes((len(name),)) + name + value
