Drop a message that is too large instead of ending the process

What callers would see: whatever makes one message too large, as the list of engines did, ends the process that sends it, and so all gateways, since all know the same.

Cause: Channel.send raised CodecError, which nothing handles in Mesh.run. What a peer sends and nobody can read closed its channel without a word.

Change: a second line of defence behind the parts. A channel drops a message that is too large, logs its type, size and peer as an error and counts it; RelayNetwork.send_to does so for a message that it encodes. A channel that is closed because a packet is too large or invalid is logged and counted too. The counts are pimentoquay_gateway_messages_refused_total by direction.

A message that is small after encoding is sent as before.

--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -24,6 +24,7 @@
     IN_PROGRESS,
     INPUTS_REFUSED,
     LIST_AGE,
+    MESSAGES_REFUSED,
     OVERSIZED,
     PAUSES,
     PEERS,
@@ -73,6 +74,7 @@
 )
 from pimentoquay.kernel import Node
 from pimentoquay.kernel.input_checks import refused_by_kind
+from pimentoquay.kernel.traffic import refused_messages
 from pimentoquay.messages.fleet import (
     CrashEvidence,
     EnginesLeaving,
@@ -288,6 +290,7 @@
         RESUMPTIONS: lambda: origins.resumed_by_origin,
         CONTINUED: lambda: reservations.continued_by_outcome,
         INPUTS_REFUSED: lambda: refused_by_kind,
+        MESSAGES_REFUSED: lambda: refused_messages,
         CONNECT_FAILURES: lambda: {
             failure.value: count for failure, count in contact.count_by_failure.items()
         },
--- a/pimentoquay/gateway/metrics.py
+++ b/pimentoquay/gateway/metrics.py
@@ -185,6 +185,12 @@
     "invalid records and entries that were passed over, by what they were",
     ("kind",),
 )
+MESSAGES_REFUSED = Metric(
+    "pimentoquay_gateway_messages_refused_total",
+    "counter",
+    "messages to other gateways that were too large to send, and received ones that were invalid",
+    ("direction",),
+)
 
 _GAUGES = (
     IN_PROGRESS,
@@ -216,7 +222,14 @@
     STREAM_ORIGINS,
     RESUMPTIONS_REFUSED,
 )
-_COUNTERS = (CONNECT_FAILURES, ENGINE_REQUESTS, RESUMPTIONS, CONTINUED, INPUTS_REFUSED)
+_COUNTERS = (
+    CONNECT_FAILURES,
+    ENGINE_REQUESTS,
+    RESUMPTIONS,
+    CONTINUED,
+    INPUTS_REFUSED,
+    MESSAGES_REFUSED,
+)
 _SUMMARIES = (REQUEST_SECONDS, FIRST_EVENT_SECONDS, MEMORY_WAIT_SECONDS)
 
 GATEWAY_METRICS = (REQUESTS, *_GAUGES, *_COUNTERS, *_SUMMARIES)
--- a/pimentoquay/gateway/relays.py
+++ b/pimentoquay/gateway/relays.py
@@ -13,6 +13,7 @@
 from pimentoquay.policy.mesh_plan import MeshPlan
 from pimentoquay.policy.order_holder import VmState
 from pimentoquay.policy.relay_liveness import RelayLiveness
+from pimentoquay.transport.framing import refuse_to_send
 
 __all__ = ["HEARTBEAT_SECONDS", "RelayNetwork"]
 
@@ -170,7 +171,12 @@
         if target == self._vm:
             self._node.timers.after(0.0, lambda: self.receive_routed(self._vm, message))
             return
-        self._send_routed(Routed(self._vm, target, 0, encode(message)))
+        try:
+            payload = encode(message)
+        except CodecError as error:
+            refuse_to_send(message, target, error)
+            return
+        self._send_routed(Routed(self._vm, target, 0, payload))
 
     def receive(self, message: Routed, source: str) -> None:
         """Deliver a routed message, or forward it."""
--- a/pimentoquay/gateway/tests/test_mesh.py
+++ b/pimentoquay/gateway/tests/test_mesh.py
@@ -3,9 +3,20 @@
 import asyncio
 
 from pimentoquay.gateway.tests.rig import ROUTES, configuration, rig, route, until
-from pimentoquay.messages import encode
-from pimentoquay.messages.fleet import FleetCopy, PeerLoad, PeerLoads, VmAddress, VmLoad, VmWork
+from pimentoquay.kernel import Envelope
+from pimentoquay.kernel.traffic import refused_messages
+from pimentoquay.messages import MAX_FRAME_BYTES, encode
+from pimentoquay.messages.fleet import (
+    FleetCopy,
+    PeerLoad,
+    PeerLoads,
+    StageOrdered,
+    VmAddress,
+    VmLoad,
+    VmWork,
+)
 from pimentoquay.messages.pools import Bundle, ChannelAlive
+from pimentoquay.messages.streams import VersionStreams
 from pimentoquay.policy.store_position import position_of
 
 VMS = tuple(f"vm-{number}" for number in range(1, 8))
@@ -198,3 +209,20 @@
         assert load_exchange.receive(load_of("vm-9", 1000, 1), "vm-8")
         load_exchange.forget_vm("vm-9")
         assert load_exchange.receive(load_of("vm-9", 500, 1), "vm-8")
+
+
+async def test_a_message_that_is_too_large_is_dropped_and_counted(relays):
+    """It ended the process, whatever had made it so large."""
+    async with rig() as env:
+        meshes = await start_gateways(env)
+        sender = env.gateway_by_vm[min(meshes[0].plan.relays)].mesh
+        too_large = "x" * (MAX_FRAME_BYTES + 1)
+        document = configuration(7)
+        sender.publish(StageOrdered(too_large, 1.0, 99))
+        sender.relays.send_to(leaves(meshes)[0]._vm, VersionStreams("", too_large, b""))
+        sender._receive(Envelope(FleetCopy(5, document, (), -1, ()), sender._channels()[0]))
+        assert refused_messages["sent"] == len(channels(sender)) + 1
+        refused_messages.clear()
+        fleets = [gateway.fleet for gateway in env.gateway_by_vm.values()]
+        await until(lambda: all(f.configuration.version == 7 for f in fleets), "still told")
+        assert not any(env.has_ended(vm) for vm in VMS)
--- a/pimentoquay/kernel/traffic.py
+++ b/pimentoquay/kernel/traffic.py
@@ -4,9 +4,10 @@
 the requests of ``HttpPeer`` and the responses that it reads as a whole are counted.
 """
 
+from collections import Counter
 from dataclasses import dataclass
 
-__all__ = ["Traffic", "process_traffic"]
+__all__ = ["Traffic", "process_traffic", "refused_messages"]
 
 
 @dataclass
@@ -33,3 +34,6 @@
 
 process_traffic = Traffic()
 """Totals of this process."""
+
+refused_messages: Counter[str] = Counter()
+"""Messages ``sent`` that were too large and dropped, and ``received`` that could not be read."""
--- a/pimentoquay/transport/framing.py
+++ b/pimentoquay/transport/framing.py
@@ -8,9 +8,11 @@
 from typing import Any
 
 from pimentoquay.kernel import HybridClock, ResultCode, Stamp
+from pimentoquay.kernel.logs import logger
+from pimentoquay.kernel.traffic import refused_messages
 from pimentoquay.messages import MAX_FRAME_BYTES, CodecError, decode, encode
 
-__all__ = ["MAX_PACKET_BYTES", "pack", "unpack"]
+__all__ = ["MAX_PACKET_BYTES", "pack", "pack_unless_too_large", "refuse_to_send", "unpack"]
 
 STAMP_BYTES = 8
 """Size of the timestamp at the start of a packet, in bytes."""
@@ -42,6 +44,26 @@
     return number.to_bytes(STAMP_BYTES, "big") + _newest_frame.encode(message)
 
 
+def pack_unless_too_large(message: Any, clock: HybridClock | None, peer: str) -> bytes | None:
+    """Encode a message as a packet; log and count it and return ``None`` if it is too large."""
+    try:
+        return pack(message, clock)
+    except CodecError as error:
+        refuse_to_send(message, peer, error)
+        return None
+
+
+def refuse_to_send(message: Any, peer: str, error: CodecError) -> None:
+    """Log and count a message that cannot be sent.
+
+    It is dropped, since the process, and the channel to the peer, serve much else.
+    """
+    refused_messages["sent"] += 1
+    logger.bind(peer=peer, type=type(message).__name__, error=str(error)).error(
+        "message cannot be encoded; it is not sent"
+    )
+
+
 def unpack(packet: bytes, clock: HybridClock | None) -> Any:
     """Decode the message of a packet and advance the clock past the packet's timestamp.
 
--- a/pimentoquay/transport/memory.py
+++ b/pimentoquay/transport/memory.py
@@ -1,6 +1,6 @@
 """In-memory channels for tests, on a network with partitions, delays, duplicates and pauses.
 
-Every message still passes through the codec, so a message that cannot be encoded fails here too.
+Every message still passes through the codec, so one that is too large is not sent here either.
 """
 
 import asyncio
@@ -9,7 +9,7 @@
 from typing import Any
 
 from pimentoquay.kernel import Channel, HybridClock, Identity
-from pimentoquay.transport.framing import pack, unpack
+from pimentoquay.transport.framing import pack_unless_too_large, unpack
 
 __all__ = ["MemoryNetwork", "MemoryTransport"]
 
@@ -177,8 +177,8 @@
 
     def send(self, message: Any) -> None:
         """Encode a message now and deliver it after the network's delay."""
-        frame = pack(message, self._clock)
-        if self._closed:
+        frame = pack_unless_too_large(message, self._clock, self.peer.vm)
+        if frame is None or self._closed:
             return
         self._network.messages_sent += 1
         self._network.bytes_sent += len(frame)
--- a/pimentoquay/transport/peers.py
+++ b/pimentoquay/transport/peers.py
@@ -9,6 +9,8 @@
 from typing import Any
 
 from pimentoquay.kernel import Channel, ChannelClosed, ChannelOpened, Node, PimentoquayError
+from pimentoquay.kernel.logs import logger
+from pimentoquay.kernel.traffic import refused_messages
 
 __all__ = ["PeerSet"]
 
@@ -67,8 +69,13 @@
         try:
             while True:
                 self._node.bus.publish(await channel.receive(), channel)
-        except (ConnectionError, PimentoquayError):
+        except ConnectionError:
             pass
+        except PimentoquayError as error:
+            refused_messages["received"] += 1
+            logger.bind(peer=channel.peer.vm, error=str(error)).warning(
+                "message cannot be read; closing the channel"
+            )
         finally:
             self._channels.remove(channel)
             self._node.bus.publish(ChannelClosed(channel))
--- a/pimentoquay/transport/tests/test_websocket.py
+++ b/pimentoquay/transport/tests/test_websocket.py
@@ -3,9 +3,14 @@
 
 import pytest
 
-from pimentoquay.kernel import Identity, PimentoquayError, ResultCode
+from pimentoquay.http1.tests.scripted import until
+from pimentoquay.kernel import Identity, Node, PimentoquayError, ResultCode
+from pimentoquay.kernel.traffic import refused_messages
+from pimentoquay.messages import MAX_FRAME_BYTES
 from pimentoquay.messages.placement import Grant, LeaseRenewal
 from pimentoquay.transport import handshake
+from pimentoquay.transport.framing import MAX_PACKET_BYTES
+from pimentoquay.transport.peers import PeerSet
 from pimentoquay.transport.websocket import WebSocketTransport, split_address
 
 ENTRY = Identity("vm-1", "entry", "r", "d", 1)
@@ -54,6 +59,36 @@
     await server.close()
 
 
+async def test_a_message_that_is_too_large_is_not_sent_and_its_channel_stays_open():
+    server, address = await listening(echo)
+    client = WebSocketTransport(ENTRY, b"k")
+    channel = await client.connect(address)
+    before = refused_messages["sent"]
+    channel.send(Grant("r" * (MAX_FRAME_BYTES + 1), 1, "p", "d"))
+    assert refused_messages["sent"] == before + 1
+    channel.send(LeaseRenewal(1))
+    assert await channel.receive() == LeaseRenewal(1)
+    await client.close()
+    await server.close()
+
+
+@pytest.mark.parametrize("size", [9, MAX_PACKET_BYTES + 1])
+async def test_a_channel_whose_peer_sends_no_message_is_closed_counted_and_opened_again(size):
+    node = Node(CONTROL, WebSocketTransport(CONTROL, b"k"))
+    peers = PeerSet(node)
+    await node.transport.listen("127.0.0.1:0", peers.serve)
+    client = WebSocketTransport(ENTRY, b"k")
+    before = refused_messages["received"]
+    for number in range(1, 3):
+        channel = await client.connect(f"127.0.0.1:{node.transport.port}")
+        await channel._connection.send(b"\0" * size)
+        with pytest.raises(ConnectionError):
+            await channel.receive()
+        await until(lambda count=before + number: refused_messages["received"] == count, "counted")
+    await client.close()
+    await node.transport.close()
+
+
 async def test_malformed_frame_closes_only_its_own_channel():
     server, address = await listening(echo)
     client = WebSocketTransport(ENTRY, b"k")
--- a/pimentoquay/transport/websocket.py
+++ b/pimentoquay/transport/websocket.py
@@ -16,7 +16,8 @@
 from websockets.asyncio.client import connect
 from websockets.asyncio.connection import Connection, broadcast
 from websockets.asyncio.server import Server, ServerConnection, serve
-from websockets.exceptions import WebSocketException
+from websockets.exceptions import ConnectionClosed, WebSocketException
+from websockets.frames import CloseCode
 
 from pimentoquay.kernel import Channel, HybridClock, Identity, PimentoquayError, ResultCode
 from pimentoquay.kernel.input_checks import describe
@@ -26,7 +27,7 @@
 from pimentoquay.messages.connection import Challenge, Hello, Rejected, Welcome
 from pimentoquay.transport import handshake
 from pimentoquay.transport.addresses import split_address
-from pimentoquay.transport.framing import MAX_PACKET_BYTES, pack, unpack
+from pimentoquay.transport.framing import MAX_PACKET_BYTES, pack_unless_too_large, unpack
 
 __all__ = ["WebSocketChannel", "WebSocketTransport", "split_address"]
 
@@ -83,8 +84,13 @@
         return int(self._connection.transport.get_write_buffer_size())
 
     def send(self, message: Any) -> None:
-        """Write a message, or close the channel if its send buffer would become too large."""
-        packet = pack(message, self._clock)
+        """Write a message, or close the channel if its send buffer would become too large.
+
+        A message that is too large itself is logged and dropped.
+        """
+        packet = pack_unless_too_large(message, self._clock, self.peer.vm)
+        if packet is None:
+            return
         if self.unsent_bytes + len(packet) > MAX_UNSENT_BYTES:
             logger.bind(peer=self.peer.vm).warning(
                 "send buffer to peer is full; closing the channel"
@@ -99,6 +105,8 @@
         try:
             packet = await self._connection.recv()
         except WebSocketException as error:
+            if _is_too_large(error):
+                raise CodecError(ResultCode.FRAME_TOO_LARGE, "a packet of a peer") from error
             raise ConnectionResetError(f"channel to {self.peer.vm} is closed") from error
         if isinstance(packet, str):
             raise CodecError(ResultCode.FRAME_MALFORMED, "a text frame")
@@ -110,6 +118,13 @@
         await self._connection.close()
 
 
+def _is_too_large(error: WebSocketException) -> bool:
+    """Return whether the library closed a channel because of the size of a packet."""
+    if not isinstance(error, ConnectionClosed) or error.sent is None or error.rcvd_then_sent:
+        return False
+    return error.sent.code == CloseCode.MESSAGE_TOO_BIG
+
+
 class WebSocketTransport:
     """Opens and accepts channels for one process.
 
