Store where streams began in records of bounded size

What callers would see: during a release with more than 32,000 live streams, or after seconds without the store at a few thousand a second, no stream's origin was stored any more, and after a kill of all gateways callers were refused with 222 or 223.

Cause: a batch was one record of all streams that waited. The store takes records of 256 KiB, and one that it refuses grows until its streams are too old to be written.

Change: OriginBatches.next_batch returns the first part of at most 128 KiB, by the function that divides messages, and OriginStore goes on without a pause while more wait, with slots for it. The stand-in of the store refuses longer records, as the platform does.

Evidence: test_no_batch_is_longer_than_a_record_of_the_store_and_none_is_left failed before with records of 800,017 to 1,068,896 bytes, and test_the_streams_of_a_large_fleet_are_stored_and_loaded (60,000 streams) by its time, as each write was refused. With fewer streams there is one batch a turn, as before.

--- a/pimentoquay/bench/mutations/gateway_switches.py
+++ b/pimentoquay/bench/mutations/gateway_switches.py
@@ -311,6 +311,13 @@
         lambda original: lambda message: (message,),
         _FULL_SIZE + "test_a_gateway_that_connects_gets_the_whole_list_before_it_is_ready",
     ),
+    Switch(
+        "bounded records of streams",
+        "pimentoquay.policy.stored_origins:iterate_parts",
+        lambda original: lambda items, *bounds: iter((tuple(items),) if items else ()),
+        "pimentoquay/policy/tests/test_stored_origins.py::"
+        "test_no_batch_is_longer_than_a_record_of_the_store_and_none_is_left[1]",
+    ),
     Switch(
         "store read up to its end",
         "pimentoquay.gateway.feed:StoreFeed._read_on",
--- a/pimentoquay/gateway/origin_store.py
+++ b/pimentoquay/gateway/origin_store.py
@@ -27,6 +27,12 @@
 RETRY_SECONDS = 0.5
 """Delay after a failed call."""
 
+SPARE_SLOTS = 16
+"""Batches that may be written in one turn, for which there are slots beside those of each turn.
+
+All streams that a gateway remembers, its own and those of others, fill half of them.
+"""
+
 CLEAN_SECONDS = 1.0
 """Interval at which one record that is no longer needed is removed."""
 
@@ -140,13 +146,17 @@
         for version in origins.recorded.missing(origins.served_versions()):
             await self._store.put(VERSION_TOPIC, _version_key(version), _version_value(version))
             origins.record_stored(version)
-        slots = math.ceil(origins.life_seconds / WRITE_SECONDS) + 1
-        batch = origins.batches.next_batch(slots)
-        if batch is not None:
+        slots = math.ceil(origins.life_seconds / WRITE_SECONDS) + SPARE_SLOTS
+        for _ in range(SPARE_SLOTS):
+            batch = origins.batches.next_batch(slots)
+            if batch is None:
+                break
             key = f"{self._vm} {batch.slot}"
             await self._store.put(STREAM_TOPIC, key, encode(origins.message_of(batch)))
             origins.batches.confirm(batch)
             self._stored_at_by_key[key] = self._timers.now()
+            if not batch.is_full:
+                break
         if self._timers.now() - self._cleaned_at >= CLEAN_SECONDS:
             self._cleaned_at = self._timers.now()
             await self._clean()
--- a/pimentoquay/gateway/tests/test_full_size.py
+++ b/pimentoquay/gateway/tests/test_full_size.py
@@ -82,3 +82,14 @@
         env.store.fault = StoreFault.NONE
         await as_soon_as(lambda: gateway.dispatcher.is_ready)
         assert {each.id for each in gateway.fleet.engines()} == set(env.engine_by_id)
+
+
+async def test_the_streams_of_a_large_fleet_are_stored_and_loaded():
+    """They were one record, which the store refused until they were too old to be written."""
+    async with rig() as env:
+        first = env.gateway_by_vm["vm-1"]
+        keys = [number.to_bytes(8, "big") for number in range(60_000)]
+        first.origins._store_later({("llm", "v1"): keys})
+        await until(lambda: not len(first.origins.batches), "written")
+        second = await env.add_gateway("vm-2", seeds=())
+        await until(lambda: second.origins.known_streams >= len(keys), "loaded")
--- a/pimentoquay/policy/message_parts.py
+++ b/pimentoquay/policy/message_parts.py
@@ -5,10 +5,10 @@
 nothing else is served, and beyond a size it cannot be sent at all.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from typing import TypeVar
 
-__all__ = ["split_by_size"]
+__all__ = ["iterate_parts", "split_by_size"]
 
 Item = TypeVar("Item")
 
@@ -34,16 +34,21 @@
     >>> split_by_size(("aa", "b", "cc", "dddd"), len, 3)
     (('aa', 'b'), ('cc',), ('dddd',))
     """
-    parts: list[tuple[Item, ...]] = []
+    return tuple(iterate_parts(items, size_of, max_bytes))
+
+
+def iterate_parts(
+    items: Iterable[Item], size_of: Callable[[Item], int], max_bytes: int
+) -> Iterator[tuple[Item, ...]]:
+    """Yield the parts of ``split_by_size``; no item is looked at before its part is asked for."""
     part: list[Item] = []
     part_bytes = 0
     for item in items:
         size = size_of(item)
         if part and part_bytes + size > max_bytes:
-            parts.append(tuple(part))
+            yield tuple(part)
             part, part_bytes = [], 0
         part.append(item)
         part_bytes += size
     if part:
-        parts.append(tuple(part))
-    return tuple(parts)
+        yield tuple(part)
--- a/pimentoquay/policy/stored_origins.py
+++ b/pimentoquay/policy/stored_origins.py
@@ -13,8 +13,19 @@
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
+from pimentoquay.policy.message_parts import iterate_parts
+
 __all__ = ["OriginBatch", "OriginBatches", "RecordedVersions", "StoredOrigin"]
 
+MAX_BATCH_BYTES = 128 * 1024
+"""Maximum size of the streams of a batch, in bytes; the store takes records of 256 KiB.
+
+At a batch in 0.15 s, it is enough for eight times as many streams as the size to design for has.
+"""
+
+VERSION_HEAD_BYTES = 24
+"""Upper bound of what a version needs in a batch beside its texts and the keys, in bytes."""
+
 ServiceVersion = tuple[str, str]
 """Service and software version."""
 
@@ -89,10 +100,14 @@
 
 @dataclass(frozen=True)
 class OriginBatch:
-    """Streams to be written together, under one of a fixed number of slots."""
+    """Streams to be written together, under one of a fixed number of slots.
+
+    ``is_full`` is whether more streams wait than one record can hold.
+    """
 
     slot: int
     origins: tuple[StoredOrigin, ...]
+    is_full: bool = False
 
 
 class OriginBatches:
@@ -126,10 +141,22 @@
         self._pending.append(origin)
 
     def next_batch(self, slots: int) -> OriginBatch | None:
-        """Return all streams that are not written yet, or ``None`` if there are none."""
-        if not self._pending:
+        """Return the first streams that are not written yet, or ``None`` if there are none."""
+        versions: set[ServiceVersion] = set()
+
+        def size_of(origin: StoredOrigin) -> int:
+            version = origin.service, origin.software
+            if version in versions:
+                return len(origin.key)
+            versions.add(version)
+            return (
+                len(origin.key) + sum(len(each.encode()) for each in version) + VERSION_HEAD_BYTES
+            )
+
+        first = next(iterate_parts(self._pending, size_of, MAX_BATCH_BYTES), None)
+        if first is None:
             return None
-        return OriginBatch(self._next_slot % slots, tuple(self._pending))
+        return OriginBatch(self._next_slot % slots, first, len(first) < len(self._pending))
 
     def confirm(self, batch: OriginBatch) -> None:
         """Record that a batch has been written."""
--- a/pimentoquay/policy/tests/test_stored_origins.py
+++ b/pimentoquay/policy/tests/test_stored_origins.py
@@ -4,8 +4,15 @@
 
 import pytest
 
+from pimentoquay.gateway.stream_origins import OriginExchange
+from pimentoquay.messages import encode
 from pimentoquay.policy.mesh_plan import hash_rank
-from pimentoquay.policy.stored_origins import OriginBatches, RecordedVersions, StoredOrigin
+from pimentoquay.policy.stored_origins import (
+    MAX_BATCH_BYTES,
+    OriginBatches,
+    RecordedVersions,
+    StoredOrigin,
+)
 from pimentoquay.policy.tests.virtual_vms import EventQueue
 
 TELL_SECONDS, WRITE_SECONDS, LIFE_SECONDS = 0.02, 0.15, 16.0
@@ -67,6 +74,25 @@
     assert next_batch(batches).origins == (origin(2),)
 
 
+@pytest.mark.parametrize("versions", [1, 2, 20_000])
+def test_no_batch_is_longer_than_a_record_of_the_store_and_none_is_left(versions):
+    """All streams of a life at the size to design for were one record, which the store refused."""
+    batches = OriginBatches(keep_seconds=5.0)
+    added = [origin(number, software=f"v{number % versions}") for number in range(100_000)]
+    for each in added:
+        batches.add(each)
+    written = []
+    is_full = True
+    while is_full:
+        batch = next_batch(batches)
+        assert len(encode(OriginExchange.message_of(batch))) <= MAX_BATCH_BYTES + 64
+        batches.confirm(batch)
+        written += batch.origins
+        is_full = batch.is_full
+    assert written == added
+    assert batches.next_batch(slots=3) is None
+
+
 def test_a_vm_that_does_not_write_keeps_what_another_may_not_have_written():
     batches = OriginBatches(keep_seconds=5.0)
     for at in (0.0, 4.0, 8.0):
--- a/pimentoquay/standin/platform_store.py
+++ b/pimentoquay/standin/platform_store.py
@@ -19,6 +19,9 @@
 __all__ = ["PlatformStore", "StoreFault"]
 
 
+MAX_RECORD_BYTES = 256 * 1024
+"""Maximum size of a record that is appended over HTTP, in bytes."""
+
 MAX_PAGE_BYTES = 1024 * 1024
 """Size of the records that one response holds, in bytes, unless a single one is larger."""
 
@@ -140,6 +143,9 @@
 
     async def _append(self, arguments: dict[str, str], body: bytes, reply: Reply) -> None:
         (length,) = struct.unpack_from(">I", body)
+        if length > MAX_RECORD_BYTES:
+            reply.send(413, (), b"")
+            return
         content = body[4 : 4 + length]
         key_end = 1 + content[0]
         key = content[1:key_end].decode("utf-8", "surrogateescape")
