Confirm only the streams of a batch that still wait

What callers would see: if the store took seconds to take a batch, streams that came meanwhile were not stored, or the gateway ended with IndexError in OriginStore.

Cause: OriginBatches.confirm took as many streams out as the batch had, though expire() may have dropped some of them while the batch was written.

Change: confirm takes out the streams of the batch that are still the first ones.

Evidence: test_streams_that_became_too_old_during_a_write_are_not_confirmed_for_others failed before, with the later stream gone (assert None is not None) and with IndexError (pop from an empty deque).

--- a/pimentoquay/policy/stored_origins.py
+++ b/pimentoquay/policy/stored_origins.py
@@ -160,7 +160,9 @@
 
     def confirm(self, batch: OriginBatch) -> None:
         """Record that a batch has been written."""
-        for _ in batch.origins:
+        # Some of them may have expired while they were written.
+        written = set(batch.origins)
+        while self._pending and self._pending[0] in written:
             self._pending.popleft()
         self._next_slot = batch.slot + 1
 
--- a/pimentoquay/policy/tests/test_stored_origins.py
+++ b/pimentoquay/policy/tests/test_stored_origins.py
@@ -93,6 +93,19 @@
     assert batches.next_batch(slots=3) is None
 
 
+@pytest.mark.parametrize("now", [9.5, 20.0])
+def test_streams_that_became_too_old_during_a_write_are_not_confirmed_for_others(now):
+    """The write took as many streams out as it held; with fewer, it ended the process."""
+    batches = OriginBatches(keep_seconds=5.0)
+    for at in (0.0, 8.0):
+        batches.add(origin(int(at), at))
+    batch = next_batch(batches)
+    batches.expire(now)
+    batches.add(origin(9, now))
+    batches.confirm(batch)
+    assert [each.at for each in next_batch(batches).origins] == [now]
+
+
 def test_a_vm_that_does_not_write_keeps_what_another_may_not_have_written():
     batches = OriginBatches(keep_seconds=5.0)
     for at in (0.0, 4.0, 8.0):
