Parse the entry of an engine that is known only once

Cause: each record of each copy was parsed before its position was compared, and the list that was read from the store was applied twice.

Change: EngineList.is_known says whether a record can change the list at all, and only then it is parsed.

Evidence: test_a_list_that_is_known_from_another_peer_is_not_parsed_again failed before with 100 parsed entries. test_a_known_record_changes_nothing_whatever_it_holds holds it to apply().

--- a/pimentoquay/gateway/fleet.py
+++ b/pimentoquay/gateway/fleet.py
@@ -124,6 +124,8 @@
         """Apply records of engines; return those that changed more than a heartbeat's number."""
         changed = []
         for record in records:
+            if self.engine_list.is_known(record.engine, record.position):
+                continue
             update = _to_update(record)
             if self.engine_list.apply((update,), self._now()):
                 changed.append(record)
--- a/pimentoquay/gateway/tests/test_fleet_cost.py
+++ b/pimentoquay/gateway/tests/test_fleet_cost.py
@@ -3,6 +3,7 @@
 from pimentoquay.bench.fleet_copy_cost import FIRST_POSITION, engine_record, engine_records
 from pimentoquay.gateway import fleet as module
 from pimentoquay.gateway.fleet import Fleet
+from pimentoquay.messages.fleet import EngineRecord
 
 
 def counted(monkeypatch, name):
@@ -24,11 +25,24 @@
     fleet.apply_engine_records(engine_records(100))
     calls = counted(monkeypatch, "target_of")
     moved = engine_record(FIRST_POSITION, 2, address="127.0.0.1:99", born=1764840000001)
-    fleet.apply_engine_records((type(moved)("i-adapter-7", 2 * FIRST_POSITION, moved.value),))
+    fleet.apply_engine_records((EngineRecord("i-adapter-7", 2 * FIRST_POSITION, moved.value),))
     assert len(calls) == 1
     assert len(fleet.target_by_id) == 100
     assert fleet.target_by_id["i-adapter-7"].address == "127.0.0.1:99"
     assert fleet.target_by_id["i-adapter-7"].incarnation == 1764840000001
-    gone = type(moved)("i-adapter-8", 2 * FIRST_POSITION, b"")
+    gone = EngineRecord("i-adapter-8", 2 * FIRST_POSITION, b"")
     fleet.apply_engine_records((gone,))
     assert "i-adapter-8" not in fleet.target_by_id and len(fleet.target_by_id) == 99
+
+
+def test_a_list_that_is_known_from_another_peer_is_not_parsed_again(monkeypatch):
+    """A gateway that starts is sent the list by each peer to which it connects."""
+    fleet = Fleet(lambda: 0.0)
+    records = engine_records(100)
+    fleet.apply_engine_records(records)
+    calls = counted(monkeypatch, "decode_engine_entry")
+    assert fleet.apply_engine_records(records) == ()
+    assert not calls
+    moved = EngineRecord("i-adapter-7", FIRST_POSITION + 1000, engine_record(7, 2).value)
+    fleet.apply_engine_records((*records, moved))
+    assert len(calls) == 1
--- a/pimentoquay/policy/engine_list.py
+++ b/pimentoquay/policy/engine_list.py
@@ -61,6 +61,14 @@
         """
         self._grace_until = now + RELISTING_GRACE_SECONDS
 
+    def is_known(self, engine: str, position: int) -> bool:
+        """Return whether a record cannot change the list, whatever it holds.
+
+        That is so if it, or a later one of its era or of a later era, has been applied.
+        """
+        known_position = self._position_by_id.get(engine, -1)
+        return position <= known_position and era_of(position) >= era_of(known_position)
+
     def apply(self, updates: Iterable[EngineUpdate], now: float) -> bool:
         """Apply records that arrive in any order; return whether the list has changed."""
         changed = False
--- a/pimentoquay/policy/tests/test_engine_list.py
+++ b/pimentoquay/policy/tests/test_engine_list.py
@@ -1,3 +1,6 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
 from pimentoquay.policy.engine_list import (
     RELISTING_GRACE_SECONDS,
     REMOVED_RETENTION_SECONDS,
@@ -5,6 +8,7 @@
     EngineUpdate,
 )
 from pimentoquay.policy.fleet import EngineEntry
+from pimentoquay.policy.store_position import position_of
 
 
 def entry(name="e", sequence=1, incarnation=1, is_draining=False):
@@ -89,3 +93,21 @@
     engines.apply(update(1, is_removed=True), 0.0)
     engines.expire(REMOVED_RETENTION_SECONDS + 1)
     assert engines._known_by_id == {}
+
+
+RECORDS = st.tuples(st.integers(0, 2), st.integers(0, 5), st.integers(0, 3), st.booleans())
+
+
+@given(st.lists(RECORDS, max_size=20), RECORDS)
+def test_a_known_record_changes_nothing_whatever_it_holds(before, last):
+    engines = EngineList()
+    for era, offset, sequence, is_removed in before:
+        item = None if is_removed else entry(sequence=sequence)
+        engines.apply(update(position_of(era, offset), item, is_removed=is_removed), 0.0)
+    era, offset, sequence, is_removed = last
+    position = position_of(era, offset)
+    if engines.is_known("e", position):
+        listed_before = listed(engines)
+        item = None if is_removed else entry(sequence=sequence, is_draining=True)
+        assert not engines.apply(update(position, item, is_removed=is_removed), 0.0)
+        assert listed(engines) == listed_before
