Give the channels of a test and a slope the size of a send buffer

What was seen: mypy over configuration/ found 10 errors in test_transfers.py, as Channel has had unsent_bytes since messages are sent in parts and ChannelFake lacked it. Change: the fake and the channel of the scheduler's slope have it, 0. mypy over all typed folders finds none now.

--- a/pimentoquay/bench/slopes/scheduler.py
+++ b/pimentoquay/bench/slopes/scheduler.py
@@ -40,6 +40,7 @@
     """Channel to an entry that collects the messages sent to it."""
 
     peer = Identity("vm-2", "entry", "tt-north", "city-hall", 2)
+    unsent_bytes = 0
 
     def __init__(self) -> None:
         self.sent: asyncio.Queue[Any] = asyncio.Queue()
--- a/pimentoquay/configuration/tests/test_transfers.py
+++ b/pimentoquay/configuration/tests/test_transfers.py
@@ -26,6 +26,7 @@
     """Channel that records the messages sent."""
 
     peer: Any = None
+    unsent_bytes: int = 0
     sent: list[Any] = field(default_factory=list)
 
     def send(self, message: Any) -> None:
