Close the other connections though one was reset

What callers would see: a gateway that stops ends at once with OSError instead of draining, as an idle connection was reset and the reset is not read yet.

Cause: shutting down such a socket raises, out of the loop over all connections.

Evidence: the new test failed before with OSError: Transport endpoint is not connected, as did three tests of the gateway at the end of their rig; both pass.

--- a/pimentoquay/http1/server.py
+++ b/pimentoquay/http1/server.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import http
 import math
 import re
@@ -375,7 +376,9 @@
             return
         self._closing = True
         if self._transport.can_write_eof() and not self._transport.is_closing():
-            self._transport.write_eof()
+            # A reset that has not been read yet leaves nothing to shut down.
+            with contextlib.suppress(OSError):
+                self._transport.write_eof()
         self._loop.call_later(LINGER_SECONDS, self._transport.close)
 
     def _schedule_timeout_check(self) -> None:
--- a/pimentoquay/http1/tests/test_unsent_answers.py
+++ b/pimentoquay/http1/tests/test_unsent_answers.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import math
+import socket
+import struct
 
 import pytest
 
@@ -87,3 +89,19 @@
             if has_left:
                 sock.close()
             await until(lambda: server.requests_in_progress == 0, "left")
+
+
+async def test_a_connection_that_was_reset_does_not_keep_the_others_from_being_closed():
+    """A gateway that stopped ended by OSError when a caller had reset its idle connection."""
+    async with running_server() as (_, server):
+        address = server._server.sockets[0].getsockname()
+        writers = [(await asyncio.open_connection(*address))[1] for _ in range(2)]
+        await until(lambda: len(server.connections) == 2, "connected")
+        linger = struct.pack("ii", 1, 0)
+        for writer in writers:
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            sock._sock.close()
+        server.close_idle()
+        for writer in writers:
+            writer.transport.abort()
