Take a connection that is lost as it is opened as a failed one

Callers would see: an engine that resets a new connection at once (as those do that have all their connections) may do so before the request is written. It was then written nowhere, and its answer waited for until the time for the head was over; the request counted as sent. The pool counted the connection as open for good.

Cause: the end of a connection was noticed by its exchange only if the exchange had begun, and the pool's callback for it was set after the connection was open.

The pool now fails with ConnectError if a connection that it has just opened cannot send any more, as for other failed attempts, so that the request goes elsewhere. A check whether the server runs still takes it as one that accepts.

Evidence: test_a_connection_that_is_lost_before_its_request_is_sent_is_a_failed_one failed before (HttpError "nothing came for 1.0 s", marked as written) and passes.

--- a/pimentoquay/bench/mutations/gateway_switches.py
+++ b/pimentoquay/bench/mutations/gateway_switches.py
@@ -102,6 +102,13 @@
         connect_unchecked,
         _INVALID + "test_gateways_go_on_if_attempts_to_connect_to_engines_raise[127.9..9:80]",
     ),
+    Switch(
+        "connection lost as it is opened",
+        "pimentoquay.http1.client_connection:ClientConnection.is_closing",
+        lambda original: False,
+        "pimentoquay/http1/tests/test_client.py::"
+        "test_a_connection_that_is_lost_before_its_request_is_sent_is_a_failed_one",
+    ),
     Switch(
         "size of a body",
         "pimentoquay.http1.client:Exchange.read_body",
--- a/pimentoquay/http1/client.py
+++ b/pimentoquay/http1/client.py
@@ -182,7 +182,11 @@
                 self._idle.append(connection)
                 break
             connection.abort()
-        return await self._open_connection()
+        connection = await self._open_connection()
+        if connection.is_closing:
+            detail = f"the connection to {self.address} was lost as it was opened"
+            raise ConnectError(detail, ConnectFailure.BROKEN)
+        return connection
 
     async def _open_connection(self) -> "ClientConnection":
         self._on_open()
@@ -195,8 +199,9 @@
         except (OSError, TimeoutError) as error:
             detail = f"no connection to {self.address}: {error!r}"
             raise ConnectError(detail, _failure_of(error)) from error
-        self.open_connections += 1
-        connection.on_lost = self._remove_connection
+        if not connection.is_lost:
+            self.open_connections += 1
+            connection.on_lost = self._remove_connection
         return connection
 
     def _remove_connection(self, connection: "ClientConnection") -> None:
--- a/pimentoquay/http1/client_connection.py
+++ b/pimentoquay/http1/client_connection.py
@@ -117,6 +117,16 @@
         self._reusable_until = 0.0
         self._idle_since = 0.0
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether the connection has ended."""
+        return self._is_lost
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether nothing can be sent any more."""
+        return self._is_lost or bool(self._transport.is_closing())
+
     def connection_made(self, transport: Any) -> None:
         """Let the system reset the connection if written bytes are not acknowledged."""
         self._transport = transport
--- a/pimentoquay/http1/tests/test_client.py
+++ b/pimentoquay/http1/tests/test_client.py
@@ -213,3 +213,19 @@
         await get(pool)
     assert not caught.value.written
     assert await pool.check_server() is ServerState.UNREACHABLE
+
+
+async def test_a_connection_that_is_lost_before_its_request_is_sent_is_a_failed_one():
+    """The request was written nowhere, and its end waited for until the caller's time was over."""
+
+    async def connect(factory, host, port):
+        transport, connection = await connect_tcp(factory, host, port)
+        transport.abort()
+        await asyncio.sleep(0.01)
+        return transport, connection
+
+    async with scripted(OK) as (_, pool):
+        pool = ConnectionPool(pool.address, 1.0, ReusePolicy(), connect=connect)
+        with pytest.raises(ConnectError):
+            await get(pool, head_seconds=1.0)
+        assert pool.open_connections == 0
