Close the connections of the scripted test server

test_platform_names_are_used_only_in_the_adapter failed once with "SystemError: AST constructor recursion depth mismatch" (two workers, with the tests of http1, platform and tunnels; two earlier runs of the tests of this part ended with the same error inside pytest). Cause: stream writers of the scripted server outlived their event loop. When the collector drops one while Python 3.11 parses a source, their failing close is written as a traceback, which parses sources as well, and the outer parse fails.

The server's connections are now aborted, and their tasks waited for, at the end of each test.

--- a/pimentoquay/http1/tests/scripted.py
+++ b/pimentoquay/http1/tests/scripted.py
@@ -65,9 +65,17 @@
         self.reset = reset
         self.connections = 0
         self.requests = []
+        self._writer_by_task = {}
+
+    async def close_connections(self):
+        """Abort all connections, and wait for their tasks, so that none outlives the loop."""
+        for writer in self._writer_by_task.values():
+            writer.transport.abort()
+        await asyncio.gather(*self._writer_by_task, return_exceptions=True)
 
     async def handle(self, reader, writer):
         self.connections += 1
+        self._writer_by_task[asyncio.current_task()] = writer
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while self.scripts:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -107,3 +115,4 @@
     finally:
         pool.close()
         server.close()
+        await scripted_server.close_connections()
