Close the connections of the tunnel tests' engine

test_platform_names_are_used_only_in_the_adapter failed again in one run of the tests of nine subpackages with "SystemError: AST constructor recursion depth mismatch".

--- a/pimentoquay/tunnels/tests/test_tunnels.py
+++ b/pimentoquay/tunnels/tests/test_tunnels.py
@@ -126,6 +126,11 @@
     finally:
         await tunnels.close()
         engine.close()
+        # A stream that outlives its loop fails when it is collected.
+        for writer in engine.connections:
+            writer.transport.abort()
+        await until(lambda: not engine.connections, "closed")
+        await asyncio.sleep(0.01)
 
 
 async def test_a_peer_replies_that_an_engine_is_silent_whose_host_cannot_be_resolved():
