Refuse a stream that goes on at once where no engine can be used

What callers would see: at a gateway that reaches no engine, or if all engines of a version asked for a long pause, a stream that goes on waited until its timeout and got 429 then; new ones got 503 at once and went elsewhere.

Cause: lets a stream wait whose engines' load is not known, and took having no engine for that. A pause counted only if engines of all versions asked for one.

The refusals move to gateway/stream_refusals.py.

--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -13,6 +13,11 @@
 from pimentoquay.gateway.pool_client import PoolClient, PoolGrant
 from pimentoquay.gateway.reservation import Reservation, run_of, usable_tokens
 from pimentoquay.gateway.shared_state import SharedState
+from pimentoquay.gateway.stream_refusals import (
+    refuse_if_paused,
+    refuse_if_unreachable,
+    refuse_if_version_gone,
+)
 from pimentoquay.kernel import RefusedError, ResultCode
 from pimentoquay.kernel.errors import HttpError
 from pimentoquay.kernel.logs import logger
@@ -32,7 +37,7 @@
     decide_wait,
 )
 from pimentoquay.policy.stream_queue import StreamQueue, WaitingStream
-from pimentoquay.policy.version_choice import can_go_on, engines_for
+from pimentoquay.policy.version_choice import engines_for
 
 __all__ = ["Reservations"]
 
@@ -138,7 +143,7 @@
         return reservation
 
     async def _reserve(self, job: Job, memory: TokenMemory, waiter: WaitingStream) -> Reservation:
-        self._refuse_if_version_gone(job, waiter.software)
+        refuse_if_version_gone(self._shared, job, waiter.software)
         if self._pools.is_active:
             return await self._reserve_in_pool(job, memory, waiter)
         if self._is_next(waiter):
@@ -153,8 +158,9 @@
         try:
             while loop.time() < ends_at:
                 self._shared.guard.check(job)
-                self._refuse_if_paused(job)
-                self._refuse_if_version_gone(job, waiter.software)
+                self._refuse_if_hopeless(job, waiter.software)
+                if waiter.software:
+                    refuse_if_unreachable(self._shared, job, waiter.software)
                 if self._is_next(waiter):
                     reservation = await self._try_reserve(job, memory, waiter)
                     if reservation is not None:
@@ -225,7 +231,7 @@
     def _refuse_long_wait(self, job: Job, waiter: WaitingStream) -> None:
         software = waiter.software
         engines = self._decode_engines(job, software)
-        self._refuse_if_paused(job)
+        refuse_if_paused(self._shared, job, software)
         now = asyncio.get_running_loop().time()
         patience = waiter.times.leaves_at - self._limits.work_seconds - now
         self._shared.refuse_over_limit(
@@ -233,10 +239,7 @@
         )
         if self._shared.limit_wait(job.service, DECODE_STAGES, software=software):
             return  # The limits of all engines are used up for now, whatever memory is free.
-        if not engines and not software:
-            raise RefusedError(
-                ResultCode.NO_BACKEND, "no decode engine is listed", RETRY_AFTER_SECONDS
-            )
+        refuse_if_unreachable(self._shared, job, software)
         held = self._run_ledger.expected(engines, now)
         if software and not held:
             return  # Nothing is known of what its engines hold, so nothing of the wait.
@@ -250,17 +253,9 @@
             detail = f"{ahead.tokens} tokens wait, {held} are held"
             raise RefusedError(ResultCode.QUEUE_FULL, detail, decision.seconds)
 
-    def _refuse_if_paused(self, job: Job) -> None:
-        """Refuse a stream at once if all decode engines have requested a pause."""
-        pause = self._shared.pause_seconds(job.service, DECODE_STAGES)
-        if pause is not None:
-            raise RefusedError(ResultCode.NO_BACKEND, "all decode engines have paused", pause)
-
-    def _refuse_if_version_gone(self, job: Job, software: str) -> None:
-        """Refuse a stream at once if no engine of the version that began it takes work."""
-        if software and not can_go_on(self._shared.fleet.accepting_engines(job.service), software):
-            detail = f"no engine of version {software} is left"
-            raise RefusedError(ResultCode.STREAM_VERSION_GONE, detail)
+    def _refuse_if_hopeless(self, job: Job, software: str) -> None:
+        refuse_if_paused(self._shared, job, software)
+        refuse_if_version_gone(self._shared, job, software)
 
     def _decode_engines(self, job: Job, software: str = "") -> tuple[EngineEntry, ...]:
         return self._shared.engines_for_stream(job.service, DECODE_STAGES, software)
@@ -287,8 +282,7 @@
         run = run_of(need, usable_tokens(memory))
         stream = self._pools.stream_to_place(job, need, run, waiter.times, software)
         for _ in range(MAX_GRANTS):
-            self._refuse_if_paused(job)
-            self._refuse_if_version_gone(job, software)
+            self._refuse_if_hopeless(job, software)
             grant = await self._pools.place(stream, full_engine)
             if grant is None:
                 reservation = await self._try_reserve(job, memory, waiter)
--- a/pimentoquay/gateway/shared_state.py
+++ b/pimentoquay/gateway/shared_state.py
@@ -226,16 +226,17 @@
         )
 
     def pause_seconds(
-        self, service: str, stages: Collection[EngineStage] = ALL_STAGES
+        self, service: str, stages: Collection[EngineStage] = ALL_STAGES, software: str = ""
     ) -> float | None:
         """Return the seconds until the first of the engines ends its pause, if all have paused.
 
-        ``None`` if an engine of the service has not requested a pause, or none is listed.
+        ``None`` if one has not requested a pause, or none is listed. Only those count that may run
+        a stream which began at the version ``software``, if that is given.
         """
         pauses = [
             self.fleet.pause_seconds(engine)
             for engine in self.fleet.accepting_engines(service)
-            if engine.stage in stages
+            if engine.stage in stages and may_run(engine, software)
         ]
         return min(pauses) if pauses and all(pauses) else None
 
