Let a stream that goes on leave a pool that has lost its version

What callers would see: with pools, a stream waited for engines that had left its pool until its timeout, and got 429, beside an idle engine of its version in another pool; if the version had left altogether, it was told so after 7 s. While no coordinator replied, as in the first seconds after a kill of all gateways, it got 503 after one try, though it could have waited.

Cause: the pool is chosen once, and what a coordinator cannot know is not looked at again; without a coordinator there was no wait at all.

Change: at each repeat a gateway looks whether the pool still has the version, and chooses anew if not. A stream that goes on waits also if no coordinator replies.

No message is changed.

--- a/pimentoquay/gateway/pool_client.py
+++ b/pimentoquay/gateway/pool_client.py
@@ -11,6 +11,7 @@
 from pimentoquay.gateway.job import Job
 from pimentoquay.gateway.peer_loads import engine_runs, engine_tokens, stage_work, vm_work
 from pimentoquay.gateway.shared_state import SharedState
+from pimentoquay.gateway.stream_refusals import refuse_if_paused
 from pimentoquay.kernel import Node, RefusedError, ResultCode
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages.pools import (
@@ -190,6 +191,8 @@
                 raise RefusedError(
                     ResultCode.DEADLINE_UNREACHABLE, "no memory became free in time", REPEAT_SECONDS
                 ) from None
+            if reply is None and not self._share_of(key, stream):
+                continue  # The pool has lost the version while the stream waited there.
             if reply is None:
                 avoided.add(key)
                 self._avoid(key)
@@ -241,6 +244,11 @@
         data_centre = self._shared.placer.data_centre
         return choose_pool(state_by_key, data_centre, need.tokens, job.caller.id, avoided)
 
+    def _share_of(self, key: PoolKey, stream: StreamToPlace) -> float:
+        """Return the share of a pool's decode engines that may run a stream."""
+        members = self._shared.fleet.pools(stream.job.service).get(key, ())
+        return decode_share(members, stream.software)
+
     def _avoid(self, key: PoolKey) -> None:
         logger.bind(pool=str(key)).warning("coordinator does not reply")
         if key in self._known_by_key:
@@ -249,13 +257,18 @@
     async def _ask(
         self, stream: StreamToPlace, key: PoolKey, full_engine: str
     ) -> tuple[str, PlaceReply | None]:
-        """Return the coordinator and its final reply, or ``None`` if it does not reply."""
+        """Return the coordinator and its final reply.
+
+        ``None`` in place of the reply if there is none, or if no engine of the pool may run the
+        stream any more.
+        """
         replies = self._replies_by_key[stream.key] = asyncio.Queue()
         misses, timeout, is_final = 0, FIRST_REPLY_SECONDS, False
         coordinator = source = ""
         try:
-            while misses < MAX_MISSES:
+            while misses < MAX_MISSES and self._share_of(key, stream):
                 self._shared.guard.check(stream.job)
+                refuse_if_paused(self._shared, stream.job, stream.software)
                 coordinator = self._coordinator_of(key) or ""
                 self._send_to(coordinator, self._request(stream, key, full_engine))
                 reply: PlaceReply | None = None
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -1,7 +1,7 @@
 """Reservation of decode engines' memory for streams, and the queue of streams that wait for it.
 
-The engines themselves grant memory, so gateways need no central owner of it. Each gateway chooses
-an engine by the loads of all gateways, and decides by their queues whether a stream may wait.
+The engines grant memory, so gateways need no central owner of it. Each gateway chooses an engine by
+the loads of all gateways, and decides by their queues whether a stream may wait.
 """
 
 import asyncio
@@ -51,8 +51,7 @@
 """Maximum number of engines that are tried for one stream if they refuse the granted memory."""
 
 REFUSAL_VALID_SECONDS = 0.25
-"""Time for which an engine counts as full after it refused a reservation, unless memory is released
-there."""
+"""Time for which an engine counts as full after a refusal, unless memory is released there."""
 
 
 class Reservations:
@@ -68,12 +67,12 @@
         Returns the memory that streams wait for at other gateways.
     has_incomplete_view
         Returns whether there may be gateways whose requests are not known here. Only the engine
-        then knows its load, so the whole expected memory of a stream is reserved there.
+        then knows its load, and the whole expected memory of a stream is reserved.
     on_change
         Called when the memory that this gateway holds or waits for changes.
     record_use
         Called at the end of each stream with its mean memory in tokens, its duration in seconds,
-        and the usable memory of its engine in tokens.
+        and its engine's usable memory in tokens.
     pools
         Client of the coordinators that place streams in deployments with relays.
     """
@@ -106,7 +105,7 @@
         return self._waiting.queued(asyncio.get_running_loop().time())
 
     def recheck_waiters(self) -> None:
-        """Let waiting streams try to reserve memory again."""
+        """Let waiting streams try again."""
         self._changed.set()
 
     async def reserve(
@@ -129,8 +128,7 @@
         Raises
         ------
         RefusedError
-            If the expected wait is too long, no memory became free in time, or no engine of the
-            version is left.
+            If the wait is too long, or no engine of the version is left.
         """
         waiter = WaitingStream(need, times, software)
         asked_at = asyncio.get_running_loop().time()
@@ -165,17 +163,19 @@
                     reservation = await self._try_reserve(job, memory, waiter)
                     if reservation is not None:
                         return reservation
-                self._changed.clear()
-                with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(RECHECK_INTERVAL_SECONDS):
-                        await self._changed.wait()
+                await self._wait_for_change()
         finally:
             self._waiting.remove(waiter)
             self._changed.set()
             self._on_change()
-        raise RefusedError(
-            ResultCode.DEADLINE_UNREACHABLE, "no memory became free in time", RETRY_AFTER_SECONDS
-        )
+        detail = "no memory became free in time"
+        raise RefusedError(ResultCode.DEADLINE_UNREACHABLE, detail, RETRY_AFTER_SECONDS)
+
+    async def _wait_for_change(self) -> None:
+        self._changed.clear()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(RECHECK_INTERVAL_SECONDS):
+                await self._changed.wait()
 
     def update_progress(self, reservation: Reservation, output_tokens: int) -> None:
         """Record the number of output tokens that a stream has so far."""
@@ -223,7 +223,7 @@
             in_time=f"{waiter.times.late_at - asked_at:.3f}",
             engines=len(engines),
             held=self._run_ledger.expected(engines, now),
-            ahead_here=sum(each.need.tokens for each in self._waiting.ahead_of(waiter, now)),
+            ahead_here=sum(each.tokens for each in self._waiting.ahead_of(waiter, now)),
             waiting=own.tokens + peers.tokens,
             in_time_waiting=own.urgent_tokens + peers.urgent_tokens,
         ).info("wait of a stream that goes on ended")
@@ -234,9 +234,8 @@
         refuse_if_paused(self._shared, job, software)
         now = asyncio.get_running_loop().time()
         patience = waiter.times.leaves_at - self._limits.work_seconds - now
-        self._shared.refuse_over_limit(
-            job.service, DECODE_STAGES, len(self._waiting), patience, software
-        )
+        count = len(self._waiting)
+        self._shared.refuse_over_limit(job.service, DECODE_STAGES, count, patience, software)
         if self._shared.limit_wait(job.service, DECODE_STAGES, software=software):
             return  # The limits of all engines are used up for now, whatever memory is free.
         refuse_if_unreachable(self._shared, job, software)
@@ -261,7 +260,7 @@
         return self._shared.engines_for_stream(job.service, DECODE_STAGES, software)
 
     def _engine_groups(self, job: Job, waiter: WaitingStream) -> tuple[Sequence[EngineEntry], ...]:
-        """Return groups of decode engines to be tried in order."""
+        """Return groups of decode engines to be tried in order; an engine may be in several."""
         sendable = self._shared.sendable_engines(job.service, DECODE_STAGES, waiter.software)
         now = asyncio.get_running_loop().time()
         awaited = {each.software for each in self._waiting.ahead_of(waiter, now)}
@@ -281,25 +280,33 @@
         full_engine, need, software = "", waiter.need, waiter.software
         run = run_of(need, usable_tokens(memory))
         stream = self._pools.stream_to_place(job, need, run, waiter.times, software)
-        for _ in range(MAX_GRANTS):
+        ends_at = waiter.times.leaves_at - self._limits.work_seconds
+        grants = 0
+        while grants < MAX_GRANTS:
             self._refuse_if_hopeless(job, software)
             grant = await self._pools.place(stream, full_engine)
             if grant is None:
                 reservation = await self._try_reserve(job, memory, waiter)
                 if reservation is not None:
                     return reservation
-                break
+                if not software or asyncio.get_running_loop().time() >= ends_at:
+                    break
+                refuse_if_unreachable(self._shared, job, software)
+                full_engine = ""
+                await self._wait_for_change()
+                continue
+            grants += 1
             full_engine = grant.engine
-            engines = {engine.id: engine for engine in self._decode_engines(job, software)}
-            granted = engines.get(grant.engine)
-            if granted is not None:
-                reservation = await self._request_hold(job, granted, memory, need, run, grant)
-                if reservation is not None:
-                    reservation.prefill_engine = grant.prefill_engine
-                    return reservation
-        raise RefusedError(
-            ResultCode.NO_BACKEND, "the granted engines had no memory", RETRY_AFTER_SECONDS
-        )
+            engines = self._decode_engines(job, software)
+            granted = next((each for each in engines if each.id == full_engine), None)
+            if granted is None:
+                continue
+            reservation = await self._request_hold(job, granted, memory, need, run, grant)
+            if reservation is not None:
+                reservation.prefill_engine = grant.prefill_engine
+                return reservation
+        detail = "the granted engines had no memory"
+        raise RefusedError(ResultCode.NO_BACKEND, detail, RETRY_AFTER_SECONDS)
 
     async def _try_reserve(
         self, job: Job, memory: TokenMemory, waiter: WaitingStream
--- a/pimentoquay/gateway/tests/test_waits_to_go_on.py
+++ b/pimentoquay/gateway/tests/test_waits_to_go_on.py
@@ -7,8 +7,104 @@
 from pimentoquay.gateway.tests.rig import model_headers, rig, until
 from pimentoquay.gateway.tests.test_software_versions import (
     add_version,
+    is_listed,
     resume_headers,
 )
+from pimentoquay.standin.platform_engine import PlatformEngine
+
+
+async def streams_fill_first_version(env):
+    """Let streams fill the engines of v1; return them."""
+    engines = [env.engine_by_id["dec-1"], env.engine_by_id["dec-2"]]
+    for each in engines:
+        each.events, each.pause = 20, 1.0
+    streams = [
+        asyncio.create_task(env.stream(f"/digest/{n}", request_id=f"full-{n}")) for n in range(24)
+    ]
+    await until(lambda: sum(each.running for each in engines) >= 8, "full")
+    await asyncio.sleep(0.5)
+    return streams
+
+
+async def seconds_until_refused_after_release(env, elsewhere=""):
+    """Let a stream wait for v1 until its engines are not listed any more; return its response.
+
+    An idle engine of v1 joins in the data centre ``elsewhere`` first, if that is given.
+    """
+    streams = await streams_fill_first_version(env)
+    await add_version(env, "v2", "new-1", "new-2")
+    gateway = env.gateway_by_vm["vm-1"]
+    await until(lambda: gateway.origins._is_loaded, "loaded")
+    running = env.engine_by_id["dec-1"].arrivals
+    begun = next(n for n in range(24) if streams[n] and not streams[n].done())
+    headers = (*model_headers(), *resume_headers(f"full-{begun}", 0))
+    asked = asyncio.create_task(env.send_request("/digest/a", headers=headers, deadline_ms=8000))
+    await asyncio.sleep(0.5)
+    assert running and not asked.done(), "it waits"
+    if elsewhere:
+        far = PlatformEngine("far-1", "llm", stage="decode", software="v1", data_centre=elsewhere)
+        await env.add_engine(far)
+        await until(lambda: is_listed(env, "far-1"), "listed")
+    for engine_id in ("dec-1", "dec-2"):
+        await env.store.put("keyed.servers", engine_id, b"")
+    await until(lambda: not is_listed(env, "dec-1") and not is_listed(env, "dec-2"), "gone")
+    assert elsewhere or not gateway.dispatcher._streams._reservations.continued_by_outcome
+    gone_at = asyncio.get_running_loop().time()
+    response = await asked
+    seconds = asyncio.get_running_loop().time() - gone_at
+    for each in streams:
+        each.cancel()
+    await asyncio.gather(*streams, return_exceptions=True)
+    return response.status, seconds
+
+
+async def test_a_stream_that_waits_is_refused_once_its_version_is_gone():
+    async with rig() as env:
+        status, seconds = await seconds_until_refused_after_release(env)
+        assert (status, round(seconds, 1)) <= (503, 1.0) and status == 503
+
+
+async def test_a_stream_that_waits_in_a_pool_is_refused_once_its_version_is_gone(relays):
+    """With coordinators it waits until its caller's timeout."""
+    async with rig() as env:
+        for vm in ("vm-2", "vm-3"):
+            await env.add_gateway(vm)
+        gateways = env.gateway_by_vm.values()
+        await until(lambda: all(each.pool_client._known_by_key for each in gateways), "pools")
+        status, seconds = await seconds_until_refused_after_release(env)
+        assert (status, round(seconds, 1)) <= (503, 1.0) and status == 503
+
+
+async def test_a_stream_that_waits_in_a_pool_goes_on_in_another_when_its_version_leaves(relays):
+    """It waits until its caller's timeout, beside an idle engine of its version elsewhere."""
+    async with rig() as env:
+        for vm in ("vm-2", "vm-3"):
+            await env.add_gateway(vm)
+        gateways = env.gateway_by_vm.values()
+        await until(lambda: all(each.pool_client._known_by_key for each in gateways), "pools")
+        status, _ = await seconds_until_refused_after_release(env, "port")
+        assert status == 200
+
+
+async def test_a_stream_that_goes_on_waits_though_no_coordinator_replies(relays):
+    """It was sent away with 503 after one try, while its caller would have waited for memory."""
+    async with rig() as env:
+        for vm in ("vm-2", "vm-3"):
+            await env.add_gateway(vm)
+        gateways = env.gateway_by_vm.values()
+        await until(lambda: all(each.pool_client._known_by_key for each in gateways), "pools")
+        streams = await streams_fill_first_version(env)
+        for name in ("dec-1", "dec-2"):
+            env.engine_by_id[name].pause = 0.05
+        client = env.gateway_by_vm["vm-1"].pool_client
+        client._coordinator_of = lambda key: "vm-9"
+        begun = next(n for n in range(24) if not streams[n].done())
+        headers = (*model_headers(), *resume_headers(f"full-{begun}", 0))
+        response = await env.send_request("/digest/a", headers=headers, deadline_ms=8000)
+        for each in streams:
+            each.cancel()
+        await asyncio.gather(*streams, return_exceptions=True)
+        assert response.status == 200
 
 
 @pytest.mark.parametrize("is_taken_up", [False, True])
