Let a long prompt that goes on use all engines of its version

What callers would see: with the prefill engines of a version gone, streams of it with long prompts got 429 beside idle engines of their version, as only a third of its decode engines may read long prompts; new ones are read at another version.

Change: the other engines of the version are tried after those.

Evidence: found by a review; the new test failed before (429) and passes.

--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -271,7 +271,8 @@
         is_short = can_prefill_on_decode_engine(
             waiter.need.prompt, self._shared.speed, job.route.gap_seconds, DECODE_ONLY_PAUSE_SHARE
         )
-        return select_decode_engines(engines, is_short)
+        groups = select_decode_engines(engines, is_short)
+        return (*groups, engines) if waiter.software else groups
 
     async def _reserve_in_pool(
         self, job: Job, memory: TokenMemory, waiter: WaitingStream
--- a/pimentoquay/gateway/tests/test_waits_to_go_on.py
+++ b/pimentoquay/gateway/tests/test_waits_to_go_on.py
@@ -10,8 +10,12 @@
     is_listed,
     resume_headers,
 )
+from pimentoquay.policy.memory_forecast import GrowingRun
 from pimentoquay.standin.platform_engine import PlatformEngine
 
+PROMPT = 12_000
+"""Prompt that is too long to be prefilled beside streams of a decode engine."""
+
 
 async def streams_fill_first_version(env):
     """Let streams fill the engines of v1; return them."""
@@ -135,3 +139,23 @@
         response = await env.send_request("/digest/a", headers=headers, deadline_ms=8000)
         seconds = asyncio.get_running_loop().time() - started_at
         assert (response.status, seconds < 1.0) == (503, True), seconds
+
+
+async def test_a_long_prompt_that_goes_on_uses_all_engines_of_its_version():
+    """Without a prefill engine of its version it has a third of them, new streams have all."""
+    async with rig() as env:
+        gateway = env.gateway_by_vm["vm-1"]
+        await until(lambda: gateway.origins._is_loaded, "loaded")
+        await env.stream("/digest/first", request_id="first")
+        await add_version(env, "v2", "pre-2", stage="prefill")
+        await add_version(env, "v2", "new-1")
+        await env.store.put("keyed.servers", "pre-1", b"")
+        await until(lambda: not is_listed(env, "pre-1"), "gone")
+        shared = gateway.dispatcher._streams._shared
+        shared.speed.tokens_per_second = 50_000.0
+        shared.run_ledger.take("dec-1", GrowingRun(10**9, 0), asyncio.get_running_loop().time())
+        started_at = asyncio.get_running_loop().time()
+        headers = (*model_headers(prompt=PROMPT), *resume_headers("first", 1))
+        response = await env.send_request("/digest/a", headers=headers, deadline_ms=4000)
+        assert response.status == 200
+        assert asyncio.get_running_loop().time() - started_at < 2.0
