Count only what goes first against the limits that engines name

What callers would see: 429 at once for a stream that goes on, as late new ones, which it precedes, counted as before it against the limits of its engines.

--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -234,7 +234,7 @@
         refuse_if_paused(self._shared, job, software)
         now = asyncio.get_running_loop().time()
         patience = waiter.times.leaves_at - self._limits.work_seconds - now
-        count = len(self._waiting)
+        count = self._waiting.count_ahead_of(waiter, now)
         self._shared.refuse_over_limit(job.service, DECODE_STAGES, count, patience, software)
         if self._shared.limit_wait(job.service, DECODE_STAGES, software=software):
             return  # The limits of all engines are used up for now, whatever memory is free.
--- a/pimentoquay/gateway/tests/test_waits_to_go_on.py
+++ b/pimentoquay/gateway/tests/test_waits_to_go_on.py
@@ -10,7 +10,10 @@
     is_listed,
     resume_headers,
 )
-from pimentoquay.policy.memory_forecast import GrowingRun
+from pimentoquay.messages.fleet import EngineLimit, LimitsNamed
+from pimentoquay.policy.memory_forecast import GrowingRun, MemoryNeed
+from pimentoquay.policy.stream_admission import StreamTimes
+from pimentoquay.policy.stream_queue import WaitingStream
 from pimentoquay.standin.platform_engine import PlatformEngine
 
 PROMPT = 12_000
@@ -141,6 +144,29 @@
         assert (response.status, seconds < 1.0) == (503, True), seconds
 
 
+@pytest.mark.parametrize("late_ones", [0, 40])
+async def test_late_new_streams_do_not_count_as_before_one_that_goes_on_at_a_limit(late_ones):
+    """It was refused at once (429), though it goes before all of them and waits half a second."""
+    async with rig() as env:
+        gateway = env.gateway_by_vm["vm-1"]
+        await until(lambda: gateway.origins._is_loaded, "loaded")
+        limits, now = gateway.links.limits, asyncio.get_running_loop().time
+        engines = [each for each in gateway.fleet.engines() if each.id.startswith("dec")]
+        named = tuple(EngineLimit(each.id, each.incarnation, 2.0, 0.0) for each in engines)
+        gateway.mesh.notices.receive(LimitsNamed(named), "vm-9")
+        assert all(limits.limit_of(each.start) == 2.0 for each in engines)
+        for each in engines:
+            while limits.take(each, now()):
+                pass
+        queue = gateway.dispatcher._streams._reservations._waiting
+        late = StreamTimes(now() - 2.0, now() - 1.0, now() + 60.0)
+        for _ in range(late_ones):
+            queue.add(WaitingStream(MemoryNeed(1000, 100, 200), late))
+        headers = (*model_headers(), *resume_headers("first", 1))
+        response = await env.send_request("/digest/a", headers=headers, deadline_ms=6000)
+        assert response.status == 200
+
+
 async def test_a_long_prompt_that_goes_on_uses_all_engines_of_its_version():
     """Without a prefill engine of its version it has a third of them, new streams have all."""
     async with rig() as env:
--- a/pimentoquay/policy/stream_queue.py
+++ b/pimentoquay/policy/stream_queue.py
@@ -152,6 +152,16 @@
         own = rank(stream)
         return [each for each in self._streams if each is not stream and rank(each) < own]
 
+    def count_ahead_of(self, stream: WaitingStream, now: float) -> int:
+        """Return the number of streams that may take engines of another one before it.
+
+        For one that has not begun, all that wait count.
+        """
+        if not stream.software:
+            return len(self._streams)
+        ahead = self.ahead_of(stream, now)
+        return sum(each.software in ("", stream.software) for each in ahead)
+
     def is_next(self, stream: WaitingStream, peers: QueuedTokens, now: float) -> bool:
         """Return whether no stream here or at another VM has to be served before a stream.
 
