Take no copy of an earlier answer for that of a later request

Callers saw 429 or 503 for requests that an engine ran, and streams that may run once ran twice, when a faulty engine wrote an earlier refusal once more on a kept connection.

Cause: an answer without a request id counted as the answer to any request, though it may be a copy of that to a management call or to an unnamed refusal; a request sent again on the same connection under the same id took a copy of its first refusal for its answer; a management call took a copy of the answer to an earlier one.

Change: an answer counts only if no earlier exchange on its connection can have had it (http1/response_marks.py, pure). An answer to a request repeats its id, and a connection carries an id once. One without an id counts only as the first of its connection, which is closed then, and is discarded otherwise. Orders and requests without an id have a connection to themselves. A connection names a hold once; else the reservation is made once more on a new connection. After a call that failed, the connection carries a request before the next call. Copies of successful releases remain possible; nothing is decided from them.

An engine that leaves the id out of an answer on a kept connection now makes the request wait for its timeout. The protocol asks for the id in all answers; the stand-in left it out of refusals, and now repeats it.

The parameter is_own_response gave way to mark. The test of a discarded answer used one id twice on a connection, which is excluded now; it uses two ids and discards before both, still on one connection. The test of split responses passes None for the filter that accepted all.

--- a/pimentoquay/bench/mutations/gateway_switches.py
+++ b/pimentoquay/bench/mutations/gateway_switches.py
@@ -28,6 +28,7 @@
 _FULL_SIZE = "pimentoquay/gateway/tests/test_full_size.py::"
 _VERSIONS = "pimentoquay/gateway/tests/test_software_versions.py::"
 _INVALID = "pimentoquay/gateway/tests/test_invalid_records.py::"
+_COPIES = "pimentoquay/gateway/tests/test_late_copies.py::"
 _PROMPTS = "pimentoquay/policy/tests/test_prompt_loads.py::"
 _EVENTS = "pimentoquay/gateway/tests/test_event_order.py::"
 
@@ -138,11 +139,35 @@
     ),
     Switch(
         "answer with an id is none of a call",
-        "pimentoquay.gateway.engine_link:is_response_to_call",
+        "pimentoquay.http1.response_marks:ResponseMarks.is_own",
         return_constant(True),
         "pimentoquay/gateway/tests/test_similar_failures.py::"
         "test_a_late_copy_of_an_answer_is_not_taken_for_that_of_a_management_call",
     ),
+    Switch(
+        "answer without an id is none of a request",
+        "pimentoquay.http1.response_marks:ResponseMarks.is_own",
+        return_constant(True),
+        _COPIES + "test_a_copy_of_a_refusal_is_no_answer_to_a_later_call[/order/b-no id]",
+    ),
+    Switch(
+        "connection carries each request once",
+        "pimentoquay.http1.response_marks:ResponseMarks.may_carry",
+        return_constant(True),
+        _COPIES + "test_a_copy_of_the_refusal_of_an_earlier_attempt_is_no_answer[/order/a-id]",
+    ),
+    Switch(
+        "connection names each reservation once",
+        "pimentoquay.http1.response_marks:ResponseMarks.claim",
+        return_constant(True),
+        _COPIES + "test_a_copy_of_a_reservation_is_no_answer_to_a_later_reservation",
+    ),
+    Switch(
+        "no call follows one that failed",
+        "pimentoquay.http1.response_marks:ResponseMarks.require_marks",
+        return_constant(None),
+        _COPIES + "test_a_copy_of_a_refused_reservation_is_no_answer_to_a_later_one",
+    ),
     Switch(
         "quarantine of prompts",
         "pimentoquay.policy.request_quarantine:RequestQuarantine.quarantine_of",
--- a/pimentoquay/gateway/engine_link.py
+++ b/pimentoquay/gateway/engine_link.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator, Callable
+from dataclasses import replace
 
 from pimentoquay.gateway.engine_contact import EngineContact
 from pimentoquay.gateway.fleet import target_of
@@ -20,6 +21,7 @@
     ConnectError,
     HttpError,
     PathLostError,
+    RepeatedResponseError,
     ResponseTooLargeError,
 )
 from pimentoquay.kernel.logs import logger
@@ -27,9 +29,9 @@
 from pimentoquay.platform.engine_calls import EngineCall, EngineCalls
 from pimentoquay.platform.requests import CallerRequest, SendOptions, engine_headers
 from pimentoquay.platform.responses import (
+    MARK_OF_CALL_ALONE,
     EngineNotice,
-    is_response_to,
-    is_response_to_call,
+    mark_of_request,
     parse_notice,
 )
 from pimentoquay.policy.circuits import Circuits, CircuitState
@@ -181,7 +183,7 @@
                 target,
                 engine_headers(request, options),
                 body,
-                is_own_response=lambda headers: is_response_to(headers, request.id),
+                mark=mark_of_request(request.id),
                 max_idle_seconds=max_idle_seconds,
                 head_seconds=head_seconds,
                 watch=watch,
@@ -205,12 +207,16 @@
     ) -> tuple[int, bytes]:
         """Make a management call; return status and body, or raise ``HttpError``.
 
-        It is made once more if the path to the engine is cut meanwhile.
+        It is made once more if the path to the engine is cut meanwhile, or if the response may be
+        that to an earlier call, then on a connection of its own.
         """
         try:
             return await self._call(self._pool, call, seconds)
         except PathLostError:
             return await self._call(self._pool, call, seconds)
+        except RepeatedResponseError:
+            alone = replace(call, mark=MARK_OF_CALL_ALONE)
+            return await self._call(self._pool, alone, seconds)
 
     async def order(self, call: EngineCall, seconds: float) -> tuple[int, bytes]:
         """Make a call that must come from this VM, and not through a peer."""
@@ -229,13 +235,17 @@
                     call.target,
                     call.headers,
                     call.body,
-                    is_own_response=is_response_to_call,
+                    mark=call.mark,
                     watch=CALL_WATCH,
                 ) as exchange,
             ):
                 self._contact.record_reached(self.entry.id)
-                self._record_notice(exchange.status, exchange.headers)
+                if exchange.status >= 300:
+                    # A copy of it could be taken for the response to a later call.
+                    exchange.require_marks()
                 body = await exchange.read_body(MAX_CALL_BODY_BYTES)
+                self._check_created(call, exchange, body)
+                self._record_notice(exchange.status, exchange.headers)
                 self._circuits.succeeded(self.entry.id)
                 return exchange.status, body
         except HttpError as error:
@@ -248,6 +258,16 @@
         finally:
             self._circuits.end_probe(self.entry.id, probe)
 
+    def _check_created(self, call: EngineCall, exchange: Exchange, body: bytes) -> None:
+        """Raise an error if a success names nothing new, as it may be that of an earlier call."""
+        if not call.creates_hold or exchange.status != 200:
+            return
+        name = call.name_of_created(body)
+        if name is None or not exchange.claim(name):
+            exchange.close_afterwards()
+            logger.bind(engine=self.entry.id, name=name or "").warning("response came again")
+            raise RepeatedResponseError(f"{self.entry.id}: {name} once more", True)
+
     async def check(self) -> ServerState:
         """Return whether the engine still runs, as shown by new connections.
 
@@ -332,7 +352,7 @@
 
         It is opened at once also if the engine sends without end.
         """
-        if isinstance(error, PathLostError):
+        if isinstance(error, PathLostError | RepeatedResponseError):
             return
         now = asyncio.get_running_loop().time()
         if isinstance(error, ConnectError):
--- a/pimentoquay/http1/__init__.py
+++ b/pimentoquay/http1/__init__.py
@@ -16,18 +16,21 @@
 )
 from pimentoquay.http1.client_connection import ClientConnection, ExchangeWatch, ReusePolicy
 from pimentoquay.http1.headers import HeaderList, end_to_end_headers, find_header
+from pimentoquay.http1.response_marks import ConnectionUse, ResponseMark
 from pimentoquay.http1.server import HttpRequest, HttpServer, Reply, ServerLimits
 
 __all__ = [
     "ClientConnection",
     "Connect",
     "ConnectionPool",
+    "ConnectionUse",
     "Exchange",
     "ExchangeWatch",
     "HeaderList",
     "HttpRequest",
     "HttpServer",
     "Reply",
+    "ResponseMark",
     "ReusePolicy",
     "ServerLimits",
     "ServerState",
--- a/pimentoquay/http1/client.py
+++ b/pimentoquay/http1/client.py
@@ -2,7 +2,7 @@
 
 No data is expected on an idle connection; bytes that arrive on it close it, so that they are never
 taken for a response to the next request. A response to another request is read and discarded, and
-the exchange continues to wait for its own.
+the exchange continues to wait for its own; ``response_marks`` tells which is which.
 """
 
 import asyncio
@@ -18,10 +18,10 @@
 from pimentoquay.http1.client_connection import (
     ClientConnection,
     ExchangeWatch,
-    ResponseFilter,
     ReusePolicy,
 )
 from pimentoquay.http1.headers import HeaderList, find_header
+from pimentoquay.http1.response_marks import ResponseMark
 from pimentoquay.kernel.errors import (
     ConnectError,
     ConnectFailure,
@@ -111,7 +111,7 @@
         headers: HeaderList,
         body: bytes = b"",
         *,
-        is_own_response: ResponseFilter = lambda headers: True,
+        mark: ResponseMark | None = None,
         max_idle_seconds: float | None = None,
         head_seconds: float | None = None,
         watch: ExchangeWatch | None = None,
@@ -126,9 +126,8 @@
         ----------
         method, target, headers, body
             The request; ``Content-Length`` is added if it has a body.
-        is_own_response
-            Returns whether a response with the given headers is the response to this request;
-            others are discarded.
+        mark
+            How the response to this request is known; others are discarded.
         max_idle_seconds
             Maximum idle time in seconds of a reused connection, in addition to the reuse policy.
         head_seconds
@@ -138,11 +137,11 @@
         on_sent
             Called when the request has been written.
         """
-        connection = await self._acquire_connection(max_idle_seconds)
+        connection = await self._acquire_connection(max_idle_seconds, mark)
         connection.watch = watch
         self.active.add(connection)
         try:
-            connection.send(method, target, headers, body, is_own_response)
+            connection.send(method, target, headers, body, mark)
             on_sent()
             exchange = Exchange(connection)
             await exchange.read_head(head_seconds)
@@ -172,16 +171,25 @@
             if bool(connection.via) is through_peers:
                 connection.retire()
 
-    async def _acquire_connection(self, max_idle_seconds: float | None) -> "ClientConnection":
+    async def _acquire_connection(
+        self, max_idle_seconds: float | None, mark: ResponseMark | None
+    ) -> "ClientConnection":
         now = asyncio.get_running_loop().time()
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_reusable(now, max_idle_seconds):
-                return connection
-            if connection.is_reusable(now, None):
-                self._idle.append(connection)
-                break
-            connection.abort()
+        passed_over = []
+        try:
+            while self._idle:
+                connection = self._idle.pop()
+                if not connection.is_reusable(now, None):
+                    connection.abort()
+                    continue
+                if not connection.is_reusable(now, max_idle_seconds):
+                    passed_over.append(connection)
+                    break
+                if connection.marks.may_carry(mark):
+                    return connection
+                passed_over.append(connection)
+        finally:
+            self._idle.extend(reversed(passed_over))
         connection = await self._open_connection()
         if connection.is_closing:
             detail = f"the connection to {self.address} was lost as it was opened"
@@ -245,6 +253,18 @@
         framing = (b"content-length", b"transfer-encoding")
         return all(find_header(self.headers, name) is None for name in framing)
 
+    def claim(self, name: str) -> bool:
+        """Return whether the response is the first on its connection that has the given name."""
+        return self._connection.marks.claim(name)
+
+    def require_marks(self) -> None:
+        """Use the connection for an exchange with a mark next."""
+        self._connection.marks.require_marks()
+
+    def close_afterwards(self) -> None:
+        """Use the connection for no other exchange."""
+        self._connection.retire()
+
     async def read_head(self, seconds: float | None = None) -> None:
         """Wait for the status and headers; ``HttpError`` if they do not arrive."""
         event = await self._next_event(seconds)
--- a/pimentoquay/http1/client_connection.py
+++ b/pimentoquay/http1/client_connection.py
@@ -16,9 +16,10 @@
 
 from pimentoquay.http1.buffered import SharedBufferProtocol
 from pimentoquay.http1.headers import HeaderList, find_header
+from pimentoquay.http1.response_marks import ResponseMark, ResponseMarks
 from pimentoquay.kernel.errors import HttpError, PathLostError
 
-__all__ = ["ClientConnection", "ExchangeWatch", "ResponseFilter", "ReusePolicy"]
+__all__ = ["ClientConnection", "ExchangeWatch", "ReusePolicy"]
 
 MAX_RESPONSE_HEADER_BYTES = 64 * 1024
 """Maximum size of the status line and headers of a response, in bytes."""
@@ -38,8 +39,6 @@
 MAX_DIGITS = 9
 """Maximum length of a stated idle timeout, in digits; a longer one counts as not stated."""
 
-ResponseFilter = Callable[[HeaderList], bool]
-
 
 @dataclass(frozen=True)
 class ReusePolicy:
@@ -82,6 +81,7 @@
 
     ``via`` names the peer through which it was opened, or is empty. ``heard_at`` is the time at
     which something was last received or a request sent, and ``watch`` that of the exchange.
+    ``marks`` tells its response from copies of earlier ones.
 
     Parameters
     ----------
@@ -102,7 +102,7 @@
         self._http = h11.Connection(h11.CLIENT, MAX_RESPONSE_HEADER_BYTES)
         self._request: h11.Request | None = None
         self._body = b""
-        self._is_own_response: ResponseFilter = lambda headers: True
+        self.marks = ResponseMarks()
         self._is_discarding = False
         self._discarded_bytes = 0
         self._informational_responses = 0
@@ -165,13 +165,14 @@
         target: bytes,
         headers: HeaderList,
         body: bytes,
-        is_own_response: ResponseFilter,
+        mark: ResponseMark | None,
     ) -> None:
         """Write a complete request to the socket."""
         framing = ((b"Content-Length", str(len(body)).encode()),) if body else ()
         try:
             self._request = h11.Request(method=method, target=target, headers=[*headers, *framing])
-            self._body, self._is_own_response = body, is_own_response
+            self._body = body
+            self.marks.begin(mark)
             self._is_complete = self._is_discarding = False
             self._discarded_bytes = self._informational_responses = 0
             self.heard_at = self._now()
@@ -210,7 +211,7 @@
         unsent = self._transport.get_write_buffer_size()
         if not self._is_complete or self._events or unsent or self._transport.is_closing():
             return False
-        if self._is_retired:
+        if self._is_retired or not self.marks.may_go_on:
             return False
         if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
             return False
@@ -264,7 +265,7 @@
                 raise h11.RemoteProtocolError("too many informational responses")
             return True
         if isinstance(event, h11.Response):
-            self._is_discarding = not self._is_own_response(tuple(event.headers.raw_items()))
+            self._is_discarding = not self.marks.is_own(tuple(event.headers.raw_items()))
         if self._is_discarding:
             return self._discard_event(event)
         if isinstance(event, h11.Response):
--- a/pimentoquay/http1/tests/test_client.py
+++ b/pimentoquay/http1/tests/test_client.py
@@ -4,21 +4,31 @@
 
 from pimentoquay.http1 import (
     ConnectionPool,
+    ConnectionUse,
+    ResponseMark,
     ReusePolicy,
     ServerState,
     connect_tcp,
     find_header,
+    response_marks,
 )
 from pimentoquay.http1.tests.scripted import scripted, until
 from pimentoquay.kernel.errors import ConnectError, HttpError
 
 OK = b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok"
 OTHER_RESPONSE = b"HTTP/1.1 200 OK\r\nX-Id: 9\r\nContent-Length: 6\r\n\r\nothers"
+OTHER_OK = OK.replace(b"X-Id: 1", b"X-Id: 2")
+UNMARKED = b"HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\nno"
 REQUEST_HEADERS = ((b"Host", b"a"),)
 
 
-def answers_request_1(headers):
-    return find_header(headers, b"x-id") == b"1"
+def id_of(headers):
+    value = find_header(headers, b"x-id")
+    return value.decode() if value is not None else None
+
+
+def marked(value, **options):
+    return ResponseMark(id_of, value, **options)
 
 
 async def get(pool, body=b"", **options):
@@ -68,16 +78,60 @@
 
 
 async def test_response_to_another_request_is_discarded():
-    async with scripted(OTHER_RESPONSE + OK, OK) as (server, pool):
-        assert await get(pool, is_own_response=answers_request_1) == (200, b"ok")
-        assert await get(pool, is_own_response=answers_request_1) == (200, b"ok")
+    async with scripted(OTHER_RESPONSE + OK, OTHER_RESPONSE + OK + OTHER_OK) as (server, pool):
+        assert await get(pool, mark=marked("1")) == (200, b"ok")
+        assert await get(pool, mark=marked("2")) == (200, b"ok")
+        assert server.connections == 1
+
+
+async def test_a_connection_carries_each_mark_once():
+    async with scripted(OK, OTHER_OK, OK) as (server, pool):
+        assert await get(pool, mark=marked("1")) == (200, b"ok")
+        assert await get(pool, mark=marked("2")) == (200, b"ok")
+        assert server.connections == 1
+        assert await get(pool, mark=marked("1")) == (200, b"ok")
+        assert server.connections == 2
+
+
+async def test_a_response_without_a_mark_is_only_the_first_of_its_connection():
+    async with scripted(UNMARKED, OK, UNMARKED + OTHER_OK) as (server, pool):
+        assert await get(pool, mark=marked("1")) == (503, b"no")
+        assert await get(pool, mark=marked("1")) == (200, b"ok")
+        assert await get(pool, mark=marked("2")) == (200, b"ok")
+        assert server.connections == 2
+
+
+async def test_a_response_with_a_mark_is_none_to_an_exchange_without():
+    async with scripted(OK, OK + UNMARKED) as (server, pool):
+        assert await get(pool, mark=marked("1")) == (200, b"ok")
+        assert await get(pool, mark=marked(None)) == (503, b"no")
         assert server.connections == 1
 
 
+async def test_an_exchange_that_is_alone_uses_a_new_connection_that_is_closed():
+    async with scripted(OK, UNMARKED, OTHER_OK, UNMARKED) as (server, pool):
+        assert await get(pool, mark=marked("1")) == (200, b"ok")
+        assert await get(pool, mark=marked(None, use=ConnectionUse.ALONE)) == (503, b"no")
+        assert server.connections == 2
+        assert await get(pool, mark=marked("2")) == (200, b"ok")
+        assert await get(pool, mark=marked(None, use=ConnectionUse.ALONE)) == (503, b"no")
+        assert server.connections == 3
+        await until(lambda: pool.open_connections == 1)
+
+
+async def test_a_connection_is_closed_after_many_marks(monkeypatch):
+    monkeypatch.setattr(response_marks, "MAX_MARKS", 2)
+    async with scripted(OK, OTHER_OK, OK) as (server, pool):
+        for mark in ("1", "2"):
+            assert await get(pool, mark=marked(mark)) == (200, b"ok")
+        assert await get(pool, mark=marked("1")) == (200, b"ok")
+        assert server.connections == 2
+
+
 async def test_only_a_response_to_another_request_raises_an_error():
     async with scripted(OTHER_RESPONSE, close=True) as (_, pool):
         with pytest.raises(HttpError):
-            await get(pool, is_own_response=answers_request_1)
+            await get(pool, mark=marked("1"))
 
 
 async def test_second_response_closes_the_connection_and_is_discarded():
--- a/pimentoquay/kernel/errors.py
+++ b/pimentoquay/kernel/errors.py
@@ -11,6 +11,7 @@
     "PathLostError",
     "PimentoquayError",
     "RefusedError",
+    "RepeatedResponseError",
     "ResponseTooLargeError",
 ]
 
@@ -97,5 +98,9 @@
     """The path to the server was cut while its response was awaited; it says nothing about it."""
 
 
+class RepeatedResponseError(HttpError):
+    """The response may be that to an earlier request on the connection."""
+
+
 class ResponseTooLargeError(HttpError):
     """A response, or a part of it, exceeds its maximum size; the rest of it was not read."""
--- a/pimentoquay/platform/engine_calls.py
+++ b/pimentoquay/platform/engine_calls.py
@@ -6,7 +6,9 @@
 from urllib.parse import quote
 
 from pimentoquay.http1.headers import HeaderList
-from pimentoquay.platform.fields import parse_json, required
+from pimentoquay.http1.response_marks import ResponseMark
+from pimentoquay.platform.fields import DecodeError, parse_json, required
+from pimentoquay.platform.responses import MARK_OF_CALL, MARK_OF_CALL_ALONE
 
 __all__ = ["EngineCall", "EngineCalls", "OrderOutcome"]
 
@@ -15,12 +17,24 @@
 
 @dataclass(frozen=True)
 class EngineCall:
-    """Method, target, headers and body of an HTTP call to an engine."""
+    """Method, target, headers and body of an HTTP call to an engine.
+
+    ``mark`` is how its response is known, and ``creates_hold`` whether a success names a hold.
+    """
 
     method: bytes
     target: bytes
     headers: HeaderList
     body: bytes = b""
+    mark: ResponseMark = MARK_OF_CALL
+    creates_hold: bool = False
+
+    def name_of_created(self, body: bytes) -> str | None:
+        """Return what names the thing that a successful call has created, or None."""
+        try:
+            return f"hold {EngineCalls.parse_hold(body)}"
+        except DecodeError:
+            return None
 
 
 class OrderOutcome(Enum):
@@ -62,7 +76,8 @@
     def reserve_memory(self, tokens: int, seconds: float) -> EngineCall:
         """Reserve a slot and memory; the reservation expires after ``seconds``."""
         body = json.dumps({"tokens": tokens, "ttlMs": int(seconds * 1000)}).encode()
-        return EngineCall(b"POST", b"/api/hold-take", (*self._headers, _JSON), body)
+        headers = (*self._headers, _JSON)
+        return EngineCall(b"POST", b"/api/hold-take", headers, body, creates_hold=True)
 
     def release_memory(self, hold: str) -> EngineCall:
         """Release a reservation by its id."""
@@ -77,7 +92,8 @@
         stage = "prefill" if to_prefill else "decode"
         item = {"op": "stage", "stage": stage, "holder": holder, "fence": fence}
         headers = (*self._headers, _JSON)
-        return EngineCall(b"POST", b"/api/order", headers, json.dumps(item).encode())
+        body = json.dumps(item).encode()
+        return EngineCall(b"POST", b"/api/order", headers, body, MARK_OF_CALL_ALONE)
 
     @staticmethod
     def parse_order_status(status: int) -> OrderOutcome:
--- a/pimentoquay/platform/responses.py
+++ b/pimentoquay/platform/responses.py
@@ -1,17 +1,19 @@
 """Decode the status and headers of engines' responses, and the body of a prefill response."""
 
 import re
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from pimentoquay.http1.headers import HeaderList, find_header
+from pimentoquay.http1.response_marks import ConnectionUse, ResponseMark
 from pimentoquay.platform.fields import parse_json, required
 
 __all__ = [
+    "MARK_OF_CALL",
+    "MARK_OF_CALL_ALONE",
     "EngineNotice",
     "PrefillResult",
     "ResponseInfo",
-    "is_response_to",
-    "is_response_to_call",
+    "mark_of_request",
     "parse_notice",
     "parse_prefill",
     "parse_response",
@@ -118,15 +120,23 @@
     return seconds if seconds >= 0 else None
 
 
-def is_response_to(headers: HeaderList, request_id: str) -> bool:
-    """Return whether a response has the request's id or no request id at all."""
+def _request_id_of(headers: HeaderList) -> str | None:
     value = find_header(headers, _REQUEST_ID)
-    return value is None or value.decode("latin-1") == request_id
+    return value.decode("latin-1").strip() if value is not None else None
 
 
-def is_response_to_call(headers: HeaderList) -> bool:
-    """Return whether a response may be that to a management call, which has no request id."""
-    return not find_header(headers, _REQUEST_ID)
+MARK_OF_CALL = ResponseMark(_request_id_of)
+"""The response to a management call has no request id."""
+
+MARK_OF_CALL_ALONE = replace(MARK_OF_CALL, use=ConnectionUse.ALONE)
+"""The same on a connection that carries nothing else."""
+
+
+def mark_of_request(request_id: str) -> ResponseMark:
+    """Return how the response to a request is known: by its id, which all responses repeat."""
+    if not request_id:
+        return MARK_OF_CALL_ALONE
+    return ResponseMark(_request_id_of, request_id)
 
 
 def parse_prefill(body: bytes) -> PrefillResult:
--- a/pimentoquay/platform/tests/test_other_writers.py
+++ b/pimentoquay/platform/tests/test_other_writers.py
@@ -150,7 +150,7 @@
     connection = Connection(ReusePolicy())
     transport = Transport()
     connection.connection_made(transport)
-    connection.send(b"GET", b"/", ((b"Host", b"a"),), b"", lambda headers: True)
+    connection.send(b"GET", b"/", ((b"Host", b"a"),), b"", None)
     for part in parts:
         if transport.is_aborted:
             break
--- a/pimentoquay/standin/platform_engine.py
+++ b/pimentoquay/standin/platform_engine.py
@@ -14,6 +14,7 @@
 from enum import Enum
 
 from pimentoquay.http1 import HttpRequest, HttpServer, Reply, ServerLimits, find_header
+from pimentoquay.standin.late_copies import LateCopies
 
 __all__ = ["Arrival", "Behaviour", "PlatformEngine"]
 
@@ -132,6 +133,10 @@
         Called when the engine has crashed.
     is_crashed
         Whether the engine has crashed; it then refuses connections.
+    late_copies
+        Writes answers a second time.
+    names_refused
+        Whether the refusal of a request bears its id, as all answers have to.
     """
 
     id: str
@@ -163,6 +168,8 @@
     crashes_in_prefill: bool = False
     on_crash: Callable[["PlatformEngine"], None] = lambda engine: None
     is_crashed: bool = False
+    late_copies: LateCopies = field(default_factory=LateCopies)
+    names_refused: bool = True
 
     async def serve(self, host: str = "127.0.0.1", port: int = 0) -> str:
         """Start to serve and return the address as IP:PORT."""
@@ -213,6 +220,11 @@
         return f"id: {number}\ndata: piece {number}\n\n".encode()
 
     async def _handle(self, request: HttpRequest, reply: Reply) -> None:
+        served = await self.late_copies.begin(request, reply)
+        await self._handle_request(request, reply)
+        self.late_copies.end(served, reply)
+
+    async def _handle_request(self, request: HttpRequest, reply: Reply) -> None:
         headers = {name.decode().lower(): value.decode() for name, value in request.headers}
         target = request.target.decode()
         self.calls += 1
@@ -222,9 +234,9 @@
             reply.default_headers += ((b"Server-Limit", self.limit.encode()),)
         if self.retry_after:
             pause = (b"Retry-After", self.retry_after.encode())
-            reply.send(503, ((b"Pimentoquay-Not-Executed", b"1"), pause), b"")
+            self._refuse(503, request, reply, pause)
         elif headers.get("pimentoquay-expect-instance", self.id) != self.id:
-            reply.send(421, ((b"Pimentoquay-Instance-Id", self.id.encode()),), b"")
+            self._refuse(421, request, reply)
         elif target == "/api/hold-take":
             self._create_hold(json.loads(request.body)["tokens"], reply)
         elif target.startswith("/api/hold-drop/"):
@@ -239,11 +251,20 @@
             self.arrivals.append(arrival)
             await self._respond(arrival, request, reply)
 
+    def _refuse(self, status: int, request: HttpRequest, reply: Reply, *headers: tuple) -> None:
+        """Refuse a request, with its id, or a management call, which has none."""
+        request_id = find_header(request.headers, b"pimentoquay-request-id")
+        if request_id and self.names_refused:
+            headers += ((b"Pimentoquay-Request-Id", request_id),)
+        instance = (b"Pimentoquay-Instance-Id", self.id.encode())
+        proof = instance if status == 421 else (b"Pimentoquay-Not-Executed", b"1")
+        reply.send(status, (*headers, proof), b"")
+
     def _create_hold(self, tokens: int, reply: Reply) -> None:
         if sum(self.holds.values()) + tokens > self.capacity:
             reply.send(503, ((b"Pimentoquay-Not-Executed", b"1"),), b"")
             return
-        hold = f"h{len(self.arrivals)}-{len(self.holds)}"
+        hold = f"h{self.calls}"
         self.holds[hold] = tokens
         reply.send(200, (), json.dumps({"hold": hold}).encode())
 
@@ -268,9 +289,9 @@
             Behaviour.ENCODED: ((*headers, (b"Content-Encoding", b"gzip")), b"packed"),
         }
         if behaviour is Behaviour.SHED:
-            reply.send(503, ((b"Pimentoquay-Not-Executed", b"1"),), b"")
+            self._refuse(503, request, reply)
         elif behaviour is Behaviour.MISDIRECTED:
-            reply.send(421, ((b"Pimentoquay-Instance-Id", self.id.encode()),), b"")
+            self._refuse(421, request, reply)
         elif behaviour is Behaviour.FAIL:
             reply.send(500, headers, b"failed")
         elif behaviour is Behaviour.RESET:
