Count a connection that is lost before the request as a failed one

A caller whose request got a connection that the engine reset between its opening and the sending (as engines do beyond maxConns) waited until its timeout: nothing was sent, and nothing failed the exchange. Nor did the pool count the connection as closed.

Cause: ClientConnection.connection_lost fails only a request that was sent; a loss before it left no trace, and the pool did not look.

Checks whether an engine runs still take an opened connection as proof.

--- a/pimentoquay/bench/mutations/gateway_switches.py
+++ b/pimentoquay/bench/mutations/gateway_switches.py
@@ -168,6 +168,13 @@
         return_constant(None),
         _COPIES + "test_a_copy_of_a_refused_reservation_is_no_answer_to_a_later_one",
     ),
+    Switch(
+        "nothing is sent on a lost connection",
+        "pimentoquay.http1.client_connection:ClientConnection.is_closing",
+        lambda original: property(lambda self: False),
+        "pimentoquay/http1/tests/test_client.py::"
+        "test_a_connection_lost_before_the_request_is_sent_is_a_failed_one[abort]",
+    ),
     Switch(
         "quarantine of prompts",
         "pimentoquay.policy.request_quarantine:RequestQuarantine.quarantine_of",
--- a/pimentoquay/http1/tests/test_client.py
+++ b/pimentoquay/http1/tests/test_client.py
@@ -13,7 +13,7 @@
     response_marks,
 )
 from pimentoquay.http1.tests.scripted import scripted, until
-from pimentoquay.kernel.errors import ConnectError, HttpError
+from pimentoquay.kernel.errors import ConnectError, ConnectFailure, HttpError
 
 OK = b"HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 2\r\n\r\nok"
 OTHER_RESPONSE = b"HTTP/1.1 200 OK\r\nX-Id: 9\r\nContent-Length: 6\r\n\r\nothers"
@@ -283,3 +283,22 @@
         with pytest.raises(ConnectError):
             await get(pool, head_seconds=1.0)
         assert pool.open_connections == 0
+
+
+@pytest.mark.parametrize("how", ["abort", "close"])
+async def test_a_connection_lost_before_the_request_is_sent_is_a_failed_one(how):
+    async def connect_and_lose(factory, host, port):
+        transport, connection = await connect_tcp(factory, host, port)
+        getattr(transport, how)()
+        for _ in range(3):
+            await asyncio.sleep(0)
+        return transport, connection
+
+    async with scripted(OK) as (server, pool):
+        losing = ConnectionPool(pool.address, 5.0, ReusePolicy(), connect=connect_and_lose)
+        with pytest.raises(ConnectError) as failure:
+            await get(losing, head_seconds=0.2)
+        assert failure.value.failure is ConnectFailure.BROKEN
+        assert not failure.value.written
+        assert server.requests == []
+        assert losing.open_connections == 0
