Refuse no new stream for those that wait for other engines

What callers would see: with two of 32 engines left to a version and many streams that wait for it, new ones got 429, Retry-After 4 s, beside engines of another version that had memory at once.

Cause: all that waits counted as before a new stream, though it leaves a version to the streams that wait for it.

Change: the wait of a new stream is computed by the engines that it may have, and what waits for others does not count, at coordinators and for what waits at the same gateway. Peers do not tell the versions, so theirs counts.

Evidence: found by a review, whose test is taken over: refused on, waits now.

--- a/pimentoquay/bench/mutations/replacements.py
+++ b/pimentoquay/bench/mutations/replacements.py
@@ -137,7 +137,12 @@
 
 def count_all_as_ahead(original: Any) -> Any:
     """Let what waits for other engines delay a stream too."""
-    return lambda waiting, software, *rest: original(waiting, "", *rest)
+
+    def all_ahead(waiting: Any, software: str, *rest: Any) -> Any:
+        streams = [replace(each, software="") for each in waiting]
+        return original(streams, "", *rest)
+
+    return all_ahead
 
 
 def yield_to_all_streams(original: Any) -> Any:
--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -1,7 +1,6 @@
-"""Messages between the gateways of a deployment.
+"""Messages between the gateways of a deployment, and which of them polls the store.
 
-Gateways exchange their addresses, changes of the configuration and of the list of engines, and
-their loads. They also agree on which of them polls the store.
+They exchange addresses, changes of the configuration and of the list of engines, and loads.
 """
 
 import asyncio
@@ -60,21 +59,18 @@
 class Mesh:
     """Channels to the other gateways and the state that is exchanged over them.
 
-    Up to sixteen gateways all have channels to each other. In a larger deployment each has
-    channels to relays, as planned by ``policy/mesh_plan.py``. The callbacks in ``on_load_changed``
-    are called when the load of a peer has changed, those in ``on_stage_ordered`` with each order,
-    and those in ``on_pool_summary`` with each summary, which is forwarded if one returns true.
+    Up to sixteen gateways all have channels to each other, more have channels to relays
+    (``policy/mesh_plan.py``). ``on_load_changed`` is called when the load of a peer has changed,
+    ``on_stage_ordered`` with each order, ``on_pool_summary`` with each summary; true forwards it.
 
     Parameters
     ----------
-    node, peers
-        The process and its channels.
+    node, peers, address
+        The process, its channels, and the address at which it listens for peers.
     fleet, loads
         State that is exchanged with the peers: records of the store, and the loads of gateways.
-    address
-        Address at which this gateway listens for peers.
-    era
-        Era of the store, which is raised by what peers send.
+    era, step
+        Era of the store, which peers may raise, and what is heard of the peers.
     """
 
     def __init__(
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -36,7 +36,7 @@
     StreamTimes,
     decide_wait,
 )
-from pimentoquay.policy.stream_queue import StreamQueue, WaitingStream
+from pimentoquay.policy.stream_queue import StreamQueue, WaitingStream, engines_of_wait
 from pimentoquay.policy.version_choice import engines_for
 
 __all__ = ["Reservations"]
@@ -74,7 +74,7 @@
         Called at the end of each stream with its mean memory in tokens, its duration in seconds,
         and its engine's usable memory in tokens.
     pools
-        Client of the coordinators that place streams in deployments with relays.
+        Client of the coordinators of pools.
     """
 
     def __init__(
@@ -231,6 +231,7 @@
     def _refuse_long_wait(self, job: Job, waiter: WaitingStream) -> None:
         software = waiter.software
         engines = self._decode_engines(job, software)
+        engines = engines_of_wait(engines, self._waiting, software)
         refuse_if_paused(self._shared, job, software)
         now = asyncio.get_running_loop().time()
         patience = waiter.times.leaves_at - self._limits.work_seconds - now
@@ -243,13 +244,13 @@
         if software and not held:
             return  # Nothing is known of what its engines hold, so nothing of the wait.
         share = len(engines) / len({*engines, *self._decode_engines(job)})
-        ahead = self._waiting.tokens_ahead(software, share, self._peers_queued(), now)
+        ahead = self._waiting.tokens_ahead(software, engines, share, self._peers_queued(), now)
         rate = self._release_rate.tokens_per_second(held)
         decision = decide_wait(
             waiter.tokens, ahead.urgent_tokens, ahead.tokens, rate, waiter.times, now, self._limits
         )
+        detail = f"{ahead.tokens} tokens wait, {held} are held"
         if not decision.should_wait:
-            detail = f"{ahead.tokens} tokens wait, {held} are held"
             raise RefusedError(ResultCode.QUEUE_FULL, detail, decision.seconds)
 
     def _refuse_if_hopeless(self, job: Job, software: str) -> None:
@@ -260,7 +261,7 @@
         return self._shared.engines_for_stream(job.service, DECODE_STAGES, software)
 
     def _engine_groups(self, job: Job, waiter: WaitingStream) -> tuple[Sequence[EngineEntry], ...]:
-        """Return groups of decode engines to be tried in order; an engine may be in several."""
+        """Return groups of decode engines to be tried in order."""
         sendable = self._shared.sendable_engines(job.service, DECODE_STAGES, waiter.software)
         now = asyncio.get_running_loop().time()
         awaited = {each.software for each in self._waiting.ahead_of(waiter, now)}
@@ -298,9 +299,8 @@
                 continue
             grants += 1
             full_engine = grant.engine
-            engines = self._decode_engines(job, software)
-            granted = next((each for each in engines if each.id == full_engine), None)
-            if granted is None:
+            engines = {each.id: each for each in self._decode_engines(job, software)}
+            if (granted := engines.get(full_engine)) is None:
                 continue
             reservation = await self._request_hold(job, granted, memory, need, run, grant)
             if reservation is not None:
--- a/pimentoquay/http1/server.py
+++ b/pimentoquay/http1/server.py
@@ -83,10 +83,7 @@
 
     @property
     def requests_in_progress(self) -> int:
-        """Number of received requests whose response has not been sent completely.
-
-        A response that its caller no longer waits for does not count once its handler has ended.
-        """
+        """Number of requests whose response has not been sent completely or is still awaited."""
         return sum(1 for connection in self.connections if connection.is_busy)
 
     async def listen(self, host: str, port: int) -> None:
@@ -376,8 +373,7 @@
             return
         self._closing = True
         if self._transport.can_write_eof() and not self._transport.is_closing():
-            # A reset that has not been read yet leaves nothing to shut down.
-            with contextlib.suppress(OSError):
+            with contextlib.suppress(OSError):  # A reset that has not been read yet.
                 self._transport.write_eof()
         self._loop.call_later(LINGER_SECONDS, self._transport.close)
 
--- a/pimentoquay/policy/pool_placement.py
+++ b/pimentoquay/policy/pool_placement.py
@@ -26,7 +26,7 @@
     WaitDecision,
     decide_wait,
 )
-from pimentoquay.policy.stream_queue import tokens_ahead
+from pimentoquay.policy.stream_queue import engines_of_wait, tokens_ahead
 from pimentoquay.policy.token_ledger import TokenLedger
 from pimentoquay.policy.version_choice import may_run
 
@@ -168,10 +168,11 @@
             Versions at which no new stream may begin.
         """
         stream = self._waiting_by_key[key].stream
-        usable = [each for each in engines if may_run(each, stream.software, closed)]
+        others = [each.stream for other, each in self._waiting_by_key.items() if other != key]
+        listed = [each for each in engines if may_run(each, stream.software, closed)]
+        usable = engines_of_wait(listed, others, stream.software)
         share = len(usable) / max(1, len(engines))
-        others = (each.stream for other, each in self._waiting_by_key.items() if other != key)
-        ahead = tokens_ahead(others, stream.software, share, now, self._limits)
+        ahead = tokens_ahead(others, stream.software, usable, share, now, self._limits)
         held = self.ledger.expected(usable, now)
         if stream.software and not held:
             return WaitDecision(True, 0.0)
--- a/pimentoquay/policy/stream_queue.py
+++ b/pimentoquay/policy/stream_queue.py
@@ -1,9 +1,10 @@
 """The streams that wait for memory at one VM, and the order in which they get it."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator
 from dataclasses import dataclass
 from typing import Protocol
 
+from pimentoquay.policy.fleet import EngineEntry
 from pimentoquay.policy.memory_forecast import MemoryNeed
 from pimentoquay.policy.stream_admission import (
     AdmissionLimits,
@@ -11,8 +12,9 @@
     StreamTimes,
     StreamUrgency,
 )
+from pimentoquay.policy.version_choice import engines_for
 
-__all__ = ["StreamQueue", "Waiting", "WaitingStream", "tokens_ahead"]
+__all__ = ["StreamQueue", "Waiting", "WaitingStream", "engines_of_wait", "tokens_ahead"]
 
 
 class Waiting(Protocol):
@@ -31,8 +33,34 @@
         """Version that began it, or empty if none has."""
 
 
+def engines_of_wait(
+    engines: Iterable[EngineEntry], waiting: Iterable[Waiting], software: str
+) -> tuple[EngineEntry, ...]:
+    """Return the engines by which the wait of a stream is computed.
+
+    New streams leave the versions for which others wait to these, so they wait for the rest, if
+    there are others.
+
+    Parameters
+    ----------
+    engines
+        Engines that may run the stream.
+    waiting
+        The streams that wait.
+    software
+        Version that began the stream, or empty if none has.
+    """
+    listed = tuple(engines)
+    return engines_for(listed, software, {each.software for each in waiting}) or listed
+
+
 def tokens_ahead(
-    waiting: Iterable[Waiting], software: str, share: float, now: float, limits: AdmissionLimits
+    waiting: Iterable[Waiting],
+    software: str,
+    engines: Collection[EngineEntry],
+    share: float,
+    now: float,
+    limits: AdmissionLimits,
 ) -> QueuedTokens:
     """Return the memory that streams wait for before another one, where it may run.
 
@@ -46,18 +74,20 @@
         The streams that wait.
     software
         Version that began the stream, or empty if none has.
+    engines
+        Engines by which its wait is computed.
     share
-        Share of the engines that may run the stream. New streams wait for that part of them.
+        Share of all engines that these are. New streams wait for that part of them.
     now
         Current time in seconds.
     limits
         Limits of admission.
     """
+    versions = {each.software_version for each in engines}
+    part_of_new = share if software else 1.0
     tokens = urgent = 0.0
     for each in waiting:
-        part = 1.0
-        if software:
-            part = float(each.software == software) if each.software else share
+        part = float(each.software in versions) if each.software else part_of_new
         tokens += part * each.tokens
         if each.times.urgency(now, limits) is StreamUrgency.IN_TIME:
             urgent += part * each.tokens
@@ -120,7 +150,12 @@
         )
 
     def tokens_ahead(
-        self, software: str, share: float, peers: QueuedTokens, now: float
+        self,
+        software: str,
+        engines: Collection[EngineEntry],
+        share: float,
+        peers: QueuedTokens,
+        now: float,
     ) -> QueuedTokens:
         """Return the memory that streams here and at other VMs wait for before another one.
 
@@ -129,14 +164,12 @@
 
         Parameters
         ----------
-        software, share
-            Version that began the stream, if any, and the share of the engines that may run it.
+        software, engines, share, now
+            As for the function ``tokens_ahead``.
         peers
             Memory that streams wait for at the other VMs.
-        now
-            Current time in seconds.
         """
-        own = tokens_ahead(self._streams, software, share, now, self._limits)
+        own = tokens_ahead(self._streams, software, engines, share, now, self._limits)
         if software:
             urgent = tokens = int(share * peers.urgent_tokens)
         else:
--- a/pimentoquay/policy/tests/test_pools.py
+++ b/pimentoquay/policy/tests/test_pools.py
@@ -213,6 +213,17 @@
     assert not pool.refuse_long_wait(("a", "new"), engines, 0.0).should_wait
 
 
+def test_a_new_stream_is_not_refused_for_streams_that_wait_for_other_engines():
+    """Two of 32 engines were left to v1, and its backlog counted as before every new stream."""
+    engines = [replace(engine(f"e{n}"), software="v1" if n < 2 else "v2") for n in range(32)]
+    pool = PoolPlacement("hall", 0.0)
+    pool.apply_report("b", {each.id: (GrowingRun(900, 0),) for each in engines}, {}, 0, 0.0)
+    for number in range(150):
+        pool.request(("b", str(number)), replace(need(300), software="v1"), 0.0)
+    pool.request(("a", "new"), need(300), 0.0)
+    assert pool.refuse_long_wait(("a", "new"), engines, 0.0).should_wait
+
+
 def test_a_stream_that_would_wait_too_long_is_refused_and_not_kept():
     pool = PoolPlacement("hall", 0.0)
     pool.request(("a", "r"), need(), 0.0)
--- a/pimentoquay/standin/platform_engine.py
+++ b/pimentoquay/standin/platform_engine.py
@@ -78,10 +78,8 @@
 
     Attributes
     ----------
-    id
-        Id of this instance.
-    service
-        Name of the service to which it belongs.
+    id, service
+        Id of this instance, and the name of its service.
     stage
         Stage that it serves, or empty for a plain service.
     born
@@ -336,7 +334,7 @@
         lines = [b"HTTP/1.1 200 OK", *(b": ".join(pair) for pair in headers), b"", b""]
         transport.write(b"\r\n".join(lines))
         count = self.events if behaviour is Behaviour.UNFRAMED else 3
-        events = [self.event(number) for number in range(1, count + 1)]
+        events = map(self.event, range(1, count + 1))
         body = b"".join(events) if self.stage else b"answer of " + self.id.encode()
         if behaviour is Behaviour.UNFRAMED_HALF_EVENT:
             body = body[:-4]
