Let streams that go on keep their place instead of waiting for longer

Change: a stream that goes on waits as long as a new one again, from the break if its answer has begun. When its caller comes back after a refusal it keeps the place of its first attempt, before those that were taken up later.

The new test fails with the place of the present attempt.

--- a/pimentoquay/bench/mutations/path_switches.py
+++ b/pimentoquay/bench/mutations/path_switches.py
@@ -6,7 +6,7 @@
     do_nothing_async,
     ignore_continuation,
     keep_role_while_cut_off,
-    leave_like_new_streams,
+    lose_place_of_first_attempt,
     refuse_all_tunnels,
     return_constant,
     return_to_path_at_once,
@@ -177,11 +177,11 @@
         "test_late_new_streams_use_engines_for_which_no_stream_waits_elsewhere",
     ),
     Switch(
-        "streams that have begun wait as long as their callers",
+        "streams that go on keep their place",
         "pimentoquay.policy.tests.test_resumed_herds:stream_times",
-        leave_like_new_streams,
+        lose_place_of_first_attempt,
         "pimentoquay/policy/tests/test_resumed_herds.py::"
-        "test_streams_of_a_version_with_half_of_its_engines_left_wait_until_they_go_on",
+        "test_a_stream_that_was_refused_goes_on_before_those_taken_up_later",
     ),
 )
 """Mechanisms of cut paths, and of what outlives all gateways."""
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -206,10 +206,11 @@
         longest = max(self._longest_wait_by_route.get(route.name, 0.0), timeout or 0.0)
         self._longest_wait_by_route[route.name] = longest
         first_sent_at = first_request_at(job.arrived_at, timeout, longest)
+        is_going_on = job.reply.started
         return stream_times(
-            job.arrived_at,
+            asyncio.get_running_loop().time() if is_going_on else job.arrived_at,
             first_sent_at,
-            job.reply.started or job.caller.last_event is not None,
+            is_going_on or job.caller.last_event is not None,
             route.target_seconds,
             route.gap_seconds,
             job.deadline,
--- a/pimentoquay/policy/stream_admission.py
+++ b/pimentoquay/policy/stream_admission.py
@@ -163,7 +163,8 @@
     Load pattern: callers that take streams up again in large numbers, beside more new ones than the
     engines' memory allows. They come together, so they would turn late together and yield to all
     new ones from then on, of which some are always in time. A stream that has begun is never late,
-    and waits until the timeout: what engines have already done for it is lost if it does not go on.
+    and keeps its place when its caller comes back after a refusal: what engines have already done
+    for it is lost if it does not go on.
 
     Parameters
     ----------
@@ -181,12 +182,12 @@
     >>> stream_times(10.0, 7.0, False, 1.0, 0.3, 20.0).late_at
     8.0
     >>> stream_times(10.0, 7.0, True, 1.0, 0.3, 20.0).late_at
-    20.0
+    14.0
     """
+    leaves_at = min(arrived_at + patience_seconds(target_seconds, gap_seconds), deadline)
     if has_begun:
-        return StreamTimes(arrived_at, deadline, deadline)
+        return StreamTimes(min(arrived_at, first_sent_at), leaves_at, leaves_at)
     late_at = first_sent_at + target_seconds
-    leaves_at = min(arrived_at + patience_seconds(target_seconds, gap_seconds), deadline)
     return StreamTimes(arrived_at, late_at, max(leaves_at, late_at))
 
 
