--- a/pimentoquay/policy/tests/test_pools.py
+++ b/pimentoquay/policy/tests/test_pools.py
@@ -224,6 +224,20 @@
     assert pool.refuse_long_wait(("a", "new"), engines, 0.0).should_wait
 
 
+def test_a_stream_that_goes_on_is_tried_before_a_new_one_that_came_later():
+    """At most eight of a version are tried, however many of its engines are left."""
+    engines = [replace(engine(f"e{n}"), software="v1") for n in range(12)]
+    pool = PoolPlacement("hall", 0.0)
+    pool.apply_report("b", {each.id: (GrowingRun(600, 0),) for each in engines}, {}, 0, 0.0)
+    for number in range(8):
+        large = replace(need(900, 0.01 * number, 14.0), software="v1")
+        pool.request(("b", str(number)), large, 0.1)
+    pool.request(("a", "goes on"), replace(need(300, 0.2, 14.0), software="v1"), 0.2)
+    pool.request(("a", "new"), need(300, 0.3), 0.3)
+    placed = pool.place_next(engines, USABLE, 0.4)
+    assert placed is not None and placed[0] == ("a", "goes on")
+
+
 def test_a_stream_that_would_wait_too_long_is_refused_and_not_kept():
     pool = PoolPlacement("hall", 0.0)
     pool.request(("a", "r"), need(), 0.0)
