--- a/pimentoquay/gateway/engine_link.py
+++ b/pimentoquay/gateway/engine_link.py
@@ -27,6 +27,7 @@
 from pimentoquay.kernel.logs import logger
 from pimentoquay.kernel.timeouts import attempt_timeout
 from pimentoquay.platform.engine_calls import EngineCall, EngineCalls
+from pimentoquay.platform.fields import DecodeError
 from pimentoquay.platform.requests import CallerRequest, SendOptions, engine_headers
 from pimentoquay.platform.responses import (
     MARK_OF_CALL_ALONE,
@@ -262,11 +263,13 @@
         """Raise an error if a success names nothing new, as it may be that of an earlier call."""
         if not call.creates_hold or exchange.status != 200:
             return
-        name = call.name_of_created(body)
-        if name is None or not exchange.claim(name):
+        name = ""
+        with contextlib.suppress(DecodeError):
+            name = self.calls.parse_hold(body)
+        if not name or not exchange.claim(f"hold {name}"):
             exchange.close_afterwards()
-            logger.bind(engine=self.entry.id, name=name or "").warning("response came again")
-            raise RepeatedResponseError(f"{self.entry.id}: {name} once more", True)
+            logger.bind(engine=self.entry.id, name=name).warning("response came again")
+            raise RepeatedResponseError(f"{self.entry.id}: hold {name} once more", True)
 
     async def check(self) -> ServerState:
         """Return whether the engine still runs, as shown by new connections.
--- a/pimentoquay/kernel/input_checks.py
+++ b/pimentoquay/kernel/input_checks.py
@@ -15,6 +15,7 @@
     "LEAST",
     "MAX_INTEGER",
     "can_be_header",
+    "check_key",
     "check_range",
     "check_text",
     "check_value",
@@ -35,6 +36,9 @@
 MAX_HEADER_CHARACTERS = 1024
 """Maximum length of a text that is sent in a header, in characters."""
 
+MAX_KEY_BYTES = 255
+"""Maximum size of the key of a record, in bytes."""
+
 refused_by_kind: Counter[str] = Counter()
 """Number of inputs that this process has refused, by what they were."""
 
@@ -51,6 +55,13 @@
     return value
 
 
+def check_key(key: str) -> str:
+    """Return the key of a record; raise ``ValueError`` if it has no encoding or is too long."""
+    if len(check_text(key).encode()) > MAX_KEY_BYTES:
+        raise ValueError(f"a key of {len(key)} characters")
+    return key
+
+
 def check_range(value: Number, minimum: int = LEAST) -> Number:
     """Return a number; raise ``ValueError`` if it is out of range or not a number.
 
--- a/pimentoquay/platform/engine_calls.py
+++ b/pimentoquay/platform/engine_calls.py
@@ -7,7 +7,7 @@
 
 from pimentoquay.http1.headers import HeaderList
 from pimentoquay.http1.response_marks import ResponseMark
-from pimentoquay.platform.fields import DecodeError, parse_json, required
+from pimentoquay.platform.fields import parse_json, required
 from pimentoquay.platform.responses import MARK_OF_CALL, MARK_OF_CALL_ALONE
 
 __all__ = ["EngineCall", "EngineCalls", "OrderOutcome"]
@@ -17,10 +17,7 @@
 
 @dataclass(frozen=True)
 class EngineCall:
-    """Method, target, headers and body of an HTTP call to an engine.
-
-    ``mark`` is how its response is known, and ``creates_hold`` whether a success names a hold.
-    """
+    """HTTP call to an engine, how its response is known, and whether a success names a hold."""
 
     method: bytes
     target: bytes
@@ -29,13 +26,6 @@
     mark: ResponseMark = MARK_OF_CALL
     creates_hold: bool = False
 
-    def name_of_created(self, body: bytes) -> str | None:
-        """Return what names the thing that a successful call has created, or None."""
-        try:
-            return f"hold {EngineCalls.parse_hold(body)}"
-        except DecodeError:
-            return None
-
 
 class OrderOutcome(Enum):
     """Outcome of an order that changes an engine's stage."""
--- a/pimentoquay/platform/store.py
+++ b/pimentoquay/platform/store.py
@@ -14,7 +14,7 @@
 from pimentoquay.http1.client import ConnectionPool, Exchange, ReusePolicy
 from pimentoquay.http1.headers import find_header
 from pimentoquay.kernel.errors import HttpError
-from pimentoquay.kernel.input_checks import check_text, refuse
+from pimentoquay.kernel.input_checks import check_key, refuse
 from pimentoquay.platform.fields import DecodeError, checked, optional, parse_json, required
 from pimentoquay.policy.store_position import MAX_ERA, StoreEra, era_of, offset_of, position_of
 
@@ -66,9 +66,6 @@
 
 _ERA = b"store-era"
 MAX_ERA_DIGITS = len(str(MAX_ERA)) + 1
-MAX_KEY_BYTES = 255
-"""Maximum size of the key of a record, in bytes."""
-
 _GONE = 410
 _CONFLICT = 412
 _LENGTH = struct.Struct(">I")
@@ -105,10 +102,7 @@
 
 @dataclass(frozen=True)
 class RecordPage:
-    """Records in order of their positions, and the position at which the next read starts.
-
-    ``end_position`` is where the topic ended; a page holds a part of the records before it.
-    """
+    """Records in their order, where the next read starts, and where the topic ended."""
 
     records: tuple[KeyedRecord, ...]
     next_position: int
@@ -286,7 +280,7 @@
 def _parse_latest_record(item: Any, era: int) -> KeyedRecord | None:
     try:
         entry = checked(item, "record", dict)
-        key = _check_key(required(entry, "key", str))
+        key = check_key(required(entry, "key", str))
         value = base64.b64decode(required(entry, "value", str), validate=True)
         return KeyedRecord(key, value, position_of(era, required(entry, "offset", int)))
     except ValueError as error:
@@ -294,12 +288,6 @@
         return None
 
 
-def _check_key(key: str) -> str:
-    if len(check_text(key).encode()) > MAX_KEY_BYTES:
-        raise DecodeError(f"a key of {len(key)} characters")
-    return key
-
-
 def _parse_record_page(body: bytes, from_position: int) -> RecordPage:
     if len(body) < _OFFSETS.size:
         raise StoreError(f"log-read: {len(body)} bytes, expected at least {_OFFSETS.size}", True)
--- a/pimentoquay/policy/tests/test_engine_list.py
+++ b/pimentoquay/policy/tests/test_engine_list.py
@@ -8,7 +8,7 @@
     EngineUpdate,
 )
 from pimentoquay.policy.fleet import EngineEntry
-from pimentoquay.policy.store_position import position_of
+from pimentoquay.policy.store_position import FIRST_ERA, position_of
 
 
 def entry(name="e", sequence=1, incarnation=1, is_draining=False):
@@ -95,7 +95,9 @@
     assert engines._known_by_id == {}
 
 
-RECORDS = st.tuples(st.integers(0, 2), st.integers(0, 5), st.integers(0, 3), st.booleans())
+RECORDS = st.tuples(
+    st.integers(FIRST_ERA, FIRST_ERA + 2), st.integers(0, 5), st.integers(0, 3), st.booleans()
+)
 
 
 @given(st.lists(RECORDS, max_size=20), RECORDS)
