Look at the engines of a service once for a stream

engines_for_stream went through all accepting engines twice, once for the closed versions, which a stream that goes on does not need. A waiting stream asks for its engines some twenty times a second. No change of behaviour.

--- a/pimentoquay/gateway/shared_state.py
+++ b/pimentoquay/gateway/shared_state.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 from pimentoquay.gateway.fleet import Fleet
@@ -129,10 +129,13 @@
         self, service: str, stages: Collection[EngineStage]
     ) -> tuple[EngineEntry, ...]:
         """Return the engines of a service that accept work of one of the stages now."""
+        return self._available(self._accepting_engines(service, stages))
+
+    def _available(self, accepting: Iterable[EngineEntry]) -> tuple[EngineEntry, ...]:
         now = asyncio.get_running_loop().time()
         return tuple(
             engine
-            for engine in self._accepting_engines(service, stages)
+            for engine in accepting
             if self.changing_until_by_engine.get(engine.id, 0.0) <= now
             and not self.links.is_circuit_open(engine.id, now)
             and not self.is_misdirected(engine, now)
@@ -158,9 +161,9 @@
         software
             Version that began the stream, or empty if none has.
         """
-        closed = self.closed_versions(service, stages)
-        available = self.available_engines(service, stages)
-        return tuple(engine for engine in available if may_run(engine, software, closed))
+        accepting = self._accepting_engines(service, stages)
+        closed = () if software else self.origins.closed_versions(service, accepting)
+        return self._available(each for each in accepting if may_run(each, software, closed))
 
     def sendable_engines(
         self, service: str, stages: Collection[EngineStage], software: str = ""
