Divide checkpoints and lists by the one function for parts

checkpoint.py had a loop of its own that divides by size, and five messages with one list each had the same three lines. No change of behaviour.

--- a/pimentoquay/configuration/checkpoint.py
+++ b/pimentoquay/configuration/checkpoint.py
@@ -11,6 +11,7 @@
 from pimentoquay.configuration.fold import ConfigurationState
 from pimentoquay.messages import CodecError, decode, encode
 from pimentoquay.messages.configuration import ChangeOutcome, ConfigurationCheckpoint
+from pimentoquay.policy.message_parts import split_by_size
 
 __all__ = ["Bootstrap", "checkpoint_parts", "split_into_chunks"]
 
@@ -25,20 +26,18 @@
     records: tuple[bytes, ...], outcomes: tuple[ChangeOutcome, ...], limit: int
 ) -> list[Chunk]:
     """Split records and outcomes into one or more chunks of about ``limit`` bytes."""
-    chunks: list[tuple[list[bytes], list[ChangeOutcome]]] = [([], [])]
-    size = 0
+
+    def size_of(item: bytes | ChangeOutcome) -> int:
+        return len(item) if isinstance(item, bytes) else ESTIMATED_OUTCOME_BYTES
+
     items: list[bytes | ChangeOutcome] = [*records, *outcomes]
-    for item in items:
-        item_size = len(item) if isinstance(item, bytes) else ESTIMATED_OUTCOME_BYTES
-        if size and size + item_size > limit:
-            chunks.append(([], []))
-            size = 0
-        if isinstance(item, bytes):
-            chunks[-1][0].append(item)
-        else:
-            chunks[-1][1].append(item)
-        size += item_size
-    return [(tuple(chunk[0]), tuple(chunk[1])) for chunk in chunks]
+    return [
+        (
+            tuple(each for each in part if isinstance(each, bytes)),
+            tuple(each for each in part if not isinstance(each, bytes)),
+        )
+        for part in split_by_size(items, size_of, limit) or ((),)
+    ]
 
 
 def checkpoint_parts(state: ConfigurationState, generation: str, limit: int) -> list[bytes]:
--- a/pimentoquay/gateway/message_parts.py
+++ b/pimentoquay/gateway/message_parts.py
@@ -41,6 +41,7 @@
 """Size in bytes up to which the keys of the streams of one version stay together."""
 
 Item = TypeVar("Item")
+Message = TypeVar("Message", EnginesLeaving, LimitsNamed, PeerLoads, Bundle, StreamsBegun)
 
 
 @dataclass(frozen=True)
@@ -58,6 +59,12 @@
     return split_by_size(items, _size_of, MAX_PART_BYTES - HEAD_BYTES)
 
 
+def _parts_by(message: Message, items: Iterable[Any]) -> tuple[Message, ...]:
+    """Return messages with a part of the items of one whose only field they are."""
+    parts = _split(items)
+    return tuple(type(message)(part) for part in parts) if len(parts) > 1 else (message,)
+
+
 def _size_of(item: Any) -> int:
     if isinstance(item, EngineRecord):
         return len(item.engine.encode()) + len(item.value) + RECORD_HEAD_BYTES
@@ -126,26 +133,22 @@
 
 @parts_of.register
 def _leaving_parts(message: EnginesLeaving) -> tuple[EnginesLeaving, ...]:
-    parts = _split(message.engines)
-    return tuple(map(EnginesLeaving, parts)) if len(parts) > 1 else (message,)
+    return _parts_by(message, message.engines)
 
 
 @parts_of.register
 def _limit_parts(message: LimitsNamed) -> tuple[LimitsNamed, ...]:
-    parts = _split(message.limits)
-    return tuple(map(LimitsNamed, parts)) if len(parts) > 1 else (message,)
+    return _parts_by(message, message.limits)
 
 
 @parts_of.register
 def _load_parts(message: PeerLoads) -> tuple[PeerLoads, ...]:
-    parts = _split(message.loads)
-    return tuple(map(PeerLoads, parts)) if len(parts) > 1 else (message,)
+    return _parts_by(message, message.loads)
 
 
 @parts_of.register
 def _bundle_parts(message: Bundle) -> tuple[Bundle, ...]:
-    parts = _split(message.items)
-    return tuple(map(Bundle, parts)) if len(parts) > 1 else (message,)
+    return _parts_by(message, message.items)
 
 
 @parts_of.register
@@ -156,8 +159,7 @@
         for each in message.versions
         for start in range(0, len(each.keys), length)
     ]
-    parts = _split(items)
-    return tuple(map(StreamsBegun, parts)) if len(parts) > 1 else (message,)
+    return _parts_by(message, items)
 
 
 @parts_of.register
--- a/pimentoquay/policy/message_parts.py
+++ b/pimentoquay/policy/message_parts.py
@@ -1,4 +1,4 @@
-"""Division of what peers are told into messages of bounded size.
+"""Division of lists into messages and records of bounded size.
 
 Load pattern: a list that grows with the fleet, such as that of all engines, is told to a peer that
 connects. In one message it takes the sender and the receiver long to encode and to decode, while
