Read the boot time in one place; find closed versions only for streams that wait

The coordinator and the watch for standstills each had a call of their own. A coordinator looked for closed versions at each tick and report, also of a pool in which nothing waits.

--- a/pimentoquay/gateway/pool_coordinator.py
+++ b/pimentoquay/gateway/pool_coordinator.py
@@ -4,7 +4,6 @@
 knows is rebuilt from the reports of the gateways, so nothing is handed over when it changes.
 """
 
-import time
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
@@ -13,6 +12,7 @@
 from pimentoquay.gateway.peer_loads import runs_by_engine
 from pimentoquay.gateway.shared_state import MAX_LIMIT_WAIT_SECONDS, SharedState
 from pimentoquay.kernel import Node
+from pimentoquay.kernel.clock import boot_time
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages.fleet import VmWork
 from pimentoquay.messages.pools import (
@@ -101,7 +101,7 @@
     def start(self) -> None:
         """Begin to place waiting streams and to send summaries."""
         self._ticked_at = self._node.timers.now()
-        self._ticked_at_boot = time.clock_gettime(time.CLOCK_BOOTTIME)
+        self._ticked_at_boot = boot_time()
         self._tick()
 
     @singledispatchmethod
@@ -186,8 +186,7 @@
         """Do what is due, and schedule the next tick; without pools, ticks are rare."""
         self._node.timers.after(TICK_SECONDS if self.is_active else IDLE_TICK_SECONDS, self._tick)
         now = self._node.timers.now()
-        # The event loop's clock stands still while the VM is suspended; boot time does not.
-        boot_now = time.clock_gettime(time.CLOCK_BOOTTIME)
+        boot_now = boot_time()
         if max(now - self._ticked_at, boot_now - self._ticked_at_boot) > SUSPENDED_SECONDS:
             self._pool_by_key.clear()
         self._ticked_at_boot = boot_now
@@ -236,10 +235,10 @@
         now = self._node.timers.now()
         engines: list[EngineEntry] | None = None
         usable = self._usable_tokens(key.service)
-        closed = self._shared.closed_versions(key.service, DECODE_STAGES)
         while pool.placement.has_waiting:
             if engines is None:
                 limits = self._shared.links.limits
+                closed = self._shared.closed_versions(key.service, DECODE_STAGES)
                 engines = [
                     engine for engine in self._decode_engines(key) if limits.may_grant(engine, now)
                 ]
--- a/pimentoquay/gateway/step_watch.py
+++ b/pimentoquay/gateway/step_watch.py
@@ -1,6 +1,5 @@
 """Whether this gateway is in step with the others, so that it would know of a new version."""
 
-import time
 from functools import singledispatchmethod
 from typing import Any
 
@@ -10,6 +9,7 @@
 from pimentoquay.gateway.relays import BUNDLE_SECONDS
 from pimentoquay.gateway.relays import HEARTBEAT_SECONDS as RELAY_HEARTBEAT_SECONDS
 from pimentoquay.kernel import ChannelClosed, ChannelOpened, Envelope, TimerService
+from pimentoquay.kernel.clock import boot_time
 from pimentoquay.messages.fleet import PeerLoads
 from pimentoquay.messages.pools import Bundle, ChannelAlive
 from pimentoquay.policy.mesh_plan import MeshPlan
@@ -43,12 +43,12 @@
         self._max_list_age = max_list_age
         self._peers = HeardPeers(LOST_PEER_SECONDS)
         self._is_full = True
-        self._standstill = Standstill(_boot_time())
+        self._standstill = Standstill(boot_time())
         self.knows_peers = False
 
     def start(self) -> None:
         """Begin to watch the clock."""
-        self._timers.every(TICK_SECONDS, lambda: self._standstill.tick(_boot_time()))
+        self._timers.every(TICK_SECONDS, lambda: self._standstill.tick(boot_time()))
 
     def update_plan(self, plan: MeshPlan) -> None:
         """Expect to hear the peers that a plan of the channels names."""
@@ -65,7 +65,7 @@
             timeout = HEARTBEAT_SLACK * RELAY_HEARTBEAT_SECONDS + BUNDLE_SECONDS
         contact = Contact(
             is_loaded and (self.knows_peers or bool(self._peers.expected)),
-            self._standstill.is_recent(_boot_time()),
+            self._standstill.is_recent(boot_time()),
             self._peers.unheard(now, timeout),
             self._peers.missing_since(now, timeout),
             self._is_full,
@@ -92,8 +92,3 @@
     ) -> None:
         if envelope.channel is not None:
             self._peers.record_heartbeat(envelope.channel.peer.vm, self._timers.now())
-
-
-def _boot_time() -> float:
-    """Return a time that also passes while the process or its VM is suspended."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/pimentoquay/kernel/clock.py
+++ b/pimentoquay/kernel/clock.py
@@ -9,7 +9,15 @@
 import time
 from typing import Protocol
 
-__all__ = ["Clock", "LoopClock"]
+__all__ = ["Clock", "LoopClock", "boot_time"]
+
+
+def boot_time() -> float:
+    """Return the seconds since the VM was started.
+
+    They also pass while the VM is suspended, unlike the time of the event loop.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 class Clock(Protocol):
