Say in the queue of streams what is compared, and name what is shared

The method and the function tokens_ahead had one name, is_next and count_ahead_of the same condition; arrived_at, by which streams are ordered, is that of the first attempt if a stream has begun, which its page did not say. The log line gave as time in which a stream is in time what has become its caller's patience. The reason to read the whole list of engines was one that reading page by page has removed; the other one stands there now. No change of behaviour but the name in the line.

--- a/pimentoquay/gateway/feed.py
+++ b/pimentoquay/gateway/feed.py
@@ -111,7 +111,7 @@
     async def read_engines(self) -> None:
         """Read the whole list of engines now; raise ``StoreError`` on failure.
 
-        What was written since the last read may be more than one page.
+        The position of the last own read may be long ago, as another gateway polls for its peers.
         """
         await self._read_latest(ENGINE_TOPIC)
         self._on_read()
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -14,6 +14,7 @@
 from pimentoquay.gateway.reservation import Reservation, run_of, usable_tokens
 from pimentoquay.gateway.shared_state import SharedState
 from pimentoquay.gateway.stream_refusals import (
+    refuse_if_hopeless,
     refuse_if_paused,
     refuse_if_unreachable,
     refuse_if_version_gone,
@@ -156,7 +157,7 @@
         try:
             while loop.time() < ends_at:
                 self._shared.guard.check(job)
-                self._refuse_if_hopeless(job, waiter.software)
+                refuse_if_hopeless(self._shared, job, waiter.software)
                 if waiter.software:
                     refuse_if_unreachable(self._shared, job, waiter.software)
                 if self._is_next(waiter):
@@ -220,7 +221,7 @@
             software=waiter.software,
             outcome=outcome,
             waited=f"{now - asked_at:.3f}",
-            in_time=f"{waiter.times.late_at - asked_at:.3f}",
+            patience=f"{waiter.times.leaves_at - asked_at:.3f}",
             engines=len(engines),
             held=self._run_ledger.expected(engines, now),
             ahead_here=sum(each.tokens for each in self._waiting.ahead_of(waiter, now)),
@@ -230,8 +231,8 @@
 
     def _refuse_long_wait(self, job: Job, waiter: WaitingStream) -> None:
         software = waiter.software
-        engines = self._decode_engines(job, software)
-        engines = engines_of_wait(engines, self._waiting, software)
+        listed = self._decode_engines(job, software)
+        engines = engines_of_wait(listed, self._waiting, software)
         refuse_if_paused(self._shared, job, software)
         now = asyncio.get_running_loop().time()
         patience = waiter.times.leaves_at - self._limits.work_seconds - now
@@ -244,19 +245,16 @@
         if software and not held:
             return  # Nothing is known of what its engines hold, so nothing of the wait.
         share = len(engines) / len({*engines, *self._decode_engines(job)})
-        ahead = self._waiting.tokens_ahead(software, engines, share, self._peers_queued(), now)
+        peers = self._peers_queued()
+        ahead = self._waiting.all_tokens_ahead(software, engines, share, peers, now)
         rate = self._release_rate.tokens_per_second(held)
         decision = decide_wait(
             waiter.tokens, ahead.urgent_tokens, ahead.tokens, rate, waiter.times, now, self._limits
         )
-        detail = f"{ahead.tokens} tokens wait, {held} are held"
         if not decision.should_wait:
+            detail = f"{ahead.tokens} tokens wait, {held} are held"
             raise RefusedError(ResultCode.QUEUE_FULL, detail, decision.seconds)
 
-    def _refuse_if_hopeless(self, job: Job, software: str) -> None:
-        refuse_if_paused(self._shared, job, software)
-        refuse_if_version_gone(self._shared, job, software)
-
     def _decode_engines(self, job: Job, software: str = "") -> tuple[EngineEntry, ...]:
         return self._shared.engines_for_stream(job.service, DECODE_STAGES, software)
 
@@ -285,12 +283,13 @@
         ends_at = waiter.times.leaves_at - self._limits.work_seconds
         grants = 0
         while grants < MAX_GRANTS:
-            self._refuse_if_hopeless(job, software)
+            refuse_if_hopeless(self._shared, job, software)
             grant = await self._pools.place(stream, full_engine)
             if grant is None:
                 reservation = await self._try_reserve(job, memory, waiter)
                 if reservation is not None:
                     return reservation
+                # One that goes on is bound to the pools of its version, and asks them again.
                 if not software or asyncio.get_running_loop().time() >= ends_at:
                     break
                 refuse_if_unreachable(self._shared, job, software)
--- a/pimentoquay/gateway/stream_refusals.py
+++ b/pimentoquay/gateway/stream_refusals.py
@@ -6,12 +6,23 @@
 from pimentoquay.policy.fleet import DECODE_STAGES
 from pimentoquay.policy.version_choice import can_go_on
 
-__all__ = ["refuse_if_paused", "refuse_if_unreachable", "refuse_if_version_gone"]
+__all__ = [
+    "refuse_if_hopeless",
+    "refuse_if_paused",
+    "refuse_if_unreachable",
+    "refuse_if_version_gone",
+]
 
 RETRY_AFTER_SECONDS = 0.5
 """Retry-After value if no engine can be used."""
 
 
+def refuse_if_hopeless(shared: SharedState, job: Job, software: str) -> None:
+    """Refuse a stream if its engines have paused or are gone."""
+    refuse_if_paused(shared, job, software)
+    refuse_if_version_gone(shared, job, software)
+
+
 def refuse_if_unreachable(shared: SharedState, job: Job, software: str) -> None:
     """Refuse a stream if this gateway can use no decode engine at all."""
     if not any(
--- a/pimentoquay/policy/stream_admission.py
+++ b/pimentoquay/policy/stream_admission.py
@@ -53,8 +53,9 @@
 class StreamTimes:
     """Arrival and deadlines of a stream, in seconds on the same clock as ``now``.
 
-    After ``late_at`` it yields to streams that can still be in time; at ``leaves_at`` its caller
-    stops waiting for it.
+    Streams are served in the order of ``arrived_at``, which is that of the first attempt if the
+    stream has begun. After ``late_at`` it yields to those that can still be in time; at
+    ``leaves_at`` its caller stops waiting for it.
     """
 
     arrived_at: float
--- a/pimentoquay/policy/stream_queue.py
+++ b/pimentoquay/policy/stream_queue.py
@@ -109,7 +109,7 @@
 
 
 class StreamQueue:
-    """Streams that wait at one VM, by urgency and then by arrival.
+    """Streams that wait at one VM, by urgency and then by ``StreamTimes.arrived_at``.
 
     Load pattern: bursts of more streams than the engines' memory allows, at many VMs. Each serves
     its own in order; late ones yield to those of other VMs that are in time.
@@ -149,7 +149,7 @@
             sum(each.tokens for each in self._streams), sum(each.tokens for each in new)
         )
 
-    def tokens_ahead(
+    def all_tokens_ahead(
         self,
         software: str,
         engines: Collection[EngineEntry],
@@ -190,10 +190,7 @@
 
         For one that has not begun, all that wait count.
         """
-        if not stream.software:
-            return len(self._streams)
-        ahead = self.ahead_of(stream, now)
-        return sum(each.software in ("", stream.software) for each in ahead)
+        return len(self._rivals_of(stream, now)) if stream.software else len(self._streams)
 
     def is_next(self, stream: WaitingStream, peers: QueuedTokens, now: float) -> bool:
         """Return whether no stream here or at another VM has to be served before a stream.
@@ -207,9 +204,14 @@
         now
             Current time in seconds.
         """
-        if any(each.software in ("", stream.software) for each in self.ahead_of(stream, now)):
+        if self._rivals_of(stream, now):
             return False
         return self._is_urgent(stream, now) or peers.urgent_tokens == 0
 
+    def _rivals_of(self, stream: WaitingStream, now: float) -> list[WaitingStream]:
+        """Return the streams before one that may take the engines that it waits for."""
+        ahead = self.ahead_of(stream, now)
+        return [each for each in ahead if each.software in ("", stream.software)]
+
     def _is_urgent(self, stream: WaitingStream, now: float) -> bool:
         return stream.times.urgency(now, self._limits) is StreamUrgency.IN_TIME
