--- a/pimentoquay/gateway/tests/test_event_order.py
+++ b/pimentoquay/gateway/tests/test_event_order.py
@@ -4,8 +4,11 @@
 
 import pytest
 
+from pimentoquay.gateway.event_reader import EventReader
+from pimentoquay.gateway.stream_progress import RunEndedError
 from pimentoquay.gateway.tests.rig import rig, until
 from pimentoquay.gateway.tests.test_streams import WHOLE
+from pimentoquay.http1 import Exchange
 from pimentoquay.standin.platform_engine import PlatformEngine
 
 
@@ -149,3 +152,29 @@
         await add_piece_engines(env, monkeypatch, pieces)
         response = await env.stream("/sheet/a")
         assert (response.body, response.is_whole) == (b"".join(pieces), True)
+
+
+class ReadExchange(Exchange):
+    """Exchange whose body is read in given parts."""
+
+    def __init__(self, *parts):
+        self.headers = ((b"Transfer-Encoding", b"chunked"),)
+        self._parts = list(parts)
+
+    async def read_chunk(self, seconds=None):
+        return self._parts.pop(0) if self._parts else None
+
+
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"], ids=["LF", "CRLF", "CR"])
+async def test_sound_events_are_returned_wherever_a_read_ends(line_end):
+    """Sockets, tunnels and libraries divide a stream anywhere; none may lose a sound event."""
+    body = (event(1) + event(2) + event(65)).replace(b"\n", line_end)
+    sound = (event(1) + event(2)).replace(b"\n", line_end)
+    for place in range(len(body) + 1):
+        parts = filter(None, (body[:place], body[place:]))
+        reader = EventReader(ReadExchange(*parts), None, None, True)
+        read = b""
+        with pytest.raises(RunEndedError):
+            while events := await reader.next_events():
+                read += b"".join(each.data for each in events)
+        assert read == sound
