End a run at lines that cannot stand in an event stream

Cause: an event without an id and without data was taken for a comment, whatever its lines were, and an event with an id was taken over with all its lines.

An event now ends the run if a line of it is neither a comment nor a field with a name of lower-case letters, digits, hyphens and underscores; so does one without an id that has more than a type or a retry time, in a stream that may be resumed. The run counts as failed at the last sound event: the stream goes on elsewhere, or is broken off. Fields of other names stay, as engines state versions of their weights by one. A stream that may not be resumed still passes on events without an id: its body is that of the one engine that runs it.

--- a/pimentoquay/bench/mutations/switches.py
+++ b/pimentoquay/bench/mutations/switches.py
@@ -23,6 +23,7 @@
     same_number_for_all_holders,
     skip_order_of_new_holder,
 )
+from pimentoquay.bench.mutations.stream_switches import STREAM_SWITCHES
 from pimentoquay.bench.mutations.switch import Switch
 
 __all__ = ["SWITCHES", "Switch", "switch_of"]
@@ -265,5 +266,6 @@
     ),
     *GATEWAY_SWITCHES,
     *PATH_SWITCHES,
+    *STREAM_SWITCHES,
 )
 """All mechanisms that can be switched off."""
--- a/pimentoquay/gateway/event_reader.py
+++ b/pimentoquay/gateway/event_reader.py
@@ -13,7 +13,8 @@
 class EventReader:
     """Reads the events of a run up to the first that is missing, comes twice or has lost its id.
 
-    Events that arrived together with a wrong one are returned first, and the next call fails.
+    An event with lines that cannot stand in one, such as the head of another response, is wrong as
+    well. Events that arrived together with a wrong one are returned first, and the next call fails.
 
     Parameters
     ----------
@@ -50,7 +51,8 @@
         Raises
         ------
         RunEndedError
-            If the next event is not the one that follows, or the stream ended within an event.
+            If the next event is not the one that follows or is none, or the stream ended within an
+            event.
         HttpError
             If the exchange fails, or is silent for too long.
         """
@@ -73,6 +75,9 @@
         """Return the events before the first wrong one, which ends the run."""
         for index, event in enumerate(events):
             last = self._last_event
+            if event.has_foreign_lines:
+                self._fault = RunEndedError(f"no event came after {last}", True)
+                return events[:index]
             if event.id is None and not (self._is_resumable and event.is_piece):
                 continue
             if last is not None and event.id != last + 1:
--- a/pimentoquay/gateway/events.py
+++ b/pimentoquay/gateway/events.py
@@ -9,7 +9,11 @@
 
 _END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _ID = re.compile(rb"(?:^|[\r\n])id: ?([0-9]{1,18})(?=[\r\n])")
-_DATA = re.compile(rb"(?:^|[\r\n])data(?=[:\r\n])")
+_LINES = re.compile(rb"(?:(?::[^\r\n]*+|[a-z][a-z0-9_-]*+(?::[^\r\n]*+)?)?[\r\n]++)*+")
+"""Lines of an event stream, each of which is a comment, a field or empty."""
+
+_PIECE = re.compile(rb"(?:^|[\r\n])(?!event[:\r\n]|retry[:\r\n])[^:\r\n]")
+"""Field by which an event is more than a comment; the type and the retry time alone are not."""
 
 MAX_EVENT_BYTES = 64 * 1024
 """Maximum size of an event; a response with more bytes before an event's end is invalid."""
@@ -25,7 +29,12 @@
     @property
     def is_piece(self) -> bool:
         """Whether it is a piece of the answer, and not only a comment."""
-        return _DATA.search(self.data) is not None
+        return _PIECE.search(self.data) is not None
+
+    @property
+    def has_foreign_lines(self) -> bool:
+        """Whether some of its lines cannot stand in an event stream."""
+        return _LINES.fullmatch(self.data) is None
 
 
 class EventSplitter:
