Let two engines agree that a stream has ended before a run without events ends it

Cause: the orderly end of the last run was taken for that of the stream, also if that run had sent nothing.

Until then the run counts as failed, and another engine is preferred. A response without framing and without events counts as a lost connection also when a stream goes on.

--- a/pimentoquay/gateway/event_reader.py
+++ b/pimentoquay/gateway/event_reader.py
@@ -15,6 +15,7 @@
 
     An event with lines that cannot stand in one, such as the head of another response, is wrong as
     well. Events that arrived together with a wrong one are returned first, and the next call fails.
+    ``has_read_events`` is whether there was any event so far.
 
     Parameters
     ----------
@@ -41,6 +42,7 @@
         self._is_resumable = is_resumable
         self._splitter = EventSplitter()
         self._fault: RunEndedError | None = None
+        self.has_read_events = False
 
     async def next_events(self) -> list[StreamEvent]:
         """Return the next complete events, or none at the end of the stream.
@@ -63,6 +65,7 @@
         while (chunk := await self._exchange.read_chunk(left)) is not None:
             events = self._take_sound(self._splitter.feed(chunk))
             if events:
+                self.has_read_events = True
                 return events
             if self._fault is not None:
                 raise self._fault
@@ -90,7 +93,7 @@
     def _check_end(self) -> None:
         if self._splitter.remainder:
             raise RunEndedError("stream ended within an event", True)
-        if self._exchange.is_unframed and self._last_event is None:
+        if self._exchange.is_unframed and not self.has_read_events:
             # The end of the connection marks the end of the stream, also when the engine has
             # crashed.
             raise HttpError("stream ended before its first event", True, connection_lost=True)
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -34,7 +34,6 @@
     AdmissionLimits,
     QueuedTokens,
     ReleaseRate,
-    StreamTimes,
     decide_wait,
 )
 from pimentoquay.policy.stream_queue import StreamQueue, WaitingStream, engines_of_wait
@@ -109,29 +108,19 @@
         """Let waiting streams try again."""
         self._changed.set()
 
-    async def reserve(
-        self,
-        job: Job,
-        memory: TokenMemory,
-        need: MemoryNeed,
-        times: StreamTimes,
-        software: str = "",
-    ) -> Reservation:
+    async def reserve(self, job: Job, memory: TokenMemory, waiter: WaitingStream) -> Reservation:
         """Reserve memory for a stream, waiting for it while its caller can still be served.
 
         Parameters
         ----------
-        job, memory, need, times
-            The request, the memory of its engines, how much it needs, and for how long it can wait.
-        software
-            Software version that began the stream, or empty if none has.
+        job, memory, waiter
+            The request, the memory of its engines, and what it waits for.
 
         Raises
         ------
         RefusedError
             If the wait is too long, or no engine of the version is left.
         """
-        waiter = WaitingStream(need, times, software)
         asked_at = asyncio.get_running_loop().time()
         try:
             reservation = await self._reserve(job, memory, waiter)
@@ -324,6 +313,7 @@
                     group, usable, run, loop.time(), self._shared.placer
                 )
             ]
+            candidates.sort(key=lambda each: each.id in waiter.avoided)
             engine = next((each for each in candidates if each.id not in tried), None)
             if engine is None:
                 return None
--- a/pimentoquay/gateway/stream_progress.py
+++ b/pimentoquay/gateway/stream_progress.py
@@ -1,7 +1,7 @@
 """Progress of one stream over its runs at decode engines."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from pimentoquay.gateway.events import StreamEvent
 from pimentoquay.http1 import HeaderList, ServerState
@@ -54,7 +54,8 @@
     which it crashed. ``streamed_seconds`` is the time from the first to the last event of the
     current run, ``engine`` its engine. ``has_unnumbered`` is whether pieces without an id were sent
     before the first event with one. ``software`` is the software version of the engine that
-    began the stream, or empty if none has.
+    began the stream, or empty if none has. ``engines_without_events`` holds the ids of those that
+    ended a run in order without an event.
     """
 
     last_event: int | None
@@ -67,6 +68,7 @@
     has_unnumbered: bool = False
     software: str = ""
     error_response: ErrorResponse | None = None
+    engines_without_events: set[str] = field(default_factory=set)
 
     @property
     def can_go_on(self) -> bool:
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -33,6 +33,8 @@
 from pimentoquay.policy.memory_forecast import MemoryNeed
 from pimentoquay.policy.output_estimate import OutputLengthEstimator
 from pimentoquay.policy.stream_admission import StreamTimes, first_request_at, stream_times
+from pimentoquay.policy.stream_end import is_end_confirmed
+from pimentoquay.policy.stream_queue import WaitingStream
 
 __all__ = ["StreamForwarder"]
 
@@ -166,7 +168,10 @@
         assert model is not None and memory is not None
         need = self._memory_need(job.service, model, memory, progress)
         times = self._stream_times(job)
-        reservation = await self._reservations.reserve(job, memory, need, times, progress.software)
+        waiter = WaitingStream(
+            need, times, progress.software, avoided=frozenset(progress.engines_without_events)
+        )
+        reservation = await self._reservations.reserve(job, memory, waiter)
         job.metrics.record_memory_wait(job.age())
         try:
             self._shared.guard.check(job)
@@ -328,12 +333,22 @@
             if memory is not None:
                 self._reservations.update_progress(reservation, output_tokens(progress, memory))
             await reply.drain()
+        if not reader.has_read_events:
+            self._check_end(job, progress, memory)
         if not reply.started:
             reply.start(exchange.status, end_to_end_headers(exchange.headers))
         reply.end()
         self._shared.guard.record_answered(job)
         _record_success(job, progress, reservation.engine.id)
 
+    def _check_end(self, job: Job, progress: StreamProgress, memory: TokenMemory | None) -> None:
+        """Raise ``RunEndedError`` unless a run without events shows that the stream has ended."""
+        progress.engines_without_events.add(progress.engine)
+        tokens = output_tokens(progress, memory) if memory is not None else 0
+        max_tokens = job.caller.model.max_output_tokens if job.caller.model is not None else 0
+        if not is_end_confirmed(tokens, max_tokens, progress.engines_without_events):
+            raise RunEndedError("the run ended without an event", True)
+
     def _record_begun(self, job: Job, progress: StreamProgress, engine: EngineEntry) -> None:
         self._shared.guard.record_begun(job)
         self._shared.origins.record_begun(job, engine)
--- a/pimentoquay/policy/stream_queue.py
+++ b/pimentoquay/policy/stream_queue.py
@@ -96,11 +96,16 @@
 
 @dataclass(frozen=True, eq=False)
 class WaitingStream:
-    """A stream that waits; ``software`` is the version that began it, or empty if none has."""
+    """A stream that waits.
+
+    ``software`` is the version that began it, or empty if none has. ``avoided`` holds the ids of
+    engines that it takes only if no other has memory.
+    """
 
     need: MemoryNeed
     times: StreamTimes
     software: str = ""
+    avoided: frozenset[str] = frozenset()
 
     @property
     def tokens(self) -> int:
