Refuse at once what cannot end before a planned stop

Callers saw: requests that came late in the grace time of a planned stop, on connections opened before, were passed on and cut at the end of the drain without an answer, among them some that may run once only (LOST).

Cause: nothing asked whether a request can end before the process does. The same for streams that wait for memory, for runs through a peer's tunnel, and for calls in progress at the end, which could have had an answer.

policy/planned_stop.py decides: once callers are diverted, 3 s after the signal, only a request whose caller does not wait beyond the end is taken; before that, and for streams that wait, what a likely run lets end. The rest gets 503 with a time to come back, before any engine has seen it. The timeouts of what is in progress end 0.2 s before the drain, so that callers get a final answer; engines are handed no more time than that. A counter tells how many were refused.

--- a/pimentoquay/bench/mutations/stream_switches.py
+++ b/pimentoquay/bench/mutations/stream_switches.py
@@ -1,5 +1,7 @@
 """Mechanisms for the ends of streams and stops, and the tests that have to fail without them."""
 
+import math
+
 from pimentoquay.bench.mutations.replacements import return_constant
 from pimentoquay.bench.mutations.switch import Switch
 
@@ -7,6 +9,7 @@
 
 _ENDS = "pimentoquay/gateway/tests/test_stream_ends.py::"
 _ERRORS = "pimentoquay/gateway/tests/test_errors_in_streams.py::"
+_STOP = "pimentoquay/gateway/tests/test_late_in_stop.py::"
 
 STREAM_SWITCHES = (
     Switch(
@@ -21,5 +24,18 @@
         return_constant(True),
         _ENDS + "test_a_stream_that_goes_on_is_not_ended_by_an_engine_that_sends_no_event",
     ),
+    Switch(
+        "late requests refused in a planned stop",
+        "pimentoquay.gateway.planned_stop:can_end_in_time",
+        return_constant(True),
+        _STOP + "test_a_request_that_cannot_end_before_a_planned_stop_is_refused_at_once"
+        "[/sheet/a-4.5]",
+    ),
+    Switch(
+        "answers at the end of a planned stop",
+        "pimentoquay.gateway.planned_stop:PlannedStop.ends_at",
+        lambda original: property(lambda self: math.inf),
+        _STOP + "test_a_call_that_runs_at_the_end_of_the_grace_time_gets_an_answer[/order/a]",
+    ),
 )
 """Mechanisms of the gateway for streams that break off and for planned stops."""
--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -32,6 +32,7 @@
     PROMPTS_QUARANTINED,
     PROMPTS_SUSPECTED,
     REFUSED_IN_QUARANTINE,
+    REFUSED_IN_STOP,
     REFUSED_OVER_LIMIT,
     RESUMPTIONS,
     RESUMPTIONS_REFUSED,
@@ -53,6 +54,7 @@
 from pimentoquay.gateway.path_watch import PathWatch
 from pimentoquay.gateway.peer_loads import PeerLoadTable
 from pimentoquay.gateway.plain import PlainForwarder
+from pimentoquay.gateway.planned_stop import PlannedStop
 from pimentoquay.gateway.pool_client import PoolClient
 from pimentoquay.gateway.pool_coordinator import PoolCoordinator
 from pimentoquay.gateway.prefills import PrefillRunner
@@ -252,7 +254,8 @@
         changed.append(shared.forget_experience)
     mesh.on_stage_ordered.append(stage_controller.record_order)
     streams = StreamForwarder(shared, reservations, PrefillRunner(shared, schedule_update))
-    dispatcher = Dispatcher(shared, PlainForwarder(shared), streams)
+    planned_stop = PlannedStop()
+    dispatcher = Dispatcher(shared, PlainForwarder(shared), streams, planned_stop)
     caller_server = HttpServer(dispatcher.handle, lambda: _server_limits(fleet))
     readiness_server = HttpServer(_readiness_handler(dispatcher), ServerLimits)
     metrics.value_by_gauge = {
@@ -284,6 +287,7 @@
         STREAM_ORIGINS: lambda: origins.known_streams,
         RESUMPTIONS_REFUSED: lambda: origins.refused,
         REFUSED_OVER_LIMIT: lambda: shared.refused_over_limit,
+        REFUSED_IN_STOP: lambda: planned_stop.refused,
     }
     metrics.values_by_counter = {
         ENGINE_REQUESTS: lambda: contact.requests_by_way,
--- a/pimentoquay/gateway/dispatcher.py
+++ b/pimentoquay/gateway/dispatcher.py
@@ -4,6 +4,7 @@
 
 from pimentoquay.gateway.job import Job, record_end, send_error
 from pimentoquay.gateway.plain import PlainForwarder
+from pimentoquay.gateway.planned_stop import PlannedStop
 from pimentoquay.gateway.shared_state import SharedState
 from pimentoquay.gateway.streams import StreamForwarder
 from pimentoquay.http1 import HeaderList, HttpRequest, Reply
@@ -11,6 +12,7 @@
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.requests import CallerRequest, parse_request, retry_after_header
 from pimentoquay.policy.fleet import RepeatRule, Route
+from pimentoquay.policy.planned_stop import StopTimes
 from pimentoquay.policy.route_choice import choose_service
 
 __all__ = ["Dispatcher"]
@@ -28,14 +30,21 @@
         Configuration, retry budgets and metrics.
     plain, streams
         Forwarders of plain calls and of model streams.
+    stop
+        The planned stop of this gateway.
     """
 
     def __init__(
-        self, shared: SharedState, plain: PlainForwarder, streams: StreamForwarder
+        self,
+        shared: SharedState,
+        plain: PlainForwarder,
+        streams: StreamForwarder,
+        stop: PlannedStop,
     ) -> None:
         self._shared = shared
         self._plain = plain
         self._streams = streams
+        self._stop = stop
         self.is_draining = False
 
     @property
@@ -43,6 +52,11 @@
         """Whether the platform may send new requests to this gateway."""
         return self._shared.fleet.is_loaded and not self.is_draining
 
+    def drain(self, times: StopTimes) -> None:
+        """Be not ready, and let all requests end before the gateway stops."""
+        self.is_draining = True
+        self._stop.begin(times)
+
     async def handle(self, request: HttpRequest, reply: Reply) -> None:
         """Handle one request and send its response."""
         caller = parse_request(request.headers)
@@ -57,7 +71,7 @@
             self._refuse(caller, reply, ResultCode.NOT_FOUND)
             return
         service = choose_service(route.shares, caller.id)
-        job = Job(request, caller, route, service, reply, self._shared.metrics)
+        job = Job(request, caller, route, service, reply, self._shared.metrics, self._stop)
         self._shared.retry_budgets.count_request(job.service)
         try:
             await self._forward(job)
@@ -68,6 +82,7 @@
             raise
 
     async def _forward(self, job: Job) -> None:
+        job.refuse_if_late(is_new=True)
         self._shared.guard.check(job)
         if self._is_model_stream(job.route, job):
             await self._streams.forward(job)
--- a/pimentoquay/gateway/job.py
+++ b/pimentoquay/gateway/job.py
@@ -5,6 +5,7 @@
 from functools import cached_property
 
 from pimentoquay.gateway.metrics import GatewayMetrics
+from pimentoquay.gateway.planned_stop import PlannedStop
 from pimentoquay.http1 import HeaderList, HttpRequest, Reply, end_to_end_headers
 from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode, info_of
 from pimentoquay.kernel.logs import logger
@@ -34,6 +35,7 @@
     service: str
     reply: Reply
     metrics: GatewayMetrics
+    stop: PlannedStop
 
     @property
     def arrived_at(self) -> float:
@@ -55,7 +57,12 @@
 
     def seconds_left(self) -> float:
         """Return the seconds that an engine may still spend on the request."""
-        return self.deadline - asyncio.get_running_loop().time() - RESPONSE_MARGIN_SECONDS
+        ends_at = min(self.deadline, self.stop.ends_at)
+        return ends_at - asyncio.get_running_loop().time() - RESPONSE_MARGIN_SECONDS
+
+    def refuse_if_late(self, is_new: bool = False) -> None:
+        """Raise ``RefusedError`` if the gateway stops before the request would end."""
+        self.stop.refuse_if_late(self.route.name, self.deadline, is_new)
 
     def age(self) -> float:
         """Return the seconds since the request arrived."""
--- a/pimentoquay/gateway/lifecycle.py
+++ b/pimentoquay/gateway/lifecycle.py
@@ -20,6 +20,7 @@
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.settings import DeploymentSettings
 from pimentoquay.platform.store import StoreClient, StoreError
+from pimentoquay.policy.planned_stop import StopTimes
 from pimentoquay.transport.peers import PeerSet
 from pimentoquay.transport.websocket import split_address
 from pimentoquay.tunnels import EnginePaths, TunnelServer
@@ -33,6 +34,9 @@
 GRACE_MARGIN_SECONDS = 0.5
 """Time between the end of the drain and the kill by the platform that ends the grace period."""
 
+ANSWER_SECONDS = 0.2
+"""Time at the end of the drain in which requests without an answer get their final one."""
+
 SEED_INTERVAL_SECONDS = 1.5
 """Interval at which the seed addresses are dialled while no other gateway is known to be alive."""
 
@@ -160,13 +164,14 @@
         loop = asyncio.get_running_loop()
         started_at = loop.time()
         logger.bind(in_progress=self.caller_server.requests_in_progress).info("draining")
-        self.dispatcher.is_draining = True
+        diverted_at = started_at + OUT_OF_ROTATION_SECONDS
+        ends_at = started_at + self.settings.bounds.grace_seconds - GRACE_MARGIN_SECONDS
+        self.dispatcher.drain(StopTimes(diverted_at, ends_at - ANSWER_SECONDS))
         self.mesh.update_own_state(is_draining=True)
         self.caller_server.drain()
         self.tunnel_server.drain()
         await self.node.timers.sleep(OUT_OF_ROTATION_SECONDS)
         await self.caller_server.close()
-        ends_at = started_at + self.settings.bounds.grace_seconds - GRACE_MARGIN_SECONDS
         while self._has_work and loop.time() < ends_at:
             await self.node.timers.sleep(0.05)
             self.caller_server.close_idle()
--- a/pimentoquay/gateway/metrics.py
+++ b/pimentoquay/gateway/metrics.py
@@ -148,6 +148,11 @@
     "counter",
     "requests refused because the limits of all engines were used up",
 )
+REFUSED_IN_STOP = Metric(
+    "pimentoquay_gateway_refused_in_stop_total",
+    "counter",
+    "requests refused because the gateway stops before they would end",
+)
 
 SERVICES_MIXED = Metric(
     "pimentoquay_gateway_services_mixed",
@@ -218,6 +223,7 @@
     ENGINES_LIMITED,
     REFUSED_IN_QUARANTINE,
     REFUSED_OVER_LIMIT,
+    REFUSED_IN_STOP,
     SERVICES_MIXED,
     STREAM_ORIGINS,
     RESUMPTIONS_REFUSED,
--- a/pimentoquay/gateway/plain.py
+++ b/pimentoquay/gateway/plain.py
@@ -167,7 +167,7 @@
         has_failed = True
         written = asyncio.Event()
         try:
-            async with asyncio.timeout(self._send_timeout(job, attempts)) as timeout:
+            async with job.stop.time_limit(self._send_timeout(job, attempts)) as timeout:
                 response = await self._exchange(job, engine, timeout, written)
             attempts.arrivals += 1
             has_failed = response.status >= 500
@@ -231,7 +231,7 @@
                 if size > MAX_BUFFERED_BYTES:
                     if not response_info.is_success:
                         raise ResponseTooLargeError(f"body of status {exchange.status}", True)
-                    timeout.reschedule(job.deadline)
+                    timeout.reschedule(min(job.deadline, job.stop.ends_at))
                     return await self._forward_long(job, exchange, response_info, parts)
             body = b"".join(parts)
             return _Response(exchange.status, exchange.headers, body, response_info)
--- a/pimentoquay/gateway/pool_client.py
+++ b/pimentoquay/gateway/pool_client.py
@@ -268,6 +268,7 @@
         try:
             while misses < MAX_MISSES and self._share_of(key, stream):
                 self._shared.guard.check(stream.job)
+                stream.job.refuse_if_late()
                 refuse_if_paused(self._shared, stream.job, stream.software)
                 coordinator = self._coordinator_of(key) or ""
                 self._send_to(coordinator, self._request(stream, key, full_engine))
--- a/pimentoquay/gateway/stream_refusals.py
+++ b/pimentoquay/gateway/stream_refusals.py
@@ -18,7 +18,8 @@
 
 
 def refuse_if_hopeless(shared: SharedState, job: Job, software: str) -> None:
-    """Refuse a stream if its engines have paused or are gone."""
+    """Refuse a stream if its engines have paused or are gone, or the gateway stops too soon."""
+    job.refuse_if_late()
     refuse_if_paused(shared, job, software)
     refuse_if_version_gone(shared, job, software)
 
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -94,7 +94,7 @@
         if progress.last_event is not None:
             progress.software = await self._shared.origins.software_of(job)
         try:
-            async with asyncio.timeout(job.seconds_left()):
+            async with job.stop.time_limit(job.seconds_left()):
                 await self._forward(job, progress)
         except TimeoutError:
             if progress.runs == 0 and not job.reply.started:
@@ -173,7 +173,10 @@
         )
         reservation = await self._reservations.reserve(job, memory, waiter)
         job.metrics.record_memory_wait(job.age())
+        loop = asyncio.get_running_loop()
+        reserved_at = loop.time()
         try:
+            job.refuse_if_late()
             self._shared.guard.check(job)
             prefill = await self._prefill_runner.run(
                 job,
@@ -193,6 +196,7 @@
                 self._prefill_runner.release_unused(prefill)
         finally:
             self._reservations.release(reservation)
+        job.stop.record_run(job.route.name, loop.time() - reserved_at)
         if progress.last_event is not None:
             generated = output_tokens(progress, memory)
             estimate = self._estimate(job.service)
@@ -218,7 +222,7 @@
             is_going_on or job.caller.last_event is not None,
             route.target_seconds,
             route.gap_seconds,
-            job.deadline,
+            min(job.deadline, job.stop.ends_at),
         )
 
     def _estimate(self, service: str) -> OutputLengthEstimator:
