--- a/tools/compare_days.py
+++ b/tools/compare_days.py
@@ -61,8 +61,8 @@
     subprocess.run(command, cwd=checkout_, stdout=subprocess.DEVNULL, check=False)
     result = json.loads(report.read_text(encoding="utf-8"))
     waste = sum(amount for name, amount, _ in result["prices"] if name.endswith(WASTE))
-    fault = json.dumps(result["fault"]) if result["fault"] else ""
-    return Play(commit, day, seed, result["G"], waste, fault)
+    faults = ([str(result["fault"])] if result["fault"] else []) + sorted(result["breaks"])
+    return Play(commit, day, seed, result["G"], waste, ", ".join(faults))
 
 
 def print_table(plays: list[Play], commits: list[str]) -> None:
