Try as many streams that go on as their version has engines

Eight large streams of the version, which fit nowhere, were tried before it, and at most eight of a version are.

Cause: the bound on the work per change was one number, whatever the version's engines. Each stream that fits nowhere keeps one engine for itself, so with twelve engines four were left for new streams after eight.

Of the streams bound to a version as many are tried as it has engines, or eight; behind those none can get one. For new streams the bound stays.

The switch in bench/mutations is caught.

--- a/pimentoquay/bench/mutations/stream_switches.py
+++ b/pimentoquay/bench/mutations/stream_switches.py
@@ -37,5 +37,12 @@
         lambda original: property(lambda self: math.inf),
         _STOP + "test_a_call_that_runs_at_the_end_of_the_grace_time_gets_an_answer[/order/a]",
     ),
+    Switch(
+        "as many streams tried as their version has engines",
+        "pimentoquay.policy.pool_placement:Counter",
+        lambda original: lambda items: original(),
+        "pimentoquay/policy/tests/test_pools.py::"
+        "test_a_stream_that_goes_on_is_tried_before_a_new_one_that_came_later",
+    ),
 )
 """Mechanisms of the gateway for streams that break off and for planned stops."""
--- a/pimentoquay/policy/pool_placement.py
+++ b/pimentoquay/policy/pool_placement.py
@@ -10,6 +10,7 @@
 """
 
 import heapq
+from collections import Counter
 from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass
 
@@ -48,8 +49,8 @@
 """Time without a report after which a gateway counts as lost, in seconds."""
 
 MAX_TRIED = 8
-"""Maximum number of waiting streams of each software version that are tried at once, which bounds
-the work per change."""
+"""Maximum number of waiting streams that are tried at once, which bounds the work per change: of
+new ones, and of those of each software version that has no more engines."""
 
 StreamKey = tuple[str, str]
 """VM of a stream's gateway and the key of its request."""
@@ -224,7 +225,7 @@
             return None
         runs_by_engine = self.ledger.runs_of_all(now)
         free = list(engines)
-        for key in self._first_waiting(now):
+        for key in self._first_waiting(engines, now):
             stream = self._waiting_by_key[key].stream
             eligible = [each for each in free if may_run(each, stream.software, closed)]
             run = stream.run
@@ -319,8 +320,12 @@
         waiting = sum(each.stream.need for each in self._waiting_by_key.values())
         return PoolState(usable * len(engines), sum(free), max(free, default=0), waiting)
 
-    def _first_waiting(self, now: float) -> list[StreamKey]:
-        """Return the streams to be tried in order, so that no version holds up the others."""
+    def _first_waiting(self, engines: Sequence[EngineEntry], now: float) -> list[StreamKey]:
+        """Return the streams to be tried in order, so that no version holds up the others.
+
+        Of those bound to a version, as many are tried as it has engines. Each that fits nowhere
+        keeps one, so the next could get none.
+        """
 
         def rank(key: StreamKey) -> tuple[StreamUrgency, float, StreamKey]:
             return self._rank(key, now)
@@ -328,8 +333,12 @@
         keys_by_software: dict[str, list[StreamKey]] = {}
         for key, waiting in self._waiting_by_key.items():
             keys_by_software.setdefault(waiting.stream.software, []).append(key)
-        first = (heapq.nsmallest(MAX_TRIED, keys, key=rank) for keys in keys_by_software.values())
-        return sorted((key for keys in first for key in keys), key=rank)
+        engines_by_software = Counter(each.software_version for each in engines)
+        first: list[StreamKey] = []
+        for software, keys in keys_by_software.items():
+            count = max(MAX_TRIED, engines_by_software[software]) if software else MAX_TRIED
+            first += heapq.nsmallest(count, keys, key=rank)
+        return sorted(first, key=rank)
 
     def _rank(self, key: StreamKey, now: float) -> tuple[StreamUrgency, float, StreamKey]:
         times = self._waiting_by_key[key].stream.times
