Count the prompts that were read for nothing by why the run did not end

Prompts of runs that did not end are counted as refused by the decode engine, broken off, lost with their engine, or left by their caller or its timeout; those of prefills that failed after they were sent by themselves. What engines read again for requests that they preempt is not seen by a gateway.

--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -31,6 +31,7 @@
     PROMPT_TRIALS,
     PROMPTS_QUARANTINED,
     PROMPTS_SUSPECTED,
+    PROMPTS_WASTED,
     REFUSED_IN_QUARANTINE,
     REFUSED_IN_STOP,
     REFUSED_OVER_LIMIT,
@@ -295,6 +296,7 @@
         CONTINUED: lambda: reservations.continued_by_outcome,
         INPUTS_REFUSED: lambda: refused_by_kind,
         MESSAGES_REFUSED: lambda: refused_messages,
+        PROMPTS_WASTED: lambda: shared.prompt_waste.tokens_by_reason,
         CONNECT_FAILURES: lambda: {
             failure.value: count for failure, count in contact.count_by_failure.items()
         },
--- a/pimentoquay/gateway/metrics.py
+++ b/pimentoquay/gateway/metrics.py
@@ -184,6 +184,13 @@
     "streams that had begun before, by how their wait for memory ended",
     ("outcome",),
 )
+PROMPTS_WASTED = Metric(
+    "pimentoquay_gateway_prompt_tokens_wasted_total",
+    "counter",
+    "tokens of prompts that engines read for nothing, by why the run did not end; without those of "
+    "requests that an engine preempted",
+    ("reason",),
+)
 INPUTS_REFUSED = Metric(
     "pimentoquay_gateway_inputs_refused_total",
     "counter",
@@ -235,6 +242,7 @@
     CONTINUED,
     INPUTS_REFUSED,
     MESSAGES_REFUSED,
+    PROMPTS_WASTED,
 )
 _SUMMARIES = (REQUEST_SECONDS, FIRST_EVENT_SECONDS, MEMORY_WAIT_SECONDS)
 
--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -115,6 +115,9 @@
                     "prefill failed"
                 )
                 failed.add(engine.id)
+                was_sent = not isinstance(error, HttpError) or error.written
+                if was_sent and not isinstance(error, _PrefillRefusedError):
+                    self._shared.prompt_waste.record_prefill(model.prompt_tokens)
                 if isinstance(error, HttpError) and error.connection_lost:
                     link = self._shared.links.link_to(engine)
                     await self._shared.guard.handle_lost_run(job, link)
--- a/pimentoquay/gateway/shared_state.py
+++ b/pimentoquay/gateway/shared_state.py
@@ -8,6 +8,7 @@
 from pimentoquay.gateway.fleet import Fleet
 from pimentoquay.gateway.links import EngineLinks
 from pimentoquay.gateway.metrics import GatewayMetrics
+from pimentoquay.gateway.prompt_waste import PromptWaste
 from pimentoquay.gateway.request_guard import RequestGuard
 from pimentoquay.gateway.stream_origins import OriginExchange
 from pimentoquay.kernel import RefusedError, ResultCode
@@ -88,7 +89,8 @@
     speed.
     ``experience_by_engine`` holds latencies and failure rates of plain backend servers.
     ``changing_until_by_engine`` holds the time until which an engine may be changing its stage.
-    ``refused_over_limit`` counts the requests that the limits of engines did not allow.
+    ``refused_over_limit`` counts the requests that the limits of engines did not allow, and
+    ``prompt_waste`` the prompts that were read for nothing.
     """
 
     placer: Placer
@@ -106,6 +108,7 @@
     misdirected_until_by_entry: dict[EngineKey, float] = field(default_factory=dict)
     changing_until_by_engine: dict[str, float] = field(default_factory=dict)
     refused_over_limit: int = 0
+    prompt_waste: PromptWaste = field(default_factory=PromptWaste)
 
     def forget_experience(self, engine: str) -> None:
         """Forget the latencies and failures of calls to a server, which took another way."""
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -191,7 +191,8 @@
                 self._shared.guard.check(job)
                 progress.sends += 1
                 progress.runs += 1
-                await self._decode(job, progress, reservation, prefill)
+                with self._shared.prompt_waste.watch(model.prompt_tokens):
+                    await self._decode(job, progress, reservation, prefill)
             finally:
                 self._prefill_runner.release_unused(prefill)
         finally:
