Ask an engine when it started before a stream goes on there

Cause: the version of an engine is known by its entry only, and nothing told that a process at the same address under the same id is another one.

An engine says when it started in its report. It is asked before a stream goes on there, unless a connection to it has stayed open since it was last asked: then it cannot have started anew. One that started later than its entry says is avoided until the newer entry is read, and the stream goes on elsewhere or is refused; one that does not answer gets no stream, one whose report names no start is trusted as before. A call for each engine to which no connection had stayed open, for streams that go on only.

Not mended, by reading: a new stream that begins there in that second is recorded as one of the first version.

--- a/pimentoquay/bench/mutations/stream_switches.py
+++ b/pimentoquay/bench/mutations/stream_switches.py
@@ -2,7 +2,7 @@
 
 import math
 
-from pimentoquay.bench.mutations.replacements import return_constant
+from pimentoquay.bench.mutations.replacements import do_nothing_async, return_constant
 from pimentoquay.bench.mutations.switch import Switch
 
 __all__ = ["STREAM_SWITCHES"]
@@ -44,5 +44,12 @@
         "pimentoquay/policy/tests/test_pools.py::"
         "test_a_stream_that_goes_on_is_tried_before_a_new_one_that_came_later",
     ),
+    Switch(
+        "engine asked when it started before a stream goes on",
+        "pimentoquay.gateway.streams:check_start",
+        do_nothing_async,
+        "pimentoquay/gateway/tests/test_software_versions.py::"
+        "test_an_engine_that_is_back_at_another_version_gets_no_stream_before_its_entry_is_read",
+    ),
 )
 """Mechanisms of the gateway for streams that break off and for planned stops."""
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -7,6 +7,7 @@
 
 import asyncio
 
+from pimentoquay.gateway.engine_start import check_start
 from pimentoquay.gateway.event_reader import EventReader
 from pimentoquay.gateway.job import (
     MAX_CRASHES_PER_REQUEST,
@@ -191,6 +192,7 @@
                 self._shared.guard.check(job)
                 progress.sends += 1
                 progress.runs += 1
+                await check_start(self._shared, reservation, progress.software)
                 with self._shared.prompt_waste.watch(model.prompt_tokens):
                     await self._decode(job, progress, reservation, prefill)
             finally:
--- a/pimentoquay/http1/client.py
+++ b/pimentoquay/http1/client.py
@@ -67,7 +67,8 @@
     """Pool of connections to one backend server.
 
     ``active`` holds the connections with an exchange in progress, and ``heard_at`` is the time at
-    which something was last received on one that is no longer active.
+    which something was last received on one that is no longer active. ``epoch`` grows whenever a
+    connection is opened while none is: only then may the server have started anew meanwhile.
 
     Parameters
     ----------
@@ -102,6 +103,7 @@
         self._connect = connect
         self._idle: deque[ClientConnection] = deque()
         self._closed = False
+        self.epoch = 0
 
     @contextlib.asynccontextmanager
     async def exchange(
@@ -208,6 +210,7 @@
             detail = f"no connection to {self.address}: {error!r}"
             raise ConnectError(detail, _failure_of(error)) from error
         if not connection.is_lost:
+            self.epoch += not self.open_connections
             self.open_connections += 1
             connection.on_lost = self._remove_connection
         return connection
--- a/pimentoquay/platform/__init__.py
+++ b/pimentoquay/platform/__init__.py
@@ -9,12 +9,7 @@
 from pimentoquay.platform.engine_calls import EngineCall, EngineCalls, OrderOutcome
 from pimentoquay.platform.engine_entry import decode_engine_entry
 from pimentoquay.platform.requests import CallerRequest, SendOptions, engine_headers, parse_request
-from pimentoquay.platform.responses import (
-    PrefillResult,
-    ResponseInfo,
-    parse_prefill,
-    parse_response,
-)
+from pimentoquay.platform.responses import parse_prefill, parse_response
 from pimentoquay.platform.settings import DeploymentSettings, load_deployment_settings
 from pimentoquay.platform.store import (
     KeyedRecord,
@@ -31,10 +26,8 @@
     "EngineCalls",
     "KeyedRecord",
     "OrderOutcome",
-    "PrefillResult",
     "RecordPage",
     "RecordsGoneError",
-    "ResponseInfo",
     "SendOptions",
     "StoreClient",
     "StoreError",
--- a/pimentoquay/platform/engine_calls.py
+++ b/pimentoquay/platform/engine_calls.py
@@ -7,7 +7,7 @@
 
 from pimentoquay.http1.headers import HeaderList
 from pimentoquay.http1.response_marks import ResponseMark
-from pimentoquay.platform.fields import parse_json, required
+from pimentoquay.platform.fields import optional, parse_json, required
 from pimentoquay.platform.responses import MARK_OF_CALL, MARK_OF_CALL_ALONE
 
 __all__ = ["EngineCall", "EngineCalls", "OrderOutcome"]
@@ -77,6 +77,10 @@
         """Free a prefilled KV cache that no decode engine will fetch."""
         return self._delete("kv-handle", handle)
 
+    def report(self) -> EngineCall:
+        """Ask the engine about itself."""
+        return EngineCall(b"GET", b"/api/report", self._headers)
+
     def change_stage(self, to_prefill: bool, holder: str, fence: int) -> EngineCall:
         """Order the engine to prefill or to decode, with the sender and its fencing token."""
         stage = "prefill" if to_prefill else "decode"
@@ -95,6 +99,11 @@
         """Return the id of a reservation; raise ``DecodeError`` if the response has none."""
         return required(parse_json(body, "hold"), "hold", str)
 
+    @staticmethod
+    def parse_start(body: bytes) -> int:
+        """Return when the engine started, in Unix milliseconds, or 0 if it does not say that."""
+        return optional(parse_json(body, "report"), "born", int, 0, 0)
+
     def _delete(self, call: str, resource_id: str) -> EngineCall:
         target = f"/api/{call}/{quote(resource_id, safe='')}".encode()
         return EngineCall(b"DELETE", target, self._headers)
--- a/pimentoquay/standin/platform_engine.py
+++ b/pimentoquay/standin/platform_engine.py
@@ -240,6 +240,8 @@
         elif target.startswith("/api/hold-drop/"):
             self.holds.pop(target.rpartition("/")[2], None)
             reply.send(200, (), b"{}")
+        elif target == "/api/report":
+            reply.send(200, (), json.dumps({"stage": self.stage, "born": self.born}).encode())
         elif target == "/api/order":
             self._apply_order(json.loads(request.body), reply)
         elif target.startswith("/api/kv-handle/"):
@@ -383,11 +385,10 @@
                     await asyncio.sleep(self.crash_seconds)
                     self.crash()
                     return
-                if behaviour is Behaviour.BREAK and number == 4:
-                    reply.abort()
-                    return
-                if behaviour is Behaviour.HALF_EVENT and number == 3:
+                is_half = behaviour is Behaviour.HALF_EVENT and number == 3
+                if is_half:
                     reply.write(b"id: 3\nda")
+                if is_half or (behaviour is Behaviour.BREAK and number == 4):
                     reply.abort()
                     return
                 reply.write(self.event(number))
