List as known: new streams at an engine that is back at another version

A new stream that begins at an engine which is back under its id at another version, before its entry is read, is recorded as one of the version that the old entry names, and goes on at another engine of that one (ORDER).

--- a/pimentoquay/gateway/tests/test_engine_starts.py
+++ b/pimentoquay/gateway/tests/test_engine_starts.py
@@ -73,3 +73,23 @@
         for request_id in ids:
             assert (await resume(env, request_id)).status == 200
         assert runs_at(env, *DECODING)
+
+
+async def test_a_new_stream_at_an_engine_that_is_back_at_another_version_goes_on_at_that_version():
+    """It is recorded as one of the version that the entry named when it began."""
+    async with rig() as env:
+        engine = env.engine_by_id["dec-1"]
+        engine.crash()
+        engine.software = "v2"
+        await engine.restart()
+        streams = Streams(env)
+        await streams.begin(6)
+        ids = await streams.leave()
+        began_there = {each.headers["pimentoquay-request-id"] for each in runs_at(env, "dec-1")}
+        await env.store.put("keyed.servers", "dec-1", engine.entry())
+        await until(lambda: is_listed(env, "dec-1", "v2"), "v2")
+        assert began_there
+        before = len(runs_at(env, "dec-2"))
+        for request_id in began_there.intersection(ids):
+            await resume(env, request_id)
+        assert len(runs_at(env, "dec-2")) == before
