Check the mechanism of lost connections by the test that there is

pimentoquay-bench mutations reported "connection lost as it is opened" as not run, since put its test together with another. It names that one now and is caught. A test asks that each mechanism names a test that exists; it failed before.

--- a/pimentoquay/bench/mutations/gateway_switches.py
+++ b/pimentoquay/bench/mutations/gateway_switches.py
@@ -108,7 +108,7 @@
         "pimentoquay.http1.client_connection:ClientConnection.is_closing",
         lambda original: False,
         "pimentoquay/http1/tests/test_client.py::"
-        "test_a_connection_that_is_lost_before_its_request_is_sent_is_a_failed_one",
+        "test_a_connection_lost_before_the_request_is_sent_is_a_failed_one[close-0.0]",
     ),
     Switch(
         "size of a body",
--- a/pimentoquay/bench/tests/test_mutations.py
+++ b/pimentoquay/bench/tests/test_mutations.py
@@ -1,5 +1,22 @@
+from pathlib import Path
+
+import pimentoquay
 from pimentoquay.bench.mutations import Switch, switch_of
 from pimentoquay.bench.mutations.command import check_switch
+from pimentoquay.bench.mutations.switches import SWITCHES
+
+REPOSITORY = Path(pimentoquay.__file__).parents[1]
+
+
+def test_each_mechanism_names_a_test_that_exists():
+    """A renamed test left its mechanism unchecked, reported as not run."""
+    named = {switch.name: switch.test.partition("[")[0].split("::") for switch in SWITCHES}
+    missing = [
+        name
+        for name, (path, *_, test) in named.items()
+        if f"def {test}(" not in (REPOSITORY / path).read_text(encoding="utf-8")
+    ]
+    assert missing == []
 
 
 def test_disabled_mechanism_fails_its_test():
