Switch off the mechanisms of streams and versions where they are now

A run of pimentoquay-bench mutations reported three mechanisms as not caught: two functions had moved to other modules, and "streams go on at their version" is held by two layers since engines are chosen for a stream, of which one was switched off. A test asks that each mechanism is found where its switch says; it failed before in two cases.

--- a/pimentoquay/bench/mutations/gateway_switches.py
+++ b/pimentoquay/bench/mutations/gateway_switches.py
@@ -11,6 +11,7 @@
     return_constant,
     use_whole_limit,
     wait_behind_all,
+    wait_for_any_version,
 )
 from pimentoquay.bench.mutations.switch import Switch
 from pimentoquay.kernel.programs import STOP_SIGNALS
@@ -247,13 +248,13 @@
     ),
     Switch(
         "streams go on at their version",
-        "pimentoquay.policy.version_choice:may_run",
-        return_constant(True),
+        "pimentoquay.gateway.streams:WaitingStream",
+        wait_for_any_version,
         _VERSIONS + "test_streams_of_a_crashed_engine_go_on_at_their_version_only",
     ),
     Switch(
         "order of the streams that wait",
-        "pimentoquay.gateway.reservations:Reservations._ahead_of",
+        "pimentoquay.policy.stream_queue:StreamQueue.ahead_of",
         wait_behind_all,
         _VERSIONS + "test_a_late_stream_that_waits_to_go_on_does_not_hold_up_new_ones",
     ),
@@ -271,7 +272,7 @@
     ),
     Switch(
         "streams of a version that is gone are refused at once",
-        "pimentoquay.gateway.reservations:can_go_on",
+        "pimentoquay.gateway.stream_refusals:can_go_on",
         return_constant(True),
         _VERSIONS + "test_streams_of_a_version_that_is_gone_are_refused_at_once",
     ),
--- a/pimentoquay/bench/mutations/replacements.py
+++ b/pimentoquay/bench/mutations/replacements.py
@@ -52,6 +52,7 @@
     "turn_late_like_new_streams",
     "use_whole_limit",
     "wait_behind_all",
+    "wait_for_any_version",
     "yield_to_all_streams",
 ]
 
@@ -370,7 +371,16 @@
 
 def wait_behind_all(original: Any) -> Any:
     """Let each stream wait for all others that wait."""
-    return lambda self, waiter: [each for each in self._waiting if each is not waiter]
+    return lambda self, waiter, now: [each for each in self if each is not waiter]
+
+
+def wait_for_any_version(original: Any) -> Any:
+    """Let streams that go on wait for the engines of all versions."""
+
+    def wait(need: Any, times: Any, software: str, avoided: Any) -> Any:
+        return original(need, times, "", avoided)
+
+    return wait
 
 
 def drop_events_before_a_wrong_one(original: Any) -> Any:
--- a/pimentoquay/bench/mutations/switch.py
+++ b/pimentoquay/bench/mutations/switch.py
@@ -31,9 +31,15 @@
 
     def turn_off(self) -> None:
         """Replace the mechanism in this process; it cannot be restored."""
+        owner, attribute = self.find()
+        setattr(owner, attribute, self.make_replacement(getattr(owner, attribute)))
+
+    def find(self) -> tuple[Any, str]:
+        """Return what holds the mechanism, and its name there; ``AttributeError`` if none does."""
         module, _, path = self.target.partition(":")
         owner: Any = import_module(module)
         *outer, attribute = path.split(".")
         for name in outer:
             owner = getattr(owner, name)
-        setattr(owner, attribute, self.make_replacement(getattr(owner, attribute)))
+        getattr(owner, attribute)
+        return owner, attribute
--- a/pimentoquay/bench/tests/test_mutations.py
+++ b/pimentoquay/bench/tests/test_mutations.py
@@ -19,6 +19,13 @@
     assert missing == []
 
 
+def test_each_mechanism_can_be_found():
+    """A function that had moved left its mechanism unchecked, reported as not run."""
+    for switch in SWITCHES:
+        owner, name = switch.find()
+        assert hasattr(owner, name), switch.name
+
+
 def test_disabled_mechanism_fails_its_test():
     assert check_switch(switch_of("hysteresis of roles")).is_caught
 
