Test deadly parts at once in virtual time, through their trials

Cause: parts that are suspected beside others are tried alone once, a second after the last crash, and that crash makes the quarantine certain. The rounds of the test take 1.2 s on an idle machine; beside load the last requests came after that second, and one of them was the trial.

--- a/pimentoquay/gateway/tests/test_deadly_parts.py
+++ b/pimentoquay/gateway/tests/test_deadly_parts.py
@@ -8,7 +8,11 @@
 from pimentoquay.gateway.tests.rig import rig, until
 from pimentoquay.messages.fleet import CrashedRequest, CrashEvidence
 from pimentoquay.platform.store import PROMPT_TOPIC
-from pimentoquay.policy.request_quarantine import CERTAIN_TRIAL_SECONDS, RETENTION_SECONDS
+from pimentoquay.policy.request_quarantine import (
+    CERTAIN_TRIAL_SECONDS,
+    RETENTION_SECONDS,
+    TRIAL_TURN_SECONDS,
+)
 from pimentoquay.standin.platform_engine import Behaviour, PlatformEngine
 
 SHARED = b"5c1e07a2:200"
@@ -112,6 +116,11 @@
         assert response.status == 502 and fleet.crashed
 
 
+def trials_of(env):
+    """Return how many requests all gateways have sent in spite of a quarantine."""
+    return sum(gateway.guard.trials for gateway in env.gateway_by_vm.values())
+
+
 def quarantined(gateway):
     return {part for each in gateway.guard.quarantines for part in each.features}
 
@@ -126,6 +135,8 @@
                 await env.stream(f"/digest/{part}", vm=f"vm-{vm + 1}", model=prompt())
 
 
+# In virtual time, as a trial begins a second after a crash, however long the requests take.
+@pytest.mark.looptime(start=1000)
 async def test_several_deadly_parts_at_once_are_told_apart_from_sound_ones():
     bad = ("dead0001", "dead0002", "dead0003")
     async with rig() as env:
@@ -137,8 +148,20 @@
         for number in range(12):
             await asyncio.gather(*(send(env, number + k, bad[k], f"50{k}") for k in range(3)))
             sound += [await send(env, number, f"50{number % 3}"), await send(env, number)]
-        last = [await send(env, 0, part) for part in bad]
-        assert [response.status for response in last] == [503] * 3
+            await asyncio.sleep(0.1)
+        trials, crashes = trials_of(env), len(fleet.crashed)
+        last = []
+        for number in range(12):
+            last += [await send(env, number, part) for part in bad]
+            await asyncio.sleep(TRIAL_TURN_SECONDS)
+        # What is suspected beside another part is tried alone, once, a second after its last crash.
+        trials = trials_of(env) - trials
+        assert [response.status for response in last].count(503) == len(last) - trials
+        assert trials == len(fleet.crashed) - crashes <= len(bad)
+        sent = [len(fleet.arrivals(part)) for part in bad]
+        for vm in range(3):
+            assert [(await send(env, vm, part)).status for part in bad] == [503] * 3
+        assert [len(fleet.arrivals(part)) for part in bad] == sent
         assert len(fleet.crashed) <= (ALLOWED_CRASHES + ALLOWED_SENDS) * len(bad)
         assert [each.status for each in sound[-12:]] == [200] * 12
 
