--- a/pimentoquay/gateway/tests/test_deadly_parts.py
+++ b/pimentoquay/gateway/tests/test_deadly_parts.py
@@ -159,8 +159,8 @@
         assert [response.status for response in last].count(503) == len(last) - trials
         assert trials == len(fleet.crashed) - crashes <= len(bad)
         sent = [len(fleet.arrivals(part)) for part in bad]
-        for vm in range(3):
-            assert [(await send(env, vm, part)).status for part in bad] == [503] * 3
+        for number in range(3):
+            assert [(await send(env, number, part)).status for part in bad] == [503] * 3
         assert [len(fleet.arrivals(part)) for part in bad] == sent
         assert len(fleet.crashed) <= (ALLOWED_CRASHES + ALLOWED_SENDS) * len(bad)
         assert [each.status for each in sound[-12:]] == [200] * 12
