Know streams at an engine whose entry is not read by its start

Callers saw: a stream that began at an engine which was back under its id at another software version, before its new entry was read, went on at an engine of the earlier version after a break (ORDER).

Cause: a new stream was recorded at the version that the entry of the engine named, and that entry was of the start before. Streams that go on were not sent there, as the engine is asked when it started; new ones went unasked.

Change: before a new stream begins on a route whose streams may go on, an engine to which no connection had stayed open is asked when it started. One that has started anew gets the stream, which is known by a name for that start ("unknown: ID INCARNATION", as for engines that state no version). The name is told to peers and stored at once, and each gateway puts the real version in its place when it reads the entry of that start (policy/unlisted_starts.py). Until then the stream waits with its caller (503, Retry-After); if the engine starts again before its entry was written, nothing tells the version and the stream is refused.

A test said that new streams go anywhere unasked; it checks now that each engine is asked once while connections to it stay open.

Cost: one GET /api/report per engine and time without an open connection, for new streams too.

--- a/pimentoquay/bench/mutations/path_switches.py
+++ b/pimentoquay/bench/mutations/path_switches.py
@@ -106,7 +106,7 @@
     ),
     Switch(
         "streams go on at versions that are not recorded",
-        "pimentoquay.gateway.shared_state:may_run",
+        "pimentoquay.gateway.shared_state:SharedState.engines_for_stream",
         close_versions_to_all_streams,
         _REJOINED + "test_a_stream_goes_on_at_its_version_though_the_store_does_not_hold_it",
     ),
--- a/pimentoquay/bench/mutations/replacements.py
+++ b/pimentoquay/bench/mutations/replacements.py
@@ -108,10 +108,12 @@
 def close_versions_to_all_streams(original: Any) -> Any:
     """Let no stream go on at a version at which none may begin."""
 
-    def may_run(engine: Any, software: str, closed: Any = ()) -> bool:
-        return bool(original(engine, software)) and engine.software_version not in closed
+    def engines_for_stream(self: Any, service: str, stages: Any, software: str = "") -> Any:
+        closed = self.closed_versions(service, stages)
+        engines = original(self, service, stages, software)
+        return tuple(each for each in engines if each.software_version not in closed)
 
-    return may_run
+    return engines_for_stream
 
 
 def keep_role_while_cut_off(original: Any) -> Any:
--- a/pimentoquay/bench/mutations/stream_switches.py
+++ b/pimentoquay/bench/mutations/stream_switches.py
@@ -9,6 +9,7 @@
 
 _ENDS = "pimentoquay/gateway/tests/test_stream_ends.py::"
 _ERRORS = "pimentoquay/gateway/tests/test_errors_in_streams.py::"
+_STARTS = "pimentoquay/gateway/tests/test_engine_starts.py::"
 _STOP = "pimentoquay/gateway/tests/test_late_in_stop.py::"
 
 STREAM_SWITCHES = (
@@ -46,10 +47,30 @@
     ),
     Switch(
         "engine asked when it started before a stream goes on",
-        "pimentoquay.gateway.streams:check_start",
+        "pimentoquay.gateway.engine_link:EngineLink.newer_start",
         do_nothing_async,
         "pimentoquay/gateway/tests/test_software_versions.py::"
         "test_an_engine_that_is_back_at_another_version_gets_no_stream_before_its_entry_is_read",
     ),
+    Switch(
+        "stream known by the start of an engine whose entry is not read",
+        "pimentoquay.gateway.engine_start:unstated_version",
+        return_constant("v1"),
+        _STARTS + "test_a_new_stream_at_an_engine_that_is_back_at_another_version_goes_on_at_that"
+        "_version",
+    ),
+    Switch(
+        "streams at a start whose entry is not read told to peers",
+        "pimentoquay.gateway.stream_origins:OriginExchange._is_told",
+        lambda original: lambda self, version: version[0] in self._mixed,
+        _STARTS + "test_a_stream_at_an_engine_that_is_back_waits_at_another_gateway_for_the_entry",
+    ),
+    Switch(
+        "version of a start told by its entry",
+        "pimentoquay.policy.unlisted_starts:UnlistedStarts.version_of",
+        lambda original: lambda self, software: software,
+        _STARTS + "test_a_new_stream_at_an_engine_that_is_back_at_another_version_goes_on_at_that"
+        "_version",
+    ),
 )
 """Mechanisms of the gateway for streams that break off and for planned stops."""
--- a/pimentoquay/gateway/engine_link.py
+++ b/pimentoquay/gateway/engine_link.py
@@ -117,6 +117,7 @@
         self._contact = contact
         self._checking: asyncio.Task[ServerState] | None = None
         self._asked_epoch: int | None = None
+        self._newer_start: EngineStart | None = None
         self.calls = EngineCalls(entry.id, entry.address)
         self._paths = paths
 
@@ -220,20 +221,24 @@
             alone = replace(call, mark=MARK_OF_CALL_ALONE)
             return await self._call(self._pool, alone, seconds)
 
-    async def has_started_anew(self) -> bool:
-        """Return whether the engine is another start of it than that of its entry, as it says.
+    async def newer_start(self) -> EngineStart | None:
+        """Return the start of the engine if it is a newer one than that of its entry, as it says.
 
         It is asked only if there has been a moment without any connection since it last said so.
         Raise ``HttpError`` if it does not answer.
         """
         if self._asked_epoch == self._pool.epoch and self._pool.open_connections:
-            return False
+            return self._newer_start
         status, body = await self.call(self.calls.report())
+        self._newer_start = None
         with contextlib.suppress(DecodeError):
-            if status == 200 and self.calls.parse_start(body) > self.entry.incarnation > 0:
-                return True
+            if (
+                status == 200
+                and (born := self.calls.parse_start(body)) > self.entry.incarnation > 0
+            ):
+                self._newer_start = EngineStart(self.entry.id, born)
         self._asked_epoch = self._pool.epoch
-        return False
+        return self._newer_start
 
     async def order(self, call: EngineCall, seconds: float) -> tuple[int, bytes]:
         """Make a call that must come from this VM, and not through a peer."""
--- a/pimentoquay/gateway/engine_start.py
+++ b/pimentoquay/gateway/engine_start.py
@@ -1,36 +1,47 @@
-"""Check that an engine has not started anew before a stream goes on there."""
+"""Ask an engine whether it has started anew before a stream begins or goes on there.
 
+An engine that starts again under its id may do so at another software version, and takes requests
+before its entry is read.
+"""
+
+from pimentoquay.gateway.job import Job
 from pimentoquay.gateway.reservation import Reservation
 from pimentoquay.gateway.shared_state import SharedState
 from pimentoquay.gateway.stream_progress import RunEndedError
 from pimentoquay.kernel.errors import HttpError
+from pimentoquay.policy.fleet import unstated_version
 
-__all__ = ["check_start"]
+__all__ = ["version_at"]
 
 
-async def check_start(shared: SharedState, reservation: Reservation, software: str) -> None:
-    """Raise ``RunEndedError`` if the engine may be of another version than its entry says.
+async def version_at(shared: SharedState, job: Job, reservation: Reservation, software: str) -> str:
+    """Return the software version of an engine, by which a stream there is to be known.
 
-    An engine that starts again under its id may do so at another version, and takes requests before
-    its entry is read.
+    A new stream may begin at an engine that has started anew. It is known by a name for that start
+    until the entry is read. Raise ``RunEndedError`` if a stream may not go on there.
 
     Parameters
     ----------
     shared
         State that the components share.
+    job
+        The request.
     reservation
         Memory of the engine.
     software
         Version that began the stream, or empty if none has.
     """
-    if not software:
-        return
     engine = reservation.engine
+    if not software and not job.route.is_resumable:
+        return engine.software_version
     try:
-        if not await reservation.link.has_started_anew():
-            return
+        start = await reservation.link.newer_start()
     except HttpError as error:
         detail = f"the engine does not say when it started: {error}"
         raise RunEndedError(detail, has_run=False, has_arrived=False) from None
+    if start is None:
+        return engine.software_version
+    if not software:
+        return unstated_version(start)
     shared.mark_misdirected(engine)
     raise RunEndedError("the engine has started anew", has_run=False, has_arrived=False)
--- a/pimentoquay/gateway/metrics.py
+++ b/pimentoquay/gateway/metrics.py
@@ -174,7 +174,8 @@
     "pimentoquay_gateway_resumptions_total",
     "counter",
     "streams that callers took up, by how the version that began them was known: `own`, `told`, "
-    "`only version` or `unknown`, and why this gateway may have been out of step",
+    "`only version`, `awaited` (the entry of its engine) or `unknown`, and why this gateway may "
+    "have been out of step",
     ("origin",),
 )
 
--- a/pimentoquay/gateway/stream_origins.py
+++ b/pimentoquay/gateway/stream_origins.py
@@ -33,6 +33,7 @@
     StreamOrigins,
     stream_key,
 )
+from pimentoquay.policy.unlisted_starts import UnlistedStarts
 from pimentoquay.policy.version_doubt import Doubt, Verdict, judge
 
 __all__ = ["OriginExchange"]
@@ -82,6 +83,7 @@
         self._publish = publish
         self._known = StreamOrigins()
         self._own = StreamOrigins()
+        self._unlisted = UnlistedStarts()
         self._untold: dict[tuple[str, str], list[bytes]] = {}
         self._versions_by_service: dict[str, ServiceVersions] = {}
         self._mixed: frozenset[str] = frozenset()
@@ -130,10 +132,12 @@
             if judge(self._served(job), doubt, has_read) is Verdict.READ:
                 has_read = await self.read_store()
                 found = self._told_origin(job)
-        verdict = judge(self._served(job), doubt, has_read)
-        if found is None and verdict is Verdict.ONLY_VERSION:
+        verdict, how = judge(self._served(job), doubt, has_read), "unknown"
+        if found is not None and self._unlisted.is_awaited(found[0]):
+            found, how, verdict = None, "awaited", Verdict.COME_BACK
+        elif found is None and verdict is Verdict.ONLY_VERSION:
             found = next(iter(self._served(job)), ""), "only version"
-        software, how = found or ("", "unknown")
+        software, how = found or ("", how)
         origin = how if doubt is None else f"{how}, {doubt.value}"
         self.resumed_by_origin[origin] += 1
         logger.bind(
@@ -149,12 +153,16 @@
             self._refuse(job, verdict)
         return software
 
+    def version_now(self, software: str) -> str:
+        """Return the version at which a stream goes on that began at a version."""
+        return self._unlisted.version_of(software)
+
     def _told_origin(self, job: Job) -> tuple[str, str] | None:
         """Return the version at which a stream began, and how it is known, if it is."""
         key = stream_key(job.caller.resumes)
         for how, origins in (("own", self._own), ("told", self._known)):
             if job.caller.resumes and (found := origins.software_of(job.service, key)) is not None:
-                return found, how
+                return self._unlisted.version_of(found), how
         return None
 
     def _served(self, job: Job) -> set[str]:
@@ -168,12 +176,16 @@
         seconds = LOAD_SECONDS if verdict is Verdict.COME_BACK else 0.0
         raise RefusedError(ResultCode.STREAM_ORIGIN_UNKNOWN, detail, seconds)
 
-    def record_begun(self, job: Job, engine: EngineEntry) -> None:
-        """Record that an engine has written the first event of a stream, or has gone on with it."""
+    def record_begun(self, job: Job, software: str) -> None:
+        """Record that an engine of a software version has begun a stream, or has gone on with it.
+
+        An engine whose entry is not read yet has the version that nobody states.
+        """
         key = _key_of(job)
-        version = job.service, engine.software_version
+        version = job.service, software
+        self._learn_starts((software,))
         self._own.learn(*version, (key,), self._timers.now())
-        if job.service in self._mixed:
+        if self._is_told(version):
             self._tell_soon(version, key)
             self._store_later({version: [key]})
 
@@ -192,6 +204,7 @@
         for batch in batches:
             for version, keys in _keys_by_version(batch).items():
                 self._known.learn(*version, keys, now)
+                self._unlisted.learn(version[1], now)
         self._is_loaded = True
         self.observe()
         logger.bind(versions=len(self.served_versions()), streams=len(self._known)).info(
@@ -215,7 +228,7 @@
         for origins in (self._own, self._known):
             keys_by_version = origins.keys_by_version()
             self._store_later(
-                {each: keys for each, keys in keys_by_version.items() if each[0] in self._mixed}
+                {each: keys for each, keys in keys_by_version.items() if self._is_told(each)}
             )
 
     def record_stored(self, version: tuple[str, str]) -> None:
@@ -249,8 +262,13 @@
             listed.setdefault(engine.service, set()).add(engine.software_version)
         for service in listed.keys() | self._versions_by_service.keys():
             self._versions_of(service).observe(listed.get(service, set()), now)
+        self._unlisted.observe(self._fleet.engines())
         self._update_mixed()
 
+    def _learn_starts(self, versions: Iterable[str]) -> None:
+        if any([self._unlisted.learn(each, self._timers.now()) for each in versions]):
+            self._unlisted.observe(self._fleet.engines())
+
     def _versions_of(self, service: str) -> ServiceVersions:
         return self._versions_by_service.setdefault(service, ServiceVersions())
 
@@ -282,6 +300,9 @@
             self._publish(_message(own))
             self._store_later(own)
 
+    def _is_told(self, version: tuple[str, str]) -> bool:
+        return version[0] in self._mixed or self._unlisted.is_awaited(version[1])
+
     def _store_later(self, keys_by_version: Mapping[tuple[str, str], Iterable[bytes]]) -> None:
         now = self._timers.now()
         for (service, software), keys in keys_by_version.items():
@@ -301,6 +322,7 @@
         self.observe()
         self.batches.expire(self._timers.now())
         now, life = self._timers.now(), self.life_seconds
+        self._unlisted.expire(now - life)
         for origins in (self._own, self._known):
             origins.expire(now - life)
         for versions in self._versions_by_service.values():
@@ -312,6 +334,7 @@
         for version, keys in _keys_by_version(message).items():
             if new := self._known.learn(*version, keys, now):
                 new_by_version[version] = new
+        self._learn_starts(software for _, software in new_by_version)
         self._store_later(new_by_version)
         return _message(new_by_version) if new_by_version else None
 
@@ -319,7 +342,7 @@
         found: dict[tuple[str, str], list[bytes]] = {}
         for origins in (self._own, self._known):
             for version, keys in origins.keys_by_version().items():
-                if version[0] in self._mixed:
+                if self._is_told(version):
                     found.setdefault(version, []).extend(keys)
         return _message(found) if found else None
 
--- a/pimentoquay/gateway/stream_progress.py
+++ b/pimentoquay/gateway/stream_progress.py
@@ -54,8 +54,8 @@
     which it crashed. ``streamed_seconds`` is the time from the first to the last event of the
     current run, ``engine`` its engine. ``has_unnumbered`` is whether pieces without an id were sent
     before the first event with one. ``software`` is the software version of the engine that
-    began the stream, or empty if none has. ``engines_without_events`` holds the ids of those that
-    ended a run in order without an event.
+    began the stream, or empty if none has, ``run_software`` that of the current run.
+    ``engines_without_events`` holds the ids of those that ended a run in order without an event.
     """
 
     last_event: int | None
@@ -67,6 +67,7 @@
     engine: str = ""
     has_unnumbered: bool = False
     software: str = ""
+    run_software: str = ""
     error_response: ErrorResponse | None = None
     engines_without_events: set[str] = field(default_factory=set)
 
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -7,7 +7,7 @@
 
 import asyncio
 
-from pimentoquay.gateway.engine_start import check_start
+from pimentoquay.gateway.engine_start import version_at
 from pimentoquay.gateway.event_reader import EventReader
 from pimentoquay.gateway.job import (
     MAX_CRASHES_PER_REQUEST,
@@ -30,7 +30,7 @@
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.requests import SendOptions
 from pimentoquay.platform.responses import parse_response
-from pimentoquay.policy.fleet import EngineEntry, ModelRequest, TokenMemory
+from pimentoquay.policy.fleet import ModelRequest, TokenMemory
 from pimentoquay.policy.memory_forecast import MemoryNeed
 from pimentoquay.policy.output_estimate import OutputLengthEstimator
 from pimentoquay.policy.stream_admission import StreamTimes, first_request_at, stream_times
@@ -169,6 +169,7 @@
         assert model is not None and memory is not None
         need = self._memory_need(job.service, model, memory, progress)
         times = self._stream_times(job)
+        progress.software = self._shared.origins.version_now(progress.software)
         waiter = WaitingStream(
             need, times, progress.software, avoided=frozenset(progress.engines_without_events)
         )
@@ -192,7 +193,9 @@
                 self._shared.guard.check(job)
                 progress.sends += 1
                 progress.runs += 1
-                await check_start(self._shared, reservation, progress.software)
+                progress.run_software = await version_at(
+                    self._shared, job, reservation, progress.software
+                )
                 with self._shared.prompt_waste.watch(model.prompt_tokens):
                     await self._decode(job, progress, reservation, prefill)
             finally:
@@ -327,7 +330,7 @@
         while events := await reader.next_events():
             now = loop.time()
             if not first_at:
-                self._record_begun(job, progress, reservation.engine)
+                self._record_begun(job, progress)
             first_at, pause, last_at = first_at or now, now - (last_at or now), now
             progress.streamed_seconds = now - first_at
             if pause > job.route.gap_seconds:
@@ -356,16 +359,16 @@
         if not is_end_confirmed(tokens, max_tokens, progress.engines_without_events):
             raise RunEndedError("the run ended without an event", True)
 
-    def _record_begun(self, job: Job, progress: StreamProgress, engine: EngineEntry) -> None:
+    def _record_begun(self, job: Job, progress: StreamProgress) -> None:
         self._shared.guard.record_begun(job)
-        self._shared.origins.record_begun(job, engine)
-        began_at, progress.software = progress.software, engine.software_version
+        self._shared.origins.record_begun(job, progress.run_software)
+        began_at, progress.software = progress.software, progress.run_software
         if progress.runs > 1 or job.caller.last_event is not None:
             logger.bind(
                 request=job.caller.id,
                 resumes=job.caller.resumes,
-                engine=engine.id,
-                software=engine.software_version,
+                engine=progress.engine,
+                software=progress.software,
                 began_at=began_at,
             ).info("stream resumed")
 
--- a/pimentoquay/gateway/tests/test_engine_starts.py
+++ b/pimentoquay/gateway/tests/test_engine_starts.py
@@ -43,11 +43,11 @@
         asked = count_reports(env, monkeypatch)
         streams = Streams(env)
         await streams.begin(6)
-        ids = await streams.leave()
-        assert not asked, "new streams go anywhere"
-        for request_id in ids:
+        used = [name for name in DECODING if runs_at(env, name)]
+        assert len(asked) == len(used), "six streams began there"
+        for request_id in await streams.leave():
             assert (await resume(env, request_id)).status == 200
-        assert 1 <= len(asked) <= len(DECODING)
+        assert len(asked) <= len(used) + len(DECODING), "all connections were closed in between"
 
 
 @pytest.mark.parametrize("answer", [(200, b"{}"), (200, b"no JSON"), (404, b"")])
@@ -75,21 +75,122 @@
         assert runs_at(env, *DECODING)
 
 
+async def restart(env, name, software):
+    """Let an engine crash and start again at a version; its entry is not written."""
+    engine = env.engine_by_id[name]
+    engine.crash()
+    engine.software = software
+    await engine.restart()
+    return engine
+
+
+async def list_engine(env, name, vms=("vm-1",)):
+    """Write the entry of an engine, and wait until the gateways have read it."""
+    engine = env.engine_by_id[name]
+    await env.store.put("keyed.servers", name, engine.entry())
+    fleets = [env.gateway_by_vm[vm].fleet for vm in vms]
+
+    def is_read(fleet):
+        return any((e.id, e.incarnation) == (name, engine.born) for e in fleet.engines())
+
+    await until(lambda: all(map(is_read, fleets)), "entry read")
+
+
+async def begin_at_unlisted(env, software, count=6):
+    """Begin streams while dec-1 is back at a version unread; return the ids of those there."""
+    await restart(env, "dec-1", software)
+    streams = Streams(env)
+    await streams.begin(count)
+    ids = await streams.leave()
+    began_there = {each.headers["pimentoquay-request-id"] for each in runs_at(env, "dec-1")}
+    assert began_there
+    return sorted(began_there.intersection(ids))
+
+
 async def test_a_new_stream_at_an_engine_that_is_back_at_another_version_goes_on_at_that_version():
     """It is recorded as one of the version that the entry named when it began."""
     async with rig() as env:
-        engine = env.engine_by_id["dec-1"]
-        engine.crash()
-        engine.software = "v2"
-        await engine.restart()
+        ids = await begin_at_unlisted(env, "v2")
+        await list_engine(env, "dec-1")
+        assert is_listed(env, "dec-1", "v2")
+        before = len(runs_at(env, "dec-2"))
+        for request_id in ids:
+            assert (await resume(env, request_id)).status == 200
+        assert len(runs_at(env, "dec-2")) == before
+
+
+async def test_a_stream_at_an_engine_that_is_back_waits_with_its_caller_until_the_entry_is_read():
+    async with rig() as env:
+        ids = await begin_at_unlisted(env, "v2")
+        before = len(runs_at(env, *DECODING))
+        for request_id in ids:
+            response = await resume(env, request_id)
+            assert (response.status, float(response.headers["retry-after"]) > 0) == (503, True)
+        assert len(runs_at(env, *DECODING)) == before
+        await list_engine(env, "dec-1")
+        assert (await resume(env, ids[0])).status == 200
+
+
+async def test_a_stream_at_an_engine_that_is_back_at_its_version_goes_on_at_any_engine_of_it():
+    async with rig() as env:
+        ids = await begin_at_unlisted(env, "v1")
+        await list_engine(env, "dec-1")
+        env.engine_by_id["dec-1"].crash()
+        before = len(runs_at(env, "dec-2"))
+        for request_id in ids:
+            assert (await resume(env, request_id)).status == 200
+        assert len(runs_at(env, "dec-2")) == before + len(ids)
+
+
+async def test_a_stream_at_an_engine_that_started_twice_unlisted_is_refused():
+    """Nothing tells the version of the start in between."""
+    async with rig() as env:
+        ids = await begin_at_unlisted(env, "v2")
+        await restart(env, "dec-1", "v1")
+        await list_engine(env, "dec-1")
+        before = len(runs_at(env, *DECODING))
+        for request_id in ids:
+            assert (await resume(env, request_id)).status == 503
+        assert len(runs_at(env, *DECODING)) == before
+
+
+async def test_a_stream_at_an_engine_that_is_back_goes_on_at_its_version_by_another_gateway():
+    async with rig() as env:
+        await env.add_gateway("vm-2")
+        ids = await begin_at_unlisted(env, "v2")
+        await list_engine(env, "dec-1", ("vm-1", "vm-2"))
+        origins = env.gateway_by_vm["vm-2"].origins
+        await until(lambda: origins.known_streams >= len(ids), "told")
+        before = len(runs_at(env, "dec-2"))
+        for request_id in ids:
+            assert (await resume(env, request_id, vm="vm-2")).status == 200
+        assert len(runs_at(env, "dec-2")) == before
+
+
+async def test_a_stream_at_an_engine_that_is_back_waits_at_another_gateway_for_the_entry():
+    """That gateway knows one version only, and took it for the one that began the stream."""
+    async with rig() as env:
+        await env.add_gateway("vm-2")
+        ids = await begin_at_unlisted(env, "v2")
+        origins = env.gateway_by_vm["vm-2"].origins
+        await until(lambda: origins.known_streams >= len(ids), "told")
+        before = len(runs_at(env, *DECODING))
+        for request_id in ids:
+            assert (await resume(env, request_id, vm="vm-2")).status == 503
+        assert len(runs_at(env, *DECODING)) == before
+        await list_engine(env, "dec-1", ("vm-1", "vm-2"))
+        assert (await resume(env, ids[0], vm="vm-2")).status == 200
+
+
+async def test_an_answer_does_not_go_on_at_another_version_than_that_of_an_unlisted_engine():
+    async with rig() as env:
+        engine = await restart(env, "dec-1", "v2")
         streams = Streams(env)
         await streams.begin(6)
-        ids = await streams.leave()
-        began_there = {each.headers["pimentoquay-request-id"] for each in runs_at(env, "dec-1")}
-        await env.store.put("keyed.servers", "dec-1", engine.entry())
-        await until(lambda: is_listed(env, "dec-1", "v2"), "v2")
+        began_there = len(runs_at(env, "dec-1"))
+        await list_engine(env, "dec-1")
         assert began_there
         before = len(runs_at(env, "dec-2"))
-        for request_id in began_there.intersection(ids):
-            await resume(env, request_id)
+        engine.crash()
+        await streams.finish()
         assert len(runs_at(env, "dec-2")) == before
--- a/pimentoquay/gateway/tests/test_event_order.py
+++ b/pimentoquay/gateway/tests/test_event_order.py
@@ -33,12 +33,12 @@
         reply.end()
 
 
-async def add_piece_engines(env, monkeypatch, spoiled):
+async def add_piece_engines(env, monkeypatch, spoiled, software="v1"):
     """Replace the decode engines; the first stream of them gets the spoiled pieces."""
     monkeypatch.setattr(PieceEngine, "spoiled", spoiled)
     for name in ("dec-1", "dec-2"):
         await env.engine_by_id[name].close()
-        await env.add_engine(PieceEngine(name, "llm", stage="decode", born=2))
+        await env.add_engine(PieceEngine(name, "llm", stage="decode", born=2, software=software))
     fleet = env.gateway_by_vm["vm-1"].fleet
     await until(lambda: len([e for e in fleet.engines() if e.incarnation == 2]) == 2, "listed")
 
@@ -86,12 +86,15 @@
 ):
     """Nobody knew that the stream had begun, so that any version could go on with it."""
     async with rig() as env:
-        await add_piece_engines(env, monkeypatch, [event(1) + event(2) + event(65)])
-        origins = env.gateway_by_vm["vm-1"].origins
+        # Each of two engines that state no version has one of its own.
+        await add_piece_engines(env, monkeypatch, [event(1) + event(2) + event(65)], software="")
+        gateway = env.gateway_by_vm["vm-1"]
+        version_by_id = {each.id: each.software_version for each in gateway.fleet.engines()}
         begun = []
-        monkeypatch.setattr(origins, "record_begun", lambda job, engine: begun.append(engine.id))
+        monkeypatch.setattr(gateway.origins, "record_begun", lambda job, each: begun.append(each))
         await env.stream("/sheet/a")
-        assert begun == [name for name in ("dec-1", "dec-2") if runs(env, name)]
+        assert version_by_id["dec-1"] != version_by_id["dec-2"]
+        assert begun == [version_by_id[name] for name in ("dec-1", "dec-2") if runs(env, name)]
 
 
 async def test_tokens_are_counted_once_their_events_were_sent(monkeypatch):
--- a/pimentoquay/policy/fleet.py
+++ b/pimentoquay/policy/fleet.py
@@ -21,8 +21,13 @@
     "Service",
     "ServiceShare",
     "TokenMemory",
+    "start_of_version",
+    "unstated_version",
 ]
 
+_UNSTATED_PREFIX = "unknown: "
+_MAX_INCARNATION_DIGITS = 20
+
 
 class RepeatRule(Enum):
     """Rule for running a request again that may have run already.
@@ -148,7 +153,7 @@
     @property
     def software_version(self) -> str:
         """Version of its program; one that is not stated equals that of no other start."""
-        return self.software or f"unknown: {self.id} {self.incarnation}"
+        return self.software or unstated_version(self.start)
 
     @property
     def start(self) -> EngineStart:
@@ -156,6 +161,33 @@
         return EngineStart(self.id, self.incarnation)
 
 
+def unstated_version(start: EngineStart) -> str:
+    """Return the name of the software version of a start of an engine that states none.
+
+    Example
+    -------
+    >>> unstated_version(EngineStart("dec-1", 2000))
+    'unknown: dec-1 2000'
+    """
+    return f"{_UNSTATED_PREFIX}{start.id} {start.incarnation}"
+
+
+def start_of_version(software: str) -> EngineStart | None:
+    """Return the start of an engine after which a version is named, if it is.
+
+    Example
+    -------
+    >>> start_of_version("unknown: dec-1 2000")
+    EngineStart(id='dec-1', incarnation=2000, restarts=0)
+    """
+    engine_id, _, incarnation = software.removeprefix(_UNSTATED_PREFIX).rpartition(" ")
+    is_named = software.startswith(_UNSTATED_PREFIX) and engine_id
+    is_number = incarnation.isascii() and incarnation.isdecimal()
+    if not is_named or not is_number or len(incarnation) > _MAX_INCARNATION_DIGITS:
+        return None
+    return EngineStart(engine_id, int(incarnation))
+
+
 @dataclass(frozen=True)
 class ModelRequest:
     """Size of a request to a model, in tokens.
