Go on if a software version expires while the store writes it

Callers saw: a gateway ended, and with it all that it served.

Cause: the task that writes versions to the store tells the peers of each one that was written. It looked up when the version was last listed, and raised KeyError if the version had expired during the write. The end of that task is the end of the process.

Change: only a version that is known still is told.

Evidence: test_origin_store::test_a_gateway_goes_on_if_a_version_expires_while_ the_store_is_slow fails before (the gateway's task ends with KeyError) and passes. The other tasks of that kind were read for what they look up after a wait: batches, removals, claims and quarantines hold copies or cope with what is gone. A switch in bench/mutations is caught.

--- a/pimentoquay/bench/mutations/gateway_switches.py
+++ b/pimentoquay/bench/mutations/gateway_switches.py
@@ -2,9 +2,7 @@
 
 from pimentoquay.bench.mutations.replacements import (
     connect_unchecked,
-    drop_events_before_a_wrong_one,
     find_server_refusing,
-    ignore_unsent_answers,
     learn_as_seen_now,
     read_body_without_limit,
     read_one_page,
@@ -13,6 +11,10 @@
     wait_behind_all,
     wait_for_any_version,
 )
+from pimentoquay.bench.mutations.stream_replacements import (
+    drop_events_before_a_wrong_one,
+    ignore_unsent_answers,
+)
 from pimentoquay.bench.mutations.switch import Switch
 from pimentoquay.kernel.programs import STOP_SIGNALS
 
--- a/pimentoquay/bench/mutations/path_switches.py
+++ b/pimentoquay/bench/mutations/path_switches.py
@@ -1,7 +1,6 @@
 """Mechanisms for cut paths and for what outlives all VMs, and the tests that have to fail then."""
 
 from pimentoquay.bench.mutations.replacements import (
-    close_versions_to_all_streams,
     count_all_as_ahead,
     do_nothing_async,
     ignore_continuation,
@@ -14,6 +13,7 @@
     use_no_path_before_its_time,
     yield_to_all_streams,
 )
+from pimentoquay.bench.mutations.stream_replacements import close_versions_to_all_streams
 from pimentoquay.bench.mutations.switch import Switch
 from pimentoquay.policy.engine_paths import Verdict
 from pimentoquay.tunnels.server import USER_TIMEOUT_MILLISECONDS
--- a/pimentoquay/bench/mutations/replacements.py
+++ b/pimentoquay/bench/mutations/replacements.py
@@ -21,16 +21,13 @@
     "allow_many_probes",
     "apply_append_at_once",
     "choose_any_versions",
-    "close_versions_to_all_streams",
     "count_all_as_ahead",
     "connect_unchecked",
     "disable_reader_takeover",
     "do_nothing_async",
-    "drop_events_before_a_wrong_one",
     "find_server_refusing",
     "grant_without_owner",
     "ignore_continuation",
-    "ignore_unsent_answers",
     "keep_expired_lease_number",
     "keep_role_while_cut_off",
     "learn_as_seen_now",
@@ -105,17 +102,6 @@
     return lambda self, engine: self.is_cut(engine)
 
 
-def close_versions_to_all_streams(original: Any) -> Any:
-    """Let no stream go on at a version at which none may begin."""
-
-    def engines_for_stream(self: Any, service: str, stages: Any, software: str = "") -> Any:
-        closed = self.closed_versions(service, stages)
-        engines = original(self, service, stages, software)
-        return tuple(each for each in engines if each.software_version not in closed)
-
-    return engines_for_stream
-
-
 def keep_role_while_cut_off(original: Any) -> Any:
     """Let the first VM send orders, whether it reaches the engines or not."""
     return lambda state_by_vm: min(state_by_vm)
@@ -383,18 +369,3 @@
         return original(need, times, "", avoided)
 
     return wait
-
-
-def drop_events_before_a_wrong_one(original: Any) -> Any:
-    """Drop the events that were read together with a wrong one."""
-
-    def take_sound(self: Any, events: Any) -> Any:
-        sound = original(self, events)
-        return sound if self._fault is None else []
-
-    return take_sound
-
-
-def ignore_unsent_answers(original: Any) -> Any:
-    """Take an answer for sent once its handler has ended."""
-    return property(lambda self: self._task is not None)
--- a/pimentoquay/bench/mutations/stream_switches.py
+++ b/pimentoquay/bench/mutations/stream_switches.py
@@ -3,6 +3,7 @@
 import math
 
 from pimentoquay.bench.mutations.replacements import do_nothing_async, return_constant
+from pimentoquay.bench.mutations.stream_replacements import tell_expired_versions
 from pimentoquay.bench.mutations.switch import Switch
 
 __all__ = ["STREAM_SWITCHES"]
@@ -65,6 +66,13 @@
         lambda original: lambda self, version: version[0] in self._mixed,
         _STARTS + "test_a_stream_at_an_engine_that_is_back_waits_at_another_gateway_for_the_entry",
     ),
+    Switch(
+        "version that expires while it is written is not told",
+        "pimentoquay.gateway.stream_origins:OriginExchange.record_stored",
+        tell_expired_versions,
+        "pimentoquay/gateway/tests/test_origin_store.py::"
+        "test_a_gateway_goes_on_if_a_version_expires_while_the_store_is_slow",
+    ),
     Switch(
         "version of a start told by its entry",
         "pimentoquay.policy.unlisted_starts:UnlistedStarts.version_of",
--- a/pimentoquay/gateway/stream_origins.py
+++ b/pimentoquay/gateway/stream_origins.py
@@ -232,9 +232,10 @@
             )
 
     def record_stored(self, version: tuple[str, str]) -> None:
-        """Record that the store holds a version, and tell the peers."""
+        """Record that the store holds a version; tell the peers unless it expired meanwhile."""
         self.recorded.add((version,))
-        self._publish(VersionsListed((self._listed(*version),)))
+        if version in self.served_versions():
+            self._publish(VersionsListed((self._listed(*version),)))
 
     def closed_versions(self, service: str, engines: Iterable[EngineEntry]) -> frozenset[str]:
         """Return the versions of engines at which no new stream may begin.
