Refuse configurations whose routes or services are no objects

Callers saw: all gateways ended, and again after each start, as long as such a configuration stood in the store.

Cause: lists of a configuration were checked to be lists, not what is in them. A field of a route that is a list, a text or null was read with AttributeError, in a task whose end is that of the process: the class of unreadable entries.

Change: a field is read of an object only, wherever fields are read; all else is refused with DecodeError, and the configuration in force stays.

--- a/pimentoquay/bench/mutations/gateway_switches.py
+++ b/pimentoquay/bench/mutations/gateway_switches.py
@@ -94,6 +94,13 @@
         "pimentoquay/platform/tests/test_invalid_entries.py::"
         "test_an_entry_with_a_number_out_of_range_is_rejected[seq = 922337203685]",
     ),
+    Switch(
+        "fields are read of objects only",
+        "pimentoquay.platform.configuration:required",
+        lambda original: lambda item, *field: original({field[0]: item.get(field[0])}, *field),
+        "pimentoquay/gateway/tests/test_invalid_records.py::"
+        "test_gateways_go_on_beside_a_configuration_whose_parts_are_no_objects[route in a list]",
+    ),
     Switch(
         "addresses that cannot be connected are refused",
         "pimentoquay.platform.engine_entry:check_address",
--- a/pimentoquay/gateway/tests/test_invalid_records.py
+++ b/pimentoquay/gateway/tests/test_invalid_records.py
@@ -236,6 +236,27 @@
         await check_served(env, frozenset())
 
 
+def document(routes=(), services=()):
+    return json.dumps({"version": 2, "routes": routes, "services": services}).encode()
+
+
+SPLIT = {"kind": "stream", "host": "h", "pathPrefix": "/", "timeoutMs": 1, "targetLatencyMs": 1}
+
+DOCUMENTS_WITH_OTHER_TYPES = {
+    "route in a list": document(routes=[[{"name": "look"}]]),
+    "text as a route": document(routes=["look"]),
+    "number as a service": document(services=[7]),
+    "no service": document(services=[None]),
+    "text as a part of the traffic": document(routes=[SPLIT | {"trafficSplit": ["llm"]}]),
+}
+
+
+@pytest.mark.parametrize("data", one_of_each(DOCUMENTS_WITH_OTHER_TYPES))
+async def test_gateways_go_on_beside_a_configuration_whose_parts_are_no_objects(data):
+    """Each gateway ended with AttributeError, and again after each start."""
+    await play([("keyed.op", "config", data)])
+
+
 @pytest.mark.parametrize("data", one_of_each(ADDRESSES))
 async def test_gateways_go_on_beside_an_entry_whose_address_cannot_be_connected(data):
     assert await play([(ENGINES, "i-other", data)])
--- a/pimentoquay/platform/fields.py
+++ b/pimentoquay/platform/fields.py
@@ -34,14 +34,15 @@
 
 def required(item: dict[str, Any], name: str, kind: type[Value], minimum: int = LEAST) -> Value:
     """Return a field of the given type; integers are accepted for floats."""
-    return checked(item.get(name), name, kind, minimum)
+    return checked(checked(item, "object", dict).get(name), name, kind, minimum)
 
 
 def optional(
     item: dict[str, Any], name: str, kind: type[Value], default: Value, minimum: int = LEAST
 ) -> Value:
     """Return a field, or the default if it is missing or null; check its type."""
-    return default if item.get(name) is None else required(item, name, kind, minimum)
+    is_missing = checked(item, "object", dict).get(name) is None
+    return default if is_missing else required(item, name, kind, minimum)
 
 
 def checked(value: Any, name: str, kind: type[Value], minimum: int = LEAST) -> Value:
