Take a page of records with an end out of range for a failed call

Callers saw: a gateway that polls the store ended with ValueError if a page of records named an end that no topic can have.

Cause: the first fields of a page were read without a check of their range. The same check of the newest records turns into a failed call, which is retried.

Change: it does so for pages of records too.

Evidence: found by fuzzing; test_store::test_a_page_without_usable_offsets_ raises_store_error, two of four cases, failed before and pass.

--- a/pimentoquay/platform/store.py
+++ b/pimentoquay/platform/store.py
@@ -206,10 +206,8 @@
         self._pool.close()
 
     async def _read_latest_page(self, topic: str, after: str | None) -> _LatestPage:
-        query: dict[str, Any] = {"topic": topic, "part": 0}
-        if after is not None:
-            query["after"] = after
-        body = await self._call("GET", "log-newest", query)
+        more = {} if after is None else {"after": after}
+        body = await self._call("GET", "log-newest", {"topic": topic, "part": 0, **more})
         try:
             return _parse_latest_page(body, self.era.value)
         except ValueError as error:
@@ -289,8 +287,10 @@
 
 
 def _parse_record_page(body: bytes, from_position: int) -> RecordPage:
-    if len(body) < _OFFSETS.size:
-        raise StoreError(f"log-read: {len(body)} bytes, expected at least {_OFFSETS.size}", True)
+    try:
+        end = position_of(era_of(from_position), _OFFSETS.unpack_from(body)[0])
+    except (struct.error, ValueError) as error:
+        raise StoreError(f"log-read: {error}", True) from None
     records = []
     start, position = _OFFSETS.size, from_position
     while start + _LENGTH.size <= len(body):
@@ -299,9 +299,7 @@
         record = _parse_record(body[start : start + length], position)
         if record is not None:
             records.append(record)
-        start += length
-        position += 1
-    end = position_of(era_of(from_position), _OFFSETS.unpack_from(body)[0])
+        start, position = start + length, position + 1
     return RecordPage(tuple(records), position, end)
 
 
--- a/pimentoquay/platform/tests/test_store.py
+++ b/pimentoquay/platform/tests/test_store.py
@@ -35,8 +35,9 @@
                 await getattr(StoreClient(pool.address), call)("keyed.op")
 
 
-@pytest.mark.parametrize("body", [b"", b"\0" * 15])
-async def test_a_page_without_offsets_raises_store_error(body):
+@pytest.mark.parametrize("body", [b"", b"\0" * 15, b"\xff" * 16, b"\1" + b"\0" * 15])
+async def test_a_page_without_usable_offsets_raises_store_error(body):
+    """An end that no topic can have ended each gateway that polled, with ValueError."""
     async with scripted(answer(body)) as (_, pool):
         with pytest.raises(StoreError):
             await StoreClient(pool.address).read("keyed.op", 0, 0.0)
