Fuzz what is read from outside, into the parsers and through gateways

Cause: tests of inputs held the faults that somebody had thought of.

Change: strategies of hypothesis cut, double, repeat, nest and overwrite sound inputs: entries, configurations, records and pages of the store, answers and calls of engines, headers, events, frames and messages of peers. Straight into the parsers, what is not refused has to hold for later uses.

--- /dev/null
+++ b/pimentoquay/gateway/tests/fuzzed_inputs.py
@@ -0,0 +1,187 @@
+"""Strategies for inputs from outside: sound ones that were cut, doubled, nested or changed.
+
+``PIMENTOQUAY_FUZZ_EXAMPLES`` in the environment sets the number of examples of each kind, for long
+runs by hand::
+
+    PIMENTOQUAY_FUZZ_EXAMPLES=100000 pytest --hypothesis-profile=search \\
+        pimentoquay/gateway/tests/test_fuzzed_parsers.py
+"""
+
+import dataclasses
+import json
+import math
+import os
+import types
+from enum import IntEnum
+from typing import Any, Union, get_args, get_origin, get_type_hints
+
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+
+from pimentoquay.kernel.input_checks import MAX_INTEGER
+
+__all__ = [
+    "changed_bytes",
+    "changed_json",
+    "check_usable",
+    "examples",
+    "header_lists",
+    "messages",
+]
+
+NAMES = (
+    "i-1",
+    "llm",
+    "desk",
+    "v1",
+    "hall",
+    "vm-1",
+    "vm-2",
+    "vm-9",
+    "unknown: i-1 2",
+    "127.0.0.1:1",
+)
+"""Texts that mean something, so that changed inputs reach more than the first check."""
+
+DEEP = 2_000
+HUGE = 3_000
+"""Levels of a nested value, and digits of a large number."""
+
+texts = st.sampled_from(NAMES) | st.text(st.characters(), max_size=20)
+numbers = st.integers(-(2**70), 2**70) | st.floats() | st.integers(-2, 100)
+values = st.recursive(
+    st.none() | st.booleans() | numbers | texts,
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(texts, inner, max_size=3),
+    max_leaves=5,
+)
+literals = st.sampled_from(
+    (
+        "1" + "0" * HUGE,
+        "-1" + "0" * (2 * HUGE),
+        "1e999",
+        "[" * DEEP + "]" * DEEP,
+        '{"a":' * DEEP + "1" + "}" * DEEP,
+        "[" * 50 * DEEP,
+        '"\\ud83d"',
+        '"' + "x" * 70_000 + '"',
+    )
+)
+"""JSON texts of values that cannot be written by the library."""
+
+
+def examples(count: int, shrinks: bool = True) -> settings:
+    """Return the settings for a number of examples in CI, or for that of a long run.
+
+    An example that fails is made smaller for minutes unless ``shrinks`` is false.
+    """
+    found = int(os.environ.get("PIMENTOQUAY_FUZZ_EXAMPLES", count))
+    phases = tuple(each for each in Phase if shrinks or each is not Phase.shrink)
+    return settings(max_examples=found, deadline=None, phases=phases)
+
+
+@st.composite
+def changed_bytes(draw: Any, samples: Any) -> bytes:
+    """Draw bytes that were sound before they were cut, doubled, overwritten or repeated."""
+    data: bytes = draw(samples)
+    for _ in range(draw(st.integers(0, 3))):
+        start, end = sorted((draw(st.integers(0, len(data))), draw(st.integers(0, len(data)))))
+        part = data[start:end]
+        change = draw(st.sampled_from(("cut", "double", "overwrite", "insert", "repeat", "drop")))
+        if change == "cut":
+            data = data[:end]
+        elif change == "double":
+            data = data[:end] + part + data[end:]
+        elif change == "drop":
+            data = data[:start] + data[end:]
+        elif change == "repeat":
+            data = data[:start] + part[:16] * draw(st.integers(0, 500)) + data[end:]
+        else:
+            end = end if change == "overwrite" else start
+            data = data[:start] + draw(st.binary(max_size=8)) + data[end:]
+    return data
+
+
+@st.composite
+def changed_json(draw: Any, *samples: Any) -> bytes:
+    """Draw the JSON text of a sample in which some values were replaced, dropped or doubled."""
+    item = json.loads(json.dumps(draw(st.sampled_from(samples))))
+    literal = ""
+    for _ in range(draw(st.integers(1, 3))):
+        place, key = _draw_place(draw, item)
+        if place is None:
+            break
+        change = draw(st.sampled_from(("replace", "replace", "drop", "double", "literal")))
+        if change == "replace":
+            place[key] = draw(values)
+        elif change == "literal":
+            literal, place[key] = draw(literals), "@@"
+        elif change == "drop":
+            del place[key]
+        else:
+            place[key] = [place[key], place[key]]
+    text = json.dumps(item).replace('"@@"', literal or '"@@"')
+    return draw(st.just(text.encode()) | changed_bytes(st.just(text.encode())))
+
+
+def _draw_place(draw: Any, item: Any) -> tuple[Any, Any]:
+    """Draw a container within an item and a key of it."""
+    place, key = None, None
+    while isinstance(item, dict | list) and item:
+        keys = sorted(item) if isinstance(item, dict) else range(len(item))
+        place, key = item, draw(st.sampled_from(keys))
+        item = place[key]
+        if draw(st.booleans()):
+            break
+    return place, key
+
+
+def header_lists(names: tuple[bytes, ...], sound: tuple[bytes, ...]) -> Any:
+    """Return a strategy for the headers of a message, with names that mean something."""
+    value = changed_bytes(st.sampled_from(sound)) | st.binary(max_size=20)
+    return st.lists(st.tuples(st.sampled_from(names), value), max_size=6).map(tuple)
+
+
+def messages(hint: Any) -> Any:
+    """Return a strategy for the values of a type of messages, or of their fields.
+
+    Numbers are within the range that the codec takes, and texts can be encoded.
+    """
+    if get_origin(hint) is tuple:
+        return st.lists(messages(get_args(hint)[0]), max_size=3).map(tuple)
+    if get_origin(hint) in (Union, types.UnionType):
+        return st.one_of(*(messages(each) for each in get_args(hint)))
+    if dataclasses.is_dataclass(hint) and isinstance(hint, type):
+        hints = get_type_hints(hint)
+        fields = [messages(hints[each.name]) for each in dataclasses.fields(hint)]
+        return st.builds(hint, *fields)
+    if issubclass(hint, IntEnum):
+        return st.sampled_from(hint)
+    return _SCALARS[hint]
+
+
+_SCALARS: dict[Any, Any] = {
+    bool: st.booleans(),
+    bytes: st.binary(max_size=40),
+    float: st.floats(allow_nan=False) | st.floats(0.0, 60.0),
+    int: st.integers(-MAX_INTEGER, MAX_INTEGER) | st.integers(-2, 100),
+    str: st.sampled_from(NAMES) | st.text(st.characters(codec="utf-8"), max_size=20),
+    type(None): st.none(),
+}
+
+
+def check_usable(value: Any) -> None:
+    """Check that what was read from outside holds for all later uses."""
+    if isinstance(value, str):
+        value.encode()
+    elif isinstance(value, float):
+        assert not math.isnan(value)
+    elif isinstance(value, int):
+        assert -MAX_INTEGER - 1 <= value <= MAX_INTEGER
+    elif dataclasses.is_dataclass(value):
+        for each in dataclasses.fields(value):
+            check_usable(getattr(value, each.name))
+    elif isinstance(value, dict):
+        check_usable(tuple(value.items()))
+    elif isinstance(value, list | tuple | set | frozenset):
+        for item in value:
+            check_usable(item)
--- a/pimentoquay/gateway/tests/test_origin_store.py
+++ b/pimentoquay/gateway/tests/test_origin_store.py
@@ -34,5 +34,5 @@
         assert ("llm", "v9") not in gateway.origins.served_versions()
         answered.set()
         await asyncio.sleep(1.0)
-        assert not env._task_by_vm["vm-1"].done()
+        assert not env.has_ended("vm-1")
         assert (await env.stream()).status == 200
