--- a/pimentoquay/gateway/tests/test_fuzzed_traffic.py
+++ b/pimentoquay/gateway/tests/test_fuzzed_traffic.py
@@ -16,6 +16,7 @@
 from pimentoquay.gateway.tests.fuzzed_inputs import changed_bytes, changed_json, examples, messages
 from pimentoquay.gateway.tests.rig import configuration, rig, until
 from pimentoquay.kernel.errors import HttpError
+from pimentoquay.kernel.input_checks import MAX_INTEGER
 from pimentoquay.messages import encode
 from pimentoquay.messages.fleet import (
     CrashEvidence,
@@ -125,7 +126,7 @@
     for number in range(len(values)):
         if topic != "keyed.op":
             await env.store.put(topic, f"i-{number}", b"")
-    await env.store.put("keyed.op", "config", configuration(version=2**60))
+    await env.store.put("keyed.op", "config", configuration(version=MAX_INTEGER))
     await asyncio.sleep(3.0)
     await check_served(env)
 
