Fuzz under the names that headers have, with what the tests already had

Cause: three of the fuzzed headers had names that nothing reads (Resumes, Pimentoquay-Instance-Id, Pimentoquay-Not-Executed). The test through gateways had an engine of its own beside the scripted server, a list of messages beside that of the dispatcher, and samples beside those of the parsers.

Change: the names are right. The engine is a scripted server, the messages are those that the dispatcher handles, samples stand in one place, and one test runs all kinds through gateways.

--- a/pimentoquay/gateway/tests/fuzzed_inputs.py
+++ b/pimentoquay/gateway/tests/fuzzed_inputs.py
@@ -19,8 +19,15 @@
 from hypothesis import strategies as st
 
 from pimentoquay.kernel.input_checks import MAX_INTEGER
+from pimentoquay.messages import encode
+from pimentoquay.messages.streams import StreamsBegun, VersionStreams
 
 __all__ = [
+    "EVENTS",
+    "ORIGINS",
+    "QUARANTINE",
+    "VERSION",
+    "VM_ADDRESS",
     "changed_bytes",
     "changed_json",
     "check_usable",
@@ -43,9 +50,19 @@
 )
 """Texts that mean something, so that changed inputs reach more than the first check."""
 
+VM_ADDRESS = {"address": "vm-9:1", "data_centre": "hall", "tunnel_address": "vm-9:2"}
+VERSION = {"service": "llm", "version": "v9"}
+QUARANTINE = {"parts": ["x", "y"], "engines": [["a", 1], ["b", 2], ["c", 3]]}
+ORIGINS = encode(StreamsBegun((VersionStreams("llm", "unknown: i-1 2", b"12345678" * 3),)))
+"""Sound records of gateways."""
+
+EVENTS = b"".join(b"id: %d\ndata: a%d\n\n" % (number, number) for number in range(1, 6))
+
 DEEP = 2_000
+"""Levels of a nested value."""
+
 HUGE = 3_000
-"""Levels of a nested value, and digits of a large number."""
+"""Digits of a large number."""
 
 texts = st.sampled_from(NAMES) | st.text(st.characters(), max_size=20)
 numbers = st.integers(-(2**70), 2**70) | st.floats() | st.integers(-2, 100)
--- a/pimentoquay/gateway/tests/test_fuzzed_parsers.py
+++ b/pimentoquay/gateway/tests/test_fuzzed_parsers.py
@@ -16,6 +16,11 @@
 from pimentoquay.gateway.origin_store import _parse_batch, _parse_version
 from pimentoquay.gateway.request_guard import _parse_record as parse_quarantine
 from pimentoquay.gateway.tests.fuzzed_inputs import (
+    EVENTS,
+    ORIGINS,
+    QUARANTINE,
+    VERSION,
+    VM_ADDRESS,
     changed_bytes,
     changed_json,
     check_usable,
@@ -26,7 +31,6 @@
 from pimentoquay.gateway.tests.rig import configuration
 from pimentoquay.kernel.errors import ResponseTooLargeError
 from pimentoquay.messages import CodecError, codec, decode, encode
-from pimentoquay.messages.streams import StreamsBegun, VersionStreams
 from pimentoquay.platform import (
     EngineCalls,
     SendOptions,
@@ -74,7 +78,7 @@
     b"Pimentoquay-Token-Counts",
     b"Pimentoquay-Length-Hint",
     b"Pimentoquay-Prompt-Prefix",
-    b"Pimentoquay-Resumes",
+    b"Resumes",
     b"Last-Event-Id",
     b"Connection",
     b"X-Other",
@@ -86,22 +90,16 @@
     b"Retry-After",
     b"Server-Limit",
     b"Server-Leaving",
-    b"Pimentoquay-Instance",
-    b"Pimentoquay-Not-Run",
+    b"Pimentoquay-Instance-Id",
+    b"Pimentoquay-Not-Executed",
     b"Pimentoquay-Server-Stamp",
     b"Content-Encoding",
 )
 
 RECORDS = {
-    "address of a VM": (
-        _parse_vm_address,
-        {"address": "vm-9:1", "data_centre": "hall", "tunnel_address": "127.0.0.1:9"},
-    ),
-    "version": (
-        lambda record: _parse_version(record.key, record.value or b""),
-        {"service": "llm", "version": "v9"},
-    ),
-    "quarantine": (parse_quarantine, {"parts": ["x", "y"], "engines": [["a", 1], ["b", 2]]}),
+    "address of a VM": (_parse_vm_address, VM_ADDRESS),
+    "version": (lambda record: _parse_version(record.key, record.value or b""), VERSION),
+    "quarantine": (parse_quarantine, QUARANTINE),
 }
 
 
@@ -131,9 +129,6 @@
     check_usable(parse(KeyedRecord("key", data.draw(changed_json(sample)), 3)))
 
 
-ORIGINS = encode(StreamsBegun((VersionStreams("llm", "unknown: i-1 2", b"12345678" * 3),)))
-
-
 @given(changed_bytes(st.just(ORIGINS)))
 @examples(COUNT)
 def test_a_changed_record_of_streams_is_passed_over_or_holds(data):
@@ -194,9 +189,6 @@
     encode(found)
 
 
-EVENTS = b"".join(b"id: %d\ndata: a%d\n\n" % (number, number) for number in range(1, 6))
-
-
 @given(changed_bytes(st.just(EVENTS) | st.just(EVENTS * 1_000)), st.integers(1, 60_000))
 @examples(COUNT)
 def test_changed_events_are_the_same_in_pieces_of_any_size(data, size):
--- a/pimentoquay/gateway/tests/test_fuzzed_traffic.py
+++ b/pimentoquay/gateway/tests/test_fuzzed_traffic.py
@@ -7,29 +7,33 @@
 import asyncio
 import contextlib
 import json
+import re
+from typing import Any
 
 import looptime
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pimentoquay.gateway.tests.fuzzed_inputs import changed_bytes, changed_json, examples, messages
+from pimentoquay.gateway.mesh import Mesh
+from pimentoquay.gateway.tests.fuzzed_inputs import (
+    EVENTS,
+    ORIGINS,
+    QUARANTINE,
+    VERSION,
+    VM_ADDRESS,
+    changed_bytes,
+    changed_json,
+    examples,
+    messages,
+)
 from pimentoquay.gateway.tests.rig import configuration, rig, until
+from pimentoquay.http1.tests.scripted import ScriptedServer
 from pimentoquay.kernel.errors import HttpError
 from pimentoquay.kernel.input_checks import MAX_INTEGER
-from pimentoquay.messages import encode
-from pimentoquay.messages.fleet import (
-    CrashEvidence,
-    EnginesLeaving,
-    FleetCopy,
-    LimitsNamed,
-    PeerLoads,
-    StageOrdered,
-    TrialBegun,
-)
+from pimentoquay.messages import codec, encode
 from pimentoquay.messages.pools import (
     Bundle,
-    ChannelAlive,
     PlaceCancelled,
     PlaceReply,
     PlaceRequest,
@@ -38,7 +42,6 @@
     RelayAlive,
     Routed,
 )
-from pimentoquay.messages.streams import StreamsBegun, VersionsListed, VersionStreams
 from pimentoquay.messages.tunnels import TunnelRequest
 from pimentoquay.platform.store import PROMPT_TOPIC, STREAM_TOPIC, VERSION_TOPIC, VM_TOPIC
 from pimentoquay.platform.tests.invalid_entries import ENTRY
@@ -101,14 +104,10 @@
     "keyed.servers": changed_json(
         ENTRY | {"service": "other"}, ENTRY | {"service": "llm", "stage": "decode"}
     ),
-    VM_TOPIC: changed_json(
-        {"address": "vm-9:1", "data_centre": "hall", "tunnel_address": "vm-9:2"}
-    ),
-    PROMPT_TOPIC: changed_json({"parts": ["x", "y"], "engines": [["a", 1], ["b", 2], ["c", 3]]}),
-    VERSION_TOPIC: changed_json({"service": "llm", "version": "v9"}),
-    STREAM_TOPIC: changed_bytes(
-        st.just(encode(StreamsBegun((VersionStreams("llm", "unknown: i-1 2", b"a" * 24),))))
-    ),
+    VM_TOPIC: changed_json(VM_ADDRESS),
+    PROMPT_TOPIC: changed_json(QUARANTINE),
+    VERSION_TOPIC: changed_json(VERSION),
+    STREAM_TOPIC: changed_bytes(st.just(ORIGINS)),
     "keyed.op": changed_json(json.loads(configuration(version=2))),
 }
 
@@ -131,16 +130,7 @@
     await check_served(env)
 
 
-@pytest.mark.parametrize("topic", RECORDS)
-@given(st.data())
-@examples(COUNT, shrinks=False)
-def test_gateways_go_on_beside_changed_records(topic, data):
-    values = data.draw(st.lists(RECORDS[topic], min_size=BATCH, max_size=BATCH))
-    play(put_records, topic, values)
-
-
 HEAD = b"HTTP/1.1 200 OK\r\nPimentoquay-Request-Id: ID\r\nPimentoquay-Server-Stamp: s\r\n"
-EVENTS = b"".join(b"id: %d\ndata: a%d\n\n" % (number, number) for number in range(1, 5))
 
 
 def with_length(body, head=HEAD):
@@ -170,28 +160,16 @@
 )
 
 
-class RawEngine:
+class RawEngine(ScriptedServer):
     """Answers each request with the next bytes, in which ID stands for the request's id."""
 
-    def __init__(self, answers):
-        self.answers = list(answers)
-
-    async def handle(self, reader, writer):
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
-            while self.answers:
-                head = await reader.readuntil(b"\r\n\r\n")
-                fields = dict(
-                    line.lower().split(b": ", 1) for line in head.split(b"\r\n") if b": " in line
-                )
-                await reader.readexactly(int(fields.get(b"content-length", b"0")))
-                request_id = fields.get(b"pimentoquay-request-id", b"")
-                writer.write(self.answers.pop().replace(b"ID", request_id))
-                await writer.drain()
-        writer.close()
+    def next_script(self, head):
+        found = re.search(rb"(?i)\r\npimentoquay-request-id: *([^\r]*)", head)
+        return super().next_script(head).replace(b"ID", found[1] if found else b"")
 
 
 async def answer_raw(env, answers):
-    raw = RawEngine(answers)
+    raw = RawEngine(*answers)
     async with await asyncio.start_server(raw.handle, "127.0.0.1", 0) as server:
         address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         for name, service, stage in (
@@ -209,15 +187,10 @@
         for name in ("raw-1", "raw-2", "raw-3"):
             await env.store.put("keyed.servers", name, b"")
         await until(lambda: "raw-3" not in {each.id for each in fleet.engines()}, "removed")
+        await raw.close_connections()
     await check_served(env)
 
 
-@given(st.lists(ANSWERS, min_size=BATCH, max_size=BATCH))
-@examples(COUNT, shrinks=False)
-def test_gateways_go_on_beside_changed_answers_of_engines(answers):
-    play(answer_raw, answers)
-
-
 REQUEST = (
     b"POST /%s/a HTTP/1.1\r\nHost: shop.example\r\nPimentoquay-Request-Id: q%d\r\n"
     b"Pimentoquay-Deadline-Ms: 2000\r\nPimentoquay-Model: m\r\n"
@@ -232,7 +205,7 @@
             (
                 b"Content-Length: 1\r\n\r\nx",
                 b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
-                b"Last-Event-Id: 2\r\nPimentoquay-Resumes: q1\r\nContent-Length: 0\r\n\r\n",
+                b"Last-Event-Id: 2\r\nResumes: q1\r\nContent-Length: 0\r\n\r\n",
                 b"Connection: close\r\n\r\n",
             )
         ),
@@ -259,34 +232,14 @@
     await check_served(env)
 
 
-@given(st.lists(REQUESTS, min_size=BATCH, max_size=BATCH))
-@examples(COUNT, shrinks=False)
-def test_gateways_go_on_beside_changed_requests(requests):
-    play(ask_raw, requests)
-
+HANDLED = [
+    each for each in vars(Mesh)["_dispatch"].dispatcher.registry if each in codec._number_by_class
+]
+"""Types of the messages that a gateway takes from its peers."""
 
 ROUTED = st.one_of(*map(messages, (PlaceRequest, PlaceReply, PlaceCancelled, PoolReport)))
 NOTICES = st.one_of(
-    *map(
-        messages,
-        (
-            FleetCopy,
-            PeerLoads,
-            StageOrdered,
-            EnginesLeaving,
-            CrashEvidence,
-            LimitsNamed,
-            TrialBegun,
-            StreamsBegun,
-            VersionsListed,
-            Bundle,
-            ChannelAlive,
-            Routed,
-            RelayAlive,
-            PoolSummary,
-            TunnelRequest,
-        ),
-    ),
+    *map(messages, (*HANDLED, TunnelRequest)),
     st.builds(
         Routed,
         st.sampled_from(("vm-1", "vm-2", "vm-9")),
@@ -314,7 +267,18 @@
     await check_answered(env)
 
 
-@given(st.lists(NOTICES, min_size=BATCH, max_size=BATCH))
+PLAYS: dict[str, tuple[Any, ...]] = {
+    **{f"records of {topic}": (put_records, topic, RECORDS[topic]) for topic in RECORDS},
+    "answers of engines": (answer_raw, ANSWERS),
+    "requests": (ask_raw, REQUESTS),
+    "messages of peers": (tell, NOTICES),
+}
+
+
+@pytest.mark.parametrize("kind", PLAYS)
+@given(st.data())
 @examples(COUNT, shrinks=False)
-def test_gateways_go_on_beside_messages_of_any_values(notices):
-    play(tell, notices)
+def test_gateways_go_on_beside_changed_inputs(kind, data):
+    scenario, *options, strategy = PLAYS[kind]
+    inputs = data.draw(st.lists(strategy, min_size=BATCH, max_size=BATCH))
+    play(scenario, *options, inputs)
--- a/pimentoquay/http1/tests/scripted.py
+++ b/pimentoquay/http1/tests/scripted.py
@@ -73,6 +73,10 @@
             writer.transport.abort()
         await asyncio.gather(*self._writer_by_task, return_exceptions=True)
 
+    def next_script(self, head):
+        """Return the response to a request with a head."""
+        return self.scripts.pop(0)
+
     async def handle(self, reader, writer):
         self.connections += 1
         self._writer_by_task[asyncio.current_task()] = writer
@@ -88,7 +92,7 @@
                     0,
                 )
                 self.requests.append((head, await reader.readexactly(length)))
-                writer.write(self.scripts.pop(0))
+                writer.write(self.next_script(head))
                 await writer.drain()
                 if self.reset:
                     await asyncio.sleep(0.05)
