--- a/pimentoquay/gateway/tests/test_rejoined_streams.py
+++ b/pimentoquay/gateway/tests/test_rejoined_streams.py
@@ -13,6 +13,7 @@
     streams_before_release,
 )
 from pimentoquay.platform.store import STREAM_TOPIC, VERSION_TOPIC, StoreClient, StoreError
+from pimentoquay.standin.platform_engine import PlatformEngine
 
 OLD = ("dec-1", "dec-2")
 
@@ -192,3 +193,15 @@
         assert len(runs_at(env, *NEW)) == 4
         assert (await env.stream("/digest/new")).status == 200
         assert len(runs_at(env, "dec-3")) == 1
+
+
+async def test_streams_go_on_if_all_gateways_are_killed_as_soon_as_a_second_version_is_listed():
+    """Nothing had been stored of them, as only one version served until then."""
+    async with rig() as env:
+        streams = Streams(env)
+        await streams.begin(4)
+        engine = await env.add_engine(PlatformEngine("new-1", "llm", software="v2", stage="decode"))
+        fleet = env.gateway_by_vm["vm-1"].fleet
+        await until(lambda: engine.id in {each.id for each in fleet.engines()}, "listed")
+        assert await resumed_after_all_were_killed(env, streams, ("vm-1",)) == [200] * 4
+        assert not runs_at(env, "new-1")
