--- a/pimentoquay/bench/mutations/switches.py
+++ b/pimentoquay/bench/mutations/switches.py
@@ -25,6 +25,7 @@
 )
 from pimentoquay.bench.mutations.stream_switches import STREAM_SWITCHES
 from pimentoquay.bench.mutations.switch import Switch
+from pimentoquay.bench.mutations.turn_switches import TURN_SWITCHES
 
 __all__ = ["SWITCHES", "Switch", "switch_of"]
 
@@ -267,5 +268,6 @@
     *GATEWAY_SWITCHES,
     *PATH_SWITCHES,
     *STREAM_SWITCHES,
+    *TURN_SWITCHES,
 )
 """All mechanisms that can be switched off."""
