--- a/pimentoquay/bench/mutations/gateway_switches.py
+++ b/pimentoquay/bench/mutations/gateway_switches.py
@@ -336,7 +336,7 @@
     ),
     Switch(
         "rest of finished answers sent in a planned stop",
-        "pimentoquay.http1.server:_ServerConnection.is_busy",
+        "pimentoquay.http1.server_connection:ServerConnection.is_busy",
         ignore_unsent_answers,
         "pimentoquay/gateway/tests/test_slow_callers.py::"
         "test_a_planned_stop_sends_the_rest_of_finished_answers_to_slow_callers[/sheet/a]",
--- /dev/null
+++ b/pimentoquay/http1/server_connection.py
@@ -0,0 +1,263 @@
+"""One connection of a caller to the HTTP server."""
+
+import asyncio
+import contextlib
+import math
+import re
+import socket
+import struct
+from typing import TYPE_CHECKING, Any
+
+import h11
+
+from pimentoquay.http1.headers import find_headers
+from pimentoquay.http1.reply import HttpRequest, Reply
+from pimentoquay.kernel.logs import logger
+
+if TYPE_CHECKING:
+    from pimentoquay.http1.server import HttpServer
+
+__all__ = ["ServerConnection"]
+
+LINGER_SECONDS = 2.0
+"""Time for which a closing connection is still read, so that the last response is not lost."""
+
+MAX_UNREAD_BYTES = 256 * 1024
+"""Number of buffered bytes of further requests above which reading pauses during a request."""
+
+_BODY_LENGTH_LINES = re.compile(
+    rb"^(?:content-length|transfer-encoding)[ \t]*:([^\r\n]*)", re.I | re.M
+)
+"""Header lines that state the length of a body.
+
+They are counted in the raw headers because the parser merges equal ones.
+"""
+
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of ``SO_LINGER`` with which closing the socket resets the connection."""
+
+
+class ServerConnection(asyncio.Protocol):
+    """One connection of a caller, which serves one request at a time."""
+
+    def __init__(self, server: "HttpServer") -> None:
+        self.server = server
+        self.writable = asyncio.Event()
+        self.writable.set()
+        self._limits = server.limits()
+        self._http = h11.Connection(h11.SERVER, self._limits.header_bytes)
+        self._transport: Any = None
+        self._loop = asyncio.get_running_loop()
+        self._task: asyncio.Task[None] | None = None
+        self._request: h11.Request | None = None
+        self._head = b""
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._first_byte_at: float | None = None
+        self._last_activity_at = self._loop.time()
+        self._timer: asyncio.TimerHandle | None = None
+        self._expires_at = math.inf
+        self._closing = False
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being served, or its caller still takes the answer."""
+        has_unsent = self._transport.get_write_buffer_size() > 0
+        return self._task is not None or (has_unsent and self._loop.time() < self._expires_at)
+
+    def connection_made(self, transport: Any) -> None:
+        """Begin to serve the connection."""
+        self._transport = transport
+        self.server.connections.add(self)
+        self._schedule_timeout_check()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the task of the request."""
+        self.server.connections.discard(self)
+        self._closing = True
+        if self._timer is not None:
+            self._timer.cancel()
+        self.writable.set()
+        if self._task is not None:
+            self._task.cancel()
+
+    def eof_received(self) -> bool:
+        """Cancel the task of the request: a caller that sends no more is taken to have left."""
+        if self._task is not None:
+            self._task.cancel()
+        return False
+
+    def pause_writing(self) -> None:
+        """Let writers wait until the caller has read more."""
+        self.writable.clear()
+
+    def resume_writing(self) -> None:
+        """Let writers go on."""
+        self.writable.set()
+
+    def data_received(self, data: bytes) -> None:
+        """Handle received bytes."""
+        self._last_activity_at = self._loop.time()
+        if self._closing:
+            return
+        if self._first_byte_at is None and self._task is None:
+            self._first_byte_at = self._last_activity_at
+        if self._request is None and self._task is None:
+            self._head += data
+        try:
+            self._http.receive_data(data)
+            if self._task is None:
+                self._process_events()
+            elif len(self._http.trailing_data[0]) > MAX_UNREAD_BYTES:
+                self._transport.pause_reading()
+        except h11.RemoteProtocolError as error:
+            self._reject(error.error_status_hint, str(error))
+
+    def emit(self, event: Any) -> None:
+        """Send one event of the response, or nothing if the connection is closing."""
+        if self._transport.is_closing():
+            return
+        data = self._http.send(event)
+        if data:
+            self._transport.write(data)
+
+    def abort(self) -> None:
+        """Close the connection at once, and so that no response is taken for complete."""
+        self._closing = True
+        if self._http.their_http_version == b"1.0":
+            # The end of a connection marks the end of an HTTP/1.0 response, so only a reset shows
+            # that the response is incomplete.
+            sock = self._transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self._transport.abort()
+
+    def close_if_idle(self) -> None:
+        """Close the connection if no request has begun."""
+        if self._task is None and self._request is None and self._first_byte_at is None:
+            self._close_gracefully()
+
+    def _process_events(self) -> None:
+        while self._task is None and not self._closing:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                if self._http.they_are_waiting_for_100_continue:
+                    self.emit(h11.InformationalResponse(status_code=100, headers=[]))
+                return
+            if event is h11.PAUSED:
+                return
+            if isinstance(event, h11.Request):
+                self._start_request(event)
+            elif isinstance(event, h11.Data):
+                self._append_body(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self._start_handler()
+            else:
+                self._transport.close()
+                return
+
+    def _start_request(self, request: h11.Request) -> None:
+        head, self._head = self._head.partition(b"\r\n\r\n")[0], b""
+        length_lines = _BODY_LENGTH_LINES.findall(head)
+        if len(length_lines) > 1 or any(b"," in value for value in length_lines):
+            self._reject(400, "more than one length of a body")
+            return
+        lengths = find_headers(tuple(request.headers.raw_items()), b"content-length")
+        if lengths and int(lengths[0]) > self._limits.body_bytes:
+            self._reject(413, f"a body of {lengths[0].decode()} bytes")
+            return
+        self._request = request
+
+    def _append_body(self, data: bytes) -> None:
+        self._body_bytes += len(data)
+        if self._body_bytes > self._limits.body_bytes:
+            self._reject(413, f"a body over {self._limits.body_bytes} bytes")
+            return
+        self._body.append(data)
+
+    def _start_handler(self) -> None:
+        assert self._request is not None
+        received_at = self._first_byte_at
+        request = HttpRequest(
+            bytes(self._request.method),
+            bytes(self._request.target),
+            tuple(self._request.headers.raw_items()),
+            b"".join(self._body),
+            self._last_activity_at if received_at is None else received_at,
+        )
+        self._request, self._body, self._body_bytes = None, [], 0
+        self._task = self._loop.create_task(self._run_handler(request))
+
+    async def _run_handler(self, request: HttpRequest) -> None:
+        reply = Reply(self)
+        try:
+            await self.server.handler(request, reply)
+        except asyncio.CancelledError:
+            reply.ended = False
+        except Exception as error:
+            logger.opt(exception=error).error("request handler failed")
+            if not reply.started:
+                reply.send(500, (), b"")
+        finally:
+            self._task = None
+            self._expires_at = reply.expires_at
+            self._first_byte_at = None
+            self._last_activity_at = self._loop.time()
+        if not reply.ended:
+            self.abort()
+        else:
+            self._prepare_next_request()
+
+    def _prepare_next_request(self) -> None:
+        if self._closing or self._transport.is_closing():
+            return
+        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+            self._http.start_next_cycle()
+            self._limits = self.server.limits()
+            self._transport.resume_reading()
+            self._head = bytes(self._http.trailing_data[0])
+            if self._head:
+                self._first_byte_at = self._loop.time()
+            try:
+                self._process_events()
+            except h11.RemoteProtocolError as error:
+                self._reject(error.error_status_hint, str(error))
+        else:
+            self._close_gracefully()
+
+    def _reject(self, status: int, detail: str) -> None:
+        logger.bind(status=status, detail=detail).info("invalid request rejected")
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            headers = [("Content-Length", "0"), ("Connection", "close")]
+            self.emit(h11.Response(status_code=status, headers=headers))
+            self.emit(h11.EndOfMessage())
+        self._close_gracefully()
+
+    def _close_gracefully(self) -> None:
+        """Close for writing, but keep reading for a while so that the last response is not lost."""
+        if self._closing:
+            return
+        self._closing = True
+        if self._transport.can_write_eof() and not self._transport.is_closing():
+            with contextlib.suppress(OSError):  # A reset that has not been read yet.
+                self._transport.write_eof()
+        self._loop.call_later(LINGER_SECONDS, self._transport.close)
+
+    def _schedule_timeout_check(self) -> None:
+        self._timer = self._loop.call_later(1.0, self._check_timeouts)
+
+    def _check_timeouts(self) -> None:
+        self._schedule_timeout_check()
+        if self._task is not None or self._closing:
+            return
+        now = self._loop.time()
+        limits = self.server.limits()
+        idle_seconds = max(self._limits.idle_seconds, limits.idle_seconds)
+        has_partial_request = self._first_byte_at is not None
+        if has_partial_request and self._request is None:
+            if now - (self._first_byte_at or now) > limits.header_seconds:
+                self._reject(408, "the headers did not arrive in time")
+        elif now - self._last_activity_at > idle_seconds:
+            if has_partial_request:
+                self._reject(408, "the body did not arrive in time")
+            else:
+                self._close_gracefully()
