Bound the work and the memory that a caller's connection takes at once

Cause: a read of 256 KB from a caller was parsed at once (55,000 items in one pass of the event loop, 0 of 59 sound requests served beside six callers with chunks of one byte), a request that was sent ahead began as soon as the one before it had ended, and reading went on after each request however much was unread (400 MB beside six callers that send requests ahead without end). Each request copied all unread bytes, and bytes of a head were joined one read at a time.

Change: a connection reads 32 KB at a time into a buffer of its own, gives the parser 16 KB pieces, handles 8 items at once and the rest in turns of the gateway's queue, and reads on only while at most 64 KB are unread. A request sent ahead begins with a turn. It waits while over 256 KB of answers are unsent. A caller that leaves while it isn't read is noticed by the state of its TCP connection. Framing of a body is limited to 8 times the largest body.

--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -78,6 +78,7 @@
 from pimentoquay.kernel import Node
 from pimentoquay.kernel.input_checks import refused_by_kind
 from pimentoquay.kernel.traffic import refused_messages
+from pimentoquay.kernel.turns import TurnQueue
 from pimentoquay.messages.fleet import (
     CrashEvidence,
     EnginesLeaving,
@@ -97,6 +98,7 @@
 from pimentoquay.policy.store_position import StoreEra
 from pimentoquay.policy.token_ledger import TokenLedger
 from pimentoquay.policy.tunnel_peers import TunnelPeers
+from pimentoquay.policy.turn_order import LeastServedFirst
 from pimentoquay.transport.peers import PeerSet
 from pimentoquay.tunnels import (
     EnginePaths,
@@ -128,6 +130,7 @@
     """
     fleet = Fleet(node.timers.now)
     limits = EngineLimits(settings.vm)
+    turns = TurnQueue(LeastServedFirst(node.timers.now))
     contact = EngineContact(node.timers)
     tunnels = PeerTunnels(
         node.timers,
@@ -257,8 +260,8 @@
     streams = StreamForwarder(shared, reservations, PrefillRunner(shared, schedule_update))
     planned_stop = PlannedStop()
     dispatcher = Dispatcher(shared, PlainForwarder(shared), streams, planned_stop)
-    caller_server = HttpServer(dispatcher.handle, lambda: _server_limits(fleet))
-    readiness_server = HttpServer(_readiness_handler(dispatcher), ServerLimits)
+    caller_server = HttpServer(dispatcher.handle, lambda: _server_limits(fleet), turns)
+    readiness_server = HttpServer(_readiness_handler(dispatcher), ServerLimits, turns)
     metrics.value_by_gauge = {
         IN_PROGRESS: lambda: caller_server.requests_in_progress,
         LIST_AGE: lambda: min(fleet.list_age, 1e6),
@@ -301,7 +304,7 @@
             failure.value: count for failure, count in contact.count_by_failure.items()
         },
     }
-    metrics_server = HttpServer(metrics.handle, ServerLimits)
+    metrics_server = HttpServer(metrics.handle, ServerLimits, turns)
     return Gateway(
         settings,
         node,
--- a/pimentoquay/http1/server.py
+++ b/pimentoquay/http1/server.py
@@ -10,6 +10,7 @@
 
 from pimentoquay.http1.reply import HttpRequest, Reply
 from pimentoquay.http1.server_connection import ServerConnection
+from pimentoquay.kernel.turns import TurnQueue
 
 __all__ = ["HttpRequest", "HttpServer", "Reply", "ServerLimits"]
 
@@ -39,11 +40,20 @@
         Awaited in a separate task for each request; it responds through the ``Reply``.
     limits
         Returns the limits currently in force.
+    turns
+        Continues what connections have sent beyond what is handled at once; by default a queue of
+        this server's own.
     """
 
-    def __init__(self, handler: Handler, limits: Callable[[], ServerLimits]) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limits: Callable[[], ServerLimits],
+        turns: TurnQueue | None = None,
+    ) -> None:
         self.handler = handler
         self.limits = limits
+        self.turns = turns if turns is not None else TurnQueue()
         self.draining = False
         self.connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
--- a/pimentoquay/http1/server_connection.py
+++ b/pimentoquay/http1/server_connection.py
@@ -10,9 +10,11 @@
 
 import h11
 
+from pimentoquay.http1.buffered import SharedBufferProtocol
 from pimentoquay.http1.headers import find_headers
 from pimentoquay.http1.reply import HttpRequest, Reply
 from pimentoquay.kernel.logs import logger
+from pimentoquay.kernel.turns import ITEMS_PER_TURN
 
 if TYPE_CHECKING:
     from pimentoquay.http1.server import HttpServer
@@ -22,8 +24,26 @@
 LINGER_SECONDS = 2.0
 """Time for which a closing connection is still read, so that the last response is not lost."""
 
-MAX_UNREAD_BYTES = 256 * 1024
-"""Number of buffered bytes of further requests above which reading pauses during a request."""
+MAX_UNREAD_BYTES = 64 * 1024
+"""Number of bytes that wait for a turn or for the end of a request, above which reading pauses."""
+
+MAX_UNSENT_BYTES = 256 * 1024
+"""Number of unsent bytes of answers above which the next request waits until they are read."""
+
+PIECE_BYTES = 16 * 1024
+"""Number of bytes that the parser gets at a time, so the most that it holds beyond a request."""
+
+ITEMS_AT_ONCE = 8
+"""Number of items that are handled as soon as they are read: those of a request in few parts."""
+
+MAX_BODY_FRAMING = 8
+"""Ratio of a body's bytes on the wire to the largest body; chunks of one byte need 6 times it."""
+
+CLOSE_CHECK_SECONDS = 0.1
+"""Interval at which a caller that is not read is checked for having left."""
+
+_ESTABLISHED = 1
+"""State of a TCP connection that neither end has closed, as ``TCP_INFO`` gives it in Linux."""
 
 _BODY_LENGTH_LINES = re.compile(
     rb"^(?:content-length|transfer-encoding)[ \t]*:([^\r\n]*)", re.I | re.M
@@ -37,8 +57,13 @@
 """Value of ``SO_LINGER`` with which closing the socket resets the connection."""
 
 
-class ServerConnection(asyncio.Protocol):
-    """One connection of a caller, which serves one request at a time."""
+class ServerConnection(SharedBufferProtocol):
+    """One connection of a caller, which serves one request at a time.
+
+    Received bytes wait in a buffer of bounded size. Few items, such as chunks, are handled as soon
+    as they arrive, and the rest in turns. A request that was read while the one before it was
+    served begins with a turn, so a caller that sends requests ahead takes turns with the others.
+    """
 
     def __init__(self, server: "HttpServer") -> None:
         self.server = server
@@ -50,9 +75,13 @@
         self._loop = asyncio.get_running_loop()
         self._task: asyncio.Task[None] | None = None
         self._request: h11.Request | None = None
-        self._head = b""
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._unread = bytearray()
+        self._is_reading_paused = False
+        self._has_turn = False
+        self._turn_at = -math.inf
+        self._head = bytearray()
+        self._body = bytearray()
+        self._body_wire_bytes = 0
         self._first_byte_at: float | None = None
         self._last_activity_at = self._loop.time()
         self._timer: asyncio.TimerHandle | None = None
@@ -63,7 +92,8 @@
     def is_busy(self) -> bool:
         """Whether a request is being served, or its caller still takes the answer."""
         has_unsent = self._transport.get_write_buffer_size() > 0
-        return self._task is not None or (has_unsent and self._loop.time() < self._expires_at)
+        is_sending = has_unsent and self._loop.time() < self._expires_at
+        return self._task is not None or self._has_turn or is_sending
 
     def connection_made(self, transport: Any) -> None:
         """Begin to serve the connection."""
@@ -75,6 +105,7 @@
         """Cancel the task of the request."""
         self.server.connections.discard(self)
         self._closing = True
+        self._drop_unread()
         if self._timer is not None:
             self._timer.cancel()
         self.writable.set()
@@ -94,6 +125,8 @@
     def resume_writing(self) -> None:
         """Let writers go on."""
         self.writable.set()
+        if self._task is None and self._first_byte_at is not None and not self._closing:
+            self._plan_turn()
 
     def data_received(self, data: bytes) -> None:
         """Handle received bytes."""
@@ -102,16 +135,11 @@
             return
         if self._first_byte_at is None and self._task is None:
             self._first_byte_at = self._last_activity_at
-        if self._request is None and self._task is None:
-            self._head += data
-        try:
-            self._http.receive_data(data)
-            if self._task is None:
-                self._process_events()
-            elif len(self._http.trailing_data[0]) > MAX_UNREAD_BYTES:
-                self._transport.pause_reading()
-        except h11.RemoteProtocolError as error:
-            self._reject(error.error_status_hint, str(error))
+        self._unread += data
+        is_next = self._task is None and not self._has_turn and not self._waits_to_send
+        if is_next and self._handle_items(ITEMS_AT_ONCE):
+            self._plan_turn()
+        self._update_reading()
 
     def emit(self, event: Any) -> None:
         """Send one event of the response, or nothing if the connection is closing."""
@@ -136,27 +164,99 @@
         if self._task is None and self._request is None and self._first_byte_at is None:
             self._close_gracefully()
 
-    def _process_events(self) -> None:
-        while self._task is None and not self._closing:
+    @property
+    def _waits_to_send(self) -> bool:
+        """Whether the next request has to wait until the caller has read more."""
+        unsent = self._transport.get_write_buffer_size()
+        return self._request is None and unsent > MAX_UNSENT_BYTES
+
+    def _plan_turn(self) -> None:
+        if not self._waits_to_send:
+            self._has_turn = True
+            self.server.turns.add(self, self._take_turn)
+
+    def _take_turn(self) -> bool:
+        self._has_turn = False
+        if self._closing or self._task is not None:
+            return False
+        self._turn_at = self._loop.time()
+        self._has_turn = self._handle_items(ITEMS_PER_TURN)
+        self._update_reading()
+        return self._has_turn
+
+    def _handle_items(self, count: int) -> bool:
+        """Handle up to a number of items, and return whether there may be more."""
+        try:
+            return self._handle_events(count)
+        except h11.RemoteProtocolError as error:
+            self._reject(error.error_status_hint, str(error))
+            return False
+
+    def _handle_events(self, count: int) -> bool:
+        for _ in range(count):
+            if self._task is not None or self._closing:
+                return False
             event = self._http.next_event()
             if event is h11.NEED_DATA:
-                if self._http.they_are_waiting_for_100_continue:
-                    self.emit(h11.InformationalResponse(status_code=100, headers=[]))
-                return
-            if event is h11.PAUSED:
-                return
-            if isinstance(event, h11.Request):
+                if not self._unread:
+                    if self._http.they_are_waiting_for_100_continue:
+                        self.emit(h11.InformationalResponse(status_code=100, headers=[]))
+                    return False
+                self._feed_parser()
+            elif event is h11.PAUSED:
+                return False
+            elif isinstance(event, h11.Request):
                 self._start_request(event)
             elif isinstance(event, h11.Data):
-                self._append_body(bytes(event.data))
+                self._append_body(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 self._start_handler()
             else:
                 self._transport.close()
+                return False
+        return self._task is None and not self._closing
+
+    def _feed_parser(self) -> None:
+        piece = self._unread[:PIECE_BYTES]
+        del self._unread[:PIECE_BYTES]
+        if self._request is None:
+            self._head += piece
+        else:
+            self._body_wire_bytes += len(piece)
+            if self._body_wire_bytes - PIECE_BYTES > MAX_BODY_FRAMING * self._limits.body_bytes:
+                self._reject(413, f"{self._body_wire_bytes} bytes for the chunks of a body")
                 return
+        self._http.receive_data(bytes(piece))
+
+    def _update_reading(self) -> None:
+        """Pause reading while much is unread."""
+        is_full = len(self._unread) > MAX_UNREAD_BYTES
+        if is_full and not self._is_reading_paused:
+            self._is_reading_paused = True
+            self._transport.pause_reading()
+            self._loop.call_later(CLOSE_CHECK_SECONDS, self._check_caller)
+        elif self._is_reading_paused and not is_full:
+            self._is_reading_paused = False
+            self._transport.resume_reading()
+
+    def _check_caller(self) -> None:
+        """Notice that the caller has left, which reading would show only after the unread bytes."""
+        if not self._is_reading_paused or self._transport.is_closing():
+            return
+        sock = self._transport.get_extra_info("socket")
+        if sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] != _ESTABLISHED:
+            self._transport.abort()
+        else:
+            self._loop.call_later(CLOSE_CHECK_SECONDS, self._check_caller)
+
+    def _drop_unread(self) -> None:
+        self._unread.clear()
+        self._has_turn = False
+        self.server.turns.discard(self)
+        self._update_reading()
 
     def _start_request(self, request: h11.Request) -> None:
-        head, self._head = self._head.partition(b"\r\n\r\n")[0], b""
+        head, self._head = self._head.partition(b"\r\n\r\n")[0], bytearray()
         length_lines = _BODY_LENGTH_LINES.findall(head)
         if len(length_lines) > 1 or any(b"," in value for value in length_lines):
             self._reject(400, "more than one length of a body")
@@ -167,12 +267,11 @@
             return
         self._request = request
 
-    def _append_body(self, data: bytes) -> None:
-        self._body_bytes += len(data)
-        if self._body_bytes > self._limits.body_bytes:
+    def _append_body(self, data: bytes | bytearray) -> None:
+        if len(self._body) + len(data) > self._limits.body_bytes:
             self._reject(413, f"a body over {self._limits.body_bytes} bytes")
             return
-        self._body.append(data)
+        self._body += data
 
     def _start_handler(self) -> None:
         assert self._request is not None
@@ -181,10 +280,10 @@
             bytes(self._request.method),
             bytes(self._request.target),
             tuple(self._request.headers.raw_items()),
-            b"".join(self._body),
+            bytes(self._body),
             self._last_activity_at if received_at is None else received_at,
         )
-        self._request, self._body, self._body_bytes = None, [], 0
+        self._request, self._body, self._body_wire_bytes = None, bytearray(), 0
         self._task = self._loop.create_task(self._run_handler(request))
 
     async def _run_handler(self, request: HttpRequest) -> None:
@@ -213,14 +312,10 @@
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._http.start_next_cycle()
             self._limits = self.server.limits()
-            self._transport.resume_reading()
-            self._head = bytes(self._http.trailing_data[0])
-            if self._head:
+            self._head = bytearray(self._http.trailing_data[0])
+            if self._head or self._unread:
                 self._first_byte_at = self._loop.time()
-            try:
-                self._process_events()
-            except h11.RemoteProtocolError as error:
-                self._reject(error.error_status_hint, str(error))
+                self._plan_turn()
         else:
             self._close_gracefully()
 
@@ -237,6 +332,7 @@
         if self._closing:
             return
         self._closing = True
+        self._drop_unread()
         if self._transport.can_write_eof() and not self._transport.is_closing():
             with contextlib.suppress(OSError):  # A reset that has not been read yet.
                 self._transport.write_eof()
@@ -247,16 +343,16 @@
 
     def _check_timeouts(self) -> None:
         self._schedule_timeout_check()
-        if self._task is not None or self._closing:
+        if self._task is not None or self._has_turn or self._closing:
             return
         now = self._loop.time()
         limits = self.server.limits()
         idle_seconds = max(self._limits.idle_seconds, limits.idle_seconds)
-        has_partial_request = self._first_byte_at is not None
+        has_partial_request = self._first_byte_at is not None and not self._waits_to_send
         if has_partial_request and self._request is None:
-            if now - (self._first_byte_at or now) > limits.header_seconds:
+            if now - max(self._first_byte_at or now, self._turn_at) > limits.header_seconds:
                 self._reject(408, "the headers did not arrive in time")
-        elif now - self._last_activity_at > idle_seconds:
+        elif now - max(self._last_activity_at, self._turn_at) > idle_seconds:
             if has_partial_request:
                 self._reject(408, "the body did not arrive in time")
             else:
