--- a/pimentoquay/http1/server_connection.py
+++ b/pimentoquay/http1/server_connection.py
@@ -10,7 +10,6 @@
 
 import h11
 
-from pimentoquay.http1.buffered import SharedBufferProtocol
 from pimentoquay.http1.headers import find_headers
 from pimentoquay.http1.reply import HttpRequest, Reply
 from pimentoquay.kernel.logs import logger
@@ -24,14 +23,20 @@
 LINGER_SECONDS = 2.0
 """Time for which a closing connection is still read, so that the last response is not lost."""
 
-MAX_UNREAD_BYTES = 64 * 1024
-"""Number of bytes that wait for a turn or for the end of a request, above which reading pauses."""
+MAX_UNREAD_BYTES = 128 * 1024
+"""Most bytes of a connection that wait for a turn or for the end of a request.
+
+Reading pauses while they are more than half as many.
+"""
 
 MAX_UNSENT_BYTES = 256 * 1024
 """Number of unsent bytes of answers above which the next request waits until they are read."""
 
-PIECE_BYTES = 16 * 1024
-"""Number of bytes that the parser gets at a time, so the most that it holds beyond a request."""
+HEAD_PIECE_BYTES = 16 * 1024
+"""Number of bytes of heads that the parser gets at a time, and may hold beyond a request."""
+
+BODY_PIECE_BYTES = 64 * 1024
+"""Number of bytes of a body that the parser gets at a time, and may hold beyond a request."""
 
 ITEMS_AT_ONCE = 8
 """Number of items that are handled as soon as they are read: those of a request in few parts."""
@@ -57,7 +62,11 @@
 """Value of ``SO_LINGER`` with which closing the socket resets the connection."""
 
 
-class ServerConnection(SharedBufferProtocol):
+_buffer = memoryview(bytearray(MAX_UNREAD_BYTES))
+"""Buffer into which all connections are read in turn."""
+
+
+class ServerConnection(asyncio.BufferedProtocol):
     """One connection of a caller, which serves one request at a time.
 
     Received bytes wait in a buffer of bounded size. Few items, such as chunks, are handled as soon
@@ -128,14 +137,18 @@
         if self._task is None and self._first_byte_at is not None and not self._closing:
             self._plan_turn()
 
-    def data_received(self, data: bytes) -> None:
-        """Handle received bytes."""
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer into which the next bytes are read."""
+        return _buffer[: MAX_UNREAD_BYTES - len(self._unread)]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle the bytes that were read into the buffer."""
         self._last_activity_at = self._loop.time()
         if self._closing:
             return
         if self._first_byte_at is None and self._task is None:
             self._first_byte_at = self._last_activity_at
-        self._unread += data
+        self._unread += _buffer[:nbytes]
         is_next = self._task is None and not self._has_turn and not self._waits_to_send
         if is_next and self._handle_items(ITEMS_AT_ONCE):
             self._plan_turn()
@@ -217,20 +230,26 @@
         return self._task is None and not self._closing
 
     def _feed_parser(self) -> None:
-        piece = self._unread[:PIECE_BYTES]
-        del self._unread[:PIECE_BYTES]
         if self._request is None:
+            piece = self._take_unread(HEAD_PIECE_BYTES)
             self._head += piece
         else:
-            self._body_wire_bytes += len(piece)
-            if self._body_wire_bytes - PIECE_BYTES > MAX_BODY_FRAMING * self._limits.body_bytes:
-                self._reject(413, f"{self._body_wire_bytes} bytes for the chunks of a body")
+            most = MAX_BODY_FRAMING * self._limits.body_bytes
+            if self._body_wire_bytes > most:
+                self._reject(413, f"over {most} bytes for the chunks of a body")
                 return
-        self._http.receive_data(bytes(piece))
+            piece = self._take_unread(BODY_PIECE_BYTES)
+            self._body_wire_bytes += len(piece)
+        self._http.receive_data(piece)
+
+    def _take_unread(self, count: int) -> bytes:
+        piece = bytes(self._unread if len(self._unread) <= count else self._unread[:count])
+        del self._unread[:count]
+        return piece
 
     def _update_reading(self) -> None:
         """Pause reading while much is unread."""
-        is_full = len(self._unread) > MAX_UNREAD_BYTES
+        is_full = len(self._unread) > MAX_UNREAD_BYTES // 2
         if is_full and not self._is_reading_paused:
             self._is_reading_paused = True
             self._transport.pause_reading()
--- a/pimentoquay/http1/tests/test_small_items.py
+++ b/pimentoquay/http1/tests/test_small_items.py
@@ -91,7 +91,9 @@
 def counted_per_pass(count):
     """Yield a list that gets, in each pass of the event loop, by how much a count has risen."""
     loop = asyncio.get_running_loop()
-    rises, last, handle = [], count(), None
+    rises: list[int] = []
+    last = count()
+    handle: asyncio.Handle | None = None
 
     def tick():
         nonlocal last, handle
@@ -102,7 +104,8 @@
 
     tick()
     yield rises
-    handle.cancel()
+    if handle is not None:
+        handle.cancel()
 
 
 @pytest.fixture
