Handle the small items of one read from an engine in turns

An engine that wrote chunks of one byte or empty answers to other requests kept all other clients of the gateway waiting: one read of 32 KB holds 5,000 chunks, all parsed before anything else ran, and each was passed on as a chunk of its own. The number of discarded answers and the size of their headers were not bounded at all.

A connection now handles as many items of a read as one turn allows, the rest in turns of the process's queue while reading is paused. What nobody has read yet is joined, up to the read-ahead. At most 16 answers to other requests are discarded, and their headers count as their bytes. The end of a connection waits for what has arrived before it. Bytes that come after a response was refused, as a tunnel may pass them on, are dropped; they were parsed as another response.

--- a/pimentoquay/gateway/engine_link.py
+++ b/pimentoquay/gateway/engine_link.py
@@ -26,6 +26,7 @@
 )
 from pimentoquay.kernel.logs import logger
 from pimentoquay.kernel.timeouts import attempt_timeout
+from pimentoquay.kernel.turns import TurnQueue
 from pimentoquay.platform.engine_calls import EngineCall, EngineCalls
 from pimentoquay.platform.fields import DecodeError
 from pimentoquay.platform.requests import CallerRequest, SendOptions, engine_headers
@@ -93,6 +94,8 @@
         Called for each response that was cut off for its size.
     paths
         Opens connections to engines, directly or through peers.
+    turns
+        Continues the work that reads left over.
     """
 
     def __init__(
@@ -105,6 +108,7 @@
         on_open: Callable[[], None],
         on_oversized: Callable[[], None],
         paths: EnginePaths,
+        turns: TurnQueue | None = None,
     ) -> None:
         self.entry = entry
         self.target = target_of(entry)
@@ -123,7 +127,7 @@
 
         def new_pool(connect: Connect) -> ConnectionPool:
             return ConnectionPool(
-                entry.address, CONNECT_TIMEOUT_SECONDS, REUSE_POLICY, on_open, connect
+                entry.address, CONNECT_TIMEOUT_SECONDS, REUSE_POLICY, on_open, connect, turns
             )
 
         self._pool = new_pool(paths.connector(self.target))
--- a/pimentoquay/gateway/links.py
+++ b/pimentoquay/gateway/links.py
@@ -10,6 +10,7 @@
     HttpError,
 )
 from pimentoquay.kernel.logs import logger
+from pimentoquay.kernel.turns import TurnQueue
 from pimentoquay.platform.engine_calls import EngineCall
 from pimentoquay.policy.circuits import CircuitLimits, Circuits, CircuitState
 from pimentoquay.policy.engine_limits import EngineLimits, LimitNotice
@@ -40,15 +41,23 @@
         Whether engines are reached.
     paths
         Opens connections to engines, directly or through peers.
+    turns
+        Continues the work that reads left over.
     """
 
     def __init__(
-        self, fleet: Fleet, limits: EngineLimits, contact: EngineContact, paths: EnginePaths
+        self,
+        fleet: Fleet,
+        limits: EngineLimits,
+        contact: EngineContact,
+        paths: EnginePaths,
+        turns: TurnQueue | None = None,
     ) -> None:
         self._fleet = fleet
         self.limits = limits
         self.contact = contact
         self._paths = paths
+        self._turns = turns
         self.on_limit: list[Callable[[LimitNotice], None]] = []
         self.circuits = Circuits(CIRCUIT_LIMITS)
         self.on_leaving: list[Callable[[EngineStart], None]] = []
@@ -79,6 +88,7 @@
                 self._count_opened,
                 self._count_oversized,
                 self._paths,
+                self._turns,
             )
             link.on_leaving = self._report_leaving
             link.on_limit = self._report_limit
--- a/pimentoquay/http1/client.py
+++ b/pimentoquay/http1/client.py
@@ -29,6 +29,7 @@
 )
 from pimentoquay.kernel.input_checks import describe
 from pimentoquay.kernel.timeouts import attempt_timeout
+from pimentoquay.kernel.turns import TurnQueue
 from pimentoquay.transport.websocket import split_address
 
 __all__ = ["Connect", "ConnectionPool", "Exchange", "ReusePolicy", "ServerState", "connect_tcp"]
@@ -82,6 +83,9 @@
         Called before each attempt to open a connection, for metrics.
     connect
         Opens a connection.
+    turns
+        Continues the work that reads left over; all connections of a process share one. Without
+        one, each connection has its own.
     """
 
     def __init__(
@@ -91,6 +95,7 @@
         reuse: ReusePolicy,
         on_open: Callable[[], None] = lambda: None,
         connect: Connect = connect_tcp,
+        turns: TurnQueue | None = None,
     ) -> None:
         self.address = address
         self.open_connections = 0
@@ -101,6 +106,7 @@
         self._reuse = reuse
         self._on_open = on_open
         self._connect = connect
+        self._turns = turns
         self._idle: deque[ClientConnection] = deque()
         self._closed = False
         self.epoch = 0
@@ -204,7 +210,7 @@
         try:
             async with attempt_timeout(self._connect_seconds):
                 _, connection = await self._connect(
-                    lambda: ClientConnection(self._reuse, now), self._host, self._port
+                    lambda: ClientConnection(self._reuse, now, self._turns), self._host, self._port
                 )
         except (OSError, TimeoutError) as error:
             detail = f"no connection to {self.address}: {error!r}"
@@ -242,6 +248,7 @@
 
     def __init__(self, connection: "ClientConnection") -> None:
         self._connection = connection
+        self._turn_key = object()
         self.status = 0
         self.headers: HeaderList = ()
 
@@ -268,6 +275,10 @@
         """Use the connection for no other exchange."""
         self._connection.retire()
 
+    async def wait_for_turn(self) -> None:
+        """Wait for the next turn of a reader that has work left of what it has read."""
+        await self._connection.turns.wait(self._turn_key)
+
     async def read_head(self, seconds: float | None = None) -> None:
         """Wait for the status and headers; ``HttpError`` if they do not arrive."""
         event = await self._next_event(seconds)
--- a/pimentoquay/http1/client_connection.py
+++ b/pimentoquay/http1/client_connection.py
@@ -1,7 +1,9 @@
 """One connection to a backend server, its parser and what may be kept of its responses.
 
 Nothing that a server sends without end fills the memory: headers, responses to other requests and
-data that nobody has read yet are bounded, and what cannot be a response closes the connection.
+data that nobody has read yet are bounded, and what cannot be a response closes the connection. A
+read may hold thousands of small chunks or other items, so as many of them are handled at once as
+one turn allows, and the rest in turns between passes of the event loop, while reading is paused.
 """
 
 import asyncio
@@ -9,15 +11,16 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 import h11
 
 from pimentoquay.http1.buffered import SharedBufferProtocol
+from pimentoquay.http1.exchange_times import ExchangeWatch, ReusePolicy
 from pimentoquay.http1.headers import HeaderList, find_header
 from pimentoquay.http1.response_marks import ResponseMark, ResponseMarks
 from pimentoquay.kernel.errors import HttpError, PathLostError
+from pimentoquay.kernel.turns import ITEMS_PER_TURN, TurnQueue
 
 __all__ = ["ClientConnection", "ExchangeWatch", "ReusePolicy"]
 
@@ -33,6 +36,15 @@
 MAX_DISCARDED_BYTES = 64 * 1024
 """Maximum size of responses to other requests that are discarded before the own one, in bytes."""
 
+MAX_DISCARDED_RESPONSES = 16
+"""Maximum number of responses to other requests that are discarded before the own one."""
+
+DISCARD_ITEMS = 8
+"""Items as which the end of a discarded response counts, since a new parser is made there."""
+
+LINES_PER_ITEM = 8
+"""Number of header lines that count as one item."""
+
 MAX_INFORMATIONAL_RESPONSES = 16
 """Maximum number of responses with a status of 1xx before the final one."""
 
@@ -40,42 +52,6 @@
 """Maximum length of a stated idle timeout, in digits; a longer one counts as not stated."""
 
 
-@dataclass(frozen=True)
-class ReusePolicy:
-    """Limits of the idle time within which a connection may be reused.
-
-    Idle time is counted from the headers of the last response.
-
-    Parameters
-    ----------
-    max_idle_seconds
-        Maximum idle time in seconds if the backend server states none.
-    margin_seconds
-        Time in seconds subtracted from an idle timeout that the backend server states, so that a
-        request is not sent at the moment at which the server closes the connection.
-    """
-
-    max_idle_seconds: float = 4.0
-    margin_seconds: float = 1.0
-
-
-@dataclass(frozen=True)
-class ExchangeWatch:
-    """How long a server may be silent during an exchange, in seconds.
-
-    Parameters
-    ----------
-    quiet_seconds
-        Silence after which it is to be found out whether the server is still reached.
-    abandon_seconds
-        Silence after which the exchange is given up if it is not, or None if it may not be sent
-        again.
-    """
-
-    quiet_seconds: float
-    abandon_seconds: float | None = None
-
-
 class ClientConnection(SharedBufferProtocol):
     """One connection of a pool, which carries at most one exchange at a time.
 
@@ -89,22 +65,34 @@
         Limits of the idle time within which it may be reused.
     now
         Returns the monotonic time in seconds.
+    turns
+        Continues the work that a read left over; all connections of a process share one. Without
+        one, the connection has its own.
     """
 
-    def __init__(self, reuse: ReusePolicy, now: Callable[[], float] = time.monotonic) -> None:
+    def __init__(
+        self,
+        reuse: ReusePolicy,
+        now: Callable[[], float] = time.monotonic,
+        turns: TurnQueue | None = None,
+    ) -> None:
         self.on_lost: Callable[[ClientConnection], None] = lambda connection: None
         self.via = ""
         self.heard_at = 0.0
         self.watch: ExchangeWatch | None = None
         self._reuse = reuse
         self._now = now
+        self._turns = turns
+        self._turn_key = object()
+        self._has_turn = False
+        self._has_ended = False
         self._transport: Any = None
         self._http = h11.Connection(h11.CLIENT, MAX_RESPONSE_HEADER_BYTES)
         self._request: h11.Request | None = None
         self._body = b""
         self.marks = ResponseMarks()
         self._is_discarding = False
-        self._discarded_bytes = 0
+        self._discarded_bytes = self._discarded_responses = 0
         self._informational_responses = 0
         self._events: deque[Any] = deque()
         self._buffered_bytes = 0
@@ -134,8 +122,15 @@
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS)
 
+    @property
+    def turns(self) -> TurnQueue:
+        """Queue in which also the reader of a response waits for its next turn."""
+        if self._turns is None:
+            self._turns = TurnQueue()
+        return self._turns
+
     def connection_lost(self, exc: Exception | None) -> None:
-        """Fail a response that is not complete."""
+        """Fail a response that is not complete, once what has arrived of it is handled."""
         self._is_lost = True
         if self._request is not None and not self._is_complete:
             self._record_failure(f"the connection was lost: {exc!r}")
@@ -144,19 +139,19 @@
     def eof_received(self) -> bool:
         """End a response whose end is that of the connection."""
         if self._request is not None and not self._is_complete:
-            self._parse_data(b"")
-            if not self._is_complete:
-                self._record_failure("the connection ended before the answer was whole")
+            self._has_ended = True
+            self._handle_received()
         return False
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; bytes that belong to no request close the connection."""
-        if self._request is None or self._is_complete:
+        if self._request is None or self._is_complete or self._transport.is_closing():
             self.abort()
             return
         self.heard_at = self._now()
-        self._parse_data(data)
-        if self._buffered_bytes > READ_AHEAD_BYTES:
+        self._http.receive_data(data)
+        self._handle_received()
+        if self._must_pause:
             self._transport.pause_reading()
 
     def send(
@@ -174,7 +169,8 @@
             self._body = body
             self.marks.begin(mark)
             self._is_complete = self._is_discarding = False
-            self._discarded_bytes = self._informational_responses = 0
+            self._discarded_bytes = self._discarded_responses = 0
+            self._informational_responses = 0
             self.heard_at = self._now()
             self._transport.write(self._serialise())
         except h11.LocalProtocolError as error:
@@ -183,15 +179,14 @@
     async def next_event(self) -> Any:
         """Return the next event of the response; ``HttpError`` if the connection has failed."""
         while not self._events:
-            if self._failure is not None:
+            if self._failure is not None and not self._has_turn:
                 raise self.error(self._failure, connection_lost=True)
             self._waiter = asyncio.get_running_loop().create_future()
             await self._waiter
         event = self._events.popleft()
         if isinstance(event, h11.Data):
             self._buffered_bytes -= len(event.data)
-            if self._buffered_bytes <= READ_AHEAD_BYTES and not self._is_lost:
-                self._transport.resume_reading()
+            self._resume_reading()
         return event
 
     def error(self, detail: str, connection_lost: bool = False) -> HttpError:
@@ -234,7 +229,10 @@
         self._record_failure(detail)
 
     def abort(self) -> None:
-        """Close the connection immediately."""
+        """Close the connection immediately; what has arrived and is not handled yet is dropped."""
+        if self._has_turn:
+            self.turns.discard(self._turn_key)
+            self._has_turn = False
         if not self._transport.is_closing():
             self._transport.abort()
 
@@ -245,15 +243,56 @@
             data += self._http.send(h11.Data(data=self._body)) or b""
         return data + (self._http.send(h11.EndOfMessage()) or b"")
 
-    def _parse_data(self, data: bytes) -> None:
+    @property
+    def _must_pause(self) -> bool:
+        return self._has_turn or self._buffered_bytes > READ_AHEAD_BYTES
+
+    def _resume_reading(self) -> None:
+        if not self._must_pause and not self._is_lost:
+            self._transport.resume_reading()
+
+    def _handle_received(self) -> None:
+        if not self._has_turn and self._handle_items():
+            self._has_turn = True
+            self.turns.add(self._turn_key, self._take_turn)
+
+    def _take_turn(self) -> bool:
+        """Go on with what a read left over; bytes that wait for their turn are no silence."""
+        self.heard_at = self._now()
+        self._has_turn = False
         try:
-            self._http.receive_data(data)
-            while not self._is_complete and self._process_event(self._http.next_event()):
-                pass
+            self._has_turn = self._handle_items()
+        except Exception:
+            self.abort()
+            raise
+        if not self._has_turn:
+            self._wake_reader()
+            self._resume_reading()
+        return self._has_turn
+
+    def _handle_items(self) -> bool:
+        """Handle as many items as one turn allows; return whether there may be more."""
+        items = 0
+        is_at_end = False
+        try:
+            while items < ITEMS_PER_TURN:
+                event = self._http.next_event()
+                if event is h11.NEED_DATA and self._has_ended and not is_at_end:
+                    is_at_end = True
+                    self._http.receive_data(b"")
+                    continue
+                if not self._process_event(event):
+                    break
+                items += _items_of(event)
+            else:
+                return True
         except h11.RemoteProtocolError as error:
             self._record_failure(f"not an answer: {error}")
             self._http = h11.Connection(h11.CLIENT)
             self.abort()
+        if is_at_end and not self._is_complete:
+            self._record_failure("the connection ended before the answer was whole")
+        return False
 
     def _process_event(self, event: Any) -> bool:
         """Process one event of the response; return whether more may follow."""
@@ -271,23 +310,40 @@
         if isinstance(event, h11.Response):
             self._set_reuse_deadline(tuple(event.headers.raw_items()))
         elif isinstance(event, h11.Data):
-            self._buffered_bytes += len(event.data)
+            self._add_data(event.data)
         else:
             self._is_complete = True
-        self._events.append(event)
+        if not isinstance(event, h11.Data):
+            self._events.append(event)
         self._wake_reader()
         return not self._is_complete
 
+    def _add_data(self, data: bytes) -> None:
+        """Add data of the body, joined with what nobody has read yet."""
+        self._buffered_bytes += len(data)
+        last = self._events[-1] if self._events else None
+        unread: Any = last.data if isinstance(last, h11.Data) else None
+        if unread is not None and len(unread) + len(data) <= READ_AHEAD_BYTES:
+            unread.extend(data)
+        else:
+            unread = bytearray(data)
+            self._events.append(h11.Data(data=unread))
+
     def _discard_event(self, event: Any) -> bool:
         """Discard an event of a response to another request.
 
         At its end, start a new parser. It accepts a response only after a request, so the request
         is serialised for it again without being written to the socket.
         """
-        if isinstance(event, h11.Data):
+        if isinstance(event, h11.Response):
+            self._discarded_responses += 1
+            self._discarded_bytes += sum(map(_length_of, event.headers.raw_items()))
+        elif isinstance(event, h11.Data):
             self._discarded_bytes += len(event.data)
-            if self._discarded_bytes > MAX_DISCARDED_BYTES:
-                raise h11.RemoteProtocolError("the answers to other requests are too long")
+        if self._discarded_responses > MAX_DISCARDED_RESPONSES:
+            raise h11.RemoteProtocolError("too many answers to other requests")
+        if self._discarded_bytes > MAX_DISCARDED_BYTES:
+            raise h11.RemoteProtocolError("the answers to other requests are too long")
         if isinstance(event, h11.EndOfMessage):
             rest, closed = self._http.trailing_data
             if self._http.their_state is not h11.DONE or closed:
@@ -316,3 +372,16 @@
     def _wake_reader(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
+
+
+def _items_of(event: Any) -> int:
+    if isinstance(event, h11.EndOfMessage):
+        return DISCARD_ITEMS
+    if isinstance(event, h11.Response | h11.InformationalResponse):
+        return 1 + len(event.headers) // LINES_PER_ITEM
+    return 1
+
+
+def _length_of(header: tuple[bytes, bytes]) -> int:
+    name, value = header
+    return len(name) + len(value)
