Pass on the small events of one read in turns, and search each byte once

A read of 32 KB of blank lines or comments holds up to 16,000 events, which were all split, checked and passed on before anything else ran.

The splitter returns as many events at once as one turn allows, and the reader waits for its next turn if more may be complete. Up to that many events of a read are passed on as before, at once.

--- a/pimentoquay/gateway/event_reader.py
+++ b/pimentoquay/gateway/event_reader.py
@@ -6,6 +6,7 @@
 from pimentoquay.gateway.stream_progress import RunEndedError
 from pimentoquay.http1 import Exchange
 from pimentoquay.kernel.errors import HttpError
+from pimentoquay.kernel.turns import ITEMS_PER_TURN
 
 __all__ = ["EventReader"]
 
@@ -15,6 +16,7 @@
 
     An event with lines that cannot stand in one, such as the head of another response, is wrong as
     well. Events that arrived together with a wrong one are returned first, and the next call fails.
+    Of many events that arrived together, as many are returned at once as one turn allows.
     ``has_read_events`` is whether there was any event so far.
 
     Parameters
@@ -42,6 +44,7 @@
         self._is_resumable = is_resumable
         self._splitter = EventSplitter()
         self._fault: RunEndedError | None = None
+        self._may_have_more = False
         self.has_read_events = False
 
     async def next_events(self) -> list[StreamEvent]:
@@ -62,8 +65,10 @@
             raise self._fault
         loop = asyncio.get_running_loop()
         since, left = loop.time(), self._silence_timeout
-        while (chunk := await self._exchange.read_chunk(left)) is not None:
-            events = self._take_sound(self._splitter.feed(chunk))
+        while (chunk := await self._next_chunk(left)) is not None:
+            events = self._splitter.feed(chunk, ITEMS_PER_TURN)
+            self._may_have_more = len(events) == ITEMS_PER_TURN
+            events = self._take_sound(events)
             if events:
                 self.has_read_events = True
                 return events
@@ -74,6 +79,13 @@
         self._check_end()
         return []
 
+    async def _next_chunk(self, seconds: float | None) -> bytes | None:
+        """Wait for the next bytes, or for a turn if more events may be complete already."""
+        if not self._may_have_more:
+            return await self._exchange.read_chunk(seconds)
+        await self._exchange.wait_for_turn()
+        return b""
+
     def _take_sound(self, events: list[StreamEvent]) -> list[StreamEvent]:
         """Return the events before the first wrong one, which ends the run."""
         for index, event in enumerate(events):
--- a/pimentoquay/gateway/events.py
+++ b/pimentoquay/gateway/events.py
@@ -15,6 +15,9 @@
 _PIECE = re.compile(rb"(?:^|[\r\n])(?!event[:\r\n]|retry[:\r\n])[^:\r\n]")
 """Field by which an event is more than a comment; the type and the retry time alone are not."""
 
+MAX_END_BYTES = 4
+"""Length of the longest end of an event, in bytes."""
+
 MAX_EVENT_BYTES = 64 * 1024
 """Maximum size of an event; a response with more bytes before an event's end is invalid."""
 
@@ -38,7 +41,7 @@
 
 
 class EventSplitter:
-    r"""Incremental splitter; ``remainder`` holds the bytes of an incomplete event.
+    r"""Incremental splitter, which searches each byte for the end of an event once.
 
     Example
     -------
@@ -50,22 +53,34 @@
     """
 
     def __init__(self) -> None:
-        self.remainder = b""
+        self._buffer = bytearray()
+        self._searched = 0
+
+    @property
+    def remainder(self) -> bytes:
+        """Bytes of an incomplete event, or of those that are not returned yet."""
+        return bytes(self._buffer)
 
-    def feed(self, data: bytes) -> list[StreamEvent]:
-        """Add bytes and return the events that are complete now.
+    def feed(self, data: bytes, max_events: int | None = None) -> list[StreamEvent]:
+        """Add bytes and return the events that are complete now, up to a number if one is given.
 
-        ``ResponseTooLargeError`` if one is longer than ``MAX_EVENT_BYTES``.
+        If as many are returned, call it without bytes for the next ones. ``ResponseTooLargeError``
+        if one is longer than ``MAX_EVENT_BYTES``.
         """
-        buffer = self.remainder + data
-        events = []
-        start = 0
-        for end in _END.finditer(buffer):
-            part = buffer[start : end.end()]
+        self._buffer += data
+        events: list[StreamEvent] = []
+        start, search_at = 0, max(0, self._searched - MAX_END_BYTES + 1)
+        while max_events is None or len(events) < max_events:
+            end = _END.search(self._buffer, search_at)
+            if end is None:
+                self._searched = len(self._buffer) - start
+                break
+            part = bytes(self._buffer[start : end.end()])
             found = _ID.search(part)
             events.append(StreamEvent(part, int(found[1]) if found else None))
-            start = end.end()
-        self.remainder = buffer[start:]
-        if len(self.remainder) > MAX_EVENT_BYTES:
+            start = search_at = end.end()
+            self._searched = 0
+        del self._buffer[:start]
+        if self._searched > MAX_EVENT_BYTES:
             raise ResponseTooLargeError(f"event is longer than {MAX_EVENT_BYTES} bytes", True)
         return events
