--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -143,7 +143,7 @@
         paths.find_outcome, paths.refusal_outcome, paths.referrals, paths.record_silent
     )
     tunnel_server = TunnelServer(node.identity, settings.shared_key, connect, tunnel_policy)
-    links = EngineLinks(fleet, limits, contact, paths)
+    links = EngineLinks(fleet, limits, contact, paths, turns)
     run_ledger = RunLedger()
     bounds = settings.bounds
     repeat_limits = RepeatLimits(
