Handle the frames of a tunnel in turns, and join those of one read

Cause: one read of 32 KB from a peer can hold 6,500 frames of one byte or 8,192 announcements of a stop. Each was passed to the protocol that uses the tunnel alone, which parsed it, before anything else ran: one read of one-byte frames of an answer kept the event loop for 77 ms, read after read.

Change: adjacent frames of a read are joined, at most 512 are handled at once, and the rest follows in turns (kernel/turns.py) while the tunnel does not read. Nothing is passed on while the protocol that uses the tunnel has paused. The end of the engine's connection comes after what came before it, nothing follows it, and an announcement is told once. A peer may send each message that opens a tunnel once; a Welcome could come again and again until the timeout.

Without the bound the tests fail as all frames are handled at once; before the change each frame was a call.

--- a/pimentoquay/bench/mutations/turn_switches.py
+++ b/pimentoquay/bench/mutations/turn_switches.py
@@ -5,6 +5,8 @@
 
 __all__ = ["TURN_SWITCHES"]
 
+_FRAMES = "pimentoquay/tunnels/tests/test_small_frames.py::"
+
 TURN_SWITCHES = (
     Switch(
         "turns of connections that have had few go first",
@@ -13,4 +15,10 @@
         "pimentoquay/policy/tests/test_turn_order.py::"
         "test_sound_connections_wait_for_few_turns_beside_endless_ones[300-0]",
     ),
+    Switch(
+        "frames of a tunnel are handled in turns",
+        "pimentoquay.tunnels.client:FRAMES_PER_TURN",
+        lambda original: None,
+        _FRAMES + "test_one_tunnel_goes_on_in_each_pass_however_many_have_work",
+    ),
 )
--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -78,6 +78,7 @@
 from pimentoquay.kernel import Node
 from pimentoquay.kernel.input_checks import refused_by_kind
 from pimentoquay.kernel.traffic import refused_messages
+from pimentoquay.kernel.turns import TurnQueue
 from pimentoquay.messages.fleet import (
     CrashEvidence,
     EnginesLeaving,
@@ -97,6 +98,7 @@
 from pimentoquay.policy.store_position import StoreEra
 from pimentoquay.policy.token_ledger import TokenLedger
 from pimentoquay.policy.tunnel_peers import TunnelPeers
+from pimentoquay.policy.turn_order import LeastServedFirst
 from pimentoquay.transport.peers import PeerSet
 from pimentoquay.tunnels import (
     EnginePaths,
@@ -128,10 +130,11 @@
     """
     fleet = Fleet(node.timers.now)
     limits = EngineLimits(settings.vm)
+    turns = TurnQueue(LeastServedFirst(node.timers.now))
     contact = EngineContact(node.timers)
     tunnels = PeerTunnels(
         node.timers,
-        TunnelOpener(node.identity, settings.shared_key),
+        TunnelOpener(node.identity, settings.shared_key, turns),
         TunnelPeers(settings.vm, settings.data_centre),
         lambda: mesh.tunnel_places(),
     )
--- a/pimentoquay/tunnels/client.py
+++ b/pimentoquay/tunnels/client.py
@@ -8,12 +8,13 @@
 from pimentoquay.http1 import SharedBufferProtocol, connect_tcp
 from pimentoquay.kernel import Identity, PimentoquayError, ResultCode
 from pimentoquay.kernel.timeouts import attempt_timeout
+from pimentoquay.kernel.turns import TurnQueue
 from pimentoquay.messages import CodecError, decode, encode
 from pimentoquay.messages.connection import Challenge, Rejected, Welcome
 from pimentoquay.messages.tunnels import TunnelOutcome, TunnelReply, TunnelRequest
 from pimentoquay.transport import handshake
 from pimentoquay.transport.websocket import split_address
-from pimentoquay.tunnels.framing import FrameReader, frame
+from pimentoquay.tunnels.framing import FRAMES_PER_TURN, FrameReader, frame
 
 __all__ = ["OPEN_SECONDS", "TunnelOpener", "TunnelRefusedError", "TunnelTarget"]
 
@@ -47,11 +48,14 @@
     ----------
     identity, key
         Identity of this gateway, and the key that all gateways of the deployment share.
+    turns
+        Continues with frames that one read left over; a queue of its own if omitted.
     """
 
-    def __init__(self, identity: Identity, key: bytes) -> None:
+    def __init__(self, identity: Identity, key: bytes, turns: TurnQueue | None = None) -> None:
         self._identity = identity
         self._key = key
+        self._turns = turns if turns is not None else TurnQueue()
 
     async def open(
         self, factory: Callable[[], Any], address: str, target: TunnelTarget, is_check: bool = False
@@ -82,7 +86,9 @@
         try:
             async with attempt_timeout(OPEN_SECONDS):
                 _, protocol = await connect_tcp(
-                    lambda: _TunnelProtocol(self._identity, self._key, request), host, port
+                    lambda: _TunnelProtocol(self._identity, self._key, request, self._turns),
+                    host,
+                    port,
                 )
                 reply = await protocol.reply
         except BaseException:
@@ -96,17 +102,25 @@
 
 
 class _TunnelProtocol(SharedBufferProtocol):
-    """The side of a tunnel that uses it: opens it, then passes the engine's bytes on."""
+    """The side of a tunnel that uses it: opens it, then passes the engine's bytes on.
 
-    def __init__(self, identity: Identity, key: bytes, request: TunnelRequest) -> None:
+    A read may hold thousands of tiny frames. They are joined, and passed on in turns while nothing
+    else is read; nothing is passed on while the protocol that uses the tunnel has paused.
+    """
+
+    def __init__(
+        self, identity: Identity, key: bytes, request: TunnelRequest, turns: TurnQueue
+    ) -> None:
         self._identity = identity
         self._key = key
         self._request = request
+        self._turns = turns
         self._reader = FrameReader()
         self._challenge: Challenge | None = None
         self._hello: Any = None
         self._is_welcome = False
         self._inner: Any = None
+        self._is_paused = False
         self._has_ended = False
         self.transport: Any = None
         self.reply: asyncio.Future[TunnelReply] = asyncio.get_running_loop().create_future()
@@ -117,7 +131,7 @@
     def begin(self, inner: Any) -> tuple[Any, Any]:
         """Connect the tunnel to the protocol that uses it."""
         self._inner = inner
-        transport = _TunnelTransport(self.transport)
+        transport = _TunnelTransport(self.transport, self)
         inner.connection_made(transport)
         self._deliver(self._reader.take_rest())
         return transport, inner
@@ -135,13 +149,29 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._turns.discard(self)
         if not self.reply.done():
             self._fail(exc or ConnectionResetError("the peer closed the tunnel"))
         if self._inner is not None:
+            if exc is not None and self._reader.has_more:
+                self._pass_on(self._reader.feed(b""))
             if not self._has_ended:
                 exc = exc or ConnectionResetError("the tunnel ended before the engine's connection")
             self._inner.connection_lost(exc)
 
+    def pause(self) -> None:
+        """Pass nothing on until the protocol that uses the tunnel reads again."""
+        self._is_paused = True
+        self.transport.pause_reading()
+
+    def resume(self) -> None:
+        """Go on passing bytes on, first those that were read before."""
+        self._is_paused = False
+        if self._reader.has_more:
+            self._turns.add(self, self._continue)
+        else:
+            self.transport.resume_reading()
+
     def _fail(self, error: Exception) -> None:
         """Fail the opening of the tunnel, which nobody may be waiting for any more."""
         self.reply.set_exception(error)
@@ -160,7 +190,7 @@
             self._challenge = message
             self._hello = handshake.make_hello(self._identity, self._key, message)
             self.transport.write(frame(encode(self._hello)) + frame(encode(self._request)))
-        elif isinstance(message, Welcome) and self._challenge is not None:
+        elif isinstance(message, Welcome) and self._challenge is not None and not self._is_welcome:
             handshake.check_welcome(message, self._key, self._challenge, self._hello)
             self._is_welcome = True
         elif isinstance(message, TunnelReply) and self._is_welcome:
@@ -169,9 +199,23 @@
             raise CodecError(ResultCode.FRAME_MALFORMED, f"unexpected {type(message).__name__}")
 
     def _deliver(self, data: bytes) -> None:
-        if not data:
-            return
-        for part in self._reader.feed(data):
+        self._pass_on(self._reader.feed(data, FRAMES_PER_TURN))
+        if self._reader.has_more:
+            self.transport.pause_reading()
+            if not self._is_paused:
+                self._turns.add(self, self._continue)
+
+    def _continue(self) -> bool:
+        """Pass on what one turn allows; return whether more is to be passed on."""
+        if self._is_paused or self.transport.is_closing():
+            return False
+        self._pass_on(self._reader.feed(b"", FRAMES_PER_TURN))
+        if not self._reader.has_more and not self._is_paused and not self.transport.is_closing():
+            self.transport.resume_reading()
+        return self._reader.has_more and not self._is_paused
+
+    def _pass_on(self, parts: list[bytes | None]) -> None:
+        for part in parts:
             if part is None:
                 self._inner.retire()
             elif part:
@@ -185,9 +229,10 @@
 class _TunnelTransport(asyncio.Transport):
     """Transport of the protocol that uses a tunnel."""
 
-    def __init__(self, transport: Any) -> None:
+    def __init__(self, transport: Any, tunnel: _TunnelProtocol) -> None:
         super().__init__()
         self._transport = transport
+        self._tunnel = tunnel
 
     def write(self, data: Any) -> None:
         self._transport.write(data)
@@ -199,10 +244,10 @@
         return bool(self._transport.is_closing())
 
     def pause_reading(self) -> None:
-        self._transport.pause_reading()
+        self._tunnel.pause()
 
     def resume_reading(self) -> None:
-        self._transport.resume_reading()
+        self._tunnel.resume()
 
     def get_extra_info(self, name: str, default: Any = None) -> Any:
         return self._transport.get_extra_info(name, default)
--- a/pimentoquay/tunnels/framing.py
+++ b/pimentoquay/tunnels/framing.py
@@ -6,12 +6,16 @@
 """
 
 from pimentoquay.kernel import ResultCode
+from pimentoquay.kernel.turns import ITEMS_PER_TURN
 from pimentoquay.messages import CodecError
 
-__all__ = ["END", "GOING_AWAY", "MAX_OPENING_BYTES", "FrameReader", "frame"]
+__all__ = ["END", "FRAMES_PER_TURN", "GOING_AWAY", "MAX_OPENING_BYTES", "FrameReader", "frame"]
 
 LENGTH_BYTES = 4
 
+FRAMES_PER_TURN = 16 * ITEMS_PER_TURN
+"""Number of frames that are handled in one turn; one takes about half a microsecond."""
+
 MAX_OPENING_BYTES = 4096
 """Maximum size of a message that opens a tunnel, in bytes; they have some hundred."""
 
@@ -44,6 +48,9 @@
     def __init__(self) -> None:
         self._buffer = b""
         self._left = 0
+        self._is_retired = False
+        self._has_ended = False
+        self.has_more = False
 
     def read_message(self, data: bytes) -> bytes | None:
         """Add received bytes; return the next whole frame if there is one.
@@ -70,29 +77,44 @@
         rest, self._buffer = self._buffer, b""
         return rest
 
-    def feed(self, data: bytes) -> list[bytes | None]:
-        """Add received bytes; return their parts.
+    def feed(self, data: bytes, max_frames: int | None = None) -> list[bytes | None]:
+        """Add received bytes; return their parts, where those of adjacent frames are joined.
 
-        An empty part marks the end, and None a peer that is about to stop.
+        An empty part marks the end, after which nothing is returned, and None a peer that is about
+        to stop, which is returned once. At most ``max_frames`` frames are handled, if it is given;
+        ``has_more`` then tells whether others are left, for a call without bytes.
         """
         if self._buffer:
             data, self._buffer = self._buffer + data, b""
         parts: list[bytes | None] = []
-        start = 0
-        while start < len(data):
+        joined: list[bytes] = []
+        start = frames = 0
+        while start < len(data) and not self._has_ended and frames != max_frames:
             if not self._left:
                 if len(data) - start < LENGTH_BYTES:
-                    self._buffer = data[start:]
                     break
                 length = int.from_bytes(data[start : start + LENGTH_BYTES], "big")
                 start += LENGTH_BYTES
-                if length in (0, _GOING_AWAY_LENGTH):
-                    parts.append(None if length else b"")
-                else:
+                if length not in (0, _GOING_AWAY_LENGTH):
                     self._left = length
-                continue
-            part = data[start : start + self._left]
-            start += len(part)
-            self._left -= len(part)
-            parts.append(part)
+                    continue
+                if joined:
+                    parts.append(b"".join(joined))
+                    joined = []
+                if not length:
+                    self._has_ended = True
+                    parts.append(b"")
+                elif not self._is_retired:
+                    self._is_retired = True
+                    parts.append(None)
+            else:
+                part = data[start : start + self._left]
+                start += len(part)
+                self._left -= len(part)
+                joined.append(part)
+            frames += 1
+        if joined:
+            parts.append(b"".join(joined))
+        self._buffer = b"" if self._has_ended else data[start:]
+        self.has_more = len(self._buffer) >= (1 if self._left else LENGTH_BYTES)
         return parts
