Handle the frames of a peer's connection in turns, and bound unread pongs

Cause: the websockets library parses and answers all frames of one read of up to 256 KB at once. Processes that connect to the port for peers, also those that do not know the key, kept all callers of that gateway waiting: beside six connections that send empty pings, no order was served in time (longest wait 7.7 s with the key, 11.1 s without it); beside tiny messages 0 of 1 (5.7 s), empty messages and fragments 0.3 to 1.0 s. Responses to pings that the peer does not read were collected without a bound; 300 such connections took 198 MB in 6 s.

Change: connections read at most 32 KB at a time, the parser begins at most 32 frames, and what is left follows in turns while nothing is read. Messages keep their order. A connection with more than 64 KB of unread responses is closed; a sound peer sends a ping every 20 s.

--- a/pimentoquay/bench/mutations/turn_switches.py
+++ b/pimentoquay/bench/mutations/turn_switches.py
@@ -5,6 +5,7 @@
 
 __all__ = ["TURN_SWITCHES"]
 
+_MESSAGES = "pimentoquay/transport/tests/test_small_messages.py::"
 _FRAMES = "pimentoquay/tunnels/tests/test_small_frames.py::"
 
 TURN_SWITCHES = (
@@ -21,4 +22,16 @@
         lambda original: None,
         _FRAMES + "test_one_tunnel_goes_on_in_each_pass_however_many_have_work",
     ),
+    Switch(
+        "messages of a peer are handled in turns",
+        "pimentoquay.transport.bounded_connection:ITEMS_PER_TURN",
+        lambda original: 1_000_000,
+        _MESSAGES + "test_tiny_frames_of_one_read_are_handled_in_turns[ping-False]",
+    ),
+    Switch(
+        "unread responses to pings are bounded",
+        "pimentoquay.transport.bounded_connection:MAX_UNREAD_PONGS_BYTES",
+        lambda original: 1_000_000_000,
+        _MESSAGES + "test_a_peer_that_does_not_read_the_responses_to_its_pings_is_closed[True]",
+    ),
 )
--- a/pimentoquay/gateway/program.py
+++ b/pimentoquay/gateway/program.py
@@ -16,8 +16,10 @@
 from pimentoquay.kernel.log_stream import LogStream
 from pimentoquay.kernel.logs import configure_logs, logger
 from pimentoquay.kernel.programs import EXIT_SETTINGS, StopRequested, run_until_stopped
+from pimentoquay.kernel.turns import TurnQueue
 from pimentoquay.platform.fields import DecodeError
 from pimentoquay.platform.settings import DeploymentSettings, load_deployment_settings
+from pimentoquay.policy.turn_order import LeastServedFirst
 from pimentoquay.transport.websocket import WebSocketTransport
 
 __all__ = ["main"]
@@ -51,7 +53,9 @@
 ) -> None:
     incarnation = int(time.time() * 1000)
     identity = Identity(settings.vm, "gateway", settings.region, settings.data_centre, incarnation)
-    node = Node(identity, WebSocketTransport(identity, settings.shared_key), LoopClock())
+    turns = TurnQueue(LeastServedFirst(time.monotonic))
+    transport = WebSocketTransport(identity, settings.shared_key, turns)
+    node = Node(identity, transport, LoopClock())
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, _check_settings)
     gateway = compose_gateway(settings, node, metrics_port)
--- a/pimentoquay/transport/websocket.py
+++ b/pimentoquay/transport/websocket.py
@@ -11,6 +11,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from websockets.asyncio.client import connect
@@ -23,10 +24,15 @@
 from pimentoquay.kernel.input_checks import describe
 from pimentoquay.kernel.logs import logger
 from pimentoquay.kernel.traffic import process_traffic
+from pimentoquay.kernel.turns import TurnQueue
 from pimentoquay.messages import CodecError, decode, encode
 from pimentoquay.messages.connection import Challenge, Hello, Rejected, Welcome
 from pimentoquay.transport import handshake
 from pimentoquay.transport.addresses import split_address
+from pimentoquay.transport.bounded_connection import (
+    BoundedClientConnection,
+    BoundedServerConnection,
+)
 from pimentoquay.transport.framing import MAX_PACKET_BYTES, pack_unless_too_large, unpack
 
 __all__ = ["WebSocketChannel", "WebSocketTransport", "split_address"]
@@ -134,10 +140,13 @@
         Identity that this process presents to its peers.
     key
         Secret shared by all processes of the system.
+    turns
+        Continues with messages that one read left over; a queue of its own if omitted.
     """
 
-    def __init__(self, identity: Identity, key: bytes) -> None:
+    def __init__(self, identity: Identity, key: bytes, turns: TurnQueue | None = None) -> None:
         self.identity = identity
+        self._turns = turns if turns is not None else TurnQueue()
         self._key = key
         self._clock: HybridClock | None = None
         self._server: Server | None = None
@@ -161,6 +170,7 @@
             host,
             port,
             **_CONNECTION_OPTIONS,
+            create_connection=partial(BoundedServerConnection, self._turns),  # type: ignore[arg-type]
             server_header=None,
         )
 
@@ -177,6 +187,9 @@
             connection = await connect(
                 f"ws://{address}/",
                 **_CONNECTION_OPTIONS,
+                create_connection=partial(  # type: ignore[arg-type]
+                    BoundedClientConnection, self._turns
+                ),
                 user_agent_header=None,
                 proxy=None,
             )
