--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -134,7 +134,7 @@
     contact = EngineContact(node.timers)
     tunnels = PeerTunnels(
         node.timers,
-        TunnelOpener(node.identity, settings.shared_key),
+        TunnelOpener(node.identity, settings.shared_key, turns),
         TunnelPeers(settings.vm, settings.data_centre),
         lambda: mesh.tunnel_places(),
     )
