State in the store which version is the only one, so that untold streams go on

Callers saw 503 (code 223) each time they took their streams up, if all gateways ended just before or just after engines of a second software version were listed.

Cause: while a service has one version, where its streams began is not stored. The gateways that start list two versions and know of none of the streams.

Change: the record of the only version of a service states this, with the era of the store (one write for a service, as before). No stream begins at a second version before it is recorded, so until then a stream that nobody has told of is of the first. Records of older builds and of earlier eras of the store state nothing.

--- a/pimentoquay/bench/mutations/path_switches.py
+++ b/pimentoquay/bench/mutations/path_switches.py
@@ -13,7 +13,10 @@
     use_no_path_before_its_time,
     yield_to_all_streams,
 )
-from pimentoquay.bench.mutations.stream_replacements import close_versions_to_all_streams
+from pimentoquay.bench.mutations.stream_replacements import (
+    close_versions_to_all_streams,
+    take_all_served_versions,
+)
 from pimentoquay.bench.mutations.switch import Switch
 from pimentoquay.policy.engine_paths import Verdict
 from pimentoquay.tunnels.server import USER_TIMEOUT_MILLISECONDS
@@ -24,6 +27,7 @@
 _PATHS = "pimentoquay/policy/tests/test_engine_paths.py::"
 _STORED = "pimentoquay/policy/tests/test_stored_origins.py::"
 _REJOINED = "pimentoquay/gateway/tests/test_rejoined_streams.py::"
+_ONLY = "pimentoquay/policy/tests/test_only_versions.py::"
 _POOLS = "pimentoquay/policy/tests/test_pools.py::"
 _STEP = "pimentoquay/gateway/tests/test_out_of_step.py::"
 _DOUBT = "pimentoquay/policy/tests/test_version_doubt.py::"
@@ -104,6 +108,20 @@
         return_constant(True),
         _STORED + "test_new_streams_begin_at_a_version_once_it_is_recorded",
     ),
+    Switch(
+        "untold streams are of the only version until a second one is recorded",
+        "pimentoquay.policy.only_versions:OnlyVersions.possible_origins",
+        take_all_served_versions,
+        _REJOINED + "test_streams_go_on_if_all_gateways_are_killed_as_soon_as_a_second_version_is"
+        "_listed",
+    ),
+    Switch(
+        "second version waits until streams of the first are told or taken up",
+        "pimentoquay.policy.only_versions:OnlyVersions._is_held",
+        return_constant(False),
+        _ONLY
+        + "test_streams_go_on_if_all_vms_end_around_the_listing_of_a_second_version[4-7-14.0]",
+    ),
     Switch(
         "streams go on at versions that are not recorded",
         "pimentoquay.gateway.shared_state:SharedState.engines_for_stream",
@@ -112,7 +130,7 @@
     ),
     Switch(
         "versions kept in the store",
-        "pimentoquay.policy.stored_origins:RecordedVersions.missing",
+        "pimentoquay.policy.only_versions:OnlyVersions.due",
         return_constant([]),
         _REJOINED
         + "test_a_stream_that_nobody_knows_does_not_go_on_at_the_only_version_that_is_left",
--- a/pimentoquay/bench/mutations/stream_replacements.py
+++ b/pimentoquay/bench/mutations/stream_replacements.py
@@ -7,11 +7,13 @@
 from typing import Any
 
 from pimentoquay.messages.streams import VersionsListed
+from pimentoquay.policy.only_versions import DueVersion
 
 __all__ = [
     "close_versions_to_all_streams",
     "drop_events_before_a_wrong_one",
     "ignore_unsent_answers",
+    "take_all_served_versions",
     "tell_expired_versions",
 ]
 
@@ -42,11 +44,18 @@
     return property(lambda self: self._task is not None)
 
 
+def take_all_served_versions(original: Any) -> Any:
+    """Let an untold stream be of any version that served, whether recorded or not."""
+    return lambda self, service, served, recorded, begun: set(served)
+
+
 def tell_expired_versions(original: Any) -> Any:
     """Tell the peers of a version that was stored, whether it has expired meanwhile or not."""
 
-    def record_stored(self: Any, version: tuple[str, str]) -> None:
+    def record_stored(self: Any, due: DueVersion) -> None:
+        version = due.service, due.software
         self.recorded.add((version,))
+        self._only.confirm(due)
         self._publish(VersionsListed((self._listed(*version),)))
 
     return record_stored
--- a/pimentoquay/gateway/origin_store.py
+++ b/pimentoquay/gateway/origin_store.py
@@ -16,8 +16,9 @@
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages import CodecError, decode, encode
 from pimentoquay.messages.streams import StreamsBegun
-from pimentoquay.platform.fields import DecodeError, parse_json, required
+from pimentoquay.platform.fields import DecodeError, optional, parse_json, required
 from pimentoquay.platform.store import STREAM_TOPIC, VERSION_TOPIC, StoreClient, StoreError
+from pimentoquay.policy.only_versions import StoredVersion
 
 __all__ = ["OriginStore"]
 
@@ -117,16 +118,16 @@
 
     async def _load(self) -> None:
         versions = await self._read_versions()
-        self._origins.load(versions, await self._read_batches())
+        self._origins.load(versions, await self._read_batches(), self._store.era.value)
 
     async def _catch_up(self) -> None:
         await self._read_engines()
         versions = await self._read_versions()
-        self._origins.load(versions, ())
+        self._origins.load(versions, (), self._store.era.value)
         if self._origins.mixed_services:
-            self._origins.load((), await self._read_batches())
+            self._origins.load((), await self._read_batches(), self._store.era.value)
 
-    async def _read_versions(self) -> list[tuple[str, str]]:
+    async def _read_versions(self) -> list[StoredVersion]:
         page = await self._store.read_latest(VERSION_TOPIC)
         found = [_parse_version(each.key, each.value) for each in page.records if each.value]
         return [each for each in found if each is not None]
@@ -143,9 +144,6 @@
 
     async def _write(self) -> None:
         origins = self._origins
-        for version in origins.recorded.missing(origins.served_versions()):
-            await self._store.put(VERSION_TOPIC, _version_key(version), _version_value(version))
-            origins.record_stored(version)
         slots = math.ceil(origins.life_seconds / WRITE_SECONDS) + SPARE_SLOTS
         for _ in range(SPARE_SLOTS):
             batch = origins.batches.next_batch(slots)
@@ -157,6 +155,13 @@
             self._stored_at_by_key[key] = self._timers.now()
             if not batch.is_full:
                 break
+        # New streams begin at a version once it is recorded, so the origins of the others go first.
+        for due in origins.versions_due():
+            era = self._store.era.value if due.is_only else 0
+            version = StoredVersion(due.service, due.software, era)
+            key = _version_key((due.service, due.software))
+            await self._store.put(VERSION_TOPIC, key, _version_value(version))
+            origins.record_stored(due)
         if self._timers.now() - self._cleaned_at >= CLEAN_SECONDS:
             self._cleaned_at = self._timers.now()
             await self._clean()
@@ -179,14 +184,18 @@
     return hashlib.blake2b("\n".join(version).encode(), digest_size=16).hexdigest()
 
 
-def _version_value(version: tuple[str, str]) -> bytes:
-    return json.dumps({"service": version[0], "version": version[1]}).encode()
+def _version_value(version: StoredVersion) -> bytes:
+    value = {"service": version.service, "version": version.software}
+    if version.only_in_era:
+        return json.dumps({**value, "only_in_era": version.only_in_era}).encode()
+    return json.dumps(value).encode()
 
 
-def _parse_version(key: str, value: bytes) -> tuple[str, str] | None:
+def _parse_version(key: str, value: bytes) -> StoredVersion | None:
     try:
         item = parse_json(value, "version")
-        return required(item, "service", str), required(item, "version", str)
+        service, software = required(item, "service", str), required(item, "version", str)
+        return StoredVersion(service, software, optional(item, "only_in_era", int, 0))
     except DecodeError as error:
         refuse("version", key, error)
         return None
--- a/pimentoquay/gateway/stream_origins.py
+++ b/pimentoquay/gateway/stream_origins.py
@@ -6,34 +6,26 @@
 """
 
 from collections import Counter
-from collections.abc import Awaitable, Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping
 from typing import Any, NoReturn
 
 from pimentoquay.gateway.fleet import Fleet
 from pimentoquay.gateway.job import Job
 from pimentoquay.gateway.notices import NoticeHandler
+from pimentoquay.gateway.stream_keys import batch_message, key_of, keys_by_version, streams_message
 from pimentoquay.kernel import RefusedError, ResultCode, TimerService
 from pimentoquay.kernel.logs import logger
-from pimentoquay.messages.streams import (
-    ListedVersion,
-    StreamsBegun,
-    VersionsListed,
-    VersionStreams,
-)
+from pimentoquay.messages.streams import ListedVersion, StreamsBegun, VersionsListed
 from pimentoquay.policy.fleet import EngineEntry
+from pimentoquay.policy.only_versions import DueVersion, OnlyVersions, StoredVersion
 from pimentoquay.policy.stored_origins import (
-    OriginBatch,
     OriginBatches,
     RecordedVersions,
     StoredOrigin,
 )
-from pimentoquay.policy.stream_origins import (
-    KEY_BYTES,
-    ServiceVersions,
-    StreamOrigins,
-    stream_key,
-)
+from pimentoquay.policy.stream_origins import ServiceVersions, StreamOrigins, stream_key
 from pimentoquay.policy.unlisted_starts import UnlistedStarts
+from pimentoquay.policy.version_choice import decode_share
 from pimentoquay.policy.version_doubt import Doubt, Verdict, judge
 
 __all__ = ["OriginExchange"]
@@ -89,6 +81,7 @@
         self._mixed: frozenset[str] = frozenset()
         self._is_loaded = False
         self._observed_at = float("-inf")
+        self._only = OnlyVersions()
         self.recorded = RecordedVersions()
         self.batches = OriginBatches(HANDOVER_SECONDS)
         self.refused = 0
@@ -129,14 +122,14 @@
         if (found := self._told_origin(job)) is None:
             self.observe()
             doubt = self.find_doubt(self._is_loaded)
-            if judge(self._served(job), doubt, has_read) is Verdict.READ:
+            if judge(self._possible(job), doubt, has_read) is Verdict.READ:
                 has_read = await self.read_store()
                 found = self._told_origin(job)
-        verdict, how = judge(self._served(job), doubt, has_read), "unknown"
+        verdict, how = judge(self._possible(job), doubt, has_read), "unknown"
         if found is not None and self._unlisted.is_awaited(found[0]):
             found, how, verdict = None, "awaited", Verdict.COME_BACK
         elif found is None and verdict is Verdict.ONLY_VERSION:
-            found = next(iter(self._served(job)), ""), "only version"
+            found = next(iter(self._possible(job)), ""), "only version"
         software, how = found or ("", how)
         origin = how if doubt is None else f"{how}, {doubt.value}"
         self.resumed_by_origin[origin] += 1
@@ -165,9 +158,13 @@
                 return self._unlisted.version_of(found), how
         return None
 
-    def _served(self, job: Job) -> set[str]:
+    def _possible(self, job: Job) -> set[str]:
+        """Return the versions at which a stream may have begun that nobody has told of."""
         since = self._timers.now() - self.life_seconds
-        return self._versions_of(job.service).served_since(since)
+        served = self._versions_of(job.service).served_since(since)
+        names = self._own.begun(job.service, since) | self._known.begun(job.service, since)
+        begun = {self._unlisted.version_of(each) for each in names}
+        return self._only.possible_origins(job.service, served, self.recorded, begun)
 
     def _refuse(self, job: Job, verdict: Verdict) -> NoReturn:
         self.refused += 1
@@ -181,7 +178,7 @@
 
         An engine whose entry is not read yet has the version that nobody states.
         """
-        key = _key_of(job)
+        key = key_of(job)
         version = job.service, software
         self._learn_starts((software,))
         self._own.learn(*version, (key,), self._timers.now())
@@ -189,20 +186,23 @@
             self._tell_soon(version, key)
             self._store_later({version: [key]})
 
-    def load(self, versions: Iterable[tuple[str, str]], batches: Iterable[StreamsBegun]) -> None:
-        """Learn what earlier gateways have stored.
+    def load(
+        self, versions: Collection[StoredVersion], batches: Iterable[StreamsBegun], era: int
+    ) -> None:
+        """Learn what earlier gateways have stored, as it was read in an era of the store.
 
         A version that the store holds counts as listed until now, since nothing tells when it was,
         unless this gateway knows it.
         """
         now = self._timers.now()
-        for service, software in versions:
-            known = self._versions_of(service)
-            if software not in known.served_since(now - self.life_seconds):
-                known.learn(software, now)
-            self.recorded.add(((service, software),))
+        for each in versions:
+            known = self._versions_of(each.service)
+            if each.software not in known.served_since(now - self.life_seconds):
+                known.learn(each.software, now)
+            self.recorded.add(((each.service, each.software),))
+        self._only.learn(versions, era, now)
         for batch in batches:
-            for version, keys in _keys_by_version(batch).items():
+            for version, keys in keys_by_version(batch).items():
                 self._known.learn(*version, keys, now)
                 self._unlisted.learn(version[1], now)
         self._is_loaded = True
@@ -225,15 +225,24 @@
     def store_again(self) -> None:
         """Store everything anew, as the store was restored from an older copy."""
         self.recorded.clear()
+        self._only.clear()
         for origins in (self._own, self._known):
-            keys_by_version = origins.keys_by_version()
-            self._store_later(
-                {each: keys for each, keys in keys_by_version.items() if self._is_told(each)}
-            )
+            found = origins.keys_by_version()
+            self._store_later({each: keys for each, keys in found.items() if self._is_told(each)})
+
+    def versions_due(self) -> list[DueVersion]:
+        """Return the versions that are to be stored now."""
+        served, now = self.served_versions(), self._timers.now()
+        return self._only.due(served, self.recorded, self._decode_share, now)
 
-    def record_stored(self, version: tuple[str, str]) -> None:
+    def _decode_share(self, service: str, software: str) -> float:
+        return decode_share(self._fleet.accepting_engines(service), software)
+
+    def record_stored(self, due: DueVersion) -> None:
         """Record that the store holds a version; tell the peers unless it expired meanwhile."""
+        version = due.service, due.software
         self.recorded.add((version,))
+        self._only.confirm(due)
         if version in self.served_versions():
             self._publish(VersionsListed((self._listed(*version),)))
 
@@ -247,13 +256,7 @@
             each for each in listed if not self.recorded.may_begin(service, each, listed)
         )
 
-    @staticmethod
-    def message_of(batch: OriginBatch) -> StreamsBegun:
-        """Return a batch of streams as a message, which is also its form in the store."""
-        keys_by_version: dict[tuple[str, str], list[bytes]] = {}
-        for each in batch.origins:
-            keys_by_version.setdefault((each.service, each.software), []).append(each.key)
-        return _message(keys_by_version)
+    message_of = staticmethod(batch_message)
 
     def observe(self) -> None:
         """Record which versions are listed; tell the own streams of services that are mixed now."""
@@ -298,15 +301,15 @@
             if version[0] in added
         }
         if own:
-            self._publish(_message(own))
+            self._publish(streams_message(own))
             self._store_later(own)
 
     def _is_told(self, version: tuple[str, str]) -> bool:
         return version[0] in self._mixed or self._unlisted.is_awaited(version[1])
 
-    def _store_later(self, keys_by_version: Mapping[tuple[str, str], Iterable[bytes]]) -> None:
+    def _store_later(self, keys_of: Mapping[tuple[str, str], Iterable[bytes]]) -> None:
         now = self._timers.now()
-        for (service, software), keys in keys_by_version.items():
+        for (service, software), keys in keys_of.items():
             for key in keys:
                 self.batches.add(StoredOrigin(service, software, key, now))
 
@@ -317,7 +320,7 @@
 
     def _tell(self) -> None:
         untold, self._untold = self._untold, {}
-        self._publish(_message(untold))
+        self._publish(streams_message(untold))
 
     def _expire(self) -> None:
         self.observe()
@@ -332,12 +335,12 @@
     def _apply(self, message: StreamsBegun) -> StreamsBegun | None:
         now = self._timers.now()
         new_by_version = {}
-        for version, keys in _keys_by_version(message).items():
+        for version, keys in keys_by_version(message).items():
             if new := self._known.learn(*version, keys, now):
                 new_by_version[version] = new
         self._learn_starts(software for _, software in new_by_version)
         self._store_later(new_by_version)
-        return _message(new_by_version) if new_by_version else None
+        return streams_message(new_by_version) if new_by_version else None
 
     def _snapshot(self) -> StreamsBegun | None:
         found: dict[tuple[str, str], list[bytes]] = {}
@@ -345,7 +348,7 @@
             for version, keys in origins.keys_by_version().items():
                 if self._is_told(version):
                     found.setdefault(version, []).extend(keys)
-        return _message(found) if found else None
+        return streams_message(found) if found else None
 
     def _apply_versions(self, message: VersionsListed) -> VersionsListed | None:
         self._is_loaded = self._is_loaded or message.is_complete
@@ -368,27 +371,3 @@
         at = self._versions_of(service).listed_at_by_version[software]
         is_recorded = (service, software) in self.recorded
         return ListedVersion(service, software, self._timers.now() - at, is_recorded)
-
-
-def _key_of(job: Job) -> bytes:
-    """Return the key of the stream that a request begins or takes up."""
-    is_resumed = job.caller.last_event is not None and job.caller.resumes
-    return stream_key(job.caller.resumes if is_resumed else job.caller.id)
-
-
-def _keys_by_version(message: StreamsBegun) -> dict[tuple[str, str], list[bytes]]:
-    found: dict[tuple[str, str], list[bytes]] = {}
-    for each in message.versions:
-        starts = range(0, len(each.keys) - KEY_BYTES + 1, KEY_BYTES)
-        keys = [each.keys[start : start + KEY_BYTES] for start in starts]
-        found.setdefault((each.service, each.software), []).extend(keys)
-    return found
-
-
-def _message(keys_by_version: Mapping[tuple[str, str], list[bytes]]) -> StreamsBegun:
-    return StreamsBegun(
-        tuple(
-            VersionStreams(service, software, b"".join(keys))
-            for (service, software), keys in keys_by_version.items()
-        )
-    )
--- a/pimentoquay/policy/stream_origins.py
+++ b/pimentoquay/policy/stream_origins.py
@@ -60,6 +60,7 @@
 
     def __init__(self) -> None:
         self._origin_by_key: OrderedDict[bytes, StreamOrigin] = OrderedDict()
+        self._begun_at_by_version: dict[tuple[str, str], float] = {}
 
     def __len__(self) -> int:
         return len(self._origin_by_key)
@@ -72,6 +73,7 @@
                 new.append(key)
             self._origin_by_key[key] = StreamOrigin(service, software, now)
             self._origin_by_key.move_to_end(key)
+            self._begun_at_by_version[service, software] = now
         while len(self._origin_by_key) > MAX_ORIGINS:
             self._origin_by_key.popitem(last=False)
         return new
@@ -81,8 +83,19 @@
         origin = self._origin_by_key.get(key)
         return origin.software if origin is not None and origin.service == service else None
 
+    def begun(self, service: str, since: float) -> set[str]:
+        """Return the versions of a service of which any stream was heard of from a time on."""
+        return {
+            software
+            for (each, software), at in self._begun_at_by_version.items()
+            if each == service and at >= since
+        }
+
     def expire(self, before: float) -> None:
         """Drop streams that were last heard of before a time."""
+        for version, at in tuple(self._begun_at_by_version.items()):
+            if at < before:
+                del self._begun_at_by_version[version]
         while self._origin_by_key:
             key, origin = next(iter(self._origin_by_key.items()))
             if origin.at >= before:
