--- a/pimentoquay/gateway/tests/test_program.py
+++ b/pimentoquay/gateway/tests/test_program.py
@@ -42,6 +42,39 @@
     assert ("drained" in messages(rest)) is (status == 0)
 
 
+SIGNAL_AT_IMPORT = """
+import os, runpy, signal, sys
+
+class Finder:
+    def find_spec(self, name, path=None, target=None):
+        if name.startswith("pimentoquay.") and name not in ENTRY:
+            sys.meta_path.remove(self)
+            os.kill(os.getpid(), signal.SIGHUP)
+
+ENTRY = ("pimentoquay.gateway", "pimentoquay.gateway.__main__")
+sys.argv[:] = ["gateway"]
+sys.meta_path.insert(0, Finder())
+runpy.run_module("pimentoquay.gateway", run_name="__main__", alter_sys=True)
+"""
+"""Program that runs the gateway and gets SIGHUP as it begins to import the gateway's modules."""
+
+
+def test_sighup_does_not_end_a_gateway_that_is_starting(tmp_path):
+    """It ended the process while the package imported its modules."""
+    path = tmp_path / "local.json"
+    path.write_text(json.dumps(SETTINGS))
+    with subprocess.Popen(
+        [sys.executable, "-c", SIGNAL_AT_IMPORT],
+        env={**os.environ, "PIMENTOQUAY_CONFIG": str(path)},
+        stdout=subprocess.PIPE,
+        text=True,
+    ) as process:
+        try:
+            read_until(process, "started")
+        finally:
+            process.kill()
+
+
 def read_until(process, message):
     for line in process.stdout:
         if message in messages(line):
