Say why a request that was passed on ends without a complete answer

Cause: a request that was cut had the log line of any other that ended, "the caller left" also where the process ended, and lines beyond 200 a second are left out.

Change: a counter by reason, and a log line of its own with the engines, whether the answer had begun, and whether the gateway drains. Handlers that fail write their request's id.

A sound request costs one append to a list.

--- a/pimentoquay/gateway/dispatcher.py
+++ b/pimentoquay/gateway/dispatcher.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from pimentoquay.gateway.job import Job, record_end, send_error
+from pimentoquay.gateway.job import Job, record_cut, record_end, send_error
 from pimentoquay.gateway.plain import PlainForwarder
 from pimentoquay.gateway.planned_stop import PlannedStop
 from pimentoquay.gateway.shared_state import SharedState
@@ -78,7 +78,15 @@
         except PimentoquayError as error:
             send_error(job, error)
         except asyncio.CancelledError:
-            record_end(job, ResultCode.CANCELLED, "the caller left")
+            has_left = reply.is_connection_lost
+            detail = "the caller left" if has_left else "the gateway ended"
+            record_cut(job, "caller_left" if has_left else "gateway_ended", detail)
+            record_end(job, ResultCode.CANCELLED, detail)
+            raise
+        except Exception as error:
+            if reply.started:
+                record_cut(job, "handler_failed", repr(error))
+            record_end(job, ResultCode.INTERNAL, "the handler failed")
             raise
 
     async def _forward(self, job: Job) -> None:
--- a/pimentoquay/gateway/job.py
+++ b/pimentoquay/gateway/job.py
@@ -1,7 +1,8 @@
 """A caller's request in progress at the gateway, and functions that end it."""
 
 import asyncio
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, field
 from functools import cached_property
 
 from pimentoquay.gateway.metrics import GatewayMetrics
@@ -13,7 +14,14 @@
 from pimentoquay.policy.fleet import Route
 from pimentoquay.policy.request_digest import request_digest
 
-__all__ = ["MAX_CRASHES_PER_REQUEST", "Job", "record_end", "send_error", "send_response"]
+__all__ = [
+    "MAX_CRASHES_PER_REQUEST",
+    "Job",
+    "record_cut",
+    "record_end",
+    "send_error",
+    "send_response",
+]
 
 MAX_CRASHES_PER_REQUEST = 2
 """Engines that may crash under one request of a caller before it is not sent to another."""
@@ -26,7 +34,8 @@
 class Job:
     """A caller's request with its route and chosen service.
 
-    Times are in seconds on the clock of the event loop.
+    ``sent_to`` holds the engines that the request itself was sent to, in order. Times are in
+    seconds on the clock of the event loop.
     """
 
     request: HttpRequest
@@ -36,6 +45,7 @@
     reply: Reply
     metrics: GatewayMetrics
     stop: PlannedStop
+    sent_to: list[str] = field(default_factory=list)
 
     @property
     def arrived_at(self) -> float:
@@ -86,6 +96,7 @@
         headers = (retry_after_header(error.retry_after),)
     if job.reply.started:
         job.reply.abort()
+        record_cut(job, error.code.name.lower(), error.detail)
     else:
         job.reply.send(info_of(error.code).http_status, headers, b"")
     record_end(job, error.code, error.detail)
@@ -102,3 +113,24 @@
         seconds=f"{job.age():.3f}",
         **fields,
     ).info("request ended")
+
+
+def record_cut(job: Job, reason: str, detail: str) -> None:
+    """Count a request that an engine was sent and that ends without a complete answer.
+
+    Its log line has a message of its own, so that the many lines of other requests that end in the
+    same second do not displace it.
+    """
+    if not job.sent_to:
+        return
+    job.metrics.cut_by_reason[reason] += 1
+    logger.bind(
+        request=job.caller.id,
+        route=job.route.name,
+        engines=",".join(job.sent_to),
+        reason=reason,
+        detail=detail,
+        has_begun=job.reply.started,
+        is_draining=math.isfinite(job.stop.ends_at),
+        seconds=f"{job.age():.3f}",
+    ).info("answer cut")
--- a/pimentoquay/gateway/metrics.py
+++ b/pimentoquay/gateway/metrics.py
@@ -204,6 +204,12 @@
     "messages to other gateways that were too large to send, and received ones that were invalid",
     ("direction",),
 )
+ANSWERS_CUT = Metric(
+    "pimentoquay_gateway_answers_cut_total",
+    "counter",
+    "requests that were sent to an engine and ended without a complete answer, by reason",
+    ("reason",),
+)
 
 _GAUGES = (
     IN_PROGRESS,
@@ -244,6 +250,7 @@
     INPUTS_REFUSED,
     MESSAGES_REFUSED,
     PROMPTS_WASTED,
+    ANSWERS_CUT,
 )
 _SUMMARIES = (REQUEST_SECONDS, FIRST_EVENT_SECONDS, MEMORY_WAIT_SECONDS)
 
@@ -260,8 +267,11 @@
 
     def __init__(self) -> None:
         self.count_by_code: Counter[ResultCode] = Counter()
+        self.cut_by_reason: Counter[str] = Counter()
         self.value_by_gauge: dict[Metric, Callable[[], float]] = {}
-        self.values_by_counter: dict[Metric, Callable[[], Mapping[str, float]]] = {}
+        self.values_by_counter: dict[Metric, Callable[[], Mapping[str, float]]] = {
+            ANSWERS_CUT: lambda: self.cut_by_reason
+        }
         self._summary_by_metric = {metric: TimeSummary() for metric in _SUMMARIES}
 
     def record_request_end(self, code: ResultCode, seconds: float) -> None:
--- a/pimentoquay/gateway/plain.py
+++ b/pimentoquay/gateway/plain.py
@@ -109,6 +109,7 @@
                 break
             attempts.sends += 1
             attempts.engines.add(engine.id)
+            job.sent_to.append(engine.id)
             response = await self._send(job, engine, attempts)
             if response is not None and response.is_forwarded:
                 record_end(job, ResultCode.OK, f"status {response.status}")
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -193,6 +193,7 @@
                 self._shared.guard.check(job)
                 progress.sends += 1
                 progress.runs += 1
+                job.sent_to.append(progress.engine)
                 progress.run_software = await version_at(
                     self._shared, job, reservation, progress.software
                 )
--- a/pimentoquay/http1/__init__.py
+++ b/pimentoquay/http1/__init__.py
@@ -16,8 +16,9 @@
 )
 from pimentoquay.http1.client_connection import ClientConnection, ExchangeWatch, ReusePolicy
 from pimentoquay.http1.headers import HeaderList, end_to_end_headers, find_header
+from pimentoquay.http1.request import HttpRequest
 from pimentoquay.http1.response_marks import ConnectionUse, ResponseMark
-from pimentoquay.http1.server import HttpRequest, HttpServer, Reply, ServerLimits
+from pimentoquay.http1.server import HttpServer, Reply, ServerLimits
 
 __all__ = [
     "ClientConnection",
--- a/pimentoquay/http1/server.py
+++ b/pimentoquay/http1/server.py
@@ -18,9 +18,10 @@
 import h11
 
 from pimentoquay.http1.headers import HeaderList, find_headers
+from pimentoquay.http1.request import HttpRequest
 from pimentoquay.kernel.logs import logger
 
-__all__ = ["HttpRequest", "HttpServer", "Reply", "ServerLimits"]
+__all__ = ["HttpServer", "Reply", "ServerLimits"]
 
 LINGER_SECONDS = 2.0
 """Time for which a closing connection is still read, so that the last response is not lost."""
@@ -42,17 +43,6 @@
     idle_seconds: float = 15.0
 
 
-@dataclass(frozen=True)
-class HttpRequest:
-    """A complete request; ``received_at`` is the event loop time of its first byte, in seconds."""
-
-    method: bytes
-    target: bytes
-    headers: HeaderList
-    body: bytes
-    received_at: float
-
-
 Handler = Callable[[HttpRequest, "Reply"], Awaitable[None]]
 
 
@@ -152,6 +142,11 @@
         if data:
             self._connection.emit(h11.Data(data=data))
 
+    @property
+    def is_connection_lost(self) -> bool:
+        """Whether the connection has been closed, mostly by the caller."""
+        return self._connection.is_lost
+
     async def drain(self) -> None:
         """Wait until the send buffer has room, that is, until the caller has read enough."""
         await self._connection.writable.wait()
@@ -208,6 +203,10 @@
         has_unsent = self._transport.get_write_buffer_size() > 0
         return self._task is not None or (has_unsent and self._loop.time() < self._expires_at)
 
+    @property
+    def is_lost(self) -> bool:
+        return bool(self._transport.is_closing())
+
     def connection_made(self, transport: Any) -> None:
         self._transport = transport
         self.server.connections.add(self)
