--- /dev/null
+++ b/pimentoquay/gateway/tests/soak_callers.py
@@ -0,0 +1,224 @@
+"""Callers of a soak that keep their connections until the process at the other end is gone."""
+
+import asyncio
+import random
+import socket
+import time
+from collections import deque
+from dataclasses import dataclass, field
+
+from pimentoquay.gateway.tests.process_rig import event_bytes, event_count, plain_body
+
+PATHS = ("/look/a", "/look/big", "/order/a", "/order/big", "/digest/a", "/sheet/a")
+WEIGHTS = (25, 12, 25, 8, 15, 15)
+ONCE = ("/order", "/sheet")
+DEADLINE_SECONDS = 12.0
+GIVE_UP_SECONDS = 20.0
+SLOW_BUFFER_BYTES = 8192
+SLOW_READ_BYTES = 4096
+RETURN_SECONDS = 0.05
+
+
+@dataclass
+class Request:
+    """A request and what came of it; ``end`` is empty until its answer or connection has ended.
+
+    ``index`` counts the requests on its connection. ``end`` is "answer", "eof", "reset", or
+    "given up" if the caller left.
+    """
+
+    id: str
+    path: str
+    gateway: str
+    boot: int
+    connection: str
+    index: int
+    sent_at: float = float("inf")
+    ended_at: float = float("inf")
+    status: int = 0
+    end: str = ""
+    was_ahead: bool = False
+    is_slow: bool = False
+    after_close: bool = False
+    body: bytes = b""
+    head: bytes = b""
+
+    @property
+    def may_run_once(self):
+        return self.path.startswith(ONCE)
+
+    @property
+    def is_stream(self):
+        return self.path.startswith(("/digest", "/sheet"))
+
+    def data(self):
+        lines = [
+            f"POST {self.path} HTTP/1.1",
+            "Host: shop.example",
+            f"Pimentoquay-Request-Id: {self.id}",
+            f"Pimentoquay-Deadline-Ms: {int(DEADLINE_SECONDS * 1000)}",
+        ]
+        if self.is_stream:
+            lines += [
+                "Pimentoquay-Model: m",
+                "Pimentoquay-Token-Counts: 500,832",
+                "Pimentoquay-Length-Hint: 400",
+                f"Pimentoquay-Prompt-Prefix: 5c1e07a2:200,{self.id}:300",
+            ]
+        body = self.id.encode().ljust(600)
+        return "\r\n".join((*lines, f"Content-Length: {len(body)}", "", "")).encode() + body
+
+    def expected_body(self):
+        if self.is_stream:
+            numbers = range(1, event_count(self.id) + 1)
+            return b"".join(event_bytes(self.id, number) for number in numbers)
+        return plain_body(self.id, self.path)
+
+    def fault_of_answer(self):
+        """Return what is wrong with an answer that looks complete, or an empty string."""
+        if self.status != 200:
+            return ""
+        if b"pimentoquay-server-stamp" not in self.head:
+            return "success without an engine's signature"
+        if self.body != self.expected_body():
+            return f"not the engine's whole body ({len(self.body)} bytes)"
+        return ""
+
+
+@dataclass
+class Caller:
+    """Sends requests on one connection after the other, some ahead of the answer before."""
+
+    rig: object
+    number: int
+    random: random.Random
+    requests: list
+    ends_at: float
+    _waiting: deque = field(default_factory=deque)
+    _connections: int = 0
+    _count: int = 0
+
+    def __post_init__(self):
+        self.is_slow = self.number % 5 == 0
+        self.sends_in_parts = self.number % 7 == 1
+        self.goes_on_after_close = self.number % 3 == 0
+
+    async def run(self):
+        while time.monotonic() < self.ends_at:
+            gateways = [each for each in self.rig.gateways if not each.is_stopping]
+            if not gateways:
+                await asyncio.sleep(RETURN_SECONDS)
+                continue
+            gateway = self.random.choice(gateways)
+            try:
+                await self._use_connection(gateway)
+            except OSError:
+                await asyncio.sleep(RETURN_SECONDS)
+
+    async def _use_connection(self, gateway):
+        reader, writer = await self._connect(gateway)
+        self._connections += 1
+        name = f"c{self.number}-{self._connections}"
+        index, has_close = 0, False
+        end = "given up"
+        try:
+            async with asyncio.timeout(GIVE_UP_SECONDS) as limit:
+                while self._waiting or time.monotonic() < self.ends_at:
+                    ahead = 0 if has_close else 1 + (self.random.random() < 0.2)
+                    if has_close and self.goes_on_after_close:
+                        ahead = 1
+                    while len(self._waiting) < ahead:
+                        request = self._next_request(gateway, name, index, has_close)
+                        index += 1
+                        await self._send(writer, request)
+                    if not self._waiting and not await reader.read(1):
+                        break
+                    request = self._waiting[0]
+                    limit.reschedule(asyncio.get_running_loop().time() + GIVE_UP_SECONDS)
+                    has_close |= await self._read_answer(reader, request)
+                    self._waiting.popleft()
+                    request.end, request.ended_at = "answer", time.monotonic()
+                    if request.status in (429, 502, 503):
+                        await asyncio.sleep(RETURN_SECONDS)
+        except asyncio.IncompleteReadError:
+            end = "eof"
+        except OSError as error:
+            # TimeoutError is one, too.
+            end = "given up" if isinstance(error, TimeoutError) else "reset"
+        finally:
+            for request in self._waiting:
+                request.end, request.ended_at = end, time.monotonic()
+            self._waiting.clear()
+            writer.close()
+
+    async def _connect(self, gateway):
+        sock = socket.socket()
+        try:
+            sock.setblocking(False)
+            if self.is_slow:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BUFFER_BYTES)
+            async with asyncio.timeout(2.0):
+                await asyncio.get_running_loop().sock_connect(sock, (gateway.host, gateway.front))
+            return await asyncio.open_connection(sock=sock, limit=SLOW_BUFFER_BYTES)
+        except BaseException:
+            sock.close()
+            raise
+
+    def _next_request(self, gateway, connection, index, after_close):
+        self._count += 1
+        request = Request(
+            f"r{self.number}-{self._count}",
+            self.random.choices(PATHS, WEIGHTS)[0],
+            gateway.name,
+            gateway.boot,
+            connection,
+            index,
+            was_ahead=bool(self._waiting),
+            is_slow=self.is_slow,
+            after_close=after_close,
+        )
+        self.requests.append(request)
+        self._waiting.append(request)
+        return request
+
+    async def _send(self, writer, request):
+        data = request.data()
+        if self.sends_in_parts and self.random.random() < 0.4:
+            for _ in range(2):
+                cut = self.random.randrange(1, len(data) - 1)
+                writer.write(data[:cut])
+                data = data[cut:]
+                await asyncio.sleep(self.random.choice((0.05, 0.3, 0.8)))
+                if len(data) < 4:
+                    break
+        writer.write(data)
+        request.sent_at = time.monotonic()
+
+    async def _read_answer(self, reader, request):
+        """Read an answer; return whether the connection ends after it."""
+        head = (await reader.readuntil(b"\r\n\r\n")).lower()
+        request.head, request.status = head, int(head.split(b" ", 2)[1])
+        parts = []
+        if b"transfer-encoding: chunked" in head:
+            while size := int((await reader.readuntil(b"\r\n")).split(b";")[0], 16):
+                parts.append((await self._read(reader, size + 2))[:-2])
+            await reader.readexactly(2)
+        else:
+            length = int(head.partition(b"content-length:")[2].split(b"\r\n")[0])
+            parts.append(await self._read(reader, length))
+        request.body = b"".join(parts)
+        fault = request.fault_of_answer()
+        request.body = fault.encode()
+        return b"connection: close" in head
+
+    async def _read(self, reader, size):
+        if not self.is_slow:
+            return await reader.readexactly(size)
+        parts = []
+        while size:
+            part = await reader.readexactly(min(size, SLOW_READ_BYTES))
+            parts.append(part)
+            size -= len(part)
+            if size:
+                await asyncio.sleep(0.02)
+        return b"".join(parts)
