Answer requests that were sent ahead before a planned stop closes their connection

Cause: once a gateway drained, each answer closed its connection.

Change: `Connection: close` comes with the last answer to what has been read.

--- a/pimentoquay/http1/server.py
+++ b/pimentoquay/http1/server.py
@@ -84,7 +84,7 @@
         )
 
     def drain(self) -> None:
-        """Send ``Connection: close`` with each further response, and continue to serve."""
+        """Send ``Connection: close`` with the last response to what was read, and go on serving."""
         self.draining = True
 
     def close_idle(self) -> None:
@@ -130,7 +130,7 @@
         """Send the status and headers; without ``Content-Length`` the body is sent chunked."""
         self.started = True
         headers = (*headers, *self.default_headers)
-        if self._connection.server.draining:
+        if self._connection.server.draining and not self._connection.has_read_ahead:
             headers = (*headers, (b"Connection", b"close"))
         reason = http.HTTPStatus(status).phrase if status in _STATUSES else ""
         self._connection.emit(
@@ -145,7 +145,7 @@
     @property
     def is_connection_lost(self) -> bool:
         """Whether the connection has been closed, mostly by the caller."""
-        return self._connection.is_lost
+        return bool(self._connection._transport.is_closing())
 
     async def drain(self) -> None:
         """Wait until the send buffer has room, that is, until the caller has read enough."""
@@ -204,8 +204,8 @@
         return self._task is not None or (has_unsent and self._loop.time() < self._expires_at)
 
     @property
-    def is_lost(self) -> bool:
-        return bool(self._transport.is_closing())
+    def has_read_ahead(self) -> bool:
+        return bool(self._http.trailing_data[0])
 
     def connection_made(self, transport: Any) -> None:
         self._transport = transport
--- a/pimentoquay/http1/tests/test_server.py
+++ b/pimentoquay/http1/tests/test_server.py
@@ -150,6 +150,26 @@
             assert await reader.read() == b""
 
 
+@pytest.mark.parametrize("begins_to_drain", ["before the requests", "during the first"])
+async def test_a_draining_server_answers_the_requests_that_were_sent_ahead(begins_to_drain):
+    """It closed the connection after the first answer, though it had read the others."""
+    async with running_server() as (handler, server, reader, writer):
+        if begins_to_drain == "before the requests":
+            server.drain()
+        writer.write(GET.replace(b"/a", b"/wait") + GET + GET[:10])
+        await until(lambda: handler.requests)
+        server.drain()
+        await server.close()
+        handler.release.set()
+        assert b"connection: close" not in (await read_head(reader)).lower()
+        assert b"connection: close" not in (await read_head(reader)).lower()
+        server.close_idle()
+        writer.write(GET[10:])
+        assert b"connection: close" in (await read_head(reader)).lower()
+        async with asyncio.timeout(10):
+            assert await reader.read() == b""
+
+
 async def test_idle_connection_is_closed_after_its_timeout():
     limits = ServerLimits(idle_seconds=0.2)
     async with running_server(limits) as (_, _, reader, writer):
