End a planned stop only when the system has delivered the last answers

Cause: an answer that has left the transport can still lie in the system's buffers, for as long as a slow caller reads. The process ended then, or closed the connection two seconds after the answer; the next byte of that caller made the system reset it, and the rest of the answer was lost.

Change: what the other end has not acknowledged counts as being sent, until the caller's time is over. A connection that is closing is read until then, for 15 s at most.

--- a/pimentoquay/http1/server.py
+++ b/pimentoquay/http1/server.py
@@ -19,6 +19,7 @@
 
 from pimentoquay.http1.headers import HeaderList, find_headers
 from pimentoquay.http1.request import HttpRequest
+from pimentoquay.http1.unsent import close_when_sent, unsent_bytes
 from pimentoquay.kernel.logs import logger
 
 __all__ = ["HttpServer", "Reply", "ServerLimits"]
@@ -200,8 +201,8 @@
 
     @property
     def is_busy(self) -> bool:
-        has_unsent = self._transport.get_write_buffer_size() > 0
-        return self._task is not None or (has_unsent and self._loop.time() < self._expires_at)
+        is_awaited = self._loop.time() < self._expires_at
+        return self._task is not None or (is_awaited and unsent_bytes(self._transport) > 0)
 
     @property
     def has_read_ahead(self) -> bool:
@@ -374,7 +375,7 @@
         if self._transport.can_write_eof() and not self._transport.is_closing():
             with contextlib.suppress(OSError):  # A reset that has not been read yet.
                 self._transport.write_eof()
-        self._loop.call_later(LINGER_SECONDS, self._transport.close)
+        self._loop.call_later(LINGER_SECONDS, close_when_sent, self._transport, self._expires_at)
 
     def _schedule_timeout_check(self) -> None:
         self._timer = self._loop.call_later(1.0, self._check_timeouts)
--- /dev/null
+++ b/pimentoquay/http1/unsent.py
@@ -0,0 +1,51 @@
+"""Bytes that were written to a connection and that its other end has not acknowledged yet.
+
+The system keeps some megabytes of them after they have left the transport. If the socket is closed
+then and a byte arrives, the system resets the connection, and they are lost.
+"""
+
+import asyncio
+import fcntl
+import struct
+import termios
+from typing import Any
+
+__all__ = ["close_when_sent", "unsent_bytes"]
+
+CHECK_SECONDS = 0.1
+"""Interval at which a connection that is to be closed is checked."""
+
+MAX_SECONDS = 15.0
+"""Longest wait for an end that reads nothing, and does not say how long it waits."""
+
+
+def unsent_bytes(transport: Any) -> int:
+    """Return the number of bytes in the transport, and in the system without acknowledgement.
+
+    The end of the connection counts as one. Where the system does not tell, it counts as none.
+    """
+    sock = transport.get_extra_info("socket")
+    buffered = int(transport.get_write_buffer_size())
+    if sock is None or sock.fileno() < 0:
+        return buffered
+    try:
+        (queued,) = struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4)))
+    except OSError:
+        return buffered
+    return buffered + int(queued)
+
+
+def close_when_sent(transport: Any, expires_at: float) -> None:
+    """Close a connection when nothing is unsent, or when its other end no longer waits.
+
+    ``expires_at`` is the event loop time of the latter.
+    """
+    loop = asyncio.get_running_loop()
+    _close_by(loop, transport, min(expires_at, loop.time() + MAX_SECONDS))
+
+
+def _close_by(loop: asyncio.AbstractEventLoop, transport: Any, ends_at: float) -> None:
+    if transport.is_closing() or loop.time() >= ends_at or not unsent_bytes(transport):
+        transport.close()
+    else:
+        loop.call_later(CHECK_SECONDS, _close_by, loop, transport, ends_at)
