--- a/pimentoquay/gateway/tests/soak_judge.py
+++ b/pimentoquay/gateway/tests/soak_judge.py
@@ -38,6 +38,7 @@
         for engine in self._engine_by_id.values():
             for request_id, runs in engine.runs_by_request.items():
                 runs_by_request[request_id] += runs
+        self._before = {(each.connection, each.index + 1): each for each in self.requests}
         sent = {request.id for request in self.requests}
         for request_id in runs_by_request.keys() - sent:
             self._add("UNASKED", None, f"{request_id} was never sent")
@@ -150,6 +151,7 @@
                 "ended": self._time(request.ended_at),
                 "ahead": request.was_ahead,
                 "slow": request.is_slow,
+                "before": self._describe(self._before.get((request.connection, request.index))),
                 "stops": [self._time(at) for at in gateway.stopped_at],
                 "runs": [
                     f"{run.engine} {self._time(run.began_at)}-{self._time(run.ended_at)}"
@@ -159,5 +161,12 @@
             }
         self.faults.append(item)
 
+    def _describe(self, request):
+        if request is None:
+            return ""
+        close = " close" if b"connection: close" in request.head else ""
+        times = f"{self._time(request.sent_at)}-{self._time(request.ended_at)}"
+        return f"{request.path} {request.end} {request.status} {times}{close}"
+
     def _time(self, at):
         return round(at - self._began_at, 2) if abs(at) != float("inf") else None
