--- a/pimentoquay/gateway/tests/soak_callers.py
+++ b/pimentoquay/gateway/tests/soak_callers.py
@@ -40,6 +40,7 @@
     connection: str
     index: int
     sent_at: float = float("inf")
+    head_at: float = float("inf")
     ended_at: float = float("inf")
     status: int = 0
     end: str = ""
@@ -185,6 +186,7 @@
         sock = socket.socket()
         try:
             sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             if self.is_slow:
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BUFFER_BYTES)
             async with asyncio.timeout(2.0):
@@ -233,6 +235,7 @@
         Slow callers send ahead when they have read half of a call's answer.
         """
         head = (await reader.readuntil(b"\r\n\r\n")).lower()
+        request.head_at = time.monotonic()
         request.head, request.status = head, int(head.split(b" ", 2)[1])
         parts = []
         if b"transfer-encoding: chunked" in head:
--- a/pimentoquay/gateway/tests/soak_judge.py
+++ b/pimentoquay/gateway/tests/soak_judge.py
@@ -13,6 +13,9 @@
 CONTACT_SECONDS = 3.0
 LATE_SECONDS = 3.0
 LOSS_SLACK_SECONDS = 0.2
+CROSSING_SECONDS = 0.25
+"""Time in which a request may cross an answer that announces the end of its connection."""
+
 STANDING_SECONDS = 4.0
 
 
@@ -84,6 +87,8 @@
             self.counts["not sent whole"] += 1
         elif request.after_close or waited <= LOSS_SLACK_SECONDS + self.slack:
             self.counts["crossed a close"] += 1
+        elif self._has_crossed_announcement(request):
+            self.counts["crossed an announced close"] += 1
         elif self._excuse(request, []):
             self.counts["unanswered, excused"] += 1
         elif request.end == "given up" or is_planned:
@@ -92,6 +97,13 @@
         else:
             self.counts["closed while idle"] += 1
 
+    def _has_crossed_announcement(self, request):
+        """Return whether the answer before said that it is the last as the request was sent."""
+        before = self._before.get((request.connection, request.index))
+        if before is None or b"connection: close" not in before.head:
+            return False
+        return request.sent_at > before.head_at - CROSSING_SECONDS
+
     def _excuse(self, request, runs):
         gateway = self._gateway_by_name[request.gateway]
         since, until = request.sent_at - CONTACT_SECONDS, request.ended_at
