--- a/pimentoquay/http1/reply.py
+++ b/pimentoquay/http1/reply.py
@@ -1,8 +1,7 @@
-"""Requests of callers, and the replies to them."""
+"""Replies to the requests of callers."""
 
 import http
 import math
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import h11
@@ -12,22 +11,11 @@
 if TYPE_CHECKING:
     from pimentoquay.http1.server_connection import ServerConnection
 
-__all__ = ["HttpRequest", "Reply"]
+__all__ = ["Reply"]
 
 _STATUSES = frozenset(int(status) for status in http.HTTPStatus)
 
 
-@dataclass(frozen=True)
-class HttpRequest:
-    """A complete request; ``received_at`` is the event loop time of its first byte, in seconds."""
-
-    method: bytes
-    target: bytes
-    headers: HeaderList
-    body: bytes
-    received_at: float
-
-
 class Reply:
     """Response to one request; sent at most once, and not after the caller has disconnected.
 
@@ -52,7 +40,7 @@
         """Send the status and headers; without ``Content-Length`` the body is sent chunked."""
         self.started = True
         headers = (*headers, *self.default_headers)
-        if self._connection.server.draining:
+        if self._connection.server.draining and not self._connection.has_read_ahead:
             headers = (*headers, (b"Connection", b"close"))
         reason = http.HTTPStatus(status).phrase if status in _STATUSES else ""
         self._connection.emit(
@@ -64,6 +52,11 @@
         if data:
             self._connection.emit(h11.Data(data=data))
 
+    @property
+    def is_connection_lost(self) -> bool:
+        """Whether the connection has been closed, mostly by the caller."""
+        return self._connection.is_lost
+
     async def drain(self) -> None:
         """Wait until the send buffer has room, that is, until the caller has read enough."""
         await self._connection.writable.wait()
--- a/pimentoquay/http1/server.py
+++ b/pimentoquay/http1/server.py
@@ -8,11 +8,12 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from pimentoquay.http1.reply import HttpRequest, Reply
+from pimentoquay.http1.reply import Reply
+from pimentoquay.http1.request import HttpRequest
 from pimentoquay.http1.server_connection import ServerConnection
 from pimentoquay.kernel.turns import TurnQueue
 
-__all__ = ["HttpRequest", "HttpServer", "Reply", "ServerLimits"]
+__all__ = ["HttpServer", "Reply", "ServerLimits"]
 
 LISTEN_BACKLOG = 512
 """Maximum number of connections waiting to be accepted; a full queue drops SYN packets."""
@@ -78,7 +79,7 @@
         )
 
     def drain(self) -> None:
-        """Send ``Connection: close`` with each further response, and continue to serve."""
+        """Send ``Connection: close`` with the last response to what was read, and go on serving."""
         self.draining = True
 
     def close_idle(self) -> None:
--- a/pimentoquay/http1/server_connection.py
+++ b/pimentoquay/http1/server_connection.py
@@ -11,7 +11,9 @@
 import h11
 
 from pimentoquay.http1.headers import find_headers
-from pimentoquay.http1.reply import HttpRequest, Reply
+from pimentoquay.http1.reply import Reply
+from pimentoquay.http1.request import HttpRequest
+from pimentoquay.http1.unsent import close_when_sent, unsent_bytes
 from pimentoquay.kernel.logs import logger
 from pimentoquay.kernel.turns import ITEMS_PER_TURN
 
@@ -100,9 +102,20 @@
     @property
     def is_busy(self) -> bool:
         """Whether a request is being served, or its caller still takes the answer."""
-        has_unsent = self._transport.get_write_buffer_size() > 0
-        is_sending = has_unsent and self._loop.time() < self._expires_at
-        return self._task is not None or self._has_turn or is_sending
+        if self._task is not None or self._has_turn:
+            return True
+        is_awaited = self._loop.time() < self._expires_at
+        return is_awaited and unsent_bytes(self._transport) > 0
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the connection has been closed, mostly by the caller."""
+        return bool(self._transport.is_closing())
+
+    @property
+    def has_read_ahead(self) -> bool:
+        """Whether bytes of further requests have been read."""
+        return bool(self._unread or self._http.trailing_data[0])
 
     def connection_made(self, transport: Any) -> None:
         """Begin to serve the connection."""
@@ -355,7 +368,7 @@
         if self._transport.can_write_eof() and not self._transport.is_closing():
             with contextlib.suppress(OSError):  # A reset that has not been read yet.
                 self._transport.write_eof()
-        self._loop.call_later(LINGER_SECONDS, self._transport.close)
+        self._loop.call_later(LINGER_SECONDS, close_when_sent, self._transport, self._expires_at)
 
     def _schedule_timeout_check(self) -> None:
         self._timer = self._loop.call_later(1.0, self._check_timeouts)
