--- /dev/null
+++ b/pimentoquay/gateway/tests/test_many_small_items.py
@@ -0,0 +1,54 @@
+"""Callers of a gateway that send many small items without end, beside sound ones."""
+
+import pytest
+
+from pimentoquay.gateway.tests.rig import rig, until
+from pimentoquay.http1.tests.endless_callers import (
+    FEW_ITEMS,
+    ONE_BYTE_CHUNKS,
+    count_parsed,
+    counted_per_pass,
+    endless_callers,
+)
+from pimentoquay.kernel.turns import ITEMS_PER_TURN
+
+HEAD = (
+    b"POST /%s/a HTTP/1.1\r\nHost: shop.example\r\nPimentoquay-Request-Id: endless\r\n"
+    b"Pimentoquay-Deadline-Ms: 14000\r\n"
+)
+CHUNKED = HEAD % b"order" + b"Transfer-Encoding: chunked\r\n\r\n"
+AHEAD = {
+    "look": b"".join(
+        (HEAD % b"look").replace(b"endless", b"l%d" % number) + b"\r\n" for number in range(500)
+    ),
+    "path without a route": (HEAD % b"nothing" + b"\r\n") * 500,
+}
+CALLERS = 6
+
+
+@pytest.mark.parametrize("name", ["chunks of one byte", *AHEAD])
+async def test_sound_requests_are_served_beside_callers_that_send_small_items(name, monkeypatch):
+    """None of the sound requests was served, or they waited for hundreds of others."""
+    parsed, handled = count_parsed(monkeypatch), 0
+    beginning, block = (b"", AHEAD[name]) if name in AHEAD else (CHUNKED, ONE_BYTE_CHUNKS)
+    async with rig() as env:
+        server = env.gateway_by_vm["vm-1"].caller_server
+        handler = server.handler
+
+        async def counting(request, reply):
+            nonlocal handled
+            handled += 1
+            await handler(request, reply)
+
+        server.handler = counting
+        async with endless_callers(server, CALLERS, beginning, block) as begun:
+            await until(lambda: len(begun) == CALLERS, "all have begun")
+            with (
+                counted_per_pass(lambda: parsed[0]) as items,
+                counted_per_pass(lambda: handled) as requests,
+            ):
+                responses = [await env.send_request(f"/order/{number}") for number in range(5)]
+            assert [each.status for each in responses] == [200] * 5
+            assert all(each.is_whole for each in responses)
+            assert max(requests) <= 2
+            assert max(items) <= ITEMS_PER_TURN + CALLERS * FEW_ITEMS
--- a/pimentoquay/http1/server_connection.py
+++ b/pimentoquay/http1/server_connection.py
@@ -40,6 +40,9 @@
 BODY_PIECE_BYTES = 64 * 1024
 """Number of bytes of a body that the parser gets at a time, and may hold beyond a request."""
 
+BODY_PART_BYTES = 16 * 1024
+"""Size up to which small parts of a body are joined as they arrive."""
+
 ITEMS_AT_ONCE = 8
 """Number of items that are handled as soon as they are read: those of a request in few parts."""
 
@@ -91,7 +94,8 @@
         self._has_turn = False
         self._turn_at = -math.inf
         self._head = bytearray()
-        self._body = bytearray()
+        self._body: list[bytearray] = []
+        self._body_bytes = 0
         self._body_wire_bytes = 0
         self._first_byte_at: float | None = None
         self._last_activity_at = self._loop.time()
@@ -300,10 +304,13 @@
         self._request = request
 
     def _append_body(self, data: bytes | bytearray) -> None:
-        if len(self._body) + len(data) > self._limits.body_bytes:
+        self._body_bytes += len(data)
+        if self._body_bytes > self._limits.body_bytes:
             self._reject(413, f"a body over {self._limits.body_bytes} bytes")
-            return
-        self._body += data
+        elif self._body and len(self._body[-1]) < BODY_PART_BYTES:
+            self._body[-1] += data
+        else:
+            self._body.append(bytearray(data))
 
     def _start_handler(self) -> None:
         assert self._request is not None
@@ -312,10 +319,11 @@
             bytes(self._request.method),
             bytes(self._request.target),
             tuple(self._request.headers.raw_items()),
-            bytes(self._body),
+            b"".join(self._body),
             self._last_activity_at if received_at is None else received_at,
         )
-        self._request, self._body, self._body_wire_bytes = None, bytearray(), 0
+        self._request, self._body = None, []
+        self._body_bytes = self._body_wire_bytes = 0
         self._task = self._loop.create_task(self._run_handler(request))
 
     async def _run_handler(self, request: HttpRequest) -> None:
--- a/pimentoquay/http1/tests/test_small_items_of_callers.py
+++ b/pimentoquay/http1/tests/test_small_items_of_callers.py
@@ -6,10 +6,16 @@
 import struct
 import tracemalloc
 
-import h11
 import pytest
 
 from pimentoquay.http1 import HttpServer, ServerLimits
+from pimentoquay.http1.tests.endless_callers import (
+    FEW_ITEMS,
+    ONE_BYTE_CHUNKS,
+    count_parsed,
+    counted_per_pass,
+    endless_callers,
+)
 from pimentoquay.http1.tests.scripted import small_buffers, until
 from pimentoquay.kernel.turns import ITEMS_PER_TURN
 
@@ -17,9 +23,6 @@
 WAIT = b"GET /wait HTTP/1.1\r\nHost: a\r\n\r\n"
 CHUNKED = b"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
-ONE_BYTE_CHUNKS = b"1\r\nx\r\n" * 5000
-FEW_ITEMS = 16
-"""Stated limit of the items of a sound connection that are handled as soon as they are read."""
 
 MAX_MEMORY_BYTES = 2 * 1024 * 1024
 """Stated limit of the memory that six connections may use for what is unread."""
@@ -55,73 +58,6 @@
         server.abort()
 
 
-@contextlib.asynccontextmanager
-async def endless_callers(server, count, beginning, block):
-    """Connect callers that write without end and read what comes; yields how many have begun."""
-    loop = asyncio.get_running_loop()
-    begun = []
-
-    async def write(sock):
-        await loop.sock_sendall(sock, beginning + block)
-        begun.append(sock)
-        while True:
-            await loop.sock_sendall(sock, block)
-            await asyncio.sleep(0)
-
-    async def read(sock):
-        while await loop.sock_recv(sock, 65536):
-            pass
-
-    async with contextlib.AsyncExitStack() as stack:
-        tasks = []
-        for _ in range(count):
-            sock = stack.enter_context(socket.socket())
-            sock.setblocking(False)
-            await loop.sock_connect(sock, ("127.0.0.1", server.port))
-            tasks += [asyncio.create_task(each(sock)) for each in (write, read)]
-        try:
-            yield begun
-        finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
-
-
-@contextlib.contextmanager
-def counted_per_pass(count):
-    """Yield a list that gets, in each pass of the event loop, by how much a count has risen."""
-    loop = asyncio.get_running_loop()
-    rises: list[int] = []
-    last = count()
-    handle: asyncio.Handle | None = None
-
-    def tick():
-        nonlocal last, handle
-        now = count()
-        rises.append(now - last)
-        last = now
-        handle = loop.call_soon(tick)
-
-    tick()
-    yield rises
-    if handle is not None:
-        handle.cancel()
-
-
-@pytest.fixture
-def parsed(monkeypatch):
-    """A list with the number of items that all connections have parsed."""
-    parsed = [0]
-    next_event = h11.Connection.next_event
-
-    def counting(connection):
-        parsed[0] += 1
-        return next_event(connection)
-
-    monkeypatch.setattr(h11.Connection, "next_event", counting)
-    return parsed
-
-
 async def request_from(server, data=GET):
     async with asyncio.timeout(20):
         reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
@@ -133,9 +69,10 @@
 
 @pytest.mark.parametrize("callers", [6, 200])
 async def test_a_sound_request_waits_for_few_items_beside_bodies_of_one_byte_chunks(
-    callers, parsed
+    callers, monkeypatch
 ):
     """A read of 256 KB was parsed at once, so no other request was served beside six callers."""
+    parsed = count_parsed(monkeypatch)
     limits = ServerLimits(body_bytes=10**9)
     async with (
         running(limits=limits) as server,
