--- a/pimentoquay/bench/mutations/turn_switches.py
+++ b/pimentoquay/bench/mutations/turn_switches.py
@@ -8,6 +8,9 @@
 _MESSAGES = "pimentoquay/transport/tests/test_small_messages.py::"
 _FRAMES = "pimentoquay/tunnels/tests/test_small_frames.py::"
 
+_CALLERS = "pimentoquay/http1/tests/test_small_items_of_callers.py::"
+_CONNECTION = "pimentoquay.http1.server_connection:"
+
 TURN_SWITCHES = (
     Switch(
         "turns of connections that have had few go first",
@@ -34,4 +37,47 @@
         lambda original: 1_000_000_000,
         _MESSAGES + "test_a_peer_that_does_not_read_the_responses_to_its_pings_is_closed[True]",
     ),
+    Switch(
+        "items of callers are handled in turns",
+        _CONNECTION + "ITEMS_AT_ONCE",
+        lambda original: 1_000_000,
+        _CALLERS + "test_a_sound_request_waits_for_few_items_beside_bodies_of_one_byte_chunks[6]",
+    ),
+    Switch(
+        "requests sent ahead begin in turns",
+        _CONNECTION + "ServerConnection._plan_turn",
+        lambda original: lambda self: self._take_turn(),
+        _CALLERS + "test_requests_sent_ahead_begin_in_turns_over_all_connections",
+    ),
+    Switch(
+        "reading from callers pauses while much is unread",
+        _CONNECTION + "ServerConnection._update_reading",
+        return_constant(None),
+        _CALLERS + "test_memory_is_bounded_while_callers_send_requests_ahead_without_end",
+    ),
+    Switch(
+        "callers that leave while they are not read are noticed",
+        _CONNECTION + "ServerConnection._check_caller",
+        return_constant(None),
+        _CALLERS
+        + "test_a_caller_that_leaves_while_it_is_not_read_cancels_its_request[110000-False]",
+    ),
+    Switch(
+        "requests sent ahead wait while answers are unread",
+        _CONNECTION + "MAX_UNSENT_BYTES",
+        lambda original: 1_000_000_000,
+        _CALLERS + "test_requests_sent_ahead_wait_while_their_caller_reads_no_answers",
+    ),
+    Switch(
+        "framing of a body is bounded",
+        _CONNECTION + "MAX_BODY_FRAMING",
+        lambda original: 1_000_000,
+        _CALLERS + "test_a_body_whose_framing_is_far_longer_than_its_bytes_is_refused",
+    ),
+    Switch(
+        "a gap between requests sent ahead is no end of work",
+        _CONNECTION + "ServerConnection.is_busy",
+        lambda original: property(lambda self: self._task is not None),
+        _CALLERS + "test_a_connection_with_requests_sent_ahead_is_in_progress_between_them",
+    ),
 )
