Refuse a body that has not arrived within the time that its caller waits

A body of which a byte came now and then held its connection without end, since only the time since its last byte was limited; a body of tiny chunks had no limit of time while its turns were under way. It is refused with 408, which says that nothing ran, once the caller's own time is up. The test failed before by its time-out of 8 s.

Also a test of a caller that waits to be asked for its body, which passed before.

--- a/pimentoquay/bench/mutations/turn_switches.py
+++ b/pimentoquay/bench/mutations/turn_switches.py
@@ -1,5 +1,7 @@
 """Mechanisms that bound the work of one read, and the tests that have to fail without them."""
 
+import math
+
 from pimentoquay.bench.mutations.replacements import return_constant
 from pimentoquay.bench.mutations.switch import Switch
 
@@ -80,4 +82,11 @@
         lambda original: property(lambda self: self._task is not None),
         _CALLERS + "test_a_connection_with_requests_sent_ahead_is_in_progress_between_them",
     ),
+    Switch(
+        "bodies end with the time of their callers",
+        _CONNECTION + "ServerConnection._patience",
+        lambda original: property(lambda self: math.inf),
+        "pimentoquay/gateway/tests/test_many_small_items.py::"
+        "test_a_body_that_drips_beyond_its_callers_deadline_is_refused",
+    ),
 )
--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -1,5 +1,6 @@
 """Composition root of the gateway: create its parts and connect them."""
 
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from typing import Any
@@ -69,6 +70,7 @@
 from pimentoquay.gateway.streams import StreamForwarder
 from pimentoquay.http1 import (
     Connect,
+    HeaderList,
     HttpRequest,
     HttpServer,
     Reply,
@@ -87,6 +89,7 @@
 )
 from pimentoquay.messages.pools import PoolKey
 from pimentoquay.messages.streams import StreamsBegun, VersionsListed
+from pimentoquay.platform.requests import parse_request
 from pimentoquay.platform.settings import DeploymentSettings
 from pimentoquay.platform.store import StoreClient
 from pimentoquay.policy.engine_limits import EngineLimits
@@ -260,7 +263,7 @@
     streams = StreamForwarder(shared, reservations, PrefillRunner(shared, schedule_update))
     planned_stop = PlannedStop()
     dispatcher = Dispatcher(shared, PlainForwarder(shared), streams, planned_stop)
-    caller_server = HttpServer(dispatcher.handle, lambda: _server_limits(fleet), turns)
+    caller_server = HttpServer(dispatcher.handle, lambda: _server_limits(fleet), turns, _patience)
     readiness_server = HttpServer(_readiness_handler(dispatcher), ServerLimits, turns)
     metrics.value_by_gauge = {
         IN_PROGRESS: lambda: caller_server.requests_in_progress,
@@ -366,6 +369,11 @@
     return configuration.limits if configuration is not None else ServerLimits()
 
 
+def _patience(headers: HeaderList) -> float:
+    seconds = parse_request(headers).timeout_seconds
+    return seconds if seconds is not None else math.inf
+
+
 def _readiness_handler(dispatcher: Dispatcher) -> Callable[[HttpRequest, Reply], Awaitable[None]]:
     async def handle(request: HttpRequest, reply: Reply) -> None:
         reply.send(200 if dispatcher.is_ready else 503, (), b"")
--- a/pimentoquay/gateway/tests/test_many_small_items.py
+++ b/pimentoquay/gateway/tests/test_many_small_items.py
@@ -1,5 +1,7 @@
 """Callers of a gateway that send many small items without end, beside sound ones."""
 
+import asyncio
+
 import pytest
 
 from pimentoquay.gateway.tests.rig import rig, until
@@ -52,3 +54,24 @@
             assert all(each.is_whole for each in responses)
             assert max(requests) <= 2
             assert max(items) <= ITEMS_PER_TURN + CALLERS * FEW_ITEMS
+
+
+async def test_a_body_that_drips_beyond_its_callers_deadline_is_refused():
+    """Such a body held its connection for as long as a byte came now and then."""
+    head = (HEAD % b"order").replace(b"14000", b"700") + b"Content-Length: 1000\r\n\r\n"
+    async with rig() as env:
+        port = env.gateway_by_vm["vm-1"].caller_server.port
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+
+        async def drip():
+            while True:
+                writer.write(b"x")
+                await asyncio.sleep(0.02)
+
+        writer.write(head)
+        dripping = asyncio.create_task(drip())
+        async with asyncio.timeout(8):
+            assert b" 408 " in await reader.readline()
+        dripping.cancel()
+        writer.close()
+        assert not any(engine.arrivals for engine in env.engine_by_id.values())
--- a/pimentoquay/http1/server.py
+++ b/pimentoquay/http1/server.py
@@ -5,9 +5,11 @@
 """
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from pimentoquay.http1.headers import HeaderList
 from pimentoquay.http1.reply import Reply
 from pimentoquay.http1.request import HttpRequest
 from pimentoquay.http1.server_connection import ServerConnection
@@ -44,6 +46,9 @@
     turns
         Continues what connections have sent beyond what is handled at once; by default a queue of
         this server's own.
+    patience
+        Returns the time that a caller waits for its answer, in seconds, by the headers of its
+        request. A body that has not arrived by then is refused with 408.
     """
 
     def __init__(
@@ -51,10 +56,12 @@
         handler: Handler,
         limits: Callable[[], ServerLimits],
         turns: TurnQueue | None = None,
+        patience: Callable[[HeaderList], float] = lambda headers: math.inf,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.turns = turns if turns is not None else TurnQueue()
+        self.patience = patience
         self.draining = False
         self.connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
--- a/pimentoquay/http1/server_connection.py
+++ b/pimentoquay/http1/server_connection.py
@@ -383,9 +383,14 @@
 
     def _check_timeouts(self) -> None:
         self._schedule_timeout_check()
-        if self._task is not None or self._has_turn or self._closing:
+        if self._task is not None or self._closing:
             return
         now = self._loop.time()
+        if self._request is not None and now - (self._first_byte_at or now) > self._patience:
+            self._reject(408, "the body did not arrive while its caller waits")
+            return
+        if self._has_turn:
+            return
         limits = self.server.limits()
         idle_seconds = max(self._limits.idle_seconds, limits.idle_seconds)
         has_partial_request = self._first_byte_at is not None and not self._waits_to_send
@@ -397,3 +402,9 @@
                 self._reject(408, "the body did not arrive in time")
             else:
                 self._close_gracefully()
+
+    @property
+    def _patience(self) -> float:
+        """Time in seconds that the caller waits for its answer, as its request says."""
+        assert self._request is not None
+        return self.server.patience(tuple(self._request.headers.raw_items()))
--- a/pimentoquay/http1/tests/test_server.py
+++ b/pimentoquay/http1/tests/test_server.py
@@ -170,6 +170,18 @@
             assert await reader.read() == b""
 
 
+async def test_a_body_is_asked_for_once_if_its_caller_waits_to_be_asked():
+    async with running_server() as (handler, _, reader, writer):
+        head = b"POST /a HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n"
+        writer.write(head)
+        assert await read_status(reader) == 100
+        writer.write(b"ab")
+        await asyncio.sleep(0.05)
+        writer.write(b"cd")
+        assert await read_status(reader) == 200
+        assert handler.requests[0].body == b"abcd"
+
+
 async def test_idle_connection_is_closed_after_its_timeout():
     limits = ServerLimits(idle_seconds=0.2)
     async with running_server(limits) as (_, _, reader, writer):
