--- a/pimentoquay/http1/server_connection.py
+++ b/pimentoquay/http1/server_connection.py
@@ -13,6 +13,7 @@
 from pimentoquay.http1.headers import find_headers
 from pimentoquay.http1.reply import Reply
 from pimentoquay.http1.request import HttpRequest
+from pimentoquay.http1.request_body import RequestBody
 from pimentoquay.http1.unsent import close_when_sent, unsent_bytes
 from pimentoquay.kernel.logs import logger
 from pimentoquay.kernel.turns import ITEMS_PER_TURN
@@ -40,9 +41,6 @@
 BODY_PIECE_BYTES = 64 * 1024
 """Number of bytes of a body that the parser gets at a time, and may hold beyond a request."""
 
-BODY_PART_BYTES = 16 * 1024
-"""Size up to which small parts of a body are joined as they arrive."""
-
 ITEMS_AT_ONCE = 8
 """Number of items that are handled as soon as they are read: those of a request in few parts."""
 
@@ -94,9 +92,7 @@
         self._has_turn = False
         self._turn_at = -math.inf
         self._head = bytearray()
-        self._body: list[bytearray] = []
-        self._body_bytes = 0
-        self._body_wire_bytes = 0
+        self._body = RequestBody()
         self._first_byte_at: float | None = None
         self._last_activity_at = self._loop.time()
         self._timer: asyncio.TimerHandle | None = None
@@ -252,11 +248,11 @@
             self._head += piece
         else:
             most = MAX_BODY_FRAMING * self._limits.body_bytes
-            if self._body_wire_bytes > most:
+            if self._body.wire_bytes > most:
                 self._reject(413, f"over {most} bytes for the chunks of a body")
                 return
             piece = self._take_unread(BODY_PIECE_BYTES)
-            self._body_wire_bytes += len(piece)
+            self._body.wire_bytes += len(piece)
         self._http.receive_data(piece)
 
     def _take_unread(self, count: int) -> bytes:
@@ -304,13 +300,9 @@
         self._request = request
 
     def _append_body(self, data: bytes | bytearray) -> None:
-        self._body_bytes += len(data)
-        if self._body_bytes > self._limits.body_bytes:
+        self._body.append(data)
+        if self._body.size > self._limits.body_bytes:
             self._reject(413, f"a body over {self._limits.body_bytes} bytes")
-        elif self._body and len(self._body[-1]) < BODY_PART_BYTES:
-            self._body[-1] += data
-        else:
-            self._body.append(bytearray(data))
 
     def _start_handler(self) -> None:
         assert self._request is not None
@@ -319,11 +311,10 @@
             bytes(self._request.method),
             bytes(self._request.target),
             tuple(self._request.headers.raw_items()),
-            b"".join(self._body),
+            self._body.join(),
             self._last_activity_at if received_at is None else received_at,
         )
-        self._request, self._body = None, []
-        self._body_bytes = self._body_wire_bytes = 0
+        self._request, self._body = None, RequestBody()
         self._task = self._loop.create_task(self._run_handler(request))
 
     async def _run_handler(self, request: HttpRequest) -> None:
