--- a/pimentoquay/http1/server_connection.py
+++ b/pimentoquay/http1/server_connection.py
@@ -14,6 +14,7 @@
 from pimentoquay.http1.reply import Reply
 from pimentoquay.http1.request import HttpRequest
 from pimentoquay.http1.request_body import RequestBody
+from pimentoquay.http1.tcp_state import is_established
 from pimentoquay.http1.unsent import close_when_sent, unsent_bytes
 from pimentoquay.kernel.logs import logger
 from pimentoquay.kernel.turns import ITEMS_PER_TURN
@@ -50,9 +51,6 @@
 CLOSE_CHECK_SECONDS = 0.1
 """Interval at which a caller that is not read is checked for having left."""
 
-_ESTABLISHED = 1
-"""State of a TCP connection that neither end has closed, as ``TCP_INFO`` gives it in Linux."""
-
 _BODY_LENGTH_LINES = re.compile(
     rb"^(?:content-length|transfer-encoding)[ \t]*:([^\r\n]*)", re.I | re.M
 )
@@ -275,8 +273,7 @@
         """Notice that the caller has left, which reading would show only after the unread bytes."""
         if not self._is_reading_paused or self._transport.is_closing():
             return
-        sock = self._transport.get_extra_info("socket")
-        if sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] != _ESTABLISHED:
+        if not is_established(self._transport):
             self._transport.abort()
         else:
             self._loop.call_later(CLOSE_CHECK_SECONDS, self._check_caller)
