--- a/pimentoquay/gateway/tests/test_small_items.py
+++ b/pimentoquay/gateway/tests/test_small_items.py
@@ -9,7 +9,7 @@
 import pytest
 
 from pimentoquay.gateway.event_reader import EventReader
-from pimentoquay.gateway.tests.rig import configuration, rig, route, until
+from pimentoquay.gateway.tests.rig import Response, configuration, rig, route, until
 from pimentoquay.gateway.tests.test_endless import CHUNKED, HEAD
 from pimentoquay.http1 import ClientConnection
 from pimentoquay.kernel.errors import HttpError
@@ -24,6 +24,9 @@
 MAX_WAIT_SECONDS = 1.0
 """Longest wait of a sound request beside other load, two fifths of its time budget."""
 
+MAX_LATE_SECONDS = 0.5
+"""Time after its deadline by which a request has ended beside other load."""
+
 MAX_ITEMS_PER_PASS = 16 * ITEMS_PER_TURN
 """A turn for each connection of an endless answer, at the gateway and at its caller, and some for
 what runs beside; without a bound, one read alone has 2,700 items and more."""
@@ -218,17 +221,59 @@
 MANY = 200
 MAX_MANY_MEMORY_BYTES = MANY * (MAX_MEMORY_BYTES // 20 + 2 * STANDIN_BYTES_PER_CONNECTION)
 
+MAX_MANY_ITEMS_PER_PASS = MANY * ITEMS_PER_TURN + MAX_ITEMS_PER_PASS
+"""The first items of a read are handled at once, so many first reads may meet in one pass."""
+
+MANY_FORMS = {
+    "plain": PLAIN["chunks of one byte"],
+    "decode": DECODE["comments"],
+    "calls": (HEAD + CHUNKED, TINY),
+}
 
-@pytest.mark.parametrize("kind", ["plain", "decode"])
-async def test_memory_stays_bounded_with_hundreds_of_connections_to_such_engines(kind):
-    beginning, block = DECODE["comments"] if kind == "decode" else PLAIN["chunks of one byte"]
-    async with rig() as env, small_items(env, kind, beginning, block) as server:
+
+@pytest.mark.parametrize("kind", MANY_FORMS)
+async def test_memory_stays_bounded_with_hundreds_of_requests_at_such_engines(kind):
+    async with rig() as env, small_items(env, kind, *MANY_FORMS[kind]) as server:
         tracemalloc.start()
         try:
             async with endless_requests(env, kind, server, MANY):
-                await sound_waits(env)
+                await asyncio.sleep(1.5)
                 _, peak = tracemalloc.get_traced_memory()
         finally:
             tracemalloc.stop()
-        assert server.begun
         assert peak < MAX_MANY_MEMORY_BYTES
+
+
+async def test_other_clients_are_served_in_time_beside_hundreds_of_such_answers(monkeypatch):
+    async with (
+        rig() as env,
+        small_items(env, "plain", *MANY_FORMS["plain"]) as server,
+        endless_requests(env, "plain", server, MANY),
+    ):
+        await until(lambda: server.begun >= MANY, "begun")
+        count = ItemCount(monkeypatch)
+        watch = asyncio.create_task(count.watch())
+        waits = await sound_waits(env)
+        watch.cancel()
+        assert count.most <= MAX_MANY_ITEMS_PER_PASS
+        assert max(waits) <= MAX_WAIT_SECONDS
+
+
+@pytest.mark.parametrize(
+    ("kind", "name"), [("plain", "chunks of one byte"), ("decode", "blank lines")]
+)
+async def test_such_an_answer_ends_in_the_time_of_its_request(kind, name):
+    """It ended seconds later, as its deadline was looked at only between two reads."""
+    form = {"plain": PLAIN, "decode": DECODE}[kind][name]
+    async with rig() as env, small_items(env, kind, *form):
+        request = env.send_request if kind == "plain" else env.stream
+        path = "order" if kind == "plain" else "digest"
+        began_at = asyncio.get_running_loop().time()
+        answers = await asyncio.gather(
+            *(request(f"/{path}/{n}", deadline_ms=1000) for n in range(ENDLESS_REQUESTS)),
+            return_exceptions=True,
+        )
+        assert not any(
+            isinstance(each, Response) and each.is_whole and each.status == 200 for each in answers
+        )
+        assert asyncio.get_running_loop().time() - began_at <= 1.0 + MAX_LATE_SECONDS
--- a/pimentoquay/http1/tests/test_small_items.py
+++ b/pimentoquay/http1/tests/test_small_items.py
@@ -130,7 +130,7 @@
     parts = []
     with pytest.raises(HttpError) as failure:
         while True:
-            parts.append(await exchange.read_chunk(20.0))
+            parts.append(await exchange.read_chunk(20.0) or b"")
     assert b"".join(parts) == BODY
     assert failure.value.connection_lost
 
@@ -176,7 +176,7 @@
     assert connection._transport.is_paused
     exchange = Exchange(connection)
     await exchange.read_head()
-    assert [len(await exchange.read_chunk()), len(await exchange.read_chunk())] == [length, length]
+    assert await exchange.read_chunk() == await exchange.read_chunk() == b"x" * length
     assert await exchange.read_chunk() is None
 
 
