Apply long messages of a peer in turns, and bound the lists in a message

Cause: a message of up to 4 MB, compressed to a kilobyte, may hold several hundred thousand tiny items.

Change: the task that receives from a channel divides a message into pieces of 32 items, or 256 records or loads, as messages of the same type like the parts that are sent, and publishes one in each turn; it decodes the next message after a turn. Order within a channel is kept. A list in a message is refused above 32,768 items; the parts of 256 KB that are sent hold up to some 20,000.

Without the pieces, and without the bound, the tests fail.

--- a/pimentoquay/bench/mutations/turn_switches.py
+++ b/pimentoquay/bench/mutations/turn_switches.py
@@ -6,6 +6,7 @@
 __all__ = ["TURN_SWITCHES"]
 
 _MESSAGES = "pimentoquay/transport/tests/test_small_messages.py::"
+_PEERS = "pimentoquay/gateway/tests/test_small_items_of_peers.py::"
 _FRAMES = "pimentoquay/tunnels/tests/test_small_frames.py::"
 
 TURN_SWITCHES = (
@@ -34,4 +35,16 @@
         lambda original: 1_000_000_000,
         _MESSAGES + "test_a_peer_that_does_not_read_the_responses_to_its_pings_is_closed[True]",
     ),
+    Switch(
+        "long messages of a peer are applied in turns",
+        "pimentoquay.gateway.compose:pieces_of",
+        lambda original: lambda message: (message,),
+        _PEERS + "test_the_items_of_one_message_are_applied_in_turns[items of a bundle]",
+    ),
+    Switch(
+        "lists of a message are bounded",
+        "pimentoquay.messages.codec:MAX_LIST_ITEMS",
+        lambda original: 10_000_000,
+        _PEERS + "test_a_list_that_is_longer_than_a_sound_message_can_hold_is_refused",
+    ),
 )
--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -11,6 +11,7 @@
 from pimentoquay.gateway.lifecycle import Gateway
 from pimentoquay.gateway.links import EngineLinks
 from pimentoquay.gateway.mesh import Mesh
+from pimentoquay.gateway.message_parts import pieces_of
 from pimentoquay.gateway.metrics import (
     CONNECT_FAILURES,
     CONNECTIONS,
@@ -169,7 +170,7 @@
         guard,
         origins,
     )
-    peers = PeerSet(node)
+    peers = PeerSet(node, turns, pieces_of)
     era = StoreEra()
 
     def send_to(vm: str, message: Any) -> None:
--- a/pimentoquay/gateway/message_parts.py
+++ b/pimentoquay/gateway/message_parts.py
@@ -4,11 +4,12 @@
 What tells a receiver that a list is complete, is in the last part only.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from functools import singledispatch
 from typing import Any, TypeVar
 
+from pimentoquay.kernel.turns import ITEMS_PER_TURN
 from pimentoquay.messages import encoded_size
 from pimentoquay.messages.fleet import (
     ClearedFeature,
@@ -18,6 +19,7 @@
     EnginesLeaving,
     FleetCopy,
     LimitsNamed,
+    PeerLoad,
     PeerLoads,
     VmAddress,
 )
@@ -26,7 +28,7 @@
 from pimentoquay.policy.message_parts import split_by_size
 from pimentoquay.policy.stream_origins import KEY_BYTES
 
-__all__ = ["MAX_PART_BYTES", "parts_of"]
+__all__ = ["MAX_PART_BYTES", "parts_of", "pieces_of"]
 
 MAX_PART_BYTES = 256 * 1024
 """Maximum size of an encoded part, in bytes, unless a single item is larger."""
@@ -40,7 +42,18 @@
 KEYS_BYTES = 64 * 1024
 """Size in bytes up to which the keys of the streams of one version stay together."""
 
+PIECE_WEIGHT = 8 * ITEMS_PER_TURN
+"""Maximum weight of the items that a receiver applies at once; a message that a bundle holds, and
+other items that are decoded or compared with many others, weigh eight, records and loads one."""
+
+HEAVY_ITEM = 8
+"""Weight of an item of the first kind."""
+
+KEYS_PER_WEIGHT = 32
+"""Number of keys of streams that weigh one."""
+
 Item = TypeVar("Item")
+Split = Callable[[Iterable[Any]], tuple[tuple[Any, ...], ...]]
 Message = TypeVar("Message", EnginesLeaving, LimitsNamed, PeerLoads, Bundle, StreamsBegun)
 
 
@@ -55,13 +68,37 @@
 _NO_CONFIGURATION = _Configuration(-1, b"")
 
 
-def _split(items: Iterable[Item]) -> tuple[tuple[Item, ...], ...]:
+def _split_by_bytes(items: Iterable[Item]) -> tuple[tuple[Item, ...], ...]:
     return split_by_size(items, _size_of, MAX_PART_BYTES - HEAD_BYTES)
 
 
-def _parts_by(message: Message, items: Iterable[Any]) -> tuple[Message, ...]:
+def _split_by_weight(items: Iterable[Item]) -> tuple[tuple[Item, ...], ...]:
+    return split_by_size(items, _weight_of, PIECE_WEIGHT)
+
+
+def pieces_of(message: Any) -> tuple[Any, ...]:
+    """Return messages that are each applied in a short time, and together say the same.
+
+    A message may hold many thousand tiny items. Other connections are served between two pieces.
+    """
+    return parts_of(message, _split_by_weight)
+
+
+def _weight_of(item: Any) -> int:
+    if isinstance(item, EngineRecord | VmAddress | PeerLoad):
+        return 1
+    if isinstance(item, _Configuration):
+        return int(item.position >= 0)
+    if isinstance(item, VersionStreams):
+        return HEAVY_ITEM + len(item.keys) // (KEY_BYTES * KEYS_PER_WEIGHT)
+    if isinstance(item, tuple):
+        return HEAVY_ITEM * len(item)
+    return HEAVY_ITEM
+
+
+def _parts_by(message: Message, items: Iterable[Any], split: Split) -> tuple[Message, ...]:
     """Return messages with a part of the items of one whose only field they are."""
-    parts = _split(items)
+    parts = split(items)
     return tuple(type(message)(part) for part in parts) if len(parts) > 1 else (message,)
 
 
@@ -78,7 +115,7 @@
 
 
 @singledispatch
-def parts_of(message: Any) -> tuple[Any, ...]:
+def parts_of(message: Any, split: Split = _split_by_bytes) -> tuple[Any, ...]:
     """Return messages of bounded size that together say what a message says, in their order.
 
     A message of another type than those that grow with the fleet is returned as it is.
@@ -87,10 +124,10 @@
 
 
 @parts_of.register
-def _copy_parts(message: FleetCopy) -> tuple[FleetCopy, ...]:
+def _copy_parts(message: FleetCopy, split: Split = _split_by_bytes) -> tuple[FleetCopy, ...]:
     own = _Configuration(message.configuration_position, message.configuration)
     items: tuple[Any, ...] = (own, *message.vms, *message.engines)
-    parts = _split(items)
+    parts = split(items)
     if len(parts) == 1:
         return (message,)
     last = len(parts) - 1
@@ -112,14 +149,16 @@
 
 
 @parts_of.register
-def _evidence_parts(message: CrashEvidence) -> tuple[CrashEvidence, ...]:
+def _evidence_parts(
+    message: CrashEvidence, split: Split = _split_by_bytes
+) -> tuple[CrashEvidence, ...]:
     # What one crash left stays together, and what cleared requests goes first: with a part of it,
     # a sound request would look like the only one at these crashes.
     by_crash: dict[tuple[str, int, int], list[CrashedRequest]] = {}
     for each in message.crashed:
         by_crash.setdefault((each.engine, each.incarnation, each.restarts), []).append(each)
     items: list[Any] = [*message.cleared, *map(tuple, by_crash.values())]
-    parts = _split(items)
+    parts = split(items)
     if len(parts) <= 1:
         return (message,)
     return tuple(
@@ -132,39 +171,45 @@
 
 
 @parts_of.register
-def _leaving_parts(message: EnginesLeaving) -> tuple[EnginesLeaving, ...]:
-    return _parts_by(message, message.engines)
+def _leaving_parts(
+    message: EnginesLeaving, split: Split = _split_by_bytes
+) -> tuple[EnginesLeaving, ...]:
+    return _parts_by(message, message.engines, split)
 
 
 @parts_of.register
-def _limit_parts(message: LimitsNamed) -> tuple[LimitsNamed, ...]:
-    return _parts_by(message, message.limits)
+def _limit_parts(message: LimitsNamed, split: Split = _split_by_bytes) -> tuple[LimitsNamed, ...]:
+    return _parts_by(message, message.limits, split)
 
 
 @parts_of.register
-def _load_parts(message: PeerLoads) -> tuple[PeerLoads, ...]:
-    return _parts_by(message, message.loads)
+def _load_parts(message: PeerLoads, split: Split = _split_by_bytes) -> tuple[PeerLoads, ...]:
+    return _parts_by(message, message.loads, split)
 
 
 @parts_of.register
-def _bundle_parts(message: Bundle) -> tuple[Bundle, ...]:
-    return _parts_by(message, message.items)
+def _bundle_parts(message: Bundle, split: Split = _split_by_bytes) -> tuple[Bundle, ...]:
+    return _parts_by(message, message.items, split)
 
 
 @parts_of.register
-def _stream_parts(message: StreamsBegun) -> tuple[StreamsBegun, ...]:
+def _stream_parts(
+    message: StreamsBegun, split: Split = _split_by_bytes
+) -> tuple[StreamsBegun, ...]:
     length = KEYS_BYTES - KEYS_BYTES % KEY_BYTES
     items = [
         VersionStreams(each.service, each.software, each.keys[start : start + length])
         for each in message.versions
         for start in range(0, len(each.keys), length)
     ]
-    return _parts_by(message, items)
+    return _parts_by(message, items, split)
 
 
 @parts_of.register
-def _version_parts(message: VersionsListed) -> tuple[VersionsListed, ...]:
-    parts = _split(message.versions)
+def _version_parts(
+    message: VersionsListed, split: Split = _split_by_bytes
+) -> tuple[VersionsListed, ...]:
+    parts = split(message.versions)
     if len(parts) <= 1:
         return (message,)
     last = len(parts) - 1
--- a/pimentoquay/gateway/tests/test_message_parts.py
+++ b/pimentoquay/gateway/tests/test_message_parts.py
@@ -14,7 +14,7 @@
     engine_records,
 )
 from pimentoquay.gateway.fleet import Fleet
-from pimentoquay.gateway.message_parts import MAX_PART_BYTES, parts_of
+from pimentoquay.gateway.message_parts import MAX_PART_BYTES, parts_of, pieces_of
 from pimentoquay.gateway.part_sender import MAX_UNSENT_BYTES, PartSender
 from pimentoquay.gateway.tests.rig import configuration, rig, until
 from pimentoquay.kernel import TimerService
@@ -98,6 +98,20 @@
         assert parts_of(part) == (part,)
 
 
+MAX_ITEMS_OF_PIECE = 256
+
+
+@pytest.mark.parametrize("message", LARGE, ids=lambda each: type(each).__name__)
+def test_pieces_have_few_items_and_hold_everything_once(message):
+    pieces = pieces_of(message)
+    assert {type(each) for each in pieces} == {type(message)}
+    assert content(pieces) == content([message])
+    for piece in pieces:
+        items = [each for each in vars(piece).values() if isinstance(each, tuple)]
+        assert sum(map(len, items)) <= MAX_ITEMS_OF_PIECE
+        assert pieces_of(piece) == (piece,)
+
+
 @pytest.mark.parametrize("message", [FleetCopy(-1, b"", (), 7, ()), EnginesLeaving(()), LARGE[4]])
 def test_a_short_message_is_sent_as_it_is(message):
     short = (
--- a/pimentoquay/messages/codec.py
+++ b/pimentoquay/messages/codec.py
@@ -42,6 +42,9 @@
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 """Maximum size of a frame that is encoded or decoded, in bytes."""
 
+MAX_LIST_ITEMS = 32 * 1024
+"""Maximum length of a list in a message; parts of 256 KB hold up to some 20,000 items."""
+
 INTEGER_LIMIT = 2**64
 """Integers of this size and above need more than the 64 bits that CBOR has for a plain one."""
 
@@ -169,6 +172,8 @@
     def decode_tuple(value: Any) -> Any:
         if not isinstance(value, list):
             raise TypeError(f"expected an array, got {type(value).__name__}")
+        if len(value) > MAX_LIST_ITEMS:
+            raise ValueError(f"a list of {len(value)}")
         return tuple(inner(item) for item in value)
 
     return decode_tuple
--- a/pimentoquay/transport/peers.py
+++ b/pimentoquay/transport/peers.py
@@ -5,12 +5,13 @@
 """
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from pimentoquay.kernel import Channel, ChannelClosed, ChannelOpened, Node, PimentoquayError
 from pimentoquay.kernel.logs import logger
 from pimentoquay.kernel.traffic import refused_messages
+from pimentoquay.kernel.turns import TurnQueue
 
 __all__ = ["PeerSet"]
 
@@ -25,10 +26,21 @@
     ----------
     node
         The process that the channels belong to.
+    turns
+        Lets others go on between the pieces of a long message; a queue of its own if omitted.
+    pieces_of
+        Divides a received message into pieces that are published one after the other, in turns.
     """
 
-    def __init__(self, node: Node) -> None:
+    def __init__(
+        self,
+        node: Node,
+        turns: TurnQueue | None = None,
+        pieces_of: Callable[[Any], tuple[Any, ...]] = lambda message: (message,),
+    ) -> None:
         self._node = node
+        self._turns = turns if turns is not None else TurnQueue()
+        self._pieces_of = pieces_of
         self._connect_task_by_vm: dict[str, asyncio.Task[None]] = {}
         self._address_by_vm: dict[str, str] = {}
         self._channels: list[Channel] = []
@@ -68,7 +80,11 @@
         self._node.bus.publish(ChannelOpened(channel))
         try:
             while True:
-                self._node.bus.publish(await channel.receive(), channel)
+                pieces = self._pieces_of(await channel.receive())
+                for piece in pieces:
+                    self._node.bus.publish(piece, channel)
+                    if len(pieces) > 1:
+                        await self._turns.wait(channel)
         except ConnectionError:
             pass
         except PimentoquayError as error:
