Handle the pages of the store in turns, and bound them

Pages of newest records were collected for as long as they came (65 to 278 MB in 6 s; 7,914 calls in 6 s for two pages that take turns), and a read that goes on ended only where the topic did.

Change: pages are parsed and applied in turns (kernel/turn_loops.py); at most 16,384 records are taken from one read, and the next begins after them; a page of newest records with more than 16,384 commas is not parsed; the pages of a topic hold 16 MB at most, are at most 400 and do not repeat (policy/store_pages.py); a poll reads at most 64 pages of a topic. Until a read succeeds, the list stays. The parsers are coroutines now, which the tests that call them await; they check the same. Pieces of messages of peers weigh by what their items cost: with 32 engines that leave in each, 200,000 of them were not applied in 20 s (a test of full size found it).

Each bound has a switch, without which its test fails.

--- a/pimentoquay/bench/mutations/turn_switches.py
+++ b/pimentoquay/bench/mutations/turn_switches.py
@@ -7,6 +7,8 @@
 
 _MESSAGES = "pimentoquay/transport/tests/test_small_messages.py::"
 _PEERS = "pimentoquay/gateway/tests/test_small_items_of_peers.py::"
+_STORE = "pimentoquay/gateway/tests/test_small_items_of_store.py::"
+_PAGES = "pimentoquay/policy/tests/test_store_pages.py::"
 _FRAMES = "pimentoquay/tunnels/tests/test_small_frames.py::"
 
 TURN_SWITCHES = (
@@ -47,4 +49,28 @@
         lambda original: 10_000_000,
         _PEERS + "test_a_list_that_is_longer_than_a_sound_message_can_hold_is_refused",
     ),
+    Switch(
+        "items of a store's page are handled in turns",
+        "pimentoquay.kernel.turn_loops:islice",
+        lambda original: lambda items, count: original(items, 1_000_000),
+        _STORE + "test_invalid_records_of_one_page_are_refused_in_turns",
+    ),
+    Switch(
+        "pages of a topic are bounded",
+        "pimentoquay.policy.store_pages:MAX_TOPIC_BYTES",
+        lambda original: 1_000_000_000_000,
+        _PAGES + "test_pages_without_end_are_refused_before_they_fill_the_memory[500-1500]",
+    ),
+    Switch(
+        "broad pages are not parsed",
+        "pimentoquay.policy.store_pages:MAX_PAGE_COMMAS",
+        lambda original: 1_000_000_000,
+        _STORE + "test_a_page_of_hundred_thousand_items_is_not_parsed",
+    ),
+    Switch(
+        "a poll of a topic ends",
+        "pimentoquay.gateway.feed:MAX_PAGES_PER_POLL",
+        lambda original: 1_000_000,
+        _STORE + "test_a_topic_without_end_does_not_keep_the_others_from_being_read",
+    ),
 )
--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -225,7 +225,7 @@
     links.on_limit.append(limit_notices.report)
     mesh.on_load_changed.append(reservations.recheck_waiters)
     mesh.on_load_changed.append(lambda: _apply_mesh_state(shared, mesh))
-    store = StoreClient(settings.store_address, era)
+    store = StoreClient(settings.store_address, era, turns)
     feed = StoreFeed(
         store,
         fleet,
@@ -235,9 +235,10 @@
         mesh.is_reader,
         mesh.publish,
         mesh.send_list_age,
+        turns,
     )
     origin_store = OriginStore(
-        settings.vm, store, node.timers, origins, mesh.is_reader, feed.read_engines
+        settings.vm, store, node.timers, origins, mesh.is_reader, feed.read_engines, turns
     )
     origins.find_doubt, origins.read_store = step.find_doubt, origin_store.read_now
     stage_controller = StageController(
--- a/pimentoquay/gateway/feed.py
+++ b/pimentoquay/gateway/feed.py
@@ -15,6 +15,8 @@
 from pimentoquay.kernel import TimerService
 from pimentoquay.kernel.input_checks import refuse
 from pimentoquay.kernel.logs import logger
+from pimentoquay.kernel.turn_loops import list_in_turns, pieces_in_turns
+from pimentoquay.kernel.turns import ITEMS_PER_TURN, TurnQueue
 from pimentoquay.messages.fleet import EngineRecord, FleetCopy, VmAddress
 from pimentoquay.platform.fields import DecodeError, optional, parse_json, required
 from pimentoquay.platform.store import (
@@ -35,6 +37,13 @@
 RETRY_DELAY_SECONDS = 0.4
 """Delay after a failed call, which costs as much at the store as a successful one."""
 
+MAX_PAGES_PER_POLL = 64
+"""Maximum number of pages of 1 MB that are read of a topic in one poll."""
+
+RECORDS_PER_TURN = 8 * ITEMS_PER_TURN
+"""Number of records of engines that are applied at once. Decoding one takes up to 0.1 ms, and the
+list is made again after each piece with changes."""
+
 CHECK_INTERVAL_SECONDS = 0.1
 """Interval at which a gateway that does not poll checks the age of its list."""
 
@@ -55,6 +64,8 @@
     on_read
         Called after every successful read, so that peers learn of it before their lists become
         too old.
+    turns
+        Applies long pages in turns; a queue of its own if omitted.
     """
 
     def __init__(
@@ -67,7 +78,9 @@
         is_reader: Callable[[], bool],
         publish: Callable[[FleetCopy], None],
         on_read: Callable[[], None],
+        turns: TurnQueue | None = None,
     ) -> None:
+        self._turns = turns if turns is not None else TurnQueue()
         self._store = store
         self._fleet = fleet
         self._guard = guard
@@ -145,7 +158,8 @@
         """Return the addresses that VMs have written; raise ``StoreError`` on failure."""
         page = await self._store.read_latest(VM_TOPIC)
         found = (_parse_vm_address(record) for record in page.records if record.value)
-        return tuple(each for each in found if each is not None)
+        parsed = await list_in_turns(found, self._turns)
+        return tuple(each for each in parsed if each is not None)
 
     async def _read_all(self) -> bool:
         reads = [self._read(topic) for topic in self._handler_by_topic]
@@ -179,20 +193,25 @@
 
     async def _read_latest(self, topic: str) -> None:
         latest = await self._store.read_latest(topic)
-        self._handler_by_topic[topic](latest.records, latest.next_position, True)
+        await self._handler_by_topic[topic](latest.records, latest.next_position, True)
         self._next_by_topic[topic] = latest.next_position
 
     async def _read_on(self, topic: str, position: int) -> None:
-        """Read page after page up to where the topic ended when the first one was read."""
+        """Read page after page up to where the topic ended when the first one was read.
+
+        After some pages the next poll goes on, as a faulty store may send them without end.
+        """
         end_position: int | None = None
-        while end_position is None or position < end_position:
+        for _ in range(MAX_PAGES_PER_POLL):
             page = await self._store.read(topic, position, 0.0)
-            self._handler_by_topic[topic](page.records, page.next_position, False)
+            await self._handler_by_topic[topic](page.records, page.next_position, False)
             if page.next_position == position:
                 return
             if end_position is None:
                 end_position = page.end_position
             position = self._next_by_topic[topic] = page.next_position
+            if position >= end_position:
+                return
 
     async def _write_quarantines(self) -> None:
         for key, value in self._guard.pending_records():
@@ -204,12 +223,14 @@
                 )
                 return
 
-    def _apply_quarantines(
+    async def _apply_quarantines(
         self, records: tuple[KeyedRecord, ...], next_position: int, is_snapshot: bool
     ) -> None:
-        self._guard.apply_records(records, is_snapshot)
+        async for piece in pieces_in_turns(records, self._turns):
+            self._guard.apply_records(piece, is_snapshot)
+            is_snapshot = False
 
-    def _apply_configuration(
+    async def _apply_configuration(
         self, records: tuple[KeyedRecord, ...], next_position: int, is_snapshot: bool
     ) -> None:
         for record in records:
@@ -218,7 +239,7 @@
             if self._fleet.apply_configuration(record.position, record.value):
                 self._publish(FleetCopy(record.position, record.value, (), -1, ()))
 
-    def _apply_engines(
+    async def _apply_engines(
         self, records: tuple[KeyedRecord, ...], next_position: int, is_snapshot: bool
     ) -> None:
         if self._was_down:
@@ -228,7 +249,9 @@
             EngineRecord(record.key, record.position, record.value or b"") for record in records
         )
         had_list = self._fleet.has_engine_list
-        changed = self._fleet.apply_engine_records(engines)
+        changed: tuple[EngineRecord, ...] = ()
+        async for piece in pieces_in_turns(engines, self._turns, RECORDS_PER_TURN):
+            changed += self._fleet.apply_engine_records(piece)
         was_restored, self._was_restored = self._was_restored, False
         if is_snapshot:
             self._fleet.apply_engine_snapshot(engines, next_position)
--- a/pimentoquay/gateway/message_parts.py
+++ b/pimentoquay/gateway/message_parts.py
@@ -18,6 +18,7 @@
     EngineRecord,
     EnginesLeaving,
     FleetCopy,
+    LeavingEngine,
     LimitsNamed,
     PeerLoad,
     PeerLoads,
@@ -42,15 +43,18 @@
 KEYS_BYTES = 64 * 1024
 """Size in bytes up to which the keys of the streams of one version stay together."""
 
-PIECE_WEIGHT = 8 * ITEMS_PER_TURN
-"""Maximum weight of the items that a receiver applies at once; a message that a bundle holds, and
-other items that are decoded or compared with many others, weigh eight, records and loads one."""
+PIECE_WEIGHT = 128 * ITEMS_PER_TURN
+"""Maximum weight of the items that a receiver applies at once."""
 
-HEAVY_ITEM = 8
-"""Weight of an item of the first kind."""
+HEAVY_ITEM = 128
+"""Weight of a message in a bundle, and of other items that are decoded or logged."""
 
-KEYS_PER_WEIGHT = 32
-"""Number of keys of streams that weigh one."""
+RECORD_WEIGHT = 16
+"""Weight of a record and a load; after each piece, what depends on all of them is made again."""
+
+KEYS_PER_WEIGHT = 2
+"""Number of keys of streams that weigh one, as a start of an engine that leaves does; these are
+only remembered."""
 
 Item = TypeVar("Item")
 Split = Callable[[Iterable[Any]], tuple[tuple[Any, ...], ...]]
@@ -85,10 +89,12 @@
 
 
 def _weight_of(item: Any) -> int:
-    if isinstance(item, EngineRecord | VmAddress | PeerLoad):
+    if isinstance(item, LeavingEngine):
         return 1
+    if isinstance(item, EngineRecord | VmAddress | PeerLoad):
+        return RECORD_WEIGHT
     if isinstance(item, _Configuration):
-        return int(item.position >= 0)
+        return RECORD_WEIGHT if item.position >= 0 else 0
     if isinstance(item, VersionStreams):
         return HEAVY_ITEM + len(item.keys) // (KEY_BYTES * KEYS_PER_WEIGHT)
     if isinstance(item, tuple):
--- a/pimentoquay/gateway/origin_store.py
+++ b/pimentoquay/gateway/origin_store.py
@@ -14,6 +14,8 @@
 from pimentoquay.kernel import TimerService
 from pimentoquay.kernel.input_checks import refuse
 from pimentoquay.kernel.logs import logger
+from pimentoquay.kernel.turn_loops import list_in_turns, pieces_in_turns
+from pimentoquay.kernel.turns import TurnQueue
 from pimentoquay.messages import CodecError, decode, encode
 from pimentoquay.messages.streams import StreamsBegun
 from pimentoquay.platform.fields import DecodeError, optional, parse_json, required
@@ -57,6 +59,8 @@
         Returns whether this gateway writes.
     read_engines
         Reads the list of engines from the store.
+    turns
+        Reads many records in turns; a queue of its own if omitted.
     """
 
     def __init__(
@@ -67,7 +71,9 @@
         origins: OriginExchange,
         is_writer: Callable[[], bool],
         read_engines: Callable[[], Awaitable[None]],
+        turns: TurnQueue | None = None,
     ) -> None:
+        self._turns = turns if turns is not None else TurnQueue()
         self._vm = vm
         self._store = store
         self._timers = timers
@@ -129,17 +135,19 @@
 
     async def _read_versions(self) -> list[StoredVersion]:
         page = await self._store.read_latest(VERSION_TOPIC)
-        found = [_parse_version(each.key, each.value) for each in page.records if each.value]
+        stored = (_parse_version(each.key, each.value) for each in page.records if each.value)
+        found = await list_in_turns(stored, self._turns)
         return [each for each in found if each is not None]
 
     async def _read_batches(self) -> list[StreamsBegun]:
         page = await self._store.read_latest(STREAM_TOPIC)
         now = self._timers.now()
-        batches = []
-        for record in page.records:
-            if record.value is not None:
-                self._stored_at_by_key.setdefault(record.key, now)
-                batches.append(_parse_batch(record.key, record.value))
+        batches: list[StreamsBegun | None] = []
+        async for piece in pieces_in_turns(page.records, self._turns):
+            for record in piece:
+                if record.value is not None:
+                    self._stored_at_by_key.setdefault(record.key, now)
+                    batches.append(_parse_batch(record.key, record.value))
         return [each for each in batches if each is not None]
 
     async def _write(self) -> None:
--- a/pimentoquay/platform/store.py
+++ b/pimentoquay/platform/store.py
@@ -7,7 +7,9 @@
 import asyncio
 import base64
 import struct
+from collections.abc import Iterator
 from dataclasses import dataclass
+from itertools import islice
 from typing import Any
 from urllib.parse import urlencode
 
@@ -15,7 +17,10 @@
 from pimentoquay.http1.headers import find_header
 from pimentoquay.kernel.errors import HttpError
 from pimentoquay.kernel.input_checks import check_key, refuse
+from pimentoquay.kernel.turn_loops import list_in_turns
+from pimentoquay.kernel.turns import TurnQueue
 from pimentoquay.platform.fields import DecodeError, checked, optional, parse_json, required
+from pimentoquay.policy.store_pages import NewestPage, NewestPages, check_breadth
 from pimentoquay.policy.store_position import MAX_ERA, StoreEra, era_of, offset_of, position_of
 
 __all__ = [
@@ -64,6 +69,9 @@
 MAX_BODY_BYTES = 4 * 1024 * 1024
 """Maximum size of a response, in bytes. The store sends up to 1 MB of records, in base64."""
 
+MAX_READ_RECORDS = 16 * 1024
+"""Maximum number of records that are taken from one response; the next read begins after them."""
+
 _ERA = b"store-era"
 MAX_ERA_DIGITS = len(str(MAX_ERA)) + 1
 _GONE = 410
@@ -109,15 +117,6 @@
     end_position: int
 
 
-@dataclass(frozen=True)
-class _LatestPage:
-    """One page of a topic's latest records; ``last_key`` is None if it is the last page."""
-
-    records: tuple[KeyedRecord, ...]
-    end_position: int
-    last_key: str | None
-
-
 class StoreClient:
     """Client of the store; ``calls`` counts the calls made.
 
@@ -130,33 +129,31 @@
         Address of the store as ``host:port``.
     era
         Highest era known to this VM, which is raised by the store's responses.
+    turns
+        Handles long pages in turns.
     """
 
-    def __init__(self, address: str, era: StoreEra | None = None) -> None:
+    def __init__(
+        self, address: str, era: StoreEra | None = None, turns: TurnQueue | None = None
+    ) -> None:
         reuse = ReusePolicy(max_idle_seconds=10.0)
         self.address = address
         self.era = era or StoreEra()
         self.calls = 0
-        self._pool = ConnectionPool(address, CONNECT_SECONDS, reuse)
+        self._turns = turns or TurnQueue()
+        self._pool = ConnectionPool(address, CONNECT_SECONDS, reuse, turns=self._turns)
 
     async def read_latest(self, topic: str) -> RecordPage:
         """Return the latest record of each key; raise ``StoreError`` on failure."""
-        records: list[KeyedRecord] = []
-        next_position: int | None = None
-        after: str | None = None
-        while True:
-            page = await self._read_latest_page(topic, after)
-            records.extend(page.records)
-            # Records may change between pages, so the next read starts at the first page's end.
-            if next_position is None:
-                next_position = page.end_position
-            if era_of(page.end_position) != era_of(next_position):
-                raise StoreError("log-newest: the store was restored between two pages", True)
-            if page.last_key is None:
-                return RecordPage(tuple(records), next_position, next_position)
-            if page.last_key == after:
-                raise StoreError("log-newest: no page follows the last one", True)
-            after = page.last_key
+        pages = NewestPages[KeyedRecord]()
+        has_more = True
+        while has_more:
+            page = await self._read_latest_page(topic, pages.last_key)
+            try:
+                has_more = pages.add(page)
+            except ValueError as error:
+                raise StoreError(f"log-newest: {error}", True) from None
+        return RecordPage(tuple(pages.records), pages.next_position, pages.next_position)
 
     async def read(self, topic: str, from_position: int, wait_seconds: float) -> RecordPage:
         """Return the records from a position on, waiting up to ``wait_seconds`` if there is none.
@@ -174,7 +171,7 @@
         if era != self.era.value:
             # The same offsets may name other records now.
             raise RecordsGoneError(f"log-read: the store was restored, era {self.era.value}")
-        return _parse_record_page(body, from_position)
+        return await _parse_record_page(body, from_position, self._turns)
 
     async def put(self, topic: str, key: str, value: bytes) -> None:
         """Append a record; after a ``StoreError`` with ``written`` it may have been appended."""
@@ -205,11 +202,11 @@
         """Close the idle connections."""
         self._pool.close()
 
-    async def _read_latest_page(self, topic: str, after: str | None) -> _LatestPage:
+    async def _read_latest_page(self, topic: str, after: str | None) -> NewestPage[KeyedRecord]:
         more = {} if after is None else {"after": after}
         body = await self._call("GET", "log-newest", {"topic": topic, "part": 0, **more})
         try:
-            return _parse_latest_page(body, self.era.value)
+            return await _parse_latest_page(body, self.era.value, self._turns)
         except ValueError as error:
             raise StoreError(f"log-newest: {error}", True) from None
 
@@ -262,17 +259,17 @@
     return _LENGTH.pack(len(content)) + content
 
 
-def _parse_latest_page(body: bytes, era: int) -> _LatestPage:
-    item = parse_json(body, "newest records")
+async def _parse_latest_page(body: bytes, era: int, turns: TurnQueue) -> NewestPage[KeyedRecord]:
+    item = parse_json(check_breadth(body), "newest records")
     entries = optional(item, "items", list, [])
-    page = [_parse_latest_record(entry, era) for entry in entries]
+    page = await list_in_turns((_parse_latest_record(entry, era) for entry in entries), turns)
     records = tuple(record for record in page if record is not None)
     more = optional(item, "hasMore", bool, False) and bool(entries)
     if more and not records:
         raise DecodeError("no record of a page can be read")
     # The next page repeats those at the end of this one that cannot be read.
     last_key = records[-1].key if more else None
-    return _LatestPage(records, position_of(era, required(item, "endOffset", int)), last_key)
+    return NewestPage(records, position_of(era, required(item, "endOffset", int)), last_key)
 
 
 def _parse_latest_record(item: Any, era: int) -> KeyedRecord | None:
@@ -286,21 +283,23 @@
         return None
 
 
-def _parse_record_page(body: bytes, from_position: int) -> RecordPage:
+async def _parse_record_page(body: bytes, from_position: int, turns: TurnQueue) -> RecordPage:
     try:
         end = position_of(era_of(from_position), _OFFSETS.unpack_from(body)[0])
     except (struct.error, ValueError) as error:
         raise StoreError(f"log-read: {error}", True) from None
-    records = []
-    start, position = _OFFSETS.size, from_position
+    frames = islice(enumerate(_split_records(body), from_position), MAX_READ_RECORDS)
+    parsed = await list_in_turns((_parse_record(each, at) for at, each in frames), turns)
+    records = tuple(each for each in parsed if each is not None)
+    return RecordPage(records, from_position + len(parsed), end)
+
+
+def _split_records(body: bytes) -> Iterator[bytes]:
+    start = _OFFSETS.size
     while start + _LENGTH.size <= len(body):
         (length,) = _LENGTH.unpack_from(body, start)
-        start += _LENGTH.size
-        record = _parse_record(body[start : start + length], position)
-        if record is not None:
-            records.append(record)
-        start, position = start + length, position + 1
-    return RecordPage(tuple(records), position, end)
+        start += _LENGTH.size + length
+        yield body[start - length : start]
 
 
 def _parse_record(content: bytes, position: int) -> KeyedRecord | None:
