Count only peers that ask as tunnels, and bound what an engine sends before

Cause: connections to the port for tunnels that say nothing, also of processes that do not know the key, counted as tunnels for the second that a handshake may take, so sound peers were told that there are too many; their number was not bounded. What an engine sent between the connection to it and the reply to the peer was kept, however much it was.

Change: connections count from when they have asked. Above 200 others the oldest is closed for a new one; a sound peer asks within milliseconds. An engine is not read on until its tunnel is open.

--- a/pimentoquay/bench/mutations/turn_switches.py
+++ b/pimentoquay/bench/mutations/turn_switches.py
@@ -9,6 +9,7 @@
 _PEERS = "pimentoquay/gateway/tests/test_small_items_of_peers.py::"
 _STORE = "pimentoquay/gateway/tests/test_small_items_of_store.py::"
 _PAGES = "pimentoquay/policy/tests/test_store_pages.py::"
+_TUNNELS = "pimentoquay/tunnels/tests/test_tunnels.py::"
 _FRAMES = "pimentoquay/tunnels/tests/test_small_frames.py::"
 
 TURN_SWITCHES = (
@@ -73,4 +74,16 @@
         lambda original: 1_000_000,
         _STORE + "test_a_topic_without_end_does_not_keep_the_others_from_being_read",
     ),
+    Switch(
+        "connections that ask for no tunnel are bounded",
+        "pimentoquay.tunnels.server:TunnelServer.add",
+        lambda original: lambda self, side: self._sides.setdefault(side),
+        _TUNNELS + "test_connections_that_never_ask_for_a_tunnel_are_bounded",
+    ),
+    Switch(
+        "only connections that have asked count as tunnels",
+        "pimentoquay.tunnels.server:_PeerSide.has_asked",
+        lambda original: True,
+        _TUNNELS + "test_connections_that_never_ask_for_a_tunnel_take_none_from_peers",
+    ),
 )
--- a/pimentoquay/tunnels/server.py
+++ b/pimentoquay/tunnels/server.py
@@ -24,6 +24,10 @@
 MAX_TUNNELS = 400
 """Maximum number of tunnels at a time; each needs two of some four thousand descriptors."""
 
+MAX_UNOPENED = 200
+"""Maximum number of connections that have not asked for a tunnel; the oldest one is closed for
+another, since a peer asks within milliseconds."""
+
 HANDSHAKE_SECONDS = 1.0
 """Timeout of the messages that open a tunnel."""
 
@@ -79,7 +83,7 @@
         self._connect = connect
         self._policy = policy
         self._server: asyncio.Server | None = None
-        self._sides: set[_PeerSide] = set()
+        self._sides: dict[_PeerSide, None] = {}
         self._background = BackgroundTasks()
         self._is_draining = False
         self.opened = 0
@@ -112,11 +116,15 @@
 
     def add(self, side: "_PeerSide") -> None:
         """Add an accepted connection."""
-        self._sides.add(side)
+        self._sides[side] = None
+        unopened = [each for each in self._sides if not each.has_asked]
+        if len(unopened) > MAX_UNOPENED:
+            self.remove(unopened[0])
+            unopened[0].abort()
 
     def remove(self, side: "_PeerSide") -> None:
         """Remove a connection that has ended."""
-        self._sides.discard(side)
+        self._sides.pop(side, None)
 
     def start_connecting(self, side: "_PeerSide", request: TunnelRequest) -> asyncio.Task[None]:
         """Connect to the engine of a request in the background, and reply to it."""
@@ -142,7 +150,7 @@
     ) -> tuple[TunnelOutcome, "_EngineSide | None"]:
         if self._is_draining:
             return TunnelOutcome.DRAINING, None
-        if len(self._sides) > MAX_TUNNELS:
+        if sum(each.has_asked for each in self._sides) > MAX_TUNNELS:
             return TunnelOutcome.BUSY, None
         outcome = self._policy.find_outcome(request)
         if outcome is not TunnelOutcome.OPEN:
@@ -185,6 +193,11 @@
         """Whether the tunnel is connected to an engine."""
         return self._engine is not None
 
+    @property
+    def has_asked(self) -> bool:
+        """Whether the peer has authenticated itself and asked for a tunnel."""
+        return self._connecting is not None or self._engine is not None
+
     def connection_made(self, transport: Any) -> None:
         self._transport = transport
         sock = transport.get_extra_info("socket")
@@ -315,6 +328,7 @@
     def begin(self) -> None:
         """Forward to the peer from now on, and what came before."""
         self._has_begun = True
+        self.set_reading(True)
         before, self._before = self._before, []
         for data in before:
             self._peer.forward(data)
@@ -326,6 +340,7 @@
             self._peer.forward(data)
         else:
             self._before.append(data)
+            self.set_reading(False)
 
     def eof_received(self) -> bool:
         self._end(True)
--- a/pimentoquay/tunnels/tests/test_tunnels.py
+++ b/pimentoquay/tunnels/tests/test_tunnels.py
@@ -284,3 +284,58 @@
         assert await opening is TunnelOutcome.DRAINING
         assert env.server.active == 0
         await until(lambda: not env.engine.connections, "closed")
+
+
+@contextlib.asynccontextmanager
+async def idle_connections(env, count):
+    """Open connections that say nothing."""
+    writers = [
+        (await asyncio.open_connection(*split_address(env.address)))[1] for _ in range(count)
+    ]
+    try:
+        yield writers
+    finally:
+        for writer in writers:
+            writer.transport.abort()
+
+
+async def test_connections_that_never_ask_for_a_tunnel_take_none_from_peers(monkeypatch):
+    """They counted as tunnels, so peers were told that there are too many."""
+    monkeypatch.setattr(server, "MAX_TUNNELS", 2)
+    async with pair() as env, idle_connections(env, 5):
+        await env.open()
+        assert env.server.active == 1
+
+
+async def test_connections_that_never_ask_for_a_tunnel_are_bounded(monkeypatch):
+    monkeypatch.setattr(server, "HANDSHAKE_SECONDS", 60.0)
+    monkeypatch.setattr(server, "MAX_UNOPENED", 20)
+    async with pair() as env, idle_connections(env, 100):
+        await until(lambda: len(env.server._sides) == 20, "closed")
+        _, receiver = await env.open()
+        assert env.server.active == 1
+        assert receiver.events == []
+
+
+async def test_an_engine_that_sends_before_the_tunnel_is_open_is_read_once_until_then(monkeypatch):
+    """What it sent was kept, however much it was."""
+    may_reply = asyncio.Event()
+    size = 0
+
+    async def connect(factory, host, port):
+        nonlocal size
+        transport, engine = await connect_tcp(factory, host, port)
+        await until(lambda: env.engine.connections, "connected")
+        env.engine.connections[0].write(b"z" * 5_000_000)
+        await asyncio.sleep(0.1)
+        size = sum(map(len, engine._before))
+        may_reply.set()
+        return transport, engine
+
+    monkeypatch.setattr(server, "CONNECT_SECONDS", 5.0)
+    monkeypatch.setattr("pimentoquay.tunnels.client.OPEN_SECONDS", 5.0)
+    async with pair(connect=connect) as env:
+        _, receiver = await env.open()
+        assert may_reply.is_set()
+        assert 0 < size <= 32 * 1024
+        await until(lambda: receiver.size == 5_000_000, "forwarded")
