--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -12,6 +12,7 @@
 from pimentoquay.gateway.lifecycle import Gateway
 from pimentoquay.gateway.links import EngineLinks
 from pimentoquay.gateway.mesh import Mesh
+from pimentoquay.gateway.message_parts import pieces_of
 from pimentoquay.gateway.metrics import (
     CONNECT_FAILURES,
     CONNECTIONS,
@@ -172,7 +173,7 @@
         guard,
         origins,
     )
-    peers = PeerSet(node)
+    peers = PeerSet(node, turns, pieces_of)
     era = StoreEra()
 
     def send_to(vm: str, message: Any) -> None:
@@ -227,7 +228,7 @@
     links.on_limit.append(limit_notices.report)
     mesh.on_load_changed.append(reservations.recheck_waiters)
     mesh.on_load_changed.append(lambda: _apply_mesh_state(shared, mesh))
-    store = StoreClient(settings.store_address, era)
+    store = StoreClient(settings.store_address, era, turns)
     feed = StoreFeed(
         store,
         fleet,
@@ -237,9 +238,10 @@
         mesh.is_reader,
         mesh.publish,
         mesh.send_list_age,
+        turns,
     )
     origin_store = OriginStore(
-        settings.vm, store, node.timers, origins, mesh.is_reader, feed.read_engines
+        settings.vm, store, node.timers, origins, mesh.is_reader, feed.read_engines, turns
     )
     origins.find_doubt, origins.read_store = step.find_doubt, origin_store.read_now
     stage_controller = StageController(
