Record a second version once callers of a lost gateway have come back

Callers of a gateway that was killed while one version served saw 503 (code 223) each time they took their streams up at the others, if a second version was listed before that: nobody had told the others of the streams, and the version was recorded 0.2 s after it was listed.

Change: the gateway that writes records a second version 2 s after it was listed, if a peer was lost just before and is still missing. Until then the streams are of the first version, as all that nobody has told of.

A planned stop counts as a loss, as it may break streams off.

--- a/pimentoquay/bench/mutations/path_switches.py
+++ b/pimentoquay/bench/mutations/path_switches.py
@@ -122,6 +122,13 @@
         _ONLY
         + "test_streams_go_on_if_all_vms_end_around_the_listing_of_a_second_version[4-7-14.0]",
     ),
+    Switch(
+        "second version waits for callers of a lost peer",
+        "pimentoquay.gateway.step_watch:StepWatch.lost_peer_at",
+        return_constant(float("-inf")),
+        "pimentoquay/gateway/tests/test_only_versions.py::"
+        "test_streams_of_a_killed_gateway_go_on_if_the_second_version_joins_before_that",
+    ),
     Switch(
         "streams go on at versions that are not recorded",
         "pimentoquay.gateway.shared_state:SharedState.engines_for_stream",
--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -235,7 +235,8 @@
     origin_store = OriginStore(
         settings.vm, store, node.timers, origins, mesh.is_reader, feed.read_engines
     )
-    origins.find_doubt, origins.read_store = step.find_doubt, origin_store.read_now
+    origins.find_doubt, origins.lost_peer_at = step.find_doubt, step.lost_peer_at
+    origins.read_store = origin_store.read_now
     stage_controller = StageController(
         settings.vm,
         shared,
--- a/pimentoquay/gateway/step_watch.py
+++ b/pimentoquay/gateway/step_watch.py
@@ -55,14 +55,25 @@
         self._is_full = plan.is_full
         self._peers.expect(plan.dialled, self._timers.now())
 
+    def lost_peer_at(self) -> float:
+        """Return when the last of the missing peers was lost, or minus infinity if none is."""
+        now = self._timers.now()
+        missing = self._peers.missing_since(now, self._timeout)
+        return max(missing.values(), default=float("-inf"))
+
+    @property
+    def _timeout(self) -> float:
+        """Age of the last heartbeat above which a peer counts as not heard, in seconds."""
+        if self._is_full:
+            return HEARTBEAT_SLACK * HEARTBEAT_SECONDS
+        return HEARTBEAT_SLACK * RELAY_HEARTBEAT_SECONDS + BUNDLE_SECONDS
+
     def find_doubt(self, is_loaded: bool) -> Doubt | None:
         """Return why this gateway may have missed a version, or ``None`` if it is in step.
 
         ``is_loaded`` is whether it knows what earlier gateways have stored.
         """
-        now, timeout = self._timers.now(), HEARTBEAT_SLACK * HEARTBEAT_SECONDS
-        if not self._is_full:
-            timeout = HEARTBEAT_SLACK * RELAY_HEARTBEAT_SECONDS + BUNDLE_SECONDS
+        now, timeout = self._timers.now(), self._timeout
         contact = Contact(
             is_loaded and (self.knows_peers or bool(self._peers.expected)),
             self._standstill.is_recent(boot_time()),
--- a/pimentoquay/gateway/stream_origins.py
+++ b/pimentoquay/gateway/stream_origins.py
@@ -58,8 +58,9 @@
     ``recorded`` holds the versions that the store holds, ``batches`` the streams that it may not
     hold yet. ``refused`` counts the resumptions that were refused as nobody knows where their
     stream began, ``resumed_by_origin`` all by how that was known. ``find_doubt`` returns why this
-    gateway may be out of step, given whether it has loaded, and ``read_store`` reads what it may
-    have missed and returns whether that succeeded.
+    gateway may be out of step, given whether it has loaded, ``lost_peer_at`` when the last peer was
+    lost that is still missing, and ``read_store`` reads what this gateway may have missed and
+    returns whether that succeeded.
 
     Parameters
     ----------
@@ -87,6 +88,7 @@
         self.refused = 0
         self.resumed_by_origin: Counter[str] = Counter()
         self.find_doubt: Callable[[bool], Doubt | None] = lambda is_loaded: None
+        self.lost_peer_at: Callable[[], float] = lambda: float("-inf")
         self.read_store: Callable[[], Awaitable[bool]]
         self.handler = NoticeHandler(self._apply, self._snapshot)
         self.versions_handler = NoticeHandler(self._apply_versions, self._versions_snapshot)
@@ -233,7 +235,8 @@
     def versions_due(self) -> list[DueVersion]:
         """Return the versions that are to be stored now."""
         served, now = self.served_versions(), self._timers.now()
-        return self._only.due(served, self.recorded, self._decode_share, now)
+        lost_peer_at = self.lost_peer_at()
+        return self._only.due(served, self.recorded, self._decode_share, lost_peer_at, now)
 
     def _decode_share(self, service: str, software: str) -> float:
         return decode_share(self._fleet.accepting_engines(service), software)
--- a/pimentoquay/gateway/tests/test_only_versions.py
+++ b/pimentoquay/gateway/tests/test_only_versions.py
@@ -225,3 +225,35 @@
         assert runs_at(env, *NEW)
         await add_version(env, env.engine_by_id["dec-1"].software, "dec-3")
         assert (await resume(env, "never-seen")).status == 503
+
+
+async def test_streams_of_a_killed_gateway_go_on_if_the_second_version_joins_before_that():
+    """The other gateways lived on, and nobody had told them of the streams."""
+    async with rig() as env:
+        await env.add_gateway("vm-2")
+        await asyncio.sleep(2 * RETURN_SECONDS)
+        streams = Streams(env)
+        await streams.begin(4, vm="vm-2")
+        ids = await streams.leave()
+        await env.kill("vm-2")
+        await add_version(env, "v2", *NEW)
+        await asyncio.sleep(1.0)
+        assert [(await resume(env, each)).status for each in ids] == [200] * 4
+        assert not runs_at(env, *NEW)
+        origins = env.gateway_by_vm["vm-1"].origins
+        await until(lambda: ("llm", "v2") in origins.recorded, "recorded")
+
+
+async def test_streams_of_the_gateway_that_writes_go_on_if_it_is_killed():
+    async with rig() as env:
+        await env.add_gateway("vm-2")
+        await asyncio.sleep(2 * RETURN_SECONDS)
+        streams = Streams(env)
+        await streams.begin(4)
+        ids = await streams.leave()
+        await env.kill("vm-1")
+        for engine_id in NEW:
+            await env.add_engine(PlatformEngine(engine_id, "llm", software="v2", stage="decode"))
+        await asyncio.sleep(1.0)
+        assert [(await resume(env, each, vm="vm-2")).status for each in ids] == [200] * 4
+        assert not runs_at(env, *NEW)
--- a/pimentoquay/policy/only_versions.py
+++ b/pimentoquay/policy/only_versions.py
@@ -2,9 +2,9 @@
 
 Failure pattern: all VMs end just before or just after engines of a second version are listed. As
 long as a service has one version, where its streams began is not stored, and the VMs that start
-list two. No stream begins at the second one before it is recorded, so until then all streams that
-nobody has told of are of the first. It is recorded once the others have been stored, and, after
-all VMs have ended, once callers have had time to come back.
+list two, as do the others if one ends. No stream begins at the second one before it is recorded, so
+until then all streams that nobody has told of are of the first. It is recorded once the others have
+been stored, and, after VMs have ended, once callers have had time to come back.
 
 Load pattern: sound days with one version, on which the statement that it is the only one is written
 once.
@@ -23,6 +23,9 @@
 RETURN_SECONDS = 5.0
 """Time in which callers take up their streams after all VMs have ended and are back."""
 
+PEER_RETURN_SECONDS = 2.0
+"""Time in which callers take up the streams of one VM that has ended at the others."""
+
 MIN_SHARE = 0.25
 """Share of the engines below which those of the only version can't take all new streams."""
 
@@ -114,6 +117,7 @@
         served: Collection[ServiceVersion],
         recorded: RecordedVersions,
         share_of: Callable[[str, str], float],
+        lost_peer_at: float,
         now: float,
     ) -> list[DueVersion]:
         """Return the versions that are to be written now.
@@ -124,6 +128,8 @@
             Versions that served within the longest life of a stream, and those in the store.
         share_of
             Returns the share of the engines of a service that take streams of a version.
+        lost_peer_at
+            When the last peer was lost that has not come back.
         now
             Current time in seconds.
         """
@@ -138,17 +144,23 @@
             if is_only and self._only_by_service.get(service) != software:
                 found.append(DueVersion(service, software, True))
             elif (service, software) in self._missing_since and not self._is_held(
-                (service, software), share_of, now
+                (service, software), share_of, lost_peer_at, now
             ):
                 found.append(DueVersion(service, software, is_only))
         return found
 
     def _is_held(
-        self, version: ServiceVersion, share_of: Callable[[str, str], float], now: float
+        self,
+        version: ServiceVersion,
+        share_of: Callable[[str, str], float],
+        lost_peer_at: float,
+        now: float,
     ) -> bool:
         """Return whether untold streams of another version may come that would be refused."""
         only = self._only_by_service.get(version[0])
         if only in (None, version[1]) or share_of(version[0], only) < MIN_SHARE:
             return False
-        settled_at = self._missing_since[version] + SETTLE_SECONDS
-        return now < max(settled_at, self._return_until or settled_at)
+        since = self._missing_since[version]
+        # One that is lost later has told most of its streams, and delays the version no longer.
+        peer_until = min(lost_peer_at, since) + PEER_RETURN_SECONDS
+        return now < max(since + SETTLE_SECONDS, self._return_until or since, peer_until)
--- a/pimentoquay/policy/tests/test_only_versions.py
+++ b/pimentoquay/policy/tests/test_only_versions.py
@@ -24,8 +24,11 @@
     return only, recorded
 
 
-def due(only, recorded, now, share=0.5):
-    return only.due([V1, V2], recorded, lambda service, software: share, now)
+NEVER = float("-inf")
+
+
+def due(only, recorded, now, share=0.5, lost_peer_at=NEVER):
+    return only.due([V1, V2], recorded, lambda service, software: share, lost_peer_at, now)
 
 
 def test_an_untold_stream_is_of_the_only_version_until_a_second_one_is_recorded():
@@ -63,16 +66,16 @@
 def test_the_only_version_is_written_once():
     only, recorded = started()
     first = DueVersion(*V1, is_only=True)
-    assert only.due([V1], recorded, lambda *_: 1.0, 0.0) == [first]
+    assert only.due([V1], recorded, lambda *_: 1.0, NEVER, 0.0) == [first]
     recorded.add([V1])
     only.confirm(first)
-    assert only.due([V1], recorded, lambda *_: 1.0, 1.0) == []
+    assert only.due([V1], recorded, lambda *_: 1.0, NEVER, 1.0) == []
 
 
 def test_the_version_that_is_left_is_written_as_the_only_one():
     only, recorded = started(StoredVersion(*V1, only_in_era=1), StoredVersion(*V2))
     assert due(only, recorded, 0.0) == []
-    assert only.due([V2], recorded, lambda *_: 1.0, 0.0) == [DueVersion(*V2, is_only=True)]
+    assert only.due([V2], recorded, lambda *_: 1.0, NEVER, 0.0) == [DueVersion(*V2, is_only=True)]
 
 
 def test_a_second_version_is_recorded_once_the_streams_of_the_first_are_told():
@@ -90,6 +93,19 @@
     assert due(only, recorded, 3.0 + RETURN_SECONDS) == [DueVersion(*V2, is_only=False)]
 
 
+@pytest.mark.parametrize(("lost_peer_at", "recorded_at"), [(8.5, 10.5), (10.0, 11.0), (4.0, 9.2)])
+def test_a_second_version_is_recorded_once_callers_of_a_lost_peer_have_come_back(
+    lost_peer_at, recorded_at
+):
+    """Streams of peers that are lost after the version was listed, at 9.0, have been told."""
+    only, recorded = started()
+    recorded.add([V1])
+    only.confirm(DueVersion(*V1, is_only=True))
+    assert due(only, recorded, 9.0, lost_peer_at=min(lost_peer_at, 9.0)) == []
+    assert due(only, recorded, recorded_at - 0.01, lost_peer_at=lost_peer_at) == []
+    assert due(only, recorded, recorded_at + 0.01, lost_peer_at=lost_peer_at) != []
+
+
 @pytest.mark.parametrize("share", [0.0, 0.2])
 def test_a_second_version_is_recorded_at_once_if_few_engines_of_the_first_are_left(share):
     only, recorded = started(StoredVersion(*V1, only_in_era=1))
@@ -191,7 +207,7 @@
             self.writes += 1
             self.origins.update({int.from_bytes(o.key, "big"): o.software for o in batch.origins})
         served = [("llm", each) for each in vm.listed]
-        for each in vm.only.due(served, vm.recorded, lambda *_: 0.5, self.now):
+        for each in vm.only.due(served, vm.recorded, lambda *_: 0.5, NEVER, self.now):
             self.writes += 1
             self.versions[each.software] = int(each.is_only)
             vm.only.confirm(each)
