Record a version again that is back after another gateway removed its record

A version that came back after more than the longest life of a stream, just before the gateway that writes ended, was not in the store for the whole release: the gateway that removes a record knew of it, the others took the version for recorded, and the one that wrote next did not write it. Gateways that start would take its streams for ones of the version that the store holds.

Change: all gateways stop to count a version as recorded when it has not served for the longest life of a stream, and any that writes removes its record.

--- a/pimentoquay/bench/mutations/path_switches.py
+++ b/pimentoquay/bench/mutations/path_switches.py
@@ -122,12 +122,19 @@
         _ONLY
         + "test_streams_go_on_if_all_vms_end_around_the_listing_of_a_second_version[4-7-14.0]",
     ),
+    Switch(
+        "versions that are back are recorded again",
+        "pimentoquay.policy.stored_origins:RecordedVersions.expire",
+        return_constant(None),
+        "pimentoquay/gateway/tests/test_only_versions.py::"
+        "test_a_version_that_is_back_is_recorded_again_if_another_gateway_had_removed_it",
+    ),
     Switch(
         "second version waits for callers of a lost peer",
         "pimentoquay.gateway.step_watch:StepWatch.lost_peer_at",
         return_constant(float("-inf")),
         "pimentoquay/gateway/tests/test_only_versions.py::"
-        "test_streams_of_a_killed_gateway_go_on_if_the_second_version_joins_before_that",
+        "test_streams_of_a_killed_gateway_go_on_if_the_second_version_joins_before_that[vm-1]",
     ),
     Switch(
         "streams go on at versions that are not recorded",
--- a/pimentoquay/gateway/stream_origins.py
+++ b/pimentoquay/gateway/stream_origins.py
@@ -264,6 +264,14 @@
     def observe(self) -> None:
         """Record which versions are listed; tell the own streams of services that are mixed now."""
         now = self._observed_at = self._timers.now()
+        # Another gateway may have removed those that are back only now.
+        self.recorded.expire(
+            {
+                (service, software)
+                for service, versions in self._versions_by_service.items()
+                for software in versions.served_until_now(now - self.life_seconds)
+            }
+        )
         listed: dict[str, set[str]] = {}
         for engine in self._fleet.engines():
             listed.setdefault(engine.service, set()).add(engine.software_version)
--- a/pimentoquay/gateway/tests/test_only_versions.py
+++ b/pimentoquay/gateway/tests/test_only_versions.py
@@ -227,10 +227,12 @@
         assert (await resume(env, "never-seen")).status == 503
 
 
-async def test_streams_of_a_killed_gateway_go_on_if_the_second_version_joins_before_that():
+@pytest.mark.parametrize("vm", ["vm-1", "vm-3"])
+async def test_streams_of_a_killed_gateway_go_on_if_the_second_version_joins_before_that(vm):
     """The other gateways lived on, and nobody had told them of the streams."""
     async with rig() as env:
-        await env.add_gateway("vm-2")
+        for each in ("vm-2", "vm-3"):
+            await env.add_gateway(each)
         await asyncio.sleep(2 * RETURN_SECONDS)
         streams = Streams(env)
         await streams.begin(4, vm="vm-2")
@@ -238,7 +240,7 @@
         await env.kill("vm-2")
         await add_version(env, "v2", *NEW)
         await asyncio.sleep(1.0)
-        assert [(await resume(env, each)).status for each in ids] == [200] * 4
+        assert [(await resume(env, each, vm=vm)).status for each in ids] == [200] * 4
         assert not runs_at(env, *NEW)
         origins = env.gateway_by_vm["vm-1"].origins
         await until(lambda: ("llm", "v2") in origins.recorded, "recorded")
@@ -257,3 +259,32 @@
         await asyncio.sleep(1.0)
         assert [(await resume(env, each, vm="vm-2")).status for each in ids] == [200] * 4
         assert not runs_at(env, *NEW)
+
+
+async def test_a_version_that_is_back_is_recorded_again_if_another_gateway_had_removed_it():
+    """The others took it for recorded, and its streams for ones of the version that is stored."""
+    async with rig() as env:
+        await env.add_gateway("vm-2")
+        first, second = (env.gateway_by_vm[vm].origins for vm in VMS)
+        await add_version(env, "v2", "new-1")
+        await until(lambda: ("llm", "v2") in second.recorded, "recorded")
+        await remove(env, "new-1")
+        await asyncio.sleep(first.life_seconds + 10.0)
+        assert len(await records(env, VERSION_TOPIC)) == 2, "removed"
+        await add_version(env, "v2", "new-2")
+        await env.kill("vm-1")
+        await asyncio.sleep(RETURN_SECONDS)
+        page = await env.gateway_by_vm["vm-2"].store.read_latest(VERSION_TOPIC)
+        assert len([each for each in page.records if each.value]) == 3
+
+
+async def test_a_version_stays_recorded_while_it_is_listed_for_longer_than_any_stream_lasts():
+    async with rig() as env:
+        await env.add_gateway("vm-2")
+        second = env.gateway_by_vm["vm-2"].origins
+        await until(lambda: ("llm", "v1") in second.recorded, "recorded")
+        await asyncio.sleep(3 * second.life_seconds)
+        second.observe()
+        assert ("llm", "v1") in second.recorded
+        await add_version(env, "v2", "new-1")
+        assert ("llm", "v1") in second.recorded
--- a/pimentoquay/policy/stored_origins.py
+++ b/pimentoquay/policy/stored_origins.py
@@ -44,6 +44,7 @@
 
     def __init__(self) -> None:
         self._recorded: set[ServiceVersion] = set()
+        self._removable: set[ServiceVersion] = set()
 
     def __contains__(self, version: ServiceVersion) -> bool:
         return version in self._recorded
@@ -52,15 +53,24 @@
         """Record that the store holds versions; return those that were not known to be held."""
         new = [each for each in versions if each not in self._recorded]
         self._recorded.update(new)
+        self._removable.difference_update(new)
         return new
 
+    def expire(self, served: Collection[ServiceVersion]) -> None:
+        """Count versions that no longer serve as ones that any VM may remove from the store."""
+        expired = self._recorded.difference(served)
+        self._removable |= expired
+        self._recorded -= expired
+
     def remove(self, version: ServiceVersion) -> None:
         """Record that the store holds a version no more."""
         self._recorded.discard(version)
+        self._removable.discard(version)
 
     def clear(self) -> None:
         """Record that the store may have lost everything."""
         self._recorded.clear()
+        self._removable.clear()
 
     def missing(self, served: Iterable[ServiceVersion]) -> list[ServiceVersion]:
         """Return the versions that serve and are to be written."""
@@ -68,7 +78,7 @@
 
     def outdated(self, served: Collection[ServiceVersion]) -> list[ServiceVersion]:
         """Return the versions that no longer serve and are to be removed."""
-        return sorted(self._recorded.difference(served))
+        return sorted((self._recorded | self._removable).difference(served))
 
     def may_begin(self, service: str, version: str, usable: Collection[str]) -> bool:
         """Return whether new streams may begin at a version.
--- a/pimentoquay/policy/stream_origins.py
+++ b/pimentoquay/policy/stream_origins.py
@@ -135,6 +135,10 @@
         """Return the versions that have been listed at any time from ``since`` on."""
         return {version for version, at in self.listed_at_by_version.items() if at >= since}
 
+    def served_until_now(self, since: float) -> set[str]:
+        """Return the versions served since a time, and those that the last list held."""
+        return self.served_since(since) | self._listed
+
     def expire(self, before: float) -> None:
         """Drop versions that were last listed before a time."""
         for version, at in tuple(self.listed_at_by_version.items()):
--- a/pimentoquay/policy/tests/test_stored_origins.py
+++ b/pimentoquay/policy/tests/test_stored_origins.py
@@ -52,6 +52,20 @@
     assert recorded.missing([("llm", "v2")]) == [("llm", "v2")]
 
 
+def test_a_version_that_served_no_more_is_written_again_when_it_is_back():
+    recorded = RecordedVersions()
+    recorded.add([("llm", "v1"), ("llm", "v2")])
+    recorded.expire([("llm", "v1")])
+    assert recorded.outdated([("llm", "v1")]) == [("llm", "v2")]
+    assert recorded.missing([("llm", "v1"), ("llm", "v2")]) == [("llm", "v2")]
+    assert not recorded.may_begin("llm", "v2", {"v1", "v2"})
+    recorded.add([("llm", "v2")])
+    assert recorded.outdated([("llm", "v1"), ("llm", "v2")]) == []
+    recorded.expire([("llm", "v1")])
+    recorded.remove(("llm", "v2"))
+    assert recorded.outdated([("llm", "v1")]) == []
+
+
 def test_batches_use_their_slots_in_turn_and_are_repeated_until_they_are_written():
     batches = OriginBatches(keep_seconds=5.0)
     slots = []
