--- a/pimentoquay/gateway/tests/soak_callers.py
+++ b/pimentoquay/gateway/tests/soak_callers.py
@@ -29,9 +29,9 @@
 class Request:
     """A request and what came of it; ``end`` is empty until its answer or connection has ended.
 
-    ``index`` counts the requests on its connection. ``is_joined`` if it was written in one piece with
-    the request before, so that the other end reads both at once. ``end`` is "answer", "eof", "reset", or
-    "given up" if the caller left.
+    ``index`` counts the requests on its connection. ``is_joined`` if it was written in one piece
+    with the request before, so that the other end reads both at once. ``end`` is "answer", "eof",
+    "reset", or "given up" if the caller left.
     """
 
     id: str
@@ -247,7 +247,7 @@
         request.head, request.status = head, int(head.split(b" ", 2)[1])
         may_send_ahead = self.is_slow and not request.is_stream
         may_send_ahead &= b"connection: close" not in head
-        parts = []
+        parts: list[bytes] = []
         if b"transfer-encoding: chunked" in head:
             while size := int((await reader.readuntil(b"\r\n")).split(b";")[0], 16):
                 if parts and may_send_ahead:
