--- a/pimentoquay/gateway/metrics.py
+++ b/pimentoquay/gateway/metrics.py
@@ -207,7 +207,8 @@
 ANSWERS_CUT = Metric(
     "pimentoquay_gateway_answers_cut_total",
     "counter",
-    "requests that were sent to an engine and ended without a complete answer, by reason",
+    "requests that were sent to an engine and ended without a complete answer, by"
+    " reason: `caller_left`, `gateway_ended`, `handler_failed`, or the name of a result code",
     ("reason",),
 )
 
