--- a/pimentoquay/gateway/tests/process_launcher.py
+++ b/pimentoquay/gateway/tests/process_launcher.py
@@ -10,12 +10,17 @@
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
 import asyncio  # noqa: E402
+import ctypes  # noqa: E402
 import os  # noqa: E402
 import runpy  # noqa: E402
 import socket  # noqa: E402
+import sys  # noqa: E402
 from typing import Any  # noqa: E402
 
 CONNECTED = b"\x01"
+END_WITH_PARENT = 1
+"""Value of ``PR_SET_PDEATHSIG``, which names the signal that follows the end of the parent."""
+
 _connect_directly = asyncio.base_events.BaseEventLoop.create_connection
 
 
@@ -37,6 +42,8 @@
 
 
 if __name__ == "__main__":
+    if sys.platform == "linux":
+        ctypes.CDLL(None).prctl(END_WITH_PARENT, signal.SIGKILL)
     event_loop: Any = asyncio.base_events.BaseEventLoop
     event_loop.create_connection = _connect
     runpy.run_module("pimentoquay.gateway", run_name="__main__", alter_sys=True)
--- a/pimentoquay/gateway/tests/process_soak.py
+++ b/pimentoquay/gateway/tests/process_soak.py
@@ -278,6 +278,9 @@
     parser.add_argument("--keep", help="folder for the logs of seeds with faults")
     options = parser.parse_args()
     logger.remove()
+    # A shell lets what it starts in the background ignore SIGINT.
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, signal.default_int_handler)
     total: Counter[str] = Counter()
     for seed in range(options.first, options.first + options.seeds):
         record = asyncio.run(
--- a/pimentoquay/gateway/tests/soak_judge.py
+++ b/pimentoquay/gateway/tests/soak_judge.py
@@ -92,6 +92,8 @@
             self.counts["unanswered, excused"] += 1
         elif request.is_joined or request.end == "given up":
             self._add("LOST-UNPASSED", request, detail)
+        elif request.after_close:
+            self.counts["sent after an announced close"] += 1
         elif before is not None and b"connection: close" in before.head:
             self.counts["crossed an announced close"] += 1
         elif waited <= LOSS_SLACK_SECONDS + self.slack:
