--- /dev/null
+++ b/pimentoquay/http1/server_connection.py
@@ -0,0 +1,391 @@
+"""One connection of a caller to the HTTP server."""
+
+import asyncio
+import contextlib
+import math
+import re
+import socket
+import struct
+from typing import TYPE_CHECKING, Any
+
+import h11
+
+from pimentoquay.http1.headers import find_headers
+from pimentoquay.http1.reply import Reply
+from pimentoquay.http1.request import HttpRequest
+from pimentoquay.http1.unsent import close_when_sent, unsent_bytes
+from pimentoquay.kernel.logs import logger
+from pimentoquay.kernel.turns import ITEMS_PER_TURN
+
+if TYPE_CHECKING:
+    from pimentoquay.http1.server import HttpServer
+
+__all__ = ["ServerConnection"]
+
+LINGER_SECONDS = 2.0
+"""Time for which a closing connection is still read, so that the last response is not lost."""
+
+MAX_UNREAD_BYTES = 128 * 1024
+"""Most bytes of a connection that wait for a turn or for the end of a request.
+
+Reading pauses while they are more than half as many.
+"""
+
+MAX_UNSENT_BYTES = 256 * 1024
+"""Number of unsent bytes of answers above which the next request waits until they are read."""
+
+HEAD_PIECE_BYTES = 16 * 1024
+"""Number of bytes of heads that the parser gets at a time, and may hold beyond a request."""
+
+BODY_PIECE_BYTES = 64 * 1024
+"""Number of bytes of a body that the parser gets at a time, and may hold beyond a request."""
+
+ITEMS_AT_ONCE = 8
+"""Number of items that are handled as soon as they are read: those of a request in few parts."""
+
+MAX_BODY_FRAMING = 8
+"""Ratio of a body's bytes on the wire to the largest body; chunks of one byte need 6 times it."""
+
+CLOSE_CHECK_SECONDS = 0.1
+"""Interval at which a caller that is not read is checked for having left."""
+
+_ESTABLISHED = 1
+"""State of a TCP connection that neither end has closed, as ``TCP_INFO`` gives it in Linux."""
+
+_BODY_LENGTH_LINES = re.compile(
+    rb"^(?:content-length|transfer-encoding)[ \t]*:([^\r\n]*)", re.I | re.M
+)
+"""Header lines that state the length of a body.
+
+They are counted in the raw headers because the parser merges equal ones.
+"""
+
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of ``SO_LINGER`` with which closing the socket resets the connection."""
+
+
+_buffer = memoryview(bytearray(MAX_UNREAD_BYTES))
+"""Buffer into which all connections are read in turn."""
+
+
+class ServerConnection(asyncio.BufferedProtocol):
+    """One connection of a caller, which serves one request at a time.
+
+    Received bytes wait in a buffer of bounded size. Few items, such as chunks, are handled as soon
+    as they arrive, and the rest in turns. A request that was read while the one before it was
+    served begins with a turn, so a caller that sends requests ahead takes turns with the others.
+    """
+
+    def __init__(self, server: "HttpServer") -> None:
+        self.server = server
+        self.writable = asyncio.Event()
+        self.writable.set()
+        self._limits = server.limits()
+        self._http = h11.Connection(h11.SERVER, self._limits.header_bytes)
+        self._transport: Any = None
+        self._loop = asyncio.get_running_loop()
+        self._task: asyncio.Task[None] | None = None
+        self._request: h11.Request | None = None
+        self._unread = bytearray()
+        self._is_reading_paused = False
+        self._has_turn = False
+        self._turn_at = -math.inf
+        self._head = bytearray()
+        self._body = bytearray()
+        self._body_wire_bytes = 0
+        self._first_byte_at: float | None = None
+        self._last_activity_at = self._loop.time()
+        self._timer: asyncio.TimerHandle | None = None
+        self._expires_at = math.inf
+        self._closing = False
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being served, or its caller still takes the answer."""
+        if self._task is not None or self._has_turn:
+            return True
+        is_awaited = self._loop.time() < self._expires_at
+        return is_awaited and unsent_bytes(self._transport) > 0
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the connection has been closed, mostly by the caller."""
+        return bool(self._transport.is_closing())
+
+    @property
+    def has_read_ahead(self) -> bool:
+        """Whether bytes of further requests have been read."""
+        return bool(self._unread or self._http.trailing_data[0])
+
+    def connection_made(self, transport: Any) -> None:
+        """Begin to serve the connection."""
+        self._transport = transport
+        self.server.connections.add(self)
+        self._schedule_timeout_check()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel the task of the request."""
+        self.server.connections.discard(self)
+        self._closing = True
+        self._drop_unread()
+        if self._timer is not None:
+            self._timer.cancel()
+        self.writable.set()
+        if self._task is not None:
+            self._task.cancel()
+
+    def eof_received(self) -> bool:
+        """Cancel the task of the request: a caller that sends no more is taken to have left."""
+        if self._task is not None:
+            self._task.cancel()
+        return False
+
+    def pause_writing(self) -> None:
+        """Let writers wait until the caller has read more."""
+        self.writable.clear()
+
+    def resume_writing(self) -> None:
+        """Let writers go on."""
+        self.writable.set()
+        if self._task is None and self._first_byte_at is not None and not self._closing:
+            self._plan_turn()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer into which the next bytes are read."""
+        return _buffer[: MAX_UNREAD_BYTES - len(self._unread)]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Handle the bytes that were read into the buffer."""
+        self._last_activity_at = self._loop.time()
+        if self._closing:
+            return
+        if self._first_byte_at is None and self._task is None:
+            self._first_byte_at = self._last_activity_at
+        self._unread += _buffer[:nbytes]
+        is_next = self._task is None and not self._has_turn and not self._waits_to_send
+        if is_next and self._handle_items(ITEMS_AT_ONCE):
+            self._plan_turn()
+        self._update_reading()
+
+    def emit(self, event: Any) -> None:
+        """Send one event of the response, or nothing if the connection is closing."""
+        if self._transport.is_closing():
+            return
+        data = self._http.send(event)
+        if data:
+            self._transport.write(data)
+
+    def abort(self) -> None:
+        """Close the connection at once, and so that no response is taken for complete."""
+        self._closing = True
+        if self._http.their_http_version == b"1.0":
+            # The end of a connection marks the end of an HTTP/1.0 response, so only a reset shows
+            # that the response is incomplete.
+            sock = self._transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self._transport.abort()
+
+    def close_if_idle(self) -> None:
+        """Close the connection if no request has begun."""
+        if self._task is None and self._request is None and self._first_byte_at is None:
+            self._close_gracefully()
+
+    @property
+    def _waits_to_send(self) -> bool:
+        """Whether the next request has to wait until the caller has read more."""
+        unsent = self._transport.get_write_buffer_size()
+        return self._request is None and unsent > MAX_UNSENT_BYTES
+
+    def _plan_turn(self) -> None:
+        if not self._waits_to_send:
+            self._has_turn = True
+            self.server.turns.add(self, self._take_turn)
+
+    def _take_turn(self) -> bool:
+        self._has_turn = False
+        if self._closing or self._task is not None:
+            return False
+        self._turn_at = self._loop.time()
+        self._has_turn = self._handle_items(ITEMS_PER_TURN)
+        self._update_reading()
+        return self._has_turn
+
+    def _handle_items(self, count: int) -> bool:
+        """Handle up to a number of items, and return whether there may be more."""
+        try:
+            return self._handle_events(count)
+        except h11.RemoteProtocolError as error:
+            self._reject(error.error_status_hint, str(error))
+            return False
+
+    def _handle_events(self, count: int) -> bool:
+        for _ in range(count):
+            if self._task is not None or self._closing:
+                return False
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                if not self._unread:
+                    if self._http.they_are_waiting_for_100_continue:
+                        self.emit(h11.InformationalResponse(status_code=100, headers=[]))
+                    return False
+                self._feed_parser()
+            elif event is h11.PAUSED:
+                return False
+            elif isinstance(event, h11.Request):
+                self._start_request(event)
+            elif isinstance(event, h11.Data):
+                self._append_body(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self._start_handler()
+            else:
+                self._transport.close()
+                return False
+        return self._task is None and not self._closing
+
+    def _feed_parser(self) -> None:
+        if self._request is None:
+            piece = self._take_unread(HEAD_PIECE_BYTES)
+            self._head += piece
+        else:
+            most = MAX_BODY_FRAMING * self._limits.body_bytes
+            if self._body_wire_bytes > most:
+                self._reject(413, f"over {most} bytes for the chunks of a body")
+                return
+            piece = self._take_unread(BODY_PIECE_BYTES)
+            self._body_wire_bytes += len(piece)
+        self._http.receive_data(piece)
+
+    def _take_unread(self, count: int) -> bytes:
+        piece = bytes(self._unread if len(self._unread) <= count else self._unread[:count])
+        del self._unread[:count]
+        return piece
+
+    def _update_reading(self) -> None:
+        """Pause reading while much is unread."""
+        is_full = len(self._unread) > MAX_UNREAD_BYTES // 2
+        if is_full and not self._is_reading_paused:
+            self._is_reading_paused = True
+            self._transport.pause_reading()
+            self._loop.call_later(CLOSE_CHECK_SECONDS, self._check_caller)
+        elif self._is_reading_paused and not is_full:
+            self._is_reading_paused = False
+            self._transport.resume_reading()
+
+    def _check_caller(self) -> None:
+        """Notice that the caller has left, which reading would show only after the unread bytes."""
+        if not self._is_reading_paused or self._transport.is_closing():
+            return
+        sock = self._transport.get_extra_info("socket")
+        if sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] != _ESTABLISHED:
+            self._transport.abort()
+        else:
+            self._loop.call_later(CLOSE_CHECK_SECONDS, self._check_caller)
+
+    def _drop_unread(self) -> None:
+        self._unread.clear()
+        self._has_turn = False
+        self.server.turns.discard(self)
+        self._update_reading()
+
+    def _start_request(self, request: h11.Request) -> None:
+        head, self._head = self._head.partition(b"\r\n\r\n")[0], bytearray()
+        length_lines = _BODY_LENGTH_LINES.findall(head)
+        if len(length_lines) > 1 or any(b"," in value for value in length_lines):
+            self._reject(400, "more than one length of a body")
+            return
+        lengths = find_headers(tuple(request.headers.raw_items()), b"content-length")
+        if lengths and int(lengths[0]) > self._limits.body_bytes:
+            self._reject(413, f"a body of {lengths[0].decode()} bytes")
+            return
+        self._request = request
+
+    def _append_body(self, data: bytes | bytearray) -> None:
+        if len(self._body) + len(data) > self._limits.body_bytes:
+            self._reject(413, f"a body over {self._limits.body_bytes} bytes")
+            return
+        self._body += data
+
+    def _start_handler(self) -> None:
+        assert self._request is not None
+        received_at = self._first_byte_at
+        request = HttpRequest(
+            bytes(self._request.method),
+            bytes(self._request.target),
+            tuple(self._request.headers.raw_items()),
+            bytes(self._body),
+            self._last_activity_at if received_at is None else received_at,
+        )
+        self._request, self._body, self._body_wire_bytes = None, bytearray(), 0
+        self._task = self._loop.create_task(self._run_handler(request))
+
+    async def _run_handler(self, request: HttpRequest) -> None:
+        reply = Reply(self)
+        try:
+            await self.server.handler(request, reply)
+        except asyncio.CancelledError:
+            reply.ended = False
+        except Exception as error:
+            logger.opt(exception=error).error("request handler failed")
+            if not reply.started:
+                reply.send(500, (), b"")
+        finally:
+            self._task = None
+            self._expires_at = reply.expires_at
+            self._first_byte_at = None
+            self._last_activity_at = self._loop.time()
+        if not reply.ended:
+            self.abort()
+        else:
+            self._prepare_next_request()
+
+    def _prepare_next_request(self) -> None:
+        if self._closing or self._transport.is_closing():
+            return
+        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+            self._http.start_next_cycle()
+            self._limits = self.server.limits()
+            self._head = bytearray(self._http.trailing_data[0])
+            if self._head or self._unread:
+                self._first_byte_at = self._loop.time()
+                self._plan_turn()
+        else:
+            self._close_gracefully()
+
+    def _reject(self, status: int, detail: str) -> None:
+        logger.bind(status=status, detail=detail).info("invalid request rejected")
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            headers = [("Content-Length", "0"), ("Connection", "close")]
+            self.emit(h11.Response(status_code=status, headers=headers))
+            self.emit(h11.EndOfMessage())
+        self._close_gracefully()
+
+    def _close_gracefully(self) -> None:
+        """Close for writing, but keep reading for a while so that the last response is not lost."""
+        if self._closing:
+            return
+        self._closing = True
+        self._drop_unread()
+        if self._transport.can_write_eof() and not self._transport.is_closing():
+            with contextlib.suppress(OSError):  # A reset that has not been read yet.
+                self._transport.write_eof()
+        self._loop.call_later(LINGER_SECONDS, close_when_sent, self._transport, self._expires_at)
+
+    def _schedule_timeout_check(self) -> None:
+        self._timer = self._loop.call_later(1.0, self._check_timeouts)
+
+    def _check_timeouts(self) -> None:
+        self._schedule_timeout_check()
+        if self._task is not None or self._has_turn or self._closing:
+            return
+        now = self._loop.time()
+        limits = self.server.limits()
+        idle_seconds = max(self._limits.idle_seconds, limits.idle_seconds)
+        has_partial_request = self._first_byte_at is not None and not self._waits_to_send
+        if has_partial_request and self._request is None:
+            if now - max(self._first_byte_at or now, self._turn_at) > limits.header_seconds:
+                self._reject(408, "the headers did not arrive in time")
+        elif now - max(self._last_activity_at, self._turn_at) > idle_seconds:
+            if has_partial_request:
+                self._reject(408, "the body did not arrive in time")
+            else:
+                self._close_gracefully()
--- a/pimentoquay/http1/tests/test_system_buffers.py
+++ b/pimentoquay/http1/tests/test_system_buffers.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 
-from pimentoquay.http1 import server as server_module
+from pimentoquay.http1 import server_connection as connection_module
 from pimentoquay.http1.tests.scripted import BUFFER_BYTES, connection_of, until
 from pimentoquay.http1.tests.test_unsent_answers import BODY, REQUEST, read_all, running_server
 
@@ -40,7 +40,7 @@
 
 async def test_a_connection_is_not_closed_while_the_system_holds_its_answer(monkeypatch):
     """What its caller sent after that reset it."""
-    monkeypatch.setattr(server_module, "LINGER_SECONDS", 0.05)
+    monkeypatch.setattr(connection_module, "LINGER_SECONDS", 0.05)
     async with running_server() as (answerer, server):
         server.drain()
         sock = await slow_caller(server, answerer, monkeypatch)
@@ -52,7 +52,7 @@
 
 
 async def test_a_connection_whose_caller_does_not_read_is_closed_in_the_end(monkeypatch):
-    monkeypatch.setattr(server_module, "LINGER_SECONDS", 0.05)
+    monkeypatch.setattr(connection_module, "LINGER_SECONDS", 0.05)
     async with running_server() as (answerer, server):
         answerer.expires_at = asyncio.get_running_loop().time() + 0.5
         server.drain()
