Close a connection that opens as its caller leaves

Cause: without peers to ask, the attempt to connect was awaited outside the block that discards it. A caller that left in the pass of the event loop in which the connection opened left it open and unused, at an engine that takes a limited number.

Change: the attempt is awaited within the block.

--- a/pimentoquay/tunnels/paths.py
+++ b/pimentoquay/tunnels/paths.py
@@ -230,6 +230,8 @@
             if not has_connected(direct) and self._tunnels.has_peers:
                 tunnel = self._background.start(self._tunnels.open(target, factory))
                 await first_connected({direct, tunnel})
+            else:
+                await asyncio.wait({direct})
         except asyncio.CancelledError:
             discard(direct)
             discard(tunnel)
