--- a/pimentoquay/gateway/tests/soak_callers.py
+++ b/pimentoquay/gateway/tests/soak_callers.py
@@ -23,6 +23,8 @@
 SLOW_BUFFER_BYTES = 8192
 SLOW_READ_BYTES = 4096
 RETURN_SECONDS = 0.3
+START_INTERVAL_SECONDS = 0.02
+"""Time between the starts of two callers, as gateways and stand-ins have no connections yet."""
 
 
 @dataclass
@@ -128,6 +130,7 @@
         self.goes_on_after_close = self.number % 3 == 0
 
     async def run(self):
+        await asyncio.sleep(self.number * START_INTERVAL_SECONDS)
         while time.monotonic() < self.ends_at:
             gateways = [each for each in self.rig.gateways if not each.is_stopping]
             if not gateways:
