--- a/pimentoquay/gateway/tests/process_rig.py
+++ b/pimentoquay/gateway/tests/process_rig.py
@@ -216,6 +216,11 @@
             if number == signal.SIGTERM:
                 self.stopped_at.append(time.monotonic())
                 self.is_stopping = True
+            self.signal_again(number)
+
+    def signal_again(self, number):
+        """Send a signal that begins nothing new."""
+        if self.process.returncode is None:
             with contextlib.suppress(ProcessLookupError):
                 self.process.send_signal(number)
 
@@ -227,7 +232,8 @@
                 await process.wait()
         except TimeoutError:
             self.killed_at.append(time.monotonic())
-            process.kill()
+            with contextlib.suppress(ProcessLookupError):  # It has just ended.
+                process.kill()
             await process.wait()
         return process.returncode
 
