--- a/pimentoquay/gateway/tests/soak_judge.py
+++ b/pimentoquay/gateway/tests/soak_judge.py
@@ -88,6 +88,7 @@
         """
         gateway = self._gateway_by_name[request.gateway]
         before = self._before.get((request.connection, request.index))
+        is_behind_answer = request.is_joined and before is not None and before.end == "answer"
         waited = request.ended_at - request.sent_at
         detail = f"ended by {request.end} {waited:.2f} s after it was sent, never passed on"
         if waited == float("-inf"):
@@ -96,7 +97,7 @@
             self.counts["behind a lost request"] += 1
         elif self._excuse(request, []):
             self.counts["unanswered, excused"] += 1
-        elif (request.is_joined and before.end == "answer") or request.end == "given up":
+        elif is_behind_answer or request.end == "given up":
             self._add("LOST-UNPASSED", request, detail)
         elif request.after_close:
             self.counts["sent after an announced close"] += 1
