--- a/pimentoquay/conftest.py
+++ b/pimentoquay/conftest.py
@@ -33,6 +33,13 @@
     return read_known_red(KNOWN_RED_FILE.read_text(encoding="utf-8"))
 
 
+@pytest.fixture
+def one_turn_a_pass(monkeypatch):
+    """Let queues run one turn in each pass of the event loop, so that passes tell turns."""
+    monkeypatch.setattr("pimentoquay.kernel.turns.MAX_TURNS_PER_PASS", 1)
+    monkeypatch.setattr("pimentoquay.kernel.turns.TURN_SECONDS", 0.0)
+
+
 @pytest.hookimpl(hookwrapper=True)
 def pytest_runtest_makereport(item, call):
     """Report the failure of a test that KNOWN-RED.txt lists as an expected failure."""
--- a/pimentoquay/gateway/tests/test_many_small_items.py
+++ b/pimentoquay/gateway/tests/test_many_small_items.py
@@ -14,6 +14,8 @@
 )
 from pimentoquay.kernel.turns import ITEMS_PER_TURN
 
+pytestmark = pytest.mark.usefixtures("one_turn_a_pass")
+
 HEAD = (
     b"POST /%s/a HTTP/1.1\r\nHost: shop.example\r\nPimentoquay-Request-Id: endless\r\n"
     b"Pimentoquay-Deadline-Ms: 14000\r\n"
--- a/pimentoquay/gateway/tests/test_small_items_of_store.py
+++ b/pimentoquay/gateway/tests/test_small_items_of_store.py
@@ -15,6 +15,8 @@
 from pimentoquay.standin.platform_engine import PlatformEngine
 from pimentoquay.standin.platform_store import PlatformStore
 
+pytestmark = pytest.mark.usefixtures("one_turn_a_pass")
+
 ENGINES = "keyed.servers"
 RECORDS = 12_000
 INVALID = b"\0\0\0\3\1ax" * RECORDS
--- a/pimentoquay/http1/headers.py
+++ b/pimentoquay/http1/headers.py
@@ -1,6 +1,14 @@
 """Lists of HTTP headers as sent: pairs of bytes in the original order and spelling."""
 
-__all__ = ["HeaderList", "end_to_end_headers", "find_header", "find_headers"]
+import re
+
+__all__ = [
+    "HeaderList",
+    "end_to_end_headers",
+    "find_header",
+    "find_headers",
+    "has_single_length",
+]
 
 HeaderList = tuple[tuple[bytes, bytes], ...]
 
@@ -22,6 +30,21 @@
 """Hop-by-hop headers (RFC 9110, section 7.6.1), and ``Content-Length``, which frames a body."""
 
 
+_BODY_LENGTH_LINES = re.compile(
+    rb"^(?:content-length|transfer-encoding)[ \t]*:([^\r\n]*)", re.I | re.M
+)
+"""Header lines that state the length of a body.
+
+They are counted in the raw headers because the parser merges equal ones.
+"""
+
+
+def has_single_length(head: bytes | bytearray) -> bool:
+    """Return whether the raw headers of a request state the length of its body at most once."""
+    found = _BODY_LENGTH_LINES.findall(head)
+    return len(found) <= 1 and not any(b"," in value for value in found)
+
+
 def find_headers(headers: HeaderList, name: bytes) -> tuple[bytes, ...]:
     """Return all values of a header; ``name`` must be in lower case."""
     return tuple(value for key, value in headers if key.lower() == name)
--- a/pimentoquay/http1/server_connection.py
+++ b/pimentoquay/http1/server_connection.py
@@ -3,14 +3,13 @@
 import asyncio
 import contextlib
 import math
-import re
 import socket
 import struct
 from typing import TYPE_CHECKING, Any
 
 import h11
 
-from pimentoquay.http1.headers import find_headers
+from pimentoquay.http1.headers import find_headers, has_single_length
 from pimentoquay.http1.reply import Reply
 from pimentoquay.http1.request import HttpRequest
 from pimentoquay.http1.request_body import RequestBody
@@ -51,14 +50,6 @@
 CLOSE_CHECK_SECONDS = 0.1
 """Interval at which a caller that is not read is checked for having left."""
 
-_BODY_LENGTH_LINES = re.compile(
-    rb"^(?:content-length|transfer-encoding)[ \t]*:([^\r\n]*)", re.I | re.M
-)
-"""Header lines that state the length of a body.
-
-They are counted in the raw headers because the parser merges equal ones.
-"""
-
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 """Value of ``SO_LINGER`` with which closing the socket resets the connection."""
 
@@ -87,6 +78,7 @@
         self._request: h11.Request | None = None
         self._unread = bytearray()
         self._is_reading_paused = False
+        self._is_check_planned = False
         self._has_turn = False
         self._turn_at = -math.inf
         self._head = bytearray()
@@ -99,8 +91,8 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is being served, or its caller still takes the answer."""
-        if self._task is not None or self._has_turn:
+        """Whether a request is being served or read, or its caller still takes the answer."""
+        if self._task is not None or self._has_turn or self._request is not None:
             return True
         is_awaited = self._loop.time() < self._expires_at
         return is_awaited and unsent_bytes(self._transport) > 0
@@ -204,7 +196,11 @@
         if self._closing or self._task is not None:
             return False
         self._turn_at = self._loop.time()
-        self._has_turn = self._handle_items(ITEMS_PER_TURN)
+        try:
+            self._has_turn = self._handle_items(ITEMS_PER_TURN)
+        except Exception:
+            self.abort()
+            raise
         self._update_reading()
         return self._has_turn
 
@@ -264,19 +260,25 @@
         if is_full and not self._is_reading_paused:
             self._is_reading_paused = True
             self._transport.pause_reading()
-            self._loop.call_later(CLOSE_CHECK_SECONDS, self._check_caller)
+            if not self._is_check_planned:
+                self._plan_check()
         elif self._is_reading_paused and not is_full:
             self._is_reading_paused = False
             self._transport.resume_reading()
 
+    def _plan_check(self) -> None:
+        self._is_check_planned = True
+        self._loop.call_later(CLOSE_CHECK_SECONDS, self._check_caller)
+
     def _check_caller(self) -> None:
         """Notice that the caller has left, which reading would show only after the unread bytes."""
+        self._is_check_planned = False
         if not self._is_reading_paused or self._transport.is_closing():
             return
         if not is_established(self._transport):
             self._transport.abort()
         else:
-            self._loop.call_later(CLOSE_CHECK_SECONDS, self._check_caller)
+            self._plan_check()
 
     def _drop_unread(self) -> None:
         self._unread.clear()
@@ -286,8 +288,7 @@
 
     def _start_request(self, request: h11.Request) -> None:
         head, self._head = self._head.partition(b"\r\n\r\n")[0], bytearray()
-        length_lines = _BODY_LENGTH_LINES.findall(head)
-        if len(length_lines) > 1 or any(b"," in value for value in length_lines):
+        if not has_single_length(head):
             self._reject(400, "more than one length of a body")
             return
         lengths = find_headers(tuple(request.headers.raw_items()), b"content-length")
--- a/pimentoquay/http1/tests/test_small_items_of_callers.py
+++ b/pimentoquay/http1/tests/test_small_items_of_callers.py
@@ -19,6 +19,8 @@
 from pimentoquay.http1.tests.scripted import small_buffers, until
 from pimentoquay.kernel.turns import ITEMS_PER_TURN
 
+pytestmark = pytest.mark.usefixtures("one_turn_a_pass")
+
 GET = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
 WAIT = b"GET /wait HTTP/1.1\r\nHost: a\r\n\r\n"
 CHUNKED = b"POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/pimentoquay/http1/tests/test_small_items_of_servers.py
+++ b/pimentoquay/http1/tests/test_small_items_of_servers.py
@@ -15,6 +15,8 @@
 from pimentoquay.kernel.errors import HttpError
 from pimentoquay.kernel.turns import ITEMS_PER_TURN, TurnQueue
 
+pytestmark = pytest.mark.usefixtures("one_turn_a_pass")
+
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 BODY = bytes(range(256)) * 16
 CHUNKS = b"".join(b"1\r\n%c\r\n" % byte for byte in BODY)
--- a/pimentoquay/kernel/tests/test_turns.py
+++ b/pimentoquay/kernel/tests/test_turns.py
@@ -6,6 +6,8 @@
 
 from pimentoquay.kernel.turns import TurnQueue
 
+pytestmark = pytest.mark.usefixtures("one_turn_a_pass")
+
 
 async def test_one_turn_is_run_in_each_pass_of_the_event_loop():
     turns = TurnQueue()
@@ -68,3 +70,35 @@
     for _ in range(3):
         await asyncio.sleep(0)
     assert turns.turns == 1
+
+
+async def test_short_turns_are_run_together_for_a_bounded_time(monkeypatch):
+    """One turn in each pass kept sound connections waiting while passes took long."""
+    monkeypatch.setattr("pimentoquay.kernel.turns.MAX_TURNS_PER_PASS", 32)
+    monkeypatch.setattr("pimentoquay.kernel.turns.TURN_SECONDS", 0.001)
+    now = 0.0
+    done = []
+
+    def work():
+        nonlocal now
+        now += 0.0004
+        done.append(now)
+        return True
+
+    turns = TurnQueue(clock=lambda: now)
+    for key in range(10):
+        turns.add(key, work)
+    await asyncio.sleep(0)
+    assert len(done) == 3
+
+
+async def test_work_that_is_done_after_its_turn_is_the_only_one_of_a_pass(monkeypatch):
+    monkeypatch.setattr("pimentoquay.kernel.turns.MAX_TURNS_PER_PASS", 32)
+    turns = TurnQueue()
+    waiting = [asyncio.ensure_future(turns.wait(key)) for key in range(5)]
+    counts = []
+    for _ in range(5):
+        await asyncio.sleep(0)
+        counts.append(turns.turns)
+    assert counts == [0, 1, 2, 3, 4]
+    await asyncio.gather(*waiting)
--- a/pimentoquay/kernel/turn_loops.py
+++ b/pimentoquay/kernel/turn_loops.py
@@ -23,16 +23,19 @@
 async def pieces_in_turns(
     items: Iterable[Item], turns: TurnQueue, count: int = ITEMS_PER_TURN
 ) -> AsyncIterator[tuple[Item, ...]]:
-    """Yield pieces of up to ``count`` items, each after the first in a later turn.
+    """Yield pieces of up to ``count`` items, and wait for another turn when one is over.
 
     There is one piece at least, which may be empty.
     """
     iterator = iter(items)
     key = object()
+    ends_at = turns.end_of_turn()
     piece = tuple(islice(iterator, count))
     yield piece
     while len(piece) == count:
-        await turns.wait(key)
+        if turns.clock() >= ends_at:
+            await turns.wait(key)
+            ends_at = turns.end_of_turn()
         piece = tuple(islice(iterator, count))
         if piece:
             yield piece
@@ -41,5 +44,5 @@
 async def list_in_turns(
     items: Iterable[Item], turns: TurnQueue, count: int = ITEMS_PER_TURN
 ) -> list[Item]:
-    """Return all items, of which up to ``count`` are made in one turn."""
+    """Return all items, which are made by up to ``count``, as many times as fit into a turn."""
     return [item async for piece in pieces_in_turns(items, turns, count) for item in piece]
--- a/pimentoquay/tunnels/tests/test_small_frames.py
+++ b/pimentoquay/tunnels/tests/test_small_frames.py
@@ -13,6 +13,8 @@
 from pimentoquay.tunnels.client import _TunnelProtocol
 from pimentoquay.tunnels.framing import END, FRAMES_PER_TURN, GOING_AWAY, frame
 
+pytestmark = pytest.mark.usefixtures("one_turn_a_pass")
+
 KEY = b"key"
 HERE = Identity("vm-1", "gateway", "here", "hall", 1)
 READ_BYTES = 32 * 1024
