Keep what a tunnel read before its reset for the connection over it

A response that a gateway had read whole from a peer ended in an error if the tunnel was reset while small frames waited for their turn. The tunnel passed the rest on as its connection was lost, but the connection to the engine saw a closing transport, dropped the rest and aborted, and with that also what waited for its own turn.

The transport of a tunnel now counts as open while the rest is passed on, unless the protocol over it has closed it, so that what follows a refused response is still dropped.

--- a/pimentoquay/tunnels/client.py
+++ b/pimentoquay/tunnels/client.py
@@ -105,7 +105,9 @@
     """The side of a tunnel that uses it: opens it, then passes the engine's bytes on.
 
     A read may hold thousands of tiny frames. They are joined, and passed on in turns while nothing
-    else is read; nothing is passed on while the protocol that uses the tunnel has paused.
+    else is read; nothing is passed on while the protocol that uses the tunnel has paused. If the
+    tunnel is reset, what was read before is passed on at once; ``is_passing_rest`` is true
+    meanwhile.
     """
 
     def __init__(
@@ -122,6 +124,7 @@
         self._inner: Any = None
         self._is_paused = False
         self._has_ended = False
+        self.is_passing_rest = False
         self.transport: Any = None
         self.reply: asyncio.Future[TunnelReply] = asyncio.get_running_loop().create_future()
 
@@ -154,7 +157,11 @@
             self._fail(exc or ConnectionResetError("the peer closed the tunnel"))
         if self._inner is not None:
             if exc is not None and self._reader.has_more:
-                self._pass_on(self._reader.feed(b""))
+                self.is_passing_rest = True
+                try:
+                    self._pass_on(self._reader.feed(b""))
+                finally:
+                    self.is_passing_rest = False
             if not self._has_ended:
                 exc = exc or ConnectionResetError("the tunnel ended before the engine's connection")
             self._inner.connection_lost(exc)
@@ -227,12 +234,16 @@
 
 
 class _TunnelTransport(asyncio.Transport):
-    """Transport of the protocol that uses a tunnel."""
+    """Transport of the protocol that uses a tunnel.
+
+    It is open until the protocol closes it, or until all that was read before a reset is passed on.
+    """
 
     def __init__(self, transport: Any, tunnel: _TunnelProtocol) -> None:
         super().__init__()
         self._transport = transport
         self._tunnel = tunnel
+        self._is_closed = False
 
     def write(self, data: Any) -> None:
         self._transport.write(data)
@@ -241,7 +252,9 @@
         return int(self._transport.get_write_buffer_size())
 
     def is_closing(self) -> bool:
-        return bool(self._transport.is_closing())
+        if self._is_closed:
+            return True
+        return bool(self._transport.is_closing()) and not self._tunnel.is_passing_rest
 
     def pause_reading(self) -> None:
         self._tunnel.pause()
@@ -253,7 +266,9 @@
         return self._transport.get_extra_info(name, default)
 
     def abort(self) -> None:
+        self._is_closed = True
         self._transport.abort()
 
     def close(self) -> None:
+        self._is_closed = True
         self._transport.close()
--- a/pimentoquay/tunnels/tests/test_small_frames.py
+++ b/pimentoquay/tunnels/tests/test_small_frames.py
@@ -32,6 +32,9 @@
     def write(self, data):
         self.written += data
 
+    def get_write_buffer_size(self):
+        return 0
+
     def pause_reading(self):
         self.is_reading = False
 
@@ -77,7 +80,7 @@
         self.events.append(("retired", len(self.data)))
 
 
-def opened(turns=None, first=b""):
+def opened(turns=None, first=b"", inner=None):
     """Return a tunnel that is open, its wire and the protocol that uses it."""
     request = TunnelRequest("e", 1, "127.0.0.1:1", False)
     protocol = _TunnelProtocol(HERE, KEY, request, turns or TurnQueue())
@@ -90,7 +93,7 @@
     hello = decode(wire.written[4 : 4 + length])
     welcome = frame(encode(handshake.make_welcome(HERE, KEY, challenge, hello)))
     protocol.data_received(welcome + frame(encode(TunnelReply(TunnelOutcome.OPEN, ()))) + first)
-    inner = Inner()
+    inner = inner or Inner()
     protocol.begin(inner)
     return protocol, wire, inner
 
