Open the second version if no engine of the first is reached

If the engines of the first version died together with the VMs, just as a second version was listed, new streams were refused although engines of the second were free: the second version waits for callers that may come back as long as engines of the first are listed, whether they run or not.

The share of the first version's engines is now that of the engines that this gateway has not failed to connect to since they were last reached. If it reaches no decode engine at all, all count, since the cause may lie with itself.

Before, the new test of gateway/tests/test_only_versions.py failed: a new stream tried every 0.1 s was not served within 1 s; a run that went on was served after 5.1 s (virtual time). Now it is served within 1 s.

--- a/pimentoquay/bench/mutations/path_switches.py
+++ b/pimentoquay/bench/mutations/path_switches.py
@@ -15,6 +15,7 @@
 )
 from pimentoquay.bench.mutations.stream_replacements import (
     close_versions_to_all_streams,
+    count_unreachable_engines,
     take_all_served_versions,
 )
 from pimentoquay.bench.mutations.switch import Switch
@@ -122,6 +123,13 @@
         _ONLY
         + "test_streams_go_on_if_all_vms_end_around_the_listing_of_a_second_version[4-7-14.0]",
     ),
+    Switch(
+        "second version waits for engines of the first only while they are reached",
+        "pimentoquay.gateway.stream_origins:reached_share",
+        count_unreachable_engines,
+        "pimentoquay/gateway/tests/test_only_versions.py::test_the_second_version_is_used_soon_"
+        "after_a_kill_if_the_engines_of_the_first_died_too",
+    ),
     Switch(
         "versions that are back are recorded again",
         "pimentoquay.policy.stored_origins:RecordedVersions.expire",
--- a/pimentoquay/bench/mutations/stream_replacements.py
+++ b/pimentoquay/bench/mutations/stream_replacements.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "close_versions_to_all_streams",
+    "count_unreachable_engines",
     "drop_events_before_a_wrong_one",
     "ignore_unsent_answers",
     "take_all_served_versions",
@@ -29,6 +30,11 @@
     return engines_for_stream
 
 
+def count_unreachable_engines(original: Any) -> Any:
+    """Count also the engines that are out of reach."""
+    return lambda engines, software, unreachable: original(engines, software, ())
+
+
 def drop_events_before_a_wrong_one(original: Any) -> Any:
     """Drop the events that were read together with a wrong one."""
 
--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -245,6 +245,7 @@
     )
     origins.find_doubt, origins.lost_peer_at = step.find_doubt, step.lost_peer_at
     origins.read_store = origin_store.read_now
+    origins.unreachable = contact.unreachable_since_by_id
     stage_controller = StageController(
         settings.vm,
         shared,
--- a/pimentoquay/gateway/stream_origins.py
+++ b/pimentoquay/gateway/stream_origins.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Collection, Container, Iterable, Mapping
 from typing import Any, NoReturn
 
 from pimentoquay.gateway.fleet import Fleet
@@ -25,7 +25,7 @@
 )
 from pimentoquay.policy.stream_origins import ServiceVersions, StreamOrigins, stream_key
 from pimentoquay.policy.unlisted_starts import UnlistedStarts
-from pimentoquay.policy.version_choice import decode_share
+from pimentoquay.policy.version_choice import reached_share
 from pimentoquay.policy.version_doubt import Doubt, Verdict, judge
 
 __all__ = ["OriginExchange"]
@@ -60,7 +60,7 @@
     stream began, ``resumed_by_origin`` all by how that was known. ``find_doubt`` returns why this
     gateway may be out of step, given whether it has loaded, ``lost_peer_at`` when the last peer was
     lost that is still missing, and ``read_store`` reads what this gateway may have missed and
-    returns whether that succeeded.
+    returns whether that succeeded. ``unreachable`` holds the ids of engines that are out of reach.
 
     Parameters
     ----------
@@ -89,6 +89,7 @@
         self.resumed_by_origin: Counter[str] = Counter()
         self.find_doubt: Callable[[bool], Doubt | None] = lambda is_loaded: None
         self.lost_peer_at: Callable[[], float] = lambda: float("-inf")
+        self.unreachable: Container[str] = ()
         self.read_store: Callable[[], Awaitable[bool]]
         self.handler = NoticeHandler(self._apply, self._snapshot)
         self.versions_handler = NoticeHandler(self._apply_versions, self._versions_snapshot)
@@ -239,7 +240,7 @@
         return self._only.due(served, self.recorded, self._decode_share, lost_peer_at, now)
 
     def _decode_share(self, service: str, software: str) -> float:
-        return decode_share(self._fleet.accepting_engines(service), software)
+        return reached_share(self._fleet.accepting_engines(service), software, self.unreachable)
 
     def record_stored(self, due: DueVersion) -> None:
         """Record that the store holds a version; tell the peers unless it expired meanwhile."""
--- a/pimentoquay/gateway/tests/test_only_versions.py
+++ b/pimentoquay/gateway/tests/test_only_versions.py
@@ -129,6 +129,32 @@
         assert runs_at(env, *NEW)
 
 
+async def first_served_after(env, seconds):
+    """Return the time until a new stream is served, tried every 0.1 s for some seconds."""
+    clock = asyncio.get_running_loop().time
+    began_at = clock()
+    while (await env.stream()).status != 200:
+        assert clock() - began_at < seconds, "not served in time"
+        await asyncio.sleep(0.1)
+    return clock() - began_at
+
+
+async def test_the_second_version_is_used_soon_after_a_kill_if_the_engines_of_the_first_died_too():
+    """It stayed closed until the entries of the dead engines expired."""
+    async with rig() as env:
+        await let_store(env)
+        for engine_id, stage in (("pre-2", "prefill"), *((each, "decode") for each in NEW)):
+            await env.add_engine(PlatformEngine(engine_id, "llm", software="v2", stage=stage))
+        for engine_id in (*OLD, "pre-1"):
+            env.engine_by_id[engine_id].crash()
+        await kill_all(env, ("vm-1",))
+        gateway = env.gateway_by_vm["vm-1"]
+        assert {each.id for each in gateway.fleet.engines()}.issuperset(OLD)
+        assert ("llm", "v2") not in gateway.origins.recorded
+        await first_served_after(env, 1.0)
+        assert runs_at(env, *NEW)
+
+
 async def test_a_version_is_recorded_after_the_streams_that_ran_when_it_joined(monkeypatch):
     """In the other order, a kill between the writes left streams that nobody knew."""
     async with rig() as env:
--- a/pimentoquay/policy/only_versions.py
+++ b/pimentoquay/policy/only_versions.py
@@ -27,7 +27,7 @@
 """Time in which callers take up the streams of one VM that has ended at the others."""
 
 MIN_SHARE = 0.25
-"""Share of the engines below which those of the only version can't take all new streams."""
+"""Share of the reached engines below which those of the only version can't take all new streams."""
 
 
 @dataclass(frozen=True)
@@ -127,7 +127,8 @@
         served, recorded
             Versions that served within the longest life of a stream, and those in the store.
         share_of
-            Returns the share of the engines of a service that take streams of a version.
+            Returns the share that take streams of a version, of the engines of a service that are
+            reached.
         lost_peer_at
             When the last peer was lost that has not come back.
         now
--- a/pimentoquay/policy/tests/test_only_versions.py
+++ b/pimentoquay/policy/tests/test_only_versions.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from pimentoquay.policy.fleet import EngineEntry, EngineStage
 from pimentoquay.policy.only_versions import (
     RETURN_SECONDS,
     SETTLE_SECONDS,
@@ -11,6 +12,7 @@
 )
 from pimentoquay.policy.stored_origins import OriginBatches, RecordedVersions, StoredOrigin
 from pimentoquay.policy.tests.virtual_vms import EventQueue
+from pimentoquay.policy.version_choice import reached_share
 
 V1, V2 = ("llm", "v1"), ("llm", "v2")
 BOTH = {"v1", "v2"}
@@ -112,6 +114,37 @@
     assert due(only, recorded, 0.0, share) == [DueVersion(*V2, is_only=False)]
 
 
+def entries(software, *ids, stage=EngineStage.DECODE):
+    return [
+        EngineEntry(each, "llm", "127.0.0.1:1", "hall", False, 8, stage, software=software)
+        for each in ids
+    ]
+
+
+OLD_IDS = ("e1", "e2", "e3")
+LISTED = [*entries("v1", *OLD_IDS), *entries("v2", "e4")]
+
+
+@pytest.mark.parametrize(
+    ("unreachable", "share"),
+    [
+        ((), 3 / 4),
+        (("e1",), 2 / 3),
+        (OLD_IDS, 0.0),
+        (("e4",), 1.0),
+        ((*OLD_IDS, "e4"), 3 / 4),
+    ],
+    ids=["all reached", "one is not", "none of the first", "none of the second", "none at all"],
+)
+def test_engines_out_of_reach_take_no_streams_unless_this_vm_reaches_none(unreachable, share):
+    """A second version stayed closed while dead engines of the first were listed."""
+    prefill = entries("v2", "p1", stage=EngineStage.PREFILL)
+    assert reached_share([*LISTED, *prefill], "v1", unreachable) == pytest.approx(share)
+    only, recorded = started(StoredVersion(*V1, only_in_era=1))
+    found = [] if share else [DueVersion(*V2, is_only=False)]
+    assert due(only, recorded, 0.0, reached_share(LISTED, "v1", unreachable)) == found
+
+
 LIFE_SECONDS, WRITE_SECONDS, LISTED_AT, END = 8.0, 0.15, 20.0, 40.0
 
 
--- a/pimentoquay/policy/version_choice.py
+++ b/pimentoquay/policy/version_choice.py
@@ -1,10 +1,10 @@
 """Choice of engines while several software versions serve in one service."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Container, Iterable
 
 from pimentoquay.policy.fleet import DECODE_STAGES, EngineEntry
 
-__all__ = ["can_go_on", "decode_share", "engines_for", "may_run"]
+__all__ = ["can_go_on", "decode_share", "engines_for", "may_run", "reached_share"]
 
 
 def may_run(engine: EngineEntry, software: str, closed: Collection[str] = ()) -> bool:
@@ -50,6 +50,28 @@
     return sum(may_run(each, software) for each in usable) / max(1, len(usable))
 
 
+def reached_share(
+    engines: Iterable[EngineEntry], software: str, unreachable: Container[str]
+) -> float:
+    """Return the share of the decode engines that may run a stream, of those that are reached.
+
+    Failure pattern: engines end together with VMs, and stay listed until their entries expire. If
+    no decode engine is reached, all count, since the cause may lie with this VM.
+
+    Parameters
+    ----------
+    engines
+        Engines of a service.
+    software
+        Version that began the stream.
+    unreachable
+        Ids of the engines that could not be connected to since they were last reached.
+    """
+    usable = [each for each in engines if each.stage in DECODE_STAGES and not each.is_draining]
+    reached = [each for each in usable if each.id not in unreachable]
+    return decode_share(reached or usable, software)
+
+
 def engines_for(
     engines: Iterable[EngineEntry], software: str, awaited: Collection[str]
 ) -> tuple[EngineEntry, ...]:
