--- a/pimentoquay/policy/engine_notices.py
+++ b/pimentoquay/policy/engine_notices.py
@@ -11,6 +11,7 @@
 import math
 from collections.abc import Iterable
 from dataclasses import dataclass
+from itertools import takewhile
 
 __all__ = ["EngineNotices", "EngineStart"]
 
@@ -76,9 +77,12 @@
         new = tuple(each for each in starts if each not in self._left_at_by_start)
         for each in new:
             self._left_at_by_start[each] = now
-        for each, left_at in tuple(self._left_at_by_start.items()):
-            if now - left_at > LEAVING_RETENTION_SECONDS:
-                del self._left_at_by_start[each]
+        # The oldest notices come first, so those that are kept need not be looked at.
+        oldest = takewhile(
+            lambda item: now - item[1] > LEAVING_RETENTION_SECONDS, self._left_at_by_start.items()
+        )
+        for each, _ in tuple(oldest):
+            del self._left_at_by_start[each]
         return new
 
     def record_pause(self, start: EngineStart, seconds: float, now: float) -> None:
