--- a/pimentoquay/gateway/feed.py
+++ b/pimentoquay/gateway/feed.py
@@ -26,11 +26,13 @@
     PROMPT_TOPIC,
     VM_TOPIC,
     KeyedRecord,
+    RecordPage,
     RecordsGoneError,
     StoreClient,
     StoreError,
 )
 from pimentoquay.policy.poll_timing import PollTiming
+from pimentoquay.policy.store_position import era_of
 
 __all__ = ["StoreFeed"]
 
@@ -193,7 +195,7 @@
 
     async def _read_latest(self, topic: str) -> None:
         latest = await self._store.read_latest(topic)
-        await self._handler_by_topic[topic](latest.records, latest.next_position, True)
+        await self._apply(topic, latest, True)
         self._next_by_topic[topic] = latest.next_position
 
     async def _read_on(self, topic: str, position: int) -> None:
@@ -204,7 +206,7 @@
         end_position: int | None = None
         for _ in range(MAX_PAGES_PER_POLL):
             page = await self._store.read(topic, position, 0.0)
-            await self._handler_by_topic[topic](page.records, page.next_position, False)
+            await self._apply(topic, page, False)
             if page.next_position == position:
                 return
             if end_position is None:
@@ -213,6 +215,16 @@
             if position >= end_position:
                 return
 
+    async def _apply(self, topic: str, page: RecordPage, is_snapshot: bool) -> None:
+        """Apply a page; raise ``RecordsGoneError`` if the store was restored meanwhile."""
+        await self._handler_by_topic[topic](page.records, page.next_position, is_snapshot)
+        if not self._is_current(page.next_position):
+            raise RecordsGoneError("the store was restored while a page was applied")
+
+    def _is_current(self, position: int) -> bool:
+        """Whether a position is of the store's present era, which may rise between two pieces."""
+        return era_of(position) == self._store.era.value
+
     async def _write_quarantines(self) -> None:
         for key, value in self._guard.pending_records():
             try:
@@ -227,6 +239,8 @@
         self, records: tuple[KeyedRecord, ...], next_position: int, is_snapshot: bool
     ) -> None:
         async for piece in pieces_in_turns(records, self._turns):
+            if not self._is_current(next_position):
+                return
             self._guard.apply_records(piece, is_snapshot)
             is_snapshot = False
 
@@ -251,7 +265,14 @@
         had_list = self._fleet.has_engine_list
         changed: tuple[EngineRecord, ...] = ()
         async for piece in pieces_in_turns(engines, self._turns, RECORDS_PER_TURN):
+            if not self._is_current(next_position):
+                break
             changed += self._fleet.apply_engine_records(piece)
+        if not self._is_current(next_position):
+            # The next snapshot does not show what this page has changed already.
+            if changed:
+                self._publish(FleetCopy(-1, b"", changed, -1, ()))
+            return
         was_restored, self._was_restored = self._was_restored, False
         if is_snapshot:
             self._fleet.apply_engine_snapshot(engines, next_position)
--- a/pimentoquay/gateway/origin_store.py
+++ b/pimentoquay/gateway/origin_store.py
@@ -21,6 +21,7 @@
 from pimentoquay.platform.fields import DecodeError, optional, parse_json, required
 from pimentoquay.platform.store import STREAM_TOPIC, VERSION_TOPIC, StoreClient, StoreError
 from pimentoquay.policy.only_versions import StoredVersion
+from pimentoquay.policy.store_position import era_of
 
 __all__ = ["OriginStore"]
 
@@ -123,21 +124,30 @@
         return True
 
     async def _load(self) -> None:
-        versions = await self._read_versions()
-        self._origins.load(versions, await self._read_batches(), self._store.era.value)
+        versions, era = await self._read_versions()
+        batches = await self._read_batches()
+        self._check_era(era)
+        self._origins.load(versions, batches, era)
 
     async def _catch_up(self) -> None:
         await self._read_engines()
-        versions = await self._read_versions()
-        self._origins.load(versions, (), self._store.era.value)
+        versions, era = await self._read_versions()
+        self._check_era(era)
+        self._origins.load(versions, (), era)
         if self._origins.mixed_services:
             self._origins.load((), await self._read_batches(), self._store.era.value)
 
-    async def _read_versions(self) -> list[StoredVersion]:
+    def _check_era(self, era: int) -> None:
+        """Raise ``StoreError`` if the store, restored since an era, may lack what it held then."""
+        if era != self._store.era.value:
+            raise StoreError(f"the store was restored, era {self._store.era.value}")
+
+    async def _read_versions(self) -> tuple[list[StoredVersion], int]:
+        """Return the versions in the store, and the era in which they were read."""
         page = await self._store.read_latest(VERSION_TOPIC)
         stored = (_parse_version(each.key, each.value) for each in page.records if each.value)
         found = await list_in_turns(stored, self._turns)
-        return [each for each in found if each is not None]
+        return [each for each in found if each is not None], era_of(page.next_position)
 
     async def _read_batches(self) -> list[StreamsBegun]:
         page = await self._store.read_latest(STREAM_TOPIC)
@@ -165,10 +175,11 @@
                 break
         # New streams begin at a version once it is recorded, so the origins of the others go first.
         for due in origins.versions_due():
-            era = self._store.era.value if due.is_only else 0
-            version = StoredVersion(due.service, due.software, era)
+            era = self._store.era.value
+            version = StoredVersion(due.service, due.software, era if due.is_only else 0)
             key = _version_key((due.service, due.software))
             await self._store.put(VERSION_TOPIC, key, _version_value(version))
+            self._check_era(era)
             origins.record_stored(due)
         if self._timers.now() - self._cleaned_at >= CLEAN_SECONDS:
             self._cleaned_at = self._timers.now()
