--- a/pimentoquay/bench/mutations/turn_switches.py
+++ b/pimentoquay/bench/mutations/turn_switches.py
@@ -167,6 +167,20 @@
         lambda original: 1_000_000_000_000,
         _PAGES + "test_pages_without_end_are_refused_before_they_fill_the_memory[500-1500]",
     ),
+    Switch(
+        "the oldest origins of streams are dropped, not the topic",
+        "pimentoquay.policy.store_pages:NewestPages.__init__",
+        lambda original: lambda self, drops_oldest=False: original(self),
+        "pimentoquay/gateway/tests/test_origin_pages_readable.py::"
+        "test_full_batches_in_all_slots_of_a_writer_do_not_keep_a_gateway_from_loading[1-0]",
+    ),
+    Switch(
+        "the rest of a page is dropped once the store has been restored",
+        "pimentoquay.gateway.feed:StoreFeed._is_current",
+        return_constant(True),
+        "pimentoquay/gateway/tests/test_restored_during_page.py::"
+        "test_peers_are_told_of_a_restored_store_though_a_page_was_being_applied",
+    ),
     Switch(
         "broad pages are not parsed",
         "pimentoquay.policy.store_pages:MAX_PAGE_COMMAS",
--- a/pimentoquay/gateway/origin_store.py
+++ b/pimentoquay/gateway/origin_store.py
@@ -150,7 +150,8 @@
         return [each for each in found if each is not None], era_of(page.next_position)
 
     async def _read_batches(self) -> list[StreamsBegun]:
-        page = await self._store.read_latest(STREAM_TOPIC)
+        # Full batches in all slots, of several writers in turn, may be more than can be held.
+        page = await self._store.read_latest(STREAM_TOPIC, drops_oldest=True)
         now = self._timers.now()
         batches: list[StreamsBegun | None] = []
         async for piece in pieces_in_turns(page.records, self._turns):
--- a/pimentoquay/platform/store.py
+++ b/pimentoquay/platform/store.py
@@ -143,9 +143,9 @@
         self._turns = turns or TurnQueue()
         self._pool = ConnectionPool(address, CONNECT_SECONDS, reuse, turns=self._turns)
 
-    async def read_latest(self, topic: str) -> RecordPage:
-        """Return the latest record of each key; raise ``StoreError`` on failure."""
-        pages = NewestPages[KeyedRecord]()
+    async def read_latest(self, topic: str, drops_oldest: bool = False) -> RecordPage:
+        """Return each key's latest record, see ``NewestPages``; raise ``StoreError`` on failure."""
+        pages = NewestPages[KeyedRecord](drops_oldest)
         has_more = True
         while has_more:
             page = await self._read_latest_page(topic, pages.last_key)
--- a/pimentoquay/policy/tests/test_store_pages.py
+++ b/pimentoquay/policy/tests/test_store_pages.py
@@ -16,6 +16,7 @@
 class Record:
     key: str
     value: bytes | None
+    position: int = 0
 
 
 def read(pages):
@@ -63,6 +64,16 @@
     assert held <= MAX_TOPIC_BYTES + count * (size + 200)
 
 
+@pytest.mark.parametrize("size", [0, 1500, 250_000])
+def test_pages_without_end_are_refused_though_the_oldest_records_are_dropped(size):
+    collected: NewestPages[Record] = NewestPages(drops_oldest=True)
+    pages = endless_pages(lambda number: [f"k{number}-{n}" for n in range(100)], size)
+    with pytest.raises(ValueError, match="no end"):
+        for page in itertools.islice(pages, 1000):
+            collected.add(page)
+            assert sum(len(each.value or b"") for each in collected.records) <= MAX_TOPIC_BYTES
+
+
 @pytest.mark.parametrize("period", [1, 2, 5])
 def test_pages_that_repeat_are_refused(period):
     collected: NewestPages[Record] = NewestPages()
