--- a/pimentoquay/bench/mutations/turn_switches.py
+++ b/pimentoquay/bench/mutations/turn_switches.py
@@ -181,6 +181,18 @@
         "pimentoquay/gateway/tests/test_restored_during_page.py::"
         "test_peers_are_told_of_a_restored_store_though_a_page_was_being_applied",
     ),
+    Switch(
+        "new connections have time to ask for a tunnel",
+        "pimentoquay.tunnels.server:ASK_SECONDS",
+        lambda original: 0.0,
+        _TUNNELS + "test_a_burst_of_peers_closes_none_that_is_about_to_ask",
+    ),
+    Switch(
+        "connections that do not ask for a tunnel in time are closed",
+        "pimentoquay.tunnels.server:TunnelServer._close_unopened",
+        return_constant(None),
+        _TUNNELS + "test_connections_that_never_ask_are_closed_once_they_had_time_to_ask",
+    ),
     Switch(
         "broad pages are not parsed",
         "pimentoquay.policy.store_pages:MAX_PAGE_COMMAS",
--- a/pimentoquay/tunnels/server.py
+++ b/pimentoquay/tunnels/server.py
@@ -25,8 +25,14 @@
 """Maximum number of tunnels at a time; each needs two of some four thousand descriptors."""
 
 MAX_UNOPENED = 200
-"""Maximum number of connections that have not asked for a tunnel; the oldest one is closed for
-another, since a peer asks within milliseconds."""
+"""Maximum number of connections that have not asked for a tunnel; above it, those are closed that
+have had ``ASK_SECONDS`` to ask."""
+
+MAX_BURST = 400
+"""The same with those that have not had that time; another one is refused."""
+
+ASK_SECONDS = 0.25
+"""Time in which a sound peer asks for a tunnel, which takes milliseconds unless it is busy."""
 
 HANDSHAKE_SECONDS = 1.0
 """Timeout of the messages that open a tunnel."""
@@ -117,10 +123,21 @@
     def add(self, side: "_PeerSide") -> None:
         """Add an accepted connection."""
         self._sides[side] = None
+        self._close_unopened()
+        if sum(not each.has_asked for each in self._sides) > MAX_BURST:
+            self.remove(side)
+            side.abort()
+        else:
+            asyncio.get_running_loop().call_later(ASK_SECONDS, self._close_unopened)
+
+    def _close_unopened(self) -> None:
+        """Close the oldest connections that have not asked in time, if there are too many."""
+        asked_by = asyncio.get_running_loop().time() - ASK_SECONDS
         unopened = [each for each in self._sides if not each.has_asked]
-        if len(unopened) > MAX_UNOPENED:
-            self.remove(unopened[0])
-            unopened[0].abort()
+        for side in unopened[: max(0, len(unopened) - MAX_UNOPENED)]:
+            if side.accepted_at <= asked_by:
+                self.remove(side)
+                side.abort()
 
     def remove(self, side: "_PeerSide") -> None:
         """Remove a connection that has ended."""
@@ -186,6 +203,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._early = b""
         self._transport: Any = None
+        self.accepted_at = 0.0
         self.peer = ""
 
     @property
@@ -202,8 +220,9 @@
         self._transport = transport
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, PEER_USER_TIMEOUT_MILLISECONDS)
-        self._server.add(self)
         loop = asyncio.get_running_loop()
+        self.accepted_at = loop.time()
+        self._server.add(self)
         self._timer = loop.call_later(HANDSHAKE_SECONDS, self.abort)
         transport.write(frame(encode(self._challenge)))
 
--- a/pimentoquay/tunnels/tests/test_tunnels.py
+++ b/pimentoquay/tunnels/tests/test_tunnels.py
@@ -317,6 +317,34 @@
         assert receiver.events == []
 
 
+async def test_a_burst_of_peers_closes_none_that_is_about_to_ask(monkeypatch):
+    """The oldest connections were closed for the newest ones, though all would have asked."""
+    monkeypatch.setattr(server, "MAX_UNOPENED", 5)
+    async with pair() as env:
+        opened = await asyncio.gather(*(env.open() for _ in range(30)), return_exceptions=True)
+        assert [each for each in opened if isinstance(each, BaseException)] == []
+        assert env.server.active == 30
+
+
+async def test_connections_that_never_ask_are_closed_once_they_had_time_to_ask(monkeypatch):
+    """So many of them at a time that the newest are refused, until the others are closed."""
+    monkeypatch.setattr(server, "HANDSHAKE_SECONDS", 60.0)
+    monkeypatch.setattr(server, "ASK_SECONDS", 1.0)
+    monkeypatch.setattr(server, "MAX_UNOPENED", 5)
+    monkeypatch.setattr(server, "MAX_BURST", 20)
+    async with pair() as env, idle_connections(env, 20):
+        await until(lambda: len(env.server._sides) == 20, "accepted")
+        first = tuple(env.server._sides)
+        async with idle_connections(env, 10):
+            await asyncio.sleep(0.1)
+            assert tuple(env.server._sides) == first
+        await until(lambda: tuple(env.server._sides) == first[15:], "closed")
+        await asyncio.sleep(server.ASK_SECONDS)
+        await env.open()
+        assert env.server.active == 1
+        assert first[15] not in env.server._sides
+
+
 async def test_an_engine_that_sends_before_the_tunnel_is_open_is_read_once_until_then(monkeypatch):
     """What it sent was kept, however much it was."""
     may_reply = asyncio.Event()
