Let a long answer that has begun go on though its path counts as cut

Cause: callers got a part of an answer, and then the end of the connection. A call that may run again is given up as soon as its path counts as cut, so that it is sent again; a long answer is forwarded as it arrives, and cannot be.

Change: such an exchange waits as one that may run once does.

Result: the new test failed before (200, not whole). The switch is caught.

--- a/pimentoquay/bench/mutations/path_switches.py
+++ b/pimentoquay/bench/mutations/path_switches.py
@@ -34,6 +34,13 @@
 _DOUBT = "pimentoquay/policy/tests/test_version_doubt.py::"
 
 PATH_SWITCHES = (
+    Switch(
+        "long answers outlast a cut",
+        "pimentoquay.http1.client:Exchange.keep_if_path_is_lost",
+        return_constant(None),
+        "pimentoquay/gateway/tests/test_long_answers.py::"
+        "test_a_long_answer_that_has_begun_is_not_cut_as_its_path_counts_as_lost",
+    ),
     Switch(
         "connections through peers",
         "pimentoquay.tunnels.peer_tunnels:PeerTunnels.open",
--- a/pimentoquay/gateway/plain.py
+++ b/pimentoquay/gateway/plain.py
@@ -242,6 +242,7 @@
     ) -> _Response:
         """Forward a long response as it arrives; the call can no longer be repeated."""
         reply = job.reply
+        exchange.keep_if_path_is_lost()
         reply.start(exchange.status, end_to_end_headers(exchange.headers))
         part: bytes | None = b"".join(parts)
         while part is not None:
--- a/pimentoquay/http1/client.py
+++ b/pimentoquay/http1/client.py
@@ -10,6 +10,7 @@
 import errno
 from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import replace
 from enum import Enum
 from typing import Any
 
@@ -271,6 +272,12 @@
         """Use the connection for an exchange with a mark next."""
         self._connection.marks.require_marks()
 
+    def keep_if_path_is_lost(self) -> None:
+        """Let the exchange go on though its path counts as cut, as it cannot be sent again."""
+        watch = self._connection.watch
+        if watch is not None:
+            self._connection.watch = replace(watch, abandon_seconds=None)
+
     def close_afterwards(self) -> None:
         """Use the connection for no other exchange."""
         self._connection.retire()
--- a/pimentoquay/platform/store.py
+++ b/pimentoquay/platform/store.py
@@ -140,7 +140,7 @@
         self.address = address
         self.era = era or StoreEra()
         self.calls = 0
-        self._turns = turns or TurnQueue()
+        self._turns = turns if turns is not None else TurnQueue()
         self._pool = ConnectionPool(address, CONNECT_SECONDS, reuse, turns=self._turns)
 
     async def read_latest(self, topic: str, drops_oldest: bool = False) -> RecordPage:
