Let the channels between gateways take their turns in the same queue as all else

Cause: program.py and compose.py each made a queue of turns, so a pass of the event loop of a process could run the turns of two.

Change: the composition root is given the queue that the transport uses.

Result: tests of signals, of peers' messages and the soak of processes pass.

--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -120,6 +120,7 @@
     node: Node,
     metrics_port: int | None = None,
     connect: Connect = connect_tcp,
+    turns: TurnQueue | None = None,
 ) -> Gateway:
     """Create a gateway.
 
@@ -131,10 +132,13 @@
         Port at which metrics are served, or None for no metrics.
     connect
         Opens connections to engines.
+    turns
+        The queue of turns that the transport of the node uses; a new one if omitted.
     """
+    if turns is None:
+        turns = TurnQueue(LeastServedFirst(node.timers.now))
     fleet = Fleet(node.timers.now)
     limits = EngineLimits(settings.vm)
-    turns = TurnQueue(LeastServedFirst(node.timers.now))
     contact = EngineContact(node.timers)
     tunnels = PeerTunnels(
         node.timers,
--- a/pimentoquay/gateway/program.py
+++ b/pimentoquay/gateway/program.py
@@ -58,7 +58,7 @@
     node = Node(identity, transport, LoopClock())
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, _check_settings)
-    gateway = compose_gateway(settings, node, metrics_port)
+    gateway = compose_gateway(settings, node, metrics_port, turns=turns)
     logger.bind(callers=settings.callers_address, incarnation=incarnation).info("started")
     await gateway.run(stop)
     logger.info("stopped")
