--- a/pimentoquay/bench/mutations/turn_switches.py
+++ b/pimentoquay/bench/mutations/turn_switches.py
@@ -98,14 +98,14 @@
         "bodies end with the time of their callers",
         _CONNECTION + "ServerConnection._patience",
         lambda original: property(lambda self: math.inf),
-        "pimentoquay/gateway/tests/test_many_small_items.py::"
+        "pimentoquay/gateway/tests/test_small_items_of_callers.py::"
         "test_a_body_that_drips_beyond_its_callers_deadline_is_refused",
     ),
     Switch(
         "items of one read from an engine are handled in turns",
         "pimentoquay.http1.client_connection:ClientConnection._handle_items",
         handle_all_items,
-        "pimentoquay/gateway/tests/test_small_items.py::"
+        "pimentoquay/gateway/tests/test_small_items_of_engines.py::"
         "test_other_clients_are_served_in_time[calls: chunks of one byte]",
     ),
     Switch(
--- a/pimentoquay/gateway/tests/test_late_in_stop.py
+++ b/pimentoquay/gateway/tests/test_late_in_stop.py
@@ -49,19 +49,24 @@
         return status, body
 
 
-async def open_late(env, path, request_id, deadline_ms=14_000, vm="vm-1"):
-    """Send a request but for its last byte."""
-    port = env.gateway_by_vm[vm].caller_server.port
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+def request_bytes(path, request_id, deadline_ms=14_000, length=1):
+    """Return a request with one byte of a body of a length."""
     headers = (
         (b"Host", b"shop.example"),
         (b"Pimentoquay-Request-Id", request_id.encode()),
         (b"Pimentoquay-Deadline-Ms", str(deadline_ms).encode()),
-        (b"Content-Length", b"2"),
+        (b"Content-Length", str(length).encode()),
         *model_headers(),
     )
     lines = [f"POST {path} HTTP/1.1".encode(), *(b": ".join(each) for each in headers), b"", b"x"]
-    writer.write(b"\r\n".join(lines))
+    return b"\r\n".join(lines)
+
+
+async def open_late(env, path, request_id, deadline_ms=14_000, vm="vm-1"):
+    """Send a request but for its last byte."""
+    port = env.gateway_by_vm[vm].caller_server.port
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(request_bytes(path, request_id, deadline_ms, length=2))
     return LateCaller(reader, writer)
 
 
--- a/pimentoquay/gateway/tests/test_program.py
+++ b/pimentoquay/gateway/tests/test_program.py
@@ -22,14 +22,7 @@
 )
 def test_a_second_sigterm_does_not_end_a_planned_stop(second, status, tmp_path):
     """It ended the process at once, with all requests in progress."""
-    path = tmp_path / "local.json"
-    path.write_text(json.dumps(SETTINGS))
-    with subprocess.Popen(
-        [sys.executable, "-m", "pimentoquay.gateway"],
-        env={**os.environ, "PIMENTOQUAY_CONFIG": str(path)},
-        stdout=subprocess.PIPE,
-        text=True,
-    ) as process:
+    with python(tmp_path, "-m", "pimentoquay.gateway") as process:
         try:
             read_until(process, "started")
             process.send_signal(signal.SIGTERM)
@@ -61,20 +54,25 @@
 
 def test_sighup_does_not_end_a_gateway_that_is_starting(tmp_path):
     """It ended the process while the package imported its modules."""
-    path = tmp_path / "local.json"
-    path.write_text(json.dumps(SETTINGS))
-    with subprocess.Popen(
-        [sys.executable, "-c", SIGNAL_AT_IMPORT],
-        env={**os.environ, "PIMENTOQUAY_CONFIG": str(path)},
-        stdout=subprocess.PIPE,
-        text=True,
-    ) as process:
+    with python(tmp_path, "-c", SIGNAL_AT_IMPORT) as process:
         try:
             read_until(process, "started")
         finally:
             process.kill()
 
 
+def python(folder, *arguments):
+    """Start the interpreter with the settings of a gateway."""
+    path = folder / "local.json"
+    path.write_text(json.dumps(SETTINGS))
+    return subprocess.Popen(
+        [sys.executable, *arguments],
+        env={**os.environ, "PIMENTOQUAY_CONFIG": str(path)},
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+
+
 def read_until(process, message):
     for line in process.stdout:
         if message in messages(line):
--- a/pimentoquay/gateway/tests/test_sent_ahead.py
+++ b/pimentoquay/gateway/tests/test_sent_ahead.py
@@ -4,24 +4,24 @@
 
 import pytest
 
-from pimentoquay.gateway.tests.rig import model_headers, rig
-from pimentoquay.gateway.tests.test_late_in_stop import LateCaller, end_process, runs
+from pimentoquay.gateway.tests.rig import rig
+from pimentoquay.gateway.tests.test_late_in_stop import (
+    LateCaller,
+    end_process,
+    request_bytes,
+    runs,
+)
 from pimentoquay.standin.platform_engine import PlatformEngine
 
 # In virtual time, as a planned stop takes some seconds.
 pytestmark = pytest.mark.looptime(start=1000)
 
 
-def request_bytes(path, request_id, deadline_ms=5000):
-    headers = (
-        (b"Host", b"shop.example"),
-        (b"Pimentoquay-Request-Id", request_id.encode()),
-        (b"Pimentoquay-Deadline-Ms", str(deadline_ms).encode()),
-        (b"Content-Length", b"1"),
-        *model_headers(),
-    )
-    lines = [f"POST {path} HTTP/1.1".encode(), *(b": ".join(each) for each in headers), b"", b"x"]
-    return b"\r\n".join(lines)
+DEADLINE_MS = 5000
+
+
+def bytes_of(path, request_id):
+    return request_bytes(path, request_id, DEADLINE_MS)
 
 
 async def open_caller(env):
@@ -50,9 +50,9 @@
     monkeypatch.setattr(PlatformEngine, "_answer", answer_late)
     async with rig() as env:
         caller = await open_caller(env)
-        caller.writer.write(request_bytes("/order/a", "first"))
+        caller.writer.write(bytes_of("/order/a", "first"))
         await asyncio.sleep(0.2)
-        caller.writer.write(request_bytes(path, "ahead"))
+        caller.writer.write(bytes_of(path, "ahead"))
         await asyncio.sleep(0.2)
         ending = asyncio.create_task(end_process(env))
         first = await read(caller)
@@ -70,7 +70,7 @@
         for engine in env.engine_by_id.values():
             engine.pause = 0.2
         caller = await open_caller(env)
-        caller.writer.write(request_bytes("/sheet/a", "r0") + request_bytes("/sheet/a", "r1"))
+        caller.writer.write(bytes_of("/sheet/a", "r0") + bytes_of("/sheet/a", "r1"))
         loop = asyncio.get_running_loop()
         stopped_at = loop.time()
         ending = asyncio.create_task(end_process(env))
@@ -78,7 +78,7 @@
         async with asyncio.timeout(20):
             while (answer := await read(caller))[0]:
                 statuses.append(answer[0])
-                caller.writer.write(request_bytes("/sheet/a", f"r{len(statuses) + 1}"))
+                caller.writer.write(bytes_of("/sheet/a", f"r{len(statuses) + 1}"))
             await ending
         assert loop.time() - stopped_at < gateway.settings.bounds.grace_seconds
         assert set(statuses[:2]) == {200}
--- a/pimentoquay/gateway/tests/test_small_items_of_peers.py
+++ b/pimentoquay/gateway/tests/test_small_items_of_peers.py
@@ -6,6 +6,7 @@
 
 from pimentoquay.gateway.mesh import Mesh
 from pimentoquay.gateway.tests.rig import rig, until
+from pimentoquay.http1.tests.endless_callers import most_in_one_pass
 from pimentoquay.kernel import Identity, PimentoquayError
 from pimentoquay.messages import CodecError, decode, encode
 from pimentoquay.messages.fleet import EngineRecord, FleetCopy
@@ -37,17 +38,15 @@
     return await transport.connect(f"127.0.0.1:{gateway.node.transport.port}")
 
 
-async def most_in_one_pass(count, is_done):
-    """Return by how much a count grows at most in one pass of the event loop, until a check holds.
+def record_messages(monkeypatch, record):
+    """Call ``record`` with each message before a gateway applies it."""
+    original = Mesh._receive
 
-    The first pass counts too.
-    """
-    most, before = 0, count()
-    async with asyncio.timeout(30.0):
-        while not is_done():
-            await asyncio.sleep(0)
-            most, before = max(most, count() - before), count()
-    return most
+    def receive(self, envelope):
+        record(envelope.message)
+        original(self, envelope)
+
+    monkeypatch.setattr(Mesh, "_receive", receive)
 
 
 LONG = {
@@ -67,17 +66,15 @@
     async with rig(start_gateway=False) as env:
         env.network = LoopbackNetwork()
         gateway = await env.add_gateway()
-        original = Mesh._receive
 
-        def receive(self, envelope):
+        def count(message):
             nonlocal handled
-            if isinstance(envelope.message, FleetCopy):
-                handled += len(envelope.message.engines)
-            elif isinstance(envelope.message, Bundle):
-                handled += len(envelope.message.items)
-            original(self, envelope)
+            if isinstance(message, FleetCopy):
+                handled += len(message.engines)
+            elif isinstance(message, Bundle):
+                handled += len(message.items)
 
-        monkeypatch.setattr(Mesh, "_receive", receive)
+        record_messages(monkeypatch, count)
         channel = await connect(gateway)
         order = asyncio.create_task(env.send_request("/order/first"))
         channel.send(LONG[name])
@@ -93,14 +90,12 @@
     async with rig(start_gateway=False) as env:
         env.network = LoopbackNetwork()
         gateway = await env.add_gateway()
-        original = Mesh._receive
 
-        def receive(self, envelope):
-            if isinstance(envelope.message, Bundle | ChannelAlive):
-                received.append(type(envelope.message).__name__)
-            original(self, envelope)
+        def keep(message):
+            if isinstance(message, Bundle | ChannelAlive):
+                received.append(type(message).__name__)
 
-        monkeypatch.setattr(Mesh, "_receive", receive)
+        record_messages(monkeypatch, keep)
         channel = await connect(gateway)
         channel.send(ChannelAlive())
         channel.send(Bundle((encode(ChannelAlive()),) * 500))
@@ -116,14 +111,12 @@
     async with rig(start_gateway=False) as env:
         env.network = LoopbackNetwork()
         gateway = await env.add_gateway()
-        original = Mesh._receive
 
-        def receive(self, envelope):
+        def count(message):
             nonlocal heard
-            heard += isinstance(envelope.message, ChannelAlive)
-            original(self, envelope)
+            heard += isinstance(message, ChannelAlive)
 
-        monkeypatch.setattr(Mesh, "_receive", receive)
+        record_messages(monkeypatch, count)
         endless = [await connect(gateway, f"vm-{n}") for n in range(10, 16)]
         sound = await connect(gateway, "vm-9")
         for channel in endless:
--- a/pimentoquay/gateway/tests/test_small_items_of_store.py
+++ b/pimentoquay/gateway/tests/test_small_items_of_store.py
@@ -1,6 +1,5 @@
 """A store that sends thousands of tiny items in one page, or pages without end."""
 
-import asyncio
 import itertools
 import json
 import struct
@@ -10,6 +9,7 @@
 
 from pimentoquay.gateway.feed import RECORDS_PER_TURN
 from pimentoquay.gateway.tests.rig import Rig, configuration, until
+from pimentoquay.http1.tests.endless_callers import most_in_one_pass
 from pimentoquay.kernel.input_checks import refused_by_kind
 from pimentoquay.kernel.turns import ITEMS_PER_TURN
 from pimentoquay.standin.platform_engine import PlatformEngine
@@ -64,16 +64,6 @@
         await env.close()
 
 
-async def most_in_one_pass(count, is_done):
-    """Return by how much a count grows at most in one pass of the event loop."""
-    most, before = 0, count()
-    async with asyncio.timeout(30.0):
-        while not is_done():
-            await asyncio.sleep(0)
-            most, before = max(most, count() - before), count()
-    return most
-
-
 async def serve_some(env):
     for number in range(5):
         assert (await env.send_request(f"/order/{number}")).status == 200
--- a/pimentoquay/http1/server_connection.py
+++ b/pimentoquay/http1/server_connection.py
@@ -13,8 +13,7 @@
 from pimentoquay.http1.reply import Reply
 from pimentoquay.http1.request import HttpRequest
 from pimentoquay.http1.request_body import RequestBody
-from pimentoquay.http1.tcp_state import is_established
-from pimentoquay.http1.unsent import close_when_sent, unsent_bytes
+from pimentoquay.http1.system_state import close_when_sent, is_established, unsent_bytes
 from pimentoquay.kernel.logs import logger
 from pimentoquay.kernel.turns import ITEMS_PER_TURN
 
--- a/pimentoquay/http1/unsent.py
+++ b/pimentoquay/http1/system_state.py
@@ -1,16 +1,18 @@
-"""Bytes that were written to a connection and that its other end has not acknowledged yet.
+"""What the system knows of a TCP connection beyond its transport.
 
-The system keeps some megabytes of them after they have left the transport. If the socket is closed
-then and a byte arrives, the system resets the connection, and they are lost.
+The system keeps some megabytes of written bytes after they have left the transport, until the other
+end has acknowledged them. If the socket is closed then and a byte arrives, the system resets the
+connection, and they are lost. It also knows that the other end has closed before that is read.
 """
 
 import asyncio
 import fcntl
+import socket
 import struct
 import termios
 from typing import Any
 
-__all__ = ["close_when_sent", "unsent_bytes"]
+__all__ = ["close_when_sent", "is_established", "unsent_bytes"]
 
 CHECK_SECONDS = 0.1
 """Interval at which a connection that is to be closed is checked."""
@@ -19,6 +21,16 @@
 """Longest wait for an end that reads nothing, and does not say how long it waits."""
 
 
+_ESTABLISHED = 1
+"""State of a connection that neither end has closed, as ``TCP_INFO`` gives it in Linux."""
+
+
+def is_established(transport: Any) -> bool:
+    """Return whether neither end has closed; the other's end is seen behind unread bytes too."""
+    sock = transport.get_extra_info("socket")
+    return bool(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == _ESTABLISHED)
+
+
 def unsent_bytes(transport: Any) -> int:
     """Return the number of bytes in the transport, and in the system without acknowledgement.
 
--- a/pimentoquay/http1/tests/endless_callers.py
+++ b/pimentoquay/http1/tests/endless_callers.py
@@ -65,6 +65,19 @@
         handle.cancel()
 
 
+async def most_in_one_pass(count, is_done):
+    """Return by how much a count grows at most in one pass of the event loop, until a check holds.
+
+    The first pass counts too.
+    """
+    most, before = 0, count()
+    async with asyncio.timeout(30.0):
+        while not is_done():
+            await asyncio.sleep(0)
+            most, before = max(most, count() - before), count()
+    return most
+
+
 def count_parsed(monkeypatch):
     """Return a list with the number of items that all connections have parsed."""
     parsed = [0]
--- a/pimentoquay/http1/tests/test_small_items_of_callers.py
+++ b/pimentoquay/http1/tests/test_small_items_of_callers.py
@@ -223,3 +223,33 @@
         with contextlib.suppress(ConnectionError):
             assert await reader.read() == b""
         writer.close()
+
+
+async def test_a_request_whose_body_arrives_is_in_progress():
+    """A planned stop ended without an answer to it if nothing else was in progress."""
+    async with running() as server:
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(CHUNKED + b"1\r\nx\r\n")
+        await until(lambda: server.requests_in_progress == 1, "in progress")
+        writer.write(LAST_CHUNK)
+        assert (await reader.readuntil(b"\r\n")).startswith(b"HTTP/1.1 200")
+        await until(lambda: server.requests_in_progress == 0, "answered")
+        writer.close()
+
+
+async def test_a_connection_whose_turn_fails_is_closed(monkeypatch):
+    """Its caller waited for an answer until its time was over."""
+    async with running() as server:
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+
+        def fail(connection, data):
+            raise ValueError("broken")
+
+        monkeypatch.setattr("pimentoquay.http1.request_body.RequestBody.append", fail)
+        monkeypatch.setattr("pimentoquay.http1.server_connection.ITEMS_AT_ONCE", 1)
+        writer.write(CHUNKED + b"1\r\nx\r\n" + LAST_CHUNK)
+        async with asyncio.timeout(5.0):
+            with contextlib.suppress(ConnectionError):
+                assert await reader.read() == b""
+        await until(lambda: not server.connections, "closed")
+        writer.close()
--- a/pimentoquay/tunnels/tests/test_small_frames.py
+++ b/pimentoquay/tunnels/tests/test_small_frames.py
@@ -82,8 +82,8 @@
         self.events.append(("retired", len(self.data)))
 
 
-def opened(turns=None, first=b"", inner=None):
-    """Return a tunnel that is open, its wire and the protocol that uses it."""
+def challenged(turns=None):
+    """Return a tunnel whose peer has sent its challenge, its wire and the peer's next message."""
     request = TunnelRequest("e", 1, "127.0.0.1:1", False)
     protocol = _TunnelProtocol(HERE, KEY, request, turns or TurnQueue())
     wire = Wire()
@@ -93,7 +93,12 @@
     protocol.data_received(frame(encode(challenge)))
     length = int.from_bytes(wire.written[:4], "big")
     hello = decode(wire.written[4 : 4 + length])
-    welcome = frame(encode(handshake.make_welcome(HERE, KEY, challenge, hello)))
+    return protocol, wire, frame(encode(handshake.make_welcome(HERE, KEY, challenge, hello)))
+
+
+def opened(turns=None, first=b"", inner=None):
+    """Return a tunnel that is open, its wire and the protocol that uses it."""
+    protocol, wire, welcome = challenged(turns)
     protocol.data_received(welcome + frame(encode(TunnelReply(TunnelOutcome.OPEN, ()))) + first)
     inner = inner or Inner()
     protocol.begin(inner)
@@ -210,15 +215,7 @@
 
 
 async def test_the_messages_that_open_a_tunnel_come_once_each():
-    request = TunnelRequest("e", 1, "127.0.0.1:1", False)
-    protocol = _TunnelProtocol(HERE, KEY, request, TurnQueue())
-    wire = Wire()
-    wire.protocol = protocol
-    protocol.connection_made(wire)
-    challenge = handshake.make_challenge()
-    protocol.data_received(frame(encode(challenge)))
-    length = int.from_bytes(wire.written[:4], "big")
-    welcome = handshake.make_welcome(HERE, KEY, challenge, decode(wire.written[4 : 4 + length]))
-    protocol.data_received(frame(encode(welcome)) * 2)
+    protocol, _, welcome = challenged()
+    protocol.data_received(welcome * 2)
     with pytest.raises(CodecError):
         await protocol.reply
