--- a/pimentoquay/gateway/tests/test_only_versions.py
+++ b/pimentoquay/gateway/tests/test_only_versions.py
@@ -10,6 +10,7 @@
     OLD,
     kill_all,
     let_store,
+    let_unrecorded_version_serve_alone,
     refuse_to_record,
     remove,
     resumed_after_all_were_killed,
@@ -240,13 +241,8 @@
 
 async def test_streams_are_refused_if_others_began_at_a_version_that_is_not_recorded(monkeypatch):
     """They may, while no engine of the recorded version takes work."""
-    refuse_to_record(monkeypatch, b"v2")
     async with rig() as env:
-        await let_store(env)
-        await begin_release(env)
-        await remove(env, *OLD)
-        fleet = env.gateway_by_vm["vm-1"].fleet
-        await until(lambda: not {*OLD} & {each.id for each in fleet.engines()}, "gone")
+        await let_unrecorded_version_serve_alone(env, monkeypatch)
         assert (await env.stream()).status == 200
         assert runs_at(env, *NEW)
         await add_version(env, env.engine_by_id["dec-1"].software, "dec-3")
--- a/pimentoquay/gateway/tests/test_rejoined_streams.py
+++ b/pimentoquay/gateway/tests/test_rejoined_streams.py
@@ -166,6 +166,16 @@
         assert (await resume(env, "never-seen")).status == 503
 
 
+async def let_unrecorded_version_serve_alone(env, monkeypatch):
+    """Let engines of a second version take the streams, which the store does not record."""
+    refuse_to_record(monkeypatch, b"v2")
+    await let_store(env)
+    await begin_release(env)
+    await remove(env, *OLD)
+    fleet = env.gateway_by_vm["vm-1"].fleet
+    await until(lambda: not {*OLD} & {each.id for each in fleet.engines()}, "gone")
+
+
 async def test_garbled_records_of_versions_and_origins_are_ignored():
     async with rig(start_gateway=False) as env:
         for topic in (VERSION_TOPIC, STREAM_TOPIC):
@@ -177,13 +187,8 @@
 
 async def test_a_stream_goes_on_at_its_version_though_the_store_does_not_hold_it(monkeypatch):
     """In CI one got 429, as the store held the version of other engines by then and not its own."""
-    refuse_to_record(monkeypatch, b"v2")
     async with rig() as env:
-        await let_store(env)
-        await begin_release(env)
-        await remove(env, *OLD)
-        fleet = env.gateway_by_vm["vm-1"].fleet
-        await until(lambda: not {*OLD} & {each.id for each in fleet.engines()}, "gone")
+        await let_unrecorded_version_serve_alone(env, monkeypatch)
         streams = Streams(env)
         await streams.begin(2)
         assert len(runs_at(env, *NEW)) == 2
