Describe workspaces, limits on connections and overload; add their shared types

The parts are built side by side, so the types that they share come first: workspace and priority of a job and of a waiting stream, memory and descriptors of the process, bounds of allowances.

--- a/pimentoquay/gateway/job.py
+++ b/pimentoquay/gateway/job.py
@@ -13,6 +13,7 @@
 from pimentoquay.platform.requests import CallerRequest, retry_after_header
 from pimentoquay.policy.fleet import Route
 from pimentoquay.policy.request_digest import request_digest
+from pimentoquay.policy.workspaces import Workspace
 
 __all__ = [
     "MAX_CRASHES_PER_REQUEST",
@@ -34,8 +35,9 @@
 class Job:
     """A caller's request with its route and chosen service.
 
-    ``sent_to`` holds the engines that the request itself was sent to, in order. Times are in
-    seconds on the clock of the event loop.
+    ``sent_to`` holds the engines that the request itself was sent to, in order. ``workspace`` is
+    that of the caller's key, or None if the configuration has no workspaces or the route is public.
+    Times are in seconds on the clock of the event loop.
     """
 
     request: HttpRequest
@@ -46,12 +48,20 @@
     metrics: GatewayMetrics
     stop: PlannedStop
     sent_to: list[str] = field(default_factory=list)
+    workspace: Workspace | None = None
 
     @property
     def arrived_at(self) -> float:
         """Time at which the first byte of the request arrived."""
         return self.request.received_at
 
+    @property
+    def priority(self) -> int:
+        """Priority of the workspace if it has one, else of the route; 0 is the highest."""
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.rank
+
     @cached_property
     def digest(self) -> str:
         """Digest of the request, which is the same each time that its caller sends it."""
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -171,7 +171,12 @@
         times = self._stream_times(job)
         progress.software = self._shared.origins.version_now(progress.software)
         waiter = WaitingStream(
-            need, times, progress.software, avoided=frozenset(progress.engines_without_events)
+            need,
+            times,
+            progress.software,
+            avoided=frozenset(progress.engines_without_events),
+            priority=job.priority,
+            workspace=job.workspace.name if job.workspace is not None else "",
         )
         reservation = await self._reservations.reserve(job, memory, waiter)
         job.metrics.record_memory_wait(job.age())
--- a/pimentoquay/platform/configuration.py
+++ b/pimentoquay/platform/configuration.py
@@ -53,6 +53,7 @@
         # Set on routes whose requests state a model, token counts and prompt parts.
         has_model_requests=optional(item, "stickySessions", bool, False),
         gap_seconds=read_seconds(item, "gapTargetMs", 1000.0),
+        is_public=optional(item, "public", bool, False),
     )
 
 
--- a/pimentoquay/platform/settings.py
+++ b/pimentoquay/platform/settings.py
@@ -25,6 +25,8 @@
     configuration may still be used, ``grace_seconds`` the time from the stop signal to the kill.
     ``lease_seconds`` is how long a new sender of stage orders waits for the previous one. The
     retries in each window are limited to ``repeat_ratio`` of the requests, plus ``repeat_slack``.
+    In each ``allowance_window_seconds``, a workspace may exceed its allowance by the share
+    ``allowance_overrun`` and by ``allowance_slack`` units.
     """
 
     drain_seconds: float
@@ -34,6 +36,9 @@
     repeat_ratio: float
     repeat_window_seconds: float
     repeat_slack: float
+    allowance_window_seconds: float = 8.0
+    allowance_overrun: float = 0.1
+    allowance_slack: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -42,6 +47,7 @@
 
     ``control_addresses`` are the peer addresses of up to three VMs and may be out of date.
     ``tunnel_address`` is that at which peers open tunnels to engines, or empty for none.
+    ``memory_bytes`` and ``max_descriptors`` limit the process; 0 if not stated.
     """
 
     vm: str
@@ -55,6 +61,8 @@
     store_address: str
     bounds: Bounds
     tunnel_address: str = ""
+    memory_bytes: int = 0
+    max_descriptors: int = 0
 
     @property
     def shared_key(self) -> bytes:
@@ -80,6 +88,7 @@
 def _decode(item: dict[str, Any]) -> DeploymentSettings:
     listen = required(item, "listen", dict)
     platform = required(item, "platform", dict)
+    limits = optional(item, "limits", dict, {})
     return DeploymentSettings(
         vm=required(item, "nodeName", str),
         data_centre=required(item, "zone", str),
@@ -92,6 +101,8 @@
         store_address=required(platform, "address", str),
         bounds=_decode_bounds(optional(item, "bounds", dict, {})),
         tunnel_address=_tunnel_address(item),
+        memory_bytes=int(optional(limits, "memoryMb", float, 0.0) * 1024 * 1024),
+        max_descriptors=optional(limits, "maxFds", int, 0),
     )
 
 
@@ -111,4 +122,7 @@
         repeat_ratio=optional(item, "retryBudgetRatio", float, 0.2),
         repeat_window_seconds=optional(item, "budgetWindowS", float, 10.0),
         repeat_slack=optional(item, "retryBudgetSlack", float, 0.0),
+        allowance_window_seconds=optional(item, "quotaWindowS", float, 8.0),
+        allowance_overrun=optional(item, "quotaOverrun", float, 0.1),
+        allowance_slack=optional(item, "quotaSlack", float, 0.0),
     )
--- a/pimentoquay/policy/fleet.py
+++ b/pimentoquay/policy/fleet.py
@@ -68,7 +68,8 @@
 
     ``max_engines`` is the maximum number of engines that one request may run on,
     ``target_seconds`` the maximum time to the response (for streams, to its first event) and
-    ``gap_seconds`` the maximum time between two events of a stream for it to be on time.
+    ``gap_seconds`` the maximum time between two events of a stream for it to be on time. ``rank``
+    is its priority, where 0 is the highest. Requests on a route that ``is_public`` need no key.
     """
 
     name: str
@@ -83,6 +84,7 @@
     is_resumable: bool = False
     has_model_requests: bool = False
     gap_seconds: float = 1.0
+    is_public: bool = False
 
     @property
     def may_run_again(self) -> bool:
@@ -202,3 +204,8 @@
     max_output_tokens: int
     expected_output: int = 0
     shared_parts: tuple[str, ...] = ()
+
+    @property
+    def total_tokens(self) -> int:
+        """Tokens of the prompt and the most of the output, by which allowances are counted."""
+        return self.prompt_tokens + self.max_output_tokens
--- a/pimentoquay/policy/pool_placement.py
+++ b/pimentoquay/policy/pool_placement.py
@@ -60,7 +60,8 @@
 class StreamNeed:
     """A stream to be placed; ``need`` is the memory in tokens by which it counts while it waits.
 
-    ``software`` is the version that began it, or empty if none has.
+    ``software`` is the version that began it, or empty if none has. Priority 0 is the highest;
+    ``workspace`` is empty if the configuration has none.
     """
 
     run: GrowingRun
@@ -69,6 +70,8 @@
     times: StreamTimes
     may_prefill_on_decode_engine: bool = True
     software: str = ""
+    priority: int = 0
+    workspace: str = ""
 
     @property
     def tokens(self) -> int:
--- a/pimentoquay/policy/stream_queue.py
+++ b/pimentoquay/policy/stream_queue.py
@@ -99,13 +99,16 @@
     """A stream that waits.
 
     ``software`` is the version that began it, or empty if none has. ``avoided`` holds the ids of
-    engines that it takes only if no other has memory.
+    engines that it takes only if no other has memory. Priority 0 is the highest; ``workspace`` is
+    empty if the configuration has none.
     """
 
     need: MemoryNeed
     times: StreamTimes
     software: str = ""
     avoided: frozenset[str] = frozenset()
+    priority: int = 0
+    workspace: str = ""
 
     @property
     def tokens(self) -> int:
