--- a/pimentoquay/gateway/job.py
+++ b/pimentoquay/gateway/job.py
@@ -62,6 +62,11 @@
             return self.workspace.priority
         return self.route.rank
 
+    @property
+    def workspace_name(self) -> str:
+        """Name of the workspace, or empty if there is none."""
+        return self.workspace.name if self.workspace is not None else ""
+
     @cached_property
     def digest(self) -> str:
         """Digest of the request, which is the same each time that its caller sends it."""
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -170,13 +170,9 @@
         need = self._memory_need(job.service, model, memory, progress)
         times = self._stream_times(job)
         progress.software = self._shared.origins.version_now(progress.software)
+        avoided = frozenset(progress.engines_without_events)
         waiter = WaitingStream(
-            need,
-            times,
-            progress.software,
-            avoided=frozenset(progress.engines_without_events),
-            priority=job.priority,
-            workspace=job.workspace.name if job.workspace is not None else "",
+            need, times, progress.software, avoided, job.priority, job.workspace_name
         )
         reservation = await self._reservations.reserve(job, memory, waiter)
         job.metrics.record_memory_wait(job.age())
