Keep the division of engines until requests have been observed

Cause: before the first request, the division of engines into stages followed assumed durations of prefills and assumed memory of streams. Five of nine prefill engines of a pool of 24 changed to decode, and prompts then queued for more than a second at the other four. Change: until 60 requests of each stage have been observed, a division is changed only if a stage lacks the engines that it needs under any load. Pools of twelve or more engines also leave one surplus prefill engine in twelve alone, as the measured share moves by that much in a burst.

--- a/pimentoquay/bench/mutations/switches.py
+++ b/pimentoquay/bench/mutations/switches.py
@@ -1,6 +1,7 @@
 """Mechanisms that can be switched off, their replacements and the tests that have to fail then."""
 
 from pimentoquay.bench.mutations.gateway_switches import GATEWAY_SWITCHES
+from pimentoquay.bench.mutations.load_switches import LOAD_SWITCHES
 from pimentoquay.bench.mutations.path_switches import PATH_SWITCHES
 from pimentoquay.bench.mutations.replacements import (
     accept_any_outcome,
@@ -267,6 +268,7 @@
         "test_roll_back_half_way_mixes_no_versions",
     ),
     *GATEWAY_SWITCHES,
+    *LOAD_SWITCHES,
     *PATH_SWITCHES,
     *STOP_SWITCHES,
     *STREAM_SWITCHES,
--- a/pimentoquay/gateway/stage_controller.py
+++ b/pimentoquay/gateway/stage_controller.py
@@ -162,8 +162,9 @@
         is_idle = self._expected_tokens(engines, now) == 0
         if changing >= max_changing_engines(len(engines), is_idle):
             return None
-        share = self._shared.demand.prefill_share(service.memory.capacity_tokens)
-        return next_change(settled, share, changing)
+        demand = self._shared.demand
+        share = demand.prefill_share(service.memory.capacity_tokens)
+        return next_change(settled, share, changing, demand.is_observed)
 
     async def _renew_claim(self) -> bool:
         """Renew the claim unless another gateway made one; return whether an order may be sent."""
--- a/pimentoquay/policy/stage_plan.py
+++ b/pimentoquay/policy/stage_plan.py
@@ -16,6 +16,7 @@
 from pimentoquay.policy.fleet import EngineEntry, EngineStage
 
 __all__ = [
+    "MIN_OBSERVED_REQUESTS",
     "StageChange",
     "StageDemand",
     "StageWork",
@@ -47,11 +48,19 @@
 during each prefill, until another engine has changed its stage.
 """
 
-MIN_UNOBSERVED_SHARE = 1.0 / 12.0
-"""Minimum share of engine time assumed for prefills while few requests have been observed.
+MIN_OBSERVED_REQUESTS = 60
+"""Number of requests of each stage before which the division found is kept.
 
-A sixth of the engines then stay prefill engines. Engines and prompts of a deployment may differ
-from the assumed ones by more than a factor of two.
+Engines and prompts of a deployment may differ from the assumed ones by more than a factor of two.
+With the assumed values, five of nine prefill engines changed to decode before the first request,
+and prompts then queued for more than a second at the other four.
+"""
+
+ENGINES_PER_SPARE_PREFILL = 12
+"""Number of engines of a service per prefill engine beyond the target that is left alone.
+
+The target of a large pool moves by one with the share measured in a burst, and each change takes an
+engine out of use for seconds.
 """
 
 ENGINES_PER_CHANGE = 8
@@ -139,9 +148,14 @@
         decode = (decode + sum(work.decode_seconds for work in all_work)) / (
             prior_requests + sum(work.decodes for work in all_work)
         )
-        share = prefill / (prefill + decode)
-        observed = sum(work.prefills for work in all_work)
-        return share if observed >= prior_requests else max(share, MIN_UNOBSERVED_SHARE)
+        return prefill / (prefill + decode)
+
+    @property
+    def is_observed(self) -> bool:
+        """Whether enough requests have been observed for the division to follow them."""
+        all_work = (self.own, *self._work_by_vm.values())
+        prefills = sum(work.prefills for work in all_work)
+        return min(prefills, sum(work.decodes for work in all_work)) >= MIN_OBSERVED_REQUESTS
 
 
 def max_changing_engines(engines: int, is_idle: bool) -> int:
@@ -167,12 +181,17 @@
 
 
 def next_change(
-    engines: Sequence[EngineEntry], prefill_share: float, changing: int = 0
+    engines: Sequence[EngineEntry],
+    prefill_share: float,
+    changing: int = 0,
+    is_observed: bool = True,
 ) -> StageChange | None:
     """Return the next change of an engine's stage, or ``None`` if none is needed.
 
     Load pattern: a pool of engines whose stages do not suit the load, or which has lost engines.
     With too few prefill engines their queues grow without end, so that streams with memory wait.
+    Before requests have been observed, an operator's division is kept unless a stage lacks the
+    engines that it needs under any load.
 
     Parameters
     ----------
@@ -182,11 +201,16 @@
         Share of engine time that prefills need, from 0 to 1.
     changing
         Number of further engines of the service that are changing their stage.
+    is_observed
+        Whether ``prefill_share`` follows from requests and not from assumed values.
     """
     prefill = [engine for engine in engines if engine.stage is EngineStage.PREFILL]
     decode = [engine for engine in engines if engine.stage is EngineStage.DECODE]
-    target = target_prefill_engines(len(prefill) + len(decode) + changing, prefill_share)
-    if len(prefill) > target:
+    count = len(prefill) + len(decode) + changing
+    target = target_prefill_engines(count, prefill_share)
+    if not is_observed:
+        target = max(target_prefill_engines(count, 0.0), min(len(prefill), max(1, count - 1)))
+    if len(prefill) > target + count // ENGINES_PER_SPARE_PREFILL:
         released = _engine_to_release(prefill)
         return StageChange(released, EngineStage.DECODE)
     # One engine less than wanted is left alone, so that stages do not change to and fro.
