Keep a third of the engines for prefills until requests have been observed

Cause: the division before the first request follows assumed values. Pools of twelve or more leave one surplus prefill engine in twelve alone, as the measured share moves by that much in a burst. Ruled out: no change at all before requests are observed.

--- a/pimentoquay/bench/mutations/load_switches.py
+++ b/pimentoquay/bench/mutations/load_switches.py
@@ -4,14 +4,16 @@
 
 __all__ = ["LOAD_SWITCHES"]
 
-_STAGES = "pimentoquay/gateway/tests/test_stage_controller.py::"
+_STAGES = "pimentoquay/policy/tests/test_stage_plan.py::"
+
 
 LOAD_SWITCHES = (
     Switch(
-        "stages kept until requests are observed",
+        "prefill engines kept until requests are observed",
         "pimentoquay.policy.stage_plan:StageDemand.is_observed",
         lambda original: property(lambda self: True),
-        _STAGES + "test_no_engine_is_ordered_before_requests_are_observed",
+        _STAGES + "test_large_pools_keep_their_division_before_requests_are_observed"
+        "[63985-9-15]",
     ),
 )
 """Mechanisms that decide what waits, and where work goes."""
--- a/pimentoquay/policy/stage_plan.py
+++ b/pimentoquay/policy/stage_plan.py
@@ -9,6 +9,7 @@
 change at a time unless no requests are running.
 """
 
+import math
 from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
@@ -16,7 +17,6 @@
 from pimentoquay.policy.fleet import EngineEntry, EngineStage
 
 __all__ = [
-    "MIN_OBSERVED_REQUESTS",
     "StageChange",
     "StageDemand",
     "StageWork",
@@ -48,12 +48,19 @@
 during each prefill, until another engine has changed its stage.
 """
 
-MIN_OBSERVED_REQUESTS = 60
-"""Number of requests of each stage before which the division found is kept.
+MIN_UNOBSERVED_SHARE = 1.0 / 12.0
+"""Minimum share of engine time assumed for prefills while few requests have been observed.
 
-Engines and prompts of a deployment may differ from the assumed ones by more than a factor of two.
-With the assumed values, five of nine prefill engines changed to decode before the first request,
-and prompts then queued for more than a second at the other four.
+A sixth of the engines then stay prefill engines. Engines and prompts of a deployment may differ
+from the assumed ones by more than a factor of two.
+"""
+
+UNOBSERVED_PREFILL_ENGINES_OF = 3
+"""One engine in this many stays a prefill engine until requests have been observed.
+
+An operator may have divided the engines by what they and the prompts need. By the assumed values,
+five of nine prefill engines changed to decode before the first request, and prompts then queued for
+over a second at the other four.
 """
 
 ENGINES_PER_SPARE_PREFILL = 12
@@ -148,14 +155,15 @@
         decode = (decode + sum(work.decode_seconds for work in all_work)) / (
             prior_requests + sum(work.decodes for work in all_work)
         )
-        return prefill / (prefill + decode)
+        share = prefill / (prefill + decode)
+        observed = sum(work.prefills for work in all_work)
+        return share if observed >= prior_requests else max(share, MIN_UNOBSERVED_SHARE)
 
     @property
     def is_observed(self) -> bool:
-        """Whether enough requests have been observed for the division to follow them."""
+        """Whether the division follows from requests rather than from assumed values."""
         all_work = (self.own, *self._work_by_vm.values())
-        prefills = sum(work.prefills for work in all_work)
-        return min(prefills, sum(work.decodes for work in all_work)) >= MIN_OBSERVED_REQUESTS
+        return sum(work.prefills for work in all_work) >= PRIOR_REQUESTS
 
 
 def max_changing_engines(engines: int, is_idle: bool) -> int:
@@ -190,8 +198,6 @@
 
     Load pattern: a pool of engines whose stages do not suit the load, or which has lost engines.
     With too few prefill engines their queues grow without end, so that streams with memory wait.
-    Before requests have been observed, an operator's division is kept unless a stage lacks the
-    engines that it needs under any load.
 
     Parameters
     ----------
@@ -202,15 +208,15 @@
     changing
         Number of further engines of the service that are changing their stage.
     is_observed
-        Whether ``prefill_share`` follows from requests and not from assumed values.
+        Whether ``prefill_share`` follows from requests. A part of the prefill engines is kept
+        otherwise.
     """
     prefill = [engine for engine in engines if engine.stage is EngineStage.PREFILL]
     decode = [engine for engine in engines if engine.stage is EngineStage.DECODE]
     count = len(prefill) + len(decode) + changing
     target = target_prefill_engines(count, prefill_share)
-    if not is_observed:
-        target = max(target_prefill_engines(count, 0.0), min(len(prefill), max(1, count - 1)))
-    if len(prefill) > target + count // ENGINES_PER_SPARE_PREFILL:
+    kept = target if is_observed else max(target, math.ceil(count / UNOBSERVED_PREFILL_ENGINES_OF))
+    if len(prefill) > kept + count // ENGINES_PER_SPARE_PREFILL:
         released = _engine_to_release(prefill)
         return StageChange(released, EngineStage.DECODE)
     # One engine less than wanted is left alone, so that stages do not change to and fro.
