Decide by the caller's key, before each send, and name the workspace to engines

Operators' configurations may hold workspaces with keys. A request on a route that is not public now needs a key that one workspace has, and engines get the name of that workspace in place of whatever the caller set; the key goes no further than the gateway. The decision is a lookup of a digest, made on the head and again as a request is written, since requests wait for seconds while keys change.

Invalid workspaces and keys are left out, logged without the key, and counted. The parser's message on an invalid head repeated the header line in the log, which could be a key; only its first words are logged now. compose.py replaced the metrics' own counters, so answers_cut was always empty; they are now kept.

--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -304,7 +304,7 @@
         REFUSED_OVER_LIMIT: lambda: shared.refused_over_limit,
         REFUSED_IN_STOP: lambda: planned_stop.refused,
     }
-    metrics.values_by_counter = {
+    metrics.values_by_counter |= {
         ENGINE_REQUESTS: lambda: contact.requests_by_way,
         RESUMPTIONS: lambda: origins.resumed_by_origin,
         CONTINUED: lambda: reservations.continued_by_outcome,
--- a/pimentoquay/gateway/dispatcher.py
+++ b/pimentoquay/gateway/dispatcher.py
@@ -1,10 +1,12 @@
 """Choose the route and service of each request and pass it to the right forwarder."""
 
 import asyncio
+from dataclasses import dataclass
 
 from pimentoquay.gateway.job import Job, record_cut, record_end, send_error
 from pimentoquay.gateway.plain import PlainForwarder
 from pimentoquay.gateway.planned_stop import PlannedStop
+from pimentoquay.gateway.request_access import RequestAccess
 from pimentoquay.gateway.shared_state import SharedState
 from pimentoquay.gateway.streams import StreamForwarder
 from pimentoquay.http1 import HeaderList, HttpRequest, Reply
@@ -21,6 +23,17 @@
 """Retry-After value sent while the gateway has no configuration."""
 
 
+@dataclass(frozen=True)
+class _Decision:
+    """What the head of a request leads to: a route, or the code of a refusal and its reason."""
+
+    caller: CallerRequest
+    route: Route | None = None
+    access: RequestAccess | None = None
+    code: ResultCode | None = None
+    reason: str = ""
+
+
 class Dispatcher:
     """Dispatches requests to the forwarder for plain calls or for model streams.
 
@@ -57,21 +70,42 @@
         self.is_draining = True
         self._stop.begin(times)
 
+    def head_refusal(self, request: HttpRequest) -> ResultCode | None:
+        """Return the code with which a request is refused by its head alone, or None.
+
+        It depends on nothing but the head and the configuration in force; the body may be missing.
+        """
+        return self._decide(request).code
+
+    def refuse_head(self, request: HttpRequest) -> tuple[int, HeaderList] | None:
+        """Return status and headers of the refusal of a request by its head, or None.
+
+        The refusal is counted and logged, so the caller of this method has to send it.
+        """
+        decision = self._decide(request)
+        return None if decision.code is None else self._record_refusal(decision)
+
     async def handle(self, request: HttpRequest, reply: Reply) -> None:
         """Handle one request and send its response."""
-        caller = parse_request(request.headers)
+        decision = self._decide(request)
+        caller, route, access = decision.caller, decision.route, decision.access
         if caller.timeout_seconds is not None:
             reply.expires_at = request.received_at + caller.timeout_seconds
-        fleet = self._shared.fleet
-        if not fleet.is_loaded or fleet.route_table is None:
-            self._refuse(caller, reply, ResultCode.NOT_READY)
-            return
-        route = fleet.route_table.find(caller.host, request.target.decode("latin-1"))
-        if route is None:
-            self._refuse(caller, reply, ResultCode.NOT_FOUND)
+        if route is None or access is None:
+            reply.send(*self._record_refusal(decision), b"")
             return
         service = choose_service(route.shares, caller.id)
-        job = Job(request, caller, route, service, reply, self._shared.metrics, self._stop)
+        job = Job(
+            request,
+            caller,
+            route,
+            service,
+            reply,
+            self._shared.metrics,
+            self._stop,
+            workspace=access.current().workspace,
+            access=access,
+        )
         self._shared.retry_budgets.count_request(job.service)
         try:
             await self._forward(job)
@@ -103,10 +137,31 @@
         has_memory = service is not None and service.memory is not None
         return has_memory and route.repeat is RepeatRule.STREAM and job.caller.model is not None
 
-    def _refuse(self, caller: CallerRequest, reply: Reply, code: ResultCode) -> None:
+    def _decide(self, request: HttpRequest) -> _Decision:
+        caller = parse_request(request.headers)
+        fleet = self._shared.fleet
+        if not fleet.is_loaded or fleet.route_table is None:
+            return _Decision(caller, code=ResultCode.NOT_READY)
+        route = fleet.route_table.find(caller.host, request.target.decode("latin-1"))
+        if route is None:
+            return _Decision(caller, code=ResultCode.NOT_FOUND)
+        access = RequestAccess(fleet, caller, request.target, route)
+        refusal = access.current().refusal
+        if refusal is not None:
+            return _Decision(caller, code=ResultCode.UNAUTHENTICATED, reason=refusal.value)
+        return _Decision(caller, route, access)
+
+    def _record_refusal(self, decision: _Decision) -> tuple[int, HeaderList]:
+        code = decision.code or ResultCode.INTERNAL
         headers: HeaderList = ()
         if code is ResultCode.NOT_READY:
             headers = (retry_after_header(NOT_READY_RETRY_SECONDS),)
-        reply.send(info_of(code).http_status, headers, b"")
         self._shared.metrics.record_request_end(code, 0.0)
-        logger.bind(request=caller.id, host=caller.host, code=int(code)).info("request ended")
+        fields = {}
+        if decision.reason:
+            self._shared.metrics.unauthenticated_by_reason[decision.reason] += 1
+            fields = {"detail": decision.reason}
+        logger.bind(
+            request=decision.caller.id, host=decision.caller.host, code=int(code), **fields
+        ).info("request ended")
+        return info_of(code).http_status, headers
--- a/pimentoquay/gateway/engine_link.py
+++ b/pimentoquay/gateway/engine_link.py
@@ -23,6 +23,7 @@
     PathLostError,
     RepeatedResponseError,
     ResponseTooLargeError,
+    WithheldError,
 )
 from pimentoquay.kernel.logs import logger
 from pimentoquay.kernel.timeouts import attempt_timeout
@@ -41,6 +42,7 @@
 from pimentoquay.policy.engine_notices import EngineNotices, EngineStart
 from pimentoquay.policy.engine_paths import Reach, Verdict
 from pimentoquay.policy.fleet import EngineEntry
+from pimentoquay.policy.workspaces import Access
 from pimentoquay.tunnels import EnginePaths
 
 __all__ = ["EngineLink"]
@@ -146,6 +148,8 @@
         request: CallerRequest,
         body: bytes,
         options: SendOptions,
+        *,
+        access: Callable[[], Access],
         max_idle_seconds: float | None = None,
         head_seconds: float | None = None,
         has_permit: bool = False,
@@ -162,6 +166,9 @@
             The caller's decoded headers.
         options
             Values for the headers that the gateway adds.
+        access
+            Decides by the caller's key as the request is written, which is after the wait for a
+            connection; raises ``WithheldError`` if it may not be sent.
         max_idle_seconds
             Maximum seconds for which a reused connection may have been idle.
         head_seconds
@@ -188,7 +195,7 @@
             async with self._pool.exchange(
                 method,
                 target,
-                engine_headers(request, options),
+                lambda: engine_headers(request, options, access()),
                 body,
                 mark=mark_of_request(request.id),
                 max_idle_seconds=max_idle_seconds,
@@ -378,7 +385,7 @@
 
         It is opened at once also if the engine sends without end.
         """
-        if isinstance(error, PathLostError | RepeatedResponseError):
+        if isinstance(error, PathLostError | RepeatedResponseError | WithheldError):
             return
         now = asyncio.get_running_loop().time()
         if isinstance(error, ConnectError):
--- a/pimentoquay/gateway/fleet.py
+++ b/pimentoquay/gateway/fleet.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Mapping
 
-from pimentoquay.kernel.input_checks import refuse
+from pimentoquay.kernel.input_checks import refuse, refused_by_kind
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages.fleet import EngineRecord, FleetCopy
 from pimentoquay.messages.pools import PoolKey
@@ -15,11 +15,17 @@
 from pimentoquay.policy.pools import pools_of
 from pimentoquay.policy.route_choice import RouteTable
 from pimentoquay.policy.store_position import era_of
+from pimentoquay.policy.workspaces import WorkspaceTable
 from pimentoquay.tunnels import TunnelTarget
 
 __all__ = ["Fleet", "target_of"]
 
 
+MAX_INVALID_LOGGED = 50
+"""Most parts of a configuration that are logged as ignored; all are counted. A line takes 0.1 ms,
+and all 8,500 workspaces may be invalid."""
+
+
 class Fleet:
     """Configuration and engines that this gateway currently uses.
 
@@ -118,6 +124,8 @@
         logger.bind(
             version=configuration.version, position=position, routes=len(configuration.routes)
         ).info("configuration in force")
+        if configuration.workspaces is not None:
+            _log_workspaces(configuration.workspaces)
         return True
 
     def apply_engine_records(self, records: tuple[EngineRecord, ...]) -> tuple[EngineRecord, ...]:
@@ -218,6 +226,16 @@
     )
 
 
+def _log_workspaces(table: WorkspaceTable) -> None:
+    """Log the size of a table, and log and count what was ignored of it."""
+    for each in table.invalid[:MAX_INVALID_LOGGED]:
+        refuse("workspace", each.source, each.error)
+    refused_by_kind["workspace"] += len(table.invalid[MAX_INVALID_LOGGED:])
+    logger.bind(
+        workspaces=len(table.workspace_by_name), keys=table.key_count, ignored=len(table.invalid)
+    ).info("workspaces in force")
+
+
 def _to_update(record: EngineRecord) -> EngineUpdate:
     if not record.value:
         return EngineUpdate(record.engine, record.position, None, is_removed=True)
--- a/pimentoquay/gateway/job.py
+++ b/pimentoquay/gateway/job.py
@@ -7,13 +7,14 @@
 
 from pimentoquay.gateway.metrics import GatewayMetrics
 from pimentoquay.gateway.planned_stop import PlannedStop
+from pimentoquay.gateway.request_access import RequestAccess
 from pimentoquay.http1 import HeaderList, HttpRequest, Reply, end_to_end_headers
 from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode, info_of
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.requests import CallerRequest, retry_after_header
 from pimentoquay.policy.fleet import Route
 from pimentoquay.policy.request_digest import request_digest
-from pimentoquay.policy.workspaces import Workspace
+from pimentoquay.policy.workspaces import UNCHECKED, Access, Workspace
 
 __all__ = [
     "MAX_CRASHES_PER_REQUEST",
@@ -36,7 +37,8 @@
     """A caller's request with its route and chosen service.
 
     ``sent_to`` holds the engines that the request itself was sent to, in order. ``workspace`` is
-    that of the caller's key, or None if the configuration has no workspaces or the route is public.
+    that of the caller's key on arrival, or None if the configuration has no workspaces or the route
+    is public. ``access`` decides again before each send.
     Times are in seconds on the clock of the event loop.
     """
 
@@ -49,6 +51,7 @@
     stop: PlannedStop
     sent_to: list[str] = field(default_factory=list)
     workspace: Workspace | None = None
+    access: RequestAccess | None = None
 
     @property
     def arrived_at(self) -> float:
@@ -89,6 +92,19 @@
         """Raise ``RefusedError`` if the gateway stops before the request would end."""
         self.stop.refuse_if_late(self.route.name, self.deadline, is_new)
 
+    @property
+    def is_granted(self) -> bool:
+        """Whether the caller's key is accepted now, or none is needed."""
+        return self.access is None or self.access.current().refusal is None
+
+    def check_access(self) -> Access:
+        """Return the present decision on the caller's key; raise ``RefusedError`` if it may not."""
+        return self.access.check() if self.access is not None else UNCHECKED
+
+    def check_send(self) -> Access:
+        """Return the decision for a send; raise ``WithheldError`` if nothing may be written."""
+        return self.access.check_send() if self.access is not None else UNCHECKED
+
     def age(self) -> float:
         """Return the seconds since the request arrived."""
         return asyncio.get_running_loop().time() - self.arrived_at
@@ -120,6 +136,11 @@
 def record_end(job: Job, code: ResultCode, detail: str, **fields: object) -> None:
     """Count a request that ended and write its log line, with ``fields`` added."""
     job.metrics.record_request_end(code, job.age())
+    if job.workspace is not None:
+        job.metrics.requests_by_workspace.count(job.workspace.name)
+        fields["workspace"] = job.workspace.name
+    if code is ResultCode.UNAUTHENTICATED:
+        job.metrics.unauthenticated_by_reason[detail] += 1
     logger.bind(
         request=job.caller.id,
         route=job.route.name,
--- a/pimentoquay/gateway/metrics.py
+++ b/pimentoquay/gateway/metrics.py
@@ -9,6 +9,12 @@
 
 __all__ = ["GATEWAY_METRICS", "GatewayMetrics"]
 
+MAX_NAMES = 200
+"""Most labels of a counter by names; 8,500 workspaces would make 600 KB of each scrape."""
+
+OTHER_NAMES = "(other)"
+"""Label of the names beyond ``MAX_NAMES``."""
+
 REQUESTS = Metric(
     "pimentoquay_gateway_requests_total",
     "counter",
@@ -212,6 +218,20 @@
     ("reason",),
 )
 
+UNAUTHENTICATED = Metric(
+    "pimentoquay_gateway_unauthenticated_total",
+    "counter",
+    "requests refused with 401, by why their key was not accepted",
+    ("reason",),
+)
+WORKSPACE_REQUESTS = Metric(
+    "pimentoquay_gateway_workspace_requests_total",
+    "counter",
+    "ended requests by workspace; only the first 200 workspaces of a process have a label of their"
+    " own, the others are counted as `(other)`",
+    ("workspace",),
+)
+
 _GAUGES = (
     IN_PROGRESS,
     LIST_AGE,
@@ -252,6 +272,8 @@
     MESSAGES_REFUSED,
     PROMPTS_WASTED,
     ANSWERS_CUT,
+    UNAUTHENTICATED,
+    WORKSPACE_REQUESTS,
 )
 _SUMMARIES = (REQUEST_SECONDS, FIRST_EVENT_SECONDS, MEMORY_WAIT_SECONDS)
 
@@ -259,6 +281,24 @@
 """All metrics in the order of the exported text."""
 
 
+class NameCounts:
+    """Counts by names that operators choose, in a bounded number of labels."""
+
+    def __init__(self) -> None:
+        self.count_by_label: Counter[str] = Counter()
+        self._label_by_name: dict[str, str] = {}
+
+    def count(self, name: str) -> None:
+        """Count one event of a name."""
+        label = self._label_by_name.get(name)
+        if label is None:
+            label = OTHER_NAMES
+            if len(self._label_by_name) < MAX_NAMES:
+                label = name.replace("\\", "\\\\").replace('"', '\\"')
+                self._label_by_name[name] = label
+        self.count_by_label[label] += 1
+
+
 class GatewayMetrics:
     """Counters and latency summaries of one gateway.
 
@@ -269,9 +309,13 @@
     def __init__(self) -> None:
         self.count_by_code: Counter[ResultCode] = Counter()
         self.cut_by_reason: Counter[str] = Counter()
+        self.unauthenticated_by_reason: Counter[str] = Counter()
+        self.requests_by_workspace = NameCounts()
         self.value_by_gauge: dict[Metric, Callable[[], float]] = {}
         self.values_by_counter: dict[Metric, Callable[[], Mapping[str, float]]] = {
-            ANSWERS_CUT: lambda: self.cut_by_reason
+            ANSWERS_CUT: lambda: self.cut_by_reason,
+            UNAUTHENTICATED: lambda: self.unauthenticated_by_reason,
+            WORKSPACE_REQUESTS: lambda: self.requests_by_workspace.count_by_label,
         }
         self._summary_by_metric = {metric: TimeSummary() for metric in _SUMMARIES}
 
--- a/pimentoquay/gateway/plain.py
+++ b/pimentoquay/gateway/plain.py
@@ -23,7 +23,7 @@
     end_to_end_headers,
 )
 from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode
-from pimentoquay.kernel.errors import HttpError, ResponseTooLargeError
+from pimentoquay.kernel.errors import HttpError, ResponseTooLargeError, WithheldError
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.requests import SendOptions
 from pimentoquay.platform.responses import ResponseInfo, parse_response
@@ -144,6 +144,11 @@
         return chosen
 
     def _may_send(self, job: Job, attempts: _Attempts) -> bool:
+        """Return whether to send a call again; raise ``RefusedError`` if it may not even run."""
+        if attempts.runs == 0:
+            job.check_access()
+        elif not job.is_granted:
+            return False
         if attempts.crashes >= MAX_CRASHES_PER_REQUEST:
             return False
         if attempts.sends and self._shared.guard.quarantine_of(job) is not None:
@@ -174,6 +179,7 @@
             has_failed = response.status >= 500
             return self._accept_response(job, engine, attempts, response)
         except HttpError as error:
+            has_failed = not isinstance(error, WithheldError)
             self._record_lost(job, engine, attempts, error.written, str(error))
             if error.connection_lost:
                 await self._handle_lost_run(job, engine, attempts)
@@ -219,7 +225,8 @@
             job.caller,
             request.body,
             options,
-            max_idle_seconds,
+            max_idle_seconds=max_idle_seconds,
+            access=job.check_send,
             watch=REPEATABLE_WATCH if job.route.may_run_again else UNREPEATABLE_WATCH,
             on_sent=written.set,
         ) as exchange:
--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -102,6 +102,7 @@
         while True:
             if failed:
                 self._shared.guard.check(job)
+                job.check_access()
             engine = self._choose_engine(job, model, decode_engine, failed, granted, software)
             if engine is None or (failed and not self._shared.retry_budgets.try_spend(job.service)):
                 logger.bind(
@@ -188,6 +189,7 @@
                     job.caller,
                     request.body,
                     options,
+                    access=job.check_send,
                     has_permit=is_granted,
                     watch=WATCH,
                 ) as exchange,
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -143,10 +143,8 @@
             return False
         if self._shared.guard.quarantine_of(job) is not None:
             return False
-        may_run_again = (
-            job.route.is_resumable and progress.runs < job.route.max_engines and progress.can_go_on
-        )
-        if progress.runs and not may_run_again:
+        has_run_left = job.route.is_resumable and progress.runs < job.route.max_engines
+        if progress.runs and not (has_run_left and progress.can_go_on):
             return False
         return progress.arrivals == 0 or self._shared.retry_budgets.try_spend(
             job.service, RERUN_SENDS
@@ -164,6 +162,7 @@
             raise PimentoquayError(ResultCode.ENGINE_FAILED, detail)
 
     async def _run(self, job: Job, progress: StreamProgress) -> None:
+        job.check_access()
         memory = self._token_memory(job)
         model = job.caller.model
         assert model is not None and memory is not None
@@ -261,16 +260,16 @@
             hold=reservation.hold,
             after_event=progress.last_event,
         )
-        request = job.request
         silence_timeout = SILENCE_TIMEOUT_SECONDS if job.route.is_resumable else None
         reservation.is_hold_used = True
         try:
             async with reservation.link.send(
-                request.method,
-                request.target,
+                job.request.method,
+                job.request.target,
                 job.caller,
-                request.body,
+                job.request.body,
                 options,
+                access=job.check_send,
                 head_seconds=silence_timeout,
                 has_permit=True,
                 watch=ExchangeWatch(
--- a/pimentoquay/http1/client.py
+++ b/pimentoquay/http1/client.py
@@ -117,7 +117,7 @@
         self,
         method: bytes,
         target: bytes,
-        headers: HeaderList,
+        headers: HeaderList | Callable[[], HeaderList],
         body: bytes = b"",
         *,
         mark: ResponseMark | None = None,
@@ -134,7 +134,8 @@
         Parameters
         ----------
         method, target, headers, body
-            The request; ``Content-Length`` is added if it has a body.
+            The request; ``Content-Length`` is added if it has a body. A function that returns the
+            headers is called when there is a connection, and nothing is sent if it raises.
         mark
             How the response to this request is known; others are discarded.
         max_idle_seconds
@@ -150,7 +151,8 @@
         connection.watch = watch
         self.active.add(connection)
         try:
-            connection.send(method, target, headers, body, mark)
+            sent_headers = headers() if callable(headers) else headers
+            connection.send(method, target, sent_headers, body, mark)
             on_sent()
             exchange = Exchange(connection)
             await exchange.read_head(head_seconds)
--- a/pimentoquay/http1/server_connection.py
+++ b/pimentoquay/http1/server_connection.py
@@ -208,7 +208,8 @@
         try:
             return self._handle_events(count)
         except h11.RemoteProtocolError as error:
-            self._reject(error.error_status_hint, str(error))
+            # What was read is not logged, as it may hold the key of a caller.
+            self._reject(error.error_status_hint, str(error).partition(": bytearray")[0])
             return False
 
     def _handle_events(self, count: int) -> bool:
--- a/pimentoquay/kernel/errors.py
+++ b/pimentoquay/kernel/errors.py
@@ -13,6 +13,7 @@
     "RefusedError",
     "RepeatedResponseError",
     "ResponseTooLargeError",
+    "WithheldError",
 ]
 
 
@@ -102,5 +103,18 @@
     """The response may be that to an earlier request on the connection."""
 
 
+class WithheldError(HttpError):
+    """A request was not written because it may no longer be sent; nothing is said of the server.
+
+    Parameters
+    ----------
+    detail
+        Why it may not be sent.
+    """
+
+    def __init__(self, detail: str) -> None:
+        super().__init__(detail, False)
+
+
 class ResponseTooLargeError(HttpError):
     """A response, or a part of it, exceeds its maximum size; the rest of it was not read."""
--- a/pimentoquay/platform/configuration.py
+++ b/pimentoquay/platform/configuration.py
@@ -4,6 +4,7 @@
 
 from pimentoquay.http1 import ServerLimits
 from pimentoquay.platform.fields import DecodeError, optional, parse_json, read_seconds, required
+from pimentoquay.platform.workspaces import decode_workspaces
 from pimentoquay.policy.fleet import (
     FleetConfiguration,
     RepeatRule,
@@ -32,6 +33,7 @@
         routes=routes,
         service_by_name={service.name: service for service in services},
         limits=_limits(optional(item, "limits", dict, {})),
+        workspaces=decode_workspaces(item),
     )
 
 
--- a/pimentoquay/platform/requests.py
+++ b/pimentoquay/platform/requests.py
@@ -1,10 +1,11 @@
 """Decode the headers of callers' requests, and build those of requests to engines."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-from pimentoquay.http1.headers import HeaderList, end_to_end_headers, find_header
+from pimentoquay.http1.headers import HeaderList, end_to_end_headers, find_header, find_headers
 from pimentoquay.kernel.input_checks import check_range
 from pimentoquay.policy.fleet import ModelRequest
+from pimentoquay.policy.workspaces import UNCHECKED, Access
 
 __all__ = ["CallerRequest", "SendOptions", "engine_headers", "parse_request", "retry_after_header"]
 
@@ -18,6 +19,9 @@
 _LENGTH_HINT = b"pimentoquay-length-hint"
 _LAST_EVENT = b"last-event-id"
 _RESUMES = b"resumes"
+_KEY = b"pimentoquay-key"
+# Name of the workspace, which only the system may set if the configuration has workspaces.
+_WORKSPACE = b"pimentoquay-tenant"
 MAX_DIGITS = 15
 """Maximum length of a number, in digits; a longer one counts as missing."""
 
@@ -50,7 +54,8 @@
 
     ``timeout_seconds`` is the time that the caller waits, ``last_event`` the id of the last event
     that it received before it resumed a stream; both are None if not stated. ``resumes`` is the id
-    of the request that brought the first event of that stream, or empty.
+    of the request that brought the first event of that stream, or empty. ``key`` is the caller's
+    key, or None if it sent none; no representation shows it.
     """
 
     id: str
@@ -58,8 +63,9 @@
     timeout_seconds: float | None
     model: ModelRequest | None
     last_event: int | None
-    headers: HeaderList
+    headers: HeaderList = field(repr=False)
     resumes: str = ""
+    key: bytes | None = field(default=None, repr=False)
 
 
 @dataclass(frozen=True)
@@ -90,11 +96,23 @@
         last_event=_integer(find_header(headers, _LAST_EVENT)),
         headers=headers,
         resumes=_text(find_header(headers, _RESUMES)),
+        key=_key(headers),
     )
 
 
-def engine_headers(request: CallerRequest, options: SendOptions) -> HeaderList:
-    """Return the headers with which a caller's request is sent to an engine."""
+def engine_headers(
+    request: CallerRequest, options: SendOptions, access: Access = UNCHECKED
+) -> HeaderList:
+    """Return the headers with which a caller's request is sent to an engine.
+
+    Parameters
+    ----------
+    request, options
+        The request, and what is added to it.
+    access
+        Decision on the request. Unless it is unchecked, the engine gets the name of the workspace
+        by it, and neither the key nor a name from the caller.
+    """
     dropped = _SET_BY_SYSTEM
     added = [
         (b"Pimentoquay-Deadline-Ms", str(max(1, int(options.timeout_seconds * 1000))).encode()),
@@ -108,6 +126,10 @@
         added.append((b"Pimentoquay-Kv-Hold", options.hold.encode()))
     if options.urgency is not None:
         added.append((b"Pimentoquay-Request-Priority", str(options.urgency).encode()))
+    if access.is_checked:
+        dropped = dropped | {_KEY, _WORKSPACE}
+    if access.workspace is not None:
+        added.append((b"Pimentoquay-Tenant", access.workspace.name.encode()))
     if options.after_event is not None:
         dropped = dropped | {_LAST_EVENT}
         added.append((b"Last-Event-Id", str(options.after_event).encode()))
@@ -139,6 +161,12 @@
     return tuple(each for each in ids[: len(entries) - 1] if 0 < len(each) <= MAX_PART_ID_LENGTH)
 
 
+def _key(headers: HeaderList) -> bytes | None:
+    """Return the caller's key; several are joined as one list, which no workspace has."""
+    values = find_headers(headers, _KEY)
+    return b", ".join(values).strip(b" \t") if values else None
+
+
 def _text(value: bytes | None) -> str:
     return (value or b"").decode("latin-1").strip()
 
--- a/pimentoquay/policy/fleet.py
+++ b/pimentoquay/policy/fleet.py
@@ -9,6 +9,7 @@
 
 from pimentoquay.http1 import ServerLimits
 from pimentoquay.policy.engine_notices import EngineStart
+from pimentoquay.policy.workspaces import WorkspaceTable
 
 __all__ = [
     "DECODE_STAGES",
@@ -125,12 +126,16 @@
 
 @dataclass(frozen=True)
 class FleetConfiguration:
-    """One version of the configuration that operators publish."""
+    """One version of the configuration that operators publish.
+
+    ``workspaces`` is None if it has none, and callers then need no keys.
+    """
 
     version: int
     routes: tuple[Route, ...]
     service_by_name: dict[str, Service] = field(hash=False)
     limits: ServerLimits = field(default_factory=ServerLimits)
+    workspaces: WorkspaceTable | None = field(default=None, hash=False)
 
 
 @dataclass(frozen=True)
