--- a/pimentoquay/gateway/tests/rig.py
+++ b/pimentoquay/gateway/tests/rig.py
@@ -49,7 +49,7 @@
 )
 
 
-def configuration(version=1, routes=ROUTES):
+def configuration(version=1, routes=ROUTES, **more):
     services = [
         {"name": "desk", "healthPath": "/health", "maxConns": 100, "protocol": "h1", "tls": False},
         {"name": "llm", "healthPath": "/health", "maxConns": 360, "engineId": MEMORY},
@@ -61,7 +61,7 @@
         "idleTimeoutMs": 15_000,
     }
     item = {"version": version, "routes": list(routes), "services": services, "limits": limits}
-    return json.dumps(item).encode()
+    return json.dumps(item | more).encode()
 
 
 @dataclass
@@ -231,12 +231,15 @@
 
 
 @contextlib.asynccontextmanager
-async def rig(start_gateway=True) -> AsyncIterator[Rig]:
-    """Yield a rig with two plain servers, one prefill and two decode engines, and a gateway."""
+async def rig(start_gateway=True, document=None) -> AsyncIterator[Rig]:
+    """Yield a rig with two plain servers, one prefill and two decode engines, and a gateway.
+
+    ``document`` is its configuration, if it is not that without workspaces.
+    """
     env = Rig()
     try:
         env.store_address = await env.store.serve()
-        await env.store.put("keyed.op", "config", configuration())
+        await env.store.put("keyed.op", "config", document or configuration())
         await env.add_engine(PlatformEngine("desk-1", "desk"))
         await env.add_engine(PlatformEngine("desk-2", "desk"))
         await env.add_engine(PlatformEngine("pre-1", "llm", stage="prefill"))
--- a/pimentoquay/standin/platform_engine.py
+++ b/pimentoquay/standin/platform_engine.py
@@ -53,18 +53,32 @@
 
 @dataclass(frozen=True)
 class Arrival:
-    """Request as it was received; header names are in lower case."""
+    """Request as it was received; header names are in lower case.
+
+    ``header_list`` holds all headers in their order, also those that were sent several times.
+    """
 
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    header_list: tuple[tuple[str, str], ...] = ()
 
     @property
     def is_prefill(self) -> bool:
         """Whether the request is for the prefill stage."""
         return self.headers.get("pimentoquay-stage") == "prefill"
 
+    @property
+    def workspaces(self) -> tuple[str, ...]:
+        """Names of the workspace that the request states."""
+        return tuple(value for name, value in self.header_list if name == "pimentoquay-tenant")
+
+    @property
+    def shows_key(self) -> bool:
+        """Whether the request has a caller's key as a header."""
+        return any(name == "pimentoquay-key" for name, _ in self.header_list)
+
     @property
     def parts(self) -> tuple[str, ...]:
         """Ids of the parts of the prompt."""
@@ -223,7 +237,11 @@
         self.late_copies.end(served, reply)
 
     async def _handle_request(self, request: HttpRequest, reply: Reply) -> None:
-        headers = {name.decode().lower(): value.decode() for name, value in request.headers}
+        header_list = tuple(
+            (name.decode().lower(), value.decode(errors="surrogateescape"))
+            for name, value in request.headers
+        )
+        headers = dict(header_list)
         target = request.target.decode()
         self.calls += 1
         if self.is_leaving:
@@ -247,7 +265,8 @@
         elif target.startswith("/api/kv-handle/"):
             reply.send(200, (), b"{}")
         else:
-            arrival = Arrival(request.method.decode(), target, headers, request.body)
+            method = request.method.decode()
+            arrival = Arrival(method, target, headers, request.body, header_list)
             self.arrivals.append(arrival)
             await self._respond(arrival, request, reply)
 
