--- a/pimentoquay/http1/request.py
+++ b/pimentoquay/http1/request.py
@@ -1,6 +1,6 @@
 """A request as the server passes it to its handler."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from pimentoquay.http1.headers import HeaderList
 
@@ -9,10 +9,13 @@
 
 @dataclass(frozen=True)
 class HttpRequest:
-    """A complete request; ``received_at`` is the event loop time of its first byte, in seconds."""
+    """A complete request; ``received_at`` is the event loop time of its first byte, in seconds.
+
+    Its representation shows no headers, as they may hold keys of callers.
+    """
 
     method: bytes
     target: bytes
-    headers: HeaderList
+    headers: HeaderList = field(repr=False)
     body: bytes
     received_at: float
--- a/pimentoquay/platform/workspaces.py
+++ b/pimentoquay/platform/workspaces.py
@@ -110,4 +110,6 @@
 def _source(entry: Any, number: int) -> str:
     """Return the number of a workspace, and its name if it states one."""
     name = entry.get("name") if type(entry) is dict else None
-    return f"{number}: {name}" if type(name) is str else str(number)
+    if type(name) is not str:
+        return str(number)
+    return f"{number}: {name.encode('ascii', 'backslashreplace').decode()}"
