--- a/pimentoquay/bench/mutations/switches.py
+++ b/pimentoquay/bench/mutations/switches.py
@@ -27,6 +27,7 @@
 from pimentoquay.bench.mutations.stream_switches import STREAM_SWITCHES
 from pimentoquay.bench.mutations.switch import Switch
 from pimentoquay.bench.mutations.turn_switches import TURN_SWITCHES
+from pimentoquay.bench.mutations.workspace_switches import WORKSPACE_SWITCHES
 
 __all__ = ["SWITCHES", "Switch", "switch_of"]
 
@@ -271,5 +272,6 @@
     *STOP_SWITCHES,
     *STREAM_SWITCHES,
     *TURN_SWITCHES,
+    *WORKSPACE_SWITCHES,
 )
 """All mechanisms that can be switched off."""
--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -101,8 +101,8 @@
         failed: set[str] = set()
         while True:
             if failed:
-                self._shared.guard.check(job)
                 job.check_access()
+                self._shared.guard.check(job)
             engine = self._choose_engine(job, model, decode_engine, failed, granted, software)
             if engine is None or (failed and not self._shared.retry_budgets.try_spend(job.service)):
                 logger.bind(
--- a/pimentoquay/gateway/request_access.py
+++ b/pimentoquay/gateway/request_access.py
@@ -37,7 +37,7 @@
         self._target = target.decode("latin-1")
         self._route = route
         self._table: RouteTable | None = None
-        self._was_granted = False
+        self._granted: Access | None = None
         self._current = UNCHECKED
 
     def current(self) -> Access:
@@ -46,7 +46,8 @@
         if table is not None and table is not self._table:
             self._table = table
             self._current = self._decide(table)
-            self._was_granted = self._was_granted or self._current.refusal is None
+            if self._current.refusal is None:
+                self._granted = self._current
         return self._current
 
     def check(self) -> Access:
@@ -66,9 +67,10 @@
     def _decide(self, table: RouteTable) -> Access:
         workspaces = table.configuration.workspaces
         if workspaces is None:
-            return UNCHECKED
+            # A request that came with its key is not sent with it if workspaces are given up.
+            return self._granted or UNCHECKED
         route = table.find(self._caller.host, self._target) or self._route
         access = workspaces.identify(self._caller.key, route.is_public)
-        if access.refusal is not None and self._was_granted:
+        if access.refusal is not None and self._granted is not None:
             return replace(access, refusal=KeyRefusal.WITHDRAWN)
         return access
--- a/pimentoquay/gateway/tests/test_workspace_keys.py
+++ b/pimentoquay/gateway/tests/test_workspace_keys.py
@@ -250,6 +250,20 @@
                 check_named(env)
 
 
+@pytest.mark.parametrize("path", ["/order/a", "/digest/a"])
+async def test_a_request_that_waits_as_workspaces_are_given_up_is_sent_without_its_key(path):
+    async with workspace_rig() as env:
+        env.links.cut("vm-1", Cut.NEW_SILENT)
+        asked = asyncio.create_task(send(env, path))
+        await asyncio.sleep(0.1)
+        fleet = env.gateway_by_vm["vm-1"].fleet
+        position = fleet._configuration_position + 1
+        assert fleet.apply_configuration(position, configuration(2, ALL_ROUTES))
+        env.links.heal("vm-1")
+        assert (await asked).status == 200
+        check_named(env)
+
+
 async def test_an_older_version_that_arrives_late_gives_no_key_back():
     """It may come at a newer position, from a peer, or from a store restored from a copy."""
     async with workspace_rig() as env:
--- a/pimentoquay/gateway/tests/test_workspace_secrets.py
+++ b/pimentoquay/gateway/tests/test_workspace_secrets.py
@@ -171,6 +171,14 @@
         assert arrivals(env) == []
 
 
+async def test_a_dump_of_the_table_in_force_shows_no_key():
+    """Only the document holds keys; the table lives as long as the process."""
+    async with workspace_rig() as env:
+        assert (await send(env)).status == 200
+        table = env.gateway_by_vm["vm-1"].fleet.configuration.workspaces
+        check_hidden(repr(vars(table)))
+
+
 def test_no_representation_of_a_request_shows_its_key():
     request = parse_request((*key_header(), (b"Host", b"a")))
     assert request.key == KEY
--- a/pimentoquay/platform/workspaces.py
+++ b/pimentoquay/platform/workspaces.py
@@ -48,7 +48,7 @@
         for number, entry in piece:
             try:
                 self._found.append(_decode(entry, number, self._invalid))
-            except DecodeError as error:
+            except ValueError as error:
                 self._invalid.append(InvalidWorkspace(_source(entry, number), str(error)))
         return len(piece) == count
 
--- a/pimentoquay/policy/workspaces.py
+++ b/pimentoquay/policy/workspaces.py
@@ -183,11 +183,16 @@
                 owner = self._workspace_by_digest.setdefault(digest, workspace)
                 if owner is not workspace:
                     names_by_shared.setdefault(digest, [owner.name]).append(workspace.name)
-        for digest, names in names_by_shared.items():
-            del self._workspace_by_digest[digest]
-            found.append(_shared_key(names))
         self._shared = frozenset(names_by_shared)
-        self.invalid = tuple(found)
+        self.invalid = (*found, *self._withdraw_shared(names_by_shared))
+
+    def _withdraw_shared(
+        self, names_by_shared: dict[bytes, list[str]]
+    ) -> tuple[InvalidWorkspace, ...]:
+        """Let the keys of several workspaces identify none, and report them."""
+        for digest in names_by_shared:
+            del self._workspace_by_digest[digest]
+        return tuple(_shared_key(names) for names in names_by_shared.values())
 
     @property
     def key_count(self) -> int:
