--- a/pimentoquay/gateway/fleet.py
+++ b/pimentoquay/gateway/fleet.py
@@ -2,11 +2,12 @@
 
 from collections.abc import Callable, Mapping
 
-from pimentoquay.kernel.input_checks import refuse
+from pimentoquay.gateway.configuration_update import ConfigurationUpdate
+from pimentoquay.kernel.input_checks import refuse, refused_by_kind
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages.fleet import EngineRecord, FleetCopy
 from pimentoquay.messages.pools import PoolKey
-from pimentoquay.platform.configuration import decode_configuration
+from pimentoquay.platform.configuration import ConfigurationDecoder
 from pimentoquay.platform.engine_entry import decode_engine_entry
 from pimentoquay.platform.fields import DecodeError
 from pimentoquay.policy.engine_list import EngineList, EngineUpdate
@@ -15,11 +16,17 @@
 from pimentoquay.policy.pools import pools_of
 from pimentoquay.policy.route_choice import RouteTable
 from pimentoquay.policy.store_position import era_of
+from pimentoquay.policy.workspaces import WorkspaceTable
 from pimentoquay.tunnels import TunnelTarget
 
 __all__ = ["Fleet", "target_of"]
 
 
+MAX_INVALID_LOGGED = 50
+"""Most parts of a configuration that are logged as ignored; all are counted. A line takes 0.1 ms,
+and all 8,500 workspaces may be invalid."""
+
+
 class Fleet:
     """Configuration and engines that this gateway currently uses.
 
@@ -42,6 +49,8 @@
         self.has_engine_list = False
         self.on_engines_changed: list[Callable[[], None]] = []
         self._configuration_position = -1
+        self._newest_version: int | None = None
+        self._update: ConfigurationUpdate | None = None
         self._document = b""
         self._record_by_engine: dict[str, EngineRecord] = {}
         self._engines_position = 0
@@ -101,24 +110,38 @@
         return pools_of(engine for engine in self._engines if engine.service == service)
 
     def apply_configuration(self, position: int, document: bytes) -> bool:
-        """Apply a configuration; return whether it was valid and newer than the current one."""
+        """Apply a configuration; return whether it is valid and newer than the current one.
+
+        One with many workspaces is in force only some passes of the event loop later.
+        """
         known_position = self._configuration_position
         if position <= known_position and era_of(position) == era_of(known_position):
             return False
         try:
-            configuration = decode_configuration(document)
+            decoder = ConfigurationDecoder(document)
         except DecodeError as error:
             refuse("configuration", position, error)
             return False
-        current = self.configuration
-        if current is not None and configuration.version <= current.version:
+        if self._newest_version is not None and decoder.version <= self._newest_version:
             return False
+        self._newest_version = decoder.version
         self._configuration_position, self._document = position, document
+        if self._update is not None:
+            self._update.cancel()
+        self._update = ConfigurationUpdate(decoder, self._put_in_force)
+        self._update.run()
+        return True
+
+    def _put_in_force(self, configuration: FleetConfiguration) -> None:
+        self._update = None
         self.route_table = RouteTable(configuration)
         logger.bind(
-            version=configuration.version, position=position, routes=len(configuration.routes)
+            version=configuration.version,
+            position=self._configuration_position,
+            routes=len(configuration.routes),
         ).info("configuration in force")
-        return True
+        if configuration.workspaces is not None:
+            _log_workspaces(configuration.workspaces)
 
     def apply_engine_records(self, records: tuple[EngineRecord, ...]) -> tuple[EngineRecord, ...]:
         """Apply records of engines; return those that changed more than a heartbeat's number."""
@@ -218,6 +241,16 @@
     )
 
 
+def _log_workspaces(table: WorkspaceTable) -> None:
+    """Log the size of a table, and log and count what was ignored of it."""
+    for each in table.invalid[:MAX_INVALID_LOGGED]:
+        refuse("workspace", each.source, each.error)
+    refused_by_kind["workspace"] += len(table.invalid[MAX_INVALID_LOGGED:])
+    logger.bind(
+        workspaces=len(table.workspace_by_name), keys=table.key_count, ignored=len(table.invalid)
+    ).info("workspaces in force")
+
+
 def _to_update(record: EngineRecord) -> EngineUpdate:
     if not record.value:
         return EngineUpdate(record.engine, record.position, None, is_removed=True)
--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -101,6 +101,7 @@
         failed: set[str] = set()
         while True:
             if failed:
+                job.check_access()
                 self._shared.guard.check(job)
             engine = self._choose_engine(job, model, decode_engine, failed, granted, software)
             if engine is None or (failed and not self._shared.retry_budgets.try_spend(job.service)):
@@ -188,6 +189,7 @@
                     job.caller,
                     request.body,
                     options,
+                    access=job.check_send,
                     has_permit=is_granted,
                     watch=WATCH,
                 ) as exchange,
