--- /dev/null
+++ b/pimentoquay/policy/allowance_holder.py
@@ -0,0 +1,278 @@
+"""Asks of one gateway for units of allowances, and which granter they are sent to.
+
+Load pattern: requests of any workspaces at any gateway; most come some time after the last one.
+
+Failure pattern: the granter is silent, or another VM has become it. An ask is sent to the VM that
+granted last, then to the VMs in the order that decides who is the granter; those that did not reply
+lately come last. Each of them keeps it until its sender's patience ends and grants it if it becomes
+the granter meanwhile, so an ask doesn't have to be timed. Units that a second VM grants go back.
+"""
+
+import heapq
+from collections.abc import Collection
+from dataclasses import dataclass, field
+
+from pimentoquay.messages.allowances import (
+    AllowanceAsk,
+    AllowanceOutcome,
+    AllowanceReply,
+    AllowanceReturned,
+)
+from pimentoquay.policy.allowance_leases import workspace_rank
+from pimentoquay.policy.allowances import Outgoing
+from pimentoquay.policy.workspaces import Allowance
+
+__all__ = ["AllowanceHolder", "Decision"]
+
+REPEAT_SECONDS = 0.25
+"""Interval at which an ask is sent again, to one VM more; most replies come within 0.1 s."""
+
+QUEUED_REPEAT_SECONDS = 0.6
+"""Interval if the granter has said that the ask waits there."""
+
+SILENT_SECONDS = 0.5
+"""Time without a reply after which a granter is asked only after others."""
+
+SUSPECTED_SECONDS = 10.0
+"""Time after which a silent granter is tried again first."""
+
+MAX_ASKED = 6
+"""Granters that an ask is sent to, before it is sent to the first again."""
+
+MAX_GRANT_AGE_SECONDS = 0.7
+"""Longest time between a grant and its use. It shifts use into later windows by as much, which is
+less than the permitted overrun; a process that was suspended drops its grants."""
+
+MAX_LOCAL_REFUSAL_SECONDS = 0.2
+"""Longest time for which requests are refused without asking after the granter has refused one."""
+
+IDLE_SECONDS = 60.0
+"""Time without requests after which nothing is kept for a workspace."""
+
+
+@dataclass(frozen=True)
+class Decision:
+    """Decision on one ask; ``seconds`` is the time to retry after if it is refused.
+
+    ``granter`` is empty if no VM has decided. ``is_counted`` is whether an allowance was found used
+    up, rather than no granter found.
+    """
+
+    number: int
+    is_granted: bool
+    seconds: float = 0.0
+    granter: str = ""
+    session: int = 0
+    is_counted: bool = True
+
+
+ENDED_SECONDS = 3.0
+"""Time for which ended asks are known, so that units granted by a second VM are given back."""
+
+
+@dataclass
+class _Ask:
+    """An ask. ``asked`` holds the VMs that it was sent to in this round; ``settled`` those whose
+    units were used or given back."""
+
+    ask: AllowanceAsk
+    asked_at: float
+    repeat_at: float
+    asked: list[str] = field(default_factory=list)
+    asked_at_by_vm: dict[str, float] = field(default_factory=dict)
+    settled: set[str] = field(default_factory=set)
+
+    def age(self, granter: str, reply: AllowanceReply, now: float) -> float:
+        """Return the longest time for which the units of a reply may have been granted."""
+        return now - self.asked_at_by_vm.get(granter, self.asked_at) - reply.seconds
+
+
+@dataclass
+class _Known:
+    """What is known of a workspace with requests here."""
+
+    used_at: float
+    order: list[str]
+    granter: str = ""
+    refused_until: float = 0.0
+    refused_units: float = 0.0
+
+
+class AllowanceHolder:
+    """Asks that wait for a decision, and the granters of workspaces.
+
+    Parameters
+    ----------
+    first_number
+        Number of the first ask, which no earlier start of this gateway has used lately.
+    """
+
+    def __init__(self, first_number: int) -> None:
+        self._number = first_number
+        self._ask_by_number: dict[int, _Ask] = {}
+        self._ended_by_number: dict[int, _Ask] = {}
+        self._known_by_workspace: dict[str, _Known] = {}
+        self._unanswered_since_by_vm: dict[str, float] = {}
+        self._granters: frozenset[str] = frozenset()
+        self._retry_step = 0.0
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether any ask waits for a decision."""
+        return bool(self._ask_by_number)
+
+    @property
+    def known_workspaces(self) -> int:
+        """Number of workspaces of which something is kept."""
+        return len(self._known_by_workspace)
+
+    def update_granters(self, granters: Collection[str]) -> None:
+        """Use other VMs as granters."""
+        if granters != self._granters:
+            self._granters = frozenset(granters)
+            for workspace, known in self._known_by_workspace.items():
+                known.order = self._order(workspace)
+
+    def refusal(self, workspace: str, units: float, now: float) -> float | None:
+        """Return the time to retry after if the granter has just refused as much, else None."""
+        known = self._known_by_workspace.get(workspace)
+        if known is None or now >= known.refused_until or units < known.refused_units:
+            return None
+        # Multiples of the golden ratio spread the callers evenly.
+        self._retry_step = (self._retry_step + 0.618034) % 1.0
+        return known.refused_until - now + self._retry_step
+
+    def ask(
+        self,
+        workspace: str,
+        version: int,
+        allowance: Allowance,
+        units: float,
+        patience: float,
+        now: float,
+    ) -> tuple[int, list[Outgoing]]:
+        """Begin to ask for the units of a request; return its number and what is to be sent."""
+        known = self._known_by_workspace.get(workspace)
+        if known is None:
+            known = _Known(now, self._order(workspace))
+            self._known_by_workspace[workspace] = known
+        known.used_at = now
+        self._number += 1
+        message = AllowanceAsk(
+            self._number,
+            workspace,
+            version,
+            allowance.per_second,
+            allowance.burst,
+            units,
+            patience,
+        )
+        entry = self._ask_by_number[self._number] = _Ask(message, now, now + REPEAT_SECONDS)
+        return self._number, self._send(entry, now)
+
+    def cancel(self, number: int) -> None:
+        """End an ask whose request has ended; a grant that comes is given back."""
+        if number in self._ask_by_number:
+            self._end(number)
+
+    def receive(
+        self, source: str, reply: AllowanceReply, now: float
+    ) -> tuple[Decision | None, list[Outgoing]]:
+        """Return the decision that a reply brings, and what is to be sent."""
+        self._unanswered_since_by_vm.pop(source, None)
+        number, outcome = reply.number, reply.outcome
+        entry = self._ask_by_number.get(number)
+        if entry is None:
+            ended = self._ended_by_number.get(number)
+            is_grant = ended is not None and outcome is AllowanceOutcome.GRANTED
+            return None, self._give_back(ended, source, reply, now) if ended and is_grant else []
+        known = self._known_by_workspace.get(entry.ask.workspace)
+        if outcome is AllowanceOutcome.QUEUED:
+            entry.repeat_at = now + QUEUED_REPEAT_SECONDS
+            return None, []
+        if outcome is AllowanceOutcome.NOT_GRANTER:
+            if known is not None and known.granter == source:
+                known.granter = ""
+            return None, (
+                self._send(entry, now, is_repeated=False)
+                if (entry.asked[-1:] == [source] and len(entry.asked_at_by_vm) < MAX_ASKED)
+                else []
+            )
+        if known is not None:
+            known.granter = source
+        if outcome is AllowanceOutcome.GRANTED:
+            self._end(number)
+            if entry.age(source, reply, now) > MAX_GRANT_AGE_SECONDS:
+                returned = self._give_back(entry, source, reply, now)
+                return Decision(number, False, REPEAT_SECONDS, is_counted=False), returned
+            entry.settled.add(source)
+            return Decision(number, True, 0.0, source, reply.session), []
+        self._end(number)
+        if known is not None and reply.seconds > 0:
+            known.refused_until = now + min(reply.seconds, MAX_LOCAL_REFUSAL_SECONDS)
+            known.refused_units = entry.ask.units
+        return Decision(number, False, reply.seconds, source, reply.session), []
+
+    def tick(self, now: float) -> tuple[list[Decision], list[Outgoing]]:
+        """Return the asks that nobody has decided in time, and what is to be sent again."""
+        decisions, sent = [], []
+        for number, entry in tuple(self._ask_by_number.items()):
+            if now - entry.asked_at >= entry.ask.patience:
+                self._end(number)
+                decisions.append(Decision(number, False, REPEAT_SECONDS, is_counted=False))
+            elif now >= entry.repeat_at:
+                sent += self._send(entry, now)
+        return decisions, sent
+
+    def forget_idle(self, now: float) -> None:
+        """Drop what is known of workspaces without requests, and of granters long silent."""
+        for workspace, known in tuple(self._known_by_workspace.items()):
+            if now - known.used_at > IDLE_SECONDS:
+                del self._known_by_workspace[workspace]
+        for vm, since in tuple(self._unanswered_since_by_vm.items()):
+            if now - since > SUSPECTED_SECONDS:
+                del self._unanswered_since_by_vm[vm]
+        for number, entry in tuple(self._ended_by_number.items()):
+            if now - entry.asked_at > ENDED_SECONDS:
+                del self._ended_by_number[number]
+
+    def _end(self, number: int) -> None:
+        self._ended_by_number[number] = self._ask_by_number.pop(number)
+
+    def _give_back(
+        self, entry: _Ask, source: str, reply: AllowanceReply, now: float
+    ) -> list[Outgoing]:
+        if source in entry.settled:
+            return []
+        entry.settled.add(source)
+        ask, age = entry.ask, entry.age(source, reply, now)
+        returned = AllowanceReturned(ask.workspace, reply.session, ask.units, age)
+        return [Outgoing(source, returned)]
+
+    def _send(self, entry: _Ask, now: float, is_repeated: bool = True) -> list[Outgoing]:
+        """Send an ask to the next VM, and once more to the first one if it may have been lost."""
+        entry.repeat_at = now + REPEAT_SECONDS
+        known = self._known_by_workspace.get(entry.ask.workspace)
+        order = known.order if known is not None else self._order(entry.ask.workspace)
+        if known is not None and known.granter in self._granters:
+            order = [known.granter, *(vm for vm in order if vm != known.granter)]
+        ready = [vm for vm in order if not self._is_silent(vm, now)] or order
+        untried = [vm for vm in ready if vm not in entry.asked]
+        if not untried:
+            entry.asked.clear()
+            untried = ready
+        targets = dict.fromkeys([*(entry.asked[:1] if is_repeated else ()), *untried[:1]])
+        entry.asked += untried[:1]
+        for vm in targets:
+            entry.asked_at_by_vm.setdefault(vm, now)
+            self._unanswered_since_by_vm.setdefault(vm, now)
+        return [Outgoing(vm, entry.ask) for vm in targets]
+
+    def _is_silent(self, vm: str, now: float) -> bool:
+        since = self._unanswered_since_by_vm.get(vm)
+        return since is not None and now - since > SILENT_SECONDS
+
+    def _order(self, workspace: str) -> list[str]:
+        return heapq.nsmallest(
+            MAX_ASKED, self._granters, key=lambda vm: workspace_rank(workspace, vm)
+        )
