Take units of allowances before requests are forwarded; lend votes in leases that end in time

The granter of each workspace is found by asks, counts for all gateways and is replaced in about a second.

--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from typing import Any
 
+from pimentoquay.gateway.allowance_wiring import compose_allowances
 from pimentoquay.gateway.dispatcher import Dispatcher
 from pimentoquay.gateway.engine_contact import EngineContact
 from pimentoquay.gateway.feed import StoreFeed
@@ -14,6 +15,7 @@
 from pimentoquay.gateway.mesh import Mesh
 from pimentoquay.gateway.message_parts import pieces_of
 from pimentoquay.gateway.metrics import (
+    ALLOWANCES_UNDECIDED,
     CONNECT_FAILURES,
     CONNECTIONS,
     CONTINUED,
@@ -36,6 +38,7 @@
     PROMPTS_WASTED,
     REFUSED_IN_QUARANTINE,
     REFUSED_IN_STOP,
+    REFUSED_OVER_ALLOWANCE,
     REFUSED_OVER_LIMIT,
     RESUMPTIONS,
     RESUMPTIONS_REFUSED,
@@ -50,6 +53,7 @@
     TUNNELS_REFUSED,
     VERSION,
     WAITING,
+    WORKSPACES_COUNTED,
     GatewayMetrics,
 )
 from pimentoquay.gateway.notices import LeavingNotices, LimitNotices
@@ -218,7 +222,8 @@
         node, shared, usable, pool_coordinator_of, send_to, mesh.broadcast_summary
     )
     mesh.on_pool_summary.append(pool_client.receive_summary)
-    mesh.relays.receive_routed = _routed_handler(pool_client, coordinator)
+    granting, allowances = compose_allowances(node, bounds, fleet, mesh, send_to)
+    mesh.relays.receive_routed = _routed_handler(pool_client, coordinator, granting, allowances)
     mesh.on_plan_changed.append(lambda: _apply_plan(shared, mesh, pool_client, coordinator))
     leaving = LeavingNotices(fleet.notices, node.timers.now, mesh.notices.publish)
     mesh.notices.register(EnginesLeaving, leaving.handler)
@@ -270,7 +275,7 @@
     mesh.on_stage_ordered.append(stage_controller.record_order)
     streams = StreamForwarder(shared, reservations, PrefillRunner(shared, schedule_update))
     planned_stop = PlannedStop()
-    dispatcher = Dispatcher(shared, PlainForwarder(shared), streams, planned_stop)
+    dispatcher = Dispatcher(shared, PlainForwarder(shared), streams, planned_stop, allowances)
     caller_server = HttpServer(dispatcher.handle, lambda: _server_limits(fleet), turns, _patience)
     readiness_server = HttpServer(_readiness_handler(dispatcher), ServerLimits, turns)
     metrics.value_by_gauge = {
@@ -303,6 +308,9 @@
         RESUMPTIONS_REFUSED: lambda: origins.refused,
         REFUSED_OVER_LIMIT: lambda: shared.refused_over_limit,
         REFUSED_IN_STOP: lambda: planned_stop.refused,
+        REFUSED_OVER_ALLOWANCE: lambda: allowances.refused,
+        ALLOWANCES_UNDECIDED: lambda: allowances.undecided,
+        WORKSPACES_COUNTED: lambda: granting.active_workspaces,
     }
     metrics.values_by_counter = {
         ENGINE_REQUESTS: lambda: contact.requests_by_way,
@@ -331,6 +339,7 @@
         stage_controller,
         pool_client,
         coordinator,
+        granting,
         guard,
         origins,
         origin_store,
@@ -348,10 +357,10 @@
     return usable_tokens(known.memory) if known is not None and known.memory is not None else 0
 
 
-def _routed_handler(client: PoolClient, coordinator: PoolCoordinator) -> Callable[[str, Any], None]:
+def _routed_handler(*receivers: Any) -> Callable[[str, Any], None]:
     def receive(source: str, message: Any) -> None:
-        client.receive(message, source)
-        coordinator.receive(message, source)
+        for receiver in receivers:
+            receiver.receive(message, source)
 
     return receive
 
--- a/pimentoquay/gateway/dispatcher.py
+++ b/pimentoquay/gateway/dispatcher.py
@@ -2,13 +2,14 @@
 
 import asyncio
 
+from pimentoquay.gateway.allowance_client import Allowances, AllowanceTicket
 from pimentoquay.gateway.job import Job, record_cut, record_end, send_error
 from pimentoquay.gateway.plain import PlainForwarder
 from pimentoquay.gateway.planned_stop import PlannedStop
 from pimentoquay.gateway.shared_state import SharedState
 from pimentoquay.gateway.streams import StreamForwarder
 from pimentoquay.http1 import HeaderList, HttpRequest, Reply
-from pimentoquay.kernel import PimentoquayError, ResultCode, info_of
+from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode, info_of
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.requests import CallerRequest, parse_request, retry_after_header
 from pimentoquay.policy.fleet import RepeatRule, Route
@@ -32,6 +33,8 @@
         Forwarders of plain calls and of model streams.
     stop
         The planned stop of this gateway.
+    allowances
+        Allowances of workspaces, from which each request takes its units.
     """
 
     def __init__(
@@ -40,11 +43,13 @@
         plain: PlainForwarder,
         streams: StreamForwarder,
         stop: PlannedStop,
+        allowances: Allowances,
     ) -> None:
         self._shared = shared
         self._plain = plain
         self._streams = streams
         self._stop = stop
+        self._allowances = allowances
         self.is_draining = False
 
     @property
@@ -92,6 +97,14 @@
     async def _forward(self, job: Job) -> None:
         job.refuse_if_late(is_new=True)
         self._shared.guard.check(job)
+        ticket = await self._allowances.take(job)
+        try:
+            await self._run(job)
+        except BaseException as error:
+            _give_back_unused(job, ticket, error)
+            raise
+
+    async def _run(self, job: Job) -> None:
         if self._is_model_stream(job.route, job):
             await self._streams.forward(job)
         else:
@@ -110,3 +123,13 @@
         reply.send(info_of(code).http_status, headers, b"")
         self._shared.metrics.record_request_end(code, 0.0)
         logger.bind(request=caller.id, host=caller.host, code=int(code)).info("request ended")
+
+
+def _give_back_unused(job: Job, ticket: AllowanceTicket, error: BaseException) -> None:
+    """Return the units of a request that ran at no engine.
+
+    A refusal says so, also after engines have rejected the request or read its prompt. A request
+    that ended otherwise may have run if it was sent to an engine.
+    """
+    if isinstance(error, RefusedError) or not job.sent_to:
+        ticket.give_back()
--- a/pimentoquay/gateway/lifecycle.py
+++ b/pimentoquay/gateway/lifecycle.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
+from pimentoquay.gateway.allowance_granter import AllowanceGranting
 from pimentoquay.gateway.dispatcher import Dispatcher
 from pimentoquay.gateway.feed import StoreFeed
 from pimentoquay.gateway.fleet import Fleet
@@ -65,6 +66,7 @@
     stage_controller: StageController
     pool_client: PoolClient
     pool_coordinator: PoolCoordinator
+    allowance_granting: AllowanceGranting
     guard: RequestGuard
     origins: OriginExchange
     origin_store: OriginStore
@@ -84,6 +86,7 @@
         self.path_watch.start()
         self.node.timers.every(EVIDENCE_EXPIRY_SECONDS, self.guard.expire)
         self.pool_coordinator.start()
+        self.allowance_granting.start()
         tasks = [
             asyncio.create_task(service)
             for service in (
--- a/pimentoquay/gateway/metrics.py
+++ b/pimentoquay/gateway/metrics.py
@@ -154,6 +154,22 @@
     "requests refused because the gateway stops before they would end",
 )
 
+REFUSED_OVER_ALLOWANCE = Metric(
+    "pimentoquay_gateway_refused_over_allowance_total",
+    "counter",
+    "requests refused because the allowance of their workspace was used up",
+)
+ALLOWANCES_UNDECIDED = Metric(
+    "pimentoquay_gateway_allowances_undecided_total",
+    "counter",
+    "requests refused because no gateway granted units of their workspace's allowance in time",
+)
+WORKSPACES_COUNTED = Metric(
+    "pimentoquay_gateway_workspaces_counted",
+    "gauge",
+    "workspaces whose allowances this gateway grants to all, or would grant next",
+)
+
 SERVICES_MIXED = Metric(
     "pimentoquay_gateway_services_mixed",
     "gauge",
@@ -239,6 +255,9 @@
     REFUSED_IN_QUARANTINE,
     REFUSED_OVER_LIMIT,
     REFUSED_IN_STOP,
+    REFUSED_OVER_ALLOWANCE,
+    ALLOWANCES_UNDECIDED,
+    WORKSPACES_COUNTED,
     SERVICES_MIXED,
     STREAM_ORIGINS,
     RESUMPTIONS_REFUSED,
--- a/pimentoquay/messages/allowances.py
+++ b/pimentoquay/messages/allowances.py
@@ -36,7 +36,7 @@
     """Ask for the units of one request; it is repeated with the same ``number``.
 
     ``version`` is that of the configuration that states ``per_second`` and ``burst``. ``patience``
-    is the time for which the sender waits.
+    is the time for which the sender waits in all, ``waited`` that for which it has waited.
     """
 
     number: int
@@ -46,14 +46,15 @@
     burst: float
     units: float
     patience: float
+    waited: float
 
 
 @message(171)
 class AllowanceReply:
     """Reply to ``AllowanceAsk``.
 
-    ``seconds`` is the time to retry after if it is REFUSED, and the time for which the ask waited
-    at the granter if it is GRANTED. ``session`` identifies the start of the granter.
+    ``seconds`` is the time to retry after if it is REFUSED, and the time for which the request had
+    waited when its ask was GRANTED. ``session`` identifies the start of the granter.
     """
 
     number: int
@@ -64,8 +65,12 @@
 
 @message(172)
 class AllowanceReturned:
-    """Units of a request that did not run, ``age`` seconds after they were granted."""
+    """Units of a request that did not run, ``age`` seconds after they were granted.
 
+    The ask with this ``number`` is forgotten if it still waits. ``session`` is that of the grant.
+    """
+
+    number: int
     workspace: str
     session: int
     units: float
@@ -85,7 +90,7 @@
 
 @message(174)
 class Lease:
-    """Vote of a VM, which lets a granter earn allowances from ``sent_at`` for a limited time.
+    """Vote of a VM, which lets a granter earn allowances for ``seconds`` from ``sent_at``.
 
     It is valid for the workspaces of which the granter comes first among ``granters``. The list is
     left out if the granter knows it by its checksum ``list_id``. ``vm_count`` is the number of VMs
@@ -93,6 +98,7 @@
     """
 
     sent_at: float
+    seconds: float
     vm_count: int
     list_id: int
     granters: tuple[str, ...] | None
--- a/pimentoquay/policy/allowance_holder.py
+++ b/pimentoquay/policy/allowance_holder.py
@@ -10,7 +10,7 @@
 
 import heapq
 from collections.abc import Collection
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from pimentoquay.messages.allowances import (
     AllowanceAsk,
@@ -25,7 +25,7 @@
 __all__ = ["AllowanceHolder", "Decision"]
 
 REPEAT_SECONDS = 0.25
-"""Interval at which an ask is sent again, to one VM more; most replies come within 0.1 s."""
+"""Interval at which an ask is sent again, and to more VMs; most replies come within 0.1 s."""
 
 QUEUED_REPEAT_SECONDS = 0.6
 """Interval if the granter has said that the ask waits there."""
@@ -37,11 +37,11 @@
 """Time after which a silent granter is tried again first."""
 
 MAX_ASKED = 6
-"""Granters that an ask is sent to, before it is sent to the first again."""
+"""VMs that an ask is sent to at most; if half of all are cut off, 2 of 100 asks reach none."""
 
-MAX_GRANT_AGE_SECONDS = 0.7
-"""Longest time between a grant and its use. It shifts use into later windows by as much, which is
-less than the permitted overrun; a process that was suspended drops its grants."""
+MAX_GRANT_AGE_SECONDS = 0.9
+"""Longest time between a grant and its use, which covers a reply that was lost. It shifts use into
+a later window by as much at most; a process that was suspended drops its grants."""
 
 MAX_LOCAL_REFUSAL_SECONDS = 0.2
 """Longest time for which requests are refused without asking after the granter has refused one."""
@@ -66,25 +66,29 @@
     is_counted: bool = True
 
 
-ENDED_SECONDS = 3.0
-"""Time for which ended asks are known, so that units granted by a second VM are given back."""
+ENDED_SECONDS = 10.0
+"""Time for which ended asks are known, so that units granted by a second VM are given back. It may
+have been suspended meanwhile."""
 
 
 @dataclass
 class _Ask:
-    """An ask. ``asked`` holds the VMs that it was sent to in this round; ``settled`` those whose
-    units were used or given back."""
+    """An ask. ``asked`` holds the VMs that it was sent to, and whether they have replied.
+
+    ``rounds`` counts its repetitions. ``settled`` holds the VMs whose units were used or given
+    back.
+    """
 
     ask: AllowanceAsk
     asked_at: float
     repeat_at: float
-    asked: list[str] = field(default_factory=list)
-    asked_at_by_vm: dict[str, float] = field(default_factory=dict)
+    rounds: int = 0
+    asked: dict[str, bool] = field(default_factory=dict)
     settled: set[str] = field(default_factory=set)
 
-    def age(self, granter: str, reply: AllowanceReply, now: float) -> float:
-        """Return the longest time for which the units of a reply may have been granted."""
-        return now - self.asked_at_by_vm.get(granter, self.asked_at) - reply.seconds
+    def age(self, reply: AllowanceReply, now: float) -> float:
+        """Return the time since the units of a reply were granted, with that of the ask's way."""
+        return now - self.asked_at - reply.seconds
 
 
 @dataclass
@@ -166,14 +170,14 @@
             allowance.burst,
             units,
             patience,
+            0.0,
         )
         entry = self._ask_by_number[self._number] = _Ask(message, now, now + REPEAT_SECONDS)
-        return self._number, self._send(entry, now)
+        return self._number, self._ask_more(entry, 1, now)
 
-    def cancel(self, number: int) -> None:
+    def cancel(self, number: int, now: float) -> list[Outgoing]:
         """End an ask whose request has ended; a grant that comes is given back."""
-        if number in self._ask_by_number:
-            self._end(number)
+        return self._end(number, "", now) if number in self._ask_by_number else []
 
     def receive(
         self, source: str, reply: AllowanceReply, now: float
@@ -186,6 +190,7 @@
             ended = self._ended_by_number.get(number)
             is_grant = ended is not None and outcome is AllowanceOutcome.GRANTED
             return None, self._give_back(ended, source, reply, now) if ended and is_grant else []
+        entry.asked[source] = True
         known = self._known_by_workspace.get(entry.ask.workspace)
         if outcome is AllowanceOutcome.QUEUED:
             entry.repeat_at = now + QUEUED_REPEAT_SECONDS
@@ -193,35 +198,33 @@
         if outcome is AllowanceOutcome.NOT_GRANTER:
             if known is not None and known.granter == source:
                 known.granter = ""
-            return None, (
-                self._send(entry, now, is_repeated=False)
-                if (entry.asked[-1:] == [source] and len(entry.asked_at_by_vm) < MAX_ASKED)
-                else []
-            )
+            entry.repeat_at = min(entry.repeat_at, now + REPEAT_SECONDS)
+            is_last_asked = next(reversed(entry.asked)) == source
+            return None, self._ask_more(entry, 1, now) if is_last_asked else []
         if known is not None:
             known.granter = source
         if outcome is AllowanceOutcome.GRANTED:
-            self._end(number)
-            if entry.age(source, reply, now) > MAX_GRANT_AGE_SECONDS:
-                returned = self._give_back(entry, source, reply, now)
-                return Decision(number, False, REPEAT_SECONDS, is_counted=False), returned
+            sent = self._end(number, source, now)
+            if entry.age(reply, now) > MAX_GRANT_AGE_SECONDS:
+                sent += self._give_back(entry, source, reply, now)
+                return Decision(number, False, REPEAT_SECONDS, is_counted=False), sent
             entry.settled.add(source)
-            return Decision(number, True, 0.0, source, reply.session), []
-        self._end(number)
+            return Decision(number, True, 0.0, source, reply.session), sent
+        sent = self._end(number, source, now)
         if known is not None and reply.seconds > 0:
             known.refused_until = now + min(reply.seconds, MAX_LOCAL_REFUSAL_SECONDS)
             known.refused_units = entry.ask.units
-        return Decision(number, False, reply.seconds, source, reply.session), []
+        return Decision(number, False, reply.seconds, source, reply.session), sent
 
     def tick(self, now: float) -> tuple[list[Decision], list[Outgoing]]:
         """Return the asks that nobody has decided in time, and what is to be sent again."""
         decisions, sent = [], []
         for number, entry in tuple(self._ask_by_number.items()):
             if now - entry.asked_at >= entry.ask.patience:
-                self._end(number)
+                sent += self._end(number, "", now)
                 decisions.append(Decision(number, False, REPEAT_SECONDS, is_counted=False))
             elif now >= entry.repeat_at:
-                sent += self._send(entry, now)
+                sent += self._repeat(entry, now)
         return decisions, sent
 
     def forget_idle(self, now: float) -> None:
@@ -236,8 +239,12 @@
             if now - entry.asked_at > ENDED_SECONDS:
                 del self._ended_by_number[number]
 
-    def _end(self, number: int) -> None:
-        self._ended_by_number[number] = self._ask_by_number.pop(number)
+    def _end(self, number: int, granter: str, now: float) -> list[Outgoing]:
+        """End an ask, and tell the VMs that may still keep it."""
+        entry = self._ended_by_number[number] = self._ask_by_number.pop(number)
+        workspace, age = entry.ask.workspace, now - entry.asked_at
+        cancelled = AllowanceReturned(number, workspace, 0, 0.0, age)
+        return [Outgoing(vm, cancelled) for vm in entry.asked if vm != granter]
 
     def _give_back(
         self, entry: _Ask, source: str, reply: AllowanceReply, now: float
@@ -245,28 +252,34 @@
         if source in entry.settled:
             return []
         entry.settled.add(source)
-        ask, age = entry.ask, entry.age(source, reply, now)
-        returned = AllowanceReturned(ask.workspace, reply.session, ask.units, age)
+        ask, age = entry.ask, entry.age(reply, now)
+        returned = AllowanceReturned(ask.number, ask.workspace, reply.session, ask.units, age)
         return [Outgoing(source, returned)]
 
-    def _send(self, entry: _Ask, now: float, is_repeated: bool = True) -> list[Outgoing]:
-        """Send an ask to the next VM, and once more to the first one if it may have been lost."""
+    def _repeat(self, entry: _Ask, now: float) -> list[Outgoing]:
+        """Send an ask to more and more VMs, and once more to those that have not replied."""
         entry.repeat_at = now + REPEAT_SECONDS
+        entry.rounds += 1
+        silent = [vm for vm, has_replied in entry.asked.items() if not has_replied]
+        more = self._ask_more(entry, 2**entry.rounds, now)
+        # Where all have replied, a grant may have been lost.
+        again = silent if more else list(entry.asked)
+        ask = replace(entry.ask, waited=now - entry.asked_at)
+        return [*(Outgoing(vm, ask) for vm in again), *more]
+
+    def _ask_more(self, entry: _Ask, count: int, now: float) -> list[Outgoing]:
+        """Send an ask to the next VMs that it was not sent to."""
         known = self._known_by_workspace.get(entry.ask.workspace)
         order = known.order if known is not None else self._order(entry.ask.workspace)
         if known is not None and known.granter in self._granters:
             order = [known.granter, *(vm for vm in order if vm != known.granter)]
-        ready = [vm for vm in order if not self._is_silent(vm, now)] or order
-        untried = [vm for vm in ready if vm not in entry.asked]
-        if not untried:
-            entry.asked.clear()
-            untried = ready
-        targets = dict.fromkeys([*(entry.asked[:1] if is_repeated else ()), *untried[:1]])
-        entry.asked += untried[:1]
+        untried = [vm for vm in order if vm not in entry.asked]
+        targets = sorted(untried, key=lambda vm: self._is_silent(vm, now))[:count]
         for vm in targets:
-            entry.asked_at_by_vm.setdefault(vm, now)
+            entry.asked[vm] = False
             self._unanswered_since_by_vm.setdefault(vm, now)
-        return [Outgoing(vm, entry.ask) for vm in targets]
+        ask = replace(entry.ask, waited=now - entry.asked_at)
+        return [Outgoing(vm, ask) for vm in targets]
 
     def _is_silent(self, vm: str, now: float) -> bool:
         since = self._unanswered_since_by_vm.get(vm)
--- a/pimentoquay/policy/allowance_leases.py
+++ b/pimentoquay/policy/allowance_leases.py
@@ -35,26 +35,38 @@
     "workspace_rank",
 ]
 
-LEASE_SECONDS = 1.0
-"""Time from a granter's request for which the vote is valid. It covers a round trip of 0.4 s and
-one lost request; a granter that has failed is replaced after it."""
+LEASE_SECONDS = 0.8
+"""Time from a granter's request for which the vote is valid. It covers a round trip of 0.4 s after
+an interval of the requests; a granter that has failed is replaced after it."""
 
-VOTER_LEASE_SECONDS = 1.1
+VOTER_LEASE_SECONDS = 0.85
 """Time after which a voter takes its vote as ended, longer for clocks that run at unequal speed."""
 
-REQUEST_SECONDS = 0.3
+REQUEST_SECONDS = 0.25
 """Interval of the requests for votes."""
 
-SETTLE_SECONDS = 1.2
-"""Time after its start in which a granter learns of other VMs before it asks for votes."""
+URGENT_REQUEST_SECONDS = 0.1
+"""Interval while requests of callers wait at a granter without votes."""
+
+SETTLE_SECONDS = 0.8
+"""Time after it has learned of other VMs in which a granter does not ask for votes."""
+
+FIRST_LEASE_SECONDS = 1.15
+"""Time after its start from which a VM lends its votes. Those lent by an earlier start have ended
+then, and granters that were started at the same time have asked, so that the first of them gets the
+votes without a wait for others to lose them."""
 
 ADOPT_SECONDS = 2.0
 """Time after which a new VM counts as a voter. By then it has started, and knows the others."""
 
+NEWCOMER_SECONDS = 4.0
+"""Time in which a granter that has just started earns nothing while a voter knows fewer VMs: those
+that ran before it was added with others may still count the votes of these VMs only."""
+
 MAX_GRANTERS_IN_MESH = 6
 """Granters in a full mesh; with relays, they are those of an undisturbed plan."""
 
-MAX_VOTERS = 24
+MAX_VOTERS = 16
 """Voters, which are spread over the data centres in proportion to their VMs. More of them follow
 a cut through a data centre more closely, at the cost of a message per granter and interval."""
 
@@ -126,26 +138,32 @@
     """VMs that one gateway knows.
 
     Failure pattern: many VMs that are added at once. They count as voters only after a while, in
-    which the votes of the others still decide.
+    which the votes of the others still decide. A VM that knows no others yet, as it could not read
+    the store, has no members at all. ``started_at`` is the time at which it first had some.
     """
 
-    started_at: float
+    started_at: float = math.inf
     known: dict[str, str] = field(default_factory=dict)
     adopted: dict[str, str] = field(default_factory=dict)
     _since_by_vm: dict[str, float] = field(default_factory=dict)
+    _is_settled: bool = False
     granters: frozenset[str] = frozenset()
     voters: frozenset[str] = frozenset()
     next_voters: frozenset[str] = frozenset()
 
     def update(self, data_centre_by_vm: Mapping[str, str], now: float) -> None:
         """Apply the VMs that are known now, and count those that have been known for a while."""
-        if data_centre_by_vm != self.known:
+        if not self.known and data_centre_by_vm:
+            self.started_at = now
+        if data_centre_by_vm is not self.known and data_centre_by_vm != self.known:
             since = now if now - self.started_at > SETTLE_SECONDS else -math.inf
             self.known = dict(data_centre_by_vm)
             self._since_by_vm = {vm: self._since_by_vm.get(vm, since) for vm in self.known}
             self.granters = granters_of(self.known)
             self.next_voters = voters_of(self.known)
-        if self.adopted != self.known:
+            self._is_settled = False
+        if not self._is_settled:
+            self._is_settled = all(now - at >= ADOPT_SECONDS for at in self._since_by_vm.values())
             adopted = {
                 vm: each
                 for vm, each in self.known.items()
@@ -159,7 +177,7 @@
     """Lends the votes of one VM.
 
     Failure pattern: a granter that falls silent keeps its votes until they must have ended, and one
-    that begins gets them only when those of the granters after it must have ended.
+    that begins gets them when those of the granters after it end. Until then these keep theirs.
 
     Parameters
     ----------
@@ -168,30 +186,34 @@
     """
 
     def __init__(self, now: float) -> None:
-        self._lent_at = now
+        self._lends_at = now + FIRST_LEASE_SECONDS
         self._asked_at_by_granter: dict[str, float] = {}
         self._lends_from_by_granter: dict[str, float] = {}
 
     def lend(self, granter: str, request: LeaseRequest, vm_count: int, now: float) -> Lease | None:
         """Return a lease for a granter, or ``None`` if others may still have its votes."""
-        asked_at = self._asked_at_by_granter
+        asked_at, lends_from = self._asked_at_by_granter, self._lends_from_by_granter
         for vm in [vm for vm, at in asked_at.items() if now - at > VOTER_LEASE_SECONDS]:
-            del asked_at[vm], self._lends_from_by_granter[vm]
+            del asked_at[vm], lends_from[vm]
         if granter not in asked_at:
-            self._lends_from_by_granter[granter] = self._lent_at + VOTER_LEASE_SECONDS
+            lends_from[granter] = self._lends_at
         asked_at[granter] = now
-        if now < self._lends_from_by_granter[granter]:
+        if now < lends_from[granter]:
             return None
-        self._lent_at = now
-        granters = tuple(sorted(asked_at))
+        granters = tuple(sorted(vm for vm, at in lends_from.items() if at <= now))
+        # Votes lent without a granter that has begun to ask end when its own begin.
+        next_at = min((at for at in lends_from.values() if at > now), default=math.inf)
+        self._lends_at = max(self._lends_at, min(next_at, now + VOTER_LEASE_SECONDS))
         list_id = _list_id(granters)
         is_known = list_id == request.known_list
-        return Lease(request.sent_at, vm_count, list_id, None if is_known else granters)
+        seconds = min(LEASE_SECONDS, next_at - now)
+        return Lease(request.sent_at, seconds, vm_count, list_id, None if is_known else granters)
 
 
 @dataclass
 class _HeldLease:
     sent_at: float
+    expires_at: float
     vm_count: int
     granters: tuple[str, ...]
 
@@ -219,11 +241,12 @@
         self.steady_since = math.inf
         self._is_first = functools.lru_cache(MAX_CACHED_RANKS)(self._find_first)
 
-    def requests(self, now: float) -> tuple[tuple[str, LeaseRequest], ...]:
+    def requests(self, now: float, is_urgent: bool) -> tuple[tuple[str, LeaseRequest], ...]:
         """Return the requests for votes that are due, with their receivers."""
+        interval = URGENT_REQUEST_SECONDS if is_urgent else REQUEST_SECONDS
         is_granter = self._own in self._members.granters
         is_settling = now - self._members.started_at < SETTLE_SECONDS
-        if is_settling or not is_granter or now - self._requested_at < REQUEST_SECONDS:
+        if is_settling or not is_granter or now - self._requested_at < interval:
             return ()
         self._requested_at = now
         voters = sorted(self._members.voters | self._members.next_voters)
@@ -239,20 +262,27 @@
             if held is None or _list_id(held.granters) != lease.list_id:
                 return
             granters = held.granters
-        self._lease_by_voter[voter] = _HeldLease(lease.sent_at, lease.vm_count, granters)
+        expires_at = lease.sent_at + min(lease.seconds, LEASE_SECONDS)
+        self._lease_by_voter[voter] = _HeldLease(
+            lease.sent_at, expires_at, lease.vm_count, granters
+        )
 
     def refresh(self, now: float) -> None:
         """Count the votes that are valid now."""
-        voters, vm_count, largest = self._members.voters, len(self._members.adopted), 1
+        members, voters = self._members, self._members.voters
+        vm_count = smallest = largest = len(members.adopted)
         votes: Counter[tuple[str, ...]] = Counter()
         for vm, lease in tuple(self._lease_by_voter.items()):
-            if now - lease.sent_at >= LEASE_SECONDS:
+            if now >= lease.expires_at:
                 del self._lease_by_voter[vm]
             elif vm in voters:
                 votes[lease.granters] += 1
+                smallest = min(smallest, lease.vm_count)
                 largest = max(largest, lease.vm_count)
         # A gateway that knows few VMs would take the votes of these for all.
-        self._scale = min(1.0, vm_count / largest) / max(1, len(voters))
+        self._scale = vm_count / max(1, largest) / max(1, len(voters))
+        if smallest < vm_count and now - members.started_at < NEWCOMER_SECONDS:
+            self._scale = 0.0
         self._votes_by_granters = votes
         granters, count = max(votes.items(), key=lambda each: each[1], default=((), 0))
         if count * self._scale < 1.0 - SPARE_VOTES:
--- a/pimentoquay/policy/allowances.py
+++ b/pimentoquay/policy/allowances.py
@@ -32,8 +32,20 @@
 """Longest wait for units at a granter that has counted for a while. Asks of requests that are
 within the allowance arrive out of order by as much as their ways differ."""
 
-YOUNG_SECONDS = 2.0
-"""Time after a granter could have earned a burst in which requests wait longer than that."""
+YOUNG_SECONDS = 8.0
+"""Time in which requests wait longer than that at a granter that has just begun, unless half of a
+burst has been earned before. At nine tenths of its allowance, a workspace makes up in this time for
+the second in which there was no granter."""
+
+REPLY_MARGIN_SECONDS = 0.3
+"""Part of an ask's patience that is left for the reply, also after one was lost."""
+
+START_UNITS = 0.5
+"""Share of the permitted overrun that a new granter starts with, in place of what nobody could earn
+while there was none. The old one may have used its votes to their end if it was cut off."""
+
+CHANGE_SECONDS = 1.0
+"""Time after a change of its votes in which a granter may be gaining or losing all of them."""
 
 REPLY_KEPT_SECONDS = 2.5
 """Time for which a reply is repeated if its ask is; longer than any ask is repeated."""
@@ -50,6 +62,10 @@
 LATE_RETURNED = 0.04
 """Units that are returned late and may be used again in a window, as a share of its units."""
 
+PASS_SECONDS = 0.25
+"""Interval at which votes are applied to workspaces without waiting asks. Votes that were lost for
+less can't have been used by another granter."""
+
 IDLE_SECONDS = 10.0
 """Time without use after which a bucket is dropped, at least; it then has earned its burst."""
 
@@ -94,6 +110,8 @@
     used_at: float
     retry_at: float = 0.0
     late_level: float = 0.0
+    started_at: float = -math.inf
+    started_part: float = 1.0
     waiting: deque[_Waiting] = field(default_factory=deque)
 
     def refresh(self, part: float, now: float) -> None:
@@ -109,6 +127,19 @@
         # large: the excess is earned before the next request runs.
         return min(units, self.burst * self.part) if units <= self.burst + extra else math.inf
 
+    @property
+    def has_earned_half(self) -> bool:
+        """Whether half of what may be earned has been earned, so that nothing is to be made up."""
+        return self.level >= self.burst * self.part / 2.0
+
+    def add(self, units: float) -> None:
+        """Add units that may be granted now."""
+        self.level = min(self.burst * self.part, self.level + units)
+
+    def drop_waiting(self, key: tuple[str, int]) -> None:
+        """Forget an ask."""
+        self.waiting = deque(each for each in self.waiting if each.key != key)
+
     def mature_after(self) -> float:
         """Return the seconds in which the burst is earned."""
         return self.burst / self.per_second
@@ -150,7 +181,7 @@
         self._bucket_by_workspace: dict[str, _Bucket] = {}
         self._reply_by_key: dict[tuple[str, int], tuple[float, AllowanceReply]] = {}
         self.on_refused: Callable[[str, float, float, float], None] = lambda *details: None
-        self.granted_units = 0.0
+        self._passed_at = -math.inf
 
     @property
     def is_waited_for(self) -> bool:
@@ -174,7 +205,8 @@
             return [Outgoing(source, known[1])]
         bucket = self._bucket(ask, now)
         if all(each.key != key for each in bucket.waiting):
-            entry = _Waiting(key, ask.units, now, now + ask.patience)
+            asked_at = now - max(0.0, ask.waited)
+            entry = _Waiting(key, ask.units, asked_at, asked_at + ask.patience)
             refusal = self._refusal(bucket, entry, now)
             if refusal is not None:
                 self.on_refused(ask.workspace, ask.units, bucket.level, refusal)
@@ -182,30 +214,42 @@
             bucket.waiting.append(entry)
         sent = self._grant_waiting(bucket, now)
         if key not in self._reply_by_key:
-            has_right = bucket.part > 0.0
-            outcome = AllowanceOutcome.QUEUED if has_right else AllowanceOutcome.NOT_GRANTER
-            sent.append(Outgoing(source, AllowanceReply(ask.number, outcome, 0.0, self._session)))
+            sent.append(self._not_granted(_Waiting(key, ask.units, now, now), bucket.part > 0.0))
         return sent
 
-    def give_back(self, returned: AllowanceReturned, now: float) -> None:
-        """Return units of a request that did not run."""
+    def give_back(self, source: str, returned: AllowanceReturned, now: float) -> None:
+        """Return units of a request that did not run, or drop its ask."""
         bucket = self._bucket_by_workspace.get(returned.workspace)
-        if bucket is None or returned.session != self._session or not returned.units > 0:
+        if bucket is None:
+            return
+        bucket.drop_waiting((source, returned.number))
+        if returned.session != self._session or not returned.units > 0:
             return
         self._refresh(returned.workspace, bucket, now)
         units = returned.units
         if returned.age > LATE_AGE_SECONDS:
             units = min(units, bucket.late_level)
             bucket.late_level -= units
-        bucket.level = min(bucket.burst * bucket.part, bucket.level + units)
+        bucket.add(units)
 
     def tick(self, now: float, is_needed: bool = True) -> list[Outgoing]:
         """Return what is due: requests for votes if they are needed, and replies to asks."""
-        requests = self.leases.requests(now) if is_needed else ()
+        is_urgent = any(
+            each.waiting and each.part == 0.0 for each in self._bucket_by_workspace.values()
+        )
+        requests = self.leases.requests(now, is_urgent) if is_needed else ()
         sent = [Outgoing(vm, request) for vm, request in requests]
         self.leases.refresh(now)
+        is_full_pass = now - self._passed_at >= PASS_SECONDS
+        if is_full_pass:
+            self._passed_at = now
         for workspace, bucket in tuple(self._bucket_by_workspace.items()):
+            if not (bucket.waiting or is_full_pass):
+                continue
+            had_part = bucket.part > 0.0
             self._refresh(workspace, bucket, now)
+            if had_part and bucket.part == 0.0:
+                sent += [self._not_granted(each) for each in bucket.waiting]
             if bucket.waiting:
                 sent += self._grant_waiting(bucket, now)
             elif now - bucket.used_at > max(IDLE_SECONDS, 2.0 * bucket.mature_after()):
@@ -223,11 +267,11 @@
         bucket = self._bucket_by_workspace.get(ask.workspace)
         per_second, burst = max(1e-9, ask.per_second), max(0.0, ask.burst)
         if bucket is None:
-            part = self.leases.part(ask.workspace)
-            since = self.leases.steady_since if self.leases.is_steady(ask.workspace) else now
-            level = min(burst * part, per_second * max(0.0, now - since))
-            mature_at = min(since, now) + burst / per_second + YOUNG_SECONDS
-            bucket = _Bucket(ask.version, per_second, burst, level, part, now, mature_at, now)
+            bucket = _Bucket(ask.version, per_second, burst, 0.0, 0.0, now, now, now)
+            if self.leases.is_steady(ask.workspace):
+                bucket.part, bucket.started_at = self.leases.part(ask.workspace), now
+                bucket.add(per_second * (now - self.leases.steady_since))
+                bucket.mature_at = now + YOUNG_SECONDS
             self._bucket_by_workspace[ask.workspace] = bucket
         self._refresh(ask.workspace, bucket, now)
         if ask.version > bucket.version:
@@ -241,17 +285,30 @@
         limit = self._late_limit(bucket)
         earned = limit * (now - bucket.updated_at) / self._bounds.window_seconds
         bucket.late_level = min(limit, bucket.late_level + earned)
-        part = self.leases.part(workspace)
-        if part == 0.0 or bucket.part == 0.0:
-            bucket.mature_at = now + bucket.mature_after() + YOUNG_SECONDS
+        part, old = self.leases.part(workspace), bucket.part
         bucket.refresh(part, now)
+        if old == 0.0 < part and now - bucket.started_at >= self._bounds.window_seconds:
+            bucket.started_at, bucket.started_part = now, 0.0
+        if now - bucket.started_at <= CHANGE_SECONDS and part > bucket.started_part:
+            units = START_UNITS * self._bounds.overrun * self._window_units(bucket)
+            bucket.add(units * (part - bucket.started_part))
+            bucket.started_part = part
+        if part == 0.0 or old == 0.0:
+            bucket.mature_at = now + YOUNG_SECONDS
+        elif bucket.has_earned_half and now - bucket.started_at > CHANGE_SECONDS:
+            bucket.mature_at = min(bucket.mature_at, now)
+        if old != part > 0.0:
+            bucket.mature_at = max(bucket.mature_at, now + CHANGE_SECONDS)
 
     def _late_limit(self, bucket: _Bucket) -> float:
-        return LATE_RETURNED * (bucket.per_second * self._bounds.window_seconds + bucket.burst)
+        return LATE_RETURNED * self._window_units(bucket)
+
+    def _window_units(self, bucket: _Bucket) -> float:
+        return bucket.per_second * self._bounds.window_seconds + bucket.burst
 
     def _needed(self, bucket: _Bucket, units: float) -> float:
-        window = bucket.per_second * self._bounds.window_seconds + bucket.burst
-        return bucket.needed(units, OVERRUN_USED * self._bounds.overrun * window)
+        overrun = self._bounds.overrun * self._window_units(bucket)
+        return bucket.needed(units, OVERRUN_USED * overrun)
 
     def _refusal(self, bucket: _Bucket, entry: _Waiting, now: float) -> float | None:
         """Return the time to retry after if an ask is to be refused at once, 0 if never."""
@@ -262,8 +319,10 @@
             return None
         queued = sum(each.units for each in bucket.waiting)
         seconds = bucket.seconds_until(queued + needed)
-        longest = entry.leaves_at - now
-        if now >= bucket.mature_at and bucket.part == 1.0:
+        longest = entry.leaves_at - now - REPLY_MARGIN_SECONDS
+        if now < bucket.mature_at:
+            seconds *= bucket.part  # Votes are still coming in.
+        elif bucket.part == 1.0:
             longest = min(longest, QUEUE_SECONDS)
         return None if seconds <= longest else self._retry_after(bucket, seconds, entry.units, now)
 
@@ -291,13 +350,17 @@
             elif bucket.part > 0.0 and bucket.level >= needed - 1e-6:
                 bucket.waiting.popleft()
                 bucket.level -= entry.units
-                self.granted_units += entry.units
                 waited = now - entry.asked_at
                 sent.append(self._decide(entry, AllowanceOutcome.GRANTED, waited, now))
             else:
                 break
         return sent
 
+    def _not_granted(self, entry: _Waiting, is_granter: bool = False) -> Outgoing:
+        vm, number = entry.key
+        outcome = AllowanceOutcome.QUEUED if is_granter else AllowanceOutcome.NOT_GRANTER
+        return Outgoing(vm, AllowanceReply(number, outcome, 0.0, self._session))
+
     def _decide(
         self, entry: _Waiting, outcome: AllowanceOutcome, seconds: float, now: float
     ) -> Outgoing:
