--- a/pimentoquay/policy/allowance_holder.py
+++ b/pimentoquay/policy/allowance_holder.py
@@ -27,7 +27,7 @@
 REPEAT_SECONDS = 0.25
 """Interval at which an ask is sent again, and to more VMs; most replies come within 0.1 s."""
 
-QUEUED_REPEAT_SECONDS = 0.6
+QUEUED_REPEAT_SECONDS = 0.4
 """Interval if the granter has said that the ask waits there."""
 
 SILENT_SECONDS = 0.5
@@ -75,10 +75,12 @@
 class _Ask:
     """An ask. ``asked`` holds the VMs that it was sent to, and whether they have replied.
 
+    ``id`` is its first number; it gets another one if a grant came too late to be used.
     ``rounds`` counts its repetitions. ``settled`` holds the VMs whose units were used or given
     back.
     """
 
+    id: int
     ask: AllowanceAsk
     asked_at: float
     repeat_at: float
@@ -172,12 +174,17 @@
             patience,
             0.0,
         )
-        entry = self._ask_by_number[self._number] = _Ask(message, now, now + REPEAT_SECONDS)
+        entry = self._ask_by_number[self._number] = _Ask(
+            self._number, message, now, now + REPEAT_SECONDS
+        )
         return self._number, self._ask_more(entry, 1, now)
 
     def cancel(self, number: int, now: float) -> list[Outgoing]:
         """End an ask whose request has ended; a grant that comes is given back."""
-        return self._end(number, "", now) if number in self._ask_by_number else []
+        for current, entry in self._ask_by_number.items():
+            if entry.id == number:
+                return self._end(current, "", now)
+        return []
 
     def receive(
         self, source: str, reply: AllowanceReply, now: float
@@ -207,14 +214,14 @@
             sent = self._end(number, source, now)
             if entry.age(reply, now) > MAX_GRANT_AGE_SECONDS:
                 sent += self._give_back(entry, source, reply, now)
-                return Decision(number, False, REPEAT_SECONDS, is_counted=False), sent
+                return None, [*sent, *self._ask_anew(entry, now)]
             entry.settled.add(source)
-            return Decision(number, True, 0.0, source, reply.session), sent
+            return Decision(entry.id, True, 0.0, source, reply.session), sent
         sent = self._end(number, source, now)
         if known is not None and reply.seconds > 0:
             known.refused_until = now + min(reply.seconds, MAX_LOCAL_REFUSAL_SECONDS)
             known.refused_units = entry.ask.units
-        return Decision(number, False, reply.seconds, source, reply.session), sent
+        return Decision(entry.id, False, reply.seconds, source, reply.session), sent
 
     def tick(self, now: float) -> tuple[list[Decision], list[Outgoing]]:
         """Return the asks that nobody has decided in time, and what is to be sent again."""
@@ -222,7 +229,7 @@
         for number, entry in tuple(self._ask_by_number.items()):
             if now - entry.asked_at >= entry.ask.patience:
                 sent += self._end(number, "", now)
-                decisions.append(Decision(number, False, REPEAT_SECONDS, is_counted=False))
+                decisions.append(Decision(entry.id, False, REPEAT_SECONDS, is_counted=False))
             elif now >= entry.repeat_at:
                 sent += self._repeat(entry, now)
         return decisions, sent
@@ -246,6 +253,15 @@
         cancelled = AllowanceReturned(number, workspace, 0, 0.0, age)
         return [Outgoing(vm, cancelled) for vm in entry.asked if vm != granter]
 
+    def _ask_anew(self, entry: _Ask, now: float) -> list[Outgoing]:
+        """Ask once more, as a new ask of the same request."""
+        self._number += 1
+        ask = replace(entry.ask, number=self._number)
+        anew = self._ask_by_number[self._number] = _Ask(
+            entry.id, ask, entry.asked_at, now + REPEAT_SECONDS
+        )
+        return self._ask_more(anew, 1, now)
+
     def _give_back(
         self, entry: _Ask, source: str, reply: AllowanceReply, now: float
     ) -> list[Outgoing]:
--- a/pimentoquay/policy/tests/allowance_replay.py
+++ b/pimentoquay/policy/tests/allowance_replay.py
@@ -161,10 +161,11 @@
         for _ in range(1000):
             vm = self.random.choice(self.vms)
             gateway = self.gateway_by_vm.get(vm)
-            if gateway is not None and self.dc_by_vm[vm].startswith(self.zone):
-                if self.now >= max(gateway.frozen_until, gateway.started_at + 1.0):
-                    gateway.request(units)
-                    return
+            if gateway is None or not self.dc_by_vm[vm].startswith(self.zone):
+                continue
+            if self.now >= max(gateway.frozen_until, gateway.started_at + 1.0):
+                gateway.request(units)
+                return
 
     def record_end(self, gateway, outcome, units):
         self.ended.append((self.now, outcome, units))
