--- a/pimentoquay/policy/allowances.py
+++ b/pimentoquay/policy/allowances.py
@@ -181,6 +181,7 @@
         self._bucket_by_workspace: dict[str, _Bucket] = {}
         self._reply_by_key: dict[tuple[str, int], tuple[float, AllowanceReply]] = {}
         self.on_refused: Callable[[str, float, float, float], None] = lambda *details: None
+        self._returned_at_by_key: dict[tuple[str, int], float] = {}
         self._passed_at = -math.inf
 
     @property
@@ -223,8 +224,12 @@
         if bucket is None:
             return
         bucket.drop_waiting((source, returned.number))
+        key = (source, returned.number)
         if returned.session != self._session or not returned.units > 0:
             return
+        if key in self._returned_at_by_key:
+            return
+        self._returned_at_by_key[key] = now
         self._refresh(returned.workspace, bucket, now)
         units = returned.units
         if returned.age > LATE_AGE_SECONDS:
@@ -254,12 +259,21 @@
                 sent += self._grant_waiting(bucket, now)
             elif now - bucket.used_at > max(IDLE_SECONDS, 2.0 * bucket.mature_after()):
                 del self._bucket_by_workspace[workspace]
+        self._forget_old(now)
+        return sent
+
+    def _forget_old(self, now: float) -> None:
+        """Drop replies, and which units were returned, once no message repeats them."""
         while self._reply_by_key:
             key, (at, _) = next(iter(self._reply_by_key.items()))
             if now - at <= REPLY_KEPT_SECONDS:
                 break
             del self._reply_by_key[key]
-        return sent
+        while self._returned_at_by_key:
+            key = next(iter(self._returned_at_by_key))
+            if now - self._returned_at_by_key[key] <= IDLE_SECONDS:
+                break
+            del self._returned_at_by_key[key]
 
     def _bucket(self, ask: AllowanceAsk, now: float) -> _Bucket:
         """Return the bucket of a workspace, with the allowance of the newest version."""
