--- a/pimentoquay/bench/mutations/switches.py
+++ b/pimentoquay/bench/mutations/switches.py
@@ -1,5 +1,6 @@
 """Mechanisms that can be switched off, their replacements and the tests that have to fail then."""
 
+from pimentoquay.bench.mutations.allowance_switches import ALLOWANCE_SWITCHES
 from pimentoquay.bench.mutations.gateway_switches import GATEWAY_SWITCHES
 from pimentoquay.bench.mutations.path_switches import PATH_SWITCHES
 from pimentoquay.bench.mutations.replacements import (
@@ -266,6 +267,7 @@
         "pimentoquay/bench/tests/test_rolling_versions.py::"
         "test_roll_back_half_way_mixes_no_versions",
     ),
+    *ALLOWANCE_SWITCHES,
     *GATEWAY_SWITCHES,
     *PATH_SWITCHES,
     *STOP_SWITCHES,
