Order waiting streams by priority and fair shares of workspaces (policy)

Waiting streams were served by arrival, so paid ones waited behind unpaid ones. FairQueue gets charge() and excess_of(), so that its shares are used and not written again.

--- a/pimentoquay/policy/pool_placement.py
+++ b/pimentoquay/policy/pool_placement.py
@@ -2,7 +2,8 @@
 
 Load pattern: bursts of up to twice the rate that the engines' memory allows, from many gateways.
 The coordinator sees all streams of its pool at once, so each is placed by the present state, and
-waiting streams are served in one order: those that can still begin in time, then by arrival.
+waiting streams are served in one order: by priority and share (``service_order``), then those that
+can still begin in time, then by arrival.
 
 Failure pattern: gateways that fail or are cut off while they hold grants or wait, and a coordinator
 that starts without knowledge. A grant counts until its gateway reports the stream, or for a short
@@ -19,15 +20,15 @@
 from pimentoquay.policy.memory_forecast import GrowingRun, peak_tokens
 from pimentoquay.policy.pools import PoolState
 from pimentoquay.policy.run_ledger import RunLedger
+from pimentoquay.policy.service_order import DISPLACED_MARGIN, Rank, ServiceOrder, Supply
 from pimentoquay.policy.stream_admission import (
     AdmissionLimits,
     ReleaseRate,
-    StreamTimes,
-    StreamUrgency,
     WaitDecision,
     decide_wait,
 )
-from pimentoquay.policy.stream_queue import engines_of_wait, tokens_ahead
+from pimentoquay.policy.stream_need import StreamNeed
+from pimentoquay.policy.stream_queue import engines_of_wait, parts_ahead, tokens_ahead
 from pimentoquay.policy.token_ledger import TokenLedger
 from pimentoquay.policy.version_choice import may_run
 
@@ -52,33 +53,13 @@
 """Maximum number of waiting streams that are tried at once, which bounds the work per change: of
 new ones, and of those of each software version that has no more engines."""
 
+MAX_DISPLACED = 8
+"""Maximum number of waiting streams that are refused at once, which bounds the work per tick."""
+
 StreamKey = tuple[str, str]
 """VM of a stream's gateway and the key of its request."""
 
 
-@dataclass(frozen=True)
-class StreamNeed:
-    """A stream to be placed; ``need`` is the memory in tokens by which it counts while it waits.
-
-    ``software`` is the version that began it, or empty if none has. Priority 0 is the highest;
-    ``workspace`` is empty if the configuration has none.
-    """
-
-    run: GrowingRun
-    need: int
-    prompt: int
-    times: StreamTimes
-    may_prefill_on_decode_engine: bool = True
-    software: str = ""
-    priority: int = 0
-    workspace: str = ""
-
-    @property
-    def tokens(self) -> int:
-        """Memory by which it counts while it waits, in tokens."""
-        return self.need
-
-
 @dataclass(frozen=True)
 class Grant:
     """Engines that were granted to a stream.
@@ -118,6 +99,7 @@
         self._limits = AdmissionLimits()
         self._release_rate = ReleaseRate()
         self._started_at = now
+        self._order = ServiceOrder(self._limits)
         self._waiting_by_key: dict[StreamKey, _Waiting] = {}
         self._grant_by_key: dict[StreamKey, Grant] = {}
         self._reported_at_by_vm: dict[str, float] = {}
@@ -147,9 +129,13 @@
 
     def request(self, key: StreamKey, stream: StreamNeed, now: float) -> bool:
         """Let a stream wait; return whether it is new. One that waits already keeps its place."""
-        is_new = key not in self._waiting_by_key
+        known = self._waiting_by_key.get(key)
         self._waiting_by_key[key] = _Waiting(stream, now)
-        return is_new
+        if known is None:
+            self._order.record_arrival(stream, now)
+        if known is None or known.stream.service_class != stream.service_class:
+            self._order.add(key, stream)
+        return known is None
 
     def refuse_long_wait(
         self,
@@ -171,26 +157,66 @@
         closed
             Versions at which no new stream may begin.
         """
+        decision = self._decide(key, engines, now, closed)
+        if not decision.should_wait:
+            self._stop_waiting(key)
+        return decision
+
+    def displace(
+        self, engines: Sequence[EngineEntry], now: float, closed: Collection[str] = ()
+    ) -> list[tuple[StreamKey, WaitDecision]]:
+        """Drop the streams that can no longer be served since others have come before them.
+
+        Load pattern: a burst of a higher priority, or of other workspaces, after streams of a lower
+        one or of a workspace over its share were let wait. The last in order are refused at once.
+
+        Parameters
+        ----------
+        engines, now, closed
+            As for ``refuse_long_wait``.
+        """
+        if not self._waiting_by_key or not self._order.is_mixed(now):
+            return []
+        ranks = self._ranks(now)
+        displaced = []
+        for key in heapq.nlargest(MAX_DISPLACED, ranks, key=ranks.__getitem__):
+            if not self._order.is_excess(self._waiting_by_key[key].stream, now):
+                break
+            decision = self._decide(key, engines, now, closed, DISPLACED_MARGIN)
+            if decision.should_wait:
+                break
+            self._stop_waiting(key)
+            displaced.append((key, decision))
+        return displaced
+
+    def _decide(
+        self,
+        key: StreamKey,
+        engines: Sequence[EngineEntry],
+        now: float,
+        closed: Collection[str],
+        margin: float = 1.0,
+    ) -> WaitDecision:
         stream = self._waiting_by_key[key].stream
         others = [each.stream for other, each in self._waiting_by_key.items() if other != key]
         listed = [each for each in engines if may_run(each, stream.software, closed)]
         usable = engines_of_wait(listed, others, stream.software)
         share = len(usable) / max(1, len(engines))
-        ahead = tokens_ahead(others, stream.software, usable, share, now, self._limits)
         held = self.ledger.expected(usable, now)
         if stream.software and not held:
             return WaitDecision(True, 0.0)
         rate = self._release_rate.tokens_per_second(held)
-        decision = decide_wait(
+        if self._order.is_mixed(now):
+            parts = parts_ahead(others, stream.software, usable, share)
+            return self._order.decide(stream, parts, Supply(rate), now, margin)
+        ahead = tokens_ahead(others, stream.software, usable, share, now, self._limits)
+        return decide_wait(
             stream.need, ahead.urgent_tokens, ahead.tokens, rate, stream.times, now, self._limits
         )
-        if not decision.should_wait:
-            del self._waiting_by_key[key]
-        return decision
 
     def cancel(self, key: StreamKey) -> None:
         """Forget a stream whose caller has left."""
-        self._waiting_by_key.pop(key, None)
+        self._stop_waiting(key)
         self._drop_grant(key)
 
     def record_full(self, key: StreamKey, engine: str, now: float) -> None:
@@ -254,6 +280,7 @@
     ) -> Grant:
         """Grant engines to a waiting stream."""
         stream = self._waiting_by_key.pop(key).stream
+        self._order.serve(key, stream)
         self._next_number += 1
         ledger_key = self.ledger.take(engine.id, stream.run, now)
         if prefill_engine is not None:
@@ -309,7 +336,7 @@
             ends_at = waiting.stream.times.leaves_at - self._limits.work_seconds
             is_lost = now - waiting.repeated_at > REPEAT_SECONDS
             if is_lost or now >= ends_at:
-                del self._waiting_by_key[key]
+                self._stop_waiting(key)
                 if not is_lost:
                     missed.append(key)
         return missed
@@ -329,10 +356,7 @@
         Of those bound to a version, as many are tried as it has engines. Each that fits nowhere
         keeps one, so the next could get none.
         """
-
-        def rank(key: StreamKey) -> tuple[StreamUrgency, float, StreamKey]:
-            return self._rank(key, now)
-
+        ranks = self._ranks(now)
         keys_by_software: dict[str, list[StreamKey]] = {}
         for key, waiting in self._waiting_by_key.items():
             keys_by_software.setdefault(waiting.stream.software, []).append(key)
@@ -340,12 +364,20 @@
         first: list[StreamKey] = []
         for software, keys in keys_by_software.items():
             count = max(MAX_TRIED, engines_by_software[software]) if software else MAX_TRIED
-            first += heapq.nsmallest(count, keys, key=rank)
-        return sorted(first, key=rank)
-
-    def _rank(self, key: StreamKey, now: float) -> tuple[StreamUrgency, float, StreamKey]:
-        times = self._waiting_by_key[key].stream.times
-        return times.urgency(now, self._limits), times.arrived_at, key
+            first += heapq.nsmallest(count, keys, key=ranks.__getitem__)
+        return sorted(first, key=ranks.__getitem__)
+
+    def _ranks(self, now: float) -> dict[StreamKey, tuple[Rank, StreamKey]]:
+        """Return the places of the waiting streams; the lowest is served first."""
+        waiting = [(key, each.stream) for key, each in self._waiting_by_key.items()]
+        promoted = self._order.promoted(waiting, now)
+        return {
+            key: (self._order.rank(stream, now, key == promoted), key) for key, stream in waiting
+        }
+
+    def _stop_waiting(self, key: StreamKey) -> None:
+        self._waiting_by_key.pop(key, None)
+        self._order.remove(key)
 
     def _drop_grant(self, key: StreamKey) -> None:
         grant = self._grant_by_key.pop(key, None)
--- a/pimentoquay/policy/queue.py
+++ b/pimentoquay/policy/queue.py
@@ -161,6 +161,8 @@
     def peek(self) -> QueueItem | None:
         """Return the request to be served next, or ``None`` if the queue is empty."""
         if not self._item_by_id:
+            self._in_share.clear()
+            self._over_share.clear()
             return None
         if not self._is_fair:
             return self._item_by_id[self._keys[0][2]]
@@ -175,11 +177,36 @@
         item = self.peek()
         if item is None:
             raise IndexError("the queue is empty")
+        self.charge(item.request_id)
+        return item
+
+    def charge(self, request_id: str) -> None:
+        """Remove a request that is served, whatever its place; charge its cost to its workspace.
+
+        Raise ``KeyError`` if it is not in the queue.
+        """
+        item = self._item_by_id[request_id]
         line = self._line_by_workspace[item.workspace]
+        is_head = line.keys[0] == item.key
         line.virtual_time += item.cost / line.weight
         self._virtual_time += item.cost / self._waiting_weight
-        self.remove(item.request_id)
-        return item
+        self.remove(request_id)
+        if not is_head:
+            self._push_head(item.workspace, line)
+
+    def excess_of(self, workspace: str, cost: float = 0.0) -> float:
+        """Return the virtual time by which a workspace is over its share, or 0 if it is within.
+
+        Parameters
+        ----------
+        workspace
+            The workspace, which need not have waiting requests.
+        cost
+            Cost of requests that count as served already, in slot-seconds.
+        """
+        line = self._line_by_workspace.get(workspace) or _WaitingLine()
+        own_time = line.virtual_time if line.keys else max(line.virtual_time, self._virtual_time)
+        return max(0.0, own_time + cost / line.weight - self._virtual_time - self._quantum)
 
     def ahead_of(self, item: QueueItem) -> float:
         """Estimate how many requests are served before a new one if no others arrive."""
--- a/pimentoquay/policy/stream_admission.py
+++ b/pimentoquay/policy/stream_admission.py
@@ -18,6 +18,7 @@
     "StreamTimes",
     "StreamUrgency",
     "WaitDecision",
+    "decide_by_waits",
     "decide_wait",
     "first_request_at",
     "patience_seconds",
@@ -72,11 +73,13 @@
 class WaitDecision:
     """Whether a stream is to wait for memory.
 
-    ``seconds`` is the estimated wait or, for a refusal, the time after which to retry.
+    ``seconds`` is the estimated wait or, for a refusal, the time after which to retry. ``basis``
+    says for the log what a decision between several priorities or workspaces depended on.
     """
 
     should_wait: bool
     seconds: float
+    basis: str = ""
 
 
 @dataclass(frozen=True)
@@ -222,10 +225,25 @@
         Time that the stream needs after its wait, and bounds on the time until a retry.
     """
     rate = max(1.0, release_rate)
-    urgent_wait = (urgent_ahead + tokens) / rate
+    return decide_by_waits(
+        (urgent_ahead + tokens) / rate, (all_ahead + tokens) / rate, times, now, limits
+    )
+
+
+def decide_by_waits(
+    urgent_wait: float, wait: float, times: StreamTimes, now: float, limits: AdmissionLimits
+) -> WaitDecision:
+    """Decide whether a stream waits, by its estimated waits in seconds.
+
+    Parameters
+    ----------
+    urgent_wait, wait
+        Wait behind the streams before it that can still be in time, and behind all before it.
+    times, now, limits
+        As for the function ``decide_wait``.
+    """
     if now + urgent_wait + limits.work_seconds <= times.late_at:
         return WaitDecision(True, urgent_wait)
-    wait = (all_ahead + tokens) / rate
     if now + wait + limits.work_seconds <= times.leaves_at:
         return WaitDecision(True, wait)
     retry_after = min(limits.max_retry_after, max(limits.min_retry_after, wait))
--- a/pimentoquay/policy/stream_queue.py
+++ b/pimentoquay/policy/stream_queue.py
@@ -1,20 +1,30 @@
 """The streams that wait for memory at one VM, and the order in which they get it."""
 
-from collections.abc import Collection, Iterable, Iterator
-from dataclasses import dataclass
-from typing import Protocol
+from collections.abc import Collection, Iterable, Iterator, Sequence
+from dataclasses import dataclass, replace
+from typing import Protocol, TypeVar
 
 from pimentoquay.policy.fleet import EngineEntry
 from pimentoquay.policy.memory_forecast import MemoryNeed
+from pimentoquay.policy.service_order import Rank, ServiceOrder, Supply
 from pimentoquay.policy.stream_admission import (
     AdmissionLimits,
     QueuedTokens,
     StreamTimes,
     StreamUrgency,
+    WaitDecision,
+    decide_wait,
 )
 from pimentoquay.policy.version_choice import engines_for
 
-__all__ = ["StreamQueue", "Waiting", "WaitingStream", "engines_of_wait", "tokens_ahead"]
+__all__ = [
+    "StreamQueue",
+    "Waiting",
+    "WaitingStream",
+    "engines_of_wait",
+    "parts_ahead",
+    "tokens_ahead",
+]
 
 
 class Waiting(Protocol):
@@ -33,6 +43,9 @@
         """Version that began it, or empty if none has."""
 
 
+WaitingKind = TypeVar("WaitingKind", bound=Waiting)
+
+
 def engines_of_wait(
     engines: Iterable[EngineEntry], waiting: Iterable[Waiting], software: str
 ) -> tuple[EngineEntry, ...]:
@@ -54,6 +67,27 @@
     return engines_for(listed, software, {each.software for each in waiting}) or listed
 
 
+def parts_ahead(
+    waiting: Iterable[WaitingKind],
+    software: str,
+    engines: Collection[EngineEntry],
+    share: float,
+) -> list[tuple[WaitingKind, float]]:
+    """Return the streams that wait, each with the part of it that waits for a stream's engines.
+
+    Parameters
+    ----------
+    waiting, software, engines, share
+        As for the function ``tokens_ahead``.
+    """
+    versions = {each.software_version for each in engines}
+    part_of_new = share if software else 1.0
+    return [
+        (each, float(each.software in versions) if each.software else part_of_new)
+        for each in waiting
+    ]
+
+
 def tokens_ahead(
     waiting: Iterable[Waiting],
     software: str,
@@ -83,11 +117,8 @@
     limits
         Limits of admission.
     """
-    versions = {each.software_version for each in engines}
-    part_of_new = share if software else 1.0
     tokens = urgent = 0.0
-    for each in waiting:
-        part = float(each.software in versions) if each.software else part_of_new
+    for each, part in parts_ahead(waiting, software, engines, share):
         tokens += part * each.tokens
         if each.times.urgency(now, limits) is StreamUrgency.IN_TIME:
             urgent += part * each.tokens
@@ -117,10 +148,11 @@
 
 
 class StreamQueue:
-    """Streams that wait at one VM, by urgency and then by ``StreamTimes.arrived_at``.
+    """Streams that wait at one VM, by priority and share, urgency and ``StreamTimes.arrived_at``.
 
     Load pattern: bursts of more streams than the engines' memory allows, at many VMs. Each serves
-    its own in order; late ones yield to those of other VMs that are in time.
+    its own in order; late ones and those of lower priorities yield to those of other VMs that are
+    in time. VMs don't tell priorities, so they count as urgent only those of their highest.
 
     Parameters
     ----------
@@ -131,6 +163,7 @@
     def __init__(self, limits: AdmissionLimits) -> None:
         self._limits = limits
         self._streams: list[WaitingStream] = []
+        self._order = ServiceOrder(limits)
 
     def __len__(self) -> int:
         return len(self._streams)
@@ -141,10 +174,20 @@
     def add(self, stream: WaitingStream) -> None:
         """Let a stream wait."""
         self._streams.append(stream)
+        self._order.add(stream, stream)
 
     def remove(self, stream: WaitingStream) -> None:
         """Remove a stream that has got memory or waits no more."""
         self._streams.remove(stream)
+        self._order.remove(stream)
+
+    def record_arrival(self, stream: WaitingStream, now: float) -> None:
+        """Record that a stream has arrived, whether or not it has to wait."""
+        self._order.record_arrival(stream, now)
+
+    def record_served(self, stream: WaitingStream) -> None:
+        """Record that a stream has got memory, whether or not it waited."""
+        self._order.serve(stream, stream)
 
     def queued(self, now: float) -> QueuedTokens:
         """Return the memory that the streams wait for, in tokens, as other VMs are told.
@@ -152,7 +195,7 @@
         The urgent part is that of new streams. Late ones of other VMs yield to it, and would leave
         engines unused if they yielded to streams that wait for other engines.
         """
-        new = [each for each in self._streams if not each.software and self._is_urgent(each, now)]
+        new = [each for each in self._streams if not each.software and self._is_first(each, now)]
         return QueuedTokens(
             sum(each.tokens for each in self._streams), sum(each.tokens for each in new)
         )
@@ -186,9 +229,10 @@
 
     def ahead_of(self, stream: WaitingStream, now: float) -> list[WaitingStream]:
         """Return the streams that are to be served before another one."""
+        promoted = self._promoted(stream, now)
 
-        def rank(each: WaitingStream) -> tuple[StreamUrgency, float]:
-            return each.times.urgency(now, self._limits), each.times.arrived_at
+        def rank(each: WaitingStream) -> Rank:
+            return self._order.rank(each, now, each is promoted)
 
         own = rank(stream)
         return [each for each in self._streams if each is not stream and rank(each) < own]
@@ -214,12 +258,67 @@
         """
         if self._rivals_of(stream, now):
             return False
-        return self._is_urgent(stream, now) or peers.urgent_tokens == 0
+        is_first = self._is_first(stream, now) or self._promoted(stream, now) is stream
+        return is_first or peers.urgent_tokens == 0
+
+    def decide(
+        self,
+        stream: WaitingStream,
+        engines: Collection[EngineEntry],
+        share: float,
+        peers: QueuedTokens,
+        supply: Supply,
+        now: float,
+    ) -> WaitDecision:
+        """Decide whether a stream, which need not wait yet, waits for memory or is refused.
+
+        Parameters
+        ----------
+        stream
+            The stream.
+        engines, share, peers, now
+            As for ``all_tokens_ahead``.
+        supply
+            Memory that comes free, and the number of VMs.
+        """
+        others = [each for each in self._streams if each is not stream]
+        if self._order.is_mixed(now):
+            urgent = int(share * peers.urgent_tokens) if stream.software else peers.urgent_tokens
+            supply = replace(
+                supply,
+                peers_urgent=urgent,
+                peers_tokens=urgent if stream.software else peers.tokens,
+            )
+            parts = parts_ahead(others, stream.software, engines, share)
+            return self._order.decide(stream, parts, supply, now)
+        ahead = self.all_tokens_ahead(stream.software, engines, share, peers, now)
+        rate = supply.tokens_per_second
+        return decide_wait(
+            stream.tokens, ahead.urgent_tokens, ahead.tokens, rate, stream.times, now, self._limits
+        )
+
+    def may_be_displaced(self, stream: WaitingStream, now: float) -> bool:
+        """Return whether a stream that waits is the first to be refused if not all can be served.
+
+        Streams of one priority and workspace are not, nor are those that have begun.
+        """
+        if not self._order.is_excess(stream, now):
+            return False
+        return len(self.ahead_of(stream, now)) == len(self._streams) - 1
 
     def _rivals_of(self, stream: WaitingStream, now: float) -> list[WaitingStream]:
         """Return the streams before one that may take the engines that it waits for."""
         ahead = self.ahead_of(stream, now)
         return [each for each in ahead if each.software in ("", stream.software)]
 
-    def _is_urgent(self, stream: WaitingStream, now: float) -> bool:
-        return stream.times.urgency(now, self._limits) is StreamUrgency.IN_TIME
+    def _is_first(self, stream: WaitingStream, now: float) -> bool:
+        """Return whether a stream is of the highest priority and can be in time."""
+        in_time = stream.times.urgency(now, self._limits) is StreamUrgency.IN_TIME
+        return in_time and self._order.is_highest(stream, now)
+
+    def _promoted(self, stream: WaitingStream, now: float) -> WaitingStream | None:
+        """Return the stream that is next by its guaranteed share, of those here and another one."""
+        known: Sequence[WaitingStream] = self._streams
+        if not any(each is stream for each in known):
+            known = [*known, stream]
+        return self._order.promoted(((each, each) for each in known), now)
