Test priorities of streams between gateways, coordinators and engines; hold lower ones at a new coordinator

A coordinator that started or had stalled gave the memory that had become free to those that asked first. It now places lower priorities 0.5 s after its start (0.1 s after a stall), if the configuration has several.

--- a/pimentoquay/gateway/pool_coordinator.py
+++ b/pimentoquay/gateway/pool_coordinator.py
@@ -48,6 +48,17 @@
 IDLE_TICK_SECONDS = 0.5
 """Interval of ticks of a gateway that is no relay and so coordinates nothing."""
 
+HOLD_NEW_SECONDS = 0.5
+"""Time after the start of a coordinator in which all waiting streams have been asked for again;
+gateways repeat their requests at this interval."""
+
+HOLD_STALLED_SECONDS = 0.1
+"""Time after a stall in which the requests that arrived meanwhile are read."""
+
+STALLED_SECONDS = 0.4
+"""Time between two ticks after which the process must have stalled: much longer than the turns of
+other work on the smallest machines."""
+
 SUSPENDED_SECONDS = 1.0
 """Time between two ticks after which the process must have been suspended; what it knew before is
 out of date."""
@@ -193,6 +204,7 @@
         if pool is None:
             now = self._node.timers.now()
             pool = self._pool_by_key[key] = _Pool(PoolPlacement(key.data_centre, now), now)
+            self._hold_lower(pool, now + HOLD_NEW_SECONDS)
             logger.bind(pool=str(key)).info("pool coordinated here")
         return pool
 
@@ -200,11 +212,7 @@
         """Do what is due, and schedule the next tick; without pools, ticks are rare."""
         self._node.timers.after(TICK_SECONDS if self.is_active else IDLE_TICK_SECONDS, self._tick)
         now = self._node.timers.now()
-        boot_now = boot_time()
-        if max(now - self._ticked_at, boot_now - self._ticked_at_boot) > SUSPENDED_SECONDS:
-            self._pool_by_key.clear()
-        self._ticked_at_boot = boot_now
-        self._ticked_at = now
+        self._check_stall(now)
         if not self.is_active:
             self._pool_by_key.clear()
             return
@@ -229,6 +237,11 @@
                 pool.summarised_at = now
                 self._broadcast(self._summary(key, pool, now))
 
+    def _hold_lower(self, pool: _Pool, until: float) -> None:
+        priorities = self._shared.stream_priorities
+        if len(priorities) > 1:
+            pool.placement.hold_lower(priorities[0], until)
+
     def _displace(self, key: PoolKey, pool: _Pool, now: float) -> None:
         """Refuse waiting streams that can't be served as others come before them."""
         if not pool.placement.is_mixed(now):
@@ -239,6 +252,17 @@
             self._reply(vm, stream, key, PlaceOutcome.REFUSED, decision.seconds)
             log_refusal(key, vm, service_class, decision, now - pool.started_at)
 
+    def _check_stall(self, now: float) -> None:
+        """Forget the pools after a suspension, and hold lower priorities after a short stall."""
+        boot_now = boot_time()
+        if max(now - self._ticked_at, boot_now - self._ticked_at_boot) > SUSPENDED_SECONDS:
+            self._pool_by_key.clear()
+        elif now - self._ticked_at > STALLED_SECONDS:
+            for stalled in self._pool_by_key.values():
+                self._hold_lower(stalled, now + HOLD_STALLED_SECONDS)
+        self._ticked_at_boot = boot_now
+        self._ticked_at = now
+
     def _listed_pools(self) -> list[PoolKey]:
         fleet = self._shared.fleet
         services = {engine.service for engine in fleet.engines()}
--- a/pimentoquay/gateway/shared_state.py
+++ b/pimentoquay/gateway/shared_state.py
@@ -123,13 +123,17 @@
         has_begun
             Whether its caller has received events.
         """
+        return urgency_of(priority, self.stream_priorities, has_begun)
+
+    @property
+    def stream_priorities(self) -> tuple[int, ...]:
+        """Priorities that streams can have by the configuration, the highest first."""
         configuration = self.fleet.configuration
-        if configuration is None:
-            return None
-        if self._priorities_of is not configuration:
+        if configuration is not self._priorities_of:
             self._priorities_of = configuration
-            self._priorities = stream_priorities(configuration.routes)
-        return urgency_of(priority, self._priorities, has_begun)
+            routes = configuration.routes if configuration is not None else ()
+            self._priorities = stream_priorities(routes)
+        return self._priorities
 
     def forget_experience(self, engine: str) -> None:
         """Forget the latencies and failures of calls to a server, which took another way."""
--- a/pimentoquay/policy/pool_placement.py
+++ b/pimentoquay/policy/pool_placement.py
@@ -104,6 +104,15 @@
         self._grant_by_key: dict[StreamKey, Grant] = {}
         self._reported_at_by_vm: dict[str, float] = {}
         self._next_number = 0
+        self._held_until, self._highest = now, 0
+
+    def hold_lower(self, highest: int, until: float) -> None:
+        """Place no new streams of priorities below the highest until a time.
+
+        Failure pattern: a coordinator that has just started, or was suspended. Memory has become
+        free, and would go to those whose requests are handled first, before the others are known.
+        """
+        self._highest, self._held_until = highest, until
 
     def is_settled(self, now: float) -> bool:
         """Return whether all gateways had time to report their streams."""
@@ -173,11 +182,7 @@
 
         Load pattern: a burst of a higher priority, or of other workspaces, after streams of a lower
         one or of a workspace over its share were let wait. The last in order are refused at once.
-
-        Parameters
-        ----------
-        engines, now, closed
-            As for ``refuse_long_wait``.
+        The parameters are those of ``refuse_long_wait``.
         """
         if not self.is_mixed(now):
             return []
@@ -364,7 +369,9 @@
         ranks = self._ranks(now)
         keys_by_software: dict[str, list[StreamKey]] = {}
         for key, waiting in self._waiting_by_key.items():
-            keys_by_software.setdefault(waiting.stream.software, []).append(key)
+            stream = waiting.stream
+            if stream.software or stream.priority <= self._highest or now >= self._held_until:
+                keys_by_software.setdefault(waiting.stream.software, []).append(key)
         engines_by_software = Counter(each.software_version for each in engines)
         first: list[StreamKey] = []
         for software, keys in keys_by_software.items():
--- a/pimentoquay/policy/tests/priority_loads.py
+++ b/pimentoquay/policy/tests/priority_loads.py
@@ -7,7 +7,7 @@
 
 import random
 from collections import defaultdict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields
 
 from pimentoquay.policy.fleet import EngineEntry, EngineStage
 from pimentoquay.policy.memory_forecast import GrowingRun
@@ -18,6 +18,7 @@
 HOLD_SECONDS, GAP_SECONDS, WORK_SECONDS = 3.2, 0.3, AdmissionLimits().work_seconds
 MEAN_TOKENS = 9_500
 STEP, REPORT_SECONDS, REPEAT_SECONDS, TAKEOVER_SECONDS = 0.02, 0.1, 0.5, 1.0
+HOLD_NEW_SECONDS, HOLD_STALLED_SECONDS = 0.5, 0.1
 TARGET_BY_PRIORITY = {0: 0.87, 1: 0.87, 2: 2.02}
 CAPACITY_PER_ENGINE = USABLE / MEAN_TOKENS / HOLD_SECONDS
 """Streams a second that the memory of one engine allows."""
@@ -55,6 +56,10 @@
     refused_at_once: int = 0
     retry_after: list = field(default_factory=list)
 
+    def __add__(self, other):
+        names = [each.name for each in fields(self)]
+        return Outcome(*(getattr(self, name) + getattr(other, name) for name in names))
+
 
 def arrivals(seed, rate_of, seconds, priority, workspace="", vms=60):
     """Return requests that arrive at random at the rate ``rate_of(time)`` a second."""
@@ -81,18 +86,19 @@
         Number of decode engines.
     faults
         Failures of the coordinator.
-    is_told
-        Whether gateways tell the coordinator priorities and workspaces.
+    told_priority
+        Priority that gateways tell the coordinator of all streams, with no workspace; None for that
+        of each.
     """
 
-    def __init__(self, requests, count=12, faults=(), is_told=True):
+    def __init__(self, requests, count=12, faults=(), told_priority=None):
         self.due: dict[int, list[Sent]] = defaultdict(list)
         for each in requests:
             self._schedule(each)
         self.last_step = max(self.due)
         self.engines = engines(count)
         self.faults = sorted((at, kind) for kind, at in faults)
-        self.is_told = is_told
+        self.told_priority = told_priority
         self.pool = PoolPlacement("hall", 0.0)
         self.waiting = {}
         self.running = []
@@ -116,6 +122,9 @@
                 down_until = now + (TAKEOVER_SECONDS if kind == "kill" else 0.9)
                 if kind == "kill":
                     self.pool = PoolPlacement("hall", down_until)
+                if self.told_priority is None:
+                    held = HOLD_NEW_SECONDS if kind == "kill" else HOLD_STALLED_SECONDS
+                    self.pool.hold_lower(0, down_until + held)
             if now >= down_until:
                 self._coordinate(step, now)
             for key, waiting in tuple(self.waiting.items()):
@@ -138,7 +147,9 @@
         return self.outcome_by_class[request.priority, request.workspace]
 
     def _need(self, times, request):
-        told = (request.priority, request.workspace) if self.is_told else (0, "")
+        told = (self.told_priority, "")
+        if self.told_priority is None:
+            told = request.priority, request.workspace
         run = GrowingRun(request.tokens, 0)
         return StreamNeed(run, request.tokens, 5200, times, True, "", *told)
 
