--- a/pimentoquay/gateway/tests/test_fuzzed_traffic.py
+++ b/pimentoquay/gateway/tests/test_fuzzed_traffic.py
@@ -35,8 +35,10 @@
 from pimentoquay.messages.pools import (
     Bundle,
     PlaceCancelled,
+    PlaceClass,
     PlaceReply,
     PlaceRequest,
+    PoolKey,
     PoolReport,
     PoolSummary,
     RelayAlive,
@@ -237,7 +239,10 @@
 ]
 """Types of the messages that a gateway takes from its peers."""
 
-ROUTED = st.one_of(*map(messages, (PlaceRequest, PlaceReply, PlaceCancelled, PoolReport)))
+CLASSES = st.builds(
+    PlaceClass, messages(str), messages(PoolKey), st.integers(0, 9), st.text(max_size=20)
+)
+ROUTED = CLASSES | st.one_of(*map(messages, (PlaceRequest, PlaceReply, PlaceCancelled, PoolReport)))
 NOTICES = st.one_of(
     *map(messages, (*HANDLED, TunnelRequest)),
     st.builds(
