--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -259,6 +259,7 @@
             kv_source=prefill.source if prefill is not None else "",
             hold=reservation.hold,
             after_event=progress.last_event,
+            urgency=self._shared.urgency_of(job.priority, progress.last_event is not None),
         )
         silence_timeout = SILENCE_TIMEOUT_SECONDS if job.route.is_resumable else None
         reservation.is_hold_used = True
