Choose prefill engines by expected time, and give up prefills by it

Engines of a service differ in speed by up to 2.4, but prompts went to the engine with the fewest queued tokens, and a prompt that waited for 1.0 s at a working engine was sent again. Speeds are now learnt for each start of an engine from the fastest prefills of half seconds, corrected by what the coordinator or the ledger knows of the queue, and sent to the coordinator of the pool or, in a full mesh, to all gateways (PrefillsMeasured, 164). The time-out follows the expected time in the queue and is bounded by the lifetime of the memory hold and by the caller. The demand of prefills uses the speed of the engine.

--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -60,6 +60,7 @@
 from pimentoquay.gateway.planned_stop import PlannedStop
 from pimentoquay.gateway.pool_client import PoolClient
 from pimentoquay.gateway.pool_coordinator import PoolCoordinator
+from pimentoquay.gateway.prefill_speeds import PrefillSpeeds
 from pimentoquay.gateway.prefills import PrefillRunner
 from pimentoquay.gateway.request_guard import RequestGuard
 from pimentoquay.gateway.reservation import usable_tokens
@@ -218,7 +219,10 @@
         node, shared, usable, pool_coordinator_of, send_to, mesh.broadcast_summary
     )
     mesh.on_pool_summary.append(pool_client.receive_summary)
-    mesh.relays.receive_routed = _routed_handler(pool_client, coordinator)
+    speeds = PrefillSpeeds(
+        node, shared, pool_coordinator_of, lambda: loads.load_by_vm, send_to, coordinator
+    )
+    mesh.relays.receive_routed = _routed_handler(pool_client, coordinator, speeds)
     mesh.on_plan_changed.append(lambda: _apply_plan(shared, mesh, pool_client, coordinator))
     leaving = LeavingNotices(fleet.notices, node.timers.now, mesh.notices.publish)
     mesh.notices.register(EnginesLeaving, leaving.handler)
@@ -268,7 +272,8 @@
         changed.append(lambda engine: mesh.update_own_state(is_cut_off=paths.cut_engines > 0))
         changed.append(shared.forget_experience)
     mesh.on_stage_ordered.append(stage_controller.record_order)
-    streams = StreamForwarder(shared, reservations, PrefillRunner(shared, schedule_update))
+    prefills = PrefillRunner(shared, schedule_update, speeds)
+    streams = StreamForwarder(shared, reservations, prefills)
     planned_stop = PlannedStop()
     dispatcher = Dispatcher(shared, PlainForwarder(shared), streams, planned_stop)
     caller_server = HttpServer(dispatcher.handle, lambda: _server_limits(fleet), turns, _patience)
@@ -303,6 +308,7 @@
         RESUMPTIONS_REFUSED: lambda: origins.refused,
         REFUSED_OVER_LIMIT: lambda: shared.refused_over_limit,
         REFUSED_IN_STOP: lambda: planned_stop.refused,
+        **prefills.gauges(),
     }
     metrics.values_by_counter = {
         ENGINE_REQUESTS: lambda: contact.requests_by_way,
@@ -348,10 +354,12 @@
     return usable_tokens(known.memory) if known is not None and known.memory is not None else 0
 
 
-def _routed_handler(client: PoolClient, coordinator: PoolCoordinator) -> Callable[[str, Any], None]:
+def _routed_handler(
+    *receivers: PoolClient | PoolCoordinator | PrefillSpeeds,
+) -> Callable[[str, Any], None]:
     def receive(source: str, message: Any) -> None:
-        client.receive(message, source)
-        coordinator.receive(message, source)
+        for receiver in receivers:
+            receiver.receive(message, source)
 
     return receive
 
--- a/pimentoquay/gateway/metrics.py
+++ b/pimentoquay/gateway/metrics.py
@@ -154,6 +154,22 @@
     "requests refused because the gateway stops before they would end",
 )
 
+ENGINES_MEASURED = Metric(
+    "pimentoquay_gateway_engines_measured",
+    "gauge",
+    "engines whose speed is known from prefills",
+)
+SPEED_CHANGES = Metric(
+    "pimentoquay_gateway_engine_speed_changes_total",
+    "counter",
+    "engines that have become slower or faster at prefills",
+)
+PREFILLS_TIMED_OUT = Metric(
+    "pimentoquay_gateway_prefills_timed_out_total",
+    "counter",
+    "prefills that were given up as they took longer than the queue of their engine explains",
+)
+
 SERVICES_MIXED = Metric(
     "pimentoquay_gateway_services_mixed",
     "gauge",
@@ -242,6 +258,9 @@
     SERVICES_MIXED,
     STREAM_ORIGINS,
     RESUMPTIONS_REFUSED,
+    ENGINES_MEASURED,
+    SPEED_CHANGES,
+    PREFILLS_TIMED_OUT,
 )
 _COUNTERS = (
     CONNECT_FAILURES,
--- a/pimentoquay/gateway/pool_coordinator.py
+++ b/pimentoquay/gateway/pool_coordinator.py
@@ -26,6 +26,7 @@
 )
 from pimentoquay.policy.engine_preference import Placer
 from pimentoquay.policy.fleet import DECODE_STAGES, EngineEntry, EngineStage
+from pimentoquay.policy.granted_prefills import GrantedPrefills
 from pimentoquay.policy.memory_forecast import GrowingRun
 from pimentoquay.policy.pool_placement import Grant, PoolPlacement, StreamKey, StreamNeed
 from pimentoquay.policy.prefill_choice import choose_prefill_engine
@@ -58,6 +59,7 @@
     placement: PoolPlacement
     summarised_at: float = float("-inf")
     report_by_vm: dict[str, PoolReport] = field(default_factory=dict)
+    prefills: GrantedPrefills = field(default_factory=GrantedPrefills)
 
 
 class PoolCoordinator:
@@ -268,14 +270,24 @@
                 if limits.may_grant(engine, now) and may_run(engine, stream.software, closed)
             ],
             pool.placement.prefill_ledger,
-            self._shared.speed,
+            self._shared.speeds.of(key.service),
             Placer(self._node.identity.vm, key.data_centre),
             stream.may_prefill_on_decode_engine,
+            stream.prompt,
+            now,
         )
         if chosen is not None:
             limits.take_grant(chosen, now)
+            ahead = pool.placement.prefill_ledger.held(chosen.id)
+            pool.prefills.add(stream_key[0], chosen.id, stream.prompt, ahead, now)
         return chosen
 
+    def prefill_ahead(self, key: PoolKey, vm: str, engine: str, tokens: int) -> int | None:
+        """Return the tokens before a prompt that was granted here, in the queue of its engine."""
+        pool = self._pool_by_key.get(key)
+        now = self._node.timers.now()
+        return pool.prefills.ahead(vm, engine, tokens, now) if pool is not None else None
+
     def _limit_wait(self, key: PoolKey, pool: _Pool) -> float:
         """Return the seconds until all waiting streams may be placed by the engines' limits."""
         limits = [
--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -6,25 +6,36 @@
 
 from pimentoquay.gateway.engine_link import EngineLink
 from pimentoquay.gateway.job import Job
+from pimentoquay.gateway.metrics import (
+    ENGINES_MEASURED,
+    PREFILLS_TIMED_OUT,
+    SPEED_CHANGES,
+)
+from pimentoquay.gateway.prefill_speeds import PrefillSpeeds
+from pimentoquay.gateway.reservation import Reservation
 from pimentoquay.gateway.shared_state import SharedState
 from pimentoquay.http1 import ExchangeWatch
 from pimentoquay.kernel.errors import HttpError
 from pimentoquay.kernel.logs import logger
+from pimentoquay.kernel.metrics import Metric
 from pimentoquay.platform.fields import DecodeError
 from pimentoquay.platform.requests import SendOptions
 from pimentoquay.platform.responses import PrefillResult, parse_prefill, parse_response
+from pimentoquay.policy.engine_speeds import PrefillSample
 from pimentoquay.policy.fleet import EngineEntry, EngineStage, ModelRequest
 from pimentoquay.policy.prefill_choice import (
     can_prefill_on_decode_engine,
     choose_prefill_engine,
 )
+from pimentoquay.policy.prefill_timeout import (
+    MIN_PREFILL_SECONDS,
+    UNSTATED_HOLD_SECONDS,
+    is_worth_sending,
+    prefill_timeout,
+)
 
 __all__ = ["Prefill", "PrefillRunner"]
 
-PREFILL_TIMEOUT_SECONDS = 1.0
-"""Timeout of a prefill: ten times its usual duration, and half the lifetime of a memory hold."""
-
-
 WATCH = ExchangeWatch(quiet_seconds=0.4, abandon_seconds=0.0)
 """Prefills take some tenths of a second, and may be sent again."""
 
@@ -51,7 +62,9 @@
 
 
 class PrefillRunner:
-    """Runs prefills at the prefill engine with the shortest queue.
+    """Runs prefills at the prefill engine that is done first.
+
+    ``timed_out`` counts the prefills that were given up as they took too long.
 
     Parameters
     ----------
@@ -59,23 +72,24 @@
         Engines, links and retry budgets.
     on_change
         Called when the number of this gateway's prompts at prefill engines changes.
+    speeds
+        Told how long each prefill took.
     """
 
     def __init__(
-        self,
-        shared: SharedState,
-        on_change: Callable[[], None],
+        self, shared: SharedState, on_change: Callable[[], None], speeds: PrefillSpeeds
     ) -> None:
         self._shared = shared
         self._on_change = on_change
+        self._speeds = speeds
+        self.timed_out = 0
 
     async def run(
         self,
         job: Job,
         model: ModelRequest,
-        decode_engine: EngineEntry,
+        reservation: Reservation,
         after_event: int | None,
-        granted: str = "",
         software: str = "",
     ) -> Prefill | None:
         """Prefill a prompt; return ``None`` if the decode engine has to do it.
@@ -84,12 +98,12 @@
         ----------
         job, model
             The request and its model parameters.
-        decode_engine
-            The engine that will run the stream; prefill engines in its data centre are preferred.
+        reservation
+            Memory of the engine that will run the stream, and the prefill engine that a coordinator
+            has granted, which is tried first. Prefill engines in the data centre of the first one
+            are preferred.
         after_event
             Id of the last event that the caller has received, if its stream is resumed.
-        granted
-            Id of the prefill engine to try first, or empty.
         software
             Software version that began the stream, whose prompt no other may read, or empty.
 
@@ -99,18 +113,31 @@
             If a prefill engine has crashed under the request, and it may not be sent any more.
         """
         failed: set[str] = set()
+        decode_engine, granted = reservation.engine, reservation.prefill_engine
         while True:
             if failed:
                 self._shared.guard.check(job)
             engine = self._choose_engine(job, model, decode_engine, failed, granted, software)
-            if engine is None or (failed and not self._shared.retry_budgets.try_spend(job.service)):
+            expected = self._expected_seconds(model, engine, granted)
+            timeout = prefill_timeout(
+                expected, self._hold_seconds_left(job, reservation), job.seconds_left()
+            )
+            if engine is None or not self._may_send(job, expected, timeout, bool(failed)):
                 logger.bind(
-                    request=job.caller.id, engine=decode_engine.id, tokens=model.prompt_tokens
+                    request=job.caller.id,
+                    engine=decode_engine.id,
+                    tokens=model.prompt_tokens,
+                    failed=len(failed),
+                    timeout=f"{timeout:.3f}",
                 ).info("prompt left to the decode engine")
                 return None
+            self._log_choice(job, model, engine, expected, timeout)
             try:
-                return await self._send(job, model, engine, after_event, engine.id == granted)
+                return await self._send(
+                    job, model, engine, after_event, engine.id == granted, timeout
+                )
             except (HttpError, _PrefillRefusedError, DecodeError, TimeoutError) as error:
+                self.timed_out += isinstance(error, TimeoutError)
                 logger.bind(request=job.caller.id, engine=engine.id, error=repr(error)).info(
                     "prefill failed"
                 )
@@ -122,6 +149,14 @@
                     link = self._shared.links.link_to(engine)
                     await self._shared.guard.handle_lost_run(job, link)
 
+    def gauges(self) -> dict[Metric, Callable[[], float]]:
+        """Return the metrics of prefills and of the speeds of engines."""
+        return {
+            ENGINES_MEASURED: lambda: self._shared.speeds.known_engines,
+            SPEED_CHANGES: lambda: self._shared.speeds.changes,
+            PREFILLS_TIMED_OUT: lambda: self.timed_out,
+        }
+
     def release_unused(self, prefill: Prefill | None) -> None:
         """Free the KV cache unless a decode engine has fetched it."""
         if prefill is not None and not prefill.is_fetched:
@@ -153,11 +188,62 @@
         return choose_prefill_engine(
             engines,
             self._shared.prefill_ledger,
-            self._shared.speed,
+            self._shared.speeds.of(job.service),
             replace(self._shared.placer, data_centre=decode_engine.data_centre),
             is_decode_engine_allowed,
+            model.prompt_tokens,
+            asyncio.get_running_loop().time(),
         )
 
+    def _may_send(
+        self, job: Job, expected: float | None, timeout: float, is_repeated: bool
+    ) -> bool:
+        if not is_repeated:
+            return timeout >= MIN_PREFILL_SECONDS
+        is_worth = is_worth_sending(expected, timeout)
+        return is_worth and self._shared.retry_budgets.try_spend(job.service)
+
+    def _expected_seconds(
+        self, model: ModelRequest, engine: EngineEntry | None, granted: str
+    ) -> float | None:
+        """Return the seconds until a prefill is done, or ``None`` if the queue is not known."""
+        shared = self._shared
+        if engine is None or engine.id == granted or shared.placer.lacks_peer_loads:
+            return None
+        tokens = shared.prefill_ledger.held(engine.id) + model.prompt_tokens
+        now = asyncio.get_running_loop().time()
+        return shared.speeds.of(engine.service).seconds(engine.start, tokens, now)
+
+    def _hold_seconds_left(self, job: Job, reservation: Reservation) -> float:
+        """Return the seconds until the decode engine releases the memory held for a stream."""
+        configuration = self._shared.fleet.configuration
+        service = configuration.service_by_name.get(job.service) if configuration else None
+        memory = service.memory if service is not None else None
+        lifetime = memory.longest_hold_seconds if memory is not None else 0.0
+        held_until = reservation.reserved_at + (lifetime or UNSTATED_HOLD_SECONDS)
+        return held_until - asyncio.get_running_loop().time()
+
+    def _log_choice(
+        self,
+        job: Job,
+        model: ModelRequest,
+        engine: EngineEntry,
+        expected: float | None,
+        timeout: float,
+    ) -> None:
+        now = asyncio.get_running_loop().time()
+        speeds = self._shared.speeds.of(job.service)
+        logger.bind(
+            request=job.caller.id,
+            engine=engine.id,
+            tokens=model.prompt_tokens,
+            queued=self._shared.prefill_ledger.held(engine.id),
+            tokens_per_second=round(speeds.tokens_per_second(engine.start, now)),
+            confidence=f"{speeds.confidence(engine.start, now):.2f}",
+            expected=f"{expected:.3f}" if expected is not None else "",
+            timeout=f"{timeout:.3f}",
+        ).info("prefill sent")
+
     async def _send(
         self,
         job: Job,
@@ -165,6 +251,7 @@
         engine: EngineEntry,
         after_event: int | None,
         is_granted: bool,
+        timeout: float,
     ) -> Prefill:
         link = self._shared.links.link_to(engine)
         options = SendOptions(
@@ -176,12 +263,19 @@
         request = job.request
         tokens = model.prompt_tokens
         loop = asyncio.get_running_loop()
-        started_at = loop.time()
-        self._shared.prefill_ledger.take(engine.id, tokens)
+        ledger, speeds = self._shared.prefill_ledger, self._shared.speeds.of(engine.service)
+        ahead = None if self._shared.placer.lacks_peer_loads else ledger.held(engine.id)
+        sent_at = loop.time()
+
+        def record_sent() -> None:
+            nonlocal sent_at
+            sent_at = loop.time()
+
+        ledger.take(engine.id, tokens)
         self._on_change()
         try:
             async with (
-                asyncio.timeout(min(PREFILL_TIMEOUT_SECONDS, job.seconds_left())),
+                asyncio.timeout(timeout),
                 link.send(
                     request.method,
                     request.target,
@@ -190,6 +284,7 @@
                     options,
                     has_permit=is_granted,
                     watch=WATCH,
+                    on_sent=record_sent,
                 ) as exchange,
             ):
                 body = await exchange.read_body(MAX_BODY_BYTES)
@@ -197,9 +292,12 @@
                     self._shared.mark_misdirected(engine)
                 if exchange.status != 200:
                     raise _PrefillRefusedError(f"status {exchange.status}")
-                self._shared.speed.record(tokens, loop.time() - started_at)
-                self._shared.demand.record_prefill(self._shared.speed.seconds(tokens))
+                seconds = loop.time() - sent_at
+                self._shared.speed.record(tokens, seconds)
+                self._speeds.record(engine, PrefillSample(tokens, seconds, ahead))
+                needed = speeds.seconds(engine.start, tokens, loop.time())
+                self._shared.demand.record_prefill(needed)
                 return Prefill(link, parse_prefill(body))
         finally:
-            self._shared.prefill_ledger.release(engine.id, tokens)
+            ledger.release(engine.id, tokens)
             self._on_change()
--- a/pimentoquay/gateway/shared_state.py
+++ b/pimentoquay/gateway/shared_state.py
@@ -16,6 +16,7 @@
 from pimentoquay.policy.engine_choice import EngineCallStats
 from pimentoquay.policy.engine_limits import UNUSED_SHARE_SECONDS
 from pimentoquay.policy.engine_preference import Placer
+from pimentoquay.policy.engine_speeds import ServiceSpeeds
 from pimentoquay.policy.fleet import EngineEntry, EngineStage
 from pimentoquay.policy.prefill_choice import PrefillSpeed
 from pimentoquay.policy.repeat_allowance import RepeatAllowance, RepeatLimits
@@ -85,8 +86,8 @@
     ``placer`` orders engines whose load is nearly equal. ``run_ledger`` holds the requests of all
     gateways in the memory of decode engines, ``prefill_ledger`` their prompts at prefill engines,
     ``demand`` the engine time that requests need in each stage, ``guard`` the requests that crash
-    engines, ``origins`` the software versions at which streams began, and ``speed`` the prefill
-    speed.
+    engines, ``origins`` the software versions at which streams began, ``speed`` the prefill speed
+    of engines whose own is not known, and ``speeds`` that of each engine.
     ``experience_by_engine`` holds latencies and failure rates of plain backend servers.
     ``changing_until_by_engine`` holds the time until which an engine may be changing its stage.
     ``refused_over_limit`` counts the requests that the limits of engines did not allow, and
@@ -104,6 +105,7 @@
     guard: RequestGuard
     origins: OriginExchange
     speed: PrefillSpeed = field(default_factory=PrefillSpeed)
+    speeds: ServiceSpeeds = field(default_factory=ServiceSpeeds)
     experience_by_engine: dict[str, EngineCallStats] = field(default_factory=dict)
     misdirected_until_by_entry: dict[EngineKey, float] = field(default_factory=dict)
     changing_until_by_engine: dict[str, float] = field(default_factory=dict)
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -182,12 +182,7 @@
             job.refuse_if_late()
             self._shared.guard.check(job)
             prefill = await self._prefill_runner.run(
-                job,
-                model,
-                reservation.engine,
-                progress.last_event,
-                reservation.prefill_engine,
-                progress.software,
+                job, model, reservation, progress.last_event, progress.software
             )
             progress.engine = reservation.engine.id
             try:
--- /dev/null
+++ b/pimentoquay/messages/engine_speeds.py
@@ -0,0 +1,25 @@
+"""Messages between gateways about the speed of engines (number 164).
+
+They are sent inside ``Routed``, whose receiver ignores messages that it does not know.
+"""
+
+from pimentoquay.messages.codec import message
+from pimentoquay.messages.pools import PoolKey
+
+__all__ = ["PrefillsMeasured"]
+
+
+@message(164)
+class PrefillsMeasured:
+    """Fastest prefill that the sender has seen lately at one start of an engine.
+
+    ``tokens`` is the length of the prompt in a message to the coordinator of the pool, which knows
+    what was before it in the engine's queue. In a full mesh, it is the number of tokens that the
+    engine has read in ``seconds``.
+    """
+
+    pool: PoolKey
+    engine: str
+    incarnation: int
+    tokens: int
+    seconds: float
--- a/pimentoquay/policy/engine_preference.py
+++ b/pimentoquay/policy/engine_preference.py
@@ -6,18 +6,26 @@
 therefore compare loads in coarse steps, and each VM orders the engines within a step differently. A
 VM then also tends to use the same few engines, to which it has open connections.
 
+Engines of different speed take parts of such a burst in proportion to their speeds, so the order
+within a step is drawn with these as weights.
+
 Failure pattern: a data centre that is cut off from the others. Preferring engines of the gateway's
 own data centre keeps its streams running.
 """
 
+import math
 import zlib
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 from pimentoquay.policy.fleet import EngineEntry
+from pimentoquay.policy.mesh_plan import hash_rank
 
 __all__ = ["Placer", "sort_by_preference"]
 
+HASH_BYTES = 6
+"""Number of bytes of the hash that draws the order of engines at a VM; a float is exact for it."""
+
 
 @dataclass(frozen=True)
 class Placer:
@@ -34,6 +42,7 @@
     step: int,
     placer: Placer,
     remote_penalty: int = 0,
+    weight_by_id: Mapping[str, float] | None = None,
 ) -> list[EngineEntry]:
     """Return engines in order of preference, best first.
 
@@ -52,14 +61,26 @@
         VM that places the request.
     remote_penalty
         Tokens added to the load of engines in other data centres.
+    weight_by_id
+        Relative speed of each engine, if it matters. Of the VMs that see equal loads, a part in
+        proportion to it prefers the engine.
     """
 
-    def key(engine: EngineEntry) -> tuple[int, bool, int, str]:
+    def key(engine: EngineEntry) -> tuple[int, bool, float, str]:
         is_remote = engine.data_centre != placer.data_centre
         load = load_by_id[engine.id] + (remote_penalty if is_remote else 0)
-        if not placer.lacks_peer_loads:
-            return load, is_remote, 0, engine.id
-        vm_order = zlib.crc32(f"{placer.vm} {engine.id}".encode())
-        return load // max(1, step), is_remote, vm_order, engine.id
+        if placer.lacks_peer_loads:
+            load //= max(1, step)
+        elif weight_by_id is None:
+            return load, is_remote, 0.0, engine.id
+        return load, is_remote, vm_order(engine), engine.id
+
+    def vm_order(engine: EngineEntry) -> float:
+        text = f"{placer.vm} {engine.id}"
+        if weight_by_id is None:
+            return zlib.crc32(text.encode())
+        # Drawn in proportion to the weights, for which the hashes must be independent.
+        drawn = int.from_bytes(hash_rank(text)[:HASH_BYTES]) / 256**HASH_BYTES
+        return -math.log(1.0 - drawn) / weight_by_id[engine.id]
 
     return sorted(engines, key=key)
--- a/pimentoquay/policy/prefill_choice.py
+++ b/pimentoquay/policy/prefill_choice.py
@@ -14,6 +14,7 @@
 from collections.abc import Sequence
 
 from pimentoquay.policy.engine_preference import Placer, sort_by_preference
+from pimentoquay.policy.engine_speeds import INITIAL_TOKENS_PER_SECOND, EngineSpeeds
 from pimentoquay.policy.fleet import EngineEntry
 from pimentoquay.policy.token_ledger import TokenLedger
 
@@ -25,9 +26,6 @@
     "select_decode_engines",
 ]
 
-INITIAL_TOKENS_PER_SECOND = 50_000.0
-"""Assumed speed of a prefill before the first one, slightly below the nominal 55 tokens per ms."""
-
 FASTER_SAMPLE_WEIGHT, SLOWER_SAMPLE_WEIGHT = 0.3, 0.02
 """Weights of a new sample in the average speed.
 
@@ -133,14 +131,17 @@
 def choose_prefill_engine(
     engines: Sequence[EngineEntry],
     queued: TokenLedger,
-    speed: PrefillSpeed,
+    speeds: EngineSpeeds,
     placer: Placer,
     is_decode_engine_allowed: bool,
+    tokens: int,
+    now: float,
 ) -> EngineEntry | None:
-    """Return the prefill engine with the shortest queue, or ``None`` if all queues are too long.
+    """Return the prefill engine that is done first, or ``None`` if all queues are too long.
 
-    Load pattern: bursts while there are few prefill engines. With ``None``, the prompt is prefilled
-    by its decode engine.
+    Load pattern: bursts while there are few prefill engines, which may differ in speed. With
+    ``None``, the prompt is prefilled by its decode engine. Among engines of equal speed, the one
+    with the shortest queue is chosen.
 
     Parameters
     ----------
@@ -148,20 +149,36 @@
         Prefill engines that can be used.
     queued
         Prompts that all gateways have sent to each engine, in tokens.
-    speed
-        Estimated speed of the engines.
+    speeds
+        Estimated speeds of the engines.
     placer
         VM that places the request, with the data centre of the decode engine. Prefill engines of
         that data centre are preferred among equally loaded ones, because transferring a KV cache
         between data centres takes longer.
     is_decode_engine_allowed
         Whether the prompt may be prefilled by its decode engine instead.
+    tokens
+        Length of the prompt.
+    now
+        Current time in seconds.
     """
     if not engines:
         return None
-    queue_by_id = {each.id: queued.held(each.id) for each in engines}
-    chosen = sort_by_preference(engines, queue_by_id, SIMILAR_QUEUE_TOKENS, placer)[0]
+    factor_by_id = {each.id: speeds.factor(each.start, now) for each in engines}
+    # Additional work before the prompt is done, in tokens of an engine of median speed.
+    load_by_id = {
+        each.id: round((queued.held(each.id) + tokens) / factor_by_id[each.id]) - tokens
+        for each in engines
+    }
+    if placer.lacks_peer_loads:
+        # All such VMs would choose the fastest engine; they use engines in proportion instead.
+        load_by_id = {
+            each.id: round(queued.held(each.id) / factor_by_id[each.id]) for each in engines
+        }
+    chosen = sort_by_preference(
+        engines, load_by_id, SIMILAR_QUEUE_TOKENS, placer, weight_by_id=factor_by_id
+    )[0]
     if not is_decode_engine_allowed:
         return chosen
-    is_queue_long = speed.seconds(queued.held(chosen.id)) > MAX_QUEUE_SECONDS
+    is_queue_long = speeds.seconds(chosen.start, queued.held(chosen.id), now) > MAX_QUEUE_SECONDS
     return None if is_queue_long else chosen
--- a/pimentoquay/policy/tests/test_prefill_choice.py
+++ b/pimentoquay/policy/tests/test_prefill_choice.py
@@ -1,4 +1,5 @@
 from pimentoquay.policy.engine_preference import Placer
+from pimentoquay.policy.engine_speeds import EngineSpeeds
 from pimentoquay.policy.fleet import EngineEntry, EngineStage
 from pimentoquay.policy.prefill_choice import (
     DECODE_ONLY_PAUSE_SHARE,
@@ -21,7 +22,7 @@
 
 def chosen(queued):
     engine = choose_prefill_engine(
-        ENGINES, queued, PrefillSpeed(), PLACER, is_decode_engine_allowed=True
+        ENGINES, queued, EngineSpeeds(), PLACER, True, tokens=5200, now=0.0
     )
     return engine.id if engine else None
 
@@ -40,7 +41,7 @@
 
     14 prompts per second arrive for an engine that prefills ten per second.
     """
-    queued, speed = TokenLedger(), PrefillSpeed()
+    queued = TokenLedger()
     longest, overflowed = 0.0, 0
     prefill_ends: list[float] = []
     for step in range(500):
@@ -50,7 +51,7 @@
             queued.release("near", 5200)
         if step % 7 == 0:
             engine = choose_prefill_engine(
-                ENGINES[1:], queued, speed, PLACER, is_decode_engine_allowed=True
+                ENGINES[1:], queued, EngineSpeeds(), PLACER, True, tokens=5200, now=now
             )
             if engine is None:
                 overflowed += 1
@@ -86,7 +87,7 @@
         queued.take(engine.id, 100_000)
     assert chosen(queued) is None
     queued_engine = choose_prefill_engine(
-        ENGINES, queued, speed, PLACER, is_decode_engine_allowed=False
+        ENGINES, queued, EngineSpeeds(), PLACER, False, tokens=5000, now=0.0
     )
     assert queued_engine is not None and queued_engine.id == "near"
 
