--- a/pimentoquay/bench/mutations/switches.py
+++ b/pimentoquay/bench/mutations/switches.py
@@ -23,6 +23,7 @@
     same_number_for_all_holders,
     skip_order_of_new_holder,
 )
+from pimentoquay.bench.mutations.speed_switches import SPEED_SWITCHES
 from pimentoquay.bench.mutations.stop_switches import STOP_SWITCHES
 from pimentoquay.bench.mutations.stream_switches import STREAM_SWITCHES
 from pimentoquay.bench.mutations.switch import Switch
@@ -268,6 +269,7 @@
     ),
     *GATEWAY_SWITCHES,
     *PATH_SWITCHES,
+    *SPEED_SWITCHES,
     *STOP_SWITCHES,
     *STREAM_SWITCHES,
     *TURN_SWITCHES,
--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -39,6 +39,12 @@
 WATCH = ExchangeWatch(quiet_seconds=0.4, abandon_seconds=0.0)
 """Prefills take some tenths of a second, and may be sent again."""
 
+MIN_CONFIDENCE = 0.5
+"""Confidence in the speed of an engine from which the time-out of a prefill follows it.
+
+The queue of an engine that is slower than assumed would else be taken for a failure.
+"""
+
 MAX_BODY_BYTES = 64 * 1024
 """Maximum size of a response to a prefill, in bytes; it names a KV cache."""
 
@@ -206,13 +212,15 @@
     def _expected_seconds(
         self, model: ModelRequest, engine: EngineEntry | None, granted: str
     ) -> float | None:
-        """Return the seconds until a prefill is done, or ``None`` if the queue is not known."""
+        """Return the seconds until a prefill is done; ``None`` if queue or speed is unknown."""
         shared = self._shared
         if engine is None or engine.id == granted or shared.placer.lacks_peer_loads:
             return None
         tokens = shared.prefill_ledger.held(engine.id) + model.prompt_tokens
-        now = asyncio.get_running_loop().time()
-        return shared.speeds.of(engine.service).seconds(engine.start, tokens, now)
+        now, speeds = asyncio.get_running_loop().time(), shared.speeds.of(engine.service)
+        if speeds.confidence(engine.start, now) < MIN_CONFIDENCE:
+            return None
+        return speeds.seconds(engine.start, tokens, now)
 
     def _hold_seconds_left(self, job: Job, reservation: Reservation) -> float:
         """Return the seconds until the decode engine releases the memory held for a stream."""
--- a/pimentoquay/policy/engine_speeds.py
+++ b/pimentoquay/policy/engine_speeds.py
@@ -58,8 +58,11 @@
 CHANGE_FACTOR = 1.5
 """Factor by which an engine's estimate differs from the one reported last if it has changed."""
 
-QUEUED_WEIGHT = 0.02
-"""Weight of a slow prefill if it is unknown how many prompts were before it in the queue."""
+UNKNOWN_QUEUE_FACTOR = 1.1
+"""Factor by which a prefill may slow the estimate if it is unknown what was before it in the queue.
+
+The time in the queue would else be taken for work of the engine while all queues are long.
+"""
 
 HALF_LIFE_SECONDS = 10.0
 """Time in which the weight of earlier prefills falls to a half.
@@ -125,14 +128,16 @@
     """Fastest prefill of each of the newest intervals, at one start of an engine.
 
     ``samples`` are pairs of the time at which the interval began, in seconds, and the seconds per
-    token. ``sampled_at`` is the time of the newest prefill, ``seconds_per_token`` the estimate, and
-    ``reported`` the one from which a change is reported.
+    token. ``sampled_at`` is the time of the newest prefill, and ``exact_at`` of the newest whose
+    queue was known. ``seconds_per_token`` is the estimate, ``reported`` the one from which a change
+    is reported.
     """
 
     samples: deque[tuple[float, float]] = field(default_factory=lambda: deque(maxlen=MAX_SAMPLES))
     seconds_per_token: float = 0.0
     reported: float = 0.0
     sampled_at: float = 0.0
+    exact_at: float = float("-inf")
 
     def weight(self, now: float) -> float:
         """Return the number of prefills that the estimate still counts for."""
@@ -220,11 +225,19 @@
         known = self._measured_by_start.get(start)
         estimate = self._estimate(start)
         measured = self._seconds_per_token(sample, estimate)
-        if sample.ahead and measured == estimate:
+        if sample.ahead is None:
+            measured = sample.seconds / sample.tokens
+            if known is not None and measured > estimate:
+                if now - known.exact_at < MAX_SAMPLE_AGE_SECONDS:
+                    return None
+                measured = min(measured, UNKNOWN_QUEUE_FACTOR * estimate)
+        elif sample.ahead and measured == estimate:
             return None
         if known is None:
             known = self._measured_by_start[start] = _Measured()
         known.add(measured, now)
+        if sample.ahead is not None:
+            known.exact_at = now
         self._limit_size()
         self._update_median()
         return self._find_change(known, start)
@@ -250,9 +263,6 @@
     def _seconds_per_token(sample: PrefillSample, estimate: float) -> float:
         shortest = sample.seconds / (sample.tokens + (sample.ahead or 0))
         longest = sample.seconds / sample.tokens
-        if sample.ahead is None and longest > estimate:
-            # The time in the queue is unknown, so a long time is weak evidence of a slow engine.
-            return estimate + QUEUED_WEIGHT * (longest - estimate)
         return min(max(estimate, shortest), longest)
 
     def expire(self, now: float) -> None:
--- a/pimentoquay/policy/granted_prefills.py
+++ b/pimentoquay/policy/granted_prefills.py
@@ -9,8 +9,8 @@
 
 __all__ = ["GrantedPrefills"]
 
-KEPT_SECONDS = 10.0
-"""Time for which a granted prefill is remembered; it is measured within some 3 s."""
+KEPT_SECONDS = 4.0
+"""Time for which a granted prefill is remembered; it is done within 2 s and reported within 1 s."""
 
 MAX_KEPT = 4096
 """Maximum number of granted prefills that are remembered, for 400 a second."""
@@ -31,8 +31,9 @@
         Of two prompts of the same length, the one with more before it is remembered.
         """
         key = vm, engine, tokens
-        _, known = self._ahead_by_prompt.pop(key, (now, 0))
-        self._ahead_by_prompt[key] = now, max(ahead, known)
+        granted_at, known = self._ahead_by_prompt.pop(key, (now, 0))
+        is_old = now - granted_at > KEPT_SECONDS
+        self._ahead_by_prompt[key] = now, ahead if is_old else max(ahead, known)
         while self._ahead_by_prompt:
             oldest = next(iter(self._ahead_by_prompt))
             is_old = now - self._ahead_by_prompt[oldest][0] > KEPT_SECONDS
