Use decode engines last whose streams pause for too long

Decode engines were chosen by free memory alone, so a slow one, or one that slows down when nearly full, made its streams late while others had room. Gateways add up the time of streams in pauses beyond gapTargetMs, without those that a slow caller causes, and tell the coordinator or, in a full mesh, each other (PausesMeasured, 166). An engine with more than a quarter of its time in such pauses, with as much or less memory in use, comes last.

--- a/pimentoquay/bench/mutations/speed_switches.py
+++ b/pimentoquay/bench/mutations/speed_switches.py
@@ -41,6 +41,20 @@
         return_constant(None),
         _GATEWAYS + "test_gateways_of_a_full_mesh_tell_each_other_what_they_measured",
     ),
+    Switch(
+        "slow decode engines are used last",
+        "pimentoquay.policy.decode_pauses:DecodePauses.keeps",
+        return_constant(True),
+        "pimentoquay/policy/tests/test_decode_pauses.py::"
+        "test_engines_that_make_streams_late_are_used_after_the_others[one_slow_engine-0.5]",
+    ),
+    Switch(
+        "pauses told to other gateways",
+        "pimentoquay.gateway.pause_reports:PauseReports.record",
+        return_constant(None),
+        "pimentoquay/gateway/tests/test_decode_pauses.py::"
+        "test_a_peer_of_a_full_mesh_uses_an_engine_last_that_is_slow_for_others",
+    ),
     Switch(
         "time-out of a prefill follows its queue",
         "pimentoquay.gateway.prefills:prefill_timeout",
--- a/pimentoquay/gateway/metrics.py
+++ b/pimentoquay/gateway/metrics.py
@@ -164,6 +164,11 @@
     "counter",
     "engines that have become slower or faster at prefills",
 )
+ENGINES_TOO_SLOW = Metric(
+    "pimentoquay_gateway_engines_too_slow",
+    "gauge",
+    "decode engines that are used last, as their streams pause for too long",
+)
 PREFILLS_TIMED_OUT = Metric(
     "pimentoquay_gateway_prefills_timed_out_total",
     "counter",
@@ -260,6 +265,7 @@
     RESUMPTIONS_REFUSED,
     ENGINES_MEASURED,
     SPEED_CHANGES,
+    ENGINES_TOO_SLOW,
     PREFILLS_TIMED_OUT,
 )
 _COUNTERS = (
--- a/pimentoquay/gateway/pool_coordinator.py
+++ b/pimentoquay/gateway/pool_coordinator.py
@@ -30,6 +30,7 @@
 from pimentoquay.policy.memory_forecast import GrowingRun
 from pimentoquay.policy.pool_placement import Grant, PoolPlacement, StreamKey, StreamNeed
 from pimentoquay.policy.prefill_choice import choose_prefill_engine
+from pimentoquay.policy.run_ledger import RunLedger
 from pimentoquay.policy.stream_admission import StreamTimes
 from pimentoquay.policy.version_choice import may_run
 
@@ -181,6 +182,7 @@
         if pool is None:
             now = self._node.timers.now()
             pool = self._pool_by_key[key] = _Pool(PoolPlacement(key.data_centre, now))
+            pool.placement.ledger.keeps_pause = self._shared.pauses.keeps
             logger.bind(pool=str(key)).info("pool coordinated here")
         return pool
 
@@ -282,6 +284,11 @@
             pool.prefills.add(stream_key[0], chosen.id, stream.prompt, ahead, now)
         return chosen
 
+    def ledger_of(self, key: PoolKey) -> RunLedger | None:
+        """Return the ledger of the streams in a pool, if it is coordinated here."""
+        pool = self._pool_by_key.get(key)
+        return pool.placement.ledger if pool is not None else None
+
     def prefill_ahead(self, key: PoolKey, vm: str, engine: str, tokens: int) -> int | None:
         """Return the tokens before a prompt that was granted here, in the queue of its engine."""
         pool = self._pool_by_key.get(key)
--- a/pimentoquay/gateway/prefill_speeds.py
+++ b/pimentoquay/gateway/prefill_speeds.py
@@ -1,4 +1,4 @@
-"""Speeds of prefill engines: measured by this gateway, and shared with others.
+"""Speeds of engines: measured by this gateway, and shared with others.
 
 Where coordinators place streams, each is told of the prefills in its pool. In a full mesh all
 gateways are told. At most one prefill of each engine is sent in ``REPORT_SECONDS``.
@@ -8,11 +8,12 @@
 from functools import singledispatchmethod
 from typing import Any
 
+from pimentoquay.gateway.pause_reports import PauseReports
 from pimentoquay.gateway.pool_coordinator import PoolCoordinator
 from pimentoquay.gateway.shared_state import SharedState
 from pimentoquay.kernel import Node
 from pimentoquay.kernel.logs import logger
-from pimentoquay.messages.engine_speeds import PrefillsMeasured
+from pimentoquay.messages.engine_speeds import PausesMeasured, PrefillsMeasured
 from pimentoquay.messages.pools import PoolKey
 from pimentoquay.policy.engine_notices import EngineStart
 from pimentoquay.policy.engine_speeds import PrefillSample
@@ -55,6 +56,7 @@
     ) -> None:
         self._node = node
         self._shared = shared
+        self._pauses = PauseReports(node, shared, coordinator, self._publish)
         self._coordinator_of = coordinator_of
         self._peers = peers
         self._send_to = send_to
@@ -84,9 +86,7 @@
 
     @receive.register
     def _handle_measured(self, message: PrefillsMeasured, source: str) -> None:
-        members = self._shared.fleet.pools(message.pool.service).get(message.pool, ())
-        start = EngineStart(message.engine, message.incarnation)
-        engine = next((each for each in members if each.start == start), None)
+        engine = self._engine_of(message)
         if engine is None:
             return
         ahead: int | None = 0
@@ -96,6 +96,18 @@
             )
         self._apply(engine, PrefillSample(message.tokens, message.seconds, ahead))
 
+    @receive.register
+    def _handle_pauses(self, message: PausesMeasured, source: str) -> None:
+        engine = self._engine_of(message)
+        if engine is not None:
+            self._pauses.apply(engine, message.pool, message)
+
+    def _engine_of(self, message: PrefillsMeasured | PausesMeasured) -> EngineEntry | None:
+        """Return the engine that a message is about, if it is listed in the pool."""
+        members = self._shared.fleet.pools(message.pool.service).get(message.pool, ())
+        start = EngineStart(message.engine, message.incarnation)
+        return next((each for each in members if each.start == start), None)
+
     def _apply(self, engine: EngineEntry, sample: PrefillSample) -> None:
         now = self._node.timers.now()
         speeds = self._shared.speeds.of(engine.service)
@@ -116,23 +128,30 @@
     def _report(self) -> None:
         self._is_report_due = False
         measured, self._fastest_by_start = self._fastest_by_start, {}
-        own = self._node.identity.vm
         for engine, sample in measured.values():
-            pools = self._shared.fleet.pools(engine.service)
-            key = next((key for key, each in pools.items() if engine.id in _ids(each)), None)
-            if key is None or not sample.is_valid:
-                continue
-            message = PrefillsMeasured(
-                key, engine.id, engine.incarnation, sample.tokens, sample.seconds
-            )
-            if self._shared.placer.lacks_peer_loads:
-                coordinator = self._coordinator_of(key)
-                targets = [coordinator] if coordinator is not None else []
-            else:
-                targets = [vm for vm in self._peers() if vm != own]
-            for vm in targets:
-                self._send_to(vm, message)
+            if sample.is_valid:
+                self._publish(engine, _message_of(engine, sample))
+
+    def _publish(self, engine: EngineEntry, message_of: Callable[[PoolKey], Any]) -> None:
+        """Send a message to the gateways that place requests on an engine."""
+        pools = self._shared.fleet.pools(engine.service)
+        ids_by_key = {key: {each.id for each in members} for key, members in pools.items()}
+        key = next((key for key, ids in ids_by_key.items() if engine.id in ids), None)
+        if key is None:
+            return
+        if self._shared.placer.lacks_peer_loads:
+            coordinator = self._coordinator_of(key)
+            targets = [coordinator] if coordinator is not None else []
+        else:
+            targets = [vm for vm in self._peers() if vm != self._node.identity.vm]
+        for vm in targets:
+            self._send_to(vm, message_of(key))
+
 
+def _message_of(
+    engine: EngineEntry, sample: PrefillSample
+) -> Callable[[PoolKey], PrefillsMeasured]:
+    def message(key: PoolKey) -> PrefillsMeasured:
+        return PrefillsMeasured(key, engine.id, engine.incarnation, sample.tokens, sample.seconds)
 
-def _ids(engines: Collection[EngineEntry]) -> set[str]:
-    return {each.id for each in engines}
+    return message
--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -8,6 +8,7 @@
 from pimentoquay.gateway.job import Job
 from pimentoquay.gateway.metrics import (
     ENGINES_MEASURED,
+    ENGINES_TOO_SLOW,
     PREFILLS_TIMED_OUT,
     SPEED_CHANGES,
 )
@@ -160,6 +161,9 @@
         return {
             ENGINES_MEASURED: lambda: self._shared.speeds.known_engines,
             SPEED_CHANGES: lambda: self._shared.speeds.changes,
+            ENGINES_TOO_SLOW: lambda: self._shared.pauses.late_engines(
+                asyncio.get_running_loop().time()
+            ),
             PREFILLS_TIMED_OUT: lambda: self.timed_out,
         }
 
--- a/pimentoquay/gateway/shared_state.py
+++ b/pimentoquay/gateway/shared_state.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import math
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
 from pimentoquay.gateway.fleet import Fleet
@@ -13,6 +13,7 @@
 from pimentoquay.gateway.stream_origins import OriginExchange
 from pimentoquay.kernel import RefusedError, ResultCode
 from pimentoquay.kernel.logs import logger
+from pimentoquay.policy.decode_pauses import DecodePauses
 from pimentoquay.policy.engine_choice import EngineCallStats
 from pimentoquay.policy.engine_limits import UNUSED_SHARE_SECONDS
 from pimentoquay.policy.engine_preference import Placer
@@ -88,6 +89,9 @@
     ``demand`` the engine time that requests need in each stage, ``guard`` the requests that crash
     engines, ``origins`` the software versions at which streams began, ``speed`` the prefill speed
     of engines whose own is not known, and ``speeds`` that of each engine.
+    ``pauses`` holds how full engines can be before their streams pause for too long;
+    ``record_pause`` is called with the engine, the seconds between two events of a stream, and the
+    longest time that is allowed.
     ``experience_by_engine`` holds latencies and failure rates of plain backend servers.
     ``changing_until_by_engine`` holds the time until which an engine may be changing its stage.
     ``refused_over_limit`` counts the requests that the limits of engines did not allow, and
@@ -106,6 +110,8 @@
     origins: OriginExchange
     speed: PrefillSpeed = field(default_factory=PrefillSpeed)
     speeds: ServiceSpeeds = field(default_factory=ServiceSpeeds)
+    pauses: DecodePauses = field(default_factory=DecodePauses)
+    record_pause: Callable[[EngineEntry, float, float], None] = lambda engine, pause, longest: None
     experience_by_engine: dict[str, EngineCallStats] = field(default_factory=dict)
     misdirected_until_by_entry: dict[EngineKey, float] = field(default_factory=dict)
     changing_until_by_engine: dict[str, float] = field(default_factory=dict)
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -322,14 +322,17 @@
             prefill.is_fetched = True
         reader = EventReader(exchange, progress.last_event, silence_timeout, job.route.is_resumable)
         reply, memory = job.reply, self._token_memory(job)
+        record_pause = self._shared.record_pause
         loop = asyncio.get_running_loop()
-        first_at = last_at = 0.0
+        first_at = last_at = drained = 0.0
         while events := await reader.next_events():
             now = loop.time()
             if not first_at:
                 self._record_begun(job, progress)
             first_at, pause, last_at = first_at or now, now - (last_at or now), now
             progress.streamed_seconds = now - first_at
+            # A slow caller does not make an engine slow.
+            record_pause(reservation.engine, max(0.0, pause - drained), job.route.gap_seconds)
             if pause > job.route.gap_seconds:
                 self._log_pause(job, reservation, pause)
             if not reply.started:
@@ -340,6 +343,7 @@
             if memory is not None:
                 self._reservations.update_progress(reservation, output_tokens(progress, memory))
             await reply.drain()
+            drained = loop.time() - now
         if not reader.has_read_events:
             self._check_end(job, progress, memory)
         if not reply.started:
--- a/pimentoquay/messages/engine_speeds.py
+++ b/pimentoquay/messages/engine_speeds.py
@@ -1,4 +1,4 @@
-"""Messages between gateways about the speed of engines (number 164).
+"""Messages between gateways about the speed of engines (numbers 164 and 166).
 
 They are sent inside ``Routed``, whose receiver ignores messages that it does not know.
 """
@@ -6,7 +6,7 @@
 from pimentoquay.messages.codec import message
 from pimentoquay.messages.pools import PoolKey
 
-__all__ = ["PrefillsMeasured"]
+__all__ = ["PausesMeasured", "PrefillsMeasured"]
 
 
 @message(164)
@@ -23,3 +23,17 @@
     incarnation: int
     tokens: int
     seconds: float
+
+
+@message(166)
+class PausesMeasured:
+    """Time of the sender's streams at one start of an engine in the last second, in seconds.
+
+    ``late_seconds`` is the part of it in pauses between two events that were longer than allowed.
+    """
+
+    pool: PoolKey
+    engine: str
+    incarnation: int
+    seconds: float
+    late_seconds: float
--- a/pimentoquay/policy/run_ledger.py
+++ b/pimentoquay/policy/run_ledger.py
@@ -6,9 +6,10 @@
 of the requests has ended.
 """
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
 
+from pimentoquay.policy.engine_notices import EngineStart
 from pimentoquay.policy.engine_preference import Placer, sort_by_preference
 from pimentoquay.policy.fleet import EngineEntry
 from pimentoquay.policy.memory_forecast import GrowingRun, peak_tokens
@@ -46,13 +47,15 @@
 class RunLedger:
     """Ledger of the runs of this VM and of its peers, by engine.
 
-    A run is a request that holds memory on a decode engine.
+    A run is a request that holds memory on a decode engine. ``keeps_pause`` returns for an engine,
+    a share of its usable memory in use and a time whether its streams then have no long pauses.
 
     Load pattern: bursts over many VMs that each receive a fraction of the requests.
     """
 
     def __init__(self) -> None:
         self.tokens_per_second = INITIAL_TOKENS_PER_SECOND
+        self.keeps_pause: Callable[[EngineStart, float, float], bool] = _keeps_always
         self._own_by_key: dict[int, _RunSnapshot] = {}
         self._next_key = 0
         self._runs_by_vm: dict[str, tuple[_RunSnapshot, ...]] = {}
@@ -159,7 +162,8 @@
 
         Load pattern: bursts of up to twice the rate that the engines' memory allows. The expected
         peak of an engine with the run must not exceed its usable memory; engines with a lower peak
-        are preferred.
+        are preferred. Those whose streams would pause for too long come last, so that they are used
+        only when the others are full.
 
         Parameters
         ----------
@@ -185,7 +189,13 @@
         }
         fitting = [engine for engine in engines if peak_by_id.get(engine.id, usable + 1) <= usable]
         step, remote_penalty = int(SIMILAR_LOAD_SHARE * usable), int(REMOTE_PENALTY_SHARE * usable)
-        return sort_by_preference(fitting, peak_by_id, step, placer, remote_penalty)
+        ordered = sort_by_preference(fitting, peak_by_id, step, placer, remote_penalty)
+
+        def is_slow(engine: EngineEntry) -> bool:
+            held = sum(each.tokens for each in runs_by_engine.get(engine.id, ())) + run.tokens
+            return not self.keeps_pause(engine.start, held / max(1, usable), now)
+
+        return sorted(ordered, key=is_slow)
 
     def runs_of_all(self, now: float) -> dict[str, list[GrowingRun]]:
         """Return the present runs of all VMs, by engine."""
@@ -209,3 +219,7 @@
 
     def _run_at(self, snapshot: _RunSnapshot, now: float) -> GrowingRun:
         return snapshot.run.after(int(max(0.0, now - snapshot.at) * self.tokens_per_second))
+
+
+def _keeps_always(start: EngineStart, fill: float, now: float) -> bool:
+    return True
