--- a/pimentoquay/gateway/pause_reports.py
+++ b/pimentoquay/gateway/pause_reports.py
@@ -23,6 +23,13 @@
 """Time in which pauses are added up before they are reported."""
 
 
+STALLED_SECONDS = 0.2
+"""Delay of a report after which this process was stalled or suspended, and not the engines."""
+
+RESUMED_SECONDS = 0.5
+"""Time after a stall in which pauses are not counted, as they began before it."""
+
+
 @dataclass
 class _Pauses:
     engine: EngineEntry
@@ -56,11 +63,16 @@
         self._publish = publish
         self._pauses_by_start: dict[EngineStart, _Pauses] = {}
         self._is_report_due = False
+        self._due_at = 0.0
+        self._counted_from = 0.0
         shared.record_pause = self.record
         shared.run_ledger.keeps_pause = shared.pauses.keeps
 
     def record(self, engine: EngineEntry, pause: float, longest: float) -> None:
         """Add a pause between two events of a stream, in seconds, and the longest allowed one."""
+        now = self._node.timers.now()
+        if now < self._counted_from:
+            return
         pauses = self._pauses_by_start.get(engine.start)
         if pauses is None:
             pauses = self._pauses_by_start[engine.start] = _Pauses(engine)
@@ -68,6 +80,7 @@
         pauses.late_seconds += pause if pause > longest else 0.0
         if not self._is_report_due:
             self._is_report_due = True
+            self._due_at = now + REPORT_SECONDS
             self._node.timers.after(REPORT_SECONDS, self._report)
 
     def apply(self, engine: EngineEntry, key: PoolKey, message: PausesMeasured) -> None:
@@ -103,6 +116,13 @@
     def _report(self) -> None:
         self._is_report_due = False
         measured, self._pauses_by_start = self._pauses_by_start, {}
+        now = self._node.timers.now()
+        if now - self._due_at > STALLED_SECONDS:
+            self._counted_from = now + RESUMED_SECONDS
+            logger.bind(delay=f"{now - self._due_at:.2f}").info(
+                "pauses are not counted after a stall"
+            )
+            return
         for each in measured.values():
             if each.late_seconds == 0.0:
                 continue
--- a/pimentoquay/gateway/tests/test_decode_pauses.py
+++ b/pimentoquay/gateway/tests/test_decode_pauses.py
@@ -1,6 +1,7 @@
 """Engines whose streams pause for too long, as gateways measure and tell each other."""
 
 import asyncio
+import time
 
 from pimentoquay.gateway.tests.rig import rig, until
 from pimentoquay.http1 import Reply
@@ -89,6 +90,19 @@
         assert len(recorded) >= 2 and max(recorded) < 0.3
 
 
+async def test_a_stalled_gateway_does_not_take_its_own_stall_for_slow_engines():
+    """Guards against a suspended gateway that has its peers avoid the engines of its streams."""
+    async with rig() as env:
+        env.engine_by_id["dec-1"].pause = env.engine_by_id["dec-2"].pause = 0.25
+        streams = [asyncio.create_task(env.stream(f"/digest/{number}")) for number in range(4)]
+        await until(lambda: env.engine_by_id["dec-1"].running, "runs")
+        await asyncio.sleep(0.3)
+        asyncio.get_running_loop().call_soon(time.sleep, 1.5)
+        assert {each.status for each in await asyncio.gather(*streams)} == {200}
+        await asyncio.sleep(1.2)
+        assert not is_slow(env, "vm-1", "dec-1") and not is_slow(env, "vm-1", "dec-2")
+
+
 async def test_pauses_of_engines_that_are_not_listed_are_ignored():
     async with rig() as env:
         await env.add_gateway("vm-2")
