--- a/pimentoquay/bench/mutations/switches.py
+++ b/pimentoquay/bench/mutations/switches.py
@@ -26,6 +26,7 @@
     skip_order_of_new_holder,
 )
 from pimentoquay.bench.mutations.service_switches import SERVICE_SWITCHES
+from pimentoquay.bench.mutations.speed_switches import SPEED_SWITCHES
 from pimentoquay.bench.mutations.stop_switches import STOP_SWITCHES
 from pimentoquay.bench.mutations.stream_switches import STREAM_SWITCHES
 from pimentoquay.bench.mutations.switch import Switch
@@ -275,6 +276,7 @@
     *LOAD_SWITCHES,
     *PATH_SWITCHES,
     *SERVICE_SWITCHES,
+    *SPEED_SWITCHES,
     *STOP_SWITCHES,
     *STREAM_SWITCHES,
     *TURN_SWITCHES,
--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -66,6 +66,7 @@
 from pimentoquay.gateway.planned_stop import PlannedStop
 from pimentoquay.gateway.pool_client import PoolClient
 from pimentoquay.gateway.pool_coordinator import PoolCoordinator
+from pimentoquay.gateway.prefill_speeds import PrefillSpeeds
 from pimentoquay.gateway.prefills import PrefillRunner
 from pimentoquay.gateway.request_guard import RequestGuard
 from pimentoquay.gateway.reservation import usable_tokens
@@ -224,8 +225,13 @@
         node, shared, usable, pool_coordinator_of, send_to, mesh.broadcast_summary
     )
     mesh.on_pool_summary.append(pool_client.receive_summary)
+    speeds = PrefillSpeeds(
+        node, shared, pool_coordinator_of, lambda: loads.load_by_vm, send_to, coordinator
+    )
     granting, allowances = compose_allowances(node, bounds, fleet, mesh, send_to)
-    mesh.relays.receive_routed = _routed_handler(pool_client, coordinator, granting, allowances)
+    mesh.relays.receive_routed = _routed_handler(
+        pool_client, coordinator, speeds, granting, allowances
+    )
     mesh.on_plan_changed.append(lambda: _apply_plan(shared, mesh, pool_client, coordinator))
     leaving = LeavingNotices(fleet.notices, node.timers.now, mesh.notices.publish)
     mesh.notices.register(EnginesLeaving, leaving.handler)
@@ -275,7 +281,8 @@
         changed.append(lambda engine: mesh.update_own_state(is_cut_off=paths.cut_engines > 0))
         changed.append(shared.forget_experience)
     mesh.on_stage_ordered.append(stage_controller.record_order)
-    streams = StreamForwarder(shared, reservations, PrefillRunner(shared, schedule_update))
+    prefills = PrefillRunner(shared, schedule_update, speeds)
+    streams = StreamForwarder(shared, reservations, prefills)
     planned_stop = PlannedStop()
     dispatcher = Dispatcher(shared, PlainForwarder(shared), streams, planned_stop, allowances)
     caller_server = HttpServer(dispatcher.handle, lambda: _server_limits(fleet), turns, _patience)
@@ -313,6 +320,7 @@
         REFUSED_OVER_ALLOWANCE: lambda: allowances.refused,
         ALLOWANCES_UNDECIDED: lambda: allowances.undecided,
         WORKSPACES_COUNTED: lambda: granting.active_workspaces,
+        **prefills.gauges(),
     }
     metrics.values_by_counter |= {
         ENGINE_REQUESTS: lambda: contact.requests_by_way,
--- a/pimentoquay/gateway/metrics.py
+++ b/pimentoquay/gateway/metrics.py
@@ -175,6 +175,26 @@
     "gauge",
     "workspaces whose allowances this gateway grants to all, or would grant next",
 )
+ENGINES_MEASURED = Metric(
+    "pimentoquay_gateway_engines_measured",
+    "gauge",
+    "engines whose speed is known from prefills",
+)
+SPEED_CHANGES = Metric(
+    "pimentoquay_gateway_engine_speed_changes_total",
+    "counter",
+    "engines that have become slower or faster at prefills",
+)
+ENGINES_TOO_SLOW = Metric(
+    "pimentoquay_gateway_engines_too_slow",
+    "gauge",
+    "decode engines that are used last, as their streams pause for too long",
+)
+PREFILLS_TIMED_OUT = Metric(
+    "pimentoquay_gateway_prefills_timed_out_total",
+    "counter",
+    "prefills that were given up as they took longer than the queue of their engine explains",
+)
 
 SERVICES_MIXED = Metric(
     "pimentoquay_gateway_services_mixed",
@@ -293,6 +313,10 @@
     SERVICES_MIXED,
     STREAM_ORIGINS,
     RESUMPTIONS_REFUSED,
+    ENGINES_MEASURED,
+    SPEED_CHANGES,
+    ENGINES_TOO_SLOW,
+    PREFILLS_TIMED_OUT,
 )
 _COUNTERS = (
     CONNECT_FAILURES,
--- a/pimentoquay/gateway/pool_coordinator.py
+++ b/pimentoquay/gateway/pool_coordinator.py
@@ -28,9 +28,11 @@
 )
 from pimentoquay.policy.engine_preference import Placer
 from pimentoquay.policy.fleet import DECODE_STAGES, EngineEntry, EngineStage
+from pimentoquay.policy.granted_prefills import GrantedPrefills
 from pimentoquay.policy.memory_forecast import GrowingRun
 from pimentoquay.policy.pool_placement import Grant, PoolPlacement, StreamKey, StreamNeed
 from pimentoquay.policy.prefill_choice import choose_prefill_engine
+from pimentoquay.policy.run_ledger import RunLedger
 from pimentoquay.policy.stream_admission import StreamTimes
 from pimentoquay.policy.version_choice import may_run
 
@@ -73,6 +75,7 @@
     classes: PlaceClasses = field(default_factory=PlaceClasses)
     summarised_at: float = float("-inf")
     report_by_vm: dict[str, PoolReport] = field(default_factory=dict)
+    prefills: GrantedPrefills = field(default_factory=GrantedPrefills)
 
 
 class PoolCoordinator:
@@ -204,6 +207,7 @@
         if pool is None:
             now = self._node.timers.now()
             pool = self._pool_by_key[key] = _Pool(PoolPlacement(key.data_centre, now), now)
+            pool.placement.ledger.keeps_pause = self._shared.pauses.keeps
             self._hold_lower(pool, now + HOLD_NEW_SECONDS)
             logger.bind(pool=str(key)).info("pool coordinated here")
         return pool
@@ -317,14 +321,29 @@
                 if limits.may_grant(engine, now) and may_run(engine, stream.software, closed)
             ],
             pool.placement.prefill_ledger,
-            self._shared.speed,
+            self._shared.speeds.of(key.service),
             Placer(self._node.identity.vm, key.data_centre),
             stream.may_prefill_on_decode_engine,
+            stream.prompt,
+            now,
         )
         if chosen is not None:
             limits.take_grant(chosen, now)
+            ahead = pool.placement.prefill_ledger.held(chosen.id)
+            pool.prefills.add(stream_key[0], chosen.id, stream.prompt, ahead, now)
         return chosen
 
+    def ledger_of(self, key: PoolKey) -> RunLedger | None:
+        """Return the ledger of the streams in a pool, if it is coordinated here."""
+        pool = self._pool_by_key.get(key)
+        return pool.placement.ledger if pool is not None else None
+
+    def prefill_ahead(self, key: PoolKey, vm: str, engine: str, tokens: int) -> int | None:
+        """Return the tokens before a prompt that was granted here, in the queue of its engine."""
+        pool = self._pool_by_key.get(key)
+        now = self._node.timers.now()
+        return pool.prefills.ahead(vm, engine, tokens, now) if pool is not None else None
+
     def _limit_wait(self, key: PoolKey, pool: _Pool) -> float:
         """Return the seconds until all waiting streams may be placed by the engines' limits."""
         limits = [
