--- a/pimentoquay/gateway/allowance_client.py
+++ b/pimentoquay/gateway/allowance_client.py
@@ -24,6 +24,9 @@
 MAX_WAIT_SHARE = 0.5
 """Share of the time that a request has left that it may wait for units."""
 
+UNCOUNTED_SECONDS = 5.0
+"""Time for which requests are not counted once nobody was found who could count them."""
+
 TICK_SECONDS = 0.05
 """Interval at which asks are checked while any waits."""
 
@@ -59,6 +62,8 @@
         The process, and the time that also passes while it is suspended.
     members
         VMs that may grant.
+    is_heard
+        Returns whether a VM is heard, directly or as a relay.
     version
         Returns the version of the configuration in force.
     record_need
@@ -72,6 +77,7 @@
         node: Node,
         elapsed: ElapsedTime,
         members: Members,
+        is_heard: Callable[[str], bool],
         version: Callable[[], int],
         record_need: Callable[[], None],
         send_to: Callable[[str, Any], None],
@@ -79,6 +85,7 @@
         self._node = node
         self._elapsed = elapsed
         self._members = members
+        self._is_heard = is_heard
         self._version = version
         self._record_need = record_need
         self._send_to = send_to
@@ -90,6 +97,7 @@
         self._forgot_at = elapsed.now()
         self.refused = 0
         self.undecided = 0
+        self._uncounted_until = float("-inf")
 
     async def take(self, job: Job) -> AllowanceTicket:
         """Take the units of a request, waiting for them if its granter has to be found.
@@ -109,6 +117,8 @@
             return AllowanceTicket()
         self._record_need()
         now, workspace = self._elapsed.now(), job.workspace_name
+        if now < self._uncounted_until:
+            return AllowanceTicket()
         seconds = self._holder.refusal(workspace, units, now)
         if seconds is not None:
             raise self._refused(job, units, seconds)
@@ -119,6 +129,10 @@
         decision = await self._decided(number, workspace, units)
         if not decision.is_granted:
             if not decision.is_counted:
+                if self._holder.runs_among_old_builds(self._node.identity.vm, self._is_heard):
+                    self._uncounted_until = self._elapsed.now() + UNCOUNTED_SECONDS
+                    logger.warning("no gateway counts allowances; requests are not counted")
+                    return AllowanceTicket()
                 self.undecided += 1
                 raise RefusedError(
                     ResultCode.WORKSPACE_LIMIT,
--- a/pimentoquay/gateway/allowance_granter.py
+++ b/pimentoquay/gateway/allowance_granter.py
@@ -42,6 +42,8 @@
         Permitted excess of allowances.
     data_centre_by_vm
         Returns the VMs that are known, with their data centres; none if they are not known yet.
+    is_heard
+        Returns whether a VM is heard, directly or as a relay.
     is_stopping
         Returns whether this gateway is about to stop.
     send_to
@@ -54,12 +56,14 @@
         elapsed: ElapsedTime,
         bounds: GranterBounds,
         data_centre_by_vm: Callable[[], Mapping[str, str]],
+        is_heard: Callable[[str], bool],
         is_stopping: Callable[[], bool],
         send_to: Callable[[str, Any], None],
     ) -> None:
         self._node = node
         self._elapsed = elapsed
         self._data_centre_by_vm = data_centre_by_vm
+        self._is_heard = is_heard
         self._is_stopping = is_stopping
         self._send_to = send_to
         self.members = Members()
@@ -114,6 +118,7 @@
         if now - self._listed_at >= IDLE_TICK_SECONDS:
             self._listed_at = now
             self.members.update(self._data_centre_by_vm(), now)
+            self._granter.leases.find_old_builds(self._is_heard, now)
         is_granter = self._node.identity.vm in self.members.granters
         is_needed = is_granter and now < self._needed_until and not self._is_stopping()
         if is_needed or self._granter.active_workspaces:
--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -222,7 +222,7 @@
         node, shared, usable, pool_coordinator_of, send_to, mesh.broadcast_summary
     )
     mesh.on_pool_summary.append(pool_client.receive_summary)
-    granting, allowances = compose_allowances(node, bounds, fleet, mesh, send_to)
+    granting, allowances = compose_allowances(node, bounds, fleet, mesh, peers, send_to)
     mesh.relays.receive_routed = _routed_handler(pool_client, coordinator, granting, allowances)
     mesh.on_plan_changed.append(lambda: _apply_plan(shared, mesh, pool_client, coordinator))
     leaving = LeavingNotices(fleet.notices, node.timers.now, mesh.notices.publish)
--- a/pimentoquay/gateway/tests/test_allowances.py
+++ b/pimentoquay/gateway/tests/test_allowances.py
@@ -135,6 +135,42 @@
         await until(lambda: any(isinstance(m, AllowanceReturned) for m in sent), "cancelled")
 
 
+@pytest.mark.looptime
+@pytest.mark.parametrize("old", [("vm-2",), ("vm-2", "vm-3")])
+async def test_requests_are_served_among_old_builds(workspace, old):
+    """In an upgrade, the votes and the granters of old builds are missing, but not cut off."""
+    workspace(Workspace("huka270", None, Allowance(1e6, 1e6)))
+    async with rig() as env:
+        await start_gateways(env)
+        for vm in old:
+            env.gateway_by_vm[vm].mesh.relays.receive_routed = lambda source, message: None
+        await asyncio.sleep(1.0)
+        statuses = [(await env.send_request("/look/a")).status for _ in range(4)]
+        assert statuses == [200] * 4
+        await asyncio.sleep(8.0)
+        assert (await env.send_request("/look/a")).status == 200
+        has_votes = env.gateway_by_vm["vm-1"].allowance_granting._granter.leases.steady_since
+        assert has_votes < float("inf")
+
+
+@pytest.mark.looptime
+async def test_a_gateway_that_starts_cut_off_from_the_others_runs_nothing(workspace):
+    """It would use an allowance that others use as well; it must not take them for old builds."""
+    workspace(Workspace("huka270", None, Allowance(1e6, 1e6)))
+    vms = tuple(f"vm-{number}" for number in range(1, 6))
+    async with rig() as env:
+        await start_gateways(env, vms)
+        await env.kill("vm-1")
+        for vm in vms[1:]:
+            env.network.cut("vm-1", vm)
+        await env.add_gateway("vm-1")
+        await until(lambda: env.gateway_by_vm["vm-1"].mesh.gateway_count == 5, "known")
+        for _ in range(3):
+            assert (await env.send_request("/look/a")).status == 429
+            await asyncio.sleep(3.0)
+        assert (await env.send_request("/look/a", vm="vm-2")).status == 200
+
+
 @pytest.fixture
 def unknown_message():
     """Return a message that can be sent and whose number no receiver knows, as an old build."""
--- a/pimentoquay/policy/allowance_holder.py
+++ b/pimentoquay/policy/allowance_holder.py
@@ -9,7 +9,7 @@
 """
 
 import heapq
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field, replace
 
 from pimentoquay.messages.allowances import (
@@ -120,6 +120,7 @@
         self._known_by_workspace: dict[str, _Known] = {}
         self._unanswered_since_by_vm: dict[str, float] = {}
         self._granters: frozenset[str] = frozenset()
+        self._replied: set[str] = set()
         self._retry_step = 0.0
 
     @property
@@ -132,6 +133,14 @@
         """Number of workspaces of which something is kept."""
         return len(self._known_by_workspace)
 
+    def runs_among_old_builds(self, own: str, is_heard: Callable[[str], bool]) -> bool:
+        """Return whether the VMs that would grant are heard and yet have never replied.
+
+        They run a build that doesn't count allowances, so there is nobody to ask.
+        """
+        others = self._granters - {own}
+        return not self._replied & others and any(is_heard(vm) for vm in others)
+
     def update_granters(self, granters: Collection[str]) -> None:
         """Use other VMs as granters."""
         if granters != self._granters:
@@ -191,6 +200,7 @@
     ) -> tuple[Decision | None, list[Outgoing]]:
         """Return the decision that a reply brings, and what is to be sent."""
         self._unanswered_since_by_vm.pop(source, None)
+        self._replied.add(source)
         number, outcome = reply.number, reply.outcome
         entry = self._ask_by_number.get(number)
         if entry is None:
--- a/pimentoquay/policy/allowance_leases.py
+++ b/pimentoquay/policy/allowance_leases.py
@@ -17,7 +17,7 @@
 import math
 import zlib
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from pimentoquay.messages.allowances import Lease, LeaseRequest
@@ -74,6 +74,9 @@
 """Share of the votes that a granter may lack and still earn the whole allowance, so that VMs that
 are gone don't lower it. As many votes earn nothing on the other side of a cut."""
 
+OLD_BUILD_SECONDS = 5.0
+"""Time in which a voter that is heard, but has never answered, must run a build without leases."""
+
 MAX_CACHED_RANKS = 50_000
 """Entries of the cache of which granter comes first for a workspace."""
 
@@ -235,6 +238,9 @@
         self._members = members
         self._lease_by_voter: dict[str, _HeldLease] = {}
         self._requested_at = -math.inf
+        self._first_request_by_voter: dict[str, float] = {}
+        self._answered: set[str] = set()
+        self._old_builds: frozenset[str] = frozenset()
         self._steady_granters: tuple[str, ...] = ()
         self._votes_by_granters: Counter[tuple[str, ...]] = Counter()
         self._scale = 1.0
@@ -250,10 +256,25 @@
             return ()
         self._requested_at = now
         voters = sorted(self._members.voters | self._members.next_voters)
+        for vm in voters:
+            self._first_request_by_voter.setdefault(vm, now)
         return tuple((vm, LeaseRequest(now, self._known_list(vm))) for vm in voters)
 
+    def find_old_builds(self, is_heard: Callable[[str], bool], now: float) -> None:
+        """Find the voters that can't vote, and count only the others from now on.
+
+        Load pattern: an upgrade, in which most gateways run a build that has no leases. A voter
+        that is cut off is not taken for one of them, as it isn't heard.
+        """
+        self._old_builds = frozenset(
+            vm
+            for vm, at in self._first_request_by_voter.items()
+            if vm not in self._answered and now - at >= OLD_BUILD_SECONDS and is_heard(vm)
+        )
+
     def record(self, voter: str, lease: Lease, now: float) -> None:
         """Record a vote."""
+        self._answered.add(voter)
         held = self._lease_by_voter.get(voter)
         if lease.sent_at > now or (held is not None and lease.sent_at < held.sent_at):
             return
@@ -269,7 +290,7 @@
 
     def refresh(self, now: float) -> None:
         """Count the votes that are valid now."""
-        members, voters = self._members, self._members.voters
+        members, voters = self._members, self._members.voters - self._old_builds
         vm_count = smallest = largest = len(members.adopted)
         votes: Counter[tuple[str, ...]] = Counter()
         for vm, lease in tuple(self._lease_by_voter.items()):
