--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -228,7 +228,7 @@
     speeds = PrefillSpeeds(
         node, shared, pool_coordinator_of, lambda: loads.load_by_vm, send_to, coordinator
     )
-    granting, allowances = compose_allowances(node, bounds, fleet, mesh, send_to)
+    granting, allowances = compose_allowances(node, bounds, fleet, mesh, peers, send_to)
     mesh.relays.receive_routed = _routed_handler(
         pool_client, coordinator, speeds, granting, allowances
     )
