--- a/pimentoquay/gateway/tests/process_rig.py
+++ b/pimentoquay/gateway/tests/process_rig.py
@@ -165,7 +165,7 @@
             "innerPortRange": [self.inner, self.inner],
             "seedAddrs": [f"{g.host}:{g.control}" for g in self.rig.gateways[:3]],
             "bootstrap": True,
-            "limits": {"cpuShare": 0.537, "cpuCores": 2, "memoryMb": 300, "maxFds": 4100},
+            "limits": self.rig.limits,
             "dataDir": None,
             "discovery": "platform",
             "entry": "vip",
@@ -252,6 +252,7 @@
         self.store_address = ""
         self.gateways, self.engines, self.gone = [], [], []
         self.version = 0
+        self.limits = {"cpuShare": 0.537, "cpuCores": 2, "memoryMb": 300, "maxFds": 4100}
         self._beat_by_engine = {}
         self._engine_count = 0
 
