Bound what all connections of callers hold together, and their number

A crowd of connections that each held up to 4 MiB took a gateway of 136 MB to 849 MB. The sum was not bounded, whole bodies were copied when complete and again when forwarded, and freed bodies stayed in the heap.

Bodies over 64 KiB claim room for their announced length, or for the largest body. Each connection may always hold 4 KiB. At the limit of connections an idle one closes for a new one. The system's buffers of callers and engines are bounded, and tunnels by the descriptors.

A body is held once: BytesIO gives it without a copy, and RequestWriter writes it in pieces as its engine reads. The threshold for mapped blocks is fixed, since glibc raises it to the size of freed ones and then keeps bodies in the heap. HttpServer gets refuse_head, which refuses nothing by default.

--- a/pimentoquay/bench/mutations/switches.py
+++ b/pimentoquay/bench/mutations/switches.py
@@ -23,6 +23,7 @@
     same_number_for_all_holders,
     skip_order_of_new_holder,
 )
+from pimentoquay.bench.mutations.room_switches import ROOM_SWITCHES
 from pimentoquay.bench.mutations.stop_switches import STOP_SWITCHES
 from pimentoquay.bench.mutations.stream_switches import STREAM_SWITCHES
 from pimentoquay.bench.mutations.switch import Switch
@@ -270,6 +271,7 @@
     *PATH_SWITCHES,
     *STOP_SWITCHES,
     *STREAM_SWITCHES,
+    *ROOM_SWITCHES,
     *TURN_SWITCHES,
 )
 """All mechanisms that can be switched off."""
--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -16,6 +16,7 @@
 from pimentoquay.gateway.metrics import (
     CONNECT_FAILURES,
     CONNECTIONS,
+    CONNECTIONS_ENDED,
     CONTINUED,
     ENGINE_CRASHES,
     ENGINE_REQUESTS,
@@ -61,6 +62,7 @@
 from pimentoquay.gateway.pool_client import PoolClient
 from pimentoquay.gateway.pool_coordinator import PoolCoordinator
 from pimentoquay.gateway.prefills import PrefillRunner
+from pimentoquay.gateway.process_room import ProcessRoom, own_port_server
 from pimentoquay.gateway.request_guard import RequestGuard
 from pimentoquay.gateway.reservation import usable_tokens
 from pimentoquay.gateway.reservations import Reservations
@@ -150,7 +152,10 @@
     tunnel_policy = TunnelPolicy(
         paths.find_outcome, paths.refusal_outcome, paths.referrals, paths.record_silent
     )
-    tunnel_server = TunnelServer(node.identity, settings.shared_key, connect, tunnel_policy)
+    process = ProcessRoom(settings)
+    tunnel_server = TunnelServer(
+        node.identity, settings.shared_key, connect, tunnel_policy, process.tunnels
+    )
     links = EngineLinks(fleet, limits, contact, paths, turns)
     run_ledger = RunLedger()
     bounds = settings.bounds
@@ -271,8 +276,10 @@
     streams = StreamForwarder(shared, reservations, PrefillRunner(shared, schedule_update))
     planned_stop = PlannedStop()
     dispatcher = Dispatcher(shared, PlainForwarder(shared), streams, planned_stop)
-    caller_server = HttpServer(dispatcher.handle, lambda: _server_limits(fleet), turns, _patience)
-    readiness_server = HttpServer(_readiness_handler(dispatcher), ServerLimits, turns)
+    caller_server = HttpServer(
+        dispatcher.handle, lambda: _server_limits(fleet), turns, _patience, process.callers
+    )
+    readiness_server = own_port_server(_readiness_handler(dispatcher), turns)
     metrics.value_by_gauge = {
         IN_PROGRESS: lambda: caller_server.requests_in_progress,
         LIST_AGE: lambda: min(fleet.list_age, 1e6),
@@ -315,7 +322,9 @@
             failure.value: count for failure, count in contact.count_by_failure.items()
         },
     }
-    metrics_server = HttpServer(metrics.handle, ServerLimits, turns)
+    metrics.value_by_gauge |= process.value_by_gauge()
+    metrics.values_by_counter[CONNECTIONS_ENDED] = lambda: process.callers.ended_by_reason
+    metrics_server = own_port_server(metrics.handle, turns)
     return Gateway(
         settings,
         node,
@@ -338,6 +347,7 @@
         caller_server,
         readiness_server,
         metrics_server,
+        process.watch,
         metrics_port,
     )
 
--- a/pimentoquay/gateway/lifecycle.py
+++ b/pimentoquay/gateway/lifecycle.py
@@ -7,6 +7,7 @@
 from pimentoquay.gateway.feed import StoreFeed
 from pimentoquay.gateway.fleet import Fleet
 from pimentoquay.gateway.links import EngineLinks
+from pimentoquay.gateway.memory_watch import WATCH_SECONDS, MemoryWatch
 from pimentoquay.gateway.mesh import Mesh
 from pimentoquay.gateway.origin_store import OriginStore
 from pimentoquay.gateway.path_watch import PathWatch
@@ -72,6 +73,7 @@
     caller_server: HttpServer
     readiness_server: HttpServer
     metrics_server: HttpServer
+    memory_watch: MemoryWatch
     metrics_port: int | None = None
 
     async def run(self, stop: asyncio.Event) -> None:
@@ -83,6 +85,7 @@
         self.paths.start()
         self.path_watch.start()
         self.node.timers.every(EVIDENCE_EXPIRY_SECONDS, self.guard.expire)
+        self.node.timers.every(WATCH_SECONDS, self.memory_watch.look)
         self.pool_coordinator.start()
         tasks = [
             asyncio.create_task(service)
--- a/pimentoquay/gateway/metrics.py
+++ b/pimentoquay/gateway/metrics.py
@@ -212,6 +212,33 @@
     ("reason",),
 )
 
+BYTES_HELD = Metric(
+    "pimentoquay_gateway_held_bytes", "gauge", "bytes held for callers, claims of room included"
+)
+BYTES_LIMIT = Metric(
+    "pimentoquay_gateway_held_bytes_limit",
+    "gauge",
+    "budget of the bytes held for callers, by `memoryMb` less what the process needs itself",
+)
+RESIDENT_BYTES = Metric(
+    "pimentoquay_gateway_resident_bytes", "gauge", "memory of the process, in bytes"
+)
+CALLERS_CONNECTED = Metric(
+    "pimentoquay_gateway_caller_connections", "gauge", "connections of callers that are open"
+)
+CALLERS_WAITING = Metric(
+    "pimentoquay_gateway_callers_waiting_for_room",
+    "gauge",
+    "connections of callers that are not read until there is room",
+)
+CONNECTIONS_ENDED = Metric(
+    "pimentoquay_gateway_connections_ended_total",
+    "counter",
+    "connections of callers ended for want of room, by reason: `no room in time`, `many wait`, "
+    "`no progress`, and at the limit of connections `idle` or `refused` (the new one)",
+    ("reason",),
+)
+
 _GAUGES = (
     IN_PROGRESS,
     LIST_AGE,
@@ -242,6 +269,11 @@
     SERVICES_MIXED,
     STREAM_ORIGINS,
     RESUMPTIONS_REFUSED,
+    BYTES_HELD,
+    BYTES_LIMIT,
+    RESIDENT_BYTES,
+    CALLERS_CONNECTED,
+    CALLERS_WAITING,
 )
 _COUNTERS = (
     CONNECT_FAILURES,
@@ -252,6 +284,7 @@
     MESSAGES_REFUSED,
     PROMPTS_WASTED,
     ANSWERS_CUT,
+    CONNECTIONS_ENDED,
 )
 _SUMMARIES = (REQUEST_SECONDS, FIRST_EVENT_SECONDS, MEMORY_WAIT_SECONDS)
 
--- a/pimentoquay/gateway/program.py
+++ b/pimentoquay/gateway/program.py
@@ -12,6 +12,7 @@
 
 from pimentoquay import __version__
 from pimentoquay.gateway.compose import compose_gateway
+from pimentoquay.gateway.memory_watch import configure_allocator
 from pimentoquay.kernel import Identity, LoopClock, Node
 from pimentoquay.kernel.log_stream import LogStream
 from pimentoquay.kernel.logs import configure_logs, logger
@@ -41,6 +42,7 @@
     except DecodeError as error:
         print(error, file=sys.stderr)
         return EXIT_SETTINGS
+    configure_allocator()
     configure_logs(PROGRAM, settings.vm, arguments.level, LogStream(sys.stdout.fileno()))
     # The grace time bounds the drain, and the platform may ask for the same stop more than once.
     return run_until_stopped(
--- a/pimentoquay/http1/__init__.py
+++ b/pimentoquay/http1/__init__.py
@@ -16,7 +16,7 @@
 )
 from pimentoquay.http1.client_connection import ClientConnection, ExchangeWatch, ReusePolicy
 from pimentoquay.http1.headers import HeaderList, end_to_end_headers, find_header
-from pimentoquay.http1.request import HttpRequest
+from pimentoquay.http1.request import HeadRefusal, HttpRequest
 from pimentoquay.http1.response_marks import ConnectionUse, ResponseMark
 from pimentoquay.http1.server import HttpServer, Reply, ServerLimits
 
@@ -27,6 +27,7 @@
     "ConnectionUse",
     "Exchange",
     "ExchangeWatch",
+    "HeadRefusal",
     "HeaderList",
     "HttpRequest",
     "HttpServer",
--- a/pimentoquay/http1/client_connection.py
+++ b/pimentoquay/http1/client_connection.py
@@ -18,6 +18,8 @@
 from pimentoquay.http1.buffered import SharedBufferProtocol
 from pimentoquay.http1.exchange_times import ExchangeWatch, ReusePolicy
 from pimentoquay.http1.headers import HeaderList, find_header
+from pimentoquay.http1.request_writer import RequestWriter, without_body
+from pimentoquay.http1.response_items import items_of, length_of
 from pimentoquay.http1.response_marks import ResponseMark, ResponseMarks
 from pimentoquay.kernel.errors import HttpError, PathLostError
 from pimentoquay.kernel.turns import ITEMS_PER_TURN, TurnQueue
@@ -33,18 +35,18 @@
 READ_AHEAD_BYTES = 32 * 1024
 """Number of buffered body bytes above which reading from the connection is paused."""
 
+SYSTEM_READ_BYTES = 64 * 1024
+"""Size that the system's receive buffer is asked to have; the system takes twice as much.
+
+Without it, the buffer grows to 6 MB for a server that sends ahead of a slow reader.
+"""
+
 MAX_DISCARDED_BYTES = 64 * 1024
 """Maximum size of responses to other requests that are discarded before the own one, in bytes."""
 
 MAX_DISCARDED_RESPONSES = 16
 """Maximum number of responses to other requests that are discarded before the own one."""
 
-DISCARD_ITEMS = 8
-"""Items as which the end of a discarded response counts, since a new parser is made there."""
-
-LINES_PER_ITEM = 8
-"""Number of header lines that count as one item."""
-
 MAX_INFORMATIONAL_RESPONSES = 16
 """Maximum number of responses with a status of 1xx before the final one."""
 
@@ -89,7 +91,7 @@
         self._transport: Any = None
         self._http = h11.Connection(h11.CLIENT, MAX_RESPONSE_HEADER_BYTES)
         self._request: h11.Request | None = None
-        self._body = b""
+        self._writer = RequestWriter()
         self.marks = ResponseMarks()
         self._is_discarding = False
         self._discarded_bytes = self._discarded_responses = 0
@@ -118,9 +120,11 @@
     def connection_made(self, transport: Any) -> None:
         """Let the system reset the connection if written bytes are not acknowledged."""
         self._transport = transport
+        self._writer.transport = transport
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLISECONDS)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SYSTEM_READ_BYTES)
 
     @property
     def turns(self) -> TurnQueue:
@@ -132,6 +136,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail a response that is not complete, once what has arrived of it is handled."""
         self._is_lost = True
+        self._writer.drop()
         if self._request is not None and not self._is_complete:
             self._record_failure(f"the connection was lost: {exc!r}")
         self.on_lost(self)
@@ -166,16 +171,23 @@
         framing = ((b"Content-Length", str(len(body)).encode()),) if body else ()
         try:
             self._request = h11.Request(method=method, target=target, headers=[*headers, *framing])
-            self._body = body
             self.marks.begin(mark)
             self._is_complete = self._is_discarding = False
             self._discarded_bytes = self._discarded_responses = 0
             self._informational_responses = 0
             self.heard_at = self._now()
-            self._transport.write(self._serialise())
+            self._writer.send(self._serialise(self._request, body), body)
         except h11.LocalProtocolError as error:
             raise HttpError(f"the request cannot be sent: {error}", False) from None
 
+    def pause_writing(self) -> None:
+        """Keep the rest of the request until the server has read more."""
+        self._writer.pause()
+
+    def resume_writing(self) -> None:
+        """Go on with the rest of the request."""
+        self._writer.resume()
+
     async def next_event(self) -> Any:
         """Return the next event of the response; ``HttpError`` if the connection has failed."""
         while not self._events:
@@ -203,7 +215,7 @@
 
     def finish(self) -> bool:
         """Prepare the connection for another request; return whether it can be reused."""
-        unsent = self._transport.get_write_buffer_size()
+        unsent = self._writer.unsent_bytes
         if not self._is_complete or self._events or unsent or self._transport.is_closing():
             return False
         if self._is_retired or not self.marks.may_go_on:
@@ -236,12 +248,13 @@
         if not self._transport.is_closing():
             self._transport.abort()
 
-    def _serialise(self) -> bytes:
-        assert self._request is not None
-        data = self._http.send(self._request) or b""
-        if self._body:
-            data += self._http.send(h11.Data(data=self._body)) or b""
-        return data + (self._http.send(h11.EndOfMessage()) or b"")
+    def _serialise(self, request: h11.Request, body: bytes) -> bytes:
+        """Pass a request to the parser, and return its head; the body is sent as it is."""
+        head = self._http.send(request) or b""
+        if body:
+            self._http.send(h11.Data(data=body))
+        self._http.send(h11.EndOfMessage())
+        return head
 
     @property
     def _must_pause(self) -> bool:
@@ -283,7 +296,7 @@
                     continue
                 if not self._process_event(event):
                     break
-                items += _items_of(event)
+                items += items_of(event)
             else:
                 return True
         except h11.RemoteProtocolError as error:
@@ -333,11 +346,11 @@
         """Discard an event of a response to another request.
 
         At its end, start a new parser. It accepts a response only after a request, so the request
-        is serialised for it again without being written to the socket.
+        is serialised for it again without its body, and without being written to the socket.
         """
         if isinstance(event, h11.Response):
             self._discarded_responses += 1
-            self._discarded_bytes += sum(map(_length_of, event.headers.raw_items()))
+            self._discarded_bytes += sum(map(length_of, event.headers.raw_items()))
         elif isinstance(event, h11.Data):
             self._discarded_bytes += len(event.data)
         if self._discarded_responses > MAX_DISCARDED_RESPONSES:
@@ -349,7 +362,8 @@
             if self._http.their_state is not h11.DONE or closed:
                 raise h11.RemoteProtocolError("only an answer to another request came")
             self._http = h11.Connection(h11.CLIENT, MAX_RESPONSE_HEADER_BYTES)
-            self._serialise()
+            assert self._request is not None
+            self._serialise(without_body(self._request), b"")
             if rest:
                 self._http.receive_data(rest)
         return True
@@ -372,16 +386,3 @@
     def _wake_reader(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
-
-
-def _items_of(event: Any) -> int:
-    if isinstance(event, h11.EndOfMessage):
-        return DISCARD_ITEMS
-    if isinstance(event, h11.Response | h11.InformationalResponse):
-        return 1 + len(event.headers) // LINES_PER_ITEM
-    return 1
-
-
-def _length_of(header: tuple[bytes, bytes]) -> int:
-    name, value = header
-    return len(name) + len(value)
--- a/pimentoquay/http1/request.py
+++ b/pimentoquay/http1/request.py
@@ -2,9 +2,11 @@
 
 from dataclasses import dataclass
 
+import h11
+
 from pimentoquay.http1.headers import HeaderList
 
-__all__ = ["HttpRequest"]
+__all__ = ["HeadRefusal", "HttpRequest", "request_of"]
 
 
 @dataclass(frozen=True)
@@ -16,3 +18,17 @@
     headers: HeaderList
     body: bytes
     received_at: float
+
+
+@dataclass(frozen=True)
+class HeadRefusal:
+    """Refusal of a request by its head: status and headers of the answer, which has no body."""
+
+    status: int
+    headers: HeaderList = ()
+
+
+def request_of(head: h11.Request, body: bytes, received_at: float) -> HttpRequest:
+    """Return the request with a parsed head."""
+    headers = tuple(head.headers.raw_items())
+    return HttpRequest(bytes(head.method), bytes(head.target), headers, body, received_at)
--- /dev/null
+++ b/pimentoquay/http1/request_writer.py
@@ -0,0 +1,64 @@
+"""Write a request in pieces, no faster than its server reads."""
+
+from typing import Any
+
+import h11
+
+__all__ = ["RequestWriter", "without_body"]
+
+PIECE_BYTES = 64 * 1024
+"""Size of the pieces of a body; shorter ones are written with the head."""
+
+
+class RequestWriter:
+    """Writes requests to a transport, which holds no second copy of a large body.
+
+    ``transport`` is set once the connection is open.
+    """
+
+    __slots__ = ("_is_paused", "_rest", "transport")
+
+    def __init__(self) -> None:
+        self.transport: Any = None
+        self._rest = memoryview(b"")
+        self._is_paused = False
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of bytes that the system has not taken yet."""
+        return len(self._rest) + int(self.transport.get_write_buffer_size())
+
+    def send(self, head: bytes, body: bytes) -> None:
+        """Write a request, the rest of a large body as far as the server reads it."""
+        if len(body) <= PIECE_BYTES:
+            self.transport.write(head + body)
+            return
+        self.transport.write(head)
+        self._rest = memoryview(body)
+        self._write_more()
+
+    def pause(self) -> None:
+        """Keep the rest of the request until the server has read more."""
+        self._is_paused = True
+
+    def resume(self) -> None:
+        """Go on with the rest of the request."""
+        self._is_paused = False
+        self._write_more()
+
+    def drop(self) -> None:
+        """Drop the rest of a request, whose connection has ended."""
+        self._rest = memoryview(b"")
+
+    def _write_more(self) -> None:
+        while self._rest and not self._is_paused and not self.transport.is_closing():
+            piece, rest = self._rest[:PIECE_BYTES], self._rest[PIECE_BYTES:]
+            # An empty view would keep the whole body.
+            self._rest = rest if rest else memoryview(b"")
+            self.transport.write(piece)
+
+
+def without_body(request: h11.Request) -> h11.Request:
+    """Return a request with the same head but no body."""
+    headers = [(name, value) for name, value in request.headers if name != b"content-length"]
+    return h11.Request(method=request.method, target=request.target, headers=headers)
--- a/pimentoquay/http1/server.py
+++ b/pimentoquay/http1/server.py
@@ -6,12 +6,14 @@
 
 import asyncio
 import math
+import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from pimentoquay.http1.headers import HeaderList
 from pimentoquay.http1.reply import Reply
-from pimentoquay.http1.request import HttpRequest
+from pimentoquay.http1.request import HeadRefusal, HttpRequest
+from pimentoquay.http1.room import RoomBudget, RoomKeeper
 from pimentoquay.http1.server_connection import ServerConnection
 from pimentoquay.kernel.turns import TurnQueue
 
@@ -20,6 +22,10 @@
 LISTEN_BACKLOG = 512
 """Maximum number of connections waiting to be accepted; a full queue drops SYN packets."""
 
+ACCEPTED_AT_ONCE = 32
+"""Most connections that are accepted in one pass of the event loop, before any can be refused; the
+process needs as many spare descriptors."""
+
 
 @dataclass(frozen=True)
 class ServerLimits:
@@ -49,6 +55,12 @@
     patience
         Returns the time that a caller waits for its answer, in seconds, by the headers of its
         request. A body that has not arrived by then is refused with 408.
+    room
+        Decides what the connections may hold together; without one, nothing but the limits binds.
+    refuse_head
+        Called with each request as soon as its head is complete, with an empty body. If it returns
+        a refusal, the handler is not called, and the body is discarded. A body that is chunked or
+        longer than 64 KiB, and has not arrived, is not read: the connection closes.
     """
 
     def __init__(
@@ -57,11 +69,15 @@
         limits: Callable[[], ServerLimits],
         turns: TurnQueue | None = None,
         patience: Callable[[HeaderList], float] = lambda headers: math.inf,
+        room: RoomBudget | None = None,
+        refuse_head: Callable[[HttpRequest], HeadRefusal | None] = lambda request: None,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.turns = turns if turns is not None else TurnQueue()
         self.patience = patience
+        self.room = RoomKeeper(room) if room is not None else None
+        self.refuse_head = refuse_head
         self.draining = False
         self.connections: set[ServerConnection] = set()
         self._server: asyncio.Server | None = None
@@ -81,9 +97,19 @@
     async def listen(self, host: str, port: int) -> None:
         """Start accepting connections; ``OSError`` if the address is in use."""
         loop = asyncio.get_running_loop()
+        # asyncio sets TCP_NODELAY only on sockets that state their protocol.
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind((host, port))
+        except OSError:
+            sock.close()
+            raise
         self._server = await loop.create_server(
-            lambda: ServerConnection(self), host, port, backlog=LISTEN_BACKLOG
+            lambda: ServerConnection(self), sock=sock, backlog=ACCEPTED_AT_ONCE
         )
+        sock.listen(LISTEN_BACKLOG)
 
     def drain(self) -> None:
         """Send ``Connection: close`` with the last response to what was read, and go on serving."""
--- a/pimentoquay/http1/server_connection.py
+++ b/pimentoquay/http1/server_connection.py
@@ -3,17 +3,16 @@
 import asyncio
 import contextlib
 import math
-import socket
-import struct
 from typing import TYPE_CHECKING, Any
 
 import h11
 
-from pimentoquay.http1.headers import find_headers, has_single_length
+from pimentoquay.http1.caller_reading import CallerReading
+from pimentoquay.http1.headers import HeaderList, find_headers, has_single_length
 from pimentoquay.http1.reply import Reply
-from pimentoquay.http1.request import HttpRequest
+from pimentoquay.http1.request import HeadRefusal, HttpRequest, request_of
 from pimentoquay.http1.request_body import RequestBody
-from pimentoquay.http1.system_state import close_when_sent, is_established, unsent_bytes
+from pimentoquay.http1.system_state import close_when_sent, reset_on_close, unsent_bytes
 from pimentoquay.kernel.logs import logger
 from pimentoquay.kernel.turns import ITEMS_PER_TURN
 
@@ -25,12 +24,6 @@
 LINGER_SECONDS = 2.0
 """Time for which a closing connection is still read, so that the last response is not lost."""
 
-MAX_UNREAD_BYTES = 128 * 1024
-"""Most bytes of a connection that wait for a turn or for the end of a request.
-
-Reading pauses while they are more than half as many.
-"""
-
 MAX_UNSENT_BYTES = 256 * 1024
 """Number of unsent bytes of answers above which the next request waits until they are read."""
 
@@ -46,18 +39,13 @@
 MAX_BODY_FRAMING = 8
 """Ratio of a body's bytes on the wire to the largest body; chunks of one byte need 6 times it."""
 
-CLOSE_CHECK_SECONDS = 0.1
-"""Interval at which a caller that is not read is checked for having left."""
-
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""Value of ``SO_LINGER`` with which closing the socket resets the connection."""
-
+MAX_DISCARDED_BYTES = 128 * 1024
+"""Number of bytes of a refused body that are discarded at most; that many may have been read."""
 
-_buffer = memoryview(bytearray(MAX_UNREAD_BYTES))
-"""Buffer into which all connections are read in turn."""
+NO_ROOM_HEADERS = ((b"Retry-After", b"1"),)
 
 
-class ServerConnection(asyncio.BufferedProtocol):
+class ServerConnection(CallerReading):
     """One connection of a caller, which serves one request at a time.
 
     Received bytes wait in a buffer of bounded size. Few items, such as chunks, are handled as soon
@@ -66,27 +54,22 @@
     """
 
     def __init__(self, server: "HttpServer") -> None:
+        super().__init__(server.room)
         self.server = server
         self.writable = asyncio.Event()
         self.writable.set()
         self._limits = server.limits()
         self._http = h11.Connection(h11.SERVER, self._limits.header_bytes)
-        self._transport: Any = None
-        self._loop = asyncio.get_running_loop()
         self._task: asyncio.Task[None] | None = None
         self._request: h11.Request | None = None
-        self._unread = bytearray()
-        self._is_reading_paused = False
-        self._is_check_planned = False
         self._has_turn = False
         self._turn_at = -math.inf
-        self._head = bytearray()
-        self._body = RequestBody()
         self._first_byte_at: float | None = None
         self._last_activity_at = self._loop.time()
         self._timer: asyncio.TimerHandle | None = None
         self._expires_at = math.inf
-        self._closing = False
+        self._refusal: HeadRefusal | None = None
+        self._is_new = True
 
     @property
     def is_busy(self) -> bool:
@@ -96,11 +79,6 @@
         is_awaited = self._loop.time() < self._expires_at
         return is_awaited and unsent_bytes(self._transport) > 0
 
-    @property
-    def is_lost(self) -> bool:
-        """Whether the connection has been closed, mostly by the caller."""
-        return bool(self._transport.is_closing())
-
     @property
     def has_read_ahead(self) -> bool:
         """Whether bytes of further requests have been read."""
@@ -111,12 +89,15 @@
         self._transport = transport
         self.server.connections.add(self)
         self._schedule_timeout_check()
+        self._open_account()
+        self._is_new = False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the task of the request."""
         self.server.connections.discard(self)
         self._closing = True
         self._drop_unread()
+        self._close_account()
         if self._timer is not None:
             self._timer.cancel()
         self.writable.set()
@@ -139,18 +120,14 @@
         if self._task is None and self._first_byte_at is not None and not self._closing:
             self._plan_turn()
 
-    def get_buffer(self, sizehint: int) -> memoryview:
-        """Return the buffer into which the next bytes are read."""
-        return _buffer[: MAX_UNREAD_BYTES - len(self._unread)]
-
     def buffer_updated(self, nbytes: int) -> None:
         """Handle the bytes that were read into the buffer."""
         self._last_activity_at = self._loop.time()
         if self._closing:
             return
         if self._first_byte_at is None and self._task is None:
-            self._first_byte_at = self._last_activity_at
-        self._unread += _buffer[:nbytes]
+            self._begin_request()
+        self._take_buffer(nbytes)
         is_next = self._task is None and not self._has_turn and not self._waits_to_send
         if is_next and self._handle_items(ITEMS_AT_ONCE):
             self._plan_turn()
@@ -163,6 +140,7 @@
         data = self._http.send(event)
         if data:
             self._transport.write(data)
+            self._update_account()
 
     def abort(self) -> None:
         """Close the connection at once, and so that no response is taken for complete."""
@@ -170,8 +148,7 @@
         if self._http.their_http_version == b"1.0":
             # The end of a connection marks the end of an HTTP/1.0 response, so only a reset shows
             # that the response is incomplete.
-            sock = self._transport.get_extra_info("socket")
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            reset_on_close(self._transport)
         self._transport.abort()
 
     def close_if_idle(self) -> None:
@@ -213,13 +190,12 @@
 
     def _handle_events(self, count: int) -> bool:
         for _ in range(count):
-            if self._task is not None or self._closing:
+            if self._task is not None or self._closing or not self._has_claim():
                 return False
             event = self._http.next_event()
             if event is h11.NEED_DATA:
                 if not self._unread:
-                    if self._http.they_are_waiting_for_100_continue:
-                        self.emit(h11.InformationalResponse(status_code=100, headers=[]))
+                    self._await_body()
                     return False
                 self._feed_parser()
             elif event is h11.PAUSED:
@@ -248,39 +224,10 @@
             self._body.wire_bytes += len(piece)
         self._http.receive_data(piece)
 
-    def _take_unread(self, count: int) -> bytes:
-        piece = bytes(self._unread if len(self._unread) <= count else self._unread[:count])
-        del self._unread[:count]
-        return piece
-
-    def _update_reading(self) -> None:
-        """Pause reading while much is unread."""
-        is_full = len(self._unread) > MAX_UNREAD_BYTES // 2
-        if is_full and not self._is_reading_paused:
-            self._is_reading_paused = True
-            self._transport.pause_reading()
-            if not self._is_check_planned:
-                self._plan_check()
-        elif self._is_reading_paused and not is_full:
-            self._is_reading_paused = False
-            self._transport.resume_reading()
-
-    def _plan_check(self) -> None:
-        self._is_check_planned = True
-        self._loop.call_later(CLOSE_CHECK_SECONDS, self._check_caller)
-
-    def _check_caller(self) -> None:
-        """Notice that the caller has left, which reading would show only after the unread bytes."""
-        self._is_check_planned = False
-        if not self._is_reading_paused or self._transport.is_closing():
-            return
-        if not is_established(self._transport):
-            self._transport.abort()
-        else:
-            self._plan_check()
-
     def _drop_unread(self) -> None:
         self._unread.clear()
+        self._head.clear()
+        self._body = RequestBody()
         self._has_turn = False
         self.server.turns.discard(self)
         self._update_reading()
@@ -295,29 +242,51 @@
             self._reject(413, f"a body of {lengths[0].decode()} bytes")
             return
         self._request = request
+        self._body.announced = int(lengths[0]) if lengths else None
+        self._refusal = self.server.refuse_head(self._make_request(request, b""))
+
+    def _has_claim(self) -> bool:
+        """Return whether what is next of a body has room."""
+        if self._request is None or self._refusal is not None:
+            return True
+        return self._has_room_for_body(self._limits.body_bytes)
+
+    def _await_body(self) -> None:
+        """Ask for the rest of a body, unless its request is refused and it is large."""
+        is_expected = self._http.they_are_waiting_for_100_continue
+        refusal = self._refusal
+        if refusal is not None and (self._body.is_large or is_expected):
+            self._reject(refusal.status, "refused by its head", refusal.headers)
+        elif is_expected:
+            self.emit(h11.InformationalResponse(status_code=100, headers=[]))
 
     def _append_body(self, data: bytes | bytearray) -> None:
+        if self._refusal is not None:
+            if self._body.wire_bytes > MAX_DISCARDED_BYTES:
+                self._await_body()
+            return
         self._body.append(data)
+        self._count_progress(len(data))
         if self._body.size > self._limits.body_bytes:
             self._reject(413, f"a body over {self._limits.body_bytes} bytes")
 
     def _start_handler(self) -> None:
-        assert self._request is not None
-        received_at = self._first_byte_at
-        request = HttpRequest(
-            bytes(self._request.method),
-            bytes(self._request.target),
-            tuple(self._request.headers.raw_items()),
-            self._body.join(),
-            self._last_activity_at if received_at is None else received_at,
-        )
+        request = self._make_request(self._request, self._body.join())
+        self._settle(len(request.body))
         self._request, self._body = None, RequestBody()
-        self._task = self._loop.create_task(self._run_handler(request))
+        self._task = self._loop.create_task(self._run_handler(request, self._refusal))
 
-    async def _run_handler(self, request: HttpRequest) -> None:
+    def _make_request(self, request: h11.Request | None, body: bytes) -> HttpRequest:
+        assert request is not None
+        return request_of(request, body, self._first_byte_at or self._last_activity_at)
+
+    async def _run_handler(self, request: HttpRequest, refusal: HeadRefusal | None) -> None:
         reply = Reply(self)
         try:
-            await self.server.handler(request, reply)
+            if refusal is not None:
+                reply.send(refusal.status, refusal.headers, b"")
+            else:
+                await self.server.handler(request, reply)
         except asyncio.CancelledError:
             reply.ended = False
         except Exception as error:
@@ -329,6 +298,8 @@
             self._expires_at = reply.expires_at
             self._first_byte_at = None
             self._last_activity_at = self._loop.time()
+            del request
+            self._release()
         if not reply.ended:
             self.abort()
         else:
@@ -342,25 +313,53 @@
             self._limits = self.server.limits()
             self._head = bytearray(self._http.trailing_data[0])
             if self._head or self._unread:
-                self._first_byte_at = self._loop.time()
+                self._begin_request()
                 self._plan_turn()
         else:
             self._close_gracefully()
 
-    def _reject(self, status: int, detail: str) -> None:
+    def resume_for_room(self) -> None:
+        """Read on, as there is room for what comes next."""
+        self._last_activity_at = self._loop.time()
+        if self._task is None and not self._closing and self._first_byte_at is not None:
+            self._plan_turn()
+        self._update_reading()
+
+    def refuse_for_room(self, is_stalled: bool, detail: str) -> None:
+        """Refuse a request for which there is no room, or whose room is needed by others."""
+        if self._closing or self._task is not None:
+            return
+        if is_stalled:
+            self._reject(408, f"its room is needed: {detail}")
+        else:
+            self._reject(503, f"no room: {detail}", NO_ROOM_HEADERS)
+
+    def end_for_others(self) -> None:
+        """Close the connection at once, as its descriptor is needed."""
+        if self._task is None:
+            if not self._closing and (self._first_byte_at is not None or self._is_new):
+                self._reject(503, "too many connections", NO_ROOM_HEADERS)
+            self._transport.close()
+
+    def _begin_request(self) -> None:
+        self._first_byte_at = self._loop.time()
+        self._begin_account()
+
+    def _reject(self, status: int, detail: str, headers: HeaderList = ()) -> None:
         logger.bind(status=status, detail=detail).info("invalid request rejected")
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            headers = [("Content-Length", "0"), ("Connection", "close")]
-            self.emit(h11.Response(status_code=status, headers=headers))
+            headers = (*headers, (b"Content-Length", b"0"), (b"Connection", b"close"))
+            self.emit(h11.Response(status_code=status, headers=list(headers)))
             self.emit(h11.EndOfMessage())
         self._close_gracefully()
 
     def _close_gracefully(self) -> None:
-        """Close for writing, but keep reading for a while so that the last response is not lost."""
+        """Close for writing, but read for a while so that the last response is not lost."""
         if self._closing:
             return
         self._closing = True
         self._drop_unread()
+        self._end_account()
         if self._transport.can_write_eof() and not self._transport.is_closing():
             with contextlib.suppress(OSError):  # A reset that has not been read yet.
                 self._transport.write_eof()
@@ -371,7 +370,7 @@
 
     def _check_timeouts(self) -> None:
         self._schedule_timeout_check()
-        if self._task is not None or self._closing:
+        if self._task is not None or self._closing or self._waits_for_room:
             return
         now = self._loop.time()
         if self._request is not None and now - (self._first_byte_at or now) > self._patience:
--- a/pimentoquay/http1/system_state.py
+++ b/pimentoquay/http1/system_state.py
@@ -12,7 +12,7 @@
 import termios
 from typing import Any
 
-__all__ = ["close_when_sent", "is_established", "unsent_bytes"]
+__all__ = ["close_when_sent", "is_established", "reset_on_close", "unsent_bytes"]
 
 CHECK_SECONDS = 0.1
 """Interval at which a connection that is to be closed is checked."""
@@ -31,6 +31,16 @@
     return bool(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == _ESTABLISHED)
 
 
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of ``SO_LINGER`` with which closing the socket resets the connection."""
+
+
+def reset_on_close(transport: Any) -> None:
+    """Let the system reset the connection when it is closed."""
+    sock = transport.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+
+
 def unsent_bytes(transport: Any) -> int:
     """Return the number of bytes in the transport, and in the system without acknowledgement.
 
--- a/pimentoquay/tunnels/__init__.py
+++ b/pimentoquay/tunnels/__init__.py
@@ -9,13 +9,15 @@
 """
 
 from pimentoquay.tunnels.client import TunnelOpener, TunnelTarget
+from pimentoquay.tunnels.limits import TunnelLimits, TunnelPolicy
 from pimentoquay.tunnels.paths import EnginePaths
 from pimentoquay.tunnels.peer_tunnels import PeerTunnels
-from pimentoquay.tunnels.server import TunnelPolicy, TunnelServer
+from pimentoquay.tunnels.server import TunnelServer
 
 __all__ = [
     "EnginePaths",
     "PeerTunnels",
+    "TunnelLimits",
     "TunnelOpener",
     "TunnelPolicy",
     "TunnelServer",
--- a/pimentoquay/tunnels/client.py
+++ b/pimentoquay/tunnels/client.py
@@ -166,6 +166,14 @@
                 exc = exc or ConnectionResetError("the tunnel ended before the engine's connection")
             self._inner.connection_lost(exc)
 
+    def pause_writing(self) -> None:
+        if self._inner is not None:
+            self._inner.pause_writing()
+
+    def resume_writing(self) -> None:
+        if self._inner is not None:
+            self._inner.resume_writing()
+
     def pause(self) -> None:
         """Pass nothing on until the protocol that uses the tunnel reads again."""
         self._is_paused = True
--- a/pimentoquay/tunnels/server.py
+++ b/pimentoquay/tunnels/server.py
@@ -3,8 +3,6 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 from typing import Any
 
 from pimentoquay.http1 import Connect, SharedBufferProtocol
@@ -18,6 +16,7 @@
 from pimentoquay.transport import handshake
 from pimentoquay.transport.websocket import split_address
 from pimentoquay.tunnels.framing import END, GOING_AWAY, FrameReader, frame
+from pimentoquay.tunnels.limits import TunnelLimits, TunnelPolicy
 
 __all__ = ["TunnelServer"]
 
@@ -31,6 +30,9 @@
 MAX_BURST = 400
 """The same with those that have not had that time; another one is refused."""
 
+MAX_UNSENT_BYTES = 32 * 1024
+"""Number of unsent bytes of one direction of a tunnel at which its other end is not read."""
+
 ASK_SECONDS = 0.25
 """Time in which a sound peer asks for a tunnel, which takes milliseconds unless it is busy."""
 
@@ -51,21 +53,6 @@
 whose other end responds but does not read, and a peer reads no faster than its caller."""
 
 
-@dataclass(frozen=True)
-class TunnelPolicy:
-    """What the server asks about a request.
-
-    ``find_outcome`` returns an outcome other than ``OPEN`` if no attempt to connect is to be made,
-    ``refusal_outcome`` what a refusal by the engine means, ``referrals`` other peers to name, and
-    ``on_silent`` is called if the engine did not respond.
-    """
-
-    find_outcome: Callable[[TunnelRequest], TunnelOutcome]
-    refusal_outcome: Callable[[TunnelRequest], Awaitable[TunnelOutcome]]
-    referrals: Callable[[TunnelRequest], tuple[str, ...]]
-    on_silent: Callable[[TunnelRequest], None]
-
-
 class TunnelServer:
     """Accepts tunnels and connects them to engines.
 
@@ -79,15 +66,23 @@
         Opens connections to engines.
     policy
         Decides about requests.
+    limits
+        Limits below those of this module, for processes with few descriptors.
     """
 
     def __init__(
-        self, identity: Identity, key: bytes, connect: Connect, policy: TunnelPolicy
+        self,
+        identity: Identity,
+        key: bytes,
+        connect: Connect,
+        policy: TunnelPolicy,
+        limits: TunnelLimits = TunnelLimits(),  # noqa: B008
     ) -> None:
         self.identity = identity
         self.key = key
         self._connect = connect
         self._policy = policy
+        self.limits = limits
         self._server: asyncio.Server | None = None
         self._sides: dict[_PeerSide, None] = {}
         self._background = BackgroundTasks()
@@ -124,7 +119,7 @@
         """Add an accepted connection."""
         self._sides[side] = None
         self._close_unopened()
-        if sum(not each.has_asked for each in self._sides) > MAX_BURST:
+        if sum(not each.has_asked for each in self._sides) > min(MAX_BURST, self.limits.burst):
             self.remove(side)
             side.abort()
         else:
@@ -133,8 +128,9 @@
     def _close_unopened(self) -> None:
         """Close the oldest connections that have not asked in time, if there are too many."""
         asked_by = asyncio.get_running_loop().time() - ASK_SECONDS
+        most = min(MAX_UNOPENED, self.limits.unopened)
         unopened = [each for each in self._sides if not each.has_asked]
-        for side in unopened[: max(0, len(unopened) - MAX_UNOPENED)]:
+        for side in unopened[: max(0, len(unopened) - most)]:
             if side.accepted_at <= asked_by:
                 self.remove(side)
                 side.abort()
@@ -167,7 +163,7 @@
     ) -> tuple[TunnelOutcome, "_EngineSide | None"]:
         if self._is_draining:
             return TunnelOutcome.DRAINING, None
-        if sum(each.has_asked for each in self._sides) > MAX_TUNNELS:
+        if sum(each.has_asked for each in self._sides) > min(MAX_TUNNELS, self.limits.tunnels):
             return TunnelOutcome.BUSY, None
         outcome = self._policy.find_outcome(request)
         if outcome is not TunnelOutcome.OPEN:
@@ -222,6 +218,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, PEER_USER_TIMEOUT_MILLISECONDS)
         loop = asyncio.get_running_loop()
         self.accepted_at = loop.time()
+        transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
         self._server.add(self)
         self._timer = loop.call_later(HANDSHAKE_SECONDS, self.abort)
         transport.write(frame(encode(self._challenge)))
