--- a/pimentoquay/ctl/reference.py
+++ b/pimentoquay/ctl/reference.py
@@ -20,6 +20,18 @@
 from pimentoquay.kernel import ResultCode, info_of
 from pimentoquay.kernel.metrics import PERCENTILES, SIGNIFICANT_DIGITS, Metric
 from pimentoquay.kernel.settings import setting_infos
+from pimentoquay.policy.process_limits import (
+    BYTES_PER_CALLER,
+    CALLER_SHARE,
+    DEFAULT_DESCRIPTORS,
+    DEFAULT_MEMORY_BYTES,
+    KB,
+    MB,
+    MIN_BUDGET_BYTES,
+    RESERVED_FILES,
+    TUNNEL_SHARE,
+    USABLE_SHARE,
+)
 
 __all__ = ["main", "pages"]
 
@@ -45,6 +57,21 @@
 }
 
 
+_GATEWAY_LIMITS = f"""## pimentoquay-gateway
+
+It reads the JSON file that the platform writes. Its object `limits` bounds what the process holds:
+
+| Key | Default | Meaning |
+| --- | --- | --- |
+| `memoryMb` | {DEFAULT_MEMORY_BYTES // MB} | memory of the process in MB. \
+{USABLE_SHARE:.0%} of what the process does not need itself, and {MIN_BUDGET_BYTES // MB} MB at \
+least, may be held for callers. It also limits their connections, one for each {BYTES_PER_CALLER // KB} KB, and the system's buffers |
+| `maxFds` | {DEFAULT_DESCRIPTORS} | descriptors of the process, {RESERVED_FILES} of which are for \
+files. Of the rest, {CALLER_SHARE:.1%} are for connections of callers, and {2 * TUNNEL_SHARE:.0%} \
+for tunnels of peers, which need two each |
+"""
+
+
 def pages() -> dict[str, str]:
     """Return the text of the generated pages by file name."""
     return {
@@ -97,6 +124,7 @@
     ):
         parts.append(f"## {title}\n")
         parts.append(_settings_table(settings_class))
+    parts.append(_GATEWAY_LIMITS)
     return "\n".join(parts)
 
 
