--- a/pimentoquay/bench/mutations/switches.py
+++ b/pimentoquay/bench/mutations/switches.py
@@ -25,6 +25,7 @@
     same_number_for_all_holders,
     skip_order_of_new_holder,
 )
+from pimentoquay.bench.mutations.room_switches import ROOM_SWITCHES
 from pimentoquay.bench.mutations.service_switches import SERVICE_SWITCHES
 from pimentoquay.bench.mutations.speed_switches import SPEED_SWITCHES
 from pimentoquay.bench.mutations.stop_switches import STOP_SWITCHES
@@ -279,6 +280,7 @@
     *SPEED_SWITCHES,
     *STOP_SWITCHES,
     *STREAM_SWITCHES,
+    *ROOM_SWITCHES,
     *TURN_SWITCHES,
     *WORKSPACE_SWITCHES,
 )
--- a/pimentoquay/gateway/dispatcher.py
+++ b/pimentoquay/gateway/dispatcher.py
@@ -10,7 +10,7 @@
 from pimentoquay.gateway.request_access import RequestAccess
 from pimentoquay.gateway.shared_state import SharedState
 from pimentoquay.gateway.streams import StreamForwarder
-from pimentoquay.http1 import HeaderList, HttpRequest, Reply
+from pimentoquay.http1 import HeaderList, HeadRefusal, HttpRequest, Reply
 from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode, info_of
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.requests import CallerRequest, parse_request, retry_after_header
@@ -82,13 +82,13 @@
         """
         return self._decide(request).code
 
-    def refuse_head(self, request: HttpRequest) -> tuple[int, HeaderList] | None:
-        """Return status and headers of the refusal of a request by its head, or None.
+    def refuse_head(self, request: HttpRequest) -> HeadRefusal | None:
+        """Return the refusal of a request by its head, or None.
 
         The refusal is counted and logged, so the caller of this method has to send it.
         """
         decision = self._decide(request)
-        return None if decision.code is None else self._record_refusal(decision)
+        return None if decision.code is None else HeadRefusal(*self._record_refusal(decision))
 
     async def handle(self, request: HttpRequest, reply: Reply) -> None:
         """Handle one request and send its response."""
