Keep the composition root, the metrics, the coordinator and the stand-in engine in small modules

Metrics of the new parts, functions of the composition root and the behaviours of the stand-in move to modules of their own; nothing else changes.

--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -1,8 +1,5 @@
 """Composition root of the gateway: create its parts and connect them."""
 
-import math
-from collections.abc import Awaitable, Callable
-from dataclasses import replace
 from typing import Any
 
 from pimentoquay.gateway.allowance_wiring import compose_allowances
@@ -12,13 +9,19 @@
 from pimentoquay.gateway.fleet import Fleet
 from pimentoquay.gateway.lifecycle import Gateway
 from pimentoquay.gateway.links import EngineLinks
+from pimentoquay.gateway.load_metrics import (
+    ALLOWANCES_UNDECIDED,
+    CONNECTIONS_ENDED,
+    REFUSED_OVER_ALLOWANCE,
+    STREAMS_PLACED,
+    STREAMS_REFUSED,
+    WORKSPACES_COUNTED,
+)
 from pimentoquay.gateway.mesh import Mesh
 from pimentoquay.gateway.message_parts import pieces_of
 from pimentoquay.gateway.metrics import (
-    ALLOWANCES_UNDECIDED,
     CONNECT_FAILURES,
     CONNECTIONS,
-    CONNECTIONS_ENDED,
     CONTINUED,
     ENGINE_CRASHES,
     ENGINE_REQUESTS,
@@ -39,7 +42,6 @@
     PROMPTS_WASTED,
     REFUSED_IN_QUARANTINE,
     REFUSED_IN_STOP,
-    REFUSED_OVER_ALLOWANCE,
     REFUSED_OVER_LIMIT,
     RESUMPTIONS,
     RESUMPTIONS_REFUSED,
@@ -48,15 +50,12 @@
     STORE_CALLS,
     STORE_ERA,
     STREAM_ORIGINS,
-    STREAMS_PLACED,
-    STREAMS_REFUSED,
     TUNNELS_CARRIED,
     TUNNELS_GRANTED,
     TUNNELS_OPENED,
     TUNNELS_REFUSED,
     VERSION,
     WAITING,
-    WORKSPACES_COUNTED,
     GatewayMetrics,
 )
 from pimentoquay.gateway.notices import LeavingNotices, LimitNotices
@@ -71,20 +70,24 @@
 from pimentoquay.gateway.prefills import PrefillRunner
 from pimentoquay.gateway.process_room import ProcessRoom, own_port_server
 from pimentoquay.gateway.request_guard import RequestGuard
-from pimentoquay.gateway.reservation import usable_tokens
 from pimentoquay.gateway.reservations import Reservations
 from pimentoquay.gateway.shared_state import RetryBudgets, SharedState
 from pimentoquay.gateway.stage_controller import StageController
 from pimentoquay.gateway.step_watch import StepWatch
 from pimentoquay.gateway.stream_origins import OriginExchange
 from pimentoquay.gateway.streams import StreamForwarder
+from pimentoquay.gateway.wiring import (
+    apply_mesh_state,
+    apply_plan,
+    patience,
+    readiness_handler,
+    routed_handler,
+    server_limits,
+    tokens_of_engine,
+)
 from pimentoquay.http1 import (
     Connect,
-    HeaderList,
-    HttpRequest,
     HttpServer,
-    Reply,
-    ServerLimits,
     connect_tcp,
 )
 from pimentoquay.kernel import Node
@@ -99,7 +102,6 @@
 )
 from pimentoquay.messages.pools import PoolKey
 from pimentoquay.messages.streams import StreamsBegun, VersionsListed
-from pimentoquay.platform.requests import parse_request
 from pimentoquay.platform.settings import DeploymentSettings
 from pimentoquay.platform.store import StoreClient
 from pimentoquay.policy.engine_limits import EngineLimits
@@ -200,7 +202,7 @@
         pool_client.schedule_report()
 
     def usable(service: str) -> int:
-        return _usable_tokens(fleet, service)
+        return tokens_of_engine(fleet, service)
 
     def pool_coordinator_of(key: PoolKey) -> str | None:
         return mesh.coordinator_of(key)
@@ -234,10 +236,10 @@
         node, shared, pool_coordinator_of, lambda: loads.load_by_vm, send_to, coordinator
     )
     granting, allowances = compose_allowances(node, bounds, fleet, mesh, peers, send_to)
-    mesh.relays.receive_routed = _routed_handler(
+    mesh.relays.receive_routed = routed_handler(
         pool_client, coordinator, speeds, granting, allowances
     )
-    mesh.on_plan_changed.append(lambda: _apply_plan(shared, mesh, pool_client, coordinator))
+    mesh.on_plan_changed.append(lambda: apply_plan(shared, mesh, pool_client, coordinator))
     leaving = LeavingNotices(fleet.notices, node.timers.now, mesh.notices.publish)
     mesh.notices.register(EnginesLeaving, leaving.handler)
     mesh.notices.register(CrashEvidence, guard.handler)
@@ -249,7 +251,7 @@
     mesh.notices.register(LimitsNamed, limit_notices.handler)
     links.on_limit.append(limit_notices.report)
     mesh.on_load_changed.append(reservations.recheck_waiters)
-    mesh.on_load_changed.append(lambda: _apply_mesh_state(shared, mesh))
+    mesh.on_load_changed.append(lambda: apply_mesh_state(shared, mesh))
     store = StoreClient(settings.store_address, era, turns)
     feed = StoreFeed(
         store,
@@ -292,13 +294,13 @@
     dispatcher = Dispatcher(shared, PlainForwarder(shared), streams, planned_stop, allowances)
     caller_server = HttpServer(
         dispatcher.handle,
-        lambda: _server_limits(fleet),
+        lambda: server_limits(fleet),
         turns,
-        _patience,
+        patience,
         process.callers,
         dispatcher.refuse_head,
     )
-    readiness_server = own_port_server(_readiness_handler(dispatcher), turns)
+    readiness_server = own_port_server(readiness_handler(dispatcher), turns)
     metrics.value_by_gauge = {
         IN_PROGRESS: lambda: caller_server.requests_in_progress,
         LIST_AGE: lambda: min(fleet.list_age, 1e6),
@@ -376,50 +378,3 @@
         process.watch,
         metrics_port,
     )
-
-
-def _usable_tokens(fleet: Fleet, service: str) -> int:
-    configuration = fleet.configuration
-    known = configuration.service_by_name.get(service) if configuration is not None else None
-    return usable_tokens(known.memory) if known is not None and known.memory is not None else 0
-
-
-def _routed_handler(*receivers: Any) -> Callable[[str, Any], None]:
-    def receive(source: str, message: Any) -> None:
-        for receiver in receivers:
-            receiver.receive(message, source)
-
-    return receive
-
-
-def _apply_plan(
-    shared: SharedState, mesh: Mesh, client: PoolClient, coordinator: PoolCoordinator
-) -> None:
-    """Use coordinators in a deployment with relays, and share its limits by its size."""
-    client.is_active = not mesh.plan.is_full
-    coordinator.is_active = client.is_active and shared.placer.vm in mesh.plan.relays
-    _apply_mesh_state(shared, mesh)
-
-
-def _apply_mesh_state(shared: SharedState, mesh: Mesh) -> None:
-    """Update the state that depends on the number of gateways and on the mesh plan."""
-    shared.retry_budgets.gateway_count = mesh.gateway_count
-    shared.links.limits.update_vms(mesh.running_vms(), not mesh.plan.is_full)
-    shared.placer = replace(shared.placer, lacks_peer_loads=not mesh.plan.is_full)
-
-
-def _server_limits(fleet: Fleet) -> ServerLimits:
-    configuration = fleet.configuration
-    return configuration.limits if configuration is not None else ServerLimits()
-
-
-def _patience(headers: HeaderList) -> float:
-    seconds = parse_request(headers).timeout_seconds
-    return seconds if seconds is not None else math.inf
-
-
-def _readiness_handler(dispatcher: Dispatcher) -> Callable[[HttpRequest, Reply], Awaitable[None]]:
-    async def handle(request: HttpRequest, reply: Reply) -> None:
-        reply.send(200 if dispatcher.is_ready else 503, (), b"")
-
-    return handle
--- a/pimentoquay/gateway/pool_coordinator.py
+++ b/pimentoquay/gateway/pool_coordinator.py
@@ -11,7 +11,7 @@
 
 from pimentoquay.gateway.peer_loads import runs_by_engine
 from pimentoquay.gateway.shared_state import MAX_LIMIT_WAIT_SECONDS, SharedState
-from pimentoquay.gateway.stream_classes import PlaceClasses, log_refusal
+from pimentoquay.gateway.stream_classes import PlaceClasses, log_refusal, need_of
 from pimentoquay.kernel import Node
 from pimentoquay.kernel.clock import boot_time
 from pimentoquay.kernel.logs import logger
@@ -29,11 +29,9 @@
 from pimentoquay.policy.engine_preference import Placer
 from pimentoquay.policy.fleet import DECODE_STAGES, EngineEntry, EngineStage
 from pimentoquay.policy.granted_prefills import GrantedPrefills
-from pimentoquay.policy.memory_forecast import GrowingRun
-from pimentoquay.policy.pool_placement import Grant, PoolPlacement, StreamKey, StreamNeed
+from pimentoquay.policy.pool_placement import Grant, PoolPlacement, StreamKey
 from pimentoquay.policy.prefill_choice import choose_prefill_engine
 from pimentoquay.policy.run_ledger import RunLedger
-from pimentoquay.policy.stream_admission import StreamTimes
 from pimentoquay.policy.version_choice import may_run
 
 __all__ = ["SUMMARY_SECONDS", "PoolCoordinator"]
@@ -147,7 +145,7 @@
         if grant is not None:
             self._reply_granted(pool, stream_key, message.pool, grant)
             return
-        need = _need_of(message, service_class, now)
+        need = need_of(message, service_class, now)
         is_new = pool.placement.request(stream_key, need, now)
         self._place_waiting(key, pool)
         if not pool.placement.is_waiting(stream_key):
@@ -400,15 +398,3 @@
                 sum(each.decode_seconds for each in work),
             ),
         )
-
-
-def _need_of(message: PlaceRequest, service_class: tuple[int, str], now: float) -> StreamNeed:
-    return StreamNeed(
-        GrowingRun(message.tokens, message.remaining),
-        message.need,
-        message.prompt,
-        StreamTimes(now - message.waited, now + message.late_in, now + message.leaves_in),
-        message.may_prefill_on_decode_engine,
-        message.software,
-        *service_class,
-    )
--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -6,7 +6,7 @@
 
 from pimentoquay.gateway.engine_link import EngineLink
 from pimentoquay.gateway.job import Job
-from pimentoquay.gateway.metrics import (
+from pimentoquay.gateway.load_metrics import (
     ENGINES_MEASURED,
     ENGINES_TOO_SLOW,
     PREFILLS_TIMED_OUT,
--- a/pimentoquay/gateway/process_room.py
+++ b/pimentoquay/gateway/process_room.py
@@ -2,14 +2,14 @@
 
 from collections.abc import Awaitable, Callable
 
-from pimentoquay.gateway.memory_watch import MemoryWatch
-from pimentoquay.gateway.metrics import (
+from pimentoquay.gateway.load_metrics import (
     BYTES_HELD,
     BYTES_LIMIT,
     CALLERS_CONNECTED,
     CALLERS_WAITING,
     RESIDENT_BYTES,
 )
+from pimentoquay.gateway.memory_watch import MemoryWatch
 from pimentoquay.http1 import HttpRequest, HttpServer, Reply, ServerLimits
 from pimentoquay.kernel.metrics import Metric
 from pimentoquay.kernel.turns import TurnQueue
--- a/pimentoquay/gateway/stream_classes.py
+++ b/pimentoquay/gateway/stream_classes.py
@@ -9,12 +9,14 @@
 from pimentoquay.gateway.job import Job
 from pimentoquay.kernel import RefusedError, ResultCode
 from pimentoquay.kernel.logs import logger
-from pimentoquay.messages.pools import MAX_WORKSPACE_LENGTH, PlaceClass, PoolKey
+from pimentoquay.messages.pools import MAX_WORKSPACE_LENGTH, PlaceClass, PlaceRequest, PoolKey
+from pimentoquay.policy.memory_forecast import GrowingRun
 from pimentoquay.policy.service_order import clamp_priority
-from pimentoquay.policy.stream_admission import WaitDecision
+from pimentoquay.policy.stream_admission import StreamTimes, WaitDecision
+from pimentoquay.policy.stream_need import StreamNeed
 from pimentoquay.policy.stream_queue import WaitingStream
 
-__all__ = ["ClassCounts", "PlaceClasses", "class_message", "log_refusal"]
+__all__ = ["ClassCounts", "PlaceClasses", "class_message", "log_refusal", "need_of"]
 
 MAX_CLASSES = 4_000
 """Maximum number of streams whose classes a coordinator keeps for each pool, ten times as many as
@@ -103,3 +105,16 @@
         retry_after=f"{decision.seconds:.3f}",
         known_for=f"{age:.3f}",
     ).info("stream yields to others")
+
+
+def need_of(message: PlaceRequest, service_class: tuple[int, str], now: float) -> StreamNeed:
+    """Return what a stream needs that a gateway asks a coordinator to place."""
+    return StreamNeed(
+        GrowingRun(message.tokens, message.remaining),
+        message.need,
+        message.prompt,
+        StreamTimes(now - message.waited, now + message.late_in, now + message.leaves_in),
+        message.may_prefill_on_decode_engine,
+        message.software,
+        *service_class,
+    )
--- a/pimentoquay/standin/platform_engine.py
+++ b/pimentoquay/standin/platform_engine.py
@@ -11,9 +11,9 @@
 import struct
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from enum import Enum
 
 from pimentoquay.http1 import HttpRequest, HttpServer, Reply, ServerLimits, find_header
+from pimentoquay.standin.engine_behaviour import UNFRAMED, Behaviour
 from pimentoquay.standin.late_copies import LateCopies
 
 __all__ = ["Arrival", "Behaviour", "PlatformEngine"]
@@ -22,35 +22,6 @@
 """Default capacity of the KV memory of an engine, in tokens."""
 
 
-class Behaviour(Enum):
-    """Response of the stand-in to a request; the value of each member describes it."""
-
-    SERVE = "serve"
-    SHED = "refuse with the proof that nothing ran"
-    MISDIRECTED = "refuse as an engine of another stage or another start"
-    FAIL = "run and answer 500"
-    RESET = "run and reset the connection"
-    MUTE = "run and never answer"
-    BREAK = "stream three events, then reset the connection"
-    HALF_EVENT = "stream two events and a half, then end the connection"
-    UNFRAMED = "answer without a length or chunks, and end the connection"
-    UNFRAMED_HALF_EVENT = "the same, but end the connection within the third event"
-    UNFRAMED_EMPTY = "the same, but end the connection after the head"
-    UNFRAMED_RESET = "the same, but reset the connection after the third event"
-    UNFRAMED_CRASH = "the same, but crash after the head"
-    UNSIGNED = "run and answer without a signature"
-    ENCODED = "run and answer with an encoded body"
-
-
-_UNFRAMED = (
-    Behaviour.UNFRAMED,
-    Behaviour.UNFRAMED_HALF_EVENT,
-    Behaviour.UNFRAMED_EMPTY,
-    Behaviour.UNFRAMED_RESET,
-    Behaviour.UNFRAMED_CRASH,
-)
-
-
 @dataclass(frozen=True)
 class Arrival:
     """Request as it was received; header names are in lower case.
@@ -319,7 +290,7 @@
             await self._wait_for_caller()
         elif behaviour in altered:
             reply.send(200, *altered[behaviour])
-        elif behaviour in _UNFRAMED and not arrival.is_prefill:
+        elif behaviour in UNFRAMED and not arrival.is_prefill:
             await self._send_unframed(behaviour, headers, reply)
         elif self.stage and not arrival.is_prefill:
             await self._stream(arrival, behaviour, headers, reply)
