--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,8 @@
 	$(BIN)/ruff check $(PACKAGE)
 	$(BIN)/mypy $(addprefix $(PACKAGE)/,$(TYPED))
 	$(BIN)/lint-imports --no-cache > .imports.log || { cat .imports.log; exit 1; }
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -m "not alone"
+	$(BIN)/python -m pytest -m alone -n 0
 	$(BIN)/pimentoquay-bench faults --seed 1 --schedules 200 --steps 6
 
 demo: install
--- a/pimentoquay/gateway/tests/test_crowds.py
+++ b/pimentoquay/gateway/tests/test_crowds.py
@@ -20,6 +20,8 @@
     ordinary_request,
 )
 
+pytestmark = pytest.mark.alone
+
 MEMORY_MB = 88
 """Memory of the smallest machines."""
 
