--- a/pimentoquay/gateway/request_access.py
+++ b/pimentoquay/gateway/request_access.py
@@ -71,6 +71,7 @@
             return self._granted or UNCHECKED
         route = table.find(self._caller.host, self._target) or self._route
         access = workspaces.identify(self._caller.key, route.is_public)
-        if access.refusal is not None and self._granted is not None:
+        had_workspace = self._granted is not None and self._granted.workspace is not None
+        if access.refusal is not None and had_workspace:
             return replace(access, refusal=KeyRefusal.WITHDRAWN)
         return access
