Bound what is unsent to a peer by the memory of the machine; log why callers end

A channel held up to 16 MiB for a peer that does not read, and there may be 78 peers. On a VM of 88 MB it is 6 MB now, which exceeds the largest message of 4 MiB. The line of a refused request tells for how long it waited or stalled, what it held, and what was held and waited in all.

--- a/pimentoquay/gateway/program.py
+++ b/pimentoquay/gateway/program.py
@@ -20,6 +20,7 @@
 from pimentoquay.kernel.turns import TurnQueue
 from pimentoquay.platform.fields import DecodeError
 from pimentoquay.platform.settings import DeploymentSettings, load_deployment_settings
+from pimentoquay.policy.process_limits import process_limits
 from pimentoquay.policy.turn_order import LeastServedFirst
 from pimentoquay.transport.websocket import WebSocketTransport
 
@@ -56,7 +57,8 @@
     incarnation = int(time.time() * 1000)
     identity = Identity(settings.vm, "gateway", settings.region, settings.data_centre, incarnation)
     turns = TurnQueue(LeastServedFirst(time.monotonic))
-    transport = WebSocketTransport(identity, settings.shared_key, turns)
+    limits = process_limits(settings.memory_bytes, settings.max_descriptors)
+    transport = WebSocketTransport(identity, settings.shared_key, turns, limits.channel_bytes)
     node = Node(identity, transport, LoopClock())
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, _check_settings)
--- a/pimentoquay/policy/byte_budget.py
+++ b/pimentoquay/policy/byte_budget.py
@@ -46,6 +46,9 @@
 WAIT_SECONDS = 3.0
 """Longest wait for room, after which the caller can still try another gateway in time."""
 
+STALLED = "no progress"
+"""Reason for the end of a body that made no progress, under which it is counted."""
+
 FRESH_IDLE_SECONDS = 0.25
 """Age at which a connection without a request may end for a new one."""
 
@@ -270,7 +273,7 @@
             elif not account.wanted and self.used < self.limit:
                 self._resume(account, decision)
             elif account.is_arriving and account.waited_seconds(now) >= WAIT_SECONDS:
-                self._end(account, False, "no room in time", decision)
+                self._end(account, "no room in time", account.waited_seconds(now), decision)
             elif account.is_arriving:
                 needed += account.wanted or SMALL_BYTES
         stalled = sorted(self._stalled(now), key=lambda each: _cost(each, now), reverse=True)
@@ -278,7 +281,7 @@
             if needed <= 0:
                 break
             needed -= account.total
-            self._end(account, True, "no progress", decision)
+            self._end(account, STALLED, account.stalled_seconds(now), decision)
         return decision
 
     def _has_room(self, size: int) -> bool:
@@ -307,12 +310,16 @@
         account.waits_since = None
         decision.resumed.append(account.user)
 
-    def _end(self, account: Account, is_stalled: bool, reason: str, decision: Decision) -> None:
+    def _end(self, account: Account, reason: str, seconds: float, decision: Decision) -> None:
         self._waiting.pop(account, None)
         account.is_arriving = False
         account.wanted = 0
         self.ended_by_reason[reason] += 1
-        decision.ended.append((account.user, is_stalled, reason))
+        detail = (
+            f"{reason} for {seconds:.1f} s, {account.total} bytes held here, "
+            f"{self.used} of {self.limit} in all, {len(self._waiting)} wait"
+        )
+        decision.ended.append((account.user, reason == STALLED, detail))
 
     def _stalled(self, now: float) -> Iterable[Account]:
         return (
--- a/pimentoquay/policy/process_limits.py
+++ b/pimentoquay/policy/process_limits.py
@@ -43,7 +43,7 @@
 MIN_SYSTEM_BYTES, MAX_SYSTEM_BYTES = 64 * KB, 256 * KB
 """Bounds of the system's buffer of a connection.
 
-Less slows a sound caller down: at 10 ms to the caller, 64 KB allow 6 MB a second."""
+Less slows a sound caller down: 64 KB hold a window of some 32 KB, 3 MB a second at 10 ms."""
 
 MIN_ANSWER_BYTES, MAX_ANSWER_BYTES = 8 * KB, 64 * KB
 """Bounds of the unsent bytes of an answer; the upper one is that of the event loop."""
@@ -51,6 +51,9 @@
 BUFFER_SHARE = 0.25
 """Part of the budget for the system's buffers of all callers, if the bounds allow."""
 
+MIN_CHANNEL_BYTES, MAX_CHANNEL_BYTES = 6 * MB, 16 * MB
+"""Bounds of what may be unsent to one peer; one message has up to 4 MB."""
+
 OWN_SAMPLES = 30
 """Number of samples over which the least is taken, as bytes freed late seem to be the process's."""
 
@@ -61,7 +64,8 @@
 
     ``budget_bytes`` is held for callers, ``system_bytes`` is the system's buffer of each direction
     of a connection and ``answer_bytes`` the unsent bytes at which the writer of an answer waits.
-    ``unopened_tunnels`` counts connections that have not asked for a tunnel.
+    ``unopened_tunnels`` counts connections that have not asked for a tunnel, and ``channel_bytes``
+    is the size of what is unsent to a peer above which its channel is closed.
     """
 
     memory_bytes: int
@@ -71,6 +75,7 @@
     unopened_tunnels: int
     system_bytes: int
     answer_bytes: int
+    channel_bytes: int
 
 
 def process_limits(memory_bytes: int, max_descriptors: int) -> ProcessLimits:
@@ -88,6 +93,7 @@
         unopened_tunnels=max(4, int(sockets * UNOPENED_SHARE)),
         system_bytes=max(MIN_SYSTEM_BYTES, min(MAX_SYSTEM_BYTES, share)),
         answer_bytes=max(MIN_ANSWER_BYTES, min(MAX_ANSWER_BYTES, share)),
+        channel_bytes=max(MIN_CHANNEL_BYTES, min(MAX_CHANNEL_BYTES, budget // 8)),
     )
 
 
--- a/pimentoquay/transport/tests/test_websocket.py
+++ b/pimentoquay/transport/tests/test_websocket.py
@@ -1,5 +1,6 @@
 import asyncio
 import dataclasses
+import random
 
 import pytest
 
@@ -148,3 +149,28 @@
 def test_malformed_addresses_raise_value_error(address):
     with pytest.raises(ValueError, match="expected IP:PORT"):
         split_address(address)
+
+
+async def test_a_channel_whose_peer_does_not_read_is_closed_at_the_stated_size():
+    """On a VM with little memory, a few such peers took more than it has."""
+
+    is_over = asyncio.Event()
+
+    async def read_nothing(channel):
+        await is_over.wait()
+
+    server, address = await listening(read_nothing)
+    limit = 2_000_000
+    client = WebSocketTransport(ENTRY, b"k", max_unsent_bytes=limit)
+    channel = await client.connect(address)
+    most = 0
+    for _ in range(200):
+        channel.send(Grant(random.randbytes(100_000).hex(), 1, "p", "d"))
+        most = max(most, channel.unsent_bytes)
+        await asyncio.sleep(0)
+    assert 0 < most <= limit
+    with pytest.raises(ConnectionError):
+        await channel.receive()
+    is_over.set()
+    await client.close()
+    await server.close()
--- a/pimentoquay/transport/websocket.py
+++ b/pimentoquay/transport/websocket.py
@@ -79,10 +79,17 @@
     a task switch for each message costs more than writing it.
     """
 
-    def __init__(self, connection: Connection, peer: Identity, clock: HybridClock | None) -> None:
+    def __init__(
+        self,
+        connection: Connection,
+        peer: Identity,
+        clock: HybridClock | None,
+        max_unsent_bytes: int = MAX_UNSENT_BYTES,
+    ) -> None:
         self._connection = connection
         self.peer = peer
         self._clock = clock
+        self._max_unsent_bytes = max_unsent_bytes
 
     @property
     def unsent_bytes(self) -> int:
@@ -97,7 +104,7 @@
         packet = pack_unless_too_large(message, self._clock, self.peer.vm)
         if packet is None:
             return
-        if self.unsent_bytes + len(packet) > MAX_UNSENT_BYTES:
+        if self.unsent_bytes + len(packet) > self._max_unsent_bytes:
             logger.bind(peer=self.peer.vm).warning(
                 "send buffer to peer is full; closing the channel"
             )
@@ -142,12 +149,21 @@
         Secret shared by all processes of the system.
     turns
         Continues with messages that one read left over; a queue of its own if omitted.
+    max_unsent_bytes
+        Size of the send buffer above which a channel is closed, in bytes.
     """
 
-    def __init__(self, identity: Identity, key: bytes, turns: TurnQueue | None = None) -> None:
+    def __init__(
+        self,
+        identity: Identity,
+        key: bytes,
+        turns: TurnQueue | None = None,
+        max_unsent_bytes: int = MAX_UNSENT_BYTES,
+    ) -> None:
         self.identity = identity
         self._turns = turns if turns is not None else TurnQueue()
         self._key = key
+        self._max_unsent_bytes = max_unsent_bytes
         self._clock: HybridClock | None = None
         self._server: Server | None = None
         self._channels: set[WebSocketChannel] = set()
@@ -218,7 +234,7 @@
             await self._server.wait_closed()
 
     def _add_channel(self, connection: Connection, peer: Identity) -> WebSocketChannel:
-        channel = WebSocketChannel(connection, peer, self._clock)
+        channel = WebSocketChannel(connection, peer, self._clock, self._max_unsent_bytes)
         self._channels.add(channel)
         closing = asyncio.create_task(connection.wait_closed())
         closing.add_done_callback(lambda _: self._channels.discard(channel))
