Forget a refusal with its request, and count what is unsent as it is

The refusal of a request held for the next one on its connection until its head was complete, so that a head in two parts was refused. What a caller had read later than the last event of its answer was still counted as unsent, and kept the connection from being closed for a new one. A test of each failed before.

--- a/pimentoquay/http1/server_connection.py
+++ b/pimentoquay/http1/server_connection.py
@@ -273,8 +273,9 @@
     def _start_handler(self) -> None:
         request = self._make_request(self._request, self._body.join())
         self._settle(len(request.body))
+        refusal, self._refusal = self._refusal, None
         self._request, self._body = None, RequestBody()
-        self._task = self._loop.create_task(self._run_handler(request, self._refusal))
+        self._task = self._loop.create_task(self._run_handler(request, refusal))
 
     def _make_request(self, request: h11.Request | None, body: bytes) -> HttpRequest:
         assert request is not None
@@ -370,6 +371,8 @@
 
     def _check_timeouts(self) -> None:
         self._schedule_timeout_check()
+        if not self._closing:
+            self._update_reading()  # What was unsent may have been sent meanwhile.
         if self._task is not None or self._closing or self._waits_for_room:
             return
         now = self._loop.time()
--- a/pimentoquay/http1/tests/test_refused_heads.py
+++ b/pimentoquay/http1/tests/test_refused_heads.py
@@ -99,3 +99,15 @@
         writer.write(POST.replace(b"/refused", b"/b") + b"Content-Length: 5\r\n\r\n12345")
         assert await read_status(reader) == 200
         assert handler.requests[0].body == b"12345"
+
+
+async def test_the_refusal_of_one_request_does_not_hold_for_the_next():
+    """The head of the next request was refused as soon as a part of it had arrived."""
+    async with refusing_server() as (handler, _, reader, writer):
+        writer.write(POST + b"Content-Length: 5\r\n\r\n12345")
+        await check_refused(reader, closes=False)
+        writer.write(GET[:10])
+        await asyncio.sleep(0.1)
+        writer.write(GET[10:])
+        assert await read_status(reader) == 200
+        assert len(handler.requests) == 1
--- a/pimentoquay/http1/tests/test_room.py
+++ b/pimentoquay/http1/tests/test_room.py
@@ -9,7 +9,7 @@
 from pimentoquay.policy.byte_budget import ByteBudget
 
 MB = 1024 * 1024
-LIMITS = ServerLimits()
+LIMITS = ServerLimits(idle_seconds=60.0)
 BODY = b"x" * (3 * MB)
 HEAD = b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n" % len(BODY)
 
@@ -121,3 +121,13 @@
         reader, _ = await connect()
         assert await read_status(reader) == 503
         assert await reader.read() == b""
+
+
+async def test_an_answer_that_has_been_read_is_not_counted_any_more():
+    """What a slow caller had read long ago still took room, and kept its connection from ending."""
+    async with limited_server() as (_, budget, connect):
+        reader, writer = await connect()
+        writer.write(HEAD + b"\r\n" + BODY)
+        await until(lambda: budget.used > MB, "answered")
+        await reader.readexactly(len(BODY))
+        await until(lambda: budget.used == 0, "read")
