Record decisions on heads where the server asks for them

The server refuses a request by its head before it calls the handler, so a test that recorded decisions in the handler saw only the accepted request and failed; it also compared a HeadRefusal with a tuple. It now records the decision at each call of refuse_head, and checks as before that it agrees with the status.

--- a/pimentoquay/gateway/tests/test_workspaces.py
+++ b/pimentoquay/gateway/tests/test_workspaces.py
@@ -20,6 +20,7 @@
     tenant,
     workspace_rig,
 )
+from pimentoquay.http1 import HeadRefusal
 from pimentoquay.kernel import ResultCode
 from pimentoquay.standin.platform_engine import Behaviour, PlatformEngine
 from pimentoquay.standin.virtual_links import Cut
@@ -193,14 +194,19 @@
 async def test_the_head_alone_decides_as_the_request_does():
     async with workspace_rig(start_gateway=False) as env:
         gateway = await env.add_gateway()
-        seen = []
-        handle, dispatcher = gateway.caller_server.handler, gateway.dispatcher
+        seen, handled = [], []
+        server, dispatcher = gateway.caller_server, gateway.dispatcher
+        handle, refuse_head = server.handler, server.refuse_head
 
-        async def record(request, reply):
+        def record_head(request):
             seen.append((dispatcher.head_refusal(request), request))
+            return refuse_head(request)
+
+        async def record(request, reply):
+            handled.append(dispatcher.head_refusal(request))
             await handle(request, reply)
 
-        gateway.caller_server.handler = record
+        server.refuse_head, server.handler = record_head, record
         statuses = [
             (await send(env, path, key)).status
             for path, key in (("/nowhere/a", KEY), ("/look/a", None), ("/look/a", KEY))
@@ -208,8 +214,9 @@
         assert statuses == [404, 401, 200]
         unauthenticated = ResultCode.UNAUTHENTICATED
         assert [code for code, _ in seen] == [ResultCode.NOT_FOUND, unauthenticated, None]
+        assert handled == [None]
         before = refusals(env)
-        assert dispatcher.refuse_head(seen[1][1]) == (401, ())
+        assert refuse_head(seen[1][1]) == HeadRefusal(401, ())
         assert refusals(env) == {"key missing": before["key missing"] + 1}
         assert dispatcher.refuse_head(seen[2][1]) is None
         gateway.fleet.route_table = None
