Take VMs for old builds only after they were silent for a second

An ask without a decision counted as a sign of old builds even after a few milliseconds, and requests then ran uncounted for 5 s. Now each VM that the ask was sent to must be heard and must not have replied for 1 s since it was first asked, over several asks if deadlines are short. A reply of another VM ends the uncounted time.

--- a/pimentoquay/gateway/allowance_client.py
+++ b/pimentoquay/gateway/allowance_client.py
@@ -129,8 +129,9 @@
         decision = await self._decided(number, workspace, units)
         if not decision.is_granted:
             if not decision.is_counted:
-                if self._holder.runs_among_old_builds(self._node.identity.vm, self._is_heard):
-                    self._uncounted_until = self._elapsed.now() + UNCOUNTED_SECONDS
+                own, now = self._node.identity.vm, self._elapsed.now()
+                if self._holder.runs_among_old_builds(own, decision.asked, self._is_heard, now):
+                    self._uncounted_until = now + UNCOUNTED_SECONDS
                     logger.warning("no gateway counts allowances; requests are not counted")
                     return AllowanceTicket()
                 self.undecided += 1
@@ -149,6 +150,8 @@
 
     @receive.register
     def _handle_reply(self, message: AllowanceReply, source: str) -> None:
+        if source != self._node.identity.vm:
+            self._uncounted_until = float("-inf")
         decision, sent = self._holder.receive(source, message, self._elapsed.now())
         self._send(sent)
         if decision is not None:
--- a/pimentoquay/gateway/tests/test_allowances.py
+++ b/pimentoquay/gateway/tests/test_allowances.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import replace
+from functools import partial
 
 import pytest
 
@@ -11,8 +12,9 @@
 from pimentoquay.gateway.tests.rig import rig, until
 from pimentoquay.kernel.traffic import refused_messages
 from pimentoquay.messages import codec
-from pimentoquay.messages.allowances import AllowanceReturned
+from pimentoquay.messages.allowances import AllowanceReply, AllowanceReturned
 from pimentoquay.messages.pools import PlaceCancelled, PoolKey
+from pimentoquay.policy.allowance_leases import workspace_rank
 from pimentoquay.policy.workspaces import Allowance, Workspace
 
 VMS = ("vm-1", "vm-2", "vm-3")
@@ -153,6 +155,33 @@
         assert has_votes < float("inf")
 
 
+@pytest.mark.looptime
+async def test_requests_are_counted_if_replies_come_after_a_short_deadline(workspace):
+    """One ask of 80 ms without a reply would let all requests of 5 s run uncounted."""
+    names = (f"huka{number}" for number in range(100))
+    name = next(each for each in names if min(VMS, key=partial(workspace_rank, each)) == "vm-2")
+    workspace(Workspace(name, None, Allowance(1.0, 2.0)))
+    async with rig() as env:
+        await start_gateways(env)
+        loop = asyncio.get_running_loop()
+        for gateway in env.gateway_by_vm.values():
+            relays = gateway.mesh.relays
+
+            def receive(source, message, original=relays.receive_routed):
+                is_reply = isinstance(message, AllowanceReply)
+                loop.call_later(0.1 if is_reply else 0.0, original, source, message)
+
+            relays.receive_routed = receive
+        await asyncio.sleep(1.0)
+        await env.send_request("/look/a", deadline_ms=80)
+        statuses = []
+        for _ in range(41):
+            statuses.append((await env.send_request("/look/a")).status)
+            await asyncio.sleep(0.05)
+        assert set(statuses) == {200, 429}
+        assert statuses.count(200) <= 8
+
+
 @pytest.mark.looptime
 async def test_a_gateway_that_starts_cut_off_from_the_others_runs_nothing(workspace):
     """It would use an allowance that others use as well; it must not take them for old builds."""
--- a/pimentoquay/policy/allowance_holder.py
+++ b/pimentoquay/policy/allowance_holder.py
@@ -36,6 +36,10 @@
 SUSPECTED_SECONDS = 10.0
 """Time after which a silent granter is tried again first."""
 
+OLD_BUILDS_SECONDS = 1.0
+"""Silence after which VMs that are heard are taken for builds that don't count allowances. Replies
+take up to 0.2 s, and a request with a short deadline waits for less."""
+
 MAX_ASKED = 6
 """VMs that an ask is sent to at most; if half of all are cut off, 2 of 100 asks reach none."""
 
@@ -55,7 +59,7 @@
     """Decision on one ask; ``seconds`` is the time to retry after if it is refused.
 
     ``granter`` is empty if no VM has decided. ``is_counted`` is whether an allowance was found used
-    up, rather than no granter found.
+    up, rather than no granter found; ``asked`` holds the VMs that were asked in that case.
     """
 
     number: int
@@ -64,6 +68,7 @@
     granter: str = ""
     session: int = 0
     is_counted: bool = True
+    asked: tuple[str, ...] = ()
 
 
 ENDED_SECONDS = 10.0
@@ -133,13 +138,20 @@
         """Number of workspaces of which something is kept."""
         return len(self._known_by_workspace)
 
-    def runs_among_old_builds(self, own: str, is_heard: Callable[[str], bool]) -> bool:
-        """Return whether the VMs that would grant are heard and yet have never replied.
+    def runs_among_old_builds(
+        self, own: str, asked: Collection[str], is_heard: Callable[[str], bool], now: float
+    ) -> bool:
+        """Return whether the VMs that an ask was sent to are heard and yet have never replied.
 
         They run a build that doesn't count allowances, so there is nobody to ask.
         """
-        others = self._granters - {own}
-        return not self._replied & others and any(is_heard(vm) for vm in others)
+        others = [vm for vm in asked if vm != own]
+        if not others or self._replied & (self._granters - {own}):
+            return False
+        return all(
+            now - self._unanswered_since_by_vm.get(vm, now) >= OLD_BUILDS_SECONDS and is_heard(vm)
+            for vm in others
+        )
 
     def update_granters(self, granters: Collection[str]) -> None:
         """Use other VMs as granters."""
@@ -239,7 +251,8 @@
         for number, entry in tuple(self._ask_by_number.items()):
             if now - entry.asked_at >= entry.ask.patience:
                 sent += self._end(number, "", now)
-                decisions.append(Decision(entry.id, False, REPEAT_SECONDS, is_counted=False))
+                asked = tuple(entry.asked)
+                decisions.append(Decision(entry.id, False, REPEAT_SECONDS, "", 0, False, asked))
             elif now >= entry.repeat_at:
                 sent += self._repeat(entry, now)
         return decisions, sent
--- /dev/null
+++ b/pimentoquay/policy/tests/test_allowance_holder.py
@@ -0,0 +1,51 @@
+"""Asks of one gateway for units of allowances, with the replies of granters given."""
+
+import pytest
+
+from pimentoquay.policy.allowance_holder import AllowanceHolder
+from pimentoquay.policy.workspaces import Allowance
+
+ALLOWANCE = Allowance(1.0, 5.0)
+
+
+def holder_of(*vms):
+    holder = AllowanceHolder(0)
+    holder.update_granters(frozenset(vms))
+    return holder
+
+
+def undecided(holder, patience, began_at=0.0):
+    """Return the decision on an ask that gets no reply, and when it is made."""
+    holder.ask("w", 1, ALLOWANCE, 1.0, patience, began_at)
+    for step in range(1, 100):
+        now = began_at + step * 0.05
+        decisions, _ = holder.tick(now)
+        if decisions:
+            return decisions[0], now
+    raise AssertionError("the ask does not end")
+
+
+@pytest.mark.parametrize(("patience", "is_old"), [(0.04, False), (0.9, False), (2.0, True)])
+def test_a_short_silence_is_not_that_of_old_builds(patience, is_old):
+    """A request with a short deadline ends before replies arrive, and would run uncounted."""
+    holder = holder_of("a", "b", "c")
+    decision, now = undecided(holder, patience)
+    assert holder.runs_among_old_builds("a", decision.asked, lambda vm: True, now) is is_old
+
+
+def test_old_builds_are_found_by_several_short_asks():
+    """Requests with short deadlines only would all be refused in an upgrade."""
+    holder = holder_of("a", "b", "c")
+    found = []
+    for second in range(8):
+        decision, now = undecided(holder, 0.2, float(second))
+        found.append(holder.runs_among_old_builds("a", decision.asked, lambda vm: True, now))
+    assert not found[0] and any(found)
+
+
+@pytest.mark.parametrize("silent", ["b", "c"])
+def test_vms_that_are_not_heard_are_not_old_builds(silent):
+    """The asked VM may be cut off while it counts for others."""
+    holder = holder_of("a", "b", "c")
+    decision, now = undecided(holder, 2.0)
+    assert not holder.runs_among_old_builds("a", decision.asked, lambda vm: vm != silent, now)
