Show that requests which waited for memory exceed an allowance together

Units are taken before the wait for memory, so grants of several seconds may run at once. The replay can now let granted requests wait.

Giving the units back and taking them again after the wait is not safe: of units returned later than 0.3 s, only 4% of a window may be used again, so a workspace within its allowance would be charged twice and refused.

--- a/pimentoquay/policy/tests/allowance_replay.py
+++ b/pimentoquay/policy/tests/allowance_replay.py
@@ -92,8 +92,12 @@
 
     def decide(self, decision):
         units = self.units_by_number.pop(decision.number)
-        outcome = "run" if decision.is_granted else "refused"
-        self.replay.record_end(self, outcome if decision.is_counted else "undecided", units)
+        replay, outcome = self.replay, "run" if decision.is_granted else "refused"
+        outcome = outcome if decision.is_counted else "undecided"
+        if decision.is_granted and replay.is_memory_full():
+            replay.at(replay.memory_free_at, replay.record_end, self, outcome, units)
+        else:
+            replay.record_end(self, outcome, units)
 
 
 class Replay:
@@ -113,6 +117,8 @@
         self.count_by_type: Counter[str] = Counter()
         self.gateway_by_vm: dict[str, ReplayedGateway] = {}
         self.zone = ""
+        # Requests that are granted between these times wait for memory and run at the second one.
+        self.memory_full_at = self.memory_free_at = 0.0
         for vm in sorted(self.dc_by_vm)[: initial or count]:
             self.start(vm, initial or count)
         self.at(3.0, self.arrive)
@@ -167,6 +173,9 @@
                 gateway.request(units)
                 return
 
+    def is_memory_full(self):
+        return self.memory_full_at <= self.now < self.memory_free_at
+
     def record_end(self, gateway, outcome, units):
         self.ended.append((self.now, outcome, units))
         self.outcomes[outcome] += 1
--- a/pimentoquay/policy/tests/test_allowance_replay.py
+++ b/pimentoquay/policy/tests/test_allowance_replay.py
@@ -11,6 +11,7 @@
 
 SIZES = (7, 79, 195, 520)
 LIMIT = (RATE * WINDOW + RATE) * 1.1
+SLACK = 120_000.0
 END = 15.0
 
 
@@ -99,6 +100,14 @@
     assert replay.refused() == 0.0, replay.outcomes
 
 
+def test_streams_that_waited_for_memory_stay_below_the_allowance():
+    """Units are taken before the wait for memory, so grants of seconds may run together."""
+    replay = Replay(7, load=1.0)
+    replay.memory_full_at, replay.memory_free_at = 8.0, 11.5
+    replay.run(20.0)
+    assert replay.most_in_window() <= LIMIT + SLACK
+
+
 def test_messages_of_all_gateways_stay_few():
     """A message for each request and granter, or of each gateway to all, would be a load itself."""
     replay = Replay(520, load=0.9)
