Answer 401 if a key is withdrawn at the last send of a request

A request that engines rejected until its sends were used up got 503, also if its key had been withdrawn meanwhile, as only a further send checked the key. The key is now checked before that refusal as well. With one send per request, all four kinds of requests get 401 where they got 503.

--- a/pimentoquay/gateway/plain.py
+++ b/pimentoquay/gateway/plain.py
@@ -291,6 +291,7 @@
             response = attempts.response
             send_response(job, response.status, response.headers, response.body)
         elif attempts.runs == 0:
+            job.check_access()
             detail = f"{attempts.sends} engines tried"
             self._shared.refuse_over_limit(job.service)
             pause = self._shared.pause_seconds(job.service)
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -9,12 +9,7 @@
 
 from pimentoquay.gateway.engine_start import version_at
 from pimentoquay.gateway.event_reader import EventReader
-from pimentoquay.gateway.job import (
-    MAX_CRASHES_PER_REQUEST,
-    Job,
-    record_end,
-    send_response,
-)
+from pimentoquay.gateway.job import MAX_CRASHES_PER_REQUEST, Job, record_end, send_response
 from pimentoquay.gateway.prefills import Prefill, PrefillRunner
 from pimentoquay.gateway.reservations import Reservation, Reservations
 from pimentoquay.gateway.shared_state import SharedState
@@ -157,6 +152,7 @@
         if error_response is not None:
             send_response(job, error_response.status, error_response.headers, error_response.body)
         elif progress.runs == 0:
+            job.check_access()
             raise RefusedError(ResultCode.NO_BACKEND, detail, RETRY_AFTER_SECONDS)
         else:
             raise PimentoquayError(ResultCode.ENGINE_FAILED, detail)
--- a/pimentoquay/gateway/tests/test_workspace_keys.py
+++ b/pimentoquay/gateway/tests/test_workspace_keys.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from pimentoquay.gateway import plain, streams
 from pimentoquay.gateway.tests.rig import ROUTES, configuration, model_headers, route, until
 from pimentoquay.gateway.tests.test_workspaces import KINDS, refusals
 from pimentoquay.gateway.tests.workspace_rig import (
@@ -199,6 +200,25 @@
         assert len([each for each in arrivals(env) if not each.is_prefill]) == 1
 
 
+@pytest.mark.parametrize("path", KINDS)
+async def test_a_key_withdrawn_at_the_last_send_gives_401(path, monkeypatch):
+    """No further send would check the key, and 503 would make the caller come back with it."""
+    for module in (plain, streams):
+        monkeypatch.setattr(module, "MAX_SENDS", 1)
+    async with workspace_rig() as env:
+
+        def withdraw(arrival):
+            if arrival.is_prefill:
+                return Behaviour.SERVE
+            apply(env, 2, WITHDRAWN)
+            return Behaviour.SHED
+
+        for engine in env.engine_by_id.values():
+            engine.behaviour = withdraw
+        assert (await send(env, path)).status == 401
+        assert len([each for each in arrivals(env) if not each.is_prefill]) == 1
+
+
 async def test_a_stream_that_runs_when_its_key_is_withdrawn_ends_but_is_not_resumed():
     async with workspace_rig() as env:
         for name in ("dec-1", "dec-2"):
