Let a request run if no burst is stated, and report a burst too small

With a rate below one request a second and no burst, the burst was below 1, so each request was refused for ever with 429 and no Retry-After. It is now 1 at least. For a stated burst that no request fits in, and for a request larger than the burst and its overrun, the granter logs a warning with the workspace and the units.

With 0.1 requests a second the default burst is 1 instead of 0.1; a stated burst of 0.1 gives a warning, one of 1 none.

--- a/pimentoquay/gateway/allowance_granter.py
+++ b/pimentoquay/gateway/allowance_granter.py
@@ -140,6 +140,9 @@
 
 
 def _log_refusal(workspace: str, units: float, level: float, seconds: float) -> None:
+    if math.isinf(seconds):  # It exceeds the burst by more than the permitted overrun covers.
+        logger.bind(workspace=workspace, units=units).warning("burst too small for a request")
+        return
     logger.bind(
         workspace=workspace, units=units, level=f"{level:.0f}", retry_after=f"{seconds:.3f}"
     ).info("allowance used up")
--- a/pimentoquay/gateway/tests/test_allowances.py
+++ b/pimentoquay/gateway/tests/test_allowances.py
@@ -10,6 +10,7 @@
 from pimentoquay.gateway.elapsed_time import ElapsedTime
 from pimentoquay.gateway.job import Job
 from pimentoquay.gateway.tests.rig import rig, until
+from pimentoquay.kernel.logs import logger
 from pimentoquay.kernel.traffic import refused_messages
 from pimentoquay.messages import codec
 from pimentoquay.messages.allowances import AllowanceReply, AllowanceReturned
@@ -155,6 +156,20 @@
         assert has_votes < float("inf")
 
 
+@pytest.mark.looptime
+@pytest.mark.parametrize(("burst", "is_reported"), [(0.1, True), (1.0, False)])
+async def test_a_burst_too_small_for_a_request_is_reported(workspace, burst, is_reported):
+    """All such requests get 429 without Retry-After, and nothing would tell operators why."""
+    workspace(Workspace("huka270", None, Allowance(0.1, burst)))
+    lines = []
+    sink = logger.add(lambda line: lines.append(str(line)), level="WARNING")
+    async with rig() as env:
+        statuses = [(await env.send_request("/look/a")).status for _ in range(3)]
+    logger.remove(sink)
+    assert 429 in statuses
+    assert any("burst too small" in line for line in lines) is is_reported
+
+
 @pytest.mark.looptime
 async def test_requests_are_counted_if_replies_come_after_a_short_deadline(workspace):
     """One ask of 80 ms without a reply would let all requests of 5 s run uncounted."""
--- a/pimentoquay/platform/tests/test_workspaces.py
+++ b/pimentoquay/platform/tests/test_workspaces.py
@@ -79,6 +79,13 @@
     assert table_of(item).workspace_by_name["huka270"].allowance.burst == 146_402.0
 
 
+@pytest.mark.parametrize(("rate", "burst"), [(0.1, 1.0), (1, 1.0), (7.5, 7.5)])
+def test_a_burst_that_is_not_stated_lets_one_request_run(rate, burst):
+    """With a burst of 0.1 requests, each would be refused for ever."""
+    allowance = table_of({"name": "a", "ratePerS": rate}).workspace_by_name["a"].allowance
+    assert allowance == Allowance(rate, burst)
+
+
 @pytest.mark.parametrize("wrong", [None, "banf-secret", 7, 1.5, True, {"a": SOUND}])
 def test_a_list_of_a_wrong_type_refuses_the_configuration(wrong):
     with pytest.raises(DecodeError) as caught:
--- a/pimentoquay/platform/workspaces.py
+++ b/pimentoquay/platform/workspaces.py
@@ -80,13 +80,17 @@
 
 
 def _allowance(entry: dict[str, Any]) -> Allowance | None:
-    """Return the allowance; the burst is that of one second if none is stated."""
+    """Return the allowance; the burst is that of one second if none is stated.
+
+    In requests it is 1 then at least, as no request could ever run with less.
+    """
     rate = _amount(entry, "ratePerS", 0.0)
-    burst = _amount(entry, "burst", rate)
+    counts_tokens = entry.get("unit") == "tokens"
+    burst = _amount(entry, "burst", rate if counts_tokens else max(rate, 1.0))
     plain_tokens = _amount(entry, "plainTokens", 0.0)
     if rate == 0.0:
         return None
-    return Allowance(rate, burst, entry.get("unit") == "tokens", plain_tokens)
+    return Allowance(rate, burst, counts_tokens, plain_tokens)
 
 
 def _amount(entry: dict[str, Any], name: str, default: float) -> float:
--- a/pimentoquay/policy/allowances.py
+++ b/pimentoquay/policy/allowances.py
@@ -210,7 +210,9 @@
             entry = _Waiting(key, ask.units, asked_at, asked_at + ask.patience)
             refusal = self._refusal(bucket, entry, now)
             if refusal is not None:
-                self.on_refused(ask.workspace, ask.units, bucket.level, refusal)
+                can_run = math.isfinite(self._needed(bucket, ask.units))
+                seconds = refusal if can_run else math.inf
+                self.on_refused(ask.workspace, ask.units, bucket.level, seconds)
                 return [self._decide(entry, AllowanceOutcome.REFUSED, refusal, now)]
             bucket.waiting.append(entry)
         sent = self._grant_waiting(bucket, now)
