Keep the granter's time in Retry-After of local refusals

A gateway refuses for up to 0.2 s without asking again, and stated the rest of these 0.2 s, with a spread of 1 s, as Retry-After. It now states the granter's time with the spread added. If the granter says 9.0 s, local refusals 0.1 s later say 8.93 to 9.84 s instead of 0.13 to 1.04 s.

--- a/pimentoquay/policy/allowance_holder.py
+++ b/pimentoquay/policy/allowance_holder.py
@@ -100,12 +100,17 @@
 
 @dataclass
 class _Known:
-    """What is known of a workspace with requests here; ``order`` is empty until it is needed."""
+    """What is known of a workspace with requests here; ``order`` is empty until it is needed.
+
+    Requests are refused without asking until ``refused_until``; ``retry_at`` is the time at which
+    the granter said that one can be served.
+    """
 
     used_at: float
     order: list[str] = field(default_factory=list)
     granter: str = ""
     refused_until: float = 0.0
+    retry_at: float = 0.0
     refused_units: float = 0.0
 
 
@@ -168,7 +173,7 @@
             return None
         # Multiples of the golden ratio spread the callers evenly.
         self._retry_step = (self._retry_step + 0.618034) % 1.0
-        return known.refused_until - now + self._retry_step
+        return known.retry_at - now + self._retry_step
 
     def ask(
         self,
@@ -242,6 +247,7 @@
         sent = self._end(number, source, now)
         if known is not None and reply.seconds > 0:
             known.refused_until = now + min(reply.seconds, MAX_LOCAL_REFUSAL_SECONDS)
+            known.retry_at = now + reply.seconds
             known.refused_units = entry.ask.units
         return Decision(entry.id, False, reply.seconds, source, reply.session), sent
 
--- a/pimentoquay/policy/tests/test_allowance_holder.py
+++ b/pimentoquay/policy/tests/test_allowance_holder.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from pimentoquay.messages.allowances import AllowanceOutcome, AllowanceReply
 from pimentoquay.policy import allowance_holder
 from pimentoquay.policy.allowance_holder import AllowanceHolder
 from pimentoquay.policy.allowance_leases import workspace_rank
@@ -70,3 +71,15 @@
     assert not ranked
     _, sent = holder.ask("w7", 1, ALLOWANCE, 1.0, 2.0, 0.0)
     assert set(ranked) == {"w7"} and {each.vm for each in sent} <= {"c", "d"}
+
+
+def test_local_refusals_keep_the_time_of_the_granter():
+    """Callers told to come back within a second would be refused until the granter's time."""
+    holder = holder_of("b")
+    number, _ = holder.ask("w", 1, ALLOWANCE, 1.0, 2.0, 0.0)
+    decision, _ = holder.receive("b", AllowanceReply(number, AllowanceOutcome.REFUSED, 9.0, 1), 0.1)
+    assert decision.seconds == 9.0
+    found = [holder.refusal("w", 1.0, 0.2) for _ in range(20)]
+    assert all(8.9 <= each < 9.9 for each in found)
+    assert max(found) - min(found) > 0.5
+    assert holder.refusal("w", 1.0, 0.35) is None
