--- a/pimentoquay/policy/allowance_holder.py
+++ b/pimentoquay/policy/allowance_holder.py
@@ -36,6 +36,10 @@
 SUSPECTED_SECONDS = 10.0
 """Time after which a silent granter is tried again first."""
 
+OLD_BUILDS_SECONDS = 1.0
+"""Silence after which VMs that are heard are taken for builds that don't count allowances. Replies
+take up to 0.2 s, and a request with a short deadline waits for less."""
+
 MAX_ASKED = 6
 """VMs that an ask is sent to at most; if half of all are cut off, 2 of 100 asks reach none."""
 
@@ -55,7 +59,7 @@
     """Decision on one ask; ``seconds`` is the time to retry after if it is refused.
 
     ``granter`` is empty if no VM has decided. ``is_counted`` is whether an allowance was found used
-    up, rather than no granter found.
+    up, rather than no granter found; ``asked`` holds the VMs that were asked in that case.
     """
 
     number: int
@@ -64,6 +68,7 @@
     granter: str = ""
     session: int = 0
     is_counted: bool = True
+    asked: tuple[str, ...] = ()
 
 
 ENDED_SECONDS = 10.0
@@ -95,12 +100,17 @@
 
 @dataclass
 class _Known:
-    """What is known of a workspace with requests here."""
+    """What is known of a workspace with requests here; ``order`` is empty until it is needed.
+
+    Requests are refused without asking until ``refused_until``; ``retry_at`` is the time at which
+    the granter said that one can be served.
+    """
 
     used_at: float
-    order: list[str]
+    order: list[str] = field(default_factory=list)
     granter: str = ""
     refused_until: float = 0.0
+    retry_at: float = 0.0
     refused_units: float = 0.0
 
 
@@ -133,20 +143,28 @@
         """Number of workspaces of which something is kept."""
         return len(self._known_by_workspace)
 
-    def runs_among_old_builds(self, own: str, is_heard: Callable[[str], bool]) -> bool:
-        """Return whether the VMs that would grant are heard and yet have never replied.
+    def runs_among_old_builds(
+        self, own: str, asked: Collection[str], is_heard: Callable[[str], bool], now: float
+    ) -> bool:
+        """Return whether the VMs that an ask was sent to are heard and yet have never replied.
 
         They run a build that doesn't count allowances, so there is nobody to ask.
         """
-        others = self._granters - {own}
-        return not self._replied & others and any(is_heard(vm) for vm in others)
+        others = [vm for vm in asked if vm != own]
+        if not others or self._replied & (self._granters - {own}):
+            return False
+        return all(
+            now - self._unanswered_since_by_vm.get(vm, now) >= OLD_BUILDS_SECONDS and is_heard(vm)
+            for vm in others
+        )
 
     def update_granters(self, granters: Collection[str]) -> None:
         """Use other VMs as granters."""
         if granters != self._granters:
             self._granters = frozenset(granters)
-            for workspace, known in self._known_by_workspace.items():
-                known.order = self._order(workspace)
+            # Orders are made when they are next needed: 8,500 at once take 0.8 s.
+            for known in self._known_by_workspace.values():
+                known.order = []
 
     def refusal(self, workspace: str, units: float, now: float) -> float | None:
         """Return the time to retry after if the granter has just refused as much, else None."""
@@ -155,7 +173,7 @@
             return None
         # Multiples of the golden ratio spread the callers evenly.
         self._retry_step = (self._retry_step + 0.618034) % 1.0
-        return known.refused_until - now + self._retry_step
+        return known.retry_at - now + self._retry_step
 
     def ask(
         self,
@@ -169,8 +187,7 @@
         """Begin to ask for the units of a request; return its number and what is to be sent."""
         known = self._known_by_workspace.get(workspace)
         if known is None:
-            known = _Known(now, self._order(workspace))
-            self._known_by_workspace[workspace] = known
+            known = self._known_by_workspace[workspace] = _Known(now)
         known.used_at = now
         self._number += 1
         message = AllowanceAsk(
@@ -230,6 +247,7 @@
         sent = self._end(number, source, now)
         if known is not None and reply.seconds > 0:
             known.refused_until = now + min(reply.seconds, MAX_LOCAL_REFUSAL_SECONDS)
+            known.retry_at = now + reply.seconds
             known.refused_units = entry.ask.units
         return Decision(entry.id, False, reply.seconds, source, reply.session), sent
 
@@ -239,7 +257,8 @@
         for number, entry in tuple(self._ask_by_number.items()):
             if now - entry.asked_at >= entry.ask.patience:
                 sent += self._end(number, "", now)
-                decisions.append(Decision(entry.id, False, REPEAT_SECONDS, is_counted=False))
+                asked = tuple(entry.asked)
+                decisions.append(Decision(entry.id, False, REPEAT_SECONDS, "", 0, False, asked))
             elif now >= entry.repeat_at:
                 sent += self._repeat(entry, now)
         return decisions, sent
@@ -296,7 +315,11 @@
     def _ask_more(self, entry: _Ask, count: int, now: float) -> list[Outgoing]:
         """Send an ask to the next VMs that it was not sent to."""
         known = self._known_by_workspace.get(entry.ask.workspace)
-        order = known.order if known is not None else self._order(entry.ask.workspace)
+        order = known.order if known is not None else []
+        if not order:
+            order = self._order(entry.ask.workspace)
+            if known is not None:
+                known.order = order
         if known is not None and known.granter in self._granters:
             order = [known.granter, *(vm for vm in order if vm != known.granter)]
         untried = [vm for vm in order if vm not in entry.asked]
