Abort connections whose callers read nothing, so that they can be replaced

close() of a transport never ends while its buffer is non-empty, so callers that sent requests ahead and read no answer kept all connections. A connection that is to be closed is now aborted once its unsent bytes have not fallen for 15 s, or for 2 s after its caller no longer waits. A steady reader still gets all.

Of the tests, the two with a caller that reads nothing failed before (connections open after 20 s, limits shortened to 0.3 s) and pass now. The two with a steady reader also passed before; they guard the bound.

--- a/pimentoquay/http1/system_state.py
+++ b/pimentoquay/http1/system_state.py
@@ -20,6 +20,9 @@
 MAX_SECONDS = 15.0
 """Longest wait for an end that reads nothing, and does not say how long it waits."""
 
+EXPIRED_SECONDS = 2.0
+"""Longest wait for an end that reads nothing, after the time for which it said that it waits."""
+
 
 _ESTABLISHED = 1
 """State of a connection that neither end has closed, as ``TCP_INFO`` gives it in Linux."""
@@ -58,16 +61,37 @@
 
 
 def close_when_sent(transport: Any, expires_at: float) -> None:
-    """Close a connection when nothing is unsent, or when its other end no longer waits.
+    """Close a connection when nothing is unsent, or abort it when its other end reads no more.
 
-    ``expires_at`` is the event loop time of the latter.
+    ``expires_at`` is the event loop time until which the other end waits. One that reads slowly
+    but steadily gets everything.
     """
     loop = asyncio.get_running_loop()
-    _close_by(loop, transport, min(expires_at, loop.time() + MAX_SECONDS))
-
-
-def _close_by(loop: asyncio.AbstractEventLoop, transport: Any, ends_at: float) -> None:
-    if transport.is_closing() or loop.time() >= ends_at or not unsent_bytes(transport):
+    _close_when_sent(loop, transport, expires_at, unsent_bytes(transport), loop.time())
+
+
+def _close_when_sent(
+    loop: asyncio.AbstractEventLoop,
+    transport: Any,
+    expires_at: float,
+    least_unsent: int,
+    read_at: float,
+) -> None:
+    if transport.is_closing():
+        return
+    now, unsent = loop.time(), unsent_bytes(transport)
+    if unsent < least_unsent:
+        least_unsent, read_at = unsent, now
+    most = EXPIRED_SECONDS if now >= expires_at else MAX_SECONDS
+    if not unsent:
         transport.close()
+    elif now - read_at >= min(most, MAX_SECONDS):
+        # ``close`` would wait without end for the bytes in the transport to be read. A reset shows
+        # that they are missing also where the end of the connection marks that of the response.
+        if transport.get_write_buffer_size():
+            reset_on_close(transport)
+        transport.abort()
     else:
-        loop.call_later(CHECK_SECONDS, _close_by, loop, transport, ends_at)
+        loop.call_later(
+            CHECK_SECONDS, _close_when_sent, loop, transport, expires_at, least_unsent, read_at
+        )
--- a/pimentoquay/http1/tests/test_unsent_answers.py
+++ b/pimentoquay/http1/tests/test_unsent_answers.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from pimentoquay.http1 import HttpServer, ServerLimits
+from pimentoquay.http1 import HttpServer, ServerLimits, system_state
+from pimentoquay.http1 import server_connection as connection_module
 from pimentoquay.http1.tests.scripted import small_buffers, until
 
 REQUEST = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -105,3 +106,38 @@
         server.close_idle()
         for writer in writers:
             writer.transport.abort()
+
+
+@pytest.mark.parametrize("is_expired", [True, False])
+async def test_a_caller_that_reads_nothing_does_not_keep_its_connection(monkeypatch, is_expired):
+    """Four such callers held all connections of a server, as closing waited for them to read."""
+    monkeypatch.setattr(connection_module, "LINGER_SECONDS", 0.05)
+    limit = "EXPIRED_SECONDS" if is_expired else "MAX_SECONDS"
+    monkeypatch.setattr(system_state, limit, 0.3)
+    async with running_server() as (answerer, server):
+        if is_expired:
+            answerer.expires_at = asyncio.get_running_loop().time()
+        server.drain()
+        async with slow_caller(server):
+            await until(lambda: answerer.ended == 1, "answered")
+            await until(lambda: not server.connections, "closed")
+
+
+@pytest.mark.parametrize("is_expired", [True, False])
+async def test_a_steady_reader_gets_an_answer_that_takes_long_to_read(monkeypatch, is_expired):
+    """A limit on the whole time of closing would cut its answer."""
+    monkeypatch.setattr(connection_module, "LINGER_SECONDS", 0.05)
+    for limit in ("EXPIRED_SECONDS", "MAX_SECONDS"):
+        monkeypatch.setattr(system_state, limit, 0.5)
+    loop = asyncio.get_running_loop()
+    async with running_server() as (answerer, server):
+        if is_expired:
+            answerer.expires_at = loop.time()
+        server.drain()
+        async with slow_caller(server) as sock:
+            data, began_at = b"", loop.time()
+            while part := await asyncio.wait_for(loop.sock_recv(sock, 20_000), 10):
+                data += part
+                await asyncio.sleep(1.5 * len(part) / len(BODY))
+            assert data.endswith(BODY)
+            assert loop.time() - began_at > 1.0
