Find idle connections behind one with an unread answer, and count what is sent

Only the longest idle connection of each kind was looked at, so one with an unsent answer let a new connection be refused; and what closing connections had sent was counted until they were lost. The first without unsent bytes is now taken, and unsent bytes are updated when writing resumes, each second, and for closing connections too. The scan is bounded by the number of connections, and runs only at their limit.

The three new tests failed before (one refusal, 5000 bytes still counted, and an answer counted until its connection was lost) and pass now.

--- a/pimentoquay/http1/server_connection.py
+++ b/pimentoquay/http1/server_connection.py
@@ -76,8 +76,7 @@
         """Whether a request is being served or read, or its caller still takes the answer."""
         if self._task is not None or self._has_turn or self._request is not None:
             return True
-        is_awaited = self._loop.time() < self._expires_at
-        return is_awaited and unsent_bytes(self._transport) > 0
+        return self._loop.time() < self._expires_at and unsent_bytes(self._transport) > 0
 
     @property
     def has_read_ahead(self) -> bool:
@@ -116,6 +115,7 @@
 
     def resume_writing(self) -> None:
         """Let writers go on."""
+        self._update_reading()
         self.writable.set()
         if self._task is None and self._first_byte_at is not None and not self._closing:
             self._plan_turn()
@@ -159,8 +159,7 @@
     @property
     def _waits_to_send(self) -> bool:
         """Whether the next request has to wait until the caller has read more."""
-        unsent = self._transport.get_write_buffer_size()
-        return self._request is None and unsent > MAX_UNSENT_BYTES
+        return self._request is None and self._transport.get_write_buffer_size() > MAX_UNSENT_BYTES
 
     def _plan_turn(self) -> None:
         if not self._waits_to_send:
@@ -372,8 +371,7 @@
 
     def _check_timeouts(self) -> None:
         self._schedule_timeout_check()
-        if not self._closing:
-            self._update_reading()  # What was unsent may have been sent meanwhile.
+        self._update_reading()  # What was unsent may have been sent meanwhile.
         if self._task is not None or self._closing or self._waits_for_room:
             return
         now = self._loop.time()
--- a/pimentoquay/http1/tests/test_room.py
+++ b/pimentoquay/http1/tests/test_room.py
@@ -131,3 +131,15 @@
         await until(lambda: budget.used > MB, "answered")
         await reader.readexactly(len(BODY))
         await until(lambda: budget.used == 0, "read")
+
+
+async def test_the_answer_of_a_closing_connection_is_not_counted_when_it_has_been_read():
+    """What its caller had read was counted until the connection was lost."""
+    async with limited_server() as (_, budget, connect):
+        reader, writer = await connect()
+        writer.write(HEAD + b"Connection: close\r\n\r\n" + BODY)
+        await until(lambda: budget.used > MB, "answered")
+        await read_head(reader)
+        await reader.readexactly(len(BODY))
+        await until(lambda: budget.used == 0, "read")
+        assert budget.connections == 1
--- a/pimentoquay/policy/byte_budget.py
+++ b/pimentoquay/policy/byte_budget.py
@@ -196,7 +196,11 @@
 
     def update(self, account: Account, held: int, unsent: int, now: float) -> bool:
         """Set what a connection has read and not sent; return whether it may read on."""
-        if account not in self._accounts or account in self._ending:
+        if account not in self._accounts:
+            return True
+        if account in self._ending:  # Its last answer may still be unsent; it reads nothing more.
+            self.used += unsent - account.unsent
+            account.unsent = unsent
             return True
         self.used += held + unsent - account.held - account.unsent
         account.held, account.unsent = held, unsent
@@ -335,9 +339,9 @@
             (self._fresh, FRESH_IDLE_SECONDS),
             (self._kept, KEPT_IDLE_SECONDS),
         ):
-            account = next(iter(accounts), None)
-            is_free = account is not None and not account.unsent
-            if account is not None and is_free and now - account.changed_at >= seconds:
+            # The longest idle one may have an unsent answer, which must not hide the others.
+            account = next((each for each in accounts if not each.unsent), None)
+            if account is not None and now - account.changed_at >= seconds:
                 return account
         return None
 
--- a/pimentoquay/policy/tests/test_byte_budget.py
+++ b/pimentoquay/policy/tests/test_byte_budget.py
@@ -154,6 +154,28 @@
     assert busy[1] == "refused"
 
 
+def test_an_unread_answer_does_not_hide_other_idle_connections():
+    """A new connection was refused because the longest idle one had an unsent answer."""
+    budget = ByteBudget(LIMIT, 3)
+    kept = [Caller(budget, 1) for _ in range(3)]
+    for caller in kept:
+        budget.begin(caller.account, 0.0)
+        budget.release(caller.account, 0.0)
+    budget.update(kept[0].account, 0, 5000, 0.0)
+    assert budget.open("new", 10.0)[1] is kept[1]
+
+
+def test_what_an_ending_connection_has_sent_gives_back_its_room():
+    """An answer that was read after its connection began to close was counted until its end."""
+    budget = ByteBudget(LIMIT, 1)
+    caller = Caller(budget, 1)
+    budget.update(caller.account, 0, 5000, 0.0)
+    budget.end(caller.account, 0.0)
+    budget.update(caller.account, 0, 0, 0.1)
+    assert budget.used == 0
+    assert budget.open("new", 1.0)[1] is caller
+
+
 def act(draw, budget, accounts, account, now):
     actions = (
         lambda: budget.begin(account, now),
