Subtract only arrived bytes from the memory of the process

The memory that the process needs itself was taken as what is resident less all bytes held, including claimed room that no byte had arrived for. One look during such claims raised the budget for 30 looks. The budget now counts the part of claims that has not arrived, and the watch leaves it out.

--- a/pimentoquay/gateway/memory_watch.py
+++ b/pimentoquay/gateway/memory_watch.py
@@ -66,7 +66,9 @@
             self.resident_bytes = int(os.read(file, 128).split()[1]) * _PAGE_BYTES
         finally:
             os.close(file)
-        self._own.add(self.resident_bytes, self._budget.used)
+        # The rest of a claim takes no memory yet; subtracting it would raise the budget by it.
+        arrived = self._budget.arrived
+        self._own.add(self.resident_bytes, arrived)
         own = self._own.estimate
         limit = budget_bytes(self._limits.memory_bytes, own)
         if abs(limit - self._budget.limit) > self._budget.limit // 8:
@@ -74,6 +76,6 @@
                 budget_bytes=limit, own_bytes=own, memory_bytes=self._limits.memory_bytes
             ).info("budget for callers changed")
         self._budget.limit = limit
-        free = self.resident_bytes - own - self._budget.used
+        free = self.resident_bytes - own - arrived
         if self._trim is not None and free > TRIM_BYTES:
             self._trim(0)
--- a/pimentoquay/policy/byte_budget.py
+++ b/pimentoquay/policy/byte_budget.py
@@ -61,8 +61,9 @@
     """What one connection holds, in bytes.
 
     ``held`` was read and belongs to no claim, ``unsent`` is of answers, and ``claimed`` is room for
-    a body, or the body of the request that runs. ``wanted`` is the size of a claim that waits, and
-    ``waits_since`` the time at which reading stopped for want of room.
+    a body, or the body of the request that runs. ``awaited`` is the part of the claim that has not
+    arrived. ``wanted`` is the size of a claim that waits, and ``waits_since`` the time at which
+    reading stopped for want of room.
     """
 
     user: Any
@@ -70,6 +71,7 @@
     held: int = 0
     unsent: int = 0
     claimed: int = 0
+    awaited: int = 0
     wanted: int = 0
     waits_since: float | None = None
     is_arriving: bool = False
@@ -130,6 +132,7 @@
         self.used = 0
         self.ended_by_reason: Counter[str] = Counter()
         self._large_claims = 0
+        self._awaited = 0
         self._accounts: dict[Account, None] = {}
         self._fresh: dict[Account, None] = {}
         self._kept: dict[Account, None] = {}
@@ -141,6 +144,11 @@
         """Number of open connections."""
         return len(self._accounts)
 
+    @property
+    def arrived(self) -> int:
+        """Number of bytes held without the parts of claims that have not arrived."""
+        return self.used - self._awaited
+
     @property
     def has_waiting(self) -> bool:
         """Whether connections wait for room."""
@@ -248,6 +256,7 @@
 
     def progress(self, account: Account, size: int, now: float) -> None:
         """Count bytes of a body that have arrived."""
+        self._set_awaited(account, max(0, account.awaited - size))
         account.progress += size
         if account.progress >= PROGRESS_BYTES:
             account.progressed_at, account.progress = now, 0
@@ -295,6 +304,7 @@
 
     def _grant(self, account: Account, size: int, now: float) -> None:
         self._set_claimed(account, size)
+        self._set_awaited(account, size)
         account.wanted = 0
         account.progressed_at, account.progress = now, 0
 
@@ -303,6 +313,11 @@
             self.used += size - account.claimed
             self._large_claims += (size > SMALL_BYTES) - (account.claimed > SMALL_BYTES)
             account.claimed = size
+            self._set_awaited(account, 0)
+
+    def _set_awaited(self, account: Account, size: int) -> None:
+        self._awaited += size - account.awaited
+        account.awaited = size
 
     def _let_wait(self, account: Account, now: float) -> None:
         if account.waits_since is None:
--- a/pimentoquay/policy/tests/test_byte_budget.py
+++ b/pimentoquay/policy/tests/test_byte_budget.py
@@ -180,6 +180,7 @@
     actions = (
         lambda: budget.begin(account, now),
         lambda: budget.claim(account, draw.randrange(BODY), now),
+        lambda: budget.progress(account, draw.randrange(SMALL_BYTES), now),
         lambda: budget.update(account, draw.randrange(SMALL_BYTES), draw.randrange(99), now),
         lambda: budget.settle(account, draw.randrange(BODY)),
         lambda: budget.release(account, now),
@@ -205,9 +206,12 @@
             continue
         act(draw, budget, accounts, account, now)
         assert budget.used == sum(each.total for each in accounts)
+        assert budget.arrived == budget.used - sum(each.awaited for each in accounts)
+        assert all(0 <= each.awaited <= each.claimed for each in accounts)
     for account in accounts:
         budget.close(account)
     assert (budget.used, budget.connections, budget.has_waiting) == (0, 0, False)
+    assert budget.arrived == 0
 
 
 @pytest.mark.parametrize(("memory", "descriptors"), [(88, 1638), (136, 1638), (552, 10250), (0, 0)])
