Leave buffers as they are if no memory is stated

Without settings, the default of 24,096 callers divided the share for buffers, so an update shrank the system's buffers of a connection to 64 KB and answers to 16 KB. Without stated memory, the sizes of the system's buffers are now not set, and answers have 64 KB as before.

process_limits(0, 0) gave buffers of 65536 and answers of 16384 bytes, and gives 0 (not set) and 65536. On loopback a connection has the default buffers again, 3,939,840 and 131,072 bytes.

--- a/pimentoquay/ctl/reference.py
+++ b/pimentoquay/ctl/reference.py
@@ -66,7 +66,7 @@
 | `memoryMb` | {DEFAULT_MEMORY_BYTES // MB} | memory of the process in MB. \
 {USABLE_SHARE:.0%} of what the process does not need itself, and {MIN_BUDGET_BYTES // MB} MB at \
 least, may be held for callers. It also limits their connections, \
-one for each {BYTES_PER_CALLER // KB} KB, and the system's buffers |
+one for each {BYTES_PER_CALLER // KB} KB, and, if it is stated, the system's buffers |
 | `maxFds` | {DEFAULT_DESCRIPTORS} | descriptors of the process, {RESERVED_FILES} of which are for \
 files. Of the rest, {CALLER_SHARE:.1%} are for connections of callers, and {2 * TUNNEL_SHARE:.0%} \
 for tunnels of peers, which need two each |
--- a/pimentoquay/http1/caller_reading.py
+++ b/pimentoquay/http1/caller_reading.py
@@ -80,7 +80,8 @@
         budget = self._room.budget
         self._account, victim = budget.open(self, self._loop.time())
         sock = self._transport.get_extra_info("socket")
-        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        options = (socket.SO_RCVBUF, socket.SO_SNDBUF) if budget.system_bytes else ()
+        for option in options:
             sock.setsockopt(socket.SOL_SOCKET, option, budget.system_bytes // 2)
         self._transport.set_write_buffer_limits(high=budget.answer_bytes)
         if victim is not None:
--- a/pimentoquay/http1/room.py
+++ b/pimentoquay/http1/room.py
@@ -51,8 +51,9 @@
 class RoomBudget(Protocol):
     """Budget of the bytes and connections of a server; see ``policy.byte_budget``.
 
-    ``system_bytes`` is the size of the system's buffer of each direction of a connection, and
-    ``answer_bytes`` the number of unsent bytes of an answer at which its writer waits.
+    ``system_bytes`` is the size of the system's buffer of each direction of a connection, or 0 to
+    leave it as it is, and ``answer_bytes`` the number of unsent bytes of an answer at which its
+    writer waits.
     """
 
     @property
--- a/pimentoquay/http1/tests/test_room.py
+++ b/pimentoquay/http1/tests/test_room.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import contextlib
+import socket
+
+import pytest
 
 from pimentoquay.http1 import HttpServer, ServerLimits
 from pimentoquay.http1.tests.scripted import until
@@ -15,8 +18,8 @@
 
 
 @contextlib.asynccontextmanager
-async def limited_server(limit=5 * MB, connections=10):
-    handler, budget = RecordingHandler(), ByteBudget(limit, connections)
+async def limited_server(limit=5 * MB, connections=10, **sizes):
+    handler, budget = RecordingHandler(), ByteBudget(limit, connections, **sizes)
     server = HttpServer(handler.handle, lambda: LIMITS, room=budget)
     await server.listen("127.0.0.1", 0)
     async with contextlib.AsyncExitStack() as stack:
@@ -143,3 +146,25 @@
         await reader.readexactly(len(BODY))
         await until(lambda: budget.used == 0, "read")
         assert budget.connections == 1
+
+
+def buffer_sizes(sock):
+    options = (socket.SO_SNDBUF, socket.SO_RCVBUF)
+    return [sock.getsockopt(socket.SOL_SOCKET, option) for option in options]
+
+
+@pytest.mark.parametrize("system_bytes", [0, 65536])
+async def test_the_systems_buffers_are_set_only_if_their_size_is_stated(system_bytes):
+    """Without settings, the send buffer shrank from 3.9 MB to 64 KB on loopback."""
+    with (
+        socket.create_server(("127.0.0.1", 0)) as listening,
+        socket.create_connection(listening.getsockname()),
+        listening.accept()[0] as plain,
+    ):
+        default = buffer_sizes(plain)
+    async with limited_server(system_bytes=system_bytes) as (_, budget, connect):
+        await connect()
+        await until(lambda: budget.connections == 1, "accepted")
+        (account,) = budget._accounts
+        sizes = buffer_sizes(account.user._transport.get_extra_info("socket"))
+        assert sizes == ([system_bytes] * 2 if system_bytes else default)
--- a/pimentoquay/policy/byte_budget.py
+++ b/pimentoquay/policy/byte_budget.py
@@ -37,6 +37,9 @@
 WAITING_SHARE = 0.25
 """Size of the system's buffers of waiting connections, as a part of the budget."""
 
+DEFAULT_SYSTEM_BYTES = 256 * 1024
+"""Size that the system's buffer of a connection is taken to have if none is stated."""
+
 PROGRESS_BYTES = 16 * 1024
 """Number of bytes that count as progress of a body; fewer would let single bytes keep its room."""
 
@@ -113,7 +116,7 @@
     max_connections
         Most connections at a time.
     system_bytes
-        Size of the system's buffer of each direction of a connection.
+        Size of the system's buffer of each direction of a connection, or 0 to leave it as it is.
     answer_bytes
         Number of unsent bytes of an answer at which its writer waits.
     """
@@ -122,7 +125,7 @@
         self,
         limit: int,
         max_connections: int,
-        system_bytes: int = 256 * 1024,
+        system_bytes: int = DEFAULT_SYSTEM_BYTES,
         answer_bytes: int = 64 * 1024,
     ) -> None:
         self.limit = limit
@@ -246,7 +249,8 @@
         if not self._waiting and self._has_room(size):
             self._grant(account, size, now)
             return ClaimOutcome.GRANTED
-        most_waiting = max(8, int(WAITING_SHARE * self.limit / self.system_bytes))
+        buffer_bytes = self.system_bytes or DEFAULT_SYSTEM_BYTES
+        most_waiting = max(8, int(WAITING_SHARE * self.limit / buffer_bytes))
         if len(self._waiting) >= most_waiting:
             self.ended_by_reason["many wait"] += 1
             return ClaimOutcome.REFUSED
--- a/pimentoquay/policy/process_limits.py
+++ b/pimentoquay/policy/process_limits.py
@@ -63,7 +63,8 @@
     """Limits in bytes and numbers of connections.
 
     ``budget_bytes`` is held for callers, ``system_bytes`` is the system's buffer of each direction
-    of a connection and ``answer_bytes`` the unsent bytes at which the writer of an answer waits.
+    of a connection, or 0 to leave it to the system, and ``answer_bytes`` the unsent bytes at which
+    the writer of an answer waits.
     ``unopened_tunnels`` counts connections that have not asked for a tunnel, and ``channel_bytes``
     is the size of what is unsent to a peer above which its channel is closed.
     """
@@ -79,7 +80,11 @@
 
 
 def process_limits(memory_bytes: int, max_descriptors: int) -> ProcessLimits:
-    """Return the limits of a process by those of its settings, which are 0 if not stated."""
+    """Return the limits of a process by those of its settings, which are 0 if not stated.
+
+    Without stated memory, buffers are not made smaller; the default number of callers would.
+    """
+    has_memory = memory_bytes > 0
     memory_bytes = memory_bytes or DEFAULT_MEMORY_BYTES
     sockets = max(64, (max_descriptors or DEFAULT_DESCRIPTORS) - RESERVED_FILES)
     budget = budget_bytes(memory_bytes, OWN_BYTES)
@@ -91,8 +96,10 @@
         callers=callers,
         tunnels=max(4, int(min(sockets * TUNNEL_SHARE, budget / (4 * BYTES_PER_CALLER)))),
         unopened_tunnels=max(4, int(sockets * UNOPENED_SHARE)),
-        system_bytes=max(MIN_SYSTEM_BYTES, min(MAX_SYSTEM_BYTES, share)),
-        answer_bytes=max(MIN_ANSWER_BYTES, min(MAX_ANSWER_BYTES, share)),
+        system_bytes=max(MIN_SYSTEM_BYTES, min(MAX_SYSTEM_BYTES, share)) if has_memory else 0,
+        answer_bytes=(
+            max(MIN_ANSWER_BYTES, min(MAX_ANSWER_BYTES, share)) if has_memory else MAX_ANSWER_BYTES
+        ),
         channel_bytes=max(MIN_CHANNEL_BYTES, min(MAX_CHANNEL_BYTES, budget // 8)),
     )
 
--- a/pimentoquay/policy/tests/test_byte_budget.py
+++ b/pimentoquay/policy/tests/test_byte_budget.py
@@ -224,6 +224,18 @@
     assert limits.budget_bytes >= 16 * MB
 
 
+def test_buffers_are_not_made_smaller_if_no_memory_is_stated():
+    """Gateways without these settings got buffers of 64 KB, and answers of 16 KB, by an update."""
+    limits = process_limits(0, 0)
+    assert (limits.system_bytes, limits.answer_bytes) == (0, 64 * 1024)
+    assert process_limits(2048 * MB, 0).system_bytes == 64 * 1024
+    budget = ByteBudget(LIMIT, 100, limits.system_bytes)
+    callers = [Caller(budget, BODY) for _ in range(20)]
+    for caller in callers:
+        caller.begin(0.0)
+    assert {caller.outcome for caller in callers} == {ClaimOutcome.GRANTED, ClaimOutcome.WAITING}
+
+
 def test_the_memory_of_the_process_itself_is_what_is_left_without_held_bytes():
     own = OwnMemory()
     for resident, held in ((60, 0), (90, 40), (120, 10)):
