Count the wait for room of a request from its own beginning

The time since which a connection waits was kept from the request before, so a request that was sent ahead was refused soon after it began. It now starts again with each request that waits.

--- a/pimentoquay/policy/byte_budget.py
+++ b/pimentoquay/policy/byte_budget.py
@@ -239,6 +239,8 @@
         self._kept.pop(account, None)
         account.is_arriving = True
         account.progressed_at, account.progress = now, 0
+        if account.waits_since is not None:  # The wait during the request before is not its own.
+            account.waits_since = now
 
     def claim(self, account: Account, size: int, now: float) -> ClaimOutcome:
         """Claim room for a body of up to ``size`` bytes."""
--- a/pimentoquay/policy/tests/test_byte_budget.py
+++ b/pimentoquay/policy/tests/test_byte_budget.py
@@ -133,6 +133,20 @@
     assert (budget.used, budget.connections, budget.has_waiting) == (0, 0, False)
 
 
+def test_a_request_that_was_sent_ahead_waits_for_its_whole_time():
+    """It was refused at once, as the wait during the request before it was counted too."""
+    budget = ByteBudget(LIMIT, 1000)
+    filler, caller = Caller(budget, LIMIT), Caller(budget, 1)
+    budget.update(filler.account, LIMIT, 0, 0.0)
+    budget.begin(caller.account, 0.0)
+    budget.settle(caller.account, 1)
+    assert not budget.update(caller.account, CONNECTION_BYTES, 0, 0.0)
+    budget.release(caller.account, 10.0)
+    budget.begin(caller.account, 10.0)
+    assert not budget.decide(10.0 + WAIT_SECONDS - 0.1).ended
+    assert [user for user, *_ in budget.decide(10.0 + WAIT_SECONDS).ended] == [caller]
+
+
 def test_the_largest_body_has_room_on_the_smallest_machine():
     limits = process_limits(88 * MB, 1638)
     budget = ByteBudget(limits.budget_bytes, limits.callers, limits.system_bytes)
