Look through all connections only if room is needed

Each look at waiting connections sorted all that stalled, also when no request needed room. The look now ends before that. The new test failed before (one look at all connections) and passes now.

--- a/pimentoquay/policy/byte_budget.py
+++ b/pimentoquay/policy/byte_budget.py
@@ -295,6 +295,8 @@
                 self._end(account, "no room in time", account.waited_seconds(now), decision)
             elif account.is_arriving:
                 needed += account.wanted or SMALL_BYTES
+        if not needed:
+            return decision
         stalled = sorted(self._stalled(now), key=lambda each: _cost(each, now), reverse=True)
         for account in stalled:
             if needed <= 0:
--- a/pimentoquay/policy/tests/test_byte_budget.py
+++ b/pimentoquay/policy/tests/test_byte_budget.py
@@ -147,6 +147,26 @@
     assert [user for user, *_ in budget.decide(10.0 + WAIT_SECONDS).ended] == [caller]
 
 
+def test_all_connections_are_looked_at_only_if_room_is_needed(monkeypatch):
+    """Each look at waiting connections went through all others, 2.8 ms for 24,001 of them."""
+    looks = []
+
+    def look(budget, now):
+        looks.append(now)
+        return ()
+
+    monkeypatch.setattr(ByteBudget, "_stalled", look)
+    budget = ByteBudget(LIMIT, 1000)
+    filler, caller = Caller(budget, LIMIT), Caller(budget, 1)
+    budget.update(filler.account, LIMIT, 0, 0.0)
+    assert not budget.update(caller.account, CONNECTION_BYTES, 0, 0.0)
+    budget.decide(0.1)
+    assert (budget.waiting, looks) == (2, [])
+    budget.begin(caller.account, 0.2)
+    budget.decide(0.2)
+    assert looks == [0.2]
+
+
 def test_the_largest_body_has_room_on_the_smallest_machine():
     limits = process_limits(88 * MB, 1638)
     budget = ByteBudget(limits.budget_bytes, limits.callers, limits.system_bytes)
