--- a/pimentoquay/policy/byte_budget.py
+++ b/pimentoquay/policy/byte_budget.py
@@ -37,6 +37,9 @@
 WAITING_SHARE = 0.25
 """Size of the system's buffers of waiting connections, as a part of the budget."""
 
+DEFAULT_SYSTEM_BYTES = 256 * 1024
+"""Size that the system's buffer of a connection is taken to have if none is stated."""
+
 PROGRESS_BYTES = 16 * 1024
 """Number of bytes that count as progress of a body; fewer would let single bytes keep its room."""
 
@@ -61,8 +64,9 @@
     """What one connection holds, in bytes.
 
     ``held`` was read and belongs to no claim, ``unsent`` is of answers, and ``claimed`` is room for
-    a body, or the body of the request that runs. ``wanted`` is the size of a claim that waits, and
-    ``waits_since`` the time at which reading stopped for want of room.
+    a body, or the body of the request that runs. ``awaited`` is the part of the claim that has not
+    arrived. ``wanted`` is the size of a claim that waits, and ``waits_since`` the time at which
+    reading stopped for want of room.
     """
 
     user: Any
@@ -70,6 +74,7 @@
     held: int = 0
     unsent: int = 0
     claimed: int = 0
+    awaited: int = 0
     wanted: int = 0
     waits_since: float | None = None
     is_arriving: bool = False
@@ -111,7 +116,7 @@
     max_connections
         Most connections at a time.
     system_bytes
-        Size of the system's buffer of each direction of a connection.
+        Size of the system's buffer of each direction of a connection, or 0 to leave it as it is.
     answer_bytes
         Number of unsent bytes of an answer at which its writer waits.
     """
@@ -120,7 +125,7 @@
         self,
         limit: int,
         max_connections: int,
-        system_bytes: int = 256 * 1024,
+        system_bytes: int = DEFAULT_SYSTEM_BYTES,
         answer_bytes: int = 64 * 1024,
     ) -> None:
         self.limit = limit
@@ -130,6 +135,7 @@
         self.used = 0
         self.ended_by_reason: Counter[str] = Counter()
         self._large_claims = 0
+        self._awaited = 0
         self._accounts: dict[Account, None] = {}
         self._fresh: dict[Account, None] = {}
         self._kept: dict[Account, None] = {}
@@ -141,6 +147,11 @@
         """Number of open connections."""
         return len(self._accounts)
 
+    @property
+    def arrived(self) -> int:
+        """Number of bytes held without the parts of claims that have not arrived."""
+        return self.used - self._awaited
+
     @property
     def has_waiting(self) -> bool:
         """Whether connections wait for room."""
@@ -196,7 +207,11 @@
 
     def update(self, account: Account, held: int, unsent: int, now: float) -> bool:
         """Set what a connection has read and not sent; return whether it may read on."""
-        if account not in self._accounts or account in self._ending:
+        if account not in self._accounts:
+            return True
+        if account in self._ending:  # Its last answer may still be unsent; it reads nothing more.
+            self.used += unsent - account.unsent
+            account.unsent = unsent
             return True
         self.used += held + unsent - account.held - account.unsent
         account.held, account.unsent = held, unsent
@@ -224,6 +239,8 @@
         self._kept.pop(account, None)
         account.is_arriving = True
         account.progressed_at, account.progress = now, 0
+        if account.waits_since is not None:  # The wait during the request before is not its own.
+            account.waits_since = now
 
     def claim(self, account: Account, size: int, now: float) -> ClaimOutcome:
         """Claim room for a body of up to ``size`` bytes."""
@@ -234,7 +251,8 @@
         if not self._waiting and self._has_room(size):
             self._grant(account, size, now)
             return ClaimOutcome.GRANTED
-        most_waiting = max(8, int(WAITING_SHARE * self.limit / self.system_bytes))
+        buffer_bytes = self.system_bytes or DEFAULT_SYSTEM_BYTES
+        most_waiting = max(8, int(WAITING_SHARE * self.limit / buffer_bytes))
         if len(self._waiting) >= most_waiting:
             self.ended_by_reason["many wait"] += 1
             return ClaimOutcome.REFUSED
@@ -244,6 +262,7 @@
 
     def progress(self, account: Account, size: int, now: float) -> None:
         """Count bytes of a body that have arrived."""
+        self._set_awaited(account, max(0, account.awaited - size))
         account.progress += size
         if account.progress >= PROGRESS_BYTES:
             account.progressed_at, account.progress = now, 0
@@ -276,6 +295,8 @@
                 self._end(account, "no room in time", account.waited_seconds(now), decision)
             elif account.is_arriving:
                 needed += account.wanted or SMALL_BYTES
+        if not needed:
+            return decision
         stalled = sorted(self._stalled(now), key=lambda each: _cost(each, now), reverse=True)
         for account in stalled:
             if needed <= 0:
@@ -291,6 +312,7 @@
 
     def _grant(self, account: Account, size: int, now: float) -> None:
         self._set_claimed(account, size)
+        self._set_awaited(account, size)
         account.wanted = 0
         account.progressed_at, account.progress = now, 0
 
@@ -299,6 +321,11 @@
             self.used += size - account.claimed
             self._large_claims += (size > SMALL_BYTES) - (account.claimed > SMALL_BYTES)
             account.claimed = size
+            self._set_awaited(account, 0)
+
+    def _set_awaited(self, account: Account, size: int) -> None:
+        self._awaited += size - account.awaited
+        account.awaited = size
 
     def _let_wait(self, account: Account, now: float) -> None:
         if account.waits_since is None:
@@ -335,9 +362,9 @@
             (self._fresh, FRESH_IDLE_SECONDS),
             (self._kept, KEPT_IDLE_SECONDS),
         ):
-            account = next(iter(accounts), None)
-            is_free = account is not None and not account.unsent
-            if account is not None and is_free and now - account.changed_at >= seconds:
+            # The longest idle one may have an unsent answer, which must not hide the others.
+            account = next((each for each in accounts if not each.unsent), None)
+            if account is not None and now - account.changed_at >= seconds:
                 return account
         return None
 
--- a/pimentoquay/policy/tests/test_byte_budget.py
+++ b/pimentoquay/policy/tests/test_byte_budget.py
@@ -133,6 +133,40 @@
     assert (budget.used, budget.connections, budget.has_waiting) == (0, 0, False)
 
 
+def test_a_request_that_was_sent_ahead_waits_for_its_whole_time():
+    """It was refused at once, as the wait during the request before it was counted too."""
+    budget = ByteBudget(LIMIT, 1000)
+    filler, caller = Caller(budget, LIMIT), Caller(budget, 1)
+    budget.update(filler.account, LIMIT, 0, 0.0)
+    budget.begin(caller.account, 0.0)
+    budget.settle(caller.account, 1)
+    assert not budget.update(caller.account, CONNECTION_BYTES, 0, 0.0)
+    budget.release(caller.account, 10.0)
+    budget.begin(caller.account, 10.0)
+    assert not budget.decide(10.0 + WAIT_SECONDS - 0.1).ended
+    assert [user for user, *_ in budget.decide(10.0 + WAIT_SECONDS).ended] == [caller]
+
+
+def test_all_connections_are_looked_at_only_if_room_is_needed(monkeypatch):
+    """Each look at waiting connections went through all others, 2.8 ms for 24,001 of them."""
+    looks = []
+
+    def look(budget, now):
+        looks.append(now)
+        return ()
+
+    monkeypatch.setattr(ByteBudget, "_stalled", look)
+    budget = ByteBudget(LIMIT, 1000)
+    filler, caller = Caller(budget, LIMIT), Caller(budget, 1)
+    budget.update(filler.account, LIMIT, 0, 0.0)
+    assert not budget.update(caller.account, CONNECTION_BYTES, 0, 0.0)
+    budget.decide(0.1)
+    assert (budget.waiting, looks) == (2, [])
+    budget.begin(caller.account, 0.2)
+    budget.decide(0.2)
+    assert looks == [0.2]
+
+
 def test_the_largest_body_has_room_on_the_smallest_machine():
     limits = process_limits(88 * MB, 1638)
     budget = ByteBudget(limits.budget_bytes, limits.callers, limits.system_bytes)
@@ -154,10 +188,33 @@
     assert busy[1] == "refused"
 
 
+def test_an_unread_answer_does_not_hide_other_idle_connections():
+    """A new connection was refused because the longest idle one had an unsent answer."""
+    budget = ByteBudget(LIMIT, 3)
+    kept = [Caller(budget, 1) for _ in range(3)]
+    for caller in kept:
+        budget.begin(caller.account, 0.0)
+        budget.release(caller.account, 0.0)
+    budget.update(kept[0].account, 0, 5000, 0.0)
+    assert budget.open("new", 10.0)[1] is kept[1]
+
+
+def test_what_an_ending_connection_has_sent_gives_back_its_room():
+    """An answer that was read after its connection began to close was counted until its end."""
+    budget = ByteBudget(LIMIT, 1)
+    caller = Caller(budget, 1)
+    budget.update(caller.account, 0, 5000, 0.0)
+    budget.end(caller.account, 0.0)
+    budget.update(caller.account, 0, 0, 0.1)
+    assert budget.used == 0
+    assert budget.open("new", 1.0)[1] is caller
+
+
 def act(draw, budget, accounts, account, now):
     actions = (
         lambda: budget.begin(account, now),
         lambda: budget.claim(account, draw.randrange(BODY), now),
+        lambda: budget.progress(account, draw.randrange(SMALL_BYTES), now),
         lambda: budget.update(account, draw.randrange(SMALL_BYTES), draw.randrange(99), now),
         lambda: budget.settle(account, draw.randrange(BODY)),
         lambda: budget.release(account, now),
@@ -183,9 +240,12 @@
             continue
         act(draw, budget, accounts, account, now)
         assert budget.used == sum(each.total for each in accounts)
+        assert budget.arrived == budget.used - sum(each.awaited for each in accounts)
+        assert all(0 <= each.awaited <= each.claimed for each in accounts)
     for account in accounts:
         budget.close(account)
     assert (budget.used, budget.connections, budget.has_waiting) == (0, 0, False)
+    assert budget.arrived == 0
 
 
 @pytest.mark.parametrize(("memory", "descriptors"), [(88, 1638), (136, 1638), (552, 10250), (0, 0)])
@@ -198,6 +258,18 @@
     assert limits.budget_bytes >= 16 * MB
 
 
+def test_buffers_are_not_made_smaller_if_no_memory_is_stated():
+    """Gateways without these settings got buffers of 64 KB, and answers of 16 KB, by an update."""
+    limits = process_limits(0, 0)
+    assert (limits.system_bytes, limits.answer_bytes) == (0, 64 * 1024)
+    assert process_limits(2048 * MB, 0).system_bytes == 64 * 1024
+    budget = ByteBudget(LIMIT, 100, limits.system_bytes)
+    callers = [Caller(budget, BODY) for _ in range(20)]
+    for caller in callers:
+        caller.begin(0.0)
+    assert {caller.outcome for caller in callers} == {ClaimOutcome.GRANTED, ClaimOutcome.WAITING}
+
+
 def test_the_memory_of_the_process_itself_is_what_is_left_without_held_bytes():
     own = OwnMemory()
     for resident, held in ((60, 0), (90, 40), (120, 10)):
