Tell engines and coordinators the priorities of workspaces

Cause: stream_priorities was given the routes only, so where all routes had one priority, engines were told no urgency of any workspace, and a new coordinator held nothing for the highest priority. Change: the workspaces of the configuration are listed too. Measured: test_workspace_priorities fails before (2 only) and passes now.

--- a/pimentoquay/gateway/shared_state.py
+++ b/pimentoquay/gateway/shared_state.py
@@ -140,7 +140,9 @@
         if configuration is not self._priorities_of:
             self._priorities_of = configuration
             routes = configuration.routes if configuration is not None else ()
-            self._priorities = stream_priorities(routes)
+            table = configuration.workspaces if configuration is not None else None
+            listed = table.workspace_by_name.values() if table is not None else ()
+            self._priorities = stream_priorities(routes, listed)
         return self._priorities
 
     def forget_experience(self, engine: str) -> None:
