Refuse no streams that a new coordinator holds

Cause: for 0.5 s a new coordinator places only the highest priority. Engines that it knows to be empty free no memory, so the wait of the held streams was estimated as endless and they were refused with Retry-After 4.0; streams were also displaced before any gateway had reported. Change: held streams wait, and nothing is displaced before is_settled. The hold is a class of its own, priority_hold.py. test_the_lowest_priority_is_refused_first_and_told_when_to_come_back displaced at 0.1 s after the start, which is no longer done; its coordinator has now started one second earlier, and its checks are the same. Measured: with 8 empty engines the held stream was refused (4.0 s); it is now placed after the hold.

--- a/pimentoquay/policy/pool_placement.py
+++ b/pimentoquay/policy/pool_placement.py
@@ -19,6 +19,7 @@
 from pimentoquay.policy.fleet import EngineEntry
 from pimentoquay.policy.memory_forecast import GrowingRun, peak_tokens
 from pimentoquay.policy.pools import PoolState
+from pimentoquay.policy.priority_hold import PriorityHold
 from pimentoquay.policy.run_ledger import RunLedger
 from pimentoquay.policy.service_order import Rank, ServiceOrder, Supply
 from pimentoquay.policy.stream_admission import (
@@ -104,15 +105,11 @@
         self._grant_by_key: dict[StreamKey, Grant] = {}
         self._reported_at_by_vm: dict[str, float] = {}
         self._next_number = 0
-        self._held_until, self._highest = now, 0
+        self._hold = PriorityHold()
 
     def hold_lower(self, highest: int, until: float) -> None:
-        """Place no new streams of priorities below the highest until a time.
-
-        Failure pattern: a coordinator that has just started, or was suspended. Memory has become
-        free, and would go to those whose requests are handled first, before the others are known.
-        """
-        self._highest, self._held_until = highest, until
+        """Place and refuse no new streams of priorities below the highest until a time."""
+        self._hold.hold_lower(highest, until)
 
     def is_settled(self, now: float) -> bool:
         """Return whether all gateways had time to report their streams."""
@@ -184,7 +181,9 @@
         one or of a workspace over its share were let wait. The last in order are refused at once.
         The parameters are those of ``refuse_long_wait``.
         """
-        if not self.is_mixed(now):
+        # Before all gateways have reported, little memory is known to be held, so that little
+        # seems to come free.
+        if not self.is_settled(now) or not self.is_mixed(now):
             return []
         ranks = self._ranks(now)
         displaced = []
@@ -213,7 +212,7 @@
         usable = engines_of_wait(listed, others, stream.software)
         share = len(usable) / max(1, len(engines))
         held = self.ledger.expected(usable, now)
-        if stream.software and not held:
+        if self._hold.is_held(stream, now) or (stream.software and not held):
             return WaitDecision(True, 0.0)
         rate = self._release_rate.tokens_per_second(held)
         if self._order.is_mixed(now):
@@ -369,8 +368,7 @@
         ranks = self._ranks(now)
         keys_by_software: dict[str, list[StreamKey]] = {}
         for key, waiting in self._waiting_by_key.items():
-            stream = waiting.stream
-            if stream.software or stream.priority <= self._highest or now >= self._held_until:
+            if not self._hold.is_held(waiting.stream, now):
                 keys_by_software.setdefault(waiting.stream.software, []).append(key)
         engines_by_software = Counter(each.software_version for each in engines)
         first: list[StreamKey] = []
--- a/pimentoquay/policy/tests/test_service_order.py
+++ b/pimentoquay/policy/tests/test_service_order.py
@@ -104,7 +104,7 @@
 
 
 def test_the_lowest_priority_is_refused_first_and_told_when_to_come_back():
-    pool = PoolPlacement("hall", 0.0)
+    pool = PoolPlacement("hall", -1.0)
     pool.apply_report("b", {"e1": (GrowingRun(USABLE, 0),)}, {}, 0, 0.0)
     for number in range(3):
         pool.request(("a", f"low {number}"), need(2, patience=8.0), 0.0)
@@ -134,6 +134,32 @@
     assert placed is not None and placed[0] == ("a", "low")
 
 
+def test_a_new_coordinator_refuses_no_stream_that_it_holds():
+    """Empty engines free no memory, so held streams were refused by a wait that nothing caused."""
+    engines = [replace(ENGINES[0], id=f"e{number}") for number in range(8)]
+    pool = PoolPlacement("hall", 0.0)
+    pool.hold_lower(0, 0.5)
+    pool.request(("a", "high"), need(0), 0.1)
+    assert pool.place_next(engines, USABLE, 0.1) is not None
+    pool.grant(("a", "high"), engines[0], None, 0.1)
+    pool.request(("a", "low"), need(2, arrived_at=0.1), 0.1)
+    assert pool.place_next(engines, USABLE, 0.1) is None
+    assert pool.refuse_long_wait(("a", "low"), engines, 0.1).should_wait
+    assert pool.displace(engines, 0.4) == []
+    placed = pool.place_next(engines, USABLE, 0.5)
+    assert placed is not None and placed[0] == ("a", "low")
+
+
+def test_a_coordinator_displaces_nothing_before_all_gateways_have_reported():
+    """What engines hold is not known until then, so memory seemed never to come free."""
+    pool = PoolPlacement("hall", 0.0)
+    for number in range(4):
+        pool.request(("a", f"high {number}"), need(0), 0.1)
+        pool.request(("a", f"low {number}"), need(2), 0.1)
+    assert pool.displace(ENGINES, 0.6) == []
+    assert pool.displace(ENGINES, 0.9)
+
+
 @pytest.mark.parametrize("software", ["", "v1"])
 def test_the_wait_of_a_priority_that_sent_nothing_lately_is_finite(software):
     """A stream may wait for longer than the time after which its class is forgotten."""
