Displace no streams while the engines' limits allow none

Cause: streams that wait for the limits which engines name, with memory free, were displaced by an estimate of memory. The first refusal checks may_grant or limit_wait before it does so; neither the coordinator's _displace nor the loop of a gateway of a full mesh did. Change: both check as the first refusal does.

--- a/pimentoquay/gateway/pool_coordinator.py
+++ b/pimentoquay/gateway/pool_coordinator.py
@@ -126,23 +126,20 @@
 
     @receive.register
     def _handle_class(self, message: PlaceClass, source: str) -> None:
-        pool = self._pool(message.pool)
-        if pool is not None:
+        if (pool := self._pool(message.pool)) is not None:
             pool.classes.record(source, message)
 
     @receive.register
     def _handle_request(self, message: PlaceRequest, source: str) -> None:
         key = message.pool
-        pool = self._pool(key)
-        if pool is None:
+        if (pool := self._pool(key)) is None:
             self._reply(source, message.key, message.pool, PlaceOutcome.NOT_COORDINATOR)
             return
         now, stream_key = self._node.timers.now(), (source, message.key)
         service_class = pool.classes.of(source, message.key)
         if message.full_engine:
             pool.placement.record_full(stream_key, message.full_engine, now)
-        grant = pool.placement.grant_of(stream_key)
-        if grant is not None:
+        if (grant := pool.placement.grant_of(stream_key)) is not None:
             self._reply_granted(pool, stream_key, message.pool, grant)
             return
         need = need_of(message, service_class, now)
@@ -168,16 +165,14 @@
 
     @receive.register
     def _handle_cancelled(self, message: PlaceCancelled, source: str) -> None:
-        pool = self._pool_by_key.get(message.pool)
-        if pool is not None:
+        if (pool := self._pool_by_key.get(message.pool)) is not None:
             pool.placement.cancel((source, message.key))
             pool.classes.forget(source, message.key)
 
     @receive.register
     def _handle_report(self, message: PoolReport, source: str) -> None:
         key = message.pool
-        pool = self._pool(key)
-        if pool is None:
+        if (pool := self._pool(key)) is None:
             return
         known = pool.report_by_vm.get(source)
         is_same_start = known is not None and known.incarnation == message.incarnation
@@ -245,11 +240,18 @@
             pool.placement.hold_lower(priorities[0], until)
 
     def _displace(self, key: PoolKey, pool: _Pool, now: float) -> None:
-        """Refuse waiting streams that can't be served as others come before them."""
+        """Refuse waiting streams that can't be served as others come before them.
+
+        Nothing is refused for lack of memory while the limits of the engines allow no stream.
+        """
         if not pool.placement.is_mixed(now):
             return
         closed = self._shared.closed_versions(key.service, DECODE_STAGES)
-        for displaced in pool.placement.displace(self._decode_engines(key), now, closed):
+        engines, limits = self._decode_engines(key), self._shared.links.limits
+        usable = [each for each in engines if may_run(each, "", closed)]
+        if usable and not any(limits.may_grant(each, now) for each in usable):
+            return
+        for displaced in pool.placement.displace(engines, now, closed):
             (vm, stream), service_class, decision = displaced
             self._reply(vm, stream, key, PlaceOutcome.REFUSED, decision.seconds)
             log_refusal(key, vm, service_class, decision, now - pool.started_at)
@@ -357,17 +359,8 @@
     ) -> None:
         vm, key = stream_key
         is_exact = pool.placement.is_settled(self._node.timers.now())
-        reply = PlaceReply(
-            key,
-            pool_key,
-            PlaceOutcome.GRANTED,
-            grant.engine,
-            grant.prefill_engine,
-            grant.number,
-            0.0,
-            is_exact,
-        )
-        self._send_to(vm, reply)
+        granted = grant.engine, grant.prefill_engine, grant.number
+        self._send_to(vm, PlaceReply(key, pool_key, PlaceOutcome.GRANTED, *granted, 0.0, is_exact))
 
     def _reply(
         self, vm: str, key: str, pool: PoolKey, outcome: PlaceOutcome, seconds: float = 0.0
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -157,7 +157,9 @@
                     if reservation is not None:
                         self._waiting.record_served(waiter)
                         return reservation
-                elif self._waiting.may_be_displaced(waiter, loop.time()):
+                elif self._waiting.may_be_displaced(
+                    waiter, loop.time()
+                ) and not self._are_limits_used_up(job, waiter.software):
                     self._refuse_by_queue(job, waiter)
                 await self._wait_for_change()
         finally:
@@ -231,11 +233,15 @@
         patience = waiter.times.leaves_at - self._limits.work_seconds - now
         count = self._waiting.count_ahead_of(waiter, now)
         self._shared.refuse_over_limit(job.service, DECODE_STAGES, count, patience, software)
-        if self._shared.limit_wait(job.service, DECODE_STAGES, software=software):
-            return  # The limits of all engines are used up for now, whatever memory is free.
+        if self._are_limits_used_up(job, software):
+            return
         refuse_if_unreachable(self._shared, job, software)
         self._refuse_by_queue(job, waiter)
 
+    def _are_limits_used_up(self, job: Job, software: str) -> bool:
+        """Return whether the engines' limits allow no stream now, whatever memory is free."""
+        return bool(self._shared.limit_wait(job.service, DECODE_STAGES, software=software))
+
     def _refuse_by_queue(self, job: Job, waiter: WaitingStream) -> None:
         software, now = waiter.software, asyncio.get_running_loop().time()
         engines = engines_of_wait(self._decode_engines(job, software), self._waiting, software)
@@ -308,11 +314,9 @@
     async def _try_reserve(
         self, job: Job, memory: TokenMemory, waiter: WaitingStream
     ) -> Reservation | None:
-        need = waiter.need
-        loop = asyncio.get_running_loop()
-        usable = usable_tokens(memory)
+        need, loop = waiter.need, asyncio.get_running_loop()
+        usable, tried = usable_tokens(memory), set[str]()
         run = run_of(need, usable)
-        tried: set[str] = set()
         while True:
             candidates = [
                 engine
