Never shorten the hold of lower priorities

Cause: hold_lower replaced the time, so a hold until 100.5 became one until 100.05 after a later call. Change: the later of both times counts. Measured: the new test fails before and passes now.

--- a/pimentoquay/policy/priority_hold.py
+++ b/pimentoquay/policy/priority_hold.py
@@ -17,8 +17,11 @@
         self._until = float("-inf")
 
     def hold_lower(self, highest: int, until: float) -> None:
-        """Hold new streams of priorities below the highest until a time, in seconds."""
-        self._highest, self._until = highest, until
+        """Hold new streams of priorities below the highest until a time, in seconds.
+
+        A hold that is in force is never shortened: a stall may follow the start of a coordinator.
+        """
+        self._highest, self._until = highest, max(until, self._until)
 
     def is_held(self, stream: Classed, now: float) -> bool:
         """Return whether a stream may not be placed yet; it is not refused meanwhile either."""
--- a/pimentoquay/policy/tests/test_service_order.py
+++ b/pimentoquay/policy/tests/test_service_order.py
@@ -150,6 +150,16 @@
     assert placed is not None and placed[0] == ("a", "low")
 
 
+def test_a_later_hold_does_not_shorten_an_earlier_one():
+    """The hold of a stall ended that of the start, before the other streams were known."""
+    pool = PoolPlacement("hall", 100.0)
+    pool.hold_lower(0, 100.5)
+    pool.hold_lower(0, 100.05)
+    pool.request(("a", "low"), need(2, arrived_at=100.0), 100.0)
+    assert pool.place_next(ENGINES, USABLE, 100.4) is None
+    assert pool.place_next(ENGINES, USABLE, 100.5) is not None
+
+
 def test_a_coordinator_displaces_nothing_before_all_gateways_have_reported():
     """What engines hold is not known until then, so memory seemed never to come free."""
     pool = PoolPlacement("hall", 0.0)
