Count a stream once though its engine refused the memory

Cause: a stream whose granted engine refuses the memory asks its coordinator again. It was then recorded as a new arrival, so refusals seemed to be demand, and the next grant was charged to its workspace and priority again. Change: need_of marks streams whose request names a full engine; PoolPlacement neither records nor charges these.

--- a/pimentoquay/gateway/stream_classes.py
+++ b/pimentoquay/gateway/stream_classes.py
@@ -117,4 +117,5 @@
         message.may_prefill_on_decode_engine,
         message.software,
         *service_class,
+        is_regrant=bool(message.full_engine),
     )
--- a/pimentoquay/policy/pool_placement.py
+++ b/pimentoquay/policy/pool_placement.py
@@ -28,7 +28,7 @@
     WaitDecision,
     decide_wait,
 )
-from pimentoquay.policy.stream_need import StreamNeed
+from pimentoquay.policy.stream_need import Grant, StreamNeed
 from pimentoquay.policy.stream_queue import engines_of_wait, parts_ahead, tokens_ahead
 from pimentoquay.policy.token_ledger import TokenLedger
 from pimentoquay.policy.version_choice import may_run
@@ -61,25 +61,11 @@
 """VM of a stream's gateway and the key of its request."""
 
 
-@dataclass(frozen=True)
-class Grant:
-    """Engines that were granted to a stream.
-
-    ``prefill_engine`` is empty if the gateway is to decide on the prefill.
-    """
-
-    number: int
-    engine: str
-    prefill_engine: str
-    prompt: int
-    ledger_key: int
-    granted_at: float
-
-
 @dataclass(frozen=True)
 class _Waiting:
     stream: StreamNeed
     repeated_at: float
+    is_regrant: bool
 
 
 class PoolPlacement:
@@ -140,8 +126,9 @@
     def request(self, key: StreamKey, stream: StreamNeed, now: float) -> bool:
         """Let a stream wait; return whether it is new. One that waits already keeps its place."""
         known = self._waiting_by_key.get(key)
-        self._waiting_by_key[key] = _Waiting(stream, now)
-        if known is None:
+        is_regrant = known.is_regrant if known is not None else stream.is_regrant
+        self._waiting_by_key[key] = _Waiting(stream, now, is_regrant)
+        if known is None and not is_regrant:
             self._order.record_arrival(stream, now)
         if known is None or known.stream.service_class != stream.service_class:
             self._order.add(key, stream)
@@ -288,8 +275,12 @@
         self, key: StreamKey, engine: EngineEntry, prefill_engine: EngineEntry | None, now: float
     ) -> Grant:
         """Grant engines to a waiting stream."""
-        stream = self._waiting_by_key.pop(key).stream
-        self._order.serve(key, stream)
+        waiting = self._waiting_by_key.pop(key)
+        stream = waiting.stream
+        if waiting.is_regrant:
+            self._order.remove(key)
+        else:
+            self._order.serve(key, stream)
         self._next_number += 1
         ledger_key = self.ledger.take(engine.id, stream.run, now)
         if prefill_engine is not None:
--- a/pimentoquay/policy/stream_need.py
+++ b/pimentoquay/policy/stream_need.py
@@ -1,11 +1,26 @@
-"""What a coordinator knows of a stream that is to be placed in its pool."""
+"""What a coordinator knows of a stream that is to be placed in its pool, and what it grants."""
 
 from dataclasses import dataclass
 
 from pimentoquay.policy.memory_forecast import GrowingRun
 from pimentoquay.policy.stream_admission import StreamTimes
 
-__all__ = ["StreamNeed"]
+__all__ = ["Grant", "StreamNeed"]
+
+
+@dataclass(frozen=True)
+class Grant:
+    """Engines that were granted to a stream.
+
+    ``prefill_engine`` is empty if the gateway is to decide on the prefill.
+    """
+
+    number: int
+    engine: str
+    prefill_engine: str
+    prompt: int
+    ledger_key: int
+    granted_at: float
 
 
 @dataclass(frozen=True)
@@ -13,7 +28,8 @@
     """A stream to be placed; ``need`` is the memory in tokens by which it counts while it waits.
 
     ``software`` is the version that began it, or empty if none has. Priority 0 is the highest;
-    ``workspace`` is empty if the configuration has none.
+    ``workspace`` is empty if the configuration has none. ``is_regrant`` tells that an engine
+    refused the memory of its grant: it was counted and charged before, and is no new demand.
     """
 
     run: GrowingRun
@@ -24,6 +40,7 @@
     software: str = ""
     priority: int = 0
     workspace: str = ""
+    is_regrant: bool = False
 
     @property
     def tokens(self) -> int:
