Measure long pauses as a share of the time of all streams

Cause: only gateways with long pauses report, so MAX_LATE_SHARE was a share of their time alone: one pause of 0.4 s a second among twelve streams marked an engine as slow. Change: receivers add one second for each stream on the engine and second that no report has told. That time is counted once, however many gateways report; max(seconds, streams) for each report would hide an engine that is late for one stream at each of twelve gateways.

--- a/pimentoquay/gateway/pause_reports.py
+++ b/pimentoquay/gateway/pause_reports.py
@@ -91,9 +91,9 @@
         self, engine: EngineEntry, key: PoolKey | None, seconds: float, late_seconds: float
     ) -> None:
         now, pauses = self._node.timers.now(), self._shared.pauses
-        fill = self._fill(engine, key, now)
+        fill, streams = self._use(engine, key, now)
         kept = pauses.keeps(engine.start, fill, now)
-        pauses.record(engine.start, fill, seconds, late_seconds, now)
+        pauses.record(engine.start, fill, seconds, late_seconds, now, streams)
         if kept and not pauses.keeps(engine.start, fill, now):
             logger.bind(
                 engine=engine.id,
@@ -102,16 +102,19 @@
                 late_seconds=f"{late_seconds:.2f}",
             ).info("engine is too slow for its streams")
 
-    def _fill(self, engine: EngineEntry, key: PoolKey | None, now: float) -> float:
-        """Return the share of an engine's usable memory that is in use."""
+    def _use(self, engine: EngineEntry, key: PoolKey | None, now: float) -> tuple[float, int]:
+        """Return the share of an engine's usable memory that is in use, and by how many streams.
+
+        The number is 0 if it is not known.
+        """
         configuration = self._shared.fleet.configuration
         service = configuration.service_by_name.get(engine.service) if configuration else None
         memory = service.memory if service is not None else None
         if memory is None:
-            return 1.0
+            return 1.0, 0
         ledger = self._coordinator.ledger_of(key) if key is not None else None
-        held = (ledger or self._shared.run_ledger).held(engine.id, now)
-        return held / max(1, usable_tokens(memory))
+        runs = (ledger or self._shared.run_ledger).runs_at(engine.id, now)
+        return sum(each.tokens for each in runs) / max(1, usable_tokens(memory)), len(runs)
 
     def _report(self) -> None:
         self._is_report_due = False
--- a/pimentoquay/policy/decode_pauses.py
+++ b/pimentoquay/policy/decode_pauses.py
@@ -32,6 +32,9 @@
 MAX_REPORT_SECONDS = 20.0
 """Maximum weight of one report, which is more than all streams of an engine take in a second."""
 
+MAX_ELAPSED_SECONDS = 1.0
+"""Maximum time of each stream that is added for a report: the time in which gateways add up."""
+
 MAX_STARTS = 8192
 """Maximum number of starts of engines that are kept; 2,800 engines are designed for."""
 
@@ -62,6 +65,25 @@
         return weight * self.late_seconds > MAX_LATE_SHARE * (weight * self.seconds + PRIOR_SECONDS)
 
 
+@dataclass
+class _StreamTime:
+    """Time of an engine's streams that is counted, and the part that no report has told yet.
+
+    Only gateways that saw long pauses report, so the time of the other streams is added here.
+    """
+
+    counted_at: float = float("-inf")
+    untold: float = 0.0
+
+    def count(self, seconds: float, late_seconds: float, streams: int, now: float) -> float:
+        """Return the seconds to be added for a report, where a number of streams are known."""
+        elapsed = min(MAX_ELAPSED_SECONDS, max(0.0, now - self.counted_at))
+        added = max(streams * elapsed, seconds - self.untold, late_seconds)
+        self.untold = min(streams * MAX_ELAPSED_SECONDS, self.untold + added - seconds)
+        self.counted_at = now
+        return added
+
+
 class DecodePauses:
     """Long pauses of streams by start of an engine and by the share of its memory in use.
 
@@ -75,9 +97,16 @@
 
     def __init__(self) -> None:
         self._parts_by_start: dict[EngineStart, dict[int, _Part]] = {}
+        self._time_by_start: dict[EngineStart, _StreamTime] = {}
 
     def record(
-        self, start: EngineStart, fill: float, seconds: float, late_seconds: float, now: float
+        self,
+        start: EngineStart,
+        fill: float,
+        seconds: float,
+        late_seconds: float,
+        now: float,
+        streams: int = 0,
     ) -> None:
         """Add the time of streams on an engine, and the part of it in pauses that are too long.
 
@@ -90,16 +119,22 @@
         fill
             Share of its usable memory that was in use.
         seconds, late_seconds
-            Time of all its streams, and the part of it in long pauses.
+            Time of its streams at one gateway, and the part of it in long pauses.
         now
             Current time in seconds.
+        streams
+            Number of its streams at all gateways, or 0 if it is not known.
         """
         if not 0.0 <= late_seconds <= seconds < float("inf") or seconds == 0.0:
             return
-        scale = min(1.0, MAX_REPORT_SECONDS / seconds)
         if start not in self._parts_by_start and len(self._parts_by_start) >= MAX_STARTS:
             self._forget(now)
         parts = self._parts_by_start.setdefault(start, {})
+        time = self._time_by_start.setdefault(start, _StreamTime())
+        seconds = time.count(seconds, late_seconds, streams, now)
+        if seconds == 0.0:
+            return
+        scale = min(1.0, MAX_REPORT_SECONDS / seconds)
         part = parts.setdefault(_bin_of(fill), _Part())
         part.add(scale * seconds, scale * late_seconds, now)
 
@@ -125,9 +160,13 @@
         """Forget engines without new pauses, or else the one that is known for longest."""
         for start, parts in tuple(self._parts_by_start.items()):
             if all(now - part.updated_at > FORGET_SECONDS for part in parts.values()):
-                del self._parts_by_start[start]
+                self._remove(start)
         if len(self._parts_by_start) >= MAX_STARTS:
-            del self._parts_by_start[next(iter(self._parts_by_start))]
+            self._remove(next(iter(self._parts_by_start)))
+
+    def _remove(self, start: EngineStart) -> None:
+        del self._parts_by_start[start]
+        del self._time_by_start[start]
 
 
 def _bin_of(fill: float) -> int:
--- a/pimentoquay/policy/tests/test_decode_pauses.py
+++ b/pimentoquay/policy/tests/test_decode_pauses.py
@@ -137,6 +137,26 @@
     assert pauses.keeps(START, 0.5, 40.0)
 
 
+def test_pauses_of_one_stream_do_not_make_an_engine_of_twelve_slow():
+    """Only gateways with long pauses report, so theirs were a share of their own time alone."""
+    pauses, alone = DecodePauses(), DecodePauses()
+    for second in range(20):
+        pauses.record(START, 0.5, 1.0, 0.4, float(second), streams=12)
+        alone.record(START, 0.5, 1.0, 0.4, float(second), streams=1)
+        assert pauses.keeps(START, 0.5, float(second))
+    assert not alone.keeps(START, 0.5, 19.0)
+
+
+@pytest.mark.parametrize("spread", [0.0, 1 / 12])
+def test_an_engine_is_slow_if_all_its_streams_are_late_at_many_gateways(spread):
+    """The time of all streams counts once, not for each gateway that reports."""
+    pauses = DecodePauses()
+    for second in range(5):
+        for gateway in range(12):
+            pauses.record(START, 0.5, 1.0, 0.4, second + gateway * spread, streams=12)
+    assert not pauses.keeps(START, 0.5, 5.0)
+
+
 @pytest.mark.parametrize(
     ("seconds", "late_seconds"),
     [(0.0, 0.0), (-1.0, -2.0), (1.0, 2.0), (float("inf"), 1.0), (float("inf"), float("inf"))],
