Tell other gateways only the configuration's highest priority as urgent

Cause: in a full mesh a gateway told its peers as urgent what waits of the highest priority that it had itself seen lately. One that saw only priority 2 announced that, and streams of priority 0 elsewhere yielded to it. Change: what is announced must also be of the highest priority that the configuration has. Who is served first at the gateway itself is as before: it has no guaranteed share while it sees one priority only, so its streams could starve if they yielded. Measured: the case of priorities 0 and 2 fails before and passes now.

--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -96,7 +96,7 @@
         self._limits = AdmissionLimits()
         self.continued_by_outcome: Counter[str] = Counter()
         self.class_counts = ClassCounts()
-        self._waiting = StreamQueue(self._limits)
+        self._waiting = StreamQueue(self._limits, lambda: shared.stream_priorities)
 
     @property
     def queued(self) -> QueuedTokens:
--- a/pimentoquay/policy/stream_queue.py
+++ b/pimentoquay/policy/stream_queue.py
@@ -1,12 +1,18 @@
 """The streams that wait for memory at one VM, and the order in which they get it."""
 
-from collections.abc import Collection, Iterable, Iterator, Sequence
+from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
 from dataclasses import dataclass, replace
 from typing import Protocol, TypeVar
 
 from pimentoquay.policy.fleet import EngineEntry
 from pimentoquay.policy.memory_forecast import MemoryNeed
-from pimentoquay.policy.service_order import Rank, ServiceOrder, Supply
+from pimentoquay.policy.service_order import (
+    MAX_PRIORITY,
+    Rank,
+    ServiceOrder,
+    Supply,
+    clamp_priority,
+)
 from pimentoquay.policy.stream_admission import (
     AdmissionLimits,
     QueuedTokens,
@@ -152,16 +158,22 @@
 
     Load pattern: bursts of more streams than the engines' memory allows, at many VMs. Each serves
     its own in order; late ones and those of lower priorities yield to those of other VMs that are
-    in time. VMs don't tell priorities, so they count as urgent only those of their highest.
+    in time. VMs don't tell priorities, so they count as urgent only those of their highest, and
+    tell others only those of the highest that the configuration has.
 
     Parameters
     ----------
     limits
         Limits of admission.
+    priorities
+        Returns the priorities of the configuration, the highest first; none if they are not known.
     """
 
-    def __init__(self, limits: AdmissionLimits) -> None:
+    def __init__(
+        self, limits: AdmissionLimits, priorities: Callable[[], Sequence[int]] = tuple
+    ) -> None:
         self._limits = limits
+        self._priorities = priorities
         self._streams: list[WaitingStream] = []
         self._order = ServiceOrder(limits)
 
@@ -195,7 +207,15 @@
         The urgent part is that of new streams. Late ones of other VMs yield to it, and would leave
         engines unused if they yielded to streams that wait for other engines.
         """
-        new = [each for each in self._streams if not each.software and self._is_first(each, now)]
+        # A VM that has seen only a lower priority must not let higher ones of others yield to it.
+        highest = next(iter(self._priorities()), MAX_PRIORITY)
+        new = [
+            each
+            for each in self._streams
+            if not each.software
+            and clamp_priority(each.priority) <= highest
+            and self._is_first(each, now)
+        ]
         return QueuedTokens(
             sum(each.tokens for each in self._streams), sum(each.tokens for each in new)
         )
--- a/pimentoquay/policy/tests/test_service_order.py
+++ b/pimentoquay/policy/tests/test_service_order.py
@@ -269,6 +269,15 @@
     assert there.may_be_displaced(low, now) and not there.may_be_displaced(high, now)
 
 
+@pytest.mark.parametrize(("priorities", "is_urgent"), [((0, 2), False), ((2,), True), ((), True)])
+def test_a_gateway_that_saw_only_a_lower_priority_does_not_tell_it_as_urgent(priorities, is_urgent):
+    """Late streams of the highest priority at other gateways yielded to it."""
+    queue, low = StreamQueue(LIMITS, lambda: priorities), waiting(2)
+    queue.record_arrival(low, 0.1)
+    queue.add(low)
+    assert queue.queued(0.1) == QueuedTokens(low.tokens, low.tokens if is_urgent else 0)
+
+
 def test_in_a_full_mesh_a_lower_priority_keeps_its_share():
     """It yielded to all that was urgent at other gateways, and something always was."""
     queue, now = StreamQueue(LIMITS), 0.0
