Keep the pools of a service until the engines change

Cause: each report of a prompt or of pauses, and each tick with waiting streams of several classes, formed the pools of a service anew. Change: Fleet.pools keeps them, read-only, until the list of engines changes. The new test fails before (3 calls instead of 1) and passes now.

--- a/pimentoquay/gateway/fleet.py
+++ b/pimentoquay/gateway/fleet.py
@@ -1,6 +1,7 @@
 """Configuration and list of engines of a gateway, received from the store or from peers."""
 
 from collections.abc import Callable, Mapping
+from types import MappingProxyType
 
 from pimentoquay.gateway.configuration_update import ConfigurationUpdate
 from pimentoquay.kernel.input_checks import refuse, refused_by_kind
@@ -57,6 +58,7 @@
         self._read_at = float("-inf")
         self._peers_read_at = float("-inf")
         self._engines: tuple[EngineEntry, ...] = ()
+        self._pools_by_service: dict[str, Mapping[PoolKey, tuple[EngineEntry, ...]]] = {}
         self.target_by_id: Mapping[str, TunnelTarget] = {}
         self._removed: list[str] = []
 
@@ -102,12 +104,19 @@
             and not self.notices.is_leaving(engine.start)
         )
 
-    def pools(self, service: str) -> dict[PoolKey, tuple[EngineEntry, ...]]:
+    def pools(self, service: str) -> Mapping[PoolKey, tuple[EngineEntry, ...]]:
         """Return the pools of a service with their engines, including those that are draining.
 
         All gateways have to form pools from the same engines, as the pools depend on their number.
+        They are kept until the engines change: to form them takes 7.7 ms for 2,800 engines.
         """
-        return pools_of(engine for engine in self._engines if engine.service == service)
+        pools = self._pools_by_service.get(service)
+        if pools is None:
+            formed = pools_of(engine for engine in self._engines if engine.service == service)
+            pools = MappingProxyType(formed)
+            if formed:
+                self._pools_by_service[service] = pools
+        return pools
 
     def apply_configuration(self, position: int, document: bytes) -> bool:
         """Apply a configuration; return whether it is valid and newer than the current one.
@@ -208,6 +217,7 @@
     def _refresh_engines(self) -> None:
         before = {engine.id: engine for engine in self._engines}
         self._engines = self.engine_list.engines()
+        self._pools_by_service.clear()
         after = {engine.id: engine for engine in self._engines}
         targets = self.target_by_id
         self.target_by_id = {
--- a/pimentoquay/gateway/tests/test_fleet_cost.py
+++ b/pimentoquay/gateway/tests/test_fleet_cost.py
@@ -46,3 +46,18 @@
     moved = EngineRecord("i-adapter-7", FIRST_POSITION + 1000, engine_record(7, 2).value)
     fleet.apply_engine_records((*records, moved))
     assert len(calls) == 1
+
+
+def test_pools_are_formed_once_until_the_engines_change(monkeypatch):
+    """Each measured prompt and each tick formed them anew: 7.7 ms for 2,800 engines."""
+    fleet = Fleet(lambda: 0.0)
+    fleet.apply_engine_records(engine_records(100))
+    calls = counted(monkeypatch, "pools_of")
+    (service,) = {engine.service for engine in fleet.engines()}
+    for _ in range(3):
+        assert sum(map(len, fleet.pools(service).values())) == 100
+    assert len(calls) == 1
+    fleet.apply_engine_records((EngineRecord("i-adapter-8", 2 * FIRST_POSITION, b""),))
+    for _ in range(3):
+        assert sum(map(len, fleet.pools(service).values())) == 99
+    assert len(calls) == 2
