--- a/pimentoquay/policy/tests/test_prefill_timeout.py
+++ b/pimentoquay/policy/tests/test_prefill_timeout.py
@@ -65,6 +65,8 @@
     assert before.sends > 2.0 * before.prompts
     assert now.sends <= 1.05 * now.prompts
     assert now.in_time == now.sends > before.in_time
+    # The queues may grow until prompts wait as long as their memory is held.
+    assert now.in_time >= 0.6 * now.prompts
 
 
 @pytest.mark.parametrize("load", [0.7, 1.0, 1.5])
