--- a/pimentoquay/gateway/tests/test_crowds_of_readers.py
+++ b/pimentoquay/gateway/tests/test_crowds_of_readers.py
@@ -15,6 +15,8 @@
 )
 from pimentoquay.gateway.tests.test_crowds import DESCRIPTORS, MEMORY_MB, check_after
 
+pytestmark = pytest.mark.alone
+
 BODY = b"x" * 50_000
 LENGTH = (b"Content-Length", str(len(BODY)).encode())
 REQUESTS = {
