Pass over an invalid priority of a route instead of the whole version

Cause: a priority of a wrong type or out of range made the decoder refuse the configuration, so none of its other changes took effect. It counts as not stated now, with a log line and a counter.

--- a/pimentoquay/kernel/input_checks.py
+++ b/pimentoquay/kernel/input_checks.py
@@ -22,6 +22,7 @@
     "describe",
     "refuse",
     "refused_by_kind",
+    "valid_or",
 ]
 
 Number = TypeVar("Number", int, float)
@@ -131,3 +132,24 @@
     """
     refused_by_kind[kind] += 1
     logger.bind(source=describe(source), error=str(error)).warning(f"invalid {kind} ignored")
+
+
+def valid_or(default: Value, value: Any, kind: str, source: object) -> Value:
+    """Return a value of the type of a default, not below zero if it is a number.
+
+    The default takes the place of a missing value, and of an invalid one, which is refused.
+
+    Parameters
+    ----------
+    default, value
+        The default, and the value or None.
+    kind, source
+        As for ``refuse``.
+    """
+    if value is None:
+        return default
+    try:
+        return check_value(value, type(default), 0)
+    except ValueError as error:
+        refuse(kind, source, error)
+        return default
--- a/pimentoquay/platform/configuration.py
+++ b/pimentoquay/platform/configuration.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from pimentoquay.http1 import ServerLimits
+from pimentoquay.kernel.input_checks import valid_or
 from pimentoquay.platform.fields import DecodeError, optional, parse_json, read_seconds, required
 from pimentoquay.platform.workspaces import WorkspaceDecoder
 from pimentoquay.policy.fleet import (
@@ -86,7 +87,7 @@
         target_seconds=read_seconds(item, "targetLatencyMs"),
         shares=_shares(item),
         max_engines=optional(item, "maxAttempts", int, 1),
-        rank=optional(item, "priority", int, 0),
+        rank=valid_or(0, item.get("priority"), "priority of a route", item.get("name")),
         is_resumable=optional(item, "resumable", bool, False),
         # Set on routes whose requests state a model, token counts and prompt parts.
         has_model_requests=optional(item, "stickySessions", bool, False),
