--- a/pimentoquay/gateway/allowance_client.py
+++ b/pimentoquay/gateway/allowance_client.py
@@ -110,9 +110,7 @@
         allowance = job.workspace.allowance if job.workspace is not None else None
         if allowance is None or allowance.per_second <= 0.0:
             return AllowanceTicket()
-        model = job.caller.model
-        tokens = model.prompt_tokens + model.max_output_tokens if model is not None else None
-        units = allowance.units(tokens)
+        units = allowance.units(job.caller.total_tokens)
         if units <= 0.0:
             return AllowanceTicket()
         self._record_need()
--- a/pimentoquay/platform/requests.py
+++ b/pimentoquay/platform/requests.py
@@ -55,7 +55,8 @@
     ``timeout_seconds`` is the time that the caller waits, ``last_event`` the id of the last event
     that it received before it resumed a stream; both are None if not stated. ``resumes`` is the id
     of the request that brought the first event of that stream, or empty. ``key`` is the caller's
-    key, or None if it sent none; no representation shows it.
+    key, or None if it sent none; no representation shows it. ``total_tokens`` is the sum of the
+    token counts by which allowances are counted, or None if none are stated.
     """
 
     id: str
@@ -66,6 +67,7 @@
     headers: HeaderList = field(repr=False)
     resumes: str = ""
     key: bytes | None = field(default=None, repr=False)
+    total_tokens: int | None = None
 
 
 @dataclass(frozen=True)
@@ -88,15 +90,17 @@
 
 def parse_request(headers: HeaderList) -> CallerRequest:
     """Decode a request's headers; invalid values count as missing."""
+    counts = _token_counts(headers)
     return CallerRequest(
         id=_text(find_header(headers, _REQUEST_ID)),
         host=_text(find_header(headers, b"host")).partition(":")[0].lower(),
         timeout_seconds=_seconds_from_ms(find_header(headers, _DEADLINE)),
-        model=_model_request(headers),
+        model=_model_request(headers, counts),
         last_event=_integer(find_header(headers, _LAST_EVENT)),
         headers=headers,
         resumes=_text(find_header(headers, _RESUMES)),
         key=_key(headers),
+        total_tokens=sum(counts) if counts else None,
     )
 
 
@@ -142,16 +146,18 @@
     return (b"Retry-After", f"{seconds:.3f}".encode())
 
 
-def _model_request(headers: HeaderList) -> ModelRequest | None:
+def _token_counts(headers: HeaderList) -> list[int] | None:
+    texts = (find_header(headers, _TOKEN_COUNTS) or b"").split(b",")
+    counts = [each for each in map(_integer, texts) if each is not None]
+    return counts if len(counts) == len(texts) == 2 else None
+
+
+def _model_request(headers: HeaderList, counts: list[int] | None) -> ModelRequest | None:
     model = find_header(headers, _MODEL)
-    counts = (find_header(headers, _TOKEN_COUNTS) or b"").split(b",")
-    if model is None or len(counts) != 2:
-        return None
-    prompt, output = _integer(counts[0]), _integer(counts[1])
-    if prompt is None or output is None:
+    if model is None or counts is None:
         return None
     hint = _integer(find_header(headers, _LENGTH_HINT)) or 0
-    return ModelRequest(_text(model), prompt, output, hint, _shared_parts(headers))
+    return ModelRequest(_text(model), counts[0], counts[1], hint, _shared_parts(headers))
 
 
 def _shared_parts(headers: HeaderList) -> tuple[str, ...]:
--- a/pimentoquay/platform/tests/test_decoding.py
+++ b/pimentoquay/platform/tests/test_decoding.py
@@ -192,3 +192,11 @@
     assert not parse_notice("i-1", 200, ()).names_limit
     other = ((b"Server-Limit", b"2"), (b"Pimentoquay-Instance-Id", b"i-2"))
     assert not parse_notice("i-1", 200, other).names_limit
+
+
+def test_token_counts_are_known_without_a_model():
+    """Such requests were counted as calls without token counts against their allowance."""
+    counted = parse_request(((b"Pimentoquay-Token-Counts", b"100,20"),))
+    assert counted.model is None and counted.total_tokens == 120
+    for text in (b"", b"100", b"100,", b"100,20,3", b"a,b"):
+        assert parse_request(((b"Pimentoquay-Token-Counts", text),)).total_tokens is None
--- a/pimentoquay/policy/fleet.py
+++ b/pimentoquay/policy/fleet.py
@@ -209,8 +209,3 @@
     max_output_tokens: int
     expected_output: int = 0
     shared_parts: tuple[str, ...] = ()
-
-    @property
-    def total_tokens(self) -> int:
-        """Tokens of the prompt and the most of the output, by which allowances are counted."""
-        return self.prompt_tokens + self.max_output_tokens
