--- a/pimentoquay/gateway/dispatcher.py
+++ b/pimentoquay/gateway/dispatcher.py
@@ -75,17 +75,11 @@
         self.is_draining = True
         self._stop.begin(times)
 
-    def head_refusal(self, request: HttpRequest) -> ResultCode | None:
-        """Return the code with which a request is refused by its head alone, or None.
-
-        It depends on nothing but the head and the configuration in force; the body may be missing.
-        """
-        return self._decide(request).code
-
     def refuse_head(self, request: HttpRequest) -> HeadRefusal | None:
-        """Return the refusal of a request by its head, or None.
+        """Return the refusal of a request by its head, or None; the body may be missing.
 
-        The refusal is counted and logged, so the caller of this method has to send it.
+        It depends on nothing but the head and the configuration in force. The refusal is counted
+        and logged, so the caller of this method has to send it.
         """
         decision = self._decide(request)
         return None if decision.code is None else HeadRefusal(*self._record_refusal(decision))
--- a/pimentoquay/gateway/tests/test_workspaces.py
+++ b/pimentoquay/gateway/tests/test_workspaces.py
@@ -21,7 +21,6 @@
     workspace_rig,
 )
 from pimentoquay.http1 import HeadRefusal
-from pimentoquay.kernel import ResultCode
 from pimentoquay.standin.platform_engine import Behaviour, PlatformEngine
 from pimentoquay.standin.virtual_links import Cut
 
@@ -199,11 +198,11 @@
         handle, refuse_head = server.handler, server.refuse_head
 
         def record_head(request):
-            seen.append((dispatcher.head_refusal(request), request))
-            return refuse_head(request)
+            seen.append((refuse_head(request), request))
+            return seen[-1][0]
 
         async def record(request, reply):
-            handled.append(dispatcher.head_refusal(request))
+            handled.append(dispatcher.refuse_head(request))
             await handle(request, reply)
 
         server.refuse_head, server.handler = record_head, record
@@ -212,15 +211,16 @@
             for path, key in (("/nowhere/a", KEY), ("/look/a", None), ("/look/a", KEY))
         ]
         assert statuses == [404, 401, 200]
-        unauthenticated = ResultCode.UNAUTHENTICATED
-        assert [code for code, _ in seen] == [ResultCode.NOT_FOUND, unauthenticated, None]
+        refused = [HeadRefusal(404, ()), HeadRefusal(401, ()), None]
+        assert [refusal for refusal, _ in seen] == refused
         assert handled == [None]
         before = refusals(env)
         assert refuse_head(seen[1][1]) == HeadRefusal(401, ())
         assert refusals(env) == {"key missing": before["key missing"] + 1}
         assert dispatcher.refuse_head(seen[2][1]) is None
         gateway.fleet.route_table = None
-        assert dispatcher.head_refusal(seen[2][1]) is ResultCode.NOT_READY
+        not_ready = dispatcher.refuse_head(seen[2][1])
+        assert not_ready.status == 503 and not_ready.headers[0][0] == b"Retry-After"
 
 
 async def test_a_gateway_that_knows_no_configuration_answers_503_whatever_the_key():
