--- a/pimentoquay/http1/caller_reading.py
+++ b/pimentoquay/http1/caller_reading.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from abc import ABC, abstractmethod
 from typing import Any
 
 from pimentoquay.http1.request_body import RequestBody
@@ -26,7 +27,7 @@
 """Buffer into which all connections are read in turn."""
 
 
-class CallerReading(asyncio.BufferedProtocol):
+class CallerReading(asyncio.BufferedProtocol, ABC):
     """Base of a connection whose reading pauses while much is unread, or while it has no room.
 
     Without a budget, each connection has room for all that its limits allow.
@@ -50,13 +51,13 @@
         """Whether the connection has been closed, mostly by the caller."""
         return bool(self._transport.is_closing())
 
+    @abstractmethod
     def refuse_for_room(self, is_stalled: bool, detail: str) -> None:
         """End the connection, whose room is needed or which gets none."""
-        raise NotImplementedError
 
+    @abstractmethod
     def end_for_others(self) -> None:
         """Close the connection at once, as its descriptor is needed."""
-        raise NotImplementedError
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer into which the next bytes are read."""
