--- a/pimentoquay/http1/client_connection.py
+++ b/pimentoquay/http1/client_connection.py
@@ -27,7 +27,7 @@
 __all__ = ["ClientConnection", "ExchangeWatch", "ReusePolicy"]
 
 MAX_RESPONSE_HEADER_BYTES = 48 * 1024
-"""Maximum size of the status line and headers of a response, in bytes: three times that of requests.
+"""Maximum size of the status line and headers of a response, in bytes; requests may have 16 KB.
 
 With 64 KB, twenty connections to engines that send without end took more than the 2 MB allowed.
 """
