--- a/review/common-2/rig2.py
+++ b/review/common-2/rig2.py
@@ -6,10 +6,12 @@
 
 import asyncio
 import contextlib
+import ctypes
 import json
 import os
 import random
 import shlex
+import shutil
 import signal
 import socket
 import subprocess
@@ -94,6 +96,15 @@
         return [sock.getsockname()[1] for sock in socks]
 
 
+_libc = ctypes.CDLL(None)
+_SET_PARENT_DEATH_SIGNAL = 1
+
+
+def _end_with_parent():
+    """Let the system kill a process when the one that started it ends."""
+    _libc.prctl(_SET_PARENT_DEATH_SIGNAL, signal.SIGKILL)
+
+
 class Gateway:
     """A machine with one process of the deploy file's command."""
 
@@ -150,8 +161,9 @@
         }  # fmt: skip
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                command, cwd=ROOT, env=environment, stdin=subprocess.DEVNULL, stdout=log, stderr=log
-            )
+                command, cwd=ROOT, env=environment, stdin=subprocess.DEVNULL, stdout=log,
+                stderr=log, preexec_fn=_end_with_parent,
+            )  # fmt: skip
         self.starts += 1
 
     @property
@@ -226,6 +238,7 @@
         for engine in self.engines:
             await engine.close()
         await self.store.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     async def configure(self, **more):
         self.version += 1
