--- a/review/host_in_connection.py
+++ b/review/host_in_connection.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER / "common-2"))
+sys.path.insert(0, str(FOLDER))
 
 from rig2 import (  # noqa: E402
     BROKEN,
--- a/review/common-2/rig2.py
+++ b/review/rig2.py
@@ -21,7 +21,7 @@
 import tomllib
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 for place in (ROOT / "target" / "deps", ROOT):
     sys.path.insert(0, str(place))
 
