Log and count requests that reach no route and get no answer

Change: 'request not answered' with its reason, and pimentoquay_gateway_requests_unanswered_total. The timeouts of callers' connections move to a module of their own, unchanged. Measured: tests of http1, ctl and the metrics pass.

--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -13,6 +13,7 @@
     ALLOWANCES_UNDECIDED,
     CONNECTIONS_ENDED,
     REFUSED_OVER_ALLOWANCE,
+    REQUESTS_UNANSWERED,
     STREAMS_PLACED,
     STREAMS_REFUSED,
     WORKSPACES_COUNTED,
@@ -351,6 +352,9 @@
     }
     metrics.value_by_gauge |= process.value_by_gauge()
     metrics.values_by_counter[CONNECTIONS_ENDED] = lambda: process.callers.ended_by_reason
+    metrics.values_by_counter[REQUESTS_UNANSWERED] = (
+        lambda: caller_server.unanswered.count_by_reason
+    )
     metrics_server = own_port_server(metrics.handle, turns)
     return Gateway(
         settings,
--- a/pimentoquay/gateway/load_metrics.py
+++ b/pimentoquay/gateway/load_metrics.py
@@ -13,6 +13,7 @@
     "ENGINES_TOO_SLOW",
     "PREFILLS_TIMED_OUT",
     "REFUSED_OVER_ALLOWANCE",
+    "REQUESTS_UNANSWERED",
     "RESIDENT_BYTES",
     "SPEED_CHANGES",
     "STREAMS_PLACED",
@@ -124,3 +125,12 @@
     "`no progress`, and at the limit of connections `idle` or `refused` (the new one)",
     ("reason",),
 )
+
+REQUESTS_UNANSWERED = Metric(
+    "pimentoquay_gateway_requests_unanswered_total",
+    "counter",
+    "requests that got no answer and were not routed, by reason: `lost` if the connection ended"
+    " while they were read, or `after_idle`, `after_drain` and `after_last_answer` if they arrived"
+    " on a connection that the gateway had closed",
+    ("reason",),
+)
--- /dev/null
+++ b/pimentoquay/http1/caller_timeouts.py
@@ -0,0 +1,83 @@
+"""Timeouts of a caller's connection: of heads, of bodies and of idle time."""
+
+import asyncio
+from abc import abstractmethod
+from typing import TYPE_CHECKING
+
+import h11
+
+from pimentoquay.http1.caller_reading import CallerReading
+from pimentoquay.http1.headers import HeaderList
+from pimentoquay.http1.unanswered import CloseCause
+
+if TYPE_CHECKING:
+    from pimentoquay.http1.server import HttpServer
+
+__all__ = ["CallerTimeouts"]
+
+CHECK_SECONDS = 1.0
+"""Interval at which the timeouts of a connection are checked."""
+
+
+class CallerTimeouts(CallerReading):
+    """Base of a connection that is closed when its caller sends nothing for too long.
+
+    Times are those of the event loop, in seconds.
+    """
+
+    def __init__(self, server: "HttpServer") -> None:
+        super().__init__(server.room)
+        self.server = server
+        self._limits = server.limits()
+        self._task: asyncio.Task[None] | None = None
+        self._request: h11.Request | None = None
+        self._has_turn = False
+        self._turn_at = -float("inf")
+        self._first_byte_at: float | None = None
+        self._last_activity_at = self._loop.time()
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    @abstractmethod
+    def _waits_to_send(self) -> bool:
+        """Whether the next request has to wait until the caller has read more."""
+
+    @abstractmethod
+    def _reject(self, status: int, detail: str, headers: HeaderList = ()) -> None:
+        """Refuse what is being read, and close the connection."""
+
+    @abstractmethod
+    def _close_gracefully(self, cause: CloseCause) -> None:
+        """Close the connection so that the last response is not lost."""
+
+    def _schedule_timeout_check(self) -> None:
+        self._timer = self._loop.call_later(CHECK_SECONDS, self._check_timeouts)
+
+    def _check_timeouts(self) -> None:
+        self._schedule_timeout_check()
+        self._update_reading()  # What was unsent may have been sent meanwhile.
+        if self._task is not None or self._closing or self._waits_for_room:
+            return
+        now = self._loop.time()
+        if self._request is not None and now - (self._first_byte_at or now) > self._patience:
+            self._reject(408, "the body did not arrive while its caller waits")
+            return
+        if self._has_turn:
+            return
+        limits = self.server.limits()
+        idle_seconds = max(self._limits.idle_seconds, limits.idle_seconds)
+        has_partial_request = self._first_byte_at is not None and not self._waits_to_send
+        if has_partial_request and self._request is None:
+            if now - max(self._first_byte_at or now, self._turn_at) > limits.header_seconds:
+                self._reject(408, "the headers did not arrive in time")
+        elif now - max(self._last_activity_at, self._turn_at) > idle_seconds:
+            if has_partial_request:
+                self._reject(408, "the body did not arrive in time")
+            else:
+                self._close_gracefully(CloseCause.IDLE)
+
+    @property
+    def _patience(self) -> float:
+        """Time in seconds that the caller waits for its answer, as its request says."""
+        assert self._request is not None
+        return self.server.patience(tuple(self._request.headers.raw_items()))
--- a/pimentoquay/http1/server.py
+++ b/pimentoquay/http1/server.py
@@ -15,6 +15,7 @@
 from pimentoquay.http1.request import HeadRefusal, HttpRequest
 from pimentoquay.http1.room import RoomBudget, RoomKeeper
 from pimentoquay.http1.server_connection import ServerConnection
+from pimentoquay.http1.unanswered import UnansweredRequests
 from pimentoquay.kernel.turns import TurnQueue
 
 __all__ = ["HttpServer", "Reply", "ServerLimits"]
@@ -80,6 +81,7 @@
         self.refuse_head = refuse_head
         self.draining = False
         self.connections: set[ServerConnection] = set()
+        self.unanswered = UnansweredRequests()
         self._server: asyncio.Server | None = None
 
     @property
--- a/pimentoquay/http1/server_connection.py
+++ b/pimentoquay/http1/server_connection.py
@@ -7,12 +7,13 @@
 
 import h11
 
-from pimentoquay.http1.caller_reading import CallerReading
+from pimentoquay.http1.caller_timeouts import CallerTimeouts
 from pimentoquay.http1.headers import HeaderList, find_headers, has_single_length
 from pimentoquay.http1.reply import Reply
 from pimentoquay.http1.request import HeadRefusal, HttpRequest, request_of
 from pimentoquay.http1.request_body import RequestBody
 from pimentoquay.http1.system_state import close_when_sent, reset_on_close, unsent_bytes
+from pimentoquay.http1.unanswered import CloseCause
 from pimentoquay.kernel.logs import logger
 from pimentoquay.kernel.turns import ITEMS_PER_TURN
 
@@ -45,7 +46,7 @@
 NO_ROOM_HEADERS = ((b"Retry-After", b"1"),)
 
 
-class ServerConnection(CallerReading):
+class ServerConnection(CallerTimeouts):
     """One connection of a caller, which serves one request at a time.
 
     Received bytes wait in a buffer of bounded size. Few items, such as chunks, are handled as soon
@@ -54,22 +55,14 @@
     """
 
     def __init__(self, server: "HttpServer") -> None:
-        super().__init__(server.room)
-        self.server = server
+        super().__init__(server)
         self.writable = asyncio.Event()
         self.writable.set()
-        self._limits = server.limits()
         self._http = h11.Connection(h11.SERVER, self._limits.header_bytes)
-        self._task: asyncio.Task[None] | None = None
-        self._request: h11.Request | None = None
-        self._has_turn = False
-        self._turn_at = -math.inf
-        self._first_byte_at: float | None = None
-        self._last_activity_at = self._loop.time()
-        self._timer: asyncio.TimerHandle | None = None
         self._expires_at = math.inf
         self._refusal: HeadRefusal | None = None
         self._is_new = True
+        self._closed: tuple[CloseCause, float] | None = None
 
     @property
     def is_busy(self) -> bool:
@@ -94,6 +87,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the task of the request."""
         self.server.connections.discard(self)
+        if self._task is None and self._first_byte_at is not None and not self._closing:
+            self.server.unanswered.record("lost", error=repr(exc))
         self._closing = True
         self._drop_unread()
         self._close_account()
@@ -124,6 +119,7 @@
         """Handle the bytes that were read into the buffer."""
         self._last_activity_at = self._loop.time()
         if self._closing:
+            self._record_dropped(nbytes)
             return
         if self._first_byte_at is None and self._task is None:
             self._begin_request()
@@ -154,7 +150,7 @@
     def close_if_idle(self) -> None:
         """Close the connection if no request has begun."""
         if self._task is None and self._request is None and self._first_byte_at is None:
-            self._close_gracefully()
+            self._close_gracefully(CloseCause.DRAIN)
 
     @property
     def _waits_to_send(self) -> bool:
@@ -317,7 +313,7 @@
                 self._begin_request()
                 self._plan_turn()
         else:
-            self._close_gracefully()
+            self._close_gracefully(CloseCause.LAST_ANSWER)
 
     def resume_for_room(self) -> None:
         """Read on, as there is room for what comes next."""
@@ -342,6 +338,13 @@
                 self._reject(503, "too many connections", NO_ROOM_HEADERS)
             self._transport.close()
 
+    def _record_dropped(self, count: int) -> None:
+        """Record the first bytes that arrive after the close; the rest of a refusal is expected."""
+        closed, self._closed = self._closed, None
+        if closed is not None and closed[0] is not CloseCause.REJECTED:
+            seconds = f"{self._loop.time() - closed[1]:.3f}"
+            self.server.unanswered.record(f"after_{closed[0].value}", bytes=count, seconds=seconds)
+
     def _begin_request(self) -> None:
         self._first_byte_at = self._loop.time()
         self._begin_account()
@@ -352,48 +355,17 @@
             headers = (*headers, (b"Content-Length", b"0"), (b"Connection", b"close"))
             self.emit(h11.Response(status_code=status, headers=list(headers)))
             self.emit(h11.EndOfMessage())
-        self._close_gracefully()
+        self._close_gracefully(CloseCause.REJECTED)
 
-    def _close_gracefully(self) -> None:
+    def _close_gracefully(self, cause: CloseCause) -> None:
         """Close for writing, but read for a while so that the last response is not lost."""
         if self._closing:
             return
         self._closing = True
+        self._closed = (cause, self._loop.time())
         self._drop_unread()
         self._end_account()
         if self._transport.can_write_eof() and not self._transport.is_closing():
             with contextlib.suppress(OSError):  # A reset that has not been read yet.
                 self._transport.write_eof()
         self._loop.call_later(LINGER_SECONDS, close_when_sent, self._transport, self._expires_at)
-
-    def _schedule_timeout_check(self) -> None:
-        self._timer = self._loop.call_later(1.0, self._check_timeouts)
-
-    def _check_timeouts(self) -> None:
-        self._schedule_timeout_check()
-        self._update_reading()  # What was unsent may have been sent meanwhile.
-        if self._task is not None or self._closing or self._waits_for_room:
-            return
-        now = self._loop.time()
-        if self._request is not None and now - (self._first_byte_at or now) > self._patience:
-            self._reject(408, "the body did not arrive while its caller waits")
-            return
-        if self._has_turn:
-            return
-        limits = self.server.limits()
-        idle_seconds = max(self._limits.idle_seconds, limits.idle_seconds)
-        has_partial_request = self._first_byte_at is not None and not self._waits_to_send
-        if has_partial_request and self._request is None:
-            if now - max(self._first_byte_at or now, self._turn_at) > limits.header_seconds:
-                self._reject(408, "the headers did not arrive in time")
-        elif now - max(self._last_activity_at, self._turn_at) > idle_seconds:
-            if has_partial_request:
-                self._reject(408, "the body did not arrive in time")
-            else:
-                self._close_gracefully()
-
-    @property
-    def _patience(self) -> float:
-        """Time in seconds that the caller waits for its answer, as its request says."""
-        assert self._request is not None
-        return self.server.patience(tuple(self._request.headers.raw_items()))
--- /dev/null
+++ b/pimentoquay/http1/unanswered.py
@@ -0,0 +1,34 @@
+"""Requests that were read, in part or whole, and end without being passed to the handler."""
+
+from collections import Counter
+from enum import Enum
+
+from pimentoquay.kernel.logs import logger
+
+__all__ = ["CloseCause", "UnansweredRequests"]
+
+
+class CloseCause(Enum):
+    """Why the server closes a connection in an orderly way."""
+
+    IDLE = "idle"
+    DRAIN = "drain"
+    LAST_ANSWER = "last_answer"
+    REJECTED = "rejected"
+
+
+class UnansweredRequests:
+    """Counts and logs the requests of a server that get no answer and reach no handler.
+
+    ``count_by_reason`` counts them by reason: ``lost`` if the connection ended while the request
+    was being read, and ``after_`` with the name of a ``CloseCause`` if the request arrived on a
+    connection that the server had closed.
+    """
+
+    def __init__(self) -> None:
+        self.count_by_reason: Counter[str] = Counter()
+
+    def record(self, reason: str, **fields: object) -> None:
+        """Count a request and log it with some fields; they must not hold what was read."""
+        self.count_by_reason[reason] += 1
+        logger.bind(reason=reason, **fields).info("request not answered")
