Answer requests that have arrived as their idle connection would be closed, and read none that crosses its end

Cause: whether a connection is idle was decided by what the process had read. A request that lay in the system's buffer, as the process was busy, was dropped with its connection. A connection closed as idle was half closed and read for two seconds more, so a request that crossed its end was read whole and dropped without a line, and its connection ended two seconds later. Change: a timeout, a planned stop or a want of descriptors looks at what has arrived. An idle connection is closed at once if its last answer was delivered, and not read any more in any case: the system resets it if a request crosses its end, so the caller knows that it was not read. A connection with a request that has arrived is in progress, so a planned stop does not end before it.

--- a/pimentoquay/gateway/load_metrics.py
+++ b/pimentoquay/gateway/load_metrics.py
@@ -130,7 +130,6 @@
     "pimentoquay_gateway_requests_unanswered_total",
     "counter",
     "requests that got no answer and were not routed, by reason: `lost` if the connection ended"
-    " while they were read, or `after_idle`, `after_drain` and `after_last_answer` if they arrived"
-    " on a connection that the gateway had closed",
+    " while they were read, or `after_last_answer` if they arrived behind an answer that closed it",
     ("reason",),
 )
--- a/pimentoquay/http1/caller_reading.py
+++ b/pimentoquay/http1/caller_reading.py
@@ -45,6 +45,7 @@
         self._is_check_planned = False
         self._waits_for_room = False
         self._closing = False
+        self._reads_no_more = False
 
     @property
     def is_lost(self) -> bool:
@@ -154,6 +155,7 @@
         """Pause reading while much is unread."""
         may_read = self._update_account()
         is_full = len(self._unread) > MAX_UNREAD_BYTES // 2 or not may_read
+        is_full = is_full or self._reads_no_more
         if is_full and not self._is_reading_paused:
             self._is_reading_paused = True
             self._transport.pause_reading()
@@ -170,7 +172,7 @@
     def _check_caller(self) -> None:
         """Notice that the caller has left, which reading would show only after the unread bytes."""
         self._is_check_planned = False
-        if not self._is_reading_paused or self._transport.is_closing():
+        if not self._is_reading_paused or self._closing or self._transport.is_closing():
             return
         if not is_established(self._transport):
             self._transport.abort()
--- a/pimentoquay/http1/caller_timeouts.py
+++ b/pimentoquay/http1/caller_timeouts.py
@@ -1,6 +1,11 @@
-"""Timeouts of a caller's connection: of heads, of bodies and of idle time."""
+"""Timeouts of a caller's connection: of heads, of bodies and of idle time.
+
+What counts is what has arrived, not what has been read: a busy process may not have read a request
+yet as its timeout is checked.
+"""
 
 import asyncio
+import math
 from abc import abstractmethod
 from typing import TYPE_CHECKING
 
@@ -8,6 +13,7 @@
 
 from pimentoquay.http1.caller_reading import CallerReading
 from pimentoquay.http1.headers import HeaderList
+from pimentoquay.http1.system_state import unread_bytes, unsent_bytes
 from pimentoquay.http1.unanswered import CloseCause
 
 if TYPE_CHECKING:
@@ -15,6 +21,9 @@
 
 __all__ = ["CallerTimeouts"]
 
+LINGER_SECONDS = 2.0
+"""Time for which a closing connection is still read, so that the last response is not lost."""
+
 CHECK_SECONDS = 1.0
 """Interval at which the timeouts of a connection are checked."""
 
@@ -32,11 +41,17 @@
         self._task: asyncio.Task[None] | None = None
         self._request: h11.Request | None = None
         self._has_turn = False
-        self._turn_at = -float("inf")
+        self._turn_at = -math.inf
         self._first_byte_at: float | None = None
         self._last_activity_at = self._loop.time()
+        self._answered_at = -math.inf
         self._timer: asyncio.TimerHandle | None = None
 
+    @property
+    def _has_arrived(self) -> bool:
+        """Whether bytes that will be read next have arrived."""
+        return not self._is_reading_paused and unread_bytes(self._transport) > 0
+
     @property
     @abstractmethod
     def _waits_to_send(self) -> bool:
@@ -46,9 +61,32 @@
     def _reject(self, status: int, detail: str, headers: HeaderList = ()) -> None:
         """Refuse what is being read, and close the connection."""
 
+    def _close_idle(self) -> None:
+        """Close a connection without a request, unless one has arrived.
+
+        Nothing is read afterwards. The system resets the connection if a request crosses its end,
+        so that its caller knows that it was not read. A response that was sent a moment ago could
+        be lost by that, so the reset comes later then.
+        """
+        if self._closing or self._has_arrived:
+            return
+        self._reads_no_more = True
+        is_recent = self._loop.time() - self._answered_at < LINGER_SECONDS
+        if is_recent or unsent_bytes(self._transport):
+            self._close_gracefully(CloseCause.IDLE)
+            return
+        self._closing = True
+        self._drop_unread()
+        self._end_account()
+        self._transport.close()
+
     @abstractmethod
     def _close_gracefully(self, cause: CloseCause) -> None:
-        """Close the connection so that the last response is not lost."""
+        """Close for writing, and later as a whole, so that the last response is not lost."""
+
+    @abstractmethod
+    def _drop_unread(self) -> None:
+        """Forget what was read of a request."""
 
     def _schedule_timeout_check(self) -> None:
         self._timer = self._loop.call_later(CHECK_SECONDS, self._check_timeouts)
@@ -56,7 +94,7 @@
     def _check_timeouts(self) -> None:
         self._schedule_timeout_check()
         self._update_reading()  # What was unsent may have been sent meanwhile.
-        if self._task is not None or self._closing or self._waits_for_room:
+        if self._task is not None or self._closing or self._waits_for_room or self._has_arrived:
             return
         now = self._loop.time()
         if self._request is not None and now - (self._first_byte_at or now) > self._patience:
@@ -65,16 +103,17 @@
         if self._has_turn:
             return
         limits = self.server.limits()
+        idle_since = max(self._last_activity_at, self._turn_at)
         idle_seconds = max(self._limits.idle_seconds, limits.idle_seconds)
         has_partial_request = self._first_byte_at is not None and not self._waits_to_send
         if has_partial_request and self._request is None:
             if now - max(self._first_byte_at or now, self._turn_at) > limits.header_seconds:
                 self._reject(408, "the headers did not arrive in time")
-        elif now - max(self._last_activity_at, self._turn_at) > idle_seconds:
+        elif now - idle_since > idle_seconds:
             if has_partial_request:
                 self._reject(408, "the body did not arrive in time")
             else:
-                self._close_gracefully(CloseCause.IDLE)
+                self._close_idle()
 
     @property
     def _patience(self) -> float:
--- a/pimentoquay/http1/server_connection.py
+++ b/pimentoquay/http1/server_connection.py
@@ -7,7 +7,7 @@
 
 import h11
 
-from pimentoquay.http1.caller_timeouts import CallerTimeouts
+from pimentoquay.http1.caller_timeouts import LINGER_SECONDS, CallerTimeouts
 from pimentoquay.http1.headers import HeaderList, find_headers, has_single_length
 from pimentoquay.http1.reply import Reply
 from pimentoquay.http1.request import HeadRefusal, HttpRequest, request_of
@@ -22,9 +22,6 @@
 
 __all__ = ["ServerConnection"]
 
-LINGER_SECONDS = 2.0
-"""Time for which a closing connection is still read, so that the last response is not lost."""
-
 MAX_UNSENT_BYTES = 256 * 1024
 """Number of unsent bytes of answers above which the next request waits until they are read."""
 
@@ -66,9 +63,11 @@
 
     @property
     def is_busy(self) -> bool:
-        """Whether a request is being served or read, or its caller still takes the answer."""
+        """Whether a request is served or has arrived, or its caller still takes the answer."""
         if self._task is not None or self._has_turn or self._request is not None:
             return True
+        if self._has_arrived and not self._closing:
+            return True
         return self._loop.time() < self._expires_at and unsent_bytes(self._transport) > 0
 
     @property
@@ -148,9 +147,9 @@
         self._transport.abort()
 
     def close_if_idle(self) -> None:
-        """Close the connection if no request has begun."""
+        """Close the connection if no request has begun or arrived."""
         if self._task is None and self._request is None and self._first_byte_at is None:
-            self._close_gracefully(CloseCause.DRAIN)
+            self._close_idle()
 
     @property
     def _waits_to_send(self) -> bool:
@@ -294,7 +293,7 @@
             self._task = None
             self._expires_at = reply.expires_at
             self._first_byte_at = None
-            self._last_activity_at = self._loop.time()
+            self._last_activity_at = self._answered_at = self._loop.time()
             del request
             self._release()
         if not reply.ended:
@@ -334,7 +333,8 @@
     def end_for_others(self) -> None:
         """Close the connection at once, as its descriptor is needed."""
         if self._task is None:
-            if not self._closing and (self._first_byte_at is not None or self._is_new):
+            is_asked = self._first_byte_at is not None or self._is_new or self._has_arrived
+            if not self._closing and is_asked:
                 self._reject(503, "too many connections", NO_ROOM_HEADERS)
             self._transport.close()
 
@@ -358,7 +358,7 @@
         self._close_gracefully(CloseCause.REJECTED)
 
     def _close_gracefully(self, cause: CloseCause) -> None:
-        """Close for writing, but read for a while so that the last response is not lost."""
+        """Close for writing, and later as a whole, so that the last response is not lost."""
         if self._closing:
             return
         self._closing = True
--- a/pimentoquay/http1/system_state.py
+++ b/pimentoquay/http1/system_state.py
@@ -2,7 +2,8 @@
 
 The system keeps some megabytes of written bytes after they have left the transport, until the other
 end has acknowledged them. If the socket is closed then and a byte arrives, the system resets the
-connection, and they are lost. It also knows that the other end has closed before that is read.
+connection, and they are lost. It also knows what has arrived, and that the other end has closed,
+before the process has read either.
 """
 
 import asyncio
@@ -12,7 +13,7 @@
 import termios
 from typing import Any
 
-__all__ = ["close_when_sent", "is_established", "reset_on_close", "unsent_bytes"]
+__all__ = ["close_when_sent", "is_established", "reset_on_close", "unread_bytes", "unsent_bytes"]
 
 CHECK_SECONDS = 0.1
 """Interval at which a connection that is to be closed is checked."""
@@ -60,6 +61,21 @@
     return buffered + int(queued)
 
 
+def unread_bytes(transport: Any) -> int:
+    """Return the number of bytes that have arrived and that the process has not read.
+
+    Where the system does not tell, and where no socket is open, it counts as none.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return 0
+    try:
+        (count,) = struct.unpack("i", fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4)))
+    except OSError:
+        return 0
+    return int(count)
+
+
 def close_when_sent(transport: Any, expires_at: float) -> None:
     """Close a connection when nothing is unsent, or abort it when its other end reads no more.
 
--- a/pimentoquay/http1/tests/test_requests_beside_a_close.py
+++ b/pimentoquay/http1/tests/test_requests_beside_a_close.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from pimentoquay.http1 import HttpServer, ServerLimits
+from pimentoquay.http1 import HttpServer, ServerLimits, caller_timeouts
 from pimentoquay.http1.tests.scripted import until
 
 GET = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -50,11 +50,64 @@
         assert (await receive(sock)).startswith(ANSWER)
 
 
-async def test_a_request_that_crosses_the_close_of_an_idle_connection_is_not_read():
+async def test_a_request_that_has_arrived_is_answered_though_the_connection_is_closed_if_idle():
+    async with connected(has_answer=False) as (server, sock):
+        sock.send(GET)
+        server.close_idle()
+        assert (await receive(sock)).startswith(ANSWER)
+
+
+async def test_a_head_that_has_arrived_is_answered_though_its_time_is_over():
+    async with connected(has_answer=False) as (server, sock):
+        (connection,) = server.connections
+        connection._limits = ServerLimits(header_seconds=0.0)
+        sock.send(GET[:5])
+        await until(lambda: connection._first_byte_at is not None)
+        server.limits = lambda: ServerLimits(header_seconds=0.0)
+        sock.send(GET[5:])
+        connection._check_timeouts()
+        assert (await receive(sock)).startswith(ANSWER)
+
+
+async def test_a_request_that_has_arrived_is_refused_as_its_descriptor_is_needed():
+    async with connected() as (server, sock):
+        (connection,) = server.connections
+        sock.send(GET)
+        connection.end_for_others()
+        assert (await receive(sock)).startswith(b"HTTP/1.1 503 ")
+
+
+async def test_a_connection_with_a_request_that_has_arrived_is_in_progress():
+    async with connected() as (server, sock):
+        assert server.requests_in_progress == 0
+        sock.send(GET)
+        assert server.requests_in_progress == 1
+
+
+@pytest.mark.parametrize("is_recent", [False, True])
+async def test_a_request_that_crosses_the_close_of_an_idle_connection_is_not_read(is_recent):
     async with connected(idle_seconds=0.3) as (server, sock):
+        (connection,) = server.connections
+        if is_recent:
+            server.close_idle()
+        else:
+            connection._answered_at -= caller_timeouts.LINGER_SECONDS
         assert await receive(sock) == b""
         sock.send(GET)  # As if it had been sent before the end of the connection was seen.
-        await asyncio.sleep(0.05)
-        assert not server.unanswered.count_by_reason
+        await until(lambda: not server.connections)
         with pytest.raises(ConnectionError):
             sock.send(GET)
+            await asyncio.sleep(0.05)
+            sock.send(GET)
+        assert not server.unanswered.count_by_reason
+
+
+async def test_an_answer_is_delivered_though_a_request_crosses_the_close_behind_it():
+    async with connected(has_answer=False) as (server, sock):
+        await asyncio.get_running_loop().sock_sendall(sock, GET)
+        (connection,) = server.connections
+        await until(lambda: connection._answered_at > 0)
+        server.close_idle()
+        sock.send(GET)
+        await asyncio.sleep(0.2)
+        assert (await receive(sock)).startswith(ANSWER)
--- a/pimentoquay/http1/unanswered.py
+++ b/pimentoquay/http1/unanswered.py
@@ -12,7 +12,6 @@
     """Why the server closes a connection in an orderly way."""
 
     IDLE = "idle"
-    DRAIN = "drain"
     LAST_ANSWER = "last_answer"
     REJECTED = "rejected"
 
