Close idle connections by each limit that callers may still know

A caller and a gateway may hold different versions of the configuration for some time after a change. A connection whose last request ended after a smaller limit came in force was closed by that one at once, while its caller might use it by the limit before; a limit that was in force between two looks did not count. Change: policy/idle_limits.py keeps the limits that were in force since a connection became idle, and those of the last configApplyMs; the longest counts.

--- a/pimentoquay/bench/mutations/close_switches.py
+++ b/pimentoquay/bench/mutations/close_switches.py
@@ -25,6 +25,11 @@
     return close_idle
 
 
+def limit_in_force(original: Any) -> Any:
+    """Close idle connections by the limit in force alone."""
+    return lambda limits, idle_since, now: limits._seconds
+
+
 CLOSE_SWITCHES = (
     Switch(
         "a request that has arrived keeps its connection open",
@@ -38,4 +43,11 @@
         read_on,
         _CLOSES + "test_a_request_that_crosses_the_close_of_an_idle_connection_is_not_read[True]",
     ),
+    Switch(
+        "connections are closed by limits that callers may still know",
+        "pimentoquay.policy.idle_limits:IdleLimits.longest",
+        limit_in_force,
+        "pimentoquay/policy/tests/test_idle_limits.py::"
+        "test_no_caller_that_goes_by_a_limit_in_force_lately_meets_a_close[0.3]",
+    ),
 )
--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -80,6 +80,7 @@
 from pimentoquay.gateway.wiring import (
     apply_mesh_state,
     apply_plan,
+    idle_limits,
     patience,
     readiness_handler,
     routed_handler,
@@ -300,6 +301,7 @@
         patience,
         process.callers,
         dispatcher.refuse_head,
+        idle_limits(fleet, bounds, node.timers.now).longest,
     )
     readiness_server = own_port_server(readiness_handler(dispatcher), turns)
     metrics.value_by_gauge = {
--- a/pimentoquay/gateway/fleet.py
+++ b/pimentoquay/gateway/fleet.py
@@ -61,6 +61,7 @@
         self._pools_by_service: dict[str, Mapping[PoolKey, tuple[EngineEntry, ...]]] = {}
         self.target_by_id: Mapping[str, TunnelTarget] = {}
         self._removed: list[str] = []
+        self.on_configuration: list[Callable[[FleetConfiguration], None]] = []
 
     @property
     def configuration(self) -> FleetConfiguration | None:
@@ -144,6 +145,8 @@
     def _put_in_force(self, configuration: FleetConfiguration) -> None:
         self._update = None
         self.route_table = RouteTable(configuration)
+        for listener in self.on_configuration:
+            listener(configuration)
         logger.bind(
             version=configuration.version,
             position=self._configuration_position,
--- a/pimentoquay/gateway/wiring.py
+++ b/pimentoquay/gateway/wiring.py
@@ -14,10 +14,13 @@
 from pimentoquay.gateway.shared_state import SharedState
 from pimentoquay.http1 import HeaderList, HttpRequest, Reply, ServerLimits
 from pimentoquay.platform.requests import parse_request
+from pimentoquay.platform.settings import Bounds
+from pimentoquay.policy.idle_limits import IdleLimits
 
 __all__ = [
     "apply_mesh_state",
     "apply_plan",
+    "idle_limits",
     "patience",
     "readiness_handler",
     "routed_handler",
@@ -65,6 +68,15 @@
     return configuration.limits if configuration is not None else ServerLimits()
 
 
+def idle_limits(fleet: Fleet, bounds: Bounds, now: Callable[[], float]) -> IdleLimits:
+    """Return the limits of idle connections by the configurations that come in force."""
+    limits = IdleLimits(bounds.config_seconds, server_limits(fleet).idle_seconds)
+    fleet.on_configuration.append(
+        lambda configuration: limits.record(configuration.limits.idle_seconds, now())
+    )
+    return limits
+
+
 def patience(headers: HeaderList) -> float:
     """Return the seconds that a caller waits for its answer; infinite if it does not say."""
     seconds = parse_request(headers).timeout_seconds
--- a/pimentoquay/http1/caller_timeouts.py
+++ b/pimentoquay/http1/caller_timeouts.py
@@ -104,7 +104,7 @@
             return
         limits = self.server.limits()
         idle_since = max(self._last_activity_at, self._turn_at)
-        idle_seconds = max(self._limits.idle_seconds, limits.idle_seconds)
+        idle_seconds = max(self._limits.idle_seconds, self.server.idle_limit(idle_since, now))
         has_partial_request = self._first_byte_at is not None and not self._waits_to_send
         if has_partial_request and self._request is None:
             if now - max(self._first_byte_at or now, self._turn_at) > limits.header_seconds:
--- a/pimentoquay/http1/server.py
+++ b/pimentoquay/http1/server.py
@@ -62,6 +62,9 @@
         Called with each request as soon as its head is complete, with an empty body. If it returns
         a refusal, the handler is not called, and the body is discarded. A body that is chunked or
         longer than 64 KiB, and has not arrived, is not read: the connection closes.
+    idle_limit
+        Returns the time in seconds for which a connection may be idle, by the times at which it
+        became idle and at which it is asked; by default the limit in force.
     """
 
     def __init__(
@@ -72,6 +75,7 @@
         patience: Callable[[HeaderList], float] = lambda headers: math.inf,
         room: RoomBudget | None = None,
         refuse_head: Callable[[HttpRequest], HeadRefusal | None] = lambda request: None,
+        idle_limit: Callable[[float, float], float] | None = None,
     ) -> None:
         self.handler = handler
         self.limits = limits
@@ -79,6 +83,7 @@
         self.patience = patience
         self.room = RoomKeeper(room) if room is not None else None
         self.refuse_head = refuse_head
+        self.idle_limit = idle_limit or (lambda idle_since, now: limits().idle_seconds)
         self.draining = False
         self.connections: set[ServerConnection] = set()
         self.unanswered = UnansweredRequests()
--- a/pimentoquay/http1/tests/test_server.py
+++ b/pimentoquay/http1/tests/test_server.py
@@ -189,3 +189,23 @@
         await read_status(reader)
         async with asyncio.timeout(10):
             assert await reader.read() == b""
+
+
+async def test_idle_connection_is_kept_by_a_limit_that_callers_may_still_know():
+    handler = RecordingHandler()
+    server = HttpServer(
+        handler.handle, lambda: ServerLimits(idle_seconds=0.2), idle_limit=lambda since, now: 60.0
+    )
+    await server.listen("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    try:
+        writer.write(GET)
+        await read_status(reader)
+        (connection,) = server.connections
+        await asyncio.sleep(0.3)
+        connection._check_timeouts()
+        writer.write(GET)
+        assert await read_status(reader) == 200
+    finally:
+        writer.close()
+        server.abort()
