Use a kept connection to an engine only if nothing has arrived on it

An engine's close that had arrived and was not read yet cost a call that may run once its answer (502), and a response that had arrived on the idle connection was taken for that of the next request where responses bear no mark. Change: the pool asks the system whether the connection is established and nothing is unread on it.

--- a/pimentoquay/bench/mutations/close_switches.py
+++ b/pimentoquay/bench/mutations/close_switches.py
@@ -30,6 +30,11 @@
     return lambda limits, idle_since, now: limits._seconds
 
 
+def trust_the_pool(original: Any) -> Any:
+    """Use a connection of the pool whatever has arrived on it."""
+    return lambda transport: True
+
+
 CLOSE_SWITCHES = (
     Switch(
         "a request that has arrived keeps its connection open",
@@ -50,4 +55,11 @@
         "pimentoquay/policy/tests/test_idle_limits.py::"
         "test_no_caller_that_goes_by_a_limit_in_force_lately_meets_a_close[0.3]",
     ),
+    Switch(
+        "a connection to an engine is used again only if nothing has arrived on it",
+        "pimentoquay.http1.client_connection:is_quiet",
+        trust_the_pool,
+        "pimentoquay/http1/tests/test_client.py::"
+        "test_no_request_is_sent_on_a_connection_that_its_server_has_ended_or_written_to[end]",
+    ),
 )
--- a/pimentoquay/http1/client.py
+++ b/pimentoquay/http1/client.py
@@ -190,7 +190,7 @@
         try:
             while self._idle:
                 connection = self._idle.pop()
-                if not connection.is_reusable(now, None):
+                if not (connection.is_reusable(now, None) and connection.is_quiet):
                     connection.abort()
                     continue
                 if not connection.is_reusable(now, max_idle_seconds):
--- a/pimentoquay/http1/client_connection.py
+++ b/pimentoquay/http1/client_connection.py
@@ -21,6 +21,7 @@
 from pimentoquay.http1.request_writer import RequestWriter, without_body
 from pimentoquay.http1.response_items import items_of, length_of
 from pimentoquay.http1.response_marks import ResponseMark, ResponseMarks
+from pimentoquay.http1.system_state import is_quiet
 from pimentoquay.kernel.errors import HttpError, PathLostError
 from pimentoquay.kernel.turns import ITEMS_PER_TURN, TurnQueue
 
@@ -120,6 +121,11 @@
         """Whether nothing can be sent any more."""
         return self._is_lost or bool(self._transport.is_closing())
 
+    @property
+    def is_quiet(self) -> bool:
+        """Whether the server has neither closed the connection nor sent anything on it."""
+        return is_quiet(self._transport)
+
     def connection_made(self, transport: Any) -> None:
         """Let the system reset the connection if written bytes are not acknowledged."""
         self._transport = transport
--- a/pimentoquay/http1/system_state.py
+++ b/pimentoquay/http1/system_state.py
@@ -13,7 +13,14 @@
 import termios
 from typing import Any
 
-__all__ = ["close_when_sent", "is_established", "reset_on_close", "unread_bytes", "unsent_bytes"]
+__all__ = [
+    "close_when_sent",
+    "is_established",
+    "is_quiet",
+    "reset_on_close",
+    "unread_bytes",
+    "unsent_bytes",
+]
 
 CHECK_SECONDS = 0.1
 """Interval at which a connection that is to be closed is checked."""
@@ -76,6 +83,17 @@
     return int(count)
 
 
+def is_quiet(transport: Any) -> bool:
+    """Return whether the other end of an idle connection has neither closed it nor sent bytes.
+
+    A transport without a socket of its own counts as quiet.
+    """
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return True
+    return is_established(transport) and not unread_bytes(transport)
+
+
 def close_when_sent(transport: Any, expires_at: float) -> None:
     """Close a connection when nothing is unsent, or abort it when its other end reads no more.
 
--- a/pimentoquay/http1/tests/test_client.py
+++ b/pimentoquay/http1/tests/test_client.py
@@ -1,4 +1,6 @@
 import asyncio
+import os
+import socket
 
 import pytest
 
@@ -289,3 +291,19 @@
         assert not failure.value.written
         assert server.requests == []
         assert losing.open_connections == 0
+
+
+@pytest.mark.parametrize("what", ["end", "bytes"])
+async def test_no_request_is_sent_on_a_connection_that_its_server_has_ended_or_written_to(what):
+    """What arrives is read in a later pass of the event loop than the one that sends."""
+    async with scripted(OK, OK) as (server, pool):
+        assert await get(pool) == (200, b"ok")
+        (writer,) = server._writer_by_task.values()
+        sock = writer.get_extra_info("socket")
+        if what == "end":
+            sock.shutdown(socket.SHUT_WR)
+        else:
+            with socket.socket(fileno=os.dup(sock.fileno())) as copy:
+                copy.send(OTHER_RESPONSE)
+        assert await get(pool) == (200, b"ok")
+        assert server.connections == 2
