Let callers of the process soak rest for as long as the limit of idle time allows

The play 'rests' changes it, and a connection that ends while its caller may still use it by a version of the last 1.8 s is a fault.

--- a/pimentoquay/gateway/tests/process_rig.py
+++ b/pimentoquay/gateway/tests/process_rig.py
@@ -253,6 +253,7 @@
         self.gateways, self.engines, self.gone = [], [], []
         self.version = 0
         self.limits = {"cpuShare": 0.537, "cpuCores": 2, "memoryMb": 300, "maxFds": 4100}
+        self.idle_changes = [(float("-inf"), 15.0)]
         self._beat_by_engine = {}
         self._engine_count = 0
 
@@ -278,9 +279,18 @@
         if not all(ready):
             raise RuntimeError("the gateways did not get ready")
 
-    async def configure(self, routes):
+    async def configure(self, routes, idle_seconds=None):
+        """Publish a version; the limit of idle time stays as it is unless one is given."""
         self.version += 1
-        await self.store.put("keyed.op", "config", configuration(self.version, routes))
+        if idle_seconds is not None:
+            self.idle_changes.append((time.monotonic(), idle_seconds))
+        limits = {"idleTimeoutMs": int(self.idle_changes[-1][1] * 1000)}
+        document = configuration(self.version, routes, limits=limits)
+        await self.store.put("keyed.op", "config", document)
+
+    def idle_seconds_at(self, at):
+        """Return the limit of idle time that was the newest one at a time."""
+        return [seconds for began_at, seconds in self.idle_changes if began_at <= at][-1]
 
     async def add_engine(self, stage):
         self._engine_count += 1
--- a/pimentoquay/gateway/tests/process_soak.py
+++ b/pimentoquay/gateway/tests/process_soak.py
@@ -23,7 +23,7 @@
 from loguru import logger
 
 from pimentoquay.gateway.tests.link_proxy import LinkState
-from pimentoquay.gateway.tests.process_rig import ProcessRig
+from pimentoquay.gateway.tests.process_rig import GRACE_SECONDS, ProcessRig
 from pimentoquay.gateway.tests.rig import ROUTES, until
 from pimentoquay.gateway.tests.soak_callers import Caller
 from pimentoquay.gateway.tests.soak_judge import Judge
@@ -39,8 +39,13 @@
     "tunnels": (*PLANNED, "stop"),
     "tunnels and engines": (*PLANNED, "leave", "drain", "crash"),
     "store": (*PLANNED, "store"),
+    "rests": ("idle", "idle", "configure", "hup"),
     "all": (*PLANNED, "cut", "store", "crash", "leave", "drain", "stage", "kill"),
 }
+DRAWN_PLAYS = tuple(name for name in PLAYS if name != "rests")
+IDLE_SECONDS = (1.0, 4.0)
+"""Limits of idle time in the play in which callers rest."""
+
 DELAYS = (0.0, 0.0, 0.0, 0.03, 0.03, 0.1)
 """Seconds that a link delays what passes; a round trip takes twice as long."""
 
@@ -62,6 +67,7 @@
         self.impairments = []
         self.stalls: list[tuple[float, float]] = []
         self.failed_processes = []
+        self.closed_early = []
         self._tasks: list[asyncio.Task[None]] = []
 
     async def run(self):
@@ -70,7 +76,15 @@
         if self.play.startswith("tunnels"):
             await self._cut_off_from_engines()
         callers = [
-            Caller(self.rig, number, random.Random(self.random.random()), self.requests, ends_at)
+            Caller(
+                self.rig,
+                number,
+                random.Random(self.random.random()),
+                self.requests,
+                ends_at,
+                rests=self.play == "rests" and number % 4 > 0,
+                closed_early=self.closed_early,
+            )
             for number in range(self.callers)
         ]
         calls = [asyncio.create_task(caller.run()) for caller in callers]
@@ -115,6 +129,14 @@
             )
         await asyncio.sleep(1.0)
 
+    def early_closes(self):
+        """Return the connections that were closed while their callers might still use them."""
+        return [
+            {"rule": "closed early", "gateway": f"{gateway.name}/{boot}", "idle": round(idle, 2)}
+            for gateway, boot, at, idle in self.closed_early
+            if not any(at - GRACE_SECONDS - 1 <= stop <= at for stop in gateway.stopped_at)
+        ]
+
     def _running(self):
         """Return the gateways that may be stopped, which leaves half of them."""
         running = [each for each in self.rig.gateways if not each.is_stopping]
@@ -176,6 +198,9 @@
         await asyncio.sleep(self.random.uniform(0.3, 2.0))
         await self.rig.configure(ROUTES)
 
+    async def _idle(self):
+        await self.rig.configure(ROUTES, self.random.choice(IDLE_SECONDS))
+
     async def _cut(self):
         gateway = self.random.choice(self.rig.gateways)
         kind = self.random.choice(("engines", "engine", "peers", "store", "all"))
@@ -248,7 +273,7 @@
 async def soak(seed, seconds=20.0, gateways=7, engines=9, callers=100, play=None, keep=None):
     """Play one seed, and return its record; keep the logs of a seed with faults in a folder."""
     choice = random.Random(f"play {seed}")
-    play = play or choice.choice(list(PLAYS))
+    play = play or choice.choice(DRAWN_PLAYS)
     delay = choice.choice(DELAYS)
     with tempfile.TemporaryDirectory(prefix="soak-") as name:
         folder = Path(name)
@@ -259,7 +284,7 @@
             await done.run()
             judge = Judge(rig, done.requests, done.impairments, done.stalls)
             judge.judge(done.began_at)
-            faults = [*judge.faults, *done.failed_processes]
+            faults = [*judge.faults, *done.failed_processes, *done.early_closes()]
         finally:
             await rig.close()
         if faults and keep is not None:
--- a/pimentoquay/gateway/tests/soak_callers.py
+++ b/pimentoquay/gateway/tests/soak_callers.py
@@ -23,6 +23,13 @@
 SLOW_BUFFER_BYTES = 8192
 SLOW_READ_BYTES = 4096
 RETURN_SECONDS = 0.3
+KNOWN_SECONDS = 1.8
+"""Time for which a caller that rests goes by the limit of idle time before, less than 2 s."""
+
+REST_SHARE = 0.8
+"""Share of the limit of idle time that such a caller uses."""
+
+REST_STEP_SECONDS = 0.02
 START_INTERVAL_SECONDS = 0.02
 """Time between the starts of two callers, as gateways and stand-ins have no connections yet."""
 
@@ -120,6 +127,8 @@
     random: random.Random
     requests: list
     ends_at: float
+    rests: bool = False
+    closed_early: list = field(default_factory=list)
     _waiting: deque = field(default_factory=deque)
     _connections: int = 0
     _count: int = 0
@@ -150,6 +159,8 @@
         try:
             async with asyncio.timeout(GIVE_UP_SECONDS) as limit:
                 while self._waiting or time.monotonic() < self.ends_at:
+                    if self.rests and not self._waiting and not await self._rest():
+                        break
                     await self._send_next()
                     if not self._waiting and not await reader.read(1):
                         break
@@ -166,6 +177,23 @@
             self._waiting.clear()
             writer.close()
 
+    async def _rest(self):
+        """Rest for as long as the limit allows, and return whether the connection may be used."""
+        link, began_at = self._link, time.monotonic()
+        if not link.sent or link.has_close:
+            return True
+        share = REST_SHARE * self.random.choice((0.3, 1.0))
+        while (idle := time.monotonic() - began_at) <= share * self._idle_limit():
+            if link.reader.at_eof():
+                self.closed_early.append((link.gateway, link.boot, time.monotonic(), idle))
+                return False
+            await asyncio.sleep(REST_STEP_SECONDS)
+        may_use = idle <= REST_SHARE * self._idle_limit() + REST_STEP_SECONDS
+        return may_use and not link.reader.at_eof() and time.monotonic() < self.ends_at
+
+    def _idle_limit(self):
+        return self.rig.idle_seconds_at(time.monotonic() - KNOWN_SECONDS)
+
     async def _send_next(self):
         """Send the next request if none waits for its answer, and at times one ahead."""
         count = 1 + (self.random.random() < 0.2)
