Drop no request with its connection: as a stop ends, behind a last answer, and beside slow readers

Callers got neither an answer nor a refusal in these cases: - a head that was read in part did not count as in progress; a planned stop ended before it, went on reading while the process ended (33 to 53 ms), passed the request on and cut it. What was left at the end got a bare FIN; - a request in the system's buffer behind a last answer was read and dropped, and its connection ended 1.96 s later; - requests read ahead of a slow reader were dropped once the idle time was over, and a caller that still took its answer was closed as idle. Change: a request that is read in part is in progress; as the drain ends, what is being read is refused with 503 and nothing more is read; a last answer looks at what has arrived; nothing is read on a closed connection but the rest of a refused request; taking an answer is activity; requests read behind an answer that breaks off are counted.

--- a/pimentoquay/bench/mutations/close_switches.py
+++ b/pimentoquay/bench/mutations/close_switches.py
@@ -7,6 +7,7 @@
 __all__ = ["CLOSE_SWITCHES"]
 
 _CLOSES = "pimentoquay/http1/tests/test_requests_beside_a_close.py::"
+_DROPPED = "pimentoquay/http1/tests/test_requests_dropped_with_connections.py::"
 
 
 def look_at_what_was_read(original: Any) -> Any:
@@ -25,6 +26,11 @@
     return close_idle
 
 
+def do_nothing(original: Any) -> Any:
+    """Leave out what the mechanism does."""
+    return lambda *arguments: None
+
+
 def limit_in_force(original: Any) -> Any:
     """Close idle connections by the limit in force alone."""
     return lambda limits, idle_since, now: limits._seconds
@@ -62,4 +68,16 @@
         "pimentoquay/http1/tests/test_client.py::"
         "test_no_request_is_sent_on_a_connection_that_its_server_has_ended_or_written_to[end]",
     ),
+    Switch(
+        "a planned stop reads nothing after its end",
+        "pimentoquay.http1.server:HttpServer.stop",
+        do_nothing,
+        _CLOSES + "test_a_server_that_stops_refuses_what_it_reads",
+    ),
+    Switch(
+        "a caller that still takes its answer is not idle",
+        "pimentoquay.http1.caller_timeouts:CallerTimeouts._count_delivery",
+        do_nothing,
+        _DROPPED + "test_a_caller_that_still_reads_its_answer_is_not_idle",
+    ),
 )
--- a/pimentoquay/gateway/lifecycle.py
+++ b/pimentoquay/gateway/lifecycle.py
@@ -181,5 +181,5 @@
         while self._has_work and loop.time() < ends_at:
             await self.node.timers.sleep(0.05)
             self.caller_server.close_idle()
-        self.caller_server.close_idle()  # What is read from now on would be cut.
+        self.caller_server.stop()  # What is read from now on would be cut.
         logger.bind(in_progress=self.caller_server.requests_in_progress).info("drained")
--- a/pimentoquay/gateway/load_metrics.py
+++ b/pimentoquay/gateway/load_metrics.py
@@ -129,7 +129,8 @@
 REQUESTS_UNANSWERED = Metric(
     "pimentoquay_gateway_requests_unanswered_total",
     "counter",
-    "requests that got no answer and were not routed, by reason: `lost` if the connection ended"
-    " while they were read, or `after_last_answer` if they arrived behind an answer that closed it",
+    "requests that were read, got no answer and reached no handler, by reason: `lost` if the"
+    " connection ended while they were read, `behind_cut` if they were read behind one whose answer"
+    " was broken off, and `behind_unread` if their caller did not read the answers before them",
     ("reason",),
 )
--- a/pimentoquay/http1/caller_reading.py
+++ b/pimentoquay/http1/caller_reading.py
@@ -7,7 +7,7 @@
 
 from pimentoquay.http1.request_body import RequestBody
 from pimentoquay.http1.room import ClaimOutcome, RoomKeeper
-from pimentoquay.http1.system_state import is_established
+from pimentoquay.http1.system_state import has_ended, unsent_bytes
 
 __all__ = ["CallerReading"]
 
@@ -172,9 +172,10 @@
     def _check_caller(self) -> None:
         """Notice that the caller has left, which reading would show only after the unread bytes."""
         self._is_check_planned = False
-        if not self._is_reading_paused or self._closing or self._transport.is_closing():
+        if not self._is_reading_paused or self._transport.is_closing():
             return
-        if not is_established(self._transport):
+        is_sending_last = self._closing and unsent_bytes(self._transport) > 0
+        if has_ended(self._transport) and not is_sending_last:
             self._transport.abort()
         else:
             self._plan_check()
--- a/pimentoquay/http1/caller_timeouts.py
+++ b/pimentoquay/http1/caller_timeouts.py
@@ -14,7 +14,6 @@
 from pimentoquay.http1.caller_reading import CallerReading
 from pimentoquay.http1.headers import HeaderList
 from pimentoquay.http1.system_state import unread_bytes, unsent_bytes
-from pimentoquay.http1.unanswered import CloseCause
 
 if TYPE_CHECKING:
     from pimentoquay.http1.server import HttpServer
@@ -45,6 +44,8 @@
         self._first_byte_at: float | None = None
         self._last_activity_at = self._loop.time()
         self._answered_at = -math.inf
+        self._is_delivered = True
+        self._unsent = math.inf
         self._timer: asyncio.TimerHandle | None = None
 
     @property
@@ -64,16 +65,15 @@
     def _close_idle(self) -> None:
         """Close a connection without a request, unless one has arrived.
 
-        Nothing is read afterwards. The system resets the connection if a request crosses its end,
-        so that its caller knows that it was not read. A response that was sent a moment ago could
-        be lost by that, so the reset comes later then.
+        The system resets the connection if a request crosses its end, so that its caller knows
+        that it was not read. A response that was sent a moment ago could be lost by that, so the
+        reset comes later then.
         """
         if self._closing or self._has_arrived:
             return
-        self._reads_no_more = True
         is_recent = self._loop.time() - self._answered_at < LINGER_SECONDS
         if is_recent or unsent_bytes(self._transport):
-            self._close_gracefully(CloseCause.IDLE)
+            self._close_gracefully()
             return
         self._closing = True
         self._drop_unread()
@@ -81,7 +81,7 @@
         self._transport.close()
 
     @abstractmethod
-    def _close_gracefully(self, cause: CloseCause) -> None:
+    def _close_gracefully(self) -> None:
         """Close for writing, and later as a whole, so that the last response is not lost."""
 
     @abstractmethod
@@ -94,26 +94,49 @@
     def _check_timeouts(self) -> None:
         self._schedule_timeout_check()
         self._update_reading()  # What was unsent may have been sent meanwhile.
-        if self._task is not None or self._closing or self._waits_for_room or self._has_arrived:
+        if self._task is not None or self._closing or self._waits_for_room:
             return
         now = self._loop.time()
-        if self._request is not None and now - (self._first_byte_at or now) > self._patience:
-            self._reject(408, "the body did not arrive while its caller waits")
+        self._count_delivery(now)
+        overdue = self._find_overdue(now)
+        if overdue is None or self._has_arrived:
             return
-        if self._has_turn:
+        if overdue:
+            self._reject(408, overdue)
+        elif self._first_byte_at is not None:
+            self.server.unanswered.record("behind_unread")
+            self._close_gracefully()
+        else:
+            self._close_idle()
+
+    def _count_delivery(self, now: float) -> None:
+        """Count as activity that the caller has taken more of its answers since the last look.
+
+        An answer that has been taken when it is looked at first counts from when it was written.
+        """
+        if self._is_delivered:
             return
-        limits = self.server.limits()
-        idle_since = max(self._last_activity_at, self._turn_at)
-        idle_seconds = max(self._limits.idle_seconds, self.server.idle_limit(idle_since, now))
+        unsent, is_first = unsent_bytes(self._transport), self._unsent == math.inf
+        if unsent < self._unsent and not (is_first and unsent == 0):
+            self._last_activity_at = now
+        self._unsent, self._is_delivered = unsent, unsent == 0
+
+    def _find_overdue(self, now: float) -> str | None:
+        """Return what did not arrive in time, empty if the time is that of an idle connection."""
+        if self._request is not None and now - (self._first_byte_at or now) > self._patience:
+            return "the body did not arrive while its caller waits"
+        if self._has_turn:
+            return None
         has_partial_request = self._first_byte_at is not None and not self._waits_to_send
         if has_partial_request and self._request is None:
-            if now - max(self._first_byte_at or now, self._turn_at) > limits.header_seconds:
-                self._reject(408, "the headers did not arrive in time")
-        elif now - idle_since > idle_seconds:
-            if has_partial_request:
-                self._reject(408, "the body did not arrive in time")
-            else:
-                self._close_idle()
+            began_at = max(self._first_byte_at or now, self._turn_at)
+            is_over = now - began_at > self.server.limits().header_seconds
+            return "the headers did not arrive in time" if is_over else None
+        idle_since = max(self._last_activity_at, self._turn_at)
+        idle_seconds = max(self._limits.idle_seconds, self.server.idle_limit(idle_since, now))
+        if now - idle_since <= idle_seconds:
+            return None
+        return "the body did not arrive in time" if has_partial_request else ""
 
     @property
     def _patience(self) -> float:
--- a/pimentoquay/http1/server.py
+++ b/pimentoquay/http1/server.py
@@ -85,6 +85,7 @@
         self.refuse_head = refuse_head
         self.idle_limit = idle_limit or (lambda idle_since, now: limits().idle_seconds)
         self.draining = False
+        self.is_stopped = False
         self.connections: set[ServerConnection] = set()
         self.unanswered = UnansweredRequests()
         self._server: asyncio.Server | None = None
@@ -127,6 +128,12 @@
         for connection in tuple(self.connections):
             connection.close_if_idle()
 
+    def stop(self) -> None:
+        """Refuse what is being read, and read nothing more; requests in progress go on."""
+        self.is_stopped = True
+        for connection in tuple(self.connections):
+            connection.stop()
+
     async def close(self) -> None:
         """Stop accepting connections and close the idle ones."""
         if self._server is not None:
--- a/pimentoquay/http1/server_connection.py
+++ b/pimentoquay/http1/server_connection.py
@@ -13,7 +13,6 @@
 from pimentoquay.http1.request import HeadRefusal, HttpRequest, request_of
 from pimentoquay.http1.request_body import RequestBody
 from pimentoquay.http1.system_state import close_when_sent, reset_on_close, unsent_bytes
-from pimentoquay.http1.unanswered import CloseCause
 from pimentoquay.kernel.logs import logger
 from pimentoquay.kernel.turns import ITEMS_PER_TURN
 
@@ -41,6 +40,7 @@
 """Number of bytes of a refused body that are discarded at most; that many may have been read."""
 
 NO_ROOM_HEADERS = ((b"Retry-After", b"1"),)
+STOP_HEADERS = ((b"Retry-After", b"0"),)
 
 
 class ServerConnection(CallerTimeouts):
@@ -59,21 +59,21 @@
         self._expires_at = math.inf
         self._refusal: HeadRefusal | None = None
         self._is_new = True
-        self._closed: tuple[CloseCause, float] | None = None
 
     @property
     def is_busy(self) -> bool:
         """Whether a request is served or has arrived, or its caller still takes the answer."""
-        if self._task is not None or self._has_turn or self._request is not None:
+        if self._task is not None or self._has_turn:
             return True
-        if self._has_arrived and not self._closing:
+        is_asked = self._first_byte_at is not None and not self._waits_to_send
+        if not self._closing and (is_asked or self._has_arrived):
             return True
         return self._loop.time() < self._expires_at and unsent_bytes(self._transport) > 0
 
     @property
     def has_read_ahead(self) -> bool:
-        """Whether bytes of further requests have been read."""
-        return bool(self._unread or self._http.trailing_data[0])
+        """Whether bytes of further requests have been read or have arrived."""
+        return bool(self._unread or self._http.trailing_data[0]) or self._has_arrived
 
     def connection_made(self, transport: Any) -> None:
         """Begin to serve the connection."""
@@ -82,6 +82,8 @@
         self._schedule_timeout_check()
         self._open_account()
         self._is_new = False
+        if self.server.is_stopped:
+            transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the task of the request."""
@@ -118,7 +120,6 @@
         """Handle the bytes that were read into the buffer."""
         self._last_activity_at = self._loop.time()
         if self._closing:
-            self._record_dropped(nbytes)
             return
         if self._first_byte_at is None and self._task is None:
             self._begin_request()
@@ -139,6 +140,8 @@
 
     def abort(self) -> None:
         """Close the connection at once, and so that no response is taken for complete."""
+        if not self._closing and (self._unread or self._http.trailing_data[0]):
+            self.server.unanswered.record("behind_cut")
         self._closing = True
         if self._http.their_http_version == b"1.0":
             # The end of a connection marks the end of an HTTP/1.0 response, so only a reset shows
@@ -151,6 +154,13 @@
         if self._task is None and self._request is None and self._first_byte_at is None:
             self._close_idle()
 
+    def stop(self) -> None:
+        """Refuse a request that is being read, and read nothing more; one in progress goes on."""
+        if self._task is None and self._first_byte_at is not None and not self._closing:
+            self._reject(503, "the server stops", STOP_HEADERS)
+        self._reads_no_more = True
+        self._update_reading()
+
     @property
     def _waits_to_send(self) -> bool:
         """Whether the next request has to wait until the caller has read more."""
@@ -294,6 +304,7 @@
             self._expires_at = reply.expires_at
             self._first_byte_at = None
             self._last_activity_at = self._answered_at = self._loop.time()
+            self._is_delivered, self._unsent = False, math.inf
             del request
             self._release()
         if not reply.ended:
@@ -312,7 +323,7 @@
                 self._begin_request()
                 self._plan_turn()
         else:
-            self._close_gracefully(CloseCause.LAST_ANSWER)
+            self._close_gracefully()
 
     def resume_for_room(self) -> None:
         """Read on, as there is room for what comes next."""
@@ -338,13 +349,6 @@
                 self._reject(503, "too many connections", NO_ROOM_HEADERS)
             self._transport.close()
 
-    def _record_dropped(self, count: int) -> None:
-        """Record the first bytes that arrive after the close; the rest of a refusal is expected."""
-        closed, self._closed = self._closed, None
-        if closed is not None and closed[0] is not CloseCause.REJECTED:
-            seconds = f"{self._loop.time() - closed[1]:.3f}"
-            self.server.unanswered.record(f"after_{closed[0].value}", bytes=count, seconds=seconds)
-
     def _begin_request(self) -> None:
         self._first_byte_at = self._loop.time()
         self._begin_account()
@@ -355,14 +359,17 @@
             headers = (*headers, (b"Content-Length", b"0"), (b"Connection", b"close"))
             self.emit(h11.Response(status_code=status, headers=list(headers)))
             self.emit(h11.EndOfMessage())
-        self._close_gracefully(CloseCause.REJECTED)
+        self._close_gracefully(reads_on=True)
+
+    def _close_gracefully(self, reads_on: bool = False) -> None:
+        """Close for writing, and later as a whole, so that the last response is not lost.
 
-    def _close_gracefully(self, cause: CloseCause) -> None:
-        """Close for writing, and later as a whole, so that the last response is not lost."""
+        What is left of a refused request is read, so that its caller comes to read the refusal.
+        """
         if self._closing:
             return
         self._closing = True
-        self._closed = (cause, self._loop.time())
+        self._reads_no_more = not reads_on
         self._drop_unread()
         self._end_account()
         if self._transport.can_write_eof() and not self._transport.is_closing():
--- a/pimentoquay/http1/system_state.py
+++ b/pimentoquay/http1/system_state.py
@@ -15,6 +15,7 @@
 
 __all__ = [
     "close_when_sent",
+    "has_ended",
     "is_established",
     "is_quiet",
     "reset_on_close",
@@ -36,10 +37,27 @@
 """State of a connection that neither end has closed, as ``TCP_INFO`` gives it in Linux."""
 
 
+_OTHER_END_OPEN = frozenset((_ESTABLISHED, 3, 4, 5))
+"""States in which the other end is open, also before the first byte and after the own end."""
+
+
 def is_established(transport: Any) -> bool:
     """Return whether neither end has closed; the other's end is seen behind unread bytes too."""
+    return _state_of(transport) == _ESTABLISHED
+
+
+def has_ended(transport: Any) -> bool:
+    """Return whether the other end has closed, which is seen behind unread bytes too."""
+    return _state_of(transport) not in _OTHER_END_OPEN
+
+
+def _state_of(transport: Any) -> int:
+    """Return the state of the connection, or -1 if the socket has none any more."""
     sock = transport.get_extra_info("socket")
-    return bool(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == _ESTABLISHED)
+    try:
+        return int(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0])
+    except OSError:
+        return -1
 
 
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
--- a/pimentoquay/http1/tests/test_requests_beside_a_close.py
+++ b/pimentoquay/http1/tests/test_requests_beside_a_close.py
@@ -7,6 +7,7 @@
 import pytest
 
 from pimentoquay.http1 import HttpServer, ServerLimits, caller_timeouts
+from pimentoquay.http1.system_state import unread_bytes
 from pimentoquay.http1.tests.scripted import until
 
 GET = b"GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -94,6 +95,9 @@
             connection._answered_at -= caller_timeouts.LINGER_SECONDS
         assert await receive(sock) == b""
         sock.send(GET)  # As if it had been sent before the end of the connection was seen.
+        if is_recent:
+            await asyncio.sleep(0.05)
+            assert unread_bytes(connection._transport) == len(GET)
         await until(lambda: not server.connections)
         with pytest.raises(ConnectionError):
             sock.send(GET)
@@ -111,3 +115,20 @@
         sock.send(GET)
         await asyncio.sleep(0.2)
         assert (await receive(sock)).startswith(ANSWER)
+
+
+async def test_a_server_that_stops_refuses_what_it_reads():
+    async with connected(has_answer=False) as (server, sock):
+        sock.send(GET[:10])
+        await until(lambda: server.requests_in_progress)
+        server.stop()
+        assert (await receive(sock)).startswith(b"HTTP/1.1 503 ")
+
+
+async def test_a_server_that_stops_reads_nothing_more():
+    async with connected() as (server, sock):
+        (connection,) = server.connections
+        server.stop()
+        sock.send(GET)
+        await asyncio.sleep(0.05)
+        assert unread_bytes(connection._transport) == len(GET)
--- a/pimentoquay/http1/unanswered.py
+++ b/pimentoquay/http1/unanswered.py
@@ -1,27 +1,18 @@
 """Requests that were read, in part or whole, and end without being passed to the handler."""
 
 from collections import Counter
-from enum import Enum
 
 from pimentoquay.kernel.logs import logger
 
-__all__ = ["CloseCause", "UnansweredRequests"]
-
-
-class CloseCause(Enum):
-    """Why the server closes a connection in an orderly way."""
-
-    IDLE = "idle"
-    LAST_ANSWER = "last_answer"
-    REJECTED = "rejected"
+__all__ = ["UnansweredRequests"]
 
 
 class UnansweredRequests:
     """Counts and logs the requests of a server that get no answer and reach no handler.
 
     ``count_by_reason`` counts them by reason: ``lost`` if the connection ended while the request
-    was being read, and ``after_`` with the name of a ``CloseCause`` if the request arrived on a
-    connection that the server had closed.
+    was being read, ``behind_cut`` if it was read behind one whose answer was broken off, and
+    ``behind_unread`` if its caller did not read the answers before it.
     """
 
     def __init__(self) -> None:
