Hold idle connections for twice the limit of their callers

Callers got no answer to a request that crossed the close of its idle connection, though they kept to the limit. Cause: the gateway counts idle time from when it has written an answer, a caller from when it has read it. Change: IdleLimits.held gives twice the limit that counts. A connection whose descriptor is needed ends before.

--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -301,7 +301,7 @@
         patience,
         process.callers,
         dispatcher.refuse_head,
-        idle_limits(fleet, bounds, node.timers.now).longest,
+        idle_limits(fleet, bounds, node.timers.now).held,
     )
     readiness_server = own_port_server(readiness_handler(dispatcher), turns)
     metrics.value_by_gauge = {
--- a/pimentoquay/policy/idle_limits.py
+++ b/pimentoquay/policy/idle_limits.py
@@ -5,6 +5,13 @@
 
 __all__ = ["IdleLimits"]
 
+HOLD_FACTOR = 2.0
+"""Ratio of the time for which an idle connection is held to the limit of its caller.
+
+A caller counts from when it has read its answer, which may be long after that was delivered to the
+system of its machine. Connections that are needed for others end sooner.
+"""
+
 
 @dataclass(frozen=True)
 class _PastLimit:
@@ -20,7 +27,7 @@
     Load pattern: callers keep their connections and use them again after pauses, while the limit
     changes, also several times in quick succession. A caller and a VM may hold different versions
     of the configuration for some time after a change, so a connection is closed only if its caller
-    may not use it by any limit that it may still know.
+    may not use it by any limit that it may still know, also if it read its last answer late.
 
     Parameters
     ----------
@@ -33,8 +40,8 @@
     -------
     >>> limits = IdleLimits(apply_seconds=3.0, seconds=15.0)
     >>> limits.record(2.0, now=100.0)
-    >>> limits.longest(idle_since=100.5, now=102.0), limits.longest(idle_since=100.5, now=104.0)
-    (15.0, 2.0)
+    >>> limits.held(idle_since=100.5, now=102.0), limits.held(idle_since=100.5, now=104.0)
+    (30.0, 4.0)
     """
 
     def __init__(self, apply_seconds: float, seconds: float) -> None:
@@ -56,8 +63,8 @@
         if self._past:
             self._forget(now)
 
-    def longest(self, idle_since: float, now: float) -> float:
-        """Return the longest idle time in seconds that counts for a connection.
+    def held(self, idle_since: float, now: float) -> float:
+        """Return the idle time in seconds for which a connection is held.
 
         Parameters
         ----------
@@ -67,11 +74,11 @@
         counts_from = min(idle_since, now - self._apply_seconds)
         for limit in self._past:
             if limit.ended_at >= counts_from:
-                return limit.seconds
-        return self._seconds
+                return HOLD_FACTOR * limit.seconds
+        return HOLD_FACTOR * self._seconds
 
     def _forget(self, now: float) -> None:
         """Forget the limits that ended before any connection that is open became idle."""
-        kept_seconds = self._past[0].seconds + self._apply_seconds
+        kept_seconds = HOLD_FACTOR * self._past[0].seconds + self._apply_seconds
         while self._past and self._past[0].ended_at < now - kept_seconds:
             self._past.popleft()
