Let no entry of another writer end the use of an engine

Cause: EngineList ordered the entries of an engine by born and seq, which their writer chooses. Any entry that could be decoded became the newest, whatever service it named, and all heartbeats of the engine with a lower start or number were passed over. Entries that could not be decoded, or lacked seq and born, took the engine out of the list or were used.

Change: an entry that names no engine to use (a field missing or of another type, a service or state that is not configured, a start in the future) displaces none that can be used; if no heartbeat of the engine follows within 4 s of reading the store, the engine counts as gone. An entry that can be used and is newer is in force at once, as engines start again under their ids. One that seems older is taken when its run has gone on for two heartbeats that were not seen before (policy/heartbeat_runs.py). Both records go to the peers, which get no mere heartbeats. seq and born have to be there. An entry whose service is configured later is taken then.

--- a/pimentoquay/bench/mutations/gateway_switches.py
+++ b/pimentoquay/bench/mutations/gateway_switches.py
@@ -105,7 +105,7 @@
         "addresses that cannot be connected are refused",
         "pimentoquay.platform.engine_entry:check_address",
         lambda original: lambda address: address,
-        _INVALID + "test_an_invalid_entry_of_a_listed_engine_names_it_no_longer",
+        _INVALID + "test_an_invalid_entry_of_a_listed_engine_names_none_and_the_engine_s_own_holds",
     ),
     Switch(
         "attempts to connect fail with OSError",
--- a/pimentoquay/bench/mutations/switches.py
+++ b/pimentoquay/bench/mutations/switches.py
@@ -1,6 +1,7 @@
 """Mechanisms that can be switched off, their replacements and the tests that have to fail then."""
 
 from pimentoquay.bench.mutations.allowance_switches import ALLOWANCE_SWITCHES
+from pimentoquay.bench.mutations.entry_switches import ENTRY_SWITCHES
 from pimentoquay.bench.mutations.gateway_switches import GATEWAY_SWITCHES
 from pimentoquay.bench.mutations.load_switches import LOAD_SWITCHES
 from pimentoquay.bench.mutations.path_switches import PATH_SWITCHES
@@ -279,6 +280,7 @@
     *SERVICE_SWITCHES,
     *SPEED_SWITCHES,
     *STOP_SWITCHES,
+    *ENTRY_SWITCHES,
     *STREAM_SWITCHES,
     *ROOM_SWITCHES,
     *TURN_SWITCHES,
--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -148,7 +148,7 @@
     """
     if turns is None:
         turns = TurnQueue(LeastServedFirst(node.timers.now))
-    fleet = Fleet(node.timers.now)
+    fleet = Fleet(node.timers.now, node.clock.wall)
     limits = EngineLimits(settings.vm)
     contact = EngineContact(node.timers)
     tunnels = PeerTunnels(
--- a/pimentoquay/gateway/fleet.py
+++ b/pimentoquay/gateway/fleet.py
@@ -1,5 +1,6 @@
 """Configuration and list of engines of a gateway, received from the store or from peers."""
 
+import time
 from collections.abc import Callable, Mapping
 from types import MappingProxyType
 
@@ -27,6 +28,9 @@
 """Most parts of a configuration that are logged as ignored; all are counted. A line takes 0.1 ms,
 and all 8,500 workspaces may be invalid."""
 
+MAX_CLOCK_SKEW_MS = 10_000
+"""Largest time by which an engine's clock may be ahead of that of this VM, in milliseconds."""
+
 
 class Fleet:
     """Configuration and engines that this gateway currently uses.
@@ -40,10 +44,13 @@
     ----------
     now
         Returns the monotonic time in seconds.
+    wall
+        Returns the seconds since the Unix epoch.
     """
 
-    def __init__(self, now: Callable[[], float]) -> None:
+    def __init__(self, now: Callable[[], float], wall: Callable[[], float] = time.time) -> None:
         self._now = now
+        self._wall = wall
         self.route_table: RouteTable | None = None
         self.engine_list = EngineList()
         self.notices = EngineNotices()
@@ -144,6 +151,12 @@
     def _put_in_force(self, configuration: FleetConfiguration) -> None:
         self._update = None
         self.route_table = RouteTable(configuration)
+        services = configuration.service_by_name.keys()
+        applied = self.engine_list.update_services(services, self._now())
+        records = [each.source for each in applied if isinstance(each.source, EngineRecord)]
+        self._record_by_engine.update({each.engine: each for each in records})
+        if applied:
+            self._refresh_engines()
         logger.bind(
             version=configuration.version,
             position=self._configuration_position,
@@ -152,17 +165,24 @@
         if configuration.workspaces is not None:
             _log_workspaces(configuration.workspaces)
 
-    def apply_engine_records(self, records: tuple[EngineRecord, ...]) -> tuple[EngineRecord, ...]:
-        """Apply records of engines; return those that changed more than a heartbeat's number."""
-        changed = []
+    def apply_engine_records(
+        self, records: tuple[EngineRecord, ...], from_peer: bool = False
+    ) -> tuple[EngineRecord, ...]:
+        """Apply records of engines; return those that changed more than a heartbeat's number.
+
+        ``from_peer`` is whether a peer has sent them, which has taken them over itself.
+        """
+        changed: list[EngineRecord] = []
         for record in records:
             if self.engine_list.is_known(record.engine, record.position):
                 continue
-            update = _to_update(record)
+            update = self._to_update(record, from_peer)
             if self.engine_list.apply((update,), self._now()):
-                changed.append(record)
+                changed += (*self._confirming(record.engine), record)
                 # Outdated records are not kept for peers, whatever their position.
                 self._record_by_engine[record.engine] = record
+            elif update.starts_later and not self.engine_list.holds(record.engine, record.position):
+                refuse("engine entry", record.engine, "the start is in the future")
         if changed:
             self._refresh_engines()
         return tuple(changed)
@@ -183,7 +203,7 @@
 
     def apply_due_removals(self) -> None:
         """Apply the removals that were postponed after an outage of the store and are now due."""
-        if self.engine_list.expire(self._now()):
+        if self.engine_list.expire(self._now(), self._read_at):
             self._refresh_engines()
 
     def pop_removals(self) -> tuple[EngineRecord, ...]:
@@ -209,11 +229,34 @@
         return FleetCopy(
             self._configuration_position,
             self._document,
-            tuple(self._record_by_engine.values()),
+            tuple(
+                each
+                for engine, record in self._record_by_engine.items()
+                for each in (*self._confirming(engine), record)
+            ),
             self._engines_position if self.has_engine_list else -1,
             (),
         )
 
+    def _confirming(self, engine: str) -> tuple[EngineRecord, ...]:
+        """Return the record that peers need, before the newest of an engine, to take that over."""
+        source = self.engine_list.confirming(engine)
+        return (source,) if isinstance(source, EngineRecord) else ()
+
+    def _to_update(self, record: EngineRecord, from_peer: bool) -> EngineUpdate:
+        if not record.value:
+            return EngineUpdate(record.engine, record.position, None, is_removed=True)
+        try:
+            entry = decode_engine_entry(record.engine, record.value)
+        except DecodeError as error:
+            refuse("engine entry", record.engine, error)
+            return EngineUpdate(record.engine, record.position, None)
+        latest_start = self._wall() * 1000 + MAX_CLOCK_SKEW_MS
+        starts_later = not from_peer and entry.incarnation > latest_start
+        return EngineUpdate(
+            record.engine, record.position, entry, starts_later=starts_later, source=record
+        )
+
     def _refresh_engines(self) -> None:
         before = {engine.id: engine for engine in self._engines}
         self._engines = self.engine_list.engines()
@@ -259,14 +302,3 @@
     logger.bind(
         workspaces=len(table.workspace_by_name), keys=table.key_count, ignored=len(table.invalid)
     ).info("workspaces in force")
-
-
-def _to_update(record: EngineRecord) -> EngineUpdate:
-    if not record.value:
-        return EngineUpdate(record.engine, record.position, None, is_removed=True)
-    try:
-        entry = decode_engine_entry(record.engine, record.value)
-    except DecodeError as error:
-        refuse("engine entry", record.engine, error)
-        return EngineUpdate(record.engine, record.position, None)
-    return EngineUpdate(record.engine, record.position, entry)
--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -287,7 +287,7 @@
         is_newer = bool(message.configuration) and self._fleet.apply_configuration(
             message.configuration_position, message.configuration
         )
-        changed = self._fleet.apply_engine_records(message.engines)
+        changed = self._fleet.apply_engine_records(message.engines, from_peer=True)
         if message.engines_position >= 0:
             self._fleet.has_engine_list = True
         if is_newer or changed or was_restored:
--- a/pimentoquay/policy/engine_list.py
+++ b/pimentoquay/policy/engine_list.py
@@ -3,12 +3,17 @@
 Failure pattern: heartbeats that arrive after newer ones, entries written by others than the engine,
 an id that is reused after a restart, entries that expire during an outage of the store although
 their engines are healthy, and a store that is restored from an older copy.
+
+An entry that cannot be used displaces no known one that can. If no heartbeat of the engine follows,
+the engine counts as gone. See ``heartbeat_runs`` for entries that can be used and are not from the
+engine.
 """
 
-from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field, replace
 
 from pimentoquay.policy.fleet import EngineEntry
+from pimentoquay.policy.heartbeat_runs import HeartbeatRuns
 from pimentoquay.policy.store_position import era_of
 
 __all__ = ["EngineList", "EngineUpdate"]
@@ -22,36 +27,59 @@
 It is needed to recognize older heartbeats that arrive afterwards.
 """
 
+CONTESTED_SECONDS = 4.0
+"""Time after an entry that cannot be used within which a heartbeat of the engine has to follow, in
+seconds. The store drops the entry of an engine that is silent for three heartbeats, which are 3.6
+s."""
+
 
 @dataclass(frozen=True)
 class EngineUpdate:
     """A record of the store about one engine.
 
     ``entry`` is None if the engine was removed or its entry cannot be read. ``position`` is the
-    position of the record in the store.
+    position of the record in the store. ``starts_later`` is whether the engine, as its entry says,
+    has not started yet. ``source`` is the record as it was received.
     """
 
     id: str
     position: int
     entry: EngineEntry | None
     is_removed: bool = False
+    starts_later: bool = False
+    source: object = None
 
 
 @dataclass
 class _KnownEngine:
+    """Entry in force of an engine, also after its removal.
+
+    ``removal_due`` is when it is removed unless a heartbeat comes, ``contested_until`` the same
+    after an entry that cannot be used. ``set_aside`` is the newest one whose service is not named.
+    """
+
     entry: EngineEntry
     position: int
+    starts_later: bool
+    runs: HeartbeatRuns
     removed_at: float | None = None
     removal_due: float | None = None
+    contested_until: float | None = None
+    set_aside: EngineUpdate | None = None
 
 
+@dataclass
 class EngineList:
-    """List of the engines that one VM knows."""
+    """List of the engines that one VM knows.
+
+    ``services`` are the names of the services in the configuration, or None before there is one.
+    """
 
-    def __init__(self) -> None:
-        self._known_by_id: dict[str, _KnownEngine] = {}
-        self._position_by_id: dict[str, int] = {}
-        self._grace_until = 0.0
+    services: Collection[str] | None = None
+    _known_by_id: dict[str, _KnownEngine] = field(default_factory=dict)
+    _position_by_id: dict[str, int] = field(default_factory=dict)
+    _usable_position_by_id: dict[str, int] = field(default_factory=dict)
+    _grace_until: float = 0.0
 
     def start_relisting_grace(self, now: float) -> None:
         """Delay removals for a grace period after an outage, from when the store is readable again.
@@ -60,25 +88,55 @@
         ``RELISTING_GRACE_SECONDS`` unless it has sent a heartbeat by then.
         """
         self._grace_until = now + RELISTING_GRACE_SECONDS
+        for known in self._known_by_id.values():
+            if known.contested_until is not None:
+                known.contested_until = max(known.contested_until, self._grace_until)
+
+    def update_services(self, services: Collection[str], now: float) -> list[EngineUpdate]:
+        """Use other names of services; return the entries set aside that are in force now."""
+        self.services = services
+        applied = []
+        for known in self._known_by_id.values():
+            update, known.set_aside = known.set_aside, None
+            if update is not None and self._apply_one(update, now):
+                applied.append(update)
+        return applied
 
     def is_known(self, engine: str, position: int) -> bool:
         """Return whether a record cannot change the list, whatever it holds.
 
-        That is so if it, or a later one of its era or of a later era, has been applied.
+        That is so if it was applied, or a later one of its era or of a later era that can be used.
+        """
+        usable = self._usable_position_by_id.get(engine, -1)
+        is_older = position <= usable and era_of(position) >= era_of(usable)
+        return is_older or position == self._position_by_id.get(engine)
+
+    def holds(self, engine: str, position: int) -> bool:
+        """Return whether an engine is listed as the record at a position says."""
+        known = self._known_by_id.get(engine)
+        return known is not None and known.removed_at is None and known.position == position
+
+    def confirming(self, engine: str) -> object:
+        """Return the source of the record that a VM needs, before the newest, to list the same.
+
+        None if the newest record is enough. See ``HeartbeatRuns.confirming``.
         """
-        known_position = self._position_by_id.get(engine, -1)
-        return position <= known_position and era_of(position) >= era_of(known_position)
+        known = self._known_by_id.get(engine)
+        return known.runs.confirming if known is not None and known.removed_at is None else None
 
     def apply(self, updates: Iterable[EngineUpdate], now: float) -> bool:
         """Apply records that arrive in any order; return whether the list has changed."""
         changed = False
         for update in updates:
-            known_position = self._position_by_id.get(update.id, -1)
-            if update.position > known_position:
+            if self.is_known(update.id, update.position):
+                continue
+            usable = self._usable_position_by_id.get(update.id, -1)
+            if update.position > usable or update.entry is not None:
+                # One of an earlier era is a newer heartbeat that is missing in the copy from which
+                # the store was restored.
                 self._position_by_id[update.id] = update.position
-                changed |= self._apply_one(update, now)
-            elif update.entry is not None and era_of(update.position) < era_of(known_position):
-                # The store was restored from a copy in which this newer heartbeat is missing.
+                if update.is_removed or self._is_usable(update.entry, update.starts_later):
+                    self._usable_position_by_id[update.id] = max(usable, update.position)
                 changed |= self._apply_one(update, now)
         return changed
 
@@ -102,13 +160,23 @@
                 changed |= self._remove(known, now)
         return changed
 
-    def expire(self, now: float) -> bool:
-        """Carry out removals whose grace period is over; return whether the list has changed."""
+    def expire(self, now: float, read_at: float = float("-inf")) -> bool:
+        """Carry out removals whose grace period is over; return whether the list has changed.
+
+        Parameters
+        ----------
+        now
+            Current time in seconds.
+        read_at
+            When this VM last read the list from the store, which shows that no heartbeat came.
+        """
         changed = False
         for engine_id, known in tuple(self._known_by_id.items()):
-            if known.removal_due is not None and now >= known.removal_due:
-                known.removed_at, known.removal_due = now, None
-                changed = True
+            if known.removed_at is None and (
+                (known.removal_due is not None and now >= known.removal_due)
+                or (known.contested_until is not None and read_at >= known.contested_until)
+            ):
+                changed |= self._mark_removed(known, now)
             elif (
                 known.removed_at is not None and now - known.removed_at > REMOVED_RETENTION_SECONDS
             ):
@@ -122,19 +190,50 @@
         )
 
     def _apply_one(self, update: EngineUpdate, now: float) -> bool:
-        known = self._known_by_id.get(update.id)
-        if update.entry is None:
-            # An engine whose entry cannot be read must not be used, whoever wrote the entry.
-            if known is None or known.removed_at is not None:
-                return False
-            return self._remove(known, now) if update.is_removed else self._mark_removed(known, now)
-        if known is not None and _is_stale(update.entry, known):
+        known, entry = self._known_by_id.get(update.id), update.entry
+        if known is None:
+            return self._add(update, now)
+        is_listed = known.removed_at is None
+        if update.is_removed:
+            return is_listed and self._remove(known, now)
+        is_known_usable = self._is_usable(known.entry, known.starts_later)
+        is_named = entry is not None and self._is_named(entry)
+        if entry is None or (is_listed and is_known_usable and not is_named):
+            known.set_aside = update if entry is not None else known.set_aside
+            if known.contested_until is None:
+                known.contested_until = max(now + CONTESTED_SECONDS, self._grace_until)
             return False
-        self._known_by_id[update.id] = _KnownEngine(update.entry, update.position)
-        if known is None or known.removed_at is not None:
-            return True
+        is_usable = self._is_usable(entry, update.starts_later)
+        if not known.runs.accepts(
+            entry,
+            takes_equal=is_listed,
+            is_better=is_usable and not is_known_usable,
+            is_worse=is_known_usable and not is_usable,
+            source=update.source,
+        ):
+            return False
+        before, known.entry, known.position = known.entry, entry, update.position
+        known.starts_later, known.set_aside = update.starts_later, None
+        known.removed_at = known.removal_due = known.contested_until = None
         # A mere heartbeat is no change, so it is not sent to all VMs.
-        return replace(known.entry, sequence=update.entry.sequence) != update.entry
+        return not is_listed or replace(before, sequence=entry.sequence) != entry
+
+    def _add(self, update: EngineUpdate, now: float) -> bool:
+        entry = update.entry
+        if entry is None:
+            return False
+        known = _KnownEngine(entry, update.position, update.starts_later, HeartbeatRuns(entry))
+        self._known_by_id[update.id] = known
+        if update.starts_later:
+            # It is listed with its next heartbeat, as this VM's clock may be behind.
+            known.removed_at = now
+        return not update.starts_later
+
+    def _is_named(self, entry: EngineEntry) -> bool:
+        return self.services is None or entry.service in self.services
+
+    def _is_usable(self, entry: EngineEntry | None, starts_later: bool) -> bool:
+        return entry is not None and not starts_later and self._is_named(entry)
 
     def _remove(self, known: _KnownEngine, now: float) -> bool:
         if now < self._grace_until:
@@ -143,13 +242,5 @@
         return self._mark_removed(known, now)
 
     def _mark_removed(self, known: _KnownEngine, now: float) -> bool:
-        known.removed_at = now
+        known.removed_at, known.removal_due, known.contested_until = now, None, None
         return True
-
-
-def _is_stale(entry: EngineEntry, known: _KnownEngine) -> bool:
-    if entry.incarnation != known.entry.incarnation:
-        return entry.incarnation < known.entry.incarnation
-    if known.removed_at is not None:
-        return entry.sequence <= known.entry.sequence
-    return entry.sequence < known.entry.sequence
