--- a/pimentoquay/gateway/tests/fuzzed_inputs.py
+++ b/pimentoquay/gateway/tests/fuzzed_inputs.py
@@ -34,6 +34,7 @@
     "changed_json",
     "check_usable",
     "examples",
+    "foreign_json",
     "header_lists",
     "messages",
 ]
@@ -142,6 +143,28 @@
     return draw(st.just(text.encode()) | changed_bytes(st.just(text.encode())))
 
 
+def foreign_json(sample: dict[str, Any]) -> Any:
+    """Return a strategy for JSON texts of a sample's form, in which some values are others.
+
+    Each value keeps its type, and texts mean something.
+    """
+    return _foreign(sample).map(lambda item: json.dumps(item).encode())
+
+
+def _foreign(sample: Any) -> Any:
+    if isinstance(sample, dict):
+        return st.fixed_dictionaries({name: _foreign(each) for name, each in sample.items()})
+    if isinstance(sample, list):
+        return st.tuples(*map(_foreign, sample)).map(list)
+    if isinstance(sample, bool):
+        return st.booleans()
+    if isinstance(sample, int | float):
+        near = st.integers(-3, 10).map(lambda step: max(0, sample + step))
+        far = st.sampled_from((0, 1, 10**6, 2**53, MAX_INTEGER))
+        return st.just(sample) | near | far
+    return st.just(sample) | st.sampled_from((*NAMES, "ready", "draining", "kitchen"))
+
+
 def _draw_place(draw: Any, item: Any) -> tuple[Any, Any]:
     """Draw a container within an item and a key of it."""
     place, key = None, None
