--- a/pimentoquay/bench/mutations/switches.py
+++ b/pimentoquay/bench/mutations/switches.py
@@ -2,6 +2,7 @@
 
 from pimentoquay.bench.mutations.allowance_switches import ALLOWANCE_SWITCHES
 from pimentoquay.bench.mutations.close_switches import CLOSE_SWITCHES
+from pimentoquay.bench.mutations.entry_switches import ENTRY_SWITCHES
 from pimentoquay.bench.mutations.gateway_switches import GATEWAY_SWITCHES
 from pimentoquay.bench.mutations.load_switches import LOAD_SWITCHES
 from pimentoquay.bench.mutations.path_switches import PATH_SWITCHES
@@ -281,6 +282,7 @@
     *SPEED_SWITCHES,
     *STOP_SWITCHES,
     *CLOSE_SWITCHES,
+    *ENTRY_SWITCHES,
     *STREAM_SWITCHES,
     *ROOM_SWITCHES,
     *TURN_SWITCHES,
