Take entries without a start where a deployment states none

A born that is there has to be a number; without it the start counts as 0, which displaces no entry that states one.

--- a/pimentoquay/platform/tests/test_decoding.py
+++ b/pimentoquay/platform/tests/test_decoding.py
@@ -83,6 +83,11 @@
         decode_engine_entry("i-1", json.dumps(ENTRY | {field: value}).encode())
 
 
+def test_an_entry_without_a_start_is_that_of_a_deployment_that_states_none():
+    entry = {name: value for name, value in ENTRY.items() if name != "born"}
+    assert decode_engine_entry("i-1", json.dumps(entry).encode()).incarnation == 0
+
+
 def test_a_configuration_is_decoded_with_units():
     item = {"version": 7, "routes": [ROUTE], "services": [], "limits": {"idleTimeoutMs": 500}}
     configuration = decode_configuration(json.dumps(item).encode())
