Take no answer from a status outside 100 to 599

Callers saw: the status 600 or 999 of an engine as their answer, with its body and signature, on plain routes and on streams, directly and through tunnels. A call that runs once was sent to a second engine if such an answer said that it had not run.

Cause: which statuses are valid was left to the parser, which takes up to 999. The HTTP client of our own services uses another one, which takes any number of digits, and a 1xx as a final response.

Change: a final response over 599 is no response in the one place that parses what engines and the store send; the connection is closed, and nothing in its head is read. HttpPeer reads a status line of 200 to 599 only.

--- a/pimentoquay/http1/client_connection.py
+++ b/pimentoquay/http1/client_connection.py
@@ -53,6 +53,9 @@
 MAX_INFORMATIONAL_RESPONSES = 16
 """Maximum number of responses with a status of 1xx before the final one."""
 
+MAX_STATUS = 599
+"""Maximum valid status of a response (RFC 9110, section 15); the parser allows up to 999."""
+
 MAX_DIGITS = 9
 """Maximum length of a stated idle timeout, in digits; a longer one counts as not stated."""
 
@@ -320,6 +323,8 @@
                 raise h11.RemoteProtocolError("too many informational responses")
             return True
         if isinstance(event, h11.Response):
+            if event.status_code > MAX_STATUS:
+                raise h11.RemoteProtocolError(f"status {event.status_code}")
             self._is_discarding = not self.marks.is_own(tuple(event.headers.raw_items()))
         if self._is_discarding:
             return self._discard_event(event)
--- a/pimentoquay/kernel/http_peer.py
+++ b/pimentoquay/kernel/http_peer.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import re
 from collections.abc import AsyncGenerator, Mapping
 from contextlib import aclosing
 from contextvars import ContextVar
@@ -17,7 +18,7 @@
 from aiosonic import HTTPClient, HttpResponse
 from aiosonic.connection import Connection
 from aiosonic.connectors import TCPConnector
-from aiosonic.exceptions import AiosonicError, ConnectionPoolAcquireTimeout
+from aiosonic.exceptions import AiosonicError, ConnectionPoolAcquireTimeout, HttpParsingError
 from aiosonic.pools import BasePool, PoolConfig
 from aiosonic.timeout import Timeouts
 
@@ -39,6 +40,9 @@
 """Time in seconds without data after which a stream counts as broken."""
 
 _TIMEOUTS = Timeouts(CONNECT_TIMEOUT_SECONDS, None, None, None)
+_FINAL_STATUS_LINE = re.compile(rb"HTTP/[0-9](\.[0-9])? [2-5][0-9]{2}[ \r\n]")
+"""Beginning of the status line of a final response; aiosonic accepts a status of any digits."""
+
 _FAILURES = (AiosonicError, OSError, EOFError, ValueError, TimeoutError)
 
 
@@ -76,6 +80,13 @@
         process_traffic.http_bytes_sent += len(data)
         super().write(data)
 
+    async def readuntil(self, separator: bytes = b"\n") -> bytes:
+        """Read the status line of a response, for which alone aiosonic calls this method."""
+        line: bytes = await super().readuntil(separator)
+        if not _FINAL_STATUS_LINE.match(line):
+            raise HttpParsingError(f"not a final response: {line[:80]!r}")
+        return line
+
     async def __aexit__(self, exc_type: Any, exc: Any, tb: Any) -> None:
         if exc_type is not None:
             self.keep = False
--- a/pimentoquay/kernel/tests/test_http_peer.py
+++ b/pimentoquay/kernel/tests/test_http_peer.py
@@ -104,3 +104,26 @@
     task.cancel()
     await asyncio.wait({task})
     assert task.cancelled()
+
+
+@pytest.mark.parametrize("status", ["600", "999", "1000", "000", "00", "099", "0200", "-20", "100"])
+@pytest.mark.parametrize("is_stream", [False, True])
+async def test_a_status_that_no_final_response_can_have_is_no_response(is_stream, status):
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(f"HTTP/1.1 {status} Any\r\ncontent-length: 2\r\n\r\nno".encode())
+        await writer.drain()
+        await reader.read()
+        writer.close()
+
+    listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+    client = HttpPeer(f"127.0.0.1:{listener.sockets[0].getsockname()[1]}")
+    with pytest.raises(HttpError) as raised:
+        if is_stream:
+            await client.open_stream("/a", 5.0)
+        else:
+            await client.request("GET", "/a", 5.0)
+    assert raised.value.written
+    assert client.connections_in_use == 0
+    assert not client._pool._idle, "what follows is not read as an answer"
+    listener.close()
