Take no end of a connection for that of an answer whose request is unwritten

Callers saw: a 200 with a part of a body, framed as whole, if an engine answered a long upload before it had read it, without a length, closed its side of the connection and reset it a moment later. Streams ended as whole after the events that had come; calls through tunnels did the same.

Cause: the end of a connection ended an answer without a length, whatever had become of its request. If the reset came together with the end, it was seen; the form has a pause of 0.1 s between them.

Change: an answer that ends with its connection is whole only if its request has left the process and is acknowledged by the engine's system.

--- a/pimentoquay/http1/client_connection.py
+++ b/pimentoquay/http1/client_connection.py
@@ -148,9 +148,10 @@
         self.on_lost(self)
 
     def eof_received(self) -> bool:
-        """End a response whose end is that of the connection."""
+        """End a response whose end is that of the connection, if the request has been taken."""
         if self._request is not None and not self._is_complete:
             self._has_ended = True
+            self._writer.record_end()
             self._handle_received()
         return False
 
@@ -298,8 +299,9 @@
                 event = self._http.next_event()
                 if event is h11.NEED_DATA and self._has_ended and not is_at_end:
                     is_at_end = True
-                    self._http.receive_data(b"")
-                    continue
+                    if not self._writer.is_cut:
+                        self._http.receive_data(b"")
+                        continue
                 if not self._process_event(event):
                     break
                 items += items_of(event)
--- a/pimentoquay/http1/request_writer.py
+++ b/pimentoquay/http1/request_writer.py
@@ -4,6 +4,8 @@
 
 import h11
 
+from pimentoquay.http1.system_state import unsent_bytes
+
 __all__ = ["RequestWriter", "without_body"]
 
 PIECE_BYTES = 64 * 1024
@@ -13,15 +15,17 @@
 class RequestWriter:
     """Writes requests to a transport, which holds no second copy of a large body.
 
-    ``transport`` is set once the connection is open.
+    ``transport`` is set once the connection is open. ``is_cut`` is whether the server ended the
+    connection before its system had taken the whole request.
     """
 
-    __slots__ = ("_is_paused", "_rest", "transport")
+    __slots__ = ("_is_paused", "_rest", "is_cut", "transport")
 
     def __init__(self) -> None:
         self.transport: Any = None
         self._rest = memoryview(b"")
         self._is_paused = False
+        self.is_cut = False
 
     @property
     def unsent_bytes(self) -> int:
@@ -46,6 +50,10 @@
         self._is_paused = False
         self._write_more()
 
+    def record_end(self) -> None:
+        """Record that the server has ended the connection, before anything else is sent on it."""
+        self.is_cut = bool(self._rest) or unsent_bytes(self.transport) > 0
+
     def drop(self) -> None:
         """Drop the rest of a request, whose connection has ended."""
         self._rest = memoryview(b"")
--- a/pimentoquay/tunnels/server.py
+++ b/pimentoquay/tunnels/server.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from pimentoquay.http1 import Connect, SharedBufferProtocol
+from pimentoquay.http1.system_state import unsent_bytes
 from pimentoquay.kernel import Identity, PimentoquayError, ResultCode
 from pimentoquay.kernel.background import BackgroundTasks
 from pimentoquay.kernel.logs import logger
@@ -294,13 +295,18 @@
         """Send bytes of the engine to the peer."""
         self._transport.write(frame(data))
 
-    def end(self, is_orderly: bool) -> None:
-        """End the tunnel, as the engine has ended its connection."""
-        if is_orderly:
-            self._transport.write(END)
-            self._transport.close()
-        else:
+    def end(self, is_orderly: bool, is_cut: bool) -> None:
+        """End the tunnel, as the engine has ended its connection.
+
+        An end that cut off what was being sent does not mark the end of a response: the peer gets
+        the bytes before it, and then the end of the tunnel alone.
+        """
+        if not is_orderly:
             self._transport.abort()
+            return
+        if not is_cut:
+            self._transport.write(END)
+        self._transport.close()
 
     def _open(self, data: bytes) -> None:
         message = self._reader.read_message(data)
@@ -334,6 +340,7 @@
         self._has_begun = False
         self._before: list[bytes] = []
         self._ended: bool | None = None
+        self._is_cut = False
 
     def connection_made(self, transport: Any) -> None:
         self._transport = transport
@@ -349,7 +356,7 @@
         for data in before:
             self._peer.forward(data)
         if self._ended is not None:
-            self._peer.end(self._ended)
+            self._peer.end(self._ended, self._is_cut)
 
     def data_received(self, data: bytes) -> None:
         if self._has_begun:
@@ -359,6 +366,7 @@
             self.set_reading(False)
 
     def eof_received(self) -> bool:
+        self._is_cut = unsent_bytes(self._transport) > 0
         self._end(True)
         return False
 
@@ -388,4 +396,4 @@
         if self._ended is None:
             self._ended = is_orderly
             if self._has_begun:
-                self._peer.end(is_orderly)
+                self._peer.end(is_orderly, self._is_cut)
