Charge what cannot be written to engines to its caller, not to engines

Callers saw: one caller that names Host in its Connection header, ten times a second, stopped the streams of all others at its gateway (503); 2 and 3 of 120 were served.

Cause: the options of Connection removed any header, so the request could not be written without its Host, and an error before the first byte counted as a refusal of the engine. Each engine was tried in turn, and its circuit opened.

Change: Connection removes neither Host nor the system's names. A request that cannot be written is an error of its own kind that says nothing of an engine; the caller gets 400 if it cannot be sent as it was written, else 500, and the memory and units reserved for it are released. A handle or hold that cannot be sent back is no answer of the engine that named it.

--- a/pimentoquay/gateway/engine_link.py
+++ b/pimentoquay/gateway/engine_link.py
@@ -25,6 +25,7 @@
     ResponseTooLargeError,
     WithheldError,
 )
+from pimentoquay.kernel.input_checks import can_be_header
 from pimentoquay.kernel.logs import logger
 from pimentoquay.kernel.timeouts import attempt_timeout
 from pimentoquay.kernel.turns import TurnQueue
@@ -290,13 +291,13 @@
             self._circuits.end_probe(self.entry.id, probe)
 
     def _check_created(self, call: EngineCall, exchange: Exchange, body: bytes) -> None:
-        """Raise an error if a success names nothing new, as it may be that of an earlier call."""
+        """Raise an error if a success names nothing new, or what cannot be sent back."""
         if not call.creates_hold or exchange.status != 200:
             return
         name = ""
         with contextlib.suppress(DecodeError):
             name = self.calls.parse_hold(body)
-        if not name or not exchange.claim(f"hold {name}"):
+        if not can_be_header(name) or not exchange.claim(f"hold {name}"):
             exchange.close_afterwards()
             logger.bind(engine=self.entry.id, name=name).warning("response came again")
             raise RepeatedResponseError(f"{self.entry.id}: hold {name} once more", True)
@@ -381,10 +382,7 @@
         return probe
 
     def _record_failure(self, error: HttpError) -> None:
-        """Record a failure, which opens the circuit at once if nothing was written.
-
-        It is opened at once also if the engine sends without end.
-        """
+        """Record a failure of the engine; if it is one to connect, or to end, its circuit opens."""
         if isinstance(error, PathLostError | RepeatedResponseError | WithheldError):
             return
         now = asyncio.get_running_loop().time()
--- a/pimentoquay/gateway/job.py
+++ b/pimentoquay/gateway/job.py
@@ -8,8 +8,9 @@
 from pimentoquay.gateway.metrics import GatewayMetrics
 from pimentoquay.gateway.planned_stop import PlannedStop
 from pimentoquay.gateway.request_access import RequestAccess
-from pimentoquay.http1 import HeaderList, HttpRequest, Reply, end_to_end_headers
+from pimentoquay.http1 import HeaderList, HttpRequest, Reply, end_to_end_headers, is_sendable
 from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode, info_of
+from pimentoquay.kernel.errors import UnsendableError
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.requests import CallerRequest, retry_after_header
 from pimentoquay.policy.fleet import Route
@@ -105,6 +106,16 @@
         """Return the decision for a send; raise ``WithheldError`` if nothing may be written."""
         return self.access.check_send() if self.access is not None else UNCHECKED
 
+    def refusal_of(self, error: UnsendableError) -> RefusedError:
+        """Return the refusal of a request that cannot be written to any engine.
+
+        It is the caller's error if the request cannot be sent as the caller wrote it, else ours.
+        """
+        request = self.request
+        is_ours = is_sendable(request.method, request.target, end_to_end_headers(request.headers))
+        code = ResultCode.INTERNAL if is_ours else ResultCode.BAD_REQUEST
+        return RefusedError(code, str(error))
+
     def age(self) -> float:
         """Return the seconds since the request arrived."""
         return asyncio.get_running_loop().time() - self.arrived_at
--- a/pimentoquay/gateway/plain.py
+++ b/pimentoquay/gateway/plain.py
@@ -23,7 +23,12 @@
     end_to_end_headers,
 )
 from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode
-from pimentoquay.kernel.errors import HttpError, ResponseTooLargeError, WithheldError
+from pimentoquay.kernel.errors import (
+    HttpError,
+    ResponseTooLargeError,
+    UnsendableError,
+    WithheldError,
+)
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.requests import SendOptions
 from pimentoquay.platform.responses import ResponseInfo, parse_response
@@ -178,6 +183,9 @@
             attempts.arrivals += 1
             has_failed = response.status >= 500
             return self._accept_response(job, engine, attempts, response)
+        except UnsendableError as error:
+            has_failed = False
+            raise job.refusal_of(error) from None
         except HttpError as error:
             has_failed = not isinstance(error, WithheldError)
             self._record_lost(job, engine, attempts, error.written, str(error))
--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -16,7 +16,8 @@
 from pimentoquay.gateway.reservation import Reservation
 from pimentoquay.gateway.shared_state import SharedState
 from pimentoquay.http1 import ExchangeWatch
-from pimentoquay.kernel.errors import HttpError
+from pimentoquay.kernel.errors import HttpError, UnsendableError
+from pimentoquay.kernel.input_checks import can_be_header, describe
 from pimentoquay.kernel.logs import logger
 from pimentoquay.kernel.metrics import Metric
 from pimentoquay.platform.fields import DecodeError
@@ -143,6 +144,8 @@
                 return await self._send(
                     job, model, engine, after_event, engine.id == granted, timeout
                 )
+            except UnsendableError as error:
+                raise job.refusal_of(error) from None
             except (HttpError, _PrefillRefusedError, DecodeError, TimeoutError) as error:
                 self.timed_out += isinstance(error, TimeoutError)
                 logger.bind(request=job.caller.id, engine=engine.id, error=repr(error)).info(
@@ -310,7 +313,10 @@
                 self._speeds.record(engine, PrefillSample(tokens, seconds, ahead))
                 needed = speeds.seconds(engine.start, tokens, loop.time())
                 self._shared.demand.record_prefill(needed)
-                return Prefill(link, parse_prefill(body))
+                result = parse_prefill(body)
+                if not can_be_header(result.handle):
+                    raise DecodeError(f"kvHandle {describe(result.handle)}: no value of a header")
+                return Prefill(link, result)
         finally:
             ledger.release(engine.id, tokens)
             self._on_change()
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -21,7 +21,7 @@
 )
 from pimentoquay.http1 import Exchange, ExchangeWatch, ServerState, end_to_end_headers
 from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode
-from pimentoquay.kernel.errors import HttpError
+from pimentoquay.kernel.errors import HttpError, UnsendableError
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.requests import SendOptions
 from pimentoquay.platform.responses import parse_response
@@ -274,6 +274,10 @@
                 await self._relay_events(
                     job, progress, exchange, reservation, prefill, silence_timeout
                 )
+        except UnsendableError as error:
+            progress.runs -= 1
+            reservation.is_hold_used = False
+            raise job.refusal_of(error) from None
         except HttpError as error:
             state = None
             if error.connection_lost:
--- a/pimentoquay/http1/__init__.py
+++ b/pimentoquay/http1/__init__.py
@@ -17,6 +17,7 @@
 from pimentoquay.http1.client_connection import ClientConnection, ExchangeWatch, ReusePolicy
 from pimentoquay.http1.headers import HeaderList, end_to_end_headers, find_header
 from pimentoquay.http1.request import HeadRefusal, HttpRequest
+from pimentoquay.http1.request_writer import is_sendable
 from pimentoquay.http1.response_marks import ConnectionUse, ResponseMark
 from pimentoquay.http1.server import HttpServer, Reply, ServerLimits
 
@@ -40,4 +41,5 @@
     "connect_tcp",
     "end_to_end_headers",
     "find_header",
+    "is_sendable",
 ]
--- a/pimentoquay/http1/client_connection.py
+++ b/pimentoquay/http1/client_connection.py
@@ -21,7 +21,7 @@
 from pimentoquay.http1.request_writer import RequestWriter, without_body
 from pimentoquay.http1.response_items import items_of, length_of
 from pimentoquay.http1.response_marks import ResponseMark, ResponseMarks
-from pimentoquay.kernel.errors import HttpError, PathLostError
+from pimentoquay.kernel.errors import HttpError, PathLostError, UnsendableError
 from pimentoquay.kernel.turns import ITEMS_PER_TURN, TurnQueue
 
 __all__ = ["ClientConnection", "ExchangeWatch", "ReusePolicy"]
@@ -185,7 +185,7 @@
             self.heard_at = self._now()
             self._writer.send(self._serialise(self._request, body), body)
         except h11.LocalProtocolError as error:
-            raise HttpError(f"the request cannot be sent: {error}", False) from None
+            raise UnsendableError(f"the request cannot be sent: {error}") from None
 
     def pause_writing(self) -> None:
         """Keep the rest of the request until the server has read more."""
--- a/pimentoquay/http1/headers.py
+++ b/pimentoquay/http1/headers.py
@@ -58,11 +58,13 @@
     return None
 
 
-def end_to_end_headers(headers: HeaderList) -> HeaderList:
+def end_to_end_headers(headers: HeaderList, kept: tuple[bytes, ...] = ()) -> HeaderList:
     """Return the headers that a router forwards.
 
     Omitted are hop-by-hop headers, including those that ``Connection`` lists, and headers that
-    frame the body, because each connection frames it separately.
+    frame the body, because each connection frames it separately. ``Connection`` cannot remove
+    ``Host``, without which a request cannot be sent, nor names that begin with one in ``kept``,
+    which must be in lower case.
 
     Example
     -------
@@ -74,5 +76,6 @@
         for value in find_headers(headers, b"connection")
         for token in value.split(b",")
     }
-    omitted = _HOP_BY_HOP | connection_options
+    kept_options = {each for each in connection_options if each.startswith(kept)} | {b"host"}
+    omitted = _HOP_BY_HOP | (connection_options - kept_options)
     return tuple(pair for pair in headers if pair[0].lower() not in omitted)
--- a/pimentoquay/http1/request_writer.py
+++ b/pimentoquay/http1/request_writer.py
@@ -4,9 +4,10 @@
 
 import h11
 
+from pimentoquay.http1.headers import HeaderList
 from pimentoquay.http1.system_state import unsent_bytes
 
-__all__ = ["RequestWriter", "without_body"]
+__all__ = ["RequestWriter", "is_sendable", "without_body"]
 
 PIECE_BYTES = 64 * 1024
 """Size of the pieces of a body; shorter ones are written with the head."""
@@ -66,6 +67,15 @@
             self.transport.write(piece)
 
 
+def is_sendable(method: bytes, target: bytes, headers: HeaderList) -> bool:
+    """Return whether a request with this head can be written in HTTP/1.1."""
+    try:
+        h11.Request(method=method, target=target, headers=list(headers))
+    except h11.LocalProtocolError:
+        return False
+    return True
+
+
 def without_body(request: h11.Request) -> h11.Request:
     """Return a request with the same head but no body."""
     headers = [(name, value) for name, value in request.headers if name != b"content-length"]
--- a/pimentoquay/kernel/errors.py
+++ b/pimentoquay/kernel/errors.py
@@ -13,6 +13,7 @@
     "RefusedError",
     "RepeatedResponseError",
     "ResponseTooLargeError",
+    "UnsendableError",
     "WithheldError",
 ]
 
@@ -116,5 +117,9 @@
         super().__init__(detail, False)
 
 
+class UnsendableError(WithheldError):
+    """A request was not written because it cannot be written in HTTP."""
+
+
 class ResponseTooLargeError(HttpError):
     """A response, or a part of it, exceeds its maximum size; the rest of it was not read."""
--- a/pimentoquay/platform/requests.py
+++ b/pimentoquay/platform/requests.py
@@ -19,6 +19,7 @@
 _LENGTH_HINT = b"pimentoquay-length-hint"
 _LAST_EVENT = b"last-event-id"
 _RESUMES = b"resumes"
+_ALWAYS_SENT = (b"pimentoquay-", _LAST_EVENT, _RESUMES)
 _KEY = b"pimentoquay-key"
 # Name of the workspace, which only the system may set if the configuration has workspaces.
 _WORKSPACE = b"pimentoquay-tenant"
@@ -137,7 +138,8 @@
     if options.after_event is not None:
         dropped = dropped | {_LAST_EVENT}
         added.append((b"Last-Event-Id", str(options.after_event).encode()))
-    kept = (pair for pair in end_to_end_headers(request.headers) if pair[0].lower() not in dropped)
+    headers = end_to_end_headers(request.headers, _ALWAYS_SENT)
+    kept = (pair for pair in headers if pair[0].lower() not in dropped)
     return (*kept, *added)
 
 
