Serve streams that ask for 0 tokens and give a length hint

Callers saw: 500 for Pimentoquay-Token-Counts: 10,0 with a length hint.

Cause: the estimate of an answer's length takes the logarithm of the hint's ratio to half of the maximum, which is 0 then.

Change: an answer of at most one token is predicted as one token.

--- a/pimentoquay/policy/output_estimate.py
+++ b/pimentoquay/policy/output_estimate.py
@@ -82,11 +82,13 @@
         hint
             The caller's estimate in tokens, or zero if it gives none.
         max_tokens
-            Maximum length of the answer in tokens.
+            Maximum length of the answer in tokens; at least one token is predicted if it is zero.
         deviations
             Number of standard deviations by which the result lies above the median; half of the
             answers are longer than the result for 0, a sixth for 1.
         """
+        if max_tokens <= 1:
+            return 1
         mean_x, mean_y = self._sum_x / self._weight, self._sum_y / self._weight
         slope, deviation = self._fit(mean_x, mean_y)
         offset = slope * (_log_ratio_to_half(hint, max_tokens) - mean_x) if hint > 0 else 0.0
--- a/pimentoquay/policy/tests/test_output_estimate.py
+++ b/pimentoquay/policy/tests/test_output_estimate.py
@@ -1,6 +1,8 @@
 import math
 import random
 
+import pytest
+
 from pimentoquay.policy.output_estimate import OutputLengthEstimator
 
 MAX_TOKENS = 8320
@@ -69,3 +71,10 @@
     assert estimate.tokens(0, MAX_TOKENS) == MAX_TOKENS // 2
     estimate.record(0, MAX_TOKENS, 5)
     assert estimate.tokens(0, MAX_TOKENS) == MAX_TOKENS // 2
+
+
+@pytest.mark.parametrize("hint", [0, 1, 4000, 10**15])
+@pytest.mark.parametrize("max_tokens", [0, 1])
+def test_an_answer_of_at_most_no_token_has_a_prediction(max_tokens, hint):
+    """The logarithm of the hint's ratio to the maximum divided by zero."""
+    assert OutputLengthEstimator().tokens(hint, max_tokens, deviations=1.0) == 1
