--- a/pimentoquay/http1/client_connection.py
+++ b/pimentoquay/http1/client_connection.py
@@ -17,12 +17,12 @@
 
 from pimentoquay.http1.buffered import SharedBufferProtocol
 from pimentoquay.http1.exchange_times import ExchangeWatch, ReusePolicy
-from pimentoquay.http1.headers import HeaderList, find_header
+from pimentoquay.http1.headers import HeaderList
 from pimentoquay.http1.request_writer import RequestWriter, without_body
 from pimentoquay.http1.response_items import items_of, length_of
 from pimentoquay.http1.response_marks import ResponseMark, ResponseMarks
 from pimentoquay.http1.system_state import is_quiet
-from pimentoquay.kernel.errors import HttpError, PathLostError
+from pimentoquay.kernel.errors import HttpError, PathLostError, UnsendableError
 from pimentoquay.kernel.turns import ITEMS_PER_TURN, TurnQueue
 
 __all__ = ["ClientConnection", "ExchangeWatch", "ReusePolicy"]
@@ -54,8 +54,8 @@
 MAX_INFORMATIONAL_RESPONSES = 16
 """Maximum number of responses with a status of 1xx before the final one."""
 
-MAX_DIGITS = 9
-"""Maximum length of a stated idle timeout, in digits; a longer one counts as not stated."""
+MAX_STATUS = 599
+"""Maximum valid status of a response (RFC 9110, section 15); the parser allows up to 999."""
 
 
 class ClientConnection(SharedBufferProtocol):
@@ -151,9 +151,10 @@
         self.on_lost(self)
 
     def eof_received(self) -> bool:
-        """End a response whose end is that of the connection."""
+        """End a response whose end is that of the connection, if the request has been taken."""
         if self._request is not None and not self._is_complete:
             self._has_ended = True
+            self._writer.record_end()
             self._handle_received()
         return False
 
@@ -187,7 +188,7 @@
             self.heard_at = self._now()
             self._writer.send(self._serialise(self._request, body), body)
         except h11.LocalProtocolError as error:
-            raise HttpError(f"the request cannot be sent: {error}", False) from None
+            raise UnsendableError(f"the request cannot be sent: {error}") from None
 
     def pause_writing(self) -> None:
         """Keep the rest of the request until the server has read more."""
@@ -301,8 +302,9 @@
                 event = self._http.next_event()
                 if event is h11.NEED_DATA and self._has_ended and not is_at_end:
                     is_at_end = True
-                    self._http.receive_data(b"")
-                    continue
+                    if not self._writer.is_cut:
+                        self._http.receive_data(b"")
+                        continue
                 if not self._process_event(event):
                     break
                 items += items_of(event)
@@ -326,6 +328,8 @@
                 raise h11.RemoteProtocolError("too many informational responses")
             return True
         if isinstance(event, h11.Response):
+            if event.status_code > MAX_STATUS:
+                raise h11.RemoteProtocolError(f"status {event.status_code}")
             self._is_discarding = not self.marks.is_own(tuple(event.headers.raw_items()))
         if self._is_discarding:
             return self._discard_event(event)
@@ -379,12 +383,7 @@
 
     def _set_reuse_deadline(self, headers: HeaderList) -> None:
         """Set the time until which the connection may be reused, from the response headers."""
-        keep_alive = find_header(headers, b"keep-alive") or b""
-        seconds = self._reuse.max_idle_seconds
-        for part in keep_alive.split(b","):
-            name, _, value = part.strip().partition(b"=")
-            if name.lower() == b"timeout" and value.isdigit() and len(value) <= MAX_DIGITS:
-                seconds = max(0.0, int(value) - self._reuse.margin_seconds)
+        seconds = self._reuse.idle_seconds(headers)
         self._reusable_until = asyncio.get_running_loop().time() + seconds
 
     def _record_failure(self, detail: str) -> None:
--- a/pimentoquay/http1/exchange_times.py
+++ b/pimentoquay/http1/exchange_times.py
@@ -2,8 +2,13 @@
 
 from dataclasses import dataclass
 
+from pimentoquay.http1.headers import HeaderList, find_header
+
 __all__ = ["ExchangeWatch", "ReusePolicy"]
 
+MAX_DIGITS = 9
+"""Maximum length of a stated idle timeout, in digits; a longer one counts as not stated."""
+
 
 @dataclass(frozen=True)
 class ReusePolicy:
@@ -23,6 +28,21 @@
     max_idle_seconds: float = 4.0
     margin_seconds: float = 1.0
 
+    def idle_seconds(self, headers: HeaderList) -> float:
+        """Return the idle time in seconds within which a connection may be reused.
+
+        Parameters
+        ----------
+        headers
+            The headers of the last response, which may state the server's idle timeout.
+        """
+        seconds = self.max_idle_seconds
+        for part in (find_header(headers, b"keep-alive") or b"").split(b","):
+            name, _, value = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and value.isdigit() and len(value) <= MAX_DIGITS:
+                seconds = max(0.0, int(value) - self.margin_seconds)
+        return seconds
+
 
 @dataclass(frozen=True)
 class ExchangeWatch:
