Count the VMs that are alive, and remove records of those that are gone

Cause: gateways write their address to the store and nothing removed one, so every name that there had ever been counted as a voter of allowances; with a fifth of the votes or less a granter earns nothing. The same list decided the plan of the channels, shares of limits and of retry budgets, and turns.

Change: policy/vm_liveness.py finds the VMs that are gone: their process was seen to end, or they are silent and most voters are heard, or silent for 60 s. gateway/vm_registry.py removes their records, if nobody has written meanwhile, and says so (VmNews, number 139, inside Routed, which older builds ignore). VMs that run write their records again; for older builds the reader of the store does. A removed VM counts for 10 s more. A granter without news of the store for 6 s needs half of the votes, after 30 s 0.8, as the others may have taken its VMs for gone. As long as all VMs are heard nothing is written, and the records are read once a minute (once in 300 s with relays). No existing test or check is changed.

--- a/pimentoquay/bench/mutations/switches.py
+++ b/pimentoquay/bench/mutations/switches.py
@@ -32,6 +32,7 @@
 from pimentoquay.bench.mutations.stream_switches import STREAM_SWITCHES
 from pimentoquay.bench.mutations.switch import Switch
 from pimentoquay.bench.mutations.turn_switches import TURN_SWITCHES
+from pimentoquay.bench.mutations.vm_switches import VM_SWITCHES
 from pimentoquay.bench.mutations.workspace_switches import WORKSPACE_SWITCHES
 
 __all__ = ["SWITCHES", "Switch", "switch_of"]
@@ -279,6 +280,7 @@
     *SERVICE_SWITCHES,
     *SPEED_SWITCHES,
     *STOP_SWITCHES,
+    *VM_SWITCHES,
     *STREAM_SWITCHES,
     *ROOM_SWITCHES,
     *TURN_SWITCHES,
--- a/pimentoquay/gateway/allowance_granter.py
+++ b/pimentoquay/gateway/allowance_granter.py
@@ -14,6 +14,7 @@
 from pimentoquay.messages.allowances import AllowanceAsk, AllowanceReturned, Lease, LeaseRequest
 from pimentoquay.policy.allowance_leases import LeaseVoter, Members
 from pimentoquay.policy.allowances import AllowanceGranter, GranterBounds, Outgoing
+from pimentoquay.policy.vm_liveness import least_votes
 
 __all__ = ["AllowanceGranting"]
 
@@ -44,6 +45,8 @@
         Returns the VMs that are known, with their data centres; none if they are not known yet.
     is_heard
         Returns whether a VM is heard, directly or as a relay.
+    seconds_without_news
+        Returns the time since this gateway has last had news of the store.
     is_stopping
         Returns whether this gateway is about to stop.
     send_to
@@ -57,6 +60,7 @@
         bounds: GranterBounds,
         data_centre_by_vm: Callable[[], Mapping[str, str]],
         is_heard: Callable[[str], bool],
+        seconds_without_news: Callable[[], float],
         is_stopping: Callable[[], bool],
         send_to: Callable[[str, Any], None],
     ) -> None:
@@ -64,6 +68,7 @@
         self._elapsed = elapsed
         self._data_centre_by_vm = data_centre_by_vm
         self._is_heard = is_heard
+        self._seconds_without_news = seconds_without_news
         self._is_stopping = is_stopping
         self._send_to = send_to
         self.members = Members()
@@ -118,7 +123,9 @@
         if now - self._listed_at >= IDLE_TICK_SECONDS:
             self._listed_at = now
             self.members.update(self._data_centre_by_vm(), now)
-            self._granter.leases.find_old_builds(self._is_heard, now)
+            leases = self._granter.leases
+            leases.find_old_builds(self._is_heard, now)
+            leases.least_votes = least_votes(self._seconds_without_news())
         is_granter = self._node.identity.vm in self.members.granters
         is_needed = is_granter and now < self._needed_until and not self._is_stopping()
         if is_needed or self._granter.active_workspaces:
--- a/pimentoquay/gateway/allowance_wiring.py
+++ b/pimentoquay/gateway/allowance_wiring.py
@@ -45,6 +45,7 @@
         GranterBounds(bounds.allowance_window_seconds, bounds.allowance_overrun),
         data_centre_by_vm,
         is_heard,
+        lambda: fleet.list_age,
         lambda: mesh.relays.own_state.is_draining,
         send_to,
     )
--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -76,6 +76,7 @@
 from pimentoquay.gateway.step_watch import StepWatch
 from pimentoquay.gateway.stream_origins import OriginExchange
 from pimentoquay.gateway.streams import StreamForwarder
+from pimentoquay.gateway.vm_registry import VmRegistry
 from pimentoquay.gateway.wiring import (
     apply_mesh_state,
     apply_plan,
@@ -236,8 +237,9 @@
         node, shared, pool_coordinator_of, lambda: loads.load_by_vm, send_to, coordinator
     )
     granting, allowances = compose_allowances(node, bounds, fleet, mesh, peers, send_to)
+    registry = VmRegistry(node, fleet, mesh, peers, lambda: feed)
     mesh.relays.receive_routed = routed_handler(
-        pool_client, coordinator, speeds, granting, allowances
+        pool_client, coordinator, speeds, granting, allowances, registry
     )
     mesh.on_plan_changed.append(lambda: apply_plan(shared, mesh, pool_client, coordinator))
     leaving = LeavingNotices(fleet.notices, node.timers.now, mesh.notices.publish)
@@ -359,6 +361,7 @@
         fleet,
         feed,
         mesh,
+        registry,
         peers,
         links,
         paths,
--- a/pimentoquay/gateway/feed.py
+++ b/pimentoquay/gateway/feed.py
@@ -9,6 +9,7 @@
 import asyncio
 import json
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from pimentoquay.gateway.fleet import Fleet
 from pimentoquay.gateway.request_guard import RequestGuard
@@ -34,7 +35,7 @@
 from pimentoquay.policy.poll_timing import PollTiming
 from pimentoquay.policy.store_position import era_of
 
-__all__ = ["StoreFeed"]
+__all__ = ["StoreFeed", "VmListing"]
 
 RETRY_DELAY_SECONDS = 0.4
 """Delay after a failed call, which costs as much at the store as a successful one."""
@@ -50,6 +51,14 @@
 """Interval at which a gateway that does not poll checks the age of its list."""
 
 
+@dataclass(frozen=True)
+class VmListing:
+    """Addresses of all VMs in the store, and the position that the next record gets."""
+
+    addresses: tuple[VmAddress, ...]
+    next_position: int
+
+
 class StoreFeed:
     """Keeps a fleet and its quarantines up to date by polling the store.
 
@@ -100,6 +109,7 @@
         self._is_down = False
         self._was_down = False
         self._was_restored = False
+        self.on_restored: list[Callable[[], None]] = []
         store.era.on_raised.append(self._handle_restored)
 
     async def run(self) -> None:
@@ -138,30 +148,40 @@
         self._next_by_topic.clear()
         self._fleet.engine_list.start_relisting_grace(self._timers.now())
         self._was_restored = True
+        for callback in self.on_restored:
+            callback()
 
     async def announce(self, own: VmAddress) -> None:
         """Write this VM's addresses for peers to the store; retry until that succeeds."""
-        item = {
-            "address": own.address,
-            "data_centre": own.data_centre,
-            "tunnel_address": own.tunnel_address,
-        }
-        value = json.dumps(item).encode()
         while True:
             try:
-                await self._store.put(VM_TOPIC, own.vm, value)
+                await self.write_vm(own)
             except StoreError as error:
                 logger.bind(error=str(error)).info("failed to write the VM's address; will retry")
                 await self._timers.sleep(1.0)
             else:
                 return
 
-    async def read_vm_addresses(self) -> tuple[VmAddress, ...]:
+    async def write_vm(self, each: VmAddress) -> None:
+        """Write a VM's addresses for peers to the store; raise ``StoreError`` on failure."""
+        item = {
+            "address": each.address,
+            "data_centre": each.data_centre,
+            "tunnel_address": each.tunnel_address,
+        }
+        await self._store.put(VM_TOPIC, each.vm, json.dumps(item).encode())
+
+    async def read_vm_addresses(self) -> VmListing:
         """Return the addresses that VMs have written; raise ``StoreError`` on failure."""
         page = await self._store.read_latest(VM_TOPIC)
         found = (_parse_vm_address(record) for record in page.records if record.value)
         parsed = await list_in_turns(found, self._turns)
-        return tuple(each for each in parsed if each is not None)
+        addresses = tuple(each for each in parsed if each is not None)
+        return VmListing(addresses, page.next_position)
+
+    async def remove_vm(self, vm: str, position: int) -> int | None:
+        """Remove a VM's record if the removal gets this position, see ``StoreClient.put_at``."""
+        return await self._store.put_at(VM_TOPIC, position, vm, b"")
 
     async def _read_all(self) -> bool:
         reads = [self._read(topic) for topic in self._handler_by_topic]
--- a/pimentoquay/gateway/lifecycle.py
+++ b/pimentoquay/gateway/lifecycle.py
@@ -17,11 +17,12 @@
 from pimentoquay.gateway.request_guard import RequestGuard
 from pimentoquay.gateway.stage_controller import StageController
 from pimentoquay.gateway.stream_origins import OriginExchange
+from pimentoquay.gateway.vm_registry import VmRegistry
 from pimentoquay.http1 import HttpServer
 from pimentoquay.kernel import Node
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.settings import DeploymentSettings
-from pimentoquay.platform.store import StoreClient, StoreError
+from pimentoquay.platform.store import StoreClient
 from pimentoquay.policy.planned_stop import StopTimes
 from pimentoquay.transport.peers import PeerSet
 from pimentoquay.transport.websocket import split_address
@@ -45,9 +46,6 @@
 EVIDENCE_EXPIRY_SECONDS = 60.0
 """Interval at which old evidence of crashes is dropped; it is kept for a day."""
 
-DISCOVERY_RETRY_SECONDS = 1.0
-"""Delay before the peers' addresses are read again after a failed read from the store."""
-
 
 @dataclass
 class Gateway:
@@ -59,6 +57,7 @@
     fleet: Fleet
     feed: StoreFeed
     mesh: Mesh
+    vm_registry: VmRegistry
     peers: PeerSet
     links: EngineLinks
     paths: EnginePaths
@@ -140,27 +139,7 @@
         timers.every(
             SEED_INTERVAL_SECONDS, lambda: self.mesh.dial_seeds(settings.control_addresses)
         )
-        restored = asyncio.Event()
-        self.store.era.on_raised.append(restored.set)
-        while True:
-            restored.clear()
-            await self.feed.announce(self.mesh.addresses.own)
-            await self._read_peers()
-            # A restored store may have lost this VM's address and have those of new VMs.
-            await restored.wait()
-
-    async def _read_peers(self) -> None:
-        while True:
-            try:
-                self.mesh.update_addresses(await self.feed.read_vm_addresses())
-                self.mesh.step.knows_peers = True
-            except StoreError as error:
-                logger.bind(error=str(error)).info(
-                    "failed to read the peers' addresses; will retry"
-                )
-                await self.node.timers.sleep(DISCOVERY_RETRY_SECONDS)
-            else:
-                return
+        await self.vm_registry.run()
 
     @property
     def _has_work(self) -> bool:
--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -91,7 +91,7 @@
         self.step = step
         self._vm = node.identity.vm
         self.addresses = VmAddresses(VmAddress(self._vm, address, node.identity.data_centre, -1))
-        self._presence = PeerPresence(node.timers.now, HEARTBEAT_SECONDS)
+        self.presence = PeerPresence(node.timers.now, HEARTBEAT_SECONDS)
         self._seen_fences: set[int] = set()
         self.load_exchange = LoadExchange(
             node, lambda: loads.current(self.relays.own_state), self._channels
@@ -128,18 +128,18 @@
     @property
     def gateway_count(self) -> int:
         """Number of known gateways, including this one, which share the deployment's limits."""
-        return max(len(self.addresses.by_vm), 1 + len(self._presence.last_seen_at_by_vm))
+        return max(len(self.addresses.by_vm), 1 + len(self.presence.last_seen_at_by_vm))
 
     @property
     def has_incomplete_view(self) -> bool:
         """Whether too many peers may still be running whose loads are unknown here."""
-        return self._presence.has_incomplete_view(self.gateway_count)
+        return self.presence.has_incomplete_view(self.gateway_count)
 
     def running_vms(self) -> frozenset[str]:
         """Return the VMs that run or may still be running, including this one."""
         known = self.addresses.by_vm.keys()
         if self.plan.is_full:
-            return self._presence.may_be_running(known) | {self._vm}
+            return self.presence.may_be_running(known) | {self._vm}
         return frozenset(known)
 
     def is_reader(self) -> bool:
@@ -150,14 +150,14 @@
         """
         if not self.plan.is_full:
             return self.relays.is_first_relay()
-        heard = self._presence.last_seen_at_by_vm
+        heard = self.presence.last_seen_at_by_vm
         return all(self._vm < vm for vm in heard if not self.loads.is_draining(vm))
 
     def may_order(self) -> bool:
         """Return whether this gateway is the one that sends orders to engines."""
         if not self.plan.is_full:
             return order_holder(self.relays.live_states()) == self._vm
-        states = {vm: self.loads.state_of(vm) for vm in self._presence.last_seen_at_by_vm}
+        states = {vm: self.loads.state_of(vm) for vm in self.presence.last_seen_at_by_vm}
         return order_holder({**states, self._vm: self.relays.own_state}) == self._vm
 
     def update_own_state(self, **changes: bool) -> None:
@@ -177,20 +177,20 @@
         """Store newer addresses of VMs, dial as planned, and send changes to the peers."""
         changed = self.addresses.update(addresses)
         if changed:
-            self._update_plan()
+            self.update_plan()
             self.publish(FleetCopy(-1, b"", (), -1, changed))
 
     def tunnel_places(self) -> Mapping[str, PeerPlace]:
         """Return the peers through which tunnels to engines may be opened."""
         by_vm = self.addresses.by_vm
-        heard = self._presence.last_seen_at_by_vm if self.plan.is_full else by_vm
+        heard = self.presence.last_seen_at_by_vm if self.plan.is_full else by_vm
         return self.addresses.places(frozenset(heard))
 
     def dial_seeds(self, addresses: tuple[str, ...]) -> None:
         """Dial seed addresses that belong to no known VM, unless a peer is known to be alive."""
         known = {each.address for each in self.addresses.by_vm.values()}
         wanted = {f"seed {each}": each for each in addresses if each not in known}
-        if not self._presence.last_seen_at_by_vm and wanted:
+        if not self.presence.last_seen_at_by_vm and wanted:
             self._peers.set_targets({**self._dial_addresses(), **wanted})
 
     def publish(self, message: FleetCopy | StageOrdered) -> None:
@@ -221,13 +221,14 @@
         else:
             self.relays.send_now()
 
-    def _update_plan(self) -> None:
+    def update_plan(self) -> None:
+        """Plan the channels anew, as other VMs are known or heard."""
         data_centre_by_vm = {vm: each.data_centre for vm, each in self.addresses.by_vm.items()}
         if needs_relays(len(data_centre_by_vm)):
             suspected = self.relays.liveness.suspected(self._node.timers.now())
             reachable: Collection[str] = data_centre_by_vm.keys() - suspected
         else:
-            reachable = self._presence.last_seen_at_by_vm
+            reachable = self.presence.last_seen_at_by_vm
         self.relays.update_plan(plan_mesh(self._vm, data_centre_by_vm, reachable))
         self.load_exchange.is_active = self.plan.is_full
         for callback in self.on_plan_changed:
@@ -251,7 +252,7 @@
         self.step.receive(envelope)
         channel = envelope.channel
         if channel is not None:
-            self._presence.record_direct(channel.peer.vm)
+            self.presence.record_direct(channel.peer.vm)
         self._dispatch(envelope.message, envelope)
 
     @singledispatchmethod
@@ -261,7 +262,7 @@
     @_dispatch.register
     def _handle_opened(self, message: ChannelOpened, envelope: Envelope) -> None:
         channel = message.channel
-        self._presence.record_direct(channel.peer.vm)
+        self.presence.record_direct(channel.peer.vm)
         self.load_exchange.update_incarnation(channel.peer.vm, channel.peer.incarnation)
         self.relays.forget_vm(channel.peer.vm)
         vms = tuple(self.addresses.by_vm.values())
@@ -345,8 +346,7 @@
 
     @_dispatch.register
     def _handle_channel_alive(self, message: ChannelAlive, envelope: Envelope) -> None:
-        # Its arrival has been recorded for the channel.
-        return
+        return  # Its arrival has been recorded for the channel.
 
     @_dispatch.register
     def _handle_summary(self, message: PoolSummary, envelope: Envelope) -> None:
@@ -361,9 +361,9 @@
     def _handle_loads(self, message: PeerLoads, envelope: Envelope) -> None:
         newer_loads = self.load_exchange.receive(message, _source(envelope))
         for vm, load in newer_loads:
-            self._presence.record_alive(vm)
+            self.presence.record_alive(vm)
             self.loads.apply(vm, load)
-        self._presence.record_seen(vm for vm, _ in newer_loads)
+        self.presence.record_seen(vm for vm, _ in newer_loads)
         if newer_loads:
             for callback in self.on_load_changed:
                 callback()
@@ -376,16 +376,16 @@
         )
         for channel in self._peers.channels(PROCESS):
             # If both sides have dialled, a peer sends on only one of the two channels.
-            if self._presence.is_channel_silent(channel.peer.vm, timeout):
+            if self.presence.is_channel_silent(channel.peer.vm, timeout):
                 logger.bind(peer=channel.peer.vm).warning("peer is silent; closing its channel")
                 task = asyncio.ensure_future(channel.close())
                 task.add_done_callback(lambda done: done.cancelled() or done.exception())
-        for vm in self._presence.silent(timeout):
+        for vm in self.presence.silent(timeout):
             self._drop_peer(vm)
-        self._update_plan()
+        self.update_plan()
 
     def _drop_peer(self, vm: str) -> None:
-        if self._presence.drop(vm, self.loads.is_draining(vm)):
+        if self.presence.drop(vm, self.loads.is_draining(vm)):
             logger.bind(peer=vm).info("peer lost")
         self.load_exchange.forget_vm(vm)
         self.loads.remove(vm)
--- a/pimentoquay/gateway/peer_presence.py
+++ b/pimentoquay/gateway/peer_presence.py
@@ -60,6 +60,11 @@
             self._lost_at_by_vm[vm] = self._now()
         return True
 
+    def forget_vm(self, vm: str) -> None:
+        """Forget when a VM that is gone was heard."""
+        if vm not in self.last_seen_at_by_vm:
+            self.last_direct_at_by_vm.pop(vm, None)
+
     def silent(self, timeout: float) -> tuple[str, ...]:
         """Return the peers that have not been heard for ``timeout`` seconds."""
         now = self._now()
--- a/pimentoquay/gateway/vm_addresses.py
+++ b/pimentoquay/gateway/vm_addresses.py
@@ -1,6 +1,6 @@
 """Addresses of the gateways of a deployment, as one of them knows them."""
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import replace
 
 from pimentoquay.kernel.input_checks import refuse
@@ -10,6 +10,9 @@
 
 __all__ = ["VmAddresses"]
 
+MAX_VOID_ADDRESSES = 10_000
+"""Number of VMs that are gone whose old addresses are not taken over from peers again."""
+
 
 class VmAddresses:
     """Newest known address of each VM, including this one.
@@ -18,6 +21,9 @@
     ----------
     own
         Address of this VM.
+
+    ``removed_at_by_vm`` holds the times at which the records of VMs were removed from the store.
+    These VMs still count for a while, and are forgotten unless they write their records again.
     """
 
     def __init__(self, own: VmAddress) -> None:
@@ -25,6 +31,8 @@
         self._vm = own.vm
         self._place_by_vm: Mapping[str, PeerPlace] = {}
         self._heard: Collection[str] | None = None
+        self.removed_at_by_vm: dict[str, float] = {}
+        self._void_by_vm: dict[str, VmAddress] = {}
 
     @property
     def own(self) -> VmAddress:
@@ -55,9 +63,42 @@
         )
         if changed:
             self.by_vm.update({each.vm: each for each in changed})
+            for each in changed:
+                self.removed_at_by_vm.pop(each.vm, None)
             self._heard = None
         return changed
 
+    def record_removals(self, removed: Iterable[VmAddress], now: float) -> tuple[VmAddress, ...]:
+        """Record that records of VMs up to the given positions are removed; return new ones."""
+        new = []
+        for each in removed:
+            known = self.by_vm.get(each.vm)
+            if each.vm != self._vm and known is not None and known.position <= each.position:
+                if each.vm not in self.removed_at_by_vm:
+                    self.removed_at_by_vm[each.vm] = now
+                    new.append(each)
+                self._void_by_vm.pop(each.vm, None)
+                self._void_by_vm[each.vm] = replace(known, position=each.position)
+        while len(self._void_by_vm) > MAX_VOID_ADDRESSES:
+            del self._void_by_vm[next(iter(self._void_by_vm))]
+        return tuple(new)
+
+    def forgotten(self, heard: Collection[str]) -> tuple[VmAddress, ...]:
+        """Return the last addresses of VMs that are heard although they have been forgotten."""
+        return tuple(
+            self._void_by_vm[vm] for vm in heard if vm not in self.by_vm and vm in self._void_by_vm
+        )
+
+    def forget_removed(self, seconds: float, heard: Collection[str], now: float) -> tuple[str, ...]:
+        """Forget the VMs whose records were removed so long ago, if not heard, and return them."""
+        gone = tuple(
+            vm for vm, at in self.removed_at_by_vm.items() if now - at > seconds and vm not in heard
+        )
+        for vm in gone:
+            del self.by_vm[vm], self.removed_at_by_vm[vm]
+            self._heard = None
+        return gone
+
     def places(self, heard: Collection[str]) -> Mapping[str, PeerPlace]:
         """Return the peers that accept tunnels, with whether they are among those heard lately."""
         if self._heard != heard:
@@ -74,6 +115,9 @@
 
     def _is_newer(self, address: VmAddress) -> bool:
         known = self.by_vm.get(address.vm)
+        void = self._void_by_vm.get(address.vm)
+        if void is not None and address.vm != self._vm and address.position <= void.position:
+            return False
         return known is None or known.position < address.position
 
 
--- a/pimentoquay/messages/fleet.py
+++ b/pimentoquay/messages/fleet.py
@@ -26,6 +26,7 @@
     "TrialBegun",
     "VmAddress",
     "VmLoad",
+    "VmNews",
     "VmWork",
 ]
 
@@ -223,3 +224,16 @@
     """A request in quarantine that the sender tries; ``request`` is the feature of its digest."""
 
     request: str
+
+
+@message(139)
+class VmNews:
+    """VMs that the sender hears, and VMs whose records in the store are void up to their positions.
+
+    It is sent inside ``Routed``, as builds that don't know its number close a channel on which they
+    receive it otherwise. A relay names what it hears to the reader of the store, and the reader the
+    VMs that are gone to all.
+    """
+
+    heard: tuple[str, ...]
+    gone: tuple[VmAddress, ...]
--- a/pimentoquay/policy/allowance_leases.py
+++ b/pimentoquay/policy/allowance_leases.py
@@ -225,7 +225,7 @@
     """Votes that one granter holds.
 
     ``steady_since`` is the time since which nearly all voters have named the same granters, or
-    infinite if they don't.
+    infinite if they don't. ``least_votes`` is the share of the votes below which nothing is earned.
 
     Parameters
     ----------
@@ -245,6 +245,7 @@
         self._votes_by_granters: Counter[tuple[str, ...]] = Counter()
         self._scale = 1.0
         self.steady_since = math.inf
+        self.least_votes = 0.0
         self._is_first = functools.lru_cache(MAX_CACHED_RANKS)(self._find_first)
 
     def requests(self, now: float, is_urgent: bool) -> tuple[tuple[str, LeaseRequest], ...]:
@@ -266,6 +267,9 @@
         Load pattern: an upgrade, in which most gateways run a build that has no leases. A voter
         that is cut off is not taken for one of them, as it isn't heard.
         """
+        for vm in self._first_request_by_voter.keys() - self._members.known.keys():
+            del self._first_request_by_voter[vm]
+        self._answered &= self._members.known.keys()
         self._old_builds = frozenset(
             vm
             for vm, at in self._first_request_by_voter.items()
@@ -318,7 +322,8 @@
             for granters, count in self._votes_by_granters.items()
             if self._is_first(granters, workspace)
         )
-        return part_of(votes * self._scale)
+        share = votes * self._scale
+        return part_of(share) if share >= self.least_votes else 0.0
 
     def is_steady(self, workspace: str) -> bool:
         """Return whether this granter has had the workspace since ``steady_since``."""
