--- a/pimentoquay/bench/mutations/switches.py
+++ b/pimentoquay/bench/mutations/switches.py
@@ -34,6 +34,7 @@
 from pimentoquay.bench.mutations.stream_switches import STREAM_SWITCHES
 from pimentoquay.bench.mutations.switch import Switch
 from pimentoquay.bench.mutations.turn_switches import TURN_SWITCHES
+from pimentoquay.bench.mutations.vm_switches import VM_SWITCHES
 from pimentoquay.bench.mutations.workspace_switches import WORKSPACE_SWITCHES
 
 __all__ = ["SWITCHES", "Switch", "switch_of"]
@@ -283,6 +284,7 @@
     *STOP_SWITCHES,
     *CLOSE_SWITCHES,
     *ENTRY_SWITCHES,
+    *VM_SWITCHES,
     *STREAM_SWITCHES,
     *ROOM_SWITCHES,
     *TURN_SWITCHES,
