--- /dev/null
+++ b/pimentoquay/bench/mutations/head_switches.py
@@ -0,0 +1,70 @@
+"""Mechanisms that bound the cost of a head, and the tests that have to fail without them."""
+
+from typing import Any
+
+from pimentoquay.bench.mutations.switch import Switch
+from pimentoquay.platform.requests import parse_request
+
+__all__ = ["HEAD_SWITCHES"]
+
+_ROUTES = "pimentoquay/policy/tests/test_route_loads.py::"
+_DECIDED = "pimentoquay/gateway/tests/test_decided_heads.py::"
+
+
+def find_for_each_slash(original: Any) -> Any:
+    """Look a route up anew for each slash of a path, from the last one on."""
+
+    def find(self: Any, host: str, target: str) -> Any:
+        path = target.partition("?")[0]
+        end = path.rfind("/")
+        while end >= 0:
+            route = original(self, host, path[: end + 1])
+            if route is not None and route.path_prefix == path[: end + 1]:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+    return find
+
+
+def decide_each_time(original: Any) -> Any:
+    """Decide by the head when it has arrived, and again when the request is handled."""
+
+    def decide(self: Any, request: Any) -> Any:
+        caller = parse_request(request.headers)
+        return self._decide_anew(request, caller, self._shared.fleet.route_table)
+
+    return decide
+
+
+def keep_decision(original: Any) -> Any:
+    """Reuse what was decided by the head, whatever configuration is in force."""
+
+    def decide(self: Any, request: Any) -> Any:
+        known = request.note.value
+        return known if known is not None else original(self, request)
+
+    return decide
+
+
+HEAD_SWITCHES = (
+    Switch(
+        "the route of a path is found in one pass",
+        "pimentoquay.policy.route_choice:RouteTable.find",
+        find_for_each_slash,
+        _ROUTES + "test_a_path_of_thousands_of_segments_takes_no_more_steps_than_the_prefixes_have"
+        "[/look/]",
+    ),
+    Switch(
+        "what a head leads to is decided once",
+        "pimentoquay.gateway.dispatcher:Dispatcher._decide",
+        decide_each_time,
+        _DECIDED + "test_a_request_takes_one_lookup_and_its_headers_are_decoded_once[/look/a]",
+    ),
+    Switch(
+        "a decision by the head ends with its configuration",
+        "pimentoquay.gateway.dispatcher:Dispatcher._decide",
+        keep_decision,
+        _DECIDED + "test_a_route_that_goes_before_the_body_comes_is_not_found",
+    ),
+)
--- a/pimentoquay/bench/mutations/switches.py
+++ b/pimentoquay/bench/mutations/switches.py
@@ -3,6 +3,7 @@
 from pimentoquay.bench.mutations.allowance_switches import ALLOWANCE_SWITCHES
 from pimentoquay.bench.mutations.close_switches import CLOSE_SWITCHES
 from pimentoquay.bench.mutations.gateway_switches import GATEWAY_SWITCHES
+from pimentoquay.bench.mutations.head_switches import HEAD_SWITCHES
 from pimentoquay.bench.mutations.load_switches import LOAD_SWITCHES
 from pimentoquay.bench.mutations.path_switches import PATH_SWITCHES
 from pimentoquay.bench.mutations.replacements import (
@@ -275,6 +276,7 @@
     ),
     *ALLOWANCE_SWITCHES,
     *GATEWAY_SWITCHES,
+    *HEAD_SWITCHES,
     *LOAD_SWITCHES,
     *PATH_SWITCHES,
     *SERVICE_SWITCHES,
--- a/pimentoquay/gateway/dispatcher.py
+++ b/pimentoquay/gateway/dispatcher.py
@@ -16,7 +16,7 @@
 from pimentoquay.platform.requests import CallerRequest, parse_request, retry_after_header
 from pimentoquay.policy.fleet import RepeatRule, Route
 from pimentoquay.policy.planned_stop import StopTimes
-from pimentoquay.policy.route_choice import choose_service
+from pimentoquay.policy.route_choice import RouteTable, choose_service
 
 __all__ = ["Dispatcher"]
 
@@ -26,9 +26,13 @@
 
 @dataclass(frozen=True)
 class _Decision:
-    """What the head of a request leads to: a route, or the code of a refusal and its reason."""
+    """What the head of a request leads to: a route, or the code of a refusal and its reason.
+
+    ``table`` holds the configuration by which it was decided.
+    """
 
     caller: CallerRequest
+    table: RouteTable | None = None
     route: Route | None = None
     access: RequestAccess | None = None
     code: ResultCode | None = None
@@ -145,18 +149,30 @@
         return has_memory and route.repeat is RepeatRule.STREAM and job.caller.model is not None
 
     def _decide(self, request: HttpRequest) -> _Decision:
-        caller = parse_request(request.headers)
+        """Decide by the configuration in force; what was decided by it before is reused."""
+        known, table = request.note.value, self._shared.fleet.route_table
+        if not isinstance(known, _Decision):
+            known = _Decision(parse_request(request.headers))
+        elif known.table is not None and known.table is table:
+            return known
+        decision = self._decide_anew(request, known.caller, table)
+        request.note.value = decision
+        return decision
+
+    def _decide_anew(
+        self, request: HttpRequest, caller: CallerRequest, table: RouteTable | None
+    ) -> _Decision:
         fleet = self._shared.fleet
-        if not fleet.is_loaded or fleet.route_table is None:
+        if not fleet.is_loaded or table is None:
             return _Decision(caller, code=ResultCode.NOT_READY)
-        route = fleet.route_table.find(caller.host, request.target.decode("latin-1"))
+        route = table.find(caller.host, request.target.decode("latin-1"))
         if route is None:
-            return _Decision(caller, code=ResultCode.NOT_FOUND)
-        access = RequestAccess(fleet, caller, request.target, route)
+            return _Decision(caller, table, code=ResultCode.NOT_FOUND)
+        access = RequestAccess(fleet, caller, request.target, route, table)
         refusal = access.current().refusal
         if refusal is not None:
-            return _Decision(caller, code=ResultCode.UNAUTHENTICATED, reason=refusal.value)
-        return _Decision(caller, route, access)
+            return _Decision(caller, table, code=ResultCode.UNAUTHENTICATED, reason=refusal.value)
+        return _Decision(caller, table, route, access)
 
     def _record_refusal(self, decision: _Decision) -> tuple[int, HeaderList]:
         code = decision.code or ResultCode.INTERNAL
--- a/pimentoquay/gateway/request_access.py
+++ b/pimentoquay/gateway/request_access.py
@@ -27,15 +27,23 @@
         Holds the configuration in force.
     caller, target
         The request's decoded headers, and its path and query.
-    route
-        Its route, whose publicity counts if a later configuration has no route for the request.
+    route, found_in
+        Its route, whose publicity counts if a later configuration has no route for the request,
+        and the table in which it was found.
     """
 
-    def __init__(self, fleet: Fleet, caller: CallerRequest, target: bytes, route: Route) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        caller: CallerRequest,
+        target: bytes,
+        route: Route,
+        found_in: RouteTable,
+    ) -> None:
         self._fleet = fleet
         self._caller = caller
         self._target = target.decode("latin-1")
-        self._route = route
+        self._route, self._found_in = route, found_in
         self._table: RouteTable | None = None
         self._granted: Access | None = None
         self._current = UNCHECKED
@@ -69,7 +77,9 @@
         if workspaces is None:
             # A request that came with its key is not sent with it if workspaces are given up.
             return self._granted or UNCHECKED
-        route = table.find(self._caller.host, self._target) or self._route
+        route = self._route
+        if table is not self._found_in:
+            route = table.find(self._caller.host, self._target) or route
         access = workspaces.identify(self._caller.key, route.is_public)
         had_workspace = self._granted is not None and self._granted.workspace is not None
         if access.refusal is not None and had_workspace:
--- a/pimentoquay/http1/caller_timeouts.py
+++ b/pimentoquay/http1/caller_timeouts.py
@@ -9,10 +9,9 @@
 from abc import abstractmethod
 from typing import TYPE_CHECKING
 
-import h11
-
 from pimentoquay.http1.caller_reading import CallerReading
 from pimentoquay.http1.headers import HeaderList
+from pimentoquay.http1.request import HttpRequest
 from pimentoquay.http1.system_state import unread_bytes, unsent_bytes
 
 if TYPE_CHECKING:
@@ -38,7 +37,7 @@
         self.server = server
         self._limits = server.limits()
         self._task: asyncio.Task[None] | None = None
-        self._request: h11.Request | None = None
+        self._request: HttpRequest | None = None
         self._has_turn = False
         self._turn_at = -math.inf
         self._first_byte_at: float | None = None
@@ -142,4 +141,4 @@
     def _patience(self) -> float:
         """Time in seconds that the caller waits for its answer, as its request says."""
         assert self._request is not None
-        return self.server.patience(tuple(self._request.headers.raw_items()))
+        return self.server.patience(self._request.headers)
--- a/pimentoquay/http1/request.py
+++ b/pimentoquay/http1/request.py
@@ -6,12 +6,24 @@
 
 from pimentoquay.http1.headers import HeaderList
 
-__all__ = ["HeadRefusal", "HttpRequest", "request_of"]
+__all__ = ["HeadNote", "HeadRefusal", "HttpRequest", "request_of"]
+
+
+class HeadNote:
+    """What a handler keeps of its work for a request's head until it handles the request."""
+
+    __slots__ = ("value",)
+
+    def __init__(self) -> None:
+        self.value: object = None
 
 
 @dataclass(frozen=True)
 class HttpRequest:
-    """A complete request; ``received_at`` is the event loop time of its first byte, in seconds.
+    """A request; ``received_at`` is the event loop time of its first byte, in seconds.
+
+    ``note`` is the same for a request without its body, as its head is examined, and for the
+    complete one.
 
     Its representation shows no headers, as they may hold keys of callers.
     """
@@ -21,6 +33,7 @@
     headers: HeaderList = field(repr=False)
     body: bytes
     received_at: float
+    note: HeadNote = field(default_factory=HeadNote, repr=False, compare=False)
 
 
 @dataclass(frozen=True)
--- a/pimentoquay/http1/server_connection.py
+++ b/pimentoquay/http1/server_connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import math
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
 import h11
@@ -246,9 +247,10 @@
         if lengths and int(lengths[0]) > self._limits.body_bytes:
             self._reject(413, f"a body of {lengths[0].decode()} bytes")
             return
-        self._request = request
         self._body.announced = int(lengths[0]) if lengths else None
-        self._refusal = self.server.refuse_head(self._make_request(request, b""))
+        received_at = self._first_byte_at or self._last_activity_at
+        self._request = request_of(request, b"", received_at)
+        self._refusal = self.server.refuse_head(self._request)
 
     def _has_claim(self) -> bool:
         """Return whether what is next of a body has room."""
@@ -276,16 +278,13 @@
             self._reject(413, f"a body over {self._limits.body_bytes} bytes")
 
     def _start_handler(self) -> None:
-        request = self._make_request(self._request, self._body.join())
+        assert self._request is not None
+        request = replace(self._request, body=self._body.join())
         self._settle(len(request.body))
         refusal, self._refusal = self._refusal, None
         self._request, self._body = None, RequestBody()
         self._task = self._loop.create_task(self._run_handler(request, refusal))
 
-    def _make_request(self, request: h11.Request | None, body: bytes) -> HttpRequest:
-        assert request is not None
-        return request_of(request, body, self._first_byte_at or self._last_activity_at)
-
     async def _run_handler(self, request: HttpRequest, refusal: HeadRefusal | None) -> None:
         reply = Reply(self)
         try:
