--- a/pimentoquay/http1/__init__.py
+++ b/pimentoquay/http1/__init__.py
@@ -16,6 +16,7 @@
 )
 from pimentoquay.http1.client_connection import ClientConnection, ExchangeWatch, ReusePolicy
 from pimentoquay.http1.headers import HeaderList, end_to_end_headers, find_header
+from pimentoquay.http1.linear_patterns import use_linear_patterns
 from pimentoquay.http1.request import HeadRefusal, HttpRequest
 from pimentoquay.http1.request_writer import is_sendable
 from pimentoquay.http1.response_marks import ConnectionUse, ResponseMark
@@ -43,3 +44,5 @@
     "find_header",
     "is_sendable",
 ]
+
+use_linear_patterns()
