--- a/pimentoquay/gateway/dispatcher.py
+++ b/pimentoquay/gateway/dispatcher.py
@@ -10,10 +10,10 @@
 from pimentoquay.gateway.request_access import RequestAccess
 from pimentoquay.gateway.shared_state import SharedState
 from pimentoquay.gateway.streams import StreamForwarder
-from pimentoquay.http1 import HeaderList, HeadRefusal, HttpRequest, Reply
+from pimentoquay.http1 import HeaderList, HeadRefusal, HttpRequest, Reply, retry_after_header
 from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode, info_of
 from pimentoquay.kernel.logs import logger
-from pimentoquay.platform.requests import CallerRequest, parse_request, retry_after_header
+from pimentoquay.platform.requests import CallerRequest, parse_request
 from pimentoquay.policy.fleet import RepeatRule, Route
 from pimentoquay.policy.planned_stop import StopTimes
 from pimentoquay.policy.route_choice import RouteTable, choose_service
--- a/pimentoquay/gateway/job.py
+++ b/pimentoquay/gateway/job.py
@@ -8,11 +8,18 @@
 from pimentoquay.gateway.metrics import GatewayMetrics
 from pimentoquay.gateway.planned_stop import PlannedStop
 from pimentoquay.gateway.request_access import RequestAccess
-from pimentoquay.http1 import HeaderList, HttpRequest, Reply, end_to_end_headers, is_sendable
+from pimentoquay.http1 import (
+    HeaderList,
+    HttpRequest,
+    Reply,
+    end_to_end_headers,
+    is_sendable,
+    retry_after_header,
+)
 from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode, info_of
 from pimentoquay.kernel.errors import UnsendableError
 from pimentoquay.kernel.logs import logger
-from pimentoquay.platform.requests import CallerRequest, retry_after_header
+from pimentoquay.platform.requests import CallerRequest
 from pimentoquay.policy.fleet import Route
 from pimentoquay.policy.request_digest import request_digest
 from pimentoquay.policy.workspaces import UNCHECKED, Access, Workspace
--- a/pimentoquay/http1/__init__.py
+++ b/pimentoquay/http1/__init__.py
@@ -15,7 +15,12 @@
     connect_tcp,
 )
 from pimentoquay.http1.client_connection import ClientConnection, ExchangeWatch, ReusePolicy
-from pimentoquay.http1.headers import HeaderList, end_to_end_headers, find_header
+from pimentoquay.http1.headers import (
+    HeaderList,
+    end_to_end_headers,
+    find_header,
+    retry_after_header,
+)
 from pimentoquay.http1.linear_patterns import use_linear_patterns
 from pimentoquay.http1.request import HeadRefusal, HttpRequest
 from pimentoquay.http1.request_writer import is_sendable
@@ -43,6 +48,7 @@
     "end_to_end_headers",
     "find_header",
     "is_sendable",
+    "retry_after_header",
 ]
 
 use_linear_patterns()
--- a/pimentoquay/http1/headers.py
+++ b/pimentoquay/http1/headers.py
@@ -58,6 +58,11 @@
     return None
 
 
+def retry_after_header(seconds: float) -> tuple[bytes, bytes]:
+    """Return the Retry-After header, with fractions of a second."""
+    return (b"Retry-After", f"{seconds:.3f}".encode())
+
+
 def end_to_end_headers(headers: HeaderList, kept: tuple[bytes, ...] = ()) -> HeaderList:
     """Return the headers that a router forwards.
 
--- a/pimentoquay/platform/engine_entry.py
+++ b/pimentoquay/platform/engine_entry.py
@@ -47,8 +47,7 @@
         is_draining=_IS_DRAINING_BY_STATE[state],
         slots=required(item, "slotCount", int, 0),
         stage=_STAGE_BY_NAME[stage] if stage else EngineStage.NONE,
-        # Unix milliseconds of the start, which tells starts under one id apart. Not all deployments
-        # state it.
+        # Unix milliseconds of the start, which tells starts apart; not all deployments state it.
         incarnation=required(item, "born", int, 0) if "born" in item else 0,
         sequence=required(item, "seq", int, 0),
         software=_software(item.get("version")),
--- a/pimentoquay/platform/requests.py
+++ b/pimentoquay/platform/requests.py
@@ -7,14 +7,7 @@
 from pimentoquay.policy.fleet import ModelRequest
 from pimentoquay.policy.workspaces import UNCHECKED, Access
 
-__all__ = [
-    "CallerRequest",
-    "SendOptions",
-    "engine_headers",
-    "parse_request",
-    "parse_timeout",
-    "retry_after_header",
-]
+__all__ = ["CallerRequest", "SendOptions", "engine_headers", "parse_request", "parse_timeout"]
 
 _REQUEST_ID = b"pimentoquay-request-id"
 _DEADLINE = b"pimentoquay-deadline-ms"
@@ -114,7 +107,10 @@
 
 def parse_timeout(headers: HeaderList) -> float | None:
     """Return the time that the caller waits, in seconds, or None if it is not stated."""
-    return _seconds_from_ms(find_header(headers, _DEADLINE))
+    try:
+        return check_range(float(_text(find_header(headers, _DEADLINE)))) / 1000.0
+    except ValueError:
+        return None
 
 
 def engine_headers(
@@ -155,11 +151,6 @@
     return (*kept, *added)
 
 
-def retry_after_header(seconds: float) -> tuple[bytes, bytes]:
-    """Return the Retry-After header, with fractions of a second."""
-    return (b"Retry-After", f"{seconds:.3f}".encode())
-
-
 def _token_counts(headers: HeaderList) -> list[int] | None:
     texts = (find_header(headers, _TOKEN_COUNTS) or b"").split(b",")
     counts = [each for each in map(_integer, texts) if each is not None]
@@ -195,10 +186,3 @@
     text = _text(value)
     is_valid = text.isdecimal() and text.isascii() and len(text) <= MAX_DIGITS
     return int(text) if is_valid else None
-
-
-def _seconds_from_ms(value: bytes | None) -> float | None:
-    try:
-        return check_range(float(_text(value))) / 1000.0
-    except ValueError:
-        return None
