Use entries that state no start or number, if no other is known

Change: an entry without these fields displaces none that has them, as its start and number are the lowest; under an id that is not known it is used, as before.

--- a/pimentoquay/platform/engine_entry.py
+++ b/pimentoquay/platform/engine_entry.py
@@ -38,7 +38,6 @@
         address = check_address(required(item, "address", str))
     except ValueError as error:
         raise DecodeError(f"{engine_id}: address: {error}") from None
-    optional(item, "coldRemainingMs", float, 0.0, 0)
     return EngineEntry(
         id=engine_id,
         service=required(item, "service", str),
@@ -48,8 +47,8 @@
         slots=required(item, "slotCount", int, 0),
         stage=_STAGE_BY_NAME[stage] if stage else EngineStage.NONE,
         # Start time of the engine in Unix milliseconds, which distinguishes starts under one id.
-        incarnation=required(item, "born", int, 0),
-        sequence=required(item, "seq", int, 0),
+        incarnation=optional(item, "born", int, 0, 0),
+        sequence=optional(item, "seq", int, 0, 0),
         software=_software(item.get("version")),
     )
 
