--- a/pimentoquay/http1/caller_timeouts.py
+++ b/pimentoquay/http1/caller_timeouts.py
@@ -126,16 +126,16 @@
             return "the body did not arrive while its caller waits"
         if self._has_turn:
             return None
-        has_partial_request = self._first_byte_at is not None and not self._waits_to_send
-        if has_partial_request and self._request is None:
-            began_at = max(self._first_byte_at or now, self._turn_at)
-            is_over = now - began_at > self.server.limits().header_seconds
-            return "the headers did not arrive in time" if is_over else None
+        limits = self.server.limits()
         idle_since = max(self._last_activity_at, self._turn_at)
-        idle_seconds = max(self._limits.idle_seconds, self.server.idle_limit(idle_since, now))
-        if now - idle_since <= idle_seconds:
-            return None
-        return "the body did not arrive in time" if has_partial_request else ""
+        idle_seconds = max(self._limits.idle_seconds, limits.idle_seconds)
+        if self._first_byte_at is None or self._waits_to_send:
+            held_seconds = max(idle_seconds, self.server.idle_limit(idle_since, now))
+            return "" if now - idle_since > held_seconds else None
+        if self._request is not None:
+            return "the body did not arrive in time" if now - idle_since > idle_seconds else None
+        is_over = now - max(self._first_byte_at, self._turn_at) > limits.header_seconds
+        return "the headers did not arrive in time" if is_over else None
 
     @property
     def _patience(self) -> float:
--- a/pimentoquay/http1/tests/test_server.py
+++ b/pimentoquay/http1/tests/test_server.py
@@ -209,3 +209,19 @@
     finally:
         writer.close()
         server.abort()
+
+
+async def test_a_body_that_stalls_is_refused_by_the_limit_in_force():
+    server = HttpServer(
+        RecordingHandler().handle,
+        lambda: ServerLimits(idle_seconds=0.2),
+        idle_limit=lambda since, now: 60.0,
+    )
+    await server.listen("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    try:
+        writer.write(b"POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab")
+        assert await read_status(reader) == 408
+    finally:
+        writer.close()
+        server.abort()
