Ask for no room for a connection to a server that has stopped

Such a connection is closed at once, but asked the budget for a place before, for which an idle connection may have to end.

--- a/pimentoquay/http1/server_connection.py
+++ b/pimentoquay/http1/server_connection.py
@@ -81,11 +81,12 @@
         """Begin to serve the connection."""
         self._transport = transport
         self.server.connections.add(self)
+        if self.server.is_stopped:
+            transport.abort()
+            return
         self._schedule_timeout_check()
         self._open_account()
         self._is_new = False
-        if self.server.is_stopped:
-            transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the task of the request."""
--- a/pimentoquay/http1/tests/test_room.py
+++ b/pimentoquay/http1/tests/test_room.py
@@ -168,3 +168,15 @@
         (account,) = budget._accounts
         sizes = buffer_sizes(account.user._transport.get_extra_info("socket"))
         assert sizes == ([system_bytes] * 2 if system_bytes else default)
+
+
+async def test_a_connection_to_a_server_that_has_stopped_ends_no_other():
+    async with limited_server(connections=1) as (_, budget, connect):
+        reader, writer = await connect()
+        writer.write(GET)
+        assert await read_status(reader) == 200
+        (account,) = budget._accounts
+        account.user.server.stop()
+        late, _ = await connect()
+        assert await late.read() == b""
+        assert budget.ended_by_reason == {}
