Tell overdue requests and idle connections apart in the timeouts of callers

One function returned a text, an empty text or None for three cases; now there is one for what of a request is overdue, and one for connections without a request. The limit of idle time is asked in one place, which knows the limits before, and one field tells whether an answer still has to be looked at. No change of behaviour for gateways.

--- a/pimentoquay/http1/caller_reading.py
+++ b/pimentoquay/http1/caller_reading.py
@@ -159,8 +159,7 @@
     def _update_reading(self) -> None:
         """Pause reading while much is unread."""
         may_read = self._update_account()
-        is_full = len(self._unread) > MAX_UNREAD_BYTES // 2 or not may_read
-        is_full = is_full or self._reads_no_more
+        is_full = self._reads_no_more or not may_read or len(self._unread) > MAX_UNREAD_BYTES // 2
         if is_full and not self._is_reading_paused:
             self._is_reading_paused = True
             self._transport.pause_reading()
--- a/pimentoquay/http1/caller_timeouts.py
+++ b/pimentoquay/http1/caller_timeouts.py
@@ -43,8 +43,7 @@
         self._first_byte_at: float | None = None
         self._last_activity_at = self._loop.time()
         self._answered_at = -math.inf
-        self._is_delivered = True
-        self._unsent = math.inf
+        self._unsent = 0.0  # Infinite if an answer has not been looked at since it was written.
         self._timer: asyncio.TimerHandle | None = None
 
     @property
@@ -97,45 +96,47 @@
             return
         now = self._loop.time()
         self._count_delivery(now)
-        overdue = self._find_overdue(now)
-        if overdue is None or self._has_arrived:
-            return
-        if overdue:
-            self._reject(408, overdue)
-        elif self._first_byte_at is not None:
-            self.server.unanswered.record("behind_unread")
-            self._close_gracefully()
-        else:
-            self._close_idle()
+        if self._first_byte_at is not None and not self._waits_to_send:
+            overdue = self._overdue_part(self._first_byte_at, now)
+            if overdue and not self._has_arrived:
+                self._reject(408, overdue)
+        elif self._is_held_too_long(now) and not self._has_arrived:
+            if self._first_byte_at is None:
+                self._close_idle()
+            else:
+                self.server.unanswered.record("behind_unread")
+                self._close_gracefully()
 
     def _count_delivery(self, now: float) -> None:
         """Count as activity that the caller has taken more of its answers since the last look.
 
         An answer that has been taken when it is looked at first counts from when it was written.
         """
-        if self._is_delivered:
+        if not self._unsent:
             return
         unsent, is_first = unsent_bytes(self._transport), self._unsent == math.inf
-        if unsent < self._unsent and not (is_first and unsent == 0):
+        if unsent < self._unsent and (unsent or not is_first):
             self._last_activity_at = now
-        self._unsent, self._is_delivered = unsent, unsent == 0
+        self._unsent = unsent
 
-    def _find_overdue(self, now: float) -> str | None:
-        """Return what did not arrive in time, empty if the time is that of an idle connection."""
-        if self._request is not None and now - (self._first_byte_at or now) > self._patience:
+    def _overdue_part(self, began_at: float, now: float) -> str:
+        """Return what of a request did not arrive in time, or an empty text."""
+        if self._request is not None and now - began_at > self._patience:
             return "the body did not arrive while its caller waits"
         if self._has_turn:
-            return None
+            return ""
         limits = self.server.limits()
-        idle_since = max(self._last_activity_at, self._turn_at)
+        if self._request is None:
+            is_over = now - max(began_at, self._turn_at) > limits.header_seconds
+            return "the headers did not arrive in time" if is_over else ""
         idle_seconds = max(self._limits.idle_seconds, limits.idle_seconds)
-        if self._first_byte_at is None or self._waits_to_send:
-            held_seconds = max(idle_seconds, self.server.idle_limit(idle_since, now))
-            return "" if now - idle_since > held_seconds else None
-        if self._request is not None:
-            return "the body did not arrive in time" if now - idle_since > idle_seconds else None
-        is_over = now - max(self._first_byte_at, self._turn_at) > limits.header_seconds
-        return "the headers did not arrive in time" if is_over else None
+        is_over = now - max(self._last_activity_at, self._turn_at) > idle_seconds
+        return "the body did not arrive in time" if is_over else ""
+
+    def _is_held_too_long(self, now: float) -> bool:
+        """Whether a caller has neither sent a request nor taken answers for too long."""
+        idle_since = max(self._last_activity_at, self._turn_at)
+        return not self._has_turn and now - idle_since > self.server.idle_limit(idle_since, now)
 
     @property
     def _patience(self) -> float:
--- a/pimentoquay/http1/server_connection.py
+++ b/pimentoquay/http1/server_connection.py
@@ -326,7 +326,7 @@
             self._expires_at = reply.expires_at
             self._first_byte_at = None
             self._last_activity_at = self._answered_at = self._loop.time()
-            self._is_delivered, self._unsent = False, math.inf
+            self._unsent = math.inf
             del request
             self._release()
         if not reply.ended:
