Use the replacements and the callbacks that there are

Switches of this change brought functions of their own that return a constant, which replacements.py has. The feed passed on that the store was restored, to one listener, beside StoreEra.on_raised. No change of behaviour.

--- a/pimentoquay/bench/mutations/close_switches.py
+++ b/pimentoquay/bench/mutations/close_switches.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from pimentoquay.bench.mutations.replacements import return_constant
 from pimentoquay.bench.mutations.switch import Switch
 
 __all__ = ["CLOSE_SWITCHES"]
@@ -10,11 +11,6 @@
 _DROPPED = "pimentoquay/http1/tests/test_requests_dropped_with_connections.py::"
 
 
-def look_at_what_was_read(original: Any) -> Any:
-    """Take what has arrived, but was not read, for nothing."""
-    return lambda transport: 0
-
-
 def read_on(original: Any) -> Any:
     """Read what arrives on an idle connection that was closed."""
 
@@ -26,26 +22,16 @@
     return close_idle
 
 
-def do_nothing(original: Any) -> Any:
-    """Leave out what the mechanism does."""
-    return lambda *arguments: None
-
-
 def limit_in_force(original: Any) -> Any:
     """Close idle connections by the limit in force alone."""
     return lambda limits, idle_since, now: 2 * limits._seconds
 
 
-def trust_the_pool(original: Any) -> Any:
-    """Use a connection of the pool whatever has arrived on it."""
-    return lambda transport: True
-
-
 CLOSE_SWITCHES = (
     Switch(
         "a request that has arrived keeps its connection open",
         "pimentoquay.http1.caller_timeouts:unread_bytes",
-        look_at_what_was_read,
+        return_constant(0),
         _CLOSES + "test_a_request_that_has_arrived_is_answered_though_the_idle_time_is_over",
     ),
     Switch(
@@ -64,20 +50,20 @@
     Switch(
         "a connection to an engine is used again only if nothing has arrived on it",
         "pimentoquay.http1.client_connection:is_quiet",
-        trust_the_pool,
+        return_constant(True),
         "pimentoquay/http1/tests/test_client.py::"
         "test_no_request_is_sent_on_a_connection_that_its_server_has_ended_or_written_to[end]",
     ),
     Switch(
         "a planned stop reads nothing after its end",
         "pimentoquay.http1.server:HttpServer.stop",
-        do_nothing,
+        return_constant(None),
         _CLOSES + "test_a_server_that_stops_refuses_what_it_reads",
     ),
     Switch(
         "a caller that still takes its answer is not idle",
         "pimentoquay.http1.caller_timeouts:CallerTimeouts._count_delivery",
-        do_nothing,
+        return_constant(None),
         _DROPPED + "test_a_caller_that_still_reads_its_answer_is_not_idle",
     ),
 )
--- a/pimentoquay/bench/mutations/entry_switches.py
+++ b/pimentoquay/bench/mutations/entry_switches.py
@@ -3,6 +3,7 @@
 import sys
 from typing import Any
 
+from pimentoquay.bench.mutations.replacements import return_constant
 from pimentoquay.bench.mutations.switch import Switch
 
 __all__ = ["ENTRY_SWITCHES"]
@@ -11,16 +12,6 @@
 _ENTRIES = "pimentoquay/gateway/tests/test_entries_of_others.py::"
 
 
-def name_every_service(original: Any) -> Any:
-    """Take each service for one of the configuration."""
-    return lambda self, entry: True
-
-
-def send_no_confirming_record(original: Any) -> Any:
-    """Send the peers the newest record only."""
-    return lambda self, engine: ()
-
-
 def never(original: Any) -> Any:
     """Return a number that is not reached."""
     return sys.maxsize
@@ -30,7 +21,7 @@
     Switch(
         "entry whose service is not named displaces none",
         "pimentoquay.policy.engine_list:EngineList._is_named",
-        name_every_service,
+        return_constant(True),
         _LOADS + "test_an_entry_with_a_service_that_is_not_named_does_not_displace_an_engine",
     ),
     Switch(
@@ -54,7 +45,7 @@
     Switch(
         "record by which an engine is known to go on is told to peers",
         "pimentoquay.gateway.fleet:Fleet._confirming",
-        send_no_confirming_record,
+        return_constant(()),
         _ENTRIES + "test_an_engine_is_used_again_with_its_second_heartbeat_after_an_entry_of_its_"
         "form[later start]",
     ),
--- a/pimentoquay/bench/mutations/head_switches.py
+++ b/pimentoquay/bench/mutations/head_switches.py
@@ -118,7 +118,7 @@
     Switch(
         "parsed heads count until their requests are done",
         _CONNECTION + "_settle",
-        lambda original: lambda self, size: None,
+        return_constant(None),
         _HEADERS + "test_a_parsed_head_counts_until_its_request_is_done",
     ),
     Switch(
--- a/pimentoquay/bench/mutations/vm_switches.py
+++ b/pimentoquay/bench/mutations/vm_switches.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from typing import Any
 
+from pimentoquay.bench.mutations.replacements import do_nothing_async, return_constant
 from pimentoquay.bench.mutations.switch import Switch
 
 __all__ = ["VM_SWITCHES"]
@@ -11,11 +12,6 @@
 _GATEWAY = "pimentoquay/gateway/tests/test_replaced_vms.py::"
 
 
-def keep_all(original: Any) -> Any:
-    """Take no VM for gone."""
-    return lambda liveness, data_centre_by_vm, now, has_relays, is_reader: frozenset()
-
-
 def take_silent_for_gone(original: Any) -> Any:
     """Take all VMs for gone that have been silent, however few are heard."""
 
@@ -31,25 +27,11 @@
     return gone
 
 
-def need_no_votes(original: Any) -> Any:
-    """Let a granter without news of the store earn by the votes of a few."""
-    return lambda seconds_without_news: 0.0
-
-
-def never_write_again(original: Any) -> Any:
-    """Leave the removed records of running VMs removed."""
-
-    async def write_again(registry: Any) -> None:
-        return
-
-    return write_again
-
-
 VM_SWITCHES = (
     Switch(
         "VMs that are gone stop counting",
         "pimentoquay.policy.vm_liveness:VmLiveness.gone",
-        keep_all,
+        return_constant(frozenset()),
         _REPLAY + "test_an_allowance_outlasts_a_hundred_replaced_machines[3-0.7]",
     ),
     Switch(
@@ -62,14 +44,14 @@
     Switch(
         "granters without news of the store need half of the votes",
         "pimentoquay.policy.vm_liveness:least_votes",
-        need_no_votes,
+        return_constant(0.0),
         _REPLAY + "test_a_side_of_a_cut_does_not_take_itself_for_all_that_is_alive"
         "[three of seven, away from the store-8]",
     ),
     Switch(
         "removed records of running VMs of older builds are written again",
         "pimentoquay.gateway.vm_registry:VmRegistry._write_again",
-        never_write_again,
+        do_nothing_async,
         _GATEWAY + "test_a_record_of_a_running_vm_that_was_removed_is_written_again",
     ),
 )
--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -239,7 +239,7 @@
         node, shared, pool_coordinator_of, lambda: loads.load_by_vm, send_to, coordinator
     )
     granting, allowances = compose_allowances(node, bounds, fleet, mesh, peers, send_to)
-    registry = VmRegistry(node, fleet, mesh, peers, lambda: feed)
+    registry = VmRegistry(node, fleet, mesh, peers, era, lambda: feed)
     mesh.relays.receive_routed = routed_handler(
         pool_client, coordinator, speeds, granting, allowances, registry
     )
--- a/pimentoquay/gateway/feed.py
+++ b/pimentoquay/gateway/feed.py
@@ -109,7 +109,6 @@
         self._is_down = False
         self._was_down = False
         self._was_restored = False
-        self.on_restored: list[Callable[[], None]] = []
         store.era.on_raised.append(self._handle_restored)
 
     async def run(self) -> None:
@@ -148,8 +147,6 @@
         self._next_by_topic.clear()
         self._fleet.engine_list.start_relisting_grace(self._timers.now())
         self._was_restored = True
-        for callback in self.on_restored:
-            callback()
 
     async def announce(self, own: VmAddress) -> None:
         """Write this VM's addresses for peers to the store; retry until that succeeds."""
--- a/pimentoquay/gateway/vm_registry.py
+++ b/pimentoquay/gateway/vm_registry.py
@@ -17,7 +17,7 @@
 from pimentoquay.kernel.logs import logger
 from pimentoquay.messages.fleet import VmAddress, VmNews
 from pimentoquay.platform.store import StoreError
-from pimentoquay.policy.store_position import era_of
+from pimentoquay.policy.store_position import StoreEra, era_of
 from pimentoquay.policy.vm_liveness import (
     NO_NEWS_SECONDS,
     READ_SECONDS,
@@ -67,12 +67,20 @@
     ----------
     node, fleet, mesh, peers
         The process, the age of its news of the store, the VMs that it knows, and its channels.
+    era
+        Tells when the store was restored.
     feed
         Returns the reader and writer of the records.
     """
 
     def __init__(
-        self, node: Node, fleet: Fleet, mesh: Mesh, peers: PeerSet, feed: Callable[[], StoreFeed]
+        self,
+        node: Node,
+        fleet: Fleet,
+        mesh: Mesh,
+        peers: PeerSet,
+        era: StoreEra,
+        feed: Callable[[], StoreFeed],
     ) -> None:
         self._vm = node.identity.vm
         self._timers = node.timers
@@ -89,10 +97,10 @@
         self._listed_end = 0
         self._is_void = False
         self._was_restored = False
+        era.on_raised.append(self._handle_restored)
 
     async def run(self) -> None:
         """Write this VM's record, and keep all up to date until cancelled."""
-        self._feed().on_restored.append(self._handle_restored)
         await self._enter()
         while True:
             await self._timers.sleep(TICK_SECONDS)
