--- a/pimentoquay/bench/mutations/entry_switches.py
+++ b/pimentoquay/bench/mutations/entry_switches.py
@@ -38,7 +38,7 @@
     ),
     Switch(
         "start in the future",
-        "pimentoquay.gateway.fleet:MAX_CLOCK_SKEW_MS",
+        "pimentoquay.policy.engine_list:MAX_CLOCK_SKEW_MS",
         never,
         _ENTRIES + "test_an_entry_that_names_no_engine_to_use_displaces_none[start in the future]",
     ),
--- a/pimentoquay/gateway/fleet.py
+++ b/pimentoquay/gateway/fleet.py
@@ -12,7 +12,7 @@
 from pimentoquay.platform.configuration import ConfigurationDecoder
 from pimentoquay.platform.engine_entry import decode_engine_entry
 from pimentoquay.platform.fields import DecodeError
-from pimentoquay.policy.engine_list import EngineList, EngineUpdate
+from pimentoquay.policy.engine_list import EngineList, EngineUpdate, starts_later
 from pimentoquay.policy.engine_notices import EngineNotices
 from pimentoquay.policy.fleet import EngineEntry, FleetConfiguration
 from pimentoquay.policy.pools import pools_of
@@ -28,9 +28,6 @@
 """Most parts of a configuration that are logged as ignored; all are counted. A line takes 0.1 ms,
 and all 8,500 workspaces may be invalid."""
 
-MAX_CLOCK_SKEW_MS = 10_000
-"""Largest time by which an engine's clock may be ahead of that of this VM, in milliseconds."""
-
 
 class Fleet:
     """Configuration and engines that this gateway currently uses.
@@ -254,10 +251,9 @@
         except DecodeError as error:
             refuse("engine entry", record.engine, error)
             return EngineUpdate(record.engine, record.position, None)
-        latest_start = self._wall() * 1000 + MAX_CLOCK_SKEW_MS
-        starts_later = not from_peer and entry.incarnation > latest_start
+        is_early = not from_peer and starts_later(entry, self._wall())
         return EngineUpdate(
-            record.engine, record.position, entry, starts_later=starts_later, source=record
+            record.engine, record.position, entry, starts_later=is_early, source=record
         )
 
     def _refresh_engines(self) -> None:
--- a/pimentoquay/policy/engine_list.py
+++ b/pimentoquay/policy/engine_list.py
@@ -16,7 +16,7 @@
 from pimentoquay.policy.heartbeat_runs import HeartbeatRuns
 from pimentoquay.policy.store_position import era_of
 
-__all__ = ["EngineList", "EngineUpdate"]
+__all__ = ["EngineList", "EngineUpdate", "starts_later"]
 
 RELISTING_GRACE_SECONDS = 2.0
 """Maximum time that engines need to be listed again after an outage of the store, in seconds."""
@@ -33,6 +33,21 @@
 s."""
 
 
+MAX_CLOCK_SKEW_MS = 10_000
+"""Largest time by which an engine's clock may be ahead of that of this VM, in milliseconds."""
+
+
+def starts_later(entry: EngineEntry, wall_seconds: float) -> bool:
+    """Return whether an engine has not started yet, as its entry says.
+
+    Parameters
+    ----------
+    entry, wall_seconds
+        The entry, and the seconds since the Unix epoch on the clock of this VM.
+    """
+    return entry.incarnation > wall_seconds * 1000 + MAX_CLOCK_SKEW_MS
+
+
 @dataclass(frozen=True)
 class EngineUpdate:
     """A record of the store about one engine.
