Share how tests replace engines and serve with a budget

Three test files waited for replaced engines in words of their own, and two had the same server with a budget.

--- a/pimentoquay/gateway/tests/rig.py
+++ b/pimentoquay/gateway/tests/rig.py
@@ -95,6 +95,19 @@
         await self.store.put("keyed.servers", engine.id, engine.entry())
         return engine
 
+    async def replace_engines(self, engines) -> None:
+        """Put engines in the place of those of their names, and wait until all gateways know."""
+        for engine in engines:
+            await self.engine_by_id[engine.id].close()
+            await self.add_engine(engine)
+        replaced = {(engine.id, engine.born) for engine in engines}
+        for gateway in self.gateway_by_vm.values():
+            await until(
+                lambda fleet=gateway.fleet: replaced
+                <= {(each.id, each.incarnation) for each in fleet.engines()},
+                "listed",
+            )
+
     async def add_gateway(
         self, vm="vm-1", store_address=None, seeds=(), wait=True, metrics_port=None
     ) -> Gateway:
--- a/pimentoquay/gateway/tests/test_cut_heads.py
+++ b/pimentoquay/gateway/tests/test_cut_heads.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from pimentoquay.gateway.tests.rig import model_headers, rig, until
+from pimentoquay.gateway.tests.rig import model_headers, rig
 from pimentoquay.kernel.errors import HttpError
 from pimentoquay.standin.platform_engine import PlatformEngine
 from pimentoquay.standin.virtual_links import Cut
@@ -82,16 +82,11 @@
     """Replace the engines that answer callers by such that cut their heads."""
     engines = []
     for name, stage in (("desk-1", ""), ("desk-2", ""), ("dec-1", "decode"), ("dec-2", "decode")):
-        await env.engine_by_id[name].close()
         engine = CutEngine(name, "llm" if stage else "desk", stage=stage, born=2)
         for key, value in options.items():
             setattr(engine, key, value)
-        engines.append(await env.add_engine(engine))
-    for gateway in env.gateway_by_vm.values():
-        fleet = gateway.fleet
-        await until(
-            lambda fleet=fleet: sum(e.incarnation == 2 for e in fleet.engines()) == 4, "listed"
-        )
+        engines.append(engine)
+    await env.replace_engines(engines)
     return engines
 
 
--- a/pimentoquay/gateway/tests/test_invalid_statuses.py
+++ b/pimentoquay/gateway/tests/test_invalid_statuses.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from pimentoquay.gateway.tests.rig import model_headers, rig, until
+from pimentoquay.gateway.tests.rig import model_headers, rig
 from pimentoquay.gateway.tests.test_streams import WHOLE
 from pimentoquay.standin.platform_engine import PlatformEngine
 from pimentoquay.standin.virtual_links import Cut
@@ -60,18 +60,12 @@
     """Replace engines by such that answer with a status."""
     engines = []
     for name in names:
-        await env.engine_by_id[name].close()
         service = "llm" if STAGES[name] else "desk"
         engine = StatusEngine(name, service, stage=STAGES[name], born=2)
         for key, value in options.items():
             setattr(engine, key, value)
-        engines.append(await env.add_engine(engine))
-    for gateway in env.gateway_by_vm.values():
-        fleet = gateway.fleet
-        await until(
-            lambda fleet=fleet: {e.id for e in fleet.engines() if e.incarnation == 2} == set(names),
-            "listed",
-        )
+        engines.append(engine)
+    await env.replace_engines(engines)
     return engines
 
 
--- a/pimentoquay/gateway/tests/test_unsendable_requests.py
+++ b/pimentoquay/gateway/tests/test_unsendable_requests.py
@@ -123,10 +123,7 @@
 async def test_what_one_engine_says_cannot_make_a_request_unsendable_to_another(name, stage):
     """The handle of a prefill that cannot be written counted as a refusal of decode engines."""
     async with rig() as env:
-        await env.engine_by_id[name].close()
-        await env.add_engine(GarbledEngine(name, "llm", stage=stage, born=2))
-        fleet = env.gateway_by_vm["vm-1"].fleet
-        await until(lambda: name in {e.id for e in fleet.engines() if e.incarnation == 2}, "new")
+        await env.replace_engines([GarbledEngine(name, "llm", stage=stage, born=2)])
         for number in range(4):
             response = await env.stream(f"/sheet/{number}")
             assert (response.status, response.body) == (200, WHOLE)
--- a/pimentoquay/http1/tests/test_many_headers.py
+++ b/pimentoquay/http1/tests/test_many_headers.py
@@ -1,18 +1,17 @@
 """Heads of many short headers: what they take is bounded, counted, and parsed in turns."""
 
 import asyncio
-import contextlib
 
 import h11
 import pytest
 
-from pimentoquay.http1 import HttpServer, ServerLimits
 from pimentoquay.http1.raw_head import HEADER_BYTES
 from pimentoquay.http1.server import MAX_HEADER_LINES
 from pimentoquay.http1.tests.endless_callers import counted_per_pass
 from pimentoquay.http1.tests.scripted import until
-from pimentoquay.http1.tests.test_server import GET, RecordingHandler, read_head, read_status
-from pimentoquay.policy.byte_budget import CONNECTION_BYTES, ByteBudget
+from pimentoquay.http1.tests.test_room import limited_server
+from pimentoquay.http1.tests.test_server import GET, read_head, read_status
+from pimentoquay.policy.byte_budget import CONNECTION_BYTES
 
 MB = 1024 * 1024
 
@@ -23,27 +22,8 @@
     return first + b"".join(b"n%d:\r\n" % number for number in range(lines - 2)) + b"\r\n"
 
 
-@contextlib.asynccontextmanager
-async def server_of(limit=5 * MB, connections=1000):
-    handler, budget = RecordingHandler(), ByteBudget(limit, connections)
-    limits = ServerLimits(idle_seconds=60.0)
-    server = HttpServer(handler.handle, lambda: limits, room=budget)
-    await server.listen("127.0.0.1", 0)
-    async with contextlib.AsyncExitStack() as stack:
-
-        async def connect(data=b""):
-            reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
-            # Both are kept, as a connection closes once one of them is forgotten.
-            stack.callback(lambda *kept: kept[1].transport.abort(), reader, writer)
-            writer.write(data)
-            return reader, writer
-
-        try:
-            yield handler, budget, connect
-        finally:
-            server.abort()
-            await until(lambda: not server.connections, "closed")
-            assert (budget.used, budget.connections) == (0, 0)
+def server_of(limit=5 * MB):
+    return limited_server(limit, connections=1000)
 
 
 @pytest.mark.parametrize(
--- a/pimentoquay/http1/tests/test_room.py
+++ b/pimentoquay/http1/tests/test_room.py
@@ -24,9 +24,11 @@
     await server.listen("127.0.0.1", 0)
     async with contextlib.AsyncExitStack() as stack:
 
-        async def connect():
+        async def connect(data=b""):
             reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
-            stack.callback(writer.transport.abort)
+            # Both are kept, as a connection closes once one of them is forgotten.
+            stack.callback(lambda *kept: kept[1].transport.abort(), reader, writer)
+            writer.write(data)
             return reader, writer
 
         try:
