Say in the log that a response names no new hold, also if its name cannot be sent back

It said that the response came again, which is one of two reasons. No change of behaviour; tests of late copies and of the list of engines pass.

--- a/pimentoquay/gateway/engine_link.py
+++ b/pimentoquay/gateway/engine_link.py
@@ -299,8 +299,8 @@
             name = self.calls.parse_hold(body)
         if not can_be_header(name) or not exchange.claim(f"hold {name}"):
             exchange.close_afterwards()
-            logger.bind(engine=self.entry.id, name=name).warning("response came again")
-            raise RepeatedResponseError(f"{self.entry.id}: hold {name} once more", True)
+            logger.bind(engine=self.entry.id, name=name).warning("response names no new hold")
+            raise RepeatedResponseError(f"{self.entry.id}: no new hold: {name}", True)
 
     async def check(self) -> ServerState:
         """Return whether the engine still runs, as shown by new connections.
--- a/pimentoquay/policy/engine_list.py
+++ b/pimentoquay/policy/engine_list.py
@@ -28,10 +28,9 @@
 """
 
 CONTESTED_SECONDS = 4.0
-"""Time after an entry that cannot be used within which a heartbeat of the engine has to follow, in
-seconds. The store drops the entry of an engine that is silent for three heartbeats, which are 3.6
-s."""
+"""Time in seconds within which a heartbeat has to follow an entry that cannot be used.
 
+The store drops the entry of an engine that is silent for three heartbeats, which are 3.6 s."""
 
 MAX_CLOCK_SKEW_MS = 10_000
 """Largest time by which an engine's clock may be ahead of that of this VM, in milliseconds."""
