--- a/review/13/case.py
+++ b/review/13/case.py
@@ -2,7 +2,7 @@
 
 The gateway whose name sorts first reads the store for all. It is stopped with SIGTERM and started
 again, as in a rolling restart, and an engine leaves meanwhile: its entry is removed shortly before
-the new process reads the list, and the engine goes on serving for a while.
+the new process reads the list, and the engine goes on serving for a while and exits.
 """
 
 import asyncio
@@ -18,6 +18,7 @@
     configuration,
     run_case,
     send,
+    stream_headers,
 )
 
 GATEWAYS = 3
@@ -25,7 +26,7 @@
 DOWN_SECONDS = 0.5
 REMOVED_BEFORE_READ_SECONDS = 0.12
 SENT_AFTER_SECONDS = 2.6
-EXIT_AFTER_SECONDS = 3.6
+EXIT_AFTER_SECONDS = 3.2
 
 
 async def seconds_to_ready(gateway):
@@ -39,9 +40,13 @@
 
 
 async def case(deployment, record, has_trouble):
-    desks = [Engine(f"desk-{n:02}", "desk") for n in range(ROUNDS + 2)]
-    model = [Engine("pre-0", "llm", stage="prefill"), Engine("dec-0", "llm", stage="decode")]
-    await deployment.start(GATEWAYS, [*desks, *model], configuration(1))
+    decode = [
+        Engine(f"dec-{n:02}", "llm", stage="decode", events=20, pause=0.05)
+        for n in range(ROUNDS + 2)
+    ]
+    prefill = [Engine(f"pre-{n}", "llm", stage="prefill") for n in range(2)]
+    desk = Engine("desk-0", "desk")
+    await deployment.start(GATEWAYS, [*decode, *prefill, desk], configuration(1))
     reader, others = deployment.gateways[0], deployment.gateways[1:]
     await asyncio.sleep(4.0)
     boot_seconds = 0.0
@@ -52,8 +57,8 @@
         boot_seconds = await seconds_to_ready(reader)
         record.add("gateway ready", gateway=reader.name, after=f"{boot_seconds:.3f}")
         await asyncio.sleep(4.0)
-    broken = []
-    for leaving in desks[:ROUNDS]:
+    broken, answers = [], []
+    for leaving in decode[:ROUNDS]:
         starting = None
         if has_trouble:
             reader.signal(signal.SIGTERM)
@@ -66,18 +71,25 @@
             boot_seconds = await starting
             record.add("gateway ready", gateway=reader.name, after=f"{boot_seconds:.3f}")
         await asyncio.sleep(max(0.0, gone_at + SENT_AFTER_SECONDS - record.now()))
-        await asyncio.gather(
-            *(send(each, record, "/order/x", body=b"toner", seconds=2.5) for each in others)
-        )
+        sent = [
+            asyncio.create_task(
+                send(each, record, "/sheet/x", body=b"prompt", headers=stream_headers())
+            )
+            for each in others
+        ]
+        await asyncio.sleep(max(0.0, gone_at + EXIT_AFTER_SECONDS - record.now()))
+        await deployment.end_engine(leaving)
+        whole_by_id = {each.request: each.is_whole for each in await asyncio.gather(*sent)}
+        answers += whole_by_id.values()
         for each in leaving.requests:
             if each.at - gone_at > DRAIN_SECONDS:
+                fate = "whole" if whole_by_id.get(each.request) else "cut"
                 broken.append(
                     f"{each.request} reached {each.engine} {each.at - gone_at:.3f} s after the "
-                    "store had confirmed that it is gone"
+                    f"store had confirmed that it is gone; its caller's answer is {fate}"
                 )
-        await asyncio.sleep(max(0.0, gone_at + EXIT_AFTER_SECONDS - record.now()))
-        await deployment.end_engine(leaving)
-        await asyncio.sleep(3.0)
+        await asyncio.sleep(2.0)
+    record.add("streams", sent=len(answers), whole=sum(answers))
     return broken
 
 
