--- a/review/11/case.py
+++ b/review/11/case.py
@@ -12,7 +12,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from harness3 import (  # noqa: E402
+from harness3 import (
     Engine,
     configuration,
     route,
@@ -23,7 +23,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent))
 
-from engine import whole_stream  # noqa: E402
+from engine import whole_stream
 
 SPLIT = [{"service": "llm", "weight": 50}, {"service": "feed", "weight": 50}]
 ROUTES = (
@@ -50,7 +50,10 @@
     async def start(self):
         """Start the process, and list the engine."""
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, str(Path(__file__).with_name("engine.py")), self.id, self._host,
+            sys.executable,
+            str(Path(__file__).with_name("engine.py")),
+            self.id,
+            self._host,
             stdout=asyncio.subprocess.PIPE,
         )
         port = int((await self.process.stdout.readline()).split()[1])
@@ -69,8 +72,14 @@
         while True:
             self._sequence += 1
             item = {
-                "service": "feed", "address": self._address, "zone": "hall", "version": "v1",
-                "slotCount": 6, "state": "ready", "coldRemainingMs": 0, "seq": self._sequence,
+                "service": "feed",
+                "address": self._address,
+                "zone": "hall",
+                "version": "v1",
+                "slotCount": 6,
+                "state": "ready",
+                "coldRemainingMs": 0,
+                "seq": self._sequence,
                 "born": 1,
             }
             await self._deployment.store.put("keyed.servers", self.id, json.dumps(item).encode())
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -12,7 +12,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from harness3 import (  # noqa: E402
+from harness3 import (
     DRAIN_SECONDS,
     Engine,
     configuration,
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -12,7 +12,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
 
-from harness3 import (  # noqa: E402
+from harness3 import (
     DRAIN_SECONDS,
     Engine,
     configuration,
@@ -21,7 +21,7 @@
     stream_headers,
 )
 
-from pimentoquay.standin.platform_store import StoreFault  # noqa: E402
+from pimentoquay.standin.platform_store import StoreFault
 
 GATEWAYS = 5
 ROUNDS = 3
--- a/review/harness3.py
+++ b/review/harness3.py
@@ -23,8 +23,8 @@
 ROOT = Path(__file__).resolve().parents[1]
 sys.path.insert(0, str(ROOT))
 
-from pimentoquay.standin.platform_engine import PlatformEngine  # noqa: E402
-from pimentoquay.standin.platform_store import PlatformStore  # noqa: E402
+from pimentoquay.standin.platform_engine import PlatformEngine
+from pimentoquay.standin.platform_store import PlatformStore
 
 BEAT_SECONDS = 1.2
 GRACE_SECONDS = 8.0
@@ -89,9 +89,7 @@
 def configuration(version, routes=ROUTES, plain=PLAIN_SERVICES):
     """Return a configuration with one service of model engines and some plain ones."""
     services = [{"name": name, "healthPath": "/health", "maxConns": 100} for name in plain]
-    services.append(
-        {"name": "llm", "healthPath": "/health", "maxConns": 360, "engineId": MEMORY}
-    )
+    services.append({"name": "llm", "healthPath": "/health", "maxConns": 360, "engineId": MEMORY})
     limits = {
         "maxHeaderBytes": 16_384,
         "maxBodyBytes": 4_194_304,
@@ -151,13 +149,22 @@
         request_id = arrival.headers.get("pimentoquay-request-id", "")
         if request_id:
             arrived = Arrived(
-                request_id, arrival.target, self.record.now(), arrival.is_prefill, self.id,
+                request_id,
+                arrival.target,
+                self.record.now(),
+                arrival.is_prefill,
+                self.id,
                 self.service,
             )
             self.requests.append(arrived)
             what = "prefills" if arrival.is_prefill else "runs"
-            self.record.add(f"engine {what}", engine=self.id, service=self.service,
-                            request=request_id, path=arrival.target)
+            self.record.add(
+                f"engine {what}",
+                engine=self.id,
+                service=self.service,
+                request=request_id,
+                path=arrival.target,
+            )
         await super()._respond(arrival, request, reply)
 
     async def _answer(self, arrival, headers, reply):
@@ -199,16 +206,28 @@
             "seedAddrs": [f"{g.host}:{g.control}" for g in self._deployment.gateways[:3]],
             "bootstrap": True,
             "countsAsLoss": False,
-            "limits": {"cpuShare": 0.537, "cpuCores": 2, "memoryMb": 300, "maxFds": 4100,
-                       "linkMbps": 1000.0, "diskMb": 0},
+            "limits": {
+                "cpuShare": 0.537,
+                "cpuCores": 2,
+                "memoryMb": 300,
+                "maxFds": 4100,
+                "linkMbps": 1000.0,
+                "diskMb": 0,
+            },
             "dataDir": None,
             "discovery": "platform",
             "entry": "vip",
             "beatIntervalMs": 1200,
             "tolerate": {"machines": 2, "zones": 1, "regions": 0},
             "bounds": BOUNDS,
-            "platform": {"address": self._deployment.store_address, "form": "log",
-                         "writesPerS": 400, "readsPerS": 2000, "keep_s": 300, "partMb": 200},
+            "platform": {
+                "address": self._deployment.store_address,
+                "form": "log",
+                "writesPerS": 400,
+                "readsPerS": 2000,
+                "keep_s": 300,
+                "partMb": 200,
+            },
         }
 
     async def start(self):
@@ -230,8 +249,9 @@
     def signal(self, number):
         """Send a signal to the process."""
         if self.process is not None and self.process.returncode is None:
-            self._deployment.record.add("signal", gateway=self.name,
-                                        signal=signal.Signals(number).name)
+            self._deployment.record.add(
+                "signal", gateway=self.name, signal=signal.Signals(number).name
+            )
             self.process.send_signal(number)
 
     async def is_ready(self):
@@ -380,8 +400,9 @@
     return f"{next(_numbers):06x}{random.getrandbits(40):010x}"
 
 
-async def send(gateway, record, path, *, method="POST", body=b"", seconds=14.0, headers=(),
-               request_id=None):
+async def send(
+    gateway, record, path, *, method="POST", body=b"", seconds=14.0, headers=(), request_id=None
+):
     """Send one request on a new connection, and return its answer."""
     request_id = request_id or new_id()
     answer = Answer(request_id, record.now())
@@ -406,8 +427,14 @@
         if writer is not None:
             writer.close()
     answer.ended_at = record.now()
-    record.add("caller gets", request=request_id, status=answer.status, whole=answer.is_whole,
-               stamp=answer.headers.get("pimentoquay-server-stamp", "-"), bytes=len(answer.body))
+    record.add(
+        "caller gets",
+        request=request_id,
+        status=answer.status,
+        whole=answer.is_whole,
+        stamp=answer.headers.get("pimentoquay-server-stamp", "-"),
+        bytes=len(answer.body),
+    )
     return answer
 
 
@@ -475,4 +502,3 @@
     if not broken:
         print("the rule held")
     return 1 if broken else 0
-
