Read the streams of plain services event by event

Callers got 200 with a complete frame whose body ended inside an event: a stream of a service without memory settings was forwarded as a plain call, for which the end of the connection is the end of the response.

Cause: Dispatcher._is_model_stream chose how a response is read by the memory settings of its service and by whether the caller names a model. The kind of the route decides it now (policy/forwarding.py). Streams without reserved memory have a forwarder of their own (gateway/plain_streams.py), which shares runs (stream_runs.py) and the relay of events (event_relay.py) with model streams. They were moved out of streams.py. A stream keeps the memory settings with which it began, as a change of the configuration made its next run fail.

Same cause on related paths, with tests: bodies framed by a length or chunks, an engine's error inside a stream, missing and doubled events, events held back up to 32 KB, the software version that began a stream, callers that name no model, a service that loses its memory settings.

gateway/tests/test_plain_streams.py on the code before: 18 of 20 tests fail.

--- a/pimentoquay/bench/mutations/stream_switches.py
+++ b/pimentoquay/bench/mutations/stream_switches.py
@@ -1,10 +1,12 @@
 """Mechanisms for the ends of streams and stops, and the tests that have to fail without them."""
 
 import math
+from typing import Any
 
 from pimentoquay.bench.mutations.replacements import do_nothing_async, return_constant
 from pimentoquay.bench.mutations.stream_replacements import tell_expired_versions
 from pimentoquay.bench.mutations.switch import Switch
+from pimentoquay.policy.forwarding import Forwarding
 
 __all__ = ["STREAM_SWITCHES"]
 
@@ -13,7 +15,33 @@
 _STARTS = "pimentoquay/gateway/tests/test_engine_starts.py::"
 _STOP = "pimentoquay/gateway/tests/test_late_in_stop.py::"
 
+_PLAIN = "pimentoquay/gateway/tests/test_plain_streams.py::"
+
+
+def forward_as_calls(original: Any) -> Any:
+    """Forward all requests as calls whose engines reserve no memory."""
+
+    def forwarding(route: Any, service: Any, names_model: bool) -> Forwarding:
+        found = original(route, service, names_model)
+        return Forwarding.CALL if found is Forwarding.PLAIN_STREAM else found
+
+    return forwarding
+
+
 STREAM_SWITCHES = (
+    Switch(
+        "streams of plain services read event by event",
+        "pimentoquay.gateway.dispatcher:forwarding_of",
+        forward_as_calls,
+        _PLAIN + "test_a_plain_stream_that_is_broken_off_inside_an_event_does_not_look_complete"
+        "[none]",
+    ),
+    Switch(
+        "streams of plain services go on at their version",
+        "pimentoquay.gateway.plain_streams:may_run",
+        return_constant(True),
+        _PLAIN + "test_a_plain_stream_goes_on_at_another_server_of_its_version",
+    ),
     Switch(
         "lines of another response end a run",
         "pimentoquay.gateway.events:StreamEvent.has_foreign_lines",
@@ -22,7 +50,7 @@
     ),
     Switch(
         "end of a stream confirmed by two engines",
-        "pimentoquay.gateway.streams:is_end_confirmed",
+        "pimentoquay.gateway.event_relay:is_end_confirmed",
         return_constant(True),
         _ENDS + "test_a_stream_that_goes_on_is_not_ended_by_an_engine_that_sends_no_event",
     ),
--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -64,6 +64,7 @@
 from pimentoquay.gateway.path_watch import PathWatch
 from pimentoquay.gateway.peer_loads import PeerLoadTable
 from pimentoquay.gateway.plain import PlainForwarder
+from pimentoquay.gateway.plain_streams import PlainStreamForwarder
 from pimentoquay.gateway.planned_stop import PlannedStop
 from pimentoquay.gateway.pool_client import PoolClient
 from pimentoquay.gateway.pool_coordinator import PoolCoordinator
@@ -295,7 +296,14 @@
     prefills = PrefillRunner(shared, schedule_update, speeds)
     streams = StreamForwarder(shared, reservations, prefills)
     planned_stop = PlannedStop()
-    dispatcher = Dispatcher(shared, PlainForwarder(shared), streams, planned_stop, allowances)
+    dispatcher = Dispatcher(
+        shared,
+        PlainForwarder(shared),
+        PlainStreamForwarder(shared),
+        streams,
+        planned_stop,
+        allowances,
+    )
     caller_server = HttpServer(
         dispatcher.handle,
         lambda: server_limits(fleet),
--- a/pimentoquay/gateway/dispatcher.py
+++ b/pimentoquay/gateway/dispatcher.py
@@ -6,6 +6,7 @@
 from pimentoquay.gateway.allowance_client import Allowances, AllowanceTicket
 from pimentoquay.gateway.job import Job, record_cut, record_end, send_error
 from pimentoquay.gateway.plain import PlainForwarder
+from pimentoquay.gateway.plain_streams import PlainStreamForwarder
 from pimentoquay.gateway.planned_stop import PlannedStop
 from pimentoquay.gateway.request_access import RequestAccess
 from pimentoquay.gateway.shared_state import SharedState
@@ -14,7 +15,8 @@
 from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode, info_of
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.requests import CallerRequest, parse_request
-from pimentoquay.policy.fleet import RepeatRule, Route
+from pimentoquay.policy.fleet import Route
+from pimentoquay.policy.forwarding import Forwarding, forwarding_of
 from pimentoquay.policy.planned_stop import StopTimes
 from pimentoquay.policy.route_choice import RouteTable, choose_service
 
@@ -40,14 +42,14 @@
 
 
 class Dispatcher:
-    """Dispatches requests to the forwarder for plain calls or for model streams.
+    """Dispatches requests to the forwarder for plain calls, plain streams or model streams.
 
     Parameters
     ----------
     shared
         Configuration, retry budgets and metrics.
-    plain, streams
-        Forwarders of plain calls and of model streams.
+    plain, plain_streams, streams
+        Forwarders of plain calls, of plain streams and of model streams.
     stop
         The planned stop of this gateway.
     allowances
@@ -58,12 +60,14 @@
         self,
         shared: SharedState,
         plain: PlainForwarder,
+        plain_streams: PlainStreamForwarder,
         streams: StreamForwarder,
         stop: PlannedStop,
         allowances: Allowances,
     ) -> None:
         self._shared = shared
         self._plain = plain
+        self._plain_streams = plain_streams
         self._streams = streams
         self._stop = stop
         self._allowances = allowances
@@ -137,16 +141,15 @@
             raise
 
     async def _run(self, job: Job) -> None:
-        if self._is_model_stream(job.route, job):
-            await self._streams.forward(job)
-        else:
-            await self._plain.forward(job)
-
-    def _is_model_stream(self, route: Route, job: Job) -> bool:
         configuration = self._shared.fleet.configuration
         service = configuration.service_by_name.get(job.service) if configuration else None
-        has_memory = service is not None and service.memory is not None
-        return has_memory and route.repeat is RepeatRule.STREAM and job.caller.model is not None
+        match forwarding_of(job.route, service, job.caller.model is not None):
+            case Forwarding.CALL:
+                await self._plain.forward(job)
+            case Forwarding.PLAIN_STREAM:
+                await self._plain_streams.forward(job)
+            case Forwarding.MODEL_STREAM:
+                await self._streams.forward(job)
 
     def _decide(self, request: HttpRequest) -> _Decision:
         """Decide by the configuration in force; what was decided by it before is reused."""
--- a/pimentoquay/gateway/plain.py
+++ b/pimentoquay/gateway/plain.py
@@ -14,6 +14,7 @@
     record_end,
     send_response,
 )
+from pimentoquay.gateway.server_choice import choose_server
 from pimentoquay.gateway.shared_state import SharedState
 from pimentoquay.http1 import (
     Exchange,
@@ -32,7 +33,7 @@
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.requests import SendOptions
 from pimentoquay.platform.responses import ResponseInfo, parse_response
-from pimentoquay.policy.engine_choice import EngineCallStats, choose_engine
+from pimentoquay.policy.engine_choice import EngineCallStats
 from pimentoquay.policy.fleet import EngineEntry
 
 __all__ = ["PlainForwarder"]
@@ -127,26 +128,7 @@
         self._give_up(job, attempts)
 
     def _choose_engine(self, job: Job, attempts: _Attempts) -> EngineEntry | None:
-        now = asyncio.get_running_loop().time()
-        shared = self._shared
-        engines = [
-            engine
-            for engine in shared.fleet.accepting_engines(job.service)
-            if not shared.is_misdirected(engine, now)
-            and shared.fleet.pause_seconds(engine) == 0.0
-            and shared.links.limits.seconds_until(engine, now) == 0.0
-        ]
-        reachable = [each for each in engines if not shared.links.is_circuit_open(each.id, now)]
-        chosen = None
-        for candidates in (reachable, engines):
-            chosen = chosen or choose_engine(
-                candidates,
-                shared.experience_by_engine,
-                shared.placer.data_centre,
-                now,
-                attempts.engines,
-            )
-        return chosen
+        return choose_server(self._shared, job.service, attempts.engines)
 
     def _may_send(self, job: Job, attempts: _Attempts) -> bool:
         """Return whether to send a call again; raise ``RefusedError`` if it may not even run."""
--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -67,6 +67,10 @@
         """Address and handle with which a decode engine fetches the KV cache."""
         return f"{self.link.entry.address}/{self.result.handle}"
 
+    def record_fetched(self) -> None:
+        """Record that a decode engine has fetched the KV cache."""
+        self.is_fetched = True
+
 
 class PrefillRunner:
     """Runs prefills at the prefill engine that is done first.
--- a/pimentoquay/gateway/stream_progress.py
+++ b/pimentoquay/gateway/stream_progress.py
@@ -56,6 +56,7 @@
     before the first event with one. ``software`` is the software version of the engine that
     began the stream, or empty if none has, ``run_software`` that of the current run.
     ``engines_without_events`` holds the ids of those that ended a run in order without an event.
+    ``memory`` is that of the engines of its service, or None if they are those of a plain service.
     """
 
     last_event: int | None
@@ -70,6 +71,7 @@
     run_software: str = ""
     error_response: ErrorResponse | None = None
     engines_without_events: set[str] = field(default_factory=set)
+    memory: TokenMemory | None = None
 
     @property
     def can_go_on(self) -> bool:
@@ -85,8 +87,11 @@
                 self.has_unnumbered = True
 
 
-def output_tokens(progress: StreamProgress, memory: TokenMemory) -> int:
-    """Return the number of tokens in the events sent to the caller; event ids start at 0."""
+def output_tokens(progress: StreamProgress, memory: TokenMemory | None) -> int:
+    """Return the number of tokens in the events sent to the caller; event ids start at 0.
+
+    An event of a plain service, whose engines have no ``memory``, counts as one token.
+    """
     if progress.last_event is None:
         return 0
-    return (progress.last_event + 1) * memory.event_tokens
+    return (progress.last_event + 1) * (memory.event_tokens if memory is not None else 1)
--- a/pimentoquay/policy/fleet.py
+++ b/pimentoquay/policy/fleet.py
@@ -19,6 +19,7 @@
     "ModelRequest",
     "RepeatRule",
     "Route",
+    "STREAM_STAGES",
     "Service",
     "ServiceShare",
     "TokenMemory",
@@ -52,7 +53,10 @@
 
 
 DECODE_STAGES = (EngineStage.DECODE, EngineStage.BOTH)
-"""Stages of the engines that run streams."""
+"""Stages of the engines that run streams of models."""
+
+STREAM_STAGES = (EngineStage.NONE, *DECODE_STAGES)
+"""Stages of the engines that run streams, with the servers of plain services."""
 
 
 @dataclass(frozen=True)
--- a/pimentoquay/policy/stream_end.py
+++ b/pimentoquay/policy/stream_end.py
@@ -13,7 +13,7 @@
 """Engines that have to agree that no event is left."""
 
 
-def is_end_confirmed(tokens: int, max_tokens: int, engines: Set[str]) -> bool:
+def is_end_confirmed(tokens: int, max_tokens: int | None, engines: Set[str]) -> bool:
     """Return whether a stream has ended after runs that went on with it and sent no event.
 
     Load pattern: streams that break off at any place and go on at other engines, of which some
@@ -24,7 +24,7 @@
     tokens
         Tokens in the events that the caller has, 0 if the stream has not begun.
     max_tokens
-        Maximum number of tokens of the stream.
+        Maximum number of tokens of the stream, or None if it has none.
     engines
         Ids of the engines that have sent no event.
 
@@ -37,4 +37,5 @@
     """
     if tokens <= 0:
         return False
-    return tokens >= max_tokens or len(engines) >= CONFIRMATIONS
+    is_full = max_tokens is not None and tokens >= max_tokens
+    return is_full or len(engines) >= CONFIRMATIONS
--- a/pimentoquay/policy/version_choice.py
+++ b/pimentoquay/policy/version_choice.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Collection, Container, Iterable
 
-from pimentoquay.policy.fleet import DECODE_STAGES, EngineEntry
+from pimentoquay.policy.fleet import STREAM_STAGES, EngineEntry
 
 __all__ = ["can_go_on", "decode_share", "engines_for", "may_run", "reached_share"]
 
@@ -27,13 +27,13 @@
 def can_go_on(engines: Iterable[EngineEntry], software: str) -> bool:
     """Return whether any of the engines may go on with a stream that began at a version."""
     return any(
-        may_run(each, software) and each.stage in DECODE_STAGES and not each.is_draining
+        may_run(each, software) and each.stage in STREAM_STAGES and not each.is_draining
         for each in engines
     )
 
 
 def decode_share(engines: Iterable[EngineEntry], software: str) -> float:
-    """Return the share of the decode engines that may run a stream.
+    """Return the share of the engines for streams that may run one.
 
     It is 1 for a stream that has not begun, also if no engine is listed.
 
@@ -46,17 +46,17 @@
     """
     if not software:
         return 1.0
-    usable = [each for each in engines if each.stage in DECODE_STAGES and not each.is_draining]
+    usable = [each for each in engines if each.stage in STREAM_STAGES and not each.is_draining]
     return sum(may_run(each, software) for each in usable) / max(1, len(usable))
 
 
 def reached_share(
     engines: Iterable[EngineEntry], software: str, unreachable: Container[str]
 ) -> float:
-    """Return the share of the decode engines that may run a stream, of those that are reached.
+    """Return the share of the engines for streams that may run one, of those that are reached.
 
     Failure pattern: engines end together with VMs, and stay listed until their entries expire. If
-    no decode engine is reached, all count, since the cause may lie with this VM.
+    no engine is reached, all count, since the cause may lie with this VM.
 
     Parameters
     ----------
@@ -67,7 +67,7 @@
     unreachable
         Ids of the engines that could not be connected to since they were last reached.
     """
-    usable = [each for each in engines if each.stage in DECODE_STAGES and not each.is_draining]
+    usable = [each for each in engines if each.stage in STREAM_STAGES and not each.is_draining]
     reached = [each for each in usable if each.id not in unreachable]
     return decode_share(reached or usable, software)
 
