Tell peers of engines that a complete list lacks

Streams were sent to engines up to 3 s after the store had confirmed their removal, and were cut as these exited; all gateways listed them for good.

Cause: a gateway that starts reads a list without the engine and goes on behind its removal, while the one that read meanwhile stops as it hears the new one. That the list lacks an engine removed it at that reader only, and the copies of its peers brought it back there.

policy/listed_keys.py keeps which keys the list has and up to which position it is complete. What a list shows to be gone is told before the pause between two reads. A removal of an engine that is unknown at a relay, or kept there for a while after an outage, is passed on.

--- a/pimentoquay/bench/mutations/switches.py
+++ b/pimentoquay/bench/mutations/switches.py
@@ -5,6 +5,7 @@
 from pimentoquay.bench.mutations.entry_switches import ENTRY_SWITCHES
 from pimentoquay.bench.mutations.gateway_switches import GATEWAY_SWITCHES
 from pimentoquay.bench.mutations.head_switches import HEAD_SWITCHES
+from pimentoquay.bench.mutations.leaving_switches import LEAVING_SWITCHES
 from pimentoquay.bench.mutations.load_switches import LOAD_SWITCHES
 from pimentoquay.bench.mutations.path_switches import PATH_SWITCHES
 from pimentoquay.bench.mutations.replacements import (
@@ -288,6 +289,7 @@
     *ENTRY_SWITCHES,
     *VM_SWITCHES,
     *STREAM_SWITCHES,
+    *LEAVING_SWITCHES,
     *ROOM_SWITCHES,
     *TURN_SWITCHES,
     *WORKSPACE_SWITCHES,
--- a/pimentoquay/gateway/feed.py
+++ b/pimentoquay/gateway/feed.py
@@ -121,16 +121,25 @@
                 succeeded = await self._read_all()
                 if succeeded:
                     self._on_read()
+                    self._publish_removals(has_read=True)
                     await self._write_quarantines()
                 await self._timers.sleep(
                     self._polling_schedule.period if succeeded else RETRY_DELAY_SECONDS
                 )
             else:
                 await self._timers.sleep(CHECK_INTERVAL_SECONDS)
-            self._fleet.apply_due_removals()
-            removals = self._fleet.pop_removals()
-            if should_read and removals:
-                self._publish(FleetCopy(-1, b"", removals, -1, ()))
+            self._publish_removals(has_read=should_read)
+
+    def _publish_removals(self, has_read: bool) -> None:
+        """Tell the peers of engines that a read has shown to be gone, or whose removal is due.
+
+        A removal that was postponed here is told by any gateway, as those that were connected
+        meanwhile have the engine from its copy.
+        """
+        has_expired = self._fleet.apply_due_removals()
+        removals = self._fleet.pop_removals()
+        if removals and (has_read or has_expired):
+            self._publish(FleetCopy(-1, b"", removals, -1, ()))
 
     async def read_engines(self) -> None:
         """Read the whole list of engines now; raise ``StoreError`` on failure.
--- a/pimentoquay/gateway/fleet.py
+++ b/pimentoquay/gateway/fleet.py
@@ -1,7 +1,7 @@
 """Configuration and list of engines of a gateway, received from the store or from peers."""
 
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from types import MappingProxyType
 
 from pimentoquay.gateway.configuration_update import ConfigurationUpdate
@@ -170,9 +170,11 @@
     ) -> tuple[EngineRecord, ...]:
         """Apply records of engines; return those that changed more than a heartbeat's number.
 
-        ``from_peer`` is whether a peer has sent them, which has taken them over itself.
+        ``from_peer`` is whether a peer has sent them, which has taken them over itself. All its
+        removals that are new here are returned then, as others may list what this list doesn't.
         """
         changed: list[EngineRecord] = []
+        unlisted: list[EngineRecord] = []
         for record in records:
             if self.engine_list.is_known(record.engine, record.position):
                 continue
@@ -181,11 +183,24 @@
                 changed += (*self._confirming(record.engine), record)
                 # Outdated records are not kept for peers, whatever their position.
                 self._record_by_engine[record.engine] = record
+            elif update.is_removed and self.engine_list.is_known(record.engine, record.position):
+                unlisted.append(record)
             elif update.starts_later and not self.engine_list.holds(record.engine, record.position):
                 refuse("engine entry", record.engine, "the start is in the future")
         if changed:
             self._refresh_engines()
-        return tuple(changed)
+        # Peers behind this one may list an engine that is unknown here, or kept for a while.
+        return (*changed, *unlisted) if from_peer else tuple(changed)
+
+    def removals_since(self, records: Iterable[EngineRecord]) -> tuple[EngineRecord, ...]:
+        """Return the removals that a peer lacks, as its records of these engines are older."""
+        now = self._now()
+        found = (
+            (each.engine, self.engine_list.removal_since(each.engine, each.position, now))
+            for each in records
+            if each.value
+        )
+        return tuple(EngineRecord(engine, at, b"") for engine, at in found if at is not None)
 
     def apply_engine_snapshot(self, records: tuple[EngineRecord, ...], next_position: int) -> None:
         """Apply a complete list of engines that holds all records before ``next_position``."""
@@ -198,13 +213,19 @@
     def record_list_read(self, next_position: int) -> None:
         """Record that the list was read from the store up to ``next_position``."""
         self._engines_position = max(self._engines_position, next_position)
+        self.engine_list.keys.read_on(next_position)
         self.has_engine_list = True
         self._read_at = self._now()
 
-    def apply_due_removals(self) -> None:
-        """Apply the removals that were postponed after an outage of the store and are now due."""
-        if self.engine_list.expire(self._now(), self._read_at):
+    def apply_due_removals(self) -> bool:
+        """Apply the removals that were postponed after an outage of the store and are now due.
+
+        Return whether there were any.
+        """
+        has_expired = self.engine_list.expire(self._now(), self._read_at)
+        if has_expired:
             self._refresh_engines()
+        return has_expired
 
     def pop_removals(self) -> tuple[EngineRecord, ...]:
         """Return the removals since the last call as records for the peers.
@@ -213,7 +234,11 @@
         is made here.
         """
         removed, self._removed = self._removed, []
-        records = [EngineRecord(each, self._engines_position - 1, b"") for each in removed]
+        keys = self.engine_list.keys
+        records = [
+            EngineRecord(each, (keys.removed_before(each) or self._engines_position) - 1, b"")
+            for each in removed
+        ]
         listed = {engine.id for engine in self._engines}
         self._record_by_engine.update(
             {each.engine: each for each in records if each.engine not in listed}
@@ -245,15 +270,22 @@
 
     def _to_update(self, record: EngineRecord, from_peer: bool) -> EngineUpdate:
         if not record.value:
-            return EngineUpdate(record.engine, record.position, None, is_removed=True)
+            return EngineUpdate(
+                record.engine, record.position, None, is_removed=True, is_from_peer=from_peer
+            )
         try:
             entry = decode_engine_entry(record.engine, record.value)
         except DecodeError as error:
             refuse("engine entry", record.engine, error)
-            return EngineUpdate(record.engine, record.position, None)
+            return EngineUpdate(record.engine, record.position, None, is_from_peer=from_peer)
         is_early = not from_peer and starts_later(entry, self._wall())
         return EngineUpdate(
-            record.engine, record.position, entry, starts_later=is_early, source=record
+            record.engine,
+            record.position,
+            entry,
+            starts_later=is_early,
+            source=record,
+            is_from_peer=from_peer,
         )
 
     def _refresh_engines(self) -> None:
--- a/pimentoquay/gateway/mesh.py
+++ b/pimentoquay/gateway/mesh.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from pimentoquay.gateway.fleet import Fleet
+from pimentoquay.gateway.fleet_copies import apply_copy
 from pimentoquay.gateway.load_exchange import HEARTBEAT_SECONDS, LoadExchange
 from pimentoquay.gateway.notices import NoticeExchange
 from pimentoquay.gateway.part_sender import PartSender
@@ -43,7 +44,7 @@
 from pimentoquay.policy.mesh_plan import MeshPlan, needs_relays, plan_mesh
 from pimentoquay.policy.order_holder import order_holder
 from pimentoquay.policy.pools import coordinator_of
-from pimentoquay.policy.store_position import StoreEra, era_of
+from pimentoquay.policy.store_position import StoreEra
 from pimentoquay.policy.tunnel_peers import PeerPlace
 from pimentoquay.transport.peers import PeerSet
 
@@ -282,20 +283,11 @@
 
     @_dispatch.register
     def _handle_copy(self, message: FleetCopy, envelope: Envelope) -> None:
-        source = _source(envelope)
-        position = message.engines_position
-        was_restored = position >= 0 and self._era.raise_to(era_of(position))
-        is_newer = bool(message.configuration) and self._fleet.apply_configuration(
-            message.configuration_position, message.configuration
-        )
-        changed = self._fleet.apply_engine_records(message.engines, from_peer=True)
-        if message.engines_position >= 0:
-            self._fleet.has_engine_list = True
-        if is_newer or changed or was_restored:
-            place, document = message.configuration_position, message.configuration
-            copied = (place, document) if is_newer else (-1, b"")
-            era_position = position if was_restored else -1
-            self._forward(FleetCopy(*copied, changed, era_position, ()), source)
+        result = apply_copy(self._fleet, self._era, message)
+        if result.passed_on is not None:
+            self._forward(result.passed_on, _source(envelope))
+        if result.answer is not None and envelope.channel is not None:
+            self._sender.send((envelope.channel,), result.answer)
         self.update_addresses(message.vms)
 
     @_dispatch.register
--- a/pimentoquay/policy/engine_list.py
+++ b/pimentoquay/policy/engine_list.py
@@ -9,11 +9,13 @@
 engine.
 """
 
+import math
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field, replace
 
 from pimentoquay.policy.fleet import EngineEntry
 from pimentoquay.policy.heartbeat_runs import HeartbeatRuns
+from pimentoquay.policy.listed_keys import ListedKeys
 from pimentoquay.policy.store_position import era_of
 
 __all__ = ["EngineList", "EngineUpdate", "starts_later"]
@@ -53,7 +55,8 @@
 
     ``entry`` is None if the engine was removed or its entry cannot be read. ``position`` is the
     position of the record in the store. ``starts_later`` is whether the engine, as its entry says,
-    has not started yet. ``source`` is the record as it was received.
+    has not started yet. ``source`` is the record as it was received. ``is_from_peer`` is whether
+    another VM has sent it, whose list may be older than the one that this VM has read.
     """
 
     id: str
@@ -62,6 +65,7 @@
     is_removed: bool = False
     starts_later: bool = False
     source: object = None
+    is_from_peer: bool = False
 
 
 @dataclass
@@ -87,9 +91,11 @@
     """List of the engines that one VM knows.
 
     ``services`` are the names of the services in the configuration, or None before there is one.
+    ``keys`` tells which engines are missing in the list that this VM has read.
     """
 
     services: Collection[str] | None = None
+    keys: ListedKeys = field(default_factory=ListedKeys)
     _known_by_id: dict[str, _KnownEngine] = field(default_factory=dict)
     _position_by_id: dict[str, int] = field(default_factory=dict)
     _usable_position_by_id: dict[str, int] = field(default_factory=dict)
@@ -144,6 +150,11 @@
         for update in updates:
             if self.is_known(update.id, update.position):
                 continue
+            listed_until = self.listed_until(update, now)
+            if listed_until <= now:
+                continue
+            if listed_until == math.inf:
+                self.keys.record(update.id, update.position, update.is_removed)
             usable = self._usable_position_by_id.get(update.id, -1)
             if update.position > usable or update.entry is not None:
                 # One of an earlier era is a newer heartbeat that is missing in the copy from which
@@ -152,8 +163,35 @@
                 if update.is_removed or self._is_usable(update.entry, update.starts_later):
                     self._usable_position_by_id[update.id] = max(usable, update.position)
                 changed |= self._apply_one(update, now)
+                if listed_until < math.inf:
+                    self._limit(update, listed_until)
         return changed
 
+    def listed_until(self, update: EngineUpdate, now: float) -> float:
+        """Return until when a record lists its engine unless a heartbeat comes.
+
+        It is ``now`` for a peer's record of an engine that was removed since. The engine has time
+        to be listed again if the store was away or was restored since.
+        """
+        if not update.is_from_peer or update.is_removed:
+            return math.inf
+        if self.keys.is_removed_since(update.id, update.position):
+            return max(now, self._grace_until)
+        if self.keys.is_of_earlier_era(update.id, update.position):
+            return max(now + RELISTING_GRACE_SECONDS, self._grace_until)
+        return math.inf
+
+    def removal_since(self, engine: str, position: int, now: float) -> int | None:
+        """Return the position of a removal after a record, or None if it may still be listed."""
+        if now < self._grace_until or not self.keys.is_removed_since(engine, position):
+            return None
+        return self.keys.removed_before(engine) - 1
+
+    def _limit(self, update: EngineUpdate, listed_until: float) -> None:
+        known = self._known_by_id.get(update.id)
+        if known is not None and known.removed_at is None and known.position == update.position:
+            known.removal_due = listed_until
+
     def remove_unlisted(self, ids: Iterable[str], before_position: int, now: float) -> bool:
         """Remove engines that are missing from a complete list; return whether any was removed.
 
@@ -167,6 +205,7 @@
             Current time in seconds.
         """
         listed_ids = set(ids)
+        self.keys.complete(listed_ids, before_position)
         changed = False
         for known in self._known_by_id.values():
             missing = known.entry.id not in listed_ids and known.position < before_position
