Look at an engine again after each wait

Streams were sent to decode engines that had drained for over two seconds, and were cut as these exited.

Cause: a stream reserves memory at an engine, waits for its prefill, and was then sent without another look at the engine; the answer to the reservation, which may say that the engine leaves, was not read for that either. Calls that waited for a connection were written to the server that had been chosen before.

policy/engine_recheck.py decides whether an engine that was chosen earlier still takes work. It is asked after the reservation's answer, after the prefill, and as a request is written (EngineLink.send), which comes after all waits for connections, permits and ways through peers. The pause that an engine asked for is looked at there as well. A stream whose engine has left reserves memory at another one, which fetches the prompt that was read, unless its handle is too old. What engines say of themselves is recorded in notice_recorder.py now, moved out of engine_link.py.

--- a/pimentoquay/bench/mutations/leaving_switches.py
+++ b/pimentoquay/bench/mutations/leaving_switches.py
@@ -6,6 +6,7 @@
 __all__ = ["LEAVING_SWITCHES"]
 
 _LOST = "pimentoquay/gateway/tests/test_lost_removals.py::"
+_WAITS = "pimentoquay/gateway/tests/test_leaving_beside_waits.py::"
 _KEYS = "pimentoquay/policy/tests/test_listed_keys.py::"
 
 LEAVING_SWITCHES = (
@@ -21,5 +22,26 @@
         return_constant(False),
         _KEYS + "test_no_engine_that_has_left_stays_listed_while_readers_start_again[2]",
     ),
+    Switch(
+        "engines are looked at again after a wait",
+        "pimentoquay.gateway.fleet:takes_work",
+        return_constant(True),
+        _WAITS + "test_a_stream_that_waits_for_its_prefill_is_not_sent_to_an_engine_that_leaves"
+        "[drain]",
+    ),
+    Switch(
+        "engines are looked at as a request is written",
+        "pimentoquay.gateway.engine_link:EngineLink._check_accepting",
+        return_constant(None),
+        _WAITS + "test_a_call_that_waits_for_a_connection_is_not_sent_to_a_server_that_leaves"
+        "[/order/a]",
+    ),
+    Switch(
+        "prompts read for an engine that left are used at another",
+        "pimentoquay.gateway.prefills:Prefill.is_kept",
+        return_constant(False),
+        _WAITS + "test_a_stream_that_waits_for_its_prefill_is_not_sent_to_an_engine_that_leaves"
+        "[drain]",
+    ),
 )
 """Mechanisms for engines that leave."""
--- a/pimentoquay/gateway/engine_link.py
+++ b/pimentoquay/gateway/engine_link.py
@@ -7,6 +7,7 @@
 
 from pimentoquay.gateway.engine_contact import EngineContact
 from pimentoquay.gateway.fleet import target_of
+from pimentoquay.gateway.notice_recorder import NoticeRecorder
 from pimentoquay.http1 import (
     ClientConnection,
     Connect,
@@ -32,12 +33,7 @@
 from pimentoquay.platform.engine_calls import EngineCall, EngineCalls
 from pimentoquay.platform.fields import DecodeError
 from pimentoquay.platform.requests import CallerRequest, SendOptions, engine_headers
-from pimentoquay.platform.responses import (
-    MARK_OF_CALL_ALONE,
-    EngineNotice,
-    mark_of_request,
-    parse_notice,
-)
+from pimentoquay.platform.responses import MARK_OF_CALL_ALONE, mark_of_request
 from pimentoquay.policy.circuits import Circuits, CircuitState
 from pimentoquay.policy.engine_limits import EngineLimits, LimitNotice
 from pimentoquay.policy.engine_notices import EngineNotices, EngineStart
@@ -95,6 +91,10 @@
         Called for each connection opened to the engine.
     on_oversized
         Called for each response that was cut off for its size.
+    on_leaving, on_limit
+        Called when the engine says for the first time that it leaves, or names another limit.
+    is_accepting
+        Returns whether an engine takes work by what this VM knows now.
     paths
         Opens connections to engines, directly or through peers.
     turns
@@ -110,14 +110,17 @@
         contact: EngineContact,
         on_open: Callable[[], None],
         on_oversized: Callable[[], None],
+        on_leaving: Callable[[EngineStart], None],
+        on_limit: Callable[[LimitNotice], None],
+        is_accepting: Callable[[EngineEntry], bool],
         paths: EnginePaths,
         turns: TurnQueue | None = None,
     ) -> None:
         self.entry = entry
+        self._is_accepting = is_accepting
         self.target = target_of(entry)
         self._on_oversized = on_oversized
-        self.on_leaving: Callable[[EngineStart], None] = lambda start: None
-        self.on_limit: Callable[[LimitNotice], None] = lambda notice: None
+        self._notice_recorder = NoticeRecorder(entry, notices, limits, on_leaving, on_limit)
         self._circuits = circuits
         self._notices = notices
         self._limits = limits
@@ -185,18 +188,24 @@
         ------
         HttpError
             If there is no complete response, the engine has requested a pause, or this VM's share
-            of its limit is used up.
+            of its limit is used up. ``WithheldError`` if the engine takes no more work as the
+            request is written.
         """
         self._check_pause()
         sent_at = asyncio.get_running_loop().time()
         if not has_permit and not self._limits.take(self.entry, sent_at):
             raise HttpError(f"{self.entry.id} is at its limit", False)
         probe = self._start_probe_if_due()
+
+        def headers() -> HeaderList:
+            self._check_accepting()
+            return engine_headers(request, options, access())
+
         try:
             async with self._pool.exchange(
                 method,
                 target,
-                lambda: engine_headers(request, options, access()),
+                headers,
                 body,
                 mark=mark_of_request(request.id),
                 max_idle_seconds=max_idle_seconds,
@@ -207,7 +216,7 @@
                 self._contact.count_request(exchange.via)
                 self._circuits.succeeded(self.entry.id)
                 self._contact.record_reached(self.entry.id)
-                self._record_notice(exchange.status, exchange.headers, sent_at)
+                self._notice_recorder.record(exchange.status, exchange.headers, sent_at)
                 yield exchange
         except HttpError as error:
             if not error.written and not has_permit:
@@ -277,7 +286,7 @@
                     exchange.require_marks()
                 body = await exchange.read_body(MAX_CALL_BODY_BYTES)
                 self._check_created(call, exchange, body)
-                self._record_notice(exchange.status, exchange.headers)
+                self._notice_recorder.record(exchange.status, exchange.headers)
                 self._circuits.succeeded(self.entry.id)
                 return exchange.status, body
         except HttpError as error:
@@ -340,38 +349,13 @@
         if not self._notices.may_send(self.entry.start, now):
             raise HttpError(f"{self.entry.id} requested a pause", False)
 
-    def _record_notice(
-        self, status: int, headers: HeaderList, sent_at: float | None = None
-    ) -> None:
-        """Record what the engine says about itself.
-
-        Only a response to a request, sent at ``sent_at``, shows that the engine names no limit.
-        """
-        start, now = self.entry.start, asyncio.get_running_loop().time()
-        notice = parse_notice(start.id, status, headers)
-        if notice.is_leaving and self._notices.record_leaving((start,), now):
-            logger.bind(engine=start.id, incarnation=start.incarnation).info("engine is leaving")
-            self.on_leaving(start)
-        if notice.pause_seconds is not None:
-            self._notices.record_pause(start, notice.pause_seconds, now)
-            logger.bind(engine=start.id, seconds=notice.pause_seconds).info("engine paused")
-        self._record_limit(notice, sent_at, now)
-
-    def _record_limit(self, notice: EngineNotice, sent_at: float | None, now: float) -> None:
-        """Record the limit that a response names, or that it names none; a garbled one is ignored.
-
-        The engine still needs a limit then, so the one before stays in force.
-        """
-        if notice.names_limit and notice.limit is None:
-            logger.bind(engine=self.entry.id).warning("invalid limit ignored")
-            return
-        if notice.limit is None and (sent_at is None or notice.is_of_other):
-            return
-        changed = self._limits.record_response(
-            self.entry.start, notice.limit, sent_at if sent_at is not None else now, now
-        )
-        if changed is not None:
-            self.on_limit(changed)
+    def _check_accepting(self) -> None:
+        """Raise ``WithheldError`` if the engine leaves, has started anew or has paused by now."""
+        now = asyncio.get_running_loop().time()
+        if not self._notices.may_send(self.entry.start, now):
+            raise WithheldError(f"{self.entry.id} requested a pause")
+        if not self._is_accepting(self.entry):
+            raise WithheldError(f"{self.entry.id} takes no more work")
 
     def _start_probe_if_due(self) -> str:
         """Return an id for an exchange, which is made the circuit's probe if one is due."""
--- a/pimentoquay/gateway/fleet.py
+++ b/pimentoquay/gateway/fleet.py
@@ -14,6 +14,7 @@
 from pimentoquay.platform.fields import DecodeError
 from pimentoquay.policy.engine_list import EngineList, EngineUpdate, starts_later
 from pimentoquay.policy.engine_notices import EngineNotices
+from pimentoquay.policy.engine_recheck import takes_work
 from pimentoquay.policy.fleet import EngineEntry, FleetConfiguration
 from pimentoquay.policy.pools import pools_of
 from pimentoquay.policy.route_choice import RouteTable
@@ -62,6 +63,7 @@
         self._read_at = float("-inf")
         self._peers_read_at = float("-inf")
         self._engines: tuple[EngineEntry, ...] = ()
+        self._entry_by_id: dict[str, EngineEntry] = {}
         self._pools_by_service: dict[str, Mapping[PoolKey, tuple[EngineEntry, ...]]] = {}
         self.target_by_id: Mapping[str, TunnelTarget] = {}
         self._removed: list[str] = []
@@ -99,6 +101,13 @@
         """Return all listed engines, including those that are draining."""
         return self._engines
 
+    def is_accepting(self, engine: EngineEntry) -> bool:
+        """Return whether an engine that was chosen earlier still accepts new work.
+
+        One that has started anew since is another engine.
+        """
+        return takes_work(engine, self._entry_by_id.get(engine.id), self.notices)
+
     def accepting_engines(self, service: str) -> tuple[EngineEntry, ...]:
         """Return the engines of a service that accept new work."""
         return tuple(
@@ -289,10 +298,10 @@
         )
 
     def _refresh_engines(self) -> None:
-        before = {engine.id: engine for engine in self._engines}
+        before = self._entry_by_id
         self._engines = self.engine_list.engines()
         self._pools_by_service.clear()
-        after = {engine.id: engine for engine in self._engines}
+        after = self._entry_by_id = {engine.id: engine for engine in self._engines}
         targets = self.target_by_id
         self.target_by_id = {
             id: targets[id] if before.get(id) is each else target_of(each)
--- a/pimentoquay/gateway/links.py
+++ b/pimentoquay/gateway/links.py
@@ -87,11 +87,12 @@
                 self.contact,
                 self._count_opened,
                 self._count_oversized,
+                self._report_leaving,
+                self._report_limit,
+                self._fleet.is_accepting,
                 self._paths,
                 self._turns,
             )
-            link.on_leaving = self._report_leaving
-            link.on_limit = self._report_limit
             self._link_by_id[entry.id] = link
         return link
 
--- a/pimentoquay/gateway/prefills.py
+++ b/pimentoquay/gateway/prefills.py
@@ -24,7 +24,7 @@
 from pimentoquay.platform.requests import SendOptions
 from pimentoquay.platform.responses import PrefillResult, parse_prefill, parse_response
 from pimentoquay.policy.engine_speeds import PrefillSample
-from pimentoquay.policy.fleet import EngineEntry, EngineStage, ModelRequest
+from pimentoquay.policy.fleet import EngineEntry, EngineStage, ModelRequest, TokenMemory
 from pimentoquay.policy.prefill_choice import (
     can_prefill_on_decode_engine,
     choose_prefill_engine,
@@ -56,10 +56,14 @@
 
 @dataclass
 class Prefill:
-    """A KV cache at a prefill engine; ``is_fetched`` once a decode engine has fetched it."""
+    """A KV cache at a prefill engine; ``is_fetched`` once a decode engine has fetched it.
+
+    ``made_at`` is when the response with its handle came.
+    """
 
     link: EngineLink
     result: PrefillResult
+    made_at: float
     is_fetched: bool = False
 
     @property
@@ -67,6 +71,10 @@
         """Address and handle with which a decode engine fetches the KV cache."""
         return f"{self.link.entry.address}/{self.result.handle}"
 
+    def is_kept(self, now: float, memory: TokenMemory) -> bool:
+        """Return whether its engine still keeps it for a decode engine that has not fetched it."""
+        return not self.is_fetched and now - self.made_at < memory.handle_seconds
+
     def record_fetched(self) -> None:
         """Record that a decode engine has fetched the KV cache."""
         self.is_fetched = True
@@ -320,7 +328,7 @@
                 result = parse_prefill(body)
                 if not can_be_header(result.handle):
                     raise DecodeError(f"kvHandle {describe(result.handle)}: no value of a header")
-                return Prefill(link, result)
+                return Prefill(link, result, loop.time())
         finally:
             ledger.release(engine.id, tokens)
             self._on_change()
--- a/pimentoquay/gateway/reservation.py
+++ b/pimentoquay/gateway/reservation.py
@@ -3,10 +3,12 @@
 from dataclasses import dataclass
 
 from pimentoquay.gateway.engine_link import EngineLink
+from pimentoquay.gateway.job import Job
+from pimentoquay.kernel.logs import logger
 from pimentoquay.policy.fleet import EngineEntry, TokenMemory
 from pimentoquay.policy.memory_forecast import GrowingRun, MemoryNeed
 
-__all__ = ["Reservation", "run_of", "usable_tokens"]
+__all__ = ["Reservation", "log_reserved", "run_of", "usable_tokens"]
 
 USABLE_SHARE = 0.85
 """Share of an engine's memory that the forecast peak of its streams may fill. The rest is left free
@@ -37,6 +39,18 @@
     is_granted: bool = False
 
 
+def log_reserved(job: Job, engine: str, tokens: int, need: MemoryNeed, used: int) -> None:
+    """Log that an engine holds memory for a request; sizes are in tokens."""
+    logger.bind(
+        request=job.caller.id,
+        waited=f"{job.age():.3f}",
+        engine=engine,
+        tokens=tokens,
+        expected=need.tokens,
+        used=used,
+    ).info("memory reserved")
+
+
 def usable_tokens(memory: TokenMemory) -> int:
     """Return the tokens that the forecast peak of an engine's streams may fill."""
     return int(memory.capacity_tokens * USABLE_SHARE)
--- a/pimentoquay/gateway/reservations.py
+++ b/pimentoquay/gateway/reservations.py
@@ -9,9 +9,10 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 
+from pimentoquay.gateway.engine_link import EngineLink
 from pimentoquay.gateway.job import Job
 from pimentoquay.gateway.pool_client import PoolClient, PoolGrant
-from pimentoquay.gateway.reservation import Reservation, run_of, usable_tokens
+from pimentoquay.gateway.reservation import Reservation, log_reserved, run_of, usable_tokens
 from pimentoquay.gateway.shared_state import SharedState
 from pimentoquay.gateway.stream_classes import ClassCounts
 from pimentoquay.gateway.stream_refusals import (
@@ -190,15 +191,21 @@
             self._pools.record_finished(seconds)
             self._record_use(reservation.need.mean_tokens, seconds, reservation.usable_tokens)
         else:
-            link = reservation.link
             if not reservation.is_granted:
                 self._shared.links.limits.give_back(reservation.engine, now)
-            self._shared.links.call_in_background(
-                link, link.calls.release_memory(reservation.hold), "drop"
-            )
+            self._drop(reservation.link, reservation.hold)
         self._changed.set()
         self._on_change()
 
+    def _keep_hold(self, engine: EngineEntry, link: EngineLink, hold: str) -> str:
+        """Return a hold, or drop it if the engine has left since it was asked."""
+        if not (is_kept := self._shared.fleet.is_accepting(engine)):
+            self._drop(link, hold)
+        return hold if is_kept else ""
+
+    def _drop(self, link: EngineLink, hold: str) -> None:
+        self._shared.links.call_in_background(link, link.calls.release_memory(hold), "drop")
+
     def _is_next(self, stream: WaitingStream) -> bool:
         now = asyncio.get_running_loop().time()
         return self._waiting.is_next(stream, self._peers_queued(), now)
@@ -308,8 +315,9 @@
             if reservation is not None:
                 reservation.prefill_engine = grant.prefill_engine
                 return reservation
-        detail = "the granted engines had no memory"
-        raise RefusedError(ResultCode.NO_BACKEND, detail, RETRY_AFTER_SECONDS)
+        raise RefusedError(
+            ResultCode.NO_BACKEND, "the granted engines had no memory", RETRY_AFTER_SECONDS
+        )
 
     async def _try_reserve(
         self, job: Job, memory: TokenMemory, waiter: WaitingStream
@@ -343,11 +351,10 @@
         run: GrowingRun,
         grant: PoolGrant | None = None,
     ) -> Reservation | None:
-        loop = asyncio.get_running_loop()
-        limits = self._shared.links.limits
+        loop, links = asyncio.get_running_loop(), self._shared.links
+        limits, link = links.limits, links.link_to(engine)
         if grant is None and not limits.take(engine, loop.time()):
             return None
-        link = self._shared.links.link_to(engine)
         ledger_key = self._run_ledger.take(engine.id, run, loop.time())
         if grant is not None:
             self._pools.confirm(grant)
@@ -364,7 +371,7 @@
             call = link.calls.reserve_memory(tokens, memory.longest_hold_seconds)
             status, body = await link.call(call)
             if status == 200:
-                hold = link.calls.parse_hold(body)
+                hold = self._keep_hold(engine, link, link.calls.parse_hold(body))
         except (HttpError, DecodeError) as error:
             logger.bind(request=job.caller.id, engine=engine.id, error=str(error)).info(
                 "no reservation"
@@ -380,14 +387,7 @@
                 self._on_change()
         if not hold:
             return None
-        logger.bind(
-            request=job.caller.id,
-            waited=f"{job.age():.3f}",
-            engine=engine.id,
-            tokens=tokens,
-            expected=need.tokens,
-            used=self._run_ledger.held(engine.id, loop.time()),
-        ).info("memory reserved")
+        log_reserved(job, engine.id, tokens, need, self._run_ledger.held(engine.id, loop.time()))
         return Reservation(
             engine,
             link,
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -11,6 +11,7 @@
 from pimentoquay.gateway.stream_progress import RunEndedError, StreamProgress, output_tokens
 from pimentoquay.gateway.stream_runs import StreamRuns, lost_run
 from pimentoquay.kernel.errors import HttpError, UnsendableError
+from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.requests import SendOptions
 from pimentoquay.policy.fleet import ModelRequest, TokenMemory
 from pimentoquay.policy.memory_forecast import MemoryNeed
@@ -62,37 +63,30 @@
         memory, model = progress.memory, job.caller.model
         assert model is not None and memory is not None
         need = self._memory_need(job.service, model, memory, progress)
-        times = self._stream_times(job)
-        progress.software = self._shared.origins.version_now(progress.software)
-        avoided = frozenset(progress.engines_without_events)
-        waiter = WaitingStream(
-            need, times, progress.software, avoided, job.priority, job.workspace_name
-        )
-        reservation = await self._reservations.reserve(job, memory, waiter)
-        job.metrics.record_memory_wait(job.age())
         loop = asyncio.get_running_loop()
-        reserved_at = loop.time()
+        prefill: Prefill | None = None
         try:
-            job.refuse_if_late()
-            self._shared.guard.check(job)
-            prefill = await self._prefill_runner.run(
-                job, model, reservation, progress.last_event, progress.software
-            )
-            progress.engine = reservation.engine.id
-            try:
-                self._shared.guard.check(job)
-                progress.sends += 1
-                progress.runs += 1
-                job.sent_to.append(progress.engine)
-                progress.run_software = await version_at(
-                    self._shared, job, reservation.engine, reservation.link, progress.software
-                )
-                with self._shared.prompt_waste.watch(model.prompt_tokens):
-                    await self._decode(job, progress, reservation, prefill)
-            finally:
-                self._prefill_runner.release_unused(prefill)
+            while True:
+                reservation = await self._reserve(job, progress, memory, need)
+                reserved_at = loop.time()
+                try:
+                    job.refuse_if_late()
+                    self._shared.guard.check(job)
+                    if prefill is None or not prefill.is_kept(loop.time(), memory):
+                        self._prefill_runner.release_unused(prefill)
+                        prefill = None
+                        prefill = await self._prefill_runner.run(
+                            job, model, reservation, progress.last_event, progress.software
+                        )
+                    self._shared.guard.check(job)
+                    if self._shared.fleet.is_accepting(reservation.engine):
+                        await self._run_at(job, progress, reservation, prefill)
+                        break
+                    self._log_left(job, reservation, prefill)
+                finally:
+                    self._reservations.release(reservation)
         finally:
-            self._reservations.release(reservation)
+            self._prefill_runner.release_unused(prefill)
         job.stop.record_run(job.route.name, loop.time() - reserved_at)
         if progress.last_event is not None:
             generated = output_tokens(progress, memory)
@@ -102,6 +96,45 @@
                 generated - need.begun, progress.streamed_seconds
             )
 
+    async def _reserve(
+        self, job: Job, progress: StreamProgress, memory: TokenMemory, need: MemoryNeed
+    ) -> Reservation:
+        progress.software = self._shared.origins.version_now(progress.software)
+        waiter = WaitingStream(
+            need,
+            self._stream_times(job),
+            progress.software,
+            frozenset(progress.engines_without_events),
+            job.priority,
+            job.workspace_name,
+        )
+        reservation = await self._reservations.reserve(job, memory, waiter)
+        job.metrics.record_memory_wait(job.age())
+        return reservation
+
+    async def _run_at(
+        self, job: Job, progress: StreamProgress, reservation: Reservation, prefill: Prefill | None
+    ) -> None:
+        progress.engine = reservation.engine.id
+        progress.sends += 1
+        progress.runs += 1
+        job.sent_to.append(progress.engine)
+        progress.run_software = await version_at(
+            self._shared, job, reservation.engine, reservation.link, progress.software
+        )
+        model = job.caller.model
+        assert model is not None
+        with self._shared.prompt_waste.watch(model.prompt_tokens):
+            await self._decode(job, progress, reservation, prefill)
+
+    def _log_left(self, job: Job, reservation: Reservation, prefill: Prefill | None) -> None:
+        logger.bind(
+            request=job.caller.id,
+            engine=reservation.engine.id,
+            waited=f"{asyncio.get_running_loop().time() - reservation.reserved_at:.3f}",
+            has_prefill=prefill is not None,
+        ).info("engine left before its stream was sent")
+
     def _stream_times(self, job: Job) -> StreamTimes:
         """Return when a stream becomes late and when its caller stops waiting for it.
 
@@ -177,6 +210,7 @@
             reservation.is_hold_used = False
             raise job.refusal_of(error) from None
         except HttpError as error:
+            reservation.is_hold_used = error.written
             raise await lost_run(self._shared, job, progress, reservation.link, error) from None
         except ValueError as error:
             raise RunEndedError(f"invalid event stream: {error}", True) from None
