Let an outage of the store end with the first read of any gateway

A gateway that took over reading the store long after an outage kept engines for two seconds after their removal; streams that it sent there were cut.

Cause: StoreFeed._was_down was set by any failed read and cleared only by the next own success, which then began the grace for entries that had lapsed.

policy/store_outage.py: a failed read counts as an outage only if the newest read of any gateway is older than it can be while one of them reads (PollTiming.longest_age); it ends with the first read of any gateway, from which the grace runs. Only failures to read the list of engines count. An engine that has written since the return of the store is removed at once.

--- a/pimentoquay/bench/mutations/leaving_switches.py
+++ b/pimentoquay/bench/mutations/leaving_switches.py
@@ -1,5 +1,7 @@
 """Mechanisms by which no engine that leaves is used, and the tests that fail without them."""
 
+from typing import Any
+
 from pimentoquay.bench.mutations.replacements import return_constant
 from pimentoquay.bench.mutations.switch import Switch
 
@@ -7,8 +9,15 @@
 
 _LOST = "pimentoquay/gateway/tests/test_lost_removals.py::"
 _WAITS = "pimentoquay/gateway/tests/test_leaving_beside_waits.py::"
+_GRACE = "pimentoquay/gateway/tests/test_outage_grace.py::"
 _KEYS = "pimentoquay/policy/tests/test_listed_keys.py::"
 
+
+def postpone_all_removals(original: Any) -> Any:
+    """Postpone the removals of all engines in the time after an outage."""
+    return lambda engines, returned_at, before_position=None: original(engines, returned_at)
+
+
 LEAVING_SWITCHES = (
     Switch(
         "peers are told of engines that a complete list lacks",
@@ -43,5 +52,18 @@
         _WAITS + "test_a_stream_that_waits_for_its_prefill_is_not_sent_to_an_engine_that_leaves"
         "[drain]",
     ),
+    Switch(
+        "an outage of the store ends with the first read of any gateway",
+        "pimentoquay.policy.store_outage:StoreOutage.record_peer_read",
+        return_constant(False),
+        _GRACE + "test_a_gateway_that_takes_over_reading_long_after_an_outage_postpones_no_removal",
+    ),
+    Switch(
+        "engines heard since an outage are removed at once",
+        "pimentoquay.policy.engine_list:EngineList.start_relisting_grace",
+        postpone_all_removals,
+        "pimentoquay/policy/tests/test_store_outage.py::"
+        "test_an_engine_that_has_written_since_the_outage_is_removed_at_once",
+    ),
 )
 """Mechanisms for engines that leave."""
--- a/pimentoquay/gateway/compose.py
+++ b/pimentoquay/gateway/compose.py
@@ -152,7 +152,9 @@
     """
     if turns is None:
         turns = TurnQueue(LeastServedFirst(node.timers.now))
-    fleet = Fleet(node.timers.now, node.clock.wall)
+    bounds = settings.bounds
+    polling_schedule = poll_timing(bounds.drain_seconds, bounds.config_seconds, settings.vm)
+    fleet = Fleet(node.timers.now, node.clock.wall, polling_schedule.longest_age)
     limits = EngineLimits(settings.vm)
     contact = EngineContact(node.timers)
     tunnels = PeerTunnels(
@@ -171,7 +173,6 @@
     )
     links = EngineLinks(fleet, limits, contact, paths, turns)
     run_ledger = RunLedger()
-    bounds = settings.bounds
     repeat_limits = RepeatLimits(
         bounds.repeat_ratio, bounds.repeat_slack, bounds.repeat_window_seconds
     )
@@ -228,7 +229,6 @@
         shared.demand,
         lambda: reservations.queued,
     )
-    polling_schedule = poll_timing(bounds.drain_seconds, bounds.config_seconds, settings.vm)
     step = StepWatch(node.timers, fleet, polling_schedule.stale_age)
     mesh = Mesh(node, peers, fleet, loads, settings.control_address, era, step)
     mesh.on_plan_changed.append(lambda: step.update_plan(mesh.plan))
--- a/pimentoquay/gateway/feed.py
+++ b/pimentoquay/gateway/feed.py
@@ -107,7 +107,6 @@
             PROMPT_TOPIC: self._apply_quarantines,
         }
         self._is_down = False
-        self._was_down = False
         self._was_restored = False
         store.era.on_raised.append(self._handle_restored)
 
@@ -199,7 +198,7 @@
                 raise error
             if not self._is_down:
                 logger.bind(error=str(error)).warning("the store does not answer")
-            self._is_down = self._was_down = True
+            self._is_down = True
             return False
         if self._is_down:
             logger.info("the store answers again")
@@ -207,6 +206,14 @@
         return True
 
     async def _read(self, topic: str) -> None:
+        try:
+            await self._read_new(topic)
+        except StoreError:
+            if topic == ENGINE_TOPIC:
+                self._fleet.record_read_failure()
+            raise
+
+    async def _read_new(self, topic: str) -> None:
         next_position = self._next_by_topic.get(topic)
         if next_position is not None:
             try:
@@ -243,6 +250,9 @@
 
     async def _apply(self, topic: str, page: RecordPage, is_snapshot: bool) -> None:
         """Apply a page; raise ``RecordsGoneError`` if the store was restored meanwhile."""
+        if topic == ENGINE_TOPIC:
+            is_last = page.next_position >= page.end_position
+            self._fleet.record_store_answer(page.next_position if is_last else None)
         await self._handler_by_topic[topic](page.records, page.next_position, is_snapshot)
         if not self._is_current(page.next_position):
             raise RecordsGoneError("the store was restored while a page was applied")
@@ -282,9 +292,6 @@
     async def _apply_engines(
         self, records: tuple[KeyedRecord, ...], next_position: int, is_snapshot: bool
     ) -> None:
-        if self._was_down:
-            self._was_down = False
-            self._fleet.engine_list.start_relisting_grace(self._timers.now())
         engines = tuple(
             EngineRecord(record.key, record.position, record.value or b"") for record in records
         )
--- a/pimentoquay/gateway/fleet.py
+++ b/pimentoquay/gateway/fleet.py
@@ -18,6 +18,7 @@
 from pimentoquay.policy.fleet import EngineEntry, FleetConfiguration
 from pimentoquay.policy.pools import pools_of
 from pimentoquay.policy.route_choice import RouteTable
+from pimentoquay.policy.store_outage import StoreOutage
 from pimentoquay.policy.store_position import era_of
 from pimentoquay.policy.workspaces import WorkspaceTable
 from pimentoquay.tunnels import TunnelTarget
@@ -29,6 +30,9 @@
 """Most parts of a configuration that are logged as ignored; all are counted. A line takes 0.1 ms,
 and all 8,500 workspaces may be invalid."""
 
+UNSTATED_LONGEST_AGE_SECONDS = 2.0
+"""Age of the list above which no gateway reads the store, if none is given."""
+
 
 class Fleet:
     """Configuration and engines that this gateway currently uses.
@@ -44,11 +48,19 @@
         Returns the monotonic time in seconds.
     wall
         Returns the seconds since the Unix epoch.
+    longest_age
+        Age that the list has only if no gateway can read the store, in seconds.
     """
 
-    def __init__(self, now: Callable[[], float], wall: Callable[[], float] = time.time) -> None:
+    def __init__(
+        self,
+        now: Callable[[], float],
+        wall: Callable[[], float] = time.time,
+        longest_age: float = UNSTATED_LONGEST_AGE_SECONDS,
+    ) -> None:
         self._now = now
         self._wall = wall
+        self._outage = StoreOutage(longest_age)
         self.route_table: RouteTable | None = None
         self.engine_list = EngineList()
         self.notices = EngineNotices()
@@ -95,7 +107,23 @@
 
     def record_peer_read(self, age: float) -> None:
         """Record that a peer read the list from the store ``age`` seconds ago."""
-        self._peers_read_at = max(self._peers_read_at, self._now() - age)
+        read_at = self._now() - age
+        self._peers_read_at = max(self._peers_read_at, read_at)
+        if self._outage.record_peer_read(read_at):
+            self.engine_list.start_relisting_grace(read_at)
+
+    def record_read_failure(self) -> None:
+        """Record that this gateway failed to read the list from the store."""
+        self._outage.record_failure(self._now())
+
+    def record_store_answer(self, page_end: int | None) -> None:
+        """Record that the store has answered, before its answer is applied.
+
+        ``page_end`` is the position where the list ended, or None if the answer does not reach it.
+        """
+        now = self._now()
+        if self._outage.record_own_read(now):
+            self.engine_list.start_relisting_grace(now, page_end)
 
     def engines(self) -> tuple[EngineEntry, ...]:
         """Return all listed engines, including those that are draining."""
--- a/pimentoquay/gateway/tests/test_lost_removals.py
+++ b/pimentoquay/gateway/tests/test_lost_removals.py
@@ -1,6 +1,7 @@
 """Engines that leave while the gateway that reads the store starts again."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -100,7 +101,9 @@
     async with rig() as env:
         await add_peers(env, "vm-2")
         reader, peer = env.gateway_by_vm["vm-1"], env.gateway_by_vm["vm-2"]
-        reader.feed._polling_schedule = type(reader.feed._polling_schedule)(30.0, 60.0)
+        reader.feed._polling_schedule = replace(
+            reader.feed._polling_schedule, period=30.0, stale_age=60.0
+        )
         await asyncio.sleep(1.0)
         await let_leave(env, "dec-1")
         await reader.feed.read_engines()
--- a/pimentoquay/gateway/tests/test_out_of_step.py
+++ b/pimentoquay/gateway/tests/test_out_of_step.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from dataclasses import replace
 
 from pimentoquay.gateway import step_watch
 from pimentoquay.gateway.tests.rig import rig, until
@@ -14,7 +15,6 @@
 )
 from pimentoquay.platform.store import StoreError
 from pimentoquay.policy import version_doubt
-from pimentoquay.policy.poll_timing import PollTiming
 from pimentoquay.standin.platform_engine import PlatformEngine
 
 OLD = ("dec-1", "dec-2")
@@ -27,7 +27,7 @@
     """Let gateways not poll the store by themselves, as between two of their polls."""
     for vm in vms:
         feed = env.gateway_by_vm[vm].feed
-        feed._polling_schedule = PollTiming(feed._polling_schedule.period, LONG_AGE)
+        feed._polling_schedule = replace(feed._polling_schedule, stale_age=LONG_AGE)
         feed._is_reader = lambda: False
 
 
--- /dev/null
+++ b/pimentoquay/gateway/tests/test_outage_grace.py
@@ -0,0 +1,108 @@
+"""Engines that leave long after an outage of the store, or beside a failure that is none."""
+
+import asyncio
+
+import pytest
+
+from pimentoquay.gateway.tests.rig import rig, until
+from pimentoquay.gateway.tests.test_lost_removals import listed, peers_of
+from pimentoquay.platform.store import CONFIGURATION_TOPIC, ENGINE_TOPIC, StoreError
+from pimentoquay.policy.engine_list import RELISTING_GRACE_SECONDS
+from pimentoquay.standin.platform_store import StoreFault
+
+DRAIN_SECONDS = 2.0
+
+
+async def seconds_until_removed(env, gateway, engine):
+    """Remove an engine's entry; return the seconds until a gateway lists it no more."""
+    loop = asyncio.get_running_loop()
+    removed_at = loop.time()
+    await env.store.put("keyed.servers", engine, b"")
+    await until(lambda: engine not in listed(gateway), "removed")
+    return loop.time() - removed_at
+
+
+def fail_all_reads(patch, gateway):
+    """Let the store turn a gateway away."""
+
+    async def fail(*arguments):
+        raise StoreError("no answer")
+
+    patch.setattr(gateway.feed._store, "read", fail)
+    patch.setattr(gateway.feed._store, "read_latest", fail)
+
+
+async def fail_reads(env, gateways, seconds=3.0):
+    """Let the store be away until all gateways have failed to read it, and be back for a while."""
+    env.store.fault = StoreFault.BUSY
+    await asyncio.sleep(seconds)
+    assert all(gateway.fleet.list_age > 2.0 for gateway in gateways)
+    env.store.fault = StoreFault.NONE
+    await until(lambda: all(gateway.fleet.list_age < 1.0 for gateway in gateways), "read")
+
+
+async def test_a_gateway_that_takes_over_reading_long_after_an_outage_postpones_no_removal(
+    monkeypatch,
+):
+    """Guards against a mark of a past outage that only the next own read clears."""
+    async with rig() as env:
+        reader = env.gateway_by_vm["vm-1"]
+        next_reader = await env.add_gateway("vm-2", seeds=("vm-1:1",))
+        await until(lambda: peers_of(next_reader) == {"vm-1"}, "connected")
+        with monkeypatch.context() as patch:
+            # The list comes from the peer before this gateway tries again.
+            fail_all_reads(patch, next_reader)
+            await fail_reads(env, [reader, next_reader])
+        await asyncio.sleep(RELISTING_GRACE_SECONDS + 0.5)
+        await env.kill("vm-1")
+        assert await seconds_until_removed(env, next_reader, "dec-1") < DRAIN_SECONDS
+
+
+async def test_entries_that_lapsed_in_an_outage_are_kept_until_they_can_be_back():
+    """Guards against sound engines that are dropped as the store comes back."""
+    async with rig() as env:
+        gateway = env.gateway_by_vm["vm-1"]
+        env.store.fault = StoreFault.BUSY
+        await asyncio.sleep(3.0)
+        await env.store.put("keyed.servers", "dec-1", b"")
+        env.store.fault = StoreFault.NONE
+        await until(lambda: gateway.fleet.list_age < 0.3, "read")
+        assert "dec-1" in listed(gateway)
+        await until(lambda: "dec-1" not in listed(gateway), "removed")
+        assert gateway.fleet.engine_list._grace_until <= gateway.node.timers.now()
+
+
+async def test_a_gateway_that_the_store_turns_away_postpones_no_removal_after_that(monkeypatch):
+    """Guards against a cut of one gateway that it takes for an outage of the store."""
+    async with rig() as env:
+        reader = env.gateway_by_vm["vm-1"]
+        other = await env.add_gateway("vm-2", seeds=("vm-1:1",))
+        await until(lambda: peers_of(other) == {"vm-1"}, "connected")
+        with monkeypatch.context() as patch:
+            fail_all_reads(patch, reader)
+            await asyncio.sleep(4.0)
+        assert reader.fleet.list_age < 2.0
+        await until(lambda: reader.fleet.own_list_age < 0.3, "read")
+        assert await seconds_until_removed(env, reader, "dec-1") < DRAIN_SECONDS
+
+
+@pytest.mark.parametrize("topic", [CONFIGURATION_TOPIC, ENGINE_TOPIC])
+async def test_only_failures_to_read_the_list_of_engines_begin_a_grace(topic):
+    """Guards against a grace that begins anew at each poll while another topic cannot be read."""
+    async with rig() as env:
+        gateway = env.gateway_by_vm["vm-1"]
+        feed = gateway.feed
+        read = feed._store.read
+
+        async def fail(wanted, *arguments):
+            if wanted == topic:
+                raise StoreError("no answer")
+            return await read(wanted, *arguments)
+
+        feed._store.read = fail
+        await asyncio.sleep(3.0)
+        if topic == ENGINE_TOPIC:
+            feed._store.read = read
+            await until(lambda: gateway.fleet.list_age < 0.3, "read")
+        seconds = await seconds_until_removed(env, gateway, "dec-1")
+        assert (seconds < 1.0) == (topic == CONFIGURATION_TOPIC)
--- a/pimentoquay/policy/engine_list.py
+++ b/pimentoquay/policy/engine_list.py
@@ -100,14 +100,24 @@
     _position_by_id: dict[str, int] = field(default_factory=dict)
     _usable_position_by_id: dict[str, int] = field(default_factory=dict)
     _grace_until: float = 0.0
+    _grace_before: float = math.inf
 
-    def start_relisting_grace(self, now: float) -> None:
+    def start_relisting_grace(self, returned_at: float, before_position: int | None = None) -> None:
         """Delay removals for a grace period after an outage, from when the store is readable again.
 
         An engine whose entry expired during the outage is removed after
-        ``RELISTING_GRACE_SECONDS`` unless it has sent a heartbeat by then.
+        ``RELISTING_GRACE_SECONDS`` unless it has sent a heartbeat by then. One that has written
+        since the return of the store is removed at once when it leaves.
+
+        Parameters
+        ----------
+        returned_at
+            When any VM could read the store again.
+        before_position
+            Position before which records may have been written before that, or None for all.
         """
-        self._grace_until = now + RELISTING_GRACE_SECONDS
+        self._grace_until = max(self._grace_until, returned_at + RELISTING_GRACE_SECONDS)
+        self._grace_before = math.inf if before_position is None else before_position
         for known in self._known_by_id.values():
             if known.contested_until is not None:
                 known.contested_until = max(known.contested_until, self._grace_until)
@@ -289,7 +299,7 @@
         return entry is not None and not starts_later and self._is_named(entry)
 
     def _remove(self, known: _KnownEngine, now: float) -> bool:
-        if now < self._grace_until:
+        if now < self._grace_until and known.position < self._grace_before:
             known.removal_due = self._grace_until
             return False
         return self._mark_removed(known, now)
--- a/pimentoquay/policy/poll_timing.py
+++ b/pimentoquay/policy/poll_timing.py
@@ -33,10 +33,14 @@
 
 @dataclass(frozen=True)
 class PollTiming:
-    """Polling interval of the reader, and age of a copy at which other VMs read; in seconds."""
+    """Polling interval of the reader, and age of a copy at which other VMs read; in seconds.
+
+    A copy reaches ``longest_age`` only if none of them can read the store.
+    """
 
     period: float
     stale_age: float
+    longest_age: float
 
 
 def poll_timing(drain_seconds: float, config_seconds: float, vm: str) -> PollTiming:
@@ -60,6 +64,5 @@
     """
     bound = min(drain_seconds, config_seconds)
     jitter = zlib.crc32(vm.encode()) / 2**32
-    return PollTiming(
-        READ_PERIOD_SHARE * bound, (STALE_AGE_SHARE + STALE_AGE_JITTER_SHARE * jitter) * bound
-    )
+    stale_age = (STALE_AGE_SHARE + STALE_AGE_JITTER_SHARE * jitter) * bound
+    return PollTiming(READ_PERIOD_SHARE * bound, stale_age, bound)
