Use no entry that lacks its version or the time of its start

One entry of another writer without version, under the id of an engine, took orders of one service to an engine of another, whose answers callers got.

Cause: version and coldRemainingMs were optional, and a version of another type counted as not stated, so that the entry counted as usable and displaced that of the engine. Both have to be there and of their types now.

--- a/pimentoquay/gateway/tests/test_entries_of_others.py
+++ b/pimentoquay/gateway/tests/test_entries_of_others.py
@@ -39,6 +39,11 @@
     "no start": {"born": None, "address": "127.9.9.9:9"},
     "no number": {"seq": None, "address": "127.9.9.9:9"},
     "time of the start of another type": {"coldRemainingMs": "0", "address": "127.9.9.9:9"},
+    "no time of the start": {"coldRemainingMs": None, "seq": 10**6, "service": "llm"},
+    "no version": {"version": None, "seq": 10**6, "service": "llm"},
+    "no version, draining": {"version": None, "seq": 10**6, "state": "draining"},
+    "version that is a number": {"version": 3, "seq": 10**6, "service": "llm"},
+    "version that is a list": {"version": ["v1"], "seq": 10**6, "service": "llm"},
     "state that is not named": {"state": "asleep", "seq": 10**6},
 }
 USABLE: dict[str, dict[str, Any]] = {
--- a/pimentoquay/platform/engine_entry.py
+++ b/pimentoquay/platform/engine_entry.py
@@ -1,9 +1,7 @@
 """Decode the entries that engines write about themselves to the platform's store."""
 
-from typing import Any
-
 from pimentoquay.kernel.input_checks import can_be_header, describe
-from pimentoquay.platform.fields import DecodeError, checked, optional, parse_json, required
+from pimentoquay.platform.fields import DecodeError, optional, parse_json, required
 from pimentoquay.policy.fleet import EngineEntry, EngineStage
 from pimentoquay.transport.addresses import check_address
 
@@ -23,7 +21,8 @@
 def decode_engine_entry(engine_id: str, data: bytes) -> EngineEntry:
     """Decode the entry of an engine; raise ``DecodeError`` if it is invalid.
 
-    Any process may write to the store, so every field is checked.
+    Any process may write to the store, so every field is checked. Only ``stage`` and ``born`` may
+    be missing, as plain services have no stages, and not all deployments state starts.
     """
     if not can_be_header(engine_id):
         raise DecodeError(f"id = {describe(engine_id)}: cannot be sent in a header")
@@ -38,7 +37,7 @@
         address = check_address(required(item, "address", str))
     except ValueError as error:
         raise DecodeError(f"{engine_id}: address: {error}") from None
-    optional(item, "coldRemainingMs", float, 0.0, 0)
+    required(item, "coldRemainingMs", float, 0)
     return EngineEntry(
         id=engine_id,
         service=required(item, "service", str),
@@ -50,11 +49,10 @@
         # Unix milliseconds of the start, which tells starts apart; not all deployments state it.
         incarnation=required(item, "born", int, 0) if "born" in item else 0,
         sequence=required(item, "seq", int, 0),
-        software=_software(item.get("version")),
+        software=_software(required(item, "version", str)),
     )
 
 
-def _software(value: Any) -> str:
-    """Return a version, or an empty text for one that is missing or of another type or size."""
-    is_valid = isinstance(value, str) and 0 < len(value) <= MAX_VERSION_LENGTH
-    return checked(value, "version", str) if is_valid else ""
+def _software(version: str) -> str:
+    """Return a version, or an empty text for one that is too long."""
+    return version if len(version) <= MAX_VERSION_LENGTH else ""
--- a/pimentoquay/platform/tests/test_other_writers.py
+++ b/pimentoquay/platform/tests/test_other_writers.py
@@ -4,6 +4,7 @@
 import json
 
 import h11
+import pytest
 from hypothesis import given, seed, settings
 from hypothesis import strategies as st
 
@@ -51,6 +52,17 @@
     assert type(entry.sequence) is int and isinstance(entry.stage, EngineStage)
 
 
+@pytest.mark.parametrize("name", sorted(VALID.keys() - {"born", "stage"}))
+@pytest.mark.parametrize("value", [..., None, ["v1"], {}, True])
+def test_an_entry_that_lacks_a_field_or_has_one_of_another_type_names_no_engine(name, value):
+    """Guards against entries of another writer that are used with a value in place of a field."""
+    item = VALID | {name: value}
+    if value is ...:
+        del item[name]
+    with pytest.raises(DecodeError):
+        decode_engine_entry("i-1", json.dumps(item).encode())
+
+
 @seed(2)
 @settings(deadline=None, max_examples=300)
 @given(st.binary(max_size=200))
