Write the record of a VM again if it states other addresses

Another writer's record under the name of a gateway was dialled by the others and told on until that gateway started again, as it wrote its record only then or after the store was restored.

Cause: a record of this VM with other addresses was ignored as not its own, whatever position it had. The newest position of such a record is kept now, from the store or a peer, and the gateway writes its record again while its own is older, at most every three seconds.

--- a/pimentoquay/bench/mutations/vm_switches.py
+++ b/pimentoquay/bench/mutations/vm_switches.py
@@ -54,4 +54,11 @@
         do_nothing_async,
         _GATEWAY + "test_a_record_of_a_running_vm_that_was_removed_is_written_again",
     ),
+    Switch(
+        "a VM writes its addresses again after a foreign record",
+        "pimentoquay.gateway.vm_registry:VmRegistry._is_displaced",
+        return_constant(False),
+        "pimentoquay/gateway/tests/test_foreign_values.py::"
+        "test_a_vm_writes_its_address_again_after_a_foreign_record",
+    ),
 )
--- a/pimentoquay/gateway/vm_addresses.py
+++ b/pimentoquay/gateway/vm_addresses.py
@@ -33,6 +33,12 @@
         self._heard: Collection[str] | None = None
         self.removed_at_by_vm: dict[str, float] = {}
         self._void_by_vm: dict[str, VmAddress] = {}
+        self._displaced_position = -1
+
+    @property
+    def is_displaced(self) -> bool:
+        """Whether the newest known record of this VM states other addresses than its own."""
+        return self._displaced_position > self.own.position
 
     @property
     def own(self) -> VmAddress:
@@ -53,8 +59,12 @@
 
         Those of other VMs to which no connection can be tried are ignored.
         Those of this VM are newer once its own record is read from the store; the position of that
-        record lets peers that have an earlier one take the addresses over.
+        record lets peers that have an earlier one take the addresses over. A record of this VM that
+        states other addresses is from another writer, or from an earlier process.
         """
+        for each in addresses:
+            if each.vm == self._vm and not self._is_current(each):
+                self._displaced_position = max(self._displaced_position, each.position)
         changed = tuple(
             each
             for each in addresses
--- a/pimentoquay/gateway/vm_registry.py
+++ b/pimentoquay/gateway/vm_registry.py
@@ -2,7 +2,8 @@
 
 As long as all VMs are heard, nothing is written after the start, and little is read. The reader of
 the store removes the records of VMs that are gone, and tells the others. A VM that learns that its
-record is void writes it again; for one of an older build, which doesn't, the reader does.
+record is void, or states other addresses than its own, writes it again; for one of an older build,
+which doesn't write a void one again, the reader does.
 """
 
 import math
@@ -45,7 +46,8 @@
 """Time for which VMs that are gone are named to all others repeatedly, as messages get lost."""
 
 REWRITE_SECONDS = 3.0
-"""Time after which the reader writes the removed record of a VM that it hears."""
+"""Time after which the reader writes the removed record of a VM that it hears, and least time
+between two records of this VM."""
 
 RESYNC_SECONDS = 60.0
 """Interval at which all VMs of a full mesh read the records, in case they have missed a removal."""
@@ -97,6 +99,7 @@
         self._listed_end = 0
         self._is_void = False
         self._was_restored = False
+        self._entered_at = -math.inf
         era.on_raised.append(self._handle_restored)
 
     async def run(self) -> None:
@@ -105,7 +108,7 @@
         while True:
             await self._timers.sleep(TICK_SECONDS)
             self._observe()
-            if self._is_void or self._was_restored:
+            if self._is_void or self._was_restored or self._is_displaced():
                 await self._enter()
             elif self._timers.now() - self._read_at >= self._read_interval():
                 await self._look()
@@ -131,12 +134,18 @@
     async def _enter(self) -> None:
         """Write this VM's record, and read all."""
         self._is_void = self._was_restored = False
+        self._entered_at = self._timers.now()
         await self._feed().announce(self._mesh.addresses.own)
         while (listing := await self._read()) is None:
             await self._timers.sleep(RETRY_SECONDS)
         self._mesh.step.knows_peers = True
         self._apply(listing)
 
+    def _is_displaced(self) -> bool:
+        """Return whether to write this VM's record again, as peers have another one."""
+        is_due = self._timers.now() - self._entered_at > REWRITE_SECONDS
+        return is_due and self._mesh.addresses.is_displaced
+
     async def _read(self) -> VmListing | None:
         self._read_at = self._timers.now()
         try:
