--- a/pimentoquay/gateway/tests/test_workspace_keys.py
+++ b/pimentoquay/gateway/tests/test_workspace_keys.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from pimentoquay.gateway import plain, streams
+from pimentoquay.gateway import plain, stream_runs
 from pimentoquay.gateway.tests.rig import ROUTES, configuration, model_headers, route, until
 from pimentoquay.gateway.tests.test_workspaces import KINDS, refusals
 from pimentoquay.gateway.tests.workspace_rig import (
@@ -203,7 +203,7 @@
 @pytest.mark.parametrize("path", KINDS)
 async def test_a_key_withdrawn_at_the_last_send_gives_401(path, monkeypatch):
     """No further send would check the key, and 503 would make the caller come back with it."""
-    for module in (plain, streams):
+    for module in (plain, stream_runs):
         monkeypatch.setattr(module, "MAX_SENDS", 1)
     async with workspace_rig() as env:
 
