Tell no removal of an engine that is listed again

A gateway tells its peers of removals once after each read, with the position up to which it has read. An engine whose entry had lapsed and was back by then was told to be gone after its new record, by which peers may lose a sound engine. Only engines that are not listed are told now.

test_an_engine_that_is_listed_again_is_not_told_to_be_gone fails on the code before and passes.

--- a/pimentoquay/gateway/fleet.py
+++ b/pimentoquay/gateway/fleet.py
@@ -268,18 +268,16 @@
         """Return the removals since the last call as records for the peers.
 
         An engine that is missing from a complete list has no removal record in the store, so one
-        is made here.
+        is made here. One that is listed again by now has none.
         """
         removed, self._removed = self._removed, []
         keys = self.engine_list.keys
         records = [
             EngineRecord(each, (keys.removed_before(each) or self._engines_position) - 1, b"")
             for each in removed
+            if each not in self._entry_by_id
         ]
-        listed = {engine.id for engine in self._engines}
-        self._record_by_engine.update(
-            {each.engine: each for each in records if each.engine not in listed}
-        )
+        self._record_by_engine.update({each.engine: each for each in records})
         return tuple(records)
 
     def pause_seconds(self, engine: EngineEntry) -> float:
--- a/pimentoquay/gateway/tests/test_lost_removals.py
+++ b/pimentoquay/gateway/tests/test_lost_removals.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from pimentoquay.gateway.fleet import Fleet
 from pimentoquay.gateway.tests.rig import rig, until
 from pimentoquay.messages.fleet import EngineRecord, FleetCopy
 from pimentoquay.policy.engine_list import RELISTING_GRACE_SECONDS
@@ -111,6 +112,20 @@
         await until(lambda: "dec-1" not in listed(peer), "removed")
 
 
+async def test_an_engine_that_is_listed_again_is_not_told_to_be_gone():
+    """Guards against a removal that takes a sound engine from all peers."""
+    async with rig(start_gateway=False) as env:
+        fleet = Fleet(lambda: 0.0)
+        engine = env.engine_by_id["dec-1"]
+        fleet.apply_engine_snapshot((EngineRecord("dec-1", 3, engine.entry()),), 4)
+        fleet.apply_engine_records((EngineRecord("dec-1", 5, b""),))
+        fleet.apply_engine_records((EngineRecord("dec-1", 6, engine.entry()),))
+        fleet.record_list_read(7)
+        assert fleet.pop_removals() == ()
+        fleet.apply_engine_records((EngineRecord("dec-1", 8, b""),))
+        assert fleet.pop_removals() == (EngineRecord("dec-1", 8, b""),)
+
+
 async def test_a_removal_that_a_gateway_postpones_is_passed_on_and_told_again():
     """Guards against peers that get an engine from the copy of a gateway that keeps it a while."""
     async with rig() as env:
