Share what calls and streams of plain services have in common

server_choice.py holds what both forwarders of plain services use, stream_runs.py what all runs do. A hold counts as used once the request that names it is written, and not while that waits for a connection.

--- a/pimentoquay/gateway/event_relay.py
+++ b/pimentoquay/gateway/event_relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import NoReturn
 
 from pimentoquay.gateway.event_reader import EventReader
 from pimentoquay.gateway.job import Job
@@ -126,7 +127,7 @@
         exchange: Exchange,
         engine: EngineEntry,
         on_run: Callable[[], None],
-    ) -> None:
+    ) -> NoReturn:
         body = await exchange.read_body(MAX_ERROR_BYTES, SILENCE_TIMEOUT_SECONDS)
         response_info = parse_response(exchange.status, exchange.headers)
         if response_info.is_misdirected:
--- a/pimentoquay/gateway/plain.py
+++ b/pimentoquay/gateway/plain.py
@@ -14,7 +14,12 @@
     record_end,
     send_response,
 )
-from pimentoquay.gateway.server_choice import choose_server
+from pimentoquay.gateway.server_choice import (
+    UNREACHED_RETRY_AFTER_SECONDS,
+    choose_server,
+    max_idle_of,
+    using_server,
+)
 from pimentoquay.gateway.shared_state import SharedState
 from pimentoquay.http1 import (
     Exchange,
@@ -33,7 +38,6 @@
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.requests import SendOptions
 from pimentoquay.platform.responses import ResponseInfo, parse_response
-from pimentoquay.policy.engine_choice import EngineCallStats
 from pimentoquay.policy.fleet import EngineEntry
 
 __all__ = ["PlainForwarder"]
@@ -41,9 +45,6 @@
 MAX_SENDS = 4
 """Maximum sends of one request, including those that wrote nothing or were rejected."""
 
-RETRY_AFTER_SECONDS = 0.3
-"""Retry-After value if no server could be reached; about as long as a circuit first stays open."""
-
 FIRST_SEND_TARGET_MULTIPLE = 2.0
 """Timeout of an idempotent call's send, in multiples of its route's target latency, if another
 server can be tried."""
@@ -58,9 +59,6 @@
 REPEATABLE_WATCH = ExchangeWatch(QUIET_SECONDS, abandon_seconds=0.0)
 UNREPEATABLE_WATCH = ExchangeWatch(QUIET_SECONDS)
 
-UNREPEATABLE_MAX_IDLE_SECONDS = 1.0
-"""Maximum idle time of a reused connection for a call that may not be repeated."""
-
 
 @dataclass(frozen=True)
 class _Response:
@@ -106,11 +104,11 @@
         """Send a job's response; raise ``PimentoquayError`` if there is none."""
         attempts = _Attempts()
         while attempts.sends < MAX_SENDS and job.seconds_left() > 0:
-            engine = self._choose_engine(job, attempts)
+            engine = choose_server(self._shared, job.service, attempts.engines)
             if engine is None and not attempts.sends:
                 self._shared.refuse_over_limit(job.service)
                 # A place within the limits may have become free since the first choice.
-                engine = self._choose_engine(job, attempts)
+                engine = choose_server(self._shared, job.service, attempts.engines)
             if engine is None or not self._may_send(job, attempts):
                 break
             attempts.sends += 1
@@ -127,9 +125,6 @@
                 return
         self._give_up(job, attempts)
 
-    def _choose_engine(self, job: Job, attempts: _Attempts) -> EngineEntry | None:
-        return choose_server(self._shared, job.service, attempts.engines)
-
     def _may_send(self, job: Job, attempts: _Attempts) -> bool:
         """Return whether to send a call again; raise ``RefusedError`` if it may not even run."""
         if attempts.runs == 0:
@@ -152,35 +147,27 @@
         return response.status >= 500 and job.route.may_run_again
 
     async def _send(self, job: Job, engine: EngineEntry, attempts: _Attempts) -> _Response | None:
-        shared = self._shared
-        experience = shared.experience_by_engine[engine.id]
-        loop = asyncio.get_running_loop()
-        started_at = loop.time()
-        experience.outstanding += 1
-        has_failed = True
         written = asyncio.Event()
-        try:
-            async with job.stop.time_limit(self._send_timeout(job, attempts)) as timeout:
-                response = await self._exchange(job, engine, timeout, written)
-            attempts.arrivals += 1
-            has_failed = response.status >= 500
-            return self._accept_response(job, engine, attempts, response)
-        except UnsendableError as error:
-            has_failed = False
-            raise job.refusal_of(error) from None
-        except HttpError as error:
-            has_failed = not isinstance(error, WithheldError)
-            self._record_lost(job, engine, attempts, error.written, str(error))
-            if error.connection_lost:
-                await self._handle_lost_run(job, engine, attempts)
-        except TimeoutError:
-            self._record_lost(job, engine, attempts, written.is_set(), "no answer in time")
-        except asyncio.CancelledError:
-            has_failed = False
-            raise
-        finally:
-            experience.outstanding -= 1
-            self._record_experience(experience, loop.time() - started_at, has_failed)
+        with using_server(self._shared, engine) as use:
+            try:
+                async with job.stop.time_limit(self._send_timeout(job, attempts)) as timeout:
+                    response = await self._exchange(job, engine, timeout, written)
+                attempts.arrivals += 1
+                use.has_failed = response.status >= 500
+                return self._accept_response(job, engine, attempts, response)
+            except UnsendableError as error:
+                use.has_failed = False
+                raise job.refusal_of(error) from None
+            except HttpError as error:
+                use.has_failed = not isinstance(error, WithheldError)
+                self._record_lost(job, engine, attempts, error.written, str(error))
+                if error.connection_lost:
+                    await self._handle_lost_run(job, engine, attempts)
+            except TimeoutError:
+                self._record_lost(job, engine, attempts, written.is_set(), "no answer in time")
+            except asyncio.CancelledError:
+                use.has_failed = False
+                raise
         return None
 
     async def _handle_lost_run(self, job: Job, engine: EngineEntry, attempts: _Attempts) -> None:
@@ -191,11 +178,6 @@
             request=job.caller.id, engine=engine.id, digest=job.digest, engine_state=state.value
         ).info("run lost")
 
-    def _record_experience(
-        self, experience: EngineCallStats, seconds: float, has_failed: bool
-    ) -> None:
-        experience.record(seconds, has_failed, asyncio.get_running_loop().time())
-
     def _send_timeout(self, job: Job, attempts: _Attempts) -> float:
         left = job.seconds_left()
         if job.route.may_run_again and attempts.runs + 1 < job.route.max_engines:
@@ -207,7 +189,6 @@
     ) -> _Response:
         link = self._shared.links.link_to(engine)
         options = SendOptions(engine=engine.id, timeout_seconds=job.seconds_left())
-        max_idle_seconds = None if job.route.may_run_again else UNREPEATABLE_MAX_IDLE_SECONDS
         request = job.request
         async with link.send(
             request.method,
@@ -215,7 +196,7 @@
             job.caller,
             request.body,
             options,
-            max_idle_seconds=max_idle_seconds,
+            max_idle_seconds=max_idle_of(job.route),
             access=job.check_send,
             watch=REPEATABLE_WATCH if job.route.may_run_again else UNREPEATABLE_WATCH,
             on_sent=written.set,
@@ -285,7 +266,9 @@
             detail = f"{attempts.sends} engines tried"
             self._shared.refuse_over_limit(job.service)
             pause = self._shared.pause_seconds(job.service)
-            raise RefusedError(ResultCode.NO_BACKEND, detail, pause or RETRY_AFTER_SECONDS)
+            raise RefusedError(
+                ResultCode.NO_BACKEND, detail, pause or UNREACHED_RETRY_AFTER_SECONDS
+            )
         elif job.seconds_left() <= 0:
             raise PimentoquayError(ResultCode.DEADLINE_MISSED, f"{attempts.runs} engines tried")
         else:
--- a/pimentoquay/gateway/reservation.py
+++ b/pimentoquay/gateway/reservation.py
@@ -38,6 +38,10 @@
     is_hold_used: bool = False
     is_granted: bool = False
 
+    def record_hold_used(self) -> None:
+        """Record that a request was written which names the hold."""
+        self.is_hold_used = True
+
 
 def log_reserved(job: Job, engine: str, tokens: int, need: MemoryNeed, used: int) -> None:
     """Log that an engine holds memory for a request; sizes are in tokens."""
--- a/pimentoquay/gateway/server_choice.py
+++ b/pimentoquay/gateway/server_choice.py
@@ -1,13 +1,34 @@
-"""Choice of a server of a plain service for a call or a stream."""
+"""Choice and use of a server of a plain service for a call or a stream."""
 
 import asyncio
-from collections.abc import Callable, Collection
+import contextlib
+from collections.abc import Callable, Collection, Iterator
+from dataclasses import dataclass
 
 from pimentoquay.gateway.shared_state import SharedState
 from pimentoquay.policy.engine_choice import choose_engine
-from pimentoquay.policy.fleet import EngineEntry
+from pimentoquay.policy.fleet import EngineEntry, Route
 
-__all__ = ["choose_server"]
+__all__ = [
+    "UNREACHED_RETRY_AFTER_SECONDS",
+    "ServerUse",
+    "choose_server",
+    "max_idle_of",
+    "using_server",
+]
+
+UNREACHED_RETRY_AFTER_SECONDS = 0.3
+"""Retry-After value if no server could be reached; about as long as a circuit first stays open."""
+
+UNREPEATABLE_MAX_IDLE_SECONDS = 1.0
+"""Maximum idle time of a reused connection for a request that may not be repeated."""
+
+
+@dataclass
+class ServerUse:
+    """One use of a server; ``has_failed`` is whether it counts against the server."""
+
+    has_failed: bool = True
 
 
 def choose_server(
@@ -47,3 +68,21 @@
             candidates, shared.experience_by_engine, shared.placer.data_centre, now, tried
         )
     return chosen
+
+
+def max_idle_of(route: Route) -> float | None:
+    """Return the maximum idle time of a connection that a request of a route uses again."""
+    return None if route.may_run_again else UNREPEATABLE_MAX_IDLE_SECONDS
+
+
+@contextlib.contextmanager
+def using_server(shared: SharedState, engine: EngineEntry) -> Iterator[ServerUse]:
+    """Record a use of a server that lasts as long as the block, by which servers are compared."""
+    use, now = ServerUse(), asyncio.get_running_loop().time
+    experience, started_at = shared.experience_by_engine[engine.id], now()
+    experience.outstanding += 1
+    try:
+        yield use
+    finally:
+        experience.outstanding -= 1
+        experience.record(now() - started_at, use.has_failed, now())
--- a/pimentoquay/gateway/stream_runs.py
+++ b/pimentoquay/gateway/stream_runs.py
@@ -4,7 +4,8 @@
 caller has received, within the same response. A run is one execution of a request at an engine.
 """
 
-from collections.abc import Awaitable, Callable
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
 
 from pimentoquay.gateway.engine_link import EngineLink
 from pimentoquay.gateway.job import MAX_CRASHES_PER_REQUEST, Job, record_end, send_response
@@ -12,11 +13,11 @@
 from pimentoquay.gateway.stream_progress import RunEndedError, StreamProgress
 from pimentoquay.http1 import ServerState
 from pimentoquay.kernel import PimentoquayError, RefusedError, ResultCode
-from pimentoquay.kernel.errors import HttpError
+from pimentoquay.kernel.errors import HttpError, UnsendableError
 from pimentoquay.kernel.logs import logger
-from pimentoquay.policy.fleet import TokenMemory
+from pimentoquay.policy.fleet import EngineEntry, TokenMemory
 
-__all__ = ["StreamRuns", "lost_run"]
+__all__ = ["StreamRuns", "begin_run", "ending_run"]
 
 MAX_SENDS = 4
 """Maximum sends of one request to the engines that run it, including rejected ones."""
@@ -101,15 +102,40 @@
         )
 
 
-async def lost_run(
-    shared: SharedState, job: Job, progress: StreamProgress, link: EngineLink, error: HttpError
-) -> RunEndedError:
-    """Return how a run ended whose exchange failed, after a check of its engine."""
-    state = None
-    if error.connection_lost:
-        has_begun = progress.last_event is not None
-        state = await shared.guard.handle_lost_run(job, link, has_begun)
-    return RunEndedError(str(error), error.written, error.written, state)
+def begin_run(job: Job, progress: StreamProgress, engine: EngineEntry) -> None:
+    """Count a run that is to begin at an engine."""
+    progress.engine = engine.id
+    progress.sends += 1
+    progress.runs += 1
+    job.sent_to.append(engine.id)
+
+
+@contextlib.asynccontextmanager
+async def ending_run(
+    shared: SharedState, job: Job, progress: StreamProgress, link: EngineLink
+) -> AsyncIterator[None]:
+    """Turn the errors of an exchange in the block into the end of its run.
+
+    Raises
+    ------
+    RunEndedError
+        If the exchange failed, after a check of its engine, or its events cannot be read.
+    RefusedError
+        If the request cannot be written to any engine.
+    """
+    try:
+        yield
+    except UnsendableError as error:
+        progress.runs -= 1
+        raise job.refusal_of(error) from None
+    except HttpError as error:
+        state = None
+        if error.connection_lost:
+            has_begun = progress.last_event is not None
+            state = await shared.guard.handle_lost_run(job, link, has_begun)
+        raise RunEndedError(str(error), error.written, error.written, state) from None
+    except ValueError as error:
+        raise RunEndedError(f"invalid event stream: {error}", True) from None
 
 
 def _record_ended_run(job: Job, progress: StreamProgress, error: RunEndedError) -> None:
--- a/pimentoquay/gateway/streams.py
+++ b/pimentoquay/gateway/streams.py
@@ -8,9 +8,8 @@
 from pimentoquay.gateway.prefills import Prefill, PrefillRunner
 from pimentoquay.gateway.reservations import Reservation, Reservations
 from pimentoquay.gateway.shared_state import SharedState
-from pimentoquay.gateway.stream_progress import RunEndedError, StreamProgress, output_tokens
-from pimentoquay.gateway.stream_runs import StreamRuns, lost_run
-from pimentoquay.kernel.errors import HttpError, UnsendableError
+from pimentoquay.gateway.stream_progress import StreamProgress, output_tokens
+from pimentoquay.gateway.stream_runs import StreamRuns, begin_run, ending_run
 from pimentoquay.kernel.logs import logger
 from pimentoquay.platform.requests import SendOptions
 from pimentoquay.policy.fleet import ModelRequest, TokenMemory
@@ -115,10 +114,7 @@
     async def _run_at(
         self, job: Job, progress: StreamProgress, reservation: Reservation, prefill: Prefill | None
     ) -> None:
-        progress.engine = reservation.engine.id
-        progress.sends += 1
-        progress.runs += 1
-        job.sent_to.append(progress.engine)
+        begin_run(job, progress, reservation.engine)
         progress.run_software = await version_at(
             self._shared, job, reservation.engine, reservation.link, progress.software
         )
@@ -184,9 +180,9 @@
             after_event=progress.last_event,
             urgency=self._shared.urgency_of(job.priority, progress.last_event is not None),
         )
-        reservation.is_hold_used = True
-        try:
-            async with reservation.link.send(
+        async with (
+            ending_run(self._shared, job, progress, reservation.link),
+            reservation.link.send(
                 job.request.method,
                 job.request.target,
                 job.caller,
@@ -196,26 +192,16 @@
                 head_seconds=silence_timeout_of(job.route),
                 has_permit=True,
                 watch=watch_of(job.route),
-            ) as exchange:
-                await self._relay.relay(
-                    job,
-                    progress,
-                    exchange,
-                    reservation.engine,
-                    on_run=prefill.record_fetched if prefill is not None else lambda: None,
-                    on_events=lambda: self._update_reservation(progress, reservation),
-                )
-        except UnsendableError as error:
-            progress.runs -= 1
-            reservation.is_hold_used = False
-            raise job.refusal_of(error) from None
-        except HttpError as error:
-            reservation.is_hold_used = error.written
-            raise await lost_run(self._shared, job, progress, reservation.link, error) from None
-        except ValueError as error:
-            raise RunEndedError(f"invalid event stream: {error}", True) from None
-
-    def _update_reservation(self, progress: StreamProgress, reservation: Reservation) -> None:
-        if progress.memory is not None:
-            tokens = output_tokens(progress, progress.memory)
-            self._reservations.update_progress(reservation, tokens)
+                on_sent=reservation.record_hold_used,
+            ) as exchange,
+        ):
+            await self._relay.relay(
+                job,
+                progress,
+                exchange,
+                reservation.engine,
+                on_run=prefill.record_fetched if prefill is not None else lambda: None,
+                on_events=lambda: self._reservations.update_progress(
+                    reservation, output_tokens(progress, progress.memory)
+                ),
+            )
