Let a plain stream wait in the queue of its server

A stream of a plain service that may be resumed was given up if its server sent no head for 1.5 s, the silence after which a model stream is moved. Model streams begin with memory that is reserved and a prompt that is read; plain ones may wait in the queue of a busy server, and got 502. A stream that begins has as long as a plain call has now; one that goes on is moved after 1.5 s as before.

test_a_plain_stream_waits_for_its_turn_at_a_busy_server[/ticker/a] fails on the code before (502) and passes.

--- a/pimentoquay/gateway/plain.py
+++ b/pimentoquay/gateway/plain.py
@@ -18,6 +18,7 @@
     UNREACHED_RETRY_AFTER_SECONDS,
     choose_server,
     max_idle_of,
+    send_timeout,
     using_server,
 )
 from pimentoquay.gateway.shared_state import SharedState
@@ -45,10 +46,6 @@
 MAX_SENDS = 4
 """Maximum sends of one request, including those that wrote nothing or were rejected."""
 
-FIRST_SEND_TARGET_MULTIPLE = 2.0
-"""Timeout of an idempotent call's send, in multiples of its route's target latency, if another
-server can be tried."""
-
 MAX_BUFFERED_BYTES = 32 * 1024
 """Size of a response body in bytes up to which it is read completely before it is forwarded, so
 that the call can be repeated. A longer one is forwarded as it arrives."""
@@ -150,7 +147,7 @@
         written = asyncio.Event()
         with using_server(self._shared, engine) as use:
             try:
-                async with job.stop.time_limit(self._send_timeout(job, attempts)) as timeout:
+                async with job.stop.time_limit(send_timeout(job, attempts.runs)) as timeout:
                     response = await self._exchange(job, engine, timeout, written)
                 attempts.arrivals += 1
                 use.has_failed = response.status >= 500
@@ -178,12 +175,6 @@
             request=job.caller.id, engine=engine.id, digest=job.digest, engine_state=state.value
         ).info("run lost")
 
-    def _send_timeout(self, job: Job, attempts: _Attempts) -> float:
-        left = job.seconds_left()
-        if job.route.may_run_again and attempts.runs + 1 < job.route.max_engines:
-            return min(left, FIRST_SEND_TARGET_MULTIPLE * job.route.target_seconds)
-        return left
-
     async def _exchange(
         self, job: Job, engine: EngineEntry, timeout: asyncio.Timeout, written: asyncio.Event
     ) -> _Response:
--- a/pimentoquay/gateway/plain_streams.py
+++ b/pimentoquay/gateway/plain_streams.py
@@ -16,6 +16,7 @@
     UNREACHED_RETRY_AFTER_SECONDS,
     choose_server,
     max_idle_of,
+    send_timeout,
     using_server,
 )
 from pimentoquay.gateway.shared_state import SharedState
@@ -95,6 +96,10 @@
 
     async def _send(self, job: Job, progress: StreamProgress, engine: EngineEntry) -> None:
         request, link = job.request, self._shared.links.link_to(engine)
+        # A stream that begins may wait in the queue of its server, as a call does.
+        has_begun = progress.last_event is not None
+        silence = silence_timeout_of(job.route)
+        head_seconds = silence if has_begun else send_timeout(job, progress.runs)
         begin_run(job, progress, engine)
         progress.run_software = await version_at(self._shared, job, engine, link, progress.software)
         options = SendOptions(
@@ -112,7 +117,7 @@
                 options,
                 access=job.check_send,
                 max_idle_seconds=max_idle_of(job.route),
-                head_seconds=silence_timeout_of(job.route),
+                head_seconds=head_seconds,
                 watch=watch_of(job.route),
             ) as exchange,
         ):
--- a/pimentoquay/gateway/server_choice.py
+++ b/pimentoquay/gateway/server_choice.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Collection, Iterator
 from dataclasses import dataclass
 
+from pimentoquay.gateway.job import Job
 from pimentoquay.gateway.shared_state import SharedState
 from pimentoquay.policy.engine_choice import choose_engine
 from pimentoquay.policy.fleet import EngineEntry, Route
@@ -14,12 +15,17 @@
     "ServerUse",
     "choose_server",
     "max_idle_of",
+    "send_timeout",
     "using_server",
 ]
 
 UNREACHED_RETRY_AFTER_SECONDS = 0.3
 """Retry-After value if no server could be reached; about as long as a circuit first stays open."""
 
+FIRST_SEND_TARGET_MULTIPLE = 2.0
+"""Timeout of the send of a request that may be repeated, in multiples of its route's target
+latency, if another server can be tried."""
+
 UNREPEATABLE_MAX_IDLE_SECONDS = 1.0
 """Maximum idle time of a reused connection for a request that may not be repeated."""
 
@@ -75,6 +81,14 @@
     return None if route.may_run_again else UNREPEATABLE_MAX_IDLE_SECONDS
 
 
+def send_timeout(job: Job, runs: int) -> float:
+    """Return the seconds for which a server may take to answer a request that has run so often."""
+    left = job.seconds_left()
+    if job.route.may_run_again and runs + 1 < job.route.max_engines:
+        return min(left, FIRST_SEND_TARGET_MULTIPLE * job.route.target_seconds)
+    return left
+
+
 @contextlib.contextmanager
 def using_server(shared: SharedState, engine: EngineEntry) -> Iterator[ServerUse]:
     """Record a use of a server that lasts as long as the block, by which servers are compared."""
--- a/pimentoquay/gateway/tests/test_plain_streams.py
+++ b/pimentoquay/gateway/tests/test_plain_streams.py
@@ -40,10 +40,12 @@
 class FeedEngine(PlatformEngine):
     """Server of a plain service that answers with events, whose data name its version.
 
-    ``bodies`` holds the bodies of the first streams that begin there, ``framing`` how they end.
+    ``bodies`` holds the bodies of the first streams that begin there, ``framing`` how they end, and
+    ``head_seconds`` the time until the head of a stream that begins there.
     """
 
     framing: str = "chunks"
+    head_seconds: float = 0.0
     bodies: list[bytes] = field(default_factory=list)
 
     def event(self, number):
@@ -56,6 +58,8 @@
         pieces = [self.event(each) for each in numbers]
         if self.bodies and first == 1:
             pieces = [self.bodies.pop(0)]
+        if first == 1:
+            await asyncio.sleep(self.head_seconds)
         if self.framing == "length":
             reply.send(200, headers, b"".join(pieces))
             return
@@ -181,6 +185,16 @@
         assert len(full.arrivals) == 1
 
 
+@pytest.mark.parametrize("path", ["/once/a", "/ticker/a"])
+async def test_a_plain_stream_waits_for_its_turn_at_a_busy_server(path):
+    """Guards against a queue at a server that is taken for the silence of a stream."""
+    async with rig(document=feed_configuration()) as env:
+        feed = FeedEngine("feed-1", "feed", head_seconds=2.0)
+        await add_feeds(env, feed)
+        response = await env.send_request(path)
+        assert (response.status, response.is_whole, len(feed.arrivals)) == (200, True, 1)
+
+
 async def test_a_plain_stream_goes_on_at_another_server_of_its_version():
     """Guards against a stream whose pieces two software versions have written."""
     async with rig(document=feed_configuration()) as env:
