Report no pauses of engines that reserve no memory

Pauses are told to other gateways to judge how full an engine can be. Those of plain servers were measured and told too, though nothing reads them.

test_pauses_of_plain_streams_are_not_reported fails on the code before and passes.

--- a/pimentoquay/gateway/event_relay.py
+++ b/pimentoquay/gateway/event_relay.py
@@ -102,8 +102,9 @@
                 self._record_begun(job, progress)
             first_at, pause, last_at = first_at or now, now - (last_at or now), now
             progress.streamed_seconds = now - first_at
-            # A slow caller does not make an engine slow.
-            self._shared.record_pause(engine, max(0.0, pause - drained), route.gap_seconds)
+            if progress.memory is not None:
+                # A slow caller does not make an engine slow.
+                self._shared.record_pause(engine, max(0.0, pause - drained), route.gap_seconds)
             if pause > route.gap_seconds:
                 self._log_pause(job, engine, pause)
             if not reply.started:
--- a/pimentoquay/gateway/tests/test_plain_streams.py
+++ b/pimentoquay/gateway/tests/test_plain_streams.py
@@ -146,6 +146,17 @@
             assert loop.time() - began_at < 0.9
 
 
+async def test_pauses_of_plain_streams_are_not_reported(monkeypatch):
+    """Guards against messages on the memory of engines that reserve none."""
+    async with rig(document=feed_configuration()) as env:
+        await add_feeds(env, FeedEngine("feed-1", "feed", pause=0.4))
+        reported = []
+        shared = env.gateway_by_vm["vm-1"].dispatcher._shared
+        monkeypatch.setattr(shared, "record_pause", lambda *pause: reported.append(pause))
+        response = await env.send_request("/once/a")
+        assert response.is_whole and not reported
+
+
 @pytest.mark.parametrize("name", FOREIGN)
 async def test_an_error_inside_a_plain_stream_does_not_reach_its_caller(name):
     """Guards against an engine's error that is passed on as a part of the stream."""
