Let the test of another start of an engine fail without its fix

The stand-in serves requests with a hold that it does not know, so the test passed on the code before.

--- a/pimentoquay/gateway/tests/test_leaving_beside_waits.py
+++ b/pimentoquay/gateway/tests/test_leaving_beside_waits.py
@@ -92,10 +92,18 @@
 
 async def test_a_stream_is_not_sent_to_another_start_of_its_engine():
     """Guards against a hold of the start before that is used at the next one."""
+    held = set()
+
+    async def start_engine_again(env, engine):
+        held.update(engine.holds)
+        await start_again(env, engine)
+
     async with rig() as env:
         await replace_prefill_engine(env)
-        response, _, _ = await stream_beside(env, start_again)
+        response, left, other = await stream_beside(env, start_engine_again)
         assert (response.status, response.is_whole) == (200, True)
+        used = {each.headers["pimentoquay-kv-hold"] for each in (*runs(left), *runs(other))}
+        assert held and used and not used & held
 
 
 async def test_a_hold_whose_answer_says_that_the_engine_leaves_is_not_used():
